--- /dev/null
+++ b/src/sapphireledge/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Part of the entry instance."""
