--- a/src/sapphireledge/cli/__init__.py
+++ b/src/sapphireledge/cli/__init__.py
@@ -1,1 +1,7 @@
-"""Part of the entry instance."""
+"""Command line of the operators: a client of the operator interface."""
+
+from __future__ import annotations
+
+from sapphireledge.cli.app import app, main
+
+__all__ = ["app", "main"]
--- /dev/null
+++ b/src/sapphireledge/cli/connection.py
@@ -0,0 +1,139 @@
+"""Connection of the command line to an instance."""
+
+from __future__ import annotations
+
+import getpass
+import os
+import uuid
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, NoReturn
+
+import typer
+from thriftpy2.rpc import make_client
+from thriftpy2.thrift import TException
+from thriftpy2.transport import TTransportException
+
+from sapphireledge.errors import ERROR_ANSWERS, ErrorKind
+from sapphireledge.rpc import load_schema
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+    from sapphireledge.cli.output import OutputFormat
+
+__all__ = ["Connection"]
+
+SECRET_VARIABLE = "SAPPHIRELEDGE_SECRET"
+"""Environment variable that holds the secret if no file is named."""
+
+UNREACHABLE_EXIT_CODE = 1
+"""Exit code when no answer came; the outcome of a change is then unknown."""
+
+
+@dataclass(frozen=True)
+class Connection:
+    """How to reach the operator interface."""
+
+    server: str
+    """Address, IP:port."""
+
+    secret_file: Path | None
+    """File that holds the secret."""
+
+    who: str
+    """Name recorded with each change; empty for the name of the login."""
+
+    timeout: float
+    """Time limit of one call, in seconds."""
+
+    output: OutputFormat
+    """Form of the output."""
+
+    @property
+    def schema(self) -> Any:
+        """The module of the operator schema."""
+        return load_schema("operator")
+
+    def author(self, why: str) -> Any:
+        """Makes the author record of a change.
+
+        Args:
+            why: Reason of the change.
+
+        Returns:
+            The Thrift struct.
+        """
+        return self.schema.Author(who=self._who(), why=why)
+
+    @staticmethod
+    def new_operation_id() -> str:
+        """Makes an operation id.
+
+        Returns:
+            A random UUID.
+        """
+        return str(uuid.uuid4())
+
+    @contextmanager
+    def client(self, extra_time: float = 0.0) -> Iterator[Any]:
+        """Connects, authenticates and turns every error into an exit code.
+
+        Args:
+            extra_time: Seconds that a waiting call adds to the time limit.
+
+        Yields:
+            The Thrift client.
+        """
+        host, _, port = self.server.rpartition(":")
+        if not host or not port.isdecimal():
+            _fail(
+                f"--server: {self.server!r} must have the form IP:port", ErrorKind.INVALID_REQUEST
+            )
+        client = None
+        try:
+            client = make_client(
+                self.schema.Operator,
+                host,
+                int(port),
+                timeout=int((self.timeout + extra_time) * 1000),
+            )
+            client.hello(self._secret(), self._who())
+            yield client
+        except self.schema.OperatorError as exc:
+            _fail_with(exc)
+        except (TTransportException, OSError, TException) as exc:
+            typer.echo(f"no answer from {self.server}: {exc}", err=True)
+            raise typer.Exit(UNREACHABLE_EXIT_CODE) from exc
+        finally:
+            if client is not None:
+                client.close()
+
+    def _secret(self) -> str:
+        """Reads the secret."""
+        if self.secret_file is not None:
+            return self.secret_file.read_text(encoding="utf-8").strip()
+        return os.environ.get(SECRET_VARIABLE, "")
+
+    def _who(self) -> str:
+        """Names the person."""
+        return self.who or getpass.getuser()
+
+
+def _fail_with(exc: Any) -> NoReturn:
+    """Ends the command with the exit code of an operator error."""
+    detail = ""
+    if exc.kind == ErrorKind.CONFLICT and exc.current_version is not None:
+        detail = f" (based on version {exc.base_version}, in force {exc.current_version})"
+    try:
+        kind = ErrorKind(exc.kind)
+    except ValueError:
+        kind = ErrorKind.INTERNAL
+    _fail(f"{exc.reason}{detail}", kind)
+
+
+def _fail(reason: str, kind: ErrorKind) -> NoReturn:
+    """Ends the command with the exit code of an error kind."""
+    typer.echo(f"{kind}: {reason}", err=True)
+    raise typer.Exit(ERROR_ANSWERS[kind].exit_code)
--- /dev/null
+++ b/src/sapphireledge/cli/settings_commands.py
@@ -0,0 +1,77 @@
+"""Commands for settings files."""
+
+from __future__ import annotations
+
+from dataclasses import fields, is_dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from sapphireledge.cli.output import OutputFormat, print_object
+from sapphireledge.errors import ERROR_ANSWERS, ErrorKind
+from sapphireledge.settings import Settings, load_settings
+
+__all__ = ["app"]
+
+app = typer.Typer(help="Settings files of instances.", no_args_is_help=True)
+"""The settings commands."""
+
+SECRET_NAMES = frozenset({"fleet_secret", "operator_secret"})
+"""Fields whose values are not shown."""
+
+FileArgument = Annotated[Path, typer.Argument(help="Settings file, JSON with comments.")]
+
+
+@app.command()
+def check(file: FileArgument) -> None:
+    """Checks a settings file and names every problem.
+
+    Example: sapphireledge settings check examples/akl-a-1.json
+    """
+    _load(file)
+    typer.echo(f"{file}: no problems")
+
+
+@app.command()
+def show(ctx: typer.Context, file: FileArgument) -> None:
+    """Shows all settings with defaults and units.
+
+    Example: sapphireledge settings show examples/akl-a-1.json
+    """
+    rows = dict(_rows(_load(file), ""))
+    output = ctx.obj.output if ctx.obj is not None else OutputFormat.TEXT
+    if output is OutputFormat.JSON:
+        rows = {name: value for name, (value, _) in rows.items()}
+        print_object(rows, output)
+        return
+    for name, (value, unit) in rows.items():
+        typer.echo(f"{name} = {value!r}" + (f" {unit}" if unit else ""))
+
+
+def _load(file: Path) -> Settings:
+    """Loads the file or ends the command."""
+    result = load_settings(file)
+    if isinstance(result, Settings):
+        return result
+    for problem in result:
+        typer.echo(str(problem), err=True)
+    raise typer.Exit(ERROR_ANSWERS[ErrorKind.INVALID_REQUEST].exit_code)
+
+
+def _rows(section: Any, prefix: str) -> list[tuple[str, tuple[Any, str]]]:
+    """Flattens settings into dotted names with values and units."""
+    rows: list[tuple[str, tuple[Any, str]]] = []
+    for field in fields(section):
+        value = getattr(section, field.name)
+        name = f"{prefix}{field.name}"
+        if is_dataclass(value):
+            rows.extend(_rows(value, f"{name}."))
+            continue
+        if field.name in SECRET_NAMES and value:
+            value = "(set)"
+        info = type(section).__pydantic_fields__[field.name]
+        extra = info.json_schema_extra
+        unit = str(extra.get("unit", "")) if isinstance(extra, dict) else ""
+        rows.append((name, (value, unit)))
+    return rows
--- /dev/null
+++ b/src/sapphireledge/entry/lifecycle.py
@@ -0,0 +1,81 @@
+"""Life cycle of an entry instance."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, ClassVar
+
+import structlog
+from transitions import Machine
+
+from sapphireledge.telemetry import LogEvent
+
+if TYPE_CHECKING:
+    from sapphireledge.settings import Settings
+
+__all__ = ["Lifecycle"]
+
+
+class Lifecycle:
+    """States of the process: starting, ready, draining, stopped.
+
+    A drain first only switches readiness off; new work is refused after `balancer_delay`, when the
+    platform's balancer has stopped sending any.
+    """
+
+    STATES: ClassVar[list[str]] = ["starting", "ready", "draining", "stopped"]
+    """All states, in order."""
+
+    state: str
+    """Current state, maintained by `transitions`."""
+
+    def __init__(self, cfg: Settings) -> None:
+        """Begins in state starting.
+
+        Args:
+            cfg: Settings of the instance.
+        """
+        self._cfg = cfg.lifecycle
+        self._log = structlog.get_logger()
+        self._refusing = False
+        self.drain_requested = asyncio.Event()
+        """Set when a planned stop was asked for."""
+        self._machine = Machine(
+            self, states=self.STATES, initial="starting", auto_transitions=False
+        )
+        self._machine.add_transition("_to_ready", "starting", "ready")
+        self._machine.add_transition("_to_draining", ["starting", "ready"], "draining")
+        self._machine.add_transition("_to_stopped", "draining", "stopped")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send new work."""
+        return self.state == "ready"
+
+    @property
+    def refuses_new_work(self) -> bool:
+        """Whether new work is refused because of a planned stop."""
+        return self._refusing
+
+    def ready(self) -> None:
+        """Marks the instance as ready, unless a stop has begun."""
+        if self.state == "starting":
+            self._to_ready()
+            self._log.info(LogEvent.INSTANCE_READY)
+
+    def request_drain(self) -> None:
+        """Asks for a planned stop; repeated calls have no further effect."""
+        if self.state in ("starting", "ready"):
+            self._to_draining()
+            self._log.info(LogEvent.INSTANCE_DRAINING)
+            self.drain_requested.set()
+
+    async def refuse_after_balancer_delay(self) -> None:
+        """Waits until the balancer has noticed, then refuses new work."""
+        await asyncio.sleep(self._cfg.balancer_delay)
+        self._refusing = True
+
+    def stopped(self) -> None:
+        """Marks the end of the process."""
+        self._to_stopped()
+        self._log.info(LogEvent.INSTANCE_STOPPED)
--- /dev/null
+++ b/src/sapphireledge/entry/parse_request.py
@@ -0,0 +1,186 @@
+"""Checking of a caller's generation request."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import uuid6
+
+from sapphireledge.entry.caller_request import CallerRequest, ResumePoint
+from sapphireledge.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sapphireledge.settings import CallerSettings
+
+__all__ = ["parse_request"]
+
+DEFAULT_MAX_TOKENS = 512
+"""Assumed answer length of a request that sets no limit, in tokens."""
+
+MAX_MAX_TOKENS = 1_000_000
+"""Largest accepted answer limit, in tokens."""
+
+MAX_DEADLINE_MS = 86_400_000
+"""Largest accepted deadline, in milliseconds (one day)."""
+
+_ID_PATTERN = re.compile(r"[A-Za-z0-9._:\-]{1,128}")
+_EVENT_ID_PATTERN = re.compile(r"(\d{1,9})\.([0-9a-f]{1,64})")
+
+
+class _InvalidFieldError(Exception):
+    """A field of the request is wrong."""
+
+
+def parse_request(
+    headers: Mapping[str, str], data: bytes, chat: bool, workspace: str, cfg: CallerSettings
+) -> CallerRequest | Failure:
+    """Checks headers and body of a generation request.
+
+    Args:
+        headers: Request headers with lower-case names.
+        data: Request body.
+        chat: Whether the request came by the chat interface.
+        workspace: Workspace that the caller's credentials allow.
+        cfg: Limits of the caller interface.
+
+    Returns:
+        The request, or a failure of kind invalid_request that names the field.
+    """
+    try:
+        body = _object(data)
+        extension = body.pop("sapphireledge", {})
+        if not isinstance(extension, dict):
+            raise _InvalidFieldError("sapphireledge: must be an object")
+        if body.get("n", 1) != 1:
+            raise _InvalidFieldError("n: only 1 is supported")
+        return CallerRequest(
+            request_id=_request_id(headers),
+            workspace=workspace,
+            rank=_name(headers, "x-rank", cfg.default_rank),
+            model=_text(body, "model"),
+            chat=chat,
+            stream=_flag(body, "stream"),
+            prompt=_prompt(body, chat),
+            max_tokens=_max_tokens(body),
+            body=body,
+            deadline=_deadline(headers),
+            resume=_resume_point(headers, extension),
+            trace_headers=tuple(
+                (name, headers[name]) for name in ("traceparent", "tracestate") if name in headers
+            ),
+        )
+    except _InvalidFieldError as exc:
+        return Failure(ErrorKind.INVALID_REQUEST, str(exc))
+
+
+def _object(data: bytes) -> dict[str, Any]:
+    """Decodes the body."""
+    try:
+        body = msgspec.json.decode(data)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise _InvalidFieldError(f"body: is not JSON: {exc}") from exc
+    if not isinstance(body, dict):
+        raise _InvalidFieldError("body: must be an object")
+    return body
+
+
+def _text(body: dict[str, Any], field: str) -> str:
+    """Reads a required text field."""
+    value = body.get(field)
+    if not isinstance(value, str) or not value:
+        raise _InvalidFieldError(f"{field}: must be a non-empty string")
+    return value
+
+
+def _flag(body: dict[str, Any], field: str) -> bool:
+    """Reads an optional Boolean field."""
+    value = body.get(field, False)
+    if value is None:
+        return False
+    if not isinstance(value, bool):
+        raise _InvalidFieldError(f"{field}: must be true or false")
+    return value
+
+
+def _max_tokens(body: dict[str, Any]) -> int:
+    """Reads the limit of the answer under either of its customary names."""
+    for field in ("max_completion_tokens", "max_tokens"):
+        value = body.get(field)
+        if value is None:
+            continue
+        if isinstance(value, bool) or not isinstance(value, int):
+            raise _InvalidFieldError(f"{field}: must be an integer")
+        if not 1 <= value <= MAX_MAX_TOKENS:
+            raise _InvalidFieldError(f"{field}: must be from 1 to {MAX_MAX_TOKENS} tokens")
+        return value
+    return DEFAULT_MAX_TOKENS
+
+
+def _prompt(body: dict[str, Any], chat: bool) -> str:
+    """Reads the prompt as one text."""
+    if not chat:
+        return _text(body, "prompt")
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise _InvalidFieldError("messages: must be a non-empty list")
+    parts = []
+    for index, message in enumerate(messages):
+        if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+            raise _InvalidFieldError(f"messages.{index}.role: must be a string")
+        content = message.get("content", "")
+        if not isinstance(content, str):
+            content = msgspec.json.encode(content).decode()
+        parts.append(f"{message['role']}: {content}")
+    return "\n".join(parts)
+
+
+def _request_id(headers: Mapping[str, str]) -> str:
+    """Reads or makes the request id."""
+    value = headers.get("x-request-id")
+    if value is None:
+        return str(uuid6.uuid7())
+    if not _ID_PATTERN.fullmatch(value):
+        raise _InvalidFieldError(
+            "X-Request-Id: must be 1 to 128 letters, digits, dots, colons, hyphens or underscores"
+        )
+    return value
+
+
+def _name(headers: Mapping[str, str], header: str, default: str) -> str:
+    """Reads a name from a header."""
+    value = headers.get(header, default)
+    if not _ID_PATTERN.fullmatch(value):
+        raise _InvalidFieldError(f"{header}: is not a valid name")
+    return value
+
+
+def _deadline(headers: Mapping[str, str]) -> float | None:
+    """Reads the deadline in seconds after arrival."""
+    value = headers.get("x-deadline-ms")
+    if value is None:
+        return None
+    if not value.isdecimal() or not 1 <= int(value) <= MAX_DEADLINE_MS:
+        raise _InvalidFieldError(f"X-Deadline-Ms: must be from 1 to {MAX_DEADLINE_MS} ms")
+    return int(value) / 1000.0
+
+
+def _resume_point(headers: Mapping[str, str], extension: dict[str, Any]) -> ResumePoint | None:
+    """Reads where a reconnecting caller wants to go on."""
+    received = extension.get("received")
+    if received is not None and not isinstance(received, str):
+        raise _InvalidFieldError("sapphireledge.received: must be a string")
+    event_id = headers.get("last-event-id") or extension.get("last_event_id")
+    if event_id is None:
+        if received is not None:
+            raise _InvalidFieldError("sapphireledge.received: needs the last event id")
+        return None
+    match = _EVENT_ID_PATTERN.fullmatch(str(event_id))
+    if match is None:
+        raise _InvalidFieldError("Last-Event-ID: must have the form <offset>.<digest>")
+    if "x-request-id" not in headers:
+        raise _InvalidFieldError("X-Request-Id: is required with Last-Event-ID")
+    return ResumePoint(int(match[1]), match[2], received)
--- /dev/null
+++ b/src/sapphireledge/telemetry/tracing.py
@@ -0,0 +1,109 @@
+"""Trace spans by OpenTelemetry, one for each hop of a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from opentelemetry.context import Context
+    from opentelemetry.trace import Span
+
+    from sapphireledge.settings import Settings
+
+__all__ = ["Tracing"]
+
+MAX_QUEUED_SPANS = 2048
+"""Spans that wait for the exporter; further ones are dropped, so that requests never wait."""
+
+
+class Tracing:
+    """Creates spans and writes them to the trace file, if one is set."""
+
+    def __init__(self, cfg: Settings) -> None:
+        """Sets up the exporter.
+
+        Args:
+            cfg: Settings of the instance.
+        """
+        resource = Resource.create(
+            {
+                "service.name": "sapphireledge",
+                "service.instance.id": cfg.instance,
+                "sapphireledge.data_centre": cfg.data_centre,
+            }
+        )
+        self._provider = TracerProvider(resource=resource)
+        self._file = None
+        if cfg.telemetry.trace_file:
+            self._file = open(cfg.telemetry.trace_file, "a", encoding="utf-8")  # noqa: SIM115
+            exporter = ConsoleSpanExporter(
+                out=self._file, formatter=lambda span: span.to_json(indent=None) + "\n"
+            )
+            processor = BatchSpanProcessor(
+                exporter, max_queue_size=MAX_QUEUED_SPANS, schedule_delay_millis=500
+            )
+            self._provider.add_span_processor(processor)
+        self._tracer = self._provider.get_tracer("sapphireledge")
+        self._propagator = TraceContextTextMapPropagator()
+
+    def extract(self, headers: Mapping[str, str]) -> Context:
+        """Reads the caller's trace context.
+
+        Args:
+            headers: Request headers with lower-case names.
+
+        Returns:
+            The context, empty without a valid `traceparent`.
+        """
+        return self._propagator.extract(dict(headers))
+
+    def start(self, name: str, parent: Context | None = None, **attributes: Any) -> Span:
+        """Starts a span; the caller of this method ends it.
+
+        Args:
+            name: Name of the hop.
+            parent: Context of the parent span.
+            attributes: Attributes without any text of a caller.
+
+        Returns:
+            The span.
+        """
+        return self._tracer.start_span(name, context=parent, attributes=attributes)
+
+    def child_context(self, span: Span) -> Context:
+        """Returns the context for children of a span.
+
+        Args:
+            span: The parent span.
+
+        Returns:
+            The context.
+        """
+        return trace.set_span_in_context(span)
+
+    def headers(self, span: Span) -> dict[str, str]:
+        """Formats the trace context for the next hop.
+
+        Args:
+            span: Span of this hop.
+
+        Returns:
+            The `traceparent` header.
+        """
+        carrier: dict[str, str] = {}
+        self._propagator.inject(carrier, context=trace.set_span_in_context(span))
+        return carrier
+
+    def close(self) -> None:
+        """Writes the remaining spans and closes the file."""
+        self._provider.shutdown()
+        if self._file is not None:
+            self._file.close()
