--- /dev/null
+++ b/devtools/local_fleet.py
@@ -0,0 +1,368 @@
+"""A small fleet of real processes on loopback, for the demo, the tests and the benchmarks."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from sapphireledge.rpc import load_schema
+from thriftpy2.rpc import make_client
+
+__all__ = ["EngineSpec", "EntrySpec", "LocalFleet", "ServiceSpec"]
+
+START_LIMIT = 20.0
+"""Time limit for the start of one process, in seconds."""
+
+STOP_LIMIT = 5.0
+"""Time limit for the end of one process after a terminate signal, in seconds."""
+
+SECRET = "local-fleet"
+"""Shared secret of the fleet."""
+
+DEFAULT_DECLARATIONS: tuple[tuple[str, dict[str, Any]], ...] = (
+    (
+        "rank",
+        {"name": "urgent", "order": 0, "target": 2.0, "worth": 10, "share": 0.5, "reserve": 0.15},
+    ),
+    ("rank", {"name": "standard", "order": 1, "target": 10.0, "worth": 3, "share": 0.3}),
+    ("rank", {"name": "background", "order": 2, "target": 60.0, "share": 0.1, "late": True}),
+    ("workspace", {"name": "default"}),
+    ("workspace", {"name": "registry"}),
+    ("workspace", {"name": "advocates"}),
+    ("service", {"name": "booking"}),
+    ("deployment", {"name": "drafting", "model": "drafter", "version": "1"}),
+)
+"""What the fleet declares unless told otherwise."""
+
+
+@dataclass(frozen=True)
+class EntrySpec:
+    """One entry instance."""
+
+    name: str
+    data_centre: str = "akl-a"
+    region: str = "akl"
+    extra: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """One engine stand-in."""
+
+    name: str
+    data_centre: str = "akl-a"
+    region: str = "akl"
+    options: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class ServiceSpec:
+    """One stand-in of a plain service."""
+
+    name: str
+    service: str = "booking"
+    data_centre: str = "akl-a"
+    region: str = "akl"
+
+
+@dataclass
+class _Process:
+    """A started process."""
+
+    popen: subprocess.Popen[bytes]
+    address: str
+    row: dict[str, str] | None = None
+
+
+class LocalFleet:
+    """Starts, breaks and stops a fleet; use it as a context manager."""
+
+    def __init__(
+        self,
+        folder: Path,
+        entries: tuple[EntrySpec, ...],
+        engines: tuple[EngineSpec, ...],
+        services: tuple[ServiceSpec, ...] = (),
+        declarations: tuple[tuple[str, dict[str, Any]], ...] = DEFAULT_DECLARATIONS,
+    ) -> None:
+        self.folder = folder
+        self.entries = entries
+        self.engines = engines
+        self.services = services
+        self.declarations = declarations
+        self.processes: dict[str, _Process] = {}
+        self.callers: dict[str, str] = {}
+        self.operators: dict[str, str] = {}
+        self.platform_url = ""
+        self._entry_files: dict[str, Path] = {}
+        self._states: dict[str, str] = {}
+
+    def __enter__(self) -> LocalFleet:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Starts every process and waits until the entries are ready."""
+        self.start_platform()
+        for engine in self.engines:
+            self.start_engine(engine)
+        for service in self.services:
+            self.start_service(service)
+        for entry in self.entries:
+            self._write_entry_settings(entry)
+            self.start_entry(entry.name, wait=False)
+        self.publish_instances()
+        if self.declarations and self.entries:
+            self.wait_port(self.operators[self.entries[0].name])
+            self.declare(self.declarations)
+        for entry in self.entries:
+            self.wait_ready(entry.name)
+
+    def stop(self) -> None:
+        """Ends every process that this fleet started."""
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait(STOP_LIMIT)
+        self.processes.clear()
+
+    def start_platform(self, port: int | None = None) -> None:
+        """Starts the platform stand-in."""
+        port = port or free_port()
+        self._spawn("platform", "sapphireledge_standins.platform_server", port, [])
+        self.platform_url = f"http://127.0.0.1:{port}"
+        self.wait_port(f"127.0.0.1:{port}")
+
+    def start_engine(self, engine: EngineSpec, port: int | None = None) -> None:
+        """Starts an engine stand-in."""
+        port = port or free_port()
+        options = ["--name", engine.name, "--data-centre", engine.data_centre]
+        options += ["--region", engine.region, *engine.options]
+        process = self._spawn(engine.name, "sapphireledge_standins.engine_server", port, options)
+        process.row = _row(engine, "engine", port, "drafting")
+        self.wait_port(process.address)
+
+    def start_service(self, service: ServiceSpec, port: int | None = None) -> None:
+        """Starts a stand-in of a plain service."""
+        port = port or free_port()
+        options = ["--name", service.name]
+        process = self._spawn(service.name, "sapphireledge_standins.service_server", port, options)
+        process.row = _row(service, "service", port, service.service)
+        self.wait_port(process.address)
+
+    def start_entry(self, name: str, wait: bool = True) -> None:
+        """Starts an entry instance, or starts it again with the same settings."""
+        entry = next(entry for entry in self.entries if entry.name == name)
+        command = [sys.executable, "-m", "sapphireledge.daemon"]
+        command += ["--config", str(self._entry_files[name])]
+        cfg = msgspec.json.decode(self._entry_files[name].read_bytes())
+        address = f"127.0.0.1:{cfg['peer_address']['port']}"
+        process = self._popen(name, command, address)
+        process.row = _row(entry, "entry", cfg["peer_address"]["port"], "")
+        if wait:
+            self.wait_ready(name)
+
+    def kill(self, name: str) -> None:
+        """Kills a process at once."""
+        process = self.processes[name]
+        process.popen.kill()
+        process.popen.wait(STOP_LIMIT)
+
+    def terminate(self, name: str) -> None:
+        """Asks a process for a planned stop and returns at once."""
+        self.processes[name].popen.send_signal(signal.SIGTERM)
+
+    def wait_exit(self, name: str, limit: float) -> int:
+        """Waits for the end of a process and returns its exit code."""
+        return self.processes[name].popen.wait(limit)
+
+    def pause(self, name: str) -> None:
+        """Freezes a process."""
+        self.processes[name].popen.send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Lets a frozen process go on."""
+        self.processes[name].popen.send_signal(signal.SIGCONT)
+
+    def set_state(self, name: str, state: str) -> None:
+        """Marks an instance as live or leaving in the instance list."""
+        self._states[name] = state
+        self.publish_instances()
+
+    def publish_instances(self) -> None:
+        """Sends the instance list to the platform."""
+        rows = []
+        for name, process in self.processes.items():
+            if process.row is not None:
+                rows.append({**process.row, "state": self._states.get(name, "live")})
+        self.admin(self.platform_url, "PUT", "/admin/instances", rows)
+
+    def faults(self, name: str, **faults: Any) -> Any:
+        """Sets the faults of a stand-in; no arguments clear them."""
+        url = self.platform_url if name == "platform" else self.url(name)
+        return self.admin(url, "PUT", "/admin/faults", faults)
+
+    def counts(self, name: str) -> Any:
+        """Reads the counters of a stand-in."""
+        url = self.platform_url if name == "platform" else self.url(name)
+        return self.admin(url, "GET", "/admin/counts")
+
+    def url(self, name: str) -> str:
+        """Base URL of a backend server or of an entry's caller interface."""
+        if name in self.callers:
+            return self.callers[name]
+        return f"http://{self.processes[name].address}"
+
+    @staticmethod
+    def admin(url: str, method: str, path: str, body: Any = None) -> Any:
+        """Calls an HTTP interface and returns the decoded body."""
+        data = None if body is None else msgspec.json.encode(body)
+        request = urllib.request.Request(url + path, data=data, method=method)
+        request.add_header("Content-Type", "application/json")
+        with urllib.request.urlopen(request, timeout=10) as response:
+            content = response.read()
+        return msgspec.json.decode(content) if content else None
+
+    def operator(self, entry: str) -> Any:
+        """Opens an authenticated operator connection; the caller closes it."""
+        host, _, port = self.operators[entry].rpartition(":")
+        client = make_client(load_schema("operator").Operator, host, int(port), timeout=20_000)
+        client.hello(SECRET, "local-fleet")
+        return client
+
+    def declare(self, declarations: tuple[tuple[str, dict[str, Any]], ...]) -> int:
+        """Applies declarations through the first entry; returns the highest version."""
+        schema = load_schema("operator")
+        client = self.operator(self.entries[0].name)
+        highest = 0
+        try:
+            for kind, spec in declarations:
+                text = msgspec.json.encode(spec).decode()
+                (declared,) = [
+                    schema.Declaration(kind=kind, name=spec["name"], spec=text, version=0)
+                ]
+                for entry in client.diff([declared]):
+                    change = schema.Change(
+                        operation_id=os.urandom(16).hex(),
+                        kind=kind,
+                        name=spec["name"],
+                        spec=text,
+                        base_version=entry.version,
+                        deleted=False,
+                    )
+                    author = schema.Author(who="local-fleet", why="start")
+                    highest = max(highest, client.apply(change, author).version)
+        finally:
+            client.close()
+        return highest
+
+    def wait_ready(self, name: str, limit: float = START_LIMIT) -> None:
+        """Waits until an entry reports that it is ready."""
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            self._check_alive(name)
+            try:
+                self.admin(self.callers[name], "GET", "/readyz")
+                return
+            except (urllib.error.URLError, OSError):
+                time.sleep(0.05)
+        raise TimeoutError(f"{name} is not ready after {limit} s; log: {self.log_path(name)}")
+
+    def wait_port(self, address: str, limit: float = START_LIMIT) -> None:
+        """Waits until a port accepts connections."""
+        host, _, port = address.rpartition(":")
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            try:
+                socket.create_connection((host, int(port)), timeout=1).close()
+                return
+            except OSError:
+                time.sleep(0.02)
+        raise TimeoutError(f"{address} does not accept connections after {limit} s")
+
+    def log_path(self, name: str) -> Path:
+        """File with the standard output and error of a process."""
+        return self.folder / f"{name}.log"
+
+    def _check_alive(self, name: str) -> None:
+        """Raises if a process has ended."""
+        code = self.processes[name].popen.poll()
+        if code is not None:
+            tail = self.log_path(name).read_text(encoding="utf-8")[-2000:]
+            raise RuntimeError(f"{name} ended with code {code}:\n{tail}")
+
+    def _write_entry_settings(self, entry: EntrySpec) -> None:
+        """Writes the settings file of an entry."""
+        caller, peer, operator = free_port(), free_port(), free_port()
+        cfg: dict[str, Any] = {
+            "instance": entry.name,
+            "data_centre": entry.data_centre,
+            "region": entry.region,
+            "caller_address": {"port": caller},
+            "peer_address": {"port": peer},
+            "operator_address": {"port": operator},
+            "platform": {"url": self.platform_url},
+            "fleet_secret": SECRET,
+            "lifecycle": {"balancer_delay": 0.2},
+            "telemetry": {"trace_file": str(self.folder / f"{entry.name}.trace.jsonl")},
+        }
+        for section, values in entry.extra.items():
+            cfg[section] = {**cfg.get(section, {}), **values}
+        path = self.folder / f"{entry.name}.json"
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(cfg)))
+        self._entry_files[entry.name] = path
+        self.callers[entry.name] = f"http://127.0.0.1:{caller}"
+        self.operators[entry.name] = f"127.0.0.1:{operator}"
+
+    def _spawn(self, name: str, module: str, port: int, options: list[str]) -> _Process:
+        """Starts a stand-in."""
+        command = [sys.executable, "-m", module, "--port", str(port), *options]
+        return self._popen(name, command, f"127.0.0.1:{port}")
+
+    def _popen(self, name: str, command: list[str], address: str) -> _Process:
+        """Starts a process with its log file."""
+        with self.log_path(name).open("ab") as log:
+            popen = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT
+            )
+        process = _Process(popen, address)
+        self.processes[name] = process
+        return process
+
+
+def _row(spec: Any, kind: str, port: int, role: str) -> dict[str, str]:
+    """Makes the row of the instance list, except for the state."""
+    return {
+        "name": spec.name,
+        "kind": kind,
+        "address": f"127.0.0.1:{port}",
+        "data_centre": spec.data_centre,
+        "region": spec.region,
+        "role": role,
+    }
+
+
+def free_port() -> int:
+    """Finds a free TCP port on loopback."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
