Add the runner of one answer

It carries out the decisions of the generation machine in the event loop's thread; attempts, probes and cancellations are tasks of their own. The timer for silence is set again only when it fires, so that a token costs no timer.

--- /dev/null
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -0,0 +1,387 @@
+"""Drives the generation machine of one answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from sapphireledge.backends import BreakCause as CallBreak
+from sapphireledge.backends import Broken, Finished, GenerationCall, Started, TokenPiece
+from sapphireledge.core.answer import (
+    BreakCause,
+    CancelAttempt,
+    Complete,
+    Deliver,
+    Dispatch,
+    Ignore,
+    Probe,
+    Refuse,
+)
+from sapphireledge.entry.pool_work import PoolWork
+from sapphireledge.entry.running_answer import AnswerEnd
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.telemetry import LogEvent, MetricName
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from opentelemetry.context import Context
+
+    from sapphireledge.core.answer import Decision
+    from sapphireledge.core.replay import RecordingMachine
+    from sapphireledge.entry.answer_context import AnswerContext
+    from sapphireledge.entry.caller_request import CallerRequest
+    from sapphireledge.entry.grant import Grant
+    from sapphireledge.entry.running_answer import RunningAnswer
+
+__all__ = ["AnswerRunner"]
+
+BREAK_CAUSES: dict[CallBreak, BreakCause] = {
+    CallBreak.NOT_CONNECTED: BreakCause.REFUSED,
+    CallBreak.NO_CONNECTION_FREE: BreakCause.REFUSED,
+    CallBreak.LEAVING: BreakCause.LEAVING,
+    CallBreak.BUSY: BreakCause.REJECTED,
+    CallBreak.UNKNOWN_MODEL: BreakCause.REJECTED,
+    CallBreak.INVALID: BreakCause.REJECTED,
+    CallBreak.SERVER_ERROR: BreakCause.CLOSED,
+    CallBreak.NO_ANSWER: BreakCause.TIMEOUT,
+    CallBreak.CONNECTION_LOST: BreakCause.CLOSED,
+    CallBreak.TRUNCATED: BreakCause.CLOSED,
+    CallBreak.MALFORMED: BreakCause.PROTOCOL,
+}
+"""Cause for the generation machine of each cause that the engine client tells apart."""
+
+
+class AnswerRunner:
+    """Carries out the decisions of the generation machine of one answer.
+
+    Every input goes to the machine in the event loop's thread, and its decisions are carried out
+    before the next input. Attempts, probes and cancellations run as tasks of their own.
+    """
+
+    def __init__(
+        self,
+        req: CallerRequest,
+        answer: RunningAnswer,
+        machine: RecordingMachine,
+        ctx: AnswerContext,
+        trace: Context | None,
+    ) -> None:
+        """Prepares the runner; `start` begins.
+
+        Args:
+            req: The caller's request.
+            answer: Receives the tokens.
+            machine: Generation machine of the answer.
+            ctx: Parts of the instance that a generation needs.
+            trace: Trace context of the request.
+        """
+        self._req = req
+        self._answer = answer
+        self._machine = machine
+        self._ctx = ctx
+        self._trace = trace
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._streams: dict[int, asyncio.Task[None]] = {}
+        self._grants: dict[int, Grant] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._arrived = time.monotonic()
+        self._lost_at: float | None = None
+        self._last_token = 0.0
+        self._log = structlog.get_logger().bind(request_id=req.request_id)
+
+    @property
+    def answer(self) -> RunningAnswer:
+        """The answer that this runner fills."""
+        return self._answer
+
+    @property
+    def machine(self) -> RecordingMachine:
+        """The generation machine."""
+        return self._machine
+
+    @property
+    def request(self) -> CallerRequest:
+        """The caller's request."""
+        return self._req
+
+    def start(self) -> None:
+        """Begins the generation."""
+        self._apply(self._machine.start(time.monotonic()))
+
+    def caller_gone(self) -> None:
+        """Stops the generation because nobody waits for it; its text stays."""
+        self._apply(self._machine.on_caller_gone(time.monotonic()))
+        self._end_tasks()
+
+    def superseded(self, owner: str) -> None:
+        """Stops the generation because another instance owns the answer.
+
+        Args:
+            owner: Name of the new owner.
+        """
+        self._apply(self._machine.on_superseded(time.monotonic(), owner))
+        self._end_tasks()
+
+    def _apply(self, decisions: list[Decision]) -> None:
+        """Carries out decisions in order."""
+        for decision in decisions:
+            kind = type(decision)
+            if kind is Deliver:
+                self._deliver(decision.offset, decision.text)
+            elif kind is Dispatch:
+                self._spawn(self._dispatch(decision))
+            elif kind is Probe:
+                self._spawn(self._probe(decision))
+            elif kind is CancelAttempt:
+                self._cancel(decision)
+            elif kind is Complete:
+                self._finish(AnswerEnd(finish=decision.reason))
+            elif kind is Refuse:
+                self._finish(AnswerEnd(failure=decision.failure))
+            elif kind is not Ignore:
+                raise TypeError(f"unknown decision {kind.__name__}")
+        if self._timer is None and self._machine.deadline is not None:
+            self._arm()
+
+    def _deliver(self, offset: int, text: str) -> None:
+        """Adds a token to the answer and to its copy."""
+        now = time.monotonic()
+        if offset == 0:
+            self._ctx.metrics.time(MetricName.FIRST_TOKEN, now - self._arrived, self._req.rank)
+        if self._lost_at is not None:
+            self._ctx.metrics.time(MetricName.RESUME_LATENCY, now - self._lost_at, self._req.rank)
+            self._lost_at = None
+        self._last_token = now
+        self._answer.append(text)
+        self._ctx.copies.append(self._answer.answer_id, text)
+
+    def _finish(self, end: AnswerEnd) -> None:
+        """Ends the answer."""
+        self._answer.finish(end)
+        self._answer.ended_at = time.monotonic()
+        result = end.failure.kind if end.failure is not None else "completed"
+        self._ctx.metrics.count(MetricName.REQUESTS, 1, f"{self._req.rank}.{result}")
+        if end.failure is None:
+            self._ctx.pool.completed(self._req, len(self._answer.pieces))
+            self._log.info(LogEvent.REQUEST_COMPLETED, tokens=len(self._answer.pieces))
+        else:
+            self._log.info(
+                LogEvent.REQUEST_REFUSED,
+                kind=end.failure.kind,
+                reason=end.failure.reason,
+                ran=end.failure.ran,
+                delivered=len(self._answer.pieces),
+            )
+        self._ctx.copies.finish(self._answer.answer_id, end)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    async def _dispatch(self, decision: Dispatch) -> None:
+        """Waits for a place, chooses a backend server and runs the attempt."""
+        span = self._ctx.tracing.start(
+            "queue", self._trace, attempt=decision.attempt, offset=decision.offset
+        )
+        grant = await self._ctx.pool.acquire(self._work(decision))
+        span.end()
+        now = time.monotonic()
+        if isinstance(grant, Failure):
+            self._machine.note(now, "route_refused", {"attempt": decision.attempt})
+            self._apply(self._machine.on_no_backend(now, grant))
+            return
+        try:
+            self._machine.note(now, "routed", grant.record())
+            self._apply(
+                self._machine.on_dispatched(now, decision.attempt, grant.backend, grant.version)
+            )
+            if self._machine.attempt != decision.attempt or self._machine.ended:
+                return
+            self._pin_version(grant.version)
+            self._grants[decision.attempt] = grant
+            if decision.attempt > 1:
+                self._log.info(
+                    LogEvent.ATTEMPT_RESUMED,
+                    attempt=decision.attempt,
+                    offset=decision.offset,
+                    backend=grant.backend,
+                )
+                self._ctx.metrics.count(MetricName.RESUME_TOKENS, decision.offset, self._req.rank)
+            await self._stream(decision, grant)
+        finally:
+            self._grants.pop(decision.attempt, None)
+            grant.release(time.monotonic())
+
+    def _pin_version(self, version: str) -> None:
+        """Fixes the model version of the answer."""
+        if not self._answer.version:
+            self._answer.version = version
+            self._ctx.copies.set_version(self._answer.answer_id, version)
+
+    def _work(self, decision: Dispatch) -> PoolWork:
+        """Describes the attempt for the queue and the router."""
+        return PoolWork(
+            req=self._req,
+            attempt=decision.attempt,
+            epoch=self._answer.epoch,
+            offset=decision.offset,
+            version=decision.version,
+            prefer=decision.prefer,
+            avoid=decision.avoid,
+            arrived=self._arrived,
+        )
+
+    async def _stream(self, decision: Dispatch, grant: Grant) -> None:
+        """Runs one attempt to its end."""
+        span = self._ctx.tracing.start(
+            "engine" if decision.attempt == 1 else "resume",
+            self._trace,
+            attempt=decision.attempt,
+            backend=grant.backend,
+            offset=decision.offset,
+        )
+        call = GenerationCall(
+            request_id=self._answer.answer_id,
+            attempt=decision.attempt,
+            epoch=self._answer.epoch,
+            path="/v1/chat/completions" if self._req.chat else "/v1/completions",
+            body=self._req.body,
+            model_version=grant.version,
+            priority=grant.priority,
+            offset=decision.offset,
+            text=self._machine.text,
+            traceparent=self._ctx.tracing.headers(span).get("traceparent", ""),
+        )
+        self._streams[decision.attempt] = asyncio.current_task()
+        try:
+            async with contextlib.aclosing(grant.client.stream(call)) as events:
+                async for event in events:
+                    if type(event) is TokenPiece:
+                        self._on_piece(event, decision.attempt, grant)
+                    elif not self._on_event(event, decision.attempt, grant):
+                        break
+                    if self._machine.attempt != decision.attempt:
+                        break
+        finally:
+            self._streams.pop(decision.attempt, None)
+            span.end()
+
+    def _on_piece(self, event: TokenPiece, attempt: int, grant: Grant) -> None:
+        """Takes one token."""
+        grant.consumed(1)
+        decisions = self._machine.on_token(
+            time.monotonic(), event.attempt, event.offset, event.text
+        )
+        if len(decisions) == 1 and type(decisions[0]) is Deliver:
+            self._deliver(decisions[0].offset, decisions[0].text)
+            return
+        self._note_loss(decisions, grant, "protocol")
+        self._apply(decisions)
+
+    def _on_event(self, event: Any, attempt: int, grant: Grant) -> bool:
+        """Takes any other event; returns whether the stream goes on."""
+        now = time.monotonic()
+        if isinstance(event, Started):
+            grant.started(now)
+            return True
+        if isinstance(event, Finished):
+            decisions = self._machine.on_finished(now, event.attempt, event.total, event.reason)
+            self._apply(decisions)
+            return False
+        if isinstance(event, Broken):
+            self._ctx.pool.on_broken(grant, event)
+            if event.cause is CallBreak.INVALID:
+                self._apply(self._refuse_invalid(now, event))
+                return False
+            decisions = self._machine.on_broken(now, attempt, BREAK_CAUSES[event.cause])
+            self._note_loss(decisions, grant, event.cause)
+            self._apply(decisions)
+        return False
+
+    def _refuse_invalid(self, now: float, event: Broken) -> list[Decision]:
+        """Ends the answer: the engine rejects the request itself, as any other one would."""
+        self._machine.on_broken(now, self._machine.attempt, BreakCause.REJECTED)
+        failure = Failure(ErrorKind.INVALID_REQUEST, event.detail, Ran.NO)
+        return self._machine.on_no_backend(now, failure)
+
+    def _note_loss(self, decisions: list[Decision], grant: Grant, cause: str) -> None:
+        """Remembers when an attempt was lost."""
+        if any(type(decision) is Dispatch for decision in decisions):
+            if self._lost_at is None and self._answer.pieces:
+                self._lost_at = self._last_token
+            self._log.info(LogEvent.ATTEMPT_LOST, backend=grant.backend, cause=cause)
+
+    async def _probe(self, probe: Probe) -> None:
+        """Asks on a new connection whether the engine lives."""
+        grant = self._grants.get(probe.attempt)
+        if grant is None:
+            return
+        span = self._ctx.tracing.start("probe", self._trace, backend=probe.backend)
+        call_id = f"{self._answer.answer_id}.{self._answer.epoch}.{probe.attempt}"
+        result = await grant.client.probe(call_id, self._ctx.cfg.resume.probe_timeout)
+        span.end()
+        decisions = self._machine.on_probe(
+            time.monotonic(), probe.attempt, result.alive, result.knows_attempt
+        )
+        self._note_loss(decisions, grant, "silence")
+        if not result.alive:
+            self._ctx.pool.on_silent(grant)
+        self._apply(decisions)
+
+    def _cancel(self, decision: CancelAttempt) -> None:
+        """Stops an attempt and tells its engine."""
+        grant = self._grants.get(decision.attempt)
+        stream = self._streams.get(decision.attempt)
+        if stream is not None and stream is not asyncio.current_task():
+            stream.cancel()
+        if grant is not None:
+            call_id = f"{self._answer.answer_id}.{self._answer.epoch}.{decision.attempt}"
+            self._ctx.background(grant.client.cancel(call_id))
+
+    def _arm(self) -> None:
+        """Sets the timer for the machine's deadline."""
+        deadline = self._machine.deadline
+        if deadline is None:
+            self._timer = None
+            return
+        delay = max(0.0, deadline - time.monotonic())
+        self._timer = asyncio.get_running_loop().call_later(delay, self._on_timer)
+
+    def _on_timer(self) -> None:
+        """Passes the time to the machine.
+
+        The deadline moves with every token; the timer is set again only when it fires, which costs
+        nothing for each token.
+        """
+        self._timer = None
+        if self._answer.end is None:
+            self._apply(self._machine.on_tick(time.monotonic()))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Starts a task of this answer."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        """Ends the answer if a task failed by a fault of the system."""
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.error(LogEvent.INTERNAL_ERROR, exc_info=task.exception())
+        if self._answer.end is None:
+            ran = Ran.YES if self._answer.pieces else Ran.UNKNOWN
+            failure = Failure(ErrorKind.INTERNAL, "the instance failed", ran)
+            self._finish(AnswerEnd(failure=failure))
+
+    def _end_tasks(self) -> None:
+        """Cancels everything that still runs for this answer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for task in tuple(self._tasks):
+            task.cancel()
