Add the generation machine, answer digest, gap detector and recording

The machine decides over all attempts of one generation: exact offsets, numbered attempts, silence by the adaptive gap, probe, resume and refusal. RecordingMachine has the same methods, writes each input with its decisions to a bounded EventLog, and replay_request runs the core on them again.

Times are rounded up to a millisecond before the machine sees them, so replay sees the same times.

--- /dev/null
+++ b/src/sapphireledge/core/answer/answer_digest.py
@@ -0,0 +1,68 @@
+"""Keyed digest of the text of an answer so far."""
+
+from __future__ import annotations
+
+import hashlib
+
+from sapphireledge.core.answer.event_id import EventId
+
+__all__ = ["AnswerDigest"]
+
+DIGEST_BYTES = 12
+"""Length of a digest in bytes; 96 bits leave no room for guessing or accidental matches."""
+
+_LENGTH_BYTES = 8
+_PERSON = b"answer-digest-1"
+
+
+def _field(text: str) -> bytes:
+    data = text.encode("utf-8", "surrogatepass")
+    return len(data).to_bytes(_LENGTH_BYTES, "big") + data
+
+
+def _key(secret: str) -> bytes:
+    # BLAKE2b takes keys of at most 64 bytes; hashing a longer one keeps its strength.
+    data = secret.encode("utf-8", "surrogatepass")
+    if len(data) <= hashlib.blake2b.MAX_KEY_SIZE:
+        return data
+    return hashlib.blake2b(data).digest()
+
+
+class AnswerDigest:
+    """Keyed BLAKE2b over request id, model version, offset and text so far.
+
+    The state of the hash is kept between tokens, so the cost of a token does not grow with the
+    length of the answer.
+    """
+
+    __slots__ = ("_hash", "_offset")
+
+    def __init__(self, secret: str, request_id: str, version: str) -> None:
+        self._hash = hashlib.blake2b(key=_key(secret), digest_size=DIGEST_BYTES, person=_PERSON)
+        self._hash.update(_field(request_id) + _field(version))
+        self._offset = 0
+
+    @property
+    def offset(self) -> int:
+        """Number of tokens taken so far."""
+        return self._offset
+
+    def update(self, text: str, tokens: int = 1) -> None:
+        """Appends text.
+
+        Args:
+            text: Text of the tokens.
+            tokens: Number of tokens in the text.
+        """
+        self._hash.update(text.encode("utf-8", "surrogatepass"))
+        self._offset += tokens
+
+    def event_id(self) -> EventId:
+        """Digests the answer up to here.
+
+        Returns:
+            The event id of the position after the last token.
+        """
+        state = self._hash.copy()
+        state.update(self._offset.to_bytes(_LENGTH_BYTES, "big"))
+        return EventId(self._offset, state.hexdigest())
--- /dev/null
+++ b/src/sapphireledge/core/answer/cancel_attempt.py
@@ -0,0 +1,18 @@
+"""Decision to cancel an attempt at its backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["CancelAttempt"]
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Decision to cancel an attempt at its backend server."""
+
+    attempt: int
+    """Attempt to cancel."""
+
+    backend: str
+    """Backend server that runs it."""
--- /dev/null
+++ b/src/sapphireledge/core/answer/complete.py
@@ -0,0 +1,18 @@
+"""Decision that the answer is whole."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Complete"]
+
+
+@dataclass(frozen=True, slots=True)
+class Complete:
+    """Decision that the answer is whole."""
+
+    total: int
+    """Number of tokens of the answer."""
+
+    reason: str
+    """Finish reason given by the engine."""
--- /dev/null
+++ b/src/sapphireledge/core/answer/generation_machine.py
@@ -0,0 +1,407 @@
+"""Life cycle of one generation over all its attempts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.answer.break_cause import BreakCause
+from sapphireledge.core.answer.cancel_attempt import CancelAttempt
+from sapphireledge.core.answer.complete import Complete
+from sapphireledge.core.answer.deliver import Deliver
+from sapphireledge.core.answer.dispatch import Dispatch
+from sapphireledge.core.answer.gap_detector import GapDetector
+from sapphireledge.core.answer.generation_phase import GenerationPhase
+from sapphireledge.core.answer.ignore import Ignore
+from sapphireledge.core.answer.probe import Probe
+from sapphireledge.core.answer.refuse import Refuse
+from sapphireledge.errors import ErrorKind, Failure, Ran
+
+if TYPE_CHECKING:
+    from sapphireledge.core.answer.decision import Decision
+    from sapphireledge.core.answer.generation_request import GenerationRequest
+    from sapphireledge.settings import ResumeSettings
+
+__all__ = ["GenerationMachine"]
+
+FIRST_TOKEN_PROBES = 3
+"""Probes that may find an attempt alive before its first token; the wait doubles each time."""
+
+_OLD_ATTEMPT = Ignore("output of an attempt that is not the current one")
+_OLD_OFFSET = Ignore("token was received before")
+_ENDED = Ignore("the generation has ended")
+_NOT_WAITING = Ignore("no dispatch is pending")
+_LATE_PROBE = Ignore("the attempt is not being probed")
+
+
+class GenerationMachine:
+    """Decides what happens to one generation, over all its attempts.
+
+    A token is delivered only if it belongs to the current attempt and has the next offset. Every
+    loss is answered by a new attempt from the next offset, so the delivered tokens are one
+    generation without a missing or repeated token.
+
+    `Deliver`, `Complete` and `Refuse` come in the order of the answer. A shell with output commit
+    queues them in this order until the partner has stored them.
+    """
+
+    __slots__ = (
+        "_attempt",
+        "_avoid",
+        "_backend",
+        "_base",
+        "_cfg",
+        "_first_limit",
+        "_gaps",
+        "_got_token",
+        "_heard",
+        "_next",
+        "_patience",
+        "_phase",
+        "_pieces",
+        "_prefer",
+        "_probed",
+        "_request",
+        "_started",
+        "_version",
+    )
+
+    def __init__(self, request: GenerationRequest, cfg: ResumeSettings) -> None:
+        self._request = request
+        self._cfg = cfg
+        self._phase = GenerationPhase.NEW
+        self._version = request.version
+        self._next = request.prefix.offset
+        self._pieces = [request.prefix.text]
+        self._attempt = 0
+        self._backend = ""
+        self._prefer = ""
+        self._avoid: tuple[str, ...] = ()
+        self._base = self._next
+        self._got_token = False
+        # A takeover follows an owner whose attempts may have run.
+        self._started = 0 if request.epoch <= 1 else 1
+        self._heard = 0.0
+        self._probed = 0.0
+        self._patience = 0
+        self._first_limit = 0.0
+        self._gaps = GapDetector(cfg)
+
+    @property
+    def request(self) -> GenerationRequest:
+        """The request as it was given."""
+        return self._request
+
+    @property
+    def phase(self) -> GenerationPhase:
+        """The current phase."""
+        return self._phase
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more can be decided."""
+        return self._phase is GenerationPhase.ENDED
+
+    @property
+    def attempt(self) -> int:
+        """Number of the current attempt; 0 before the start."""
+        return self._attempt
+
+    @property
+    def backend(self) -> str:
+        """Backend server of the current attempt; empty while none is known."""
+        return self._backend
+
+    @property
+    def version(self) -> str:
+        """Model version of the answer; empty until the first attempt has fixed it."""
+        return self._version
+
+    @property
+    def offset(self) -> int:
+        """Offset of the next token."""
+        return self._next
+
+    @property
+    def text(self) -> str:
+        """The text of all tokens so far, the prefix of the next attempt."""
+        if len(self._pieces) > 1:
+            self._pieces = ["".join(self._pieces)]
+        return self._pieces[0]
+
+    @property
+    def deadline(self) -> float | None:
+        """Time at which `on_tick` has something to decide, or None."""
+        if self._phase is GenerationPhase.ACTIVE:
+            return self._heard + self._silence_limit()
+        if self._phase is GenerationPhase.PROBING:
+            return self._probed + self._cfg.probe_timeout
+        return None
+
+    def start(self, now: float) -> list[Decision]:
+        """Starts the generation.
+
+        Args:
+            now: Monotonic time in seconds, as in all other methods.
+
+        Returns:
+            The dispatch of the first attempt.
+        """
+        if self._phase is not GenerationPhase.NEW:
+            return [Ignore("already started")]
+        return self._next_attempt("")
+
+    def on_dispatched(
+        self, now: float, attempt: int, backend: str, version: str = ""
+    ) -> list[Decision]:
+        """Takes note of the backend server that was chosen for an attempt.
+
+        To be called before the request is sent.
+
+        Args:
+            now: Monotonic time in seconds.
+            attempt: Number of the attempt.
+            backend: Chosen backend server.
+            version: Model version that the backend server runs; empty if unknown.
+
+        Returns:
+            Nothing, or the decisions that undo the choice.
+        """
+        if attempt != self._attempt or self._phase is not GenerationPhase.WAITING:
+            if attempt == self._attempt and backend == self._backend and not self.ended:
+                return [Ignore("already dispatched")]
+            return [CancelAttempt(attempt, backend)]
+        if self._version and version and version != self._version:
+            self._backend = backend
+            return self._lost(now, BreakCause.VERSION_MISMATCH)
+        self._version = self._version or version
+        if backend != self._backend:
+            self._gaps = GapDetector(self._cfg)
+        self._backend = backend
+        self._phase = GenerationPhase.ACTIVE
+        self._base = self._next
+        self._got_token = False
+        self._started += 1
+        self._heard = now
+        self._patience = 0
+        self._first_limit = self._cfg.first_token_silence
+        if self._next:
+            # A caller that already reads the answer waits for this attempt.
+            self._first_limit = min(self._first_limit, self._cfg.gap_ceiling)
+        return []
+
+    def on_token(self, now: float, attempt: int, offset: int, text: str) -> list[Decision]:
+        """Takes one token from an engine.
+
+        Args:
+            now: Monotonic time in seconds; equal for the tokens of one chunk.
+            attempt: Attempt that the engine names.
+            offset: Token offset that the engine names.
+            text: Text of the token.
+
+        Returns:
+            The delivery, or the reason why the token is ignored, or a new attempt.
+        """
+        if attempt != self._attempt or not self._is_running():
+            return [_ENDED if self.ended else _OLD_ATTEMPT]
+        if offset != self._next:
+            return self._on_wrong_offset(now, offset)
+        if self._got_token:
+            self._gaps.observe(now - self._heard)
+        else:
+            self._got_token = True
+            self._avoid = ()
+        self._phase = GenerationPhase.ACTIVE
+        self._heard = now
+        self._next = offset + 1
+        self._pieces.append(text)
+        return [Deliver(offset, text)]
+
+    def on_finished(self, now: float, attempt: int, total: int, reason: str) -> list[Decision]:
+        """Takes the end that an engine reports.
+
+        Args:
+            now: Monotonic time in seconds.
+            attempt: Attempt that the engine names.
+            total: Tokens of the whole answer, the prefix included.
+            reason: Finish reason.
+
+        Returns:
+            The completion, or a new attempt if the total shows that tokens are missing.
+        """
+        if attempt != self._attempt or not self._is_running():
+            return [_ENDED if self.ended else _OLD_ATTEMPT]
+        if total > self._next:
+            return self._lost_alive(now)
+        if total < self._next:
+            return self._lost(now, BreakCause.PROTOCOL)
+        self._phase = GenerationPhase.ENDED
+        return [Complete(total, reason)]
+
+    def on_broken(self, now: float, attempt: int, cause: BreakCause) -> list[Decision]:
+        """Takes note of a connection that ended before the answer did.
+
+        Args:
+            now: Monotonic time in seconds.
+            attempt: Attempt of the connection.
+            cause: Why it ended.
+
+        Returns:
+            A new attempt elsewhere, or the refusal.
+        """
+        if attempt != self._attempt or not self._is_running():
+            return [_ENDED if self.ended else _OLD_ATTEMPT]
+        return self._lost(now, cause)
+
+    def on_tick(self, now: float) -> list[Decision]:
+        """Looks for silence; due at `deadline`.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            A probe of a silent engine, or a new attempt after a probe without answer.
+        """
+        deadline = self.deadline
+        if deadline is None or now < deadline:
+            return []
+        if self._phase is GenerationPhase.PROBING:
+            return self._lost(now, BreakCause.TIMEOUT)
+        self._phase = GenerationPhase.PROBING
+        self._probed = now
+        return [Probe(self._attempt, self._backend)]
+
+    def on_probe(
+        self, now: float, attempt: int, alive: bool, knows_attempt: bool
+    ) -> list[Decision]:
+        """Takes the result of a probe.
+
+        Args:
+            now: Monotonic time in seconds.
+            attempt: Attempt that was asked about.
+            alive: Whether the engine answered.
+            knows_attempt: Whether the engine still runs the attempt.
+
+        Returns:
+            A new attempt, on the same engine first if it is alive; nothing while an engine that
+            runs the attempt may still be working on the first token.
+        """
+        if attempt != self._attempt or self._phase is not GenerationPhase.PROBING:
+            return [_LATE_PROBE]
+        if not alive:
+            return self._lost(now, BreakCause.TIMEOUT)
+        if knows_attempt and self._may_wait():
+            self._phase = GenerationPhase.ACTIVE
+            self._patience += 1
+            self._heard = now
+            return []
+        return self._lost_alive(now)
+
+    def on_no_backend(self, now: float, failure: Failure) -> list[Decision]:
+        """Takes note that the pending dispatch cannot be made.
+
+        Args:
+            now: Monotonic time in seconds.
+            failure: Why; `no_backend` becomes `version_gone` once the answer has tokens.
+
+        Returns:
+            The refusal.
+        """
+        if self._phase is not GenerationPhase.WAITING:
+            return [_ENDED if self.ended else _NOT_WAITING]
+        if self._next and failure.kind is ErrorKind.NO_BACKEND:
+            reason = f"no backend server of version {self._version or 'unknown'} is left"
+            failure = Failure(ErrorKind.VERSION_GONE, reason)
+        return self._refuse(failure)
+
+    def on_caller_gone(self, now: float) -> list[Decision]:
+        """Takes note that nobody waits for the answer any more.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            The cancellation of the running attempt, which frees its engine.
+        """
+        if self.ended:
+            return [_ENDED]
+        decisions = self._cancel()
+        self._phase = GenerationPhase.ENDED
+        return decisions
+
+    def on_superseded(self, now: float, owner: str = "") -> list[Decision]:
+        """Takes note that another entry owns the answer now.
+
+        Args:
+            now: Monotonic time in seconds.
+            owner: The new owner, if known.
+
+        Returns:
+            The cancellation of the running attempt and the refusal.
+        """
+        if self.ended:
+            return [_ENDED]
+        reason = f"entry {owner} continues the answer" if owner else "another entry continues it"
+        return self._cancel() + self._refuse(Failure(ErrorKind.ANSWER_MOVED, reason))
+
+    def _is_running(self) -> bool:
+        return self._phase is GenerationPhase.ACTIVE or self._phase is GenerationPhase.PROBING
+
+    def _silence_limit(self) -> float:
+        if self._got_token:
+            return self._gaps.limit
+        return self._first_limit * 2**self._patience
+
+    def _may_wait(self) -> bool:
+        # A second try on the same engine starts from a warm cache, so its silence is no prefill.
+        is_second_try = self._prefer == self._backend
+        return not self._got_token and not is_second_try and self._patience < FIRST_TOKEN_PROBES
+
+    def _on_wrong_offset(self, now: float, offset: int) -> list[Decision]:
+        if offset > self._next:
+            return self._lost_alive(now)
+        if offset < self._base:
+            # The engine did not continue from the prefix: this is another generation.
+            return self._lost(now, BreakCause.PROTOCOL)
+        return [_OLD_OFFSET]
+
+    def _lost_alive(self, now: float) -> list[Decision]:
+        """Answers the loss of an attempt whose engine is alive."""
+        if not self._got_token and self._prefer == self._backend:
+            return self._lost(now, BreakCause.TIMEOUT)
+        return self._cancel() + self._next_attempt(self._backend)
+
+    def _lost(self, now: float, cause: BreakCause) -> list[Decision]:
+        """Answers the loss of an attempt that must continue elsewhere."""
+        decisions = self._cancel() if cause is not BreakCause.REFUSED else []
+        if cause.proves_no_run and not self._got_token:
+            self._started -= 1
+            if not self._started and not self._next:
+                # Nothing ran, so nothing binds the answer to this version yet.
+                self._version = self._request.version
+        if self._backend not in self._avoid:
+            self._avoid = (*self._avoid, self._backend)
+        return decisions + self._next_attempt("")
+
+    def _cancel(self) -> list[Decision]:
+        if not self._is_running():
+            return []
+        return [CancelAttempt(self._attempt, self._backend)]
+
+    def _next_attempt(self, prefer: str) -> list[Decision]:
+        if self._attempt >= self._cfg.max_attempts:
+            reason = f"{self._attempt} attempts were lost, the last on {self._backend}"
+            return self._refuse(Failure(ErrorKind.OVERLOADED, reason))
+        self._phase = GenerationPhase.WAITING
+        self._attempt += 1
+        self._prefer = prefer
+        return [Dispatch(self._attempt, self._next, prefer, self._avoid, self._version)]
+
+    def _refuse(self, failure: Failure) -> list[Decision]:
+        self._phase = GenerationPhase.ENDED
+        return [Refuse(replace(failure, ran=self._known_run(failure)), self._next)]
+
+    def _known_run(self, failure: Failure) -> Ran:
+        if self._next or failure.ran is Ran.YES:
+            return Ran.YES
+        return Ran.UNKNOWN if self._started else failure.ran
--- /dev/null
+++ b/src/sapphireledge/core/answer/verify_text.py
@@ -0,0 +1,65 @@
+"""Verification of a caller's position in an answer."""
+
+from __future__ import annotations
+
+import hmac
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.answer.answer_digest import AnswerDigest
+from sapphireledge.core.answer.stored_prefix import StoredPrefix
+from sapphireledge.core.answer.verified_prefix import VerifiedPrefix
+from sapphireledge.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from sapphireledge.core.answer.event_id import EventId
+
+__all__ = ["verify_position", "verify_text"]
+
+
+def verify_text(
+    secret: str, request_id: str, versions: Iterable[str], position: EventId, text: str
+) -> VerifiedPrefix | Failure:
+    """Verifies text that a caller hands back.
+
+    Args:
+        secret: Secret of the fleet.
+        request_id: Id of the request.
+        versions: Model versions that can have generated the text.
+        position: Event id after the text.
+        text: The text.
+
+    Returns:
+        The text with the version that generated it, or `answer_diverged`.
+    """
+    for version in versions:
+        digest = AnswerDigest(secret, request_id, version)
+        digest.update(text, position.offset)
+        if hmac.compare_digest(digest.event_id().digest, position.digest):
+            return VerifiedPrefix(StoredPrefix(position.offset, text), version)
+    return Failure(ErrorKind.ANSWER_DIVERGED, "the text does not match its event id")
+
+
+def verify_position(
+    secret: str, request_id: str, version: str, position: EventId, pieces: Sequence[str]
+) -> Failure | None:
+    """Verifies the position of a caller that reconnects against a copy of the answer.
+
+    Args:
+        secret: Secret of the fleet.
+        request_id: Id of the request.
+        version: Model version of the answer.
+        position: Last event id that the caller received.
+        pieces: The copy, one text for each token.
+
+    Returns:
+        None if the caller received what the copy holds, otherwise `answer_lost` if the copy ends
+        before the position or `answer_diverged` if it differs.
+    """
+    if position.offset > len(pieces):
+        reason = f"the copy ends at token {len(pieces)}, before token {position.offset}"
+        return Failure(ErrorKind.ANSWER_LOST, reason)
+    text = "".join(pieces[: position.offset])
+    checked = verify_text(secret, request_id, (version,), position, text)
+    return checked if isinstance(checked, Failure) else None
--- /dev/null
+++ b/src/sapphireledge/core/replay/decode_events.py
@@ -0,0 +1,26 @@
+"""Decoding of recorded events."""
+
+from __future__ import annotations
+
+import msgspec
+
+from sapphireledge.core.replay.request_event import RequestEvent
+
+__all__ = ["decode_events"]
+
+_DECODER = msgspec.json.Decoder(RequestEvent)
+
+
+def decode_events(lines: bytes | str) -> tuple[RequestEvent, ...]:
+    """Decodes JSON lines, as they stand in segments and peer messages.
+
+    Args:
+        lines: The lines.
+
+    Returns:
+        The events in their order.
+
+    Raises:
+        msgspec.DecodeError: If a line is not an event.
+    """
+    return tuple(_DECODER.decode_lines(lines))
--- /dev/null
+++ b/src/sapphireledge/core/replay/recording_machine.py
@@ -0,0 +1,262 @@
+"""Generation machine whose inputs and decisions are recorded."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+from sapphireledge.core.answer import Deliver, GenerationMachine
+from sapphireledge.core.replay._private import TextRecorder
+from sapphireledge.core.replay.event_name import EventName
+from sapphireledge.core.replay.request_event import RequestEvent
+from sapphireledge.core.replay.token_run import TICKS_PER_SECOND, TokenRun
+
+if TYPE_CHECKING:
+    from sapphireledge.core.answer import (
+        BreakCause,
+        Decision,
+        GenerationPhase,
+        GenerationRequest,
+    )
+    from sapphireledge.core.replay.event_log import EventLog
+    from sapphireledge.errors import Failure
+    from sapphireledge.settings import ResumeSettings
+
+__all__ = ["RecordingMachine"]
+
+RUN_TOKENS = 128
+"""Tokens after which a run is recorded; a longer run saves little more memory."""
+
+
+def _round_up(now: float) -> float:
+    # Rounded up, so that a tick at the deadline of the machine is not before it.
+    return math.ceil(now * TICKS_PER_SECOND) / TICKS_PER_SECOND
+
+
+class RecordingMachine:
+    """Generation machine whose inputs and decisions are recorded.
+
+    It has the methods of `GenerationMachine`. Times are rounded up to a millisecond before the
+    machine sees them, so that the record holds exactly what the machine saw. Tokens that are
+    simply delivered are recorded as runs. Ticks without a decision change nothing and are not
+    recorded.
+    """
+
+    def __init__(
+        self,
+        request: GenerationRequest,
+        cfg: ResumeSettings,
+        log: EventLog,
+        *,
+        now: float,
+        unix_offset: float = 0.0,
+        record_text: bool = False,
+        hash_key: str = "",
+    ) -> None:
+        """Builds the machine and records its creation.
+
+        Args:
+            request: The request.
+            cfg: Settings of detection and resume.
+            log: Log that receives the events.
+            now: Monotonic time in seconds.
+            unix_offset: Unix time minus monotonic time in seconds.
+            record_text: Whether text is recorded instead of its length and hash.
+            hash_key: Secret that keys the hashes of text.
+        """
+        self._machine = GenerationMachine(request, cfg)
+        self._log = log
+        self._texts = TextRecorder(record_text, hash_key)
+        self._sequence = 0
+        self._run: TokenRun | None = None
+        self._lines: list[bytes] = []
+        created: dict[str, Any] = {
+            "request_id": request.request_id,
+            "model": request.model,
+            "version": request.version,
+            "epoch": request.epoch,
+            "prefix": {
+                "offset": request.prefix.offset,
+                **self._texts.record(request.prefix.text),
+            },
+            "settings": asdict(cfg),
+            "unix_offset": unix_offset,
+        }
+        self._append(_round_up(now), EventName.CREATED, created, [])
+
+    @property
+    def request(self) -> GenerationRequest:
+        """The request as it was given."""
+        return self._machine.request
+
+    @property
+    def phase(self) -> GenerationPhase:
+        """The current phase."""
+        return self._machine.phase
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more can be decided."""
+        return self._machine.ended
+
+    @property
+    def attempt(self) -> int:
+        """Number of the current attempt; 0 before the start."""
+        return self._machine.attempt
+
+    @property
+    def backend(self) -> str:
+        """Backend server of the current attempt; empty while none is known."""
+        return self._machine.backend
+
+    @property
+    def version(self) -> str:
+        """Model version of the answer; empty until the first attempt has fixed it."""
+        return self._machine.version
+
+    @property
+    def offset(self) -> int:
+        """Offset of the next token."""
+        return self._machine.offset
+
+    @property
+    def text(self) -> str:
+        """The text of all tokens so far, the prefix of the next attempt."""
+        return self._machine.text
+
+    @property
+    def deadline(self) -> float | None:
+        """Time at which `on_tick` has something to decide, or None."""
+        return self._machine.deadline
+
+    def start(self, now: float) -> list[Decision]:
+        """Records and forwards `GenerationMachine.start`."""
+        now = _round_up(now)
+        return self._record(now, EventName.STARTED, {}, self._machine.start(now))
+
+    def on_dispatched(
+        self, now: float, attempt: int, backend: str, version: str = ""
+    ) -> list[Decision]:
+        """Records and forwards `GenerationMachine.on_dispatched`."""
+        now = _round_up(now)
+        decisions = self._machine.on_dispatched(now, attempt, backend, version)
+        values = {"attempt": attempt, "backend": backend, "version": version}
+        return self._record(now, EventName.DISPATCHED, values, decisions)
+
+    def on_token(self, now: float, attempt: int, offset: int, text: str) -> list[Decision]:
+        """Records and forwards `GenerationMachine.on_token`."""
+        now = _round_up(now)
+        decisions = self._machine.on_token(now, attempt, offset, text)
+        if len(decisions) == 1 and type(decisions[0]) is Deliver:
+            self._extend_run(now, attempt, offset, text)
+            return decisions
+        values = {"attempt": attempt, "offset": offset, **self._texts.record(text)}
+        return self._record(now, EventName.TOKEN, values, decisions)
+
+    def on_finished(self, now: float, attempt: int, total: int, reason: str) -> list[Decision]:
+        """Records and forwards `GenerationMachine.on_finished`."""
+        now = _round_up(now)
+        decisions = self._machine.on_finished(now, attempt, total, reason)
+        values = {"attempt": attempt, "total": total, "reason": reason}
+        return self._record(now, EventName.FINISHED, values, decisions)
+
+    def on_broken(self, now: float, attempt: int, cause: BreakCause) -> list[Decision]:
+        """Records and forwards `GenerationMachine.on_broken`."""
+        now = _round_up(now)
+        decisions = self._machine.on_broken(now, attempt, cause)
+        return self._record(now, EventName.BROKEN, {"attempt": attempt, "cause": cause}, decisions)
+
+    def on_tick(self, now: float) -> list[Decision]:
+        """Records and forwards `GenerationMachine.on_tick`."""
+        now = _round_up(now)
+        decisions = self._machine.on_tick(now)
+        if not decisions:
+            return decisions
+        return self._record(now, EventName.TICK, {}, decisions)
+
+    def on_probe(
+        self, now: float, attempt: int, alive: bool, knows_attempt: bool
+    ) -> list[Decision]:
+        """Records and forwards `GenerationMachine.on_probe`."""
+        now = _round_up(now)
+        decisions = self._machine.on_probe(now, attempt, alive, knows_attempt)
+        values = {"attempt": attempt, "alive": alive, "knows_attempt": knows_attempt}
+        return self._record(now, EventName.PROBED, values, decisions)
+
+    def on_no_backend(self, now: float, failure: Failure) -> list[Decision]:
+        """Records and forwards `GenerationMachine.on_no_backend`."""
+        now = _round_up(now)
+        decisions = self._machine.on_no_backend(now, failure)
+        return self._record(now, EventName.NO_BACKEND, {"failure": asdict(failure)}, decisions)
+
+    def on_caller_gone(self, now: float) -> list[Decision]:
+        """Records and forwards `GenerationMachine.on_caller_gone`."""
+        now = _round_up(now)
+        return self._record(now, EventName.CALLER_GONE, {}, self._machine.on_caller_gone(now))
+
+    def on_superseded(self, now: float, owner: str = "") -> list[Decision]:
+        """Records and forwards `GenerationMachine.on_superseded`."""
+        now = _round_up(now)
+        decisions = self._machine.on_superseded(now, owner)
+        return self._record(now, EventName.SUPERSEDED, {"owner": owner}, decisions)
+
+    def note(self, now: float, name: str, values: dict[str, Any]) -> None:
+        """Records something that the shell did and that replay does not execute.
+
+        Args:
+            now: Monotonic time in seconds.
+            name: Name of the note, distinct from those of `EventName`.
+            values: What happened, without text of the caller.
+        """
+        self._record(_round_up(now), name, values, [])
+
+    def flush(self) -> None:
+        """Records the tokens that still wait for the end of their run."""
+        run, self._run = self._run, None
+        if run is None:
+            return
+        values: dict[str, Any] = {
+            "attempt": run.attempt,
+            "offset": run.offset,
+            "delays": run.delays,
+            "lengths": [len(text) for text in run.texts],
+            **self._texts.record("".join(run.texts)),
+        }
+        decision = {"kind": "deliver", "offset": run.offset, "tokens": len(run.delays)}
+        self._append(run.start, EventName.TOKEN_RUN, values, [decision])
+
+    def take_lines(self) -> str:
+        """Takes the JSON lines recorded since the last call, for the partner's copy.
+
+        Returns:
+            The lines, empty if nothing was recorded.
+        """
+        self.flush()
+        lines, self._lines = self._lines, []
+        return b"".join(lines).decode()
+
+    def _extend_run(self, now: float, attempt: int, offset: int, text: str) -> None:
+        run = self._run
+        if run is None or run.attempt != attempt:
+            self.flush()
+            run = self._run = TokenRun(attempt, offset, now)
+        run.add(now, text)
+        if len(run.delays) >= RUN_TOKENS:
+            self.flush()
+
+    def _record(
+        self, now: float, name: str, values: dict[str, Any], decisions: list[Decision]
+    ) -> list[Decision]:
+        self.flush()
+        self._append(now, name, values, [self._texts.decision(d) for d in decisions])
+        return decisions
+
+    def _append(
+        self, now: float, name: str, values: dict[str, Any], decisions: list[dict[str, Any]]
+    ) -> None:
+        self._sequence += 1
+        request_id = self._machine.request.request_id
+        instance = self._log.instance
+        event = RequestEvent(self._sequence, now, instance, request_id, name, values, decisions)
+        self._lines.append(self._log.append(event))
--- /dev/null
+++ b/src/sapphireledge/core/replay/replay_request.py
@@ -0,0 +1,171 @@
+"""Execution of the core on recorded inputs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from sapphireledge.core.answer import (
+    BreakCause,
+    Deliver,
+    GenerationMachine,
+    GenerationRequest,
+    StoredPrefix,
+)
+from sapphireledge.core.replay._private import TextRecorder, comparable
+from sapphireledge.core.replay.event_name import EventName
+from sapphireledge.core.replay.replay_difference import ReplayDifference
+from sapphireledge.core.replay.replay_gap import ReplayGap
+from sapphireledge.core.replay.replay_report import ReplayReport
+from sapphireledge.core.replay.token_run import TICKS_PER_SECOND
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.settings import ResumeSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sapphireledge.core.answer import Decision
+    from sapphireledge.core.replay.request_event import RequestEvent
+
+__all__ = ["replay_request"]
+
+_NAMES = frozenset(EventName)
+_TEXTS = TextRecorder(keep=False, key="")
+
+
+def replay_request(events: Iterable[RequestEvent]) -> ReplayReport:
+    """Runs the core again on the recorded inputs of one request.
+
+    Args:
+        events: Events of the request from one or more instances, those of one instance in their
+            order. Notes of the shell are passed over.
+
+    Returns:
+        Every difference and every gap.
+    """
+    by_instance: dict[str, _InstanceReplay] = {}
+    for event in events:
+        replay = by_instance.setdefault(event.instance, _InstanceReplay())
+        replay.run(event)
+    replays = by_instance.values()
+    return ReplayReport(
+        replayed=sum(replay.replayed for replay in replays),
+        skipped=sum(replay.skipped for replay in replays),
+        differences=tuple(d for replay in replays for d in replay.differences),
+        gaps=tuple(gap for replay in replays for gap in replay.gaps),
+    )
+
+
+class _InstanceReplay:
+    """Replays the events of one instance."""
+
+    def __init__(self) -> None:
+        self.replayed = 0
+        self.skipped = 0
+        self.differences: list[ReplayDifference] = []
+        self.gaps: list[ReplayGap] = []
+        self._machine: GenerationMachine | None = None
+        self._sequence = 0
+
+    def run(self, event: RequestEvent) -> None:
+        """Runs one event again; a note of the shell only counts in the sequence."""
+        if event.name == EventName.DROPPED:
+            return
+        if event.name == EventName.CREATED:
+            self._machine = _build_machine(event.input)
+        elif event.sequence != self._sequence + 1:
+            self.gaps.append(ReplayGap(event.instance, self._sequence, event.sequence))
+            self._machine = None
+        self._sequence = event.sequence
+        if event.name not in _NAMES:
+            return
+        if self._machine is None:
+            self.skipped += 1
+            return
+        self.replayed += 1
+        self._compare(event, _run_event(self._machine, event))
+
+    def _compare(self, event: RequestEvent, replayed: list[dict[str, Any]]) -> None:
+        if comparable(replayed) == comparable(event.decisions):
+            return
+        kinds = [decision["kind"] for decision in event.decisions]
+        new_kinds = [decision["kind"] for decision in replayed]
+        reason = f"recorded {kinds}, replayed {new_kinds}"
+        if kinds == new_kinds:
+            reason = f"same kinds {kinds} with different values"
+        self.differences.append(ReplayDifference(event, replayed, reason))
+
+
+def _build_machine(values: dict[str, Any]) -> GenerationMachine:
+    prefix = values["prefix"]
+    request = GenerationRequest(
+        request_id=values["request_id"],
+        model=values["model"],
+        version=values["version"],
+        prefix=StoredPrefix(prefix["offset"], _text(prefix)),
+        epoch=values["epoch"],
+    )
+    return GenerationMachine(request, ResumeSettings(**values["settings"]))
+
+
+def _text(values: dict[str, Any]) -> str:
+    """Gives the recorded text or a placeholder of its length."""
+    return values.get("text", "x" * values["characters"])
+
+
+def _run_event(machine: GenerationMachine, event: RequestEvent) -> list[dict[str, Any]]:
+    if event.name == EventName.TOKEN_RUN:
+        return _run_tokens(machine, event)
+    decisions = _call(machine, event.name, event.time, event.input)
+    return [_TEXTS.decision(decision) for decision in decisions]
+
+
+def _run_tokens(machine: GenerationMachine, event: RequestEvent) -> list[dict[str, Any]]:
+    """Runs the tokens of a run and sums them up as the record does."""
+    values = event.input
+    ticks = round(event.time * TICKS_PER_SECOND)
+    offset = values["offset"]
+    deviating: list[dict[str, Any]] = []
+    for delay, length in zip(values["delays"], values["lengths"], strict=True):
+        ticks += delay
+        now = ticks / TICKS_PER_SECOND
+        decisions = machine.on_token(now, values["attempt"], offset, "x" * length)
+        if len(decisions) != 1 or type(decisions[0]) is not Deliver:
+            deviating += [_TEXTS.decision(decision) for decision in decisions]
+        offset += 1
+    if deviating:
+        return deviating
+    return [{"kind": "deliver", "offset": values["offset"], "tokens": offset - values["offset"]}]
+
+
+def _call(
+    machine: GenerationMachine, name: str, now: float, values: dict[str, Any]
+) -> list[Decision]:
+    match name:
+        case EventName.CREATED:
+            return []
+        case EventName.STARTED:
+            return machine.start(now)
+        case EventName.DISPATCHED:
+            return machine.on_dispatched(now, **values)
+        case EventName.TOKEN:
+            return machine.on_token(now, values["attempt"], values["offset"], _text(values))
+        case EventName.FINISHED:
+            return machine.on_finished(now, **values)
+        case EventName.BROKEN:
+            return machine.on_broken(now, values["attempt"], BreakCause(values["cause"]))
+        case EventName.TICK:
+            return machine.on_tick(now)
+        case EventName.PROBED:
+            return machine.on_probe(now, **values)
+        case EventName.NO_BACKEND:
+            return machine.on_no_backend(now, _failure(values["failure"]))
+        case EventName.CALLER_GONE:
+            return machine.on_caller_gone(now)
+        case EventName.SUPERSEDED:
+            return machine.on_superseded(now, **values)
+    raise ValueError(f"no replay for event {name}")
+
+
+def _failure(values: dict[str, Any]) -> Failure:
+    kind = ErrorKind(values["kind"])
+    return Failure(kind, values["reason"], Ran(values["ran"]), values["retry_after"])
--- /dev/null
+++ b/tests/test_answer.py
@@ -0,0 +1,206 @@
+"""Tests of the generation machine, the gap detector and the answer digest."""
+
+from __future__ import annotations
+
+import unittest
+
+from sapphireledge.core.answer import (
+    AnswerDigest,
+    BreakCause,
+    CancelAttempt,
+    Complete,
+    Deliver,
+    Dispatch,
+    EventId,
+    GapDetector,
+    GenerationMachine,
+    GenerationRequest,
+    Ignore,
+    Probe,
+    Refuse,
+    StoredPrefix,
+    verify_position,
+    verify_text,
+)
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.settings import ResumeSettings
+
+CFG = ResumeSettings()
+
+
+def running(tokens: int = 0, **kwargs) -> GenerationMachine:
+    """A machine on engine e1 of version v1 that received tokens 0.1 s apart, the last at 0."""
+    machine = GenerationMachine(GenerationRequest("r", "m", **kwargs), CFG)
+    base = machine.offset
+    machine.start(-100.0)
+    machine.on_dispatched(-tokens / 10, 1, "e1", "v1")
+    for i in range(tokens):
+        machine.on_token((i + 1 - tokens) / 10, 1, base + i, f"t{i}")
+    return machine
+
+
+class GenerationMachineTest(unittest.TestCase):
+    """Guards against wrong answers to one loss; test_answer_properties combines them."""
+
+    def test_late_and_duplicate_output_is_ignored(self):
+        machine = running(3)
+        self.assertIsInstance(machine.on_token(0, 1, 2, "again")[0], Ignore)
+        machine.on_broken(0, 1, BreakCause.CLOSED)
+        self.assertIsInstance(machine.on_token(0, 1, 3, "late")[0], Ignore)
+        self.assertIsInstance(machine.on_finished(0, 1, 3, "stop")[0], Ignore)
+        machine.on_dispatched(0, 2, "e2", "v1")
+        self.assertIsInstance(machine.on_token(0, 1, 3, "late")[0], Ignore)
+        self.assertEqual(machine.on_token(0, 2, 3, "new"), [Deliver(3, "new")])
+        self.assertEqual(machine.text, "t0t1t2new")
+
+    def test_broken_connection_resumes_elsewhere_on_the_same_version(self):
+        decisions = running(3).on_broken(0, 1, BreakCause.CLOSED)
+        self.assertEqual(decisions[0], CancelAttempt(1, "e1"))
+        self.assertEqual(decisions[1], Dispatch(2, 3, "", ("e1",), "v1"))
+
+    def test_offset_jump_and_short_finish_resume_at_the_next_offset(self):
+        for decisions in (running(3).on_token(0, 1, 5, "x"), running(3).on_finished(0, 1, 4, "s")):
+            self.assertEqual(decisions[-1], Dispatch(2, 3, "e1", (), "v1"))
+        self.assertEqual(running(3).on_finished(0, 1, 2, "s")[-1].avoid, ("e1",))
+        self.assertEqual(running(3).on_finished(0, 1, 3, "stop"), [Complete(3, "stop")])
+
+    def test_engine_that_restarts_from_zero_is_not_mixed_in(self):
+        machine = running(3)
+        machine.on_broken(0, 1, BreakCause.CLOSED)
+        machine.on_dispatched(0, 2, "e2", "v1")
+        self.assertEqual(
+            machine.on_token(0, 2, 0, "other")[-1], Dispatch(3, 3, "", ("e1", "e2"), "v1")
+        )
+
+    def test_silence_is_probed_and_resumed_on_the_live_engine_first(self):
+        machine = running(20)
+        self.assertEqual(machine.on_tick(0.4), [])
+        self.assertEqual(machine.on_tick(CFG.gap_ceiling), [Probe(1, "e1")])
+        self.assertEqual(machine.on_probe(1.6, 1, True, True)[-1], Dispatch(2, 20, "e1", (), "v1"))
+        machine.on_dispatched(1.6, 2, "e1", "v1")
+        machine.on_tick(1.6 + CFG.gap_ceiling)
+        second = machine.on_probe(3.2, 2, True, True)
+        self.assertEqual(second[-1], Dispatch(3, 20, "", ("e1",), "v1"))
+
+    def test_probe_without_answer_counts_as_death_at_its_timeout(self):
+        machine = running(20)
+        machine.on_tick(2.0)
+        self.assertEqual(machine.on_tick(2.2), [])
+        self.assertEqual(machine.on_tick(2.0 + CFG.probe_timeout)[-1].avoid, ("e1",))
+
+    def test_token_during_a_probe_ends_the_suspicion(self):
+        machine = running(20)
+        machine.on_tick(2.0)
+        self.assertEqual(machine.on_token(2.1, 1, 20, "x"), [Deliver(20, "x")])
+        self.assertIsInstance(machine.on_probe(2.2, 1, False, False)[0], Ignore)
+
+    def test_engine_that_works_on_the_first_token_is_left_alone(self):
+        machine = running()
+        self.assertEqual(machine.on_tick(CFG.first_token_silence - 0.1), [])
+        self.assertIsInstance(machine.on_tick(CFG.first_token_silence)[0], Probe)
+        self.assertEqual(machine.on_probe(5.0, 1, True, True), [])
+        self.assertEqual(machine.deadline, 5.0 + 2 * CFG.first_token_silence)
+
+    def test_version_gone_tells_what_was_delivered(self):
+        machine = running(3)
+        machine.on_broken(0, 1, BreakCause.CLOSED)
+        (refusal,) = machine.on_no_backend(0, Failure(ErrorKind.NO_BACKEND, "none"))
+        self.assertEqual(refusal.failure.kind, ErrorKind.VERSION_GONE)
+        self.assertEqual((refusal.failure.ran, refusal.delivered), (Ran.YES, 3))
+
+    def test_refusal_says_not_run_only_when_no_attempt_can_have_run(self):
+        nobody = Failure(ErrorKind.NO_BACKEND, "none")
+        for cause, ran in ((BreakCause.REFUSED, Ran.NO), (BreakCause.CLOSED, Ran.UNKNOWN)):
+            machine = running()
+            machine.on_broken(0, 1, cause)
+            (refusal,) = machine.on_no_backend(0, nobody)
+            self.assertEqual((refusal.failure.kind, refusal.failure.ran), (nobody.kind, ran))
+        machine = GenerationMachine(GenerationRequest("r", "m", epoch=2), CFG)
+        machine.start(0)
+        self.assertEqual(machine.on_no_backend(0, nobody)[0].failure.ran, Ran.UNKNOWN)
+
+    def test_other_version_is_never_used_for_a_started_answer(self):
+        machine = running(3)
+        machine.on_broken(0, 1, BreakCause.CLOSED)
+        self.assertEqual(machine.on_dispatched(0, 2, "e2", "v2")[-1].version, "v1")
+        self.assertEqual(machine.attempt, 3)
+
+    def test_attempts_are_limited(self):
+        machine = running(3)
+        for attempt in range(1, CFG.max_attempts):
+            machine.on_broken(0, attempt, BreakCause.CLOSED)
+            machine.on_dispatched(0, attempt + 1, "e", "v1")
+        decisions = machine.on_broken(0, CFG.max_attempts, BreakCause.CLOSED)
+        self.assertIsInstance(decisions[-1], Refuse)
+        self.assertTrue(machine.ended)
+
+    def test_caller_gone_frees_the_engine_even_during_a_dispatch(self):
+        self.assertEqual(running(3).on_caller_gone(0), [CancelAttempt(1, "e1")])
+        machine = running(3)
+        machine.on_broken(0, 1, BreakCause.CLOSED)
+        self.assertEqual(machine.on_caller_gone(0), [])
+        self.assertEqual(machine.on_dispatched(0, 2, "e2", "v1"), [CancelAttempt(2, "e2")])
+
+    def test_takeover_continues_a_stored_prefix(self):
+        prefix = StoredPrefix.from_pieces(("a", "b"))
+        machine = running(1, version="v1", prefix=prefix, epoch=2)
+        self.assertEqual((machine.text, machine.offset), ("abt0", 3))
+        self.assertEqual(machine.request.attempt_id(1), "r.2.1")
+
+
+class GapDetectorTest(unittest.TestCase):
+    """Guards against false losses on uneven streams and late ones on even streams."""
+
+    def test_limit_follows_the_stream_between_floor_and_ceiling(self):
+        detector = GapDetector(CFG)
+        self.assertEqual(detector.limit, CFG.gap_ceiling)
+        for _ in range(50):
+            detector.observe(0.03)
+            detector.observe(0.0)
+        self.assertEqual(detector.limit, CFG.gap_floor)
+        for i in range(50):
+            detector.observe(0.05 + 0.3 * (i % 2))
+        self.assertGreater(detector.limit, 0.9)
+        self.assertLessEqual(detector.limit, CFG.gap_ceiling)
+
+
+class AnswerDigestTest(unittest.TestCase):
+    """Guards against the acceptance of a position in another answer."""
+
+    def event_id(self, pieces=("a", "b"), secret="s", request="r", version="v") -> EventId:
+        digest = AnswerDigest(secret, request, version)
+        for piece in pieces:
+            digest.update(piece)
+        return digest.event_id()
+
+    def test_every_field_counts(self):
+        ids = {
+            self.event_id(),
+            self.event_id(secret="t"),
+            self.event_id(request="rv", version=""),
+            self.event_id(version="w"),
+            self.event_id(pieces=("a", "c")),
+            self.event_id(pieces=("ab",)),
+        }
+        self.assertEqual(len({event.digest for event in ids}), 6)
+
+    def test_form_and_its_parsing(self):
+        event = self.event_id()
+        self.assertEqual(EventId.parse(str(event)), event)
+        for value in ("", "1", "01.ab", "-1.ab", "1.AB", "1.zz", "1.ab ", "٣.ab", "9" * 30 + ".ab"):
+            self.assertIsInstance(EventId.parse(value), Failure, value)
+
+    def test_text_of_a_caller_is_verified(self):
+        event = self.event_id()
+        found = verify_text("s", "r", ("u", "v"), event, "ab")
+        self.assertEqual((found.version, found.prefix), ("v", StoredPrefix(2, "ab")))
+        for offset, text in ((2, "ax"), (1, "ab"), (2, "abc")):
+            bad = verify_text("s", "r", ("v",), EventId(offset, event.digest), text)
+            self.assertEqual(bad.kind, ErrorKind.ANSWER_DIVERGED)
+
+    def test_position_is_verified_against_a_copy(self):
+        event = self.event_id()
+        self.assertIsNone(verify_position("s", "r", "v", event, ("a", "b", "c")))
+        diverged = verify_position("s", "r", "v", event, ("a", "x"))
+        self.assertEqual(diverged.kind, ErrorKind.ANSWER_DIVERGED)
+        self.assertEqual(verify_position("s", "r", "v", event, ("a",)).kind, ErrorKind.ANSWER_LOST)
