Add the quarantine of requests that crash engines

Verdicts are a function of the set of merged death records and of the latest clearing of each fingerprint, so that all instances agree whatever the order of delivery. A death counts for nobody if it belongs to a group of at least burst_size deaths of different backend servers within burst_window of which no two share a suspect.

Times are Unix seconds, because records of other instances are compared.

--- /dev/null
+++ b/src/sapphireledge/core/quarantine/isolate.py
@@ -0,0 +1,15 @@
+"""Verdict that a request must run isolated."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Isolate"]
+
+
+@dataclass(frozen=True, slots=True)
+class Isolate:
+    """The request may run only on a backend server without any other suspect."""
+
+    deaths: int
+    """Deaths counted against the request."""
--- /dev/null
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -0,0 +1,239 @@
+"""Requests that crash the engines that run them."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right, insort
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.quarantine.clear import Clear
+from sapphireledge.core.quarantine.death_record import DeathRecord
+from sapphireledge.core.quarantine.isolate import Isolate
+from sapphireledge.core.quarantine.suspect_state import SuspectState
+from sapphireledge.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from sapphireledge.settings import QuarantineSettings
+
+__all__ = ["Quarantine"]
+
+Key = tuple[str, str]
+"""Backend server and boot id of a dead engine incarnation."""
+
+
+class Quarantine:
+    """Attributes engine deaths to requests.
+
+    The state is a set of merged death records and, for each fingerprint, the latest time of a
+    completion or lift. Verdicts are a function of that set, so every instance that has the same
+    records gives the same verdict, in whatever order they arrived.
+
+    Times are Unix seconds, because records of other instances and of the platform are compared.
+    """
+
+    def __init__(self, cfg: QuarantineSettings):
+        self._cfg = cfg
+        self._records: dict[Key, DeathRecord] = {}
+        self._by_time: list[tuple[float, Key]] = []
+        self._by_fingerprint: dict[str, set[Key]] = {}
+        self._cleared: dict[str, float] = {}
+
+    def on_engine_death(self, now_unix: float, record: DeathRecord) -> bool:
+        """Takes up a death seen by this instance, a peer, or read from the platform.
+
+        Args:
+            now_unix: Time in Unix seconds.
+            record: The death; repetitions have no effect.
+
+        Returns:
+            Whether the record added anything, that is, whether it has to be passed on.
+        """
+        self.expire(now_unix)
+        if record.time_unix <= now_unix - self._cfg.retention:
+            return False
+        known = self._records.get(record.key)
+        merged = record.merge(known or record)
+        if merged == known:
+            return False
+        if known is not None:
+            self._by_time.remove((known.time_unix, record.key))
+        self._records[record.key] = merged
+        insort(self._by_time, (merged.time_unix, record.key))
+        for fingerprint in merged.suspects:
+            self._by_fingerprint.setdefault(fingerprint, set()).add(record.key)
+        return True
+
+    def on_completed(self, now_unix: float, fingerprint: str) -> bool:
+        """Clears a request that ran to its end.
+
+        Args:
+            now_unix: Time in Unix seconds; deaths up to it no longer count.
+            fingerprint: Fingerprint of the request.
+
+        Returns:
+            Whether deaths were counted against it, that is, whether peers have to be told.
+        """
+        if fingerprint not in self._by_fingerprint:
+            return False
+        self._cleared[fingerprint] = max(now_unix, self._cleared.get(fingerprint, now_unix))
+        return True
+
+    def lift(self, now_unix: float, fingerprint: str) -> bool:
+        """Clears a request on the order of an operator.
+
+        Args:
+            now_unix: Time of the order in Unix seconds.
+            fingerprint: Fingerprint of the request.
+
+        Returns:
+            Whether the request was known.
+        """
+        return self.on_completed(now_unix, fingerprint)
+
+    def verdict(self, now_unix: float, fingerprint: str) -> Clear | Isolate | Failure:
+        """Decides how a request may run.
+
+        Args:
+            now_unix: Time in Unix seconds.
+            fingerprint: Fingerprint of the request.
+
+        Returns:
+            Clear, Isolate, or a failure: request_condemned, or overloaded with the time after
+            which the deaths can be attributed. Neither failure runs anything.
+        """
+        if fingerprint not in self._by_fingerprint:
+            return Clear()
+        self.expire(now_unix)
+        deaths = self._counted(fingerprint)
+        if len(deaths) < self._cfg.isolate_after:
+            return Clear(len(deaths))
+        proof = self._proof(fingerprint, deaths)
+        if proof is None:
+            return Isolate(len(deaths))
+        return self._judge(now_unix, deaths, proof)
+
+    def records(self) -> tuple[DeathRecord, ...]:
+        """Lists the records that are remembered.
+
+        Returns:
+            The merged records in the order of time.
+        """
+        return tuple(self._records[key] for _, key in self._by_time)
+
+    def suspects(self, now_unix: float) -> tuple[SuspectState, ...]:
+        """Lists the requests with counted deaths.
+
+        Args:
+            now_unix: Time in Unix seconds.
+
+        Returns:
+            Their states, those with the most deaths first.
+        """
+        self.expire(now_unix)
+        states = (self._state(fingerprint) for fingerprint in self._by_fingerprint)
+        found = [state for state in states if state is not None]
+        return tuple(sorted(found, key=lambda state: (-state.deaths, state.fingerprint)))
+
+    def expire(self, now_unix: float) -> None:
+        """Forgets deaths and clearings older than the retention.
+
+        Args:
+            now_unix: Time in Unix seconds.
+        """
+        oldest = now_unix - self._cfg.retention
+        end = bisect_right(self._by_time, oldest, key=lambda item: item[0])
+        for _, key in self._by_time[:end]:
+            self._forget(key)
+        del self._by_time[:end]
+
+    def _forget(self, key: Key) -> None:
+        """Removes one record from the indexes by fingerprint."""
+        for fingerprint in self._records.pop(key).suspects:
+            keys = self._by_fingerprint[fingerprint]
+            keys.discard(key)
+            if not keys:
+                del self._by_fingerprint[fingerprint]
+                self._cleared.pop(fingerprint, None)
+
+    def _counted(self, fingerprint: str) -> list[DeathRecord]:
+        """Lists the deaths that count against a request, in the order of time."""
+        cleared = self._cleared.get(fingerprint, float("-inf"))
+        records = [self._records[key] for key in self._by_fingerprint.get(fingerprint, ())]
+        deaths = [r for r in records if r.time_unix > cleared and not self._in_burst(r)]
+        return sorted(deaths, key=lambda r: (r.time_unix, r.key))
+
+    def _in_burst(self, death: DeathRecord) -> bool:
+        """Whether a death belongs to a group with a common cause outside the requests.
+
+        The group consists of enough deaths of different backend servers in one window of which no
+        two share a suspect: no request can have caused them.
+        """
+        window = self._cfg.burst_window
+        first = bisect_left(self._by_time, death.time_unix - window, key=lambda item: item[0])
+        last = bisect_right(self._by_time, death.time_unix + window, key=lambda item: item[0])
+        near = [self._records[key] for _, key in self._by_time[first:last]]
+        starts = {r.time_unix for r in near if r.time_unix <= death.time_unix}
+        return any(self._disjoint(death, near, start) for start in starts)
+
+    def _disjoint(self, death: DeathRecord, near: list[DeathRecord], start: float) -> bool:
+        """Whether the window from a start holds a large enough group around a death."""
+        backends = {death.backend}
+        seen = set(death.suspects)
+        for other in sorted(near, key=lambda r: (len(r.suspects), r.time_unix, r.key)):
+            if not start <= other.time_unix <= start + self._cfg.burst_window:
+                continue
+            if other.backend in backends or not seen.isdisjoint(other.suspects):
+                continue
+            backends.add(other.backend)
+            seen.update(other.suspects)
+            if len(backends) >= self._cfg.burst_size:
+                return True
+        return False
+
+    def _proof(self, fingerprint: str, deaths: list[DeathRecord]) -> DeathRecord | None:
+        """Finds the isolated death that condemns a request."""
+        candidates = deaths[self._cfg.condemn_after - 1 :]
+        return next((r for r in candidates if self._ran_isolated(fingerprint, r)), None)
+
+    def _ran_isolated(self, fingerprint: str, death: DeathRecord) -> bool:
+        """Whether no other strongly suspected request was on the engine when it died.
+
+        Instances choose backend servers independently, so two of them can isolate different
+        requests on the same engine; such a death proves nothing about either.
+        """
+        if death.isolated != (fingerprint,):
+            return False
+        others = (other for other in death.suspects if other != fingerprint)
+        return not any(self._strongly_suspected(other, death) for other in others)
+
+    def _strongly_suspected(self, fingerprint: str, death: DeathRecord) -> bool:
+        """Whether a request had to run isolated even without a given death."""
+        if len(self._by_fingerprint[fingerprint]) <= self._cfg.isolate_after:
+            return False
+        earlier = [r for r in self._counted(fingerprint) if r.key != death.key]
+        return len(earlier) >= self._cfg.isolate_after
+
+    def _judge(
+        self, now_unix: float, deaths: list[DeathRecord], proof: DeathRecord
+    ) -> Isolate | Failure:
+        """Refuses a request for good, or for the moment while a burst can still be found."""
+        # Deaths of one burst arrive one by one. A request that followed a failing rack from engine
+        # to engine looks guilty until the other deaths of the window are known.
+        settled = proof.time_unix + self._cfg.burst_window
+        spread = proof.time_unix - deaths[0].time_unix
+        if spread <= self._cfg.burst_window and now_unix < settled:
+            reason = "engine deaths of the last seconds are not attributed yet"
+            return Failure(ErrorKind.OVERLOADED, reason, retry_after=settled - now_unix)
+        names = ", ".join(r.backend for r in deaths)
+        reason = f"{len(deaths)} engines died while they ran this request: {names}"
+        return Failure(ErrorKind.REQUEST_CONDEMNED, reason)
+
+    def _state(self, fingerprint: str) -> SuspectState | None:
+        """Describes one request, None if no death counts against it."""
+        deaths = self._counted(fingerprint)
+        if not deaths:
+            return None
+        state = "isolated" if len(deaths) >= self._cfg.isolate_after else "suspect"
+        if self._proof(fingerprint, deaths) is not None:
+            state = "condemned"
+        backends = tuple(r.backend for r in deaths)
+        return SuspectState(fingerprint, len(deaths), state, deaths[0].time_unix, backends)
