--- a/src/sapphireledge/core/admission/__init__.py
+++ b/src/sapphireledge/core/admission/__init__.py
@@ -1,1 +1,33 @@
-"""Part of the decision core."""
+"""Ranks, fairness, queueing and retries."""
+
+from __future__ import annotations
+
+from sapphireledge.core.admission.admission_queue import AdmissionQueue
+from sapphireledge.core.admission.admitted import Admitted
+from sapphireledge.core.admission.backoff_delay import backoff_delay
+from sapphireledge.core.admission.capacity import Capacity
+from sapphireledge.core.admission.estimate_cost import estimate_cost
+from sapphireledge.core.admission.expired import Expired
+from sapphireledge.core.admission.output_estimate import OutputEstimate
+from sapphireledge.core.admission.queued_work import QueuedWork
+from sapphireledge.core.admission.rank_load import RankLoad
+from sapphireledge.core.admission.rank_scheduler import RankScheduler
+from sapphireledge.core.admission.retry_budget import RetryBudget
+from sapphireledge.core.admission.usage_changes import UsageChanges
+from sapphireledge.core.admission.usage_ledger import UsageLedger
+
+__all__ = [
+    "AdmissionQueue",
+    "Admitted",
+    "Capacity",
+    "Expired",
+    "OutputEstimate",
+    "QueuedWork",
+    "RankLoad",
+    "RankScheduler",
+    "RetryBudget",
+    "UsageChanges",
+    "UsageLedger",
+    "backoff_delay",
+    "estimate_cost",
+]
--- /dev/null
+++ b/src/sapphireledge/core/admission/admission_queue.py
@@ -0,0 +1,211 @@
+"""Waiting first tries of one rank, in the order of fairness."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from heapq import heapify, heappop, heappush
+from math import log2
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.admission._private import NEVER
+
+if TYPE_CHECKING:
+    from sapphireledge.core.admission.queued_work import QueuedWork
+    from sapphireledge.core.admission.usage_ledger import UsageLedger
+
+__all__ = ["AdmissionQueue"]
+
+COMPACT_FACTOR = 4
+"""Heap entries per waiting workspace above which outdated entries are removed."""
+
+MIN_COMPACT = 64
+"""Heap length below which compaction is not worth a pass."""
+
+
+class AdmissionQueue:
+    """Waiting first tries of one rank.
+
+    The workspace with the lowest usage per weight goes first; inside a workspace the order is that
+    of arrival. A heap holds the waiting workspaces by the level of their usage, which changes only
+    when usage is charged or corrected. A rise is found when the entry reaches the head; a fall is
+    reported by `on_decrease`. So one decision costs O(log n) of the waiting workspaces, and idle
+    workspaces cost nothing.
+    """
+
+    def __init__(self, ledger: UsageLedger):
+        self._ledger = ledger
+        self._waiting: dict[str, OrderedDict[str, QueuedWork]] = {}
+        self._weights: dict[str, float] = {}
+        self._heap: list[tuple[float, int, str]] = []
+        self._valid: dict[str, int] = {}
+        self._sequence = 0
+        self._lengths: dict[int, OrderedDict[str, None]] = {}
+        self._longest = 0
+        self._backlog_of: dict[str, int] = {}
+        self.backlog = 0
+        """Estimated cost of the waiting work in tokens."""
+        self.size = 0
+        """Number of waiting works."""
+        self.total_weight = 0.0
+        """Sum of the weights of the waiting workspaces."""
+
+    def push(self, work: QueuedWork) -> None:
+        """Adds work at the end of its workspace.
+
+        Args:
+            work: The work.
+        """
+        queue = self._waiting.get(work.workspace)
+        if queue is None:
+            queue = self._waiting[work.workspace] = OrderedDict()
+            self._weights[work.workspace] = work.weight
+            self.total_weight += work.weight
+            self._enter(work.workspace)
+        queue[work.work_id] = work
+        self._resize(work.workspace, len(queue) - 1, len(queue))
+        self._count(work, 1)
+
+    def remove(self, work: QueuedWork) -> None:
+        """Removes waiting work.
+
+        Args:
+            work: Work that is in the queue.
+        """
+        workspace = work.workspace
+        queue = self._waiting[workspace]
+        del queue[work.work_id]
+        self._resize(workspace, len(queue) + 1, len(queue))
+        self._count(work, -1)
+        if queue:
+            return
+        del self._waiting[workspace]
+        del self._valid[workspace]
+        self.total_weight -= self._weights.pop(workspace)
+
+    def head(self) -> str | None:
+        """Finds the workspace that goes first.
+
+        Returns:
+            Its name, or None if nothing waits.
+        """
+        while self._heap:
+            level, sequence, workspace = self._heap[0]
+            if self._valid.get(workspace) != sequence:
+                heappop(self._heap)
+                continue
+            if self.level(workspace) <= level:
+                return workspace
+            heappop(self._heap)
+            self._enter(workspace)
+        return None
+
+    def level(self, workspace: str) -> float:
+        """Computes the order of a workspace.
+
+        Args:
+            workspace: Name of a waiting workspace.
+
+        Returns:
+            Level of its usage per weight.
+        """
+        level = self._ledger.level(workspace)
+        return level if level == NEVER else level - log2(self._weights[workspace])
+
+    def on_decrease(self, workspace: str) -> None:
+        """Moves a workspace forward after its usage fell.
+
+        Args:
+            workspace: Name of any workspace.
+        """
+        if workspace in self._waiting:
+            self._enter(workspace)
+
+    def backlog_of(self, workspace: str) -> int:
+        """Reads the backlog of one workspace.
+
+        Args:
+            workspace: Name of any workspace.
+
+        Returns:
+            Estimated cost of its waiting work in tokens.
+        """
+        return self._backlog_of.get(workspace, 0)
+
+    def first_of(self, workspace: str) -> QueuedWork:
+        """Finds the oldest work of a workspace.
+
+        Args:
+            workspace: Name of a waiting workspace.
+
+        Returns:
+            Its oldest work.
+        """
+        return next(iter(self._waiting[workspace].values()))
+
+    def length_of(self, workspace: str) -> int:
+        """Counts the works of one workspace.
+
+        Args:
+            workspace: Name of any workspace.
+
+        Returns:
+            Number of its waiting works.
+        """
+        return len(self._waiting.get(workspace, ()))
+
+    def weight_of(self, workspace: str) -> float:
+        """Reads the weight of a workspace.
+
+        Args:
+            workspace: Name of a waiting workspace.
+
+        Returns:
+            Its weight.
+        """
+        return self._weights[workspace]
+
+    def newest_of_longest(self) -> QueuedWork | None:
+        """Finds the work to displace when memory is short.
+
+        Returns:
+            The newest work of the workspace with the most waiting works, or None if nothing waits.
+        """
+        if not self._longest:
+            return None
+        workspace = next(iter(self._lengths[self._longest]))
+        return next(reversed(self._waiting[workspace].values()))
+
+    def _enter(self, workspace: str) -> None:
+        """Puts a workspace into the heap at its present level."""
+        self._sequence += 1
+        self._valid[workspace] = self._sequence
+        heappush(self._heap, (self.level(workspace), self._sequence, workspace))
+        limit = max(MIN_COMPACT, COMPACT_FACTOR * len(self._waiting))
+        if len(self._heap) > limit:
+            self._heap = [entry for entry in self._heap if self._valid.get(entry[2]) == entry[1]]
+            heapify(self._heap)
+
+    def _resize(self, workspace: str, before: int, after: int) -> None:
+        """Moves a workspace between the groups of equal queue length."""
+        if before:
+            group = self._lengths[before]
+            del group[workspace]
+            if not group:
+                del self._lengths[before]
+        if after:
+            self._lengths.setdefault(after, OrderedDict())[workspace] = None
+        if after > self._longest:
+            self._longest = after
+        elif self._longest not in self._lengths:
+            # Lengths change by one, so the next shorter group is not empty, or nothing waits.
+            self._longest = after
+
+    def _count(self, work: QueuedWork, sign: int) -> None:
+        """Adds work to the sums or takes it out."""
+        self.size += sign
+        self.backlog += sign * work.cost
+        left = self._backlog_of.get(work.workspace, 0) + sign * work.cost
+        if left:
+            self._backlog_of[work.workspace] = left
+        else:
+            self._backlog_of.pop(work.workspace, None)
--- /dev/null
+++ b/src/sapphireledge/core/admission/rank_load.py
@@ -0,0 +1,21 @@
+"""Running and waiting work of one rank."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["RankLoad"]
+
+
+@dataclass(frozen=True, slots=True)
+class RankLoad:
+    """Running and waiting work of one rank."""
+
+    rank: str
+    """Name of the rank."""
+
+    running: int
+    """Works handed out and not ended."""
+
+    queued: int
+    """Works that wait, resumes included."""
--- /dev/null
+++ b/src/sapphireledge/core/admission/rank_scheduler.py
@@ -0,0 +1,504 @@
+"""Order in which work of all ranks starts on one pool of backend servers."""
+
+from __future__ import annotations
+
+from heapq import heapify, heappop, heappush
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.admission._rank_state import RankState, RunningWork
+from sapphireledge.core.admission.admitted import Admitted
+from sapphireledge.core.admission.capacity import Capacity
+from sapphireledge.core.admission.expired import Expired
+from sapphireledge.core.admission.rank_load import RankLoad
+from sapphireledge.core.admission.usage_ledger import UsageLedger
+from sapphireledge.errors import ErrorKind, Failure, Ran
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from sapphireledge.core.admission.queued_work import QueuedWork
+    from sapphireledge.core.declarations import Rank
+    from sapphireledge.settings import AdmissionSettings
+
+__all__ = ["RankScheduler"]
+
+RESUME_RESERVE = 0.5
+"""Part of the unused reserves of more urgent ranks that resumes may take.
+
+A lost engine takes free slots and running work at once. Without this, resumes of a flooding rank
+wait for running work to end while the reserve stands free.
+"""
+
+MIN_RETRY_AFTER = 0.1
+"""Shortest retry time that is announced, in seconds."""
+
+MAX_RETRY_AFTER = 60.0
+"""Longest retry time that is announced, in seconds; the load is not predictable beyond it."""
+
+MIN_COMPACT = 64
+"""Length of the deadline heap below which outdated entries stay."""
+
+
+class RankScheduler:
+    """Decides which waiting work of one pool starts next.
+
+    A pool is a set of backend servers that can run the same work, such as the engines of one model
+    version. Several schedulers can share a `UsageLedger`, so that fairness spans the pools.
+
+    Life of a work: `offer`, handed out by `next` (which charges the estimate and counts it as
+    running), `on_started` when the backend server has it, `on_consumed` for each output, and
+    `on_ended`. `withdraw` ends it at any point before.
+    """
+
+    def __init__(
+        self,
+        ranks: Mapping[str, Rank],
+        cfg: AdmissionSettings,
+        ledger: UsageLedger | None = None,
+    ):
+        self._cfg = cfg
+        self._ledger = UsageLedger(cfg.usage_half_life) if ledger is None else ledger
+        self._states: dict[str, RankState] = {}
+        self._order: list[RankState] = []
+        self._waiting: dict[str, QueuedWork] = {}
+        self._deadlines: list[tuple[float, str]] = []
+        self._deadline_of: dict[str, float] = {}
+        self._running: dict[str, RunningWork] = {}
+        self._displaced: list[Expired] = []
+        self._capacity = Capacity(0, 0)
+        self._seen_capacity = False
+        self._now = 0.0
+        self._sequence = 0
+        self._stop_watching = self._ledger.watch_decreases(self._on_decrease)
+        self.set_ranks(ranks)
+
+    @property
+    def ledger(self) -> UsageLedger:
+        """Usage that the order inside a rank follows."""
+        return self._ledger
+
+    def close(self) -> None:
+        """Detaches the scheduler from a shared ledger."""
+        self._stop_watching()
+
+    def set_ranks(self, ranks: Mapping[str, Rank]) -> None:
+        """Applies changed declarations.
+
+        Work of a rank that is no longer declared is still served under its last declaration.
+
+        Args:
+            ranks: Declared ranks by name.
+        """
+        for name, rank in ranks.items():
+            state = self._states.get(name)
+            if state is None:
+                self._states[name] = RankState(rank, self._ledger, self._cfg.share_window)
+            else:
+                state.rank = rank
+        for name, state in self._states.items():
+            state.declared = name in ranks
+        self._order = sorted(self._states.values(), key=lambda s: (s.rank.order, s.rank.name))
+
+    def offer(self, now: float, work: QueuedWork) -> Admitted | Failure:
+        """Admits work to the queue, or refuses it at once.
+
+        Resumes are always admitted, because the caller already reads the answer.
+
+        Args:
+            now: Time in seconds.
+            work: The work.
+
+        Returns:
+            Admission with the estimated wait, or a failure with `ran` NO: would_be_late,
+            overloaded, deadline_exceeded or invalid_request.
+        """
+        self._now = max(self._now, now)
+        state = self._states.get(work.rank)
+        if state is None or not state.declared:
+            return Failure(ErrorKind.INVALID_REQUEST, f"rank {work.rank!r} is not declared")
+        if work.work_id in self._waiting or work.work_id in self._running:
+            return Failure(ErrorKind.INVALID_REQUEST, f"work {work.work_id!r} is already known")
+        deadline = self._deadline(now, state, work)
+        if work.is_resume:
+            self._enqueue(state, work, deadline)
+            return Admitted(0.0, deadline)
+        if deadline <= now:
+            return Failure(ErrorKind.DEADLINE_EXCEEDED, "the deadline had passed on arrival")
+        wait = self.estimated_wait(now, work)
+        if wait > deadline - now:
+            return self._late(now, state, work, wait, deadline - now)
+        if len(self._waiting) >= self._cfg.max_queued and not self._displace(now, state, work):
+            retry_after = self._retry_after(now, state, work, wait)
+            return Failure(ErrorKind.OVERLOADED, "the queue is full", retry_after=retry_after)
+        self._enqueue(state, work, deadline)
+        return Admitted(wait, deadline)
+
+    def next(self, now: float, free: Capacity) -> list[QueuedWork | Expired]:
+        """Hands out the work that starts now, and the work that is refused after it waited.
+
+        Handed-out work counts as running from here on. If it cannot be sent, `withdraw` returns
+        its place and its charge.
+
+        Args:
+            now: Time in seconds.
+            free: Capacity in the view of the instance, work handed out earlier excluded.
+
+        Returns:
+            Work to start, in order, after work that expired or was displaced.
+        """
+        self._now = max(self._now, now)
+        self._capacity = free
+        self._seen_capacity = True
+        result: list[QueuedWork | Expired] = [*self._displaced, *self._expire(now)]
+        self._displaced = []
+        slots = free.free
+        scale = self._fleet_scale(slots)
+        while slots > 0 and self._waiting:
+            work = self._pick(now, slots, scale)
+            if work is None:
+                break
+            self._hand_out(now, work)
+            result.append(work)
+            slots -= 1
+        return result
+
+    def on_started(self, now: float, work_id: str) -> None:
+        """Notes that a backend server has the work.
+
+        Args:
+            now: Time in seconds.
+            work_id: Work that `next` handed out.
+        """
+        self._now = max(self._now, now)
+        running = self._running.get(work_id)
+        if running is None or running.started:
+            return
+        running.started = True
+        self._states[running.work.rank].tokens.add(now, running.work.prompt_tokens)
+
+    def on_consumed(self, now: float, work_id: str, tokens: int) -> None:
+        """Counts generated tokens.
+
+        Args:
+            now: Time in seconds.
+            work_id: Running work.
+            tokens: Tokens generated since the last call.
+        """
+        self._now = max(self._now, now)
+        running = self._running.get(work_id)
+        if running is None:
+            return
+        running.consumed += tokens
+        self._states[running.work.rank].tokens.add(now, tokens)
+        excess = running.work.prompt_tokens + running.consumed - running.charged
+        if excess > 0:
+            self._ledger.charge(now, running.work.workspace, excess)
+            running.charged += excess
+
+    def on_ended(self, now: float, work_id: str) -> None:
+        """Frees the place of work that ended for any reason and corrects its charge.
+
+        Args:
+            now: Time in seconds.
+            work_id: Work that `next` handed out; unknown work is ignored.
+        """
+        self._now = max(self._now, now)
+        running = self._running.pop(work_id, None)
+        if running is None:
+            return
+        state = self._states[running.work.rank]
+        state.running -= 1
+        state.running_resumes -= running.work.is_resume
+        used = running.work.prompt_tokens + running.consumed if running.started else 0
+        surplus = running.charged - used
+        if surplus > 0:
+            # The estimate was charged at dispatch and has decayed since; so must its correction.
+            part = 2.0 ** ((running.since - now) / self._cfg.usage_half_life)
+            self._ledger.charge(now, running.work.workspace, -surplus * part)
+
+    def withdraw(self, work_id: str) -> bool:
+        """Takes work back, for example because its caller disconnected.
+
+        Args:
+            work_id: Waiting or handed-out work.
+
+        Returns:
+            Whether the work was known.
+        """
+        work = self._waiting.get(work_id)
+        if work is not None:
+            self._dequeue(work)
+            return True
+        known = work_id in self._running
+        self.on_ended(self._now, work_id)
+        return known
+
+    def estimated_wait(self, now: float, work: QueuedWork) -> float:
+        """Estimates when work would start if it were offered now.
+
+        Args:
+            now: Time in seconds.
+            work: A first try.
+
+        Returns:
+            Seconds; 0 while the capacity is not known.
+        """
+        state = self._states[work.rank]
+        if not self._seen_capacity or self._capacity.total <= 0:
+            return 0.0
+        held = self._held_back(state, self._fleet_scale(self._capacity.free))
+        spare = self._capacity.free - held
+        if len(self._waiting) < spare:
+            return 0.0
+        rate = self._rank_rate(now, state)
+        if rate <= 0.0:
+            return 0.0
+        ahead = self._ahead(now, state, work)
+        return max(0.0, ahead + work.cost / 2 - max(0.0, spare) * work.cost) / rate
+
+    def loads(self) -> tuple[RankLoad, ...]:
+        """Lists running and waiting work by rank, the most urgent first.
+
+        Returns:
+            One entry for each rank.
+        """
+        return tuple(
+            RankLoad(s.rank.name, s.running, s.queue.size + len(s.resumes)) for s in self._order
+        )
+
+    @property
+    def queued(self) -> int:
+        """Number of waiting works."""
+        return len(self._waiting)
+
+    def _deadline(self, now: float, state: RankState, work: QueuedWork) -> float:
+        """Computes when waiting work becomes useless."""
+        if work.deadline is not None:
+            return work.deadline
+        wanted_late = state.rank.late or work.is_resume
+        return now + (
+            max(self._cfg.late_wait, state.rank.target) if wanted_late else state.rank.target
+        )
+
+    def _enqueue(self, state: RankState, work: QueuedWork, deadline: float) -> None:
+        """Puts work into the queue of its rank."""
+        self._waiting[work.work_id] = work
+        self._deadline_of[work.work_id] = deadline
+        heappush(self._deadlines, (deadline, work.work_id))
+        if work.is_resume:
+            self._sequence += 1
+            heappush(state.resume_heap, (-work.delivered, self._sequence, work.work_id))
+            state.resumes[work.work_id] = self._sequence
+        else:
+            state.queue.push(work)
+
+    def _dequeue(self, work: QueuedWork) -> None:
+        """Takes work out of the queue of its rank."""
+        state = self._states[work.rank]
+        del self._waiting[work.work_id]
+        del self._deadline_of[work.work_id]
+        if work.is_resume:
+            del state.resumes[work.work_id]
+        else:
+            state.queue.remove(work)
+        if len(self._deadlines) > max(MIN_COMPACT, 4 * len(self._waiting)):
+            self._deadlines = [(d, w) for d, w in self._deadlines if self._deadline_of.get(w) == d]
+            heapify(self._deadlines)
+
+    def _expire(self, now: float) -> Iterator[Expired]:
+        """Removes the work whose deadline has passed."""
+        while self._deadlines and self._deadlines[0][0] < now:
+            deadline, work_id = heappop(self._deadlines)
+            if self._deadline_of.get(work_id) != deadline:
+                continue
+            work = self._waiting[work_id]
+            self._dequeue(work)
+            reason = "the deadline passed while the request waited"
+            yield Expired(work, _refusal(ErrorKind.DEADLINE_EXCEEDED, reason, work))
+
+    def _displace(self, now: float, state: RankState, work: QueuedWork) -> bool:
+        """Makes room at the memory bound by refusing work of lower worth.
+
+        Among equal worth, the workspace with the longest queue gives way to a shorter one.
+        """
+        lowest = min(
+            (s for s in self._order if s.queue.size),
+            key=lambda s: (s.rank.worth, -s.rank.order),
+            default=None,
+        )
+        if lowest is None or lowest.rank.worth > state.rank.worth:
+            return False
+        victim = lowest.queue.newest_of_longest()
+        if victim is None:
+            return False
+        if lowest.rank.worth == state.rank.worth:
+            own = state.queue.length_of(work.workspace)
+            if own + 1 >= lowest.queue.length_of(victim.workspace):
+                return False
+        self._dequeue(victim)
+        wait = self.estimated_wait(now, victim)
+        failure = Failure(
+            ErrorKind.OVERLOADED,
+            "the queue is full and work of higher worth arrived",
+            retry_after=self._retry_after(now, lowest, victim, wait),
+        )
+        self._displaced.append(Expired(victim, failure))
+        return True
+
+    def _pick(self, now: float, slots: int, scale: float) -> QueuedWork | None:
+        """Chooses the work for one free slot."""
+        resume = self._pick_resume(slots, scale)
+        if resume is not None:
+            return resume
+        for state in self._by_urgency(now):
+            if slots > self._held_back(state, scale):
+                workspace = state.queue.head()
+                assert workspace is not None
+                return state.queue.first_of(workspace)
+        return None
+
+    def _by_urgency(self, now: float) -> list[RankState]:
+        """Orders the backlogged ranks: below their share first, then by urgency."""
+        backlogged = [state for state in self._order if state.queue.size]
+        if len(backlogged) < 2:
+            return backlogged
+        rates = {id(state): self._token_rate(now, state) for state in self._order}
+        total = sum(rates.values())
+        below: list[tuple[float, int, RankState]] = []
+        rest: list[RankState] = []
+        for position, state in enumerate(backlogged):
+            due = state.rank.share * total
+            received = rates[id(state)]
+            if state.rank.share > 0.0 and received < due:
+                below.append((received / due, position, state))
+            else:
+                rest.append(state)
+        below.sort()
+        return [state for _, _, state in below] + rest
+
+    def _token_rate(self, now: float, state: RankState) -> float:
+        """Estimates the tokens that the running work of a rank produces.
+
+        A plain sum over the window would lag behind the starts of generations that run longer than
+        the window, and ranks would overshoot their shares in turn. So the window gives only the
+        tokens per running work, relative to all ranks.
+        """
+        return state.running
+
+    def _pick_resume(self, slots: int, scale: float) -> QueuedWork | None:
+        """Chooses a resume, as long as resumes stay within their share while first tries wait."""
+        if not any(state.resumes for state in self._order):
+            return None
+        resumes = sum(state.running_resumes for state in self._order) * scale
+        first_tries = any(state.queue.size for state in self._order)
+        if first_tries and resumes + 1 > max(1.0, self._cfg.resume_share * self._capacity.total):
+            return None
+        for state in self._order:
+            work = self._first_resume(state)
+            if work is not None and slots > RESUME_RESERVE * self._held_back(state, scale):
+                return work
+        return None
+
+    def _first_resume(self, state: RankState) -> QueuedWork | None:
+        """Finds the resume of a rank with the most delivered tokens."""
+        while state.resume_heap:
+            _, sequence, work_id = state.resume_heap[0]
+            if state.resumes.get(work_id) == sequence:
+                return self._waiting[work_id]
+            heappop(state.resume_heap)
+        return None
+
+    def _hand_out(self, now: float, work: QueuedWork) -> None:
+        """Moves work from waiting to running and charges its estimate."""
+        self._dequeue(work)
+        state = self._states[work.rank]
+        state.running += 1
+        state.running_resumes += work.is_resume
+        state.starts.add(now, work.cost)
+        self._running[work.work_id] = RunningWork(work, now, work.cost)
+        self._ledger.charge(now, work.workspace, work.cost)
+
+    def _held_back(self, state: RankState, scale: float) -> float:
+        """Slots that a rank must leave free for the unused reserves of more urgent ranks."""
+        held = 0.0
+        for other in self._order:
+            if other is state or other.rank.order >= state.rank.order:
+                continue
+            reserve = other.rank.reserve * self._capacity.total
+            held += max(0.0, reserve - other.running * scale)
+        return held
+
+    def _fleet_scale(self, slots: int) -> float:
+        """Estimates how many works run in the pool for each one of this instance.
+
+        Other instances use the same backend servers; their ranks are assumed to be mixed alike.
+        """
+        own = len(self._running)
+        busy = self._capacity.total - slots
+        return max(1.0, busy / own) if own else 1.0
+
+    def _rank_rate(self, now: float, state: RankState) -> float:
+        """Estimates the tokens per second at which queued work of a rank can start."""
+        busy = self._capacity.total - self._capacity.free
+        if busy <= 0 or self._capacity.token_rate <= 0.0:
+            return 0.0
+        own_slots = min(self._capacity.total, max(1, len(self._running)) + self._capacity.free)
+        rate = self._capacity.token_rate / busy * own_slots
+        others = 0.0
+        for other in self._order:
+            if other is state:
+                continue
+            started = other.starts.rate(now)
+            if other.rank.order > state.rank.order:
+                due = other.rank.share * rate if other.queue.size else started
+                started = min(started, due)
+            others += started
+        return max(rate - others, max(0.01, state.rank.share) * rate)
+
+    def _ahead(self, now: float, state: RankState, work: QueuedWork) -> float:
+        """Estimates the tokens of its rank that start before work that is offered now."""
+        queue = state.queue
+        own = queue.backlog_of(work.workspace)
+        others = queue.backlog - own
+        if others <= 0:
+            return own
+        head = queue.head()
+        assert head is not None
+        weights = queue.total_weight - (work.weight if own else 0.0)
+        lead = self._ledger.usage(now, work.workspace) / work.weight
+        lead -= self._ledger.usage(now, head) / queue.weight_of(head)
+        # While this workspace gets its own backlog and what it is ahead by, the others get as
+        # much per weight, but never more than they wait for.
+        return own + min(others, weights * (own / work.weight + max(0.0, lead)))
+
+    def _late(
+        self, now: float, state: RankState, work: QueuedWork, wait: float, allowed: float
+    ) -> Failure:
+        """Refuses work that would start too late."""
+        reason = f"the first token is expected in {wait:.1f} s, {allowed:.1f} s are left"
+        retry_after = self._retry_after(now, state, work, wait - allowed)
+        return Failure(ErrorKind.WOULD_BE_LATE, reason, retry_after=retry_after)
+
+    def _retry_after(self, now: float, state: RankState, work: QueuedWork, excess: float) -> float:
+        """Computes when another try can succeed.
+
+        The work refused from one workspace is spread over the time that its part of the capacity
+        needs for it; otherwise all of it would return at the same moment and be refused again.
+        """
+        rate = self._rank_rate(now, state)
+        weights = max(state.queue.total_weight, work.weight)
+        pace = work.cost * weights / (work.weight * rate) if rate > 0.0 else 0.0
+        slot = max(now + excess, state.promised.get(work.workspace, now) + pace)
+        slot = min(slot, now + MAX_RETRY_AFTER)
+        state.promise(now, work.workspace, slot)
+        return max(MIN_RETRY_AFTER, slot - now)
+
+    def _on_decrease(self, workspace: str) -> None:
+        """Passes a falling usage on to the queues."""
+        for state in self._order:
+            state.queue.on_decrease(workspace)
+
+
+def _refusal(kind: ErrorKind, reason: str, work: QueuedWork) -> Failure:
+    """Builds the failure of work that waited; a resume has run before."""
+    return Failure(kind, reason, Ran.YES if work.is_resume else Ran.NO)
--- /dev/null
+++ b/src/sapphireledge/core/admission/usage_ledger.py
@@ -0,0 +1,248 @@
+"""Decayed tokens of each workspace over the whole fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.admission._private import NEVER, decayed, level_of
+from sapphireledge.core.admission.usage_changes import UsageChanges
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+__all__ = ["UsageLedger"]
+
+MIN_USAGE = 0.5
+"""Usage in tokens below which a workspace is forgotten."""
+
+MIN_PRUNE = 1024
+"""Number of entries below which pruning is not worth a pass."""
+
+
+class UsageLedger:
+    """Decayed tokens of each workspace, own and of other instances.
+
+    Reports of other instances are absolute amounts at the time of the report. Applying one twice or
+    after a later one of another source changes nothing else, so lost and repeated heartbeats do no
+    lasting harm.
+
+    Each amount is stored as one float (see `level_of`).
+    """
+
+    def __init__(self, half_life: float):
+        self._half_life = half_life
+        self._own: dict[str, float] = {}
+        self._total: dict[str, float] = {}
+        self._sources: dict[str, dict[str, float]] = {}
+        self._lost: frozenset[str] = frozenset()
+        self._scale = 1.0
+        self._changed: dict[str, int] = {}
+        self._sequence = 0
+        self._prune_at = MIN_PRUNE
+        self._prune_source_at: dict[str, int] = {}
+        self._watchers: list[Callable[[str], None]] = []
+
+    def charge(self, now: float, workspace: str, tokens: float) -> None:
+        """Adds tokens of this instance.
+
+        Args:
+            now: Time in seconds.
+            workspace: Name of the workspace.
+            tokens: Estimate at dispatch; negative to correct an estimate at the end.
+        """
+        before = self._amount(now, self._own, workspace)
+        after = max(0.0, before + tokens)
+        self._own[workspace] = level_of(now, after, self._half_life)
+        self._sequence += 1
+        # Moves the workspace to the end, so that changes can be read newest first.
+        self._changed.pop(workspace, None)
+        self._changed[workspace] = self._sequence
+        self._adjust(now, workspace, after - before)
+        if len(self._total) + len(self._own) > self._prune_at:
+            self._prune(now)
+
+    def merge_peer(self, now: float, peer: str, usage: Mapping[str, float]) -> None:
+        """Takes up a report of another instance.
+
+        Args:
+            now: Time in seconds.
+            peer: Name of the instance, or of the data centres that the report stands for; reports
+                of two representatives of the same data centres must use the same name.
+            usage: Decayed tokens of each workspace that changed.
+        """
+        known = self._sources.setdefault(peer, {})
+        counted = peer not in self._lost
+        for workspace, amount in usage.items():
+            before = self._amount(now, known, workspace)
+            if amount >= MIN_USAGE:
+                known[workspace] = level_of(now, amount, self._half_life)
+            else:
+                known.pop(workspace, None)
+                amount = 0.0
+            if counted:
+                self._adjust(now, workspace, amount - before)
+        if len(known) > self._prune_source_at.get(peer, MIN_PRUNE):
+            self._drop_decayed(now, known)
+            self._prune_source_at[peer] = 2 * max(MIN_PRUNE, len(known))
+
+    def set_reach(self, now: float, heard: int, known: int, lost: Iterable[str] = ()) -> None:
+        """Notes how much of the fleet this instance hears.
+
+        Usage is scaled by known / heard: the instances that are not heard are assumed to serve the
+        same mix. What the lost sources reported last no longer counts, as the scale stands for it.
+
+        Args:
+            now: Time in seconds.
+            heard: Instances whose usage arrives, this one included.
+            known: Last known number of instances.
+            lost: Names of the sources that are not heard.
+        """
+        lost = frozenset(lost)
+        for peer in lost - self._lost:
+            self._count_source(now, peer, -1.0)
+        for peer in self._lost - lost:
+            self._count_source(now, peer, 1.0)
+        self._lost = lost
+        self._scale = max(1.0, known / max(1, heard))
+
+    def forget_peer(self, now: float, peer: str) -> None:
+        """Drops a source that left for good; its past usage decays in the total.
+
+        Args:
+            now: Time in seconds.
+            peer: Name of the source.
+        """
+        if peer in self._lost:
+            self._lost -= {peer}
+        self._sources.pop(peer, None)
+        self._prune_source_at.pop(peer, None)
+
+    def usage(self, now: float, workspace: str) -> float:
+        """Estimates the usage of a workspace in the whole fleet.
+
+        Args:
+            now: Time in seconds.
+            workspace: Name of the workspace.
+
+        Returns:
+            Decayed tokens.
+        """
+        return self._scale * self._amount(now, self._total, workspace)
+
+    def own_usage(self, now: float, workspace: str) -> float:
+        """Reads the usage of a workspace through this instance.
+
+        Args:
+            now: Time in seconds.
+            workspace: Name of the workspace.
+
+        Returns:
+            Decayed tokens.
+        """
+        return self._amount(now, self._own, workspace)
+
+    def level(self, workspace: str) -> float:
+        """Reads the order of a workspace, which does not change while its usage decays.
+
+        The scale of `set_reach` is the same for all workspaces and left out.
+
+        Args:
+            workspace: Name of the workspace.
+
+        Returns:
+            Level of the usage; smaller is served first.
+        """
+        return self._total.get(workspace, NEVER)
+
+    def changes(self, now: float, after: int, limit: int | None = None) -> UsageChanges:
+        """Collects what a heartbeat has to carry.
+
+        Args:
+            now: Time in seconds.
+            after: Sequence of the last heartbeat that the receiver confirmed; 0 for all.
+            limit: Most workspaces; the rest is left out in favour of the latest ones.
+
+        Returns:
+            Own usage of the workspaces charged since then, and the sequence to confirm.
+        """
+        usage: dict[str, float] = {}
+        for workspace in reversed(self._changed):
+            if self._changed[workspace] <= after or len(usage) == limit:
+                break
+            usage[workspace] = self._amount(now, self._own, workspace)
+        return UsageChanges(usage, self._sequence)
+
+    def scope_usage(
+        self, now: float, workspaces: Iterable[str], members: Iterable[str]
+    ) -> dict[str, float]:
+        """Sums own usage and that of some sources, for a report about a data centre.
+
+        Args:
+            now: Time in seconds.
+            workspaces: Names of the workspaces to report.
+            members: Sources that belong to the data centre.
+
+        Returns:
+            Decayed tokens of each workspace.
+        """
+        parts = [self._own, *(self._sources[name] for name in members if name in self._sources)]
+        return {w: sum(self._amount(now, part, w) for part in parts) for w in workspaces}
+
+    def workspaces(self) -> tuple[str, ...]:
+        """Lists the workspaces with usage.
+
+        Returns:
+            Their names.
+        """
+        return tuple(self._total)
+
+    def watch_decreases(self, callback: Callable[[str], None]) -> Callable[[], None]:
+        """Registers a function that is called when the level of a workspace falls.
+
+        A heap ordered by level finds rises by itself when it looks at its head; falls it must be
+        told.
+
+        Args:
+            callback: Called with the name of the workspace.
+
+        Returns:
+            Function that ends the registration.
+        """
+        self._watchers.append(callback)
+        return lambda: self._watchers.remove(callback)
+
+    def _amount(self, now: float, levels: dict[str, float], workspace: str) -> float:
+        """Reads an amount from a table of levels."""
+        level = levels.get(workspace)
+        return 0.0 if level is None else decayed(now, level, self._half_life)
+
+    def _adjust(self, now: float, workspace: str, change: float) -> None:
+        """Changes the total of a workspace."""
+        total = max(0.0, self._amount(now, self._total, workspace) + change)
+        if total >= MIN_USAGE:
+            self._total[workspace] = level_of(now, total, self._half_life)
+        else:
+            self._total.pop(workspace, None)
+        if change < 0.0:
+            for callback in self._watchers:
+                callback(workspace)
+
+    def _count_source(self, now: float, peer: str, sign: float) -> None:
+        """Adds a source to the totals or takes it out."""
+        known = self._sources.get(peer, {})
+        for workspace in known:
+            self._adjust(now, workspace, sign * self._amount(now, known, workspace))
+
+    def _prune(self, now: float) -> None:
+        """Drops what has decayed; a pass costs as much as the growth since the last one."""
+        self._drop_decayed(now, self._own)
+        self._drop_decayed(now, self._total)
+        for workspace in [w for w in self._changed if w not in self._own]:
+            del self._changed[workspace]
+        self._prune_at = 2 * max(MIN_PRUNE, len(self._total) + len(self._own))
+
+    def _drop_decayed(self, now: float, levels: dict[str, float]) -> None:
+        """Drops the entries of a table that have decayed to nothing."""
+        oldest = level_of(now, MIN_USAGE, self._half_life)
+        for workspace in [w for w, level in levels.items() if level < oldest]:
+            del levels[workspace]
