--- /dev/null
+++ b/src/sapphireledge/core/routing/_indexed_set.py
@@ -0,0 +1,65 @@
+"""Set with a random member in constant time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from random import Random
+
+__all__ = ["IndexedSet"]
+
+
+class IndexedSet:
+    """Set of names with insertion, removal and random choice in constant time."""
+
+    __slots__ = ("_items", "_places")
+
+    def __init__(self) -> None:
+        self._items: list[str] = []
+        self._places: dict[str, int] = {}
+
+    def add(self, item: str) -> None:
+        """Adds a name.
+
+        Args:
+            item: The name; nothing happens if it is a member.
+        """
+        if item not in self._places:
+            self._places[item] = len(self._items)
+            self._items.append(item)
+
+    def discard(self, item: str) -> None:
+        """Removes a name.
+
+        Args:
+            item: The name; nothing happens if it is not a member.
+        """
+        place = self._places.pop(item, None)
+        if place is None:
+            return
+        last = self._items.pop()
+        if place < len(self._items):
+            self._items[place] = last
+            self._places[last] = place
+
+    def choice(self, rng: Random) -> str:
+        """Draws a member.
+
+        Args:
+            rng: Random source.
+
+        Returns:
+            The name; the set must not be empty.
+        """
+        return self._items[int(rng.random() * len(self._items))]
+
+    def __contains__(self, item: str) -> bool:
+        return item in self._places
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._items)
+
+    def __len__(self) -> int:
+        return len(self._items)
--- /dev/null
+++ b/src/sapphireledge/core/routing/backend_state.py
@@ -0,0 +1,108 @@
+"""State of one backend server in the view of an instance."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sapphireledge.core.routing.backend_instance import BackendInstance
+    from sapphireledge.core.routing.load_report import LoadReport
+
+__all__ = ["BackendState"]
+
+MAX_EVENTS = 4096
+"""Own dispatches and ends kept between two reports; older ones count as reported."""
+
+
+class BackendState:
+    """State of one backend server in the view of an instance."""
+
+    __slots__ = (
+        "boot_id",
+        "events",
+        "in_flight",
+        "instance",
+        "isolated",
+        "leaving",
+        "pools",
+        "report",
+        "since_report",
+        "suspects",
+        "unreachable_since",
+    )
+
+    def __init__(self, instance: BackendInstance):
+        self.instance = instance
+        """Entry of the instance list."""
+        self.boot_id = ""
+        """Boot id of the engine, empty while unknown."""
+        self.report: LoadReport | None = None
+        """Latest load report."""
+        self.leaving = instance.leaving
+        """Whether it is leaving; stays until the engine has a new boot id."""
+        self.unreachable_since: float | None = None
+        """Time of the last failed connection without a later report, in seconds."""
+        self.in_flight: set[str] = set()
+        """Own work that runs there."""
+        self.suspects: set[str] = set()
+        """Suspects among it."""
+        self.isolated: set[str] = set()
+        """Isolated requests among it."""
+        self.events: deque[tuple[float, int]] = deque()
+        """Own dispatches (+1) and ends (-1) since the time that the report describes."""
+        self.since_report = 0
+        """Sum of these changes."""
+        self.pools: tuple[tuple[str, str, str], ...] = ()
+        """Pools that it belongs to: model, version and role."""
+
+    def on_report(self, report: LoadReport) -> None:
+        """Replaces the load report.
+
+        Args:
+            report: A report that is newer than the present one.
+        """
+        self.report = report
+        while self.events and self.events[0][0] <= report.as_of:
+            self.since_report -= self.events.popleft()[1]
+
+    def note(self, now: float, change: int) -> None:
+        """Notes an own dispatch or end that the report does not contain.
+
+        Args:
+            now: Time in seconds.
+            change: +1 or -1.
+        """
+        self.events.append((now, change))
+        self.since_report += change
+        if len(self.events) > MAX_EVENTS:
+            self.since_report -= self.events.popleft()[1]
+
+    def reset(self, boot_id: str) -> None:
+        """Starts over for a new incarnation of the engine, which has none of the old work.
+
+        Args:
+            boot_id: Its boot id.
+        """
+        self.boot_id = boot_id
+        self.report = None
+        self.leaving = False
+        self.unreachable_since = None
+        self.in_flight.clear()
+        self.suspects.clear()
+        self.isolated.clear()
+        self.events.clear()
+        self.since_report = 0
+
+    @property
+    def slots(self) -> int:
+        """Sequences that can run at the same time."""
+        return self.instance.slots if self.report is None else self.report.slots
+
+    @property
+    def load(self) -> int:
+        """Sequences that run or wait there, own changes since the report included."""
+        if self.report is None:
+            return len(self.in_flight)
+        reported = self.report.running + self.report.waiting
+        return max(len(self.in_flight), reported + self.since_report)
--- /dev/null
+++ b/src/sapphireledge/core/routing/backend_view.py
@@ -0,0 +1,395 @@
+"""What one instance knows about the backend servers."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.admission import Capacity
+from sapphireledge.core.routing._pool import Pool, Tier
+from sapphireledge.core.routing.backend_state import BackendState
+from sapphireledge.core.routing.prefix_index import PrefixIndex
+from sapphireledge.core.routing.select_subset import MIN_ENTRIES, select_subset
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from sapphireledge.core.routing.backend_instance import BackendInstance
+    from sapphireledge.core.routing.cache_event import CacheEvent
+    from sapphireledge.core.routing.load_report import LoadReport
+    from sapphireledge.settings import RoutingSettings
+
+__all__ = ["BackendView"]
+
+PoolKey = tuple[str, str, str]
+"""Model, version and role."""
+
+LOCAL_PART = 0.6
+"""Part of the subset that lies in the own data centre; the rest takes over when that is full."""
+
+UNREACHABLE_TIME = 2.0
+"""Time in seconds for which a backend server without load reports is left out after a failure."""
+
+
+class BackendView:
+    """What one instance knows about the backend servers.
+
+    It joins the instance list (lagging), load reports (late, with gaps) and the instance's own
+    signals. Candidate sets are kept up to date with each event, so that a routing decision does not
+    depend on the number of backend servers.
+    """
+
+    def __init__(self, cfg: RoutingSettings, instance: str, data_centre: str, region: str):
+        self._cfg = cfg
+        self._instance = instance
+        self._data_centre = data_centre
+        self._region = region
+        self._states: dict[str, BackendState] = {}
+        self._pools: dict[PoolKey, Pool] = {}
+        self._entries: dict[str, str] = {instance: data_centre}
+        self._fresh: OrderedDict[str, float] = OrderedDict()
+        self._returns: list[tuple[float, str]] = []
+        self.prefixes = PrefixIndex(cfg.cache_half_life)
+        """Cache hints."""
+
+    def on_instances(self, now: float, instances: Iterable[BackendInstance]) -> None:
+        """Takes up the instance list.
+
+        A backend server that is missing gets nothing new. Leaving is final for an engine
+        incarnation: a list that lags behind the engine's own signal does not bring it back.
+
+        Args:
+            now: Time in seconds.
+            instances: All backend servers of the list.
+        """
+        listed = {instance.name: instance for instance in instances}
+        for name in [name for name in self._states if name not in listed]:
+            self._remove(now, name)
+        for name, instance in listed.items():
+            state = self._states.get(name)
+            if state is None:
+                state = self._states[name] = BackendState(instance)
+            elif state.instance == instance:
+                continue
+            self._leave_pools(state)
+            state.instance = instance
+            state.leaving = state.leaving or instance.leaving
+            self._update(state)
+
+    def on_entries(self, now: float, entries: Mapping[str, str]) -> None:
+        """Takes up the live entry instances, among which the backend servers are divided.
+
+        Args:
+            now: Time in seconds.
+            entries: Data centre of each entry instance.
+        """
+        entries = {**entries, self._instance: self._data_centre}
+        if entries == self._entries:
+            return
+        self._entries = entries
+        for pool in self._pools.values():
+            pool.dirty = True
+
+    def on_load(self, now: float, report: LoadReport) -> None:
+        """Takes up a load report.
+
+        Args:
+            now: Time in seconds.
+            report: The report; one that is older than the last is ignored.
+        """
+        self._wake(now)
+        state = self._states.get(report.backend)
+        if state is None:
+            return
+        if state.report is not None and report.as_of <= state.report.as_of:
+            return
+        if report.boot_id != state.boot_id:
+            if state.boot_id:
+                self._leave_pools(state)
+                state.reset(report.boot_id)
+            state.boot_id = report.boot_id
+            self.prefixes.on_boot(now, report.backend, report.boot_id)
+        failed = state.unreachable_since
+        if failed is not None and report.as_of > failed:
+            state.unreachable_since = None
+        state.leaving = state.leaving or report.leaving
+        state.on_report(report)
+        self._fresh[report.backend] = report.as_of
+        self._fresh.move_to_end(report.backend)
+        self._update(state)
+
+    def on_dispatch(
+        self,
+        now: float,
+        backend: str,
+        work_id: str,
+        *,
+        suspect: bool = False,
+        isolate: bool = False,
+        prefixes: tuple[int, ...] = (),
+    ) -> None:
+        """Notes own work that is sent to a backend server.
+
+        Args:
+            now: Time in seconds.
+            backend: Name of the backend server.
+            work_id: Id of the attempt.
+            suspect: Whether deaths count against the request.
+            isolate: Whether it runs isolated.
+            prefixes: Prefix hashes that the backend server will store.
+        """
+        state = self._states.get(backend)
+        if state is None or work_id in state.in_flight:
+            return
+        state.in_flight.add(work_id)
+        if suspect or isolate:
+            state.suspects.add(work_id)
+        if isolate:
+            state.isolated.add(work_id)
+        state.note(now, 1)
+        if prefixes:
+            self.prefixes.on_stored(now, backend, prefixes)
+        self._refresh(state)
+
+    def on_end(self, now: float, backend: str, work_id: str) -> None:
+        """Notes own work that ended.
+
+        Args:
+            now: Time in seconds.
+            backend: Name of the backend server.
+            work_id: Id of the attempt; unknown ones are ignored.
+        """
+        state = self._states.get(backend)
+        if state is None or work_id not in state.in_flight:
+            return
+        state.in_flight.discard(work_id)
+        state.suspects.discard(work_id)
+        state.isolated.discard(work_id)
+        state.note(now, -1)
+        self._refresh(state)
+
+    def on_cache_event(self, now: float, event: CacheEvent) -> None:
+        """Takes up an event of an engine's prefix cache.
+
+        Args:
+            now: Time in seconds.
+            event: The event.
+        """
+        self.prefixes.on_cache_event(now, event)
+
+    def on_leaving(self, now: float, backend: str, boot_id: str = "") -> None:
+        """Notes that a backend server said, to this instance or a peer, that it is leaving.
+
+        Args:
+            now: Time in seconds.
+            backend: Name of the backend server.
+            boot_id: Incarnation that said it, if known; ignored if it is not the present one.
+        """
+        state = self._states.get(backend)
+        if state is None or (boot_id and state.boot_id and boot_id != state.boot_id):
+            return
+        state.leaving = True
+        self._update(state)
+
+    def on_unreachable(self, now: float, backend: str) -> None:
+        """Notes that a connection to a backend server failed.
+
+        An engine is left out until a later load report arrives, a plain service for
+        `UNREACHABLE_TIME`.
+
+        Args:
+            now: Time in seconds.
+            backend: Name of the backend server.
+        """
+        state = self._states.get(backend)
+        if state is None:
+            return
+        state.unreachable_since = now
+        if not state.instance.reports_load:
+            heappush(self._returns, (now + UNREACHABLE_TIME, backend))
+        self._update(state)
+
+    def capacity(
+        self, now: float, model: str = "", version: str = "", role: str = "drafting"
+    ) -> Capacity:
+        """Sums the capacity of a pool.
+
+        Args:
+            now: Time in seconds.
+            model: Model name; empty for a plain service.
+            version: Model version; empty for a plain service.
+            role: Role of the engines, or name of the plain service.
+
+        Returns:
+            Free and total slots of the backend servers that this instance uses, and their rate.
+        """
+        pool = self.pool(now, (model, version, role))
+        return Capacity(0, 0) if pool is None else Capacity(pool.free, pool.total, pool.rate)
+
+    def state(self, backend: str) -> BackendState | None:
+        """Looks up one backend server.
+
+        Args:
+            backend: Name of the backend server.
+
+        Returns:
+            Its state, to be read only, or None.
+        """
+        return self._states.get(backend)
+
+    def states(self) -> tuple[BackendState, ...]:
+        """Lists the backend servers.
+
+        Returns:
+            Their states, to be read only.
+        """
+        return tuple(self._states.values())
+
+    def pool(self, now: float, key: PoolKey) -> Pool | None:
+        """Finds a pool with an up-to-date selection.
+
+        Args:
+            now: Time in seconds.
+            key: Model, version and role.
+
+        Returns:
+            The pool, or None if no usable backend server belongs to it.
+        """
+        self._wake(now)
+        pool = self._pools.get(key)
+        if pool is not None and pool.dirty:
+            self._select(pool)
+        return pool
+
+    def tier(self, state: BackendState) -> Tier:
+        """Computes the distance of a backend server.
+
+        Args:
+            state: Its state.
+
+        Returns:
+            The distance.
+        """
+        if state.instance.data_centre == self._data_centre:
+            return Tier.DATA_CENTRE
+        return Tier.REGION if state.instance.region == self._region else Tier.REMOTE
+
+    def is_fresh(self, state: BackendState) -> bool:
+        """Whether the load of a backend server is known.
+
+        Args:
+            state: Its state.
+        """
+        return state.instance.name in self._fresh or not state.instance.reports_load
+
+    def _wake(self, now: float) -> None:
+        """Applies what happens by the passing of time."""
+        while self._fresh:
+            name, as_of = next(iter(self._fresh.items()))
+            if now - as_of <= self._cfg.report_expiry:
+                break
+            del self._fresh[name]
+            self._refresh(self._states[name])
+        while self._returns and self._returns[0][0] <= now:
+            _, name = heappop(self._returns)
+            state = self._states.get(name)
+            if state is None or state.unreachable_since is None:
+                continue
+            if now - state.unreachable_since >= UNREACHABLE_TIME:
+                state.unreachable_since = None
+                self._update(state)
+
+    def _remove(self, now: float, name: str) -> None:
+        """Forgets a backend server."""
+        self._leave_pools(self._states.pop(name))
+        self._fresh.pop(name, None)
+        self.prefixes.forget(now, name)
+
+    def _keys(self, state: BackendState) -> tuple[PoolKey, ...]:
+        """Lists the pools that a backend server can serve now."""
+        if state.leaving or state.unreachable_since is not None:
+            return ()
+        if not state.instance.reports_load:
+            return (("", "", state.instance.role),)
+        if state.report is None:
+            return ()
+        role = state.report.role
+        return tuple((loaded.model, loaded.version, role) for loaded in state.report.models)
+
+    def _update(self, state: BackendState) -> None:
+        """Brings a backend server into the pools that it can serve now."""
+        keys = self._keys(state)
+        if keys != state.pools:
+            self._leave_pools(state)
+            state.pools = keys
+            for key in keys:
+                pool = self._pools.setdefault(key, Pool())
+                pool.members.setdefault(state.instance.data_centre, set()).add(state.instance.name)
+                pool.dirty = pool.dirty or pool.size > self._cfg.subset_size
+                if pool.selected is not None:
+                    pool.dirty = True
+        self._refresh(state)
+
+    def _leave_pools(self, state: BackendState) -> None:
+        """Takes a backend server out of its pools."""
+        name = state.instance.name
+        for key in state.pools:
+            pool = self._pools[key]
+            pool.displace(name, self.tier(state))
+            names = pool.members[state.instance.data_centre]
+            names.discard(name)
+            if not names:
+                del pool.members[state.instance.data_centre]
+            pool.dirty = pool.dirty or pool.selected is not None
+            if not pool.members:
+                del self._pools[key]
+        state.pools = ()
+
+    def _refresh(self, state: BackendState) -> None:
+        """Updates the place of a backend server inside its pools after its load changed."""
+        if not state.pools:
+            return
+        name = state.instance.name
+        tier = self.tier(state)
+        free = max(0, state.slots - state.load) if self.is_fresh(state) else 0
+        rate = state.report.token_rate if state.report is not None else 0.0
+        for key in state.pools:
+            pool = self._pools[key]
+            if pool.selected is None or name in pool.selected:
+                pool.place(name, tier, (free, state.slots, rate))
+
+    def _select(self, pool: Pool) -> None:
+        """Renews the selection of a pool."""
+        pool.dirty = False
+        before = set(pool.placed)
+        pool.selected = None if pool.size <= self._cfg.subset_size else self._subset(pool)
+        members = set().union(*pool.members.values())
+        selected = members if pool.selected is None else pool.selected
+        for name in before - selected:
+            pool.displace(name, self.tier(self._states[name]))
+        for name in selected - before:
+            self._refresh(self._states[name])
+
+    def _subset(self, pool: Pool) -> set[str]:
+        """Selects the members that this instance uses, most of them in its data centre."""
+        size = self._cfg.subset_size
+        remote = [centre for centre in pool.members if centre != self._data_centre]
+        local_size = max(1, round(LOCAL_PART * size)) if remote else size
+        remote_size = max(1, (size - local_size) // max(1, len(remote)))
+        selected: set[str] = set()
+        for centre, names in pool.members.items():
+            own = centre == self._data_centre
+            entries = [name for name, at in self._entries.items() if (at == centre) is own]
+            # Members are covered by the instances of their own data centre, where there are any.
+            covered = not own and centre in self._entries.values()
+            selected.update(
+                select_subset(
+                    self._instance,
+                    entries,
+                    sorted(names),
+                    local_size if own else remote_size,
+                    0 if covered else MIN_ENTRIES,
+                )
+            )
+        return selected
