--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right, insort
+from collections import deque
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.quarantine.clear import Clear
+from sapphireledge.core.quarantine.clear_record import ClearRecord
 from sapphireledge.core.quarantine.death_record import DeathRecord
 from sapphireledge.core.quarantine.isolate import Isolate
 from sapphireledge.core.quarantine.suspect_state import SuspectState
@@ -36,6 +38,7 @@
         self._by_time: list[tuple[float, Key]] = []
         self._by_fingerprint: dict[str, set[Key]] = {}
         self._cleared: dict[str, float] = {}
+        self._clear_order: deque[tuple[float, str]] = deque()
 
     def on_engine_death(self, now_unix: float, record: DeathRecord) -> bool:
         """Takes up a death seen by this instance, a peer, or read from the platform.
@@ -62,7 +65,7 @@
             self._by_fingerprint.setdefault(fingerprint, set()).add(record.key)
         return True
 
-    def on_completed(self, now_unix: float, fingerprint: str) -> bool:
+    def on_completed(self, now_unix: float, fingerprint: str) -> ClearRecord | None:
         """Clears a request that ran to its end.
 
         Args:
@@ -70,24 +73,48 @@
             fingerprint: Fingerprint of the request.
 
         Returns:
-            Whether deaths were counted against it, that is, whether peers have to be told.
+            Record to pass on to the other instances, or None if the request was never suspected.
         """
         if fingerprint not in self._by_fingerprint:
-            return False
-        self._cleared[fingerprint] = max(now_unix, self._cleared.get(fingerprint, now_unix))
-        return True
+            return None
+        record = ClearRecord(fingerprint, now_unix)
+        return record if self.on_cleared(now_unix, record) else None
 
-    def lift(self, now_unix: float, fingerprint: str) -> bool:
+    def lift(self, now_unix: float, fingerprint: str, who: str, why: str) -> ClearRecord | None:
         """Clears a request on the order of an operator.
 
         Args:
             now_unix: Time of the order in Unix seconds.
             fingerprint: Fingerprint of the request.
+            who: Operator who gave the order.
+            why: Reason.
 
         Returns:
-            Whether the request was known.
+            Record to store and pass on, or None if the request is not known.
         """
-        return self.on_completed(now_unix, fingerprint)
+        if fingerprint not in self._by_fingerprint:
+            return None
+        record = ClearRecord(fingerprint, now_unix, who, why)
+        self.on_cleared(now_unix, record)
+        return record
+
+    def on_cleared(self, now_unix: float, record: ClearRecord) -> bool:
+        """Takes up a clearing of this instance, a peer, or the platform.
+
+        Args:
+            now_unix: Time in Unix seconds.
+            record: The clearing; repetitions have no effect.
+
+        Returns:
+            Whether the record added anything, that is, whether it has to be passed on.
+        """
+        if record.time_unix <= now_unix - self._cfg.retention:
+            return False
+        if record.time_unix <= self._cleared.get(record.fingerprint, float("-inf")):
+            return False
+        self._cleared[record.fingerprint] = record.time_unix
+        self._clear_order.append((record.time_unix, record.fingerprint))
+        return True
 
     def verdict(self, now_unix: float, fingerprint: str) -> Clear | Isolate | Failure:
         """Decides how a request may run.
@@ -144,6 +171,10 @@
         for _, key in self._by_time[:end]:
             self._forget(key)
         del self._by_time[:end]
+        while self._clear_order and self._clear_order[0][0] <= oldest:
+            time_unix, fingerprint = self._clear_order.popleft()
+            if self._cleared.get(fingerprint) == time_unix:
+                del self._cleared[fingerprint]
 
     def _forget(self, key: Key) -> None:
         """Removes one record from the indexes by fingerprint."""
@@ -152,7 +183,6 @@
             keys.discard(key)
             if not keys:
                 del self._by_fingerprint[fingerprint]
-                self._cleared.pop(fingerprint, None)
 
     def _counted(self, fingerprint: str) -> list[DeathRecord]:
         """Lists the deaths that count against a request, in the order of time."""
