Carry isolation and clearings in heartbeats

Condemnation needs to know whether the last death happened while the request ran isolated, and lifts have to reach every instance. Both fields are additions, so older readers ignore them.

--- a/src/sapphireledge/schema/peer.thrift
+++ b/src/sapphireledge/schema/peer.thrift
@@ -26,6 +26,15 @@
   2: string boot_id
   3: double time_unix       // seconds
   4: list<string> suspects  // fingerprints of the requests in flight
+  5: list<string> isolated  // fingerprints among them that ran isolated
+}
+
+// The deaths of a request up to a time no longer count.
+struct RequestClearing {
+  1: string fingerprint
+  2: double time_unix       // seconds
+  3: string who             // operator who lifted it, empty for a completion
+  4: string why
 }
 
 struct Heartbeat {
@@ -41,6 +50,7 @@
   10: i32 queued
   11: bool platform_reachable
   12: list<string> scope    // data centres that the usage stands for; empty: the sender alone
+  13: list<RequestClearing> cleared
 }
 
 struct HeartbeatReply {
