--- /dev/null
+++ b/src/sapphireledge/backends/_private.py
@@ -0,0 +1,319 @@
+"""Connections, wire structures and helpers of the backend clients."""
+
+from __future__ import annotations
+
+import asyncio
+from contextvars import ContextVar
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from aiosonic.connection import Connection
+from aiosonic.exceptions import ConnectionPoolAcquireTimeout
+
+from sapphireledge.backends.break_cause import BreakCause
+from sapphireledge.backends.broken import Broken
+from sapphireledge.backends.token_piece import FOREIGN_ATTEMPT
+from sapphireledge.errors import Ran
+
+if TYPE_CHECKING:
+    from urllib.parse import ParseResult
+
+    from aiosonic import HTTPClient
+
+__all__ = [
+    "Chunk",
+    "ErrorBody",
+    "EventTooLong",
+    "HttpReply",
+    "OneCallConnection",
+    "ReusableConnection",
+    "SendMark",
+    "SseReader",
+    "attempt_number",
+    "broken_call",
+    "read_reply",
+    "refusal",
+    "send_request",
+]
+
+MAX_EVENT_BYTES = 1_048_576
+"""Longest event that is buffered; a longer one breaks the stream instead of filling the memory."""
+
+
+class EventTooLong(ValueError):
+    """A server-sent event exceeds its limit."""
+
+
+class SendMark:
+    """Remembers whether any byte of a call was handed to a connection."""
+
+    __slots__ = ("sent",)
+
+    current: ContextVar[SendMark | None] = ContextVar("sapphireledge_send_mark", default=None)
+    """The mark of the call that the current task makes."""
+
+    def __init__(self) -> None:
+        self.sent = False
+
+
+class ReusableConnection(Connection):
+    """Keep-alive connection that is reused only while nothing can be left over on it.
+
+    aiosonic puts a reused connection back into its pool when a call on it fails or is cancelled
+    before its answer; the next call would then read the answer of the earlier one. It also reuses a
+    connection whose end of file has already arrived, which turns a clean restart of the server into
+    a call with an unknown outcome.
+    """
+
+    def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
+        """Reuses the connection if the server has neither closed it nor sent anything."""
+        reader = self.reader
+        if reader is not None and (reader.at_eof() or reader._buffer):
+            return False
+        return super().reuse(urlparsed, verify)
+
+    def write(self, data: bytes) -> None:
+        """Writes and marks the current call as sent."""
+        mark = SendMark.current.get()
+        if mark is not None:
+            mark.sent = True
+        super().write(data)
+
+    async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
+        """Closes the connection after a failed call, otherwise returns it to the pool."""
+        if exc_type is not None:
+            self.keep = False
+        await super().__aexit__(exc_type, exc, tb)
+
+
+class OneCallConnection(ReusableConnection):
+    """Connection that serves a single call."""
+
+    def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
+        """Never reuses the connection."""
+        return False
+
+    def keep_alive(self) -> None:
+        """Leaves the connection marked to be closed after its call."""
+
+
+class Delta(msgspec.Struct):
+    """Change of a chat answer."""
+
+    content: str | None = None
+
+
+class Choice(msgspec.Struct):
+    """First choice of a chunk."""
+
+    delta: Delta | None = None
+    text: str | None = None
+    finish_reason: str | None = None
+
+
+class Extension(msgspec.Struct):
+    """The `sapphireledge` object of a chunk."""
+
+    attempt_id: str
+    offset: int
+    model_version: str = ""
+    total_tokens: int | None = None
+
+
+class Chunk(msgspec.Struct):
+    """One chunk of a generation."""
+
+    choices: list[Choice] = []
+    sapphireledge: Extension | None = None
+    error: dict[str, Any] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A complete short answer."""
+
+    status: int
+    """Status code."""
+
+    body: bytes
+    """Whole body."""
+
+    headers: dict[str, str]
+    """Header fields; the last one wins where a name is repeated."""
+
+
+class ErrorDetail(msgspec.Struct):
+    """The `error` object of an error answer."""
+
+    code: str = ""
+    message: str = ""
+
+
+class ErrorBody(msgspec.Struct):
+    """Body of an error answer."""
+
+    error: ErrorDetail = msgspec.field(default_factory=ErrorDetail)
+    boot_id: str = ""
+    fencing: int = 0
+
+
+class SseReader:
+    """Splits a byte stream into the data of server-sent events.
+
+    aiosonic's own SSE client can send POST bodies but is not used: it splits the decoded text of an
+    event at U+0085, U+2028 and U+2029, which may stand unescaped in JSON strings and so in model
+    output, it drops an event that equals the one before, it knows no CRLF, and it hides the body of
+    an error answer.
+    """
+
+    __slots__ = ("_rest",)
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Takes the next bytes of the stream.
+
+        Args:
+            data: Bytes as received, cut anywhere.
+
+        Returns:
+            The data of the events that are now complete; events without data are left out.
+
+        Raises:
+            EventTooLong: An event is longer than 1 MiB.
+        """
+        if self._rest:
+            data = self._rest + data
+        if b"\r" in data:
+            # A trailing CR may be the first half of a CRLF.
+            held = data[-1:] if data.endswith(b"\r") else b""
+            data = data.removesuffix(b"\r").replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        else:
+            held = b""
+        events = data.split(b"\n\n")
+        rest = events.pop()
+        self._rest = rest + held if held else rest
+        if len(rest) > MAX_EVENT_BYTES:
+            raise EventTooLong
+        return [payload for event in events if (payload := _event_data(event)) is not None]
+
+
+def _event_data(event: bytes) -> bytes | None:
+    """Joins the data lines of one event, None when it has none."""
+    if event.startswith(b"data: ") and b"\n" not in event:
+        return event[6:]
+    lines = [
+        line[5:].removeprefix(b" ") for line in event.split(b"\n") if line.startswith(b"data:")
+    ]
+    return b"\n".join(lines) if lines else None
+
+
+def broken_call(exc: BaseException, mark: SendMark) -> Broken:
+    """Classifies a call that failed before the head of its answer.
+
+    Args:
+        exc: What aiosonic raised.
+        mark: Mark of the call.
+
+    Returns:
+        Broken with ran NO if nothing was sent, otherwise UNKNOWN.
+    """
+    name = type(exc).__name__
+    if not mark.sent and isinstance(exc, ValueError):
+        return Broken(BreakCause.INVALID, Ran.NO, "a header value is not allowed")
+    if not mark.sent:
+        pool = isinstance(exc, ConnectionPoolAcquireTimeout)
+        cause = BreakCause.NO_CONNECTION_FREE if pool else BreakCause.NOT_CONNECTED
+        return Broken(cause, Ran.NO, name)
+    timed_out = isinstance(exc, TimeoutError) or name.endswith("Timeout")
+    cause = BreakCause.NO_ANSWER if timed_out else BreakCause.CONNECTION_LOST
+    return Broken(cause, Ran.UNKNOWN, name)
+
+
+async def send_request(client: HTTPClient, method: str, url: str, **options: Any) -> Any:
+    """Sends a request once and waits for the head of its answer.
+
+    Args:
+        client: Client with the pool to use.
+        method: HTTP method; aiosonic repeats GET and DELETE on a stale connection, never POST.
+        url: Full address.
+        **options: Other arguments of `HTTPClient.request`.
+
+    Returns:
+        The response of aiosonic, or Broken.
+    """
+    mark = SendMark()
+    token = SendMark.current.set(mark)
+    try:
+        return await client.request(url, method, **options)
+    except Exception as exc:
+        return broken_call(exc, mark)
+    finally:
+        SendMark.current.reset(token)
+
+
+async def read_reply(response: Any, limit: float) -> HttpReply | Broken:
+    """Reads the body of a short answer.
+
+    Args:
+        response: Response of aiosonic.
+        limit: Seconds for the body.
+
+    Returns:
+        The whole answer, or Broken with ran UNKNOWN.
+    """
+    try:
+        body = await asyncio.wait_for(response.content(), limit)
+        return HttpReply(response.status_code, body, dict(response.raw_headers))
+    except TimeoutError:
+        return Broken(BreakCause.NO_ANSWER, Ran.UNKNOWN, "the body did not end in time")
+    except Exception as exc:
+        return Broken(BreakCause.CONNECTION_LOST, Ran.UNKNOWN, type(exc).__name__)
+    finally:
+        await response.aclose()
+
+
+def attempt_number(request_id: str, attempt_id: str) -> int:
+    """Reads the number out of an attempt id.
+
+    Args:
+        request_id: Request that the stream belongs to.
+        attempt_id: Id named in a chunk.
+
+    Returns:
+        The number, or FOREIGN_ATTEMPT if the attempt is of another request.
+    """
+    head, _, number = attempt_id.rpartition(".")
+    if head != request_id or not (number.isascii() and number.isdigit()) or len(number) > 9:
+        return FOREIGN_ATTEMPT
+    return int(number)
+
+
+def refusal(status: int, body: bytes, retry_after: str) -> Broken:
+    """Classifies an error answer of an engine.
+
+    Args:
+        status: Status code, not 200.
+        body: Body of the answer.
+        retry_after: Value of the Retry-After header, empty for none.
+
+    Returns:
+        Broken with ran NO for the answers that promise that nothing was generated.
+    """
+    try:
+        error = msgspec.json.decode(body, type=ErrorBody).error
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        error = ErrorDetail()
+    detail = f"status {status} {error.code}".strip()
+    wait = float(retry_after) if retry_after.isascii() and retry_after.isdigit() else None
+    if status == 503 and error.code == "leaving":
+        return Broken(BreakCause.LEAVING, Ran.NO, detail, wait)
+    if status == 429:
+        return Broken(BreakCause.BUSY, Ran.NO, detail, wait)
+    if status == 404:
+        return Broken(BreakCause.UNKNOWN_MODEL, Ran.NO, detail)
+    if 400 <= status < 500:
+        return Broken(BreakCause.INVALID, Ran.NO, detail)
+    return Broken(BreakCause.SERVER_ERROR, Ran.UNKNOWN, detail, wait)
--- /dev/null
+++ b/src/sapphireledge/backends/cache_event_poller.py
@@ -0,0 +1,64 @@
+"""Periodic reading of the cache events of one engine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sapphireledge.backends.broken import Broken
+
+if TYPE_CHECKING:
+    from sapphireledge.backends.cache_page import CachePage
+    from sapphireledge.backends.engine_client import EngineClient
+
+__all__ = ["CacheEventPoller"]
+
+
+class CacheEventPoller:
+    """One task that reads the cache events of one engine and hands them on."""
+
+    def __init__(
+        self, client: EngineClient, interval: float, on_page: Callable[[CachePage], None]
+    ) -> None:
+        """Creates a poller; `run` starts it.
+
+        Args:
+            client: Client of the engine.
+            interval: Seconds between the starts of two polls.
+            on_page: Called with each page that has events or a loss; `lost` is set on it when
+                events are missing before it or the engine restarted.
+        """
+        self._client = client
+        self._interval = interval
+        self._on_page = on_page
+        self._boot_id = ""
+        self._after = 0
+
+    async def run(self) -> None:
+        """Polls until its task is cancelled."""
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            await self.poll()
+            due = max(due + self._interval, loop.time())
+            await asyncio.sleep(due - loop.time())
+
+    async def poll(self) -> None:
+        """Reads one page; a failed poll leaves the position as it is."""
+        page = await self._client.cache_events(self._after)
+        if isinstance(page, Broken):
+            return
+        restarted = page.boot_id != self._boot_id
+        if restarted and self._after:
+            # The position belongs to the earlier process.
+            self._after = 0
+            page = await self._client.cache_events(0)
+            if isinstance(page, Broken):
+                return
+        lost = (restarted and bool(self._boot_id)) or page.oldest > self._after + 1
+        self._boot_id = page.boot_id
+        self._after = max([self._after, *(event.sequence for event in page.events)])
+        if page.events or lost:
+            self._on_page(replace(page, lost=lost))
--- /dev/null
+++ b/src/sapphireledge/backends/engine_client.py
@@ -0,0 +1,345 @@
+"""Client of one model engine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Any, TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from sapphireledge.backends._private import (
+    Chunk,
+    ErrorBody,
+    EventTooLong,
+    HttpReply,
+    SseReader,
+    attempt_number,
+    read_reply,
+    refusal,
+    send_request,
+)
+from sapphireledge.backends.break_cause import BreakCause
+from sapphireledge.backends.broken import Broken
+from sapphireledge.backends.cache_page import CachePage
+from sapphireledge.backends.engine_order import OrderResult, OrderStatus
+from sapphireledge.backends.finished import Finished
+from sapphireledge.backends.load_report import LoadReport
+from sapphireledge.backends.probe_result import ProbeResult
+from sapphireledge.backends.started import Started
+from sapphireledge.backends.token_piece import TokenPiece
+from sapphireledge.errors import Ran
+
+if TYPE_CHECKING:
+    from aiosonic import HTTPClient, HttpResponse
+
+    from sapphireledge.backends.connection_pools import ConnectionPools
+    from sapphireledge.backends.engine_order import EngineOrder
+    from sapphireledge.backends.generation_call import GenerationCall
+    from sapphireledge.backends.stream_event import StreamEvent
+
+__all__ = ["EngineClient"]
+
+DONE = b"[DONE]"
+"""Data of the last event of a stream."""
+
+BODY_TIMEOUT = 2.0
+"""Seconds for the body of a short answer."""
+
+DRAIN_TIMEOUT = 0.25
+"""Seconds for the end of a response after its finish chunk; only then is its connection reused."""
+
+ACTIVE_STATES = frozenset({"queued", "running"})
+"""States in which an engine still works on an attempt."""
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+"""Header of a request with a body."""
+
+Wanted = TypeVar("Wanted")
+
+
+class _AttemptState(msgspec.Struct):
+    """Body of `/v1/attempts/{id}`."""
+
+    state: str = ""
+    next_offset: int = 0
+    boot_id: str = ""
+
+
+class _OrderDone(msgspec.Struct):
+    """Body of an accepted order."""
+
+    changed: bool = False
+
+
+class EngineClient:
+    """Client of one model engine; many calls can run at once.
+
+    No method raises for anything that the engine or the network does: results are typed. The
+    protocol is docs/engine-protocol.md. Server-sent events are read by an own reader; see
+    `SseReader` for the reasons against the one of aiosonic.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        pools: ConnectionPools,
+        accept_timeout: float = 10.0,
+        call_timeout: float = 1.0,
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            address: "host:port" of the engine.
+            pools: Connections shared by the clients of the instance.
+            accept_timeout: Seconds in which an engine must accept or refuse a generation.
+            call_timeout: Seconds for a cancellation, load report or page of cache events.
+        """
+        self.address = address
+        """"host:port" of the engine."""
+
+        self._base = f"http://{address}"
+        self._pools = pools
+        self._accept_limits = pools.timeouts(accept_timeout)
+        self._call_timeout = call_timeout
+        self._decode_chunk = msgspec.json.Decoder(Chunk).decode
+
+    async def stream(self, call: GenerationCall) -> AsyncIterator[StreamEvent]:
+        """Runs one attempt of a generation.
+
+        The iterator must be exhausted or closed (`contextlib.aclosing`); closing it early closes
+        the connection, which cancels the attempt. There is no time limit between tokens: silence
+        is judged by the caller. After Finished the iterator may take up to 0.25 s to end. A finish
+        chunk of another attempt is left out.
+
+        Args:
+            call: The attempt.
+
+        Yields:
+            Started, TokenPiece for each token as it was sent, and at last Finished or Broken;
+            Broken alone when the attempt was not accepted. A Broken with ran NO means that nothing
+            was generated.
+        """
+        response = await self._open(call)
+        if isinstance(response, Broken):
+            yield response
+            return
+        feed, decode = SseReader().feed, self._decode_chunk
+        attempt, attempt_id = call.attempt, call.attempt_id
+        ran = Ran.UNKNOWN
+        chunks = response.read_chunks()
+        end: Finished | Broken | None = None
+        try:
+            yield Started(attempt)
+            async for data in chunks:
+                for payload in feed(data):
+                    if payload == DONE:
+                        continue
+                    chunk = decode(payload)
+                    extension = chunk.sapphireledge
+                    if extension is None or not chunk.choices:
+                        if chunk.error is None:
+                            continue
+                        end = Broken(BreakCause.SERVER_ERROR, ran, "error inside the stream")
+                        break
+                    choice = chunk.choices[0]
+                    number = attempt
+                    if extension.attempt_id != attempt_id:
+                        number = attempt_number(call.request_id, extension.attempt_id)
+                    if choice.finish_reason is None:
+                        delta = choice.delta
+                        text = choice.text if delta is None else delta.content
+                        ran = Ran.YES
+                        yield TokenPiece(number, extension.offset, text or "")
+                    elif number == attempt:
+                        total = extension.total_tokens
+                        total = extension.offset if total is None else total
+                        end = Finished(total, choice.finish_reason)
+                        break
+                if end is not None:
+                    break
+            else:
+                end = Broken(BreakCause.TRUNCATED, ran, "no finish chunk")
+        except (msgspec.MsgspecError, UnicodeError, EventTooLong) as exc:
+            end = Broken(BreakCause.MALFORMED, ran, type(exc).__name__)
+        except Exception as exc:
+            end = Broken(BreakCause.CONNECTION_LOST, ran, type(exc).__name__)
+        try:
+            yield end
+            if isinstance(end, Finished):
+                await _drain(chunks)
+        finally:
+            await response.aclose()
+
+    async def cancel(self, attempt_id: str) -> bool:
+        """Cancels an attempt.
+
+        Args:
+            attempt_id: Id of the attempt.
+
+        Returns:
+            Whether the engine answered, be it that it does not know the attempt.
+        """
+        path = f"/v1/attempts/{quote(attempt_id, safe='')}"
+        reply = await self._request(self._pools.calls, "DELETE", path)
+        return isinstance(reply, HttpReply) and reply.status in (200, 404)
+
+    async def probe(self, attempt_id: str, limit: float = 0.3) -> ProbeResult:
+        """Asks on a new connection whether the engine lives and knows an attempt.
+
+        Args:
+            attempt_id: Id of the attempt.
+            limit: Seconds for the whole probe, connecting included.
+
+        Returns:
+            What the engine said; not alive when it said nothing in time.
+        """
+        path = f"/v1/attempts/{quote(attempt_id, safe='')}"
+        try:
+            async with asyncio.timeout(limit):
+                reply = await self._request(self._pools.one_call, "GET", path, timeout=limit)
+        except TimeoutError:
+            return ProbeResult(alive=False)
+        if isinstance(reply, Broken):
+            return ProbeResult(alive=False)
+        if reply.status == 404:
+            body = _decode(reply, ErrorBody)
+            boot_id = "" if isinstance(body, Broken) else body.boot_id
+            return ProbeResult(alive=True, boot_id=boot_id)
+        state = _decode(reply, _AttemptState)
+        if isinstance(state, Broken):
+            return ProbeResult(alive=reply.status < 500)
+        active = state.state in ACTIVE_STATES
+        return ProbeResult(True, active, state.next_offset, state.boot_id)
+
+    async def load(self) -> LoadReport | Broken:
+        """Reads the load report.
+
+        Returns:
+            The report, or why there is none.
+        """
+        return _decode(await self._request(self._pools.calls, "GET", "/v1/load"), LoadReport)
+
+    async def cache_events(self, after: int) -> CachePage | Broken:
+        """Reads the cache events after a sequence number.
+
+        Args:
+            after: Highest sequence that is already known, 0 for all.
+
+        Returns:
+            One page of events, or why there is none.
+        """
+        path = f"/v1/cache-events?after={after}"
+        return _decode(await self._request(self._pools.calls, "GET", path), CachePage)
+
+    async def order(self, order: EngineOrder, limit: float = 2.0) -> OrderResult:
+        """Sends an idempotent order once.
+
+        Args:
+            order: The order.
+            limit: Seconds for the answer.
+
+        Returns:
+            How the order ended.
+        """
+        pool, body = self._pools.one_call, msgspec.json.encode(order)
+        reply = await self._request(pool, "POST", "/v1/orders", body, limit)
+        if isinstance(reply, Broken):
+            status = OrderStatus.REFUSED if reply.ran is Ran.NO else OrderStatus.UNKNOWN
+            return OrderResult(status, detail=reply.detail)
+        if reply.status == 200:
+            done = _decode(reply, _OrderDone)
+            if isinstance(done, Broken):
+                return OrderResult(OrderStatus.UNKNOWN, detail=done.detail)
+            return OrderResult(OrderStatus.DONE, changed=done.changed)
+        refused = refusal(reply.status, reply.body, "")
+        error = _decode(HttpReply(200, reply.body, {}), ErrorBody)
+        if reply.status == 409 and isinstance(error, ErrorBody):
+            return OrderResult(
+                OrderStatus.OLD_FENCING, known_fencing=error.fencing, detail=refused.detail
+            )
+        status = OrderStatus.REFUSED if refused.ran is Ran.NO else OrderStatus.UNKNOWN
+        return OrderResult(status, detail=refused.detail)
+
+    async def _open(self, call: GenerationCall) -> HttpResponse | Broken:
+        """Sends a generation and waits until the engine accepts or refuses it."""
+        extension: dict[str, Any] = {
+            "attempt_id": call.attempt_id,
+            "request_id": call.request_id,
+            "priority": call.priority,
+            "model_version": call.model_version,
+        }
+        if call.offset:
+            extension["resume"] = {"offset": call.offset, "text": call.text}
+        body = {**call.body, "stream": True, "sapphireledge": extension}
+        headers = {**JSON_HEADERS, "Accept": "text/event-stream", "X-Request-Id": call.request_id}
+        if call.traceparent:
+            headers["traceparent"] = call.traceparent
+        response = await send_request(
+            self._pools.streams,
+            "POST",
+            self._base + call.path,
+            data=msgspec.json.encode(body),
+            headers=headers,
+            timeouts=self._accept_limits,
+            stream=True,
+        )
+        if isinstance(response, Broken):
+            return response
+        if response.status_code != 200:
+            reply = await read_reply(response, BODY_TIMEOUT)
+            text = reply.body if isinstance(reply, HttpReply) else b""
+            return refusal(response.status_code, text, response.headers.get("retry-after", ""))
+        # Without chunks aiosonic has already given the connection back, so it must not be read.
+        chunked = response.headers.get("transfer-encoding", "").lower() == "chunked"
+        if not chunked or "text/event-stream" not in response.headers.get("content-type", ""):
+            await response.aclose()
+            return Broken(BreakCause.MALFORMED, Ran.UNKNOWN, "not a chunked event stream")
+        return response
+
+    async def _request(
+        self,
+        client: HTTPClient,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout: float | None = None,
+    ) -> HttpReply | Broken:
+        """Makes one short call."""
+        limit = self._call_timeout if timeout is None else timeout
+        response = await send_request(
+            client,
+            method,
+            self._base + path,
+            data=body,
+            headers=JSON_HEADERS if body else None,
+            timeouts=self._pools.timeouts(limit),
+        )
+        return response if isinstance(response, Broken) else await read_reply(response, limit)
+
+
+async def _drain(chunks: AsyncIterator[bytes]) -> None:
+    """Reads the end of a response, so that its connection can be reused."""
+
+    async def read_rest() -> None:
+        async for _ in chunks:
+            pass
+
+    try:
+        await asyncio.wait_for(read_rest(), DRAIN_TIMEOUT)
+    except Exception:
+        # The answer is complete; only the connection is lost, and aclose() drops it.
+        return
+
+
+def _decode(reply: HttpReply | Broken, wanted: type[Wanted]) -> Wanted | Broken:
+    """Decodes the body of a 200 answer."""
+    if isinstance(reply, Broken):
+        return reply
+    if reply.status != 200 and wanted is not ErrorBody:
+        return refusal(reply.status, reply.body, "")
+    try:
+        return msgspec.json.decode(reply.body, type=wanted)
+    except (msgspec.MsgspecError, UnicodeError) as exc:
+        return Broken(BreakCause.MALFORMED, Ran.UNKNOWN, type(exc).__name__)
--- /dev/null
+++ b/src/sapphireledge/backends/load_poller.py
@@ -0,0 +1,62 @@
+"""Periodic reading of the load of one engine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from sapphireledge.backends.broken import Broken
+
+if TYPE_CHECKING:
+    from sapphireledge.backends.engine_client import EngineClient
+    from sapphireledge.backends.load_report import LoadReport
+
+__all__ = ["LoadPoller"]
+
+
+class LoadPoller:
+    """One task that reads the load of one engine and hands it on."""
+
+    def __init__(
+        self,
+        client: EngineClient,
+        interval: float,
+        on_report: Callable[[LoadReport], None],
+        on_lost: Callable[[Broken], None],
+    ) -> None:
+        """Creates a poller; `run` starts it.
+
+        Args:
+            client: Client of the engine.
+            interval: Seconds between the starts of two polls.
+            on_report: Called with each report that is newer than the last one.
+            on_lost: Called for each poll that failed.
+        """
+        self._client = client
+        self._interval = interval
+        self._on_report = on_report
+        self._on_lost = on_lost
+        self._last: LoadReport | None = None
+
+    async def run(self) -> None:
+        """Polls until its task is cancelled."""
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            await self.poll()
+            due = max(due + self._interval, loop.time())
+            await asyncio.sleep(due - loop.time())
+
+    async def poll(self) -> None:
+        """Reads the load once."""
+        report = await self._client.load()
+        if isinstance(report, Broken):
+            self._on_lost(report)
+            return
+        last = self._last
+        known = last is not None and last.boot_id == report.boot_id
+        if known and report.sequence <= last.sequence:
+            return
+        self._last = report
+        self._on_report(report)
