Add the engine and service stand-ins

The engine stand-in batches, keeps a prefix cache, takes orders and makes answers whose tokens hash the text before them, so that the answer alone shows a missing, repeated or foreign token. Faults of both are switched over HTTP.

--- /dev/null
+++ b/src/sapphireledge_standins/chained_answer.py
@@ -0,0 +1,106 @@
+"""Answer text whose tokens prove their order and origin.
+
+A token reads `<offset>:<nonce>:<hash>` and a separator: a space, or a full stop for the last token.
+The nonce names the generation. The hash covers all answer text before the token, that of token 0
+the prompt. A missing, repeated or exchanged token thus contradicts the hash of a later one.
+"""
+
+from __future__ import annotations
+
+import re
+
+import xxhash
+
+from sapphireledge_standins.chain_report import ChainReport
+
+__all__ = ["AnswerChain", "check_chained_answer"]
+
+TOKEN = re.compile(r"(\d+):([0-9a-z-]+):([0-9a-f]{8})([ .])")
+"""One token: offset, nonce, hash, separator."""
+
+HASH_MASK = 0xFFFFFFFF
+"""The lower 32 bits of xxhash64 are enough to find a fault with certainty in practice."""
+
+
+class AnswerChain:
+    """Makes the tokens of one answer."""
+
+    __slots__ = ("_hash", "_nonce", "_prompt", "offset")
+
+    def __init__(self, nonce: str, prompt: str, offset: int = 0, text: str = "") -> None:
+        """Starts or continues an answer.
+
+        Args:
+            nonce: Name of this generation, of the characters 0-9, a-z and "-".
+            prompt: Prompt text.
+            offset: Tokens that are already there.
+            text: Text of these tokens.
+        """
+        self.offset = offset
+        """Offset of the next token."""
+
+        self._nonce = nonce
+        self._prompt = prompt
+        self._hash = xxhash.xxh64(text.encode("utf-8", "replace"))
+
+    def next_token(self, last: bool) -> str:
+        """Makes the next token.
+
+        Args:
+            last: Whether it ends the answer.
+
+        Returns:
+            Text of the token.
+        """
+        before = self._hash.intdigest() if self.offset else _prompt_hash(self._prompt)
+        end = "." if last else " "
+        token = f"{self.offset}:{self._nonce}:{before & HASH_MASK:08x}{end}"
+        self._hash.update(token.encode())
+        self.offset += 1
+        return token
+
+
+def check_chained_answer(text: str, prompt: str | None = None) -> ChainReport:
+    """Checks that no token is missing, repeated or from another generation.
+
+    Args:
+        text: Answer text as the caller received it, from token 0.
+        prompt: Prompt text; when given, an answer to another prompt is found as well.
+
+    Returns:
+        What was found; an answer that was cut off between two tokens is intact but not ended.
+    """
+    running = xxhash.xxh64()
+    nonces: list[str] = []
+    count = position = 0
+    ended = False
+
+    def fault(problem: str) -> ChainReport:
+        return ChainReport(count, ended, tuple(nonces), problem, position)
+
+    while position < len(text):
+        match = TOKEN.match(text, position)
+        if match is None:
+            return fault("no whole token")
+        if ended:
+            return fault("text behind the last token")
+        offset, nonce, found, end = match.groups()
+        if int(offset) != count:
+            return fault(f"token {offset} in the place of {count}")
+        expected = running.intdigest()
+        if count == 0:
+            expected = int(found, 16) if prompt is None else _prompt_hash(prompt)
+        if int(found, 16) != expected & HASH_MASK:
+            return fault("hash does not match the text before" if count else "another prompt")
+        if not nonces or nonces[-1] != nonce:
+            nonces.append(nonce)
+        running.update(match.group().encode())
+        position = match.end()
+        count += 1
+        ended = end == "."
+    return ChainReport(count, ended, tuple(nonces))
+
+
+def _prompt_hash(prompt: str) -> int:
+    """Hashes a prompt for token 0."""
+    return xxhash.xxh64_intdigest(prompt.encode("utf-8", "replace"))
--- /dev/null
+++ b/src/sapphireledge_standins/connection_gate.py
@@ -0,0 +1,58 @@
+"""Frozen process and silent connections, as seen from outside."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from starlette.types import ASGIApp, Receive, Scope, Send
+
+__all__ = ["ConnectionGate"]
+
+ADMIN = "/admin/"
+"""Requests below this path are always answered."""
+
+
+class ConnectionGate:
+    """ASGI wrapper that holds requests back on a frozen engine or a silent connection."""
+
+    def __init__(self, app: ASGIApp) -> None:
+        """Wraps an application."""
+        self._app = app
+        self._open = asyncio.Event()
+        self._open.set()
+        self._seen: set[tuple[str, int]] = set()
+        self._silent: set[tuple[str, int]] = set()
+
+    def switch(self, freeze: bool, silence_existing: bool) -> None:
+        """Switches the faults.
+
+        Args:
+            freeze: Whether nothing is answered until the next switch.
+            silence_existing: Whether the connections seen so far are silent from now on.
+        """
+        if freeze:
+            self._open.clear()
+        else:
+            self._open.set()
+        if silence_existing:
+            self._silent |= self._seen
+
+    async def wait_unfrozen(self) -> None:
+        """Waits while the process is frozen."""
+        await self._open.wait()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Passes a request on, holds it back, or leaves it without an answer."""
+        if scope["type"] != "http" or scope["path"].startswith(ADMIN):
+            await self._app(scope, receive, send)
+            return
+        client = tuple(scope["client"])
+        self._seen.add(client)
+        if client in self._silent:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            return
+        await self._open.wait()
+        await self._app(scope, receive, send)
--- /dev/null
+++ b/src/sapphireledge_standins/engine_app.py
@@ -0,0 +1,217 @@
+"""HTTP interface of the engine stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import asynccontextmanager, suppress
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from sapphireledge.backends.prefix_hashes import BLOCK_BYTES
+from sapphireledge_standins.connection_gate import ConnectionGate
+from sapphireledge_standins.engine_faults import EngineFaults
+from sapphireledge_standins.engine_sequence import EngineSequence, Extension
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+    from starlette.types import Receive, Scope, Send
+
+    from sapphireledge_standins.standin_engine import StandinEngine
+
+__all__ = ["create_engine_app"]
+
+DEFAULT_TOKENS = 64
+"""Length of an answer whose request names none."""
+
+BUSY_RETRY = "1"
+"""Retry-After of a busy engine, in seconds."""
+
+
+def create_engine_app(engine: StandinEngine) -> ConnectionGate:
+    """Builds the application of one engine.
+
+    Args:
+        engine: State of the engine.
+
+    Returns:
+        An ASGI application.
+    """
+    api = _EngineApi(engine)
+
+    @asynccontextmanager
+    async def lifespan(_app: Starlette) -> Any:
+        sampler = asyncio.create_task(engine.sample_load())
+        yield
+        sampler.cancel()
+
+    routes = [
+        Route("/v1/chat/completions", api.generate, methods=["POST"]),
+        Route("/v1/completions", api.generate, methods=["POST"]),
+        Route("/v1/attempts/{attempt_id}", api.attempt, methods=["GET", "DELETE"]),
+        Route("/v1/load", api.load),
+        Route("/v1/cache-events", api.cache_events),
+        Route("/v1/orders", api.orders, methods=["POST"]),
+        Route("/admin/faults", api.faults, methods=["GET", "PUT"]),
+        Route("/admin/counts", api.counts),
+    ]
+    api.gate = ConnectionGate(Starlette(routes=routes, lifespan=lifespan))
+    return api.gate
+
+
+class _EngineApi:
+    """Request handlers of one engine."""
+
+    gate: ConnectionGate
+
+    def __init__(self, engine: StandinEngine) -> None:
+        self._engine = engine
+
+    async def generate(self, request: Request) -> Response:
+        """Accepts or refuses a generation."""
+        engine = self._engine
+        try:
+            body = msgspec.json.decode(await request.body(), type=dict[str, Any])
+            fields = body.get("sapphireledge") or _plain_extension(engine)
+            ext = msgspec.convert(fields, Extension)
+            total = _answer_length(body)
+        except (msgspec.MsgspecError, TypeError, ValueError) as exc:
+            return self._refuse(400, "invalid_request", str(exc))
+        known = engine.attempts.get(ext.attempt_id)
+        if known is not None and known.active:
+            return self._refuse(409, "attempt_exists", "the attempt is live")
+        if engine.faults.leaving:
+            return self._refuse(503, "leaving", "the engine is shutting down")
+        if (str(body.get("model", "")), ext.model_version) not in engine.models:
+            return self._refuse(404, "unknown_model", "the model version is not loaded")
+        if engine.faults.busy or engine.queued >= engine.options.queue_limit:
+            return self._refuse(429, "busy", "no room in the queue")
+        sequence = EngineSequence(body, ext, "messages" in body, total)
+        engine.accept(sequence)
+        return _StreamResponse(engine, sequence, self.gate)
+
+    async def attempt(self, request: Request) -> Response:
+        """Tells about or cancels an attempt."""
+        engine = self._engine
+        attempt_id = request.path_params["attempt_id"]
+        sequence = engine.attempts.get(attempt_id)
+        if sequence is None:
+            error = {"code": "unknown_attempt", "message": "the attempt is not known"}
+            return _json_response(404, {"error": error, "boot_id": engine.boot_id})
+        if request.method == "DELETE":
+            engine.cancel(sequence)
+        body = {
+            "attempt_id": attempt_id,
+            "state": sequence.state,
+            "next_offset": sequence.next_offset,
+            "boot_id": engine.boot_id,
+        }
+        return _json_response(200, body)
+
+    async def load(self, _request: Request) -> Response:
+        """Answers the load report."""
+        return _json_response(200, self._engine.load_report())
+
+    async def cache_events(self, request: Request) -> Response:
+        """Answers cache events."""
+        engine = self._engine
+        after = request.query_params.get("after", "0")
+        if not after.isdigit():
+            return self._refuse(400, "invalid_request", "after is not a number")
+        until = time.monotonic() - engine.faults.cache_event_lag
+        page = engine.cache.page(int(after), until, engine.faults.cache_event_loss)
+        return _json_response(200, {"boot_id": engine.boot_id, "block_bytes": BLOCK_BYTES, **page})
+
+    async def orders(self, request: Request) -> Response:
+        """Carries out an order."""
+        try:
+            order = msgspec.json.decode(await request.body(), type=dict[str, Any])
+            status, body = await self._engine.order(order)
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
+            return self._refuse(400, "invalid_request", repr(exc))
+        return _json_response(status, body)
+
+    async def faults(self, request: Request) -> Response:
+        """Shows or switches the faults."""
+        if request.method == "PUT":
+            try:
+                faults = msgspec.json.decode(await request.body(), type=EngineFaults)
+            except msgspec.MsgspecError as exc:
+                return self._refuse(400, "invalid_request", str(exc))
+            self.gate.switch(faults.freeze, faults.silence_existing)
+            self._engine.set_faults(faults)
+        return _json_response(200, self._engine.faults)
+
+    async def counts(self, _request: Request) -> Response:
+        """Answers what was generated and ordered."""
+        return _json_response(200, self._engine.counts())
+
+    def _refuse(self, status: int, code: str, message: str) -> Response:
+        """Builds an error answer and counts it."""
+        self._engine.refused[code] += 1
+        headers = {"Retry-After": BUSY_RETRY} if status == 429 else None
+        return _json_response(status, {"error": {"code": code, "message": message}}, headers)
+
+
+class _StreamResponse(Response):
+    """Stream of one attempt; a closed connection cancels it."""
+
+    def __init__(
+        self, engine: StandinEngine, sequence: EngineSequence, gate: ConnectionGate
+    ) -> None:
+        self._engine = engine
+        self._sequence = sequence
+        self._gate = gate
+        self.background = None
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Sends the head at once and each piece when it is made."""
+        sequence = self._sequence
+        watcher = asyncio.create_task(self._watch(receive))
+        headers = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache")]
+        head = {"type": "http.response.start", "status": 200, "headers": headers}
+        try:
+            await send(head)
+            # uvicorn keeps the head back until the first body; the comment makes it go out.
+            await send({"type": "http.response.body", "body": b":\n\n", "more_body": True})
+            async for piece in self._engine.generate(sequence):
+                if piece and not sequence.silent:
+                    await self._gate.wait_unfrozen()
+                    message = {"type": "http.response.body", "body": piece.encode()}
+                    await send({**message, "more_body": True})
+            if sequence.silent:
+                await asyncio.Event().wait()
+            await send({"type": "http.response.body", "body": b""})
+        finally:
+            watcher.cancel()
+            self._engine.cancel(sequence)
+
+    async def _watch(self, receive: Receive) -> None:
+        """Cancels the attempt when the connection closes."""
+        with suppress(asyncio.CancelledError):
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            self._engine.cancel(self._sequence)
+
+
+def _plain_extension(engine: StandinEngine) -> dict[str, Any]:
+    """Makes up the extension of a caller that speaks the common API directly."""
+    request_id = f"plain-{len(engine.requests)}"
+    version = engine.options.version
+    return {"attempt_id": f"{request_id}.1", "request_id": request_id, "model_version": version}
+
+
+def _answer_length(body: dict[str, Any]) -> int:
+    """Reads the wanted number of tokens."""
+    wanted = body.get("max_completion_tokens") or body.get("max_tokens") or DEFAULT_TOKENS
+    return max(1, int(wanted))
+
+
+def _json_response(status: int, body: Any, headers: dict[str, str] | None = None) -> Response:
+    """Builds a JSON answer."""
+    data = msgspec.json.encode(body)
+    return Response(data, status, headers, media_type="application/json")
--- /dev/null
+++ b/src/sapphireledge_standins/service_server.py
@@ -0,0 +1,49 @@
+"""Service stand-in as a process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Annotated
+
+import typer
+
+from sapphireledge_standins.service_app import ServiceApi
+from sapphireledge_standins.standin_server import StandinServer
+
+__all__ = ["main"]
+
+ANSWER_TIME = 0.05
+"""Seconds for the answer to the fault switch before its connection is closed."""
+
+
+def serve(
+    host: Annotated[str, typer.Option(help="IP number to bind.")] = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="TCP port, 0 for a free one.")] = 0,
+) -> None:
+    """Runs a booking service stand-in until it is stopped or dies by a fault."""
+    asyncio.run(_serve(host, port))
+
+
+async def _serve(host: str, port: int) -> None:
+    """Serves, and closes the port for a while when the fault says so."""
+    api = ServiceApi()
+    pauses: asyncio.Queue[float] = asyncio.Queue()
+    api.on_refuse = pauses.put_nowait
+    server = StandinServer(api.app, host, port)
+    print(f"listening {server.address}", flush=True)
+    while True:
+        await server.start()
+        seconds = await pauses.get()
+        await asyncio.sleep(ANSWER_TIME)
+        await server.stop()
+        await asyncio.sleep(seconds)
+        server = StandinServer(api.app, host, server.port)
+
+
+def main() -> None:
+    """Runs the command line."""
+    typer.run(serve)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sapphireledge_standins/slot_queue.py
@@ -0,0 +1,47 @@
+"""Slots of the engine stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+
+__all__ = ["SlotQueue"]
+
+
+class SlotQueue:
+    """A number of slots, given out in the order of priority and arrival."""
+
+    def __init__(self, slots: int) -> None:
+        """Creates free slots."""
+        self._free = slots
+        self._arrivals = 0
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @property
+    def queued(self) -> int:
+        """Number of waiting sequences."""
+        return sum(not entry[2].done() for entry in self._waiting)
+
+    async def acquire(self, priority: int) -> None:
+        """Waits for a slot; 0 is the most urgent priority."""
+        if self._free > 0:
+            self._free -= 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        self._arrivals += 1
+        heapq.heappush(self._waiting, (priority, self._arrivals, turn))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self.release()
+            raise
+
+    def release(self) -> None:
+        """Gives a slot to the next waiting sequence."""
+        while self._waiting:
+            turn = heapq.heappop(self._waiting)[2]
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._free += 1
--- /dev/null
+++ b/src/sapphireledge_standins/standin_engine.py
@@ -0,0 +1,324 @@
+"""State of the engine stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import time
+import uuid
+from collections import OrderedDict, defaultdict, deque
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from sapphireledge.backends.prefix_hashes import BLOCK_BYTES
+from sapphireledge_standins.chained_answer import AnswerChain
+from sapphireledge_standins.engine_faults import EngineFaults
+from sapphireledge_standins.engine_options import EngineOptions
+from sapphireledge_standins.engine_sequence import EngineSequence
+from sapphireledge_standins.prefix_cache import PrefixCache
+from sapphireledge_standins.slot_queue import SlotQueue
+
+__all__ = ["StandinEngine"]
+
+EXIT_DIED = 70
+"""Exit code of a process that dies by a fault."""
+
+KEPT_ATTEMPTS = 10_000
+"""Ended attempts that are remembered."""
+
+SAMPLE_INTERVAL = 0.1
+"""Seconds between two kept load reports."""
+
+KEPT_SAMPLES = 600
+"""Kept load reports."""
+
+RATE_SAMPLES = 10
+"""Samples over which tokens per second are counted, one second."""
+
+MIN_SLEEP = 0.002
+"""Shortest sleep in seconds; at high rates the tokens due by then go out together."""
+
+JITTER = 0.05
+"""Variation of the time between tokens, as a share."""
+
+
+class StandinEngine:
+    """Batching engine without a model; see docs/engine-protocol.md for its interface."""
+
+    def __init__(self, options: EngineOptions, on_die: Callable[[], None] | None = None) -> None:
+        """Creates an engine.
+
+        Args:
+            options: Size and rates.
+            on_die: Called to die by a fault; by default the process exits at once.
+        """
+        self.options = options
+        self.on_die = on_die or (lambda: os._exit(EXIT_DIED))
+        self.boot_id = uuid.uuid4().hex
+        self.faults = EngineFaults()
+        self.role = options.role
+        self.models: dict[tuple[str, str], set[str]] = {(options.model, options.version): set()}
+        self.attempts: OrderedDict[str, EngineSequence] = OrderedDict()
+        self.cache = PrefixCache(options.cache_blocks)
+        self.highest_fencing = 0
+        self.orders: list[dict[str, Any]] = []
+        self.tokens_generated = 0
+        self.tokens_prefilled = 0
+        self.tokens_recomputed = 0
+        self.refused: dict[str, int] = defaultdict(int)
+        self.cancelled = 0
+        self.requests: dict[str, list[dict[str, Any]]] = defaultdict(list)
+        self.running = 0
+        self._slots = SlotQueue(options.slots)
+        self._random = random.Random(options.seed)
+        self._started_attempts = 0
+        self._reports: deque[tuple[float, int, dict[str, Any]]] = deque(maxlen=KEPT_SAMPLES)
+        self._report_number = 0
+
+    @property
+    def queued(self) -> int:
+        """Sequences that wait for a slot."""
+        return self._slots.queued
+
+    def set_faults(self, faults: EngineFaults) -> None:
+        """Switches the faults; dies at once if they say so."""
+        self.faults = faults
+        if faults.silence_existing:
+            for sequence in self.attempts.values():
+                sequence.silent = True
+        if faults.die:
+            self.on_die()
+
+    def accept(self, sequence: EngineSequence) -> None:
+        """Registers an attempt and counts it under its request."""
+        ext = sequence.extension
+        self.attempts[ext.attempt_id] = sequence
+        while len(self.attempts) > KEPT_ATTEMPTS:
+            self.attempts.popitem(last=False)
+        entry = {"attempt_id": ext.attempt_id, "first": sequence.first, "tokens": 0}
+        self.requests[ext.request_id].append(entry)
+        self._started_attempts += 1
+        nonce = f"{self.boot_id[:6]}-{self._started_attempts:x}"
+        resumed = ext.resume
+        sequence.chain = AnswerChain(nonce, sequence.prompt, resumed.offset, resumed.text)
+
+    def cancel(self, sequence: EngineSequence) -> None:
+        """Cancels an attempt unless the fault says to ignore it."""
+        if sequence.active and not self.faults.ignore_cancel:
+            self.cancelled += 1
+            self._end(sequence, "cancelled")
+
+    async def generate(self, sequence: EngineSequence) -> AsyncIterator[str]:
+        """Runs an attempt.
+
+        Args:
+            sequence: An accepted attempt.
+
+        Yields:
+            Events of the stream; several tokens in one piece when they are due together.
+        """
+        await self._slots.acquire(sequence.extension.priority)
+        if sequence.state != "queued":
+            self._slots.release()
+            return
+        sequence.state = "running"
+        self.running += 1
+        try:
+            await self._prefill(sequence)
+            async for piece in self._decode(sequence):
+                yield piece
+            if sequence.state == "running":
+                self._end(sequence, "finished")
+                yield sequence.finish_chunk()
+        finally:
+            self._end(sequence, "cancelled")
+
+    def load_report(self) -> dict[str, Any]:
+        """Builds the body of `/v1/load`, as old as the fault says."""
+        if not self.faults.load_lag:
+            self._sample()
+        until = time.monotonic() - self.faults.load_lag
+        due = [entry for entry in self._reports if entry[0] <= until]
+        return (due[-1] if due else self._reports[0])[2]
+
+    async def sample_load(self) -> None:
+        """Keeps load reports until its task is cancelled."""
+        while True:
+            self._sample()
+            await asyncio.sleep(SAMPLE_INTERVAL)
+
+    async def order(self, order: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Carries out an order.
+
+        Args:
+            order: Body of `POST /v1/orders`.
+
+        Returns:
+            Status code and body of the answer.
+        """
+        self.orders.append(order)
+        fencing = int(order["fencing"])
+        checks = self.faults.fencing == "check" or (
+            not self.faults.fencing and self.options.checks_fencing
+        )
+        if checks and fencing < self.highest_fencing:
+            error = {"code": "old_fencing", "message": "a newer holder has sent orders"}
+            return 409, {"error": error, "fencing": self.highest_fencing}
+        self.highest_fencing = max(self.highest_fencing, fencing)
+        before = (self.role, {key: set(value) for key, value in self.models.items()})
+        known = await self._apply(order)
+        if not known:
+            return 404, {"error": {"code": "unknown_model", "message": "model is not loaded"}}
+        changed = before != (self.role, self.models)
+        return 200, {"changed": changed, "fencing": fencing}
+
+    def counts(self) -> dict[str, Any]:
+        """Builds the body of `GET /admin/counts`."""
+        return {
+            "name": self.options.name,
+            "boot_id": self.boot_id,
+            "tokens_generated": self.tokens_generated,
+            "tokens_prefilled": self.tokens_prefilled,
+            "tokens_recomputed": self.tokens_recomputed,
+            "cancelled": self.cancelled,
+            "refused": self.refused,
+            "requests": self.requests,
+            "orders": self.orders,
+        }
+
+    async def _prefill(self, sequence: EngineSequence) -> None:
+        """Takes the time of the uncached part of prompt and resumed text."""
+        hashes = sequence.block_hashes()
+        tokens = sequence.prefill_tokens(self.cache.cached_blocks(hashes) * BLOCK_BYTES)
+        self.tokens_prefilled += tokens
+        if sequence.first:
+            self.tokens_recomputed += tokens
+        await asyncio.sleep(tokens / self.options.prefill_rate)
+        self.cache.store(hashes, time.monotonic())
+
+    async def _decode(self, sequence: EngineSequence) -> AsyncIterator[str]:
+        """Makes the tokens at the set rate."""
+        interval = 1.0 / self.options.token_rate
+        due = time.monotonic() + interval
+        late = self._late_chunks(sequence)
+        entry = self.requests[sequence.extension.request_id]
+        count = next(e for e in entry if e["attempt_id"] == sequence.extension.attempt_id)
+        while sequence.state == "running" and sequence.next_offset < sequence.total:
+            delay = due - time.monotonic()
+            if delay > 0:
+                await asyncio.sleep(max(delay, MIN_SLEEP))
+                continue
+            piece = []
+            now = time.monotonic()
+            while due <= now and sequence.next_offset < sequence.total:
+                piece.append(self._make_token(sequence))
+                due += interval * (1 + JITTER * (self._random.random() * 2 - 1))
+                count["tokens"] += 1
+            if late:
+                piece.append(late)
+                late = ""
+            yield "".join(piece)
+
+    def _make_token(self, sequence: EngineSequence) -> str:
+        """Makes one token and formats its chunk, with the faults that concern it."""
+        faults = self.faults
+        if (
+            faults.die_on_text
+            and faults.die_on_text in sequence.prompt
+            and sequence.next_offset >= faults.die_at_offset
+        ):
+            self.on_die()
+        offset = sequence.next_offset
+        text = sequence.chain.next_token(offset == sequence.total - 1)
+        sequence.next_offset += 1
+        sequence.text.append(text)
+        self.tokens_generated += 1
+        chunk = sequence.token_chunk(offset, text)
+        if sequence.first < offset:
+            if offset == faults.skip_token:
+                return ""
+            if offset == faults.repeat_token:
+                return chunk * 2
+        return chunk
+
+    def _late_chunks(self, sequence: EngineSequence) -> str:
+        """Formats tokens of the earlier attempt of the same request for the fault late_output.
+
+        One repeats the last token of the earlier attempt, the others continue it at the offsets
+        that come next in the new attempt.
+        """
+        if not self.faults.late_output:
+            return ""
+        request_id = sequence.extension.request_id
+        earlier = [
+            other
+            for other in self.attempts.values()
+            if other.extension.request_id == request_id and other is not sequence and other.text
+        ]
+        if not earlier:
+            return ""
+        old = earlier[-1]
+        chunks = [old.token_chunk(old.next_offset - 1, old.text[-1])]
+        for offset in range(sequence.next_offset, sequence.next_offset + 3):
+            chunks.append(old.token_chunk(offset, old.chain.next_token(False)))
+        return "".join(chunks)
+
+    def _end(self, sequence: EngineSequence, state: str) -> None:
+        """Ends an attempt once and frees its slot."""
+        if not sequence.active:
+            return
+        held_slot = sequence.state == "running"
+        sequence.state = state
+        if held_slot:
+            self.running -= 1
+            self._slots.release()
+            self.cache.store(sequence.block_hashes(with_output=True), time.monotonic())
+
+    def _sample(self) -> None:
+        """Keeps one load report."""
+        self._report_number += 1
+        now = time.monotonic()
+        window = self._reports[-RATE_SAMPLES] if len(self._reports) >= RATE_SAMPLES else None
+        rate = (self.tokens_generated - window[1]) / (now - window[0]) if window else 0.0
+        report = {
+            "boot_id": self.boot_id,
+            "sequence": self._report_number,
+            "time_unix": time.time(),
+            "state": "leaving" if self.faults.leaving else "live",
+            "role": self.role,
+            "slots": self.options.slots,
+            "running": self.running,
+            "queued": self.queued,
+            "tokens_per_second": round(rate, 1),
+            "models": [
+                {"model": model, "version": version, "adapters": sorted(adapters)}
+                for (model, version), adapters in self.models.items()
+            ],
+            "name": self.options.name,
+            "data_centre": self.options.data_centre,
+            "region": self.options.region,
+        }
+        self._reports.append((now, self.tokens_generated, report))
+
+    async def _apply(self, order: dict[str, Any]) -> bool:
+        """Sets the ordered state; False when the model of an adapter order is not loaded."""
+        kind = order["kind"]
+        key = (str(order.get("model", "")), str(order.get("version", "")))
+        if kind == "set_role":
+            self.role = str(order["role"])
+        elif kind == "load_model":
+            if key not in self.models:
+                await asyncio.sleep(self.options.load_seconds)
+                self.models.setdefault(key, set())
+        elif kind == "unload_model":
+            self.models.pop(key, None)
+        elif key not in self.models:
+            return False
+        elif kind == "load_adapter":
+            self.models[key].add(str(order["adapter"]))
+        elif kind == "unload_adapter":
+            self.models[key].discard(str(order["adapter"]))
+        else:
+            raise ValueError(f"unknown kind of order {kind!r}")
+        return True
