Add a typed Thrift layer with limits over thriftpy2's asyncio support

thriftpy2's own asyncio server runs the event loop itself, does not limit messages, and its client ignores the sequence of a reply. The layer uses its processor, binary protocol and buffered transport on asyncio.start_server and adds what is missing:

- Each message has a budget in bytes, charged before anything is allocated, with 16 bytes more for each value because a one-byte struct decodes to hundreds of bytes.
- The protocol loops over container elements of an unknown type without reading, so a count of 2^31 would block the process.
The transport sees the container header and refuses it.

--- /dev/null
+++ b/src/sapphireledge/rpc/__init__.py
@@ -0,0 +1,23 @@
+"""Thrift over asyncio with strict limits, shared by the peer and the operator interface."""
+
+from __future__ import annotations
+
+from sapphireledge.rpc.connection_handler import ConnectionHandler
+from sapphireledge.rpc.limited_transport import LimitedTransport
+from sapphireledge.rpc.load_schema import load_schema
+from sapphireledge.rpc.rpc_error import RpcError
+from sapphireledge.rpc.rpc_limits import RpcLimits
+from sapphireledge.rpc.secret_matches import secret_matches
+from sapphireledge.rpc.thrift_connection import ThriftConnection
+from sapphireledge.rpc.thrift_server import ThriftServer
+
+__all__ = [
+    "ConnectionHandler",
+    "LimitedTransport",
+    "RpcError",
+    "RpcLimits",
+    "ThriftConnection",
+    "ThriftServer",
+    "load_schema",
+    "secret_matches",
+]
--- /dev/null
+++ b/src/sapphireledge/rpc/limited_transport.py
@@ -0,0 +1,151 @@
+"""Buffered transport that limits what one message may cost."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from thriftpy2.contrib.aio.transport.buffered import TAsyncBufferedTransport
+from thriftpy2.thrift import TType
+
+from sapphireledge.rpc.rpc_error import RpcError
+
+if TYPE_CHECKING:
+    import asyncio
+
+__all__ = ["LimitedTransport"]
+
+VALUE_CHARGE = 16
+"""Bytes charged for each value read, as a decoded value takes more memory than its bytes."""
+
+READ_CHUNK = 65_536
+"""Bytes asked of the stream at once."""
+
+_ELEMENT_TYPES = frozenset(
+    {
+        TType.BOOL,
+        TType.BYTE,
+        TType.DOUBLE,
+        TType.I16,
+        TType.I32,
+        TType.I64,
+        TType.STRING,
+        TType.STRUCT,
+        TType.MAP,
+        TType.SET,
+        TType.LIST,
+    }
+)
+
+
+class LimitedTransport(TAsyncBufferedTransport):
+    """Buffered transport over a stream pair that refuses messages beyond a limit.
+
+    A length is checked before anything is allocated for it. Nothing is read ahead of what a
+    message has paid for, except one chunk, and the stream reader bounds its own buffer.
+    """
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        super().__init__(None)
+        self._reader = reader
+        self._writer = writer
+        self._data = b""
+        self._pos = 0
+        self._left = 0
+        self._last_byte: int | None = None
+        self.bytes_in = 0
+        """Bytes received so far."""
+        self.bytes_out = 0
+        """Bytes sent so far."""
+
+    async def begin_message(self, limit: int) -> None:
+        """Waits for the first byte of a message and sets its budget.
+
+        Args:
+            limit: Largest message in bytes, with the charge per value.
+
+        Raises:
+            RpcError: The connection was closed.
+        """
+        self._left = limit
+        self._last_byte = None
+        if self._pos == len(self._data):
+            await self._fill()
+
+    async def read(self, sz: int) -> bytes:
+        """Reads exactly the given number of bytes of the message.
+
+        Args:
+            sz: Number of bytes, taken from the message and therefore not trusted.
+
+        Returns:
+            The bytes.
+
+        Raises:
+            RpcError: The message is malformed or too large, or the connection broke.
+        """
+        left = self._left - sz - VALUE_CHARGE
+        if sz < 0 or left < 0:
+            raise RpcError(f"message exceeds its limit at a field of {sz} bytes")
+        self._left = left
+        while len(self._data) - self._pos < sz:
+            await self._fill()
+        start = self._pos
+        self._pos = start + sz
+        part = self._data[start : self._pos]
+        if sz == 1:
+            self._last_byte = part[0]
+        elif self._last_byte is not None:
+            if sz == 4:
+                self._check_container(part)
+            self._last_byte = None
+        return part
+
+    def write(self, buf: bytes) -> None:
+        """Adds bytes to the message being written."""
+        self._wbuf.write(buf)
+
+    async def flush(self) -> None:
+        """Sends the written message."""
+        out = self._wbuf.getvalue()
+        self._wbuf.seek(0)
+        self._wbuf.truncate()
+        self.bytes_out += len(out)
+        try:
+            self._writer.write(out)
+            await self._writer.drain()
+        except OSError as exc:
+            raise RpcError(f"connection broke while sending: {exc}") from exc
+
+    def is_open(self) -> bool:
+        """Tells whether the connection can still be used, as far as is known."""
+        return not self._writer.is_closing() and not self._reader.at_eof()
+
+    async def open(self) -> None:
+        """Does nothing; the streams are open."""
+
+    def close(self) -> None:
+        """Closes the connection at once; unsent bytes are dropped."""
+        self._writer.transport.abort()
+
+    def _check_container(self, count: bytes) -> None:
+        """Refuses a container whose elements have no known type or cannot fit.
+
+        The protocol reads 4 bytes directly after 1 byte only for the element type and the count of
+        a list or set (and for maps with 1-byte keys, which the schemas do not have). It loops over
+        elements of an unknown type without reading, so such a count would block the process.
+        """
+        size = int.from_bytes(count, "big", signed=True)
+        if self._last_byte not in _ELEMENT_TYPES or not 0 <= size <= self._left:
+            raise RpcError(f"container of {size} elements of type {self._last_byte} is malformed")
+
+    async def _fill(self) -> None:
+        """Appends the next chunk of the stream to the unread bytes."""
+        try:
+            chunk = await self._reader.read(READ_CHUNK)
+        except OSError as exc:
+            raise RpcError(f"connection broke while receiving: {exc}") from exc
+        if not chunk:
+            raise RpcError("connection was closed")
+        self.bytes_in += len(chunk)
+        self._data = self._data[self._pos :] + chunk
+        self._pos = 0
