Add core.membership: peers, representatives and merge of heartbeats

Pure classes without clock or socket. A heartbeat older than the newest one of its incarnation is dropped: its sender has no acknowledgement for it and sends the changes again, so the receiver keeps one sequence number per peer instead of one per workspace. Ruled out: a sequence number per workspace, which would take tens of megabytes at 51 peers and thousands of workspaces each.

A host whose clock went back has an incarnation that sorts before its old one; it is accepted once the old one has been silent for the dead time.

--- /dev/null
+++ b/src/sapphireledge/core/membership/choose_representatives.py
@@ -0,0 +1,28 @@
+"""Choice of the entries that speak with another data centre."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.membership.rank_by_rendezvous import rank_by_rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ["choose_representatives"]
+
+REPRESENTATIVES = 2
+"""Representatives of a data centre towards each other one: one may fail unnoticed."""
+
+
+def choose_representatives(members: Iterable[str], other: str) -> tuple[str, ...]:
+    """Chooses the representatives of one data centre towards another one.
+
+    Args:
+        members: Names of the live entries of the data centre.
+        other: Name of the other data centre.
+
+    Returns:
+        At most two names.
+    """
+    return rank_by_rendezvous(other, members)[:REPRESENTATIVES]
--- /dev/null
+++ b/src/sapphireledge/core/membership/death_notice.py
@@ -0,0 +1,24 @@
+"""Death of an engine as peers report it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["DeathNotice"]
+
+
+@dataclass(frozen=True, slots=True)
+class DeathNotice:
+    """Death of one engine incarnation."""
+
+    backend: str
+    """Name of the backend server."""
+
+    boot_id: str
+    """Boot id of the incarnation that died."""
+
+    time_unix: float
+    """Time of detection in Unix seconds."""
+
+    suspects: tuple[str, ...]
+    """Fingerprints of the requests in flight."""
--- /dev/null
+++ b/src/sapphireledge/core/membership/heartbeat_merge.py
@@ -0,0 +1,125 @@
+"""Merge of the heartbeats of all peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.membership.merge_result import MergeResult
+from sapphireledge.core.membership.peer_status import PeerStatus
+
+if TYPE_CHECKING:
+    from sapphireledge.core.membership.death_notice import DeathNotice
+    from sapphireledge.core.membership.heartbeat_report import HeartbeatReport
+
+__all__ = ["HeartbeatMerge"]
+
+MAX_DEATHS = 4_096
+"""Deaths remembered to recognise repetitions; the oldest are forgotten first."""
+
+
+class HeartbeatMerge:
+    """Keeps the newest heartbeat of each peer, whatever is lost, repeated or reordered.
+
+    A heartbeat older than the newest one of its incarnation is dropped: its sender has no
+    acknowledgement for it and therefore sends its changes again. An incarnation replaces an earlier
+    one. If the clock of a restarted host went back, its new incarnation sorts before the old one;
+    it is accepted as soon as the old one has been silent for the time after which a peer is dead.
+    """
+
+    def __init__(self, dead_after: float) -> None:
+        """Creates an empty merge.
+
+        Args:
+            dead_after: Silence in seconds after which an incarnation may be replaced by any other.
+        """
+        self._dead_after = dead_after
+        self._statuses: dict[str, PeerStatus] = {}
+        self._heard: dict[str, float] = {}
+        self._deaths: dict[tuple[str, str, float], None] = {}
+        self._leaving: dict[str, set[str]] = {}
+
+    @property
+    def statuses(self) -> tuple[PeerStatus, ...]:
+        """What each peer said last."""
+        return tuple(self._statuses.values())
+
+    def status(self, instance: str) -> PeerStatus | None:
+        """Returns what one peer said last, None if it was never heard."""
+        return self._statuses.get(instance)
+
+    def leaving(self, instance: str) -> frozenset[str]:
+        """Returns the leaving backend servers that a peer named last."""
+        return frozenset(self._leaving.get(instance, ()))
+
+    def merge(self, now: float, report: HeartbeatReport) -> MergeResult:
+        """Takes one heartbeat.
+
+        Args:
+            now: Time of arrival.
+            report: The heartbeat.
+
+        Returns:
+            What it changed.
+        """
+        known = self._statuses.get(report.instance)
+        restarted = known is None or known.incarnation != report.incarnation
+        if known is not None and restarted and not self._may_replace(now, known, report):
+            return MergeResult(accepted=False)
+        if known is not None and not restarted and report.sequence <= known.sequence:
+            return MergeResult(accepted=True)
+        if restarted:
+            self._leaving.pop(report.instance, None)
+        self._heard[report.instance] = now
+        self._statuses[report.instance] = _status_of(report)
+        return MergeResult(
+            accepted=True,
+            restarted=restarted and known is not None,
+            usage=report.usage,
+            deaths=self._new_deaths(report),
+            leaving=self._new_leaving(report),
+        )
+
+    def forget(self, instance: str) -> None:
+        """Removes a peer that is no longer a member."""
+        self._statuses.pop(instance, None)
+        self._heard.pop(instance, None)
+        self._leaving.pop(instance, None)
+
+    def _may_replace(self, now: float, known: PeerStatus, report: HeartbeatReport) -> bool:
+        """Tells whether another incarnation takes the place of the known one."""
+        silent = now - self._heard[known.instance] >= self._dead_after
+        return silent or report.incarnation > known.incarnation
+
+    def _new_deaths(self, report: HeartbeatReport) -> tuple[DeathNotice, ...]:
+        """Returns the deaths that no peer has reported before."""
+        new = []
+        for death in report.deaths:
+            # Peers detect the same death at different times but name the same incarnation.
+            key = (death.backend, death.boot_id, 0.0 if death.boot_id else death.time_unix)
+            if key not in self._deaths:
+                self._deaths[key] = None
+                new.append(death)
+        while len(self._deaths) > MAX_DEATHS:
+            del self._deaths[next(iter(self._deaths))]
+        return tuple(new)
+
+    def _new_leaving(self, report: HeartbeatReport) -> tuple[str, ...]:
+        """Returns the leaving backend servers that the peer names for the first time."""
+        known = self._leaving.get(report.instance, set())
+        self._leaving[report.instance] = set(report.leaving)
+        return tuple(name for name in report.leaving if name not in known)
+
+
+def _status_of(report: HeartbeatReport) -> PeerStatus:
+    """Returns the part of a heartbeat that describes its sender."""
+    return PeerStatus(
+        instance=report.instance,
+        incarnation=report.incarnation,
+        sequence=report.sequence,
+        state=report.state,
+        config_version=report.config_version,
+        highest_version=report.highest_version,
+        running=report.running,
+        queued=report.queued,
+        platform_reachable=report.platform_reachable,
+    )
--- /dev/null
+++ b/src/sapphireledge/core/membership/usage_sums.py
@@ -0,0 +1,90 @@
+"""Sum of the usage of several entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["UsageSums"]
+
+REBASE_AFTER = 100.0
+"""Half-lives after which values are scaled to a new reference time; 2**100 is far from overflow."""
+
+SMALLEST_USAGE = 1.0
+"""Usage in tokens below which a workspace is forgotten."""
+
+
+class UsageSums:
+    """Decayed usage per workspace, summed over sources.
+
+    Values are kept as of a reference time, so that decay costs nothing and a total changes only
+    with its sources.
+    """
+
+    def __init__(self, half_life: float) -> None:
+        """Creates empty sums.
+
+        Args:
+            half_life: Half-life of usage in seconds.
+        """
+        self._half_life = half_life
+        self._reference = 0.0
+        self._sources: dict[str, dict[str, float]] = {}
+        self._totals: dict[str, float] = {}
+
+    def merge(self, now: float, source: str, usage: Mapping[str, float]) -> None:
+        """Replaces the named workspaces of one source.
+
+        Args:
+            now: Time of the values.
+            source: Name of the source.
+            usage: Decayed tokens of workspaces; the others keep what is known.
+        """
+        self._rebase(now)
+        scale = 2.0 ** ((now - self._reference) / self._half_life)
+        known = self._sources.setdefault(source, {})
+        for workspace, value in usage.items():
+            scaled = value * scale
+            before = known.get(workspace, 0.0)
+            self._totals[workspace] = self._totals.get(workspace, 0.0) + scaled - before
+            known[workspace] = scaled
+
+    def forget(self, source: str) -> None:
+        """Removes a source, as its process has ended and its work with it."""
+        for workspace, scaled in self._sources.pop(source, {}).items():
+            self._totals[workspace] = self._totals[workspace] - scaled
+
+    def total(self, now: float) -> dict[str, float]:
+        """Sums all sources.
+
+        Args:
+            now: Time to which the values are decayed.
+
+        Returns:
+            Decayed tokens of each workspace that is not idle.
+        """
+        scale = 0.5 ** ((now - self._reference) / self._half_life)
+        return {
+            workspace: scaled * scale
+            for workspace, scaled in self._totals.items()
+            if scaled * scale >= SMALLEST_USAGE
+        }
+
+    def _rebase(self, now: float) -> None:
+        """Moves the reference time and drops idle workspaces."""
+        age = (now - self._reference) / self._half_life
+        if abs(age) < REBASE_AFTER and self._totals:
+            return
+        scale = 0.5**age if self._totals else 1.0
+        self._reference = now
+        for source, usage in self._sources.items():
+            scaled = {name: value * scale for name, value in usage.items()}
+            self._sources[source] = {
+                name: value for name, value in scaled.items() if value >= SMALLEST_USAGE / 100
+            }
+        self._totals = {}
+        for usage in self._sources.values():
+            for name, value in usage.items():
+                self._totals[name] = self._totals.get(name, 0.0) + value
