--- /dev/null
+++ b/src/sapphireledge/peers/peer_server.py
@@ -0,0 +1,36 @@
+"""Server of the peer interface."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.peers.messages import PeerService
+from sapphireledge.peers.peer_connection import PeerConnection
+from sapphireledge.rpc import RpcLimits, ThriftServer
+
+if TYPE_CHECKING:
+    from sapphireledge.peers.heartbeat_receiver import HeartbeatReceiver
+    from sapphireledge.peers.peer_handler import PeerHandler
+    from sapphireledge.settings import Settings
+
+__all__ = ["PeerServer"]
+
+
+class PeerServer(ThriftServer):
+    """Accepts the connections of peers."""
+
+    def __init__(self, cfg: Settings, receiver: HeartbeatReceiver, handler: PeerHandler) -> None:
+        """Prepares the server.
+
+        Args:
+            cfg: Settings of the instance.
+            receiver: Takes heartbeats, usually the mesh.
+            handler: Serves the other calls.
+        """
+        super().__init__(
+            PeerService,
+            lambda _: PeerConnection(cfg.fleet_secret, receiver, handler),
+            cfg.peer_address,
+            cfg.fleet_secret,
+            RpcLimits(max_message=cfg.peers.max_message),
+        )
--- /dev/null
+++ b/src/sapphireledge/peers/usage_exchange.py
@@ -0,0 +1,78 @@
+"""Usage that goes to peers: the own one, the sum of the data centre, and sums passed on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.membership import ChangeLog, UsageSums
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["OWN_SCOPE", "UsageExchange"]
+
+OWN_SCOPE = ""
+"""Scope of the entry's own usage."""
+
+
+class UsageExchange:
+    """Collects the usage of all sources and keeps a change log for each scope that is sent."""
+
+    def __init__(self, own: str, data_centre: str, half_life: float) -> None:
+        """Creates an empty exchange.
+
+        Args:
+            own: Name of the entry.
+            data_centre: Its data centre.
+            half_life: Half-life of usage in seconds.
+        """
+        self._own = own
+        self._data_centre = data_centre
+        self._half_life = half_life
+        self._local = UsageSums(half_life)
+        self._remote: dict[str, UsageSums] = {}
+        self._logs: dict[str, ChangeLog] = {}
+
+    @property
+    def relayed_scopes(self) -> tuple[str, ...]:
+        """Other data centres whose sums this entry passes on in its own."""
+        return tuple(self._remote)
+
+    def on_peer(self, now: float, source: str, usage: Mapping[str, float], anew: bool) -> None:
+        """Takes usage of an entry of the own data centre."""
+        if anew:
+            self._local.forget(source)
+        self._local.merge(now, source, usage)
+
+    def on_data_centre(self, now: float, scope: str, usage: Mapping[str, float]) -> None:
+        """Takes the sum of another data centre, from one of its representatives."""
+        sums = self._remote.setdefault(scope, UsageSums(self._half_life))
+        sums.merge(now, scope, usage)
+
+    def sample(self, now: float, usage: Mapping[str, float], is_representative: bool) -> None:
+        """Notes what changed since the last sample.
+
+        Args:
+            now: Current time.
+            usage: The entry's own usage.
+            is_representative: Whether the sum of the data centre is sent.
+        """
+        self._log(OWN_SCOPE).on_sample(now, usage)
+        if is_representative:
+            self._local.forget(self._own)
+            self._local.merge(now, self._own, usage)
+            self._log(self._data_centre).on_sample(now, self._local.total(now))
+        for scope, sums in self._remote.items():
+            self._log(scope).on_sample(now, sums.total(now))
+
+    def changes_after(
+        self, now: float, scope: str, position: int, limit: int
+    ) -> tuple[dict[str, float], int]:
+        """Selects the oldest changes of one scope after a position."""
+        return self._log(scope).changes_after(now, position, limit)
+
+    def _log(self, scope: str) -> ChangeLog:
+        """Returns the change log of a scope."""
+        if scope not in self._logs:
+            self._logs[scope] = ChangeLog(self._half_life)
+        return self._logs[scope]
