--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -146,7 +146,7 @@
                     choice = chunk.choices[0]
                     number = attempt
                     if extension.attempt_id != attempt_id:
-                        number = attempt_number(call.request_id, extension.attempt_id)
+                        number = attempt_number(call.owner_id, extension.attempt_id)
                     if choice.finish_reason is None:
                         delta = choice.delta
                         text = choice.text if delta is None else delta.content
--- a/src/sapphireledge/backends/generation_call.py
+++ b/src/sapphireledge/backends/generation_call.py
@@ -28,6 +28,9 @@
     model_version: str
     """Version that must generate."""
 
+    epoch: int = 1
+    """Epoch of the owner; attempts are numbered by every owner anew."""
+
     priority: int = 0
     """Priority at the engine, 0 is the most urgent."""
 
@@ -40,7 +43,12 @@
     traceparent: str = ""
     """W3C trace context header, empty for none."""
 
+    @property
+    def owner_id(self) -> str:
+        """Common part of the attempt ids of this owner."""
+        return f"{self.request_id}.{self.epoch}"
+
     @property
     def attempt_id(self) -> str:
         """Id of the attempt at the engine."""
-        return f"{self.request_id}.{self.attempt}"
+        return f"{self.owner_id}.{self.attempt}"
--- /dev/null
+++ b/src/sapphireledge/entry/answer_context.py
@@ -0,0 +1,64 @@
+"""Parts of the instance that a generation needs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from sapphireledge.telemetry import LogEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from sapphireledge.core.replay import EventLog
+    from sapphireledge.entry.backend_pool import BackendPool
+    from sapphireledge.peers import AnswerCopies
+    from sapphireledge.settings import Settings
+    from sapphireledge.telemetry import Metrics, Tracing
+
+__all__ = ["AnswerContext"]
+
+
+@dataclass(frozen=True)
+class AnswerContext:
+    """Parts of the instance that a generation needs."""
+
+    cfg: Settings
+    """Settings of the instance."""
+
+    pool: BackendPool
+    """Queues and backend servers."""
+
+    copies: AnswerCopies
+    """Copies of running answers at the partner."""
+
+    events: EventLog
+    """Recorded events."""
+
+    metrics: Metrics
+    """Metrics of the instance."""
+
+    tracing: Tracing
+    """Trace spans of the instance."""
+
+    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    """Tasks that outlive the answer that started them."""
+
+    def background(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Runs something whose result nobody waits for.
+
+        Args:
+            work: The coroutine.
+        """
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        """Logs a task that failed."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            structlog.get_logger().error(LogEvent.INTERNAL_ERROR, exc_info=task.exception())
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -21,6 +21,8 @@
     Probe,
     Refuse,
 )
+from sapphireledge.entry.answer_finish import encode_finish
+from sapphireledge.entry.answer_header import AnswerHeader
 from sapphireledge.entry.pool_work import PoolWork
 from sapphireledge.entry.running_answer import AnswerEnd
 from sapphireledge.errors import ErrorKind, Failure, Ran
@@ -37,6 +39,7 @@
     from sapphireledge.entry.caller_request import CallerRequest
     from sapphireledge.entry.grant import Grant
     from sapphireledge.entry.running_answer import RunningAnswer
+    from sapphireledge.peers import AnswerCopy
 
 __all__ = ["AnswerRunner"]
 
@@ -70,6 +73,7 @@
         machine: RecordingMachine,
         ctx: AnswerContext,
         trace: Context | None,
+        first_attempt: int = 0,
     ) -> None:
         """Prepares the runner; `start` begins.
 
@@ -79,12 +83,16 @@
             machine: Generation machine of the answer.
             ctx: Parts of the instance that a generation needs.
             trace: Trace context of the request.
+            first_attempt: Attempts that this owner made before with another machine. The names of
+                attempts at engines must stay unique, so counting goes on from here.
         """
         self._req = req
         self._answer = answer
         self._machine = machine
         self._ctx = ctx
         self._trace = trace
+        self._first_attempt = first_attempt
+        self._copy: AnswerCopy | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._streams: dict[int, asyncio.Task[None]] = {}
         self._grants: dict[int, Grant] = {}
@@ -99,11 +107,26 @@
         """The answer that this runner fills."""
         return self._answer
 
+    @property
+    def has_moved(self) -> bool:
+        """Whether another instance owns the answer now."""
+        end = self._answer.end
+        return (
+            end is not None
+            and end.failure is not None
+            and end.failure.kind is ErrorKind.ANSWER_MOVED
+        )
+
     @property
     def machine(self) -> RecordingMachine:
         """The generation machine."""
         return self._machine
 
+    @property
+    def attempts(self) -> int:
+        """Attempts that this owner made so far."""
+        return self._first_attempt + self._machine.attempt
+
     @property
     def request(self) -> CallerRequest:
         """The caller's request."""
@@ -116,7 +139,11 @@
     def caller_gone(self) -> None:
         """Stops the generation because nobody waits for it; its text stays."""
         self._apply(self._machine.on_caller_gone(time.monotonic()))
+        self._answer.ended_at = time.monotonic()
         self._end_tasks()
+        if self._copy is not None:
+            self._copy.append(time.monotonic(), [], self._machine.take_lines())
+            self._copy.close()
 
     def superseded(self, owner: str) -> None:
         """Stops the generation because another instance owns the answer.
@@ -158,7 +185,8 @@
             self._lost_at = None
         self._last_token = now
         self._answer.append(text)
-        self._ctx.copies.append(self._answer.answer_id, text)
+        assert self._copy is not None
+        self._copy.append(now, [text])
 
     def _finish(self, end: AnswerEnd) -> None:
         """Ends the answer."""
@@ -177,7 +205,9 @@
                 ran=end.failure.ran,
                 delivered=len(self._answer.pieces),
             )
-        self._ctx.copies.finish(self._answer.answer_id, end)
+        if self._copy is not None:
+            events = self._machine.take_lines()
+            self._copy.finish(time.monotonic(), encode_finish(end), events)
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -201,7 +231,7 @@
             )
             if self._machine.attempt != decision.attempt or self._machine.ended:
                 return
-            self._pin_version(grant.version)
+            self._open_copy(grant.version)
             self._grants[decision.attempt] = grant
             if decision.attempt > 1:
                 self._log.info(
@@ -216,11 +246,34 @@
             self._grants.pop(decision.attempt, None)
             grant.release(time.monotonic())
 
-    def _pin_version(self, version: str) -> None:
-        """Fixes the model version of the answer."""
-        if not self._answer.version:
-            self._answer.version = version
-            self._ctx.copies.set_version(self._answer.answer_id, version)
+    def _open_copy(self, version: str) -> None:
+        """Fixes the model version of the answer and begins to copy it."""
+        if self._copy is not None:
+            return
+        self._answer.version = version
+        header = AnswerHeader.from_request(self._req, version).encode()
+        copy = self._ctx.copies.open(self._answer.answer_id, self._answer.epoch, header)
+        copy.on_progress = self._on_copy_progress
+        copy.append(time.monotonic(), list(self._answer.pieces), self._machine.take_lines())
+        self._copy = copy
+
+    def _on_copy_progress(self) -> None:
+        """Lets readers have what is stored, or stops if another instance owns the answer."""
+        copy = self._copy
+        if copy is None:
+            return
+        if copy.newer_epoch:
+            self._ctx.background(self._stop_superseded())
+            return
+        if copy.released > max(copy.stored, self._answer.readable):
+            unprotected = copy.released - max(copy.stored, self._answer.readable)
+            self._ctx.metrics.count(MetricName.UNPROTECTED_TOKENS, unprotected)
+        self._answer.release(max(copy.stored, copy.released))
+
+    async def _stop_superseded(self) -> None:
+        """Ends the generation outside of the callback that found the newer owner."""
+        if self._answer.end is None:
+            self.superseded("")
 
     def _work(self, decision: Dispatch) -> PoolWork:
         """Describes the attempt for the queue and the router."""
@@ -246,7 +299,7 @@
         )
         call = GenerationCall(
             request_id=self._answer.answer_id,
-            attempt=decision.attempt,
+            attempt=self._first_attempt + decision.attempt,
             epoch=self._answer.epoch,
             path="/v1/chat/completions" if self._req.chat else "/v1/completions",
             body=self._req.body,
@@ -261,7 +314,7 @@
             async with contextlib.aclosing(grant.client.stream(call)) as events:
                 async for event in events:
                     if type(event) is TokenPiece:
-                        self._on_piece(event, decision.attempt, grant)
+                        self._on_piece(event, grant)
                     elif not self._on_event(event, decision.attempt, grant):
                         break
                     if self._machine.attempt != decision.attempt:
@@ -270,12 +323,12 @@
             self._streams.pop(decision.attempt, None)
             span.end()
 
-    def _on_piece(self, event: TokenPiece, attempt: int, grant: Grant) -> None:
+    def _on_piece(self, event: TokenPiece, grant: Grant) -> None:
         """Takes one token."""
-        grant.consumed(1)
-        decisions = self._machine.on_token(
-            time.monotonic(), event.attempt, event.offset, event.text
-        )
+        now = time.monotonic()
+        grant.consumed(now, 1)
+        attempt = event.attempt - self._first_attempt
+        decisions = self._machine.on_token(now, attempt, event.offset, event.text)
         if len(decisions) == 1 and type(decisions[0]) is Deliver:
             self._deliver(decisions[0].offset, decisions[0].text)
             return
@@ -289,8 +342,8 @@
             grant.started(now)
             return True
         if isinstance(event, Finished):
-            decisions = self._machine.on_finished(now, event.attempt, event.total, event.reason)
-            self._apply(decisions)
+            number = event.attempt - self._first_attempt
+            self._apply(self._machine.on_finished(now, number, event.total, event.reason))
             return False
         if isinstance(event, Broken):
             self._ctx.pool.on_broken(grant, event)
@@ -321,7 +374,7 @@
         if grant is None:
             return
         span = self._ctx.tracing.start("probe", self._trace, backend=probe.backend)
-        call_id = f"{self._answer.answer_id}.{self._answer.epoch}.{probe.attempt}"
+        call_id = self._call_id(probe.attempt)
         result = await grant.client.probe(call_id, self._ctx.cfg.resume.probe_timeout)
         span.end()
         decisions = self._machine.on_probe(
@@ -332,6 +385,11 @@
             self._ctx.pool.on_silent(grant)
         self._apply(decisions)
 
+    def _call_id(self, attempt: int) -> str:
+        """Names an attempt towards engines."""
+        number = self._first_attempt + attempt
+        return f"{self._answer.answer_id}.{self._answer.epoch}.{number}"
+
     def _cancel(self, decision: CancelAttempt) -> None:
         """Stops an attempt and tells its engine."""
         grant = self._grants.get(decision.attempt)
@@ -339,7 +397,7 @@
         if stream is not None and stream is not asyncio.current_task():
             stream.cancel()
         if grant is not None:
-            call_id = f"{self._answer.answer_id}.{self._answer.epoch}.{decision.attempt}"
+            call_id = self._call_id(decision.attempt)
             self._ctx.background(grant.client.cancel(call_id))
 
     def _arm(self) -> None:
--- /dev/null
+++ b/src/sapphireledge/entry/app.py
@@ -0,0 +1,218 @@
+"""HTTP interface towards callers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from sapphireledge.entry.answer_format import encode_failure, failure_headers
+from sapphireledge.entry.authenticate import authenticate, authorize_rank
+from sapphireledge.entry.generation_session import GenerationSession
+from sapphireledge.entry.parse_request import parse_request
+from sapphireledge.entry.service_session import ServiceSession
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.telemetry import LogEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from starlette.requests import Request
+
+    from sapphireledge.core.declarations import Workspace
+    from sapphireledge.entry.entry_parts import EntryParts
+
+__all__ = ["create_app"]
+
+SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+"""HTTP methods that are passed on to plain services."""
+
+
+def create_app(parts: EntryParts) -> Starlette:
+    """Builds the application.
+
+    Args:
+        parts: Parts of the instance.
+
+    Returns:
+        The starlette application.
+    """
+    api = _CallerApi(parts)
+    return Starlette(
+        routes=[
+            Route("/v1/chat/completions", api.chat, methods=["POST"]),
+            Route("/v1/completions", api.completion, methods=["POST"]),
+            Route("/v1/models", api.models, methods=["GET"]),
+            Route("/v1/services/{service}/{path:path}", api.service, methods=SERVICE_METHODS),
+            Route("/v1/services/{service}", api.service, methods=SERVICE_METHODS),
+            Route("/healthz", api.health, methods=["GET"]),
+            Route("/readyz", api.ready, methods=["GET"]),
+        ]
+    )
+
+
+class _CallerApi:
+    """Handlers of the caller interface."""
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+        self._log = structlog.get_logger()
+
+    async def health(self, request: Request) -> Response:
+        """Tells that the process runs."""
+        return _json({"state": self._parts.lifecycle.state})
+
+    async def ready(self, request: Request) -> Response:
+        """Tells whether the balancer should send new work."""
+        ready = self._parts.lifecycle.is_ready
+        return _json({"state": self._parts.lifecycle.state}, 200 if ready else 503)
+
+    async def models(self, request: Request) -> Response:
+        """Lists the declared models."""
+        names = sorted({d.model for d in self._parts.config.deployments.values()})
+        return _json({"object": "list", "data": [{"id": n, "object": "model"} for n in names]})
+
+    async def chat(self, request: Request) -> Response:
+        """Serves a chat completion."""
+        return await self._guard(request, self._generation(request, True))
+
+    async def completion(self, request: Request) -> Response:
+        """Serves a text completion."""
+        return await self._guard(request, self._generation(request, False))
+
+    async def service(self, request: Request) -> Response:
+        """Passes a call on to a plain service."""
+        return await self._guard(request, self._service(request))
+
+    async def _generation(self, request: Request, chat: bool) -> Response:
+        """Checks a generation request and serves it."""
+        refused = self._refuse_by_state()
+        if refused is not None and "last-event-id" not in request.headers:
+            return _refusal(refused)
+        workspace = self._authenticate(request)
+        if isinstance(workspace, Failure):
+            return _refusal(workspace)
+        data = await _read_body(request, self._parts.cfg.callers.max_body)
+        if isinstance(data, Failure):
+            return _refusal(data)
+        req = parse_request(request.headers, data, chat, workspace.name, self._parts.cfg.callers)
+        if isinstance(req, Failure):
+            return _refusal(req)
+        forbidden = authorize_rank(workspace, req.rank)
+        if forbidden is not None:
+            return _refusal(forbidden)
+        if req.rank not in self._parts.config.ranks:
+            reason = f"X-Rank: {req.rank!r} is not declared"
+            return _refusal(Failure(ErrorKind.INVALID_REQUEST, reason))
+        session = GenerationSession(self._parts, req, "x-request-id" in request.headers)
+        return await _until_disconnect(request, session.respond())
+
+    async def _service(self, request: Request) -> Response:
+        """Checks a call to a plain service and passes it on."""
+        refused = self._refuse_by_state()
+        if refused is not None:
+            return _refusal(refused)
+        workspace = self._authenticate(request)
+        if isinstance(workspace, Failure):
+            return _refusal(workspace)
+        data = await _read_body(request, self._parts.cfg.callers.max_body)
+        if isinstance(data, Failure):
+            return _refusal(data)
+        # The call is not cancelled when the caller leaves: its outcome has to be recorded.
+        return await ServiceSession(self._parts, workspace).respond(request, data)
+
+    def _authenticate(self, request: Request) -> Workspace | Failure:
+        """Finds the caller's workspace."""
+        config = self._parts.config
+        return authenticate(
+            request.headers, config.workspaces, config.token_owners, self._parts.cfg.callers
+        )
+
+    def _refuse_by_state(self) -> Failure | None:
+        """Refuses new work before the instance is configured and while it drains."""
+        lifecycle = self._parts.lifecycle
+        if lifecycle.refuses_new_work:
+            reason = "the instance is shutting down"
+            return Failure(ErrorKind.SHUTTING_DOWN, reason, retry_after=1.0)
+        if lifecycle.state == "starting":
+            reason = "the instance has no configuration yet"
+            return Failure(ErrorKind.NOT_CONFIGURED, reason, retry_after=1.0)
+        return None
+
+    async def _guard(self, request: Request, work: Coroutine[Any, Any, Response]) -> Response:
+        """Answers faults of the system with an error of the closed list."""
+        try:
+            return await work
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            self._log.exception(LogEvent.INTERNAL_ERROR, path=request.url.path)
+            reason = "the instance failed"
+            return _refusal(Failure(ErrorKind.INTERNAL, reason, Ran.UNKNOWN))
+
+
+async def _until_disconnect(request: Request, work: Coroutine[Any, Any, Response]) -> Response:
+    """Runs a handler and cancels it when the caller disconnects before it has a response."""
+    task = asyncio.ensure_future(work)
+    watch = asyncio.ensure_future(_wait_disconnect(request))
+    try:
+        await asyncio.wait({task, watch}, return_when=asyncio.FIRST_COMPLETED)
+        if not task.done():
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+            # Nobody reads this response.
+            return Response(status_code=499)
+        return await task
+    finally:
+        watch.cancel()
+        if not task.done():
+            task.cancel()
+
+
+async def _wait_disconnect(request: Request) -> None:
+    """Waits until the caller closes the connection."""
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+async def _read_body(request: Request, limit: int) -> bytes | Failure:
+    """Reads the body up to its limit."""
+    length = request.headers.get("content-length", "")
+    if length.isdecimal() and int(length) > limit:
+        return _too_large(limit)
+    data = bytearray()
+    async for part in request.stream():
+        data += part
+        if len(data) > limit:
+            return _too_large(limit)
+    return bytes(data)
+
+
+def _too_large(limit: int) -> Failure:
+    """Makes the failure of a body beyond its limit."""
+    return Failure(ErrorKind.TOO_LARGE, f"body: must be at most {limit} bytes")
+
+
+def _refusal(failure: Failure) -> Response:
+    """Responds with a refusal."""
+    return Response(
+        encode_failure(failure),
+        failure.answer.http_status,
+        failure_headers(failure),
+        media_type="application/json",
+    )
+
+
+def _json(value: Any, status: int = 200) -> Response:
+    """Responds with JSON."""
+    return Response(msgspec.json.encode(value), status, media_type="application/json")
--- /dev/null
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -0,0 +1,442 @@
+"""Queues and backend servers of one instance."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from sapphireledge.backends import (
+    BreakCause,
+    Broken,
+    EngineClient,
+    prefix_block_hashes,
+    prompt_text,
+)
+from sapphireledge.core.admission import (
+    Expired,
+    OutputEstimate,
+    QueuedWork,
+    RankScheduler,
+    RetryBudget,
+    estimate_cost,
+)
+from sapphireledge.core.quarantine import Clear, DeathRecord, Isolate, fingerprint_request
+from sapphireledge.core.routing import Router, RouteRequest
+from sapphireledge.entry.grant import Grant
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.telemetry import LogEvent, MetricName
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sapphireledge.backends import ConnectionPools
+    from sapphireledge.core.admission import UsageLedger
+    from sapphireledge.core.config import ConfigState
+    from sapphireledge.core.declarations import Deployment
+    from sapphireledge.core.quarantine import Quarantine
+    from sapphireledge.core.routing import BackendView, RouteChoice
+    from sapphireledge.entry.caller_request import CallerRequest
+    from sapphireledge.entry.pool_work import PoolWork
+    from sapphireledge.entry.suspect_sink import SuspectSink
+    from sapphireledge.settings import Settings
+    from sapphireledge.telemetry import Metrics
+
+__all__ = ["BackendPool"]
+
+BYTES_PER_TOKEN = 4
+"""Assumed bytes of prompt text per token."""
+
+BACKEND_WAIT = 2.0
+"""Seconds that work waits for a backend server to come back before it is refused.
+
+With the detection of a silent engine it must stay below the 3 s in which output goes on.
+"""
+
+BACKEND_POLL = 0.05
+"""Seconds between two looks for a backend server."""
+
+PUMP_INTERVAL = 0.02
+"""Seconds between two looks at the queue while work waits."""
+
+DEATH_CHECK_LIMIT = 0.3
+"""Seconds that a resume waits for the check whether the last engine died."""
+
+
+class BackendPool:
+    """Admits work, orders it and chooses its backend server.
+
+    The decisions are those of `RankScheduler`, `Router` and `Quarantine`; this class keeps the
+    waiting tasks and tells the decisions what happened.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        config: ConfigState,
+        view: BackendView,
+        ledger: UsageLedger,
+        quarantine: Quarantine,
+        pools: ConnectionPools,
+        suspects: SuspectSink,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """Creates the pool.
+
+        Args:
+            cfg: Settings of the instance.
+            config: Declarations in force.
+            view: What the instance knows about backend servers.
+            ledger: Usage of workspaces.
+            quarantine: Requests that crash engines.
+            pools: Connections to backend servers.
+            suspects: Receives engine deaths and clearings.
+            metrics: Metrics of the instance.
+            rng: Random source of routing.
+        """
+        self._cfg = cfg
+        self._config = config
+        self._view = view
+        self._ledger = ledger
+        self._quarantine = quarantine
+        self._pools = pools
+        self._suspects = suspects
+        self._metrics = metrics
+        self._rng = rng
+        self._router = Router(cfg.routing)
+        self._budget = RetryBudget(cfg.admission)
+        self._outputs = OutputEstimate()
+        self._schedulers: dict[tuple[str, str], RankScheduler] = {}
+        self._waiting: dict[str, asyncio.Future[Failure | None]] = {}
+        self._clients: dict[str, EngineClient] = {}
+        self._fingerprints: dict[str, str] = {}
+        self._isolated: set[str] = set()
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        self._wake = asyncio.Event()
+        self._log = structlog.get_logger()
+
+    @property
+    def running(self) -> int:
+        """Attempts that run."""
+        return len(self._fingerprints)
+
+    @property
+    def queued(self) -> int:
+        """Work that waits."""
+        return sum(scheduler.queued for scheduler in self._schedulers.values())
+
+    def schedulers(self) -> tuple[RankScheduler, ...]:
+        """Lists the schedulers, for the status.
+
+        Returns:
+            One for each model version in use.
+        """
+        return tuple(self._schedulers.values())
+
+    def client(self, address: str) -> EngineClient:
+        """Finds the client of an engine.
+
+        Args:
+            address: Address in the form IP:port.
+
+        Returns:
+            The client.
+        """
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = EngineClient(address, self._pools)
+        return client
+
+    async def run(self) -> None:
+        """Hands out waiting work until the task is cancelled."""
+        while True:
+            self.pump()
+            if self._waiting:
+                await asyncio.sleep(PUMP_INTERVAL)
+                continue
+            self._wake.clear()
+            await self._wake.wait()
+
+    def pump(self) -> None:
+        """Hands out the work that can start now."""
+        now = time.monotonic()
+        for (model, version), scheduler in self._schedulers.items():
+            if not scheduler.queued:
+                continue
+            capacity = self._view.capacity(now, model, version, self._role(model))
+            for item in scheduler.next(now, capacity):
+                if isinstance(item, Expired):
+                    self._resolve(item.work.work_id, item.failure)
+                else:
+                    self._resolve(item.work_id, None)
+
+    async def acquire(self, work: PoolWork) -> Grant | Failure:
+        """Waits for a place and chooses a backend server.
+
+        Args:
+            work: The attempt.
+
+        Returns:
+            The place, or why there is none.
+        """
+        deployment = self._config.deployment_for(work.req.model)
+        if deployment is None:
+            reason = f"model: {work.req.model!r} is not declared"
+            return Failure(ErrorKind.UNKNOWN_MODEL, reason)
+        refused = await self._refuse_early(work)
+        if refused is not None:
+            return refused
+        version = work.version or deployment.version
+        request = self._route_request(work, deployment, version)
+        scheduler = self._scheduler(work.req.model, version)
+        queued = self._queued_work(work, request)
+        refused = await self._wait_in_queue(scheduler, queued, request)
+        if refused is not None:
+            return refused
+        choice = await self._choose(request)
+        if isinstance(choice, Failure):
+            scheduler.withdraw(queued.work_id)
+            return choice
+        return self._grant(work, request, scheduler, choice, version)
+
+    def completed(self, req: CallerRequest, tokens: int) -> None:
+        """Takes note of a complete answer.
+
+        Args:
+            req: The request.
+            tokens: Tokens of the answer.
+        """
+        self._outputs.on_finished(f"{req.model}/{req.rank}", tokens)
+        self._suspects.completed(fingerprint_request(req.body))
+
+    def on_broken(self, grant: Grant, event: Broken) -> None:
+        """Takes note of a call that broke.
+
+        Args:
+            grant: Place of the attempt.
+            event: What happened.
+        """
+        now = time.monotonic()
+        if event.cause is BreakCause.LEAVING:
+            self._view.on_leaving(now, grant.backend, grant.boot_id)
+            self._suspects.leaving(grant.backend)
+        elif event.cause in (BreakCause.NOT_CONNECTED, BreakCause.CONNECTION_LOST):
+            self._view.on_unreachable(now, grant.backend)
+            if event.cause is BreakCause.CONNECTION_LOST:
+                self._check_death(grant)
+        elif event.cause in (BreakCause.NO_ANSWER, BreakCause.TRUNCATED):
+            self._view.on_unreachable(now, grant.backend)
+
+    def on_silent(self, grant: Grant) -> None:
+        """Takes note of an engine that does not answer a probe.
+
+        Args:
+            grant: Place of the attempt.
+        """
+        self._view.on_unreachable(time.monotonic(), grant.backend)
+
+    def _grant(
+        self,
+        work: PoolWork,
+        request: RouteRequest,
+        scheduler: RankScheduler,
+        choice: RouteChoice,
+        version: str,
+    ) -> Grant:
+        """Takes the place on the chosen backend server."""
+        fingerprint = fingerprint_request(work.req.body)
+        self._fingerprints[work.work_id] = fingerprint
+        if request.isolate:
+            self._isolated.add(work.work_id)
+        self._view.on_dispatch(
+            time.monotonic(),
+            choice.backend,
+            work.work_id,
+            suspect=request.suspect,
+            isolate=request.isolate,
+            prefixes=request.prefixes,
+        )
+        rank = self._config.ranks.get(work.req.rank)
+        return Grant(
+            work.work_id,
+            choice,
+            version,
+            rank.order if rank is not None else 0,
+            self.client(choice.address),
+            scheduler,
+            self._release,
+        )
+
+    def _release(self, grant: Grant, now: float) -> None:
+        """Forgets an attempt that ended."""
+        self._fingerprints.pop(grant.work_id, None)
+        self._isolated.discard(grant.work_id)
+        self._view.on_end(now, grant.backend, grant.work_id)
+        self.pump()
+
+    async def _refuse_early(self, work: PoolWork) -> Failure | None:
+        """Refuses condemned requests and retries beyond the budget."""
+        now = time.monotonic()
+        if work.attempt == 1:
+            self._budget.on_first_try(now)
+        else:
+            await self._wait_for_checks()
+        verdict = self._quarantine.verdict(time.time(), fingerprint_request(work.req.body))
+        if isinstance(verdict, Failure):
+            return verdict
+        if work.attempt > 1 and work.offset == 0 and not self._budget.try_spend(now):
+            reason = "the retry budget is spent"
+            return Failure(ErrorKind.OVERLOADED, reason, retry_after=1.0)
+        return None
+
+    async def _wait_for_checks(self) -> None:
+        """Lets running checks of engine deaths end, so that the verdict knows of them."""
+        if self._checks:
+            await asyncio.wait(self._checks.values(), timeout=DEATH_CHECK_LIMIT)
+
+    def _route_request(self, work: PoolWork, deployment: Deployment, version: str) -> RouteRequest:
+        """Describes the attempt for the router."""
+        req = work.req
+        verdict = self._quarantine.verdict(time.time(), fingerprint_request(req.body))
+        hashes = prefix_block_hashes(prompt_text(req.body))
+        output = self._outputs.expected(f"{req.model}/{req.rank}")
+        prompt_tokens = max(1, len(req.prompt) // BYTES_PER_TOKEN) + work.offset
+        _, output_tokens = estimate_cost(prompt_tokens, 0.0, output, req.max_tokens - work.offset)
+        return RouteRequest(
+            model=req.model,
+            version=version,
+            role=deployment.role,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            prefixes=tuple(int(value, 16) for value in hashes),
+            prefer=(work.prefer,) if work.prefer else (),
+            avoid=work.avoid,
+            suspect=not isinstance(verdict, Clear),
+            isolate=isinstance(verdict, Isolate),
+            resume=work.offset > 0,
+        )
+
+    def _queued_work(self, work: PoolWork, request: RouteRequest) -> QueuedWork:
+        """Describes the attempt for the queue."""
+        req = work.req
+        workspace = self._config.workspaces.get(req.workspace)
+        deadline = None if req.deadline is None else work.arrived + req.deadline
+        return QueuedWork(
+            work_id=work.work_id,
+            rank=req.rank,
+            workspace=req.workspace,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            weight=workspace.weight if workspace is not None else 1.0,
+            deadline=deadline if work.offset == 0 else None,
+            delivered=work.offset,
+        )
+
+    async def _wait_in_queue(
+        self, scheduler: RankScheduler, queued: QueuedWork, request: RouteRequest
+    ) -> Failure | None:
+        """Waits until the scheduler hands the work out."""
+        missing = await self._wait_for_backend(request)
+        if missing is not None:
+            return missing
+        now = time.monotonic()
+        scheduler.set_ranks(self._config.ranks)
+        admitted = scheduler.offer(now, queued)
+        if isinstance(admitted, Failure):
+            return admitted
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[queued.work_id] = fut
+        self.pump()
+        self._wake.set()
+        try:
+            refused = await fut
+        except asyncio.CancelledError:
+            scheduler.withdraw(queued.work_id)
+            raise
+        finally:
+            self._waiting.pop(queued.work_id, None)
+        waited = time.monotonic() - now
+        self._metrics.time(MetricName.QUEUE_WAIT, waited, queued.rank)
+        return refused
+
+    async def _wait_for_backend(self, request: RouteRequest) -> Failure | None:
+        """Waits a short time for a pool that has no backend server at the moment."""
+        end = time.monotonic() + BACKEND_WAIT
+        while True:
+            now = time.monotonic()
+            if self._view.capacity(now, request.model, request.version, request.role).total > 0:
+                return None
+            if now >= end:
+                what = f"{request.model} {request.version}"
+                reason = f"no backend server serves {what}"
+                ran = Ran.YES if request.resume else Ran.NO
+                return Failure(ErrorKind.NO_BACKEND, reason, ran, retry_after=1.0)
+            await asyncio.sleep(BACKEND_POLL)
+
+    async def _choose(self, request: RouteRequest) -> RouteChoice | Failure:
+        """Chooses a backend server, waiting a short time if there is none at the moment."""
+        end = time.monotonic() + BACKEND_WAIT
+        while True:
+            now = time.monotonic()
+            choice = self._router.choose(now, request, self._view, self._rng)
+            if not isinstance(choice, Failure) or now >= end:
+                return choice
+            await asyncio.sleep(BACKEND_POLL)
+
+    def _scheduler(self, model: str, version: str) -> RankScheduler:
+        """Finds the scheduler of a model version."""
+        key = (model, version)
+        scheduler = self._schedulers.get(key)
+        if scheduler is None:
+            scheduler = RankScheduler(self._config.ranks, self._cfg.admission, self._ledger)
+            self._schedulers[key] = scheduler
+        return scheduler
+
+    def _role(self, model: str) -> str:
+        """Role of the engines of a model."""
+        deployment = self._config.deployment_for(model)
+        return deployment.role if deployment is not None else "drafting"
+
+    def _resolve(self, work_id: str, failure: Failure | None) -> None:
+        """Ends the wait of one work."""
+        fut = self._waiting.get(work_id)
+        if fut is not None and not fut.done():
+            fut.set_result(failure)
+
+    def _check_death(self, grant: Grant) -> None:
+        """Starts one check for all attempts that broke with the same engine."""
+        if grant.backend in self._checks:
+            return
+        state = self._view.state(grant.backend)
+        if state is None:
+            return
+        in_flight = {*state.in_flight, grant.work_id}
+        suspects = {self._fingerprints[w] for w in in_flight if w in self._fingerprints}
+        isolated = {self._fingerprints[w] for w in in_flight & self._isolated}
+        record = DeathRecord(
+            backend=grant.backend,
+            boot_id=grant.boot_id or state.boot_id,
+            time_unix=time.time(),
+            suspects=tuple(sorted(suspects)),
+            isolated=tuple(sorted(isolated)),
+        )
+        task = asyncio.create_task(self._confirm_death(record, grant.client))
+        self._checks[grant.backend] = task
+        task.add_done_callback(lambda _: self._checks.pop(grant.backend, None))
+
+    async def _confirm_death(self, record: DeathRecord, client: EngineClient) -> None:
+        """Asks on a new connection; a refusal or another boot id proves the death."""
+        report = await client.load()
+        if isinstance(report, Broken):
+            if report.cause is not BreakCause.NOT_CONNECTED:
+                return
+        elif report.boot_id == record.boot_id:
+            return
+        self._log.warning(
+            LogEvent.BACKEND_DEAD, backend=record.backend, suspects=len(record.suspects)
+        )
+        self._quarantine.on_engine_death(time.time(), record)
+        self._suspects.died(record)
--- a/src/sapphireledge/entry/caller_request.py
+++ b/src/sapphireledge/entry/caller_request.py
@@ -64,5 +64,8 @@
 
     @property
     def answer_id(self) -> str:
-        """Key of the answer in the fleet; a request id of another workspace never matches."""
-        return f"{self.workspace}/{self.request_id}"
+        """Key of the answer in the fleet; a request id of another workspace never matches.
+
+        The separator is no character of a request id and needs no escape in a path.
+        """
+        return f"{self.workspace}~{self.request_id}"
--- /dev/null
+++ b/src/sapphireledge/entry/copy_store.py
@@ -0,0 +1,135 @@
+"""Copies of other instances' answers, in the messages of the peer interface."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.answer import CopyAppend, OwnershipTable
+from sapphireledge.peers import AnswerLocation, AnswerPart, AppendResult, TakeOver
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from typing import Any
+
+    from sapphireledge.settings import Settings
+
+__all__ = ["CopyStore"]
+
+COPY_MEMORY = 33_554_432
+"""Memory bound of all copies in bytes."""
+
+
+class CopyStore:
+    """Copies of other instances' answers; the decisions are those of `OwnershipTable`."""
+
+    def __init__(self, cfg: Settings) -> None:
+        """Creates an empty store.
+
+        Args:
+            cfg: Settings of the instance.
+        """
+        self._table = OwnershipTable(cfg.callers.finished_retention, COPY_MEMORY)
+        self._changed = asyncio.Event()
+
+    def append(self, sender: str, appends: Sequence[Any]) -> list[Any]:
+        """Stores parts of answers.
+
+        Args:
+            sender: Instance that owns the answers.
+            appends: AnswerAppend messages.
+
+        Returns:
+            One AppendResult for each append.
+        """
+        now = time.monotonic()
+        results = []
+        for append in appends:
+            outcome = self._table.append(
+                now,
+                sender,
+                CopyAppend(
+                    request_id=append.request_id,
+                    epoch=append.epoch,
+                    offset=append.offset,
+                    pieces=tuple(append.pieces),
+                    header=append.header or "",
+                    finish=append.finish or "",
+                    events=append.events or "",
+                ),
+            )
+            results.append(
+                AppendResult(
+                    outcome.request_id, outcome.stored, outcome.epoch, outcome.header_missing
+                )
+            )
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return results
+
+    def locate(self, answer_id: str) -> Any | None:
+        """Tells what is known about an answer.
+
+        Args:
+            answer_id: Key of the answer.
+
+        Returns:
+            An AnswerLocation, or None without a copy.
+        """
+        found = self._table.locate(answer_id)
+        if found is None:
+            return None
+        return AnswerLocation(True, False, found.owner, found.epoch, found.stored, found.finished)
+
+    async def read(self, answer_id: str, offset: int, wait: float) -> Any | None:
+        """Reads a copy, waiting for the first token from the offset on.
+
+        Args:
+            answer_id: Key of the answer.
+            offset: Token offset to read from.
+            wait: Longest wait in seconds.
+
+        Returns:
+            An AnswerPart, or None without a copy that reaches to the offset.
+        """
+        end = time.monotonic() + wait
+        while True:
+            part = self._table.read(answer_id, offset)
+            left = end - time.monotonic()
+            if part is None or part.pieces or part.finish or left <= 0:
+                break
+            try:
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+        if part is None:
+            return None
+        return AnswerPart(part.offset, list(part.pieces), part.finish, part.epoch, "", "")
+
+    def take_over(self, answer_id: str, epoch: int, requester: str) -> Any:
+        """Decides about a new owner.
+
+        Args:
+            answer_id: Key of the answer.
+            epoch: Epoch that the requester saw.
+            requester: Name of the requester.
+
+        Returns:
+            A TakeOver.
+        """
+        outcome = self._table.take_over(time.monotonic(), answer_id, epoch, requester)
+        return TakeOver(
+            outcome.granted,
+            outcome.epoch,
+            outcome.owner,
+            outcome.header,
+            list(outcome.pieces),
+            outcome.finish,
+            outcome.events,
+        )
+
+    def expire(self) -> None:
+        """Drops copies whose time is over."""
+        self._table.expire(time.monotonic())
--- /dev/null
+++ b/src/sapphireledge/entry/generation_session.py
@@ -0,0 +1,179 @@
+"""One caller connection that waits for a generation."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from starlette.responses import Response, StreamingResponse
+
+from sapphireledge.core.answer import AnswerDigest
+from sapphireledge.entry.answer_format import AnswerFormat, encode_failure, failure_headers
+from sapphireledge.entry.answer_locator import RemoteAnswer
+from sapphireledge.entry.local_reader import LocalReader
+from sapphireledge.entry.remote_reader import RemoteReader
+from sapphireledge.errors import Failure
+from sapphireledge.telemetry import MetricName
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from opentelemetry.trace import Span
+
+    from sapphireledge.entry.answer_locator import LocatedAnswer
+    from sapphireledge.entry.answer_reader import AnswerReader
+    from sapphireledge.entry.caller_request import CallerRequest
+    from sapphireledge.entry.entry_parts import EntryParts
+
+__all__ = ["GenerationSession"]
+
+BYTES_PER_TOKEN = 4
+"""Assumed bytes of prompt text per token, for the usage figures of an answer."""
+
+
+class GenerationSession:
+    """Serves one caller connection from the answer that it asked for."""
+
+    def __init__(self, parts: EntryParts, req: CallerRequest, named: bool) -> None:
+        """Prepares the session.
+
+        Args:
+            parts: Parts of the instance.
+            req: The caller's request.
+            named: Whether the caller chose the request id.
+        """
+        self._parts = parts
+        self._req = req
+        self._named = named
+        self._format = AnswerFormat(req, time.time())
+        self._offset = req.resume.offset if req.resume is not None else 0
+        self._digest: AnswerDigest | None = None
+        self._largest_gap = 0.0
+
+    async def respond(self) -> Response:
+        """Finds the answer and responds with its first token or the refusal.
+
+        Returns:
+            The HTTP response.
+        """
+        tracing = self._parts.ctx.tracing
+        parent = tracing.extract(dict(self._req.trace_headers))
+        span = tracing.start("caller", parent, request_id=self._req.request_id, rank=self._req.rank)
+        trace = tracing.child_context(span)
+        located = await self._parts.locator.locate(self._req, self._named, trace)
+        if isinstance(located, Failure):
+            return self._refuse(located, span)
+        reader = self._reader(located)
+        opened = False
+        try:
+            failure = await reader.open(self._req, self._offset)
+            opened = failure is None
+            if failure is not None:
+                return self._refuse(failure, span)
+            headers = {
+                "x-request-id": self._req.request_id,
+                "x-answer": "new" if located.is_new else "continued",
+            }
+            if not self._req.stream:
+                return await self._whole(reader, headers, span)
+            return await self._streaming(reader, headers, span)
+        except BaseException:
+            if opened:
+                reader.close()
+            span.end()
+            raise
+
+    def _reader(self, located: LocatedAnswer) -> AnswerReader:
+        """Makes the reader of the answer's place."""
+        source = located.source
+        if isinstance(source, RemoteAnswer):
+            return RemoteReader(self._parts, source.instance)
+        return LocalReader(self._parts, source)
+
+    async def _streaming(
+        self, reader: AnswerReader, headers: dict[str, str], span: Span
+    ) -> Response:
+        """Waits for the first token, then streams."""
+        await reader.wait(self._offset)
+        failure = reader.failure
+        if failure is not None and reader.count <= self._offset:
+            reader.close()
+            return self._refuse(failure, span, headers)
+        return StreamingResponse(
+            self._events(reader, span), headers=headers, media_type="text/event-stream"
+        )
+
+    async def _events(self, reader: AnswerReader, span: Span) -> AsyncIterator[bytes]:
+        """Yields the server-sent events."""
+        metrics = self._parts.ctx.metrics
+        digest = AnswerDigest(self._parts.cfg.fleet_secret, self._req.answer_id, reader.version)
+        for piece in reader.pieces(0, self._offset):
+            digest.update(piece)
+        delivered = self._offset
+        last = time.monotonic()
+        try:
+            while True:
+                await reader.wait(delivered)
+                pieces = reader.pieces(delivered, None)
+                events = []
+                for piece in pieces:
+                    digest.update(piece)
+                    events.append(self._format.piece(str(digest.event_id()), piece))
+                delivered += len(pieces)
+                if events:
+                    now = time.monotonic()
+                    self._largest_gap = max(self._largest_gap, now - last)
+                    last = now
+                    yield b"".join(events)
+                    metrics.count(MetricName.TOKENS_DELIVERED, len(pieces), self._req.rank)
+                    metrics.count(MetricName.WORKSPACE_TOKENS, len(pieces), self._req.workspace)
+                if not reader.is_drained or delivered < reader.count:
+                    continue
+                failure = reader.failure
+                if failure is None:
+                    yield self._format.finish(reader.finish)
+                else:
+                    yield self._format.failure(failure, delivered)
+                return
+        finally:
+            metrics.time(MetricName.TOKEN_GAP, self._largest_gap, self._req.rank)
+            span.set_attribute("delivered", delivered)
+            span.end()
+            reader.close()
+
+    async def _whole(self, reader: AnswerReader, headers: dict[str, str], span: Span) -> Response:
+        """Waits for the whole answer."""
+        while not reader.is_drained:
+            await reader.wait(reader.count)
+        failure = reader.failure
+        count = reader.count
+        text = "".join(reader.pieces(0, None))
+        finish = reader.finish
+        reader.close()
+        if failure is not None:
+            return self._refuse(failure, span, headers, count)
+        span.set_attribute("delivered", count)
+        span.end()
+        self._parts.ctx.metrics.count(MetricName.TOKENS_DELIVERED, count, self._req.rank)
+        prompt_tokens = max(1, len(self._req.prompt) // BYTES_PER_TOKEN)
+        body = self._format.whole(text, finish, prompt_tokens, count)
+        return Response(body, 200, headers, media_type="application/json")
+
+    def _refuse(
+        self,
+        failure: Failure,
+        span: Span,
+        headers: dict[str, str] | None = None,
+        delivered: int | None = None,
+    ) -> Response:
+        """Responds with a refusal."""
+        span.set_attribute("error", str(failure.kind))
+        span.end()
+        body = encode_failure(failure, self._offset if delivered is None else delivered)
+        all_headers = {
+            "x-request-id": self._req.request_id,
+            **(headers or {}),
+            **failure_headers(failure),
+        }
+        status = failure.answer.http_status
+        return Response(body, status, all_headers, media_type="application/json")
--- /dev/null
+++ b/src/sapphireledge/entry/local_reader.py
@@ -0,0 +1,105 @@
+"""Reading of an answer that this instance owns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sapphireledge.entry.answer_runner import AnswerRunner
+    from sapphireledge.entry.caller_request import CallerRequest
+    from sapphireledge.entry.entry_parts import EntryParts
+    from sapphireledge.errors import Failure
+
+__all__ = ["LocalReader"]
+
+CATCH_UP_LIMIT = 2.0
+"""Seconds that a caller's position may be ahead of what was stored, before it is refused."""
+
+
+class LocalReader:
+    """Reads an answer that this instance owns."""
+
+    def __init__(self, parts: EntryParts, runner: AnswerRunner) -> None:
+        """Prepares the reader.
+
+        Args:
+            parts: Parts of the instance.
+            runner: Runner of the answer.
+        """
+        self._parts = parts
+        self._runner = runner
+        self._attached = False
+        self.version = ""
+
+    async def open(self, req: CallerRequest, offset: int) -> Failure | None:
+        """Checks the caller's position and attaches.
+
+        Args:
+            req: The request of this connection.
+            offset: Tokens that the caller has.
+
+        Returns:
+            None, or why the answer cannot go on from there.
+        """
+        answer = self._runner.answer
+        if offset > answer.readable and not answer.is_drained:
+            await answer.wait(offset - 1, CATCH_UP_LIMIT)
+        pieces = answer.pieces[: answer.readable]
+        failure = self._parts.locator.check_position(req, answer.version, pieces)
+        if failure is not None:
+            return failure
+        self._runner = self._parts.registry.attach(self._runner)
+        self._attached = True
+        return None
+
+    async def wait(self, offset: int) -> None:
+        """Waits until there is a token after an offset, or the end.
+
+        Args:
+            offset: Tokens that were read.
+        """
+        await self._runner.answer.wait(offset)
+        self.version = self._runner.answer.version
+
+    def pieces(self, start: int, stop: int | None) -> Sequence[str]:
+        """Tokens that may be delivered.
+
+        Args:
+            start: First token.
+            stop: End of the range, None for all.
+
+        Returns:
+            One text for each token.
+        """
+        answer = self._runner.answer
+        return answer.pieces[start : answer.readable if stop is None else stop]
+
+    def close(self) -> None:
+        """Detaches from the answer."""
+        if self._attached:
+            self._attached = False
+            self._parts.registry.detach(self._runner)
+
+    @property
+    def count(self) -> int:
+        """Number of tokens that may be delivered so far."""
+        return self._runner.answer.readable
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether no token will follow."""
+        return self._runner.answer.is_drained
+
+    @property
+    def failure(self) -> Failure | None:
+        """Why the answer ended early."""
+        end = self._runner.answer.end
+        return end.failure if end is not None and self.is_drained else None
+
+    @property
+    def finish(self) -> str:
+        """Finish reason of a complete answer."""
+        end = self._runner.answer.end
+        return end.finish if end is not None else ""
--- /dev/null
+++ b/src/sapphireledge/entry/peer_service.py
@@ -0,0 +1,146 @@
+"""What this instance does for its peers."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from sapphireledge.entry.answer_finish import encode_finish
+from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.peers import (
+    AnswerLocation,
+    AnswerPart,
+    ConfigObject,
+    ConfigPart,
+    EventPart,
+    TakeOver,
+    VoidReply,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+    from typing import Any
+
+    from sapphireledge.core.config import ConfigState
+    from sapphireledge.core.replay import EventLog
+    from sapphireledge.entry.answer_registry import AnswerRegistry
+    from sapphireledge.entry.answer_runner import AnswerRunner
+    from sapphireledge.entry.copy_store import CopyStore
+    from sapphireledge.entry.received_keys import ReceivedKeys
+
+__all__ = ["PeerService"]
+
+MAX_CONFIG_OBJECTS = 500
+"""Objects in one answer to `config_since`."""
+
+MAX_WAIT = 5.0
+"""Longest wait of one `read_answer` in seconds."""
+
+MAX_PIECES = 4096
+"""Tokens in one answer to `read_answer`."""
+
+READER_GRACE = 2.0
+"""Seconds for which a reader of another instance counts as present after its last call."""
+
+
+class PeerService:
+    """Handler of the peer interface."""
+
+    def __init__(
+        self,
+        instance: str,
+        registry: AnswerRegistry,
+        copies: CopyStore,
+        config: ConfigState,
+        events: EventLog,
+        keys: ReceivedKeys,
+        later: Callable[[float, Callable[[], None]], object],
+    ) -> None:
+        """Creates the handler.
+
+        Args:
+            instance: Name of this instance.
+            registry: Answers that this instance owns.
+            copies: Copies of other instances' answers.
+            config: Declarations in force.
+            events: Recorded events.
+            keys: Claim keys that this instance received.
+            later: Calls a function after a delay in seconds.
+        """
+        self._instance = instance
+        self._registry = registry
+        self._copies = copies
+        self._config = config
+        self._events = events
+        self._keys = keys
+        self._later = later
+
+    async def append_answers(self, sender: str, appends: Sequence[Any]) -> list[Any] | Failure:
+        """Stores parts of answers, see `PeerHandler`."""
+        return self._copies.append(sender, appends)
+
+    async def find_answer(self, request_id: str) -> Any | Failure:
+        """Tells what this instance knows about an answer, see `PeerHandler`."""
+        runner = self._owned(request_id)
+        if runner is not None:
+            answer = runner.answer
+            return AnswerLocation(
+                True, True, self._instance, answer.epoch, answer.readable, answer.is_drained
+            )
+        location = self._copies.locate(request_id)
+        if location is not None:
+            return location
+        return AnswerLocation(False, False, "", 0, 0, False)
+
+    async def read_answer(self, request_id: str, offset: int, wait: float) -> Any | Failure:
+        """Reads tokens of an answer that this instance owns, see `PeerHandler`."""
+        runner = self._owned(request_id)
+        if runner is None:
+            return Failure(ErrorKind.NOT_FOUND, "this instance does not own the answer")
+        runner = self._registry.attach(runner)
+        try:
+            answer = runner.answer
+            if offset > len(answer.pieces):
+                return Failure(ErrorKind.ANSWER_LOST, f"the answer has {len(answer.pieces)} tokens")
+            await answer.wait(offset, min(max(wait, 0.0), MAX_WAIT))
+            pieces = answer.pieces[offset : min(answer.readable, offset + MAX_PIECES)]
+            finish = ""
+            if answer.is_drained and offset + len(pieces) == len(answer.pieces):
+                assert answer.end is not None
+                finish = encode_finish(answer.end)
+            return AnswerPart(offset, pieces, finish, answer.epoch, "", "", answer.version)
+        finally:
+            self._later(READER_GRACE, lambda: self._registry.detach(runner))
+
+    async def take_over(self, request_id: str, epoch: int, instance: str) -> Any | Failure:
+        """Decides about a new owner of an answer, see `PeerHandler`."""
+        runner = self._owned(request_id)
+        if runner is not None:
+            answer = runner.answer
+            return TakeOver(False, answer.epoch, self._instance, "", [], "", "")
+        return self._copies.take_over(request_id, epoch, instance)
+
+    async def config_since(self, version: int) -> Any | Failure:
+        """Returns configuration objects newer than a version, see `PeerHandler`."""
+        objects = self._config.objects_since(version, MAX_CONFIG_OBJECTS)
+        return ConfigPart(
+            [ConfigObject(o.key, o.value, o.version, o.deleted) for o in objects],
+            self._config.applied_version,
+            self._config.highest_version,
+        )
+
+    async def void_key(self, claim_key: str) -> Any | Failure:
+        """Promises to refuse a claim key that was never received, see `PeerHandler`."""
+        return VoidReply(self._keys.void(time.time(), claim_key), self._keys.since_unix)
+
+    async def read_events(self, request_id: str) -> Any | Failure:
+        """Returns the recorded events of a request, see `PeerHandler`."""
+        lines = b"".join(event.to_line() for event in self._events.read(request_id))
+        return EventPart(lines.decode() + self._copies.events(request_id), [])
+
+    def _owned(self, request_id: str) -> AnswerRunner | None:
+        """Finds an answer that this instance still owns."""
+        runner = self._registry.get(request_id)
+        if runner is None or runner.has_moved:
+            return None
+        return runner
--- /dev/null
+++ b/src/sapphireledge/entry/remote_reader.py
@@ -0,0 +1,170 @@
+"""Reading of an answer through the instance that owns it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.entry.answer_finish import decode_finish
+from sapphireledge.entry.answer_locator import RemoteAnswer
+from sapphireledge.entry.local_reader import LocalReader
+from sapphireledge.entry.running_answer import AnswerEnd
+from sapphireledge.errors import ErrorKind, Failure, Ran
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from typing import Any
+
+    from sapphireledge.entry.caller_request import CallerRequest
+    from sapphireledge.entry.entry_parts import EntryParts
+
+__all__ = ["RemoteReader"]
+
+REMOTE_WAIT = 1.0
+"""Seconds that one call to the owner waits for a token."""
+
+REPLY_MARGIN = 0.5
+"""Seconds beyond the wait after which the owner counts as lost."""
+
+
+class RemoteReader:
+    """Reads an answer through the instance that owns it."""
+
+    def __init__(self, parts: EntryParts, instance: str) -> None:
+        """Prepares the reader.
+
+        Args:
+            parts: Parts of the instance.
+            instance: Name of the owner.
+        """
+        self._parts = parts
+        self._instance = instance
+        self._answer_id = ""
+        self._pieces: list[str] = []
+        self._end: AnswerEnd | None = None
+        self._local: LocalReader | None = None
+        self._req: CallerRequest | None = None
+        self.version = ""
+
+    async def open(self, req: CallerRequest, offset: int) -> Failure | None:
+        """Reads what the owner has and checks the caller's position.
+
+        Args:
+            req: The request of this connection.
+            offset: Tokens that the caller has.
+
+        Returns:
+            None, or why the answer cannot go on from there.
+        """
+        self._req = req
+        self._answer_id = req.answer_id
+        failure = await self._read(0.0)
+        if failure is not None:
+            return failure
+        while len(self._pieces) < offset and self._end is None:
+            before = len(self._pieces)
+            failure = await self._read(REMOTE_WAIT)
+            if failure is not None or len(self._pieces) == before:
+                break
+        if failure is not None:
+            return failure
+        return self._parts.locator.check_position(req, self.version, self._pieces)
+
+    async def wait(self, offset: int) -> None:
+        """Waits until there is a token after an offset, or the end.
+
+        Args:
+            offset: Tokens that were read.
+        """
+        while self.count <= offset and not self.is_drained:
+            if self._local is not None:
+                await self._local.wait(offset)
+                return
+            failure = await self._read(REMOTE_WAIT)
+            if failure is not None:
+                await self._replace_owner(failure)
+
+    def pieces(self, start: int, stop: int | None) -> Sequence[str]:
+        """Tokens that may be delivered.
+
+        Args:
+            start: First token.
+            stop: End of the range, None for all.
+
+        Returns:
+            One text for each token.
+        """
+        if self._local is not None:
+            return self._local.pieces(start, stop)
+        return self._pieces[start:stop]
+
+    def close(self) -> None:
+        """Ends reading; the owner notices that no further call comes."""
+        if self._local is not None:
+            self._local.close()
+
+    @property
+    def count(self) -> int:
+        """Number of tokens that may be delivered so far."""
+        return self._local.count if self._local is not None else len(self._pieces)
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether no token will follow."""
+        return self._local.is_drained if self._local is not None else self._end is not None
+
+    @property
+    def failure(self) -> Failure | None:
+        """Why the answer ended early."""
+        if self._local is not None:
+            return self._local.failure
+        return self._end.failure if self._end is not None else None
+
+    @property
+    def finish(self) -> str:
+        """Finish reason of a complete answer."""
+        if self._local is not None:
+            return self._local.finish
+        return self._end.finish if self._end is not None else ""
+
+    async def _read(self, wait: float) -> Failure | None:
+        """Calls the owner once."""
+        part: Any = await self._parts.mesh.call(
+            self._instance,
+            "read_answer",
+            self._answer_id,
+            len(self._pieces),
+            wait,
+            timeout=wait + REPLY_MARGIN,
+        )
+        if isinstance(part, Failure):
+            return part
+        if part.offset != len(self._pieces):
+            return Failure(ErrorKind.INTERNAL, "the owner answered for another offset")
+        self.version = part.version or self.version
+        self._pieces.extend(part.pieces)
+        if part.finish:
+            end = decode_finish(part.finish)
+            moved = end.failure is not None and end.failure.kind is ErrorKind.ANSWER_MOVED
+            if moved:
+                return end.failure
+            self._end = end
+        return None
+
+    async def _replace_owner(self, failure: Failure) -> None:
+        """Finds the new owner after the old one failed, or takes the answer over."""
+        assert self._req is not None
+        located = await self._parts.locator.relocate(self._req, self.version, tuple(self._pieces))
+        if isinstance(located, Failure):
+            ran = Ran.YES if self._pieces else located.ran
+            self._end = AnswerEnd(failure=Failure(located.kind, located.reason, ran))
+            return
+        source = located.source
+        if isinstance(source, RemoteAnswer):
+            self._instance = source.instance
+            return
+        local = LocalReader(self._parts, source)
+        refused = await local.open(self._req, 0)
+        if refused is not None:
+            self._end = AnswerEnd(failure=refused)
+            return
+        self._local = local
--- a/src/sapphireledge/schema/peer.thrift
+++ b/src/sapphireledge/schema/peer.thrift
@@ -91,6 +91,7 @@
   4: i64 epoch
   5: string error_kind      // set if the generation ended in a refusal
   6: string error_reason
+  7: string version         // model version of the answer
 }
 
 struct TakeOver {
