--- /dev/null
+++ b/src/sapphireledge_standins/_platform_objects.py
@@ -0,0 +1,174 @@
+"""Objects of the stand-in platform, with a bounded history of writes."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right, insort
+from collections import deque
+
+import msgspec
+
+__all__ = ["ObjectPart", "ObjectRow", "ObjectTable", "WriteAnswer"]
+
+
+class ObjectRow(msgspec.Struct, frozen=True):
+    """One object at one version."""
+
+    key: str
+    """Key of the object."""
+
+    value: bytes
+    """Value; base64 in JSON."""
+
+    version: int
+    """Version of this write."""
+
+    deleted: bool = False
+    """Whether this write is a deletion."""
+
+
+class WriteAnswer(msgspec.Struct, frozen=True):
+    """Answer to a conditional write."""
+
+    written: bool
+    """Whether the write took effect."""
+
+    version: int
+    """New version if written, otherwise the current version, 0 for an absent object."""
+
+
+class ObjectPart(msgspec.Struct, frozen=True):
+    """Answer to a listing or a watch."""
+
+    objects: list[ObjectRow]
+    """Objects by key, or writes by version."""
+
+    version: int
+    """Version of the store that the answer covers."""
+
+    next_after: str = ""
+    """Key to continue a listing after, empty on the last page."""
+
+
+class ObjectTable:
+    """Objects, one version counter for all of them, and the latest writes."""
+
+    def __init__(self, history_writes: int, history_bytes: int):
+        self.version = 0
+        self._rows: dict[str, ObjectRow] = {}
+        self._keys: list[str] = []
+        self._history: deque[ObjectRow] = deque()
+        self._history_writes = history_writes
+        self._history_bytes = history_bytes
+        self._held_bytes = 0
+        self._forgotten = 0
+
+    def get(self, key: str) -> ObjectRow | None:
+        """Reads one object.
+
+        Args:
+            key: Key of the object.
+
+        Returns:
+            The object, or None if it does not exist.
+        """
+        return self._rows.get(key)
+
+    def put(self, key: str, value: bytes, expect_version: int) -> WriteAnswer:
+        """Writes an object if it is at the expected version.
+
+        Args:
+            key: Key of the object.
+            value: New value.
+            expect_version: Version that the object must have, 0 if it must not exist.
+
+        Returns:
+            Whether it was written, and the version.
+        """
+        current = self._current(key)
+        if current != expect_version:
+            return WriteAnswer(False, current)
+        if current == 0:
+            insort(self._keys, key)
+        self.version += 1
+        row = ObjectRow(key, value, self.version)
+        self._rows[key] = row
+        self._record(row)
+        return WriteAnswer(True, self.version)
+
+    def delete(self, key: str, expect_version: int) -> WriteAnswer:
+        """Deletes an object if it is at the expected version.
+
+        Args:
+            key: Key of the object.
+            expect_version: Version that the object must have.
+
+        Returns:
+            Whether it was deleted, and the version of the deletion.
+        """
+        current = self._current(key)
+        if current != expect_version or current == 0:
+            return WriteAnswer(False, current)
+        self.version += 1
+        del self._rows[key]
+        del self._keys[bisect_left(self._keys, key)]
+        self._record(ObjectRow(key, b"", self.version, True))
+        return WriteAnswer(True, self.version)
+
+    def list(self, prefix: str, after: str, limit: int) -> ObjectPart:
+        """Lists objects in the order of their keys.
+
+        Args:
+            prefix: Start of the keys.
+            after: Key to continue after.
+            limit: Most objects of the answer.
+
+        Returns:
+            One page.
+        """
+        found: list[ObjectRow] = []
+        if after >= prefix and after:
+            index = bisect_right(self._keys, after)
+        else:
+            index = bisect_left(self._keys, prefix)
+        while index < len(self._keys) and self._keys[index].startswith(prefix):
+            if len(found) == limit:
+                return ObjectPart(found, self.version, found[-1].key)
+            found.append(self._rows[self._keys[index]])
+            index += 1
+        return ObjectPart(found, self.version)
+
+    def since(self, prefix: str, from_version: int) -> ObjectPart | None:
+        """Reads the writes below a prefix after a version.
+
+        Args:
+            prefix: Start of the keys.
+            from_version: Version after which writes are wanted.
+
+        Returns:
+            The writes, or None if the history does not reach back to the version.
+        """
+        if from_version < self._forgotten or from_version > self.version:
+            return None
+        found: list[ObjectRow] = []
+        for row in reversed(self._history):
+            if row.version <= from_version:
+                break
+            if row.key.startswith(prefix):
+                found.append(row)
+        return ObjectPart(found[::-1], self.version)
+
+    def _current(self, key: str) -> int:
+        """Version of an object, 0 if it does not exist."""
+        row = self._rows.get(key)
+        return row.version if row else 0
+
+    def _record(self, row: ObjectRow) -> None:
+        """Adds a write to the history and forgets the oldest beyond the bounds."""
+        self._history.append(row)
+        self._held_bytes += len(row.value)
+        while self._history and (
+            len(self._history) > self._history_writes or self._held_bytes > self._history_bytes
+        ):
+            oldest = self._history.popleft()
+            self._held_bytes -= len(oldest.value)
+            self._forgotten = oldest.version
--- /dev/null
+++ b/src/sapphireledge_standins/platform_server.py
@@ -0,0 +1,310 @@
+"""Stand-in of the platform: object API and instance list, with faults on demand.
+
+The protocol is described in docs/platform-api.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Annotated, Any
+
+import msgspec
+import typer
+import uvicorn
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from sapphireledge_standins._platform_faults import FaultMode, PlatformFaults
+from sapphireledge_standins._platform_instances import InstanceList, InstanceRow
+from sapphireledge_standins._platform_objects import ObjectTable
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+    from starlette.types import Receive, Scope, Send
+
+    from sapphireledge_standins._platform_objects import WriteAnswer
+
+__all__ = ["PlatformServer", "create_server", "main"]
+
+MAX_VALUE = 1_048_576
+"""Largest value in bytes."""
+
+MAX_LIST_LIMIT = 1_000
+"""Most objects of one page."""
+
+MAX_PAGE_BYTES = 4_194_304
+"""Size of values after which a page ends."""
+
+MAX_WAIT = 300.0
+"""Longest wait of one watch in seconds."""
+
+
+class _ClosedResponse(Response):
+    """Ends the connection before the answer is complete."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        # The announced body never follows, so the server closes the connection.
+        headers = [(b"content-length", b"1")]
+        await send({"type": "http.response.start", "status": 502, "headers": headers})
+
+
+class PlatformServer:
+    """Handlers of the stand-in platform."""
+
+    def __init__(self, history_writes: int = 10_000, history_bytes: int = 67_108_864):
+        self.objects = ObjectTable(history_writes, history_bytes)
+        self.instances = InstanceList()
+        self.counts: Counter[str] = Counter()
+        self.faults = PlatformFaults()
+        self._rng = random.Random(0)
+        self._changed = asyncio.Event()
+
+    def create_app(self) -> Starlette:
+        """Builds the application.
+
+        Returns:
+            The starlette application.
+        """
+        key = "/objects/{key:path}"
+        return Starlette(
+            routes=[
+                Route("/objects", self._list, methods=["GET"]),
+                Route(key, self._get, methods=["GET"]),
+                Route(key, self._put, methods=["PUT"]),
+                Route(key, self._delete, methods=["DELETE"]),
+                Route("/watch", self._watch, methods=["GET"]),
+                Route("/instances", self._instances, methods=["GET"]),
+                Route("/admin/instances", self._set_instances, methods=["PUT"]),
+                Route("/admin/faults", self._set_faults, methods=["PUT"]),
+                Route("/admin/faults", self._show_faults, methods=["GET"]),
+                Route("/admin/counts", self._show_counts, methods=["GET"]),
+                Route("/admin/counts", self._reset_counts, methods=["DELETE"]),
+            ]
+        )
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Replaces the faults in force.
+
+        Args:
+            faults: The new faults.
+        """
+        self.faults = faults
+        self._rng = random.Random(faults.seed)
+        self._wake()
+
+    async def _get(self, request: Request) -> Response:
+        """Reads one object."""
+        if (failed := await self._enter(request, "get")) is not None:
+            return failed
+        row = self.objects.get(request.path_params["key"])
+        await asyncio.sleep(self.faults.delay)
+        if row is None:
+            return _json({"version": 0}, 404)
+        headers = {"X-Version": str(row.version)}
+        return Response(row.value, 200, headers, "application/octet-stream")
+
+    async def _put(self, request: Request) -> Response:
+        """Writes one object."""
+        value = await request.body()
+        if (failed := await self._enter(request, "put")) is not None:
+            return failed
+        if len(value) > MAX_VALUE:
+            return _json({"error": f"value exceeds {MAX_VALUE} bytes"}, 413)
+        if (expected := _expected(request)) is None:
+            return _json({"error": "X-Expect-Version is missing or not a number"}, 400)
+        return await self._written(self.objects.put(request.path_params["key"], value, expected))
+
+    async def _delete(self, request: Request) -> Response:
+        """Deletes one object."""
+        if (failed := await self._enter(request, "delete")) is not None:
+            return failed
+        if (expected := _expected(request)) is None:
+            return _json({"error": "X-Expect-Version is missing or not a number"}, 400)
+        return await self._written(self.objects.delete(request.path_params["key"], expected))
+
+    async def _written(self, answer: WriteAnswer) -> Response:
+        """Answers a write, unless the answer is to be lost."""
+        faults = self.faults
+        if answer.written:
+            self._wake()
+        lost = self._rng.random() < faults.lose_answers
+        if faults.lose_next_writes > 0:
+            lost = True
+            self.faults = msgspec.structs.replace(
+                faults, lose_next_writes=faults.lose_next_writes - 1
+            )
+        if lost and faults.lose_mode is FaultMode.HANG:
+            await asyncio.sleep(MAX_WAIT)
+        if lost:
+            return _ClosedResponse()
+        await asyncio.sleep(faults.delay)
+        return _json({"version": answer.version}, 200 if answer.written else 409)
+
+    async def _list(self, request: Request) -> Response:
+        """Lists objects."""
+        if (failed := await self._enter(request, "list")) is not None:
+            return failed
+        query = request.query_params
+        limit = max(1, min(int(query.get("limit", MAX_LIST_LIMIT)), MAX_LIST_LIMIT))
+        page = self.objects.list(query.get("prefix", ""), query.get("after", ""), limit)
+        held = 0
+        for index, row in enumerate(page.objects[:-1]):
+            held += len(row.value)
+            if held > MAX_PAGE_BYTES:
+                page = msgspec.structs.replace(
+                    page, objects=page.objects[: index + 1], next_after=row.key
+                )
+                break
+        await asyncio.sleep(self.faults.delay)
+        return _json(page)
+
+    async def _watch(self, request: Request) -> Response:
+        """Waits for writes below a prefix."""
+        if (failed := await self._enter(request, "watch")) is not None:
+            return failed
+        query = request.query_params
+        prefix, from_version = query.get("prefix", ""), int(query.get("from", 0))
+        end = time.monotonic() + min(float(query.get("wait", 0)), MAX_WAIT)
+        while True:
+            if (failed := await self._fault(request)) is not None:
+                return failed
+            part = self.objects.since(prefix, from_version)
+            if part is None:
+                return _json({"version": self.objects.version}, 410)
+            remaining = end - time.monotonic()
+            if part.objects or remaining <= 0:
+                await asyncio.sleep(self.faults.delay)
+                return _json(part)
+            from_version = part.version
+            await self._wait_change(remaining)
+
+    async def _instances(self, request: Request) -> Response:
+        """Serves the instance list."""
+        if (failed := await self._enter(request, "instances")) is not None:
+            return failed
+        rows = self.instances.served(time.monotonic(), self.faults.instance_lag)
+        await asyncio.sleep(self.faults.delay)
+        return _json({"instances": rows})
+
+    async def _set_instances(self, request: Request) -> Response:
+        """Replaces the instance list."""
+        try:
+            rows = msgspec.json.decode(await request.body(), type=list[InstanceRow])
+        except msgspec.DecodeError as exc:
+            return _json({"error": str(exc)}, 400)
+        self.instances.set(time.monotonic(), rows)
+        return _json({})
+
+    async def _set_faults(self, request: Request) -> Response:
+        """Replaces the faults in force."""
+        try:
+            self.set_faults(msgspec.json.decode(await request.body(), type=PlatformFaults))
+        except msgspec.DecodeError as exc:
+            return _json({"error": str(exc)}, 400)
+        return _json(self.faults)
+
+    async def _show_faults(self, request: Request) -> Response:
+        """Shows the faults in force."""
+        return _json(self.faults)
+
+    async def _show_counts(self, request: Request) -> Response:
+        """Shows the number of calls by kind."""
+        return _json(self.counts)
+
+    async def _reset_counts(self, request: Request) -> Response:
+        """Sets the number of calls to zero."""
+        self.counts.clear()
+        return _json({})
+
+    async def _enter(self, request: Request, kind: str) -> Response | None:
+        """Counts a call and applies the faults that prevent it."""
+        self.counts[kind] += 1
+        return await self._fault(request)
+
+    async def _fault(self, request: Request) -> Response | None:
+        """Applies the faults that prevent a call; None if it goes on."""
+        headers = request.headers
+        client = headers.get("X-Instance", ""), headers.get("X-Data-Centre", "")
+        while (mode := self.faults.mode_for(*client)) is FaultMode.HANG:
+            await self._wait_change(MAX_WAIT)
+        if mode is FaultMode.REFUSE:
+            return _json({"error": "unavailable"}, 503)
+        return _ClosedResponse() if mode is FaultMode.CLOSE else None
+
+    async def _wait_change(self, limit: float) -> None:
+        """Waits until a write or a change of the faults."""
+        try:
+            async with asyncio.timeout(limit):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _wake(self) -> None:
+        """Wakes every waiting call."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _json(value: Any, status: int = 200) -> Response:
+    """Builds a JSON answer."""
+    return Response(msgspec.json.encode(value), status, media_type="application/json")
+
+
+def _expected(request: Request) -> int | None:
+    """Reads the expected version of a write, None if it is missing or malformed."""
+    text = request.headers.get("X-Expect-Version", "")
+    return int(text) if text.isdecimal() else None
+
+
+def create_server(platform: PlatformServer) -> uvicorn.Server:
+    """Wraps the stand-in into a server that is started with `serve(sockets=[...])`.
+
+    Args:
+        platform: The stand-in.
+
+    Returns:
+        The server, with the standard event loop and h11.
+    """
+    config = uvicorn.Config(
+        platform.create_app(),
+        loop="asyncio",
+        http="h11",
+        lifespan="off",
+        log_level="critical",
+        access_log=False,
+        timeout_keep_alive=60,
+        timeout_graceful_shutdown=1,
+    )
+    return uvicorn.Server(config)
+
+
+def main() -> None:
+    """Runs the stand-in from the command line."""
+    typer.run(_run)
+
+
+def _run(
+    host: Annotated[str, typer.Option(help="IP number to bind.")] = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="TCP port; 0 lets the system choose.")] = 0,
+    history_writes: Annotated[int, typer.Option(help="Writes that a watch can go back.")] = 10_000,
+    history_bytes: Annotated[int, typer.Option(help="Bytes of these writes.")] = 67_108_864,
+) -> None:
+    """Stand-in of the platform, kept in memory."""
+    sock = socket.create_server((host, port), backlog=2_048)
+    bound = sock.getsockname()
+    typer.echo(f"listening on {bound[0]}:{bound[1]}")
+
+    async def serve() -> None:
+        platform = PlatformServer(history_writes, history_bytes)
+        await create_server(platform).serve(sockets=[sock])
+
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    main()
