--- a/src/sapphireledge/platform/object_page.py
+++ b/src/sapphireledge/platform/object_page.py
@@ -1,4 +1,4 @@
-"""One page of a listing."""
+"""One page of a listing, or the result of a watch."""
 
 from __future__ import annotations
 
@@ -13,10 +13,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ObjectPage:
-    """One page of a listing."""
+    """One page of a listing, or the result of a watch."""
 
     objects: tuple[StoredObject, ...]
-    """Objects in the order of their keys."""
+    """Objects in the order of their keys; for a watch, of their versions."""
 
     version: int
     """Version of the store at the time of the listing; a watch can start from it."""
--- a/src/sapphireledge/platform/object_store.py
+++ b/src/sapphireledge/platform/object_store.py
@@ -65,9 +65,7 @@
         """
         ...
 
-    async def watch(
-        self, prefix: str, from_version: int, wait: float
-    ) -> tuple[StoredObject, ...] | Failure:
+    async def watch(self, prefix: str, from_version: int, wait: float) -> ObjectPage | Failure:
         """Waits for writes below a prefix; counts as one call.
 
         Args:
@@ -76,7 +74,8 @@
             wait: Longest wait in seconds.
 
         Returns:
-            Writes in the order of their versions, empty when the wait ended without one, or a
+            Writes in the order of their versions, empty when the wait ended without one, with
+            the version of the store that they reach, from which the next watch goes on; or a
             failure: not_found when the version is too old to watch from and a new listing is
             needed, otherwise platform_unavailable.
         """
--- /dev/null
+++ b/src/sapphireledge/platform/prefix_watcher.py
@@ -0,0 +1,128 @@
+"""Continuous view of the objects below a prefix."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.platform.stored_object import StoredObject
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from sapphireledge.platform.object_page import ObjectPage
+    from sapphireledge.platform.object_store import ObjectStore
+    from sapphireledge.settings import PlatformSettings
+
+__all__ = ["PrefixWatcher"]
+
+PAGE_SIZE = 500
+"""Objects of one page of the listing."""
+
+
+class PrefixWatcher:
+    """Lists the objects below a prefix and then watches them.
+
+    Each object goes to the callback, never an older version after a newer one. After an outage
+    the watch resumes from its version; the prefix is listed again only when the platform no longer
+    knows that version.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        prefix: str,
+        cfg: PlatformSettings,
+        rng: Random,
+        on_object: Callable[[StoredObject], None],
+        on_reachable: Callable[[bool], None] = lambda reachable: None,
+    ):
+        self.version = 0
+        """Version of the store up to which every write was delivered."""
+
+        self.listed = False
+        """Whether the first listing is complete."""
+
+        self.reachable: bool | None = None
+        """Whether the last call succeeded, None before the first one ended."""
+
+        self._store = store
+        self._prefix = prefix
+        self._cfg = cfg
+        self._rng = rng
+        self._on_object = on_object
+        self._on_reachable = on_reachable
+        self._versions: dict[str, int] = {}
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Lists and watches until the task is cancelled."""
+        while True:
+            if not self.listed:
+                await self._list()
+            else:
+                await self._watch()
+
+    async def _list(self) -> None:
+        """Reads every page; starts anew if a page fails."""
+        after, start, seen = "", 0, set()
+        while True:
+            page = await self._store.list(self._prefix, after, PAGE_SIZE)
+            if isinstance(page, Failure):
+                return await self._back_off()
+            self._note(True)
+            # Writes during the listing are found by watching from its first page.
+            start = start or page.version
+            seen.update(found.key for found in page.objects)
+            self._deliver_all(page)
+            after = page.next_after
+            if not after:
+                break
+        for key in sorted(self._versions.keys() - seen):
+            self._deliver(StoredObject(key, b"", start, deleted=True))
+        self.version = start
+        self.listed = True
+
+    async def _watch(self) -> None:
+        """Waits for the next writes."""
+        page = await self._store.watch(self._prefix, self.version, self._cfg.watch_wait)
+        if isinstance(page, Failure):
+            if page.kind is ErrorKind.NOT_FOUND:
+                self.listed = False
+                return None
+            return await self._back_off()
+        self._note(True)
+        self._deliver_all(page)
+        self.version = max(self.version, page.version)
+
+    def _deliver_all(self, page: ObjectPage) -> None:
+        """Delivers each object of a page."""
+        for found in page.objects:
+            self._deliver(found)
+
+    def _deliver(self, found: StoredObject) -> None:
+        """Delivers an object unless the same or a newer version was delivered."""
+        if found.version <= self._versions.get(found.key, 0) or found.version <= self.version:
+            return
+        if found.deleted:
+            self._versions.pop(found.key, None)
+        else:
+            self._versions[found.key] = found.version
+        self._on_object(found)
+
+    def _note(self, reachable: bool) -> None:
+        """Reports a change of reachability."""
+        if reachable:
+            self._failures = 0
+        if self.reachable is not reachable:
+            self.reachable = reachable
+            self._on_reachable(reachable)
+
+    async def _back_off(self) -> None:
+        """Reports the failure and waits a jittered, growing time."""
+        self._note(False)
+        limit = min(self._cfg.retry_cap, self._cfg.retry_base * 2**self._failures)
+        self._failures = min(self._failures + 1, 32)
+        await asyncio.sleep(limit * self._rng.uniform(0.5, 1.0))
--- a/src/sapphireledge/settings/platform_settings.py
+++ b/src/sapphireledge/settings/platform_settings.py
@@ -28,3 +28,6 @@
 
     retry_cap: float = setting(5.0, unit="s", ge=0.1, le=600)
     """Longest delay after a failed call."""
+
+    instances_interval: float = setting(2.0, unit="s", ge=0.1, le=60)
+    """Interval between two readings of the instance list."""
--- /dev/null
+++ b/tests/memory_store.py
@@ -0,0 +1,104 @@
+"""In-memory `ObjectStore` with injectable faults, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from enum import Enum
+
+from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.platform import ObjectPage, StoredObject, WriteResult, WriteStatus
+from sapphireledge_standins._platform_objects import ObjectTable
+
+__all__ = ["MemoryStore", "StoreFault"]
+
+
+class StoreFault(Enum):
+    """What happens to one call."""
+
+    NONE = "none"
+    REFUSED = "refused"
+    """It has no effect and the client knows."""
+
+    LOST_REQUEST = "lost_request"
+    """It has no effect and the client does not know."""
+
+    LOST_ANSWER = "lost_answer"
+    """It takes effect and the client does not know."""
+
+    LATE = "late"
+    """The client does not know; it takes effect at `land`."""
+
+
+class MemoryStore:
+    """Objects in memory. `fault` is asked before each call with operation and key."""
+
+    def __init__(self, table: ObjectTable | None = None, fault=None):
+        self.table = table or ObjectTable(10_000, 1 << 30)
+        self.fault = fault or (lambda operation, key: StoreFault.NONE)
+        self.calls: Counter[str] = Counter()
+        self.late: list[tuple] = []
+
+    def land(self) -> None:
+        """Lets the late writes take effect."""
+        late, self.late = self.late, []
+        for operation, *args in late:
+            getattr(self.table, operation)(*args)
+
+    async def get(self, key):
+        if self._fails("get", key):
+            return Failure(ErrorKind.PLATFORM_UNAVAILABLE, "get")
+        await asyncio.sleep(0)
+        row = self.table.get(key)
+        await asyncio.sleep(0)
+        return row and StoredObject(key, row.value, row.version)
+
+    async def put(self, key, value, expect_version):
+        return await self._write("put", key, value, expect_version)
+
+    async def delete(self, key, expect_version):
+        return await self._write("delete", key, expect_version)
+
+    async def list(self, prefix, after="", limit=500):
+        if self._fails("list", prefix):
+            return Failure(ErrorKind.PLATFORM_UNAVAILABLE, "list")
+        await asyncio.sleep(0)
+        part = self.table.list(prefix, after, limit)
+        await asyncio.sleep(0)
+        return _page(part)
+
+    async def watch(self, prefix, from_version, wait):
+        if self._fails("watch", prefix):
+            return Failure(ErrorKind.PLATFORM_UNAVAILABLE, "watch")
+        await asyncio.sleep(0)
+        part = self.table.since(prefix, from_version)
+        await asyncio.sleep(0)
+        if part is None:
+            return Failure(ErrorKind.NOT_FOUND, "too old")
+        return _page(part)
+
+    def _fails(self, operation, key):
+        self.calls[operation] += 1
+        return self.fault(operation, key) is not StoreFault.NONE
+
+    async def _write(self, operation, key, *args):
+        self.calls[operation] += 1
+        fault = self.fault(operation, key)
+        await asyncio.sleep(0)
+        if fault is StoreFault.REFUSED:
+            return WriteResult(WriteStatus.UNAVAILABLE)
+        if fault is StoreFault.LATE:
+            self.late.append((operation, key, *args))
+        if fault in (StoreFault.LATE, StoreFault.LOST_REQUEST):
+            return WriteResult(WriteStatus.AMBIGUOUS)
+        answer = getattr(self.table, operation)(key, *args)
+        await asyncio.sleep(0)
+        if fault is StoreFault.LOST_ANSWER:
+            return WriteResult(WriteStatus.AMBIGUOUS)
+        status = WriteStatus.WRITTEN if answer.written else WriteStatus.CONFLICT
+        return WriteResult(status, answer.version)
+
+
+def _page(part):
+    objects = tuple(StoredObject(r.key, r.value, r.version, r.deleted) for r in part.objects)
+    return ObjectPage(objects, part.version, part.next_after)
