--- /dev/null
+++ b/src/sapphireledge/entry/backend_monitor.py
@@ -0,0 +1,159 @@
+"""Watches the backend servers of the instance list."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sapphireledge.backends import BreakCause, CacheEventPoller, LoadPoller
+from sapphireledge.core.routing import BackendInstance, CacheEvent, LoadReport, ModelVersion
+from sapphireledge.platform import InstanceKind, InstanceState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sapphireledge.backends import Broken, CachePage
+    from sapphireledge.backends import LoadReport as EngineReport
+    from sapphireledge.core.routing import BackendView
+    from sapphireledge.entry.backend_pool import BackendPool
+    from sapphireledge.entry.suspect_exchange import SuspectExchange
+    from sapphireledge.platform import Instance
+    from sapphireledge.settings import Settings
+
+__all__ = ["BackendMonitor"]
+
+CACHE_POLL_FACTOR = 4
+"""Load polls for each poll of cache events, which are only hints."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Watch:
+    """Pollers of one engine."""
+
+    address: str
+    tasks: tuple[asyncio.Task[None], ...]
+
+
+class BackendMonitor:
+    """Keeps the view of backend servers up to date: one poller task per engine and kind of poll."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        view: BackendView,
+        pool: BackendPool,
+        suspects: SuspectExchange,
+    ) -> None:
+        """Creates the monitor.
+
+        Args:
+            cfg: Settings of the instance.
+            view: What the instance knows about backend servers.
+            pool: Owner of the engine clients.
+            suspects: Is told about leaving backend servers.
+        """
+        self._cfg = cfg
+        self._view = view
+        self._pool = pool
+        self._suspects = suspects
+        self._watches: dict[str, _Watch] = {}
+
+    def on_instances(self, instances: Iterable[Instance]) -> None:
+        """Takes up the instance list.
+
+        Args:
+            instances: All rows.
+        """
+        rows = [row for row in instances if row.kind is not InstanceKind.ENTRY]
+        self._view.on_instances(time.monotonic(), [_backend(row) for row in rows])
+        engines = {row.name: row for row in rows if row.kind is InstanceKind.ENGINE}
+        self._suspects.keep_leaving(row.name for row in rows)
+        for name in [name for name in self._watches if name not in engines]:
+            self._stop_watch(name)
+        for name, row in engines.items():
+            watch = self._watches.get(name)
+            if watch is not None and watch.address != row.address:
+                self._stop_watch(name)
+            if name not in self._watches:
+                self._start_watch(name, row.address)
+
+    def stop(self) -> None:
+        """Ends all pollers."""
+        for name in list(self._watches):
+            self._stop_watch(name)
+
+    def _start_watch(self, name: str, address: str) -> None:
+        """Starts the pollers of one engine."""
+        client = self._pool.client(address)
+        interval = self._cfg.routing.poll_interval
+        load = LoadPoller(
+            client,
+            interval,
+            lambda report: self._on_report(name, report),
+            lambda broken: self._on_lost(name, broken),
+        )
+        cache = CacheEventPoller(
+            client, interval * CACHE_POLL_FACTOR, lambda page: self._on_cache(name, page)
+        )
+        loop = asyncio.get_running_loop()
+        tasks = (loop.create_task(load.run()), loop.create_task(cache.run()))
+        self._watches[name] = _Watch(address, tasks)
+
+    def _stop_watch(self, name: str) -> None:
+        """Ends the pollers of one engine."""
+        for task in self._watches.pop(name).tasks:
+            task.cancel()
+
+    def _on_report(self, name: str, report: EngineReport) -> None:
+        """Takes a load report."""
+        now = time.monotonic()
+        age = min(max(0.0, time.time() - report.time_unix), self._cfg.routing.report_expiry)
+        if report.leaving:
+            self._suspects.leaving(name)
+        self._view.on_load(
+            now,
+            LoadReport(
+                backend=name,
+                boot_id=report.boot_id,
+                as_of=now - age,
+                running=report.running,
+                waiting=report.queued,
+                slots=report.slots,
+                token_rate=report.tokens_per_second,
+                models=tuple(ModelVersion(m.model, m.version) for m in report.models),
+                role=report.role,
+                leaving=report.leaving,
+            ),
+        )
+        self._pool.pump()
+
+    def _on_lost(self, name: str, broken: Broken) -> None:
+        """Takes a failed poll."""
+        if broken.cause is BreakCause.NOT_CONNECTED:
+            self._view.on_unreachable(time.monotonic(), name)
+
+    def _on_cache(self, name: str, page: CachePage) -> None:
+        """Takes cache events."""
+        now = time.monotonic()
+        for event in page.events:
+            blocks = tuple(int(block, 16) for block in event.blocks)
+            stored = blocks if event.kind == "stored" else ()
+            evicted = blocks if event.kind == "evicted" else ()
+            self._view.on_cache_event(
+                now, CacheEvent(name, page.boot_id, event.sequence, stored, evicted)
+            )
+
+
+def _backend(row: Instance) -> BackendInstance:
+    """Turns a row of the instance list into the router's form."""
+    return BackendInstance(
+        name=row.name,
+        address=row.address,
+        data_centre=row.data_centre,
+        region=row.region,
+        role=row.role or "drafting",
+        leaving=row.state is InstanceState.LEAVING,
+        reports_load=row.kind is InstanceKind.ENGINE,
+    )
--- /dev/null
+++ b/src/sapphireledge/entry/entry_server.py
@@ -0,0 +1,327 @@
+"""One entry instance: all parts, started and stopped in order."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+import uvicorn
+
+from sapphireledge.backends import ConnectionPools
+from sapphireledge.core.admission import UsageLedger
+from sapphireledge.core.config import ConfigState
+from sapphireledge.core.membership import Member
+from sapphireledge.core.quarantine import Quarantine
+from sapphireledge.core.replay import EventLog
+from sapphireledge.core.routing import BackendView
+from sapphireledge.entry.answer_context import AnswerContext
+from sapphireledge.entry.answer_locator import AnswerLocator
+from sapphireledge.entry.answer_registry import AnswerRegistry
+from sapphireledge.entry.app import create_app
+from sapphireledge.entry.backend_monitor import BackendMonitor
+from sapphireledge.entry.backend_pool import BackendPool
+from sapphireledge.entry.copy_store import CopyStore
+from sapphireledge.entry.entry_parts import EntryParts
+from sapphireledge.entry.housekeeping import Housekeeping
+from sapphireledge.entry.lifecycle import Lifecycle
+from sapphireledge.entry.peer_bridge import PeerBridge
+from sapphireledge.entry.peer_service import PeerService
+from sapphireledge.entry.service_runner import ServiceRunner
+from sapphireledge.entry.suspect_exchange import SuspectExchange
+from sapphireledge.errors import Failure
+from sapphireledge.operator import OperatorServer
+from sapphireledge.peers import AnswerCopies, PeerMesh, PeerQueries, PeerServer
+from sapphireledge.platform import (
+    Instance,
+    InstanceKind,
+    InstanceState,
+    InstanceWatcher,
+    ObjectClient,
+    PrefixWatcher,
+)
+from sapphireledge.telemetry import LogEvent, Metrics, SegmentWriter, Tracing
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from sapphireledge.settings import Settings
+
+__all__ = ["EntryServer"]
+
+DRAIN_POLL = 0.05
+"""Seconds between two looks at the answers in flight during a planned stop."""
+
+READY_POLL = 0.02
+"""Seconds between two looks at the configuration at the start."""
+
+KEEP_ALIVE = 30
+"""Seconds for which an idle connection of a caller is kept."""
+
+
+class EntryServer:
+    """One entry instance."""
+
+    def __init__(self, cfg: Settings) -> None:
+        """Builds all parts; `run` starts them.
+
+        Args:
+            cfg: Settings of the instance.
+        """
+        self._cfg = cfg
+        self._log = structlog.get_logger()
+        self._rng = random.Random()
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._instances: tuple[Instance, ...] = ()
+        self.lifecycle = Lifecycle(cfg)
+        """State of the process."""
+        self._metrics = Metrics(cfg)
+        self._tracing = Tracing(cfg)
+        self._store = ObjectClient(cfg)
+        self._config = ConfigState()
+        self._events = EventLog(cfg.instance, cfg.telemetry.event_memory)
+        self._view = BackendView(cfg.routing, cfg.instance, cfg.data_centre, cfg.region)
+        self._ledger = UsageLedger(cfg.admission.usage_half_life)
+        self._quarantine = Quarantine(cfg.quarantine)
+        self._pools = ConnectionPools()
+        self._config_watch = PrefixWatcher(
+            self._store, "config/", cfg.platform, self._rng, self._config.apply, self._on_reachable
+        )
+        self._bridge = PeerBridge(
+            self.lifecycle, self._config, self._ledger, self._view, self._is_platform_reachable
+        )
+        self._mesh = PeerMesh(
+            cfg,
+            self._members,
+            self._bridge,
+            self._bridge,
+            self._bridge.apply_config,
+            time.monotonic,
+            self._rng,
+        )
+        self._suspects = SuspectExchange(self._quarantine, self._view, self._mesh, self._store)
+        self._pool = BackendPool(
+            cfg,
+            self._config,
+            self._view,
+            self._ledger,
+            self._quarantine,
+            self._pools,
+            self._suspects,
+            self._metrics,
+            self._rng,
+        )
+        self._bridge.connect(self._pool, self._suspects)
+        self._monitor = BackendMonitor(cfg, self._view, self._pool, self._suspects)
+        self._instance_watch = InstanceWatcher(
+            self._store, cfg.platform, self._rng, self._on_instances
+        )
+        self._copies = AnswerCopies(cfg.peers, self._mesh, time.monotonic)
+        self._queries = PeerQueries(self._mesh, time.monotonic)
+        self._ctx = AnswerContext(
+            cfg, self._pool, self._copies, self._events, self._metrics, self._tracing
+        )
+        self._registry = AnswerRegistry(self._ctx)
+        self._copy_store = CopyStore(cfg)
+        self._services = ServiceRunner(
+            cfg, self._store, self._view, self._pools, self._queries, self._metrics, self._rng
+        )
+        self._locator = AnswerLocator(
+            cfg, self._registry, self._copy_store, self._mesh, self._queries, self._config
+        )
+        self._parts = EntryParts(
+            cfg=cfg,
+            ctx=self._ctx,
+            config=self._config,
+            registry=self._registry,
+            locator=self._locator,
+            services=self._services,
+            mesh=self._mesh,
+            lifecycle=self.lifecycle,
+        )
+        self._segments = SegmentWriter(
+            cfg, self._events, self._store, self._mesh.incarnation, lambda: len(self._mesh.live)
+        )
+        self._peer_server = PeerServer(cfg, self._mesh, self._peer_service())
+        self._operator_server = OperatorServer(
+            cfg,
+            self._parts,
+            self._store,
+            self._view,
+            self._quarantine,
+            self._suspects,
+            self._queries,
+            self._copy_store,
+        )
+        self._housekeeping = Housekeeping(
+            cfg, self._store, self._registry, self._copy_store, self._mesh, self._rng
+        )
+
+    async def run(self) -> Failure | None:
+        """Runs the instance until a planned stop has ended.
+
+        Returns:
+            Why it could not start, otherwise None.
+        """
+        failure = await self._start_servers()
+        if failure is not None:
+            await self._close()
+            return failure
+        http, sock = self._http_server()
+        http_task = asyncio.create_task(http.serve(sockets=[sock]))
+        self._start_tasks()
+        ready = asyncio.create_task(self._become_ready())
+        await self.lifecycle.drain_requested.wait()
+        ready.cancel()
+        await self._drain()
+        http.should_exit = True
+        await http_task
+        await self._close()
+        self.lifecycle.stopped()
+        return None
+
+    async def _start_servers(self) -> Failure | None:
+        """Binds the Thrift ports."""
+        for server in (self._peer_server, self._operator_server):
+            failure = await server.start()
+            if failure is not None:
+                return failure
+        return None
+
+    def _http_server(self) -> tuple[uvicorn.Server, socket.socket]:
+        """Prepares the caller interface."""
+        address = self._cfg.caller_address
+        sock = socket.create_server((address.host, address.port), backlog=2048)
+        config = uvicorn.Config(
+            create_app(self._parts),
+            loop="asyncio",
+            http="h11",
+            ws="none",
+            lifespan="off",
+            access_log=False,
+            log_config=None,
+            timeout_keep_alive=KEEP_ALIVE,
+            h11_max_incomplete_event_size=self._cfg.callers.max_header,
+        )
+        server = uvicorn.Server(config)
+        # Signals belong to the daemon: uvicorn would close streams that a planned stop must finish.
+        server.capture_signals = contextlib.nullcontext
+        return server, sock
+
+    def _start_tasks(self) -> None:
+        """Starts everything that runs beside the requests."""
+        peer_address = f"{self._cfg.peer_address.host}:{self._peer_server.port}"
+        self._mesh.start(peer_address)
+        self._copies.start()
+        quarantine_watch = PrefixWatcher(
+            self._store, "quarantine/", self._cfg.platform, self._rng, self._suspects.on_stored
+        )
+        for work in (
+            self._config_watch.run(),
+            quarantine_watch.run(),
+            self._instance_watch.run(),
+            self._pool.run(),
+            self._segments.run(),
+            self._housekeeping.run(),
+        ):
+            self._spawn(work)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Starts a task that lasts as long as the instance."""
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self._on_task_done)
+        self._tasks.append(task)
+
+    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
+        """Logs a task that ended by a fault."""
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error(LogEvent.INTERNAL_ERROR, exc_info=task.exception())
+
+    async def _become_ready(self) -> None:
+        """Waits for a configuration that is not older than any that peers know of."""
+        while not self._is_configured():
+            await asyncio.sleep(READY_POLL)
+        self.lifecycle.ready()
+
+    def _is_configured(self) -> bool:
+        """Whether the instance may serve, see the rule for a fresh instance in the design."""
+        if self._config_watch.listed:
+            return True
+        # Without the platform a peer has to answer first, otherwise the known version is a guess.
+        heard = any(self._mesh.is_reachable(name) for name in self._mesh.peer_names)
+        highest = max(self._config.highest_version, self._mesh.highest_version)
+        return heard and 0 < highest <= self._config.applied_version
+
+    async def _drain(self) -> None:
+        """Lets everything in flight end, within the declared limit."""
+        await self.lifecycle.refuse_after_balancer_delay()
+        end = time.monotonic() + self._cfg.lifecycle.drain_limit
+        while time.monotonic() < end and self._is_busy():
+            await asyncio.sleep(DRAIN_POLL)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._cfg.platform.timeout * 2):
+                await self._segments.flush()
+
+    def _is_busy(self) -> bool:
+        """Whether any request is in flight."""
+        return bool(self._registry.running or self._copies.running or self._services.running)
+
+    async def _close(self) -> None:
+        """Ends all tasks and connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._monitor.stop()
+        await self._copies.stop()
+        await self._mesh.stop()
+        await self._operator_server.stop()
+        await self._peer_server.stop()
+        await self._pools.close()
+        self._tracing.close()
+
+    def _peer_service(self) -> PeerService:
+        """Builds the handler of the peer interface."""
+        return PeerService(
+            self._cfg.instance,
+            self._registry,
+            self._copy_store,
+            self._config,
+            self._events,
+            self._services.keys,
+            lambda delay, work: asyncio.get_running_loop().call_later(delay, work),
+        )
+
+    def _members(self) -> list[Member]:
+        """Entry instances of the platform's list."""
+        return [
+            Member(
+                row.name,
+                row.data_centre,
+                row.region,
+                row.address,
+                row.state is InstanceState.LEAVING,
+            )
+            for row in self._instances
+            if row.kind is InstanceKind.ENTRY
+        ]
+
+    def _on_instances(self, instances: tuple[Instance, ...]) -> None:
+        """Takes up the instance list."""
+        self._instances = tuple(instances)
+        self._monitor.on_instances(instances)
+
+    def _is_platform_reachable(self) -> bool:
+        """Whether the last call of the configuration watch succeeded."""
+        return bool(self._config_watch.reachable)
+
+    def _on_reachable(self, reachable: bool) -> None:
+        """Logs a change of the platform's reachability."""
+        if reachable:
+            self._log.info(LogEvent.PLATFORM_BACK)
+        else:
+            self._log.warning(LogEvent.PLATFORM_LOST)
--- /dev/null
+++ b/src/sapphireledge/entry/housekeeping.py
@@ -0,0 +1,85 @@
+"""Periodic work of an instance."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from sapphireledge.entry.object_collector import ObjectCollector
+from sapphireledge.telemetry import SEGMENT_PREFIX
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sapphireledge.entry.answer_registry import AnswerRegistry
+    from sapphireledge.entry.copy_store import CopyStore
+    from sapphireledge.peers import PeerMesh
+    from sapphireledge.platform import ObjectStore, StoredObject
+    from sapphireledge.settings import Settings
+
+__all__ = ["Housekeeping"]
+
+EXPIRE_INTERVAL = 1.0
+"""Seconds between two looks for answers and copies whose time is over."""
+
+COLLECT_INTERVAL = 60.0
+"""Seconds between two collections of old objects by one of two instances."""
+
+EVENT_RETENTION = 86_400.0
+"""Seconds for which event segments are kept."""
+
+
+class Housekeeping:
+    """Forgets answers whose time is over and deletes old objects of the platform."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        store: ObjectStore,
+        registry: AnswerRegistry,
+        copies: CopyStore,
+        mesh: PeerMesh,
+        rng: Random,
+    ) -> None:
+        """Creates the housekeeping; `run` starts it.
+
+        Args:
+            cfg: Settings of the instance.
+            store: The platform's object API.
+            registry: Answers that this instance owns.
+            copies: Copies of other instances' answers.
+            mesh: Links to other instances, whose number sets the interval.
+            rng: Random source of the jitter.
+        """
+        self._cfg = cfg
+        self._registry = registry
+        self._copies = copies
+        self._mesh = mesh
+        self._collectors = (
+            ObjectCollector(store, SEGMENT_PREFIX, _is_old_segment, self._interval, rng),
+        )
+
+    async def run(self) -> None:
+        """Works until the task is cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._expire())
+            for collector in self._collectors:
+                group.create_task(collector.run())
+
+    async def _expire(self) -> None:
+        """Forgets answers and copies."""
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL)
+            self._registry.expire(time.monotonic())
+            self._copies.expire()
+
+    def _interval(self) -> float:
+        """Interval of the collections, so that their rate does not grow with the fleet."""
+        return COLLECT_INTERVAL * max(1, len(self._mesh.live)) / 2
+
+
+def _is_old_segment(found: StoredObject, now_unix: float) -> bool:
+    """Whether a segment's retention has passed; the key names the hour in which it was written."""
+    bucket = found.key.removeprefix(SEGMENT_PREFIX).split("/", 1)[0]
+    return bucket.isdecimal() and int(bucket) + 3600.0 + EVENT_RETENTION < now_unix
