--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -129,7 +129,7 @@
         self._registry = AnswerRegistry(self._ctx)
         self._copy_store = CopyStore(cfg)
         self._services = ServiceRunner(
-            cfg, self._store, self._view, self._pools, self._queries, self._metrics, self._rng
+            cfg, self._store, self._view, self._pools, self._mesh, self._metrics, self._rng
         )
         self._locator = AnswerLocator(
             cfg, self._registry, self._copy_store, self._mesh, self._queries, self._config
@@ -226,6 +226,7 @@
             quarantine_watch.run(),
             self._instance_watch.run(),
             self._pool.run(),
+            self._services.run(),
             self._segments.run(),
             self._housekeeping.run(),
         ):
@@ -265,6 +266,7 @@
             await asyncio.sleep(DRAIN_POLL)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._cfg.platform.timeout * 2):
+                await self._services.settle()
                 await self._segments.flush()
 
     def _is_busy(self) -> bool:
--- a/src/sapphireledge/entry/peer_service.py
+++ b/src/sapphireledge/entry/peer_service.py
@@ -21,12 +21,12 @@
     from collections.abc import Callable, Sequence
     from typing import Any
 
+    from sapphireledge.core.claims import ReceivedKeys
     from sapphireledge.core.config import ConfigState
     from sapphireledge.core.replay import EventLog
     from sapphireledge.entry.answer_registry import AnswerRegistry
     from sapphireledge.entry.answer_runner import AnswerRunner
     from sapphireledge.entry.copy_store import CopyStore
-    from sapphireledge.entry.received_keys import ReceivedKeys
 
 __all__ = ["PeerService"]
 
@@ -131,7 +131,7 @@
 
     async def void_key(self, claim_key: str) -> Any | Failure:
         """Promises to refuse a claim key that was never received, see `PeerHandler`."""
-        return VoidReply(self._keys.void(time.time(), claim_key), self._keys.since_unix)
+        return VoidReply(self._keys.void(claim_key, time.time()), self._keys.start_unix)
 
     async def read_events(self, request_id: str) -> Any | Failure:
         """Returns the recorded events of a request, see `PeerHandler`."""
--- /dev/null
+++ b/src/sapphireledge/entry/service_caller.py
@@ -0,0 +1,126 @@
+"""Sends requests to plain services."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+from sapphireledge.backends import BreakCause, ServiceAnswer, ServiceClient
+from sapphireledge.core.claims import Broken, NotSent, ServiceOutcome
+from sapphireledge.core.routing import Router, RouteRequest
+from sapphireledge.errors import ErrorKind, Failure, Ran
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from random import Random
+
+    from sapphireledge.backends import ConnectionPools
+    from sapphireledge.core.claims import ServiceReply
+    from sapphireledge.core.routing import BackendView
+    from sapphireledge.entry.claim_request import ClaimRequest
+    from sapphireledge.settings import Settings
+
+__all__ = ["ServiceCaller"]
+
+DEFAULT_TYPE = "application/octet-stream"
+"""Content type of an answer that names none."""
+
+
+class ServiceCaller:
+    """Chooses a backend server of a plain service and sends one request; see `CallService`."""
+
+    def __init__(
+        self, cfg: Settings, view: BackendView, pools: ConnectionPools, rng: Random
+    ) -> None:
+        """Creates the caller.
+
+        Args:
+            cfg: Settings of the instance.
+            view: What the instance knows about backend servers.
+            pools: Connections to backend servers.
+            rng: Random source of routing.
+        """
+        self._view = view
+        self._pools = pools
+        self._rng = rng
+        self._router = Router(cfg.routing)
+        self._clients: dict[str, ServiceClient] = {}
+
+    async def call(
+        self, req: ClaimRequest, avoid: frozenset[str], not_after: float
+    ) -> ServiceReply:
+        """Sends a non-idempotent request once, see `CallService`."""
+        headers = {**req.headers, "idempotency-key": req.idempotency_key}
+        return await self.send(
+            req.service,
+            req.method,
+            req.path,
+            headers,
+            req.body,
+            req.timeout,
+            avoid=tuple(avoid),
+            not_after=not_after,
+        )
+
+    async def send(
+        self,
+        service: str,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout: float,
+        *,
+        idempotent: bool = False,
+        avoid: tuple[str, ...] = (),
+        not_after: float | None = None,
+    ) -> ServiceReply:
+        """Sends one request to one backend server.
+
+        Args:
+            service: Name of the service.
+            method: HTTP method.
+            path: Path with its query.
+            headers: Header fields to send.
+            body: Body.
+            timeout: Seconds for the answer.
+            idempotent: Whether a kept connection may be used.
+            avoid: Backend servers that refused the connection.
+            not_after: Monotonic time after which nothing is sent.
+
+        Returns:
+            The answer, or how the call ended.
+        """
+        now = time.monotonic()
+        request = RouteRequest(role=service, avoid=avoid)
+        choice = self._router.choose(now, request, self._view, self._rng)
+        if isinstance(choice, Failure):
+            return choice
+        if choice.backend in avoid:
+            reason = f"no backend server of {service} accepts connections"
+            return Failure(ErrorKind.NO_BACKEND, reason, Ran.NO, retry_after=1.0)
+        client = self._client(choice.address)
+        work_id = uuid.uuid4().hex
+        self._view.on_dispatch(now, choice.backend, work_id)
+        try:
+            if not_after is not None and time.monotonic() >= not_after:
+                return NotSent(choice.backend)
+            answer = await client.call(method, path, headers, body, timeout, idempotent)
+        finally:
+            self._view.on_end(time.monotonic(), choice.backend, work_id)
+        if isinstance(answer, ServiceAnswer):
+            content_type = answer.headers.get("content-type", DEFAULT_TYPE)
+            return ServiceOutcome(answer.status, content_type, answer.body)
+        if answer.cause is BreakCause.NOT_CONNECTED:
+            self._view.on_unreachable(time.monotonic(), choice.backend)
+        if answer.ran is Ran.NO:
+            return NotSent(choice.backend)
+        return Broken(choice.backend, answer.detail or str(answer.cause))
+
+    def _client(self, address: str) -> ServiceClient:
+        """Finds the client of a backend server."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = ServiceClient(address, self._pools)
+        return client
--- /dev/null
+++ b/src/sapphireledge/entry/service_session.py
@@ -0,0 +1,134 @@
+"""One call of a caller to a plain service."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from starlette.responses import Response
+
+from sapphireledge.core.claims import ServiceOutcome
+from sapphireledge.entry.answer_format import encode_failure, failure_headers
+from sapphireledge.entry.claim_request import ClaimRequest
+from sapphireledge.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+    from sapphireledge.core.declarations import Service, Workspace
+    from sapphireledge.entry.entry_parts import EntryParts
+
+__all__ = ["ServiceSession"]
+
+PASSED_HEADERS = ("accept", "accept-language", "content-type", "traceparent", "tracestate")
+"""Header fields of the caller that the service receives."""
+
+MAX_DEADLINE = 86_400.0
+"""Longest accepted deadline in seconds."""
+
+
+class ServiceSession:
+    """Serves one call to a plain service."""
+
+    def __init__(self, parts: EntryParts, workspace: Workspace) -> None:
+        """Prepares the session.
+
+        Args:
+            parts: Parts of the instance.
+            workspace: Workspace of the caller.
+        """
+        self._parts = parts
+        self._workspace = workspace
+
+    async def respond(self, request: Request, body: bytes) -> Response:
+        """Passes the call on.
+
+        Args:
+            request: The HTTP request.
+            body: Its body.
+
+        Returns:
+            The service's answer or a refusal.
+        """
+        name = request.path_params["service"]
+        service = self._parts.config.services.get(name)
+        if service is None:
+            return _refuse(Failure(ErrorKind.NOT_FOUND, f"service: {name!r} is not declared"))
+        deadline = _deadline(request, service)
+        if isinstance(deadline, Failure):
+            return _refuse(deadline)
+        tracing = self._parts.ctx.tracing
+        span = tracing.start("service", tracing.extract(request.headers), service=name)
+        try:
+            headers = {h: request.headers[h] for h in PASSED_HEADERS if h in request.headers}
+            headers |= tracing.headers(span)
+            result = await self._call(request, service, headers, body, deadline)
+        finally:
+            span.end()
+        if isinstance(result, Failure):
+            return _refuse(result)
+        return _answer(result)
+
+    async def _call(
+        self,
+        request: Request,
+        service: Service,
+        headers: dict[str, str],
+        body: bytes,
+        deadline: float,
+    ) -> ServiceOutcome | Failure:
+        """Runs the call as its method demands."""
+        path = "/" + request.path_params.get("path", "")
+        if request.url.query:
+            path += "?" + request.url.query
+        if request.method in service.idempotent_methods:
+            return await self._parts.services.call_repeatable(
+                service.name, request.method, path, headers, body, service.timeout
+            )
+        key = request.headers.get("idempotency-key")
+        if key is None:
+            reason = f"Idempotency-Key: is required for {request.method}"
+            return Failure(ErrorKind.INVALID_REQUEST, reason)
+        return await self._parts.services.call_once(
+            ClaimRequest(
+                workspace=self._workspace.name,
+                service=service.name,
+                idempotency_key=key,
+                method=request.method,
+                path=path,
+                body=body,
+                deadline=deadline,
+                timeout=service.timeout,
+                headers=headers,
+            )
+        )
+
+
+def _deadline(request: Request, service: Service) -> float | Failure:
+    """Reads the time by which the caller wants an answer."""
+    text = request.headers.get("x-deadline-ms")
+    if text is None:
+        return time.monotonic() + service.timeout
+    limit = int(MAX_DEADLINE * 1000)
+    if not text.isdecimal() or not 1 <= int(text) <= limit:
+        reason = f"X-Deadline-Ms: must be from 1 to {limit} ms"
+        return Failure(ErrorKind.INVALID_REQUEST, reason)
+    return time.monotonic() + int(text) / 1000.0
+
+
+def _answer(outcome: ServiceOutcome) -> Response:
+    """Responds with the service's answer."""
+    headers = {"x-answer": "repeated" if outcome.repeated else "new"}
+    if outcome.body_omitted:
+        headers["x-body-omitted"] = "true"
+    return Response(outcome.body, outcome.status, headers, media_type=outcome.content_type)
+
+
+def _refuse(failure: Failure) -> Response:
+    """Responds with a refusal."""
+    return Response(
+        encode_failure(failure),
+        failure.answer.http_status,
+        failure_headers(failure),
+        media_type="application/json",
+    )
