Fix the end of an attempt and the readiness property

transitions binds its own is_ready to the model, which clashed with the property; the engine client names no attempt in Finished, since it drops ends of other attempts itself.

--- a/devtools/local_fleet.py
+++ b/devtools/local_fleet.py
@@ -40,7 +40,7 @@
     ("workspace", {"name": "registry"}),
     ("workspace", {"name": "advocates"}),
     ("service", {"name": "booking"}),
-    ("deployment", {"name": "drafting", "model": "drafter", "version": "1"}),
+    ("deployment", {"name": "drafting", "model": "drafter", "version": "v1"}),
 )
 """What the fleet declares unless told otherwise."""
 
@@ -128,6 +128,8 @@
         for entry in self.entries:
             self._write_entry_settings(entry)
             self.start_entry(entry.name, wait=False)
+        for backend in (*self.engines, *self.services):
+            self.wait_port(self.processes[backend.name].address)
         self.publish_instances()
         if self.declarations and self.entries:
             self.wait_port(self.operators[self.entries[0].name])
@@ -159,15 +161,12 @@
         options += ["--region", engine.region, *engine.options]
         process = self._spawn(engine.name, "sapphireledge_standins.engine_server", port, options)
         process.row = _row(engine, "engine", port, "drafting")
-        self.wait_port(process.address)
 
     def start_service(self, service: ServiceSpec, port: int | None = None) -> None:
         """Starts a stand-in of a plain service."""
         port = port or free_port()
-        options = ["--name", service.name]
-        process = self._spawn(service.name, "sapphireledge_standins.service_server", port, options)
+        process = self._spawn(service.name, "sapphireledge_standins.service_server", port, [])
         process.row = _row(service, "service", port, service.service)
-        self.wait_port(process.address)
 
     def start_entry(self, name: str, wait: bool = True) -> None:
         """Starts an entry instance, or starts it again with the same settings."""
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -342,8 +342,7 @@
             grant.started(now)
             return True
         if isinstance(event, Finished):
-            number = event.attempt - self._first_attempt
-            self._apply(self._machine.on_finished(now, number, event.total, event.reason))
+            self._apply(self._machine.on_finished(now, attempt, event.total, event.reason))
             return False
         if isinstance(event, Broken):
             self._ctx.pool.on_broken(grant, event)
--- a/src/sapphireledge/entry/app.py
+++ b/src/sapphireledge/entry/app.py
@@ -71,7 +71,7 @@
 
     async def ready(self, request: Request) -> Response:
         """Tells whether the balancer should send new work."""
-        ready = self._parts.lifecycle.is_ready
+        ready = self._parts.lifecycle.is_available
         return _json({"state": self._parts.lifecycle.state}, 200 if ready else 503)
 
     async def models(self, request: Request) -> Response:
--- a/src/sapphireledge/entry/lifecycle.py
+++ b/src/sapphireledge/entry/lifecycle.py
@@ -48,7 +48,7 @@
         self._machine.add_transition("_to_stopped", "draining", "stopped")
 
     @property
-    def is_ready(self) -> bool:
+    def is_available(self) -> bool:
         """Whether the balancer should send new work."""
         return self.state == "ready"
 
