--- /dev/null
+++ b/devtools/caller.py
@@ -0,0 +1,171 @@
+"""A plain blocking caller for the demo and the tests."""
+
+from __future__ import annotations
+
+import http.client
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+__all__ = ["Booking", "Generation", "book", "generate"]
+
+READ_LIMIT = 30.0
+"""Longest silence of a connection in seconds."""
+
+
+@dataclass
+class Generation:
+    """What one connection received."""
+
+    status: int = 0
+    text: str = ""
+    tokens: int = 0
+    event_id: str = ""
+    done: bool = False
+    answer: str = ""
+    error: dict[str, Any] | None = None
+    broken: str = ""
+    first_token: float = 0.0
+    longest_gap: float = 0.0
+    event_ids: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class Booking:
+    """Answer of one call to a service."""
+
+    status: int
+    answer: str
+    body: Any
+    seconds: float
+
+
+def generate(
+    url: str,
+    *,
+    request_id: str = "",
+    last_event_id: str = "",
+    received: str | None = None,
+    rank: str = "",
+    workspace: str = "",
+    prompt: str = "hello",
+    max_tokens: int = 100,
+    headers: dict[str, str] | None = None,
+    on_token: Callable[[int], bool] | None = None,
+) -> Generation:
+    """Streams one chat completion.
+
+    Args:
+        url: Base URL of the caller interface.
+        request_id: Request id, empty to leave it to the instance.
+        last_event_id: Position of a reconnect.
+        received: Text handed back on a reconnect.
+        rank: Rank, empty for the default.
+        workspace: Workspace, empty for the default.
+        prompt: Content of the only message.
+        max_tokens: Limit of the answer.
+        headers: Further headers.
+        on_token: Called with the number of tokens after each one; True ends the connection.
+
+    Returns:
+        What was received.
+    """
+    body: dict[str, Any] = {
+        "model": "drafter",
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": True,
+        "max_tokens": max_tokens,
+    }
+    if received is not None:
+        body["sapphireledge"] = {"received": received}
+    request = urllib.request.Request(
+        url + "/v1/chat/completions", data=msgspec.json.encode(body), method="POST"
+    )
+    named = {"X-Request-Id": request_id, "Last-Event-ID": last_event_id}
+    named |= {"X-Rank": rank, "X-Workspace": workspace, **(headers or {})}
+    for name, value in named.items():
+        if value:
+            request.add_header(name, value)
+    result = Generation(event_id=last_event_id)
+    started = time.monotonic()
+    try:
+        with urllib.request.urlopen(request, timeout=READ_LIMIT) as response:
+            result.status = response.status
+            result.answer = response.headers.get("x-answer", "")
+            _read_events(response, result, started, on_token)
+    except urllib.error.HTTPError as exc:
+        result.status = exc.code
+        result.error = msgspec.json.decode(exc.read())["error"]
+    except (OSError, http.client.HTTPException) as exc:
+        result.broken = repr(exc)
+    return result
+
+
+def _read_events(
+    response: Any, result: Generation, started: float, on_token: Callable[[int], bool] | None
+) -> None:
+    """Reads the server-sent events of one connection."""
+    last = started
+    for raw in response:
+        line = raw.decode().rstrip("\r\n")
+        if line.startswith("id: "):
+            result.event_id = line[4:]
+            result.event_ids.append(result.event_id)
+        if line == "data: [DONE]":
+            result.done = True
+        elif line.startswith("data: "):
+            chunk = msgspec.json.decode(line[6:])
+            if "error" in chunk:
+                result.error = chunk["error"]
+                return
+            text = chunk["choices"][0]["delta"].get("content") or ""
+            if not text:
+                continue
+            now = time.monotonic()
+            if not result.tokens:
+                result.first_token = now - started
+            else:
+                result.longest_gap = max(result.longest_gap, now - last)
+            last = now
+            result.text += text
+            result.tokens += 1
+            if on_token is not None and on_token(result.tokens):
+                return
+
+
+def book(
+    url: str, key: str, *, body: Any = None, deadline_ms: int = 0, service: str = "booking"
+) -> Booking:
+    """Makes one booking.
+
+    Args:
+        url: Base URL of the caller interface.
+        key: Idempotency key.
+        body: Content, as JSON.
+        deadline_ms: Deadline, 0 for none.
+        service: Name of the service.
+
+    Returns:
+        The answer.
+    """
+    data = msgspec.json.encode(body if body is not None else {"hearing": 1})
+    request = urllib.request.Request(
+        f"{url}/v1/services/{service}/bookings", data=data, method="POST"
+    )
+    request.add_header("Idempotency-Key", key)
+    request.add_header("Content-Type", "application/json")
+    if deadline_ms:
+        request.add_header("X-Deadline-Ms", str(deadline_ms))
+    started = time.monotonic()
+    try:
+        with urllib.request.urlopen(request, timeout=READ_LIMIT) as response:
+            status, answer = response.status, response.headers.get("x-answer", "")
+            content = response.read()
+    except urllib.error.HTTPError as exc:
+        status, answer, content = exc.code, "", exc.read()
+    return Booking(status, answer, msgspec.json.decode(content), time.monotonic() - started)
--- a/src/sapphireledge/entry/answer_context.py
+++ b/src/sapphireledge/entry/answer_context.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from sapphireledge.entry.totals import Totals
 from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
@@ -44,6 +45,9 @@
     tracing: Tracing
     """Trace spans of the instance."""
 
+    totals: Totals = field(default_factory=Totals)
+    """Counts since the start of the instance."""
+
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     """Tasks that outlive the answer that started them."""
 
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -184,6 +184,7 @@
             self._ctx.metrics.time(MetricName.RESUME_LATENCY, now - self._lost_at, self._req.rank)
             self._lost_at = None
         self._last_token = now
+        self._ctx.totals.add_tokens(self._req.rank, 1)
         self._answer.append(text)
         assert self._copy is not None
         self._copy.append(now, [text])
@@ -198,6 +199,7 @@
             self._ctx.pool.completed(self._req, len(self._answer.pieces))
             self._log.info(LogEvent.REQUEST_COMPLETED, tokens=len(self._answer.pieces))
         else:
+            self._ctx.totals.add_refusal(self._req.rank)
             self._log.info(
                 LogEvent.REQUEST_REFUSED,
                 kind=end.failure.kind,
--- a/src/sapphireledge/entry/copy_store.py
+++ b/src/sapphireledge/entry/copy_store.py
@@ -80,7 +80,9 @@
         found = self._table.locate(answer_id)
         if found is None:
             return None
-        return AnswerLocation(True, False, found.owner, found.epoch, found.stored, found.finished)
+        return AnswerLocation(
+            True, False, found.owner_instance, found.epoch, found.stored, found.finished
+        )
 
     async def read(self, answer_id: str, offset: int, wait: float) -> Any | None:
         """Reads a copy, waiting for the first token from the offset on.
@@ -123,7 +125,7 @@
         return TakeOver(
             outcome.granted,
             outcome.epoch,
-            outcome.owner,
+            outcome.owner_instance,
             outcome.header,
             list(outcome.pieces),
             outcome.finish,
--- a/src/sapphireledge/entry/service_runner.py
+++ b/src/sapphireledge/entry/service_runner.py
@@ -157,7 +157,9 @@
             if attempt > 1:
                 if not self._budget.try_spend(time.monotonic()):
                     break
-                await asyncio.sleep(backoff_delay(attempt - 1, BACKOFF_BASE, BACKOFF_CAP, self._rng))
+                await asyncio.sleep(
+                    backoff_delay(attempt - 1, BACKOFF_BASE, BACKOFF_CAP, self._rng)
+                )
             reply = await self._caller.send(
                 service, method, path, headers, body, timeout, idempotent=True, avoid=avoid
             )
