--- a/devtools/local_fleet.py
+++ b/devtools/local_fleet.py
@@ -15,9 +15,10 @@
 from typing import Any
 
 import msgspec
-from sapphireledge.rpc import load_schema
 from thriftpy2.rpc import make_client
 
+from sapphireledge.rpc import load_schema
+
 __all__ = ["EngineSpec", "EntrySpec", "LocalFleet", "ServiceSpec"]
 
 START_LIMIT = 20.0
