--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -133,10 +133,15 @@
         deaths = self._counted(fingerprint)
         if len(deaths) < self._cfg.isolate_after:
             return Clear(len(deaths))
-        proof = self._proof(fingerprint, deaths)
-        if proof is None:
-            return Isolate(len(deaths))
-        return self._judge(now_unix, deaths, proof)
+        if self._is_proved(fingerprint, deaths):
+            names = ", ".join(r.backend for r in deaths)
+            reason = f"{len(deaths)} engines died while they ran this request: {names}"
+            return Failure(ErrorKind.REQUEST_CONDEMNED, reason)
+        settled = deaths[-1].time_unix + self._cfg.burst_window
+        if len(deaths) >= self._cfg.condemn_after and now_unix < settled:
+            reason = "engine deaths of the last seconds are not attributed yet"
+            return Failure(ErrorKind.OVERLOADED, reason, retry_after=settled - now_unix)
+        return Isolate(len(deaths))
 
     def records(self) -> tuple[DeathRecord, ...]:
         """Lists the records that are remembered.
@@ -219,10 +224,19 @@
                 return True
         return False
 
-    def _proof(self, fingerprint: str, deaths: list[DeathRecord]) -> DeathRecord | None:
-        """Finds the isolated death that condemns a request."""
-        candidates = deaths[self._cfg.condemn_after - 1 :]
-        return next((r for r in candidates if self._ran_isolated(fingerprint, r)), None)
+    def _is_proved(self, fingerprint: str, deaths: list[DeathRecord]) -> bool:
+        """Whether an isolated death proves that a request crashes engines.
+
+        A request that follows a failing rack from engine to engine dies several times within one
+        burst window, and the deaths share it as a suspect. So the proof must lie outside the window
+        of the death before; the verdict keeps the request waiting until then.
+        """
+        first = self._cfg.condemn_after - 1
+        return any(
+            death.time_unix - before.time_unix > self._cfg.burst_window
+            and self._ran_isolated(fingerprint, death)
+            for before, death in zip(deaths[first - 1 :], deaths[first:], strict=False)
+        )
 
     def _ran_isolated(self, fingerprint: str, death: DeathRecord) -> bool:
         """Whether no other strongly suspected request was on the engine when it died.
@@ -242,28 +256,13 @@
         earlier = [r for r in self._counted(fingerprint) if r.key != death.key]
         return len(earlier) >= self._cfg.isolate_after
 
-    def _judge(
-        self, now_unix: float, deaths: list[DeathRecord], proof: DeathRecord
-    ) -> Isolate | Failure:
-        """Refuses a request for good, or for the moment while a burst can still be found."""
-        # Deaths of one burst arrive one by one. A request that followed a failing rack from engine
-        # to engine looks guilty until the other deaths of the window are known.
-        settled = proof.time_unix + self._cfg.burst_window
-        spread = proof.time_unix - deaths[0].time_unix
-        if spread <= self._cfg.burst_window and now_unix < settled:
-            reason = "engine deaths of the last seconds are not attributed yet"
-            return Failure(ErrorKind.OVERLOADED, reason, retry_after=settled - now_unix)
-        names = ", ".join(r.backend for r in deaths)
-        reason = f"{len(deaths)} engines died while they ran this request: {names}"
-        return Failure(ErrorKind.REQUEST_CONDEMNED, reason)
-
     def _state(self, fingerprint: str) -> SuspectState | None:
         """Describes one request, None if no death counts against it."""
         deaths = self._counted(fingerprint)
         if not deaths:
             return None
         state = "isolated" if len(deaths) >= self._cfg.isolate_after else "suspect"
-        if self._proof(fingerprint, deaths) is not None:
+        if self._is_proved(fingerprint, deaths):
             state = "condemned"
         backends = tuple(r.backend for r in deaths)
         return SuspectState(fingerprint, len(deaths), state, deaths[0].time_unix, backends)
