--- a/src/sapphireledge_standins/standin_server.py
+++ b/src/sapphireledge_standins/standin_server.py
@@ -82,7 +82,7 @@
 
 
 def listening_socket(host: str, port: int) -> socket.socket:
-    """Binds a TCP port.
+    """Binds a TCP port and listens, so that a caller told of the port can connect at once.
 
     Args:
         host: IP number to bind.
@@ -94,6 +94,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
+    sock.listen(BACKLOG)
     return sock
 
 
