Shorten the path of a relayed token

The readers of a connection hand out the coroutine of the stream itself, a packet that is one whole event skips the general splitting, and the wire structures are left out of garbage collection.

In a trial, a loop that only reads the same sockets with StreamReader took 36.5 us of user time per token, so most of the cost is the wake-up per packet; system time was 29 to 37 us in all runs.

--- a/src/sapphireledge/backends/_private.py
+++ b/src/sapphireledge/backends/_private.py
@@ -17,6 +17,7 @@
 from sapphireledge.errors import Ran
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
     from urllib.parse import ParseResult
 
     from aiosonic import HTTPClient
@@ -80,6 +81,18 @@
             mark.sent = True
         super().write(data)
 
+    def readline(self) -> Coroutine[Any, Any, bytes]:
+        """Reads a line; the end of file inside it raises an EOFError.
+
+        This and `readexactly` return the coroutine of the stream without a layer around it, since
+        both run for every token.
+        """
+        return self.reader.readuntil(b"\n")
+
+    def readexactly(self, size: int) -> Coroutine[Any, Any, bytes]:
+        """Reads exactly that many bytes."""
+        return self.reader.readexactly(size)
+
     async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
         """Closes the connection after a failed call, otherwise returns it to the pool."""
         if exc_type is not None:
@@ -98,13 +111,13 @@
         """Leaves the connection marked to be closed after its call."""
 
 
-class Delta(msgspec.Struct):
+class Delta(msgspec.Struct, gc=False):
     """Change of a chat answer."""
 
     content: str | None = None
 
 
-class Choice(msgspec.Struct):
+class Choice(msgspec.Struct, gc=False):
     """First choice of a chunk."""
 
     delta: Delta | None = None
@@ -112,7 +125,7 @@
     finish_reason: str | None = None
 
 
-class Extension(msgspec.Struct):
+class Extension(msgspec.Struct, gc=False):
     """The `sapphireledge` object of a chunk."""
 
     attempt_id: str
@@ -121,7 +134,7 @@
     total_tokens: int | None = None
 
 
-class Chunk(msgspec.Struct):
+class Chunk(msgspec.Struct, gc=False):
     """One chunk of a generation."""
 
     choices: list[Choice] = []
@@ -186,6 +199,14 @@
         """
         if self._rest:
             data = self._rest + data
+        elif (
+            data.startswith(b"data: ")
+            and data.endswith(b"\n\n")
+            and data.find(b"\n") == len(data) - 2
+            and b"\r" not in data
+        ):
+            # One whole event of one line, as nearly every packet of an engine.
+            return [data[6:-2]]
         if b"\r" in data:
             # A trailing CR may be the first half of a CRLF.
             held = data[-1:] if data.endswith(b"\r") else b""
