Give up silent connections and add the load tool

An open connection can go silent for ever while new ones work. Attempts after the first and cancellations now open a new connection, and a call that got no answer gives up all kept connections to that address; otherwise each idle one would cost a time limit. A generation closed early now releases its connection at once instead of at garbage collection.

bench/load.py opens generations at a set rate, checks each answer token by token and reconnects with the request id and last event id.

--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,476 @@
+"""Load on caller addresses: streaming generations whose answers are checked token by token.
+
+One process opens generations at a set rate and measures them. The addresses are those of entry
+instances, or of an engine stand-in with `--direct`: an engine cannot continue an answer for a
+caller, so that a broken connection then ends the request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Sequence
+from contextlib import aclosing
+from dataclasses import asdict, dataclass, field
+from typing import Annotated, Any
+
+import msgspec
+import typer
+from aiosonic import HTTPClient, HttpResponse
+from aiosonic.timeout import Timeouts
+from hdrh.histogram import HdrHistogram
+
+from sapphireledge.backends import ConnectionPools, prompt_text
+from sapphireledge_standins.chained_answer import check_chained_answer
+
+BYTES_PER_TOKEN = 4
+"""Bytes of prompt that count as one token at the stand-in."""
+
+HIGHEST_US = 3_600_000_000
+"""Longest time that a histogram holds, in microseconds."""
+
+RETRY_PAUSE = 0.05
+"""Seconds between two tries to reconnect."""
+
+RETRYABLE = frozenset({429, 503})
+"""Status codes after which a started answer is asked for again."""
+
+SHOWN_PROBLEMS = 10
+"""Answers with a fault that are described in the result."""
+
+RESCHEDULE = 0.25
+"""Seconds between two moves of the limit for silence; it need not be exact."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGroup:
+    """Callers that share a rank, a workspace and a shape of request."""
+
+    rate: float
+    """Arrivals per second."""
+
+    duration: float
+    """Seconds in which requests arrive."""
+
+    rank: str = ""
+    """X-Rank header, empty for none."""
+
+    workspace: str = ""
+    """X-Workspace header, empty for none."""
+
+    prompt_tokens: int = 100
+    """Length of the prompt."""
+
+    shared_tokens: int = 0
+    """Leading tokens of the prompt that all requests of the group share."""
+
+    output_tokens: int = 100
+    """Length of the answer."""
+
+    model: str = "drafter"
+    """Model name."""
+
+    deadline_ms: int = 0
+    """X-Deadline-Ms header, 0 for none."""
+
+    token: str = ""
+    """Bearer token, empty for none."""
+
+    start: float = 0.0
+    """Seconds before the first arrival."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOptions:
+    """Options that hold for all groups."""
+
+    addresses: tuple[str, ...]
+    """"host:port" of the entry instances, used in turn."""
+
+    direct: bool = False
+    """Whether the addresses are engines."""
+
+    patience: float = 10.0
+    """Seconds in which a broken answer is asked for again."""
+
+    silence: float = 5.0
+    """Seconds without any byte after which a connection counts as broken."""
+
+    max_open: int = 5_000
+    """Requests that are open at once; an arrival beyond it is counted as not_sent."""
+
+    seed: int = 1
+    """Seed of the arrival times and request ids."""
+
+
+def _histogram() -> HdrHistogram:
+    """Creates a histogram of microseconds with three digits."""
+    return HdrHistogram(1, HIGHEST_US, 3)
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """What one group saw."""
+
+    first_token: HdrHistogram = field(default_factory=_histogram)
+    """From sending a request to its first token."""
+
+    gap: HdrHistogram = field(default_factory=_histogram)
+    """Between two tokens."""
+
+    longest_gap: HdrHistogram = field(default_factory=_histogram)
+    """Longest gap of each answer of two tokens or more."""
+
+    reconnect_gap: HdrHistogram = field(default_factory=_histogram)
+    """From the last token before a broken connection to the first one after it."""
+
+    whole: HdrHistogram = field(default_factory=_histogram)
+    """From sending a request to the end of its complete answer."""
+
+    kinds: Counter[str] = field(default_factory=Counter)
+    """Requests by result."""
+
+    problems: list[str] = field(default_factory=list)
+    """First answers with a fault: request id and what the checker found."""
+
+    tokens: int = 0
+    """Tokens received."""
+
+    reconnects: int = 0
+    """Connections opened after the first one of a request."""
+
+    def summary(self) -> dict[str, Any]:
+        """Builds the printed form; times in milliseconds."""
+        times = ("first_token", "gap", "longest_gap", "reconnect_gap", "whole")
+        return {
+            "kinds": dict(self.kinds),
+            "tokens": self.tokens,
+            "reconnects": self.reconnects,
+            "problems": self.problems,
+            **{f"{name}_ms": _percentiles(getattr(self, name)) for name in times},
+        }
+
+
+@dataclass(slots=True)
+class _Answer:
+    """Progress of one request."""
+
+    request_id: str
+    body: dict[str, Any]
+    headers: dict[str, str]
+    sent: float
+    pieces: list[str] = field(default_factory=list)
+    last_id: str = ""
+    last_token: float = 0.0
+    longest: float = 0.0
+    finished: bool = False
+    reconnected: bool = False
+    refusal: str = ""
+
+
+async def run_load(
+    groups: Sequence[CallerGroup], options: LoadOptions
+) -> dict[str, dict[str, Any] | float]:
+    """Runs groups of callers side by side until every answer has ended.
+
+    Args:
+        groups: Groups of callers.
+        options: Addresses and limits.
+
+    Returns:
+        One summary for each group under "groups", with the processor time of this process.
+    """
+    # The pools of the product, because aiosonic's own can hand out the answer of another call.
+    pools = ConnectionPools(streams=options.max_open)
+    client = pools.streams
+    cpu, wall = time.process_time(), time.monotonic()
+    loads = [_Load(group, options, client, number) for number, group in enumerate(groups)]
+    async with asyncio.TaskGroup() as tasks:
+        for load in loads:
+            tasks.create_task(load.run())
+    cpu, wall = time.process_time() - cpu, time.monotonic() - wall
+    await pools.close()
+    tokens = sum(load.result.tokens for load in loads)
+    summaries = [{**asdict(load.group), **load.result.summary()} for load in loads]
+    for summary in summaries:
+        summary.pop("token")
+    return {
+        "groups": summaries,
+        "seconds": round(wall, 3),
+        "tokens_per_second": round(tokens / wall, 1),
+        "tool_cpu_us_per_token": round(cpu / max(1, tokens) * 1e6, 1),
+    }
+
+
+class _Load:
+    """Requests of one group."""
+
+    def __init__(
+        self, group: CallerGroup, options: LoadOptions, client: HTTPClient, number: int
+    ) -> None:
+        self.group = group
+        self.result = LoadResult()
+        self._options = options
+        self._client = client
+        self._random = random.Random(f"{options.seed}/{number}")
+        self._prefix = f"load-{self._random.getrandbits(48):012x}"
+        self._next_address = number
+        self._open = 0
+        # Limits that only cover the head of an answer; silence inside it is judged here.
+        self._timeouts = Timeouts(2.0, options.silence, 2.0, options.silence + 4.0)
+
+    async def run(self) -> None:
+        """Sends requests at the times of a Poisson process and waits for their answers."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + self.group.start
+        end = due + self.group.duration
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(10**9):
+                due += self._random.expovariate(self.group.rate)
+                if due >= end:
+                    return
+                await asyncio.sleep(due - loop.time())
+                if self._open >= self._options.max_open:
+                    self.result.kinds["not_sent"] += 1
+                    continue
+                tasks.create_task(self._request(number))
+
+    async def _request(self, number: int) -> None:
+        """Runs one request to its end and records it."""
+        answer = self._prepare(number)
+        self._open += 1
+        try:
+            await self._receive_all(answer)
+        finally:
+            self._open -= 1
+        self._record(answer)
+
+    def _prepare(self, number: int) -> _Answer:
+        """Builds a request whose prompt no other request has."""
+        group = self.group
+        request_id = f"{self._prefix}-{number}"
+        shared = "shared words " * (group.shared_tokens * BYTES_PER_TOKEN // 13 + 1)
+        own = f"{request_id} " * (group.prompt_tokens * BYTES_PER_TOKEN // len(request_id) + 1)
+        size = group.prompt_tokens * BYTES_PER_TOKEN
+        content = (shared[: group.shared_tokens * BYTES_PER_TOKEN] + own)[: max(size, 1)]
+        body = {
+            "model": group.model,
+            "messages": [{"role": "user", "content": f"{content} {request_id}"}],
+            "max_tokens": group.output_tokens,
+            "stream": True,
+        }
+        headers = {"Content-Type": "application/json", "X-Request-Id": request_id}
+        if group.rank:
+            headers["X-Rank"] = group.rank
+        if group.workspace:
+            headers["X-Workspace"] = group.workspace
+        if group.deadline_ms:
+            headers["X-Deadline-Ms"] = str(group.deadline_ms)
+        if group.token:
+            headers["Authorization"] = f"Bearer {group.token}"
+        return _Answer(request_id, body, headers, time.monotonic())
+
+    async def _receive_all(self, answer: _Answer) -> None:
+        """Receives an answer over as many connections as it takes."""
+        give_up = 0.0
+        while not (answer.finished or answer.refusal):
+            received = len(answer.pieces)
+            await self._receive(answer)
+            if answer.finished or answer.refusal:
+                return
+            if self._options.direct:
+                answer.refusal = "broken"
+                return
+            now = time.monotonic()
+            if not give_up or len(answer.pieces) > received:
+                give_up = now + self._options.patience
+            if now >= give_up:
+                answer.refusal = "broken"
+                return
+            answer.reconnected = True
+            self.result.reconnects += 1
+            await asyncio.sleep(RETRY_PAUSE)
+
+    async def _receive(self, answer: _Answer) -> None:
+        """Receives what one connection brings."""
+        address = self._options.addresses[self._next_address % len(self._options.addresses)]
+        self._next_address += 1
+        headers = dict(answer.headers)
+        if answer.last_id:
+            headers["Last-Event-ID"] = answer.last_id
+        try:
+            response = await self._client.request(
+                f"http://{address}/v1/chat/completions",
+                "POST",
+                headers,
+                data=msgspec.json.encode(answer.body),
+                timeouts=self._timeouts,
+                stream=True,
+            )
+        except Exception:
+            return
+        try:
+            await self._read(answer, response)
+        except Exception:
+            # The connection broke or fell silent: the caller reconnects.
+            return
+        finally:
+            await response.aclose()
+
+    async def _read(self, answer: _Answer, response: HttpResponse) -> None:
+        """Reads one response."""
+        if response.status_code != 200:
+            async with asyncio.timeout(self._options.silence):
+                kind = _error_kind(await response.content()) or f"status {response.status_code}"
+            retry = answer.reconnected and response.status_code in RETRYABLE
+            answer.refusal = "" if retry else kind
+            return
+        if answer.pieces and response.headers.get("x-answer") == "new":
+            answer.refusal = "restarted"
+            return
+        loop = asyncio.get_running_loop()
+        first = True
+        async with asyncio.timeout(self._options.silence) as limit:
+            moved = loop.time()
+            async with aclosing(_events(response)) as events:
+                async for event_id, data in events:
+                    now = loop.time()
+                    if now - moved > RESCHEDULE:
+                        moved = now
+                        limit.reschedule(now + self._options.silence)
+                    if data == "[DONE]":
+                        return
+                    try:
+                        first = self._take(answer, event_id, data, first)
+                    except (msgspec.MsgspecError, LookupError, TypeError, AttributeError):
+                        answer.refusal = "malformed"
+                    if answer.refusal:
+                        return
+
+    def _take(self, answer: _Answer, event_id: str, data: str, first: bool) -> bool:
+        """Takes one event; returns whether the next token is the first of the connection."""
+        chunk = msgspec.json.decode(data)
+        if "error" in chunk:
+            answer.refusal = _error_kind(data.encode()) or "error"
+            return first
+        choice = chunk["choices"][0]
+        text = choice["delta"].get("content") or ""
+        if event_id:
+            answer.last_id = event_id
+        if choice.get("finish_reason"):
+            answer.finished = True
+        if not text:
+            return first
+        now = time.monotonic()
+        if not answer.pieces:
+            _record_time(self.result.first_token, now - answer.sent)
+        else:
+            gap = now - answer.last_token
+            answer.longest = max(answer.longest, gap)
+            _record_time(self.result.gap, gap)
+            if first and answer.reconnected:
+                _record_time(self.result.reconnect_gap, gap)
+        answer.last_token = now
+        answer.pieces.append(text)
+        return False
+
+    def _record(self, answer: _Answer) -> None:
+        """Checks an answer and records its result."""
+        result = self.result
+        report = check_chained_answer("".join(answer.pieces), prompt_text(answer.body))
+        result.tokens += report.tokens
+        if len(answer.pieces) > 1:
+            _record_time(result.longest_gap, answer.longest)
+        kind = answer.refusal or "complete"
+        if not report.intact:
+            kind = "not_intact"
+        elif kind == "complete" and not report.complete:
+            kind = "cut_short"
+        elif kind == "complete" and report.tokens != answer.body["max_tokens"]:
+            kind = "wrong_length"
+        result.kinds[kind] += 1
+        if kind == "complete":
+            _record_time(result.whole, answer.last_token - answer.sent)
+        elif not answer.refusal and len(result.problems) < SHOWN_PROBLEMS:
+            result.problems.append(f"{answer.request_id}: {kind}, {report}")
+
+
+async def _events(response: HttpResponse) -> AsyncIterator[tuple[str, str]]:
+    """Reads server-sent events as id and data."""
+    event_id = data = ""
+    async with aclosing(response.iter_lines()) as lines:
+        async for line in lines:
+            if line.startswith("data:"):
+                data = line[5:].removeprefix(" ")
+            elif line.startswith("id:"):
+                event_id = line[3:].strip()
+            elif not line and data:
+                yield event_id, data
+                event_id = data = ""
+
+
+def _error_kind(body: bytes) -> str:
+    """Reads the kind out of an error answer, empty when there is none."""
+    try:
+        error = msgspec.json.decode(body)["error"]
+        return str(error.get("kind") or error.get("code") or error.get("type") or "")
+    except (msgspec.MsgspecError, KeyError, TypeError, AttributeError):
+        return ""
+
+
+def _record_time(histogram: HdrHistogram, seconds: float) -> None:
+    """Records a time."""
+    histogram.record_value(min(HIGHEST_US, max(1, int(seconds * 1e6))))
+
+
+def _percentiles(histogram: HdrHistogram) -> dict[str, float]:
+    """Reads the usual percentiles, in milliseconds."""
+    if not histogram.get_total_count():
+        return {"count": 0}
+    named = {"p50": 50, "p95": 95, "p99": 99}
+    values = {key: histogram.get_value_at_percentile(value) for key, value in named.items()}
+    values["max"] = histogram.get_max_value()
+    shown = {key: round(value / 1e3, 2) for key, value in values.items()}
+    return {"count": histogram.get_total_count(), **shown}
+
+
+def main(
+    addresses: Annotated[list[str], typer.Argument(help="host:port of the caller addresses.")],
+    direct: Annotated[bool, typer.Option(help="The addresses are engines.")] = False,
+    rate: Annotated[float, typer.Option(min=0.001, help="Arrivals per second.")] = 1.0,
+    duration: Annotated[float, typer.Option(help="Seconds of arrivals.")] = 10.0,
+    rank: Annotated[str, typer.Option(help="X-Rank header.")] = "",
+    workspace: Annotated[str, typer.Option(help="X-Workspace header.")] = "",
+    prompt_tokens: Annotated[int, typer.Option(min=1, help="Length of prompts.")] = 100,
+    shared_tokens: Annotated[int, typer.Option(min=0, help="Shared start of prompts.")] = 0,
+    output_tokens: Annotated[int, typer.Option(min=1, help="Length of answers.")] = 100,
+    model: Annotated[str, typer.Option(help="Model name.")] = "drafter",
+    deadline_ms: Annotated[int, typer.Option(min=0, help="X-Deadline-Ms header.")] = 0,
+    token: Annotated[str, typer.Option(help="Bearer token.")] = "",
+    patience: Annotated[float, typer.Option(help="Seconds of reconnecting.")] = 10.0,
+    silence: Annotated[float, typer.Option(help="Seconds without a byte.")] = 5.0,
+    max_open: Annotated[int, typer.Option(min=1, help="Requests open at once.")] = 5_000,
+    seed: Annotated[int, typer.Option(help="Seed of arrivals.")] = 1,
+) -> None:
+    """Runs one group of callers and prints what they saw as JSON."""
+    group = CallerGroup(
+        rate=rate,
+        duration=duration,
+        rank=rank,
+        workspace=workspace,
+        prompt_tokens=prompt_tokens,
+        shared_tokens=shared_tokens,
+        output_tokens=output_tokens,
+        model=model,
+        deadline_ms=deadline_ms,
+        token=token,
+    )
+    options = LoadOptions(tuple(addresses), direct, patience, silence, max_open, seed)
+    result = asyncio.run(run_load([group], options))
+    print(msgspec.json.format(msgspec.json.encode(result), indent=1).decode())
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/src/sapphireledge/backends/_private.py
+++ b/src/sapphireledge/backends/_private.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from contextvars import ContextVar
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -17,7 +19,7 @@
 from sapphireledge.errors import Ran
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Coroutine, Mapping
     from urllib.parse import ParseResult
 
     from aiosonic import HTTPClient
@@ -67,13 +69,26 @@
     a call with an unknown outcome.
     """
 
+    distrusted: Mapping[str, float] = MappingProxyType({})
+    """Monotonic time by address; connections opened before it are not reused."""
+
+    opened = 0.0
+    """Monotonic time at which the connection was opened."""
+
     def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
-        """Reuses the connection if the server has neither closed it nor sent anything."""
+        """Reuses the connection if it is trusted and the server has not closed it or sent more."""
         reader = self.reader
+        if self.opened < self.distrusted.get(urlparsed.netloc, 0.0):
+            return False
         if reader is not None and (reader.at_eof() or reader._buffer):
             return False
         return super().reuse(urlparsed, verify)
 
+    async def _connection_made(self) -> None:
+        """Notes the time of opening."""
+        self.opened = time.monotonic()
+        await super()._connection_made()
+
     def write(self, data: bytes) -> None:
         """Writes and marks the current call as sent."""
         mark = SendMark.current.get()
--- a/src/sapphireledge/backends/connection_pools.py
+++ b/src/sapphireledge/backends/connection_pools.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from aiosonic import HTTPClient, TCPConnector
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
@@ -10,6 +12,9 @@
 
 __all__ = ["ConnectionPools"]
 
+MAX_DISTRUSTED = 4_096
+"""Addresses whose earlier connections are remembered as given up; the oldest is dropped first."""
+
 
 class ConnectionPools:
     """Bounded connection pools shared by the clients of one instance.
@@ -17,6 +22,10 @@
     Streams, short calls and one-call connections have separate pools, so that a flood of streams
     cannot delay a probe or a cancellation. Each pool counts its connections over all backend
     servers and replaces the idle connection of another server when it is full.
+
+    An open connection can go silent for ever while new ones work. What must not meet such a
+    connection opens a new one; when a call on a kept connection gets no answer, all kept
+    connections to that address are given up.
     """
 
     def __init__(
@@ -30,8 +39,8 @@
         """Creates the pools; no connection is opened yet.
 
         Args:
-            streams: Most connections that carry generations.
-            calls: Most kept connections for loads, cancellations, orders and idempotent calls.
+            streams: Most connections that carry first attempts, and as many for later ones.
+            calls: Most kept connections for load reports, cache events and idempotent calls.
             one_call: Most connections that serve a single call.
             connect_timeout: Seconds to establish a connection.
             acquire_timeout: Seconds to wait for a place in a pool.
@@ -42,10 +51,16 @@
         self.acquire_timeout = acquire_timeout
         """Seconds to wait for a place in a pool."""
 
-        self.streams = self._client(streams, ReusableConnection)
-        """Client for generations."""
+        self._distrusted: dict[str, float] = {}
+        kept = type("KeptConnection", (ReusableConnection,), {"distrusted": self._distrusted})
+
+        self.streams = self._client(streams, kept)
+        """Client for first attempts of generations."""
+
+        self.resumes = self._client(streams, OneCallConnection)
+        """Client for later attempts: each opens a new connection."""
 
-        self.calls = self._client(calls, ReusableConnection)
+        self.calls = self._client(calls, kept)
         """Client for short calls that may share a connection with earlier ones."""
 
         self.one_call = self._client(one_call, OneCallConnection)
@@ -63,9 +78,20 @@
         whole = self.acquire_timeout + self.connect_timeout + answer
         return Timeouts(self.connect_timeout, answer, self.acquire_timeout, whole)
 
+    def distrust(self, address: str) -> None:
+        """Gives up the kept connections to an address; those in use are closed after their call.
+
+        Args:
+            address: "host:port" of a backend server.
+        """
+        self._distrusted.pop(address, None)
+        self._distrusted[address] = time.monotonic()
+        if len(self._distrusted) > MAX_DISTRUSTED:
+            del self._distrusted[next(iter(self._distrusted))]
+
     async def close(self) -> None:
         """Closes idle connections now and the others when their call ends."""
-        for client in (self.streams, self.calls, self.one_call):
+        for client in (self.streams, self.resumes, self.calls, self.one_call):
             await client.aclose()
 
     def _client(self, size: int, connection_cls: type) -> HTTPClient:
--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -85,7 +85,7 @@
         self,
         address: str,
         pools: ConnectionPools,
-        accept_timeout: float = 10.0,
+        accept_timeout: float = 2.0,
         call_timeout: float = 1.0,
     ) -> None:
         """Creates a client.
@@ -110,8 +110,8 @@
 
         The iterator must be exhausted or closed (`contextlib.aclosing`); closing it early closes
         the connection, which cancels the attempt. There is no time limit between tokens: silence
-        is judged by the caller. After Finished the iterator may take up to 0.25 s to end. A finish
-        chunk of another attempt is left out.
+        is judged by the caller. Attempts after the first use a new connection. After Finished the
+        iterator may take up to 0.25 s to end. A finish chunk of another attempt is left out.
 
         Args:
             call: The attempt.
@@ -125,55 +125,19 @@
         if isinstance(response, Broken):
             yield response
             return
-        feed, decode = SseReader().feed, self._decode_chunk
-        attempt, attempt_id = call.attempt, call.attempt_id
-        ran = Ran.UNKNOWN
         chunks = response.read_chunks()
-        end: Finished | Broken | None = None
         try:
-            yield Started(attempt)
-            async for data in chunks:
-                for payload in feed(data):
-                    if payload == DONE:
-                        continue
-                    chunk = decode(payload)
-                    extension = chunk.sapphireledge
-                    if extension is None or not chunk.choices:
-                        if chunk.error is None:
-                            continue
-                        end = Broken(BreakCause.SERVER_ERROR, ran, "error inside the stream")
-                        break
-                    choice = chunk.choices[0]
-                    number = attempt
-                    if extension.attempt_id != attempt_id:
-                        number = attempt_number(call.request_id, extension.attempt_id)
-                    if choice.finish_reason is None:
-                        delta = choice.delta
-                        text = choice.text if delta is None else delta.content
-                        ran = Ran.YES
-                        yield TokenPiece(number, extension.offset, text or "")
-                    elif number == attempt:
-                        total = extension.total_tokens
-                        total = extension.offset if total is None else total
-                        end = Finished(total, choice.finish_reason)
-                        break
-                if end is not None:
-                    break
-            else:
-                end = Broken(BreakCause.TRUNCATED, ran, "no finish chunk")
-        except (msgspec.MsgspecError, UnicodeError, EventTooLong) as exc:
-            end = Broken(BreakCause.MALFORMED, ran, type(exc).__name__)
-        except Exception as exc:
-            end = Broken(BreakCause.CONNECTION_LOST, ran, type(exc).__name__)
-        try:
-            yield end
-            if isinstance(end, Finished):
-                await _drain(chunks)
+            yield Started(call.attempt)
+            async for event in self._read(call, chunks):
+                yield event
+                if type(event) is Finished:
+                    await _drain(chunks)
         finally:
+            await chunks.aclose()
             await response.aclose()
 
     async def cancel(self, attempt_id: str) -> bool:
-        """Cancels an attempt.
+        """Cancels an attempt, on a new connection.
 
         Args:
             attempt_id: Id of the attempt.
@@ -182,7 +146,7 @@
             Whether the engine answered, be it that it does not know the attempt.
         """
         path = f"/v1/attempts/{quote(attempt_id, safe='')}"
-        reply = await self._request(self._pools.calls, "DELETE", path)
+        reply = await self._request(self._pools.one_call, "DELETE", path)
         return isinstance(reply, HttpReply) and reply.status in (200, 404)
 
     async def probe(self, attempt_id: str, limit: float = 0.3) -> ProbeResult:
@@ -262,6 +226,49 @@
         status = OrderStatus.REFUSED if refused.ran is Ran.NO else OrderStatus.UNKNOWN
         return OrderResult(status, detail=refused.detail)
 
+    async def _read(
+        self, call: GenerationCall, chunks: AsyncIterator[bytes]
+    ) -> AsyncIterator[StreamEvent]:
+        """Reads the events of an accepted attempt; one loop, because it runs for every token."""
+        feed, decode = SseReader().feed, self._decode_chunk
+        attempt, attempt_id = call.attempt, call.attempt_id
+        ran = Ran.UNKNOWN
+        try:
+            async for data in chunks:
+                for payload in feed(data):
+                    if payload == DONE:
+                        continue
+                    chunk = decode(payload)
+                    extension = chunk.sapphireledge
+                    if extension is None or not chunk.choices:
+                        if chunk.error is None:
+                            continue
+                        yield Broken(BreakCause.SERVER_ERROR, ran, "error inside the stream")
+                        return
+                    choice = chunk.choices[0]
+                    number = attempt
+                    if extension.attempt_id != attempt_id:
+                        number = attempt_number(call.request_id, extension.attempt_id)
+                    delta = choice.delta
+                    text = choice.text if delta is None else delta.content
+                    if choice.finish_reason is None:
+                        ran = Ran.YES
+                        yield TokenPiece(number, extension.offset, text or "")
+                    elif number == attempt:
+                        total = extension.total_tokens
+                        total = extension.offset if total is None else total
+                        # Text here would be a token without an offset, and be lost.
+                        if text:
+                            yield Broken(BreakCause.MALFORMED, ran, "text in the finish chunk")
+                        else:
+                            yield Finished(total, choice.finish_reason)
+                        return
+            yield Broken(BreakCause.TRUNCATED, ran, "no finish chunk")
+        except (msgspec.MsgspecError, UnicodeError, EventTooLong) as exc:
+            yield Broken(BreakCause.MALFORMED, ran, type(exc).__name__)
+        except Exception as exc:
+            yield Broken(BreakCause.CONNECTION_LOST, ran, type(exc).__name__)
+
     async def _open(self, call: GenerationCall) -> HttpResponse | Broken:
         """Sends a generation and waits until the engine accepts or refuses it."""
         extension: dict[str, Any] = {
@@ -276,8 +283,9 @@
         headers = {**JSON_HEADERS, "Accept": "text/event-stream", "X-Request-Id": call.request_id}
         if call.traceparent:
             headers["traceparent"] = call.traceparent
+        client = self._pools.streams if call.attempt == 1 else self._pools.resumes
         response = await send_request(
-            self._pools.streams,
+            client,
             "POST",
             self._base + call.path,
             data=msgspec.json.encode(body),
@@ -286,6 +294,7 @@
             stream=True,
         )
         if isinstance(response, Broken):
+            self._note(response)
             return response
         if response.status_code != 200:
             reply = await read_reply(response, BODY_TIMEOUT)
@@ -316,7 +325,16 @@
             headers=JSON_HEADERS if body else None,
             timeouts=self._pools.timeouts(limit),
         )
-        return response if isinstance(response, Broken) else await read_reply(response, limit)
+        reply = response
+        if not isinstance(response, Broken):
+            reply = await read_reply(response, limit)
+        self._note(reply)
+        return reply
+
+    def _note(self, reply: HttpReply | Broken) -> None:
+        """Gives up the kept connections after a call without an answer."""
+        if isinstance(reply, Broken) and reply.cause is BreakCause.NO_ANSWER:
+            self._pools.distrust(self.address)
 
 
 async def _drain(chunks: AsyncIterator[bytes]) -> None:
