--- a/src/sapphireledge_standins/chained_answer.py
+++ b/src/sapphireledge_standins/chained_answer.py
@@ -15,7 +15,7 @@
 
 __all__ = ["AnswerChain", "check_chained_answer"]
 
-TOKEN = re.compile(r"(\d+):([0-9a-z-]+):([0-9a-f]{8})([ .])")
+TOKEN = re.compile(r"(0|[1-9][0-9]*):([0-9a-z-]+):([0-9a-f]{8})([ .])")
 """One token: offset, nonce, hash, separator."""
 
 HASH_MASK = 0xFFFFFFFF
--- /dev/null
+++ b/tests/standin_case.py
@@ -0,0 +1,80 @@
+"""Engine stand-ins and raw servers in the process of a test."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from sapphireledge.backends import ConnectionPools, EngineClient, GenerationCall, TokenPiece
+from sapphireledge_standins.engine_app import create_engine_app
+from sapphireledge_standins.engine_options import EngineOptions
+from sapphireledge_standins.standin_engine import StandinEngine
+from sapphireledge_standins.standin_server import StandinServer
+
+
+class Engine:
+    """One engine stand-in with a client."""
+
+    def __init__(self, pools: ConnectionPools, **options) -> None:
+        self.state = StandinEngine(EngineOptions(**{"token_rate": 400.0, **options}))
+        self.app = create_engine_app(self.state)
+        self.server = StandinServer(self.app)
+        self.state.on_die = self.server.abort
+        self.client = EngineClient(self.server.address, pools, 0.5, 0.3)
+
+    def faults(self, **faults) -> None:
+        changed = type(self.state.faults)(**faults)
+        self.app.switch(changed.freeze, changed.silence_existing)
+        self.state.set_faults(changed)
+
+
+class StandinCase(unittest.IsolatedAsyncioTestCase):
+    """Starts servers on loopback ports and stops them after the test."""
+
+    async def asyncSetUp(self) -> None:
+        self.pools = ConnectionPools(32, 32, 32)
+        self.addAsyncCleanup(self.pools.close)
+
+    async def engine(self, **options) -> Engine:
+        engine = Engine(self.pools, **options)
+        await engine.server.start()
+        self.addAsyncCleanup(engine.server.stop)
+        return engine
+
+    async def raw_server(
+        self, answer: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+    ) -> str:
+        """Starts a server whose connections are handled by `answer`; returns its address."""
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                await answer(reader, writer)
+            except (OSError, EOFError):
+                pass
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+
+def make_call(request_id="r1", attempt=1, tokens=12, prompt="draft a summary", **fields):
+    body = {
+        "model": "drafter",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": tokens,
+    }
+    version = fields.pop("model_version", "v1")
+    return GenerationCall(request_id, attempt, "/v1/chat/completions", body, version, **fields)
+
+
+async def collect(client: EngineClient, call: GenerationCall) -> list:
+    """Runs an attempt to its end."""
+    return [event async for event in client.stream(call)]
+
+
+def text_of(events: list) -> str:
+    return "".join(event.text for event in events if isinstance(event, TokenPiece))
--- /dev/null
+++ b/tests/test_engine_client.py
@@ -0,0 +1,322 @@
+"""Tests of the engine client against the engine stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing
+
+from standin_case import StandinCase, collect, make_call, text_of
+
+from sapphireledge.backends import (
+    BreakCause,
+    Broken,
+    CacheEventPoller,
+    EngineOrder,
+    Finished,
+    GenerationCall,
+    LoadPoller,
+    OrderKind,
+    OrderStatus,
+    Started,
+    TokenPiece,
+    prompt_text,
+)
+from sapphireledge.errors import Ran
+from sapphireledge_standins.chained_answer import check_chained_answer
+
+
+class StreamTest(StandinCase):
+    """Guards against lost, added or misattributed events of a stream."""
+
+    async def test_chat_stream_is_whole(self):
+        engine = await self.engine()
+        call = make_call()
+        events = await collect(engine.client, call)
+        self.assertEqual(events[0], Started(1))
+        self.assertEqual(events[-1], Finished(12, "length"))
+        self.assertEqual([event.offset for event in events[1:-1]], list(range(12)))
+        self.assertTrue(check_chained_answer(text_of(events), prompt_text(call.body)).complete)
+
+    async def test_text_completion_stream_is_whole(self):
+        engine = await self.engine()
+        body = {"model": "drafter", "prompt": "draft", "max_tokens": 5}
+        events = await collect(engine.client, GenerationCall("r", 1, "/v1/completions", body, "v1"))
+        self.assertEqual(events[-1], Finished(5, "length"))
+        self.assertTrue(check_chained_answer(text_of(events), "draft").complete)
+
+    async def test_connection_is_kept_after_a_whole_stream(self):
+        engine = await self.engine()
+        for number in range(4):
+            await collect(engine.client, make_call(f"r{number}"))
+        connections = engine.server._server.server_state.connections
+        self.assertEqual(len(connections), 1)
+
+    async def test_resume_at_each_offset_continues_exactly(self):
+        engine, other = await self.engine(), await self.engine()
+        pieces = [e.text for e in await collect(engine.client, make_call()) if hasattr(e, "text")]
+        for offset in (1, 6, 11):
+            text = "".join(pieces[:offset])
+            call = make_call(f"r1-{offset}", attempt=2, offset=offset, text=text)
+            events = await collect(other.client, call)
+            self.assertEqual(events[1].offset, offset)
+            report = check_chained_answer(text + text_of(events), prompt_text(call.body))
+            self.assertTrue(report.complete, report)
+            self.assertEqual(len(report.nonces), 2)
+
+    async def test_warm_engine_recomputes_less_than_a_cold_one(self):
+        warm, cold = await self.engine(), await self.engine()
+        prompt = "words of a long prompt " * 100
+        first = await collect(warm.client, make_call(tokens=40, prompt=prompt))
+        text = "".join(event.text for event in first[1:31])
+        resume = make_call(attempt=2, tokens=40, prompt=prompt, offset=30, text=text)
+        for engine in (warm, cold):
+            await collect(engine.client, resume)
+        recomputed = [engine.state.tokens_recomputed for engine in (warm, cold)]
+        self.assertLess(recomputed[0] * 5, recomputed[1])
+
+    async def test_urgent_work_starts_first(self):
+        engine = await self.engine(slots=1)
+        ended = []
+
+        async def run(name: str, priority: int) -> None:
+            await collect(engine.client, make_call(name, priority=priority))
+            ended.append(name)
+
+        async with asyncio.TaskGroup() as group:
+            for name, priority in (("running", 5), ("later", 5), ("urgent", 0)):
+                group.create_task(run(name, priority))
+                await asyncio.sleep(0.008)
+        self.assertEqual(ended, ["running", "urgent", "later"])
+
+
+class CancelTest(StandinCase):
+    """Guards against work that goes on for nobody."""
+
+    async def test_cancel_ends_the_stream_and_frees_the_slot(self):
+        engine = await self.engine(slots=1)
+        async with aclosing(engine.client.stream(make_call(tokens=4000))) as events:
+            async for event in events:
+                if isinstance(event, TokenPiece) and event.offset == 3:
+                    self.assertTrue(await engine.client.cancel("r1.1"))
+                last = event
+        self.assertEqual((last.cause, last.ran), (BreakCause.TRUNCATED, Ran.YES))
+        self.assertFalse((await engine.client.probe("r1.1")).knows_attempt)
+        self.assertIsInstance((await collect(engine.client, make_call("r2")))[-1], Finished)
+
+    async def test_cancel_of_an_unknown_attempt_is_answered(self):
+        engine = await self.engine()
+        self.assertTrue(await engine.client.cancel("none.1"))
+
+    async def test_closing_the_stream_cancels(self):
+        engine = await self.engine()
+        async with aclosing(engine.client.stream(make_call(tokens=4000))) as events:
+            async for event in events:
+                if isinstance(event, TokenPiece):
+                    break
+        await asyncio.sleep(0.05)
+        self.assertEqual((engine.state.running, engine.state.cancelled), (0, 1))
+
+    async def test_engine_that_ignores_cancel_is_seen_by_probe(self):
+        engine = await self.engine()
+        engine.faults(ignore_cancel=True)
+        async with aclosing(engine.client.stream(make_call(tokens=4000))) as events:
+            await anext(events)
+            await anext(events)
+            await engine.client.cancel("r1.1")
+            self.assertTrue((await engine.client.probe("r1.1")).knows_attempt)
+            self.assertIsInstance(await anext(events), TokenPiece)
+
+
+class FaultTest(StandinCase):
+    """Guards against a fault that is seen as another one, above all a false "not run"."""
+
+    async def test_death_is_broken_after_and_then_refused_before(self):
+        engine = await self.engine()
+        events = []
+        async for event in engine.client.stream(make_call(tokens=4000)):
+            events.append(event)
+            if len(events) == 5:
+                engine.faults(die=True)
+        self.assertEqual((events[-1].cause, events[-1].ran), (BreakCause.CONNECTION_LOST, Ran.YES))
+        (broken,) = await collect(engine.client, make_call("r2"))
+        self.assertEqual((broken.cause, broken.ran), (BreakCause.NOT_CONNECTED, Ran.NO))
+        self.assertFalse((await engine.client.probe("r1.1")).alive)
+
+    async def test_only_the_crashing_request_kills(self):
+        engine = await self.engine()
+        engine.faults(die_on_text="crash me", die_at_offset=4)
+        self.assertIsInstance((await collect(engine.client, make_call()))[-1], Finished)
+        events = await collect(engine.client, make_call("r2", prompt="please crash me"))
+        self.assertEqual(events[-1].cause, BreakCause.CONNECTION_LOST)
+        self.assertEqual(len(text_of(events).split()), 4)
+
+    async def test_frozen_engine_is_silent_and_returns(self):
+        engine = await self.engine()
+        stream = engine.client.stream(make_call(tokens=100))
+        async with aclosing(stream):
+            events = [await anext(stream) for _ in range(3)]
+            engine.faults(freeze=True)
+            waiting = asyncio.ensure_future(anext(stream))
+            await asyncio.sleep(0.1)
+            self.assertFalse((await engine.client.probe("r1.1", 0.1)).alive)
+            late = await engine.client.load()
+            self.assertEqual((late.cause, late.ran), (BreakCause.NO_ANSWER, Ran.UNKNOWN))
+            engine.faults()
+            events.append(await waiting)
+            events += [event async for event in stream]
+        self.assertTrue(check_chained_answer(text_of(events)).complete)
+
+    async def test_silent_connection_while_new_ones_work(self):
+        engine = await self.engine()
+        stream = engine.client.stream(make_call(tokens=400))
+        async with aclosing(stream):
+            events = [await anext(stream) for _ in range(6)]
+            engine.faults(silence_existing=True)
+            await asyncio.sleep(0.05)
+            probe = await engine.client.probe("r1.1")
+            self.assertEqual((probe.alive, probe.knows_attempt), (True, True))
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    events += [event async for event in stream]
+        text, offset = text_of(events), len(events) - 1
+        resumed = make_call(attempt=2, tokens=400, offset=offset, text=text)
+        text += text_of(await collect(engine.client, resumed))
+        self.assertTrue(check_chained_answer(text).complete)
+
+    async def test_silent_kept_connections_cost_one_time_limit(self):
+        engine = await self.engine()
+        await asyncio.gather(*(collect(engine.client, make_call(f"r{n}")) for n in range(3)))
+        engine.faults(silence_existing=True)
+        (broken,) = await collect(engine.client, make_call("r4"))
+        self.assertEqual((broken.cause, broken.ran), (BreakCause.NO_ANSWER, Ran.UNKNOWN))
+        self.assertIsInstance((await collect(engine.client, make_call("r5")))[-1], Finished)
+
+    async def test_refusals_say_that_nothing_ran(self):
+        engine = await self.engine()
+        cases = [
+            ({"busy": True}, make_call(), BreakCause.BUSY, 1.0),
+            ({"leaving": True}, make_call(), BreakCause.LEAVING, None),
+            ({}, make_call(model_version="v9"), BreakCause.UNKNOWN_MODEL, None),
+        ]
+        for faults, call, cause, wait in cases:
+            engine.faults(**faults)
+            (broken,) = await collect(engine.client, call)
+            seen = (broken.cause, broken.ran, broken.retry_after)
+            self.assertEqual(seen, (cause, Ran.NO, wait))
+        self.assertEqual(engine.state.tokens_generated, 0)
+
+    async def test_live_attempt_is_not_started_twice(self):
+        engine = await self.engine()
+        async with aclosing(engine.client.stream(make_call(tokens=4000))) as events:
+            await anext(events)
+            (broken,) = await collect(engine.client, make_call())
+            self.assertEqual((broken.cause, broken.ran), (BreakCause.INVALID, Ran.NO))
+
+    async def test_skipped_and_repeated_tokens_show_in_the_offsets(self):
+        engine = await self.engine()
+        engine.faults(skip_token=5)
+        offsets = [
+            e.offset for e in await collect(engine.client, make_call()) if hasattr(e, "text")
+        ]
+        self.assertEqual(offsets, [n for n in range(12) if n != 5])
+        engine.faults(repeat_token=5)
+        events = await collect(engine.client, make_call("r2"))
+        self.assertEqual([e.offset for e in events[1:-1]], [*range(6), *range(5, 12)])
+        self.assertFalse(check_chained_answer(text_of(events)).intact)
+
+    async def test_late_output_carries_its_own_attempt(self):
+        engine = await self.engine()
+        async with aclosing(engine.client.stream(make_call(tokens=50))) as events:
+            first = [await anext(events) for _ in range(6)]
+        engine.faults(late_output=True)
+        call = make_call(attempt=2, tokens=50, offset=5, text=text_of(first))
+        events = await collect(engine.client, call)
+        late = [e for e in events if isinstance(e, TokenPiece) and e.attempt == 1]
+        own = [e for e in events if isinstance(e, TokenPiece) and e.attempt == 2]
+        self.assertEqual(len(late), 4)
+        self.assertTrue(check_chained_answer(text_of(first) + text_of(own)).complete)
+
+
+class PollTest(StandinCase):
+    """Guards against old or missing reports that look current."""
+
+    async def test_late_load_reports_are_handed_on_once(self):
+        engine = await self.engine()
+        reports, lost = [], []
+        poller = LoadPoller(engine.client, 0.01, reports.append, lost.append)
+        await asyncio.sleep(0.15)
+        engine.faults(load_lag=0.1)
+        for _ in range(3):
+            await poller.poll()
+        numbers = [report.sequence for report in reports]
+        self.assertEqual(numbers, sorted(set(numbers)))
+        self.assertLessEqual(len(reports), 2)
+        engine.faults(leaving=True)
+        await poller.poll()
+        self.assertTrue(reports[-1].leaving)
+        engine.server.abort()
+        await poller.poll()
+        self.assertEqual(len(lost), 1)
+
+    async def test_cache_events_with_gaps_and_after_a_restart(self):
+        engine, fresh = await self.engine(cache_blocks=6), await self.engine()
+        pages = []
+        poller = CacheEventPoller(engine.client, 0.01, pages.append)
+        engine.faults(cache_event_loss=2)
+        for number in range(3):
+            prompt = f"{number} " * 800
+            await collect(engine.client, make_call(f"r{number}", prompt=prompt))
+            await poller.poll()
+        kinds = {event.kind for page in pages for event in page.events}
+        sequences = [event.sequence for page in pages for event in page.events]
+        self.assertEqual(sequences, sorted(set(sequences)))
+        self.assertTrue(all(number % 2 for number in sequences))
+        self.assertIn("stored", kinds)
+        self.assertFalse(any(page.lost for page in pages))
+        poller._client = fresh.client
+        await collect(fresh.client, make_call(prompt="other " * 200))
+        await poller.poll()
+        self.assertTrue(pages[-1].lost)
+        self.assertEqual(pages[-1].events[0].sequence, 1)
+
+
+class OrderTest(StandinCase):
+    """Guards against an order of an old holder that is taken for refused or done."""
+
+    async def test_orders_are_idempotent_and_seen_in_the_load(self):
+        engine = await self.engine()
+        order = EngineOrder("o1", OrderKind.LOAD_MODEL, 3, model="drafter", version="v2")
+        results = [await engine.client.order(order) for _ in range(2)]
+        self.assertEqual(
+            [(r.status, r.changed) for r in results], [("done", True), ("done", False)]
+        )
+        adapter = EngineOrder("o2", OrderKind.LOAD_ADAPTER, 3, "drafter", "v2", "court")
+        self.assertEqual((await engine.client.order(adapter)).status, OrderStatus.DONE)
+        role = EngineOrder("o3", OrderKind.SET_ROLE, 3, role="spare")
+        self.assertEqual((await engine.client.order(role)).status, OrderStatus.DONE)
+        report = await engine.client.load()
+        self.assertEqual((report.role, report.models[1].adapters), ("spare", ("court",)))
+
+    async def test_old_fencing_number(self):
+        engine = await self.engine()
+        new = EngineOrder("o1", OrderKind.UNLOAD_MODEL, 9, model="x", version="v1")
+        old = EngineOrder("o2", OrderKind.LOAD_MODEL, 8, model="x", version="v1")
+        await engine.client.order(new)
+        result = await engine.client.order(old)
+        self.assertEqual((result.status, result.known_fencing), (OrderStatus.OLD_FENCING, 9))
+        engine.faults(fencing="ignore")
+        self.assertEqual((await engine.client.order(old)).status, OrderStatus.DONE)
+
+    async def test_order_without_answer_is_unknown_and_unsent_is_refused(self):
+        engine = await self.engine(load_seconds=1.0)
+        order = EngineOrder("o1", OrderKind.LOAD_MODEL, 1, model="x", version="v1")
+        result = await engine.client.order(order, limit=0.1)
+        self.assertEqual(result.status, OrderStatus.UNKNOWN)
+        engine.server.abort()
+        self.assertEqual((await engine.client.order(order)).status, OrderStatus.REFUSED)
+
+    async def test_order_that_is_not_understood_is_refused(self):
+        engine = await self.engine()
+        order = EngineOrder("o1", OrderKind.UNLOAD_ADAPTER, 1, "x", "v1", "a")
+        self.assertEqual((await engine.client.order(order)).status, OrderStatus.REFUSED)
+        self.assertNotIsInstance(await engine.client.load(), Broken)
