--- a/src/sapphireledge/backends/_private.py
+++ b/src/sapphireledge/backends/_private.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from contextvars import ContextVar
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -17,6 +19,7 @@
 from sapphireledge.errors import Ran
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine, Mapping
     from urllib.parse import ParseResult
 
     from aiosonic import HTTPClient
@@ -66,13 +69,26 @@
     a call with an unknown outcome.
     """
 
+    distrusted: Mapping[str, float] = MappingProxyType({})
+    """Monotonic time by address; connections opened before it are not reused."""
+
+    opened = 0.0
+    """Monotonic time at which the connection was opened."""
+
     def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
-        """Reuses the connection if the server has neither closed it nor sent anything."""
+        """Reuses the connection if it is trusted and the server has not closed it or sent more."""
         reader = self.reader
+        if self.opened < self.distrusted.get(urlparsed.netloc, 0.0):
+            return False
         if reader is not None and (reader.at_eof() or reader._buffer):
             return False
         return super().reuse(urlparsed, verify)
 
+    async def _connection_made(self) -> None:
+        """Notes the time of opening."""
+        self.opened = time.monotonic()
+        await super()._connection_made()
+
     def write(self, data: bytes) -> None:
         """Writes and marks the current call as sent."""
         mark = SendMark.current.get()
@@ -80,6 +96,18 @@
             mark.sent = True
         super().write(data)
 
+    def readline(self) -> Coroutine[Any, Any, bytes]:
+        """Reads a line; the end of file inside it raises an EOFError.
+
+        This and `readexactly` return the coroutine of the stream without a layer around it, since
+        both run for every token.
+        """
+        return self.reader.readuntil(b"\n")
+
+    def readexactly(self, size: int) -> Coroutine[Any, Any, bytes]:
+        """Reads exactly that many bytes."""
+        return self.reader.readexactly(size)
+
     async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
         """Closes the connection after a failed call, otherwise returns it to the pool."""
         if exc_type is not None:
@@ -98,13 +126,13 @@
         """Leaves the connection marked to be closed after its call."""
 
 
-class Delta(msgspec.Struct):
+class Delta(msgspec.Struct, gc=False):
     """Change of a chat answer."""
 
     content: str | None = None
 
 
-class Choice(msgspec.Struct):
+class Choice(msgspec.Struct, gc=False):
     """First choice of a chunk."""
 
     delta: Delta | None = None
@@ -112,7 +140,7 @@
     finish_reason: str | None = None
 
 
-class Extension(msgspec.Struct):
+class Extension(msgspec.Struct, gc=False):
     """The `sapphireledge` object of a chunk."""
 
     attempt_id: str
@@ -121,7 +149,7 @@
     total_tokens: int | None = None
 
 
-class Chunk(msgspec.Struct):
+class Chunk(msgspec.Struct, gc=False):
     """One chunk of a generation."""
 
     choices: list[Choice] = []
@@ -186,6 +214,14 @@
         """
         if self._rest:
             data = self._rest + data
+        elif (
+            data.startswith(b"data: ")
+            and data.endswith(b"\n\n")
+            and data.find(b"\n") == len(data) - 2
+            and b"\r" not in data
+        ):
+            # One whole event of one line, as nearly every packet of an engine.
+            return [data[6:-2]]
         if b"\r" in data:
             # A trailing CR may be the first half of a CRLF.
             held = data[-1:] if data.endswith(b"\r") else b""
