--- /dev/null
+++ b/src/sapphireledge/operator/operator_connection.py
@@ -0,0 +1,264 @@
+"""Methods of the operator service on one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from sapphireledge.core.config import Author, Change
+from sapphireledge.core.declarations import DeclarationKind
+from sapphireledge.core.replay import replay_request
+from sapphireledge.errors import ConflictFailure, ErrorKind, Failure, Ran
+from sapphireledge.operator.messages import (
+    ApplyResult,
+    ChangeRecordMessage,
+    DeclarationMessage,
+    DiffEntry,
+    OperatorError,
+    OrderResultMessage,
+    QuarantineEntry,
+    RanState,
+    ReplayEvent,
+    ReplayResult,
+)
+from sapphireledge.rpc import secret_matches
+from sapphireledge.telemetry import LogEvent
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from sapphireledge.core.config import ChangeRecord
+    from sapphireledge.core.replay import ReplayReport, RequestEvent
+    from sapphireledge.operator.operator_parts import OperatorParts
+
+__all__ = ["OperatorConnection"]
+
+IN_FORCE_POLL = 0.1
+"""Seconds between two looks at the versions in force."""
+
+MAX_WAIT = 60.0
+"""Longest wait of one call in seconds."""
+
+RAN_STATES = {Ran.NO: RanState.NO, Ran.YES: RanState.YES, Ran.UNKNOWN: RanState.UNKNOWN}
+"""Form of `Ran` in the schema."""
+
+
+class OperatorConnection:
+    """Serves one connection of an operator; failures become the exception of the schema."""
+
+    def __init__(self, parts: OperatorParts) -> None:
+        """Creates the handler of one connection.
+
+        Args:
+            parts: Parts of the instance that operators act on.
+        """
+        self._parts = parts
+        self._who = ""
+        self._log = structlog.get_logger()
+
+    async def hello(self, secret: str, who: str) -> None:
+        """Authenticates the connection."""
+        if not secret_matches(self._parts.secret, secret):
+            raise _error(Failure(ErrorKind.UNAUTHENTICATED, "the secret does not match"))
+        if not who:
+            raise _error(Failure(ErrorKind.INVALID_REQUEST, "who: is required"))
+        self._who = who
+
+    async def apply(self, change: Any, author: Any) -> Any:
+        """Applies a change."""
+        request = _change(change)
+        result = _result(await self._parts.applier.apply(request, self._author(author)))
+        self._note("apply", target=f"{request.kind}/{request.name}", version=result.version)
+        return ApplyResult(result.operation_id, result.version, result.changed)
+
+    async def diff(self, declarations: list[Any]) -> list[Any]:
+        """Compares declarations with the stored ones."""
+        changes = [Change("", d.kind, d.name, d.spec, 0, bool(d.deleted)) for d in declarations]
+        found = _result(await self._parts.applier.diff(changes))
+        return [DiffEntry(e.kind, e.name, e.before, e.after, e.version) for e in found]
+
+    async def get_declaration(self, kind: str, name: str) -> Any:
+        """Reads one declaration."""
+        return _result(await self._parts.declarations.get(kind, name))
+
+    async def list_declarations(self, kind: str) -> list[Any]:
+        """Lists the declarations of one kind."""
+        if kind not in list(DeclarationKind):
+            known = ", ".join(DeclarationKind)
+            reason = f"kind: {kind!r} is not one of {known}"
+            raise _error(Failure(ErrorKind.INVALID_REQUEST, reason))
+        return _result(await self._parts.declarations.list(kind))
+
+    async def history(self, kind: str, name: str, limit: int) -> list[Any]:
+        """Lists the accepted changes of an object."""
+        if limit < 1:
+            raise _error(Failure(ErrorKind.INVALID_REQUEST, "limit: must be at least 1"))
+        records = _result(await self._parts.applier.history(kind, name, limit))
+        return [_record(record) for record in records]
+
+    async def reapply(
+        self, record_id: str, operation_id: str, base_version: int, author: Any
+    ) -> Any:
+        """Applies the content of an earlier change again."""
+        result = _result(
+            await self._parts.applier.reapply(
+                record_id, operation_id, base_version, self._author(author)
+            )
+        )
+        self._note("reapply", target=record_id, version=result.version)
+        return ApplyResult(result.operation_id, result.version, result.changed)
+
+    async def status(self) -> Any:
+        """Reports the state of the fleet."""
+        return self._parts.reporter.status()
+
+    async def wait_in_force(self, version: int, wait: float) -> list[Any]:
+        """Waits until the reachable instances have a version in force."""
+        end = time.monotonic() + min(max(wait, 0.0), MAX_WAIT)
+        while True:
+            entries = self._parts.reporter.entries()
+            behind = [e for e in entries if e.reachable and e.config_version < version]
+            if not behind or time.monotonic() >= end:
+                return entries
+            await asyncio.sleep(IN_FORCE_POLL)
+
+    async def drain(self, operation_id: str, author: Any) -> None:
+        """Starts a graceful shutdown; repeated calls have no further effect."""
+        by = self._author(author)
+        self._note("drain", target=operation_id, why=by.why)
+        self._parts.lifecycle.request_drain()
+
+    async def order(self, request: Any, author: Any) -> Any:
+        """Gives one order to an engine."""
+        by = self._author(author)
+        result = _result(await self._parts.orders.give(request, by.who, by.why))
+        self._note("order", target=request.backend, action=request.action, why=by.why)
+        return OrderResultMessage(
+            request.operation_id, result.fencing_number, result.outcome, result.reason
+        )
+
+    async def replay(self, request_id: str) -> Any:
+        """Reads the events of a request and runs the core again on their inputs."""
+        found = await self._parts.events.find(request_id)
+        if not found.events:
+            reason = f"request {request_id!r} has no recorded events"
+            if found.gaps:
+                reason += "; " + "; ".join(found.gaps)
+            raise _error(Failure(ErrorKind.NOT_FOUND, reason))
+        report = replay_request(found.events)
+        gaps = [*found.gaps]
+        gaps += [f"{g.instance}: events {g.after + 1} to {g.before - 1}" for g in report.gaps]
+        same = not report.differences
+        return ReplayResult(request_id, _replay_events(found.events, report), gaps, same)
+
+    async def quarantine_list(self) -> list[Any]:
+        """Lists suspect requests."""
+        return [
+            QuarantineEntry(
+                fingerprint=state.fingerprint,
+                deaths=state.deaths,
+                state=state.state,
+                since_unix=state.since_unix,
+                backends=list(state.backends),
+            )
+            for state in self._parts.quarantine.suspects(time.time())
+        ]
+
+    async def quarantine_lift(self, fingerprint: str, operation_id: str, author: Any) -> None:
+        """Accepts a condemned request again."""
+        by = self._author(author)
+        if not self._parts.suspects.lift(fingerprint, by.who, by.why):
+            reason = f"fingerprint: no deaths count against {fingerprint!r}"
+            raise _error(Failure(ErrorKind.NOT_FOUND, reason))
+        self._note("quarantine_lift", target=fingerprint, why=by.why)
+
+    def _author(self, author: Any) -> Author:
+        """Reads the author; the name of the connection counts if the call has none."""
+        who = (author.who if author is not None else "") or self._who
+        return Author(who, (author.why if author is not None else "") or "")
+
+    def _note(self, call: str, **values: Any) -> None:
+        """Logs a call that changes something."""
+        self._log.info(LogEvent.OPERATOR_CALL, call=call, who=self._who, **values)
+
+
+def _change(change: Any) -> Change:
+    """Reads a change."""
+    if change is None:
+        raise _error(Failure(ErrorKind.INVALID_REQUEST, "change: is required"))
+    return Change(
+        operation_id=change.operation_id or "",
+        kind=change.kind or "",
+        name=change.name or "",
+        spec=change.spec or "",
+        base_version=change.base_version or 0,
+        deleted=bool(change.deleted),
+    )
+
+
+def _record(record: ChangeRecord) -> Any:
+    """Builds the message of a change record."""
+    return ChangeRecordMessage(
+        operation_id=record.operation_id,
+        kind=record.kind,
+        name=record.name,
+        who=record.who,
+        why=record.why,
+        when_unix=record.when_unix,
+        base_version=record.base_version,
+        before=record.before,
+        after=record.after,
+        version=record.version,
+        previous=record.previous,
+    )
+
+
+def _replay_events(events: tuple[RequestEvent, ...], report: ReplayReport) -> list[Any]:
+    """Builds the messages of events with their differences."""
+    differences = {id(d.event): d.reason for d in report.differences}
+    offsets: dict[str, float] = {}
+    messages = []
+    for event in events:
+        if "unix_offset" in event.input:
+            offsets[event.instance] = event.input["unix_offset"]
+        messages.append(
+            ReplayEvent(
+                sequence=event.sequence,
+                time_unix=event.time + offsets.get(event.instance, 0.0),
+                instance=event.instance,
+                name=event.name,
+                input=_json(event.input),
+                decisions=_json(event.decisions),
+                difference=differences.get(id(event), ""),
+            )
+        )
+    return messages
+
+
+def _json(value: Any) -> str:
+    """Formats recorded data."""
+    return msgspec.json.encode(value).decode()
+
+
+def _result(result: Any) -> Any:
+    """Returns a result or raises the failure as the exception of the schema."""
+    if isinstance(result, Failure):
+        raise _error(result)
+    return result
+
+
+def _error(failure: Failure) -> Exception:
+    """Builds the exception of the schema."""
+    versions = {}
+    if isinstance(failure, ConflictFailure):
+        versions = {
+            "base_version": failure.base_version,
+            "current_version": failure.current_version,
+        }
+    return OperatorError(
+        kind=str(failure.kind), reason=failure.reason, ran=RAN_STATES[failure.ran], **versions
+    )
--- /dev/null
+++ b/src/sapphireledge/operator/operator_server.py
@@ -0,0 +1,34 @@
+"""Server of the operator interface."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.operator.messages import OperatorService
+from sapphireledge.operator.operator_connection import OperatorConnection
+from sapphireledge.rpc import RpcLimits, ThriftServer
+
+if TYPE_CHECKING:
+    from sapphireledge.operator.operator_parts import OperatorParts
+    from sapphireledge.settings import Settings
+
+__all__ = ["OperatorServer"]
+
+
+class OperatorServer(ThriftServer):
+    """Accepts the connections of operators."""
+
+    def __init__(self, cfg: Settings, parts: OperatorParts) -> None:
+        """Prepares the server.
+
+        Args:
+            cfg: Settings of the instance.
+            parts: Parts of the instance that operators act on.
+        """
+        super().__init__(
+            OperatorService,
+            lambda _: OperatorConnection(parts),
+            cfg.operator_address,
+            parts.secret,
+            RpcLimits(max_message=cfg.peers.max_message),
+        )
