--- a/src/sapphireledge/rpc/__init__.py
+++ b/src/sapphireledge/rpc/__init__.py
@@ -5,6 +5,7 @@
 from sapphireledge.rpc.connection_handler import ConnectionHandler
 from sapphireledge.rpc.limited_transport import LimitedTransport
 from sapphireledge.rpc.load_schema import load_schema
+from sapphireledge.rpc.message_error import MessageError
 from sapphireledge.rpc.rpc_error import RpcError
 from sapphireledge.rpc.rpc_limits import RpcLimits
 from sapphireledge.rpc.secret_matches import secret_matches
@@ -14,6 +15,7 @@
 __all__ = [
     "ConnectionHandler",
     "LimitedTransport",
+    "MessageError",
     "RpcError",
     "RpcLimits",
     "ThriftConnection",
--- a/src/sapphireledge/rpc/limited_transport.py
+++ b/src/sapphireledge/rpc/limited_transport.py
@@ -7,6 +7,7 @@
 from thriftpy2.contrib.aio.transport.buffered import TAsyncBufferedTransport
 from thriftpy2.thrift import TType
 
+from sapphireledge.rpc.message_error import MessageError
 from sapphireledge.rpc.rpc_error import RpcError
 
 if TYPE_CHECKING:
@@ -81,11 +82,12 @@
             The bytes.
 
         Raises:
-            RpcError: The message is malformed or too large, or the connection broke.
+            MessageError: The message is malformed or too large.
+            RpcError: The connection broke.
         """
         left = self._left - sz - VALUE_CHARGE
         if sz < 0 or left < 0:
-            raise RpcError(f"message exceeds its limit at a field of {sz} bytes")
+            raise MessageError(f"message exceeds its limit at a field of {sz} bytes")
         self._left = left
         while len(self._data) - self._pos < sz:
             await self._fill()
@@ -136,7 +138,9 @@
         """
         size = int.from_bytes(count, "big", signed=True)
         if self._last_byte not in _ELEMENT_TYPES or not 0 <= size <= self._left:
-            raise RpcError(f"container of {size} elements of type {self._last_byte} is malformed")
+            raise MessageError(
+                f"container of {size} elements of type {self._last_byte} is malformed"
+            )
 
     async def _fill(self) -> None:
         """Appends the next chunk of the stream to the unread bytes."""
--- /dev/null
+++ b/src/sapphireledge/rpc/message_error.py
@@ -0,0 +1,11 @@
+"""Error of one message."""
+
+from __future__ import annotations
+
+from sapphireledge.rpc.rpc_error import RpcError
+
+__all__ = ["MessageError"]
+
+
+class MessageError(RpcError):
+    """A message is malformed, too large or not permitted; the connection is closed."""
--- a/src/sapphireledge/rpc/thrift_connection.py
+++ b/src/sapphireledge/rpc/thrift_connection.py
@@ -11,6 +11,7 @@
 from thriftpy2.thrift import TApplicationException, TException, TMessageType
 
 from sapphireledge.rpc.limited_transport import LimitedTransport
+from sapphireledge.rpc.message_error import MessageError
 from sapphireledge.rpc.rpc_error import RpcError
 
 if TYPE_CHECKING:
@@ -86,15 +87,15 @@
             async with asyncio.timeout(timeout):
                 result = await self._req(method, *args)
             completed = True
+        except TimeoutError as exc:
+            raise RpcError(f"no reply to {method} within {timeout:g} s") from exc
         except TProtocolException as exc:
-            raise RpcError(f"malformed reply to {method}: {exc}") from exc
+            raise MessageError(f"malformed reply to {method}: {exc}") from exc
         except TException:
             completed = True
             raise
-        except TimeoutError as exc:
-            raise RpcError(f"no reply to {method} within {timeout:g} s") from exc
-        except (OSError, TypeError, ValueError) as exc:
-            raise RpcError(f"malformed reply to {method}: {exc}") from exc
+        except (TypeError, ValueError, RecursionError) as exc:
+            raise MessageError(f"malformed message of {method}: {exc}") from exc
         finally:
             if not completed:
                 self.close()
--- a/src/sapphireledge/rpc/thrift_server.py
+++ b/src/sapphireledge/rpc/thrift_server.py
@@ -9,10 +9,11 @@
 import structlog
 from thriftpy2.contrib.aio.processor import TAsyncProcessor
 from thriftpy2.contrib.aio.protocol.binary import TAsyncBinaryProtocol
-from thriftpy2.thrift import TApplicationException, TException
+from thriftpy2.thrift import TApplicationException
 
 from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.rpc.limited_transport import LimitedTransport
+from sapphireledge.rpc.message_error import MessageError
 from sapphireledge.rpc.rpc_error import RpcError
 from sapphireledge.rpc.rpc_limits import RpcLimits
 from sapphireledge.telemetry import LogEvent
@@ -112,11 +113,11 @@
         peer = str((writer.get_extra_info("peername") or ("",))[0])
         try:
             await self._converse(transport, self._make_handler(peer))
+        except (MessageError, TimeoutError) as exc:
+            self._log.warning(LogEvent.PEER_REFUSED, peer=peer, reason=str(exc) or "timed out")
         except RpcError as exc:
             # A connection that ends between two messages is the normal end.
             self._log.debug(LogEvent.PEER_LOST, peer=peer, reason=str(exc))
-        except (TException, TimeoutError, OSError, ValueError) as exc:
-            self._log.warning(LogEvent.PEER_REFUSED, peer=peer, reason=str(exc) or "timed out")
         except asyncio.CancelledError:
             # Only stop() cancels; asyncio.streams logs a cancelled connection task as an error.
             pass
@@ -152,10 +153,9 @@
         Returns:
             Whether the method returned a result.
         """
-        async with asyncio.timeout(self._limits.message_timeout):
-            api, sequence, result, call = await processor.process_in(protocol)
+        api, sequence, result, call = await self._read_call(processor, protocol)
         if only is not None and api != only:
-            raise RpcError(f"{api!r} instead of {only} as the first message")
+            raise MessageError(f"{api!r} instead of {only} as the first message")
         if call is None:
             await processor.send_exception(protocol, api, result, sequence)
             return False
@@ -173,6 +173,16 @@
             await processor.send_result(protocol, api, result, sequence)
         return succeeded
 
+    async def _read_call(self, processor: TAsyncProcessor, protocol: TAsyncBinaryProtocol) -> Any:
+        """Reads one call; whatever the decoder raises is the fault of the message."""
+        try:
+            async with asyncio.timeout(self._limits.message_timeout):
+                return await processor.process_in(protocol)
+        except (RpcError, TimeoutError):
+            raise
+        except Exception as exc:
+            raise MessageError(f"malformed message: {exc}") from exc
+
 
 def _is_loopback(host: str) -> bool:
     """Tells whether an IP number is reachable from this host only."""
