--- a/src/sapphireledge/core/membership/heartbeat_merge.py
+++ b/src/sapphireledge/core/membership/heartbeat_merge.py
@@ -66,7 +66,7 @@
         if known is not None and restarted and not self._may_replace(now, known, report):
             return MergeResult(accepted=False)
         if known is not None and not restarted and report.sequence <= known.sequence:
-            return MergeResult(accepted=True)
+            return MergeResult(accepted=False)
         if restarted:
             self._leaving.pop(report.instance, None)
         self._heard[report.instance] = now
--- a/src/sapphireledge/core/membership/merge_result.py
+++ b/src/sapphireledge/core/membership/merge_result.py
@@ -15,7 +15,7 @@
     """What one heartbeat changed at the receiver."""
 
     accepted: bool
-    """False if the heartbeat came from an incarnation that has been replaced."""
+    """False if the heartbeat is older than another one, or its incarnation has been replaced."""
 
     restarted: bool = False
     """Whether the heartbeat is the first of a new incarnation."""
--- a/src/sapphireledge/peers/heartbeat_receiver.py
+++ b/src/sapphireledge/peers/heartbeat_receiver.py
@@ -29,6 +29,6 @@
             heartbeat: The Heartbeat.
 
         Returns:
-            A HeartbeatReply, or a failure if the sender has been replaced.
+            A HeartbeatReply, or a failure if a newer one or a newer incarnation is known.
         """
         ...
--- a/src/sapphireledge/peers/peer_mesh.py
+++ b/src/sapphireledge/peers/peer_mesh.py
@@ -57,6 +57,9 @@
 CONFIG_TIMEOUT = 5.0
 """Seconds for one config_since call."""
 
+QUICK_METHODS = frozenset({"find_answer", "void_key"})
+"""Methods that may share the serial connection with heartbeats and copies of answers."""
+
 MAX_LATE_WAKE = 0.25
 """Share of the period after which the list of peers is computed again at the latest."""
 
@@ -206,7 +209,7 @@
         self._wake.set()
 
     async def call(self, name: str, method: str, *args: Any, timeout: float) -> Any | Failure:
-        """Calls any known entry on a connection of its own.
+        """Calls any known entry; a call that can take long has a connection of its own.
 
         Args:
             name: Name of the entry, which need not be a peer for heartbeats.
@@ -220,6 +223,8 @@
         link = self._links.get(name) or self._aside(name)
         if link is None:
             return Failure(ErrorKind.NOT_FOUND, f"no entry is named {name}")
+        if method in QUICK_METHODS and name in self._links:
+            return await link.call(method, *args, timeout=timeout)
         return await link.call_waiting(method, *args, timeout=timeout)
 
     def own_hello(self) -> Any:
@@ -243,13 +248,13 @@
             heartbeat: The Heartbeat.
 
         Returns:
-            A HeartbeatReply, or a failure if the sender has been replaced.
+            A HeartbeatReply, or a failure if a newer one or a newer incarnation is known.
         """
         now = self._clock()
         report = report_of(hello, heartbeat)
         result = self._merge.merge(now, report)
         if not result.accepted:
-            reason = f"a newer incarnation of {report.instance} is known"
+            reason = f"a newer heartbeat or incarnation of {report.instance} is known"
             return Failure(ErrorKind.CONFLICT, reason)
         draining = report.state in (EntryState.DRAINING, EntryState.STOPPED)
         self._membership.on_heard(now, member_of(hello), draining)
