Add copies of answers and questions to many entries

A partner that fails is replaced at once and all waiting tokens are released unprotected; a leaving one is replaced after the next one has all answers. The time limit holds for the token, not for the call, so a slow partner that answers within the limit of the call is kept.

PeerQueries asks all entries for an answer or for the promise to refuse a claim key.

--- a/src/sapphireledge/peers/__init__.py
+++ b/src/sapphireledge/peers/__init__.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from sapphireledge.peers.answer_copies import AnswerCopies
+from sapphireledge.peers.answer_copy import AnswerCopy
+from sapphireledge.peers.copy_outcome import CopyOutcome
+from sapphireledge.peers.found_answer import FoundAnswer
 from sapphireledge.peers.local_state import LocalState
 from sapphireledge.peers.messages import (
     AnswerAppend,
@@ -21,35 +25,47 @@
     UsageDelta,
     VoidReply,
 )
+from sapphireledge.peers.peer_caller import PeerCaller
 from sapphireledge.peers.peer_events import PeerEvents
 from sapphireledge.peers.peer_handler import PeerHandler
 from sapphireledge.peers.peer_link import PeerLink
+from sapphireledge.peers.peer_links import PeerLinks
 from sapphireledge.peers.peer_mesh import PeerMesh
+from sapphireledge.peers.peer_queries import PeerQueries
 from sapphireledge.peers.peer_server import PeerServer
 from sapphireledge.peers.peer_state import PeerState
+from sapphireledge.peers.void_result import VoidResult
 
 __all__ = [
     "AnswerAppend",
+    "AnswerCopies",
+    "AnswerCopy",
     "AnswerLocation",
     "AnswerPart",
     "AppendResult",
     "ConfigObject",
     "ConfigPart",
+    "CopyOutcome",
     "EngineDeath",
     "EventPart",
+    "FoundAnswer",
     "Heartbeat",
     "HeartbeatReply",
     "Hello",
     "LocalState",
+    "PeerCaller",
     "PeerError",
     "PeerEvents",
     "PeerHandler",
     "PeerLink",
+    "PeerLinks",
     "PeerMesh",
+    "PeerQueries",
     "PeerServer",
     "PeerService",
     "PeerState",
     "TakeOver",
     "UsageDelta",
     "VoidReply",
+    "VoidResult",
 ]
--- /dev/null
+++ b/src/sapphireledge/peers/answer_copies.py
@@ -0,0 +1,213 @@
+"""Copies of running answers at a partner entry."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+
+from sapphireledge.core.membership import choose_partner
+from sapphireledge.peers.answer_copy import AnswerCopy
+from sapphireledge.peers.copy_stream import CopyStream
+from sapphireledge.telemetry import LogEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sapphireledge.core.membership import Member
+    from sapphireledge.peers.peer_links import PeerLinks
+    from sapphireledge.settings import PeerSettings
+
+__all__ = ["AnswerCopies"]
+
+AVOID_FOR = 10.0
+"""Seconds for which a partner that failed is passed over if there is another one."""
+
+AVOID_AT_LEAST = 1.0
+"""Seconds for which a partner that failed is passed over in any case."""
+
+CHECK_INTERVAL = 0.1
+"""Seconds between checks for a partner that is leaving, or for a first one."""
+
+
+class AnswerCopies:
+    """Sends the pieces of all running answers to one partner of the data centre.
+
+    Each entry keeps one partner; while it changes from a leaving one to the next, both receive the
+    pieces. A partner that fails is replaced at once; until the next one has an answer, the tokens
+    of that answer are released unprotected.
+    """
+
+    def __init__(self, cfg: PeerSettings, links: PeerLinks, clock: Callable[[], float]) -> None:
+        """Prepares the copies.
+
+        Args:
+            cfg: Settings of peer links.
+            links: Live entries and links to them, usually the mesh.
+            clock: Monotonic clock in seconds.
+        """
+        self._cfg = cfg
+        self._links = links
+        self._clock = clock
+        self._answers: dict[str, AnswerCopy] = {}
+        self._streams: dict[CopyStream, asyncio.Task[str]] = {}
+        self._failed_at: dict[str, float] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._log = structlog.get_logger()
+
+    @property
+    def partner(self) -> Member | None:
+        """The partner that new answers are copied to."""
+        stream = self._newest()
+        return stream.partner if stream is not None else None
+
+    @property
+    def running(self) -> int:
+        """Number of answers that are being copied."""
+        return len(self._answers)
+
+    def start(self) -> None:
+        """Starts looking for a partner."""
+        self._task = asyncio.create_task(self._watch_partner(), name="answer copies")
+
+    async def stop(self) -> None:
+        """Ends all tasks; tokens that wait are released unprotected."""
+        tasks = [*self._streams.values()]
+        if self._task is not None:
+            tasks.append(self._task)
+        self._streams.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for answer in self._answers.values():
+            answer.protected = False
+            answer.on_released()
+
+    def open(self, request_id: str, epoch: int, header: str) -> AnswerCopy:
+        """Begins to copy an answer.
+
+        Args:
+            request_id: Id of the request; at most one open answer has it.
+            epoch: Epoch under which this entry owns the answer.
+            header: JSON of the request.
+
+        Returns:
+            The answer, for the session that generates it.
+        """
+        answer = AnswerCopy(request_id, epoch, header, self._on_change, self._on_end)
+        # A header that no message can carry would make every partner close the connection.
+        answer.copyable = len(header) <= self._cfg.max_message // 4
+        replaced = self._answers.get(request_id)
+        if replaced is not None:
+            self._on_end(replaced)
+        self._answers[request_id] = answer
+        stream = self._newest()
+        if stream is not None and answer.copyable:
+            answer.protected = True
+            for each in self._streams:
+                each.add(answer)
+        return answer
+
+    def _on_change(self, answer: AnswerCopy) -> None:
+        """Passes on that an answer has something to send."""
+        for stream in self._streams:
+            if answer.copyable:
+                stream.mark(answer)
+            else:
+                stream.remove(answer.request_id)
+        if answer.finish_reason and not any(s.carries(answer.request_id) for s in self._streams):
+            self._on_end(answer)
+
+    def _on_end(self, answer: AnswerCopy) -> None:
+        """Forgets an answer."""
+        if self._answers.get(answer.request_id) is not answer:
+            return
+        del self._answers[answer.request_id]
+        for stream in self._streams:
+            stream.remove(answer.request_id)
+        answer.protected = False
+        answer.on_released()
+
+    def _newest(self) -> CopyStream | None:
+        """Returns the stream to the partner that was chosen last."""
+        return next(reversed(self._streams), None)
+
+    async def _watch_partner(self) -> None:
+        """Finds a first partner and replaces one that is leaving."""
+        while True:
+            self._check_partner()
+            await asyncio.sleep(CHECK_INTERVAL)
+
+    def _check_partner(self) -> None:
+        """Starts a stream to another partner if there is none or the partner is leaving."""
+        stream = self._newest()
+        if stream is None:
+            self._start_stream()
+            return
+        if len(self._streams) > 1:
+            if stream.synced:
+                self._end_older(stream)
+            return
+        live = {member.name: member for member in self._links.live}
+        known = live.get(stream.partner.name)
+        if known is None or not self._is_connected(known.name):
+            # Without this the first tokens after an idle time would find out by their time limit.
+            self._replace(stream, "is not reachable")
+        elif known.leaving:
+            self._start_stream()
+
+    def _start_stream(self) -> None:
+        """Chooses a partner and starts to send it all running answers."""
+        partner = self._choose()
+        link = self._links.link(partner.name) if partner is not None else None
+        if partner is None or link is None:
+            return
+        answers = list(self._answers.values())
+        stream = CopyStream(partner, link, self._cfg, self._clock, self._on_end, answers)
+        task = asyncio.create_task(stream.run(), name=f"answer copies {partner.name}")
+        self._streams[stream] = task
+        task.add_done_callback(lambda done: self._on_stream_end(stream, done))
+
+    def _choose(self) -> Member | None:
+        """Chooses a connected partner, if possible one that has not failed recently."""
+        now = self._clock()
+        in_use = {stream.partner.name for stream in self._streams}
+        unusable = in_use | {
+            member.name for member in self._links.live if not self._is_connected(member.name)
+        }
+        for avoid_for in (AVOID_FOR, AVOID_AT_LEAST):
+            failed = {name for name, at in self._failed_at.items() if now - at < avoid_for}
+            partner = choose_partner(self._links.own, self._links.live, unusable | failed)
+            if partner is not None:
+                return partner
+        return None
+
+    def _is_connected(self, name: str) -> bool:
+        """Tells whether the link to an entry is established."""
+        link = self._links.link(name)
+        return link is not None and link.reachable
+
+    def _end_older(self, newest: CopyStream) -> None:
+        """Ends the streams to partners that have been replaced."""
+        for stream in [stream for stream in self._streams if stream is not newest]:
+            self._streams.pop(stream).cancel()
+
+    def _on_stream_end(self, stream: CopyStream, task: asyncio.Task[str]) -> None:
+        """Replaces a partner whose stream ended by itself."""
+        if stream in self._streams:
+            reason = repr(task.exception()) if task.exception() else task.result()
+            self._replace(stream, reason)
+
+    def _replace(self, stream: CopyStream, reason: str) -> None:
+        """Ends the stream to a partner that failed and starts one to another partner."""
+        self._streams.pop(stream).cancel()
+        self._failed_at[stream.partner.name] = self._clock()
+        self._log.warning(LogEvent.PEER_LOST, partner=stream.partner.name, reason=reason)
+        for answer in list(self._answers.values()):
+            answer.protected = any(s.has_synced(answer.request_id) for s in self._streams)
+            answer.on_released()
+            if answer.finish_reason:
+                self._on_end(answer)
+        if not self._streams:
+            self._start_stream()
--- /dev/null
+++ b/src/sapphireledge/peers/copy_stream.py
@@ -0,0 +1,239 @@
+"""Copies of all running answers to one partner."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sapphireledge.errors import Failure
+from sapphireledge.peers.copy_batch import CopyBatch
+from sapphireledge.peers.copy_progress import CopyProgress
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from typing import Any
+
+    from sapphireledge.core.membership import Member
+    from sapphireledge.peers.answer_copy import AnswerCopy
+    from sapphireledge.peers.peer_link import PeerLink
+    from sapphireledge.settings import PeerSettings
+
+__all__ = ["CopyStream"]
+
+SYNC_SLACK = 64
+"""Tokens that may be missing when a partner counts as up to date; the next call carries them."""
+
+MAX_RESTARTS = 3
+"""Times that an answer is sent again from its start to a partner that does not keep it."""
+
+
+class CopyStream:
+    """Sends pieces to one partner, one call in flight, until the partner fails.
+
+    Answers whose tokens wait for this partner go first. Answers that the partner does not have yet
+    follow from their start, the oldest first, as far as the batch has room.
+    """
+
+    def __init__(
+        self,
+        partner: Member,
+        link: PeerLink,
+        cfg: PeerSettings,
+        clock: Callable[[], float],
+        on_end: Callable[[AnswerCopy], None],
+        answers: Iterable[AnswerCopy],
+    ) -> None:
+        """Prepares the stream.
+
+        Args:
+            partner: The partner.
+            link: Link to the partner.
+            cfg: Settings of peer links.
+            clock: Monotonic clock in seconds.
+            on_end: Called with an answer that needs no copy any more.
+            answers: Running answers, the oldest first; all are sent from their start.
+        """
+        self.partner = partner
+        """The partner."""
+        self._link = link
+        self._cfg = cfg
+        self._clock = clock
+        self._on_end = on_end
+        self._progress = {
+            answer.request_id: CopyProgress(answer, synced=False)
+            for answer in answers
+            if answer.copyable
+        }
+        self._backlog: dict[str, None] = dict.fromkeys(self._progress)
+        self._dirty: dict[str, None] = {}
+        self._wake = asyncio.Event()
+        if self._backlog:
+            self._wake.set()
+
+    @property
+    def synced(self) -> bool:
+        """Whether the partner has all running answers."""
+        return not self._backlog
+
+    def has_synced(self, request_id: str) -> bool:
+        """Tells whether the partner is up to date with one answer."""
+        progress = self._progress.get(request_id)
+        return progress is not None and progress.synced
+
+    def carries(self, request_id: str) -> bool:
+        """Tells whether one answer is sent to the partner."""
+        return request_id in self._progress
+
+    def add(self, answer: AnswerCopy) -> None:
+        """Takes a new answer, whose tokens wait for this partner from the first one on."""
+        self._progress[answer.request_id] = CopyProgress(answer, synced=True)
+        self.mark(answer)
+
+    def mark(self, answer: AnswerCopy) -> None:
+        """Notes that an answer has something to send."""
+        progress = self._progress.get(answer.request_id)
+        if progress is not None and progress.synced:
+            self._dirty[answer.request_id] = None
+            self._wake.set()
+
+    def remove(self, request_id: str) -> None:
+        """Forgets an answer."""
+        self._progress.pop(request_id, None)
+        self._backlog.pop(request_id, None)
+        self._dirty.pop(request_id, None)
+
+    async def run(self) -> str:
+        """Sends batches until the partner fails.
+
+        Returns:
+            Why the partner failed.
+        """
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            started = self._clock()
+            batch = self._take_batch()
+            if batch:
+                reason = await self._send(started, batch)
+                if reason:
+                    return reason
+            if self._dirty or self._backlog:
+                self._wake.set()
+            # With nothing sent within the last interval the next token leaves at once.
+            pause = started + self._cfg.copy_interval - self._clock()
+            if batch and pause > 0:
+                await asyncio.sleep(pause)
+
+    def _take_batch(self) -> list[Any]:
+        """Collects what to send next, within the limits of one call."""
+        batch = CopyBatch()
+        for waiting in (self._dirty, self._backlog):
+            for request_id in list(waiting):
+                if batch.is_full:
+                    return batch.appends
+                progress = self._progress[request_id]
+                if progress.has_more:
+                    batch.add(progress)
+                if waiting is self._dirty and not progress.has_more:
+                    del waiting[request_id]
+        return batch.appends
+
+    async def _send(self, started: float, batch: list[Any]) -> str:
+        """Sends one batch and takes the acknowledgements.
+
+        Returns:
+            Empty, or why the partner failed.
+        """
+        limit = self._cfg.copy_timeout
+        since = self._take_waiting(batch)
+        call = self._link.submit("append_answers", batch, timeout=limit)
+        oldest = min(since.values(), default=started)
+        # Tokens that waited during the last call reach their limit before this call does.
+        if oldest < started:
+            await asyncio.wait((call,), timeout=max(0.0, oldest + limit - started))
+            if not call.done():
+                self._release(name for name, at in since.items() if at < started)
+        if not call.done():
+            await asyncio.wait((call,), timeout=max(0.0, started + limit - self._clock()))
+        if not call.done():
+            call.cancel()
+            return f"no acknowledgement within {limit:g} s"
+        results = call.result()
+        if isinstance(results, Failure):
+            return results.reason
+        if len(results) != len(batch):
+            return f"{len(results)} acknowledgements for {len(batch)} appends"
+        for append, result in zip(batch, results, strict=True):
+            self._take_result(append, result)
+        self._release_overdue()
+        return ""
+
+    def _take_waiting(self, batch: list[Any]) -> dict[str, float]:
+        """Returns since when the tokens of a batch have been waiting, by request."""
+        since = {}
+        for append in batch:
+            progress = self._progress[append.request_id]
+            answer = progress.answer
+            if progress.synced and answer.waiting_since is not None:
+                since[append.request_id] = answer.waiting_since
+                answer.waiting_since = self._clock() if progress.behind else None
+        return since
+
+    def _release(self, request_ids: Iterable[str]) -> None:
+        """Lets the tokens of some answers be delivered although the call is still in flight."""
+        for request_id in request_ids:
+            progress = self._progress.get(request_id)
+            if progress is not None:
+                progress.answer.on_released()
+
+    def _release_overdue(self) -> None:
+        """Releases tokens that reached their limit while the calls were full of others."""
+        overdue = self._clock() - self._cfg.copy_timeout
+        for request_id in self._dirty:
+            answer = self._progress[request_id].answer
+            if answer.waiting_since is not None and answer.waiting_since <= overdue:
+                answer.on_released()
+
+    def _take_result(self, append: Any, result: Any) -> None:
+        """Takes the acknowledgement of one append."""
+        progress = self._progress.get(append.request_id)
+        if progress is None:
+            return
+        answer = progress.answer
+        end = append.offset + len(append.pieces)
+        if result.epoch > answer.epoch:
+            answer.on_superseded(result.epoch)
+            self._on_end(answer)
+            return
+        if result.header_missing or result.stored < end:
+            self._start_over(progress)
+            return
+        # More than was sent can be stored by an earlier stream; only this one's tokens count.
+        answer.on_stored(end)
+        if append.finish:
+            self._on_end(answer)
+            return
+        self._settle_sync(progress)
+
+    def _start_over(self, progress: CopyProgress) -> None:
+        """Sends an answer again from its start, as the partner lost it."""
+        answer = progress.answer
+        answer.protected = False
+        answer.on_released()
+        if progress.restarts == MAX_RESTARTS:
+            self.remove(answer.request_id)
+            return
+        progress.restart()
+        self._dirty.pop(answer.request_id, None)
+        self._backlog[answer.request_id] = None
+
+    def _settle_sync(self, progress: CopyProgress) -> None:
+        """Lets new tokens wait for this partner once it has the older ones."""
+        if progress.synced or progress.behind > SYNC_SLACK:
+            return
+        answer = progress.answer
+        progress.synced = True
+        answer.protected = True
+        self._backlog.pop(answer.request_id, None)
+        if progress.has_more:
+            self.mark(answer)
--- a/src/sapphireledge/peers/peer_link.py
+++ b/src/sapphireledge/peers/peer_link.py
@@ -120,7 +120,7 @@
         """
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Any] = loop.create_future()
-        if self._task is None or (self._failures and not self.reachable):
+        if self._task is None or self._is_down:
             future.set_result(self._failure("is not connected"))
             return future
         try:
@@ -159,6 +159,8 @@
         Returns:
             The result, or a Failure.
         """
+        if self._is_down:
+            return self._failure("is not connected")
         if self._waiting_calls >= MAX_WAITING_CALLS:
             reason = f"{MAX_WAITING_CALLS} long calls to peer {self.peer.name} already run"
             return Failure(ErrorKind.OVERLOADED, reason)
@@ -171,6 +173,11 @@
         finally:
             self._waiting_calls -= 1
 
+    @property
+    def _is_down(self) -> bool:
+        """Whether the last attempt to connect failed; a call would only wait for its time limit."""
+        return self._failures > 0 and not self.reachable
+
     async def _call_aside(self, method: str, args: tuple[Any, ...], timeout: float) -> Any:
         """Runs one long call on a kept or a new connection."""
         conn = self._take_idle()
