Carry isolation and clearings of suspects between peers

Merging heartbeats dropped the death of an engine that a second peer reported with other suspects, because only the engine incarnation identified a notice; each peer names only its own requests, so their suspicion was lost. The suspects are part of the identity now; a test guards it.

--- a/src/sapphireledge/core/membership/__init__.py
+++ b/src/sapphireledge/core/membership/__init__.py
@@ -5,6 +5,7 @@
 from sapphireledge.core.membership.change_log import ChangeLog
 from sapphireledge.core.membership.choose_partner import choose_partner
 from sapphireledge.core.membership.choose_representatives import choose_representatives
+from sapphireledge.core.membership.clearing_notice import ClearingNotice
 from sapphireledge.core.membership.death_notice import DeathNotice
 from sapphireledge.core.membership.entry_state import EntryState
 from sapphireledge.core.membership.heartbeat_merge import HeartbeatMerge
@@ -19,6 +20,7 @@
 
 __all__ = [
     "ChangeLog",
+    "ClearingNotice",
     "DeathNotice",
     "EntryState",
     "HeartbeatMerge",
--- a/src/sapphireledge/core/membership/death_notice.py
+++ b/src/sapphireledge/core/membership/death_notice.py
@@ -22,3 +22,6 @@
 
     suspects: tuple[str, ...]
     """Fingerprints of the requests in flight."""
+
+    isolated: tuple[str, ...] = ()
+    """Fingerprints among them that ran isolated."""
--- a/src/sapphireledge/core/membership/heartbeat_merge.py
+++ b/src/sapphireledge/core/membership/heartbeat_merge.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
+from sapphireledge.core.membership.clearing_notice import ClearingNotice
 from sapphireledge.core.membership.merge_result import MergeResult
 from sapphireledge.core.membership.peer_status import PeerStatus
 
 if TYPE_CHECKING:
+    from collections.abc import Hashable, Iterable
+
     from sapphireledge.core.membership.death_notice import DeathNotice
     from sapphireledge.core.membership.heartbeat_report import HeartbeatReport
 
 __all__ = ["HeartbeatMerge"]
 
-MAX_DEATHS = 4_096
-"""Deaths remembered to recognise repetitions; the oldest are forgotten first."""
+Notice = TypeVar("Notice", "DeathNotice", "ClearingNotice")
+"""A death or a clearing."""
+
+MAX_NOTICES = 4_096
+"""Notices remembered to recognise repetitions; the oldest are forgotten first."""
 
 
 class HeartbeatMerge:
@@ -35,7 +41,7 @@
         self._dead_after = dead_after
         self._statuses: dict[str, PeerStatus] = {}
         self._heard: dict[str, float] = {}
-        self._deaths: dict[tuple[str, str, float], None] = {}
+        self._notices: dict[Hashable, None] = {}
         self._leaving: dict[str, set[str]] = {}
 
     @property
@@ -75,7 +81,8 @@
             accepted=True,
             restarted=restarted and known is not None,
             usage=report.usage,
-            deaths=self._new_deaths(report),
+            deaths=self._new_notices(report.deaths),
+            cleared=self._new_notices(report.cleared),
             leaving=self._new_leaving(report),
         )
 
@@ -90,17 +97,16 @@
         silent = now - self._heard[known.instance] >= self._dead_after
         return silent or report.incarnation > known.incarnation
 
-    def _new_deaths(self, report: HeartbeatReport) -> tuple[DeathNotice, ...]:
-        """Returns the deaths that no peer has reported before."""
+    def _new_notices(self, notices: Iterable[Notice]) -> tuple[Notice, ...]:
+        """Returns the notices that no peer has reported before."""
         new = []
-        for death in report.deaths:
-            # Peers detect the same death at different times but name the same incarnation.
-            key = (death.backend, death.boot_id, 0.0 if death.boot_id else death.time_unix)
-            if key not in self._deaths:
-                self._deaths[key] = None
-                new.append(death)
-        while len(self._deaths) > MAX_DEATHS:
-            del self._deaths[next(iter(self._deaths))]
+        for notice in notices:
+            key = _notice_key(notice)
+            if key not in self._notices:
+                self._notices[key] = None
+                new.append(notice)
+        while len(self._notices) > MAX_NOTICES:
+            del self._notices[next(iter(self._notices))]
         return tuple(new)
 
     def _new_leaving(self, report: HeartbeatReport) -> tuple[str, ...]:
@@ -110,6 +116,18 @@
         return tuple(name for name in report.leaving if name not in known)
 
 
+def _notice_key(notice: DeathNotice | ClearingNotice) -> Hashable:
+    """Identifies what a notice says.
+
+    Peers detect the same death at different times but name the same incarnation. Each names the
+    requests that it ran there itself, so a death with other suspects is another notice.
+    """
+    if isinstance(notice, ClearingNotice):
+        return notice
+    time_unix = 0.0 if notice.boot_id else notice.time_unix
+    return (notice.backend, notice.boot_id, time_unix, notice.suspects, notice.isolated)
+
+
 def _status_of(report: HeartbeatReport) -> PeerStatus:
     """Returns the part of a heartbeat that describes its sender."""
     return PeerStatus(
--- a/src/sapphireledge/core/membership/heartbeat_report.py
+++ b/src/sapphireledge/core/membership/heartbeat_report.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from sapphireledge.core.membership.clearing_notice import ClearingNotice
 from sapphireledge.core.membership.death_notice import DeathNotice
 
 __all__ = ["HeartbeatReport"]
@@ -41,6 +42,9 @@
     deaths: tuple[DeathNotice, ...] = ()
     """Engine deaths that the receiver may not know yet."""
 
+    cleared: tuple[ClearingNotice, ...] = ()
+    """Clearings that the receiver may not know yet."""
+
     leaving: tuple[str, ...] = ()
     """Backend servers that told the sender that they are leaving."""
 
--- a/src/sapphireledge/core/membership/merge_result.py
+++ b/src/sapphireledge/core/membership/merge_result.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from sapphireledge.core.membership.clearing_notice import ClearingNotice
 from sapphireledge.core.membership.death_notice import DeathNotice
 
 __all__ = ["MergeResult"]
@@ -26,5 +27,8 @@
     deaths: tuple[DeathNotice, ...] = ()
     """Deaths that were not known."""
 
+    cleared: tuple[ClearingNotice, ...] = ()
+    """Clearings that were not known."""
+
     leaving: tuple[str, ...] = ()
     """Leaving backend servers that the sender had not named before."""
--- a/src/sapphireledge/entry/peer_bridge.py
+++ b/src/sapphireledge/entry/peer_bridge.py
@@ -14,8 +14,7 @@
 
     from sapphireledge.core.admission import UsageLedger
     from sapphireledge.core.config import ConfigState
-    from sapphireledge.core.membership import DeathNotice, Member
-    from sapphireledge.core.quarantine import ClearRecord
+    from sapphireledge.core.membership import ClearingNotice, DeathNotice, Member
     from sapphireledge.core.routing import BackendView
     from sapphireledge.entry.backend_pool import BackendPool
     from sapphireledge.entry.lifecycle import Lifecycle
@@ -90,10 +89,10 @@
         if self._suspects is not None:
             self._suspects.on_peer_deaths(deaths)
 
-    def on_clearings(self, now: float, records: tuple[ClearRecord, ...]) -> None:
+    def on_clearings(self, now: float, clearings: tuple[ClearingNotice, ...]) -> None:
         """Takes clearings of suspects, see `PeerEvents`."""
         if self._suspects is not None:
-            self._suspects.on_peer_clearings(records)
+            self._suspects.on_peer_clearings(clearings)
 
     def on_leaving(self, now: float, backends: tuple[str, ...]) -> None:
         """Takes leaving backend servers, see `PeerEvents`."""
--- a/src/sapphireledge/entry/suspect_exchange.py
+++ b/src/sapphireledge/entry/suspect_exchange.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from sapphireledge.core.membership import DeathNotice
+from sapphireledge.core.membership import ClearingNotice, DeathNotice
 from sapphireledge.core.quarantine import ClearRecord, DeathRecord
 from sapphireledge.errors import Failure
 from sapphireledge.platform import WriteStatus
@@ -147,13 +147,14 @@
             )
             self._quarantine.on_engine_death(time.time(), record)
 
-    def on_peer_clearings(self, records: Iterable[ClearRecord]) -> None:
+    def on_peer_clearings(self, clearings: Iterable[ClearingNotice]) -> None:
         """Takes clearings that peers made.
 
         Args:
-            records: The clearings.
+            clearings: The clearings.
         """
-        for record in records:
+        for each in clearings:
+            record = ClearRecord(each.fingerprint, each.time_unix, each.who, each.why)
             self._quarantine.on_clear(time.time(), record)
 
     def on_stored(self, found: StoredObject) -> None:
@@ -175,7 +176,9 @@
 
     def _share(self, record: ClearRecord) -> None:
         """Passes a clearing on."""
-        self._mesh.report_clearing(record)
+        self._mesh.report_clearing(
+            ClearingNotice(record.fingerprint, record.time_unix, record.who, record.why)
+        )
         self._spawn(self._write(CLEARED + record.fingerprint, record.encode()))
 
     async def _write_death(self, record: DeathRecord) -> None:
--- a/src/sapphireledge/operator/operator_connection.py
+++ b/src/sapphireledge/operator/operator_connection.py
@@ -16,7 +16,6 @@
 from sapphireledge.operator.messages import (
     ApplyResult,
     ChangeRecordMessage,
-    DeclarationMessage,
     DiffEntry,
     OperatorError,
     OrderResultMessage,
--- a/src/sapphireledge/peers/_private.py
+++ b/src/sapphireledge/peers/_private.py
@@ -4,15 +4,22 @@
 
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.membership import DeathNotice, HeartbeatReport, Member
+from sapphireledge.core.membership import ClearingNotice, DeathNotice, HeartbeatReport, Member
 from sapphireledge.errors import ErrorKind, Failure, Ran
-from sapphireledge.peers.messages import EngineDeath, PeerError
+from sapphireledge.peers.messages import EngineDeath, PeerError, RequestClearing
 
 if TYPE_CHECKING:
     import random
     from typing import Any
 
-__all__ = ["backoff_delay", "death_message", "failure_of", "member_of", "report_of"]
+__all__ = [
+    "backoff_delay",
+    "clearing_message",
+    "death_message",
+    "failure_of",
+    "member_of",
+    "report_of",
+]
 
 FIRST_DELAY = 0.1
 """Seconds before the second attempt to connect."""
@@ -76,9 +83,19 @@
         usage={delta.workspace: delta.usage for delta in heartbeat.usage},
         scope=heartbeat.scope[0] if heartbeat.scope else "",
         deaths=tuple(
-            DeathNotice(death.backend, death.boot_id, death.time_unix, tuple(death.suspects))
+            DeathNotice(
+                death.backend,
+                death.boot_id,
+                death.time_unix,
+                tuple(death.suspects),
+                tuple(death.isolated),
+            )
             for death in heartbeat.deaths
         ),
+        cleared=tuple(
+            ClearingNotice(each.fingerprint, each.time_unix, each.who, each.why)
+            for each in heartbeat.cleared
+        ),
         leaving=tuple(heartbeat.leaving),
         running=heartbeat.running,
         queued=heartbeat.queued,
@@ -88,4 +105,15 @@
 
 def death_message(death: DeathNotice) -> Any:
     """Makes the message of an engine death."""
-    return EngineDeath(death.backend, death.boot_id, death.time_unix, list(death.suspects))
+    return EngineDeath(
+        death.backend,
+        death.boot_id,
+        death.time_unix,
+        list(death.suspects),
+        list(death.isolated),
+    )
+
+
+def clearing_message(clearing: ClearingNotice) -> Any:
+    """Makes the message of a clearing."""
+    return RequestClearing(clearing.fingerprint, clearing.time_unix, clearing.who, clearing.why)
--- a/src/sapphireledge/peers/answer_copy.py
+++ b/src/sapphireledge/peers/answer_copy.py
@@ -63,6 +63,8 @@
         """Time of the oldest token that was not sent to an up-to-date partner yet."""
         self._on_change = on_change
         self._on_end = on_end
+        self.on_progress: Callable[[], None] | None = None
+        """Called when more may be delivered or another instance owns the answer."""
         self._progress = asyncio.Event()
 
     def append(self, now: float, pieces: list[str], events: str = "") -> int:
@@ -143,18 +145,24 @@
         """Notes that a partner has the tokens before an offset."""
         if offset > self.stored:
             self.stored = offset
-            self._progress.set()
+            self._report_progress()
 
     def on_released(self) -> None:
         """Lets all tokens so far be delivered without a copy."""
         self.released = len(self.pieces)
         self.waiting_since = None
-        self._progress.set()
+        self._report_progress()
 
     def on_superseded(self, epoch: int) -> None:
         """Notes that another instance owns the answer."""
         self.newer_epoch = epoch
+        self._report_progress()
+
+    def _report_progress(self) -> None:
+        """Wakes whoever waits for the partner."""
         self._progress.set()
+        if self.on_progress is not None:
+            self.on_progress()
 
 
 def _is_text(piece: str) -> bool:
--- a/src/sapphireledge/peers/messages.py
+++ b/src/sapphireledge/peers/messages.py
@@ -23,6 +23,7 @@
     "Hello",
     "PeerError",
     "PeerService",
+    "RequestClearing",
     "TakeOver",
     "UsageDelta",
     "VoidReply",
@@ -43,6 +44,7 @@
 Hello = _SCHEMA.Hello
 PeerError = _SCHEMA.PeerError
 PeerService = _SCHEMA.Peer
+RequestClearing = _SCHEMA.RequestClearing
 TakeOver = _SCHEMA.TakeOver
 UsageDelta = _SCHEMA.UsageDelta
 VoidReply = _SCHEMA.VoidReply
--- a/src/sapphireledge/peers/outbox.py
+++ b/src/sapphireledge/peers/outbox.py
@@ -22,7 +22,7 @@
     usage: dict[str, int] = field(default_factory=dict)
     """Acknowledged position of the change log of each scope."""
 
-    deaths: int = 0
+    notices: int = 0
     """Acknowledged position in the list of deaths."""
 
     in_flight: asyncio.Future[Any] | None = None
--- a/src/sapphireledge/peers/peer_events.py
+++ b/src/sapphireledge/peers/peer_events.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from sapphireledge.core.membership import DeathNotice, Member
+    from sapphireledge.core.membership import ClearingNotice, DeathNotice, Member
 
 __all__ = ["PeerEvents"]
 
@@ -32,6 +32,10 @@
         """Takes engine deaths that no peer has reported before."""
         ...
 
+    def on_clearings(self, now: float, clearings: tuple[ClearingNotice, ...]) -> None:
+        """Takes clearings of suspected requests that no peer has reported before."""
+        ...
+
     def on_leaving(self, now: float, backends: tuple[str, ...]) -> None:
         """Takes backend servers that are leaving."""
         ...
--- a/src/sapphireledge/peers/peer_mesh.py
+++ b/src/sapphireledge/peers/peer_mesh.py
@@ -11,6 +11,8 @@
 import uuid6
 
 from sapphireledge.core.membership import (
+    ClearingNotice,
+    DeathNotice,
     EntryState,
     HeartbeatMerge,
     Member,
@@ -18,10 +20,15 @@
     heartbeat_period,
 )
 from sapphireledge.errors import ErrorKind, Failure
-from sapphireledge.peers._private import death_message, member_of, report_of
-from sapphireledge.peers.death_log import DeathLog
+from sapphireledge.peers._private import (
+    clearing_message,
+    death_message,
+    member_of,
+    report_of,
+)
 from sapphireledge.peers.local_state import LocalState
 from sapphireledge.peers.messages import Heartbeat, HeartbeatReply, Hello, UsageDelta
+from sapphireledge.peers.notice_log import NoticeLog
 from sapphireledge.peers.outbox import Outbox
 from sapphireledge.peers.peer_link import PeerLink
 from sapphireledge.peers.usage_exchange import OWN_SCOPE, UsageExchange
@@ -32,7 +39,7 @@
     from collections.abc import Callable, Iterable
     from typing import Any
 
-    from sapphireledge.core.membership import DeathNotice, MergeResult, PeerStatus
+    from sapphireledge.core.membership import MergeResult, PeerStatus
     from sapphireledge.peers.peer_events import PeerEvents
     from sapphireledge.peers.peer_state import PeerState
     from sapphireledge.settings import Settings
@@ -108,7 +115,7 @@
         self._merge = HeartbeatMerge(dead_after)
         half_life = cfg.admission.usage_half_life
         self._usage = UsageExchange(own.name, own.data_centre, half_life)
-        self._deaths = DeathLog()
+        self._notices = NoticeLog()
         self._links: dict[str, PeerLink] = {}
         self._asides: dict[str, PeerLink] = {}
         self._outboxes: dict[str, Outbox] = {}
@@ -199,9 +206,13 @@
 
     def report_death(self, death: DeathNotice) -> None:
         """Tells all peers at once about an engine death that this entry detected."""
-        self._deaths.add(death, to_local=True, to_remote=True)
+        self._notices.add(death, to_local=True, to_remote=True)
         self.send_now()
 
+    def report_clearing(self, clearing: ClearingNotice) -> None:
+        """Tells all peers about a suspected request that was cleared here."""
+        self._notices.add(clearing, to_local=True, to_remote=True)
+
     def send_now(self) -> None:
         """Sends heartbeats to all peers without waiting for the period."""
         for outbox in self._outboxes.values():
@@ -259,7 +270,7 @@
         draining = report.state in (EntryState.DRAINING, EntryState.STOPPED)
         self._membership.on_heard(now, member_of(hello), draining)
         self._take_usage(now, hello.data_centre, report.instance, report.scope, result)
-        self._take_deaths(now, hello.data_centre, result.deaths)
+        self._take_notices(now, hello.data_centre, result)
         if result.leaving:
             self._events.on_leaving(now, result.leaving)
         self._take_versions(now, heartbeat)
@@ -278,15 +289,17 @@
             self._usage.on_peer(now, instance, result.usage, result.restarted)
             self._events.on_usage(now, instance, result.usage, result.restarted)
 
-    def _take_deaths(self, now: float, data_centre: str, deaths: tuple[DeathNotice, ...]) -> None:
-        """Reports new deaths and passes them on to the other side."""
-        if not deaths:
-            return
-        self._events.on_deaths(now, deaths)
+    def _take_notices(self, now: float, data_centre: str, result: MergeResult) -> None:
+        """Reports new deaths and clearings and passes them on to the other side."""
+        if result.cleared:
+            self._events.on_clearings(now, result.cleared)
+        if result.deaths:
+            self._events.on_deaths(now, result.deaths)
         local = data_centre == self.own.data_centre
-        for death in deaths:
-            self._deaths.add(death, to_local=not local, to_remote=local)
-        self.send_now()
+        for notice in (*result.deaths, *result.cleared):
+            self._notices.add(notice, to_local=not local, to_remote=local)
+        if result.deaths:
+            self.send_now()
 
     def _take_versions(self, now: float, message: Any) -> None:
         """Notes the versions of a heartbeat or its reply."""
@@ -399,7 +412,7 @@
             # A new process knows nothing of what the old one acknowledged.
             outbox.incarnation = hello.incarnation
             outbox.usage.clear()
-            outbox.deaths = 0
+            outbox.notices = 0
         outbox.due = 0.0
         self._next_refresh = 0.0
         self._wake.set()
@@ -440,16 +453,16 @@
             link: Link to the peer.
             outbox: What the peer has acknowledged.
             scope: What the usage stands for.
-            with_rest: Whether to send it without usage too, and with deaths.
+            with_rest: Whether to send it without usage too, and with notices.
         """
         limit = self._usage_limit()
         usage, usage_mark = self._usage.changes_after(now, scope, outbox.usage.get(scope, 0), limit)
         if not usage and not with_rest:
             return
         remote = link.peer.data_centre != self.own.data_centre
-        deaths, death_mark = (), outbox.deaths
+        notices, notice_mark = (), outbox.notices
         if with_rest:
-            deaths, death_mark = self._deaths.after(outbox.deaths, remote)
+            notices, notice_mark = self._notices.after(outbox.notices, remote)
         self._sequence += 1
         heartbeat = Heartbeat(
             instance=self.own.name,
@@ -458,7 +471,8 @@
             config_version=self._local.config_version,
             highest_version=self._highest,
             usage=[UsageDelta(workspace, value) for workspace, value in usage.items()],
-            deaths=[death_message(death) for death in deaths],
+            deaths=[death_message(n) for n in notices if isinstance(n, DeathNotice)],
+            cleared=[clearing_message(n) for n in notices if isinstance(n, ClearingNotice)],
             leaving=self._leaving_for(remote),
             running=self._local.running,
             queued=self._local.queued,
@@ -467,11 +481,13 @@
         )
         outbox.in_flight = link.submit("heartbeat", heartbeat, timeout=self._dead_after)
         outbox.in_flight.add_done_callback(
-            functools.partial(self._on_reply, link.peer.name, outbox, scope, usage_mark, death_mark)
+            functools.partial(
+                self._on_reply, link.peer.name, outbox, scope, usage_mark, notice_mark
+            )
         )
 
     def _on_reply(
-        self, name: str, outbox: Outbox, scope: str, usage: int, deaths: int, done: Any
+        self, name: str, outbox: Outbox, scope: str, usage: int, notices: int, done: Any
     ) -> None:
         """Notes what a peer has acknowledged."""
         if done.cancelled():
@@ -482,7 +498,7 @@
             return
         now = self._clock()
         outbox.usage[scope] = usage
-        outbox.deaths = max(outbox.deaths, deaths)
+        outbox.notices = max(outbox.notices, notices)
         self._membership.on_reply(now, name)
         self._take_versions(now, reply)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -122,6 +122,15 @@
         self.assertFalse(merge.merge(2.0, earlier).accepted)
         self.assertTrue(merge.merge(3.0, earlier).restarted)
 
+    def test_death_with_other_suspects_is_reported_too(self):
+        """Each peer names only its own requests; a lost notice would lose their suspicion."""
+        merge = HeartbeatMerge(3.0)
+        first = DeathNotice("engine", "boot", 1.0, ("f",))
+        other = DeathNotice("engine", "boot", 1.4, ("g",))
+        merge.merge(0.0, HeartbeatReport("a", "1", 1, deaths=(first,)))
+        result = merge.merge(0.1, HeartbeatReport("b", "1", 1, deaths=(other,)))
+        self.assertEqual(result.deaths, (other,))
+
     def test_death_is_reported_once_whoever_tells_it(self):
         merge = HeartbeatMerge(dead_after=3.0)
         death = DeathNotice("engine", "boot", 1.0, ("f",))
