--- a/src/sapphireledge/entry/suspect_exchange.py
+++ b/src/sapphireledge/entry/suspect_exchange.py
@@ -155,7 +155,7 @@
         """
         for each in clearings:
             record = ClearRecord(each.fingerprint, each.time_unix, each.who, each.why)
-            self._quarantine.on_clear(time.time(), record)
+            self._quarantine.on_cleared(time.time(), record)
 
     def on_stored(self, found: StoredObject) -> None:
         """Takes a record from the platform.
@@ -172,7 +172,7 @@
         elif found.key.startswith(CLEARED):
             clearing = ClearRecord.decode(found.value)
             if not isinstance(clearing, Failure):
-                self._quarantine.on_clear(time.time(), clearing)
+                self._quarantine.on_cleared(time.time(), clearing)
 
     def _share(self, record: ClearRecord) -> None:
         """Passes a clearing on."""
