--- a/src/sapphireledge/core/routing/load_report.py
+++ b/src/sapphireledge/core/routing/load_report.py
@@ -45,5 +45,8 @@
     role: str = "drafting"
     """Role that the engine has."""
 
+    adapters: tuple[str, ...] = ()
+    """Adapters that are loaded."""
+
     leaving: bool = False
     """Whether the engine says that it is leaving."""
--- a/src/sapphireledge/entry/backend_monitor.py
+++ b/src/sapphireledge/entry/backend_monitor.py
@@ -124,6 +124,7 @@
                 token_rate=report.tokens_per_second,
                 models=tuple(ModelVersion(m.model, m.version) for m in report.models),
                 role=report.role,
+                adapters=tuple(a for m in report.models for a in m.adapters),
                 leaving=report.leaving,
             ),
         )
--- /dev/null
+++ b/src/sapphireledge/entry/engine_orders.py
@@ -0,0 +1,121 @@
+"""Connects the fleet controller to engines and the view of them."""
+
+from __future__ import annotations
+
+import math
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+from sapphireledge.backends import EngineOrder, OrderKind, OrderStatus
+from sapphireledge.core.fleet import EngineState, ModelVersion, OrderOutcome, OrderReply
+from sapphireledge.fleet import FleetView
+
+if TYPE_CHECKING:
+    from sapphireledge.core.config import ConfigState
+    from sapphireledge.core.fleet import Order
+    from sapphireledge.core.routing import BackendState, BackendView
+    from sapphireledge.entry.backend_pool import BackendPool
+    from sapphireledge.settings import Settings
+
+__all__ = ["EngineOrders"]
+
+OUTCOMES = {
+    OrderStatus.DONE: OrderOutcome.DONE,
+    OrderStatus.REFUSED: OrderOutcome.REFUSED,
+    OrderStatus.OLD_FENCING: OrderOutcome.FENCED,
+    OrderStatus.UNKNOWN: OrderOutcome.NO_ANSWER,
+}
+"""Outcome for the planner of each status of the engine client."""
+
+
+class EngineOrders:
+    """Sends orders, see `OrderSender`, and shows the engines of the own data centre."""
+
+    def __init__(
+        self, cfg: Settings, view: BackendView, pool: BackendPool, config: ConfigState
+    ) -> None:
+        """Creates the adapter.
+
+        Args:
+            cfg: Settings of the instance.
+            view: What the instance knows about backend servers.
+            pool: Owner of the engine clients.
+            config: Declarations in force.
+        """
+        self._cfg = cfg
+        self._view = view
+        self._pool = pool
+        self._config = config
+
+    async def send(self, order: Order, fencing_number: int) -> OrderReply:
+        """Sends one order, see `OrderSender`."""
+        state = self._view.state(order.engine)
+        if state is None:
+            return OrderReply(OrderOutcome.REFUSED, f"{order.engine} is not in the instance list")
+        result = await self._pool.client(state.instance.address).order(
+            EngineOrder(
+                order_id=uuid.uuid4().hex,
+                kind=OrderKind(str(order.action)),
+                fencing=fencing_number,
+                model=order.model,
+                version=order.version,
+                adapter=order.adapter,
+                role=order.role,
+            ),
+            self._cfg.fleet.order_timeout,
+        )
+        outcome = OUTCOMES[result.status]
+        if outcome is OrderOutcome.DONE and not result.changed:
+            outcome = OrderOutcome.UNCHANGED
+        return OrderReply(outcome, result.detail)
+
+    def fleet_view(self) -> FleetView:
+        """Shows the engines of the own data centre.
+
+        Returns:
+            Fresh reports, declared deployments and the demand for engines.
+        """
+        now = time.monotonic()
+        states = [state for state in self._view.states() if self._counts(now, state)]
+        deployments = tuple(self._config.deployments.values())
+        return FleetView(
+            deployments=deployments,
+            engines=tuple(_engine(state) for state in states),
+            demand={d.name: self._demand(d.model, states) for d in deployments},
+        )
+
+    def _counts(self, now: float, state: BackendState) -> bool:
+        """Whether an engine is live, near and known."""
+        report = state.report
+        return (
+            report is not None
+            and not state.leaving
+            and state.unreachable_since is None
+            and state.instance.data_centre == self._cfg.data_centre
+            and now - report.as_of <= self._cfg.routing.report_expiry
+        )
+
+    @staticmethod
+    def _demand(model: str, states: list[BackendState]) -> float:
+        """Engines that the present load of a model keeps busy."""
+        serving = [s for s in states if s.report and any(m.model == model for m in s.report.models)]
+        slots = sum(state.slots for state in serving)
+        if not slots:
+            return 0.0
+        load = sum(state.load for state in serving)
+        return float(math.ceil(load * len(serving) / slots))
+
+
+def _engine(state: BackendState) -> EngineState:
+    """Turns the view's state into the planner's form."""
+    report = state.report
+    assert report is not None
+    models = frozenset(ModelVersion(m.model, m.version) for m in report.models)
+    return EngineState(
+        name=state.instance.name,
+        role=report.role,
+        models=models,
+        running=models if state.load else frozenset(),
+        adapters=frozenset(report.adapters),
+    )
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -14,8 +14,8 @@
 
 from sapphireledge.backends import ConnectionPools
 from sapphireledge.core.admission import UsageLedger
-from sapphireledge.core.config import ConfigState
-from sapphireledge.core.membership import Member
+from sapphireledge.core.config import CONFIG_PREFIX, ChangeApplier, ConfigState
+from sapphireledge.core.membership import Member, rank_by_rendezvous
 from sapphireledge.core.quarantine import Quarantine
 from sapphireledge.core.replay import EventLog
 from sapphireledge.core.routing import BackendView
@@ -26,6 +26,7 @@
 from sapphireledge.entry.backend_monitor import BackendMonitor
 from sapphireledge.entry.backend_pool import BackendPool
 from sapphireledge.entry.copy_store import CopyStore
+from sapphireledge.entry.engine_orders import EngineOrders
 from sapphireledge.entry.entry_parts import EntryParts
 from sapphireledge.entry.housekeeping import Housekeeping
 from sapphireledge.entry.lifecycle import Lifecycle
@@ -34,7 +35,15 @@
 from sapphireledge.entry.service_runner import ServiceRunner
 from sapphireledge.entry.suspect_exchange import SuspectExchange
 from sapphireledge.errors import Failure
-from sapphireledge.operator import OperatorServer
+from sapphireledge.fleet import FleetController
+from sapphireledge.operator import (
+    DeclarationReader,
+    EventFinder,
+    OperatorParts,
+    OperatorServer,
+    OrderGiver,
+    StatusReporter,
+)
 from sapphireledge.peers import AnswerCopies, PeerMesh, PeerQueries, PeerServer
 from sapphireledge.platform import (
     Instance,
@@ -57,6 +66,9 @@
 DRAIN_POLL = 0.05
 """Seconds between two looks at the answers in flight during a planned stop."""
 
+LEASE_CANDIDATES_FOR = "fleet-lease/"
+"""Start of the name for which the candidates of the lease are ranked."""
+
 READY_POLL = 0.02
 """Seconds between two looks at the configuration at the start."""
 
@@ -90,7 +102,13 @@
         self._quarantine = Quarantine(cfg.quarantine)
         self._pools = ConnectionPools()
         self._config_watch = PrefixWatcher(
-            self._store, "config/", cfg.platform, self._rng, self._config.apply, self._on_reachable
+            self._store,
+            CONFIG_PREFIX,
+            cfg.platform,
+            self._rng,
+            self._config.apply,
+            self._on_reachable,
+            self._config.set_listed,
         )
         self._bridge = PeerBridge(
             self.lifecycle, self._config, self._ledger, self._view, self._is_platform_reachable
@@ -147,17 +165,13 @@
         self._segments = SegmentWriter(
             cfg, self._events, self._store, self._mesh.incarnation, lambda: len(self._mesh.live)
         )
-        self._peer_server = PeerServer(cfg, self._mesh, self._peer_service())
-        self._operator_server = OperatorServer(
-            cfg,
-            self._parts,
-            self._store,
-            self._view,
-            self._quarantine,
-            self._suspects,
-            self._queries,
-            self._copy_store,
+        self._peer_service = self._make_peer_service()
+        self._peer_server = PeerServer(cfg, self._mesh, self._peer_service)
+        self._orders = EngineOrders(cfg, self._view, self._pool, self._config)
+        self._fleet = FleetController(
+            cfg, self._store, self._orders, self._orders.fleet_view, self._rng, self._is_candidate
         )
+        self._operator_server = OperatorServer(cfg, self._operator_parts())
         self._housekeeping = Housekeeping(
             cfg, self._store, self._registry, self._copy_store, self._mesh, self._rng
         )
@@ -227,6 +241,7 @@
             self._instance_watch.run(),
             self._pool.run(),
             self._services.run(),
+            self._fleet.run(),
             self._segments.run(),
             self._housekeeping.run(),
         ):
@@ -245,19 +260,10 @@
 
     async def _become_ready(self) -> None:
         """Waits for a configuration that is not older than any that peers know of."""
-        while not self._is_configured():
+        while not self._config.is_ready:
             await asyncio.sleep(READY_POLL)
         self.lifecycle.ready()
 
-    def _is_configured(self) -> bool:
-        """Whether the instance may serve, see the rule for a fresh instance in the design."""
-        if self._config_watch.listed:
-            return True
-        # Without the platform a peer has to answer first, otherwise the known version is a guess.
-        heard = any(self._mesh.is_reachable(name) for name in self._mesh.peer_names)
-        highest = max(self._config.highest_version, self._mesh.highest_version)
-        return heard and 0 < highest <= self._config.applied_version
-
     async def _drain(self) -> None:
         """Lets everything in flight end, within the declared limit."""
         await self.lifecycle.refuse_after_balancer_delay()
@@ -286,7 +292,7 @@
         await self._pools.close()
         self._tracing.close()
 
-    def _peer_service(self) -> PeerService:
+    def _make_peer_service(self) -> PeerService:
         """Builds the handler of the peer interface."""
         return PeerService(
             self._cfg.instance,
@@ -298,6 +304,32 @@
             lambda delay, work: asyncio.get_running_loop().call_later(delay, work),
         )
 
+    def _operator_parts(self) -> OperatorParts:
+        """Collects what operators act on."""
+        return OperatorParts(
+            secret=self._cfg.operator_secret or self._cfg.fleet_secret,
+            applier=ChangeApplier(self._store, self._cfg.platform),
+            declarations=DeclarationReader(self._store),
+            reporter=StatusReporter(
+                self._parts, self._view, self._ledger, self._is_platform_reachable
+            ),
+            events=EventFinder(self._peer_service, self._mesh, self._store),
+            quarantine=self._quarantine,
+            suspects=self._suspects,
+            orders=OrderGiver(self._fleet, self._view, self._config),
+            lifecycle=self.lifecycle,
+        )
+
+    def _is_candidate(self) -> bool:
+        """Whether this instance should hold the lease for orders of its data centre.
+
+        Only the first two by rendezvous hash try, which keeps the reads of the lease object few;
+        the lease itself decides.
+        """
+        names = [m.name for m in self._mesh.live if m.data_centre == self._cfg.data_centre]
+        ranked = rank_by_rendezvous(LEASE_CANDIDATES_FOR + self._cfg.data_centre, names)
+        return self.lifecycle.state == "ready" and self._cfg.instance in ranked[:2]
+
     def _members(self) -> list[Member]:
         """Entry instances of the platform's list."""
         return [
--- a/src/sapphireledge/entry/peer_bridge.py
+++ b/src/sapphireledge/entry/peer_bridge.py
@@ -101,7 +101,7 @@
 
     def on_config_versions(self, now: float, highest: int) -> None:
         """Takes the highest configuration version that peers know of, see `PeerEvents`."""
-        self._config.on_highest_version(highest)
+        self._config.hear(highest)
 
     def on_membership(self, now: float, members: tuple[Member, ...]) -> None:
         """Takes the live instances, see `PeerEvents`."""
@@ -115,7 +115,9 @@
         Args:
             part: A ConfigPart message.
         """
-        for found in part.objects:
-            self._config.apply(
-                StoredObject(found.key, found.value, found.version, bool(found.deleted))
-            )
+        objects = [
+            StoredObject(found.key, found.value, found.version, bool(found.deleted))
+            for found in part.objects
+        ]
+        # What a peer has beyond an earlier version is also complete beyond the present one.
+        self._config.apply_part(self._config.applied_version, objects, part.version)
--- a/src/sapphireledge/entry/peer_service.py
+++ b/src/sapphireledge/entry/peer_service.py
@@ -122,10 +122,14 @@
 
     async def config_since(self, version: int) -> Any | Failure:
         """Returns configuration objects newer than a version, see `PeerHandler`."""
-        objects = self._config.objects_since(version, MAX_CONFIG_OBJECTS)
+        objects = self._config.objects_since(version)
+        complete = self._config.applied_version
+        if len(objects) > MAX_CONFIG_OBJECTS:
+            objects = objects[:MAX_CONFIG_OBJECTS]
+            complete = objects[-1].version
         return ConfigPart(
             [ConfigObject(o.key, o.value, o.version, o.deleted) for o in objects],
-            self._config.applied_version,
+            complete,
             self._config.highest_version,
         )
 
--- a/src/sapphireledge/operator/operator_connection.py
+++ b/src/sapphireledge/operator/operator_connection.py
@@ -134,7 +134,7 @@
     async def order(self, request: Any, author: Any) -> Any:
         """Gives one order to an engine."""
         by = self._author(author)
-        result = _result(await self._parts.orders.give(request, by.who, by.why))
+        result = _result(await self._parts.orders.give(request))
         self._note("order", target=request.backend, action=request.action, why=by.why)
         return OrderResultMessage(
             request.operation_id, result.fencing_number, result.outcome, result.reason
--- /dev/null
+++ b/src/sapphireledge/operator/order_giver.py
@@ -0,0 +1,100 @@
+"""Orders of operators to engines."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.fleet import Order, OrderAction
+from sapphireledge.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from sapphireledge.core.config import ConfigState
+    from sapphireledge.core.routing import BackendView
+    from sapphireledge.fleet import FleetController
+
+__all__ = ["GivenOrder", "OrderGiver"]
+
+NEEDED_FIELDS: dict[OrderAction, tuple[str, ...]] = {
+    OrderAction.LOAD_MODEL: ("model", "version"),
+    OrderAction.UNLOAD_MODEL: ("model", "version"),
+    OrderAction.LOAD_ADAPTER: ("model", "version", "adapter"),
+    OrderAction.UNLOAD_ADAPTER: ("model", "version", "adapter"),
+    OrderAction.SET_ROLE: ("role",),
+}
+"""Fields that each action needs."""
+
+
+@dataclass(frozen=True, slots=True)
+class GivenOrder:
+    """How an operator's order ended."""
+
+    fencing_number: int
+    """Number of the lease under which it was sent."""
+
+    outcome: str
+    """A value of `OrderOutcome`."""
+
+    reason: str
+    """Reason of a refusal."""
+
+
+class OrderGiver:
+    """Checks the orders of operators and passes them to the holder of the lease."""
+
+    def __init__(self, controller: FleetController, view: BackendView, config: ConfigState) -> None:
+        """Creates the giver.
+
+        Args:
+            controller: Orders to the engines of the own data centre.
+            view: What the instance knows about backend servers.
+            config: Declarations in force.
+        """
+        self._controller = controller
+        self._view = view
+        self._config = config
+
+    async def give(self, request: Any) -> GivenOrder | Failure:
+        """Gives one order.
+
+        Args:
+            request: An OrderRequest message.
+
+        Returns:
+            How it ended; conflict if another instance holds the lease, which the reason names.
+        """
+        checked = self._check(request)
+        if isinstance(checked, Failure):
+            return checked
+        reply = await self._controller.order(checked)
+        if isinstance(reply, Failure):
+            return reply
+        number = self._controller.lease.fencing_number
+        return GivenOrder(number, str(reply.outcome), reply.reason)
+
+    def _check(self, request: Any) -> Order | Failure:
+        """Reads the message."""
+        try:
+            action = OrderAction(request.action or "")
+        except ValueError:
+            known = ", ".join(OrderAction)
+            reason = f"action: {request.action!r} is not one of {known}"
+            return Failure(ErrorKind.INVALID_REQUEST, reason)
+        for field in NEEDED_FIELDS[action]:
+            if not getattr(request, field):
+                return Failure(ErrorKind.INVALID_REQUEST, f"{field}: is required for {action}")
+        if self._view.state(request.backend or "") is None:
+            reason = f"backend: {request.backend!r} is not in the instance list"
+            return Failure(ErrorKind.NOT_FOUND, reason)
+        deployment = self._config.deployment_for(request.model or "")
+        return Order(
+            engine=request.backend,
+            action=action,
+            model=request.model or "",
+            version=request.version or "",
+            adapter=request.adapter or "",
+            role=request.role or "",
+            checks_fencing=deployment is not None and deployment.checks_fencing,
+        )
