Number recordings so that replay accepts events in any order

The property test of the answer found two recordings of one instance whose first events were equal: the instance crashed and came back within the same millisecond, and replay merged the two. Each recording now has a number, and events are keyed by instance, recording and sequence. This also lets replay merge the owner's log with a partner's copy that repeats events. The instance name must contain the incarnation of the process.

--- a/src/sapphireledge/core/replay/event_log.py
+++ b/src/sapphireledge/core/replay/event_log.py
@@ -31,12 +31,20 @@
     """
 
     def __init__(self, instance: str, max_bytes: int) -> None:
+        """Builds an empty log.
+
+        Args:
+            instance: Name of the instance with its incarnation, so that the recordings of a
+                restarted instance are told from those before.
+            max_bytes: Memory bound.
+        """
         self._instance = instance
         self._max_bytes = max_bytes
         self._entries: deque[_Entry] = deque()
         self._taken = 0
         self._size = 0
         self._segments = 0
+        self._recordings = 0
         self._dropped = 0
         self._dropped_bytes = 0
         self._dropped_from = 0.0
@@ -58,6 +66,15 @@
         """Events that were dropped before they were taken for a segment, since the start."""
         return self._dropped_total
 
+    def start_recording(self) -> int:
+        """Numbers a new recording.
+
+        Returns:
+            The number, from 1.
+        """
+        self._recordings += 1
+        return self._recordings
+
     def append(self, event: RequestEvent) -> bytes:
         """Adds an event and drops the oldest ones beyond the bound.
 
@@ -138,5 +155,12 @@
             "from": self._dropped_from,
             "until": self._dropped_until,
         }
-        name = EventName.DROPPED
-        return RequestEvent(0, self._dropped_until, self._instance, "", name, gap).to_line()
+        return RequestEvent(
+            sequence=self._dropped_total,
+            time=self._dropped_until,
+            instance=self._instance,
+            recording=0,
+            request_id="",
+            name=EventName.DROPPED,
+            input=gap,
+        ).to_line()
--- a/src/sapphireledge/core/replay/recording_machine.py
+++ b/src/sapphireledge/core/replay/recording_machine.py
@@ -68,6 +68,7 @@
         self._machine = GenerationMachine(request, cfg)
         self._log = log
         self._texts = TextRecorder(record_text, hash_key)
+        self._recording = log.start_recording()
         self._sequence = 0
         self._run: TokenRun | None = None
         self._lines: list[bytes] = []
@@ -256,7 +257,14 @@
         self, now: float, name: str, values: dict[str, Any], decisions: list[dict[str, Any]]
     ) -> None:
         self._sequence += 1
-        request_id = self._machine.request.request_id
-        instance = self._log.instance
-        event = RequestEvent(self._sequence, now, instance, request_id, name, values, decisions)
+        event = RequestEvent(
+            sequence=self._sequence,
+            time=now,
+            instance=self._log.instance,
+            recording=self._recording,
+            request_id=self._machine.request.request_id,
+            name=name,
+            input=values,
+            decisions=decisions,
+        )
         self._lines.append(self._log.append(event))
--- a/src/sapphireledge/core/replay/replay_gap.py
+++ b/src/sapphireledge/core/replay/replay_gap.py
@@ -11,12 +11,15 @@
 class ReplayGap:
     """Part of a record that is missing.
 
-    The events after a gap cannot be run again until the next machine is created.
+    The events of the same recording after a gap cannot be run again.
     """
 
     instance: str
     """Instance whose events are missing."""
 
+    recording: int
+    """Number of the recording at the instance."""
+
     after: int
     """Sequence number of the last event before the gap; 0 if the start is missing."""
 
--- a/src/sapphireledge/core/replay/replay_request.py
+++ b/src/sapphireledge/core/replay/replay_request.py
@@ -36,27 +36,32 @@
     """Runs the core again on the recorded inputs of one request.
 
     Args:
-        events: Events of the request from one or more instances, those of one instance in their
-            order. Notes of the shell are passed over.
+        events: Events of the request from one or more instances in any order. An event may come
+            more than once, from the log of its instance and from a copy. Notes of the shell are
+            passed over.
 
     Returns:
         Every difference and every gap.
     """
-    by_instance: dict[str, _InstanceReplay] = {}
-    for event in events:
-        replay = by_instance.setdefault(event.instance, _InstanceReplay())
-        replay.run(event)
-    replays = by_instance.values()
+    recorded = {
+        (event.instance, event.recording, event.sequence): event
+        for event in events
+        if event.recording
+    }
+    replays: dict[tuple[str, int], _RecordingReplay] = {}
+    for instance, recording, sequence in sorted(recorded):
+        replay = replays.setdefault((instance, recording), _RecordingReplay())
+        replay.run(recorded[instance, recording, sequence])
     return ReplayReport(
-        replayed=sum(replay.replayed for replay in replays),
-        skipped=sum(replay.skipped for replay in replays),
-        differences=tuple(d for replay in replays for d in replay.differences),
-        gaps=tuple(gap for replay in replays for gap in replay.gaps),
+        replayed=sum(replay.replayed for replay in replays.values()),
+        skipped=sum(replay.skipped for replay in replays.values()),
+        differences=tuple(d for replay in replays.values() for d in replay.differences),
+        gaps=tuple(gap for replay in replays.values() for gap in replay.gaps),
     )
 
 
-class _InstanceReplay:
-    """Replays the events of one instance."""
+class _RecordingReplay:
+    """Replays the events of one recording."""
 
     def __init__(self) -> None:
         self.replayed = 0
@@ -68,13 +73,12 @@
 
     def run(self, event: RequestEvent) -> None:
         """Runs one event again; a note of the shell only counts in the sequence."""
-        if event.name == EventName.DROPPED:
-            return
-        if event.name == EventName.CREATED:
-            self._machine = _build_machine(event.input)
-        elif event.sequence != self._sequence + 1:
-            self.gaps.append(ReplayGap(event.instance, self._sequence, event.sequence))
+        if event.sequence != self._sequence + 1:
+            gap = ReplayGap(event.instance, event.recording, self._sequence, event.sequence)
+            self.gaps.append(gap)
             self._machine = None
+        elif event.name == EventName.CREATED:
+            self._machine = _build_machine(event.input)
         self._sequence = event.sequence
         if event.name not in _NAMES:
             return
--- a/src/sapphireledge/core/replay/request_event.py
+++ b/src/sapphireledge/core/replay/request_event.py
@@ -17,13 +17,16 @@
     """One recorded event of a request: an input with its time and what was decided."""
 
     sequence: int
-    """Number of the event in its recording, from 1 without gaps; 0 for events of the log."""
+    """Number of the event in its recording, from 1 without gaps."""
 
     time: float
     """Monotonic time of the instance in seconds."""
 
     instance: str
-    """Instance that recorded the event."""
+    """Instance that recorded the event, with its incarnation."""
+
+    recording: int
+    """Number of the recording at the instance, from 1; 0 for events of the log itself."""
 
     request_id: str
     """Id of the request; empty for events of the log."""
