Add the partner's copies of answers and the output commit window

OwnershipTable keeps copies for other entries and arbitrates their ownership: one grant for each epoch, appends of an older epoch refused, also for a while after the copy has expired. CommitWindow holds tokens back until the partner has stored them, releases them unprotected after the timeout and stops once a newer epoch is known.

--- /dev/null
+++ b/src/sapphireledge/core/answer/answer_end.py
@@ -0,0 +1,56 @@
+"""How an answer ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sapphireledge.errors import ErrorKind, Failure, Ran
+
+__all__ = ["AnswerEnd"]
+
+_PREFIX = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """How an answer ended: with the finish reason of the engine, or with a failure.
+
+    The copy holds the end as one text. A refusal must be part of the copy; otherwise a caller
+    that reconnects would start the request again.
+    """
+
+    reason: str
+    """Finish reason of the engine; empty for a failure."""
+
+    failure: Failure | None = None
+    """The failure, if the answer was refused."""
+
+    def to_finish(self) -> str:
+        """Encodes the end.
+
+        Returns:
+            The finish reason, or `error:<kind>:<ran>:<reason>`.
+        """
+        if self.failure is None:
+            # The copy marks an answer that goes on by an empty text.
+            return self.reason or "stop"
+        failure = self.failure
+        return f"{_PREFIX}:{failure.kind}:{failure.ran}:{failure.reason}"
+
+    @classmethod
+    def parse(cls, finish: str) -> AnswerEnd:
+        """Decodes the form of `to_finish`.
+
+        Args:
+            finish: The text from the copy.
+
+        Returns:
+            The end.
+        """
+        parts = finish.split(":", 3)
+        if len(parts) < 4 or parts[0] != _PREFIX:
+            return cls(finish)
+        try:
+            return cls("", Failure(ErrorKind(parts[1]), parts[3], Ran(parts[2])))
+        except ValueError:
+            return cls(finish)
--- /dev/null
+++ b/src/sapphireledge/core/answer/commit_window.py
@@ -0,0 +1,353 @@
+"""Output commit of one answer at its owner."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.answer.append_outcome import NO_ROOM
+from sapphireledge.core.answer.change_partner import ChangePartner
+from sapphireledge.core.answer.copy_append import CopyAppend
+from sapphireledge.core.answer.piece_store import PieceStore
+from sapphireledge.core.answer.release import Release
+from sapphireledge.core.answer.stop_delivery import StopDelivery
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sapphireledge.core.answer.append_outcome import AppendOutcome
+    from sapphireledge.core.answer.commit_decision import CommitDecision
+
+__all__ = ["CommitWindow"]
+
+MAX_APPEND_TOKENS = 4_096
+"""Tokens of one append, so that a resend from the start does not exceed the message limit."""
+
+MAX_EVENT_CHARACTERS = 262_144
+"""Waiting events beyond this are dropped; their sequence numbers show the gap."""
+
+
+class CommitWindow:
+    """Holds back the tokens of one answer until the partner has stored them.
+
+    Without a partner, or when the partner does not answer in time, tokens are released
+    unprotected until a partner has caught up. Once a partner knows a higher epoch nothing is
+    released any more. At most one append is under way.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        epoch: int,
+        header: str,
+        timeout: float,
+        *,
+        pieces: Sequence[str] = (),
+        partner: str = "",
+        stored: int = 0,
+    ) -> None:
+        """Builds the window.
+
+        Args:
+            request_id: Id of the request.
+            epoch: Epoch of the ownership.
+            header: JSON of the request, for the partner.
+            timeout: Seconds that a token waits for the partner.
+            pieces: Texts of a prefix that was taken over; they count as released.
+            partner: Instance that keeps the copy; empty if there is none.
+            stored: Tokens that the partner holds under this epoch already. More than 0 only if
+                the partner granted the takeover.
+        """
+        self._request_id = request_id
+        self._epoch = epoch
+        self._header = header
+        self._timeout = timeout
+        self._pieces = PieceStore(pieces)
+        self._released = len(self._pieces)
+        self._finish = ""
+        self._finish_released = False
+        self._stopped = False
+        self._unprotected = not partner
+        self._resumed = False
+        self._pushed: deque[tuple[int, float]] = deque()
+        self._partner = ""
+        self._events: list[str] = []
+        self._event_characters = 0
+        self._set_partner(partner, stored)
+
+    @property
+    def partner(self) -> str:
+        """Instance that keeps the copy; empty if there is none."""
+        return self._partner
+
+    @property
+    def stopped(self) -> bool:
+        """Whether another entry owns the answer."""
+        return self._stopped
+
+    @property
+    def released(self) -> int:
+        """Token offset up to which the caller may have the answer."""
+        return self._released
+
+    @property
+    def stored(self) -> int:
+        """Token offset up to which the partner has the answer."""
+        return self._stored
+
+    @property
+    def unprotected(self) -> bool:
+        """Whether tokens are released without a copy."""
+        return self._unprotected
+
+    @property
+    def finish(self) -> str:
+        """Form of `AnswerEnd` once the end was released, otherwise empty."""
+        return self._finish if self._finish_released else ""
+
+    @property
+    def done(self) -> bool:
+        """Whether the end was released and the partner, if any, has stored it."""
+        return self._stopped or (
+            self._finish_released and (self._finish_stored or not self._partner)
+        )
+
+    @property
+    def deadline(self) -> float | None:
+        """Time at which `on_tick` has something to decide, or None."""
+        if not self._pushed or self._stopped:
+            return None
+        return self._pushed[0][1] + self._timeout
+
+    def pieces(self, offset: int) -> tuple[str, ...]:
+        """Reads what was released, for another connection of the caller.
+
+        Args:
+            offset: Token offset of the first piece.
+
+        Returns:
+            One text for each released token from the offset on.
+        """
+        return self._pieces.slice(offset, max(offset, self._released))
+
+    def push(self, now: float, offset: int, text: str) -> list[CommitDecision]:
+        """Takes a token that the generation machine delivers.
+
+        Args:
+            now: Monotonic time in seconds.
+            offset: Token offset.
+            text: Text of the token.
+
+        Returns:
+            A release if nothing has to be waited for.
+
+        Raises:
+            ValueError: If the offset is not the next one.
+        """
+        if offset != len(self._pieces) or self._finish:
+            raise ValueError(f"token {offset} does not follow token {len(self._pieces) - 1}")
+        self._pieces.append(text)
+        return self._wait_or_release(now)
+
+    def end(self, now: float, finish: str) -> list[CommitDecision]:
+        """Takes the end of the answer.
+
+        Args:
+            now: Monotonic time in seconds.
+            finish: Form of `AnswerEnd`, not empty.
+
+        Returns:
+            A release if nothing has to be waited for.
+        """
+        if self._finish:
+            return []
+        self._finish = finish
+        return self._wait_or_release(now)
+
+    def add_events(self, lines: str) -> None:
+        """Takes recorded events that the next append carries along.
+
+        Args:
+            lines: JSON lines.
+        """
+        if not lines or not self._partner or self._stopped:
+            return
+        self._events.append(lines)
+        self._event_characters += len(lines)
+        while self._event_characters > MAX_EVENT_CHARACTERS:
+            self._event_characters -= len(self._events.pop(0))
+            self._sent_events = max(0, self._sent_events - 1)
+
+    def next_append(self) -> CopyAppend | None:
+        """Gives what is to be sent to the partner now.
+
+        Returns:
+            The next append, or None if there is nothing to send or one is under way.
+        """
+        if self._stopped or not self._partner or self._in_flight is not None:
+            return None
+        end = min(len(self._pieces), self._stored + MAX_APPEND_TOKENS)
+        covers_all = end == len(self._pieces)
+        finish = self._finish if covers_all and not self._finish_stored else ""
+        header = "" if self._header_stored else self._header
+        if end == self._stored and not (finish or header or self._events):
+            return None
+        self._in_flight = CopyAppend(
+            request_id=self._request_id,
+            epoch=self._epoch,
+            offset=self._stored,
+            pieces=self._pieces.slice(self._stored, end),
+            header=header,
+            finish=finish,
+            events="".join(self._events),
+        )
+        self._sent_events = len(self._events)
+        self._in_flight_covers_all = covers_all
+        return self._in_flight
+
+    def on_result(
+        self, now: float, append: CopyAppend, outcome: AppendOutcome
+    ) -> list[CommitDecision]:
+        """Takes the answer to an append.
+
+        Args:
+            now: Monotonic time in seconds.
+            append: The append, as `next_append` returned it.
+            outcome: The answer of the partner.
+
+        Returns:
+            What may be released, or that delivery stops.
+        """
+        if append is not self._in_flight:
+            # Too late to tell what the holder has now, but a newer epoch stays newer.
+            is_newer = outcome.epoch > self._epoch and not self._stopped
+            return self._stop(outcome.epoch) if is_newer else []
+        self._in_flight = None
+        if outcome.epoch > self._epoch:
+            return self._stop(outcome.epoch)
+        if outcome.stored == NO_ROOM:
+            return self._give_up("no room for the copy")
+        self._header_stored = not outcome.header_missing
+        self._stored = min(outcome.stored, len(self._pieces))
+        end = append.offset + len(append.pieces)
+        self._finish_stored = self._finish_stored or bool(append.finish)
+        if self._stored < end or outcome.header_missing:
+            # The holder lost its copy, for instance by a restart; the next append repeats it.
+            self._finish_stored = False
+        else:
+            self._forget_sent_events()
+            if self._in_flight_covers_all:
+                self._unprotected = False
+        return self._release(self._stored, self._finish_stored, protected=True)
+
+    def on_failed(self, now: float, append: CopyAppend, reason: str) -> list[CommitDecision]:
+        """Takes note that an append could not be sent or was not answered.
+
+        Args:
+            now: Monotonic time in seconds.
+            append: The append, as `next_append` returned it.
+            reason: What happened.
+
+        Returns:
+            The unprotected release and the change of partner.
+        """
+        if append is not self._in_flight:
+            return []
+        return self._give_up(reason)
+
+    def on_partner(self, now: float, partner: str) -> list[CommitDecision]:
+        """Changes the partner; the new one receives the answer from the start.
+
+        Args:
+            now: Monotonic time in seconds.
+            partner: The new partner; empty if there is none.
+
+        Returns:
+            The unprotected release if there is no partner.
+        """
+        if partner == self._partner or self._stopped:
+            return []
+        self._set_partner(partner, 0)
+        if not partner:
+            self._unprotected = True
+        return self._release_unprotected() if self._unprotected else []
+
+    def on_tick(self, now: float) -> list[CommitDecision]:
+        """Looks for a partner that does not answer; due at `deadline`.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            The unprotected release and the change of partner.
+        """
+        deadline = self.deadline
+        if deadline is None or now < deadline:
+            return []
+        if now >= deadline + self._timeout and not self._resumed:
+            # The tick is late, so this process was paused and may not be the owner any more.
+            # The partner gets its full time once again to say so.
+            self._resumed = True
+            self._pushed = deque([(len(self._pieces), now)])
+            return []
+        return self._give_up(f"no answer within {self._timeout} s")
+
+    def _set_partner(self, partner: str, stored: int) -> None:
+        self._partner = partner
+        self._stored = stored
+        self._header_stored = stored > 0
+        self._finish_stored = False
+        self._in_flight: CopyAppend | None = None
+        self._in_flight_covers_all = False
+        self._sent_events = 0
+
+    def _stop(self, epoch: int) -> list[CommitDecision]:
+        self._stopped = True
+        self._in_flight = None
+        self._pushed.clear()
+        return [StopDelivery(epoch)]
+
+    def _give_up(self, reason: str) -> list[CommitDecision]:
+        """Stops to wait for the partner; it stays in place until another one is chosen."""
+        self._unprotected = True
+        self._in_flight = None
+        return [*self._release_unprotected(), ChangePartner(reason)]
+
+    def _forget_sent_events(self) -> None:
+        sent = self._events[: self._sent_events]
+        del self._events[: self._sent_events]
+        self._event_characters -= sum(map(len, sent))
+
+    def _wait_or_release(self, now: float) -> list[CommitDecision]:
+        if self._stopped:
+            return []
+        if self._unprotected:
+            return self._release_unprotected()
+        if not self._pushed or self._pushed[-1][1] != now:
+            self._pushed.append((len(self._pieces), now))
+        else:
+            self._pushed[-1] = (len(self._pieces), now)
+        return []
+
+    def _release_unprotected(self) -> list[CommitDecision]:
+        return self._release(len(self._pieces), True, protected=False)
+
+    def _release(self, end: int, with_finish: bool, protected: bool) -> list[CommitDecision]:
+        finish = ""
+        if with_finish and end == len(self._pieces) and not self._finish_released:
+            finish = self._finish
+        start = self._released
+        if end <= start and not finish:
+            return []
+        self._released = max(start, end)
+        self._finish_released = self._finish_released or bool(finish)
+        self._resumed = False
+        self._forget_times()
+        return [Release(start, self._pieces.slice(start, self._released), protected, finish)]
+
+    def _forget_times(self) -> None:
+        waits_for_end = bool(self._finish) and not self._finish_released
+        while self._pushed and self._pushed[0][0] <= self._released:
+            if waits_for_end and len(self._pushed) == 1:
+                break
+            self._pushed.popleft()
--- /dev/null
+++ b/src/sapphireledge/core/answer/ownership_table.py
@@ -0,0 +1,249 @@
+"""Copies of answers of other entries, and the arbitration of their ownership."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.answer.answer_copy import AnswerCopy
+from sapphireledge.core.answer.append_outcome import NO_ROOM, AppendOutcome
+from sapphireledge.core.answer.copy_location import CopyLocation
+from sapphireledge.core.answer.copy_part import CopyPart
+from sapphireledge.core.answer.piece_store import PieceStore
+from sapphireledge.core.answer.take_over_outcome import TakeOverOutcome
+
+if TYPE_CHECKING:
+    from sapphireledge.core.answer.copy_append import CopyAppend
+
+__all__ = ["OwnershipTable"]
+
+COPY_OVERHEAD = 1_000
+"""Bytes of a copy beside texts, header and events: objects and table entries."""
+
+IDLE_RETENTION = 600.0
+"""Seconds without an append after which a copy without end is given up; its owner is gone."""
+
+EPOCH_RETENTION = 600.0
+"""Seconds for which the epoch of an expired copy is remembered against a paused old owner."""
+
+MAX_EPOCHS = 20_000
+"""Remembered epochs of expired copies, about 150 bytes each."""
+
+
+class OwnershipTable:
+    """Copies of answers that other entries own.
+
+    The holder arbitrates the ownership of the answers that it holds: of all requesters that name
+    the current epoch exactly one is granted the next one, and appends of an older epoch are
+    refused. Epochs only grow, so an owner that was paused cannot come back.
+    """
+
+    def __init__(self, retention: float, max_bytes: int) -> None:
+        """Builds an empty table.
+
+        Args:
+            retention: Seconds for which a copy is kept after the end of its answer.
+            max_bytes: Memory bound of the copies.
+        """
+        self._retention = retention
+        self._max_bytes = max_bytes
+        self._copies: dict[str, AnswerCopy] = {}
+        self._finished: OrderedDict[str, None] = OrderedDict()
+        self._epochs: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        self._size = 0
+
+    def __len__(self) -> int:
+        return len(self._copies)
+
+    @property
+    def size(self) -> int:
+        """Bytes in use, at most the bound."""
+        return self._size
+
+    def append(self, now: float, sender: str, append: CopyAppend) -> AppendOutcome:
+        """Stores a part of an answer.
+
+        Args:
+            now: Monotonic time in seconds.
+            sender: Instance that sent it.
+            append: The part.
+
+        Returns:
+            What is stored. A refusal names a higher epoch than the sent one, also when the text
+            conflicts with the copy or another instance owns the same epoch.
+        """
+        known = self._known_epoch(append.request_id)
+        if append.epoch < known:
+            return self._outcome(append, known)
+        copy = self._copies.get(append.request_id)
+        if copy is None or append.epoch > copy.epoch:
+            return self._begin(now, sender, append)
+        if sender != copy.owner or self._conflicts(copy, append):
+            return self._outcome(append, append.epoch + 1)
+        copy.touched = now
+        if append.offset > len(copy.pieces):
+            return self._outcome(append, copy.epoch)
+        return self._extend(now, copy, append)
+
+    def locate(self, request_id: str) -> CopyLocation | None:
+        """Tells what is known about an answer.
+
+        Args:
+            request_id: Id of the request.
+
+        Returns:
+            Owner and extent, or None without a copy.
+        """
+        copy = self._copies.get(request_id)
+        if copy is None:
+            return None
+        return CopyLocation(copy.owner, copy.epoch, len(copy.pieces), bool(copy.finish))
+
+    def read(self, request_id: str, offset: int) -> CopyPart | None:
+        """Reads a copy.
+
+        Args:
+            request_id: Id of the request.
+            offset: Token offset of the first piece.
+
+        Returns:
+            The part from the offset on, or None without a copy that reaches to the offset.
+        """
+        copy = self._copies.get(request_id)
+        if copy is None or not 0 <= offset <= len(copy.pieces):
+            return None
+        return CopyPart(offset, copy.pieces.slice(offset), copy.finish, copy.epoch)
+
+    def take_over(self, now: float, request_id: str, epoch: int, requester: str) -> TakeOverOutcome:
+        """Transfers the ownership of an answer.
+
+        Args:
+            now: Monotonic time in seconds.
+            request_id: Id of the request.
+            epoch: Epoch that the requester saw. It is granted once, so of two requesters one
+                fails; a requester whose grant was lost sees itself as the owner and asks again
+                with the new epoch.
+            requester: Instance that asks.
+
+        Returns:
+            The copy with the new epoch, or the current owner and epoch.
+        """
+        copy = self._copies.get(request_id)
+        if copy is None:
+            return TakeOverOutcome(False, self._known_epoch(request_id), "")
+        if epoch != copy.epoch:
+            return TakeOverOutcome(False, copy.epoch, copy.owner)
+        copy.epoch += 1
+        copy.owner = requester
+        copy.touched = now
+        pieces = copy.pieces.slice(0)
+        events = "".join(copy.events)
+        return TakeOverOutcome(
+            True, copy.epoch, requester, copy.header, pieces, copy.finish, events
+        )
+
+    def expire(self, now: float) -> tuple[str, ...]:
+        """Drops copies whose time is over; to be called every few seconds.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            Ids of the requests whose copies were dropped.
+        """
+        expired = [
+            request_id for request_id, copy in self._copies.items() if self._is_over(now, copy)
+        ]
+        for request_id in expired:
+            self._drop(now, request_id)
+        while self._epochs:
+            request_id, (_, until) = next(iter(self._epochs.items()))
+            if now < until and len(self._epochs) <= MAX_EPOCHS:
+                break
+            del self._epochs[request_id]
+        return tuple(expired)
+
+    def _known_epoch(self, request_id: str) -> int:
+        copy = self._copies.get(request_id)
+        if copy is not None:
+            return copy.epoch
+        epoch, _ = self._epochs.get(request_id, (0, 0.0))
+        return epoch
+
+    def _outcome(
+        self, append: CopyAppend, epoch: int, header_missing: bool = False
+    ) -> AppendOutcome:
+        copy = self._copies.get(append.request_id)
+        stored = len(copy.pieces) if copy and not header_missing else 0
+        return AppendOutcome(append.request_id, stored, epoch, header_missing)
+
+    def _begin(self, now: float, sender: str, append: CopyAppend) -> AppendOutcome:
+        """Starts a copy, or replaces the one of an older epoch."""
+        if append.offset or not append.header:
+            return self._outcome(append, append.epoch, header_missing=True)
+        old = self._copies.get(append.request_id)
+        copy = AnswerCopy(sender, append.epoch, append.header, now)
+        added = COPY_OVERHEAD + len(append.header)
+        if not self._make_room(now, added - (old.size if old else 0), append.request_id):
+            return AppendOutcome(append.request_id, NO_ROOM, append.epoch)
+        if old:
+            self._remove(append.request_id)
+        self._copies[append.request_id] = copy
+        self._epochs.pop(append.request_id, None)
+        self._resize(copy, added)
+        return self._extend(now, copy, append)
+
+    def _extend(self, now: float, copy: AnswerCopy, append: CopyAppend) -> AppendOutcome:
+        fresh = append.pieces[len(copy.pieces) - append.offset :]
+        needed = PieceStore.size_of(fresh) + len(append.events)
+        if not self._make_room(now, needed, append.request_id):
+            return AppendOutcome(append.request_id, NO_ROOM, copy.epoch)
+        before = copy.pieces.size
+        copy.pieces.extend(fresh)
+        if append.events:
+            copy.events.append(append.events)
+        self._resize(copy, copy.pieces.size - before + len(append.events))
+        if append.finish and not copy.finish:
+            copy.finish = append.finish
+            copy.ended = now
+            self._finished[append.request_id] = None
+        return self._outcome(append, copy.epoch)
+
+    def _conflicts(self, copy: AnswerCopy, append: CopyAppend) -> bool:
+        """Whether the append contradicts what is stored."""
+        end = append.offset + len(append.pieces)
+        if copy.finish and (end > len(copy.pieces) or append.finish not in ("", copy.finish)):
+            return True
+        if append.finish and end < len(copy.pieces):
+            return True
+        stored = copy.pieces.slice(append.offset, end) if append.offset < len(copy.pieces) else ()
+        return stored != append.pieces[: len(stored)]
+
+    def _is_over(self, now: float, copy: AnswerCopy) -> bool:
+        if copy.ended is not None:
+            return now >= copy.ended + self._retention
+        return now >= copy.touched + IDLE_RETENTION
+
+    def _make_room(self, now: float, needed: int, keep: str) -> bool:
+        """Drops ended copies early until the needed bytes fit."""
+        while self._size + needed > self._max_bytes:
+            oldest = next((key for key in self._finished if key != keep), None)
+            if oldest is None:
+                return False
+            self._drop(now, oldest)
+        return True
+
+    def _drop(self, now: float, request_id: str) -> None:
+        epoch = self._copies[request_id].epoch
+        self._remove(request_id)
+        if epoch > 1:
+            self._epochs[request_id] = (epoch, now + EPOCH_RETENTION)
+
+    def _remove(self, request_id: str) -> None:
+        copy = self._copies.pop(request_id)
+        self._finished.pop(request_id, None)
+        self._size -= copy.size
+
+    def _resize(self, copy: AnswerCopy, added: int) -> None:
+        copy.size += added
+        self._size += added
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -50,6 +50,7 @@
         self.assertIsInstance(machine.on_finished(0, 1, 3, "stop")[0], Ignore)
         machine.on_dispatched(0, 2, "e2", "v1")
         self.assertIsInstance(machine.on_token(0, 1, 3, "late")[0], Ignore)
+        self.assertIsInstance(machine.on_finished(0, 1, 3, "stop")[0], Ignore)
         self.assertEqual(machine.on_token(0, 2, 3, "new"), [Deliver(3, "new")])
         self.assertEqual(machine.text, "t0t1t2new")
 
