Test malformed answers, crossed answers and the service client

The stand-in now sends the tokens made before the one at which a request kills it; tokens due in the same tick were lost, which made one test depend on the load of the machine.

Closing a stream early without closing its response is still not noticed, because garbage collection closes it.

--- a/src/sapphireledge/backends/_private.py
+++ b/src/sapphireledge/backends/_private.py
@@ -11,7 +11,7 @@
 
 import msgspec
 from aiosonic.connection import Connection
-from aiosonic.exceptions import ConnectionPoolAcquireTimeout
+from aiosonic.exceptions import ConnectionPoolAcquireTimeout, HttpParsingError
 
 from sapphireledge.backends.break_cause import BreakCause
 from sapphireledge.backends.broken import Broken
@@ -69,16 +69,16 @@
     a call with an unknown outcome.
     """
 
-    distrusted: Mapping[str, float] = MappingProxyType({})
+    invalidated_at: Mapping[str, float] = MappingProxyType({})
     """Monotonic time by address; connections opened before it are not reused."""
 
     opened = 0.0
     """Monotonic time at which the connection was opened."""
 
     def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
-        """Reuses the connection if it is trusted and the server has not closed it or sent more."""
+        """Reuses the connection unless it was invalidated or the server closed it or sent more."""
         reader = self.reader
-        if self.opened < self.distrusted.get(urlparsed.netloc, 0.0):
+        if self.opened < self.invalidated_at.get(urlparsed.netloc, 0.0):
             return False
         if reader is not None and (reader.at_eof() or reader._buffer):
             return False
@@ -263,6 +263,8 @@
         pool = isinstance(exc, ConnectionPoolAcquireTimeout)
         cause = BreakCause.NO_CONNECTION_FREE if pool else BreakCause.NOT_CONNECTED
         return Broken(cause, Ran.NO, name)
+    if isinstance(exc, HttpParsingError):
+        return Broken(BreakCause.MALFORMED, Ran.UNKNOWN, name)
     timed_out = isinstance(exc, TimeoutError) or name.endswith("Timeout")
     cause = BreakCause.NO_ANSWER if timed_out else BreakCause.CONNECTION_LOST
     return Broken(cause, Ran.UNKNOWN, name)
--- a/src/sapphireledge/backends/connection_pools.py
+++ b/src/sapphireledge/backends/connection_pools.py
@@ -12,8 +12,8 @@
 
 __all__ = ["ConnectionPools"]
 
-MAX_DISTRUSTED = 4_096
-"""Addresses whose earlier connections are remembered as given up; the oldest is dropped first."""
+MAX_INVALIDATED = 4_096
+"""Addresses whose invalidation is remembered; the oldest is dropped first."""
 
 
 class ConnectionPools:
@@ -25,7 +25,7 @@
 
     An open connection can go silent for ever while new ones work. What must not meet such a
     connection opens a new one; when a call on a kept connection gets no answer, all kept
-    connections to that address are given up.
+    connections to that address are invalidated.
     """
 
     def __init__(
@@ -51,8 +51,8 @@
         self.acquire_timeout = acquire_timeout
         """Seconds to wait for a place in a pool."""
 
-        self._distrusted: dict[str, float] = {}
-        kept = type("KeptConnection", (ReusableConnection,), {"distrusted": self._distrusted})
+        self._invalidated: dict[str, float] = {}
+        kept = type("KeptConnection", (ReusableConnection,), {"invalidated_at": self._invalidated})
 
         self.streams = self._client(streams, kept)
         """Client for first attempts of generations."""
@@ -78,16 +78,16 @@
         whole = self.acquire_timeout + self.connect_timeout + answer
         return Timeouts(self.connect_timeout, answer, self.acquire_timeout, whole)
 
-    def distrust(self, address: str) -> None:
-        """Gives up the kept connections to an address; those in use are closed after their call.
+    def invalidate(self, address: str) -> None:
+        """Prevents reuse of the connections to an address that are open now.
 
         Args:
             address: "host:port" of a backend server.
         """
-        self._distrusted.pop(address, None)
-        self._distrusted[address] = time.monotonic()
-        if len(self._distrusted) > MAX_DISTRUSTED:
-            del self._distrusted[next(iter(self._distrusted))]
+        self._invalidated.pop(address, None)
+        self._invalidated[address] = time.monotonic()
+        if len(self._invalidated) > MAX_INVALIDATED:
+            del self._invalidated[next(iter(self._invalidated))]
 
     async def close(self) -> None:
         """Closes idle connections now and the others when their call ends."""
--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -332,9 +332,9 @@
         return reply
 
     def _note(self, reply: HttpReply | Broken) -> None:
-        """Gives up the kept connections after a call without an answer."""
+        """Invalidates the kept connections after a call without an answer."""
         if isinstance(reply, Broken) and reply.cause is BreakCause.NO_ANSWER:
-            self._pools.distrust(self.address)
+            self._pools.invalidate(self.address)
 
 
 async def _drain(chunks: AsyncIterator[bytes]) -> None:
--- a/src/sapphireledge_standins/connection_gate.py
+++ b/src/sapphireledge_standins/connection_gate.py
@@ -22,7 +22,9 @@
         self._app = app
         self._open = asyncio.Event()
         self._open.set()
-        self._seen: set[tuple[str, int]] = set()
+        self.connections: set[tuple[str, int]] = set()
+        """Client addresses of all connections that carried a request so far."""
+
         self._silent: set[tuple[str, int]] = set()
 
     def switch(self, freeze: bool, silence_existing: bool) -> None:
@@ -37,7 +39,7 @@
         else:
             self._open.set()
         if silence_existing:
-            self._silent |= self._seen
+            self._silent |= self.connections
 
     async def wait_unfrozen(self) -> None:
         """Waits while the process is frozen."""
@@ -49,7 +51,7 @@
             await self._app(scope, receive, send)
             return
         client = tuple(scope["client"])
-        self._seen.add(client)
+        self.connections.add(client)
         if client in self._silent:
             while (await receive())["type"] != "http.disconnect":
                 pass
--- a/src/sapphireledge_standins/standin_engine.py
+++ b/src/sapphireledge_standins/standin_engine.py
@@ -212,23 +212,29 @@
             piece = []
             now = time.monotonic()
             while due <= now and sequence.next_offset < sequence.total:
+                if self._dies_at(sequence):
+                    break
                 piece.append(self._make_token(sequence))
                 due += interval * (1 + JITTER * (self._random.random() * 2 - 1))
                 count["tokens"] += 1
             if late:
                 piece.append(late)
                 late = ""
-            yield "".join(piece)
+            if piece:
+                yield "".join(piece)
+            if self._dies_at(sequence):
+                self.on_die()
+                return
+
+    def _dies_at(self, sequence: EngineSequence) -> bool:
+        """Whether the next token of a sequence kills the process."""
+        faults = self.faults
+        crashing = faults.die_on_text and faults.die_on_text in sequence.prompt
+        return bool(crashing) and sequence.next_offset >= faults.die_at_offset
 
     def _make_token(self, sequence: EngineSequence) -> str:
         """Makes one token and formats its chunk, with the faults that concern it."""
         faults = self.faults
-        if (
-            faults.die_on_text
-            and faults.die_on_text in sequence.prompt
-            and sequence.next_offset >= faults.die_at_offset
-        ):
-            self.on_die()
         offset = sequence.next_offset
         text = sequence.chain.next_token(offset == sequence.total - 1)
         sequence.next_offset += 1
--- a/tests/standin_case.py
+++ b/tests/standin_case.py
@@ -50,7 +50,8 @@
         async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             try:
                 await answer(reader, writer)
-            except (OSError, EOFError):
+            except (OSError, EOFError, asyncio.CancelledError):
+                # The client closed the connection or the test has ended.
                 pass
             finally:
                 writer.close()
--- /dev/null
+++ b/tests/test_backend_wire.py
@@ -0,0 +1,240 @@
+"""Tests of the backend clients against servers that do not follow the protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import msgspec
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from standin_case import StandinCase, collect, make_call, text_of
+
+from sapphireledge.backends import (
+    FOREIGN_ATTEMPT,
+    BreakCause,
+    Broken,
+    CachePage,
+    ConnectionPools,
+    EngineClient,
+    EngineOrder,
+    Finished,
+    LoadReport,
+    OrderKind,
+    OrderStatus,
+    ServiceClient,
+    TokenPiece,
+    prefix_block_hashes,
+)
+from sapphireledge.backends._private import EventTooLong, SseReader
+from sapphireledge.errors import Ran
+
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+END = b"0\r\n\r\n"
+BAD = b'{"choices": "none", "sapphireledge": {"attempt_id": 3, "offset": "x"}}'
+
+
+def chunk(offset, text="a", attempt="r1.1", finish=None, **extension) -> bytes:
+    fields = {"attempt_id": attempt, "offset": offset, **extension}
+    choice = {"index": 0, "delta": {"content": text}, "finish_reason": finish}
+    body = msgspec.json.encode({"choices": [choice], "sapphireledge": fields})
+    return b"data: " + body + b"\n\n"
+
+
+def framed(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
+FINISH = chunk(1, "", finish="stop", total_tokens=1)
+
+
+class SseReaderTest(unittest.TestCase):
+    """Guards against events that are lost or torn where the network cuts the stream."""
+
+    @given(
+        st.lists(st.text(st.characters(exclude_characters="\r\n", codec="utf-8")), max_size=6),
+        st.lists(st.integers(0, 400), max_size=8),
+        st.sampled_from(["\n", "\r\n", "\r"]),
+    )
+    @example(["\u2028\u2029\x85"], [10], "\n")
+    def test_any_cut_gives_the_same_events(self, texts, cuts, end):
+        stream = "".join(f": note{end}data: {text}{end}id: 7{end}{end}" for text in texts)
+        # Only a CR at the very end of the stream could still be the first half of a CRLF.
+        data = (stream + (":" if end == "\r" else "")).encode()
+        reader, events, start = SseReader(), [], 0
+        for cut in [*sorted(cuts), len(data)]:
+            events += reader.feed(data[start:cut])
+            start = max(start, min(cut, len(data)))
+        self.assertEqual([event.decode() for event in events], texts)
+
+    def test_endless_event_is_refused(self):
+        reader = SseReader()
+        with self.assertRaises(EventTooLong):
+            for _ in range(20):
+                reader.feed(b"x" * 100_000)
+
+
+class MalformedStreamTest(StandinCase):
+    """Guards against an engine whose answer raises, hangs or invents tokens."""
+
+    async def answer_with(self, data: bytes, call=None) -> list:
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(data)
+            await writer.drain()
+
+        address = await self.raw_server(answer)
+        async with asyncio.timeout(5):
+            return await collect(EngineClient(address, self.pools, 0.5), call or make_call())
+
+    async def test_token_text_with_any_line_separator_arrives(self):
+        text = "a\u2028b\u2029c\x85d\x0b\n\r\\é😀"
+        events = await self.answer_with(HEAD + framed(chunk(0, text) + FINISH) + END)
+        self.assertEqual(events[1:], [TokenPiece(1, 0, text), Finished(1, "stop")])
+
+    async def test_equal_chunks_are_both_seen(self):
+        events = await self.answer_with(HEAD + framed(chunk(0) * 2 + FINISH) + END)
+        self.assertEqual(text_of(events), "aa")
+
+    async def test_other_attempts_are_told_apart(self):
+        ids = ["r1.0", "r2.1", "r1.x", "r1.", "", "r1.1.1", "r1.²", "r1.9999999999"]
+        data = b"".join(chunk(0, "x", attempt) for attempt in ids)
+        late_end = chunk(9, "", "r1.0", finish="stop")
+        events = await self.answer_with(HEAD + framed(data + late_end + FINISH) + END)
+        self.assertEqual([e.attempt for e in events[1:-1]], [0] + [FOREIGN_ATTEMPT] * 7)
+        self.assertEqual(events[-1], Finished(1, "stop"))
+
+    async def test_each_way_to_end_wrong_is_named(self):
+        token = framed(chunk(0))
+        error = framed(b'data: {"error": {"code": "oom"}}\n\n')
+        text_in_finish = framed(chunk(0, "lost", finish="stop"))
+        plain = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
+        fault = b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n"
+        cases = [
+            (HEAD + token + END, BreakCause.TRUNCATED, Ran.YES),
+            (HEAD + token, BreakCause.CONNECTION_LOST, Ran.YES),
+            (HEAD + token + b"ffff\r\nabc", BreakCause.CONNECTION_LOST, Ran.YES),
+            (HEAD + token + b"-5\r\nabc\r\n", BreakCause.CONNECTION_LOST, Ran.YES),
+            (HEAD, BreakCause.CONNECTION_LOST, Ran.UNKNOWN),
+            (HEAD + token + error, BreakCause.SERVER_ERROR, Ran.YES),
+            (HEAD + framed(b"data: " + BAD + b"\n\n"), BreakCause.MALFORMED, Ran.UNKNOWN),
+            (HEAD + token + framed(b"data: \xff\xfe\n\n"), BreakCause.MALFORMED, Ran.YES),
+            (HEAD + text_in_finish, BreakCause.MALFORMED, Ran.UNKNOWN),
+            (plain, BreakCause.MALFORMED, Ran.UNKNOWN),
+            (fault, BreakCause.SERVER_ERROR, Ran.UNKNOWN),
+            (b"", BreakCause.CONNECTION_LOST, Ran.UNKNOWN),
+            (b"\x16\x03\x01 no http\r\n\r\n", BreakCause.MALFORMED, Ran.UNKNOWN),
+        ]
+        for data, cause, ran in cases:
+            with self.subTest(data=data[-60:]):
+                end = (await self.answer_with(data))[-1]
+                self.assertEqual((end.cause, end.ran), (cause, ran))
+
+    async def test_header_that_cannot_be_sent_is_a_refusal(self):
+        (broken,) = await self.answer_with(b"", make_call("a\r\nb"))
+        self.assertEqual((broken.cause, broken.ran), (BreakCause.INVALID, Ran.NO))
+
+
+class RandomAnswerTest(unittest.TestCase):
+    """Guards against bytes of an engine that raise or leave a call without a typed result."""
+
+    @settings(max_examples=80)
+    @given(
+        st.sampled_from([b"", HEAD, b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 409 X\r\n"]),
+        st.lists(
+            st.one_of(
+                st.binary(max_size=40),
+                st.sampled_from([b"\r\n", b"data: ", b"\n\n", END, framed(chunk(0)), FINISH]),
+                st.binary(max_size=40).map(lambda data: framed(b"data: " + data + b"\n\n")),
+            ),
+            max_size=6,
+        ),
+    )
+    def test_random_bytes_end_in_a_typed_result(self, head, parts):
+        async def handle(reader, writer):
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(head + b"".join(parts))
+                await writer.drain()
+            except (OSError, EOFError):
+                pass
+            finally:
+                writer.close()
+
+        async def run():
+            server = await asyncio.start_server(handle, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            pools = ConnectionPools(4, 4, 4)
+            client = EngineClient(address, pools, 0.3, 0.3)
+            try:
+                events = await collect(client, make_call())
+                self.assertIsInstance(events[-1], Broken | Finished)
+                self.assertFalse(any(isinstance(e, Broken | Finished) for e in events[:-1]))
+                self.assertIsInstance(await client.load(), Broken | LoadReport)
+                self.assertIsInstance(await client.cache_events(0), Broken | CachePage)
+                await client.probe("r1.1")
+                await client.cancel("r1.1")
+                order = await client.order(EngineOrder("o", OrderKind.SET_ROLE, 1, role="r"))
+                self.assertIsInstance(order.status, OrderStatus)
+                await ServiceClient(address, pools).call("POST", "/b", {}, b"x", 0.3)
+            finally:
+                await pools.close()
+                server.close()
+
+        asyncio.run(run())
+
+
+class CrossedAnswerTest(StandinCase):
+    """Guards against the answer of an earlier call on a kept connection."""
+
+    async def test_answer_of_a_timed_out_call_reaches_no_other_call(self):
+        async def answer(reader, writer):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                path = head.split()[1]
+                if path == b"/slow":
+                    await asyncio.sleep(0.2)
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(path) + path)
+                await writer.drain()
+
+        # One connection, so that the next call can only get the one that the slow call used.
+        pools = ConnectionPools(1, 1, 1)
+        self.addAsyncCleanup(pools.close)
+        client = ServiceClient(await self.raw_server(answer), pools)
+        for path, limit in (("/first", 1.0), ("/slow", 0.1), ("/third", 1.0)):
+            result = await client.call("GET", path, {}, b"", limit, idempotent=True)
+            if path == "/slow":
+                self.assertEqual(result.cause, BreakCause.NO_ANSWER)
+            else:
+                self.assertEqual(result.body.decode(), path)
+
+    async def test_unasked_answer_is_not_taken_for_the_next_one(self):
+        async def answer(reader, writer):
+            number = 0
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                number += 1
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n%d" % number)
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlost")
+                await writer.drain()
+
+        client = ServiceClient(await self.raw_server(answer), self.pools)
+        for _ in range(2):
+            result = await client.call("GET", "/", {}, b"", 1.0, idempotent=True)
+            self.assertEqual(result.body, b"1")
+            await asyncio.sleep(0.02)
+
+
+class PrefixHashTest(unittest.TestCase):
+    """Guards against block names that differ between engine and router."""
+
+    @given(st.text(max_size=900), st.text(max_size=300))
+    def test_longer_text_keeps_the_names_of_its_prefix(self, text, more):
+        hashes = prefix_block_hashes(text)
+        self.assertEqual(prefix_block_hashes(text + more)[: len(hashes)], hashes)
+        self.assertEqual(len(hashes), len(text.encode()) // 256)
+
+    def test_names_do_not_change(self):
+        names = prefix_block_hashes("a" * 600)
+        self.assertEqual(len(names), 2)
+        self.assertNotEqual(names[0], names[1])
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -48,8 +48,7 @@
         engine = await self.engine()
         for number in range(4):
             await collect(engine.client, make_call(f"r{number}"))
-        connections = engine.server._server.server_state.connections
-        self.assertEqual(len(connections), 1)
+        self.assertEqual(len(engine.app.connections), 1)
 
     async def test_resume_at_each_offset_continues_exactly(self):
         engine, other = await self.engine(), await self.engine()
@@ -278,6 +277,10 @@
         await poller.poll()
         self.assertTrue(pages[-1].lost)
         self.assertEqual(pages[-1].events[0].sequence, 1)
+        await collect(fresh.client, make_call("r2", prompt="new " * 300))
+        await poller.poll()
+        self.assertFalse(pages[-1].lost)
+        self.assertEqual(pages[-1].events[0].sequence, pages[-2].events[-1].sequence + 1)
 
 
 class OrderTest(StandinCase):
--- /dev/null
+++ b/tests/test_service_client.py
@@ -0,0 +1,63 @@
+"""Tests of the service client against the service stand-in."""
+
+from __future__ import annotations
+
+from standin_case import StandinCase
+
+from sapphireledge.backends import BreakCause, ServiceClient
+from sapphireledge.errors import Ran
+from sapphireledge_standins.service_app import ServiceApi
+from sapphireledge_standins.service_faults import ServiceFaults
+from sapphireledge_standins.standin_server import StandinServer
+
+
+class ServiceClientTest(StandinCase):
+    """Guards against a false "not run" and against a second run of one call."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.api = ServiceApi()
+        self.server = StandinServer(self.api.app)
+        self.api.on_die = self.server.abort
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.client = ServiceClient(self.server.address, self.pools)
+
+    async def book(self, key="k1", timeout=0.5):
+        return await self.client.call(
+            "POST", "/book?day=1", {"Idempotency-Key": key}, b"{}", timeout
+        )
+
+    async def test_answer_is_passed_on_whole(self):
+        answer = await self.book()
+        self.assertEqual((answer.status, answer.headers["content-type"]), (201, "application/json"))
+        self.assertEqual(answer.body, b'{"booking":1,"key":"k1","run":1}')
+
+    async def test_faults_after_the_run_are_unknown(self):
+        cases = [
+            (ServiceFaults(lose_answer=True), BreakCause.CONNECTION_LOST),
+            (ServiceFaults(delay=5.0), BreakCause.NO_ANSWER),
+            (ServiceFaults(die_after_run=True), BreakCause.CONNECTION_LOST),
+        ]
+        for number, (faults, cause) in enumerate(cases):
+            self.api.faults = faults
+            broken = await self.book(f"k{number}", 0.3)
+            self.assertEqual((broken.cause, broken.ran), (cause, Ran.UNKNOWN))
+        self.assertEqual(self.api.runs, {"k0": 1, "k1": 1, "k2": 1})
+
+    async def test_refused_connection_is_not_run(self):
+        self.server.abort()
+        broken = await self.book()
+        self.assertEqual((broken.cause, broken.ran), (BreakCause.NOT_CONNECTED, Ran.NO))
+        self.assertEqual(self.api.calls, 0)
+
+    async def test_error_answer_is_an_answer(self):
+        self.api.faults = ServiceFaults(error_status=503)
+        self.assertEqual((await self.book()).status, 503)
+        self.assertEqual(self.api.runs, {})
+
+    async def test_calls_that_must_not_repeat_share_no_connection(self):
+        for _ in range(3):
+            await self.book()
+        self.assertEqual(self.api.runs, {"k1": 3})
+        self.assertEqual(len(self.server._server.server_state.connections), 0)
