--- a/src/sapphireledge/core/answer/ownership_table.py
+++ b/src/sapphireledge/core/answer/ownership_table.py
@@ -114,6 +114,18 @@
             return None
         return CopyPart(offset, copy.pieces.slice(offset), copy.finish, copy.epoch)
 
+    def events(self, request_id: str) -> str:
+        """Reads the recorded events that came with a copy.
+
+        Args:
+            request_id: Id of the request.
+
+        Returns:
+            JSON lines, empty without a copy.
+        """
+        copy = self._copies.get(request_id)
+        return "".join(copy.events) if copy is not None else ""
+
     def take_over(self, now: float, request_id: str, epoch: int, requester: str) -> TakeOverOutcome:
         """Transfers the ownership of an answer.
 
--- a/src/sapphireledge/entry/copy_store.py
+++ b/src/sapphireledge/entry/copy_store.py
@@ -110,6 +110,17 @@
             return None
         return AnswerPart(part.offset, list(part.pieces), part.finish, part.epoch, "", "")
 
+    def events(self, answer_id: str) -> str:
+        """Reads the recorded events that came with a copy.
+
+        Args:
+            answer_id: Key of the answer.
+
+        Returns:
+            JSON lines, empty without a copy.
+        """
+        return self._table.events(answer_id)
+
     def take_over(self, answer_id: str, epoch: int, requester: str) -> Any:
         """Decides about a new owner.
 
--- a/tests/test_backend_wire.py
+++ b/tests/test_backend_wire.py
@@ -34,7 +34,7 @@
 BAD = b'{"choices": "none", "sapphireledge": {"attempt_id": 3, "offset": "x"}}'
 
 
-def chunk(offset, text="a", attempt="r1.1", finish=None, **extension) -> bytes:
+def chunk(offset, text="a", attempt="r1.1.1", finish=None, **extension) -> bytes:
     fields = {"attempt_id": attempt, "offset": offset, **extension}
     choice = {"index": 0, "delta": {"content": text}, "finish_reason": finish}
     body = msgspec.json.encode({"choices": [choice], "sapphireledge": fields})
@@ -97,9 +97,9 @@
         self.assertEqual(text_of(events), "aa")
 
     async def test_other_attempts_are_told_apart(self):
-        ids = ["r1.0", "r2.1", "r1.x", "r1.", "", "r1.1.1", "r1.²", "r1.9999999999"]
+        ids = ["r1.1.0", "r2.1.1", "r1.1.x", "r1.1.", "", "r1.1.1.1", "r1.1.²", "r1.1.9999999999"]
         data = b"".join(chunk(0, "x", attempt) for attempt in ids)
-        late_end = chunk(9, "", "r1.0", finish="stop")
+        late_end = chunk(9, "", "r1.1.0", finish="stop")
         events = await self.answer_with(HEAD + framed(data + late_end + FINISH) + END)
         self.assertEqual([e.attempt for e in events[1:-1]], [0] + [FOREIGN_ATTEMPT] * 7)
         self.assertEqual(events[-1], Finished(1, "stop"))
@@ -172,8 +172,8 @@
                 self.assertFalse(any(isinstance(e, Broken | Finished) for e in events[:-1]))
                 self.assertIsInstance(await client.load(), Broken | LoadReport)
                 self.assertIsInstance(await client.cache_events(0), Broken | CachePage)
-                await client.probe("r1.1")
-                await client.cancel("r1.1")
+                await client.probe("r1.1.1")
+                await client.cancel("r1.1.1")
                 order = await client.order(EngineOrder("o", OrderKind.SET_ROLE, 1, role="r"))
                 self.assertIsInstance(order.status, OrderStatus)
                 await ServiceClient(address, pools).call("POST", "/b", {}, b"x", 0.3)
