--- a/devtools/local_fleet.py
+++ b/devtools/local_fleet.py
@@ -130,10 +130,10 @@
             self._write_entry_settings(entry)
             self.start_entry(entry.name, wait=False)
         for backend in (*self.engines, *self.services):
-            self.wait_port(self.processes[backend.name].address)
+            self.wait_port(backend.name, self.processes[backend.name].address)
         self.publish_instances()
         if self.declarations and self.entries:
-            self.wait_port(self.operators[self.entries[0].name])
+            self.wait_port(self.entries[0].name, self.operators[self.entries[0].name])
             self.declare(self.declarations)
         for entry in self.entries:
             self.wait_ready(entry.name)
@@ -153,7 +153,7 @@
         port = port or free_port()
         self._spawn("platform", "sapphireledge_standins.platform_server", port, [])
         self.platform_url = f"http://127.0.0.1:{port}"
-        self.wait_port(f"127.0.0.1:{port}")
+        self.wait_port("platform", f"127.0.0.1:{port}")
 
     def start_engine(self, engine: EngineSpec, port: int | None = None) -> None:
         """Starts an engine stand-in."""
@@ -287,17 +287,18 @@
                 time.sleep(0.05)
         raise TimeoutError(f"{name} is not ready after {limit} s; log: {self.log_path(name)}")
 
-    def wait_port(self, address: str, limit: float = START_LIMIT) -> None:
-        """Waits until a port accepts connections."""
+    def wait_port(self, name: str, address: str, limit: float = START_LIMIT) -> None:
+        """Waits until a port of a process accepts connections."""
         host, _, port = address.rpartition(":")
         end = time.monotonic() + limit
         while time.monotonic() < end:
+            self._check_alive(name)
             try:
                 socket.create_connection((host, int(port)), timeout=1).close()
                 return
             except OSError:
                 time.sleep(0.02)
-        raise TimeoutError(f"{address} does not accept connections after {limit} s")
+        raise TimeoutError(f"{name} at {address} does not accept connections after {limit} s")
 
     def log_path(self, name: str) -> Path:
         """File with the standard output and error of a process."""
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -108,7 +108,7 @@
             self._rng,
             self._config.apply,
             self._on_reachable,
-            self._config.set_listed,
+            self._config.cover,
         )
         self._bridge = PeerBridge(
             self.lifecycle, self._config, self._ledger, self._view, self._is_platform_reachable
