--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -21,6 +21,7 @@
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.durations: list[tuple[float, str]] = []
+        self.passed = 0
         self._started = 0.0
 
     def startTest(self, test):
@@ -28,6 +29,11 @@
         self._started = time.monotonic()
         super().startTest(test)
 
+    def addSuccess(self, test):
+        """Counts a passed test."""
+        self.passed += 1
+        super().addSuccess(test)
+
     def stopTest(self, test):
         """Notes the duration of a test."""
         self.durations.append((time.monotonic() - self._started, test.id()))
@@ -82,7 +88,7 @@
     for duration, test_id in sorted(result.durations, reverse=True)[:5]:
         print(f"{duration:7.2f} s  {test_id}")
     failed = len(broken - excused)
-    print(f"{result.testsRun - len(broken)} passed, {failed} failed, {len(excused)} skipped")
+    print(f"{result.passed} passed, {failed} failed, {len(excused)} skipped")
     return 1 if failed or result.testsRun == 0 else 0
 
 
--- a/src/sapphireledge/operator/status_reporter.py
+++ b/src/sapphireledge/operator/status_reporter.py
@@ -81,7 +81,7 @@
             requests_running=pool.running,
             requests_queued=pool.queued,
         )
-        heard = {status.name: status for status in mesh.statuses}
+        heard = {status.instance: status for status in mesh.statuses}
         rows = [own]
         for member in mesh.members:
             if member.name == cfg.instance:
