Add at-most-once execution of non-idempotent requests

ClaimMachine decides the steps of one call; ClaimRunner drives it over the object API, the services and the peers. Only the creator of a claim dispatches, so neither the lease nor a wall clock decides whether a request runs twice; the lease bounds how late a run can start. An ambiguous claim write is read back and, while there is no claim, sent again with the same nonce: of the copies one succeeds. A claim that is not settled within 1.5 s is given up and never dispatched, and is recorded as not run once the platform answers, in the background and one at a time.

A refusal after an outage says "not run" only with a proof by void_key. A voided key that arrives later is only ever recorded as not run, even when the proof failed elsewhere.

ClaimCollector waits two clock skews beyond the window, so that no entry accepts a key whose claim another one has deleted.

--- a/src/sapphireledge/core/claims/__init__.py
+++ b/src/sapphireledge/core/claims/__init__.py
@@ -1,1 +1,53 @@
-"""Part of the decision core."""
+"""At-most-once execution of non-idempotent requests."""
+
+from __future__ import annotations
+
+from sapphireledge.core.claims.claim import Claim, ClaimState
+from sapphireledge.core.claims.claim_call import ClaimCall
+from sapphireledge.core.claims.claim_machine import ClaimMachine
+from sapphireledge.core.claims.decisions import (
+    Answer,
+    ClaimDecision,
+    DispatchOnce,
+    ProveNotRun,
+    ReadClaim,
+    RecordOutcome,
+    Wait,
+    WriteClaim,
+)
+from sapphireledge.core.claims.idempotency_key import (
+    CLAIM_PREFIX,
+    IdempotencyKey,
+    claim_bucket,
+    parse_idempotency_key,
+)
+from sapphireledge.core.claims.received_keys import ReceivedKeys, Reception
+from sapphireledge.core.claims.service_outcome import ServiceOutcome
+from sapphireledge.core.claims.service_reply import Broken, NotSent, ServiceReply
+from sapphireledge.core.claims.void_answer import VoidAnswer
+
+__all__ = [
+    "CLAIM_PREFIX",
+    "Answer",
+    "Broken",
+    "Claim",
+    "ClaimCall",
+    "ClaimDecision",
+    "ClaimMachine",
+    "ClaimState",
+    "DispatchOnce",
+    "IdempotencyKey",
+    "NotSent",
+    "ProveNotRun",
+    "ReadClaim",
+    "ReceivedKeys",
+    "Reception",
+    "RecordOutcome",
+    "ServiceOutcome",
+    "ServiceReply",
+    "VoidAnswer",
+    "Wait",
+    "WriteClaim",
+    "claim_bucket",
+    "parse_idempotency_key",
+]
--- /dev/null
+++ b/src/sapphireledge/core/claims/claim_machine.py
@@ -0,0 +1,343 @@
+"""At-most-once execution of one call."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.claims.claim import Claim, ClaimState
+from sapphireledge.core.claims.decisions import (
+    Answer,
+    DispatchOnce,
+    ProveNotRun,
+    ReadClaim,
+    RecordOutcome,
+    Wait,
+    WriteClaim,
+)
+from sapphireledge.core.claims.service_outcome import ServiceOutcome
+from sapphireledge.core.claims.service_reply import Broken, NotSent
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.platform import WriteStatus
+
+if TYPE_CHECKING:
+    from sapphireledge.core.claims.claim_call import ClaimCall
+    from sapphireledge.core.claims.decisions import ClaimDecision
+    from sapphireledge.core.claims.service_reply import ServiceReply
+    from sapphireledge.platform import StoredObject, WriteResult
+    from sapphireledge.settings import ClaimSettings
+
+__all__ = ["ClaimMachine"]
+
+
+class _Phase(Enum):
+    """What the machine waits for."""
+
+    NEW = "new"
+    CLAIMING = "claiming"
+    WAITING = "waiting"
+    EXPIRING = "expiring"
+    PROVING = "proving"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+class ClaimMachine:
+    """Decides the steps of one call. Only the creator of a claim ever dispatches.
+
+    Each event is answered by a list of decisions. `Answer` comes exactly once; `RecordOutcome` can
+    follow it.
+    """
+
+    def __init__(self, call: ClaimCall, cfg: ClaimSettings):
+        self._call = call
+        self._cfg = cfg
+        self._phase = _Phase.NEW
+        self._answered = False
+        self._claim = Claim(ClaimState.CLAIMED, call.holder, call.nonce, call.request_hash)
+        self._lease_end = 0.0
+        self._wait_end = 0.0
+        self._conflicted = False
+        self._version = 0
+        self._seen: Claim | None = None
+        self._avoid: frozenset[str] = frozenset()
+
+    @property
+    def is_settling(self) -> bool:
+        """Whether it is still open who creates the claim."""
+        return self._phase is _Phase.CLAIMING
+
+    def start(self, now: float, now_unix: float) -> list[ClaimDecision]:
+        """Begins with the claim write; the lease counts from this moment.
+
+        Args:
+            now: Monotonic time in seconds.
+            now_unix: Wall-clock time in seconds.
+
+        Returns:
+            The decisions.
+        """
+        call = self._call
+        self._lease_end = now + self._cfg.lease
+        self._claim = Claim(
+            ClaimState.CLAIMED,
+            call.holder,
+            call.nonce,
+            call.request_hash,
+            lease_end_unix=now_unix + self._cfg.lease,
+            timeout=call.service_timeout,
+        )
+        if call.voided:
+            self._claim = self._claim.with_outcome(_voided(Ran.NO), 0)
+        self._phase = _Phase.CLAIMING
+        return [self._write_claim()]
+
+    def on_written(self, now: float, result: WriteResult) -> list[ClaimDecision]:
+        """Takes the result of `WriteClaim`.
+
+        Args:
+            now: Monotonic time in seconds.
+            result: How the write ended.
+
+        Returns:
+            The decisions.
+        """
+        if self._phase is _Phase.EXPIRING:
+            return self._on_expiry_written(result)
+        if self._phase is not _Phase.CLAIMING:
+            return []
+        if result.status is WriteStatus.WRITTEN:
+            return self._on_won(now, result.version)
+        if result.status is WriteStatus.UNAVAILABLE:
+            return self._give_up()
+        self._conflicted = result.status is WriteStatus.CONFLICT
+        return [ReadClaim(self._call.claim_key)]
+
+    def on_read(
+        self, now: float, now_unix: float, found: StoredObject | Failure | None
+    ) -> list[ClaimDecision]:
+        """Takes the result of `ReadClaim`.
+
+        Args:
+            now: Monotonic time in seconds.
+            now_unix: Wall-clock time in seconds.
+            found: The stored claim, None if there is none, or the failure of the platform.
+
+        Returns:
+            The decisions.
+        """
+        if self._phase is _Phase.CLAIMING:
+            return self._on_read_back(now, now_unix, found)
+        if self._phase is not _Phase.WAITING:
+            return []
+        if isinstance(found, Failure):
+            return self._wait(now)
+        if found is None:
+            return self._end(_unknown("the record of the earlier call is gone"))
+        return self._on_foreign(now, now_unix, found)
+
+    def on_tick(self, now: float) -> list[ClaimDecision]:
+        """Goes on after `Wait`.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            The decisions.
+        """
+        if self._phase is not _Phase.WAITING:
+            return []
+        if now >= self._call.deadline:
+            return self._end(_unknown("an earlier call with the same key has not ended"))
+        return [ReadClaim(self._call.claim_key)]
+
+    def on_proof(self, proven: bool) -> list[ClaimDecision]:
+        """Takes the result of `ProveNotRun`.
+
+        Args:
+            proven: Whether no entry ever received the key from another call and every entry
+                refuses it from now on.
+
+        Returns:
+            The decisions.
+        """
+        if self._phase is not _Phase.PROVING:
+            return []
+        return self._end(_unreachable(Ran.NO if proven else Ran.UNKNOWN))
+
+    def on_service(self, now: float, reply: ServiceReply) -> list[ClaimDecision]:
+        """Takes the end of a dispatch.
+
+        Args:
+            now: Monotonic time in seconds.
+            reply: How it ended.
+
+        Returns:
+            The decisions.
+        """
+        if self._phase is not _Phase.RUNNING:
+            return []
+        if isinstance(reply, NotSent):
+            self._avoid |= {reply.backend}
+            return self._dispatch(now)
+        if isinstance(reply, Broken):
+            return self._settle(
+                _unknown(f"the connection to {reply.backend} broke: {reply.reason}")
+            )
+        return self._settle(reply)
+
+    def on_deadline(self) -> list[ClaimDecision]:
+        """Answers a caller whose deadline passes during a dispatch; the run goes on.
+
+        Returns:
+            The decisions.
+        """
+        if self._phase is not _Phase.RUNNING:
+            return []
+        return self._answer(_unknown("the service has not answered by the deadline"))
+
+    def _write_claim(self) -> WriteClaim:
+        """Creates the claim under the condition that there is none."""
+        return WriteClaim(self._call.claim_key, self._claim.encode(), 0)
+
+    def _on_read_back(
+        self, now: float, now_unix: float, found: StoredObject | Failure | None
+    ) -> list[ClaimDecision]:
+        """Determines who created the claim."""
+        if isinstance(found, Failure):
+            return self._give_up()
+        if found is None and self._conflicted:
+            return self._end(_unknown("the record of an earlier call is gone"))
+        if found is None:
+            # The first copy can still arrive. Of two copies with the same nonce one succeeds.
+            return [self._write_claim()] if self._in_time(now) else self._give_up()
+        stored = Claim.decode(found.value)
+        if stored is not None and stored.nonce == self._call.nonce:
+            return self._on_won(now, found.version, stored)
+        self._phase = _Phase.WAITING
+        return self._on_foreign(now, now_unix, found)
+
+    def _on_won(self, now: float, version: int, stored: Claim | None = None) -> list[ClaimDecision]:
+        """Goes on as the creator of the claim."""
+        self._version = version
+        if self._call.voided:
+            return self._end(_voided(Ran.NO))
+        if stored is not None and stored.state is not ClaimState.CLAIMED:
+            # Another entry took this one for dead. Nothing was sent, and nothing will be.
+            return self._settle(_not_run(ErrorKind.PLATFORM_UNAVAILABLE, "the claim expired"))
+        self._phase = _Phase.RUNNING
+        return self._dispatch(now)
+
+    def _dispatch(self, now: float) -> list[ClaimDecision]:
+        """Dispatches while the lease and the deadline hold."""
+        if now >= self._lease_end:
+            reason = "the claim could not be settled within its lease"
+            return self._settle(_not_run(ErrorKind.PLATFORM_UNAVAILABLE, reason))
+        if now >= self._call.deadline:
+            reason = "the deadline passed before the request was sent"
+            return self._settle(_not_run(ErrorKind.DEADLINE_EXCEEDED, reason))
+        return [DispatchOnce(self._avoid, min(self._lease_end, self._call.deadline))]
+
+    def _on_foreign(self, now: float, now_unix: float, found: StoredObject) -> list[ClaimDecision]:
+        """Follows the claim of another call."""
+        stored = Claim.decode(found.value)
+        if stored is None:
+            return self._end(_unknown("the record of the earlier call cannot be read"))
+        if stored.request_hash != self._call.request_hash:
+            reason = "Idempotency-Key: was used for another request"
+            return self._end(Failure(ErrorKind.INVALID_REQUEST, reason))
+        result = stored.result()
+        if result is not None:
+            return self._end(result)
+        if self._has_expired(now, now_unix, stored):
+            self._phase = _Phase.EXPIRING
+            self._seen = stored.with_outcome(_unknown("the holder of the claim went silent"), 0)
+            return [WriteClaim(found.key, self._seen.encode(), found.version)]
+        return self._wait(now)
+
+    def _has_expired(self, now: float, now_unix: float, stored: Claim) -> bool:
+        """Whether the run of another call must have ended unless its holder was paused.
+
+        The wall clock serves a call that comes long after the claim. The time since the first
+        reading serves one whose clock is behind. Neither decides who dispatches.
+        """
+        if self._wait_end == 0.0:
+            self._wait_end = now + self._cfg.lease + stored.timeout
+        return now >= self._wait_end or now_unix >= stored.may_run_until_unix()
+
+    def _on_expiry_written(self, result: WriteResult) -> list[ClaimDecision]:
+        """Answers "unknown" once that is recorded; reads again if the record changed."""
+        if result.status is WriteStatus.CONFLICT:
+            self._phase = _Phase.WAITING
+            return [ReadClaim(self._call.claim_key)]
+        return self._end(_unknown("the holder of the claim went silent"))
+
+    def _wait(self, now: float) -> list[ClaimDecision]:
+        """Waits for the outcome, at most until the deadline."""
+        if now >= self._call.deadline:
+            return self.on_tick(now)
+        return [Wait(min(now + self._cfg.poll_interval, self._call.deadline))]
+
+    def _give_up(self) -> list[ClaimDecision]:
+        """Ends an unsettled claim, which is never dispatched from here on."""
+        if self._call.voided:
+            return self._end(_voided(Ran.NO if self._call.proven else Ran.UNKNOWN))
+        self._phase = _Phase.PROVING
+        failure = _unreachable(Ran.NO)
+        claim = self._claim.with_outcome(failure, 0)
+        return [
+            RecordOutcome(self._call.claim_key, claim, 0),
+            ProveNotRun(self._call.claim_key),
+        ]
+
+    def _settle(self, result: ServiceOutcome | Failure) -> list[ClaimDecision]:
+        """Answers and records the outcome of the own claim."""
+        claim = self._claim.with_outcome(result, self._cfg.max_outcome)
+        record = RecordOutcome(self._call.claim_key, claim, self._version)
+        return [record, *self._end(result)]
+
+    def _end(self, result: ServiceOutcome | Failure) -> list[ClaimDecision]:
+        """Ends the machine."""
+        self._phase = _Phase.ENDED
+        return self._answer(result)
+
+    def _answer(self, result: ServiceOutcome | Failure) -> list[ClaimDecision]:
+        """Answers once."""
+        if self._answered:
+            return []
+        self._answered = True
+        return [Answer(result)]
+
+    def _in_time(self, now: float) -> bool:
+        """Whether the lease and the deadline hold."""
+        return now < min(self._lease_end, self._call.deadline)
+
+
+def _unknown(reason: str) -> Failure:
+    """Refusal of a call whose run cannot be determined."""
+    return Failure(ErrorKind.OUTCOME_UNKNOWN, f"{reason}; it may have run", Ran.UNKNOWN)
+
+
+def _not_run(kind: ErrorKind, reason: str) -> Failure:
+    """Refusal of a call whose claim was won and that was not sent."""
+    return Failure(kind, f"{reason}; nothing ran under this key, use a new one", Ran.NO)
+
+
+def _unreachable(ran: Ran) -> Failure:
+    """Refusal of a call whose claim could not be settled."""
+    if ran is Ran.NO:
+        reason = "the claim could not be settled; nothing ran under this key, use a new one"
+    else:
+        reason = "this call ran nothing; whether an earlier call with the same key ran is not known"
+    return Failure(ErrorKind.PLATFORM_UNAVAILABLE, reason, ran)
+
+
+def _voided(ran: Ran) -> Failure:
+    """Refusal of a key that this instance has promised not to run."""
+    if ran is Ran.NO:
+        reason = "the key was voided; nothing ran under it, use a new one"
+    else:
+        reason = (
+            "the key was voided; this call ran nothing, whether an earlier one ran is not known"
+        )
+    return Failure(ErrorKind.PLATFORM_UNAVAILABLE, reason, ran)
--- /dev/null
+++ b/src/sapphireledge/entry/claim_collector.py
@@ -0,0 +1,107 @@
+"""Deletion of claims that are past the key window."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from sapphireledge.core.claims import CLAIM_PREFIX, claim_bucket
+from sapphireledge.errors import Failure
+from sapphireledge.platform import WriteStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sapphireledge.platform import ObjectStore
+    from sapphireledge.settings import ClaimSettings
+
+__all__ = ["ClaimCollector"]
+
+PAGE_SIZE = 100
+"""Claims of one page, each with up to a stored body."""
+
+LAST = "~"
+"""Text that sorts after every hash in a claim's object key."""
+
+
+class ClaimCollector:
+    """Deletes old claims; the buckets are divided among the live entries.
+
+    A wrong division costs calls only: the deletions are conditional.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        cfg: ClaimSettings,
+        position: Callable[[], tuple[int, int]],
+        clock_unix: Callable[[], float] = time.time,
+    ):
+        self.deleted = 0
+        """Claims deleted so far."""
+
+        self._store = store
+        self._cfg = cfg
+        self._position = position
+        self._clock_unix = clock_unix
+
+    async def run(self) -> None:
+        """Collects once per bucket length until the task is cancelled."""
+        while True:
+            await self.collect()
+            await asyncio.sleep(self._cfg.bucket)
+
+    async def collect(self) -> None:
+        """Deletes the claims of every old bucket that falls to this entry."""
+        after = ""
+        while True:
+            page = await self._store.list(CLAIM_PREFIX, after, 1)
+            if isinstance(page, Failure) or not page.objects:
+                return
+            bucket = claim_bucket(page.objects[0].key)
+            if not self._is_old(bucket):
+                return
+            if self._is_mine(bucket) and not await self._collect_bucket(bucket):
+                return
+            after = f"{CLAIM_PREFIX}{bucket:012d}/{LAST}"
+
+    def _is_old(self, bucket: int) -> bool:
+        """Whether no entry accepts a key of the bucket any more.
+
+        The clocks of two entries can differ by the accepted skew, and a call accepted at the end
+        of the window can still be under way.
+        """
+        margin = 2 * self._cfg.future_skew + self._cfg.lease + self._cfg.service_timeout
+        return bucket + self._cfg.bucket + self._cfg.window + margin < self._clock_unix()
+
+    def _is_mine(self, bucket: int) -> bool:
+        """Whether the bucket falls to this entry."""
+        index, count = self._position()
+        return xxhash.xxh64_intdigest(str(bucket).encode()) % max(1, count) == index
+
+    async def _collect_bucket(self, bucket: int) -> bool:
+        """Deletes the claims of one bucket; False if the platform fails."""
+        prefix = f"{CLAIM_PREFIX}{bucket:012d}/"
+        after = ""
+        while True:
+            page = await self._store.list(prefix, after, PAGE_SIZE)
+            if isinstance(page, Failure):
+                return False
+            for found in page.objects:
+                if not await self._delete(found.key, found.version):
+                    return False
+            after = page.next_after
+            if not after:
+                return True
+
+    async def _delete(self, key: str, version: int) -> bool:
+        """Deletes one claim and waits as the rate demands."""
+        result = await self._store.delete(key, version)
+        if result.status is WriteStatus.WRITTEN:
+            self.deleted += 1
+        _, count = self._position()
+        await asyncio.sleep(max(1, count) / self._cfg.collect_rate)
+        return result.status in (WriteStatus.WRITTEN, WriteStatus.CONFLICT)
--- /dev/null
+++ b/src/sapphireledge/entry/claim_runner.py
@@ -0,0 +1,247 @@
+"""Runs calls of plain services at most once."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from typing import TYPE_CHECKING
+from uuid import uuid4
+
+import structlog
+
+from sapphireledge.core.claims import (
+    Answer,
+    Broken,
+    ClaimCall,
+    ClaimMachine,
+    DispatchOnce,
+    NotSent,
+    ProveNotRun,
+    ReadClaim,
+    Reception,
+    RecordOutcome,
+    Wait,
+    WriteClaim,
+    parse_idempotency_key,
+)
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.platform import WriteResult, WriteStatus
+from sapphireledge.telemetry import LogEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sapphireledge.core.claims import (
+        ClaimDecision,
+        IdempotencyKey,
+        ReceivedKeys,
+        ServiceOutcome,
+        ServiceReply,
+    )
+    from sapphireledge.entry.call_service import CallService
+    from sapphireledge.entry.claim_request import ClaimRequest
+    from sapphireledge.entry.outcome_recorder import OutcomeRecorder
+    from sapphireledge.entry.void_keys import VoidKeys
+    from sapphireledge.platform import ObjectStore, StoredObject
+    from sapphireledge.settings import Settings
+
+__all__ = ["ClaimRunner"]
+
+
+class ClaimRunner:
+    """Drives one claim machine per call over the object API, the services and the peers."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        store: ObjectStore,
+        service: CallService,
+        void_keys: VoidKeys,
+        received: ReceivedKeys,
+        recorder: OutcomeRecorder,
+        clock: Callable[[], float] = time.monotonic,
+        clock_unix: Callable[[], float] = time.time,
+    ):
+        self.cfg = cfg
+        self.store = store
+        self.service = service
+        self.void_keys = void_keys
+        self.received = received
+        self.recorder = recorder
+        self.clock = clock
+        self.clock_unix = clock_unix
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, req: ClaimRequest) -> ServiceOutcome | Failure:
+        """Runs a call at most once.
+
+        A cancelled caller does not cancel a dispatch: the run goes on and its outcome is recorded.
+
+        Args:
+            req: The call.
+
+        Returns:
+            The service's answer, from this run or from the record of an earlier one, or a refusal
+            whose `ran` is true.
+        """
+        key = parse_idempotency_key(req.idempotency_key, self.clock_unix(), self.cfg.claims)
+        if isinstance(key, Failure):
+            return key
+        answered: asyncio.Future[ServiceOutcome | Failure] = asyncio.Future()
+        run = _ClaimRun(self, req, key, answered)
+        task = asyncio.create_task(run.drive())
+        self._tasks.add(task)
+        task.add_done_callback(lambda ended: self._on_ended(ended, answered))
+        return await asyncio.shield(answered)
+
+    async def settle(self) -> None:
+        """Waits until every run has ended and every outcome is recorded."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        await self.recorder.wait_empty()
+
+    def _on_ended(
+        self, task: asyncio.Task[None], answered: asyncio.Future[ServiceOutcome | Failure]
+    ) -> None:
+        """Forgets an ended run; a fault in it still gets a true answer."""
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            structlog.get_logger().error(LogEvent.INTERNAL_ERROR, exc_info=task.exception())
+        if not answered.done():
+            reason = "the call was interrupted; it may have run"
+            answered.set_result(Failure(ErrorKind.INTERNAL, reason, Ran.UNKNOWN))
+
+
+class _ClaimRun:
+    """One call in progress."""
+
+    def __init__(
+        self,
+        runner: ClaimRunner,
+        req: ClaimRequest,
+        key: IdempotencyKey,
+        answered: asyncio.Future[ServiceOutcome | Failure],
+    ):
+        self._runner = runner
+        self._cfg = runner.cfg.claims
+        self._req = req
+        self._key = key
+        self._claim_key = key.claim_key(req.workspace, req.service, self._cfg)
+        self._answered = answered
+        now = runner.clock()
+        reserve = min(self._cfg.void_timeout, (req.deadline - now) / 2)
+        self._settle_end = min(now + self._cfg.settle_timeout, req.deadline - reserve)
+        now_unix = runner.clock_unix()
+        self._reception = runner.received.receive(self._claim_key, now_unix)
+        self._machine = ClaimMachine(self._call(), self._cfg)
+
+    async def drive(self) -> None:
+        """Carries out decisions until none is left."""
+        decisions = deque(self._machine.start(self._runner.clock(), self._runner.clock_unix()))
+        while decisions:
+            decisions.extend(await self._carry_out(decisions.popleft()))
+
+    def _call(self) -> ClaimCall:
+        """Describes the call to the machine."""
+        return ClaimCall(
+            self._claim_key,
+            self._runner.cfg.instance,
+            uuid4().hex,
+            self._req.content_hash(),
+            self._req.deadline,
+            self._req.timeout,
+            voided=self._reception in (Reception.VOIDED, Reception.PROVEN),
+            proven=self._reception is Reception.PROVEN,
+        )
+
+    async def _carry_out(self, decision: ClaimDecision) -> list[ClaimDecision]:
+        """Carries out one decision."""
+        machine, runner = self._machine, self._runner
+        match decision:
+            case Answer(result):
+                if not self._answered.done():
+                    self._answered.set_result(result)
+            case RecordOutcome():
+                runner.recorder.add(decision)
+            case WriteClaim():
+                result = await self._write(decision)
+                return machine.on_written(runner.clock(), result)
+            case ReadClaim():
+                found = await self._read(decision.key)
+                return machine.on_read(runner.clock(), runner.clock_unix(), found)
+            case Wait(until):
+                await asyncio.sleep(until - runner.clock())
+                # The event loop can wake a few microseconds early.
+                return machine.on_tick(max(until, runner.clock()))
+            case ProveNotRun(key):
+                return machine.on_proof(await self._prove(key))
+            case DispatchOnce():
+                return await self._dispatch(decision)
+        return []
+
+    async def _write(self, decision: WriteClaim) -> WriteResult:
+        """Writes the claim within the time for settling."""
+        try:
+            async with asyncio.timeout(self._remaining()):
+                return await self._runner.store.put(
+                    decision.key, decision.value, decision.expect_version
+                )
+        except TimeoutError:
+            return WriteResult(WriteStatus.AMBIGUOUS)
+
+    async def _read(self, key: str) -> StoredObject | Failure | None:
+        """Reads the claim within the time for settling."""
+        try:
+            async with asyncio.timeout(self._remaining()):
+                return await self._runner.store.get(key)
+        except TimeoutError:
+            return Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the platform did not answer in time")
+
+    def _remaining(self) -> float:
+        """Time limit of a platform call.
+
+        The deadline limits the reading of another call's claim.
+        """
+        end = self._settle_end if self._machine.is_settling else self._req.deadline
+        return max(0.0, end - self._runner.clock())
+
+    async def _prove(self, claim_key: str) -> bool:
+        """Tries to prove that the key did not run and never will."""
+        received = self._runner.received
+        if not received.void_own(claim_key):
+            return False
+        try:
+            async with asyncio.timeout(self._cfg.void_timeout):
+                answers = await self._runner.void_keys.void(claim_key)
+        except TimeoutError:
+            return False
+        return received.prove(claim_key, self._key.time_unix, answers)
+
+    async def _dispatch(self, decision: DispatchOnce) -> list[ClaimDecision]:
+        """Sends the request; answers at the deadline while the run goes on."""
+        runner = self._runner
+        task = asyncio.create_task(self._send(decision))
+        early: list[ClaimDecision] = []
+        remaining = max(0.0, self._req.deadline - runner.clock())
+        done, _ = await asyncio.wait({task}, timeout=remaining)
+        if not done:
+            early = self._machine.on_deadline()
+            for answer in early:
+                await self._carry_out(answer)
+        reply = await task
+        return self._machine.on_service(runner.clock(), reply)
+
+    async def _send(self, decision: DispatchOnce) -> ServiceReply:
+        """Sends the request once."""
+        runner, req = self._runner, self._req
+        if runner.clock() >= decision.not_after:
+            return NotSent("")
+        try:
+            async with asyncio.timeout(req.timeout):
+                return await runner.service.call(req, decision.avoid, decision.not_after)
+        except TimeoutError:
+            return Broken(req.service, f"no answer within {req.timeout:g} s")
+        except Exception as exc:
+            structlog.get_logger().error(LogEvent.INTERNAL_ERROR, exc_info=exc)
+            return Broken(req.service, "the client failed")
--- /dev/null
+++ b/src/sapphireledge/entry/outcome_recorder.py
@@ -0,0 +1,130 @@
+"""Recording of claim outcomes in the background."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+import structlog
+
+from sapphireledge.core.claims import Claim, ClaimState
+from sapphireledge.errors import Failure
+from sapphireledge.platform import WriteStatus
+from sapphireledge.telemetry import LogEvent
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sapphireledge.core.claims import RecordOutcome
+    from sapphireledge.platform import ObjectStore
+    from sapphireledge.settings import PlatformSettings
+
+__all__ = ["OutcomeRecorder"]
+
+MAX_PENDING = 10_000
+"""Outcomes that wait for the platform; the oldest beyond are dropped and stay unknown."""
+
+MAX_STEPS = 4
+"""Conditional writes of one try, each after a change by another entry."""
+
+
+class OutcomeRecorder:
+    """Records outcomes one after the other and keeps them through an outage.
+
+    One outcome at a time limits the write rate when the platform returns.
+    """
+
+    def __init__(self, store: ObjectStore, cfg: PlatformSettings, rng: Random):
+        self.dropped = 0
+        """Outcomes dropped for lack of memory."""
+
+        self._store = store
+        self._cfg = cfg
+        self._rng = rng
+        self._pending: deque[RecordOutcome] = deque()
+        self._arrived = asyncio.Event()
+        self._empty = asyncio.Event()
+        self._empty.set()
+
+    def add(self, outcome: RecordOutcome) -> None:
+        """Queues an outcome.
+
+        Args:
+            outcome: What to record.
+        """
+        if len(self._pending) >= MAX_PENDING:
+            self._pending.popleft()
+            self.dropped += 1
+        self._pending.append(outcome)
+        self._empty.clear()
+        self._arrived.set()
+
+    async def wait_empty(self) -> None:
+        """Waits until every outcome is recorded."""
+        await self._empty.wait()
+
+    async def run(self) -> None:
+        """Records until the task is cancelled."""
+        failures = 0
+        while True:
+            await self._arrived.wait()
+            outcome = self._pending[0]
+            if await self.record(outcome):
+                failures = 0
+                self._remove(outcome)
+                continue
+            limit = min(self._cfg.retry_cap, self._cfg.retry_base * 2**failures)
+            failures = min(failures + 1, 32)
+            await asyncio.sleep(limit * self._rng.uniform(0.5, 1.0))
+
+    async def record(self, outcome: RecordOutcome) -> bool:
+        """Tries to record one outcome.
+
+        Args:
+            outcome: What to record.
+
+        Returns:
+            Whether nothing is left to do: it is recorded, or the claim belongs to another call.
+        """
+        version = outcome.version
+        for _ in range(MAX_STEPS):
+            if version or not outcome.version:
+                result = await self._store.put(outcome.key, outcome.claim.encode(), version)
+                if result.status is WriteStatus.WRITTEN:
+                    self._log(outcome.claim)
+                    return True
+                if result.status is WriteStatus.UNAVAILABLE:
+                    return False
+            found = await self._store.get(outcome.key)
+            if isinstance(found, Failure):
+                return False
+            if found is not None and not _is_replaceable(Claim.decode(found.value), outcome.claim):
+                return True
+            if found is None and outcome.version:
+                return True
+            version = found.version if found else 0
+        return False
+
+    def _remove(self, outcome: RecordOutcome) -> None:
+        """Removes a recorded outcome, unless it was dropped meanwhile."""
+        if self._pending and self._pending[0] is outcome:
+            self._pending.popleft()
+        if not self._pending:
+            self._arrived.clear()
+            self._empty.set()
+
+    def _log(self, claim: Claim) -> None:
+        """Logs a recorded outcome."""
+        structlog.get_logger().info(
+            LogEvent.CLAIM_SETTLED, state=claim.state, kind=claim.kind, status=claim.status
+        )
+
+
+def _is_replaceable(stored: Claim | None, claim: Claim) -> bool:
+    """Whether the stored record is the same claim without a certain outcome."""
+    if stored is None or stored.nonce != claim.nonce:
+        return False
+    if stored.state is ClaimState.UNKNOWN:
+        return claim.state is not ClaimState.UNKNOWN
+    return stored.state is ClaimState.CLAIMED
--- a/src/sapphireledge/settings/claim_settings.py
+++ b/src/sapphireledge/settings/claim_settings.py
@@ -31,3 +31,15 @@
 
     max_outcome: int = setting(4096, unit="bytes", ge=0, le=65_536)
     """Largest response body that is stored with the outcome."""
+
+    poll_interval: float = setting(0.25, unit="s", ge=0.01, le=10)
+    """Interval of readings while another call with the same key runs."""
+
+    void_timeout: float = setting(0.3, unit="s", ge=0.05, le=10)
+    """Time within which every entry must answer that it never received a key."""
+
+    collect_rate: float = setting(150.0, unit="deletions/s", ge=0.1, le=1_000)
+    """Deletions of old claims by the whole fleet."""
+
+    settle_timeout: float = setting(1.5, unit="s", ge=0.1, le=60)
+    """Time after which a claim that the platform has not confirmed is given up."""
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -31,9 +31,13 @@
 
 
 class MemoryStore:
-    """Objects in memory. `fault` is asked before each call with operation and key."""
+    """Objects in memory. `fault` is asked before each call with operation and key.
 
-    def __init__(self, table: ObjectTable | None = None, fault=None):
+    With a random source, each call takes a random number of turns of the event loop.
+    """
+
+    def __init__(self, table: ObjectTable | None = None, fault=None, rng=None):
+        self.rng = rng
         self.table = table or ObjectTable(10_000, 1 << 30)
         self.fault = fault or (lambda operation, key: StoreFault.NONE)
         self.calls: Counter[str] = Counter()
@@ -48,9 +52,9 @@
     async def get(self, key):
         if self._fails("get", key):
             return Failure(ErrorKind.PLATFORM_UNAVAILABLE, "get")
-        await asyncio.sleep(0)
+        await self._turn()
         row = self.table.get(key)
-        await asyncio.sleep(0)
+        await self._turn()
         return row and StoredObject(key, row.value, row.version)
 
     async def put(self, key, value, expect_version):
@@ -62,21 +66,25 @@
     async def list(self, prefix, after="", limit=500):
         if self._fails("list", prefix):
             return Failure(ErrorKind.PLATFORM_UNAVAILABLE, "list")
-        await asyncio.sleep(0)
+        await self._turn()
         part = self.table.list(prefix, after, limit)
-        await asyncio.sleep(0)
+        await self._turn()
         return _page(part)
 
     async def watch(self, prefix, from_version, wait):
         if self._fails("watch", prefix):
             return Failure(ErrorKind.PLATFORM_UNAVAILABLE, "watch")
-        await asyncio.sleep(0)
+        await self._turn()
         part = self.table.since(prefix, from_version)
-        await asyncio.sleep(0)
+        await self._turn()
         if part is None:
             return Failure(ErrorKind.NOT_FOUND, "too old")
         return _page(part)
 
+    async def _turn(self):
+        for _ in range(self.rng.randrange(4) if self.rng else 1):
+            await asyncio.sleep(0)
+
     def _fails(self, operation, key):
         self.calls[operation] += 1
         return self.fault(operation, key) is not StoreFault.NONE
@@ -84,7 +92,7 @@
     async def _write(self, operation, key, *args):
         self.calls[operation] += 1
         fault = self.fault(operation, key)
-        await asyncio.sleep(0)
+        await self._turn()
         if fault is StoreFault.REFUSED:
             return WriteResult(WriteStatus.UNAVAILABLE)
         if fault is StoreFault.LATE:
@@ -92,7 +100,7 @@
         if fault in (StoreFault.LATE, StoreFault.LOST_REQUEST):
             return WriteResult(WriteStatus.AMBIGUOUS)
         answer = getattr(self.table, operation)(key, *args)
-        await asyncio.sleep(0)
+        await self._turn()
         if fault is StoreFault.LOST_ANSWER:
             return WriteResult(WriteStatus.AMBIGUOUS)
         status = WriteStatus.WRITTEN if answer.written else WriteStatus.CONFLICT
