Add acceptance of changes and the declarations in force

ChangeApplier writes the change record and then the object under the base version. A repeated operation id finds its outcome from the record and the chain of changes; a conflict is a ConflictFailure with both versions. An equal declaration is recorded and not written.

ConfigState never takes an older version, keeps the last good declaration when the newest is broken, and hands both to peers. Its applied version means that everything up to it was taken. PrefixWatcher now reports the version up to which everything was delivered, and only that advances the applied version.

Checked by removal: chain of changes not searched, record not read first, ambiguous write reported as conflict, conflict not followed up, unconditional write, previous change not named, older version applied, a delivered version counted as complete, a part of a peer that starts too late, the last good version not sent, readiness without the highest version. Each made at least one test fail.

--- a/src/sapphireledge/core/config/__init__.py
+++ b/src/sapphireledge/core/config/__init__.py
@@ -1,1 +1,28 @@
-"""Part of the decision core."""
+"""Acceptance of changes and the declarations in force."""
+
+from __future__ import annotations
+
+from sapphireledge.core.config.change import ApplyResult, Author, Change, DiffEntry
+from sapphireledge.core.config.change_applier import ChangeApplier
+from sapphireledge.core.config.change_record import CHANGE_PREFIX, ChangeRecord
+from sapphireledge.core.config.config_state import Acceptance, ConfigState
+from sapphireledge.core.config.stored_declaration import (
+    CONFIG_PREFIX,
+    StoredDeclaration,
+    config_key,
+)
+
+__all__ = [
+    "CHANGE_PREFIX",
+    "CONFIG_PREFIX",
+    "Acceptance",
+    "ApplyResult",
+    "Author",
+    "Change",
+    "ChangeApplier",
+    "ChangeRecord",
+    "ConfigState",
+    "DiffEntry",
+    "StoredDeclaration",
+    "config_key",
+]
--- /dev/null
+++ b/src/sapphireledge/core/config/change_applier.py
@@ -0,0 +1,355 @@
+"""Acceptance of changes over the object API."""
+
+from __future__ import annotations
+
+import re
+import sys
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+from uuid6 import UUID
+
+from sapphireledge.core.config.change import ApplyResult, Change, DiffEntry
+from sapphireledge.core.config.change_record import ChangeRecord
+from sapphireledge.core.config.stored_declaration import (
+    CONFIG_PREFIX,
+    StoredDeclaration,
+    config_key,
+)
+from sapphireledge.core.declarations import DeclarationKind, parse_declaration
+from sapphireledge.errors import ConflictFailure, ErrorKind, Failure, Ran
+from sapphireledge.platform import WriteStatus, settle_write
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from sapphireledge.core.config.change import Author
+    from sapphireledge.platform import ObjectStore, StoredObject, WriteResult
+    from sapphireledge.settings import PlatformSettings
+
+__all__ = ["ChangeApplier"]
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+"""Accepted names, which are part of an object key."""
+
+SETTLE_CALLS = 3
+"""Time limit for settling a write, as a multiple of the time limit of a call."""
+
+PAGE_SIZE = 500
+"""Objects of one page of a listing."""
+
+MAX_HISTORY = 1_000
+"""Most changes that are followed back."""
+
+
+class ChangeApplier:
+    """Accepts changes: first the change record, then the object under the base version.
+
+    The change is accepted when the second write took effect. Each object names its change and each
+    change the one before, so that every change can be found to have won or lost.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        cfg: PlatformSettings,
+        clock_unix: Callable[[], float] = time.time,
+    ):
+        self._store = store
+        self._cfg = cfg
+        self._clock_unix = clock_unix
+
+    async def apply(self, change: Change, author: Author) -> ApplyResult | Failure:
+        """Applies a change; a repeated operation id has the same outcome.
+
+        Args:
+            change: The change.
+            author: Who makes it, and why.
+
+        Returns:
+            The accepted change, or a failure: a `ConflictFailure` if the object is at another
+            version, `Ran.UNKNOWN` if the platform left the outcome open.
+        """
+        after = _check(change)
+        if isinstance(after, Failure):
+            return after
+        known = await self._read_record(change.operation_id)
+        if isinstance(known, Failure):
+            return known
+        # The object is read after the record, so that it is not older than the record's base.
+        stored = await self._store.get(config_key(change.kind, change.name))
+        if isinstance(stored, Failure):
+            return stored
+        if known is None:
+            known = await self._record(change, after, author, stored)
+        if isinstance(known, Failure):
+            return known
+        if not known.asks_for(change.kind, change.name, after, change.base_version):
+            reason = f"operation_id: {change.operation_id} was used for another change"
+            return Failure(ErrorKind.INVALID_REQUEST, reason)
+        if not known.changed:
+            return ApplyResult(known.operation_id, known.base_version, False)
+        return await self._write(known, stored)
+
+    async def reapply(
+        self, record_id: str, operation_id: str, base_version: int, author: Author
+    ) -> ApplyResult | Failure:
+        """Applies the content of an earlier change again, as a new change.
+
+        Args:
+            record_id: Operation id of the earlier change.
+            operation_id: Operation id of the new change.
+            base_version: Version that the new change is based on.
+            author: Who makes it, and why.
+
+        Returns:
+            As for `apply`; a failure of kind not_found if there is no such record.
+        """
+        record = await self._read_record(record_id)
+        if isinstance(record, Failure):
+            return record
+        if record is None:
+            return Failure(ErrorKind.NOT_FOUND, f"record_id: there is no change {record_id}")
+        change = Change(
+            operation_id,
+            record.kind,
+            record.name,
+            record.after,
+            base_version,
+            deleted=not record.after,
+        )
+        return await self.apply(change, author)
+
+    async def history(self, kind: str, name: str, limit: int) -> tuple[ChangeRecord, ...] | Failure:
+        """Follows the accepted changes of an object back.
+
+        Args:
+            kind: A value of `DeclarationKind`.
+            name: Name of the declared object.
+            limit: Most changes.
+
+        Returns:
+            Changes, newest first, each with the version that it made. The end of the chain is
+            the first change, or one whose object was written by something else.
+        """
+        stored = await self._store.get(config_key(kind, name))
+        if isinstance(stored, Failure):
+            return stored
+        if stored is None:
+            return Failure(ErrorKind.NOT_FOUND, f"{kind}/{name} does not exist")
+        return await self._follow(stored, min(limit, MAX_HISTORY), 0)
+
+    async def diff(self, changes: Iterable[Change]) -> tuple[DiffEntry, ...] | Failure:
+        """Compares declarations with the stored ones; changes nothing.
+
+        Args:
+            changes: The declarations; operation id and base version are not used.
+
+        Returns:
+            The declarations that differ, or the first failure.
+        """
+        wanted = list(changes)
+        stored: dict[str, StoredObject] = {}
+        for kind in sorted({change.kind for change in wanted}):
+            listed = await self._list(f"{CONFIG_PREFIX}{kind}/")
+            if isinstance(listed, Failure):
+                return listed
+            stored.update(listed)
+        found: list[DiffEntry] = []
+        for change in wanted:
+            entry = _diff(change, stored.get(config_key(change.kind, change.name)))
+            if isinstance(entry, Failure):
+                return entry
+            if entry is not None:
+                found.append(entry)
+        return tuple(found)
+
+    async def _record(
+        self, change: Change, after: str, author: Author, stored: StoredObject | None
+    ) -> ChangeRecord | Failure:
+        """Writes the change record; returns the one that another entry wrote first."""
+        current = stored.version if stored is not None else 0
+        if current != change.base_version:
+            return _conflict(change.kind, change.name, change.base_version, current)
+        record = _draft(change, after, author, stored, self._clock_unix())
+        key = ChangeRecord.key(change.operation_id)
+        value = msgspec.json.encode(record)
+        # The whole value is its own nonce: an equal record is as good as the own one.
+        result = await self._settle(key, value, value.decode(), 0)
+        if result.status is WriteStatus.WRITTEN:
+            return record
+        if result.status is WriteStatus.CONFLICT:
+            known = await self._read_record(change.operation_id)
+            if known is not None:
+                return known
+        sent = result.status is not WriteStatus.UNAVAILABLE
+        return _unavailable(change.operation_id, Ran.UNKNOWN if sent else Ran.NO)
+
+    async def _write(
+        self, record: ChangeRecord, stored: StoredObject | None
+    ) -> ApplyResult | Failure:
+        """Writes the object of a recorded change, or finds what became of the change."""
+        current = stored.version if stored is not None else 0
+        if current != record.base_version:
+            return await self._find_outcome(record)
+        value = StoredDeclaration(record.operation_id, record.after, not record.after)
+        result = await self._settle(
+            config_key(record.kind, record.name),
+            value.encode(),
+            value.nonce(),
+            record.base_version,
+        )
+        if result.status is WriteStatus.WRITTEN:
+            return ApplyResult(record.operation_id, result.version, True)
+        if result.status is WriteStatus.CONFLICT:
+            return await self._find_outcome(record)
+        return _unavailable(record.operation_id, Ran.UNKNOWN)
+
+    async def _find_outcome(self, record: ChangeRecord) -> ApplyResult | Failure:
+        """Looks for a recorded change among the accepted ones after its base version."""
+        stored = await self._store.get(config_key(record.kind, record.name))
+        if isinstance(stored, Failure):
+            return _unavailable(record.operation_id, Ran.UNKNOWN)
+        if stored is None:
+            return _conflict(record.kind, record.name, record.base_version, 0)
+        accepted = await self._follow(stored, sys.maxsize, record.base_version)
+        if isinstance(accepted, Failure):
+            return _unavailable(record.operation_id, Ran.UNKNOWN)
+        if not accepted or accepted[-1].base_version > record.base_version:
+            reason = f"{record.kind}/{record.name}: the chain of changes is broken"
+            return Failure(ErrorKind.INTERNAL, reason, Ran.UNKNOWN)
+        for found in accepted:
+            if found.operation_id == record.operation_id:
+                return ApplyResult(found.operation_id, found.version, True)
+        return _conflict(record.kind, record.name, record.base_version, stored.version)
+
+    async def _follow(
+        self, stored: StoredObject, limit: int, until_version: int
+    ) -> tuple[ChangeRecord, ...] | Failure:
+        """Follows the changes of an object back to a version."""
+        found: list[ChangeRecord] = []
+        declaration = StoredDeclaration.decode(stored.value)
+        operation_id = declaration.change if declaration is not None else ""
+        version = stored.version
+        while operation_id and len(found) < limit and version > until_version:
+            record = await self._read_record(operation_id)
+            if isinstance(record, Failure):
+                return record
+            if record is None:
+                break
+            found.append(msgspec.structs.replace(record, version=version))
+            operation_id, version = record.previous, record.base_version
+        return tuple(found)
+
+    async def _read_record(self, operation_id: str) -> ChangeRecord | Failure | None:
+        """Reads a change record."""
+        stored = await self._store.get(ChangeRecord.key(operation_id))
+        if stored is None or isinstance(stored, Failure):
+            return stored
+        try:
+            return msgspec.json.decode(stored.value, type=ChangeRecord)
+        except msgspec.DecodeError:
+            return Failure(ErrorKind.INTERNAL, f"the record of {operation_id} cannot be read")
+
+    async def _list(self, prefix: str) -> dict[str, StoredObject] | Failure:
+        """Lists every object below a prefix."""
+        found: dict[str, StoredObject] = {}
+        after = ""
+        while True:
+            page = await self._store.list(prefix, after, PAGE_SIZE)
+            if isinstance(page, Failure):
+                return page
+            found.update((stored.key, stored) for stored in page.objects)
+            after = page.next_after
+            if not after:
+                return found
+
+    async def _settle(self, key: str, value: bytes, nonce: str, expect_version: int) -> WriteResult:
+        """Writes one object and resolves a lost answer."""
+        return await settle_write(
+            self._store,
+            key,
+            value,
+            nonce,
+            expect_version,
+            limit=SETTLE_CALLS * self._cfg.timeout,
+            retry_delay=self._cfg.retry_base,
+        )
+
+
+def _check(change: Change) -> str | Failure:
+    """Checks a change; returns its declaration in canonical JSON, empty for a deletion."""
+    try:
+        UUID(change.operation_id)
+    except ValueError:
+        return Failure(ErrorKind.INVALID_REQUEST, "operation_id: must be a UUID")
+    if NAME_PATTERN.fullmatch(change.name) is None:
+        reason = f"name: {change.name!r} must match {NAME_PATTERN.pattern}"
+        return Failure(ErrorKind.INVALID_REQUEST, reason)
+    return _check_spec(change)
+
+
+def _check_spec(change: Change) -> str | Failure:
+    """Checks the declaration of a change; returns it in canonical JSON, empty for a deletion."""
+    if change.deleted and change.kind in list(DeclarationKind):
+        return ""
+    declared = parse_declaration(change.kind, change.name, change.spec)
+    if isinstance(declared, Failure):
+        return declared
+    return msgspec.json.encode(msgspec.json.decode(change.spec), order="sorted").decode()
+
+
+def _draft(
+    change: Change, after: str, author: Author, stored: StoredObject | None, when_unix: float
+) -> ChangeRecord:
+    """Builds the record of a change."""
+    declaration = StoredDeclaration.decode(stored.value) if stored is not None else None
+    before = declaration.spec if declaration is not None else ""
+    is_same = declaration is not None and _is_equal(change.kind, change.name, before, after)
+    return ChangeRecord(
+        operation_id=change.operation_id,
+        kind=change.kind,
+        name=change.name,
+        who=author.who,
+        why=author.why,
+        when_unix=when_unix,
+        base_version=change.base_version,
+        before=before,
+        after=after,
+        previous=declaration.change if declaration is not None else "",
+        changed=not is_same,
+    )
+
+
+def _is_equal(kind: str, name: str, before: str, after: str) -> bool:
+    """Whether two declarations mean the same, defaults included."""
+    if not before or not after:
+        return before == after
+    return parse_declaration(kind, name, before) == parse_declaration(kind, name, after)
+
+
+def _diff(change: Change, stored: StoredObject | None) -> DiffEntry | Failure | None:
+    """Compares one declaration with the stored one."""
+    after = _check_spec(change)
+    if isinstance(after, Failure):
+        return after
+    declaration = StoredDeclaration.decode(stored.value) if stored is not None else None
+    before = declaration.spec if declaration is not None else ""
+    if _is_equal(change.kind, change.name, before, after):
+        return None
+    version = stored.version if stored is not None else 0
+    return DiffEntry(change.kind, change.name, before, after, version)
+
+
+def _conflict(kind: str, name: str, base: int, current: int) -> ConflictFailure:
+    """Names both versions of a conflict."""
+    reason = f"{kind}/{name} is at version {current}; the change was based on {base}"
+    return ConflictFailure(ErrorKind.CONFLICT, reason, base_version=base, current_version=current)
+
+
+def _unavailable(operation_id: str, ran: Ran) -> Failure:
+    """Refuses a change whose writes did not both get through."""
+    what = "was not applied" if ran is Ran.NO else "may have been applied"
+    reason = f"operation {operation_id} {what}; repeat it with the same operation id"
+    return Failure(ErrorKind.PLATFORM_UNAVAILABLE, reason, ran)
--- /dev/null
+++ b/src/sapphireledge/core/config/config_state.py
@@ -0,0 +1,217 @@
+"""Declarations in force at one instance."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any
+
+from sapphireledge.core.config.stored_declaration import (
+    StoredDeclaration,
+    config_key,
+    split_config_key,
+)
+from sapphireledge.core.declarations import DeclarationKind, parse_declaration
+from sapphireledge.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from sapphireledge.core.declarations import (
+        AnyDeclaration,
+        Deployment,
+        Rank,
+        Service,
+        Workspace,
+    )
+    from sapphireledge.platform import StoredObject
+
+__all__ = ["Acceptance", "ConfigState"]
+
+
+class Acceptance(Enum):
+    """What became of a stored object."""
+
+    APPLIED = "applied"
+    """It is in force."""
+
+    OLDER = "older"
+    """The same or a newer version is known."""
+
+    REJECTED = "rejected"
+    """It is broken; the last good version stays in force."""
+
+
+@dataclass(slots=True)
+class _Entry:
+    """What is known of one object."""
+
+    latest: StoredObject
+    """The newest version, even a broken one."""
+
+    good: StoredObject | None = None
+    """The version in force, None before the first good one."""
+
+
+class ConfigState:
+    """Declarations in force at one instance; no object ever goes back to an older version."""
+
+    def __init__(self) -> None:
+        self.applied_version = 0
+        """Every object of this version and below has been applied or rejected."""
+
+        self.highest_version = 0
+        """Highest version of an object that this instance has heard of."""
+
+        self.is_configured = False
+        """Whether a complete listing of the platform or of a peer was taken."""
+
+        self.rejected: dict[str, Failure] = {}
+        """Objects whose newest version is broken, with the reason."""
+
+        self._entries: dict[str, _Entry] = {}
+        self._declared: dict[str, dict[str, Any]] = {kind.value: {} for kind in DeclarationKind}
+
+    @property
+    def ranks(self) -> Mapping[str, Rank]:
+        """Ranks by name."""
+        return MappingProxyType(self._declared[DeclarationKind.RANK])
+
+    @property
+    def workspaces(self) -> Mapping[str, Workspace]:
+        """Workspaces by name."""
+        return MappingProxyType(self._declared[DeclarationKind.WORKSPACE])
+
+    @property
+    def deployments(self) -> Mapping[str, Deployment]:
+        """Deployments by name."""
+        return MappingProxyType(self._declared[DeclarationKind.DEPLOYMENT])
+
+    @property
+    def services(self) -> Mapping[str, Service]:
+        """Services by name."""
+        return MappingProxyType(self._declared[DeclarationKind.SERVICE])
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a fresh instance may accept work: it knows all that anyone told it of."""
+        return self.is_configured and self.applied_version >= self.highest_version
+
+    def apply(self, stored: StoredObject) -> Acceptance:
+        """Takes one object from the watch of the platform.
+
+        Args:
+            stored: The object, a tombstone or a deletion.
+
+        Returns:
+            What became of it.
+        """
+        self.hear(stored.version)
+        return self._take(stored)
+
+    def cover(self, version: int) -> None:
+        """Notes that the watch has delivered everything up to a version.
+
+        Args:
+            version: Version of the store.
+        """
+        self.is_configured = True
+        known = (entry.latest.version for entry in self._entries.values())
+        covered = max((found for found in known if found <= version), default=0)
+        self.applied_version = max(self.applied_version, covered)
+
+    def apply_part(self, since: int, stored: Iterable[StoredObject], version: int) -> bool:
+        """Takes the answer of a peer to a question for everything since a version.
+
+        Args:
+            since: The version that was asked for.
+            stored: The peer's objects.
+            version: Version that the peer had applied.
+
+        Returns:
+            Whether this instance has advanced.
+        """
+        self.hear(version)
+        for found in stored:
+            self.hear(found.version)
+            self._take(found)
+        if since > self.applied_version or version <= 0:
+            return False
+        advanced = version > self.applied_version
+        self.applied_version = max(self.applied_version, version)
+        self.is_configured = True
+        return advanced
+
+    def hear(self, version: int) -> None:
+        """Notes a version that another instance knows of.
+
+        Args:
+            version: Version of an object.
+        """
+        self.highest_version = max(self.highest_version, version)
+
+    def objects_since(self, version: int) -> tuple[StoredObject, ...]:
+        """Collects the objects that a peer lacks.
+
+        Args:
+            version: Version up to which the peer has everything.
+
+        Returns:
+            Objects in the order of their versions. A broken one comes with the version in force
+            before it, so that the peer keeps the same declaration.
+        """
+        found: dict[int, StoredObject] = {}
+        for entry in self._entries.values():
+            if entry.latest.version > version:
+                found[entry.latest.version] = entry.latest
+                if entry.good is not None:
+                    found[entry.good.version] = entry.good
+        return tuple(found[key] for key in sorted(found))
+
+    def version_of(self, kind: str, name: str) -> int:
+        """Finds the version in force of one declaration.
+
+        Args:
+            kind: A value of `DeclarationKind`.
+            name: Name of the declared object.
+
+        Returns:
+            The version, 0 if there is none.
+        """
+        entry = self._entries.get(config_key(kind, name))
+        return entry.good.version if entry is not None and entry.good is not None else 0
+
+    def _take(self, stored: StoredObject) -> Acceptance:
+        """Applies one object unless it is older or broken."""
+        entry = self._entries.get(stored.key)
+        if entry is not None and stored.version <= entry.latest.version:
+            return Acceptance.OLDER
+        if entry is None:
+            entry = self._entries[stored.key] = _Entry(stored)
+        entry.latest = stored
+        checked = _check(stored)
+        if isinstance(checked, Failure):
+            self.rejected[stored.key] = checked
+            return Acceptance.REJECTED
+        self.rejected.pop(stored.key, None)
+        entry.good = stored
+        kind, name = split_config_key(stored.key)
+        if checked is None:
+            self._declared.get(kind, {}).pop(name, None)
+        else:
+            self._declared[kind][name] = checked
+        return Acceptance.APPLIED
+
+
+def _check(stored: StoredObject) -> AnyDeclaration | Failure | None:
+    """Reads a stored object; None for a tombstone or a deletion."""
+    if stored.deleted:
+        return None
+    declaration = StoredDeclaration.decode(stored.value)
+    if declaration is None:
+        return Failure(ErrorKind.INVALID_REQUEST, f"{stored.key}: is not a stored declaration")
+    if declaration.deleted:
+        return None
+    kind, name = split_config_key(stored.key)
+    return parse_declaration(kind, name, declaration.spec)
--- a/src/sapphireledge/platform/prefix_watcher.py
+++ b/src/sapphireledge/platform/prefix_watcher.py
@@ -27,7 +27,9 @@
 
     Each object goes to the callback, never an older version after a newer one. After an outage
     the watch resumes from its version; the prefix is listed again only when the platform no longer
-    knows that version.
+    knows that version. `on_covered` hears the version of the store up to which everything was
+    delivered; during a listing objects come in the order of their keys, so that their versions do
+    not tell this.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         rng: Random,
         on_object: Callable[[StoredObject], None],
         on_reachable: Callable[[bool], None] = lambda reachable: None,
+        on_covered: Callable[[int], None] = lambda version: None,
     ):
         self.version = 0
         """Version of the store up to which every write was delivered."""
@@ -54,6 +57,7 @@
         self._rng = rng
         self._on_object = on_object
         self._on_reachable = on_reachable
+        self._on_covered = on_covered
         self._versions: dict[str, int] = {}
         self._failures = 0
 
@@ -82,8 +86,8 @@
                 break
         for key in sorted(self._versions.keys() - seen):
             self._deliver(StoredObject(key, b"", start, deleted=True))
-        self.version = start
         self.listed = True
+        self._cover(start)
 
     async def _watch(self) -> None:
         """Waits for the next writes."""
@@ -95,7 +99,12 @@
             return await self._back_off()
         self._note(True)
         self._deliver_all(page)
-        self.version = max(self.version, page.version)
+        self._cover(page.version)
+
+    def _cover(self, version: int) -> None:
+        """Notes the version up to which every write was delivered."""
+        self.version = max(self.version, version)
+        self._on_covered(self.version)
 
     def _deliver_all(self, page: ObjectPage) -> None:
         """Delivers each object of a page."""
