--- a/src/sapphireledge/peers/_private.py
+++ b/src/sapphireledge/peers/_private.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.membership import DeathNotice, HeartbeatReport, Member
@@ -12,7 +14,7 @@
     import random
     from typing import Any
 
-__all__ = ["backoff_delay", "death_message", "failure_of", "member_of", "report_of"]
+__all__ = ["backoff_delay", "death_message", "failure_of", "member_of", "report_of", "wait_at_most"]
 
 FIRST_DELAY = 0.1
 """Seconds before the second attempt to connect."""
@@ -89,3 +91,10 @@
 def death_message(death: DeathNotice) -> Any:
     """Makes the message of an engine death."""
     return EngineDeath(death.backend, death.boot_id, death.time_unix, list(death.suspects))
+
+
+async def wait_at_most(event: asyncio.Event, timeout: float) -> None:
+    """Waits for an event, at most the given seconds."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout):
+            await event.wait()
--- a/src/sapphireledge/peers/peer_link.py
+++ b/src/sapphireledge/peers/peer_link.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import structlog
 from thriftpy2.thrift import TException
 
 from sapphireledge.errors import ErrorKind, Failure, Ran
-from sapphireledge.peers._private import backoff_delay, failure_of
+from sapphireledge.peers._private import backoff_delay, failure_of, wait_at_most
 from sapphireledge.peers.messages import PeerService
 from sapphireledge.peers.pending_call import PendingCall
 from sapphireledge.rpc import RpcError, RpcLimits, ThriftConnection
@@ -74,8 +75,11 @@
         self._on_lost = on_lost
         self._queue: asyncio.Queue[PendingCall] = asyncio.Queue(MAX_QUEUED)
         self._task: asyncio.Task[None] | None = None
+        self._retry = asyncio.Event()
+        self._held: PendingCall | None = None
         self._conn: ThriftConnection | None = None
         self._failures = 0
+        self._last_failure = self._failure("is not connected")
         self._idle: list[ThriftConnection] = []
         self._waiting_calls = 0
         self._closed_bytes = 0
@@ -86,6 +90,11 @@
         """Whether the connection is established."""
         return self._conn is not None and self._conn.transport.is_open()
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the last attempt to connect failed; calls then fail at once."""
+        return self._failures > 0 and not self.reachable
+
     @property
     def bytes_moved(self) -> int:
         """Bytes sent and received on the serial connection since the start."""
@@ -107,6 +116,10 @@
             conn.close()
         self._idle.clear()
 
+    def retry_now(self) -> None:
+        """Ends the wait before the next attempt to connect, as the peer showed that it lives."""
+        self._retry.set()
+
     def submit(self, method: str, *args: Any, timeout: float) -> asyncio.Future[Any]:
         """Queues a call.
 
@@ -120,8 +133,8 @@
         """
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Any] = loop.create_future()
-        if self._task is None or self._is_down:
-            future.set_result(self._failure("is not connected"))
+        if self._task is None or self.is_down:
+            future.set_result(self._last_failure)
             return future
         try:
             self._queue.put_nowait(PendingCall(method, args, loop.time() + timeout, future))
@@ -159,8 +172,8 @@
         Returns:
             The result, or a Failure.
         """
-        if self._is_down:
-            return self._failure("is not connected")
+        if self.is_down:
+            return self._last_failure
         if self._waiting_calls >= MAX_WAITING_CALLS:
             reason = f"{MAX_WAITING_CALLS} long calls to peer {self.peer.name} already run"
             return Failure(ErrorKind.OVERLOADED, reason)
@@ -173,11 +186,6 @@
         finally:
             self._waiting_calls -= 1
 
-    @property
-    def _is_down(self) -> bool:
-        """Whether the last attempt to connect failed; a call would only wait for its time limit."""
-        return self._failures > 0 and not self.reachable
-
     async def _call_aside(self, method: str, args: tuple[Any, ...], timeout: float) -> Any:
         """Runs one long call on a kept or a new connection."""
         conn = self._take_idle()
@@ -208,9 +216,11 @@
             opened = await self._connect(CONNECT_TIMEOUT)
             if isinstance(opened, Failure):
                 self._failures += 1
+                self._last_failure = opened
                 self._fail_queued(opened.reason)
                 self._report_lost(opened.reason)
-                await asyncio.sleep(backoff_delay(self._failures, self._rng))
+                self._retry.clear()
+                await wait_at_most(self._retry, backoff_delay(self._failures, self._rng))
                 continue
             self._conn, hello = opened
             self._failures = 0
@@ -228,7 +238,12 @@
         """Sends queued calls one after the other until the connection breaks."""
         loop = asyncio.get_running_loop()
         while conn.transport.is_open():
-            call = await self._queue.get()
+            call = self._held or await self._queue.get()
+            # A connection that the peer closed while idle is noticed before the call is sent.
+            self._held = call
+            if not conn.transport.is_open():
+                return
+            self._held = None
             left = call.deadline - loop.time()
             if call.future.done():
                 continue
@@ -260,7 +275,7 @@
             hello = self._failure(f"has been replaced by {hello.instance} at {self.peer.address}")
         if isinstance(hello, Failure):
             conn.close()
-            return hello
+            return replace(hello, ran=Ran.NO)
         return conn, hello
 
     async def _exchange(
@@ -276,6 +291,9 @@
 
     def _fail_queued(self, reason: str) -> None:
         """Fails all queued calls; none of them was sent."""
+        if self._held is not None:
+            _settle(self._held, Failure(ErrorKind.INTERNAL, reason))
+            self._held = None
         while not self._queue.empty():
             _settle(self._queue.get_nowait(), Failure(ErrorKind.INTERNAL, reason))
 
--- a/src/sapphireledge/peers/peer_mesh.py
+++ b/src/sapphireledge/peers/peer_mesh.py
@@ -18,7 +18,7 @@
     heartbeat_period,
 )
 from sapphireledge.errors import ErrorKind, Failure
-from sapphireledge.peers._private import death_message, member_of, report_of
+from sapphireledge.peers._private import death_message, member_of, report_of, wait_at_most
 from sapphireledge.peers.death_log import DeathLog
 from sapphireledge.peers.local_state import LocalState
 from sapphireledge.peers.messages import Heartbeat, HeartbeatReply, Hello, UsageDelta
@@ -234,11 +234,14 @@
 
     def on_hello(self, hello: Any) -> None:
         """Takes the Hello of a peer that connected to this entry."""
-        # Not evidence of life for an unknown incarnation: heartbeats decide about those.
-        if hello.instance not in self._links:
-            self._membership.on_heard(self._clock(), member_of(hello))
-            self._next_refresh = 0.0
-            self._wake.set()
+        link = self._links.get(hello.instance)
+        if link is not None:
+            link.retry_now()
+            return
+        # Only heartbeats of a known peer count as evidence of life, as they name the incarnation.
+        self._membership.on_heard(self._clock(), member_of(hello))
+        self._next_refresh = 0.0
+        self._wake.set()
 
     def on_heartbeat(self, hello: Any, heartbeat: Any) -> Any | Failure:
         """Takes a heartbeat of a peer.
@@ -311,7 +314,7 @@
             self._wake.clear()
             next_due = min((box.due for box in self._outboxes.values()), default=now + 3600)
             pause = max(0.0, min(next_due, self._next_refresh) - self._clock())
-            await _wait_for(self._wake, pause)
+            await wait_at_most(self._wake, pause)
 
     def _refresh(self, now: float) -> None:
         """Computes members and peers, and opens and closes links accordingly."""
@@ -421,7 +424,7 @@
         outbox = self._outboxes[name]
         link = self._links[name]
         outbox.due = now + self._period * self._rng.uniform(0.9, 1.1)
-        if not link.reachable or (outbox.in_flight is not None and not outbox.in_flight.done()):
+        if link.is_down or (outbox.in_flight is not None and not outbox.in_flight.done()):
             return
         if link.peer.data_centre != self.own.data_centre:
             self._send(now, link, outbox, self.own.data_centre, with_rest=True)
@@ -532,12 +535,3 @@
     def _is_local(self, member: Member) -> bool:
         """Tells whether an entry belongs to the own data centre."""
         return member.data_centre == self.own.data_centre
-
-
-async def _wait_for(event: asyncio.Event, timeout: float) -> None:
-    """Waits for an event, at most the given seconds."""
-    try:
-        async with asyncio.timeout(timeout):
-            await event.wait()
-    except TimeoutError:
-        pass
--- a/src/sapphireledge/peers/peer_queries.py
+++ b/src/sapphireledge/peers/peer_queries.py
@@ -78,8 +78,8 @@
         replies = await self._ask(names, "void_key", claim_key, timeout=VOID_TIMEOUT)
         refusing = tuple(
             name
-            for name, reply in replies.items()
-            if not reply.voided or reply.since_unix > key_time_unix
+            for name in names
+            if name in replies and not _promises(replies[name], key_time_unix)
         )
         silent = tuple(name for name in names if name not in replies)
         return VoidResult(not refusing and not silent, refusing, silent)
@@ -150,3 +150,8 @@
 def _preference(location: Any) -> tuple[int, bool, int]:
     """Orders the locations of one answer."""
     return location.epoch, location.owner, location.stored
+
+
+def _promises(reply: Any, key_time_unix: float) -> bool:
+    """Tells whether an entry promised and has run since before the time of the key."""
+    return reply.voided and reply.since_unix <= key_time_unix
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -7,6 +7,7 @@
 import struct
 import unittest
 
+import structlog
 from hypothesis import given
 from hypothesis import strategies as st
 from thriftpy2.thrift import TApplicationException
@@ -26,6 +27,14 @@
 LIMITS = RpcLimits(max_message=100_000, hello_timeout=2.0, message_timeout=0.3)
 
 
+def setUpModule():
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(60))
+
+
+def tearDownModule():
+    structlog.reset_defaults()
+
+
 class Handler:
     """Operator interface with the methods that the tests call."""
 
