--- a/src/sapphireledge/peers/_private.py
+++ b/src/sapphireledge/peers/_private.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.membership import ClearingNotice, DeathNotice, HeartbeatReport, Member
@@ -19,6 +21,7 @@
     "failure_of",
     "member_of",
     "report_of",
+    "wait_at_most",
 ]
 
 FIRST_DELAY = 0.1
@@ -117,3 +120,10 @@
 def clearing_message(clearing: ClearingNotice) -> Any:
     """Makes the message of a clearing."""
     return RequestClearing(clearing.fingerprint, clearing.time_unix, clearing.who, clearing.why)
+
+
+async def wait_at_most(event: asyncio.Event, timeout: float) -> None:
+    """Waits for an event, at most the given seconds."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout):
+            await event.wait()
