Estimate waits per workspace and make reserves symmetric across instances

Cause 1: the first estimate counted the backlog of workspaces that come later in the order, so small workspaces behind a flooding one were refused. It now counts what each other workspace starts until its usage per weight is equal, and a factor learned from real waits stands for later arrivals.

Now the whole reserve stays free unless the running work of the pool is known (Capacity.running), and a rank that has more work than it can start has no reserve.

Cause 3: rank shares follow running work times measured pace instead of a plain sum over the window, which lags behind the starts of long generations.

--- a/src/sapphireledge/core/admission/_rank_state.py
+++ b/src/sapphireledge/core/admission/_rank_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.admission._private import DecayedSum
@@ -19,6 +20,36 @@
 """Number of promised retry times below which past ones are kept."""
 
 
+MAX_CORRECTION = 8.0
+"""Largest factor by which estimated waits are corrected."""
+
+MIN_CORRECTION = 0.5
+"""Smallest factor by which estimated waits are corrected."""
+
+CORRECTION_PRIOR = 1.0
+"""Seconds of estimated wait that count as correct before anything was compared."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingWork:
+    """Work that waits."""
+
+    work: QueuedWork
+    """The work."""
+
+    since: float
+    """Time of its offer, in seconds."""
+
+    deadline: float
+    """Time at which it expires, in seconds."""
+
+    estimate: float
+    """Estimated wait in seconds."""
+
+    correction: float
+    """Factor that the estimate contains."""
+
+
 @dataclass(slots=True)
 class RunningWork:
     """Work that was handed out and has not ended."""
@@ -59,10 +90,78 @@
         """Resumes among them."""
         self.tokens = DecayedSum(window)
         """Tokens received in the window."""
+        self.pace = 1.0
+        """Tokens per second and running work, as last measured."""
         self.starts = DecayedSum(window)
         """Estimated cost of the work started in the window."""
         self.promised: dict[str, float] = {}
         """Retry time last announced to each refused workspace."""
+        self.pressed_at = -inf
+        """Time of the last refusal of late work, in seconds."""
+        self._waited = DecayedSum(window)
+        self._estimated = DecayedSum(window)
+        self._slot_time = DecayedSum(window)
+        self._counted_to = 0.0
+
+    def is_pressed(self, now: float) -> bool:
+        """Whether the rank has more work than it can start.
+
+        Args:
+            now: Time in seconds.
+        """
+        return self.queue.size > 0 or now - self.pressed_at < self.rank.target
+
+    def count_running(self, now: float, change: int) -> None:
+        """Counts work that starts or ends.
+
+        Args:
+            now: Time in seconds.
+            change: +1 or -1.
+        """
+        self.slot_time(now)
+        self.running += change
+
+    def slot_time(self, now: float) -> float:
+        """Reads how long slots were taken in the window.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Seconds, summed over the running work.
+        """
+        if now > self._counted_to:
+            self._slot_time.add(now, self.running * (now - self._counted_to))
+            self._counted_to = now
+        return self._slot_time.value(now)
+
+    def compare_wait(self, now: float, waiting: WaitingWork) -> None:
+        """Compares an estimated wait with the real one when the wait ends.
+
+        Args:
+            now: Time in seconds.
+            waiting: Work that starts or expires.
+        """
+        if waiting.work.is_resume or waiting.estimate <= 0.0:
+            return
+        self._waited.add(now, now - waiting.since)
+        self._estimated.add(now, waiting.estimate / waiting.correction)
+
+    def correction(self, now: float) -> float:
+        """Reads the factor that made recent estimates right.
+
+        It stands for what an estimate cannot know, such as work of other workspaces that arrives
+        later and goes first.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Factor for a new estimate.
+        """
+        waited = self._waited.value(now) + CORRECTION_PRIOR
+        factor = waited / (self._estimated.value(now) + CORRECTION_PRIOR)
+        return min(MAX_CORRECTION, max(MIN_CORRECTION, factor))
 
     def promise(self, now: float, workspace: str, at: float) -> None:
         """Remembers an announced retry time.
--- a/src/sapphireledge/core/admission/admission_queue.py
+++ b/src/sapphireledge/core/admission/admission_queue.py
@@ -164,6 +164,23 @@
         """
         return self._weights[workspace]
 
+    def sample(self, size: int) -> tuple[list[str], float]:
+        """Takes a sample of the waiting workspaces.
+
+        Args:
+            size: About the number of workspaces wanted.
+
+        Returns:
+            Names without repetition, and the number of waiting workspaces for each of them.
+        """
+        if len(self._waiting) <= size:
+            return list(self._waiting), 1.0
+        # Even steps through the heap reach workspaces of all levels.
+        step = len(self._heap) // size
+        entries = self._heap[::step]
+        names = [name for _, sequence, name in entries if self._valid.get(name) == sequence]
+        return names, len(self._waiting) / max(1, len(names))
+
     def newest_of_longest(self) -> QueuedWork | None:
         """Finds the work to displace when memory is short.
 
--- a/src/sapphireledge/core/admission/capacity.py
+++ b/src/sapphireledge/core/admission/capacity.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 __all__ = ["Capacity"]
 
@@ -19,3 +23,9 @@
 
     token_rate: float = 0.0
     """Tokens per second that the busy slots produce together; 0 if not measured yet."""
+
+    running: Mapping[str, int] = field(default_factory=dict)
+    """Running sequences by rank over all instances, as far as known.
+
+    It lets the reserve of a rank count as used by the work of other instances too.
+    """
--- a/src/sapphireledge/core/admission/rank_scheduler.py
+++ b/src/sapphireledge/core/admission/rank_scheduler.py
@@ -5,7 +5,7 @@
 from heapq import heapify, heappop, heappush
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.admission._rank_state import RankState, RunningWork
+from sapphireledge.core.admission._rank_state import RankState, RunningWork, WaitingWork
 from sapphireledge.core.admission.admitted import Admitted
 from sapphireledge.core.admission.capacity import Capacity
 from sapphireledge.core.admission.expired import Expired
@@ -29,6 +29,12 @@
 wait for running work to end while the reserve stands free.
 """
 
+PACE_PRIOR = 1.0
+"""Seconds of each running work that count at the mean pace when the pace of a rank is measured."""
+
+AHEAD_SAMPLE = 32
+"""Waiting workspaces compared to estimate a wait; more are sampled evenly."""
+
 MIN_RETRY_AFTER = 0.1
 """Shortest retry time that is announced, in seconds."""
 
@@ -60,9 +66,8 @@
         self._ledger = UsageLedger(cfg.usage_half_life) if ledger is None else ledger
         self._states: dict[str, RankState] = {}
         self._order: list[RankState] = []
-        self._waiting: dict[str, QueuedWork] = {}
+        self._waiting: dict[str, WaitingWork] = {}
         self._deadlines: list[tuple[float, str]] = []
-        self._deadline_of: dict[str, float] = {}
         self._running: dict[str, RunningWork] = {}
         self._displaced: list[Expired] = []
         self._capacity = Capacity(0, 0)
@@ -120,7 +125,7 @@
             return Failure(ErrorKind.INVALID_REQUEST, f"work {work.work_id!r} is already known")
         deadline = self._deadline(now, state, work)
         if work.is_resume:
-            self._enqueue(state, work, deadline)
+            self._enqueue(now, state, work, deadline, 0.0)
             return Admitted(0.0, deadline)
         if deadline <= now:
             return Failure(ErrorKind.DEADLINE_EXCEEDED, "the deadline had passed on arrival")
@@ -130,7 +135,7 @@
         if len(self._waiting) >= self._cfg.max_queued and not self._displace(now, state, work):
             retry_after = self._retry_after(now, state, work, wait)
             return Failure(ErrorKind.OVERLOADED, "the queue is full", retry_after=retry_after)
-        self._enqueue(state, work, deadline)
+        self._enqueue(now, state, work, deadline, wait)
         return Admitted(wait, deadline)
 
     def next(self, now: float, free: Capacity) -> list[QueuedWork | Expired]:
@@ -151,10 +156,11 @@
         self._seen_capacity = True
         result: list[QueuedWork | Expired] = [*self._displaced, *self._expire(now)]
         self._displaced = []
+        if self._waiting:
+            self._measure_paces(now)
         slots = free.free
-        scale = self._fleet_scale(slots)
         while slots > 0 and self._waiting:
-            work = self._pick(now, slots, scale)
+            work = self._pick(slots)
             if work is None:
                 break
             self._hand_out(now, work)
@@ -207,7 +213,7 @@
         if running is None:
             return
         state = self._states[running.work.rank]
-        state.running -= 1
+        state.count_running(now, -1)
         state.running_resumes -= running.work.is_resume
         used = running.work.prompt_tokens + running.consumed if running.started else 0
         surplus = running.charged - used
@@ -225,9 +231,9 @@
         Returns:
             Whether the work was known.
         """
-        work = self._waiting.get(work_id)
-        if work is not None:
-            self._dequeue(work)
+        waiting = self._waiting.get(work_id)
+        if waiting is not None:
+            self._dequeue(waiting.work)
             return True
         known = work_id in self._running
         self.on_ended(self._now, work_id)
@@ -246,15 +252,16 @@
         state = self._states[work.rank]
         if not self._seen_capacity or self._capacity.total <= 0:
             return 0.0
-        held = self._held_back(state, self._fleet_scale(self._capacity.free))
+        held = self._held_back(state)
         spare = self._capacity.free - held
         if len(self._waiting) < spare:
             return 0.0
         rate = self._rank_rate(now, state)
         if rate <= 0.0:
             return 0.0
-        ahead = self._ahead(now, state, work)
-        return max(0.0, ahead + work.cost / 2 - max(0.0, spare) * work.cost) / rate
+        ahead = self._ahead(now, state, work) - max(0.0, spare) * work.cost
+        # The work itself needs one slot, which becomes free after half a mean work on average.
+        return state.correction(now) * max(0.0, ahead + work.cost / 2) / rate
 
     def loads(self) -> tuple[RankLoad, ...]:
         """Lists running and waiting work by rank, the most urgent first.
@@ -280,10 +287,13 @@
             max(self._cfg.late_wait, state.rank.target) if wanted_late else state.rank.target
         )
 
-    def _enqueue(self, state: RankState, work: QueuedWork, deadline: float) -> None:
+    def _enqueue(
+        self, now: float, state: RankState, work: QueuedWork, deadline: float, estimate: float
+    ) -> None:
         """Puts work into the queue of its rank."""
-        self._waiting[work.work_id] = work
-        self._deadline_of[work.work_id] = deadline
+        self._waiting[work.work_id] = WaitingWork(
+            work, now, deadline, estimate, state.correction(now)
+        )
         heappush(self._deadlines, (deadline, work.work_id))
         if work.is_resume:
             self._sequence += 1
@@ -296,23 +306,24 @@
         """Takes work out of the queue of its rank."""
         state = self._states[work.rank]
         del self._waiting[work.work_id]
-        del self._deadline_of[work.work_id]
         if work.is_resume:
             del state.resumes[work.work_id]
         else:
             state.queue.remove(work)
         if len(self._deadlines) > max(MIN_COMPACT, 4 * len(self._waiting)):
-            self._deadlines = [(d, w) for d, w in self._deadlines if self._deadline_of.get(w) == d]
+            self._deadlines = [(item.deadline, name) for name, item in self._waiting.items()]
             heapify(self._deadlines)
 
     def _expire(self, now: float) -> Iterator[Expired]:
         """Removes the work whose deadline has passed."""
         while self._deadlines and self._deadlines[0][0] < now:
             deadline, work_id = heappop(self._deadlines)
-            if self._deadline_of.get(work_id) != deadline:
+            waiting = self._waiting.get(work_id)
+            if waiting is None or waiting.deadline != deadline:
                 continue
-            work = self._waiting[work_id]
+            work = waiting.work
             self._dequeue(work)
+            self._states[work.rank].compare_wait(now, waiting)
             reason = "the deadline passed while the request waited"
             yield Expired(work, _refusal(ErrorKind.DEADLINE_EXCEEDED, reason, work))
 
@@ -345,30 +356,29 @@
         self._displaced.append(Expired(victim, failure))
         return True
 
-    def _pick(self, now: float, slots: int, scale: float) -> QueuedWork | None:
+    def _pick(self, slots: int) -> QueuedWork | None:
         """Chooses the work for one free slot."""
-        resume = self._pick_resume(slots, scale)
+        resume = self._pick_resume(slots)
         if resume is not None:
             return resume
-        for state in self._by_urgency(now):
-            if slots > self._held_back(state, scale):
+        for state in self._by_urgency():
+            if slots > self._held_back(state):
                 workspace = state.queue.head()
                 assert workspace is not None
                 return state.queue.first_of(workspace)
         return None
 
-    def _by_urgency(self, now: float) -> list[RankState]:
+    def _by_urgency(self) -> list[RankState]:
         """Orders the backlogged ranks: below their share first, then by urgency."""
         backlogged = [state for state in self._order if state.queue.size]
         if len(backlogged) < 2:
             return backlogged
-        rates = {id(state): self._token_rate(now, state) for state in self._order}
-        total = sum(rates.values())
+        total = sum(state.running * state.pace for state in self._order)
         below: list[tuple[float, int, RankState]] = []
         rest: list[RankState] = []
         for position, state in enumerate(backlogged):
             due = state.rank.share * total
-            received = rates[id(state)]
+            received = state.running * state.pace
             if state.rank.share > 0.0 and received < due:
                 below.append((received / due, position, state))
             else:
@@ -376,26 +386,31 @@
         below.sort()
         return [state for _, _, state in below] + rest
 
-    def _token_rate(self, now: float, state: RankState) -> float:
-        """Estimates the tokens that the running work of a rank produces.
+    def _measure_paces(self, now: float) -> None:
+        """Renews the tokens per second and running work of each rank, relative to all ranks.
 
-        A plain sum over the window would lag behind the starts of generations that run longer than
-        the window, and ranks would overshoot their shares in turn. So the window gives only the
-        tokens per running work, relative to all ranks.
+        A plain sum of tokens over the window would lag behind the starts of generations that run
+        longer than the window, and ranks would overshoot their shares in turn. So the window gives
+        only the pace of a rank, and its running work the rest.
         """
-        return state.running
-
-    def _pick_resume(self, slots: int, scale: float) -> QueuedWork | None:
+        samples = [(s.tokens.value(now), s.slot_time(now)) for s in self._order]
+        slot_time = sum(sample[1] for sample in samples)
+        mean = sum(sample[0] for sample in samples) / slot_time if slot_time > 0.0 else 0.0
+        for state, (tokens, time) in zip(self._order, samples, strict=True):
+            prior = PACE_PRIOR * max(1, state.running)
+            state.pace = (tokens + prior * mean) / (time + prior) if mean > 0.0 else 1.0
+
+    def _pick_resume(self, slots: int) -> QueuedWork | None:
         """Chooses a resume, as long as resumes stay within their share while first tries wait."""
         if not any(state.resumes for state in self._order):
             return None
-        resumes = sum(state.running_resumes for state in self._order) * scale
+        resumes = sum(state.running_resumes for state in self._order) * self._fleet_scale(slots)
         first_tries = any(state.queue.size for state in self._order)
         if first_tries and resumes + 1 > max(1.0, self._cfg.resume_share * self._capacity.total):
             return None
         for state in self._order:
             work = self._first_resume(state)
-            if work is not None and slots > RESUME_RESERVE * self._held_back(state, scale):
+            if work is not None and slots > RESUME_RESERVE * self._held_back(state):
                 return work
         return None
 
@@ -404,30 +419,52 @@
         while state.resume_heap:
             _, sequence, work_id = state.resume_heap[0]
             if state.resumes.get(work_id) == sequence:
-                return self._waiting[work_id]
+                return self._waiting[work_id].work
             heappop(state.resume_heap)
         return None
 
     def _hand_out(self, now: float, work: QueuedWork) -> None:
         """Moves work from waiting to running and charges its estimate."""
-        self._dequeue(work)
         state = self._states[work.rank]
-        state.running += 1
+        state.compare_wait(now, self._waiting[work.work_id])
+        self._dequeue(work)
+        state.count_running(now, 1)
         state.running_resumes += work.is_resume
         state.starts.add(now, work.cost)
         self._running[work.work_id] = RunningWork(work, now, work.cost)
         self._ledger.charge(now, work.workspace, work.cost)
 
-    def _held_back(self, state: RankState, scale: float) -> float:
-        """Slots that a rank must leave free for the unused reserves of more urgent ranks."""
+    def _held_back(self, state: RankState) -> float:
+        """Slots that a rank must leave free for the unused reserves of more urgent ranks.
+
+        A rank that has more work than it can start needs no reserve: it takes free slots itself,
+        and only its share protects the others from it. Early refusal keeps its queue so short that
+        it is empty at times, so a recent refusal counts as well.
+        """
         held = 0.0
         for other in self._order:
-            if other is state or other.rank.order >= state.rank.order:
-                continue
-            reserve = other.rank.reserve * self._capacity.total
-            held += max(0.0, reserve - other.running * scale)
+            if other.rank.order >= state.rank.order:
+                break
+            if other.rank.reserve and not other.is_pressed(self._now):
+                used = self._reserve_used(other)
+                held += max(0.0, other.rank.reserve * self._capacity.total - used)
         return held
 
+    def _reserve_used(self, state: RankState) -> int:
+        """Running work that counts as using the reserve of a rank.
+
+        Scaling own work up to all instances was tried: with a few running works for each instance
+        the estimate scatters so much that the reserve was given away. Counting own work alone was
+        tried too: instances then hold back different amounts, and those that hold back less take
+        all slots. So where others use the pool and their work is not known, the whole reserve is
+        kept free on top of the running work.
+        """
+        known = self._capacity.running
+        if known:
+            return max(state.running, known.get(state.rank.name, 0))
+        busy = self._capacity.total - self._capacity.free
+        return state.running if busy <= len(self._running) else 0
+
     def _fleet_scale(self, slots: int) -> float:
         """Estimates how many works run in the pool for each one of this instance.
 
@@ -456,25 +493,29 @@
         return max(rate - others, max(0.01, state.rank.share) * rate)
 
     def _ahead(self, now: float, state: RankState, work: QueuedWork) -> float:
-        """Estimates the tokens of its rank that start before work that is offered now."""
-        queue = state.queue
-        own = queue.backlog_of(work.workspace)
-        others = queue.backlog - own
-        if others <= 0:
+        """Estimates the tokens of its rank that start before work that is offered now.
+
+        It starts when the usage of its workspace, its own waiting work included, is the lowest per
+        weight. Until then each other workspace starts what lifts it to the same usage, at most what
+        it has waiting.
+        """
+        own = state.queue.backlog_of(work.workspace)
+        if state.queue.backlog <= own:
             return own
-        head = queue.head()
-        assert head is not None
-        weights = queue.total_weight - (work.weight if own else 0.0)
-        lead = self._ledger.usage(now, work.workspace) / work.weight
-        lead -= self._ledger.usage(now, head) / queue.weight_of(head)
-        # While this workspace gets its own backlog and what it is ahead by, the others get as
-        # much per weight, but never more than they wait for.
-        return own + min(others, weights * (own / work.weight + max(0.0, lead)))
+        target = (self._ledger.usage(now, work.workspace) + own) / work.weight
+        sample, factor = state.queue.sample(AHEAD_SAMPLE)
+        others = 0.0
+        for name in sample:
+            if name != work.workspace:
+                lift = state.queue.weight_of(name) * target - self._ledger.usage(now, name)
+                others += max(0.0, min(state.queue.backlog_of(name), lift))
+        return own + others * factor
 
     def _late(
         self, now: float, state: RankState, work: QueuedWork, wait: float, allowed: float
     ) -> Failure:
         """Refuses work that would start too late."""
+        state.pressed_at = now
         reason = f"the first token is expected in {wait:.1f} s, {allowed:.1f} s are left"
         retry_after = self._retry_after(now, state, work, wait - allowed)
         return Failure(ErrorKind.WOULD_BE_LATE, reason, retry_after=retry_after)
