--- a/bench/engine_stream.py
+++ b/bench/engine_stream.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import os
+import resource
 import subprocess
 import sys
 import time
@@ -81,6 +82,9 @@
     finally:
         engine.kill()
         engine.wait()
+    used = resource.getrusage(resource.RUSAGE_CHILDREN)
+    engine_cpu = (used.ru_utime + used.ru_stime) / max(1, result["tokens"]) * 1e6
+    result["engine_cpu_us_per_token"] = round(engine_cpu, 2)
     settings = {"streams": streams, "token_rate": token_rate}
     print(msgspec.json.encode({**settings, **result}).decode())
 
