Fix late detection of silence, the end of a superseded owner and lookups by token

A silent engine was noticed after 4.4 to 4.7 s (limit 3 s): the timer was set for the 5 s wait for the first token and never set again when the deadline moved back to 0.5 s after that token. It fires at least every 0.1 s now. An owner that was paused and had already received the end from its engine never told its caller that the answer moved, because the end was known before the partner refused the tokens; the caller waited for 30 s. Lookups by token and by model are kept in an index instead of scanning all workspaces for each request.

--- a/src/sapphireledge/core/config/__init__.py
+++ b/src/sapphireledge/core/config/__init__.py
@@ -6,10 +6,12 @@
 from sapphireledge.core.config.change_applier import ChangeApplier
 from sapphireledge.core.config.change_record import CHANGE_PREFIX, ChangeRecord
 from sapphireledge.core.config.config_state import Acceptance, ConfigState
+from sapphireledge.core.config.declaration_index import DeclarationIndex
 from sapphireledge.core.config.stored_declaration import (
     CONFIG_PREFIX,
     StoredDeclaration,
     config_key,
+    split_config_key,
 )
 
 __all__ = [
@@ -22,7 +24,9 @@
     "ChangeApplier",
     "ChangeRecord",
     "ConfigState",
+    "DeclarationIndex",
     "DiffEntry",
     "StoredDeclaration",
     "config_key",
+    "split_config_key",
 ]
--- a/src/sapphireledge/core/config/config_state.py
+++ b/src/sapphireledge/core/config/config_state.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
+from sapphireledge.core.config.declaration_index import DeclarationIndex
 from sapphireledge.core.config.stored_declaration import (
     StoredDeclaration,
     config_key,
@@ -70,6 +71,9 @@
         self.rejected: dict[str, Failure] = {}
         """Objects whose newest version is broken, with the reason."""
 
+        self.index = DeclarationIndex()
+        """Lookups over the declarations in force."""
+
         self._entries: dict[str, _Entry] = {}
         self._declared: dict[str, dict[str, Any]] = {kind.value: {} for kind in DeclarationKind}
 
@@ -197,10 +201,12 @@
         self.rejected.pop(stored.key, None)
         entry.good = stored
         kind, name = split_config_key(stored.key)
+        declared = self._declared.get(kind, {})
+        self.index.replace(declared.get(name), checked)
         if checked is None:
-            self._declared.get(kind, {}).pop(name, None)
+            declared.pop(name, None)
         else:
-            self._declared[kind][name] = checked
+            declared[name] = checked
         return Acceptance.APPLIED
 
 
--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -18,12 +18,11 @@
 from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Iterable, Sequence
     from typing import Any
 
     from opentelemetry.context import Context
 
-    from sapphireledge.core.config import ConfigState
     from sapphireledge.entry.answer_registry import AnswerRegistry
     from sapphireledge.entry.answer_runner import AnswerRunner
     from sapphireledge.entry.caller_request import CallerRequest
@@ -78,7 +77,7 @@
         copies: CopyStore,
         mesh: PeerMesh,
         queries: PeerQueries,
-        config: ConfigState,
+        versions_of: Callable[[str], Iterable[str]],
     ) -> None:
         """Creates the locator.
 
@@ -88,14 +87,14 @@
             copies: Copies that this instance holds for others.
             mesh: Links to other instances.
             queries: Questions to all instances.
-            config: Declarations in force.
+            versions_of: Versions of a model that can have generated a text.
         """
         self._cfg = cfg
         self._registry = registry
         self._copies = copies
         self._mesh = mesh
         self._queries = queries
-        self._config = config
+        self._versions_of = versions_of
         self._locks = KeyedLocks()
         self._log = structlog.get_logger()
 
@@ -223,7 +222,7 @@
         verified = verify_text(
             self._cfg.fleet_secret,
             req.answer_id,
-            self._config.versions_of(req.model),
+            self._versions_of(req.model),
             EventId(point.offset, point.digest),
             point.received,
         )
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -59,6 +59,10 @@
 """Cause for the generation machine of each cause that the engine client tells apart."""
 
 
+MAX_TIMER_DELAY = 0.1
+"""Longest delay of the timer in seconds, which bounds how late a silence is noticed."""
+
+
 class AnswerRunner:
     """Carries out the decisions of the generation machine of one answer.
 
@@ -191,6 +195,8 @@
 
     def _finish(self, end: AnswerEnd) -> None:
         """Ends the answer."""
+        if self._answer.end is not None:
+            return
         self._answer.finish(end)
         self._answer.ended_at = time.monotonic()
         result = end.failure.kind if end.failure is not None else "completed"
@@ -274,8 +280,13 @@
 
     async def _stop_superseded(self) -> None:
         """Ends the generation outside of the callback that found the newer owner."""
+        if self._answer.is_drained:
+            return
         if self._answer.end is None:
             self.superseded("")
+        # The engine may have ended the answer before the partner refused its last tokens.
+        failure = Failure(ErrorKind.ANSWER_MOVED, "another instance continues the answer", Ran.YES)
+        self._answer.supersede(AnswerEnd(failure=failure))
 
     def _work(self, decision: Dispatch) -> PoolWork:
         """Describes the attempt for the queue and the router."""
@@ -407,14 +418,14 @@
         if deadline is None:
             self._timer = None
             return
-        delay = max(0.0, deadline - time.monotonic())
+        delay = min(max(0.0, deadline - time.monotonic()), MAX_TIMER_DELAY)
         self._timer = asyncio.get_running_loop().call_later(delay, self._on_timer)
 
     def _on_timer(self) -> None:
         """Passes the time to the machine.
 
-        The deadline moves with every token; the timer is set again only when it fires, which costs
-        nothing for each token.
+        The deadline moves with every token, and can move back when the first token replaces the
+        long wait for it. Setting the timer again only when it fires costs nothing for each token.
         """
         self._timer = None
         if self._answer.end is None:
--- a/src/sapphireledge/entry/app.py
+++ b/src/sapphireledge/entry/app.py
@@ -132,7 +132,7 @@
         """Finds the caller's workspace."""
         config = self._parts.config
         return authenticate(
-            request.headers, config.workspaces, config.token_owners, self._parts.cfg.callers
+            request.headers, config.workspaces, config.index.token_owners, self._parts.cfg.callers
         )
 
     def _refuse_by_state(self) -> Failure | None:
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -182,7 +182,7 @@
         Returns:
             The place, or why there is none.
         """
-        deployment = self._config.deployment_for(work.req.model)
+        deployment = self._config.index.deployment_for(work.req.model)
         if deployment is None:
             reason = f"model: {work.req.model!r} is not declared"
             return Failure(ErrorKind.UNKNOWN_MODEL, reason)
@@ -397,7 +397,7 @@
 
     def _role(self, model: str) -> str:
         """Role of the engines of a model."""
-        deployment = self._config.deployment_for(model)
+        deployment = self._config.index.deployment_for(model)
         return deployment.role if deployment is not None else "drafting"
 
     def _resolve(self, work_id: str, failure: Failure | None) -> None:
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -150,7 +150,7 @@
             cfg, self._store, self._view, self._pools, self._mesh, self._metrics, self._rng
         )
         self._locator = AnswerLocator(
-            cfg, self._registry, self._copy_store, self._mesh, self._queries, self._config
+            cfg, self._registry, self._copy_store, self._mesh, self._queries, self._versions_of
         )
         self._parts = EntryParts(
             cfg=cfg,
@@ -320,6 +320,14 @@
             lifecycle=self.lifecycle,
         )
 
+    def _versions_of(self, model: str) -> list[str]:
+        """Versions of a model that are declared or loaded somewhere."""
+        found = dict.fromkeys(self._config.index.versions_of(model))
+        for state in self._view.states():
+            models = state.report.models if state.report is not None else ()
+            found.update(dict.fromkeys(m.version for m in models if m.model == model))
+        return list(found)
+
     def _is_candidate(self) -> bool:
         """Whether this instance should hold the lease for orders of its data centre.
 
--- a/src/sapphireledge/entry/running_answer.py
+++ b/src/sapphireledge/entry/running_answer.py
@@ -89,6 +89,18 @@
             self.end = end
             self._notify()
 
+    def supersede(self, end: AnswerEnd) -> None:
+        """Ends the answer because another instance owns it.
+
+        Tokens that no reader may have yet are dropped: the new owner continues differently.
+
+        Args:
+            end: The failure that names the new owner.
+        """
+        del self.pieces[self.readable :]
+        self.end = end
+        self._notify()
+
     async def wait(self, offset: int, limit: float | None = None) -> bool:
         """Waits until there is something to read from an offset on, or the end.
 
--- a/src/sapphireledge/operator/order_giver.py
+++ b/src/sapphireledge/operator/order_giver.py
@@ -88,7 +88,7 @@
         if self._view.state(request.backend or "") is None:
             reason = f"backend: {request.backend!r} is not in the instance list"
             return Failure(ErrorKind.NOT_FOUND, reason)
-        deployment = self._config.deployment_for(request.model or "")
+        deployment = self._config.index.deployment_for(request.model or "")
         return Order(
             engine=request.backend,
             action=action,
