--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,343 @@
+"""The measures of the design page on loopback, each against the baseline in the same run.
+
+One command for each measure: resume, ranks, urgent-flood, fairness. Every command repeats its runs
+with fixed seeds and prints one JSON line for each run and a summary with the spread at the end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import contextmanager
+from pathlib import Path
+from random import Random
+from typing import Annotated, Any
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+import msgspec  # noqa: E402
+import typer  # noqa: E402
+import uuid6  # noqa: E402
+
+from bench.load import CallerGroup, LoadOptions, run_load  # noqa: E402
+from devtools.caller import generate  # noqa: E402
+from devtools.local_fleet import EngineSpec, EntrySpec, LocalFleet, free_port  # noqa: E402
+from sapphireledge_standins.chained_answer import check_chained_answer  # noqa: E402
+
+app = typer.Typer(no_args_is_help=True)
+"""The commands."""
+
+RunsOption = Annotated[int, typer.Option(min=1, help="Runs with different seeds.")]
+
+OUTPUT = 40
+"""Tokens of an answer in the flood measures."""
+
+TOKEN_RATE = 40.0
+"""Tokens per second of a sequence."""
+
+SLOTS = 4
+"""Sequences of an engine."""
+
+ENGINES = 3
+"""Engines in the flood measures."""
+
+CAPACITY = ENGINES * SLOTS * TOKEN_RATE / OUTPUT
+"""Requests per second that the engines can take."""
+
+RANKS: tuple[tuple[str, dict[str, Any]], ...] = (
+    (
+        "rank",
+        {"name": "urgent", "order": 0, "target": 2, "worth": 10, "share": 0.4, "reserve": 0.2},
+    ),
+    ("rank", {"name": "standard", "order": 1, "target": 10, "worth": 3, "share": 0.3}),
+    ("rank", {"name": "background", "order": 2, "target": 10, "share": 0.2}),
+    ("deployment", {"name": "drafting", "model": "drafter", "version": "v1"}),
+    *(("workspace", {"name": name}) for name in ("default", "large", "s1", "s2", "s3", "s4", "s5")),
+)
+"""What the fleets of the flood measures declare."""
+
+
+def start_fleet(folder: str, entries: int, engines: int, options: tuple[str, ...]) -> LocalFleet:
+    """Builds a fleet of one data centre."""
+    return LocalFleet(
+        Path(folder),
+        tuple(EntrySpec(f"e{n}") for n in range(entries)),
+        tuple(EngineSpec(f"g{n}", options=(*options, "--seed", str(n))) for n in range(engines)),
+        declarations=RANKS,
+    )
+
+
+@contextmanager
+def baseline(fleet: LocalFleet):
+    """Runs the baseline entry before the engines of a fleet and yields its address."""
+    port = free_port()
+    command = [sys.executable, str(ROOT / "bench" / "baseline_entry.py"), "--port", str(port)]
+    for engine in fleet.engines:
+        command += ["--engine", fleet.processes[engine.name].address]
+    process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    try:
+        end = time.monotonic() + 20
+        while time.monotonic() < end:
+            try:
+                fleet.admin(f"http://127.0.0.1:{port}", "GET", "/readyz")
+                break
+            except OSError:
+                time.sleep(0.05)
+        yield f"127.0.0.1:{port}"
+    finally:
+        process.kill()
+        process.wait()
+
+
+def spread(values: list[float]) -> dict[str, float]:
+    """Summarises one figure over the runs."""
+    return {
+        "median": round(statistics.median(values), 3),
+        "min": round(min(values), 3),
+        "max": round(max(values), 3),
+        "runs": len(values),
+    }
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Value below which a share of the values lies."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def show(value: Any) -> None:
+    """Prints one line of JSON."""
+    print(msgspec.json.encode(value).decode(), flush=True)
+
+
+@app.command()
+def resume(
+    runs: RunsOption = 5,
+    losses: Annotated[int, typer.Option(help="Losses in each run and kind.")] = 8,
+) -> None:
+    """Resume latency and cost: an engine is killed, frozen or silent at a random token."""
+    kinds: dict[str, tuple[Callable, Callable]] = {}
+    gaps: dict[str, list[list[float]]] = {"killed": [], "frozen": [], "silent": []}
+    extra: dict[str, list[float]] = {name: [] for name in gaps}
+    restart: dict[str, list[float]] = {name: [] for name in gaps}
+    for seed in range(runs):
+        with tempfile.TemporaryDirectory() as folder:
+            options = ("--token-rate", "40", "--slots", "16")
+            with start_fleet(folder, 3, 4, options) as fleet:
+                time.sleep(2.5)
+                kinds = _losses(fleet)
+                for kind, (lose, mend) in kinds.items():
+                    rng = Random(f"{seed}/{kind}")
+                    results = [_one_loss(fleet, rng, lose, mend) for _ in range(losses)]
+                    gaps[kind].append([r["gap"] for r in results])
+                    tokens = sum(r["tokens"] for r in results)
+                    extra[kind].append(sum(r["recomputed"] for r in results) / tokens)
+                    restart[kind].append(sum(r["lost_at"] for r in results) / tokens)
+                    show({"seed": seed, "kind": kind, "results": results})
+    for kind in kinds:
+        all_gaps = [gap for run in gaps[kind] for gap in run]
+        show(
+            {
+                "kind": kind,
+                "losses": len(all_gaps),
+                "gap_s_p50": round(percentile(all_gaps, 0.5), 3),
+                "gap_s_p95": round(percentile(all_gaps, 0.95), 3),
+                "gap_s_max": round(max(all_gaps), 3),
+                "p95_by_run": spread([percentile(run, 0.95) for run in gaps[kind]]),
+                "recomputed_share_of_tokens": spread(extra[kind]),
+                "restart_from_zero_share_of_tokens": spread(restart[kind]),
+            }
+        )
+
+
+def _losses(fleet: LocalFleet) -> dict[str, tuple[Callable, Callable]]:
+    """Ways to lose an engine, and to bring it back."""
+
+    def restart(name: str) -> None:
+        fleet.start_engine(next(e for e in fleet.engines if e.name == name))
+        fleet.publish_instances()
+        fleet.wait_port(name, fleet.processes[name].address)
+
+    return {
+        "killed": (fleet.kill, restart),
+        "frozen": (fleet.pause, fleet.resume),
+        "silent": (lambda name: fleet.faults(name, silence_existing=True), fleet.faults),
+    }
+
+
+def _one_loss(fleet: LocalFleet, rng: Random, lose: Callable, mend: Callable) -> dict[str, Any]:
+    """Generates one answer with one loss and measures the gap and the recomputed tokens."""
+    request_id = str(uuid6.uuid7())
+    tokens = 160
+    lost_at = rng.randrange(5, tokens - 5)
+    lost: list[str] = []
+
+    def act(count: int) -> bool:
+        if count == lost_at:
+            for engine in fleet.engines:
+                names = fleet.counts(engine.name)["requests"]
+                if any(name.endswith(request_id) for name in names):
+                    lost.append(engine.name)
+                    lose(engine.name)
+        return False
+
+    before = _recomputed(fleet, ())
+    entry = f"e{rng.randrange(3)}"
+    answer = generate(fleet.callers[entry], request_id=request_id, max_tokens=tokens, on_token=act)
+    report = check_chained_answer(answer.text)
+    if not (answer.done and report.intact and report.tokens == tokens and lost):
+        raise RuntimeError(f"answer is not whole: {report} {answer.error} {answer.broken}")
+    after = _recomputed(fleet, lost)
+    for name in lost:
+        mend(name)
+    time.sleep(1.2)
+    return {
+        "lost_at": lost_at,
+        "gap": round(answer.longest_gap, 4),
+        "tokens": tokens,
+        "recomputed": sum(max(0, after[name] - before.get(name, 0)) for name in after),
+    }
+
+
+def _recomputed(fleet: LocalFleet, skip: tuple[str, ...] | list[str]) -> dict[str, int]:
+    """Prefix tokens that each engine computed again."""
+    return {
+        engine.name: fleet.counts(engine.name)["tokens_recomputed"]
+        for engine in fleet.engines
+        if engine.name not in skip
+    }
+
+
+def _load(
+    addresses: tuple[str, ...], groups: list[CallerGroup], seed: int, patience: float = 5.0
+) -> list[dict[str, Any]]:
+    """Runs load and returns one summary for each group."""
+    options = LoadOptions(addresses, patience=patience, seed=seed, max_open=3000)
+    return asyncio.run(run_load(groups, options))["groups"]
+
+
+def _addresses(fleet: LocalFleet) -> tuple[str, ...]:
+    """Caller addresses of the entries."""
+    return tuple(url.removeprefix("http://") for url in fleet.callers.values())
+
+
+def _measure_flood(
+    runs: int, quiet: list[CallerGroup], flood: list[CallerGroup], pick: Callable
+) -> dict[str, dict[str, list[float]]]:
+    """Runs the quiet load and the flood through the entries and through the baseline."""
+    found: dict[str, dict[str, list[float]]] = {}
+    for seed in range(runs):
+        with tempfile.TemporaryDirectory() as folder:
+            options = ("--token-rate", str(TOKEN_RATE), "--slots", str(SLOTS))
+            with start_fleet(folder, 3, ENGINES, options) as fleet, baseline(fleet) as other:
+                time.sleep(2.5)
+                for system, addresses in (("entry", _addresses(fleet)), ("baseline", (other,))):
+                    for load, groups in (("quiet", quiet), ("flood", flood)):
+                        result = _load(addresses, groups, seed)
+                        figures = pick(result)
+                        show({"seed": seed, "system": system, "load": load, **figures})
+                        for name, value in figures.items():
+                            key = f"{system} {load}"
+                            found.setdefault(key, {}).setdefault(name, []).append(value)
+                        time.sleep(3.0)
+    return found
+
+
+def _summary(found: dict[str, dict[str, list[float]]]) -> None:
+    """Prints the spread of each figure."""
+    for key, figures in found.items():
+        for name, values in figures.items():
+            known = [value for value in values if value is not None]
+            if known:
+                show({"case": key, "figure": name, **spread(known)})
+
+
+@app.command()
+def ranks(
+    runs: RunsOption = 5, seconds: Annotated[float, typer.Option(help="Length of a run.")] = 10.0
+) -> None:
+    """Urgent service with and without a flood of the least urgent at 10 times the capacity."""
+    urgent = CallerGroup(CAPACITY * 0.2, seconds, "urgent", output_tokens=OUTPUT)
+    flood = CallerGroup(CAPACITY * 10, seconds, "background", output_tokens=OUTPUT)
+
+    def pick(groups: list[dict[str, Any]]) -> dict[str, float]:
+        first = groups[0]["first_token_ms"]
+        done = groups[0]["kinds"].get("complete", 0) / max(1, sum(groups[0]["kinds"].values()))
+        return {
+            "urgent_first_token_ms_p50": first.get("p50"),
+            "urgent_first_token_ms_p95": first.get("p95"),
+            "urgent_complete": round(done, 4),
+        }
+
+    found = _measure_flood(runs, [urgent], [urgent, flood], pick)
+    _summary(found)
+    for system in ("entry", "baseline"):
+        quiet = found[f"{system} quiet"]["urgent_first_token_ms_p95"]
+        busy = found[f"{system} flood"]["urgent_first_token_ms_p95"]
+        ratios = [b / q for b, q in zip(busy, quiet, strict=True) if b and q]
+        if ratios:
+            show({"system": system, "urgent_p95_flood_to_quiet": spread(ratios)})
+
+
+@app.command("urgent-flood")
+def urgent_flood(
+    runs: RunsOption = 5, seconds: Annotated[float, typer.Option(help="Length of a run.")] = 20.0
+) -> None:
+    """Share of the other ranks in a flood of the most urgent at 10 times the capacity."""
+    flood = CallerGroup(CAPACITY * 10, seconds, "urgent", output_tokens=OUTPUT)
+    # Both ask for somewhat more than their share, so that they always have work waiting.
+    standard = CallerGroup(CAPACITY * 0.45, seconds, "standard", output_tokens=OUTPUT)
+    background = CallerGroup(CAPACITY * 0.3, seconds, "background", output_tokens=OUTPUT)
+
+    def pick(groups: list[dict[str, Any]]) -> dict[str, float]:
+        tokens = {group["rank"]: group["tokens"] for group in groups}
+        total = sum(tokens.values())
+        shares = {"standard": 0.3, "background": 0.2}
+        return {
+            f"{rank}_of_declared_share": round(tokens.get(rank, 0) / total / share, 4)
+            for rank, share in shares.items()
+        }
+
+    _summary(_measure_flood(runs, [standard, background], [standard, background, flood], pick))
+
+
+@app.command()
+def fairness(
+    runs: RunsOption = 5, seconds: Annotated[float, typer.Option(help="Length of a run.")] = 20.0
+) -> None:
+    """Small callers beside one that asks for 50 times its share over all entries."""
+    small = [
+        CallerGroup(CAPACITY * 0.1, seconds, "standard", f"s{n}", output_tokens=OUTPUT)
+        for n in range(1, 6)
+    ]
+    share = CAPACITY / 6
+    large = CallerGroup(share * 50, seconds, "standard", "large", output_tokens=OUTPUT)
+
+    def pick(groups: list[dict[str, Any]]) -> dict[str, float]:
+        little = [group for group in groups if group["workspace"] != "large"]
+        asked = sum(sum(group["kinds"].values()) for group in little)
+        done = sum(group["kinds"].get("complete", 0) for group in little)
+        p95 = [g["first_token_ms"]["p95"] for g in little if "p95" in g["first_token_ms"]]
+        return {
+            "small_complete_of_asked": round(done / max(1, asked), 4),
+            "small_tokens": sum(group["tokens"] for group in little),
+            "small_first_token_ms_p95": max(p95) if p95 else None,
+        }
+
+    found = _measure_flood(runs, small, [*small, large], pick)
+    _summary(found)
+    for system in ("entry", "baseline"):
+        alone = found[f"{system} quiet"]["small_tokens"]
+        beside = found[f"{system} flood"]["small_tokens"]
+        ratios = [b / a for a, b in zip(alone, beside, strict=True) if a]
+        show({"system": system, "small_tokens_beside_to_alone": spread(ratios)})
+
+
+if __name__ == "__main__":
+    app()
