Add property tests of answers, ownership and replay

test_answer_properties drives three entries, their copies, engines and two callers through random interleavings of tokens, late output, lost and repeated chunks, broken connections, silence, probes, lost appends, change of partner, crash, pause and return of an owner, and takeover. Tokens are chained (each contains a hash of all text before it and a nonce of the engine), and the property is checked over all connections of a caller. OwnershipModel does the same for one holder with owners that never hear of each other.

--- /dev/null
+++ b/tests/test_answer_properties.py
@@ -0,0 +1,478 @@
+"""Property test of a generation over several entries, engines and caller connections.
+
+The token of an engine contains a hash of all text before it and the engine's nonce, so a missing,
+repeated or foreign token breaks the chain that a caller receives.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import unittest
+from collections import deque
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from sapphireledge.core.answer import (
+    AnswerDigest,
+    AnswerEnd,
+    BreakCause,
+    CancelAttempt,
+    ChangePartner,
+    CommitWindow,
+    Complete,
+    Deliver,
+    Dispatch,
+    EventId,
+    GenerationRequest,
+    OwnershipTable,
+    Probe,
+    Refuse,
+    Release,
+    StopDelivery,
+    StoredPrefix,
+    choose_copy,
+    verify_position,
+    verify_text,
+)
+from sapphireledge.core.replay import EventLog, RecordingMachine, replay_request
+from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.settings import ResumeSettings
+
+CFG = ResumeSettings(max_attempts=30)
+ENTRIES = ("a", "b", "c")
+VERSIONS = ("v1", "v2")
+SECRET = "secret"
+COPY_TIMEOUT = 0.1
+MIN_ANSWER = 8
+FAULTS = "dispatch emit stream break probe advance partner entry usurp leave reconnect"
+COPIES_AND_END = "send store acknowledge finish"
+STEPS = (*["progress"] * 4, *FAULTS.split(), *COPIES_AND_END.split())
+index = st.integers(0, 5)
+
+
+def chained(text: str, nonce: str) -> str:
+    return f"{nonce}:{hashlib.blake2b((nonce + text).encode(), digest_size=6).hexdigest()} "
+
+
+@dataclass(eq=False)
+class Attempt:
+    """An engine that works on one attempt."""
+
+    session: Session
+    number: int
+    nonce: str
+    offset: int
+    text: str
+    outbox: deque = field(default_factory=deque)
+    running: bool = True
+
+    def emit(self, tokens: int) -> None:
+        for _ in range(tokens if self.running else 0):
+            piece = chained(self.text, self.nonce)
+            self.outbox.append((self.offset, piece))
+            self.text += piece
+            self.offset += 1
+
+
+@dataclass(eq=False)
+class Session:
+    """One owner of the answer: machine, window and what the shell would keep."""
+
+    entry: str
+    machine: RecordingMachine
+    window: CommitWindow
+    pending: Dispatch | None = None
+    probe: Probe | None = None
+    acknowledged: int = 0
+
+
+@dataclass(eq=False)
+class Caller:
+    """A caller with everything that it received over all its connections."""
+
+    session: Session | None = None
+    pieces: list[str] = field(default_factory=list)
+    event_id: EventId | None = None
+    ended: bool = False
+
+
+class AnswerWorld(RuleBasedStateMachine):
+    """Random interleavings of faults; `receive` holds the property of each caller."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1.0
+        self.nonces = 0
+        self.tables = {name: OwnershipTable(60, 1 << 20) for name in ENTRIES}
+        self.logs = {name: EventLog(name, 1 << 22) for name in ENTRIES}
+        self.old_logs: list[EventLog] = []
+        self.sessions: list[Session] = []
+        self.attempts: list[Attempt] = []
+        self.appends: list = []
+        self.results: list = []
+        self.paused: set[str] = set()
+        self.finals: set[str] = set()
+        self.callers = [Caller(), Caller()]
+        self.reconnect(0, 0, False, False)
+
+    # What the shell does with decisions.
+
+    def act(self, session: Session, decisions: list) -> None:
+        for decision in decisions:
+            match decision:
+                case Deliver(offset, text):
+                    self.commit(session, session.window.push(self.now, offset, text))
+                case Dispatch():
+                    assert decision.offset == len(session.window._pieces)
+                    session.pending = decision
+                case Probe():
+                    session.probe = decision
+                case CancelAttempt():
+                    pass  # The order may be lost, so the engine goes on in the worst case.
+                case Complete(total, reason):
+                    assert total == session.machine.offset
+                    end = AnswerEnd(reason).to_finish()
+                    self.commit(session, session.window.end(self.now, end))
+                case Refuse(failure):
+                    end = AnswerEnd("", failure).to_finish()
+                    self.commit(session, session.window.end(self.now, end))
+
+    def commit(self, session: Session, decisions: list) -> None:
+        for decision in decisions:
+            match decision:
+                case Release(offset, pieces, protected, finish):
+                    if protected:
+                        assert offset + len(pieces) <= session.acknowledged, "released too early"
+                    for caller in self.callers:
+                        if caller.session is session:
+                            source = session.window.pieces(0)
+                            self.receive(caller, offset, source, finish, session.machine.version)
+                case StopDelivery():
+                    self.close(session)
+                    self.act(session, session.machine.on_superseded(self.now))
+                case ChangePartner():
+                    pass
+
+    def receive(self, caller: Caller, offset: int, source, finish: str, version: str) -> None:
+        """Sends what the entry has (source) from the offset on to a caller."""
+        assert offset == len(caller.pieces), "token missing or repeated"
+        assert not caller.ended, "output after the end"
+        for piece in source[offset:]:
+            text = "".join(caller.pieces)
+            assert piece == chained(text, piece.split(":")[0]), "two generations mixed"
+            assert not text or piece[:2] == text[:2], "two versions mixed"
+            caller.pieces.append(piece)
+        if caller.pieces:
+            digest = AnswerDigest(SECRET, "r", version)
+            for piece in source:
+                digest.update(piece)
+            caller.event_id = digest.event_id()
+        if finish and AnswerEnd.parse(finish).failure is None:
+            caller.ended = True
+            assert "".join(caller.pieces) in self.finals, "answer is not whole"
+
+    def close(self, session: Session) -> None:
+        for caller in self.callers:
+            if caller.session is session:
+                caller.session = None
+
+    def running(self, session: Session) -> bool:
+        return session in self.sessions and session.entry not in self.paused
+
+    def pick(self, items: list, i: int):
+        return items[-1 - i % len(items)] if items else None
+
+    # Engines.
+
+    def dispatch(self, session: Session, version: str = "v1", rewind: bool = False) -> None:
+        order, session.pending = session.pending, None
+        if order is None or session.machine.ended:
+            return
+        self.nonces += 1
+        decisions = session.machine.on_dispatched(
+            self.now, order.attempt, f"e{self.nonces % 3}", version
+        )
+        self.act(session, decisions)
+        if decisions:
+            return
+        offset, text = (0, "") if rewind else (order.offset, session.machine.text)
+        nonce = f"{version}-{self.nonces}"
+        self.attempts.append(Attempt(session, order.attempt, nonce, offset, text))
+
+    def deliver(self, attempt: Attempt, chunks: int) -> None:
+        session = attempt.session
+        while attempt.outbox and chunks and self.running(session):
+            chunks -= 1
+            offset, piece = attempt.outbox.popleft()
+            method = session.machine.on_token
+            if piece is None:
+                method, piece = session.machine.on_finished, "stop"
+            self.act(session, method(self.now, attempt.number, offset, piece))
+
+    def current(self, i: int) -> Attempt | None:
+        """Mostly the newest attempt, sometimes one that was given up."""
+        return self.pick(self.attempts, max(0, i - 3))
+
+    def dispatch_pending(self, i, version, rewind):
+        session = self.pick([s for s in self.sessions if s.pending and self.running(s)], i)
+        if session and i == 5:
+            failure = Failure(ErrorKind.NO_BACKEND, "none")
+            session.pending = None
+            self.act(session, session.machine.on_no_backend(self.now, failure))
+        elif session:
+            self.dispatch(session, version, rewind)
+
+    def emit(self, i, tokens, chunks):
+        attempt = self.current(i)
+        if attempt:
+            attempt.emit(tokens)
+            self.deliver(attempt, chunks)
+
+    def trouble_in_stream(self, i, kind):
+        attempt = self.current(i)
+        if not attempt:
+            return
+        if kind == "finish" and attempt.running and attempt.offset > MIN_ANSWER:
+            attempt.emit(1)
+            if i < 3:
+                attempt.outbox.pop()  # The last token is lost and only the total tells it.
+            attempt.running = False
+            self.finals.add(attempt.text)
+            attempt.outbox.append((attempt.offset, None))
+            return
+        attempt.emit(2)
+        if kind == "repeat" and attempt.outbox:
+            attempt.outbox.insert(1, attempt.outbox[0])
+        elif attempt.outbox:
+            attempt.outbox.popleft()
+
+    def break_connection(self, i, cause, late, again):
+        attempt = self.current(i)
+        if attempt and self.running(attempt.session):
+            attempt.emit(2)
+            attempt.running = attempt.running and late
+            machine = attempt.session.machine
+            self.act(attempt.session, machine.on_broken(self.now, attempt.number, cause))
+            if again:
+                self.dispatch(attempt.session, "v2" if i == 0 else "v1")
+
+    def answer_probe(self, i, alive, knows):
+        session = self.pick([s for s in self.sessions if s.probe and self.running(s)], i)
+        if session:
+            number, session.probe = session.probe.attempt, None
+            self.act(session, session.machine.on_probe(self.now, number, alive, knows))
+
+    def advance(self, dt):
+        self.now += dt
+        for session in filter(self.running, list(self.sessions)):
+            self.act(session, session.machine.on_tick(self.now))
+            self.commit(session, session.window.on_tick(self.now))
+
+    # Copies.
+
+    def send(self, i):
+        session = self.pick([s for s in self.sessions if self.running(s)], i)
+        if session:
+            session.window.add_events(session.machine.take_lines())
+            append = session.window.next_append()
+            if append:
+                self.appends.append((session, session.window.partner, append))
+
+    def store(self, i, lost):
+        message = self.pick(self.appends, i)
+        if not message or message[1] in self.paused:
+            return
+        self.appends.remove(message)
+        session, partner, append = message
+        outcome = self.tables[partner].append(self.now, session.entry, append)
+        if outcome.epoch <= append.epoch:
+            session.acknowledged = max(session.acknowledged, outcome.stored)
+        if not lost or i < 4:
+            self.results.append((session, append, outcome))
+        elif self.running(session):
+            self.commit(session, session.window.on_failed(self.now, append, "lost"))
+
+    def acknowledge(self, i):
+        message = self.pick([m for m in self.results if self.running(m[0])], i)
+        if message:
+            self.results.remove(message)
+            session, append, outcome = message
+            self.commit(session, session.window.on_result(self.now, append, outcome))
+
+    def change_partner(self, i, partner):
+        session = self.pick([s for s in self.sessions if self.running(s)], i)
+        if session and partner != session.entry:
+            self.commit(session, session.window.on_partner(self.now, partner))
+
+    def progress(self, i, tokens):
+        """One undisturbed round: callers connect, dispatch, tokens, copy, acknowledgement."""
+        if tokens > 3:
+            self.paused.clear()
+        for number, caller in enumerate(self.callers):
+            if caller.session is None:
+                self.reconnect(number, i % 3, False, True)
+        session = self.pick([s for s in self.sessions if self.running(s)], i)
+        if not session:
+            return
+        self.dispatch(session)
+        for attempt in self.attempts:
+            if attempt.session is session and attempt.number == session.machine.attempt:
+                attempt.emit(tokens)
+                self.deliver(attempt, 10)
+        self.send(i)
+        self.store(0, False)
+        self.acknowledge(0)
+
+    # Entries and callers.
+
+    def pause_return_or_crash(self, entry, crash):
+        if not crash:
+            self.paused ^= {entry}
+            return
+        self.paused.discard(entry)
+        self.tables[entry] = OwnershipTable(60, 1 << 20)
+        self.old_logs.append(self.logs[entry])
+        self.logs[entry] = EventLog(f"{entry}{len(self.old_logs)}", 1 << 22)
+        for session in [s for s in self.sessions if s.entry == entry]:
+            self.close(session)
+            self.sessions.remove(session)
+
+    def usurp(self, i, tokens):
+        """An owner is paused, another entry takes the answer over, the owner returns."""
+        session = self.pick([s for s in self.sessions if self.running(s)], 0)
+        if session:
+            self.paused.add(session.entry)
+            self.reconnect(i % 2, ENTRIES.index(session.entry) + 1 + i % 2, True, False)
+            self.progress(0, tokens)
+            self.paused.discard(session.entry)
+
+    def caller_leaves(self, i, last):
+        session, self.callers[i].session = self.callers[i].session, None
+        others = [c for c in self.callers if c.session is session]
+        if last and session and not others and self.running(session):
+            self.act(session, session.machine.on_caller_gone(self.now))
+            self.sessions.remove(session)
+
+    def reconnect(self, i, e, cut, with_text):
+        """A caller connects to any entry, which may not reach the live owner (cut)."""
+        caller, entry = self.callers[i], ENTRIES[e % 3]
+        if entry in self.paused or caller.ended:
+            return
+        caller.session = None
+        for session in self.sessions:
+            reachable = session.entry == entry or not cut
+            if reachable and self.running(session) and not session.window.stopped:
+                return self.attach(caller, session)
+        tables = {n: t for n, t in self.tables.items() if n not in self.paused}
+        found = {n: t.locate("r") for n, t in tables.items() if t.locate("r")}
+        holder = choose_copy(found)
+        if holder is not None:
+            self.take_over(caller, entry, holder, found[holder].epoch)
+        elif caller.event_id is None:
+            self.open(caller, entry, GenerationRequest("r", "m"), ())
+        elif with_text:
+            text = "".join(caller.pieces)
+            proved = verify_text(SECRET, "r", VERSIONS, caller.event_id, text)
+            assert not isinstance(proved, Failure), "own text refused"
+            self.nonces += 1
+            request = GenerationRequest("r", "m", proved.version, proved.prefix, self.nonces + 999)
+            self.open(caller, entry, request, proved.prefix.to_pieces())
+
+    def take_over(self, caller: Caller, entry: str, holder: str, epoch: int) -> None:
+        table = self.tables[holder]
+        part = table.read("r", 0)
+        version = part.pieces[0][:2] if part.pieces else ""
+        position = caller.event_id
+        if position and verify_position(SECRET, "r", version, position, part.pieces):
+            return
+        if part.finish:
+            self.receive(caller, len(caller.pieces), part.pieces, part.finish, version)
+            return
+        taken = table.take_over(self.now, "r", epoch, entry)
+        assert taken.granted and taken.epoch == epoch + 1
+        prefix = StoredPrefix.from_pieces(taken.pieces)
+        request = GenerationRequest("r", "m", version, prefix, taken.epoch)
+        self.open(caller, entry, request, taken.pieces, holder)
+
+    def build(self, entry: str, request: GenerationRequest) -> RecordingMachine:
+        return RecordingMachine(request, CFG, self.logs[entry], now=self.now)
+
+    def open(self, caller, entry, request, pieces, holder: str = "") -> None:
+        partner = holder if holder != entry else ""
+        partner = partner or ENTRIES[(ENTRIES.index(entry) + 1) % 3]
+        stored = len(pieces) if partner == holder else 0
+        window = CommitWindow(
+            "r", request.epoch, "{}", COPY_TIMEOUT, pieces=pieces, partner=partner, stored=stored
+        )
+        session = Session(entry, self.build(entry, request), window)
+        session.acknowledged = len(pieces)
+        self.sessions = [s for s in self.sessions if s.entry != entry]
+        self.sessions.append(session)
+        self.act(session, session.machine.start(self.now))
+        self.attach(caller, session)
+
+    def attach(self, caller: Caller, session: Session) -> None:
+        pieces = session.window.pieces(0)
+        position = caller.event_id
+        if position and verify_position(SECRET, "r", session.machine.version, position, pieces):
+            return
+        caller.session = session
+        finish, version = session.window.finish, session.machine.version
+        self.receive(caller, len(caller.pieces), pieces, finish, version)
+
+    @rule(kind=st.sampled_from(STEPS), i=index, n=index, flag=st.booleans())
+    def step(self, kind, i, n, flag):
+        """One step; a single rule, because hypothesis gives rules no weights."""
+        entry = ENTRIES[n % 3]
+        match kind:
+            case "progress":
+                self.progress(i, n)
+            case "dispatch":
+                self.dispatch_pending(i, "v2" if n == 0 else "v1", flag)
+            case "emit":
+                self.emit(i, n, 5 if flag else 1)
+            case "stream":
+                self.trouble_in_stream(i, ("lose", "repeat")[n % 2])
+            case "finish":
+                self.trouble_in_stream(i, "finish")
+            case "break":
+                self.break_connection(i, list(BreakCause)[n], flag, i < 3)
+            case "probe":
+                self.answer_probe(i, flag, n < 3)
+            case "advance":
+                self.advance((0.01, 0.05, 0.12, 0.4, 1.6, 6.0)[n])
+            case "send":
+                self.send(i)
+            case "store":
+                self.store(i, flag)
+            case "acknowledge":
+                self.acknowledge(i)
+            case "partner":
+                self.change_partner(i, (*ENTRIES, *ENTRIES[:2], "")[n])
+            case "entry":
+                self.pause_return_or_crash(entry, flag and i < 3)
+            case "usurp":
+                self.usurp(i, n)
+            case "leave":
+                self.caller_leaves(i % 2, flag and n < 2)
+            case "reconnect":
+                self.reconnect(i % 2, n % 3, flag, i < 3)
+
+    def teardown(self):
+        for log in (*self.logs.values(), *self.old_logs):
+            report = replay_request(log.read("r"))
+            assert report.exact, report
+
+
+AnswerWorld.TestCase.settings = settings(max_examples=200, stateful_step_count=80)
+
+
+class AnswerPropertyTest(AnswerWorld.TestCase):
+    """Guards invariants 1, 2 and 3: each caller receives one generation without a gap."""
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -31,10 +31,12 @@
 class Owner:
     """An entry that generates its own continuation and may be paused for any time."""
 
-    def __init__(self, name: str, epoch: int, pieces: tuple[str, ...]) -> None:
+    def __init__(self, name: str, epoch: int, pieces: tuple[str, ...], tag: str = "") -> None:
         self.name = name
         self.epoch = epoch
         self.pieces = pieces
+        self.tag = tag
+        self.sent = len(pieces)
 
 
 class OwnershipModel(RuleBasedStateMachine):
@@ -46,34 +48,56 @@
         self.table = OwnershipTable(retention=60, max_bytes=MAX_BYTES)
         self.owners = [Owner("o0", 1, ())]
         self.granted: dict[int, str] = {1: "o0"}
+        self.contested: set[int] = set()
         self.best: dict[int, tuple[str, ...]] = {}
 
-    @rule(i=small, tokens=small, back=small, header=st.booleans(), finish=st.booleans())
-    def append(self, i, tokens, back, header, finish):
+    @rule(i=small, tokens=small, back=small, skip=st.booleans(), finish=st.booleans())
+    def append(self, i, tokens, back, skip, finish):
+        if not self.owners:
+            return
         owner = self.owners[-1 - i % len(self.owners)]
-        owner.pieces += tuple(f"{owner.name}.{len(owner.pieces) + k}" for k in range(tokens))
-        offset = max(0, len(owner.pieces) - tokens - back + (1 if back == 6 else 0))
+        length = len(owner.pieces)
+        tag = owner.name + owner.tag
+        owner.pieces += tuple(f"{tag}.{length + k}" for k in range(tokens))
         known = self.table.locate("r")
-        head = '{"model":"m"}' if header or not known else ""
-        offset = offset if known else 0
+        offset = owner.sent + 1 if skip and back == 6 else max(0, owner.sent - back)
+        offset = min(offset, len(owner.pieces)) if known and owner.sent else 0
         end = "stop" if finish and tokens == 1 and back == 2 else ""
-        message = CopyAppend("r", owner.epoch, offset, owner.pieces[offset:], head, end)
+        message = CopyAppend("r", owner.epoch, offset, owner.pieces[offset:], "{}", end)
         outcome = self.table.append(self.now, owner.name, message)
         if outcome.stored == NO_ROOM:
             return
         if outcome.epoch > owner.epoch:
-            self.assert_unchanged(known)
+            assert self.table.locate("r") == known, "refused append had an effect"
+            newer = not known or owner.epoch < known.epoch
+            assert newer or owner.epoch in self.contested, "owner refused"
+            self.owners.remove(owner)
             return
+        if known is None and not outcome.header_missing:
+            self.granted[owner.epoch] = owner.name
         assert self.granted[owner.epoch] == owner.name, "append without ownership"
-        stored = self.table.read("r", 0)
-        assert outcome.header_missing or stored.pieces == owner.pieces[: outcome.stored]
+        owner.sent = min(outcome.stored, len(owner.pieces))
+        stored = self.table.read("r", 0).pieces if not outcome.header_missing else ()
+        assert stored[: owner.sent] == owner.pieces[: owner.sent], "copy is mixed"
+        if end:
+            self.owners.remove(owner)
+
+    @rule(i=small, same_name=st.booleans())
+    def add_rival(self, i, same_name):
+        """The request reaches a second entry, or a restarted one, under an epoch in use."""
+        if self.owners:
+            owner = self.owners[i % len(self.owners)]
+            name = owner.name if same_name else f"x{len(self.owners)}"
+            self.contested.add(owner.epoch)
+            self.owners.append(Owner(name, owner.epoch, (), tag="!"))
 
     @rule(i=small, behind=st.sampled_from((0, 0, 0, 1)))
     def take_over(self, i, behind):
+        """Another entry takes over, or one that owned the answer in an earlier epoch."""
         known = self.table.locate("r")
         if known is None:
             return
-        name = f"o{len(self.owners)}"
+        name = f"o{len(self.granted) if i % 2 else i // 2}"
         before = self.table.read("r", 0)
         taken = self.table.take_over(self.now, "r", known.epoch - behind, name)
         assert taken.granted == (not behind), "granted to an outdated requester"
@@ -81,16 +105,14 @@
             assert taken.epoch not in self.granted, "two owners of one epoch"
             assert taken.pieces == before.pieces and taken.header
             self.granted[taken.epoch] = name
-            self.owners.append(Owner(name, taken.epoch, taken.pieces))
+            if not taken.finish:
+                self.owners.append(Owner(name, taken.epoch, taken.pieces, f"'{taken.epoch}"))
 
     @rule(dt=st.sampled_from((1.0, 30.0, 70.0)))
     def pass_time(self, dt):
         self.now += dt
         self.table.expire(self.now)
 
-    def assert_unchanged(self, known):
-        assert self.table.locate("r") == known, "refused append had an effect"
-
     @invariant()
     def copy_only_grows_within_an_epoch(self):
         part = self.table.read("r", 0)
@@ -243,7 +265,9 @@
         self.assertEqual(self.window.on_result(0.2, append, self.outcome(1)), [])
 
     def test_new_partner_gets_everything_and_protection_returns(self):
-        self.push(0, 2)
+        self.push(0)
+        self.window.on_result(0, self.window.next_append(), self.outcome(1))
+        self.push(0)
         self.window.next_append()
         self.window.on_tick(0.1)
         self.assertEqual(self.window.on_partner(0.2, "q"), [])
@@ -253,12 +277,14 @@
         self.assertEqual(self.push(0.3), [])
 
     def test_newer_epoch_stops_delivery_even_from_a_former_partner(self):
-        for change in (False, True):
+        for fault in ("", "change", "timeout"):
             self.setUp()
             self.push(0)
             append = self.window.next_append()
-            if change:
+            if fault == "change":
                 self.window.on_partner(0, "q")
+            if fault == "timeout":
+                self.window.on_tick(0.1)
             decisions = self.window.on_result(0, append, self.outcome(0, epoch=2))
             self.assertEqual(decisions, [StopDelivery(2)])
             self.assertEqual(self.push(0), [])
