Reduce the cost of copies and add the setting record_text

The machine keeps its text in a StringIO instead of a list of strings, which saves memory and no time. telemetry.record_text says whether events hold the text of callers.

--- a/src/sapphireledge/core/answer/commit_window.py
+++ b/src/sapphireledge/core/answer/commit_window.py
@@ -314,6 +314,8 @@
         return [*self._release_unprotected(), ChangePartner(reason)]
 
     def _forget_sent_events(self) -> None:
+        if not self._sent_events:
+            return
         sent = self._events[: self._sent_events]
         del self._events[: self._sent_events]
         self._event_characters -= sum(map(len, sent))
--- a/src/sapphireledge/core/answer/generation_machine.py
+++ b/src/sapphireledge/core/answer/generation_machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from io import StringIO
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.answer.break_cause import BreakCause
@@ -58,11 +59,11 @@
         "_next",
         "_patience",
         "_phase",
-        "_pieces",
         "_prefer",
         "_probed",
         "_request",
         "_started",
+        "_text",
         "_version",
     )
 
@@ -72,7 +73,9 @@
         self._phase = GenerationPhase.NEW
         self._version = request.version
         self._next = request.prefix.offset
-        self._pieces = [request.prefix.text]
+        # Takes a few bytes for each token; a list of texts takes more than 50.
+        self._text = StringIO()
+        self._text.write(request.prefix.text)
         self._attempt = 0
         self._backend = ""
         self._prefer = ""
@@ -125,9 +128,7 @@
     @property
     def text(self) -> str:
         """The text of all tokens so far, the prefix of the next attempt."""
-        if len(self._pieces) > 1:
-            self._pieces = ["".join(self._pieces)]
-        return self._pieces[0]
+        return self._text.getvalue()
 
     @property
     def deadline(self) -> float | None:
@@ -214,7 +215,7 @@
         self._phase = GenerationPhase.ACTIVE
         self._heard = now
         self._next = offset + 1
-        self._pieces.append(text)
+        self._text.write(text)
         return [Deliver(offset, text)]
 
     def on_finished(self, now: float, attempt: int, total: int, reason: str) -> list[Decision]:
--- a/src/sapphireledge/core/answer/ownership_table.py
+++ b/src/sapphireledge/core/answer/ownership_table.py
@@ -207,10 +207,12 @@
             copy.finish = append.finish
             copy.ended = now
             self._finished[append.request_id] = None
-        return self._outcome(append, copy.epoch)
+        return AppendOutcome(append.request_id, len(copy.pieces), copy.epoch)
 
     def _conflicts(self, copy: AnswerCopy, append: CopyAppend) -> bool:
         """Whether the append contradicts what is stored."""
+        if append.offset == len(copy.pieces) and not copy.finish:
+            return False
         end = append.offset + len(append.pieces)
         if copy.finish and (end > len(copy.pieces) or append.finish not in ("", copy.finish)):
             return True
--- a/src/sapphireledge/core/answer/piece_store.py
+++ b/src/sapphireledge/core/answer/piece_store.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
 __all__ = ["PieceStore"]
 
@@ -34,7 +34,7 @@
         return len(self._data) + self._ends.itemsize * len(self._ends)
 
     @staticmethod
-    def size_of(pieces: Iterable[str]) -> int:
+    def size_of(pieces: Sequence[str]) -> int:
         """Computes the bytes that pieces would use.
 
         Args:
@@ -43,7 +43,7 @@
         Returns:
             Bytes, at most; a character takes up to 4.
         """
-        return sum(4 * len(piece) + 4 for piece in pieces)
+        return 4 * (len("".join(pieces)) + len(pieces))
 
     def append(self, piece: str) -> None:
         """Adds the text of one token.
@@ -74,7 +74,9 @@
             One text for each token.
         """
         ends = self._ends[start:stop]
-        begin = self._ends[start - 1] if start and ends else 0
+        if not ends:
+            return ()
+        begin = self._ends[start - 1] if start else 0
         pieces = []
         for end in ends:
             pieces.append(self._data[begin:end].decode("utf-8", "surrogatepass"))
--- a/src/sapphireledge/settings/telemetry_settings.py
+++ b/src/sapphireledge/settings/telemetry_settings.py
@@ -29,6 +29,9 @@
     event_memory: int = setting(8_388_608, unit="bytes", ge=65_536, le=1_073_741_824)
     """Memory bound of recorded events."""
 
+    record_text: bool = False
+    """Whether events hold the text of callers instead of its length and a keyed hash."""
+
     segment_interval: float = setting(10.0, unit="s", ge=0.5, le=3_600)
     """Shortest interval between event segments."""
 
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -146,6 +146,8 @@
         prefix = StoredPrefix.from_pieces(("a", "b"))
         machine = running(1, version="v1", prefix=prefix, epoch=2)
         self.assertEqual((machine.text, machine.offset), ("abt0", 3))
+        machine.on_token(0, 1, 3, "\r\n")
+        self.assertEqual(machine.text, "abt0\r\n")
         self.assertEqual(machine.request.attempt_id(1), "r.2.1")
 
 
