--- /dev/null
+++ b/src/sapphireledge/core/fleet/order_lease.py
@@ -0,0 +1,187 @@
+"""The right to give orders in one data centre."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.fleet.lease_record import LeaseRecord
+from sapphireledge.errors import Failure
+from sapphireledge.platform import WriteStatus
+
+if TYPE_CHECKING:
+    from sapphireledge.platform import StoredObject, WriteResult
+    from sapphireledge.settings import FleetSettings
+
+__all__ = ["LeaseWrite", "OrderLease"]
+
+RENEW_SHARE = 1 / 3
+"""Share of the lease after which it is renewed; two renewals can fail without a loss."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseWrite:
+    """A conditional write of the lease object; answered by `on_written`."""
+
+    record: LeaseRecord
+    """The lease to write."""
+
+    expect_version: int
+    """Version that the object must have."""
+
+    sent: float
+    """Monotonic time from which the lease counts, in seconds."""
+
+
+class OrderLease:
+    """Decides when this instance takes, renews and has the lease.
+
+    The holder counts the lease from before its write was sent. Another instance takes it only
+    after the object has not changed for a whole lease since it read it, by its own monotonic clock.
+    So two instances never have it at the same time, whatever their wall clocks say.
+    """
+
+    def __init__(self, holder: str, cfg: FleetSettings):
+        self.fencing_number = 0
+        """Version of the write that took the lease, 0 if this instance does not have it."""
+
+        self.current_holder = ""
+        """Name of the holder in the last record that was read."""
+
+        self._holder = holder
+        self._cfg = cfg
+        self._own: LeaseRecord | None = None
+        self._renewals = 0
+        self._version = 0
+        self._lease_end = float("-inf")
+        self._quiet_until = float("-inf")
+        self._renew_at = float("-inf")
+        self._seen_at: float | None = None
+        self._pending: LeaseWrite | None = None
+
+    def is_held(self, now: float) -> bool:
+        """Whether this instance has the lease.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether it does.
+        """
+        return self._own is not None and now < self._lease_end
+
+    def may_order(self, now: float, checks_fencing: bool) -> bool:
+        """Whether an order may be sent now; asked immediately before each order.
+
+        An order must be able to time out within the lease. Where engines ignore the fencing
+        number, a new holder also waits until orders of the one before have arrived or timed out.
+
+        Args:
+            now: Monotonic time in seconds.
+            checks_fencing: Whether the engine refuses an old fencing number.
+
+        Returns:
+            Whether it may.
+        """
+        if not self.is_held(now + self._cfg.order_timeout):
+            return False
+        return checks_fencing or now >= self._quiet_until
+
+    def next_write(self, now: float, nonce: str) -> LeaseWrite | None:
+        """Decides after a reading whether the lease is to be written.
+
+        Args:
+            now: Monotonic time in seconds.
+            nonce: Text that no other taking of a lease has.
+
+        Returns:
+            The write, or None if there is nothing to do.
+        """
+        if self._own is not None and now >= self._lease_end:
+            self._lose()
+        if self._own is not None:
+            if now < self._renew_at:
+                return None
+            # A number is not used twice: a lost renewal that arrives late must not be taken for
+            # the next one, whose lease ends later.
+            self._renewals += 1
+            record = LeaseRecord(self._holder, self._own.nonce, self._renewals)
+        elif self._seen_at is not None and now >= self._seen_at + self._wait():
+            record = LeaseRecord(self._holder, nonce)
+        else:
+            return None
+        self._pending = LeaseWrite(record, self._version, now)
+        return self._pending
+
+    def on_read(self, now: float, stored: StoredObject | Failure | None) -> None:
+        """Takes a reading of the lease object.
+
+        Args:
+            now: Monotonic time in seconds, taken after the reading.
+            stored: The object, None if there is none, or the failure of the platform.
+        """
+        if isinstance(stored, Failure):
+            return
+        version = stored.version if stored is not None else 0
+        record = LeaseRecord.decode(stored.value) if stored is not None else None
+        self.current_holder = record.holder if record is not None else ""
+        pending, self._pending = self._pending, None
+        if record is not None and pending is not None and record == pending.record:
+            self._confirm(pending, version)
+        elif self._own is not None and record == self._own:
+            self._version = version
+        elif version != self._version or self._seen_at is None:
+            self._lose()
+            self._version = version
+            self._seen_at = now
+
+    def on_written(self, now: float, write: LeaseWrite, result: WriteResult) -> bool:
+        """Takes the result of a write.
+
+        Args:
+            now: Monotonic time in seconds.
+            write: The write.
+            result: How it ended.
+
+        Returns:
+            Whether the object must be read now.
+        """
+        if result.status is WriteStatus.WRITTEN:
+            self._pending = None
+            self._confirm(write, result.version)
+            return False
+        if result.status is WriteStatus.UNAVAILABLE:
+            self._pending = None
+            return False
+        return True
+
+    def on_fenced(self, fencing_number: int) -> None:
+        """Gives the lease up after an engine refused a number as too old.
+
+        Args:
+            fencing_number: The refused number.
+        """
+        if fencing_number == self.fencing_number:
+            self._lose()
+
+    def _wait(self) -> float:
+        """Time for which the object must not have changed before it is taken."""
+        return self._cfg.lease if self._version else 0.0
+
+    def _confirm(self, write: LeaseWrite, version: int) -> None:
+        """Notes a write that took effect."""
+        if self._own is None or self._own.nonce != write.record.nonce:
+            self.fencing_number = version
+            self._quiet_until = write.sent + self._cfg.lease + self._cfg.order_timeout
+        self._own = write.record
+        self._version = version
+        self._lease_end = write.sent + self._cfg.lease
+        self._renew_at = write.sent + self._cfg.lease * RENEW_SHARE
+        self.current_holder = self._holder
+
+    def _lose(self) -> None:
+        """Notes that this instance does not have the lease."""
+        self._own = None
+        self._seen_at = None
+        self.fencing_number = 0
+        self._lease_end = float("-inf")
--- /dev/null
+++ b/src/sapphireledge/fleet/fleet_controller.py
@@ -0,0 +1,166 @@
+"""Orders to the engines of one data centre."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+from uuid import uuid4
+
+import structlog
+
+from sapphireledge.core.fleet import (
+    FleetPlan,
+    FleetPlanner,
+    OrderLease,
+    OrderOutcome,
+    OrderReply,
+    WeightBudget,
+    lease_key,
+)
+from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.telemetry import LogEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from sapphireledge.core.fleet import Order
+    from sapphireledge.fleet.fleet_view import FleetView
+    from sapphireledge.fleet.order_sender import OrderSender
+    from sapphireledge.platform import ObjectStore
+    from sapphireledge.settings import Settings
+
+__all__ = ["FleetController"]
+
+LEASE_STEPS = 6
+"""Readings of the lease object in the duration of a lease."""
+
+
+class FleetController:
+    """Takes the lease of its data centre when it can, and gives orders while it has it."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        store: ObjectStore,
+        sender: OrderSender,
+        view: Callable[[], FleetView],
+        rng: Random,
+        is_candidate: Callable[[], bool] = lambda: True,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.lease = OrderLease(cfg.instance, cfg.fleet)
+        """The lease for orders."""
+
+        self.last_plan = FleetPlan()
+        """Result of the last comparison."""
+
+        self._cfg = cfg.fleet
+        self._key = lease_key(cfg.data_centre)
+        self._store = store
+        self._sender = sender
+        self._view = view
+        self._rng = rng
+        self._is_candidate = is_candidate
+        self._clock = clock
+        self._planner: FleetPlanner | None = None
+        self._planned_for = 0
+
+    async def run(self) -> None:
+        """Keeps the lease and reconciles until the task is cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._keep_lease())
+            group.create_task(self._keep_reconciled())
+
+    async def step_lease(self) -> None:
+        """Reads the lease object and takes or renews the lease if it is time."""
+        if not self.lease.fencing_number and not self._is_candidate():
+            return
+        await self._read_lease()
+        write = self.lease.next_write(self._clock(), uuid4().hex)
+        if write is None:
+            return
+        result = await self._store.put(self._key, write.record.encode(), write.expect_version)
+        if self.lease.on_written(self._clock(), write, result):
+            await self._read_lease()
+
+    async def reconcile(self) -> None:
+        """Compares once and sends what is needed."""
+        now = self._clock()
+        if not self.lease.is_held(now):
+            self._planner = None
+            return
+        if self._planner is None or self._planned_for != self.lease.fencing_number:
+            self._planner = FleetPlanner(self._cfg, WeightBudget(now, self._cfg))
+            self._planned_for = self.lease.fencing_number
+        view = self._view()
+        allowed = [
+            entry for entry in view.deployments if self.lease.may_order(now, entry.checks_fencing)
+        ]
+        self.last_plan = self._planner.plan(now, allowed, view.engines, view.demand)
+        for order in self.last_plan.orders:
+            await self._give(self._planner, order)
+
+    async def order(self, order: Order) -> OrderReply | Failure:
+        """Sends an order of an operator.
+
+        Args:
+            order: The order.
+
+        Returns:
+            How it ended, or a failure that names the holder if this instance has no right to it.
+        """
+        if not self.lease.may_order(self._clock(), order.checks_fencing):
+            holder = self.lease.current_holder or "no instance yet"
+            reason = f"orders to {order.engine} are given by {holder}"
+            return Failure(ErrorKind.CONFLICT, reason, retry_after=self._cfg.lease)
+        return await self._send(order)
+
+    async def _give(self, planner: FleetPlanner, order: Order) -> None:
+        """Sends a planned order if the lease still holds."""
+        now = self._clock()
+        if not self.lease.may_order(now, order.checks_fencing):
+            return
+        planner.on_sent(now, order)
+        reply = await self._send(order)
+        if reply.outcome in (OrderOutcome.REFUSED, OrderOutcome.FENCED):
+            planner.on_failed(order)
+
+    async def _send(self, order: Order) -> OrderReply:
+        """Sends one order within its time limit."""
+        fencing_number = self.lease.fencing_number
+        event = LogEvent.ORDER_CORRECTED if order.corrects else LogEvent.ORDER_SENT
+        try:
+            async with asyncio.timeout(self._cfg.order_timeout):
+                reply = await self._sender.send(order, fencing_number)
+        except TimeoutError:
+            reply = OrderReply(OrderOutcome.NO_ANSWER, "no answer within the time limit")
+        structlog.get_logger().info(
+            event,
+            engine=order.engine,
+            action=order.action,
+            fencing_number=fencing_number,
+            outcome=reply.outcome,
+        )
+        if reply.outcome is OrderOutcome.FENCED:
+            self.lease.on_fenced(fencing_number)
+        return reply
+
+    async def _read_lease(self) -> None:
+        """Reads the lease object."""
+        stored = await self._store.get(self._key)
+        self.lease.on_read(self._clock(), stored)
+
+    async def _keep_lease(self) -> None:
+        """Repeats `step_lease`."""
+        while True:
+            await self.step_lease()
+            pause = self._cfg.lease / LEASE_STEPS
+            await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
+
+    async def _keep_reconciled(self) -> None:
+        """Repeats `reconcile`."""
+        while True:
+            await self.reconcile()
+            await asyncio.sleep(self._cfg.reconcile_interval)
