--- a/src/sapphireledge/backends/_private.py
+++ b/src/sapphireledge/backends/_private.py
@@ -11,7 +11,7 @@
 
 import msgspec
 from aiosonic.connection import Connection
-from aiosonic.exceptions import ConnectionPoolAcquireTimeout, HttpParsingError
+from aiosonic.exceptions import HttpParsingError
 
 from sapphireledge.backends.break_cause import BreakCause
 from sapphireledge.backends.broken import Broken
@@ -49,15 +49,28 @@
 
 
 class SendMark:
-    """Remembers whether any byte of a call was handed to a connection."""
+    """Remembers how far a call came."""
 
-    __slots__ = ("sent",)
+    __slots__ = ("_answer", "_limit", "acquired", "sent")
 
     current: ContextVar[SendMark | None] = ContextVar("sapphireledge_send_mark", default=None)
     """The mark of the call that the current task makes."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: asyncio.Timeout, answer: float) -> None:
+        self._limit = limit
+        self._answer = answer
+
+        self.acquired = False
+        """Whether the pool gave the call a place."""
+
         self.sent = False
+        """Whether any byte of the call was handed to a connection."""
+
+    def note_sent(self) -> None:
+        """Notes the first byte; the time limit of the answer begins here."""
+        if not self.sent:
+            self.sent = True
+            self._limit.reschedule(asyncio.get_running_loop().time() + self._answer)
 
 
 class ReusableConnection(Connection):
@@ -77,6 +90,9 @@
 
     def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
         """Reuses the connection unless it was invalidated or the server closed it or sent more."""
+        mark = SendMark.current.get()
+        if mark is not None:
+            mark.acquired = True
         reader = self.reader
         if self.opened < self.invalidated_at.get(urlparsed.netloc, 0.0):
             return False
@@ -93,7 +109,7 @@
         """Writes and marks the current call as sent."""
         mark = SendMark.current.get()
         if mark is not None:
-            mark.sent = True
+            mark.note_sent()
         super().write(data)
 
     def readline(self) -> Coroutine[Any, Any, bytes]:
@@ -120,6 +136,9 @@
 
     def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
         """Never reuses the connection."""
+        mark = SendMark.current.get()
+        if mark is not None:
+            mark.acquired = True
         return False
 
     def keep_alive(self) -> None:
@@ -260,8 +279,7 @@
     if not mark.sent and isinstance(exc, ValueError):
         return Broken(BreakCause.INVALID, Ran.NO, "a header value is not allowed")
     if not mark.sent:
-        pool = isinstance(exc, ConnectionPoolAcquireTimeout)
-        cause = BreakCause.NO_CONNECTION_FREE if pool else BreakCause.NOT_CONNECTED
+        cause = BreakCause.NOT_CONNECTED if mark.acquired else BreakCause.NO_CONNECTION_FREE
         return Broken(cause, Ran.NO, name)
     if isinstance(exc, HttpParsingError):
         return Broken(BreakCause.MALFORMED, Ran.UNKNOWN, name)
@@ -270,22 +288,28 @@
     return Broken(cause, Ran.UNKNOWN, name)
 
 
-async def send_request(client: HTTPClient, method: str, url: str, **options: Any) -> Any:
+async def send_request(
+    client: HTTPClient, method: str, url: str, connect: float, answer: float, **options: Any
+) -> Any:
     """Sends a request once and waits for the head of its answer.
 
     Args:
         client: Client with the pool to use.
         method: HTTP method; aiosonic repeats GET and DELETE on a stale connection, never POST.
         url: Full address.
+        connect: Seconds for a place in the pool and the connection.
+        answer: Seconds from the first byte sent to the head of the answer.
         **options: Other arguments of `HTTPClient.request`.
 
     Returns:
         The response of aiosonic, or Broken.
     """
-    mark = SendMark()
+    limit = asyncio.timeout(connect)
+    mark = SendMark(limit, answer)
     token = SendMark.current.set(mark)
     try:
-        return await client.request(url, method, **options)
+        async with limit:
+            return await client.request(url, method, **options)
     except Exception as exc:
         return broken_call(exc, mark)
     finally:
@@ -303,7 +327,8 @@
         The whole answer, or Broken with ran UNKNOWN.
     """
     try:
-        body = await asyncio.wait_for(response.content(), limit)
+        async with asyncio.timeout(limit):
+            body = await response.content()
         return HttpReply(response.status_code, body, dict(response.raw_headers))
     except TimeoutError:
         return Broken(BreakCause.NO_ANSWER, Ran.UNKNOWN, "the body did not end in time")
--- a/src/sapphireledge/backends/connection_pools.py
+++ b/src/sapphireledge/backends/connection_pools.py
@@ -34,7 +34,6 @@
         calls: int = 256,
         one_call: int = 256,
         connect_timeout: float = 1.0,
-        acquire_timeout: float = 1.0,
     ) -> None:
         """Creates the pools; no connection is opened yet.
 
@@ -42,14 +41,10 @@
             streams: Most connections that carry first attempts, and as many for later ones.
             calls: Most kept connections for load reports, cache events and idempotent calls.
             one_call: Most connections that serve a single call.
-            connect_timeout: Seconds to establish a connection.
-            acquire_timeout: Seconds to wait for a place in a pool.
+            connect_timeout: Seconds for a place in a pool and a connection.
         """
         self.connect_timeout = connect_timeout
-        """Seconds to establish a connection."""
-
-        self.acquire_timeout = acquire_timeout
-        """Seconds to wait for a place in a pool."""
+        """Seconds for a place in a pool and a connection."""
 
         self._invalidated: dict[str, float] = {}
         kept = type("KeptConnection", (ReusableConnection,), {"invalidated_at": self._invalidated})
@@ -66,18 +61,6 @@
         self.one_call = self._client(one_call, OneCallConnection)
         """Client that opens a new connection for every call."""
 
-    def timeouts(self, answer: float) -> Timeouts:
-        """Builds the time limits of one call.
-
-        Args:
-            answer: Seconds from the sent request to the head of the answer.
-
-        Returns:
-            Limits in the form of aiosonic.
-        """
-        whole = self.acquire_timeout + self.connect_timeout + answer
-        return Timeouts(self.connect_timeout, answer, self.acquire_timeout, whole)
-
     def invalidate(self, address: str) -> None:
         """Prevents reuse of the connections to an address that are open now.
 
@@ -98,7 +81,8 @@
         """Creates a client with a pool of its own."""
         connector = TCPConnector(
             {":default": PoolConfig(size=size, max_conn_requests=None)},
-            timeouts=self.timeouts(30.0),
+            # Each limit of aiosonic starts a task; `send_request` limits the call without one.
+            timeouts=Timeouts(None, None, None, None),
             connection_cls=connection_cls,
         )
         return HTTPClient(connector)
--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -101,7 +101,7 @@
 
         self._base = f"http://{address}"
         self._pools = pools
-        self._accept_limits = pools.timeouts(accept_timeout)
+        self._accept_timeout = accept_timeout
         self._call_timeout = call_timeout
         self._decode_chunk = msgspec.json.Decoder(Chunk).decode
 
@@ -219,7 +219,7 @@
             return OrderResult(OrderStatus.DONE, changed=done.changed)
         refused = refusal(reply.status, reply.body, "")
         error = _decode(HttpReply(200, reply.body, {}), ErrorBody)
-        if reply.status == 409 and isinstance(error, ErrorBody):
+        if isinstance(error, ErrorBody) and error.error.code == "old_fencing":
             return OrderResult(
                 OrderStatus.OLD_FENCING, known_fencing=error.fencing, detail=refused.detail
             )
@@ -288,9 +288,10 @@
             client,
             "POST",
             self._base + call.path,
+            self._pools.connect_timeout,
+            self._accept_timeout,
             data=msgspec.json.encode(body),
             headers=headers,
-            timeouts=self._accept_limits,
             stream=True,
         )
         if isinstance(response, Broken):
@@ -321,9 +322,10 @@
             client,
             method,
             self._base + path,
+            self._pools.connect_timeout,
+            limit,
             data=body,
             headers=JSON_HEADERS if body else None,
-            timeouts=self._pools.timeouts(limit),
         )
         reply = response
         if not isinstance(response, Broken):
--- a/src/sapphireledge/backends/service_client.py
+++ b/src/sapphireledge/backends/service_client.py
@@ -61,9 +61,10 @@
             client,
             method,
             self._base + path,
+            self._pools.connect_timeout,
+            timeout,
             data=body,
             headers=dict(headers),
-            timeouts=self._pools.timeouts(timeout),
         )
         if isinstance(response, Broken):
             return response
--- a/src/sapphireledge_standins/engine_app.py
+++ b/src/sapphireledge_standins/engine_app.py
@@ -166,6 +166,7 @@
         self._engine = engine
         self._sequence = sequence
         self._gate = gate
+        self._closed = asyncio.Event()
         self.background = None
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -184,7 +185,7 @@
                     message = {"type": "http.response.body", "body": piece.encode()}
                     await send({**message, "more_body": True})
             if sequence.silent:
-                await asyncio.Event().wait()
+                await self._closed.wait()
             await send({"type": "http.response.body", "body": b""})
         finally:
             watcher.cancel()
@@ -195,6 +196,7 @@
         with suppress(asyncio.CancelledError):
             while (await receive())["type"] != "http.disconnect":
                 pass
+            self._closed.set()
             self._engine.cancel(self._sequence)
 
 
--- a/src/sapphireledge_standins/standin_server.py
+++ b/src/sapphireledge_standins/standin_server.py
@@ -91,7 +91,9 @@
     Returns:
         The bound socket.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only where the protocol is named; without it, each token would wait
+    # up to 40 ms for the acknowledgement of the one before.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
     sock.listen(BACKLOG)
--- a/tests/test_service_client.py
+++ b/tests/test_service_client.py
@@ -17,12 +17,18 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.api = ServiceApi()
-        self.server = StandinServer(self.api.app)
+        self.connections = set()
+        self.server = StandinServer(self.app)
         self.api.on_die = self.server.abort
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
         self.client = ServiceClient(self.server.address, self.pools)
 
+    async def app(self, scope, receive, send):
+        if scope["type"] == "http":
+            self.connections.add(tuple(scope["client"]))
+        await self.api.app(scope, receive, send)
+
     async def book(self, key="k1", timeout=0.5):
         return await self.client.call(
             "POST", "/book?day=1", {"Idempotency-Key": key}, b"{}", timeout
@@ -60,4 +66,4 @@
         for _ in range(3):
             await self.book()
         self.assertEqual(self.api.runs, {"k1": 3})
-        self.assertEqual(len(self.server._server.server_state.connections), 0)
+        self.assertEqual(len(self.connections), 3)
