--- /dev/null
+++ b/tests/test_answer_copies.py
@@ -0,0 +1,233 @@
+"""Tests of the copies of running answers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_peers import FleetTest, Store, setUpModule, tearDownModule  # noqa: F401
+
+from sapphireledge.core.membership import Member
+from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.peers import AnswerCopies, AppendResult, CopyOutcome
+from sapphireledge.settings import PeerSettings
+
+
+class FakeLink:
+    """Link to a partner whose calls follow a script; without one they succeed."""
+
+    def __init__(self, script: list[str]):
+        self.store = Store()
+        self.script = script
+        self.reachable = True
+        self.sent: list[list] = []
+        self.most_held = 0
+
+    def submit(self, method, appends, timeout):
+        self.sent.append(appends)
+        future = asyncio.get_running_loop().create_future()
+        action = self.script.pop(0) if self.script else "store"
+        if action == "forget":
+            self.store.answers.clear()
+        results = [self.store._append(append) for append in appends] if action != "lose" else []
+        self.most_held = max([self.most_held, *(result.stored for result in results)])
+        if action == "fail":
+            results = Failure(ErrorKind.INTERNAL, "connection broke after the call")
+        if action == "take over":
+            results = [AppendResult(a.request_id, 0, a.epoch + 1) for a in appends]
+        if action != "lose":
+            delay = 0.03 if action == "slow" else 0.001
+            asyncio.get_running_loop().call_later(delay, _settle, future, results)
+        return future
+
+
+def _settle(future, results):
+    if not future.done():
+        future.set_result(results)
+
+
+class FakeLinks:
+    """Live entries of one data centre with scripted links."""
+
+    def __init__(self, *scripts: list[str]):
+        self.links = {f"a{n}": FakeLink(list(script)) for n, script in enumerate(scripts, 1)}
+        self.own = Member("a0", "a", "r", "")
+        self.live = tuple(Member(name, "a", "r", "") for name in ("a0", *self.links))
+
+    def link(self, name):
+        return self.links.get(name)
+
+
+CFG = PeerSettings(copy_interval=0.005, copy_timeout=0.05)
+actions = st.lists(
+    st.sampled_from(["store", "store", "slow", "fail", "lose", "forget"]), max_size=12
+)
+
+
+class CopiesPropertyTest(unittest.TestCase):
+    """Guards against tokens that count as stored although no partner has them."""
+
+    @settings(max_examples=60)
+    @given(st.lists(actions, min_size=2, max_size=3), st.lists(st.integers(0, 3), max_size=25))
+    def test_stored_tokens_are_at_a_partner_and_no_token_waits_too_long(self, scripts, sizes):
+        asyncio.run(self.generate(FakeLinks(*scripts), sizes))
+
+    async def generate(self, links: FakeLinks, sizes: list[int]):
+        copies = AnswerCopies(CFG, links, time.monotonic)
+        copies.start()
+        await asyncio.sleep(0)
+        answer = copies.open("r", 1, "{}")
+        # Tokens that arrive while a call is in flight must not count as stored with it.
+        engine = asyncio.create_task(self.trickle(answer))
+        for count in sizes:
+            started = time.monotonic()
+            offset = answer.append(started, self.next_pieces(answer, count))
+            outcome = await answer.wait_stored(offset)
+            self.assertLess(time.monotonic() - started, CFG.copy_timeout + 0.1)
+            stores = [link.store.answers for link in links.links.values()]
+            holders = [store.get("r", (0, "", [], ""))[2] for store in stores]
+            if outcome is CopyOutcome.STORED and offset > 0:
+                # A partner may forget afterwards; it must have had the tokens.
+                self.assertGreaterEqual(
+                    max(each.most_held for each in links.links.values()), offset
+                )
+            for held in holders:
+                self.assertEqual(held, answer.pieces[: len(held)])
+        engine.cancel()
+        answer.finish(time.monotonic(), "stop")
+        await copies.stop()
+
+    async def trickle(self, answer):
+        while True:
+            await asyncio.sleep(0.0007)
+            answer.append(time.monotonic(), self.next_pieces(answer, 1))
+
+    def next_pieces(self, answer, count: int) -> list[str]:
+        return [f"t{len(answer.pieces) + n} " for n in range(count)]
+
+
+class AnswerCopiesTest(FleetTest):
+    """Guards against lost copies and stuck callers when partners die, hang, leave or take over."""
+
+    async def open(self, *names: str):
+        """Starts entries and opens an answer at the first that its partner has."""
+        nodes = await self.start(*names)
+        self.owner = nodes[0]
+        for node in nodes[1:]:
+            await self.connected(self.owner, node.name)
+            await self.until(lambda n=node: self.owner.mesh.is_reachable(n.name))
+        await self.until(lambda: len(self.owner.live) == len(nodes))
+        self.copies = AnswerCopies(self.owner.cfg.peers, self.owner.mesh, time.monotonic)
+        self.copies.start()
+        self.addAsyncCleanup(self.copies.stop)
+        await self.until(lambda: self.copies.partner is not None)
+        self.answer = self.copies.open("r", 1, '{"model": "m"}')
+        self.assertEqual(await self.deliver(3), CopyOutcome.STORED)
+
+    async def deliver(self, count: int = 1) -> CopyOutcome:
+        """Appends tokens as a session does and returns whether they were stored."""
+        offset = self.answer.append(time.monotonic(), ["token "] * count)
+        return await self.answer.wait_stored(offset)
+
+    def stored_at(self, name: str) -> int:
+        return len(self.fleet[name].store.answers.get("r", (0, "", [], ""))[2])
+
+    async def test_partner_that_hangs_is_replaced_and_the_new_one_gets_everything(self):
+        await self.open("a1", "a2", "a3")
+        first = self.copies.partner.name
+        self.fleet[first].store.append_delay = 30.0
+        started = time.monotonic()
+        self.assertEqual(await self.deliver(), CopyOutcome.UNPROTECTED)
+        self.assertLess(time.monotonic() - started, 0.25)
+        await self.until(lambda: self.copies.partner.name != first, 0.5)
+        second = self.copies.partner.name
+        await self.until(lambda: self.answer.protected, 1.0)
+        self.assertEqual(await self.deliver(), CopyOutcome.STORED)
+        self.assertEqual(self.stored_at(second), 5)
+        self.assertEqual(self.fleet[second].store.answers["r"][1], '{"model": "m"}')
+
+    async def test_partner_that_dies_is_replaced(self):
+        await self.open("a1", "a2", "a3")
+        first = self.copies.partner.name
+        await self.fleet[first].stop()
+        await self.deliver()
+        await self.until(lambda: self.answer.protected and self.copies.partner.name != first, 2.0)
+        self.assertEqual(await self.deliver(), CopyOutcome.STORED)
+        self.assertEqual(self.stored_at(self.copies.partner.name), 5)
+
+    async def test_newer_epoch_stops_the_owner(self):
+        await self.open("a1", "a2")
+        store = self.fleet["a2"].store
+        store.answers["r"] = (2, *store.answers["r"][1:])
+        self.assertEqual(await self.deliver(), CopyOutcome.SUPERSEDED)
+        self.assertEqual(self.answer.newer_epoch, 2)
+        appends = store.appends
+        self.assertEqual(await self.deliver(), CopyOutcome.SUPERSEDED)
+        await asyncio.sleep(0.1)
+        self.assertEqual((store.appends, self.stored_at("a2")), (appends, 3))
+
+    async def test_partner_that_lost_the_answer_gets_it_again(self):
+        await self.open("a1", "a2")
+        self.fleet["a2"].store.answers.clear()
+        self.assertEqual(await self.deliver(), CopyOutcome.UNPROTECTED)
+        await self.until(lambda: self.answer.protected, 1.0)
+        self.assertEqual(self.stored_at("a2"), 4)
+
+    async def test_leaving_partner_is_replaced_without_unprotected_tokens(self):
+        await self.open("a1", "a2", "a3")
+        first = self.copies.partner.name
+        node = self.fleet[first]
+        node.local = replace(node.local, state="draining")
+        outcomes = set()
+        end = time.monotonic() + 3.0
+        while self.copies.partner.name == first or len(self.copies._streams) > 1:
+            outcomes.add(await self.deliver())
+            self.assertLess(time.monotonic(), end)
+        self.assertEqual(outcomes, {CopyOutcome.STORED})
+        self.assertEqual(await self.deliver(), CopyOutcome.STORED)
+        self.assertEqual(self.stored_at(self.copies.partner.name), len(self.answer.pieces))
+
+    async def test_finish_reaches_the_partner_and_ends_the_copy(self):
+        await self.open("a1", "a2")
+        self.answer.finish(time.monotonic(), "stop")
+        await self.until(lambda: self.copies.running == 0)
+        self.assertEqual(self.fleet["a2"].store.answers["r"][3], "stop")
+
+    async def test_single_entry_delivers_unprotected_at_once(self):
+        (self.owner,) = await self.start("a1")
+        copies = AnswerCopies(self.owner.cfg.peers, self.owner.mesh, time.monotonic)
+        self.answer = copies.open("r", 1, "{}")
+        self.assertEqual(await self.deliver(), CopyOutcome.UNPROTECTED)
+
+    async def test_text_that_no_message_can_carry_harms_no_other_answer(self):
+        await self.open("a1", "a2")
+        other = self.copies.open("other", 1, "{}")
+        other.append(time.monotonic(), ["\ud800"])
+        self.assertEqual(await other.wait_stored(1), CopyOutcome.UNPROTECTED)
+        self.copies.open("huge", 1, "x" * 5_000_000).append(time.monotonic(), ["t"])
+        self.assertEqual(await self.deliver(), CopyOutcome.STORED)
+
+    async def test_backlog_is_sent_oldest_first_in_bounded_calls(self):
+        links = FakeLinks([], [])
+        copies = AnswerCopies(CFG, links, time.monotonic)
+        copies.start()
+        self.addAsyncCleanup(copies.stop)
+        await asyncio.sleep(0)
+        first = copies.partner.name
+        links.links[first].script = ["lose"]
+        answers = [copies.open(f"r{n}", 1, "{}") for n in range(6)]
+        for answer in answers:
+            answer.append(time.monotonic(), ["t"] * 900)
+        await self.until(lambda: copies.partner is not None and copies.partner.name != first)
+        await self.until(lambda: all(answer.protected for answer in answers))
+        calls = links.links[copies.partner.name].sent
+        self.assertLessEqual(max(sum(len(a.pieces) for a in call) for call in calls), 2_000)
+        order = [append.request_id for call in calls for append in call if append.header]
+        self.assertEqual(order, [answer.request_id for answer in answers])
+
+
+del FleetTest
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -41,7 +41,7 @@
 
 
 def setUpModule():
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(60))
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
 
 
 def tearDownModule():
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -28,7 +28,7 @@
 
 
 def setUpModule():
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(60))
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
 
 
 def tearDownModule():
