--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import random
+import socket
 import unittest
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hypothesis import settings as settings_of
 from hypothesis import strategies as st
@@ -37,8 +38,10 @@
 from sapphireledge.entry.claim_runner import ClaimRunner
 from sapphireledge.entry.outcome_recorder import OutcomeRecorder
 from sapphireledge.errors import ErrorKind, Failure, Ran
-from sapphireledge.platform import WriteStatus
+from sapphireledge.platform import ObjectClient, WriteStatus
 from sapphireledge.settings import ClaimSettings, PlatformSettings
+from sapphireledge_standins._platform_faults import FaultMode, PlatformFaults
+from sapphireledge_standins.platform_server import PlatformServer, create_server
 
 CFG = ClaimSettings(lease=5, service_timeout=10)
 PLATFORM = PlatformSettings(url="-", retry_base=0.01, retry_cap=0.1)
@@ -524,6 +527,60 @@
         self.assertGreater(len(self.service.runs), 20)
 
 
+class ClaimOverTcpTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against faults that only real connections show."""
+
+    async def test_lost_answers_and_an_outage_over_tcp(self):
+        platform = PlatformServer()
+        server = create_server(platform)
+        sock = socket.create_server(("127.0.0.1", 0))
+        serving = asyncio.create_task(server.serve(sockets=[sock]))
+        service = StubService()
+        received = [ReceivedKeys(START_UNIX - 1_000, CFG) for _ in range(3)]
+        runners, tasks = [], []
+        for index, keys in enumerate(received):
+            cfg = settings(sock.getsockname()[1], f"entry-{index}")
+            # A busy machine must not turn a slow answer into an outage.
+            cfg = replace(cfg, claims=replace(cfg.claims, settle_timeout=15))
+            client = ObjectClient(cfg)
+            recorder = OutcomeRecorder(client, PLATFORM, random.Random(index))
+            tasks.append(asyncio.create_task(recorder.run()))
+            peers = StubPeers([peer for peer in received if peer is not keys])
+            runners.append(
+                ClaimRunner(
+                    cfg, client, service, peers, keys, recorder, clock_unix=lambda: START_UNIX
+                )
+            )
+        platform.set_faults(PlatformFaults(lose_answers=0.3, seed=1))
+        pairs = [(number, entry) for number in range(30) for entry in (number, number + 1)]
+        results = await self.gather(runners, pairs)
+        self.assertEqual({found.body for _, found in results}, {b"booked"})
+        platform.set_faults(PlatformFaults(outage=FaultMode.REFUSE))
+        results += await self.gather(runners, [(number, number) for number in range(30, 40)])
+        platform.set_faults(PlatformFaults())
+        for runner in runners:
+            await runner.settle()
+        self.assertEqual(set(service.runs.values()), {1})
+        refused = [key for key, found in results if getattr(found, "ran", None) is Ran.NO]
+        self.assertEqual([service.runs[key] for key in refused], [0] * len(refused))
+        self.assertEqual((len(refused), len(service.runs)), (10, 30))
+        for task in tasks:
+            task.cancel()
+        server.should_exit = True
+        await serving
+
+    async def gather(self, runners, calls):
+        return await asyncio.gather(
+            *(self.call(runners[entry % 3], number) for number, entry in calls)
+        )
+
+    async def call(self, runner, number):
+        key = key_text(START_UNIX, number)
+        deadline = runner.clock() + 20
+        req = ClaimRequest("w", "s", key, "POST", "/b", b"", deadline, 1)
+        return key, await runner.run(req)
+
+
 class ClaimCollectorTest(unittest.IsolatedAsyncioTestCase):
     """Guards against deleting a claim whose key is still accepted."""
 
