Keep the mark of a leaving engine over its restart; ask only complete lists of entries

The first load report of a new engine process cleared the mark that the instance list had set, and a leaving engine got new work for good (seen in test_leaving_engine_gets_nothing_new after a restart of the engine). Ruled out: lag of the list (polled every 2 s, the test waits 3 s). New requests use the older version while a version is moved, and a proof that a key did not run needs a list of entries that every answering peer confirms.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import time
 import unittest
 from pathlib import Path
 
+import structlog
 from hypothesis import settings
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -79,6 +81,9 @@
     # Fixed seeds: the same tree gives the same verdict on every run.
     settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
     settings.load_profile("repeatable")
+    # Tests provoke faults on purpose; what the parts log about them would hide the results.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     runner = unittest.TextTestRunner(verbosity=1, resultclass=TimedResult)
     result = runner.run(load(sys.argv[1:]))
     broken = {test.id() for test, _ in result.failures + result.errors}
--- a/src/sapphireledge/core/fleet/fleet_planner.py
+++ b/src/sapphireledge/core/fleet/fleet_planner.py
@@ -225,7 +225,9 @@
         for held in engine.models:
             if held.model == deployment.model and engine.role == deployment.role:
                 counts[held.version] = counts.get(held.version, 0) + 1
-    enough = max(1, math.ceil(deployment.min_ready * deployment.engines))
+    # Without a declared number of engines, operators move versions themselves.
+    wanted = deployment.engines or sum(counts.values())
+    enough = max(1, math.ceil(deployment.min_ready * wanted))
     others = {version for version in counts if version != deployment.version}
     if counts.get(deployment.version, 0) >= enough or not others:
         return deployment.version
--- a/src/sapphireledge/core/routing/backend_state.py
+++ b/src/sapphireledge/core/routing/backend_state.py
@@ -81,12 +81,14 @@
     def reset(self, boot_id: str) -> None:
         """Starts over for a new incarnation of the engine, which has none of the old work.
 
+        What the engine itself said of leaving ends with it; what the instance list says stays.
+
         Args:
             boot_id: Its boot id.
         """
         self.boot_id = boot_id
         self.report = None
-        self.leaving = False
+        self.leaving = self.instance.leaving
         self.unreachable_since = None
         self.in_flight.clear()
         self.suspects.clear()
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -23,6 +23,8 @@
     RetryBudget,
     estimate_cost,
 )
+from sapphireledge.core.fleet import EngineState, serving_version
+from sapphireledge.core.fleet import ModelVersion as LoadedVersion
 from sapphireledge.core.quarantine import Clear, DeathRecord, Isolate, fingerprint_request
 from sapphireledge.core.routing import Router, RouteRequest
 from sapphireledge.entry.grant import Grant
@@ -61,6 +63,10 @@
 PUMP_INTERVAL = 0.02
 """Seconds between two looks at the queue while work waits."""
 
+SERVING_CACHE = 0.5
+"""Seconds for which the version for new requests is kept, so that engines are not counted for each
+request; load reports are not newer."""
+
 DEATH_CHECK_LIMIT = 0.3
 """Seconds that a resume waits for the check whether the last engine died."""
 
@@ -115,6 +121,7 @@
         self._fingerprints: dict[str, str] = {}
         self._isolated: set[str] = set()
         self._checks: dict[str, asyncio.Task[None]] = {}
+        self._serving: dict[str, tuple[str, float]] = {}
         self._wake = asyncio.Event()
         self._log = structlog.get_logger()
 
@@ -189,7 +196,7 @@
         refused = await self._refuse_early(work)
         if refused is not None:
             return refused
-        version = work.version or deployment.version
+        version = work.version or self._serving_version(deployment)
         request = self._route_request(work, deployment, version)
         scheduler = self._scheduler(work.req.model, version)
         queued = self._queued_work(work, request)
@@ -386,6 +393,27 @@
                 return choice
             await asyncio.sleep(BACKEND_POLL)
 
+    def _serving_version(self, deployment: Deployment) -> str:
+        """Finds the version for new requests; while a version is moved it is the older one."""
+        now = time.monotonic()
+        version, until = self._serving.get(deployment.name, ("", 0.0))
+        if now >= until:
+            version = serving_version(deployment, self._engines())
+            self._serving[deployment.name] = version, now + SERVING_CACHE
+        return version
+
+    def _engines(self) -> list[EngineState]:
+        """Reports of the live engines."""
+        return [
+            EngineState(
+                state.instance.name,
+                state.report.role,
+                frozenset(LoadedVersion(m.model, m.version) for m in state.report.models),
+            )
+            for state in self._view.states()
+            if state.report is not None and not state.leaving
+        ]
+
     def _scheduler(self, model: str, version: str) -> RankScheduler:
         """Finds the scheduler of a model version."""
         key = (model, version)
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -301,6 +301,7 @@
             self._config,
             self._events,
             self._services.keys,
+            lambda: [member.name for member in self._mesh.members],
             lambda delay, work: asyncio.get_running_loop().call_later(delay, work),
         )
 
--- a/src/sapphireledge/entry/peer_service.py
+++ b/src/sapphireledge/entry/peer_service.py
@@ -54,6 +54,7 @@
         config: ConfigState,
         events: EventLog,
         keys: ReceivedKeys,
+        list_entries: Callable[[], list[str]],
         later: Callable[[float, Callable[[], None]], object],
     ) -> None:
         """Creates the handler.
@@ -65,6 +66,7 @@
             config: Declarations in force.
             events: Recorded events.
             keys: Claim keys that this instance received.
+            list_entries: Names of all instances that this one knows of.
             later: Calls a function after a delay in seconds.
         """
         self._instance = instance
@@ -73,6 +75,7 @@
         self._config = config
         self._events = events
         self._keys = keys
+        self._list_entries = list_entries
         self._later = later
 
     async def append_answers(self, sender: str, appends: Sequence[Any]) -> list[Any] | Failure:
@@ -135,7 +138,9 @@
 
     async def void_key(self, claim_key: str) -> Any | Failure:
         """Promises to refuse a claim key that was never received, see `PeerHandler`."""
-        return VoidReply(self._keys.void(claim_key, time.time()), self._keys.start_unix)
+        return VoidReply(
+            self._keys.void(claim_key, time.time()), self._keys.start_unix, self._list_entries()
+        )
 
     async def read_events(self, request_id: str) -> Any | Failure:
         """Returns the recorded events of a request, see `PeerHandler`."""
--- a/src/sapphireledge/entry/void_peers.py
+++ b/src/sapphireledge/entry/void_peers.py
@@ -9,6 +9,8 @@
 from sapphireledge.errors import Failure
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from sapphireledge.peers import PeerMesh
     from sapphireledge.settings import ClaimSettings
 
@@ -29,17 +31,25 @@
         self._mesh = mesh
 
     async def void(self, claim_key: str) -> tuple[VoidAnswer | None, ...] | None:
-        """Asks all known instances, see `VoidKeys`."""
-        members = self._mesh.members
+        """Asks all known instances, see `VoidKeys`.
+
+        An instance that only a peer knows of, after a partition, may have received the key: then
+        the entries are not known and nothing can be proven.
+        """
+        members = {member.name for member in self._mesh.members}
         if not members:
             return None
-        own = self._mesh.own.name
-        others = [member.name for member in members if member.name != own]
-        return tuple(await asyncio.gather(*(self._ask(name, claim_key) for name in others)))
+        others = sorted(members - {self._mesh.own.name})
+        replies = await asyncio.gather(*(self._ask(name, claim_key) for name in others))
+        known = {name for reply in replies if reply is not None for name in reply.entries}
+        if not known <= members:
+            return None
+        return tuple(
+            None if reply is None else VoidAnswer(bool(reply.voided), reply.since_unix)
+            for reply in replies
+        )
 
-    async def _ask(self, name: str, claim_key: str) -> VoidAnswer | None:
-        """Asks one instance."""
+    async def _ask(self, name: str, claim_key: str) -> Any | None:
+        """Asks one instance; returns its VoidReply."""
         reply = await self._mesh.call(name, "void_key", claim_key, timeout=self._cfg.void_timeout)
-        if isinstance(reply, Failure):
-            return None
-        return VoidAnswer(bool(reply.voided), reply.since_unix)
+        return None if isinstance(reply, Failure) else reply
--- a/src/sapphireledge/schema/peer.thrift
+++ b/src/sapphireledge/schema/peer.thrift
@@ -125,6 +125,7 @@
 struct VoidReply {
   1: bool voided            // the receiver never received the key and refuses it from now on
   2: double since_unix      // start of the receiver's process, in seconds
+  3: list<string> entries   // every entry instance that the receiver knows of
 }
 
 service Peer {
