--- a/src/sapphireledge_standins/engine_sequence.py
+++ b/src/sapphireledge_standins/engine_sequence.py
@@ -22,17 +22,29 @@
     """The `resume` object of a request."""
 
     offset: int
+    """Tokens that are already there."""
+
     text: str
+    """Text of these tokens."""
 
 
 class Extension(msgspec.Struct, frozen=True):
     """The `sapphireledge` object of a request."""
 
     attempt_id: str
+    """Id of the attempt."""
+
     request_id: str
+    """Id of the request, the same for all its attempts."""
+
     priority: int = 0
+    """0 is the most urgent."""
+
     model_version: str = ""
+    """Version that must generate."""
+
     resume: Resume = Resume(0, "")
+    """Where to continue."""
 
 
 class EngineSequence:
