--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -96,15 +96,15 @@
         async with aclosing(engine.client.stream(make_call(tokens=4000))) as events:
             async for event in events:
                 if isinstance(event, TokenPiece) and event.offset == 3:
-                    self.assertTrue(await engine.client.cancel("r1.1"))
+                    self.assertTrue(await engine.client.cancel("r1.1.1"))
                 last = event
         self.assertEqual((last.cause, last.ran), (BreakCause.TRUNCATED, Ran.YES))
-        self.assertFalse((await engine.client.probe("r1.1")).knows_attempt)
+        self.assertFalse((await engine.client.probe("r1.1.1")).knows_attempt)
         self.assertIsInstance((await collect(engine.client, make_call("r2")))[-1], Finished)
 
     async def test_cancel_of_an_unknown_attempt_is_answered(self):
         engine = await self.engine()
-        self.assertTrue(await engine.client.cancel("none.1"))
+        self.assertTrue(await engine.client.cancel("none.1.1"))
 
     async def test_closing_the_stream_cancels(self):
         engine = await self.engine()
@@ -121,8 +121,8 @@
         async with aclosing(engine.client.stream(make_call(tokens=4000))) as events:
             await anext(events)
             await anext(events)
-            await engine.client.cancel("r1.1")
-            self.assertTrue((await engine.client.probe("r1.1")).knows_attempt)
+            await engine.client.cancel("r1.1.1")
+            self.assertTrue((await engine.client.probe("r1.1.1")).knows_attempt)
             self.assertIsInstance(await anext(events), TokenPiece)
 
 
@@ -139,7 +139,7 @@
         self.assertEqual((events[-1].cause, events[-1].ran), (BreakCause.CONNECTION_LOST, Ran.YES))
         (broken,) = await collect(engine.client, make_call("r2"))
         self.assertEqual((broken.cause, broken.ran), (BreakCause.NOT_CONNECTED, Ran.NO))
-        self.assertFalse((await engine.client.probe("r1.1")).alive)
+        self.assertFalse((await engine.client.probe("r1.1.1")).alive)
 
     async def test_only_the_crashing_request_kills(self):
         engine = await self.engine()
@@ -157,7 +157,7 @@
             engine.faults(freeze=True)
             waiting = asyncio.ensure_future(anext(stream))
             await asyncio.sleep(0.1)
-            self.assertFalse((await engine.client.probe("r1.1", 0.1)).alive)
+            self.assertFalse((await engine.client.probe("r1.1.1", 0.1)).alive)
             late = await engine.client.load()
             self.assertEqual((late.cause, late.ran), (BreakCause.NO_ANSWER, Ran.UNKNOWN))
             engine.faults()
@@ -172,7 +172,7 @@
             events = [await anext(stream) for _ in range(6)]
             engine.faults(silence_existing=True)
             await asyncio.sleep(0.05)
-            probe = await engine.client.probe("r1.1")
+            probe = await engine.client.probe("r1.1.1")
             self.assertEqual((probe.alive, probe.knows_attempt), (True, True))
             with self.assertRaises(TimeoutError):
                 async with asyncio.timeout(0.1):
