Let work that can wait leave usable slots to other instances for a moment

Each instance orders only its own queue, so an instance that held nothing but flooding work took slots that more urgent work or small workspaces waited for elsewhere.

--- a/src/sapphireledge/core/admission/_rank_state.py
+++ b/src/sapphireledge/core/admission/_rank_state.py
@@ -96,6 +96,8 @@
         """Estimated cost of the work started in the window."""
         self.promised: dict[str, float] = {}
         """Retry time last announced to each refused workspace."""
+        self.usable_since: float | None = None
+        """Time since which there have been slots that the rank may use, in seconds."""
         self.pressed_at = -inf
         """Time of the last refusal of late work, in seconds."""
         self._waited = DecayedSum(window)
--- a/src/sapphireledge/core/admission/rank_scheduler.py
+++ b/src/sapphireledge/core/admission/rank_scheduler.py
@@ -29,6 +29,16 @@
 wait for running work to end while the reserve stands free.
 """
 
+YIELD_TIME = 0.05
+"""Time in seconds for which a usable slot is left to other instances, for each reason to yield.
+
+Each instance orders only its own queue. Without this, one that holds nothing but flooding work
+takes slots that more urgent work, or small workspaces, wait for elsewhere.
+"""
+
+GREEDY_FACTOR = 2.0
+"""Multiple of the mean usage per weight above which a workspace yields to others."""
+
 PACE_PRIOR = 1.0
 """Seconds of each running work that count at the mean pace when the pace of a rank is measured."""
 
@@ -159,6 +169,7 @@
         if self._waiting:
             self._measure_paces(now)
         slots = free.free
+        self._note_usable(now, slots)
         while slots > 0 and self._waiting:
             work = self._pick(slots)
             if work is None:
@@ -166,6 +177,7 @@
             self._hand_out(now, work)
             result.append(work)
             slots -= 1
+        self._note_usable(now, slots)
         return result
 
     def on_started(self, now: float, work_id: str) -> None:
@@ -273,6 +285,23 @@
             RankLoad(s.rank.name, s.running, s.queue.size + len(s.resumes)) for s in self._order
         )
 
+    def next_wake(self, now: float) -> float | None:
+        """Computes when `next` has to be called again if nothing else happens.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Time of the next expiry or of the end of a yield, in seconds, or None.
+        """
+        if not self._waiting:
+            return None
+        times = [self._deadlines[0][0]]
+        yields = [s.usable_since for s in self._order if s.usable_since is not None]
+        times += [since + n * YIELD_TIME for since in yields for n in range(len(self._order) + 1)]
+        later = [time for time in times if time > now]
+        return min(later, default=now)
+
     @property
     def queued(self) -> int:
         """Number of waiting works."""
@@ -361,30 +390,58 @@
         resume = self._pick_resume(slots)
         if resume is not None:
             return resume
-        for state in self._by_urgency():
-            if slots > self._held_back(state):
-                workspace = state.queue.head()
-                assert workspace is not None
-                return state.queue.first_of(workspace)
+        shared = self._capacity.total - self._capacity.free > len(self._running)
+        for state, below_share in self._by_urgency():
+            if slots <= self._held_back(state):
+                continue
+            workspace = state.queue.head()
+            assert workspace is not None
+            if shared and self._yields(state, workspace, below_share):
+                continue
+            return state.queue.first_of(workspace)
         return None
 
-    def _by_urgency(self) -> list[RankState]:
-        """Orders the backlogged ranks: below their share first, then by urgency."""
+    def _note_usable(self, now: float, slots: int) -> None:
+        """Notes since when there are slots that each rank may use."""
+        for state in self._order:
+            if slots <= self._held_back(state):
+                state.usable_since = None
+            elif state.usable_since is None:
+                state.usable_since = now
+
+    def _yields(self, state: RankState, workspace: str, below_share: bool) -> bool:
+        """Whether work leaves the usable slots to other instances for now.
+
+        Work of a less urgent rank yields once for each more urgent rank, unless its rank is below
+        its share, and work of a greedy workspace once more.
+        """
+        reasons = 0 if below_share else self._order.index(state)
+        reasons += self._is_greedy(state, workspace)
+        since = self._now if state.usable_since is None else state.usable_since
+        return self._now - since < reasons * YIELD_TIME
+
+    def _is_greedy(self, state: RankState, workspace: str) -> bool:
+        """Whether a workspace has used far more than the others."""
+        usage = self._ledger.usage(self._now, workspace) / state.queue.weight_of(workspace)
+        return usage > GREEDY_FACTOR * self._ledger.mean_usage(self._now)
+
+    def _by_urgency(self) -> list[tuple[RankState, bool]]:
+        """Orders the backlogged ranks: those below their share first, then by urgency."""
         backlogged = [state for state in self._order if state.queue.size]
         if len(backlogged) < 2:
-            return backlogged
+            return [(state, False) for state in backlogged]
         total = sum(state.running * state.pace for state in self._order)
         below: list[tuple[float, int, RankState]] = []
-        rest: list[RankState] = []
+        rest: list[tuple[RankState, bool]] = []
         for position, state in enumerate(backlogged):
             due = state.rank.share * total
             received = state.running * state.pace
             if state.rank.share > 0.0 and received < due:
                 below.append((received / due, position, state))
             else:
-                rest.append(state)
+                rest.append((state, False))
         below.sort()
-        return [state for _, _, state in below] + rest
+        return [(state, True) for _, _, state in below] + rest
 
     def _measure_paces(self, now: float) -> None:
         """Renews the tokens per second and running work of each rank, relative to all ranks.
--- a/src/sapphireledge/core/admission/usage_ledger.py
+++ b/src/sapphireledge/core/admission/usage_ledger.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from math import log
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.admission._private import NEVER, decayed, level_of
+from sapphireledge.core.admission._private import NEVER, DecayedSum, decayed, level_of
 from sapphireledge.core.admission.usage_changes import UsageChanges
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         self._sources: dict[str, dict[str, float]] = {}
         self._lost: frozenset[str] = frozenset()
         self._scale = 1.0
+        self._sum = DecayedSum(half_life / log(2.0))
         self._changed: dict[str, int] = {}
         self._sequence = 0
         self._prune_at = MIN_PRUNE
@@ -188,6 +190,17 @@
         parts = [self._own, *(self._sources[name] for name in members if name in self._sources)]
         return {w: sum(self._amount(now, part, w) for part in parts) for w in workspaces}
 
+    def mean_usage(self, now: float) -> float:
+        """Computes the mean usage of the workspaces with usage.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Decayed tokens, over the whole fleet.
+        """
+        return self._scale * self._sum.value(now) / max(1, len(self._total))
+
     def workspaces(self) -> tuple[str, ...]:
         """Lists the workspaces with usage.
 
@@ -219,6 +232,7 @@
     def _adjust(self, now: float, workspace: str, change: float) -> None:
         """Changes the total of a workspace."""
         total = max(0.0, self._amount(now, self._total, workspace) + change)
+        self._sum.add(now, change)
         if total >= MIN_USAGE:
             self._total[workspace] = level_of(now, total, self._half_life)
         else:
