--- a/src/sapphireledge/core/admission/rank_scheduler.py
+++ b/src/sapphireledge/core/admission/rank_scheduler.py
@@ -562,10 +562,10 @@
         target = (self._ledger.usage(now, work.workspace) + own) / work.weight
         sample, factor = state.queue.sample(AHEAD_SAMPLE)
         others = 0.0
-        for name in sample:
-            if name != work.workspace:
-                lift = state.queue.weight_of(name) * target - self._ledger.usage(now, name)
-                others += max(0.0, min(state.queue.backlog_of(name), lift))
+        for name, usage in zip(sample, self._ledger.usages(now, sample), strict=True):
+            lift = state.queue.weight_of(name) * target - usage
+            if lift > 0.0 and name != work.workspace:
+                others += min(state.queue.backlog_of(name), lift)
         return own + others * factor
 
     def _late(
@@ -589,7 +589,7 @@
         slot = max(now + excess, state.promised.get(work.workspace, now) + pace)
         slot = min(slot, now + MAX_RETRY_AFTER)
         state.promise(now, work.workspace, slot)
-        return max(MIN_RETRY_AFTER, slot - now)
+        return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, slot - now))
 
     def _on_decrease(self, workspace: str) -> None:
         """Passes a falling usage on to the queues."""
--- a/src/sapphireledge/core/admission/usage_ledger.py
+++ b/src/sapphireledge/core/admission/usage_ledger.py
@@ -131,6 +131,19 @@
         """
         return self._scale * self._amount(now, self._total, workspace)
 
+    def usages(self, now: float, workspaces: Iterable[str]) -> list[float]:
+        """Estimates the usage of several workspaces in the whole fleet.
+
+        Args:
+            now: Time in seconds.
+            workspaces: Names.
+
+        Returns:
+            Decayed tokens of each.
+        """
+        shift, scale, levels = now / self._half_life, self._scale, self._total
+        return [scale * 2.0 ** (levels.get(w, NEVER) - shift) for w in workspaces]
+
     def own_usage(self, now: float, workspace: str) -> float:
         """Reads the usage of a workspace through this instance.
 
--- a/src/sapphireledge/core/routing/backend_state.py
+++ b/src/sapphireledge/core/routing/backend_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from sapphireledge.core.routing._pool import Tier
     from sapphireledge.core.routing.backend_instance import BackendInstance
     from sapphireledge.core.routing.load_report import LoadReport
 
@@ -29,12 +30,15 @@
         "report",
         "since_report",
         "suspects",
+        "tier",
         "unreachable_since",
     )
 
-    def __init__(self, instance: BackendInstance):
+    def __init__(self, instance: BackendInstance, tier: Tier):
         self.instance = instance
         """Entry of the instance list."""
+        self.tier = tier
+        """Distance from the instance."""
         self.boot_id = ""
         """Boot id of the engine, empty while unknown."""
         self.report: LoadReport | None = None
--- a/src/sapphireledge/core/routing/backend_view.py
+++ b/src/sapphireledge/core/routing/backend_view.py
@@ -28,6 +28,9 @@
 LOCAL_PART = 0.6
 """Part of the subset that lies in the own data centre; the rest takes over when that is full."""
 
+MAX_LEFT = 4096
+"""Backend servers remembered that left the list while leaving."""
+
 UNREACHABLE_TIME = 2.0
 """Time in seconds for which a backend server without load reports is left out after a failure."""
 
@@ -49,6 +52,7 @@
         self._pools: dict[PoolKey, Pool] = {}
         self._entries: dict[str, str] = {instance: data_centre}
         self._fresh: OrderedDict[str, float] = OrderedDict()
+        self._left: OrderedDict[str, str] = OrderedDict()
         self._returns: list[tuple[float, str]] = []
         self.prefixes = PrefixIndex(cfg.cache_half_life)
         """Cache hints."""
@@ -69,11 +73,12 @@
         for name, instance in listed.items():
             state = self._states.get(name)
             if state is None:
-                state = self._states[name] = BackendState(instance)
+                state = self._states[name] = BackendState(instance, self._tier(instance))
             elif state.instance == instance:
                 continue
             self._leave_pools(state)
             state.instance = instance
+            state.tier = self._tier(instance)
             state.leaving = state.leaving or instance.leaving
             self._update(state)
 
@@ -109,6 +114,7 @@
                 self._leave_pools(state)
                 state.reset(report.boot_id)
             state.boot_id = report.boot_id
+            state.leaving = state.leaving or self._left.get(report.backend) == report.boot_id
             self.prefixes.on_boot(now, report.backend, report.boot_id)
         failed = state.unreachable_since
         if failed is not None and report.as_of > failed:
@@ -262,19 +268,6 @@
             self._select(pool)
         return pool
 
-    def tier(self, state: BackendState) -> Tier:
-        """Computes the distance of a backend server.
-
-        Args:
-            state: Its state.
-
-        Returns:
-            The distance.
-        """
-        if state.instance.data_centre == self._data_centre:
-            return Tier.DATA_CENTRE
-        return Tier.REGION if state.instance.region == self._region else Tier.REMOTE
-
     def is_fresh(self, state: BackendState) -> bool:
         """Whether the load of a backend server is known.
 
@@ -283,6 +276,12 @@
         """
         return state.instance.name in self._fresh or not state.instance.reports_load
 
+    def _tier(self, instance: BackendInstance) -> Tier:
+        """Computes the distance of a backend server."""
+        if instance.data_centre == self._data_centre:
+            return Tier.DATA_CENTRE
+        return Tier.REGION if instance.region == self._region else Tier.REMOTE
+
     def _wake(self, now: float) -> None:
         """Applies what happens by the passing of time."""
         while self._fresh:
@@ -302,7 +301,13 @@
 
     def _remove(self, now: float, name: str) -> None:
         """Forgets a backend server."""
-        self._leave_pools(self._states.pop(name))
+        state = self._states.pop(name)
+        self._leave_pools(state)
+        if state.leaving and state.boot_id:
+            # A list that lags can show the same incarnation again.
+            self._left[name] = state.boot_id
+            if len(self._left) > MAX_LEFT:
+                self._left.popitem(last=False)
         self._fresh.pop(name, None)
         self.prefixes.forget(now, name)
 
@@ -336,7 +341,7 @@
         name = state.instance.name
         for key in state.pools:
             pool = self._pools[key]
-            pool.displace(name, self.tier(state))
+            pool.displace(name, state.tier)
             names = pool.members[state.instance.data_centre]
             names.discard(name)
             if not names:
@@ -351,7 +356,7 @@
         if not state.pools:
             return
         name = state.instance.name
-        tier = self.tier(state)
+        tier = state.tier
         free = max(0, state.slots - state.load) if self.is_fresh(state) else 0
         rate = state.report.token_rate if state.report is not None else 0.0
         for key in state.pools:
@@ -367,7 +372,7 @@
         members = set().union(*pool.members.values())
         selected = members if pool.selected is None else pool.selected
         for name in before - selected:
-            pool.displace(name, self.tier(self._states[name]))
+            pool.displace(name, self._states[name].tier)
         for name in selected - before:
             self._refresh(self._states[name])
 
--- a/src/sapphireledge/core/routing/router.py
+++ b/src/sapphireledge/core/routing/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.routing._pool import Tier
@@ -9,7 +10,6 @@
 from sapphireledge.errors import ErrorKind, Failure, Ran
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from random import Random
 
     from sapphireledge.core.routing._indexed_set import IndexedSet
@@ -71,7 +71,7 @@
         for name in request.prefer:
             state = view.state(name)
             if state is not None and pool.uses(name) and _permitted(state, request):
-                return self._choice(now, state, request, view, {})
+                return _choice(state, self.score(state, request, view, 0.0), 0.0)
         cached = view.prefixes.holders(now, request.prefixes, CACHE_CANDIDATES)
         candidates = self._candidates(pool, request, view, rng, cached)
         if not candidates:
@@ -79,8 +79,12 @@
         if not candidates:
             reason = "every backend server runs another suspect request"
             return _refusal(ErrorKind.OVERLOADED, reason, request, ISOLATION_RETRY)
-        choices = [self._choice(now, state, request, view, cached) for state in candidates]
-        return min(choices, key=lambda choice: choice.score)
+        best, best_score = candidates[0], inf
+        for state in candidates:
+            score = self.score(state, request, view, cached.get(state.instance.name, 0.0))
+            if score < best_score:
+                best, best_score = state, score
+        return _choice(best, best_score, cached.get(best.instance.name, 0.0))
 
     def score(
         self, state: BackendState, request: RouteRequest, view: BackendView, cached_tokens: float
@@ -103,27 +107,13 @@
         else:
             cost = LOAD_TOKENS + QUEUE_TOKENS * (load - slots + 1) / slots
         cost += max(0.0, request.prompt_tokens - cached_tokens)
-        tier = view.tier(state)
+        tier = state.tier
         if tier is Tier.REGION:
             cost += self._cfg.region_penalty
         elif tier is Tier.REMOTE:
             cost += self._cfg.remote_penalty + self._cfg.volume_price * request.output_tokens
         return cost
 
-    def _choice(
-        self,
-        now: float,
-        state: BackendState,
-        request: RouteRequest,
-        view: BackendView,
-        cached: dict[str, float],
-    ) -> RouteChoice:
-        """Builds the choice of one backend server."""
-        name = state.instance.name
-        cached_tokens = cached.get(name, 0.0)
-        score = self.score(state, request, view, cached_tokens)
-        return RouteChoice(name, state.instance.address, state.boot_id, score, cached_tokens)
-
     def _candidates(
         self,
         pool: Pool,
@@ -138,33 +128,44 @@
             state = view.state(name)
             if state is not None and pool.uses(name) and _allowed(state, request):
                 found[name] = state
-        drawn = [state for group in pool.good for state in _draw(group, request, view, rng)]
-        if not drawn:
-            drawn = [state for group in pool.busy for state in _draw(group, request, view, rng)]
-        found.update((state.instance.name, state) for state in drawn)
+        count = len(found)
+        for group in pool.good:
+            if group:
+                _draw(group, request, view, rng, found)
+        if len(found) == count:
+            for group in pool.busy:
+                if group:
+                    _draw(group, request, view, rng, found)
         return list(found.values())
 
 
 def _draw(
-    group: IndexedSet, request: RouteRequest, view: BackendView, rng: Random
-) -> Iterator[BackendState]:
-    """Draws up to two different members that the request may use."""
-    if not group:
-        return
-    seen: set[str] = set()
+    group: IndexedSet,
+    request: RouteRequest,
+    view: BackendView,
+    rng: Random,
+    found: dict[str, BackendState],
+) -> None:
+    """Adds up to two different members of a group that the request may use."""
+    wanted = len(found) + min(DRAWS, len(group))
     for _ in range(MAX_DRAWS if len(group) > 1 else 1):
         name = group.choice(rng)
-        if name in seen:
+        if name in found:
             continue
         state = view.state(name)
         assert state is not None
         if _allowed(state, request):
-            seen.add(name)
-            yield state
-            if len(seen) >= DRAWS:
+            found[name] = state
+            if len(found) >= wanted:
                 return
 
 
+def _choice(state: BackendState, score: float, cached_tokens: float) -> RouteChoice:
+    """Builds the choice of a backend server."""
+    instance = state.instance
+    return RouteChoice(instance.name, instance.address, state.boot_id, score, cached_tokens)
+
+
 def _allowed(state: BackendState, request: RouteRequest) -> bool:
     """Whether a request may use a backend server, its avoid list included."""
     return state.instance.name not in request.avoid and _permitted(state, request)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,13 +11,17 @@
 from hypothesis import strategies as st
 
 from sapphireledge.core.admission import (
+    Admitted,
     Capacity,
     Expired,
     QueuedWork,
     RankScheduler,
+    RetryBudget,
+    UsageLedger,
+    backoff_delay,
 )
 from sapphireledge.core.declarations import Rank
-from sapphireledge.errors import Failure
+from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.settings import AdmissionSettings
 
 CFG = AdmissionSettings()
@@ -184,5 +188,217 @@
         self.assertGreaterEqual(got, 0.95 * sum(alone.tokens[s.workspace] for s in small))
 
 
-if __name__ == "__main__":
-    unittest.main()
+class SchedulerTest(unittest.TestCase):
+    """Guards against work that is lost, run twice, or refused with a false statement."""
+
+    @settings(max_examples=60)
+    @given(st.integers(0, 2**32), st.integers(1, 12), st.integers(1, 40))
+    def test_every_work_has_one_end_and_frees_its_place(self, seed, slots, max_queued):
+        rng = random.Random(seed)
+        scheduler = RankScheduler(ranks(reserve=0.0), AdmissionSettings(max_queued=max_queued))
+        waiting: set[str] = set()
+        running: set[str] = set()
+        now = 0.0
+        for i in range(300):
+            now += rng.expovariate(4.0)
+            action = rng.random()
+            if action < 0.5:
+                work = QueuedWork(
+                    f"{i}",
+                    rng.choice(("urgent", "standard", "batch")),
+                    f"w{rng.randrange(4)}",
+                    rng.randrange(50),
+                    rng.randrange(200),
+                    deadline=now + rng.random() * 3 if rng.random() < 0.3 else None,
+                    delivered=rng.choice((0, 0, 0, 20)),
+                )
+                result = scheduler.offer(now, work)
+                if isinstance(result, Admitted):
+                    waiting.add(work.work_id)
+                else:
+                    self.assertIs(result.ran, Ran.NO)
+                    self.assertFalse(work.is_resume)
+            elif action < 0.6 and waiting | running:
+                work_id = rng.choice(sorted(waiting | running))
+                self.assertTrue(scheduler.withdraw(work_id))
+                waiting.discard(work_id)
+                running.discard(work_id)
+            elif action < 0.75 and running:
+                work_id = rng.choice(sorted(running))
+                scheduler.on_started(now, work_id)
+                scheduler.on_consumed(now, work_id, rng.randrange(300))
+                scheduler.on_ended(now, work_id)
+                running.discard(work_id)
+            items = scheduler.next(now, Capacity(slots - len(running), slots, 100.0))
+            for item in items:
+                if isinstance(item, Expired):
+                    resume = item.work.is_resume
+                    self.assertIs(item.failure.ran, Ran.YES if resume else Ran.NO)
+                    waiting.remove(item.work.work_id)
+                else:
+                    waiting.remove(item.work_id)
+                    running.add(item.work_id)
+            # Work conserving: nothing waits beside a free slot.
+            self.assertTrue(len(running) == slots or not waiting)
+            loads = scheduler.loads()
+            self.assertEqual(sum(load.running for load in loads), len(running))
+            self.assertEqual(sum(load.queued for load in loads), len(waiting))
+        for work_id in sorted(waiting | running):
+            scheduler.withdraw(work_id)
+        self.assertEqual((scheduler.queued, scheduler._running), (0, {}))
+        for state in scheduler._order:
+            queue = state.queue
+            self.assertEqual((queue.size, queue.backlog, queue.total_weight), (0, 0, 0.0))
+            self.assertFalse(queue._waiting or queue._lengths or queue._backlog_of)
+
+    @settings(max_examples=5, phases=(Phase.generate,))
+    @given(st.integers(0, 2**32))
+    def test_refused_work_can_start_after_the_announced_time(self, seed):
+        """Guards against a retry time at which the same request is refused again."""
+        sources = [Source("standard", f"w{i}", 100.0, end=30.0) for i in range(10)]
+        loop = Loop(sources, seed).run(30.0)
+        scheduler = loop.schedulers[0]
+        late = [item for item in loop.refused if item[2].kind is ErrorKind.WOULD_BE_LATE]
+        self.assertTrue(all(0.0 < failure.retry_after <= 60.0 for _, _, failure in late))
+        now, work, failure = late[-1]
+        end = now + failure.retry_after
+        rng = random.Random(seed)
+        while now < end:
+            now += STEP
+            for work_id in list(loop.running):
+                if rng.random() < STEP * SPEED / 250:
+                    del loop.running[work_id]
+                    scheduler.on_ended(now, work_id)
+            loop.start(now, 0, 0.0)
+        self.assertIsInstance(scheduler.offer(now, work), Admitted)
+
+    def test_admitted_work_mostly_starts_in_time(self):
+        """Guards against admitting work whose deadline passes in the queue."""
+        sources = [Source("standard", f"w{i}", 100.0) for i in range(10)]
+        loop = Loop(sources, 1).run(60.0, 20.0)
+        expired = loop.outcomes[ErrorKind.DEADLINE_EXCEEDED, Ran.NO]
+        self.assertLess(expired, 0.5 * len(loop.waits["standard"]))
+
+    def test_resumes_go_by_rank_then_by_delivered_tokens_within_their_share(self):
+        """Guards against first tries starved by resumes, and against resumes that wait behind."""
+        scheduler = RankScheduler(ranks(reserve=0.0, shares=(0.0, 0.0, 0.0)), CFG)
+        for i, (rank, delivered) in enumerate(
+            [("batch", 900), ("urgent", 5), ("urgent", 80), ("standard", 0), ("urgent", 0)]
+        ):
+            scheduler.offer(0.0, QueuedWork(f"{i}", rank, f"w{i}", 0, 10, delivered=delivered))
+        started = [work.work_id for work in scheduler.next(0.0, Capacity(10, 10))]
+        self.assertEqual(started, ["2", "1", "0", "4", "3"])
+        scheduler = RankScheduler(ranks(reserve=0.0), CFG)
+        for i in range(50):
+            scheduler.offer(0.0, QueuedWork(f"r{i}", "urgent", "a", 0, 10, delivered=9))
+            scheduler.offer(0.0, QueuedWork(f"f{i}", "standard", "b", 0, 10))
+        started = [work.work_id[0] for work in scheduler.next(0.0, Capacity(20, 20))]
+        self.assertEqual(Counter(started), {"r": 6, "f": 14})
+
+    def test_reserve_is_kept_from_less_urgent_ranks_only(self):
+        scheduler = RankScheduler(ranks(reserve=0.2), CFG)
+        for i in range(20):
+            scheduler.offer(0.0, QueuedWork(f"b{i}", "batch", "a", 0, 10))
+        self.assertEqual(len(scheduler.next(0.0, Capacity(10, 10))), 8)
+        scheduler.offer(0.0, QueuedWork("u", "urgent", "a", 0, 10))
+        self.assertEqual([w.work_id for w in scheduler.next(0.0, Capacity(2, 10))], ["u"])
+
+    def test_full_queue_gives_up_the_lowest_worth(self):
+        """Guards against urgent work refused because the queue is full of other work."""
+        scheduler = RankScheduler(ranks(), AdmissionSettings(max_queued=3))
+        for i, workspace in enumerate(("many", "many", "one")):
+            scheduler.offer(0.0, QueuedWork(f"{i}", "batch", workspace, 0, 10))
+        self.assertIsInstance(scheduler.offer(0.0, QueuedWork("u", "urgent", "x", 0, 9)), Admitted)
+        again = scheduler.offer(0.0, QueuedWork("b", "batch", "many", 0, 10))
+        self.assertIs(again.kind, ErrorKind.OVERLOADED)
+        (lost,) = [x for x in scheduler.next(0.0, Capacity(0, 1)) if isinstance(x, Expired)]
+        self.assertEqual((lost.work.work_id, lost.failure.ran), ("1", Ran.NO))
+
+    def test_lower_usage_goes_first_after_a_correction(self):
+        """Guards against a workspace that pays for an estimate that was too high."""
+        scheduler = RankScheduler(ranks(reserve=0.0), CFG)
+        scheduler.offer(0.0, QueuedWork("a1", "standard", "a", 0, 10_000))
+        scheduler.offer(0.0, QueuedWork("b1", "standard", "b", 0, 500))
+        self.assertEqual(len(scheduler.next(0.0, Capacity(2, 2))), 2)
+        scheduler.offer(0.0, QueuedWork("b2", "standard", "b", 0, 500))
+        scheduler.offer(0.0, QueuedWork("a2", "standard", "a", 0, 500))
+        scheduler.on_started(0.0, "a1")
+        scheduler.on_consumed(1.0, "a1", 20)
+        scheduler.on_ended(1.0, "a1")
+        self.assertEqual([w.work_id for w in scheduler.next(1.0, Capacity(1, 2))], ["a2"])
+
+
+class LedgerTest(unittest.TestCase):
+    """Guards against usage that is counted twice, lost, or never decays."""
+
+    def test_decay_correction_and_weights(self):
+        ledger = UsageLedger(30.0)
+        ledger.charge(0.0, "a", 1000.0)
+        self.assertAlmostEqual(ledger.usage(30.0, "a"), 500.0)
+        ledger.charge(30.0, "a", -400.0)
+        self.assertAlmostEqual(ledger.usage(30.0, "a"), 100.0)
+        ledger.charge(30.0, "a", -400.0)
+        self.assertEqual(ledger.usage(30.0, "a"), 0.0)
+
+    @given(st.integers(0, 2**32))
+    def test_reports_may_be_lost_and_repeated(self, seed):
+        rng = random.Random(seed)
+        ledgers = [UsageLedger(30.0) for _ in range(3)]
+        truth = UsageLedger(30.0)
+        confirmed = [0, 0, 0]
+        now = 0.0
+        for _ in range(60):
+            now += rng.random()
+            ledger = rng.randrange(3)
+            name, tokens = f"w{rng.randrange(4)}", rng.uniform(1.0, 500.0)
+            ledgers[ledger].charge(now, name, tokens)
+            truth.charge(now, name, tokens)
+            for sender in (1, 2):
+                changes = ledgers[sender].changes(now, confirmed[sender])
+                for _ in range(rng.randrange(3)):
+                    ledgers[0].merge_peer(now, f"{sender}", changes.usage)
+                    confirmed[sender] = changes.sequence
+        for sender in (1, 2):
+            changes = ledgers[sender].changes(now, confirmed[sender])
+            ledgers[0].merge_peer(now, f"{sender}", changes.usage)
+        for name in truth.workspaces():
+            expected = truth.usage(now, name)
+            self.assertLess(abs(ledgers[0].usage(now, name) - expected), 1.0 + 0.01 * expected)
+
+    def test_cut_off_instance_scales_its_own_usage(self):
+        ledger = UsageLedger(30.0)
+        ledger.charge(0.0, "a", 100.0)
+        ledger.merge_peer(0.0, "p", {"a": 500.0})
+        ledger.set_reach(0.0, heard=1, known=9, lost=("p",))
+        self.assertAlmostEqual(ledger.usage(0.0, "a"), 900.0)
+        ledger.set_reach(0.0, heard=2, known=2)
+        self.assertAlmostEqual(ledger.usage(0.0, "a"), 600.0)
+
+    def test_decayed_workspaces_are_forgotten(self):
+        ledger = UsageLedger(1.0)
+        for i in range(20_000):
+            ledger.charge(i * 0.1, f"w{i}", 100.0)
+        self.assertLess(len(ledger._own) + len(ledger._total) + len(ledger._changed), 9000)
+
+
+class RetryTest(unittest.TestCase):
+    """Guards against retries that multiply the load of a failing fleet."""
+
+    def test_budget_is_a_share_of_first_tries_after_the_burst(self):
+        budget = RetryBudget(CFG)
+        self.assertEqual(sum(budget.try_spend(0.0) for _ in range(100)), CFG.retry_burst)
+        spent = 0
+        for _ in range(1000):
+            budget.on_first_try(1.0)
+            spent += budget.try_spend(1.0)
+        self.assertLessEqual(spent, CFG.retry_ratio * 1000)
+        self.assertGreaterEqual(spent, CFG.retry_ratio * 1000 - 1)
+
+    def test_backoff_grows_to_its_cap_and_scatters(self):
+        rng = random.Random(1)
+        for attempt in (1, 2, 5, 10_000):
+            delays = [backoff_delay(attempt, 0.2, 5.0, rng) for _ in range(200)]
+            limit = min(5.0, 0.2 * 2 ** min(attempt - 1, 10))
+            self.assertLessEqual(max(delays), limit)
+            self.assertGreater(max(delays), 0.9 * limit)
+            self.assertLess(min(delays), 0.1 * limit)
