Decode complete messages synchronously and encode with the compiled protocol

Messages that have arrived completely are now read by thriftpy2's synchronous Python protocol over the same transport, with the same limits; only messages that arrive in parts are read by the asyncio protocol, from their start.

Ruled out: the compiled protocol for reading. It allocates what a length says before it looks for the bytes, its memory transport hands out uninitialised memory when bytes are missing, and it loops over 2^31 elements of an unknown type without a way to stop it. For writing, where the data is our own, it is used. Its exceptions show the value of the field, which can be a caller's text, so they are replaced.

--- /dev/null
+++ b/src/sapphireledge/rpc/buffered_view.py
@@ -0,0 +1,20 @@
+"""Synchronous view of the received bytes of a message."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from thriftpy2.transport import TTransportBase
+
+if TYPE_CHECKING:
+    from sapphireledge.rpc.limited_transport import LimitedTransport
+
+__all__ = ["BufferedView"]
+
+
+class BufferedView(TTransportBase):
+    """Lets thriftpy2's synchronous protocol read what a LimitedTransport has buffered."""
+
+    def __init__(self, transport: LimitedTransport) -> None:
+        self.read = transport.read_buffered
+        """Reads exactly the given number of bytes."""
--- a/src/sapphireledge/rpc/limited_transport.py
+++ b/src/sapphireledge/rpc/limited_transport.py
@@ -7,6 +7,7 @@
 from thriftpy2.contrib.aio.transport.buffered import TAsyncBufferedTransport
 from thriftpy2.thrift import TType
 
+from sapphireledge.rpc.incomplete_message import IncompleteMessage
 from sapphireledge.rpc.message_error import MessageError
 from sapphireledge.rpc.rpc_error import RpcError
 
@@ -51,6 +52,8 @@
         self._writer = writer
         self._data = b""
         self._pos = 0
+        self._start = 0
+        self._limit = 0
         self._left = 0
         self._last_byte: int | None = None
         self.bytes_in = 0
@@ -67,10 +70,11 @@
         Raises:
             RpcError: The connection was closed.
         """
-        self._left = limit
-        self._last_byte = None
         if self._pos == len(self._data):
             await self._fill()
+        self._start = self._pos
+        self._limit = limit
+        self.rewind_message()
 
     async def read(self, sz: int) -> bytes:
         """Reads exactly the given number of bytes of the message.
@@ -85,15 +89,37 @@
             MessageError: The message is malformed or too large.
             RpcError: The connection broke.
         """
-        left = self._left - sz - VALUE_CHARGE
-        if sz < 0 or left < 0:
-            raise MessageError(f"message exceeds its limit at a field of {sz} bytes")
-        self._left = left
+        if sz < 0 or self._left < sz + VALUE_CHARGE:
+            self._refuse(sz)
         while len(self._data) - self._pos < sz:
             await self._fill()
+        return self.read_buffered(sz)
+
+    def read_buffered(self, sz: int) -> bytes:
+        """Reads bytes of the message that have been received already.
+
+        Args:
+            sz: Number of bytes, taken from the message and therefore not trusted.
+
+        Returns:
+            The bytes.
+
+        Raises:
+            MessageError: The message is malformed or too large.
+            IncompleteMessage: The bytes have not been received yet.
+        """
+        # The steps of read() in one function: it runs for every value, and calls cost more than
+        # the steps.
+        left = self._left - sz - VALUE_CHARGE
         start = self._pos
-        self._pos = start + sz
-        part = self._data[start : self._pos]
+        end = start + sz
+        if sz < 0 or left < 0:
+            self._refuse(sz)
+        if end > len(self._data):
+            raise IncompleteMessage
+        self._left = left
+        self._pos = end
+        part = self._data[start:end]
         if sz == 1:
             self._last_byte = part[0]
         elif self._last_byte is not None:
@@ -102,18 +128,25 @@
             self._last_byte = None
         return part
 
-    def write(self, buf: bytes) -> None:
-        """Adds bytes to the message being written."""
-        self._wbuf.write(buf)
+    def rewind_message(self) -> None:
+        """Returns to the start of the message, of which everything read is still buffered."""
+        self._pos = self._start
+        self._left = self._limit
+        self._last_byte = None
+
+    def _refuse(self, sz: int) -> None:
+        """Raises the error of a message beyond its limit."""
+        raise MessageError(f"message exceeds its limit at a field of {sz} bytes")
+
+    async def send(self, message: bytes) -> None:
+        """Sends one encoded message.
 
-    async def flush(self) -> None:
-        """Sends the written message."""
-        out = self._wbuf.getvalue()
-        self._wbuf.seek(0)
-        self._wbuf.truncate()
-        self.bytes_out += len(out)
+        Raises:
+            RpcError: The connection broke.
+        """
+        self.bytes_out += len(message)
         try:
-            self._writer.write(out)
+            self._writer.write(message)
             await self._writer.drain()
         except OSError as exc:
             raise RpcError(f"connection broke while sending: {exc}") from exc
--- a/src/sapphireledge/rpc/thrift_connection.py
+++ b/src/sapphireledge/rpc/thrift_connection.py
@@ -5,12 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from thriftpy2.contrib.aio.client import TAsyncClient
-from thriftpy2.contrib.aio.protocol.binary import TAsyncBinaryProtocol
 from thriftpy2.protocol.exc import TProtocolException
 from thriftpy2.thrift import TApplicationException, TException, TMessageType
 
 from sapphireledge.rpc.limited_transport import LimitedTransport
+from sapphireledge.rpc.message_codec import MessageCodec
 from sapphireledge.rpc.message_error import MessageError
 from sapphireledge.rpc.rpc_error import RpcError
 
@@ -25,18 +24,21 @@
 """Largest sequence number of a message."""
 
 
-class ThriftConnection(TAsyncClient):
+class ThriftConnection:
     """One connection to a server; carries one call at a time.
 
     After any failure other than an exception of the schema the connection is closed, because a
-    reply could still arrive and would be read as the reply of the next call.
+    reply could still arrive and would be read as the reply of the next call. thriftpy2's own client
+    does not check the sequence of a reply.
     """
 
     def __init__(self, service: Any, transport: LimitedTransport, limits: RpcLimits) -> None:
         self.transport = transport
         """Transport of the connection."""
+        self._service = service
         self._limits = limits
-        super().__init__(service, TAsyncBinaryProtocol(transport, strict_decode=True))
+        self._codec = MessageCodec(transport)
+        self._sequence = 0
 
     @classmethod
     async def open(
@@ -81,11 +83,12 @@
         """
         if not self.transport.is_open():
             raise RpcError("connection is closed")
-        self._seqid = self._seqid % MAX_SEQUENCE + 1
+        self._sequence = self._sequence % MAX_SEQUENCE + 1
         completed = False
         try:
             async with asyncio.timeout(timeout):
-                result = await self._req(method, *args)
+                reply = await self._exchange(method, args)
+            result = _unwrap(reply)
             completed = True
         except TimeoutError as exc:
             raise RpcError(f"no reply to {method} within {timeout:g} s") from exc
@@ -95,31 +98,48 @@
             completed = True
             raise
         except (TypeError, ValueError, RecursionError) as exc:
-            raise MessageError(f"malformed message of {method}: {exc}") from exc
+            raise MessageError(f"malformed reply to {method}: {exc}") from exc
         finally:
             if not completed:
                 self.close()
         return result
 
-    async def _recv(self, _api: str) -> Any:
-        """Reads the reply and checks that it belongs to the call."""
-        await self.transport.begin_message(self._limits.max_message)
-        name, kind, sequence = await self._iprot.read_message_begin()
-        if sequence != self._seqid or name != _api:
-            raise RpcError(f"reply to {name} {sequence} instead of {_api} {self._seqid}")
+    def close(self) -> None:
+        """Closes the connection."""
+        self.transport.close()
+
+    async def _exchange(self, method: str, args: tuple[Any, ...]) -> Any:
+        """Sends a call and reads its reply."""
+        content = getattr(self._service, f"{method}_args")(*args)
+        await self._codec.write(method, TMessageType.CALL, self._sequence, content)
+
+        def read_buffered(protocol: Any) -> Any:
+            reply = self._reply_to(method, *protocol.read_message_begin())
+            protocol.read_struct(reply)
+            return reply
+
+        async def read_streaming(protocol: Any) -> Any:
+            reply = self._reply_to(method, *await protocol.read_message_begin())
+            await protocol.read_struct(reply)
+            return reply
+
+        return await self._codec.read(self._limits.max_message, read_buffered, read_streaming)
+
+    def _reply_to(self, method: str, name: str, kind: int, sequence: int) -> Any:
+        """Checks that a reply belongs to the call and returns the struct to read it into."""
+        if sequence != self._sequence or name != method:
+            raise MessageError(f"reply to {name} {sequence} instead of {method} {self._sequence}")
         if kind == TMessageType.EXCEPTION:
-            exc = TApplicationException()
-            await self._iprot.read_struct(exc)
-            raise exc
+            return TApplicationException()
         if kind != TMessageType.REPLY:
-            raise RpcError(f"message of type {kind} instead of a reply to {_api}")
-        result = getattr(self._service, f"{_api}_result")()
-        await self._iprot.read_struct(result)
-        return _unwrap(result)
+            raise MessageError(f"message of type {kind} instead of a reply to {method}")
+        return getattr(self._service, f"{method}_result")()
 
 
 def _unwrap(result: Any) -> Any:
-    """Returns the result of a call or raises its declared exception."""
+    """Returns the result of a call or raises its exception."""
+    if isinstance(result, TApplicationException):
+        raise result
     for name, value in vars(result).items():
         if name != "success" and value is not None:
             raise value
--- a/src/sapphireledge/rpc/thrift_server.py
+++ b/src/sapphireledge/rpc/thrift_server.py
@@ -8,11 +8,12 @@
 
 import structlog
 from thriftpy2.contrib.aio.processor import TAsyncProcessor
-from thriftpy2.contrib.aio.protocol.binary import TAsyncBinaryProtocol
-from thriftpy2.thrift import TApplicationException
+from thriftpy2.thrift import TApplicationException, TMessageType, TProcessor
 
 from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.rpc.incoming_call import IncomingCall
 from sapphireledge.rpc.limited_transport import LimitedTransport
+from sapphireledge.rpc.message_codec import MessageCodec
 from sapphireledge.rpc.message_error import MessageError
 from sapphireledge.rpc.rpc_error import RpcError
 from sapphireledge.rpc.rpc_limits import RpcLimits
@@ -130,59 +131,63 @@
     async def _converse(self, transport: LimitedTransport, handler: ConnectionHandler) -> None:
         """Answers the calls of one connection, the hello first."""
         limits = self._limits
-        processor = TAsyncProcessor(self._service, handler)
-        protocol = TAsyncBinaryProtocol(transport, strict_decode=True)
+        codec = MessageCodec(transport)
         async with asyncio.timeout(limits.hello_timeout):
-            await transport.begin_message(limits.max_hello)
-            accepted = await self._process(processor, protocol, only=HELLO)
+            call = await self._read_call(codec, handler, limits.max_hello)
+        if call.method != HELLO:
+            raise MessageError(f"{call.method!r} instead of {HELLO} as the first message")
+        accepted = await self._answer(codec, call)
         while accepted:
-            async with asyncio.timeout(limits.idle_timeout):
-                await transport.begin_message(limits.max_message)
-            await self._process(processor, protocol)
+            call = await self._read_call(codec, handler, limits.max_message)
+            await self._answer(codec, call)
 
-    async def _process(
-        self, processor: TAsyncProcessor, protocol: TAsyncBinaryProtocol, only: str | None = None
-    ) -> bool:
-        """Reads one call, runs it and sends the reply.
+    async def _read_call(
+        self, codec: MessageCodec, handler: ConnectionHandler, limit: int
+    ) -> IncomingCall:
+        """Reads one call; whatever the decoder raises is the fault of the message."""
+        buffered = TProcessor(self._service, handler)
+        streaming = TAsyncProcessor(self._service, handler)
+        try:
+            async with asyncio.timeout(self._limits.idle_timeout) as idle:
+                parts = await codec.read(
+                    limit,
+                    buffered.process_in,
+                    lambda protocol: self._read_rest(idle, streaming, protocol),
+                )
+        except (RpcError, TimeoutError):
+            raise
+        except Exception as exc:
+            raise MessageError(f"malformed message: {exc}") from exc
+        return IncomingCall(*parts)
 
-        Args:
-            processor: Processor of the connection.
-            protocol: Protocol of the connection.
-            only: The one method permitted, None for all.
+    async def _read_rest(self, idle: asyncio.Timeout, processor: TAsyncProcessor, protocol: Any):
+        """Reads a call of which only a part has arrived, within the time for one message."""
+        idle.reschedule(asyncio.get_running_loop().time() + self._limits.message_timeout)
+        return await processor.process_in(protocol)
+
+    async def _answer(self, codec: MessageCodec, call: IncomingCall) -> bool:
+        """Runs one call and sends the reply.
 
         Returns:
             Whether the method returned a result.
         """
-        api, sequence, result, call = await self._read_call(processor, protocol)
-        if only is not None and api != only:
-            raise MessageError(f"{api!r} instead of {only} as the first message")
-        if call is None:
-            await processor.send_exception(protocol, api, result, sequence)
-            return False
-        succeeded = False
+        kind, content, succeeded = TMessageType.REPLY, call.result, False
         try:
-            result.success = await call()
+            if call.run is None:
+                raise call.result
+            call.result.success = await call.run()
             succeeded = True
+        except TApplicationException as exc:
+            kind, content = TMessageType.EXCEPTION, exc
         except Exception as exc:
-            if not processor.handle_exception(exc, result):
-                self._log.error(LogEvent.INTERNAL_ERROR, call=api, reason=repr(exc))
-                fault = TApplicationException(TApplicationException.INTERNAL_ERROR, "internal")
-                await processor.send_exception(protocol, api, fault, sequence)
-                return False
+            if not TProcessor.handle_exception(None, exc, call.result):
+                self._log.error(LogEvent.INTERNAL_ERROR, call=call.method, reason=repr(exc))
+                kind = TMessageType.EXCEPTION
+                content = TApplicationException(TApplicationException.INTERNAL_ERROR, "internal")
         async with asyncio.timeout(self._limits.message_timeout):
-            await processor.send_result(protocol, api, result, sequence)
+            await codec.write(call.method, kind, call.sequence, content)
         return succeeded
 
-    async def _read_call(self, processor: TAsyncProcessor, protocol: TAsyncBinaryProtocol) -> Any:
-        """Reads one call; whatever the decoder raises is the fault of the message."""
-        try:
-            async with asyncio.timeout(self._limits.message_timeout):
-                return await processor.process_in(protocol)
-        except (RpcError, TimeoutError):
-            raise
-        except Exception as exc:
-            raise MessageError(f"malformed message: {exc}") from exc
-
 
 def _is_loopback(host: str) -> bool:
     """Tells whether an IP number is reachable from this host only."""
