Take in only the largest usage changes; leave out empty fields

Besides, large changes waited behind small, outdated ones. A sample now takes in only as many of the largest departures as the heartbeats of the period carry; the others keep growing until they are among the largest.

Samples are taken twice in a period instead of four times. Empty fields of heartbeats and appends are left out of the messages.

--- a/src/sapphireledge/core/membership/change_log.py
+++ b/src/sapphireledge/core/membership/change_log.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+import bisect
+import heapq
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.membership.rank_by_rendezvous import rank_by_rendezvous
-
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -23,7 +23,9 @@
 
     Receivers decay what they know by the same half-life, so a value is sent again only if it
     departed from its decay. Each change has a position; a peer that acknowledged a position needs
-    only the changes after it.
+    only the changes after it. A sample takes in only the largest departures, as many as heartbeats
+    can carry; the others grow until they are among the largest. With a queue of all changes, large
+    ones would wait behind many small and outdated ones.
     """
 
     def __init__(self, half_life: float) -> None:
@@ -35,28 +37,30 @@
         self._half_life = half_life
         self._values: dict[str, tuple[float, float]] = {}
         self._positions: dict[str, int] = {}
+        self._order: list[tuple[int, str]] = []
         self.position = 0
         """Position of the newest change."""
 
-    def on_sample(self, now: float, usage: Mapping[str, float]) -> None:
+    def on_sample(self, now: float, usage: Mapping[str, float], limit: int) -> None:
         """Takes a sample of all usage.
 
         Args:
             now: Time of the sample.
             usage: Decayed tokens of each workspace; a missing one has none.
+            limit: Most changes to take in.
         """
-        changed = [name for name, value in usage.items() if self._departs(now, name, value)]
-        # Heartbeats are bounded. With a fixed order the same workspaces would go first in every
-        # period of many changes and the others never.
-        for name in rank_by_rendezvous(str(self.position), changed):
+        departures = []
+        for name, value in usage.items():
+            known = self._known(now, name)
+            departure = abs(value - known)
+            if departure > SMALLEST_USAGE and departure > RELATIVE_CHANGE * known:
+                departures.append((departure, name))
+        for _, name in heapq.nlargest(limit, departures):
             self.position += 1
-            self._positions.pop(name, None)
             self._positions[name] = self.position
+            self._order.append((self.position, name))
             self._values[name] = (usage[name], now)
-        for name in [name for name in self._values if name not in usage]:
-            if self._known(now, name) < SMALLEST_USAGE:
-                del self._values[name]
-                del self._positions[name]
+        self._forget_idle(now, usage)
 
     def changes_after(self, now: float, position: int, limit: int) -> tuple[dict[str, float], int]:
         """Selects the oldest changes after a position.
@@ -69,19 +73,26 @@
         Returns:
             The values, and the position that the peer acknowledges with them.
         """
-        newest_first: list[str] = []
-        for name in reversed(self._positions):
-            if self._positions[name] <= position:
-                break
-            newest_first.append(name)
-        chosen = newest_first[::-1][:limit]
-        last = self._positions[chosen[-1]] if len(chosen) < len(newest_first) else self.position
-        return {name: self._known(now, name) for name in chosen}, last
-
-    def _departs(self, now: float, name: str, value: float) -> bool:
-        """Tells whether a value differs noticeably from what peers compute."""
-        known = self._known(now, name)
-        return abs(value - known) > max(SMALLEST_USAGE, RELATIVE_CHANGE * known)
+        chosen: dict[str, float] = {}
+        for index in range(bisect.bisect(self._order, position, key=_position), len(self._order)):
+            number, name = self._order[index]
+            if self._positions.get(name) != number:
+                continue
+            if len(chosen) == limit:
+                return chosen, number - 1
+            chosen[name] = self._known(now, name)
+        return chosen, self.position
+
+    def _forget_idle(self, now: float, usage: Mapping[str, float]) -> None:
+        """Drops workspaces without usage, and entries that a later change replaced."""
+        for name in [name for name in self._values if name not in usage]:
+            if self._known(now, name) < SMALLEST_USAGE:
+                del self._values[name]
+                del self._positions[name]
+        if len(self._order) > 2 * len(self._positions) + 64:
+            self._order = [
+                entry for entry in self._order if self._positions.get(entry[1]) == entry[0]
+            ]
 
     def _known(self, now: float, name: str) -> float:
         """Returns what a peer with the newest value computes for a workspace."""
@@ -89,3 +100,8 @@
             return 0.0
         value, since = self._values[name]
         return value * 0.5 ** ((now - since) / self._half_life)
+
+
+def _position(entry: tuple[int, str]) -> int:
+    """Returns the position of an entry of the order."""
+    return entry[0]
--- a/src/sapphireledge/peers/copy_batch.py
+++ b/src/sapphireledge/peers/copy_batch.py
@@ -42,17 +42,24 @@
         """
         answer = progress.answer
         append = AnswerAppend(answer.request_id, answer.epoch, progress.sent)
-        if not progress.header_sent:
-            append.header = answer.header
-            progress.header_sent = True
-            self._characters_left -= len(answer.header)
-        append.events = self._take_events(progress)
+        # Empty fields are left out: most calls carry one token for each of a hundred answers, and
+        # an empty field takes as long to read as the token.
+        append.header = None if progress.header_sent else self._take_header(progress)
+        append.events = self._take_events(progress) or None
         append.pieces = self._take_pieces(progress)
+        append.finish = None
         if not progress.behind and progress.events_sent == len(answer.events):
-            append.finish = answer.finish_reason
+            append.finish = answer.finish_reason or None
             progress.finish_sent = bool(answer.finish_reason)
         self.appends.append(append)
 
+    def _take_header(self, progress: CopyProgress) -> str:
+        """Takes the header."""
+        header = progress.answer.header
+        progress.header_sent = True
+        self._characters_left -= len(header)
+        return header
+
     def _take_events(self, progress: CopyProgress) -> str:
         """Takes the next recorded events, at least one entry."""
         events = progress.answer.events
--- a/src/sapphireledge/peers/peer_mesh.py
+++ b/src/sapphireledge/peers/peer_mesh.py
@@ -42,8 +42,8 @@
 DEAD_PERIODS = 2.5
 """Heartbeat periods of silence that one lost heartbeat may not reach."""
 
-USAGE_RATE = 100.0
-"""Usage entries that this entry sends per second over all peers, about 33 bytes each."""
+USAGE_RATE = 150.0
+"""Usage entries that this entry sends per second over all peers, about 34 bytes each."""
 
 MIN_USAGE = 4
 """Usage entries that every heartbeat may carry."""
@@ -60,6 +60,9 @@
 QUICK_METHODS = frozenset({"find_answer", "void_key"})
 """Methods that may share the serial connection with heartbeats and copies of answers."""
 
+SAMPLE_SHARE = 0.5
+"""Share of the period between two samples of the usage."""
+
 MAX_LATE_WAKE = 0.25
 """Share of the period after which the list of peers is computed again at the latest."""
 
@@ -416,8 +419,11 @@
         self._local = self._state.local_state(now)
         self._highest = max(self._highest, self._local.highest_version, self._local.config_version)
         centres = {link.peer.data_centre for link in self._links.values()}
-        self._usage.sample(now, self._local.usage, centres != {self.own.data_centre})
-        self._next_sample = now + MAX_LATE_WAKE * self._period
+        is_representative = bool(centres - {self.own.data_centre})
+        # Two samples in each period, so one heartbeat carries what both take in.
+        limit = max(1, self._usage_limit() // 2)
+        self._usage.sample(now, self._local.usage, is_representative, limit)
+        self._next_sample = now + SAMPLE_SHARE * self._period
 
     def _send_to(self, now: float, name: str) -> None:
         """Sends the due heartbeat of one peer, and the sums that go with it."""
@@ -454,19 +460,21 @@
         if with_rest:
             deaths, death_mark = self._deaths.after(outbox.deaths, remote)
         self._sequence += 1
+        local = self._local
+        # Empty lists and zeros are left out of the message, and read as such.
         heartbeat = Heartbeat(
             instance=self.own.name,
             sequence=self._sequence,
-            state=self._local.state,
-            config_version=self._local.config_version,
-            highest_version=self._highest,
-            usage=[UsageDelta(workspace, value) for workspace, value in usage.items()],
-            deaths=[death_message(death) for death in deaths],
-            leaving=self._leaving_for(remote),
-            running=self._local.running,
-            queued=self._local.queued,
-            platform_reachable=self._local.platform_reachable,
-            scope=[scope] if scope else [],
+            state=local.state,
+            config_version=local.config_version or None,
+            highest_version=self._highest or None,
+            usage=[UsageDelta(workspace, value) for workspace, value in usage.items()] or None,
+            deaths=[death_message(death) for death in deaths] or None,
+            leaving=self._leaving_for(remote) or None,
+            running=local.running or None,
+            queued=local.queued or None,
+            platform_reachable=local.platform_reachable or None,
+            scope=[scope] if scope else None,
         )
         outbox.in_flight = link.submit("heartbeat", heartbeat, timeout=self._dead_after)
         outbox.in_flight.add_done_callback(
--- a/src/sapphireledge/peers/usage_exchange.py
+++ b/src/sapphireledge/peers/usage_exchange.py
@@ -49,21 +49,24 @@
         sums = self._remote.setdefault(scope, UsageSums(self._half_life))
         sums.merge(now, scope, usage)
 
-    def sample(self, now: float, usage: Mapping[str, float], is_representative: bool) -> None:
+    def sample(
+        self, now: float, usage: Mapping[str, float], is_representative: bool, limit: int
+    ) -> None:
         """Notes what changed since the last sample.
 
         Args:
             now: Current time.
             usage: The entry's own usage.
             is_representative: Whether the sum of the data centre is sent.
+            limit: Most changes to take in for each scope.
         """
-        self._log(OWN_SCOPE).on_sample(now, usage)
+        self._log(OWN_SCOPE).on_sample(now, usage, limit)
         if is_representative:
             self._local.forget(self._own)
             self._local.merge(now, self._own, usage)
-            self._log(self._data_centre).on_sample(now, self._local.total(now))
+            self._log(self._data_centre).on_sample(now, self._local.total(now), limit)
         for scope, sums in self._remote.items():
-            self._log(scope).on_sample(now, sums.total(now))
+            self._log(scope).on_sample(now, sums.total(now), limit)
 
     def changes_after(
         self, now: float, scope: str, position: int, limit: int
