--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -110,7 +110,7 @@
 
         The iterator must be exhausted or closed (`contextlib.aclosing`); closing it early closes
         the connection, which cancels the attempt. There is no time limit between tokens: silence
-        is judged by the caller. Attempts after the first use a new connection. After Finished the
+        is judged by the caller. Resumed attempts use a new connection. After Finished the
         iterator may take up to 0.25 s to end. A finish chunk of another attempt is left out.
 
         Args:
@@ -283,7 +283,8 @@
         headers = {**JSON_HEADERS, "Accept": "text/event-stream", "X-Request-Id": call.request_id}
         if call.traceparent:
             headers["traceparent"] = call.traceparent
-        client = self._pools.streams if call.attempt == 1 else self._pools.resumes
+        first = call.attempt == 1 and call.offset == 0
+        client = self._pools.streams if first else self._pools.resumes
         response = await send_request(
             client,
             "POST",
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -77,14 +77,18 @@
         engine = await self.engine(slots=1)
         ended = []
 
-        async def run(name: str, priority: int) -> None:
-            await collect(engine.client, make_call(name, priority=priority))
+        async def run(name: str, priority: int, tokens: int, accepted: asyncio.Event) -> None:
+            call = make_call(name, tokens=tokens, priority=priority)
+            async for event in engine.client.stream(call):
+                if isinstance(event, Started):
+                    accepted.set()
             ended.append(name)
 
         async with asyncio.TaskGroup() as group:
-            for name, priority in (("running", 5), ("later", 5), ("urgent", 0)):
-                group.create_task(run(name, priority))
-                await asyncio.sleep(0.008)
+            for name, priority, tokens in (("running", 5, 400), ("later", 5, 4), ("urgent", 0, 4)):
+                accepted = asyncio.Event()
+                group.create_task(run(name, priority, tokens, accepted))
+                await accepted.wait()
         self.assertEqual(ended, ["running", "urgent", "later"])
 
 
