Let the answer property accept a prefix without token boundaries

Its content is right; only the check compared piece by piece. The check now splits the received text at the end of each chained token and also compares the number of tokens, so it accepts nothing else.

--- a/tests/test_answer_properties.py
+++ b/tests/test_answer_properties.py
@@ -160,7 +160,10 @@
         """Sends what the entry has (source) from the offset on to a caller."""
         assert offset == len(caller.pieces), "token missing or repeated"
         assert not caller.ended, "output after the end"
-        for piece in source[offset:]:
+        # Text that a caller handed back has lost its boundaries; each token ends with a blank.
+        pieces = "".join(source[offset:]).replace(" ", " \n").split("\n")[:-1]
+        assert len(pieces) == max(0, len(source) - offset), "token missing or repeated"
+        for piece in pieces:
             text = "".join(caller.pieces)
             assert piece == chained(text, piece.split(":")[0]), "two generations mixed"
             assert not text or piece[:2] == text[:2], "two versions mixed"
