--- a/src/sapphireledge/peers/peer_mesh.py
+++ b/src/sapphireledge/peers/peer_mesh.py
@@ -479,30 +479,19 @@
         heartbeat = Heartbeat(
             instance=self.own.name,
             sequence=self._sequence,
-<<<<<<< HEAD
-            state=self._local.state,
-            config_version=self._local.config_version,
-            highest_version=self._highest,
-            usage=[UsageDelta(workspace, value) for workspace, value in usage.items()],
-            deaths=[death_message(n) for n in notices if isinstance(n, DeathNotice)],
-            cleared=[clearing_message(n) for n in notices if isinstance(n, ClearingNotice)],
-            leaving=self._leaving_for(remote),
-            running=self._local.running,
-            queued=self._local.queued,
-            platform_reachable=self._local.platform_reachable,
-            scope=[scope] if scope else [],
-=======
             state=local.state,
             config_version=local.config_version or None,
             highest_version=self._highest or None,
             usage=[UsageDelta(workspace, value) for workspace, value in usage.items()] or None,
-            deaths=[death_message(death) for death in deaths] or None,
+            deaths=[death_message(n) for n in notices if isinstance(n, DeathNotice)] or None,
+            cleared=(
+                [clearing_message(n) for n in notices if isinstance(n, ClearingNotice)] or None
+            ),
             leaving=self._leaving_for(remote) or None,
             running=local.running or None,
             queued=local.queued or None,
             platform_reachable=local.platform_reachable or None,
             scope=[scope] if scope else None,
->>>>>>> peers
         )
         outbox.in_flight = link.submit("heartbeat", heartbeat, timeout=self._dead_after)
         outbox.in_flight.add_done_callback(
