Deliver late output of a broken attempt in the answer property

The step that breaks a connection and dispatches again now delivers one token that the old attempt had sent before. The property fails again with the checks of attempt, digest, version or resume offset removed, and passes on the tree. The other removals were not repeated after this change.

--- a/tests/test_answer_properties.py
+++ b/tests/test_answer_properties.py
@@ -261,6 +261,7 @@
             self.act(attempt.session, machine.on_broken(self.now, attempt.number, cause))
             if again:
                 self.dispatch(attempt.session, "v2" if i == 0 else "v1")
+                self.deliver(attempt, 1)
 
     def answer_probe(self, i, alive, knows):
         session = self.pick([s for s in self.sessions if s.probe and self.running(s)], i)
