--- a/src/sapphireledge/peers/peer_mesh.py
+++ b/src/sapphireledge/peers/peer_mesh.py
@@ -335,11 +335,21 @@
                 self._close(name)
             if name not in self._links:
                 self._open(now, member)
+        self._forget_gone()
         live = self._membership.live(now)
         if live != self._live:
             self._live = live
             self._events.on_membership(now, live)
 
+    def _forget_gone(self) -> None:
+        """Drops what is kept about entries that left; hundreds are replaced on a day."""
+        known = {member.name for member in self._members}
+        for status in self._merge.statuses:
+            if status.instance not in known:
+                self._merge.forget(status.instance)
+        for name in [name for name in self._asides if name not in known or name in self._links]:
+            self._background(self._asides.pop(name).stop())
+
     def _open(self, now: float, member: Member) -> None:
         """Starts a link and plans its first heartbeat."""
         link = self._make_link(member)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -316,6 +316,14 @@
         await two.stop()
         await self.until(lambda: [each.name for each in one.live] == ["a1", "a3"])
 
+    async def test_nothing_is_kept_of_an_entry_that_left(self):
+        one, two = await self.start("a1", "a2")
+        await self.until(lambda: [s.instance for s in one.mesh.statuses] == ["a2"])
+        await two.stop()
+        del self.fleet["a2"]
+        await self.until(lambda: not one.mesh.statuses and not one.mesh.peer_names)
+        self.assertEqual([member.name for member in one.mesh.members], ["a1"])
+
     async def test_entry_behind_takes_the_configuration_of_a_peer(self):
         one, two = await self.start("a1", "a2")
         two.store.config_version = 7
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -184,6 +184,8 @@
     async def test_long_value_is_not_buffered_beyond_its_limit(self):
         before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         started = time.monotonic()
+        # Time limits that cannot end the connection in place of the refusal.
+        self.server._limits = RpcLimits()
         _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
         writer.write(call_header("hello"))
         await asyncio.sleep(0.05)
