--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -9,8 +9,7 @@
 import msgspec
 import structlog
 
-from sapphireledge.core.answer import AnswerDigest, EventId, verify_position, verify_text
-from sapphireledge.entry.answer_finish import decode_finish
+from sapphireledge.core.answer import AnswerDigest, AnswerEnd, EventId, verify_position, verify_text
 from sapphireledge.entry.answer_header import AnswerHeader
 from sapphireledge.entry.caller_request import ResumePoint
 from sapphireledge.entry.keyed_locks import KeyedLocks
@@ -189,7 +188,7 @@
             offset=len(pieces),
         )
         if grant.finish:
-            end = decode_finish(grant.finish)
+            end = AnswerEnd.parse(grant.finish)
             runner = self._registry.adopt_ended(original, end, grant.epoch, header.version, pieces)
         else:
             runner = self._registry.begin(
@@ -208,7 +207,7 @@
         # An epoch from the clock is above any that was counted from 1, so that an earlier owner
         # that still runs is superseded at every holder of a copy.
         runner = self._registry.begin(
-            req, trace, epoch=int(time.time()), version=version, pieces=pieces
+            req, trace, epoch=time.time_ns() // 1_000_000, version=version, pieces=pieces
         )
         return LocatedAnswer(runner, False)
 
--- a/src/sapphireledge/entry/answer_registry.py
+++ b/src/sapphireledge/entry/answer_registry.py
@@ -17,7 +17,7 @@
 
     from sapphireledge.entry.answer_context import AnswerContext
     from sapphireledge.entry.caller_request import CallerRequest
-    from sapphireledge.entry.running_answer import AnswerEnd
+    from sapphireledge.core.answer import AnswerEnd
 
 __all__ = ["AnswerRegistry"]
 
@@ -170,6 +170,7 @@
             self._ctx.events,
             now=now,
             unix_offset=time.time() - now,
+            record_text=self._ctx.cfg.telemetry.record_text,
             hash_key=self._ctx.cfg.fleet_secret,
         )
         runner = AnswerRunner(req, answer, machine, self._ctx, trace, first_attempt)
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -21,10 +21,9 @@
     Probe,
     Refuse,
 )
-from sapphireledge.entry.answer_finish import encode_finish
 from sapphireledge.entry.answer_header import AnswerHeader
 from sapphireledge.entry.pool_work import PoolWork
-from sapphireledge.entry.running_answer import AnswerEnd
+from sapphireledge.core.answer import AnswerEnd
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.telemetry import LogEvent, MetricName
 
@@ -171,9 +170,9 @@
             elif kind is CancelAttempt:
                 self._cancel(decision)
             elif kind is Complete:
-                self._finish(AnswerEnd(finish=decision.reason))
+                self._finish(AnswerEnd(decision.reason))
             elif kind is Refuse:
-                self._finish(AnswerEnd(failure=decision.failure))
+                self._finish(AnswerEnd("", decision.failure))
             elif kind is not Ignore:
                 raise TypeError(f"unknown decision {kind.__name__}")
         if self._timer is None and self._machine.deadline is not None:
@@ -215,7 +214,7 @@
             )
         if self._copy is not None:
             events = self._machine.take_lines()
-            self._copy.finish(time.monotonic(), encode_finish(end), events)
+            self._copy.finish(time.monotonic(), end.to_finish(), events)
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -286,7 +285,7 @@
             self.superseded("")
         # The engine may have ended the answer before the partner refused its last tokens.
         failure = Failure(ErrorKind.ANSWER_MOVED, "another instance continues the answer", Ran.YES)
-        self._answer.supersede(AnswerEnd(failure=failure))
+        self._answer.supersede(AnswerEnd("", failure))
 
     def _work(self, decision: Dispatch) -> PoolWork:
         """Describes the attempt for the queue and the router."""
@@ -446,7 +445,7 @@
         if self._answer.end is None:
             ran = Ran.YES if self._answer.pieces else Ran.UNKNOWN
             failure = Failure(ErrorKind.INTERNAL, "the instance failed", ran)
-            self._finish(AnswerEnd(failure=failure))
+            self._finish(AnswerEnd("", failure))
 
     def _end_tasks(self) -> None:
         """Cancels everything that still runs for this answer."""
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -96,7 +96,6 @@
         self._tracing = Tracing(cfg)
         self._store = ObjectClient(cfg)
         self._config = ConfigState()
-        self._events = EventLog(cfg.instance, cfg.telemetry.event_memory)
         self._view = BackendView(cfg.routing, cfg.instance, cfg.data_centre, cfg.region)
         self._ledger = UsageLedger(cfg.admission.usage_half_life)
         self._quarantine = Quarantine(cfg.quarantine)
@@ -122,6 +121,9 @@
             time.monotonic,
             self._rng,
         )
+        # Recordings are numbered anew by each process, so the name tells the processes apart.
+        recorder = f"{cfg.instance}/{self._mesh.incarnation[-8:]}"
+        self._events = EventLog(recorder, cfg.telemetry.event_memory)
         self._suspects = SuspectExchange(self._quarantine, self._view, self._mesh, self._store)
         self._pool = BackendPool(
             cfg,
--- a/src/sapphireledge/entry/local_reader.py
+++ b/src/sapphireledge/entry/local_reader.py
@@ -102,4 +102,4 @@
     def finish(self) -> str:
         """Finish reason of a complete answer."""
         end = self._runner.answer.end
-        return end.finish if end is not None else ""
+        return end.reason if end is not None else ""
--- a/src/sapphireledge/entry/peer_service.py
+++ b/src/sapphireledge/entry/peer_service.py
@@ -5,7 +5,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from sapphireledge.entry.answer_finish import encode_finish
 from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.peers import (
     AnswerLocation,
@@ -110,7 +109,7 @@
             finish = ""
             if answer.is_drained and offset + len(pieces) == len(answer.pieces):
                 assert answer.end is not None
-                finish = encode_finish(answer.end)
+                finish = answer.end.to_finish()
             return AnswerPart(offset, pieces, finish, answer.epoch, "", "", answer.version)
         finally:
             self._later(READER_GRACE, lambda: self._registry.detach(runner))
--- a/src/sapphireledge/entry/remote_reader.py
+++ b/src/sapphireledge/entry/remote_reader.py
@@ -4,10 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from sapphireledge.entry.answer_finish import decode_finish
 from sapphireledge.entry.answer_locator import RemoteAnswer
 from sapphireledge.entry.local_reader import LocalReader
-from sapphireledge.entry.running_answer import AnswerEnd
+from sapphireledge.core.answer import AnswerEnd
 from sapphireledge.errors import ErrorKind, Failure, Ran
 
 if TYPE_CHECKING:
@@ -124,7 +123,7 @@
         """Finish reason of a complete answer."""
         if self._local is not None:
             return self._local.finish
-        return self._end.finish if self._end is not None else ""
+        return self._end.reason if self._end is not None else ""
 
     async def _read(self, wait: float) -> Failure | None:
         """Calls the owner once."""
@@ -143,7 +142,7 @@
         self.version = part.version or self.version
         self._pieces.extend(part.pieces)
         if part.finish:
-            end = decode_finish(part.finish)
+            end = AnswerEnd.parse(part.finish)
             moved = end.failure is not None and end.failure.kind is ErrorKind.ANSWER_MOVED
             if moved:
                 return end.failure
@@ -156,7 +155,7 @@
         located = await self._parts.locator.relocate(self._req, self.version, tuple(self._pieces))
         if isinstance(located, Failure):
             ran = Ran.YES if self._pieces else located.ran
-            self._end = AnswerEnd(failure=Failure(located.kind, located.reason, ran))
+            self._end = AnswerEnd("", Failure(located.kind, located.reason, ran))
             return
         source = located.source
         if isinstance(source, RemoteAnswer):
@@ -165,6 +164,6 @@
         local = LocalReader(self._parts, source)
         refused = await local.open(self._req, 0)
         if refused is not None:
-            self._end = AnswerEnd(failure=refused)
+            self._end = AnswerEnd("", refused)
             return
         self._local = local
--- a/src/sapphireledge/entry/running_answer.py
+++ b/src/sapphireledge/entry/running_answer.py
@@ -3,24 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from sapphireledge.errors import Failure
+    from sapphireledge.core.answer import AnswerEnd
 
-__all__ = ["AnswerEnd", "RunningAnswer"]
-
-
-@dataclass(frozen=True, slots=True)
-class AnswerEnd:
-    """How an answer ended: a finish reason or a failure."""
-
-    finish: str = ""
-    """Finish reason of a complete answer."""
-
-    failure: Failure | None = None
-    """Why the answer is not complete."""
+__all__ = ["RunningAnswer"]
 
 
 class RunningAnswer:
