--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -309,6 +309,28 @@
         scheduler.offer(0.0, QueuedWork("u", "urgent", "a", 0, 10))
         self.assertEqual([w.work_id for w in scheduler.next(0.0, Capacity(2, 10))], ["u"])
 
+    def test_reserve_counts_work_of_other_instances_only_if_it_is_known(self):
+        """Guards against a reserve given away on a guess, or kept twice."""
+        for running, expected in (({}, 3), ({"urgent": 2}, 5)):
+            scheduler = RankScheduler(ranks(reserve=0.2), CFG)
+            for i in range(20):
+                scheduler.offer(0.0, QueuedWork(f"b{i}", "batch", "a", 0, 10))
+            capacity = Capacity(5, 10, running=running)
+            self.assertEqual(scheduler.next(0.0, capacity), [])
+            # The slots are shared, so the least urgent rank yields to other instances first.
+            wake = 0.0
+            while not (started := scheduler.next(wake, capacity)):
+                wake = scheduler.next_wake(wake)
+            self.assertLess(wake, 1.0)
+            self.assertEqual(len(started), expected)
+
+    def test_next_wake_is_the_next_expiry(self):
+        scheduler = RankScheduler(ranks(), CFG)
+        self.assertIsNone(scheduler.next_wake(0.0))
+        scheduler.offer(0.0, QueuedWork("u", "urgent", "a", 0, 10, deadline=1.5))
+        scheduler.next(0.0, Capacity(0, 10))
+        self.assertEqual(scheduler.next_wake(0.0), 1.5)
+
     def test_full_queue_gives_up_the_lowest_worth(self):
         """Guards against urgent work refused because the queue is full of other work."""
         scheduler = RankScheduler(ranks(), AdmissionSettings(max_queued=3))
@@ -380,6 +402,18 @@
         ledger.set_reach(0.0, heard=2, known=2)
         self.assertAlmostEqual(ledger.usage(0.0, "a"), 600.0)
 
+    def test_sums_of_a_data_centre(self):
+        """Guards against a representative that reports only its own usage, or that of others."""
+        ledger = UsageLedger(30.0)
+        ledger.charge(0.0, "a", 100.0)
+        for source, tokens in (("member", 10.0), ("far", 1000.0)):
+            ledger.merge_peer(0.0, source, {"a": tokens})
+        sums = ledger.scope_usage(0.0, ["a", "b"], ["member", "unknown"])
+        self.assertAlmostEqual(sums["a"], 110.0)
+        self.assertEqual(sums["b"], 0.0)
+        ledger.forget_peer(0.0, "member")
+        self.assertAlmostEqual(ledger.usage(30.0, "a"), 555.0)
+
     def test_decayed_workspaces_are_forgotten(self):
         ledger = UsageLedger(1.0)
         for i in range(20_000):
