--- a/src/sapphireledge/backends/prefix_hashes.py
+++ b/src/sapphireledge/backends/prefix_hashes.py
@@ -5,31 +5,21 @@
 from collections.abc import Mapping
 from typing import Any
 
-import xxhash
+from sapphireledge.core.routing import BLOCK_BYTES, hash_prefix
 
 __all__ = ["BLOCK_BYTES", "prefix_block_hashes", "prompt_text"]
 
-BLOCK_BYTES = 256
-"""Bytes of prompt text in one block; docs/engine-protocol.md fixes it."""
 
-
-def prefix_block_hashes(text: str, block_bytes: int = BLOCK_BYTES) -> tuple[str, ...]:
-    """Hashes every whole block of a text, each hash naming the prefix up to that block.
+def prefix_block_hashes(text: str) -> tuple[str, ...]:
+    """Names every whole block of a text as cache events do.
 
     Args:
         text: Prompt text, with the text of a resume behind it.
-        block_bytes: Bytes in a block.
 
     Returns:
         One hash of 16 hexadecimal digits per whole block, in order.
     """
-    data = text.encode("utf-8", "replace")
-    seed = 0
-    hashes: list[str] = []
-    for start in range(0, len(data) - block_bytes + 1, block_bytes):
-        seed = xxhash.xxh64_intdigest(data[start : start + block_bytes], seed)
-        hashes.append(f"{seed:016x}")
-    return tuple(hashes)
+    return tuple(f"{value:016x}" for value in hash_prefix(text))
 
 
 def prompt_text(body: Mapping[str, Any]) -> str:
--- a/src/sapphireledge/core/routing/hash_prefix.py
+++ b/src/sapphireledge/core/routing/hash_prefix.py
@@ -12,7 +12,7 @@
 BLOCK_TOKENS = 64
 """Approximate length of one block in tokens, at 4 bytes per token."""
 
-MAX_BLOCKS = 128
+MAX_BLOCKS = 512
 """Most blocks that are hashed; longer prompts share no more than that in practice."""
 
 
--- a/src/sapphireledge/entry/answer_registry.py
+++ b/src/sapphireledge/entry/answer_registry.py
@@ -15,9 +15,9 @@
 
     from opentelemetry.context import Context
 
+    from sapphireledge.core.answer import AnswerEnd
     from sapphireledge.entry.answer_context import AnswerContext
     from sapphireledge.entry.caller_request import CallerRequest
-    from sapphireledge.core.answer import AnswerEnd
 
 __all__ = ["AnswerRegistry"]
 
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -12,6 +12,7 @@
 from sapphireledge.backends import BreakCause as CallBreak
 from sapphireledge.backends import Broken, Finished, GenerationCall, Started, TokenPiece
 from sapphireledge.core.answer import (
+    AnswerEnd,
     BreakCause,
     CancelAttempt,
     Complete,
@@ -23,7 +24,6 @@
 )
 from sapphireledge.entry.answer_header import AnswerHeader
 from sapphireledge.entry.pool_work import PoolWork
-from sapphireledge.core.answer import AnswerEnd
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.telemetry import LogEvent, MetricName
 
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -12,7 +12,6 @@
     BreakCause,
     Broken,
     EngineClient,
-    prefix_block_hashes,
     prompt_text,
 )
 from sapphireledge.core.admission import (
@@ -26,7 +25,7 @@
 from sapphireledge.core.fleet import EngineState, serving_version
 from sapphireledge.core.fleet import ModelVersion as LoadedVersion
 from sapphireledge.core.quarantine import Clear, DeathRecord, Isolate, fingerprint_request
-from sapphireledge.core.routing import Router, RouteRequest
+from sapphireledge.core.routing import Router, RouteRequest, hash_prefix
 from sapphireledge.entry.grant import Grant
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.telemetry import LogEvent, MetricName
@@ -291,7 +290,12 @@
             self._budget.on_first_try(now)
         else:
             await self._wait_for_checks()
-        verdict = self._quarantine.verdict(time.time(), fingerprint_request(work.req.body))
+        fingerprint = fingerprint_request(work.req.body)
+        verdict = self._quarantine.verdict(time.time(), fingerprint)
+        if isinstance(verdict, Failure) and verdict.kind is ErrorKind.OVERLOADED:
+            # Deaths of the last seconds are not attributed yet; the verdict is final afterwards.
+            await asyncio.sleep(verdict.retry_after or 0.0)
+            verdict = self._quarantine.verdict(time.time(), fingerprint)
         if isinstance(verdict, Failure):
             return verdict
         if work.attempt > 1 and work.offset == 0 and not self._budget.try_spend(now):
@@ -308,7 +312,6 @@
         """Describes the attempt for the router."""
         req = work.req
         verdict = self._quarantine.verdict(time.time(), fingerprint_request(req.body))
-        hashes = prefix_block_hashes(prompt_text(req.body))
         output = self._outputs.expected(f"{req.model}/{req.rank}")
         prompt_tokens = max(1, len(req.prompt) // BYTES_PER_TOKEN) + work.offset
         _, output_tokens = estimate_cost(prompt_tokens, 0.0, output, req.max_tokens - work.offset)
@@ -318,7 +321,7 @@
             role=deployment.role,
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
-            prefixes=tuple(int(value, 16) for value in hashes),
+            prefixes=hash_prefix(prompt_text(req.body)),
             prefer=(work.prefer,) if work.prefer else (),
             avoid=work.avoid,
             suspect=not isinstance(verdict, Clear),
--- a/src/sapphireledge/entry/remote_reader.py
+++ b/src/sapphireledge/entry/remote_reader.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.answer import AnswerEnd
 from sapphireledge.entry.answer_locator import RemoteAnswer
 from sapphireledge.entry.local_reader import LocalReader
-from sapphireledge.core.answer import AnswerEnd
 from sapphireledge.errors import ErrorKind, Failure, Ran
 
 if TYPE_CHECKING:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -48,6 +48,8 @@
     """Wanted slots on average."""
     length: int = 250
     """Mean output in tokens."""
+    entry: int | None = None
+    """The entry of all its work; None spreads it."""
     start: float = 0.0
     end: float = float("inf")
 
@@ -96,6 +98,7 @@
                 while source_rng.random() < rate / (1 + rate):
                     length = source_rng.expovariate(1 / source.length)
                     entry = source_rng.randrange(self.entries)
+                    entry = entry if source.entry is None else source.entry
                     if source.start <= now < source.end:
                         count += 1
                         self.offer(now, f"{count}", source, entry, max(1, round(length)))
@@ -179,9 +182,12 @@
     @settings(max_examples=4, phases=(Phase.generate,))
     @given(st.integers(0, 2**32), st.floats(0.05, 1.0))
     def test_greedy_workspace_leaves_small_ones_what_they_got_alone(self, seed, delay):
-        """Guards against a caller that spreads its flood over all entries."""
-        small = [Source("standard", f"small-{i}", 6.0) for i in range(9)]
-        greedy = [*small, Source("standard", "greedy", 500.0)]
+        """Guards against a caller that spreads a flood of long works over all entries.
+
+        The small ones keep to one entry each, so that only the exchange of usage shows it.
+        """
+        small = [Source("standard", f"small-{i}", 6.0, entry=i) for i in range(9)]
+        greedy = [*small, Source("standard", "greedy", 500.0, 1000)]
         alone = Loop(small, seed, entries=9, delay=delay).run(100.0, 20.0)
         together = Loop(greedy, seed, entries=9, delay=delay).run(100.0, 20.0)
         got = sum(together.tokens[source.workspace] for source in small)
@@ -303,6 +309,28 @@
         scheduler.offer(0.0, QueuedWork("u", "urgent", "a", 0, 10))
         self.assertEqual([w.work_id for w in scheduler.next(0.0, Capacity(2, 10))], ["u"])
 
+    def test_reserve_counts_work_of_other_instances_only_if_it_is_known(self):
+        """Guards against a reserve given away on a guess, or kept twice."""
+        for running, expected in (({}, 3), ({"urgent": 2}, 5)):
+            scheduler = RankScheduler(ranks(reserve=0.2), CFG)
+            for i in range(20):
+                scheduler.offer(0.0, QueuedWork(f"b{i}", "batch", "a", 0, 10))
+            capacity = Capacity(5, 10, running=running)
+            self.assertEqual(scheduler.next(0.0, capacity), [])
+            # The slots are shared, so the least urgent rank yields to other instances first.
+            wake = 0.0
+            while not (started := scheduler.next(wake, capacity)):
+                wake = scheduler.next_wake(wake)
+            self.assertLess(wake, 1.0)
+            self.assertEqual(len(started), expected)
+
+    def test_next_wake_is_the_next_expiry(self):
+        scheduler = RankScheduler(ranks(), CFG)
+        self.assertIsNone(scheduler.next_wake(0.0))
+        scheduler.offer(0.0, QueuedWork("u", "urgent", "a", 0, 10, deadline=1.5))
+        scheduler.next(0.0, Capacity(0, 10))
+        self.assertEqual(scheduler.next_wake(0.0), 1.5)
+
     def test_full_queue_gives_up_the_lowest_worth(self):
         """Guards against urgent work refused because the queue is full of other work."""
         scheduler = RankScheduler(ranks(), AdmissionSettings(max_queued=3))
@@ -374,6 +402,18 @@
         ledger.set_reach(0.0, heard=2, known=2)
         self.assertAlmostEqual(ledger.usage(0.0, "a"), 600.0)
 
+    def test_sums_of_a_data_centre(self):
+        """Guards against a representative that reports only its own usage, or that of others."""
+        ledger = UsageLedger(30.0)
+        ledger.charge(0.0, "a", 100.0)
+        for source, tokens in (("member", 10.0), ("far", 1000.0)):
+            ledger.merge_peer(0.0, source, {"a": tokens})
+        sums = ledger.scope_usage(0.0, ["a", "b"], ["member", "unknown"])
+        self.assertAlmostEqual(sums["a"], 110.0)
+        self.assertEqual(sums["b"], 0.0)
+        ledger.forget_peer(0.0, "member")
+        self.assertAlmostEqual(ledger.usage(30.0, "a"), 555.0)
+
     def test_decayed_workspaces_are_forgotten(self):
         ledger = UsageLedger(1.0)
         for i in range(20_000):
