--- a/src/sapphireledge/peers/copy_stream.py
+++ b/src/sapphireledge/peers/copy_stream.py
@@ -26,6 +26,9 @@
 MAX_RESTARTS = 3
 """Times that an answer is sent again from its start to a partner that does not keep it."""
 
+FULL_INTERVAL_ANSWERS = 64
+"""Running answers from which on a batch collects for the whole interval of the settings."""
+
 
 class CopyStream:
     """Sends pieces to one partner, one call in flight, until the partner fails.
@@ -119,8 +122,10 @@
                     return reason
             if self._dirty or self._backlog:
                 self._wake.set()
-            # With nothing sent within the last interval the next token leaves at once.
-            pause = started + self._cfg.copy_interval - self._clock()
+            # With nothing sent within the last interval the next token leaves at once. With few
+            # answers there is little to collect, and waiting would only delay their tokens.
+            share = min(1.0, len(self._progress) / FULL_INTERVAL_ANSWERS)
+            pause = started + self._cfg.copy_interval * share - self._clock()
             if batch and pause > 0:
                 await asyncio.sleep(pause)
 
