--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -54,20 +54,29 @@
     )
 
 
+def _idle_fleet(folder: str, entries: int, engines: int) -> LocalFleet:
+    """Fleet of the idle scenario."""
+    return fleet_of(folder, entries, engines, ("--slots", "16"))
+
+
+def _relay_fleet(folder: str, entries: int) -> LocalFleet:
+    """Fleet of the relay scenario."""
+    return fleet_of(folder, entries, 2, ("--slots", "200", "--token-rate", "20"))
+
+
 def idle(entries: int, engines: int, seconds: float) -> dict[str, Any]:
     """Measures entries that serve nothing."""
-    with tempfile.TemporaryDirectory() as folder:
-        with fleet_of(folder, entries, engines, ("--slots", "16")) as fleet:
-            time.sleep(5.0)
-            pids = [fleet.processes[e.name].popen.pid for e in fleet.entries]
-            before = [cpu_seconds(pid) for pid in pids]
-            counts = fleet.counts("platform")
-            started = time.monotonic()
-            time.sleep(seconds)
-            wall = time.monotonic() - started
-            after = [cpu_seconds(pid) for pid in pids]
-            calls = fleet.counts("platform")
-            memory = [memory_mb(pid) for pid in pids]
+    with tempfile.TemporaryDirectory() as folder, _idle_fleet(folder, entries, engines) as fleet:
+        time.sleep(5.0)
+        pids = [fleet.processes[e.name].popen.pid for e in fleet.entries]
+        before = [cpu_seconds(pid) for pid in pids]
+        counts = fleet.counts("platform")
+        started = time.monotonic()
+        time.sleep(seconds)
+        wall = time.monotonic() - started
+        after = [cpu_seconds(pid) for pid in pids]
+        calls = fleet.counts("platform")
+        memory = [memory_mb(pid) for pid in pids]
     used = [(b - a) / wall * 100 for a, b in zip(before, after, strict=True)]
     made = {kind: (calls.get(kind, 0) - counts.get(kind, 0)) / wall for kind in WATCH_KINDS}
     return {
@@ -85,21 +94,20 @@
 
 def relay(rate: float, tokens: int, seconds: float, entries: int) -> dict[str, Any]:
     """Measures one entry that relays streams, and its partner."""
-    with tempfile.TemporaryDirectory() as folder:
-        with fleet_of(folder, entries, 2, ("--slots", "200", "--token-rate", "20")) as fleet:
-            time.sleep(3.0)
-            names = [entry.name for entry in fleet.entries]
-            pids = {name: fleet.processes[name].popen.pid for name in names}
-            memory = {name: memory_mb(pid) for name, pid in pids.items()}
-            before = {name: cpu_seconds(pid) for name, pid in pids.items()}
-            group = CallerGroup(rate, seconds, output_tokens=tokens)
-            address = fleet.callers["e0"].removeprefix("http://")
-            started = time.monotonic()
-            peak = asyncio.run(_run(group, address, pids["e0"]))
-            wall = time.monotonic() - started
-            after = {name: cpu_seconds(pid) for name, pid in pids.items()}
-            relayed = peak["tokens"]
-            used = {name: (after[name] - before[name]) / relayed * 1e6 for name in names}
+    with tempfile.TemporaryDirectory() as folder, _relay_fleet(folder, entries) as fleet:
+        time.sleep(3.0)
+        names = [entry.name for entry in fleet.entries]
+        pids = {name: fleet.processes[name].popen.pid for name in names}
+        memory = {name: memory_mb(pid) for name, pid in pids.items()}
+        before = {name: cpu_seconds(pid) for name, pid in pids.items()}
+        group = CallerGroup(rate, seconds, output_tokens=tokens)
+        address = fleet.callers["e0"].removeprefix("http://")
+        started = time.monotonic()
+        peak = asyncio.run(_run(group, address, pids["e0"]))
+        wall = time.monotonic() - started
+        after = {name: cpu_seconds(pid) for name, pid in pids.items()}
+        relayed = peak["tokens"]
+        used = {name: (after[name] - before[name]) / relayed * 1e6 for name in names}
     others = [used[name] for name in names if name != "e0"]
     return {
         "scenario": "relay",
