--- a/src/sapphireledge/cli/app.py
+++ b/src/sapphireledge/cli/app.py
@@ -20,7 +20,8 @@
 
 app = typer.Typer(
     name="sapphireledge",
-    help="Operates a sapphireledge fleet through the operator interface of any instance.",
+    help="Operates a sapphireledge fleet through the operator interface of any instance.\n\n"
+    "Example: sapphireledge --server 127.0.0.1:7300 --who aroha status",
     no_args_is_help=True,
 )
 """The whole command line."""
@@ -49,10 +50,7 @@
     timeout: Annotated[float, typer.Option(help="Time limit of one call, in seconds.")] = 10.0,
     output: Annotated[OutputFormat, typer.Option(help="Form of the output.")] = OutputFormat.TEXT,
 ) -> None:
-    """Operates a sapphireledge fleet.
-
-    Example: sapphireledge --server 127.0.0.1:7300 --who aroha status
-    """
+    """Keeps the options of the connection for the commands."""
     ctx.obj = Connection(server, secret_file, who, timeout, output)
 
 
--- a/src/sapphireledge/cli/connection.py
+++ b/src/sapphireledge/cli/connection.py
@@ -28,6 +28,9 @@
 SECRET_VARIABLE = "SAPPHIRELEDGE_SECRET"
 """Environment variable that holds the secret if no file is named."""
 
+MAX_PORT = 65535
+"""Highest TCP port."""
+
 UNREACHABLE_EXIT_CODE = 1
 """Exit code when no answer came; the outcome of a change is then unknown."""
 
@@ -87,10 +90,10 @@
             The Thrift client.
         """
         host, _, port = self.server.rpartition(":")
-        if not host or not port.isdecimal():
-            _fail(
-                f"--server: {self.server!r} must have the form IP:port", ErrorKind.INVALID_REQUEST
-            )
+        if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+            reason = f"--server: {self.server!r} must have the form IP:port, port 1 to {MAX_PORT}"
+            _fail(reason, ErrorKind.INVALID_REQUEST)
+        secret, who = self._secret(), self._who()
         client = None
         try:
             client = make_client(
@@ -99,7 +102,7 @@
                 int(port),
                 timeout=int((self.timeout + extra_time) * 1000),
             )
-            client.hello(self._secret(), self._who())
+            client.hello(secret, who)
             yield client
         except self.schema.OperatorError as exc:
             _fail_with(exc)
@@ -113,18 +116,27 @@
     def _secret(self) -> str:
         """Reads the secret."""
         if self.secret_file is not None:
-            return self.secret_file.read_text(encoding="utf-8").strip()
+            try:
+                return self.secret_file.read_text(encoding="utf-8").strip()
+            except (OSError, UnicodeDecodeError) as exc:
+                _fail(f"--secret-file: {exc}", ErrorKind.INVALID_REQUEST)
         return os.environ.get(SECRET_VARIABLE, "")
 
     def _who(self) -> str:
         """Names the person."""
-        return self.who or getpass.getuser()
+        if self.who:
+            return self.who
+        try:
+            return getpass.getuser()
+        except (OSError, KeyError):
+            _fail("--who: is required, the login has no name", ErrorKind.INVALID_REQUEST)
 
 
 def _fail_with(exc: Any) -> NoReturn:
     """Ends the command with the exit code of an operator error."""
     detail = ""
-    if exc.kind == ErrorKind.CONFLICT and exc.current_version is not None:
+    # Version 0 stands for an object that does not exist, so a known conflict has one other than 0.
+    if exc.kind == ErrorKind.CONFLICT and (exc.base_version or exc.current_version):
         detail = f" (based on version {exc.base_version}, in force {exc.current_version})"
     try:
         kind = ErrorKind(exc.kind)
--- a/src/sapphireledge/cli/declaration_commands.py
+++ b/src/sapphireledge/cli/declaration_commands.py
@@ -8,7 +8,7 @@
 import typer
 
 from sapphireledge.cli.declaration_files import DeclarationFile, read_declarations
-from sapphireledge.cli.output import print_object, print_rows
+from sapphireledge.cli.output import OutputFormat, print_blocks, print_object, print_rows
 from sapphireledge.errors import ERROR_ANSWERS, ErrorKind
 
 if TYPE_CHECKING:
@@ -24,6 +24,9 @@
     float, typer.Option("--wait", help="Seconds to wait until the change is in force everywhere.")
 ]
 
+DIFF_COLUMNS = ("kind", "name", "version", "before", "after")
+"""Fields shown of a difference."""
+
 
 def register(app: typer.Typer) -> None:
     """Adds the commands.
@@ -58,17 +61,21 @@
     with conn.client(wait) as client:
         entries = client.diff(_declarations(conn, files))
         if dry_run:
-            print_rows(entries, ("kind", "name", "version", "before", "after"), conn.output)
+            print_blocks(entries, DIFF_COLUMNS, conn.output)
             return
         results = []
         for number, entry in enumerate(entries, 1):
-            if len(entries) > 1:
-                typer.echo(f"{number}/{len(entries)} {entry.kind}/{entry.name}", err=True)
             change = _change(conn, entry.kind, entry.name, entry.after, entry.version)
-            results.append(client.apply(change, conn.author(why)))
-        print_rows(results, ("operation_id", "version", "changed"), conn.output)
-        if wait and results:
-            _wait_in_force(conn, client, max(result.version for result in results), wait)
+            result = client.apply(change, conn.author(why))
+            results.append(result)
+            progress = f"{number}/{len(entries)} {entry.kind}/{entry.name} version {result.version}"
+            typer.echo(progress, err=True)
+        version = max((result.version for result in results), default=0)
+        in_force = client.wait_in_force(version, wait) if wait and results else []
+    _print_applied(results, in_force, conn.output)
+    if any(entry.config_version < version for entry in in_force):
+        typer.echo(f"version {version} is not yet in force everywhere", err=True)
+        raise typer.Exit(ERROR_ANSWERS[ErrorKind.DEADLINE_EXCEEDED].exit_code)
 
 
 def diff(ctx: typer.Context, paths: PathsArgument) -> None:
@@ -79,7 +86,7 @@
     conn: Connection = ctx.obj
     with conn.client() as client:
         entries = client.diff(_declarations(conn, _read(paths)))
-    print_rows(entries, ("kind", "name", "version", "before", "after"), conn.output)
+    print_blocks(entries, DIFF_COLUMNS, conn.output)
 
 
 def get_declaration(ctx: typer.Context, kind: str, name: str) -> None:
@@ -116,8 +123,17 @@
     conn: Connection = ctx.obj
     with conn.client() as client:
         rows = client.history(kind, name, limit)
-    columns = ("operation_id", "when_unix", "who", "why", "base_version", "version", "after")
-    print_rows(rows, columns, conn.output)
+    columns = (
+        "operation_id",
+        "when_unix",
+        "who",
+        "why",
+        "base_version",
+        "version",
+        "before",
+        "after",
+    )
+    print_blocks(rows, columns, conn.output)
 
 
 def reapply(
@@ -135,6 +151,8 @@
     """
     conn: Connection = ctx.obj
     operation = operation_id or conn.new_operation_id()
+    # A call whose answer is lost can be repeated only with its operation id.
+    typer.echo(f"operation id {operation}", err=True)
     with conn.client() as client:
         result = client.reapply(record_id, operation, base_version, conn.author(why))
     print_object(result, conn.output)
@@ -181,10 +199,11 @@
     )
 
 
-def _wait_in_force(conn: Connection, client: Any, version: int, wait: float) -> None:
-    """Waits and shows which instances have the version in force."""
-    entries = client.wait_in_force(version, wait)
-    print_rows(entries, ("instance", "data_centre", "config_version", "reachable"), conn.output)
-    if any(entry.config_version < version for entry in entries):
-        typer.echo(f"version {version} is not yet in force everywhere", err=True)
-        raise typer.Exit(ERROR_ANSWERS[ErrorKind.DEADLINE_EXCEEDED].exit_code)
+def _print_applied(results: list[Any], in_force: list[Any], output: OutputFormat) -> None:
+    """Prints the results of an apply and which instances have them in force, if waited for."""
+    if output is OutputFormat.JSON:
+        print_object({"results": results, "in_force": in_force}, output)
+        return
+    print_rows(results, ("operation_id", "version", "changed"), output)
+    if in_force:
+        print_rows(in_force, ("instance", "data_centre", "config_version", "reachable"), output)
--- a/src/sapphireledge/cli/fleet_commands.py
+++ b/src/sapphireledge/cli/fleet_commands.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from sapphireledge.cli.output import OutputFormat, print_object, print_rows
+from sapphireledge.cli.output import OutputFormat, print_done, print_object, print_rows
 from sapphireledge.errors import ERROR_ANSWERS, ErrorKind
 
 if TYPE_CHECKING:
@@ -86,7 +86,7 @@
     conn: Connection = ctx.obj
     with conn.client() as client:
         client.drain(conn.new_operation_id(), conn.author(why))
-    typer.echo("draining")
+    print_done("draining", conn.output)
 
 
 def order(
@@ -120,7 +120,9 @@
 def replay(ctx: typer.Context, request_id: str) -> None:
     """Prints the events of a request and runs the decisions again on the recorded inputs.
 
-    Example: sapphireledge replay drafting/01976f0a-...
+    A request is named by its workspace and its X-Request-Id, joined by "~".
+
+    Example: sapphireledge replay "default~01976f0a-..."
     """
     conn: Connection = ctx.obj
     with conn.client() as client:
--- a/src/sapphireledge/cli/output.py
+++ b/src/sapphireledge/cli/output.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
+from datetime import UTC, datetime
 from enum import StrEnum
 from typing import Any
 
 import msgspec
 import typer
 from rich.console import Console
+from rich.measure import Measurement
 from rich.table import Table
+from rich.text import Text
 
-__all__ = ["OutputFormat", "print_object", "print_rows", "to_plain"]
+__all__ = ["OutputFormat", "print_blocks", "print_done", "print_object", "print_rows", "to_plain"]
+
+UNIX_SUFFIX = "_unix"
+"""Suffix of fields that hold Unix seconds; the text form shows them as ISO 8601 in UTC."""
+
+MAX_WIDTH = 1_000_000
+"""Limit of the width of a table, in characters."""
 
 
 class OutputFormat(StrEnum):
@@ -27,13 +36,15 @@
     """Turns a Thrift struct into maps and lists.
 
     Args:
-        value: Struct, list or plain value.
+        value: Struct, list, map or plain value.
 
     Returns:
         The same content without Thrift types.
     """
     if isinstance(value, list):
         return [to_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {name: to_plain(item) for name, item in value.items()}
     spec = getattr(value, "thrift_spec", None)
     if spec is None:
         return value
@@ -49,14 +60,27 @@
     """
     plain = to_plain(value)
     if output is OutputFormat.JSON:
-        typer.echo(msgspec.json.encode(plain).decode())
+        _print_json(plain)
         return
     for name, part in plain.items():
-        typer.echo(f"{name}: {part}")
+        typer.echo(f"{_title(name)}: {_cell(name, part)}")
+
+
+def print_done(outcome: str, output: OutputFormat) -> None:
+    """Prints the end of a call that returns nothing.
+
+    Args:
+        outcome: One word that says what happened.
+        output: Form of the output.
+    """
+    if output is OutputFormat.JSON:
+        _print_json({"outcome": outcome})
+        return
+    typer.echo(outcome)
 
 
 def print_rows(rows: list[Any], columns: tuple[str, ...], output: OutputFormat) -> None:
-    """Prints a list of results.
+    """Prints a list of results as a table with one line for each result.
 
     Args:
         rows: Thrift structs.
@@ -65,9 +89,52 @@
     """
     plain = to_plain(rows)
     if output is OutputFormat.JSON:
-        typer.echo(msgspec.json.encode(plain).decode())
+        _print_json(plain)
         return
-    table = Table(*columns, box=None)
+    table = Table(box=None)
+    for column in columns:
+        table.add_column(_title(column), no_wrap=True)
     for row in plain:
-        table.add_row(*(str(row[column]) for column in columns))
-    Console(width=140).print(table)
+        table.add_row(*(Text(_cell(column, row[column])) for column in columns))
+    # The terminal wraps long lines; a table of its width would cut cells.
+    console = Console(highlight=False)
+    options = console.options.update(width=MAX_WIDTH)
+    console.width = max(1, Measurement.get(console, options, table).maximum)
+    console.print(table)
+
+
+def print_blocks(rows: list[Any], columns: tuple[str, ...], output: OutputFormat) -> None:
+    """Prints a list of results as blocks with one line for each field.
+
+    Args:
+        rows: Thrift structs.
+        columns: Fields shown in the text form; JSON has all fields.
+        output: Form of the output.
+    """
+    plain = to_plain(rows)
+    if output is OutputFormat.JSON:
+        _print_json(plain)
+        return
+    for number, row in enumerate(plain):
+        if number:
+            typer.echo()
+        print_object({column: row[column] for column in columns}, output)
+
+
+def _print_json(plain: Any) -> None:
+    """Prints one JSON document."""
+    typer.echo(msgspec.json.encode(plain).decode())
+
+
+def _title(name: str) -> str:
+    """Names a field in the text form; times lose the suffix of their unit."""
+    return name.removesuffix(UNIX_SUFFIX)
+
+
+def _cell(name: str, value: Any) -> str:
+    """Formats a value for the text form."""
+    if name.endswith(UNIX_SUFFIX) and value is not None:
+        return datetime.fromtimestamp(value, UTC).isoformat(timespec="milliseconds")
+    if isinstance(value, list):
+        return ", ".join(map(str, value))
+    return "" if value is None else str(value)
--- a/src/sapphireledge/cli/quarantine_commands.py
+++ b/src/sapphireledge/cli/quarantine_commands.py
@@ -6,14 +6,17 @@
 
 import typer
 
-from sapphireledge.cli.output import print_rows
+from sapphireledge.cli.output import print_done, print_rows
 
 if TYPE_CHECKING:
     from sapphireledge.cli.connection import Connection
 
 __all__ = ["app"]
 
-app = typer.Typer(help="Requests that crash backend servers.", no_args_is_help=True)
+app = typer.Typer(
+    help="Requests that crash backend servers.\n\nExample: sapphireledge quarantine list",
+    no_args_is_help=True,
+)
 """The quarantine commands."""
 
 
@@ -42,4 +45,4 @@
     conn: Connection = ctx.obj
     with conn.client() as client:
         client.quarantine_lift(fingerprint, conn.new_operation_id(), conn.author(why))
-    typer.echo("lifted")
+    print_done("lifted", conn.output)
--- a/src/sapphireledge/cli/settings_commands.py
+++ b/src/sapphireledge/cli/settings_commands.py
@@ -14,7 +14,11 @@
 
 __all__ = ["app"]
 
-app = typer.Typer(help="Settings files of instances.", no_args_is_help=True)
+app = typer.Typer(
+    help="Settings files of instances.\n\n"
+    "Example: sapphireledge settings check examples/ara-tika/akl-a-1.json",
+    no_args_is_help=True,
+)
 """The settings commands."""
 
 SECRET_NAMES = frozenset({"fleet_secret", "operator_secret"})
@@ -24,12 +28,15 @@
 
 
 @app.command()
-def check(file: FileArgument) -> None:
+def check(ctx: typer.Context, file: FileArgument) -> None:
     """Checks a settings file and names every problem.
 
-    Example: sapphireledge settings check examples/akl-a-1.json
+    Example: sapphireledge settings check examples/ara-tika/akl-a-1.json
     """
     _load(file)
+    if ctx.obj.output is OutputFormat.JSON:
+        print_object({"problems": []}, ctx.obj.output)
+        return
     typer.echo(f"{file}: no problems")
 
 
@@ -37,10 +44,10 @@
 def show(ctx: typer.Context, file: FileArgument) -> None:
     """Shows all settings with defaults and units.
 
-    Example: sapphireledge settings show examples/akl-a-1.json
+    Example: sapphireledge settings show examples/ara-tika/akl-a-1.json
     """
     rows = dict(_rows(_load(file), ""))
-    output = ctx.obj.output if ctx.obj is not None else OutputFormat.TEXT
+    output = ctx.obj.output
     if output is OutputFormat.JSON:
         rows = {name: value for name, (value, _) in rows.items()}
         print_object(rows, output)
