--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -103,7 +103,10 @@
         self._arrived = time.monotonic()
         self._lost_at: float | None = None
         self._last_token = 0.0
-        self._log = structlog.get_logger().bind(request_id=req.request_id)
+        self._log = structlog.get_logger().bind(
+            request_id=req.request_id, trace_id=ctx.tracing.trace_id(trace)
+        )
+        self._is_unprotected = False
 
     @property
     def answer(self) -> RunningAnswer:
@@ -229,6 +232,8 @@
         now = time.monotonic()
         if isinstance(grant, Failure):
             self._machine.note(now, "route_refused", {"attempt": decision.attempt})
+            if grant.kind is ErrorKind.REQUEST_CONDEMNED:
+                self._log.warning(LogEvent.REQUEST_CONDEMNED, reason=grant.reason)
             self._apply(self._machine.on_no_backend(now, grant))
             return
         try:
@@ -240,7 +245,11 @@
                 return
             self._open_copy(grant.version)
             self._grants[decision.attempt] = grant
-            if decision.attempt > 1:
+            if decision.attempt == 1:
+                self._log.info(
+                    LogEvent.REQUEST_ACCEPTED, rank=self._req.rank, backend=grant.backend
+                )
+            else:
                 self._log.info(
                     LogEvent.ATTEMPT_RESUMED,
                     attempt=decision.attempt,
@@ -275,6 +284,9 @@
         if copy.released > max(copy.stored, self._answer.readable):
             unprotected = copy.released - max(copy.stored, self._answer.readable)
             self._ctx.metrics.count(MetricName.UNPROTECTED_TOKENS, unprotected)
+            if not self._is_unprotected:
+                self._is_unprotected = True
+                self._log.warning(LogEvent.ANSWER_UNPROTECTED, offset=self._answer.readable)
         self._answer.release(max(copy.stored, copy.released))
 
     async def _stop_superseded(self) -> None:
--- a/src/sapphireledge/entry/backend_monitor.py
+++ b/src/sapphireledge/entry/backend_monitor.py
@@ -7,9 +7,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import structlog
+
 from sapphireledge.backends import BreakCause, CacheEventPoller, LoadPoller
 from sapphireledge.core.routing import BackendInstance, CacheEvent, LoadReport, ModelVersion
 from sapphireledge.platform import InstanceKind, InstanceState
+from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -59,6 +62,7 @@
         self._pool = pool
         self._suspects = suspects
         self._watches: dict[str, _Watch] = {}
+        self._log = structlog.get_logger()
 
     def on_instances(self, instances: Iterable[Instance]) -> None:
         """Takes up the instance list.
@@ -67,6 +71,10 @@
             instances: All rows.
         """
         rows = [row for row in instances if row.kind is not InstanceKind.ENTRY]
+        for row in rows:
+            state = self._view.state(row.name)
+            if row.state is InstanceState.LEAVING and state is not None and not state.leaving:
+                self._log.info(LogEvent.BACKEND_LEAVING, backend=row.name, source="instance list")
         self._view.on_instances(time.monotonic(), [_backend(row) for row in rows])
         engines = {row.name: row for row in rows if row.kind is InstanceKind.ENGINE}
         self._suspects.keep_leaving(row.name for row in rows)
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -14,7 +14,7 @@
 
 from sapphireledge.backends import ConnectionPools
 from sapphireledge.core.admission import UsageLedger
-from sapphireledge.core.config import CONFIG_PREFIX, ChangeApplier, ConfigState
+from sapphireledge.core.config import CONFIG_PREFIX, Acceptance, ChangeApplier, ConfigState
 from sapphireledge.core.membership import Member, rank_by_rendezvous
 from sapphireledge.core.quarantine import Quarantine
 from sapphireledge.core.replay import EventLog
@@ -53,12 +53,13 @@
     ObjectClient,
     PrefixWatcher,
 )
-from sapphireledge.telemetry import LogEvent, Metrics, SegmentWriter, Tracing
+from sapphireledge.telemetry import LogEvent, MetricName, Metrics, SegmentWriter, Tracing
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
     from typing import Any
 
+    from sapphireledge.platform import StoredObject
     from sapphireledge.settings import Settings
 
 __all__ = ["EntryServer"]
@@ -94,7 +95,7 @@
         """State of the process."""
         self._metrics = Metrics(cfg)
         self._tracing = Tracing(cfg)
-        self._store = ObjectClient(cfg)
+        self._store = ObjectClient(cfg, self._count_call)
         self._config = ConfigState()
         self._view = BackendView(cfg.routing, cfg.instance, cfg.data_centre, cfg.region)
         self._ledger = UsageLedger(cfg.admission.usage_half_life)
@@ -105,7 +106,7 @@
             CONFIG_PREFIX,
             cfg.platform,
             self._rng,
-            self._config.apply,
+            self._on_config,
             self._on_reachable,
             self._config.cover,
         )
@@ -175,7 +176,7 @@
         )
         self._operator_server = OperatorServer(cfg, self._operator_parts())
         self._housekeeping = Housekeeping(
-            cfg, self._store, self._registry, self._copy_store, self._mesh, self._rng
+            self._ctx, self._store, self._registry, self._copy_store, self._mesh, self._rng
         )
 
     async def run(self) -> Failure | None:
@@ -355,11 +356,26 @@
             if row.kind is InstanceKind.ENTRY
         ]
 
+    def _on_config(self, found: StoredObject) -> None:
+        """Takes a stored declaration."""
+        acceptance = self._config.apply(found)
+        if acceptance is Acceptance.APPLIED:
+            self._log.info(LogEvent.CONFIG_APPLIED, key=found.key, version=found.version)
+        elif acceptance is Acceptance.REJECTED:
+            reason = self._config.rejected[found.key].reason
+            self._log.error(
+                LogEvent.CONFIG_REJECTED, key=found.key, version=found.version, reason=reason
+            )
+
     def _on_instances(self, instances: tuple[Instance, ...]) -> None:
         """Takes up the instance list."""
         self._instances = tuple(instances)
         self._monitor.on_instances(instances)
 
+    def _count_call(self, operation: str, result: str) -> None:
+        """Counts one call of the platform."""
+        self._metrics.count(MetricName.PLATFORM_CALLS, 1, f"{operation}.{result}")
+
     def _is_platform_reachable(self) -> bool:
         """Whether the last call of the configuration watch succeeded."""
         return bool(self._config_watch.reachable)
--- a/src/sapphireledge/entry/housekeeping.py
+++ b/src/sapphireledge/entry/housekeeping.py
@@ -6,17 +6,19 @@
 import time
 from typing import TYPE_CHECKING
 
+import structlog
+
 from sapphireledge.entry.object_collector import ObjectCollector
-from sapphireledge.telemetry import SEGMENT_PREFIX
+from sapphireledge.telemetry import SEGMENT_PREFIX, LogEvent, MetricName
 
 if TYPE_CHECKING:
     from random import Random
 
+    from sapphireledge.entry.answer_context import AnswerContext
     from sapphireledge.entry.answer_registry import AnswerRegistry
     from sapphireledge.entry.copy_store import CopyStore
     from sapphireledge.peers import PeerMesh
     from sapphireledge.platform import ObjectStore, StoredObject
-    from sapphireledge.settings import Settings
 
 __all__ = ["Housekeeping"]
 
@@ -35,7 +37,7 @@
 
     def __init__(
         self,
-        cfg: Settings,
+        ctx: AnswerContext,
         store: ObjectStore,
         registry: AnswerRegistry,
         copies: CopyStore,
@@ -45,14 +47,16 @@
         """Creates the housekeeping; `run` starts it.
 
         Args:
-            cfg: Settings of the instance.
+            ctx: Parts that a generation needs; their gauges are sent.
             store: The platform's object API.
             registry: Answers that this instance owns.
             copies: Copies of other instances' answers.
             mesh: Links to other instances, whose number sets the interval.
             rng: Random source of the jitter.
         """
-        self._cfg = cfg
+        self._ctx = ctx
+        self._dropped = 0
+        self._log = structlog.get_logger()
         self._registry = registry
         self._copies = copies
         self._mesh = mesh
@@ -73,6 +77,18 @@
             await asyncio.sleep(EXPIRE_INTERVAL)
             self._registry.expire(time.monotonic())
             self._copies.expire()
+            self._report()
+
+    def _report(self) -> None:
+        """Sends the gauges and reports events that were dropped since the last time."""
+        metrics, pool = self._ctx.metrics, self._ctx.pool
+        metrics.gauge(MetricName.RUNNING, pool.running)
+        metrics.gauge(MetricName.QUEUED, pool.queued)
+        dropped = self._ctx.events.dropped - self._dropped
+        if dropped:
+            self._dropped += dropped
+            metrics.count(MetricName.EVENTS_DROPPED, dropped)
+            self._log.warning(LogEvent.EVENTS_DROPPED, events=dropped)
 
     def _interval(self) -> float:
         """Interval of the collections, so that their rate does not grow with the fleet."""
--- a/src/sapphireledge/platform/object_client.py
+++ b/src/sapphireledge/platform/object_client.py
@@ -14,6 +14,8 @@
 from sapphireledge.platform.write_result import WriteResult, WriteStatus
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sapphireledge.platform._private import Answer
     from sapphireledge.platform.instance import Instance
     from sapphireledge.platform.object_page import ObjectPage
@@ -43,8 +45,17 @@
     It makes each call once. A retry belongs to the caller, who knows whether it is safe.
     """
 
-    def __init__(self, cfg: Settings):
+    def __init__(
+        self, cfg: Settings, on_call: Callable[[str, str], None] = lambda operation, result: None
+    ):
+        """Creates the client.
+
+        Args:
+            cfg: Settings of the instance.
+            on_call: Hears of each call: "read", "write" or "watch", and "answered" or "failed".
+        """
         self._cfg = cfg.platform
+        self._on_call = on_call
         self._url = cfg.platform.url.rstrip("/")
         self._headers = {"X-Instance": cfg.instance, "X-Data-Centre": cfg.data_centre}
         self._client = create_http_client(MAX_CALLS)
@@ -89,6 +100,7 @@
             headers=self._headers,
             params=params,
         )
+        self._count("watch", answer)
         if not isinstance(answer, CallError) and answer.status == 410:
             return Failure(ErrorKind.NOT_FOUND, f"version {from_version} is too old to watch from")
         return _page("watch", answer)
@@ -109,7 +121,7 @@
         self, method: str, url: str, params: dict[str, str] | None = None
     ) -> Answer | CallError:
         """Makes one reading call."""
-        return await call(
+        answer = await call(
             self._client,
             method,
             url,
@@ -118,6 +130,12 @@
             headers=self._headers,
             params=params,
         )
+        self._count("read", answer)
+        return answer
+
+    def _count(self, operation: str, answer: Answer | CallError) -> None:
+        """Reports one call."""
+        self._on_call(operation, "failed" if isinstance(answer, CallError) else "answered")
 
     async def _write(
         self, method: str, key: str, expect_version: int, value: bytes | None
@@ -133,6 +151,7 @@
             headers=headers,
             data=value,
         )
+        self._count("write", answer)
         if answer is CallError.NOT_SENT:
             return WriteResult(WriteStatus.UNAVAILABLE)
         if isinstance(answer, CallError):
--- a/src/sapphireledge/telemetry/tracing.py
+++ b/src/sapphireledge/telemetry/tracing.py
@@ -89,6 +89,19 @@
         """
         return trace.set_span_in_context(span)
 
+    def trace_id(self, context: Context | None) -> str:
+        """Reads the trace id of a context, for log lines.
+
+        Args:
+            context: Trace context of a request.
+
+        Returns:
+            The id in hexadecimal, empty without a context.
+        """
+        if context is None:
+            return ""
+        return trace.format_trace_id(trace.get_current_span(context).get_span_context().trace_id)
+
     def headers(self, span: Span) -> dict[str, str]:
         """Formats the trace context for the next hop.
 
--- a/tests/test_reference_docs.py
+++ b/tests/test_reference_docs.py
@@ -8,7 +8,9 @@
 from sapphireledge.errors import ERROR_ANSWERS
 from sapphireledge.telemetry import LogEvent, MetricName
 
-DOCS = Path(__file__).resolve().parent.parent / "docs"
+ROOT = Path(__file__).resolve().parent.parent
+DOCS = ROOT / "docs"
+SOURCE = ROOT / "src" / "sapphireledge"
 
 
 class ReferencePagesTest(unittest.TestCase):
@@ -21,6 +23,17 @@
             cells = [cell.strip() for cell in row.split("|")]
             self.assertEqual(cells[3:5], [str(answer.http_status), str(answer.exit_code)], kind)
 
+    def test_each_log_event_and_metric_is_used(self):
+        """A name that no code sends sends an operator looking for it in vain."""
+        sources = "\n".join(
+            path.read_text(encoding="utf-8")
+            for path in SOURCE.rglob("*.py")
+            if path.name not in ("log_event.py", "metric_name.py")
+        )
+        for listed in (LogEvent, MetricName):
+            for name in listed:
+                self.assertIn(f"{listed.__name__}.{name.name}", sources)
+
     def test_metrics_page_has_each_name(self):
         text = (DOCS / "reference-metrics.md").read_text(encoding="utf-8")
         for name in (*MetricName, *LogEvent):
