Add the fault matrix for requests and claims

The matrix is the product of 18 faults and 4 pairs of faults with every step of a life cycle. The cells of requests run over the world of the answer property test with queue, quarantine, paused entries and partitions; those of claims over the fleet of the claims test and the real collector.

Found: an owner that is paused before its first append, or cut off while the caller goes on elsewhere with its own text, keeps its own generation under the same id. A later call with the id alone reads that generation as continued.

--- /dev/null
+++ b/tests/fault_matrix_cells.py
@@ -0,0 +1,118 @@
+"""The two lists of the fault matrix and the cells that are their product."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from itertools import product
+
+__all__ = ["CELLS", "CHECKS", "PAIRS", "STEPS", "Cell", "Fault"]
+
+
+class Fault(StrEnum):
+    """What happens."""
+
+    ENGINE_DIES = "engine dies"
+    ENGINE_PAUSES = "engine pauses and returns"
+    ENTRY_DIES = "entry dies"
+    ENTRY_PAUSES = "entry pauses and returns"
+    ENTRY_PARTITION = "partition between entries"
+    PLATFORM_PARTITION = "partition from the platform"
+    PLATFORM_OUTAGE = "platform outage"
+    PLATFORM_SLOW = "platform slow"
+    WRITE_ANSWER_LOST = "answer of a write lost after it took effect"
+    LEASE_LAPSES = "lease lapses while its holder is paused"
+    OPERATORS_RACE = "two operators race"
+    REQUEST_CRASHES = "one request crashes each engine that runs it"
+    SILENT_CONNECTION = "connection goes silent while new ones work"
+    FLOOD_LEAST = "flood of the least urgent"
+    FLOOD_MOST = "flood of the most urgent"
+    DUPLICATE = "duplicate delivery of messages"
+    LATE = "late delivery of messages"
+    CROSSED = "crossed delivery of messages"
+
+
+STEPS = {
+    "request": (
+        "offered",
+        "queued",
+        "dispatched",
+        "before the first token",
+        "between tokens",
+        "before the finish",
+        "finished but not stored at the partner",
+        "delivered",
+        "caller reconnecting",
+    ),
+    "claim": (
+        "key received",
+        "claim being written",
+        "claimed but not dispatched",
+        "dispatched",
+        "service ran but not answered",
+        "outcome being recorded",
+        "recorded",
+        "collected",
+    ),
+    "declaration": (
+        "record being written",
+        "record written",
+        "object being written",
+        "accepted",
+        "in force at some entries",
+        "in force everywhere",
+    ),
+    "order": (
+        "lease being taken",
+        "held",
+        "order planned",
+        "order sent",
+        "engine applied it",
+        "state checked",
+        "lease passing on",
+    ),
+}
+"""Every step of each life cycle."""
+
+CHECKS = {
+    "request": "no token missing, repeated or mixed; whole answer or refusal; true `not run`",
+    "claim": "at most one run; `not run` against the count of runs; one answer for each call",
+    "declaration": "accepted changes form one chain; no older version; in force after healing",
+    "order": "one holder; no order of an earlier holder takes effect or it is undone",
+}
+"""What the cells of each life cycle check."""
+
+
+@dataclass(frozen=True)
+class Cell:
+    """Faults that strike at one step of one life cycle."""
+
+    subject: str
+    step: str
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        return f"{self.subject}: {self.step} / {' + '.join(self.faults)}"
+
+
+PAIRS = (
+    (Fault.ENGINE_DIES, Fault.ENTRY_DIES),
+    (Fault.WRITE_ANSWER_LOST, Fault.ENTRY_PARTITION),
+    (Fault.LEASE_LAPSES, Fault.PLATFORM_OUTAGE),
+    (Fault.PLATFORM_OUTAGE, Fault.ENTRY_DIES),
+)
+"""Faults that strike together: the second is the restart where an outage meets a dying entry."""
+
+
+def _cells() -> tuple[Cell, ...]:
+    """Builds the product of steps, single faults and pairs."""
+    groups = [(fault,) for fault in Fault] + list(PAIRS)
+    return tuple(
+        Cell(subject, step, faults)
+        for subject, steps in STEPS.items()
+        for step, faults in product(steps, groups)
+    )
+
+
+CELLS = _cells()
+"""Every cell of the matrix."""
--- /dev/null
+++ b/tests/fault_matrix_request.py
@@ -0,0 +1,374 @@
+"""Cells of the life of a request, over the world of the answer property test."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from fault_matrix_cells import Fault
+from test_admission import ranks
+from test_answer_properties import ENTRIES, AnswerWorld, Attempt, Caller
+
+from sapphireledge.core.admission import Admitted, Capacity, Expired, QueuedWork, RankScheduler
+from sapphireledge.core.answer import AnswerEnd, BreakCause, ChangePartner
+from sapphireledge.core.quarantine import DeathRecord, Quarantine
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.settings import AdmissionSettings, QuarantineSettings
+
+if TYPE_CHECKING:
+    from fault_matrix_cells import Cell
+
+TICK = 0.05
+TOTAL = 12
+"""Tokens of the whole answer."""
+MIDDLE = 5
+TICKS = 900
+MAX_DEATHS = 4
+"""Engines that one request may crash before it is condemned."""
+HEAL_AFTER = 40
+"""Ticks of a fault that ends by itself: 2 s, beyond the ceiling of the gap detector."""
+SILENCE = 30
+"""Ticks without output after which the caller opens another connection."""
+ENGINES = tuple(f"e{number}" for number in range(8))
+START_UNIX = 1_000_000.0
+
+
+class RequestCell(AnswerWorld):
+    """One request from the offer to the end, with faults at one step.
+
+    `AnswerWorld.receive` checks every token that a caller gets. A tick moves each part of the
+    system once.
+    """
+
+    def __init__(self, cell: Cell):
+        self.cell = cell
+        self.ticks = self.struck_at = 0
+        self.cut = False
+        self.total_runs = 0
+        self.struck = self.healed = False
+        self.dead: set[str] = set()
+        self.frozen: set[str] = set()
+        self.silent: set[Attempt] = set()
+        self.refusals: list[Failure] = []
+        self.refused: set[int] = set()
+        self.engine_of: dict[Attempt, str] = {}
+        self.offered: dict[tuple[object, int], str] = {}
+        self.schedulers = {name: self.scheduler() for name in ENTRIES}
+        self.quarantine = Quarantine(QuarantineSettings())
+        self.last_output = Counter()
+        self.raced = False
+        self.crossed: Attempt | None = None
+        self.taken_over = False
+        super().__init__()
+        # A second reader waits for a paused entry; it shows what an owner that returns delivers.
+        self.attach(self.callers[1], self.sessions[0])
+
+    @staticmethod
+    def scheduler() -> RankScheduler:
+        return RankScheduler(ranks(), AdmissionSettings())
+
+    def run(self) -> None:
+        self.reach("offered")
+        while self.ticks < TICKS:
+            self.tick()
+        self.check()
+        self.teardown()
+
+    def check(self) -> None:
+        """Checks the settled system."""
+        assert self.struck, "the step was not reached"
+        for number, caller in enumerate(self.callers):
+            assert caller.ended or number in self.refused, "neither an answer nor a refusal"
+        for failure in self.refusals:
+            assert failure.ran is not Ran.NO or not self.total_runs, f"not true: {failure}"
+            assert failure.ran is not Ran.YES or self.total_runs, f"not true: {failure}"
+        if Fault.REQUEST_CRASHES in self.cell.faults:
+            assert len(self.dead) <= MAX_DEATHS, "the request went on crashing engines"
+
+        if self.taken_over and Fault.ENTRY_PARTITION not in self.cell.faults:
+            readers = [caller.pieces for caller in self.callers if caller.ended]
+            assert all(pieces == readers[0] for pieces in readers), "owners of one answer differ"
+
+    def take_over(self, caller, entry, holder, epoch) -> None:
+        self.taken_over = True
+        super().take_over(caller, entry, holder, epoch)
+
+    def repeat(self) -> None:
+        """A plain client that sends the id alone gets the same answer while a copy lives."""
+        first = self.callers[0]
+        if not first.ended or not any(table.locate("r") for table in self.tables.values()):
+            return
+        again = Caller()
+        self.callers.append(again)
+        self.reconnect(2, 0, False, False)
+        assert again.ended, "the copy is not whole"
+        assert again.pieces == first.pieces, "another answer under the same id"
+
+    def reach(self, step: str) -> None:
+        if step == self.cell.step and not self.struck:
+            self.struck, self.struck_at = True, self.ticks
+            for fault in self.cell.faults:
+                self.strike(fault)
+
+    # One tick.
+
+    def tick(self) -> None:
+        self.ticks += 1
+        if self.struck and not self.healed and self.ticks > self.struck_at + HEAL_AFTER:
+            self.heal()
+        self.advance(TICK)
+        for session in [s for s in self.sessions if self.running(s)]:
+            self.admit(session)
+            self.answer_probes(session)
+        for attempt in list(self.attempts):
+            self.work(attempt)
+        for session in [s for s in self.sessions if self.running(s)]:
+            self.copy(session)
+        self.reconnect_callers()
+
+    def admit(self, session) -> None:
+        """Offers a pending dispatch to the queue and carries out what the queue hands out."""
+        order, scheduler = session.pending, self.schedulers[session.entry]
+        if order is None:
+            return
+        work_id = self.offered.get((session, order.attempt))
+        if work_id is None:
+            work_id = f"work-{len(self.offered)}"
+            self.offered[session, order.attempt] = work_id
+            work = QueuedWork(work_id, "standard", "w", 0, TOTAL, delivered=order.offset)
+            found = scheduler.offer(self.now, work)
+            if isinstance(found, Failure):
+                session.pending = None
+                self.act(session, session.machine.on_no_backend(self.now, found))
+                return
+            assert isinstance(found, Admitted)
+            self.reach("queued")
+            return
+        for item in scheduler.next(self.now, Capacity(2, 4, 200.0)):
+            work = item.work if isinstance(item, Expired) else item
+            if not isinstance(item, Expired):
+                scheduler.on_started(self.now, work.work_id)
+                scheduler.on_ended(self.now, work.work_id)
+            if work.work_id != work_id:
+                continue
+            if isinstance(item, Expired):
+                session.pending = None
+                self.act(session, session.machine.on_no_backend(self.now, item.failure))
+            elif self.running(session):
+                self.place(session)
+
+    def place(self, session) -> None:
+        """Dispatches to an engine unless the request is condemned or no engine is left."""
+        order = session.pending
+        session.pending = None
+        unix = START_UNIX + self.now
+        verdict = self.quarantine.verdict(unix, "request")
+        usable = [e for e in ENGINES if e not in self.dead and e not in order.avoid]
+        if order.prefer in usable:
+            usable.insert(0, order.prefer)
+        if isinstance(verdict, Failure) or not usable:
+            failure = verdict if isinstance(verdict, Failure) else None
+            failure = failure or Failure(ErrorKind.NO_BACKEND, "none", Ran.NO)
+            self.act(session, session.machine.on_no_backend(self.now, failure))
+            return
+        # A race of operators moves the deployment to another version in the middle.
+        version = "v2" if self.raced and order.avoid == () and not order.version else "v1"
+        version = order.version or version
+        machine = session.machine
+        decisions = machine.on_dispatched(self.now, order.attempt, usable[0], version)
+        self.act(session, decisions)
+        if decisions:
+            return
+        self.nonces += 1
+        nonce = f"{version}-{self.nonces}"
+        attempt = Attempt(session, order.attempt, nonce, order.offset, machine.text)
+        self.attempts.append(attempt)
+        self.engine_of[attempt] = usable[0]
+        self.total_runs += 1
+        self.reach("dispatched")
+
+    def answer_probes(self, session) -> None:
+        if session.probe is None:
+            return
+        number, engine = session.probe.attempt, session.machine.backend
+        session.probe = None
+        alive = engine not in self.dead and engine not in self.frozen
+        running = [a for a in self.attempts if a.session is session and a.running]
+        knows = any(attempt.number == number for attempt in running)
+        if alive:
+            self.act(session, session.machine.on_probe(self.now, number, True, knows))
+        # A frozen or dead engine does not answer; the probe ends by its time limit.
+
+    def work(self, attempt: Attempt) -> None:
+        """Lets an engine make one token and its connection carry it."""
+        engine, session = self.engine_of[attempt], attempt.session
+        if engine in self.dead:
+            self.break_off(attempt)
+            return
+        if engine in self.frozen:
+            return
+        if attempt.running:
+            self.reach_for(attempt)
+            if engine in self.dead or engine in self.frozen:
+                return
+            attempt.emit(1)
+            if attempt.offset >= TOTAL:
+                attempt.running = False
+                self.finals.add(attempt.text)
+                attempt.outbox.append((attempt.offset, None))
+        self.disturb(attempt)
+        if attempt not in self.silent and session in self.sessions:
+            count = len(attempt.outbox)
+            if attempt.outbox and attempt.outbox[-1][1] is None and count > 1:
+                count -= 1
+            elif attempt.outbox and attempt.outbox[0][1] is None:
+                self.reach("before the finish")
+            if not self.delayed:
+                self.deliver(attempt, count)
+        if session.machine.ended and session.window._finish:
+            self.reach("finished but not stored at the partner")
+
+    def reach_for(self, attempt: Attempt) -> None:
+        if not attempt.offset:
+            self.reach("before the first token")
+        if attempt.offset >= MIDDLE:
+            self.reach("between tokens")
+            if self.cell.step == "caller reconnecting" and not self.struck:
+                self.callers[0].session = None
+                self.reach("caller reconnecting")
+
+    def break_off(self, attempt: Attempt) -> None:
+        """The connection to a dead engine breaks."""
+        attempt.running = False
+        session = attempt.session
+        self.attempts.remove(attempt)
+        if not self.running(session):
+            return
+        record = DeathRecord(
+            self.engine_of[attempt],
+            f"boot-{self.engine_of[attempt]}",
+            START_UNIX + self.now,
+            ("request",),
+            isolated=("request",),
+        )
+        self.quarantine.on_engine_death(START_UNIX + self.now, record)
+        machine = session.machine
+        decisions = machine.on_broken(self.now, attempt.number, BreakCause.CLOSED)
+        self.act(session, decisions)
+
+    @property
+    def active(self) -> frozenset[Fault]:
+        """Faults that are going on."""
+        ongoing = self.struck and not self.healed
+        return frozenset(self.cell.faults) if ongoing else frozenset()
+
+    @property
+    def delayed(self) -> bool:
+        return Fault.LATE in self.active
+
+    def disturb(self, attempt: Attempt) -> None:
+        if Fault.REQUEST_CRASHES in self.cell.faults and self.struck and attempt.running:
+            self.dead.add(self.engine_of[attempt])
+        if Fault.DUPLICATE in self.active and attempt.outbox:
+            attempt.outbox.insert(1, attempt.outbox[0])
+        if Fault.CROSSED in self.active and attempt.running and self.crossed in (None, attempt):
+            # The next token overtakes this one, on the connection of one attempt.
+            self.crossed = attempt
+            attempt.emit(1 if attempt.offset < TOTAL - 1 else 0)
+            attempt.outbox.reverse()
+
+    # Copies, callers and faults.
+
+    def copy(self, session) -> None:
+        """Sends the next append of an owner; what a partition drops is found by the time limit."""
+        session.window.add_events(session.machine.take_lines())
+        append = session.window.next_append()
+        if append and not self.cut:
+            message = (session, session.window.partner, append)
+            self.appends += [message] * (2 if Fault.DUPLICATE in self.active else 1)
+        if not self.delayed:
+            self.exchange()
+
+    def exchange(self) -> None:
+        """Stores the appends at partners that are not paused, and delivers their answers."""
+        pending = [message for message in self.appends if message[1] not in self.paused]
+        if Fault.CROSSED in self.active:
+            pending.reverse()
+        for message in pending:
+            self.appends.remove(message)
+            self.appends.append(message)
+            self.store(0, False)
+        for _ in range(len(self.results)):
+            self.acknowledge(0)
+
+    def commit(self, session, decisions: list) -> None:
+        super().commit(session, decisions)
+        for decision in decisions:
+            if isinstance(decision, ChangePartner) and session in self.sessions:
+                others = [n for n in ENTRIES if n not in (session.entry, session.window.partner)]
+                usable = [name for name in others if name not in self.paused] or [""]
+                super().commit(session, session.window.on_partner(self.now, usable[0]))
+
+    def receive(self, caller, offset, source, finish, version) -> None:
+        super().receive(caller, offset, source, finish, version)
+        number = self.callers.index(caller)
+        self.last_output[number] = self.ticks
+        failure = AnswerEnd.parse(finish).failure if finish else None
+        if failure is not None and failure.kind is not ErrorKind.ANSWER_MOVED:
+            self.refusals.append(failure)
+            self.refused.add(number)
+        if caller.ended:
+            self.reach("delivered")
+
+    def reconnect_callers(self) -> None:
+        for number, caller in enumerate(self.callers):
+            if caller.ended or number in self.refused:
+                continue
+            paused = caller.session is not None and caller.session.entry in self.paused
+            if paused and number == 0 and self.ticks > self.last_output[number] + SILENCE:
+                caller.session = None
+            if caller.session is None:
+                self.reconnect(number, self.ticks % 3, self.cut, True)
+
+    def reconnect(self, i, e, cut, with_text):
+        if not cut:
+            super().reconnect(i, e, cut, with_text)
+            return
+        tables, entry = self.tables, ENTRIES[e % 3]
+        # Across the cut only the entry's own copies can be asked.
+        self.tables = {entry: tables[entry]}
+        try:
+            super().reconnect(i, e, cut, with_text)
+        finally:
+            self.tables = tables
+
+    def strike(self, fault: Fault) -> None:
+        session = self.sessions[-1]
+        current = [a for a in self.attempts if a.session is session]
+        engine = self.engine_of[current[-1]] if current else ENGINES[0]
+        match fault:
+            case Fault.ENGINE_DIES | Fault.REQUEST_CRASHES:
+                self.dead.add(engine)
+            case Fault.ENGINE_PAUSES:
+                self.frozen.add(engine)
+            case Fault.ENTRY_DIES:
+                self.schedulers[session.entry] = self.scheduler()
+                self.pause_return_or_crash(session.entry, True)
+            case Fault.ENTRY_PAUSES | Fault.LEASE_LAPSES:
+                self.paused.add(session.entry)
+            case Fault.ENTRY_PARTITION:
+                self.cut = True
+            case Fault.OPERATORS_RACE:
+                self.raced = True
+            case Fault.SILENT_CONNECTION:
+                self.silent.update(current)
+            case Fault.FLOOD_LEAST | Fault.FLOOD_MOST:
+                rank = "batch" if fault is Fault.FLOOD_LEAST else "urgent"
+                for number in range(400):
+                    work = QueuedWork(f"{rank}-{number}", rank, "flood", 0, 250)
+                    self.schedulers[session.entry].offer(self.now, work)
+
+    def heal(self) -> None:
+        self.healed, self.cut = True, False
+        self.frozen.clear()
+        self.paused.clear()
