Add the declaration cells of the fault matrix

Three entries run the real applier, watch and configuration state over one table. A writer can be held between its reading and its write, so that a rival accepts a change on the same base; an answer of a peer from before the change arrives after it.

Shown on scratch copies: - object written without the condition of the base version: 12 cells fail (entry pauses, lease lapses, operators race, crossed delivery, each at "record being written", "record written" or "object being written"). - no check for an older version in ConfigState: 36 cells fail (entry pauses, partition between entries alone and with a lost answer, duplicate, late and crossed delivery, at all six steps). A first form without the held writer and the late answer did not fail for either.

--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -6,9 +6,10 @@
 
 from fault_matrix_cells import CELLS, Cell
 from fault_matrix_claim import ClaimCell
+from fault_matrix_declaration import DeclarationCell
 from fault_matrix_request import RequestCell
 
-RUNNERS = {"request": RequestCell, "claim": ClaimCell}
+RUNNERS = {"request": RequestCell, "claim": ClaimCell, "declaration": DeclarationCell}
 
 
 class FaultMatrixTest(unittest.TestCase):
@@ -47,6 +48,9 @@
     def test_claim(self):
         self.run_cells("claim")
 
+    def test_declaration(self):
+        self.run_cells("declaration")
+
 
 if __name__ == "__main__":
     unittest.main()
