Add the order cells and the page of the fault matrix

Each order cell runs twice, with engines that check the fencing number and with engines that ignore it, over the real controllers, lease and planner. At the end an order of number 0 arrives; it must be refused, or undone. Every cell ends in the declared state.

A test compares the cells that ran with the product of both lists, and another one compares docs/fault-matrix.md with the listing of the module.

--- a/tests/fault_matrix_cells.py
+++ b/tests/fault_matrix_cells.py
@@ -75,10 +75,10 @@
 """Every step of each life cycle."""
 
 CHECKS = {
-    "request": "no token missing, repeated or mixed; whole answer or refusal; true `not run`",
-    "claim": "at most one run; `not run` against the count of runs; one answer for each call",
-    "declaration": "accepted changes form one chain; no older version; in force after healing",
-    "order": "one holder; no order of an earlier holder takes effect or it is undone",
+    "request": "no token missing or repeated, generations not mixed, whole answer or true refusal",
+    "claim": "at most one run, `not run` against the count of runs, one answer for each call",
+    "declaration": "one chain of accepted changes, never older, newest in force after healing",
+    "order": "one holder, late orders refused or undone, declared state after healing",
 }
 """What the cells of each life cycle check."""
 
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -3,31 +3,37 @@
 from __future__ import annotations
 
 import unittest
+from itertools import product
+from pathlib import Path
 
-from fault_matrix_cells import CELLS, Cell
+from fault_matrix_cells import CELLS, PAIRS, STEPS, Fault
 from fault_matrix_claim import ClaimCell
 from fault_matrix_declaration import DeclarationCell
+from fault_matrix_listing import make_listing
+from fault_matrix_order import OrderCell
 from fault_matrix_request import RequestCell
 
-RUNNERS = {"request": RequestCell, "claim": ClaimCell, "declaration": DeclarationCell}
+RUNNERS = {
+    "request": RequestCell,
+    "claim": ClaimCell,
+    "declaration": DeclarationCell,
+    "order": OrderCell,
+}
 
 
 class FaultMatrixTest(unittest.TestCase):
     """Guards each property against each fault at each step; a cell that was left out fails."""
 
-    ran: set[Cell]
-
-    @classmethod
-    def setUpClass(cls):
-        cls.ran = set()
-
     def run_cells(self, subject: str) -> None:
+        ran = set()
         for cell in CELLS:
             if cell.subject != subject:
                 continue
-            self.ran.add(cell)
             with self.subTest(str(cell)):
                 RUNNERS[subject](cell).run()
+            ran.add((cell.step, cell.faults))
+        faults = [(fault,) for fault in Fault] + list(PAIRS)
+        self.assertEqual(set(product(STEPS[subject], faults)) - ran, set(), "cells left out")
 
     def test_request(self):
         self.run_cells("request")
@@ -51,6 +57,19 @@
     def test_declaration(self):
         self.run_cells("declaration")
 
+    def test_order(self):
+        self.run_cells("order")
+
+    def test_no_life_cycle_is_left_out(self):
+        self.assertEqual(set(RUNNERS), set(STEPS))
+        for subject in STEPS:
+            self.assertTrue(hasattr(self, f"test_{subject}"))
+
+    def test_page_lists_the_matrix(self):
+        """Guards against a page that promises other cells than the ones that run."""
+        page = Path(__file__).resolve().parent.parent / "docs" / "fault-matrix.md"
+        self.assertEqual(page.read_text(encoding="utf-8"), make_listing())
+
 
 if __name__ == "__main__":
     unittest.main()
