Route the matrix' requests and check leaving engines and condemnation

Each request cell now has one engine that starts to leave at the step; in the cells of the silent connection it is the engine of that connection. The real router chooses from the real view of each entry, and new work for a leaving engine fails the cell.

--- a/tests/fault_matrix_request.py
+++ b/tests/fault_matrix_request.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from typing import TYPE_CHECKING
 
 from fault_matrix_cells import Fault
 from test_admission import ranks
 from test_answer_properties import ENTRIES, AnswerWorld, Attempt, Caller
+from test_quarantine import condemned
+from test_routing import report, view_of
 
 from sapphireledge.core.admission import Admitted, Capacity, Expired, QueuedWork, RankScheduler
 from sapphireledge.core.answer import AnswerEnd, BreakCause, ChangePartner
-from sapphireledge.core.quarantine import DeathRecord, Quarantine
+from sapphireledge.core.quarantine import DeathRecord, Isolate, Quarantine
+from sapphireledge.core.routing import Router, RouteRequest
 from sapphireledge.errors import ErrorKind, Failure, Ran
-from sapphireledge.settings import AdmissionSettings, QuarantineSettings
+from sapphireledge.settings import AdmissionSettings, QuarantineSettings, RoutingSettings
 
 if TYPE_CHECKING:
     from fault_matrix_cells import Cell
@@ -59,6 +63,9 @@
         self.raced = False
         self.crossed: Attempt | None = None
         self.taken_over = False
+        self.leaving: set[str] = set()
+        self.views = {name: view_of(*ENGINES) for name in ENTRIES}
+        self.rng = random.Random(0)
         super().__init__()
         # A second reader waits for a paused entry; it shows what an owner that returns delivers.
         self.attach(self.callers[1], self.sessions[0])
@@ -84,11 +91,22 @@
             assert failure.ran is not Ran.YES or self.total_runs, f"not true: {failure}"
         if Fault.REQUEST_CRASHES in self.cell.faults:
             assert len(self.dead) <= MAX_DEATHS, "the request went on crashing engines"
+            self.check_condemnation()
 
         if self.taken_over and Fault.ENTRY_PARTITION not in self.cell.faults:
             readers = [caller.pieces for caller in self.callers if caller.ended]
             assert all(pieces == readers[0] for pieces in readers), "owners of one answer differ"
 
+    def check_condemnation(self) -> None:
+        """A refused request may run once more, isolated, as the proof outside of a burst."""
+        if not self.refused:
+            return
+        unix = START_UNIX + self.now
+        assert isinstance(self.quarantine.verdict(unix, "request"), Isolate), "not isolated"
+        record = DeathRecord("e0", "proof", unix, ("request",), ("request",))
+        self.quarantine.on_engine_death(unix, record)
+        assert condemned(self.quarantine.verdict(unix, "request")), "may crash a fifth engine"
+
     def take_over(self, caller, entry, holder, epoch) -> None:
         self.taken_over = True
         super().take_over(caller, entry, holder, epoch)
@@ -163,19 +181,18 @@
         session.pending = None
         unix = START_UNIX + self.now
         verdict = self.quarantine.verdict(unix, "request")
-        usable = [e for e in ENGINES if e not in self.dead and e not in order.avoid]
-        if order.prefer in usable:
-            usable.insert(0, order.prefer)
-        if isinstance(verdict, Failure) or not usable:
-            failure = verdict if isinstance(verdict, Failure) else None
-            failure = failure or Failure(ErrorKind.NO_BACKEND, "none", Ran.NO)
+        choice = self.route(session.entry, order)
+        if isinstance(verdict, Failure) or isinstance(choice, Failure):
+            failure = verdict if isinstance(verdict, Failure) else choice
             self.act(session, session.machine.on_no_backend(self.now, failure))
             return
+        engine = choice.backend
+        assert engine not in self.leaving, "new work for a leaving engine"
         # A race of operators moves the deployment to another version in the middle.
         version = "v2" if self.raced and order.avoid == () and not order.version else "v1"
         version = order.version or version
         machine = session.machine
-        decisions = machine.on_dispatched(self.now, order.attempt, usable[0], version)
+        decisions = machine.on_dispatched(self.now, order.attempt, engine, version)
         self.act(session, decisions)
         if decisions:
             return
@@ -183,10 +200,27 @@
         nonce = f"{version}-{self.nonces}"
         attempt = Attempt(session, order.attempt, nonce, order.offset, machine.text)
         self.attempts.append(attempt)
-        self.engine_of[attempt] = usable[0]
+        self.engine_of[attempt] = engine
         self.total_runs += 1
         self.reach("dispatched")
 
+    def route(self, entry: str, order):
+        """Chooses an engine from fresh reports of those that live."""
+        view = self.views[entry]
+        for name in ENGINES:
+            if name in self.dead:
+                view.on_unreachable(self.now, name)
+            else:
+                view.on_load(self.now, report(name, self.now, leaving=name in self.leaving))
+        request = RouteRequest(
+            "m",
+            "1",
+            prefer=(order.prefer,) if order.prefer else (),
+            avoid=order.avoid,
+            resume=order.offset > 0,
+        )
+        return Router(RoutingSettings()).choose(self.now, request, view, self.rng)
+
     def answer_probes(self, session) -> None:
         if session.probe is None:
             return
@@ -346,6 +380,8 @@
         session = self.sessions[-1]
         current = [a for a in self.attempts if a.session is session]
         engine = self.engine_of[current[-1]] if current else ENGINES[0]
+        # In every cell one engine starts to leave; here also the one with the silent connection.
+        self.leaving.add(engine if fault is Fault.SILENT_CONNECTION else ENGINES[-1])
         match fault:
             case Fault.ENGINE_DIES | Fault.REQUEST_CRASHES:
                 self.dead.add(engine)
@@ -353,6 +389,7 @@
                 self.frozen.add(engine)
             case Fault.ENTRY_DIES:
                 self.schedulers[session.entry] = self.scheduler()
+                self.views[session.entry] = view_of(*ENGINES)
                 self.pause_return_or_crash(session.entry, True)
             case Fault.ENTRY_PAUSES | Fault.LEASE_LAPSES:
                 self.paused.add(session.entry)
