--- a/devtools/local_fleet.py
+++ b/devtools/local_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -27,6 +28,9 @@
 STOP_LIMIT = 5.0
 """Time limit for the end of one process after a terminate signal, in seconds."""
 
+PORTS = (15_000, 32_000)
+"""Range of the ports of the fleet."""
+
 SECRET = "local-fleet"
 """Shared secret of the fleet."""
 
@@ -363,7 +367,16 @@
 
 
 def free_port() -> int:
-    """Finds a free TCP port on loopback."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Finds a free TCP port on loopback.
+
+    Ports come from below the range that the system hands out for outgoing connections; one from
+    inside it can be taken by a connection before the process that it is meant for binds it.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -122,12 +122,24 @@
         for _ in range(MAX_ROUNDS):
             runner = self._registry.get(req.answer_id)
             if runner is not None and not runner.has_moved:
-                return LocatedAnswer(runner, False)
+                if not await self._is_superseded(runner, req.answer_id):
+                    return LocatedAnswer(runner, False)
+                runner.move("another instance continues the answer")
             found = await self._find_elsewhere(req, trace)
             if found is not None:
                 return found
         return self._start(req, trace)
 
+    async def _is_superseded(self, runner: AnswerRunner, answer_id: str) -> bool:
+        """Asks whether another instance owns the answer in a later epoch.
+
+        An owner that was cut off may not have heard of it, and would go on with a generation that
+        the caller no longer reads.
+        """
+        found = await self._queries.find_answer(answer_id, FIND_LIMIT_FIRST)
+        location = found.location
+        return location is not None and location.epoch > runner.answer.epoch
+
     async def _find_elsewhere(
         self, req: CallerRequest, trace: Context | None
     ) -> LocatedAnswer | Failure | None:
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -160,6 +160,18 @@
         self._apply(self._machine.on_superseded(time.monotonic(), owner))
         self._end_tasks()
 
+    def move(self, reason: str) -> None:
+        """Ends the answer here because another instance owns it.
+
+        Args:
+            reason: What readers are told.
+        """
+        if self._answer.end is None:
+            self.superseded("")
+        # The engine may have ended the answer before the newer owner was heard of.
+        failure = Failure(ErrorKind.ANSWER_MOVED, reason, Ran.YES)
+        self._answer.supersede(AnswerEnd("", failure))
+
     def _apply(self, decisions: list[Decision]) -> None:
         """Carries out decisions in order."""
         for decision in decisions:
@@ -291,13 +303,8 @@
 
     async def _stop_superseded(self) -> None:
         """Ends the generation outside of the callback that found the newer owner."""
-        if self._answer.is_drained:
-            return
-        if self._answer.end is None:
-            self.superseded("")
-        # The engine may have ended the answer before the partner refused its last tokens.
-        failure = Failure(ErrorKind.ANSWER_MOVED, "another instance continues the answer", Ran.YES)
-        self._answer.supersede(AnswerEnd("", failure))
+        if not self._answer.is_drained:
+            self.move("another instance continues the answer")
 
     def _work(self, decision: Dispatch) -> PoolWork:
         """Describes the attempt for the queue and the router."""
@@ -400,9 +407,10 @@
         call_id = self._call_id(probe.attempt)
         result = await grant.client.probe(call_id, self._ctx.cfg.resume.probe_timeout)
         span.end()
-        decisions = self._machine.on_probe(
-            time.monotonic(), probe.attempt, result.alive, result.knows_attempt
-        )
+        # An engine that is ahead of what arrived here still runs the attempt, but its connection
+        # has gone silent: waiting for it would not help.
+        waiting = result.knows_attempt and result.next_offset <= self._machine.offset
+        decisions = self._machine.on_probe(time.monotonic(), probe.attempt, result.alive, waiting)
         self._note_loss(decisions, grant, "silence")
         if not result.alive:
             self._ctx.pool.on_silent(grant)
--- a/src/sapphireledge/settings/resume_settings.py
+++ b/src/sapphireledge/settings/resume_settings.py
@@ -23,7 +23,7 @@
     gap_deviations: float = setting(6.0, ge=1, le=50)
     """Multiple of the mean deviation added to the mean gap."""
 
-    first_token_silence: float = setting(5.0, unit="s", ge=0.1, le=600)
+    first_token_silence: float = setting(2.0, unit="s", ge=0.1, le=600)
     """Silence before the first token of an attempt after which the attempt is probed."""
 
     probe_timeout: float = setting(0.3, unit="s", ge=0.05, le=5)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -135,6 +135,23 @@
             lambda name: self.fleet.faults(name, silence_existing=True), self.fleet.faults
         )
 
+    def test_connection_that_goes_silent_before_the_first_token(self):
+        """The engine still runs the attempt then, so a probe alone does not show the loss."""
+        prompt_tokens, prefill_rate = 4000, 4000.0
+        with ThreadPoolExecutor(1) as threads:
+            job = threads.submit(
+                generate, self.fleet.callers["e1"], prompt="long " * prompt_tokens, max_tokens=20
+            )
+            time.sleep(0.5)
+            for engine in self.engines:
+                self.addCleanup(self.fleet.faults, engine.name)
+                self.fleet.faults(engine.name, silence_existing=True)
+            answer = job.result()
+        self.assertTrue(answer.done, answer.error or answer.broken)
+        self.assert_whole(answer.text, 20)
+        prefill = len("long " * prompt_tokens) / 4 / prefill_rate
+        self.assertLess(answer.first_token, prefill + RESUME_LIMIT)
+
     def test_skipped_and_repeated_tokens(self):
         for fault in ("skip_token", "repeat_token"):
             with self.subTest(fault):
