Scale usage while instances cannot be heard; build the instance in steps

UsageLedger.set_reach was never called, so an instance that was cut off counted only its own work and gave a caller that spreads its work over several instances more than one share.

--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -93,6 +93,14 @@
         self._instances: tuple[Instance, ...] = ()
         self.lifecycle = Lifecycle(cfg)
         """State of the process."""
+        self._build_views(cfg)
+        self._build_peers(cfg)
+        self._build_backends(cfg)
+        self._build_answers(cfg)
+        self._build_servers(cfg)
+
+    def _build_views(self, cfg: Settings) -> None:
+        """Builds what the instance knows, and the clients of the platform."""
         self._metrics = Metrics(cfg)
         self._tracing = Tracing(cfg)
         self._store = ObjectClient(cfg, self._count_call)
@@ -110,6 +118,12 @@
             self._on_reachable,
             self._config.cover,
         )
+        self._instance_watch = InstanceWatcher(
+            self._store, cfg.platform, self._rng, self._on_instances
+        )
+
+    def _build_peers(self, cfg: Settings) -> None:
+        """Builds the links to other instances and the recorded events."""
         self._bridge = PeerBridge(
             self.lifecycle, self._config, self._ledger, self._view, self._is_platform_reachable
         )
@@ -125,7 +139,12 @@
         # Recordings are numbered anew by each process, so the name tells the processes apart.
         recorder = f"{cfg.instance}/{self._mesh.incarnation[-8:]}"
         self._events = EventLog(recorder, cfg.telemetry.event_memory)
+        self._copies = AnswerCopies(cfg.peers, self._mesh, time.monotonic)
+        self._queries = PeerQueries(self._mesh, time.monotonic)
         self._suspects = SuspectExchange(self._quarantine, self._view, self._mesh, self._store)
+
+    def _build_backends(self, cfg: Settings) -> None:
+        """Builds the queues, the choice of backend servers and the orders to engines."""
         self._pool = BackendPool(
             cfg,
             self._config,
@@ -139,19 +158,21 @@
         )
         self._bridge.connect(self._pool, self._suspects)
         self._monitor = BackendMonitor(cfg, self._view, self._pool, self._suspects)
-        self._instance_watch = InstanceWatcher(
-            self._store, cfg.platform, self._rng, self._on_instances
+        self._services = ServiceRunner(
+            cfg, self._store, self._view, self._pools, self._mesh, self._metrics, self._rng
         )
-        self._copies = AnswerCopies(cfg.peers, self._mesh, time.monotonic)
-        self._queries = PeerQueries(self._mesh, time.monotonic)
+        self._orders = EngineOrders(cfg, self._view, self._pool, self._config)
+        self._fleet = FleetController(
+            cfg, self._store, self._orders, self._orders.fleet_view, self._rng, self._is_candidate
+        )
+
+    def _build_answers(self, cfg: Settings) -> None:
+        """Builds the answers of this instance and the copies of others."""
         self._ctx = AnswerContext(
             cfg, self._pool, self._copies, self._events, self._metrics, self._tracing
         )
         self._registry = AnswerRegistry(self._ctx)
         self._copy_store = CopyStore(cfg)
-        self._services = ServiceRunner(
-            cfg, self._store, self._view, self._pools, self._mesh, self._metrics, self._rng
-        )
         self._locator = AnswerLocator(
             cfg, self._registry, self._copy_store, self._mesh, self._queries, self._versions_of
         )
@@ -165,18 +186,23 @@
             mesh=self._mesh,
             lifecycle=self.lifecycle,
         )
+
+    def _build_servers(self, cfg: Settings) -> None:
+        """Builds the Thrift servers and the periodic work."""
         self._segments = SegmentWriter(
             cfg, self._events, self._store, self._mesh.incarnation, lambda: len(self._mesh.live)
         )
         self._peer_service = self._make_peer_service()
         self._peer_server = PeerServer(cfg, self._mesh, self._peer_service)
-        self._orders = EngineOrders(cfg, self._view, self._pool, self._config)
-        self._fleet = FleetController(
-            cfg, self._store, self._orders, self._orders.fleet_view, self._rng, self._is_candidate
-        )
         self._operator_server = OperatorServer(cfg, self._operator_parts())
         self._housekeeping = Housekeeping(
-            self._ctx, self._store, self._registry, self._copy_store, self._mesh, self._rng
+            self._ctx,
+            self._store,
+            self._registry,
+            self._copy_store,
+            self._mesh,
+            self._ledger,
+            self._rng,
         )
 
     async def run(self) -> Failure | None:
--- a/src/sapphireledge/entry/housekeeping.py
+++ b/src/sapphireledge/entry/housekeeping.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from sapphireledge.core.admission import UsageLedger
     from sapphireledge.entry.answer_context import AnswerContext
     from sapphireledge.entry.answer_registry import AnswerRegistry
     from sapphireledge.entry.copy_store import CopyStore
@@ -42,6 +43,7 @@
         registry: AnswerRegistry,
         copies: CopyStore,
         mesh: PeerMesh,
+        ledger: UsageLedger,
         rng: Random,
     ) -> None:
         """Creates the housekeeping; `run` starts it.
@@ -52,6 +54,7 @@
             registry: Answers that this instance owns.
             copies: Copies of other instances' answers.
             mesh: Links to other instances, whose number sets the interval.
+            ledger: Usage of workspaces, which depends on who can be heard.
             rng: Random source of the jitter.
         """
         self._ctx = ctx
@@ -60,6 +63,7 @@
         self._registry = registry
         self._copies = copies
         self._mesh = mesh
+        self._ledger = ledger
         self._collectors = (
             ObjectCollector(store, SEGMENT_PREFIX, _is_old_segment, self._interval, rng),
         )
@@ -77,8 +81,16 @@
             await asyncio.sleep(EXPIRE_INTERVAL)
             self._registry.expire(time.monotonic())
             self._copies.expire()
+            self._update_reach()
             self._report()
 
+    def _update_reach(self) -> None:
+        """Scales the usage while some of the known instances cannot be heard."""
+        live = {member.name for member in self._mesh.live}
+        known = {member.name for member in self._mesh.members}
+        now = time.monotonic()
+        self._ledger.set_reach(now, max(1, len(live)), max(1, len(known)), known - live)
+
     def _report(self) -> None:
         """Sends the gauges and reports events that were dropped since the last time."""
         metrics, pool = self._ctx.metrics, self._ctx.pool
