Give each load of a measurement its own request ids; one enum of order actions

The quiet load and the flood of a run had the same seed and therefore the same request ids. Orders had two equal enums and a mapping between them; a call to a plain service is one value now instead of six arguments.

--- a/bench/measures.py
+++ b/bench/measures.py
@@ -50,6 +50,9 @@
 CAPACITY = ENGINES * SLOTS * TOKEN_RATE / OUTPUT
 """Requests per second that the engines can take."""
 
+LOADS = 3
+"""Loads with seeds of their own in each run: warm-up, quiet and flood."""
+
 RANKS: tuple[tuple[str, dict[str, Any]], ...] = (
     (
         "rank",
@@ -239,9 +242,12 @@
                 time.sleep(2.5)
                 for system, addresses in (("entry", _addresses(fleet)), ("baseline", (other,))):
                     # The first requests open connections; they would count as the quiet case.
-                    _load(addresses, [CallerGroup(CAPACITY * 0.7, 3.0, output_tokens=5)], seed)
-                    for load, groups in (("quiet", quiet), ("flood", flood)):
-                        result = _load(addresses, groups, seed)
+                    warm_up = [CallerGroup(CAPACITY * 0.7, 3.0, output_tokens=5)]
+                    _load(addresses, warm_up, seed * LOADS)
+                    for number, (load, groups) in enumerate((("quiet", quiet), ("flood", flood))):
+                        # Equal seeds make equal request ids, and an entry answers a repeated id
+                        # from the answer that it keeps.
+                        result = _load(addresses, groups, seed * LOADS + number + 1)
                         figures = pick(result)
                         show({"seed": seed, "system": system, "load": load, **figures})
                         for name, value in figures.items():
--- a/src/sapphireledge/backends/__init__.py
+++ b/src/sapphireledge/backends/__init__.py
@@ -8,7 +8,7 @@
 from sapphireledge.backends.cache_page import CacheEvent, CachePage
 from sapphireledge.backends.connection_pools import ConnectionPools
 from sapphireledge.backends.engine_client import EngineClient
-from sapphireledge.backends.engine_order import EngineOrder, OrderKind, OrderResult, OrderStatus
+from sapphireledge.backends.engine_order import EngineOrder, OrderResult, OrderStatus
 from sapphireledge.backends.finished import Finished
 from sapphireledge.backends.generation_call import GenerationCall
 from sapphireledge.backends.load_poller import LoadPoller
@@ -37,7 +37,6 @@
     "LoadPoller",
     "LoadReport",
     "LoadedModel",
-    "OrderKind",
     "OrderResult",
     "OrderStatus",
     "ProbeResult",
--- a/src/sapphireledge/backends/engine_order.py
+++ b/src/sapphireledge/backends/engine_order.py
@@ -4,27 +4,12 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
-__all__ = ["EngineOrder", "OrderKind", "OrderResult", "OrderStatus"]
+if TYPE_CHECKING:
+    from sapphireledge.core.fleet import OrderAction
 
-
-class OrderKind(StrEnum):
-    """What an order sets."""
-
-    LOAD_MODEL = "load_model"
-    """The model version is loaded."""
-
-    UNLOAD_MODEL = "unload_model"
-    """The model version is not loaded."""
-
-    LOAD_ADAPTER = "load_adapter"
-    """The adapter is loaded."""
-
-    UNLOAD_ADAPTER = "unload_adapter"
-    """The adapter is not loaded."""
-
-    SET_ROLE = "set_role"
-    """The engine has the role."""
+__all__ = ["EngineOrder", "OrderResult", "OrderStatus"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +19,7 @@
     order_id: str
     """Id of the order; a repeated order keeps it."""
 
-    kind: OrderKind
+    kind: OrderAction
     """What the order sets."""
 
     fencing: int
--- a/src/sapphireledge/cli/fleet_commands.py
+++ b/src/sapphireledge/cli/fleet_commands.py
@@ -2,41 +2,22 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import TYPE_CHECKING, Annotated
 
 import typer
 
 from sapphireledge.cli.output import OutputFormat, print_done, print_object, print_rows
+from sapphireledge.core.fleet import OrderAction
 from sapphireledge.errors import ERROR_ANSWERS, ErrorKind
 
 if TYPE_CHECKING:
     from sapphireledge.cli.connection import Connection
 
-__all__ = ["OrderAction", "register"]
+__all__ = ["register"]
 
 WhyOption = Annotated[str, typer.Option("--why", help="Reason recorded with the change.")]
 
 
-class OrderAction(StrEnum):
-    """What an engine can be ordered to do."""
-
-    LOAD_MODEL = "load_model"
-    """Load a model version."""
-
-    UNLOAD_MODEL = "unload_model"
-    """Unload a model version."""
-
-    LOAD_ADAPTER = "load_adapter"
-    """Load an adapter."""
-
-    UNLOAD_ADAPTER = "unload_adapter"
-    """Unload an adapter."""
-
-    SET_ROLE = "set_role"
-    """Change the role of the engine."""
-
-
 def register(app: typer.Typer) -> None:
     """Adds the commands.
 
--- a/src/sapphireledge/entry/engine_orders.py
+++ b/src/sapphireledge/entry/engine_orders.py
@@ -7,7 +7,7 @@
 import uuid
 from typing import TYPE_CHECKING
 
-from sapphireledge.backends import EngineOrder, OrderKind, OrderStatus
+from sapphireledge.backends import EngineOrder, OrderStatus
 from sapphireledge.core.fleet import EngineState, ModelVersion, OrderOutcome, OrderReply
 from sapphireledge.fleet import FleetView
 
@@ -56,7 +56,7 @@
         result = await self._pool.client(state.instance.address).order(
             EngineOrder(
                 order_id=uuid.uuid4().hex,
-                kind=OrderKind(str(order.action)),
+                kind=order.action,
                 fencing=fencing_number,
                 model=order.model,
                 version=order.version,
--- a/src/sapphireledge/entry/service_caller.py
+++ b/src/sapphireledge/entry/service_caller.py
@@ -9,10 +9,10 @@
 from sapphireledge.backends import BreakCause, ServiceAnswer, ServiceClient
 from sapphireledge.core.claims import Broken, NotSent, ServiceOutcome
 from sapphireledge.core.routing import Router, RouteRequest
+from sapphireledge.entry.service_call import ServiceCall
 from sapphireledge.errors import ErrorKind, Failure, Ran
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
     from random import Random
 
     from sapphireledge.backends import ConnectionPools
@@ -52,25 +52,12 @@
     ) -> ServiceReply:
         """Sends a non-idempotent request once, see `CallService`."""
         headers = {**req.headers, "idempotency-key": req.idempotency_key}
-        return await self.send(
-            req.service,
-            req.method,
-            req.path,
-            headers,
-            req.body,
-            req.timeout,
-            avoid=tuple(avoid),
-            not_after=not_after,
-        )
+        call = ServiceCall(req.service, req.method, req.path, req.body, req.timeout, headers)
+        return await self.send(call, avoid=tuple(avoid), not_after=not_after)
 
     async def send(
         self,
-        service: str,
-        method: str,
-        path: str,
-        headers: Mapping[str, str],
-        body: bytes,
-        timeout: float,
+        call: ServiceCall,
         *,
         idempotent: bool = False,
         avoid: tuple[str, ...] = (),
@@ -79,12 +66,7 @@
         """Sends one request to one backend server.
 
         Args:
-            service: Name of the service.
-            method: HTTP method.
-            path: Path with its query.
-            headers: Header fields to send.
-            body: Body.
-            timeout: Seconds for the answer.
+            call: The request.
             idempotent: Whether a kept connection may be used.
             avoid: Backend servers that refused the connection.
             not_after: Monotonic time after which nothing is sent.
@@ -93,12 +75,12 @@
             The answer, or how the call ended.
         """
         now = time.monotonic()
-        request = RouteRequest(role=service, avoid=avoid)
+        request = RouteRequest(role=call.service, avoid=avoid)
         choice = self._router.choose(now, request, self._view, self._rng)
         if isinstance(choice, Failure):
             return choice
         if choice.backend in avoid:
-            reason = f"no backend server of {service} accepts connections"
+            reason = f"no backend server of {call.service} accepts connections"
             return Failure(ErrorKind.NO_BACKEND, reason, Ran.NO, retry_after=1.0)
         client = self._client(choice.address)
         work_id = uuid.uuid4().hex
@@ -106,7 +88,9 @@
         try:
             if not_after is not None and time.monotonic() >= not_after:
                 return NotSent(choice.backend)
-            answer = await client.call(method, path, headers, body, timeout, idempotent)
+            answer = await client.call(
+                call.method, call.path, call.headers, call.body, call.timeout, idempotent
+            )
         finally:
             self._view.on_end(time.monotonic(), choice.backend, work_id)
         if isinstance(answer, ServiceAnswer):
--- a/src/sapphireledge/entry/service_runner.py
+++ b/src/sapphireledge/entry/service_runner.py
@@ -17,12 +17,12 @@
 from sapphireledge.telemetry import MetricName
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
     from random import Random
 
     from sapphireledge.backends import ConnectionPools
     from sapphireledge.core.routing import BackendView
     from sapphireledge.entry.claim_request import ClaimRequest
+    from sapphireledge.entry.service_call import ServiceCall
     from sapphireledge.peers import PeerMesh
     from sapphireledge.platform import ObjectStore
     from sapphireledge.settings import Settings
@@ -111,43 +111,22 @@
         self._metrics.count(MetricName.CLAIMS, 1, outcome)
         return result
 
-    async def call_repeatable(
-        self,
-        service: str,
-        method: str,
-        path: str,
-        headers: Mapping[str, str],
-        body: bytes,
-        timeout: float,
-    ) -> ServiceOutcome | Failure:
+    async def call_repeatable(self, call: ServiceCall) -> ServiceOutcome | Failure:
         """Runs a call that may be repeated, with retries under the budget.
 
         Args:
-            service: Name of the service.
-            method: HTTP method.
-            path: Path with its query.
-            headers: Header fields to send.
-            body: Body.
-            timeout: Seconds for one try.
+            call: The request; its time limit holds for one try.
 
         Returns:
             The service's answer or a refusal.
         """
         self._running += 1
         try:
-            return await self._repeat(service, method, path, headers, body, timeout)
+            return await self._repeat(call)
         finally:
             self._running -= 1
 
-    async def _repeat(
-        self,
-        service: str,
-        method: str,
-        path: str,
-        headers: Mapping[str, str],
-        body: bytes,
-        timeout: float,
-    ) -> ServiceOutcome | Failure:
+    async def _repeat(self, call: ServiceCall) -> ServiceOutcome | Failure:
         """Tries until an answer comes or the budget is spent."""
         self._budget.on_first_try(time.monotonic())
         avoid: tuple[str, ...] = ()
@@ -160,9 +139,7 @@
                 await asyncio.sleep(
                     backoff_delay(attempt - 1, BACKOFF_BASE, BACKOFF_CAP, self._rng)
                 )
-            reply = await self._caller.send(
-                service, method, path, headers, body, timeout, idempotent=True, avoid=avoid
-            )
+            reply = await self._caller.send(call, idempotent=True, avoid=avoid)
             if isinstance(reply, ServiceOutcome | Failure):
                 return reply
             avoid = (*avoid, reply.backend)
@@ -171,7 +148,7 @@
                 reason = reply.reason
             elif isinstance(reply, NotSent):
                 reason = reason or "the connection was refused"
-        return Failure(ErrorKind.OVERLOADED, f"{service}: {reason}", ran, retry_after=1.0)
+        return Failure(ErrorKind.OVERLOADED, f"{call.service}: {reason}", ran, retry_after=1.0)
 
     def _position(self) -> tuple[int, int]:
         """Place of this instance among the live ones, for the division of old claims."""
--- a/src/sapphireledge/entry/service_session.py
+++ b/src/sapphireledge/entry/service_session.py
@@ -10,6 +10,7 @@
 from sapphireledge.core.claims import ServiceOutcome
 from sapphireledge.entry.answer_format import encode_failure, failure_headers
 from sapphireledge.entry.claim_request import ClaimRequest
+from sapphireledge.entry.service_call import ServiceCall
 from sapphireledge.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
@@ -83,7 +84,7 @@
             path += "?" + request.url.query
         if request.method in service.idempotent_methods:
             return await self._parts.services.call_repeatable(
-                service.name, request.method, path, headers, body, service.timeout
+                ServiceCall(service.name, request.method, path, body, service.timeout, headers)
             )
         key = request.headers.get("idempotency-key")
         if key is None:
--- a/tests/test_backend_wire.py
+++ b/tests/test_backend_wire.py
@@ -20,13 +20,13 @@
     EngineOrder,
     Finished,
     LoadReport,
-    OrderKind,
     OrderStatus,
     ServiceClient,
     TokenPiece,
     prefix_block_hashes,
 )
 from sapphireledge.backends._private import EventTooLong, SseReader
+from sapphireledge.core.fleet import OrderAction
 from sapphireledge.errors import Ran
 
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -174,7 +174,7 @@
                 self.assertIsInstance(await client.cache_events(0), Broken | CachePage)
                 await client.probe("r1.1.1")
                 await client.cancel("r1.1.1")
-                order = await client.order(EngineOrder("o", OrderKind.SET_ROLE, 1, role="r"))
+                order = await client.order(EngineOrder("o", OrderAction.SET_ROLE, 1, role="r"))
                 self.assertIsInstance(order.status, OrderStatus)
                 await ServiceClient(address, pools).call("POST", "/b", {}, b"x", 0.3)
             finally:
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -15,12 +15,12 @@
     Finished,
     GenerationCall,
     LoadPoller,
-    OrderKind,
     OrderStatus,
     Started,
     TokenPiece,
     prompt_text,
 )
+from sapphireledge.core.fleet import OrderAction
 from sapphireledge.errors import Ran
 from sapphireledge_standins.chained_answer import check_chained_answer
 
@@ -292,22 +292,22 @@
 
     async def test_orders_are_idempotent_and_seen_in_the_load(self):
         engine = await self.engine()
-        order = EngineOrder("o1", OrderKind.LOAD_MODEL, 3, model="drafter", version="v2")
+        order = EngineOrder("o1", OrderAction.LOAD_MODEL, 3, model="drafter", version="v2")
         results = [await engine.client.order(order) for _ in range(2)]
         self.assertEqual(
             [(r.status, r.changed) for r in results], [("done", True), ("done", False)]
         )
-        adapter = EngineOrder("o2", OrderKind.LOAD_ADAPTER, 3, "drafter", "v2", "court")
+        adapter = EngineOrder("o2", OrderAction.LOAD_ADAPTER, 3, "drafter", "v2", "court")
         self.assertEqual((await engine.client.order(adapter)).status, OrderStatus.DONE)
-        role = EngineOrder("o3", OrderKind.SET_ROLE, 3, role="spare")
+        role = EngineOrder("o3", OrderAction.SET_ROLE, 3, role="spare")
         self.assertEqual((await engine.client.order(role)).status, OrderStatus.DONE)
         report = await engine.client.load()
         self.assertEqual((report.role, report.models[1].adapters), ("spare", ("court",)))
 
     async def test_old_fencing_number(self):
         engine = await self.engine()
-        new = EngineOrder("o1", OrderKind.UNLOAD_MODEL, 9, model="x", version="v1")
-        old = EngineOrder("o2", OrderKind.LOAD_MODEL, 8, model="x", version="v1")
+        new = EngineOrder("o1", OrderAction.UNLOAD_MODEL, 9, model="x", version="v1")
+        old = EngineOrder("o2", OrderAction.LOAD_MODEL, 8, model="x", version="v1")
         await engine.client.order(new)
         result = await engine.client.order(old)
         self.assertEqual((result.status, result.known_fencing), (OrderStatus.OLD_FENCING, 9))
@@ -316,7 +316,7 @@
 
     async def test_order_without_answer_is_unknown_and_unsent_is_refused(self):
         engine = await self.engine(load_seconds=1.0)
-        order = EngineOrder("o1", OrderKind.LOAD_MODEL, 1, model="x", version="v1")
+        order = EngineOrder("o1", OrderAction.LOAD_MODEL, 1, model="x", version="v1")
         result = await engine.client.order(order, limit=0.1)
         self.assertEqual(result.status, OrderStatus.UNKNOWN)
         engine.server.abort()
@@ -324,6 +324,6 @@
 
     async def test_order_that_is_not_understood_is_refused(self):
         engine = await self.engine()
-        order = EngineOrder("o1", OrderKind.UNLOAD_ADAPTER, 1, "x", "v1", "a")
+        order = EngineOrder("o1", OrderAction.UNLOAD_ADAPTER, 1, "x", "v1", "a")
         self.assertEqual((await engine.client.order(order)).status, OrderStatus.REFUSED)
         self.assertNotIsInstance(await engine.client.load(), Broken)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -43,13 +43,11 @@
 
 
 def setUpModule():
+    before = structlog.get_config()
+    unittest.addModuleCleanup(structlog.configure, **before)
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
 
 
-def tearDownModule():
-    structlog.reset_defaults()
-
-
 def replace_hello(hello, name: str):
     hello.instance, hello.secret = name, "secret"
     return hello
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -29,13 +29,11 @@
 
 
 def setUpModule():
+    before = structlog.get_config()
+    unittest.addModuleCleanup(structlog.configure, **before)
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
 
 
-def tearDownModule():
-    structlog.reset_defaults()
-
-
 class Handler:
     """Operator interface with the methods that the tests call."""
 
