Divide the slots of a shared pool among the instances

Cause: load reports are up to 0.5 s old, every instance took the slots that it saw free, and work of all ranks waited inside the engines. Ruled out: the order in the queue (tests of the scheduler with exact counts hold the shares) and the reserve alone.

--- a/src/sapphireledge/core/admission/rank_scheduler.py
+++ b/src/sapphireledge/core/admission/rank_scheduler.py
@@ -392,7 +392,7 @@
             return resume
         shared = self._capacity.total - self._capacity.free > len(self._running)
         for state, below_share in self._by_urgency():
-            if slots <= self._held_back(state):
+            if slots - 1 < self._held_back(state):
                 continue
             workspace = state.queue.head()
             assert workspace is not None
@@ -404,7 +404,7 @@
     def _note_usable(self, now: float, slots: int) -> None:
         """Notes since when there are slots that each rank may use."""
         for state in self._order:
-            if slots <= self._held_back(state):
+            if slots - 1 < self._held_back(state):
                 state.usable_since = None
             elif state.usable_since is None:
                 state.usable_since = now
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -15,6 +15,7 @@
     prompt_text,
 )
 from sapphireledge.core.admission import (
+    Capacity,
     Expired,
     OutputEstimate,
     QueuedWork,
@@ -32,6 +33,7 @@
 from sapphireledge.telemetry import MetricName
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from sapphireledge.backends import ConnectionPools
@@ -86,6 +88,7 @@
         suspects: SuspectSink,
         metrics: Metrics,
         rng: Random,
+        count_entries: Callable[[], int],
     ) -> None:
         """Creates the pool.
 
@@ -99,6 +102,7 @@
             suspects: Receives engine deaths and clearings.
             metrics: Metrics of the instance.
             rng: Random source of routing.
+            count_entries: Number of live instances, which share the backend servers.
         """
         self._cfg = cfg
         self._config = config
@@ -109,6 +113,7 @@
         self._suspects = suspects
         self._metrics = metrics
         self._rng = rng
+        self._count_entries = count_entries
         self._router = Router(cfg.routing)
         self._budget = RetryBudget(cfg.admission)
         self._outputs = OutputEstimate()
@@ -168,7 +173,7 @@
         for (model, version), scheduler in self._schedulers.items():
             if not scheduler.queued:
                 continue
-            capacity = self._view.capacity(now, model, version, self._role(model))
+            capacity = self._capacity(now, model, version, scheduler)
             for item in scheduler.next(now, capacity):
                 if isinstance(item, Expired):
                     self._resolve(item.work.work_id, item.failure)
@@ -384,6 +389,23 @@
                 return choice
             await asyncio.sleep(BACKEND_POLL)
 
+    def _capacity(self, now: float, model: str, version: str, scheduler: RankScheduler) -> Capacity:
+        """Computes this instance's part of a pool that several instances use.
+
+        Load reports are up to half a second old. If each instance took every slot that it sees
+        free, all of them would take the same ones, and work of every rank would wait inside the
+        engines. So an instance uses its even part, and of the rest that is reported free its part.
+        """
+        seen = self._view.capacity(now, model, version, self._role(model))
+        entries = max(1, self._count_entries())
+        if entries == 1 or seen.total <= 0:
+            return seen
+        own = sum(load.running for load in scheduler.loads())
+        free = max(max(1, seen.total // entries) - own, seen.free // entries)
+        free = max(0, min(free, seen.free))
+        rate = seen.token_rate * own / max(1, seen.total - seen.free)
+        return Capacity(free, own + free, min(rate, seen.token_rate))
+
     def _serving_version(self, deployment: Deployment) -> str:
         """Finds the version for new requests; while a version is moved it is the older one."""
         now = time.monotonic()
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -155,6 +155,7 @@
             self._suspects,
             self._metrics,
             self._rng,
+            lambda: len(self._mesh.live),
         )
         self._bridge.connect(self._pool, self._suspects)
         self._monitor = BackendMonitor(cfg, self._view, self._pool, self._suspects)
