--- a/src/sapphireledge/core/admission/__init__.py
+++ b/src/sapphireledge/core/admission/__init__.py
@@ -6,6 +6,7 @@
 from sapphireledge.core.admission.admitted import Admitted
 from sapphireledge.core.admission.backoff_delay import backoff_delay
 from sapphireledge.core.admission.capacity import Capacity
+from sapphireledge.core.admission.divide_capacity import divide_capacity
 from sapphireledge.core.admission.estimate_cost import estimate_cost
 from sapphireledge.core.admission.expired import Expired
 from sapphireledge.core.admission.output_estimate import OutputEstimate
@@ -29,5 +30,6 @@
     "UsageChanges",
     "UsageLedger",
     "backoff_delay",
+    "divide_capacity",
     "estimate_cost",
 ]
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -21,6 +21,7 @@
     QueuedWork,
     RankScheduler,
     RetryBudget,
+    divide_capacity,
     estimate_cost,
 )
 from sapphireledge.core.fleet import EngineState, serving_version
@@ -390,21 +391,10 @@
             await asyncio.sleep(BACKEND_POLL)
 
     def _capacity(self, now: float, model: str, version: str, scheduler: RankScheduler) -> Capacity:
-        """Computes this instance's part of a pool that several instances use.
-
-        Load reports are up to half a second old. If each instance took every slot that it sees
-        free, all of them would take the same ones, and work of every rank would wait inside the
-        engines. So an instance uses its even part, and of the rest that is reported free its part.
-        """
+        """Computes this instance's part of the backend servers of a model version."""
         seen = self._view.capacity(now, model, version, self._role(model))
-        entries = max(1, self._count_entries())
-        if entries == 1 or seen.total <= 0:
-            return seen
         own = sum(load.running for load in scheduler.loads())
-        free = max(max(1, seen.total // entries) - own, seen.free // entries)
-        free = max(0, min(free, seen.free))
-        rate = seen.token_rate * own / max(1, seen.total - seen.free)
-        return Capacity(free, own + free, min(rate, seen.token_rate))
+        return divide_capacity(seen, self._count_entries(), own)
 
     def _serving_version(self, deployment: Deployment) -> str:
         """Finds the version for new requests; while a version is moved it is the older one."""
