Refuse a request id that belongs to a request with other content

The fingerprint of the content decides now, at the owner, at a takeover and through another instance; the test failed before.

--- a/src/sapphireledge/entry/answer_header.py
+++ b/src/sapphireledge/entry/answer_header.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sapphireledge.core.quarantine import fingerprint_request
 from sapphireledge.entry.caller_request import CallerRequest
 
 __all__ = ["AnswerHeader"]
@@ -106,6 +107,7 @@
             prompt=self.prompt,
             max_tokens=self.max_tokens,
             body=self.body,
+            fingerprint=fingerprint_request(self.body),
             resume=current.resume,
             trace_headers=current.trace_headers,
         )
--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -29,7 +29,7 @@
     from sapphireledge.peers import PeerMesh, PeerQueries
     from sapphireledge.settings import Settings
 
-__all__ = ["AnswerLocator", "LocatedAnswer", "RemoteAnswer"]
+__all__ = ["AnswerLocator", "LocatedAnswer", "RemoteAnswer", "id_reused"]
 
 FIND_LIMIT_FIRST = 0.15
 """Seconds for the search before a generation that is probably new."""
@@ -121,6 +121,8 @@
         """Finds or starts an answer whose id the caller chose."""
         for _ in range(MAX_ROUNDS):
             runner = self._registry.get(req.answer_id)
+            if runner is not None and runner.request.fingerprint != req.fingerprint:
+                return id_reused()
             if runner is not None and not runner.has_moved:
                 if not await self._is_superseded(runner, req.answer_id):
                     return LocatedAnswer(runner, False)
@@ -183,6 +185,9 @@
             header = AnswerHeader.decode(grant.header)
         except msgspec.DecodeError as exc:
             return Failure(ErrorKind.ANSWER_LOST, f"the copy has no valid header: {exc}", Ran.YES)
+        original = header.to_request(req)
+        if original.fingerprint != req.fingerprint:
+            return id_reused()
         pieces = tuple(grant.pieces)
         diverged = self.check_position(req, header.version, pieces)
         if diverged is not None and diverged.kind is ErrorKind.ANSWER_LOST:
@@ -192,7 +197,6 @@
                 diverged = None if version == header.version else diverged
         if diverged is not None:
             return diverged
-        original = header.to_request(req)
         self._log.info(
             LogEvent.ANSWER_TAKEN_OVER,
             request_id=req.request_id,
@@ -284,3 +288,13 @@
         if failure is None:
             return None
         return Failure(failure.kind, failure.reason, Ran.YES)
+
+
+def id_reused() -> Failure:
+    """Makes the refusal of a request whose id belongs to an answer to another request.
+
+    Returns:
+        The failure; this call ran nothing.
+    """
+    reason = "X-Request-Id: was used for a request with other content"
+    return Failure(ErrorKind.INVALID_REQUEST, reason, Ran.NO)
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -26,7 +26,7 @@
 )
 from sapphireledge.core.fleet import EngineState, serving_version
 from sapphireledge.core.fleet import ModelVersion as LoadedVersion
-from sapphireledge.core.quarantine import Clear, Isolate, fingerprint_request
+from sapphireledge.core.quarantine import Clear, Isolate
 from sapphireledge.core.routing import Router, RouteRequest, hash_prefix
 from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.grant import Grant
@@ -218,7 +218,7 @@
             tokens: Tokens of the answer.
         """
         self._outputs.on_finished(f"{req.model}/{req.rank}", tokens)
-        self._suspects.completed(fingerprint_request(req.body))
+        self._suspects.completed(req.fingerprint)
 
     def on_broken(self, grant: Grant, event: Broken) -> None:
         """Takes note of a call that broke.
@@ -255,7 +255,7 @@
         version: str,
     ) -> Grant:
         """Takes the place on the chosen backend server."""
-        fingerprint = fingerprint_request(work.req.body)
+        fingerprint = work.req.fingerprint
         self._deaths.started(work.work_id, fingerprint, request.isolate)
         self._view.on_dispatch(
             time.monotonic(),
@@ -289,7 +289,7 @@
             self._budget.on_first_try(now)
         else:
             await self._deaths.wait()
-        fingerprint = fingerprint_request(work.req.body)
+        fingerprint = work.req.fingerprint
         verdict = self._quarantine.verdict(time.time(), fingerprint)
         if isinstance(verdict, Failure) and verdict.kind is ErrorKind.OVERLOADED:
             # Deaths of the last seconds are not attributed yet; the verdict is final afterwards.
@@ -305,7 +305,7 @@
     def _route_request(self, work: PoolWork, deployment: Deployment, version: str) -> RouteRequest:
         """Describes the attempt for the router."""
         req = work.req
-        verdict = self._quarantine.verdict(time.time(), fingerprint_request(req.body))
+        verdict = self._quarantine.verdict(time.time(), req.fingerprint)
         output = self._outputs.expected(f"{req.model}/{req.rank}")
         prompt_tokens = max(1, len(req.prompt) // BYTES_PER_TOKEN) + work.offset
         _, output_tokens = estimate_cost(prompt_tokens, 0.0, output, req.max_tokens - work.offset)
--- a/src/sapphireledge/entry/caller_request.py
+++ b/src/sapphireledge/entry/caller_request.py
@@ -53,6 +53,9 @@
     body: dict[str, Any]
     """Request body as received, without the `sapphireledge` object."""
 
+    fingerprint: str = ""
+    """Identity of the content, without the request id."""
+
     deadline: float | None = None
     """Seconds after arrival at which the first token is due; None for the target of the rank."""
 
--- a/src/sapphireledge/entry/parse_request.py
+++ b/src/sapphireledge/entry/parse_request.py
@@ -8,6 +8,7 @@
 import msgspec
 import uuid6
 
+from sapphireledge.core.quarantine import fingerprint_request
 from sapphireledge.entry.caller_request import CallerRequest, ResumePoint
 from sapphireledge.errors import ErrorKind, Failure
 
@@ -67,6 +68,7 @@
             prompt=_prompt(body, chat),
             max_tokens=_max_tokens(body),
             body=body,
+            fingerprint=fingerprint_request(body),
             deadline=_deadline(headers),
             resume=_resume_point(headers, extension),
             trace_headers=tuple(
--- a/src/sapphireledge/entry/peer_service.py
+++ b/src/sapphireledge/entry/peer_service.py
@@ -110,7 +110,14 @@
             if answer.is_drained and offset + len(pieces) == len(answer.pieces):
                 assert answer.end is not None
                 finish = answer.end.to_finish()
-            return AnswerPart(offset, pieces, finish, answer.epoch, "", "", answer.version)
+            return AnswerPart(
+                offset=offset,
+                pieces=pieces,
+                finish=finish,
+                epoch=answer.epoch,
+                version=answer.version,
+                fingerprint=runner.request.fingerprint,
+            )
         finally:
             self._later(READER_GRACE, lambda: self._registry.detach(runner))
 
--- a/src/sapphireledge/entry/remote_reader.py
+++ b/src/sapphireledge/entry/remote_reader.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.answer import AnswerEnd
-from sapphireledge.entry.answer_locator import RemoteAnswer
+from sapphireledge.entry.answer_locator import RemoteAnswer, id_reused
 from sapphireledge.entry.local_reader import LocalReader
 from sapphireledge.errors import ErrorKind, Failure, Ran
 
@@ -137,6 +137,8 @@
         )
         if isinstance(part, Failure):
             return part
+        if self._req is not None and part.fingerprint != self._req.fingerprint:
+            return id_reused()
         if part.offset != len(self._pieces):
             return Failure(ErrorKind.INTERNAL, "the owner answered for another offset")
         self.version = part.version or self.version
--- a/src/sapphireledge/schema/peer.thrift
+++ b/src/sapphireledge/schema/peer.thrift
@@ -92,6 +92,7 @@
   5: string error_kind      // set if the generation ended in a refusal
   6: string error_reason
   7: string version         // model version of the answer
+  8: string fingerprint     // identity of the request's content
 }
 
 struct TakeOver {
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -206,6 +206,18 @@
         self.fleet.start_entry("e1")
         self.wait_for_peers()
 
+    def test_request_id_with_other_content_is_refused(self):
+        """A caller must not receive the answer to another request that had the same id."""
+        request_id = str(uuid6.uuid7())
+        first = generate(self.fleet.callers["e1"], request_id=request_id, max_tokens=4)
+        self.assertTrue(first.done, first.error)
+        for entry in self.entries:
+            other = generate(
+                self.fleet.callers[entry.name], request_id=request_id, prompt="x", max_tokens=4
+            )
+            self.assertEqual((other.error or {}).get("type"), "invalid_request", entry)
+            self.assertIn("X-Request-Id", other.error["message"])
+
     def test_engine_and_entry_killed_together(self):
         request_id = str(uuid6.uuid7())
 
