--- a/tests/test_answer_copies.py
+++ b/tests/test_answer_copies.py
@@ -9,7 +9,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_peers import FleetTest, Store, setUpModule, tearDownModule  # noqa: F401
+from test_peers import FleetTest, Store, setUpModule  # noqa: F401
 
 from sapphireledge.core.membership import Member
 from sapphireledge.errors import ErrorKind, Failure
