--- a/src/sapphireledge/core/admission/capacity.py
+++ b/src/sapphireledge/core/admission/capacity.py
@@ -24,9 +24,6 @@
     token_rate: float = 0.0
     """Tokens per second that the busy slots produce together; 0 if not measured yet."""
 
-    beyond: int = 0
-    """Free sequences of a shared pool beyond the part that `free` and `total` describe."""
-
     running: Mapping[str, int] = field(default_factory=dict)
     """Running sequences by rank over all instances, as far as known.
 
--- a/src/sapphireledge/core/admission/divide_capacity.py
+++ b/src/sapphireledge/core/admission/divide_capacity.py
@@ -27,4 +27,4 @@
     free = max(max(1, seen.total // entries) - own, seen.free // entries)
     free = max(0, min(free, seen.free))
     rate = seen.token_rate * own / max(1, seen.total - seen.free)
-    return Capacity(free, own + free, min(rate, seen.token_rate), seen.free - free)
+    return Capacity(free, own + free, min(rate, seen.token_rate))
--- a/src/sapphireledge/core/admission/rank_scheduler.py
+++ b/src/sapphireledge/core/admission/rank_scheduler.py
@@ -178,27 +178,8 @@
             result.append(work)
             slots -= 1
         self._note_usable(now, slots)
-        result.extend(self._take_beyond(now, free.beyond))
         return result
 
-    def _take_beyond(self, now: float, slots: int) -> list[QueuedWork]:
-        """Starts the most urgent rank on free slots beyond the part of this instance.
-
-        Each instance keeps its part of the reserve free. In parts of a few slots a second urgent
-        request would wait although the reserves of the others stand free. A rank that was refused
-        lately floods itself, and only its share protects the others from it.
-        """
-        first = self._order[0] if self._order else None
-        if first is None or now - first.pressed_at < first.rank.target:
-            return []
-        taken: list[QueuedWork] = []
-        while len(taken) < slots and first.queue.size:
-            workspace = first.queue.head()
-            assert workspace is not None
-            taken.append(first.queue.first_of(workspace))
-            self._hand_out(now, taken[-1])
-        return taken
-
     def on_started(self, now: float, work_id: str) -> None:
         """Notes that a backend server has the work.
 
--- a/tests/test_shared_capacity.py
+++ b/tests/test_shared_capacity.py
@@ -55,15 +55,3 @@
         for number in range(4):
             scheduler.offer(0.0, QueuedWork(f"w{number}", "background", "w", 10, 10))
         self.assertEqual(len(scheduler.next(0.0, Capacity(4, 4, 100.0))), 3)
-
-    def test_urgent_work_uses_the_free_reserve_of_other_instances(self):
-        """With four slots an instance, a second urgent request waited for one of its own slots."""
-        ranks = {
-            "urgent": Rank(name="urgent", order=0, target=2.0, reserve=0.2),
-            "background": Rank(name="background", order=1, target=100.0),
-        }
-        scheduler = RankScheduler(ranks, AdmissionSettings())
-        for rank in ("urgent", "background"):
-            scheduler.offer(0.0, QueuedWork(rank, rank, "w", 10, 10))
-        started = scheduler.next(0.0, Capacity(0, 4, 100.0, beyond=2))
-        self.assertEqual([work.rank for work in started], ["urgent"])
