Choose engines by fresh reports and detect dead ones by asking for reports

Ruled out: loss of standby copies as the main cause (17 of 27 resumes had one; those without had lost the engine before the first event, or the standby's data centre before).

--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -9,6 +9,7 @@
 from sapphireledge.gateway.config_view import ConfigView, elapsed_time
 from sapphireledge.gateway.dialect import Dialect
 from sapphireledge.gateway.dispatch import Dispatch
+from sapphireledge.gateway.engine_load import EngineLoad
 from sapphireledge.gateway.gateway import Gateway
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.gateway_metrics import GatewayMetrics
@@ -30,6 +31,7 @@
     "ConfigView",
     "Dialect",
     "Dispatch",
+    "EngineLoad",
     "Gateway",
     "GatewayEvent",
     "GatewayMetrics",
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -145,14 +145,48 @@
         Returns:
             The server, or None if none is left.
         """
-        best, best_cost = None, (True, 0.0, 0)
-        for state in self._usable(service, avoid):
+        ranked = self.rank(now, service, affinity, avoid, avoid_centres)
+        return ranked[0] if ranked else None
+
+    def rank(
+        self,
+        now: float,
+        service: str,
+        affinity: str,
+        avoid: Collection[str] = (),
+        avoid_centres: Collection[str] = (),
+    ) -> list[BackendServer]:
+        """Orders the backend servers of a service; see `choose`.
+
+        Args:
+            now: Time in seconds.
+            service: Name of the service.
+            affinity: What a repetition of the request has in common with it.
+            avoid: Identities that must not be chosen.
+            avoid_centres: Data centres that come last.
+
+        Returns:
+            The servers, the best first.
+        """
+
+        def cost(state: BackendState) -> tuple[bool, float, int]:
             server = state.server
             order = xxhash.xxh3_64_intdigest(f"{affinity}/{server.server_id}".encode())
-            cost = (server.data_centre in avoid_centres, self._cost(now, state), order)
-            if best is None or cost < best_cost:
-                best, best_cost = server, cost
-        return best
+            return server.data_centre in avoid_centres, self._cost(now, state), order
+
+        return [state.server for state in sorted(self._usable(service, avoid), key=cost)]
+
+    def is_usable(self, server_id: str) -> bool:
+        """Whether a server takes new work.
+
+        Args:
+            server_id: Identity.
+
+        Returns:
+            False also for an unknown server.
+        """
+        state = self._states.get(server_id)
+        return state is not None and not state.server.leaving
 
     def on_lost(self, now: float, server: BackendServer) -> None:
         """Notes that a server reset its connections or fell silent.
--- a/src/sapphireledge/gateway/classify_reply.py
+++ b/src/sapphireledge/gateway/classify_reply.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from sapphireledge.gateway.outcome import Outcome, OutcomeKind
+from sapphireledge.gateway.outcome import MISDIRECTED, Outcome, OutcomeKind
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.backend_server import BackendServer
@@ -12,9 +12,6 @@
 
 __all__ = ["classify_reply"]
 
-MISDIRECTED = 421
-"""Status of a server that took over the address of the one that was expected."""
-
 
 def classify_reply(server: BackendServer, head: ReplyHead, body: bytes) -> Outcome:
     """Decides what an answer says about the execution of the request.
--- a/src/sapphireledge/gateway/dialect.py
+++ b/src/sapphireledge/gateway/dialect.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_request import CallerRequest, Headers
     from sapphireledge.gateway.dispatch import Dispatch
+    from sapphireledge.gateway.engine_load import EngineLoad
     from sapphireledge.gateway.reply_head import ReplyHead
 
 __all__ = ["Dialect"]
@@ -55,6 +57,30 @@
         """
         ...
 
+    def encode_report_request(
+        self, server: BackendServer
+    ) -> tuple[bytes, list[tuple[bytes, bytes]]]:
+        """Builds the request for an engine's report.
+
+        Args:
+            server: Engine.
+
+        Returns:
+            Path and headers.
+        """
+        ...
+
+    def decode_report(self, body: bytes) -> EngineLoad | None:
+        """Decodes an engine's report.
+
+        Args:
+            body: Body of the answer.
+
+        Returns:
+            The load, or None if the report cannot be read.
+        """
+        ...
+
     def encode_refusal(
         self, request_id: str, retry_after: float | None
     ) -> list[tuple[bytes, bytes]]:
--- /dev/null
+++ b/src/sapphireledge/gateway/engine_scout.py
@@ -0,0 +1,80 @@
+"""Reports of engines, read when a decision needs them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sapphireledge.gateway.broken_reply import BrokenReply
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.connection_pool import ConnectionPool
+    from sapphireledge.gateway.dialect import Dialect
+    from sapphireledge.gateway.engine_load import EngineLoad
+
+__all__ = ["EngineScout"]
+
+
+class EngineScout:
+    """Asks engines for their load; each report is charged, so it is asked on demand."""
+
+    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
+        self._pool = pool
+        self._dialect = dialect
+
+    async def ask(self, server: BackendServer, limit: float) -> EngineLoad | None:
+        """Reads one report.
+
+        Args:
+            server: Engine.
+            limit: Seconds to wait.
+
+        Returns:
+            The report, or None if the engine did not answer in time.
+        """
+        try:
+            async with asyncio.timeout(limit):
+                return await self._read(server)
+        except (OSError, TimeoutError, BrokenReply):
+            return None
+
+    async def ask_all(
+        self, servers: Sequence[BackendServer], limit: float
+    ) -> dict[str, EngineLoad]:
+        """Reads several reports at the same time.
+
+        Args:
+            servers: Engines.
+            limit: Seconds to wait for all of them.
+
+        Returns:
+            The reports that came, by identity.
+        """
+        reports = await asyncio.gather(*(self.ask(server, limit) for server in servers))
+        return {
+            server.server_id: report
+            for server, report in zip(servers, reports, strict=True)
+            if report is not None
+        }
+
+    async def _read(self, server: BackendServer) -> EngineLoad | None:
+        """Makes one exchange."""
+        conn = await self._pool.take(server, once=False)
+        done = False
+        try:
+            target, headers = self._dialect.encode_report_request(server)
+            conn.send(b"GET", target, headers, b"")
+            head = await conn.read_head(self._dialect, "")
+            body = bytearray()
+            while (part := await conn.read_body()) is not None:
+                body += part
+            done = True
+            return self._dialect.decode_report(bytes(body)) if head.status == 200 else None
+        finally:
+            if done:
+                self._pool.give_back(server, conn)
+            else:
+                conn.abort()
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -46,6 +46,12 @@
     SERVER_UNREADABLE = "server_unreadable"
     """An entry of the registry names no backend server that can be used."""
 
+    REPORT_UNREADABLE = "report_unreadable"
+    """An engine's report cannot be read."""
+
+    ENGINE_CHOSEN = "engine_chosen"
+    """An engine was chosen by the reports of several."""
+
     ADMITTED = "request_admitted"
     """A request passed the checks."""
 
--- a/src/sapphireledge/gateway/gateway_parts.py
+++ b/src/sapphireledge/gateway/gateway_parts.py
@@ -7,6 +7,7 @@
 
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.connection_pool import ConnectionPool
+from sapphireledge.gateway.engine_scout import EngineScout
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.retry_allowance import RetryAllowance
 
@@ -37,6 +38,9 @@
         self.pool = ConnectionPool()
         """Connections to backend servers."""
 
+        self.scout = EngineScout(self.pool, dialect)
+        """Reports of engines."""
+
         self._allowances: dict[str, RetryAllowance] = {}
 
     def allowance(self, service: str) -> RetryAllowance:
@@ -62,8 +66,14 @@
         now = asyncio.get_running_loop().time()
         if outcome.kind is OutcomeKind.ANSWERED:
             state.on_success()
+        elif outcome.kind is OutcomeKind.OUT_OF_TIME:
+            # The time of some requests is shorter than their work; silence shows nothing then.
+            return
+        elif outcome.is_misdirected:
+            self.registry.remove(outcome.server.server_id)
+            self.pool.drop(outcome.server.server_id)
         elif outcome.kind is OutcomeKind.LOST or outcome.head is None:
             self.registry.on_lost(now, outcome.server)
             self.pool.drop(outcome.server.server_id)
         else:
-            state.on_failure(now, suspend=outcome.kind is OutcomeKind.NOT_EXECUTED)
+            state.on_failure(now, suspend=False)
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -46,14 +46,11 @@
     """Silence of a running stream that counts as a loss. Half of the pause that is still on time
     (0.7 s); a prompt that is read next to the stream stretches the pauses to 0.15 s."""
 
-    first_event_base: float = 1.0
-    """Wait for the first event of a stream that is allowed beside the time to read the prompt."""
+    probe_period: float = 0.6
+    """Silence before the first event after which an engine is asked for its report."""
 
-    prompt_time: float = 0.000125
-    """Time to read one prompt token, from the engines' data sheet (8 tokens in 1 ms)."""
-
-    prompt_factor: float = 2.0
-    """Multiple of the reading time that is allowed, for prompts that are read at the same time."""
+    probe_limit: float = 0.45
+    """Time for such a report: a round trip between regions and two retransmissions."""
 
     retry_ratio: float = 0.4
     """Repeated sends that each request earns; half of the shared ratio of 0.8."""
--- a/src/sapphireledge/gateway/outcome.py
+++ b/src/sapphireledge/gateway/outcome.py
@@ -13,6 +13,10 @@
 __all__ = ["Outcome", "OutcomeKind"]
 
 
+MISDIRECTED = 421
+"""Status of a server that took over the address of the one that was expected."""
+
+
 class OutcomeKind(StrEnum):
     """What is known after one send."""
 
@@ -50,3 +54,12 @@
 
     body: bytes = b""
     """Body of a whole answer or failure."""
+
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether another server has taken over the address of the one that was expected."""
+        return (
+            self.kind is OutcomeKind.NOT_EXECUTED
+            and self.head is not None
+            and self.head.status == MISDIRECTED
+        )
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -107,7 +107,7 @@
         if server is None:
             return None
         if tried and not parts.allowance(service).try_spend(now):
-            parts.journal.retry_denied(work, server)
+            parts.journal.retry_denied(work, "an earlier send failed or is silent")
             return None
         if not tried:
             parts.allowance(service).on_request()
--- a/src/sapphireledge/gateway/request_journal.py
+++ b/src/sapphireledge/gateway/request_journal.py
@@ -11,10 +11,12 @@
 from sapphireledge.gateway.outcome import OutcomeKind
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from sapphireledge.errors import Failure
     from sapphireledge.gateway.admitted_request import AdmittedRequest
-    from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_request import CallerRequest
+    from sapphireledge.gateway.engine_plan import EnginePlan
     from sapphireledge.gateway.gateway_metrics import GatewayMetrics
     from sapphireledge.gateway.outcome import Outcome
     from sapphireledge.gateway.routing_table import RoutingTable
@@ -148,40 +150,53 @@
             exc: What was raised.
         """
         self._metrics.answers.labels("broken_off", "internal").inc()
-        self._log.error(
-            GatewayEvent.INTERNAL_ERROR, request_id=request.request_id, exc_info=exc
-        )
+        self._log.error(GatewayEvent.INTERNAL_ERROR, request_id=request.request_id, exc_info=exc)
 
     def stream_resumed(
-        self, work: AdmittedRequest, server: BackendServer, last_event: int | None, from_copy: bool
+        self, work: AdmittedRequest, plan: EnginePlan, last_event: int | None
     ) -> None:
         """Notes that a stream goes on at another engine.
 
         Args:
             work: The request.
-            server: Engine that continues.
+            plan: Engines of the next attempt.
             last_event: Number of the last delivered event, or None.
-            from_copy: Whether the engine holds a copy of the generation's memory.
         """
+        from_copy = plan.source is not None
         self._metrics.resumes.labels("copy" if from_copy else "prompt").inc()
         self._log.info(
             GatewayEvent.STREAM_RESUMED,
             request_id=work.request.request_id,
-            server=server.server_id,
+            server=plan.server.server_id,
             last_event=last_event,
             from_copy=from_copy,
         )
 
-    def retry_denied(self, work: AdmittedRequest, server: BackendServer) -> None:
+    def engine_chosen(self, work: AdmittedRequest, costs: Mapping[str, float], asked: int) -> None:
+        """Notes the inputs of a choice among engines.
+
+        Args:
+            work: The request.
+            costs: Cost of each engine that reported, in prompts.
+            asked: Engines that were asked.
+        """
+        self._log.info(
+            GatewayEvent.ENGINE_CHOSEN,
+            request_id=work.request.request_id,
+            costs={name: round(cost, 2) for name, cost in costs.items()},
+            silent=asked - len(costs),
+        )
+
+    def retry_denied(self, work: AdmittedRequest, reason: str) -> None:
         """Notes that the retry budget is spent.
 
         Args:
             work: The request.
-            server: Backend server that would have been asked.
+            reason: Why a retry was wanted.
         """
         self._log.info(
             GatewayEvent.RETRY_DENIED,
             request_id=work.request.request_id,
             service=work.service.name,
-            server=server.server_id,
+            reason=reason,
         )
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -18,6 +18,7 @@
     from sapphireledge.gateway.backend_connection import BackendConnection
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_connection import CallerConnection
+    from sapphireledge.gateway.engine_plan import EnginePlan
     from sapphireledge.gateway.gateway_parts import GatewayParts
     from sapphireledge.gateway.reply_head import ReplyHead
     from sapphireledge.gateway.stream_progress import StreamProgress
@@ -42,29 +43,22 @@
         self._work = work
         self._progress = progress
 
-    async def run(
-        self,
-        server: BackendServer,
-        standby: BackendServer | None,
-        source: BackendServer | None,
-    ) -> Outcome:
+    async def run(self, plan: EnginePlan) -> Outcome:
         """Runs the stream until it is complete or the engine is lost.
 
         Args:
-            server: Engine.
-            standby: Engine that receives a copy, or None.
-            source: Engine that holds a copy to continue from, or None.
+            plan: Engines of the attempt.
 
         Returns:
             The outcome; ANSWERED only if the caller has the whole stream.
         """
         parts = self._parts
-        state = parts.registry.state(server.server_id)
+        state = parts.registry.state(plan.server.server_id)
         if state is not None:
             state.running += 1
         started = asyncio.get_running_loop().time()
         try:
-            outcome = await self._connect_and_run(server, standby, source)
+            outcome = await self._connect_and_run(plan)
         finally:
             if state is not None:
                 state.running -= 1
@@ -72,23 +66,19 @@
         parts.journal.attempt_ended(self._work, outcome, self._progress.attempts, started)
         return outcome
 
-    async def _connect_and_run(
-        self,
-        server: BackendServer,
-        standby: BackendServer | None,
-        source: BackendServer | None,
-    ) -> Outcome:
+    async def _connect_and_run(self, plan: EnginePlan) -> Outcome:
         """Takes a connection for the run."""
         pool = self._parts.pool
+        server = plan.server
         try:
             engine = await pool.take(server, once=not self._work.route.repeatable)
         except (OSError, TimeoutError) as exc:
             return Outcome(OutcomeKind.NOT_EXECUTED, server, f"cannot connect: {exc!r}")
         complete = False
         try:
-            self._send(engine, server, standby, source)
+            self._send(engine, plan)
             async with asyncio.timeout_at(self._work.deadline):
-                outcome = await self._relay(engine, server, source is not None)
+                outcome = await self._relay(engine, server)
             complete = outcome.head is not None
             return outcome
         except BrokenReply as exc:
@@ -101,48 +91,40 @@
             else:
                 engine.abort()
 
-    def _send(
-        self,
-        engine: BackendConnection,
-        server: BackendServer,
-        standby: BackendServer | None,
-        source: BackendServer | None,
-    ) -> None:
+    def _send(self, engine: BackendConnection, plan: EnginePlan) -> None:
         """Sends the request."""
         work = self._work
         now = asyncio.get_running_loop().time()
         dispatch = Dispatch(
             work.request,
-            server,
+            plan.server,
             work.caller_deadline - now,
             work.workspace,
             work.rank,
             self._progress.last_event,
-            standby,
-            source,
+            plan.standby,
+            plan.source,
         )
         headers = self._parts.dialect.encode_dispatch(dispatch)
+        self._progress.on_sent(plan.server)
         engine.send(work.request.method, work.request.target, headers, work.request.body)
 
-    async def _relay(
-        self, engine: BackendConnection, server: BackendServer, from_copy: bool
-    ) -> Outcome:
+    async def _relay(self, engine: BackendConnection, server: BackendServer) -> Outcome:
         """Reads the answer and delivers each whole event."""
         cfg = self._parts.cfg
-        loop = asyncio.get_running_loop()
-        prompt = 0 if from_copy else self._work.request.prompt_tokens
-        limit = cfg.first_event_base + cfg.prompt_factor * cfg.prompt_time * prompt
-        first_event_due = loop.time() + limit
-        head = await _within(
-            limit, engine.read_head(self._parts.dialect, self._work.request.request_id)
+        head = await self._while_alive(
+            server, engine.read_head(self._parts.dialect, self._work.request.request_id)
         )
         if head.status != 200 or head.not_executed or not head.signed or head.encoded:
-            return classify_reply(server, head, await _whole_body(engine, limit))
+            body = await _within(cfg.pause_limit, _whole_body(engine))
+            return classify_reply(server, head, body)
         splitter = EventSplitter()
         events = 0
         while True:
-            due = cfg.pause_limit if events else max(0.0, first_event_due - loop.time())
-            part = await _within(due, engine.read_body())
+            if events:
+                part = await _within(cfg.pause_limit, engine.read_body())
+            else:
+                part = await self._while_alive(server, engine.read_body())
             if part is None:
                 break
             for event in splitter.feed(part):
@@ -155,6 +137,23 @@
         await self._caller.finish()
         return Outcome(OutcomeKind.ANSWERED, server, "complete", head)
 
+    async def _while_alive(
+        self, server: BackendServer, read: Coroutine[Any, Any, Result]
+    ) -> Result:
+        """Awaits a read for as long as the engine answers questions for its report.
+
+        An engine sends nothing while it reads a prompt, so silence alone does not show its loss.
+        """
+        cfg = self._parts.cfg
+        task = asyncio.create_task(read)
+        try:
+            while not (await asyncio.wait({task}, timeout=cfg.probe_period))[0]:
+                if await self._parts.scout.ask(server, cfg.probe_limit) is None:
+                    raise BrokenReply("silent, and no report either")
+            return task.result()
+        finally:
+            task.cancel()
+
     async def _deliver(self, head: ReplyHead, raw: bytes, number: int | None) -> None:
         """Passes on one event that continues the answer without a gap."""
         progress = self._progress
@@ -170,10 +169,10 @@
         await self._caller.send_part(raw)
 
 
-async def _whole_body(engine: BackendConnection, limit: float) -> bytes:
+async def _whole_body(engine: BackendConnection) -> bytes:
     """Reads a body that is no stream."""
     body = bytearray()
-    while (part := await _within(limit, engine.read_body())) is not None:
+    while (part := await engine.read_body()) is not None:
         body += part
     return bytes(body)
 
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -6,13 +6,13 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.gateway.engine_choice import EngineChoice
 from sapphireledge.gateway.outcome import OutcomeKind
 from sapphireledge.gateway.stream_attempt import StreamAttempt
 from sapphireledge.gateway.stream_progress import StreamProgress
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.admitted_request import AdmittedRequest
-    from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_connection import CallerConnection
     from sapphireledge.gateway.gateway_parts import GatewayParts
     from sapphireledge.gateway.outcome import Outcome
@@ -31,6 +31,7 @@
 
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
+        self._choice = EngineChoice(parts)
 
     async def forward(self, conn: CallerConnection, work: AdmittedRequest) -> Failure | None:
         """Serves one request.
@@ -45,13 +46,15 @@
         progress = StreamProgress(work.request.last_event)
         failed: Outcome | None = None
         while True:
-            plan = self._plan(work, progress)
+            if not self._may_try(work, progress):
+                return await self._give_up(conn, progress, failed)
+            plan = await self._choice.plan(work, progress)
             if plan is None:
                 return await self._give_up(conn, progress, failed)
-            server, standby, source = plan
-            progress.on_attempt(server, standby)
-            attempt = StreamAttempt(self._parts, conn, work, progress)
-            outcome = await attempt.run(server, standby, source)
+            if progress.attempts:
+                self._parts.journal.stream_resumed(work, plan, progress.last_event)
+            progress.on_attempt(plan)
+            outcome = await StreamAttempt(self._parts, conn, work, progress).run(plan)
             if outcome.kind is OutcomeKind.ANSWERED:
                 await _deliver_whole(conn, outcome)
                 return None
@@ -61,42 +64,19 @@
             if outcome.kind is OutcomeKind.OUT_OF_TIME or not self._may_repeat(work, progress):
                 return await self._give_up(conn, progress, failed)
 
-    def _plan(
-        self, work: AdmittedRequest, progress: StreamProgress
-    ) -> tuple[BackendServer, BackendServer | None, BackendServer | None] | None:
-        """Chooses engine, standby and the engine that holds a copy, or None at the end."""
-        parts = self._parts
-        registry = parts.registry
+    def _may_try(self, work: AdmittedRequest, progress: StreamProgress) -> bool:
+        """Whether another engine may be asked."""
         now = asyncio.get_running_loop().time()
-        service = work.service.name
-        if progress.attempts >= work.route.max_attempts or work.deadline - now < MIN_USEFUL:
-            return None
-        affinity = work.request.affinity
-        source = progress.take_copy()
-        if source is not None and registry.state(source.server_id) is not None:
-            server: BackendServer | None = source
-        else:
-            source = None
-            server = registry.choose(
-                now, service, affinity, progress.avoid, progress.lost_centres
-            ) or registry.choose(now, service, affinity)
-        if server is None:
-            return None
-        if progress.attempts and not parts.allowance(service).try_spend(now):
-            parts.journal.retry_denied(work, server)
-            return None
-        if not progress.attempts:
-            parts.allowance(service).on_request()
-        standby = None
-        if work.service.standby_copies and work.route.resumable:
-            standby = registry.choose(
-                now,
-                service,
-                affinity,
-                {*progress.avoid, server.server_id},
-                {*progress.lost_centres, server.data_centre},
-            )
-        return server, standby, source
+        if len(progress.asked) >= work.route.max_attempts or work.deadline - now < MIN_USEFUL:
+            return False
+        allowance = self._parts.allowance(work.service.name)
+        if not progress.asked:
+            allowance.on_request()
+            return True
+        if allowance.try_spend(now):
+            return True
+        self._parts.journal.retry_denied(work, progress.last_reason)
+        return False
 
     def _may_repeat(self, work: AdmittedRequest, progress: StreamProgress) -> bool:
         """Whether another engine may be asked."""
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.engine_plan import EnginePlan
     from sapphireledge.gateway.outcome import Outcome
 
 __all__ = ["StreamProgress"]
@@ -29,7 +30,10 @@
         """Events delivered in this answer."""
 
         self.attempts = 0
-        """Engines asked so far."""
+        """Attempts so far, those without a connection included."""
+
+        self.asked: set[str] = set()
+        """Engines that the request was sent to."""
 
         self.avoid: set[str] = set()
         """Engines that failed this stream."""
@@ -46,15 +50,22 @@
         self._standby: BackendServer | None = None
         self._copy: BackendServer | None = None
 
-    def on_attempt(self, server: BackendServer, standby: BackendServer | None) -> None:
+    def on_attempt(self, plan: EnginePlan) -> None:
         """Notes the start of an attempt.
 
         Args:
-            server: Engine that is asked.
-            standby: Engine that receives a copy.
+            plan: Engines of the attempt.
         """
         self.attempts += 1
-        self._standby = standby
+        self._standby = plan.standby
+
+    def on_sent(self, server: BackendServer) -> None:
+        """Notes that the request was sent to an engine.
+
+        Args:
+            server: The engine.
+        """
+        self.asked.add(server.server_id)
 
     def on_outcome(self, outcome: Outcome) -> None:
         """Notes an outcome other than a complete answer.
--- /dev/null
+++ b/src/sapphireledge/platform/decode_report.py
@@ -0,0 +1,51 @@
+"""Report of an engine in the gateway's types."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import structlog
+
+from sapphireledge.gateway import EngineLoad, GatewayEvent
+
+__all__ = ["decode_report"]
+
+EVENTS_FIELD = 2
+"""Position of the number of made events in an entry of `runs`: id, tokens, events, rank."""
+
+
+class _Report(msgspec.Struct):
+    """The report; `kv_used` is only the memory that cannot yield."""
+
+    waiting: int = 0
+    running: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+    runs: list[list[Any]] = []
+    born: int = 0
+
+
+def decode_report(body: bytes) -> EngineLoad | None:
+    """Decodes a report.
+
+    Args:
+        body: JSON text.
+
+    Returns:
+        The load, or None if the report cannot be read.
+    """
+    try:
+        report = msgspec.json.decode(body, type=_Report)
+    except msgspec.MsgspecError as exc:
+        structlog.get_logger().warning(GatewayEvent.REPORT_UNREADABLE, reason=str(exc))
+        return None
+    reading = sum(1 for run in report.runs if len(run) > EVENTS_FIELD and not run[EVENTS_FIELD])
+    return EngineLoad(
+        waiting=report.waiting,
+        reading=reading,
+        running=report.running,
+        memory_used=report.kv_used,
+        memory_total=report.kv_total,
+        born=report.born,
+    )
--- a/src/sapphireledge/platform/kind_watcher.py
+++ b/src/sapphireledge/platform/kind_watcher.py
@@ -23,16 +23,35 @@
     """Lists the objects of a kind and then watches them."""
 
     def __init__(
-        self, client: StoreClient, kind: str, cfg: StoreSettings, listener: KindListener
+        self,
+        client: StoreClient,
+        kind: str,
+        wait: float,
+        settle_time: float,
+        cfg: StoreSettings,
+        listener: KindListener,
     ) -> None:
+        """Creates a watcher.
+
+        Args:
+            client: Client with a connection of its own.
+            kind: Kind of the objects.
+            wait: Seconds that the store holds a watch.
+            settle_time: Pause in seconds after changes, so that the next call collects several.
+            cfg: Settings.
+            listener: Receiver of the objects.
+        """
         self._client = client
         self._kind = kind
+        self._wait = wait
+        self._settle_time = settle_time
         self._cfg = cfg
         self._listener = listener
         self._rng = Random()
         self._log = structlog.get_logger()
         self._revision: int | None = None
         self._failures = 0
+        self._changed = False
         self._last_success = elapsed_time()
         self._lost = False
 
@@ -58,21 +77,26 @@
 
     async def _watch(self, began: float, revision: int) -> None:
         """Waits for the next changes."""
-        page = await self._client.watch(self._kind, revision)
+        # A watch that ends with changes confirms only its start, so the next one is short.
+        wait = self._cfg.confirm_wait if self._changed else self._wait
+        page = await self._client.watch(self._kind, revision, wait)
         self._note_success()
         if page is None:
             self._revision = None
             return
         self._listener.apply(page.entries)
         # A watch without events was open at the store until its time was over.
-        waited = 0.0 if page.entries else self._cfg.watch_wait
+        self._changed = bool(page.entries)
+        waited = 0.0 if self._changed else wait
         self._listener.confirm(min(began + waited, elapsed_time()))
         self._revision = page.revision
+        if self._changed:
+            await asyncio.sleep(self._settle_time)
 
     def _note_success(self) -> None:
         """Reports the return of the store."""
         now = elapsed_time()
-        if now - self._last_success > self._cfg.watch_wait + self._cfg.outage_after:
+        if now - self._last_success > self._wait + self._cfg.outage_after:
             self._listener.on_regained()
         if self._lost:
             self._lost = False
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -57,10 +57,18 @@
     metrics = GatewayMetrics()
     gateway = Gateway(cfg.gateway, PlatformDialect(), RequestJournal(metrics))
     server = GatewayServer(gateway, metrics)
+    store = cfg.store
+    config = ConfigListener(gateway.config)
+    registry = ServerListener(gateway, store)
     watchers = [
-        KindWatcher(_client(cfg, metrics), "config", cfg.store, ConfigListener(gateway.config)),
+        KindWatcher(_client(cfg, metrics), "config", store.config_wait, 0.0, store, config),
         KindWatcher(
-            _client(cfg, metrics), "servers", cfg.store, ServerListener(gateway, cfg.store)
+            _client(cfg, metrics),
+            "servers",
+            store.registry_wait,
+            store.settle_time,
+            store,
+            registry,
         ),
     ]
     loop = asyncio.get_running_loop()
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -6,9 +6,10 @@
 
 from sapphireledge.gateway import CallerRequest, ReplyHead
 from sapphireledge.platform import header_names as names
+from sapphireledge.platform.decode_report import decode_report
 
 if TYPE_CHECKING:
-    from sapphireledge.gateway import Dispatch, Headers
+    from sapphireledge.gateway import BackendServer, Dispatch, EngineLoad, Headers
 
 __all__ = ["PlatformDialect"]
 
@@ -84,6 +85,16 @@
             closing=b"close" in tokens,
         )
 
+    def encode_report_request(
+        self, server: BackendServer
+    ) -> tuple[bytes, list[tuple[bytes, bytes]]]:
+        """Builds the request for a report; see `Dialect.encode_report_request`."""
+        return b"/report", [(b"host", server.address.encode())]
+
+    def decode_report(self, body: bytes) -> EngineLoad | None:
+        """Decodes an engine's report; see `Dialect.decode_report`."""
+        return decode_report(body)
+
     def encode_refusal(
         self, request_id: str, retry_after: float | None
     ) -> list[tuple[bytes, bytes]]:
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -101,12 +101,13 @@
                 return StorePage(tuple(entries), revision)
             path = f"/objects/{kind}?after_rev={page.items[-1].metadata.name}"
 
-    async def watch(self, kind: str, revision: int) -> StorePage | None:
+    async def watch(self, kind: str, revision: int, wait: float) -> StorePage | None:
         """Waits for changes of a kind.
 
         Args:
             kind: Kind of the objects.
             revision: Revision up to which changes are known.
+            wait: Seconds that the store waits for a change.
 
         Returns:
             Changes, none if there were none in time, or None if the history does not reach back.
@@ -114,7 +115,6 @@
         Raises:
             StoreError: The store did not answer, or refused.
         """
-        wait = self._cfg.watch_wait
         path = f"/objects/{kind}?watch={revision}&wait_ms={int(wait * 1000)}"
         body = await self._call("watch", path, wait + self._cfg.call_limit)
         if body is None:
--- a/src/sapphireledge/platform/store_settings.py
+++ b/src/sapphireledge/platform/store_settings.py
@@ -17,13 +17,24 @@
     port: int
     """TCP port."""
 
-    call_limit: float = 1.0
+    call_limit: float = 0.8
     """Time for an answer beside the time that the store is asked to wait. The store answers in
     4 ms, fifty times slower on its slow days."""
 
-    watch_wait: float = 1.5
-    """Time that the store holds a watch. A watch that ends without events confirms the
-    configuration, so this bounds its age; each call is charged."""
+    config_wait: float = 2.0
+    """Time that the store holds a watch on the configuration. A watch that ends without events
+    confirms the configuration, so this bounds its age; each call is charged."""
+
+    registry_wait: float = 3.0
+    """Time that the store holds a watch on the backend servers. With `call_limit` it stays below
+    the 4 s after which rules hold again when a connection fell silent."""
+
+    confirm_wait: float = 0.5
+    """Time that the store holds the first watch after changes."""
+
+    settle_time: float = 0.25
+    """Pause after changes of backend servers, so that the next call collects several; each call
+    is charged."""
 
     retry_base: float = 0.1
     """First pause after a failed call."""
