--- a/src/sapphireledge/platform/store_settings.py
+++ b/src/sapphireledge/platform/store_settings.py
@@ -21,7 +21,7 @@
     """Time for an answer beside the time that the store is asked to wait. The store answers in
     4 ms, fifty times slower on its slow days."""
 
-    config_wait: float = 2.0
+    config_wait: float = 2.4
     """Time that the store holds a watch on the configuration. A watch that ends without events
     confirms the configuration, so this bounds its age; each call is charged."""
 
@@ -32,9 +32,9 @@
     confirm_wait: float = 0.5
     """Time that the store holds the first watch after changes."""
 
-    settle_time: float = 0.25
+    settle_time: float = 1.2
     """Pause after changes of backend servers, so that the next call collects several; each call
-    is charged."""
+    is charged. Half of the 3 s within which a leaving server must receive no more work."""
 
     retry_base: float = 0.1
     """First pause after a failed call."""
