--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -159,7 +159,7 @@
         return None
 
     def abort(self) -> None:
-        """Closes the connection with a reset, so that the backend server stops its work."""
+        """Closes the connection at once, so that the backend server stops its work."""
         self.closing = True
         self._writer.transport.abort()
 
--- a/src/sapphireledge/platform/kind_watcher.py
+++ b/src/sapphireledge/platform/kind_watcher.py
@@ -96,10 +96,9 @@
     def _note_success(self) -> None:
         """Reports the return of the store."""
         now = elapsed_time()
-        if now - self._last_success > self._wait + self._cfg.outage_after:
-            self._listener.on_regained()
         if self._lost:
             self._lost = False
+            self._listener.on_regained()
             self._log.info(
                 GatewayEvent.STORE_REGAINED,
                 kind=self._kind,
--- a/src/sapphireledge/platform/store_settings.py
+++ b/src/sapphireledge/platform/store_settings.py
@@ -42,9 +42,6 @@
     retry_cap: float = 0.6
     """Longest pause after failed calls; keys are trusted for 3.8 s without a confirmation."""
 
-    outage_after: float = 1.0
-    """Time without a successful call after which the store counts as away."""
-
     regain_grace: float = 2.2
     """Time after the store's return in which missing entries of the registry stay in use; backend
     servers that lapsed meanwhile register again within about 2 s."""
--- /dev/null
+++ b/tests/gateway_case.py
@@ -0,0 +1,311 @@
+"""A gateway on loopback in front of scripted backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+import h11
+import msgspec
+
+from sapphireledge.gateway import (
+    BackendServer,
+    Gateway,
+    GatewayMetrics,
+    GatewaySettings,
+    ReplayRule,
+    RequestJournal,
+    Route,
+    RoutingTable,
+    ServiceProfile,
+    WorkspaceKey,
+    elapsed_time,
+)
+from sapphireledge.platform.platform_dialect import PlatformDialect
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+HOST = "127.0.0.1"
+KEY = "k1"
+SEAL = "x-sapphireledge-server-seal"
+REQUEST_ID = "x-sapphireledge-request-id"
+
+PLAIN_ROUTE = Route(
+    "r-plain", "svc.example", "/plain/", ReplayRule.IDEMPOTENT, 2.0, 0.4, 2, (("app", 1.0),), 3
+)
+ONCE_ROUTE = replace(PLAIN_ROUTE, name="r-once", path_prefix="/once/", replay=ReplayRule.ONCE)
+STREAM_ROUTE = replace(
+    PLAIN_ROUTE,
+    name="r-stream",
+    path_prefix="/stream/",
+    replay=ReplayRule.EVENT_STREAM,
+    services=(("llm", 1.0),),
+    time_limit=8.0,
+    target=4.0,
+    resumable=True,
+    max_attempts=5,
+)
+BRITTLE_ROUTE = replace(STREAM_ROUTE, name="r-brittle", path_prefix="/brittle/", resumable=False)
+
+
+def table(version: int = 1) -> RoutingTable:
+    """Builds the routing table of the tests."""
+    routes = (BRITTLE_ROUTE, STREAM_ROUTE, PLAIN_ROUTE, ONCE_ROUTE)
+    return RoutingTable(
+        version=version,
+        routes={"svc.example": tuple(sorted(routes, key=lambda r: -len(r.path_prefix)))},
+        services={
+            "app": ServiceProfile("app"),
+            "llm": ServiceProfile("llm", is_engine=True, standby_copies=True),
+        },
+        keys={KEY: WorkspaceKey("court")},
+        keys_required=True,
+    )
+
+
+@dataclass
+class Received:
+    """A request as a scripted server received it."""
+
+    method: bytes
+    target: bytes
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Reply:
+    """What a caller received."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    complete: bool = False
+
+
+class ScriptedServer:
+    """A backend server whose answers are given by a function."""
+
+    def __init__(self, server_id: str, answer: Callable[..., Awaitable[None]]) -> None:
+        self.server_id = server_id
+        self.answer = answer
+        self.received: list[Received] = []
+        self.closed = 0
+        self.load = {"waiting": 0, "running": 0, "runs": []}
+        self.held: list[str] = []
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listens on a free port."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Stops to listen."""
+        if self._server is not None:
+            self._server.close()
+
+    def paths(self) -> list[bytes]:
+        """Paths of the requests that callers caused."""
+        return [request.target for request in self.received]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                request = await self._read(parser, reader)
+                if request is None:
+                    break
+                if not await self._control(request, writer):
+                    self.received.append(request)
+                    await self.answer(request, writer)
+                if writer.is_closing():
+                    break
+                parser = _next_parser(parser)
+        except (ConnectionError, h11.ProtocolError):
+            self.closed += 1
+        else:
+            self.closed += 1
+        finally:
+            writer.close()
+
+    async def _control(self, request: Received, writer: asyncio.StreamWriter) -> bool:
+        """Answers questions for the report and for the kept prompts."""
+        if request.target == b"/report":
+            writer.write(whole(200, {}, msgspec_json(self.load)))
+        elif request.target == b"/kv-list":
+            held = [["", part, 100, "m"] for part in self.held]
+            writer.write(whole(200, {}, msgspec_json({"epoch": 1, "next": 1, "held": held})))
+        else:
+            return False
+        await writer.drain()
+        return True
+
+    async def _read(self, parser: h11.Connection, reader: asyncio.StreamReader) -> Received | None:
+        head, body = None, b""
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(65536)
+                parser.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                assert head is not None
+                headers = {n.decode(): v.decode() for n, v in head.headers}
+                return Received(head.method, head.target, headers, body)
+            else:
+                return None
+
+
+def _next_parser(parser: h11.Connection) -> h11.Connection:
+    """Continues with the bytes that were not read yet."""
+    fresh = h11.Connection(h11.SERVER)
+    rest = parser.trailing_data[0]
+    if rest:
+        fresh.receive_data(rest)
+    return fresh
+
+
+def msgspec_json(value: object) -> bytes:
+    """Encodes a JSON body."""
+    return msgspec.json.encode(value)
+
+
+def whole(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Builds the bytes of a whole answer."""
+    lines = [f"HTTP/1.1 {status} X", f"content-length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def signed(request: Received, body: bytes = b"ok", status: int = 200) -> bytes:
+    """Builds the whole, signed answer to a request."""
+    return whole(status, {REQUEST_ID: request.headers[REQUEST_ID], SEAL: "s"}, body)
+
+
+def stream_head(request: Received, seal: str = "s") -> bytes:
+    """Builds the head of a streamed answer."""
+    return (
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
+        f"{REQUEST_ID}: {request.headers[REQUEST_ID]}\r\n{SEAL}: {seal}\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Frames bytes as one chunk."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def event(number: int) -> bytes:
+    """Builds the bytes of one event."""
+    return f"id: {number}\ndata: t{number}\n\n".encode()
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a gateway and scripted servers for each test."""
+
+    async def asyncSetUp(self) -> None:
+        self.cfg = GatewaySettings(
+            instance="e1",
+            data_centre="dc-a",
+            listen_host=HOST,
+            listen_port=0,
+            ready_host=HOST,
+            ready_port=0,
+            metrics_port=0,
+            key_trust=3.8,
+            stop_limit=8.0,
+        )
+        self.gateway = Gateway(self.cfg, PlatformDialect(), RequestJournal(GatewayMetrics()))
+        self.gateway.config.accept(table())
+        self.gateway.config.confirm(elapsed_time())
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self.gateway.connect, HOST, 0)
+        self.port = self._listener.sockets[0].getsockname()[1]
+        self.servers: list[ScriptedServer] = []
+        self._count = 0
+
+    async def asyncTearDown(self) -> None:
+        self._listener.close()
+        self.gateway.parts.pool.close()
+        for server in self.servers:
+            server.stop()
+
+    async def add(
+        self,
+        service: str,
+        answer: Callable[..., Awaitable[None]],
+        data_centre: str = "dc-a",
+        leaving: bool = False,
+    ) -> ScriptedServer:
+        """Starts a scripted server and registers it."""
+        server = ScriptedServer(f"s{len(self.servers)}", answer)
+        await server.start()
+        self.servers.append(server)
+        self.register(server, service, data_centre, leaving)
+        return server
+
+    def register(
+        self, server: ScriptedServer, service: str, data_centre: str = "dc-a", leaving: bool = False
+    ) -> None:
+        """Puts a server into the registry."""
+        self.gateway.parts.registry.put(
+            BackendServer(
+                server.server_id, service, HOST, server.port, data_centre, 6, leaving=leaving
+            )
+        )
+
+    def head(self, path: str, method: str = "POST", **extra: str) -> bytes:
+        """Builds the head of a caller's request without its body length."""
+        self._count += 1
+        headers = {
+            "host": "svc.example",
+            "x-sapphireledge-request-id": f"id{self._count}",
+            "x-sapphireledge-deadline-ms": "5000",
+            "authorization": f"Token {KEY}",
+            **{name.replace("_", "-"): value for name, value in extra.items()},
+        }
+        lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in headers.items() if v)]
+        return ("\r\n".join(lines) + "\r\n").encode()
+
+    async def call(self, path: str, body: bytes = b"x", **extra: str) -> Reply:
+        """Sends one request on a new connection and reads until the answer ends."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(self.head(path, **extra) + f"content-length: {len(body)}\r\n\r\n".encode())
+        writer.write(body)
+        try:
+            return await read_reply(reader)
+        finally:
+            writer.close()
+
+
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    """Reads one answer; an early end leaves it incomplete."""
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="POST", target="/", headers=[("host", "x")]))
+    parser.send(h11.EndOfMessage())
+    reply = Reply()
+    try:
+        while True:
+            part = parser.next_event()
+            if part is h11.NEED_DATA:
+                parser.receive_data(await asyncio.wait_for(reader.read(65536), 10))
+            elif isinstance(part, h11.Response):
+                reply.status = part.status_code
+                reply.headers = {n.decode(): v.decode() for n, v in part.headers}
+            elif isinstance(part, h11.Data):
+                reply.body += bytes(part.data)
+            elif isinstance(part, h11.EndOfMessage):
+                reply.complete = True
+                return reply
+            else:
+                return reply
+    except (ConnectionError, h11.RemoteProtocolError):
+        return reply
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,306 @@
+"""The adapter to the users' platform against a scripted store."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import tempfile
+import unittest
+from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+from gateway_case import GatewayCase, whole
+
+from sapphireledge.gateway import ReplayRule, elapsed_time
+from sapphireledge.platform import header_names
+from sapphireledge.platform.config_listener import ConfigListener
+from sapphireledge.platform.decode_config import decode_config
+from sapphireledge.platform.decode_report import decode_cache, decode_report
+from sapphireledge.platform.decode_server import decode_server
+from sapphireledge.platform.kind_watcher import KindWatcher
+from sapphireledge.platform.node_settings import load_node_settings
+from sapphireledge.platform.server_listener import ServerListener
+from sapphireledge.platform.store_client import StoreClient
+from sapphireledge.platform.store_settings import StoreSettings
+
+SOURCE = Path(__file__).resolve().parent.parent / "src" / "sapphireledge"
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "A.example",
+            "path_prefix": "/x/",
+            "kind": "streaming",
+            "timeout_ms": 25000,
+            "goal_ms": 4000,
+            "priority": 1,
+            "split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            "max_attempts": 5,
+            "resumable": True,
+            "sticky": True,
+        },
+        {
+            "name": "r2",
+            "host": "a.example",
+            "path_prefix": "/x/y/",
+            "kind": "unsafe",
+            "timeout_ms": 2500,
+            "service": "s1",
+            "anonymous": True,
+        },
+    ],
+    "services": [{"name": "s1", "max_conns": 110, "engine": {"backups": True, "slots": 64}}],
+    "limits": {"max_header_bytes": 99, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "priority": 3}],
+}
+
+SERVER = {
+    "service": "s1",
+    "address": "10.0.0.1:80",
+    "zone": "akl-a",
+    "slots": 6,
+    "state": "ready",
+    "seq": 1,
+    "born": 5,
+}
+
+NODE_FILE = {
+    "node_name": "n1",
+    "zone": "akl-a",
+    "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+    "bounds": {"revoke_ms": 5000, "grace_s": 8, "unknown": 1},
+    "platform": {"address": "10.0.0.9:70"},
+    "new_field": True,
+}
+
+
+class DecodeTest(unittest.TestCase):
+    def test_configuration(self):
+        """Guards against reading a field of the configuration for another one."""
+        table = decode_config(CONFIG)
+        route = table.match("a.example", "/x/1")
+        self.assertEqual((route.name, route.replay), ("r1", ReplayRule.EVENT_STREAM))
+        self.assertEqual(route.services, (("s1", 90), ("s2", 10)))
+        self.assertEqual((route.time_limit, route.target, route.rank), (25.0, 4.0, 1))
+        self.assertEqual(table.match("a.example", "/x/y/z").replay, ReplayRule.ONCE)
+        self.assertIsNone(table.match("b.example", "/x/1"))
+        self.assertEqual((table.keys["k2"].workspace, table.keys["k2"].rank), ("t1", 3))
+        self.assertTrue(table.services["s1"].standby_copies)
+        self.assertEqual(table.limits.idle_limit, 15.0)
+
+    def test_entries_of_other_writers_name_no_server(self):
+        """Guards against work for entries that cannot be read."""
+        self.assertEqual(decode_server("i1", SERVER).born, 5)
+        wrong = ({"state": "other"}, {"slots": "6"}, {"address": "x"}, {"service": None})
+        for change in wrong:
+            with self.subTest(change), self.assertRaises((msgspec.ValidationError, ValueError)):
+                decode_server("i1", {**SERVER, **change})
+        with self.assertRaises(msgspec.ValidationError):
+            decode_server("i1", "text")
+
+    def test_reports(self):
+        """Guards against misreading how many prompts an engine still reads."""
+        body = b'{"waiting":1,"running":2,"runs":[["a",9,0,5],["b",9,4,5]],"born":8}'
+        load = decode_report(body)
+        self.assertEqual((load.waiting, load.reading, load.running, load.born), (1, 1, 2, 8))
+        self.assertIsNone(decode_report(b"no"))
+        self.assertEqual(decode_cache(b'{"held":[["","aa",9,"m"]]}'), frozenset({"aa"}))
+
+    def test_settings_file(self):
+        """Guards against wrong settings that are used silently, and against new fields."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.json"
+            path.write_bytes(msgspec.json.encode(NODE_FILE))
+            cfg = load_node_settings(path)
+            self.assertEqual((cfg.store.host, cfg.store.port), ("10.0.0.9", 70))
+            self.assertLess(cfg.gateway.key_trust, 5.0)
+            path.write_bytes(msgspec.json.encode({**NODE_FILE, "zone": 3}))
+            with self.assertRaisesRegex(msgspec.ValidationError, "zone"):
+                load_node_settings(path)
+            path.write_bytes(msgspec.json.encode({**NODE_FILE, "platform": {"address": "x"}}))
+            with self.assertRaisesRegex(ValueError, "IP:PORT"):
+                load_node_settings(path)
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_names_of_the_wire_stay_in_the_adapter(self):
+        """Guards against names of the platform in the rest of the product."""
+        names = [value.decode() for value in vars(header_names).values() if type(value) is bytes]
+        names += ["path_prefix_", "max_conns", "api_keys", "kv_used", "store_revision", "goal_ms"]
+        own = {"last-event-id"}
+        pattern = re.compile("|".join(re.escape(name) for name in set(names) - own), re.I)
+        found = [
+            f"{path}:{number}"
+            for path in SOURCE.rglob("*.py")
+            if "platform" not in path.relative_to(SOURCE).parts
+            for number, line in enumerate(path.read_text().splitlines(), 1)
+            if pattern.search(line)
+        ]
+        self.assertEqual(found, [])
+
+
+class ScriptedStore:
+    """A store whose answers are given one by one."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.answers: list[tuple[int, object] | str] = []
+        self.port = 0
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.calls.append(head.split(" ")[1])
+                answer = self.answers.pop(0) if self.answers else "silent"
+                if answer == "silent":
+                    query = parse_qs(urlsplit(self.calls[-1]).query)
+                    if "wait_ms" not in query:
+                        await asyncio.sleep(30)
+                    await asyncio.sleep(int(query["wait_ms"][0]) / 1000)
+                    answer = (200, {"events": [], "store_revision": int(query["watch"][0])})
+                if answer == "lost":
+                    await asyncio.sleep(30)
+                writer.write(whole(answer[0], {}, msgspec.json.encode(answer[1])))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+def stored(name, spec):
+    return {"metadata": {"name": name, "revision": 1}, "spec": spec}
+
+
+def listing(*objects, revision=5, more=False):
+    return 200, {"items": list(objects), "more": more, "store_revision": revision}
+
+
+def change(name, spec=None, removed=False, revision=6):
+    event = {"removed": removed, "object": stored(name, spec)}
+    return 200, {"events": [event], "store_revision": revision}
+
+
+class WatchTest(GatewayCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.store = ScriptedStore()
+        await self.store.start()
+        self.store_cfg = StoreSettings(
+            "127.0.0.1",
+            self.store.port,
+            call_limit=0.2,
+            config_wait=0.2,
+            registry_wait=0.2,
+            confirm_wait=0.1,
+            settle_time=0.0,
+            retry_base=0.02,
+            retry_cap=0.05,
+            regain_grace=0.8,
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.store.stop()
+        await super().asyncTearDown()
+
+    async def watch(self, kind, listener, answers, seconds):
+        self.store.answers = answers
+        client = StoreClient(self.store_cfg)
+        watcher = KindWatcher(client, kind, 0.2, 0.0, self.store_cfg, listener)
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        client.close()
+
+    def server_listener(self):
+        return ServerListener(self.gateway, self.store_cfg)
+
+    async def test_pages_and_changes(self):
+        """Guards against lost pages of a listing and against lost changes."""
+        answers = [
+            listing(stored("i1", SERVER), more=True),
+            listing(stored("i2", SERVER), revision=9),
+            change("i1", removed=True),
+        ]
+        await self.watch("servers", self.server_listener(), answers, 0.3)
+        self.assertEqual(self.gateway.parts.registry.ids(), {"i2"})
+        self.assertIn("after_rev=i1", self.store.calls[1])
+        self.assertIn("watch=5", self.store.calls[2])
+
+    async def test_lost_history_is_listed_again(self):
+        """Guards against changes that were dropped from the store's history."""
+        answers = [listing(stored("i1", SERVER)), (410, {}), listing(stored("i3", SERVER))]
+        await self.watch("servers", self.server_listener(), answers, 0.3)
+        self.assertEqual(self.gateway.parts.registry.ids(), {"i3"})
+
+    async def test_unreadable_entry_does_not_hide_the_others(self):
+        """Guards against one foreign entry that stops the registry."""
+        answers = [listing(stored("bad", {"x": 1}), stored("i1", SERVER))]
+        await self.watch("servers", self.server_listener(), answers, 0.1)
+        self.assertEqual(self.gateway.parts.registry.ids(), {"i1"})
+
+    async def test_silent_connection_is_left(self):
+        """Guards against waiting for a connection that returns nothing further."""
+        answers = [listing(stored("i1", SERVER)), "lost", change("i2", SERVER)]
+        await self.watch("servers", self.server_listener(), answers, 0.8)
+        self.assertEqual(self.gateway.parts.registry.ids(), {"i1", "i2"})
+
+    async def test_entries_that_lapsed_during_an_outage_stay_for_a_while(self):
+        """Guards against running out of servers right after the store's return."""
+        outage = [(503, {})] * 3
+        answers = [listing(stored("i1", SERVER), stored("i2", SERVER)), *outage, (410, {})]
+        answers += [listing(), change("i1", SERVER)]
+        task = asyncio.create_task(self.watch("servers", self.server_listener(), answers, 1.6))
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.gateway.parts.registry.ids(), {"i1", "i2"})
+        await task
+        self.assertEqual(self.gateway.parts.registry.ids(), {"i1"})
+
+    async def test_entry_that_leaves_while_the_store_is_sound_is_gone_at_once(self):
+        """Guards against work for servers that have left."""
+        answers = [listing(stored("i1", SERVER)), change("i1", removed=True)]
+        await self.watch("servers", self.server_listener(), answers, 0.1)
+        self.assertEqual(self.gateway.parts.registry.ids(), frozenset())
+
+    async def test_restart_under_the_same_identity(self):
+        """Guards against counts of an earlier incarnation."""
+        answers = [listing(stored("i1", SERVER))]
+        await self.watch("servers", self.server_listener(), answers, 0.1)
+        self.gateway.parts.registry.state("i1").running = 3
+        await self.watch(
+            "servers", self.server_listener(), [change("i1", {**SERVER, "born": 6})], 0.1
+        )
+        await self.watch(
+            "servers", self.server_listener(), [listing(stored("i1", {**SERVER, "born": 6}))], 0.1
+        )
+        self.assertEqual(self.gateway.parts.registry.state("i1").running, 0)
+
+    async def test_configuration_is_confirmed_by_watches(self):
+        """Guards against trusting keys for longer than the store was asked."""
+        listener = ConfigListener(self.gateway.config)
+        self.gateway.config._confirmed = float("-inf")
+        began = elapsed_time()
+        answers = [listing(stored("main", CONFIG)), "silent"]
+        await self.watch("config", listener, answers, 0.35)
+        self.assertEqual(self.gateway.config.table.version, 7)
+        self.assertGreaterEqual(self.gateway.config._confirmed, began + 0.2)
+        self.assertLessEqual(self.gateway.config._confirmed, elapsed_time())
+
+    async def test_unreadable_configuration_leaves_the_old_one_in_force(self):
+        """Guards against a process that stops or forgets its routes."""
+        listener = ConfigListener(self.gateway.config)
+        broken = {**CONFIG, "version": 8, "routes": "none"}
+        await self.watch("config", listener, [listing(stored("main", broken))], 0.1)
+        self.assertEqual(self.gateway.config.table.version, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
