Let one instance of each data centre read the store for the others

Instances announce themselves in the store once. Each follows the first sound one before it and reads the store itself if there is none; the age of the configuration travels with it.

Ruled out: stale reads alone (they may be seconds old, too late for keys and leaving servers), longer watches (they bound the age of keys).

--- /dev/null
+++ b/src/sapphireledge/feed/__init__.py
@@ -0,0 +1,29 @@
+"""Objects of the store, read by few instances and passed on to the others."""
+
+from __future__ import annotations
+
+from sapphireledge.feed.feed_runner import FeedRunner
+from sapphireledge.feed.feed_settings import FeedSettings, KindSettings
+from sapphireledge.feed.kind_feed import KindFeed
+from sapphireledge.feed.kind_listener import KindListener
+from sapphireledge.feed.kind_watcher import KindWatcher
+from sapphireledge.feed.object_source import ObjectSource
+from sapphireledge.feed.peer import Peer
+from sapphireledge.feed.peer_directory import PeerDirectory
+from sapphireledge.feed.source_error import SourceError
+from sapphireledge.feed.store_page import StoredEntry, StorePage
+
+__all__ = [
+    "FeedRunner",
+    "FeedSettings",
+    "KindFeed",
+    "KindListener",
+    "KindSettings",
+    "KindWatcher",
+    "ObjectSource",
+    "Peer",
+    "PeerDirectory",
+    "SourceError",
+    "StorePage",
+    "StoredEntry",
+]
--- /dev/null
+++ b/src/sapphireledge/feed/feed_channel.py
@@ -0,0 +1,53 @@
+"""Length-prefixed messages on a stream."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TypeVar
+
+import msgspec
+
+from sapphireledge.feed.source_error import SourceError
+
+__all__ = ["read_message", "write_message"]
+
+LENGTH_BYTES = 4
+"""Bytes of the length, most significant first."""
+
+MAX_MESSAGE = 16_777_216
+"""Largest message in bytes; a listing of the largest expected fleet has about one megabyte."""
+
+Message = TypeVar("Message")
+
+
+async def read_message(reader: asyncio.StreamReader, kind: type[Message]) -> Message:
+    """Reads one message.
+
+    Args:
+        reader: Stream.
+        kind: Type of the message.
+
+    Returns:
+        The message.
+
+    Raises:
+        SourceError: The stream ended, or the message cannot be read.
+    """
+    try:
+        length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+        if length > MAX_MESSAGE:
+            raise SourceError(f"a message of {length} bytes")
+        return msgspec.msgpack.decode(await reader.readexactly(length), type=kind)
+    except (OSError, asyncio.IncompleteReadError, msgspec.MsgspecError) as exc:
+        raise SourceError(f"no message: {exc!r}") from exc
+
+
+def write_message(writer: asyncio.StreamWriter, message: object) -> None:
+    """Queues one message.
+
+    Args:
+        writer: Stream.
+        message: The message.
+    """
+    data = msgspec.msgpack.encode(message)
+    writer.write(len(data).to_bytes(LENGTH_BYTES, "big") + data)
--- /dev/null
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -0,0 +1,81 @@
+"""Follows another instance instead of the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sapphireledge.feed.feed_channel import read_message, write_message
+from sapphireledge.feed.feed_message import FeedAnswer, FeedRequest
+from sapphireledge.feed.source_error import SourceError
+from sapphireledge.feed.store_page import StoredEntry, StorePage
+from sapphireledge.gateway import elapsed_time
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sapphireledge.feed.feed_settings import FeedSettings
+    from sapphireledge.feed.kind_feed import KindFeed
+    from sapphireledge.feed.peer import Peer
+
+__all__ = ["FeedFollower"]
+
+
+class FeedFollower:
+    """Takes up what a relay passes on, for as long as the relay is sound."""
+
+    def __init__(self, cfg: FeedSettings, feeds: Mapping[str, KindFeed]) -> None:
+        self._cfg = cfg
+        self._feeds = feeds
+        self.answers = 0
+        """Answers taken from the current relay."""
+
+    async def follow(self, peer: Peer) -> str:
+        """Follows a relay until it fails.
+
+        Args:
+            peer: Instance that reads the store.
+
+        Returns:
+            Why it was left.
+        """
+        self.answers = 0
+        try:
+            async with asyncio.timeout(self._cfg.connect_limit):
+                reader, writer = await asyncio.open_connection(peer.host, peer.port)
+        except (OSError, TimeoutError) as exc:
+            return f"cannot connect: {exc!r}"
+        try:
+            while True:
+                await self._ask(reader, writer)
+        except SourceError as exc:
+            return str(exc)
+        finally:
+            writer.transport.abort()
+
+    async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Asks once and takes up the answer."""
+        asked = elapsed_time()
+        revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
+        write_message(writer, FeedRequest(revisions))
+        try:
+            async with asyncio.timeout(self._cfg.answer_limit):
+                answer = await read_message(reader, FeedAnswer)
+        except TimeoutError as exc:
+            raise SourceError("the relay is silent") from exc
+        if not answer.kinds:
+            raise SourceError("the relay does not read the store")
+        self.answers += 1
+        for kind, part in answer.kinds.items():
+            feed = self._feeds.get(kind)
+            if feed is None:
+                continue
+            page = StorePage(
+                tuple(StoredEntry(e.name, e.spec, e.removed) for e in part.entries), part.revision
+            )
+            # The answer was made no earlier than `waited` after the question was sent.
+            moment = asked + answer.waited - part.age
+            if part.whole:
+                feed.take_listing(page, moment)
+            else:
+                feed.take_changes(page, moment)
--- /dev/null
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -0,0 +1,158 @@
+"""Decides whether an instance reads the store or follows another instance."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+import xxhash
+
+from sapphireledge.feed.feed_follower import FeedFollower
+from sapphireledge.feed.feed_server import FeedServer
+from sapphireledge.feed.source_error import SourceError
+from sapphireledge.gateway import GatewayEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from sapphireledge.feed.feed_settings import FeedSettings
+    from sapphireledge.feed.kind_feed import KindFeed
+    from sapphireledge.feed.kind_watcher import KindWatcher
+    from sapphireledge.feed.peer import Peer
+    from sapphireledge.feed.peer_directory import PeerDirectory
+
+__all__ = ["FeedRunner"]
+
+
+EARLY_READINGS = (1.0, 3.0)
+"""Pauses in seconds between the first readings of the list of instances; those that start at the
+same time announce themselves meanwhile."""
+
+
+class FeedRunner:
+    """Keeps the feeds up to date with few calls to the store.
+
+    The instances of a data centre have a fixed order. Each follows the first one before it that is
+    sound, and reads the store itself if there is none. There is no election and nothing to agree
+    on: two instances that both read the store cost some calls and no more.
+    """
+
+    def __init__(
+        self,
+        cfg: FeedSettings,
+        own: Peer,
+        feeds: Mapping[str, KindFeed],
+        watchers: Sequence[KindWatcher],
+        directory: PeerDirectory,
+    ) -> None:
+        """Creates the runner.
+
+        Args:
+            cfg: Settings.
+            own: Description of this instance.
+            feeds: Feeds by kind.
+            watchers: Watcher of each kind.
+            directory: List of instances.
+        """
+        self._cfg = cfg
+        self._own = own
+        self._watchers = watchers
+        self._directory = directory
+        self._follower = FeedFollower(cfg, feeds)
+        self._server = FeedServer(cfg, feeds, self._is_source)
+        self._before: list[Peer] = []
+        self._avoid: dict[str, float] = {}
+        self._stopping = False
+        self._log = structlog.get_logger()
+
+    async def run(self) -> None:
+        """Keeps the feeds up to date until the task is cancelled."""
+        server = await asyncio.start_server(self._server.serve, self._cfg.host, self._cfg.port)
+        directory = asyncio.create_task(self._read_directory())
+        try:
+            while True:
+                peer = self._next_peer()
+                if peer is None:
+                    await self._read_store()
+                else:
+                    await self._follow(peer)
+        finally:
+            directory.cancel()
+            server.close()
+
+    def stop_relaying(self) -> None:
+        """Sends followers to other instances before a planned stop."""
+        self._stopping = True
+
+    def _is_source(self) -> bool:
+        """Whether this instance reads the store now, without failures."""
+        return not self._stopping and all(watcher.is_sound for watcher in self._watchers)
+
+    def _next_peer(self) -> Peer | None:
+        """Finds the first instance before this one that did not fail lately."""
+        now = asyncio.get_running_loop().time()
+        for peer in self._before:
+            if self._avoid.get(peer.name, 0.0) <= now:
+                return peer
+        return None
+
+    async def _follow(self, peer: Peer) -> None:
+        """Follows an instance until it fails."""
+        reason = await self._follower.follow(peer)
+        self._avoid[peer.name] = asyncio.get_running_loop().time() + self._cfg.avoid_time
+        if self._follower.answers:
+            self._log.info(GatewayEvent.RELAY_LOST, relay=peer.name, reason=reason)
+
+    async def _read_store(self) -> None:
+        """Reads the store until an instance before this one may be followed again."""
+        tasks = [asyncio.create_task(watcher.run()) for watcher in self._watchers]
+        try:
+            await asyncio.sleep(self._cfg.recheck_period)
+            while not await self._is_relayed():
+                await asyncio.sleep(self._cfg.recheck_period)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _is_relayed(self) -> bool:
+        """Whether an instance before this one relays, so that the store need not be read."""
+        peer = self._next_peer()
+        if peer is None:
+            return False
+        probe = asyncio.create_task(self._follower.follow(peer))
+        await asyncio.wait({probe}, timeout=self._cfg.answer_period)
+        if probe.done() or not self._follower.answers:
+            probe.cancel()
+            self._avoid[peer.name] = asyncio.get_running_loop().time() + self._cfg.avoid_time
+            return False
+        probe.cancel()
+        self._log.info(GatewayEvent.RELAY_FOUND, relay=peer.name)
+        return True
+
+    async def _read_directory(self) -> None:
+        """Announces this instance and learns of the others."""
+        announced = False
+        pauses = list(EARLY_READINGS)
+        while True:
+            try:
+                if not announced:
+                    await self._directory.announce(self._own)
+                    announced = True
+                self._before = self._preceding(await self._directory.peers())
+            except SourceError as exc:
+                self._log.warning(GatewayEvent.STORE_LOST, kind="peers", reason=str(exc))
+                await asyncio.sleep(self._cfg.recheck_period)
+                continue
+            await asyncio.sleep(pauses.pop(0) if pauses else self._cfg.directory_period)
+
+    def _preceding(self, peers: Sequence[Peer]) -> list[Peer]:
+        """Orders the instances of the data centre that come before this one."""
+        own = _order(self._own)
+        local = [peer for peer in peers if peer.data_centre == self._own.data_centre]
+        return sorted((peer for peer in local if _order(peer) < own), key=_order)
+
+
+def _order(peer: Peer) -> tuple[float, int]:
+    """Order of instances: the fastest links first, because a relay sends to all others."""
+    return -peer.link, xxhash.xxh3_64_intdigest(peer.name.encode())
--- /dev/null
+++ b/src/sapphireledge/feed/feed_server.py
@@ -0,0 +1,99 @@
+"""Answers instances of the same data centre that follow this one."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sapphireledge.feed.feed_channel import read_message, write_message
+from sapphireledge.feed.feed_message import FeedAnswer, FeedEntry, FeedRequest, KindAnswer
+from sapphireledge.feed.source_error import SourceError
+from sapphireledge.gateway import elapsed_time
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from sapphireledge.feed.feed_settings import FeedSettings
+    from sapphireledge.feed.kind_feed import KindFeed
+
+__all__ = ["FeedServer"]
+
+
+class FeedServer:
+    """Passes on what this instance reads from the store."""
+
+    def __init__(
+        self, cfg: FeedSettings, feeds: Mapping[str, KindFeed], is_source: Callable[[], bool]
+    ) -> None:
+        """Creates the server.
+
+        Args:
+            cfg: Settings.
+            feeds: Feeds by kind.
+            is_source: Whether this instance reads the store itself now, without failures.
+        """
+        self._cfg = cfg
+        self._feeds = feeds
+        self._is_source = is_source
+        self._progress = asyncio.Event()
+        for feed in feeds.values():
+            feed.on_progress = self._wake
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serves one follower.
+
+        Args:
+            reader: Bytes of the follower.
+            writer: Bytes to the follower.
+        """
+        try:
+            while True:
+                request = await read_message(reader, FeedRequest)
+                write_message(writer, await self._answer(request))
+                await writer.drain()
+        except (SourceError, OSError):
+            # The follower went to another relay or ended.
+            pass
+        finally:
+            writer.close()
+
+    def _wake(self) -> None:
+        """Answers every waiting follower."""
+        self._progress.set()
+        self._progress = asyncio.Event()
+
+    async def _answer(self, request: FeedRequest) -> FeedAnswer:
+        """Waits for something new and collects it."""
+        arrived = elapsed_time()
+        if self._is_source() and not self._has_news(request):
+            try:
+                async with asyncio.timeout(self._cfg.answer_period):
+                    await self._progress.wait()
+            except TimeoutError:
+                # An answer without news tells the follower that this instance still runs.
+                pass
+        waited = elapsed_time() - arrived
+        if not self._is_source():
+            return FeedAnswer(waited, {})
+        return FeedAnswer(
+            waited,
+            {
+                kind: self._kind_answer(feed, request.revisions.get(kind))
+                for kind, feed in self._feeds.items()
+            },
+        )
+
+    def _has_news(self, request: FeedRequest) -> bool:
+        """Whether a follower lacks something; it may also be ahead after a change of its relay."""
+        for kind, feed in self._feeds.items():
+            known = request.revisions.get(kind)
+            if feed.revision is not None and (known is None or feed.revision > known):
+                return True
+        return False
+
+    def _kind_answer(self, feed: KindFeed, revision: int | None) -> KindAnswer:
+        """Collects what a follower lacks of one kind."""
+        whole, entries = feed.since(revision)
+        assert feed.revision is not None
+        parts = [FeedEntry(entry.name, entry.spec, entry.removed) for entry in entries]
+        return KindAnswer(feed.revision, feed.age, whole, parts)
--- /dev/null
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -0,0 +1,62 @@
+"""Settings of the feed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["FeedSettings", "KindSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class KindSettings:
+    """How one kind is watched; times are in seconds."""
+
+    kind: str
+    """Name of the kind."""
+
+    wait: float
+    """Time that the store holds a watch."""
+
+    settle_time: float
+    """Pause after changes, so that the next call collects several; each call is charged."""
+
+
+@dataclass(frozen=True, slots=True)
+class FeedSettings:
+    """Times that the feed keeps, in seconds."""
+
+    kinds: tuple[KindSettings, ...]
+    """Kinds that are followed."""
+
+    host: str
+    """IP address of this instance."""
+
+    port: int
+    """Port for instances that follow this one."""
+
+    confirm_wait: float = 0.5
+    """Time that the store holds the first watch after changes."""
+
+    retry_base: float = 0.1
+    """First pause after a failed call."""
+
+    retry_cap: float = 0.6
+    """Longest pause after failed calls; keys are trusted for 3.8 s without a confirmation."""
+
+    answer_period: float = 0.7
+    """Longest time between two answers to a follower."""
+
+    answer_limit: float = 1.0
+    """Silence after which a follower leaves its relay: `answer_period` and a retransmission."""
+
+    connect_limit: float = 0.3
+    """Time to connect to a relay in the same data centre."""
+
+    avoid_time: float = 4.0
+    """Time for which a relay that failed is not asked again."""
+
+    recheck_period: float = 4.0
+    """Time after which an instance that reads the store itself looks for a relay again."""
+
+    directory_period: float = 15.0
+    """Time between two readings of the list of instances."""
--- /dev/null
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -0,0 +1,127 @@
+"""Objects of one kind as an instance knows them."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from sapphireledge.feed.store_page import StoredEntry
+from sapphireledge.gateway import elapsed_time
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from sapphireledge.feed.kind_listener import KindListener
+    from sapphireledge.feed.store_page import StorePage
+
+__all__ = ["KindFeed"]
+
+MAX_CHANGES = 1_000
+"""Changes remembered for followers; one that is further behind receives the whole listing."""
+
+
+class KindFeed:
+    """Holds the objects of one kind, passes changes to a listener and remembers recent ones.
+
+    Revisions are those of the store, so that a follower can go on at any other instance.
+    """
+
+    def __init__(self, kind: str, listener: KindListener) -> None:
+        """Creates an empty feed.
+
+        Args:
+            kind: Name of the kind.
+            listener: Receiver of listings and changes.
+        """
+        self.kind = kind
+        """Name of the kind."""
+
+        self.revision: int | None = None
+        """Revision up to which the objects are known, None before the first listing."""
+
+        self.confirmed = float("-inf")
+        """Moment of `elapsed_time` up to which nothing is missing."""
+
+        self.on_progress: Callable[[], None] = lambda: None
+        """Hears of changes and confirmations."""
+
+        self._listener = listener
+        self._objects: dict[str, object] = {}
+        self._changes: deque[tuple[int, StoredEntry]] = deque()
+        self._oldest = 0
+
+    @property
+    def age(self) -> float:
+        """Seconds since nothing was missing, infinite before the first listing."""
+        return elapsed_time() - self.confirmed
+
+    def take_listing(self, page: StorePage, moment: float) -> None:
+        """Takes up every object of the kind.
+
+        Args:
+            page: The whole listing.
+            moment: Moment of `elapsed_time` that it reflects at least.
+        """
+        if self.revision is not None and page.revision < self.revision:
+            return
+        found = {entry.name: entry.spec for entry in page.entries}
+        removed = [StoredEntry(name, None, True) for name in self._objects.keys() - found.keys()]
+        changed = [entry for entry in page.entries if self._is_new(entry)]
+        if self.revision is None:
+            self._oldest = page.revision
+        self._remember(page.revision, [*removed, *changed])
+        self._listener.replace_all(page.entries)
+        self._finish(page.revision, moment)
+
+    def take_changes(self, page: StorePage, moment: float) -> None:
+        """Takes up changes.
+
+        Args:
+            page: Changed and removed objects.
+            moment: Moment of `elapsed_time` that they reflect at least.
+        """
+        if self.revision is not None and page.revision < self.revision:
+            return
+        self._remember(page.revision, page.entries)
+        self._listener.apply(page.entries)
+        self._finish(page.revision, moment)
+
+    def regained(self) -> None:
+        """Hears that the store answers again after a failure."""
+        self._listener.on_regained()
+
+    def since(self, revision: int | None) -> tuple[bool, tuple[StoredEntry, ...]]:
+        """Collects what a follower lacks.
+
+        Args:
+            revision: Revision up to which it knows the objects, None for nothing.
+
+        Returns:
+            Whether this is the whole listing, and the entries.
+        """
+        if revision is None or revision < self._oldest:
+            return True, tuple(StoredEntry(name, spec) for name, spec in self._objects.items())
+        return False, tuple(entry for at, entry in self._changes if at > revision)
+
+    def _is_new(self, entry: StoredEntry) -> bool:
+        """Whether an entry differs from what is known."""
+        return entry.name not in self._objects or self._objects[entry.name] != entry.spec
+
+    def _remember(self, revision: int, entries: Iterable[StoredEntry]) -> None:
+        """Applies changes to the objects and keeps them for followers."""
+        for entry in entries:
+            if entry.removed:
+                self._objects.pop(entry.name, None)
+            else:
+                self._objects[entry.name] = entry.spec
+            self._changes.append((revision, entry))
+        while len(self._changes) > MAX_CHANGES:
+            self._oldest = self._changes.popleft()[0]
+
+    def _finish(self, revision: int, moment: float) -> None:
+        """Notes the revision and the moment that were reached."""
+        self.revision = revision
+        if moment > self.confirmed:
+            self.confirmed = moment
+            self._listener.confirm(moment)
+        self.on_progress()
--- a/src/sapphireledge/platform/kind_listener.py
+++ b/src/sapphireledge/feed/kind_listener.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from sapphireledge.platform.store_page import StoredEntry
+    from sapphireledge.feed.store_page import StoredEntry
 
 __all__ = ["KindListener"]
 
--- /dev/null
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -0,0 +1,110 @@
+"""Continuous view of the objects of one kind, read from the store."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+import structlog
+
+from sapphireledge.feed.source_error import SourceError
+from sapphireledge.gateway import GatewayEvent, elapsed_time
+
+if TYPE_CHECKING:
+    from sapphireledge.feed.feed_settings import FeedSettings, KindSettings
+    from sapphireledge.feed.kind_feed import KindFeed
+    from sapphireledge.feed.object_source import ObjectSource
+
+__all__ = ["KindWatcher"]
+
+
+class KindWatcher:
+    """Lists the objects of a kind and then watches them."""
+
+    def __init__(
+        self, source: ObjectSource, feed: KindFeed, kind: KindSettings, cfg: FeedSettings
+    ) -> None:
+        """Creates a watcher.
+
+        Args:
+            source: Source with a connection of its own.
+            feed: Receiver of listings and changes.
+            kind: Settings of the kind.
+            cfg: Settings of the feed.
+        """
+        self.is_sound = False
+        """Whether the last call succeeded."""
+
+        self._source = source
+        self._feed = feed
+        self._kind = kind
+        self._cfg = cfg
+        self._rng = Random()
+        self._log = structlog.get_logger()
+        self._needs_listing = False
+        self._failures = 0
+        self._changed = False
+        self._lost = False
+        self._last_success = elapsed_time()
+
+    async def run(self) -> None:
+        """Lists and watches until the task is cancelled."""
+        try:
+            while True:
+                try:
+                    await self._step()
+                except SourceError as exc:
+                    await self._back_off(exc)
+        finally:
+            self.is_sound = False
+
+    async def _step(self) -> None:
+        """Makes one call."""
+        began = elapsed_time()
+        revision = self._feed.revision
+        if revision is None or self._needs_listing:
+            page = await self._source.list(self._kind.kind)
+            self._note_success()
+            self._needs_listing = False
+            self._feed.take_listing(page, began)
+            return
+        # A watch that ends with changes confirms only its start, so the next one is short.
+        wait = self._cfg.confirm_wait if self._changed else self._kind.wait
+        changes = await self._source.watch(self._kind.kind, revision, wait)
+        self._note_success()
+        if changes is None:
+            self._needs_listing = True
+            return
+        # A watch without events was open at the store until its time was over.
+        self._changed = bool(changes.entries)
+        waited = 0.0 if self._changed else wait
+        self._feed.take_changes(changes, min(began + waited, elapsed_time()))
+        if self._changed:
+            await asyncio.sleep(self._kind.settle_time)
+
+    def _note_success(self) -> None:
+        """Reports the return of the store."""
+        now = elapsed_time()
+        if self._lost:
+            self._lost = False
+            self._feed.regained()
+            self._log.info(
+                GatewayEvent.STORE_REGAINED,
+                kind=self._kind.kind,
+                away_s=round(now - self._last_success, 3),
+            )
+        self.is_sound = True
+        self._last_success = now
+        self._failures = 0
+
+    async def _back_off(self, exc: SourceError) -> None:
+        """Reports the loss of the store and waits a jittered, growing time."""
+        self.is_sound = False
+        self._feed.on_progress()
+        if not self._lost:
+            self._lost = True
+            self._log.warning(GatewayEvent.STORE_LOST, kind=self._kind.kind, reason=str(exc))
+        pause = min(self._cfg.retry_cap, self._cfg.retry_base * 2**self._failures)
+        self._failures = min(self._failures + 1, 8)
+        await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
--- /dev/null
+++ b/src/sapphireledge/feed/object_source.py
@@ -0,0 +1,44 @@
+"""Source of objects by kind."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from sapphireledge.feed.store_page import StorePage
+
+__all__ = ["ObjectSource"]
+
+
+class ObjectSource(Protocol):
+    """Implemented by the client of the platform's store."""
+
+    async def list(self, kind: str) -> StorePage:
+        """Reads all objects of a kind.
+
+        Args:
+            kind: Kind of the objects.
+
+        Returns:
+            The objects and the revision to watch from.
+
+        Raises:
+            SourceError: The source did not answer, or refused.
+        """
+        ...
+
+    async def watch(self, kind: str, revision: int, wait: float) -> StorePage | None:
+        """Waits for changes of a kind.
+
+        Args:
+            kind: Kind of the objects.
+            revision: Revision up to which changes are known.
+            wait: Seconds that the source waits for a change.
+
+        Returns:
+            Changes, none if there were none in time, or None if the history does not reach back.
+
+        Raises:
+            SourceError: The source did not answer, or refused.
+        """
+        ...
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -31,6 +31,12 @@
     STORE_REGAINED = "store_regained"
     """Calls to the store succeed again."""
 
+    RELAY_FOUND = "relay_found"
+    """Another instance is followed in place of the store."""
+
+    RELAY_LOST = "relay_lost"
+    """The followed instance failed."""
+
     CONFIG_APPLIED = "config_applied"
     """A newer configuration is in force."""
 
--- a/src/sapphireledge/platform/config_listener.py
+++ b/src/sapphireledge/platform/config_listener.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from sapphireledge.feed import StoredEntry
     from sapphireledge.gateway import ConfigView
-    from sapphireledge.platform.store_page import StoredEntry
 
 __all__ = ["ConfigListener"]
 
--- a/src/sapphireledge/platform/decode_server.py
+++ b/src/sapphireledge/platform/decode_server.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sapphireledge.gateway import BackendServer
-from sapphireledge.platform.node_settings import split_address
+from sapphireledge.platform.split_address import split_address
 
 __all__ = ["decode_server"]
 
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -12,6 +12,7 @@
 import msgspec
 import structlog
 
+from sapphireledge.feed import FeedRunner, KindFeed, KindWatcher
 from sapphireledge.gateway import (
     BoundedLog,
     Gateway,
@@ -21,7 +22,6 @@
     RequestJournal,
 )
 from sapphireledge.platform.config_listener import ConfigListener
-from sapphireledge.platform.kind_watcher import KindWatcher
 from sapphireledge.platform.node_settings import NodeSettings, load_node_settings
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from sapphireledge.platform.server_listener import ServerListener
@@ -57,30 +57,33 @@
     metrics = GatewayMetrics()
     gateway = Gateway(cfg.gateway, PlatformDialect(), RequestJournal(metrics))
     server = GatewayServer(gateway, metrics)
-    store = cfg.store
-    config = ConfigListener(gateway.config)
-    registry = ServerListener(gateway, store)
-    watchers = [
-        KindWatcher(_client(cfg, metrics), "config", store.config_wait, 0.0, store, config),
-        KindWatcher(
-            _client(cfg, metrics),
-            "servers",
-            store.registry_wait,
-            store.settle_time,
-            store,
-            registry,
-        ),
-    ]
+    runner = _feed_runner(cfg, gateway, metrics)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, server.request_stop)
+        loop.add_signal_handler(number, _stop, server, runner)
     loop.add_signal_handler(signal.SIGHUP, _reload)
-    tasks = [asyncio.create_task(watcher.run()) for watcher in watchers]
+    feed = asyncio.create_task(runner.run())
     try:
         await server.run()
     finally:
-        for task in tasks:
-            task.cancel()
+        feed.cancel()
+
+
+def _feed_runner(cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics) -> FeedRunner:
+    """Connects the store to configuration and registry of the gateway."""
+    listeners = {"config": ConfigListener(gateway.config), "servers": ServerListener(gateway)}
+    feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
+    watchers = [
+        KindWatcher(_client(cfg, metrics), feeds[kind.kind], kind, cfg.feed)
+        for kind in cfg.feed.kinds
+    ]
+    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, _client(cfg, metrics))
+
+
+def _stop(server: GatewayServer, runner: FeedRunner) -> None:
+    """Begins a planned stop."""
+    runner.stop_relaying()
+    server.request_stop()
 
 
 def _client(cfg: NodeSettings, metrics: GatewayMetrics) -> StoreClient:
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from sapphireledge.feed import FeedSettings, KindSettings, Peer
 from sapphireledge.gateway import GatewaySettings
+from sapphireledge.platform.split_address import split_address
 from sapphireledge.platform.store_settings import StoreSettings
 
 __all__ = ["NodeSettings", "load_node_settings"]
@@ -21,6 +23,19 @@
 """
 
 
+CONFIG_WAIT = 2.4
+"""Seconds that the store holds a watch on the configuration. A watch that ends without events
+confirms the configuration, so this bounds its age; each call is charged."""
+
+REGISTRY_WAIT = 3.0
+"""Seconds that the store holds a watch on the backend servers. With the limit of a call it stays
+below the 4 s after which rules hold again when a connection fell silent."""
+
+REGISTRY_SETTLE = 1.2
+"""Seconds after changes of backend servers in which further ones are collected. Less than half of
+the 3 s within which a leaving server must receive no more work."""
+
+
 class _Listen(msgspec.Struct):
     """Addresses to listen on."""
 
@@ -41,6 +56,12 @@
     address: str
 
 
+class _Limits(msgspec.Struct):
+    """What the machine has."""
+
+    link_mbps: float = 0.0
+
+
 class _NodeFile(msgspec.Struct):
     """The file; fields that are not named here are ignored."""
 
@@ -48,6 +69,8 @@
     zone: str
     listen: _Listen
     platform: _Store
+    port_range: tuple[int, int]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -60,6 +83,12 @@
     store: StoreSettings
     """Settings of the store's client."""
 
+    feed: FeedSettings
+    """Settings of the feed."""
+
+    peer: Peer
+    """Description of this instance for the others."""
+
 
 def load_node_settings(path: Path) -> NodeSettings:
     """Reads and checks the settings file.
@@ -90,22 +119,13 @@
         key_trust=file.bounds.revoke_ms / 1000.0 - KEY_TRUST_MARGIN,
         stop_limit=file.bounds.grace_s,
     )
-    return NodeSettings(gateway, StoreSettings(store_host, store_port))
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Splits an address.
-
-    Args:
-        address: IP:PORT.
-
-    Returns:
-        IP address and port.
-
-    Raises:
-        ValueError: It has another form.
-    """
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{address!r} is not IP:PORT")
-    return host, int(port)
+    feed = FeedSettings(
+        kinds=(
+            KindSettings("config", CONFIG_WAIT, 0.0),
+            KindSettings("servers", REGISTRY_WAIT, REGISTRY_SETTLE),
+        ),
+        host=listen_host,
+        port=file.port_range[0],
+    )
+    peer = Peer(file.node_name, listen_host, feed.port, file.zone, file.limits.link_mbps)
+    return NodeSettings(gateway, StoreSettings(store_host, store_port), feed, peer)
--- a/src/sapphireledge/platform/server_listener.py
+++ b/src/sapphireledge/platform/server_listener.py
@@ -14,13 +14,16 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from sapphireledge.feed import StoredEntry
     from sapphireledge.gateway import Gateway
-    from sapphireledge.platform.store_page import StoredEntry
-    from sapphireledge.platform.store_settings import StoreSettings
 
 __all__ = ["ServerListener"]
 
 
+REGAIN_GRACE = 2.2
+"""Seconds; backend servers whose entries lapsed register again within about 2 s."""
+
+
 class ServerListener:
     """Implements `KindListener` for backend servers.
 
@@ -28,9 +31,15 @@
     backend server had the time to register again.
     """
 
-    def __init__(self, gateway: Gateway, cfg: StoreSettings) -> None:
+    def __init__(self, gateway: Gateway, regain_grace: float = REGAIN_GRACE) -> None:
+        """Creates the listener.
+
+        Args:
+            gateway: Gateway whose registry is kept.
+            regain_grace: Seconds after the store's return in which missing entries stay in use.
+        """
         self._parts = gateway.parts
-        self._cfg = cfg
+        self._regain_grace = regain_grace
         self._log = structlog.get_logger()
         self._grace_until = float("-inf")
         self._missing: dict[str, asyncio.TimerHandle] = {}
@@ -54,7 +63,7 @@
 
     def on_regained(self) -> None:
         """Begins the time in which missing entries may come back."""
-        self._grace_until = asyncio.get_running_loop().time() + self._cfg.regain_grace
+        self._grace_until = asyncio.get_running_loop().time() + self._regain_grace
 
     def _on_entry(self, entry: StoredEntry) -> None:
         """Takes up one entry; one that cannot be read names no backend server."""
--- /dev/null
+++ b/src/sapphireledge/platform/split_address.py
@@ -0,0 +1,23 @@
+"""Addresses in the form IP:PORT."""
+
+from __future__ import annotations
+
+__all__ = ["split_address"]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits an address.
+
+    Args:
+        address: IP:PORT.
+
+    Returns:
+        IP address and port.
+
+    Raises:
+        ValueError: It has another form.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{address!r} is not IP:PORT")
+    return host, int(port)
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -8,8 +8,8 @@
 import h11
 import msgspec
 
-from sapphireledge.platform.store_error import StoreError
-from sapphireledge.platform.store_page import StoredEntry, StorePage
+from sapphireledge.feed import Peer, SourceError, StoredEntry, StorePage
+from sapphireledge.platform.split_address import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +26,15 @@
 GONE = 410
 """Status by which the store says that its history does not reach back far enough."""
 
+CONFLICT = 409
+"""Status by which the store says that an object exists or has changed; the object follows."""
+
+ACCEPTED = frozenset({"200", "201", str(CONFLICT), str(GONE)})
+"""Statuses that are answers; any other one is a failure of the call."""
+
+PEER_KIND = "entry-instances"
+"""Kind of the system's own objects that describe its instances."""
+
 
 class _Metadata(msgspec.Struct):
     name: str
@@ -36,6 +45,14 @@
     spec: Any = None
 
 
+class _Instance(msgspec.Struct):
+    """Description of an instance of the system."""
+
+    address: str
+    data_centre: str
+    link_mbps: float
+
+
 class _Event(msgspec.Struct):
     object: _Object
     removed: bool = False
@@ -77,47 +94,30 @@
         self._parser = h11.Connection(h11.CLIENT)
 
     async def list(self, kind: str) -> StorePage:
-        """Reads all objects of a kind.
+        """Reads all objects of a kind; see `ObjectSource.list`."""
+        return await self._list(kind, "")
 
-        Args:
-            kind: Kind of the objects.
-
-        Returns:
-            The objects and the revision to watch from.
-
-        Raises:
-            StoreError: The store did not answer, or refused.
-        """
+    async def _list(self, kind: str, query: str) -> StorePage:
+        """Reads all pages."""
         entries: list[StoredEntry] = []
         revision: int | None = None
-        path = f"/objects/{kind}"
+        path = f"/objects/{kind}{query}"
         while True:
-            body = await self._call("list", path, self._cfg.call_limit)
+            _, body = await self._call("list", "GET", path, self._cfg.call_limit)
             page = _decode(body, _Listing)
             # Changes during the listing are found by watching from its first page.
             revision = page.store_revision if revision is None else revision
             entries += [StoredEntry(item.metadata.name, item.spec) for item in page.items]
             if not page.more or not page.items:
                 return StorePage(tuple(entries), revision)
-            path = f"/objects/{kind}?after_rev={page.items[-1].metadata.name}"
+            join = "&" if query else "?"
+            path = f"/objects/{kind}{query}{join}after_rev={page.items[-1].metadata.name}"
 
     async def watch(self, kind: str, revision: int, wait: float) -> StorePage | None:
-        """Waits for changes of a kind.
-
-        Args:
-            kind: Kind of the objects.
-            revision: Revision up to which changes are known.
-            wait: Seconds that the store waits for a change.
-
-        Returns:
-            Changes, none if there were none in time, or None if the history does not reach back.
-
-        Raises:
-            StoreError: The store did not answer, or refused.
-        """
+        """Waits for changes of a kind; see `ObjectSource.watch`."""
         path = f"/objects/{kind}?watch={revision}&wait_ms={int(wait * 1000)}"
-        body = await self._call("watch", path, wait + self._cfg.call_limit)
-        if body is None:
+        status, body = await self._call("watch", "GET", path, wait + self._cfg.call_limit)
+        if status == GONE:
             return None
         changes = _decode(body, _Changes)
         entries = tuple(
@@ -132,34 +132,56 @@
             self._writer.transport.abort()
         self._reader = self._writer = None
 
-    async def _call(self, operation: str, path: str, limit: float) -> bytes | None:
-        """Makes one reading call; None stands for a lost history."""
+    async def announce(self, peer: Peer) -> None:
+        """Stores the description of this instance; see `PeerDirectory.announce`."""
+        spec = _Instance(f"{peer.host}:{peer.port}", peer.data_centre, peer.link)
+        limit = self._cfg.call_limit
+        new = msgspec.json.encode({"metadata": {"name": peer.name}, "spec": spec})
+        status, body = await self._call("create", "POST", f"/objects/{PEER_KIND}", limit, new)
+        if status == CONFLICT and _decode(body, _Object).spec != msgspec.to_builtins(spec):
+            path = f"/objects/{PEER_KIND}/{peer.name}"
+            await self._call("replace", "PUT", path, limit, new)
+
+    async def peers(self) -> list[Peer]:
+        """Lists the instances; see `PeerDirectory.peers`.
+
+        A stale listing costs a tenth, and a missing instance only costs some calls.
+        """
+        page = await self._list(PEER_KIND, "?allow_stale=1")
+        return [_peer(entry) for entry in page.entries]
+
+    async def _call(
+        self, operation: str, method: str, path: str, limit: float, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        """Makes one call; an accepted status is returned, any other one raises."""
         result = "failed"
         try:
             async with asyncio.timeout(limit):
-                status, body = await self._exchange(path)
+                status, answer = await self._exchange(method, path, body)
             result = str(status)
         except (OSError, TimeoutError, h11.ProtocolError) as exc:
-            raise StoreError(f"{operation}: {exc!r}") from exc
+            raise SourceError(f"{operation}: {exc!r}") from exc
         finally:
             self._on_call(operation, result)
-            if result != "200":
+            if result not in ACCEPTED:
                 self.close()
-        if status == GONE:
-            return None
-        if status != 200:
-            raise StoreError(f"{operation}: status {status}")
-        return body
+        if result not in ACCEPTED:
+            raise SourceError(f"{operation}: status {status}")
+        return status, answer
 
-    async def _exchange(self, path: str) -> tuple[int, bytes]:
+    async def _exchange(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
         """Sends a request and reads its whole answer."""
         reader, writer = await self._connection()
-        host = f"{self._cfg.host}:{self._cfg.port}"
-        request = h11.Request(method="GET", target=path, headers=[("host", host)])
+        headers = [("host", f"{self._cfg.host}:{self._cfg.port}")]
+        if body:
+            headers += [("content-type", "application/json"), ("content-length", str(len(body)))]
         parser = self._parser
-        writer.write((parser.send(request) or b"") + (parser.send(h11.EndOfMessage()) or b""))
+        data = parser.send(h11.Request(method=method, target=path, headers=headers)) or b""
+        if body:
+            data += parser.send(h11.Data(data=body)) or b""
+        writer.write(data + (parser.send(h11.EndOfMessage()) or b""))
         status = 0
-        body = bytearray()
+        answer = bytearray()
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -167,7 +189,7 @@
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
-                body += event.data
+                answer += event.data
             elif isinstance(event, h11.EndOfMessage):
                 break
             elif isinstance(event, h11.ConnectionClosed):
@@ -176,7 +198,7 @@
             parser.start_next_cycle()
         else:
             self.close()
-        return status, bytes(body)
+        return status, bytes(answer)
 
     async def _connection(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Gives the kept connection or opens one."""
@@ -190,9 +212,19 @@
         return self._reader, self._writer
 
 
-def _decode(body: bytes | None, kind: type[Page]) -> Page:
+def _peer(entry: StoredEntry) -> Peer:
+    """Decodes the description of an instance."""
+    try:
+        found = msgspec.convert(entry.spec, _Instance)
+        host, port = split_address(found.address)
+    except (msgspec.ValidationError, ValueError) as exc:
+        raise SourceError(f"instance {entry.name} cannot be read: {exc}") from exc
+    return Peer(entry.name, host, port, found.data_centre, found.link_mbps)
+
+
+def _decode(body: bytes, kind: type[Page]) -> Page:
     """Decodes an answer of the store."""
     try:
-        return msgspec.json.decode(body or b"", type=kind)
+        return msgspec.json.decode(body, type=kind)
     except msgspec.MsgspecError as exc:
-        raise StoreError(f"the answer cannot be read: {exc}") from exc
+        raise SourceError(f"the answer cannot be read: {exc}") from exc
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,222 @@
+"""Objects of the store that instances pass on to each other."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+from sapphireledge.feed import (
+    FeedRunner,
+    FeedSettings,
+    KindFeed,
+    KindSettings,
+    KindWatcher,
+    Peer,
+    SourceError,
+    StoredEntry,
+    StorePage,
+)
+from sapphireledge.gateway import elapsed_time
+
+KIND = KindSettings("servers", wait=0.1, settle_time=0.0)
+
+
+class Listener:
+    """Records what a feed passes on."""
+
+    def __init__(self):
+        self.objects = {}
+        self.confirmed = float("-inf")
+
+    def replace_all(self, entries):
+        self.objects = {entry.name: entry.spec for entry in entries}
+
+    def apply(self, entries):
+        for entry in entries:
+            if entry.removed:
+                self.objects.pop(entry.name, None)
+            else:
+                self.objects[entry.name] = entry.spec
+
+    def confirm(self, moment):
+        self.confirmed = moment
+
+    def on_regained(self):
+        pass
+
+
+class MemoryStore:
+    """A store in memory that several instances read."""
+
+    def __init__(self):
+        self.objects = {"a": 1}
+        self.changes = []
+        self.revision = 1
+        self.calls = 0
+        self.refused = set()
+
+    def put(self, name, spec):
+        self.revision += 1
+        self.objects[name] = spec
+        self.changes.append((self.revision, StoredEntry(name, spec)))
+
+
+class Client:
+    """One instance's client of a `MemoryStore`; also its directory."""
+
+    def __init__(self, store, name, peers):
+        self.store = store
+        self.name = name
+        self.known = peers
+
+    def _check(self):
+        self.store.calls += 1
+        if self.name in self.store.refused:
+            raise SourceError("refused")
+
+    async def list(self, kind):
+        self._check()
+        entries = tuple(StoredEntry(name, spec) for name, spec in self.store.objects.items())
+        return StorePage(entries, self.store.revision)
+
+    async def watch(self, kind, revision, wait):
+        self._check()
+        for _ in range(int(wait / 0.01)):
+            found = tuple(entry for at, entry in self.store.changes if at > revision)
+            if found:
+                return StorePage(found, self.store.revision)
+            await asyncio.sleep(0.01)
+        return StorePage((), revision)
+
+    async def announce(self, peer):
+        self.known.append(peer)
+
+    async def peers(self):
+        return list(self.known)
+
+
+class Member:
+    """One instance with its feed."""
+
+    def __init__(self, store, name, link, peers, port):
+        self.listener = Listener()
+        self.cfg = FeedSettings(
+            kinds=(KIND,),
+            host="127.0.0.1",
+            port=port,
+            confirm_wait=0.05,
+            retry_base=0.02,
+            retry_cap=0.05,
+            answer_period=0.1,
+            answer_limit=0.2,
+            avoid_time=0.4,
+            recheck_period=0.2,
+            directory_period=0.1,
+        )
+        self.feed = KindFeed("servers", self.listener)
+        client = Client(store, name, peers)
+        self.watcher = KindWatcher(client, self.feed, KIND, self.cfg)
+        own = Peer(name, "127.0.0.1", port, "dc-a", link)
+        self.runner = FeedRunner(self.cfg, own, {"servers": self.feed}, [self.watcher], client)
+        self.task = asyncio.create_task(self.runner.run())
+
+
+def free_ports(count):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class FeedTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        peers = []
+        ports = free_ports(3)
+        self.members = [Member(self.store, f"e{n}", 100.0 - n, peers, ports[n]) for n in range(3)]
+        await asyncio.sleep(2.0)
+
+    async def asyncTearDown(self):
+        for member in self.members:
+            member.task.cancel()
+        await asyncio.gather(*(m.task for m in self.members), return_exceptions=True)
+
+    def reading(self):
+        return [n for n, member in enumerate(self.members) if member.watcher.is_sound]
+
+    async def test_one_instance_reads_the_store_for_all(self):
+        """Guards against calls to the store that grow with the number of instances."""
+        self.assertEqual(self.reading(), [0])
+        self.store.put("b", 2)
+        await asyncio.sleep(0.2)
+        for member in self.members:
+            self.assertEqual(member.listener.objects, {"a": 1, "b": 2})
+            self.assertLess(elapsed_time() - member.listener.confirmed, 0.6)
+
+    async def test_followers_take_over_when_the_relay_ends(self):
+        """Guards against instances that rely on one that is gone."""
+        self.members[0].task.cancel()
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.reading(), [1])
+        self.store.put("b", 2)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.members[2].listener.objects, {"a": 1, "b": 2})
+
+    async def test_relay_that_loses_the_store_is_left_at_once(self):
+        """Guards against trusting keys by an instance that the store turns away."""
+        self.store.refused.add("e0")
+        await asyncio.sleep(0.4)
+        self.assertNotIn(0, self.reading())
+        self.store.put("b", 2)
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.members[2].listener.objects, {"a": 1, "b": 2})
+        self.assertEqual(self.members[0].listener.objects, {"a": 1})
+
+    async def test_age_grows_when_nobody_reaches_the_store(self):
+        """Guards against instances that confirm each other without the store."""
+        self.store.refused.update({"e0", "e1", "e2"})
+        last = elapsed_time()
+        await asyncio.sleep(1.0)
+        for member in self.members:
+            self.assertLess(member.listener.confirmed, last + 0.2)
+
+    async def test_stopping_relay_sends_its_followers_away(self):
+        """Guards against followers that lose their source at the end of a planned stop."""
+        self.members[0].runner.stop_relaying()
+        await asyncio.sleep(0.4)
+        self.assertIn(1, self.reading())
+
+
+class KindFeedTest(unittest.TestCase):
+    def test_follower_receives_only_what_it_lacks(self):
+        """Guards against lost changes and against whole listings for small changes."""
+        feed = KindFeed("servers", Listener())
+        feed.take_listing(StorePage((StoredEntry("a", 1), StoredEntry("b", 1)), 5), 0.0)
+        feed.take_changes(StorePage((StoredEntry("a", 2),), 7), 0.0)
+        self.assertEqual(feed.since(5), (False, (StoredEntry("a", 2),)))
+        self.assertEqual(feed.since(7), (False, ()))
+        self.assertTrue(feed.since(None)[0])
+        self.assertTrue(feed.since(4)[0])
+
+    def test_second_listing_is_passed_on_as_changes(self):
+        """Guards against followers that keep objects which a new listing lacks."""
+        feed = KindFeed("servers", Listener())
+        feed.take_listing(StorePage((StoredEntry("a", 1), StoredEntry("b", 1)), 5), 0.0)
+        feed.take_listing(StorePage((StoredEntry("b", 2),), 9), 0.0)
+        whole, entries = feed.since(5)
+        self.assertFalse(whole)
+        self.assertEqual(set(entries), {StoredEntry("a", None, True), StoredEntry("b", 2)})
+
+    def test_older_page_is_ignored(self):
+        """Guards against a regression after a change of the relay."""
+        listener = Listener()
+        feed = KindFeed("servers", listener)
+        feed.take_listing(StorePage((StoredEntry("a", 2),), 9), 5.0)
+        feed.take_changes(StorePage((StoredEntry("a", 1),), 8), 9.0)
+        self.assertEqual((listener.objects, feed.confirmed), ({"a": 2}, 5.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,13 +12,13 @@
 import msgspec
 from gateway_case import GatewayCase, whole
 
+from sapphireledge.feed import FeedSettings, KindFeed, KindSettings, KindWatcher, Peer
 from sapphireledge.gateway import ReplayRule, elapsed_time
 from sapphireledge.platform import header_names
 from sapphireledge.platform.config_listener import ConfigListener
 from sapphireledge.platform.decode_config import decode_config
 from sapphireledge.platform.decode_report import decode_cache, decode_report
 from sapphireledge.platform.decode_server import decode_server
-from sapphireledge.platform.kind_watcher import KindWatcher
 from sapphireledge.platform.node_settings import load_node_settings
 from sapphireledge.platform.server_listener import ServerListener
 from sapphireledge.platform.store_client import StoreClient
@@ -73,6 +73,8 @@
     "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
     "bounds": {"revoke_ms": 5000, "grace_s": 8, "unknown": 1},
     "platform": {"address": "10.0.0.9:70"},
+    "port_range": [7340, 7355],
+    "limits": {"link_mbps": 5.0},
     "new_field": True,
 }
 
@@ -117,6 +119,7 @@
             cfg = load_node_settings(path)
             self.assertEqual((cfg.store.host, cfg.store.port), ("10.0.0.9", 70))
             self.assertLess(cfg.gateway.key_trust, 5.0)
+            self.assertEqual((cfg.peer.port, cfg.peer.link), (7340, 5.0))
             path.write_bytes(msgspec.json.encode({**NODE_FILE, "zone": 3}))
             with self.assertRaisesRegex(msgspec.ValidationError, "zone"):
                 load_node_settings(path)
@@ -161,6 +164,8 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                length = re.search(r"content-length: (\d+)", head, re.I)
+                await reader.readexactly(int(length.group(1)) if length else 0)
                 self.calls.append(head.split(" ")[1])
                 answer = self.answers.pop(0) if self.answers else "silent"
                 if answer == "silent":
@@ -194,17 +199,14 @@
         await super().asyncSetUp()
         self.store = ScriptedStore()
         await self.store.start()
-        self.store_cfg = StoreSettings(
-            "127.0.0.1",
-            self.store.port,
-            call_limit=0.2,
-            config_wait=0.2,
-            registry_wait=0.2,
+        self.store_cfg = StoreSettings("127.0.0.1", self.store.port, call_limit=0.2)
+        self.feed_cfg = FeedSettings(
+            kinds=(),
+            host="127.0.0.1",
+            port=0,
             confirm_wait=0.1,
-            settle_time=0.0,
             retry_base=0.02,
             retry_cap=0.05,
-            regain_grace=0.8,
         )
 
     async def asyncTearDown(self) -> None:
@@ -214,14 +216,16 @@
     async def watch(self, kind, listener, answers, seconds):
         self.store.answers = answers
         client = StoreClient(self.store_cfg)
-        watcher = KindWatcher(client, kind, 0.2, 0.0, self.store_cfg, listener)
+        self.feed = KindFeed(kind, listener)
+        settings = KindSettings(kind, wait=0.2, settle_time=0.0)
+        watcher = KindWatcher(client, self.feed, settings, self.feed_cfg)
         task = asyncio.create_task(watcher.run())
         await asyncio.sleep(seconds)
         task.cancel()
         client.close()
 
     def server_listener(self):
-        return ServerListener(self.gateway, self.store_cfg)
+        return ServerListener(self.gateway, regain_grace=0.8)
 
     async def test_pages_and_changes(self):
         """Guards against lost pages of a listing and against lost changes."""
@@ -283,6 +287,20 @@
         )
         self.assertEqual(self.gateway.parts.registry.state("i1").running, 0)
 
+    async def test_instances_announce_and_list_each_other(self):
+        """Guards against calls to the store that grow with restarts."""
+        spec = {"address": "10.0.0.1:7340", "data_centre": "dc-a", "link_mbps": 5.0}
+        peer = Peer("e1", "10.0.0.1", 7340, "dc-a", 5.0)
+        client = StoreClient(self.store_cfg)
+        self.store.answers = [(409, stored("e1", spec)), listing(stored("e1", spec))]
+        await client.announce(peer)
+        self.assertEqual(await client.peers(), [peer])
+        self.assertEqual(len(self.store.calls), 2)
+        self.store.answers = [(409, stored("e1", {**spec, "address": "10.0.0.2:1"})), (200, {})]
+        await client.announce(peer)
+        self.assertTrue(self.store.calls[-1].endswith("/e1"))
+        client.close()
+
     async def test_configuration_is_confirmed_by_watches(self):
         """Guards against trusting keys for longer than the store was asked."""
         listener = ConfigListener(self.gateway.config)
