--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -23,7 +23,7 @@
 """
 
 
-CONFIG_WAIT = 2.4
+CONFIG_WAIT = 1.4
 """Seconds that the store holds a watch on the configuration. A watch that ends without events
 confirms the configuration, so this bounds its age; each call is charged."""
 
