--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -61,6 +61,9 @@
         self._directory = directory
         self._follower = FeedFollower(cfg, feeds)
         self._server = FeedServer(cfg, feeds, self._is_source)
+        self.instances = 1
+        """Instances that are announced in the store, those that are gone included."""
+
         self._before: list[Peer] = []
         self._avoid: dict[str, float] = {}
         self._stopping = False
@@ -139,7 +142,9 @@
                 if not announced:
                     await self._directory.announce(self._own)
                     announced = True
-                self._before = self._preceding(await self._directory.peers())
+                peers = await self._directory.peers()
+                self.instances = max(1, len(peers))
+                self._before = self._preceding(peers)
             except SourceError as exc:
                 self._log.warning(GatewayEvent.STORE_LOST, kind="peers", reason=str(exc))
                 await asyncio.sleep(self._cfg.recheck_period)
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -88,6 +88,15 @@
         self._connections.add(conn)
         return conn
 
+    def reconfigure(self, cfg: GatewaySettings) -> None:
+        """Puts changed times and limits in force.
+
+        Args:
+            cfg: Settings; addresses in them are not used.
+        """
+        self.cfg = cfg
+        self.parts.cfg = cfg
+
     def begin_stop(self) -> None:
         """Starts a planned stop: not ready, and answers end their connections."""
         self._stop_since = asyncio.get_running_loop().time()
--- a/src/sapphireledge/gateway/gateway_parts.py
+++ b/src/sapphireledge/gateway/gateway_parts.py
@@ -12,6 +12,8 @@
 from sapphireledge.gateway.retry_allowance import RetryAllowance
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sapphireledge.gateway.dialect import Dialect
     from sapphireledge.gateway.gateway_settings import GatewaySettings
     from sapphireledge.gateway.request_journal import RequestJournal
@@ -41,6 +43,9 @@
         self.scout = EngineScout(self.pool, dialect)
         """Reports of engines."""
 
+        self.count_instances: Callable[[], int] = lambda: 1
+        """Number of instances that share the retry budget."""
+
         self._allowances: dict[str, RetryAllowance] = {}
 
     def allowance(self, service: str) -> RetryAllowance:
@@ -52,7 +57,11 @@
         Returns:
             The budget of this instance.
         """
-        return self._allowances.setdefault(service, RetryAllowance(self.cfg))
+        found = self._allowances.get(service)
+        if found is None:
+            found = RetryAllowance(self.cfg, lambda: self.count_instances())
+            self._allowances[service] = found
+        return found
 
     def observe(self, outcome: Outcome) -> None:
         """Takes an outcome into account for later choices.
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -52,14 +52,18 @@
     probe_limit: float = 0.45
     """Time for such a report: a round trip between regions and two retransmissions."""
 
-    retry_ratio: float = 0.4
-    """Repeated sends that each request earns; half of the shared ratio of 0.8."""
+    retry_ratio: float = 0.6
+    """Repeated sends that each request earns; three quarters of the shared ratio of 0.8."""
 
     retry_earned_cap: float = 4.0
     """Largest number of earned repeated sends."""
 
-    retry_burst: float = 6.0
-    """Repeated sends in a window beside the earned ones."""
+    retry_slack: float = 90.0
+    """Repeated sends of all instances in a window beside the earned ones; a part of the shared
+    slack of 150, because instances that start anew count from zero."""
+
+    retry_burst_cap: float = 6.0
+    """Largest part of `retry_slack` for one instance."""
 
     retry_window: float = 10.0
     """Window of the shared budget."""
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -25,6 +25,7 @@
 from sapphireledge.platform.node_settings import NodeSettings, load_node_settings
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from sapphireledge.platform.server_listener import ServerListener
+from sapphireledge.platform.settings_reloader import SettingsReloader
 from sapphireledge.platform.store_client import StoreClient
 
 __all__ = ["main"]
@@ -43,30 +44,34 @@
         Exit code.
     """
     _configure_logging()
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        cfg = load_node_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+        cfg = load_node_settings(path)
     except (OSError, ValueError, msgspec.MsgspecError) as exc:
         structlog.get_logger().error(GatewayEvent.SETTINGS_REJECTED, reason=str(exc))
         return BAD_SETTINGS
-    asyncio.run(_serve(cfg))
+    asyncio.run(_serve(path, cfg))
     return 0
 
 
-async def _serve(cfg: NodeSettings) -> None:
+async def _serve(path: Path, cfg: NodeSettings) -> None:
     """Runs the instance in the event loop."""
     metrics = GatewayMetrics()
     gateway = Gateway(cfg.gateway, PlatformDialect(), RequestJournal(metrics))
     server = GatewayServer(gateway, metrics)
     runner = _feed_runner(cfg, gateway, metrics)
+    gateway.parts.count_instances = lambda: runner.instances
+    reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _stop, server, runner)
-    loop.add_signal_handler(signal.SIGHUP, _reload)
-    feed = asyncio.create_task(runner.run())
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    tasks = [asyncio.create_task(runner.run()), asyncio.create_task(reloader.run())]
     try:
         await server.run()
     finally:
-        feed.cancel()
+        for task in tasks:
+            task.cancel()
 
 
 def _feed_runner(cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics) -> FeedRunner:
@@ -93,17 +98,6 @@
     )
 
 
-def _reload() -> None:
-    """Reads the settings file again and reports whether it can be used."""
-    log = structlog.get_logger()
-    try:
-        cfg = load_node_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
-    except (OSError, ValueError, msgspec.MsgspecError) as exc:
-        log.error(GatewayEvent.SETTINGS_REJECTED, reason=str(exc))
-        return
-    log.info(GatewayEvent.SETTINGS_RELOADED, instance=cfg.gateway.instance)
-
-
 def _configure_logging() -> None:
     """Sets up JSON lines on standard output."""
     structlog.configure(
--- /dev/null
+++ b/src/sapphireledge/platform/settings_reloader.py
@@ -0,0 +1,67 @@
+"""Changes of the settings file while the process runs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from sapphireledge.gateway import GatewayEvent
+from sapphireledge.platform.node_settings import load_node_settings
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from sapphireledge.gateway import Gateway
+    from sapphireledge.platform.node_settings import NodeSettings
+
+__all__ = ["SettingsReloader"]
+
+PERIOD = 2.0
+"""Seconds between two looks at the file, which may also change without a signal."""
+
+
+class SettingsReloader:
+    """Puts changed times and limits in force; addresses hold until the process ends."""
+
+    def __init__(self, path: Path, cfg: NodeSettings, gateway: Gateway) -> None:
+        """Creates the reloader.
+
+        Args:
+            path: Settings file.
+            cfg: Settings in force.
+            gateway: Gateway that uses them.
+        """
+        self._path = path
+        self._cfg = cfg
+        self._gateway = gateway
+        self._rejected = ""
+        self._log = structlog.get_logger()
+
+    async def run(self) -> None:
+        """Looks at the file until the task is cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD)
+            self.reload()
+
+    def reload(self) -> None:
+        """Reads the file; one that cannot be used changes nothing."""
+        try:
+            cfg = load_node_settings(self._path)
+        except (OSError, ValueError, msgspec.MsgspecError) as exc:
+            if self._rejected != str(exc):
+                self._rejected = str(exc)
+                self._log.error(GatewayEvent.SETTINGS_REJECTED, reason=self._rejected)
+            return
+        self._rejected = ""
+        if cfg == self._cfg:
+            return
+        self._cfg = cfg
+        self._gateway.reconfigure(cfg.gateway)
+        self._log.info(
+            GatewayEvent.SETTINGS_RELOADED,
+            key_trust_s=cfg.gateway.key_trust,
+            stop_limit_s=cfg.gateway.stop_limit,
+        )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -21,6 +21,7 @@
 from sapphireledge.platform.decode_server import decode_server
 from sapphireledge.platform.node_settings import load_node_settings
 from sapphireledge.platform.server_listener import ServerListener
+from sapphireledge.platform.settings_reloader import SettingsReloader
 from sapphireledge.platform.store_client import StoreClient
 from sapphireledge.platform.store_settings import StoreSettings
 
@@ -128,6 +129,21 @@
                 load_node_settings(path)
 
 
+class ReloadTest(GatewayCase):
+    async def test_changed_settings_are_in_force_and_wrong_ones_are_not(self):
+        """Guards against settings that change only after a restart, and against a bad file."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.json"
+            path.write_bytes(msgspec.json.encode(NODE_FILE))
+            reloader = SettingsReloader(path, load_node_settings(path), self.gateway)
+            path.write_bytes(msgspec.json.encode({**NODE_FILE, "bounds": {"revoke_ms": 3000}}))
+            reloader.reload()
+            self.assertAlmostEqual(self.gateway.cfg.key_trust, 1.8)
+            path.write_bytes(b"{")
+            reloader.reload()
+            self.assertAlmostEqual(self.gateway.cfg.key_trust, 1.8)
+
+
 class BoundaryTest(unittest.TestCase):
     def test_names_of_the_wire_stay_in_the_adapter(self):
         """Guards against names of the platform in the rest of the product."""
