--- a/src/sapphireledge/gateway/bounded_log.py
+++ b/src/sapphireledge/gateway/bounded_log.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from typing import Any
 
 __all__ = ["BoundedLog"]
@@ -18,13 +19,16 @@
 class BoundedLog:
     """Writes lines to a descriptor; lines beyond a bound are dropped and counted."""
 
-    def __init__(self, descriptor: int) -> None:
+    def __init__(self, descriptor: int, render_loss: Callable[[int], str]) -> None:
         """Puts the descriptor into non-blocking mode.
 
         Args:
             descriptor: Open descriptor, such as that of standard output.
+            render_loss: Builds the line that reports a number of dropped lines.
         """
         self._descriptor = descriptor
+        self._render_loss = render_loss
+        self._reported = 0
         self._waiting: deque[bytes] = deque()
         self.dropped = 0
         """Lines dropped since the start."""
@@ -37,9 +41,14 @@
         Args:
             message: Line without its end.
         """
+        if len(self._waiting) >= MAX_WAITING:
+            self.flush()
         if len(self._waiting) >= MAX_WAITING:
             self.dropped += 1
             return
+        if self.dropped > self._reported:
+            lost, self._reported = self.dropped - self._reported, self.dropped
+            self._waiting.append(self._render_loss(lost).encode() + b"\n")
         self._waiting.append(message.encode() + b"\n")
         self.flush()
 
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -108,11 +108,16 @@
             structlog.processors.JSONRenderer(serializer=_to_json),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=BoundedLog(sys.stdout.fileno()),
+        logger_factory=BoundedLog(sys.stdout.fileno(), _render_loss),
         cache_logger_on_first_use=True,
     )
 
 
+def _render_loss(count: int) -> str:
+    """Renders the line that reports dropped lines."""
+    return _to_json({"event": GatewayEvent.LINES_DROPPED, "count": count, "level": "warning"})
+
+
 def _to_json(value: object, **_: object) -> str:
     """Renders one log line."""
     return msgspec.json.encode(value, enc_hook=str).decode()
