--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,3 @@
+"""Randomized soak of the entry program: real processes, faults from outside, checked promises."""
+
+from __future__ import annotations
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,79 @@
+"""Command line of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from soak.world import World
+
+REGRESSIONS = Path(__file__).with_name("regressions.txt")
+"""Seeds that once failed, one each line with the cause."""
+
+
+def regression_seeds() -> list[int]:
+    """Reads the seeds that once failed.
+
+    Returns:
+        The seeds.
+    """
+    lines = REGRESSIONS.read_text(encoding="utf-8").splitlines()
+    return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
+
+
+def play(seed: int, seconds: float, entries: int, runners: int, callers: int, logs: str) -> list:
+    """Plays one run.
+
+    Args:
+        seed: Seed of the faults.
+        seconds: Length of the time with faults.
+        entries: Entry processes.
+        runners: Runners.
+        callers: Callers.
+        logs: Folder that keeps the logs of the processes, empty to drop them.
+
+    Returns:
+        Every broken promise.
+    """
+    with tempfile.TemporaryDirectory() as dropped:
+        folder = Path(logs) / str(seed) if logs else Path(dropped)
+        folder.mkdir(parents=True, exist_ok=True)
+        world = World(seed, folder, entries, runners, callers)
+        violations = asyncio.run(world.run(seconds))
+        served = sum(1 for a in world.record.answers.values() if a.status == 200 and a.complete)
+        typer.echo(f"seed {seed}: {len(world.record.answers)} requests, {served} served")
+        return violations
+
+
+def main(
+    first: Annotated[int, typer.Option(help="First seed; 0 takes one from the clock.")] = 1,
+    count: Annotated[int, typer.Option(help="Number of seeds.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Seconds with faults of each run.")] = 15.0,
+    entries: Annotated[int, typer.Option(help="Entry processes.")] = 6,
+    runners: Annotated[int, typer.Option(help="Runners.")] = 12,
+    callers: Annotated[int, typer.Option(help="Callers.")] = 12,
+    regressions: Annotated[bool, typer.Option(help="Play the seeds that once failed.")] = False,
+    logs: Annotated[str, typer.Option(help="Folder for the logs of the processes.")] = "",
+) -> None:
+    """Plays seeds and prints every broken promise; the exit code is 1 if there is one."""
+    start = first or int(time.time())
+    seeds = regression_seeds() if regressions else list(range(start, start + count))
+    failed = []
+    for seed in seeds:
+        violations = play(seed, seconds, entries, runners, callers, logs)
+        for violation in violations:
+            typer.echo(f"  {violation}")
+        if violations:
+            failed.append(seed)
+    typer.echo(f"{len(seeds) - len(failed)} of {len(seeds)} seeds keep every promise")
+    if failed:
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/soak/entry.py
@@ -0,0 +1,130 @@
+"""An entry process under the soak's control."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from soak.link import Link
+
+if TYPE_CHECKING:
+    from soak.store import Store
+
+__all__ = ["Entry"]
+
+PROGRAM = Path(__file__).resolve().parent.parent / "src" / "sapphireledge_entry.py"
+GRACE = 8.0
+"""Seconds between SIGTERM and SIGKILL."""
+
+NETWORKS = 250
+"""Loopback networks that runs are spread over."""
+
+FRONT_PORT, READY_PORT, PEER_PORT = 7100, 7101, 7340
+
+
+class Entry:
+    """One real process on a loopback address of its own."""
+
+    def __init__(self, number: int, data_centre: str, store: Store, folder: Path) -> None:
+        # Runs at the same time listen on networks of their own.
+        network = os.getpid() % NETWORKS + 1
+        self.host = f"127.{network}.{number // 250}.{number % 250 + 1}"
+        self.data_centre = data_centre
+        self.name = f"e{number}"
+        self.process: asyncio.subprocess.Process | None = None
+        self.store_link = Link("127.0.0.1", ("127.0.0.1", store.port))
+        self.stopping_since: float | None = None
+        self.disturbed = 0.0
+        """Time of the last signal that paused or ended the process, or of its end."""
+        self.pauses = 0
+        """Pauses that have not ended."""
+        self._settings = folder / f"{self.name}.json"
+        self._log = folder / f"{self.name}.log"
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Address for callers."""
+        return self.host, FRONT_PORT
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self) -> None:
+        """Starts the process."""
+        if not self.store_link.port:
+            await self.store_link.start()
+        self._settings.write_text(
+            json.dumps(
+                {
+                    "node_name": self.name,
+                    "zone": self.data_centre,
+                    "listen": {
+                        "front": f"{self.host}:{FRONT_PORT}",
+                        "ready": f"{self.host}:{READY_PORT}",
+                    },
+                    "port_range": [PEER_PORT, PEER_PORT + 9],
+                    "bounds": {"revoke_ms": 5000, "grace_s": GRACE},
+                    "platform": {"address": self.store_link.address},
+                }
+            )
+        )
+        self.stopping_since = None
+        self.disturbed = time.monotonic()
+        with self._log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(PROGRAM),
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "SAPPHIRELEDGE_NODE_FILE": str(self._settings)},
+            )
+
+    async def restart(self) -> None:
+        """Starts the process again after its end."""
+        if self.process is not None:
+            await self.process.wait()
+        await self.start()
+
+    def was_calm_since(self, moment: float) -> bool:
+        """Whether nothing was done to the process since a moment."""
+        return self.disturbed < moment and not self.pauses
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process, which this soak started."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def terminate(self) -> str:
+        """Stops the process as planned.
+
+        Returns:
+            What is wrong with its end, or an empty text.
+        """
+        self.stopping_since = time.monotonic()
+        self.send(signal.SIGTERM)
+        assert self.process is not None
+        try:
+            async with asyncio.timeout(GRACE):
+                code = await self.process.wait()
+        except TimeoutError:
+            self.kill()
+            return f"{self.name} did not end within its grace time"
+        return f"{self.name} ended with code {code}" if code not in (0, -9) else ""
+
+    def kill(self) -> None:
+        """Kills the process."""
+        self.send(signal.SIGKILL)
+
+    def close(self) -> None:
+        """Ends the process and its link."""
+        self.send(signal.SIGCONT)
+        self.kill()
+        self.store_link.close()
--- /dev/null
+++ b/soak/http.py
@@ -0,0 +1,41 @@
+"""HTTP of the stand-ins: whole requests in, bytes out."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+__all__ = ["Request", "read_request", "whole"]
+
+
+@dataclass(frozen=True)
+class Request:
+    """A whole request; header names in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read_request(reader: asyncio.StreamReader) -> Request | None:
+    """Reads one request, or returns None at the end of the connection."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.strip().split("\r\n")
+        method, target, _ = first.split(" ")
+        headers = {
+            name.strip().lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines)
+        }
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+    except (OSError, asyncio.IncompleteReadError):
+        return None
+    return Request(method, target, headers, body)
+
+
+def whole(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Builds the bytes of a whole answer."""
+    lines = [f"HTTP/1.1 {status} X", f"content-length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- /dev/null
+++ b/soak/record.py
@@ -0,0 +1,87 @@
+"""What runners and callers saw, and the promises that it must keep."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from soak.runner import Runner
+
+__all__ = ["REFUSALS", "Answer", "Record"]
+
+REFUSALS = frozenset({408, 421, 429, 503})
+"""Statuses that promise that the request has not run and never will."""
+
+REVOKE_LIMIT = 5.0
+"""Seconds after the removal of a key in which a request with it may still run."""
+
+DRAIN_LIMIT = 3.0
+"""Seconds after the acknowledged leave of a runner in which requests may still reach it."""
+
+CALM_TIME = 4.0
+"""Seconds without a fault after which time limits hold."""
+
+
+@dataclass
+class Answer:
+    """One request of a caller and what came of it."""
+
+    request_id: str
+    path: str
+    key: str
+    sent: float
+    status: int = 0
+    complete: bool = False
+    broken: str = ""
+    """What the caller saw that must not be."""
+
+
+@dataclass
+class Record:
+    """Collects observations during a run; `violations` names each broken promise."""
+
+    answers: dict[str, Answer] = field(default_factory=dict)
+    runs: Counter[str] = field(default_factory=Counter)
+    revoked: dict[str, float] = field(default_factory=dict)
+    violations: list[str] = field(default_factory=list)
+    last_fault: float = 0.0
+    """Time of the last fault, or of its end."""
+
+    def on_arrival(self, request_id: str, runner: Runner) -> None:
+        """Notes that a request reached a runner."""
+        now = time.monotonic()
+        calm = now - self.last_fault > CALM_TIME + DRAIN_LIMIT
+        if runner.left_at is not None and now - runner.left_at > DRAIN_LIMIT and calm:
+            self.violations.append(f"drain: {request_id} reached a leaving runner")
+
+    def on_run(self, request_id: str, workspace: str) -> None:
+        """Notes that a runner began to run a request."""
+        self.runs[request_id] += 1
+        answer = self.answers.get(request_id)
+        if answer is None:
+            self.violations.append(f"unasked: {request_id}")
+            return
+        if answer.path == "/once/" and self.runs[request_id] > 1:
+            self.violations.append(f"twice: {request_id}")
+        revoked = self.revoked.get(answer.key)
+        if revoked is not None and answer.sent > revoked + REVOKE_LIMIT:
+            self.violations.append(f"revoked key: {request_id}")
+        if workspace != "w-" + answer.key:
+            self.violations.append(f"workspace of {request_id} is {workspace!r}")
+
+    def finish(self) -> list[str]:
+        """Checks what can be judged only at the end.
+
+        Returns:
+            Every broken promise.
+        """
+        for answer in self.answers.values():
+            if answer.broken:
+                self.violations.append(f"{answer.broken}: {answer.request_id}")
+            refused = answer.status in REFUSALS
+            if refused and answer.path == "/once/" and self.runs[answer.request_id]:
+                self.violations.append(f"refused and run: {answer.request_id}")
+        return self.violations
--- /dev/null
+++ b/soak/runner.py
@@ -0,0 +1,160 @@
+"""Stand-in of a runner: a plain service or an engine."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from soak.http import Request, read_request, whole
+from soak.link import Link
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from soak.record import Record
+    from soak.store import Store
+
+__all__ = ["EVENTS", "Runner", "event_bytes"]
+
+PREFIX = "x-sapphireledge-"
+EVENTS = 25
+"""Events of a stream."""
+
+EVENT_TIME = 0.03
+"""Seconds for one event."""
+
+PROMPT_TIME = 0.2
+"""Seconds to read a prompt."""
+
+WORK_TIME = 0.03
+"""Seconds of plain work."""
+
+
+def event_bytes(body: bytes, number: int) -> bytes:
+    """Builds one event; its text depends on the request alone."""
+    return f"id: {number}\ndata: {body.decode()}/{number}\n\n".encode()
+
+
+class Runner:
+    """One runner behind a link; each start has a new identity."""
+
+    copies: dict[str, set[str]] = {}  # noqa: RUF012
+    """Requests whose memory lies at the engine with an address."""
+
+    def __init__(
+        self, service: str, data_centre: str, store: Store, record: Record, rng: Random
+    ) -> None:
+        self.service = service
+        self.data_centre = data_centre
+        self.identity = ""
+        self.sheds = 0.0
+        self.fails = 0.0
+        self.left_at: float | None = None
+        """Time at which the store acknowledged that the runner leaves."""
+        self.link = Link("127.0.0.1", ("127.0.0.1", 0))
+        self._store = store
+        self._record = record
+        self._rng = rng
+        self._starts = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Starts a new incarnation and registers it."""
+        if not self.link.port:
+            await self.link.start()
+        self._starts += 1
+        self.left_at = None
+        self.identity = f"{self.service}-{self.link.port}-{self._starts}"
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.link.target = ("127.0.0.1", self._server.sockets[0].getsockname()[1])
+        self.copies[self.link.address] = set()
+        self.announce("ready")
+
+    def announce(self, state: str) -> None:
+        """Writes the entry of the runner."""
+        spec = {
+            "service": self.service,
+            "address": self.link.address,
+            "zone": self.data_centre,
+            "slots": 64,
+            "state": state,
+            "born": int(time.time() * 1000),
+        }
+        at = self._store.put("servers", self.identity, spec)
+        if state == "draining":
+            self.left_at = at
+
+    def crash(self) -> None:
+        """Ends the incarnation with all its connections; its entry lapses later."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        self.link.reset()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        identity = self.identity
+        self._writers.add(writer)
+        try:
+            while (request := await read_request(reader)) is not None:
+                if identity != self.identity:
+                    return
+                await self._answer(request, writer)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        if request.target == "/report":
+            writer.write(whole(200, {}, msgspec.json.encode({"running": 0})))
+            return
+        if request.target == "/kv-list":
+            writer.write(whole(200, {}, msgspec.json.encode({"held": []})))
+            return
+        headers = request.headers
+        request_id = headers[PREFIX + "request-id"]
+        if headers.get(PREFIX + "expect-instance") != self.identity:
+            writer.write(whole(421, {}, b""))
+            return
+        self._record.on_arrival(request_id, self)
+        source = headers.get("kv-from")
+        missing = source is not None and request_id not in self.copies[self.link.address]
+        if missing or self._rng.random() < self.sheds:
+            writer.write(whole(503, {PREFIX + "not-executed": "1"}, b""))
+            return
+        self._record.on_run(request_id, headers.get(PREFIX + "tenant", ""))
+        if request.target.startswith("/stream/"):
+            await self._stream(request, request_id, source is None, writer)
+        else:
+            await asyncio.sleep(WORK_TIME)
+            status = 500 if self._rng.random() < self.fails else 200
+            seal = {PREFIX + "request-id": request_id, PREFIX + "server-seal": "s"}
+            writer.write(whole(status, seal, b"answer to " + request_id.encode()))
+
+    async def _stream(
+        self, request: Request, request_id: str, reads: bool, writer: asyncio.StreamWriter
+    ) -> None:
+        if reads:
+            await asyncio.sleep(PROMPT_TIME)
+        head = (
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
+            f"{PREFIX}request-id: {request_id}\r\n{PREFIX}server-seal: s\r\n\r\n"
+        )
+        writer.write(head.encode())
+        backup = request.headers.get(PREFIX + "kv-backup")
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        for number in range(first, EVENTS):
+            data = event_bytes(request.body, number)
+            writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+            await writer.drain()
+            if backup in self.copies:
+                self.copies[backup].add(request_id)
+            await asyncio.sleep(EVENT_TIME)
+        writer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/soak/store.py
@@ -0,0 +1,129 @@
+"""Stand-in of the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from soak.http import Request, read_request, whole
+
+__all__ = ["Store"]
+
+
+class Store:
+    """Objects by kind with revisions, listings and watches; can be down, slow or lossy."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.revision = 1
+        self.down = False
+        self.slow = 0.0
+        self.lose_answers = False
+        self.sound_since = time.monotonic()
+        """Time since which the store has been without a fault."""
+        self._objects: dict[str, dict[str, dict]] = {}
+        self._changes: list[tuple[int, str, dict, bool]] = []
+        self._oldest = 0
+        self._changed = asyncio.Event()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def put(self, kind: str, name: str, spec: object) -> float:
+        """Writes an object as operator or runner.
+
+        Returns:
+            Time of the acknowledgement.
+        """
+        self.revision += 1
+        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+        self._objects.setdefault(kind, {})[name] = item
+        self._note(kind, item, removed=False)
+        return time.monotonic()
+
+    def remove(self, kind: str, name: str) -> float:
+        """Removes an object.
+
+        Returns:
+            Time of the acknowledgement.
+        """
+        item = self._objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            self.revision += 1
+            self._note(kind, item, removed=True)
+        return time.monotonic()
+
+    def forget_history(self) -> None:
+        """Drops what watches could continue from."""
+        self._oldest = self.revision
+        self._changes.clear()
+
+    def set_down(self, down: bool) -> None:
+        """Begins or ends an outage; open calls are cut."""
+        self.down = down
+        self.sound_since = time.monotonic()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def _note(self, kind: str, item: dict, *, removed: bool) -> None:
+        self._changes.append((self.revision, kind, item, removed))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while (request := await read_request(reader)) is not None and not self.down:
+                if self.slow:
+                    await asyncio.sleep(self.slow)
+                status, body = await self._answer(request)
+                if self.lose_answers:
+                    await asyncio.sleep(60)
+                writer.write(whole(status, {}, msgspec.json.encode(body)))
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _answer(self, request: Request) -> tuple[int, object]:
+        url = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        kind, _, name = url.path.removeprefix("/objects/").partition("/")
+        if request.method in ("POST", "PUT"):
+            given = msgspec.json.decode(request.body)
+            name = name or given["metadata"]["name"]
+            known = self._objects.get(kind, {}).get(name)
+            if known is not None and request.method == "POST":
+                return 409, known
+            self.put(kind, name, given["spec"])
+            return 200, self._objects[kind][name]
+        if "watch" not in query:
+            items = list(self._objects.get(kind, {}).values())
+            return 200, {"items": items, "more": False, "store_revision": self.revision}
+        return await self._watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
+
+    async def _watch(self, kind: str, since: int, wait: float) -> tuple[int, object]:
+        ends = time.monotonic() + wait
+        while True:
+            if since < self._oldest:
+                return 410, {}
+            events = [
+                {"object": item, "removed": removed}
+                for at, of, item, removed in self._changes
+                if at > since and of == kind
+            ]
+            left = ends - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "store_revision": self.revision}
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,186 @@
+"""Entries, runners, store and callers of one run."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+from random import Random
+
+from soak.caller import Caller
+from soak.entry import Entry
+from soak.faults import Faults
+from soak.record import Record
+from soak.runner import Runner
+from soak.store import Store
+
+__all__ = ["World"]
+
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+START_TIME = 4.0
+"""Seconds in which entries start."""
+
+HEAL_TIME = 8.0
+"""Seconds after the last fault in which everything must work again."""
+
+CHECKED = 40
+"""Requests after the faults have ended."""
+
+SERVED_SHARE = 0.95
+"""Share of these requests that must be served."""
+
+CONFIG_LIMIT = 3.0
+"""Seconds in which an acknowledged configuration must be in force."""
+
+
+class World:
+    """One seeded run."""
+
+    def __init__(self, seed: int, folder: Path, entries: int, runners: int, callers: int) -> None:
+        self.rng = Random(seed)
+        self.record = Record()
+        self.store = Store()
+        self.keys = ["k1", "k2", "k3"]
+        self.entries: list[Entry] = []
+        self.runners: list[Runner] = []
+        self.version = 1
+        self.routes = ["/plain/", "/once/", "/stream/"]
+        self._folder = folder
+        self._sizes = (entries, runners, callers)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, seconds: float) -> list[str]:
+        """Plays the run.
+
+        Args:
+            seconds: Length of the time with faults.
+
+        Returns:
+            Every broken promise.
+        """
+        # Cancelled handlers of stand-ins are reported at the end of the loop otherwise.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        try:
+            await self._start()
+            callers = [asyncio.create_task(self._call_forever()) for _ in range(self._sizes[2])]
+            faults = Faults(self)
+            await faults.run(seconds)
+            await faults.heal()
+            await asyncio.sleep(HEAL_TIME)
+            for task in callers:
+                task.cancel()
+            await asyncio.gather(*callers, return_exceptions=True)
+            await self._check_recovery()
+            await self._check_config()
+            await self._check_stop()
+        finally:
+            for entry in self.entries:
+                entry.close()
+            for runner in self.runners:
+                runner.crash()
+                runner.link.close()
+        return self.record.finish()
+
+    def write_config(self) -> float:
+        """Writes the next version of the configuration.
+
+        Returns:
+            Time of the acknowledgement.
+        """
+        self.version += self.rng.randint(1, 3)
+        kinds = {"/plain/": "safe", "/once/": "unsafe", "/stream/": "streaming"}
+        routes = [
+            {
+                "name": path,
+                "host": "soak.example",
+                "path_prefix": path,
+                "kind": kinds.get(path, "safe"),
+                "timeout_ms": 4000,
+                "goal_ms": 500,
+                "service": "llm" if path == "/stream/" else "app",
+                "max_attempts": 4,
+                "resumable": path == "/stream/",
+            }
+            for path in self.routes
+        ]
+        config = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "app"}, {"name": "llm", "engine": {"backups": True}}],
+            "tenants": [{"name": f"w-{key}", "api_keys": [key]} for key in self.keys],
+        }
+        return self.store.put("config", "main", config)
+
+    async def _start(self) -> None:
+        await self.store.start()
+        self.write_config()
+        entries, runners, _ = self._sizes
+        for number in range(runners):
+            service = "llm" if number % 2 else "app"
+            centre = DATA_CENTRES[number // 2 % len(DATA_CENTRES)]
+            runner = Runner(service, centre, self.store, self.record, self.rng)
+            self.runners.append(runner)
+            await runner.start()
+        for number in range(entries):
+            centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            self.entries.append(Entry(number, centre, self.store, self._folder))
+        await asyncio.gather(*(entry.start() for entry in self.entries))
+        await asyncio.sleep(START_TIME)
+
+    async def _call_forever(self) -> None:
+        caller = Caller(self.record, self.rng, self.keys)
+        while True:
+            entry = self.rng.choice(self.entries)
+            await caller.call(entry, self.rng.choice(self.routes[:3]))
+            await asyncio.sleep(self.rng.uniform(0.01, 0.2))
+
+    async def _check_recovery(self) -> None:
+        served = 0
+        for number in range(CHECKED):
+            caller = Caller(self.record, self.rng, self.keys)
+            entry = self.entries[number % len(self.entries)]
+            answer = await caller.call(entry, self.routes[number % 3])
+            served += answer.status == 200 and answer.complete
+        if served < CHECKED * SERVED_SHARE:
+            self.record.violations.append(f"recovery: {served} of {CHECKED} served")
+
+    async def _check_config(self) -> None:
+        self.routes.append(f"/new{self.version}/")
+        self.write_config()
+        await asyncio.sleep(CONFIG_LIMIT)
+        for entry in self.entries:
+            answer = await Caller(self.record, self.rng, self.keys).call(entry, self.routes[-1])
+            if answer.status != 200:
+                self.record.violations.append(f"config: {answer.status} at {entry.name}")
+
+    async def _check_stop(self) -> None:
+        """Stops all entries as planned while each serves a stream."""
+        callers = [Caller(self.record, self.rng, self.keys) for _ in self.entries]
+        streams = [
+            asyncio.create_task(caller.call(entry, "/stream/"))
+            for caller, entry in zip(callers, self.entries, strict=True)
+        ]
+        await asyncio.sleep(0.1)
+        began = time.monotonic()
+        ends = await asyncio.gather(*(entry.terminate() for entry in self.entries))
+        self.record.violations += [f"stop: {end}" for end in ends if end]
+        for answer in await asyncio.gather(*streams):
+            if not answer.complete and answer.sent < began:
+                self.record.violations.append(f"stop: {answer.request_id} was cut off")
+
+    def spawn(self, work) -> None:
+        """Runs a part of a fault in the background."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def settle(self) -> None:
+        """Waits for the ends of all faults."""
+        while self._tasks:
+            await asyncio.gather(*tuple(self._tasks), return_exceptions=True)
+
+    def signal_all(self, number: signal.Signals) -> None:
+        """Sends a signal to every entry of this run."""
+        for entry in self.entries:
+            entry.send(number)
--- a/tests/test_bounded_log.py
+++ b/tests/test_bounded_log.py
@@ -29,7 +29,7 @@
             self.log.flush()
 
     def test_slow_reader_costs_lines_and_not_time(self):
-        """Guards against a process that waits for the reader of its log, and grows without bound."""
+        """Guards against a process that waits for its log's reader or grows without bound."""
         total = MAX_WAITING * 4
         for number in range(total):
             self.log.msg(f"{number:>100}")
