--- a/soak/entry.py
+++ b/soak/entry.py
@@ -22,6 +22,9 @@
 GRACE = 8.0
 """Seconds between SIGTERM and SIGKILL."""
 
+INTERPRETER_TIME = 0.3
+"""Seconds from the start of a process to the first statement of the program, on a busy machine."""
+
 NETWORKS = 250
 """Loopback networks that runs are spread over."""
 
@@ -109,6 +112,10 @@
             What is wrong with its end, or an empty text.
         """
         self.stopping_since = time.monotonic()
+        # Until its first statement the interpreter ends by the signal; nothing was accepted then.
+        allowed = {0, -signal.SIGKILL}
+        if self.stopping_since - self.disturbed < INTERPRETER_TIME:
+            allowed.add(-signal.SIGTERM)
         self.send(signal.SIGTERM)
         assert self.process is not None
         try:
@@ -117,7 +124,7 @@
         except TimeoutError:
             self.kill()
             return f"{self.name} did not end within its grace time"
-        return f"{self.name} ended with code {code}" if code not in (0, -9) else ""
+        return f"{self.name} ended with code {code}" if code not in allowed else ""
 
     def kill(self) -> None:
         """Kills the process."""
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -111,13 +111,24 @@
         """Reads the store until an instance before this one may be followed again."""
         tasks = [asyncio.create_task(watcher.run()) for watcher in self._watchers]
         try:
-            await asyncio.sleep(self._cfg.recheck_period)
+            await self._pause()
             while not await self._is_relayed():
-                await asyncio.sleep(self._cfg.recheck_period)
+                await self._pause()
         finally:
             for task in tasks:
                 task.cancel()
 
+    async def _pause(self) -> None:
+        """Waits until it is time to look for a relay."""
+        behind = bool(self._before)
+        for watcher in self._watchers:
+            watcher.retry_cap = self._cfg.behind_retry_cap if behind else self._cfg.retry_cap
+        await asyncio.sleep(self._cfg.behind_recheck_period)
+        if not behind or all(watcher.is_sound for watcher in self._watchers):
+            await asyncio.sleep(self._cfg.recheck_period - self._cfg.behind_recheck_period)
+        else:
+            self._avoid.clear()
+
     async def _is_relayed(self) -> bool:
         """Whether an instance before this one relays, so that the store need not be read."""
         peer = self._next_peer()
--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -43,6 +43,13 @@
     retry_cap: float = 0.6
     """Longest pause after failed calls; keys are trusted for 3.8 s without a confirmation."""
 
+    behind_retry_cap: float = 3.0
+    """Longest pause after failed calls of an instance that has others before it. In an outage of
+    the whole store those before it try more often, and it follows them as soon as they succeed."""
+
+    behind_recheck_period: float = 0.5
+    """Time after which such an instance looks for a relay again while its own calls fail."""
+
     answer_period: float = 0.7
     """Longest time between two answers to a follower."""
 
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -36,6 +36,9 @@
         self.is_sound = False
         """Whether the last call succeeded."""
 
+        self.retry_cap = cfg.retry_cap
+        """Longest pause after failed calls in seconds."""
+
         self._source = source
         self._feed = feed
         self._kind = kind
@@ -105,6 +108,6 @@
         if not self._lost:
             self._lost = True
             self._log.warning(GatewayEvent.STORE_LOST, kind=self._kind.kind, reason=str(exc))
-        pause = min(self._cfg.retry_cap, self._cfg.retry_base * 2**self._failures)
+        pause = min(self.retry_cap, self._cfg.retry_base * 2**self._failures)
         self._failures = min(self._failures + 1, 8)
         await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
--- a/src/sapphireledge/gateway/engine_choice.py
+++ b/src/sapphireledge/gateway/engine_choice.py
@@ -18,14 +18,14 @@
 
 __all__ = ["EngineChoice"]
 
-LOCAL_CANDIDATES = 3
+LOCAL_CANDIDATES = 2
 """Engines of the own data centre whose reports are read for one choice."""
 
 CACHE_CANDIDATES = 24
 """Engines that are asked for a prompt that was read before. An engine that reads 8,000 tokens again
 is charged a hundred times as much as all these questions."""
 
-REMOTE_CANDIDATES = 2
+REMOTE_CANDIDATES = 1
 """Engines of other data centres whose reports are read for one choice."""
 
 REPORT_LIMIT = 0.15
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -27,9 +27,16 @@
 
 __all__ = ["Gateway"]
 
-STALE_RETRY_AFTER = 1.0
-"""Seconds after which a caller may come back to an instance that cannot confirm its keys; the
-platform's balancer takes the instance out within two seconds."""
+STALE_RETRY_AFTER = 0.0
+"""Seconds after which a caller may come back; its next attempt reaches another instance."""
+
+START_RETRY_AFTER = 0.3
+"""Seconds after which a caller may come back to an instance that has just started; all instances
+may have started together."""
+
+READY_MARGIN = 1.2
+"""Seconds before the end of trust in the keys at which the instance is not ready any more; the
+balancer asks once a second and leaves after two misses."""
 
 PLAIN_TIME = 2.5
 """Seconds that a plain request may take at most to be accepted during a planned stop."""
@@ -66,7 +73,7 @@
         return (
             self._stop_since is None
             and self.config.table is not None
-            and self.config.age < self.cfg.key_trust
+            and self.config.age < self.cfg.key_trust - READY_MARGIN
             and len(self.parts.registry) > 0
         )
 
@@ -139,7 +146,7 @@
         table = self.config.table
         if table is None:
             reason = "no configuration is known yet"
-            return Failure(ErrorKind.NOT_CONFIGURED, reason, Ran.NO, STALE_RETRY_AFTER)
+            return Failure(ErrorKind.NOT_CONFIGURED, reason, Ran.NO, START_RETRY_AFTER)
         stale = self.config.age >= self.cfg.key_trust
         route = table.match(request.host, request.path)
         if route is None:
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -46,7 +46,7 @@
     """Silence of a running stream that counts as a loss. Half of the pause that is still on time
     (0.7 s); a prompt that is read next to the stream stretches the pauses to 0.15 s."""
 
-    probe_period: float = 0.6
+    probe_period: float = 0.8
     """Silence before the first event after which an engine is asked for its report."""
 
     probe_limit: float = 0.45
--- /dev/null
+++ b/tests/test_entry_program.py
@@ -0,0 +1,94 @@
+"""The program on the platform's machines as a process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+PROGRAM = Path(__file__).resolve().parent.parent / "src" / "sapphireledge_entry.py"
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
+class EntryProgramTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "node.json"
+        self.ready = free_port()
+        # An address of its own, because the port for metrics is fixed.
+        self.host = f"127.{os.getpid() % 250 + 1}.99.1"
+
+    def settings(self):
+        return {
+            "node_name": "n1",
+            "zone": "dc-a",
+            "listen": {"front": f"{self.host}:7100", "ready": f"{self.host}:{self.ready}"},
+            "port_range": [7340, 7349],
+            "platform": {"address": f"127.0.0.1:{free_port()}"},
+            "bounds": {"grace_s": 8},
+        }
+
+    async def start(self, text):
+        self.path.write_text(text)
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(PROGRAM),
+            env={**os.environ, "SAPPHIRELEDGE_NODE_FILE": str(self.path)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+
+    async def test_wrong_settings_are_named(self):
+        """Guards against a process that starts with settings it cannot use."""
+        process = await self.start(json.dumps({**self.settings(), "zone": 1}))
+        out, _ = await process.communicate()
+        self.assertEqual(process.returncode, 2)
+        line = json.loads(out.splitlines()[0])
+        self.assertEqual(line["event"], "settings_rejected")
+        self.assertIn("zone", line["reason"])
+
+    async def test_stop_while_starting(self):
+        """Guards against an abnormal end when SIGTERM comes before the listeners."""
+        for pause in (0.05, 0.1, 0.2):
+            process = await self.start(json.dumps(self.settings()))
+            await asyncio.sleep(pause)
+            process.send_signal(signal.SIGTERM)
+            await process.communicate()
+            self.assertIn(process.returncode, (0, -signal.SIGTERM if pause < 0.1 else 0))
+
+    async def test_planned_stop_without_store(self):
+        """Guards against a process that hangs at its end, and against a false readiness."""
+        process = await self.start(json.dumps(self.settings()))
+        for _ in range(100):
+            try:
+                reader, writer = await asyncio.open_connection(self.host, self.ready)
+                break
+            except OSError:
+                await asyncio.sleep(0.1)
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"503", await reader.readline())
+        writer.close()
+        began = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        out, _ = await process.communicate()
+        self.assertEqual(process.returncode, 0)
+        self.assertLess(time.monotonic() - began, 8.0)
+        events = [json.loads(line)["event"] for line in out.splitlines()]
+        for name in ("started", "store_lost", "stopping", "stopped"):
+            self.assertIn(name, events)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -112,6 +112,8 @@
             answer_limit=0.2,
             avoid_time=0.4,
             recheck_period=0.2,
+            behind_retry_cap=0.2,
+            behind_recheck_period=0.1,
             directory_period=0.1,
         )
         self.feed = KindFeed("servers", self.listener)
@@ -182,6 +184,18 @@
         for member in self.members:
             self.assertLess(member.listener.confirmed, last + 0.2)
 
+    async def test_outage_costs_few_calls_of_those_behind(self):
+        """Guards against all instances that call a store which is down."""
+        self.store.refused.update({"e0", "e1", "e2"})
+        await asyncio.sleep(0.3)
+        before = self.store.calls
+        await asyncio.sleep(1.0)
+        self.assertLess(self.store.calls - before, 45)
+        self.store.refused.clear()
+        await asyncio.sleep(0.6)
+        for member in self.members:
+            self.assertLess(elapsed_time() - member.listener.confirmed, 0.6)
+
     async def test_stopping_relay_sends_its_followers_away(self):
         """Guards against followers that lose their source at the end of a planned stop."""
         self.members[0].runner.stop_relaying()
