--- a/src/sapphireledge/gateway/engine_choice.py
+++ b/src/sapphireledge/gateway/engine_choice.py
@@ -25,18 +25,18 @@
 """Engines that are asked for a prompt that was read before. An engine that reads 8,000 tokens again
 is charged a hundred times as much as all these questions."""
 
-REMOTE_CANDIDATES = 1
+REMOTE_CANDIDATES = 3
 """Engines of other data centres whose reports are read for one choice."""
 
 REPORT_LIMIT = 0.15
 """Seconds to wait for reports: two round trips between regions and a margin."""
 
-REMOTE_COST = 0.3
+REMOTE_COST = 0.2
 """Cost of another data centre, in prompts that are read before the own one."""
 
-RUNNING_COST = 0.03
-"""Cost of a running generation, in prompts that are read before the own one: each one delays
-every token of the batch a little."""
+RUNNING_COST = 0.3
+"""Cost of a running generation, in prompts that are read before the own one. A prompt of 8,000
+tokens holds up every running generation by about a second, and longer runs meet more losses."""
 
 FULL_COST = 4.0
 """Cost of an engine whose memory has no room for the prompt, in prompts."""
