--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,6 +46,7 @@
             self._centre_crash,
             self._runner_leaves,
             self._runner_sheds,
+            self._runner_repeats,
             self._runner_link,
             self._store_link,
             self._store_down,
@@ -125,6 +126,12 @@
         await asyncio.sleep(self._rng.uniform(1.0, 3.0))
         runner.sheds = runner.fails = 0.0
 
+    async def _runner_repeats(self) -> None:
+        runner = self._rng.choice(self._world.runners)
+        runner.repeats = self._rng.uniform(0.2, 0.8)
+        await asyncio.sleep(self._rng.uniform(1.0, 4.0))
+        runner.repeats = 0.0
+
     async def _strike(self, link: Link) -> None:
         link.strike(self._rng.choice(list(LinkFault)), self._rng.uniform(0.02, 0.4))
         await asyncio.sleep(self._rng.uniform(0.5, 3.0))
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -29,6 +29,9 @@
 PROMPT_TIME = 0.2
 """Seconds to read a prompt."""
 
+REPEAT_DELAY = 0.005
+"""Seconds after an answer at which it is sent again."""
+
 WORK_TIME = 0.03
 """Seconds of plain work."""
 
@@ -52,6 +55,8 @@
         self.identity = ""
         self.sheds = 0.0
         self.fails = 0.0
+        self.repeats = 0.0
+        """Share of plain answers that are sent twice, the second time late."""
         self.left_at: float | None = None
         """Time at which the store acknowledged that the runner leaves."""
         self.link = Link("127.0.0.1", ("127.0.0.1", 0))
@@ -136,7 +141,11 @@
             await asyncio.sleep(WORK_TIME)
             status = 500 if self._rng.random() < self.fails else 200
             seal = {PREFIX + "request-id": request_id, PREFIX + "server-seal": "s"}
-            writer.write(whole(status, seal, b"answer to " + request_id.encode()))
+            answer = whole(status, seal, b"answer to " + request_id.encode())
+            writer.write(answer)
+            if self._rng.random() < self.repeats:
+                await asyncio.sleep(REPEAT_DELAY)
+                writer.write(answer)
 
     async def _stream(
         self, request: Request, request_id: str, reads: bool, writer: asyncio.StreamWriter
