--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -5,10 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import structlog
+
 from sapphireledge.feed.feed_channel import read_message, write_message
 from sapphireledge.feed.feed_message import FeedAnswer, FeedEntry, FeedRequest, KindAnswer
 from sapphireledge.feed.source_error import SourceError
-from sapphireledge.gateway import elapsed_time
+from sapphireledge.gateway import GatewayEvent, elapsed_time
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -51,9 +53,8 @@
                 request = await read_message(reader, FeedRequest)
                 write_message(writer, await self._answer(request))
                 await writer.drain()
-        except (SourceError, OSError):
-            # The follower went to another relay or ended.
-            pass
+        except (SourceError, OSError) as exc:
+            structlog.get_logger().info(GatewayEvent.FOLLOWER_LEFT, reason=str(exc))
         finally:
             writer.close()
 
@@ -66,12 +67,10 @@
         """Waits for something new and collects it."""
         arrived = elapsed_time()
         if self._is_source() and not self._has_news(request):
-            try:
-                async with asyncio.timeout(self._cfg.answer_period):
-                    await self._progress.wait()
-            except TimeoutError:
-                # An answer without news tells the follower that this instance still runs.
-                pass
+            # An answer without news tells the follower that this instance still runs.
+            progress = asyncio.create_task(self._progress.wait())
+            await asyncio.wait({progress}, timeout=self._cfg.answer_period)
+            progress.cancel()
         waited = elapsed_time() - arrived
         if not self._is_source():
             return FeedAnswer(waited, {})
--- a/src/sapphireledge/gateway/engine_scout.py
+++ b/src/sapphireledge/gateway/engine_scout.py
@@ -5,7 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import structlog
+
 from sapphireledge.gateway.broken_reply import BrokenReply
+from sapphireledge.gateway.gateway_event import GatewayEvent
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -89,7 +92,10 @@
         try:
             async with asyncio.timeout(limit):
                 return await self._exchange(server, *request)
-        except (OSError, TimeoutError, BrokenReply):
+        except (OSError, TimeoutError, BrokenReply) as exc:
+            structlog.get_logger().info(
+                GatewayEvent.REPORT_MISSING, server=server.server_id, reason=repr(exc)
+            )
             return None
 
     async def _exchange(
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -52,6 +52,15 @@
     SERVER_UNREADABLE = "server_unreadable"
     """An entry of the registry names no backend server that can be used."""
 
+    ENDPOINT_CLOSED = "endpoint_closed"
+    """A connection for readiness or metrics broke or stayed idle."""
+
+    FOLLOWER_LEFT = "follower_left"
+    """An instance that followed this one closed its connection."""
+
+    REPORT_MISSING = "report_missing"
+    """An engine did not answer a question for its report or its kept prompts."""
+
     REPORT_UNREADABLE = "report_unreadable"
     """An engine's report cannot be read."""
 
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.gateway.broken_reply import BrokenReply
 from sapphireledge.gateway.classify_reply import classify_reply
 from sapphireledge.gateway.dispatch import Dispatch
+from sapphireledge.gateway.observed_send import observed_send
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.replay_rule import ReplayRule
 
@@ -112,23 +114,8 @@
         if not tried:
             parts.allowance(service).on_request()
         tried.add(server.server_id)
-        return asyncio.create_task(self._send(work, server, len(tried)))
-
-    async def _send(self, work: AdmittedRequest, server: BackendServer, number: int) -> Outcome:
-        """Sends the request once and observes the outcome."""
-        parts = self._parts
-        state = parts.registry.state(server.server_id)
-        if state is not None:
-            state.running += 1
-        started = asyncio.get_running_loop().time()
-        try:
-            outcome = await self._exchange(work, server)
-        finally:
-            if state is not None:
-                state.running -= 1
-        parts.observe(outcome)
-        parts.journal.attempt_ended(work, outcome, number, started)
-        return outcome
+        send = partial(self._exchange, work, server)
+        return asyncio.create_task(observed_send(parts, work, server, len(tried), send))
 
     async def _exchange(self, work: AdmittedRequest, server: BackendServer) -> Outcome:
         """Makes one HTTP exchange."""
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from sapphireledge.gateway.broken_reply import BrokenReply
 from sapphireledge.gateway.classify_reply import classify_reply
 from sapphireledge.gateway.dispatch import Dispatch
 from sapphireledge.gateway.event_splitter import EventSplitter
+from sapphireledge.gateway.observed_send import observed_send
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 
 if TYPE_CHECKING:
@@ -52,19 +54,10 @@
         Returns:
             The outcome; ANSWERED only if the caller has the whole stream.
         """
-        parts = self._parts
-        state = parts.registry.state(plan.server.server_id)
-        if state is not None:
-            state.running += 1
-        started = asyncio.get_running_loop().time()
-        try:
-            outcome = await self._connect_and_run(plan)
-        finally:
-            if state is not None:
-                state.running -= 1
-        parts.observe(outcome)
-        parts.journal.attempt_ended(self._work, outcome, self._progress.attempts, started)
-        return outcome
+        send = partial(self._connect_and_run, plan)
+        return await observed_send(
+            self._parts, self._work, plan.server, self._progress.attempts, send
+        )
 
     async def _connect_and_run(self, plan: EnginePlan) -> Outcome:
         """Takes a connection for the run."""
--- a/src/sapphireledge/gateway/text_endpoint.py
+++ b/src/sapphireledge/gateway/text_endpoint.py
@@ -6,6 +6,9 @@
 from typing import TYPE_CHECKING
 
 import h11
+import structlog
+
+from sapphireledge.gateway.gateway_event import GatewayEvent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,9 +42,9 @@
             async with asyncio.timeout(IDLE_LIMIT):
                 while await self._serve_one(parser, reader, writer):
                     parser.start_next_cycle()
-        except (OSError, TimeoutError, h11.ProtocolError):
-            # A broken or idle connection needs no answer; the client opens another one.
-            pass
+        except (OSError, TimeoutError, h11.ProtocolError) as exc:
+            # The client opens another connection for its next question.
+            structlog.get_logger().info(GatewayEvent.ENDPOINT_CLOSED, reason=repr(exc))
         finally:
             writer.close()
 
