--- a/soak/entry.py
+++ b/soak/entry.py
@@ -25,18 +25,15 @@
 INTERPRETER_TIME = 0.3
 """Seconds from the start of a process to the first statement of the program, on a busy machine."""
 
-NETWORKS = 250
-"""Loopback networks that runs are spread over."""
-
 FRONT_PORT, READY_PORT, PEER_PORT = 7100, 7101, 7340
 
 
 class Entry:
     """One real process on a loopback address of its own."""
 
-    def __init__(self, number: int, data_centre: str, store: Store, folder: Path) -> None:
-        # Runs at the same time listen on networks of their own.
-        network = os.getpid() % NETWORKS + 1
+    def __init__(
+        self, number: int, network: int, data_centre: str, store: Store, folder: Path
+    ) -> None:
         self.host = f"127.{network}.{number // 250}.{number % 250 + 1}"
         self.data_centre = data_centre
         self.name = f"e{number}"
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -32,7 +32,7 @@
 REPEAT_DELAY = 0.005
 """Seconds after an answer at which it is sent again."""
 
-WORK_TIME = 0.03
+WORK_TIME = 0.1
 """Seconds of plain work."""
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import signal
+import socket
 import time
 from pathlib import Path
 from random import Random
@@ -34,6 +37,33 @@
 """Seconds in which an acknowledged configuration must be in force."""
 
 
+NETWORKS = 250
+"""Loopback networks that runs at the same time are spread over."""
+
+LOCK_PORT = 7099
+"""Port whose listener reserves a network."""
+
+
+def reserve_network() -> tuple[int, socket.socket]:
+    """Takes a loopback network that no other run uses.
+
+    Returns:
+        Its number and the socket that reserves it.
+
+    Raises:
+        OSError: Every network is in use.
+    """
+    first = os.getpid()
+    for number in range(NETWORKS):
+        network = (first + number) % NETWORKS + 1
+        try:
+            return network, socket.create_server((f"127.{network}.255.254", LOCK_PORT))
+        except OSError as exc:
+            if exc.errno != errno.EADDRINUSE:
+                raise
+    raise OSError(errno.EADDRINUSE, "every loopback network is in use")
+
+
 class World:
     """One seeded run."""
 
@@ -48,6 +78,7 @@
         self.routes = ["/plain/", "/once/", "/stream/"]
         self._folder = folder
         self._sizes = (entries, runners, callers)
+        self._network, self._lock = reserve_network()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, seconds: float) -> list[str]:
@@ -80,6 +111,7 @@
             for runner in self.runners:
                 runner.crash()
                 runner.link.close()
+            self._lock.close()
         return self.record.finish()
 
     def write_config(self) -> float:
@@ -124,7 +156,7 @@
             await runner.start()
         for number in range(entries):
             centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-            self.entries.append(Entry(number, centre, self.store, self._folder))
+            self.entries.append(Entry(number, self._network, centre, self.store, self._folder))
         await asyncio.gather(*(entry.start() for entry in self.entries))
         await asyncio.sleep(START_TIME)
 
