Hand the reading of the store over to one instance after the loss of a relay

The first watch is short now, the others wait 0.25 s for it, and instances with others before them call a lost store less often.

--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -106,6 +106,9 @@
         self._avoid[peer.name] = asyncio.get_running_loop().time() + self._cfg.avoid_time
         if self._follower.answers:
             self._log.info(GatewayEvent.RELAY_LOST, relay=peer.name, reason=reason)
+            if len(self._before) > 1:
+                # The next instance in the order begins to read the store meanwhile.
+                await asyncio.sleep(self._cfg.handover_time)
 
     async def _read_store(self) -> None:
         """Reads the store until an instance before this one may be followed again."""
@@ -122,7 +125,7 @@
         """Waits until it is time to look for a relay."""
         behind = bool(self._before)
         for watcher in self._watchers:
-            watcher.retry_cap = self._cfg.behind_retry_cap if behind else self._cfg.retry_cap
+            watcher.be_patient(behind)
         await asyncio.sleep(self._cfg.behind_recheck_period)
         if not behind or all(watcher.is_sound for watcher in self._watchers):
             await asyncio.sleep(self._cfg.recheck_period - self._cfg.behind_recheck_period)
--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -37,12 +37,22 @@
     confirm_wait: float = 0.5
     """Time that the store holds the first watch after changes."""
 
+    first_wait: float = 0.05
+    """Time that the store holds the first watch after a start or a failure."""
+
     retry_base: float = 0.1
     """First pause after a failed call."""
 
     retry_cap: float = 0.6
     """Longest pause after failed calls; keys are trusted for 3.8 s without a confirmation."""
 
+    handover_time: float = 0.25
+    """Time after the loss of a relay in which the next instance begins to read the store: one call
+    and a retransmission."""
+
+    behind_retry_base: float = 1.0
+    """First pause after a failed call of an instance that has others before it."""
+
     behind_retry_cap: float = 3.0
     """Longest pause after failed calls of an instance that has others before it. In an outage of
     the whole store those before it try more often, and it follows them as soon as they succeed."""
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -36,13 +36,11 @@
         self.is_sound = False
         """Whether the last call succeeded."""
 
-        self.retry_cap = cfg.retry_cap
-        """Longest pause after failed calls in seconds."""
-
         self._source = source
         self._feed = feed
         self._kind = kind
         self._cfg = cfg
+        self._is_patient = False
         self._rng = Random()
         self._log = structlog.get_logger()
         self._needs_listing = False
@@ -62,6 +60,14 @@
         finally:
             self.is_sound = False
 
+    def be_patient(self, patient: bool) -> None:
+        """Sets how often a lost store is called again.
+
+        Args:
+            patient: Whether other instances call it more often and pass on what they read.
+        """
+        self._is_patient = patient
+
     async def _step(self) -> None:
         """Makes one call."""
         began = elapsed_time()
@@ -74,6 +80,9 @@
             return
         # A watch that ends with changes confirms only its start, so the next one is short.
         wait = self._cfg.confirm_wait if self._changed else self._kind.wait
+        if not self.is_sound:
+            # Others may follow as soon as one call succeeds.
+            wait = min(wait, self._cfg.first_wait)
         changes = await self._source.watch(self._kind.kind, revision, wait)
         self._note_success()
         if changes is None:
@@ -108,6 +117,9 @@
         if not self._lost:
             self._lost = True
             self._log.warning(GatewayEvent.STORE_LOST, kind=self._kind.kind, reason=str(exc))
-        pause = min(self.retry_cap, self._cfg.retry_base * 2**self._failures)
+        cfg = self._cfg
+        base = cfg.behind_retry_base if self._is_patient else cfg.retry_base
+        cap = cfg.behind_retry_cap if self._is_patient else cfg.retry_cap
+        pause = min(cap, base * 2**self._failures)
         self._failures = min(self._failures + 1, 8)
         await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -112,7 +112,9 @@
             answer_limit=0.2,
             avoid_time=0.4,
             recheck_period=0.2,
+            behind_retry_base=0.1,
             behind_retry_cap=0.2,
+            handover_time=0.2,
             behind_recheck_period=0.1,
             directory_period=0.1,
         )
@@ -160,7 +162,7 @@
     async def test_followers_take_over_when_the_relay_ends(self):
         """Guards against instances that rely on one that is gone."""
         self.members[0].task.cancel()
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(0.6)
         self.assertEqual(self.reading(), [1])
         self.store.put("b", 2)
         await asyncio.sleep(0.2)
