--- a/soak/entry.py
+++ b/soak/entry.py
@@ -19,6 +19,9 @@
 __all__ = ["Entry"]
 
 PROGRAM = Path(__file__).resolve().parent.parent / "src" / "sapphireledge_entry.py"
+ABORT_TIME = 0.3
+"""Seconds for the report of a process that is aborted."""
+
 GRACE = 8.0
 """Seconds between SIGTERM and SIGKILL."""
 
@@ -44,6 +47,7 @@
         """Time of the last signal that paused or ended the process, or of its end."""
         self.pauses = 0
         """Pauses that have not ended."""
+        self._restarting = asyncio.Lock()
         self._settings = folder / f"{self.name}.json"
         self._log = folder / f"{self.name}.log"
 
@@ -84,14 +88,23 @@
                 str(PROGRAM),
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "SAPPHIRELEDGE_NODE_FILE": str(self._settings)},
+                env={
+                    **os.environ,
+                    "SAPPHIRELEDGE_NODE_FILE": str(self._settings),
+                    "PYTHONFAULTHANDLER": "1",
+                },
             )
 
-    async def restart(self) -> None:
-        """Starts the process again after its end."""
+    async def ended(self) -> None:
+        """Waits for the end of the process."""
         if self.process is not None:
             await self.process.wait()
-        await self.start()
+
+    async def restart(self) -> None:
+        """Starts the process again after its end."""
+        async with self._restarting:
+            if self.process is not None and not self.is_running:
+                await self.start()
 
     def was_calm_since(self, moment: float) -> bool:
         """Whether nothing was done to the process since a moment."""
@@ -119,6 +132,9 @@
             async with asyncio.timeout(GRACE):
                 code = await self.process.wait()
         except TimeoutError:
+            # The interpreter writes where it stands into the log.
+            self.send(signal.SIGABRT)
+            await asyncio.sleep(ABORT_TIME)
             self.kill()
             return f"{self.name} did not end within its grace time"
         return f"{self.name} ended with code {code}" if code not in allowed else ""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -76,8 +76,7 @@
             link.heal()
         for entry in world.entries:
             entry.send(signal.SIGCONT)
-            if not entry.is_running:
-                await entry.start()
+            await entry.restart()
         world.record.last_fault = time.monotonic()
 
     async def _play(self, fault: Coroutine[Any, Any, None]) -> None:
@@ -176,6 +175,7 @@
         if not entry.is_running or entry.stopping_since is not None:
             return
         entry.kill()
+        await entry.ended()
         await asyncio.sleep(self._rng.uniform(0.2, 1.0))
         await entry.restart()
 
@@ -186,6 +186,7 @@
         end = await entry.terminate()
         if end and entry.was_calm_since(entry.stopping_since or 0.0):
             self._world.record.violations.append(f"stop: {end}")
+        await entry.ended()
         await entry.restart()
 
     async def _hang_up(self) -> None:
--- a/src/sapphireledge/gateway/backend_server.py
+++ b/src/sapphireledge/gateway/backend_server.py
@@ -26,15 +26,9 @@
     data_centre: str
     """Data centre that it runs in."""
 
-    slots: int
-    """Requests that it runs at once."""
-
     leaving: bool = False
     """Whether it must receive no new work."""
 
-    warm_up: float = 0.0
-    """Seconds for which it stays slow after its start."""
-
     born: int = 0
     """Start of the incarnation in Unix milliseconds, 0 when unknown."""
 
--- a/src/sapphireledge/gateway/connection_pool.py
+++ b/src/sapphireledge/gateway/connection_pool.py
@@ -8,6 +8,8 @@
 from sapphireledge.gateway.backend_connection import BackendConnection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sapphireledge.gateway.backend_server import BackendServer
 
 __all__ = ["ConnectionPool"]
@@ -31,7 +33,10 @@
 """
 
 MAX_IDLE = 6
-"""Idle connections kept for one backend server."""
+"""Most idle connections kept for one backend server."""
+
+IDLE_SHARE = 0.5
+"""Share of a backend server's connections that all instances together keep idle."""
 
 
 class ConnectionPool:
@@ -39,8 +44,11 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[BackendConnection]] = {}
-        self.opened = 0
-        """Connections opened since the start."""
+        self.limit_of: Callable[[str], int] = lambda service: 0
+        """Connections that a server of a service accepts from all instances, 0 if unknown."""
+
+        self.count_instances: Callable[[], int] = lambda: 1
+        """Number of instances that share these connections."""
 
     async def take(self, server: BackendServer, *, once: bool) -> BackendConnection:
         """Takes an idle connection or opens one.
@@ -67,7 +75,6 @@
                 kept.insert(0, conn)
                 break
             conn.abort()
-        self.opened += 1
         async with asyncio.timeout(CONNECT_LIMIT):
             return await BackendConnection.open(server.host, server.port)
 
@@ -79,11 +86,19 @@
             conn: Connection; it is closed if it cannot be used again.
         """
         kept = self._idle.setdefault(server.server_id, [])
-        if conn.is_reusable and len(kept) < MAX_IDLE:
+        if conn.is_reusable and len(kept) < self._idle_cap(server.service):
             kept.append(conn)
         else:
             conn.abort()
 
+    def _idle_cap(self, service: str) -> int:
+        """Largest number of idle connections to one backend server of a service."""
+        limit = self.limit_of(service)
+        if not limit:
+            return MAX_IDLE
+        part = int(limit * IDLE_SHARE / max(1, self.count_instances()))
+        return max(1, min(MAX_IDLE, part))
+
     def drop(self, server_id: str) -> None:
         """Closes the idle connections of a backend server.
 
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -64,6 +64,7 @@
         self._plain = PlainForwarder(self.parts)
         self._streams = StreamForwarder(self.parts)
         self._rng = Random()
+        self.parts.pool.limit_of = self._connection_limit
         self._connections: set[CallerConnection] = set()
         self._stop_since: float | None = None
 
@@ -194,6 +195,11 @@
         """Limits of the configuration in force."""
         return CallerLimits() if self.config.table is None else self.config.table.limits
 
+    def _connection_limit(self, service: str) -> int:
+        """Connections that a backend server of a service accepts, 0 if unknown."""
+        profile = None if self.config.table is None else self.config.table.services.get(service)
+        return 0 if profile is None else profile.max_connections
+
     async def _refuse(
         self, conn: CallerConnection, request: CallerRequest, failure: Failure, started: float
     ) -> None:
--- a/src/sapphireledge/gateway/route.py
+++ b/src/sapphireledge/gateway/route.py
@@ -48,9 +48,6 @@
     resumable: bool = False
     """Whether a broken stream may continue at another backend server."""
 
-    pause_target: float = 0.0
-    """Longest pause in seconds between two events of an answer that is on time."""
-
     @property
     def repeatable(self) -> bool:
         """Whether a request that may have been executed can be sent again."""
--- a/src/sapphireledge/gateway/service_profile.py
+++ b/src/sapphireledge/gateway/service_profile.py
@@ -17,8 +17,5 @@
     max_connections: int = 0
     """Connections that one backend server accepts from all callers, 0 when unknown."""
 
-    is_engine: bool = False
-    """Whether the backend servers are model engines."""
-
     standby_copies: bool = False
     """Whether an engine can copy a running generation to another one."""
--- a/src/sapphireledge/platform/decode_config.py
+++ b/src/sapphireledge/platform/decode_config.py
@@ -50,7 +50,6 @@
     max_attempts: int = 1
     anonymous: bool = False
     resumable: bool = False
-    gap_goal_ms: float = 0.0
 
 
 class _Engine(msgspec.Struct):
@@ -116,7 +115,6 @@
             service.name: ServiceProfile(
                 service.name,
                 service.max_conns,
-                is_engine=service.engine is not None,
                 standby_copies=service.engine is not None and service.engine.backups,
             )
             for service in config.services
@@ -154,7 +152,6 @@
                 max_attempts=route.max_attempts,
                 anonymous=route.anonymous,
                 resumable=route.resumable,
-                pause_target=route.gap_goal_ms / 1000.0,
             )
         )
     return {
--- a/src/sapphireledge/platform/decode_server.py
+++ b/src/sapphireledge/platform/decode_server.py
@@ -13,14 +13,13 @@
 
 
 class _Server(msgspec.Struct):
-    """An entry; `zone` is a data centre, and `cold_left_ms` is how long it stays slow."""
+    """An entry; `zone` is a data centre."""
 
     service: str
     address: str
     zone: str
     slots: int
     state: Literal["ready", "draining"]
-    cold_left_ms: float = 0
     born: int = 0
 
 
@@ -46,8 +45,6 @@
         host=host,
         port=port,
         data_centre=entry.zone,
-        slots=entry.slots,
         leaving=entry.state == "draining",
-        warm_up=entry.cold_left_ms / 1000.0,
         born=entry.born,
     )
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -61,6 +61,7 @@
     server = GatewayServer(gateway, metrics)
     runner = _feed_runner(cfg, gateway, metrics)
     gateway.parts.count_instances = lambda: runner.instances
+    gateway.parts.pool.count_instances = lambda: runner.instances
     reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -59,7 +59,7 @@
         routes={"svc.example": tuple(sorted(routes, key=lambda r: -len(r.path_prefix)))},
         services={
             "app": ServiceProfile("app"),
-            "llm": ServiceProfile("llm", is_engine=True, standby_copies=True),
+            "llm": ServiceProfile("llm", standby_copies=True),
         },
         keys={KEY: WorkspaceKey("court")},
         keys_required=True,
@@ -258,7 +258,7 @@
         """Puts a server into the registry."""
         self.gateway.parts.registry.put(
             BackendServer(
-                server.server_id, service, HOST, server.port, data_centre, 6, leaving=leaving
+                server.server_id, service, HOST, server.port, data_centre, leaving=leaving
             )
         )
 
--- a/tests/test_gateway_plain.py
+++ b/tests/test_gateway_plain.py
@@ -235,6 +235,18 @@
         self.assertEqual(self.gateway.parts.registry.state(server.server_id).running, 0)
 
 
+class PoolTest(GatewayCase):
+    async def test_idle_connections_are_shared_among_the_instances(self):
+        """Guards against servers that reset connections because many instances keep some."""
+        pool = self.gateway.parts.pool
+        pool.limit_of = lambda service: 100
+        caps = []
+        for instances in (1, 20, 300):
+            pool.count_instances = lambda instances=instances: instances
+            caps.append(pool._idle_cap("app"))
+        self.assertEqual(caps, [6, 2, 1])
+
+
 class AdmissionTest(GatewayCase):
     async def test_refusals_before_a_server_is_asked(self):
         """Guards against requests that run without a route or with an unknown key."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -97,7 +97,13 @@
     def test_entries_of_other_writers_name_no_server(self):
         """Guards against work for entries that cannot be read."""
         self.assertEqual(decode_server("i1", SERVER).born, 5)
-        wrong = ({"state": "other"}, {"slots": "6"}, {"address": "x"}, {"service": None})
+        wrong = (
+            {"state": "other"},
+            {"slots": "6"},
+            {"address": "x"},
+            {"service": None},
+            {"zone": 1},
+        )
         for change in wrong:
             with self.subTest(change), self.assertRaises((msgspec.ValidationError, ValueError)):
                 decode_server("i1", {**SERVER, **change})
