Leave a connection that went silent before the first event

Cause: an engine that answers for its report on a new connection was waited for until the deadline, although its stream connection carried nothing any more. Its report names the events that it made (test_connection_that_is_silent_before_the_first_event_is_left failed before).

--- a/src/sapphireledge/gateway/engine_load.py
+++ b/src/sapphireledge/gateway/engine_load.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 __all__ = ["EngineLoad"]
 
@@ -14,9 +18,6 @@
     waiting: int
     """Requests that wait for a slot or for memory."""
 
-    reading: int
-    """Running requests that have no event yet, so that their prompt is still read."""
-
     running: int
     """Running requests."""
 
@@ -26,5 +27,13 @@
     memory_total: int
     """Tokens that fit into memory."""
 
+    events: Mapping[str, int] = field(default_factory=dict)
+    """Events made so far of each running request, by the id of the caller attempt."""
+
     born: int = 0
     """Start of the incarnation that reports, in Unix milliseconds, 0 when unknown."""
+
+    @property
+    def reading(self) -> int:
+        """Running requests that have no event yet, so that their prompt is still read."""
+        return sum(1 for made in self.events.values() if not made)
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -29,6 +29,10 @@
 
 Result = TypeVar("Result")
 
+LATE_EVENTS = 10
+"""Events that an engine may have made before the first one arrives. They take about 0.3 s, ten
+times the way between regions; more of them show that the connection has gone silent."""
+
 
 class StreamAttempt:
     """Sends a stream request to one engine and delivers its events."""
@@ -138,11 +142,15 @@
         An engine sends nothing while it reads a prompt, so silence alone does not show its loss.
         """
         cfg = self._parts.cfg
+        request_id = self._work.request.request_id
         task = asyncio.create_task(read)
         try:
             while not (await asyncio.wait({task}, timeout=cfg.probe_period))[0]:
-                if await self._parts.scout.ask(server, cfg.probe_limit) is None:
+                load = await self._parts.scout.ask(server, cfg.probe_limit)
+                if load is None:
                     raise BrokenReply("silent, and no report either")
+                if not task.done() and load.events.get(request_id, 0) > LATE_EVENTS:
+                    raise BrokenReply("events are made that do not arrive")
             return task.result()
         finally:
             task.cancel()
--- a/src/sapphireledge/platform/decode_report.py
+++ b/src/sapphireledge/platform/decode_report.py
@@ -67,12 +67,12 @@
     except msgspec.MsgspecError as exc:
         structlog.get_logger().warning(GatewayEvent.REPORT_UNREADABLE, reason=str(exc))
         return None
-    reading = sum(1 for run in report.runs if len(run) > EVENTS_FIELD and not run[EVENTS_FIELD])
+    runs = [run for run in report.runs if len(run) > EVENTS_FIELD]
     return EngineLoad(
         waiting=report.waiting,
-        reading=reading,
         running=report.running,
         memory_used=report.kv_used,
         memory_total=report.kv_total,
+        events={str(run[0]): int(run[EVENTS_FIELD]) for run in runs},
         born=report.born,
     )
--- a/tests/test_gateway_stream.py
+++ b/tests/test_gateway_stream.py
@@ -161,6 +161,20 @@
         self.assertEqual(reply.body, events(0, 1, 2))
         self.assertEqual(second.received, [])
 
+    async def test_connection_that_is_silent_before_the_first_event_is_left(self):
+        """Guards against waiting for a connection that lost its other end."""
+
+        async def silent(request, writer):
+            first.load = {"running": 1, "runs": [["id1", 8000, 30, 5]]}
+            await asyncio.sleep(30)
+
+        first, second = await self.first_of(silent, run(0, 2))
+        started = asyncio.get_running_loop().time()
+        reply = await self.call("/stream/")
+        self.assertEqual(reply.body, events(0, 1, 2))
+        self.assertEqual(len(second.received), 1)
+        self.assertLess(asyncio.get_running_loop().time() - started, 2.0)
+
     async def test_least_loaded_engine_is_chosen(self):
         """Guards against sending prompts to an engine that reads others already."""
         busy = await self.add("llm", run(0, 1))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -115,6 +115,7 @@
         body = b'{"waiting":1,"running":2,"runs":[["a",9,0,5],["b",9,4,5]],"born":8}'
         load = decode_report(body)
         self.assertEqual((load.waiting, load.reading, load.running, load.born), (1, 1, 2, 8))
+        self.assertEqual(load.events, {"a": 0, "b": 4})
         self.assertIsNone(decode_report(b"no"))
         self.assertEqual(decode_cache(b'{"held":[["","aa",9,"m"]]}'), frozenset({"aa"}))
 
