Sharpen the soak until it finds each planted fault

Cause: five planted faults were not found (docs/soak.md). Late repetitions came while the connection was idle, no runner stalled past a deadline, callers never used a removed key again, and no calm time had a leaving runner.

Change: repetitions are sent with the next request of the connection, plain runners stall for 5.5 to 7.5 s, a tenth of the requests use a removed key, keys are also removed while an entry is cut off from the store, and one runner of each service leaves after the faults. Broken connections of the stand-ins are counted and printed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import typer
 
+from soak.http import lost_connections
 from soak.world import World
 
 REGRESSIONS = Path(__file__).with_name("regressions.txt")
@@ -46,7 +47,9 @@
         world = World(seed, folder, entries, runners, callers)
         violations = asyncio.run(world.run(seconds))
         served = sum(1 for a in world.record.answers.values() if a.status == 200 and a.complete)
+        lost = ", ".join(f"{name} {count}" for name, count in sorted(lost_connections.items()))
         typer.echo(f"seed {seed}: {len(world.record.answers)} requests, {served} served")
+        typer.echo(f"  connections of stand-ins lost since the first seed: {lost or 'none'}")
         return violations
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from soak.link import LinkFault
+from soak.record import REVOKE_LIMIT
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -15,6 +16,7 @@
 
     from soak.entry import Entry
     from soak.link import Link
+    from soak.runner import Runner
     from soak.world import World
 
 __all__ = ["Faults"]
@@ -25,6 +27,9 @@
 SERVING_TIME = 4.0
 """Seconds for which a leaving runner still serves."""
 
+STALL_TIMES = (5.5, 7.5)
+"""Seconds without answers, longer than callers wait."""
+
 
 class Faults:
     """Draws faults from the seed of the run and begins them one after the other."""
@@ -47,6 +52,7 @@
             self._runner_leaves,
             self._runner_sheds,
             self._runner_repeats,
+            self._runner_stalls,
             self._runner_link,
             self._store_link,
             self._store_down,
@@ -57,6 +63,7 @@
             self._entry_stop,
             self._hang_up,
             self._revoke,
+            self._revoke_behind_cut,
             self._change_config,
         ]
         ends = time.monotonic() + seconds
@@ -125,12 +132,22 @@
         await asyncio.sleep(self._rng.uniform(1.0, 3.0))
         runner.sheds = runner.fails = 0.0
 
+    def _plain_runner(self) -> Runner:
+        """Draws a runner of a plain service."""
+        return self._rng.choice([r for r in self._world.runners if r.service == "app"])
+
     async def _runner_repeats(self) -> None:
-        runner = self._rng.choice(self._world.runners)
+        runner = self._plain_runner()
         runner.repeats = self._rng.uniform(0.2, 0.8)
         await asyncio.sleep(self._rng.uniform(1.0, 4.0))
         runner.repeats = 0.0
 
+    async def _runner_stalls(self) -> None:
+        runner = self._plain_runner()
+        length = self._rng.uniform(*STALL_TIMES)
+        runner.stalls_until = time.monotonic() + length
+        await asyncio.sleep(length)
+
     async def _strike(self, link: Link) -> None:
         link.strike(self._rng.choice(list(LinkFault)), self._rng.uniform(0.02, 0.4))
         await asyncio.sleep(self._rng.uniform(0.5, 3.0))
@@ -200,5 +217,12 @@
         world.keys.append(f"k{world.version}-{len(world.record.revoked)}")
         world.record.revoked[key] = world.write_config()
 
+    async def _revoke_behind_cut(self) -> None:
+        link = self._rng.choice(self._world.entries).store_link
+        link.strike(LinkFault.CUT, 0.0)
+        await self._revoke()
+        await asyncio.sleep(REVOKE_LIMIT + self._rng.uniform(1.0, 2.0))
+        link.heal()
+
     async def _change_config(self) -> None:
         self._world.write_config()
--- a/soak/http.py
+++ b/soak/http.py
@@ -3,9 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 
-__all__ = ["Request", "read_request", "whole"]
+__all__ = ["Request", "lost_connections", "note_lost", "read_request", "whole"]
+
+lost_connections: Counter[str] = Counter()
+"""Connections of stand-ins that broke, by stand-in and kind of error."""
+
+
+def note_lost(where: str, exc: OSError) -> None:
+    """Counts a connection that broke; faults break many, so each is counted and not logged.
+
+    Args:
+        where: Stand-in that lost it.
+        exc: The error.
+    """
+    lost_connections[f"{where} {type(exc).__name__}"] += 1
 
 
 @dataclass(frozen=True)
--- a/soak/link.py
+++ b/soak/link.py
@@ -5,6 +5,8 @@
 import asyncio
 from enum import StrEnum
 
+from soak.http import note_lost
+
 __all__ = ["Link", "LinkFault"]
 
 
@@ -133,7 +135,7 @@
                     continue
                 writer.write(data)
                 await writer.drain()
-        except OSError:
-            pass
+        except OSError as exc:
+            note_lost("link", exc)
         if not pair.silent:
             pair.close()
--- a/soak/record.py
+++ b/soak/record.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from soak.runner import Runner
 
-__all__ = ["REFUSALS", "Answer", "Record"]
+__all__ = ["DRAIN_LIMIT", "REFUSALS", "REVOKE_LIMIT", "Answer", "Record"]
 
 REFUSALS = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request has not run and never will."""
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from soak.http import Request, read_request, whole
+from soak.http import Request, note_lost, read_request, whole
 from soak.link import Link
 
 if TYPE_CHECKING:
@@ -29,9 +29,6 @@
 PROMPT_TIME = 0.2
 """Seconds to read a prompt."""
 
-REPEAT_DELAY = 0.005
-"""Seconds after an answer at which it is sent again."""
-
 WORK_TIME = 0.1
 """Seconds of plain work."""
 
@@ -56,7 +53,9 @@
         self.sheds = 0.0
         self.fails = 0.0
         self.repeats = 0.0
-        """Share of plain answers that are sent twice, the second time late."""
+        """Share of plain answers that are sent again when the connection's next request comes."""
+        self.stalls_until = 0.0
+        """Time until which plain requests are run and not answered."""
         self.left_at: float | None = None
         """Time at which the store acknowledged that the runner leaves."""
         self.link = Link("127.0.0.1", ("127.0.0.1", 0))
@@ -103,49 +102,50 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         identity = self.identity
+        late = b""
         self._writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 if identity != self.identity:
                     return
-                await self._answer(request, writer)
+                writer.write(late)
+                late = await self._answer(request, writer)
                 await writer.drain()
-        except OSError:
-            pass
+        except OSError as exc:
+            note_lost("runner", exc)
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
 
-    async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+    async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> bytes:
+        """Answers a request; returns the bytes that a repeating runner sends too late."""
         if request.target == "/report":
             writer.write(whole(200, {}, msgspec.json.encode({"running": 0})))
-            return
+            return b""
         if request.target == "/kv-list":
             writer.write(whole(200, {}, msgspec.json.encode({"held": []})))
-            return
+            return b""
         headers = request.headers
         request_id = headers[PREFIX + "request-id"]
         if headers.get(PREFIX + "expect-instance") != self.identity:
             writer.write(whole(421, {}, b""))
-            return
+            return b""
         self._record.on_arrival(request_id, self)
         source = headers.get("kv-from")
         missing = source is not None and request_id not in self.copies[self.link.address]
         if missing or self._rng.random() < self.sheds:
             writer.write(whole(503, {PREFIX + "not-executed": "1"}, b""))
-            return
+            return b""
         self._record.on_run(request_id, headers.get(PREFIX + "tenant", ""))
         if request.target.startswith("/stream/"):
             await self._stream(request, request_id, source is None, writer)
-        else:
-            await asyncio.sleep(WORK_TIME)
-            status = 500 if self._rng.random() < self.fails else 200
-            seal = {PREFIX + "request-id": request_id, PREFIX + "server-seal": "s"}
-            answer = whole(status, seal, b"answer to " + request_id.encode())
-            writer.write(answer)
-            if self._rng.random() < self.repeats:
-                await asyncio.sleep(REPEAT_DELAY)
-                writer.write(answer)
+            return b""
+        await asyncio.sleep(max(WORK_TIME, self.stalls_until - time.monotonic()))
+        status = 500 if self._rng.random() < self.fails else 200
+        seal = {PREFIX + "request-id": request_id, PREFIX + "server-seal": "s"}
+        answer = whole(status, seal, b"answer to " + request_id.encode())
+        writer.write(answer)
+        return answer if self._rng.random() < self.repeats else b""
 
     async def _stream(
         self, request: Request, request_id: str, reads: bool, writer: asyncio.StreamWriter
--- a/soak/store.py
+++ b/soak/store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from soak.http import Request, read_request, whole
+from soak.http import Request, note_lost, read_request, whole
 
 __all__ = ["Store"]
 
@@ -87,8 +87,8 @@
                     await asyncio.sleep(60)
                 writer.write(whole(status, {}, msgspec.json.encode(body)))
                 await writer.drain()
-        except OSError:
-            pass
+        except OSError as exc:
+            note_lost("store", exc)
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,7 +14,7 @@
 from soak.caller import Caller
 from soak.entry import Entry
 from soak.faults import Faults
-from soak.record import Record
+from soak.record import DRAIN_LIMIT, Record
 from soak.runner import Runner
 from soak.store import Store
 
@@ -28,7 +28,10 @@
 """Seconds after the last fault in which everything must work again."""
 
 CHECKED = 40
-"""Requests after the faults have ended."""
+"""Requests of each check after the faults have ended."""
+
+REMOVED_KEY_SHARE = 0.1
+"""Share of requests with a key that was removed."""
 
 SERVED_SHARE = 0.95
 """Share of these requests that must be served."""
@@ -104,6 +107,7 @@
             await asyncio.gather(*callers, return_exceptions=True)
             await self._check_recovery()
             await self._check_config()
+            await self._check_leave()
             await self._check_stop()
         finally:
             for entry in self.entries:
@@ -164,7 +168,10 @@
         caller = Caller(self.record, self.rng, self.keys)
         while True:
             entry = self.rng.choice(self.entries)
-            await caller.call(entry, self.rng.choice(self.routes[:3]))
+            removed = tuple(self.record.revoked)
+            use_removed = removed and self.rng.random() < REMOVED_KEY_SHARE
+            key = self.rng.choice(removed[-2:]) if use_removed else ""
+            await caller.call(entry, self.rng.choice(self.routes[:3]), key)
             await asyncio.sleep(self.rng.uniform(0.01, 0.2))
 
     async def _check_recovery(self) -> None:
@@ -186,6 +193,15 @@
             if answer.status != 200:
                 self.record.violations.append(f"config: {answer.status} at {entry.name}")
 
+    async def _check_leave(self) -> None:
+        """Lets one runner of each service leave; `Record` judges what still arrives there."""
+        for runner in self.runners[:2]:
+            runner.announce("draining")
+        await asyncio.sleep(DRAIN_LIMIT)
+        for number in range(CHECKED):
+            caller = Caller(self.record, self.rng, self.keys)
+            await caller.call(self.entries[number % len(self.entries)], self.routes[number % 3])
+
     async def _check_stop(self) -> None:
         """Stops all entries as planned while each serves a stream."""
         callers = [Caller(self.record, self.rng, self.keys) for _ in self.entries]
