Leave the store to few instances; wait for the first configuration

Ruled out: reading the list of instances (stale reads, a tenth of a call each).

Change: the first question to a relay is answered at once; a relay is looked for after each of the first three readings of the list; instances with three or more before them wait 0.8 s for the new relay and call a lost store every 2.5 to 6 s; up to three instances are tried in turn; failed probes are logged once.

The tests failed first: a restarted instance follows without reading the store, most instances leave the store alone, a request waits for the configuration.

--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -30,6 +30,9 @@
         self.answers = 0
         """Answers taken from the current relay."""
 
+        self.answered = asyncio.Event()
+        """Set by each answer."""
+
     async def follow(self, peer: Peer) -> str:
         """Follows a relay until it fails.
 
@@ -40,6 +43,7 @@
             Why it was left.
         """
         self.answers = 0
+        self.answered.clear()
         try:
             async with asyncio.timeout(self._cfg.connect_limit):
                 reader, writer = await asyncio.open_connection(peer.host, peer.port)
@@ -47,17 +51,19 @@
             return f"cannot connect: {exc!r}"
         try:
             while True:
-                await self._ask(reader, writer)
+                await self._ask(reader, writer, at_once=not self.answers)
         except SourceError as exc:
             return str(exc)
         finally:
             writer.transport.abort()
 
-    async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _ask(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, at_once: bool
+    ) -> None:
         """Asks once and takes up the answer."""
         asked = elapsed_time()
         revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
-        write_message(writer, FeedRequest(revisions))
+        write_message(writer, FeedRequest(revisions, at_once))
         try:
             async with asyncio.timeout(self._cfg.answer_limit):
                 answer = await read_message(reader, FeedAnswer)
@@ -66,6 +72,7 @@
         if not answer.kinds:
             raise SourceError("the relay does not read the store")
         self.answers += 1
+        self.answered.set()
         for kind, part in answer.kinds.items():
             feed = self._feeds.get(kind)
             if feed is None:
--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -15,6 +15,9 @@
     revisions: dict[str, int | None]
     """Revision that it knows of each kind, None for nothing."""
 
+    at_once: bool = False
+    """Whether to answer without waiting for news; a follower learns so that the relay is sound."""
+
 
 class FeedEntry(msgspec.Struct, frozen=True, array_like=True):
     """One object, or the removal of one."""
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -29,6 +29,12 @@
 """Pauses in seconds between the first readings of the list of instances; those that start at the
 same time announce themselves meanwhile."""
 
+FAR_BEHIND = 3
+"""Instances before one that leave it little to do; the loss of as many at once is rare."""
+
+RELAYS_TRIED = 3
+"""Instances before one that it tries when it looks for a relay."""
+
 
 class FeedRunner:
     """Keeps the feeds up to date with few calls to the store.
@@ -65,7 +71,9 @@
         """Instances that are announced in the store, those that are gone included."""
 
         self._before: list[Peer] = []
+        self._looks_for_relay = asyncio.Event()
         self._avoid: dict[str, float] = {}
+        self._reported: set[str] = set()
         self._stopping = False
         self._log = structlog.get_logger()
 
@@ -103,12 +111,14 @@
     async def _follow(self, peer: Peer) -> None:
         """Follows an instance until it fails."""
         reason = await self._follower.follow(peer)
-        self._avoid[peer.name] = asyncio.get_running_loop().time() + self._cfg.avoid_time
-        if self._follower.answers:
-            self._log.info(GatewayEvent.RELAY_LOST, relay=peer.name, reason=reason)
-            if len(self._before) > 1:
-                # The next instance in the order begins to read the store meanwhile.
-                await asyncio.sleep(self._cfg.handover_time)
+        followed = self._follower.answers > 0
+        if followed:
+            self._reported.discard(peer.name)
+        self._note_failed(peer, reason)
+        if followed and len(self._before) > 1:
+            # The next instance in the order begins to read the store meanwhile.
+            late = len(self._before) >= FAR_BEHIND
+            await asyncio.sleep(self._cfg.late_handover_time if late else self._cfg.handover_time)
 
     async def _read_store(self) -> None:
         """Reads the store until an instance before this one may be followed again."""
@@ -123,30 +133,72 @@
 
     async def _pause(self) -> None:
         """Waits until it is time to look for a relay."""
-        behind = bool(self._before)
+        behind = len(self._before)
         for watcher in self._watchers:
-            watcher.be_patient(behind)
-        await asyncio.sleep(self._cfg.behind_recheck_period)
+            watcher.set_pauses(*self._retry_pauses(behind))
+        if await self._is_woken(self._cfg.behind_recheck_period):
+            return
         if not behind or all(watcher.is_sound for watcher in self._watchers):
-            await asyncio.sleep(self._cfg.recheck_period - self._cfg.behind_recheck_period)
+            await self._is_woken(self._cfg.recheck_period - self._cfg.behind_recheck_period)
         else:
             self._avoid.clear()
 
+    def _retry_pauses(self, behind: int) -> tuple[float, float]:
+        """First and longest pause of an instance with a number of others before it."""
+        cfg = self._cfg
+        if behind >= FAR_BEHIND:
+            return cfg.far_behind_retry_base, cfg.far_behind_retry_cap
+        if behind:
+            return cfg.behind_retry_base, cfg.behind_retry_cap
+        return cfg.retry_base, cfg.retry_cap
+
+    async def _is_woken(self, limit: float) -> bool:
+        """Waits; returns early after one of the first readings of the list of instances."""
+        self._looks_for_relay.clear()
+        woken = asyncio.create_task(self._looks_for_relay.wait())
+        done, _ = await asyncio.wait({woken}, timeout=limit)
+        woken.cancel()
+        return bool(done)
+
     async def _is_relayed(self) -> bool:
         """Whether an instance before this one relays, so that the store need not be read."""
-        peer = self._next_peer()
-        if peer is None:
-            return False
+        for _ in range(RELAYS_TRIED):
+            peer = self._next_peer()
+            if peer is None:
+                return False
+            if await self._relays(peer):
+                self._log.info(GatewayEvent.RELAY_FOUND, relay=peer.name)
+                return True
+        return False
+
+    async def _relays(self, peer: Peer) -> bool:
+        """Whether an instance relays now; one that does not is avoided for a while."""
+        self._follower.answered.clear()
         probe = asyncio.create_task(self._follower.follow(peer))
-        await asyncio.wait({probe}, timeout=self._cfg.answer_period)
-        if probe.done() or not self._follower.answers:
-            probe.cancel()
-            self._avoid[peer.name] = asyncio.get_running_loop().time() + self._cfg.avoid_time
+        answered = asyncio.create_task(self._follower.answered.wait())
+        await asyncio.wait(
+            {probe, answered},
+            timeout=self._cfg.answer_period,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        answered.cancel()
+        if probe.done():
+            self._note_failed(peer, probe.result())
             return False
         probe.cancel()
-        self._log.info(GatewayEvent.RELAY_FOUND, relay=peer.name)
+        if not self._follower.answers:
+            self._note_failed(peer, "no answer in time")
+            return False
+        self._reported.discard(peer.name)
         return True
 
+    def _note_failed(self, peer: Peer, reason: str) -> None:
+        """Avoids an instance for a while; the first of several failures is logged."""
+        self._avoid[peer.name] = asyncio.get_running_loop().time() + self._cfg.avoid_time
+        if peer.name not in self._reported:
+            self._reported.add(peer.name)
+            self._log.info(GatewayEvent.RELAY_LOST, relay=peer.name, reason=reason)
+
     async def _read_directory(self) -> None:
         """Announces this instance and learns of the others."""
         announced = False
@@ -163,6 +215,11 @@
                 self._log.warning(GatewayEvent.STORE_LOST, kind="peers", reason=str(exc))
                 await asyncio.sleep(self._cfg.recheck_period)
                 continue
+            if pauses:
+                # A restarted instance finds a relay at once; those that start together find one
+                # when they have announced themselves.
+                self._avoid.clear()
+                self._looks_for_relay.set()
             await asyncio.sleep(pauses.pop(0) if pauses else self._cfg.directory_period)
 
     def _preceding(self, peers: Sequence[Peer]) -> list[Peer]:
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -66,7 +66,7 @@
     async def _answer(self, request: FeedRequest) -> FeedAnswer:
         """Waits for something new and collects it."""
         arrived = elapsed_time()
-        if self._is_source() and not self._has_news(request):
+        if not request.at_once and self._is_source() and not self._has_news(request):
             # An answer without news tells the follower that this instance still runs.
             progress = asyncio.create_task(self._progress.wait())
             await asyncio.wait({progress}, timeout=self._cfg.answer_period)
--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -50,6 +50,10 @@
     """Time after the loss of a relay in which the next instance begins to read the store: one call
     and a retransmission."""
 
+    late_handover_time: float = 0.8
+    """The same for an instance that has several others before it; one of them reads the store by
+    then, and the keys of 1.4 s before the loss stay within the trust of 3.8 s."""
+
     behind_retry_base: float = 1.0
     """First pause after a failed call of an instance that has others before it."""
 
@@ -57,6 +61,13 @@
     """Longest pause after failed calls of an instance that has others before it. In an outage of
     the whole store those before it try more often, and it follows them as soon as they succeed."""
 
+    far_behind_retry_base: float = 2.5
+    """First pause after a failed call of an instance that has several others before it."""
+
+    far_behind_retry_cap: float = 6.0
+    """Longest pause after failed calls of such an instance. It reads the store only when the
+    store turns those before it away and serves itself."""
+
     behind_recheck_period: float = 0.5
     """Time after which such an instance looks for a relay again while its own calls fail."""
 
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -40,7 +40,7 @@
         self._feed = feed
         self._kind = kind
         self._cfg = cfg
-        self._is_patient = False
+        self._pauses = (cfg.retry_base, cfg.retry_cap)
         self._rng = Random()
         self._log = structlog.get_logger()
         self._needs_listing = False
@@ -60,13 +60,14 @@
         finally:
             self.is_sound = False
 
-    def be_patient(self, patient: bool) -> None:
+    def set_pauses(self, base: float, cap: float) -> None:
         """Sets how often a lost store is called again.
 
         Args:
-            patient: Whether other instances call it more often and pass on what they read.
+            base: First pause after a failed call in seconds.
+            cap: Longest pause in seconds.
         """
-        self._is_patient = patient
+        self._pauses = (base, cap)
 
     async def _step(self) -> None:
         """Makes one call."""
@@ -117,9 +118,7 @@
         if not self._lost:
             self._lost = True
             self._log.warning(GatewayEvent.STORE_LOST, kind=self._kind.kind, reason=str(exc))
-        cfg = self._cfg
-        base = cfg.behind_retry_base if self._is_patient else cfg.retry_base
-        cap = cfg.behind_retry_cap if self._is_patient else cfg.retry_cap
+        base, cap = self._pauses
         pause = min(cap, base * 2**self._failures)
         self._failures = min(self._failures + 1, 8)
         await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -168,13 +169,16 @@
         Returns:
             The servers, the best first.
         """
-
-        def cost(state: BackendState) -> tuple[bool, float, int]:
-            server = state.server
-            order = xxhash.xxh3_64_intdigest(f"{affinity}/{server.server_id}".encode())
-            return server.data_centre in avoid_centres, self._cost(now, state), order
-
-        return [state.server for state in sorted(self._usable(service, avoid), key=cost)]
+        found = [
+            (
+                state.server.data_centre in avoid_centres,
+                self._cost(now, state),
+                xxhash.xxh3_64_intdigest(f"{affinity}/{state.server.server_id}".encode()),
+                state.server,
+            )
+            for state in self._usable(service, avoid)
+        ]
+        return [server for *_, server in sorted(found, key=itemgetter(0, 1, 2))]
 
     def is_usable(self, server_id: str) -> bool:
         """Whether a server takes new work.
--- a/src/sapphireledge/gateway/config_view.py
+++ b/src/sapphireledge/gateway/config_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
         """Table in force, None before the first one."""
 
         self._confirmed = float("-inf")
+        self._accepted = asyncio.Event()
 
     def accept(self, table: RoutingTable) -> bool:
         """Puts a table in force if it is newer.
@@ -41,8 +43,21 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self._accepted.set()
+        self._accepted = asyncio.Event()
         return True
 
+    async def wait_known(self, limit: float) -> None:
+        """Waits for the first table.
+
+        Args:
+            limit: Longest wait in seconds.
+        """
+        if self.table is None:
+            accepted = asyncio.create_task(self._accepted.wait())
+            await asyncio.wait({accepted}, timeout=limit)
+            accepted.cancel()
+
     def confirm(self, moment: float) -> None:
         """Notes that no newer version existed at a moment.
 
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -122,6 +122,7 @@
             request: The request.
         """
         started = asyncio.get_running_loop().time()
+        await self.config.wait_known(self.cfg.start_wait)
         admitted = self._admit(request)
         if isinstance(admitted, Failure):
             return await self._refuse(conn, request, admitted, started)
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -35,7 +35,7 @@
     """Another instance is followed in place of the store."""
 
     RELAY_LOST = "relay_lost"
-    """The followed instance failed."""
+    """The followed instance failed, or one that was asked does not relay."""
 
     CONFIG_APPLIED = "config_applied"
     """A newer configuration is in force."""
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -38,6 +38,10 @@
     stop_limit: float
     """Time from SIGTERM to SIGKILL."""
 
+    start_wait: float = 0.2
+    """Longest wait of a request for the first configuration. An instance listens 0.02 to 0.25 s
+    before it has one; a refusal after that time still comes early."""
+
     drain_time: float = 4.0
     """Time after SIGTERM in which connections still arrive; readiness is asked each second, and
     two misses take the instance out."""
--- a/src/sapphireledge/operator/event_finder.py
+++ b/src/sapphireledge/operator/event_finder.py
@@ -139,7 +139,8 @@
         if parsed.version == 7:
             start = (parsed.int >> 80) // 1000
     except ValueError:
-        pass
+        # An id that a caller chose carries no time; the last bucket and this one are read.
+        start = now - BUCKET
     first = start // BUCKET * BUCKET
     return [bucket for bucket in (first, first + BUCKET) if bucket <= now]
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 import unittest
+from collections import Counter
+from dataclasses import replace
 
 from sapphireledge.feed import (
     FeedRunner,
@@ -54,6 +56,7 @@
         self.changes = []
         self.revision = 1
         self.calls = 0
+        self.calls_of = Counter()
         self.refused = set()
 
     def put(self, name, spec):
@@ -72,6 +75,7 @@
 
     def _check(self):
         self.store.calls += 1
+        self.store.calls_of[self.name] += 1
         if self.name in self.store.refused:
             raise SourceError("refused")
 
@@ -99,9 +103,9 @@
 class Member:
     """One instance with its feed."""
 
-    def __init__(self, store, name, link, peers, port):
+    def __init__(self, store, name, link, peers, port, **times):
         self.listener = Listener()
-        self.cfg = FeedSettings(
+        cfg = FeedSettings(
             kinds=(KIND,),
             host="127.0.0.1",
             port=port,
@@ -118,6 +122,7 @@
             behind_recheck_period=0.1,
             directory_period=0.1,
         )
+        self.cfg = replace(cfg, **times)
         self.feed = KindFeed("servers", self.listener)
         client = Client(store, name, peers)
         self.watcher = KindWatcher(client, self.feed, KIND, self.cfg)
@@ -178,6 +183,15 @@
         self.assertEqual(self.members[2].listener.objects, {"a": 1, "b": 2})
         self.assertEqual(self.members[0].listener.objects, {"a": 1})
 
+    async def test_instances_that_the_store_turns_away_follow_one_that_it_serves(self):
+        """Guards against looking for a relay at the first instance only."""
+        self.store.refused.update({"e0", "e2"})
+        await asyncio.sleep(1.0)
+        self.store.put("b", 2)
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.members[1].listener.objects, {"a": 1, "b": 2})
+        self.assertEqual(self.members[2].listener.objects, {"a": 1, "b": 2})
+
     async def test_age_grows_when_nobody_reaches_the_store(self):
         """Guards against instances that confirm each other without the store."""
         self.store.refused.update({"e0", "e1", "e2"})
@@ -198,6 +212,52 @@
         for member in self.members:
             self.assertLess(elapsed_time() - member.listener.confirmed, 0.6)
 
+    async def test_restarted_instance_follows_without_reading_the_store(self):
+        """Guards against store calls of each instance that restarts while a relay is sound."""
+        before = self.store.calls
+        peers = list(self.members[0].runner._directory.known)
+        member = Member(self.store, "e3", 1.0, peers, free_ports(1)[0], recheck_period=5.0)
+        self.members.append(member)
+        await asyncio.sleep(0.3)
+        self.assertEqual(member.listener.objects, {"a": 1})
+        self.assertFalse(member.watcher.is_sound)
+        own = self.store.calls_of["e3"]
+        self.assertLess(own, 10)
+        await asyncio.sleep(0.5)
+        self.assertLess(self.store.calls_of["e3"] - own, 9)
+        self.assertGreater(self.store.calls, before)
+
+    async def test_most_instances_leave_the_store_alone(self):
+        """Guards against calls of all instances when one relay ends or the store is down."""
+        peers = list(self.members[0].runner._directory.known)
+        times = {
+            "late_handover_time": 1.5,
+            "far_behind_retry_base": 0.5,
+            "far_behind_retry_cap": 1.0,
+        }
+        ports = free_ports(4)
+        for number in range(3, 7):
+            name = f"e{number}"
+            member = Member(self.store, name, 10.0 - number, peers, ports[number - 3], **times)
+            self.members.append(member)
+        await asyncio.sleep(1.0)
+        late = [member.listener for member in self.members[3:]]
+        self.store.calls_of.clear()
+        self.members[0].task.cancel()
+        await asyncio.sleep(2.5)
+        self.assertEqual([self.store.calls_of[f"e{n}"] for n in range(3, 7)], [0] * 4)
+        self.store.put("b", 2)
+        await asyncio.sleep(0.3)
+        self.assertEqual([found.objects for found in late], [{"a": 1, "b": 2}] * 4)
+        self.store.refused.update(f"e{n}" for n in range(7))
+        await asyncio.sleep(2.0)
+        for number in range(3, 7):
+            self.assertLess(self.store.calls_of[f"e{number}"], 6)
+        self.store.refused.clear()
+        await asyncio.sleep(1.0)
+        for found in late:
+            self.assertLess(elapsed_time() - found.confirmed, 0.6)
+
     async def test_stopping_relay_sends_its_followers_away(self):
         """Guards against followers that lose their source at the end of a planned stop."""
         self.members[0].runner.stop_relaying()
--- a/tests/test_gateway_plain.py
+++ b/tests/test_gateway_plain.py
@@ -267,6 +267,24 @@
         self.assertFalse(self.gateway.is_ready)
         self.assertEqual(server.received, [])
 
+    async def test_request_waits_for_the_first_configuration(self):
+        """Guards against refusals in the moments between the start and the first listing."""
+        await self.add("app", ok)
+        self.gateway.config.table = None
+        call = asyncio.create_task(self.call("/plain/"))
+        await asyncio.sleep(0.1)
+        self.gateway.config.accept(table())
+        self.assertEqual((await call).status, 200)
+
+    async def test_request_without_a_configuration_is_refused(self):
+        """Guards against requests that hang while the store is away from the start on."""
+        self.gateway.config.table = None
+        began = elapsed_time()
+        reply = await self.call("/plain/")
+        self.assertEqual(reply.status, 503)
+        self.assertIn("retry-after", reply.headers)
+        self.assertLess(elapsed_time() - began, self.cfg.start_wait + 0.5)
+
     async def test_older_configuration_never_replaces_a_newer_one(self):
         """Guards against a regression after a stale listing."""
         self.assertTrue(self.gateway.config.accept(table(5)))
