Find a relay far down the order

Cause: an instance that the store turns away looked for a relay among the first three instances before it only; if the store turned those away too, it never followed one that the store serves, and refused keyed requests.

Ruled out: waiting for the first three to be avoided; the list of avoided instances is emptied at each look, so that a regained relay is found at once.

Change: up to eight instances are tried within 0.7 s. A relay logs the end of a follower only if it relayed to it; probes end after one answer.

--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -32,8 +32,9 @@
 FAR_BEHIND = 3
 """Instances before one that leave it little to do; the loss of as many at once is rare."""
 
-RELAYS_TRIED = 3
-"""Instances before one that it tries when it looks for a relay."""
+RELAYS_TRIED = 8
+"""Most instances before one that it tries when it looks for a relay. If the store turns half of the
+instances away, one in 256 finds none."""
 
 
 class FeedRunner:
@@ -154,17 +155,20 @@
 
     async def _is_woken(self, limit: float) -> bool:
         """Waits; returns early after one of the first readings of the list of instances."""
-        self._looks_for_relay.clear()
         woken = asyncio.create_task(self._looks_for_relay.wait())
         done, _ = await asyncio.wait({woken}, timeout=limit)
         woken.cancel()
+        if done:
+            self._looks_for_relay.clear()
         return bool(done)
 
     async def _is_relayed(self) -> bool:
         """Whether an instance before this one relays, so that the store need not be read."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._cfg.answer_period
         for _ in range(RELAYS_TRIED):
             peer = self._next_peer()
-            if peer is None:
+            if peer is None or loop.time() >= until:
                 return False
             if await self._relays(peer):
                 self._log.info(GatewayEvent.RELAY_FOUND, relay=peer.name)
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -48,13 +48,19 @@
             reader: Bytes of the follower.
             writer: Bytes to the follower.
         """
+        relayed = 0
         try:
             while True:
                 request = await read_message(reader, FeedRequest)
-                write_message(writer, await self._answer(request))
+                answer = await self._answer(request)
+                relayed += bool(answer.kinds)
+                write_message(writer, answer)
                 await writer.drain()
         except (SourceError, OSError) as exc:
-            structlog.get_logger().info(GatewayEvent.FOLLOWER_LEFT, reason=str(exc))
+            # An instance that only looks for a relay leaves after one answer, many times in an
+            # outage; it logs that itself.
+            if relayed > 1:
+                structlog.get_logger().info(GatewayEvent.FOLLOWER_LEFT, reason=str(exc))
         finally:
             writer.close()
 
