--- a/src/sapphireledge/gateway/engine_choice.py
+++ b/src/sapphireledge/gateway/engine_choice.py
@@ -8,7 +8,7 @@
 from sapphireledge.gateway.engine_plan import EnginePlan
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Mapping
 
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
@@ -84,21 +84,26 @@
         holder = await self._holder(work, progress)
         if holder is not None:
             return holder
-        groups = self._candidates(work, progress.avoid)
-        if not any(groups) and progress.avoid:
-            groups = self._candidates(work, set())
-        candidates = [server for group in groups for server in group]
+        candidates = self._candidates(work, progress.avoid)
+        if not candidates and progress.avoid:
+            candidates = self._candidates(work, set())
         if len(candidates) < 2:
             return candidates[0] if candidates else None
-        costs: dict[str, float] = {}
-        asked = 0
-        for group in groups:
-            costs.update(await self._ask(work, group))
-            asked += len(group)
-            if costs and min(costs.values()) <= REMOTE_COST:
-                # No engine of another data centre can cost less.
-                break
-        self._parts.journal.engine_chosen(work, costs, asked)
+        reports = await self._parts.scout.ask_all(candidates, REPORT_LIMIT)
+        now = asyncio.get_running_loop().time()
+        candidates = [
+            server for server in candidates if not self._is_replaced(server, reports)
+        ] or candidates
+        self._recent = [entry for entry in self._recent if entry[0] > now - RECENT]
+        costs = {
+            server.server_id: self._cost(work, server, reports[server.server_id])
+            for server in candidates
+            if server.server_id in reports
+        }
+        for server in candidates:
+            if server.server_id not in costs:
+                self._parts.registry.on_lost(now, server)
+        self._parts.journal.engine_chosen(work, costs, len(candidates))
         if not costs:
             return candidates[0]
         return min(
@@ -106,21 +111,6 @@
             key=lambda server: costs[server.server_id],
         )
 
-    async def _ask(
-        self, work: AdmittedRequest, servers: Sequence[BackendServer]
-    ) -> dict[str, float]:
-        """Computes the costs of the engines that answer for their reports."""
-        reports = await self._parts.scout.ask_all(servers, REPORT_LIMIT)
-        now = asyncio.get_running_loop().time()
-        self._recent = [entry for entry in self._recent if entry[0] > now - RECENT]
-        costs: dict[str, float] = {}
-        for server in servers:
-            if server.server_id not in reports:
-                self._parts.registry.on_lost(now, server)
-            elif not self._is_replaced(server, reports):
-                costs[server.server_id] = self._cost(work, server, reports[server.server_id])
-        return costs
-
     async def _holder(
         self, work: AdmittedRequest, progress: StreamProgress
     ) -> BackendServer | None:
@@ -145,16 +135,14 @@
         self._parts.pool.drop(server.server_id)
         return True
 
-    def _candidates(
-        self, work: AdmittedRequest, avoid: set[str]
-    ) -> tuple[list[BackendServer], list[BackendServer]]:
+    def _candidates(self, work: AdmittedRequest, avoid: set[str]) -> list[BackendServer]:
         """Takes the best engines of the own and of the other data centres."""
         now = asyncio.get_running_loop().time()
         own = self._parts.cfg.data_centre
         ranked = self._parts.registry.rank(now, work.service.name, work.request.affinity, avoid)
         local = [server for server in ranked if server.data_centre == own]
         remote = [server for server in ranked if server.data_centre != own]
-        return local[:LOCAL_CANDIDATES], remote[:REMOTE_CANDIDATES]
+        return local[:LOCAL_CANDIDATES] + remote[:REMOTE_CANDIDATES]
 
     def _cost(self, work: AdmittedRequest, server: BackendServer, load: EngineLoad) -> float:
         """Estimates the wait at an engine, in prompts."""
