Write the exchange with a backend server and the wait for an event once

Found by reading the change as a newcomer: plain and streaming forwarders each took a connection, mapped its failures to outcomes and gave it back or dropped it; four places started a task to wait for an event with a limit; a probe for a relay followed it in a second task; pool and retry budget were each told the number of instances; one test cached the cells of one subject as a special case.

Change: exchange() does all of the first and replaces observed_send(); is_set_within() waits; a follower can leave after one answer; the pool asks its parts for the number; every cell of the fault matrix is settled once.

--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -30,20 +30,17 @@
         self.answers = 0
         """Answers taken from the current relay."""
 
-        self.answered = asyncio.Event()
-        """Set by each answer."""
-
-    async def follow(self, peer: Peer) -> str:
+    async def follow(self, peer: Peer, *, once: bool = False) -> str:
         """Follows a relay until it fails.
 
         Args:
             peer: Instance that reads the store.
+            once: Whether to leave it after its first answer.
 
         Returns:
-            Why it was left.
+            Why it was left, empty after a first answer that was enough.
         """
         self.answers = 0
-        self.answered.clear()
         try:
             async with asyncio.timeout(self._cfg.connect_limit):
                 reader, writer = await asyncio.open_connection(peer.host, peer.port)
@@ -52,6 +49,8 @@
         try:
             while True:
                 await self._ask(reader, writer, at_once=not self.answers)
+                if once:
+                    return ""
         except SourceError as exc:
             return str(exc)
         finally:
@@ -72,7 +71,6 @@
         if not answer.kinds:
             raise SourceError("the relay does not read the store")
         self.answers += 1
-        self.answered.set()
         for kind, part in answer.kinds.items():
             feed = self._feeds.get(kind)
             if feed is None:
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -11,7 +11,7 @@
 from sapphireledge.feed.feed_follower import FeedFollower
 from sapphireledge.feed.feed_server import FeedServer
 from sapphireledge.feed.source_error import SourceError
-from sapphireledge.gateway import GatewayEvent
+from sapphireledge.gateway import GatewayEvent, is_set_within
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -72,7 +72,7 @@
         """Instances that are announced in the store, those that are gone included."""
 
         self._before: list[Peer] = []
-        self._looks_for_relay = asyncio.Event()
+        self._directory_read = asyncio.Event()
         self._avoid: dict[str, float] = {}
         self._reported: set[str] = set()
         self._stopping = False
@@ -126,7 +126,7 @@
         tasks = [asyncio.create_task(watcher.run()) for watcher in self._watchers]
         try:
             await self._pause()
-            while not await self._is_relayed():
+            while not await self._find_relay():
                 await self._pause()
         finally:
             for task in tasks:
@@ -137,10 +137,12 @@
         behind = len(self._before)
         for watcher in self._watchers:
             watcher.set_pauses(*self._retry_pauses(behind))
-        if await self._is_woken(self._cfg.behind_recheck_period):
+        if await self._is_directory_read(self._cfg.behind_recheck_period):
             return
         if not behind or all(watcher.is_sound for watcher in self._watchers):
-            await self._is_woken(self._cfg.recheck_period - self._cfg.behind_recheck_period)
+            await self._is_directory_read(
+                self._cfg.recheck_period - self._cfg.behind_recheck_period
+            )
         else:
             self._avoid.clear()
 
@@ -153,49 +155,28 @@
             return cfg.behind_retry_base, cfg.behind_retry_cap
         return cfg.retry_base, cfg.retry_cap
 
-    async def _is_woken(self, limit: float) -> bool:
-        """Waits; returns early after one of the first readings of the list of instances."""
-        woken = asyncio.create_task(self._looks_for_relay.wait())
-        done, _ = await asyncio.wait({woken}, timeout=limit)
-        woken.cancel()
-        if done:
-            self._looks_for_relay.clear()
-        return bool(done)
-
-    async def _is_relayed(self) -> bool:
-        """Whether an instance before this one relays, so that the store need not be read."""
+    async def _is_directory_read(self, limit: float) -> bool:
+        """Waits for one of the first readings of the list of instances."""
+        read = await is_set_within(self._directory_read, limit)
+        self._directory_read.clear()
+        return read
+
+    async def _find_relay(self) -> bool:
+        """Looks for an instance before this one that relays, so that the store need not be read."""
         loop = asyncio.get_running_loop()
         until = loop.time() + self._cfg.answer_period
         for _ in range(RELAYS_TRIED):
             peer = self._next_peer()
             if peer is None or loop.time() >= until:
                 return False
-            if await self._relays(peer):
+            reason = await self._follower.follow(peer, once=True)
+            if not reason:
+                self._reported.discard(peer.name)
                 self._log.info(GatewayEvent.RELAY_FOUND, relay=peer.name)
                 return True
+            self._note_failed(peer, reason)
         return False
 
-    async def _relays(self, peer: Peer) -> bool:
-        """Whether an instance relays now; one that does not is avoided for a while."""
-        self._follower.answered.clear()
-        probe = asyncio.create_task(self._follower.follow(peer))
-        answered = asyncio.create_task(self._follower.answered.wait())
-        await asyncio.wait(
-            {probe, answered},
-            timeout=self._cfg.answer_period,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        answered.cancel()
-        if probe.done():
-            self._note_failed(peer, probe.result())
-            return False
-        probe.cancel()
-        if not self._follower.answers:
-            self._note_failed(peer, "no answer in time")
-            return False
-        self._reported.discard(peer.name)
-        return True
-
     def _note_failed(self, peer: Peer, reason: str) -> None:
         """Avoids an instance for a while; the first of several failures is logged."""
         self._avoid[peer.name] = asyncio.get_running_loop().time() + self._cfg.avoid_time
@@ -223,7 +204,7 @@
                 # A restarted instance finds a relay at once; those that start together find one
                 # when they have announced themselves.
                 self._avoid.clear()
-                self._looks_for_relay.set()
+                self._directory_read.set()
             await asyncio.sleep(pauses.pop(0) if pauses else self._cfg.directory_period)
 
     def _preceding(self, peers: Sequence[Peer]) -> list[Peer]:
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -10,7 +10,7 @@
 from sapphireledge.feed.feed_channel import read_message, write_message
 from sapphireledge.feed.feed_message import FeedAnswer, FeedEntry, FeedRequest, KindAnswer
 from sapphireledge.feed.source_error import SourceError
-from sapphireledge.gateway import GatewayEvent, elapsed_time
+from sapphireledge.gateway import GatewayEvent, elapsed_time, is_set_within
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -74,9 +74,7 @@
         arrived = elapsed_time()
         if not request.at_once and self._is_source() and not self._has_news(request):
             # An answer without news tells the follower that this instance still runs.
-            progress = asyncio.create_task(self._progress.wait())
-            await asyncio.wait({progress}, timeout=self._cfg.answer_period)
-            progress.cancel()
+            await is_set_within(self._progress, self._cfg.answer_period)
         waited = elapsed_time() - arrived
         if not self._is_source():
             return FeedAnswer(waited, {})
--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -15,6 +15,7 @@
 from sapphireledge.gateway.gateway_metrics import GatewayMetrics
 from sapphireledge.gateway.gateway_server import GatewayServer
 from sapphireledge.gateway.gateway_settings import GatewaySettings
+from sapphireledge.gateway.is_set_within import is_set_within
 from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.reply_head import ReplyHead
 from sapphireledge.gateway.request_journal import RequestJournal
@@ -46,4 +47,5 @@
     "ServiceProfile",
     "WorkspaceKey",
     "elapsed_time",
+    "is_set_within",
 ]
--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -158,6 +158,20 @@
         self._finish()
         return None
 
+    async def read_whole_body(self) -> bytes:
+        """Reads the body to its end.
+
+        Returns:
+            Bytes of the complete body.
+
+        Raises:
+            BrokenReply: The body ended early.
+        """
+        body = bytearray()
+        while (part := await self.read_body()) is not None:
+            body += part
+        return bytes(body)
+
     def abort(self) -> None:
         """Closes the connection at once, so that the backend server stops its work."""
         self.closing = True
--- a/src/sapphireledge/gateway/config_view.py
+++ b/src/sapphireledge/gateway/config_view.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from sapphireledge.gateway.is_set_within import is_set_within
+
 if TYPE_CHECKING:
     from sapphireledge.gateway.routing_table import RoutingTable
 
@@ -44,7 +46,6 @@
             return False
         self.table = table
         self._accepted.set()
-        self._accepted = asyncio.Event()
         return True
 
     async def wait_known(self, limit: float) -> None:
@@ -54,9 +55,7 @@
             limit: Longest wait in seconds.
         """
         if self.table is None:
-            accepted = asyncio.create_task(self._accepted.wait())
-            await asyncio.wait({accepted}, timeout=limit)
-            accepted.cancel()
+            await is_set_within(self._accepted, limit)
 
     def confirm(self, moment: float) -> None:
         """Notes that no newer version existed at a moment.
--- a/src/sapphireledge/gateway/connection_pool.py
+++ b/src/sapphireledge/gateway/connection_pool.py
@@ -42,14 +42,17 @@
 class ConnectionPool:
     """Hands out connections and keeps those that may carry another request."""
 
-    def __init__(self) -> None:
+    def __init__(self, count_instances: Callable[[], int] = lambda: 1) -> None:
+        """Creates an empty pool.
+
+        Args:
+            count_instances: Number of instances that share the connections of a backend server.
+        """
+        self._count_instances = count_instances
         self._idle: dict[str, list[BackendConnection]] = {}
         self.limit_of: Callable[[str], int] = lambda service: 0
         """Connections that a server of a service accepts from all instances, 0 if unknown."""
 
-        self.count_instances: Callable[[], int] = lambda: 1
-        """Number of instances that share these connections."""
-
     async def take(self, server: BackendServer, *, once: bool) -> BackendConnection:
         """Takes an idle connection or opens one.
 
@@ -96,7 +99,7 @@
         limit = self.limit_of(service)
         if not limit:
             return MAX_IDLE
-        part = int(limit * IDLE_SHARE / max(1, self.count_instances()))
+        part = int(limit * IDLE_SHARE / max(1, self._count_instances()))
         return max(1, min(MAX_IDLE, part))
 
     def drop(self, server_id: str) -> None:
--- /dev/null
+++ b/src/sapphireledge/gateway/exchange.py
@@ -0,0 +1,80 @@
+"""One exchange with a backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sapphireledge.gateway.broken_reply import BrokenReply
+from sapphireledge.gateway.outcome import Outcome, OutcomeKind
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.backend_connection import BackendConnection
+    from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.gateway_parts import GatewayParts
+
+__all__ = ["exchange"]
+
+
+async def exchange(
+    parts: GatewayParts,
+    work: AdmittedRequest,
+    server: BackendServer,
+    number: int,
+    run: Callable[[BackendConnection], Awaitable[Outcome]],
+) -> Outcome:
+    """Makes one exchange, counts it as running meanwhile and takes its outcome into account.
+
+    Args:
+        parts: Shared parts.
+        work: The request.
+        server: Backend server that is asked.
+        number: Number of the exchange, from 1.
+        run: Sends the request on a connection and reads the answer.
+
+    Returns:
+        The outcome.
+    """
+    state = parts.registry.state(server.server_id)
+    if state is not None:
+        state.running += 1
+    started = asyncio.get_running_loop().time()
+    try:
+        outcome = await _connect_and_run(parts, work, server, run)
+    finally:
+        if state is not None:
+            state.running -= 1
+    parts.observe(outcome)
+    parts.journal.attempt_ended(work, outcome, number, started)
+    return outcome
+
+
+async def _connect_and_run(
+    parts: GatewayParts,
+    work: AdmittedRequest,
+    server: BackendServer,
+    run: Callable[[BackendConnection], Awaitable[Outcome]],
+) -> Outcome:
+    """Takes a connection for the exchange; only a whole and valid answer lets it be kept."""
+    try:
+        conn = await parts.pool.take(server, once=not work.route.repeatable)
+    except (OSError, TimeoutError) as exc:
+        return Outcome(OutcomeKind.NOT_EXECUTED, server, f"cannot connect: {exc!r}")
+    valid = False
+    try:
+        async with asyncio.timeout_at(work.deadline):
+            outcome = await run(conn)
+        valid = outcome.head is not None
+        return outcome
+    except BrokenReply as exc:
+        return Outcome(OutcomeKind.LOST, server, str(exc))
+    except TimeoutError:
+        return Outcome(OutcomeKind.OUT_OF_TIME, server, "no answer in time")
+    finally:
+        if valid:
+            parts.pool.give_back(server, conn)
+        else:
+            conn.abort()
--- a/src/sapphireledge/gateway/gateway_parts.py
+++ b/src/sapphireledge/gateway/gateway_parts.py
@@ -37,15 +37,15 @@
         self.registry = BackendRegistry(cfg.data_centre)
         """Backend servers."""
 
-        self.pool = ConnectionPool()
+        self.count_instances: Callable[[], int] = lambda: 1
+        """Number of instances that share retry budgets and connections."""
+
+        self.pool = ConnectionPool(lambda: self.count_instances())
         """Connections to backend servers."""
 
         self.scout = EngineScout(self.pool, dialect)
         """Reports of engines."""
 
-        self.count_instances: Callable[[], int] = lambda: 1
-        """Number of instances that share the retry budget."""
-
         self._allowances: dict[str, RetryAllowance] = {}
 
     def allowance(self, service: str) -> RetryAllowance:
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -7,15 +7,15 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.errors import ErrorKind, Failure, Ran
-from sapphireledge.gateway.broken_reply import BrokenReply
 from sapphireledge.gateway.classify_reply import classify_reply
 from sapphireledge.gateway.dispatch import Dispatch
-from sapphireledge.gateway.observed_send import observed_send
+from sapphireledge.gateway.exchange import exchange
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.replay_rule import ReplayRule
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.backend_connection import BackendConnection
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_connection import CallerConnection
     from sapphireledge.gateway.gateway_parts import GatewayParts
@@ -114,40 +114,21 @@
         if not tried:
             parts.allowance(service).on_request()
         tried.add(server.server_id)
-        send = partial(self._exchange, work, server)
-        return asyncio.create_task(observed_send(parts, work, server, len(tried), send))
-
-    async def _exchange(self, work: AdmittedRequest, server: BackendServer) -> Outcome:
-        """Makes one HTTP exchange."""
-        pool = self._parts.pool
-        once = work.route.replay is ReplayRule.ONCE
-        loop = asyncio.get_running_loop()
-        try:
-            conn = await pool.take(server, once=once)
-        except (OSError, TimeoutError) as exc:
-            return Outcome(OutcomeKind.NOT_EXECUTED, server, f"cannot connect: {exc!r}")
-        done = False
-        try:
-            request = work.request
-            dispatch = Dispatch(request, server, work.caller_deadline - loop.time(), work.workspace)
-            headers = self._parts.dialect.encode_dispatch(dispatch)
-            conn.send(request.method, request.target, headers, request.body)
-            async with asyncio.timeout_at(work.deadline):
-                head = await conn.read_head(self._parts.dialect, request.request_id)
-                body = bytearray()
-                while (part := await conn.read_body()) is not None:
-                    body += part
-            done = True
-            return classify_reply(server, head, bytes(body))
-        except BrokenReply as exc:
-            return Outcome(OutcomeKind.LOST, server, str(exc))
-        except TimeoutError:
-            return Outcome(OutcomeKind.OUT_OF_TIME, server, "no answer in time")
-        finally:
-            if done:
-                pool.give_back(server, conn)
-            else:
-                conn.abort()
+        run = partial(self._send, work, server)
+        return asyncio.create_task(exchange(parts, work, server, len(tried), run))
+
+    async def _send(
+        self, work: AdmittedRequest, server: BackendServer, conn: BackendConnection
+    ) -> Outcome:
+        """Sends the request and reads the whole answer."""
+        request = work.request
+        left = work.caller_deadline - asyncio.get_running_loop().time()
+        headers = self._parts.dialect.encode_dispatch(
+            Dispatch(request, server, left, work.workspace)
+        )
+        conn.send(request.method, request.target, headers, request.body)
+        head = await conn.read_head(self._parts.dialect, request.request_id)
+        return classify_reply(server, head, await conn.read_whole_body())
 
     def _finish_in_background(self, sends: set[asyncio.Task[Outcome]]) -> None:
         """Lets sends end by themselves: a server that works on a request is not interrupted."""
@@ -158,9 +139,9 @@
 
 def _may_repeat(work: AdmittedRequest, results: list[Outcome]) -> bool:
     """Whether the request may be sent again after these outcomes."""
-    if work.route.replay is ReplayRule.IDEMPOTENT:
-        return True
-    return all(result.kind is OutcomeKind.NOT_EXECUTED for result in results)
+    return work.route.repeatable or all(
+        result.kind is OutcomeKind.NOT_EXECUTED for result in results
+    )
 
 
 def _refusal(results: list[Outcome]) -> Outcome | Failure:
--- a/src/sapphireledge/gateway/route.py
+++ b/src/sapphireledge/gateway/route.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from sapphireledge.gateway.replay_rule import ReplayRule
+from sapphireledge.gateway.replay_rule import ReplayRule
 
 __all__ = ["Route"]
 
@@ -51,4 +49,6 @@
     @property
     def repeatable(self) -> bool:
         """Whether a request that may have been executed can be sent again."""
-        return self.replay == "idempotent" or (self.replay == "event_stream" and self.resumable)
+        if self.replay is ReplayRule.EVENT_STREAM:
+            return self.resumable
+        return self.replay is ReplayRule.IDEMPOTENT
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -10,7 +10,7 @@
 from sapphireledge.gateway.classify_reply import classify_reply
 from sapphireledge.gateway.dispatch import Dispatch
 from sapphireledge.gateway.event_splitter import EventSplitter
-from sapphireledge.gateway.observed_send import observed_send
+from sapphireledge.gateway.exchange import exchange
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 
 if TYPE_CHECKING:
@@ -58,35 +58,13 @@
         Returns:
             The outcome; ANSWERED only if the caller has the whole stream.
         """
-        send = partial(self._connect_and_run, plan)
-        return await observed_send(
-            self._parts, self._work, plan.server, self._progress.attempts, send
-        )
+        run = partial(self._run_on, plan)
+        return await exchange(self._parts, self._work, plan.server, self._progress.attempts, run)
 
-    async def _connect_and_run(self, plan: EnginePlan) -> Outcome:
-        """Takes a connection for the run."""
-        pool = self._parts.pool
-        server = plan.server
-        try:
-            engine = await pool.take(server, once=not self._work.route.repeatable)
-        except (OSError, TimeoutError) as exc:
-            return Outcome(OutcomeKind.NOT_EXECUTED, server, f"cannot connect: {exc!r}")
-        complete = False
-        try:
-            self._send(engine, plan)
-            async with asyncio.timeout_at(self._work.deadline):
-                outcome = await self._relay(engine, server)
-            complete = outcome.head is not None
-            return outcome
-        except BrokenReply as exc:
-            return Outcome(OutcomeKind.LOST, server, str(exc))
-        except TimeoutError:
-            return Outcome(OutcomeKind.OUT_OF_TIME, server, "the time of the request is over")
-        finally:
-            if complete:
-                pool.give_back(server, engine)
-            else:
-                engine.abort()
+    async def _run_on(self, plan: EnginePlan, engine: BackendConnection) -> Outcome:
+        """Runs the stream on a connection."""
+        self._send(engine, plan)
+        return await self._relay(engine, plan.server)
 
     def _send(self, engine: BackendConnection, plan: EnginePlan) -> None:
         """Sends the request."""
@@ -113,7 +91,7 @@
             server, engine.read_head(self._parts.dialect, self._work.request.request_id)
         )
         if head.status != 200 or head.not_executed or not head.signed or head.encoded:
-            body = await _within(cfg.pause_limit, _whole_body(engine))
+            body = await _within(cfg.pause_limit, engine.read_whole_body())
             return classify_reply(server, head, body)
         splitter = EventSplitter()
         events = 0
@@ -168,14 +146,6 @@
         await self._caller.send_part(raw)
 
 
-async def _whole_body(engine: BackendConnection) -> bytes:
-    """Reads a body that is no stream."""
-    body = bytearray()
-    while (part := await engine.read_body()) is not None:
-        body += part
-    return bytes(body)
-
-
 async def _within(limit: float, read: Coroutine[Any, Any, Result]) -> Result:
     """Awaits a read; silence beyond the limit counts as the loss of the engine."""
     try:
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -65,7 +65,7 @@
                 return await self._give_up(conn, progress, failed)
 
     def _may_try(self, work: AdmittedRequest, progress: StreamProgress) -> bool:
-        """Whether another engine may be asked."""
+        """Whether time, attempts and retry budget are left for another engine."""
         now = asyncio.get_running_loop().time()
         if len(progress.asked) >= work.route.max_attempts or work.deadline - now < MIN_USEFUL:
             return False
@@ -79,7 +79,7 @@
         return False
 
     def _may_repeat(self, work: AdmittedRequest, progress: StreamProgress) -> bool:
-        """Whether another engine may be asked."""
+        """Whether what happened so far permits another run."""
         return work.route.resumable or not progress.maybe_executed
 
     async def _give_up(
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -69,7 +69,6 @@
     server = GatewayServer(gateway, metrics)
     runner = _feed_runner(cfg, gateway, metrics)
     gateway.parts.count_instances = lambda: runner.instances
-    gateway.parts.pool.count_instances = lambda: runner.instances
     reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -5,7 +5,7 @@
 import unittest
 from itertools import product
 from pathlib import Path
-from typing import TYPE_CHECKING, ClassVar
+from typing import TYPE_CHECKING, Any, ClassVar
 
 from fault_matrix_cells import CELLS, PAIRS, STEPS, Fault
 from fault_matrix_claim import ClaimCell
@@ -28,16 +28,16 @@
 class FaultMatrixTest(unittest.TestCase):
     """Guards each property against each fault at each step; a cell that was left out fails."""
 
-    requests: ClassVar[dict[Cell, RequestCell]] = {}
-    """Settled requests by cell."""
+    settled: ClassVar[dict[Cell, object]] = {}
+    """Cells that were run to their end."""
 
-    def settled_request(self, cell: Cell) -> RequestCell:
-        """Runs the cell of a request once for all tests that look at its end."""
-        if cell not in self.requests:
-            request = RequestCell(cell)
-            request.run()
-            self.requests[cell] = request
-        return self.requests[cell]
+    def settle(self, cell: Cell) -> Any:
+        """Runs a cell once for all tests that look at its end."""
+        if cell not in self.settled:
+            life = RUNNERS[cell.subject](cell)
+            life.run()
+            self.settled[cell] = life
+        return self.settled[cell]
 
     def run_cells(self, subject: str) -> None:
         ran = set()
@@ -45,10 +45,7 @@
             if cell.subject != subject:
                 continue
             with self.subTest(str(cell)):
-                if subject == "request":
-                    self.settled_request(cell)
-                else:
-                    RUNNERS[subject](cell).run()
+                self.settle(cell)
             ran.add((cell.step, cell.faults))
         faults = [(fault,) for fault in Fault] + list(PAIRS)
         self.assertEqual(set(product(STEPS[subject], faults)) - ran, set(), "cells left out")
@@ -61,7 +58,7 @@
         differing = []
         for cell in CELLS:
             if cell.subject == "request":
-                request = self.settled_request(cell)
+                request = self.settle(cell)
                 try:
                     request.repeat()
                 except AssertionError as exc:
--- a/tests/test_gateway_plain.py
+++ b/tests/test_gateway_plain.py
@@ -9,7 +9,7 @@
 
 from gateway_case import KEY, REQUEST_ID, SEAL, GatewayCase, read_reply, signed, table, whole
 
-from sapphireledge.gateway import elapsed_time
+from sapphireledge.gateway import ConfigView, elapsed_time
 
 
 async def ok(request, writer):
@@ -238,11 +238,12 @@
 class PoolTest(GatewayCase):
     async def test_idle_connections_are_shared_among_the_instances(self):
         """Guards against servers that reset connections because many instances keep some."""
-        pool = self.gateway.parts.pool
+        parts = self.gateway.parts
+        pool = parts.pool
         pool.limit_of = lambda service: 100
         caps = []
         for instances in (1, 20, 300):
-            pool.count_instances = lambda instances=instances: instances
+            parts.count_instances = lambda instances=instances: instances
             caps.append(pool._idle_cap("app"))
         self.assertEqual(caps, [6, 2, 1])
 
@@ -270,15 +271,16 @@
     async def test_request_waits_for_the_first_configuration(self):
         """Guards against refusals in the moments between the start and the first listing."""
         await self.add("app", ok)
-        self.gateway.config.table = None
+        self.gateway.config = ConfigView()
         call = asyncio.create_task(self.call("/plain/"))
         await asyncio.sleep(0.1)
         self.gateway.config.accept(table())
+        self.gateway.config.confirm(elapsed_time())
         self.assertEqual((await call).status, 200)
 
     async def test_request_without_a_configuration_is_refused(self):
         """Guards against requests that hang while the store is away from the start on."""
-        self.gateway.config.table = None
+        self.gateway.config = ConfigView()
         began = elapsed_time()
         reply = await self.call("/plain/")
         self.assertEqual(reply.status, 503)
