--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,14 +27,14 @@
     return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
 
 
-def play(seed: int, seconds: float, entries: int, runners: int, callers: int, logs: str) -> list:
+def play(seed: int, seconds: float, entries: int, backends: int, callers: int, logs: str) -> list:
     """Plays one run.
 
     Args:
         seed: Seed of the faults.
         seconds: Length of the time with faults.
         entries: Entry processes.
-        runners: Runners.
+        backends: Backends.
         callers: Callers.
         logs: Folder that keeps the logs of the processes, empty to drop them.
 
@@ -44,7 +44,7 @@
     with tempfile.TemporaryDirectory() as dropped:
         folder = Path(logs) / str(seed) if logs else Path(dropped)
         folder.mkdir(parents=True, exist_ok=True)
-        world = World(seed, folder, entries, runners, callers)
+        world = World(seed, folder, entries, backends, callers)
         violations = asyncio.run(world.run(seconds))
         served = sum(1 for a in world.record.answers.values() if a.status == 200 and a.complete)
         lost = ", ".join(f"{name} {count}" for name, count in sorted(lost_connections.items()))
@@ -58,7 +58,7 @@
     count: Annotated[int, typer.Option(help="Number of seeds.")] = 1,
     seconds: Annotated[float, typer.Option(help="Seconds with faults of each run.")] = 15.0,
     entries: Annotated[int, typer.Option(help="Entry processes.")] = 6,
-    runners: Annotated[int, typer.Option(help="Runners.")] = 12,
+    backends: Annotated[int, typer.Option(help="Backend servers.")] = 12,
     callers: Annotated[int, typer.Option(help="Callers.")] = 12,
     regressions: Annotated[bool, typer.Option(help="Play the seeds that once failed.")] = False,
     logs: Annotated[str, typer.Option(help="Folder for the logs of the processes.")] = "",
@@ -68,7 +68,7 @@
     seeds = regression_seeds() if regressions else list(range(start, start + count))
     failed = []
     for seed in seeds:
-        violations = play(seed, seconds, entries, runners, callers, logs)
+        violations = play(seed, seconds, entries, backends, callers, logs)
         for violation in violations:
             typer.echo(f"  {violation}")
         if violations:
--- a/soak/runner.py
+++ b/soak/backend.py
@@ -1,4 +1,4 @@
-"""Stand-in of a runner: a plain service or an engine."""
+"""Stand-in of a backend server: a plain service or an engine."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     from soak.record import Record
     from soak.store import Store
 
-__all__ = ["EVENTS", "Runner", "event_bytes"]
+__all__ = ["EVENTS", "Backend", "event_bytes"]
 
 PREFIX = "x-sapphireledge-"
 EVENTS = 25
@@ -38,8 +38,8 @@
     return f"id: {number}\ndata: {body.decode()}/{number}\n\n".encode()
 
 
-class Runner:
-    """One runner behind a link; each start has a new identity."""
+class Backend:
+    """One backend server behind a link; each start has a new identity."""
 
     copies: dict[str, set[str]] = {}  # noqa: RUF012
     """Requests whose memory lies at the engine with an address."""
@@ -57,7 +57,7 @@
         self.stalls_until = 0.0
         """Time until which plain requests are run and not answered."""
         self.left_at: float | None = None
-        """Time at which the store acknowledged that the runner leaves."""
+        """Time at which the store acknowledged that the backend server leaves."""
         self.link = Link("127.0.0.1", ("127.0.0.1", 0))
         self._store = store
         self._record = record
@@ -79,7 +79,7 @@
         self.announce("ready")
 
     def announce(self, state: str) -> None:
-        """Writes the entry of the runner."""
+        """Writes the entry of the backend server."""
         spec = {
             "service": self.service,
             "address": self.link.address,
@@ -112,13 +112,13 @@
                 late = await self._answer(request, writer)
                 await writer.drain()
         except OSError as exc:
-            note_lost("runner", exc)
+            note_lost("backend", exc)
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
 
     async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> bytes:
-        """Answers a request; returns the bytes that a repeating runner sends too late."""
+        """Answers a request; returns the bytes that a repeating backend server sends too late."""
         if request.target == "/report":
             writer.write(whole(200, {}, msgspec.json.encode({"running": 0})))
             return b""
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -9,8 +9,8 @@
 
 import h11
 
+from soak.backend import EVENTS, event_bytes
 from soak.record import Answer
-from soak.runner import EVENTS, event_bytes
 
 if TYPE_CHECKING:
     from random import Random
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,18 +14,18 @@
     from collections.abc import Coroutine
     from typing import Any
 
+    from soak.backend import Backend
     from soak.entry import Entry
     from soak.link import Link
-    from soak.runner import Runner
     from soak.world import World
 
 __all__ = ["Faults"]
 
 LAPSE_TIME = 1.5
-"""Seconds after which the entry of a crashed runner is removed."""
+"""Seconds after which the entry of a crashed backend server is removed."""
 
 SERVING_TIME = 4.0
-"""Seconds for which a leaving runner still serves."""
+"""Seconds for which a leaving backend server still serves."""
 
 STALL_TIMES = (5.5, 7.5)
 """Seconds without answers, longer than callers wait."""
@@ -46,14 +46,14 @@
             seconds: Length.
         """
         kinds = [
-            self._runner_crash,
-            self._runner_dark,
+            self._backend_crash,
+            self._backend_dark,
             self._centre_crash,
-            self._runner_leaves,
-            self._runner_sheds,
-            self._runner_repeats,
-            self._runner_stalls,
-            self._runner_link,
+            self._backend_leaves,
+            self._backend_sheds,
+            self._backend_repeats,
+            self._backend_stalls,
+            self._backend_link,
             self._store_link,
             self._store_down,
             self._store_slow,
@@ -79,7 +79,7 @@
         world = self._world
         world.store.set_down(False)
         world.store.slow, world.store.lose_answers = 0.0, False
-        for link in [r.link for r in world.runners] + [e.store_link for e in world.entries]:
+        for link in [r.link for r in world.backends] + [e.store_link for e in world.entries]:
             link.heal()
         for entry in world.entries:
             entry.send(signal.SIGCONT)
@@ -90,62 +90,62 @@
         await fault
         self._world.record.last_fault = time.monotonic()
 
-    async def _runner_crash(self) -> None:
-        await self._crash(self._rng.choice(self._world.runners), self._rng.uniform(0.3, 1.5))
+    async def _backend_crash(self) -> None:
+        await self._crash(self._rng.choice(self._world.backends), self._rng.uniform(0.3, 1.5))
 
-    async def _crash(self, runner, pause: float) -> None:
-        identity = runner.identity
-        runner.identity = ""
-        runner.crash()
+    async def _crash(self, backend, pause: float) -> None:
+        identity = backend.identity
+        backend.identity = ""
+        backend.crash()
         await asyncio.sleep(pause)
-        await runner.start()
+        await backend.start()
         await asyncio.sleep(LAPSE_TIME)
         self._world.store.remove("servers", identity)
 
-    async def _runner_dark(self) -> None:
-        runner = self._rng.choice(self._world.runners)
-        runner.link.strike(LinkFault.CUT, 0.0)
+    async def _backend_dark(self) -> None:
+        backend = self._rng.choice(self._world.backends)
+        backend.link.strike(LinkFault.CUT, 0.0)
         await asyncio.sleep(self._rng.uniform(0.5, 2.0))
-        runner.link.heal()
-        await self._crash(runner, 0.1)
+        backend.link.heal()
+        await self._crash(backend, 0.1)
 
     async def _centre_crash(self) -> None:
-        centre = self._rng.choice(self._world.runners).data_centre
+        centre = self._rng.choice(self._world.backends).data_centre
         pause = self._rng.uniform(0.5, 1.5)
-        hit = [r for r in self._world.runners if r.data_centre == centre and r.identity]
-        await asyncio.gather(*(self._crash(runner, pause) for runner in hit))
+        hit = [r for r in self._world.backends if r.data_centre == centre and r.identity]
+        await asyncio.gather(*(self._crash(backend, pause) for backend in hit))
 
-    async def _runner_leaves(self) -> None:
-        runner = self._rng.choice(self._world.runners)
-        if not runner.identity or runner.left_at is not None:
+    async def _backend_leaves(self) -> None:
+        backend = self._rng.choice(self._world.backends)
+        if not backend.identity or backend.left_at is not None:
             return
-        identity = runner.identity
-        runner.announce("draining")
+        identity = backend.identity
+        backend.announce("draining")
         await asyncio.sleep(SERVING_TIME)
-        if runner.identity == identity:
+        if backend.identity == identity:
             self._world.store.remove("servers", identity)
-            await self._crash(runner, 0.5)
+            await self._crash(backend, 0.5)
 
-    async def _runner_sheds(self) -> None:
-        runner = self._rng.choice(self._world.runners)
-        runner.sheds, runner.fails = self._rng.uniform(0.2, 1.0), self._rng.uniform(0.0, 0.3)
+    async def _backend_sheds(self) -> None:
+        backend = self._rng.choice(self._world.backends)
+        backend.sheds, backend.fails = self._rng.uniform(0.2, 1.0), self._rng.uniform(0.0, 0.3)
         await asyncio.sleep(self._rng.uniform(1.0, 3.0))
-        runner.sheds = runner.fails = 0.0
+        backend.sheds = backend.fails = 0.0
 
-    def _plain_runner(self) -> Runner:
-        """Draws a runner of a plain service."""
-        return self._rng.choice([r for r in self._world.runners if r.service == "app"])
+    def _plain_backend(self) -> Backend:
+        """Draws a backend server of a plain service."""
+        return self._rng.choice([r for r in self._world.backends if r.service == "app"])
 
-    async def _runner_repeats(self) -> None:
-        runner = self._plain_runner()
-        runner.repeats = self._rng.uniform(0.2, 0.8)
+    async def _backend_repeats(self) -> None:
+        backend = self._plain_backend()
+        backend.repeats = self._rng.uniform(0.2, 0.8)
         await asyncio.sleep(self._rng.uniform(1.0, 4.0))
-        runner.repeats = 0.0
+        backend.repeats = 0.0
 
-    async def _runner_stalls(self) -> None:
-        runner = self._plain_runner()
+    async def _backend_stalls(self) -> None:
+        backend = self._plain_backend()
         length = self._rng.uniform(*STALL_TIMES)
-        runner.stalls_until = time.monotonic() + length
+        backend.stalls_until = time.monotonic() + length
         await asyncio.sleep(length)
 
     async def _strike(self, link: Link) -> None:
@@ -153,8 +153,8 @@
         await asyncio.sleep(self._rng.uniform(0.5, 3.0))
         link.heal()
 
-    async def _runner_link(self) -> None:
-        await self._strike(self._rng.choice(self._world.runners).link)
+    async def _backend_link(self) -> None:
+        await self._strike(self._rng.choice(self._world.backends).link)
 
     async def _store_link(self) -> None:
         await self._strike(self._rng.choice(self._world.entries).store_link)
--- a/soak/record.py
+++ b/soak/record.py
@@ -1,4 +1,4 @@
-"""What runners and callers saw, and the promises that it must keep."""
+"""What backend servers and callers saw, and the promises that it must keep."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from soak.runner import Runner
+    from soak.backend import Backend
 
 __all__ = ["DRAIN_LIMIT", "REFUSALS", "REVOKE_LIMIT", "Answer", "Record"]
 
@@ -19,7 +19,7 @@
 """Seconds after the removal of a key in which a request with it may still run."""
 
 DRAIN_LIMIT = 3.0
-"""Seconds after the acknowledged leave of a runner in which requests may still reach it."""
+"""Seconds after the acknowledged leave of a backend server in which requests may still reach it."""
 
 CALM_TIME = 4.0
 """Seconds without a fault after which time limits hold."""
@@ -50,15 +50,15 @@
     last_fault: float = 0.0
     """Time of the last fault, or of its end."""
 
-    def on_arrival(self, request_id: str, runner: Runner) -> None:
-        """Notes that a request reached a runner."""
+    def on_arrival(self, request_id: str, backend: Backend) -> None:
+        """Notes that a request reached a backend server."""
         now = time.monotonic()
         calm = now - self.last_fault > CALM_TIME + DRAIN_LIMIT
-        if runner.left_at is not None and now - runner.left_at > DRAIN_LIMIT and calm:
-            self.violations.append(f"drain: {request_id} reached a leaving runner")
+        if backend.left_at is not None and now - backend.left_at > DRAIN_LIMIT and calm:
+            self.violations.append(f"drain: {request_id} reached a leaving backend")
 
     def on_run(self, request_id: str, workspace: str) -> None:
-        """Notes that a runner began to run a request."""
+        """Notes that a backend server began to run a request."""
         self.runs[request_id] += 1
         answer = self.answers.get(request_id)
         if answer is None:
--- a/soak/store.py
+++ b/soak/store.py
@@ -36,7 +36,7 @@
         self.port = server.sockets[0].getsockname()[1]
 
     def put(self, kind: str, name: str, spec: object) -> float:
-        """Writes an object as operator or runner.
+        """Writes an object as operator or backend server.
 
         Returns:
             Time of the acknowledgement.
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,4 +1,4 @@
-"""Entries, runners, store and callers of one run."""
+"""Entries, backend servers, store and callers of one run."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 from pathlib import Path
 from random import Random
 
+from soak.backend import Backend
 from soak.caller import Caller
 from soak.entry import Entry
 from soak.faults import Faults
 from soak.record import DRAIN_LIMIT, Record
-from soak.runner import Runner
 from soak.store import Store
 
 __all__ = ["World"]
@@ -70,17 +70,17 @@
 class World:
     """One seeded run."""
 
-    def __init__(self, seed: int, folder: Path, entries: int, runners: int, callers: int) -> None:
+    def __init__(self, seed: int, folder: Path, entries: int, backends: int, callers: int) -> None:
         self.rng = Random(seed)
         self.record = Record()
         self.store = Store()
         self.keys = ["k1", "k2", "k3"]
         self.entries: list[Entry] = []
-        self.runners: list[Runner] = []
+        self.backends: list[Backend] = []
         self.version = 1
         self.routes = ["/plain/", "/once/", "/stream/"]
         self._folder = folder
-        self._sizes = (entries, runners, callers)
+        self._sizes = (entries, backends, callers)
         self._network, self._lock = reserve_network()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -112,9 +112,9 @@
         finally:
             for entry in self.entries:
                 entry.close()
-            for runner in self.runners:
-                runner.crash()
-                runner.link.close()
+            for backend in self.backends:
+                backend.crash()
+                backend.link.close()
             self._lock.close()
         return self.record.finish()
 
@@ -151,13 +151,13 @@
     async def _start(self) -> None:
         await self.store.start()
         self.write_config()
-        entries, runners, _ = self._sizes
-        for number in range(runners):
+        entries, backends, _ = self._sizes
+        for number in range(backends):
             service = "llm" if number % 2 else "app"
             centre = DATA_CENTRES[number // 2 % len(DATA_CENTRES)]
-            runner = Runner(service, centre, self.store, self.record, self.rng)
-            self.runners.append(runner)
-            await runner.start()
+            backend = Backend(service, centre, self.store, self.record, self.rng)
+            self.backends.append(backend)
+            await backend.start()
         for number in range(entries):
             centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             self.entries.append(Entry(number, self._network, centre, self.store, self._folder))
@@ -194,9 +194,9 @@
                 self.record.violations.append(f"config: {answer.status} at {entry.name}")
 
     async def _check_leave(self) -> None:
-        """Lets one runner of each service leave; `Record` judges what still arrives there."""
-        for runner in self.runners[:2]:
-            runner.announce("draining")
+        """Lets one server of each service leave; `Record` judges what still arrives there."""
+        for backend in self.backends[:2]:
+            backend.announce("draining")
         await asyncio.sleep(DRAIN_LIMIT)
         for number in range(CHECKED):
             caller = Caller(self.record, self.rng, self.keys)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,7 @@
 
     def play(self, seed: int) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            world = World(seed, Path(folder), entries=3, runners=12, callers=6)
+            world = World(seed, Path(folder), entries=3, backends=12, callers=6)
             self.assertEqual(asyncio.run(world.run(SECONDS)), [])
             served = [a for a in world.record.answers.values() if a.status == 200]
             self.assertGreater(len(served), 40)
