--- a/src/sapphireledge/rpc/thrift_server.py
+++ b/src/sapphireledge/rpc/thrift_server.py
@@ -121,7 +121,7 @@
             self._log.debug(LogEvent.PEER_LOST, peer=peer, reason=str(exc))
         except asyncio.CancelledError:
             # Only stop() cancels; asyncio.streams logs a cancelled connection task as an error.
-            pass
+            self._log.debug(LogEvent.PEER_LOST, peer=peer, reason="this process stops")
         except Exception as exc:
             self._log.error(LogEvent.INTERNAL_ERROR, peer=peer, reason=repr(exc))
         finally:
