Renew the lease for an order that would outlast it

Cause: an order needs order_timeout left of the lease, and a renewal is due after a third of it. A holder whose renewal was late refused its own orders as a conflict and named itself as holder. Ruled out: a longer lease in the test, which only makes the window rarer. Change: the holder renews at once and checks again; updates of the lease are serialized. If the renewal fails, the failure is platform_unavailable. order_timeout is checked against the lease.

--- a/src/sapphireledge/fleet/fleet_controller.py
+++ b/src/sapphireledge/fleet/fleet_controller.py
@@ -66,6 +66,7 @@
         self._clock = clock
         self._planner: FleetPlanner | None = None
         self._planner_fencing_number = 0
+        self._lease_lock = asyncio.Lock()
 
     async def run(self) -> None:
         """Maintains the lease and reconciles until the task is cancelled."""
@@ -78,15 +79,16 @@
 
         An instance that neither holds the lease nor is a candidate does not read the object.
         """
-        if not self.lease.fencing_number and not self._is_candidate():
-            return
-        await self._read_lease()
-        write = self.lease.next_write(self._clock(), uuid4().hex)
-        if write is None:
-            return
-        result = await self._store.put(self._key, write.record.encode(), write.expect_version)
-        if self.lease.on_written(self._clock(), write, result):
+        async with self._lease_lock:
+            if not self.lease.fencing_number and not self._is_candidate():
+                return
             await self._read_lease()
+            write = self.lease.next_write(self._clock(), uuid4().hex)
+            if write is None:
+                return
+            result = await self._store.put(self._key, write.record.encode(), write.expect_version)
+            if self.lease.on_written(self._clock(), write, result):
+                await self._read_lease()
 
     async def reconcile(self) -> None:
         """Compares declared and reported state once and sends the orders that are needed."""
@@ -114,15 +116,31 @@
             order: Order to send.
 
         Returns:
-            The engine's reply, or a CONFLICT failure that names the holder if the lease does not
-            permit this instance to send the order.
+            The engine's reply, a CONFLICT failure if another instance sends the orders or its
+            orders may still arrive, or PLATFORM_UNAVAILABLE if the lease could not be renewed.
         """
         if not self.lease.may_send_order(self._clock(), order.checks_fencing):
-            holder = self.lease.current_holder or "no instance yet"
-            reason = f"orders to {order.engine} are sent by {holder}"
-            return Failure(ErrorKind.CONFLICT, reason, retry_after=self._cfg.lease)
+            # The rest of the lease can be too short for an order shortly before a renewal.
+            if self.lease.is_held(self._clock()):
+                await self.update_lease()
+            if not self.lease.may_send_order(self._clock(), order.checks_fencing):
+                return self._refuse(order)
         return await self._send(order)
 
+    def _refuse(self, order: Order) -> Failure:
+        """Builds the failure of an order that the lease does not permit."""
+        now = self._clock()
+        if self.lease.is_held(now + self._cfg.order_timeout):
+            reason = f"orders of the previous lease holder may still reach {order.engine}"
+            return Failure(ErrorKind.CONFLICT, reason, retry_after=self._cfg.lease)
+        if self.lease.is_held(now):
+            reason = "the lease could not be renewed"
+            retry_after = self._cfg.order_timeout
+            return Failure(ErrorKind.PLATFORM_UNAVAILABLE, reason, retry_after=retry_after)
+        holder = self.lease.current_holder or "no instance yet"
+        reason = f"orders to {order.engine} are sent by {holder}"
+        return Failure(ErrorKind.CONFLICT, reason, retry_after=self._cfg.lease)
+
     async def _send_planned(self, planner: FleetPlanner, order: Order) -> None:
         """Sends a planned order if the lease still permits it."""
         now = self._clock()
--- a/src/sapphireledge/settings/fleet_settings.py
+++ b/src/sapphireledge/settings/fleet_settings.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from pydantic import ConfigDict
+from pydantic import ConfigDict, ValidationInfo, field_validator
 from pydantic.dataclasses import dataclass
 
 from sapphireledge.settings._field import setting
 
 __all__ = ["FleetSettings"]
 
+MAX_ORDER_SHARE = 0.5
+"""Largest order timeout as a share of the lease. The lease is renewed after a third of its term;
+the rest of the first half is left for a renewal that is late."""
+
 
 @dataclass(frozen=True, config=ConfigDict(extra="forbid"))
 class FleetSettings:
@@ -25,3 +29,12 @@
 
     loads_per_minute: float = setting(6.0, unit="loads/min", ge=0.01, le=10_000)
     """Maximum rate of model loads from the weight store per data centre."""
+
+    @field_validator("order_timeout")
+    @classmethod
+    def _check_order_timeout(cls, order_timeout: float, info: ValidationInfo) -> float:
+        """Rejects an order timeout that a regularly renewed lease would not cover."""
+        limit = MAX_ORDER_SHARE * info.data.get("lease", float("inf"))
+        if order_timeout > limit:
+            raise ValueError(f"must be at most half of fleet.lease, {limit:g} s; its unit is")
+        return order_timeout
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -403,6 +403,33 @@
         self.assertEqual(refusal.kind, ErrorKind.CONFLICT)
         self.assertIn("entry-1", refusal.reason)
 
+    def test_holder_renews_a_lease_that_ends_before_the_order_would(self):
+        """Guards against a holder that refuses its own orders shortly before a late renewal."""
+        asyncio.run(
+            self.check_order_before_late_renewal(SimulatedDataCentre(random.Random(1), True))
+        )
+
+    async def check_order_before_late_renewal(self, centre):
+        await centre.run(3, only=0)
+        holder = centre.controllers[0]
+        await holder.update_lease()
+        centre.now = holder.lease._lease_end - CFG.order_timeout + 0.1
+        order = Order("e0", OrderAction.SET_ROLE, role="r", checks_fencing=True)
+        reply = await holder.order(order)
+        self.assertEqual(getattr(reply, "outcome", reply), OrderOutcome.DONE)
+
+    def test_holder_that_cannot_renew_does_not_name_itself_as_the_holder(self):
+        asyncio.run(self.check_unrenewed_order(SimulatedDataCentre(random.Random(1), True)))
+
+    async def check_unrenewed_order(self, centre):
+        await centre.run(3, only=0)
+        holder = centre.controllers[0]
+        await holder.update_lease()
+        centre.now = holder.lease._lease_end - CFG.order_timeout + 0.1
+        centre.store.fault = lambda *_: StoreFault.REFUSED
+        refusal = await holder.order(Order("e0", OrderAction.SET_ROLE, role="r"))
+        self.assertEqual(refusal.kind, ErrorKind.PLATFORM_UNAVAILABLE)
+
     def test_holder_paused_between_two_orders_sends_only_the_first(self):
         asyncio.run(self.pause(SimulatedDataCentre(random.Random(1), True)))
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -48,3 +48,9 @@
     def test_syntax_error_names_the_file(self):
         (problem,) = self.load(text="{")
         self.assertIn("entry.json", problem.file)
+
+    def test_order_timeout_must_leave_time_to_renew_the_lease(self):
+        (problem,) = self.load("fleet: {lease: 3, order_timeout: 2}")
+        self.assertIn("fleet.order_timeout", str(problem))
+        self.assertIn("1.5 s", str(problem))
+        self.assertIsInstance(self.load("fleet: {lease: 4, order_timeout: 2}"), Settings)
