Hold back removals only after an outage in which entries can expire

Entries expire after three heartbeat intervals, so a shorter outage cannot have removed a server that is alive. Change: the watcher passes on the time since its last successful call, and the listener holds back removals only if that is at least 1.5 heartbeat intervals (heartbeat_ms of the settings file).

--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -88,9 +88,13 @@
         self._listener.apply(page.entries)
         self._advance(page.revision, as_of)
 
-    def notify_store_recovered(self) -> None:
-        """Notifies the listener that the store answers again after a failure."""
-        self._listener.on_store_recovered()
+    def notify_store_recovered(self, outage: float) -> None:
+        """Notifies the listener that the store answers again after a failure.
+
+        Args:
+            outage: Seconds since the last successful call.
+        """
+        self._listener.on_store_recovered(outage)
 
     def entries_since(self, revision: int | None) -> tuple[bool, tuple[StoredEntry, ...]]:
         """Collects the entries that a follower is missing.
--- a/src/sapphireledge/feed/kind_listener.py
+++ b/src/sapphireledge/feed/kind_listener.py
@@ -39,6 +39,10 @@
         """
         ...
 
-    def on_store_recovered(self) -> None:
-        """Called when the store answers again after an outage."""
+    def on_store_recovered(self, outage: float) -> None:
+        """Called when the store answers again after failed calls.
+
+        Args:
+            outage: Seconds since the last successful call; the store was away for at most as long.
+        """
         ...
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -101,7 +101,7 @@
         now = seconds_since_boot()
         if self._store_lost:
             self._store_lost = False
-            self._feed.notify_store_recovered()
+            self._feed.notify_store_recovered(now - self._last_success)
             self._log.info(
                 GatewayEvent.STORE_REGAINED,
                 kind=self._kind_cfg.kind,
--- a/src/sapphireledge/platform/config_listener.py
+++ b/src/sapphireledge/platform/config_listener.py
@@ -43,7 +43,7 @@
         """Confirms that the configuration is current; see `KindListener.confirm`."""
         self._view.confirm(as_of)
 
-    def on_store_recovered(self) -> None:
+    def on_store_recovered(self, outage: float) -> None:
         """Does nothing: a newer version replaces the older one at any time."""
 
     def _apply_entry(self, entry: StoredEntry) -> None:
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -86,7 +86,10 @@
 
 def _create_feed_runner(cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics) -> FeedRunner:
     """Creates the feeds that keep the gateway's configuration and registry up to date."""
-    listeners = {"config": ConfigListener(gateway.config), "servers": ServerListener(gateway)}
+    listeners = {
+        "config": ConfigListener(gateway.config),
+        "servers": ServerListener(gateway, cfg.backend_heartbeat),
+    }
     feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
     watchers = [
         KindWatcher(_create_store_client(cfg, metrics), feeds[kind_cfg.kind], kind_cfg, cfg.feed)
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -63,13 +63,17 @@
 
 
 class _NodeFile(msgspec.Struct):
-    """The settings file; unknown fields are ignored."""
+    """The settings file; unknown fields are ignored.
+
+    `heartbeat_ms` is the interval at which backend servers renew their registry entries.
+    """
 
     node_name: str
     zone: str
     listen: _Listen
     platform: _Store
     port_range: tuple[int, int]
+    heartbeat_ms: int = 1200
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -89,6 +93,9 @@
     peer: Peer
     """Description of this instance for other instances."""
 
+    backend_heartbeat: float
+    """Seconds between two heartbeats of a backend server in the store."""
+
 
 def load_node_settings(path: Path) -> NodeSettings:
     """Reads and validates the settings file.
@@ -128,4 +135,5 @@
         port=file.port_range[0],
     )
     peer = Peer(file.node_name, listen_host, feed.port, file.zone, file.limits.link_mbps)
-    return NodeSettings(gateway, StoreSettings(store_host, store_port), feed, peer)
+    store = StoreSettings(store_host, store_port)
+    return NodeSettings(gateway, store, feed, peer, file.heartbeat_ms / 1000.0)
--- a/src/sapphireledge/platform/server_listener.py
+++ b/src/sapphireledge/platform/server_listener.py
@@ -24,6 +24,11 @@
 """Seconds for which missing entries stay in use after the store recovers; backend servers whose
 entries expired register again within about 2 s."""
 
+EXPIRY_HEARTBEATS = 1.5
+"""Heartbeat intervals that an outage of the store must last for entries to expire in it. An entry
+expires after three intervals without a heartbeat, and the last one is at most one interval older
+than the outage; the rest is a margin for late heartbeats."""
+
 
 class ServerListener:
     """Implements `KindListener` for backend servers.
@@ -32,14 +37,18 @@
     until the backend server has had time to register again.
     """
 
-    def __init__(self, gateway: Gateway, recovery_grace: float = RECOVERY_GRACE) -> None:
+    def __init__(
+        self, gateway: Gateway, heartbeat: float, recovery_grace: float = RECOVERY_GRACE
+    ) -> None:
         """Creates the listener.
 
         Args:
             gateway: Gateway whose registry is updated.
+            heartbeat: Seconds between two heartbeats of a backend server.
             recovery_grace: Seconds for which missing entries stay in use after the store recovers.
         """
         self._context = gateway.context
+        self._min_outage = EXPIRY_HEARTBEATS * heartbeat
         self._recovery_grace = recovery_grace
         self._log = structlog.get_logger()
         self._grace_until = float("-inf")
@@ -62,9 +71,13 @@
     def confirm(self, as_of: float) -> None:
         """Does nothing: forwarding never depends on the age of the registry."""
 
-    def on_store_recovered(self) -> None:
-        """Starts the grace period in which missing entries stay in use."""
-        self._grace_until = asyncio.get_running_loop().time() + self._recovery_grace
+    def on_store_recovered(self, outage: float) -> None:
+        """Starts the grace period in which missing entries stay in use.
+
+        After a short outage or a stall of this process, a missing entry was not lost by expiry.
+        """
+        if outage >= self._min_outage:
+            self._grace_until = asyncio.get_running_loop().time() + self._recovery_grace
 
     def _update_server(self, entry: StoredEntry) -> None:
         """Adds or updates a backend server; an entry that cannot be decoded removes it."""
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -44,7 +44,7 @@
     def confirm(self, as_of):
         self.confirmed_at = as_of
 
-    def on_store_recovered(self):
+    def on_store_recovered(self, outage):
         pass
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -238,6 +239,10 @@
 """Seconds within which all scripted answers must be requested, even on a busy machine."""
 
 
+HEARTBEAT = 0.8
+"""Seconds between two heartbeats of a backend server."""
+
+
 class WatchTest(GatewayCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -272,7 +277,7 @@
         client.close()
 
     def server_listener(self):
-        return ServerListener(self.gateway, recovery_grace=0.8)
+        return ServerListener(self.gateway, heartbeat=HEARTBEAT, recovery_grace=0.8)
 
     async def test_paged_listing_and_changes(self):
         """Guards against lost pages of a listing and against lost changes."""
@@ -312,6 +317,25 @@
         await self.run_watcher("servers", self.server_listener(), answers, 0.8)
         self.assertEqual(self.gateway.context.registry.ids(), {"i1", "i2"})
 
+    async def test_stall_of_the_process_does_not_delay_removals(self):
+        """Guards against a stall that is taken for an outage in which entries expire.
+
+        The stall lasts longer than the call timeout, so that the call under way fails after it.
+        """
+        answers = [
+            listing_answer(stored_object("i1", SERVER), stored_object("i2", SERVER)),
+            "no_answer",
+            change_answer("i1", removed=True),
+        ]
+        task = asyncio.create_task(
+            self.run_watcher("servers", self.server_listener(), answers, 0.3)
+        )
+        while len(self.store.calls) < 2:
+            await asyncio.sleep(0.01)
+        time.sleep(0.25)  # noqa: ASYNC251, the stall blocks the event loop on purpose
+        await task
+        self.assertEqual(self.gateway.context.registry.ids(), {"i2"})
+
     async def test_entries_expired_during_outage_stay_for_grace_period(self):
         """Guards against running out of servers right after the store recovers."""
         outage = [(503, {})] * 3
@@ -321,9 +345,8 @@
             (410, {}),
         ]
         answers += [listing_answer(), change_answer("i1", SERVER)]
-        task = asyncio.create_task(
-            self.run_watcher("servers", self.server_listener(), answers, 1.6)
-        )
+        listener = ServerListener(self.gateway, heartbeat=0.01, recovery_grace=0.8)
+        task = asyncio.create_task(self.run_watcher("servers", listener, answers, 1.6))
         await asyncio.sleep(0.5)
         self.assertEqual(self.gateway.context.registry.ids(), {"i1", "i2"})
         await task
