Give each local fleet a loopback address of its own

Cause: fleets drew ports of 127.0.0.1 and bound them later, so fleets at the same time could take each other's ports, and entries left over from a stopped run could be reached by a later one. Change: a fleet reserves a random address of 127.0.0.0/8 for its lifetime by binding a fixed port there; its processes listen on that address only.

--- a/devtools/local_fleet.py
+++ b/devtools/local_fleet.py
@@ -29,7 +29,14 @@
 """Timeout for the exit of a process after it was signalled, in seconds."""
 
 PORTS = (15_000, 32_000)
-"""Range from which the ports of the fleet are drawn."""
+"""Range from which the ports of the fleet are drawn.
+
+It lies below the system's ephemeral range: a port inside that range could be taken by an outgoing
+connection before the intended process binds it.
+"""
+
+RESERVATION_PORT = 14_999
+"""Port that a fleet binds at its loopback address for as long as it uses the address."""
 
 SECRET = "local-fleet"
 """Shared secret of the fleet."""
@@ -109,6 +116,8 @@
         self.callers: dict[str, str] = {}
         self.operators: dict[str, str] = {}
         self.platform_url = ""
+        self.host = ""
+        self._reservation: socket.socket | None = None
         self._entry_files: dict[str, Path] = {}
         self._states: dict[str, str] = {}
 
@@ -125,6 +134,7 @@
 
     def start(self) -> None:
         """Starts every process and waits until the entries are ready."""
+        self.reserve_host()
         self.start_platform()
         for engine in self.engines:
             self.start_engine(engine)
@@ -142,6 +152,20 @@
         for entry in self.entries:
             self.wait_ready(entry.name)
 
+    def reserve_host(self) -> None:
+        """Reserves a loopback address for the ports of this fleet.
+
+        Fleets that run at the same time, also in other processes, have different addresses, so a
+        process of one is never reached through a port that another has drawn or used before.
+        """
+        if self._reservation is None:
+            self._reservation = reserve_loopback_address()
+            self.host = self._reservation.getsockname()[0]
+
+    def free_port(self) -> int:
+        """Finds a free TCP port at the address of this fleet."""
+        return free_port(self.host)
+
     def stop(self) -> None:
         """Kills every process that this fleet started."""
         for process in self.processes.values():
@@ -151,27 +175,32 @@
         for process in self.processes.values():
             process.popen.wait(STOP_LIMIT)
         self.processes.clear()
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
 
     def start_platform(self, port: int | None = None) -> None:
         """Starts the platform stand-in."""
-        port = port or free_port()
+        port = port or self.free_port()
         self._spawn("platform", "sapphireledge_standins.platform_server", port, [])
-        self.platform_url = f"http://127.0.0.1:{port}"
-        self.wait_port("platform", f"127.0.0.1:{port}")
+        self.platform_url = f"http://{self.host}:{port}"
+        self.wait_port("platform", f"{self.host}:{port}")
 
     def start_engine(self, engine: EngineSpec, port: int | None = None) -> None:
         """Starts an engine stand-in."""
-        port = port or free_port()
+        port = port or self.free_port()
         options = ["--name", engine.name, "--data-centre", engine.data_centre]
         options += ["--region", engine.region, *engine.options]
         process = self._spawn(engine.name, "sapphireledge_standins.engine_server", port, options)
-        process.instance_row = _instance_row(engine, "engine", port, "drafting")
+        process.instance_row = _instance_row(engine, "engine", f"{self.host}:{port}", "drafting")
 
     def start_service(self, service: ServiceSpec, port: int | None = None) -> None:
         """Starts a stand-in for a plain service."""
-        port = port or free_port()
+        port = port or self.free_port()
         process = self._spawn(service.name, "sapphireledge_standins.service_server", port, [])
-        process.instance_row = _instance_row(service, "service", port, service.service)
+        process.instance_row = _instance_row(
+            service, "service", f"{self.host}:{port}", service.service
+        )
 
     def start_entry(self, name: str, wait: bool = True) -> None:
         """Starts or restarts an entry instance with its settings file."""
@@ -179,9 +208,9 @@
         command = [sys.executable, "-m", "sapphireledge.daemon"]
         command += ["--config", str(self._entry_files[name])]
         cfg = msgspec.json.decode(self._entry_files[name].read_bytes())
-        address = f"127.0.0.1:{cfg['peer_address']['port']}"
+        address = f"{self.host}:{cfg['peer_address']['port']}"
         process = self._popen(name, command, address)
-        process.instance_row = _instance_row(entry, "entry", cfg["peer_address"]["port"], "")
+        process.instance_row = _instance_row(entry, "entry", address, "")
         if wait:
             self.wait_ready(name)
 
@@ -317,14 +346,14 @@
 
     def _write_entry_settings(self, entry: EntrySpec) -> None:
         """Writes the settings file of an entry."""
-        caller, peer, operator = free_port(), free_port(), free_port()
+        caller, peer, operator = self.free_port(), self.free_port(), self.free_port()
         cfg: dict[str, Any] = {
             "instance": entry.name,
             "data_centre": entry.data_centre,
             "region": entry.region,
-            "caller_address": {"port": caller},
-            "peer_address": {"port": peer},
-            "operator_address": {"port": operator},
+            "caller_address": {"host": self.host, "port": caller},
+            "peer_address": {"host": self.host, "port": peer},
+            "operator_address": {"host": self.host, "port": operator},
             "platform": {"url": self.platform_url},
             "fleet_secret": SECRET,
             "lifecycle": {"balancer_delay": 0.2},
@@ -335,13 +364,14 @@
         path = self.folder / f"{entry.name}.json"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(cfg)))
         self._entry_files[entry.name] = path
-        self.callers[entry.name] = f"http://127.0.0.1:{caller}"
-        self.operators[entry.name] = f"127.0.0.1:{operator}"
+        self.callers[entry.name] = f"http://{self.host}:{caller}"
+        self.operators[entry.name] = f"{self.host}:{operator}"
 
     def _spawn(self, name: str, module: str, port: int, options: list[str]) -> _Process:
         """Starts a stand-in module on a port."""
-        command = [sys.executable, "-m", module, "--port", str(port), *options]
-        return self._popen(name, command, f"127.0.0.1:{port}")
+        address = ["--host", self.host, "--port", str(port)]
+        command = [sys.executable, "-m", module, *address, *options]
+        return self._popen(name, command, f"{self.host}:{port}")
 
     def _popen(self, name: str, command: list[str], address: str) -> _Process:
         """Starts a process with its output in a log file."""
@@ -354,29 +384,38 @@
         return process
 
 
-def _instance_row(spec: Any, kind: str, port: int, role: str) -> dict[str, str]:
+def _instance_row(spec: Any, kind: str, address: str, role: str) -> dict[str, str]:
     """Builds the row of the instance list, except for the state."""
     return {
         "name": spec.name,
         "kind": kind,
-        "address": f"127.0.0.1:{port}",
+        "address": address,
         "data_centre": spec.data_centre,
         "region": spec.region,
         "role": role,
     }
 
 
-def free_port() -> int:
-    """Finds a free TCP port on loopback.
+def reserve_loopback_address() -> socket.socket:
+    """Reserves a random address of 127.0.0.0/8 until the returned socket is closed."""
+    draw = random.SystemRandom().randrange
+    while True:
+        sock = socket.socket()
+        try:
+            sock.bind((f"127.{draw(1, 255)}.{draw(1, 255)}.{draw(1, 255)}", RESERVATION_PORT))
+        except OSError:
+            sock.close()
+            continue
+        return sock
+
 
-    Ports lie below the system's ephemeral range: a port inside that range could be taken by an
-    outgoing connection before the intended process binds it.
-    """
+def free_port(host: str = "127.0.0.1") -> int:
+    """Finds a free TCP port at an address."""
     while True:
         port = random.SystemRandom().randrange(*PORTS)
         with socket.socket() as sock:
             try:
-                sock.bind(("127.0.0.1", port))
+                sock.bind((host, port))
             except OSError:
                 continue
             return port
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 import tempfile
 import threading
@@ -37,6 +38,25 @@
 SHORT_SKEW = {"claims": {"future_skew": SKEW}}
 
 
+class FleetAddressTest(unittest.TestCase):
+    """Guards against fleets at the same time that take or reach each other's ports."""
+
+    def test_two_fleets_may_draw_the_same_port(self):
+        fleets = [LocalFleet(Path(), (), ()) for _ in range(2)]
+        self.addCleanup(lambda: [fleet.stop() for fleet in fleets])
+        for fleet in fleets:
+            fleet.reserve_host()
+        port = fleets[0].free_port()
+        with socket.create_server((fleets[0].host, port)) as first:
+            with self.assertRaises(OSError):
+                socket.create_connection((fleets[1].host, port), timeout=1)
+            with (
+                socket.create_server((fleets[1].host, port)),
+                socket.create_connection((fleets[0].host, port), timeout=1) as caller,
+            ):
+                self.assertEqual(first.accept()[1], caller.getsockname())
+
+
 class ProcessCase(unittest.TestCase):
     """Starts one fleet for all tests of a class."""
 
