Ask a silent engine for its report before a running stream is cut

Each cut sent the prompt or its copy to another engine, whose streams then paused in turn. Ruled out: a longer limit alone, which would make every loss without a reset late. Change: core/liveness decides from silence, counted in complete events, and from the engine's report. Bytes and comments that complete no event are no progress, so a stalled stream that sends them ends too.

--- /dev/null
+++ b/src/sapphireledge/core/liveness/run_sighting.py
@@ -0,0 +1,18 @@
+"""What an engine's load report says about one run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["RunSighting"]
+
+
+@dataclass(frozen=True, slots=True)
+class RunSighting:
+    """What an engine's load report says about one run."""
+
+    generated: int | None
+    """Number of events that the run has generated, None if the report does not list the run."""
+
+    restarted: bool = False
+    """Whether the report comes from a later start of the engine than the run."""
--- /dev/null
+++ b/src/sapphireledge/core/liveness/stream_watch.py
@@ -0,0 +1,98 @@
+"""Decides whether the engine of a silent stream is lost.
+
+Load pattern: while an engine processes the prompts of other requests, all its streams pause for up
+to a second or two. Cutting them makes other engines process the same prompts again, which pauses
+their streams in turn. An engine that is lost without a reset sends no report either.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sapphireledge.core.liveness.run_sighting import RunSighting
+    from sapphireledge.core.liveness.silence_limits import SilenceLimits
+
+__all__ = ["StreamWatch"]
+
+
+class StreamWatch:
+    """Tracks the progress of one run in complete events.
+
+    Bytes that complete no event are not progress, so an engine that sends a byte now and then is
+    treated like a silent one.
+    """
+
+    __slots__ = ("_checked_at", "_events", "_limits", "_progress_at")
+
+    def __init__(self, limits: SilenceLimits, now: float) -> None:
+        """Starts watching a run.
+
+        Args:
+            limits: Limits on the silence.
+            now: Time in seconds at which the request was sent.
+        """
+        self._limits = limits
+        self._progress_at = now
+        self._checked_at = now
+        self._events = 0
+
+    @property
+    def report_timeout(self) -> float:
+        """Seconds to wait for a report."""
+        limits = self._limits
+        return limits.report_timeout if self._events else limits.first_event_report_timeout
+
+    def on_event(self, now: float) -> None:
+        """Records the arrival of a complete event.
+
+        Args:
+            now: Time in seconds.
+        """
+        self._events += 1
+        self._progress_at = now
+        self._checked_at = now
+
+    def check_delay(self, now: float) -> float:
+        """Computes how long the silence may last before the next report is needed.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Seconds until the check, 0 if it is due.
+        """
+        limits = self._limits
+        if not self._events:
+            interval = limits.first_event_check
+        elif self._checked_at == self._progress_at:
+            interval = limits.event_check
+        else:
+            interval = limits.repeat_check
+        return max(0.0, self._checked_at + interval - now)
+
+    def find_loss(self, now: float, sighting: RunSighting | None) -> str:
+        """Decides from a report whether the run is lost.
+
+        Args:
+            now: Time in seconds.
+            sighting: What the engine reports about the run, None without a report in time.
+
+        Returns:
+            Why the run is lost, empty if it is to be waited for.
+        """
+        limits = self._limits
+        self._checked_at = now
+        silence = now - self._progress_at
+        if sighting is None:
+            return "the engine sent neither data nor a report"
+        if sighting.restarted:
+            return "the engine has restarted"
+        generated = sighting.generated
+        if generated is None and self._events:
+            return "the engine no longer lists the run"
+        if generated is not None and generated > self._events + limits.max_undelivered:
+            return f"the engine has generated {generated} events, {self._events} arrived"
+        if self._events and silence >= limits.max_silence:
+            return f"no event for {silence:.2f} s"
+        return ""
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from sapphireledge.core.liveness import SilenceLimits
 
 __all__ = ["GatewaySettings"]
 
@@ -47,16 +49,11 @@
     """Time after SIGTERM for which new connections are still expected; the load balancer probes
     readiness once a second and removes the instance after two failed probes."""
 
-    chunk_timeout: float = 0.33
-    """Timeout between two chunks of a running stream, after which the engine counts as lost. About
-    half of the longest pause that still meets the target (0.7 s); while an engine processes another
-    prompt, pauses grow to 0.15 s."""
-
-    probe_interval: float = 0.8
-    """Interval at which an engine's report is fetched while it has not sent its first event."""
+    silence: SilenceLimits = field(default_factory=SilenceLimits)
+    """When a silent engine is checked and when its stream counts as lost."""
 
-    probe_timeout: float = 0.45
-    """Timeout for such a report: a round trip between regions and two retransmissions."""
+    body_timeout: float = 0.33
+    """Timeout between two chunks of an engine's response that is not a stream."""
 
     retry_ratio: float = 0.6
     """Retries that each request earns; three quarters of the shared ratio of 0.8."""
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -6,6 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, TypeVar
 
+from sapphireledge.core.liveness import RunSighting, StreamWatch
 from sapphireledge.gateway.backend_request import BackendRequest
 from sapphireledge.gateway.backend_response_error import BackendResponseError
 from sapphireledge.gateway.classify_response import classify_response
@@ -14,7 +15,7 @@
 from sapphireledge.gateway.run_attempt import run_attempt
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_connection import BackendConnection
@@ -29,11 +30,6 @@
 
 Result = TypeVar("Result")
 
-MAX_UNDELIVERED_EVENTS = 10
-"""Events that an engine may report as generated before the first one arrives. They take about
-0.3 s, ten times the one-way latency between regions; more of them show that the connection no
-longer delivers data."""
-
 
 class StreamAttempt:
     """Sends a stream request to one engine and delivers its events."""
@@ -91,23 +87,20 @@
     async def _relay(self, conn: BackendConnection, server: BackendServer) -> Outcome:
         """Reads the response and delivers each complete event."""
         cfg = self._context.cfg
-        head = await self._await_while_alive(
-            server, conn.read_head(self._context.dialect, self._admitted.request.request_id)
+        loop = asyncio.get_running_loop()
+        watch = StreamWatch(cfg.silence, loop.time())
+        request_id = self._admitted.request.request_id
+        head = await self._read_while_alive(
+            server, watch, partial(conn.read_head, self._context.dialect, request_id)
         )
         if head.status != 200 or head.not_executed or not head.signed or head.encoded:
-            body = await _await_within(cfg.chunk_timeout, conn.read_body())
+            body = await _await_within(cfg.body_timeout, conn.read_body())
             return classify_response(server, head, body)
         splitter = EventSplitter()
-        events = 0
-        while True:
-            if events:
-                chunk = await _await_within(cfg.chunk_timeout, conn.read_chunk())
-            else:
-                chunk = await self._await_while_alive(server, conn.read_chunk())
-            if chunk is None:
-                break
+        while (chunk := await self._read_while_alive(server, watch, conn.read_chunk)) is not None:
             for event in splitter.feed(chunk):
-                events += 1
+                if event.number is not None:
+                    watch.on_event(loop.time())
                 await self._deliver(head, event.raw, event.number)
         if splitter.has_partial_event:
             raise BackendResponseError("the stream ended within an event")
@@ -116,28 +109,44 @@
         await self._caller.finish_response()
         return Outcome(OutcomeKind.ANSWERED, server, "complete", head)
 
-    async def _await_while_alive(
-        self, server: BackendServer, read: Coroutine[Any, Any, Result]
+    async def _read_while_alive(
+        self,
+        server: BackendServer,
+        watch: StreamWatch,
+        read: Callable[[], Coroutine[Any, Any, Result]],
     ) -> Result:
-        """Awaits a read for as long as the engine responds to report queries.
-
-        An engine sends nothing while it processes a prompt, so silence alone does not mean that it
-        is lost.
-        """
-        cfg = self._context.cfg
-        request_id = self._admitted.request.request_id
-        task = asyncio.create_task(read)
+        """Reads for as long as the engine's reports show that it still works on the request."""
+        loop = asyncio.get_running_loop()
+        try:
+            # Almost all reads end here; a task for each of them would double their cost.
+            async with asyncio.timeout(watch.check_delay(loop.time())) as check:
+                return await read()
+        except TimeoutError:
+            if not check.expired():
+                raise
+        task = asyncio.create_task(read())
         try:
-            while not (await asyncio.wait({task}, timeout=cfg.probe_interval))[0]:
-                report = await self._context.report_client.fetch_report(server, cfg.probe_timeout)
-                if report is None:
-                    raise BackendResponseError("the engine sent neither data nor a report")
-                if not task.done() and report.events.get(request_id, 0) > MAX_UNDELIVERED_EVENTS:
-                    raise BackendResponseError("the engine generates events that do not arrive")
+            while not (await asyncio.wait({task}, timeout=watch.check_delay(loop.time())))[0]:
+                sighting = await self._sight_run(server, watch.report_timeout)
+                loss = watch.find_loss(loop.time(), sighting)
+                if loss and not task.done():
+                    raise BackendResponseError(loss)
             return task.result()
         finally:
             task.cancel()
 
+    async def _sight_run(self, server: BackendServer, timeout: float) -> RunSighting | None:
+        """Fetches what the engine reports about the run, None without a report in time."""
+        report = await self._context.report_client.fetch_report(server, timeout)
+        if report is None:
+            return None
+        restarted = bool(
+            server.started_at_ms
+            and report.started_at_ms
+            and report.started_at_ms != server.started_at_ms
+        )
+        return RunSighting(report.events.get(self._admitted.request.request_id), restarted)
+
     async def _deliver(self, head: ResponseHead, raw: bytes, number: int | None) -> None:
         """Delivers one event, which must directly follow the last delivered one."""
         progress = self._progress
--- a/tests/test_gateway_stream.py
+++ b/tests/test_gateway_stream.py
@@ -113,6 +113,45 @@
         self.assertEqual(response.body, events(*range(9)))
         self.assertLess(asyncio.get_running_loop().time() - started, 0.7)
 
+    async def test_slow_but_sound_stream_is_not_cut(self):
+        """Guards against cutting a stream that pauses while its engine processes other prompts."""
+
+        async def slow(request, writer):
+            writer.write(stream_head(request))
+            for number in range(4):
+                first.load = {"running": 1, "runs": [["id1", 8000, number, 5]]}
+                writer.write(chunk(event(number)))
+                await asyncio.sleep(0.6)
+            writer.write(END)
+
+        first, second = await self.add_engine_pair(slow, streaming_engine(0, 3))
+        response = await self.call("/stream/")
+        self.assertEqual(response.body, events(*range(4)))
+        self.assertEqual(second.received, [])
+
+    async def test_stalled_stream_that_sends_bytes_now_and_then_is_replaced(self):
+        """Guards against taking bytes or comments for progress, as they can go on for ever."""
+        servers = {}
+        for filler in (b"~", b": still here\n\n"):
+            with self.subTest(filler):
+
+                async def stall(request, writer, filler=filler):
+                    name = request.headers["x-sapphireledge-request-id"]
+                    servers["first"].load = {"running": 1, "runs": [[name, 8000, 2, 5]]}
+                    writer.write(stream_head(request) + chunk(event(0)) + chunk(event(1)))
+                    while not writer.is_closing():
+                        await asyncio.sleep(0.1)
+                        writer.write(chunk(filler))
+
+                first, _ = await self.add_engine_pair(stall, streaming_engine(2, 3))
+                servers["first"] = first
+                started = asyncio.get_running_loop().time()
+                response = await self.call("/stream/", x_sapphireledge_deadline_ms="7000")
+                self.assertTrue(response.complete)
+                self.assertEqual(response.body.replace(filler, b""), events(*range(4)))
+                self.assertLess(asyncio.get_running_loop().time() - started, 4.0)
+                self.gateway.context.registry.remove(first.server_id)
+
     async def test_standby_is_not_used_before_the_first_event(self):
         """Guards against resuming from a standby that has no replica yet."""
         _, second = await self.add_engine_pair(
