Count the events before a resume when reports are compared with arrivals

Change: StreamWatch takes the number of events before the run. Before: test_events_before_a_resume_do_not_count_as_undelivered fails; after: it passes.

--- a/src/sapphireledge/core/liveness/stream_watch.py
+++ b/src/sapphireledge/core/liveness/stream_watch.py
@@ -23,16 +23,18 @@
     treated like a silent one.
     """
 
-    __slots__ = ("_checked_at", "_events", "_limits", "_progress_at")
+    __slots__ = ("_checked_at", "_events", "_events_before", "_limits", "_progress_at")
 
-    def __init__(self, limits: SilenceLimits, now: float) -> None:
+    def __init__(self, limits: SilenceLimits, now: float, events_before: int = 0) -> None:
         """Starts watching a run.
 
         Args:
             limits: Limits on the silence.
             now: Time in seconds at which the request was sent.
+            events_before: Events of the stream before this run; engines count them as generated.
         """
         self._limits = limits
+        self._events_before = events_before
         self._progress_at = now
         self._checked_at = now
         self._events = 0
@@ -91,8 +93,9 @@
         generated = sighting.generated
         if generated is None and self._events:
             return "the engine no longer lists the run"
-        if generated is not None and generated > self._events + limits.max_undelivered:
-            return f"the engine has generated {generated} events, {self._events} arrived"
+        arrived = self._events_before + self._events
+        if generated is not None and generated > arrived + limits.max_undelivered:
+            return f"the engine has generated {generated} events, {arrived} arrived"
         if self._events and silence >= limits.max_silence:
             return f"no event for {silence:.2f} s"
         return ""
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -88,7 +88,8 @@
         """Reads the response and delivers each complete event."""
         cfg = self._context.cfg
         loop = asyncio.get_running_loop()
-        watch = StreamWatch(cfg.silence, loop.time())
+        last_event = self._progress.last_event
+        watch = StreamWatch(cfg.silence, loop.time(), 0 if last_event is None else last_event + 1)
         request_id = self._admitted.request.request_id
         head = await self._read_while_alive(
             server, watch, partial(conn.read_head, self._context.dialect, request_id)
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -62,6 +62,13 @@
         self.assertLess(replay([0.5, 9.0], lambda now, events: RunSighting(events, True)), 1.0)
         self.assertLess(replay([0.5, 9.0], lambda now, events: RunSighting(None)), 1.0)
 
+    def test_events_before_a_resume_do_not_count_as_undelivered(self):
+        """An engine counts the events of a resumed run from the start of the stream."""
+        watch = StreamWatch(LIMITS, 0.0, 40)
+        watch.on_event(0.1)
+        self.assertEqual(watch.find_loss(0.4, RunSighting(44)), "")
+        self.assertIn("generated 60", watch.find_loss(0.8, RunSighting(60)))
+
     def test_bytes_that_complete_no_event_are_not_progress(self):
         """The watch counts complete events only, so its check stays due."""
         watch = StreamWatch(LIMITS, 0.0)
