--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -21,6 +21,7 @@
 from sapphireledge.gateway.route import Route
 from sapphireledge.gateway.routing_table import RoutingTable
 from sapphireledge.gateway.service_profile import ServiceProfile
+from sapphireledge.gateway.unread_reader import UnreadReader, open_unread_connection
 from sapphireledge.gateway.wait_for_event import wait_for_event
 from sapphireledge.gateway.workspace_key import WorkspaceKey
 
@@ -45,7 +46,9 @@
     "Route",
     "RoutingTable",
     "ServiceProfile",
+    "UnreadReader",
     "WorkspaceKey",
+    "open_unread_connection",
     "seconds_since_boot",
     "wait_for_event",
 ]
--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -9,6 +9,8 @@
 import h11
 
 from sapphireledge.gateway.backend_response_error import BackendResponseError
+from sapphireledge.gateway.response_buffer import ResponseBuffer
+from sapphireledge.gateway.unread_reader import UnreadReader, open_unread_connection
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.dialect import Dialect
@@ -33,7 +35,14 @@
 """Unanswered TCP keep-alive probes, sent once a second, after which the connection is closed."""
 
 MAX_HEAD_SIZE = 32_768
-"""Largest response head in bytes."""
+"""Largest response head, chunk header or trailer in bytes."""
+
+MAX_SKIPPED_RESPONSES = 4
+"""Interim responses and responses to other requests that may precede a response. A server repeats a
+response once; more of them show that it is out of order."""
+
+MAX_SKIPPED_BYTES = 1_048_576
+"""Largest body of a response to another request that is discarded."""
 
 
 class BackendConnection:
@@ -43,7 +52,7 @@
     premature end of the response raises `BackendResponseError`.
     """
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, reader: UnreadReader, writer: asyncio.StreamWriter) -> None:
         self._reader = reader
         self._writer = writer
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
@@ -72,7 +81,7 @@
         Raises:
             OSError: The connection could not be opened.
         """
-        reader, writer = await asyncio.open_connection(host, port)
+        reader, writer = await open_unread_connection(host, port)
         sock = writer.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -85,9 +94,13 @@
 
     @property
     def is_reusable(self) -> bool:
-        """Whether the last response is complete and another request may be sent."""
+        """Whether the last response is complete and another request may be sent.
+
+        Bytes that arrive on an idle connection belong to no request.
+        """
         return (
             self._is_complete
+            and not self._reader.unread
             and not self.must_close
             and not self._reader.at_eof()
             and not self._writer.is_closing()
@@ -128,7 +141,7 @@
         Raises:
             BackendResponseError: The connection ended or the data is not a valid HTTP response.
         """
-        while True:
+        for _ in range(MAX_SKIPPED_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -140,6 +153,7 @@
             if head.request_id is None or head.request_id == request_id:
                 return head
             await self._skip_mismatched_response()
+        raise BackendResponseError("too many responses precede the response to the request")
 
     async def read_chunk(self) -> bytes | None:
         """Reads the next chunk of the body.
@@ -165,12 +179,12 @@
             The body.
 
         Raises:
-            BackendResponseError: The body is truncated.
+            BackendResponseError: The body is truncated or too large.
         """
-        body = bytearray()
-        while (chunk := await self.read_chunk()) is not None:
-            body += chunk
-        return bytes(body)
+        with ResponseBuffer() as buffer:
+            while (chunk := await self.read_chunk()) is not None:
+                buffer.append(chunk)
+            return buffer.content()
 
     def abort(self) -> None:
         """Closes the connection immediately, so that the backend server cancels the request."""
@@ -199,9 +213,13 @@
         The new parser is fed a placeholder request, because h11 accepts a response only after one.
         """
         self.must_close = True
+        skipped = 0
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
                 raise BackendResponseError("a response to another request is truncated")
+            skipped += len(event.data)
+            if skipped > MAX_SKIPPED_BYTES:
+                raise BackendResponseError("a response to another request does not end")
         trailing, closed = self._parser.trailing_data
         if closed or self._parser.their_state is not h11.DONE or self._request is None:
             raise BackendResponseError("the connection ended after a response to another request")
--- a/src/sapphireledge/gateway/caller_request.py
+++ b/src/sapphireledge/gateway/caller_request.py
@@ -46,6 +46,9 @@
     prompt_tokens: int = 0
     """Length of the prompt in tokens, 0 if unknown."""
 
+    output_tokens: int = 0
+    """Largest number of tokens to generate, 0 if unknown."""
+
     affinity: str = ""
     """Affinity key for routing, equal for repetitions of the same request. It is the id of the last
     part of the prompt, or the request id if the prompt's parts are unknown."""
--- a/src/sapphireledge/gateway/classify_response.py
+++ b/src/sapphireledge/gateway/classify_response.py
@@ -12,6 +12,9 @@
 
 __all__ = ["classify_response"]
 
+NOT_EXECUTED_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
+"""Statuses that promise a caller that its request has not run and never will."""
+
 
 def classify_response(server: BackendServer, head: ResponseHead, body: bytes) -> Outcome:
     """Determines from a response whether the request was executed and succeeded.
@@ -32,6 +35,9 @@
         return Outcome(OutcomeKind.LOST, server, "the response has an unexpected content encoding")
     if not head.signed:
         return Outcome(OutcomeKind.LOST, server, f"unsigned response with status {head.status}")
+    if head.status in NOT_EXECUTED_STATUSES:
+        reason = f"status {head.status} without the statement that the request was not executed"
+        return Outcome(OutcomeKind.LOST, server, reason)
     if head.request_id is None and head.status < 300:
         return Outcome(OutcomeKind.LOST, server, "the response has no request id")
     kind = OutcomeKind.ANSWERED if head.status < 500 else OutcomeKind.FAILED
--- a/src/sapphireledge/gateway/engine_report_client.py
+++ b/src/sapphireledge/gateway/engine_report_client.py
@@ -113,11 +113,9 @@
         try:
             conn.send(b"GET", target, headers, b"")
             head = await conn.read_head(self._dialect, "")
-            body = bytearray()
-            while (chunk := await conn.read_chunk()) is not None:
-                body += chunk
+            body = await conn.read_body()
             complete = True
-            return bytes(body) if head.status == 200 else None
+            return body if head.status == 200 else None
         finally:
             if complete:
                 self._pool.release(server, conn)
--- a/src/sapphireledge/gateway/event_splitter.py
+++ b/src/sapphireledge/gateway/event_splitter.py
@@ -4,12 +4,17 @@
 
 import re
 
+from sapphireledge.gateway.backend_response_error import BackendResponseError
 from sapphireledge.gateway.stream_event import StreamEvent
 
 __all__ = ["EventSplitter"]
 
+MAX_EVENT_BYTES = 262_144
+"""Largest event in bytes; an event holds a few tokens."""
+
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-_NUMBER = re.compile(rb"(?:^|[\r\n])id: ?(\d+) *(?=[\r\n])")
+_NUMBER = re.compile(rb"(?:^|[\r\n])id: ?(\d{1,18}) *(?=[\r\n])")
+_ID_FIELD = re.compile(rb"(?:^|[\r\n])id:")
 
 
 class EventSplitter:
@@ -33,6 +38,9 @@
 
         Returns:
             The completed events, with their bytes unchanged.
+
+        Raises:
+            BackendResponseError: An event is too large, or its id is not a number.
         """
         self._buffer += data
         events = []
@@ -41,6 +49,10 @@
             raw = self._buffer[start : boundary.end()]
             start = boundary.end()
             number = _NUMBER.search(raw)
+            if number is None and _ID_FIELD.search(raw):
+                raise BackendResponseError("the id of an event is not a number")
             events.append(StreamEvent(raw, int(number.group(1)) if number else None))
         self._buffer = self._buffer[start:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise BackendResponseError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
         return events
--- a/src/sapphireledge/platform/decode_report.py
+++ b/src/sapphireledge/platform/decode_report.py
@@ -49,7 +49,7 @@
     """
     try:
         cache = msgspec.json.decode(body, type=_Cache)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         structlog.get_logger().warning(GatewayEvent.REPORT_UNREADABLE, reason=str(exc))
         return frozenset()
     return frozenset(str(part[PART_ID_INDEX]) for part in cache.held if len(part) > PART_ID_INDEX)
@@ -66,15 +66,19 @@
     """
     try:
         report = msgspec.json.decode(body, type=_Report)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         structlog.get_logger().warning(GatewayEvent.REPORT_UNREADABLE, reason=str(exc))
         return None
-    runs = [run for run in report.runs if len(run) > RUN_EVENTS_INDEX]
+    runs = [
+        run
+        for run in report.runs
+        if len(run) > RUN_EVENTS_INDEX and isinstance(run[RUN_EVENTS_INDEX], int)
+    ]
     return EngineLoad(
         waiting=report.waiting,
         running=report.running,
         memory_used=report.kv_used,
         memory_total=report.kv_total,
-        events={str(run[0]): int(run[RUN_EVENTS_INDEX]) for run in runs},
+        events={str(run[0]): run[RUN_EVENTS_INDEX] for run in runs},
         started_at_ms=report.born,
     )
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -16,6 +16,9 @@
 API_KEY_SCHEME = b"token "
 """Authorization scheme of an API key, in lower case."""
 
+MAX_DIGITS = 18
+"""Digits of the largest number accepted in a header."""
+
 MAX_URGENCY_CLASS = 9
 """Least urgent class of an engine; 0 is the most urgent, as for the gateway's ranks."""
 
@@ -29,7 +32,7 @@
         """Decodes a caller's request; see `Dialect.decode_request`."""
         values = dict(headers)
         wait_ms = _parse_int(values.get(names.TIME_LEFT))
-        prompt_tokens, _, _ = values.get(names.TOKEN_COUNTS, b"").partition(b",")
+        prompt_tokens, _, output_tokens = values.get(names.TOKEN_COUNTS, b"").partition(b",")
         last_prefix_part, _, _ = (
             values.get(names.PREFIX_PARTS, b"").rpartition(b",")[2].partition(b":")
         )
@@ -46,6 +49,7 @@
             wait_limit=None if wait_ms is None else wait_ms / 1000.0,
             last_event=_parse_int(values.get(names.LAST_EVENT)),
             prompt_tokens=_parse_int(prompt_tokens) or 0,
+            output_tokens=_parse_int(output_tokens) or 0,
             affinity=(last_prefix_part or values.get(names.REQUEST_ID, b"")).decode("latin-1"),
         )
 
@@ -123,7 +127,9 @@
 
 def _parse_int(value: bytes | None) -> int | None:
     """Parses a non-negative integer; returns None for anything else."""
-    return int(value) if value is not None and value.isdigit() else None
+    if value is None or not value.isdigit() or len(value) > MAX_DIGITS:
+        return None
+    return int(value)
 
 
 def _parse_api_key(value: bytes) -> str:
@@ -150,6 +156,6 @@
     """Extracts the idle timeout in seconds from the keep-alive header."""
     for part in value.split(b","):
         name, _, number = part.partition(b"=")
-        if name.strip().lower() == b"timeout" and number.strip().isdigit():
-            return float(number)
+        if name.strip().lower() == b"timeout" and (timeout := _parse_int(number.strip())):
+            return float(timeout)
     return None
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sapphireledge.feed import Peer, SourceError, StoredEntry, StorePage
+from sapphireledge.gateway import UnreadReader, open_unread_connection
 from sapphireledge.platform.split_address import split_address
 
 if TYPE_CHECKING:
@@ -20,6 +21,9 @@
 
 Decoded = TypeVar("Decoded")
 
+MAX_BODY_BYTES = 8_388_608
+"""Largest response body; the store's pages hold about one megabyte."""
+
 READ_SIZE = 65_536
 """Maximum bytes of one read from the connection."""
 
@@ -89,7 +93,7 @@
         """
         self._cfg = cfg
         self._on_call = on_call
-        self._reader: asyncio.StreamReader | None = None
+        self._reader: UnreadReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._parser = h11.Connection(h11.CLIENT)
 
@@ -193,22 +197,29 @@
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 response_body += event.data
+                if len(response_body) > MAX_BODY_BYTES:
+                    raise ConnectionResetError("the response of the store is too large")
+            elif event is h11.PAUSED:
+                raise ConnectionResetError("the store sent bytes after its response")
             elif isinstance(event, h11.EndOfMessage):
                 break
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("connection closed by the store")
-        if parser.our_state is h11.DONE and parser.their_state is h11.DONE:
+        is_done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        if is_done and not parser.trailing_data[0]:
             parser.start_next_cycle()
         else:
             self.close()
         return status, bytes(response_body)
 
-    async def _ensure_connection(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    async def _ensure_connection(self) -> tuple[UnreadReader, asyncio.StreamWriter]:
         """Returns the open connection, or opens a new one."""
-        if self._reader is None or self._writer is None or self._reader.at_eof():
+        reader = self._reader
+        # Unread bytes are a late copy of an earlier response, as the store numbers none of them.
+        if reader is None or self._writer is None or reader.at_eof() or reader.unread:
             self.close()
             async with asyncio.timeout(self._cfg.call_timeout):
-                self._reader, self._writer = await asyncio.open_connection(
+                self._reader, self._writer = await open_unread_connection(
                     self._cfg.host, self._cfg.port
                 )
             self._parser = h11.Connection(h11.CLIENT)
@@ -229,5 +240,5 @@
     """Decodes a response of the store."""
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise SourceError(f"cannot decode the response of the store: {exc}") from exc
