Decide when and where a stream starts apart from input and output

Engines ran out of memory, interrupted streams and read prompts again. Change: core/placement, pure. A stream that would be late waits at its instance until an engine has no prompt ahead or 12 s are left; late ones run behind the others at the engine; lower ranks leave the queues short; only what cannot begin before its deadline is refused. Engines without room for the whole stream are avoided, and copies are made only while half of the candidates have room. Waiting streams see the engines in an order of their own instance, and only a share of them starts. The log says for each start the estimate, the costs and how long it was held, and for each stream its first event and its longest pause.

Also, found by tests of what befell others: a request of which a part had arrived was cut off at the end of a planned stop; an error in the refusal path left no log line; an unexpected error while a change was applied ended the watch of its kind for good. Each has a test that failed first.

--- a/src/sapphireledge/core/liveness/stream_watch.py
+++ b/src/sapphireledge/core/liveness/stream_watch.py
@@ -39,6 +39,11 @@
         self._checked_at = now
         self._events = 0
 
+    @property
+    def has_events(self) -> bool:
+        """Whether a complete event has arrived."""
+        return self._events > 0
+
     @property
     def report_timeout(self) -> float:
         """Seconds to wait for a report."""
--- /dev/null
+++ b/src/sapphireledge/core/placement/__init__.py
@@ -0,0 +1,21 @@
+"""When and on which engine a stream starts, decided from load reports."""
+
+from sapphireledge.core.placement.engine_view import EngineView
+from sapphireledge.core.placement.first_event_estimator import FirstEventEstimator
+from sapphireledge.core.placement.pending_stream import PendingStream
+from sapphireledge.core.placement.placement_limits import PlacementLimits
+from sapphireledge.core.placement.placement_rule import PlacementRule
+from sapphireledge.core.placement.refuse_stream import RefuseStream
+from sapphireledge.core.placement.start_stream import StartStream
+from sapphireledge.core.placement.wait_for_engine import WaitForEngine
+
+__all__ = [
+    "EngineView",
+    "FirstEventEstimator",
+    "PendingStream",
+    "PlacementLimits",
+    "PlacementRule",
+    "RefuseStream",
+    "StartStream",
+    "WaitForEngine",
+]
--- /dev/null
+++ b/src/sapphireledge/core/placement/pending_stream.py
@@ -0,0 +1,30 @@
+"""A stream that waits for an engine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["PendingStream"]
+
+
+@dataclass(frozen=True, slots=True)
+class PendingStream:
+    """A stream that waits for an engine; times are in seconds on one clock."""
+
+    prompt_tokens: int
+    """Length of the prompt in tokens, 0 if unknown."""
+
+    output_tokens: int
+    """Largest number of tokens that the generation produces, 0 if unknown."""
+
+    rank_distance: int
+    """Difference from the most urgent rank of the service, 0 for that rank."""
+
+    due_at: float
+    """Time by which the next event must arrive for the stream to be on time."""
+
+    deadline: float
+    """Time at which the caller stops waiting."""
+
+    has_run: bool
+    """Whether an engine may have run the request, so that it cannot be refused as not run."""
--- /dev/null
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -0,0 +1,139 @@
+"""Decides when and on which engine a stream starts.
+
+Load pattern: a flood, or the loss of a data centre, offers more prompts than the engines can
+process within the target. Engines queue in order of arrival, so if every request is sent at once,
+each one waits behind requests that are late already, and nearly all become late. Here a stream that
+would be late waits at its instance until an engine has no prompt to process, or until it must start
+to complete before its deadline. The queues of the engines stay short, and streams that can be on
+time pass the late ones.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.placement.refuse_stream import RefuseStream
+from sapphireledge.core.placement.start_stream import StartStream
+from sapphireledge.core.placement.wait_for_engine import WaitForEngine
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from sapphireledge.core.placement.engine_view import EngineView
+    from sapphireledge.core.placement.first_event_estimator import FirstEventEstimator
+    from sapphireledge.core.placement.pending_stream import PendingStream
+    from sapphireledge.core.placement.placement_limits import PlacementLimits
+
+__all__ = ["PlacementRule"]
+
+
+class PlacementRule:
+    """Places streams on engines from fresh load reports."""
+
+    def __init__(self, limits: PlacementLimits, rng: Random) -> None:
+        """Creates the rule.
+
+        Args:
+            limits: Limits and weights.
+            rng: Source of the jitter of waiting times.
+        """
+        self._limits = limits
+        self._rng = rng
+
+    def cost(self, stream: PendingStream, view: EngineView) -> float:
+        """Computes the cost of an engine, in prompts processed before the new one.
+
+        Args:
+            stream: The stream to place.
+            view: Load of the engine.
+
+        Returns:
+            The cost; the engine with the lowest one is preferred.
+        """
+        limits = self._limits
+        cost = view.prompts_ahead + limits.running_cost * view.running
+        if not view.is_local:
+            cost += limits.remote_cost
+        if not _has_room(stream, view):
+            cost += limits.memory_full_cost
+        return cost
+
+    def decide(
+        self,
+        now: float,
+        stream: PendingStream,
+        views: Sequence[EngineView],
+        estimator: FirstEventEstimator,
+        *,
+        may_wait: bool = True,
+        start_share: float = 1.0,
+    ) -> StartStream | WaitForEngine | RefuseStream:
+        """Decides whether a stream starts, waits or is refused.
+
+        Args:
+            now: Current time in seconds.
+            stream: The stream.
+            views: Candidate engines that sent a report, at least one.
+            estimator: Estimate of the time to the first event.
+            may_wait: Whether the stream may wait; not while the instance is stopping.
+            start_share: Share of the streams that may start now, if they have been waiting; all
+                instances see an engine become idle at the same time.
+
+        Returns:
+            The decision.
+        """
+        limits = self._limits
+        best = min(views, key=lambda view: self.cost(stream, view))
+        ahead = best.prompts_ahead + (0.0 if _has_room(stream, best) else limits.memory_full_cost)
+        estimate = estimator.estimate(ahead)
+        is_on_time = now + estimate <= stream.due_at and (
+            not stream.rank_distance or ahead <= limits.lower_rank_ahead
+        )
+        must_start = not may_wait or now + limits.late_reserve >= stream.deadline
+        is_admitted = must_start or self._rng.random() < start_share
+        if is_on_time and is_admitted:
+            return StartStream(best.engine, estimate, False)
+        if now + estimator.estimate(0.0) >= stream.deadline and not stream.has_run:
+            # Spread over the time that the engines need for the prompts ahead.
+            return RefuseStream(estimate, estimate * self._rng.uniform(0.5, 1.0))
+        if must_start or (is_admitted and ahead <= limits.late_start_ahead):
+            return StartStream(best.engine, estimate, True)
+        can_be_on_time = now + estimator.estimate(0.0) <= stream.due_at
+        interval = limits.retry_interval if can_be_on_time else limits.late_retry_interval
+        return WaitForEngine(interval * self._rng.uniform(0.6, 1.4), estimate)
+
+    def has_room_for_copies(self, stream: PendingStream, views: Sequence[EngineView]) -> bool:
+        """Decides whether the KV cache of a stream is copied to a standby.
+
+        Load pattern: in a flood, copies take the memory that new streams need.
+
+        Args:
+            stream: The stream.
+            views: Candidate engines that sent a report, at least one.
+
+        Returns:
+            Whether half of the engines have room for the stream and its copy.
+        """
+        spare = sorted(_spare_tokens(stream, view) for view in views)
+        needed = self._limits.standby_room * (stream.prompt_tokens + stream.output_tokens)
+        return spare[len(spare) // 2] >= needed
+
+
+def _has_room(stream: PendingStream, view: EngineView) -> bool:
+    """Whether the KV cache of an engine has room for the whole stream, as far as is known."""
+    return _spare_tokens(stream, view) >= stream.prompt_tokens + stream.output_tokens
+
+
+def _spare_tokens(stream: PendingStream, view: EngineView) -> float:
+    """Estimates the free memory of an engine after the requests that it has already accepted.
+
+    An engine whose memory runs out interrupts a stream and processes its prompt again later. All
+    streams are taken to be as long as this one, and half done.
+    """
+    if view.free_tokens is None:
+        return float("inf")
+    queued = view.waiting + view.recently_sent + 0.5 * view.prefilling
+    return (
+        view.free_tokens - queued * stream.prompt_tokens - 0.5 * view.running * stream.output_tokens
+    )
--- /dev/null
+++ b/src/sapphireledge/core/placement/refuse_stream.py
@@ -0,0 +1,18 @@
+"""Decision to refuse a stream that cannot be served."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["RefuseStream"]
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseStream:
+    """Decision to refuse a stream that cannot be served before its deadline."""
+
+    estimate: float
+    """Expected time to the next event in seconds."""
+
+    retry_after: float
+    """Seconds after which the caller may return."""
--- a/src/sapphireledge/feed/feed_channel.py
+++ b/src/sapphireledge/feed/feed_channel.py
@@ -38,7 +38,7 @@
         if length > MAX_MESSAGE_BYTES:
             raise SourceError(f"message too large: {length} bytes")
         return msgspec.msgpack.decode(await reader.readexactly(length), type=kind)
-    except (OSError, asyncio.IncompleteReadError, msgspec.MsgspecError) as exc:
+    except (OSError, asyncio.IncompleteReadError, msgspec.MsgspecError, RecursionError) as exc:
         raise SourceError(f"cannot read message: {exc!r}") from exc
 
 
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -5,11 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import structlog
+
 from sapphireledge.feed.feed_channel import read_message, write_message
 from sapphireledge.feed.feed_message import FeedReply, FeedRequest
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.feed.store_page import StoredEntry, StorePage
-from sapphireledge.gateway import seconds_since_boot
+from sapphireledge.gateway import GatewayEvent, seconds_since_boot
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -53,6 +55,9 @@
                     return ""
         except SourceError as exc:
             return str(exc)
+        except Exception as exc:
+            structlog.get_logger().error(GatewayEvent.INTERNAL_ERROR, relay=peer.name, exc_info=exc)
+            return repr(exc)
         finally:
             writer.transport.abort()
 
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -206,8 +206,11 @@
                 peers = await self._directory.list_peers()
                 self.instance_count = max(1, len(peers))
                 self._preceding = self._select_preceding(peers)
-            except SourceError as exc:
-                self._log.warning(GatewayEvent.STORE_LOST, kind="peers", reason=str(exc))
+            except Exception as exc:
+                if isinstance(exc, SourceError):
+                    self._log.warning(GatewayEvent.STORE_LOST, kind="peers", reason=str(exc))
+                else:
+                    self._log.error(GatewayEvent.INTERNAL_ERROR, kind="peers", exc_info=exc)
                 await asyncio.sleep(self._cfg.recheck_interval)
                 continue
             if intervals:
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -57,6 +57,13 @@
                     await self._call_store()
                 except SourceError as exc:
                     await self._back_off(exc)
+                except Exception as exc:
+                    # The objects of a kind must not stay as they are because of one of them.
+                    self._log.error(
+                        GatewayEvent.INTERNAL_ERROR, kind=self._kind_cfg.kind, exc_info=exc
+                    )
+                    self._needs_relist = True
+                    await self._back_off(SourceError(repr(exc)))
         finally:
             self.is_healthy = False
 
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -46,15 +46,18 @@
 class BackendRegistry:
     """Tracks the state of each backend server and ranks servers for new requests."""
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(self, data_centre: str, instance: str = "") -> None:
         """Creates an empty registry.
 
         Args:
             data_centre: Data centre of this instance.
+            instance: Name of this instance.
         """
         self._data_centre = data_centre
+        self._instance = instance
         self._states: dict[str, BackendState] = {}
         self._by_service: dict[str, dict[str, BackendState]] = {}
+        self._orders: dict[str, list[BackendState]] = {}
         self._recent_losses: dict[str, list[tuple[float, str]]] = {}
         self._suspect_until: dict[str, float] = {}
 
@@ -78,6 +81,7 @@
             state = BackendState(server)
             self._states[server.server_id] = state
             self._by_service.setdefault(server.service, {})[server.server_id] = state
+            self._orders.pop(server.service, None)
             return True
         changed = state.server.draining != server.draining
         state.server = server
@@ -92,6 +96,7 @@
         state = self._states.pop(server_id, None)
         if state is not None:
             self._by_service[state.server.service].pop(server_id, None)
+            self._orders.pop(state.server.service, None)
 
     def ids(self) -> frozenset[str]:
         """Lists the ids of all known backend servers.
@@ -181,6 +186,36 @@
         ]
         return [server for *_, server in sorted(keyed, key=itemgetter(0, 1, 2))]
 
+    def list_preferred(
+        self, now: float, service: str, excluded: Collection[str] = ()
+    ) -> Iterator[BackendServer]:
+        """Iterates over the available servers in the order of preference of this instance.
+
+        The order is a different one on each instance, so that instances that see the same load
+        reports do not all choose the same server. Servers that failed recently come last.
+
+        Args:
+            now: Event loop time in seconds.
+            service: Name of the service.
+            excluded: Ids of servers to leave out.
+
+        Yields:
+            The servers.
+        """
+        order = self._orders.get(service)
+        if order is None:
+            order = sorted(self._by_service.get(service, {}).values(), key=self._preference)
+            self._orders[service] = order
+        avoided = []
+        for state in order:
+            if state.server.draining or state.server.server_id in excluded:
+                continue
+            if self._was_lost_recently(now, state):
+                avoided.append(state.server)
+            else:
+                yield state.server
+        yield from avoided
+
     def is_available(self, server_id: str) -> bool:
         """Checks whether a server accepts new requests.
 
@@ -223,6 +258,15 @@
             if not state.server.draining and server_id not in excluded:
                 yield state
 
+    def _preference(self, state: BackendState) -> int:
+        """Returns the sort key of a server in the order of this instance."""
+        return xxhash.xxh3_64_intdigest(f"{self._instance}/{state.server.server_id}".encode())
+
+    def _was_lost_recently(self, now: float, state: BackendState) -> bool:
+        """Whether a server is suspended or its data centre is suspect."""
+        suspect_until = self._suspect_until.get(state.server.data_centre, 0.0)
+        return now < max(state.suspended_until, suspect_until)
+
     def _compute_cost(self, now: float, state: BackendState) -> float:
         """Computes the cost of a server, in requests in flight."""
         server = state.server
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -108,10 +108,15 @@
         """Whether the caller closed its side or the connection was aborted."""
         return self._disconnected
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or handled."""
+        is_reading = self._parser.their_state is not h11.IDLE or self._parser.trailing_data[0]
+        return not self.is_busy and not is_reading
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is being read or handled."""
-        idle = self._parser.their_state is h11.IDLE and not self._parser.trailing_data[0]
-        if not self.is_busy and idle and self._transport is not None:
+        if self.is_idle and self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
--- a/src/sapphireledge/gateway/engine_selection.py
+++ b/src/sapphireledge/gateway/engine_selection.py
@@ -23,3 +23,9 @@
 
     replica_source: BackendServer | None
     """Engine that holds a replica to resume from, or None."""
+
+    prompts_ahead: int | None = None
+    """Prompts that the engine processes first, None if it was not chosen by its report."""
+
+    is_late: bool = False
+    """Whether the stream is expected to miss its target."""
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -3,12 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import count
+from random import Random
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.placement import (
+    EngineView,
+    PendingStream,
+    PlacementLimits,
+    PlacementRule,
+    RefuseStream,
+    StartStream,
+    WaitForEngine,
+)
 from sapphireledge.gateway.engine_selection import EngineSelection
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Sequence
 
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
@@ -28,97 +39,151 @@
 REMOTE_CANDIDATES = 3
 """Engines in other data centres whose load reports are fetched per selection."""
 
-REPORT_TIMEOUT = 0.15
-"""Seconds to wait for reports and cache listings: two round trips between regions and a margin."""
+PLACEMENTS_PER_SET = 3
+"""Placements of a waiting stream with the same candidates before it is offered others."""
 
-REMOTE_COST = 0.2
-"""Cost of an engine in another data centre, in prompts processed before the new one."""
+STARTS_PER_IDLE_ENGINE = 2.0
+"""Streams that all instances together should start on an idle engine before its next reports show
+them."""
 
-RUNNING_COST = 0.3
-"""Cost of a running generation, in prompts processed before the new one. A prompt of 8,000 tokens
-delays every running generation by about a second, and longer runs are more likely to be hit by a
-failure."""
-
-MEMORY_FULL_COST = 4.0
-"""Cost of an engine whose KV cache has no room for the prompt, in prompts processed before it."""
+REPORT_TIMEOUT = 0.15
+"""Seconds to wait for reports and cache listings: two round trips between regions and a margin."""
 
 RECENT_DISPATCH_WINDOW = 0.4
 """Seconds for which a request sent by this instance may be missing from an engine's reports."""
 
 
+PLACEMENT_LIMITS = PlacementLimits()
+"""Limits and weights of the placement."""
+
+
 class EngineSelector:
-    """Selects the engine with the fewest prompts to process from a few candidates.
+    """Selects the engine of a stream from the load reports of a few candidates.
 
     Each instance queries only a few candidates of its own. The cost of a selection therefore does
     not grow with the number of engines, and stale reports do not make all instances pick the same
-    engine.
+    engine. When and where the stream starts is decided by `PlacementRule`.
     """
 
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
+        self._rule = PlacementRule(PLACEMENT_LIMITS, Random())
         self._recent_dispatches: list[tuple[float, str]] = []
 
     async def select(
         self, admitted: AdmittedRequest, progress: StreamProgress
-    ) -> EngineSelection | None:
-        """Selects the engines on which a stream starts or resumes.
+    ) -> EngineSelection | RefuseStream | None:
+        """Selects the engines on which a stream starts or resumes, once it is to start.
 
         Args:
             admitted: The request.
             progress: Progress of the stream so far.
 
         Returns:
-            The selection, or None if no engine is available.
+            The selection, a refusal, or None if no engine is available.
         """
         replica_source = progress.take_replica_holder()
         if replica_source is not None and self._context.registry.is_available(
             replica_source.server_id
         ):
-            server: BackendServer | None = replica_source
-        else:
-            replica_source = None
-            server = await self._choose_engine(admitted, progress)
-        if server is None:
-            return None
+            return self._select_known(admitted, progress, replica_source, replica_source)
+        holder = await self._find_prompt_holder(admitted, progress)
+        if holder is not None:
+            return self._select_known(admitted, progress, holder)
+        selection = await self._place(admitted, progress)
+        if isinstance(selection, EngineSelection) and selection.prompts_ahead is not None:
+            self._record_dispatch(selection.server)
+        return selection
+
+    def _select_known(
+        self,
+        admitted: AdmittedRequest,
+        progress: StreamProgress,
+        server: BackendServer,
+        replica_source: BackendServer | None = None,
+    ) -> EngineSelection:
+        """Selects an engine without reports, with a standby by this instance's own view."""
+        self._record_dispatch(server)
+        standby = self._rank_standby(admitted, progress, server)
+        return EngineSelection(server, standby, replica_source)
+
+    def _record_dispatch(self, server: BackendServer) -> None:
+        """Remembers a dispatch that the engine's next reports may not include."""
         self._recent_dispatches.append((asyncio.get_running_loop().time(), server.server_id))
-        return EngineSelection(
-            server, self._choose_standby(admitted, progress, server), replica_source
-        )
 
-    async def _choose_engine(
+    async def _place(
         self, admitted: AdmittedRequest, progress: StreamProgress
-    ) -> BackendServer | None:
-        """Chooses the engine that holds the prompt, or else the candidate with the lowest cost."""
-        holder = await self._find_prompt_holder(admitted, progress)
-        if holder is not None:
-            return holder
-        candidates = self._list_candidates(admitted, progress.failed_engines)
-        if not candidates and progress.failed_engines:
-            candidates = self._list_candidates(admitted, set())
-        if len(candidates) < 2:
-            return candidates[0] if candidates else None
-        reports = await self._context.report_client.fetch_reports(candidates, REPORT_TIMEOUT)
+    ) -> EngineSelection | RefuseStream | None:
+        """Places a stream by load reports, and repeats that while it has to wait."""
+        context = self._context
+        loop = asyncio.get_running_loop()
+        estimator = context.first_event_estimator(admitted.service.name)
+        for attempt in count():
+            candidates = self._list_candidates(admitted, progress.failed_engines, attempt)
+            if not candidates and progress.failed_engines:
+                candidates = self._list_candidates(admitted, set(), attempt)
+            if len(candidates) < 2:
+                return self._select_known(admitted, progress, candidates[0]) if candidates else None
+            views = await self._fetch_views(admitted, candidates)
+            if not views:
+                return self._select_known(admitted, progress, candidates[0])
+            stream = _describe_pending(admitted, progress, loop.time())
+            decision = self._rule.decide(
+                loop.time(),
+                stream,
+                views,
+                estimator,
+                may_wait=not context.is_stopping(),
+                start_share=self._start_share(admitted) if attempt else 1.0,
+            )
+            if attempt == 0 or not isinstance(decision, WaitForEngine):
+                costs = {view.engine: self._rule.cost(stream, view) for view in views}
+                silent = len(candidates) - len(views)
+                context.telemetry.record_placement(admitted, decision, costs, silent, attempt)
+            if isinstance(decision, RefuseStream):
+                return decision
+            if isinstance(decision, StartStream):
+                ahead = next(v.prompts_ahead for v in views if v.engine == decision.engine)
+                by_id = {server.server_id: server for server in candidates}
+                server = by_id[decision.engine]
+                standby = None
+                if self._rule.has_room_for_copies(stream, views):
+                    standby = self._rank_standby(admitted, progress, server)
+                return EngineSelection(server, standby, None, ahead, decision.is_late)
+            await asyncio.sleep(decision.delay)
+        return None
+
+    async def _fetch_views(
+        self, admitted: AdmittedRequest, candidates: list[BackendServer]
+    ) -> list[EngineView]:
+        """Fetches the reports of the candidates; those that send none are suspended."""
+        context = self._context
+        reports = await context.report_client.fetch_reports(candidates, REPORT_TIMEOUT)
         now = asyncio.get_running_loop().time()
-        candidates = [
-            server for server in candidates if not self._remove_if_replaced(server, reports)
-        ] or candidates
         self._recent_dispatches = [
             entry for entry in self._recent_dispatches if entry[0] > now - RECENT_DISPATCH_WINDOW
         ]
-        costs = {
-            server.server_id: self._estimate_cost(admitted, server, reports[server.server_id])
-            for server in candidates
-            if server.server_id in reports
-        }
+        views = []
         for server in candidates:
-            if server.server_id not in costs:
-                self._context.registry.on_unreachable(now, server)
-        self._context.telemetry.record_engine_selection(admitted, costs, len(candidates))
-        if not costs:
-            return candidates[0]
-        return min(
-            (server for server in candidates if server.server_id in costs),
-            key=lambda server: costs[server.server_id],
+            report = reports.get(server.server_id)
+            if report is None:
+                context.registry.on_unreachable(now, server)
+            elif not self._remove_if_replaced(server, report):
+                views.append(self._build_view(server, report))
+        return views
+
+    def _build_view(self, server: BackendServer, load: EngineLoad) -> EngineView:
+        """Builds the view of an engine from its report and the recent dispatches."""
+        return EngineView(
+            engine=server.server_id,
+            is_local=server.data_centre == self._context.cfg.data_centre,
+            waiting=load.waiting,
+            prefilling=load.prefilling,
+            running=load.running,
+            recently_sent=sum(
+                1 for _, server_id in self._recent_dispatches if server_id == server.server_id
+            ),
+            free_tokens=load.memory_total - load.memory_used if load.memory_total else None,
         )
 
     async def _find_prompt_holder(
@@ -140,12 +205,10 @@
         self._context.telemetry.record_prompt_holders(admitted, holders, len(queried))
         return next((server for server in queried if server.server_id in holders), None)
 
-    def _remove_if_replaced(self, server: BackendServer, reports: Mapping[str, EngineLoad]) -> bool:
+    def _remove_if_replaced(self, server: BackendServer, report: EngineLoad) -> bool:
         """Removes an engine and returns True if another incarnation reports at its address."""
-        report = reports.get(server.server_id)
         if (
-            report is None
-            or not report.started_at_ms
+            not report.started_at_ms
             or not server.started_at_ms
             or report.started_at_ms == server.started_at_ms
         ):
@@ -155,34 +218,43 @@
         return True
 
     def _list_candidates(
-        self, admitted: AdmittedRequest, excluded: set[str]
+        self, admitted: AdmittedRequest, excluded: set[str], attempt: int
     ) -> list[BackendServer]:
-        """Lists the best-ranked engines of the local and of other data centres."""
+        """Lists the engines of which a stream is offered the best one.
+
+        A stream that waits is offered the engines that this instance prefers, and from time to time
+        others: when an engine becomes idle, streams wait for it at all instances.
+        """
+        registry = self._context.registry
         now = asyncio.get_running_loop().time()
         local_centre = self._context.cfg.data_centre
-        ranked = self._context.registry.rank_servers(
-            now, admitted.service.name, admitted.request.affinity, excluded
-        )
-        local = [server for server in ranked if server.data_centre == local_centre]
-        remote = [server for server in ranked if server.data_centre != local_centre]
-        return local[:LOCAL_CANDIDATES] + remote[:REMOTE_CANDIDATES]
-
-    def _estimate_cost(
-        self, admitted: AdmittedRequest, server: BackendServer, load: EngineLoad
-    ) -> float:
-        """Estimates the waiting time at an engine, in prompts processed before the new one."""
-        cost = load.waiting + load.prefilling + RUNNING_COST * load.running
-        cost += sum(1 for _, server_id in self._recent_dispatches if server_id == server.server_id)
-        if server.data_centre != self._context.cfg.data_centre:
-            cost += REMOTE_COST
-        if (
-            load.memory_total
-            and load.memory_used + admitted.request.prompt_tokens > load.memory_total
-        ):
-            cost += MEMORY_FULL_COST
-        return cost
+        service = admitted.service.name
+        ranked: Iterable[BackendServer]
+        if attempt:
+            ranked = registry.list_preferred(now, service, excluded)
+        else:
+            ranked = registry.rank_servers(now, service, admitted.request.affinity, excluded)
+        skipped = attempt // PLACEMENTS_PER_SET
+        local: list[BackendServer] = []
+        remote: list[BackendServer] = []
+        for server in ranked:
+            (local if server.data_centre == local_centre else remote).append(server)
+            if len(local) >= LOCAL_CANDIDATES * (skipped + 1) and len(
+                remote
+            ) >= REMOTE_CANDIDATES * (skipped + 1):
+                break
+        return [
+            *_take_cyclic(local, skipped, LOCAL_CANDIDATES),
+            *_take_cyclic(remote, skipped, REMOTE_CANDIDATES),
+        ]
+
+    def _start_share(self, admitted: AdmittedRequest) -> float:
+        """Computes which share of waiting streams may start on an engine that looks idle."""
+        engines = self._context.registry.count(admitted.service.name)
+        contenders = self._context.count_instances() * (LOCAL_CANDIDATES + REMOTE_CANDIDATES)
+        return min(1.0, STARTS_PER_IDLE_ENGINE * engines / max(1, contenders))
 
-    def _choose_standby(
+    def _rank_standby(
         self, admitted: AdmittedRequest, progress: StreamProgress, server: BackendServer
     ) -> BackendServer | None:
         """Chooses the engine to replicate to, in another data centre if possible."""
@@ -197,3 +269,27 @@
             {*progress.lost_centres, server.data_centre},
         )
         return ranked[0] if ranked else None
+
+
+def _take_cyclic(servers: Sequence[BackendServer], attempt: int, size: int) -> list[BackendServer]:
+    """Takes the next `size` servers for an attempt, and starts again after the last one."""
+    if len(servers) <= size:
+        return list(servers)
+    start = attempt * size
+    return [servers[(start + offset) % len(servers)] for offset in range(size)]
+
+
+def _describe_pending(
+    admitted: AdmittedRequest, progress: StreamProgress, now: float
+) -> PendingStream:
+    """Describes a stream to the placement rule."""
+    target = admitted.route.target or admitted.route.time_limit
+    return PendingStream(
+        prompt_tokens=admitted.request.prompt_tokens,
+        output_tokens=admitted.request.output_tokens,
+        rank_distance=max(0, admitted.rank - admitted.service.first_rank),
+        # A prompt takes longer than the pauses allowed between events.
+        due_at=now if progress.delivered else admitted.request.received_at + target,
+        deadline=admitted.deadline,
+        has_run=progress.may_have_executed,
+    )
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -66,6 +66,7 @@
         self._streams = StreamForwarder(self.context)
         self._rng = Random()
         self.context.pool.connection_limit = self._connection_limit
+        self.context.is_stopping = lambda: self._stop_started is not None
         self._connections: set[CallerConnection] = set()
         self._stop_started: float | None = None
 
@@ -84,6 +85,11 @@
         """Number of requests whose responses are not complete."""
         return sum(1 for conn in self._connections if conn.is_busy)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no connection has a request that is being read or handled."""
+        return all(conn.is_idle for conn in self._connections)
+
     def create_protocol(self) -> CallerConnection:
         """Creates the asyncio protocol for a new caller connection.
 
@@ -122,6 +128,14 @@
             conn: Connection of the caller.
             request: The request.
         """
+        try:
+            await self._handle(conn, request)
+        except Exception as exc:
+            self._telemetry.record_internal_error(request, exc)
+            conn.abort()
+
+    async def _handle(self, conn: CallerConnection, request: CallerRequest) -> None:
+        """Admits or refuses one request, and forwards it."""
         started = asyncio.get_running_loop().time()
         await self.config.wait_for_table(self.cfg.start_wait)
         admitted = self._admit(request)
@@ -135,10 +149,6 @@
         except asyncio.CancelledError:
             self._telemetry.record_cancellation(admitted, started, by_caller=conn.is_disconnected)
             raise
-        except Exception as exc:
-            self._telemetry.record_internal_error(request, exc)
-            conn.abort()
-            return None
         if failure is not None:
             return await self._refuse(conn, request, failure, started)
         self._telemetry.record_response(admitted, started, complete=not conn.is_aborted)
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.placement import FirstEventEstimator
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.connection_pool import ConnectionPool
 from sapphireledge.gateway.engine_report_client import EngineReportClient
@@ -34,7 +35,7 @@
         self.telemetry = telemetry
         """Logging and metrics of requests."""
 
-        self.registry = BackendRegistry(cfg.data_centre)
+        self.registry = BackendRegistry(cfg.data_centre, cfg.instance)
         """Known backend servers and their state."""
 
         self.count_instances: Callable[[], int] = lambda: 1
@@ -46,7 +47,11 @@
         self.report_client = EngineReportClient(self.pool, dialect)
         """Client for load reports and cache listings of engines."""
 
+        self.is_stopping: Callable[[], bool] = lambda: False
+        """Returns whether the instance is shutting down."""
+
         self._allowances: dict[str, RetryAllowance] = {}
+        self._estimators: dict[str, FirstEventEstimator] = {}
 
     def retry_allowance(self, service: str) -> RetryAllowance:
         """Returns this instance's share of a service's retry budget.
@@ -63,6 +68,17 @@
             self._allowances[service] = allowance
         return allowance
 
+    def first_event_estimator(self, service: str) -> FirstEventEstimator:
+        """Returns the estimate of the time to the first event of a service's streams.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The estimator, created on first use.
+        """
+        return self._estimators.setdefault(service, FirstEventEstimator())
+
     def record_outcome(self, outcome: Outcome) -> None:
         """Updates the state of a backend server from the outcome of an attempt.
 
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -67,6 +67,12 @@
     ENGINE_CHOSEN = "engine_chosen"
     """An engine was chosen by comparing load reports."""
 
+    STREAM_WAITING = "stream_waiting"
+    """A stream that would be late waits at this instance for an engine without other prompts."""
+
+    STREAM_ENDED = "stream_ended"
+    """A stream of which events were delivered ended, complete or not."""
+
     HOLDERS_FOUND = "holders_found"
     """Engines were queried for the cached prompt of a stream that its caller resumes."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -39,6 +39,22 @@
         )
         """Streams resumed on another engine, by whether from a replica or from the prompt."""
 
+        self.placements = Counter(
+            "sapphireledge_placements",
+            "Placements of streams by decision.",
+            ["decision"],
+            registry=self._registry,
+        )
+        """Placements of streams: started on time or late, waited, or refused."""
+
+        self.first_event_time = Histogram(
+            "sapphireledge_first_event_seconds",
+            "Time from the request to the first event of its stream.",
+            registry=self._registry,
+            buckets=TIME_BUCKETS,
+        )
+        """Time from the request to the first event of its stream."""
+
         self.answer_time = Histogram(
             "sapphireledge_answer_seconds",
             "Time from the request to the end of its answer.",
--- a/src/sapphireledge/gateway/gateway_server.py
+++ b/src/sapphireledge/gateway/gateway_server.py
@@ -63,7 +63,10 @@
             server.close()
 
     async def _drain(self, started: float) -> None:
-        """Waits for the drain time and then for every response, at most until the stop limit."""
+        """Waits for the drain time and then for every request, at most until the stop limit.
+
+        A request of which only a part has arrived counts: the caller may not send it again.
+        """
         cfg = self._gateway.cfg
         loop = asyncio.get_running_loop()
         deadline = started + cfg.stop_limit - STOP_MARGIN
@@ -71,6 +74,6 @@
         while loop.time() < deadline:
             if loop.time() >= drain_end:
                 self._gateway.close_idle()
-                if not self._gateway.in_flight:
+                if self._gateway.is_idle:
                     return
             await asyncio.sleep(STOP_POLL_INTERVAL)
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -7,12 +7,14 @@
 
 import structlog
 
+from sapphireledge.core.placement import StartStream, WaitForEngine
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.outcome import OutcomeKind
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
+    from sapphireledge.core.placement import RefuseStream
     from sapphireledge.errors import Failure
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.caller_request import CallerRequest
@@ -20,6 +22,7 @@
     from sapphireledge.gateway.gateway_metrics import GatewayMetrics
     from sapphireledge.gateway.outcome import Outcome
     from sapphireledge.gateway.routing_table import RoutingTable
+    from sapphireledge.gateway.stream_progress import StreamProgress
 
 __all__ = ["RequestTelemetry"]
 
@@ -176,21 +179,64 @@
             from_copy=from_replica,
         )
 
-    def record_engine_selection(
-        self, admitted: AdmittedRequest, costs: Mapping[str, float], candidate_count: int
+    def record_placement(
+        self,
+        admitted: AdmittedRequest,
+        decision: StartStream | WaitForEngine | RefuseStream,
+        costs: Mapping[str, float],
+        silent: int,
+        attempt: int,
     ) -> None:
-        """Logs the inputs of an engine selection.
+        """Logs when and where a stream starts, with the inputs; of repeated waits only the first.
 
         Args:
             admitted: The request.
+            decision: The decision.
             costs: Cost of each engine that sent a report, by server id, in prompts.
-            candidate_count: Number of engines that were queried for a report.
+            silent: Number of engines that were queried and sent no report.
+            attempt: Number of earlier placements of the stream in this attempt.
         """
+        event = GatewayEvent.ENGINE_CHOSEN
+        if isinstance(decision, WaitForEngine):
+            event = GatewayEvent.STREAM_WAITING
+            self._metrics.placements.labels("waited").inc()
+        elif isinstance(decision, StartStream):
+            self._metrics.placements.labels("late" if decision.is_late else "on_time").inc()
+        else:
+            self._metrics.placements.labels("refused").inc()
+        now = asyncio.get_running_loop().time()
         self._log.info(
-            GatewayEvent.ENGINE_CHOSEN,
+            event,
             request_id=admitted.request.request_id,
+            decision=type(decision).__name__,
+            server=decision.engine if isinstance(decision, StartStream) else None,
+            late=decision.is_late if isinstance(decision, StartStream) else None,
+            estimate_s=round(decision.estimate, 2),
+            held_s=round(now - admitted.request.received_at, 3),
+            target_s=admitted.route.target,
             costs={name: round(cost, 2) for name, cost in costs.items()},
-            silent=candidate_count - len(costs),
+            silent=silent,
+            placements=attempt + 1,
+        )
+
+    def record_stream(self, admitted: AdmittedRequest, progress: StreamProgress) -> None:
+        """Logs how promptly the events of a stream were delivered.
+
+        Args:
+            admitted: The request.
+            progress: Progress of the stream at its end, with at least one event.
+        """
+        assert progress.first_event_at is not None
+        first_event = progress.first_event_at - admitted.request.received_at
+        self._metrics.first_event_time.observe(first_event)
+        self._log.info(
+            GatewayEvent.STREAM_ENDED,
+            request_id=admitted.request.request_id,
+            first_event_s=round(first_event, 3),
+            target_s=admitted.route.target,
+            longest_pause_s=round(progress.longest_pause, 3),
+            events=progress.delivered,
+            attempts=progress.attempts,
         )
 
     def record_prompt_holders(
--- a/src/sapphireledge/gateway/service_profile.py
+++ b/src/sapphireledge/gateway/service_profile.py
@@ -17,5 +17,8 @@
     max_connections: int = 0
     """Connections that one backend server accepts in total, 0 if unknown."""
 
+    first_rank: int = 0
+    """Most urgent rank among the routes to the service."""
+
     can_replicate: bool = False
     """Whether engines can replicate a running generation to a standby engine."""
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -31,6 +31,11 @@
 Result = TypeVar("Result")
 
 
+LATE_RANK_OFFSET = 5
+"""Added to the rank of a stream that is expected to be late; engines start streams of a lower rank
+number first, so those that can be on time do not wait for it."""
+
+
 class StreamAttempt:
     """Sends a stream request to one engine and delivers its events."""
 
@@ -64,7 +69,7 @@
     async def _run_on(self, selection: EngineSelection, conn: BackendConnection) -> Outcome:
         """Sends the request on a connection and relays the response."""
         self._send(conn, selection)
-        return await self._relay(conn, selection.server)
+        return await self._relay(conn, selection)
 
     def _send(self, conn: BackendConnection, selection: EngineSelection) -> None:
         """Sends the request to the selected engine."""
@@ -75,7 +80,7 @@
             selection.server,
             admitted.caller_deadline - now,
             admitted.workspace,
-            admitted.rank,
+            admitted.rank + (LATE_RANK_OFFSET if selection.is_late else 0),
             self._progress.last_event,
             selection.standby,
             selection.replica_source,
@@ -84,10 +89,12 @@
         self._progress.on_sent(selection.server)
         conn.send(admitted.request.method, admitted.request.target, headers, admitted.request.body)
 
-    async def _relay(self, conn: BackendConnection, server: BackendServer) -> Outcome:
+    async def _relay(self, conn: BackendConnection, selection: EngineSelection) -> Outcome:
         """Reads the response and delivers each complete event."""
         cfg = self._context.cfg
+        server = selection.server
         loop = asyncio.get_running_loop()
+        sent_at = loop.time()
         last_event = self._progress.last_event
         watch = StreamWatch(cfg.silence, loop.time(), 0 if last_event is None else last_event + 1)
         request_id = self._admitted.request.request_id
@@ -101,6 +108,8 @@
         while (chunk := await self._read_while_alive(server, watch, conn.read_chunk)) is not None:
             for event in splitter.feed(chunk):
                 if event.number is not None:
+                    if not watch.has_events:
+                        self._observe_first_event(selection, loop.time() - sent_at)
                     watch.on_event(loop.time())
                 await self._deliver(head, event.raw, event.number)
         if splitter.has_partial_event:
@@ -110,6 +119,12 @@
         await self._caller.finish_response()
         return Outcome(OutcomeKind.ANSWERED, server, "complete", head)
 
+    def _observe_first_event(self, selection: EngineSelection, delay: float) -> None:
+        """Passes the time to the first event on to the estimate for further streams."""
+        if selection.prompts_ahead is not None:
+            estimator = self._context.first_event_estimator(self._admitted.service.name)
+            estimator.observe(selection.prompts_ahead, delay)
+
     async def _read_while_alive(
         self,
         server: BackendServer,
@@ -157,7 +172,7 @@
                 raise BackendResponseError(f"event {number} does not follow event {last}")
         else:
             await self._caller.start_response(head.status, head.headers)
-        progress.on_event(number)
+        progress.on_event(asyncio.get_running_loop().time(), number)
         await self._caller.send_chunk(raw)
 
 
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.placement import RefuseStream
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.gateway.engine_selector import EngineSelector
 from sapphireledge.gateway.outcome import OutcomeKind
@@ -46,11 +47,23 @@
             report.
         """
         progress = StreamProgress(admitted.request.last_event)
+        try:
+            return await self._attempt_until_complete(conn, admitted, progress)
+        finally:
+            if progress.first_event_at is not None:
+                self._context.telemetry.record_stream(admitted, progress)
+
+    async def _attempt_until_complete(
+        self, conn: CallerConnection, admitted: AdmittedRequest, progress: StreamProgress
+    ) -> Failure | None:
+        """Makes attempts until the stream is complete or none is left to make."""
         failed_outcome: Outcome | None = None
         while True:
             if not self._try_begin_attempt(admitted, progress):
                 return await self._fail_request(conn, progress, failed_outcome)
             selection = await self._selector.select(admitted, progress)
+            if isinstance(selection, RefuseStream):
+                return _refuse_overload(selection)
             if selection is None:
                 return await self._fail_request(conn, progress, failed_outcome)
             if progress.attempts:
@@ -103,6 +116,12 @@
         return Failure(ErrorKind.OVERLOADED, progress.last_reason, Ran.NO, RETRY_AFTER)
 
 
+def _refuse_overload(refusal: RefuseStream) -> Failure:
+    """Builds the failure of a stream that no engine could serve before its deadline."""
+    reason = f"the first event is expected in {refusal.estimate:.1f} s, after the deadline"
+    return Failure(ErrorKind.OVERLOADED, reason, Ran.NO, refusal.retry_after)
+
+
 async def _deliver_plain_response(conn: CallerConnection, outcome: Outcome) -> None:
     """Delivers a response that is not a stream, such as an engine's rejection of the request."""
     if not conn.response_started and outcome.head is not None:
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -47,6 +47,13 @@
         self.last_reason = "no engine is available"
         """Reason of the last failed attempt."""
 
+        self.first_event_at: float | None = None
+        """Event loop time in seconds at which the first event was delivered."""
+
+        self.longest_pause = 0.0
+        """Longest time between two delivered events in seconds."""
+
+        self._last_event_at = 0.0
         self._attempt_has_events = False
         self._standby: BackendServer | None = None
         self._replica_holder: BackendServer | None = None
@@ -61,12 +68,18 @@
         self._standby = selection.standby
         self._attempt_has_events = False
 
-    def on_event(self, number: int | None) -> None:
+    def on_event(self, now: float, number: int | None) -> None:
         """Records the delivery of an event.
 
         Args:
+            now: Event loop time in seconds.
             number: Number of the event, or None.
         """
+        if self.first_event_at is None:
+            self.first_event_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self._last_event_at)
+        self._last_event_at = now
         self._attempt_has_events = True
         self.delivered += 1
         if number is not None:
--- a/src/sapphireledge/platform/decode_config.py
+++ b/src/sapphireledge/platform/decode_config.py
@@ -115,6 +115,7 @@
             service.name: ServiceProfile(
                 service.name,
                 service.max_conns,
+                first_rank=_first_rank(config.routes, service.name),
                 can_replicate=service.engine is not None and service.engine.backups,
             )
             for service in config.services
@@ -134,6 +135,18 @@
     )
 
 
+def _first_rank(routes: Sequence[_Route], service: str) -> int:
+    """Returns the most urgent rank among the routes to a service, 0 without any."""
+    return min(
+        (
+            route.priority
+            for route in routes
+            if route.service == service or any(share.service == service for share in route.split)
+        ),
+        default=0,
+    )
+
+
 def _routes_by_host(routes: Sequence[_Route]) -> dict[str, tuple[Route, ...]]:
     """Groups routes by host, with the longest path prefix first."""
     by_host: dict[str, list[Route]] = {}
--- a/src/sapphireledge/platform/server_listener.py
+++ b/src/sapphireledge/platform/server_listener.py
@@ -86,7 +86,7 @@
             timer.cancel()
         try:
             server = decode_server(entry.name, entry.spec)
-        except (msgspec.ValidationError, ValueError) as exc:
+        except (msgspec.ValidationError, ValueError, RecursionError) as exc:
             self._log.warning(GatewayEvent.SERVER_UNREADABLE, server=entry.name, reason=str(exc))
             self._context.registry.remove(entry.name)
             return
--- a/tests/test_gateway_plain.py
+++ b/tests/test_gateway_plain.py
@@ -6,7 +6,9 @@
 import socket
 import struct
 import unittest
+from dataclasses import replace
 
+import structlog
 from gateway_case import (
     KEY,
     REQUEST_ID,
@@ -18,7 +20,12 @@
     table,
 )
 
-from sapphireledge.gateway import ConfigView, seconds_since_boot
+from sapphireledge.gateway import (
+    ConfigView,
+    GatewayMetrics,
+    GatewayServer,
+    seconds_since_boot,
+)
 
 
 async def succeed(request, writer):
@@ -317,6 +324,35 @@
         self.assertEqual((response.status, response.headers["connection"]), (200, "close"))
         self.assertEqual((await self.call("/stream/")).status, 503)
 
+    async def test_request_that_is_being_received_at_the_end_of_the_drain_is_served(self):
+        """Guards against cutting off a request of which only a part had arrived."""
+        await self.add("app", succeed)
+        self.gateway.reconfigure(replace(self.cfg, drain_time=0.2, stop_limit=5.0))
+        server = GatewayServer(self.gateway, GatewayMetrics())
+        stopping = asyncio.create_task(server.run())
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        request = self.head("/once/") + b"content-length: 1\r\n\r\nx"
+        writer.write(request[:60])
+        await asyncio.sleep(0.05)
+        server.request_stop()
+        await asyncio.sleep(0.5)
+        self.assertFalse(stopping.done())
+        writer.write(request[60:])
+        self.assertEqual((await read_response(reader)).status, 200)
+        async with asyncio.timeout(1.0):
+            await stopping
+
+    async def test_error_while_a_request_is_refused_is_logged(self):
+        """Guards against a connection that ends without a trace in the log."""
+
+        def fail(request_id, retry_after):
+            raise KeyError("header")
+
+        self.gateway._dialect.encode_refusal = fail
+        with structlog.testing.capture_logs() as lines:
+            await self.call("/absent/")
+        self.assertIn("internal_error", [line["event"] for line in lines])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,13 +7,21 @@
 import tempfile
 import time
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 from gateway_case import GatewayCase, full_response
 
-from sapphireledge.feed import FeedSettings, KindFeed, KindSettings, KindWatcher, Peer
+from sapphireledge.feed import (
+    FeedSettings,
+    KindFeed,
+    KindSettings,
+    KindWatcher,
+    Peer,
+    SourceError,
+)
 from sapphireledge.gateway import ReplayRule, seconds_since_boot
 from sapphireledge.platform import header_names
 from sapphireledge.platform.config_listener import ConfigListener
@@ -23,7 +31,7 @@
 from sapphireledge.platform.node_settings import load_node_settings
 from sapphireledge.platform.server_listener import ServerListener
 from sapphireledge.platform.settings_reloader import SettingsReloader
-from sapphireledge.platform.store_client import StoreClient
+from sapphireledge.platform.store_client import StoreClient, _decode
 from sapphireledge.platform.store_settings import StoreSettings
 
 SOURCE = Path(__file__).resolve().parent.parent / "src" / "sapphireledge"
@@ -217,7 +225,8 @@
                     answer = (200, {"events": [], "store_revision": int(query["watch"][0])})
                 if answer == "no_answer":
                     await asyncio.sleep(30)
-                writer.write(full_response(answer[0], {}, msgspec.json.encode(answer[1])))
+                response = full_response(answer[0], {}, msgspec.json.encode(answer[1]))
+                writer.write(response * (2 if "twice" in answer else 1))
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
 
@@ -398,6 +407,56 @@
         self.assertGreaterEqual(self.gateway.config._confirmed_at, started + 0.2)
         self.assertLessEqual(self.gateway.config._confirmed_at, seconds_since_boot())
 
+    async def test_watch_that_returns_early_confirms_only_its_start(self):
+        """Guards against keys that stay valid because a watch was cut off or answered twice."""
+        listener = ConfigListener(self.gateway.config)
+        self.gateway.config._confirmed_at = float("-inf")
+        self.feed_cfg = replace(self.feed_cfg, initial_wait=1.0)
+        started = seconds_since_boot()
+        listing = listing_answer(stored_object("main", CONFIG))
+        answers = [listing, (200, {"events": [], "store_revision": 5})]
+        await self.run_watcher("config", listener, answers, 0.15)
+        self.assertLess(self.gateway.config._confirmed_at, started + 0.1)
+
+    async def test_error_while_a_change_is_applied_does_not_end_the_watch(self):
+        """Guards against a registry that stays as it is after one unexpected error."""
+        listener = self.server_listener()
+        apply, errors = listener.apply, [KeyError("entry")]
+
+        def fail_once(entries):
+            if errors:
+                raise errors.pop()
+            apply(entries)
+
+        listener.apply = fail_once
+        answers = [listing_answer(stored_object(f"i{n}", SERVER)) for n in (1, 2)]
+        await self.run_watcher("servers", listener, answers, 0.3)
+        self.assertEqual(self.gateway.context.registry.ids(), {"i2"})
+
+    async def test_second_copy_of_a_response_is_not_the_next_one(self):
+        """Guards against late copies, as the store's responses carry no id."""
+        peers = [
+            {"address": f"10.0.0.{n}:7340", "data_centre": "a", "link_mbps": 5.0} for n in (1, 2)
+        ]
+        self.store.answers = [
+            (*listing_answer(stored_object("e1", peers[0])), "twice"),
+            listing_answer(stored_object("e2", peers[1])),
+        ]
+        client = StoreClient(self.store_cfg)
+        names = [(await client.list_peers())[0].name for _ in range(2)]
+        self.assertEqual(names, ["e1", "e2"])
+        client.close()
+
+    async def test_endless_or_nested_response_is_a_failed_call(self):
+        """Guards against a store response that takes all memory or ends the process."""
+        client = StoreClient(self.store_cfg)
+        for body in ("x" * 9_000_000, "["):
+            self.store.answers = [(200, body)]
+            with self.assertRaises(SourceError):
+                await client.list_peers()
+        with self.assertRaises(SourceError):
+            _decode(b"[" * 100_000, dict)
+
     async def test_unreadable_configuration_is_ignored(self):
         """Guards against a process that stops or drops its routes on an invalid update."""
         listener = ConfigListener(self.gateway.config)
