--- a/src/sapphireledge/backends/_private.py
+++ b/src/sapphireledge/backends/_private.py
@@ -44,6 +44,14 @@
 """Longest event that is buffered; a longer one fails the stream, so that memory stays bounded."""
 
 
+MAX_BODY_BYTES = 4_194_304
+"""Longest body of a short response, or of one chunk of a stream."""
+
+
+class BodyTooLong(ValueError):
+    """The body of a response is longer than MAX_BODY_BYTES."""
+
+
 class EventTooLong(ValueError):
     """A server-sent event is longer than MAX_EVENT_BYTES."""
 
@@ -121,7 +129,9 @@
         return self.reader.readuntil(b"\n")
 
     def readexactly(self, size: int) -> Coroutine[Any, Any, bytes]:
-        """Reads exactly `size` bytes."""
+        """Reads exactly `size` bytes, but no more than MAX_BODY_BYTES at once."""
+        if size > MAX_BODY_BYTES:
+            raise BodyTooLong(f"{size} bytes announced, {MAX_BODY_BYTES} are accepted")
         return self.reader.readexactly(size)
 
     async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
@@ -285,7 +295,7 @@
             else CallFailureCause.NO_CONNECTION_FREE
         )
         return CallFailure(cause, Ran.NO, name)
-    if isinstance(exc, HttpParsingError):
+    if isinstance(exc, HttpParsingError | BodyTooLong):
         return CallFailure(CallFailureCause.MALFORMED, Ran.UNKNOWN, name)
     timed_out = isinstance(exc, TimeoutError) or name.endswith("Timeout")
     cause = CallFailureCause.NO_ANSWER if timed_out else CallFailureCause.CONNECTION_LOST
@@ -337,16 +347,30 @@
     """
     try:
         async with asyncio.timeout(timeout):
-            body = await response.content()
+            body = await _read_body(response)
         return HttpReply(response.status_code, body, dict(response.raw_headers))
     except TimeoutError:
         return CallFailure(CallFailureCause.NO_ANSWER, Ran.UNKNOWN, "response body timed out")
+    except BodyTooLong as exc:
+        return CallFailure(CallFailureCause.MALFORMED, Ran.UNKNOWN, str(exc))
     except Exception as exc:
         return CallFailure(CallFailureCause.CONNECTION_LOST, Ran.UNKNOWN, type(exc).__name__)
     finally:
         await response.aclose()
 
 
+async def _read_body(response: Any) -> bytes:
+    """Reads a body; raises BodyTooLong for one that is longer than MAX_BODY_BYTES."""
+    if not response.chunked:
+        return await response.content()
+    body = bytearray()
+    async for chunk in response.read_chunks():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise BodyTooLong(f"more than {MAX_BODY_BYTES} bytes")
+    return bytes(body)
+
+
 def parse_attempt_number(owner_id: str, attempt_id: str) -> int:
     """Extracts the attempt number from an attempt id.
 
--- a/tests/test_service_client.py
+++ b/tests/test_service_client.py
@@ -67,3 +67,28 @@
             await self.book()
         self.assertEqual(self.api.runs, {"k1": 3})
         self.assertEqual(len(self.connections), 3)
+
+    async def test_endless_body_ends_the_call(self):
+        """Guards against a body that takes all memory, in chunks, one chunk, or by its length."""
+        flood = b"x" * 65_536
+        for name, head, data in (
+            ("chunks", b"transfer-encoding: chunked\r\n\r\n", b"10000\r\n" + flood + b"\r\n"),
+            ("one chunk", b"transfer-encoding: chunked\r\n\r\nfffffffff\r\n", flood),
+            ("length", b"content-length: 999999999999\r\n\r\n", flood),
+        ):
+            with self.subTest(name):
+                sent = [0]
+
+                async def answer(reader, writer, head=head, data=data, sent=sent):
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(b"HTTP/1.1 200 OK\r\n" + head)
+                    while True:
+                        writer.write(data)
+                        await writer.drain()
+                        sent[0] += len(data)
+
+                client = ServiceClient(await self.start_raw_server(answer), self.pools)
+                failure = await client.call("POST", "/b", {}, b"{}", 3.0)
+                self.assertEqual(failure.cause, CallFailureCause.MALFORMED)
+                self.assertEqual(failure.ran, Ran.UNKNOWN)
+                self.assertLess(sent[0], 16_000_000)
