Start a late stream before its caller gives up waiting for an event

Cause (floods on the rinks): callers give up a stream after 2 s, four targets or eight pauses without an event, but a late stream was held until 12 s before its deadline, for targets of 4 s until 13 s of 16 s; for shorter targets it would be held until its caller has left. Change: PendingStream knows when the caller gives up; a late stream starts four prompts before that.

--- a/src/sapphireledge/core/placement/pending_stream.py
+++ b/src/sapphireledge/core/placement/pending_stream.py
@@ -23,8 +23,11 @@
     due_at: float
     """Time by which the next event must arrive for the stream to be on time."""
 
+    leaves_at: float
+    """Time at which the caller gives up unless the next event has arrived."""
+
     deadline: float
-    """Time at which the caller stops waiting."""
+    """Time at which the caller stops waiting for the end of the stream."""
 
     has_run: bool
     """Whether an engine may have run the request, so that it cannot be refused as not run."""
--- a/src/sapphireledge/core/placement/placement_limits.py
+++ b/src/sapphireledge/core/placement/placement_limits.py
@@ -37,6 +37,10 @@
     """Free memory of the engines, in streams, at which streams are copied to a standby. A copy
     takes as much memory as the stream itself, which new streams then lack."""
 
+    leave_reserve: float = 4.0
+    """Prompts that an engine has time to process between the latest start of a late stream and the
+    time at which its caller gives up."""
+
     retry_interval: float = 0.3
     """Seconds between two placements of a waiting stream that can still be on time, about the age
     of a report."""
--- a/src/sapphireledge/core/placement/placement_rule.py
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -4,8 +4,8 @@
 process within the target. Engines queue in order of arrival, so if every request is sent at once,
 each one waits behind requests that are late already, and nearly all become late. Here a stream that
 would be late waits at its instance until an engine has no prompt to process, or until it must start
-to complete before its deadline. The queues of the engines stay short, and streams that can be on
-time pass the late ones.
+to reach its caller before that gives up or to complete before its deadline. The queues of the
+engines stay short, and streams that can be on time pass the late ones.
 """
 
 from __future__ import annotations
@@ -90,11 +90,16 @@
         is_on_time = now + estimate <= stream.due_at and (
             not stream.rank_distance or ahead <= limits.lower_rank_ahead
         )
-        must_start = not may_wait or now + limits.late_reserve >= stream.deadline
+        must_start = (
+            not may_wait
+            or now + limits.late_reserve >= stream.deadline
+            or now + estimator.estimate(limits.leave_reserve - 1.0) >= stream.leaves_at
+        )
         is_admitted = must_start or self._rng.random() < start_share
         if is_on_time and is_admitted:
             return StartStream(best.engine, estimate, False)
-        if now + estimator.estimate(0.0) >= stream.deadline and not stream.has_run:
+        latest = min(stream.leaves_at, stream.deadline)
+        if now + estimator.estimate(0.0) >= latest and not stream.has_run:
             # Spread over the time that the engines need for the prompts ahead.
             return RefuseStream(estimate, estimate * self._rng.uniform(0.5, 1.0))
         if must_start or (is_admitted and ahead <= limits.late_start_ahead):
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -284,12 +284,14 @@
 ) -> PendingStream:
     """Describes a stream to the placement rule."""
     target = admitted.route.target or admitted.route.time_limit
+    last_progress = progress.last_event_at or admitted.request.received_at
     return PendingStream(
         prompt_tokens=admitted.request.prompt_tokens,
         output_tokens=admitted.request.output_tokens,
         rank_distance=max(0, admitted.rank - admitted.service.first_rank),
         # A prompt takes longer than the pauses allowed between events.
         due_at=now if progress.delivered else admitted.request.received_at + target,
+        leaves_at=last_progress + admitted.route.event_patience,
         deadline=admitted.deadline,
         has_run=progress.may_have_executed,
     )
--- a/src/sapphireledge/gateway/route.py
+++ b/src/sapphireledge/gateway/route.py
@@ -8,6 +8,15 @@
 
 __all__ = ["Route"]
 
+MIN_EVENT_PATIENCE = 2.0
+"""Seconds for which every caller waits for the next event."""
+
+TARGET_PATIENCE = 4.0
+"""Latency targets for which callers wait for the next event."""
+
+PAUSE_PATIENCE = 8.0
+"""Longest pauses on time for which callers wait for the next event."""
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -46,6 +55,18 @@
     resumable: bool = False
     """Whether a broken stream may be resumed on another backend server."""
 
+    pause_target: float = 0.0
+    """Longest pause in seconds between two events of a stream that is on time, 0 if unknown."""
+
+    @property
+    def event_patience(self) -> float:
+        """Seconds after which callers give up a stream that sends no event."""
+        return max(
+            MIN_EVENT_PATIENCE,
+            TARGET_PATIENCE * self.target,
+            PAUSE_PATIENCE * self.pause_target,
+        )
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may be retried even though it may have been executed."""
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -53,7 +53,9 @@
         self.longest_pause = 0.0
         """Longest time between two delivered events in seconds."""
 
-        self._last_event_at = 0.0
+        self.last_event_at: float | None = None
+        """Event loop time in seconds at which the last event was delivered."""
+
         self._attempt_has_events = False
         self._standby: BackendServer | None = None
         self._replica_holder: BackendServer | None = None
@@ -75,11 +77,11 @@
             now: Event loop time in seconds.
             number: Number of the event, or None.
         """
-        if self.first_event_at is None:
+        if self.last_event_at is None:
             self.first_event_at = now
         else:
-            self.longest_pause = max(self.longest_pause, now - self._last_event_at)
-        self._last_event_at = now
+            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        self.last_event_at = now
         self._attempt_has_events = True
         self.delivered += 1
         if number is not None:
--- a/src/sapphireledge/platform/decode_config.py
+++ b/src/sapphireledge/platform/decode_config.py
@@ -36,7 +36,10 @@
 
 
 class _Route(msgspec.Struct):
-    """A route; `goal_ms` is the latency target, `kind` determines the replay rule."""
+    """A route; `kind` determines the replay rule.
+
+    `goal_ms` is the latency target, `gap_goal_ms` the longest pause between events on time.
+    """
 
     name: str
     host: str
@@ -44,6 +47,7 @@
     kind: str
     timeout_ms: float
     goal_ms: float = 0.0
+    gap_goal_ms: float = 0.0
     priority: int = 0
     service: str = ""
     split: list[_Share] = []
@@ -165,6 +169,7 @@
                 max_attempts=route.max_attempts,
                 anonymous=route.anonymous,
                 resumable=route.resumable,
+                pause_target=route.gap_goal_ms / 1000.0,
             )
         )
     return {
