Log the stage of each attempt and the shared parts of each prompt

An admission now names the shared parts of the prompt, and the end of an attempt says how far the engine came (unsent, sent, head, events). Decisions are unchanged.

--- a/src/sapphireledge/gateway/caller_request.py
+++ b/src/sapphireledge/gateway/caller_request.py
@@ -53,6 +53,10 @@
     """Affinity key for routing, equal for repetitions of the same request. It is the id of the last
     part of the prompt, or the request id if the prompt's parts are unknown."""
 
+    shared_parts: tuple[str, ...] = ()
+    """Ids of the parts of the prompt in order, without the last one, which belongs to the request
+    or its session; other requests can have the same parts."""
+
     @property
     def path(self) -> str:
         """Path without the query."""
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.attempt_progress import AttemptProgress
     from sapphireledge.gateway.backend_connection import BackendConnection
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_connection import CallerConnection
@@ -132,7 +133,11 @@
         return asyncio.create_task(run_attempt(context, admitted, server, len(tried_servers), run))
 
     async def _send(
-        self, admitted: AdmittedRequest, server: BackendServer, conn: BackendConnection
+        self,
+        admitted: AdmittedRequest,
+        server: BackendServer,
+        conn: BackendConnection,
+        attempt: AttemptProgress,
     ) -> Outcome:
         """Sends the request and reads the complete response."""
         request = admitted.request
@@ -141,7 +146,9 @@
             BackendRequest(request, server, time_left, admitted.workspace)
         )
         conn.send(request.method, request.target, headers, request.body)
+        attempt.is_sent = True
         head = await conn.read_head(self._context.dialect, request.request_id)
+        attempt.has_head = True
         return classify_response(server, head, await conn.read_body())
 
     def _finish_in_background(self, attempts: set[asyncio.Task[Outcome]]) -> None:
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -17,6 +17,7 @@
     from sapphireledge.core.placement import RefuseStream
     from sapphireledge.errors import Failure
     from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.attempt_progress import AttemptProgress
     from sapphireledge.gateway.caller_request import CallerRequest
     from sapphireledge.gateway.engine_selection import EngineSelection
     from sapphireledge.gateway.gateway_metrics import GatewayMetrics
@@ -51,6 +52,7 @@
             config_version=admitted.version,
             config_age_s=round(config_age, 3),
             last_event=admitted.request.last_event,
+            prompt_parts=admitted.request.shared_parts,
         )
 
     def record_refusal(
@@ -124,13 +126,19 @@
         )
 
     def record_attempt(
-        self, admitted: AdmittedRequest, outcome: Outcome, number: int, started: float
+        self,
+        admitted: AdmittedRequest,
+        outcome: Outcome,
+        attempt: AttemptProgress,
+        number: int,
+        started: float,
     ) -> None:
         """Logs and counts the outcome of one attempt at a backend server.
 
         Args:
             admitted: The request.
             outcome: Outcome of the attempt.
+            attempt: Progress of the attempt.
             number: Number of the attempt, from 1.
             started: Event loop time in seconds at which the attempt started.
         """
@@ -145,6 +153,8 @@
             server=outcome.server.server_id,
             data_centre=outcome.server.data_centre,
             reason=outcome.reason,
+            stage=attempt.stage,
+            events=attempt.events,
             took_s=round(now - started, 3),
             left_s=round(admitted.deadline - now, 3),
         )
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
+from sapphireledge.gateway.attempt_progress import AttemptProgress
 from sapphireledge.gateway.backend_response_error import BackendResponseError
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 
@@ -24,7 +26,7 @@
     admitted: AdmittedRequest,
     server: BackendServer,
     number: int,
-    run: Callable[[BackendConnection], Awaitable[Outcome]],
+    run: Callable[[BackendConnection, AttemptProgress], Awaitable[Outcome]],
 ) -> Outcome:
     """Sends a request to a backend server and records the outcome.
 
@@ -35,7 +37,7 @@
         admitted: The request.
         server: Backend server to send the request to.
         number: Number of the attempt, from 1.
-        run: Sends the request on a connection and reads the response.
+        run: Sends the request on a connection, reads the response and records its progress.
 
     Returns:
         The outcome of the attempt.
@@ -44,13 +46,14 @@
     if state is not None:
         state.in_flight += 1
     started = asyncio.get_running_loop().time()
+    attempt = AttemptProgress()
     try:
-        outcome = await _connect_and_run(context, admitted, server, run)
+        outcome = await _connect_and_run(context, admitted, server, partial(run, attempt=attempt))
     finally:
         if state is not None:
             state.in_flight -= 1
     context.record_outcome(outcome)
-    context.telemetry.record_attempt(admitted, outcome, number, started)
+    context.telemetry.record_attempt(admitted, outcome, attempt, number, started)
     return outcome
 
 
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable, Coroutine
 
     from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.attempt_progress import AttemptProgress
     from sapphireledge.gateway.backend_connection import BackendConnection
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_connection import CallerConnection
@@ -66,10 +67,13 @@
             self._context, self._admitted, selection.server, self._progress.attempts, run
         )
 
-    async def _run_on(self, selection: EngineSelection, conn: BackendConnection) -> Outcome:
+    async def _run_on(
+        self, selection: EngineSelection, conn: BackendConnection, attempt: AttemptProgress
+    ) -> Outcome:
         """Sends the request on a connection and relays the response."""
         self._send(conn, selection)
-        return await self._relay(conn, selection)
+        attempt.is_sent = True
+        return await self._relay(conn, selection, attempt)
 
     def _send(self, conn: BackendConnection, selection: EngineSelection) -> None:
         """Sends the request to the selected engine."""
@@ -89,7 +93,9 @@
         self._progress.on_sent(selection.server)
         conn.send(admitted.request.method, admitted.request.target, headers, admitted.request.body)
 
-    async def _relay(self, conn: BackendConnection, selection: EngineSelection) -> Outcome:
+    async def _relay(
+        self, conn: BackendConnection, selection: EngineSelection, attempt: AttemptProgress
+    ) -> Outcome:
         """Reads the response and delivers each complete event."""
         cfg = self._context.cfg
         server = selection.server
@@ -101,6 +107,7 @@
         head = await self._read_while_alive(
             server, watch, partial(conn.read_head, self._context.dialect, request_id)
         )
+        attempt.has_head = True
         if head.status != 200 or head.not_executed or not head.signed or head.encoded:
             body = await _await_within(cfg.body_timeout, conn.read_body())
             return classify_response(server, head, body)
@@ -111,6 +118,7 @@
                     if not watch.has_events:
                         self._observe_first_event(selection, loop.time() - sent_at)
                     watch.on_event(loop.time())
+                    attempt.events += 1
                 await self._deliver(head, event.raw, event.number)
         if splitter.has_partial_event:
             raise BackendResponseError("the stream ended within an event")
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -33,9 +33,7 @@
         values = dict(headers)
         wait_ms = _parse_int(values.get(names.TIME_LEFT))
         prompt_tokens, _, output_tokens = values.get(names.TOKEN_COUNTS, b"").partition(b",")
-        last_prefix_part, _, _ = (
-            values.get(names.PREFIX_PARTS, b"").rpartition(b",")[2].partition(b":")
-        )
+        *shared_parts, last_part = _split_prompt_parts(values.get(names.PREFIX_PARTS, b""))
         dropped = names.NOT_FORWARDED | names.HOP_BY_HOP | _connection_options(values)
         return CallerRequest(
             method=method,
@@ -50,7 +48,8 @@
             last_event=_parse_int(values.get(names.LAST_EVENT)),
             prompt_tokens=_parse_int(prompt_tokens) or 0,
             output_tokens=_parse_int(output_tokens) or 0,
-            affinity=(last_prefix_part or values.get(names.REQUEST_ID, b"")).decode("latin-1"),
+            affinity=last_part or values.get(names.REQUEST_ID, b"").decode("latin-1"),
+            shared_parts=tuple(shared_parts),
         )
 
     def encode_backend_request(self, backend_request: BackendRequest) -> list[tuple[bytes, bytes]]:
@@ -132,6 +131,11 @@
     return int(value)
 
 
+def _split_prompt_parts(value: bytes) -> list[str]:
+    """Extracts the ids of a prompt's parts; at least one, which is empty if there are none."""
+    return [part.partition(b":")[0].strip().decode("latin-1") for part in value.split(b",")]
+
+
 def _parse_api_key(value: bytes) -> str:
     """Extracts the API key from the authorization header, empty if there is none."""
     if value[: len(API_KEY_SCHEME)].lower() != API_KEY_SCHEME:
