Attribute engine deaths to the parts of prompts that requests share

Cause: the quarantine knows requests only by the fingerprint of their whole content. Requests that crash engines by a shared part of the prompt have different fingerprints, so each counts one to four deaths of its own, and three of them within two seconds count as a burst with a common cause outside the requests, which excuses them all. Change: a death record names the requests that the engine had just begun to answer, with the parts of their prompts that others can share (messages but the last, and tools, on the own interface). A part is refused when three deaths under two or more different requests, spread over more than the burst window, have no other explanation and no engine survived it since. Parts are taken in the order in which they explain the most deaths; of equal ones the later part, which concerns the fewest others. Deaths that a crashing part explains no longer count against the requests beside it. Survivals are shared like other clearings, so sound parts are cleared at all instances.

--- a/src/sapphireledge/core/membership/death_notice.py
+++ b/src/sapphireledge/core/membership/death_notice.py
@@ -25,3 +25,7 @@
 
     isolated: tuple[str, ...] = ()
     """Those of the `suspects` that ran isolated."""
+
+    begun: tuple[tuple[str, tuple[str, ...]], ...] = ()
+    """Those of the `suspects` that the engine had just begun to answer, each with the parts of its
+    prompt that other requests can share."""
--- a/src/sapphireledge/core/membership/heartbeat_merger.py
+++ b/src/sapphireledge/core/membership/heartbeat_merger.py
@@ -126,7 +126,8 @@
     if isinstance(notice, ClearingNotice):
         return notice
     time_unix = 0.0 if notice.boot_id else notice.time_unix
-    return (notice.backend, notice.boot_id, time_unix, notice.suspects, notice.isolated)
+    incarnation = (notice.backend, notice.boot_id, time_unix)
+    return (incarnation, notice.suspects, notice.isolated, notice.begun)
 
 
 def _to_status(report: HeartbeatReport) -> PeerStatus:
--- a/src/sapphireledge/core/quarantine/death_record.py
+++ b/src/sapphireledge/core/quarantine/death_record.py
@@ -31,11 +31,29 @@
     isolated: tuple[str, ...] = ()
     """Those of the `suspects` that ran isolated."""
 
+    begun: dict[str, tuple[str, ...]] = msgspec.field(default_factory=dict)
+    """Those of the `suspects` that the engine had just begun to answer, each with the ids of the
+    parts of its prompt that other requests can share."""
+
     @property
     def key(self) -> tuple[str, str]:
         """Identity of the engine incarnation."""
         return self.backend, self.boot_id
 
+    @property
+    def culprits(self) -> frozenset[str]:
+        """Fingerprints of the requests that may have caused the death.
+
+        An engine crashes when it begins to answer, so other requests are considered only if none
+        had just begun.
+        """
+        return frozenset(self.begun or self.suspects)
+
+    @property
+    def parts(self) -> frozenset[str]:
+        """Ids of the prompt parts that may have caused the death."""
+        return frozenset(part for parts in self.begun.values() for part in parts)
+
     def merge(self, other: DeathRecord) -> DeathRecord:
         """Merges two reports of the same death.
 
@@ -51,6 +69,7 @@
             time_unix=min(self.time_unix, other.time_unix),
             suspects=tuple(sorted({*self.suspects, *other.suspects})),
             isolated=tuple(sorted({*self.isolated, *other.isolated})),
+            begun={**self.begun, **other.begun},
         )
 
     def encode(self) -> bytes:
--- /dev/null
+++ b/src/sapphireledge/core/quarantine/find_crashing_parts.py
@@ -0,0 +1,95 @@
+"""Attribution of engine deaths to the parts of prompts that the lost requests share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from sapphireledge.core.quarantine.death_record import DeathRecord
+    from sapphireledge.core.quarantine.quarantine_limits import QuarantineLimits
+
+__all__ = ["SOUND_TIME", "find_crashing_parts"]
+
+SOUND_TIME = 3.0
+"""Seconds after an engine survived a part of a prompt during which deaths are not attributed to it.
+Longer than instances need to learn of it."""
+
+MIN_REQUESTS = 2
+"""Different requests with a part that must have lost engines; deaths under the repetitions of one
+request are attributed to that request."""
+
+
+@dataclass(slots=True)
+class _Candidate:
+    """A part of a prompt and the deaths that may be due to it."""
+
+    part: str
+    ever_sound: bool
+    position: int = 0
+    deaths: dict[tuple[str, str], DeathRecord] = field(default_factory=dict)
+
+    @property
+    def order(self) -> tuple[bool, int, int, str]:
+        """Sort key: parts that no engine ever survived, then those that explain most deaths; of
+        parts that explain the same deaths, the later one concerns the fewest other requests."""
+        return not self.ever_sound, len(self.deaths), self.position, self.part
+
+    def is_proven(self, cfg: QuarantineLimits) -> bool:
+        """Whether enough deaths, spread over time and over requests, have no other explanation."""
+        times = [death.time_unix for death in self.deaths.values()]
+        requests = {
+            fingerprint
+            for death in self.deaths.values()
+            for fingerprint, parts in death.begun.items()
+            if self.part in parts
+        }
+        return (
+            len(times) >= cfg.condemn_after
+            and len(requests) >= MIN_REQUESTS
+            and max(times) - min(times) > cfg.burst_window
+        )
+
+
+def find_crashing_parts(
+    deaths: Iterable[DeathRecord], sound_at: Callable[[str], float], cfg: QuarantineLimits
+) -> frozenset[str]:
+    """Finds the parts of prompts that crash the engines that begin to answer them.
+
+    Parts are considered in the order in which they explain the most deaths. A death that one
+    crashing part explains says nothing about the other parts of the same prompt or about the
+    requests beside it.
+
+    Args:
+        deaths: Deaths without a common cause outside the requests.
+        sound_at: Returns the latest time in Unix seconds at which an engine is known to have
+            survived a part, negative infinity if none is.
+        cfg: Limits of the quarantine.
+
+    Returns:
+        Ids of the parts.
+    """
+    candidates: dict[str, _Candidate] = {}
+    for death in deaths:
+        for parts in death.begun.values():
+            for position, part in enumerate(parts):
+                sound = sound_at(part)
+                if death.time_unix <= sound + SOUND_TIME:
+                    continue
+                candidate = candidates.setdefault(part, _Candidate(part, sound > float("-inf")))
+                candidate.position = max(candidate.position, position)
+                candidate.deaths[death.key] = death
+    crashing = set()
+    remaining = list(candidates.values())
+    while remaining:
+        best = max(remaining, key=lambda candidate: candidate.order)
+        remaining.remove(best)
+        if not best.is_proven(cfg):
+            continue
+        crashing.add(best.part)
+        for other in remaining:
+            for key in best.deaths:
+                other.deaths.pop(key, None)
+    return frozenset(crashing)
--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -1,4 +1,4 @@
-"""Detection of requests that crash the engines that run them."""
+"""Detection of requests and prompt parts that crash the engines that run them."""
 
 from __future__ import annotations
 
@@ -9,38 +9,60 @@
 from sapphireledge.core.quarantine.clear_verdict import ClearVerdict
 from sapphireledge.core.quarantine.clearing_record import ClearingRecord
 from sapphireledge.core.quarantine.death_record import DeathRecord
+from sapphireledge.core.quarantine.find_crashing_parts import SOUND_TIME, find_crashing_parts
 from sapphireledge.core.quarantine.isolate_verdict import IsolateVerdict
 from sapphireledge.core.quarantine.suspect_state import SuspectState
 from sapphireledge.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
-    from sapphireledge.settings import QuarantineSettings
+    from collections.abc import Sequence
 
-__all__ = ["Quarantine"]
+    from sapphireledge.core.quarantine.quarantine_limits import QuarantineLimits
+
+__all__ = ["PART_PREFIX", "Quarantine"]
+
+PART_PREFIX = "part:"
+"""Prefix of the id of a prompt part where a fingerprint of a request may stand, too."""
+
+MAX_SURVIVALS = 4_096
+"""Prompt parts whose latest survival is remembered; the part that survived longest ago is forgotten
+first."""
+
+CLEARING_STEP = 1.0
+"""Seconds by which a survival must be newer than the known one to be shared with other
+instances."""
 
 IncarnationKey = tuple[str, str]
 """Backend server and boot id of an engine incarnation that died."""
 
 
 class Quarantine:
-    """Attributes engine deaths to requests.
+    """Attributes engine deaths to requests and to the parts of prompts that requests share.
 
-    The state consists of the merged death records and, for each fingerprint, the time of the latest
-    clearing. Verdicts depend on this state only, so instances with the same records reach the same
-    verdict whatever the order in which the records arrived.
+    The state consists of the merged death records and, for each fingerprint and part, the time of
+    the latest clearing. Verdicts depend on this state only, so instances with the same records
+    reach the same verdict whatever the order in which the records arrived.
 
     Times are Unix seconds because they are compared with those of other instances and of the
     platform.
     """
 
-    def __init__(self, cfg: QuarantineSettings):
+    def __init__(self, cfg: QuarantineLimits):
         self._cfg = cfg
         self._records: dict[IncarnationKey, DeathRecord] = {}
         self._by_time: list[tuple[float, IncarnationKey]] = []
         self._by_fingerprint: dict[str, set[IncarnationKey]] = {}
+        self._by_part: dict[str, set[IncarnationKey]] = {}
+        self._survived_at: dict[str, float] = {}
+        self._crashing_parts: frozenset[str] | None = frozenset()
         self._cleared_at: dict[str, float] = {}
         self._clear_order: deque[tuple[float, str]] = deque()
 
+    @property
+    def has_deaths(self) -> bool:
+        """Whether any death is on record."""
+        return bool(self._records)
+
     def on_engine_death(self, now_unix: float, record: DeathRecord) -> bool:
         """Merges a death detected by this instance, reported by a peer or read from the platform.
 
@@ -64,8 +86,46 @@
         insort(self._by_time, (merged.time_unix, record.key))
         for fingerprint in merged.suspects:
             self._by_fingerprint.setdefault(fingerprint, set()).add(record.key)
+        for part in merged.parts:
+            self._by_part.setdefault(part, set()).add(record.key)
+        self._crashing_parts = None
         return True
 
+    def on_survived(self, now_unix: float, parts: Sequence[str]) -> None:
+        """Records that an engine of this instance survived the beginning of an answer.
+
+        Args:
+            now_unix: Time in Unix seconds.
+            parts: Ids of the prompt parts of the request.
+        """
+        for part in parts:
+            self._survived_at.pop(part, None)
+            self._survived_at[part] = now_unix
+            if part in self._by_part:
+                self._crashing_parts = None
+        while len(self._survived_at) > MAX_SURVIVALS:
+            del self._survived_at[next(iter(self._survived_at))]
+
+    def take_clearings(self, now_unix: float) -> tuple[ClearingRecord, ...]:
+        """Takes the survivals of suspected parts that other instances need to know.
+
+        Args:
+            now_unix: Time in Unix seconds.
+
+        Returns:
+            Records to propagate.
+        """
+        clearings = []
+        for part, keys in self._by_part.items():
+            survived = self._survived_at.get(part)
+            known = self._cleared_at.get(PART_PREFIX + part, float("-inf"))
+            if survived is None or survived < known + CLEARING_STEP:
+                continue
+            latest = max(self._records[key].time_unix for key in keys)
+            if latest > known and latest > survived - self._cfg.retention:
+                clearings.append(ClearingRecord(PART_PREFIX + part, survived))
+        return tuple(record for record in clearings if self.on_cleared(now_unix, record))
+
     def on_completed(self, now_unix: float, fingerprint: str) -> ClearingRecord | None:
         """Clears a request that ran to completion.
 
@@ -87,14 +147,15 @@
 
         Args:
             now_unix: Time of the command in Unix seconds.
-            fingerprint: Fingerprint of the request.
+            fingerprint: Fingerprint of the request, or `PART_PREFIX` and the id of a prompt part.
             who: Operator who gave the command.
             why: Reason given by the operator.
 
         Returns:
             Record to store and propagate, or None if the request is not suspected.
         """
-        if fingerprint not in self._by_fingerprint:
+        part = fingerprint.removeprefix(PART_PREFIX)
+        if fingerprint not in self._by_fingerprint and part not in self._by_part:
             return None
         record = ClearingRecord(fingerprint, now_unix, who, why)
         self.on_cleared(now_unix, record)
@@ -116,19 +177,41 @@
             return False
         self._cleared_at[record.fingerprint] = record.time_unix
         self._clear_order.append((record.time_unix, record.fingerprint))
+        self._crashing_parts = None
         return True
 
-    def verdict(self, now_unix: float, fingerprint: str) -> ClearVerdict | IsolateVerdict | Failure:
+    def crashing_parts(self, now_unix: float) -> frozenset[str]:
+        """Lists the prompt parts that crash engines.
+
+        Args:
+            now_unix: Time in Unix seconds.
+
+        Returns:
+            Ids of the parts.
+        """
+        self.expire(now_unix)
+        return self._find_crashing_parts()
+
+    def verdict(
+        self, now_unix: float, fingerprint: str, parts: Sequence[str] = ()
+    ) -> ClearVerdict | IsolateVerdict | Failure:
         """Decides how a request may run.
 
         Args:
             now_unix: Time in Unix seconds.
             fingerprint: Fingerprint of the request.
+            parts: Ids of the parts of its prompt that other requests can share.
 
         Returns:
             A verdict, or a failure: request_condemned, or overloaded with the delay after which the
             latest deaths can be attributed. With either failure, nothing is run.
         """
+        if self._by_part and parts:
+            crashing = self.crashing_parts(now_unix)
+            part = next((part for part in parts if part in crashing), None)
+            if part is not None:
+                reason = f"engines die when they answer requests with the prompt part {part}"
+                return Failure(ErrorKind.REQUEST_CONDEMNED, reason)
         if fingerprint not in self._by_fingerprint:
             return ClearVerdict()
         self.expire(now_unix)
@@ -154,7 +237,7 @@
         return tuple(self._records[key] for _, key in self._by_time)
 
     def suspects(self, now_unix: float) -> tuple[SuspectState, ...]:
-        """Lists the requests that have counted deaths.
+        """Lists the requests that have counted deaths, and the parts that crash engines.
 
         Args:
             now_unix: Time in Unix seconds.
@@ -162,9 +245,10 @@
         Returns:
             Their states, in descending order of deaths.
         """
-        self.expire(now_unix)
-        states = (self._state(fingerprint) for fingerprint in self._by_fingerprint)
+        crashing = self.crashing_parts(now_unix)
+        states = [self._state(fingerprint) for fingerprint in self._by_fingerprint]
         found = [state for state in states if state is not None]
+        found += [self._part_state(part) for part in crashing]
         return tuple(sorted(found, key=lambda state: (-state.deaths, state.fingerprint)))
 
     def expire(self, now_unix: float) -> None:
@@ -185,24 +269,44 @@
 
     def _remove_record(self, key: IncarnationKey) -> None:
         """Removes a record and its index entries, except the one in `_by_time`."""
-        for fingerprint in self._records.pop(key).suspects:
-            keys = self._by_fingerprint[fingerprint]
-            keys.discard(key)
-            if not keys:
-                del self._by_fingerprint[fingerprint]
+        record = self._records.pop(key)
+        for fingerprint in record.suspects:
+            _discard(self._by_fingerprint, fingerprint, key)
+        for part in record.parts:
+            _discard(self._by_part, part, key)
+        self._crashing_parts = None
+
+    def _find_crashing_parts(self) -> frozenset[str]:
+        """Returns the parts that crash engines; the result is kept until the state changes."""
+        if self._crashing_parts is None:
+            keys = {key for part_keys in self._by_part.values() for key in part_keys}
+            deaths = [self._records[key] for key in keys]
+            self._crashing_parts = find_crashing_parts(
+                [death for death in deaths if not self._in_burst(death)], self._sound_at, self._cfg
+            )
+        return self._crashing_parts
 
     def _counted_deaths(self, fingerprint: str) -> list[DeathRecord]:
         """Lists the deaths that count against a request, in chronological order."""
         cleared = self._cleared_at.get(fingerprint, float("-inf"))
+        crashing = self._find_crashing_parts()
         records = [self._records[key] for key in self._by_fingerprint.get(fingerprint, ())]
-        deaths = [r for r in records if r.time_unix > cleared and not self._in_burst(r)]
+        deaths = [
+            r
+            for r in records
+            if r.time_unix > cleared
+            and fingerprint in r.culprits
+            and crashing.isdisjoint(r.parts)
+            and not self._in_burst(r)
+        ]
         return sorted(deaths, key=lambda r: (r.time_unix, r.key))
 
     def _in_burst(self, death: DeathRecord) -> bool:
         """Whether a death belongs to a burst, whose common cause lies outside the requests.
 
         A burst is a group of at least `burst_size` deaths within one burst window, on different
-        backend servers, no two of which share a suspect: no single request can have caused them.
+        backend servers, no two of which share a suspect: no single request can have caused them,
+        and no part of a prompt that engines have not survived since.
         """
         window = self._cfg.burst_window
         first = bisect_left(self._by_time, death.time_unix - window, key=lambda item: item[0])
@@ -216,18 +320,33 @@
     ) -> bool:
         """Whether the window that begins at `start` holds a burst that includes `death`."""
         backends = {death.backend}
-        seen_suspects = set(death.suspects)
+        seen_suspects = self._suspects_of(death)
         for other in sorted(nearby, key=lambda r: (len(r.suspects), r.time_unix, r.key)):
             if not start <= other.time_unix <= start + self._cfg.burst_window:
                 continue
-            if other.backend in backends or not seen_suspects.isdisjoint(other.suspects):
+            suspects = self._suspects_of(other)
+            if other.backend in backends or not seen_suspects.isdisjoint(suspects):
                 continue
             backends.add(other.backend)
-            seen_suspects.update(other.suspects)
+            seen_suspects |= suspects
             if len(backends) >= self._cfg.burst_size:
                 return True
         return False
 
+    def _suspects_of(self, death: DeathRecord) -> set[str]:
+        """Returns the requests and parts that may have caused a death."""
+        parts = {
+            PART_PREFIX + part
+            for part in death.parts
+            if death.time_unix > self._sound_at(part) + SOUND_TIME
+        }
+        return {*death.culprits, *parts}
+
+    def _sound_at(self, part: str) -> float:
+        """Returns the latest time at which an engine is known to have survived a part."""
+        cleared = self._cleared_at.get(PART_PREFIX + part, float("-inf"))
+        return max(cleared, self._survived_at.get(part, float("-inf")))
+
     def _is_proven_cause(self, fingerprint: str, deaths: list[DeathRecord]) -> bool:
         """Whether a death in isolation proves that a request crashes engines.
 
@@ -270,3 +389,21 @@
             state = "condemned"
         backends = tuple(r.backend for r in deaths)
         return SuspectState(fingerprint, len(deaths), state, deaths[0].time_unix, backends)
+
+    def _part_state(self, part: str) -> SuspectState:
+        """Returns the state of a part that crashes engines."""
+        deaths = sorted(
+            (self._records[key] for key in self._by_part[part]), key=lambda r: (r.time_unix, r.key)
+        )
+        backends = tuple(r.backend for r in deaths)
+        return SuspectState(
+            PART_PREFIX + part, len(deaths), "condemned", deaths[0].time_unix, backends
+        )
+
+
+def _discard(index: dict[str, set[IncarnationKey]], name: str, key: IncarnationKey) -> None:
+    """Removes a record from an index."""
+    keys = index[name]
+    keys.discard(key)
+    if not keys:
+        del index[name]
--- /dev/null
+++ b/src/sapphireledge/core/quarantine/running_requests.py
@@ -0,0 +1,155 @@
+"""Requests that run on backend servers, and which of them a crash may be attributed to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.quarantine.death_record import DeathRecord
+
+if TYPE_CHECKING:
+    from sapphireledge.core.quarantine.request_content import RequestContent
+
+__all__ = ["RunningRequests"]
+
+SURVIVAL_TIME = 0.25
+"""Seconds between the first progress of an answer and a later one that show that the engine has
+survived the request's prompt. Engines that crash do so within 0.1 s of beginning to answer."""
+
+
+@dataclass(slots=True)
+class _Running:
+    """A request on a backend server."""
+
+    backend: str
+    content: RequestContent
+    isolated: bool
+    begun: bool = False
+    progress_at: float | None = None
+    survived: bool = False
+
+
+class RunningRequests:
+    """Tracks the requests of one instance that run on backend servers, and how far they came."""
+
+    def __init__(self) -> None:
+        self._running: dict[str, _Running] = {}
+        self._by_backend: dict[str, set[str]] = {}
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    def add(
+        self, work_id: str, backend: str, content: RequestContent, *, isolated: bool = False
+    ) -> None:
+        """Adds a request that is sent to a backend server.
+
+        Args:
+            work_id: Identifier of the attempt.
+            backend: Name of the backend server.
+            content: Content of the request.
+            isolated: Whether it runs isolated from other suspects.
+        """
+        self._running[work_id] = _Running(backend, content, isolated)
+        self._by_backend.setdefault(backend, set()).add(work_id)
+
+    def remove(self, work_id: str) -> None:
+        """Removes an attempt that ended.
+
+        Args:
+            work_id: Identifier of the attempt; an unknown one is ignored.
+        """
+        running = self._running.pop(work_id, None)
+        if running is not None:
+            work_ids = self._by_backend[running.backend]
+            work_ids.discard(work_id)
+            if not work_ids:
+                del self._by_backend[running.backend]
+
+    def on_begun(self, work_id: str) -> None:
+        """Records that the backend server has begun to answer.
+
+        Args:
+            work_id: Identifier of the attempt.
+        """
+        running = self._running.get(work_id)
+        if running is not None:
+            running.begun = True
+
+    def on_progress(self, now: float, work_id: str) -> RequestContent | None:
+        """Records that the answer goes on.
+
+        Args:
+            now: Monotonic time in seconds.
+            work_id: Identifier of the attempt.
+
+        Returns:
+            The content, once, when the backend server has survived it; otherwise None.
+        """
+        running = self._running.get(work_id)
+        if running is None or running.survived:
+            return None
+        running.begun = True
+        if running.progress_at is None:
+            running.progress_at = now
+        if now - running.progress_at < SURVIVAL_TIME:
+            return None
+        running.survived = True
+        return running.content
+
+    def content(self, work_id: str) -> RequestContent | None:
+        """Looks up the content of a running request.
+
+        Args:
+            work_id: Identifier of the attempt.
+
+        Returns:
+            The content, or None if the attempt has ended.
+        """
+        running = self._running.get(work_id)
+        return None if running is None else running.content
+
+    def backends_of(self, fingerprints: frozenset[str]) -> frozenset[str]:
+        """Lists the backend servers that run one of several requests.
+
+        Args:
+            fingerprints: Fingerprints of the requests.
+
+        Returns:
+            Names of the backend servers.
+        """
+        return frozenset(
+            running.backend
+            for running in self._running.values()
+            if running.content.fingerprint in fingerprints
+        )
+
+    def fingerprints(self) -> frozenset[str]:
+        """Lists the fingerprints of all running requests.
+
+        Returns:
+            The fingerprints.
+        """
+        return frozenset(running.content.fingerprint for running in self._running.values())
+
+    def record_death(self, backend: str, boot_id: str, now_unix: float) -> DeathRecord:
+        """Builds the record of the death of a backend server.
+
+        Args:
+            backend: Name of the backend server.
+            boot_id: Boot id of the incarnation that died.
+            now_unix: Time in Unix seconds.
+
+        Returns:
+            The record, with the requests of this instance that ran there.
+        """
+        lost = [self._running[work_id] for work_id in self._by_backend.get(backend, ())]
+        begun = [run for run in lost if run.begun and not run.survived]
+        return DeathRecord(
+            backend=backend,
+            boot_id=boot_id,
+            time_unix=now_unix,
+            suspects=tuple(sorted({run.content.fingerprint for run in lost})),
+            isolated=tuple(sorted({run.content.fingerprint for run in lost if run.isolated})),
+            begun={run.content.fingerprint: run.content.parts for run in begun},
+        )
--- a/src/sapphireledge/entry/answer_header.py
+++ b/src/sapphireledge/entry/answer_header.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sapphireledge.core.quarantine import fingerprint_request
+from sapphireledge.core.quarantine import fingerprint_parts, fingerprint_request
 from sapphireledge.entry.caller_request import CallerRequest
 
 __all__ = ["AnswerHeader"]
@@ -109,6 +109,7 @@
             max_tokens=self.max_tokens,
             body=self.body,
             fingerprint=fingerprint_request(self.body),
+            parts=fingerprint_parts(self.body),
             resume=current.resume,
             trace_headers=current.trace_headers,
         )
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -366,6 +366,7 @@
         """Handles one token."""
         now = time.monotonic()
         grant.charge_tokens(now, 1)
+        self._ctx.pool.on_token(grant)
         attempt = event.attempt - self._prior_attempts
         decisions = self._machine.on_token(now, attempt, event.offset, event.text)
         if len(decisions) == 1 and type(decisions[0]) is Deliver:
@@ -379,6 +380,7 @@
         now = time.monotonic()
         if isinstance(event, AttemptStarted):
             grant.on_started(now)
+            self._ctx.pool.on_started(grant)
             return True
         if isinstance(event, AttemptFinished):
             self._apply(self._machine.on_finished(now, attempt, event.total, event.reason))
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -26,7 +26,7 @@
 )
 from sapphireledge.core.fleet import EngineState, choose_serving_version
 from sapphireledge.core.fleet import ModelVersion as LoadedVersion
-from sapphireledge.core.quarantine import ClearVerdict, IsolateVerdict
+from sapphireledge.core.quarantine import ClearVerdict, IsolateVerdict, RequestContent
 from sapphireledge.core.routing import Router, RouteRequest, hash_prefixes
 from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.grant import Grant
@@ -219,8 +219,25 @@
             tokens: Number of tokens of the answer.
         """
         self._output_estimator.on_finished(f"{req.model}/{req.rank}", tokens)
+        self._deaths.on_survived(req.parts)
         self._suspects.report_completion(req.fingerprint)
 
+    def on_started(self, grant: Grant) -> None:
+        """Handles an engine that began to answer.
+
+        Args:
+            grant: Grant of the attempt.
+        """
+        self._deaths.on_begun(grant.work_id)
+
+    def on_token(self, grant: Grant) -> None:
+        """Handles a token of an answer.
+
+        Args:
+            grant: Grant of the attempt.
+        """
+        self._deaths.on_progress(grant.work_id)
+
     def on_call_failure(self, grant: Grant, event: CallFailure) -> None:
         """Handles a failed call to an engine.
 
@@ -256,8 +273,8 @@
         version: str,
     ) -> Grant:
         """Records the dispatch to the chosen backend server and creates the grant."""
-        fingerprint = work.req.fingerprint
-        self._deaths.track(work.work_id, fingerprint, request.isolate)
+        content = RequestContent(work.req.fingerprint, work.req.parts)
+        self._deaths.track(work.work_id, choice.backend, content, isolated=request.isolate)
         self._view.on_dispatch(
             time.monotonic(),
             choice.backend,
@@ -290,12 +307,12 @@
             self._retry_budget.on_first_attempt(now)
         else:
             await self._deaths.wait_for_checks()
-        fingerprint = work.req.fingerprint
-        verdict = self._quarantine.verdict(time.time(), fingerprint)
+        req = work.req
+        verdict = self._quarantine.verdict(time.time(), req.fingerprint, req.parts)
         if isinstance(verdict, Failure) and verdict.kind is ErrorKind.OVERLOADED:
             # Recent deaths are not attributed yet; the verdict after the wait is final.
             await asyncio.sleep(verdict.retry_after or 0.0)
-            verdict = self._quarantine.verdict(time.time(), fingerprint)
+            verdict = self._quarantine.verdict(time.time(), req.fingerprint, req.parts)
         if isinstance(verdict, Failure):
             return verdict
         if work.attempt > 1 and work.offset == 0 and not self._retry_budget.try_spend(now):
@@ -308,7 +325,7 @@
     ) -> RouteRequest:
         """Builds the routing request of the attempt."""
         req = work.req
-        verdict = self._quarantine.verdict(time.time(), req.fingerprint)
+        verdict = self._quarantine.verdict(time.time(), req.fingerprint, req.parts)
         output = self._output_estimator.expected(f"{req.model}/{req.rank}")
         prompt_tokens = max(1, len(req.prompt) // BYTES_PER_TOKEN) + work.offset
         _, output_tokens = estimate_cost(prompt_tokens, 0.0, output, req.max_tokens - work.offset)
--- a/src/sapphireledge/entry/caller_request.py
+++ b/src/sapphireledge/entry/caller_request.py
@@ -56,6 +56,9 @@
     fingerprint: str = ""
     """Hash of the content of the body, the same for a retry under another request id."""
 
+    parts: tuple[str, ...] = ()
+    """Fingerprints of the parts of the prompt that other requests can share."""
+
     deadline: float | None = None
     """Seconds after arrival by which the first token is due; None for the target of the rank."""
 
--- a/src/sapphireledge/entry/death_checker.py
+++ b/src/sapphireledge/entry/death_checker.py
@@ -9,12 +9,12 @@
 import structlog
 
 from sapphireledge.backends import CallFailure, CallFailureCause
-from sapphireledge.core.quarantine import DeathRecord
+from sapphireledge.core.quarantine import RunningRequests
 from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
     from sapphireledge.backends import EngineClient
-    from sapphireledge.core.quarantine import Quarantine
+    from sapphireledge.core.quarantine import DeathRecord, Quarantine, RequestContent
     from sapphireledge.core.routing import BackendView
     from sapphireledge.entry.grant import Grant
     from sapphireledge.entry.suspect_sink import SuspectSink
@@ -26,7 +26,7 @@
 
 
 class DeathChecker:
-    """Tracks the fingerprints of running attempts and records the deaths of their engines."""
+    """Tracks the content of running attempts and records the deaths of their engines."""
 
     def __init__(self, view: BackendView, quarantine: Quarantine, suspects: SuspectSink) -> None:
         """Creates the checker.
@@ -39,27 +39,52 @@
         self._view = view
         self._quarantine = quarantine
         self._suspects = suspects
-        self._fingerprints: dict[str, str] = {}
-        self._isolated: set[str] = set()
+        self._running = RunningRequests()
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._log = structlog.get_logger()
 
     @property
     def running(self) -> int:
         """Number of running attempts."""
-        return len(self._fingerprints)
+        return len(self._running)
 
-    def track(self, work_id: str, fingerprint: str, isolated: bool) -> None:
+    def track(self, work_id: str, backend: str, content: RequestContent, *, isolated: bool) -> None:
         """Registers a running attempt.
 
         Args:
             work_id: Identifier of the attempt.
-            fingerprint: Fingerprint of its request.
+            backend: Name of the engine's backend server.
+            content: Content of its request.
             isolated: Whether it runs isolated from other suspects.
         """
-        self._fingerprints[work_id] = fingerprint
-        if isolated:
-            self._isolated.add(work_id)
+        self._running.add(work_id, backend, content, isolated=isolated)
+
+    def on_begun(self, work_id: str) -> None:
+        """Records that the engine began to answer.
+
+        Args:
+            work_id: Identifier of the attempt.
+        """
+        self._running.on_begun(work_id)
+
+    def on_progress(self, work_id: str) -> None:
+        """Records that the answer goes on.
+
+        Args:
+            work_id: Identifier of the attempt.
+        """
+        content = self._running.on_progress(time.monotonic(), work_id)
+        if content is not None:
+            self.on_survived(content.parts)
+
+    def on_survived(self, parts: tuple[str, ...]) -> None:
+        """Records that an engine survived the beginning of an answer.
+
+        Args:
+            parts: Fingerprints of the parts of its prompt.
+        """
+        self._quarantine.on_survived(time.time(), parts)
+        self._suspects.report_survival()
 
     def untrack(self, work_id: str) -> None:
         """Removes an attempt that ended.
@@ -67,8 +92,7 @@
         Args:
             work_id: Identifier of the attempt.
         """
-        self._fingerprints.pop(work_id, None)
-        self._isolated.discard(work_id)
+        self._running.remove(work_id)
 
     def check(self, grant: Grant) -> None:
         """Starts to check whether the engine of a failed attempt died.
@@ -81,16 +105,8 @@
         state = self._view.state(grant.backend)
         if grant.backend in self._checks or state is None:
             return
-        in_flight = {*state.in_flight, grant.work_id}
-        suspects = {self._fingerprints[w] for w in in_flight if w in self._fingerprints}
-        isolated = {self._fingerprints[w] for w in in_flight & self._isolated}
-        record = DeathRecord(
-            backend=grant.backend,
-            boot_id=grant.boot_id or state.boot_id,
-            time_unix=time.time(),
-            suspects=tuple(sorted(suspects)),
-            isolated=tuple(sorted(isolated)),
-        )
+        boot_id = grant.boot_id or state.boot_id
+        record = self._running.record_death(grant.backend, boot_id, time.time())
         task = asyncio.create_task(self._confirm(record, grant.client))
         self._checks[grant.backend] = task
         task.add_done_callback(lambda _: self._checks.pop(grant.backend, None))
--- a/src/sapphireledge/entry/parse_request.py
+++ b/src/sapphireledge/entry/parse_request.py
@@ -8,7 +8,7 @@
 import msgspec
 import uuid6
 
-from sapphireledge.core.quarantine import fingerprint_request
+from sapphireledge.core.quarantine import fingerprint_parts, fingerprint_request
 from sapphireledge.entry.caller_request import CallerRequest, ResumePoint
 from sapphireledge.errors import ErrorKind, Failure
 
@@ -69,6 +69,7 @@
             max_tokens=_read_max_tokens(body),
             body=body,
             fingerprint=fingerprint_request(body),
+            parts=fingerprint_parts(body),
             deadline=_read_deadline(headers),
             resume=_read_resume_point(headers, extension),
             trace_headers=tuple(
--- a/src/sapphireledge/entry/suspect_exchange.py
+++ b/src/sapphireledge/entry/suspect_exchange.py
@@ -79,10 +79,16 @@
         """
         self._mesh.report_death(
             DeathNotice(
-                record.backend, record.boot_id, record.time_unix, record.suspects, record.isolated
+                record.backend,
+                record.boot_id,
+                record.time_unix,
+                record.suspects,
+                record.isolated,
+                tuple(sorted(record.begun.items())),
             )
         )
         self._spawn(self._write_death(record))
+        self.report_survival()
 
     def report_completion(self, fingerprint: str) -> None:
         """Clears a suspected request that completed.
@@ -94,6 +100,11 @@
         if record is not None:
             self._share_clearing(record)
 
+    def report_survival(self) -> None:
+        """Clears suspected parts of prompts that engines of this instance survived."""
+        for record in self._quarantine.take_clearings(time.time()):
+            self._share_clearing(record)
+
     def lift(self, fingerprint: str, who: str, why: str) -> bool:
         """Clears a suspected request on behalf of an operator.
 
@@ -144,8 +155,10 @@
                 death.time_unix,
                 tuple(death.suspects),
                 tuple(death.isolated),
+                dict(death.begun),
             )
             self._quarantine.on_engine_death(time.time(), record)
+        self.report_survival()
 
     def on_peer_clearings(self, clearings: Iterable[ClearingNotice]) -> None:
         """Applies clearings that peers made.
--- a/src/sapphireledge/entry/suspect_sink.py
+++ b/src/sapphireledge/entry/suspect_sink.py
@@ -21,6 +21,10 @@
         """Reports that a request completed, which clears it of suspicion."""
         ...
 
+    def report_survival(self) -> None:
+        """Reports that an engine survived the beginning of an answer, which clears its parts."""
+        ...
+
     def report_leaving(self, backend: str) -> None:
         """Reports a backend server that announced that it is leaving."""
         ...
--- a/src/sapphireledge/peers/_private.py
+++ b/src/sapphireledge/peers/_private.py
@@ -93,6 +93,8 @@
                 death.time_unix,
                 tuple(death.suspects),
                 tuple(death.isolated),
+                # An instance of an earlier version does not send the field.
+                tuple(sorted((name, tuple(parts)) for name, parts in (death.begun or {}).items())),
             )
             for death in heartbeat.deaths
         ),
@@ -115,6 +117,7 @@
         death.time_unix,
         list(death.suspects),
         list(death.isolated),
+        {name: list(parts) for name, parts in death.begun},
     )
 
 
--- a/src/sapphireledge/schema/peer.thrift
+++ b/src/sapphireledge/schema/peer.thrift
@@ -27,6 +27,8 @@
   3: double time_unix       // seconds
   4: list<string> suspects  // fingerprints of the requests that were in flight
   5: list<string> isolated  // those of the suspects that ran in isolation
+  6: map<string, list<string>> begun  // those that the engine had just begun to answer, each with
+                                      // the parts of its prompt that other requests can share
 }
 
 // Clears a suspected request: its deaths up to time_unix no longer count.
