Keep prompt parts that crash engines away from them, and share crashes over the store

What callers saw: hearing drafts that were cut off, sent to the next engine and cut off there, up to 13.5 s each; a request of that kind ended up to five engines. Cause: the gateway kept no record of which request was on a crashed engine. Each request was bounded by max_attempts alone, each instance decided for itself, and the decision of core/quarantine served the own interface only. Change: gateway/CrashGuard feeds the same Quarantine: a server that closes a connection during a request and accepts no new one has died. Verdicts are asked for before each attempt, and again after a stream has waited for an engine. Instances share deaths and survivals as objects of a kind of their own, one an instance, read like the configuration over the relays and written by revision, so that a restarted instance keeps what it had shared. What is refused has not run: 503 with the time after which engines get another chance; a request that had run ends with 502.

--- a/soak/store.py
+++ b/soak/store.py
@@ -105,6 +105,11 @@
             existing = self._objects.get(kind, {}).get(name)
             if existing is not None and request.method == "POST":
                 return 409, existing
+            if existing is None and request.method == "PUT":
+                return 404, {}
+            expected = document["metadata"].get("revision")
+            if existing is not None and expected not in (None, existing["metadata"]["revision"]):
+                return 409, existing
             self.put(kind, name, document["spec"])
             return 200, self._objects[kind][name]
         if "watch" not in query:
--- a/src/sapphireledge/feed/__init__.py
+++ b/src/sapphireledge/feed/__init__.py
@@ -12,6 +12,7 @@
 from sapphireledge.feed.peer_directory import PeerDirectory
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.feed.store_page import StoredEntry, StorePage
+from sapphireledge.feed.stored_version import StoredVersion
 
 __all__ = [
     "FeedRunner",
@@ -26,4 +27,5 @@
     "SourceError",
     "StorePage",
     "StoredEntry",
+    "StoredVersion",
 ]
--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -8,6 +8,7 @@
 from sapphireledge.gateway.caller_limits import CallerLimits
 from sapphireledge.gateway.caller_request import CallerRequest, Headers
 from sapphireledge.gateway.config_view import ConfigView, seconds_since_boot
+from sapphireledge.gateway.crash_guard import CrashGuard
 from sapphireledge.gateway.dialect import Dialect
 from sapphireledge.gateway.engine_load import EngineLoad
 from sapphireledge.gateway.gateway import Gateway
@@ -15,6 +16,7 @@
 from sapphireledge.gateway.gateway_metrics import GatewayMetrics
 from sapphireledge.gateway.gateway_server import GatewayServer
 from sapphireledge.gateway.gateway_settings import GatewaySettings
+from sapphireledge.gateway.quarantine_settings import QuarantineSettings
 from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.request_telemetry import RequestTelemetry
 from sapphireledge.gateway.response_head import ResponseHead
@@ -32,6 +34,7 @@
     "CallerLimits",
     "CallerRequest",
     "ConfigView",
+    "CrashGuard",
     "Dialect",
     "EngineLoad",
     "Gateway",
@@ -40,6 +43,7 @@
     "GatewayServer",
     "GatewaySettings",
     "Headers",
+    "QuarantineSettings",
     "ReplayRule",
     "RequestTelemetry",
     "ResponseHead",
--- a/src/sapphireledge/gateway/attempt_progress.py
+++ b/src/sapphireledge/gateway/attempt_progress.py
@@ -2,15 +2,28 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sapphireledge.gateway.crash_guard import CrashGuard
+
 __all__ = ["AttemptProgress"]
 
 
 class AttemptProgress:
     """How far a backend server came with one attempt."""
 
-    __slots__ = ("events", "has_head", "is_sent")
+    __slots__ = ("_crashes", "_work_id", "events", "has_head", "is_sent")
+
+    def __init__(self, crashes: CrashGuard, work_id: str) -> None:
+        """Creates the progress of an attempt that has not been sent.
 
-    def __init__(self) -> None:
+        Args:
+            crashes: Attributes crashes to requests by their progress.
+            work_id: Identifier of the attempt there.
+        """
+        self._crashes = crashes
+        self._work_id = work_id
         self.is_sent = False
         """Whether the request was sent."""
 
@@ -28,3 +41,17 @@
         if self.has_head:
             return "head"
         return "sent" if self.is_sent else "unsent"
+
+    def on_sent(self) -> None:
+        """Records that the request was sent."""
+        self.is_sent = True
+
+    def on_head(self) -> None:
+        """Records that the head of the response arrived."""
+        self.has_head = True
+        self._crashes.on_begun(self._work_id)
+
+    def on_event(self) -> None:
+        """Records that an event arrived."""
+        self.events += 1
+        self._crashes.on_progress(self._work_id)
--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -239,10 +239,13 @@
                     continue
                 if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                     raise BackendResponseError(
-                        "the connection was closed before the response was complete"
+                        "the connection was closed before the response was complete",
+                        connection_lost=True,
                     )
                 return event
         except h11.RemoteProtocolError as exc:
-            raise BackendResponseError(f"invalid HTTP response: {exc}") from exc
+            raise BackendResponseError(
+                f"invalid HTTP response: {exc}", connection_lost=self._reader.at_eof()
+            ) from exc
         except OSError as exc:
-            raise BackendResponseError(f"connection error: {exc}") from exc
+            raise BackendResponseError(f"connection error: {exc}", connection_lost=True) from exc
--- a/src/sapphireledge/gateway/backend_response_error.py
+++ b/src/sapphireledge/gateway/backend_response_error.py
@@ -7,3 +7,14 @@
 
 class BackendResponseError(Exception):
     """A response was truncated, invalid or missing; the request may have been executed."""
+
+    def __init__(self, reason: str, *, connection_lost: bool = False) -> None:
+        """Creates the exception.
+
+        Args:
+            reason: Description of the cause, for the log.
+            connection_lost: Whether the backend server closed or reset the connection.
+        """
+        super().__init__(reason)
+        self.connection_lost = connection_lost
+        """Whether the backend server closed or reset the connection."""
--- /dev/null
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -0,0 +1,261 @@
+"""Attribution of crashed backend servers to requests, and refusal of what crashes them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import replace
+from itertools import count
+from typing import TYPE_CHECKING
+
+import structlog
+import xxhash
+
+from sapphireledge.core.quarantine import (
+    ClearVerdict,
+    IsolateVerdict,
+    Quarantine,
+    RequestContent,
+    RunningRequests,
+)
+from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.gateway.gateway_event import GatewayEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sapphireledge.core.quarantine import ClearingRecord, DeathRecord
+    from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.quarantine_settings import QuarantineSettings
+    from sapphireledge.gateway.request_telemetry import RequestTelemetry
+
+__all__ = ["CrashGuard"]
+
+CONNECT_TIMEOUT = 0.3
+"""Seconds allowed for a new connection to a server that closed one; a live server in another region
+accepts it within 60 ms, or after one retransmission."""
+
+
+class CrashGuard:
+    """Keeps requests that crash backend servers away from them.
+
+    Whether a request crashes servers is decided by `Quarantine`; this class feeds it with what
+    happens to the requests of this instance.
+    """
+
+    def __init__(self, cfg: QuarantineSettings, telemetry: RequestTelemetry) -> None:
+        """Creates a guard that knows of no crash.
+
+        Args:
+            cfg: Limits of the quarantine.
+            telemetry: Logging and metrics of requests.
+        """
+        self.quarantine = Quarantine(cfg)
+        """Deaths of backend servers and what they are attributed to."""
+
+        self.on_death: Callable[[DeathRecord], None] = lambda record: None
+        """Called with each death that this instance detected."""
+
+        self.on_clearing: Callable[[ClearingRecord], None] = lambda record: None
+        """Called when a suspected request was answered completely."""
+
+        self.on_survival: Callable[[], None] = lambda: None
+        """Called when a server survived the beginning of an answer after deaths."""
+
+        self._running = RunningRequests()
+        self._work_ids = count()
+        self._retention = cfg.retention
+        self._telemetry = telemetry
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        self._condemned: frozenset[str] = frozenset()
+        self._log = structlog.get_logger()
+
+    @property
+    def retention(self) -> float:
+        """Seconds for which deaths are kept."""
+        return self._retention
+
+    def content(self, admitted: AdmittedRequest) -> RequestContent:
+        """Determines what identifies the content of a request.
+
+        Args:
+            admitted: The request.
+
+        Returns:
+            The content; ids and deadlines of the request do not affect it.
+        """
+        request = admitted.request
+        digest = xxhash.xxh3_128(request.method)
+        for value in (
+            request.host.encode(),
+            request.target,
+            admitted.workspace.encode(),
+            *(part.encode() for part in request.shared_parts),
+            request.affinity.encode() if request.shared_parts else b"",
+            request.body,
+        ):
+            digest.update(len(value).to_bytes(8, "big") + value)
+        return RequestContent(digest.hexdigest(), request.shared_parts)
+
+    def judge(self, admitted: AdmittedRequest) -> ClearVerdict | IsolateVerdict | Failure:
+        """Decides whether and how a request may run.
+
+        Args:
+            admitted: The request.
+
+        Returns:
+            A verdict of the quarantine.
+        """
+        if not self.quarantine.has_deaths:
+            return ClearVerdict()
+        content = self.content(admitted)
+        verdict = self.quarantine.verdict(time.time(), content.fingerprint, content.parts)
+        if isinstance(verdict, Failure) and verdict.kind is ErrorKind.REQUEST_CONDEMNED:
+            return replace(verdict, retry_after=self._retention)
+        return verdict
+
+    async def wait_for_verdict(
+        self, admitted: AdmittedRequest
+    ) -> ClearVerdict | IsolateVerdict | Failure:
+        """Decides like `judge`, after the deaths that concern the request are attributed.
+
+        Args:
+            admitted: A request that has been sent before.
+
+        Returns:
+            A verdict of the quarantine.
+        """
+        verdict = self.judge(admitted)
+        if isinstance(verdict, Failure) and verdict.kind is ErrorKind.OVERLOADED:
+            await asyncio.sleep(verdict.retry_after or 0.0)
+            verdict = self.judge(admitted)
+        return verdict
+
+    def avoided_servers(self, verdict: ClearVerdict | IsolateVerdict) -> frozenset[str]:
+        """Lists the servers on which a request may not run beside other suspects.
+
+        Args:
+            verdict: Verdict on the request.
+
+        Returns:
+            Ids of the servers.
+        """
+        if not self.quarantine.has_deaths or (
+            isinstance(verdict, ClearVerdict) and not verdict.deaths
+        ):
+            return frozenset()
+        now = time.time()
+        verdicts = {
+            name: self.quarantine.verdict(now, name) for name in self._running.fingerprints()
+        }
+        suspects = frozenset(
+            name
+            for name, other in verdicts.items()
+            if not isinstance(other, ClearVerdict)
+            or (isinstance(verdict, IsolateVerdict) and other.deaths)
+        )
+        return self._running.backends_of(suspects)
+
+    def begin(
+        self, admitted: AdmittedRequest, server: BackendServer, *, isolated: bool = False
+    ) -> str:
+        """Registers a request that is sent to a server.
+
+        Args:
+            admitted: The request.
+            server: Server to which it is sent.
+            isolated: Whether it runs isolated from other suspects.
+
+        Returns:
+            Identifier of the attempt for the other methods.
+        """
+        work_id = str(next(self._work_ids))
+        self._running.add(work_id, server.server_id, self.content(admitted), isolated=isolated)
+        return work_id
+
+    def on_begun(self, work_id: str) -> None:
+        """Records that a server has begun to answer.
+
+        Args:
+            work_id: Identifier of the attempt.
+        """
+        self._running.on_begun(work_id)
+
+    def on_progress(self, work_id: str) -> None:
+        """Records that an answer goes on.
+
+        Args:
+            work_id: Identifier of the attempt.
+        """
+        content = self._running.on_progress(time.monotonic(), work_id)
+        if content is not None:
+            self._record_survival(content)
+
+    def on_answered(self, work_id: str) -> None:
+        """Clears a request that a server answered completely.
+
+        Args:
+            work_id: Identifier of the attempt.
+        """
+        content = self._running.content(work_id)
+        if content is None:
+            return
+        self._record_survival(content)
+        clearing = self.quarantine.on_completed(time.time(), content.fingerprint)
+        if clearing is not None:
+            self.on_clearing(clearing)
+
+    def end(self, work_id: str) -> None:
+        """Removes an attempt that ended.
+
+        Args:
+            work_id: Identifier of the attempt.
+        """
+        self._running.remove(work_id)
+
+    def on_connection_lost(self, server: BackendServer) -> None:
+        """Checks whether a server died that closed a connection during a request.
+
+        Call it before `end`. Only one check runs for each server; it covers all requests that this
+        instance had there.
+
+        Args:
+            server: The server.
+        """
+        if server.server_id in self._checks:
+            return
+        boot_id = str(server.started_at_ms)
+        record = self._running.record_death(server.server_id, boot_id, time.time())
+        task = asyncio.create_task(self._confirm(server, record))
+        self._checks[server.server_id] = task
+        task.add_done_callback(lambda _: self._checks.pop(server.server_id, None))
+
+    def on_changed(self) -> None:
+        """Logs parts of prompts that are refused from now on, or no longer."""
+        condemned = self.quarantine.crashing_parts(time.time())
+        for part in condemned - self._condemned:
+            self._log.warning(GatewayEvent.PART_CONDEMNED, part=part)
+        for part in self._condemned - condemned:
+            self._log.info(GatewayEvent.PART_CLEARED, part=part)
+        self._condemned = condemned
+
+    def _record_survival(self, content: RequestContent) -> None:
+        """Records that a server survived the beginning of an answer."""
+        self.quarantine.on_survived(time.time(), content.parts)
+        if self.quarantine.has_deaths:
+            self.on_survival()
+
+    async def _confirm(self, server: BackendServer, record: DeathRecord) -> None:
+        """Records a death unless the server accepts a new connection."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                _, writer = await asyncio.open_connection(server.host, server.port)
+        except (OSError, TimeoutError) as exc:
+            self._telemetry.record_server_death(server, record, repr(exc))
+        else:
+            writer.close()
+            return
+        if self.quarantine.on_engine_death(time.time(), record):
+            self.on_death(record)
+            self.on_changed()
--- a/src/sapphireledge/gateway/dialect.py
+++ b/src/sapphireledge/gateway/dialect.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from sapphireledge.errors import Failure
     from sapphireledge.gateway.backend_request import BackendRequest
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_request import CallerRequest, Headers
@@ -105,6 +106,17 @@
         """
         ...
 
+    def refusal_status(self, failure: Failure) -> int:
+        """Chooses the HTTP status of an error response that the gateway generates itself.
+
+        Args:
+            failure: Failure to report.
+
+        Returns:
+            The status.
+        """
+        ...
+
     def encode_refusal(
         self, request_id: str, retry_after: float | None
     ) -> list[tuple[bytes, bytes]]:
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -71,13 +71,17 @@
         self._recent_dispatches: list[tuple[float, str]] = []
 
     async def select(
-        self, admitted: AdmittedRequest, progress: StreamProgress
+        self,
+        admitted: AdmittedRequest,
+        progress: StreamProgress,
+        avoided: frozenset[str] = frozenset(),
     ) -> EngineSelection | RefuseStream | None:
         """Selects the engines on which a stream starts or resumes, once it is to start.
 
         Args:
             admitted: The request.
             progress: Progress of the stream so far.
+            avoided: Ids of engines that are used only if there is no other.
 
         Returns:
             The selection, a refusal, or None if no engine is available.
@@ -90,7 +94,7 @@
         holder = await self._find_prompt_holder(admitted, progress)
         if holder is not None:
             return self._select_known(admitted, progress, holder)
-        selection = await self._place(admitted, progress)
+        selection = await self._place(admitted, progress, avoided)
         if isinstance(selection, EngineSelection) and selection.prompts_ahead is not None:
             self._record_dispatch(selection.server)
         return selection
@@ -112,14 +116,17 @@
         self._recent_dispatches.append((asyncio.get_running_loop().time(), server.server_id))
 
     async def _place(
-        self, admitted: AdmittedRequest, progress: StreamProgress
+        self, admitted: AdmittedRequest, progress: StreamProgress, avoided: frozenset[str]
     ) -> EngineSelection | RefuseStream | None:
         """Places a stream by load reports, and repeats that while it has to wait."""
         context = self._context
         loop = asyncio.get_running_loop()
         estimator = context.first_event_estimator(admitted.service.name)
         for attempt in count():
-            candidates = self._list_candidates(admitted, progress.failed_engines, attempt)
+            excluded = progress.failed_engines | avoided
+            candidates = self._list_candidates(admitted, excluded, attempt)
+            if not candidates and avoided:
+                candidates = self._list_candidates(admitted, progress.failed_engines, attempt)
             if not candidates and progress.failed_engines:
                 candidates = self._list_candidates(admitted, set(), attempt)
             if len(candidates) < 2:
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -8,6 +8,7 @@
 from sapphireledge.core.placement import FirstEventEstimator
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.connection_pool import ConnectionPool
+from sapphireledge.gateway.crash_guard import CrashGuard
 from sapphireledge.gateway.engine_report_client import EngineReportClient
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.retry_allowance import RetryAllowance
@@ -47,6 +48,9 @@
         self.report_client = EngineReportClient(self.pool, dialect)
         """Client for load reports and cache listings of engines."""
 
+        self.crashes = CrashGuard(cfg.quarantine, telemetry)
+        """Keeps requests that crash backend servers away from them."""
+
         self.is_stopping: Callable[[], bool] = lambda: False
         """Returns whether the instance is shutting down."""
 
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -100,6 +100,24 @@
     RETRY_DENIED = "retry_denied"
     """A retry was denied because the retry budget is exhausted."""
 
+    SERVER_DIED = "server_died"
+    """A backend server closed a connection during a request and accepts no new one."""
+
+    PART_CONDEMNED = "part_condemned"
+    """Requests with a part of a prompt are refused from now on, because it crashes engines."""
+
+    PART_CLEARED = "part_cleared"
+    """Requests with a part of a prompt are no longer refused."""
+
+    REPORT_SHARED = "crash_report_shared"
+    """The deaths and clearings that this instance detected were written to the store."""
+
+    REPORT_DELAYED = "crash_report_delayed"
+    """The deaths and clearings that this instance detected could not be written yet."""
+
+    REPORT_REJECTED = "crash_report_rejected"
+    """A stored crash report of an instance cannot be decoded."""
+
     LINES_DROPPED = "log_lines_dropped"
     """Log lines were dropped because the log's reader was too slow."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -72,6 +72,15 @@
         )
         """Calls to the platform's store, by kind and result."""
 
+        self.server_deaths = Counter(
+            "sapphireledge_server_deaths",
+            "Deaths of backend servers under requests of this instance, by stage of the requests.",
+            ["stage"],
+            registry=self._registry,
+        )
+        """Deaths of backend servers under requests of this instance, by whether one of the requests
+        had just begun to be answered."""
+
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format.
 
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from sapphireledge.core.liveness import SilenceLimits
+from sapphireledge.gateway.quarantine_settings import QuarantineSettings
 
 __all__ = ["GatewaySettings"]
 
@@ -52,6 +53,9 @@
     silence: SilenceLimits = field(default_factory=SilenceLimits)
     """When a silent engine is checked and when its stream counts as lost."""
 
+    quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
+    """When requests count as the cause of crashes."""
+
     body_timeout: float = 0.33
     """Timeout between two chunks of an engine's response that is not a stream."""
 
--- a/src/sapphireledge/gateway/outcome.py
+++ b/src/sapphireledge/gateway/outcome.py
@@ -55,6 +55,9 @@
     body: bytes = b""
     """Body of the response, if it is to be passed on and has not been streamed."""
 
+    connection_lost: bool = False
+    """Whether the server closed or reset the connection before its response was complete."""
+
     @property
     def is_misdirected(self) -> bool:
         """Whether a different server has taken over the address of the expected one."""
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -6,6 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.quarantine import ClearVerdict, IsolateVerdict
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.gateway.backend_request import BackendRequest
 from sapphireledge.gateway.classify_response import classify_response
@@ -77,10 +78,15 @@
         tried_servers: set[str] = set()
         outcomes: list[Outcome] = []
         while True:
-            task = self._start_attempt(admitted, tried_servers)
+            verdict = await self._judge(admitted, tried_servers)
+            task = None
+            if not isinstance(verdict, Failure):
+                task = self._start_attempt(admitted, tried_servers, verdict)
             if task is not None:
                 attempts.add(task)
             elif not attempts:
+                if isinstance(verdict, Failure) and not outcomes:
+                    return verdict
                 return _unanswered_result(outcomes)
             time_left = admitted.deadline - loop.time()
             wait = (
@@ -106,8 +112,20 @@
                     return Failure(ErrorKind.DEADLINE_EXCEEDED, reason, Ran.UNKNOWN)
                 return _unanswered_result(outcomes)
 
-    def _start_attempt(
+    async def _judge(
         self, admitted: AdmittedRequest, tried_servers: set[str]
+    ) -> ClearVerdict | IsolateVerdict | Failure:
+        """Decides whether the request may crash the next server, too."""
+        crashes = self._context.crashes
+        if tried_servers:
+            return await crashes.wait_for_verdict(admitted)
+        return crashes.judge(admitted)
+
+    def _start_attempt(
+        self,
+        admitted: AdmittedRequest,
+        tried_servers: set[str],
+        verdict: ClearVerdict | IsolateVerdict,
     ) -> asyncio.Task[Outcome] | None:
         """Starts one attempt, or returns None if the limits permit none or no server is left."""
         context = self._context
@@ -118,7 +136,12 @@
             or admitted.deadline - now < MIN_ATTEMPT_TIME
         ):
             return None
-        server = context.registry.choose(now, service, admitted.request.affinity, tried_servers)
+        affinity = admitted.request.affinity
+        avoided = context.crashes.avoided_servers(verdict)
+        server = context.registry.choose(now, service, affinity, {*tried_servers, *avoided})
+        isolated = server is not None and isinstance(verdict, IsolateVerdict)
+        if server is None and avoided:
+            server = context.registry.choose(now, service, affinity, tried_servers)
         if server is None:
             return None
         if tried_servers and not context.retry_allowance(service).try_spend(now):
@@ -130,7 +153,9 @@
             context.retry_allowance(service).on_request()
         tried_servers.add(server.server_id)
         run = partial(self._send, admitted, server)
-        return asyncio.create_task(run_attempt(context, admitted, server, len(tried_servers), run))
+        return asyncio.create_task(
+            run_attempt(context, admitted, server, len(tried_servers), run, isolated=isolated)
+        )
 
     async def _send(
         self,
@@ -146,9 +171,9 @@
             BackendRequest(request, server, time_left, admitted.workspace)
         )
         conn.send(request.method, request.target, headers, request.body)
-        attempt.is_sent = True
+        attempt.on_sent()
         head = await conn.read_head(self._context.dialect, request.request_id)
-        attempt.has_head = True
+        attempt.on_head()
         return classify_response(server, head, await conn.read_body())
 
     def _finish_in_background(self, attempts: set[asyncio.Task[Outcome]]) -> None:
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -15,9 +15,11 @@
     from collections.abc import Collection, Mapping
 
     from sapphireledge.core.placement import RefuseStream
+    from sapphireledge.core.quarantine import DeathRecord
     from sapphireledge.errors import Failure
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.attempt_progress import AttemptProgress
+    from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_request import CallerRequest
     from sapphireledge.gateway.engine_selection import EngineSelection
     from sapphireledge.gateway.gateway_metrics import GatewayMetrics
@@ -59,6 +61,7 @@
         self,
         request: CallerRequest,
         failure: Failure,
+        status: int,
         started: float,
         table: RoutingTable | None,
         config_age: float,
@@ -68,6 +71,7 @@
         Args:
             request: The request.
             failure: Failure that is reported to the caller.
+            status: HTTP status of the response.
             started: Event loop time in seconds at which handling of the request started.
             table: Routing table in force.
             config_age: Seconds since the configuration was last confirmed.
@@ -78,7 +82,7 @@
             GatewayEvent.REFUSED,
             request_id=request.request_id,
             kind=failure.kind,
-            status=failure.answer.http_status,
+            status=status,
             ran=failure.ran,
             reason=failure.reason,
             retry_after_s=failure.retry_after,
@@ -159,6 +163,25 @@
             left_s=round(admitted.deadline - now, 3),
         )
 
+    def record_server_death(self, server: BackendServer, record: DeathRecord, reason: str) -> None:
+        """Logs and counts the death of a backend server under requests of this instance.
+
+        Args:
+            server: The server.
+            record: The requests that ran there.
+            reason: Why no new connection was accepted.
+        """
+        self._metrics.server_deaths.labels("begun" if record.begun else "other").inc()
+        self._log.warning(
+            GatewayEvent.SERVER_DIED,
+            server=server.server_id,
+            service=server.service,
+            data_centre=server.data_centre,
+            begun=record.begun,
+            suspects=len(record.suspects),
+            reason=reason,
+        )
+
     def record_internal_error(self, request: CallerRequest, exc: Exception) -> None:
         """Logs and counts an unexpected exception.
 
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -27,6 +27,8 @@
     server: BackendServer,
     number: int,
     run: Callable[[BackendConnection, AttemptProgress], Awaitable[Outcome]],
+    *,
+    isolated: bool = False,
 ) -> Outcome:
     """Sends a request to a backend server and records the outcome.
 
@@ -38,6 +40,7 @@
         server: Backend server to send the request to.
         number: Number of the attempt, from 1.
         run: Sends the request on a connection, reads the response and records its progress.
+        isolated: Whether the request runs isolated from others that may crash servers.
 
     Returns:
         The outcome of the attempt.
@@ -46,10 +49,16 @@
     if state is not None:
         state.in_flight += 1
     started = asyncio.get_running_loop().time()
-    attempt = AttemptProgress()
+    work_id = context.crashes.begin(admitted, server, isolated=isolated)
+    attempt = AttemptProgress(context.crashes, work_id)
     try:
         outcome = await _connect_and_run(context, admitted, server, partial(run, attempt=attempt))
+        if outcome.connection_lost:
+            context.crashes.on_connection_lost(server)
+        elif outcome.kind is OutcomeKind.ANSWERED:
+            context.crashes.on_answered(work_id)
     finally:
+        context.crashes.end(work_id)
         if state is not None:
             state.in_flight -= 1
     context.record_outcome(outcome)
@@ -75,7 +84,7 @@
         reusable = outcome.head is not None
         return outcome
     except BackendResponseError as exc:
-        return Outcome(OutcomeKind.LOST, server, str(exc))
+        return Outcome(OutcomeKind.LOST, server, str(exc), connection_lost=exc.connection_lost)
     except TimeoutError:
         return Outcome(OutcomeKind.OUT_OF_TIME, server, "no response before the deadline")
     finally:
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -52,11 +52,12 @@
         self._admitted = admitted
         self._progress = progress
 
-    async def run(self, selection: EngineSelection) -> Outcome:
+    async def run(self, selection: EngineSelection, *, isolated: bool = False) -> Outcome:
         """Runs the stream until it is complete or the engine is lost.
 
         Args:
             selection: Engines of the attempt.
+            isolated: Whether it runs isolated from other requests that may crash engines.
 
         Returns:
             The outcome; ANSWERED means that the stream was relayed to its end, or that the engine
@@ -64,7 +65,12 @@
         """
         run = partial(self._run_on, selection)
         return await run_attempt(
-            self._context, self._admitted, selection.server, self._progress.attempts, run
+            self._context,
+            self._admitted,
+            selection.server,
+            self._progress.attempts,
+            run,
+            isolated=isolated,
         )
 
     async def _run_on(
@@ -72,7 +78,7 @@
     ) -> Outcome:
         """Sends the request on a connection and relays the response."""
         self._send(conn, selection)
-        attempt.is_sent = True
+        attempt.on_sent()
         return await self._relay(conn, selection, attempt)
 
     def _send(self, conn: BackendConnection, selection: EngineSelection) -> None:
@@ -107,7 +113,7 @@
         head = await self._read_while_alive(
             server, watch, partial(conn.read_head, self._context.dialect, request_id)
         )
-        attempt.has_head = True
+        attempt.on_head()
         if head.status != 200 or head.not_executed or not head.signed or head.encoded:
             body = await _await_within(cfg.body_timeout, conn.read_body())
             return classify_response(server, head, body)
@@ -118,7 +124,7 @@
                     if not watch.has_events:
                         self._observe_first_event(selection, loop.time() - sent_at)
                     watch.on_event(loop.time())
-                    attempt.events += 1
+                    attempt.on_event()
                 await self._deliver(head, event.raw, event.number)
         if splitter.has_partial_event:
             raise BackendResponseError("the stream ended within an event")
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.placement import RefuseStream
+from sapphireledge.core.quarantine import ClearVerdict, IsolateVerdict
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.gateway.engine_selector import EngineSelector
 from sapphireledge.gateway.outcome import OutcomeKind
@@ -59,17 +60,29 @@
         """Makes attempts until the stream is complete or none is left to make."""
         failed_outcome: Outcome | None = None
         while True:
+            verdict = await self._judge(admitted, progress)
+            if isinstance(verdict, Failure):
+                return await self._fail_condemned(conn, progress, failed_outcome, verdict)
             if not self._try_begin_attempt(admitted, progress):
                 return await self._fail_request(conn, progress, failed_outcome)
-            selection = await self._selector.select(admitted, progress)
+            avoided = self._context.crashes.avoided_servers(verdict)
+            selection = await self._selector.select(admitted, progress, avoided)
             if isinstance(selection, RefuseStream):
                 return _refuse_overload(selection)
             if selection is None:
                 return await self._fail_request(conn, progress, failed_outcome)
+            # Engines may have died of the same content while the stream waited for an engine.
+            verdict = await self._judge(admitted, progress)
+            if isinstance(verdict, Failure):
+                return await self._fail_condemned(conn, progress, failed_outcome, verdict)
             if progress.attempts:
                 self._context.telemetry.record_resume(admitted, selection, progress.last_event)
             progress.on_attempt(selection)
-            outcome = await StreamAttempt(self._context, conn, admitted, progress).run(selection)
+            isolated = isinstance(
+                verdict, IsolateVerdict
+            ) and selection.server.server_id not in self._context.crashes.avoided_servers(verdict)
+            attempt = StreamAttempt(self._context, conn, admitted, progress)
+            outcome = await attempt.run(selection, isolated=isolated)
             if outcome.kind is OutcomeKind.ANSWERED:
                 await _deliver_plain_response(conn, outcome)
                 return None
@@ -96,6 +109,28 @@
         self._context.telemetry.record_denied_retry(admitted, progress.last_reason)
         return False
 
+    async def _judge(
+        self, admitted: AdmittedRequest, progress: StreamProgress
+    ) -> ClearVerdict | IsolateVerdict | Failure:
+        """Decides whether the stream may crash the next engine, too."""
+        if progress.attempts:
+            return await self._context.crashes.wait_for_verdict(admitted)
+        return self._context.crashes.judge(admitted)
+
+    async def _fail_condemned(
+        self,
+        conn: CallerConnection,
+        progress: StreamProgress,
+        failed_outcome: Outcome | None,
+        failure: Failure,
+    ) -> Failure | None:
+        """Ends a request that crashes engines; it has not run if no engine has seen it."""
+        if not progress.attempts:
+            return failure
+        progress.last_reason = failure.reason
+        result = await self._fail_request(conn, progress, failed_outcome)
+        return failure if result is not None and result.ran is Ran.NO else result
+
     def _may_retry(self, admitted: AdmittedRequest, progress: StreamProgress) -> bool:
         """Whether the request may be retried after the outcomes so far."""
         return admitted.route.resumable or not progress.may_have_executed
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -23,6 +23,8 @@
     RequestTelemetry,
 )
 from sapphireledge.platform.config_listener import ConfigListener
+from sapphireledge.platform.crash_report_listener import CrashReportListener
+from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND, CrashReportWriter
 from sapphireledge.platform.node_settings import NodeSettings, load_node_settings
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from sapphireledge.platform.server_listener import ServerListener
@@ -69,6 +71,9 @@
     server = GatewayServer(gateway, metrics)
     runner = _create_feed_runner(cfg, gateway, metrics)
     gateway.context.count_instances = lambda: runner.instance_count
+    writer = CrashReportWriter(
+        _create_store_client(cfg, metrics), gateway.context.crashes, cfg.gateway.instance
+    )
     reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -76,7 +81,7 @@
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     if early_stop_signals:
         return
-    tasks = [asyncio.create_task(runner.run()), asyncio.create_task(reloader.run())]
+    tasks = [asyncio.create_task(part.run()) for part in (runner, reloader, writer)]
     try:
         await server.run()
     finally:
@@ -89,6 +94,7 @@
     listeners = {
         "config": ConfigListener(gateway.config),
         "servers": ServerListener(gateway, cfg.backend_heartbeat),
+        CRASH_REPORT_KIND: CrashReportListener(gateway.context.crashes),
     }
     feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
     watchers = [
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -8,6 +8,7 @@
 
 from sapphireledge.feed import FeedSettings, KindSettings, Peer
 from sapphireledge.gateway import GatewaySettings
+from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND
 from sapphireledge.platform.split_address import split_address
 from sapphireledge.platform.store_settings import StoreSettings
 
@@ -36,6 +37,14 @@
 half of the 3 s after which a draining server must receive no more work."""
 
 
+CRASH_WATCH_WAIT = 3.0
+"""Seconds for which the store holds open a watch on crash reports; see `REGISTRY_WATCH_WAIT`."""
+
+CRASH_BATCH_DELAY = 0.3
+"""Seconds after a change of crash reports during which further changes are batched. All instances
+must know what crashes engines within 4 s."""
+
+
 class _Listen(msgspec.Struct):
     """Addresses to listen on: `front` for callers, `ready` for readiness checks."""
 
@@ -130,6 +139,7 @@
         kinds=(
             KindSettings("config", CONFIG_WATCH_WAIT, 0.0),
             KindSettings("servers", REGISTRY_WATCH_WAIT, REGISTRY_BATCH_DELAY),
+            KindSettings(CRASH_REPORT_KIND, CRASH_WATCH_WAIT, CRASH_BATCH_DELAY),
         ),
         host=listen_host,
         port=file.port_range[0],
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from sapphireledge.errors import ErrorKind, Ran
 from sapphireledge.gateway import CallerRequest, ResponseHead
 from sapphireledge.platform import header_names as names
 from sapphireledge.platform.decode_report import decode_cache, decode_report
 
 if TYPE_CHECKING:
+    from sapphireledge.errors import Failure
     from sapphireledge.gateway import BackendRequest, BackendServer, EngineLoad, Headers
 
 __all__ = ["PlatformDialect"]
@@ -112,6 +114,13 @@
         """Decodes an engine's report; see `Dialect.decode_report`."""
         return decode_report(body)
 
+    def refusal_status(self, failure: Failure) -> int:
+        """Chooses the status of an error response; see `Dialect.refusal_status`."""
+        if failure.kind is ErrorKind.REQUEST_CONDEMNED and failure.ran is Ran.NO:
+            # The platform has no status for refused content; this one states that nothing has run.
+            return 503
+        return failure.answer.http_status
+
     def encode_refusal(
         self, request_id: str, retry_after: float | None
     ) -> list[tuple[bytes, bytes]]:
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -8,7 +8,7 @@
 import h11
 import msgspec
 
-from sapphireledge.feed import Peer, SourceError, StoredEntry, StorePage
+from sapphireledge.feed import Peer, SourceError, StoredEntry, StoredVersion, StorePage
 from sapphireledge.gateway import UnreadReader, open_unread_connection
 from sapphireledge.platform.split_address import split_address
 
@@ -33,7 +33,10 @@
 CONFLICT = 409
 """Status for an object that already exists or has changed; the body holds that object."""
 
-EXPECTED_STATUSES = frozenset({"200", "201", str(CONFLICT), str(GONE)})
+NOT_FOUND = 404
+"""Status of a replacement of an object that does not exist."""
+
+EXPECTED_STATUSES = frozenset({"200", "201", str(NOT_FOUND), str(CONFLICT), str(GONE)})
 """Statuses of regular responses; any other status is a failed call."""
 
 INSTANCE_KIND = "entry-instances"
@@ -42,6 +45,7 @@
 
 class _Metadata(msgspec.Struct):
     name: str
+    revision: int = 0
 
 
 class _Object(msgspec.Struct):
@@ -147,7 +151,37 @@
         )
         if status == CONFLICT and _decode(body, _Object).spec != msgspec.to_builtins(spec):
             path = f"/objects/{INSTANCE_KIND}/{peer.name}"
-            await self._call("replace", "PUT", path, timeout, payload)
+            status, _ = await self._call("replace", "PUT", path, timeout, payload)
+            if status == NOT_FOUND:
+                raise SourceError("the description of this instance was removed meanwhile")
+
+    async def write(self, kind: str, name: str, spec: Any, revision: int | None) -> StoredVersion:
+        """Creates an object, or replaces the version of it that the caller knows.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            spec: Content, as builtin types.
+            revision: Revision that is replaced, None to create the object.
+
+        Returns:
+            The object as the store holds it after the call.
+
+        Raises:
+            SourceError: The store did not answer, or refused the call; the write may have taken
+                effect.
+        """
+        timeout = self._cfg.call_timeout
+        if revision is not None:
+            metadata = {"name": name, "revision": revision}
+            payload = msgspec.json.encode({"metadata": metadata, "spec": spec})
+            path = f"/objects/{kind}/{name}"
+            status, body = await self._call("replace", "PUT", path, timeout, payload)
+            if status != NOT_FOUND:
+                return _decode_version(status, body)
+        payload = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+        status, body = await self._call("create", "POST", f"/objects/{kind}", timeout, payload)
+        return _decode_version(status, body)
 
     async def list_peers(self) -> list[Peer]:
         """Lists the instances; see `PeerDirectory.list_peers`.
@@ -226,6 +260,12 @@
         return self._reader, self._writer
 
 
+def _decode_version(status: int, body: bytes) -> StoredVersion:
+    """Decodes the response to a write."""
+    stored = _decode(body, _Object)
+    return StoredVersion(stored.spec, stored.metadata.revision, status != CONFLICT)
+
+
 def _decode_peer(entry: StoredEntry) -> Peer:
     """Decodes the stored description of an instance."""
     try:
--- a/tests/test_gateway_crashing_part.py
+++ b/tests/test_gateway_crashing_part.py
@@ -8,6 +8,8 @@
 from crashing_engine import CrashingEngine
 from gateway_case import GatewayCase
 
+from sapphireledge.gateway import CrashGuard, QuarantineSettings
+
 PARTS = "x-sapphireledge-prefix-hash"
 BAD_PART = "bad0"
 
@@ -26,6 +28,10 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.engines = []
+        context = self.gateway.context
+        # The engines of this test crash within a tenth of the time that real ones take.
+        cfg = QuarantineSettings(burst_window=QuarantineSettings().burst_window / 10)
+        context.crashes = CrashGuard(cfg, context.telemetry)
 
     async def asyncTearDown(self):
         for engine in self.engines:
