Take no response for an answer that may be a copy of an earlier one

What callers saw (report of other operators, and real here): "not run, try again" for a request that a server was running. Shown by two tests that failed before: a server repeats an earlier refusal on a kept connection, once without an id and once for the same request sent again; both were passed on as 503 while the server ran the request. Cause: a response without an id was taken for the answer to whatever request the connection carried, and a request could meet the copy of its own earlier refusal, whose id is right. Change: on a connection that has answered before, a response without an id ends the attempt as unknown; a request never goes out on a connection that carried it before.

--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -58,6 +58,10 @@
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
         self._request: h11.Request | None = None
         self._is_complete = False
+        self.last_request_id = ""
+        """Id of the latest request on this connection, empty if it had none."""
+
+        self._has_answered = False
         self.must_close = False
         """Whether the connection must not be reused for another request."""
 
@@ -150,7 +154,10 @@
             head = dialect.decode_response(event.status_code, tuple(event.headers))
             self.must_close = self.must_close or head.closes_connection
             self.idle_timeout = head.idle_timeout
+            if head.request_id is None and request_id and self._has_answered:
+                raise BackendResponseError("the response may belong to an earlier request")
             if head.request_id is None or head.request_id == request_id:
+                self.last_request_id = request_id
                 return head
             await self._skip_mismatched_response()
         raise BackendResponseError("too many responses precede the response to the request")
@@ -194,6 +201,7 @@
     def _on_response_complete(self) -> None:
         """Prepares the parser for the next response, or marks the connection to be closed."""
         self._is_complete = True
+        self._has_answered = True
         self.idle_since = asyncio.get_running_loop().time()
         unsent = self._writer.transport.get_write_buffer_size()
         reusable = (
--- a/src/sapphireledge/gateway/connection_pool.py
+++ b/src/sapphireledge/gateway/connection_pool.py
@@ -56,12 +56,16 @@
         """Returns how many connections each server of the named service accepts from all instances
         together, 0 if unknown."""
 
-    async def acquire(self, server: BackendServer, *, at_most_once: bool) -> BackendConnection:
+    async def acquire(
+        self, server: BackendServer, *, at_most_once: bool, request_id: str = ""
+    ) -> BackendConnection:
         """Reuses an idle connection or opens a new one.
 
         Args:
             server: Backend server to connect to.
             at_most_once: Whether the request may be executed only once.
+            request_id: Id of the request. A connection on which it was sent before is not reused,
+                because a late copy of the first response could not be told from the second one.
 
         Returns:
             A connection for one request.
@@ -77,6 +81,9 @@
             limit = (
                 DEFAULT_IDLE_LIMIT if conn.idle_timeout is None else conn.idle_timeout - IDLE_MARGIN
             )
+            if request_id and conn.last_request_id == request_id:
+                conn.abort()
+                continue
             if conn.is_reusable and idle_time < (
                 min(limit, AT_MOST_ONCE_IDLE_LIMIT) if at_most_once else limit
             ):
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -74,7 +74,11 @@
 ) -> Outcome:
     """Runs the attempt on a pooled connection, reused only after a complete, valid response."""
     try:
-        conn = await context.pool.acquire(server, at_most_once=not admitted.route.repeatable)
+        conn = await context.pool.acquire(
+            server,
+            at_most_once=not admitted.route.repeatable,
+            request_id=admitted.request.request_id,
+        )
     except (OSError, TimeoutError) as exc:
         return Outcome(OutcomeKind.NOT_EXECUTED, server, f"cannot connect: {exc!r}")
     reusable = False
