End a broken stream that its next engine answers with an error as incomplete

Cause: any body of a signed 200 was relayed as events, an event without a number was placed anywhere, and a plain response counted as the answer although a part of the stream had been delivered. The own interface decodes tokens and writes its own events, so no text of an engine can reach a caller there (by reading).

--- a/src/sapphireledge/gateway/event_splitter.py
+++ b/src/sapphireledge/gateway/event_splitter.py
@@ -14,6 +14,7 @@
 
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _NUMBER = re.compile(rb"(?:^|[\r\n])id: ?(\d{1,18}) *(?=[\r\n])")
+_FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 _ID_FIELD = re.compile(rb"(?:^|[\r\n])id:")
 
 
@@ -51,7 +52,8 @@
             number = _NUMBER.search(raw)
             if number is None and _ID_FIELD.search(raw):
                 raise BackendResponseError("the id of an event is not a number")
-            events.append(StreamEvent(raw, int(number.group(1)) if number else None))
+            is_comment = number is None and not _FIELD.search(raw)
+            events.append(StreamEvent(raw, int(number.group(1)) if number else None, is_comment))
         self._buffer = self._buffer[start:]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise BackendResponseError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
--- a/src/sapphireledge/gateway/response_head.py
+++ b/src/sapphireledge/gateway/response_head.py
@@ -34,3 +34,6 @@
 
     closes_connection: bool
     """Whether the backend server closes the connection after this response."""
+
+    is_event_stream: bool = False
+    """Whether the body is a series of server-sent events."""
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -25,6 +25,7 @@
     from sapphireledge.gateway.engine_selection import EngineSelection
     from sapphireledge.gateway.gateway_context import GatewayContext
     from sapphireledge.gateway.response_head import ResponseHead
+    from sapphireledge.gateway.stream_event import StreamEvent
     from sapphireledge.gateway.stream_progress import StreamProgress
 
 __all__ = ["StreamAttempt"]
@@ -114,9 +115,9 @@
             server, watch, partial(conn.read_head, self._context.dialect, request_id)
         )
         attempt.on_head()
-        if head.status != 200 or head.not_executed or not head.signed or head.encoded:
+        if not _is_stream(head):
             body = await _await_within(cfg.body_timeout, conn.read_body())
-            return classify_response(server, head, body)
+            return self._classify_plain(server, head, body)
         splitter = EventSplitter()
         while (chunk := await self._read_while_alive(server, watch, conn.read_chunk)) is not None:
             for event in splitter.feed(chunk):
@@ -125,7 +126,7 @@
                         self._observe_first_event(selection, loop.time() - sent_at)
                     watch.on_event(loop.time())
                     attempt.on_event()
-                await self._deliver(head, event.raw, event.number)
+                await self._deliver(head, event)
         if splitter.has_partial_event:
             raise BackendResponseError("the stream ended within an event")
         if not self._caller.response_started:
@@ -177,17 +178,39 @@
         )
         return RunSighting(report.events.get(self._admitted.request.request_id), restarted)
 
-    async def _deliver(self, head: ResponseHead, raw: bytes, number: int | None) -> None:
+    def _classify_plain(self, server: BackendServer, head: ResponseHead, body: bytes) -> Outcome:
+        """Classifies a response that is not a stream; it cannot follow a part of a stream."""
+        outcome = classify_response(server, head, body)
+        if outcome.kind is OutcomeKind.ANSWERED and self._caller.response_started:
+            reason = f"a stream that had begun was answered with status {head.status} and no stream"
+            return Outcome(OutcomeKind.FAILED, server, reason, head, body)
+        return outcome
+
+    async def _deliver(self, head: ResponseHead, event: StreamEvent) -> None:
         """Delivers one event, which must directly follow the last delivered one."""
         progress = self._progress
+        number = event.number
         if progress.delivered:
             last = progress.last_event
+            if last is not None and number is None and not event.is_comment:
+                raise BackendResponseError(f"an event without a number follows event {last}")
             if number is not None and last is not None and number != last + 1:
                 raise BackendResponseError(f"event {number} does not follow event {last}")
         else:
             await self._caller.start_response(head.status, head.headers)
         progress.on_event(asyncio.get_running_loop().time(), number)
-        await self._caller.send_chunk(raw)
+        await self._caller.send_chunk(event.raw)
+
+
+def _is_stream(head: ResponseHead) -> bool:
+    """Whether a response is a stream of an engine that runs the request."""
+    return (
+        head.status == 200
+        and head.is_event_stream
+        and head.signed
+        and not head.not_executed
+        and not head.encoded
+    )
 
 
 async def _await_within(timeout: float, read: Coroutine[Any, Any, Result]) -> Result:
--- a/src/sapphireledge/gateway/stream_event.py
+++ b/src/sapphireledge/gateway/stream_event.py
@@ -16,3 +16,6 @@
 
     number: int | None
     """Number from the `id` field, None if there is none."""
+
+    is_comment: bool = False
+    """Whether the event holds nothing but comments, which carry no content."""
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -18,6 +18,9 @@
 API_KEY_SCHEME = b"token "
 """Authorization scheme of an API key, in lower case."""
 
+EVENT_STREAM = b"text/event-stream"
+"""Media type of a series of server-sent events."""
+
 MAX_DIGITS = 18
 """Digits of the largest number accepted in a header."""
 
@@ -92,6 +95,7 @@
             encoded=b"content-encoding" in values,
             idle_timeout=_parse_keep_alive(values.get(b"keep-alive", b"")),
             closes_connection=b"close" in tokens,
+            is_event_stream=values.get(b"content-type", b"").lower().startswith(EVENT_STREAM),
         )
 
     def encode_report_request(
