--- a/src/sapphireledge/platform/crash_report_writer.py
+++ b/src/sapphireledge/platform/crash_report_writer.py
@@ -24,8 +24,9 @@
 CRASH_REPORT_KIND = "crash-reports"
 """Kind of the objects that hold the crash reports, one for each instance."""
 
-DEATH_DELAY = 0.2
-"""Seconds after a death during which further news are collected into one write."""
+DEATH_INTERVAL = 0.4
+"""Seconds between two writes because of deaths. The first death of a series is written at once: the
+caller of a request that crashed an engine may send it again to another instance."""
 
 SURVIVAL_DELAY = 0.5
 """Seconds after a survival or a clearing during which further news are collected. Other instances
@@ -63,6 +64,7 @@
         self._report = CrashReport()
         self._stored: CrashReport | None = None
         self._revision: int | None = None
+        self._next_write_at = 0.0
         self._death_news = asyncio.Event()
         self._news = asyncio.Event()
         self._rng = Random()
@@ -108,7 +110,7 @@
         try:
             async with asyncio.timeout(SURVIVAL_DELAY * self._rng.uniform(1.0, 2.0)):
                 await self._death_news.wait()
-            await asyncio.sleep(DEATH_DELAY)
+            await asyncio.sleep(self._next_write_at - asyncio.get_running_loop().time())
         except TimeoutError:
             pass  # No death within the delay: the other news are due.
         self._news.clear()
@@ -134,6 +136,7 @@
                 await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
                 continue
             self._revision = version.revision
+            self._next_write_at = asyncio.get_running_loop().time() + DEATH_INTERVAL
             if version.written:
                 self._stored = report
                 self._log.info(
