Bound the cost of the attribution while many engines die

A survival also discarded the result when it changed nothing. Change: only parts that would suffice otherwise are compared, by at most twelve of their deaths; a survival discards the result only if it excuses a death. 7.5 and 3.9 ms; 0.3 ms after six losses of 100 engines (8.3 before).

--- a/src/sapphireledge/core/quarantine/find_crashing_parts.py
+++ b/src/sapphireledge/core/quarantine/find_crashing_parts.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from sapphireledge.core.quarantine.death_record import DeathRecord
     from sapphireledge.core.quarantine.quarantine_limits import QuarantineLimits
@@ -22,6 +22,11 @@
 request are attributed to that request."""
 
 
+MAX_CHECKED_DEATHS = 12
+"""Deaths of a part that are compared with the deaths around them, spread over all of its deaths;
+the comparison is costly while many engines die."""
+
+
 @dataclass(slots=True)
 class _Candidate:
     """A part of a prompt and the deaths that may be due to it."""
@@ -37,12 +42,21 @@
         parts that explain the same deaths, the later one concerns the fewest other requests."""
         return not self.ever_sound, len(self.deaths), self.position, self.part
 
-    def is_proven(self, cfg: QuarantineLimits) -> bool:
+    def is_proven(self, in_burst: Callable[[DeathRecord], bool], cfg: QuarantineLimits) -> bool:
         """Whether enough deaths, spread over time and over requests, have no other explanation."""
-        times = [death.time_unix for death in self.deaths.values()]
+        if not self._suffices(self.deaths.values(), cfg):
+            return False
+        deaths = sorted(self.deaths.values(), key=lambda death: (death.time_unix, death.key))
+        step = -(-len(deaths) // MAX_CHECKED_DEATHS)
+        checked = [*deaths[:-1:step], deaths[-1]]
+        return self._suffices([death for death in checked if not in_burst(death)], cfg)
+
+    def _suffices(self, deaths: Collection[DeathRecord], cfg: QuarantineLimits) -> bool:
+        """Whether deaths are enough, and spread over time and over requests."""
+        times = [death.time_unix for death in deaths]
         requests = {
             fingerprint
-            for death in self.deaths.values()
+            for death in deaths
             for fingerprint, parts in death.begun.items()
             if self.part in parts
         }
@@ -54,7 +68,10 @@
 
 
 def find_crashing_parts(
-    deaths: Iterable[DeathRecord], sound_at: Callable[[str], float], cfg: QuarantineLimits
+    deaths: Iterable[DeathRecord],
+    sound_at: Callable[[str], float],
+    in_burst: Callable[[DeathRecord], bool],
+    cfg: QuarantineLimits,
 ) -> frozenset[str]:
     """Finds the parts of prompts that crash the engines that begin to answer them.
 
@@ -63,9 +80,10 @@
     requests beside it.
 
     Args:
-        deaths: Deaths without a common cause outside the requests.
+        deaths: Deaths of engines.
         sound_at: Returns the latest time in Unix seconds at which an engine is known to have
             survived a part, negative infinity if none is.
+        in_burst: Returns whether a death has a common cause with others outside the requests.
         cfg: Limits of the quarantine.
 
     Returns:
@@ -82,11 +100,11 @@
                 candidate.position = max(candidate.position, position)
                 candidate.deaths[death.key] = death
     crashing = set()
-    remaining = list(candidates.values())
+    remaining = [c for c in candidates.values() if len(c.deaths) >= cfg.condemn_after]
     while remaining:
         best = max(remaining, key=lambda candidate: candidate.order)
         remaining.remove(best)
-        if not best.is_proven(cfg):
+        if not best.is_proven(in_burst, cfg):
             continue
         crashing.add(best.part)
         for other in remaining:
--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -99,10 +99,12 @@
             parts: Ids of the prompt parts of the request.
         """
         for part in parts:
+            excused_until = self._sound_at(part) + SOUND_TIME
+            deaths = self._by_part.get(part, ())
+            if any(self._records[key].time_unix > excused_until for key in deaths):
+                self._crashing_parts = None
             self._survived_at.pop(part, None)
             self._survived_at[part] = now_unix
-            if part in self._by_part:
-                self._crashing_parts = None
         while len(self._survived_at) > MAX_SURVIVALS:
             del self._survived_at[next(iter(self._survived_at))]
 
@@ -282,7 +284,7 @@
             keys = {key for part_keys in self._by_part.values() for key in part_keys}
             deaths = [self._records[key] for key in keys]
             self._crashing_parts = find_crashing_parts(
-                [death for death in deaths if not self._in_burst(death)], self._sound_at, self._cfg
+                deaths, self._sound_at, self._in_burst, self._cfg
             )
         return self._crashing_parts
 
@@ -311,20 +313,32 @@
         window = self._cfg.burst_window
         first = bisect_left(self._by_time, death.time_unix - window, key=lambda item: item[0])
         last = bisect_right(self._by_time, death.time_unix + window, key=lambda item: item[0])
+        own_suspects = self._suspects_of(death)
         nearby = [self._records[key] for _, key in self._by_time[first:last]]
+        nearby.sort(key=lambda r: (len(r.suspects), r.time_unix, r.key))
+        others = [
+            (other, suspects)
+            for other, suspects in ((r, self._suspects_of(r)) for r in nearby)
+            if other.backend != death.backend and own_suspects.isdisjoint(suspects)
+        ]
+        if len(others) < self._cfg.burst_size - 1:
+            return False
         starts = {r.time_unix for r in nearby if r.time_unix <= death.time_unix}
-        return any(self._has_disjoint_group(death, nearby, start) for start in starts)
+        return any(self._has_disjoint_group(death, own_suspects, others, start) for start in starts)
 
     def _has_disjoint_group(
-        self, death: DeathRecord, nearby: list[DeathRecord], start: float
+        self,
+        death: DeathRecord,
+        own_suspects: set[str],
+        others: list[tuple[DeathRecord, set[str]]],
+        start: float,
     ) -> bool:
         """Whether the window that begins at `start` holds a burst that includes `death`."""
         backends = {death.backend}
-        seen_suspects = self._suspects_of(death)
-        for other in sorted(nearby, key=lambda r: (len(r.suspects), r.time_unix, r.key)):
+        seen_suspects = set(own_suspects)
+        for other, suspects in others:
             if not start <= other.time_unix <= start + self._cfg.burst_window:
                 continue
-            suspects = self._suspects_of(other)
             if other.backend in backends or not seen_suspects.isdisjoint(suspects):
                 continue
             backends.add(other.backend)
