Weigh the deaths of a part by its share of the deaths around them

A death counts against a part for quarantine.part_retention (15 minutes) only, so that a part which died of bad engines is accepted again on the own interface, too.

--- a/src/sapphireledge/core/quarantine/find_crashing_parts.py
+++ b/src/sapphireledge/core/quarantine/find_crashing_parts.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, bisect_right
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Sequence
 
     from sapphireledge.core.quarantine.death_record import DeathRecord
     from sapphireledge.core.quarantine.quarantine_limits import QuarantineLimits
@@ -22,9 +23,9 @@
 request are attributed to that request."""
 
 
-MAX_CHECKED_DEATHS = 12
-"""Deaths of a part that are compared with the deaths around them, spread over all of its deaths;
-the comparison is costly while many engines die."""
+WEIGHT_TOLERANCE = 0.5
+"""By how much the weight of the deaths of a part may stay below their required number: one of them
+may coincide with the death of another engine."""
 
 
 @dataclass(slots=True)
@@ -34,7 +35,7 @@
     part: str
     ever_sound: bool
     position: int = 0
-    deaths: dict[tuple[str, str], DeathRecord] = field(default_factory=dict)
+    deaths: dict[int, DeathRecord] = field(default_factory=dict)
 
     @property
     def order(self) -> tuple[bool, int, int, str]:
@@ -42,21 +43,12 @@
         parts that explain the same deaths, the later one concerns the fewest other requests."""
         return not self.ever_sound, len(self.deaths), self.position, self.part
 
-    def is_proven(self, in_burst: Callable[[DeathRecord], bool], cfg: QuarantineLimits) -> bool:
-        """Whether enough deaths, spread over time and over requests, have no other explanation."""
-        if not self._suffices(self.deaths.values(), cfg):
-            return False
-        deaths = sorted(self.deaths.values(), key=lambda death: (death.time_unix, death.key))
-        step = -(-len(deaths) // MAX_CHECKED_DEATHS)
-        checked = [*deaths[:-1:step], deaths[-1]]
-        return self._suffices([death for death in checked if not in_burst(death)], cfg)
-
-    def _suffices(self, deaths: Collection[DeathRecord], cfg: QuarantineLimits) -> bool:
-        """Whether deaths are enough, and spread over time and over requests."""
-        times = [death.time_unix for death in deaths]
+    def suffices(self, cfg: QuarantineLimits) -> bool:
+        """Whether the deaths are enough, and spread over time and over requests."""
+        times = [death.time_unix for death in self.deaths.values()]
         requests = {
             fingerprint
-            for death in deaths
+            for death in self.deaths.values()
             for fingerprint, parts in death.begun.items()
             if self.part in parts
         }
@@ -68,29 +60,47 @@
 
 
 def find_crashing_parts(
-    deaths: Iterable[DeathRecord],
-    sound_at: Callable[[str], float],
-    in_burst: Callable[[DeathRecord], bool],
-    cfg: QuarantineLimits,
+    deaths: Sequence[DeathRecord], sound_at: Callable[[str], float], cfg: QuarantineLimits
 ) -> frozenset[str]:
     """Finds the parts of prompts that crash the engines that begin to answer them.
 
     Parts are considered in the order in which they explain the most deaths. A death that one
-    crashing part explains says nothing about the other parts of the same prompt or about the
-    requests beside it.
+    crashing part explains says nothing about the other parts of the same prompt.
 
     Args:
-        deaths: Deaths of engines.
+        deaths: All deaths in chronological order.
         sound_at: Returns the latest time in Unix seconds at which an engine is known to have
             survived a part, negative infinity if none is.
-        in_burst: Returns whether a death has a common cause with others outside the requests.
         cfg: Limits of the quarantine.
 
     Returns:
         Ids of the parts.
     """
+    candidates = [c for c in _list_candidates(deaths, sound_at) if c.suffices(cfg)]
+    if not candidates:
+        return frozenset()
+    times = [death.time_unix for death in deaths]
+    unexplained = set(range(len(deaths))).difference(*(c.deaths for c in candidates))
+    crashing = set()
+    while candidates:
+        best = max(candidates, key=lambda candidate: candidate.order)
+        candidates.remove(best)
+        required = cfg.condemn_after - WEIGHT_TOLERANCE
+        if not best.suffices(cfg) or _weigh(best, times, unexplained, cfg) < required:
+            continue
+        crashing.add(best.part)
+        for other in candidates:
+            for index in best.deaths:
+                other.deaths.pop(index, None)
+    return frozenset(crashing)
+
+
+def _list_candidates(
+    deaths: Sequence[DeathRecord], sound_at: Callable[[str], float]
+) -> list[_Candidate]:
+    """Lists the parts with the deaths that no survival excuses, by their index in `deaths`."""
     candidates: dict[str, _Candidate] = {}
-    for death in deaths:
+    for index, death in enumerate(deaths):
         for parts in death.begun.values():
             for position, part in enumerate(parts):
                 sound = sound_at(part)
@@ -98,16 +108,23 @@
                     continue
                 candidate = candidates.setdefault(part, _Candidate(part, sound > float("-inf")))
                 candidate.position = max(candidate.position, position)
-                candidate.deaths[death.key] = death
-    crashing = set()
-    remaining = [c for c in candidates.values() if len(c.deaths) >= cfg.condemn_after]
-    while remaining:
-        best = max(remaining, key=lambda candidate: candidate.order)
-        remaining.remove(best)
-        if not best.is_proven(in_burst, cfg):
-            continue
-        crashing.add(best.part)
-        for other in remaining:
-            for key in best.deaths:
-                other.deaths.pop(key, None)
-    return frozenset(crashing)
+                candidate.deaths[index] = death
+    return list(candidates.values())
+
+
+def _weigh(
+    candidate: _Candidate, times: Sequence[float], unexplained: set[int], cfg: QuarantineLimits
+) -> float:
+    """Adds up the deaths of a part, each weighted by its share of the deaths around it.
+
+    When engines are lost together, some had just begun to answer a request with the part; the many
+    deaths around them that no part explains show that the part is not the cause.
+    """
+    weight = 0.0
+    for death in candidate.deaths.values():
+        first = bisect_left(times, death.time_unix - cfg.burst_window)
+        last = bisect_right(times, death.time_unix + cfg.burst_window)
+        own = sum(1 for index in range(first, last) if index in candidate.deaths)
+        others = sum(1 for index in range(first, last) if index in unexplained)
+        weight += own / (own + others)
+    return weight
--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -55,6 +55,7 @@
         self._by_part: dict[str, set[IncarnationKey]] = {}
         self._survived_at: dict[str, float] = {}
         self._crashing_parts: frozenset[str] | None = frozenset()
+        self._aged = 0
         self._cleared_at: dict[str, float] = {}
         self._clear_order: deque[tuple[float, str]] = deque()
 
@@ -264,6 +265,11 @@
         for _, key in self._by_time[:end]:
             self._remove_record(key)
         del self._by_time[:end]
+        horizon = now_unix - self._cfg.part_retention
+        aged = bisect_right(self._by_time, horizon, key=lambda item: item[0])
+        if aged != self._aged:
+            self._aged = aged
+            self._crashing_parts = None
         while self._clear_order and self._clear_order[0][0] <= oldest:
             time_unix, fingerprint = self._clear_order.popleft()
             if self._cleared_at.get(fingerprint) == time_unix:
@@ -281,11 +287,8 @@
     def _find_crashing_parts(self) -> frozenset[str]:
         """Returns the parts that crash engines; the result is kept until the state changes."""
         if self._crashing_parts is None:
-            keys = {key for part_keys in self._by_part.values() for key in part_keys}
-            deaths = [self._records[key] for key in keys]
-            self._crashing_parts = find_crashing_parts(
-                deaths, self._sound_at, self._in_burst, self._cfg
-            )
+            deaths = self.records()[self._aged :]
+            self._crashing_parts = find_crashing_parts(deaths, self._sound_at, self._cfg)
         return self._crashing_parts
 
     def _counted_deaths(self, fingerprint: str) -> list[DeathRecord]:
--- a/src/sapphireledge/core/quarantine/quarantine_limits.py
+++ b/src/sapphireledge/core/quarantine/quarantine_limits.py
@@ -30,6 +30,11 @@
         """Unrelated deaths within `burst_window` that indicate a common cause."""
         ...
 
+    @property
+    def part_retention(self) -> float:
+        """Seconds for which a death counts against a part of a prompt."""
+        ...
+
     @property
     def retention(self) -> float:
         """Seconds for which deaths and clearings are kept."""
--- a/src/sapphireledge/gateway/quarantine_settings.py
+++ b/src/sapphireledge/gateway/quarantine_settings.py
@@ -24,6 +24,9 @@
     burst_size: int = 3
     """Unrelated deaths within `burst_window` that indicate a common cause."""
 
+    part_retention: float = 900.0
+    """How long a death counts against a part of a prompt. Engines get another chance with a refused
+    part after that time, and a part that still crashes them is found again after a few deaths."""
+
     retention: float = 900.0
-    """How long deaths are kept. Engines get another chance with a refused part after that time, and
-    a part that still crashes them is found again after a few deaths."""
+    """How long deaths are kept."""
--- a/src/sapphireledge/settings/quarantine_settings.py
+++ b/src/sapphireledge/settings/quarantine_settings.py
@@ -26,5 +26,8 @@
     burst_size: int = setting(3, unit="deaths", ge=2, le=100)
     """Unrelated deaths within `burst_window` that indicate a common cause."""
 
+    part_retention: float = setting(900.0, unit="s", ge=60, le=604_800)
+    """How long a death counts against a part of a prompt that requests share."""
+
     retention: float = setting(86_400.0, unit="s", ge=60, le=604_800)
     """How long deaths and refusals are kept."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -118,6 +118,43 @@
         )
         self.assertEqual(self.judge(now, "popular"), ClearVerdict())
 
+    def test_loss_of_other_engines_does_not_excuse_a_part(self):
+        """Guards against accepting a part again because other engines are lost beside it."""
+        bad = [death(i, START + 0.6 * STEP * i, **{f"r{i}": ("a", "bad")}) for i in range(4)]
+        lost = [DeathRecord(f"x{i}", "b", START + 1.9 * STEP, (f"x{i}",)) for i in range(3)]
+        now = self.add(*bad, *lost)
+        self.assertTrue(is_condemned(self.judge(now, "bad")))
+
+    @settings(max_examples=100)
+    @given(st.integers(0, 2**32), st.integers(9, 60), st.floats(0.1, 0.5))
+    def test_repeated_losses_condemn_no_part(self, seed, engines, begun_share):
+        """Guards against refusing parts whose requests met several losses of many engines.
+
+        A third of the engines is lost every few seconds. Requests there are sent on; the parts of
+        those elsewhere survive.
+        """
+        rng = random.Random(seed)
+        quarantine = Quarantine(CFG)
+        parts = [f"m{i}" for i in range(4 * engines)]
+        pending: list[tuple[str, tuple[str, ...]]] = []
+        now = START
+        for wave in range(6):
+            now += STEP * rng.uniform(1.5, 3.0)
+            lost = set(rng.sample(range(engines), engines // 3))
+            new = [(f"r{wave}-{i}", ("p", rng.choice(parts))) for i in range(2 * engines)]
+            placed = [(rng.randrange(engines), request) for request in (*pending, *new)]
+            pending = [request for engine, request in placed if engine in lost]
+            for engine in lost:
+                here = [request for other, request in placed if other == engine]
+                begun = {name: has for name, has in here if rng.random() < begun_share}
+                names = tuple(sorted(name for name, _ in here))
+                record = DeathRecord(f"e{engine}", f"b{wave}", now, names, begun=begun)
+                quarantine.on_engine_death(now, record)
+            for engine, (_, has) in placed:
+                if engine not in lost:
+                    quarantine.on_survived(now + 0.3, has)
+            self.assertEqual(quarantine.crashing_parts(now + 0.4), frozenset())
+
     def test_requests_that_were_only_queued_prove_nothing(self):
         """Guards against blaming requests that the engine had not begun to answer."""
         records = [
@@ -136,8 +173,9 @@
         late = now + CFG.retention + 10
         self.add(*(death(9 + i, late + i * STEP, **{f"s{i}": ("worse",)}) for i in range(3)))
         self.assertTrue(is_condemned(self.judge(late + 3 * STEP, "worse")))
-        end = late + CFG.retention + 3 * STEP
+        end = late + CFG.part_retention + 3 * STEP
         self.assertEqual(self.judge(end, "worse"), ClearVerdict())
+        self.quarantine.expire(late + CFG.retention + 3 * STEP)
         self.assertFalse(self.quarantine.has_deaths)
 
     @settings(max_examples=200)
