Split the detection of bursts from the quarantine and name the guard's callback after its use

Read as a newcomer: quarantine.py held two decisions in 430 lines, on_survival was also called for new deaths, and a timeout was dropped by an empty handler. No change of behaviour.

--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -10,6 +10,7 @@
 from sapphireledge.core.quarantine.clearing_record import ClearingRecord
 from sapphireledge.core.quarantine.death_record import DeathRecord
 from sapphireledge.core.quarantine.find_crashing_parts import SOUND_TIME, find_crashing_parts
+from sapphireledge.core.quarantine.is_in_burst import is_in_burst
 from sapphireledge.core.quarantine.isolate_verdict import IsolateVerdict
 from sapphireledge.core.quarantine.suspect_state import SuspectState
 from sapphireledge.errors import ErrorKind, Failure
@@ -41,7 +42,8 @@
 
     The state consists of the merged death records and, for each fingerprint and part, the time of
     the latest clearing. Verdicts depend on this state only, so instances with the same records
-    reach the same verdict whatever the order in which the records arrived.
+    reach the same verdict whatever the order in which the records arrived. Survivals that this
+    instance sees count at once; `take_clearings` returns those that the others need to know.
 
     Times are Unix seconds because they are compared with those of other instances and of the
     platform.
@@ -307,48 +309,12 @@
         return sorted(deaths, key=lambda r: (r.time_unix, r.key))
 
     def _in_burst(self, death: DeathRecord) -> bool:
-        """Whether a death belongs to a burst, whose common cause lies outside the requests.
-
-        A burst is a group of at least `burst_size` deaths within one burst window, on different
-        backend servers, no two of which share a suspect: no single request can have caused them,
-        and no part of a prompt that engines have not survived since.
-        """
+        """Whether a death belongs to a burst, whose common cause lies outside the requests."""
         window = self._cfg.burst_window
         first = bisect_left(self._by_time, death.time_unix - window, key=lambda item: item[0])
         last = bisect_right(self._by_time, death.time_unix + window, key=lambda item: item[0])
-        own_suspects = self._suspects_of(death)
         nearby = [self._records[key] for _, key in self._by_time[first:last]]
-        nearby.sort(key=lambda r: (len(r.suspects), r.time_unix, r.key))
-        others = [
-            (other, suspects)
-            for other, suspects in ((r, self._suspects_of(r)) for r in nearby)
-            if other.backend != death.backend and own_suspects.isdisjoint(suspects)
-        ]
-        if len(others) < self._cfg.burst_size - 1:
-            return False
-        starts = {r.time_unix for r in nearby if r.time_unix <= death.time_unix}
-        return any(self._has_disjoint_group(death, own_suspects, others, start) for start in starts)
-
-    def _has_disjoint_group(
-        self,
-        death: DeathRecord,
-        own_suspects: set[str],
-        others: list[tuple[DeathRecord, set[str]]],
-        start: float,
-    ) -> bool:
-        """Whether the window that begins at `start` holds a burst that includes `death`."""
-        backends = {death.backend}
-        seen_suspects = set(own_suspects)
-        for other, suspects in others:
-            if not start <= other.time_unix <= start + self._cfg.burst_window:
-                continue
-            if other.backend in backends or not seen_suspects.isdisjoint(suspects):
-                continue
-            backends.add(other.backend)
-            seen_suspects |= suspects
-            if len(backends) >= self._cfg.burst_size:
-                return True
-        return False
+        return is_in_burst(death, nearby, self._suspects_of, self._cfg)
 
     def _suspects_of(self, death: DeathRecord) -> set[str]:
         """Returns the requests and parts that may have caused a death."""
--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -60,8 +60,9 @@
         self.on_clearing: Callable[[ClearingRecord], None] = lambda record: None
         """Called when a suspected request was answered completely."""
 
-        self.on_survival: Callable[[], None] = lambda: None
-        """Called when a server survived the beginning of an answer after deaths."""
+        self.on_news: Callable[[], None] = lambda: None
+        """Called when a survival may have to be shared: a server survived the beginning of an
+        answer after deaths, or new deaths are on record."""
 
         self._running = RunningRequests()
         self._work_ids = count()
@@ -76,28 +77,6 @@
         """Seconds for which deaths are kept."""
         return self._retention
 
-    def content(self, admitted: AdmittedRequest) -> RequestContent:
-        """Determines what identifies the content of a request.
-
-        Args:
-            admitted: The request.
-
-        Returns:
-            The content; ids and deadlines of the request do not affect it.
-        """
-        request = admitted.request
-        digest = xxhash.xxh3_128(request.method)
-        for value in (
-            request.host.encode(),
-            request.target,
-            admitted.workspace.encode(),
-            *(part.encode() for part in request.shared_parts),
-            request.affinity.encode() if request.shared_parts else b"",
-            request.body,
-        ):
-            digest.update(len(value).to_bytes(8, "big") + value)
-        return RequestContent(digest.hexdigest(), request.shared_parts)
-
     def judge(self, admitted: AdmittedRequest) -> ClearVerdict | IsolateVerdict | Failure:
         """Decides whether and how a request may run.
 
@@ -109,7 +88,7 @@
         """
         if not self.quarantine.has_deaths:
             return ClearVerdict()
-        content = self.content(admitted)
+        content = self._content(admitted)
         verdict = self.quarantine.verdict(time.time(), content.fingerprint, content.parts)
         if isinstance(verdict, Failure) and verdict.kind is ErrorKind.REQUEST_CONDEMNED:
             return replace(verdict, retry_after=self._retention)
@@ -171,7 +150,7 @@
             Identifier of the attempt for the other methods.
         """
         work_id = str(next(self._work_ids))
-        self._running.add(work_id, server.server_id, self.content(admitted), isolated=isolated)
+        self._running.add(work_id, server.server_id, self._content(admitted), isolated=isolated)
         return work_id
 
     def on_begun(self, work_id: str) -> None:
@@ -240,11 +219,26 @@
             self._log.info(GatewayEvent.PART_CLEARED, part=part)
         self._condemned = condemned
 
+    def _content(self, admitted: AdmittedRequest) -> RequestContent:
+        """Determines the content of a request; its ids and deadlines do not affect it."""
+        request = admitted.request
+        digest = xxhash.xxh3_128(request.method)
+        for value in (
+            request.host.encode(),
+            request.target,
+            admitted.workspace.encode(),
+            *(part.encode() for part in request.shared_parts),
+            request.affinity.encode() if request.shared_parts else b"",
+            request.body,
+        ):
+            digest.update(len(value).to_bytes(8, "big") + value)
+        return RequestContent(digest.hexdigest(), request.shared_parts)
+
     def _record_survival(self, content: RequestContent) -> None:
         """Records that a server survived the beginning of an answer."""
         self.quarantine.on_survived(time.time(), content.parts)
         if self.quarantine.has_deaths:
-            self.on_survival()
+            self.on_news()
 
     async def _confirm(self, server: BackendServer, record: DeathRecord) -> None:
         """Records a death unless the server accepts a new connection."""
--- a/src/sapphireledge/platform/crash_report_listener.py
+++ b/src/sapphireledge/platform/crash_report_listener.py
@@ -72,5 +72,5 @@
             if death.time_unix <= now + MAX_CLOCK_LEAD:
                 changed |= quarantine.on_engine_death(now, death)
         if changed:
-            self._crashes.on_survival()
+            self._crashes.on_news()
         return changed
--- a/src/sapphireledge/platform/crash_report_writer.py
+++ b/src/sapphireledge/platform/crash_report_writer.py
@@ -12,7 +12,7 @@
 from sapphireledge.core.quarantine import CrashReport
 from sapphireledge.errors import Failure
 from sapphireledge.feed import SourceError
-from sapphireledge.gateway import GatewayEvent
+from sapphireledge.gateway import GatewayEvent, wait_for_event
 
 if TYPE_CHECKING:
     from sapphireledge.core.quarantine import ClearingRecord, DeathRecord
@@ -71,7 +71,7 @@
         self._log = structlog.get_logger()
         crashes.on_death = self._add_death
         crashes.on_clearing = self._add_clearing
-        crashes.on_survival = self._news.set
+        crashes.on_news = self._news.set
 
     async def run(self) -> None:
         """Writes news until the task is cancelled."""
@@ -101,18 +101,12 @@
 
     async def _wait_for_news(self) -> None:
         """Waits for news and collects further ones; deaths are written sooner than clearings."""
-        try:
-            async with asyncio.timeout(CONNECTION_IDLE):
-                await self._news.wait()
-        except TimeoutError:
+        if not await wait_for_event(self._news, CONNECTION_IDLE):
             self._store.close()
             await self._news.wait()
-        try:
-            async with asyncio.timeout(SURVIVAL_DELAY * self._rng.uniform(1.0, 2.0)):
-                await self._death_news.wait()
+        delay = SURVIVAL_DELAY * self._rng.uniform(1.0, 2.0)
+        if await wait_for_event(self._death_news, delay):
             await asyncio.sleep(self._next_write_at - asyncio.get_running_loop().time())
-        except TimeoutError:
-            pass  # No death within the delay: the other news are due.
         self._news.clear()
         self._death_news.clear()
 
