Log what backend servers ask of their callers

The log could not tell whether the limit is not read, kept by each instance alone, or exceeded by repeats. Change: responses are decoded into ServerSignals in one place, the connection; a change is logged and counted, and so are successful attempts at a limited server. No decision uses it yet.

--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -13,6 +13,8 @@
 from sapphireledge.gateway.unread_reader import UnreadReader, open_unread_connection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sapphireledge.gateway.dialect import Dialect
     from sapphireledge.gateway.response_head import ResponseHead
 
@@ -58,6 +60,9 @@
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
         self._request: h11.Request | None = None
         self._is_complete = False
+        self.on_response: Callable[[ResponseHead], None] = lambda head: None
+        """Called with the head of the response to each request."""
+
         self.last_request_id = ""
         """Id of the latest request on this connection, empty if it had none."""
 
@@ -158,6 +163,7 @@
                 raise BackendResponseError("the response may belong to an earlier request")
             if head.request_id is None or head.request_id == request_id:
                 self.last_request_id = request_id
+                self.on_response(head)
                 return head
             await self._skip_mismatched_response()
         raise BackendResponseError("too many responses precede the response to the request")
--- a/src/sapphireledge/gateway/backend_state.py
+++ b/src/sapphireledge/gateway/backend_state.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.backpressure import ServerSignals
+
 if TYPE_CHECKING:
     from sapphireledge.gateway.backend_server import BackendServer
 
@@ -22,7 +24,14 @@
 class BackendState:
     """Requests in flight and recent outcomes of one backend server."""
 
-    __slots__ = ("_consecutive_failures", "failure_rate", "in_flight", "server", "suspended_until")
+    __slots__ = (
+        "_consecutive_failures",
+        "failure_rate",
+        "in_flight",
+        "server",
+        "signals",
+        "suspended_until",
+    )
 
     def __init__(self, server: BackendServer) -> None:
         self.server = server
@@ -37,6 +46,9 @@
         self.suspended_until = 0.0
         """Event loop time in seconds until which other servers are preferred."""
 
+        self.signals = ServerSignals()
+        """What the latest response of the server asks of its callers."""
+
         self._consecutive_failures = 0
 
     def on_success(self) -> None:
--- a/src/sapphireledge/gateway/connection_pool.py
+++ b/src/sapphireledge/gateway/connection_pool.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.response_head import ResponseHead
 
 __all__ = ["ConnectionPool"]
 
@@ -52,6 +53,9 @@
         """
         self._count_instances = count_instances
         self._idle: dict[str, list[BackendConnection]] = {}
+        self.on_response: Callable[[BackendServer, ResponseHead], None] = lambda server, head: None
+        """Called with the head of each response to a request of this instance."""
+
         self.connection_limit: Callable[[str], int] = lambda service: 0
         """Returns how many connections each server of the named service accepts from all instances
         together, 0 if unknown."""
@@ -93,7 +97,9 @@
                 break
             conn.abort()
         async with asyncio.timeout(CONNECT_TIMEOUT):
-            return await BackendConnection.open(server.host, server.port)
+            conn = await BackendConnection.open(server.host, server.port)
+        conn.on_response = lambda head: self.on_response(server, head)
+        return conn
 
     def release(self, server: BackendServer, conn: BackendConnection) -> None:
         """Returns a connection to the pool after a complete response.
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -10,15 +10,17 @@
 from sapphireledge.gateway.connection_pool import ConnectionPool
 from sapphireledge.gateway.crash_guard import CrashGuard
 from sapphireledge.gateway.engine_report_client import EngineReportClient
-from sapphireledge.gateway.outcome import Outcome, OutcomeKind
+from sapphireledge.gateway.outcome import MISDIRECTED, Outcome, OutcomeKind
 from sapphireledge.gateway.retry_allowance import RetryAllowance
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.dialect import Dialect
     from sapphireledge.gateway.gateway_settings import GatewaySettings
     from sapphireledge.gateway.request_telemetry import RequestTelemetry
+    from sapphireledge.gateway.response_head import ResponseHead
 
 __all__ = ["GatewayContext"]
 
@@ -45,6 +47,8 @@
         self.pool = ConnectionPool(lambda: self.count_instances())
         """Pool of connections to backend servers."""
 
+        self.pool.on_response = self._on_response
+
         self.report_client = EngineReportClient(self.pool, dialect)
         """Client for load reports and cache listings of engines."""
 
@@ -83,6 +87,16 @@
         """
         return self._estimators.setdefault(service, FirstEventEstimator())
 
+    def _on_response(self, server: BackendServer, head: ResponseHead) -> None:
+        """Takes over what a response says about the requests that its server takes."""
+        if head.status == MISDIRECTED:
+            return
+        state = self.registry.state(server.server_id)
+        if state is None or state.signals == head.signals:
+            return
+        state.signals = head.signals
+        self.telemetry.record_signals(server, head.signals)
+
     def record_outcome(self, outcome: Outcome) -> None:
         """Updates the state of a backend server from the outcome of an attempt.
 
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -52,6 +52,9 @@
     SERVER_UNREADABLE = "server_unreadable"
     """A registry entry of the store does not describe a valid backend server."""
 
+    SIGNALS_CHANGED = "server_signals_changed"
+    """A backend server asks for another request rate, for a pause, or for no new requests."""
+
     ENDPOINT_CLOSED = "endpoint_closed"
     """A readiness or metrics connection failed or timed out."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -81,6 +81,14 @@
         """Deaths of backend servers under requests of this instance, by whether one of the requests
         had just begun to be answered."""
 
+        self.server_signals = Counter(
+            "sapphireledge_server_signals",
+            "Changes of what backend servers ask of their callers.",
+            ["signal"],
+            registry=self._registry,
+        )
+        """Changes of what backend servers ask of their callers, by the strongest signal."""
+
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format.
 
--- a/src/sapphireledge/gateway/outcome.py
+++ b/src/sapphireledge/gateway/outcome.py
@@ -10,7 +10,7 @@
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.response_head import ResponseHead
 
-__all__ = ["Outcome", "OutcomeKind"]
+__all__ = ["MISDIRECTED", "Outcome", "OutcomeKind"]
 
 
 MISDIRECTED = 421
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
+    from sapphireledge.core.backpressure import ServerSignals
     from sapphireledge.core.placement import RefuseStream
     from sapphireledge.core.quarantine import DeathRecord
     from sapphireledge.errors import Failure
@@ -148,7 +149,9 @@
         """
         now = asyncio.get_running_loop().time()
         self._metrics.attempts.labels(outcome.kind.value).inc()
-        write = self._log.debug if outcome.kind is OutcomeKind.ANSWERED else self._log.info
+        rate_limit = None if outcome.head is None else outcome.head.signals.rate_limit
+        is_regular = outcome.kind is OutcomeKind.ANSWERED and rate_limit is None
+        write = self._log.debug if is_regular else self._log.info
         write(
             GatewayEvent.ATTEMPT_ENDED,
             request_id=admitted.request.request_id,
@@ -159,10 +162,28 @@
             reason=outcome.reason,
             stage=attempt.stage,
             events=attempt.events,
+            rate_limit=rate_limit,
             took_s=round(now - started, 3),
             left_s=round(admitted.deadline - now, 3),
         )
 
+    def record_signals(self, server: BackendServer, signals: ServerSignals) -> None:
+        """Logs and counts a change of what a backend server asks of its callers.
+
+        Args:
+            server: The server.
+            signals: What its latest response says.
+        """
+        self._metrics.server_signals.labels(_name_signal(signals)).inc()
+        self._log.info(
+            GatewayEvent.SIGNALS_CHANGED,
+            server=server.server_id,
+            service=server.service,
+            rate_limit=signals.rate_limit,
+            pause_s=signals.pause,
+            leaving=signals.is_leaving,
+        )
+
     def record_server_death(self, server: BackendServer, record: DeathRecord, reason: str) -> None:
         """Logs and counts the death of a backend server under requests of this instance.
 
@@ -302,3 +323,12 @@
             service=admitted.service.name,
             reason=reason,
         )
+
+
+def _name_signal(signals: ServerSignals) -> str:
+    """Names the strongest signal, for the metrics."""
+    if signals.is_leaving:
+        return "leaving"
+    if signals.pause is not None:
+        return "pause"
+    return "none" if signals.rate_limit is None else "rate_limit"
--- a/src/sapphireledge/gateway/response_head.py
+++ b/src/sapphireledge/gateway/response_head.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from sapphireledge.core.backpressure import ServerSignals
 
 __all__ = ["ResponseHead"]
 
@@ -37,3 +39,6 @@
 
     is_event_stream: bool = False
     """Whether the body is a series of server-sent events."""
+
+    signals: ServerSignals = field(default_factory=ServerSignals)
+    """What the backend server asks of its callers."""
--- a/src/sapphireledge/platform/header_names.py
+++ b/src/sapphireledge/platform/header_names.py
@@ -6,9 +6,11 @@
     "EXPECTED_SERVER",
     "HOP_BY_HOP",
     "LAST_EVENT",
+    "LEAVING",
     "NOT_EXECUTED",
     "NOT_FORWARDED",
     "PREFIX_PARTS",
+    "RATE_LIMIT",
     "REPLICA_SOURCE",
     "REPLICA_TARGET",
     "REQUEST_ID",
@@ -43,6 +45,12 @@
 REPLICA_SOURCE = b"kv-from"
 """Address of a server that holds a replica, a slash and the request id."""
 
+RATE_LIMIT = b"server-limit"
+"""Requests per second that the server takes from all instances together."""
+
+LEAVING = b"server-leaving"
+"""Set to 1 by a server that shuts down."""
+
 RESERVATION = b"x-sapphireledge-hold"
 PIN = b"x-sapphireledge-pin-ms"
 FETCH_SOURCE = b"kv-fetch"
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.backpressure import ServerSignals
 from sapphireledge.errors import ErrorKind, Ran
 from sapphireledge.gateway import CallerRequest, ResponseHead
 from sapphireledge.platform import header_names as names
@@ -21,6 +23,9 @@
 EVENT_STREAM = b"text/event-stream"
 """Media type of a series of server-sent events."""
 
+SERVICE_UNAVAILABLE = 503
+"""Status with which a backend server may ask for a pause."""
+
 MAX_DIGITS = 18
 """Digits of the largest number accepted in a header."""
 
@@ -96,6 +101,7 @@
             idle_timeout=_parse_keep_alive(values.get(b"keep-alive", b"")),
             closes_connection=b"close" in tokens,
             is_event_stream=values.get(b"content-type", b"").lower().startswith(EVENT_STREAM),
+            signals=_decode_signals(status, values),
         )
 
     def encode_report_request(
@@ -144,6 +150,27 @@
     return int(value)
 
 
+def _parse_decimal(value: bytes | None) -> float | None:
+    """Parses a non-negative decimal number; returns None for anything else."""
+    if value is None or len(value) > MAX_DIGITS:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0.0 else None
+
+
+def _decode_signals(status: int, values: dict[bytes, bytes]) -> ServerSignals:
+    """Decodes what a backend server asks of its callers; only a rejection asks for a pause."""
+    pause = _parse_decimal(values.get(b"retry-after")) if status == SERVICE_UNAVAILABLE else None
+    return ServerSignals(
+        rate_limit=_parse_decimal(values.get(names.RATE_LIMIT)),
+        pause=pause,
+        is_leaving=values.get(names.LEAVING, b"").strip() == b"1",
+    )
+
+
 def _split_prompt_parts(value: bytes) -> list[str]:
     """Extracts the ids of a prompt's parts; at least one, which is empty if there are none."""
     return [part.partition(b":")[0].strip().decode("latin-1") for part in value.split(b",")]
