Keep the request rate that a server names, over all instances together

What callers saw: nothing at once; servers in trouble got up to twice what they take (LIMIT). Cause: no decision read what a server says about the requests that it takes; choices knew only own requests in flight and failures. Ruled out: repeats and hedges (37 of 39 attempts at limited servers were first ones). Change: core/backpressure, pure, given time and randomness. Each instance takes an equal share of a named rate in evenly spaced slots that expire; a server without a slot is no candidate. Requests wait for a slot while they can be on time and are refused at once otherwise. Used by the gateway and by the own interface (header X-Request-Limit). Why it works: the sum of the shares is the rate, whatever instances know of each other.

--- a/src/sapphireledge/backends/__init__.py
+++ b/src/sapphireledge/backends/__init__.py
@@ -9,6 +9,7 @@
 from sapphireledge.backends.call_failure import CallFailure
 from sapphireledge.backends.call_failure_cause import CallFailureCause
 from sapphireledge.backends.connection_pools import ConnectionPools
+from sapphireledge.backends.decode_signals import decode_signals
 from sapphireledge.backends.engine_client import EngineClient
 from sapphireledge.backends.engine_order import EngineOrder, OrderResult, OrderStatus
 from sapphireledge.backends.generation_call import GenerationCall
@@ -45,6 +46,7 @@
     "ServiceResponse",
     "StreamEvent",
     "StreamToken",
+    "decode_signals",
     "prefix_block_hashes",
     "prompt_text",
 ]
--- a/src/sapphireledge/backends/attempt_started.py
+++ b/src/sapphireledge/backends/attempt_started.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from sapphireledge.core.backpressure import ServerSignals
 
 __all__ = ["AttemptStarted"]
 
@@ -13,3 +15,6 @@
 
     attempt: int
     """Number of the attempt."""
+
+    signals: ServerSignals = field(default_factory=ServerSignals)
+    """What the engine asks of its callers."""
--- a/src/sapphireledge/backends/call_failure.py
+++ b/src/sapphireledge/backends/call_failure.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from sapphireledge.backends.call_failure_cause import CallFailureCause
+    from sapphireledge.core.backpressure import ServerSignals
     from sapphireledge.errors import Ran
 
 __all__ = ["CallFailure"]
@@ -31,3 +32,6 @@
 
     retry_after: float | None = None
     """Seconds to wait before a retry, as requested by the server."""
+
+    signals: ServerSignals | None = None
+    """What the server asks of its callers, None without a response."""
--- /dev/null
+++ b/src/sapphireledge/backends/decode_signals.py
@@ -0,0 +1,37 @@
+"""Decoding of what a backend server asks of its callers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.backpressure import ServerSignals
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["decode_signals"]
+
+RATE_LIMIT = "x-request-limit"
+"""Header with the requests per second that the server takes from all instances together."""
+
+
+def decode_signals(headers: Mapping[str, str]) -> ServerSignals:
+    """Decodes the signals of a response.
+
+    Args:
+        headers: Header fields with lower-case names.
+
+    Returns:
+        The signals; a value that is not a number is ignored.
+    """
+    return ServerSignals(rate_limit=_parse_decimal(headers.get(RATE_LIMIT, "")))
+
+
+def _parse_decimal(text: str) -> float | None:
+    """Parses a non-negative decimal number; returns None for anything else."""
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0.0 else None
--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import quote
 
@@ -25,6 +26,7 @@
 from sapphireledge.backends.cache_page import CachePage
 from sapphireledge.backends.call_failure import CallFailure
 from sapphireledge.backends.call_failure_cause import CallFailureCause
+from sapphireledge.backends.decode_signals import decode_signals
 from sapphireledge.backends.engine_order import OrderResult, OrderStatus
 from sapphireledge.backends.load_report import LoadReport
 from sapphireledge.backends.probe_result import ProbeResult
@@ -128,7 +130,7 @@
             return
         chunks = response.read_chunks()
         try:
-            yield AttemptStarted(call.attempt)
+            yield AttemptStarted(call.attempt, decode_signals(response.headers))
             async for event in self._read_events(call, chunks):
                 yield event
                 if type(event) is AttemptFinished:
@@ -312,9 +314,10 @@
         if response.status_code != 200:
             reply = await read_reply(response, BODY_TIMEOUT)
             text = reply.body if isinstance(reply, HttpReply) else b""
-            return classify_error_response(
+            failure = classify_error_response(
                 response.status_code, text, response.headers.get("retry-after", "")
             )
+            return replace(failure, signals=decode_signals(response.headers))
         # Unless the response is chunked, aiosonic has already returned its connection to the pool,
         # so the response must not be read.
         chunked = response.headers.get("transfer-encoding", "").lower() == "chunked"
--- a/src/sapphireledge/core/backpressure/__init__.py
+++ b/src/sapphireledge/core/backpressure/__init__.py
@@ -1,7 +1,10 @@
-"""What backend servers ask of their callers: a request rate, a pause, or no new requests."""
+"""What backend servers ask of their callers, and when a request may be sent to them."""
 
 from __future__ import annotations
 
+from sapphireledge.core.backpressure.backpressure_limits import BackpressureLimits
+from sapphireledge.core.backpressure.request_pacer import RequestPacer
+from sapphireledge.core.backpressure.server_backpressure import ServerBackpressure
 from sapphireledge.core.backpressure.server_signals import ServerSignals
 
-__all__ = ["ServerSignals"]
+__all__ = ["BackpressureLimits", "RequestPacer", "ServerBackpressure", "ServerSignals"]
--- /dev/null
+++ b/src/sapphireledge/core/backpressure/backpressure_limits.py
@@ -0,0 +1,20 @@
+"""Limits of how requests to a server are held back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["BackpressureLimits"]
+
+
+@dataclass(frozen=True, slots=True)
+class BackpressureLimits:
+    """Limits of how requests to a server are held back."""
+
+    burst_time: float = 1.0
+    """Seconds for which an unused slot of a paced server can still be used. All instances together
+    can exceed the rate of the server by the requests of this time."""
+
+    min_rate: float = 0.1
+    """Requests per second that a server gets from all instances in any case. Only a response shows
+    that its limit has ended."""
--- /dev/null
+++ b/src/sapphireledge/core/backpressure/server_backpressure.py
@@ -0,0 +1,72 @@
+"""Decides when one instance may send requests to one server.
+
+Load pattern: a server in trouble names the rate of requests that it takes from all instances
+together. The instances do not coordinate, so each takes an equal share of the rate, and the rest of
+its requests go to other servers, wait, or are refused.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.backpressure.request_pacer import RequestPacer
+from sapphireledge.core.backpressure.server_signals import ServerSignals
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sapphireledge.core.backpressure.backpressure_limits import BackpressureLimits
+
+__all__ = ["ServerBackpressure"]
+
+
+class ServerBackpressure:
+    """What one incarnation of a server asks of this instance, by its latest response."""
+
+    __slots__ = ("_limits", "_pacer", "signals")
+
+    def __init__(self, limits: BackpressureLimits, rng: Random) -> None:
+        """Creates the state of a server that has asked for nothing.
+
+        Args:
+            limits: Limits.
+            rng: Source of the time of the first slot at a server that names a rate.
+        """
+        self.signals = ServerSignals()
+        """Signals of the latest response."""
+
+        self._limits = limits
+        self._pacer = RequestPacer(limits, rng)
+
+    def on_response(self, now: float, signals: ServerSignals, instances: int) -> None:
+        """Applies the signals of a response.
+
+        Args:
+            now: Current time in seconds.
+            signals: Signals of the response.
+            instances: Number of instances that share the rate of the server, at least 1.
+        """
+        self.signals = signals
+        rate = signals.rate_limit
+        if rate is not None:
+            rate = max(rate, self._limits.min_rate) / max(1, instances)
+        self._pacer.set_rate(now, rate)
+
+    def next_at(self, now: float) -> float:
+        """Computes when the next request may be sent to the server.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            Time in seconds, at least `now`.
+        """
+        return self._pacer.next_at(now)
+
+    def take(self, now: float) -> None:
+        """Records that a request is sent, or will be sent when `next_at` is reached.
+
+        Args:
+            now: Current time in seconds.
+        """
+        self._pacer.take(now)
--- a/src/sapphireledge/core/placement/placement_limits.py
+++ b/src/sapphireledge/core/placement/placement_limits.py
@@ -45,5 +45,12 @@
     """Seconds between two placements of a waiting stream that can still be on time, about the age
     of a report."""
 
+    shortest_retry_after: float = 0.5
+    """Shortest Retry-After in seconds for a stream that no engine takes."""
+
+    longest_retry_after: float = 5.0
+    """Longest Retry-After in seconds for a stream that no engine takes; other instances may have an
+    engine sooner."""
+
     late_retry_interval: float = 0.6
     """The same for a stream that is late."""
--- a/src/sapphireledge/core/placement/placement_rule.py
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -108,6 +108,36 @@
         interval = limits.retry_interval if can_be_on_time else limits.late_retry_interval
         return WaitForEngine(interval * self._rng.uniform(0.6, 1.4), estimate)
 
+    def decide_without_engine(
+        self,
+        now: float,
+        stream: PendingStream,
+        admission_at: float,
+        estimator: FirstEventEstimator,
+        *,
+        may_wait: bool = True,
+    ) -> WaitForEngine | RefuseStream:
+        """Decides whether a stream waits while no engine takes requests.
+
+        Args:
+            now: Current time in seconds.
+            stream: The stream.
+            admission_at: Time at which the first engine takes a request.
+            estimator: Estimate of the time to the first event.
+            may_wait: Whether the stream may wait; not while the instance is stopping.
+
+        Returns:
+            The decision.
+        """
+        limits = self._limits
+        delay = admission_at - now
+        estimate = delay + estimator.estimate(0.0)
+        if may_wait and now + estimate < min(stream.leaves_at, stream.deadline):
+            interval = min(max(delay, 0.0), limits.retry_interval)
+            return WaitForEngine(interval * self._rng.uniform(0.6, 1.4), estimate)
+        retry_after = min(delay, limits.longest_retry_after) * self._rng.uniform(0.5, 1.0)
+        return RefuseStream(estimate, max(limits.shortest_retry_after, retry_after))
+
     def has_room_for_copies(self, stream: PendingStream, views: Sequence[EngineView]) -> bool:
         """Decides whether the KV cache of a stream is copied to a standby.
 
--- a/src/sapphireledge/core/routing/backend_state.py
+++ b/src/sapphireledge/core/routing/backend_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from sapphireledge.core.backpressure import ServerBackpressure
     from sapphireledge.core.routing._pool import Tier
     from sapphireledge.core.routing.backend_instance import BackendInstance
     from sapphireledge.core.routing.load_report import LoadReport
@@ -20,7 +21,9 @@
     """State of one backend server as an instance sees it."""
 
     __slots__ = (
+        "backpressure",
         "boot_id",
+        "held_until",
         "in_flight",
         "instance",
         "isolated",
@@ -34,7 +37,7 @@
         "unreachable_since",
     )
 
-    def __init__(self, instance: BackendInstance, tier: Tier):
+    def __init__(self, instance: BackendInstance, tier: Tier, backpressure: ServerBackpressure):
         self.instance = instance
         """Its entry in the instance list."""
         self.tier = tier
@@ -45,6 +48,10 @@
         """Latest load report."""
         self.leaving = instance.leaving
         """Whether it is leaving; stays set until the engine reports a new boot id."""
+        self.backpressure = backpressure
+        """Decides when requests may be sent to it."""
+        self.held_until: float | None = None
+        """Time in seconds until which it takes no requests; None while it takes them."""
         self.unreachable_since: float | None = None
         """Time of the last failed connection, in seconds; None while it counts as reachable."""
         self.in_flight: set[str] = set()
@@ -82,17 +89,20 @@
         if len(self.load_changes) > MAX_LOAD_CHANGES:
             self.load_change_since_report -= self.load_changes.popleft()[1]
 
-    def reset(self, boot_id: str) -> None:
+    def reset(self, boot_id: str, backpressure: ServerBackpressure) -> None:
         """Resets the state for a new incarnation of the engine, which has none of the old work.
 
         A leaving signal from the engine itself is cleared; one from the instance list is kept.
 
         Args:
             boot_id: Boot id of the new incarnation.
+            backpressure: State of an incarnation that has asked for nothing.
         """
         self.boot_id = boot_id
         self.report = None
         self.leaving = self.instance.leaving
+        self.backpressure = backpressure
+        self.held_until = None
         self.unreachable_since = None
         self.in_flight.clear()
         self.suspects.clear()
--- a/src/sapphireledge/core/routing/backend_view.py
+++ b/src/sapphireledge/core/routing/backend_view.py
@@ -4,9 +4,11 @@
 
 from collections import OrderedDict
 from heapq import heappop, heappush
+from random import Random
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.admission import Capacity
+from sapphireledge.core.backpressure import BackpressureLimits, ServerBackpressure
 from sapphireledge.core.routing._pool import Pool, Tier
 from sapphireledge.core.routing.backend_state import BackendState
 from sapphireledge.core.routing.prefix_index import PrefixIndex
@@ -15,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from sapphireledge.core.backpressure import ServerSignals
     from sapphireledge.core.routing.backend_instance import BackendInstance
     from sapphireledge.core.routing.cache_event import CacheEvent
     from sapphireledge.core.routing.load_report import LoadReport
@@ -31,6 +34,9 @@
 MAX_DEPARTED = 4096
 """Maximum number of leaving incarnations remembered after they left the instance list."""
 
+BACKPRESSURE_LIMITS = BackpressureLimits()
+"""How requests are held back from backend servers that ask for it."""
+
 UNREACHABLE_TIME = 2.0
 """Time in seconds for which a plain service is excluded after a failed connection."""
 
@@ -43,7 +49,14 @@
     decision does not depend on the number of backend servers.
     """
 
-    def __init__(self, cfg: RoutingSettings, instance: str, data_centre: str, region: str):
+    def __init__(
+        self,
+        cfg: RoutingSettings,
+        instance: str,
+        data_centre: str,
+        region: str,
+        rng: Random | None = None,
+    ):
         self._cfg = cfg
         self._instance = instance
         self._data_centre = data_centre
@@ -54,6 +67,7 @@
         self._report_times: OrderedDict[str, float] = OrderedDict()
         self._departed: OrderedDict[str, str] = OrderedDict()
         self._retry_times: list[tuple[float, str]] = []
+        self._rng = rng or Random()
         self.prefixes = PrefixIndex(cfg.cache_half_life)
         """Hints about which engine has cached which prompt prefix."""
 
@@ -73,7 +87,9 @@
         for name, instance in listed.items():
             state = self._states.get(name)
             if state is None:
-                state = self._states[name] = BackendState(instance, self._tier_of(instance))
+                state = self._states[name] = BackendState(
+                    instance, self._tier_of(instance), self._create_backpressure()
+                )
             elif state.instance == instance:
                 continue
             self._leave_pools(state)
@@ -112,7 +128,7 @@
         if report.boot_id != state.boot_id:
             if state.boot_id:
                 self._leave_pools(state)
-                state.reset(report.boot_id)
+                state.reset(report.boot_id, self._create_backpressure())
             state.boot_id = report.boot_id
             state.leaving = state.leaving or self._departed.get(report.backend) == report.boot_id
             self.prefixes.on_boot(now, report.backend, report.boot_id)
@@ -153,6 +169,8 @@
             state.suspects.add(work_id)
         if isolate:
             state.isolated.add(work_id)
+        state.backpressure.take(now)
+        self._update_hold(now, state)
         state.record_load_change(now, 1)
         if prefixes:
             self.prefixes.on_stored(now, backend, prefixes)
@@ -199,6 +217,20 @@
         state.leaving = True
         self._update_pools(state)
 
+    def on_response(self, now: float, backend: str, signals: ServerSignals) -> None:
+        """Applies what a response says about the requests that its backend server takes.
+
+        Args:
+            now: Current time in seconds.
+            backend: Name of the backend server.
+            signals: Signals of the response.
+        """
+        state = self._states.get(backend)
+        if state is None:
+            return
+        state.backpressure.on_response(now, signals, len(self._entries))
+        self._update_hold(now, state)
+
     def on_unreachable(self, now: float, backend: str) -> None:
         """Records that a connection to a backend server failed.
 
@@ -294,12 +326,31 @@
         while self._retry_times and self._retry_times[0][0] <= now:
             _, name = heappop(self._retry_times)
             state = self._states.get(name)
-            if state is None or state.unreachable_since is None:
+            if state is None:
+                continue
+            if state.held_until is not None:
+                self._update_hold(now, state)
+            if state.unreachable_since is None or state.instance.reports_load:
                 continue
             if now - state.unreachable_since >= UNREACHABLE_TIME:
                 state.unreachable_since = None
                 self._update_pools(state)
 
+    def _create_backpressure(self) -> ServerBackpressure:
+        """Creates the state of a backend server that has asked for nothing."""
+        return ServerBackpressure(BACKPRESSURE_LIMITS, self._rng)
+
+    def _update_hold(self, now: float, state: BackendState) -> None:
+        """Takes a backend server out of its pools until it takes requests again."""
+        admitted_at = state.backpressure.next_at(now)
+        held_until = admitted_at if admitted_at > now else None
+        if held_until == state.held_until:
+            return
+        state.held_until = held_until
+        if held_until is not None:
+            heappush(self._retry_times, (held_until, state.instance.name))
+        self._update_pools(state)
+
     def _remove(self, now: float, name: str) -> None:
         """Removes a backend server that is no longer listed."""
         state = self._states.pop(name)
@@ -314,7 +365,7 @@
 
     def _pool_keys(self, state: BackendState) -> tuple[PoolKey, ...]:
         """Returns the keys of the pools that a backend server can currently serve."""
-        if state.leaving or state.unreachable_since is not None:
+        if state.leaving or state.unreachable_since is not None or state.held_until is not None:
             return ()
         if not state.instance.reports_load:
             return (("", "", state.instance.role),)
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -380,7 +380,7 @@
         now = time.monotonic()
         if isinstance(event, AttemptStarted):
             grant.on_started(now)
-            self._ctx.pool.on_started(grant)
+            self._ctx.pool.on_started(grant, event)
             return True
         if isinstance(event, AttemptFinished):
             self._apply(self._machine.on_finished(now, attempt, event.total, event.reason))
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -37,7 +37,7 @@
     from collections.abc import Callable
     from random import Random
 
-    from sapphireledge.backends import ConnectionPools
+    from sapphireledge.backends import AttemptStarted, ConnectionPools
     from sapphireledge.core.admission import UsageLedger
     from sapphireledge.core.config import ConfigState
     from sapphireledge.core.declarations import Deployment
@@ -222,12 +222,14 @@
         self._deaths.on_survived(req.parts)
         self._suspects.report_completion(req.fingerprint)
 
-    def on_started(self, grant: Grant) -> None:
+    def on_started(self, grant: Grant, event: AttemptStarted) -> None:
         """Handles an engine that began to answer.
 
         Args:
             grant: Grant of the attempt.
+            event: What the engine answered.
         """
+        self._view.on_response(time.monotonic(), grant.backend, event.signals)
         self._deaths.on_begun(grant.work_id)
 
     def on_token(self, grant: Grant) -> None:
@@ -246,6 +248,8 @@
             event: How the call failed.
         """
         now = time.monotonic()
+        if event.signals is not None:
+            self._view.on_response(now, grant.backend, event.signals)
         if event.cause is CallFailureCause.LEAVING:
             self._view.on_leaving(now, grant.backend, grant.boot_id)
             self._suspects.report_leaving(grant.backend)
--- a/src/sapphireledge/entry/service_dispatcher.py
+++ b/src/sapphireledge/entry/service_dispatcher.py
@@ -6,7 +6,7 @@
 import uuid
 from typing import TYPE_CHECKING
 
-from sapphireledge.backends import CallFailureCause, ServiceClient, ServiceResponse
+from sapphireledge.backends import CallFailureCause, ServiceClient, ServiceResponse, decode_signals
 from sapphireledge.core.claims import NoResponse, NotSent, ServiceOutcome
 from sapphireledge.core.routing import Router, RouteRequest
 from sapphireledge.entry.service_call import ServiceCall
@@ -94,6 +94,8 @@
         finally:
             self._view.on_end(time.monotonic(), choice.backend, work_id)
         if isinstance(result, ServiceResponse):
+            signals = decode_signals(result.headers)
+            self._view.on_response(time.monotonic(), choice.backend, signals)
             content_type = result.headers.get("content-type", DEFAULT_CONTENT_TYPE)
             return ServiceOutcome(result.status, content_type, result.body)
         if result.cause is CallFailureCause.NOT_CONNECTED:
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from operator import itemgetter
+from random import Random
 from typing import TYPE_CHECKING
 
 import xxhash
 
+from sapphireledge.core.backpressure import BackpressureLimits, ServerBackpressure
 from sapphireledge.gateway.backend_state import BackendState
 
 if TYPE_CHECKING:
@@ -29,6 +31,9 @@
 SUSPENDED_COST = 100.0
 """Cost of a suspended server, in requests in flight; it is used only if all others failed too."""
 
+BACKPRESSURE_LIMITS = BackpressureLimits()
+"""How requests are held back from servers that ask for it."""
+
 SUSPECT_CENTRE_LOSSES = 2
 """Servers of a data centre that must become unreachable within `SUSPECT_CENTRE_WINDOW` for the
 whole data centre to be treated as suspect."""
@@ -60,6 +65,7 @@
         self._orders: dict[str, list[BackendState]] = {}
         self._recent_losses: dict[str, list[tuple[float, str]]] = {}
         self._suspect_until: dict[str, float] = {}
+        self._rng = Random()
 
     def __len__(self) -> int:
         return len(self._states)
@@ -78,7 +84,8 @@
             self.remove(server.server_id)
             state = None
         if state is None:
-            state = BackendState(server)
+            backpressure = ServerBackpressure(BACKPRESSURE_LIMITS, self._rng)
+            state = BackendState(server, backpressure)
             self._states[server.server_id] = state
             self._by_service.setdefault(server.service, {})[server.server_id] = state
             self._orders.pop(server.service, None)
@@ -136,7 +143,7 @@
         excluded: Collection[str] = (),
         deprioritized_centres: Collection[str] = (),
     ) -> BackendServer | None:
-        """Chooses the backend server with the lowest cost.
+        """Chooses the backend server with the lowest cost that takes a request now.
 
         Ties are broken by rendezvous hashing over the affinity key, so that a repeated request
         reaches the server whose prompt cache already holds its prompt, whichever instance
@@ -153,7 +160,77 @@
             The server, or None if none is available.
         """
         ranked = self.rank_servers(now, service, affinity, excluded, deprioritized_centres)
-        return ranked[0] if ranked else None
+        return next((server for server in ranked if self.admits(now, server.server_id)), None)
+
+    def admits(self, now: float, server_id: str) -> bool:
+        """Checks whether a request may be sent to a server now.
+
+        Args:
+            now: Event loop time in seconds.
+            server_id: Server id.
+
+        Returns:
+            False if the server is draining, unknown, or takes no request now.
+        """
+        state = self._states.get(server_id)
+        return (
+            state is not None
+            and not state.server.draining
+            and state.backpressure.next_at(now) <= now
+        )
+
+    def try_take(self, now: float, server_id: str) -> bool:
+        """Records that a request is sent to a server, if the server takes one now.
+
+        Args:
+            now: Event loop time in seconds.
+            server_id: Server id.
+
+        Returns:
+            Whether the request may be sent.
+        """
+        if not self.admits(now, server_id):
+            return False
+        self._states[server_id].backpressure.take(now)
+        return True
+
+    def next_admission(self, now: float, service: str, excluded: Collection[str] = ()) -> float:
+        """Computes when the next request of a service may be sent to one of its servers.
+
+        Args:
+            now: Event loop time in seconds.
+            service: Name of the service.
+            excluded: Ids of servers to leave out.
+
+        Returns:
+            Event loop time in seconds, infinite without a server.
+        """
+        states = self._iter_available(service, excluded)
+        return min((state.backpressure.next_at(now) for state in states), default=float("inf"))
+
+    def reserve(
+        self, now: float, latest: float, service: str, excluded: Collection[str] = ()
+    ) -> tuple[BackendServer, float] | None:
+        """Reserves the next time at which a server of a service takes a request.
+
+        Args:
+            now: Event loop time in seconds.
+            latest: Event loop time in seconds after which a request is of no use.
+            service: Name of the service.
+            excluded: Ids of servers to leave out.
+
+        Returns:
+            The server and the time at which the request may be sent, or None if there is none.
+        """
+        states = list(self._iter_available(service, excluded))
+        if not states:
+            return None
+        state = min(states, key=lambda candidate: candidate.backpressure.next_at(now))
+        send_at = state.backpressure.next_at(now)
+        if send_at > latest:
+            return None
+        state.backpressure.take(now)
+        return state.server, send_at
 
     def rank_servers(
         self,
--- a/src/sapphireledge/gateway/backend_state.py
+++ b/src/sapphireledge/gateway/backend_state.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.backpressure import ServerSignals
-
 if TYPE_CHECKING:
+    from sapphireledge.core.backpressure import ServerBackpressure
     from sapphireledge.gateway.backend_server import BackendServer
 
 __all__ = ["BackendState"]
@@ -26,14 +25,14 @@
 
     __slots__ = (
         "_consecutive_failures",
+        "backpressure",
         "failure_rate",
         "in_flight",
         "server",
-        "signals",
         "suspended_until",
     )
 
-    def __init__(self, server: BackendServer) -> None:
+    def __init__(self, server: BackendServer, backpressure: ServerBackpressure) -> None:
         self.server = server
         """Latest description of the server."""
 
@@ -46,8 +45,8 @@
         self.suspended_until = 0.0
         """Event loop time in seconds until which other servers are preferred."""
 
-        self.signals = ServerSignals()
-        """What the latest response of the server asks of its callers."""
+        self.backpressure = backpressure
+        """Decides when requests may be sent to the server."""
 
         self._consecutive_failures = 0
 
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -13,7 +13,6 @@
     PlacementLimits,
     PlacementRule,
     RefuseStream,
-    StartStream,
     WaitForEngine,
 )
 from sapphireledge.gateway.engine_selection import EngineSelection
@@ -87,12 +86,10 @@
             The selection, a refusal, or None if no engine is available.
         """
         replica_source = progress.take_replica_holder()
-        if replica_source is not None and self._context.registry.is_available(
-            replica_source.server_id
-        ):
+        if replica_source is not None and self._try_take(replica_source):
             return self._select_known(admitted, progress, replica_source, replica_source)
         holder = await self._find_prompt_holder(admitted, progress)
-        if holder is not None:
+        if holder is not None and self._try_take(holder):
             return self._select_known(admitted, progress, holder)
         selection = await self._place(admitted, progress, avoided)
         if isinstance(selection, EngineSelection) and selection.prompts_ahead is not None:
@@ -111,6 +108,10 @@
         standby = self._rank_standby(admitted, progress, server)
         return EngineSelection(server, standby, replica_source)
 
+    def _try_take(self, server: BackendServer) -> bool:
+        """Records a request to an engine, if the engine takes one now."""
+        return self._context.registry.try_take(asyncio.get_running_loop().time(), server.server_id)
+
     def _record_dispatch(self, server: BackendServer) -> None:
         """Remembers a dispatch that the engine's next reports may not include."""
         self._recent_dispatches.append((asyncio.get_running_loop().time(), server.server_id))
@@ -123,17 +124,20 @@
         loop = asyncio.get_running_loop()
         estimator = context.first_event_estimator(admitted.service.name)
         for attempt in count():
-            excluded = progress.failed_engines | avoided
+            excluded = self._choose_excluded(admitted, progress, avoided)
             candidates = self._list_candidates(admitted, excluded, attempt)
-            if not candidates and avoided:
-                candidates = self._list_candidates(admitted, progress.failed_engines, attempt)
-            if not candidates and progress.failed_engines:
-                candidates = self._list_candidates(admitted, set(), attempt)
-            if len(candidates) < 2:
-                return self._select_known(admitted, progress, candidates[0]) if candidates else None
-            views = await self._fetch_views(admitted, candidates)
+            if not candidates and self._next_admission(admitted, excluded) == float("inf"):
+                return None
+            if not candidates:
+                refusal = await self._wait_for_admission(admitted, progress, excluded)
+                if refusal is None:
+                    continue
+                return None if progress.may_have_executed else refusal
+            views = [] if len(candidates) < 2 else await self._fetch_views(admitted, candidates)
             if not views:
-                return self._select_known(admitted, progress, candidates[0])
+                if self._try_take(candidates[0]):
+                    return self._select_known(admitted, progress, candidates[0])
+                continue
             stream = _describe_pending(admitted, progress, loop.time())
             decision = self._rule.decide(
                 loop.time(),
@@ -149,15 +153,49 @@
                 context.telemetry.record_placement(admitted, decision, costs, silent, attempt)
             if isinstance(decision, RefuseStream):
                 return decision
-            if isinstance(decision, StartStream):
+            if isinstance(decision, WaitForEngine):
+                await asyncio.sleep(decision.delay)
+                continue
+            server = next(s for s in candidates if s.server_id == decision.engine)
+            # The engine may have asked for fewer requests in the report.
+            if self._try_take(server):
                 ahead = next(v.prompts_ahead for v in views if v.engine == decision.engine)
-                by_id = {server.server_id: server for server in candidates}
-                server = by_id[decision.engine]
-                standby = None
-                if self._rule.has_room_for_copies(stream, views):
-                    standby = self._rank_standby(admitted, progress, server)
+                has_room = self._rule.has_room_for_copies(stream, views)
+                standby = self._rank_standby(admitted, progress, server) if has_room else None
                 return EngineSelection(server, standby, None, ahead, decision.is_late)
-            await asyncio.sleep(decision.delay)
+        return None
+
+    def _choose_excluded(
+        self, admitted: AdmittedRequest, progress: StreamProgress, avoided: frozenset[str]
+    ) -> frozenset[str]:
+        """Returns the ids of the engines to leave out; they are used if there are no others."""
+        failed = frozenset(progress.failed_engines)
+        for excluded in (failed | avoided, failed):
+            if self._next_admission(admitted, excluded) < float("inf"):
+                return excluded
+        return frozenset()
+
+    def _next_admission(self, admitted: AdmittedRequest, excluded: frozenset[str]) -> float:
+        """Computes when an engine takes a request; infinite if all engines are left out."""
+        now = asyncio.get_running_loop().time()
+        return self._context.registry.next_admission(now, admitted.service.name, excluded)
+
+    async def _wait_for_admission(
+        self, admitted: AdmittedRequest, progress: StreamProgress, excluded: frozenset[str]
+    ) -> RefuseStream | None:
+        """Waits for an engine that takes requests again; returns a refusal if that is too late."""
+        context = self._context
+        now = asyncio.get_running_loop().time()
+        decision = self._rule.decide_without_engine(
+            now,
+            _describe_pending(admitted, progress, now),
+            self._next_admission(admitted, excluded),
+            context.first_event_estimator(admitted.service.name),
+            may_wait=not context.is_stopping(),
+        )
+        if isinstance(decision, RefuseStream):
+            return decision
+        await asyncio.sleep(decision.delay)
         return None
 
     async def _fetch_views(
@@ -225,9 +263,9 @@
         return True
 
     def _list_candidates(
-        self, admitted: AdmittedRequest, excluded: set[str], attempt: int
+        self, admitted: AdmittedRequest, excluded: frozenset[str], attempt: int
     ) -> list[BackendServer]:
-        """Lists the engines of which a stream is offered the best one.
+        """Lists the engines that take requests now, of which a stream is offered the best one.
 
         A stream that waits is offered the engines that this instance prefers, and from time to time
         others: when an engine becomes idle, streams wait for it at all instances.
@@ -245,6 +283,8 @@
         local: list[BackendServer] = []
         remote: list[BackendServer] = []
         for server in ranked:
+            if not registry.admits(now, server.server_id):
+                continue
             (local if server.data_centre == local_centre else remote).append(server)
             if len(local) >= LOCAL_CANDIDATES * (skipped + 1) and len(
                 remote
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -92,10 +92,12 @@
         if head.status == MISDIRECTED:
             return
         state = self.registry.state(server.server_id)
-        if state is None or state.signals == head.signals:
+        if state is None:
             return
-        state.signals = head.signals
-        self.telemetry.record_signals(server, head.signals)
+        if state.backpressure.signals != head.signals:
+            self.telemetry.record_signals(server, head.signals)
+        now = asyncio.get_running_loop().time()
+        state.backpressure.on_response(now, head.signals, self.count_instances())
 
     def record_outcome(self, outcome: Outcome) -> None:
         """Updates the state of a backend server from the outcome of an attempt.
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from functools import partial
+from random import Random
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.quarantine import ClearVerdict, IsolateVerdict
@@ -32,8 +34,8 @@
 """
 
 RETRY_AFTER = 0.3
-"""Retry-After in seconds for refused requests; they are refused because servers are full or have
-just failed."""
+"""Shortest Retry-After in seconds for refused requests; they are refused because servers are full,
+have just failed, or have reached the rate that they take."""
 
 MIN_ATTEMPT_TIME = 0.02
 """Seconds that must remain before the deadline to start an attempt; no server responds sooner."""
@@ -44,6 +46,7 @@
 
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
+        self._rng = Random()
         self._background: set[asyncio.Task[Outcome]] = set()
 
     async def forward(self, conn: CallerConnection, admitted: AdmittedRequest) -> Failure | None:
@@ -82,12 +85,14 @@
             task = None
             if not isinstance(verdict, Failure):
                 task = self._start_attempt(admitted, tried_servers, verdict)
+                if task is None and not attempts:
+                    task = await self._start_reserved_attempt(admitted, tried_servers, verdict)
             if task is not None:
                 attempts.add(task)
             elif not attempts:
                 if isinstance(verdict, Failure) and not outcomes:
                     return verdict
-                return _unanswered_result(outcomes)
+                return _unanswered_result(outcomes, self._compute_retry_after(admitted))
             time_left = admitted.deadline - loop.time()
             wait = (
                 min(time_left, admitted.route.target * HEDGE_SHARE)
@@ -110,7 +115,7 @@
                 if not outcomes or (attempts and outcomes[-1].kind is not OutcomeKind.FAILED):
                     reason = "no backend server responded in time"
                     return Failure(ErrorKind.DEADLINE_EXCEEDED, reason, Ran.UNKNOWN)
-                return _unanswered_result(outcomes)
+                return _unanswered_result(outcomes, self._compute_retry_after(admitted))
 
     async def _judge(
         self, admitted: AdmittedRequest, tried_servers: set[str]
@@ -127,14 +132,11 @@
         tried_servers: set[str],
         verdict: ClearVerdict | IsolateVerdict,
     ) -> asyncio.Task[Outcome] | None:
-        """Starts one attempt, or returns None if the limits permit none or no server is left."""
+        """Starts one attempt, or returns None if the limits permit none or no server takes it."""
         context = self._context
         now = asyncio.get_running_loop().time()
         service = admitted.service.name
-        if (
-            len(tried_servers) >= admitted.route.max_attempts
-            or admitted.deadline - now < MIN_ATTEMPT_TIME
-        ):
+        if not self._permits_attempt(admitted, tried_servers):
             return None
         affinity = admitted.request.affinity
         avoided = context.crashes.avoided_servers(verdict)
@@ -142,21 +144,77 @@
         isolated = server is not None and isinstance(verdict, IsolateVerdict)
         if server is None and avoided:
             server = context.registry.choose(now, service, affinity, tried_servers)
-        if server is None:
+        if server is None or not self._spend_attempt(admitted, tried_servers):
             return None
-        if tried_servers and not context.retry_allowance(service).try_spend(now):
-            context.telemetry.record_denied_retry(
-                admitted, "an earlier attempt failed or has not been answered"
-            )
+        context.registry.try_take(now, server.server_id)
+        return self._run_attempt(admitted, tried_servers, server, isolated=isolated)
+
+    async def _start_reserved_attempt(
+        self,
+        admitted: AdmittedRequest,
+        tried_servers: set[str],
+        verdict: ClearVerdict | IsolateVerdict,
+    ) -> asyncio.Task[Outcome] | None:
+        """Waits for a server that takes no request now, if the response can still be on time."""
+        loop = asyncio.get_running_loop()
+        registry = self._context.registry
+        latest = admitted.request.received_at + admitted.route.target * HEDGE_SHARE
+        excluded = {*tried_servers, *self._context.crashes.avoided_servers(verdict)}
+        if not self._permits_attempt(admitted, tried_servers):
+            return None
+        reserved = registry.reserve(loop.time(), latest, admitted.service.name, excluded)
+        if reserved is None:
+            return None
+        server, send_at = reserved
+        await asyncio.sleep(send_at - loop.time())
+        if not registry.is_available(server.server_id) or not self._spend_attempt(
+            admitted, tried_servers
+        ):
             return None
+        isolated = isinstance(verdict, IsolateVerdict)
+        return self._run_attempt(admitted, tried_servers, server, isolated=isolated)
+
+    def _permits_attempt(self, admitted: AdmittedRequest, tried_servers: set[str]) -> bool:
+        """Whether the route and the deadline permit another attempt."""
+        time_left = admitted.deadline - asyncio.get_running_loop().time()
+        return len(tried_servers) < admitted.route.max_attempts and time_left >= MIN_ATTEMPT_TIME
+
+    def _spend_attempt(self, admitted: AdmittedRequest, tried_servers: set[str]) -> bool:
+        """Credits the retry allowance for a first attempt, or spends a retry if there is one."""
+        allowance = self._context.retry_allowance(admitted.service.name)
         if not tried_servers:
-            context.retry_allowance(service).on_request()
+            allowance.on_request()
+            return True
+        if allowance.try_spend(asyncio.get_running_loop().time()):
+            return True
+        self._context.telemetry.record_denied_retry(
+            admitted, "an earlier attempt failed or has not been answered"
+        )
+        return False
+
+    def _run_attempt(
+        self,
+        admitted: AdmittedRequest,
+        tried_servers: set[str],
+        server: BackendServer,
+        *,
+        isolated: bool,
+    ) -> asyncio.Task[Outcome]:
+        """Starts an attempt at a server."""
         tried_servers.add(server.server_id)
         run = partial(self._send, admitted, server)
         return asyncio.create_task(
-            run_attempt(context, admitted, server, len(tried_servers), run, isolated=isolated)
+            run_attempt(self._context, admitted, server, len(tried_servers), run, isolated=isolated)
         )
 
+    def _compute_retry_after(self, admitted: AdmittedRequest) -> float:
+        """Computes when a refused caller should return: once a server takes requests again."""
+        now = asyncio.get_running_loop().time()
+        delay = self._context.registry.next_admission(now, admitted.service.name) - now
+        if math.isinf(delay):
+            return RETRY_AFTER
+        return max(RETRY_AFTER, delay * self._rng.uniform(0.5, 1.0))
+
     async def _send(
         self,
         admitted: AdmittedRequest,
@@ -190,7 +248,7 @@
     )
 
 
-def _unanswered_result(outcomes: list[Outcome]) -> Outcome | Failure:
+def _unanswered_result(outcomes: list[Outcome], retry_after: float) -> Outcome | Failure:
     """Chooses what to report to the caller after no attempt was answered."""
     for outcome in outcomes:
         if outcome.kind is OutcomeKind.FAILED:
@@ -198,5 +256,5 @@
     uncertain = [outcome for outcome in outcomes if outcome.kind is not OutcomeKind.NOT_EXECUTED]
     if uncertain:
         return Failure(ErrorKind.OUTCOME_UNKNOWN, uncertain[0].reason, Ran.UNKNOWN)
-    reason = outcomes[-1].reason if outcomes else "no backend server is available"
-    return Failure(ErrorKind.OVERLOADED, reason, Ran.NO, RETRY_AFTER)
+    reason = outcomes[-1].reason if outcomes else "no backend server takes the request"
+    return Failure(ErrorKind.OVERLOADED, reason, Ran.NO, retry_after)
--- /dev/null
+++ b/tests/test_backpressure.py
@@ -0,0 +1,122 @@
+"""Tests of what backend servers ask of their callers."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sapphireledge.backends import decode_signals
+from sapphireledge.core.backpressure import BackpressureLimits, ServerBackpressure, ServerSignals
+from sapphireledge.core.routing import BackendInstance, BackendView, Router, RouteRequest
+from sapphireledge.errors import Failure
+from sapphireledge.platform.platform_dialect import PlatformDialect
+from sapphireledge.settings import RoutingSettings
+
+LIMITS = BackpressureLimits()
+WINDOW = 4.0
+"""Seconds over which the requests of a limited server are summed."""
+
+STEP = 0.05
+"""Seconds between two looks of an instance at its server."""
+
+
+def named(rate: float | None) -> ServerSignals:
+    return ServerSignals(rate_limit=rate)
+
+
+class RateTest(unittest.TestCase):
+    @given(st.integers(1, 12), st.floats(1.0, 40.0), st.randoms(use_true_random=False))
+    def test_all_instances_together_keep_a_rate(self, instances, rate, rng):
+        """Guards against instances that each keep a limit, but not all together."""
+        servers = [ServerBackpressure(LIMITS, rng) for _ in range(instances)]
+        for server in servers:
+            server.on_response(0.0, named(rate), instances)
+        idle = rng.uniform(0.0, 10.0)
+        sent = []
+        for step in range(int(12.0 / STEP)):
+            now = idle + step * STEP
+            for server in servers:
+                while server.next_at(now) <= now:
+                    server.take(now)
+                    sent.append(now)
+        for start in sent:
+            in_window = sum(1 for at in sent if start <= at <= start + WINDOW)
+            # One request for each instance more than its share, as slots are whole.
+            allowed = rate * (WINDOW + LIMITS.burst_time) + instances
+            self.assertLessEqual(in_window, allowed + 1)
+
+    @given(st.floats(1.0, 40.0), st.randoms(use_true_random=False))
+    def test_rate_is_used_under_constant_demand(self, rate, rng):
+        """Guards against slots that are lost although a request waits for each of them."""
+        server = ServerBackpressure(LIMITS, rng)
+        server.on_response(0.0, named(rate), 1)
+        sent = 0
+        for step in range(int(20.0 / STEP)):
+            while server.next_at(step * STEP) <= step * STEP:
+                server.take(step * STEP)
+                sent += 1
+        self.assertGreaterEqual(sent, (20.0 - STEP) * rate - 2)
+
+    def test_limit_ends_with_the_first_response_that_names_none(self):
+        """Guards against a limit that outlives the trouble of its server."""
+        server = ServerBackpressure(LIMITS, Random(1))
+        server.on_response(0.0, named(0.0), 9)
+        self.assertGreater(server.next_at(0.0), 0.0)
+        server.on_response(1.0, named(None), 9)
+        self.assertEqual(server.next_at(1.0), 1.0)
+
+
+class DecodeTest(unittest.TestCase):
+    def test_values_that_are_no_numbers_are_ignored(self):
+        """Guards against a limit read from a value that is none."""
+        for text in ("", "x", "nan", "inf", "-1", "1e999"):
+            headers = {"x-request-limit": text}
+            self.assertIsNone(decode_signals(headers).rate_limit)
+            head = PlatformDialect().decode_response(200, ((b"server-limit", text.encode()),))
+            self.assertIsNone(head.signals.rate_limit)
+        head = PlatformDialect().decode_response(200, ((b"server-limit", b"2.5"),))
+        self.assertEqual(head.signals, decode_signals({"x-request-limit": "2.5"}))
+
+
+class OwnInterfaceTest(unittest.TestCase):
+    def setUp(self):
+        self.view = BackendView(RoutingSettings(), "e1", "akl-a", "akl", Random(1))
+        self.view.on_instances(
+            0.0,
+            [
+                BackendInstance(name, f"{name}:1", "akl-a", "akl", "booking", False, False)
+                for name in ("b1", "b2")
+            ],
+        )
+        self.view.on_entries(0.0, {"e1": "akl-a", "e2": "akl-a"})
+        self.router = Router(RoutingSettings())
+
+    def send(self, now: float) -> str | None:
+        """Sends one request; returns the backend server that it was sent to."""
+        choice = self.router.choose(now, RouteRequest(role="booking"), self.view, Random(2))
+        if isinstance(choice, Failure):
+            return None
+        self.view.on_dispatch(now, choice.backend, f"w{now}")
+        self.view.on_end(now, choice.backend, f"w{now}")
+        return choice.backend
+
+    def test_limited_server_gets_its_share_and_others_the_rest(self):
+        """Guards against a limit that only the users' platform heeds."""
+        self.view.on_response(0.0, "b1", named(2.0))
+        chosen = [self.send(step * 0.1) for step in range(100)]
+        self.assertLessEqual(chosen.count("b1"), 11)
+        self.assertGreaterEqual(chosen.count("b1"), 5)
+        self.assertNotIn(None, chosen)
+
+    def test_limited_servers_take_requests_again(self):
+        """Guards against servers that stay out of use once all of them are limited."""
+        for name in ("b1", "b2"):
+            self.view.on_response(0.0, name, named(1.0))
+        sent = [now for now in range(20) if self.send(float(now)) is not None]
+        self.assertGreaterEqual(len(sent), 10)
+        for name in ("b1", "b2"):
+            self.view.on_response(20.0, name, named(None))
+        self.assertNotIn(None, [self.send(20.0 + step) for step in range(5)])
