Log pages of the store that are dropped as outdated, with the store's epoch

What callers saw: after the store came back from an older copy, routes that were added answered 404 and moved ones went to the old service (CONFIG, DENIED). The log did not tell whether pages are dropped, watches wait in vain, or versions go back. The epoch of the store is decoded from its responses, and the first dropped page of a series is logged. No decision changes.

--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -5,8 +5,10 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+import structlog
+
 from sapphireledge.feed.store_page import StoredEntry
-from sapphireledge.gateway import seconds_since_boot
+from sapphireledge.gateway import GatewayEvent, seconds_since_boot
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -51,6 +53,8 @@
         self._objects: dict[str, object] = {}
         self._changes: deque[tuple[int, StoredEntry]] = deque()
         self._history_start = 0
+        self._has_dropped = False
+        self._log = structlog.get_logger()
 
     @property
     def age(self) -> float:
@@ -64,7 +68,7 @@
             page: Full listing.
             as_of: Time on the `seconds_since_boot` clock; the listing has all earlier changes.
         """
-        if self.revision is not None and page.revision < self.revision:
+        if self._is_outdated(page):
             return
         listed = {entry.name: entry.spec for entry in page.entries}
         removed = [StoredEntry(name, None, True) for name in self._objects.keys() - listed.keys()]
@@ -82,7 +86,7 @@
             page: Changed and removed objects.
             as_of: Time on the `seconds_since_boot` clock; no earlier change is missing.
         """
-        if self.revision is not None and page.revision < self.revision:
+        if self._is_outdated(page):
             return
         self._record_changes(page.revision, page.entries)
         self._listener.apply(page.entries)
@@ -111,6 +115,22 @@
             entry for change_revision, entry in self._changes if change_revision > revision
         )
 
+    def _is_outdated(self, page: StorePage) -> bool:
+        """Whether a page is older than the objects; only the first of a series is logged."""
+        if self.revision is None or page.revision >= self.revision:
+            self._has_dropped = False
+            return False
+        if not self._has_dropped:
+            self._has_dropped = True
+            self._log.warning(
+                GatewayEvent.PAGE_DROPPED,
+                kind=self.kind,
+                revision=page.revision,
+                known_revision=self.revision,
+                epoch=page.epoch,
+            )
+        return True
+
     def _differs(self, entry: StoredEntry) -> bool:
         """Whether an entry is new or differs from the current object."""
         return entry.name not in self._objects or self._objects[entry.name] != entry.spec
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -31,6 +31,9 @@
     STORE_REGAINED = "store_regained"
     """Calls to the store succeed again."""
 
+    PAGE_DROPPED = "store_page_dropped"
+    """A listing or changes are older than the objects of their kind and were not applied."""
+
     RELAY_FOUND = "relay_found"
     """The instance now receives updates from another instance instead of the store."""
 
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -39,6 +39,12 @@
 EXPECTED_STATUSES = frozenset({"200", "201", str(NOT_FOUND), str(CONFLICT), str(GONE)})
 """Statuses of regular responses; any other status is a failed call."""
 
+EPOCH = b"store-era"
+"""Header with the number of times that the store came back from an older copy."""
+
+MAX_EPOCH_DIGITS = 18
+"""Digits of the largest number accepted in that header."""
+
 INSTANCE_KIND = "entry-instances"
 """Kind of the objects that describe the entry instances."""
 
@@ -100,6 +106,7 @@
         self._reader: UnreadReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._parser = h11.Connection(h11.CLIENT)
+        self._epoch = 0
 
     async def list(self, kind: str) -> StorePage:
         """Reads all objects of a kind; see `ObjectSource.list`."""
@@ -117,7 +124,7 @@
             revision = page.store_revision if revision is None else revision
             entries += [StoredEntry(item.metadata.name, item.spec) for item in page.items]
             if not page.more or not page.items:
-                return StorePage(tuple(entries), revision)
+                return StorePage(tuple(entries), revision, self._epoch)
             # Despite its name, `after_rev` takes the name of the last object.
             separator = "&" if query else "?"
             path = f"/objects/{kind}{query}{separator}after_rev={page.items[-1].metadata.name}"
@@ -133,7 +140,7 @@
             StoredEntry(event.object.metadata.name, event.object.spec, event.removed)
             for event in changes.events
         )
-        return StorePage(entries, changes.store_revision)
+        return StorePage(entries, changes.store_revision, self._epoch)
 
     def close(self) -> None:
         """Closes the connection without waiting for pending data."""
@@ -229,6 +236,7 @@
                 parser.receive_data(await reader.read(READ_SIZE))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                self._epoch = _decode_epoch(dict(event.headers).get(EPOCH))
             elif isinstance(event, h11.Data):
                 response_body += event.data
                 if len(response_body) > MAX_BODY_BYTES:
@@ -260,6 +268,13 @@
         return self._reader, self._writer
 
 
+def _decode_epoch(value: bytes | None) -> int:
+    """Decodes the epoch of the store, 0 if the header is missing or no number."""
+    if value is None or not value.isdigit() or len(value) > MAX_EPOCH_DIGITS:
+        return 0
+    return int(value)
+
+
 def _decode_version(status: int, body: bytes) -> StoredVersion:
     """Decodes the response to a write."""
     stored = _decode(body, _Object)
