--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -55,6 +55,7 @@
         self.objects = {"a": 1}
         self.changes = []
         self.revision = 1
+        self.epoch = 1
         self.calls = 0
         self.calls_by_instance = Counter()
         self.refused_instances = set()
@@ -64,6 +65,13 @@
         self.objects[name] = spec
         self.changes.append((self.revision, StoredEntry(name, spec)))
 
+    def restore(self, objects, revision):
+        """Comes back from an older copy."""
+        self.epoch += 1
+        self.objects = dict(objects)
+        self.changes = []
+        self.revision = revision
+
 
 class MemoryStoreClient:
     """Client of a `MemoryStore` for one instance; also serves as its directory."""
@@ -82,18 +90,24 @@
     async def list(self, kind):
         self._count_call()
         entries = tuple(StoredEntry(name, spec) for name, spec in self.store.objects.items())
-        return StorePage(entries, self.store.revision)
+        return StorePage(entries, self.store.revision, self.store.epoch)
 
     async def watch(self, kind, revision, wait):
         self._count_call()
+        if revision > self.store.revision:
+            await asyncio.sleep(0.005)
+            return None
+        epoch = self.store.epoch
         for _ in range(int(wait / 0.01)):
+            if self.store.epoch != epoch:
+                raise SourceError("connection reset")
             found = tuple(
                 entry for change_revision, entry in self.store.changes if change_revision > revision
             )
             if found:
-                return StorePage(found, self.store.revision)
+                return StorePage(found, self.store.revision, self.store.epoch)
             await asyncio.sleep(0.01)
-        return StorePage((), revision)
+        return StorePage((), revision, self.store.epoch)
 
     async def announce(self, peer):
         self.announced.append(peer)
@@ -143,7 +157,7 @@
     return ports
 
 
-class FeedTest(unittest.IsolatedAsyncioTestCase):
+class FeedCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = MemoryStore()
         peers = []
@@ -163,6 +177,8 @@
     def instances_reading_store(self):
         return [n for n, instance in enumerate(self.instances) if instance.watcher.is_healthy]
 
+
+class FeedTest(FeedCase):
     async def test_single_instance_reads_store(self):
         """Guards against store calls that grow with the number of instances."""
         self.assertEqual(self.instances_reading_store(), [0])
@@ -296,6 +312,45 @@
         self.assertIn(1, self.instances_reading_store())
 
 
+class RestoredStoreTest(FeedCase):
+    """All instances, those that read the store and those that follow another one."""
+
+    async def restore(self, objects, revision):
+        for n in range(5):
+            self.store.put(f"lost{n}", n)
+        await asyncio.sleep(0.5)
+        self.store.restore(objects, revision)
+
+    async def assert_all_hold(self, objects):
+        await asyncio.sleep(1.0)
+        for instance in self.instances:
+            self.assertEqual(instance.listener.objects, objects)
+            self.assertLess(instance.feed.age, 1.0)
+
+    async def test_changes_after_a_restore_reach_every_instance(self):
+        """Guards against changes that are ignored because the store counts from before again."""
+        await self.restore({"a": 1}, 2)
+        await asyncio.sleep(0.1)
+        self.store.put("b", 2)
+        await self.assert_all_hold({"a": 1, "b": 2})
+
+    async def test_changes_with_reused_revisions_are_not_missed(self):
+        """Guards against a watch from a revision that the store has given out a second time."""
+        await self.restore({"a": 1}, 2)
+        for n in range(9):
+            self.store.put(f"new{n}", n)
+        await self.assert_all_hold({"a": 1, **{f"new{n}": n for n in range(9)}})
+
+    async def test_instance_that_follows_an_outdated_relay_leaves_it(self):
+        """Guards against a relay that passes on what the store has lost."""
+        follower = self.instances[2]
+        await self.restore({"a": 1}, 2)
+        self.store.refused_instances = {"e0", "e1"}
+        self.store.put("b", 2)
+        await asyncio.sleep(1.0)
+        self.assertEqual(follower.listener.objects, {"a": 1, "b": 2})
+
+
 class KindFeedTest(unittest.TestCase):
     def test_entries_since_returns_only_missing_changes(self):
         """Guards against lost changes, and against full listings where changes are enough."""
