Notice a store that came back from an older copy, in one place

What callers saw: 404 on routes that had been added, answers of the old service on routes that had been moved, and refusals because the configuration was not confirmed (CONFIG, DENIED). Cause: feeds, watches and relays compare revisions of the store before and after it went back; pages of the new epoch are dropped, or changes under reused revisions are missed. Ruled out: versions that go back (readers apply version 14 once the count has caught up). Change: StoreEpoch, fed by every response of the store and every message between relay and follower. A new epoch makes feeds list again, and this instance write again what it had written; missing servers stay until they register, servers that had left are not used, leaving is final for an incarnation, and an older configuration confirms nothing. Evidence: three tests of test_feed failed before and pass; the tests of the registry, the confirmation, the crash report and the announcement test what did not exist. Why it works: revisions are compared only within one epoch.

--- a/src/sapphireledge/feed/__init__.py
+++ b/src/sapphireledge/feed/__init__.py
@@ -11,6 +11,7 @@
 from sapphireledge.feed.peer import Peer
 from sapphireledge.feed.peer_directory import PeerDirectory
 from sapphireledge.feed.source_error import SourceError
+from sapphireledge.feed.store_epoch import StoreEpoch
 from sapphireledge.feed.store_page import StoredEntry, StorePage
 from sapphireledge.feed.stored_version import StoredVersion
 
@@ -25,6 +26,7 @@
     "Peer",
     "PeerDirectory",
     "SourceError",
+    "StoreEpoch",
     "StorePage",
     "StoredEntry",
     "StoredVersion",
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -19,6 +19,7 @@
     from sapphireledge.feed.feed_settings import FeedSettings
     from sapphireledge.feed.kind_feed import KindFeed
     from sapphireledge.feed.peer import Peer
+    from sapphireledge.feed.store_epoch import StoreEpoch
 
 __all__ = ["FeedFollower"]
 
@@ -26,8 +27,9 @@
 class FeedFollower:
     """Applies the replies of a relay to the feeds until the relay fails."""
 
-    def __init__(self, cfg: FeedSettings, feeds: Mapping[str, KindFeed]) -> None:
+    def __init__(self, cfg: FeedSettings, feeds: Mapping[str, KindFeed], epoch: StoreEpoch) -> None:
         self._cfg = cfg
+        self._epoch = epoch
         self._feeds = feeds
         self.reply_count = 0
         """Replies received from the current relay."""
@@ -67,7 +69,7 @@
         """Sends one request and applies the reply."""
         sent_at = seconds_since_boot()
         revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
-        write_message(writer, FeedRequest(revisions, at_once))
+        write_message(writer, FeedRequest(revisions, at_once, self._epoch.current or 0))
         try:
             async with asyncio.timeout(self._cfg.reply_timeout):
                 reply = await read_message(reader, FeedReply)
@@ -75,6 +77,8 @@
             raise SourceError("relay did not reply in time") from exc
         if not reply.kinds:
             raise SourceError("relay is not reading the store, or is stopping")
+        if not self._epoch.observe(reply.epoch):
+            raise SourceError("relay follows a state that the store has lost")
         self.reply_count += 1
         for kind, part in reply.kinds.items():
             feed = self._feeds.get(kind)
--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -18,6 +18,9 @@
     at_once: bool = False
     """Whether to reply without waiting for updates, so that the follower can check the relay."""
 
+    epoch: int = 0
+    """Epoch of the store to which the revisions belong."""
+
 
 class FeedEntry(msgspec.Struct, frozen=True, array_like=True):
     """One object, or its removal."""
@@ -56,3 +59,6 @@
 
     kinds: dict[str, KindReply]
     """Replies by kind; empty if the relay is not reading the store itself, or is stopping."""
+
+    epoch: int = 0
+    """Epoch of the store to which the revisions belong."""
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from typing import TYPE_CHECKING
 
 import structlog
@@ -21,6 +22,7 @@
     from sapphireledge.feed.kind_watcher import KindWatcher
     from sapphireledge.feed.peer import Peer
     from sapphireledge.feed.peer_directory import PeerDirectory
+    from sapphireledge.feed.store_epoch import StoreEpoch
 
 __all__ = ["FeedRunner"]
 
@@ -33,6 +35,13 @@
 """Number of preceding instances from which an instance has low precedence and makes fewer calls to
 the store; losing that many instances at once is rare."""
 
+ANNOUNCE_SPREAD = 2.0
+"""Seconds over which the instances announce themselves again after the store was restored."""
+
+RECOUNT_DELAY = 5.0
+"""Seconds after a restore of the store during which fewer announced instances do not count: all
+announce themselves again within `ANNOUNCE_SPREAD`, and a listing may be seconds old."""
+
 MAX_RELAY_ATTEMPTS = 8
 """Preceding instances tried in one search for a relay. If the store refuses half of the instances,
 one search in 256 finds none."""
@@ -53,6 +62,7 @@
         feeds: Mapping[str, KindFeed],
         watchers: Sequence[KindWatcher],
         directory: PeerDirectory,
+        epoch: StoreEpoch,
     ) -> None:
         """Creates the runner.
 
@@ -62,18 +72,26 @@
             feeds: Feeds by kind.
             watchers: One watcher for each kind.
             directory: Directory of all instances.
+            epoch: Notices that the store came back from an older copy.
         """
         self._cfg = cfg
         self._local_peer = local_peer
         self._watchers = watchers
         self._directory = directory
-        self._follower = FeedFollower(cfg, feeds)
-        self._server = FeedServer(cfg, feeds, self._can_relay)
+        self._follower = FeedFollower(cfg, feeds, epoch)
+        self._server = FeedServer(cfg, feeds, epoch, self._can_relay)
         self.instance_count = 1
         """Instances announced in the store, including those that no longer exist."""
 
         self._preceding: list[Peer] = []
         self._directory_refreshed = asyncio.Event()
+        self._must_announce = asyncio.Event()
+        self._must_announce.set()
+        self._recount_at = 0.0
+        self._rng = Random()
+        for feed in feeds.values():
+            epoch.subscribe(feed.on_store_restored)
+        epoch.subscribe(self._on_store_restored)
         self._avoided_until: dict[str, float] = {}
         self._reported_lost: set[str] = set()
         self._stopping = False
@@ -196,15 +214,14 @@
 
     async def _poll_directory(self) -> None:
         """Announces this instance and reads the directory periodically."""
-        announced = False
         intervals = list(INITIAL_DIRECTORY_INTERVALS)
         while True:
             try:
-                if not announced:
-                    await self._directory.announce(self._local_peer)
-                    announced = True
+                if self._must_announce.is_set():
+                    self._must_announce.clear()
+                    await self._announce()
                 peers = await self._directory.list_peers()
-                self.instance_count = max(1, len(peers))
+                self.instance_count = self._count_instances(peers)
                 self._preceding = self._select_preceding(peers)
             except Exception as exc:
                 if isinstance(exc, SourceError):
@@ -218,7 +235,29 @@
                 # that start together find one after they have announced themselves.
                 self._avoided_until.clear()
                 self._directory_refreshed.set()
-            await asyncio.sleep(intervals.pop(0) if intervals else self._cfg.directory_interval)
+            interval = intervals.pop(0) if intervals else self._cfg.directory_interval
+            if await wait_for_event(self._must_announce, interval):
+                await asyncio.sleep(self._rng.uniform(0.0, ANNOUNCE_SPREAD))
+
+    async def _announce(self) -> None:
+        """Stores the description of this instance; a failed attempt is repeated later."""
+        try:
+            await self._directory.announce(self._local_peer)
+        except BaseException:
+            self._must_announce.set()
+            raise
+
+    def _on_store_restored(self) -> None:
+        """Announces this instance again, as the store may have lost its description."""
+        self._recount_at = asyncio.get_running_loop().time() + RECOUNT_DELAY
+        self._must_announce.set()
+
+    def _count_instances(self, peers: Sequence[Peer]) -> int:
+        """Counts the announced instances; after a restore, some are not announced again yet."""
+        count = max(1, len(peers))
+        if asyncio.get_running_loop().time() < self._recount_at:
+            count = max(count, self.instance_count)
+        return count
 
     def _select_preceding(self, peers: Sequence[Peer]) -> list[Peer]:
         """Returns the preceding instances of this data centre in order of precedence."""
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -17,6 +17,7 @@
 
     from sapphireledge.feed.feed_settings import FeedSettings
     from sapphireledge.feed.kind_feed import KindFeed
+    from sapphireledge.feed.store_epoch import StoreEpoch
 
 __all__ = ["FeedServer"]
 
@@ -25,19 +26,25 @@
     """Relays the objects that this instance reads from the store."""
 
     def __init__(
-        self, cfg: FeedSettings, feeds: Mapping[str, KindFeed], can_relay: Callable[[], bool]
+        self,
+        cfg: FeedSettings,
+        feeds: Mapping[str, KindFeed],
+        epoch: StoreEpoch,
+        can_relay: Callable[[], bool],
     ) -> None:
         """Creates the server.
 
         Args:
             cfg: Settings.
             feeds: Feeds by kind.
+            epoch: Notices that the store came back from an older copy.
             can_relay: Returns whether this instance reads the store without failures and is not
                 stopping.
         """
         self._cfg = cfg
         self._feeds = feeds
-        self._can_relay = can_relay
+        self._epoch = epoch
+        self._is_reader = can_relay
         self._progress = asyncio.Event()
         for feed in feeds.values():
             feed.on_progress = self._wake_waiters
@@ -65,6 +72,10 @@
         finally:
             writer.close()
 
+    def _can_relay(self) -> bool:
+        """Whether this instance reads the store and holds a listing of each kind."""
+        return self._is_reader() and all(feed.revision is not None for feed in self._feeds.values())
+
     def _wake_waiters(self) -> None:
         """Wakes every request that waits for updates."""
         self._progress.set()
@@ -73,22 +84,33 @@
     async def _build_reply(self, request: FeedRequest) -> FeedReply:
         """Waits for updates, at most `long_poll_timeout`, and builds the reply."""
         received_at = seconds_since_boot()
-        if not request.at_once and self._can_relay() and not self._has_updates(request):
+        self._epoch.observe(request.epoch)
+        if not request.at_once and self._is_reader() and not self._has_updates(request):
             # After the timeout, a reply without updates serves as a heartbeat.
             await wait_for_event(self._progress, self._cfg.long_poll_timeout)
+        while (
+            not request.at_once
+            and self._is_reader()
+            and not self._can_relay()
+            and seconds_since_boot() - received_at < self._cfg.long_poll_timeout
+        ):
+            # Followers need not leave while the objects of a restored store are listed again.
+            await wait_for_event(self._progress, self._cfg.long_poll_timeout)
         waited = seconds_since_boot() - received_at
         if not self._can_relay():
             return FeedReply(waited, {})
-        return FeedReply(
-            waited,
-            {
-                kind: self._build_kind_reply(feed, request.revisions.get(kind))
-                for kind, feed in self._feeds.items()
-            },
-        )
+        # Revisions of another epoch say nothing about what the follower has.
+        revisions = request.revisions if request.epoch == (self._epoch.current or 0) else {}
+        kinds = {
+            kind: self._build_kind_reply(feed, revisions.get(kind))
+            for kind, feed in self._feeds.items()
+        }
+        return FeedReply(waited, kinds, self._epoch.current or 0)
 
     def _has_updates(self, request: FeedRequest) -> bool:
         """Whether a follower is missing updates; after switching relays it may also be ahead."""
+        if request.epoch != (self._epoch.current or 0):
+            return self._can_relay()
         for kind, feed in self._feeds.items():
             known_revision = request.revisions.get(kind)
             if feed.revision is not None and (
--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -86,7 +86,7 @@
             page: Changed and removed objects.
             as_of: Time on the `seconds_since_boot` clock; no earlier change is missing.
         """
-        if self._is_outdated(page):
+        if self.revision is None or self._is_outdated(page):
             return
         self._record_changes(page.revision, page.entries)
         self._listener.apply(page.entries)
@@ -100,6 +100,16 @@
         """
         self._listener.on_store_recovered(outage)
 
+    def on_store_restored(self) -> None:
+        """Forgets the revision: the next page must be a listing of the store's new epoch.
+
+        The objects stay in force until then.
+        """
+        self.revision = None
+        self._changes.clear()
+        self._listener.on_store_restored()
+        self.on_progress()
+
     def entries_since(self, revision: int | None) -> tuple[bool, tuple[StoredEntry, ...]]:
         """Collects the entries that a follower is missing.
 
@@ -127,7 +137,6 @@
                 kind=self.kind,
                 revision=page.revision,
                 known_revision=self.revision,
-                epoch=page.epoch,
             )
         return True
 
--- a/src/sapphireledge/feed/kind_listener.py
+++ b/src/sapphireledge/feed/kind_listener.py
@@ -46,3 +46,10 @@
             outage: Seconds since the last successful call; the store was away for at most as long.
         """
         ...
+
+    def on_store_restored(self) -> None:
+        """Called when the store came back from an older copy, before it is listed again.
+
+        What was written to the store since that copy is missing there, until it is written again.
+        """
+        ...
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -96,6 +96,9 @@
         if changes is None:
             self._needs_relist = True
             return
+        if self._feed.revision is None:
+            # The store was restored meanwhile; the changes lead to a state that is gone.
+            return
         # The store held a watch without events open for its full time.
         self._had_changes = bool(changes.entries)
         idle_time = 0.0 if self._had_changes else wait
--- /dev/null
+++ b/src/sapphireledge/feed/store_epoch.py
@@ -0,0 +1,58 @@
+"""Notices that the store came back from an older copy."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from sapphireledge.gateway import GatewayEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["StoreEpoch"]
+
+
+class StoreEpoch:
+    """The latest epoch of the store that this instance knows.
+
+    The store starts a new epoch each time that it comes back from an older copy. What was written
+    since that copy is gone, and revisions are given out again, so nothing that depends on a
+    revision of an earlier epoch may be used.
+    """
+
+    def __init__(self) -> None:
+        """Creates the state of an instance that has not heard of the store."""
+        self.current: int | None = None
+        """Latest known epoch, None before the first one."""
+
+        self._listeners: list[Callable[[], None]] = []
+        self._log = structlog.get_logger()
+
+    def subscribe(self, on_restored: Callable[[], None]) -> None:
+        """Adds a function to call when a new epoch has started.
+
+        Args:
+            on_restored: Function to call, once for each new epoch.
+        """
+        self._listeners.append(on_restored)
+
+    def observe(self, epoch: int) -> bool:
+        """Compares the epoch of a response, from the store or from another instance.
+
+        Args:
+            epoch: Epoch of the response.
+
+        Returns:
+            False if the response is from an earlier epoch and must not be used.
+        """
+        if self.current is not None and epoch < self.current:
+            return False
+        if self.current is not None and epoch > self.current:
+            self._log.warning(GatewayEvent.STORE_RESTORED, epoch=epoch, previous=self.current)
+            self.current = epoch
+            for on_restored in self._listeners:
+                on_restored()
+        self.current = epoch
+        return True
--- a/src/sapphireledge/feed/store_page.py
+++ b/src/sapphireledge/feed/store_page.py
@@ -30,7 +30,3 @@
 
     revision: int
     """Revision to watch from."""
-
-    epoch: int = 0
-    """Number of times that the store came back from an older copy; revisions of different epochs
-    cannot be compared."""
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from operator import itemgetter
 from random import Random
 from typing import TYPE_CHECKING
@@ -77,7 +78,7 @@
             server: Latest description of the server.
 
         Returns:
-            Whether the server is new, restarted, or started or stopped draining.
+            Whether the server is new, restarted, or started draining.
         """
         state = self._states.get(server.server_id)
         if state is not None and _is_restart(state.server, server):
@@ -90,6 +91,9 @@
             self._by_service.setdefault(server.service, {})[server.server_id] = state
             self._orders.pop(server.service, None)
             return True
+        if state.server.draining and not server.draining:
+            # Leaving is final for an incarnation; a lagging or restored store may say otherwise.
+            server = replace(server, draining=True)
         changed = state.server.draining != server.draining
         state.server = server
         return changed
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -34,6 +34,9 @@
     PAGE_DROPPED = "store_page_dropped"
     """A listing or changes are older than the objects of their kind and were not applied."""
 
+    STORE_RESTORED = "store_restored"
+    """The store came back from an older copy; all objects are listed and written again."""
+
     RELAY_FOUND = "relay_found"
     """The instance now receives updates from another instance instead of the store."""
 
--- a/src/sapphireledge/platform/config_listener.py
+++ b/src/sapphireledge/platform/config_listener.py
@@ -27,6 +27,7 @@
 
     def __init__(self, view: ConfigView) -> None:
         self._view = view
+        self._stored_version = 0
         self._log = structlog.get_logger()
 
     def replace_all(self, entries: Sequence[StoredEntry]) -> None:
@@ -40,12 +41,23 @@
                 self._apply_entry(entry)
 
     def confirm(self, as_of: float) -> None:
-        """Confirms that the configuration is current; see `KindListener.confirm`."""
-        self._view.confirm(as_of)
+        """Confirms that the configuration is current; see `KindListener.confirm`.
+
+        A restored store may hold an older configuration than the one in force. The latest one,
+        which it has lost, may have withdrawn keys, so nothing is confirmed until it is written
+        again.
+        """
+        table = self._view.table
+        if table is None or self._stored_version >= table.version:
+            self._view.confirm(as_of)
 
     def on_store_recovered(self, outage: float) -> None:
         """Does nothing: a newer version replaces the older one at any time."""
 
+    def on_store_restored(self) -> None:
+        """Confirms nothing until the configuration has been read again."""
+        self._stored_version = 0
+
     def _apply_entry(self, entry: StoredEntry) -> None:
         """Applies a configuration if it can be decoded and is newer."""
         age = self._view.age
@@ -54,6 +66,7 @@
         except (msgspec.ValidationError, KeyError) as exc:
             self._log.error(GatewayEvent.CONFIG_REJECTED, reason=str(exc))
             return
+        self._stored_version = table.version
         if self._view.accept(table):
             self._log.info(
                 GatewayEvent.CONFIG_APPLIED,
--- a/src/sapphireledge/platform/crash_report_listener.py
+++ b/src/sapphireledge/platform/crash_report_listener.py
@@ -61,6 +61,9 @@
     def on_store_recovered(self, outage: float) -> None:
         """Does nothing: reports do not expire in the store."""
 
+    def on_store_restored(self) -> None:
+        """Does nothing: reports that the store has lost stay in force until their deaths expire."""
+
     def _apply_report(self, now: float, report: CrashReport) -> bool:
         """Applies one report; returns whether it held anything new."""
         quarantine = self._crashes.quarantine
--- a/src/sapphireledge/platform/crash_report_writer.py
+++ b/src/sapphireledge/platform/crash_report_writer.py
@@ -83,6 +83,13 @@
                 # Later deaths must still be shared.
                 self._log.error(GatewayEvent.INTERNAL_ERROR, kind=CRASH_REPORT_KIND, exc_info=exc)
 
+    def on_store_restored(self) -> None:
+        """Writes the report again, as the store may have lost it or its latest version."""
+        self._stored = None
+        self._revision = None
+        self._death_news.set()
+        self._news.set()
+
     def _add_death(self, record: DeathRecord) -> None:
         """Adds a death that this instance detected."""
         self._add(CrashReport(deaths=(record,)))
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -13,7 +13,7 @@
 import msgspec
 import structlog
 
-from sapphireledge.feed import FeedRunner, KindFeed, KindWatcher
+from sapphireledge.feed import FeedRunner, KindFeed, KindWatcher, StoreEpoch
 from sapphireledge.gateway import (
     BoundedLog,
     Gateway,
@@ -69,11 +69,13 @@
     metrics = GatewayMetrics()
     gateway = Gateway(cfg.gateway, PlatformDialect(), RequestTelemetry(metrics))
     server = GatewayServer(gateway, metrics)
-    runner = _create_feed_runner(cfg, gateway, metrics)
+    epoch = StoreEpoch()
+    runner = _create_feed_runner(cfg, gateway, metrics, epoch)
     gateway.context.count_instances = lambda: runner.instance_count
     writer = CrashReportWriter(
-        _create_store_client(cfg, metrics), gateway.context.crashes, cfg.gateway.instance
+        _create_store_client(cfg, metrics, epoch), gateway.context.crashes, cfg.gateway.instance
     )
+    epoch.subscribe(writer.on_store_restored)
     reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -89,7 +91,9 @@
             task.cancel()
 
 
-def _create_feed_runner(cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics) -> FeedRunner:
+def _create_feed_runner(
+    cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
+) -> FeedRunner:
     """Creates the feeds that keep the gateway's configuration and registry up to date."""
     listeners = {
         "config": ConfigListener(gateway.config),
@@ -98,10 +102,13 @@
     }
     feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
     watchers = [
-        KindWatcher(_create_store_client(cfg, metrics), feeds[kind_cfg.kind], kind_cfg, cfg.feed)
+        KindWatcher(
+            _create_store_client(cfg, metrics, epoch), feeds[kind_cfg.kind], kind_cfg, cfg.feed
+        )
         for kind_cfg in cfg.feed.kinds
     ]
-    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, _create_store_client(cfg, metrics))
+    directory = _create_store_client(cfg, metrics, epoch)
+    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch)
 
 
 def _begin_shutdown(server: GatewayServer, runner: FeedRunner) -> None:
@@ -110,10 +117,12 @@
     server.request_stop()
 
 
-def _create_store_client(cfg: NodeSettings, metrics: GatewayMetrics) -> StoreClient:
+def _create_store_client(
+    cfg: NodeSettings, metrics: GatewayMetrics, epoch: StoreEpoch
+) -> StoreClient:
     """Creates a client whose calls are counted in the metrics."""
     return StoreClient(
-        cfg.store, lambda kind, result: metrics.store_calls.labels(kind, result).inc()
+        cfg.store, epoch, lambda kind, result: metrics.store_calls.labels(kind, result).inc()
     )
 
 
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import h11
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sapphireledge.feed import StoreEpoch
     from sapphireledge.platform.store_settings import StoreSettings
 
 __all__ = ["StoreClient"]
@@ -49,6 +51,15 @@
 """Kind of the objects that describe the entry instances."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Response of the store; `epoch` rises when it comes back from an older copy."""
+
+    status: int
+    body: bytes
+    epoch: int
+
+
 class _Metadata(msgspec.Struct):
     name: str
     revision: int = 0
@@ -93,12 +104,16 @@
     """
 
     def __init__(
-        self, cfg: StoreSettings, on_call: Callable[[str, str], None] = lambda kind, result: None
+        self,
+        cfg: StoreSettings,
+        epoch: StoreEpoch,
+        on_call: Callable[[str, str], None] = lambda kind, result: None,
     ) -> None:
         """Creates a client without a connection.
 
         Args:
             cfg: Settings.
+            epoch: Notices that the store came back from an older copy.
             on_call: Called after each call with its name, such as "list", and status or "failed".
         """
         self._cfg = cfg
@@ -106,7 +121,7 @@
         self._reader: UnreadReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._parser = h11.Connection(h11.CLIENT)
-        self._epoch = 0
+        self._epoch = epoch
 
     async def list(self, kind: str) -> StorePage:
         """Reads all objects of a kind; see `ObjectSource.list`."""
@@ -116,15 +131,19 @@
         """Reads all pages of a listing."""
         entries: list[StoredEntry] = []
         revision: int | None = None
+        epoch: int | None = None
         path = f"/objects/{kind}{query}"
         while True:
-            _, body = await self._call("list", "GET", path, self._cfg.call_timeout)
-            page = _decode(body, _Listing)
+            answer = await self._call("list", "GET", path, self._cfg.call_timeout)
+            if epoch is not None and answer.epoch != epoch:
+                raise SourceError("the store came back from an older copy during the listing")
+            epoch = answer.epoch
+            page = _decode(answer.body, _Listing)
             # Watching from the revision of the first page also returns changes during the listing.
             revision = page.store_revision if revision is None else revision
             entries += [StoredEntry(item.metadata.name, item.spec) for item in page.items]
             if not page.more or not page.items:
-                return StorePage(tuple(entries), revision, self._epoch)
+                return StorePage(tuple(entries), revision)
             # Despite its name, `after_rev` takes the name of the last object.
             separator = "&" if query else "?"
             path = f"/objects/{kind}{query}{separator}after_rev={page.items[-1].metadata.name}"
@@ -132,15 +151,15 @@
     async def watch(self, kind: str, revision: int, wait: float) -> StorePage | None:
         """Waits for changes of a kind; see `ObjectSource.watch`."""
         path = f"/objects/{kind}?watch={revision}&wait_ms={int(wait * 1000)}"
-        status, body = await self._call("watch", "GET", path, wait + self._cfg.call_timeout)
-        if status == GONE:
+        answer = await self._call("watch", "GET", path, wait + self._cfg.call_timeout)
+        if answer.status == GONE:
             return None
-        changes = _decode(body, _Changes)
+        changes = _decode(answer.body, _Changes)
         entries = tuple(
             StoredEntry(event.object.metadata.name, event.object.spec, event.removed)
             for event in changes.events
         )
-        return StorePage(entries, changes.store_revision, self._epoch)
+        return StorePage(entries, changes.store_revision)
 
     def close(self) -> None:
         """Closes the connection without waiting for pending data."""
@@ -153,13 +172,13 @@
         spec = _Instance(f"{peer.host}:{peer.port}", peer.data_centre, peer.link_mbps)
         timeout = self._cfg.call_timeout
         payload = msgspec.json.encode({"metadata": {"name": peer.name}, "spec": spec})
-        status, body = await self._call(
-            "create", "POST", f"/objects/{INSTANCE_KIND}", timeout, payload
-        )
-        if status == CONFLICT and _decode(body, _Object).spec != msgspec.to_builtins(spec):
+        answer = await self._call("create", "POST", f"/objects/{INSTANCE_KIND}", timeout, payload)
+        if answer.status == CONFLICT and _decode(answer.body, _Object).spec != msgspec.to_builtins(
+            spec
+        ):
             path = f"/objects/{INSTANCE_KIND}/{peer.name}"
-            status, _ = await self._call("replace", "PUT", path, timeout, payload)
-            if status == NOT_FOUND:
+            answer = await self._call("replace", "PUT", path, timeout, payload)
+            if answer.status == NOT_FOUND:
                 raise SourceError("the description of this instance was removed meanwhile")
 
     async def write(self, kind: str, name: str, spec: Any, revision: int | None) -> StoredVersion:
@@ -183,12 +202,12 @@
             metadata = {"name": name, "revision": revision}
             payload = msgspec.json.encode({"metadata": metadata, "spec": spec})
             path = f"/objects/{kind}/{name}"
-            status, body = await self._call("replace", "PUT", path, timeout, payload)
-            if status != NOT_FOUND:
-                return _decode_version(status, body)
+            answer = await self._call("replace", "PUT", path, timeout, payload)
+            if answer.status != NOT_FOUND:
+                return _decode_version(answer)
         payload = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
-        status, body = await self._call("create", "POST", f"/objects/{kind}", timeout, payload)
-        return _decode_version(status, body)
+        answer = await self._call("create", "POST", f"/objects/{kind}", timeout, payload)
+        return _decode_version(answer)
 
     async def list_peers(self) -> list[Peer]:
         """Lists the instances; see `PeerDirectory.list_peers`.
@@ -200,13 +219,13 @@
 
     async def _call(
         self, operation: str, method: str, path: str, timeout: float, body: bytes = b""
-    ) -> tuple[int, bytes]:
-        """Makes one call; raises `SourceError` for a status that is not expected."""
+    ) -> _Answer:
+        """Makes one call; raises `SourceError` for an unexpected status or an earlier epoch."""
         result = "failed"
         try:
             async with asyncio.timeout(timeout):
-                status, response_body = await self._exchange(method, path, body)
-            result = str(status)
+                answer = await self._exchange(method, path, body)
+            result = str(answer.status)
         except (OSError, TimeoutError, h11.ProtocolError) as exc:
             raise SourceError(f"{operation} failed: {exc!r}") from exc
         finally:
@@ -214,10 +233,13 @@
             if result not in EXPECTED_STATUSES:
                 self.close()
         if result not in EXPECTED_STATUSES:
-            raise SourceError(f"{operation} failed: status {status}")
-        return status, response_body
+            raise SourceError(f"{operation} failed: status {answer.status}")
+        if not self._epoch.observe(answer.epoch):
+            self.close()
+            raise SourceError(f"{operation} failed: the response precedes a restore of the store")
+        return answer
 
-    async def _exchange(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+    async def _exchange(self, method: str, path: str, body: bytes) -> _Answer:
         """Sends a request and reads the complete response."""
         reader, writer = await self._ensure_connection()
         headers = [("host", f"{self._cfg.host}:{self._cfg.port}")]
@@ -228,7 +250,7 @@
         if body:
             data += parser.send(h11.Data(data=body)) or b""
         writer.write(data + (parser.send(h11.EndOfMessage()) or b""))
-        status = 0
+        status = epoch = 0
         response_body = bytearray()
         while True:
             event = parser.next_event()
@@ -236,7 +258,7 @@
                 parser.receive_data(await reader.read(READ_SIZE))
             elif isinstance(event, h11.Response):
                 status = event.status_code
-                self._epoch = _decode_epoch(dict(event.headers).get(EPOCH))
+                epoch = _decode_epoch(dict(event.headers).get(EPOCH))
             elif isinstance(event, h11.Data):
                 response_body += event.data
                 if len(response_body) > MAX_BODY_BYTES:
@@ -252,7 +274,7 @@
             parser.start_next_cycle()
         else:
             self.close()
-        return status, bytes(response_body)
+        return _Answer(status, bytes(response_body), epoch)
 
     async def _ensure_connection(self) -> tuple[UnreadReader, asyncio.StreamWriter]:
         """Returns the open connection, or opens a new one."""
@@ -275,10 +297,10 @@
     return int(value)
 
 
-def _decode_version(status: int, body: bytes) -> StoredVersion:
+def _decode_version(answer: _Answer) -> StoredVersion:
     """Decodes the response to a write."""
-    stored = _decode(body, _Object)
-    return StoredVersion(stored.spec, stored.metadata.revision, status != CONFLICT)
+    stored = _decode(answer.body, _Object)
+    return StoredVersion(stored.spec, stored.metadata.revision, answer.status != CONFLICT)
 
 
 def _decode_peer(entry: StoredEntry) -> Peer:
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -8,7 +8,7 @@
 import unittest
 
 from sapphireledge.core.quarantine import CrashReport, DeathRecord
-from sapphireledge.feed import SourceError, StoredEntry, StoredVersion
+from sapphireledge.feed import SourceError, StoredEntry, StoredVersion, StoreEpoch
 from sapphireledge.gateway import (
     CrashGuard,
     GatewayMetrics,
@@ -167,7 +167,7 @@
         """Guards against a write that replaces a version which the writer has not seen."""
         store = Store()
         await store.start()
-        client = StoreClient(StoreSettings("127.0.0.1", store.port))
+        client = StoreClient(StoreSettings("127.0.0.1", store.port), StoreEpoch())
         self.addCleanup(client.close)
         first = await client.write(CRASH_REPORT_KIND, "f", {"n": 1}, None)
         self.assertTrue(first.written)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -17,6 +17,7 @@
     Peer,
     SourceError,
     StoredEntry,
+    StoreEpoch,
     StorePage,
 )
 from sapphireledge.gateway import seconds_since_boot
@@ -47,6 +48,9 @@
     def on_store_recovered(self, outage):
         pass
 
+    def on_store_restored(self):
+        pass
+
 
 class MemoryStore:
     """In-memory store that is shared by several instances and can refuse some of them."""
@@ -76,8 +80,9 @@
 class MemoryStoreClient:
     """Client of a `MemoryStore` for one instance; also serves as its directory."""
 
-    def __init__(self, store, name, peers):
+    def __init__(self, store, name, peers, epoch):
         self.store = store
+        self.epoch = epoch
         self.name = name
         self.announced = peers
 
@@ -90,7 +95,7 @@
     async def list(self, kind):
         self._count_call()
         entries = tuple(StoredEntry(name, spec) for name, spec in self.store.objects.items())
-        return StorePage(entries, self.store.revision, self.store.epoch)
+        return self._page(entries, self.store.revision)
 
     async def watch(self, kind, revision, wait):
         self._count_call()
@@ -105,9 +110,14 @@
                 entry for change_revision, entry in self.store.changes if change_revision > revision
             )
             if found:
-                return StorePage(found, self.store.revision, self.store.epoch)
+                return self._page(found, self.store.revision)
             await asyncio.sleep(0.01)
-        return StorePage((), revision, self.store.epoch)
+        return self._page((), revision)
+
+    def _page(self, entries, revision):
+        if not self.epoch.observe(self.store.epoch):
+            raise SourceError("the response precedes a restore")
+        return StorePage(entries, revision)
 
     async def announce(self, peer):
         self.announced.append(peer)
@@ -140,11 +150,12 @@
         )
         self.cfg = replace(cfg, **overrides)
         self.feed = KindFeed("servers", self.listener)
-        client = MemoryStoreClient(store, name, peers)
+        epoch = StoreEpoch()
+        client = MemoryStoreClient(store, name, peers, epoch)
         self.watcher = KindWatcher(client, self.feed, KIND, self.cfg)
         local_peer = Peer(name, "127.0.0.1", port, "dc-a", link_mbps)
         self.runner = FeedRunner(
-            self.cfg, local_peer, {"servers": self.feed}, [self.watcher], client
+            self.cfg, local_peer, {"servers": self.feed}, [self.watcher], client, epoch
         )
         self.task = asyncio.create_task(self.runner.run())
 
@@ -341,6 +352,15 @@
             self.store.put(f"new{n}", n)
         await self.assert_all_hold({"a": 1, **{f"new{n}": n for n in range(9)}})
 
+    async def test_instances_announce_themselves_again(self):
+        """Guards against instances that are not found because the store forgot them."""
+        announced = self.instances[0].runner._directory.announced
+        announced.clear()
+        await self.restore({"a": 1}, 2)
+        await asyncio.sleep(3.0)
+        self.assertEqual({peer.name for peer in announced}, {"e0", "e1", "e2"})
+        self.assertEqual({instance.runner.instance_count for instance in self.instances}, {3})
+
     async def test_instance_that_follows_an_outdated_relay_leaves_it(self):
         """Guards against a relay that passes on what the store has lost."""
         follower = self.instances[2]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,6 +14,7 @@
 import msgspec
 from gateway_case import GatewayCase, full_response
 
+from sapphireledge.core.quarantine import ClearingRecord, CrashReport
 from sapphireledge.feed import (
     FeedSettings,
     KindFeed,
@@ -21,10 +22,13 @@
     KindWatcher,
     Peer,
     SourceError,
+    StoredEntry,
+    StoreEpoch,
 )
 from sapphireledge.gateway import ReplayRule, seconds_since_boot
 from sapphireledge.platform import header_names
 from sapphireledge.platform.config_listener import ConfigListener
+from sapphireledge.platform.crash_report_writer import CrashReportWriter
 from sapphireledge.platform.decode_config import decode_config
 from sapphireledge.platform.decode_report import decode_cache, decode_report
 from sapphireledge.platform.decode_server import decode_server
@@ -273,7 +277,7 @@
 
     async def run_watcher(self, kind, listener, answers, seconds):
         self.store.answers = answers
-        client = StoreClient(self.store_cfg)
+        client = StoreClient(self.store_cfg, StoreEpoch())
         self.feed = KindFeed(kind, listener)
         settings = KindSettings(kind, watch_wait=0.2, batch_delay=0.0)
         watcher = KindWatcher(client, self.feed, settings, self.feed_cfg)
@@ -367,6 +371,73 @@
         await self.run_watcher("servers", self.server_listener(), answers, 0.1)
         self.assertEqual(self.gateway.context.registry.ids(), frozenset())
 
+    async def test_server_missing_in_a_restored_store_stays_until_it_registers_again(self):
+        """Guards against the loss of all servers that were added after the copy was made."""
+        listener = self.server_listener()
+        listener.replace_all([StoredEntry("i1", SERVER), StoredEntry("i2", SERVER)])
+        listener.on_store_restored()
+        listener.replace_all([StoredEntry("i1", SERVER)])
+        self.assertEqual(self.gateway.context.registry.ids(), {"i1", "i2"})
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.gateway.context.registry.ids(), {"i1"})
+
+    async def test_server_that_left_is_not_used_when_a_restored_store_brings_it_back(self):
+        """Guards against requests to a server that the store forgot to have left."""
+        listener = ServerListener(self.gateway, heartbeat=0.1, recovery_grace=0.2)
+        registry = self.gateway.context.registry
+        listener.replace_all([StoredEntry("gone", SERVER), StoredEntry("leaving", SERVER)])
+        listener.apply([StoredEntry("leaving", {**SERVER, "state": "draining"})])
+        listener.apply([StoredEntry("gone", None, removed=True)])
+        listener.on_store_restored()
+        listener.replace_all([StoredEntry("gone", SERVER), StoredEntry("leaving", SERVER)])
+        self.assertFalse(registry.is_available("leaving"))
+        self.assertFalse(registry.is_available("gone"))
+        await asyncio.sleep(0.6)
+        self.assertTrue(registry.is_available("gone"))
+        self.assertFalse(registry.is_available("leaving"))
+        listener.replace_all([StoredEntry("leaving", {**SERVER, "born": 6})])
+        self.assertTrue(registry.is_available("leaving"))
+
+    async def test_older_configuration_of_a_restored_store_confirms_nothing(self):
+        """Guards against keys that stay valid because the store has lost their withdrawal."""
+        view = self.gateway.config
+        listener = ConfigListener(view)
+        listener.replace_all([StoredEntry("main", CONFIG)])
+        before = view.age
+        listener.on_store_restored()
+        listener.replace_all([StoredEntry("main", {**CONFIG, "version": 5})])
+        listener.confirm(seconds_since_boot())
+        self.assertEqual(view.table.version, 7)
+        self.assertGreaterEqual(view.age, before)
+        listener.replace_all([StoredEntry("main", {**CONFIG, "version": 8})])
+        listener.confirm(seconds_since_boot())
+        self.assertLess(view.age, 0.5)
+
+    async def test_description_and_crash_report_are_written_again_after_a_restore(self):
+        """Guards against what this instance wrote and a restored store has lost."""
+        epoch = StoreEpoch()
+        writer = CrashReportWriter(
+            StoreClient(self.store_cfg, epoch), self.gateway.context.crashes, "e1"
+        )
+        epoch.subscribe(writer.on_store_restored)
+        clearing = ClearingRecord("part:a", time.time())
+        self.gateway.context.crashes.on_clearing(clearing)
+        stored = stored_object("e1", CrashReport(clearings=(clearing,)).to_builtins())
+        self.store.answers = [(201, stored)]
+        task = asyncio.create_task(writer.run())
+        async with asyncio.timeout(ANSWER_TIMEOUT):
+            while self.store.answers:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        calls = len(self.store.calls)
+        self.store.answers = [(201, stored)]
+        epoch.observe(2)
+        async with asyncio.timeout(ANSWER_TIMEOUT):
+            while self.store.answers:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        self.assertEqual(self.store.calls[calls:], ["/objects/crash-reports"])
+
     async def test_restart_with_same_id_resets_counters(self):
         """Guards against counters carried over from an earlier incarnation."""
         answers = [listing_answer(stored_object("i1", SERVER))]
@@ -380,7 +451,7 @@
         """Guards against extra store calls when an unchanged instance restarts."""
         spec = {"address": "10.0.0.1:7340", "data_centre": "dc-a", "link_mbps": 5.0}
         peer = Peer("e1", "10.0.0.1", 7340, "dc-a", 5.0)
-        client = StoreClient(self.store_cfg)
+        client = StoreClient(self.store_cfg, StoreEpoch())
         self.store.answers = [
             (409, stored_object("e1", spec)),
             listing_answer(stored_object("e1", spec)),
@@ -442,14 +513,14 @@
             (*listing_answer(stored_object("e1", peers[0])), "twice"),
             listing_answer(stored_object("e2", peers[1])),
         ]
-        client = StoreClient(self.store_cfg)
+        client = StoreClient(self.store_cfg, StoreEpoch())
         names = [(await client.list_peers())[0].name for _ in range(2)]
         self.assertEqual(names, ["e1", "e2"])
         client.close()
 
     async def test_endless_or_nested_response_is_a_failed_call(self):
         """Guards against a store response that takes all memory or ends the process."""
-        client = StoreClient(self.store_cfg)
+        client = StoreClient(self.store_cfg, StoreEpoch())
         for body in ("x" * 9_000_000, "["):
             self.store.answers = [(200, body)]
             with self.assertRaises(SourceError):
