Send nothing more to a server that says it is leaving

What callers saw: nothing; a server that leaves got new requests until its entry in the store changed, and after that if its entry lapsed and came back (DRAIN). Cause: only the entry of the registry said that a server leaves; its responses were not read, and the knowledge was lost with the entry. Change: leaving is part of core/backpressure, final for an incarnation and remembered when its entry is removed; entry and responses set the same state. Own interface: header X-Server-Leaving.

--- a/src/sapphireledge/backends/decode_signals.py
+++ b/src/sapphireledge/backends/decode_signals.py
@@ -15,6 +15,9 @@
 RATE_LIMIT = "x-request-limit"
 """Header with the requests per second that the server takes from all instances together."""
 
+LEAVING = "x-server-leaving"
+"""Header set to 1 by a server that shuts down."""
+
 
 def decode_signals(headers: Mapping[str, str]) -> ServerSignals:
     """Decodes the signals of a response.
@@ -25,7 +28,10 @@
     Returns:
         The signals; a value that is not a number is ignored.
     """
-    return ServerSignals(rate_limit=_parse_decimal(headers.get(RATE_LIMIT, "")))
+    return ServerSignals(
+        rate_limit=_parse_decimal(headers.get(RATE_LIMIT, "")),
+        is_leaving=headers.get(LEAVING, "").strip() == "1",
+    )
 
 
 def _parse_decimal(text: str) -> float | None:
--- a/src/sapphireledge/core/backpressure/server_backpressure.py
+++ b/src/sapphireledge/core/backpressure/server_backpressure.py
@@ -1,5 +1,7 @@
 """Decides when one instance may send requests to one server.
 
+A server that leaves gets no new requests for the rest of its incarnation.
+
 Load pattern: a server in trouble names the rate of requests that it takes from all instances
 together. The instances do not coordinate, so each takes an equal share of the rate, and the rest of
 its requests go to other servers, wait, or are refused.
@@ -7,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.backpressure.request_pacer import RequestPacer
@@ -23,7 +26,7 @@
 class ServerBackpressure:
     """What one incarnation of a server asks of this instance, by its latest response."""
 
-    __slots__ = ("_limits", "_pacer", "signals")
+    __slots__ = ("_limits", "_pacer", "is_leaving", "signals")
 
     def __init__(self, limits: BackpressureLimits, rng: Random) -> None:
         """Creates the state of a server that has asked for nothing.
@@ -35,6 +38,9 @@
         self.signals = ServerSignals()
         """Signals of the latest response."""
 
+        self.is_leaving = False
+        """Whether the server shuts down; final for its incarnation."""
+
         self._limits = limits
         self._pacer = RequestPacer(limits, rng)
 
@@ -47,11 +53,16 @@
             instances: Number of instances that share the rate of the server, at least 1.
         """
         self.signals = signals
+        self.is_leaving = self.is_leaving or signals.is_leaving
         rate = signals.rate_limit
         if rate is not None:
             rate = max(rate, self._limits.min_rate) / max(1, instances)
         self._pacer.set_rate(now, rate)
 
+    def on_leaving(self) -> None:
+        """Records that the server shuts down, as another source than its responses says."""
+        self.is_leaving = True
+
     def next_at(self, now: float) -> float:
         """Computes when the next request may be sent to the server.
 
@@ -59,8 +70,10 @@
             now: Current time in seconds.
 
         Returns:
-            Time in seconds, at least `now`.
+            Time in seconds, at least `now`; infinite if the server is leaving.
         """
+        if self.is_leaving:
+            return math.inf
         return self._pacer.next_at(now)
 
     def take(self, now: float) -> None:
--- a/src/sapphireledge/core/routing/backend_view.py
+++ b/src/sapphireledge/core/routing/backend_view.py
@@ -229,6 +229,7 @@
         if state is None:
             return
         state.backpressure.on_response(now, signals, len(self._entries))
+        state.leaving = state.leaving or signals.is_leaving
         self._update_hold(now, state)
 
     def on_unreachable(self, now: float, backend: str) -> None:
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections import OrderedDict
 from operator import itemgetter
 from random import Random
 from typing import TYPE_CHECKING
@@ -35,6 +35,9 @@
 BACKPRESSURE_LIMITS = BackpressureLimits()
 """How requests are held back from servers that ask for it."""
 
+MAX_INCARNATIONS = 8192
+"""Largest number of incarnations of servers whose requests to hold back are remembered."""
+
 SUSPECT_CENTRE_LOSSES = 2
 """Servers of a data centre that must become unreachable within `SUSPECT_CENTRE_WINDOW` for the
 whole data centre to be treated as suspect."""
@@ -66,6 +69,7 @@
         self._orders: dict[str, list[BackendState]] = {}
         self._recent_losses: dict[str, list[tuple[float, str]]] = {}
         self._suspect_until: dict[str, float] = {}
+        self._backpressures: OrderedDict[tuple[str, int], ServerBackpressure] = OrderedDict()
         self._rng = Random()
 
     def __len__(self) -> int:
@@ -85,17 +89,16 @@
             self.remove(server.server_id)
             state = None
         if state is None:
-            backpressure = ServerBackpressure(BACKPRESSURE_LIMITS, self._rng)
-            state = BackendState(server, backpressure)
+            state = BackendState(server, self._recall_backpressure(server))
             self._states[server.server_id] = state
             self._by_service.setdefault(server.service, {})[server.server_id] = state
             self._orders.pop(server.service, None)
-            return True
-        if state.server.draining and not server.draining:
-            # Leaving is final for an incarnation; a lagging or restored store may say otherwise.
-            server = replace(server, draining=True)
-        changed = state.server.draining != server.draining
-        state.server = server
+            changed = True
+        else:
+            changed = server.draining and not state.backpressure.is_leaving
+            state.server = server
+        if server.draining:
+            state.backpressure.on_leaving()
         return changed
 
     def remove(self, server_id: str) -> None:
@@ -109,6 +112,21 @@
             self._by_service[state.server.service].pop(server_id, None)
             self._orders.pop(state.server.service, None)
 
+    def _recall_backpressure(self, server: BackendServer) -> ServerBackpressure:
+        """Returns what an incarnation asked for before its entry was removed, if it is known.
+
+        An entry can be removed and come back while its server runs.
+        """
+        incarnation = (server.server_id, server.started_at_ms)
+        backpressure = self._backpressures.pop(incarnation, None)
+        if backpressure is None:
+            backpressure = ServerBackpressure(BACKPRESSURE_LIMITS, self._rng)
+        if server.started_at_ms:
+            self._backpressures[incarnation] = backpressure
+            if len(self._backpressures) > MAX_INCARNATIONS:
+                self._backpressures.popitem(last=False)
+        return backpressure
+
     def ids(self) -> frozenset[str]:
         """Lists the ids of all known backend servers.
 
@@ -174,14 +192,10 @@
             server_id: Server id.
 
         Returns:
-            False if the server is draining, unknown, or takes no request now.
+            False if the server is leaving, unknown, or takes no request now.
         """
         state = self._states.get(server_id)
-        return (
-            state is not None
-            and not state.server.draining
-            and state.backpressure.next_at(now) <= now
-        )
+        return state is not None and state.backpressure.next_at(now) <= now
 
     def try_take(self, now: float, server_id: str) -> bool:
         """Records that a request is sent to a server, if the server takes one now.
@@ -289,7 +303,7 @@
             self._orders[service] = order
         avoided = []
         for state in order:
-            if state.server.draining or state.server.server_id in excluded:
+            if state.backpressure.is_leaving or state.server.server_id in excluded:
                 continue
             if self._was_lost_recently(now, state):
                 avoided.append(state.server)
@@ -304,10 +318,10 @@
             server_id: Server id.
 
         Returns:
-            False if the server is draining or unknown.
+            False if the server is leaving or unknown.
         """
         state = self._states.get(server_id)
-        return state is not None and not state.server.draining
+        return state is not None and not state.backpressure.is_leaving
 
     def on_unreachable(self, now: float, server: BackendServer) -> None:
         """Records that a server could not be reached or sent no usable response.
@@ -336,7 +350,7 @@
     def _iter_available(self, service: str, excluded: Collection[str]) -> Iterator[BackendState]:
         """Iterates over the servers of a service that accept new requests."""
         for server_id, state in self._by_service.get(service, {}).items():
-            if not state.server.draining and server_id not in excluded:
+            if not state.backpressure.is_leaving and server_id not in excluded:
                 yield state
 
     def _preference(self, state: BackendState) -> int:
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -111,6 +111,12 @@
         self.assertGreaterEqual(chosen.count("b1"), 5)
         self.assertNotIn(None, chosen)
 
+    def test_leaving_server_gets_no_more_requests(self):
+        """Guards against requests to a server that has said that it leaves."""
+        self.view.on_response(0.0, "b1", ServerSignals(is_leaving=True))
+        self.view.on_response(0.5, "b1", ServerSignals())
+        self.assertEqual({self.send(1.0 + step) for step in range(20)}, {"b2"})
+
     def test_limited_servers_take_requests_again(self):
         """Guards against servers that stay out of use once all of them are limited."""
         for name in ("b1", "b2"):
