Keep the pause that a rejecting server asks for

What callers saw: late answers, as requests went to servers that rejected them again (BUDGET). Cause: Retry-After of a 503 was forwarded or ignored, and no choice of a server knew it. Change: a pause is part of core/backpressure; the longest one counts, an answer to an earlier request does not end it, and 300 s are the most. Own interface: Retry-After of 429 and 503. Why it works: the pause is read with the response that asks for it, before the next choice.

--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -130,7 +130,9 @@
             return
         chunks = response.read_chunks()
         try:
-            yield AttemptStarted(call.attempt, decode_signals(response.headers))
+            yield AttemptStarted(
+                call.attempt, decode_signals(response.status_code, response.headers)
+            )
             async for event in self._read_events(call, chunks):
                 yield event
                 if type(event) is AttemptFinished:
@@ -317,7 +319,7 @@
             failure = classify_error_response(
                 response.status_code, text, response.headers.get("retry-after", "")
             )
-            return replace(failure, signals=decode_signals(response.headers))
+            return replace(failure, signals=decode_signals(response.status_code, response.headers))
         # Unless the response is chunked, aiosonic has already returned its connection to the pool,
         # so the response must not be read.
         chunked = response.headers.get("transfer-encoding", "").lower() == "chunked"
--- a/src/sapphireledge/core/backpressure/backpressure_limits.py
+++ b/src/sapphireledge/core/backpressure/backpressure_limits.py
@@ -15,6 +15,10 @@
     """Seconds for which an unused slot of a paced server can still be used. All instances together
     can exceed the rate of the server by the requests of this time."""
 
+    max_pause: float = 300.0
+    """Longest pause in seconds that a server can ask for, so that a wrong number does not take it
+    out of use for good."""
+
     min_rate: float = 0.1
     """Requests per second that a server gets from all instances in any case. Only a response shows
     that its limit has ended."""
--- a/src/sapphireledge/core/backpressure/server_backpressure.py
+++ b/src/sapphireledge/core/backpressure/server_backpressure.py
@@ -1,6 +1,8 @@
 """Decides when one instance may send requests to one server.
 
-A server that leaves gets no new requests for the rest of its incarnation.
+A server that rejects a request can ask for a pause: it is full, or recovers, and each further
+request costs it the time to reject it. A server that leaves gets no new requests for the rest of
+its incarnation.
 
 Load pattern: a server in trouble names the rate of requests that it takes from all instances
 together. The instances do not coordinate, so each takes an equal share of the rate, and the rest of
@@ -26,7 +28,7 @@
 class ServerBackpressure:
     """What one incarnation of a server asks of this instance, by its latest response."""
 
-    __slots__ = ("_limits", "_pacer", "is_leaving", "signals")
+    __slots__ = ("_limits", "_pacer", "_paused_until", "is_leaving", "signals")
 
     def __init__(self, limits: BackpressureLimits, rng: Random) -> None:
         """Creates the state of a server that has asked for nothing.
@@ -42,6 +44,7 @@
         """Whether the server shuts down; final for its incarnation."""
 
         self._limits = limits
+        self._paused_until = -math.inf
         self._pacer = RequestPacer(limits, rng)
 
     def on_response(self, now: float, signals: ServerSignals, instances: int) -> None:
@@ -54,6 +57,9 @@
         """
         self.signals = signals
         self.is_leaving = self.is_leaving or signals.is_leaving
+        if signals.pause is not None:
+            pause = min(signals.pause, self._limits.max_pause)
+            self._paused_until = max(self._paused_until, now + pause)
         rate = signals.rate_limit
         if rate is not None:
             rate = max(rate, self._limits.min_rate) / max(1, instances)
@@ -74,7 +80,18 @@
         """
         if self.is_leaving:
             return math.inf
-        return self._pacer.next_at(now)
+        return self._pacer.next_at(max(now, self._paused_until))
+
+    def is_closed(self, now: float) -> bool:
+        """Checks whether not even a request with a reserved slot may be sent.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            Whether the server is leaving, or has asked for a pause that has not ended.
+        """
+        return self.is_leaving or now < self._paused_until
 
     def take(self, now: float) -> None:
         """Records that a request is sent, or will be sent when `next_at` is reached.
--- a/src/sapphireledge/entry/service_dispatcher.py
+++ b/src/sapphireledge/entry/service_dispatcher.py
@@ -94,7 +94,7 @@
         finally:
             self._view.on_end(time.monotonic(), choice.backend, work_id)
         if isinstance(result, ServiceResponse):
-            signals = decode_signals(result.headers)
+            signals = decode_signals(result.status, result.headers)
             self._view.on_response(time.monotonic(), choice.backend, signals)
             content_type = result.headers.get("content-type", DEFAULT_CONTENT_TYPE)
             return ServiceOutcome(result.status, content_type, result.body)
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -197,6 +197,19 @@
         state = self._states.get(server_id)
         return state is not None and state.backpressure.next_at(now) <= now
 
+    def is_closed(self, now: float, server_id: str) -> bool:
+        """Checks whether not even a reserved request may be sent to a server.
+
+        Args:
+            now: Event loop time in seconds.
+            server_id: Server id.
+
+        Returns:
+            Whether the server is leaving, unknown, or has asked for a pause.
+        """
+        state = self._states.get(server_id)
+        return state is None or state.backpressure.is_closed(now)
+
     def try_take(self, now: float, server_id: str) -> bool:
         """Records that a request is sent to a server, if the server takes one now.
 
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -167,9 +167,9 @@
             return None
         server, send_at = reserved
         await asyncio.sleep(send_at - loop.time())
-        if not registry.is_available(server.server_id) or not self._spend_attempt(
-            admitted, tried_servers
-        ):
+        if registry.is_closed(loop.time(), server.server_id):
+            return None
+        if not self._spend_attempt(admitted, tried_servers):
             return None
         isolated = isinstance(verdict, IsolateVerdict)
         return self._run_attempt(admitted, tried_servers, server, isolated=isolated)
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -74,11 +74,11 @@
         """Guards against a limit read from a value that is none."""
         for text in ("", "x", "nan", "inf", "-1", "1e999"):
             headers = {"x-request-limit": text}
-            self.assertIsNone(decode_signals(headers).rate_limit)
+            self.assertIsNone(decode_signals(200, headers).rate_limit)
             head = PlatformDialect().decode_response(200, ((b"server-limit", text.encode()),))
             self.assertIsNone(head.signals.rate_limit)
         head = PlatformDialect().decode_response(200, ((b"server-limit", b"2.5"),))
-        self.assertEqual(head.signals, decode_signals({"x-request-limit": "2.5"}))
+        self.assertEqual(head.signals, decode_signals(200, {"x-request-limit": "2.5"}))
 
 
 class OwnInterfaceTest(unittest.TestCase):
@@ -111,6 +111,14 @@
         self.assertGreaterEqual(chosen.count("b1"), 5)
         self.assertNotIn(None, chosen)
 
+    def test_server_that_asked_for_a_pause_gets_nothing_until_its_end(self):
+        """Guards against requests during a pause, also after a response to an earlier request."""
+        self.view.on_response(0.0, "b1", decode_signals(503, {"retry-after": "3.5"}))
+        self.view.on_response(0.1, "b1", decode_signals(200, {}))
+        chosen = [self.send(0.2 + step * 0.1) for step in range(33)]
+        self.assertEqual(set(chosen), {"b2"})
+        self.assertIn("b1", [self.send(3.6 + step * 0.1) for step in range(20)])
+
     def test_leaving_server_gets_no_more_requests(self):
         """Guards against requests to a server that has said that it leaves."""
         self.view.on_response(0.0, "b1", ServerSignals(is_leaving=True))
