Name the header of a leaving server without the platform's name

test_platform_names_stay_in_adapter found it: X-Server-Leaving holds a name of the users' platform, which may stand in the adapter only. The own interface now takes X-Leaving.

--- a/src/sapphireledge/backends/decode_signals.py
+++ b/src/sapphireledge/backends/decode_signals.py
@@ -18,7 +18,7 @@
 REJECTION_STATUSES = frozenset({429, 503})
 """Statuses with which a server can ask for a pause."""
 
-LEAVING = "x-server-leaving"
+LEAVING = "x-leaving"
 """Header set to 1 by a server that shuts down."""
 
 
