Decode stored objects one by one, so that an odd one does not stop the rest

Report of other operators: one odd entry among those of the runners (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it. It could happen here: a listing or watch with such an entry failed as a whole, again and again, so no change of the registry was seen any more; an integer beyond 64 bits broke the messages to followers; a host that is no IP number reached the resolver; one odd description of an instance hid all others; and the own interface gave up its whole instance list. No process ended. Change: contents are raw JSON until they are decoded on their own (platform/decode_objects); an odd one counts as empty and is logged. Values nested beyond 64 levels are cut before decoding. Addresses must be IPv4. Evidence: test_odd_entry_of_another_writer_does_not_affect_others failed in 7 of 7 cases before (the case 'port' only after the ones before it), test_odd_description_of_an_instance_does_not_hide_the_others failed; both pass. The test of the own interface's instance list tests a function that did not exist.

--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -58,6 +58,9 @@
     SERVER_UNREADABLE = "server_unreadable"
     """A registry entry of the store does not describe a valid backend server."""
 
+    OBJECT_UNREADABLE = "store_object_unreadable"
+    """The content of a stored object cannot be decoded; it is treated as empty."""
+
     SIGNALS_CHANGED = "server_signals_changed"
     """A backend server asks for another request rate, for a pause, or for no new requests."""
 
--- a/src/sapphireledge/objects/_private.py
+++ b/src/sapphireledge/objects/_private.py
@@ -8,12 +8,14 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import structlog
 from aiosonic.exceptions import AiosonicError, ConnectionPoolAcquireTimeout, ConnectTimeout
 from aiosonic.timeout import Timeouts
 
 from sapphireledge.objects.instance import Instance
 from sapphireledge.objects.object_page import ObjectPage
 from sapphireledge.objects.stored_object import StoredObject
+from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -97,8 +99,22 @@
 class InstanceListBody(msgspec.Struct, frozen=True):
     """Body of the response with the instance list."""
 
-    instances: tuple[Instance, ...]
-    """All instances of the fleet."""
+    instances: tuple[msgspec.Raw, ...]
+    """JSON texts of all instances of the fleet, each decoded on its own."""
+
+    def decode_instances(self) -> tuple[Instance, ...]:
+        """Decodes the instances.
+
+        Returns:
+            The instances; rows that cannot be decoded name none.
+        """
+        decoded = []
+        for row in self.instances:
+            try:
+                decoded.append(msgspec.json.decode(row, type=Instance))
+            except (msgspec.DecodeError, UnicodeError):
+                structlog.get_logger().warning(LogEvent.INSTANCE_UNREADABLE, size=len(bytes(row)))
+        return tuple(decoded)
 
 
 async def send_request(
--- a/src/sapphireledge/objects/object_client.py
+++ b/src/sapphireledge/objects/object_client.py
@@ -122,8 +122,9 @@
         if response.status != 200:
             return _unexpected_response("instances", response)
         try:
-            return msgspec.json.decode(response.body, type=InstanceListBody).instances
-        except msgspec.DecodeError:
+            body = msgspec.json.decode(response.body, type=InstanceListBody)
+            return body.decode_instances()
+        except (msgspec.DecodeError, RecursionError):
             return _unexpected_response("instances", response)
 
     async def _read(
@@ -180,7 +181,7 @@
         return WriteResult(WriteStatus.AMBIGUOUS)
     try:
         version = msgspec.json.decode(response.body, type=VersionBody).version
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return WriteResult(WriteStatus.AMBIGUOUS)
     status = WriteStatus.WRITTEN if response.status == 200 else WriteStatus.CONFLICT
     return WriteResult(status, version)
@@ -194,7 +195,7 @@
         return _unexpected_response(operation, response)
     try:
         return msgspec.json.decode(response.body, type=ObjectPageBody).to_page()
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return _unexpected_response(operation, response)
 
 
--- /dev/null
+++ b/src/sapphireledge/platform/decode_objects.py
@@ -0,0 +1,95 @@
+"""Decodes stored objects one by one, so that an odd one does not affect the others.
+
+Other writers may store anything: values that are nested more deeply than a decoder can follow, or
+numbers that no type holds. Such an object is kept with the content None, which names nothing.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Any, TypeVar
+
+import msgspec
+import structlog
+
+from sapphireledge.feed import SourceError
+from sapphireledge.gateway import GatewayEvent
+
+__all__ = ["decode_answer", "decode_spec"]
+
+Decoded = TypeVar("Decoded")
+
+MAX_DEPTH = 64
+"""Deepest nesting of an answer that is decoded; objects of the platform nest less than ten deep."""
+
+_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{}]', re.DOTALL)
+"""Strings and brackets of a JSON text."""
+
+_LONG_NUMBER = re.compile(rb"[0-9]{19}")
+"""Digits of a number that may exceed 64 bits, which the messages between instances cannot hold."""
+
+
+def decode_answer(body: bytes, kind: type[Decoded]) -> Decoded:
+    """Decodes an answer of the store, in which the objects' contents are raw JSON.
+
+    Args:
+        body: JSON text.
+        kind: Type to decode it as.
+
+    Returns:
+        The decoded answer; values nested deeper than `MAX_DEPTH` are replaced by null.
+
+    Raises:
+        SourceError: The answer is not JSON, or of another type.
+    """
+    try:
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except RecursionError:
+            return msgspec.json.decode(_cut_nesting(body), type=kind)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise SourceError(f"cannot decode the response of the store: {exc}") from exc
+
+
+def decode_spec(name: str, spec: msgspec.Raw) -> Any:
+    """Decodes the content of an object.
+
+    Args:
+        name: Name of the object, for the log.
+        spec: JSON text, empty if the object has no content.
+
+    Returns:
+        The decoded value, None if it cannot be decoded or passed on.
+    """
+    text = bytes(spec)
+    if not text:
+        return None
+    try:
+        value = msgspec.json.decode(text)
+        if _LONG_NUMBER.search(text):
+            msgspec.msgpack.encode(value)
+        return value
+    except (msgspec.MsgspecError, RecursionError, OverflowError) as exc:
+        structlog.get_logger().warning(
+            GatewayEvent.OBJECT_UNREADABLE, name=name, size=len(text), reason=str(exc)
+        )
+        return None
+
+
+def _cut_nesting(body: bytes) -> bytes:
+    """Replaces each value that is nested deeper than `MAX_DEPTH` by null."""
+    parts = []
+    depth = copied = 0
+    for token in _TOKENS.finditer(body):
+        bracket = token.group()
+        if bracket in (b"[", b"{"):
+            depth += 1
+            if depth == MAX_DEPTH + 1:
+                parts += [body[copied : token.start()], b"null"]
+        elif bracket in (b"]", b"}"):
+            if depth == MAX_DEPTH + 1:
+                copied = token.end()
+            depth -= 1
+    if depth > MAX_DEPTH:
+        return b""
+    return b"".join([*parts, body[copied:]])
--- a/src/sapphireledge/platform/split_address.py
+++ b/src/sapphireledge/platform/split_address.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
+
 __all__ = ["split_address"]
 
 
@@ -15,9 +17,9 @@
         IP address and port.
 
     Raises:
-        ValueError: The address has another form, or the port is out of range.
+        ValueError: The address has another form, is no IPv4 address, or its port is out of range.
     """
     host, _, port = address.rpartition(":")
     if not host or not port.isdecimal() or not 0 < int(port) < 65536:
         raise ValueError(f"{address!r} is not IP:PORT")
-    return host, int(port)
+    return str(IPv4Address(host)), int(port)
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -4,13 +4,15 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any
 
 import h11
 import msgspec
+import structlog
 
 from sapphireledge.feed import Peer, SourceError, StoredEntry, StoredVersion, StorePage
-from sapphireledge.gateway import UnreadReader, open_unread_connection
+from sapphireledge.gateway import GatewayEvent, UnreadReader, open_unread_connection
+from sapphireledge.platform.decode_objects import decode_answer, decode_spec
 from sapphireledge.platform.split_address import split_address
 
 if TYPE_CHECKING:
@@ -21,8 +23,6 @@
 
 __all__ = ["StoreClient"]
 
-Decoded = TypeVar("Decoded")
-
 MAX_BODY_BYTES = 8_388_608
 """Largest response body; the store's pages hold about one megabyte."""
 
@@ -66,8 +66,14 @@
 
 
 class _Object(msgspec.Struct):
+    """A stored object; `spec` is decoded on its own, as other writers may store anything."""
+
     metadata: _Metadata
-    spec: Any = None
+    spec: msgspec.Raw = msgspec.Raw(b"")
+
+    def decode_spec(self) -> Any:
+        """Decodes the content."""
+        return decode_spec(self.metadata.name, self.spec)
 
 
 class _Instance(msgspec.Struct):
@@ -138,10 +144,10 @@
             if epoch is not None and answer.epoch != epoch:
                 raise SourceError("the store came back from an older copy during the listing")
             epoch = answer.epoch
-            page = _decode(answer.body, _Listing)
+            page = decode_answer(answer.body, _Listing)
             # Watching from the revision of the first page also returns changes during the listing.
             revision = page.store_revision if revision is None else revision
-            entries += [StoredEntry(item.metadata.name, item.spec) for item in page.items]
+            entries += [StoredEntry(item.metadata.name, item.decode_spec()) for item in page.items]
             if not page.more or not page.items:
                 return StorePage(tuple(entries), revision)
             # Despite its name, `after_rev` takes the name of the last object.
@@ -154,9 +160,9 @@
         answer = await self._call("watch", "GET", path, wait + self._cfg.call_timeout)
         if answer.status == GONE:
             return None
-        changes = _decode(answer.body, _Changes)
+        changes = decode_answer(answer.body, _Changes)
         entries = tuple(
-            StoredEntry(event.object.metadata.name, event.object.spec, event.removed)
+            StoredEntry(event.object.metadata.name, event.object.decode_spec(), event.removed)
             for event in changes.events
         )
         return StorePage(entries, changes.store_revision)
@@ -173,9 +179,9 @@
         timeout = self._cfg.call_timeout
         payload = msgspec.json.encode({"metadata": {"name": peer.name}, "spec": spec})
         answer = await self._call("create", "POST", f"/objects/{INSTANCE_KIND}", timeout, payload)
-        if answer.status == CONFLICT and _decode(answer.body, _Object).spec != msgspec.to_builtins(
-            spec
-        ):
+        if answer.status != CONFLICT:
+            return
+        if _decode_version(answer).spec != msgspec.to_builtins(spec):
             path = f"/objects/{INSTANCE_KIND}/{peer.name}"
             answer = await self._call("replace", "PUT", path, timeout, payload)
             if answer.status == NOT_FOUND:
@@ -215,7 +221,8 @@
         A stale listing costs a tenth of a fresh one; a missing instance only causes extra calls.
         """
         page = await self._list_pages(INSTANCE_KIND, "?allow_stale=1")
-        return [_decode_peer(entry) for entry in page.entries]
+        peers = [_decode_peer(entry) for entry in page.entries]
+        return [peer for peer in peers if peer is not None]
 
     async def _call(
         self, operation: str, method: str, path: str, timeout: float, body: bytes = b""
@@ -299,23 +306,18 @@
 
 def _decode_version(answer: _Answer) -> StoredVersion:
     """Decodes the response to a write."""
-    stored = _decode(answer.body, _Object)
-    return StoredVersion(stored.spec, stored.metadata.revision, answer.status != CONFLICT)
+    stored = decode_answer(answer.body, _Object)
+    return StoredVersion(stored.decode_spec(), stored.metadata.revision, answer.status != CONFLICT)
 
 
-def _decode_peer(entry: StoredEntry) -> Peer:
-    """Decodes the stored description of an instance."""
+def _decode_peer(entry: StoredEntry) -> Peer | None:
+    """Decodes the stored description of an instance; an odd one names none."""
     try:
         description = msgspec.convert(entry.spec, _Instance)
         host, port = split_address(description.address)
     except (msgspec.ValidationError, ValueError) as exc:
-        raise SourceError(f"cannot decode the description of instance {entry.name}: {exc}") from exc
+        structlog.get_logger().warning(
+            GatewayEvent.OBJECT_UNREADABLE, name=entry.name, reason=str(exc)
+        )
+        return None
     return Peer(entry.name, host, port, description.data_centre, description.link_mbps)
-
-
-def _decode(body: bytes, kind: type[Decoded]) -> Decoded:
-    """Decodes a response of the store."""
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, RecursionError) as exc:
-        raise SourceError(f"cannot decode the response of the store: {exc}") from exc
--- a/src/sapphireledge/telemetry/log_event.py
+++ b/src/sapphireledge/telemetry/log_event.py
@@ -70,6 +70,9 @@
     BACKEND_LEAVING = "backend_leaving"
     """A backend server was marked as leaving."""
 
+    INSTANCE_UNREADABLE = "instance_unreadable"
+    """A row of the instance list cannot be decoded and is left out."""
+
     BACKEND_DEAD = "backend_dead"
     """A backend server died."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -29,6 +29,7 @@
     create_http_client,
     settle_write,
 )
+from sapphireledge.objects._private import InstanceListBody
 from sapphireledge.settings import PlatformSettings, Settings
 from sapphireledge_standins._platform_faults import Cut, FaultMode, PlatformFaults
 from sapphireledge_standins._platform_objects import ObjectTable
@@ -191,6 +192,18 @@
         self.fail("condition not met within 5 s")
 
 
+class InstanceListTest(unittest.TestCase):
+    def test_odd_row_does_not_hide_the_others(self):
+        """Guards against an instance list that is given up because of one row."""
+        sound = (
+            b'{"name":"e1","kind":"engine","address":"10.0.0.1:1","data_centre":"d","region":"r"}'
+        )
+        for odd in (b'{"name":1}', b"1e999", b'{"name":"e2","kind":"other"}', b'"\xff"'):
+            body = b'{"instances":[' + odd + b"," + sound + b"]}"
+            rows = msgspec.json.decode(body, type=InstanceListBody).decode_instances()
+            self.assertEqual([row.name for row in rows], ["e1"])
+
+
 class SingleUseConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Guards against the HTTP library sending a request again after its connection broke."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,17 +25,19 @@
     StoredEntry,
     StoreEpoch,
 )
+from sapphireledge.feed.feed_message import FeedEntry, FeedReply, KindReply
 from sapphireledge.gateway import ReplayRule, seconds_since_boot
 from sapphireledge.platform import header_names
 from sapphireledge.platform.config_listener import ConfigListener
 from sapphireledge.platform.crash_report_writer import CrashReportWriter
 from sapphireledge.platform.decode_config import decode_config
+from sapphireledge.platform.decode_objects import decode_answer
 from sapphireledge.platform.decode_report import decode_cache, decode_report
 from sapphireledge.platform.decode_server import decode_server
 from sapphireledge.platform.node_settings import load_node_settings
 from sapphireledge.platform.server_listener import ServerListener
 from sapphireledge.platform.settings_reloader import SettingsReloader
-from sapphireledge.platform.store_client import StoreClient, _decode
+from sapphireledge.platform.store_client import StoreClient
 from sapphireledge.platform.store_settings import StoreSettings
 
 SOURCE = Path(__file__).resolve().parent.parent / "src" / "sapphireledge"
@@ -320,6 +322,54 @@
         await self.run_watcher("servers", self.server_listener(), answers, 0.1)
         self.assertEqual(self.gateway.context.registry.ids(), {"i1"})
 
+    async def test_odd_entry_of_another_writer_does_not_affect_others(self):
+        """Guards against a listing or a watch that fails for good because of one odd entry."""
+        nested = b"[" * 100_000 + b"]" * 100_000
+        odd = {
+            "deep": nested,
+            "deep in a field": b'{"service":"s1","extra":' + nested + b"}",
+            "large": b"1e999",
+            "long": b"1" * 5_000,
+            "wide": b"1" + b"0" * 30,
+            "port": msgspec.json.encode({**SERVER, "address": "10.0.0.1:99999"}),
+            "name": msgspec.json.encode({**SERVER, "address": "x" * 70 + ".example:80"}),
+        }
+        for case, spec in odd.items():
+            with self.subTest(case):
+                entry = {"metadata": {"name": "odd"}, "spec": msgspec.Raw(spec)}
+                answers = [
+                    listing_answer(entry, stored_object("i1", SERVER)),
+                    (200, {"events": [{"object": entry}], "store_revision": 6}),
+                    change_answer("i2", SERVER, revision=7),
+                ]
+                self.store.calls = []
+                await self.run_watcher("servers", self.server_listener(), answers, 0.1)
+                self.assertEqual(self.gateway.context.registry.ids(), {"i1", "i2"})
+                self.assertEqual(len([c for c in self.store.calls if "watch" not in c]), 1)
+                _, entries = self.feed.entries_since(None)
+                reply = FeedReply(
+                    0.0,
+                    {
+                        "servers": KindReply(
+                            7, 0.0, True, [FeedEntry(e.name, e.spec, e.removed) for e in entries]
+                        )
+                    },
+                )
+                decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(reply), type=FeedReply)
+                self.assertEqual(len(decoded.kinds["servers"].entries), 3)
+
+    async def test_odd_description_of_an_instance_does_not_hide_the_others(self):
+        """Guards against a directory that cannot be read because of one odd entry."""
+        client = StoreClient(self.store_cfg, StoreEpoch())
+        self.addCleanup(client.close)
+        sound = {"address": "10.0.0.2:7340", "data_centre": "akl-a", "link_mbps": 5.0}
+        self.store.answers = [
+            listing_answer(
+                stored_object("e1", {"address": "10.0.0.1:99999"}), stored_object("e2", sound)
+            )
+        ]
+        self.assertEqual([peer.name for peer in await client.list_peers()], ["e2"])
+
     async def test_stalled_connection_is_replaced(self):
         """Guards against waiting forever on a connection that delivers no answers."""
         answers = [
@@ -526,7 +576,7 @@
             with self.assertRaises(SourceError):
                 await client.list_peers()
         with self.assertRaises(SourceError):
-            _decode(b"[" * 100_000, dict)
+            decode_answer(b"[" * 100_000, dict)
 
     async def test_unreadable_configuration_is_ignored(self):
         """Guards against a process that stops or drops its routes on an invalid update."""
