--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -290,6 +290,8 @@
         await asyncio.sleep(seconds)
         task.cancel()
         client.close()
+        # The store may still read a call of this watcher, and would give it the next answers.
+        await asyncio.sleep(0.05)
 
     def server_listener(self):
         return ServerListener(self.gateway, heartbeat=HEARTBEAT, recovery_grace=0.8)
