Answer every request before a planned stop ends, and take none that may outlast it

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut with no answer at its end, among them requests that may not be repeated (LOST). It could happen here: a plain request was accepted until 2.5 s before the end, whatever its time limit, and what was in flight at the end lost its connection. Change: 3 s after the stop began, a plain request is accepted only if its time limit ends before the stop does, otherwise it is refused as not run. 0.5 s before the end, requests in flight get a final answer that promises nothing (502); streams that have begun are cut. The own interface accepts nothing new during a stop, by design.

--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -38,9 +38,17 @@
 """Seconds before the instance stops accepting API keys at which it reports that it is not ready;
 the load balancer probes once a second and removes an instance after two failed probes."""
 
-MIN_PLAIN_TIME = 2.5
-"""Seconds that must remain before the stop limit for a plain request to be accepted during a
-graceful shutdown."""
+PLAIN_ACCEPT_TIME = 3.0
+"""Seconds from the start of a graceful shutdown for which plain requests are accepted in any case:
+new connections still arrive, and few requests last until the stop limit."""
+
+PLAIN_RESERVE = 0.7
+"""Seconds that must remain before the stop limit beyond the time limit of a plain request that is
+accepted later: its response must be sent before the requests in flight are ended."""
+
+ANSWER_MARGIN = 0.5
+"""Seconds before the stop limit at which requests in flight end with a response of the gateway; the
+process exits 0.25 s before that limit."""
 
 MIN_STREAM_TIME = 7.5
 """Seconds that must remain before the stop limit for a stream to be accepted during a graceful
@@ -69,6 +77,7 @@
         self.context.is_stopping = lambda: self._stop_started is not None
         self._connections: set[CallerConnection] = set()
         self._stop_started: float | None = None
+        self._time_limits: set[asyncio.Timeout] = set()
 
     @property
     def is_ready(self) -> bool:
@@ -115,6 +124,8 @@
     def begin_stop(self) -> None:
         """Begins a graceful shutdown: reports not ready, and responses announce the close."""
         self._stop_started = asyncio.get_running_loop().time()
+        for limit in self._time_limits:
+            limit.reschedule(self._answers_end_at())
 
     def close_idle(self) -> None:
         """Closes connections without a request in progress."""
@@ -145,15 +156,44 @@
         is_stream = admitted.route.replay is ReplayRule.EVENT_STREAM
         forwarder = self._streams if is_stream else self._plain
         try:
-            failure = await forwarder.forward(conn, admitted)
+            failure = await self._forward_until_stop(forwarder, conn, admitted)
         except asyncio.CancelledError:
             self._telemetry.record_cancellation(admitted, started, by_caller=conn.is_disconnected)
             raise
+        if failure is not None and conn.response_started:
+            self._telemetry.record_cancellation(admitted, started, by_caller=False)
+            return conn.abort()
         if failure is not None:
             return await self._refuse(conn, request, failure, started)
         self._telemetry.record_response(admitted, started, complete=not conn.is_aborted)
         return None
 
+    async def _forward_until_stop(
+        self,
+        forwarder: PlainForwarder | StreamForwarder,
+        conn: CallerConnection,
+        admitted: AdmittedRequest,
+    ) -> Failure | None:
+        """Forwards a request, and ends it with a failure shortly before the process stops."""
+        end_at = None if self._stop_started is None else self._answers_end_at()
+        limit = asyncio.timeout_at(end_at)
+        self._time_limits.add(limit)
+        try:
+            async with limit:
+                return await forwarder.forward(conn, admitted)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            reason = "the instance stopped before the response was complete"
+            return Failure(ErrorKind.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+        finally:
+            self._time_limits.discard(limit)
+
+    def _answers_end_at(self) -> float:
+        """Returns the event loop time at which requests in flight end during a shutdown."""
+        assert self._stop_started is not None
+        return self._stop_started + self.cfg.stop_limit - ANSWER_MARGIN
+
     def _admit(self, request: CallerRequest) -> AdmittedRequest | Failure:
         """Checks a request and returns it with its route, or the reason to refuse it."""
         table = self.config.table
@@ -166,7 +206,7 @@
             if stale:
                 return _stale_config_failure(self.config.age)
             return Failure(ErrorKind.NOT_FOUND, "no route matches the host and path")
-        if self._would_be_cut_off(route):
+        if self._would_be_cut_off(request, route):
             return Failure(ErrorKind.SHUTTING_DOWN, "the instance is shutting down", Ran.NO, 0.0)
         workspace_key: WorkspaceKey | None = None
         if table.keys_required and not route.anonymous:
@@ -200,14 +240,16 @@
         workspace = "" if workspace_key is None else workspace_key.workspace
         return AdmittedRequest(request, route, service, workspace, rank, table.version)
 
-    def _would_be_cut_off(self, route: Route) -> bool:
+    def _would_be_cut_off(self, request: CallerRequest, route: Route) -> bool:
         """Whether a graceful shutdown may end before a request of the route completes."""
         if self._stop_started is None:
             return False
-        time_left = self._stop_started + self.cfg.stop_limit - asyncio.get_running_loop().time()
-        return time_left < (
-            MIN_STREAM_TIME if route.replay is ReplayRule.EVENT_STREAM else MIN_PLAIN_TIME
-        )
+        elapsed = asyncio.get_running_loop().time() - self._stop_started
+        time_left = self.cfg.stop_limit - elapsed
+        if route.replay is ReplayRule.EVENT_STREAM:
+            return time_left < MIN_STREAM_TIME
+        longest = min(route.time_limit, request.wait_limit or route.time_limit)
+        return elapsed >= PLAIN_ACCEPT_TIME and time_left < longest + PLAIN_RESERVE
 
     def _caller_limits(self) -> CallerLimits:
         """Returns the caller limits of the configuration in force."""
--- /dev/null
+++ b/tests/test_late_in_grace.py
@@ -0,0 +1,67 @@
+"""Tests of requests that arrive late in a planned stop, or are in flight at its end."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from gateway_case import (
+    KEY,
+    ONCE_ROUTE,
+    REQUEST_ID,
+    SEAL,
+    GatewayCase,
+    full_response,
+    table,
+)
+
+from sapphireledge.gateway import GatewayMetrics, GatewayServer
+
+STOP_LIMIT = 5.8
+"""Seconds between the stop signal and the kill."""
+
+
+class LateInGraceTest(GatewayCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.gateway.reconfigure(replace(self.cfg, drain_time=3.0, stop_limit=STOP_LIMIT))
+        routes = table(2)
+        once = replace(ONCE_ROUTE, time_limit=3.0)
+        self.gateway.config.accept(replace(routes, routes={"svc.example": (once,)}))
+        self.assertIn(KEY, routes.keys)
+
+    async def answer_late(self, request, writer):
+        await asyncio.sleep(2.9)
+        headers = {REQUEST_ID: request.headers[REQUEST_ID], SEAL: "s"}
+        writer.write(full_response(200, headers, b"ok"))
+
+    async def run_stop(self):
+        """Starts a server and begins its stop; returns the task that ends with the process."""
+        server = GatewayServer(self.gateway, GatewayMetrics())
+        task = asyncio.create_task(server.run())
+        await asyncio.sleep(0.05)
+        server.request_stop()
+        return task
+
+    async def test_request_that_may_outlast_the_grace_is_refused_as_not_run(self):
+        """Guards against a request that is passed on late in the grace and then cut off."""
+        server = await self.add("app", self.answer_late)
+        stopping = await self.run_stop()
+        await asyncio.sleep(3.1)
+        response = await self.call("/once/", x_sapphireledge_deadline_ms="")
+        self.assertEqual((response.status, response.complete), (503, True))
+        self.assertEqual(server.received, [])
+        async with asyncio.timeout(STOP_LIMIT):
+            await stopping
+
+    async def test_request_in_flight_at_the_end_of_the_grace_is_answered(self):
+        """Guards against a connection that ends without an answer when the process stops."""
+        server = await self.add("app", self.answer_late)
+        stopping = await self.run_stop()
+        await asyncio.sleep(2.8)
+        response = await self.call("/once/", x_sapphireledge_deadline_ms="")
+        self.assertEqual((response.status, response.complete), (502, True))
+        self.assertFalse(stopping.done())
+        self.assertEqual(len(server.received), 1)
+        async with asyncio.timeout(1.0):
+            await stopping
