--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -69,7 +69,7 @@
         """Sends one request and applies the reply."""
         sent_at = seconds_since_boot()
         revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
-        write_message(writer, FeedRequest(revisions, at_once, self._epoch.current or 0))
+        write_message(writer, FeedRequest(revisions, at_once, self._epoch.current))
         try:
             async with asyncio.timeout(self._cfg.reply_timeout):
                 reply = await read_message(reader, FeedReply)
--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -18,8 +18,8 @@
     at_once: bool = False
     """Whether to reply without waiting for updates, so that the follower can check the relay."""
 
-    epoch: int = 0
-    """Epoch of the store to which the revisions belong."""
+    epoch: int | None = None
+    """Epoch of the store to which the revisions belong, None if it is not known yet."""
 
 
 class FeedEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -60,5 +60,5 @@
     kinds: dict[str, KindReply]
     """Replies by kind; empty if the relay is not reading the store itself, or is stopping."""
 
-    epoch: int = 0
-    """Epoch of the store to which the revisions belong."""
+    epoch: int | None = None
+    """Epoch of the store to which the revisions belong, None if it is not known yet."""
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -100,16 +100,16 @@
         if not self._can_relay():
             return FeedReply(waited, {})
         # Revisions of another epoch say nothing about what the follower has.
-        revisions = request.revisions if request.epoch == (self._epoch.current or 0) else {}
+        revisions = request.revisions if request.epoch == self._epoch.current else {}
         kinds = {
             kind: self._build_kind_reply(feed, revisions.get(kind))
             for kind, feed in self._feeds.items()
         }
-        return FeedReply(waited, kinds, self._epoch.current or 0)
+        return FeedReply(waited, kinds, self._epoch.current)
 
     def _has_updates(self, request: FeedRequest) -> bool:
         """Whether a follower is missing updates; after switching relays it may also be ahead."""
-        if request.epoch != (self._epoch.current or 0):
+        if request.epoch != self._epoch.current:
             return self._can_relay()
         for kind, feed in self._feeds.items():
             known_revision = request.revisions.get(kind)
--- a/src/sapphireledge/feed/store_epoch.py
+++ b/src/sapphireledge/feed/store_epoch.py
@@ -38,21 +38,23 @@
         """
         self._listeners.append(on_restored)
 
-    def observe(self, epoch: int) -> bool:
+    def observe(self, epoch: int | None) -> bool:
         """Compares the epoch of a response, from the store or from another instance.
 
         Args:
-            epoch: Epoch of the response.
+            epoch: Epoch of the response, None if an instance has sent it that knows none.
 
         Returns:
             False if the response is from an earlier epoch and must not be used.
         """
-        if self.current is not None and epoch < self.current:
+        previous = self.current
+        if epoch is None or epoch == previous:
+            return True
+        if previous is not None and epoch < previous:
             return False
-        if self.current is not None and epoch > self.current:
-            self._log.warning(GatewayEvent.STORE_RESTORED, epoch=epoch, previous=self.current)
-            self.current = epoch
+        self.current = epoch
+        if previous is not None:
+            self._log.warning(GatewayEvent.STORE_RESTORED, epoch=epoch, previous=previous)
             for on_restored in self._listeners:
                 on_restored()
-        self.current = epoch
         return True
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -371,6 +371,17 @@
         self.assertEqual(follower.listener.objects, {"a": 1, "b": 2})
 
 
+class StoreEpochTest(unittest.TestCase):
+    def test_only_a_later_epoch_is_a_restore(self):
+        """Guards against a restore that is noticed at the start, twice or not at all."""
+        epoch = StoreEpoch()
+        restores = []
+        epoch.subscribe(lambda: restores.append(epoch.current))
+        seen = [epoch.observe(number) for number in (None, 1, 1, None, 2, 1, 2, 5)]
+        self.assertEqual(seen, [True, True, True, True, True, False, True, True])
+        self.assertEqual(restores, [2, 5])
+
+
 class KindFeedTest(unittest.TestCase):
     def test_entries_since_returns_only_missing_changes(self):
         """Guards against lost changes, and against full listings where changes are enough."""
