--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -160,9 +160,13 @@
         registry = self._context.registry
         latest = admitted.request.received_at + admitted.route.target * HEDGE_SHARE
         excluded = {*tried_servers, *self._context.crashes.avoided_servers(verdict)}
-        if not self._permits_attempt(admitted, tried_servers):
+        service = admitted.service.name
+        if (
+            not self._permits_attempt(admitted, tried_servers)
+            or registry.next_admission(loop.time(), service, excluded) <= loop.time()
+        ):
             return None
-        reserved = registry.reserve(loop.time(), latest, admitted.service.name, excluded)
+        reserved = registry.reserve(loop.time(), latest, service, excluded)
         if reserved is None:
             return None
         server, send_at = reserved
