Keep one answer when two instances generated it under the same request id

Cause: an instance that was paused before its first append, or cut off, came back with its own generation. Owners keep their answer in their registry, not in the table of copies, so an owner accepted the other's appends, and a repeat of the id compared epochs only: two starts both had epoch 1.

Ruled out: an agreement before the first token (one conditional write for each named request, above the platform's rates at the expected size).

Change: OwnerClaim ranks claims alike everywhere (epoch, then name). An answer that starts while an instance does not reply takes its epoch from the clock, as text continuations did already. An owner refuses appends that its claim outranks and ends its own answer otherwise.

The model of the fault matrix attached a repeat to the first owner it found; it now calls the same decisions as AnswerLocator and PeerService. Its assertions are unchanged.

Before: 8 cells differ; 5 of the 8 new tests fail on the code before. After: 198 cells, all pass; test_answer_properties, test_processes, test_ownership, test_answer_copies pass (64 and 8 tests).

--- a/src/sapphireledge/core/answer/__init__.py
+++ b/src/sapphireledge/core/answer/__init__.py
@@ -14,6 +14,7 @@
 from sapphireledge.core.answer.cancel_attempt import CancelAttempt
 from sapphireledge.core.answer.change_partner import ChangePartner
 from sapphireledge.core.answer.choose_copy import choose_copy
+from sapphireledge.core.answer.choose_first_epoch import choose_first_epoch
 from sapphireledge.core.answer.commit_decision import CommitDecision
 from sapphireledge.core.answer.commit_window import CommitWindow
 from sapphireledge.core.answer.complete import Complete
@@ -29,6 +30,7 @@
 from sapphireledge.core.answer.generation_phase import GenerationPhase
 from sapphireledge.core.answer.generation_request import GenerationRequest
 from sapphireledge.core.answer.ignore import Ignore
+from sapphireledge.core.answer.owner_claim import OwnerClaim
 from sapphireledge.core.answer.ownership_table import OwnershipTable
 from sapphireledge.core.answer.probe import Probe
 from sapphireledge.core.answer.refuse import Refuse
@@ -62,6 +64,7 @@
     "GenerationPhase",
     "GenerationRequest",
     "Ignore",
+    "OwnerClaim",
     "OwnershipTable",
     "Probe",
     "Refuse",
@@ -71,6 +74,7 @@
     "TakeOverOutcome",
     "VerifiedPrefix",
     "choose_copy",
+    "choose_first_epoch",
     "verify_position",
     "verify_text",
 ]
--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -9,7 +9,15 @@
 import msgspec
 import structlog
 
-from sapphireledge.core.answer import AnswerDigest, AnswerEnd, EventId, verify_position, verify_text
+from sapphireledge.core.answer import (
+    AnswerDigest,
+    AnswerEnd,
+    EventId,
+    OwnerClaim,
+    choose_first_epoch,
+    verify_position,
+    verify_text,
+)
 from sapphireledge.entry.answer_header import AnswerHeader
 from sapphireledge.entry.caller_request import ResumePoint
 from sapphireledge.entry.keyed_locks import KeyedLocks
@@ -130,17 +138,20 @@
             found = await self._locate_in_fleet(req, trace)
             if found is not None:
                 return found
-        return self._start(req, trace)
+        return self._start(req, trace, search_complete=False)
 
     async def _is_superseded(self, runner: AnswerRunner, answer_id: str) -> bool:
-        """Queries whether another instance owns the answer in a later epoch.
+        """Queries whether the answer of another instance outranks the one generated here.
 
         An owner that was partitioned may not have been notified of the new owner, and would
         continue a generation that the caller no longer reads.
         """
         found = await self._queries.find_answer(answer_id, FIND_TIMEOUT_NEW)
         location = found.location
-        return location is not None and location.epoch > runner.answer.epoch
+        if location is None:
+            return False
+        own_claim = OwnerClaim(runner.answer.epoch, self._cfg.instance)
+        return OwnerClaim(location.epoch, location.owner_instance).outranks(own_claim)
 
     async def _locate_in_fleet(
         self, req: CallerRequest, trace: Context | None
@@ -156,7 +167,7 @@
         if own_copy is not None and (location is None or own_copy.epoch > location.epoch):
             location, holder = own_copy, self._cfg.instance
         if location is None:
-            return self._start(req, trace)
+            return self._start(req, trace, found.complete)
         if location.owner and holder != self._cfg.instance:
             return LocatedAnswer(RemoteAnswer(holder, ""), False)
         return await self._take_over(req, trace, holder, location.epoch)
@@ -221,19 +232,19 @@
             )
         return LocatedAnswer(runner, False)
 
-    def _start(self, req: CallerRequest, trace: Context | None) -> LocatedAnswer | Failure:
-        """Starts an answer that no instance has, or continues from the text that the caller has."""
+    def _start(
+        self, req: CallerRequest, trace: Context | None, search_complete: bool
+    ) -> LocatedAnswer | Failure:
+        """Starts an answer that was not found, or continues from the text that the caller has."""
         if req.resume is None or req.resume.offset == 0:
-            return LocatedAnswer(self._registry.start(req, trace), True)
+            epoch = choose_first_epoch(search_complete, time.time())
+            return LocatedAnswer(self._registry.start(req, trace, epoch=epoch), True)
         restored = self._restore_from_caller(req)
         if isinstance(restored, Failure):
             return restored
         version, pieces = restored
-        # An epoch taken from the clock exceeds any that was counted from 1, so an earlier owner
-        # that is still running is superseded at every holder of a copy.
-        runner = self._registry.start(
-            req, trace, epoch=time.time_ns() // 1_000_000, version=version, pieces=pieces
-        )
+        epoch = choose_first_epoch(False, time.time())
+        runner = self._registry.start(req, trace, epoch=epoch, version=version, pieces=pieces)
         return LocatedAnswer(runner, False)
 
     def _restore_from_caller(self, req: CallerRequest) -> tuple[str, tuple[str, ...]] | Failure:
--- a/src/sapphireledge/entry/peer_service.py
+++ b/src/sapphireledge/entry/peer_service.py
@@ -5,10 +5,12 @@
 import time
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.answer import OwnerClaim
 from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.peers import (
     AnswerLocation,
     AnswerPart,
+    AppendResult,
     ConfigObject,
     ConfigPart,
     EventPart,
@@ -79,7 +81,7 @@
 
     async def append_answers(self, sender: str, appends: Sequence[Any]) -> list[Any] | Failure:
         """Stores parts of answers, see `PeerHandler`."""
-        return self._copies.append(sender, appends)
+        return [self._append_answer(sender, append) for append in appends]
 
     async def find_answer(self, request_id: str) -> Any | Failure:
         """Returns the location and extent of an answer, see `PeerHandler`."""
@@ -157,6 +159,18 @@
         lines = b"".join(event.to_line() for event in self._events.read(request_id))
         return EventPart(lines.decode() + self._copies.events(request_id), [])
 
+    def _append_answer(self, sender: str, append: Any) -> Any:
+        """Stores a part of an answer, unless this instance owns an answer that outranks it."""
+        runner = self._find_owned(append.request_id)
+        if runner is not None:
+            own_claim = OwnerClaim(runner.answer.epoch, self._instance)
+            if own_claim.outranks(OwnerClaim(append.epoch, sender)):
+                epoch = max(own_claim.epoch, append.epoch + 1)
+                return AppendResult(append.request_id, 0, epoch, False)
+            runner.mark_moved(f"instance {sender} continues the answer")
+        (result,) = self._copies.append(sender, (append,))
+        return result
+
     def _find_owned(self, request_id: str) -> AnswerRunner | None:
         """Looks up an answer that this instance still owns."""
         runner = self._registry.get(request_id)
--- a/tests/test_answer_properties.py
+++ b/tests/test_answer_properties.py
@@ -18,6 +18,7 @@
 from sapphireledge.core.answer import (
     AnswerDigest,
     AnswerEnd,
+    AppendOutcome,
     AttemptFailureCause,
     CancelAttempt,
     ChangePartner,
@@ -27,6 +28,7 @@
     Dispatch,
     EventId,
     GenerationRequest,
+    OwnerClaim,
     OwnershipTable,
     Probe,
     Refuse,
@@ -34,6 +36,7 @@
     StopDelivery,
     StoredPrefix,
     choose_copy,
+    choose_first_epoch,
     verify_position,
     verify_text,
 )
@@ -84,6 +87,7 @@
     entry: str
     machine: RecordingMachine
     window: CommitWindow
+    epoch: int
     pending: Dispatch | None = None
     probe: Probe | None = None
     acknowledged: int = 0
@@ -295,7 +299,7 @@
             return
         self.appends.remove(message)
         session, partner, append = message
-        outcome = self.tables[partner].append(self.now, session.entry, append)
+        outcome = self.append_at(partner, session, append)
         if outcome.epoch <= append.epoch:
             session.acknowledged = max(session.acknowledged, outcome.stored)
         if not lost or i < 4:
@@ -303,6 +307,28 @@
         elif self.running(session):
             self.apply_window_decisions(session, session.window.on_failed(self.now, append, "lost"))
 
+    def append_at(self, partner, session, append):
+        """Stores an append unless the partner owns an answer that outranks that of the sender."""
+        for own in self.owners_at(partner):
+            if self.claim(own).outranks(OwnerClaim(append.epoch, session.entry)):
+                epoch = max(self.claim(own).epoch, append.epoch + 1)
+                return AppendOutcome(append.request_id, 0, epoch)
+            self.supersede(own)
+        return self.tables[partner].append(self.now, session.entry, append)
+
+    def claim(self, session) -> OwnerClaim:
+        return OwnerClaim(session.epoch, session.entry)
+
+    def owners_at(self, entry) -> list[Session]:
+        """Returns the session with which an entry owns the answer, if any."""
+        return [s for s in self.sessions if s.entry == entry and not s.window.stopped]
+
+    def supersede(self, session):
+        """Ends an answer that another entry owns; its callers must find the owner."""
+        self.close(session)
+        self.sessions.remove(session)
+        self.apply_decisions(session, session.machine.on_superseded(self.now))
+
     def acknowledge(self, i):
         message = self.pick([m for m in self.results if self.running(m[0])], i)
         if message:
@@ -372,27 +398,40 @@
         if entry in self.paused or caller.ended:
             return
         caller.session = None
-        for session in self.sessions:
-            reachable = session.entry == entry or not cut
-            if reachable and self.running(session) and not session.window.stopped:
-                return self.attach(caller, session)
+        owners = [
+            session
+            for session in self.sessions
+            if (session.entry == entry or not cut)
+            and self.running(session)
+            and not session.window.stopped
+        ]
+        if owners:
+            owner = max(owners, key=lambda s: (s.epoch, s.entry))
+            for outranked in [s for s in owners if s.entry == entry and s is not owner]:
+                self.supersede(outranked)
+            return self.attach(caller, owner)
         tables = {n: t for n, t in self.tables.items() if n not in self.paused}
         found = {n: t.locate("r") for n, t in tables.items() if t.locate("r")}
         holder = choose_copy(found)
         if holder is not None:
             self.take_over(caller, entry, holder, found[holder].epoch)
         elif caller.event_id is None:
-            self.open(caller, entry, GenerationRequest("r", "m"), ())
+            found_all = not cut and not self.paused
+            epoch = choose_first_epoch(found_all, self.next_clock())
+            self.open(caller, entry, GenerationRequest("r", "m", epoch=epoch), ())
         elif with_text:
             text = "".join(caller.pieces)
             verified = verify_text(SECRET, "r", VERSIONS, caller.event_id, text)
             assert not isinstance(verified, Failure), "unmodified text rejected"
-            self.nonces += 1
-            request = GenerationRequest(
-                "r", "m", verified.version, verified.prefix, self.nonces + 999
-            )
+            epoch = choose_first_epoch(False, self.next_clock())
+            request = GenerationRequest("r", "m", verified.version, verified.prefix, epoch)
             self.open(caller, entry, request, verified.prefix.to_pieces())
 
+    def next_clock(self) -> float:
+        """Returns a later time than any before, in Unix seconds."""
+        self.nonces += 1
+        return float(self.nonces)
+
     def take_over(self, caller: Caller, entry: str, holder: str, epoch: int) -> None:
         table = self.tables[holder]
         part = table.read("r", 0)
@@ -419,7 +458,7 @@
         window = CommitWindow(
             "r", request.epoch, "{}", COPY_TIMEOUT, pieces=pieces, partner=partner, stored=stored
         )
-        session = Session(entry, self.build(entry, request), window)
+        session = Session(entry, self.build(entry, request), window, request.epoch)
         session.acknowledged = len(pieces)
         self.sessions = [s for s in self.sessions if s.entry != entry]
         self.sessions.append(session)
