Let streams that have begun run until the process exits

Cause: since the limit that answers requests 0.5 s before the end of a planned stop also cut streams that had begun, although they need no answer any more: 0.25 s too early. Change: at that moment only requests without any response end. Evidence: test_stream_that_has_begun_goes_on_until_the_process_exits fails before (stream incomplete); test_late_in_grace, test_gateway_stream, test_gateway_plain, test_stopped_heads pass.

--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -47,7 +47,7 @@
 accepted later: its response must be sent before the requests in flight are ended."""
 
 ANSWER_MARGIN = 0.5
-"""Seconds before the stop limit at which requests in flight end with a response of the gateway; the
+"""Seconds before the stop limit at which requests without any response get one of the gateway; the
 process exits 0.25 s before that limit."""
 
 MIN_STREAM_TIME = 7.5
@@ -77,7 +77,7 @@
         self.context.is_stopping = lambda: self._stop_started is not None
         self._connections: set[CallerConnection] = set()
         self._stop_started: float | None = None
-        self._time_limits: set[asyncio.Timeout] = set()
+        self._in_flight: dict[asyncio.Timeout, CallerConnection] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -123,9 +123,9 @@
 
     def begin_stop(self) -> None:
         """Begins a graceful shutdown: reports not ready, and responses announce the close."""
-        self._stop_started = asyncio.get_running_loop().time()
-        for limit in self._time_limits:
-            limit.reschedule(self._answers_end_at())
+        loop = asyncio.get_running_loop()
+        self._stop_started = loop.time()
+        loop.call_at(self._stop_started + self.cfg.stop_limit - ANSWER_MARGIN, self._end_unanswered)
 
     def close_idle(self) -> None:
         """Closes connections without a request in progress."""
@@ -174,25 +174,26 @@
         conn: CallerConnection,
         admitted: AdmittedRequest,
     ) -> Failure | None:
-        """Forwards a request, and ends it with a failure shortly before the process stops."""
-        end_at = None if self._stop_started is None else self._answers_end_at()
-        limit = asyncio.timeout_at(end_at)
-        self._time_limits.add(limit)
+        """Forwards a request; without any response shortly before the process stops, it fails."""
+        limit = asyncio.timeout(None)
+        self._in_flight[limit] = conn
         try:
             async with limit:
                 return await forwarder.forward(conn, admitted)
         except TimeoutError:
             if not limit.expired():
                 raise
-            reason = "the instance stopped before the response was complete"
+            reason = "the instance stopped before there was a response"
             return Failure(ErrorKind.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
         finally:
-            self._time_limits.discard(limit)
-
-    def _answers_end_at(self) -> float:
-        """Returns the event loop time at which requests in flight end during a shutdown."""
-        assert self._stop_started is not None
-        return self._stop_started + self.cfg.stop_limit - ANSWER_MARGIN
+            del self._in_flight[limit]
+
+    def _end_unanswered(self) -> None:
+        """Ends the requests in flight whose response has not begun."""
+        now = asyncio.get_running_loop().time()
+        for limit, conn in self._in_flight.items():
+            if not conn.response_started:
+                limit.reschedule(now)
 
     def _admit(self, request: CallerRequest) -> AdmittedRequest | Failure:
         """Checks a request and returns it with its route, or the reason to refuse it."""
--- a/tests/test_late_in_grace.py
+++ b/tests/test_late_in_grace.py
@@ -11,7 +11,10 @@
     REQUEST_ID,
     SEAL,
     GatewayCase,
+    chunk,
+    event,
     full_response,
+    stream_head,
     table,
 )
 
@@ -20,6 +23,9 @@
 STOP_LIMIT = 5.8
 """Seconds between the stop signal and the kill."""
 
+EVENTS = 55
+"""Events of a stream that ends between the last answers and the exit of the process."""
+
 
 class LateInGraceTest(GatewayCase):
     async def asyncSetUp(self):
@@ -35,6 +41,17 @@
         headers = {REQUEST_ID: request.headers[REQUEST_ID], SEAL: "s"}
         writer.write(full_response(200, headers, b"ok"))
 
+    async def stream_late(self, request, writer):
+        """Streams events and ends 5.42 s after the stop, which begins 0.15 s after the request."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        writer.write(stream_head(request))
+        for number in range(EVENTS):
+            await asyncio.sleep(started + 0.1 * number - loop.time())
+            writer.write(chunk(event(number)))
+        await asyncio.sleep(started + 0.15 + 5.42 - loop.time())
+        writer.write(b"0\r\n\r\n")
+
     async def run_stop(self):
         """Starts a server and begins its stop; returns the task that ends with the process."""
         server = GatewayServer(self.gateway, GatewayMetrics())
@@ -54,6 +71,19 @@
         async with asyncio.timeout(STOP_LIMIT):
             await stopping
 
+    async def test_stream_that_has_begun_goes_on_until_the_process_exits(self):
+        """Guards against cutting streams to make room for answers that they no longer need."""
+        self.gateway.config.accept(table(3))
+        await self.add("llm", self.stream_late)
+        begun = asyncio.create_task(self.call("/stream/", x_sapphireledge_deadline_ms=""))
+        await asyncio.sleep(0.1)
+        stopping = await self.run_stop()
+        response = await begun
+        self.assertEqual(response.body, b"".join(event(number) for number in range(EVENTS)))
+        self.assertTrue(response.complete)
+        async with asyncio.timeout(1.0):
+            await stopping
+
     async def test_request_in_flight_at_the_end_of_the_grace_is_answered(self):
         """Guards against a connection that ends without an answer when the process stops."""
         server = await self.add("app", self.answer_late)
