Move the choice of candidates into core, for callers without I/O

No behaviour changes: which engines a placement sees, and which share of waiting streams may start, are pure functions that EngineSelector calls; the registry can be given its random source.

--- a/src/sapphireledge/core/placement/__init__.py
+++ b/src/sapphireledge/core/placement/__init__.py
@@ -1,5 +1,6 @@
 """When and on which engine a stream starts, decided from load reports."""
 
+from sapphireledge.core.placement.choose_candidates import choose_candidates, compute_start_share
 from sapphireledge.core.placement.engine_view import EngineView
 from sapphireledge.core.placement.first_event_estimator import FirstEventEstimator
 from sapphireledge.core.placement.pending_stream import PendingStream
@@ -18,4 +19,6 @@
     "RefuseStream",
     "StartStream",
     "WaitForEngine",
+    "choose_candidates",
+    "compute_start_share",
 ]
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -55,12 +55,13 @@
 class BackendRegistry:
     """Tracks the state of each backend server and ranks servers for new requests."""
 
-    def __init__(self, data_centre: str, instance: str = "") -> None:
+    def __init__(self, data_centre: str, instance: str = "", rng: Random | None = None) -> None:
         """Creates an empty registry.
 
         Args:
             data_centre: Data centre of this instance.
             instance: Name of this instance.
+            rng: Source of the times of first slots, by default seeded by the system.
         """
         self._data_centre = data_centre
         self._instance = instance
@@ -70,7 +71,7 @@
         self._recent_losses: dict[str, list[tuple[float, str]]] = {}
         self._suspect_until: dict[str, float] = {}
         self._backpressures: OrderedDict[tuple[str, int], ServerBackpressure] = OrderedDict()
-        self._rng = Random()
+        self._rng = Random() if rng is None else rng
 
     def __len__(self) -> int:
         return len(self._states)
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -14,11 +14,13 @@
     PlacementRule,
     RefuseStream,
     WaitForEngine,
+    choose_candidates,
+    compute_start_share,
 )
 from sapphireledge.gateway.engine_selection import EngineSelection
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable
 
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
@@ -28,23 +30,10 @@
 
 __all__ = ["EngineSelector"]
 
-LOCAL_CANDIDATES = 2
-"""Engines in the local data centre whose load reports are fetched per selection."""
-
 CACHE_CANDIDATES = 24
 """Engines queried for a cached prompt when a caller resumes a stream. Processing a prompt of 8,000
 tokens again is charged a hundred times as much as all these queries together."""
 
-REMOTE_CANDIDATES = 3
-"""Engines in other data centres whose load reports are fetched per selection."""
-
-PLACEMENTS_PER_SET = 3
-"""Placements of a waiting stream with the same candidates before it is offered others."""
-
-STARTS_PER_IDLE_ENGINE = 2.0
-"""Streams that all instances together should start on an idle engine before its next reports show
-them."""
-
 REPORT_TIMEOUT = 0.15
 """Seconds to wait for reports and cache listings: two round trips between regions and a margin."""
 
@@ -265,41 +254,25 @@
     def _list_candidates(
         self, admitted: AdmittedRequest, excluded: frozenset[str], attempt: int
     ) -> list[BackendServer]:
-        """Lists the engines that take requests now, of which a stream is offered the best one.
-
-        A stream that waits is offered the engines that this instance prefers, and from time to time
-        others: when an engine becomes idle, streams wait for it at all instances.
-        """
+        """Lists the engines that take requests now, of which a stream is offered the best one."""
         registry = self._context.registry
         now = asyncio.get_running_loop().time()
-        local_centre = self._context.cfg.data_centre
         service = admitted.service.name
         ranked: Iterable[BackendServer]
         if attempt:
             ranked = registry.list_preferred(now, service, excluded)
         else:
             ranked = registry.rank_servers(now, service, admitted.request.affinity, excluded)
-        skipped = attempt // PLACEMENTS_PER_SET
-        local: list[BackendServer] = []
-        remote: list[BackendServer] = []
-        for server in ranked:
-            if not registry.admits(now, server.server_id):
-                continue
-            (local if server.data_centre == local_centre else remote).append(server)
-            if len(local) >= LOCAL_CANDIDATES * (skipped + 1) and len(
-                remote
-            ) >= REMOTE_CANDIDATES * (skipped + 1):
-                break
-        return [
-            *_take_cyclic(local, skipped, LOCAL_CANDIDATES),
-            *_take_cyclic(remote, skipped, REMOTE_CANDIDATES),
-        ]
+        return choose_candidates(
+            (server for server in ranked if registry.admits(now, server.server_id)),
+            lambda server: server.data_centre == self._context.cfg.data_centre,
+            attempt,
+        )
 
     def _start_share(self, admitted: AdmittedRequest) -> float:
         """Computes which share of waiting streams may start on an engine that looks idle."""
         engines = self._context.registry.count(admitted.service.name)
-        contenders = self._context.count_instances() * (LOCAL_CANDIDATES + REMOTE_CANDIDATES)
-        return min(1.0, STARTS_PER_IDLE_ENGINE * engines / max(1, contenders))
+        return compute_start_share(engines, self._context.count_instances())
 
     def _rank_standby(
         self, admitted: AdmittedRequest, progress: StreamProgress, server: BackendServer
@@ -318,14 +291,6 @@
         return ranked[0] if ranked else None
 
 
-def _take_cyclic(servers: Sequence[BackendServer], attempt: int, size: int) -> list[BackendServer]:
-    """Takes the next `size` servers for an attempt, and starts again after the last one."""
-    if len(servers) <= size:
-        return list(servers)
-    start = attempt * size
-    return [servers[(start + offset) % len(servers)] for offset in range(size)]
-
-
 def _describe_pending(
     admitted: AdmittedRequest, progress: StreamProgress, now: float
 ) -> PendingStream:
