--- a/src/sapphireledge/settings/__init__.py
+++ b/src/sapphireledge/settings/__init__.py
@@ -8,7 +8,7 @@
 from sapphireledge.settings.claim_settings import ClaimSettings
 from sapphireledge.settings.fleet_settings import FleetSettings
 from sapphireledge.settings.lifecycle_settings import LifecycleSettings
-from sapphireledge.settings.load_settings import load_settings
+from sapphireledge.settings.load_settings import load_checked_file, load_settings
 from sapphireledge.settings.peer_settings import PeerSettings
 from sapphireledge.settings.platform_settings import PlatformSettings
 from sapphireledge.settings.quarantine_settings import QuarantineSettings
@@ -33,5 +33,6 @@
     "Settings",
     "SettingsProblem",
     "TelemetrySettings",
+    "load_checked_file",
     "load_settings",
 ]
