Model of a fleet and a command that compares policies on it

It calls PlacementRule, choose_candidates, FirstEventEstimator, StreamWatch, ServerBackpressure, BackendRegistry and RetryAllowance as they are. Property tests with hypothesis; each property fails on a planted fault. Not called yet: quarantine, rank scheduler of the own interface. The idea 'holding a stream for a leaving engine' is not a policy yet.

--- /dev/null
+++ b/src/sapphireledge_experiment/settings/policy.py
@@ -0,0 +1,44 @@
+"""One policy that an experiment plays."""
+
+from __future__ import annotations
+
+from pydantic import ConfigDict, Field
+from pydantic.dataclasses import dataclass
+
+from sapphireledge.core.liveness import SilenceLimits
+from sapphireledge.core.placement import PlacementLimits
+from sapphireledge.settings._field import setting
+
+__all__ = ["Policy"]
+
+
+@dataclass(frozen=True, config=ConfigDict(extra="forbid"))
+class Policy:
+    """One policy: the decisions in force with other limits, or with an idea that is not built."""
+
+    name: str = setting(..., min_length=1)
+    """Name in the report."""
+
+    placement: PlacementLimits = Field(default_factory=PlacementLimits)
+    """Limits of the placement."""
+
+    silence: SilenceLimits = Field(default_factory=SilenceLimits)
+    """Limits on silent streams."""
+
+    hold: bool = setting(True)
+    """Whether a late stream waits at its instance; otherwise each starts at once."""
+
+    copies: bool = setting(True)
+    """Whether the KV cache of streams is copied to a standby while engines have room."""
+
+    wait_in_order: bool = setting(False)
+    """Idea: a waiting stream starts only if none with an earlier due time waits at its instance."""
+
+    resumes_per_engine: int = setting(0, unit="resumes", ge=0, le=1_000)
+    """Idea: resumes that an instance sends to one engine within a second, 0 for any number."""
+
+    spread_standby: bool = setting(False)
+    """Idea: the standby is drawn at random rather than by the rank of the engines."""
+
+    refuse_early: bool = setting(False)
+    """Idea: a new stream is refused at once if the estimate shows that its caller will leave."""
--- /dev/null
+++ b/tests/test_experiment_model.py
@@ -0,0 +1,174 @@
+"""Property tests of the model of a fleet, and planted faults that they must find."""
+
+from __future__ import annotations
+
+import heapq
+import unittest
+from unittest import mock
+
+from experiment_case import WatchedWorld, make_experiment
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sapphireledge.core.placement import PlacementRule
+from sapphireledge_experiment.model import SimulatedEngine, VirtualClock
+from sapphireledge_experiment.model.simulated_caller import SimulatedCaller
+from sapphireledge_experiment.model.stream_driver import StreamDriver
+from sapphireledge_experiment.settings import Policy, RequestKind, Trouble, TroubleKind
+
+TROUBLES = st.builds(
+    Trouble,
+    kind=st.sampled_from(TroubleKind),
+    at=st.floats(0.0, 4.0),
+    duration=st.floats(0.0, 3.0),
+    share=st.sampled_from((0.3, 0.5, 1.0)),
+    data_centre=st.sampled_from((None, 0, 1)),
+    factor=st.floats(0.3, 6.0),
+)
+POLICIES = st.builds(
+    Policy,
+    name=st.just("drawn"),
+    hold=st.booleans(),
+    copies=st.booleans(),
+    wait_in_order=st.booleans(),
+    resumes_per_engine=st.integers(0, 2),
+    spread_standby=st.booleans(),
+    refuse_early=st.booleans(),
+)
+MANY_TROUBLES = (
+    Trouble(TroubleKind.ENGINES_DIE, 1.0, share=0.5),
+    Trouble(TroubleKind.ENGINES_SILENT, 1.5, duration=2.0, share=0.5),
+    Trouble(TroubleKind.INSTANCES_DIE, 2.5, share=0.5),
+    Trouble(TroubleKind.ENGINES_DIE, 3.0),
+)
+
+
+def play(seed=0, policy=None, **fields):
+    return WatchedWorld(make_experiment(**fields), policy or Policy("current"), seed)
+
+
+class PropertyTest(unittest.TestCase):
+    """Guards against a model that loses or invents slots, memory, tokens, requests or time."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        seed=st.integers(0, 10_000),
+        troubles=st.lists(TROUBLES, max_size=4),
+        policy=POLICIES,
+        rate=st.sampled_from((1.0, 4.0, 12.0)),
+    )
+    def test_nothing_is_lost_or_invented(self, seed, troubles, policy, rate):
+        kinds = (
+            RequestKind("brief", rate, prompt_tokens=2_500, output_tokens=60, prefixes=3),
+            RequestKind("lookup", 8.0, is_stream=False, target=0.6, patience=1.2, time_limit=1.2),
+        )
+        watched = play(seed, policy, kinds=kinds, troubles=tuple(troubles))
+        self.assertEqual(dict(watched.problems), {})
+
+    def test_troubles_are_felt(self):
+        calm, troubled = play(troubles=()), play(troubles=MANY_TROUBLES)
+        self.assertEqual(dict(calm.problems) | dict(troubled.problems), {})
+        self.assertEqual(calm.result.endings["failed"], 0)
+        self.assertGreater(troubled.result.vain_tokens, calm.result.vain_tokens)
+
+    def test_decisions_in_force_are_called(self):
+        with mock.patch.object(
+            PlacementRule, "decide", autospec=True, side_effect=PlacementRule.decide
+        ) as decide:
+            play()
+        self.assertGreater(decide.call_count, 0)
+
+
+class PlantedFaultTest(unittest.TestCase):
+    """Guards against property tests that would pass whatever the model does."""
+
+    def find(self, target, name, replacement, troubles=MANY_TROUBLES):
+        """Plays seeds with a fault in the model, and returns the problems that are noted."""
+        found = set()
+        with mock.patch.object(target, name, replacement):
+            for seed in range(4):
+                found |= set(play(seed, troubles=troubles).problems)
+        return found
+
+    def test_memory_that_is_not_freed(self):
+        def remove(engine, run):
+            if run in engine.running:
+                engine.running.remove(run)
+            elif run in engine.waiting:
+                engine.waiting.remove(run)
+            run.blocks = 0
+
+        self.assertIn("memory lost or invented", self.find(SimulatedEngine, "_remove", remove))
+
+    def test_copy_that_is_not_released(self):
+        callers_go_on = (Trouble(TroubleKind.INSTANCES_DIE, 2.5),)
+        found = self.find(StreamDriver, "_release_copy", lambda driver: None, callers_go_on)
+        self.assertIn("memory held after the end", found)
+
+    def test_slots_that_are_not_respected(self):
+        original = SimulatedEngine._fill_slots
+
+        def fill(engine):
+            original(engine)
+            if engine.waiting and engine.free_blocks > 100:
+                engine.running.append(engine.waiting.pop(0))
+
+        self.assertIn("more runs than slots", self.find(SimulatedEngine, "_fill_slots", fill))
+
+    def test_engine_that_goes_on_after_its_death(self):
+        def die(engine):
+            engine.is_dead = True
+
+        self.assertIn("runs on a dead engine", self.find(SimulatedEngine, "die", die))
+
+    def test_event_of_a_dead_engine(self):
+        original = SimulatedEngine.die
+
+        def die(engine):
+            running = list(engine.running)
+            for run in running:
+                engine.is_dead = True
+                run.on_event(run)
+            original(engine)
+
+        self.assertIn("event of a dead engine", self.find(SimulatedEngine, "die", die))
+
+    def test_event_that_is_delivered_twice(self):
+        original = SimulatedCaller.on_event
+
+        def on_event(caller, driver, at):
+            original(caller, driver, at)
+            original(caller, driver, at)
+
+        found = self.find(SimulatedCaller, "on_event", on_event)
+        self.assertIn("more events than asked for", found)
+
+    def test_request_that_ends_twice(self):
+        original = SimulatedCaller._finish
+
+        def finish(caller, ending):
+            original(caller, ending)
+            if caller._request.number % 5 == 0:
+                caller._request.ending = None
+
+        found = self.find(SimulatedCaller, "_finish", finish)
+        self.assertIn("request without exactly one end", found)
+
+    def test_tokens_that_are_not_recorded(self):
+        def finish_run(driver, cause):
+            driver._run = driver._watch = None
+
+        found = self.find(StreamDriver, "_finish_run", finish_run)
+        self.assertIn("tokens lost or invented", found)
+
+    def test_time_that_goes_back(self):
+        def at(clock, time, callback):
+            number = next(clock._numbers)
+            early = 0.3 if number % 50 == 0 else 0.0
+            heapq.heappush(clock._queue, (time - early, number, callback))
+
+        self.assertIn("time went back", self.find(VirtualClock, "at", at))
+
+
+if __name__ == "__main__":
+    unittest.main()
