--- a/src/sapphireledge_experiment/model/engine_run.py
+++ b/src/sapphireledge_experiment/model/engine_run.py
@@ -60,12 +60,12 @@
     @property
     def context(self) -> int:
         """Tokens of prompt and output so far."""
-        return self.request.prompt_tokens + self.generated
+        return self.request.prompt_tokens + self.generated * self.request.event_tokens
 
     @property
     def is_complete(self) -> bool:
         """Whether all events have been generated."""
-        return self.generated >= self.request.output_tokens
+        return self.generated >= self.request.output_events
 
     def release_copy(self) -> None:
         """Frees the memory of the copy on the standby."""
--- a/src/sapphireledge_experiment/model/modelled_request.py
+++ b/src/sapphireledge_experiment/model/modelled_request.py
@@ -28,8 +28,11 @@
     prompt_tokens: int
     """Length of the prompt in tokens."""
 
-    output_tokens: int
-    """Length of the output in tokens."""
+    output_events: int
+    """Length of the output in events."""
+
+    event_tokens: int
+    """Tokens in one event."""
 
     workspace: int
     """Number of the workspace."""
@@ -61,6 +64,11 @@
     calls: int = 0
     """Calls of the caller."""
 
+    @property
+    def output_tokens(self) -> int:
+        """Length of the output in tokens."""
+        return self.output_events * self.event_tokens
+
     @property
     def key(self) -> str:
         """Affinity key: requests with the same prefix share it."""
--- a/src/sapphireledge_experiment/model/simulated_engine.py
+++ b/src/sapphireledge_experiment/model/simulated_engine.py
@@ -80,6 +80,7 @@
 
         self._clock = clock
         self._copies: dict[EngineRun, int] = {}
+        self._kept: OrderedDict[int, EngineRun] = OrderedDict()
         self._prefixes: OrderedDict[int, int] = OrderedDict()
         self._numbers = count()
         self._is_stepping = False
@@ -92,8 +93,9 @@
 
     @property
     def used_blocks(self) -> int:
-        """Blocks of memory that runs and copies hold."""
-        return sum(run.blocks for run in self.running) + sum(self._copies.values())
+        """Blocks of memory that runs, copies and kept caches hold."""
+        held = sum(run.blocks for run in (*self.running, *self._kept.values()))
+        return held + sum(self._copies.values())
 
     def accept(self, run: EngineRun, copy_of: EngineRun | None = None) -> bool:
         """Receives a run.
@@ -111,17 +113,43 @@
         if copy_of is not None and copy_of in self._copies:
             self.free_blocks += self._copies.pop(copy_of)
             run.cached = run.context
+        kept = self._kept.get(run.request.number)
+        if kept is not None:
+            run.cached = max(run.cached, kept.context)
+            self._forget(kept)
         self.waiting.append(run)
         self.waiting.sort(key=lambda item: (item.rank, item.number))
         self._start_step()
         return True
 
     def cancel(self, run: EngineRun) -> None:
-        """Ends a run that is no longer read, and frees its memory but not that of its copy."""
-        if not run.ended:
-            run.ended = True
+        """Ends a run that is no longer read; its copy stays, and its KV cache for a while."""
+        if run.ended:
+            return
+        run.ended = True
+        if run in self.running and not run.unread and self.cfg.keep_time:
+            self.running.remove(run)
+            self._kept[run.request.number] = run
+            self._clock.after(self.cfg.keep_time, lambda: self._forget(run))
+        else:
             self._remove(run)
 
+    def keeps(self, request_number: int) -> bool:
+        """Whether the engine has kept the KV cache of a request."""
+        return request_number in self._kept and not self.is_dead
+
+    def _forget(self, run: EngineRun) -> None:
+        """Frees a kept KV cache."""
+        if self._kept.get(run.request.number) is run:
+            del self._kept[run.request.number]
+            self.free_blocks += run.blocks
+            run.blocks = 0
+
+    def _make_room(self, blocks: int) -> None:
+        """Frees kept KV caches, the oldest first, until there are as many free blocks."""
+        while self._kept and self.free_blocks < blocks:
+            self._forget(next(iter(self._kept.values())))
+
     def find_generated(self, request_number: int) -> int | None:
         """Looks up how many events the run of a request has generated, None if it has no run."""
         for run in (*self.running, *self.waiting):
@@ -129,16 +157,22 @@
                 return run.generated
         return None
 
-    def die(self) -> None:
-        """Ends the engine; the connections of its runs are reset."""
+    def die(self, *, is_reset: bool = True) -> None:
+        """Ends the engine.
+
+        Args:
+            is_reset: Whether the connections of its runs are reset; otherwise they stay silent.
+        """
         self.is_dead = True
         lost = [*self.running, *self.waiting]
         self.running, self.waiting = [], []
         for run in lost:
             run.ended = True
             run.blocks = 0
-            run.on_lost(run)
+            if is_reset:
+                run.on_lost(run)
         self._copies.clear()
+        self._kept.clear()
         self.free_blocks = self.total_blocks
 
     def resume(self) -> None:
@@ -187,7 +221,8 @@
         """Starts waiting runs while there are slots and memory for their prompts."""
         while self.waiting and len(self.running) < self.cfg.slots:
             run = self.waiting[0]
-            blocks = self._blocks_for(run.context + 1)
+            blocks = self._blocks_for(run.context + run.request.event_tokens)
+            self._make_room(blocks)
             if blocks > self.free_blocks and self.running:
                 return
             self.waiting.pop(0)
@@ -246,11 +281,13 @@
 
     def _generate(self, run: EngineRun) -> None:
         """Generates one event, after taking memory for it."""
-        if self._blocks_for(run.context + 1) > run.blocks and not self._take_block(run):
-            return
+        tokens = run.request.event_tokens
+        while self._blocks_for(run.context + tokens) > run.blocks:
+            if not self._take_block(run):
+                return
         run.generated += 1
-        run.processed += 1
-        self.processed += 1
+        run.processed += tokens
+        self.processed += tokens
         if run.is_complete:
             run.ended = True
             self._remove(run)
@@ -259,6 +296,7 @@
 
     def _take_block(self, run: EngineRun) -> bool:
         """Takes one block, if necessary from the latest run; returns whether there was one."""
+        self._make_room(1)
         while not self.free_blocks:
             latest = max(self.running, key=lambda item: item.number)
             self._preempt(latest)
--- a/src/sapphireledge_experiment/model/stream_driver.py
+++ b/src/sapphireledge_experiment/model/stream_driver.py
@@ -15,7 +15,11 @@
     choose_candidates,
     compute_start_share,
 )
-from sapphireledge.gateway.engine_selector import RECENT_DISPATCH_WINDOW, REPORT_TIMEOUT
+from sapphireledge.gateway.engine_selector import (
+    CACHE_CANDIDATES,
+    RECENT_DISPATCH_WINDOW,
+    REPORT_TIMEOUT,
+)
 from sapphireledge.gateway.stream_attempt import LATE_RANK_OFFSET
 from sapphireledge.gateway.stream_forwarder import MIN_ATTEMPT_TIME
 from sapphireledge_experiment.model.engine_run import EngineRun
@@ -125,6 +129,11 @@
         if holder is not None and registry.try_take(now, holder.name):
             self._send(holder, None, False, copy_of=self._previous)
             return
+        if self._request.delivered and not self._contacted and not placement:
+            keeper = self._find_keeper()
+            if keeper is not None and registry.try_take(now, keeper.name):
+                self._send(keeper, None, False)
+                return
         excluded: frozenset[str] = frozenset(self._failed)
         if registry.next_admission(now, ENGINES, excluded) == math.inf:
             excluded = frozenset()
@@ -152,6 +161,17 @@
         ]
         self._clock.after(max(delays), lambda: self._decide(candidates, placement))
 
+    def _find_keeper(self) -> SimulatedEngine | None:
+        """Finds an engine that kept the KV cache of a stream whose caller resumes it."""
+        instance = self._instance
+        ranked = instance.registry.rank_servers(self._clock.now, ENGINES, self._request.key)
+        ranked.sort(key=lambda server: server.data_centre != str(instance.data_centre))
+        for server in ranked[:CACHE_CANDIDATES]:
+            engine = self._world.engines.get(server.server_id)
+            if engine is not None and engine.keeps(self._request.number) and not engine.is_silent:
+                return engine
+        return None
+
     def _take_copy_holder(self) -> SimulatedEngine | None:
         """Returns the engine with the complete copy of the run that was lost, once."""
         run = self._previous
--- a/src/sapphireledge_experiment/model/traffic.py
+++ b/src/sapphireledge_experiment/model/traffic.py
@@ -45,7 +45,7 @@
     times = _draw_times(experiment.duration, kind, rng)
     count = len(times)
     prompts = _draw_lengths(rng, kind.prompt_tokens, kind.prompt_spread, count)
-    outputs = _draw_lengths(rng, kind.output_tokens, kind.output_spread, count)
+    outputs = _draw_lengths(rng, kind.output_events, kind.output_spread, count)
     workspaces = rng.integers(0, kind.workspaces, count)
     workspaces[rng.random(count) < kind.heaviest_share] = 0
     prefixes = rng.integers(0, max(1, kind.prefixes), count)
@@ -56,7 +56,8 @@
             kind=kind,
             arrived=float(times[index]),
             prompt_tokens=int(prompts[index]),
-            output_tokens=int(outputs[index]),
+            output_events=int(outputs[index]),
+            event_tokens=experiment.fleet.engine.event_tokens,
             workspace=int(workspaces[index]),
             prefix=int(prefixes[index]) if kind.prefixes else -1,
             data_centre=int(centres[index]),
--- a/src/sapphireledge_experiment/model/trouble_maker.py
+++ b/src/sapphireledge_experiment/model/trouble_maker.py
@@ -33,6 +33,7 @@
         self._clock = world.clock
         self._actions: dict[TroubleKind, Callable[[Trouble], None]] = {
             TroubleKind.ENGINES_DIE: self._end_engines,
+            TroubleKind.ENGINES_VANISH: self._cut_power,
             TroubleKind.ENGINES_SILENT: self._silence,
             TroubleKind.ENGINES_SLOW: self._slow_down,
             TroubleKind.ENGINES_REJECT: self._reject,
@@ -67,7 +68,11 @@
 
     def _end_engines(self, trouble: Trouble) -> None:
         for place in self._draw(trouble, self._world.engine_places):
-            self._world.end_engine(place)
+            self._world.end_engine(place, restart_time=trouble.restart_time)
+
+    def _cut_power(self, trouble: Trouble) -> None:
+        for place in self._draw(trouble, self._world.engine_places):
+            self._world.end_engine(place, is_reset=False, restart_time=trouble.restart_time)
 
     def _silence(self, trouble: Trouble) -> None:
         for engine in self._draw_engines(trouble):
@@ -109,12 +114,15 @@
         engines = self._world.engine_places
         for place in self._draw(trouble, engines):
             engines[place].signals = ServerSignals(is_leaving=True)
-            self._clock.after(trouble.duration, lambda p=place: self._world.end_engine(p))
+            self._clock.after(
+                trouble.duration,
+                lambda p=place: self._world.end_engine(p, restart_time=trouble.restart_time),
+            )
 
     def _end_plain_servers(self, trouble: Trouble) -> None:
         for place in self._draw(trouble, self._world.plain_places):
-            self._world.end_plain_server(place)
+            self._world.end_plain_server(place, restart_time=trouble.restart_time)
 
     def _end_instances(self, trouble: Trouble) -> None:
         for place in self._draw(trouble, self._world.instance_places):
-            self._world.end_instance(place)
+            self._world.end_instance(place, restart_time=trouble.restart_time)
--- a/src/sapphireledge_experiment/model/world.py
+++ b/src/sapphireledge_experiment/model/world.py
@@ -151,20 +151,23 @@
             instance.learn(server, service, data_centre)
         return instance
 
-    def end_engine(self, place: int) -> None:
+    def end_engine(
+        self, place: int, *, is_reset: bool = True, restart_time: float | None = None
+    ) -> None:
         """Ends the engine at a place; another one starts there later."""
         engine = self.engine_places[place]
         if engine.is_dead:
             return
-        engine.die()
+        engine.die(is_reset=is_reset)
         self._withdraw(engine.name)
 
         def restart() -> None:
             self.engine_places[place] = self.start_engine(place)
 
-        self.clock.after(self.experiment.fleet.engine.restart_time, restart)
+        usual = self.experiment.fleet.engine.restart_time
+        self.clock.after(usual if restart_time is None else restart_time, restart)
 
-    def end_plain_server(self, place: int) -> None:
+    def end_plain_server(self, place: int, *, restart_time: float | None = None) -> None:
         """Ends the plain server at a place; another one starts there later."""
         server = self.plain_places[place]
         if server.is_dead:
@@ -175,9 +178,10 @@
         def restart() -> None:
             self.plain_places[place] = self.start_plain_server(place)
 
-        self.clock.after(self.experiment.fleet.plain_server.restart_time, restart)
+        usual = self.experiment.fleet.plain_server.restart_time
+        self.clock.after(usual if restart_time is None else restart_time, restart)
 
-    def end_instance(self, place: int) -> None:
+    def end_instance(self, place: int, *, restart_time: float | None = None) -> None:
         """Ends the instance at a place; another one starts there later."""
         instance = self.instance_places[place]
         if instance.is_dead:
@@ -187,7 +191,8 @@
         def restart() -> None:
             self.instance_places[place] = self.start_instance(place)
 
-        self.clock.after(self.experiment.fleet.instance_restart_time, restart)
+        usual = self.experiment.fleet.instance_restart_time
+        self.clock.after(usual if restart_time is None else restart_time, restart)
 
     def _name(self, role: str, place: int) -> str:
         """Names the next incarnation at a place."""
--- a/src/sapphireledge_experiment/settings/engine_spec.py
+++ b/src/sapphireledge_experiment/settings/engine_spec.py
@@ -35,6 +35,9 @@
     prompt_chunk: int = setting(2_048, unit="tokens", ge=1, le=1_000_000)
     """Largest number of prompt tokens processed in one step."""
 
+    event_tokens: int = setting(1, unit="tokens", ge=1, le=10_000)
+    """Tokens that a step generates for each stream, delivered as one event."""
+
     block: int = setting(16, unit="tokens", ge=1, le=65_536)
     """Tokens in one block of KV cache memory."""
 
@@ -47,6 +50,9 @@
     copy_rate: float = setting(200_000.0, unit="tokens/s", ge=1, le=1_000_000_000)
     """Rate at which KV cache is copied to a standby."""
 
+    keep_time: float = setting(2.0, unit="s", ge=0, le=3_600)
+    """Time for which the KV cache of a run that was cancelled is kept, unless others need it."""
+
     report_interval: float = setting(0.2, unit="s", ge=0.001, le=60)
     """Time between two load reports."""
 
--- a/src/sapphireledge_experiment/settings/request_kind.py
+++ b/src/sapphireledge_experiment/settings/request_kind.py
@@ -32,8 +32,8 @@
     prompt_spread: float = setting(0.5, ge=0, le=5)
     """Standard deviation of the length of the prompt, as a fraction of the mean."""
 
-    output_tokens: int = setting(150, unit="tokens", ge=1, le=1_000_000)
-    """Mean length of the output."""
+    output_events: int = setting(150, unit="events", ge=1, le=1_000_000)
+    """Mean length of the output, see `EngineSpec.event_tokens`."""
 
     output_spread: float = setting(0.5, ge=0, le=5)
     """Standard deviation of the length of the output, as a fraction of the mean."""
--- a/src/sapphireledge_experiment/settings/trouble.py
+++ b/src/sapphireledge_experiment/settings/trouble.py
@@ -24,6 +24,9 @@
     duration: float = setting(5.0, unit="s", ge=0, le=36_000)
     """How long it lasts, where the kind lasts."""
 
+    restart_time: float | None = setting(None, unit="s", ge=0, le=3_600)
+    """Time until machines start in the place of those that end; by default that of the fleet."""
+
     share: float = setting(1.0, ge=0, le=1)
     """Share of the machines that it hits, drawn at random."""
 
--- a/src/sapphireledge_experiment/settings/trouble_kind.py
+++ b/src/sapphireledge_experiment/settings/trouble_kind.py
@@ -13,6 +13,9 @@
     ENGINES_DIE = "engines_die"
     """Engines end with a connection reset; others start in their place."""
 
+    ENGINES_VANISH = "engines_vanish"
+    """Engines end without a reset, like machines that lose their power; others start later."""
+
     ENGINES_SILENT = "engines_silent"
     """Engines send nothing for the duration, then go on."""
 
--- a/tests/experiment_case.py
+++ b/tests/experiment_case.py
@@ -30,7 +30,7 @@
     defaults = {
         "name": "small",
         "kinds": (
-            RequestKind("brief", 6.0, prompt_tokens=1_500, output_tokens=90, prefixes=3),
+            RequestKind("brief", 6.0, prompt_tokens=1_500, output_events=90, prefixes=3),
             RequestKind("lookup", 8.0, is_stream=False, target=0.6, patience=1.2, time_limit=1.2),
         ),
         "policies": (Policy("current"), Policy("send-at-once", hold=False)),
@@ -104,8 +104,8 @@
                     "on_time",
                     "late",
                 )
-                self.note(request.delivered <= request.output_tokens, "more events than asked for")
-                is_whole = request.delivered == request.output_tokens
+                self.note(request.delivered <= request.output_events, "more events than asked for")
+                is_whole = request.delivered == request.output_events
                 self.note(is_whole or not complete, "complete answer with events missing")
         recorded = sum(sum(tokens.values()) for tokens in self.world._run_tokens.values())
         self.note(recorded == self.result.processed_tokens, "tokens lost or invented")
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -24,7 +24,7 @@
   // a few seconds on a few machines
   name: "small", duration: 2.0, seeds: 2,
   fleet: {data_centres: 2, instances: 2, engines: 3, plain_servers: 1},
-  kinds: [{name: "brief", rate: 3, prompt_tokens: 900, output_tokens: 20}],
+  kinds: [{name: "brief", rate: 3, prompt_tokens: 900, output_events: 20}],
   policies: [{name: "current"}, {name: "send/at once", hold: false}],%s
 }"""
 
--- a/tests/test_experiment_model.py
+++ b/tests/test_experiment_model.py
@@ -59,7 +59,7 @@
     )
     def test_nothing_is_lost_or_invented(self, seed, troubles, policy, rate):
         kinds = (
-            RequestKind("brief", rate, prompt_tokens=2_500, output_tokens=60, prefixes=3),
+            RequestKind("brief", rate, prompt_tokens=2_500, output_events=60, prefixes=3),
             RequestKind("lookup", 8.0, is_stream=False, target=0.6, patience=1.2, time_limit=1.2),
         )
         watched = play(seed, policy, kinds=kinds, troubles=tuple(troubles))
@@ -116,7 +116,7 @@
         self.assertIn("more runs than slots", self.find(SimulatedEngine, "_fill_slots", fill))
 
     def test_engine_that_goes_on_after_its_death(self):
-        def die(engine):
+        def die(engine, *, is_reset=True):
             engine.is_dead = True
 
         self.assertIn("runs on a dead engine", self.find(SimulatedEngine, "die", die))
@@ -124,12 +124,12 @@
     def test_event_of_a_dead_engine(self):
         original = SimulatedEngine.die
 
-        def die(engine):
+        def die(engine, *, is_reset=True):
             running = list(engine.running)
             for run in running:
                 engine.is_dead = True
                 run.on_event(run)
-            original(engine)
+            original(engine, is_reset=is_reset)
 
         self.assertIn("event of a dead engine", self.find(SimulatedEngine, "die", die))
 
