Remove what nothing calls: PeerQueries.void_key, VoidResult, CopyStore.read

The test of PeerQueries.void_key now checks what the claims use, PeerKeyVoider over real links and ReceivedKeys.prove_not_run: all confirm, an entry that started after the key's time, one that declines, one that does not reply. It waits for both connections first, as the 0.3 s do not include a connect.

--- a/src/sapphireledge/entry/copy_store.py
+++ b/src/sapphireledge/entry/copy_store.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.answer import CopyAppend, OwnershipTable
-from sapphireledge.peers import AnswerLocation, AnswerPart, AppendResult, TakeOver
+from sapphireledge.peers import AnswerLocation, AppendResult, TakeOver
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -31,7 +30,6 @@
             cfg: Settings of the instance.
         """
         self._table = OwnershipTable(cfg.callers.finished_retention, MAX_COPY_BYTES)
-        self._changed = asyncio.Event()
 
     def append(self, sender: str, appends: Sequence[Any]) -> list[Any]:
         """Stores parts of answers.
@@ -64,8 +62,6 @@
                     outcome.request_id, outcome.stored, outcome.epoch, outcome.header_missing
                 )
             )
-        self._changed.set()
-        self._changed = asyncio.Event()
         return results
 
     def locate(self, answer_id: str) -> Any | None:
@@ -84,32 +80,6 @@
             True, False, found.owner_instance, found.epoch, found.stored, found.finished
         )
 
-    async def read(self, answer_id: str, offset: int, wait: float) -> Any | None:
-        """Reads a copy from an offset, waiting for a token there.
-
-        Args:
-            answer_id: Key of the answer.
-            offset: Token offset to read from.
-            wait: Longest wait in seconds.
-
-        Returns:
-            An AnswerPart, or None if no copy extends to the offset.
-        """
-        deadline = time.monotonic() + wait
-        while True:
-            part = self._table.read(answer_id, offset)
-            remaining = deadline - time.monotonic()
-            if part is None or part.pieces or part.finish or remaining <= 0:
-                break
-            try:
-                async with asyncio.timeout(remaining):
-                    await self._changed.wait()
-            except TimeoutError:
-                continue
-        if part is None:
-            return None
-        return AnswerPart(part.offset, list(part.pieces), part.finish, part.epoch, "", "")
-
     def events(self, answer_id: str) -> str:
         """Returns the recorded events that were stored with a copy.
 
--- a/src/sapphireledge/peers/__init__.py
+++ b/src/sapphireledge/peers/__init__.py
@@ -34,7 +34,6 @@
 from sapphireledge.peers.peer_queries import PeerQueries
 from sapphireledge.peers.peer_server import PeerServer
 from sapphireledge.peers.replicated_answer import ReplicatedAnswer
-from sapphireledge.peers.void_result import VoidResult
 
 __all__ = [
     "AnswerAppend",
@@ -67,5 +66,4 @@
     "TakeOver",
     "UsageDelta",
     "VoidReply",
-    "VoidResult",
 ]
--- a/src/sapphireledge/peers/peer_queries.py
+++ b/src/sapphireledge/peers/peer_queries.py
@@ -7,7 +7,6 @@
 
 from sapphireledge.errors import Failure
 from sapphireledge.peers.found_answer import FoundAnswer
-from sapphireledge.peers.void_result import VoidResult
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,12 +22,9 @@
 LOCAL_TIMEOUT_SHARE = 0.5
 """Fraction of the timeout after which other data centres are queried."""
 
-VOID_TIMEOUT = 0.3
-"""Seconds allowed for the replies of all entries."""
-
 
 class PeerQueries:
-    """Queries all entries for an answer or a claim key, within a timeout."""
+    """Queries all entries for an answer, within a timeout."""
 
     def __init__(self, peers: PeerCallClient, clock: Callable[[], float]) -> None:
         """Creates the queries.
@@ -71,27 +67,6 @@
             found.complete and remote_result.complete,
         )
 
-    async def void_key(self, claim_key: str, key_time_unix: float) -> VoidResult:
-        """Voids a claim key: asks all other known entries to reject it if they never received it.
-
-        Args:
-            claim_key: Claim key to void.
-            key_time_unix: Time in the key, in Unix seconds. An entry that started later may have
-                received the key before its restart.
-
-        Returns:
-            Whether all other entries voided the key. This entry is not queried.
-        """
-        names = [m.name for m in self._peers.members if m.name != self._peers.local_member.name]
-        replies = await self._call_all(names, "void_key", claim_key, timeout=VOID_TIMEOUT)
-        declined = tuple(
-            name
-            for name in names
-            if name in replies and not _has_voided(replies[name], key_time_unix)
-        )
-        unresponsive = tuple(name for name in names if name not in replies)
-        return VoidResult(not declined and not unresponsive, declined, unresponsive)
-
     async def _find_in(self, names: list[str], request_id: str, timeout: float) -> FoundAnswer:
         """Searches for an answer on some entries."""
         replies = await self._call_all(
@@ -158,8 +133,3 @@
 def _location_order(location: Any) -> tuple[int, bool, int]:
     """Returns the sort key of a location; the greatest is preferred."""
     return location.epoch, location.owner, location.stored
-
-
-def _has_voided(reply: Any, key_time_unix: float) -> bool:
-    """Whether an entry voided the key and has been running since before the time of the key."""
-    return reply.voided and reply.since_unix <= key_time_unix
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,9 @@
 
 import structlog
 
+from sapphireledge.core.claims import ReceivedKeys, VoidAnswer
 from sapphireledge.core.membership import DeathNotice, Member
+from sapphireledge.entry.peer_key_voider import PeerKeyVoider
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.peers import (
     AnswerLocation,
@@ -356,14 +358,22 @@
     async def test_void_key_requires_confirmation_from_every_entry(self):
         one, two, remote = await self.start("a1", "a2", "b1")
         await self.wait_connected(one, "a2")
-        queries = PeerQueries(one.mesh, time.monotonic)
-        self.assertTrue((await queries.void_key("k", 200.0)).all_voided)
-        self.assertEqual((await queries.void_key("k", 50.0)).declined, ("a2", "b1"))
+        await self.wait_connected(one, "b1")
+        voider = PeerKeyVoider(one.cfg.claims, one.mesh)
+        keys = ReceivedKeys(1.0, one.cfg.claims)
+
+        async def is_proven(key_time: float) -> bool:
+            return keys.prove_not_run("k", key_time, await voider.void("k"))
+
+        self.assertTrue(await is_proven(200.0))
+        # An entry that started after the time of the key may have received it before.
+        self.assertFalse(await is_proven(50.0))
         remote.handler.void_reply = VoidReply(voided=False, since_unix=1.0)
-        self.assertEqual((await queries.void_key("k", 200.0)).declined, ("b1",))
+        self.assertFalse(await is_proven(200.0))
         remote.handler.void_reply = VoidReply(voided=True, since_unix=1.0)
         two.handler.delay = 30.0
         started = time.monotonic()
-        result = await queries.void_key("k", 200.0)
-        self.assertEqual((result.all_voided, result.unresponsive), (False, ("a2",)))
+        answers = await voider.void("k")
+        self.assertEqual(answers, (None, VoidAnswer(True, 1.0)))
+        self.assertFalse(keys.prove_not_run("k", 200.0, answers))
         self.assertLess(time.monotonic() - started, 0.8)
