--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -360,10 +360,10 @@
         await self.wait_connected(one, "a2")
         await self.wait_connected(one, "b1")
         voider = PeerKeyVoider(one.cfg.claims, one.mesh)
-        keys = ReceivedKeys(1.0, one.cfg.claims)
+        keys, skew = ReceivedKeys(1.0, one.cfg.claims), one.cfg.claims.future_skew
 
         async def is_proven(key_time: float) -> bool:
-            return keys.prove_not_run("k", key_time, await voider.void("k"))
+            return keys.prove_not_run("k", key_time + skew, await voider.void("k"))
 
         self.assertTrue(await is_proven(200.0))
         # An entry that started after the time of the key may have received it before.
@@ -375,5 +375,5 @@
         started = time.monotonic()
         answers = await voider.void("k")
         self.assertEqual(answers, (None, VoidAnswer(True, 1.0)))
-        self.assertFalse(keys.prove_not_run("k", 200.0, answers))
+        self.assertFalse(keys.prove_not_run("k", 200.0 + skew, answers))
         self.assertLess(time.monotonic() - started, 0.8)
