--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from sapphireledge.core.claims import ReceivedKeys, VoidAnswer
+from sapphireledge.core.claims import CLAIM_PREFIX, ReceivedKeys, VoidAnswer
 from sapphireledge.core.membership import DeathNotice, Member
 from sapphireledge.entry.peer_key_voider import PeerKeyVoider
 from sapphireledge.errors import ErrorKind, Failure, Ran
@@ -360,10 +360,11 @@
         await self.wait_connected(one, "a2")
         await self.wait_connected(one, "b1")
         voider = PeerKeyVoider(one.cfg.claims, one.mesh)
+        key = f"{CLAIM_PREFIX}0/0f"
         keys, skew = ReceivedKeys(1.0, one.cfg.claims), one.cfg.claims.future_skew
 
         async def is_proven(key_time: float) -> bool:
-            return keys.prove_not_run("k", key_time + skew, await voider.void("k"))
+            return keys.prove_not_run(key, key_time + skew, await voider.void(key))
 
         self.assertTrue(await is_proven(200.0))
         # An entry that started after the time of the key may have received it before.
@@ -373,7 +374,7 @@
         remote.handler.void_reply = VoidReply(voided=True, since_unix=1.0)
         two.handler.delay = 30.0
         started = time.monotonic()
-        answers = await voider.void("k")
+        answers = await voider.void(key)
         self.assertEqual(answers, (None, VoidAnswer(True, 1.0)))
-        self.assertFalse(keys.prove_not_run("k", 200.0 + skew, answers))
+        self.assertFalse(keys.prove_not_run(key, 200.0 + skew, answers))
         self.assertLess(time.monotonic() - started, 0.8)
