--- a/src/sapphireledge_experiment/model/traffic.py
+++ b/src/sapphireledge_experiment/model/traffic.py
@@ -42,14 +42,16 @@
     experiment: Experiment, kind: RequestKind, rng: np.random.Generator
 ) -> Iterator[ModelledRequest]:
     """Draws the requests of one kind."""
-    times = _draw_times(experiment.duration, kind, rng)
+    groups = _draw_times(experiment.duration, kind, rng)
+    sizes = rng.geometric(1.0 / kind.clump, len(groups))
+    times = np.repeat(groups, sizes)
     count = len(times)
     prompts = _draw_lengths(rng, kind.prompt_tokens, kind.prompt_spread, count)
     outputs = _draw_lengths(rng, kind.output_events, kind.output_spread, count)
     workspaces = rng.integers(0, kind.workspaces, count)
     workspaces[rng.random(count) < kind.heaviest_share] = 0
     prefixes = rng.integers(0, max(1, kind.prefixes), count)
-    centres = rng.integers(0, experiment.fleet.data_centres, count)
+    centres = np.repeat(rng.integers(0, experiment.fleet.data_centres, len(groups)), sizes)
     for index in range(count):
         yield ModelledRequest(
             number=0,
@@ -66,9 +68,10 @@
 
 def _draw_times(duration: float, kind: RequestKind, rng: np.random.Generator) -> np.ndarray:
     """Draws arrival times: a Poisson process, with a second one on top during a burst."""
-    times = rng.uniform(0.0, duration, rng.poisson(kind.rate * duration))
+    groups = kind.rate / kind.clump
+    times = rng.uniform(0.0, duration, rng.poisson(groups * duration))
     if kind.burst_time and kind.burst_factor > 1.0:
-        extra = rng.poisson(kind.rate * (kind.burst_factor - 1.0) * kind.burst_time)
+        extra = rng.poisson(groups * (kind.burst_factor - 1.0) * kind.burst_time)
         burst = rng.uniform(kind.burst_at, kind.burst_at + kind.burst_time, extra)
         times = np.concatenate([times, burst[burst < duration]])
     return np.sort(times)
--- a/src/sapphireledge_experiment/settings/request_kind.py
+++ b/src/sapphireledge_experiment/settings/request_kind.py
@@ -65,6 +65,9 @@
     prefix_share: float = setting(0.5, ge=0, le=1)
     """Share of the prompt that is a shared prefix."""
 
+    clump: float = setting(1.0, unit="requests", ge=1, le=1_000)
+    """Mean number of requests that arrive together from one data centre."""
+
     burst_at: float = setting(0.0, unit="s", ge=0, le=36_000)
     """Time at which a burst begins."""
 
