--- a/src/sapphireledge_experiment/report/paired_difference.py
+++ b/src/sapphireledge_experiment/report/paired_difference.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 import numpy as np
-from scipy import stats
+
+from sapphireledge_experiment.report.policy_summary import confidence_error
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -15,9 +16,6 @@
 
 __all__ = ["PairedDifference", "compare_pairs"]
 
-CONFIDENCE = 0.95
-"""Level of the confidence interval."""
-
 
 @dataclass(frozen=True, slots=True)
 class PairedDifference:
@@ -61,11 +59,5 @@
     pairs = [measure(result) - known[result.seed] for result in results if result.seed in known]
     if not pairs:
         raise ValueError("no seed was played with both policies")
-    mean = float(np.mean(pairs))
-    error = float(stats.sem(pairs)) if len(pairs) > 1 else float("inf")
-    if error == 0.0:
-        return PairedDifference(len(pairs), mean, mean, mean)
-    if error == float("inf"):
-        return PairedDifference(1, mean, -error, error)
-    low, high = stats.t.interval(CONFIDENCE, len(pairs) - 1, loc=mean, scale=error)
-    return PairedDifference(len(pairs), mean, float(low), float(high))
+    mean, error = float(np.mean(pairs)), confidence_error(pairs)
+    return PairedDifference(len(pairs), mean, mean - error, mean + error)
--- a/src/sapphireledge_experiment/report/policy_summary.py
+++ b/src/sapphireledge_experiment/report/policy_summary.py
@@ -7,13 +7,17 @@
 from typing import TYPE_CHECKING
 
 import numpy as np
+from scipy import stats
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from sapphireledge_experiment.model import SeedResult
 
-__all__ = ["PolicySummary", "summarize"]
+__all__ = ["PolicySummary", "confidence_error", "served_share", "summarize"]
+
+CONFIDENCE = 0.95
+"""Level of the confidence intervals."""
 
 PERCENTILES = (50, 95, 99)
 """Percentiles of the time to the first event."""
@@ -47,6 +51,9 @@
     losses: dict[str, float]
     """Tokens in vain in one seed by cause, the largest first."""
 
+    loss_errors: dict[str, float]
+    """For each cause, half of the width of the 95% confidence interval of that mean."""
+
     over_limit: float
     """Requests in one seed that arrived at a server above the rate that it named."""
 
@@ -83,6 +90,10 @@
         ),
         vain_tokens=_mean([result.vain_tokens for result in results]),
         losses={cause: round(n / len(results), 1) for cause, n in losses.most_common()},
+        loss_errors={
+            cause: confidence_error([result.losses.get(cause, 0) for result in results])
+            for cause, _ in losses.most_common()
+        },
         over_limit=_mean([result.over_limit for result in results]),
         first_events={rank: _percentiles(results, rank) for rank in ranks},
     )
@@ -100,6 +111,20 @@
     return (result.endings["on_time"] + result.endings["late"]) / max(1, result.asked)
 
 
+def confidence_error(values: Sequence[float]) -> float:
+    """Computes half of the width of the 95% confidence interval of a mean.
+
+    Args:
+        values: Independent values, at least one.
+
+    Returns:
+        The half width by Student's t distribution, infinite for one value.
+    """
+    if len(values) < 2:
+        return float("inf")
+    return float(stats.sem(values) * stats.t.ppf((1.0 + CONFIDENCE) / 2.0, len(values) - 1))
+
+
 def _percentiles(results: Sequence[SeedResult], rank: str) -> tuple[float, float, float]:
     """Computes the percentiles of the time to the first event of one rank."""
     delays = np.concatenate([result.first_events.get(rank, []) for result in results])
--- a/src/sapphireledge_experiment/report/write_report.py
+++ b/src/sapphireledge_experiment/report/write_report.py
@@ -98,7 +98,9 @@
     sections = [
         _section("How requests ended", _endings_table(summaries)),
         _section("Time to the first event, s", _waiting_table(summaries)),
-        _section("Tokens in vain in one seed, by cause", _losses_table(summaries)),
+        _section(
+            "Tokens in vain in one seed, by cause, with the 95% interval", _losses_table(summaries)
+        ),
     ]
     if differences:
         rows = [
@@ -147,13 +149,18 @@
             entry.policy,
             f"{entry.vain_tokens:.0f}",
             f"{entry.vain_share:.4f}",
-            *(f"{entry.losses.get(cause, 0.0):.0f}" for cause in causes),
+            *(_with_error(entry, cause) for cause in causes),
         ]
         for entry in summaries
     ]
     return _table(["policy", "tokens", "share of all", *causes], rows)
 
 
+def _with_error(entry: PolicySummary, cause: str) -> str:
+    """Formats the tokens in vain by one cause with half of their 95% interval."""
+    return f"{entry.losses.get(cause, 0.0):.0f} ± {entry.loss_errors.get(cause, 0.0):.0f}"
+
+
 def _table(columns: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
     """Builds a table."""
     head = "".join(f"<th>{html.escape(column)}</th>" for column in columns)
