Refuse late streams that would end after their deadline, instead of processing them in vain

Change: GenerationEstimator learns the time from the first event to the last one per announced token, at each instance; a stream that no engine can complete in time is refused at once as not run, and one that must start is refused if the prompts ahead leave too little time. A stream that may have run is not refused.

--- a/src/sapphireledge/core/placement/__init__.py
+++ b/src/sapphireledge/core/placement/__init__.py
@@ -3,6 +3,7 @@
 from sapphireledge.core.placement.choose_candidates import choose_candidates, compute_start_share
 from sapphireledge.core.placement.engine_view import EngineView
 from sapphireledge.core.placement.first_event_estimator import FirstEventEstimator
+from sapphireledge.core.placement.generation_estimator import GenerationEstimator
 from sapphireledge.core.placement.pending_stream import PendingStream
 from sapphireledge.core.placement.placement_limits import PlacementLimits
 from sapphireledge.core.placement.placement_rule import PlacementRule
@@ -13,6 +14,7 @@
 __all__ = [
     "EngineView",
     "FirstEventEstimator",
+    "GenerationEstimator",
     "PendingStream",
     "PlacementLimits",
     "PlacementRule",
--- a/src/sapphireledge/core/placement/placement_rule.py
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -68,6 +68,7 @@
         *,
         may_wait: bool = True,
         start_share: float = 1.0,
+        generation_time: float = 0.0,
     ) -> StartStream | WaitForEngine | RefuseStream:
         """Decides whether a stream starts, waits or is refused.
 
@@ -79,6 +80,9 @@
             may_wait: Whether the stream may wait; not while the instance is stopping.
             start_share: Share of the streams that may start now, if they have been waiting; all
                 instances see an engine become idle at the same time.
+            generation_time: Expected seconds from the first event to the last one, 0 if unknown. A
+                late stream that would end after its deadline is refused rather than processed in
+                vain.
 
         Returns:
             The decision.
@@ -98,8 +102,11 @@
         is_admitted = must_start or self._rng.random() < start_share
         if is_on_time and is_admitted:
             return StartStream(best.engine, estimate, False)
-        latest = min(stream.leaves_at, stream.deadline)
-        if now + estimator.estimate(0.0) >= latest and not stream.has_run:
+        latest = min(stream.leaves_at, stream.deadline - generation_time)
+        is_hopeless = now + estimator.estimate(0.0) >= latest
+        if must_start and generation_time:
+            is_hopeless = is_hopeless or now + estimate + generation_time > stream.deadline
+        if is_hopeless and not stream.has_run:
             # Spread over the time that the engines need for the prompts ahead.
             return RefuseStream(estimate, estimate * self._rng.uniform(0.5, 1.0))
         if must_start or (is_admitted and ahead <= limits.late_start_ahead):
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -112,6 +112,7 @@
         context = self._context
         loop = asyncio.get_running_loop()
         estimator = context.first_event_estimator(admitted.service.name)
+        generation = context.generation_estimator(admitted.service.name)
         for attempt in count():
             excluded = self._choose_excluded(admitted, progress, avoided)
             candidates = self._list_candidates(admitted, excluded, attempt)
@@ -135,6 +136,7 @@
                 estimator,
                 may_wait=not context.is_stopping(),
                 start_share=self._start_share(admitted) if attempt else 1.0,
+                generation_time=generation.estimate(admitted.request.output_tokens),
             )
             if attempt == 0 or not isinstance(decision, WaitForEngine):
                 costs = {view.engine: self._rule.cost(stream, view) for view in views}
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.placement import FirstEventEstimator
+from sapphireledge.core.placement import FirstEventEstimator, GenerationEstimator
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.connection_pool import ConnectionPool
 from sapphireledge.gateway.crash_guard import CrashGuard
@@ -60,6 +60,7 @@
 
         self._allowances: dict[str, RetryAllowance] = {}
         self._estimators: dict[str, FirstEventEstimator] = {}
+        self._generation_estimators: dict[str, GenerationEstimator] = {}
 
     def retry_allowance(self, service: str) -> RetryAllowance:
         """Returns this instance's share of a service's retry budget.
@@ -87,6 +88,17 @@
         """
         return self._estimators.setdefault(service, FirstEventEstimator())
 
+    def generation_estimator(self, service: str) -> GenerationEstimator:
+        """Returns the estimate of the time that a service's engines generate a stream.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The estimator, created on first use.
+        """
+        return self._generation_estimators.setdefault(service, GenerationEstimator())
+
     def _on_response(self, server: BackendServer, head: ResponseHead) -> None:
         """Takes over what a response says about the requests that its server takes."""
         if head.status == MISDIRECTED:
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -132,6 +132,7 @@
         if not self._caller.response_started:
             raise BackendResponseError("the stream has no events")
         await self._caller.finish_response()
+        self._observe_generation(last_event)
         return Outcome(OutcomeKind.ANSWERED, server, "complete", head)
 
     def _observe_first_event(self, selection: EngineSelection, delay: float) -> None:
@@ -140,6 +141,15 @@
             estimator = self._context.first_event_estimator(self._admitted.service.name)
             estimator.observe(selection.prompts_ahead, delay)
 
+    def _observe_generation(self, resumed_after: int | None) -> None:
+        """Passes the time of a stream that ran on one engine on to the estimate."""
+        progress = self._progress
+        if resumed_after is None and progress.first_event_at is not None:
+            assert progress.last_event_at is not None
+            estimator = self._context.generation_estimator(self._admitted.service.name)
+            duration = progress.last_event_at - progress.first_event_at
+            estimator.observe(self._admitted.request.output_tokens, duration)
+
     async def _read_while_alive(
         self,
         server: BackendServer,
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -153,7 +153,7 @@
 
 def _refuse_overload(refusal: RefuseStream) -> Failure:
     """Builds the failure of a stream that no engine could serve before its deadline."""
-    reason = f"the first event is expected in {refusal.estimate:.1f} s, after the deadline"
+    reason = f"the first event is expected in {refusal.estimate:.1f} s, too late to be complete"
     return Failure(ErrorKind.OVERLOADED, reason, Ran.NO, refusal.retry_after)
 
 
--- a/src/sapphireledge_experiment/model/engine_run.py
+++ b/src/sapphireledge_experiment/model/engine_run.py
@@ -33,6 +33,9 @@
     on_lost: Callable[[EngineRun], None]
     """Called when the engine resets the connection."""
 
+    first_generated: int = 0
+    """Events generated before this run."""
+
     standby: SimulatedEngine | None = None
     """Engine to which the KV cache is copied after the prompt."""
 
--- a/src/sapphireledge_experiment/model/simulated_instance.py
+++ b/src/sapphireledge_experiment/model/simulated_instance.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Protocol
 
-from sapphireledge.core.placement import FirstEventEstimator, PlacementRule
+from sapphireledge.core.placement import FirstEventEstimator, GenerationEstimator, PlacementRule
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.backend_server import BackendServer
 from sapphireledge.gateway.gateway_settings import GatewaySettings
@@ -66,6 +66,9 @@
         self.estimator = FirstEventEstimator()
         """Estimate of the time to the first event."""
 
+        self.generation = GenerationEstimator()
+        """Estimate of the time from the first event to the last one."""
+
         self.registry = BackendRegistry(str(data_centre), name, self.rng)
         """Servers as this instance sees them."""
 
--- a/src/sapphireledge_experiment/model/stream_driver.py
+++ b/src/sapphireledge_experiment/model/stream_driver.py
@@ -63,7 +63,7 @@
         self._watch: StreamWatch | None = None
         self._previous: EngineRun | None = None
         self._ahead: int | None = None
-        self._sent_at = 0.0
+        self._sent_at = self._first_event_at = 0.0
         self._failed: set[str] = set()
         self._lost_centres: set[str] = set()
         self._contacted = 0
@@ -224,6 +224,11 @@
             instance.estimator,
             may_wait=self._world.policy.hold,
             start_share=share if placement else 1.0,
+            generation_time=(
+                instance.generation.estimate(self._request.output_tokens)
+                if self._world.policy.finish_estimate
+                else 0.0
+            ),
         )
         decision = self._apply_ideas(decision, stream, views)
         if isinstance(decision, RefuseStream):
@@ -352,7 +357,13 @@
             state.in_flight += 1
         rank = request.kind.rank + (LATE_RANK_OFFSET if is_late else 0)
         run = EngineRun(
-            request, rank, request.delivered, self._on_event, self._on_reset, standby=standby
+            request,
+            rank,
+            request.delivered,
+            self._on_event,
+            self._on_reset,
+            standby=standby,
+            first_generated=request.delivered,
         )
         self._run, self._engine, self._sent_at = run, engine, now
         self._contacted += 1
@@ -402,6 +413,7 @@
         assert engine is not None and watch is not None
         at = self._clock.now + self._delay_to(engine)
         if not watch.has_events:
+            self._first_event_at = at
             self._instance.apply_signals(engine.name, engine.signals)
             if self._ahead is not None:
                 self._instance.estimator.observe(self._ahead, at - self._sent_at)
@@ -411,6 +423,9 @@
             state = self._instance.registry.state(engine.name)
             if state is not None:
                 state.on_success()
+            if run.first_generated == 0:
+                duration = at - self._first_event_at
+                self._instance.generation.observe(self._request.output_tokens, duration)
             self._finish_run("")
             self._end()
             self._caller.on_complete()
--- a/src/sapphireledge_experiment/settings/policy.py
+++ b/src/sapphireledge_experiment/settings/policy.py
@@ -31,6 +31,9 @@
     copies: bool = setting(True)
     """Whether the KV cache of streams is copied to a standby while engines have room."""
 
+    finish_estimate: bool = setting(True)
+    """Whether late streams are refused that would end after their deadline."""
+
     wait_in_order: bool = setting(False)
     """Idea: a waiting stream starts only if none with an earlier due time waits at its instance."""
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,6 +13,7 @@
 from sapphireledge.core.placement import (
     EngineView,
     FirstEventEstimator,
+    GenerationEstimator,
     PendingStream,
     PlacementLimits,
     PlacementRule,
@@ -91,6 +92,20 @@
         if isinstance(decision, WaitForEngine):
             self.assertLess(now + decision.delay + 2.0, stream.deadline)
 
+    def test_late_stream_that_cannot_end_in_time_is_refused(self):
+        """Guards against prompts processed for streams that their deadline cuts."""
+        busy = replace(IDLE, waiting=6)
+        now = STREAM.deadline - LIMITS.late_reserve
+        late = decide(STREAM, busy, now=now, generation_time=1.0)
+        self.assertIsInstance(late, StartStream)
+        refused = decide(STREAM, busy, now=now, generation_time=5.0)
+        self.assertIsInstance(refused, RefuseStream)
+        has_run = replace(STREAM, has_run=True)
+        self.assertIsInstance(decide(has_run, busy, now=now, generation_time=5.0), StartStream)
+        # No engine can complete it, so it is refused before its wait.
+        self.assertIsInstance(decide(STREAM, busy, generation_time=24.0), RefuseStream)
+        self.assertIsInstance(decide(STREAM, busy, generation_time=20.0), WaitForEngine)
+
     def test_lower_rank_leaves_the_queue_to_the_most_urgent(self):
         """Guards against less urgent streams with a later target that fill the engines first."""
         lower = replace(STREAM, rank_distance=1, due_at=10.0)
@@ -111,6 +126,14 @@
         self.assertTrue(has_room(STREAM, [IDLE, IDLE, full]))
         self.assertFalse(has_room(STREAM, [IDLE, full, full]))
 
+    def test_generation_time_follows_what_is_announced(self):
+        estimator = GenerationEstimator()
+        self.assertEqual(estimator.estimate(500), 0.0)
+        for _ in range(40):
+            estimator.observe(1_000, 5.0)
+        self.assertAlmostEqual(estimator.estimate(500), 2.5, delta=0.1)
+        self.assertAlmostEqual(estimator.estimate(0), 5.0, delta=0.1)
+
     def test_estimate_follows_the_engines(self):
         estimator = FirstEventEstimator()
         for _ in range(40):
