--- a/src/sapphireledge_experiment/model/stream_driver.py
+++ b/src/sapphireledge_experiment/model/stream_driver.py
@@ -239,10 +239,9 @@
         elif instance.registry.try_take(now, decision.engine):
             view = next(view for view in views if view.engine == decision.engine)
             has_room = instance.rule.has_room_for_copies(stream, views)
-            self._ahead = view.prompts_ahead
             engine = engines[decision.engine]
             standby = self._choose_standby(engine) if has_room else None
-            self._send(engine, standby, decision.is_late)
+            self._send(engine, standby, decision.is_late, ahead=view.prompts_ahead)
         else:
             self._select(placement + 1)
 
@@ -344,6 +343,7 @@
         standby: SimulatedEngine | None,
         is_late: bool,
         copy_of: EngineRun | None = None,
+        ahead: int | None = None,
     ) -> None:
         """Sends the request to an engine and begins to watch the run."""
         instance, request, now = self._instance, self._request, self._clock.now
@@ -365,7 +365,7 @@
             standby=standby,
             first_generated=request.delivered,
         )
-        self._run, self._engine, self._sent_at = run, engine, now
+        self._run, self._engine, self._sent_at, self._ahead = run, engine, now, ahead
         self._contacted += 1
         self._watch = StreamWatch(self._world.policy.silence, now, request.delivered)
         delay = self._delay_to(engine)
--- a/tests/test_gateway_stream.py
+++ b/tests/test_gateway_stream.py
@@ -73,6 +73,21 @@
         self.assertTrue(response.complete)
         self.assertEqual(response.body, events(*range(10)))
 
+    async def test_generation_time_is_learned_from_whole_streams_only(self):
+        """Guards against an estimate from parts of streams, which would let late ones start."""
+        await self.add_engine_pair(
+            streaming_engine(0, 3, end=False), streaming_engine(4, 8, seal="t")
+        )
+        estimator = self.gateway.context.generation_estimator("llm")
+        self.assertTrue((await self.call("/stream/")).complete)
+        self.assertEqual(estimator.estimate(0), 0.0)
+
+    async def test_generation_time_of_a_stream_is_learned(self):
+        await self.add("llm", streaming_engine(0, 9))
+        await self.call("/stream/")
+        learned = self.gateway.context.generation_estimator("llm").estimate(0)
+        self.assertTrue(0.09 <= learned < 1.0, learned)
+
     async def test_stream_is_resumed_on_its_standby(self):
         """Guards against processing a prompt again although a standby has a replica."""
         _, second = await self.add_engine_pair(
