--- a/src/sapphireledge_experiment/model/simulated_instance.py
+++ b/src/sapphireledge_experiment/model/simulated_instance.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from sapphireledge.core.backpressure import ServerSignals
+    from sapphireledge_experiment.model.engine_placer import EnginePlacer
     from sapphireledge_experiment.model.world import World
 
 __all__ = ["ENGINES", "PLAIN_SERVERS", "SimulatedInstance"]
@@ -75,7 +76,7 @@
         self.drivers: dict[Driver, None] = {}
         """Calls in progress, in order of arrival."""
 
-        self.waiting_due: dict[Driver, float] = {}
+        self.waiting_due: dict[EnginePlacer, float] = {}
         """Streams that wait for an engine, with the time at which each is due."""
 
         self._dispatches: list[tuple[float, str]] = []
--- a/tests/test_experiment_model.py
+++ b/tests/test_experiment_model.py
@@ -14,6 +14,7 @@
 from sapphireledge_experiment.model import SimulatedEngine, VirtualClock
 from sapphireledge_experiment.model.simulated_caller import SimulatedCaller
 from sapphireledge_experiment.model.stream_driver import StreamDriver
+from sapphireledge_experiment.model.tried_engines import TriedEngines
 from sapphireledge_experiment.settings import Policy, RequestKind, Trouble, TroubleKind
 
 TROUBLES = st.builds(
@@ -102,7 +103,7 @@
 
     def test_copy_that_is_not_released(self):
         callers_go_on = (Trouble(TroubleKind.INSTANCES_DIE, 2.5),)
-        found = self.find(StreamDriver, "_release_copy", lambda driver: None, callers_go_on)
+        found = self.find(TriedEngines, "release_copy", lambda tried: None, callers_go_on)
         self.assertIn("memory held after the end", found)
 
     def test_slots_that_are_not_respected(self):
