--- a/src/sapphireledge_experiment/model/plain_driver.py
+++ b/src/sapphireledge_experiment/model/plain_driver.py
@@ -83,7 +83,8 @@
         if reserved is None or not self._spend():
             self._give_up()
             return
-        self._clock.at(reserved[1], lambda: self._is_over or self._send(reserved[0]))
+        server, send_at = reserved
+        self._clock.at(send_at, lambda: self._send_reserved(server))
 
     def _spend(self) -> bool:
         """Credits the retry allowance for a first attempt, or spends a retry."""
@@ -109,9 +110,17 @@
         self._clock.after(delay, lambda: self._arrive(server, delay))
         hedge_at = self._request.kind.target * HEDGE_SHARE
         attempts = len(self._tried)
-        self._clock.after(
-            hedge_at, lambda: len(self._tried) == attempts and self._in_flight and self._attempt()
-        )
+        self._clock.after(hedge_at, lambda: self._hedge(attempts))
+
+    def _send_reserved(self, server: BackendServer) -> None:
+        """Sends the request at the reserved time, unless the call has ended."""
+        if not self._is_over:
+            self._send(server)
+
+    def _hedge(self, attempts: int) -> None:
+        """Starts another attempt if the latest one is still unanswered."""
+        if len(self._tried) == attempts and self._in_flight:
+            self._attempt()
 
     def _arrive(self, server: BackendServer, delay: float) -> None:
         """Delivers the request to the server."""
--- a/src/sapphireledge_experiment/model/stream_driver.py
+++ b/src/sapphireledge_experiment/model/stream_driver.py
@@ -152,7 +152,7 @@
         if engine.is_dead:
             if copy_of is not None:
                 engine.release_copy(copy_of)
-            self._on_connection_refused(run)
+            self._on_connection_lost(run)
             return
         self._world.count_arrival(engine)
         is_accepted = engine.accept(run, copy_of)
@@ -170,8 +170,8 @@
         self._tried.failed.add(engine.name)
         self._begin_attempt()
 
-    def _on_connection_refused(self, run: EngineRun) -> None:
-        """Goes on elsewhere after a connection to an engine that has ended."""
+    def _on_connection_lost(self, run: EngineRun) -> None:
+        """Goes on elsewhere after a connection was reset or refused by an engine that has ended."""
         if run is self._run:
             run.ended = True
             self._lose("engine lost")
@@ -205,7 +205,7 @@
         """Learns after a delay that the engine has ended."""
         if run is self._run and self._engine is not None:
             delay = self._delay_to(self._engine)
-            self._clock.after(delay, lambda: run is self._run and self._lose("engine lost"))
+            self._clock.after(delay, lambda: self._on_connection_lost(run))
 
     def _check(self, run: EngineRun) -> None:
         """Fetches a report if the stream has been silent, and schedules the next check."""
