--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -18,7 +18,7 @@
 from sapphireledge_experiment.run_experiment import run_experiment
 from sapphireledge_experiment.settings import Experiment, FleetSpec
 
-EXAMPLES = Path(__file__).resolve().parent.parent / "examples" / "experiments"
+EXAMPLES = Path(__file__).resolve().parent.parent / "experiments"
 
 
 def load(name: str) -> Experiment:
--- a/src/sapphireledge_experiment/cli.py
+++ b/src/sapphireledge_experiment/cli.py
@@ -34,7 +34,7 @@
 app = typer.Typer(
     name="sapphireledge-experiment",
     help="Compares policies on a model of a fleet.\n\n"
-    "Example: sapphireledge-experiment run examples/experiments/calm.json",
+    "Example: sapphireledge-experiment run experiments/calm.json",
     no_args_is_help=True,
 )
 """The command line with all its commands."""
@@ -60,7 +60,7 @@
 ) -> None:
     """Plays all policies of a file and writes a report.
 
-    Example: sapphireledge-experiment run examples/experiments/calm.json --seeds 10
+    Example: sapphireledge-experiment run experiments/calm.json --seeds 10
     """
     experiment = _load(file, seeds)
     folder = _play(experiment, file, jobs, resume, out)
@@ -78,7 +78,7 @@
 ) -> None:
     """Plays all policies and shows their differences to one of them over the same seeds.
 
-    Example: sapphireledge-experiment compare examples/experiments/flood.json --against current
+    Example: sapphireledge-experiment compare experiments/flood.json --against current
     """
     experiment = _load(file, seeds)
     names = [policy.name for policy in experiment.policies]
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -19,7 +19,7 @@
 from sapphireledge_experiment.settings import Experiment
 
 ROOT = Path(__file__).resolve().parent.parent
-EXAMPLES = ROOT / "examples" / "experiments"
+EXAMPLES = ROOT / "experiments"
 SMALL = """{
   // a few seconds on a few machines
   name: "small", duration: 2.0, seeds: 2,
