--- a/devtools/local_fleet.py
+++ b/devtools/local_fleet.py
@@ -337,6 +337,19 @@
         """Returns the file with the standard output and error of a process."""
         return self.folder / f"{name}.log"
 
+    def describe(self) -> str:
+        """Describes the processes with their states and the ends of their logs, for a failure."""
+        parts = []
+        for name, process in self.processes.items():
+            try:
+                fields = Path(f"/proc/{process.popen.pid}/stat").read_text(encoding="utf-8")
+                state = fields.rpartition(")")[2].split()[0]
+            except OSError:
+                state = f"exited with {process.popen.poll()}"
+            tail = self.log_path(name).read_text(encoding="utf-8", errors="replace")[-1500:]
+            parts.append(f"{name} ({process.address}), state {state}:\n{tail}")
+        return "\n".join(parts)
+
     def _check_alive(self, name: str) -> None:
         """Raises RuntimeError if a process has exited."""
         code = self.processes[name].popen.poll()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -73,7 +73,8 @@
         try:
             cls.fleet.start()
             cls.wait_for_peers()
-        except BaseException:
+        except BaseException as exc:
+            exc.add_note(cls.fleet.describe())
             cls.fleet.stop()
             raise
 
