--- a/tests/test_experiment_model.py
+++ b/tests/test_experiment_model.py
@@ -4,6 +4,8 @@
 
 import heapq
 import unittest
+from collections import Counter
+from pathlib import Path
 from unittest import mock
 
 from experiment_case import WatchedWorld, make_experiment
@@ -11,11 +13,18 @@
 from hypothesis import strategies as st
 
 from sapphireledge.core.placement import PlacementRule
-from sapphireledge_experiment.model import SimulatedEngine, VirtualClock
+from sapphireledge.settings import load_checked_file
+from sapphireledge_experiment.model import SimulatedEngine, VirtualClock, World
 from sapphireledge_experiment.model.simulated_caller import SimulatedCaller
 from sapphireledge_experiment.model.stream_driver import StreamDriver
 from sapphireledge_experiment.model.tried_engines import TriedEngines
-from sapphireledge_experiment.settings import Policy, RequestKind, Trouble, TroubleKind
+from sapphireledge_experiment.settings import (
+    Experiment,
+    Policy,
+    RequestKind,
+    Trouble,
+    TroubleKind,
+)
 
 TROUBLES = st.builds(
     Trouble,
@@ -36,6 +45,8 @@
     spread_standby=st.booleans(),
     refuse_early=st.booleans(),
 )
+ROOT = Path(__file__).resolve().parent.parent
+FLOOD = ROOT / "experiments" / "flood-and-lost-data-centre.json"
 MANY_TROUBLES = (
     Trouble(TroubleKind.ENGINES_DIE, 1.0, share=0.5),
     Trouble(TroubleKind.ENGINES_SILENT, 1.5, duration=2.0, share=0.5),
@@ -80,6 +91,23 @@
         self.assertGreater(decide.call_count, 0)
 
 
+class FloodTest(unittest.TestCase):
+    """Guards against a change that gives away what a policy gained in the flood it was made for."""
+
+    def test_refusing_what_cannot_end_in_time_reduces_failed_streams(self):
+        """Replays the flood of the shipped file, with and without the expected time to the end."""
+        experiment = load_checked_file(FLOOD, Experiment)
+        failed, on_time = Counter(), Counter()
+        for finish_estimate in (False, True):
+            policy = Policy("drawn", finish_estimate=finish_estimate)
+            for seed in range(4):
+                result = World(experiment, policy, seed).run()
+                failed[finish_estimate] += result.endings["failed"]
+                on_time[finish_estimate] += result.endings["on_time"]
+        self.assertLess(failed[True], 0.8 * failed[False])
+        self.assertGreater(on_time[True], on_time[False])
+
+
 class PlantedFaultTest(unittest.TestCase):
     """Guards against property tests that would pass whatever the model does."""
 
