--- a/tests/test_experiment_model.py
+++ b/tests/test_experiment_model.py
@@ -100,7 +100,7 @@
         failed, on_time = Counter(), Counter()
         for finish_estimate in (False, True):
             policy = Policy("drawn", finish_estimate=finish_estimate)
-            for seed in range(4):
+            for seed in range(8):
                 result = World(experiment, policy, seed).run()
                 failed[finish_estimate] += result.endings["failed"]
                 on_time[finish_estimate] += result.endings["on_time"]
@@ -115,7 +115,7 @@
         """Plays seeds with a fault in the model, and returns the problems that are noted."""
         found = set()
         with mock.patch.object(target, name, replacement):
-            for seed in range(4):
+            for seed in range(8):
                 found |= set(play(seed, troubles=troubles).problems)
         return found
 
