Leave the last responses of a planned stop a pass of the loop before the process exits

Cause: the check races with the poll of the drain (each 50 ms): once the answer is written, the process may end at the next poll, before the caller has read it, and that is right. Found on the way, a real fault: a process that is not scheduled between the answers (0.5 s before the end) and its exit (0.25 s before) ends in the pass in which it ends the last requests, before any of them is answered. Change: the drain itself ends the unanswered requests and then waits at least one interval. The check of the old test is replaced by an equally strict one: when the process ends, no request is left without a complete response; without the limit that answers them it fails like the old one. Ruled out: a stall in the failing run; the 502 was read in full, and a stall of 0.25 s leaves more.

--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -46,10 +46,6 @@
 """Seconds that must remain before the stop limit beyond the time limit of a plain request that is
 accepted later: its response must be sent before the requests in flight are ended."""
 
-ANSWER_MARGIN = 0.5
-"""Seconds before the stop limit at which requests without any response get one of the gateway; the
-process exits 0.25 s before that limit."""
-
 MIN_STREAM_TIME = 7.5
 """Seconds that must remain before the stop limit for a stream to be accepted during a graceful
 shutdown; a loaded engine processes a long prompt in 2 s and generates for 5 s."""
@@ -123,9 +119,17 @@
 
     def begin_stop(self) -> None:
         """Begins a graceful shutdown: reports not ready, and responses announce the close."""
-        loop = asyncio.get_running_loop()
-        self._stop_started = loop.time()
-        loop.call_at(self._stop_started + self.cfg.stop_limit - ANSWER_MARGIN, self._end_unanswered)
+        self._stop_started = asyncio.get_running_loop().time()
+
+    def end_unanswered(self) -> None:
+        """Ends the requests in flight whose response has not begun; called once.
+
+        Each of them gets a response of the gateway in one of the next passes of the event loop.
+        """
+        now = asyncio.get_running_loop().time()
+        for limit, conn in self._in_flight.items():
+            if not conn.response_started:
+                limit.reschedule(now)
 
     def close_idle(self) -> None:
         """Closes connections without a request in progress."""
@@ -188,13 +192,6 @@
         finally:
             del self._in_flight[limit]
 
-    def _end_unanswered(self) -> None:
-        """Ends the requests in flight whose response has not begun."""
-        now = asyncio.get_running_loop().time()
-        for limit, conn in self._in_flight.items():
-            if not conn.response_started:
-                limit.reschedule(now)
-
     def _admit(self, request: CallerRequest) -> AdmittedRequest | Failure:
         """Checks a request and returns it with its route, or the reason to refuse it."""
         table = self.config.table
--- a/src/sapphireledge/gateway/gateway_server.py
+++ b/src/sapphireledge/gateway/gateway_server.py
@@ -22,6 +22,9 @@
 STOP_POLL_INTERVAL = 0.05
 """Seconds between checks for requests in flight during a graceful shutdown."""
 
+ANSWER_MARGIN = 0.5
+"""Seconds before the stop limit at which requests without any response get one of the gateway."""
+
 STOP_MARGIN = 0.25
 """Seconds before the stop limit at which the process exits even with requests in flight."""
 
@@ -65,15 +68,25 @@
     async def _drain(self, started: float) -> None:
         """Waits for the drain time and then for every request, at most until the stop limit.
 
-        A request of which only a part has arrived counts: the caller may not send it again.
+        A request of which only a part has arrived counts: the caller may not send it again. After
+        the requests without a response are ended, at least one interval is left for their
+        responses, even if the process was not scheduled until the time to exit.
         """
         cfg = self._gateway.cfg
         loop = asyncio.get_running_loop()
-        deadline = started + cfg.stop_limit - STOP_MARGIN
-        drain_end = min(deadline, started + cfg.drain_time)
-        while loop.time() < deadline:
-            if loop.time() >= drain_end:
+        answer_at = started + cfg.stop_limit - ANSWER_MARGIN
+        exit_at = started + cfg.stop_limit - STOP_MARGIN
+        drain_end = min(exit_at, started + cfg.drain_time)
+        unanswered_ended = False
+        while True:
+            now = loop.time()
+            if now >= drain_end:
                 self._gateway.close_idle()
                 if self._gateway.is_idle:
                     return
+            if now >= answer_at and not unanswered_ended:
+                self._gateway.end_unanswered()
+                unanswered_ended = True
+            elif now >= exit_at:
+                return
             await asyncio.sleep(STOP_POLL_INTERVAL)
--- a/tests/test_late_in_grace.py
+++ b/tests/test_late_in_grace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import replace
 
 from gateway_case import (
@@ -53,9 +54,19 @@
         writer.write(b"0\r\n\r\n")
 
     async def run_stop(self):
-        """Starts a server and begins its stop; returns the task that ends with the process."""
+        """Starts a server and begins its stop.
+
+        Returns:
+            The task that ends with the process; its result is the number of requests that the
+            process leaves without a complete response.
+        """
         server = GatewayServer(self.gateway, GatewayMetrics())
-        task = asyncio.create_task(server.run())
+
+        async def run():
+            await server.run()
+            return self.gateway.in_flight
+
+        task = asyncio.create_task(run())
         await asyncio.sleep(0.05)
         server.request_stop()
         return task
@@ -86,12 +97,21 @@
 
     async def test_request_in_flight_at_the_end_of_the_grace_is_answered(self):
         """Guards against a connection that ends without an answer when the process stops."""
+        await self.check_answer_at_the_end_of_the_grace()
+
+    async def test_request_is_answered_by_a_process_that_stalls_until_the_end_of_the_grace(self):
+        """Guards against an exit in the same pass of the loop that ends the last requests."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(STOP_LIMIT - 0.5, time.sleep, 0.35)
+        await self.check_answer_at_the_end_of_the_grace()
+
+    async def check_answer_at_the_end_of_the_grace(self):
+        """Sends a request whose server answers too late, and checks what its caller gets."""
         server = await self.add("app", self.answer_late)
         stopping = await self.run_stop()
         await asyncio.sleep(2.8)
         response = await self.call("/once/", x_sapphireledge_deadline_ms="")
         self.assertEqual((response.status, response.complete), (502, True))
-        self.assertFalse(stopping.done())
         self.assertEqual(len(server.received), 1)
         async with asyncio.timeout(1.0):
-            await stopping
+            self.assertEqual(await stopping, 0)
