Do not exit before responses that callers read slowly are sent

Cause: a planned stop waits for requests in progress, but a finished response of up to 64 KiB may still wait in the process for a caller that reads slowly; the process exits and the caller has a truncated response, also to a request that must not be repeated. Ruled out: closing the connection first; a close flushes only as long as the event loop runs. Change: a connection whose write buffer is not empty is in use. The stop limit holds as before.

--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -110,12 +110,13 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or handled."""
+        """Whether no request is being read or handled, and no response waits to be sent."""
         is_reading = self._parser.their_state is not h11.IDLE or self._parser.trailing_data[0]
-        return not self.is_busy and not is_reading
+        is_sending = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return not (self.is_busy or is_reading or is_sending)
 
     def close_if_idle(self) -> None:
-        """Closes the connection unless a request is being read or handled."""
+        """Closes the connection unless a request is in progress."""
         if self.is_idle and self._transport is not None:
             self._transport.close()
 
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -92,7 +92,7 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no connection has a request that is being read or handled."""
+        """Whether no connection has a request in progress or a response that waits to be sent."""
         return all(conn.is_idle for conn in self._connections)
 
     def create_protocol(self) -> CallerConnection:
--- a/tests/test_late_in_grace.py
+++ b/tests/test_late_in_grace.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from dataclasses import replace
 
 from gateway_case import (
+    HOST,
     KEY,
     ONCE_ROUTE,
     REQUEST_ID,
@@ -15,6 +17,7 @@
     chunk,
     event,
     full_response,
+    read_response,
     stream_head,
     table,
 )
@@ -105,6 +108,35 @@
         loop.call_later(STOP_LIMIT - 0.5, time.sleep, 0.35)
         await self.check_answer_at_the_end_of_the_grace()
 
+    async def test_process_does_not_exit_before_a_slow_caller_has_its_response(self):
+        """Guards against losing what the process still has to send of a finished response."""
+
+        async def answer(request, writer):
+            headers = {REQUEST_ID: request.headers[REQUEST_ID], SEAL: "s"}
+            writer.write(full_response(200, headers, b"x" * 60000))
+
+        await self.add("app", answer)
+        reader, writer = await self.connect_with_small_buffers()
+        self.addCleanup(writer.close)
+        writer.write(self.head("/once/") + b"content-length: 0\r\n\r\n")
+        await asyncio.sleep(0.2)
+        stopping = await self.run_stop()
+        await asyncio.sleep(3.4)
+        self.assertFalse(stopping.done())
+        response = await read_response(reader)
+        self.assertEqual((response.complete, len(response.body)), (True, 60000))
+        async with asyncio.timeout(1.0):
+            self.assertEqual(await stopping, 0)
+
+    async def connect_with_small_buffers(self):
+        """Connects so that a response waits in the gateway until the caller reads."""
+        self._listener.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (HOST, self.port))
+        return await asyncio.open_connection(sock=sock, limit=1024)
+
     async def check_answer_at_the_end_of_the_grace(self):
         """Sends a request whose server answers too late, and checks what its caller gets."""
         server = await self.add("app", self.answer_late)
