Move the choice of servers that suspects avoid into core

No change of behaviour: the model of a fleet has to call the same decision with its own time. The tests of the quarantine, of crashes and of both forwarders pass.

--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -17,6 +17,7 @@
     Quarantine,
     RequestContent,
     RunningRequests,
+    find_avoided_servers,
 )
 from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.gateway.gateway_event import GatewayEvent
@@ -120,21 +121,7 @@
         Returns:
             Ids of the servers.
         """
-        if not self.quarantine.has_deaths or (
-            isinstance(verdict, ClearVerdict) and not verdict.deaths
-        ):
-            return frozenset()
-        now = time.time()
-        verdicts = {
-            name: self.quarantine.verdict(now, name) for name in self._running.fingerprints()
-        }
-        suspects = frozenset(
-            name
-            for name, other in verdicts.items()
-            if not isinstance(other, ClearVerdict)
-            or (isinstance(verdict, IsolateVerdict) and other.deaths)
-        )
-        return self._running.backends_of(suspects)
+        return find_avoided_servers(time.time(), verdict, self.quarantine, self._running)
 
     def begin(
         self, admitted: AdmittedRequest, server: BackendServer, *, isolated: bool = False
