Drive the quarantine in the model of a fleet

Streams whose prompt has a crashing prefix end the engine that begins to answer them. Each instance has its quarantine and its running requests, decides with the code that instances run, and shares deaths and clearings through the directory.

--- a/src/sapphireledge_experiment/model/engine_placer.py
+++ b/src/sapphireledge_experiment/model/engine_placer.py
@@ -68,8 +68,18 @@
         self._on_start = on_start
         self._on_refused = on_refused
         self._on_failed = on_failed
+        self._avoided: frozenset[str] = frozenset()
         self._is_stopped = False
 
+    def begin(self, avoided: frozenset[str]) -> None:
+        """Places the stream for another attempt.
+
+        Args:
+            avoided: Server ids of engines that are used only if there is no other.
+        """
+        self._avoided = avoided
+        self.place()
+
     def stop(self) -> None:
         """Ends the wait for an engine, because the call has ended."""
         self._is_stopped = True
@@ -97,9 +107,7 @@
             if keeper is not None and registry.try_take(now, keeper.name):
                 self._on_start(StartOrder(keeper))
                 return
-        excluded: frozenset[str] = frozenset(self._tried.failed)
-        if registry.next_admission(now, ENGINES, excluded) == math.inf:
-            excluded = frozenset()
+        excluded = self._choose_excluded()
         ranked = (
             registry.list_preferred(now, ENGINES, excluded)
             if placement
@@ -124,6 +132,15 @@
         ]
         self._clock.after(max(delays), lambda: self._decide(candidates, placement))
 
+    def _choose_excluded(self) -> frozenset[str]:
+        """Returns the engines to leave out; they are used if there are no others."""
+        registry, now = self._instance.registry, self._clock.now
+        failed = frozenset(self._tried.failed)
+        for excluded in (failed | self._avoided, failed):
+            if registry.next_admission(now, ENGINES, excluded) < math.inf:
+                return excluded
+        return frozenset()
+
     def _find_keeper(self) -> SimulatedEngine | None:
         """Finds an engine that kept the KV cache of a stream whose caller resumes it."""
         instance = self._instance
--- a/src/sapphireledge_experiment/model/modelled_request.py
+++ b/src/sapphireledge_experiment/model/modelled_request.py
@@ -43,6 +43,9 @@
     data_centre: int
     """Data centre of the caller."""
 
+    crashes_engines: bool = False
+    """Whether an engine that begins to answer it ends."""
+
     delivered: int = 0
     """Events that the caller has received."""
 
--- a/src/sapphireledge_experiment/model/simulated_engine.py
+++ b/src/sapphireledge_experiment/model/simulated_engine.py
@@ -9,12 +9,17 @@
 from sapphireledge.core.backpressure import ServerSignals
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sapphireledge_experiment.model.engine_run import EngineRun
     from sapphireledge_experiment.model.virtual_clock import VirtualClock
     from sapphireledge_experiment.settings import EngineSpec
 
 __all__ = ["SimulatedEngine"]
 
+CRASH_DELAY = 0.05
+"""Seconds after its first event at which a stream that crashes engines ends its engine."""
+
 TOKENS_PER_KILO = 1_000.0
 """Tokens in the unit of `EngineSpec.context_time`."""
 
@@ -57,6 +62,9 @@
         self.signals = ServerSignals()
         """What its responses ask for."""
 
+        self.on_crash: Callable[[], None] = lambda: None
+        """Called when a stream ends the engine."""
+
         self.is_rejecting = False
         """Whether it rejects new streams."""
 
@@ -292,6 +300,8 @@
             run.ended = True
             self._remove(run)
             run.release_copy()
+        if run.request.crashes_engines and run.generated == run.first_generated + 1:
+            self._clock.after(CRASH_DELAY, lambda: self.on_crash())
         run.on_event(run)
 
     def _take_block(self, run: EngineRun) -> bool:
--- a/src/sapphireledge_experiment/model/simulated_instance.py
+++ b/src/sapphireledge_experiment/model/simulated_instance.py
@@ -10,6 +10,7 @@
 from sapphireledge.gateway.backend_server import BackendServer
 from sapphireledge.gateway.gateway_settings import GatewaySettings
 from sapphireledge.gateway.retry_allowance import RetryAllowance
+from sapphireledge_experiment.model.crash_watch import CrashWatch
 
 if TYPE_CHECKING:
     from sapphireledge.core.backpressure import ServerSignals
@@ -73,6 +74,9 @@
         self.registry = BackendRegistry(str(data_centre), name, self.rng)
         """Servers as this instance sees them."""
 
+        self.crashes = CrashWatch(world)
+        """Attribution of engine deaths."""
+
         self.drivers: dict[Driver, None] = {}
         """Calls in progress, in order of arrival."""
 
--- a/src/sapphireledge_experiment/model/stream_driver.py
+++ b/src/sapphireledge_experiment/model/stream_driver.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.liveness import RunSighting, StreamWatch
+from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.gateway.stream_attempt import LATE_RANK_OFFSET
 from sapphireledge.gateway.stream_forwarder import MIN_ATTEMPT_TIME
 from sapphireledge_experiment.model.engine_placer import EnginePlacer
@@ -14,6 +15,9 @@
 from sapphireledge_experiment.model.tried_engines import TriedEngines
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sapphireledge.core.quarantine import ClearVerdict, IsolateVerdict
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
     from sapphireledge_experiment.model.simulated_caller import SimulatedCaller
     from sapphireledge_experiment.model.simulated_engine import SimulatedEngine
@@ -48,6 +52,7 @@
         self._engine: SimulatedEngine | None = None
         self._watch: StreamWatch | None = None
         self._ahead: int | None = None
+        self._work_id = ""
         self._sent_at = self._first_event_at = 0.0
         self._tried = TriedEngines(has_run=request.runs > 0)
         self._placer = EnginePlacer(
@@ -75,6 +80,30 @@
     # Attempts.
 
     def _begin_attempt(self) -> None:
+        """Makes another attempt unless the stream crashes engines."""
+        self._check_quarantine(self._select_engine)
+
+    def _check_quarantine(
+        self,
+        proceed: Callable[[ClearVerdict | IsolateVerdict], None],
+        *,
+        may_wait: bool = True,
+    ) -> None:
+        """Decides whether the stream may crash the next engine, too, and goes on if not."""
+        if self._is_over:
+            return
+        verdict = self._instance.crashes.judge(self._request)
+        if not isinstance(verdict, Failure):
+            proceed(verdict)
+        elif verdict.kind is ErrorKind.OVERLOADED and self._tried.contacted and may_wait:
+            delay = verdict.retry_after or 0.0
+            self._clock.after(delay, lambda: self._check_quarantine(proceed, may_wait=False))
+        elif self._tried.contacted:
+            self._fail()
+        else:
+            self._refuse(verdict.retry_after or self._world.policy.quarantine.retention)
+
+    def _select_engine(self, verdict: ClearVerdict | IsolateVerdict) -> None:
         """Checks the limits for another attempt and selects an engine."""
         kind, now = self._request.kind, self._clock.now
         allowance = self._instance.allowance(ENGINES)
@@ -89,7 +118,7 @@
             self._world.retries += 1
         else:
             return self._fail()
-        return self._placer.place()
+        return self._placer.begin(self._instance.crashes.find_avoided(verdict))
 
     def _fail(self) -> None:
         """Ends the call without a complete stream."""
@@ -114,6 +143,10 @@
     # One run.
 
     def _send(self, order: StartOrder) -> None:
+        """Sends the request to an engine unless others died of its content in the meantime."""
+        self._check_quarantine(lambda verdict: self._start_run(order, verdict))
+
+    def _start_run(self, order: StartOrder, verdict: ClearVerdict | IsolateVerdict) -> None:
         """Sends the request to an engine and begins to watch the run."""
         instance, request, now = self._instance, self._request, self._clock.now
         engine, tried = order.engine, self._tried
@@ -137,6 +170,7 @@
         )
         self._run, self._engine, self._sent_at = run, engine, now
         self._ahead = order.prompts_ahead
+        self._work_id = instance.crashes.begin(request, engine, verdict)
         self._tried.contacted += 1
         self._watch = StreamWatch(self._world.policy.silence, now, request.delivered)
         delay = self._delay_to(engine)
@@ -173,7 +207,10 @@
     def _on_connection_lost(self, run: EngineRun) -> None:
         """Goes on elsewhere after a connection was reset or refused by an engine that has ended."""
         if run is self._run:
+            assert self._engine is not None
             run.ended = True
+            delay = 2 * self._delay_to(self._engine)
+            self._instance.crashes.on_connection_lost(self._engine, delay)
             self._lose("engine lost")
 
     def _on_event(self, run: EngineRun) -> None:
@@ -182,6 +219,7 @@
             return
         engine, watch = self._engine, self._watch
         assert engine is not None and watch is not None
+        self._instance.crashes.on_event(self._work_id)
         at = self._clock.now + self._delay_to(engine)
         if not watch.has_events:
             self._first_event_at = at
@@ -194,6 +232,7 @@
             state = self._instance.registry.state(engine.name)
             if state is not None:
                 state.on_success()
+            self._instance.crashes.on_answered(self._work_id)
             if run.first_generated == 0:
                 duration = at - self._first_event_at
                 self._instance.generation.observe(self._request.output_tokens, duration)
@@ -260,6 +299,7 @@
         state = self._instance.registry.state(engine.name)
         if state is not None and state.in_flight:
             state.in_flight -= 1
+        self._instance.crashes.end(self._work_id)
         self._world.record_run(run, cause)
         self._run = self._watch = None
 
--- a/src/sapphireledge_experiment/model/traffic.py
+++ b/src/sapphireledge_experiment/model/traffic.py
@@ -53,6 +53,7 @@
     prefixes = rng.integers(0, max(1, kind.prefixes), count)
     centres = np.repeat(rng.integers(0, experiment.fleet.data_centres, len(groups)), sizes)
     for index in range(count):
+        prefix = int(prefixes[index]) if kind.prefixes else -1
         yield ModelledRequest(
             number=0,
             kind=kind,
@@ -61,8 +62,9 @@
             output_events=int(outputs[index]),
             event_tokens=experiment.fleet.engine.event_tokens,
             workspace=int(workspaces[index]),
-            prefix=int(prefixes[index]) if kind.prefixes else -1,
+            prefix=prefix,
             data_centre=int(centres[index]),
+            crashes_engines=0 <= prefix < kind.crashing_prefixes,
         )
 
 
--- a/src/sapphireledge_experiment/model/world.py
+++ b/src/sapphireledge_experiment/model/world.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.quarantine import CrashReport
 from sapphireledge_experiment.model.ending import Ending
 from sapphireledge_experiment.model.rate_check import RateCheck
 from sapphireledge_experiment.model.seed_result import SeedResult
@@ -22,6 +23,7 @@
 from sapphireledge_experiment.model.virtual_clock import VirtualClock
 
 if TYPE_CHECKING:
+    from sapphireledge_experiment.model.crash_watch import CrashWatch
     from sapphireledge_experiment.model.engine_run import EngineRun
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
     from sapphireledge_experiment.settings import Experiment, Policy
@@ -79,6 +81,9 @@
         self.instance_places: list[SimulatedInstance] = []
         """Current incarnation at each place of an instance."""
 
+        self.crash_report = CrashReport()
+        """Deaths and clearings on record, which an instance reads when it starts."""
+
         self.retries = 0
         """Attempts after the first one of a call."""
 
@@ -128,6 +133,7 @@
         fleet = self.experiment.fleet
         name = self._name("engine", place)
         engine = SimulatedEngine(name, place % fleet.data_centres, fleet.engine, self.clock)
+        engine.on_crash = lambda: self._end_crashed(engine, place)
         self.engines[name] = engine
         self._announce(name, ENGINES, engine.data_centre)
         return engine
@@ -167,6 +173,11 @@
         usual = self.experiment.fleet.engine.restart_time
         self.clock.after(usual if restart_time is None else restart_time, restart)
 
+    def _end_crashed(self, engine: SimulatedEngine, place: int) -> None:
+        """Ends an engine that a stream crashed, unless it has ended before."""
+        if self.engine_places[place] is engine:
+            self.end_engine(place)
+
     def end_plain_server(self, place: int, *, restart_time: float | None = None) -> None:
         """Ends the plain server at a place; another one starts there later."""
         server = self.plain_places[place]
@@ -194,6 +205,19 @@
         usual = self.experiment.fleet.instance_restart_time
         self.clock.after(usual if restart_time is None else restart_time, restart)
 
+    def share_crash_report(self, sender: CrashWatch, news: CrashReport) -> None:
+        """Puts deaths and clearings on record and lets the other instances know after a delay."""
+        oldest = self.clock.now - self.policy.quarantine.retention
+        self.crash_report = self.crash_report.merge(news, oldest)
+
+        def learn() -> None:
+            """Lets the instances know that live now."""
+            for instance in self.instance_places:
+                if not instance.is_dead and instance.crashes is not sender:
+                    instance.crashes.learn(news)
+
+        self.clock.after(self.experiment.fleet.directory_delay, learn)
+
     def _name(self, role: str, place: int) -> str:
         """Names the next incarnation at a place."""
         self._starts[f"{role}-{place}"] += 1
--- a/src/sapphireledge_experiment/settings/policy.py
+++ b/src/sapphireledge_experiment/settings/policy.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
+
 from pydantic import ConfigDict, Field
 from pydantic.dataclasses import dataclass
 
 from sapphireledge.core.liveness import SilenceLimits
 from sapphireledge.core.placement import PlacementLimits
+from sapphireledge.gateway.quarantine_settings import QuarantineSettings as GatewayQuarantine
+from sapphireledge.settings import QuarantineSettings
 from sapphireledge.settings._field import setting
 
 __all__ = ["Policy"]
 
 
+def _copy_gateway_limits() -> QuarantineSettings:
+    """Returns the limits that gateway instances use, in the type that checks bounds."""
+    return QuarantineSettings(**asdict(GatewayQuarantine()))
+
+
 @dataclass(frozen=True, config=ConfigDict(extra="forbid"))
 class Policy:
     """One policy: the decisions in force with other limits, or with an idea that is not built."""
@@ -25,6 +34,9 @@
     silence: SilenceLimits = Field(default_factory=SilenceLimits)
     """Limits on silent streams."""
 
+    quarantine: QuarantineSettings = Field(default_factory=_copy_gateway_limits)
+    """Limits of the quarantine."""
+
     hold: bool = setting(True)
     """Whether a late stream waits at its instance; otherwise each starts at once."""
 
--- a/src/sapphireledge_experiment/settings/request_kind.py
+++ b/src/sapphireledge_experiment/settings/request_kind.py
@@ -65,6 +65,9 @@
     prefix_share: float = setting(0.5, ge=0, le=1)
     """Share of the prompt that is a shared prefix."""
 
+    crashing_prefixes: int = setting(0, unit="prefixes", ge=0, le=1_000_000)
+    """Number of the prefixes that end each engine that begins to answer a prompt with them."""
+
     clump: float = setting(1.0, unit="requests", ge=1, le=1_000)
     """Mean number of requests that arrive together from one data centre."""
 
--- a/tests/test_experiment_model.py
+++ b/tests/test_experiment_model.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from sapphireledge.core.placement import PlacementRule
-from sapphireledge.settings import load_checked_file
+from sapphireledge.settings import QuarantineSettings, load_checked_file
 from sapphireledge_experiment.model import SimulatedEngine, VirtualClock, World
 from sapphireledge_experiment.model.simulated_caller import SimulatedCaller
 from sapphireledge_experiment.model.stream_driver import StreamDriver
@@ -68,10 +68,18 @@
         troubles=st.lists(TROUBLES, max_size=4),
         policy=POLICIES,
         rate=st.sampled_from((1.0, 4.0, 12.0)),
+        crashing=st.integers(0, 1),
     )
-    def test_nothing_is_lost_or_invented(self, seed, troubles, policy, rate):
+    def test_nothing_is_lost_or_invented(self, seed, troubles, policy, rate, crashing):
         kinds = (
-            RequestKind("brief", rate, prompt_tokens=2_500, output_events=60, prefixes=3),
+            RequestKind(
+                "brief",
+                rate,
+                prompt_tokens=2_500,
+                output_events=60,
+                prefixes=3,
+                crashing_prefixes=crashing,
+            ),
             RequestKind("lookup", 8.0, is_stream=False, target=0.6, patience=1.2, time_limit=1.2),
         )
         watched = play(seed, policy, kinds=kinds, troubles=tuple(troubles))
@@ -91,6 +99,29 @@
         self.assertGreater(decide.call_count, 0)
 
 
+class CrashTest(unittest.TestCase):
+    """Guards against a prompt that ends one engine after the other."""
+
+    def play(self, seed, quarantine):
+        """Plays the shipped file."""
+        experiment = load_checked_file(ROOT / "experiments" / "crashing-prompt.json", Experiment)
+        world = World(experiment, Policy("drawn", quarantine=quarantine), seed)
+        world.run()
+        return world
+
+    def test_quarantine_finds_the_prompt_and_saves_engines(self):
+        never = QuarantineSettings(isolate_after=10, condemn_after=10, burst_size=100)
+        for seed in range(5):
+            with self.subTest(seed):
+                world = self.play(seed, Policy("current").quarantine)
+                self.assertLess(len(world.engines), len(self.play(seed, never).engines))
+                deaths = world.crash_report.deaths
+                self.assertGreaterEqual(len(deaths), world.policy.quarantine.condemn_after)
+                for instance in world.instance_places:
+                    found = instance.crashes.find_crashing_parts()
+                    self.assertEqual(found, {"p0"})
+
+
 class FloodTest(unittest.TestCase):
     """Guards against a change that gives away what a policy gained in the flood it was made for."""
 
