Policies of the model: order of the rank scheduler, hand-over by a leaving engine

The rank scheduler and the division of the capacity are called as the own interface calls them. A slot that the queue does not release is found by the watch (planted fault).

--- a/src/sapphireledge_experiment/model/engine_placer.py
+++ b/src/sapphireledge_experiment/model/engine_placer.py
@@ -14,6 +14,7 @@
     choose_candidates,
     compute_start_share,
 )
+from sapphireledge.errors import Failure
 from sapphireledge.gateway.engine_selector import (
     CACHE_CANDIDATES,
     RECENT_DISPATCH_WINDOW,
@@ -69,6 +70,7 @@
         self._on_refused = on_refused
         self._on_failed = on_failed
         self._avoided: frozenset[str] = frozenset()
+        self._work_id = ""
         self._is_stopped = False
 
     def begin(self, avoided: frozenset[str]) -> None:
@@ -78,11 +80,30 @@
             avoided: Server ids of engines that are used only if there is no other.
         """
         self._avoided = avoided
-        self.place()
+        queue = self._instance.queue
+        if queue is None:
+            self.place()
+            return
+        admitted = queue.offer(self._request, self.place, self._on_refused)
+        if isinstance(admitted, Failure):
+            self._on_refused(admitted.retry_after or 0.0)
+        else:
+            self._work_id = admitted
+
+    def on_event(self) -> None:
+        """Counts an event of the stream against its workspace."""
+        if self._instance.queue is not None:
+            self._instance.queue.on_event(self._work_id, self._request.event_tokens)
+
+    def end_run(self) -> None:
+        """Releases the slot of the run."""
+        if self._instance.queue is not None:
+            self._instance.queue.end(self._work_id)
 
     def stop(self) -> None:
         """Ends the wait for an engine, because the call has ended."""
         self._is_stopped = True
+        self.end_run()
         self.end_wait()
 
     def end_wait(self) -> None:
@@ -196,7 +217,7 @@
             stream,
             views,
             instance.estimator,
-            may_wait=self._world.policy.hold,
+            may_wait=self._world.policy.hold and instance.queue is None,
             start_share=share if placement else 1.0,
             generation_time=(
                 instance.generation.estimate(self._request.output_tokens)
--- a/src/sapphireledge_experiment/model/simulated_instance.py
+++ b/src/sapphireledge_experiment/model/simulated_instance.py
@@ -11,6 +11,7 @@
 from sapphireledge.gateway.gateway_settings import GatewaySettings
 from sapphireledge.gateway.retry_allowance import RetryAllowance
 from sapphireledge_experiment.model.crash_watch import CrashWatch
+from sapphireledge_experiment.model.stream_queue import StreamQueue
 
 if TYPE_CHECKING:
     from sapphireledge.core.backpressure import ServerSignals
@@ -77,6 +78,9 @@
         self.crashes = CrashWatch(world)
         """Attribution of engine deaths."""
 
+        self.queue = StreamQueue(self) if world.policy.rank_scheduler else None
+        """Order of the streams by the rank scheduler, None if the placement rule decides."""
+
         self.drivers: dict[Driver, None] = {}
         """Calls in progress, in order of arrival."""
 
--- a/src/sapphireledge_experiment/model/stream_driver.py
+++ b/src/sapphireledge_experiment/model/stream_driver.py
@@ -220,6 +220,7 @@
         engine, watch = self._engine, self._watch
         assert engine is not None and watch is not None
         self._instance.crashes.on_event(self._work_id)
+        self._placer.on_event()
         at = self._clock.now + self._delay_to(engine)
         if not watch.has_events:
             self._first_event_at = at
@@ -239,6 +240,18 @@
             self._finish_run("")
             self._end()
             self._caller.on_complete()
+        elif self._world.policy.hand_over and self._can_hand_over(run, engine):
+            self._tried.failed.add(engine.name)
+            self._leave_engine("handed over")
+            self._begin_attempt()
+
+    def _can_hand_over(self, run: EngineRun, engine: SimulatedEngine) -> bool:
+        """Whether the engine leaves and the standby has a complete copy of the run."""
+        state = self._instance.registry.state(engine.name)
+        if state is None or not state.backpressure.is_leaving:
+            return False
+        has_copy = run.copied_at is not None and run.copied_at <= self._clock.now
+        return has_copy and run.standby is not None and not run.standby.is_dead
 
     def _on_reset(self, run: EngineRun) -> None:
         """Learns after a delay that the engine has ended."""
@@ -300,6 +313,7 @@
         if state is not None and state.in_flight:
             state.in_flight -= 1
         self._instance.crashes.end(self._work_id)
+        self._placer.end_run()
         self._world.record_run(run, cause)
         self._run = self._watch = None
 
--- a/src/sapphireledge_experiment/model/world.py
+++ b/src/sapphireledge_experiment/model/world.py
@@ -23,6 +23,8 @@
 from sapphireledge_experiment.model.virtual_clock import VirtualClock
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from sapphireledge_experiment.model.crash_watch import CrashWatch
     from sapphireledge_experiment.model.engine_run import EngineRun
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
@@ -126,6 +128,12 @@
         chosen = local or living
         return self.caller_rng.choice(chosen) if chosen else None
 
+    def list_living_engines(self) -> Iterator[tuple[str, SimulatedEngine]]:
+        """Lists the engines that live and report, with their server ids."""
+        for engine in self.engine_places:
+            if not (engine.is_dead or engine.is_silent):
+                yield engine.name, engine
+
     # Machines.
 
     def start_engine(self, place: int) -> SimulatedEngine:
--- a/src/sapphireledge_experiment/settings/policy.py
+++ b/src/sapphireledge_experiment/settings/policy.py
@@ -10,7 +10,7 @@
 from sapphireledge.core.liveness import SilenceLimits
 from sapphireledge.core.placement import PlacementLimits
 from sapphireledge.gateway.quarantine_settings import QuarantineSettings as GatewayQuarantine
-from sapphireledge.settings import QuarantineSettings
+from sapphireledge.settings import AdmissionSettings, QuarantineSettings
 from sapphireledge.settings._field import setting
 
 __all__ = ["Policy"]
@@ -37,6 +37,13 @@
     quarantine: QuarantineSettings = Field(default_factory=_copy_gateway_limits)
     """Limits of the quarantine."""
 
+    admission: AdmissionSettings = Field(default_factory=AdmissionSettings)
+    """Limits of the rank scheduler, used with `rank_scheduler` only."""
+
+    rank_scheduler: bool = setting(False)
+    """Whether streams start in the order of the rank scheduler, as at the own interface, rather
+    than by the placement rule of gateways."""
+
     hold: bool = setting(True)
     """Whether a late stream waits at its instance; otherwise each starts at once."""
 
@@ -52,6 +59,10 @@
     resumes_per_engine: int = setting(0, unit="resumes", ge=0, le=1_000)
     """Idea: resumes that an instance sends to one engine within a second, 0 for any number."""
 
+    hand_over: bool = setting(False)
+    """Idea: a stream whose engine leaves is held there until its copy on the standby is complete,
+    and goes on at the standby before its engine ends."""
+
     spread_standby: bool = setting(False)
     """Idea: the standby is drawn at random rather than by the rank of the engines."""
 
--- a/tests/experiment_case.py
+++ b/tests/experiment_case.py
@@ -112,3 +112,6 @@
         self.note(sum(self.result.endings.values()) == len(requests), "requests lost or invented")
         for engine in self.world.engines.values():
             self.note(engine.free_blocks == engine.total_blocks, "memory held after the end")
+        for instance in self.world.instance_places:
+            if instance.queue is not None and not instance.is_dead:
+                self.note(instance.queue.is_empty, "work queued or running after the end")
--- a/tests/test_experiment_model.py
+++ b/tests/test_experiment_model.py
@@ -12,11 +12,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sapphireledge.core.admission import RankScheduler
 from sapphireledge.core.placement import PlacementRule
 from sapphireledge.settings import QuarantineSettings, load_checked_file
 from sapphireledge_experiment.model import SimulatedEngine, VirtualClock, World
 from sapphireledge_experiment.model.simulated_caller import SimulatedCaller
 from sapphireledge_experiment.model.stream_driver import StreamDriver
+from sapphireledge_experiment.model.stream_queue import StreamQueue
 from sapphireledge_experiment.model.tried_engines import TriedEngines
 from sapphireledge_experiment.settings import (
     Experiment,
@@ -40,6 +42,8 @@
     name=st.just("drawn"),
     hold=st.booleans(),
     copies=st.booleans(),
+    rank_scheduler=st.booleans(),
+    hand_over=st.booleans(),
     wait_in_order=st.booleans(),
     resumes_per_engine=st.integers(0, 2),
     spread_standby=st.booleans(),
@@ -98,6 +102,14 @@
             play()
         self.assertGreater(decide.call_count, 0)
 
+    def test_rank_scheduler_in_force_is_called(self):
+        with mock.patch.object(
+            RankScheduler, "next", autospec=True, side_effect=RankScheduler.next
+        ) as admit:
+            watched = play(policy=Policy("drawn", rank_scheduler=True))
+        self.assertGreater(admit.call_count, 0)
+        self.assertEqual(dict(watched.problems), {})
+
 
 class CrashTest(unittest.TestCase):
     """Guards against a prompt that ends one engine after the other."""
@@ -142,12 +154,12 @@
 class PlantedFaultTest(unittest.TestCase):
     """Guards against property tests that would pass whatever the model does."""
 
-    def find(self, target, name, replacement, troubles=MANY_TROUBLES):
+    def find(self, target, name, replacement, troubles=MANY_TROUBLES, policy=None):
         """Plays seeds with a fault in the model, and returns the problems that are noted."""
         found = set()
         with mock.patch.object(target, name, replacement):
             for seed in range(8):
-                found |= set(play(seed, troubles=troubles).problems)
+                found |= set(play(seed, policy, troubles=troubles).problems)
         return found
 
     def test_memory_that_is_not_freed(self):
@@ -160,6 +172,11 @@
 
         self.assertIn("memory lost or invented", self.find(SimulatedEngine, "_remove", remove))
 
+    def test_slot_that_the_queue_does_not_release(self):
+        policy = Policy("drawn", rank_scheduler=True)
+        found = self.find(StreamQueue, "end", lambda queue, work_id: None, policy=policy)
+        self.assertIn("work queued or running after the end", found)
+
     def test_copy_that_is_not_released(self):
         callers_go_on = (Trouble(TroubleKind.INSTANCES_DIE, 2.5),)
         found = self.find(TriedEngines, "release_copy", lambda tried: None, callers_go_on)
