Use low named rates: keep rare slots until the next contact, and offer their engines first

Cause: at 195 instances and engines that name 0.13 requests/s, each instance has a slot at an engine every 24 minutes, which expired after one second, and an engine with a slot was rarely among the five engines that a stream is offered. Change: below 0.5 requests/s, a slot can be used for twice the usual time between two responses of a server to the instance, estimated from all servers of the service; at the first response the slot may already be there. One engine with an unused slot is offered in addition to the usual ones. Other rates are treated as before.

--- a/src/sapphireledge/core/backpressure/backpressure_limits.py
+++ b/src/sapphireledge/core/backpressure/backpressure_limits.py
@@ -15,6 +15,12 @@
     """Seconds for which an unused slot of a paced server can still be used. All instances together
     can exceed the rate of the server by the requests of this time."""
 
+    sparse_rate: float = 0.5
+    """Requests per second below which an unused slot can still be used when the instance next hears
+    from the server, however long that takes. The slots of one instance are so rare then that most
+    would expire unused. Until demand that grows is noticed, the rate is exceeded as much as demand
+    has grown; below this rate, that is a few requests."""
+
     max_pause: float = 300.0
     """Longest pause in seconds that a server can ask for, so that a wrong number does not take it
     out of use for good."""
--- a/src/sapphireledge/core/backpressure/request_pacer.py
+++ b/src/sapphireledge/core/backpressure/request_pacer.py
@@ -13,6 +13,11 @@
 __all__ = ["RequestPacer"]
 
 
+KEPT_CONTACTS = 2.0
+"""Intervals between two responses for which an unused slot of a low rate can be used. At random
+times, a response comes within one interval in 63% of the cases, within two in 86%."""
+
+
 class RequestPacer:
     """Grants one slot per interval, each of which expires if it is not used.
 
@@ -20,7 +25,7 @@
     many instances are spread although they do not know of each other.
     """
 
-    __slots__ = ("_interval", "_limits", "_rng", "_slot_at")
+    __slots__ = ("_burst_time", "_interval", "_limits", "_rng", "_slot_at")
 
     def __init__(self, limits: BackpressureLimits, rng: Random) -> None:
         """Creates a pacer without a rate, which grants every request at once.
@@ -32,21 +37,32 @@
         self._limits = limits
         self._rng = rng
         self._interval: float | None = None
+        self._burst_time = limits.burst_time
         self._slot_at = 0.0
 
-    def set_rate(self, now: float, rate: float | None) -> None:
-        """Sets the rate of this instance.
+    def set_rate(
+        self, now: float, rate: float | None, instances: int, contact_interval: float = 0.0
+    ) -> None:
+        """Sets the rate of the server, of which this instance uses an equal share.
 
         Args:
             now: Current time in seconds.
-            rate: Requests per second, more than 0, or None for no limit.
+            rate: Requests per second of all instances, more than 0, or None for no limit.
+            instances: Number of instances, at least 1.
+            contact_interval: Mean seconds between two responses of the server to this instance.
         """
         before = self._interval
-        self._interval = None if rate is None else 1.0 / rate
-        if self._interval is None or self._interval == before:
+        self._interval = None if rate is None else instances / rate
+        if rate is None or self._interval is None:
+            return
+        is_sparse = rate < self._limits.sparse_rate
+        heard = min(contact_interval, self._interval) if is_sparse else 0.0
+        self._burst_time = max(self._limits.burst_time, KEPT_CONTACTS * heard)
+        if self._interval == before:
             return
         if before is None:
-            self._slot_at = now + self._rng.uniform(0.0, self._interval)
+            # The latest slot may lie before this response, as if the rate had been known before.
+            self._slot_at = now - heard + self._rng.uniform(0.0, self._interval)
         elif self._slot_at > now:
             self._slot_at = now + (self._slot_at - now) * self._interval / before
 
@@ -61,7 +77,7 @@
         """
         if self._interval is None:
             return now
-        expired = now - self._limits.burst_time - self._slot_at
+        expired = now - self._burst_time - self._slot_at
         if expired > 0.0:
             self._slot_at += math.ceil(expired / self._interval) * self._interval
         return max(now, self._slot_at)
--- a/src/sapphireledge/core/backpressure/server_backpressure.py
+++ b/src/sapphireledge/core/backpressure/server_backpressure.py
@@ -47,13 +47,21 @@
         self._paused_until = -math.inf
         self._pacer = RequestPacer(limits, rng)
 
-    def on_response(self, now: float, signals: ServerSignals, instances: int) -> None:
+    def on_response(
+        self,
+        now: float,
+        signals: ServerSignals,
+        instances: int,
+        contact_interval: float = 0.0,
+    ) -> None:
         """Applies the signals of a response.
 
         Args:
             now: Current time in seconds.
             signals: Signals of the response.
             instances: Number of instances that share the rate of the server, at least 1.
+            contact_interval: Mean seconds between two responses of the server to this instance, 0
+                if it hears from the server all the time.
         """
         self.signals = signals
         self.is_leaving = self.is_leaving or signals.is_leaving
@@ -62,8 +70,8 @@
             self._paused_until = max(self._paused_until, now + pause)
         rate = signals.rate_limit
         if rate is not None:
-            rate = max(rate, self._limits.min_rate) / max(1, instances)
-        self._pacer.set_rate(now, rate)
+            rate = max(rate, self._limits.min_rate)
+        self._pacer.set_rate(now, rate, max(1, instances), contact_interval)
 
     def on_leaving(self) -> None:
         """Records that the server shuts down, as another source than its responses says."""
--- a/src/sapphireledge/core/placement/choose_candidates.py
+++ b/src/sapphireledge/core/placement/choose_candidates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
@@ -15,6 +16,9 @@
 REMOTE_CANDIDATES = 3
 """Engines in other data centres whose load reports are fetched per placement."""
 
+RATED_CANDIDATES = 1
+"""Further engines whose load reports are fetched because an unused slot of their rate expires."""
+
 PLACEMENTS_PER_SET = 3
 """Placements of a waiting stream with the same candidates before it is offered others."""
 
@@ -26,7 +30,10 @@
 
 
 def choose_candidates(
-    ranked: Iterable[Engine], is_local: Callable[[Engine], bool], placement: int
+    ranked: Iterable[Engine],
+    is_local: Callable[[Engine], bool],
+    placement: int,
+    rated: Iterable[Engine] = (),
 ) -> list[Engine]:
     """Chooses a few engines, so that the cost of a placement does not grow with their number.
 
@@ -37,9 +44,11 @@
         ranked: Engines that take requests now, best first; read only as far as needed.
         is_local: Returns whether an engine is in the data centre of the instance.
         placement: Number of earlier placements of the stream.
+        rated: Engines of `ranked` that name a rate. Their slots are rare at a single instance and
+            expire, so such an engine is offered whatever its rank.
 
     Returns:
-        The engines, local ones first.
+        The engines, local ones first, then those of `rated`.
     """
     skipped = placement // PLACEMENTS_PER_SET
     local: list[Engine] = []
@@ -50,10 +59,12 @@
             skipped + 1
         ):
             break
-    return [
+    chosen = [
         *_take_cyclic(local, skipped, LOCAL_CANDIDATES),
         *_take_cyclic(remote, skipped, REMOTE_CANDIDATES),
     ]
+    others = (engine for engine in rated if engine not in chosen)
+    return [*chosen, *islice(others, RATED_CANDIDATES)]
 
 
 def compute_start_share(engines: int, instances: int) -> float:
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -9,12 +9,17 @@
 
 import xxhash
 
-from sapphireledge.core.backpressure import BackpressureLimits, ServerBackpressure
+from sapphireledge.core.backpressure import (
+    BackpressureLimits,
+    ContactEstimator,
+    ServerBackpressure,
+)
 from sapphireledge.gateway.backend_state import BackendState
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator
 
+    from sapphireledge.core.backpressure import ServerSignals
     from sapphireledge.gateway.backend_server import BackendServer
 
 __all__ = ["BackendRegistry"]
@@ -71,6 +76,7 @@
         self._recent_losses: dict[str, list[tuple[float, str]]] = {}
         self._suspect_until: dict[str, float] = {}
         self._backpressures: OrderedDict[tuple[str, int], ServerBackpressure] = OrderedDict()
+        self._contacts: dict[str, ContactEstimator] = {}
         self._rng = Random() if rng is None else rng
 
     def __len__(self) -> int:
@@ -128,6 +134,31 @@
                 self._backpressures.popitem(last=False)
         return backpressure
 
+    def on_response(
+        self, now: float, server_id: str, signals: ServerSignals, instances: int
+    ) -> bool:
+        """Applies what a response says about the requests that its server takes.
+
+        Args:
+            now: Event loop time in seconds.
+            server_id: Server id; an unknown one is ignored.
+            signals: Signals of the response.
+            instances: Number of instances that share the rate of the server.
+
+        Returns:
+            Whether the server says something else than in its latest response.
+        """
+        state = self._states.get(server_id)
+        if state is None:
+            return False
+        service = state.server.service
+        contacts = self._contacts.setdefault(service, ContactEstimator())
+        contacts.on_response(now)
+        interval = contacts.estimate_interval(now, len(self._by_service[service]))
+        has_changed = state.backpressure.signals != signals
+        state.backpressure.on_response(now, signals, instances, interval)
+        return has_changed
+
     def ids(self) -> frozenset[str]:
         """Lists the ids of all known backend servers.
 
@@ -325,6 +356,24 @@
                 yield state.server
         yield from avoided
 
+    def list_rated(
+        self, now: float, service: str, excluded: Collection[str] = ()
+    ) -> Iterator[BackendServer]:
+        """Iterates over the servers that name a rate and take a request now.
+
+        Args:
+            now: Event loop time in seconds.
+            service: Name of the service.
+            excluded: Ids of servers to leave out.
+
+        Yields:
+            The servers.
+        """
+        for server_id, state in self._by_service.get(service, {}).items():
+            is_rated = state.backpressure.signals.rate_limit is not None
+            if is_rated and server_id not in excluded and state.backpressure.next_at(now) <= now:
+                yield state.server
+
     def is_available(self, server_id: str) -> bool:
         """Checks whether a server accepts new requests.
 
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -269,6 +269,7 @@
             (server for server in ranked if registry.admits(now, server.server_id)),
             lambda server: server.data_centre == self._context.cfg.data_centre,
             attempt,
+            registry.list_rated(now, service, excluded),
         )
 
     def _start_share(self, admitted: AdmittedRequest) -> float:
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -103,13 +103,10 @@
         """Takes over what a response says about the requests that its server takes."""
         if head.status == MISDIRECTED:
             return
-        state = self.registry.state(server.server_id)
-        if state is None:
-            return
-        if state.backpressure.signals != head.signals:
-            self.telemetry.record_signals(server, head.signals)
         now = asyncio.get_running_loop().time()
-        state.backpressure.on_response(now, head.signals, self.count_instances())
+        instances = self.count_instances()
+        if self.registry.on_response(now, server.server_id, head.signals, instances):
+            self.telemetry.record_signals(server, head.signals)
 
     def record_outcome(self, outcome: Outcome) -> None:
         """Updates the state of a backend server from the outcome of an attempt.
--- a/src/sapphireledge_experiment/model/engine_placer.py
+++ b/src/sapphireledge_experiment/model/engine_placer.py
@@ -138,6 +138,7 @@
             (server for server in ranked if registry.admits(now, server.server_id)),
             lambda server: server.data_centre == str(instance.data_centre),
             placement,
+            registry.list_rated(now, ENGINES, excluded),
         )
         if not candidates:
             self._wait_for_admission(excluded, placement)
--- a/src/sapphireledge_experiment/model/simulated_instance.py
+++ b/src/sapphireledge_experiment/model/simulated_instance.py
@@ -105,10 +105,8 @@
 
     def apply_signals(self, server: str, signals: ServerSignals) -> None:
         """Applies what a response of a server asks for."""
-        state = self.registry.state(server)
-        if state is not None:
-            now, instances = self.world.clock.now, self.world.count_instances()
-            state.backpressure.on_response(now, signals, instances)
+        instances = self.world.count_instances()
+        self.registry.on_response(self.world.clock.now, server, signals, instances)
 
     def record_dispatch(self, engine: str, is_resume: bool) -> None:
         """Remembers a stream that the next reports of its engine may not show."""
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -9,9 +9,17 @@
 from hypothesis import strategies as st
 
 from sapphireledge.backends import decode_signals
-from sapphireledge.core.backpressure import BackpressureLimits, ServerBackpressure, ServerSignals
+from sapphireledge.core.backpressure import (
+    BackpressureLimits,
+    ContactEstimator,
+    ServerBackpressure,
+    ServerSignals,
+)
+from sapphireledge.core.placement import choose_candidates
 from sapphireledge.core.routing import BackendInstance, BackendView, Router, RouteRequest
 from sapphireledge.errors import Failure
+from sapphireledge.gateway import BackendServer
+from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from sapphireledge.settings import RoutingSettings
 
@@ -69,6 +77,99 @@
         self.assertEqual(server.next_at(1.0), 1.0)
 
 
+class SparseRateTest(unittest.TestCase):
+    """Guards against a low rate that many instances leave unused, as each rarely has a slot."""
+
+    INSTANCES = 195
+    RATE = 0.135
+
+    def play(self, interval, seed, growth=1.0, duration=1_200.0):
+        """Lets instances hear from one server now and then, and send whenever they may.
+
+        Args:
+            interval: Mean seconds between two responses of the server to one instance.
+            seed: Seed of the responses and slots.
+            growth: Factor of the responses in the second half, which no instance has noticed.
+            duration: Seconds.
+
+        Returns:
+            Times of the requests in each half.
+        """
+        rng = Random(seed)
+        servers = [ServerBackpressure(LIMITS, rng) for _ in range(self.INSTANCES)]
+        now, sent = 0.0, ([], [])
+        while now < duration:
+            half = int(now >= duration / 2)
+            now += rng.expovariate(self.INSTANCES * (growth if half else 1.0) / interval)
+            server = rng.choice(servers)
+            server.on_response(now, named(self.RATE), self.INSTANCES, interval)
+            if server.next_at(now) <= now:
+                server.take(now)
+                sent[half].append(now)
+        return sent
+
+    def test_most_of_a_low_rate_is_used(self):
+        allowed = self.RATE * 600.0
+        for seed in range(5):
+            with self.subTest(seed):
+                for times in self.play(144.0, seed):
+                    self.assertGreater(len(times), 0.6 * allowed)
+                    self.assertLess(len(times), 1.5 * allowed)
+
+    def test_demand_that_triples_exceeds_a_low_rate_by_a_few_requests(self):
+        for seed in range(5):
+            with self.subTest(seed):
+                _, times = self.play(144.0, seed, growth=3.0)
+                for start in times:
+                    in_window = sum(1 for at in times if start <= at <= start + WINDOW)
+                    self.assertLessEqual(in_window, 1.5 * WINDOW * self.RATE + 5)
+
+    def test_slots_of_other_rates_expire(self):
+        """Guards against slots that pile up at idle instances of a server with a high rate."""
+        servers = [ServerBackpressure(LIMITS, Random(number)) for number in range(20)]
+        for server in servers:
+            server.on_response(0.0, named(10.0), 20, 60.0)
+        held = sum(1 for server in servers if server.next_at(30.0) <= 30.0)
+        self.assertLessEqual(held, 10.0 * (LIMITS.burst_time + 1.0))
+
+    def test_contacts_are_estimated_from_all_servers(self):
+        contacts = ContactEstimator()
+        self.assertEqual(contacts.estimate_interval(0.0, 10), 0.0)
+        for number in range(40):
+            contacts.on_response(number * 0.5)
+        self.assertAlmostEqual(contacts.estimate_interval(20.0, 10), 5.0, delta=0.5)
+        for number in range(60):
+            contacts.on_response(20.0 + number / 6)
+        self.assertLess(contacts.estimate_interval(30.0, 10), 1.5 * 5.0 / 3)
+
+
+class RatedCandidateTest(unittest.TestCase):
+    """Guards against slots that expire because streams are offered other engines."""
+
+    def test_engine_that_names_a_rate_is_offered_whatever_its_rank(self):
+        ranked = [f"engine-{number}" for number in range(20)]
+        usual = choose_candidates(ranked, lambda name: name < "engine-2", 0)
+        self.assertNotIn("engine-9", usual)
+        offered = choose_candidates(ranked, lambda name: name < "engine-2", 0, ["engine-9"])
+        self.assertEqual(offered, [*usual, "engine-9"])
+
+    def test_engine_is_not_offered_twice(self):
+        ranked = ["a", "b", "c"]
+        offered = choose_candidates(ranked, lambda name: False, 0, ["a", "b"])
+        self.assertEqual(sorted(offered), ranked)
+
+    def test_only_engines_with_an_unused_slot_are_listed(self):
+        registry = BackendRegistry("akl", rng=Random(1))
+        for name in ("a", "b", "c", "d"):
+            registry.put(BackendServer(name, "llm", "127.0.0.1", 1, "akl", False, 1))
+        registry.on_response(0.0, "a", named(5.0), 1)
+        registry.on_response(0.0, "b", named(5.0), 1_000)
+        registry.on_response(0.0, "c", ServerSignals(), 1)
+        rated = {server.server_id for server in registry.list_rated(0.9, "llm")}
+        self.assertEqual(rated, {"a"})
+        self.assertEqual(list(registry.list_rated(0.9, "llm", {"a"})), [])
+
+
 class DecodeTest(unittest.TestCase):
     def test_values_that_are_no_numbers_are_ignored(self):
         """Guards against a limit read from a value that is none."""
