Say what a fleet did when a test on it fails; no traceback for results in a file

The three known reds of test_processes were never seen again with their logs. Now a test that fails prints the states and the ends of the logs of its processes (seen with a planted failure). sapphireledge-experiment: a path that is not a folder ended with a traceback; it is refused by name now (the new test fails before, exit 1).

--- a/src/sapphireledge_experiment/cli.py
+++ b/src/sapphireledge_experiment/cli.py
@@ -126,6 +126,8 @@
 ) -> Path:
     """Plays what is missing in the folder of the results, and returns the folder."""
     folder = resume or out or Path(f"{file.stem}-results")
+    if folder.exists() and not folder.is_dir():
+        _exit_invalid(f"{folder} is not a folder")
     if resume is None and (folder / EXPERIMENT_FILE).exists():
         _exit_invalid(f"{folder} holds results; name it with --resume, or another one with --out")
     columns = (
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -154,6 +154,16 @@
         )
         self.assertIn("duration", outcome.output)
 
+    def test_results_cannot_be_written_to_a_file(self):
+        """Guards against a traceback where a message would do."""
+        file = self.write()
+        for option in ("--out", "--resume"):
+            with self.subTest(option):
+                outcome = self.invoke("run", str(file), option, str(file))
+                code = cli.ERROR_ANSWERS[cli.ErrorKind.INVALID_REQUEST].exit_code
+                self.assertEqual(outcome.exit_code, code)
+                self.assertIn("is not a folder", outcome.output)
+
     def test_unknown_baseline_is_named(self):
         outcome = self.invoke("compare", str(self.write()), "--against", "none")
         self.assertNotEqual(outcome.exit_code, 0)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -83,6 +83,14 @@
         cls.fleet.stop()
         cls.folder.cleanup()
 
+    def run(self, result=None):
+        """Runs the test; if it fails, prints the states and logs of the processes with it."""
+        before = len(result.failures) + len(result.errors) if result is not None else 0
+        outcome = super().run(result)
+        if result is not None and len(result.failures) + len(result.errors) > before:
+            print(f"{self.id()}\n{self.fleet.describe()}", file=sys.stderr)
+        return outcome
+
     @classmethod
     def wait_for_peers(cls, limit=10.0):
         end = time.monotonic() + limit
