Count separate contacts with servers when slots of a low rate are kept

Cause: the time between two responses of a server was estimated from all responses, also those of the same engines that a waiting stream fetches every half second. It came out several times too short, so slots of a low rate expired too early. Change: responses of a server within 5 s of a counted one are the same contact. Evidence: test_reports_that_a_waiting_request_fetches_again_are_one_contact (the estimator before has no such distinction: 160 responses count as 160 contacts, 12.5 s instead of 50 s).

--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -118,6 +118,8 @@
         if state is not None:
             self._by_service[state.server.service].pop(server_id, None)
             self._orders.pop(state.server.service, None)
+            if state.server.service in self._contacts:
+                self._contacts[state.server.service].forget(server_id)
 
     def _recall_backpressure(self, server: BackendServer) -> ServerBackpressure:
         """Returns what an incarnation asked for before its entry was removed, if it is known.
@@ -153,7 +155,7 @@
             return False
         service = state.server.service
         contacts = self._contacts.setdefault(service, ContactEstimator())
-        contacts.on_response(now)
+        contacts.on_response(now, server_id)
         interval = contacts.estimate_interval(now, len(self._by_service[service]))
         has_changed = state.backpressure.signals != signals
         state.backpressure.on_response(now, signals, instances, interval)
