--- a/src/sapphireledge/core/backpressure/contact_estimator.py
+++ b/src/sapphireledge/core/backpressure/contact_estimator.py
@@ -66,13 +66,10 @@
         count = self._count * _decay(now - self._updated_at)
         elapsed = max(MIN_ELAPSED, now - self._first_at)
         # Integral of the weights over the time for which contacts have been counted.
-        weight = (1.0 - _decay(elapsed)) * HALF_LIFE / _LN2
+        weight = (1.0 - _decay(elapsed)) * HALF_LIFE / math.log(2.0)
         return servers * weight / max(count, 1.0)
 
 
-_LN2 = 0.6931471805599453
-
-
 def _decay(elapsed: float) -> float:
     """Computes the remaining weight of a contact."""
     return 2.0 ** (-max(0.0, elapsed) / HALF_LIFE)
--- a/src/sapphireledge/core/backpressure/request_pacer.py
+++ b/src/sapphireledge/core/backpressure/request_pacer.py
@@ -12,10 +12,9 @@
 
 __all__ = ["RequestPacer"]
 
-
 KEPT_CONTACTS = 2.0
-"""Intervals between two responses for which an unused slot of a low rate can be used. At random
-times, a response comes within one interval in 63% of the cases, within two in 86%."""
+"""Mean intervals between two contacts with a server for which an unused slot of a low rate can be
+used. At random times, a contact comes within one of them in 63% of the cases, within two in 86%."""
 
 
 class RequestPacer:
@@ -49,20 +48,20 @@
             now: Current time in seconds.
             rate: Requests per second of all instances, more than 0, or None for no limit.
             instances: Number of instances, at least 1.
-            contact_interval: Mean seconds between two responses of the server to this instance.
+            contact_interval: Mean seconds between two contacts of this instance with the server.
         """
         before = self._interval
         self._interval = None if rate is None else instances / rate
         if rate is None or self._interval is None:
             return
         is_sparse = rate < self._limits.sparse_rate
-        heard = min(contact_interval, self._interval) if is_sparse else 0.0
-        self._burst_time = max(self._limits.burst_time, KEPT_CONTACTS * heard)
+        contact_interval = min(contact_interval, self._interval) if is_sparse else 0.0
+        self._burst_time = max(self._limits.burst_time, KEPT_CONTACTS * contact_interval)
         if self._interval == before:
             return
         if before is None:
             # The latest slot may lie before this response, as if the rate had been known before.
-            self._slot_at = now - heard + self._rng.uniform(0.0, self._interval)
+            self._slot_at = now - contact_interval + self._rng.uniform(0.0, self._interval)
         elif self._slot_at > now:
             self._slot_at = now + (self._slot_at - now) * self._interval / before
 
--- a/src/sapphireledge/core/backpressure/server_backpressure.py
+++ b/src/sapphireledge/core/backpressure/server_backpressure.py
@@ -60,7 +60,7 @@
             now: Current time in seconds.
             signals: Signals of the response.
             instances: Number of instances that share the rate of the server, at least 1.
-            contact_interval: Mean seconds between two responses of the server to this instance, 0
+            contact_interval: Mean seconds between two contacts of this instance with the server, 0
                 if it hears from the server all the time.
         """
         self.signals = signals
