End the streams of the own interface that go on after the drain limit

Cause: after the drain limit, the HTTP server of an instance waits for all connections, without a limit. A stream that goes on, or a caller that does not read, delays the exit until the supervisor kills the process. Change: the HTTP server has 1 s, then it cancels what is left; callers go on at another instance.

--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -76,6 +76,9 @@
 KEEP_ALIVE_TIMEOUT = 30
 """Seconds after which an idle caller connection is closed."""
 
+CLOSE_LIMIT = 1
+"""Seconds after a graceful shutdown's drain in which callers can still read the ends of answers."""
+
 
 class EntryServer:
     """An entry instance with all its components."""
@@ -260,6 +263,7 @@
             access_log=False,
             log_config=None,
             timeout_keep_alive=KEEP_ALIVE_TIMEOUT,
+            timeout_graceful_shutdown=CLOSE_LIMIT,
             h11_max_incomplete_event_size=self._cfg.callers.max_header,
         )
         server = uvicorn.Server(config)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -528,6 +528,36 @@
         self.assertEqual(self.fleet.wait_exit("e1", 10), 0)
 
 
+class DrainLimitTest(ProcessCase):
+    """Guards against an instance that outlives the time that it may wait for its streams."""
+
+    LIMIT = 2.0
+    entries = tuple(
+        EntrySpec(f"e{n}", extra={"lifecycle": {"balancer_delay": 0.0, "drain_limit": 2.0}})
+        for n in (1, 2)
+    )
+
+    def test_stream_that_goes_on_after_the_limit_continues_elsewhere(self):
+        tokens, request_id = 240, str(uuid6.uuid7())
+        with ThreadPoolExecutor(1) as threads:
+            job = threads.submit(
+                generate, self.fleet.callers["e1"], request_id=request_id, max_tokens=tokens
+            )
+            time.sleep(0.5)
+            self.fleet.terminate("e1")
+            self.assertEqual(self.fleet.wait_exit("e1", self.LIMIT + RESUME_LIMIT), 0)
+            first = job.result()
+        self.assertFalse(first.done)
+        rest = generate(
+            self.fleet.callers["e2"],
+            request_id=request_id,
+            last_event_id=first.event_id,
+            max_tokens=tokens,
+        )
+        self.assertTrue(rest.done, rest.error)
+        self.assert_complete(first.text + rest.text, tokens)
+
+
 def _book_ignoring_connection_errors(url, key):
     """Sends a booking to an instance that may be killed meanwhile."""
     try:
