Name the requests that ran on a server when it died, by fingerprint

Cause: the lines of the incident cannot tell whether one request is repeated, different requests have something in common, or servers die of their own: server_died counts its requests without naming them, and request_admitted has no fingerprint.

Ruled out: logging path and body of requests (callers' content; the fingerprint is enough).

Change: both lines name fingerprints, at most 16 in a death.

--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -78,6 +78,17 @@
         """Seconds for which deaths are kept."""
         return self._retention
 
+    def fingerprint(self, admitted: AdmittedRequest) -> str:
+        """Computes the fingerprint under which deaths are attributed to a request.
+
+        Args:
+            admitted: The request.
+
+        Returns:
+            The fingerprint in hexadecimal.
+        """
+        return self._content(admitted).fingerprint
+
     def judge(self, admitted: AdmittedRequest) -> ClearVerdict | IsolateVerdict | Failure:
         """Decides whether and how a request may run.
 
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -156,7 +156,8 @@
         admitted = self._admit(request)
         if isinstance(admitted, Failure):
             return await self._refuse(conn, request, admitted, started)
-        self._telemetry.record_admission(admitted, self.config.age)
+        fingerprint = self.context.crashes.fingerprint(admitted)
+        self._telemetry.record_admission(admitted, fingerprint, self.config.age)
         is_stream = admitted.route.replay is ReplayRule.EVENT_STREAM
         forwarder = self._streams if is_stream else self._plain
         try:
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -30,6 +30,9 @@
 
 __all__ = ["RequestTelemetry"]
 
+MAX_LOGGED_SUSPECTS = 16
+"""Fingerprints listed in the log line about a death; more tell nothing about its cause."""
+
 
 class RequestTelemetry:
     """Writes a log line for each decision about a request and updates the metrics."""
@@ -38,11 +41,14 @@
         self._metrics = metrics
         self._log = structlog.get_logger()
 
-    def record_admission(self, admitted: AdmittedRequest, config_age: float) -> None:
+    def record_admission(
+        self, admitted: AdmittedRequest, fingerprint: str, config_age: float
+    ) -> None:
         """Logs that a request passed the checks.
 
         Args:
             admitted: The request.
+            fingerprint: Fingerprint of its content, as in the lines about deaths.
             config_age: Seconds since the configuration was last confirmed.
         """
         self._log.info(
@@ -55,6 +61,7 @@
             config_version=admitted.version,
             config_age_s=round(config_age, 3),
             last_event=admitted.request.last_event,
+            fingerprint=fingerprint,
             prompt_parts=admitted.request.shared_parts,
         )
 
@@ -199,7 +206,9 @@
             service=server.service,
             data_centre=server.data_centre,
             begun=record.begun,
-            suspects=len(record.suspects),
+            suspects=record.suspects[:MAX_LOGGED_SUSPECTS],
+            suspect_count=len(record.suspects),
+            isolated=record.isolated[:MAX_LOGGED_SUSPECTS],
             reason=reason,
         )
 
