Refuse plain requests of a workspace on a route where different ones crash servers

Callers saw: from 3 s on, 15 % of the lookups (or bookings) of one workspace each ended a server; all servers of the service were down most of the time, for all workspaces.

Cause: deaths were attributed to contents that come again or to parts of prompts. Plain requests name no parts, and the bad ones are all different, so each was new to the quarantine.

Change: such requests have a scope, workspace and route. Death records say which scopes had just begun there and in which share of time servers run requests of them; a scope is refused when far more deaths met it than by chance. Unannounced ends of servers without requests count.

--- a/src/sapphireledge/core/admission/_rank_state.py
+++ b/src/sapphireledge/core/admission/_rank_state.py
@@ -6,8 +6,8 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.admission._decay import DecayedSum
 from sapphireledge.core.admission.admission_queue import AdmissionQueue
+from sapphireledge.core.decay import DecayedSum
 
 if TYPE_CHECKING:
     from sapphireledge.core.admission.queued_work import QueuedWork
--- a/src/sapphireledge/core/admission/admission_queue.py
+++ b/src/sapphireledge/core/admission/admission_queue.py
@@ -7,7 +7,7 @@
 from math import log2
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.admission._decay import ZERO_LEVEL
+from sapphireledge.core.decay import ZERO_LEVEL
 
 if TYPE_CHECKING:
     from sapphireledge.core.admission.queued_work import QueuedWork
--- a/src/sapphireledge/core/admission/usage_ledger.py
+++ b/src/sapphireledge/core/admission/usage_ledger.py
@@ -5,13 +5,13 @@
 from math import log
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.admission._decay import (
+from sapphireledge.core.admission.usage_changes import UsageChanges
+from sapphireledge.core.decay import (
     ZERO_LEVEL,
     DecayedSum,
     amount_from_level,
     level_from_amount,
 )
-from sapphireledge.core.admission.usage_changes import UsageChanges
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
--- a/src/sapphireledge/core/quarantine/__init__.py
+++ b/src/sapphireledge/core/quarantine/__init__.py
@@ -10,14 +10,16 @@
 from sapphireledge.core.quarantine.fingerprint_parts import fingerprint_parts
 from sapphireledge.core.quarantine.fingerprint_request import fingerprint_request
 from sapphireledge.core.quarantine.isolate_verdict import IsolateVerdict
-from sapphireledge.core.quarantine.quarantine import PART_PREFIX, Quarantine
+from sapphireledge.core.quarantine.quarantine import PART_PREFIX, SCOPE_PREFIX, Quarantine
 from sapphireledge.core.quarantine.quarantine_limits import QuarantineLimits
 from sapphireledge.core.quarantine.request_content import RequestContent
 from sapphireledge.core.quarantine.running_requests import RunningRequests
+from sapphireledge.core.quarantine.service_size import ServiceSize
 from sapphireledge.core.quarantine.suspect_state import SuspectState
 
 __all__ = [
     "PART_PREFIX",
+    "SCOPE_PREFIX",
     "ClearVerdict",
     "ClearingRecord",
     "CrashReport",
@@ -27,6 +29,7 @@
     "QuarantineLimits",
     "RequestContent",
     "RunningRequests",
+    "ServiceSize",
     "SuspectState",
     "find_avoided_servers",
     "fingerprint_parts",
--- a/src/sapphireledge/core/quarantine/death_record.py
+++ b/src/sapphireledge/core/quarantine/death_record.py
@@ -35,6 +35,20 @@
     """Those of the `suspects` that the engine had just begun to answer, each with the ids of the
     parts of its prompt that other requests can share."""
 
+    service: str = ""
+    """Service of the backend server."""
+
+    load: float = 0.0
+    """Share of time, from 0 to 1, in which any server of the service ran a request that has a
+    scope, before the death."""
+
+    scopes: dict[str, tuple[str, ...]] = msgspec.field(default_factory=dict)
+    """Scopes of the requests in `begun` that have one, each with the fingerprints."""
+
+    presence: dict[str, float] = msgspec.field(default_factory=dict)
+    """Share of time, from 0 to 1, in which any server of the service ran a request of each of the
+    `scopes` before the death."""
+
     @property
     def key(self) -> tuple[str, str]:
         """Identity of the engine incarnation."""
@@ -70,6 +84,16 @@
             suspects=tuple(sorted({*self.suspects, *other.suspects})),
             isolated=tuple(sorted({*self.isolated, *other.isolated})),
             begun={**self.begun, **other.begun},
+            service=self.service or other.service,
+            load=max(self.load, other.load),
+            scopes={
+                scope: tuple(sorted({*self.scopes.get(scope, ()), *other.scopes.get(scope, ())}))
+                for scope in sorted({*self.scopes, *other.scopes})
+            },
+            presence={
+                scope: max(self.presence.get(scope, 0.0), other.presence.get(scope, 0.0))
+                for scope in sorted({*self.presence, *other.presence})
+            },
         )
 
     def encode(self) -> bytes:
--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -10,6 +10,7 @@
 from sapphireledge.core.quarantine.clearing_record import ClearingRecord
 from sapphireledge.core.quarantine.death_record import DeathRecord
 from sapphireledge.core.quarantine.find_crashing_parts import SOUND_TIME, find_crashing_parts
+from sapphireledge.core.quarantine.find_crashing_scopes import SETTLE_TIME, find_crashing_scopes
 from sapphireledge.core.quarantine.is_in_burst import is_in_burst
 from sapphireledge.core.quarantine.isolate_verdict import IsolateVerdict
 from sapphireledge.core.quarantine.suspect_state import SuspectState
@@ -20,11 +21,14 @@
 
     from sapphireledge.core.quarantine.quarantine_limits import QuarantineLimits
 
-__all__ = ["PART_PREFIX", "Quarantine"]
+__all__ = ["PART_PREFIX", "SCOPE_PREFIX", "Quarantine"]
 
 PART_PREFIX = "part:"
 """Prefix of the id of a prompt part where a fingerprint of a request may stand, too."""
 
+SCOPE_PREFIX = "scope:"
+"""Prefix of a scope where a fingerprint of a request may stand, too."""
+
 MAX_SURVIVALS = 4_096
 """Prompt parts whose latest survival is remembered; the part that survived longest ago is forgotten
 first."""
@@ -57,7 +61,11 @@
         self._by_part: dict[str, set[IncarnationKey]] = {}
         self._survived_at: dict[str, float] = {}
         self._crashing_parts: frozenset[str] | None = frozenset()
+        self._crashing_scopes: frozenset[str] | None = frozenset()
         self._aged = 0
+        self._scope_aged = 0
+        self._settled = 0
+        self._settled_until = float("-inf")
         self._cleared_at: dict[str, float] = {}
         self._clear_order: deque[tuple[float, str]] = deque()
 
@@ -66,6 +74,18 @@
         """Whether any death is on record."""
         return bool(self._records)
 
+    def has_died(self, backend: str, boot_id: str) -> bool:
+        """Whether a death is on record.
+
+        Args:
+            backend: Name of the backend server.
+            boot_id: Boot id of its incarnation.
+
+        Returns:
+            Whether it is.
+        """
+        return (backend, boot_id) in self._records
+
     def on_engine_death(self, now_unix: float, record: DeathRecord) -> bool:
         """Merges a death detected by this instance, reported by a peer or read from the platform.
 
@@ -91,7 +111,7 @@
             self._by_fingerprint.setdefault(fingerprint, set()).add(record.key)
         for part in merged.parts:
             self._by_part.setdefault(part, set()).add(record.key)
-        self._crashing_parts = None
+        self._forget_results()
         return True
 
     def on_survived(self, now_unix: float, parts: Sequence[str]) -> None:
@@ -105,7 +125,7 @@
             excused_until = self._sound_at(part) + SOUND_TIME
             deaths = self._by_part.get(part, ())
             if any(self._records[key].time_unix > excused_until for key in deaths):
-                self._crashing_parts = None
+                self._forget_results()
             self._survived_at.pop(part, None)
             self._survived_at[part] = now_unix
         while len(self._survived_at) > MAX_SURVIVALS:
@@ -152,7 +172,8 @@
 
         Args:
             now_unix: Time of the command in Unix seconds.
-            fingerprint: Fingerprint of the request, or `PART_PREFIX` and the id of a prompt part.
+            fingerprint: Fingerprint of the request, `PART_PREFIX` and the id of a prompt part, or
+                `SCOPE_PREFIX` and a scope.
             who: Operator who gave the command.
             why: Reason given by the operator.
 
@@ -160,7 +181,12 @@
             Record to store and propagate, or None if the request is not suspected.
         """
         part = fingerprint.removeprefix(PART_PREFIX)
-        if fingerprint not in self._by_fingerprint and part not in self._by_part:
+        scope = fingerprint.removeprefix(SCOPE_PREFIX)
+        if (
+            fingerprint not in self._by_fingerprint
+            and part not in self._by_part
+            and scope not in self.crashing_scopes(now_unix)
+        ):
             return None
         record = ClearingRecord(fingerprint, now_unix, who, why)
         self.on_cleared(now_unix, record)
@@ -182,7 +208,7 @@
             return False
         self._cleared_at[record.fingerprint] = record.time_unix
         self._clear_order.append((record.time_unix, record.fingerprint))
-        self._crashing_parts = None
+        self._forget_results()
         return True
 
     def crashing_parts(self, now_unix: float) -> frozenset[str]:
@@ -197,8 +223,24 @@
         self.expire(now_unix)
         return self._find_crashing_parts()
 
+    def crashing_scopes(self, now_unix: float) -> frozenset[str]:
+        """Lists the scopes of which some requests crash servers.
+
+        Args:
+            now_unix: Time in Unix seconds.
+
+        Returns:
+            The scopes.
+        """
+        self.expire(now_unix)
+        return self._find_crashing_scopes()
+
     def verdict(
-        self, now_unix: float, fingerprint: str, parts: Sequence[str] = ()
+        self,
+        now_unix: float,
+        fingerprint: str,
+        parts: Sequence[str] = (),
+        scope: str = "",
     ) -> ClearVerdict | IsolateVerdict | Failure:
         """Decides how a request may run.
 
@@ -206,11 +248,17 @@
             now_unix: Time in Unix seconds.
             fingerprint: Fingerprint of the request.
             parts: Ids of the parts of its prompt that other requests can share.
+            scope: Scope of the request, empty if it has none.
 
         Returns:
             A verdict, or a failure: request_condemned, or overloaded with the delay after which the
             latest deaths can be attributed. With either failure, nothing is run.
         """
+        if scope and scope in self.crashing_scopes(now_unix):
+            reason = f"servers die when they run requests of {scope}"
+            return Failure(
+                ErrorKind.REQUEST_CONDEMNED, reason, retry_after=self._cfg.scope_retention
+            )
         if self._by_part and parts:
             crashing = self.crashing_parts(now_unix)
             part = next((part for part in parts if part in crashing), None)
@@ -242,7 +290,7 @@
         return tuple(self._records[key] for _, key in self._by_time)
 
     def suspects(self, now_unix: float) -> tuple[SuspectState, ...]:
-        """Lists the requests that have counted deaths, and the parts that crash engines.
+        """Lists the requests with counted deaths, and the parts and scopes that crash servers.
 
         Args:
             now_unix: Time in Unix seconds.
@@ -254,6 +302,7 @@
         states = [self._state(fingerprint) for fingerprint in self._by_fingerprint]
         found = [state for state in states if state is not None]
         found += [self._part_state(part) for part in crashing]
+        found += [self._scope_state(scope) for scope in self.crashing_scopes(now_unix)]
         return tuple(sorted(found, key=lambda state: (-state.deaths, state.fingerprint)))
 
     def expire(self, now_unix: float) -> None:
@@ -269,9 +318,13 @@
         del self._by_time[:end]
         horizon = now_unix - self._cfg.part_retention
         aged = bisect_right(self._by_time, horizon, key=lambda item: item[0])
-        if aged != self._aged:
-            self._aged = aged
-            self._crashing_parts = None
+        horizon = now_unix - self._cfg.scope_retention
+        scope_aged = bisect_right(self._by_time, horizon, key=lambda item: item[0])
+        self._settled_until = now_unix - SETTLE_TIME
+        settled = bisect_right(self._by_time, self._settled_until, key=lambda item: item[0])
+        if (aged, scope_aged, settled) != (self._aged, self._scope_aged, self._settled):
+            self._aged, self._scope_aged, self._settled = aged, scope_aged, settled
+            self._forget_results()
         while self._clear_order and self._clear_order[0][0] <= oldest:
             time_unix, fingerprint = self._clear_order.popleft()
             if self._cleared_at.get(fingerprint) == time_unix:
@@ -284,7 +337,26 @@
             _discard(self._by_fingerprint, fingerprint, key)
         for part in record.parts:
             _discard(self._by_part, part, key)
+        self._forget_results()
+
+    def _forget_results(self) -> None:
+        """Forgets what deaths are attributed to, because the state has changed."""
         self._crashing_parts = None
+        self._crashing_scopes = None
+
+    def _find_crashing_scopes(self) -> frozenset[str]:
+        """Returns the scopes that crash servers; the result is kept until the state changes."""
+        if self._crashing_scopes is None:
+            parts = self._find_crashing_parts()
+            deaths = [r for r in self.records()[self._scope_aged :] if parts.isdisjoint(r.parts)]
+            self._crashing_scopes = find_crashing_scopes(
+                deaths, self._settled_until, self._lifted_at, self._cfg
+            )
+        return self._crashing_scopes
+
+    def _lifted_at(self, scope: str) -> float:
+        """Returns the time up to which deaths do not count against a scope."""
+        return self._cleared_at.get(SCOPE_PREFIX + scope, float("-inf"))
 
     def _find_crashing_parts(self) -> frozenset[str]:
         """Returns the parts that crash engines; the result is kept until the state changes."""
@@ -297,6 +369,7 @@
         """Lists the deaths that count against a request, in chronological order."""
         cleared = self._cleared_at.get(fingerprint, float("-inf"))
         crashing = self._find_crashing_parts()
+        scopes = self._find_crashing_scopes()
         records = [self._records[key] for key in self._by_fingerprint.get(fingerprint, ())]
         deaths = [
             r
@@ -304,6 +377,7 @@
             if r.time_unix > cleared
             and fingerprint in r.culprits
             and crashing.isdisjoint(r.parts)
+            and scopes.isdisjoint(r.scopes)
             and not self._in_burst(r)
         ]
         return sorted(deaths, key=lambda r: (r.time_unix, r.key))
@@ -314,6 +388,7 @@
         first = bisect_left(self._by_time, death.time_unix - window, key=lambda item: item[0])
         last = bisect_right(self._by_time, death.time_unix + window, key=lambda item: item[0])
         nearby = [self._records[key] for _, key in self._by_time[first:last]]
+        nearby = [record for record in nearby if record.suspects or record is death]
         return is_in_burst(death, nearby, self._suspects_of, self._cfg)
 
     def _suspects_of(self, death: DeathRecord) -> set[str]:
@@ -373,6 +448,13 @@
         backends = tuple(r.backend for r in deaths)
         return SuspectState(fingerprint, len(deaths), state, deaths[0].time_unix, backends)
 
+    def _scope_state(self, scope: str) -> SuspectState:
+        """Returns the state of a scope that crashes servers."""
+        deaths = [r for r in self.records()[self._scope_aged :] if scope in r.scopes]
+        backends = tuple(r.backend for r in deaths)
+        name = SCOPE_PREFIX + scope
+        return SuspectState(name, len(deaths), "condemned", deaths[0].time_unix, backends)
+
     def _part_state(self, part: str) -> SuspectState:
         """Returns the state of a part that crashes engines."""
         deaths = sorted(
--- a/src/sapphireledge/core/quarantine/quarantine_limits.py
+++ b/src/sapphireledge/core/quarantine/quarantine_limits.py
@@ -20,6 +20,16 @@
         """Deaths after which a request or a part of a prompt is refused."""
         ...
 
+    @property
+    def condemn_scope_after(self) -> int:
+        """Deaths after which all requests of a scope may be refused."""
+        ...
+
+    @property
+    def scope_retention(self) -> float:
+        """Seconds for which a death counts against a scope."""
+        ...
+
     @property
     def burst_window(self) -> float:
         """Seconds within which unrelated deaths are attributed to one common cause."""
--- a/src/sapphireledge/core/quarantine/request_content.py
+++ b/src/sapphireledge/core/quarantine/request_content.py
@@ -16,3 +16,10 @@
 
     parts: tuple[str, ...] = ()
     """Ids of the prompt's parts that other requests can share, in order."""
+
+    service: str = ""
+    """Service that runs the request."""
+
+    scope: str = ""
+    """Caller and route of a request without parts, such as a plain one; other requests can have
+    the same scope. Empty for a request with parts."""
--- a/src/sapphireledge/core/quarantine/running_requests.py
+++ b/src/sapphireledge/core/quarantine/running_requests.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.quarantine.death_record import DeathRecord
+from sapphireledge.core.quarantine.presence_estimator import PresenceEstimator
+from sapphireledge.core.quarantine.service_size import ServiceSize
 
 if TYPE_CHECKING:
     from sapphireledge.core.quarantine.request_content import RequestContent
@@ -24,6 +26,7 @@
     backend: str
     content: RequestContent
     isolated: bool
+    added_at: float
     begun: bool = False
     progress_at: float | None = None
     survived: bool = False
@@ -35,32 +38,45 @@
     def __init__(self) -> None:
         self._running: dict[str, _Running] = {}
         self._by_backend: dict[str, set[str]] = {}
+        self._presence = PresenceEstimator()
 
     def __len__(self) -> int:
         return len(self._running)
 
     def add(
-        self, work_id: str, backend: str, content: RequestContent, *, isolated: bool = False
+        self,
+        now: float,
+        work_id: str,
+        backend: str,
+        content: RequestContent,
+        *,
+        isolated: bool = False,
     ) -> None:
         """Adds a request that is sent to a backend server.
 
         Args:
+            now: Monotonic time in seconds.
             work_id: Identifier of the attempt.
             backend: Name of the backend server.
             content: Content of the request.
             isolated: Whether it runs isolated from other suspects.
         """
-        self._running[work_id] = _Running(backend, content, isolated)
+        self._running[work_id] = _Running(backend, content, isolated, now)
         self._by_backend.setdefault(backend, set()).add(work_id)
 
-    def remove(self, work_id: str) -> None:
+    def remove(self, now: float, work_id: str) -> None:
         """Removes an attempt that ended.
 
         Args:
+            now: Monotonic time in seconds.
             work_id: Identifier of the attempt; an unknown one is ignored.
         """
         running = self._running.pop(work_id, None)
         if running is not None:
+            if running.content.scope:
+                run_time = now - running.added_at
+                for name in (running.content.scope, running.content.service):
+                    self._presence.on_ended(now, name, run_time)
             work_ids = self._by_backend[running.backend]
             work_ids.discard(work_id)
             if not work_ids:
@@ -132,19 +148,32 @@
         """
         return frozenset(running.content.fingerprint for running in self._running.values())
 
-    def record_death(self, backend: str, boot_id: str, now_unix: float) -> DeathRecord:
+    def record_death(
+        self,
+        now: float,
+        now_unix: float,
+        backend: str,
+        boot_id: str,
+        size: ServiceSize,
+    ) -> DeathRecord:
         """Builds the record of the death of a backend server.
 
         Args:
+            now: Monotonic time in seconds.
+            now_unix: The same time in Unix seconds.
             backend: Name of the backend server.
             boot_id: Boot id of the incarnation that died.
-            now_unix: Time in Unix seconds.
+            size: Size of its service.
 
         Returns:
             The record, with the requests of this instance that ran there.
         """
         lost = [self._running[work_id] for work_id in self._by_backend.get(backend, ())]
         begun = [run for run in lost if run.begun and not run.survived]
+        scopes: dict[str, set[str]] = {}
+        for run in begun:
+            if run.content.scope:
+                scopes.setdefault(run.content.scope, set()).add(run.content.fingerprint)
         return DeathRecord(
             backend=backend,
             boot_id=boot_id,
@@ -152,4 +181,8 @@
             suspects=tuple(sorted({run.content.fingerprint for run in lost})),
             isolated=tuple(sorted({run.content.fingerprint for run in lost if run.isolated})),
             begun={run.content.fingerprint: run.content.parts for run in begun},
+            service=size.service,
+            load=self._presence.estimate(now, size.service, size),
+            scopes={scope: tuple(sorted(names)) for scope, names in sorted(scopes.items())},
+            presence={scope: self._presence.estimate(now, scope, size) for scope in sorted(scopes)},
         )
--- a/src/sapphireledge/entry/death_checker.py
+++ b/src/sapphireledge/entry/death_checker.py
@@ -9,7 +9,7 @@
 import structlog
 
 from sapphireledge.backends import CallFailure, CallFailureCause
-from sapphireledge.core.quarantine import RunningRequests
+from sapphireledge.core.quarantine import RunningRequests, ServiceSize
 from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
@@ -57,7 +57,7 @@
             content: Content of its request.
             isolated: Whether it runs isolated from other suspects.
         """
-        self._running.add(work_id, backend, content, isolated=isolated)
+        self._running.add(time.monotonic(), work_id, backend, content, isolated=isolated)
 
     def on_begun(self, work_id: str) -> None:
         """Records that the engine began to answer.
@@ -92,7 +92,7 @@
         Args:
             work_id: Identifier of the attempt.
         """
-        self._running.remove(work_id)
+        self._running.remove(time.monotonic(), work_id)
 
     def check(self, grant: Grant) -> None:
         """Starts to check whether the engine of a failed attempt died.
@@ -106,7 +106,9 @@
         if grant.backend in self._checks or state is None:
             return
         boot_id = grant.boot_id or state.boot_id
-        record = self._running.record_death(grant.backend, boot_id, time.time())
+        record = self._running.record_death(
+            time.monotonic(), time.time(), grant.backend, boot_id, ServiceSize()
+        )
         task = asyncio.create_task(self._confirm(record, grant.client))
         self._checks[grant.backend] = task
         task.add_done_callback(lambda _: self._checks.pop(grant.backend, None))
--- a/src/sapphireledge/gateway/attempt_progress.py
+++ b/src/sapphireledge/gateway/attempt_progress.py
@@ -13,16 +13,19 @@
 class AttemptProgress:
     """How far a backend server came with one attempt."""
 
-    __slots__ = ("_crashes", "_work_id", "events", "has_head", "is_sent")
+    __slots__ = ("_crashes", "_runs_at_once", "_work_id", "events", "has_head", "is_sent")
 
-    def __init__(self, crashes: CrashGuard, work_id: str) -> None:
+    def __init__(self, crashes: CrashGuard, work_id: str, *, runs_at_once: bool) -> None:
         """Creates the progress of an attempt that has not been sent.
 
         Args:
             crashes: Attributes crashes to requests by their progress.
             work_id: Identifier of the attempt there.
+            runs_at_once: Whether the server begins to run the request when it receives it; engines
+                that stream begin when they send the head of the response.
         """
         self._crashes = crashes
+        self._runs_at_once = runs_at_once
         self._work_id = work_id
         self.is_sent = False
         """Whether the request was sent."""
@@ -45,6 +48,8 @@
     def on_sent(self) -> None:
         """Records that the request was sent."""
         self.is_sent = True
+        if self._runs_at_once:
+            self._crashes.on_begun(self._work_id)
 
     def on_head(self) -> None:
         """Records that the head of the response arrived."""
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -17,7 +17,7 @@
 from sapphireledge.gateway.backend_state import BackendState
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterator
+    from collections.abc import Callable, Collection, Iterator
 
     from sapphireledge.core.backpressure import ServerSignals
     from sapphireledge.gateway.backend_server import BackendServer
@@ -161,6 +161,19 @@
         state.backpressure.on_response(now, signals, instances, interval)
         return has_changed
 
+    def count_servers(self, service: str, is_dead: Callable[[BackendServer], bool]) -> int:
+        """Counts the known backend servers of a service that run.
+
+        Args:
+            service: Name of the service.
+            is_dead: Returns whether a server is known to have died.
+
+        Returns:
+            Their number.
+        """
+        states = self._by_service.get(service, {}).values()
+        return sum(1 for state in states if not is_dead(state.server))
+
     def ids(self) -> frozenset[str]:
         """Lists the ids of all known backend servers.
 
--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -13,10 +13,12 @@
 
 from sapphireledge.core.quarantine import (
     ClearVerdict,
+    DeathRecord,
     IsolateVerdict,
     Quarantine,
     RequestContent,
     RunningRequests,
+    ServiceSize,
     find_avoided_servers,
 )
 from sapphireledge.errors import ErrorKind, Failure
@@ -25,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sapphireledge.core.quarantine import ClearingRecord, DeathRecord
+    from sapphireledge.core.quarantine import ClearingRecord
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.quarantine_settings import QuarantineSettings
@@ -65,18 +67,22 @@
         """Called when a survival may have to be shared: a server survived the beginning of an
         answer after deaths, or new deaths are on record."""
 
+        self.measure_service: Callable[[str], ServiceSize] = ServiceSize
+        """Returns the size of a service."""
+
         self._running = RunningRequests()
         self._work_ids = count()
-        self._retention = cfg.retention
+        self._cfg = cfg
         self._telemetry = telemetry
         self._checks: dict[str, asyncio.Task[None]] = {}
-        self._condemned: frozenset[str] = frozenset()
+        self._condemned_parts: frozenset[str] = frozenset()
+        self._condemned_scopes: frozenset[str] = frozenset()
         self._log = structlog.get_logger()
 
     @property
     def retention(self) -> float:
         """Seconds for which deaths are kept."""
-        return self._retention
+        return self._cfg.retention
 
     def fingerprint(self, admitted: AdmittedRequest) -> str:
         """Computes the fingerprint under which deaths are attributed to a request.
@@ -101,9 +107,14 @@
         if not self.quarantine.has_deaths:
             return ClearVerdict()
         content = self._content(admitted)
-        verdict = self.quarantine.verdict(time.time(), content.fingerprint, content.parts)
+        verdict = self.quarantine.verdict(
+            time.time(),
+            content.fingerprint,
+            content.parts,
+            content.scope,
+        )
         if isinstance(verdict, Failure) and verdict.kind is ErrorKind.REQUEST_CONDEMNED:
-            return replace(verdict, retry_after=self._retention)
+            return replace(verdict, retry_after=verdict.retry_after or self._cfg.retention)
         return verdict
 
     async def wait_for_verdict(
@@ -148,7 +159,13 @@
             Identifier of the attempt for the other methods.
         """
         work_id = str(next(self._work_ids))
-        self._running.add(work_id, server.server_id, self._content(admitted), isolated=isolated)
+        self._running.add(
+            time.monotonic(),
+            work_id,
+            server.server_id,
+            self._content(admitted),
+            isolated=isolated,
+        )
         return work_id
 
     def on_begun(self, work_id: str) -> None:
@@ -189,7 +206,7 @@
         Args:
             work_id: Identifier of the attempt.
         """
-        self._running.remove(work_id)
+        self._running.remove(time.monotonic(), work_id)
 
     def on_connection_lost(self, server: BackendServer) -> None:
         """Checks whether a server died that closed a connection during a request.
@@ -202,20 +219,58 @@
         """
         if server.server_id in self._checks:
             return
-        boot_id = str(server.started_at_ms)
-        record = self._running.record_death(server.server_id, boot_id, time.time())
+        record = self._running.record_death(
+            time.monotonic(),
+            time.time(),
+            server.server_id,
+            str(server.started_at_ms),
+            self.measure_service(server.service),
+        )
         task = asyncio.create_task(self._confirm(server, record))
         self._checks[server.server_id] = task
         task.add_done_callback(lambda _: self._checks.pop(server.server_id, None))
 
+    def is_dead(self, server: BackendServer) -> bool:
+        """Whether the death of a server is on record.
+
+        Args:
+            server: The server.
+
+        Returns:
+            Whether it is.
+        """
+        return self.quarantine.has_died(server.server_id, str(server.started_at_ms))
+
+    def on_server_gone(self, server: BackendServer) -> None:
+        """Records a server that ended unannounced, unless its death is on record.
+
+        Such servers show how often deaths meet no request. All instances see them, so the record is
+        not shared.
+
+        Args:
+            server: The server.
+        """
+        record = DeathRecord(
+            server.server_id, str(server.started_at_ms), time.time(), service=server.service
+        )
+        if self.quarantine.on_engine_death(time.time(), record):
+            self.on_changed()
+
     def on_changed(self) -> None:
-        """Logs parts of prompts that are refused from now on, or no longer."""
-        condemned = self.quarantine.crashing_parts(time.time())
-        for part in condemned - self._condemned:
+        """Logs parts of prompts and scopes that are refused from now on, or no longer."""
+        now = time.time()
+        parts = self.quarantine.crashing_parts(now)
+        for part in parts - self._condemned_parts:
             self._log.warning(GatewayEvent.PART_CONDEMNED, part=part)
-        for part in self._condemned - condemned:
+        for part in self._condemned_parts - parts:
             self._log.info(GatewayEvent.PART_CLEARED, part=part)
-        self._condemned = condemned
+        self._condemned_parts = parts
+        scopes = self.quarantine.crashing_scopes(now)
+        for scope in scopes - self._condemned_scopes:
+            self._log.warning(GatewayEvent.SCOPE_CONDEMNED, scope=scope)
+        for scope in self._condemned_scopes - scopes:
+            self._log.info(GatewayEvent.SCOPE_CLEARED, scope=scope)
+        self._condemned_scopes = scopes
 
     def _content(self, admitted: AdmittedRequest) -> RequestContent:
         """Determines the content of a request; its ids and deadlines do not affect it."""
@@ -230,7 +285,10 @@
             request.body,
         ):
             digest.update(len(value).to_bytes(8, "big") + value)
-        return RequestContent(digest.hexdigest(), request.shared_parts)
+        scope = "" if request.shared_parts else f"{admitted.route.name}/{admitted.workspace}"
+        return RequestContent(
+            digest.hexdigest(), request.shared_parts, admitted.service.name, scope
+        )
 
     def _record_survival(self, content: RequestContent) -> None:
         """Records that a server survived the beginning of an answer."""
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.placement import FirstEventEstimator, GenerationEstimator
+from sapphireledge.core.quarantine import ServiceSize
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.connection_pool import ConnectionPool
 from sapphireledge.gateway.crash_guard import CrashGuard
@@ -55,6 +56,8 @@
         self.crashes = CrashGuard(cfg.quarantine, telemetry)
         """Keeps requests that crash backend servers away from them."""
 
+        self.crashes.measure_service = self._measure_service
+
         self.is_stopping: Callable[[], bool] = lambda: False
         """Returns whether the instance is shutting down."""
 
@@ -99,6 +102,11 @@
         """
         return self._generation_estimators.setdefault(service, GenerationEstimator())
 
+    def _measure_service(self, service: str) -> ServiceSize:
+        """Returns the size of a service for the attribution of deaths."""
+        servers = self.registry.count_servers(service, self.crashes.is_dead)
+        return ServiceSize(service, max(1, servers), self.count_instances())
+
     def _on_response(self, server: BackendServer, head: ResponseHead) -> None:
         """Takes over what a response says about the requests that its server takes."""
         if head.status == MISDIRECTED:
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -121,6 +121,12 @@
     PART_CLEARED = "part_cleared"
     """Requests with a part of a prompt are no longer refused."""
 
+    SCOPE_CONDEMNED = "scope_condemned"
+    """Requests of a workspace on a route are refused from now on, because some crash servers."""
+
+    SCOPE_CLEARED = "scope_cleared"
+    """Requests of a workspace on a route are no longer refused."""
+
     REPORT_SHARED = "crash_report_shared"
     """The deaths and clearings that this instance detected were written to the store."""
 
--- a/src/sapphireledge/gateway/quarantine_settings.py
+++ b/src/sapphireledge/gateway/quarantine_settings.py
@@ -17,6 +17,13 @@
     condemn_after: int = 3
     """Deaths after which a request or a part of a prompt is refused."""
 
+    condemn_scope_after: int = 5
+    """Deaths after which all requests of a workspace on a route may be refused."""
+
+    scope_retention: float = 120.0
+    """How long a death counts against a workspace on a route. Most of its requests are sound, so
+    servers get another chance with them sooner than with a part."""
+
     burst_window: float = 1.0
     """Time window within which unrelated deaths are attributed to one common cause. A request takes
     longer than that to reach and crash its next engine."""
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -9,6 +9,7 @@
 from sapphireledge.gateway.attempt_progress import AttemptProgress
 from sapphireledge.gateway.backend_response_error import BackendResponseError
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
+from sapphireledge.gateway.replay_rule import ReplayRule
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -50,7 +51,8 @@
         state.in_flight += 1
     started = asyncio.get_running_loop().time()
     work_id = context.crashes.begin(admitted, server, isolated=isolated)
-    attempt = AttemptProgress(context.crashes, work_id)
+    is_stream = admitted.route.replay is ReplayRule.EVENT_STREAM
+    attempt = AttemptProgress(context.crashes, work_id, runs_at_once=not is_stream)
     try:
         outcome = await _connect_and_run(context, admitted, server, partial(run, attempt=attempt))
         if outcome.connection_lost:
--- a/src/sapphireledge/platform/server_listener.py
+++ b/src/sapphireledge/platform/server_listener.py
@@ -147,6 +147,8 @@
             self._removed[_incarnation(state.server)] = None
             if len(self._removed) > MAX_REMOVED:
                 self._removed.popitem(last=False)
+            if not state.backpressure.is_leaving:
+                self._context.crashes.on_server_gone(state.server)
         self._context.registry.remove(server_id)
         self._context.pool.drop(server_id)
         self._log.info(GatewayEvent.SERVER_REMOVED, server=server_id)
--- a/src/sapphireledge/settings/quarantine_settings.py
+++ b/src/sapphireledge/settings/quarantine_settings.py
@@ -20,6 +20,12 @@
     condemn_after: int = setting(3, unit="deaths", ge=2, le=10)
     """Backend deaths after which the request is refused."""
 
+    condemn_scope_after: int = setting(5, unit="deaths", ge=3, le=100)
+    """Backend deaths after which all requests of a workspace for a service may be refused."""
+
+    scope_retention: float = setting(120.0, unit="s", ge=10, le=604_800)
+    """How long a death counts against a workspace at a service."""
+
     burst_window: float = setting(2.0, unit="s", ge=0.1, le=60)
     """Time window within which unrelated deaths are attributed to one common cause."""
 
--- a/src/sapphireledge_experiment/model/crash_watch.py
+++ b/src/sapphireledge_experiment/model/crash_watch.py
@@ -12,6 +12,7 @@
     Quarantine,
     RequestContent,
     RunningRequests,
+    ServiceSize,
     find_avoided_servers,
 )
 
@@ -79,7 +80,9 @@
         isolated = isinstance(verdict, IsolateVerdict) and engine.name not in self.find_avoided(
             verdict
         )
-        self._running.add(work_id, engine.name, _describe(request), isolated=isolated)
+        self._running.add(
+            self._clock.now, work_id, engine.name, _describe(request), isolated=isolated
+        )
         return work_id
 
     def on_event(self, work_id: str) -> None:
@@ -101,7 +104,7 @@
 
     def end(self, work_id: str) -> None:
         """Removes a run that ended."""
-        self._running.remove(work_id)
+        self._running.remove(self._clock.now, work_id)
 
     def on_connection_lost(self, engine: SimulatedEngine, delay: float) -> None:
         """Checks whether an engine died that reset a connection; call it before `end`.
@@ -113,7 +116,8 @@
         if engine.name in self._checked:
             return
         self._checked.add(engine.name)
-        record = self._running.record_death(engine.name, "", self._clock.now)
+        now = self._clock.now
+        record = self._running.record_death(now, now, engine.name, "", ServiceSize())
 
         def confirm() -> None:
             """Records the death."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -21,6 +21,7 @@
     Quarantine,
     RequestContent,
     RunningRequests,
+    ServiceSize,
 )
 from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.parse_request import parse_request
@@ -255,19 +256,21 @@
         running = RunningRequests()
         for name in ("queued", "begun", "first", "going", "elsewhere"):
             backend = "e2" if name == "elsewhere" else "e1"
-            running.add(name, backend, RequestContent(name, (f"p-{name}",)))
+            running.add(0.0, name, backend, RequestContent(name, (f"p-{name}",)))
         running.on_begun("begun")
         self.assertIsNone(running.on_progress(10.0, "first"))
         self.assertIsNone(running.on_progress(10.0, "going"))
         survived = running.on_progress(10.3, "going")
         self.assertEqual(survived, RequestContent("going", ("p-going",)))
         self.assertIsNone(running.on_progress(10.4, "going"))
-        record = running.record_death("e1", "b", START)
+        record = running.record_death(11.0, START, "e1", "b", ServiceSize())
         self.assertEqual(record.suspects, ("begun", "first", "going", "queued"))
         self.assertEqual(record.begun, {"begun": ("p-begun",), "first": ("p-first",)})
-        running.remove("begun")
-        running.remove("unknown")
-        self.assertEqual(set(running.record_death("e1", "b", START).begun), {"first"})
+        running.remove(11.0, "begun")
+        running.remove(11.0, "unknown")
+        self.assertEqual(
+            set(running.record_death(11.0, START, "e1", "b", ServiceSize()).begun), {"first"}
+        )
 
 
 class CrashReportTest(unittest.TestCase):
--- a/tests/test_crashing_plain_requests.py
+++ b/tests/test_crashing_plain_requests.py
@@ -45,7 +45,9 @@
         await super().asyncSetUp()
         self.crashing = []
         context = self.gateway.context
+        measure_service = context.crashes.measure_service
         context.crashes = CrashGuard(CFG, context.telemetry)
+        context.crashes.measure_service = measure_service
         keys = {**table().keys, OTHER_KEY: WorkspaceKey("registry")}
         self.gateway.config.accept(replace(table(version=2), keys=keys))
 
@@ -150,6 +152,7 @@
             server = BackendServer(f"s{self.sent}", "app", HOST, self.port, "dc-a")
             isolated = isinstance(verdict, IsolateVerdict)
             work_id = guard.begin(admitted, server, isolated=isolated)
+            guard.on_begun(work_id)
             attempts.append((guard, server, work_id))
         for guard, server, work_id in attempts:
             guard.on_connection_lost(server)
--- /dev/null
+++ b/tests/test_crashing_scopes.py
@@ -0,0 +1,181 @@
+"""Tests of the attribution of server deaths to requests of one workspace on one route."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from scope_fleet import ScopeFleet
+
+from sapphireledge.core.quarantine import (
+    SCOPE_PREFIX,
+    ClearingRecord,
+    ClearVerdict,
+    DeathRecord,
+    Quarantine,
+)
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.gateway import QuarantineSettings
+
+CFG = QuarantineSettings()
+START = 1_000_000.0
+SCOPES = 12
+
+FLEETS = ((9, 3, 10.0), (9, 6, 40.0), (20, 30, 120.0))
+"""Instances, servers and requests a second of the simulated fleets."""
+
+
+def is_condemned(verdict) -> bool:
+    return isinstance(verdict, Failure) and verdict.kind is ErrorKind.REQUEST_CONDEMNED
+
+
+def draw_rates(rng: random.Random, total: float) -> dict[str, float]:
+    """Draws the rate of each scope; few of them are large."""
+    weights = [rng.paretovariate(1.0) for _ in range(SCOPES)]
+    return {f"s{i}": total * weight / sum(weights) for i, weight in enumerate(weights)}
+
+
+def death(number: int, at: float, presence: float = 0.1, **scopes: tuple[str, ...]) -> DeathRecord:
+    """Builds the death of a server that had begun requests of some scopes."""
+    requests = sorted({name for names in scopes.values() for name in names})
+    return DeathRecord(
+        f"server-{number}",
+        "boot",
+        at,
+        tuple(requests),
+        begun=dict.fromkeys(requests, ()),
+        service="app",
+        load=0.3,
+        scopes=scopes,
+        presence=dict.fromkeys(scopes, presence),
+    )
+
+
+class ScopeFleetTest(unittest.TestCase):
+    """Guards against requests without known content in common that crash server after server."""
+
+    def test_few_reach_servers_after_the_fifth_death(self):
+        for instances, servers, total in FLEETS:
+            for seed, share in enumerate((0.15, 0.35, 1.0)):
+                rng = random.Random(seed)
+                rates = draw_rates(rng, total)
+                bad = max(rates, key=rates.get)
+                fleet = ScopeFleet(rng, instances, servers, rates, {bad: share})
+                fleet.run(30.0)
+                with self.subTest(instances=instances, servers=servers, share=share):
+                    self.assertLessEqual(fleet.count_late_sends(), 3)
+                    self.assertGreater(fleet.refused.pop(bad), 0)
+                    self.assertEqual(set(fleet.refused.values()), {0})
+
+    def test_deaths_with_another_cause_lead_to_no_refusal(self):
+        for instances, servers, total in (*FLEETS, (9, 3, 100.0)):
+            for seed, largest in enumerate((1, 2, servers)):
+                rng = random.Random(seed)
+                fleet = ScopeFleet(rng, instances, servers, draw_rates(rng, total))
+                fleet.run(
+                    40.0, [(rng.uniform(1.0, 40.0), rng.randint(1, largest)) for _ in range(16)]
+                )
+                with self.subTest(instances=instances, servers=servers, largest=largest):
+                    self.assertGreater(len(fleet.deaths), 8)
+                    self.assertEqual(set(fleet.refused.values()), {0})
+
+
+class CrashingScopesTest(unittest.TestCase):
+    def setUp(self):
+        self.quarantine = Quarantine(CFG)
+
+    def add(self, *deaths: DeathRecord) -> float:
+        for record in deaths:
+            self.quarantine.on_engine_death(record.time_unix, record)
+        return max(record.time_unix for record in deaths) + 0.1
+
+    def judge(self, now: float, scope: str, fingerprint: str = "new"):
+        return self.quarantine.verdict(now, fingerprint, (), scope)
+
+    def bad_deaths(self, count: int) -> list[DeathRecord]:
+        return [death(i, START + 2.0 * i, **{"r/a": (f"q{i}",)}) for i in range(count)]
+
+    def test_scope_is_condemned_by_the_fifth_death(self):
+        now = self.add(*self.bad_deaths(4))
+        self.assertEqual(self.judge(now, "r/a"), ClearVerdict())
+        now = self.add(*self.bad_deaths(5))
+        verdict = self.judge(now, "r/a")
+        self.assertTrue(is_condemned(verdict))
+        self.assertIs(verdict.ran, Ran.NO)
+        self.assertEqual(self.judge(now, "r/b"), ClearVerdict())
+        state = self.quarantine.suspects(now)[0]
+        self.assertEqual((state.fingerprint, state.deaths), (SCOPE_PREFIX + "r/a", 5))
+
+    def test_scope_beside_a_crashing_one_is_not_condemned(self):
+        """Guards against refusing the other requests that ran on the servers that died."""
+        now = self.add(
+            *(
+                death(
+                    i,
+                    START + 2.0 * i,
+                    **{"r/a": (f"q{i}",), "r/b": (f"x{i}",)} if i else {"r/a": ("q",)},
+                )
+                for i in range(6)
+            )
+        )
+        self.assertTrue(is_condemned(self.judge(now, "r/a")))
+        self.assertEqual(self.judge(now, "r/b"), ClearVerdict())
+        self.assertEqual(self.judge(now, "r/b", "x1"), ClearVerdict())
+
+    def test_repeated_request_is_not_attributed_to_its_scope(self):
+        """Guards against refusing all requests of a workspace because one is repeated."""
+        now = self.add(*(death(i, START + 2.0 * i, **{"r/a": ("same", f"q{i}")}) for i in range(6)))
+        self.assertEqual(self.judge(now, "r/a"), ClearVerdict())
+        self.assertNotIsInstance(self.judge(now, "r/a", "same"), ClearVerdict)
+
+    def test_busy_scope_is_not_condemned(self):
+        """Guards against refusing a workspace whose requests are on every server all the time."""
+        now = self.add(*(death(i, START + 2.0 * i, 0.8, **{"r/a": (f"q{i}",)}) for i in range(12)))
+        self.assertEqual(self.judge(now, "r/a"), ClearVerdict())
+
+    def test_servers_that_died_without_requests_count(self):
+        """Guards against judging by those deaths only that requests have noticed."""
+        idle = [DeathRecord(f"idle-{i}", "b", START + i, service="app") for i in range(20)]
+        now = self.add(*self.bad_deaths(5), *idle)
+        self.assertEqual(self.judge(now, "r/a"), ClearVerdict())
+
+    def test_lift_and_expiry_accept_the_scope_again(self):
+        now = self.add(*self.bad_deaths(5))
+        self.assertIsNotNone(self.quarantine.lift(now, SCOPE_PREFIX + "r/a", "ops", "fixed"))
+        self.assertEqual(self.judge(now, "r/a"), ClearVerdict())
+        self.quarantine = Quarantine(CFG)
+        now = self.add(*self.bad_deaths(5))
+        self.assertTrue(is_condemned(self.judge(START + CFG.scope_retention - 1.0, "r/a")))
+        self.assertEqual(self.judge(now + CFG.scope_retention, "r/a"), ClearVerdict())
+
+    def test_order_and_repetition_do_not_matter(self):
+        """Guards against instances that refuse different scopes after the same records."""
+        for seed in range(40):
+            rng = random.Random(seed)
+            events: list[DeathRecord | ClearingRecord] = []
+            for i in range(12):
+                at = START + rng.random() * 12.0
+                scopes = {f"r/{c}": (f"{c}{rng.randrange(9)}",) for c in rng.sample("aab", 2)}
+                events += [death(i, at, rng.choice((0.1, 0.3)), **scopes)]
+                events += [death(i, at + 0.2, 0.2, **{"r/a": (f"late{i}",)})]
+            events.append(ClearingRecord(SCOPE_PREFIX + "r/b", START + 3.0))
+            results = []
+            for _ in range(3):
+                quarantine = Quarantine(CFG)
+                rng.shuffle(events)
+                for item in (*events, *rng.sample(events, 3)):
+                    if isinstance(item, DeathRecord):
+                        quarantine.on_engine_death(START + 13.0, item)
+                    else:
+                        quarantine.on_cleared(START + 13.0, item)
+                results.append((quarantine.crashing_scopes(START + 14.0), quarantine.records()))
+            self.assertEqual(results[0], results[1])
+            self.assertEqual(results[0], results[2])
+
+    def test_death_records_survive_storage(self):
+        record = death(1, START, **{"r/a": ("q",)})
+        self.assertEqual(DeathRecord.decode(record.encode()), record)
+
+
+if __name__ == "__main__":
+    unittest.main()
