Let few instances try a request again that crashed several servers at once

Cause: proof was left to each instance. Deaths within one burst window prove nothing, since a request can be moved through a failing rack; after it, every instance was allowed one more attempt, in isolation, before a fourth death proved the cause. The class of fault: a limit for the fleet that each instance keeps alone.

Ruled out: asking the store for leave (calls at the worst moment, no trial while it is away); a designated instance (callers cannot choose it).

Three deaths with the request just begun, the last one later than a burst window after the one before, condemn it without a further death. If all lie within a burst window, only a share of its repetitions tries again, drawn by their ids: 1 in 32 at first.

--- a/src/sapphireledge/core/quarantine/__init__.py
+++ b/src/sapphireledge/core/quarantine/__init__.py
@@ -6,6 +6,7 @@
 from sapphireledge.core.quarantine.clearing_record import ClearingRecord
 from sapphireledge.core.quarantine.crash_report import CrashReport
 from sapphireledge.core.quarantine.death_record import DeathRecord
+from sapphireledge.core.quarantine.draw_trial import draw_trial
 from sapphireledge.core.quarantine.find_avoided_servers import find_avoided_servers
 from sapphireledge.core.quarantine.fingerprint_parts import fingerprint_parts
 from sapphireledge.core.quarantine.fingerprint_request import fingerprint_request
@@ -31,6 +32,7 @@
     "RunningRequests",
     "ServiceSize",
     "SuspectState",
+    "draw_trial",
     "find_avoided_servers",
     "fingerprint_parts",
     "fingerprint_request",
--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -9,6 +9,7 @@
 from sapphireledge.core.quarantine.clear_verdict import ClearVerdict
 from sapphireledge.core.quarantine.clearing_record import ClearingRecord
 from sapphireledge.core.quarantine.death_record import DeathRecord
+from sapphireledge.core.quarantine.draw_trial import trial_share
 from sapphireledge.core.quarantine.find_crashing_parts import SOUND_TIME, find_crashing_parts
 from sapphireledge.core.quarantine.find_crashing_scopes import SETTLE_TIME, find_crashing_scopes
 from sapphireledge.core.quarantine.is_in_burst import is_in_burst
@@ -29,6 +30,9 @@
 SCOPE_PREFIX = "scope:"
 """Prefix of a scope where a fingerprint of a request may stand, too."""
 
+HELD_RETRY_AFTER = 5.0
+"""Retry-After in seconds for a request that is held back because it may crash servers."""
+
 MAX_SURVIVALS = 4_096
 """Prompt parts whose latest survival is remembered; the part that survived longest ago is forgotten
 first."""
@@ -241,6 +245,7 @@
         fingerprint: str,
         parts: Sequence[str] = (),
         scope: str = "",
+        draw: float = 0.0,
     ) -> ClearVerdict | IsolateVerdict | Failure:
         """Decides how a request may run.
 
@@ -249,10 +254,13 @@
             fingerprint: Fingerprint of the request.
             parts: Ids of the parts of its prompt that other requests can share.
             scope: Scope of the request, empty if it has none.
+            draw: Result of `draw_trial` for the request; of those that are held back, the ones with
+                the lowest results are tried.
 
         Returns:
             A verdict, or a failure: request_condemned, or overloaded with the delay after which the
-            latest deaths can be attributed. With either failure, nothing is run.
+            latest deaths can be attributed or the request may be tried again. With either failure,
+            nothing is run.
         """
         if scope and scope in self.crashing_scopes(now_unix):
             reason = f"servers die when they run requests of {scope}"
@@ -279,6 +287,10 @@
         if len(deaths) >= self._cfg.condemn_after and now_unix < attributable_at:
             reason = "recent engine deaths have not been attributed yet"
             return Failure(ErrorKind.OVERLOADED, reason, retry_after=attributable_at - now_unix)
+        since_death = now_unix - deaths[-1].time_unix
+        if self._is_held(fingerprint, deaths) and draw >= trial_share(since_death):
+            reason = f"{len(deaths)} servers died at once while running this request"
+            return Failure(ErrorKind.OVERLOADED, reason, retry_after=HELD_RETRY_AFTER)
         return IsolateVerdict(len(deaths))
 
     def records(self) -> tuple[DeathRecord, ...]:
@@ -406,7 +418,7 @@
         return max(cleared, self._survived_at.get(part, float("-inf")))
 
     def _is_proven_cause(self, fingerprint: str, deaths: list[DeathRecord]) -> bool:
-        """Whether a death in isolation proves that a request crashes engines.
+        """Whether a death in isolation, or as it began to run, proves that a request is the cause.
 
         A request that is moved between the engines of a failing rack sees several deaths within one
         burst window, all of which share it as a suspect. Only a death more than a burst window
@@ -415,10 +427,33 @@
         first = self._cfg.condemn_after - 1
         return any(
             death.time_unix - before.time_unix > self._cfg.burst_window
-            and self._ran_isolated(fingerprint, death)
+            and (self._ran_isolated(fingerprint, death) or self._began_alone(fingerprint, death))
             for before, death in zip(deaths[first - 1 :], deaths[first:], strict=False)
         )
 
+    def _is_held(self, fingerprint: str, deaths: list[DeathRecord]) -> bool:
+        """Whether a request had just begun to run at so many deaths that few may try it again.
+
+        The deaths may still be those of a failing rack, through which the request was moved.
+        """
+        return sum(fingerprint in death.begun for death in deaths) >= self._cfg.condemn_after
+
+    def _began_alone(self, fingerprint: str, death: DeathRecord) -> bool:
+        """Whether a request began to run on an engine that died, and no other suspect did.
+
+        Requests that begin are on an engine for a moment only; few deaths with another cause hit
+        the same one so often.
+        """
+        return (
+            fingerprint in death.begun
+            and set(death.isolated) <= {fingerprint}
+            and not any(
+                self._requires_isolation_without(other, death)
+                for other in death.begun
+                if other != fingerprint
+            )
+        )
+
     def _ran_isolated(self, fingerprint: str, death: DeathRecord) -> bool:
         """Whether no other request that required isolation was on the engine when it died.
 
--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -19,6 +19,7 @@
     RequestContent,
     RunningRequests,
     ServiceSize,
+    draw_trial,
     find_avoided_servers,
 )
 from sapphireledge.errors import ErrorKind, Failure
@@ -112,6 +113,7 @@
             content.fingerprint,
             content.parts,
             content.scope,
+            draw_trial(admitted.request.request_id),
         )
         if isinstance(verdict, Failure) and verdict.kind is ErrorKind.REQUEST_CONDEMNED:
             return replace(verdict, retry_after=verdict.retry_after or self._cfg.retention)
@@ -129,7 +131,11 @@
             A verdict of the quarantine.
         """
         verdict = self.judge(admitted)
-        if isinstance(verdict, Failure) and verdict.kind is ErrorKind.OVERLOADED:
+        if (
+            isinstance(verdict, Failure)
+            and verdict.kind is ErrorKind.OVERLOADED
+            and (verdict.retry_after or 0.0) <= self._cfg.burst_window
+        ):
             await asyncio.sleep(verdict.retry_after or 0.0)
             verdict = self.judge(admitted)
         return verdict
--- a/tests/test_crashing_scopes.py
+++ b/tests/test_crashing_scopes.py
@@ -12,7 +12,9 @@
     ClearingRecord,
     ClearVerdict,
     DeathRecord,
+    IsolateVerdict,
     Quarantine,
+    draw_trial,
 )
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.gateway import QuarantineSettings
@@ -89,8 +91,8 @@
             self.quarantine.on_engine_death(record.time_unix, record)
         return max(record.time_unix for record in deaths) + 0.1
 
-    def judge(self, now: float, scope: str, fingerprint: str = "new"):
-        return self.quarantine.verdict(now, fingerprint, (), scope)
+    def judge(self, now: float, scope: str, fingerprint: str = "new", draw: float = 0.5):
+        return self.quarantine.verdict(now, fingerprint, (), scope, draw)
 
     def bad_deaths(self, count: int) -> list[DeathRecord]:
         return [death(i, START + 2.0 * i, **{"r/a": (f"q{i}",)}) for i in range(count)]
@@ -126,7 +128,7 @@
         """Guards against refusing all requests of a workspace because one is repeated."""
         now = self.add(*(death(i, START + 2.0 * i, **{"r/a": ("same", f"q{i}")}) for i in range(6)))
         self.assertEqual(self.judge(now, "r/a"), ClearVerdict())
-        self.assertNotIsInstance(self.judge(now, "r/a", "same"), ClearVerdict)
+        self.assertTrue(is_condemned(self.judge(now, "r/a", "same")))
 
     def test_busy_scope_is_not_condemned(self):
         """Guards against refusing a workspace whose requests are on every server all the time."""
@@ -177,5 +179,40 @@
         self.assertEqual(DeathRecord.decode(record.encode()), record)
 
 
+class HeldRequestTest(unittest.TestCase):
+    """Guards against many instances that each try a request once more, and against giving it up."""
+
+    def setUp(self):
+        self.quarantine = Quarantine(CFG)
+        for i in range(3):
+            at = START + 0.3 * i
+            self.quarantine.on_engine_death(at, death(i, at, **{"r/a": ("same",)}))
+
+    def judge(self, now: float, draw: float):
+        return self.quarantine.verdict(now, "same", (), "r/a", draw)
+
+    def test_few_requests_try_again_until_one_dies_or_is_answered(self):
+        now = START + 5.0
+        tried = sum(isinstance(self.judge(now, i / 320), IsolateVerdict) for i in range(320))
+        self.assertLessEqual(tried, 15)
+        self.assertGreater(tried, 0)
+        held = self.judge(now, 0.9)
+        self.assertIs(held.kind, ErrorKind.OVERLOADED)
+        self.assertIs(held.ran, Ran.NO)
+        self.quarantine.on_completed(now, "same")
+        self.assertEqual(self.judge(now + 1.0, 0.9), ClearVerdict())
+
+    def test_death_in_a_trial_is_proof(self):
+        at = START + 5.0
+        self.quarantine.on_engine_death(at, death(9, at, **{"r/a": ("same",)}))
+        self.assertTrue(is_condemned(self.judge(at, 0.0)))
+
+    def test_draw_is_even_and_does_not_change(self):
+        draws = sorted(draw_trial(f"id{i}") for i in range(1000))
+        self.assertEqual(draws, sorted(draw_trial(f"id{i}") for i in range(1000)))
+        for i, value in enumerate(draws):
+            self.assertAlmostEqual(value, i / 1000, delta=0.06)
+
+
 if __name__ == "__main__":
     unittest.main()
