Attribute deaths of plain services to the calls of the own interface

Cause: the own interface tracked the attempts of generations only, in BackendPool; ServiceDispatcher had no access to the quarantine. Prompts without shared parts had the same gap as plain requests.

Change: DeathChecker judges generations and calls, with one decision for both interfaces. Service deaths are confirmed by a refused connection; peers exchange scopes, load and presence in four new fields of EngineDeath, which earlier versions ignore. A retry of a call waits until the death is known. A call that may have run and is then refused ends as unknown rather than as not run.

Ruled out: a second quarantine for services (operators would have two lists).

--- a/src/sapphireledge/core/membership/death_notice.py
+++ b/src/sapphireledge/core/membership/death_notice.py
@@ -29,3 +29,15 @@
     begun: tuple[tuple[str, tuple[str, ...]], ...] = ()
     """Those of the `suspects` that the engine had just begun to answer, each with the parts of its
     prompt that other requests can share."""
+
+    service: str = ""
+    """Service of the backend server."""
+
+    load: float = 0.0
+    """Share of time in which any server of the service ran a request that has a scope."""
+
+    scopes: tuple[tuple[str, tuple[str, ...]], ...] = ()
+    """Scopes of the requests in `begun` that have one, each with the fingerprints."""
+
+    presence: tuple[tuple[str, float], ...] = ()
+    """Share of time in which any server of the service ran a request of each of the `scopes`."""
--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -78,6 +78,11 @@
         """Whether any death is on record."""
         return bool(self._records)
 
+    @property
+    def attribution_time(self) -> float:
+        """Longest time in seconds until recent deaths are attributed."""
+        return self._cfg.burst_window
+
     def has_died(self, backend: str, boot_id: str) -> bool:
         """Whether a death is on record.
 
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -110,7 +110,6 @@
         self._config = config
         self._view = view
         self._ledger = ledger
-        self._quarantine = quarantine
         self._pools = pools
         self._suspects = suspects
         self._metrics = metrics
@@ -122,7 +121,7 @@
         self._schedulers: dict[tuple[str, str], RankScheduler] = {}
         self._waiting: dict[str, asyncio.Future[Failure | None]] = {}
         self._clients: dict[str, EngineClient] = {}
-        self._deaths = DeathChecker(view, quarantine, suspects)
+        self._deaths = DeathChecker(view, quarantine, suspects, count_entries)
         self._serving_versions: dict[str, tuple[str, float]] = {}
         self._work_queued = asyncio.Event()
         self._log = structlog.get_logger()
@@ -277,7 +276,7 @@
         version: str,
     ) -> Grant:
         """Records the dispatch to the chosen backend server and creates the grant."""
-        content = RequestContent(work.req.fingerprint, work.req.parts)
+        content = _describe_content(work.req)
         self._deaths.track(work.work_id, choice.backend, content, isolated=request.isolate)
         self._view.on_dispatch(
             time.monotonic(),
@@ -312,11 +311,7 @@
         else:
             await self._deaths.wait_for_checks()
         req = work.req
-        verdict = self._quarantine.verdict(time.time(), req.fingerprint, req.parts)
-        if isinstance(verdict, Failure) and verdict.kind is ErrorKind.OVERLOADED:
-            # Recent deaths are not attributed yet; the verdict after the wait is final.
-            await asyncio.sleep(verdict.retry_after or 0.0)
-            verdict = self._quarantine.verdict(time.time(), req.fingerprint, req.parts)
+        verdict = await self._deaths.judge(_describe_content(req), req.request_id)
         if isinstance(verdict, Failure):
             return verdict
         if work.attempt > 1 and work.offset == 0 and not self._retry_budget.try_spend(now):
@@ -329,7 +324,7 @@
     ) -> RouteRequest:
         """Builds the routing request of the attempt."""
         req = work.req
-        verdict = self._quarantine.verdict(time.time(), req.fingerprint, req.parts)
+        verdict = self._deaths.judge_now(_describe_content(req), req.request_id)
         output = self._output_estimator.expected(f"{req.model}/{req.rank}")
         prompt_tokens = max(1, len(req.prompt) // BYTES_PER_TOKEN) + work.offset
         _, output_tokens = estimate_cost(prompt_tokens, 0.0, output, req.max_tokens - work.offset)
@@ -462,3 +457,9 @@
         future = self._waiting.get(work_id)
         if future is not None and not future.done():
             future.set_result(failure)
+
+
+def _describe_content(req: CallerRequest) -> RequestContent:
+    """Describes by what engine deaths are attributed to a request."""
+    scope = "" if req.parts else f"{req.model}/{req.workspace}"
+    return RequestContent(req.fingerprint, req.parts, req.model, scope)
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -26,6 +26,7 @@
 from sapphireledge.entry.backend_monitor import BackendMonitor
 from sapphireledge.entry.backend_pool import BackendPool
 from sapphireledge.entry.copy_store import CopyStore
+from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.engine_orders import EngineOrders
 from sapphireledge.entry.entry_parts import EntryParts
 from sapphireledge.entry.housekeeping import Housekeeping
@@ -163,7 +164,16 @@
         self._bridge.connect(self._pool, self._suspects)
         self._monitor = BackendMonitor(cfg, self._view, self._pool, self._suspects)
         self._services = ServiceRunner(
-            cfg, self._store, self._view, self._pools, self._mesh, self._metrics, self._rng
+            cfg,
+            self._store,
+            self._view,
+            self._pools,
+            self._mesh,
+            DeathChecker(
+                self._view, self._quarantine, self._suspects, lambda: len(self._mesh.live)
+            ),
+            self._metrics,
+            self._rng,
         )
         self._engine_orders = EngineOrders(cfg, self._view, self._pool, self._config)
         self._fleet = FleetController(
--- a/src/sapphireledge/entry/service_dispatcher.py
+++ b/src/sapphireledge/entry/service_dispatcher.py
@@ -6,8 +6,15 @@
 import uuid
 from typing import TYPE_CHECKING
 
-from sapphireledge.backends import CallFailureCause, ServiceClient, ServiceResponse, decode_signals
+from sapphireledge.backends import (
+    CallFailure,
+    CallFailureCause,
+    ServiceClient,
+    ServiceResponse,
+    decode_signals,
+)
 from sapphireledge.core.claims import NoResponse, NotSent, ServiceOutcome
+from sapphireledge.core.quarantine import IsolateVerdict
 from sapphireledge.core.routing import Router, RouteRequest
 from sapphireledge.entry.service_call import ServiceCall
 from sapphireledge.errors import ErrorKind, Failure, Ran
@@ -19,6 +26,7 @@
     from sapphireledge.core.claims import ServiceReply
     from sapphireledge.core.routing import BackendView
     from sapphireledge.entry.claim_request import ClaimRequest
+    from sapphireledge.entry.death_checker import DeathChecker
     from sapphireledge.settings import Settings
 
 __all__ = ["ServiceDispatcher"]
@@ -31,7 +39,12 @@
     """Chooses a backend server and sends a request to it once; implements `ServiceSender`."""
 
     def __init__(
-        self, cfg: Settings, view: BackendView, pools: ConnectionPools, rng: Random
+        self,
+        cfg: Settings,
+        view: BackendView,
+        pools: ConnectionPools,
+        deaths: DeathChecker,
+        rng: Random,
     ) -> None:
         """Creates the dispatcher.
 
@@ -39,10 +52,12 @@
             cfg: Settings of the instance.
             view: View of the backend servers.
             pools: Connections to backend servers.
+            deaths: Attribution of deaths of backend servers to calls.
             rng: Random number generator for routing.
         """
         self._view = view
         self._pools = pools
+        self._deaths = deaths
         self._rng = rng
         self._router = Router(cfg.routing)
         self._clients: dict[str, ServiceClient] = {}
@@ -52,7 +67,16 @@
     ) -> ServiceReply:
         """Sends a non-idempotent request once, see `ServiceSender`."""
         headers = {**req.headers, "idempotency-key": req.idempotency_key}
-        call = ServiceCall(req.service, req.method, req.path, req.body, req.timeout, headers)
+        call = ServiceCall(
+            req.service,
+            req.method,
+            req.path,
+            req.body,
+            req.timeout,
+            req.workspace,
+            uuid.uuid4().hex,
+            headers,
+        )
         return await self.send(call, avoid=tuple(avoid), not_after=not_after)
 
     async def send(
@@ -74,8 +98,18 @@
         Returns:
             The response, or how the call failed.
         """
+        content = call.content
+        verdict = await self._deaths.judge(content, call.call_id)
+        if isinstance(verdict, Failure):
+            return verdict
         now = time.monotonic()
-        request = RouteRequest(role=call.service, avoid=avoid)
+        is_isolated = isinstance(verdict, IsolateVerdict)
+        request = RouteRequest(
+            role=call.service,
+            avoid=avoid,
+            suspect=is_isolated or verdict.deaths > 0,
+            isolate=is_isolated,
+        )
         choice = self._router.choose(now, request, self._view, self._rng)
         if isinstance(choice, Failure):
             return choice
@@ -84,16 +118,28 @@
             return Failure(ErrorKind.NO_BACKEND, reason, Ran.NO, retry_after=1.0)
         client = self._get_client(choice.address)
         work_id = uuid.uuid4().hex
-        self._view.on_dispatch(now, choice.backend, work_id)
+        self._view.on_dispatch(
+            now,
+            choice.backend,
+            work_id,
+            suspect=request.suspect,
+            isolate=is_isolated,
+        )
+        self._deaths.track(work_id, choice.backend, content, isolated=is_isolated)
+        self._deaths.on_begun(work_id)
         try:
             if not_after is not None and time.monotonic() >= not_after:
                 return NotSent(choice.backend)
             result = await client.call(
                 call.method, call.path, call.headers, call.body, call.timeout, idempotent
             )
+            if isinstance(result, CallFailure) and result.cause is CallFailureCause.CONNECTION_LOST:
+                self._deaths.check_service(choice.backend, choice.address)
         finally:
+            self._deaths.untrack(work_id)
             self._view.on_end(time.monotonic(), choice.backend, work_id)
         if isinstance(result, ServiceResponse):
+            self._deaths.on_answered(content)
             signals = decode_signals(result.status, result.headers)
             self._view.on_response(time.monotonic(), choice.backend, signals)
             content_type = result.headers.get("content-type", DEFAULT_CONTENT_TYPE)
--- a/src/sapphireledge/entry/service_runner.py
+++ b/src/sapphireledge/entry/service_runner.py
@@ -22,6 +22,7 @@
     from sapphireledge.backends import ConnectionPools
     from sapphireledge.core.routing import BackendView
     from sapphireledge.entry.claim_request import ClaimRequest
+    from sapphireledge.entry.death_checker import DeathChecker
     from sapphireledge.entry.service_call import ServiceCall
     from sapphireledge.objects import ObjectStore
     from sapphireledge.peers import PeerMesh
@@ -50,6 +51,7 @@
         view: BackendView,
         pools: ConnectionPools,
         mesh: PeerMesh,
+        deaths: DeathChecker,
         metrics: Metrics,
         rng: Random,
     ) -> None:
@@ -61,6 +63,7 @@
             view: View of the backend servers.
             pools: Connections to backend servers.
             mesh: Connections to the other entry instances.
+            deaths: Attribution of deaths of backend servers to calls.
             metrics: Metrics of the instance.
             rng: Random number generator for routing and jitter.
         """
@@ -69,7 +72,7 @@
         self._metrics = metrics
         self._rng = rng
         self._retry_budget = RetryBudget(cfg.admission)
-        self._dispatcher = ServiceDispatcher(cfg, view, pools, rng)
+        self._dispatcher = ServiceDispatcher(cfg, view, pools, deaths, rng)
         self._recorder = OutcomeRecorder(store, cfg.platform, rng)
         self._claims = ClaimRunner(
             cfg,
@@ -80,6 +83,7 @@
             self._recorder,
         )
         self._mesh = mesh
+        self._deaths = deaths
         self._collector = ClaimCollector(store, cfg.claims, self._get_collector_position)
         self._running = 0
 
@@ -144,7 +148,11 @@
                 await asyncio.sleep(
                     backoff_delay(attempt - 1, BACKOFF_BASE, BACKOFF_CAP, self._rng)
                 )
+                await self._deaths.wait_for_checks()
             reply = await self._dispatcher.send(call, idempotent=True, avoid=avoid)
+            if isinstance(reply, Failure) and ran is not Ran.NO:
+                reason = reply.reason
+                break
             if isinstance(reply, ServiceOutcome | Failure):
                 return reply
             avoid = (*avoid, reply.backend)
--- a/src/sapphireledge/entry/service_session.py
+++ b/src/sapphireledge/entry/service_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import uuid
 from typing import TYPE_CHECKING
 
 from starlette.responses import Response
@@ -86,7 +87,16 @@
             path += "?" + request.url.query
         if request.method in service.idempotent_methods:
             return await self._parts.services.call_idempotent(
-                ServiceCall(service.name, request.method, path, body, service.timeout, headers)
+                ServiceCall(
+                    service.name,
+                    request.method,
+                    path,
+                    body,
+                    service.timeout,
+                    self._workspace.name,
+                    uuid.uuid4().hex,
+                    headers,
+                )
             )
         key = request.headers.get("idempotency-key")
         if key is None:
--- a/src/sapphireledge/entry/suspect_exchange.py
+++ b/src/sapphireledge/entry/suspect_exchange.py
@@ -85,6 +85,10 @@
                 record.suspects,
                 record.isolated,
                 tuple(sorted(record.begun.items())),
+                record.service,
+                record.load,
+                tuple(sorted(record.scopes.items())),
+                tuple(sorted(record.presence.items())),
             )
         )
         self._spawn(self._write_death(record))
@@ -156,6 +160,10 @@
                 tuple(death.suspects),
                 tuple(death.isolated),
                 dict(death.begun),
+                death.service,
+                death.load,
+                dict(death.scopes),
+                dict(death.presence),
             )
             self._quarantine.on_engine_death(time.time(), record)
         self.report_survival()
--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -134,7 +134,7 @@
         if (
             isinstance(verdict, Failure)
             and verdict.kind is ErrorKind.OVERLOADED
-            and (verdict.retry_after or 0.0) <= self._cfg.burst_window
+            and (verdict.retry_after or 0.0) <= self.quarantine.attribution_time
         ):
             await asyncio.sleep(verdict.retry_after or 0.0)
             verdict = self.judge(admitted)
--- a/src/sapphireledge/peers/_private.py
+++ b/src/sapphireledge/peers/_private.py
@@ -93,8 +93,12 @@
                 death.time_unix,
                 tuple(death.suspects),
                 tuple(death.isolated),
-                # An instance of an earlier version does not send the field.
+                # An instance of an earlier version does not send this field and those after it.
                 tuple(sorted((name, tuple(parts)) for name, parts in (death.begun or {}).items())),
+                death.service_name or "",
+                death.load or 0.0,
+                tuple(sorted((name, tuple(ids)) for name, ids in (death.scopes or {}).items())),
+                tuple(sorted((death.presence or {}).items())),
             )
             for death in heartbeat.deaths
         ),
@@ -118,6 +122,10 @@
         list(death.suspects),
         list(death.isolated),
         {name: list(parts) for name, parts in death.begun},
+        death.service,
+        death.load,
+        {name: list(fingerprints) for name, fingerprints in death.scopes},
+        dict(death.presence),
     )
 
 
--- a/src/sapphireledge/schema/peer.thrift
+++ b/src/sapphireledge/schema/peer.thrift
@@ -29,6 +29,11 @@
   5: list<string> isolated  // those of the suspects that ran in isolation
   6: map<string, list<string>> begun  // those that the engine had just begun to answer, each with
                                       // the parts of its prompt that other requests can share
+  7: string service_name
+  8: double load            // share of time in which a server of the service ran requests with a scope
+  9: map<string, list<string>> scopes    // route and workspace of those in begun that have no parts,
+                                         // each with their fingerprints
+  10: map<string, double> presence       // share of time in which a server ran requests of each scope
 }
 
 // Clears a suspected request: its deaths up to time_unix no longer count.
--- a/tests/crashing_plain_server.py
+++ b/tests/crashing_plain_server.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from crashing_server import CrashingServer
-from gateway_case import signed_response
+from gateway_case import REQUEST_ID, full_response, signed_response
 
 if TYPE_CHECKING:
     from gateway_case import ReceivedRequest
@@ -24,4 +24,7 @@
         if self.crash_if_bad(request):
             return
         await asyncio.sleep(RUN_TIME / 2)
-        writer.write(signed_response(request))
+        if REQUEST_ID in request.headers:
+            writer.write(signed_response(request))
+        else:
+            writer.write(full_response(200, {}, b"ok"))
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -302,9 +302,11 @@
                 return CallFailure(CallFailureCause.NOT_CONNECTED, "refused")
 
         sink = SimpleNamespace(report_death=lambda r: None, report_survival=lambda: None)
-        view = SimpleNamespace(state=lambda backend: SimpleNamespace(boot_id="b", in_flight=()))
+        view = SimpleNamespace(
+            state=lambda backend: SimpleNamespace(boot_id="b", in_flight=()), states=lambda: ()
+        )
         quarantine = Quarantine(QuarantineSettings(burst_window=0.1))
-        checker = DeathChecker(view, quarantine, sink)
+        checker = DeathChecker(view, quarantine, sink, lambda: 1)
         for i in range(4):
             req = self.parse("crash me", f"question {i}")
             checker.track(
