Move the writer of event segments to objects, which ends the circle with telemetry

telemetry imported objects for SegmentWriter, and objects imported telemetry for the name of a log line, hidden inside a function.

--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -44,6 +44,7 @@
     InstanceWatcher,
     ObjectClient,
     PrefixWatcher,
+    SegmentWriter,
 )
 from sapphireledge.operator import (
     DeclarationReader,
@@ -54,7 +55,7 @@
     StatusReporter,
 )
 from sapphireledge.peers import AnswerCopies, PeerMesh, PeerQueries, PeerServer
-from sapphireledge.telemetry import LogEvent, MetricName, Metrics, SegmentWriter, Tracing
+from sapphireledge.telemetry import LogEvent, MetricName, Metrics, Tracing
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
--- a/src/sapphireledge/entry/housekeeping.py
+++ b/src/sapphireledge/entry/housekeeping.py
@@ -9,7 +9,8 @@
 import structlog
 
 from sapphireledge.entry.object_collector import ObjectCollector
-from sapphireledge.telemetry import SEGMENT_PREFIX, LogEvent, MetricName
+from sapphireledge.objects import SEGMENT_PREFIX
+from sapphireledge.telemetry import LogEvent, MetricName
 
 if TYPE_CHECKING:
     from random import Random
--- a/src/sapphireledge/objects/_private.py
+++ b/src/sapphireledge/objects/_private.py
@@ -15,6 +15,7 @@
 from sapphireledge.objects.instance import Instance
 from sapphireledge.objects.object_page import ObjectPage
 from sapphireledge.objects.stored_object import StoredObject
+from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -107,9 +108,6 @@
         Returns:
             The instances; rows that cannot be decoded name none.
         """
-        # The telemetry writes its segments through this package.
-        from sapphireledge.telemetry import LogEvent
-
         decoded = []
         for row in self.instances:
             try:
--- a/src/sapphireledge/telemetry/segment_writer.py
+++ b/src/sapphireledge/objects/segment_writer.py
@@ -9,14 +9,15 @@
 import structlog
 import zstandard
 
-from sapphireledge.objects import WriteStatus, settle_write
-from sapphireledge.telemetry.log_event import LogEvent
+from sapphireledge.objects.settle_write import settle_write
+from sapphireledge.objects.write_result import WriteStatus
+from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sapphireledge.core.replay import EventLog, EventSegment
-    from sapphireledge.objects import ObjectStore
+    from sapphireledge.objects.object_store import ObjectStore
     from sapphireledge.settings import Settings
 
 __all__ = ["SEGMENT_PREFIX", "SegmentWriter", "segment_key"]
--- a/src/sapphireledge/operator/event_reader.py
+++ b/src/sapphireledge/operator/event_reader.py
@@ -13,7 +13,7 @@
 
 from sapphireledge.core.replay import decode_events
 from sapphireledge.errors import Failure
-from sapphireledge.telemetry import SEGMENT_PREFIX
+from sapphireledge.objects import SEGMENT_PREFIX
 
 if TYPE_CHECKING:
     from sapphireledge.core.replay import RequestEvent
