--- a/src/sapphireledge_experiment/report/write_report.py
+++ b/src/sapphireledge_experiment/report/write_report.py
@@ -11,10 +11,11 @@
 
 from sapphireledge_experiment.report.paired_difference import compare_pairs
 from sapphireledge_experiment.report.plots import (
-    plot_comparison,
-    plot_occupancy,
-    plot_served,
-    plot_waiting,
+    draw_comparison,
+    draw_occupancy,
+    draw_served,
+    draw_waiting,
+    encode_figure,
 )
 from sapphireledge_experiment.report.policy_summary import PolicySummary, served_share, summarize
 
@@ -87,12 +88,13 @@
     }
     encoded = msgspec.json.format(msgspec.json.encode(summary, order="sorted"), indent=1)
     (folder / SUMMARY_FILE).write_bytes(encoded)
-    plots = {
-        "served": ("Share served over time", plot_served(results)),
-        "waiting": ("Time to the first event by rank", plot_waiting(results)),
-        "occupancy": ("Occupancy of the engines", plot_occupancy(results)),
-        "comparison": ("Share served by policy", plot_comparison(results)),
+    figures = {
+        "served": ("Share served over time", draw_served(results)),
+        "waiting": ("Time to the first event by rank", draw_waiting(results)),
+        "occupancy": ("Occupancy of the engines", draw_occupancy(results)),
+        "comparison": ("Share served by policy", draw_comparison(results)),
     }
+    plots = {name: (heading, encode_figure(drawn)) for name, (heading, drawn) in figures.items()}
     for name, (_, image) in plots.items():
         (folder / f"{name}.png").write_bytes(image)
     sections = [
