Place a stream at once on another engine if reports show that the chosen one takes none

Cause: the engine was chosen by reports that had just named its limit, no slot was to be had there, and the next placement counted the stream as one that waits. Of those only a small share may start on an idle engine, because all instances see it become idle at once; at 195 instances one in six. So streams that had nothing to wait for waited until they were late.

Change: engines whose reports name a limit or a pause are left out before the decision; only waits count as waits. The model does the same. Test: LimitInReportTest, 22 of 24 engines limited, fails on the code before (no response within 10 s).

--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -113,14 +113,16 @@
         loop = asyncio.get_running_loop()
         estimator = context.first_event_estimator(admitted.service.name)
         generation = context.generation_estimator(admitted.service.name)
-        for attempt in count():
+        waits = 0
+        for placement in count():
             excluded = self._choose_excluded(admitted, progress, avoided)
-            candidates = self._list_candidates(admitted, excluded, attempt)
+            candidates = self._list_candidates(admitted, excluded, waits)
             if not candidates and self._next_admission(admitted, excluded) == float("inf"):
                 return None
             if not candidates:
                 refusal = await self._wait_for_admission(admitted, progress, excluded)
                 if refusal is None:
+                    waits += 1
                     continue
                 return None if progress.may_have_executed else refusal
             views = [] if len(candidates) < 2 else await self._fetch_views(admitted, candidates)
@@ -128,6 +130,10 @@
                 if self._try_take(candidates[0]):
                     return self._select_known(admitted, progress, candidates[0])
                 continue
+            # A report may name a rate or a pause; such engines are not listed again.
+            views = [view for view in views if context.registry.admits(loop.time(), view.engine)]
+            if not views:
+                continue
             stream = _describe_pending(admitted, progress, loop.time())
             decision = self._rule.decide(
                 loop.time(),
@@ -135,20 +141,20 @@
                 views,
                 estimator,
                 may_wait=not context.is_stopping(),
-                start_share=self._start_share(admitted) if attempt else 1.0,
+                start_share=self._start_share(admitted) if waits else 1.0,
                 generation_time=generation.estimate(admitted.request.output_tokens),
             )
-            if attempt == 0 or not isinstance(decision, WaitForEngine):
+            if waits == 0 or not isinstance(decision, WaitForEngine):
                 costs = {view.engine: self._rule.cost(stream, view) for view in views}
                 silent = len(candidates) - len(views)
-                context.telemetry.record_placement(admitted, decision, costs, silent, attempt)
+                context.telemetry.record_placement(admitted, decision, costs, silent, placement)
             if isinstance(decision, RefuseStream):
                 return decision
             if isinstance(decision, WaitForEngine):
                 await asyncio.sleep(decision.delay)
+                waits += 1
                 continue
             server = next(s for s in candidates if s.server_id == decision.engine)
-            # The engine may have asked for fewer requests in the report.
             if self._try_take(server):
                 ahead = next(v.prompts_ahead for v in views if v.engine == decision.engine)
                 has_room = self._rule.has_room_for_copies(stream, views)
@@ -254,21 +260,21 @@
         return True
 
     def _list_candidates(
-        self, admitted: AdmittedRequest, excluded: frozenset[str], attempt: int
+        self, admitted: AdmittedRequest, excluded: frozenset[str], waits: int
     ) -> list[BackendServer]:
         """Lists the engines that take requests now, of which a stream is offered the best one."""
         registry = self._context.registry
         now = asyncio.get_running_loop().time()
         service = admitted.service.name
         ranked: Iterable[BackendServer]
-        if attempt:
+        if waits:
             ranked = registry.list_preferred(now, service, excluded)
         else:
             ranked = registry.rank_servers(now, service, admitted.request.affinity, excluded)
         return choose_candidates(
             (server for server in ranked if registry.admits(now, server.server_id)),
             lambda server: server.data_centre == self._context.cfg.data_centre,
-            attempt,
+            waits,
             registry.list_rated(now, service, excluded),
         )
 
--- a/src/sapphireledge_experiment/model/engine_placer.py
+++ b/src/sapphireledge_experiment/model/engine_placer.py
@@ -110,11 +110,11 @@
         """Removes the stream from those that wait at the instance."""
         self._instance.waiting_due.pop(self, None)
 
-    def place(self, placement: int = 0) -> None:
+    def place(self, waits: int = 0) -> None:
         """Lists candidates and fetches their reports.
 
         Args:
-            placement: Number of earlier placements of this attempt.
+            waits: How often this attempt has waited for an engine.
         """
         if self._is_stopped:
             return
@@ -123,7 +123,7 @@
         if holder is not None and registry.try_take(now, holder.name):
             self._on_start(StartOrder(holder, copy_of=self._tried.previous))
             return
-        if self._request.delivered and not self._tried.contacted and not placement:
+        if self._request.delivered and not self._tried.contacted and not waits:
             keeper = self._find_keeper()
             if keeper is not None and registry.try_take(now, keeper.name):
                 self._on_start(StartOrder(keeper))
@@ -131,17 +131,17 @@
         excluded = self._choose_excluded()
         ranked = (
             registry.list_preferred(now, ENGINES, excluded)
-            if placement
+            if waits
             else registry.rank_servers(now, ENGINES, self._request.key, excluded)
         )
         candidates = choose_candidates(
             (server for server in ranked if registry.admits(now, server.server_id)),
             lambda server: server.data_centre == str(instance.data_centre),
-            placement,
+            waits,
             registry.list_rated(now, ENGINES, excluded),
         )
         if not candidates:
-            self._wait_for_admission(excluded, placement)
+            self._wait_for_admission(excluded, waits)
             return
         engines = [self._world.engines.get(server.server_id) for server in candidates]
         delays = [
@@ -152,7 +152,7 @@
             )
             for engine in engines
         ]
-        self._clock.after(max(delays), lambda: self._decide(candidates, placement))
+        self._clock.after(max(delays), lambda: self._decide(candidates, waits))
 
     def _choose_excluded(self) -> frozenset[str]:
         """Returns the engines to leave out; they are used if there are no others."""
@@ -183,7 +183,7 @@
         run.copied_at = None
         return run.standby if is_complete and not run.standby.is_dead else None
 
-    def _wait_for_admission(self, excluded: frozenset[str], placement: int) -> None:
+    def _wait_for_admission(self, excluded: frozenset[str], waits: int) -> None:
         """Waits or refuses while no engine takes requests."""
         instance, now = self._instance, self._clock.now
         admission_at = instance.registry.next_admission(now, ENGINES, excluded)
@@ -196,9 +196,9 @@
         if isinstance(decision, RefuseStream):
             self._on_refused(decision.retry_after)
             return
-        self._clock.after(decision.delay, lambda: self.place(placement + 1))
+        self._clock.after(decision.delay, lambda: self.place(waits + 1))
 
-    def _decide(self, candidates: list[BackendServer], placement: int) -> None:
+    def _decide(self, candidates: list[BackendServer], waits: int) -> None:
         """Decides by the reports whether the stream starts, waits or is refused."""
         if self._is_stopped:
             return
@@ -209,7 +209,11 @@
             if engine is not None and instance.registry.try_take(now, engine.name):
                 self._on_start(StartOrder(engine))
             else:
-                self._clock.after(REPORT_TIMEOUT, lambda: self.place(placement + 1))
+                self._clock.after(REPORT_TIMEOUT, lambda: self.place(waits + 1))
+            return
+        views = [view for view in views if instance.registry.admits(now, view.engine)]
+        if not views:
+            self.place(waits)
             return
         stream = self._describe()
         share = compute_start_share(instance.registry.count(ENGINES), self._world.count_instances())
@@ -219,7 +223,7 @@
             views,
             instance.estimator,
             may_wait=self._world.policy.hold and instance.queue is None,
-            start_share=share if placement else 1.0,
+            start_share=share if waits else 1.0,
             generation_time=(
                 instance.generation.estimate(self._request.output_tokens)
                 if self._world.policy.finish_estimate
@@ -231,7 +235,7 @@
             self._on_refused(decision.retry_after)
         elif isinstance(decision, WaitForEngine):
             instance.waiting_due[self] = stream.due_at
-            self._clock.after(decision.delay, lambda: self.place(placement + 1))
+            self._clock.after(decision.delay, lambda: self.place(waits + 1))
         elif instance.registry.try_take(now, decision.engine):
             view = next(view for view in views if view.engine == decision.engine)
             has_room = instance.rule.has_room_for_copies(stream, views)
@@ -239,7 +243,7 @@
             standby = self._choose_standby(engine) if has_room else None
             self._on_start(StartOrder(engine, standby, decision.is_late, view.prompts_ahead))
         else:
-            self.place(placement + 1)
+            self.place(waits)
 
     def _build_views(
         self, candidates: list[BackendServer]
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -100,6 +100,7 @@
         self.received: list[ReceivedRequest] = []
         self.closed = 0
         self.load = {"waiting": 0, "running": 0, "runs": []}
+        self.report_headers: dict[str, str] = {}
         self.cached_parts: list[str] = []
         self._server: asyncio.Server | None = None
         self.port = 0
@@ -143,7 +144,7 @@
     ) -> bool:
         """Responds to queries for the load report and the cached prompt parts."""
         if request.target == b"/report":
-            writer.write(full_response(200, {}, encode_json(self.load)))
+            writer.write(full_response(200, self.report_headers, encode_json(self.load)))
         elif request.target == b"/kv-list":
             cached_parts = [["", part, 100, "m"] for part in self.cached_parts]
             writer.write(
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from gateway_case import (
     HOST,
@@ -38,6 +39,18 @@
 LEARN_TIME = 0.5
 """Seconds after which requests count, as a gateway learns the limit from its first response."""
 
+MANY_INSTANCES = 100_000
+"""Instances that share a limit, so many that none gets a slot during a test."""
+
+MANY_ENGINES = 24
+"""Engines of which most name a limit."""
+
+LONG_DEADLINE = 25.0
+"""Seconds until the deadline of a stream that may wait."""
+
+LIMITED_ENGINES = 22
+"""Engines that name a limit in their reports."""
+
 
 class ServerLimitTest(GatewayCase):
     async def asyncSetUp(self):
@@ -133,3 +146,29 @@
 
     async def stream(self, request, writer):
         writer.write(stream_head(request) + chunk(event(0)) + chunk(event(1)) + b"0\r\n\r\n")
+
+
+class LimitInReportTest(GatewayCase):
+    async def test_stream_goes_at_once_to_an_engine_that_takes_it(self):
+        """Guards against streams that wait like late ones because the reports of engines name a
+        limit, while other engines are idle."""
+
+        async def stream(request, writer):
+            writer.write(stream_head(request) + chunk(event(0)) + b"0\r\n\r\n")
+
+        route = replace(STREAM_ROUTE, time_limit=LONG_DEADLINE)
+        self.gateway.config.accept(replace(table(2), routes={"svc.example": (route,)}))
+        self.gateway.context.count_instances = lambda: MANY_INSTANCES
+        for index in range(MANY_ENGINES):
+            server = await self.add("llm", stream)
+            if index < LIMITED_ENGINES:
+                server.report_headers = {"server-limit": "1.0"}
+        loop = asyncio.get_running_loop()
+        for _ in range(4):
+            started = loop.time()
+            deadline = str(int(LONG_DEADLINE * 1000))
+            response = await self.call("/stream/", x_sapphireledge_deadline_ms=deadline)
+            self.assertEqual((response.status, response.complete), (200, True))
+            self.assertLess(loop.time() - started, 1.0)
+        limited = [len(server.received) for server in self.servers[:LIMITED_ENGINES]]
+        self.assertEqual(sum(limited), 0)
