Run each test module in a process of its own, on half of the cores

Modules do not depend on each other; each process also starts without the objects of earlier ones. Counts, known reds and the closing line are as before; a module that ends without a result counts as a failure.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,5 +1,7 @@
 """Runs the unittest suite and prints a final line with the counts.
 
+Without arguments, each test module runs in a process of its own, on half of the cores at once.
+
 Tests listed in KNOWN-RED.txt still run and are printed, but do not affect the exit code.
 """
 
@@ -7,9 +9,13 @@
 
 import gc
 import logging
+import os
+import re
+import subprocess
 import sys
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import structlog
@@ -17,6 +23,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 
+RESULT = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$", re.MULTILINE)
+"""Last line of a run."""
+
 
 class TimedResult(unittest.TextTestResult):
     """Records the duration of each test, to report the slowest ones."""
@@ -83,8 +92,21 @@
     return loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT / "tests"))
 
 
-def main() -> int:
-    """Runs the tests named on the command line, or all of them.
+def list_modules() -> list[str]:
+    """Lists all test modules, those with processes first because they take longest.
+
+    Returns:
+        Module names.
+    """
+    names = sorted(path.stem for path in (ROOT / "tests").glob("test_*.py"))
+    return sorted(names, key=lambda name: "processes" not in name)
+
+
+def run_here(names: list[str]) -> int:
+    """Runs tests in this process.
+
+    Args:
+        names: Module, class or test names; empty runs all test modules.
 
     Returns:
         0 when every test outside KNOWN-RED.txt passed, otherwise 1.
@@ -96,7 +118,7 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     runner = unittest.TextTestRunner(verbosity=1, resultclass=TimedResult)
-    result = runner.run(load(sys.argv[1:]))
+    result = runner.run(load(names))
     failed_ids = {test.id() for test, _ in result.failures + result.errors}
     known_failures = failed_ids & known_red()
     for test_id in sorted(known_failures):
@@ -108,5 +130,58 @@
     return 1 if failed_count or result.testsRun == 0 else 0
 
 
+def run_modules(jobs: int) -> int:
+    """Runs all test modules, each in a process of its own.
+
+    A module whose process ends without a result counts as one failure.
+
+    Args:
+        jobs: Number of processes that run at once.
+
+    Returns:
+        0 when every test outside KNOWN-RED.txt passed, otherwise 1.
+    """
+    totals = [0, 0, 0]
+    with ThreadPoolExecutor(jobs) as executor:
+        for name, seconds, output in executor.map(run_module, list_modules()):
+            found = RESULT.search(output)
+            counts = [int(count) for count in found.groups()] if found else [0, 1, 0]
+            totals = [total + count for total, count in zip(totals, counts, strict=True)]
+            print(f"{seconds:7.2f} s  {name}: {counts[0]} passed", flush=True)
+            if counts[1]:
+                print(output, flush=True)
+            for line in output.splitlines():
+                if line.startswith("known red: "):
+                    print(line, flush=True)
+    print(f"{totals[0]} passed, {totals[1]} failed, {totals[2]} skipped")
+    return 1 if totals[1] or not totals[0] else 0
+
+
+def run_module(name: str) -> tuple[str, float, str]:
+    """Runs one test module in a process of its own.
+
+    Args:
+        name: Name of the module.
+
+    Returns:
+        The name, the seconds that it took, and what the process printed.
+    """
+    started = time.monotonic()
+    command = [sys.executable, __file__, name]
+    done = subprocess.run(command, capture_output=True, text=True, errors="replace", check=False)
+    return name, time.monotonic() - started, done.stdout + done.stderr
+
+
+def main() -> int:
+    """Runs the tests named on the command line, or all of them.
+
+    Returns:
+        0 when every test outside KNOWN-RED.txt passed, otherwise 1.
+    """
+    if len(sys.argv) > 1:
+        return run_here(sys.argv[1:])
+    return run_modules(max(1, (os.cpu_count() or 2) // 2))
+
+
 if __name__ == "__main__":
     sys.exit(main())
