--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -267,17 +267,9 @@
             latest deaths can be attributed or the request may be tried again. With either failure,
             nothing is run.
         """
-        if scope and scope in self.crashing_scopes(now_unix):
-            reason = f"servers die when they run requests of {scope}"
-            return Failure(
-                ErrorKind.REQUEST_CONDEMNED, reason, retry_after=self._cfg.scope_retention
-            )
-        if self._by_part and parts:
-            crashing = self.crashing_parts(now_unix)
-            part = next((part for part in parts if part in crashing), None)
-            if part is not None:
-                reason = f"engines die when they answer requests with the prompt part {part}"
-                return Failure(ErrorKind.REQUEST_CONDEMNED, reason)
+        failure = self._refuse_shared(now_unix, parts, scope)
+        if failure is not None:
+            return failure
         if fingerprint not in self._by_fingerprint:
             return ClearVerdict()
         self.expire(now_unix)
@@ -298,6 +290,21 @@
             return Failure(ErrorKind.OVERLOADED, reason, retry_after=HELD_RETRY_AFTER)
         return IsolateVerdict(len(deaths))
 
+    def _refuse_shared(self, now_unix: float, parts: Sequence[str], scope: str) -> Failure | None:
+        """Refuses a request by what it has in common with others that crash servers."""
+        if scope and scope in self.crashing_scopes(now_unix):
+            reason = f"servers die when they run requests of {scope}"
+            return Failure(
+                ErrorKind.REQUEST_CONDEMNED, reason, retry_after=self._cfg.scope_retention
+            )
+        if self._by_part and parts:
+            crashing = self.crashing_parts(now_unix)
+            part = next((part for part in parts if part in crashing), None)
+            if part is not None:
+                reason = f"engines die when they answer requests with the prompt part {part}"
+                return Failure(ErrorKind.REQUEST_CONDEMNED, reason)
+        return None
+
     def records(self) -> tuple[DeathRecord, ...]:
         """Lists the death records within the retention period.
 
--- a/src/sapphireledge/entry/service_dispatcher.py
+++ b/src/sapphireledge/entry/service_dispatcher.py
@@ -24,7 +24,8 @@
 
     from sapphireledge.backends import ConnectionPools
     from sapphireledge.core.claims import ServiceReply
-    from sapphireledge.core.routing import BackendView
+    from sapphireledge.core.quarantine import RequestContent
+    from sapphireledge.core.routing import BackendView, RouteChoice
     from sapphireledge.entry.claim_request import ClaimRequest
     from sapphireledge.entry.death_checker import DeathChecker
     from sapphireledge.settings import Settings
@@ -116,21 +117,43 @@
         if choice.backend in avoid:
             reason = f"no backend server of {call.service} accepts connections"
             return Failure(ErrorKind.NO_BACKEND, reason, Ran.NO, retry_after=1.0)
-        client = self._get_client(choice.address)
+        if not_after is not None and now >= not_after:
+            return NotSent(choice.backend)
+        result = await self._call(call, content, choice, request, idempotent=idempotent)
+        if isinstance(result, ServiceResponse):
+            self._deaths.on_answered(content)
+            signals = decode_signals(result.status, result.headers)
+            self._view.on_response(time.monotonic(), choice.backend, signals)
+            content_type = result.headers.get("content-type", DEFAULT_CONTENT_TYPE)
+            return ServiceOutcome(result.status, content_type, result.body)
+        if result.cause is CallFailureCause.NOT_CONNECTED:
+            self._view.on_unreachable(time.monotonic(), choice.backend)
+        if result.ran is Ran.NO:
+            return NotSent(choice.backend)
+        return NoResponse(choice.backend, result.detail or str(result.cause))
+
+    async def _call(
+        self,
+        call: ServiceCall,
+        content: RequestContent,
+        choice: RouteChoice,
+        request: RouteRequest,
+        *,
+        idempotent: bool,
+    ) -> ServiceResponse | CallFailure:
+        """Makes the call, during which it counts as running at the chosen server."""
         work_id = uuid.uuid4().hex
         self._view.on_dispatch(
-            now,
+            time.monotonic(),
             choice.backend,
             work_id,
             suspect=request.suspect,
-            isolate=is_isolated,
+            isolate=request.isolate,
         )
-        self._deaths.track(work_id, choice.backend, content, isolated=is_isolated)
+        self._deaths.track(work_id, choice.backend, content, isolated=request.isolate)
         self._deaths.on_begun(work_id)
         try:
-            if not_after is not None and time.monotonic() >= not_after:
-                return NotSent(choice.backend)
-            result = await client.call(
+            result = await self._get_client(choice.address).call(
                 call.method, call.path, call.headers, call.body, call.timeout, idempotent
             )
             if isinstance(result, CallFailure) and result.cause is CallFailureCause.CONNECTION_LOST:
@@ -138,17 +161,7 @@
         finally:
             self._deaths.untrack(work_id)
             self._view.on_end(time.monotonic(), choice.backend, work_id)
-        if isinstance(result, ServiceResponse):
-            self._deaths.on_answered(content)
-            signals = decode_signals(result.status, result.headers)
-            self._view.on_response(time.monotonic(), choice.backend, signals)
-            content_type = result.headers.get("content-type", DEFAULT_CONTENT_TYPE)
-            return ServiceOutcome(result.status, content_type, result.body)
-        if result.cause is CallFailureCause.NOT_CONNECTED:
-            self._view.on_unreachable(time.monotonic(), choice.backend)
-        if result.ran is Ran.NO:
-            return NotSent(choice.backend)
-        return NoResponse(choice.backend, result.detail or str(result.cause))
+        return result
 
     def _get_client(self, address: str) -> ServiceClient:
         """Returns the client of a backend server, creating it if necessary."""
