Keep unused slots of a shared rate where one instance has them rarely

Cause: slots of a rate of 0.5 or more expire after 1 s. At 195 instances, one has a slot at an engine every 195 s and hears from it every 120 s, so it almost never has one when it could use it. What matters is the distance of the slots of one instance, not the rate of the server.

Change: where that distance is above 60 s, a slot is kept for half of the time between two contacts; at most one of the servers that an instance hears from gets its request, so a whole interval would be more than is needed.

Ruled out: ignoring the limit where demand is below it (each instance would have to know the demand of all).

--- a/src/sapphireledge/core/backpressure/backpressure_limits.py
+++ b/src/sapphireledge/core/backpressure/backpressure_limits.py
@@ -21,6 +21,11 @@
     would expire unused. Until demand that grows is noticed, the rate is exceeded as much as demand
     has grown; below this rate, that is a few requests."""
 
+    sparse_interval: float = 60.0
+    """Seconds between two slots of one instance above which an unused slot can still be used when
+    the instance next hears from the server, for a part of the usual time between two contacts. The
+    rate may be higher than all callers need, and yet the slots of one instance would expire."""
+
     max_pause: float = 300.0
     """Longest pause in seconds that a server can ask for, so that a wrong number does not take it
     out of use for good."""
--- a/src/sapphireledge/core/backpressure/request_pacer.py
+++ b/src/sapphireledge/core/backpressure/request_pacer.py
@@ -12,6 +12,10 @@
 
 __all__ = ["RequestPacer"]
 
+SHARED_CONTACTS = 0.5
+"""Mean intervals between two contacts for which an unused slot of a higher rate can be used. Of
+several servers that an instance hears from, at most one gets its request."""
+
 KEPT_CONTACTS = 2.0
 """Mean intervals between two contacts with a server for which an unused slot of a low rate can be
 used. At random times, a contact comes within one of them in 63% of the cases, within two in 86%."""
@@ -54,9 +58,14 @@
         self._interval = None if rate is None else instances / rate
         if rate is None or self._interval is None:
             return
-        is_sparse = rate < self._limits.sparse_rate
-        contact_interval = min(contact_interval, self._interval) if is_sparse else 0.0
-        self._burst_time = max(self._limits.burst_time, KEPT_CONTACTS * contact_interval)
+        contact_interval = min(contact_interval, self._interval)
+        if rate < self._limits.sparse_rate:
+            kept_time = KEPT_CONTACTS * contact_interval
+        elif self._interval > self._limits.sparse_interval:
+            kept_time = SHARED_CONTACTS * contact_interval
+        else:
+            kept_time = contact_interval = 0.0
+        self._burst_time = max(self._limits.burst_time, kept_time)
         if self._interval == before:
             return
         if before is None:
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -83,8 +83,11 @@
     INSTANCES = 195
     RATE = 0.135
 
+    CHOSEN = 1.0
+    """Share of the contacts at which an instance has a request for the server."""
+
     def play(self, interval, seed, growth=1.0, duration=1_200.0):
-        """Lets instances hear from one server now and then, and send whenever they may.
+        """Lets instances hear from one server now and then, and send what they may.
 
         Args:
             interval: Mean seconds between two responses of the server to one instance.
@@ -103,7 +106,8 @@
             now += rng.expovariate(self.INSTANCES * (growth if half else 1.0) / interval)
             server = rng.choice(servers)
             server.on_response(now, named(self.RATE), self.INSTANCES, interval)
-            if server.next_at(now) <= now:
+            is_chosen = self.CHOSEN == 1.0 or rng.random() < self.CHOSEN
+            if is_chosen and server.next_at(now) <= now:
                 server.take(now)
                 sent[half].append(now)
         return sent
@@ -151,6 +155,21 @@
         self.assertAlmostEqual(contacts.estimate_interval(20.0, 100), 50.0, delta=5.0)
 
 
+class SharedRateTest(SparseRateTest):
+    """Guards against a rate above all demand that many instances leave unused."""
+
+    RATE = 1.0
+    CHOSEN = 0.5
+
+    def test_most_of_a_low_rate_is_used(self):
+        for seed in range(5):
+            with self.subTest(seed):
+                for times in self.play(120.0, seed):
+                    demand = 600.0 * self.CHOSEN * self.INSTANCES / 120.0
+                    self.assertGreater(len(times), 0.2 * demand)
+                    self.assertLess(len(times), self.RATE * 600.0)
+
+
 class RatedCandidateTest(unittest.TestCase):
     """Guards against slots that expire because streams are offered other engines."""
 
