--- a/src/sapphireledge_experiment/model/seed_result.py
+++ b/src/sapphireledge_experiment/model/seed_result.py
@@ -26,6 +26,9 @@
     endings_by_kind: dict[str, dict[str, int]]
     """The same for each kind of request."""
 
+    worth_share: float
+    """Worth of the requests served, as a share of that of all requests."""
+
     first_events: dict[str, list[float]]
     """By rank, seconds to the first event of each request that had one."""
 
--- a/src/sapphireledge_experiment/model/world.py
+++ b/src/sapphireledge_experiment/model/world.py
@@ -28,7 +28,7 @@
     from sapphireledge_experiment.model.crash_watch import CrashWatch
     from sapphireledge_experiment.model.engine_run import EngineRun
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
-    from sapphireledge_experiment.settings import Experiment, Policy
+    from sapphireledge_experiment.settings import Experiment, Policy, RequestKind
 
 __all__ = ["World"]
 
@@ -278,6 +278,7 @@
         served = (Ending.ON_TIME, Ending.LATE)
         endings = Counter[str]()
         by_kind: dict[str, Counter[str]] = {kind.name: Counter() for kind in self.experiment.kinds}
+        worth_asked = worth_earned = 0.0
         first_events: dict[str, list[float]] = defaultdict(list)
         losses = Counter[str]()
         timeline: dict[int, list[int]] = {
@@ -287,6 +288,8 @@
             ending = request.ending or Ending.FAILED
             endings[ending.value] += 1
             by_kind[request.kind.name][ending.value] += 1
+            worth_asked += request.kind.worth
+            worth_earned += _compute_worth(request.kind, ending)
             bin_ = timeline[int(request.arrived)]
             bin_[0] += 1
             bin_[1] += ending in served
@@ -301,6 +304,7 @@
             asked=len(self._requests),
             endings={ending.value: endings[ending.value] for ending in Ending},
             endings_by_kind={name: dict(sorted(found.items())) for name, found in by_kind.items()},
+            worth_share=round(worth_earned / worth_asked, 6) if worth_asked else 0.0,
             first_events=dict(sorted(first_events.items())),
             processed_tokens=sum(engine.processed for engine in engines),
             vain_tokens=sum(losses.values()),
@@ -330,3 +334,10 @@
         causes = [cause for cause in runs if cause] or ["memory taken by another run"]
         for cause in causes:
             losses[cause] += excess // len(causes)
+
+
+def _compute_worth(kind: RequestKind, ending: Ending) -> float:
+    """Computes what a request was worth to its caller by how it ended."""
+    if ending is Ending.ON_TIME:
+        return kind.worth
+    return kind.worth * kind.late_worth if ending is Ending.LATE else 0.0
--- a/src/sapphireledge_experiment/report/policy_summary.py
+++ b/src/sapphireledge_experiment/report/policy_summary.py
@@ -42,6 +42,9 @@
     served: float
     """Share of the requests that got a complete answer."""
 
+    worth_share: float
+    """Worth of the requests served, as a share of that of all requests."""
+
     vain_share: float
     """Share of the tokens processed in vain."""
 
@@ -85,6 +88,7 @@
             for name in names
         },
         served=_mean([served_share(result) for result in results]),
+        worth_share=_mean([result.worth_share for result in results]),
         vain_share=_mean(
             [result.vain_tokens / max(1, result.processed_tokens) for result in results]
         ),
--- a/src/sapphireledge_experiment/report/write_report.py
+++ b/src/sapphireledge_experiment/report/write_report.py
@@ -30,6 +30,7 @@
 MEASURES: dict[str, Callable[[SeedResult], float]] = {
     "served": served_share,
     "on time": lambda result: result.endings["on_time"] / max(1, result.asked),
+    "worth": lambda result: result.worth_share,
     "refused": lambda result: result.endings["refused"] / max(1, result.asked),
     "failed": lambda result: result.endings["failed"] / max(1, result.asked),
     "tokens in vain": lambda result: result.vain_tokens / max(1, result.processed_tokens),
@@ -119,7 +120,7 @@
 
 def _endings_table(summaries: Sequence[PolicySummary]) -> str:
     """Builds the table of how requests ended."""
-    columns = ["policy", "seeds", "requests", *summaries[0].shares, "served"]
+    columns = ["policy", "seeds", "requests", *summaries[0].shares, "served", "worth"]
     rows = [
         [
             entry.policy,
@@ -127,6 +128,7 @@
             f"{entry.asked:.0f}",
             *(f"{share:.4f}" for share in entry.shares.values()),
             f"{entry.served:.4f}",
+            f"{entry.worth_share:.4f}",
         ]
         for entry in summaries
     ]
--- a/src/sapphireledge_experiment/settings/request_kind.py
+++ b/src/sapphireledge_experiment/settings/request_kind.py
@@ -26,6 +26,12 @@
     rank: int = setting(0, ge=0, le=9)
     """Rank; 0 is the most urgent."""
 
+    worth: float = setting(1.0, ge=0, le=1_000_000)
+    """Worth of a request that is served on time, to its caller."""
+
+    late_worth: float = setting(1.0, ge=0, le=1)
+    """Part of the worth of a request that is served late."""
+
     prompt_tokens: int = setting(2_000, unit="tokens", ge=1, le=1_000_000)
     """Mean length of the prompt."""
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from unittest import mock
 
@@ -131,6 +132,23 @@
         other = compare_pairs(results["send-at-once"], results["current"], served_share)
         self.assertTrue(other.low <= other.mean <= other.high)
 
+    def test_worth_is_weighted_by_kind_and_lateness(self):
+        """Guards against a flood that looks harmless because most of its requests are cheap ones."""
+        kinds = tuple(
+            replace(kind, worth=worth, late_worth=0.25)
+            for kind, worth in zip(make_experiment().kinds, (10.0, 1.0), strict=True)
+        )
+        experiment = make_experiment(kinds=kinds, seeds=1)
+        run_experiment.run_experiment(experiment, self.folder, 1)
+        result = run_experiment.load_results(experiment, self.folder)["current"][0]
+        asked = earned = 0.0
+        for kind in kinds:
+            endings = result.endings_by_kind[kind.name]
+            asked += kind.worth * sum(endings.values())
+            earned += kind.worth * (endings.get("on_time", 0) + 0.25 * endings.get("late", 0))
+        self.assertGreater(result.endings["late"], 0)
+        self.assertAlmostEqual(result.worth_share, earned / asked, 5)
+
     def test_page_loads_nothing(self):
         outcome = CliRunner().invoke(
             cli.app, ["run", str(self.write()), "--jobs", "1", "--out", str(self.folder / "out")]
