--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -133,7 +133,7 @@
         self.assertTrue(other.low <= other.mean <= other.high)
 
     def test_worth_is_weighted_by_kind_and_lateness(self):
-        """Guards against a flood that looks harmless because most of its requests are cheap ones."""
+        """Guards against a flood that looks harmless because most requests are cheap."""
         kinds = tuple(
             replace(kind, worth=worth, late_worth=0.25)
             for kind, worth in zip(make_experiment().kinds, (10.0, 1.0), strict=True)
