--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -385,7 +385,7 @@
     def _find_crashing_parts(self) -> frozenset[str]:
         """Returns the parts that crash engines; the result is kept until the state changes."""
         if self._crashing_parts is None:
-            deaths = self.records()[self._aged :]
+            deaths = [r for r in self.records()[self._aged :] if r.suspects]
             self._crashing_parts = find_crashing_parts(deaths, self._sound_at, self._cfg)
         return self._crashing_parts
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -126,6 +126,13 @@
         now = self.add(*bad, *lost)
         self.assertTrue(is_condemned(self.judge(now, "bad")))
 
+    def test_end_of_idle_engines_does_not_excuse_a_part(self):
+        """Guards against weighing engines that ran nothing, whose end is noticed seconds late."""
+        bad = [death(i, START + 0.6 * STEP * i, **{f"r{i}": ("a", "bad")}) for i in range(4)]
+        idle = [DeathRecord(f"x{i}", "b", START + 0.3 * i) for i in range(12)]
+        now = self.add(*bad, *idle)
+        self.assertTrue(is_condemned(self.judge(now, "bad")))
+
     @settings(max_examples=100)
     @given(st.integers(0, 2**32), st.integers(9, 60), st.floats(0.1, 0.5))
     def test_repeated_losses_condemn_no_part(self, seed, engines, begun_share):
