--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -19,7 +19,6 @@
     from sapphireledge.core.quarantine import DeathRecord
     from sapphireledge.errors import Failure
     from sapphireledge.gateway.admitted_request import AdmittedRequest
-    from sapphireledge.gateway.attempt_progress import AttemptProgress
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_request import CallerRequest
     from sapphireledge.gateway.engine_selection import EngineSelection
@@ -141,7 +140,8 @@
         self,
         admitted: AdmittedRequest,
         outcome: Outcome,
-        attempt: AttemptProgress,
+        stage: str,
+        events: int,
         number: int,
         started: float,
     ) -> None:
@@ -150,7 +150,8 @@
         Args:
             admitted: The request.
             outcome: Outcome of the attempt.
-            attempt: Progress of the attempt.
+            stage: How far the attempt came, see `AttemptProgress`.
+            events: Events that arrived.
             number: Number of the attempt, from 1.
             started: Event loop time in seconds at which the attempt started.
         """
@@ -167,8 +168,8 @@
             server=outcome.server.server_id,
             data_centre=outcome.server.data_centre,
             reason=outcome.reason,
-            stage=attempt.stage,
-            events=attempt.events,
+            stage=stage,
+            events=events,
             rate_limit=rate_limit,
             took_s=round(now - started, 3),
             left_s=round(admitted.deadline - now, 3),
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -64,7 +64,9 @@
         if state is not None:
             state.in_flight -= 1
     context.record_outcome(outcome)
-    context.telemetry.record_attempt(admitted, outcome, attempt, number, started)
+    context.telemetry.record_attempt(
+        admitted, outcome, attempt.stage, attempt.events, number, started
+    )
     return outcome
 
 
