Count services of the own interface that end without a call

Found by reading: the own interface judged scopes by the deaths that calls had met only. Where all calls are of one workspace, five crashes of another cause within two minutes would have led to its refusal. The instance list shows such ends; they are recorded from it now. test_services_that_end_without_a_call_count: the scope is refused until the list has been read.

--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -95,6 +95,19 @@
         """
         return (backend, boot_id) in self._records
 
+    def has_died_since(self, since_unix: float, backend: str) -> bool:
+        """Whether a death of any incarnation of a backend server is on record.
+
+        Args:
+            since_unix: Time in Unix seconds after which the death came.
+            backend: Name of the backend server.
+
+        Returns:
+            Whether it is.
+        """
+        first = bisect_right(self._by_time, since_unix, key=lambda item: item[0])
+        return any(key[0] == backend for _, key in self._by_time[first:])
+
     def on_engine_death(self, now_unix: float, record: DeathRecord) -> bool:
         """Merges a death detected by this instance, reported by a peer or read from the platform.
 
--- a/src/sapphireledge/entry/death_checker.py
+++ b/src/sapphireledge/entry/death_checker.py
@@ -9,17 +9,16 @@
 import structlog
 
 from sapphireledge.backends import CallFailure, CallFailureCause
-from sapphireledge.core.quarantine import RunningRequests, ServiceSize, draw_trial
+from sapphireledge.core.quarantine import DeathRecord, RunningRequests, ServiceSize, draw_trial
 from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Collection
 
     from sapphireledge.backends import EngineClient
     from sapphireledge.core.quarantine import (
         ClearVerdict,
-        DeathRecord,
         IsolateVerdict,
         Quarantine,
         RequestContent,
@@ -34,6 +33,9 @@
 """Seconds that a new attempt waits for the check whether the previous server died, and that a live
 server needs at most to accept a connection."""
 
+UNLISTED_TIME = 30.0
+"""Seconds within which the instance list no longer has a backend server that died."""
+
 RESTART_TIME = 1.0
 """Seconds in which a plain service, which does not name its incarnation, dies once at most."""
 
@@ -190,6 +192,25 @@
         record = self._record_death(grant.backend, boot_id)
         self._start_check(grant.backend, record, _has_engine_ended(grant.client, boot_id))
 
+    def on_listed(self, names: Collection[str]) -> None:
+        """Records backend servers that ended unannounced without a call, by the instance list.
+
+        They show how often deaths meet no call. All instances see the list, so the records are not
+        shared. Call it before the list is applied to the view.
+
+        Args:
+            names: Names in the instance list.
+        """
+        now = time.time()
+        for state in self._view.states():
+            name = state.instance.name
+            if name in names or state.leaving:
+                continue
+            if not self._quarantine.has_died_since(now - UNLISTED_TIME, name):
+                boot_id = f"unlisted-{now:.0f}"
+                record = DeathRecord(name, boot_id, now, service=state.instance.role)
+                self._quarantine.on_engine_death(now, record)
+
     async def wait_for_checks(self) -> None:
         """Waits for running checks, so that the next quarantine verdict includes their results."""
         if self._checks:
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -164,15 +164,16 @@
         )
         self._bridge.connect(self._pool, self._suspects)
         self._monitor = BackendMonitor(cfg, self._view, self._pool, self._suspects)
+        self._service_deaths = DeathChecker(
+            self._view, self._quarantine, self._suspects, lambda: len(self._mesh.live)
+        )
         self._services = ServiceRunner(
             cfg,
             self._store,
             self._view,
             self._pools,
             self._mesh,
-            DeathChecker(
-                self._view, self._quarantine, self._suspects, lambda: len(self._mesh.live)
-            ),
+            self._service_deaths,
             self._metrics,
             self._rng,
         )
@@ -427,6 +428,7 @@
     def _on_instances(self, instances: tuple[Instance, ...]) -> None:
         """Applies a new instance list."""
         self._instances = tuple(instances)
+        self._service_deaths.on_listed({instance.name for instance in instances})
         self._monitor.on_instances(instances)
 
     def _count_platform_call(self, operation: str, result: str) -> None:
--- a/tests/test_crashing_services.py
+++ b/tests/test_crashing_services.py
@@ -11,7 +11,7 @@
 from standin_case import StandinCase
 
 from sapphireledge.core.claims import ServiceOutcome
-from sapphireledge.core.quarantine import Quarantine
+from sapphireledge.core.quarantine import ClearVerdict, Quarantine
 from sapphireledge.core.routing import BackendInstance, BackendView
 from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.service_call import ServiceCall
@@ -96,3 +96,30 @@
         self.assertLessEqual(self.sends_after(3), 3)
         sound = await self.call("court", "sound", "/own")
         self.assertIsInstance(sound, ServiceOutcome)
+
+    async def test_services_that_end_without_a_call_count(self):
+        """Guards against refusing the only workspace where services crash by themselves."""
+        idle = [f"idle-{i}" for i in range(20)]
+        self.dispatcher._deaths._view = SimpleNamespace(
+            state=lambda name: name,
+            states=lambda: [
+                SimpleNamespace(instance=SimpleNamespace(name=name, role="booking"), leaving=False)
+                for name in (*idle, *(f"s{i}" for i in range(5)))
+            ],
+        )
+        deaths = self.dispatcher._deaths
+        unused = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        address = f"127.0.0.1:{unused.sockets[0].getsockname()[1]}"
+        unused.close()
+        for i in range(5):
+            call = ServiceCall("booking", "GET", f"/{i}", b"", 1.0, "court", f"c{i}")
+            deaths.track(f"w{i}", f"s{i}", call.content, isolated=False)
+            deaths.on_begun(f"w{i}")
+            deaths.check_service(f"s{i}", address)
+            await deaths.wait_for_checks()
+            deaths.untrack(f"w{i}")
+            await asyncio.sleep(1.2 * CFG.burst_window)
+        call = ServiceCall("booking", "GET", "/new", b"", 1.0, "court", "new")
+        self.assertIsInstance(deaths.judge_now(call.content, "new"), Failure)
+        deaths.on_listed(())
+        self.assertEqual(deaths.judge_now(call.content, "new"), ClearVerdict())
