--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -148,7 +148,7 @@
             counts = [int(count) for count in found.groups()] if found else [0, 1, 0]
             totals = [total + count for total, count in zip(totals, counts, strict=True)]
             print(f"{seconds:7.2f} s  {name}: {counts[0]} passed", flush=True)
-            if counts[1]:
+            if counts[1] or counts[2]:
                 print(output, flush=True)
             for line in output.splitlines():
                 if line.startswith("known red: "):
