--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,97 +1,89 @@
-"""Machines of a zone are replaced; one that stays never reads the store again."""
+"""A stop cuts streams of a sound engine that pauses, although they would end in time."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 from pathlib import Path
 
 from standins.client import Client
+from standins.engine import EVENTS, Engine
 from standins.harness import CannotRun, Harness, run_case
-from standins.runner import Runner
 from standins.settings import make_config, make_route
 
 ZONE = "akl-a"
+MACHINES = 3
 KEY = "n2ctnfzs989anu6wsjnb"
-APPLY_S = 3.0
-"""`config_apply_ms` of the sheet."""
+CALM_S = 5.0
+GRACE_S = 8.0
+"""`grace_s` of the sheet."""
 
-STABLE_S = 4.0
-"""`stable_window_ms` of the sheet."""
+STREAMS = 4
+STOP_DELAY_S = 0.4
+"""Time from the requests to the SIGTERM; the engine runs them by then."""
 
-STAYS = 1
-"""Number of the machine that stays; its clients keep their connections."""
-
-LEAVES_LAST = 12
-INITIAL = range(1, 13)
-ADDED = range(13, 18)
-DIRECTORY_S = 16.0
-"""Time after which the machines have noticed those that were added."""
-
-OBSERVED_S = 10.0
-"""Time after the acknowledgement for which requests are sent."""
+PREEMPT_AFTER = 10
+PREEMPTED_S = 3.5
+"""Pause of a preempted stream; clients wait for 16 s, four times the objective of the route."""
 
 
 async def play(harness: Harness) -> bool:
-    """Replaces the machines, changes the configuration, and watches the machine that stays."""
+    """Stops one machine after the other while it forwards streams, and starts it again."""
     record, store = harness.record, harness.store
-    old = Runner(record, store, "booking-old", ZONE)
-    new = Runner(record, store, "booking-new", ZONE)
-    await old.start()
-    await new.start()
-
-    def configure(version: int, service: str) -> float:
-        routes = [
-            make_route("notices", "/notices/", service, anonymous=True),
-            make_route("lookup", "/lookup/", service),
-        ]
-        acked = store.put(
-            "config", "main", make_config(version, routes, ["booking-old", "booking-new"], [KEY])
-        )
-        record.add(f"config {version} sends both routes to {service}, acknowledged {acked:.3f}")
-        return acked
-
-    configure(1, "booking-old")
-    machines = {n: harness.add_entry(f"front-{ZONE}-{n}", ZONE) for n in INITIAL}
-    await harness.start_ready(list(machines.values()))
-    stays = machines[STAYS]
-    await asyncio.sleep(STABLE_S)
-    if harness.trouble:
-        added = {n: harness.add_entry(f"front-{ZONE}-{n}", ZONE) for n in ADDED}
-        await harness.start_ready(list(added.values()))
-        machines |= added
-        seen_at = record.now() + DIRECTORY_S
-        leaving = [m for n, m in machines.items() if n not in (STAYS, LEAVES_LAST)]
-        for first in range(0, len(leaving), 5):
-            await asyncio.gather(*(m.leave() for m in leaving[first : first + 5]))
-        await asyncio.sleep(max(0.0, seen_at - record.now()))
-        await machines[LEAVES_LAST].leave()
-        replacements = [harness.add_entry(f"front-{ZONE}-{n}", ZONE) for n in (23, 24)]
-        await harness.start_ready(replacements)
-        await asyncio.sleep(STABLE_S)
-
-    anonymous, keyed = Client(record, stays), Client(record, stays)
-    for _ in range(5):
-        first = await anonymous.call("/notices/1")
-        if first.status != 200 or not first.body.startswith(b"booking-old"):
-            raise CannotRun(f"the old service does not answer: {first}")
-    acked = configure(2, "booking-new")
-    while record.now() < acked + OBSERVED_S:
-        await anonymous.call("/notices/2")
-        await keyed.call("/lookup/2", key=KEY)
-        await asyncio.sleep(0.1)
-    if not stays.is_running:
-        raise CannotRun("the machine that stays has ended")
-    late = [call for call in anonymous.calls if call.sent > acked + APPLY_S]
-    stale = [call for call in late if call.body.startswith(b"booking-old")]
-    ran_old = {request_id for _, request_id in old.runs}
-    stale = [call for call in stale if call.request_id in ran_old]
-    refused = [c for c in keyed.calls if c.sent > acked + APPLY_S and c.status == 503]
-    record.add(
-        f"{len(late)} requests sent later than {APPLY_S} s after the acknowledgement, "
-        f"{len(stale)} of them run by the old service; {len(refused)} requests with a key that "
-        f"were sent as late got 503"
+    engines = [Engine(record, store, "draft-models", ZONE) for _ in range(2)]
+    for engine in engines:
+        engine.preempt_after = PREEMPT_AFTER if harness.trouble else 0
+        engine.preempted_s = PREEMPTED_S
+        await engine.start()
+    route = make_route(
+        "brief",
+        "/brief/",
+        "draft-models",
+        kind="streaming",
+        timeout_ms=25000,
+        goal_ms=4000,
+        priority=0,
+        max_attempts=5,
+        gap_goal_ms=700,
+        sticky=True,
+        resumable=False,
     )
-    return bool(stale)
+    store.put("config", "main", make_config(1, [route], ["draft-models"], [KEY]))
+    machines = [harness.add_entry(f"front-{ZONE}-{n + 1}", ZONE) for n in range(MACHINES)]
+    await harness.start_ready(machines)
+    await asyncio.sleep(CALM_S)
+    lost = total = 0
+    for machine in machines:
+        clients = [Client(record, machine) for _ in range(STREAMS)]
+        calls = [
+            asyncio.create_task(client.call_stream("/brief/1", key=KEY, deadline_ms=25000))
+            for client in clients
+        ]
+        await asyncio.sleep(STOP_DELAY_S)
+        stopped_at = record.now()
+        machine.send(signal.SIGTERM)
+        answers = await asyncio.gather(*calls)
+        assert machine.process is not None
+        await asyncio.wait_for(machine.process.wait(), GRACE_S + 1.0)
+        ran = {request_id for engine in engines for _, request_id in engine.runs}
+        for call in answers:
+            if call.request_id not in ran:
+                raise CannotRun(f"no engine ran {call}")
+            total += 1
+            events = call.body.count(b"data: ")
+            is_complete = call.body.endswith(b"0\r\n\r\n") and events == EVENTS
+            if not is_complete and call.ended - stopped_at < GRACE_S * 5 / 6:
+                lost += 1
+                record.add(
+                    f"{call.request_id} was cut by {machine.name} after {events} events, "
+                    f"{call.ended - stopped_at:.3f} s after the SIGTERM"
+                )
+        await machine.start()
+        if not await machine.wait_ready(15.0):
+            raise CannotRun(f"{machine.name} is not ready again")
+        await asyncio.sleep(CALM_S)
+    record.add(f"{lost} of {total} streams were cut around a SIGTERM while their engine ran them")
+    return lost > 0
 
 
 if __name__ == "__main__":
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -24,6 +24,7 @@
     status: int | None = None
     body: bytes = b""
     answered: float | None = None
+    ended: float = 0.0
 
 
 class Client:
@@ -101,10 +102,11 @@
                 call.answered = self._record.now()
                 writer.transport.abort()
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            pass
+            call.answered = None
+        call.ended = self._record.now()
         self._record.add(
             f"stream {request_id} {path} to {self.entry.name} sent {call.sent:.3f} answer "
-            f"{call.status}, {len(call.body)} bytes, answered {call.answered}"
+            f"{call.status}, {len(call.body)} bytes, ended {call.ended:.3f}"
         )
         return call
 
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -6,7 +6,9 @@
 import json
 
 from standins.http_io import Message, encode_response, read_message
+from standins.record import Record
 from standins.runner import PREFIX, Runner
+from standins.store import Store
 
 EVENTS = 20
 """Events of a stream."""
@@ -21,7 +23,7 @@
 
 
 class Engine(Runner):
-    """Streams events; in trouble, it sends bytes that are no answer until the caller closes."""
+    """Streams events; can preempt a stream, or send bytes that are no answer without end."""
 
     spoiled_answers = 0
     """Number of answers that are still to be spoiled, by whichever engine runs the next request."""
@@ -29,13 +31,21 @@
     endless = b""
     """Piece that a spoiled answer repeats without end, each in a chunk."""
 
+    preempt_after = 0
+    """Event after which a stream is preempted once; 0 for never."""
+
+    preempted_s = 0.0
+    """Time until a preempted stream has been read in again and goes on."""
+
+    def __init__(self, record: Record, store: Store, service: str, zone: str) -> None:
+        super().__init__(record, store, service, zone)
+        self._made: dict[str, int] = {}
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while (request := await read_message(reader)) is not None:
                 if request.target == "/report":
-                    report = {"stage": "both", "models": [], "waiting": 0, "running": 0}
-                    data = json.dumps({**report, "kv_used": 0, "kv_total": 88000, "runs": []})
-                    writer.write(encode_response(200, {}, data.encode()))
+                    writer.write(encode_response(200, {}, self._report()))
                 elif request.target == "/kv-list":
                     data = json.dumps({"epoch": 1, "next": 1, "held": []})
                     writer.write(encode_response(200, {}, data.encode()))
@@ -49,6 +59,13 @@
         finally:
             writer.transport.abort()
 
+    def _report(self) -> bytes:
+        """Encodes the report; `runs` lists id, tokens in memory, events made and priority."""
+        runs = [[request_id, 400, made, 0] for request_id, made in self._made.items()]
+        report = {"stage": "both", "models": [], "busy": False, "seq": 1, "waiting": 0}
+        used = {"running": len(runs), "kv_used": 400 * len(runs), "kv_total": 88000, "handles": 0}
+        return json.dumps({**report, **used, "runs": runs, "born": self._born()}).encode()
+
     async def _stream(self, request: Message, writer: asyncio.StreamWriter) -> None:
         request_id = request.headers[PREFIX + "request-id"]
         self.runs.append((self._record.now(), request_id))
@@ -72,9 +89,21 @@
             finally:
                 self._record.add(f"{self.runner_id} has sent {sent} chunks until the caller closed")
         first = int(request.headers.get("last-event-id", "-1")) + 1
-        for number in range(first, EVENTS):
-            data = event_bytes(request_id, number)
-            writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
-            await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+        self._made[request_id] = first
+        try:
+            for number in range(first, EVENTS):
+                data = event_bytes(request_id, number)
+                writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+                self._made[request_id] = number + 1
+                await writer.drain()
+                await asyncio.sleep(EVENT_INTERVAL_S)
+                if self.preempt_after and number + 1 == self.preempt_after:
+                    self._record.add(f"{self.runner_id} preempts {request_id}")
+                    await asyncio.sleep(self.preempted_s)
+                if writer.is_closing():
+                    self._record.add(f"{self.runner_id} drops {request_id}, its caller has closed")
+                    return
+        finally:
+            del self._made[request_id]
+        self._record.add(f"{self.runner_id} has ended {request_id}")
         writer.write(b"0\r\n\r\n")
