--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,7 +23,8 @@
 
 LOOKUP_CLIENTS = 12
 SOUND_STREAMS = 60
-STREAMS_AT_ONCE = 6
+STREAMS_AT_ONCE = 20
+PROMPT_TOKENS = 2000
 OBSERVED_S = 25.0
 PIECE = b"data: word word wor\n"
 """Repeated in the spoiled answer, each in a chunk of its own; a blank line never follows."""
@@ -62,7 +63,9 @@
     async def stream(count: int) -> None:
         client = Client(record, machine)
         for _ in range(count):
-            await client.call_stream("/brief/1", key=KEY, deadline_ms=25000)
+            await client.call_stream(
+                "/brief/1", key=KEY, deadline_ms=25000, prompt_tokens=PROMPT_TOKENS
+            )
 
     streams = (stream(SOUND_STREAMS // STREAMS_AT_ONCE) for _ in range(STREAMS_AT_ONCE))
     await asyncio.gather(*streams)
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -74,7 +74,9 @@
         )
         return call
 
-    async def call_stream(self, path: str, *, key: str, deadline_ms: int) -> Call:
+    async def call_stream(
+        self, path: str, *, key: str, deadline_ms: int, prompt_tokens: int = 8200
+    ) -> Call:
         """Sends a request for a stream, and reads the answer to its end or the deadline."""
         request_id = f"{next(_numbers):016x}"
         call = Call(request_id, path, self._record.now())
@@ -84,8 +86,8 @@
             "X-Sapphireledge-Request-Id": request_id,
             "X-Sapphireledge-Deadline-Ms": str(deadline_ms),
             "X-Sapphireledge-Model": "m",
-            "X-Sapphireledge-Token-Count": "400,100",
-            "X-Sapphireledge-Prefix-Hash": f"5c1e07a2:200,{request_id}:200",
+            "X-Sapphireledge-Token-Count": f"{prompt_tokens},650",
+            "X-Sapphireledge-Prefix-Hash": f"5c1e07a2:200,{request_id}:{prompt_tokens - 200}",
             "Authorization": f"Token {key}",
         }
         try:
--- a/review/standins/entry.py
+++ b/review/standins/entry.py
@@ -9,6 +9,7 @@
 import socket
 import tomllib
 from pathlib import Path
+from typing import Any
 
 from standins.http_io import encode_request, read_message
 from standins.record import Record
@@ -46,7 +47,14 @@
     """One machine of the class `front` on its own loopback address."""
 
     def __init__(
-        self, record: Record, folder: Path, name: str, zone: str, host: str, store: str
+        self,
+        record: Record,
+        folder: Path,
+        name: str,
+        zone: str,
+        host: str,
+        store: str,
+        bounds: dict[str, Any],
     ) -> None:
         self._record = record
         self.name = name
@@ -55,6 +63,7 @@
         self._settings = folder / f"{name}.json"
         self._log_path = folder / f"{name}.log"
         self._store = store
+        self._bounds = bounds
         self.process: asyncio.subprocess.Process | None = None
         self._dark: list[socket.socket] = []
 
@@ -91,7 +100,7 @@
             "entry": "vip",
             "heartbeat_ms": 1200,
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0},
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
             "platform": {
                 "address": self._store,
                 "form": "objects",
@@ -159,7 +168,7 @@
         assert self.process is not None
         self.send(signal.SIGTERM)
         try:
-            await asyncio.wait_for(self.process.wait(), BOUNDS["grace_s"])
+            await asyncio.wait_for(self.process.wait(), self._bounds["grace_s"])
         except TimeoutError:
             self.send(signal.SIGKILL)
             await self.process.wait()
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -11,8 +11,9 @@
 import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
-from standins.entry import FRONT_PORT, PEER_PORT, READY_PORT, Entry
+from standins.entry import BOUNDS, FRONT_PORT, PEER_PORT, READY_PORT, Entry
 from standins.record import Record
 from standins.store import Store
 
@@ -34,6 +35,9 @@
         self.store_address = ""
         """Address of the store for the machines, its own unless a proxy stands before it."""
 
+        self.bounds: dict[str, Any] = dict(BOUNDS)
+        """Bounds in the settings of the machines."""
+
         self.entries: list[Entry] = []
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self._folder = folder
@@ -43,7 +47,7 @@
         """Adds a machine with an address of its own; it is not started yet."""
         host = f"127.{self._network}.{len(self.entries) // 200}.{len(self.entries) % 200 + 10}"
         store_address = self.store_address or self.store.address
-        entry = Entry(self.record, self._folder, name, zone, host, store_address)
+        entry = Entry(self.record, self._folder, name, zone, host, store_address, self.bounds)
         self.entries.append(entry)
         return entry
 
