An endless response in small pieces no longer keeps the event loop (CONFIG)

Cause, two parts. EventSplitter copied and searched its whole buffer for each chunk, so an event of n bytes cost n * n. And a read of bytes that have already arrived does not suspend its task, so neither other tasks nor the timeouts of the read ran until all of them were parsed. Ruled out: the limit of 262,144 bytes (it ended the attempt, but only after 16 s), the parser of the chunks (linear).

Change: the splitter searches each byte once, holds its bytes in a budget shared with response bodies, and ends comments without end. The check of a silent run is made while bytes arrive, too. It works because no step between two checkpoints depends on how many bytes have arrived.

--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -9,7 +9,8 @@
 import h11
 
 from sapphireledge.gateway.backend_response_error import BackendResponseError
-from sapphireledge.gateway.response_buffer import ResponseBuffer
+from sapphireledge.gateway.event_reader import EventReader
+from sapphireledge.gateway.response_buffer import MAX_BODY_BYTES, ResponseBuffer
 from sapphireledge.gateway.unread_reader import UnreadReader, open_unread_connection
 
 if TYPE_CHECKING:
@@ -20,9 +21,6 @@
 
 __all__ = ["BackendConnection"]
 
-READ_SIZE = 65_536
-"""Largest number of bytes per read."""
-
 USER_TIMEOUT = 1.5
 """Seconds that sent data may stay unacknowledged before the kernel closes the connection.
 
@@ -56,6 +54,7 @@
 
     def __init__(self, reader: UnreadReader, writer: asyncio.StreamWriter) -> None:
         self._reader = reader
+        self._event_reader = EventReader(reader)
         self._writer = writer
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
         self._request: h11.Request | None = None
@@ -185,16 +184,26 @@
         self._on_response_complete()
         return None
 
-    async def read_body(self) -> bytes:
+    async def checkpoint(self) -> None:
+        """Lets other tasks run if this connection has kept the event loop for long.
+
+        Call it after each part of a chunk whose processing may take long.
+        """
+        await self._event_reader.checkpoint()
+
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Reads the complete body.
 
+        Args:
+            max_bytes: Largest body in bytes.
+
         Returns:
             The body.
 
         Raises:
             BackendResponseError: The body is truncated or too large.
         """
-        with ResponseBuffer() as buffer:
+        with ResponseBuffer(max_bytes) as buffer:
             while (chunk := await self.read_chunk()) is not None:
                 buffer.append(chunk)
             return buffer.content()
@@ -246,20 +255,15 @@
     async def _next_event(self) -> h11.Event:
         """Reads from the connection until the parser returns an event."""
         try:
-            while True:
-                event = self._parser.next_event()
-                if event is h11.NEED_DATA:
-                    self._parser.receive_data(await self._reader.read(READ_SIZE))
-                    continue
-                if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                    raise BackendResponseError(
-                        "the connection was closed before the response was complete",
-                        connection_lost=True,
-                    )
-                return event
+            event = await self._event_reader.next_event(self._parser)
         except h11.RemoteProtocolError as exc:
             raise BackendResponseError(
                 f"invalid HTTP response: {exc}", connection_lost=self._reader.at_eof()
             ) from exc
         except OSError as exc:
             raise BackendResponseError(f"connection error: {exc}", connection_lost=True) from exc
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise BackendResponseError(
+                "the connection was closed before the response was complete", connection_lost=True
+            )
+        return event
--- a/src/sapphireledge/gateway/event_splitter.py
+++ b/src/sapphireledge/gateway/event_splitter.py
@@ -3,58 +3,93 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 from sapphireledge.gateway.backend_response_error import BackendResponseError
+from sapphireledge.gateway.response_buffer import RESPONSE_BUDGET
 from sapphireledge.gateway.stream_event import StreamEvent
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from typing import Self
+
 __all__ = ["EventSplitter"]
 
 MAX_EVENT_BYTES = 262_144
-"""Largest event in bytes; an event holds a few tokens."""
+"""Largest event in bytes, and largest sequence of comments; an event holds a few tokens."""
 
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_BOUNDARY_BYTES = 4
+"""Length of the longest boundary."""
+
 _NUMBER = re.compile(rb"(?:^|[\r\n])id: ?(\d{1,18}) *(?=[\r\n])")
 _FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 _ID_FIELD = re.compile(rb"(?:^|[\r\n])id:")
 
 
 class EventSplitter:
-    """Splits a `text/event-stream` body into events and buffers a partial event."""
+    """Splits a `text/event-stream` body into events and buffers a partial event.
 
-    __slots__ = ("_buffer",)
+    Each byte is searched a bounded number of times, however many pieces an event comes in. Use it
+    as a context manager, which frees the buffer at the end.
+    """
+
+    __slots__ = ("_buffer", "_comment_bytes", "_searched")
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
+        self._comment_bytes = 0
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        RESPONSE_BUDGET.give_back(len(self._buffer))
+        self._buffer = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
         """Whether the buffer holds an incomplete event."""
         return bool(self._buffer)
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Adds bytes to the buffer and returns the events that they complete.
+    def feed(self, data: bytes) -> Iterator[StreamEvent]:
+        """Adds bytes to the buffer and iterates over the events that they complete.
+
+        Call it again only after the iterator is exhausted.
 
         Args:
             data: Next bytes of the body.
 
-        Returns:
+        Yields:
             The completed events, with their bytes unchanged.
 
         Raises:
-            BackendResponseError: An event is too large, or its id is not a number.
+            BackendResponseError: An event is too large, its id is not a number, comments do not
+                end, or no memory is left for incomplete events.
         """
-        self._buffer += data
-        events = []
+        buffer = self._buffer
+        if not RESPONSE_BUDGET.try_take(len(data)):
+            raise BackendResponseError("no memory is left for incomplete events")
+        buffer += data
         start = 0
-        for boundary in _BOUNDARY.finditer(self._buffer):
-            raw = self._buffer[start : boundary.end()]
-            start = boundary.end()
-            number = _NUMBER.search(raw)
-            if number is None and _ID_FIELD.search(raw):
-                raise BackendResponseError("the id of an event is not a number")
-            is_comment = number is None and not _FIELD.search(raw)
-            events.append(StreamEvent(raw, int(number.group(1)) if number else None, is_comment))
-        self._buffer = self._buffer[start:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        while boundary := _BOUNDARY.search(buffer, max(start, self._searched)):
+            raw = bytes(buffer[start : boundary.end()])
+            start = self._searched = boundary.end()
+            yield self._decode(raw)
+        del buffer[:start]
+        RESPONSE_BUDGET.give_back(start)
+        self._searched = max(0, len(buffer) - _BOUNDARY_BYTES + 1)
+        if len(buffer) > MAX_EVENT_BYTES:
             raise BackendResponseError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
-        return events
+
+    def _decode(self, raw: bytes) -> StreamEvent:
+        """Decodes one event."""
+        number = _NUMBER.search(raw)
+        if number is None and _ID_FIELD.search(raw):
+            raise BackendResponseError("the id of an event is not a number")
+        is_comment = number is None and not _FIELD.search(raw)
+        self._comment_bytes = self._comment_bytes + len(raw) if is_comment else 0
+        if self._comment_bytes > MAX_EVENT_BYTES:
+            raise BackendResponseError(f"more than {MAX_EVENT_BYTES} bytes of comments follow")
+        return StreamEvent(raw, int(number.group(1)) if number else None, is_comment)
--- a/src/sapphireledge/gateway/response_buffer.py
+++ b/src/sapphireledge/gateway/response_buffer.py
@@ -1,31 +1,45 @@
-"""Memory for complete response bodies."""
+"""Memory for response bodies that are read completely."""
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from sapphireledge.gateway.backend_response_error import BackendResponseError
+from sapphireledge.gateway.buffer_budget import BufferBudget
+
+if TYPE_CHECKING:
+    from typing import Self
 
-__all__ = ["ResponseBuffer"]
+__all__ = ["MAX_BODY_BYTES", "RESPONSE_BUDGET", "ResponseBuffer"]
 
 MAX_BODY_BYTES = 4_194_304
 """Largest body of a response that is not a stream, as large as the largest request by default."""
 
 MAX_TOTAL_BYTES = 16_777_216
-"""Largest sum of the bodies that are being read, an eighth of the smallest machine's memory."""
+"""Largest sum of the bodies and of the incomplete events that are being read, an eighth of the
+smallest machine's memory."""
+
+RESPONSE_BUDGET = BufferBudget(MAX_TOTAL_BYTES)
+"""Memory of the responses that are being read."""
 
 
 class ResponseBuffer:
     """Collects one response body and limits it, alone and together with the others."""
 
-    _total = 0
+    def __init__(self, max_bytes: int = MAX_BODY_BYTES) -> None:
+        """Creates an empty buffer.
 
-    def __init__(self) -> None:
+        Args:
+            max_bytes: Largest body in bytes.
+        """
+        self._max_bytes = max_bytes
         self._body = bytearray()
 
-    def __enter__(self) -> ResponseBuffer:
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *_: object) -> None:
-        ResponseBuffer._total -= len(self._body)
+        RESPONSE_BUDGET.give_back(len(self._body))
         self._body = bytearray()
 
     def append(self, data: bytes) -> None:
@@ -37,11 +51,10 @@
         Raises:
             BackendResponseError: The body is too large, or all bodies together are.
         """
-        if len(self._body) + len(data) > MAX_BODY_BYTES:
-            raise BackendResponseError(f"the response body is larger than {MAX_BODY_BYTES} bytes")
-        if ResponseBuffer._total + len(data) > MAX_TOTAL_BYTES:
+        if len(self._body) + len(data) > self._max_bytes:
+            raise BackendResponseError(f"the response body is larger than {self._max_bytes} bytes")
+        if not RESPONSE_BUDGET.try_take(len(data)):
             raise BackendResponseError("no memory is left for response bodies")
-        ResponseBuffer._total += len(data)
         self._body += data
 
     def content(self) -> bytes:
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from functools import partial
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -15,7 +16,7 @@
 from sapphireledge.gateway.run_attempt import run_attempt
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import AsyncIterator, Callable, Coroutine
 
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.attempt_progress import AttemptProgress
@@ -118,23 +119,38 @@
         if not _is_stream(head):
             body = await _await_within(cfg.body_timeout, conn.read_body())
             return self._classify_plain(server, head, body)
-        splitter = EventSplitter()
-        while (chunk := await self._read_while_alive(server, watch, conn.read_chunk)) is not None:
-            for event in splitter.feed(chunk):
+        async with contextlib.aclosing(self._read_events(conn, server, watch)) as events:
+            async for event in events:
                 if event.number is not None:
                     if not watch.has_events:
                         self._observe_first_event(selection, loop.time() - sent_at)
                     watch.on_event(loop.time())
                     attempt.on_event()
                 await self._deliver(head, event)
-        if splitter.has_partial_event:
-            raise BackendResponseError("the stream ended within an event")
         if not self._caller.response_started:
             raise BackendResponseError("the stream has no events")
         await self._caller.finish_response()
         self._observe_generation(last_event)
         return Outcome(OutcomeKind.ANSWERED, server, "complete", head)
 
+    async def _read_events(
+        self, conn: BackendConnection, server: BackendServer, watch: StreamWatch
+    ) -> AsyncIterator[StreamEvent]:
+        """Reads the complete events of a stream until it ends."""
+        loop = asyncio.get_running_loop()
+        with EventSplitter() as splitter:
+            while (
+                chunk := await self._read_while_alive(server, watch, conn.read_chunk)
+            ) is not None:
+                for event in splitter.feed(chunk):
+                    yield event
+                    await conn.checkpoint()
+                # Bytes may arrive all the time without completing an event.
+                if not watch.check_delay(loop.time()):
+                    await self._verify_run(server, watch)
+            if splitter.has_partial_event:
+                raise BackendResponseError("the stream ended within an event")
+
     def _observe_first_event(self, selection: EngineSelection, delay: float) -> None:
         """Passes the time to the first event on to the estimate for further streams."""
         if selection.prompts_ahead is not None:
@@ -168,14 +184,22 @@
         task = asyncio.create_task(read())
         try:
             while not (await asyncio.wait({task}, timeout=watch.check_delay(loop.time())))[0]:
-                sighting = await self._sight_run(server, watch.report_timeout)
-                loss = watch.find_loss(loop.time(), sighting)
-                if loss and not task.done():
-                    raise BackendResponseError(loss)
+                try:
+                    await self._verify_run(server, watch)
+                except BackendResponseError:
+                    if not task.done():
+                        raise
             return task.result()
         finally:
             task.cancel()
 
+    async def _verify_run(self, server: BackendServer, watch: StreamWatch) -> None:
+        """Fetches the engine's report; raises BackendResponseError if the run is lost."""
+        sighting = await self._sight_run(server, watch.report_timeout)
+        loss = watch.find_loss(asyncio.get_running_loop().time(), sighting)
+        if loss:
+            raise BackendResponseError(loss)
+
     async def _sight_run(self, server: BackendServer, timeout: float) -> RunSighting | None:
         """Fetches what the engine reports about the run, None without a report in time."""
         report = await self._context.report_client.fetch_report(server, timeout)
