--- a/src/sapphireledge/core/answer/generation_machine.py
+++ b/src/sapphireledge/core/answer/generation_machine.py
@@ -285,8 +285,8 @@
 
         Returns:
             A new attempt, which prefers the same engine if it is alive, unless a retry there has
-            produced no token. Nothing if the engine still runs the attempt and may need more time
-            for the first token.
+            produced no token. Nothing if the engine still runs the attempt, and it may need more
+            time for the first token or no attempt is left.
         """
         if attempt != self._attempt or self._phase is not GenerationPhase.PROBING:
             return [_STALE_PROBE]
@@ -352,9 +352,12 @@
     def _silence_limit(self) -> float:
         if self._has_first_token:
             return self._gap_detector.limit
-        return self._first_token_limit * 2**self._wait_extensions
+        return self._first_token_limit * 2 ** min(self._wait_extensions, MAX_FIRST_TOKEN_PROBES)
 
     def _can_extend_wait(self) -> bool:
+        if self._attempt >= self._cfg.max_attempts:
+            # No attempt is left to replace a run that its engine still lists.
+            return True
         # A retry on the same engine finds a warm prefix cache, so a long prefill does not explain
         # the missing token.
         is_retry = self._prefer == self._backend
--- a/src/sapphireledge/core/liveness/silence_limits.py
+++ b/src/sapphireledge/core/liveness/silence_limits.py
@@ -30,8 +30,13 @@
     """Timeout of a report before the first event, when a false alarm costs a whole prompt."""
 
     max_silence: float = 2.5
-    """Longest time between two complete events of a sound engine. Processing the prompts of several
-    other requests takes 1 to 2 s; callers leave after 2 s at the earliest, most of them later."""
+    """Silence between events after which a stream moves to another engine, if it can, although its
+    engine lists the run. Processing the prompts of several other requests takes 1 to 2 s, a
+    preempted run pauses longer; callers leave after 2 s at the earliest, most of them later."""
+
+    confirm_time: float = 1.6
+    """Time for which reports must show that a run is lost if its stream cannot move: a late report
+    costs the whole answer then. Three reports in a row are late or missing in that time."""
 
     max_undelivered: int = 10
     """Events that an engine may have generated without their arrival. They take about 0.3 s, ten
--- a/src/sapphireledge/core/liveness/stream_watch.py
+++ b/src/sapphireledge/core/liveness/stream_watch.py
@@ -2,7 +2,8 @@
 
 Load pattern: while an engine processes the prompts of other requests, all its streams pause for up
 to a second or two. Cutting them makes other engines process the same prompts again, which pauses
-their streams in turn. An engine that is lost without a reset sends no report either.
+their streams in turn. An engine that runs out of memory preempts a stream for as long as others
+take to end. An engine that is lost without a reset sends no report either.
 """
 
 from __future__ import annotations
@@ -23,7 +24,14 @@
     treated like a silent one.
     """
 
-    __slots__ = ("_checked_at", "_events", "_events_before", "_limits", "_progress_at")
+    __slots__ = (
+        "_checked_at",
+        "_events",
+        "_events_before",
+        "_limits",
+        "_progress_at",
+        "_suspected_at",
+    )
 
     def __init__(self, limits: SilenceLimits, now: float, events_before: int = 0) -> None:
         """Starts watching a run.
@@ -37,6 +45,7 @@
         self._events_before = events_before
         self._progress_at = now
         self._checked_at = now
+        self._suspected_at: float | None = None
         self._events = 0
 
     @property
@@ -59,6 +68,7 @@
         self._events += 1
         self._progress_at = now
         self._checked_at = now
+        self._suspected_at = None
 
     def check_delay(self, now: float) -> float:
         """Computes how long the silence may last before the next report is needed.
@@ -70,7 +80,9 @@
             Seconds until the check, 0 if it is due.
         """
         limits = self._limits
-        if not self._events:
+        if self._suspected_at is not None:
+            interval = limits.repeat_check
+        elif not self._events:
             interval = limits.first_event_check
         elif self._checked_at == self._progress_at:
             interval = limits.event_check
@@ -78,29 +90,52 @@
             interval = limits.repeat_check
         return max(0.0, self._checked_at + interval - now)
 
-    def find_loss(self, now: float, sighting: RunSighting | None) -> str:
+    def find_loss(self, now: float, sighting: RunSighting | None, *, can_move: bool = True) -> str:
         """Decides from a report whether the run is lost.
 
+        A stream that can move is resumed early, because a caller waits. One that cannot is given up
+        only if reports show for some time that the run is lost, and never while its engine lists it
+        and all that it has generated has arrived.
+
         Args:
             now: Time in seconds.
             sighting: What the engine reports about the run, None without a report in time.
+            can_move: Whether the stream can be resumed at another engine.
 
         Returns:
             Why the run is lost, empty if it is to be waited for.
         """
-        limits = self._limits
         self._checked_at = now
-        silence = now - self._progress_at
+        if sighting is not None and sighting.restarted:
+            return "the engine has restarted"
+        if can_move:
+            self._suspected_at = None
+            return self._find_suspicion(sighting, self._limits.max_undelivered) or (
+                self._find_long_silence(now)
+            )
+        suspicion = self._find_suspicion(sighting, 0)
+        if not suspicion:
+            self._suspected_at = None
+            return ""
+        if self._suspected_at is None:
+            self._suspected_at = now
+        return suspicion if now - self._suspected_at >= self._limits.confirm_time else ""
+
+    def _find_suspicion(self, sighting: RunSighting | None, max_undelivered: int) -> str:
+        """Finds a sign in a report that the run is lost or its connection no longer delivers."""
         if sighting is None:
             return "the engine sent neither data nor a report"
-        if sighting.restarted:
-            return "the engine has restarted"
         generated = sighting.generated
-        if generated is None and self._events:
-            return "the engine no longer lists the run"
+        if generated is None:
+            return "the engine no longer lists the run" if self._events else ""
         arrived = self._events_before + self._events
-        if generated is not None and generated > arrived + limits.max_undelivered:
+        if generated > arrived + max_undelivered:
             return f"the engine has generated {generated} events, {arrived} arrived"
-        if self._events and silence >= limits.max_silence:
+        return ""
+
+    def _find_long_silence(self, now: float) -> str:
+        """Finds a silence after which it is better for the caller to resume the stream."""
+        silence = now - self._progress_at
+        if self._events and silence >= self._limits.max_silence:
             return f"no event for {silence:.2f} s"
         return ""
--- a/src/sapphireledge/gateway/retry_allowance.py
+++ b/src/sapphireledge/gateway/retry_allowance.py
@@ -39,26 +39,37 @@
         """Credits the allowance for the first attempt of a request."""
         self._earned = min(self._cfg.retry_earned_cap, self._earned + self._cfg.retry_ratio)
 
-    def try_spend(self, now: float) -> bool:
-        """Spends one retry if the allowance permits it.
+    def has_retry(self, now: float) -> bool:
+        """Whether the allowance permits a retry.
 
         Args:
             now: Event loop time in seconds.
 
         Returns:
-            Whether the retry is permitted.
+            Whether `try_spend` would permit one now.
         """
         limit = self._burst_limit()
         refill = (now - self._refilled_at) * limit / self._cfg.retry_window
         self._burst = min(limit, self._burst + refill)
         self._refilled_at = now
+        return self._earned >= 1.0 or self._burst >= 1.0
+
+    def try_spend(self, now: float) -> bool:
+        """Spends one retry if the allowance permits it.
+
+        Args:
+            now: Event loop time in seconds.
+
+        Returns:
+            Whether the retry is permitted.
+        """
+        if not self.has_retry(now):
+            return False
         if self._earned >= 1.0:
             self._earned -= 1.0
-            return True
-        if self._burst >= 1.0:
+        else:
             self._burst -= 1.0
-            return True
-        return False
+        return True
 
     def _burst_limit(self) -> float:
         """Computes this instance's share of the slack."""
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -196,10 +196,23 @@
     async def _verify_run(self, server: BackendServer, watch: StreamWatch) -> None:
         """Fetches the engine's report; raises BackendResponseError if the run is lost."""
         sighting = await self._sight_run(server, watch.report_timeout)
-        loss = watch.find_loss(asyncio.get_running_loop().time(), sighting)
+        now = asyncio.get_running_loop().time()
+        loss = watch.find_loss(now, sighting, can_move=self._can_move(now, server))
         if loss:
             raise BackendResponseError(loss)
 
+    def _can_move(self, now: float, server: BackendServer) -> bool:
+        """Whether the stream can be resumed at another engine if its run is given up."""
+        admitted, context = self._admitted, self._context
+        service = admitted.service.name
+        excluded = {*self._progress.failed_engines, server.server_id}
+        return (
+            admitted.route.resumable
+            and self._progress.permits_attempt(admitted, now)
+            and context.retry_allowance(service).has_retry(now)
+            and context.registry.next_admission(now, service, excluded) <= now
+        )
+
     async def _sight_run(self, server: BackendServer, timeout: float) -> RunSighting | None:
         """Fetches what the engine reports about the run, None without a report in time."""
         report = await self._context.report_client.fetch_report(server, timeout)
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -24,10 +24,6 @@
 RETRY_AFTER = 0.5
 """Retry-After in seconds for refused streams; engines free memory within seconds."""
 
-MIN_ATTEMPT_TIME = 0.2
-"""Seconds that must remain before the deadline to start an attempt; no engine processes a prompt
-sooner."""
-
 
 class StreamForwarder:
     """Forwards streams, and resumes them on another engine if the route permits."""
@@ -95,10 +91,7 @@
     def _try_begin_attempt(self, admitted: AdmittedRequest, progress: StreamProgress) -> bool:
         """Checks the limits for another attempt, and spends a retry if it is not the first."""
         now = asyncio.get_running_loop().time()
-        if (
-            len(progress.contacted) >= admitted.route.max_attempts
-            or admitted.deadline - now < MIN_ATTEMPT_TIME
-        ):
+        if not progress.permits_attempt(admitted, now):
             return False
         retry_allowance = self._context.retry_allowance(admitted.service.name)
         if not progress.contacted:
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -7,12 +7,17 @@
 from sapphireledge.gateway.outcome import OutcomeKind
 
 if TYPE_CHECKING:
+    from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.engine_selection import EngineSelection
     from sapphireledge.gateway.outcome import Outcome
 
 __all__ = ["StreamProgress"]
 
+MIN_ATTEMPT_TIME = 0.2
+"""Seconds that must remain before the deadline to start an attempt; no engine processes a prompt
+sooner."""
+
 
 class StreamProgress:
     """Progress of one stream across all engines that it ran on."""
@@ -60,6 +65,21 @@
         self._standby: BackendServer | None = None
         self._replica_holder: BackendServer | None = None
 
+    def permits_attempt(self, admitted: AdmittedRequest, now: float) -> bool:
+        """Whether the route and the deadline permit another attempt.
+
+        Args:
+            admitted: The request.
+            now: Event loop time in seconds.
+
+        Returns:
+            Whether the request may be sent to one more engine.
+        """
+        return (
+            len(self.contacted) < admitted.route.max_attempts
+            and admitted.deadline - now >= MIN_ATTEMPT_TIME
+        )
+
     def on_attempt(self, selection: EngineSelection) -> None:
         """Records the start of an attempt.
 
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -86,6 +86,20 @@
         second = machine.on_probe(3.2, 2, True, True)
         self.assertEqual(second[-1], Dispatch(3, 20, "", ("e1",), "v1"))
 
+    def test_last_attempt_is_not_given_up_while_its_engine_runs_it(self):
+        """Guards against refusing a preempted generation for its silence."""
+        machine = running_machine(3)
+        for attempt in range(1, CFG.max_attempts):
+            machine.on_broken(0, attempt, AttemptFailureCause.CLOSED)
+            machine.on_dispatched(0, attempt + 1, f"e{attempt + 1}", "v1")
+        for _ in range(20):
+            now = machine.deadline
+            self.assertEqual(machine.on_tick(now), [Probe(CFG.max_attempts, "e8")])
+            self.assertEqual(machine.on_probe(now, CFG.max_attempts, True, True), [])
+        self.assertLess(machine.deadline - now, CFG.first_token_silence * 10)
+        machine.on_tick(machine.deadline)
+        self.assertIsInstance(machine.on_probe(now, CFG.max_attempts, False, False)[-1], Refuse)
+
     def test_probe_timeout_counts_as_engine_failure(self):
         machine = running_machine(20)
         machine.on_tick(2.0)
--- a/tests/test_gateway_stream.py
+++ b/tests/test_gateway_stream.py
@@ -144,6 +144,30 @@
         self.assertEqual(response.body, events(*range(4)))
         self.assertEqual(second.received, [])
 
+    async def assert_preempted_stream_is_whole(self, path, **more):
+        """Pauses a stream for longer than any silence limit while its engine lists the run."""
+
+        async def preempted(request, writer):
+            name = request.headers["x-sapphireledge-request-id"]
+            writer.write(stream_head(request) + chunk(event(0)) + chunk(event(1)))
+            engine.load = {"waiting": 1, "runs": [[name, 0, 2, 5]]}
+            await asyncio.sleep(3.8)
+            writer.write(chunk(event(2)) + END)
+
+        engine = await self.add("llm", preempted)
+        response = await self.call(path, x_sapphireledge_deadline_ms="7000", **more)
+        self.assertEqual((response.body, response.complete), (events(0, 1, 2), True))
+
+    async def test_preempted_stream_that_is_not_resumable_is_not_cut(self):
+        """Guards against giving up a run for its silence, although its engine lists it."""
+        other = await self.add("llm", streaming_engine(2, 3), "dc-b")
+        await self.assert_preempted_stream_is_whole("/non-resumable/")
+        self.assertEqual(other.received, [])
+
+    async def test_preempted_stream_without_another_engine_is_not_cut(self):
+        """Guards against giving up a resumable run that no other engine can continue."""
+        await self.assert_preempted_stream_is_whole("/stream/")
+
     async def test_stalled_stream_that_sends_bytes_now_and_then_is_replaced(self):
         """Guards against taking bytes or comments for progress, as they can go on for ever."""
         servers = {}
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -16,7 +16,11 @@
 """Seconds that a resume at a standby in another region takes."""
 
 
-def replay(gaps, sight):
+GIVE_UP_TIME = 3.2
+"""Longest time in seconds after which the loss of a run that cannot move is noticed."""
+
+
+def replay(gaps, sight, can_move=True):
     """Replays pauses between events; returns the time at which the run counts as lost, or None.
 
     `sight` returns what the engine reports at a time, given the number of events so far.
@@ -28,7 +32,7 @@
             now += watch.check_delay(now)
             sighting = sight(now, events)
             now += 0.05 if sighting is not None else watch.report_timeout
-            if now < end and watch.find_loss(now, sighting):
+            if now < end and watch.find_loss(now, sighting, can_move=can_move):
                 return now
         now = end
         watch.on_event(now)
@@ -79,5 +83,47 @@
         self.assertIn("no event", watch.find_loss(1.0 + LIMITS.max_silence, RunSighting(1)))
 
 
+class ImmovableStreamTest(unittest.TestCase):
+    """Guards against giving up a run that its engine lists, if its stream cannot be resumed."""
+
+    @given(st.lists(st.floats(0.01, 20.0), min_size=1, max_size=20))
+    def test_listed_run_is_never_given_up(self, gaps):
+        self.assertIsNone(replay(gaps, lambda now, events: RunSighting(events), can_move=False))
+
+    @given(st.lists(st.floats(0.5, 20.0), min_size=1, max_size=20), st.integers(0, 3))
+    def test_late_and_missing_reports_do_not_end_a_listed_run(self, gaps, phase):
+        """Two of four reports are missing, or from before the run's last events."""
+        count = phase
+
+        def sight(now, events):
+            nonlocal count
+            count += 1
+            return (None, RunSighting(None), RunSighting(events), RunSighting(events))[count % 4]
+
+        self.assertIsNone(replay(gaps, sight, can_move=False))
+
+    def test_event_that_is_still_on_its_way_is_no_loss(self):
+        """The engine goes on after a pause, and its report overtakes the event."""
+
+        def sight(now, events):
+            return RunSighting(events + (now > 4.9))
+
+        self.assertIsNone(replay([1.0, 4.0, 1.0], sight, can_move=False))
+
+    def test_lost_run_is_given_up_in_time(self):
+        sights = {
+            "no report": lambda now, events: None,
+            "not listed": lambda now, events: RunSighting(None),
+            "many events do not arrive": lambda now, events: RunSighting(events + 99),
+            "one event does not arrive": lambda now, events: RunSighting(events + 1),
+            "restarted": lambda now, events: RunSighting(events, True),
+        }
+        for name, sight in sights.items():
+            with self.subTest(name):
+                lost_at = replay([1.0, 60.0], sight, can_move=False)
+                self.assertLessEqual(lost_at - 1.0, GIVE_UP_TIME)
+        self.assertLessEqual(replay([60.0], lambda now, events: None, can_move=False), GIVE_UP_TIME)
+
+
 if __name__ == "__main__":
     unittest.main()
