Callers, store, reports and feed cannot take the memory or the loop of an instance

Seen in new tests on: a caller that sends a body in chunks of a byte keeps the loop for 15.6 s, one that sends requests without waiting for 3.4 s; bytes sent while a request is handled are kept without a limit (137 MB in a second); bodies of many callers have no common limit; a reader of the metrics address keeps the loop for 1.0 s; a report of millions of entries is decoded; the store's body in chunks of a byte takes the loop for 1.0 s, and a listing whose pages do not end never returns.

Change: callers are received from only while less than 64 KiB are unparsed; bodies share 16 MiB (503 with Retry-After above); reports and cache listings are read up to 256 KiB, listings of the store up to 32 MiB, requests of followers up to 64 KiB and one in 20 ms. All parsers run in time slices.

--- a/src/sapphireledge/feed/feed_channel.py
+++ b/src/sapphireledge/feed/feed_channel.py
@@ -20,12 +20,15 @@
 Message = TypeVar("Message")
 
 
-async def read_message(reader: asyncio.StreamReader, kind: type[Message]) -> Message:
+async def read_message(
+    reader: asyncio.StreamReader, kind: type[Message], max_bytes: int = MAX_MESSAGE_BYTES
+) -> Message:
     """Reads one message.
 
     Args:
         reader: Stream.
         kind: Type to decode the message as.
+        max_bytes: Largest message in bytes.
 
     Returns:
         The message.
@@ -35,7 +38,7 @@
     """
     try:
         length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
-        if length > MAX_MESSAGE_BYTES:
+        if length > max_bytes:
             raise SourceError(f"message too large: {length} bytes")
         return msgspec.msgpack.decode(await reader.readexactly(length), type=kind)
     except (OSError, asyncio.IncompleteReadError, msgspec.MsgspecError, RecursionError) as exc:
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -21,6 +21,12 @@
 
 __all__ = ["FeedServer"]
 
+MIN_REPLY_INTERVAL = 0.02
+"""Shortest time in seconds between replies to one follower; building one may take milliseconds."""
+
+MAX_REQUEST_BYTES = 65_536
+"""Largest request in bytes; it holds one revision for each kind."""
+
 
 class FeedServer:
     """Relays the objects that this instance reads from the store."""
@@ -57,10 +63,13 @@
             writer: Stream to the follower.
         """
         relayed_replies = 0
+        next_reply_at = 0.0
         try:
             while True:
-                request = await read_message(reader, FeedRequest)
+                request = await read_message(reader, FeedRequest, MAX_REQUEST_BYTES)
+                await asyncio.sleep(max(0.0, next_reply_at - seconds_since_boot()))
                 reply = await self._build_reply(request)
+                next_reply_at = seconds_since_boot() + MIN_REPLY_INTERVAL
                 relayed_replies += bool(reply.kinds)
                 write_message(writer, reply)
                 await writer.drain()
--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -11,6 +11,7 @@
 from sapphireledge.gateway.crash_guard import CrashGuard
 from sapphireledge.gateway.dialect import Dialect
 from sapphireledge.gateway.engine_load import EngineLoad
+from sapphireledge.gateway.event_reader import EventReader
 from sapphireledge.gateway.gateway import Gateway
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.gateway_metrics import GatewayMetrics
@@ -37,6 +38,7 @@
     "CrashGuard",
     "Dialect",
     "EngineLoad",
+    "EventReader",
     "Gateway",
     "GatewayEvent",
     "GatewayMetrics",
--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -130,6 +130,7 @@
             framed.append((b"content-length", str(len(body)).encode()))
         self._request = h11.Request(method=method, target=target, headers=framed)
         self._is_complete = False
+        self._event_reader.restart()
         data = self._parser.send(self._request) or b""
         if body:
             data += self._parser.send(h11.Data(data=body)) or b""
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -9,6 +9,7 @@
 import h11
 
 from sapphireledge.gateway.malformed_request import MalformedRequest
+from sapphireledge.limits import BufferBudget, TimeSlice
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -19,6 +20,16 @@
 
 __all__ = ["CallerConnection"]
 
+MAX_UNPARSED_BYTES = 65_536
+"""Unparsed bytes of one caller from which on the gateway stops receiving from it."""
+
+MAX_TOTAL_BODY_BYTES = 16_777_216
+"""Largest sum of the request bodies that are being read or forwarded, an eighth of the smallest
+machine's memory."""
+
+RETRY_AFTER = 1.0
+"""Seconds after which a request for whose body no memory was left may be sent again."""
+
 WRITE_HIGH_WATER = 65_536
 """Unsent bytes to a caller above which the gateway stops reading from the backend server."""
 
@@ -31,7 +42,13 @@
 """Headers that apply to one connection only; responses to callers get their own framing."""
 
 
-class CallerConnection(asyncio.Protocol):
+_BODY_BUDGET = BufferBudget(MAX_TOTAL_BODY_BYTES)
+
+_receive_buffer = bytearray(MAX_UNPARSED_BYTES)
+"""Shared by all connections, as it is filled and emptied within one callback of the transport."""
+
+
+class CallerConnection(asyncio.BufferedProtocol):
     """Reads requests one after another and writes their responses.
 
     One task per connection runs `handle` for each request. It is cancelled as soon as the caller
@@ -52,6 +69,9 @@
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().max_head_bytes)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
+        self._received = bytearray()
+        self._body_size = 0
+        self._slice = TimeSlice()
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -80,9 +100,15 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
         self._task = asyncio.create_task(self._run())
 
-    def data_received(self, data: bytes) -> None:
-        """Feeds received bytes to the parser."""
-        self._parser.receive_data(data)
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the buffer for the next bytes."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Keeps received bytes for the parser, and stops receiving while there are many."""
+        self._received += memoryview(_receive_buffer)[:nbytes]
+        if len(self._received) >= MAX_UNPARSED_BYTES and self._transport is not None:
+            self._transport.pause_reading()
         self._readable.set()
 
     def eof_received(self) -> bool:
@@ -111,7 +137,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or handled, and no response waits to be sent."""
-        is_reading = self._parser.their_state is not h11.IDLE or self._parser.trailing_data[0]
+        is_reading = self._parser.their_state is not h11.IDLE or self._has_unread_bytes()
         is_sending = self._transport is not None and self._transport.get_write_buffer_size() > 0
         return not (self.is_busy or is_reading or is_sending)
 
@@ -179,6 +205,7 @@
                 self.is_busy = True
                 self.response_started = False
                 await self._handle(self, request)
+                self._release_body()
                 self.is_busy = False
                 if self._parser.our_state is not h11.DONE:
                     break
@@ -191,6 +218,7 @@
             if not self._disconnected:
                 raise
         finally:
+            self._release_body()
             transport.close()
 
     async def _read_request(self) -> CallerRequest | None:
@@ -199,7 +227,7 @@
         limits = self._limits()
         try:
             async with asyncio.timeout(limits.idle_timeout):
-                while not self._parser.trailing_data[0]:
+                while not self._has_unread_bytes():
                     await self._wait_readable()
         except TimeoutError:
             return None
@@ -225,6 +253,9 @@
                 body += event.data
                 if len(body) > limits.max_body_bytes:
                     raise MalformedRequest(413, "the request body is too large")
+                if not _BODY_BUDGET.try_take(len(event.data)):
+                    raise MalformedRequest(503, "no memory is left for bodies", RETRY_AFTER)
+                self._body_size += len(event.data)
         except TimeoutError as exc:
             raise MalformedRequest(408, "timed out reading the request") from exc
         return self._dialect.decode_request(
@@ -233,6 +264,7 @@
 
     async def _next_event(self) -> h11.Event:
         """Waits for the next parser event of a request."""
+        await self._slice.checkpoint()
         while True:
             try:
                 event = self._parser.next_event()
@@ -240,17 +272,34 @@
                 raise MalformedRequest(exc.error_status_hint, str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
-            await self._wait_readable()
+            if not self._received:
+                await self._wait_readable()
+            self._parser.receive_data(bytes(self._received))
+            self._received.clear()
+            if self._transport is not None:
+                self._transport.resume_reading()
 
     async def _wait_readable(self) -> None:
         """Waits for more bytes from the caller."""
         self._readable.clear()
         await self._readable.wait()
+        self._slice.restart()
+
+    def _has_unread_bytes(self) -> bool:
+        """Whether bytes have been received that belong to no event yet."""
+        return bool(self._received or self._parser.trailing_data[0])
+
+    def _release_body(self) -> None:
+        """Returns the memory of the request body to the budget."""
+        _BODY_BUDGET.give_back(self._body_size)
+        self._body_size = 0
 
     async def _reject(self, exc: MalformedRequest) -> None:
         """Responds to an unacceptable request with its error status and closes the connection."""
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            if exc.retry_after is not None:
+                headers.append((b"retry-after", str(exc.retry_after).encode()))
             self._write(
                 self._parser.send(h11.Response(status_code=exc.status, headers=headers, reason=b""))
             )
--- a/src/sapphireledge/gateway/engine_report_client.py
+++ b/src/sapphireledge/gateway/engine_report_client.py
@@ -20,6 +20,10 @@
 
 __all__ = ["EngineReportClient"]
 
+MAX_REPORT_BYTES = 262_144
+"""Largest report or cache listing in bytes; it has one short entry for each run or cached part of
+an engine, and is decoded in one step."""
+
 
 class EngineReportClient:
     """Queries engines for their load and their cached prompt parts.
@@ -113,7 +117,7 @@
         try:
             conn.send(b"GET", target, headers, b"")
             head = await conn.read_head(self._dialect, "")
-            body = await conn.read_body()
+            body = await conn.read_body(MAX_REPORT_BYTES)
             complete = True
             return body if head.status == 200 else None
         finally:
--- a/src/sapphireledge/gateway/event_reader.py
+++ b/src/sapphireledge/gateway/event_reader.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from sapphireledge.loop_time import TimeSlice
+from sapphireledge.limits import TimeSlice
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.unread_reader import UnreadReader
@@ -47,6 +47,10 @@
                 await self.checkpoint()
         return event
 
+    def restart(self) -> None:
+        """Starts a time slice for the response to a request that is sent now."""
+        self._slice.restart()
+
     async def checkpoint(self) -> None:
         """Lets other tasks run if this connection has kept the event loop for long."""
         await self._slice.checkpoint()
--- a/src/sapphireledge/gateway/response_buffer.py
+++ b/src/sapphireledge/gateway/response_buffer.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.gateway.backend_response_error import BackendResponseError
-from sapphireledge.gateway.buffer_budget import BufferBudget
+from sapphireledge.limits import BufferBudget
 
 if TYPE_CHECKING:
     from typing import Self
--- a/src/sapphireledge/gateway/text_endpoint.py
+++ b/src/sapphireledge/gateway/text_endpoint.py
@@ -9,12 +9,16 @@
 import structlog
 
 from sapphireledge.gateway.gateway_event import GatewayEvent
+from sapphireledge.limits import TimeSlice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 __all__ = ["TextEndpoint"]
 
+READ_SIZE = 4096
+"""Largest number of bytes per read."""
+
 MAX_CONNECTION_AGE = 30.0
 """Seconds after which a connection is closed."""
 
@@ -38,9 +42,10 @@
             writer: Stream to the client.
         """
         parser = h11.Connection(h11.SERVER)
+        time_slice = TimeSlice()
         try:
             async with asyncio.timeout(MAX_CONNECTION_AGE):
-                while await self._serve_one(parser, reader, writer):
+                while await self._serve_one(parser, reader, writer, time_slice):
                     parser.start_next_cycle()
         except (OSError, TimeoutError, h11.ProtocolError) as exc:
             # The client opens a new connection for its next request.
@@ -49,12 +54,21 @@
             writer.close()
 
     async def _serve_one(
-        self, parser: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        parser: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        time_slice: TimeSlice,
     ) -> bool:
         """Serves one request; returns whether the connection can be used for another."""
         while not isinstance(event := parser.next_event(), h11.EndOfMessage):
+            await time_slice.checkpoint()
             if event is h11.NEED_DATA:
-                parser.receive_data(await reader.read(4096))
+                data = await reader.read(READ_SIZE)
+                if len(data) < READ_SIZE:
+                    # Nothing else has arrived, so the next read waits.
+                    time_slice.restart()
+                parser.receive_data(data)
             elif isinstance(event, h11.ConnectionClosed):
                 return False
         status, body = self._respond()
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -11,7 +11,7 @@
 import structlog
 
 from sapphireledge.feed import Peer, SourceError, StoredEntry, StoredVersion, StorePage
-from sapphireledge.gateway import GatewayEvent, UnreadReader, open_unread_connection
+from sapphireledge.gateway import EventReader, GatewayEvent, UnreadReader, open_unread_connection
 from sapphireledge.platform.decode_objects import decode_answer, decode_spec
 from sapphireledge.platform.split_address import split_address
 
@@ -26,8 +26,11 @@
 MAX_BODY_BYTES = 8_388_608
 """Largest response body; the store's pages hold about one megabyte."""
 
-READ_SIZE = 65_536
-"""Maximum bytes of one read from the connection."""
+MAX_LISTING_BYTES = 33_554_432
+"""Largest sum of the pages of one listing, a quarter of the smallest machine's memory."""
+
+MAX_INTERIM_RESPONSES = 4
+"""Interim responses that may precede a response."""
 
 GONE = 410
 """Status of a watch whose revision the store's history no longer covers."""
@@ -138,12 +141,16 @@
         entries: list[StoredEntry] = []
         revision: int | None = None
         epoch: int | None = None
+        size = 0
         path = f"/objects/{kind}{query}"
         while True:
             answer = await self._call("list", "GET", path, self._cfg.call_timeout)
             if epoch is not None and answer.epoch != epoch:
                 raise SourceError("the store came back from an older copy during the listing")
             epoch = answer.epoch
+            size += len(answer.body)
+            if size > MAX_LISTING_BYTES:
+                raise SourceError(f"the listing is larger than {MAX_LISTING_BYTES} bytes")
             page = decode_answer(answer.body, _Listing)
             # Watching from the revision of the first page also returns changes during the listing.
             revision = page.store_revision if revision is None else revision
@@ -257,13 +264,12 @@
         if body:
             data += parser.send(h11.Data(data=body)) or b""
         writer.write(data + (parser.send(h11.EndOfMessage()) or b""))
-        status = epoch = 0
+        events = EventReader(reader)
+        status = epoch = interim_responses = 0
         response_body = bytearray()
         while True:
-            event = parser.next_event()
-            if event is h11.NEED_DATA:
-                parser.receive_data(await reader.read(READ_SIZE))
-            elif isinstance(event, h11.Response):
+            event = await events.next_event(parser)
+            if isinstance(event, h11.Response):
                 status = event.status_code
                 epoch = _decode_epoch(dict(event.headers).get(EPOCH))
             elif isinstance(event, h11.Data):
@@ -276,6 +282,10 @@
                 break
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("connection closed by the store")
+            elif isinstance(event, h11.InformationalResponse):
+                interim_responses += 1
+                if interim_responses > MAX_INTERIM_RESPONSES:
+                    raise ConnectionResetError("the store sends interim responses without end")
         is_done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
         if is_done and not parser.trailing_data[0]:
             parser.start_next_cycle()
--- /dev/null
+++ b/tests/test_bounded_readers.py
@@ -0,0 +1,223 @@
+"""Tests that no sender without end takes the memory or the event loop of an instance."""
+
+from __future__ import annotations
+
+import asyncio
+import tracemalloc
+import unittest
+
+from gateway_case import HOST, GatewayCase, chunk, encode_json, full_response, signed_response
+
+from sapphireledge.feed import SourceError, StoreEpoch
+from sapphireledge.feed.feed_channel import read_message
+from sapphireledge.feed.feed_message import FeedRequest
+from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
+from sapphireledge.gateway.caller_connection import MAX_TOTAL_BODY_BYTES, MAX_UNPARSED_BYTES
+from sapphireledge.gateway.text_endpoint import TextEndpoint
+from sapphireledge.platform.store_client import MAX_LISTING_BYTES, StoreClient
+from sapphireledge.platform.store_settings import StoreSettings
+
+LONGEST_WAIT = 0.5
+"""Seconds within which other requests are answered."""
+
+
+class LoopWatch:
+    """Measures the longest time for which the event loop was not available."""
+
+    def __init__(self) -> None:
+        self.longest = 0.0
+        self._task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            started = loop.time()
+            await asyncio.sleep(0.001)
+            self.longest = max(self.longest, loop.time() - started)
+
+    def stop(self) -> float:
+        """Stops measuring; returns the longest time in seconds."""
+        self._task.cancel()
+        return self.longest
+
+
+async def send_until_closed(writer, data, seconds):
+    """Sends bytes until the other side closes, at most for some seconds."""
+    try:
+        async with asyncio.timeout(seconds):
+            while True:
+                writer.write(data)
+                await writer.drain()
+    except (OSError, TimeoutError):
+        return
+
+
+async def answer(request, writer):
+    writer.write(signed_response(request))
+
+
+class CallerTest(GatewayCase):
+    """Guards against callers that send without end."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.add("app", answer)
+
+    async def flood(self, start, data, seconds=1.0):
+        """Sends from one caller without end; returns the longest standstill of the loop."""
+        _, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(start)
+        watch = LoopWatch()
+        try:
+            await send_until_closed(writer, data, seconds)
+        finally:
+            writer.transport.abort()
+        return watch.stop()
+
+    async def test_body_in_chunks_of_a_byte(self):
+        head = self.head("/plain/", transfer_encoding="chunked") + b"\r\n"
+        self.assertLess(await self.flood(head, chunk(b"x") * 50_000), LONGEST_WAIT / 4)
+
+    async def test_pipelined_requests(self):
+        request = self.head("/none/") + b"content-length: 0\r\n\r\n"
+        self.assertLess(await self.flood(b"", request * 500), LONGEST_WAIT / 4)
+
+    async def test_bytes_during_a_request_take_bounded_memory(self):
+        released = asyncio.Event()
+
+        async def hold(request, writer):
+            await released.wait()
+            writer.write(signed_response(request))
+
+        self.servers[0].handle = hold
+        start = self.head("/plain/") + b"content-length: 1\r\n\r\nx"
+        tracemalloc.start()
+        try:
+            await self.flood(start, b"x" * 1_000_000, 1.0)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+            released.set()
+        # The sender itself holds a few megabytes.
+        self.assertLess(peak, 6_000_000 + 4 * MAX_UNPARSED_BYTES)
+
+    async def test_bodies_of_many_callers_share_a_memory_limit(self):
+        size = 4_000_000
+        count = 2 * MAX_TOTAL_BODY_BYTES // size
+        connections = []
+        for _ in range(count):
+            reader, writer = await asyncio.open_connection(HOST, self.port)
+            writer.write(self.head("/plain/") + f"content-length: {size}\r\n\r\n".encode())
+            writer.write(b"x" * (size - 1))
+            connections.append((reader, writer))
+        await asyncio.sleep(1.0)
+        refused = [reader for reader, _ in connections if reader._buffer]
+        self.assertGreaterEqual(len(refused), count // 2 - 1)
+        for reader in refused:
+            head = bytes(reader._buffer)
+            self.assertIn(b" 503 ", head)
+            self.assertIn(b"retry-after", head.lower())
+        for _, writer in connections:
+            writer.transport.abort()
+        await asyncio.sleep(0.1)
+        response = await self.call("/plain/", b"x" * size)
+        self.assertEqual(response.status, 200)
+
+    async def test_requests_to_the_text_endpoint(self):
+        endpoint = TextEndpoint(lambda: (200, b"ok"))
+        server = await asyncio.start_server(endpoint.serve, HOST, 0)
+        _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n")
+        watch = LoopWatch()
+        await send_until_closed(writer, chunk(b"x") * 50_000, 1.0)
+        writer.transport.abort()
+        server.close()
+        self.assertLess(watch.stop(), LONGEST_WAIT / 4)
+
+
+class ReportTest(GatewayCase):
+    """Guards against reports whose decoding takes long."""
+
+    async def test_large_report_is_not_decoded(self):
+        engine = await self.add("llm", answer)
+        engine.load = {"runs": [[]] * 1_000_000}
+        server = self.gateway.context.registry.state(engine.server_id).server
+        watch = LoopWatch()
+        report = await self.gateway.context.report_client.fetch_report(server, 2.0)
+        await asyncio.sleep(0.01)
+        self.assertIsNone(report)
+        self.assertLess(watch.stop(), LONGEST_WAIT / 2)
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against responses of the store without end."""
+
+    async def list_from(self, respond):
+        """Lists a kind from a store with the given connection handler."""
+
+        async def serve(reader, writer):
+            try:
+                await respond(reader, writer)
+            finally:
+                writer.transport.abort()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        client = StoreClient(StoreSettings(host=HOST, port=port), StoreEpoch())
+        watch = LoopWatch()
+        try:
+            async with asyncio.timeout(20.0):
+                with self.assertRaises(SourceError):
+                    await client.list("servers")
+        finally:
+            client.close()
+            server.close()
+            self.assertLess(watch.stop(), LONGEST_WAIT)
+
+    async def test_interim_responses(self):
+        async def respond(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await send_until_closed(writer, b"HTTP/1.1 103 Early\r\n\r\n" * 1000, 3.0)
+
+        await self.list_from(respond)
+
+    async def test_body_in_chunks_of_a_byte(self):
+        async def respond(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            await send_until_closed(writer, chunk(b" ") * 20_000, 10.0)
+
+        await self.list_from(respond)
+
+    async def test_pages(self):
+        spec = "x" * 900_000
+        item = {"metadata": {"name": "a", "revision": 1}, "spec": spec}
+        page = full_response(
+            200, {}, encode_json({"items": [item], "store_revision": 1, "more": True})
+        )
+        pages = 0
+
+        async def respond(reader, writer):
+            nonlocal pages
+            while await reader.readuntil(b"\r\n\r\n"):
+                pages += 1
+                writer.write(page)
+                await writer.drain()
+
+        await self.list_from(respond)
+        self.assertLessEqual(pages, MAX_LISTING_BYTES // len(spec) + 1)
+
+
+class FeedChannelTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against messages that announce more than they may hold."""
+
+    async def test_large_request_is_refused_before_it_is_read(self):
+        reader = asyncio.StreamReader()
+        reader.feed_data((MAX_REQUEST_BYTES + 1).to_bytes(4, "big"))
+        with self.assertRaises(SourceError):
+            async with asyncio.timeout(1.0):
+                await read_message(reader, FeedRequest, MAX_REQUEST_BYTES)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_endless_pieces.py
+++ b/tests/test_endless_pieces.py
@@ -11,7 +11,7 @@
 from sapphireledge.gateway.backend_response_error import BackendResponseError
 from sapphireledge.gateway.event_splitter import MAX_EVENT_BYTES, EventSplitter
 from sapphireledge.gateway.response_buffer import MAX_TOTAL_BYTES
-from sapphireledge.loop_time import TimeSlice
+from sapphireledge.limits import TimeSlice
 
 PIECES_PER_WRITE = 2048
 ENDLESS_STREAMS = 4
