Engines and the platform of the own interface cannot take the memory or the loop either

Seen in new tests on: an engine's stream in small pieces keeps the loop of sapphireledged for 1.4 to 4.1 s, a head without an end for 2.2 s. aiosonic limits neither the size of a response nor the time that its lines and chunks take, and SseReader copied its buffer for each chunk.

Change: LimitedConnection reads in time slices and limits heads, chunks and bodies, also of the platform; SseReader searches each byte once.

Tests: OwnInterfaceTest, 4 of 5 checks fail before (the body of an object held); all pass now.

--- a/src/sapphireledge/backends/_private.py
+++ b/src/sapphireledge/backends/_private.py
@@ -10,16 +10,18 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from aiosonic.connection import Connection
 from aiosonic.exceptions import HttpParsingError
 
 from sapphireledge.backends.call_failure import CallFailure
 from sapphireledge.backends.call_failure_cause import CallFailureCause
 from sapphireledge.backends.stream_token import FOREIGN_ATTEMPT
 from sapphireledge.errors import Ran
+from sapphireledge.limited_http import MAX_BODY_BYTES, LimitedConnection, ResponseTooLong, read_body
+from sapphireledge.limits import RESPONSE_BUDGET, BufferShare
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Mapping
+    from collections.abc import Iterator, Mapping
+    from typing import Self
     from urllib.parse import ParseResult
 
     from aiosonic import HTTPClient
@@ -44,14 +46,6 @@
 """Longest event that is buffered; a longer one fails the stream, so that memory stays bounded."""
 
 
-MAX_BODY_BYTES = 4_194_304
-"""Longest body of a short response, or of one chunk of a stream."""
-
-
-class BodyTooLong(ValueError):
-    """The body of a response is longer than MAX_BODY_BYTES."""
-
-
 class EventTooLong(ValueError):
     """A server-sent event is longer than MAX_EVENT_BYTES."""
 
@@ -81,7 +75,7 @@
             self._timeout.reschedule(asyncio.get_running_loop().time() + self._response_timeout)
 
 
-class ReusableConnection(Connection):
+class ReusableConnection(LimitedConnection):
     """Keep-alive connection that is reused only if no earlier call can have left data on it.
 
     aiosonic returns a reused connection to its pool when a call on it fails or is cancelled before
@@ -120,20 +114,6 @@
             progress.mark_sent()
         super().write(data)
 
-    def readline(self) -> Coroutine[Any, Any, bytes]:
-        """Reads a line; an end of file before its end raises an EOFError.
-
-        This method and `readexactly` return the coroutine of the stream reader instead of awaiting
-        it, because both run for every token.
-        """
-        return self.reader.readuntil(b"\n")
-
-    def readexactly(self, size: int) -> Coroutine[Any, Any, bytes]:
-        """Reads exactly `size` bytes, but no more than MAX_BODY_BYTES at once."""
-        if size > MAX_BODY_BYTES:
-            raise BodyTooLong(f"{size} bytes announced, {MAX_BODY_BYTES} are accepted")
-        return self.reader.readexactly(size)
-
     async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
         """Closes the connection after a failed call, otherwise returns it to the pool."""
         if exc_type is not None:
@@ -218,51 +198,80 @@
 class SseReader:
     """Incremental parser that extracts the data of server-sent events from a byte stream.
 
+    Each byte is searched a bounded number of times, however many pieces an event comes in. Use it
+    as a context manager, which frees the buffer at the end.
+
     The SSE client of aiosonic can send POST bodies but is unsuitable: it splits the decoded text of
     an event at U+0085, U+2028 and U+2029, which may occur unescaped in JSON strings and thus in
     model output, it drops an event that equals the previous one, it does not support CRLF, and it
     hides the body of an error response.
     """
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_has_trailing_cr", "_share")
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._share = BufferShare(RESPONSE_BUDGET)
+        self._has_trailing_cr = False
+
+    def __enter__(self) -> Self:
+        return self
 
-    def feed(self, data: bytes) -> list[bytes]:
+    def __exit__(self, *_: object) -> None:
+        self._share.release()
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
         """Parses the next bytes of the stream.
 
+        Call it again only after the iterator is exhausted.
+
         Args:
             data: Bytes as received; events may be split at any position.
 
-        Returns:
+        Yields:
             The data of the events that are now complete; events without data are skipped.
 
         Raises:
-            EventTooLong: An incomplete event is already longer than MAX_EVENT_BYTES.
+            EventTooLong: An incomplete event is already longer than MAX_EVENT_BYTES, or no memory
+                is left for incomplete events.
         """
-        if self._buffer:
-            data = self._buffer + data
-        elif (
-            data.startswith(b"data: ")
+        if (
+            not self._buffer
+            and not self._has_trailing_cr
+            and data.startswith(b"data: ")
             and data.endswith(b"\n\n")
             and data.find(b"\n") == len(data) - 2
             and b"\r" not in data
         ):
             # Fast path for one complete single-line event, as in nearly every packet of an engine.
-            return [data[6:-2]]
-        if b"\r" in data:
-            # A trailing CR may be the first byte of a CRLF.
-            trailing_cr = data[-1:] if data.endswith(b"\r") else b""
-            data = data.removesuffix(b"\r").replace(b"\r\n", b"\n").replace(b"\r", b"\n")
-        else:
-            trailing_cr = b""
-        events = data.split(b"\n\n")
-        remainder = events.pop()
-        self._buffer = remainder + trailing_cr if trailing_cr else remainder
-        if len(remainder) > MAX_EVENT_BYTES:
+            yield data[6:-2]
+            return
+        data = self._normalize_line_ends(data)
+        buffer = self._buffer
+        if not self._share.try_resize(len(buffer) + len(data)):
             raise EventTooLong
-        return [payload for event in events if (payload := _parse_event_data(event)) is not None]
+        searched = max(0, len(buffer) - 1)
+        buffer += data
+        start = 0
+        while (end := buffer.find(b"\n\n", max(start, searched))) >= 0:
+            payload = _parse_event_data(bytes(buffer[start:end]))
+            start = end + 2
+            if payload is not None:
+                yield payload
+        del buffer[:start]
+        self._share.try_resize(len(buffer))
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise EventTooLong
+
+    def _normalize_line_ends(self, data: bytes) -> bytes:
+        """Replaces CRLF and CR by LF; a trailing CR is kept, as it may be half of a CRLF."""
+        if self._has_trailing_cr:
+            data = b"\r" + data
+        self._has_trailing_cr = data.endswith(b"\r")
+        if b"\r" not in data:
+            return data
+        return data.removesuffix(b"\r").replace(b"\r\n", b"\n").replace(b"\r", b"\n")
 
 
 def _parse_event_data(event: bytes) -> bytes | None:
@@ -295,7 +304,7 @@
             else CallFailureCause.NO_CONNECTION_FREE
         )
         return CallFailure(cause, Ran.NO, name)
-    if isinstance(exc, HttpParsingError | BodyTooLong):
+    if isinstance(exc, HttpParsingError | ResponseTooLong):
         return CallFailure(CallFailureCause.MALFORMED, Ran.UNKNOWN, name)
     timed_out = isinstance(exc, TimeoutError) or name.endswith("Timeout")
     cause = CallFailureCause.NO_ANSWER if timed_out else CallFailureCause.CONNECTION_LOST
@@ -335,23 +344,26 @@
         SendProgress.current.reset(token)
 
 
-async def read_reply(response: Any, timeout: float) -> HttpReply | CallFailure:
+async def read_reply(
+    response: Any, timeout: float, max_bytes: int = MAX_BODY_BYTES
+) -> HttpReply | CallFailure:
     """Reads the body of a short response.
 
     Args:
         response: Response of aiosonic.
         timeout: Seconds to read the body.
+        max_bytes: Largest body in bytes.
 
     Returns:
         The complete response, or CallFailure with ran UNKNOWN.
     """
     try:
         async with asyncio.timeout(timeout):
-            body = await _read_body(response)
+            body = await read_body(response, max_bytes)
         return HttpReply(response.status_code, body, dict(response.raw_headers))
     except TimeoutError:
         return CallFailure(CallFailureCause.NO_ANSWER, Ran.UNKNOWN, "response body timed out")
-    except BodyTooLong as exc:
+    except ResponseTooLong as exc:
         return CallFailure(CallFailureCause.MALFORMED, Ran.UNKNOWN, str(exc))
     except Exception as exc:
         return CallFailure(CallFailureCause.CONNECTION_LOST, Ran.UNKNOWN, type(exc).__name__)
@@ -359,18 +371,6 @@
         await response.aclose()
 
 
-async def _read_body(response: Any) -> bytes:
-    """Reads a body; raises BodyTooLong for one that is longer than MAX_BODY_BYTES."""
-    if not response.chunked:
-        return await response.content()
-    body = bytearray()
-    async for chunk in response.read_chunks():
-        body += chunk
-        if len(body) > MAX_BODY_BYTES:
-            raise BodyTooLong(f"more than {MAX_BODY_BYTES} bytes")
-    return bytes(body)
-
-
 def parse_attempt_number(owner_id: str, attempt_id: str) -> int:
     """Extracts the attempt number from an attempt id.
 
--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import quote
@@ -32,6 +33,7 @@
 from sapphireledge.backends.probe_result import ProbeResult
 from sapphireledge.backends.stream_token import StreamToken
 from sapphireledge.errors import Ran
+from sapphireledge.limits import TimeSlice
 
 if TYPE_CHECKING:
     from aiosonic import HTTPClient, HttpResponse
@@ -52,6 +54,9 @@
 DRAIN_TIMEOUT = 0.25
 """Seconds to read the rest of a stream after its finish chunk, needed to reuse the connection."""
 
+MAX_REPORT_BYTES = 1_048_576
+"""Longest body of a short response, which is decoded in one step."""
+
 ACTIVE_STATES = frozenset({"queued", "running"})
 """States of an attempt on which an engine is still working."""
 
@@ -239,12 +244,12 @@
         self, call: GenerationCall, chunks: AsyncIterator[bytes]
     ) -> AsyncIterator[StreamEvent]:
         """Reads the events of an accepted attempt; a single loop, as it runs for every token."""
-        feed, decode = SseReader().feed, self._decode_chunk
+        decode = self._decode_chunk
         attempt, attempt_id = call.attempt, call.attempt_id
         ran = Ran.UNKNOWN
         try:
-            async for data in chunks:
-                for payload in feed(data):
+            async with aclosing(_read_payloads(chunks)) as payloads:
+                async for payload in payloads:
                     if payload == END_OF_STREAM:
                         continue
                     chunk = decode(payload)
@@ -351,7 +356,7 @@
         )
         reply = response
         if not isinstance(response, CallFailure):
-            reply = await read_reply(response, limit)
+            reply = await read_reply(response, limit, MAX_REPORT_BYTES)
         self._invalidate_if_unanswered(reply)
         return reply
 
@@ -361,6 +366,17 @@
             self._pools.invalidate(self.address)
 
 
+async def _read_payloads(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Reads the data of the events of a stream."""
+    time_slice = TimeSlice()
+    with SseReader() as reader:
+        async for data in chunks:
+            time_slice.restart()
+            for payload in reader.feed(data):
+                yield payload
+                await time_slice.checkpoint()
+
+
 async def _drain_response(chunks: AsyncIterator[bytes]) -> None:
     """Reads the rest of a response, so that its connection can be reused."""
 
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -9,7 +9,7 @@
 import h11
 
 from sapphireledge.gateway.malformed_request import MalformedRequest
-from sapphireledge.limits import BufferBudget, TimeSlice
+from sapphireledge.limits import BufferBudget, BufferShare, TimeSlice
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -70,7 +70,7 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._received = bytearray()
-        self._body_size = 0
+        self._body_share = BufferShare(_BODY_BUDGET)
         self._slice = TimeSlice()
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
@@ -205,7 +205,7 @@
                 self.is_busy = True
                 self.response_started = False
                 await self._handle(self, request)
-                self._release_body()
+                self._body_share.release()
                 self.is_busy = False
                 if self._parser.our_state is not h11.DONE:
                     break
@@ -218,7 +218,7 @@
             if not self._disconnected:
                 raise
         finally:
-            self._release_body()
+            self._body_share.release()
             transport.close()
 
     async def _read_request(self) -> CallerRequest | None:
@@ -253,9 +253,8 @@
                 body += event.data
                 if len(body) > limits.max_body_bytes:
                     raise MalformedRequest(413, "the request body is too large")
-                if not _BODY_BUDGET.try_take(len(event.data)):
+                if not self._body_share.try_resize(len(body)):
                     raise MalformedRequest(503, "no memory is left for bodies", RETRY_AFTER)
-                self._body_size += len(event.data)
         except TimeoutError as exc:
             raise MalformedRequest(408, "timed out reading the request") from exc
         return self._dialect.decode_request(
@@ -289,11 +288,6 @@
         """Whether bytes have been received that belong to no event yet."""
         return bool(self._received or self._parser.trailing_data[0])
 
-    def _release_body(self) -> None:
-        """Returns the memory of the request body to the budget."""
-        _BODY_BUDGET.give_back(self._body_size)
-        self._body_size = 0
-
     async def _reject(self, exc: MalformedRequest) -> None:
         """Responds to an unacceptable request with its error status and closes the connection."""
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- a/src/sapphireledge/gateway/event_splitter.py
+++ b/src/sapphireledge/gateway/event_splitter.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.gateway.backend_response_error import BackendResponseError
-from sapphireledge.gateway.response_buffer import RESPONSE_BUDGET
 from sapphireledge.gateway.stream_event import StreamEvent
+from sapphireledge.limits import RESPONSE_BUDGET, BufferShare
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,10 +34,11 @@
     as a context manager, which frees the buffer at the end.
     """
 
-    __slots__ = ("_buffer", "_comment_bytes", "_searched")
+    __slots__ = ("_buffer", "_comment_bytes", "_searched", "_share")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._share = BufferShare(RESPONSE_BUDGET)
         self._searched = 0
         self._comment_bytes = 0
 
@@ -45,7 +46,7 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        RESPONSE_BUDGET.give_back(len(self._buffer))
+        self._share.release()
         self._buffer = bytearray()
 
     @property
@@ -69,7 +70,7 @@
                 end, or no memory is left for incomplete events.
         """
         buffer = self._buffer
-        if not RESPONSE_BUDGET.try_take(len(data)):
+        if not self._share.try_resize(len(buffer) + len(data)):
             raise BackendResponseError("no memory is left for incomplete events")
         buffer += data
         start = 0
@@ -78,7 +79,7 @@
             start = self._searched = boundary.end()
             yield self._decode(raw)
         del buffer[:start]
-        RESPONSE_BUDGET.give_back(start)
+        self._share.try_resize(len(buffer))
         self._searched = max(0, len(buffer) - _BOUNDARY_BYTES + 1)
         if len(buffer) > MAX_EVENT_BYTES:
             raise BackendResponseError(f"an event is larger than {MAX_EVENT_BYTES} bytes")
--- a/src/sapphireledge/gateway/response_buffer.py
+++ b/src/sapphireledge/gateway/response_buffer.py
@@ -5,23 +5,16 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.gateway.backend_response_error import BackendResponseError
-from sapphireledge.limits import BufferBudget
+from sapphireledge.limits import RESPONSE_BUDGET, BufferShare
 
 if TYPE_CHECKING:
     from typing import Self
 
-__all__ = ["MAX_BODY_BYTES", "RESPONSE_BUDGET", "ResponseBuffer"]
+__all__ = ["MAX_BODY_BYTES", "ResponseBuffer"]
 
 MAX_BODY_BYTES = 4_194_304
 """Largest body of a response that is not a stream, as large as the largest request by default."""
 
-MAX_TOTAL_BYTES = 16_777_216
-"""Largest sum of the bodies and of the incomplete events that are being read, an eighth of the
-smallest machine's memory."""
-
-RESPONSE_BUDGET = BufferBudget(MAX_TOTAL_BYTES)
-"""Memory of the responses that are being read."""
-
 
 class ResponseBuffer:
     """Collects one response body and limits it, alone and together with the others."""
@@ -34,12 +27,13 @@
         """
         self._max_bytes = max_bytes
         self._body = bytearray()
+        self._share = BufferShare(RESPONSE_BUDGET)
 
     def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *_: object) -> None:
-        RESPONSE_BUDGET.give_back(len(self._body))
+        self._share.release()
         self._body = bytearray()
 
     def append(self, data: bytes) -> None:
@@ -53,7 +47,7 @@
         """
         if len(self._body) + len(data) > self._max_bytes:
             raise BackendResponseError(f"the response body is larger than {self._max_bytes} bytes")
-        if not RESPONSE_BUDGET.try_take(len(data)):
+        if not self._share.try_resize(len(self._body) + len(data)):
             raise BackendResponseError("no memory is left for response bodies")
         self._body += data
 
--- a/src/sapphireledge/objects/_private.py
+++ b/src/sapphireledge/objects/_private.py
@@ -12,6 +12,7 @@
 from aiosonic.exceptions import AiosonicError, ConnectionPoolAcquireTimeout, ConnectTimeout
 from aiosonic.timeout import Timeouts
 
+from sapphireledge.limited_http import read_body
 from sapphireledge.objects.instance import Instance
 from sapphireledge.objects.object_page import ObjectPage
 from sapphireledge.objects.stored_object import StoredObject
@@ -32,6 +33,10 @@
 ]
 
 
+MAX_BODY_BYTES = 8_388_608
+"""Longest body of a response; a page of the platform holds a few megabytes at most."""
+
+
 class CallError(Enum):
     """Why a call got no complete response."""
 
@@ -154,7 +159,7 @@
             response = await client.request(
                 url, method, dict(headers), dict(params or {}), data, timeouts=timeouts
             )
-            body = await response.content()
+            body = await read_body(response, MAX_BODY_BYTES)
     except (ConnectionRefusedError, ConnectTimeout, ConnectionPoolAcquireTimeout):
         return CallError.NOT_SENT
     except (AiosonicError, OSError, EOFError, TimeoutError, ValueError):
--- a/src/sapphireledge/objects/http_client.py
+++ b/src/sapphireledge/objects/http_client.py
@@ -5,6 +5,8 @@
 import aiosonic
 from aiosonic.pools import PoolConfig
 
+from sapphireledge.limited_http import LimitedConnection
+
 __all__ = ["create_http_client"]
 
 
@@ -23,4 +25,7 @@
         The client.
     """
     pool = PoolConfig(size=connections, max_conn_requests=0)
-    return aiosonic.HTTPClient(aiosonic.TCPConnector(pool_configs={":default": pool}))
+    connector = aiosonic.TCPConnector(
+        pool_configs={":default": pool}, connection_cls=LimitedConnection
+    )
+    return aiosonic.HTTPClient(connector)
--- a/tests/test_bounded_readers.py
+++ b/tests/test_bounded_readers.py
@@ -5,15 +5,20 @@
 import asyncio
 import tracemalloc
 import unittest
+from contextlib import aclosing
 
 from gateway_case import HOST, GatewayCase, chunk, encode_json, full_response, signed_response
+from standin_case import make_call
 
+from sapphireledge.backends import AttemptStarted, CallFailureCause, ConnectionPools, EngineClient
 from sapphireledge.feed import SourceError, StoreEpoch
 from sapphireledge.feed.feed_channel import read_message
 from sapphireledge.feed.feed_message import FeedRequest
 from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
 from sapphireledge.gateway.caller_connection import MAX_TOTAL_BODY_BYTES, MAX_UNPARSED_BYTES
 from sapphireledge.gateway.text_endpoint import TextEndpoint
+from sapphireledge.objects import create_http_client
+from sapphireledge.objects._private import CallError, send_request
 from sapphireledge.platform.store_client import MAX_LISTING_BYTES, StoreClient
 from sapphireledge.platform.store_settings import StoreSettings
 
@@ -208,6 +213,81 @@
         self.assertLessEqual(pages, MAX_LISTING_BYTES // len(spec) + 1)
 
 
+class OwnInterfaceTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against engines and platforms of the project's own interface that send without end."""
+
+    async def receive_from(self, start, data, receive):
+        """Receives from a server that sends without end; returns what was received."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(start)
+            await send_until_closed(writer, data, 15.0)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        watch = LoopWatch()
+        try:
+            async with asyncio.timeout(20.0):
+                return await receive(server.sockets[0].getsockname()[1])
+        finally:
+            server.close()
+            self.assertLess(watch.stop(), LONGEST_WAIT)
+
+    async def generate(self, port):
+        """Runs a generation for a second; returns its events."""
+        pools = ConnectionPools()
+        events = []
+        try:
+            async with asyncio.timeout(3.0):
+                client = EngineClient(f"{HOST}:{port}", pools)
+                async with aclosing(client.stream(make_call())) as stream:
+                    async for event in stream:
+                        events.append(event)
+        except TimeoutError:
+            pass
+        finally:
+            await pools.close()
+        return events
+
+    async def test_streams_in_small_pieces(self):
+        head = (
+            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+            b"transfer-encoding: chunked\r\n\r\n"
+        )
+        for piece in (chunk(b"data: word word wor\n"), chunk(b":\n\n"), chunk(b"x")):
+            with self.subTest(piece):
+                events = await self.receive_from(head, piece * 5000, self.generate)
+                self.assertEqual(events[0], AttemptStarted(1))
+
+    async def test_head(self):
+        tracemalloc.start()
+        try:
+            start, data = b"HTTP/1.1 200 OK\r\n", b"x-h: 1\r\n" * 9999
+            events = await self.receive_from(start, data, self.generate)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertIs(events[0].cause, CallFailureCause.MALFORMED)
+        self.assertLess(peak, 8_000_000)
+
+    async def test_object_in_chunks_of_a_byte(self):
+        async def read(port):
+            client = create_http_client(1)
+            return await send_request(
+                client,
+                "GET",
+                f"http://{HOST}:{port}/",
+                timeout=1.5,
+                connect_timeout=1.0,
+                headers={},
+            )
+
+        start = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        answer = await self.receive_from(start, chunk(b"x") * 20_000, read)
+        self.assertIs(answer, CallError.NO_ANSWER)
+
+
 class FeedChannelTest(unittest.IsolatedAsyncioTestCase):
     """Guards against messages that announce more than they may hold."""
 
