--- /dev/null
+++ b/src/sapphireledge/lenient_json.py
@@ -0,0 +1,100 @@
+"""Decodes JSON texts of which a part cannot be decoded.
+
+Other programs may write half of a surrogate pair as an escape, or bytes that are not UTF-8. msgspec
+rejects the whole text then, also if the part is held as `msgspec.Raw`.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any, TypeVar
+
+import msgspec
+
+__all__ = ["decode_leniently", "decode_rows", "is_readable", "parse_leniently"]
+
+Decoded = TypeVar("Decoded")
+
+
+def parse_leniently(text: bytes) -> Any:
+    """Parses a JSON text, whatever its strings hold.
+
+    Args:
+        text: JSON text.
+
+    Returns:
+        The value; parts of its strings that are not Unicode text are lone surrogates.
+
+    Raises:
+        msgspec.DecodeError: The text is not JSON.
+        RecursionError: It is nested too deeply.
+    """
+    try:
+        return json.loads(text.decode("utf-8", errors="surrogateescape"), strict=False)
+    except ValueError as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
+
+
+def decode_leniently(text: bytes, kind: type[Decoded]) -> Decoded:
+    """Decodes a JSON text that need not be read completely.
+
+    Args:
+        text: JSON text.
+        kind: Type to decode it as.
+
+    Returns:
+        The value; strings that are not Unicode text hold lone surrogates.
+
+    Raises:
+        msgspec.MsgspecError: The text is not JSON, or of another type.
+        RecursionError: It is nested too deeply.
+    """
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except msgspec.ValidationError:
+        raise
+    except msgspec.DecodeError:
+        return msgspec.convert(parse_leniently(text), kind)
+
+
+def decode_rows(text: bytes, kind: type[Decoded], key: str) -> Decoded:
+    """Decodes a JSON text whose rows are independent of each other.
+
+    Args:
+        text: JSON text.
+        kind: Type to decode it as.
+        key: Field that holds the rows.
+
+    Returns:
+        The value, without the rows that cannot be read.
+
+    Raises:
+        msgspec.MsgspecError: The text is not JSON, or of another type.
+        RecursionError: It is nested too deeply.
+    """
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except msgspec.ValidationError:
+        raise
+    except msgspec.DecodeError:
+        value = parse_leniently(text)
+        if not isinstance(value, dict) or not isinstance(value.get(key), list):
+            raise
+        value[key] = [row for row in value[key] if is_readable(row)]
+        return msgspec.json.decode(msgspec.json.encode(value), type=kind)
+
+
+def is_readable(value: Any) -> bool:
+    """Whether a parsed value consists of Unicode text, and of numbers that can be passed on.
+
+    Args:
+        value: Value from `parse_leniently`.
+
+    Returns:
+        Whether the value can be encoded again.
+    """
+    try:
+        msgspec.json.encode(value)
+    except (UnicodeError, OverflowError, RecursionError, msgspec.MsgspecError):
+        return False
+    return True
--- a/src/sapphireledge/objects/object_client.py
+++ b/src/sapphireledge/objects/object_client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.lenient_json import decode_rows
 from sapphireledge.objects._private import (
     CallError,
     InstanceListBody,
@@ -122,7 +123,7 @@
         if response.status != 200:
             return _unexpected_response("instances", response)
         try:
-            body = msgspec.json.decode(response.body, type=InstanceListBody)
+            body = decode_rows(response.body, InstanceListBody, "instances")
             return body.decode_instances()
         except (msgspec.DecodeError, RecursionError):
             return _unexpected_response("instances", response)
@@ -194,7 +195,7 @@
     if response.status != 200:
         return _unexpected_response(operation, response)
     try:
-        return msgspec.json.decode(response.body, type=ObjectPageBody).to_page()
+        return decode_rows(response.body, ObjectPageBody, "objects").to_page()
     except (msgspec.DecodeError, RecursionError):
         return _unexpected_response(operation, response)
 
--- a/src/sapphireledge/platform/decode_objects.py
+++ b/src/sapphireledge/platform/decode_objects.py
@@ -14,6 +14,7 @@
 
 from sapphireledge.feed import SourceError
 from sapphireledge.gateway import GatewayEvent
+from sapphireledge.lenient_json import is_readable, parse_leniently
 
 __all__ = ["decode_answer", "decode_spec"]
 
@@ -45,8 +46,10 @@
     try:
         try:
             return msgspec.json.decode(body, type=kind)
-        except RecursionError:
-            return msgspec.json.decode(_cut_nesting(body), type=kind)
+        except msgspec.ValidationError:
+            raise
+        except (RecursionError, msgspec.DecodeError):
+            return msgspec.json.decode(_clear_unreadable(_cut_nesting(body)), type=kind)
     except (msgspec.MsgspecError, RecursionError) as exc:
         raise SourceError(f"cannot decode the response of the store: {exc}") from exc
 
@@ -76,6 +79,39 @@
         return None
 
 
+def _clear_unreadable(body: bytes) -> bytes:
+    """Removes the contents that cannot be read, and the objects whose names cannot be read."""
+    answer = parse_leniently(body)
+    if not isinstance(answer, dict):
+        return body
+    for key, holder in (("items", None), ("events", "object")):
+        rows = answer.get(key)
+        if isinstance(rows, list):
+            answer[key] = [row for row in rows if _clear_object(row, holder)]
+    _clear_object(answer, None)
+    return msgspec.json.encode(answer)
+
+
+def _clear_object(row: Any, holder: str | None) -> bool:
+    """Clears the unreadable fields of an object; returns whether its name and version are left.
+
+    The object is the row itself, or the field of it that `holder` names.
+    """
+    stored = row.get(holder) if holder is not None and isinstance(row, dict) else row
+    if not isinstance(stored, dict):
+        return False
+    unreadable = [key for key, field in stored.items() if not is_readable(field)]
+    if unreadable:
+        structlog.get_logger().warning(
+            GatewayEvent.OBJECT_UNREADABLE,
+            name=ascii(stored.get("metadata")),
+            reason=f"{unreadable} cannot be passed on",
+        )
+    for key in unreadable:
+        stored[key] = None
+    return stored.get("metadata") is not None
+
+
 def _cut_nesting(body: bytes) -> bytes:
     """Replaces each value that is nested deeper than `MAX_DEPTH` by null."""
     parts = []
--- a/src/sapphireledge/platform/decode_report.py
+++ b/src/sapphireledge/platform/decode_report.py
@@ -8,6 +8,7 @@
 import structlog
 
 from sapphireledge.gateway import EngineLoad, GatewayEvent
+from sapphireledge.lenient_json import decode_leniently
 
 __all__ = ["decode_cache", "decode_report"]
 
@@ -48,7 +49,7 @@
         Ids of the parts, empty if the list cannot be decoded.
     """
     try:
-        cache = msgspec.json.decode(body, type=_Cache)
+        cache = decode_leniently(body, _Cache)
     except (msgspec.MsgspecError, RecursionError) as exc:
         structlog.get_logger().warning(GatewayEvent.REPORT_UNREADABLE, reason=str(exc))
         return frozenset()
@@ -65,7 +66,7 @@
         The load, or None if the report cannot be decoded.
     """
     try:
-        report = msgspec.json.decode(body, type=_Report)
+        report = decode_leniently(body, _Report)
     except (msgspec.MsgspecError, RecursionError) as exc:
         structlog.get_logger().warning(GatewayEvent.REPORT_UNREADABLE, reason=str(exc))
         return None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
 from pydantic import TypeAdapter
 
 from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.lenient_json import decode_rows
 from sapphireledge.objects import (
     Instance,
     InstanceWatcher,
@@ -199,9 +200,15 @@
             b'{"name":"e1","kind":"engine","address":"10.0.0.1:1","data_centre":"d",'
             b'"region":"r"}'
         )
-        for odd in (b'{"name":1}', b"1e999", b'{"name":"e2","kind":"other"}', b'"\xff"'):
+        for odd in (
+            b'{"name":1}',
+            b"1e999",
+            b'{"name":"e2","kind":"other"}',
+            b'"\xff"',
+            rb'{"name":"\ud800"}',
+        ):
             body = b'{"instances":[' + odd + b"," + sound + b"]}"
-            rows = msgspec.json.decode(body, type=InstanceListBody).decode_instances()
+            rows = decode_rows(body, InstanceListBody, "instances").decode_instances()
             self.assertEqual([row.name for row in rows], ["e1"])
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -580,6 +580,39 @@
         with self.assertRaises(SourceError):
             decode_answer(b"[" * 100_000, dict)
 
+    async def test_half_of_a_surrogate_pair_does_not_affect_other_entries(self):
+        """Guards against a registry that stays as it is because of one entry."""
+        client = StoreClient(self.store_cfg, StoreEpoch())
+        odd = (r'"\ud800"', r'"\udfff\ud800"', '"\udc80"')
+        for text in odd:
+            sound = msgspec.json.encode(stored_object("s1", SERVER)).decode()
+            for metadata, content, names in (
+                ('{"name": "odd"}', f'{{"version": {text}}}', ["odd", "s1"]),
+                (f'{{"name": {text}}}', "{}", ["s1"]),
+            ):
+                with self.subTest(text=ascii(text), metadata=metadata):
+                    item = f'{{"metadata": {metadata}, "spec": {content}}}'
+                    body = f'{{"items": [{item}, {sound}], "store_revision": 3}}'
+                    self.store.answers = [(200, msgspec.Raw(body.encode(errors="surrogateescape")))]
+                    page = await client.list("servers")
+                    self.assertEqual([entry.name for entry in page.entries], names)
+                    self.assertEqual(page.entries[-1].spec, SERVER)
+                    if len(names) > 1:
+                        self.assertIsNone(page.entries[0].spec)
+                    event = f'{{"object": {item}}}, {{"object": {sound}}}'
+                    body = f'{{"events": [{event}], "store_revision": 4}}'
+                    self.store.answers = [(200, msgspec.Raw(body.encode(errors="surrogateescape")))]
+                    changes = await client.watch("servers", 3, 0.1)
+                    self.assertEqual([entry.name for entry in changes.entries], names)
+        client.close()
+
+    async def test_report_with_an_odd_request_id_is_read(self):
+        """Guards against streams that look lost because of another caller's id in the report."""
+        for odd in (rb'"\ud800"', b'"\xff"'):
+            report = decode_report(b'{"runs": [[' + odd + b', 1, 2, 5], ["r1", 10, 7, 5]]}')
+            self.assertEqual(report.events["r1"], 7)
+            self.assertIn("p1", decode_cache(b'{"held": [["", ' + odd + b'], ["", "p1"]]}'))
+
     async def test_unreadable_configuration_is_ignored(self):
         """Guards against a process that stops or drops its routes on an invalid update."""
         listener = ConfigListener(self.gateway.config)
