An instance behind relays that are gone reads the store itself (CONFIG)

Relays were tried in turn until each was in its cooldown of 4 s, and each that is gone costs a timeout, so from 14 of them on the search never ended; relays that are gone counted as relays that will read the store first. Ruled out: the directory (it lists instances that are gone by design), the watchers (they are not started).

Change: RelayList decides. A search ends after 1 s, and the instance reads the store itself; a relay that sends no reply is tried less often, so the search reaches the last one in the end; the first reply, which is sent at once, is waited for 0.4 s; an instance of which no relay answers makes calls like the first one.

--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -32,7 +32,10 @@
         self._epoch = epoch
         self._feeds = feeds
         self.reply_count = 0
-        """Replies received from the current relay."""
+        """Replies with objects received from the current relay."""
+
+        self.has_reply = False
+        """Whether the current relay sent a reply, also if it does not read the store."""
 
     async def follow(self, peer: Peer, *, once: bool = False) -> str:
         """Follows a relay until it fails.
@@ -45,6 +48,7 @@
             Reason for the disconnect, empty if `once` was set and a reply arrived.
         """
         self.reply_count = 0
+        self.has_reply = False
         try:
             async with asyncio.timeout(self._cfg.connect_timeout):
                 reader, writer = await asyncio.open_connection(peer.host, peer.port)
@@ -70,11 +74,13 @@
         sent_at = seconds_since_boot()
         revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
         write_message(writer, FeedRequest(revisions, at_once, self._epoch.current))
+        timeout = self._cfg.first_reply_timeout if at_once else self._cfg.reply_timeout
         try:
-            async with asyncio.timeout(self._cfg.reply_timeout):
+            async with asyncio.timeout(timeout):
                 reply = await read_message(reader, FeedReply)
         except TimeoutError as exc:
             raise SourceError("relay did not reply in time") from exc
+        self.has_reply = True
         if not reply.kinds:
             raise SourceError("relay is not reading the store, or is stopping")
         if not self._epoch.observe(reply.epoch):
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -11,6 +11,7 @@
 
 from sapphireledge.feed.feed_follower import FeedFollower
 from sapphireledge.feed.feed_server import FeedServer
+from sapphireledge.feed.relay_list import RelayList
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.gateway import GatewayEvent, wait_for_event
 
@@ -83,7 +84,7 @@
         self.instance_count = 1
         """Instances announced in the store, including those that no longer exist."""
 
-        self._preceding: list[Peer] = []
+        self._relays = RelayList(cfg)
         self._directory_refreshed = asyncio.Event()
         self._must_announce = asyncio.Event()
         self._must_announce.set()
@@ -92,7 +93,6 @@
         for feed in feeds.values():
             epoch.subscribe(feed.on_store_restored)
         epoch.subscribe(self._on_store_restored)
-        self._avoided_until: dict[str, float] = {}
         self._reported_lost: set[str] = set()
         self._stopping = False
         self._log = structlog.get_logger()
@@ -103,7 +103,7 @@
         directory = asyncio.create_task(self._poll_directory())
         try:
             while True:
-                peer = self._next_relay()
+                peer = self._relays.choose(asyncio.get_running_loop().time())
                 if peer is None:
                     await self._run_watchers()
                 else:
@@ -120,14 +120,6 @@
         """Whether this instance reads the store without failures and is not stopping."""
         return not self._stopping and all(watcher.is_healthy for watcher in self._watchers)
 
-    def _next_relay(self) -> Peer | None:
-        """Finds the first preceding instance that has not failed recently."""
-        now = asyncio.get_running_loop().time()
-        for peer in self._preceding:
-            if self._avoided_until.get(peer.name, 0.0) <= now:
-                return peer
-        return None
-
     async def _follow(self, peer: Peer) -> None:
         """Follows an instance until it fails."""
         reason = await self._follower.follow(peer)
@@ -135,18 +127,20 @@
         if followed:
             self._reported_lost.discard(peer.name)
         self._mark_failed(peer, reason)
-        if followed and len(self._preceding) > 1:
+        if followed and len(self._relays) > 1:
             # In the meantime, the next instance in precedence starts to read the store.
-            low_precedence = len(self._preceding) >= LOW_PRECEDENCE_THRESHOLD
+            low_precedence = self._relays.precedence >= LOW_PRECEDENCE_THRESHOLD
             await asyncio.sleep(
                 self._cfg.low_precedence_takeover_delay
                 if low_precedence
                 else self._cfg.takeover_delay
             )
+        self._relays.begin_search(asyncio.get_running_loop().time(), is_new=followed)
 
     async def _run_watchers(self) -> None:
         """Reads the store until a relay is found."""
         tasks = [asyncio.create_task(watcher.run()) for watcher in self._watchers]
+        self._relays.end_search()
         try:
             await self._wait_for_recheck()
             while not await self._find_relay():
@@ -160,17 +154,16 @@
 
         A backup whose own calls fail searches sooner and also tries relays in their cooldown.
         """
-        preceding_count = len(self._preceding)
         for watcher in self._watchers:
-            watcher.set_retry_delays(*self._retry_delays(preceding_count))
+            watcher.set_retry_delays(*self._retry_delays(self._relays.precedence))
         if await self._wait_for_directory(self._cfg.backup_recheck_interval):
             return
-        if not preceding_count or all(watcher.is_healthy for watcher in self._watchers):
+        if not self._relays or all(watcher.is_healthy for watcher in self._watchers):
             await self._wait_for_directory(
                 self._cfg.recheck_interval - self._cfg.backup_recheck_interval
             )
         else:
-            self._avoided_until.clear()
+            self._relays.end_cooldowns()
 
     def _retry_delays(self, preceding_count: int) -> tuple[float, float]:
         """Returns first and maximum retry delay for a number of preceding instances."""
@@ -192,12 +185,13 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + self._cfg.long_poll_timeout
         for _ in range(MAX_RELAY_ATTEMPTS):
-            peer = self._next_relay()
+            peer = self._relays.choose(loop.time())
             if peer is None or loop.time() >= deadline:
                 return False
             reason = await self._follower.follow(peer, once=True)
             if not reason:
                 self._reported_lost.discard(peer.name)
+                self._relays.on_reply(peer)
                 self._log.info(GatewayEvent.RELAY_FOUND, relay=peer.name)
                 return True
             self._mark_failed(peer, reason)
@@ -205,9 +199,8 @@
 
     def _mark_failed(self, peer: Peer, reason: str) -> None:
         """Starts the cooldown of a relay; only the first of consecutive failures is logged."""
-        self._avoided_until[peer.name] = (
-            asyncio.get_running_loop().time() + self._cfg.relay_cooldown
-        )
+        now = asyncio.get_running_loop().time()
+        self._relays.on_failure(now, peer, replied=self._follower.has_reply)
         if peer.name not in self._reported_lost:
             self._reported_lost.add(peer.name)
             self._log.info(GatewayEvent.RELAY_LOST, relay=peer.name, reason=reason)
@@ -222,7 +215,7 @@
                     await self._announce()
                 peers = await self._directory.list_peers()
                 self.instance_count = self._count_instances(peers)
-                self._preceding = self._select_preceding(peers)
+                self._relays.replace(self._select_preceding(peers))
             except Exception as exc:
                 if isinstance(exc, SourceError):
                     self._log.warning(GatewayEvent.STORE_LOST, kind="peers", reason=str(exc))
@@ -233,7 +226,7 @@
             if intervals:
                 # Triggers a search for a relay. A restarted instance finds one at once; instances
                 # that start together find one after they have announced themselves.
-                self._avoided_until.clear()
+                self._relays.end_cooldowns()
                 self._directory_refreshed.set()
             interval = intervals.pop(0) if intervals else self._cfg.directory_interval
             if await wait_for_event(self._must_announce, interval):
--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -81,6 +81,14 @@
     reply_timeout: float = 1.0
     """Timeout for the reply of a relay: `long_poll_timeout` and a retransmission."""
 
+    first_reply_timeout: float = 0.4
+    """Timeout for the first reply of a relay, which sends it at once."""
+
+    search_limit: float = 1.0
+    """Time after the loss of a relay, or the first failed attempt, for which another one is
+    searched before this instance reads the store itself. With the detection of the loss, it stays
+    below the 3 s within which a configuration must be in force."""
+
     connect_timeout: float = 0.3
     """Timeout for connecting to a relay in the same data centre."""
 
--- a/src/sapphireledge_experiment/model/stream_driver.py
+++ b/src/sapphireledge_experiment/model/stream_driver.py
@@ -7,7 +7,7 @@
 from sapphireledge.core.liveness import RunSighting, StreamWatch
 from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.gateway.stream_attempt import LATE_RANK_OFFSET
-from sapphireledge.gateway.stream_forwarder import MIN_ATTEMPT_TIME
+from sapphireledge.gateway.stream_progress import MIN_ATTEMPT_TIME
 from sapphireledge_experiment.model.engine_placer import EnginePlacer
 from sapphireledge_experiment.model.engine_run import EngineRun
 from sapphireledge_experiment.model.latencies import one_way_delay
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -20,8 +20,11 @@
     StoreEpoch,
     StorePage,
 )
+from sapphireledge.feed.relay_list import RelayList
 from sapphireledge.gateway import seconds_since_boot
 
+CFG = FeedSettings(kinds=(), host="127.0.0.1", port=1)
+
 KIND = KindSettings("servers", watch_wait=0.1, batch_delay=0.0)
 
 
@@ -323,6 +326,68 @@
         self.assertIn(1, self.instances_reading_store())
 
 
+class GoneRelayTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against instances that search relays that are gone and never read the store."""
+
+    async def test_instance_behind_silent_relays_reads_the_store(self):
+        """Replays listed instances that accept connections and do not reply, as if frozen."""
+        server = await asyncio.start_server(lambda *_: asyncio.sleep(30), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        peers = [Peer(f"gone{n}", "127.0.0.1", port, "dc-a", 500.0) for n in range(21)]
+        store = MemoryStore()
+        ports = free_ports(2)
+        live = FeedInstance(store, "live", 900.0, peers, ports[0])
+        await asyncio.sleep(0.3)
+        instance = FeedInstance(store, "e0", 1.0, peers, ports[1], relay_cooldown=4.0)
+        try:
+            await asyncio.sleep(1.0)
+            self.assertFalse(instance.watcher.is_healthy)
+            live.task.cancel()
+            await asyncio.sleep(3.0)
+            store.put("b", 2)
+            await asyncio.sleep(0.5)
+            self.assertEqual(instance.listener.objects, {"a": 1, "b": 2})
+        finally:
+            live.task.cancel()
+            instance.task.cancel()
+            server.close()
+
+    def search(self, relays, now, live):
+        """Tries relays until one replies or none is left to try; returns it and the time."""
+        while (peer := relays.choose(now)) is not None:
+            if peer.name in live:
+                relays.on_reply(peer)
+                return peer, now
+            now += CFG.connect_timeout
+            relays.on_failure(now, peer, replied=False)
+            relays.begin_search(now, is_new=False)
+        relays.end_search()
+        return None, now
+
+    def test_search_ends_and_reaches_the_last_relay_in_the_end(self):
+        """Replays 21 of 22 preceding instances that have left for good."""
+        relays = RelayList(CFG)
+        relays.replace([Peer(f"e{n}", "127.0.0.1", 1, "dc-a", 1.0) for n in range(22)])
+        now, found = 0.0, None
+        for _ in range(12):
+            relays.begin_search(now, is_new=True)
+            found, ended = self.search(relays, now, {"e21"})
+            self.assertLessEqual(ended - now, CFG.search_limit + CFG.connect_timeout)
+            if found is not None:
+                break
+            now = ended + CFG.recheck_interval
+        self.assertEqual(found.name, "e21")
+        self.assertEqual(relays.precedence, 22)
+
+    def test_last_instance_of_a_data_centre_makes_calls_as_often_as_a_first_one(self):
+        """Guards against counting relays that are gone when a store comes back."""
+        relays = RelayList(CFG)
+        relays.replace([Peer(f"e{n}", "127.0.0.1", 1, "dc-a", 1.0) for n in range(3)])
+        self.assertEqual(relays.precedence, 3)
+        self.search(relays, 0.0, set())
+        self.assertEqual(relays.precedence, 0)
+
+
 class RestoredStoreTest(FeedCase):
     """All instances, those that read the store and those that follow another one."""
 
