--- a/src/sapphireledge/feed/__init__.py
+++ b/src/sapphireledge/feed/__init__.py
@@ -13,6 +13,7 @@
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.feed.store_epoch import StoreEpoch
 from sapphireledge.feed.store_page import StoredEntry, StorePage
+from sapphireledge.feed.store_presence import StorePresence
 from sapphireledge.feed.stored_version import StoredVersion
 
 __all__ = [
@@ -28,6 +29,7 @@
     "SourceError",
     "StoreEpoch",
     "StorePage",
+    "StorePresence",
     "StoredEntry",
     "StoredVersion",
 ]
--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -96,7 +96,7 @@
         """Notifies the listener that the store answers again after a failure.
 
         Args:
-            outage: Seconds since the last successful call.
+            outage: Longest time in seconds without a successful call of any kind.
         """
         self._listener.on_store_recovered(outage)
 
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -9,6 +9,7 @@
 import structlog
 
 from sapphireledge.feed.source_error import SourceError
+from sapphireledge.feed.store_presence import StorePresence
 from sapphireledge.gateway import GatewayEvent, seconds_since_boot
 
 if TYPE_CHECKING:
@@ -23,7 +24,12 @@
     """Lists the objects of a kind, then watches for changes."""
 
     def __init__(
-        self, source: ObjectSource, feed: KindFeed, kind_cfg: KindSettings, cfg: FeedSettings
+        self,
+        source: ObjectSource,
+        feed: KindFeed,
+        kind_cfg: KindSettings,
+        cfg: FeedSettings,
+        presence: StorePresence | None = None,
     ) -> None:
         """Creates a watcher.
 
@@ -32,6 +38,7 @@
             feed: Feed to apply listings and changes to.
             kind_cfg: Settings of the kind.
             cfg: Settings of the feed.
+            presence: Shared by the watchers of an instance, None if there is no other.
         """
         self.is_healthy = False
         """Whether the last call succeeded."""
@@ -47,6 +54,8 @@
         self._failures = 0
         self._had_changes = False
         self._store_lost = False
+        self._is_repeat = False
+        self._presence = presence or StorePresence()
         self._last_success = seconds_since_boot()
 
     async def run(self) -> None:
@@ -56,7 +65,11 @@
                 try:
                     await self._call_store()
                 except SourceError as exc:
-                    await self._back_off(exc)
+                    if self._is_repeat or not self.is_healthy:
+                        await self._back_off(exc)
+                    # A connection can stall while new ones work, so the call is repeated on a new
+                    # one before the store counts as lost.
+                    self._is_repeat = not self._is_repeat and self.is_healthy
                 except Exception as exc:
                     # The objects of a kind must not stay as they are because of one of them.
                     self._log.error(
@@ -88,7 +101,7 @@
             return
         # A watch that returns changes confirms only its start time, so the next one is short.
         wait = self._cfg.confirm_wait if self._had_changes else self._kind_cfg.watch_wait
-        if not self.is_healthy:
+        if self._is_repeat or not self.is_healthy:
             # Other instances can follow this one as soon as one call succeeds.
             wait = min(wait, self._cfg.initial_wait)
         changes = await self._source.watch(self._kind_cfg.kind, revision, wait)
@@ -109,14 +122,14 @@
     def _record_success(self) -> None:
         """Resets the failure state and reports the recovery of the store."""
         now = seconds_since_boot()
-        if self._store_lost:
-            self._store_lost = False
-            self._feed.notify_store_recovered(now - self._last_success)
+        self._presence.on_success(now)
+        if self._store_lost or self._is_repeat:
+            away = self._presence.longest_gap(self._last_success)
+            self._feed.notify_store_recovered(away)
             self._log.info(
-                GatewayEvent.STORE_REGAINED,
-                kind=self._kind_cfg.kind,
-                away_s=round(now - self._last_success, 3),
+                GatewayEvent.STORE_REGAINED, kind=self._kind_cfg.kind, away_s=round(away, 3)
             )
+        self._store_lost = self._is_repeat = False
         self.is_healthy = True
         self._last_success = now
         self._failures = 0
--- /dev/null
+++ b/src/sapphireledge/feed/store_presence.py
@@ -0,0 +1,44 @@
+"""Measures for how long the store was away, from the calls on all connections to it."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from sapphireledge.gateway import seconds_since_boot
+
+__all__ = ["StorePresence"]
+
+MAX_GAPS = 64
+"""Number of latest gaps that are kept; a call rarely lasts as long as a few of them."""
+
+
+class StorePresence:
+    """Times of successful calls, shared by all watchers of an instance.
+
+    A connection that has stalled looks like a store that is away. Successes on other connections
+    show that the store was there.
+    """
+
+    def __init__(self) -> None:
+        self._last_success = seconds_since_boot()
+        self._gaps: deque[tuple[float, float]] = deque(maxlen=MAX_GAPS)
+
+    def on_success(self, now: float) -> None:
+        """Records a successful call.
+
+        Args:
+            now: Time in seconds, as returned by `seconds_since_boot`.
+        """
+        self._gaps.append((now, now - self._last_success))
+        self._last_success = now
+
+    def longest_gap(self, since: float) -> float:
+        """Computes the longest time without a success.
+
+        Args:
+            since: Only gaps that ended after this time count.
+
+        Returns:
+            Seconds, 0 if there is no gap.
+        """
+        return max((gap for ended_at, gap in self._gaps if ended_at > since), default=0.0)
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -13,7 +13,7 @@
 import msgspec
 import structlog
 
-from sapphireledge.feed import FeedRunner, KindFeed, KindWatcher, StoreEpoch
+from sapphireledge.feed import FeedRunner, KindFeed, KindWatcher, StoreEpoch, StorePresence
 from sapphireledge.gateway import (
     BoundedLog,
     Gateway,
@@ -101,9 +101,14 @@
         CRASH_REPORT_KIND: CrashReportListener(gateway.context.crashes),
     }
     feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
+    presence = StorePresence()
     watchers = [
         KindWatcher(
-            _create_store_client(cfg, metrics, epoch), feeds[kind_cfg.kind], kind_cfg, cfg.feed
+            _create_store_client(cfg, metrics, epoch),
+            feeds[kind_cfg.kind],
+            kind_cfg,
+            cfg.feed,
+            presence,
         )
         for kind_cfg in cfg.feed.kinds
     ]
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -164,7 +164,9 @@
     async def watch(self, kind: str, revision: int, wait: float) -> StorePage | None:
         """Waits for changes of a kind; see `ObjectSource.watch`."""
         path = f"/objects/{kind}?watch={revision}&wait_ms={int(wait * 1000)}"
-        answer = await self._call("watch", "GET", path, wait + self._cfg.call_timeout)
+        is_held = wait > self._cfg.call_timeout
+        slack = self._cfg.watch_slack if is_held else self._cfg.call_timeout
+        answer = await self._call("watch", "GET", path, wait + slack)
         if answer.status == GONE:
             return None
         changes = decode_answer(answer.body, _Changes)
--- a/src/sapphireledge/platform/store_settings.py
+++ b/src/sapphireledge/platform/store_settings.py
@@ -18,5 +18,9 @@
     """TCP port."""
 
     call_timeout: float = 0.8
-    """Timeout in seconds, in addition to the time for which the store holds open a watch. The store
-    answers in 4 ms, or fifty times slower when it is degraded."""
+    """Timeout in seconds of a call that is not held open. The store answers in 4 ms, or fifty times
+    slower when it is degraded."""
+
+    watch_slack: float = 0.3
+    """Seconds after the end of a watch within which it is answered. It is repeated on a new
+    connection then, so that a connection that has stalled is told from a store that is away."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,6 +24,7 @@
     SourceError,
     StoredEntry,
     StoreEpoch,
+    StorePresence,
 )
 from sapphireledge.feed.feed_message import FeedEntry, FeedReply, KindReply
 from sapphireledge.gateway import ReplayRule, seconds_since_boot
@@ -318,6 +319,38 @@
         await self.run_watcher("servers", self.server_listener(), answers, 0.3)
         self.assertEqual(self.gateway.context.registry.ids(), {"i3"})
 
+    async def watch_with_stalled_connection(self, presence):
+        """Stalls the connection of the registry's watch; returns when a removal was applied."""
+        self.store.answers = [listing_answer(stored_object("i1", SERVER)), "no_answer"]
+        self.store_cfg = StoreSettings("127.0.0.1", self.store.port, watch_slack=0.1)
+        client = StoreClient(self.store_cfg, StoreEpoch())
+        settings = KindSettings("servers", watch_wait=1.4, batch_delay=0.0)
+        feed = KindFeed("servers", self.server_listener())
+        task = asyncio.create_task(
+            KindWatcher(client, feed, settings, self.feed_cfg, presence).run()
+        )
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(ANSWER_TIMEOUT):
+            while self.store.answers:
+                await asyncio.sleep(0.01)
+        self.store.answers = [change_answer("i1", removed=True)]
+        started = loop.time()
+        while "i1" in self.gateway.context.registry.ids() and loop.time() < started + 5.0:
+            if presence is not None:
+                presence.on_success(seconds_since_boot())
+            await asyncio.sleep(0.02)
+        task.cancel()
+        client.close()
+        return loop.time() - started
+
+    async def test_stalled_connection_is_not_taken_for_an_outage(self):
+        """Guards against servers that stay in use after their removal because of a connection."""
+        self.assertLess(await self.watch_with_stalled_connection(StorePresence()), 1.9)
+
+    async def test_silence_of_all_connections_is_taken_for_an_outage(self):
+        """Guards against dropping servers whose entries expired while the store was away."""
+        self.assertGreater(await self.watch_with_stalled_connection(None), 1.9)
+
     async def test_unreadable_entry_does_not_affect_others(self):
         """Guards against a single invalid entry that blocks registry updates."""
         answers = [listing_answer(stored_object("bad", {"x": 1}), stored_object("i1", SERVER))]
