--- a/src/sapphireledge/core/quarantine/running_requests.py
+++ b/src/sapphireledge/core/quarantine/running_requests.py
@@ -18,6 +18,10 @@
 """Seconds between the first progress of an answer and a later one that show that the engine has
 survived the request's prompt. Engines that crash do so within 0.1 s of beginning to answer."""
 
+UNANSWERED_TIME = 6.0
+"""Seconds for which a request counts as a possible cause of the end of the server that did not
+answer it. The platform notices a server that has gone silent within 4 s."""
+
 
 @dataclass(slots=True)
 class _Running:
@@ -38,6 +42,7 @@
     def __init__(self) -> None:
         self._running: dict[str, _Running] = {}
         self._by_backend: dict[str, set[str]] = {}
+        self._unanswered: dict[str, list[tuple[float, _Running]]] = {}
         self._presence = PresenceEstimator()
 
     def __len__(self) -> int:
@@ -82,6 +87,22 @@
             if not work_ids:
                 del self._by_backend[running.backend]
 
+    def on_unanswered(self, now: float, work_id: str) -> None:
+        """Records that the backend server has gone silent; call it before `remove`.
+
+        Args:
+            now: Monotonic time in seconds.
+            work_id: Identifier of the attempt.
+        """
+        running = self._running.get(work_id)
+        if running is None:
+            return
+        self._unanswered.setdefault(running.backend, []).append((now, running))
+        for backend, ended in tuple(self._unanswered.items()):
+            ended[:] = [entry for entry in ended if entry[0] > now - UNANSWERED_TIME]
+            if not ended:
+                del self._unanswered[backend]
+
     def on_begun(self, work_id: str) -> None:
         """Records that the backend server has begun to answer.
 
@@ -169,6 +190,44 @@
             The record, with the requests of this instance that ran there.
         """
         lost = [self._running[work_id] for work_id in self._by_backend.get(backend, ())]
+        return self._build_record(now, now_unix, (backend, boot_id), size, lost)
+
+    def record_silent_death(
+        self, now: float, now_unix: float, backend: str, boot_id: str, size: ServiceSize
+    ) -> DeathRecord:
+        """Builds the record of a backend server that ended after it had gone silent.
+
+        Requests that still run there are left out: a server can leave without notice and go on.
+
+        Args:
+            now: Monotonic time in seconds.
+            now_unix: The same time in Unix seconds.
+            backend: Name of the backend server.
+            boot_id: Boot id of the incarnation that ended.
+            size: Size of its service.
+
+        Returns:
+            The record, with the requests of this instance that it did not answer, if any.
+        """
+        ended = [
+            (at, run) for at, run in self._unanswered.pop(backend, ()) if at > now - UNANSWERED_TIME
+        ]
+        silent_since = min((at for at, _ in ended), default=now)
+        lost = [run for _, run in ended]
+        return self._build_record(
+            now, now_unix - (now - silent_since), (backend, boot_id), size, lost
+        )
+
+    def _build_record(
+        self,
+        now: float,
+        died_at: float,
+        incarnation: tuple[str, str],
+        size: ServiceSize,
+        lost: list[_Running],
+    ) -> DeathRecord:
+        """Builds a record from the requests that may have caused a death, at a Unix time."""
+        backend, boot_id = incarnation
         begun = [run for run in lost if run.begun and not run.survived]
         scopes: dict[str, set[str]] = {}
         for run in begun:
@@ -177,7 +236,7 @@
         return DeathRecord(
             backend=backend,
             boot_id=boot_id,
-            time_unix=now_unix,
+            time_unix=died_at,
             suspects=tuple(sorted({run.content.fingerprint for run in lost})),
             isolated=tuple(sorted({run.content.fingerprint for run in lost if run.isolated})),
             begun={run.content.fingerprint: run.content.parts for run in begun},
--- a/src/sapphireledge/gateway/backend_response_error.py
+++ b/src/sapphireledge/gateway/backend_response_error.py
@@ -8,13 +8,17 @@
 class BackendResponseError(Exception):
     """A response was truncated, invalid or missing; the request may have been executed."""
 
-    def __init__(self, reason: str, *, connection_lost: bool = False) -> None:
+    def __init__(self, reason: str, *, connection_lost: bool = False, silent: bool = False) -> None:
         """Creates the exception.
 
         Args:
             reason: Description of the cause, for the log.
             connection_lost: Whether the backend server closed or reset the connection.
+            silent: Whether nothing shows that the backend server is alive.
         """
         super().__init__(reason)
         self.connection_lost = connection_lost
         """Whether the backend server closed or reset the connection."""
+
+        self.silent = silent
+        """Whether nothing shows that the backend server is alive."""
--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -206,6 +206,16 @@
         if clearing is not None:
             self.on_clearing(clearing)
 
+    def on_unanswered(self, work_id: str) -> None:
+        """Records that a server has gone silent during a request; call it before `end`.
+
+        The server may be slow or cut off. If the platform removes it soon, it has crashed.
+
+        Args:
+            work_id: Identifier of the attempt.
+        """
+        self._running.on_unanswered(time.monotonic(), work_id)
+
     def end(self, work_id: str) -> None:
         """Removes an attempt that ended.
 
@@ -251,15 +261,26 @@
         """Records a server that ended unannounced, unless its death is on record.
 
         Such servers show how often deaths meet no request. All instances see them, so the record is
-        not shared.
+        shared only if requests of this instance may have caused the end.
 
         Args:
             server: The server.
         """
-        record = DeathRecord(
-            server.server_id, str(server.started_at_ms), time.time(), service=server.service
+        record = self._running.record_silent_death(
+            time.monotonic(),
+            time.time(),
+            server.server_id,
+            str(server.started_at_ms),
+            self.measure_service(server.service),
         )
+        if not record.suspects:
+            record = DeathRecord(
+                server.server_id, str(server.started_at_ms), time.time(), service=server.service
+            )
         if self.quarantine.on_engine_death(time.time(), record):
+            if record.suspects:
+                self._telemetry.record_server_death(server, record, "silent and removed")
+                self.on_death(record)
             self.on_changed()
 
     def on_changed(self) -> None:
--- a/src/sapphireledge/gateway/outcome.py
+++ b/src/sapphireledge/gateway/outcome.py
@@ -58,6 +58,9 @@
     connection_lost: bool = False
     """Whether the server closed or reset the connection before its response was complete."""
 
+    silent: bool = False
+    """Whether the server sent neither a response nor anything else that shows that it is alive."""
+
     @property
     def is_misdirected(self) -> bool:
         """Whether a different server has taken over the address of the expected one."""
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -59,6 +59,8 @@
             context.crashes.on_connection_lost(server)
         elif outcome.kind is OutcomeKind.ANSWERED:
             context.crashes.on_answered(work_id)
+        elif outcome.silent:
+            context.crashes.on_unanswered(work_id)
     finally:
         context.crashes.end(work_id)
         if state is not None:
@@ -92,9 +94,17 @@
         reusable = outcome.head is not None
         return outcome
     except BackendResponseError as exc:
-        return Outcome(OutcomeKind.LOST, server, str(exc), connection_lost=exc.connection_lost)
+        return Outcome(
+            OutcomeKind.LOST,
+            server,
+            str(exc),
+            connection_lost=exc.connection_lost,
+            silent=exc.silent,
+        )
     except TimeoutError:
-        return Outcome(OutcomeKind.OUT_OF_TIME, server, "no response before the deadline")
+        return Outcome(
+            OutcomeKind.OUT_OF_TIME, server, "no response before the deadline", silent=True
+        )
     finally:
         if reusable:
             context.pool.release(server, conn)
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -199,7 +199,7 @@
         now = asyncio.get_running_loop().time()
         loss = watch.find_loss(now, sighting, can_move=self._can_move(now, server))
         if loss:
-            raise BackendResponseError(loss)
+            raise BackendResponseError(loss, silent=sighting is None)
 
     def _can_move(self, now: float, server: BackendServer) -> bool:
         """Whether the stream can be resumed at another engine if its run is given up."""
--- a/src/sapphireledge/platform/server_listener.py
+++ b/src/sapphireledge/platform/server_listener.py
@@ -118,6 +118,7 @@
             )
             return
         self._removed.pop(_incarnation(server), None)
+        self._record_replaced(server)
         if self._context.registry.put(server):
             self._log.info(
                 GatewayEvent.SERVER_ADDED,
@@ -128,6 +129,18 @@
                 leaving=server.draining,
             )
 
+    def _record_replaced(self, server: BackendServer) -> None:
+        """Records the end of the incarnation whose entry another one has taken over, if any."""
+        state = self._context.registry.state(server.server_id)
+        if (
+            state is not None
+            and state.server.started_at_ms
+            and server.started_at_ms
+            and _incarnation(state.server) != _incarnation(server)
+            and not state.backpressure.is_leaving
+        ):
+            self._context.crashes.on_server_gone(state.server)
+
     def _schedule_removal(self, server_id: str) -> None:
         """Removes a backend server at once, or at the end of the grace period."""
         _cancel_timer(self._return_timers, server_id)
--- a/tests/test_crashing_plain_requests.py
+++ b/tests/test_crashing_plain_requests.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from crashing_plain_server import CrashingPlainServer
-from gateway_case import HOST, ONCE_ROUTE, PLAIN_ROUTE, GatewayCase, table
+from gateway_case import HOST, ONCE_ROUTE, PLAIN_ROUTE, GatewayCase, signed_response, table
 
 from sapphireledge.core.quarantine import IsolateVerdict
 from sapphireledge.errors import ErrorKind, Failure
@@ -123,6 +123,61 @@
         self.assertGreaterEqual(statuses.count(200), 95, statuses)
 
 
+class SilentCrashTest(GatewayCase):
+    """Guards against a request that crashes servers which close no connection when they crash."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        context = self.gateway.context
+        context.crashes = CrashGuard(CFG, context.telemetry)
+
+    async def start_silent_server(self):
+        """Starts a server that goes silent during a bad request and is removed a little later."""
+        context = self.gateway.context
+
+        async def handle(request, writer):
+            if b"bad" not in request.target:
+                writer.write(signed_response(request))
+                return
+            self.crashes.append(server.server_id)
+            await asyncio.sleep(0.3)
+            context.crashes.on_server_gone(context.registry.state(server.server_id).server)
+            context.registry.remove(server.server_id)
+            await self.start_silent_server()
+            await asyncio.sleep(30)
+
+        server = await self.add("app", handle)
+
+    async def test_request_is_refused_after_a_few_silent_crashes(self):
+        self.crashes = []
+        await self.start_silent_server()
+        for number in range(12):
+            self.gateway.config.confirm(seconds_since_boot())
+            bad = self.call("/once/bad", x_sapphireledge_deadline_ms="200")
+            sound = self.call(f"/once/own{number}", x_sapphireledge_deadline_ms="200")
+            await asyncio.gather(bad, sound)
+            await asyncio.sleep(0.4)
+        # Three crashes may have other causes, and the fourth proves that the request is one.
+        self.assertLessEqual(len(self.crashes), 5)
+        self.gateway.config.confirm(seconds_since_boot())
+        self.assertEqual((await self.call("/once/own")).status, 200)
+
+    async def test_slow_server_that_leaves_later_condemns_nothing(self):
+        """Guards against taking any server that does not answer in time for a crashed one."""
+        crashes = self.gateway.context.crashes
+        for number in range(12):
+
+            async def handle(request, writer):
+                await asyncio.sleep(0.3)
+                writer.write(signed_response(request))
+
+            self.gateway.config.confirm(seconds_since_boot())
+            server = await self.add("app", handle)
+            await self.call("/once/slow", x_sapphireledge_deadline_ms="100")
+            self.gateway.context.registry.remove(server.server_id)
+            self.assertFalse(crashes.quarantine.has_deaths, number)
+
+
 class CrashingRequestAtFleetTest(unittest.IsolatedAsyncioTestCase):
     """Guards against one request that each of many instances tries once more."""
 
