--- a/devtools/local_fleet.py
+++ b/devtools/local_fleet.py
@@ -389,8 +389,14 @@
     def _popen(self, name: str, command: list[str], address: str) -> _Process:
         """Starts a process with its output in a log file."""
         with self.log_path(name).open("ab") as log:
+            # The kernel sends SIGHUP to a process group with a stopped member if the shell that
+            # started this program ends; a session of its own has no shell.
             popen = subprocess.Popen(
-                command, stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
             )
         process = _Process(popen, address)
         self.processes[name] = process
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -88,6 +88,8 @@
                 str(PROGRAM),
                 stdout=log,
                 stderr=log,
+                # The kernel hangs up a stopped process whose shell ends; see devtools/local_fleet.
+                start_new_session=True,
                 env={
                     **os.environ,
                     "SAPPHIRELEDGE_NODE_FILE": str(self._settings),
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import sys
 import tempfile
@@ -408,6 +409,11 @@
         self.assertEqual(book(self.fleet.callers["e3"], used_key).answer, "repeated")
         self.assertEqual(self.runs_of(used_key), 1)
 
+    def test_paused_process_is_not_hung_up(self):
+        """Guards against the end of a paused entry because the shell of the test run has ended."""
+        for process in self.fleet.processes.values():
+            self.assertEqual(os.getsid(process.popen.pid), process.popen.pid)
+
     def test_holder_killed_and_paused(self):
         for act, undo in (
             (self.fleet.kill, self.fleet.start_entry),
