A request sent to a server that is known to be dead is no suspect of its death

Cause: the removal from the registry added them without asking whether the death is known. Test: fails before, passes now.

--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -266,6 +266,9 @@
         Args:
             server: The server.
         """
+        if self.is_dead(server):
+            # Requests that were sent to it afterwards did not cause its death.
+            return
         record = self._running.record_silent_death(
             time.monotonic(),
             time.time(),
--- a/tests/test_crashing_plain_requests.py
+++ b/tests/test_crashing_plain_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 from dataclasses import replace
 from random import Random
@@ -10,7 +11,7 @@
 from crashing_plain_server import CrashingPlainServer
 from gateway_case import HOST, ONCE_ROUTE, PLAIN_ROUTE, GatewayCase, signed_response, table
 
-from sapphireledge.core.quarantine import IsolateVerdict
+from sapphireledge.core.quarantine import DeathRecord, IsolateVerdict
 from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.gateway import (
     BackendServer,
@@ -123,6 +124,10 @@
         self.assertGreaterEqual(statuses.count(200), 95, statuses)
 
 
+async def answer_never(request, writer):
+    await asyncio.sleep(30)
+
+
 class SilentCrashTest(GatewayCase):
     """Guards against a request that crashes servers which close no connection when they crash."""
 
@@ -177,6 +182,18 @@
             self.gateway.context.registry.remove(server.server_id)
             self.assertFalse(crashes.quarantine.has_deaths, number)
 
+    async def test_request_to_a_server_that_is_known_to_be_dead_is_no_suspect(self):
+        crashes = self.gateway.context.crashes
+        server = await self.add("app", answer_never)
+        described = self.gateway.context.registry.state(server.server_id).server
+        death = DeathRecord(server.server_id, str(described.started_at_ms), time.time(), ("other",))
+        crashes.quarantine.on_engine_death(time.time(), death)
+        shared = []
+        crashes.on_death = shared.append
+        await self.call("/once/slow", x_sapphireledge_deadline_ms="100")
+        crashes.on_server_gone(described)
+        self.assertEqual(shared, [])
+
 
 class CrashingRequestAtFleetTest(unittest.IsolatedAsyncioTestCase):
     """Guards against one request that each of many instances tries once more."""
