Callers of the own interface cannot keep its event loop

CallerProtocol parses pieces of 2 KiB in time slices, and receives nothing more from a caller while 64 KiB are unparsed. A sound body of 3 MB beside them is read whole.

Test: with the protocol of the library the sound caller gets no answer in 10 s; passes now.

--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -25,6 +25,7 @@
 from sapphireledge.entry.app import create_app
 from sapphireledge.entry.backend_monitor import BackendMonitor
 from sapphireledge.entry.backend_pool import BackendPool
+from sapphireledge.entry.caller_protocol import CallerProtocol
 from sapphireledge.entry.copy_store import CopyStore
 from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.engine_orders import EngineOrders
@@ -269,7 +270,7 @@
         config = uvicorn.Config(
             create_app(self._parts),
             loop="asyncio",
-            http="h11",
+            http=CallerProtocol,
             ws="none",
             lifespan="off",
             access_log=False,
--- a/tests/test_bounded_readers.py
+++ b/tests/test_bounded_readers.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import tracemalloc
 import unittest
 from contextlib import aclosing
 
+import uvicorn
 from gateway_case import HOST, GatewayCase, chunk, encode_json, full_response, signed_response
 from standin_case import make_call
 
 from sapphireledge.backends import AttemptStarted, CallFailureCause, ConnectionPools, EngineClient
+from sapphireledge.entry.caller_protocol import CallerProtocol
 from sapphireledge.feed import SourceError, StoreEpoch
 from sapphireledge.feed.feed_channel import read_message
 from sapphireledge.feed.feed_message import FeedRequest
@@ -260,6 +264,53 @@
                 events = await self.receive_from(head, piece * 5000, self.generate)
                 self.assertEqual(events[0], AttemptStarted(1))
 
+    async def test_bodies_of_callers_in_chunks_of_a_byte(self):
+        """Replays callers of the HTTP server of the own interface, beside a sound one."""
+        lengths = []
+
+        async def app(scope, receive, send):
+            size, more = 0, True
+            while more:
+                message = await receive()
+                if message["type"] != "http.request":
+                    return
+                size += len(message["body"])
+                more = message["more_body"]
+            lengths.append(size)
+            headers = [(b"content-length", b"0")]
+            await send({"type": "http.response.start", "status": 200, "headers": headers})
+            await send({"type": "http.response.body"})
+
+        cfg = uvicorn.Config(app, http=CallerProtocol, lifespan="off", log_level="critical")
+        server = uvicorn.Server(cfg)
+        server.capture_signals = contextlib.nullcontext
+        sock = socket.create_server((HOST, 0))
+        task = asyncio.create_task(server.serve(sockets=[sock]))
+        await asyncio.sleep(0.2)
+        writers = []
+        for _ in range(4):
+            _, writer = await asyncio.open_connection(*sock.getsockname())
+            writer.write(b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n")
+            writers.append(writer)
+        watch = LoopWatch()
+        floods = [
+            asyncio.create_task(send_until_closed(w, chunk(b"x") * 20_000, 2)) for w in writers
+        ]
+        body = b"x" * 3_000_000
+        reader, writer = await asyncio.open_connection(*sock.getsockname())
+        for part in (b"POST / HTTP/1.1\r\nhost: x\r\n", b"content-length: %d\r\n\r\n" % len(body)):
+            writer.write(part)
+        writer.write(body)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10.0)
+        await asyncio.gather(*floods)
+        self.assertLess(watch.stop(), LONGEST_WAIT)
+        self.assertTrue(head.startswith(b"HTTP/1.1 200"))
+        self.assertEqual(lengths, [len(body)])
+        for each in (*writers, writer):
+            each.transport.abort()
+        server.should_exit = server.force_exit = True
+        await task
+
     async def test_head(self):
         tracemalloc.start()
         try:
