--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -14,9 +14,7 @@
 from sapphireledge.backends._private import (
     Chunk,
     ErrorBody,
-    EventTooLong,
     HttpReply,
-    SseReader,
     classify_error_response,
     parse_attempt_number,
     read_reply,
@@ -29,8 +27,10 @@
 from sapphireledge.backends.call_failure_cause import CallFailureCause
 from sapphireledge.backends.decode_signals import decode_signals
 from sapphireledge.backends.engine_order import OrderResult, OrderStatus
+from sapphireledge.backends.event_too_long import EventTooLong
 from sapphireledge.backends.load_report import LoadReport
 from sapphireledge.backends.probe_result import ProbeResult
+from sapphireledge.backends.sse_reader import SseReader
 from sapphireledge.backends.stream_token import StreamToken
 from sapphireledge.errors import Ran
 from sapphireledge.limits import TimeSlice
--- a/tests/test_backend_wire.py
+++ b/tests/test_backend_wire.py
@@ -26,7 +26,8 @@
     StreamToken,
     prefix_block_hashes,
 )
-from sapphireledge.backends._private import EventTooLong, SseReader
+from sapphireledge.backends.event_too_long import EventTooLong
+from sapphireledge.backends.sse_reader import SseReader
 from sapphireledge.core.fleet import OrderAction
 from sapphireledge.errors import Ran
 
