--- a/tests/test_backend_wire.py
+++ b/tests/test_backend_wire.py
@@ -72,11 +72,11 @@
     def test_event_in_small_pieces_costs_linear_time(self):
         times = []
         for size in (100_000, 400_000):
-            started = time.perf_counter()
+            started = time.thread_time()
             with SseReader() as reader:
                 for _ in range(size // 20):
                     list(reader.feed(b"data: word word wor\n"))
-            times.append(time.perf_counter() - started)
+            times.append(time.thread_time() - started)
         self.assertLess(times[1], 10 * times[0] + 0.02)
 
     def test_event_over_the_size_limit_is_rejected(self):
--- a/tests/test_endless_pieces.py
+++ b/tests/test_endless_pieces.py
@@ -33,11 +33,11 @@
 
 def feed(splitter, pieces):
     """Feeds pieces to a splitter; returns the seconds that it took."""
-    started = time.perf_counter()
+    started = time.thread_time()
     for piece in pieces:
         for _ in splitter.feed(piece):
             pass
-    return time.perf_counter() - started
+    return time.thread_time() - started
 
 
 class EventSplitterTest(unittest.TestCase):
