Fewer calls to the store when instances start and while it is away

Change: a new instance reads the directory first and follows a relay before it reads the store; its first watch waits until the relays are found; crash reports are listed late by instances that others precede; only the configuration is asked for while the store is away, and changes of other kinds are not confirmed by a short watch; a listed instance is not announced again. Each of the five new tests was seen failing with its part of the change taken out, one at a time.

--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -86,6 +86,7 @@
 
         self._relays = RelayList(cfg)
         self._directory_refreshed = asyncio.Event()
+        self._directory_read = asyncio.Event()
         self._must_announce = asyncio.Event()
         self._must_announce.set()
         self._recount_at = 0.0
@@ -102,6 +103,7 @@
         server = await asyncio.start_server(self._server.serve, self._cfg.host, self._cfg.port)
         directory = asyncio.create_task(self._poll_directory())
         try:
+            await self._search_at_start()
             while True:
                 peer = self._relays.choose(asyncio.get_running_loop().time())
                 if peer is None:
@@ -137,9 +139,25 @@
             )
         self._relays.begin_search(asyncio.get_running_loop().time(), is_new=followed)
 
+    async def _search_at_start(self) -> None:
+        """Searches for a relay before the store is read.
+
+        Load pattern: instances are restarted one after another, and each one that reads the store
+        first makes a listing of each kind that its relay sends a moment later as well.
+        """
+        if await wait_for_event(self._directory_read, self._cfg.start_wait):
+            try:
+                async with asyncio.timeout(self._cfg.start_wait):
+                    await self._find_relay()
+            except TimeoutError:
+                # The store is read meanwhile; the search goes on beside it.
+                self._log.info(GatewayEvent.RELAY_LOST, relay="", reason="no relay at the start")
+
     async def _run_watchers(self) -> None:
         """Reads the store until a relay is found."""
-        tasks = [asyncio.create_task(watcher.run()) for watcher in self._watchers]
+        has_low_precedence = len(self._relays) >= LOW_PRECEDENCE_THRESHOLD
+        start_delay = self._cfg.start_pause if has_low_precedence else 0.0
+        tasks = [asyncio.create_task(watcher.run(start_delay)) for watcher in self._watchers]
         self._relays.end_search()
         try:
             await self._wait_for_recheck()
@@ -210,12 +228,13 @@
         intervals = list(INITIAL_DIRECTORY_INTERVALS)
         while True:
             try:
-                if self._must_announce.is_set():
-                    self._must_announce.clear()
-                    await self._announce()
                 peers = await self._directory.list_peers()
                 self.instance_count = self._count_instances(peers)
                 self._relays.replace(self._select_preceding(peers))
+                self._directory_read.set()
+                if self._must_announce.is_set():
+                    self._must_announce.clear()
+                    await self._announce(peers)
             except Exception as exc:
                 if isinstance(exc, SourceError):
                     self._log.warning(GatewayEvent.STORE_LOST, kind="peers", reason=str(exc))
@@ -232,8 +251,13 @@
             if await wait_for_event(self._must_announce, interval):
                 await asyncio.sleep(self._rng.uniform(0.0, ANNOUNCE_SPREAD))
 
-    async def _announce(self) -> None:
-        """Stores the description of this instance; a failed attempt is repeated later."""
+    async def _announce(self, peers: Sequence[Peer]) -> None:
+        """Stores the description of this instance unless it is listed.
+
+        A failed attempt is repeated later.
+        """
+        if self._local_peer in peers and not self._is_recounting:
+            return
         try:
             await self._directory.announce(self._local_peer)
         except BaseException:
@@ -245,10 +269,15 @@
         self._recount_at = asyncio.get_running_loop().time() + RECOUNT_DELAY
         self._must_announce.set()
 
+    @property
+    def _is_recounting(self) -> bool:
+        """Whether a listing may still be older than a restore of the store."""
+        return asyncio.get_running_loop().time() < self._recount_at
+
     def _count_instances(self, peers: Sequence[Peer]) -> int:
         """Counts the announced instances; after a restore, some are not announced again yet."""
         count = max(1, len(peers))
-        if asyncio.get_running_loop().time() < self._recount_at:
+        if self._is_recounting:
             count = max(count, self.instance_count)
         return count
 
--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -20,6 +20,13 @@
     batch_delay: float
     """Delay after changes, so that the next call returns several at once; every call is charged."""
 
+    confirms: bool = True
+    """Whether requests depend on the age of the objects. Only then are changes confirmed by a short
+    watch, and the store is called during an outage; other kinds wait until such a call succeeds."""
+
+    can_start_late: bool = False
+    """Whether a new instance that others precede can wait for the objects until it has a relay."""
+
 
 @dataclass(frozen=True, slots=True)
 class FeedSettings:
@@ -44,6 +51,17 @@
     initial_wait: float = 0.05
     """Time for which the store holds open the first watch after a start or a failure."""
 
+    start_wait: float = 0.15
+    """Longest time for which a new instance waits for the directory, and again for a relay, before
+    it reads the store itself; a store and a relay that are well reply within milliseconds."""
+
+    start_pause: float = 1.5
+    """Time between the first listing of a new instance and its first watch. Instances that start
+    together have found their relays by then, and only the relays watch the store."""
+
+    passive_retry_interval: float = 6.0
+    """Maximum retry delay for a kind whose calls wait until the store answers those of others."""
+
     retry_base: float = 0.1
     """First retry delay after a failed call."""
 
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -51,6 +51,7 @@
         self._rng = Random()
         self._log = structlog.get_logger()
         self._needs_relist = False
+        self._has_listed = False
         self._failures = 0
         self._had_changes = False
         self._store_lost = False
@@ -58,8 +59,15 @@
         self._presence = presence or StorePresence()
         self._last_success = seconds_since_boot()
 
-    async def run(self) -> None:
-        """Lists and watches until the task is cancelled."""
+    async def run(self, start_delay: float = 0.0) -> None:
+        """Lists and watches until the task is cancelled.
+
+        Args:
+            start_delay: Seconds before the first call if the kind can start late and has not been
+                listed yet.
+        """
+        if self._kind_cfg.can_start_late and self._feed.revision is None:
+            await asyncio.sleep(start_delay)
         try:
             while True:
                 try:
@@ -98,9 +106,14 @@
             self._record_success()
             self._needs_relist = False
             self._feed.apply_listing(page, started)
+            if not self._has_listed:
+                self._has_listed = True
+                await asyncio.sleep(self._cfg.start_pause)
             return
-        # A watch that returns changes confirms only its start time, so the next one is short.
-        wait = self._cfg.confirm_wait if self._had_changes else self._kind_cfg.watch_wait
+        wait = self._kind_cfg.watch_wait
+        if self._had_changes and self._kind_cfg.confirms:
+            # A watch that returns changes confirms only its start time, so the next one is short.
+            wait = self._cfg.confirm_wait
         if self._is_repeat or not self.is_healthy:
             # Other instances can follow this one as soon as one call succeeds.
             wait = min(wait, self._cfg.initial_wait)
@@ -141,7 +154,10 @@
         if not self._store_lost:
             self._store_lost = True
             self._log.warning(GatewayEvent.STORE_LOST, kind=self._kind_cfg.kind, reason=str(exc))
+        if not self._kind_cfg.confirms:
+            return await self._presence.wait_for_success(self._cfg.passive_retry_interval)
         base, cap = self._retry_delays
         delay = min(cap, base * 2**self._failures)
         self._failures = min(self._failures + 1, 8)
         await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
+        return None
--- a/src/sapphireledge/feed/store_presence.py
+++ b/src/sapphireledge/feed/store_presence.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
 
-from sapphireledge.gateway import seconds_since_boot
+from sapphireledge.gateway import seconds_since_boot, wait_for_event
 
 __all__ = ["StorePresence"]
 
@@ -22,6 +23,7 @@
     def __init__(self) -> None:
         self._last_success = seconds_since_boot()
         self._gaps: deque[tuple[float, float]] = deque(maxlen=MAX_GAPS)
+        self._succeeded = asyncio.Event()
 
     def on_success(self, now: float) -> None:
         """Records a successful call.
@@ -31,6 +33,16 @@
         """
         self._gaps.append((now, now - self._last_success))
         self._last_success = now
+        self._succeeded.set()
+        self._succeeded = asyncio.Event()
+
+    async def wait_for_success(self, timeout: float) -> None:
+        """Waits until a call on any connection succeeds or the timeout expires.
+
+        Args:
+            timeout: Timeout in seconds.
+        """
+        await wait_for_event(self._succeeded, timeout)
 
     def longest_gap(self, since: float) -> float:
         """Computes the longest time without a success.
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -138,8 +138,14 @@
     feed = FeedSettings(
         kinds=(
             KindSettings("config", CONFIG_WATCH_WAIT, 0.0),
-            KindSettings("servers", REGISTRY_WATCH_WAIT, REGISTRY_BATCH_DELAY),
-            KindSettings(CRASH_REPORT_KIND, CRASH_WATCH_WAIT, CRASH_BATCH_DELAY),
+            KindSettings("servers", REGISTRY_WATCH_WAIT, REGISTRY_BATCH_DELAY, confirms=False),
+            KindSettings(
+                CRASH_REPORT_KIND,
+                CRASH_WATCH_WAIT,
+                CRASH_BATCH_DELAY,
+                confirms=False,
+                can_start_late=True,
+            ),
         ),
         host=listen_host,
         port=file.port_range[0],
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -19,6 +19,7 @@
     StoredEntry,
     StoreEpoch,
     StorePage,
+    StorePresence,
 )
 from sapphireledge.feed.relay_list import RelayList
 from sapphireledge.gateway import seconds_since_boot
@@ -27,6 +28,8 @@
 
 KIND = KindSettings("servers", watch_wait=0.1, batch_delay=0.0)
 
+PASSIVE_KIND = replace(KIND, kind="passive", confirms=False)
+
 
 class Listener:
     """Records the objects and confirmations that a feed reports."""
@@ -326,6 +329,88 @@
         self.assertIn(1, self.instances_reading_store())
 
 
+class FewCallsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against calls that bring nothing: many instances start and the store is away."""
+
+    def start_watcher(self, store, kind_cfg, presence, **overrides):
+        epoch = StoreEpoch()
+        client = MemoryStoreClient(store, kind_cfg.kind, [], epoch)
+        cfg = replace(CFG, retry_base=0.02, retry_cap=0.05, start_pause=0.0, **overrides)
+        feed = KindFeed(kind_cfg.kind, Listener())
+        watcher = KindWatcher(client, feed, kind_cfg, cfg, presence)
+        task = asyncio.create_task(watcher.run())
+        self.addAsyncCleanup(self.stop, task)
+        return watcher
+
+    async def stop(self, *tasks):
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def test_restarted_instance_with_a_relay_never_calls_the_store(self):
+        store, peers = MemoryStore(), []
+        ports = free_ports(2)
+        first = FeedInstance(store, "e0", 100.0, peers, ports[0], start_pause=0.1)
+        await asyncio.sleep(0.5)
+        second = FeedInstance(store, "e1", 1.0, peers, ports[1], start_pause=0.1)
+        await asyncio.sleep(0.5)
+        await self.stop(first.task, second.task)
+        self.assertEqual(second.listener.objects, {"a": 1})
+        self.assertEqual(store.calls_by_instance["e1"], 0)
+
+    async def test_listed_instance_is_not_announced_again(self):
+        store, peers = MemoryStore(), []
+        for _ in range(2):
+            instance = FeedInstance(store, "e0", 100.0, peers, free_ports(1)[0])
+            instance.runner._local_peer = peers[0] if peers else instance.runner._local_peer
+            await asyncio.sleep(0.3)
+            await self.stop(instance.task)
+        self.assertEqual(len(peers), 1)
+
+    async def test_only_one_kind_calls_a_store_that_is_away(self):
+        store, presence = MemoryStore(), StorePresence()
+        probing = self.start_watcher(store, KIND, presence)
+        passive = self.start_watcher(store, PASSIVE_KIND, presence)
+        await asyncio.sleep(0.3)
+        store.refused_instances.update({KIND.kind, PASSIVE_KIND.kind})
+        await asyncio.sleep(0.3)
+        store.calls_by_instance.clear()
+        await asyncio.sleep(0.5)
+        self.assertGreater(store.calls_by_instance[KIND.kind], 2)
+        self.assertEqual(store.calls_by_instance[PASSIVE_KIND.kind], 0)
+        store.refused_instances.clear()
+        await asyncio.sleep(0.5)
+        self.assertTrue(probing.is_healthy)
+        self.assertTrue(passive.is_healthy)
+
+    async def test_only_changes_whose_age_matters_are_confirmed(self):
+        store, presence = MemoryStore(), StorePresence()
+        long_watch = replace(PASSIVE_KIND, watch_wait=1.0)
+        self.start_watcher(store, replace(long_watch, kind="k1", confirms=True), presence)
+        self.start_watcher(store, replace(long_watch, kind="k2"), presence)
+        await asyncio.sleep(0.1)
+        store.calls_by_instance.clear()
+        store.put("b", 1)
+        await asyncio.sleep(0.9)
+        # The next watch is short only for the kind that confirms.
+        self.assertEqual(store.calls_by_instance["k1"], 2)
+        self.assertEqual(store.calls_by_instance["k2"], 1)
+
+    async def test_late_kind_is_not_listed_by_an_instance_that_others_precede(self):
+        store = MemoryStore()
+        epoch = StoreEpoch()
+        client = MemoryStoreClient(store, "e9", [], epoch)
+        feed = KindFeed("late", Listener())
+        late_kind = replace(PASSIVE_KIND, can_start_late=True)
+        watcher = KindWatcher(client, feed, late_kind, CFG)
+        task = asyncio.create_task(watcher.run(start_delay=0.4))
+        await asyncio.sleep(0.2)
+        self.assertEqual(store.calls, 0)
+        await asyncio.sleep(0.4)
+        await self.stop(task)
+        self.assertEqual(store.calls, 1)
+
+
 class GoneRelayTest(unittest.IsolatedAsyncioTestCase):
     """Guards against instances that search relays that are gone and never read the store."""
 
