--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -270,6 +270,7 @@
             host="127.0.0.1",
             port=0,
             confirm_wait=0.1,
+            start_pause=0.0,
             retry_base=0.02,
             retry_cap=0.05,
         )
