Limit what callers make a process hold

Cause: each connection was inside its limits, and nothing limited all of them together. Whole requests of 15 KB in fields of four bytes took 0.6 MB each, answers were held for callers that never read them, up to 128 KiB were read ahead of each connection, and idle connections took all descriptors, so that no ordinary request was answered.

Change: a ledger (limits/caller_ledger.py, pure) grants memory for connections, heads by field, bodies, unread answers and read-ahead bytes before they are used, and places for connections. While one is short, connections that have waited longest for their peer give way, never one whose request is being served. Limits follow from memory_mb and max_fds of the settings file. Readiness, metrics and followers have ledgers of their own. The parser gets a head once it is complete and there is memory for its fields; large answers are written in pieces and count as responses until they are read. Heads of more than 256 fields and connections with requests ahead take turns. Listeners accept 16 connections a pass; a pause for lack of descriptors is counted. Counters and one log line by reason and interval.

Ruled out: a fixed number of fields, limits by address, measuring the resident memory (docs/design/caller-limits.md).

A head over the limit that arrives in one piece is now refused (431), and a body over it as soon as its length is known (413). test_bounded_readers takes the limit for bodies from CallerBudgets, where it moved; its value at the default machine is the same 16 MiB.

--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -17,6 +17,7 @@
 from soak.fault_injector import FaultInjector
 from soak.record import DRAIN_LIMIT, Record
 from soak.store import Store
+from soak.uncontrolled_caller import UncontrolledCaller
 
 __all__ = ["SoakRun"]
 
@@ -71,6 +72,7 @@
 
     def __init__(self, seed: int, folder: Path, entries: int, backends: int, callers: int) -> None:
         self.rng = Random(seed)
+        self._seed = seed
         self.record = Record()
         self.store = Store()
         self.keys = ["k1", "k2", "k3"]
@@ -97,6 +99,7 @@
         try:
             await self._start()
             callers = [asyncio.create_task(self._call_forever()) for _ in range(self._sizes[2])]
+            callers.append(asyncio.create_task(self._visit_forever()))
             injector = FaultInjector(self)
             await injector.run(seconds)
             await injector.heal()
@@ -173,6 +176,13 @@
             await caller.call(entry, self.rng.choice(self.routes[:3]), key)
             await asyncio.sleep(self.rng.uniform(0.01, 0.2))
 
+    async def _visit_forever(self) -> None:
+        # A generator of its own, so that a seed still draws the same faults.
+        rng = Random(self._seed)
+        caller = UncontrolledCaller(self.record, rng, self.keys)
+        while True:
+            await caller.visit(rng.choice(self.entries))
+
     async def _check_recovery(self) -> None:
         served = 0
         for number in range(CHECK_REQUESTS):
--- a/src/sapphireledge/feed/feed_channel.py
+++ b/src/sapphireledge/feed/feed_channel.py
@@ -9,7 +9,7 @@
 
 from sapphireledge.feed.source_error import SourceError
 
-__all__ = ["read_message", "write_message"]
+__all__ = ["encode_message", "read_message", "write_message"]
 
 LENGTH_BYTES = 4
 """Size of the big-endian length prefix."""
@@ -45,6 +45,19 @@
         raise SourceError(f"cannot read message: {exc!r}") from exc
 
 
+def encode_message(message: object) -> bytes:
+    """Encodes one message with its length.
+
+    Args:
+        message: Message that MessagePack can encode.
+
+    Returns:
+        The bytes to send.
+    """
+    data = msgspec.msgpack.encode(message)
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
+
+
 def write_message(writer: asyncio.StreamWriter, message: object) -> None:
     """Queues one message.
 
@@ -52,5 +65,4 @@
         writer: Stream.
         message: Message that MessagePack can encode.
     """
-    data = msgspec.msgpack.encode(message)
-    writer.write(len(data).to_bytes(LENGTH_BYTES, "big") + data)
+    writer.write(encode_message(message))
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -24,6 +24,7 @@
     from sapphireledge.feed.peer import Peer
     from sapphireledge.feed.peer_directory import PeerDirectory
     from sapphireledge.feed.store_epoch import StoreEpoch
+    from sapphireledge.limits import CallerLedger
 
 __all__ = ["FeedRunner"]
 
@@ -64,6 +65,7 @@
         watchers: Sequence[KindWatcher],
         directory: PeerDirectory,
         epoch: StoreEpoch,
+        ledger: CallerLedger | None = None,
     ) -> None:
         """Creates the runner.
 
@@ -74,13 +76,14 @@
             watchers: One watcher for each kind.
             directory: Directory of all instances.
             epoch: Notices that the store came back from an older copy.
+            ledger: Limits on the connections of followers; those of a small machine by default.
         """
         self._cfg = cfg
         self._local_peer = local_peer
         self._watchers = watchers
         self._directory = directory
         self._follower = FeedFollower(cfg, feeds, epoch)
-        self._server = FeedServer(cfg, feeds, epoch, self._can_relay)
+        self._server = FeedServer(cfg, feeds, epoch, self._can_relay, ledger)
         self.instance_count = 1
         """Instances announced in the store, including those that no longer exist."""
 
@@ -99,7 +102,7 @@
 
     async def run(self) -> None:
         """Keeps the feeds up to date until the task is cancelled."""
-        server = await asyncio.start_server(self._server.serve, self._cfg.host, self._cfg.port)
+        server = await self._server.listen()
         directory = asyncio.create_task(self._poll_directory())
         try:
             while True:
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
+from time import monotonic
 from typing import TYPE_CHECKING
 
 import structlog
 
-from sapphireledge.feed.feed_channel import read_message, write_message
+from sapphireledge.feed.feed_channel import encode_message, read_message
 from sapphireledge.feed.feed_message import FeedEntry, FeedReply, FeedRequest, KindReply
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.gateway import GatewayEvent, seconds_since_boot, wait_for_event
+from sapphireledge.limits import CallerBudgets, CallerLedger, start_listener
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -18,15 +21,28 @@
     from sapphireledge.feed.feed_settings import FeedSettings
     from sapphireledge.feed.kind_feed import KindFeed
     from sapphireledge.feed.store_epoch import StoreEpoch
+    from sapphireledge.limits import CallerAccount
 
 __all__ = ["FeedServer"]
 
 MIN_REPLY_INTERVAL = 0.02
 """Shortest time in seconds between replies to one follower; building one may take milliseconds."""
 
-MAX_REQUEST_BYTES = 65_536
+MAX_REQUEST_BYTES = 4_096
 """Largest request in bytes; it holds one revision for each kind."""
 
+MAX_KINDS = 32
+"""Largest number of kinds in a request; a decoded one takes many times its bytes."""
+
+WRITE_HIGH_WATER = 4_096
+"""Unsent bytes of a follower above which its next request is not read."""
+
+REPLY_WAIT = 0.3
+"""Seconds for which a reply waits for memory; followers leave after 0.4 s without a first one."""
+
+REPLY_POLL_INTERVAL = 0.02
+"""Seconds between two attempts to get memory for a reply."""
+
 
 class FeedServer:
     """Relays the objects that this instance reads from the store."""
@@ -37,6 +53,7 @@
         feeds: Mapping[str, KindFeed],
         epoch: StoreEpoch,
         can_relay: Callable[[], bool],
+        ledger: CallerLedger | None = None,
     ) -> None:
         """Creates the server.
 
@@ -46,15 +63,26 @@
             epoch: Notices that the store came back from an older copy.
             can_relay: Returns whether this instance reads the store without failures and is not
                 stopping.
+            ledger: Limits on connections; those of a small machine by default.
         """
         self._cfg = cfg
         self._feeds = feeds
         self._epoch = epoch
         self._is_reader = can_relay
+        self._ledger = CallerLedger(CallerBudgets().followers) if ledger is None else ledger
         self._progress = asyncio.Event()
         for feed in feeds.values():
             feed.on_progress = self._wake_waiters
 
+    async def listen(self) -> asyncio.Server:
+        """Starts to serve followers.
+
+        Returns:
+            The listener.
+        """
+        start = partial(asyncio.start_server, self.serve, limit=MAX_REQUEST_BYTES)
+        return await start_listener(start, self._cfg.host, self._cfg.port)
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serves one follower until it disconnects.
 
@@ -62,24 +90,51 @@
             reader: Stream from the follower.
             writer: Stream to the follower.
         """
+        account = self._ledger.open(monotonic(), lambda reason: writer.transport.abort())
+        if account is None:
+            return writer.transport.abort()
+        writer.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
+        account.count_unsent = writer.transport.get_write_buffer_size
         relayed_replies = 0
         next_reply_at = 0.0
         try:
             while True:
                 request = await read_message(reader, FeedRequest, MAX_REQUEST_BYTES)
+                if len(request.revisions) > MAX_KINDS:
+                    raise SourceError(f"request with {len(request.revisions)} kinds")
+                account.serve(monotonic())
                 await asyncio.sleep(max(0.0, next_reply_at - seconds_since_boot()))
                 reply = await self._build_reply(request)
                 next_reply_at = seconds_since_boot() + MIN_REPLY_INTERVAL
                 relayed_replies += bool(reply.kinds)
-                write_message(writer, reply)
-                await writer.drain()
+                await self._send(reply, writer, account)
         except (SourceError, OSError) as exc:
             # An instance that only searches for a relay disconnects after one reply, many times
             # during an outage, and logs the result itself.
             if relayed_replies > 1:
                 structlog.get_logger().info(GatewayEvent.FOLLOWER_LEFT, reason=str(exc))
         finally:
-            writer.close()
+            account.close()
+            if writer.transport.get_write_buffer_size():
+                writer.transport.abort()
+            else:
+                writer.close()
+        return None
+
+    async def _send(
+        self, reply: FeedReply, writer: asyncio.StreamWriter, account: CallerAccount
+    ) -> None:
+        """Sends a reply once there is memory for it, and waits until it is on its way."""
+        data = encode_message(reply)
+        give_up_at = monotonic() + REPLY_WAIT
+        while not account.try_resize(monotonic(), len(data)):
+            if monotonic() > give_up_at:
+                raise SourceError("no memory is left for replies")
+            await asyncio.sleep(REPLY_POLL_INTERVAL)
+        writer.write(data)
+        account.wait_for_peer(monotonic())
+        await writer.drain()
+        account.try_resize(monotonic(), 0)
 
     def _can_relay(self) -> bool:
         """Whether this instance reads the store and holds a listing of each kind."""
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
+from time import monotonic
 from typing import TYPE_CHECKING
 
 import h11
 
 from sapphireledge.gateway.malformed_request import MalformedRequest
-from sapphireledge.limits import BufferBudget, BufferShare, TimeSlice
+from sapphireledge.limits import RESPONSE_BUDGET, BufferShare, LimitReason, TimeSlice
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -17,21 +19,44 @@
     from sapphireledge.gateway.caller_limits import CallerLimits
     from sapphireledge.gateway.caller_request import CallerRequest
     from sapphireledge.gateway.dialect import Dialect
+    from sapphireledge.limits import CallerAccount, CallerLedger
 
 __all__ = ["CallerConnection"]
 
 MAX_UNPARSED_BYTES = 65_536
 """Unparsed bytes of one caller from which on the gateway stops receiving from it."""
 
-MAX_TOTAL_BODY_BYTES = 16_777_216
-"""Largest sum of the request bodies that are being read or forwarded, an eighth of the smallest
-machine's memory."""
+READ_AHEAD_BYTES = 4_096
+"""Bytes of further requests that are received from a caller while its request is served."""
+
+PARSER_BYTES = 16_384
+"""Bytes of a body that the parser gets at once; it makes several objects of each chunk."""
+
+FIELD_BYTES = 384
+"""Memory in bytes for each field of a head, beside the bytes of the head: its objects in the parsed
+request and in the request to a backend server."""
+
+MAX_ORDINARY_FIELDS = 256
+"""Fields from which on a head is parsed in turns with others; its parsing takes milliseconds."""
+
+MAX_REQUESTS_AHEAD = 8
+"""Requests that had arrived ahead after which a connection takes turns with others."""
+
+HEAD_COPIES = 3
+"""Copies of the bytes of a head that a request holds."""
 
 RETRY_AFTER = 1.0
-"""Seconds after which a request for whose body no memory was left may be sent again."""
+"""Seconds after which a request for which no memory was left may be sent again."""
+
+WRITE_HIGH_WATER = 16_384
+"""Unsent bytes to a caller above which the gateway stops reading from the backend server. They come
+on top of what the kernel buffers."""
 
-WRITE_HIGH_WATER = 65_536
-"""Unsent bytes to a caller above which the gateway stops reading from the backend server."""
+WRITE_PIECE = 65_536
+"""Bytes of a large answer that are passed to the transport at once, which copies them."""
+
+LINGER_TIME = 15.0
+"""Seconds for a caller to read what is left of its last answer before the connection is reset."""
 
 KEEPALIVE_IDLE = 5
 """Idle seconds before TCP keep-alive probes are sent to detect a vanished caller."""
@@ -41,12 +66,18 @@
 )
 """Headers that apply to one connection only; responses to callers get their own framing."""
 
+_HEAD_END = re.compile(rb"\n\r?\n")
+"""End of a head, as the parser recognises it."""
 
-_BODY_BUDGET = BufferBudget(MAX_TOTAL_BODY_BYTES)
+MAX_CONTROL = 0x20
+"""Largest first byte that no request line can have; the parser rejects it without waiting."""
 
 _receive_buffer = bytearray(MAX_UNPARSED_BYTES)
 """Shared by all connections, as it is filled and emptied within one callback of the transport."""
 
+_read_ahead_buffer = memoryview(_receive_buffer)[:READ_AHEAD_BYTES]
+"""Beginning of the shared buffer."""
+
 
 class CallerConnection(asyncio.BufferedProtocol):
     """Reads requests one after another and writes their responses.
@@ -61,16 +92,24 @@
         dialect: Dialect,
         handle: Callable[[CallerConnection, CallerRequest], Awaitable[None]],
         is_stopping: Callable[[], bool],
+        ledger: CallerLedger,
     ) -> None:
         self._limits = limits
         self._dialect = dialect
         self._handle = handle
         self._is_stopping = is_stopping
-        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().max_head_bytes)
+        self._ledger = ledger
+        self._account: CallerAccount | None = None
+        self._parser = self._create_parser()
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._received = bytearray()
-        self._body_share = BufferShare(_BODY_BUDGET)
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._parser_bytes = 0
+        self._requests_ahead = 0
+        self._refusal: MalformedRequest | None = None
+        self._answer_share = BufferShare(RESPONSE_BUDGET)
         self._slice = TimeSlice()
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
@@ -89,9 +128,15 @@
         """Called once the connection is closed."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Starts the task of the connection."""
+        """Starts the task of the connection, if the ledger has a place for it."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._account = self._ledger.open(monotonic(), self._evict)
+        if self._account is None:
+            self._disconnected = True
+            transport.abort()
+            return
+        self._account.count_unsent = transport.get_write_buffer_size
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
         sock = transport.get_extra_info("socket")
         if sock is not None:
@@ -101,13 +146,25 @@
         self._task = asyncio.create_task(self._run())
 
     def get_buffer(self, sizehint: int) -> bytearray:
-        """Returns the buffer for the next bytes."""
-        return _receive_buffer
+        """Returns the buffer for the next bytes, a small one while a request is served."""
+        return _read_ahead_buffer if self.is_busy else _receive_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Keeps received bytes for the parser, and stops receiving while there are many."""
+        if self._account is None or self._transport is None:
+            return
+        now = monotonic()
         self._received += memoryview(_receive_buffer)[:nbytes]
-        if len(self._received) >= MAX_UNPARSED_BYTES and self._transport is not None:
+        self._account.on_moved(now, nbytes)
+        if self.is_busy:
+            if len(self._received) >= READ_AHEAD_BYTES:
+                self._transport.pause_reading()
+        elif not self._account.try_resize(now, self._held_bytes()):
+            self._received.clear()
+            self._refusal = MalformedRequest(503, "no memory is left for requests", RETRY_AFTER)
+            self._ledger.on_limited(LimitReason.NO_MEMORY)
+            self._transport.pause_reading()
+        elif len(self._received) >= MAX_UNPARSED_BYTES:
             self._transport.pause_reading()
         self._readable.set()
 
@@ -119,15 +176,27 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the request in progress and reports the end of the connection."""
         self._on_disconnect()
+        self._release()
         self.on_closed(self)
 
     def pause_writing(self) -> None:
-        """Blocks senders while the write buffer is above its high-water mark."""
+        """Blocks senders while the write buffer is above its high-water mark.
+
+        A connection whose answers find no memory is closed: the caller does not read them.
+        """
         self._writable.clear()
+        if self._account is None or self._account.answer_bytes:
+            return
+        now = monotonic()
+        if not self._account.try_resize(now, self._held_bytes()):
+            self._ledger.on_limited(LimitReason.NO_MEMORY)
+            self._reset()
 
     def resume_writing(self) -> None:
         """Unblocks senders once the write buffer has drained."""
         self._writable.set()
+        if self._account is not None and not self._account.answer_bytes:
+            self._account.try_resize(monotonic(), self._held_bytes())
 
     @property
     def is_disconnected(self) -> bool:
@@ -165,10 +234,13 @@
         """
         framed = [*_drop_hop_by_hop(headers), (b"content-length", str(len(body)).encode())]
         self._send_head(status, framed)
-        if body:
-            self._write(self._parser.send(h11.Data(data=body)))
+        if len(body) <= WRITE_PIECE:
+            if body:
+                self._write(self._parser.send(h11.Data(data=body)))
+        else:
+            await self._send_large_body(body)
         self._write(self._parser.send(h11.EndOfMessage()))
-        await self._writable.wait()
+        await self._drain()
 
     async def start_response(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """Sends the head of a streamed response.
@@ -186,12 +258,32 @@
             data: Bytes of the chunk.
         """
         self._write(self._parser.send(h11.Data(data=data)))
-        await self._writable.wait()
+        await self._drain()
 
     async def finish_response(self) -> None:
         """Marks a streamed response as complete."""
         self._write(self._parser.send(h11.EndOfMessage()))
+        await self._drain()
+
+    async def _send_large_body(self, body: bytes) -> None:
+        """Sends a body in pieces, and counts it as a response until the caller has read it."""
+        self._answer_share.hold(len(body))
+        if self._account is not None:
+            self._account.answer_bytes = len(body)
+        for start in range(0, len(body), WRITE_PIECE):
+            self._write(self._parser.send(h11.Data(data=body[start : start + WRITE_PIECE])))
+            await self._drain()
+        self._answer_share.release()
+        if self._account is not None:
+            self._account.answer_bytes = 0
+
+    async def _drain(self) -> None:
+        """Waits while the write buffer is full; meanwhile the connection may be closed."""
+        if self._writable.is_set() or self._account is None:
+            return
+        self._account.wait_for_peer(monotonic())
         await self._writable.wait()
+        self._account.serve(monotonic())
 
     async def _run(self) -> None:
         """Handles requests until either side closes the connection."""
@@ -205,62 +297,115 @@
                 self.is_busy = True
                 self.response_started = False
                 await self._handle(self, request)
-                self._body_share.release()
-                self.is_busy = False
+                del request
                 if self._parser.our_state is not h11.DONE:
                     break
                 if self._parser.their_state is not h11.DONE:
                     break
-                self._parser.start_next_cycle()
+                self._begin_next_request()
         except MalformedRequest as exc:
-            await self._reject(exc)
+            self._reject(exc)
         except asyncio.CancelledError:
             if not self._disconnected:
                 raise
         finally:
-            self._body_share.release()
+            self._body = bytearray()
+            self._received.clear()
             transport.close()
+            if transport.get_write_buffer_size() and self._account is not None:
+                self._account.wait_for_peer(monotonic())
+                asyncio.get_running_loop().call_later(LINGER_TIME, transport.abort)
 
     async def _read_request(self) -> CallerRequest | None:
         """Reads a complete request, or returns None if the caller closes or stays idle."""
         loop = asyncio.get_running_loop()
         limits = self._limits()
+        await self._limit_requests_ahead()
         try:
             async with asyncio.timeout(limits.idle_timeout):
-                while not self._has_unread_bytes():
+                while not self._received:
                     await self._wait_readable()
         except TimeoutError:
             return None
         started = loop.time()
         try:
             async with asyncio.timeout(limits.head_timeout):
-                head = await self._next_event()
-            if not isinstance(head, h11.Request):
-                return None
-            _check_framing(head)
+                head = await self._read_head(limits.max_head_bytes)
+            _check_head(head, limits.max_body_bytes)
             if self._parser.they_are_waiting_for_100_continue:
                 self._write(
                     self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
                 )
-            body = bytearray()
-            while True:
-                async with asyncio.timeout(limits.idle_timeout):
-                    event = await self._next_event()
-                if isinstance(event, h11.EndOfMessage):
-                    break
-                if not isinstance(event, h11.Data):
-                    return None
-                body += event.data
-                if len(body) > limits.max_body_bytes:
-                    raise MalformedRequest(413, "the request body is too large")
-                if not self._body_share.try_resize(len(body)):
-                    raise MalformedRequest(503, "no memory is left for bodies", RETRY_AFTER)
+            if not await self._read_body(limits):
+                return None
         except TimeoutError as exc:
             raise MalformedRequest(408, "timed out reading the request") from exc
+        body = bytes(self._body)
+        self._body = bytearray()
+        self._head_bytes += len(body)
+        if self._account is not None:
+            self._account.serve(monotonic())
         return self._dialect.decode_request(
-            head.method, head.target, tuple(head.headers), bytes(body), started
+            head.method, head.target, tuple(head.headers), body, started
         )
 
+    async def _read_head(self, max_bytes: int) -> h11.Request:
+        """Reads a request head.
+
+        The parser gets it once it is complete and there is memory for its fields.
+        """
+        await self._slice.checkpoint()
+        searched = 0
+        while True:
+            end = _HEAD_END.search(self._received, searched)
+            if end is not None or (self._received and self._received[0] <= MAX_CONTROL):
+                break
+            if len(self._received) > max_bytes:
+                raise MalformedRequest(431, "the request head is too large")
+            searched = max(0, len(self._received) - 2)
+            await self._wait_readable()
+        size = len(self._received) if end is None else end.end()
+        if size > max_bytes:
+            raise MalformedRequest(431, "the request head is too large")
+        fields = self._received.count(b"\n", 0, size)
+        self._head_bytes = HEAD_COPIES * size + FIELD_BYTES * fields
+        self._hold()
+        if fields > MAX_ORDINARY_FIELDS:
+            await self._slice.take_turn()
+        self._feed(size)
+        try:
+            event = self._parser.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise MalformedRequest(exc.error_status_hint, str(exc)) from exc
+        self._parser_bytes = 0
+        if not isinstance(event, h11.Request):
+            raise MalformedRequest(400, "the request line is incomplete")
+        return event
+
+    async def _limit_requests_ahead(self) -> None:
+        """Lets other connections work after some requests that had arrived ahead."""
+        if not self._received:
+            self._requests_ahead = 0
+            return
+        self._requests_ahead += 1
+        if self._requests_ahead > MAX_REQUESTS_AHEAD:
+            self._requests_ahead = 0
+            await self._slice.take_turn()
+
+    async def _read_body(self, limits: CallerLimits) -> bool:
+        """Reads a request body; returns whether it is complete."""
+        while True:
+            async with asyncio.timeout(limits.idle_timeout):
+                event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return True
+            if not isinstance(event, h11.Data):
+                return False
+            if len(self._body) + len(event.data) > limits.max_body_bytes:
+                raise MalformedRequest(413, "the request body is too large")
+            self._body += event.data
+            self._parser_bytes = max(0, self._parser_bytes - len(event.data))
+
     async def _next_event(self) -> h11.Event:
         """Waits for the next parser event of a request."""
         await self._slice.checkpoint()
@@ -273,22 +418,104 @@
                 return event
             if not self._received:
                 await self._wait_readable()
-            self._parser.receive_data(bytes(self._received))
-            self._received.clear()
-            if self._transport is not None:
-                self._transport.resume_reading()
+            self._feed(PARSER_BYTES)
+
+    def _feed(self, size: int) -> None:
+        """Passes received bytes to the parser, and receives more."""
+        data = bytes(self._received[:size])
+        del self._received[:size]
+        self._parser_bytes = len(data)
+        self._parser.receive_data(data)
+        if self._transport is not None and len(self._received) < MAX_UNPARSED_BYTES:
+            self._transport.resume_reading()
+
+    def _held_bytes(self) -> int:
+        """Bytes that the connection holds for requests and unread answers."""
+        transport = self._transport
+        is_sent = transport is None or self._writable.is_set()
+        unsent = 0 if is_sent else transport.get_write_buffer_size()
+        held = len(self._received) + self._parser_bytes + len(self._body) + self._head_bytes
+        return held + unsent
+
+    def _hold(self) -> None:
+        """Takes memory for what the request holds now."""
+        if self._account is not None and not self._account.try_resize(
+            monotonic(), self._held_bytes()
+        ):
+            self._ledger.on_limited(LimitReason.NO_MEMORY)
+            raise MalformedRequest(503, "no memory is left for requests", RETRY_AFTER)
+
+    def _release(self) -> None:
+        """Gives back all that the connection holds."""
+        self._body = bytearray()
+        self._received = bytearray()
+        self._answer_share.release()
+        if self._account is not None:
+            self._account.close()
+
+    def _begin_next_request(self) -> None:
+        """Prepares for the next request, of which bytes may have arrived."""
+        unparsed = self._parser.trailing_data[0]
+        if unparsed:
+            self._received[:0] = unparsed
+            self._parser = self._create_parser()
+        else:
+            self._parser.start_next_cycle()
+        self._head_bytes = self._parser_bytes = 0
+        self.is_busy = False
+        if self._account is not None:
+            self._account.wait_for_peer(monotonic())
+            self._account.try_resize(monotonic(), self._held_bytes())
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def _create_parser(self) -> h11.Connection:
+        """Creates the parser of the connection."""
+        max_bytes = self._limits().max_head_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
+
+    def _evict(self, reason: LimitReason) -> None:
+        """Closes the connection to make room for others; a request that is incomplete has not run.
+
+        Called by the ledger, which has given back what the connection holds.
+        """
+        transport = self._transport
+        is_sending = transport is not None and transport.get_write_buffer_size() > 0
+        is_partial = self._has_unread_bytes() or self._parser.their_state is not h11.IDLE
+        self._release()
+        if self.is_busy or is_sending:
+            self._reset()
+        elif transport is not None:
+            if is_partial:
+                self._reject(MalformedRequest(503, f"closed: {reason}", RETRY_AFTER))
+            transport.close()
+            self._on_disconnect()
+
+    def _reset(self) -> None:
+        """Closes the connection abruptly and cancels its task."""
+        self.is_aborted = True
+        if self._transport is not None:
+            self._transport.abort()
+        self._on_disconnect()
 
     async def _wait_readable(self) -> None:
-        """Waits for more bytes from the caller."""
+        """Waits for more bytes from the caller; meanwhile the connection may be closed."""
         self._readable.clear()
-        await self._readable.wait()
+        if self._account is not None:
+            self._account.waits_for_peer = True
+        if self._refusal is None:
+            await self._readable.wait()
+        if self._account is not None:
+            self._account.waits_for_peer = False
         self._slice.restart()
+        if self._refusal is not None:
+            raise self._refusal
 
     def _has_unread_bytes(self) -> bool:
         """Whether bytes have been received that belong to no event yet."""
         return bool(self._received or self._parser.trailing_data[0])
 
-    async def _reject(self, exc: MalformedRequest) -> None:
+    def _reject(self, exc: MalformedRequest) -> None:
         """Responds to an unacceptable request with its error status and closes the connection."""
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"content-length", b"0"), (b"connection", b"close")]
@@ -324,9 +551,14 @@
     return [(name, value) for name, value in headers if name not in HOP_BY_HOP_HEADERS]
 
 
-def _check_framing(head: h11.Request) -> None:
-    """Rejects a request with ambiguous framing or host, which allows request smuggling."""
+def _check_head(head: h11.Request, max_body_bytes: int) -> None:
+    """Rejects a request with a body that is too large, or with ambiguous framing or host.
+
+    Ambiguity allows request smuggling.
+    """
     names = [name for name, _ in head.headers]
+    if b"content-length" in names and int(dict(head.headers)[b"content-length"]) > max_body_bytes:
+        raise MalformedRequest(413, "the request body is too large")
     if b"transfer-encoding" in names and b"content-length" in names:
         raise MalformedRequest(400, "both Content-Length and Transfer-Encoding are set")
     if names.count(b"host") != 1:
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -136,6 +136,9 @@
     REPORT_REJECTED = "crash_report_rejected"
     """A stored crash report of an instance cannot be decoded."""
 
+    CALLERS_LIMITED = "callers_limited"
+    """Connections were closed or requests refused because of limits on callers."""
+
     LINES_DROPPED = "log_lines_dropped"
     """Log lines were dropped because the log's reader was too slow."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -89,6 +89,14 @@
         )
         """Changes of what backend servers ask of their callers, by the strongest signal."""
 
+        self.caller_limits = Counter(
+            "sapphireledge_caller_limits",
+            "Connections closed and requests refused because of limits on callers, by reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        """Connections closed and requests refused because of limits on callers, by reason."""
+
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format.
 
--- a/src/sapphireledge/gateway/gateway_server.py
+++ b/src/sapphireledge/gateway/gateway_server.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+import errno
+from functools import partial
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.text_endpoint import TextEndpoint
+from sapphireledge.limits import CallerLedger, LimitReason, start_listener
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.gateway import Gateway
@@ -16,8 +19,8 @@
 
 __all__ = ["GatewayServer"]
 
-BACKLOG = 512
-"""Length of the accept queue; when it is full, new connections are delayed by seconds."""
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+"""Errors for which asyncio stops accepting connections for a second."""
 
 STOP_POLL_INTERVAL = 0.05
 """Seconds between checks for requests in flight during a graceful shutdown."""
@@ -49,14 +52,21 @@
         """Runs the listeners until a graceful shutdown is complete."""
         cfg = self._gateway.cfg
         loop = asyncio.get_running_loop()
-        ready = TextEndpoint(lambda: (200 if self._gateway.is_ready else 503, b""))
-        metrics = TextEndpoint(lambda: (200, self._metrics.render()))
-        callers = await loop.create_server(
-            self._gateway.create_protocol, cfg.listen_host, cfg.listen_port, backlog=BACKLOG
+        budgets = cfg.callers
+        on_limited = self._gateway.telemetry.record_caller_limit
+        ready = TextEndpoint(
+            lambda: (200 if self._gateway.is_ready else 503, b""),
+            CallerLedger(budgets.readiness, on_limited),
         )
+        metrics = TextEndpoint(
+            lambda: (200, self._metrics.render()), CallerLedger(budgets.metrics, on_limited)
+        )
+        loop.set_exception_handler(self._on_loop_error)
+        start = partial(loop.create_server, self._gateway.create_protocol)
+        callers = await start_listener(start, cfg.listen_host, cfg.listen_port)
         endpoints = [
-            await asyncio.start_server(ready.serve, cfg.ready_host, cfg.ready_port),
-            await asyncio.start_server(metrics.serve, cfg.listen_host, cfg.metrics_port),
+            await ready.listen(cfg.ready_host, cfg.ready_port),
+            await metrics.listen(cfg.listen_host, cfg.metrics_port),
         ]
         self._log.info(GatewayEvent.STARTED, instance=cfg.instance, port=cfg.listen_port)
         await self._stop.wait()
@@ -65,6 +75,14 @@
         for server in (callers, *endpoints):
             server.close()
 
+    def _on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Counts pauses of listeners, which asyncio ends after a second, and logs other errors."""
+        exc = context.get("exception")
+        if isinstance(exc, OSError) and exc.errno in NO_DESCRIPTORS:
+            self._gateway.telemetry.record_caller_limit(LimitReason.NO_DESCRIPTORS)
+            return
+        loop.default_exception_handler(context)
+
     async def _drain(self, started: float) -> None:
         """Waits for the drain time and then for every request, at most until the stop limit.
 
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -6,6 +6,7 @@
 
 from sapphireledge.core.liveness import SilenceLimits
 from sapphireledge.gateway.quarantine_settings import QuarantineSettings
+from sapphireledge.limits import CallerBudgets
 
 __all__ = ["GatewaySettings"]
 
@@ -56,6 +57,9 @@
     quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
     """When requests count as the cause of crashes."""
 
+    callers: CallerBudgets = field(default_factory=CallerBudgets)
+    """Memory and connections that callers may take."""
+
     body_timeout: float = 0.33
     """Timeout between two chunks of an engine's response that is not a stream."""
 
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from time import monotonic
 from typing import TYPE_CHECKING
 
 import structlog
 
 from sapphireledge.core.placement import StartStream, WaitForEngine
 from sapphireledge.gateway.gateway_event import GatewayEvent
+from sapphireledge.gateway.limit_log import LimitLog
 from sapphireledge.gateway.outcome import OutcomeKind
 
 if TYPE_CHECKING:
@@ -26,6 +28,7 @@
     from sapphireledge.gateway.outcome import Outcome
     from sapphireledge.gateway.routing_table import RoutingTable
     from sapphireledge.gateway.stream_progress import StreamProgress
+    from sapphireledge.limits import LimitReason
 
 __all__ = ["RequestTelemetry"]
 
@@ -39,6 +42,18 @@
     def __init__(self, metrics: GatewayMetrics) -> None:
         self._metrics = metrics
         self._log = structlog.get_logger()
+        self._limit_log = LimitLog()
+
+    def record_caller_limit(self, reason: LimitReason) -> None:
+        """Counts a connection closed or a request refused because of limits on callers.
+
+        Args:
+            reason: The limit.
+        """
+        self._metrics.caller_limits.labels(reason).inc()
+        count = self._limit_log.count(monotonic(), reason)
+        if count:
+            self._log.warning(GatewayEvent.CALLERS_LIMITED, reason=reason, count=count)
 
     def record_admission(
         self, admitted: AdmittedRequest, fingerprint: str, config_age: float
--- a/src/sapphireledge/limits/buffer_share.py
+++ b/src/sapphireledge/limits/buffer_share.py
@@ -46,6 +46,16 @@
         self._taken = taken
         return True
 
+    def hold(self, size: int) -> None:
+        """Takes what a buffer needs that is in memory already, even if the budget has no room.
+
+        Args:
+            size: Size of the buffer in bytes.
+        """
+        taken = max(0, size - FREE_BYTES)
+        self._budget.take(taken - self._taken)
+        self._taken = taken
+
     def release(self) -> None:
         """Gives back all that was taken."""
         self.try_resize(0)
--- /dev/null
+++ b/src/sapphireledge/limits/start_listener.py
@@ -0,0 +1,59 @@
+"""Listeners that accept few connections at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+__all__ = ["start_listener"]
+
+QUEUE_LENGTH = 512
+"""Length of the accept queue; when it is full, new connections are delayed by seconds."""
+
+ACCEPT_BATCH = 16
+"""Connections accepted in one pass of the event loop. Those that have to give way are closed in the
+next pass, and of the readiness endpoint they are at most a quarter on any machine of the platform,
+so that a probe is read before a crowd displaces it."""
+
+
+class ServerStarter(Protocol):
+    """Starts a server of the event loop on an open socket."""
+
+    def __call__(self, *, sock: socket.socket, backlog: int) -> Awaitable[asyncio.Server]:
+        """Starts the server.
+
+        Args:
+            sock: Bound socket.
+            backlog: Length of the accept queue.
+
+        Returns:
+            The server.
+        """
+        ...
+
+
+async def start_listener(start: ServerStarter, host: str, port: int) -> asyncio.Server:
+    """Starts a server with a long accept queue.
+
+    asyncio accepts as many connections in one pass of the event loop as the queue is long, so the
+    queue is made longer once the server has started.
+
+    Args:
+        start: Starts the server.
+        host: IP address.
+        port: TCP port.
+
+    Returns:
+        The server.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    sock = socket.create_server((host, port), backlog=QUEUE_LENGTH)
+    server = await start(sock=sock, backlog=ACCEPT_BATCH)
+    sock.listen(QUEUE_LENGTH)
+    return server
--- a/src/sapphireledge/limits/time_slice.py
+++ b/src/sapphireledge/limits/time_slice.py
@@ -42,8 +42,11 @@
 
     async def checkpoint(self) -> None:
         """Lets other tasks run if the slice is used up."""
-        if monotonic() - self._started < SLICE:
-            return
+        if monotonic() - self._started >= SLICE:
+            await self.take_turn()
+
+    async def take_turn(self) -> None:
+        """Waits for a turn among the connections that take more of the event loop than others."""
         loop = asyncio.get_running_loop()
         turn = _turns.get(loop)
         if turn is None:
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -22,6 +22,7 @@
     GatewayServer,
     RequestTelemetry,
 )
+from sapphireledge.limits import CallerLedger
 from sapphireledge.platform.config_listener import ConfigListener
 from sapphireledge.platform.crash_report_listener import CrashReportListener
 from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND, CrashReportWriter
@@ -113,7 +114,8 @@
         for kind_cfg in cfg.feed.kinds
     ]
     directory = _create_store_client(cfg, metrics, epoch)
-    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch)
+    ledger = CallerLedger(cfg.gateway.callers.followers, gateway.telemetry.record_caller_limit)
+    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger)
 
 
 def _begin_shutdown(server: GatewayServer, runner: FeedRunner) -> None:
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -8,6 +8,7 @@
 
 from sapphireledge.feed import FeedSettings, KindSettings, Peer
 from sapphireledge.gateway import GatewaySettings
+from sapphireledge.limits import CallerBudgets
 from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND
 from sapphireledge.platform.split_address import split_address
 from sapphireledge.platform.store_settings import StoreSettings
@@ -65,10 +66,18 @@
     address: str
 
 
+FILE_DESCRIPTORS = 200
+"""Descriptors of a process that the platform keeps for files; sockets share the others."""
+
+BYTES_PER_MB = 1_048_576
+
+
 class _Limits(msgspec.Struct):
-    """Resources of the machine."""
+    """Resources of the machine; 0 if the file does not name them."""
 
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class _NodeFile(msgspec.Struct):
@@ -134,6 +143,7 @@
         metrics_port=METRICS_PORT,
         max_config_age=file.bounds.revoke_ms / 1000.0 - REVOCATION_MARGIN,
         stop_limit=file.bounds.grace_s,
+        callers=_decode_budgets(file.limits),
     )
     feed = FeedSettings(
         kinds=(
@@ -147,3 +157,12 @@
     peer = Peer(file.node_name, listen_host, feed.port, file.zone, file.limits.link_mbps)
     store = StoreSettings(store_host, store_port)
     return NodeSettings(gateway, store, feed, peer, file.heartbeat_ms / 1000.0)
+
+
+def _decode_budgets(limits: _Limits) -> CallerBudgets:
+    """Decodes the machine's memory and descriptors."""
+    default = CallerBudgets()
+    return CallerBudgets(
+        memory_bytes=int(limits.memory_mb * BYTES_PER_MB) or default.memory_bytes,
+        sockets=max(0, limits.max_fds - FILE_DESCRIPTORS) or default.sockets,
+    )
--- a/tests/test_bounded_readers.py
+++ b/tests/test_bounded_readers.py
@@ -20,8 +20,9 @@
 from sapphireledge.feed.feed_channel import read_message
 from sapphireledge.feed.feed_message import FeedRequest
 from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
-from sapphireledge.gateway.caller_connection import MAX_TOTAL_BODY_BYTES, MAX_UNPARSED_BYTES
+from sapphireledge.gateway.caller_connection import MAX_UNPARSED_BYTES
 from sapphireledge.gateway.text_endpoint import TextEndpoint
+from sapphireledge.limits import CallerBudgets
 from sapphireledge.objects import create_http_client
 from sapphireledge.objects._private import CallError, send_request
 from sapphireledge.platform.store_client import MAX_LISTING_BYTES, StoreClient
@@ -113,7 +114,7 @@
 
     async def test_bodies_of_many_callers_share_a_memory_limit(self):
         size = 4_000_000
-        count = 2 * MAX_TOTAL_BODY_BYTES // size
+        count = 2 * CallerBudgets().callers.large_bytes // size
         connections = []
         for _ in range(count):
             reader, writer = await asyncio.open_connection(HOST, self.port)
