--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,9 +48,10 @@
         folder.mkdir(parents=True, exist_ok=True)
         soak_run = SoakRun(seed, folder, entries, backends, callers)
         violations = asyncio.run(soak_run.run(seconds))
-        served = sum(1 for a in soak_run.record.calls.values() if a.status == 200 and a.complete)
+        calls = [call for call in soak_run.record.calls.values() if call.is_controlled]
+        served = sum(1 for call in calls if call.status == 200 and call.complete)
         lost = ", ".join(f"{name} {count}" for name, count in sorted(lost_connections.items()))
-        typer.echo(f"seed {seed}: {len(soak_run.record.calls)} requests, {served} served")
+        typer.echo(f"seed {seed}: {len(calls)} requests, {served} served")
         typer.echo(f"  connections of stand-ins lost since the first seed: {lost or 'none'}")
         return violations
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -38,6 +38,9 @@
     sent: float
     status: int = 0
     complete: bool = False
+    is_controlled: bool = True
+    """Whether the caller keeps to the limits and waits for the answer."""
+
     violation: str = ""
     """Violation that the caller observed, or an empty string."""
 
--- a/soak/uncontrolled_caller.py
+++ b/soak/uncontrolled_caller.py
@@ -100,7 +100,8 @@
         request_id = f"odd{next(_request_numbers)}"
         key = self._rng.choice(self._keys)
         if is_complete:
-            self._record.calls[request_id] = CallRecord(request_id, path, key, time.monotonic())
+            call = CallRecord(request_id, path, key, time.monotonic(), is_controlled=False)
+            self._record.calls[request_id] = call
         lines = (
             f"POST {path} HTTP/1.1",
             "host: soak.example",
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import socket
 from time import monotonic
 from typing import TYPE_CHECKING
 
 import h11
 
+from sapphireledge.gateway.head_scan import (
+    HEAD_END_OVERLAP,
+    check_head,
+    estimate_head_memory,
+    find_head,
+)
 from sapphireledge.gateway.malformed_request import MalformedRequest
 from sapphireledge.limits import RESPONSE_BUDGET, BufferShare, LimitReason, TimeSlice
 
@@ -32,19 +37,12 @@
 PARSER_BYTES = 16_384
 """Bytes of a body that the parser gets at once; it makes several objects of each chunk."""
 
-FIELD_BYTES = 384
-"""Memory in bytes for each field of a head, beside the bytes of the head: its objects in the parsed
-request and in the request to a backend server."""
-
 MAX_ORDINARY_FIELDS = 256
 """Fields from which on a head is parsed in turns with others; its parsing takes milliseconds."""
 
 MAX_REQUESTS_AHEAD = 8
 """Requests that had arrived ahead after which a connection takes turns with others."""
 
-HEAD_COPIES = 3
-"""Copies of the bytes of a head that a request holds."""
-
 RETRY_AFTER = 1.0
 """Seconds after which a request for which no memory was left may be sent again."""
 
@@ -66,12 +64,6 @@
 )
 """Headers that apply to one connection only; responses to callers get their own framing."""
 
-_HEAD_END = re.compile(rb"\n\r?\n")
-"""End of a head, as the parser recognises it."""
-
-MAX_CONTROL = 0x20
-"""Largest first byte that no request line can have; the parser rejects it without waiting."""
-
 _receive_buffer = bytearray(MAX_UNPARSED_BYTES)
 """Shared by all connections, as it is filled and emptied within one callback of the transport."""
 
@@ -331,7 +323,7 @@
         try:
             async with asyncio.timeout(limits.head_timeout):
                 head = await self._read_head(limits.max_head_bytes)
-            _check_head(head, limits.max_body_bytes)
+            check_head(head, limits.max_body_bytes)
             if self._parser.they_are_waiting_for_100_continue:
                 self._write(
                     self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -356,19 +348,11 @@
         """
         await self._slice.checkpoint()
         searched = 0
-        while True:
-            end = _HEAD_END.search(self._received, searched)
-            if end is not None or (self._received and self._received[0] <= MAX_CONTROL):
-                break
-            if len(self._received) > max_bytes:
-                raise MalformedRequest(431, "the request head is too large")
-            searched = max(0, len(self._received) - 2)
+        while not (size := find_head(self._received, searched, max_bytes)):
+            searched = max(0, len(self._received) - HEAD_END_OVERLAP)
             await self._wait_readable()
-        size = len(self._received) if end is None else end.end()
-        if size > max_bytes:
-            raise MalformedRequest(431, "the request head is too large")
         fields = self._received.count(b"\n", 0, size)
-        self._head_bytes = HEAD_COPIES * size + FIELD_BYTES * fields
+        self._head_bytes = estimate_head_memory(size, fields)
         self._hold()
         if fields > MAX_ORDINARY_FIELDS:
             await self._slice.take_turn()
@@ -488,8 +472,11 @@
         elif transport is not None:
             if is_partial:
                 self._reject(MalformedRequest(503, f"closed: {reason}", RETRY_AFTER))
+            if transport.get_write_buffer_size():
+                return self._reset()
             transport.close()
             self._on_disconnect()
+        return None
 
     def _reset(self) -> None:
         """Closes the connection abruptly and cancels its task."""
@@ -549,17 +536,3 @@
 def _drop_hop_by_hop(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
     """Removes hop-by-hop headers."""
     return [(name, value) for name, value in headers if name not in HOP_BY_HOP_HEADERS]
-
-
-def _check_head(head: h11.Request, max_body_bytes: int) -> None:
-    """Rejects a request with a body that is too large, or with ambiguous framing or host.
-
-    Ambiguity allows request smuggling.
-    """
-    names = [name for name, _ in head.headers]
-    if b"content-length" in names and int(dict(head.headers)[b"content-length"]) > max_body_bytes:
-        raise MalformedRequest(413, "the request body is too large")
-    if b"transfer-encoding" in names and b"content-length" in names:
-        raise MalformedRequest(400, "both Content-Length and Transfer-Encoding are set")
-    if names.count(b"host") != 1:
-        raise MalformedRequest(400, "the request must have exactly one Host header")
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -5,6 +5,8 @@
 import unittest
 from dataclasses import replace
 
+from sapphireledge.gateway.caller_connection import MAX_UNPARSED_BYTES
+from sapphireledge.gateway.head_scan import estimate_head_memory
 from sapphireledge.gateway.limit_log import LOG_INTERVAL, LimitLog
 from sapphireledge.limits import (
     CONNECTION_BYTES,
@@ -140,8 +142,9 @@
     """Guards against defaults that callers inside the limits of their configuration meet."""
 
     def test_legal_request_fits_on_the_smallest_machines(self):
-        # 384 bytes for each field of four bytes, three copies of the head and the unparsed bytes.
-        largest = LEGAL_BODY + 65_536 + LEGAL_HEAD // 4 * 384 + 3 * LEGAL_HEAD
+        # Fields of four bytes, and the bytes that are not parsed yet.
+        head = estimate_head_memory(LEGAL_HEAD, LEGAL_HEAD // 4)
+        largest = LEGAL_BODY + MAX_UNPARSED_BYTES + head
         for budgets in SMALLEST_MACHINES:
             account = CallerLedger(budgets.callers).open(0.0, lambda reason: None)
             self.assertTrue(account.try_resize(0.0, largest))
@@ -157,7 +160,7 @@
             self.assertLessEqual(4 * 16, budgets.sockets // 4)
 
     def test_ordinary_request_takes_no_memory_of_the_reserve(self):
-        self.assertGreater(INCLUDED_BYTES, 3 * 600 + 15 * 384)
+        self.assertGreater(INCLUDED_BYTES, estimate_head_memory(600, 15))
 
 
 class LimitLogTest(unittest.TestCase):
