Limit what one read takes at the endpoints and from followers

Cause: a stream reader stops reading only after what one read took is in memory, up to 256 KiB for each connection, so 64 readiness connections could hold 16 MB. Seen once in 4 runs of test_requests_sent_ahead beside other load (68 of 64 MiB at readiness after the other crowds); counts of objects and buffers in the process ruled out the ledger's connections and garbage cycles.

--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -13,7 +13,7 @@
 from sapphireledge.feed.feed_message import FeedEntry, FeedReply, FeedRequest, KindReply
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.gateway import GatewayEvent, seconds_since_boot, wait_for_event
-from sapphireledge.limits import CallerBudgets, CallerLedger, start_listener
+from sapphireledge.limits import CallerBudgets, CallerLedger, limit_reads, start_listener
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -90,6 +90,7 @@
             reader: Stream from the follower.
             writer: Stream to the follower.
         """
+        limit_reads(writer, MAX_REQUEST_BYTES)
         account = self._ledger.open(monotonic(), lambda reason: writer.transport.abort())
         if account is None:
             return writer.transport.abort()
--- a/src/sapphireledge/gateway/text_endpoint.py
+++ b/src/sapphireledge/gateway/text_endpoint.py
@@ -12,7 +12,7 @@
 
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.limit_log import LimitLog
-from sapphireledge.limits import CallerBudgets, CallerLedger, TimeSlice, start_listener
+from sapphireledge.limits import CallerBudgets, CallerLedger, TimeSlice, limit_reads, start_listener
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,6 +65,7 @@
             reader: Stream from the client.
             writer: Stream to the client.
         """
+        limit_reads(writer, READ_SIZE)
         account = self._ledger.open(monotonic(), lambda reason: writer.transport.abort())
         if account is None:
             return writer.transport.abort()
--- a/src/sapphireledge/limits/__init__.py
+++ b/src/sapphireledge/limits/__init__.py
@@ -8,7 +8,7 @@
 from sapphireledge.limits.ledger_limits import CONNECTION_BYTES, INCLUDED_BYTES, LedgerLimits
 from sapphireledge.limits.limit_reason import LimitReason
 from sapphireledge.limits.response_budget import MAX_RESPONSE_BYTES, RESPONSE_BUDGET
-from sapphireledge.limits.start_listener import start_listener
+from sapphireledge.limits.start_listener import limit_reads, start_listener
 from sapphireledge.limits.time_slice import TimeSlice
 
 __all__ = [
@@ -24,5 +24,6 @@
     "LedgerLimits",
     "LimitReason",
     "TimeSlice",
+    "limit_reads",
     "start_listener",
 ]
--- a/src/sapphireledge/limits/start_listener.py
+++ b/src/sapphireledge/limits/start_listener.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-__all__ = ["start_listener"]
+__all__ = ["limit_reads", "start_listener"]
 
 QUEUE_LENGTH = 512
 """Length of the accept queue; when it is full, new connections are delayed by seconds."""
@@ -36,6 +36,20 @@
         ...
 
 
+def limit_reads(writer: asyncio.StreamWriter, size: int) -> None:
+    """Limits what one read of a connection takes from the kernel, 256 KiB by default.
+
+    The limit of a stream reader stops reading only after all that one read took is in memory. To be
+    called before the first await of the connection's handler.
+
+    Args:
+        writer: Stream to the peer.
+        size: Largest number of bytes.
+    """
+    # asyncio has no interface for it; test_uncontrolled_callers notices if it has no effect.
+    writer.transport.max_size = size  # type: ignore[attr-defined]
+
+
 async def start_listener(start: ServerStarter, host: str, port: int) -> asyncio.Server:
     """Starts a server with a long accept queue.
 
