Read the version of backend servers, and status and versions of objects where a kind asks

Cause: an order to roll out a version needs the version of each server, and the status and the revision of its object; the feed passed on contents only, and watched every kind in the same way. Change: BackendServer.version; ObjectRecord beside an entry, through the messages to followers only where a kind has records; KindActivity and a long or no watch while no changes are expected; reads of one object and conditional writes of a status.

--- a/src/sapphireledge/feed/__init__.py
+++ b/src/sapphireledge/feed/__init__.py
@@ -4,9 +4,11 @@
 
 from sapphireledge.feed.feed_runner import FeedRunner
 from sapphireledge.feed.feed_settings import FeedSettings, KindSettings
+from sapphireledge.feed.kind_activity import KindActivity
 from sapphireledge.feed.kind_feed import KindFeed
 from sapphireledge.feed.kind_listener import KindListener
 from sapphireledge.feed.kind_watcher import KindWatcher
+from sapphireledge.feed.object_record import ObjectRecord
 from sapphireledge.feed.object_source import ObjectSource
 from sapphireledge.feed.peer import Peer
 from sapphireledge.feed.peer_directory import PeerDirectory
@@ -19,10 +21,12 @@
 __all__ = [
     "FeedRunner",
     "FeedSettings",
+    "KindActivity",
     "KindFeed",
     "KindListener",
     "KindSettings",
     "KindWatcher",
+    "ObjectRecord",
     "ObjectSource",
     "Peer",
     "PeerDirectory",
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -8,7 +8,7 @@
 import structlog
 
 from sapphireledge.feed.feed_channel import read_message, write_message
-from sapphireledge.feed.feed_message import FeedReply, FeedRequest
+from sapphireledge.feed.feed_message import FeedReply, FeedRequest, KindReply
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.feed.store_page import StoredEntry, StorePage
 from sapphireledge.gateway import GatewayEvent, seconds_since_boot
@@ -90,12 +90,22 @@
             feed = self._feeds.get(kind)
             if feed is None:
                 continue
-            page = StorePage(
-                tuple(StoredEntry(e.name, e.spec, e.removed) for e in part.entries), part.revision
-            )
+            page = _build_page(part)
             # The relay built the reply at least `waited` seconds after the request was sent.
             as_of = sent_at + reply.waited - part.age
             if part.whole:
                 feed.apply_listing(page, as_of)
             else:
                 feed.apply_changes(page, as_of)
+
+
+def _build_page(part: KindReply) -> StorePage:
+    """Builds a page from the entries of one kind and their records, if there are any."""
+    records = part.records or [None] * len(part.entries)
+    if len(records) != len(part.entries):
+        raise SourceError("the reply does not have a record for each entry")
+    entries = tuple(
+        StoredEntry(entry.name, entry.spec, entry.removed, record)
+        for entry, record in zip(part.entries, records, strict=True)
+    )
+    return StorePage(entries, part.revision)
--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from sapphireledge.feed.object_record import ObjectRecord
+
 __all__ = ["FeedEntry", "FeedReply", "FeedRequest", "KindReply"]
 
 
@@ -35,7 +37,7 @@
     """Whether the object was removed."""
 
 
-class KindReply(msgspec.Struct, frozen=True):
+class KindReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """Entries of one kind that a follower is missing."""
 
     revision: int
@@ -50,6 +52,9 @@
     entries: list[FeedEntry]
     """Objects of the listing, or changed and removed objects."""
 
+    records: list[ObjectRecord | None] | None = None
+    """Status and versions of each entry, None for kinds that are read without them."""
+
 
 class FeedReply(msgspec.Struct, frozen=True):
     """Reply of a relay."""
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -92,6 +92,8 @@
         self._rng = Random()
         for feed in feeds.values():
             epoch.subscribe(feed.on_store_restored)
+        for watcher in watchers:
+            epoch.subscribe(watcher.wake)
         epoch.subscribe(self._on_store_restored)
         self._reported_lost: set[str] = set()
         self._stopping = False
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -133,4 +133,6 @@
         is_full, entries = feed.entries_since(revision)
         assert feed.revision is not None
         feed_entries = [FeedEntry(entry.name, entry.spec, entry.removed) for entry in entries]
-        return KindReply(feed.revision, feed.age, is_full, feed_entries)
+        has_records = any(entry.record is not None for entry in entries)
+        records = [entry.record for entry in entries] if has_records else None
+        return KindReply(feed.revision, feed.age, is_full, feed_entries, records)
--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -20,6 +20,13 @@
     batch_delay: float
     """Delay after changes, so that the next call returns several at once; every call is charged."""
 
+    quiet_wait: float | None = None
+    """Time for which the store holds open a watch without changes while none are expected; 0 to
+    make no call in the meantime, None to watch in the same way all the time."""
+
+    has_records: bool = False
+    """Whether status and versions of the objects are read, too."""
+
 
 @dataclass(frozen=True, slots=True)
 class FeedSettings:
--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -50,7 +50,7 @@
         """Called after a change or confirmation, and when the watcher fails."""
 
         self._listener = listener
-        self._objects: dict[str, object] = {}
+        self._objects: dict[str, StoredEntry] = {}
         self._changes: deque[tuple[int, StoredEntry]] = deque()
         self._history_start = 0
         self._has_dropped = False
@@ -70,8 +70,8 @@
         """
         if self._is_outdated(page):
             return
-        listed = {entry.name: entry.spec for entry in page.entries}
-        removed = [StoredEntry(name, None, True) for name in self._objects.keys() - listed.keys()]
+        listed = {entry.name for entry in page.entries}
+        removed = [StoredEntry(name, None, True) for name in self._objects.keys() - listed]
         changed = [entry for entry in page.entries if self._differs(entry)]
         if self.revision is None:
             self._history_start = page.revision
@@ -120,7 +120,7 @@
             Whether the entries are a full listing, and the entries.
         """
         if revision is None or revision < self._history_start:
-            return True, tuple(StoredEntry(name, spec) for name, spec in self._objects.items())
+            return True, tuple(self._objects.values())
         return False, tuple(
             entry for change_revision, entry in self._changes if change_revision > revision
         )
@@ -142,7 +142,7 @@
 
     def _differs(self, entry: StoredEntry) -> bool:
         """Whether an entry is new or differs from the current object."""
-        return entry.name not in self._objects or self._objects[entry.name] != entry.spec
+        return self._objects.get(entry.name) != entry
 
     def _record_changes(self, revision: int, entries: Iterable[StoredEntry]) -> None:
         """Applies changes to the objects and adds them to the history for followers."""
@@ -150,7 +150,7 @@
             if entry.removed:
                 self._objects.pop(entry.name, None)
             else:
-                self._objects[entry.name] = entry.spec
+                self._objects[entry.name] = entry
             self._changes.append((revision, entry))
         while len(self._changes) > MAX_HISTORY:
             self._history_start = self._changes.popleft()[0]
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -14,8 +14,10 @@
 
 if TYPE_CHECKING:
     from sapphireledge.feed.feed_settings import FeedSettings, KindSettings
+    from sapphireledge.feed.kind_activity import KindActivity
     from sapphireledge.feed.kind_feed import KindFeed
     from sapphireledge.feed.object_source import ObjectSource
+    from sapphireledge.feed.store_page import StorePage
 
 __all__ = ["KindWatcher"]
 
@@ -30,6 +32,7 @@
         kind_cfg: KindSettings,
         cfg: FeedSettings,
         presence: StorePresence | None = None,
+        activity: KindActivity | None = None,
     ) -> None:
         """Creates a watcher.
 
@@ -39,6 +42,7 @@
             kind_cfg: Settings of the kind.
             cfg: Settings of the feed.
             presence: Shared by the watchers of an instance, None if there is no other.
+            activity: Tells when changes are expected, None if they always are.
         """
         self.is_healthy = False
         """Whether the last call succeeded."""
@@ -56,6 +60,10 @@
         self._store_lost = False
         self._is_repeat = False
         self._presence = presence or StorePresence()
+        self._activity = activity
+        self._wake = asyncio.Event()
+        if activity is not None:
+            activity.subscribe(self.wake)
         self._last_success = seconds_since_boot()
 
     async def run(self) -> None:
@@ -89,8 +97,13 @@
         """
         self._retry_delays = (base, cap)
 
+    def wake(self) -> None:
+        """Ends a long watch, because changes are expected or the store came back from a copy."""
+        self._wake.set()
+
     async def _call_store(self) -> None:
         """Makes one list or watch call and applies its result."""
+        self._wake.clear()
         started = seconds_since_boot()
         revision = self._feed.revision
         if revision is None or self._needs_relist:
@@ -99,12 +112,18 @@
             self._needs_relist = False
             self._feed.apply_listing(page, started)
             return
-        # A watch that returns changes confirms only its start time, so the next one is short.
-        wait = self._cfg.confirm_wait if self._had_changes else self._kind_cfg.watch_wait
-        if self._is_repeat or not self.is_healthy:
-            # Other instances can follow this one as soon as one call succeeds.
-            wait = min(wait, self._cfg.initial_wait)
-        changes = await self._source.watch(self._kind_cfg.kind, revision, wait)
+        if self._is_quiet and not self._kind_cfg.quiet_wait:
+            await self._wake.wait()
+            return
+        wait = self._choose_wait()
+        call = self._source.watch(self._kind_cfg.kind, revision, wait)
+        if self._is_quiet:
+            watch = asyncio.create_task(call)
+            if not await self._wait_while_quiet(watch):
+                return
+            changes = watch.result()
+        else:
+            changes = await call
         self._record_success()
         if changes is None:
             self._needs_relist = True
@@ -119,6 +138,41 @@
         if self._had_changes:
             await asyncio.sleep(self._kind_cfg.batch_delay)
 
+    @property
+    def _is_quiet(self) -> bool:
+        """Whether no changes are expected and none have just arrived."""
+        return (
+            self._activity is not None
+            and not self._activity.is_active
+            and not self._had_changes
+            and not self._is_repeat
+            and self.is_healthy
+        )
+
+    def _choose_wait(self) -> float:
+        """Returns the time for which the store is to hold open the next watch."""
+        if self._is_quiet and self._kind_cfg.quiet_wait is not None:
+            return self._kind_cfg.quiet_wait
+        # A watch that returns changes confirms only its start time, so the next one is short.
+        wait = self._cfg.confirm_wait if self._had_changes else self._kind_cfg.watch_wait
+        if self._is_repeat or not self.is_healthy:
+            # Other instances can follow this one as soon as one call succeeds.
+            wait = min(wait, self._cfg.initial_wait)
+        return wait
+
+    async def _wait_while_quiet(self, watch: asyncio.Task[StorePage | None]) -> bool:
+        """Waits for a long watch; returns False if it was ended because changes are expected."""
+        wake = asyncio.create_task(self._wake.wait())
+        try:
+            await asyncio.wait({watch, wake}, return_when=asyncio.FIRST_COMPLETED)
+            return watch.done()
+        finally:
+            wake.cancel()
+            if not watch.done():
+                watch.cancel()
+                # The connection must be closed before the next call begins.
+                await asyncio.wait({watch})
+
     def _record_success(self) -> None:
         """Resets the failure state and reports the recovery of the store."""
         now = seconds_since_boot()
--- a/src/sapphireledge/feed/store_page.py
+++ b/src/sapphireledge/feed/store_page.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sapphireledge.feed.object_record import ObjectRecord
 
 __all__ = ["StorePage", "StoredEntry"]
 
@@ -20,6 +24,9 @@
     removed: bool = False
     """Whether the object was removed."""
 
+    record: ObjectRecord | None = None
+    """Status and versions, None for a removal and for kinds that are read without them."""
+
 
 @dataclass(frozen=True, slots=True)
 class StorePage:
--- a/src/sapphireledge/feed/stored_version.py
+++ b/src/sapphireledge/feed/stored_version.py
@@ -20,3 +20,9 @@
 
     written: bool
     """Whether the write took effect; otherwise another writer was first."""
+
+    status: Any = None
+    """Decoded JSON value of the status, None without one."""
+
+    created: int = 0
+    """Number that the store gave the object when it was created, 0 if unknown."""
--- a/src/sapphireledge/gateway/backend_server.py
+++ b/src/sapphireledge/gateway/backend_server.py
@@ -32,6 +32,9 @@
     started_at_ms: int = 0
     """Start time of the incarnation in Unix milliseconds, 0 if unknown."""
 
+    version: str = ""
+    """Version of the software that it runs, empty if unknown."""
+
     @property
     def address(self) -> str:
         """Address as `IP:PORT`."""
--- a/src/sapphireledge/platform/decode_server.py
+++ b/src/sapphireledge/platform/decode_server.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from typing import Any, Literal
 
 import msgspec
 
 from sapphireledge.gateway import BackendServer
 from sapphireledge.platform.split_address import split_address
 
-__all__ = ["decode_server"]
+__all__ = ["decode_server", "decode_version"]
 
 
 class _Server(msgspec.Struct):
-    """A registry entry; `zone` is the data centre, `born` the start time in Unix milliseconds."""
+    """A registry entry; `zone` is the data centre, `born` the start time in Unix milliseconds.
+
+    An entry without a version, or with one of another type, still describes a server.
+    """
 
     service: str
     address: str
@@ -21,6 +24,7 @@
     slots: int
     state: Literal["ready", "draining"]
     born: int = 0
+    version: Any = ""
 
 
 def decode_server(name: str, spec: object) -> BackendServer:
@@ -47,4 +51,21 @@
         data_centre=entry.zone,
         draining=entry.state == "draining",
         started_at_ms=entry.born,
+        version=decode_version(entry.version),
     )
+
+
+def decode_version(value: object) -> str:
+    """Decodes the version of a server's software.
+
+    Args:
+        value: Decoded JSON value; whole numbers are versions, too.
+
+    Returns:
+        The version as text, empty if the value is no version.
+    """
+    if isinstance(value, str):
+        return value.strip()
+    if isinstance(value, int) and not isinstance(value, bool):
+        return str(value)
+    return ""
--- a/src/sapphireledge/platform/server_listener.py
+++ b/src/sapphireledge/platform/server_listener.py
@@ -127,6 +127,7 @@
                 address=server.address,
                 data_centre=server.data_centre,
                 leaving=server.draining,
+                version=server.version,
             )
 
     def _record_replaced(self, server: BackendServer) -> None:
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -5,12 +5,20 @@
 import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
 
 import h11
 import msgspec
 import structlog
 
-from sapphireledge.feed import Peer, SourceError, StoredEntry, StoredVersion, StorePage
+from sapphireledge.feed import (
+    ObjectRecord,
+    Peer,
+    SourceError,
+    StoredEntry,
+    StoredVersion,
+    StorePage,
+)
 from sapphireledge.gateway import EventReader, GatewayEvent, UnreadReader, open_unread_connection
 from sapphireledge.platform.decode_objects import decode_answer, decode_spec
 from sapphireledge.platform.split_address import split_address
@@ -66,6 +74,7 @@
 class _Metadata(msgspec.Struct):
     name: str
     revision: int = 0
+    created: Any = 0
 
 
 class _Object(msgspec.Struct):
@@ -73,11 +82,21 @@
 
     metadata: _Metadata
     spec: msgspec.Raw = msgspec.Raw(b"")
+    status: msgspec.Raw = msgspec.Raw(b"")
 
     def decode_spec(self) -> Any:
         """Decodes the content."""
         return decode_spec(self.metadata.name, self.spec)
 
+    def decode_record(self) -> ObjectRecord:
+        """Decodes the status and the versions."""
+        created = self.metadata.created
+        return ObjectRecord(
+            decode_spec(self.metadata.name, self.status),
+            self.metadata.revision,
+            created if type(created) is int else 0,
+        )
+
 
 class _Instance(msgspec.Struct):
     """Stored description of an entry instance."""
@@ -117,6 +136,8 @@
         cfg: StoreSettings,
         epoch: StoreEpoch,
         on_call: Callable[[str, str], None] = lambda kind, result: None,
+        *,
+        has_records: bool = False,
     ) -> None:
         """Creates a client without a connection.
 
@@ -124,9 +145,11 @@
             cfg: Settings.
             epoch: Notices that the store came back from an older copy.
             on_call: Called after each call with its name, such as "list", and status or "failed".
+            has_records: Whether status and versions of objects are read, too.
         """
         self._cfg = cfg
         self._on_call = on_call
+        self._has_records = has_records
         self._reader: UnreadReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._parser = h11.Connection(h11.CLIENT)
@@ -154,7 +177,7 @@
             page = decode_answer(answer.body, _Listing)
             # Watching from the revision of the first page also returns changes during the listing.
             revision = page.store_revision if revision is None else revision
-            entries += [StoredEntry(item.metadata.name, item.decode_spec()) for item in page.items]
+            entries += [self._build_entry(item) for item in page.items]
             if not page.more or not page.items:
                 return StorePage(tuple(entries), revision)
             # Despite its name, `after_rev` takes the name of the last object.
@@ -171,11 +194,15 @@
             return None
         changes = decode_answer(answer.body, _Changes)
         entries = tuple(
-            StoredEntry(event.object.metadata.name, event.object.decode_spec(), event.removed)
-            for event in changes.events
+            self._build_entry(event.object, removed=event.removed) for event in changes.events
         )
         return StorePage(entries, changes.store_revision)
 
+    def _build_entry(self, stored: _Object, *, removed: bool = False) -> StoredEntry:
+        """Builds an entry, with the record of the object if records are read."""
+        record = stored.decode_record() if self._has_records and not removed else None
+        return StoredEntry(stored.metadata.name, stored.decode_spec(), removed, record)
+
     def close(self) -> None:
         """Closes the connection without waiting for pending data."""
         if self._writer is not None:
@@ -224,6 +251,47 @@
         answer = await self._call("create", "POST", f"/objects/{kind}", timeout, payload)
         return _decode_version(answer)
 
+    async def read(self, kind: str, name: str) -> StoredVersion | None:
+        """Reads one object.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+
+        Returns:
+            The object, or None if it does not exist.
+
+        Raises:
+            SourceError: The store did not answer, or refused the call.
+        """
+        path = f"/objects/{kind}/{quote(name, safe='')}"
+        answer = await self._call("read", "GET", path, self._cfg.call_timeout)
+        return None if answer.status == NOT_FOUND else _decode_version(answer)
+
+    async def write_status(
+        self, kind: str, name: str, status: Any, revision: int
+    ) -> StoredVersion | None:
+        """Replaces the status of the version of an object that the caller knows.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            status: Status, as builtin types.
+            revision: Revision of the object to which the status belongs.
+
+        Returns:
+            The object as the store holds it after the call, or None if it does not exist.
+
+        Raises:
+            SourceError: The store did not answer, or refused the call; the write may have taken
+                effect.
+        """
+        metadata = {"name": name, "revision": revision}
+        payload = msgspec.json.encode({"metadata": metadata, "status": status})
+        path = f"/objects/{kind}/{quote(name, safe='')}/status"
+        answer = await self._call("status", "PUT", path, self._cfg.call_timeout, payload)
+        return None if answer.status == NOT_FOUND else _decode_version(answer)
+
     async def list_peers(self) -> list[Peer]:
         """Lists the instances; see `PeerDirectory.list_peers`.
 
@@ -319,7 +387,14 @@
 def _decode_version(answer: _Answer) -> StoredVersion:
     """Decodes the response to a write."""
     stored = decode_answer(answer.body, _Object)
-    return StoredVersion(stored.decode_spec(), stored.metadata.revision, answer.status != CONFLICT)
+    record = stored.decode_record()
+    return StoredVersion(
+        stored.decode_spec(),
+        record.revision,
+        answer.status != CONFLICT,
+        record.status,
+        record.created,
+    )
 
 
 def _decode_peer(entry: StoredEntry) -> Peer | None:
