--- a/src/sapphireledge/core/rollout/answer_quality.py
+++ b/src/sapphireledge/core/rollout/answer_quality.py
@@ -17,5 +17,5 @@
     """The server answered with an error, broke off, or did not answer in time."""
 
     UNKNOWN = "unknown"
-    """Nothing: the caller left, the server was full or stopping, or the request's own content is
-    known to crash servers."""
+    """Nothing: the caller left, the server did not run the request because it was full, stopping or
+    at its limits, or the request's own content is known to crash servers."""
--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -10,7 +10,7 @@
 from sapphireledge.core.rollout.version_rule import VersionChoice, VersionRule
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
     from random import Random
 
     from sapphireledge.core.rollout.answer_quality import AnswerQuality
@@ -73,6 +73,17 @@
             reports: Reports of other instances, of this one, or both.
         """
 
+    def on_instances(self, now: float, instances: Collection[str]) -> None:
+        """Takes in which instances are alive as far as is known, besides those that report.
+
+        The old version is not left behind while one of them has not reported; never called, only
+        the instances that reported count.
+
+        Args:
+            now: Current time in seconds.
+            instances: Names of instances.
+        """
+
     def on_feed_confirmed(self, now: float) -> None:
         """Takes in that the known reports were the newest in the store at a time.
 
@@ -131,7 +142,9 @@
         route: str,
         version: str,
         result: AnswerQuality,
-        seconds: float,
+        seconds: float | None,
+        *,
+        server: str = "",
     ) -> None:
         """Counts the end of an attempt.
 
@@ -142,7 +155,9 @@
             result: What the end says about the server.
             seconds: Time to compare between versions: for a plain answer from sending to its end;
                 for a stream the time to the first event plus the mean time between events times a
-                fixed number.
+                fixed number. None if it cannot be compared, as that of a server that has just
+                started and is still slow for that reason.
+            server: Name of the server; failures of a few servers are not those of a version.
         """
         if version != self._order.target:
             self._old_in_flight -= 1
--- a/src/sapphireledge/core/rollout/rollout_report.py
+++ b/src/sapphireledge/core/rollout/rollout_report.py
@@ -39,6 +39,12 @@
     new: dict[str, VersionCounts] = {}
     """Counts of the new version by route."""
 
+    bad_servers: dict[str, int] = {}
+    """Failures and slow answers of the new version by server, for the first servers with any."""
+
+    new_servers: int = 0
+    """Servers of the new version from which this instance had an answer."""
+
     old_in_flight: int = 0
     """Attempts at servers of the old version that have not ended."""
 
@@ -54,7 +60,7 @@
         Returns:
             A value that JSON can encode.
         """
-        return msgspec.to_builtins(self, str_keys=True)
+        return msgspec.to_builtins(self)
 
     @staticmethod
     def from_builtins(value: Any) -> RolloutReport | Failure:
@@ -67,6 +73,6 @@
             The report, or a failure of kind invalid_request.
         """
         try:
-            return msgspec.convert(value, RolloutReport, str_keys=True)
+            return msgspec.convert(value, RolloutReport)
         except (msgspec.ValidationError, RecursionError) as exc:
             return Failure(ErrorKind.INVALID_REQUEST, f"invalid roll-out report: {exc}")
--- a/src/sapphireledge/core/rollout/version_rule.py
+++ b/src/sapphireledge/core/rollout/version_rule.py
@@ -13,8 +13,11 @@
 
     OLD_ONLY = "old_only"
     NEW_ONLY = "new_only"
-    ANY = "any"
-    ANY_NEW_FIRST = "any_new_first"
+    OLD_FIRST = "old_first"
+    """The old version if one of its servers can take the attempt at once, or else the new one."""
+
+    NEW_FIRST = "new_first"
+    """The new version if one of its servers can take the attempt at once, or else the old one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,4 +58,6 @@
         Returns:
             Whether it is preferred; if no version is, servers are chosen as without a roll-out.
         """
-        return self.choice is VersionChoice.ANY_NEW_FIRST and version == self.target
+        if self.choice is VersionChoice.NEW_FIRST:
+            return version == self.target
+        return self.choice is VersionChoice.OLD_FIRST and version != self.target
