Decide the stages, the verdict and the completion of a roll-out

Change: each instance keeps the exposure share for its own requests, judges the version by the counts of all instances against the old version on the same routes, instances and times, and leaves the old version late and quickly.

--- /dev/null
+++ b/src/sapphireledge/core/rollout/fleet_load.py
@@ -0,0 +1,115 @@
+"""Requests and answers of all instances, and whether the versions carry comparable loads."""
+
+from __future__ import annotations
+
+from sapphireledge.core.rollout.fleet_reports import FleetReports
+from sapphireledge.core.rollout.rollout_report import RolloutReport
+
+__all__ = ["FleetLoad"]
+
+RATE_WINDOW = 10.0
+"""Seconds over which rates are compared."""
+
+COMPARABLE_FACTOR, COMPARABLE_ADDITION = 1.3, 10
+"""Requests in the window, as a multiple of the most that the old version had and in number, up to
+which the load of the new version is comparable."""
+
+PROVEN_ANSWERS, ROUTE_ANSWERS = 40, 4
+"""Answers of the new version, in all and on each route with much traffic, from which it may be
+believed to be good."""
+
+ROUTE_SHARE = 0.05
+"""Share of the requests from which a route has much traffic."""
+
+SOME_ANSWERS = 10
+"""Answers of the new version that are enough when there is no time for more."""
+
+REFERENCE_ANSWERS = 5
+"""Answers from which the mean time of a route is used."""
+
+
+class FleetLoad:
+    """Requests and answers of all instances."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        """Requests since the order."""
+
+        self.new_sent = 0
+        """Attempts sent to the new version."""
+
+        self.new_answers = 0
+        """Answers of the new version, failures included."""
+
+        self.is_proven = False
+        """Whether the new version has answered enough to be believed good if nothing was found."""
+
+        self.is_comparable = True
+        """Whether the new version carries no more load than the old one has shown to bear."""
+
+        self.old_seconds: dict[str, float] = {}
+        """Mean time of the old version by route, in seconds."""
+
+        self._most_old_sent = 0
+
+    def update(self, now: float, reports: FleetReports) -> None:
+        """Sums up the reports.
+
+        Args:
+            now: Current time in seconds.
+            reports: Reports of all instances.
+        """
+        old_sent = new_sent = 0
+        for report, base in reports.window(now, RATE_WINDOW):
+            old_sent += _sent(report, is_new=False) - _sent(base, is_new=False)
+            new_sent += _sent(report, is_new=True) - _sent(base, is_new=True)
+        self._most_old_sent = max(self._most_old_sent, old_sent)
+        bound = COMPARABLE_FACTOR * self._most_old_sent + COMPARABLE_ADDITION
+        self.is_comparable = new_sent <= bound
+        self._sum_up(reports)
+
+    def has_some_evidence(self, slack: float) -> bool:
+        """Whether the evidence is enough when there is no time for more.
+
+        Args:
+            slack: Requests that a bad version may be given beyond its share.
+
+        Returns:
+            Whether the new version answered some requests, or there are hardly any.
+        """
+        return self.new_answers >= SOME_ANSWERS or self.requests <= slack
+
+    def _sum_up(self, reports: FleetReports) -> None:
+        """Sums up all counts since the order."""
+        self.requests = self.new_sent = self.new_answers = 0
+        sent: dict[str, int] = {}
+        answers: dict[str, int] = {}
+        timed: dict[str, int] = {}
+        seconds: dict[str, float] = {}
+        for report in reports.all():
+            self.requests += report.requests
+            for route, counts in report.new.items():
+                self.new_sent += counts.sent
+                self.new_answers += counts.ended
+                sent[route] = sent.get(route, 0) + counts.sent
+                answers[route] = answers.get(route, 0) + counts.ended
+            for route, counts in report.old.items():
+                sent[route] = sent.get(route, 0) + counts.sent
+                timed[route] = timed.get(route, 0) + counts.timed
+                seconds[route] = seconds.get(route, 0.0) + counts.seconds_sum
+        self.old_seconds = {
+            route: seconds[route] / number
+            for route, number in timed.items()
+            if number >= REFERENCE_ANSWERS
+        }
+        large = [r for r, number in sent.items() if number >= ROUTE_SHARE * sum(sent.values())]
+        self.is_proven = self.new_answers >= PROVEN_ANSWERS and all(
+            answers.get(route, 0) >= ROUTE_ANSWERS for route in large
+        )
+
+
+def _sent(report: RolloutReport | None, *, is_new: bool) -> int:
+    """Attempts sent to a version in a report."""
+    if report is None:
+        return 0
+    return sum(counts.sent for counts in (report.new if is_new else report.old).values())
--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -1,24 +1,69 @@
-"""Decides which version of a service each attempt uses while an operator moves to another one."""
+"""Decides which version of a service each attempt uses while an operator moves to another one.
+
+Load patterns: the new version is good, or it is bad from the start, after a while, only under load
+or on one route, while servers crash, instances restart and the store cannot be reached. A bad
+version must be given few requests, and none soon after its fault shows; a good one must have all of
+them by the deadline. Each instance keeps the share for its own requests and judges the version by
+the counts of all of them; it uses the new version only while it hears the others and they can hear
+it.
+"""
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.rollout.answer_quality import AnswerQuality
+from sapphireledge.core.rollout.compare_versions import compare_versions
+from sapphireledge.core.rollout.exposure_allowance import ExposureAllowance
+from sapphireledge.core.rollout.find_blockers import find_blockers
+from sapphireledge.core.rollout.fleet_load import FleetLoad
+from sapphireledge.core.rollout.fleet_reports import FleetReports
+from sapphireledge.core.rollout.own_counts import OwnCounts
+from sapphireledge.core.rollout.report_writing import ReportWriting
 from sapphireledge.core.rollout.rollout_decision import RolloutDecision, RolloutStage
 from sapphireledge.core.rollout.rollout_report import RolloutReport
+from sapphireledge.core.rollout.rollout_schedule import RolloutSchedule
 from sapphireledge.core.rollout.rollout_state import RolloutState
 from sapphireledge.core.rollout.version_rule import VersionChoice, VersionRule
+from sapphireledge.core.rollout.version_verdict import VersionVerdict
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
     from random import Random
 
-    from sapphireledge.core.rollout.answer_quality import AnswerQuality
     from sapphireledge.core.rollout.rollout_limits import RolloutLimits
     from sapphireledge.core.rollout.rollout_order import RolloutOrder
 
 __all__ = ["Rollout"]
 
+WINDOWS = (10.0, 30.0, inf)
+"""Seconds of the windows in which the versions are compared. The short ones find a version that
+turns bad, the long one finds a low rate of bad answers."""
+
+SLOW_FACTOR = 2.5
+"""Multiple of the usual time of the old version from which an answer is slow."""
+
+SLOW_ADDITION = 0.07
+"""Seconds by which it is longer at least: a round trip to the farthest data centre."""
+
+MOVE_SHARES = (0.3, 0.6)
+"""Shares of the new version in the steps of the move. The old version keeps enough requests for a
+comparison."""
+
+HELD_SHARE = 0.5
+"""Share while the load exceeds what the old version has shown: both versions then have the same."""
+
+EARLY_ANSWERS, PLAIN_ANSWERS = 10, 20
+"""Answers of the new version from which requests that must not run twice, and streams, are tried
+before their time."""
+
+LONGEST_STEP = 1.0
+"""Seconds between two evaluations that count for the move at most."""
+
+SETTLE_TIME = 3.0
+"""Seconds after an order from which the number of instances is known from their reports."""
+
 
 class Rollout:
     """One order at one instance."""
@@ -43,12 +88,28 @@
         self._limits = limits
         self._order = order
         self._instance = instance
-        self._started_at = now
-        self._rng = rng
-        self._state = RolloutState.RUNNING
         self._incarnation = f"{rng.getrandbits(64):016x}"
+        self._schedule = RolloutSchedule.plan(limits, order.duration)
+        self._learnt_at = now
+        self._ordered_at = now
+        self._state = RolloutState.RUNNING
+        self._counts = OwnCounts()
+        self._reports = FleetReports(order.order_id)
+        self._load = FleetLoad()
+        self._writing = ReportWriting(limits)
+        self._allowance = ExposureAllowance(limits, rng)
+        self._has_slack = False
+        self._alive: frozenset[str] = frozenset()
+        self._confirmed_at = -inf
         self._sequence = 0
-        self._old_in_flight = 0
+        self._stage = RolloutStage.WAITING
+        self._share = 0.0
+        self._moved_for: float | None = None
+        self._advanced_at = now
+        self._move_base = (0, 0)
+        self._is_new_only = False
+        self._verdict = ""
+        self._comparison = VersionVerdict()
 
     @property
     def order(self) -> RolloutOrder:
@@ -72,6 +133,13 @@
             now: Current time in seconds.
             reports: Reports of other instances, of this one, or both.
         """
+        for report in reports:
+            if (report.instance, report.incarnation) == (self._instance, self._incarnation):
+                continue
+            if self._reports.add(now, report):
+                self._ordered_at = min(self._ordered_at, now - report.age)
+                if report.verdict and not self._verdict:
+                    self._verdict = report.verdict
 
     def on_instances(self, now: float, instances: Collection[str]) -> None:
         """Takes in which instances are alive as far as is known, besides those that report.
@@ -83,6 +151,7 @@
             now: Current time in seconds.
             instances: Names of instances.
         """
+        self._alive = frozenset(instances)
 
     def on_feed_confirmed(self, now: float) -> None:
         """Takes in that the known reports were the newest in the store at a time.
@@ -90,14 +159,16 @@
         Args:
             now: That time in seconds.
         """
+        self._confirmed_at = max(self._confirmed_at, now)
 
     def on_report_written(self, now: float, sequence: int) -> None:
         """Takes in that a report of this instance reached the store.
 
         Args:
-            now: Time in seconds at which the report was made.
+            now: Current time in seconds.
             sequence: Its sequence number.
         """
+        self._writing.on_stored(sequence)
 
     def choose(
         self,
@@ -120,9 +191,8 @@
         Returns:
             The rule, for an attempt that is sent at once.
         """
-        if self._state is RolloutState.COMPLETED:
-            return VersionRule(self._order.target, VersionChoice.NEW_ONLY)
-        return VersionRule(self._order.target, VersionChoice.OLD_ONLY)
+        is_retry = is_retry or resumed_from is not None
+        return VersionRule(self._order.target, self._choose(now, may_repeat, is_stream, is_retry))
 
     def on_sent(self, now: float, route: str, version: str, *, is_retry: bool = False) -> None:
         """Counts an attempt that is sent to a server; exactly one `on_result` follows.
@@ -133,8 +203,7 @@
             version: Version of the server.
             is_retry: Whether the request was sent to a server before.
         """
-        if version != self._order.target:
-            self._old_in_flight += 1
+        self._counts.count_sent(route, version == self._order.target, is_retry)
 
     def on_result(
         self,
@@ -159,8 +228,12 @@
                 started and is still slow for that reason.
             server: Name of the server; failures of a few servers are not those of a version.
         """
-        if version != self._order.target:
-            self._old_in_flight -= 1
+        is_new = version == self._order.target
+        is_slow = seconds is not None and self._is_slow(route, seconds)
+        self._counts.count_result(route, is_new, result, seconds, is_slow, server)
+        is_bad = result is AnswerQuality.FAILED or (result is AnswerQuality.GOOD and is_slow)
+        if is_new and is_bad:
+            self._writing.on_bad(now, self._counts.new_bad)
 
     def is_report_due(self, now: float) -> bool:
         """Whether the report should be written now.
@@ -171,7 +244,7 @@
         Returns:
             Whether it is due.
         """
-        return False
+        return self._writing.is_due(now, self._report_state(), self._number_of_instances())
 
     def report(self, now: float) -> RolloutReport:
         """Makes the next report.
@@ -182,15 +255,9 @@
         Returns:
             The report, with the next sequence number.
         """
-        self._sequence += 1
-        return RolloutReport(
-            self._instance,
-            self._order.order_id,
-            self._incarnation,
-            self._sequence,
-            now - self._started_at,
-            old_in_flight=self._old_in_flight,
-        )
+        report = self._make_report(now)
+        self._writing.on_made(now, report.sequence, self._report_state())
+        return report
 
     def decide(self, now: float) -> RolloutDecision:
         """Evaluates the roll-out; called at least twice a second.
@@ -201,7 +268,235 @@
         Returns:
             The decision.
         """
-        stage = RolloutStage.WAITING
         if self._state is not RolloutState.RUNNING:
-            stage = RolloutStage.DONE
-        return RolloutDecision(stage, 0.0)
+            self._stage = RolloutStage.DONE
+            self._share = float(self._state is RolloutState.COMPLETED)
+            return RolloutDecision(self._stage, self._share)
+        self._reports.add(now, self._make_report(now))
+        self._reports.take_snapshot(now)
+        self._load.update(now, self._reports)
+        self._judge(now)
+        self._grant_slack(now)
+        self._advance(now)
+        proposed, reason = self._propose(now)
+        return RolloutDecision(
+            self._stage,
+            self._share,
+            proposed,
+            reason,
+            self._evidence(),
+            self._stage is RolloutStage.FINISH and self._age(now) >= self._schedule.move_streams_at,
+        )
+
+    def _choose(
+        self, now: float, may_repeat: bool, is_stream: bool, is_retry: bool
+    ) -> VersionChoice:
+        """Chooses the versions that an attempt may use."""
+        if self._state is RolloutState.COMPLETED:
+            return VersionChoice.NEW_ONLY
+        if self._state is RolloutState.ROLLED_BACK or self._verdict:
+            return VersionChoice.OLD_ONLY
+        if self._stage is RolloutStage.FINISH:
+            return VersionChoice.NEW_ONLY
+        if not self._is_in_touch(now):
+            return VersionChoice.OLD_ONLY
+        counts = self._counts
+        if self._stage is RolloutStage.MOVE:
+            requests, sent = (
+                counts.requests - self._move_base[0],
+                counts.new_sent - self._move_base[1],
+            )
+            is_new = not is_retry and sent + 1 <= self._share * (requests + 1) + 0.5
+            return VersionChoice.NEW_FIRST if is_new else VersionChoice.OLD_FIRST
+        if self._stage not in (RolloutStage.TRIAL, RolloutStage.WATCH) or is_retry:
+            return VersionChoice.OLD_ONLY
+        if not self._share or not self._is_kind_tried(now, may_repeat, is_stream):
+            return VersionChoice.OLD_ONLY
+        if self._allowance.permits(self._share, counts.requests + 1, counts.new_sent):
+            return VersionChoice.NEW_FIRST
+        return VersionChoice.OLD_ONLY
+
+    def _is_kind_tried(self, now: float, may_repeat: bool, is_stream: bool) -> bool:
+        """Whether requests of a kind are tried yet; first those whose failure costs least."""
+        answers, age = self._load.new_answers, self._age(now)
+        is_good_so_far = not self._comparison.is_suspect
+        if is_stream:
+            is_early = answers >= PLAIN_ANSWERS and is_good_so_far
+            return is_early or age >= self._schedule.streams_at
+        if may_repeat:
+            return True
+        return (answers >= EARLY_ANSWERS and is_good_so_far) or age >= self._schedule.plain_at
+
+    def _is_slow(self, route: str, seconds: float) -> bool:
+        """Whether an answer took several times as long as those of the old version usually do."""
+        reference = self._counts.reference(route) or self._load.old_seconds.get(route)
+        if reference is None:
+            return False
+        return seconds >= max(SLOW_FACTOR * reference, reference + SLOW_ADDITION)
+
+    def _is_in_touch(self, now: float) -> bool:
+        """Whether this instance hears the others and they can hear it, soon enough."""
+        is_heard = self._writing.is_publishing(now, self._number_of_instances())
+        return is_heard and self._hears(now)
+
+    def _hears(self, now: float) -> bool:
+        """Whether the reports of the others are recent enough."""
+        return now - self._confirmed_at <= self._limits.hear_limit
+
+    def _age(self, now: float) -> float:
+        """Seconds since the order, as far as is known."""
+        return now - self._ordered_at
+
+    def _number_of_instances(self) -> int:
+        """Number of instances, at least 1."""
+        return max(len(self._alive), self._reports.number, 1)
+
+    def _report_state(self) -> tuple[int, int, bool, bool, str]:
+        """What makes a report worth writing, see `ReportWriting.is_due`."""
+        counts = self._counts
+        return (
+            counts.new_bad,
+            counts.new_sent,
+            self._is_new_only,
+            counts.old_in_flight > 0,
+            self._verdict,
+        )
+
+    def _make_report(self, now: float) -> RolloutReport:
+        """Makes the report as of now."""
+        self._sequence += 1
+        counts = self._counts
+        return RolloutReport(
+            self._instance,
+            self._order.order_id,
+            self._incarnation,
+            self._sequence,
+            round(self._age(now), 2),
+            counts.requests,
+            counts.versions(is_new=False),
+            counts.versions(is_new=True),
+            dict(counts.bad_servers),
+            counts.new_servers,
+            counts.old_in_flight,
+            self._is_new_only,
+            self._verdict,
+        )
+
+    def _judge(self, now: float) -> None:
+        """Compares the versions in each window; a verdict is final for this order."""
+        strongest = VersionVerdict()
+        if self._load.is_comparable:
+            for window in WINDOWS:
+                verdict = compare_versions(self._reports.window(now, window))
+                if verdict.is_bad or (verdict.is_suspect and not strongest.is_suspect):
+                    strongest = verdict
+                if verdict.is_bad:
+                    break
+        self._comparison = strongest
+        if strongest.is_bad and not self._verdict:
+            self._verdict = strongest.reason
+
+    def _grant_slack(self, now: float) -> None:
+        """Grants the slack once the number of instances is known, if the order is as new here as
+        elsewhere; an instance that starts later may be one that has used its part before."""
+        if self._has_slack or now - self._learnt_at < SETTLE_TIME or not self._is_in_touch(now):
+            return
+        self._has_slack = True
+        if self._learnt_at - self._ordered_at <= SETTLE_TIME:
+            self._allowance.grant_slack(self._number_of_instances())
+
+    def _advance(self, now: float) -> None:
+        """Sets the stage and the share."""
+        if self._verdict:
+            self._stage, self._share, self._is_new_only = RolloutStage.STOPPED, 0.0, False
+            return
+        if self._is_new_only:
+            return
+        since_last = min(now - self._advanced_at, LONGEST_STEP)
+        self._advanced_at = now
+        if self._hears(now) and self._joins_finish():
+            self._finish()
+        elif not self._is_in_touch(now):
+            self._stage, self._share = RolloutStage.WAITING, 0.0
+        elif self._moved_for is not None:
+            if not self._comparison.is_suspect:
+                self._moved_for += since_last
+            self._set_move_stage(now, self._moved_for)
+        elif self._may_move(now):
+            self._moved_for = 0.0
+            self._move_base = (self._counts.requests, self._counts.new_sent)
+            self._set_move_stage(now, 0.0)
+        else:
+            self._set_trial_stage(now)
+
+    def _finish(self) -> None:
+        """Leaves the old version."""
+        self._stage, self._share, self._is_new_only = RolloutStage.FINISH, 1.0, True
+
+    def _joins_finish(self) -> bool:
+        """Whether this instance started late and most others have left the old version: it would
+        send requests to servers that the others are about to have stopped."""
+        if self._learnt_at - self._ordered_at <= SETTLE_TIME:
+            return False
+        others = [r for _, r in self._reports.current() if r.instance != self._instance]
+        return 2 * sum(report.new_only for report in others) > len(others)
+
+    def _set_trial_stage(self, now: float) -> None:
+        """Sets the stage and the share within the exposure limit."""
+        limits, load = self._limits, self._load
+        is_watch = load.is_proven or self._age(now) >= self._schedule.streams_at
+        self._stage = RolloutStage.WATCH if is_watch else RolloutStage.TRIAL
+        self._share = limits.exposed_share * (limits.watch_part if is_watch else limits.trial_part)
+        allowed = limits.exposed_share * load.requests + limits.exposed_slack
+        if load.new_sent > limits.fleet_part * allowed:
+            self._share = 0.0
+
+    def _set_move_stage(self, now: float, moved_for: float) -> None:
+        """Sets the stage and the share of the move."""
+        self._stage = RolloutStage.MOVE
+        step = int(moved_for / self._schedule.ramp * len(MOVE_SHARES))
+        is_late = self._age(now) >= self._schedule.move_streams_at
+        if step < len(MOVE_SHARES):
+            share = MOVE_SHARES[step]
+            self._share = share if self._load.is_comparable else min(share, HELD_SHARE)
+        elif self._comparison.is_suspect:
+            self._share = MOVE_SHARES[-1]
+        elif self._load.is_comparable or is_late:
+            self._finish()
+        else:
+            self._share = HELD_SHARE
+
+    def _may_move(self, now: float) -> bool:
+        """Whether the new version is believed to be good, and it is time for it."""
+        age, load = self._age(now), self._load
+        if age < self._schedule.move_at or self._comparison.is_suspect:
+            return False
+        if load.is_proven:
+            return True
+        is_late = age >= self._schedule.latest_move_at
+        return is_late and load.has_some_evidence(self._limits.exposed_slack)
+
+    def _propose(self, now: float) -> tuple[RolloutState | None, str]:
+        """Decides whether a final state is to be written."""
+        if self._verdict:
+            return RolloutState.ROLLED_BACK, self._verdict
+        if not self._is_new_only or not self._is_in_touch(now):
+            return None, ""
+        is_forced = self._age(now) >= self._schedule.force_at
+        blockers = find_blockers(
+            now, self._reports, self._alive, self._limits.gone_after, is_forced=is_forced
+        )
+        if blockers:
+            return None, f"waiting for {len(blockers)} instances, first {min(blockers)}"
+        return RolloutState.COMPLETED, "no instance uses the old version"
+
+    def _evidence(self) -> dict[str, float]:
+        """Figures for the log."""
+        load = self._load
+        figures = {
+            "requests": load.requests,
+            "new_sent": load.new_sent,
+            "new_answers": load.new_answers,
+            "instances": self._number_of_instances(),
+        }
+        return figures | dict(self._comparison.evidence)
