Keep attempts to the versions that roll-outs permit, and write reports and statuses

Cause: nothing read the operator's orders, so servers of a new version took requests like any other. Change: RolloutGuard between the selection of servers and core.rollout; orders and reports through the feed only where the settings name the contract; reports and statuses written to the store.

--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -21,9 +21,11 @@
 from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.request_telemetry import RequestTelemetry
 from sapphireledge.gateway.response_head import ResponseHead
+from sapphireledge.gateway.rollout_guard import RolloutGuard
 from sapphireledge.gateway.route import Route
 from sapphireledge.gateway.routing_table import RoutingTable
 from sapphireledge.gateway.service_profile import ServiceProfile
+from sapphireledge.gateway.stored_order import StoredOrder
 from sapphireledge.gateway.unread_reader import UnreadReader, open_unread_connection
 from sapphireledge.gateway.wait_for_event import wait_for_event
 from sapphireledge.gateway.workspace_key import WorkspaceKey
@@ -49,9 +51,11 @@
     "ReplayRule",
     "RequestTelemetry",
     "ResponseHead",
+    "RolloutGuard",
     "Route",
     "RoutingTable",
     "ServiceProfile",
+    "StoredOrder",
     "UnreadReader",
     "WorkspaceKey",
     "open_unread_connection",
--- a/src/sapphireledge/gateway/attempt_progress.py
+++ b/src/sapphireledge/gateway/attempt_progress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -13,7 +14,17 @@
 class AttemptProgress:
     """How far a backend server came with one attempt."""
 
-    __slots__ = ("_crashes", "_runs_at_once", "_work_id", "events", "has_head", "is_sent")
+    __slots__ = (
+        "_crashes",
+        "_runs_at_once",
+        "_work_id",
+        "events",
+        "first_event_at",
+        "has_head",
+        "is_sent",
+        "last_event_at",
+        "sent_at",
+    )
 
     def __init__(self, crashes: CrashGuard, work_id: str, *, runs_at_once: bool) -> None:
         """Creates the progress of an attempt that has not been sent.
@@ -36,6 +47,15 @@
         self.events = 0
         """Number of events that arrived."""
 
+        self.sent_at: float | None = None
+        """Event loop time in seconds at which the request was sent."""
+
+        self.first_event_at: float | None = None
+        """Event loop time in seconds at which the first event arrived."""
+
+        self.last_event_at: float | None = None
+        """Event loop time in seconds at which the latest event arrived."""
+
     @property
     def stage(self) -> str:
         """How far the attempt came, for the log: "unsent", "sent", "head" or "events"."""
@@ -48,6 +68,7 @@
     def on_sent(self) -> None:
         """Records that the request was sent."""
         self.is_sent = True
+        self.sent_at = asyncio.get_running_loop().time()
         if self._runs_at_once:
             self._crashes.on_begun(self._work_id)
 
@@ -59,4 +80,7 @@
     def on_event(self) -> None:
         """Records that an event arrived."""
         self.events += 1
+        self.last_event_at = asyncio.get_running_loop().time()
+        if self.first_event_at is None:
+            self.first_event_at = self.last_event_at
         self._crashes.on_progress(self._work_id)
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -174,6 +174,26 @@
         states = self._by_service.get(service, {}).values()
         return sum(1 for state in states if not is_dead(state.server))
 
+    def services(self) -> frozenset[str]:
+        """Lists the services that have or had a known backend server.
+
+        Returns:
+            Their names.
+        """
+        return frozenset(self._by_service)
+
+    def list_servers(self, service: str) -> Iterator[BackendServer]:
+        """Iterates over the known backend servers of a service.
+
+        Args:
+            service: Name of the service.
+
+        Yields:
+            The servers, also those that are leaving.
+        """
+        for state in self._by_service.get(service, {}).values():
+            yield state.server
+
     def ids(self) -> frozenset[str]:
         """Lists the ids of all known backend servers.
 
--- a/src/sapphireledge/gateway/backend_server.py
+++ b/src/sapphireledge/gateway/backend_server.py
@@ -35,6 +35,9 @@
     version: str = ""
     """Version of the software that it runs, empty if unknown."""
 
+    is_warming: bool = False
+    """Whether it started so recently that it is still slow."""
+
     @property
     def address(self) -> str:
         """Address as `IP:PORT`."""
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -20,7 +20,7 @@
 from sapphireledge.gateway.engine_selection import EngineSelection
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
@@ -75,10 +75,10 @@
             The selection, a refusal, or None if no engine is available.
         """
         replica_source = progress.take_replica_holder()
-        if replica_source is not None and self._try_take(replica_source):
+        if replica_source is not None and self._permits(admitted, progress, replica_source):
             return self._select_known(admitted, progress, replica_source, replica_source)
         holder = await self._find_prompt_holder(admitted, progress)
-        if holder is not None and self._try_take(holder):
+        if holder is not None and self._permits(admitted, progress, holder):
             return self._select_known(admitted, progress, holder)
         selection = await self._place(admitted, progress, avoided)
         if isinstance(selection, EngineSelection) and selection.prompts_ahead is not None:
@@ -97,6 +97,21 @@
         standby = self._rank_standby(admitted, progress, server)
         return EngineSelection(server, standby, replica_source)
 
+    def _exclude_versions(
+        self, admitted: AdmittedRequest, progress: StreamProgress, others: Collection[str] = ()
+    ) -> frozenset[str]:
+        """Returns the ids of the engines whose version the next attempt may not use."""
+        is_retry = bool(progress.contacted)
+        return self._context.rollouts.excluded(admitted, others, is_retry=is_retry)
+
+    def _permits(
+        self, admitted: AdmittedRequest, progress: StreamProgress, server: BackendServer
+    ) -> bool:
+        """Records a request to an engine, if its version is permitted and it takes one now."""
+        is_retry = bool(progress.contacted)
+        is_permitted = self._context.rollouts.permits(admitted, server, is_retry=is_retry)
+        return is_permitted and self._try_take(server)
+
     def _try_take(self, server: BackendServer) -> bool:
         """Records a request to an engine, if the engine takes one now."""
         return self._context.registry.try_take(asyncio.get_running_loop().time(), server.server_id)
@@ -127,7 +142,7 @@
                 return None if progress.may_have_executed else refusal
             views = [] if len(candidates) < 2 else await self._fetch_views(admitted, candidates)
             if not views:
-                if self._try_take(candidates[0]):
+                if self._permits(admitted, progress, candidates[0]):
                     return self._select_known(admitted, progress, candidates[0])
                 continue
             # A report may name a rate or a pause; such engines are not listed again.
@@ -155,7 +170,7 @@
                 waits += 1
                 continue
             server = next(s for s in candidates if s.server_id == decision.engine)
-            if self._try_take(server):
+            if self._permits(admitted, progress, server):
                 ahead = next(v.prompts_ahead for v in views if v.engine == decision.engine)
                 has_room = self._rule.has_room_for_copies(stream, views)
                 standby = self._rank_standby(admitted, progress, server) if has_room else None
@@ -167,10 +182,11 @@
     ) -> frozenset[str]:
         """Returns the ids of the engines to leave out; they are used if there are no others."""
         failed = frozenset(progress.failed_engines)
-        for excluded in (failed | avoided, failed):
+        versions = self._exclude_versions(admitted, progress, failed | avoided)
+        for excluded in (versions | failed | avoided, versions | failed):
             if self._next_admission(admitted, excluded) < float("inf"):
                 return excluded
-        return frozenset()
+        return versions
 
     def _next_admission(self, admitted: AdmittedRequest, excluded: frozenset[str]) -> float:
         """Computes when an engine takes a request; infinite if all engines are left out."""
@@ -294,7 +310,8 @@
             now,
             admitted.service.name,
             admitted.request.affinity,
-            {*progress.failed_engines, server.server_id},
+            {*progress.failed_engines, server.server_id}
+            | self._context.rollouts.excluded_copies(server),
             {*progress.lost_centres, server.data_centre},
         )
         return ranked[0] if ranked else None
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -13,6 +13,7 @@
 from sapphireledge.gateway.engine_report_client import EngineReportClient
 from sapphireledge.gateway.outcome import MISDIRECTED, Outcome, OutcomeKind
 from sapphireledge.gateway.retry_allowance import RetryAllowance
+from sapphireledge.gateway.rollout_guard import RolloutGuard
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,6 +59,9 @@
 
         self.crashes.measure_service = self._measure_service
 
+        self.rollouts = RolloutGuard(cfg, self.registry, telemetry.rollouts)
+        """Keeps attempts to the versions that they may use."""
+
         self.is_stopping: Callable[[], bool] = lambda: False
         """Returns whether the instance is shutting down."""
 
@@ -126,6 +130,8 @@
         if state is None:
             return
         now = asyncio.get_running_loop().time()
+        if outcome.is_moved:
+            return
         if outcome.kind is OutcomeKind.ANSWERED:
             state.on_success()
         elif outcome.kind is OutcomeKind.OUT_OF_TIME:
@@ -138,5 +144,6 @@
         elif outcome.kind is OutcomeKind.LOST or outcome.head is None:
             self.registry.on_unreachable(now, outcome.server)
             self.pool.drop(outcome.server.server_id)
-        else:
+        elif not self.rollouts.is_judged(outcome.server):
+            # The failures of a version that is being judged count for the version.
             state.on_failure(now, suspend=False)
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -136,6 +136,42 @@
     REPORT_REJECTED = "crash_report_rejected"
     """A stored crash report of an instance cannot be decoded."""
 
+    ROLLOUT_STARTED = "rollout_started"
+    """An order to roll out a version was read, and is not decided yet."""
+
+    ROLLOUT_STEP = "rollout_step"
+    """The stage or the share of a roll-out changed at this instance."""
+
+    ROLLOUT_CONDEMNED = "rollout_condemned"
+    """This instance holds the new version to be bad and sends nothing to it any more."""
+
+    ROLLOUT_COMPLETED = "rollout_completed"
+    """The status of an order says that the service was moved to the new version."""
+
+    ROLLOUT_ROLLED_BACK = "rollout_rolled_back"
+    """The status of an order says that the new version was given up."""
+
+    ROLLOUT_REMOVED = "rollout_removed"
+    """An order was removed, or was replaced by one that cannot be read."""
+
+    ROLLOUT_UNREADABLE = "rollout_unreadable"
+    """An order or its status cannot be decoded."""
+
+    ROLLOUT_STATUS_WRITTEN = "rollout_status_written"
+    """This instance wrote the status of an order."""
+
+    ROLLOUT_STATUS_DELAYED = "rollout_status_delayed"
+    """The status of an order could not be written yet, or another instance was first."""
+
+    ROLLOUT_REPORT_DELAYED = "rollout_report_delayed"
+    """The counts of this instance could not be written yet."""
+
+    ROLLOUT_REPORT_REJECTED = "rollout_report_rejected"
+    """The stored counts of an instance cannot be decoded."""
+
+    VERSION_HELD = "version_held"
+    """Servers of a version that is neither in use nor being rolled out take no requests."""
+
     LINES_DROPPED = "log_lines_dropped"
     """Log lines were dropped because the log's reader was too slow."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 __all__ = ["GatewayMetrics"]
 
@@ -89,6 +89,22 @@
         )
         """Changes of what backend servers ask of their callers, by the strongest signal."""
 
+        self.version_answers = Counter(
+            "sapphireledge_version_answers",
+            "Ends of attempts while a version is rolled out, by version and quality.",
+            ["service", "version", "quality"],
+            registry=self._registry,
+        )
+        """Ends of attempts at a service while a version is rolled out, by version and quality."""
+
+        self.rollout_share = Gauge(
+            "sapphireledge_rollout_share",
+            "Share of the requests that the version that is rolled out is given.",
+            ["service"],
+            registry=self._registry,
+        )
+        """Share of a service's requests at this instance that the new version is given."""
+
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format.
 
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from sapphireledge.core.liveness import SilenceLimits
+from sapphireledge.core.rollout import RolloutLimits
 from sapphireledge.gateway.quarantine_settings import QuarantineSettings
 
 __all__ = ["GatewaySettings"]
@@ -56,6 +57,9 @@
     quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
     """When requests count as the cause of crashes."""
 
+    rollout: RolloutLimits | None = None
+    """Limits of the roll-out of a version, None where versions are not rolled out."""
+
     body_timeout: float = 0.33
     """Timeout between two chunks of an engine's response that is not a stream."""
 
--- a/src/sapphireledge/gateway/outcome.py
+++ b/src/sapphireledge/gateway/outcome.py
@@ -61,6 +61,9 @@
     silent: bool = False
     """Whether the server sent neither a response nor anything else that shows that it is alive."""
 
+    is_moved: bool = False
+    """Whether this instance ended the attempt so that the stream goes on at another server."""
+
     @property
     def is_misdirected(self) -> bool:
         """Whether a different server has taken over the address of the expected one."""
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -140,10 +140,11 @@
             return None
         affinity = admitted.request.affinity
         avoided = context.crashes.avoided_servers(verdict)
-        server = context.registry.choose(now, service, affinity, {*tried_servers, *avoided})
+        excluded = self._exclude_versions(admitted, tried_servers)
+        server = context.registry.choose(now, service, affinity, {*excluded, *avoided})
         isolated = server is not None and isinstance(verdict, IsolateVerdict)
         if server is None and avoided:
-            server = context.registry.choose(now, service, affinity, tried_servers)
+            server = context.registry.choose(now, service, affinity, excluded)
         if server is None or not self._spend_attempt(admitted, tried_servers):
             return None
         context.registry.try_take(now, server.server_id)
@@ -159,7 +160,8 @@
         loop = asyncio.get_running_loop()
         registry = self._context.registry
         latest = admitted.request.received_at + admitted.route.target * HEDGE_SHARE
-        excluded = {*tried_servers, *self._context.crashes.avoided_servers(verdict)}
+        avoided = self._context.crashes.avoided_servers(verdict)
+        excluded = {*self._exclude_versions(admitted, tried_servers), *avoided}
         service = admitted.service.name
         if (
             not self._permits_attempt(admitted, tried_servers)
@@ -178,6 +180,14 @@
         isolated = isinstance(verdict, IsolateVerdict)
         return self._run_attempt(admitted, tried_servers, server, isolated=isolated)
 
+    def _exclude_versions(
+        self, admitted: AdmittedRequest, tried_servers: set[str]
+    ) -> frozenset[str]:
+        """Adds the servers whose version the next attempt may not use."""
+        is_retry = bool(tried_servers)
+        excluded = self._context.rollouts.excluded(admitted, tried_servers, is_retry=is_retry)
+        return excluded.union(tried_servers)
+
     def _permits_attempt(self, admitted: AdmittedRequest, tried_servers: set[str]) -> bool:
         """Whether the route and the deadline permit another attempt."""
         time_left = admitted.deadline - asyncio.get_running_loop().time()
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -10,6 +10,7 @@
 from sapphireledge.core.placement import StartStream, WaitForEngine
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.outcome import OutcomeKind
+from sapphireledge.gateway.rollout_telemetry import RolloutTelemetry
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
@@ -37,6 +38,9 @@
     """Writes a log line for each decision about a request and updates the metrics."""
 
     def __init__(self, metrics: GatewayMetrics) -> None:
+        self.rollouts = RolloutTelemetry(metrics)
+        """Logging and metrics of roll-outs."""
+
         self._metrics = metrics
         self._log = structlog.get_logger()
 
--- /dev/null
+++ b/src/sapphireledge/gateway/rollout_attempt.py
@@ -0,0 +1,27 @@
+"""An attempt at a backend server, as roll-outs count it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sapphireledge.gateway.backend_server import BackendServer
+
+__all__ = ["RolloutAttempt"]
+
+
+@dataclass(eq=False, slots=True)
+class RolloutAttempt:
+    """An attempt at a backend server that has not ended."""
+
+    route: str
+    """Name of the route."""
+
+    server: BackendServer
+    """The server."""
+
+    move: Callable[[], None] | None = None
+    """Ends the attempt so that its stream resumes at another server, None if it cannot move."""
--- /dev/null
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -0,0 +1,395 @@
+"""Keeps attempts to the versions that they may use while a version is rolled out."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+from sapphireledge.gateway.replay_rule import ReplayRule
+from sapphireledge.gateway.rollout_attempt import RolloutAttempt
+from sapphireledge.gateway.service_versions import ServiceVersions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Mapping, Sequence
+
+    from sapphireledge.core.rollout import (
+        AnswerQuality,
+        Rollout,
+        RolloutLimits,
+        RolloutReport,
+        RolloutState,
+        VersionRule,
+    )
+    from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.backend_registry import BackendRegistry
+    from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.gateway_settings import GatewaySettings
+    from sapphireledge.gateway.rollout_telemetry import RolloutTelemetry
+    from sapphireledge.gateway.stored_order import StoredOrder
+
+__all__ = ["RolloutGuard"]
+
+TICK = 0.2
+"""Seconds between two evaluations of the running orders."""
+
+NEWS_TIME = 10.0
+"""Seconds for which an order is expected after servers of a version that is not in use appeared."""
+
+MOVES_PER_TICK = 2
+"""Streams that are moved away from the old version at once; each has its prompt read anew."""
+
+
+class RolloutGuard:
+    """Holds the version rules of all services; the decisions are those of `core.rollout`.
+
+    Without limits of roll-outs in the settings, every server may be used.
+    """
+
+    def __init__(
+        self, cfg: GatewaySettings, registry: BackendRegistry, telemetry: RolloutTelemetry
+    ) -> None:
+        """Creates a guard that knows of no order.
+
+        Args:
+            cfg: Settings of the instance.
+            registry: Known backend servers.
+            telemetry: Log lines and metrics.
+        """
+        self.on_activity: Callable[[bool], None] = lambda is_active: None
+        """Called with whether changes of orders and reports are expected, when that changes."""
+
+        self.has_orders = cfg.rollout is None
+        """Whether the orders of the store are known, or are not used."""
+
+        self._limits: RolloutLimits | None = cfg.rollout
+        self._instance = cfg.instance
+        self._registry = registry
+        self._telemetry = telemetry
+        self._rng = Random()
+        self._services: dict[str, ServiceVersions] = {}
+        self._reports: dict[str, tuple[RolloutReport, ...]] = {}
+        self._orders_confirmed_at = float("-inf")
+        self._news_until = float("-inf")
+        self._is_active = False
+        self._begun = asyncio.Event()
+
+    @property
+    def is_active(self) -> bool:
+        """Whether an order is running, or may be about to begin."""
+        return self._is_active
+
+    def excluded(
+        self, admitted: AdmittedRequest, others: Collection[str] = (), *, is_retry: bool
+    ) -> frozenset[str]:
+        """Lists the servers that an attempt of a request may not use because of their version.
+
+        The result holds for an attempt that is sent at once.
+
+        Args:
+            admitted: The request.
+            others: Ids of servers that are left out for other reasons.
+            is_retry: Whether the request was sent to a server before.
+
+        Returns:
+            Ids of the servers.
+        """
+        versions = self._services.get(admitted.service.name)
+        if versions is None or not (versions.rollout or versions.held_versions):
+            return frozenset()
+        if versions.rollout is None:
+            return versions.excluded(None)
+        now = asyncio.get_running_loop().time()
+        rule = _choose(versions.rollout, now, admitted, is_retry=is_retry)
+        preferred = versions.excluded(rule, preferred=True)
+        left_out = {*preferred, *others}
+        if self._registry.next_admission(now, admitted.service.name, left_out) <= now:
+            return preferred
+        return versions.excluded(rule)
+
+    def permits(self, admitted: AdmittedRequest, server: BackendServer, *, is_retry: bool) -> bool:
+        """Checks whether an attempt may still use a server that was chosen for it before.
+
+        Args:
+            admitted: The request.
+            server: The server.
+            is_retry: Whether the request was sent to a server before.
+
+        Returns:
+            Whether it may, if it is sent at once.
+        """
+        versions = self._services.get(admitted.service.name)
+        if versions is None or not (versions.rollout or versions.held_versions):
+            return True
+        rule = None
+        if versions.rollout is not None:
+            now = asyncio.get_running_loop().time()
+            rule = _choose(versions.rollout, now, admitted, is_retry=is_retry)
+        return versions.permits(server, rule)
+
+    def excluded_copies(self, server: BackendServer) -> frozenset[str]:
+        """Lists the servers that may not hold a copy of a stream because of their version.
+
+        Args:
+            server: Server that runs the stream.
+
+        Returns:
+            Ids of the servers.
+        """
+        versions = self._services.get(server.service)
+        if versions is None or not (versions.rollout or versions.held_versions):
+            return frozenset()
+        return versions.other_versions(server)
+
+    def is_judged(self, server: BackendServer) -> bool:
+        """Whether the version of a server is being judged by a roll-out.
+
+        Args:
+            server: The server.
+
+        Returns:
+            Whether it is.
+        """
+        versions = self._services.get(server.service)
+        return versions is not None and bool(server.version) and server.version == versions.target
+
+    def begin(
+        self,
+        admitted: AdmittedRequest,
+        server: BackendServer,
+        *,
+        is_retry: bool,
+        move: Callable[[], None] | None = None,
+    ) -> RolloutAttempt | None:
+        """Counts an attempt that is sent to a server.
+
+        Args:
+            admitted: The request.
+            server: The server.
+            is_retry: Whether the request was sent to a server before.
+            move: Ends the attempt so that its stream resumes elsewhere, None if it cannot.
+
+        Returns:
+            The attempt for `finish`, None if roll-outs are not used.
+        """
+        if self._limits is None:
+            return None
+        versions = self._versions(admitted.service.name)
+        attempt = RolloutAttempt(admitted.route.name, server, move)
+        versions.attempts.add(attempt)
+        if versions.rollout is not None:
+            now = asyncio.get_running_loop().time()
+            versions.rollout.on_sent(now, attempt.route, server.version, is_retry=is_retry)
+        return attempt
+
+    def finish(
+        self, attempt: RolloutAttempt | None, quality: AnswerQuality, seconds: float | None
+    ) -> None:
+        """Counts the end of an attempt.
+
+        Args:
+            attempt: The attempt, as returned by `begin`.
+            quality: What the end says about the version.
+            seconds: Time of a complete answer that is compared between versions.
+        """
+        if attempt is None:
+            return
+        server = attempt.server
+        versions = self._versions(server.service)
+        versions.attempts.discard(attempt)
+        if versions.rollout is None:
+            return
+        now = asyncio.get_running_loop().time()
+        compared = None if server.is_warming else seconds
+        versions.rollout.on_result(
+            now, attempt.route, server.version, quality, compared, server=server.server_id
+        )
+        self._telemetry.record_answer(server, quality)
+
+    def on_order(self, stored: StoredOrder) -> None:
+        """Takes in an order of the store or a change of its status.
+
+        Args:
+            stored: The order.
+        """
+        if self._limits is None:
+            return
+        now = asyncio.get_running_loop().time()
+        versions = self._versions(stored.order.service)
+        previous = versions.stored
+        if previous is not None and stored.revision < previous.revision:
+            return
+        begun = versions.on_order(now, stored, self._limits, self._instance, self._rng)
+        if begun is not None:
+            begun.on_reports(now, [report for known in self._reports.values() for report in known])
+        self._telemetry.record_order(previous, stored, versions.version_in_use)
+        self._update_activity(now)
+
+    def on_order_removed(self, service: str) -> None:
+        """Takes in that a service has no order, or one that cannot be read.
+
+        Args:
+            service: Name of the service.
+        """
+        versions = self._services.get(service)
+        if versions is None or versions.stored is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._telemetry.record_removed(versions.stored)
+        versions.on_order_removed(now)
+        self._update_activity(now)
+
+    def on_orders_confirmed(self, now: float) -> None:
+        """Takes in that all orders written before a time are known.
+
+        Args:
+            now: That time, event loop time in seconds.
+        """
+        self.has_orders = True
+        self._orders_confirmed_at = max(self._orders_confirmed_at, now)
+
+    def on_store_restored(self) -> None:
+        """Takes in that the store came back from an older copy; revisions are given out again."""
+        for versions in self._services.values():
+            versions.on_store_restored()
+
+    def on_reports(self, instance: str, reports: Sequence[RolloutReport]) -> None:
+        """Takes in the reports of an instance.
+
+        Args:
+            instance: Name of the instance.
+            reports: All of its reports, also those of other orders.
+        """
+        self._reports[instance] = tuple(reports)
+        now = asyncio.get_running_loop().time()
+        for versions in self._services.values():
+            if versions.rollout is not None:
+                versions.rollout.on_reports(now, reports)
+
+    def on_reports_confirmed(self, now: float) -> None:
+        """Takes in that all reports written before a time are known.
+
+        Args:
+            now: That time, event loop time in seconds.
+        """
+        # An instance that does not learn of another order or status must stop, too.
+        confirmed_at = min(now, self._orders_confirmed_at)
+        for versions in self._services.values():
+            if versions.rollout is not None:
+                versions.rollout.on_feed_confirmed(confirmed_at)
+
+    def on_servers_changed(self) -> None:
+        """Takes in that servers were added, changed or removed."""
+        if self._limits is None:
+            return
+        now = asyncio.get_running_loop().time()
+        for service in self._registry.services():
+            versions = self._versions(service)
+            held_before = versions.held_versions
+            versions.on_servers(now)
+            if versions.held_versions - held_before:
+                self._news_until = now + NEWS_TIME
+                self._telemetry.record_held(
+                    service, versions.held_versions, versions.version_in_use
+                )
+        self._update_activity(now)
+
+    def due_reports(self) -> Mapping[str, RolloutReport] | None:
+        """Makes the reports of the running orders if one of them is due.
+
+        Returns:
+            The reports by service, None if none is due.
+        """
+        now = asyncio.get_running_loop().time()
+        running = self._running()
+        if not any(versions.rollout.is_report_due(now) for versions in running.values()):
+            return None
+        return {service: versions.rollout.report(now) for service, versions in running.items()}
+
+    def on_reports_written(self, reports: Mapping[str, RolloutReport]) -> None:
+        """Takes in that reports of this instance reached the store.
+
+        Args:
+            reports: What `due_reports` returned.
+        """
+        now = asyncio.get_running_loop().time()
+        for service, versions in self._running().items():
+            report = reports.get(service)
+            if report is not None and report.order_id == versions.rollout.order.order_id:
+                versions.rollout.on_report_written(now, report.sequence)
+
+    def wanted_states(self) -> dict[str, tuple[StoredOrder, RolloutState]]:
+        """Lists the statuses that this instance would write now.
+
+        Returns:
+            Order and state by service.
+        """
+        wanted = {}
+        for service, versions in self._services.items():
+            state = versions.wanted_state
+            if versions.stored is not None and state is not None:
+                wanted[service] = versions.stored, state
+        return wanted
+
+    async def wait_until_active(self) -> None:
+        """Waits until an order is running, or may be about to begin."""
+        await self._begun.wait()
+
+    async def run(self) -> None:
+        """Evaluates the running orders until the task is cancelled."""
+        while True:
+            await self.wait_until_active()
+            self.tick()
+            await asyncio.sleep(TICK)
+
+    def tick(self) -> None:
+        """Evaluates the running orders."""
+        now = asyncio.get_running_loop().time()
+        for service, versions in self._running().items():
+            previous = versions.decision
+            versions.decision = decision = versions.rollout.decide(now)
+            self._telemetry.record_decision(service, versions.rollout.order, previous, decision)
+            if decision.move_streams:
+                for attempt in list(versions.movable_attempts())[:MOVES_PER_TICK]:
+                    assert attempt.move is not None
+                    attempt.move()
+        self._update_activity(now)
+
+    def _running(self) -> dict[str, ServiceVersions]:
+        """Returns the services with a running order."""
+        return {
+            service: versions
+            for service, versions in self._services.items()
+            if versions.rollout is not None
+        }
+
+    def _versions(self, service: str) -> ServiceVersions:
+        """Returns the versions of a service, created on first use."""
+        versions = self._services.get(service)
+        if versions is None:
+            versions = self._services[service] = ServiceVersions(service, self._registry)
+        return versions
+
+    def _update_activity(self, now: float) -> None:
+        """Reports whether changes of orders and reports are expected."""
+        is_active = bool(self._running() or self.wanted_states()) or now < self._news_until
+        if is_active == self._is_active:
+            return
+        self._is_active = is_active
+        if is_active:
+            self._begun.set()
+        else:
+            self._begun.clear()
+        self.on_activity(is_active)
+
+
+def _choose(
+    rollout: Rollout, now: float, admitted: AdmittedRequest, *, is_retry: bool
+) -> VersionRule:
+    """Chooses the versions that an attempt of a request may use."""
+    return rollout.choose(
+        now,
+        may_repeat=admitted.route.repeatable,
+        is_stream=admitted.route.replay is ReplayRule.EVENT_STREAM,
+        is_retry=is_retry,
+    )
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -8,6 +8,7 @@
 
 from sapphireledge.gateway.attempt_progress import AttemptProgress
 from sapphireledge.gateway.backend_response_error import BackendResponseError
+from sapphireledge.gateway.judge_attempt import compare_seconds, judge_attempt
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.replay_rule import ReplayRule
 
@@ -53,8 +54,19 @@
     work_id = context.crashes.begin(admitted, server, isolated=isolated)
     is_stream = admitted.route.replay is ReplayRule.EVENT_STREAM
     attempt = AttemptProgress(context.crashes, work_id, runs_at_once=not is_stream)
+    limit = asyncio.timeout(None)
+    can_move = is_stream and admitted.route.resumable
+    counted = context.rollouts.begin(
+        admitted,
+        server,
+        is_retry=number > 1,
+        move=partial(limit.reschedule, started) if can_move else None,
+    )
+    outcome: Outcome | None = None
     try:
-        outcome = await _connect_and_run(context, admitted, server, partial(run, attempt=attempt))
+        outcome = await _run_until_moved(
+            limit, context, admitted, server, partial(run, attempt=attempt)
+        )
         if outcome.connection_lost:
             context.crashes.on_connection_lost(server)
         elif outcome.kind is OutcomeKind.ANSWERED:
@@ -62,6 +74,10 @@
         elif outcome.silent:
             context.crashes.on_unanswered(work_id)
     finally:
+        now = asyncio.get_running_loop().time()
+        quality = judge_attempt(context.crashes, admitted, outcome, attempt, now - started)
+        seconds = compare_seconds(admitted, attempt, number, now)
+        context.rollouts.finish(counted, quality, seconds)
         context.crashes.end(work_id)
         if state is not None:
             state.in_flight -= 1
@@ -72,6 +88,24 @@
     return outcome
 
 
+async def _run_until_moved(
+    limit: asyncio.Timeout,
+    context: GatewayContext,
+    admitted: AdmittedRequest,
+    server: BackendServer,
+    run: Callable[[BackendConnection], Awaitable[Outcome]],
+) -> Outcome:
+    """Runs the attempt until it ends, or is to go on at another server."""
+    try:
+        async with limit:
+            return await _connect_and_run(context, admitted, server, run)
+    except TimeoutError:
+        if not limit.expired():
+            raise
+        reason = "the stream goes on at a server of another version"
+        return Outcome(OutcomeKind.LOST, server, reason, is_moved=True)
+
+
 async def _connect_and_run(
     context: GatewayContext,
     admitted: AdmittedRequest,
--- /dev/null
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -0,0 +1,218 @@
+"""Versions of one service: the one in use, and the one that is being rolled out."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.rollout import Rollout, RolloutState, VersionInUse
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from random import Random
+
+    from sapphireledge.core.rollout import RolloutDecision, RolloutLimits, VersionRule
+    from sapphireledge.gateway.backend_registry import BackendRegistry
+    from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.rollout_attempt import RolloutAttempt
+    from sapphireledge.gateway.stored_order import StoredOrder
+
+__all__ = ["ServiceVersions"]
+
+FINAL_STATES = (RolloutState.COMPLETED, RolloutState.ROLLED_BACK)
+"""States that end an order."""
+
+
+class ServiceVersions:
+    """Versions of one service, its order and the attempts in flight."""
+
+    def __init__(self, service: str, registry: BackendRegistry) -> None:
+        """Creates the state of a service without an order.
+
+        Args:
+            service: Name of the service.
+            registry: Known backend servers.
+        """
+        self.stored: StoredOrder | None = None
+        """Order of the service, None without one."""
+
+        self.rollout: Rollout | None = None
+        """The order while it is running."""
+
+        self.decision: RolloutDecision | None = None
+        """Latest evaluation of the running order."""
+
+        self.held_versions: frozenset[str] = frozenset()
+        """Versions whose servers take no requests, as neither use nor an order names them."""
+
+        self.attempts: set[RolloutAttempt] = set()
+        """Attempts that have not ended."""
+
+        self._final_state: RolloutState | None = None
+        self._service = service
+        self._registry = registry
+        self._in_use = VersionInUse()
+
+    @property
+    def target(self) -> str | None:
+        """Target of the running order, None without one."""
+        return None if self.rollout is None else self.rollout.order.target
+
+    @property
+    def version_in_use(self) -> str | None:
+        """Version that takes requests beside the target, None while it is not known."""
+        return self._in_use.version
+
+    @property
+    def wanted_state(self) -> RolloutState | None:
+        """State that the status of the order should have, None if it has it.
+
+        A store that comes back from an older copy may have lost a final one.
+        """
+        if self.stored is None or self.stored.state in FINAL_STATES:
+            return None
+        if self._final_state is not None:
+            return self._final_state
+        if self.decision is not None and self.decision.proposed is not None:
+            return self.decision.proposed
+        return RolloutState.RUNNING if self.stored.state is None else None
+
+    def on_order(
+        self, now: float, stored: StoredOrder, limits: RolloutLimits, instance: str, rng: Random
+    ) -> Rollout | None:
+        """Takes in an order, or another status of the known one.
+
+        Args:
+            now: Event loop time in seconds.
+            stored: The order.
+            limits: Limits of roll-outs.
+            instance: Name of this instance.
+            rng: Source of choices.
+
+        Returns:
+            The roll-out, if a new one begins.
+        """
+        order = stored.order
+        is_known = self.stored is not None and self.stored.order.order_id == order.order_id
+        self.stored = stored
+        begun = None
+        if not is_known:
+            self._final_state = None
+        if stored.state in FINAL_STATES:
+            self._final_state = stored.state
+            self.rollout = self.decision = None
+            if stored.state is RolloutState.COMPLETED:
+                self._in_use.on_completed(order.target)
+        elif not is_known:
+            begun = Rollout(limits, order, instance, now, rng)
+            self._begin(now, begun)
+        self.on_servers(now)
+        return begun
+
+    def on_order_removed(self, now: float) -> None:
+        """Takes in that there is no order any more; a running one is given up.
+
+        Args:
+            now: Event loop time in seconds.
+        """
+        self.stored = self.rollout = self.decision = self._final_state = None
+        self.on_servers(now)
+
+    def on_store_restored(self) -> None:
+        """Takes in that revisions are given out again."""
+        if self.stored is not None:
+            self.stored = replace(self.stored, revision=0)
+
+    def on_servers(self, now: float) -> None:
+        """Takes in the servers that are known.
+
+        Args:
+            now: Event loop time in seconds.
+        """
+        versions: Counter[str] = Counter()
+        for server in self._registry.list_servers(self._service):
+            if server.version and not server.draining:
+                versions[server.version] += 1
+        self._in_use.on_servers(now, versions, self._unproved_target)
+        self.held_versions = frozenset(
+            version for version in versions if not self._in_use.permits(version, self.target)
+        )
+
+    def excluded(self, rule: VersionRule | None, *, preferred: bool = False) -> frozenset[str]:
+        """Lists the servers that an attempt may not use.
+
+        Args:
+            rule: Rule of the running order, None without one.
+            preferred: Whether servers that the rule does not prefer are listed, too.
+
+        Returns:
+            Ids of the servers.
+        """
+        return frozenset(
+            server.server_id
+            for server in self._registry.list_servers(self._service)
+            if not self.permits(server, rule) or (preferred and rule and not _prefers(server, rule))
+        )
+
+    def other_versions(self, server: BackendServer) -> frozenset[str]:
+        """Lists the servers that run another version than a server.
+
+        Args:
+            server: The server.
+
+        Returns:
+            Their ids.
+        """
+        return frozenset(
+            other.server_id
+            for other in self._registry.list_servers(self._service)
+            if other.version != server.version
+        )
+
+    def movable_attempts(self) -> Collection[RolloutAttempt]:
+        """Lists the attempts at servers of the old version that can go on elsewhere.
+
+        Returns:
+            The attempts.
+        """
+        return [
+            attempt
+            for attempt in self.attempts
+            if attempt.move is not None and attempt.server.version != self.target
+        ]
+
+    @property
+    def _unproved_target(self) -> str | None:
+        """Version that does not become the one in use by the number of its servers."""
+        if self.stored is None or self.stored.state is RolloutState.COMPLETED:
+            return None
+        return self.stored.order.target
+
+    def _begin(self, now: float, rollout: Rollout) -> None:
+        """Begins an order; attempts in flight count for it."""
+        self.rollout, self.decision = rollout, None
+        if self._in_use.version == rollout.order.target:
+            # Its servers were listed before the order.
+            self._in_use = VersionInUse()
+        for attempt in self.attempts:
+            rollout.on_sent(now, attempt.route, attempt.server.version, is_retry=True)
+
+    def permits(self, server: BackendServer, rule: VersionRule | None) -> bool:
+        """Whether an attempt may use a server; an unknown version counts as the one in use.
+
+        Args:
+            server: The server.
+            rule: Rule of the running order, None without one.
+
+        Returns:
+            Whether it may.
+        """
+        if server.version and not self._in_use.permits(server.version, self.target):
+            return False
+        return rule is None or rule.permits(server.version)
+
+
+def _prefers(server: BackendServer, rule: VersionRule) -> bool:
+    """Whether a rule prefers a server to others."""
+    return rule.prefers(server.version)
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -206,6 +206,7 @@
         admitted, context = self._admitted, self._context
         service = admitted.service.name
         excluded = {*self._progress.failed_engines, server.server_id}
+        excluded |= context.rollouts.excluded(admitted, excluded, is_retry=True)
         return (
             admitted.route.resumable
             and self._progress.permits_attempt(admitted, now)
--- a/src/sapphireledge/platform/decode_server.py
+++ b/src/sapphireledge/platform/decode_server.py
@@ -15,7 +15,8 @@
 class _Server(msgspec.Struct):
     """A registry entry; `zone` is the data centre, `born` the start time in Unix milliseconds.
 
-    An entry without a version, or with one of another type, still describes a server.
+    An entry without a version or the time for which the server remains slow, or with one of
+    another type, still describes a server.
     """
 
     service: str
@@ -25,6 +26,7 @@
     state: Literal["ready", "draining"]
     born: int = 0
     version: Any = ""
+    cold_left_ms: Any = 0
 
 
 def decode_server(name: str, spec: object) -> BackendServer:
@@ -52,6 +54,7 @@
         draining=entry.state == "draining",
         started_at_ms=entry.born,
         version=decode_version(entry.version),
+        is_warming=isinstance(entry.cold_left_ms, int | float) and entry.cold_left_ms > 0,
     )
 
 
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -13,7 +13,14 @@
 import msgspec
 import structlog
 
-from sapphireledge.feed import FeedRunner, KindFeed, KindWatcher, StoreEpoch, StorePresence
+from sapphireledge.feed import (
+    FeedRunner,
+    KindActivity,
+    KindFeed,
+    KindWatcher,
+    StoreEpoch,
+    StorePresence,
+)
 from sapphireledge.gateway import (
     BoundedLog,
     Gateway,
@@ -25,8 +32,13 @@
 from sapphireledge.platform.config_listener import ConfigListener
 from sapphireledge.platform.crash_report_listener import CrashReportListener
 from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND, CrashReportWriter
+from sapphireledge.platform.decode_rollout import ROLLOUT_KIND
 from sapphireledge.platform.node_settings import NodeSettings, load_node_settings
 from sapphireledge.platform.platform_dialect import PlatformDialect
+from sapphireledge.platform.rollout_listener import RolloutListener
+from sapphireledge.platform.rollout_report_listener import RolloutReportListener
+from sapphireledge.platform.rollout_report_writer import ROLLOUT_REPORT_KIND, RolloutReportWriter
+from sapphireledge.platform.rollout_status_writer import RolloutStatusWriter
 from sapphireledge.platform.server_listener import ServerListener
 from sapphireledge.platform.settings_reloader import SettingsReloader
 from sapphireledge.platform.store_client import StoreClient
@@ -34,6 +46,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from sapphireledge.feed import KindListener
+    from sapphireledge.gateway import RolloutGuard
+
 __all__ = ["main"]
 
 SETTINGS_VARIABLE = "SAPPHIRELEDGE_NODE_FILE"
@@ -76,6 +91,7 @@
         _create_store_client(cfg, metrics, epoch), gateway.context.crashes, cfg.gateway.instance
     )
     epoch.subscribe(writer.on_store_restored)
+    parts = [runner, writer, *_create_rollout_parts(cfg, gateway, metrics, epoch)]
     reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -83,7 +99,7 @@
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     if early_stop_signals:
         return
-    tasks = [asyncio.create_task(part.run()) for part in (runner, reloader, writer)]
+    tasks = [asyncio.create_task(part.run()) for part in (*parts, reloader)]
     try:
         await server.run()
     finally:
@@ -95,20 +111,27 @@
     cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
 ) -> FeedRunner:
     """Creates the feeds that keep the gateway's configuration and registry up to date."""
-    listeners = {
+    listeners: dict[str, KindListener] = {
         "config": ConfigListener(gateway.config),
         "servers": ServerListener(gateway, cfg.backend_heartbeat),
         CRASH_REPORT_KIND: CrashReportListener(gateway.context.crashes),
     }
+    rollouts = gateway.context.rollouts
+    activity = KindActivity()
+    if cfg.gateway.rollout is not None:
+        listeners[ROLLOUT_KIND] = RolloutListener(rollouts)
+        listeners[ROLLOUT_REPORT_KIND] = RolloutReportListener(rollouts)
+        rollouts.on_activity = lambda is_active: activity.update(active=is_active)
     feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
     presence = StorePresence()
     watchers = [
         KindWatcher(
-            _create_store_client(cfg, metrics, epoch),
+            _create_store_client(cfg, metrics, epoch, has_records=kind_cfg.has_records),
             feeds[kind_cfg.kind],
             kind_cfg,
             cfg.feed,
             presence,
+            None if kind_cfg.quiet_wait is None else activity,
         )
         for kind_cfg in cfg.feed.kinds
     ]
@@ -122,12 +145,34 @@
     server.request_stop()
 
 
+def _create_rollout_parts(
+    cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
+) -> list[RolloutGuard | RolloutReportWriter | RolloutStatusWriter]:
+    """Creates the parts that run roll-outs, none where versions are not rolled out."""
+    if cfg.gateway.rollout is None:
+        return []
+    rollouts = gateway.context.rollouts
+    reports = RolloutReportWriter(
+        _create_store_client(cfg, metrics, epoch), rollouts, cfg.gateway.instance
+    )
+    epoch.subscribe(reports.on_store_restored)
+    statuses = RolloutStatusWriter(
+        _create_store_client(cfg, metrics, epoch),
+        rollouts,
+        lambda: gateway.context.count_instances(),
+    )
+    return [rollouts, reports, statuses]
+
+
 def _create_store_client(
-    cfg: NodeSettings, metrics: GatewayMetrics, epoch: StoreEpoch
+    cfg: NodeSettings, metrics: GatewayMetrics, epoch: StoreEpoch, *, has_records: bool = False
 ) -> StoreClient:
     """Creates a client whose calls are counted in the metrics."""
     return StoreClient(
-        cfg.store, epoch, lambda kind, result: metrics.store_calls.labels(kind, result).inc()
+        cfg.store,
+        epoch,
+        lambda kind, result: metrics.store_calls.labels(kind, result).inc(),
+        has_records=has_records,
     )
 
 
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -6,9 +6,12 @@
 
 import msgspec
 
+from sapphireledge.core.rollout import RolloutLimits
 from sapphireledge.feed import FeedSettings, KindSettings, Peer
 from sapphireledge.gateway import GatewaySettings
 from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND
+from sapphireledge.platform.decode_rollout import ROLLOUT_KIND
+from sapphireledge.platform.rollout_report_writer import ROLLOUT_REPORT_KIND
 from sapphireledge.platform.split_address import split_address
 from sapphireledge.platform.store_settings import StoreSettings
 
@@ -44,6 +47,16 @@
 """Seconds after a change of crash reports during which further changes are batched. All instances
 must know what crashes engines within 4 s."""
 
+ROLLOUT_KINDS = (
+    KindSettings(ROLLOUT_KIND, 1.0, 0.0, quiet_wait=25.0, has_records=True),
+    KindSettings(ROLLOUT_REPORT_KIND, 1.0, 0.2, quiet_wait=0.0),
+)
+"""Kinds that are watched for roll-outs. While an order is running, orders and reports are confirmed
+each second, and reports of many instances come in batches; otherwise orders are rare."""
+
+ROLLOUT_CONTRACT = "rollout"
+"""Name of the contract by which versions are rolled out."""
+
 
 class _Listen(msgspec.Struct):
     """Addresses to listen on: `front` for callers, `ready` for readiness checks."""
@@ -53,10 +66,17 @@
 
 
 class _Bounds(msgspec.Struct):
-    """Limits of the platform: `revoke_ms` for removed API keys, `grace_s` for a shutdown."""
+    """Limits of the platform: `revoke_ms` for removed API keys, `grace_s` for a shutdown.
+
+    A version that is rolled out and bad may get `expose_share` of the requests and `expose_slack`
+    beyond, and none later than `rollback_ms` after its 50th bad answer.
+    """
 
     revoke_ms: int = 5000
     grace_s: float = 8.0
+    expose_share: float = 0.1
+    expose_slack: float = 50.0
+    rollback_ms: float = 5000.0
 
 
 class _Store(msgspec.Struct):
@@ -74,7 +94,8 @@
 class _NodeFile(msgspec.Struct):
     """The settings file; unknown fields are ignored.
 
-    `heartbeat_ms` is the interval at which backend servers renew their registry entries.
+    `heartbeat_ms` is the interval at which backend servers renew their registry entries,
+    `contracts` names the parts of the platform that are in force.
     """
 
     node_name: str
@@ -85,6 +106,7 @@
     heartbeat_ms: int = 1200
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    contracts: list[str] = []
 
 
 class NodeSettings(msgspec.Struct, frozen=True):
@@ -134,12 +156,14 @@
         metrics_port=METRICS_PORT,
         max_config_age=file.bounds.revoke_ms / 1000.0 - REVOCATION_MARGIN,
         stop_limit=file.bounds.grace_s,
+        rollout=_rollout_limits(file),
     )
     feed = FeedSettings(
         kinds=(
             KindSettings("config", CONFIG_WATCH_WAIT, 0.0),
             KindSettings("servers", REGISTRY_WATCH_WAIT, REGISTRY_BATCH_DELAY),
             KindSettings(CRASH_REPORT_KIND, CRASH_WATCH_WAIT, CRASH_BATCH_DELAY),
+            *(ROLLOUT_KINDS if gateway.rollout is not None else ()),
         ),
         host=listen_host,
         port=file.port_range[0],
@@ -147,3 +171,11 @@
     peer = Peer(file.node_name, listen_host, feed.port, file.zone, file.limits.link_mbps)
     store = StoreSettings(store_host, store_port)
     return NodeSettings(gateway, store, feed, peer, file.heartbeat_ms / 1000.0)
+
+
+def _rollout_limits(file: _NodeFile) -> RolloutLimits | None:
+    """Returns the limits of roll-outs, None where versions are not rolled out."""
+    if ROLLOUT_CONTRACT not in file.contracts:
+        return None
+    bounds = file.bounds
+    return RolloutLimits(bounds.expose_share, bounds.expose_slack, bounds.rollback_ms / 1000.0)
--- a/src/sapphireledge/platform/server_listener.py
+++ b/src/sapphireledge/platform/server_listener.py
@@ -82,6 +82,7 @@
                 self._schedule_removal(entry.name)
             else:
                 self._update_server(entry)
+        self._context.rollouts.on_servers_changed()
 
     def confirm(self, as_of: float) -> None:
         """Does nothing: forwarding never depends on the age of the registry."""
@@ -113,9 +114,7 @@
             return
         loop = asyncio.get_running_loop()
         if loop.time() < self._returns_at and _incarnation(server) in self._removed_before_restore:
-            self._return_timers[entry.name] = loop.call_at(
-                self._returns_at, self._update_server, entry
-            )
+            self._return_timers[entry.name] = loop.call_at(self._returns_at, self.apply, [entry])
             return
         self._removed.pop(_incarnation(server), None)
         self._record_replaced(server)
@@ -150,9 +149,14 @@
             self._remove(server_id)
         elif server_id not in self._removal_timers:
             self._removal_timers[server_id] = loop.call_at(
-                self._grace_until, self._remove, server_id
+                self._grace_until, self._remove_late, server_id
             )
 
+    def _remove_late(self, server_id: str) -> None:
+        """Removes a backend server at the end of the grace period."""
+        self._remove(server_id)
+        self._context.rollouts.on_servers_changed()
+
     def _remove(self, server_id: str) -> None:
         """Removes a backend server and its pooled connections."""
         self._removal_timers.pop(server_id, None)
