Interface: on_first_event, optional; verdict by server, late doubt, slack share

Change: first events are counted beside whole streams, bad answers of a server count up to twice the median of all, the slack leaves the old version its requests, and a version in doubt at the deadline is rolled back.

--- a/src/sapphireledge/core/rollout/compare_versions.py
+++ b/src/sapphireledge/core/rollout/compare_versions.py
@@ -6,8 +6,8 @@
 both. Only the first is the fault of the version.
 
 For each instance and route, the old version says how many bad answers were to be expected. The new
-version is held to be bad if far more of its answers were, not counting those of the few servers
-that had most of them.
+version is held to be bad if far more of its answers were, not counting those that single servers
+had beyond the others.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from sapphireledge.core.rollout.route_evidence import NO_COUNTS, RouteEvidence
 from sapphireledge.core.rollout.version_verdict import VersionVerdict
 
-__all__ = ["compare_versions"]
+__all__ = ["FIRST_EVENT_MARK", "compare_versions"]
 
 LEAST_BAD, LEAST_SUSPECT = 5, 3
 """Bad answers below which nothing is said, and nothing is suspected."""
@@ -31,7 +31,7 @@
 TOLERATED_FACTOR, TOLERATED_RATE = 2.0, 0.01
 """A version is good up to this multiple of the bad answers of the old one, and this rate beyond."""
 
-UNCONTROLLED_FACTOR, UNCONTROLLED_RATE = 4.0, 0.05
+UNCONTROLLED_FACTOR, UNCONTROLLED_RATE = 3.0, 0.03
 """The same while the old version has hardly any requests, so that a fault of both is not seen."""
 
 CONTROL_SHARE, CONTROL_ANSWERS = 0.04, 10
@@ -44,9 +44,12 @@
 FEW_SERVERS = 2
 """Servers up to which faults of a server are not told from those of the version."""
 
-LEFT_OUT_PART = 4
-"""One in so many servers with bad answers is left out, and one more: the share of the servers that
-may crash or fail on their own at the same time."""
+SERVER_FACTOR, SERVER_ADDITION = 2, 1
+"""Multiple of the median of all servers, and number beyond, up to which the bad answers of a server
+count. Those beyond are its own fault, as when it crashes with requests in flight."""
+
+FIRST_EVENT_MARK = " (first event)"
+"""End of the names under which first events are counted beside the whole streams."""
 
 
 def compare_versions(
@@ -64,24 +67,23 @@
     new_bad = sum(_new_bad(report) - _new_bad(base) for report, base in pairs)
     if new_bad < LEAST_SUSPECT:
         return VersionVerdict()
-    left_out, servers_left = _leave_out_servers(pairs)
-    if servers_left < FEW_SERVERS and left_out:
-        return VersionVerdict()
+    left_out = _count_left_out(pairs)
     routes = _collect_routes(pairs)
     best, best_score = "", -inf
     total_bad, total_expected = 0, 0.0
     figures: dict[str, float] = {}
     for route, evidence in routes.items():
         expected = _expect_bad(evidence)
-        total_bad += evidence.new_bad
-        total_expected += expected
+        if not route.endswith(FIRST_EVENT_MARK):
+            total_bad += evidence.new_bad
+            total_expected += expected
         score = _score(evidence.new_bad - left_out, expected)
         if score > best_score:
             best, best_score, figures = route, score, _figures(evidence, expected)
     total_score = _score(total_bad - left_out, total_expected)
     figures |= {"score": round(max(best_score, total_score), 2), "left_out": left_out}
     strongest = max(best_score, total_score)
-    is_bad = strongest >= BAD_SCORE and total_bad - left_out >= LEAST_BAD
+    is_bad = strongest >= BAD_SCORE and new_bad - left_out >= LEAST_BAD
     return VersionVerdict(
         is_bad,
         strongest >= SUSPECT_SCORE,
@@ -95,14 +97,8 @@
     return 0 if report is None else sum(counts.bad for counts in report.new.values())
 
 
-def _leave_out_servers(
-    pairs: list[tuple[RolloutReport, RolloutReport | None]],
-) -> tuple[int, int]:
-    """Finds bad answers that may be the fault of single servers.
-
-    Returns:
-        The bad answers of the worst servers, and the number of other servers with bad answers.
-    """
+def _count_left_out(pairs: list[tuple[RolloutReport, RolloutReport | None]]) -> int:
+    """Counts the bad answers that may be the fault of single servers."""
     by_server: dict[str, int] = {}
     known = 0
     for report, base in pairs:
@@ -111,11 +107,12 @@
             before = 0 if base is None else base.bad_servers.get(server, 0)
             if bad > before:
                 by_server[server] = by_server.get(server, 0) + bad - before
-    if not by_server or max(known, len(by_server)) <= FEW_SERVERS:
-        return 0, len(by_server)
-    number = 1 + len(by_server) // LEFT_OUT_PART
-    worst = sorted(by_server.values(), reverse=True)[:number]
-    return sum(worst), len(by_server) - number
+    known = max(known, len(by_server))
+    if known <= FEW_SERVERS:
+        return 0
+    numbers = [0] * (known - len(by_server)) + sorted(by_server.values())
+    most = SERVER_FACTOR * numbers[(known - 1) // 2] + SERVER_ADDITION
+    return sum(max(0, number - most) for number in numbers)
 
 
 def _collect_routes(
--- a/src/sapphireledge/core/rollout/exposure_allowance.py
+++ b/src/sapphireledge/core/rollout/exposure_allowance.py
@@ -15,7 +15,7 @@
     Each instance keeps the share for its own requests, so that it holds for their sum without any
     message. The fraction of a request that an instance is left with is rounded at random, once, so
     that the sum over many instances is right on average. Where requests are few, a part of the
-    slack lets a version be observed; it is divided by the number of instances.
+    slack, divided by the number of instances, takes the place of the share.
     """
 
     def __init__(self, limits: RolloutLimits, rng: Random) -> None:
@@ -48,4 +48,5 @@
         Returns:
             Whether it may.
         """
-        return sent + 1 <= share * requests + self._slack + self._rounding
+        slack = min(self._slack, self._limits.slack_share * requests)
+        return sent + 1 <= max(share * requests, slack) + self._rounding
--- a/src/sapphireledge/core/rollout/fleet_load.py
+++ b/src/sapphireledge/core/rollout/fleet_load.py
@@ -18,11 +18,18 @@
 """Answers of the new version, in all and on each route with much traffic, from which it may be
 believed to be good."""
 
+OBSERVED_ANSWERS = 30
+"""Answers of the new version on each route with much traffic from which it has been observed."""
+
 ROUTE_SHARE = 0.05
 """Share of the requests from which a route has much traffic."""
 
 SOME_ANSWERS = 10
-"""Answers of the new version that are enough when there is no time for more."""
+"""Good answers of the new version that are enough when there is no time for more."""
+
+SOME_BAD, SOME_BAD_RATE = 2, 0.1
+"""Bad answers, in number and as a rate beyond twice that of the old version, that are too few to
+speak against it then."""
 
 REFERENCE_ANSWERS = 5
 """Answers from which the mean time of a route is used."""
@@ -41,9 +48,21 @@
         self.new_answers = 0
         """Answers of the new version, failures included."""
 
+        self.new_bad = 0
+        """Bad answers of the new version."""
+
+        self.old_answers = 0
+        """Answers of the old version, failures included."""
+
+        self.old_bad = 0
+        """Bad answers of the old version."""
+
         self.is_proven = False
         """Whether the new version has answered enough to be believed good if nothing was found."""
 
+        self.is_observed = False
+        """Whether it has answered so much that the old version need not be kept for it."""
+
         self.is_comparable = True
         """Whether the new version carries no more load than the old one has shown to bear."""
 
@@ -68,6 +87,12 @@
         self.is_comparable = new_sent <= bound
         self._sum_up(reports)
 
+    @property
+    def looks_bad(self) -> bool:
+        """Whether there are more bad answers than one would move all requests with."""
+        rate = SOME_BAD_RATE + 2.0 * self.old_bad / max(1, self.old_answers)
+        return self.new_bad > max(SOME_BAD, rate * self.new_answers)
+
     def has_some_evidence(self, slack: float) -> bool:
         """Whether the evidence is enough when there is no time for more.
 
@@ -75,13 +100,16 @@
             slack: Requests that a bad version may be given beyond its share.
 
         Returns:
-            Whether the new version answered some requests, or there are hardly any.
+            Whether the new version answered some requests well, or there are hardly any requests.
         """
-        return self.new_answers >= SOME_ANSWERS or self.requests <= slack
+        if self.looks_bad:
+            return False
+        return self.new_answers - self.new_bad >= SOME_ANSWERS or self.requests <= slack
 
     def _sum_up(self, reports: FleetReports) -> None:
         """Sums up all counts since the order."""
-        self.requests = self.new_sent = self.new_answers = 0
+        self.requests = self.new_sent = self.new_answers = self.new_bad = 0
+        self.old_answers = self.old_bad = 0
         sent: dict[str, int] = {}
         answers: dict[str, int] = {}
         timed: dict[str, int] = {}
@@ -91,9 +119,12 @@
             for route, counts in report.new.items():
                 self.new_sent += counts.sent
                 self.new_answers += counts.ended
+                self.new_bad += counts.bad
                 sent[route] = sent.get(route, 0) + counts.sent
                 answers[route] = answers.get(route, 0) + counts.ended
             for route, counts in report.old.items():
+                self.old_answers += counts.ended
+                self.old_bad += counts.bad
                 sent[route] = sent.get(route, 0) + counts.sent
                 timed[route] = timed.get(route, 0) + counts.timed
                 seconds[route] = seconds.get(route, 0.0) + counts.seconds_sum
@@ -103,9 +134,9 @@
             if number >= REFERENCE_ANSWERS
         }
         large = [r for r, number in sent.items() if number >= ROUTE_SHARE * sum(sent.values())]
-        self.is_proven = self.new_answers >= PROVEN_ANSWERS and all(
-            answers.get(route, 0) >= ROUTE_ANSWERS for route in large
-        )
+        fewest = min((answers.get(route, 0) for route in large), default=0)
+        self.is_proven = self.new_answers >= PROVEN_ANSWERS and fewest >= ROUTE_ANSWERS
+        self.is_observed = fewest >= OBSERVED_ANSWERS
 
 
 def _sent(report: RolloutReport | None, *, is_new: bool) -> int:
--- a/src/sapphireledge/core/rollout/own_counts.py
+++ b/src/sapphireledge/core/rollout/own_counts.py
@@ -75,7 +75,7 @@
         is_slow: bool,
         server: str,
     ) -> None:
-        """Counts the end of an attempt.
+        """Counts what an attempt says about its server.
 
         Args:
             route: Route.
@@ -85,7 +85,6 @@
             is_slow: Whether a complete answer was slow.
             server: Name of the server, empty if it is not known.
         """
-        self.old_in_flight -= not is_new
         if result is AnswerQuality.UNKNOWN:
             return
         counts = self._of(route, is_new)
@@ -101,6 +100,14 @@
         if is_new:
             self._count_server(server, is_failed or is_slow)
 
+    def end_attempt(self, is_new: bool) -> None:
+        """Counts an attempt out.
+
+        Args:
+            is_new: Whether it went to the new version.
+        """
+        self.old_in_flight -= not is_new
+
     def versions(self, is_new: bool) -> dict[str, VersionCounts]:
         """Returns the counts of a version.
 
--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.rollout.answer_quality import AnswerQuality
-from sapphireledge.core.rollout.compare_versions import compare_versions
+from sapphireledge.core.rollout.compare_versions import FIRST_EVENT_MARK, compare_versions
 from sapphireledge.core.rollout.exposure_allowance import ExposureAllowance
 from sapphireledge.core.rollout.find_blockers import find_blockers
 from sapphireledge.core.rollout.fleet_load import FleetLoad
@@ -58,9 +58,15 @@
 """Answers of the new version from which requests that must not run twice, and streams, are tried
 before their time."""
 
+OBSERVED_TIME = 8.0
+"""Seconds for which the new version is observed under the whole load, if there is time for it."""
+
 LONGEST_STEP = 1.0
 """Seconds between two evaluations that count for the move at most."""
 
+OVERDUE_FACTOR = 3.0
+"""Multiple of the age of reports that is allowed to an instance that would miss the deadline."""
+
 SETTLE_TIME = 3.0
 """Seconds after an order from which the number of instances is known from their reports."""
 
@@ -99,6 +105,7 @@
         self._writing = ReportWriting(limits)
         self._allowance = ExposureAllowance(limits, rng)
         self._has_slack = False
+        self._least_risk = 2
         self._alive: frozenset[str] = frozenset()
         self._confirmed_at = -inf
         self._sequence = 0
@@ -108,6 +115,7 @@
         self._advanced_at = now
         self._move_base = (0, 0)
         self._is_new_only = False
+        self._finished_at = inf
         self._verdict = ""
         self._comparison = VersionVerdict()
 
@@ -228,12 +236,23 @@
                 started and is still slow for that reason.
             server: Name of the server; failures of a few servers are not those of a version.
         """
-        is_new = version == self._order.target
-        is_slow = seconds is not None and self._is_slow(route, seconds)
-        self._counts.count_result(route, is_new, result, seconds, is_slow, server)
-        is_bad = result is AnswerQuality.FAILED or (result is AnswerQuality.GOOD and is_slow)
-        if is_new and is_bad:
-            self._writing.on_bad(now, self._counts.new_bad)
+        self._counts.end_attempt(version == self._order.target)
+        self._count(now, route, version, result, seconds, server)
+
+    def on_first_event(
+        self, now: float, route: str, version: str, seconds: float | None, *, server: str = ""
+    ) -> None:
+        """Takes in the first event of a stream, which shows a slow server long before the end.
+
+        Args:
+            now: Current time in seconds.
+            route: Route of the request.
+            version: Version of the server.
+            seconds: Time from sending to the event, None if it cannot be compared.
+            server: Name of the server.
+        """
+        name = route + FIRST_EVENT_MARK
+        self._count(now, name, version, AnswerQuality.GOOD, seconds, server)
 
     def is_report_due(self, now: float) -> bool:
         """Whether the report should be written now.
@@ -288,6 +307,23 @@
             self._stage is RolloutStage.FINISH and self._age(now) >= self._schedule.move_streams_at,
         )
 
+    def _count(
+        self,
+        now: float,
+        route: str,
+        version: str,
+        result: AnswerQuality,
+        seconds: float | None,
+        server: str,
+    ) -> None:
+        """Counts what an attempt says about its server."""
+        is_slow = seconds is not None and self._is_slow(route, seconds)
+        is_new = version == self._order.target
+        bad_before = self._counts.new_bad
+        self._counts.count_result(route, is_new, result, seconds, is_slow, server)
+        if self._counts.new_bad > bad_before:
+            self._writing.on_bad(now, self._counts.new_bad)
+
     def _choose(
         self, now: float, may_repeat: bool, is_stream: bool, is_retry: bool
     ) -> VersionChoice:
@@ -318,14 +354,14 @@
 
     def _is_kind_tried(self, now: float, may_repeat: bool, is_stream: bool) -> bool:
         """Whether requests of a kind are tried yet; first those whose failure costs least."""
-        answers, age = self._load.new_answers, self._age(now)
-        is_good_so_far = not self._comparison.is_suspect
-        if is_stream:
-            is_early = answers >= PLAIN_ANSWERS and is_good_so_far
-            return is_early or age >= self._schedule.streams_at
-        if may_repeat:
+        risk = 2 if is_stream else int(not may_repeat)
+        self._least_risk = min(self._least_risk, risk)
+        if risk == self._least_risk and now - self._learnt_at >= SETTLE_TIME:
             return True
-        return (answers >= EARLY_ANSWERS and is_good_so_far) or age >= self._schedule.plain_at
+        enough = (0, EARLY_ANSWERS, PLAIN_ANSWERS)[risk]
+        latest = (0.0, self._schedule.plain_at, self._schedule.streams_at)[risk]
+        is_early = self._load.new_answers >= enough and not self._comparison.is_suspect
+        return is_early or self._age(now) >= latest
 
     def _is_slow(self, route: str, seconds: float) -> bool:
         """Whether an answer took several times as long as those of the old version usually do."""
@@ -339,9 +375,9 @@
         is_heard = self._writing.is_publishing(now, self._number_of_instances())
         return is_heard and self._hears(now)
 
-    def _hears(self, now: float) -> bool:
+    def _hears(self, now: float, factor: float = 1.0) -> bool:
         """Whether the reports of the others are recent enough."""
-        return now - self._confirmed_at <= self._limits.hear_limit
+        return now - self._confirmed_at <= factor * self._limits.hear_limit
 
     def _age(self, now: float) -> float:
         """Seconds since the order, as far as is known."""
@@ -395,6 +431,10 @@
         self._comparison = strongest
         if strongest.is_bad and not self._verdict:
             self._verdict = strongest.reason
+        is_doubtful = strongest.is_suspect or self._load.looks_bad
+        is_overdue = self._age(now) >= self._schedule.force_at and not self._is_new_only
+        if is_overdue and is_doubtful and not self._verdict and self._is_in_touch(now):
+            self._verdict = strongest.reason or "too many bad answers to move by the deadline"
 
     def _grant_slack(self, now: float) -> None:
         """Grants the slack once the number of instances is known, if the order is as new here as
@@ -415,9 +455,11 @@
         since_last = min(now - self._advanced_at, LONGEST_STEP)
         self._advanced_at = now
         if self._hears(now) and self._joins_finish():
-            self._finish()
+            self._finish(now)
         elif not self._is_in_touch(now):
             self._stage, self._share = RolloutStage.WAITING, 0.0
+            if self._is_move_overdue(now):
+                self._finish(now)
         elif self._moved_for is not None:
             if not self._comparison.is_suspect:
                 self._moved_for += since_last
@@ -429,15 +471,25 @@
         else:
             self._set_trial_stage(now)
 
-    def _finish(self) -> None:
+    def _finish(self, now: float) -> None:
         """Leaves the old version."""
         self._stage, self._share, self._is_new_only = RolloutStage.FINISH, 1.0, True
+        self._finished_at = now
+
+    def _is_move_overdue(self, now: float) -> bool:
+        """Whether this instance would miss the deadline only because it hears the others a little
+        too late; by now most of them have moved."""
+        schedule = self._schedule
+        is_late = self._age(now) >= schedule.latest_move_at + 2.0 * schedule.ramp
+        return is_late and self._hears(now, OVERDUE_FACTOR) and self._is_mostly_left()
 
     def _joins_finish(self) -> bool:
         """Whether this instance started late and most others have left the old version: it would
         send requests to servers that the others are about to have stopped."""
-        if self._learnt_at - self._ordered_at <= SETTLE_TIME:
-            return False
+        return self._learnt_at - self._ordered_at > SETTLE_TIME and self._is_mostly_left()
+
+    def _is_mostly_left(self) -> bool:
+        """Whether most of the other instances have left the old version."""
         others = [r for _, r in self._reports.current() if r.instance != self._instance]
         return 2 * sum(report.new_only for report in others) > len(others)
 
@@ -459,10 +511,12 @@
         if step < len(MOVE_SHARES):
             share = MOVE_SHARES[step]
             self._share = share if self._load.is_comparable else min(share, HELD_SHARE)
+            if self._comparison.is_suspect:
+                self._share = MOVE_SHARES[0]
         elif self._comparison.is_suspect:
-            self._share = MOVE_SHARES[-1]
+            self._share = MOVE_SHARES[0]
         elif self._load.is_comparable or is_late:
-            self._finish()
+            self._finish(now)
         else:
             self._share = HELD_SHARE
 
@@ -482,6 +536,9 @@
             return RolloutState.ROLLED_BACK, self._verdict
         if not self._is_new_only or not self._is_in_touch(now):
             return None, ""
+        is_observed = self._load.is_observed and now - self._finished_at >= OBSERVED_TIME
+        if not is_observed and self._age(now) < self._schedule.move_streams_at:
+            return None, "observing the new version under the whole load"
         is_forced = self._age(now) >= self._schedule.force_at
         blockers = find_blockers(
             now, self._reports, self._alive, self._limits.gone_after, is_forced=is_forced
--- a/src/sapphireledge/core/rollout/rollout_limits.py
+++ b/src/sapphireledge/core/rollout/rollout_limits.py
@@ -37,14 +37,18 @@
     slack_part: float = 0.5
     """Part of `exposed_slack` that is used; the rest covers rounding at many instances."""
 
+    slack_share: float = 0.4
+    """Largest share of the requests that is given to the new version by use of the slack; the old
+    one needs requests for a comparison."""
+
     fleet_part: float = 0.7
     """Part of both that all instances may have used together, as far as is known, before they
     pause: a second line for instances that start again and again."""
 
-    publish_part: float = 0.3
+    publish_part: float = 0.25
     """Part of `rollback_delay` after which an instance whose bad answers are not stored stops."""
 
-    hear_part: float = 0.5
+    hear_part: float = 0.6
     """Part of `rollback_delay` after which an instance that does not hear the others stops."""
 
     report_part: float = 0.1
