--- a/soak/store.py
+++ b/soak/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -26,6 +27,10 @@
         """Whether requests are executed, but their answers are held back for 60 s."""
         self.outage_changed_at = time.monotonic()
         """Time at which the last outage started or ended."""
+        self.calls: Counter[str] = Counter()
+        """Calls by method and kind."""
+        self.status_writes: list[tuple[str, object]] = []
+        """Statuses that instances wrote, with the names of their objects."""
         self._objects: dict[str, dict[str, dict]] = {}
         self._changes: list[tuple[int, str, dict, bool]] = []
         self._oldest = 0
@@ -43,12 +48,27 @@
         Returns:
             Time of the acknowledgement.
         """
-        self.revision += 1
-        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
-        self._objects.setdefault(kind, {})[name] = item
-        self._record_change(kind, item, removed=False)
+        known = self._objects.get(kind, {}).get(name)
+        self._replace(kind, name, spec, None if known is None else known["status"])
         return time.monotonic()
 
+    def get(self, kind: str, name: str) -> dict | None:
+        """Returns an object as the store answers with it, None if it does not exist."""
+        return self._objects.get(kind, {}).get(name)
+
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of the objects of a kind."""
+        return list(self._objects.get(kind, {}))
+
+    def _replace(self, kind: str, name: str, spec: object, status: object) -> None:
+        """Writes an object with a new revision."""
+        self.revision += 1
+        objects = self._objects.setdefault(kind, {})
+        created = objects[name]["metadata"]["created"] if name in objects else self.revision
+        metadata = {"name": name, "revision": self.revision, "created": created}
+        objects[name] = {"metadata": metadata, "spec": spec, "status": status}
+        self._record_change(kind, objects[name], removed=False)
+
     def remove(self, kind: str, name: str) -> float:
         """Removes an object.
 
@@ -99,8 +119,10 @@
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         kind, _, name = url.path.removeprefix("/objects/").partition("/")
+        self.calls[f"{request.method} {kind}{'/status' if name.endswith('/status') else ''}"] += 1
         if request.method in ("POST", "PUT"):
             document = msgspec.json.decode(request.body)
+            name, _, part = name.partition("/")
             name = name or document["metadata"]["name"]
             existing = self._objects.get(kind, {}).get(name)
             if existing is not None and request.method == "POST":
@@ -110,8 +132,16 @@
             expected = document["metadata"].get("revision")
             if existing is not None and expected not in (None, existing["metadata"]["revision"]):
                 return 409, existing
-            self.put(kind, name, document["spec"])
+            if part == "status":
+                assert existing is not None
+                self._replace(kind, name, existing["spec"], document["status"])
+                self.status_writes.append((name, document["status"]))
+            else:
+                self.put(kind, name, document["spec"])
             return 200, self._objects[kind][name]
+        if name:
+            found = self.get(kind, name)
+            return (404, {}) if found is None else (200, found)
         if "watch" not in query:
             items = list(self._objects.get(kind, {}).values())
             return 200, {"items": items, "more": False, "store_revision": self.revision}
--- /dev/null
+++ b/src/sapphireledge/platform/create_parts.py
@@ -0,0 +1,117 @@
+"""Creates the parts of an entry instance that exchange objects with the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sapphireledge.feed import FeedRunner, KindActivity, KindFeed, KindWatcher, StorePresence
+from sapphireledge.platform.config_listener import ConfigListener
+from sapphireledge.platform.crash_report_listener import CrashReportListener
+from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND
+from sapphireledge.platform.decode_rollout import ROLLOUT_KIND
+from sapphireledge.platform.rollout_listener import RolloutListener
+from sapphireledge.platform.rollout_report_listener import RolloutReportListener
+from sapphireledge.platform.rollout_report_writer import ROLLOUT_REPORT_KIND, RolloutReportWriter
+from sapphireledge.platform.rollout_status_writer import RolloutStatusWriter
+from sapphireledge.platform.server_listener import ServerListener
+from sapphireledge.platform.store_client import StoreClient
+
+if TYPE_CHECKING:
+    from sapphireledge.feed import KindListener, StoreEpoch
+    from sapphireledge.gateway import Gateway, GatewayMetrics, RolloutGuard
+    from sapphireledge.platform.node_settings import NodeSettings
+
+__all__ = ["create_feed_runner", "create_rollout_parts", "create_store_client"]
+
+
+def create_feed_runner(
+    cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
+) -> FeedRunner:
+    """Creates the feeds that keep the gateway's configuration and registry up to date.
+
+    Args:
+        cfg: Settings of the process.
+        gateway: Gateway that the objects are for.
+        metrics: Metrics of the process.
+        epoch: Notices that the store came back from an older copy.
+
+    Returns:
+        The runner.
+    """
+    listeners: dict[str, KindListener] = {
+        "config": ConfigListener(gateway.config),
+        "servers": ServerListener(gateway, cfg.backend_heartbeat),
+        CRASH_REPORT_KIND: CrashReportListener(gateway.context.crashes),
+    }
+    rollouts = gateway.context.rollouts
+    activity = KindActivity()
+    if cfg.gateway.rollout is not None:
+        listeners[ROLLOUT_KIND] = RolloutListener(rollouts)
+        listeners[ROLLOUT_REPORT_KIND] = RolloutReportListener(rollouts)
+        rollouts.on_activity = lambda is_active: activity.update(active=is_active)
+    feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
+    presence = StorePresence()
+    watchers = [
+        KindWatcher(
+            create_store_client(cfg, metrics, epoch, has_records=kind_cfg.has_records),
+            feeds[kind_cfg.kind],
+            kind_cfg,
+            cfg.feed,
+            presence,
+            None if kind_cfg.quiet_wait is None else activity,
+        )
+        for kind_cfg in cfg.feed.kinds
+    ]
+    directory = create_store_client(cfg, metrics, epoch)
+    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch)
+
+
+def create_rollout_parts(
+    cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
+) -> list[RolloutGuard | RolloutReportWriter | RolloutStatusWriter]:
+    """Creates the parts that run roll-outs, none where versions are not rolled out.
+
+    Args:
+        cfg: Settings of the process.
+        gateway: Gateway that the objects are for.
+        metrics: Metrics of the process.
+        epoch: Notices that the store came back from an older copy.
+
+    Returns:
+        The parts.
+    """
+    if cfg.gateway.rollout is None:
+        return []
+    rollouts = gateway.context.rollouts
+    reports = RolloutReportWriter(
+        create_store_client(cfg, metrics, epoch), rollouts, cfg.gateway.instance
+    )
+    epoch.subscribe(reports.on_store_restored)
+    statuses = RolloutStatusWriter(
+        create_store_client(cfg, metrics, epoch),
+        rollouts,
+        lambda: gateway.context.count_instances(),
+    )
+    return [rollouts, reports, statuses]
+
+
+def create_store_client(
+    cfg: NodeSettings, metrics: GatewayMetrics, epoch: StoreEpoch, *, has_records: bool = False
+) -> StoreClient:
+    """Creates a client whose calls are counted in the metrics.
+
+    Args:
+        cfg: Settings of the process.
+        metrics: Metrics of the process.
+        epoch: Notices that the store came back from an older copy.
+        has_records: Whether the client reads status and versions of objects, too.
+
+    Returns:
+        The client.
+    """
+    return StoreClient(
+        cfg.store,
+        epoch,
+        lambda kind, result: metrics.store_calls.labels(kind, result).inc(),
+        has_records=has_records,
+    )
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -13,14 +13,7 @@
 import msgspec
 import structlog
 
-from sapphireledge.feed import (
-    FeedRunner,
-    KindActivity,
-    KindFeed,
-    KindWatcher,
-    StoreEpoch,
-    StorePresence,
-)
+from sapphireledge.feed import StoreEpoch
 from sapphireledge.gateway import (
     BoundedLog,
     Gateway,
@@ -29,25 +22,20 @@
     GatewayServer,
     RequestTelemetry,
 )
-from sapphireledge.platform.config_listener import ConfigListener
-from sapphireledge.platform.crash_report_listener import CrashReportListener
-from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND, CrashReportWriter
-from sapphireledge.platform.decode_rollout import ROLLOUT_KIND
+from sapphireledge.platform.crash_report_writer import CrashReportWriter
+from sapphireledge.platform.create_parts import (
+    create_feed_runner,
+    create_rollout_parts,
+    create_store_client,
+)
 from sapphireledge.platform.node_settings import NodeSettings, load_node_settings
 from sapphireledge.platform.platform_dialect import PlatformDialect
-from sapphireledge.platform.rollout_listener import RolloutListener
-from sapphireledge.platform.rollout_report_listener import RolloutReportListener
-from sapphireledge.platform.rollout_report_writer import ROLLOUT_REPORT_KIND, RolloutReportWriter
-from sapphireledge.platform.rollout_status_writer import RolloutStatusWriter
-from sapphireledge.platform.server_listener import ServerListener
 from sapphireledge.platform.settings_reloader import SettingsReloader
-from sapphireledge.platform.store_client import StoreClient
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from sapphireledge.feed import KindListener
-    from sapphireledge.gateway import RolloutGuard
+    from sapphireledge.feed import FeedRunner
 
 __all__ = ["main"]
 
@@ -85,13 +73,13 @@
     gateway = Gateway(cfg.gateway, PlatformDialect(), RequestTelemetry(metrics))
     server = GatewayServer(gateway, metrics)
     epoch = StoreEpoch()
-    runner = _create_feed_runner(cfg, gateway, metrics, epoch)
+    runner = create_feed_runner(cfg, gateway, metrics, epoch)
     gateway.context.count_instances = lambda: runner.instance_count
     writer = CrashReportWriter(
-        _create_store_client(cfg, metrics, epoch), gateway.context.crashes, cfg.gateway.instance
+        create_store_client(cfg, metrics, epoch), gateway.context.crashes, cfg.gateway.instance
     )
     epoch.subscribe(writer.on_store_restored)
-    parts = [runner, writer, *_create_rollout_parts(cfg, gateway, metrics, epoch)]
+    parts = [runner, writer, *create_rollout_parts(cfg, gateway, metrics, epoch)]
     reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -107,75 +95,12 @@
             task.cancel()
 
 
-def _create_feed_runner(
-    cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
-) -> FeedRunner:
-    """Creates the feeds that keep the gateway's configuration and registry up to date."""
-    listeners: dict[str, KindListener] = {
-        "config": ConfigListener(gateway.config),
-        "servers": ServerListener(gateway, cfg.backend_heartbeat),
-        CRASH_REPORT_KIND: CrashReportListener(gateway.context.crashes),
-    }
-    rollouts = gateway.context.rollouts
-    activity = KindActivity()
-    if cfg.gateway.rollout is not None:
-        listeners[ROLLOUT_KIND] = RolloutListener(rollouts)
-        listeners[ROLLOUT_REPORT_KIND] = RolloutReportListener(rollouts)
-        rollouts.on_activity = lambda is_active: activity.update(active=is_active)
-    feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
-    presence = StorePresence()
-    watchers = [
-        KindWatcher(
-            _create_store_client(cfg, metrics, epoch, has_records=kind_cfg.has_records),
-            feeds[kind_cfg.kind],
-            kind_cfg,
-            cfg.feed,
-            presence,
-            None if kind_cfg.quiet_wait is None else activity,
-        )
-        for kind_cfg in cfg.feed.kinds
-    ]
-    directory = _create_store_client(cfg, metrics, epoch)
-    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch)
-
-
 def _begin_shutdown(server: GatewayServer, runner: FeedRunner) -> None:
     """Begins a graceful shutdown."""
     runner.stop_relaying()
     server.request_stop()
 
 
-def _create_rollout_parts(
-    cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
-) -> list[RolloutGuard | RolloutReportWriter | RolloutStatusWriter]:
-    """Creates the parts that run roll-outs, none where versions are not rolled out."""
-    if cfg.gateway.rollout is None:
-        return []
-    rollouts = gateway.context.rollouts
-    reports = RolloutReportWriter(
-        _create_store_client(cfg, metrics, epoch), rollouts, cfg.gateway.instance
-    )
-    epoch.subscribe(reports.on_store_restored)
-    statuses = RolloutStatusWriter(
-        _create_store_client(cfg, metrics, epoch),
-        rollouts,
-        lambda: gateway.context.count_instances(),
-    )
-    return [rollouts, reports, statuses]
-
-
-def _create_store_client(
-    cfg: NodeSettings, metrics: GatewayMetrics, epoch: StoreEpoch, *, has_records: bool = False
-) -> StoreClient:
-    """Creates a client whose calls are counted in the metrics."""
-    return StoreClient(
-        cfg.store,
-        epoch,
-        lambda kind, result: metrics.store_calls.labels(kind, result).inc(),
-        has_records=has_records,
-    )
-
-
 def _configure_logging() -> None:
     """Configures logging as JSON lines on standard output."""
     structlog.configure(
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -1,168 +1,228 @@
-"""Instances in a roll-out that hear each other late, with requests, servers and a store."""
+"""Entry instances, a store and scripted servers of two versions, for tests of roll-outs."""
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
-
-from sapphireledge.core.rollout import (
-    AnswerQuality,
-    Rollout,
-    RolloutLimits,
-    RolloutOrder,
-    RolloutReport,
-    RolloutState,
-    VersionChoice,
-)
-
-STEP = 0.1
-ROUTES = {"book": (False, False, 0.045), "lookup": (True, False, 0.045), "draft": (True, True, 8.0)}
-"""Whether a request may be repeated, whether it is a stream, and its usual seconds."""
-
-
-@dataclass
-class Answer:
-    """What a server does with a request."""
-
-    failed: bool = False
-    factor: float = 1.0
-
-
-Behaviour = Callable[["RolloutFleet", str, str, int, str], Answer]
-"""Answers by version, route, instance and server."""
-
-
-@dataclass
-class Node:
-    """An instance and what it has of the store."""
-
-    rollout: Rollout
-    delay: float
-    next_decision: float
-    state: RolloutState = RolloutState.RUNNING
-    in_flight: list[tuple[float, str, str, str, float, Answer, bool]] = field(default_factory=list)
-
-
-class RolloutFleet:
-    """Times are in seconds since the order; `rate` is the requests of the fleet per second."""
-
-    def __init__(self, behaviour: Behaviour, *, seed=1, nodes=9, rate=90.0, duration=120.0):
-        self.rng, self.behaviour, self.rate, self.duration = (
-            random.Random(seed),
-            behaviour,
-            rate,
-            duration,
+import asyncio
+import contextlib
+import socket
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import msgspec
+from gateway_case import HOST, ReceivedRequest, ScriptedServer, read_response, signed_response
+
+from sapphireledge.feed import StoreEpoch
+from sapphireledge.gateway import Gateway, GatewayMetrics, RequestTelemetry
+from sapphireledge.platform.create_parts import create_feed_runner, create_rollout_parts
+from sapphireledge.platform.node_settings import load_node_settings
+from sapphireledge.platform.platform_dialect import PlatformDialect
+from soak.store import Store
+
+SERVICE = "app"
+OLD, NEW = "v1", "v2"
+ROUTE = {
+    "name": "r-read",
+    "host": "svc.example",
+    "path_prefix": "/read/",
+    "kind": "safe",
+    "timeout_ms": 2000,
+    "goal_ms": 500,
+    "priority": 0,
+    "service": SERVICE,
+    "max_attempts": 3,
+    "anonymous": True,
+}
+STREAM_ROUTE = {
+    **ROUTE,
+    "name": "r-stream",
+    "path_prefix": "/stream/",
+    "kind": "streaming",
+    "timeout_ms": 20000,
+    "resumable": True,
+}
+CONFIG = {
+    "version": 1,
+    "routes": [ROUTE, STREAM_ROUTE],
+    "services": [{"name": SERVICE, "max_conns": 100}],
+    "limits": {},
+    "tenants": [],
+}
+
+
+class Instance:
+    """One entry instance with all of its parts, in the process of the test."""
+
+    def __init__(self, name: str, store: Store, folder: Path, **bounds: float) -> None:
+        self.name = name
+        with socket.create_server((HOST, 0)) as reserved:
+            peer_port = reserved.getsockname()[1]
+        path = folder / f"{name}.json"
+        path.write_bytes(
+            msgspec.json.encode(
+                {
+                    "node_name": name,
+                    "zone": "dc-a",
+                    "listen": {"front": f"{HOST}:80", "ready": f"{HOST}:81"},
+                    "port_range": [peer_port, peer_port],
+                    "platform": {"address": f"{HOST}:{store.port}"},
+                    "contracts": ["base", "rollout"],
+                    "bounds": bounds,
+                }
+            )
         )
-        self.limits, self.now, self.count = RolloutLimits(), 0.0, nodes
-        self.order = RolloutOrder("booking", "v2", duration, f"order-{seed}")
-        self.stored: dict[str, list[tuple[float, RolloutReport]]] = {}
-        self.status = [(0.0, RolloutState.RUNNING)]
-        self.store_up: Callable[[float], bool] = lambda now: True
-        self.is_cut: Callable[[int, float], bool] = lambda node, now: False
-        self.status_write_delay = 0.05
-        self.late_status: list[tuple[float, RolloutState]] = []
-        self.requests = self.new_sent = self.lost_at_old = 0
-        self.sent_new_at: list[float] = []
-        self.bad_at: list[float] = []
-        self.stop_servers_at: float | None = None
-        self.nodes = {i: self.start(i, self.rng.uniform(0.5, 3.0)) for i in range(nodes)}
-
-    def start(self, number: int, learns_in: float = 1.0) -> Node:
-        """Starts an instance, or starts it again."""
-        at = self.now + learns_in
-        rollout = Rollout(self.limits, self.order, f"node-{number}", at, self.rng)
-        return Node(rollout, self.rng.uniform(0.5, 2.0), at)
-
-    def run(self, until: float) -> RolloutFleet:
-        """Runs until a time or, some seconds after it, the final status."""
-        while self.now < until:
-            self.now = round(self.now + STEP, 3)
-            for number, node in self.nodes.items():
-                self._end_requests(node)
-                self._hear(number, node)
-                if self.now >= node.next_decision:
-                    self._evaluate(number, node)
-                for _ in range(self._arrivals()):
-                    self._send(number, node)
-            for at, state in list(self.late_status):
-                if at <= self.now:
-                    self.late_status.remove((at, state))
-                    self._apply_status(state)
-        return self
-
-    def _arrivals(self) -> int:
-        mean = self.rate * STEP / self.count
-        return int(mean) + (self.rng.random() < mean % 1)
-
-    def _reaches_store(self, number: int, now: float) -> bool:
-        return self.store_up(now) and not self.is_cut(number, now)
-
-    def _hear(self, number: int, node: Node) -> None:
-        """An instance hears what the store held some time ago."""
-        if self.rng.random() < 0.005:
-            node.delay = self.rng.uniform(0.5, 3.0)
-        as_of = self.now - node.delay
-        if self._reaches_store(number, self.now) and self._reaches_store(number, as_of):
-            heard = [[r for at, r in log if at <= as_of][-1:] for log in self.stored.values()]
-            node.rollout.on_reports(self.now, [r for item in heard for r in item])
-            node.rollout.on_feed_confirmed(as_of)
-            if self.status[-1][0] <= as_of and self.status[-1][1] is not RolloutState.RUNNING:
-                node.rollout.on_status(self.now, self.status[-1][1])
-
-    def _evaluate(self, number: int, node: Node) -> None:
-        node.next_decision = self.now + 0.5
-        reaches = self._reaches_store(number, self.now)
-        decision = node.rollout.decide(self.now)
-        if decision.proposed and reaches:
-            self.late_status.append((self.now + self.status_write_delay, decision.proposed))
-        if node.rollout.is_report_due(self.now):
-            report = node.rollout.report(self.now)
-            if reaches and self.rng.random() > 0.1:
-                self.stored.setdefault(report.instance, []).append((self.now + 0.1, report))
-                node.rollout.on_report_written(self.now, report.sequence)
-
-    def _apply_status(self, state: RolloutState) -> None:
-        """The store accepts the first final status only."""
-        if self.store_up(self.now) and self.status[-1][1] is RolloutState.RUNNING:
-            self.status.append((self.now, state))
-            if state is RolloutState.COMPLETED:
-                self.lost_at_old += sum(
-                    version == "v1"
-                    for n in self.nodes.values()
-                    for _, _, version, *_ in n.in_flight
-                )
-
-    def _send(self, number: int, node: Node, route: str = "", is_retry: bool = False) -> None:
-        route = route or self.rng.choices(list(ROUTES), (5, 4, 1))[0]
-        may_repeat, is_stream, seconds = ROUTES[route]
-        rule = node.rollout.choose(
-            self.now, may_repeat=may_repeat, is_stream=is_stream, is_retry=is_retry
+        self.cfg = load_node_settings(path)
+        self.metrics = GatewayMetrics()
+        self.gateway = Gateway(self.cfg.gateway, PlatformDialect(), RequestTelemetry(self.metrics))
+        self.rollouts = self.gateway.context.rollouts
+        self.port = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Starts the parts and listens for callers."""
+        epoch = StoreEpoch()
+        runner = create_feed_runner(self.cfg, self.gateway, self.metrics, epoch)
+        self.gateway.context.count_instances = lambda: runner.instance_count
+        parts = create_rollout_parts(self.cfg, self.gateway, self.metrics, epoch)
+        self._tasks = [asyncio.create_task(part.run()) for part in (runner, *parts)]
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self.gateway.create_protocol, HOST, 0)
+        self.port = self._listener.sockets[0].getsockname()[1]
+        async with asyncio.timeout(10.0):
+            while not self.gateway.is_ready:
+                await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """Ends the instance without warning."""
+        self._listener.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.gateway.context.pool.close()
+
+
+class RolloutFleetCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a store and instances, and sends requests to them in turn."""
+
+    bounds: dict[str, float] = {}
+    """Bounds of the settings."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.store = Store()
+        await self.store.start()
+        self.store.put("config", "main", CONFIG)
+        self.instances: list[Instance] = []
+        self.servers: list[ScriptedServer] = []
+        self.sent: list[tuple[float, str, int]] = []
+        """Time, version and status of each request that reached a server."""
+        self.answers: list[int] = []
+        """Status of each answer that reached a caller."""
+        self.is_bad = False
+        """Whether servers of the new version fail every request."""
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._count = 0
+
+    async def asyncTearDown(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for instance in self.instances:
+            await instance.stop()
+        for server in self.servers:
+            server.stop()
+
+    async def add_instances(self, number: int) -> None:
+        """Starts instances."""
+        names = [f"e{len(self.instances) + i}" for i in range(number)]
+        started = [Instance(name, self.store, self.folder, **self.bounds) for name in names]
+        self.instances += started
+        await asyncio.gather(*(instance.start() for instance in started))
+
+    async def add_servers(self, version: object, number: int, handle=None) -> list[ScriptedServer]:
+        """Starts servers of a version and registers them."""
+
+        async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            status = 500 if self.is_bad and version == NEW else 200
+            self.sent.append((time.monotonic(), str(version), status))
+            await asyncio.sleep(0.01)
+            writer.write(signed_response(request, status=status))
+            await writer.drain()
+
+        added = []
+        for _ in range(number):
+            server = ScriptedServer(f"s{len(self.servers)}", handle or answer)
+            await server.start()
+            self.servers.append(server)
+            added.append(server)
+            entry = {
+                "service": SERVICE,
+                "address": f"{HOST}:{server.port}",
+                "zone": "dc-a",
+                "version": version,
+                "slots": 8,
+                "state": "ready",
+            }
+            self.store.put("servers", server.server_id, entry)
+        return added
+
+    def order(self, target: object = NEW, duration: float = 20.0, **fields: object) -> float:
+        """Writes an order; returns the time."""
+        spec = {"service": SERVICE, "target": target, "duration_s": duration, **fields}
+        return self.store.put("rollouts", SERVICE, spec)
+
+    def status(self) -> tuple[object, object]:
+        """Returns state and target of the stored status, None without one."""
+        stored = self.store.get("rollouts", SERVICE)
+        status = (stored or {}).get("status") or {}
+        return status.get("state"), status.get("target")
+
+    async def wait_for_status(self, state: str, limit: float, target: object = NEW) -> None:
+        """Waits until the status has a state."""
+        await self.wait_until(lambda: self.status() == (state, target), limit)
+
+    async def wait_until(self, condition, limit: float) -> None:
+        """Waits until a condition holds."""
+        deadline = time.monotonic() + limit
+        while not condition():
+            self.assertLess(time.monotonic(), deadline, f"status {self.status()}")
+            await asyncio.sleep(0.05)
+
+    def start_traffic(self, per_second: float, path: str = "/read/x") -> None:
+        """Sends requests to the instances in turn until the end of the test."""
+        task = asyncio.create_task(self._send_all(per_second, path))
+        self._tasks.add(task)
+
+    async def call(self, instance: Instance, path: str = "/read/x", method: str = "GET"):
+        """Sends one request to an instance and reads the response."""
+        self._count += 1
+        reader, writer = await asyncio.open_connection(HOST, instance.port)
+        writer.write(
+            f"{method} {path} HTTP/1.1\r\nhost: svc.example\r\n"
+            f"x-sapphireledge-request-id: id{self._count}\r\n"
+            "x-sapphireledge-deadline-ms: 15000\r\ncontent-length: 0\r\n\r\n".encode()
         )
-        is_new = rule.choice in (VersionChoice.NEW_ONLY, VersionChoice.NEW_FIRST)
-        version = "v2" if is_new else "v1"
-        if self.now <= self.duration:
-            self.requests += not is_retry
-            self.new_sent += is_new
-        if is_new:
-            self.sent_new_at.append(self.now)
-        elif self.status[-1][1] is RolloutState.COMPLETED:
-            self.lost_at_old += 1
-        server = f"{version}-{self.rng.randrange(6)}"
-        answer = self.behaviour(self, version, route, number, server)
-        seconds *= answer.factor * self.rng.lognormvariate(0.0, 0.3)
-        node.rollout.on_sent(self.now, route, version, is_retry=is_retry)
-        end = self.now + (0.3 * seconds if answer.failed else seconds)
-        node.in_flight.append((end, route, version, server, seconds, answer, is_retry))
-
-    def _end_requests(self, node: Node) -> None:
-        ended = [item for item in node.in_flight if item[0] <= self.now]
-        node.in_flight = [item for item in node.in_flight if item[0] > self.now]
-        for _, route, version, server, seconds, answer, is_retry in ended:
-            quality = AnswerQuality.FAILED if answer.failed else AnswerQuality.GOOD
-            node.rollout.on_result(self.now, route, version, quality, seconds, server=server)
-            if version == "v2" and (answer.failed or answer.factor >= 3.0):
-                self.bad_at.append(self.now)
-            if answer.failed and ROUTES[route][0] and not is_retry:
-                number = next(i for i, other in self.nodes.items() if other is node)
-                self._send(number, node, route, is_retry=True)
+        try:
+            return await read_response(reader)
+        finally:
+            writer.close()
+
+    def share(self, version: str, since: float) -> float:
+        """Returns the share of a version in what the servers got since a time."""
+        versions = [sent for at, sent, _ in self.sent if at >= since]
+        return versions.count(version) / max(1, len(versions))
+
+    async def _send_all(self, per_second: float, path: str) -> None:
+        while True:
+            for instance in tuple(self.instances):
+                task = asyncio.create_task(self._send(instance, path))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+                await asyncio.sleep(1.0 / per_second)
+
+    async def _send(self, instance: Instance, path: str) -> None:
+        with contextlib.suppress(OSError, TimeoutError):
+            self.answers.append((await self.call(instance, path)).status)
