--- a/soak/store.py
+++ b/soak/store.py
@@ -29,6 +29,8 @@
         """Time at which the last outage started or ended."""
         self.calls: Counter[str] = Counter()
         """Calls by method and kind."""
+        self.lost_status_answers = 0
+        """Writes of a status that are executed next and not answered."""
         self.status_writes: list[tuple[str, object]] = []
         """Statuses that instances wrote, with the names of their objects."""
         self._objects: dict[str, dict[str, dict]] = {}
@@ -52,6 +54,10 @@
         self._replace(kind, name, spec, None if known is None else known["status"])
         return time.monotonic()
 
+    def set_status(self, kind: str, name: str, status: object) -> None:
+        """Writes a status on behalf of another instance."""
+        self._replace(kind, name, self._objects[kind][name]["spec"], status)
+
     def get(self, kind: str, name: str) -> dict | None:
         """Returns an object as the store answers with it, None if it does not exist."""
         return self._objects.get(kind, {}).get(name)
@@ -105,6 +111,8 @@
                 if self.response_delay:
                     await asyncio.sleep(self.response_delay)
                 status, body = await self._answer(request)
+                if status == 0:
+                    break
                 if self.lose_answers:
                     await asyncio.sleep(60)
                 writer.write(encode_response(status, {}, msgspec.json.encode(body)))
@@ -119,7 +127,7 @@
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         kind, _, name = url.path.removeprefix("/objects/").partition("/")
-        self.calls[f"{request.method} {kind}{'/status' if name.endswith('/status') else ''}"] += 1
+        self.calls[f"{request.method} {url.path.removeprefix('/objects/')}"] += 1
         if request.method in ("POST", "PUT"):
             document = msgspec.json.decode(request.body)
             name, _, part = name.partition("/")
@@ -136,6 +144,9 @@
                 assert existing is not None
                 self._replace(kind, name, existing["spec"], document["status"])
                 self.status_writes.append((name, document["status"]))
+                if self.lost_status_answers:
+                    self.lost_status_answers -= 1
+                    return 0, {}
             else:
                 self.put(kind, name, document["spec"])
             return 200, self._objects[kind][name]
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -8,7 +8,9 @@
 import tempfile
 import time
 import unittest
+from collections.abc import Sequence
 from pathlib import Path
+from typing import ClassVar
 
 import msgspec
 from gateway_case import HOST, ReceivedRequest, ScriptedServer, read_response, signed_response
@@ -54,7 +56,9 @@
 class Instance:
     """One entry instance with all of its parts, in the process of the test."""
 
-    def __init__(self, name: str, store: Store, folder: Path, **bounds: float) -> None:
+    def __init__(
+        self, name: str, store: Store, folder: Path, contracts: Sequence[str], **bounds: float
+    ) -> None:
         self.name = name
         with socket.create_server((HOST, 0)) as reserved:
             peer_port = reserved.getsockname()[1]
@@ -67,7 +71,7 @@
                     "listen": {"front": f"{HOST}:80", "ready": f"{HOST}:81"},
                     "port_range": [peer_port, peer_port],
                     "platform": {"address": f"{HOST}:{store.port}"},
-                    "contracts": ["base", "rollout"],
+                    "contracts": contracts,
                     "bounds": bounds,
                 }
             )
@@ -105,7 +109,10 @@
 class RolloutFleetCase(unittest.IsolatedAsyncioTestCase):
     """Starts a store and instances, and sends requests to them in turn."""
 
-    bounds: dict[str, float] = {}
+    contracts: Sequence[str] = ("base", "rollout")
+    """Contracts in force."""
+
+    bounds: ClassVar[dict[str, float]] = {}
     """Bounds of the settings."""
 
     async def asyncSetUp(self) -> None:
@@ -138,7 +145,9 @@
     async def add_instances(self, number: int) -> None:
         """Starts instances."""
         names = [f"e{len(self.instances) + i}" for i in range(number)]
-        started = [Instance(name, self.store, self.folder, **self.bounds) for name in names]
+        started = [
+            Instance(name, self.store, self.folder, self.contracts, **self.bounds) for name in names
+        ]
         self.instances += started
         await asyncio.gather(*(instance.start() for instance in started))
 
@@ -210,6 +219,10 @@
         finally:
             writer.close()
 
+    def times(self, version: str) -> list[float]:
+        """Returns the times at which servers of a version got requests."""
+        return [at for at, sent, _ in self.sent if sent == version]
+
     def share(self, version: str, since: float) -> float:
         """Returns the share of a version in what the servers got since a time."""
         versions = [sent for at, sent, _ in self.sent if at >= since]
--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -6,42 +6,257 @@
 import time
 import unittest
 
-from rollout_fleet import NEW, OLD, RolloutFleetCase
+from gateway_case import chunk, event, stream_head
+from rollout_fleet import NEW, OLD, SERVICE, RolloutFleetCase
+
+from sapphireledge.core.rollout import RolloutOrder, RolloutState
+from sapphireledge.gateway import StoredOrder
+from sapphireledge.platform.decode_rollout import decode_rollout
+
+ROLLBACK = 5.0
+"""Seconds after the 50th bad answer in which the new version may get requests."""
 
 
 class RolloutTest(RolloutFleetCase):
+    async def start_fleet(self, instances: int, per_second: float, servers: int = 2) -> None:
+        """Starts instances with servers of both versions, and traffic."""
+        await self.add_servers(OLD, servers)
+        await self.add_instances(instances)
+        self.start_traffic(per_second)
+        await self.add_servers(NEW, servers)
+
+    def count_reports(self) -> int:
+        """Counts the calls that wrote reports."""
+        calls = self.store.calls.items()
+        return sum(number for call, number in calls if call.startswith("PUT rollout-reports/"))
+
+    def assert_nothing_new_since(self, moment: float) -> None:
+        """Checks that the new version got no request after a time."""
+        self.assertEqual([at for at in self.times(NEW) if at > moment], [])
+
     async def test_good_version_is_completed_when_nothing_runs_on_the_old_one(self):
         """Guards against a good version that does not get the traffic, and an early completion."""
-        await self.add_servers(OLD, 2)
-        await self.add_instances(2)
-        self.start_traffic(60.0)
-        await self.add_servers(NEW, 2)
+        await self.start_fleet(2, 60.0)
         ordered_at = self.order(duration=16.0)
         await self.wait_for_status("running", 5.0)
+        await self.wait_until(lambda: self.times(NEW), 8.0)
+        self.assertLess(self.share(NEW, ordered_at), 0.2)
         await self.wait_for_status("completed", 16.0)
         completed_at = time.monotonic()
-        print("completed after", completed_at - ordered_at, self.share(NEW, ordered_at))
         await asyncio.sleep(1.0)
         self.assertEqual(self.share(OLD, completed_at), 0.0)
-        self.assertLessEqual({*self.answers}, {200})
+        self.assertEqual({*self.answers}, {200})
+        # The reports are written only while an order is running.
+        written = self.count_reports()
+        await asyncio.sleep(2.5)
+        self.assertEqual(self.count_reports(), written)
 
     async def test_bad_version_is_rolled_back_and_gets_nothing_any_more(self):
-        """Guards against each instance waiting for 50 bad answers of its own."""
+        """Guards against each instance waiting for bad answers of its own."""
+        self.is_bad = True
+        await self.start_fleet(3, 150.0)
+        self.order(duration=60.0)
+        await self.wait_for_status("rolled_back", 25.0)
+        rolled_back_at = time.monotonic()
+        self.assertLess(len(self.times(NEW)), 50)
+        await asyncio.sleep(2.0)
+        self.assert_nothing_new_since(rolled_back_at + 0.5)
+        self.assertGreater(self.share(OLD, rolled_back_at), 0.99)
+
+    async def test_version_that_turns_bad_gets_nothing_soon_after_its_50th_bad_answer(self):
+        """Guards against bad answers that are counted at each of three instances alone."""
+        await self.start_fleet(3, 150.0)
+        self.order(duration=24.0)
+        await self.wait_until(lambda: self.share(NEW, time.monotonic() - 1.0) > 0.25, 24.0)
+        self.is_bad = True
+        await self.wait_for_status("rolled_back", 15.0)
+        await asyncio.sleep(1.0)
+        bad = [at for at, _, status in self.sent if status == 500]
+        last = self.times(NEW)[-1]
+        if len(bad) >= 50:
+            self.assertLess(last, bad[49] + ROLLBACK)
+        self.assertLess(last, bad[0] + ROLLBACK)
+
+    async def test_servers_that_are_listed_before_their_order_take_nothing(self):
+        """Guards against a version that gets requests which no order allows."""
+        await self.start_fleet(2, 40.0)
+        await asyncio.sleep(2.0)
+        self.assertEqual(self.times(NEW), [])
+        self.order(duration=30.0)
+        await self.wait_until(lambda: self.times(NEW), 10.0)
+        self.store.remove("rollouts", SERVICE)
+        await asyncio.sleep(2.0)
+        removed_at = time.monotonic()
+        await asyncio.sleep(1.0)
+        self.assert_nothing_new_since(removed_at)
+
+    async def test_lost_answers_of_statuses_lead_to_no_second_one(self):
+        """Guards against a second status after a write without a response."""
+        self.store.lost_status_answers = 1
+        await self.start_fleet(1, 40.0)
+        self.order(duration=14.0)
+        await self.wait_for_status("running", 5.0)
+        await asyncio.sleep(1.0)
+        self.store.lost_status_answers = 1
+        await self.wait_for_status("completed", 14.0)
+        await asyncio.sleep(2.0)
+        states = [status["state"] for _, status in self.store.status_writes]
+        self.assertEqual(states, ["running", "completed"])
+
+    async def test_status_of_another_instance_is_final(self):
+        """Guards against instances that follow their own verdict instead of the stored one."""
+        await self.start_fleet(2, 60.0)
+        self.order(duration=20.0)
+        await self.wait_until(lambda: self.times(NEW), 10.0)
+        self.store.set_status("rollouts", SERVICE, {"state": "rolled_back", "target": NEW})
+        await asyncio.sleep(2.0)
+        stopped_at = time.monotonic()
+        await asyncio.sleep(1.5)
+        self.assert_nothing_new_since(stopped_at)
+        self.assertEqual(self.status(), ("rolled_back", NEW))
+
+    async def test_replaced_order_ends_the_first_one(self):
+        """Guards against counts and statuses of an order that is not in force any more."""
+        await self.start_fleet(2, 60.0)
+        self.order(duration=20.0)
+        await self.wait_until(lambda: self.times(NEW), 10.0)
+        await self.add_servers("v3", 2)
+        self.order(target="v3", duration=16.0)
+        replaced_at = time.monotonic()
+        await self.wait_for_status("completed", 16.0, target="v3")
+        self.assert_nothing_new_since(replaced_at + 2.0)
+        self.assertNotIn({"state": "completed", "target": NEW}, self.store.status_writes)
+
+    async def test_store_away_at_the_verdict(self):
+        """Guards against a new version that gets requests while instances hear nothing."""
+        await self.start_fleet(2, 100.0)
+        self.order(duration=60.0)
+        await self.wait_until(lambda: self.times(NEW), 10.0)
+        self.store.set_down(True)
         self.is_bad = True
-        await self.add_servers(OLD, 2)
-        await self.add_instances(3)
-        self.start_traffic(150.0)
-        await self.add_servers(NEW, 2)
-        ordered_at = self.order(duration=30.0)
+        lost_at = time.monotonic()
+        await asyncio.sleep(6.0)
+        # Without a confirmed feed, half of the time for a roll-back must do.
+        self.assert_nothing_new_since(lost_at + ROLLBACK / 2 + 1.5)
+        self.store.set_down(False)
         await self.wait_for_status("rolled_back", 25.0)
-        await asyncio.sleep(3.0)
-        bad = [at for at, version, _ in self.sent if version == NEW]
-        print(
-            "bad answers",
-            len(bad),
-            [round(a - ordered_at, 2) for a in bad[:3]],
-            round(bad[-1] - ordered_at, 2),
-        )
+
+    async def test_instance_that_starts_in_the_middle(self):
+        """Guards against a restart that begins the exposure anew, or forgets a final status."""
+        await self.start_fleet(2, 60.0)
+        ordered_at = self.order(duration=20.0)
+        await self.wait_until(lambda: self.times(NEW), 10.0)
+        await self.instances.pop().stop()
+        await self.add_instances(1)
+        self.assertLess(self.share(NEW, ordered_at), 0.2)
+        await self.wait_for_status("completed", 25.0)
+        await self.add_instances(1)
+        started_at = time.monotonic()
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.share(OLD, started_at), 0.0)
+
+    async def test_odd_orders_affect_nothing_else(self):
+        """Guards against an order of another writer that stops requests or other orders."""
+        await self.start_fleet(1, 40.0)
+        for number, spec in enumerate((None, 3, [], {"service": 1}, {"service": "x"})):
+            self.store.put("rollouts", f"odd{number}", spec)
+        self.store.put("rollout-reports", "odd", [{"instance": 3}, 7])
+        self.order(target={"x": 1})
+        await asyncio.sleep(1.5)
+        self.order(duration=14.0)
+        self.store.set_status("rollouts", SERVICE, {"state": 3, "target": None})
+        await self.wait_for_status("completed", 16.0)
+        self.assertEqual({*self.answers}, {200})
+
+    async def test_streams_end_at_the_old_version_or_go_on_at_the_new_one(self):
+        """Guards against streams that are cut when the old servers stop, and against waiting for
+        them beyond the deadline."""
+        seen = []
+
+        async def stream(request, writer):
+            first = int(request.headers.get("last-event-id", -1)) + 1
+            seen.append((first, int(writer.get_extra_info("sockname")[1])))
+            writer.write(stream_head(request))
+            for number in range(first, 44):
+                writer.write(chunk(event(number)))
+                await writer.drain()
+                await asyncio.sleep(0.3)
+            writer.write(b"0\r\n\r\n")
+
+        await self.add_servers(OLD, 1, stream)
+        await self.add_instances(1)
+        call = asyncio.create_task(self.call(self.instances[0], "/stream/x", "POST"))
+        await asyncio.sleep(0.5)
+        await self.add_servers(NEW, 1, stream)
+        self.order(duration=14.0)
+        await self.wait_for_status("completed", 14.0)
+        response = await call
+        self.assertTrue(response.complete)
+        self.assertEqual(response.body, b"".join(event(number) for number in range(44)))
+        self.assertEqual([port for _, port in seen], [server.port for server in self.servers])
+
+
+class OtherDeploymentTest(RolloutFleetCase):
+    contracts = ("base",)
+
+    async def test_without_the_contract_no_call_is_made_and_every_server_is_used(self):
+        """Guards against calls and held servers on deployments that do not roll out versions."""
+        await self.add_servers(OLD, 1)
+        await self.add_servers(NEW, 1)
+        await self.add_instances(1)
+        self.start_traffic(40.0)
+        self.order()
+        await asyncio.sleep(2.0)
+        self.assertGreater(len(self.times(OLD)), 10)
+        self.assertGreater(len(self.times(NEW)), 10)
+        self.assertEqual([kind for kind in self.store.calls if "rollout" in kind], [])
+
+
+class QuietTest(RolloutFleetCase):
+    async def test_few_calls_are_made_without_an_order(self):
+        """Guards against watches that cost as much as those of the configuration."""
+        await self.add_servers(OLD, 1)
+        await self.add_instances(2)
+        self.store.calls.clear()
+        await asyncio.sleep(6.0)
+        self.assertEqual([kind for kind in self.store.calls if "rollout" in kind], [])
+        self.assertGreater(self.store.calls["GET config"], 2)
+
+
+class DecodeRolloutTest(unittest.TestCase):
+    def decode(self, status: object = None, **fields: object) -> StoredOrder:
+        spec = {"service": SERVICE, "target": NEW, "duration_s": 12, **fields}
+        return decode_rollout(SERVICE, spec, status, 7, 3)
+
+    def test_status_of_another_target_belongs_to_an_earlier_order(self):
+        """Guards against an order that is taken for completed because the last one was."""
+        for status, state in (
+            ({"state": "completed", "target": NEW}, RolloutState.COMPLETED),
+            ({"state": "completed", "target": OLD}, None),
+            ({"state": "paused", "target": NEW}, None),
+            ("completed", None),
+            (None, None),
+        ):
+            self.assertEqual(self.decode(status).state, state, status)
+
+    def test_orders_without_use_are_rejected(self):
+        for fields in (
+            {"target": ""},
+            {"target": None},
+            {"duration_s": 0},
+            {"duration_s": "12"},
+            {"service": "other"},
+        ):
+            with self.assertRaises(ValueError, msg=fields):
+                self.decode(**fields)
+
+    def test_two_orders_have_different_ids(self):
+        ids = {
+            self.decode(**fields).order.order_id
+            for fields in ({}, {"target": "v3"}, {"duration_s": 13})
+        }
+        self.assertEqual(len(ids), 3)
+        self.assertEqual(self.decode().order, RolloutOrder(SERVICE, NEW, 12, "3/v2/12"))
 
 
 if __name__ == "__main__":
