--- /dev/null
+++ b/tests/test_rollout_guard.py
@@ -0,0 +1,367 @@
+"""Tests of the selection of servers by version, and of what attempts say about a version."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+import msgspec
+from gateway_case import HOST, PLAIN_ROUTE, STREAM_ROUTE, GatewayCase, signed_response
+
+from sapphireledge.core.quarantine import DeathRecord
+from sapphireledge.core.rollout import (
+    AnswerQuality,
+    RolloutLimits,
+    RolloutOrder,
+    RolloutState,
+    VersionChoice,
+    VersionRule,
+)
+from sapphireledge.feed import (
+    FeedSettings,
+    KindActivity,
+    KindFeed,
+    KindSettings,
+    KindWatcher,
+    StoredEntry,
+)
+from sapphireledge.feed.feed_message import FeedEntry, KindReply
+from sapphireledge.feed.object_record import ObjectRecord
+from sapphireledge.feed.store_page import StorePage
+from sapphireledge.gateway import (
+    BackendServer,
+    CallerRequest,
+    Gateway,
+    GatewayMetrics,
+    GatewaySettings,
+    RequestTelemetry,
+    RolloutGuard,
+    ServiceProfile,
+    StoredOrder,
+)
+from sapphireledge.gateway.admitted_request import AdmittedRequest
+from sapphireledge.gateway.attempt_progress import AttemptProgress
+from sapphireledge.gateway.judge_attempt import compare_seconds, judge_attempt
+from sapphireledge.gateway.outcome import Outcome, OutcomeKind
+from sapphireledge.gateway.response_head import ResponseHead
+from sapphireledge.platform.decode_server import decode_server
+from sapphireledge.platform.platform_dialect import PlatformDialect
+
+SETTINGS = GatewaySettings("e1", "dc-a", HOST, 0, HOST, 0, 0, 3.8, 8.0, rollout=RolloutLimits())
+CFG = FeedSettings(kinds=(), host=HOST, port=1)
+
+
+class FixedRollout:
+    """A roll-out with a fixed choice that records what it is told."""
+
+    def __init__(self, choice: VersionChoice) -> None:
+        self.order = RolloutOrder("app", "v2", 10.0, "1")
+        self.choice = choice
+        self.retries: list[bool] = []
+        self.sent: list[tuple[str, bool]] = []
+        self.results: list[tuple[str, AnswerQuality]] = []
+
+    def choose(self, now, *, may_repeat, is_stream, is_retry, resumed_from=None):
+        self.retries.append(is_retry)
+        return VersionRule("v2", VersionChoice.OLD_ONLY if is_retry else self.choice)
+
+    def on_sent(self, now, route, version, *, is_retry=False):
+        self.sent.append((version, is_retry))
+
+    def on_result(self, now, route, version, result, seconds, *, server=""):
+        self.results.append((version, result))
+
+
+class SelectionTest(GatewayCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.gateway.context.rollouts = RolloutGuard(
+            SETTINGS, self.gateway.context.registry, self.gateway.context.telemetry.rollouts
+        )
+        self.received: list[str] = []
+
+    async def add_version(self, version: str, status: int = 200, service: str = "app") -> None:
+        """Starts a server of a version."""
+
+        async def answer(request, writer):
+            self.received.append(version)
+            writer.write(signed_response(request, status=status))
+            await writer.drain()
+
+        server = await self.add(service, answer)
+        self.gateway.context.registry.put(
+            BackendServer(server.server_id, service, HOST, server.port, "dc-a", version=version)
+        )
+        self.gateway.context.rollouts.on_servers_changed()
+
+    def begin(self, choice: VersionChoice) -> FixedRollout:
+        """Puts an order with a fixed choice in force."""
+        rollouts = self.gateway.context.rollouts
+        order = RolloutOrder("app", "v2", 10.0, "1")
+        rollouts.on_order(StoredOrder(order, RolloutState.RUNNING, 1))
+        rollout = FixedRollout(choice)
+        rollouts._versions("app").rollout = rollout
+        return rollout
+
+    async def test_version_that_no_order_names_takes_nothing(self):
+        await self.add_version("v1")
+        await self.add_version("v2")
+        await self.add_version("")
+        for _ in range(8):
+            await self.call("/plain/x")
+        self.assertEqual({*self.received}, {"v1", ""})
+
+    async def test_choice_of_the_order_holds_for_first_sends(self):
+        await self.add_version("v1")
+        await self.add_version("v2")
+        for choice, expected in (
+            (VersionChoice.OLD_ONLY, {"v1"}),
+            (VersionChoice.NEW_ONLY, {"v2"}),
+            (VersionChoice.OLD_FIRST, {"v1"}),
+            (VersionChoice.NEW_FIRST, {"v2"}),
+        ):
+            self.begin(choice)
+            self.received.clear()
+            for _ in range(4):
+                await self.call("/plain/x")
+            self.assertEqual({*self.received}, expected, choice)
+
+    async def test_retry_goes_to_the_old_version(self):
+        """Guards against retries that raise the exposure."""
+        await self.add_version("v1")
+        await self.add_version("v2", 500)
+        await self.add_version("v2", 500)
+        rollout = self.begin(VersionChoice.NEW_FIRST)
+        response = await self.call("/plain/x")
+        self.assertEqual((response.status, self.received), (200, ["v2", "v1"]))
+        self.assertEqual(rollout.sent, [("v2", False), ("v1", True)])
+        self.assertEqual(
+            rollout.results, [("v2", AnswerQuality.FAILED), ("v1", AnswerQuality.GOOD)]
+        )
+
+    async def test_failures_of_a_judged_version_do_not_count_at_its_servers(self):
+        """Guards against a version that gets fewer requests than its share because of failures
+        that are held against the version already."""
+        await self.add_version("v1", 500)
+        await self.add_version("v2", 500)
+        self.begin(VersionChoice.NEW_FIRST)
+        await self.call("/once/x")
+        self.begin(VersionChoice.OLD_ONLY)
+        await self.call("/once/x")
+        rates = [
+            self.gateway.context.registry.state(server.server_id).failure_rate
+            for server in self.servers
+        ]
+        self.assertGreater(rates[0], 0.0)
+        self.assertEqual(rates[1], 0.0)
+
+    async def test_attempts_in_flight_count_for_an_order_that_begins(self):
+        """Guards against a completion while requests from before the order run."""
+        release = asyncio.Event()
+
+        async def answer(request, writer):
+            await release.wait()
+            writer.write(signed_response(request))
+
+        server = await self.add("app", answer)
+        self.gateway.context.registry.put(
+            BackendServer(server.server_id, "app", HOST, server.port, "dc-a", version="v1")
+        )
+        call = asyncio.create_task(self.call("/once/x"))
+        await asyncio.sleep(0.1)
+        rollouts = self.gateway.context.rollouts
+        order = RolloutOrder("app", "v2", 10.0, "1")
+        rollouts.on_order(StoredOrder(order, None, 1))
+        rollouts.tick()
+        self.assertEqual(rollouts.due_reports()["app"].old_in_flight, 1)
+        release.set()
+        await call
+        self.assertEqual(rollouts._versions("app").rollout.report(0.0).old_in_flight, 0)
+
+    async def test_final_status_lost_by_a_restored_store_is_written_again(self):
+        rollouts = self.gateway.context.rollouts
+        order = RolloutOrder("app", "v2", 10.0, "1")
+        rollouts.on_order(StoredOrder(order, RolloutState.ROLLED_BACK, 9))
+        rollouts.on_order(StoredOrder(order, None, 5))
+        self.assertEqual(rollouts.wanted_states(), {})
+        rollouts.on_store_restored()
+        rollouts.on_order(StoredOrder(order, None, 5))
+        self.assertEqual(rollouts.wanted_states()["app"][1], RolloutState.ROLLED_BACK)
+
+    async def test_version_in_use_is_no_target_that_was_listed_before_its_order(self):
+        """Guards against an instance that starts late and takes the majority for the old one."""
+        await self.add_version("v2")
+        await self.add_version("v2")
+        await self.add_version("v1")
+        self.begin(VersionChoice.OLD_ONLY)
+        for _ in range(4):
+            await self.call("/plain/x")
+        self.assertEqual({*self.received}, {"v1"})
+
+
+class JudgeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        telemetry = RequestTelemetry(GatewayMetrics())
+        self.context = Gateway(SETTINGS, PlatformDialect(), telemetry).context
+        self.server = BackendServer("s", "app", HOST, 1, "dc-a", version="v2")
+        self.admitted = self.admit(PLAIN_ROUTE)
+        self.attempt = AttemptProgress(self.context.crashes, "0", runs_at_once=True)
+        self.attempt.on_sent()
+
+    def admit(self, route):
+        now = asyncio.get_running_loop().time()
+        request = CallerRequest(b"GET", b"/x", "h", (), b"", now, "r")
+        return AdmittedRequest(request, route, ServiceProfile("app"), "w", 0, 1)
+
+    def judge(self, outcome, seconds=0.1):
+        return judge_attempt(self.context.crashes, self.admitted, outcome, self.attempt, seconds)
+
+    def outcome(self, kind, status=200, **fields):
+        head = ResponseHead(status, (), "r", False, True, False, None, False)
+        return Outcome(kind, self.server, "", head, **fields)
+
+    async def test_ends_of_attempts(self):
+        """Guards against servers that are full, callers that leave or streams that move counting
+        against a version, and against slow servers that do not count."""
+        kind = OutcomeKind
+        for outcome, seconds, expected in (
+            (self.outcome(kind.ANSWERED), 0.1, AnswerQuality.GOOD),
+            (self.outcome(kind.ANSWERED, 404), 0.1, AnswerQuality.FAILED),
+            (self.outcome(kind.FAILED, 500), 0.1, AnswerQuality.FAILED),
+            (self.outcome(kind.NOT_EXECUTED, 503), 0.1, AnswerQuality.UNKNOWN),
+            (self.outcome(kind.LOST), 0.1, AnswerQuality.FAILED),
+            (self.outcome(kind.LOST, is_moved=True), 0.1, AnswerQuality.UNKNOWN),
+            (self.outcome(kind.OUT_OF_TIME), 0.1, AnswerQuality.UNKNOWN),
+            (self.outcome(kind.OUT_OF_TIME), 3.0, AnswerQuality.FAILED),
+            (None, 0.1, AnswerQuality.UNKNOWN),
+            (None, 3.0, AnswerQuality.FAILED),
+        ):
+            self.assertEqual(self.judge(outcome, seconds), expected, (outcome, seconds))
+
+    async def test_crash_by_content_is_not_the_version(self):
+        """Guards against a sound version that is rolled back because of a request that crashes
+        every server."""
+        crashes = self.context.crashes
+        fingerprint = crashes.fingerprint(self.admitted)
+        for number in range(3):
+            at = time.time() - 10.0 + 2.0 * number
+            crashes.quarantine.on_engine_death(
+                time.time(),
+                DeathRecord(f"e{number}", "1", at, (fingerprint,), begun={fingerprint: ()}),
+            )
+        lost = self.outcome(OutcomeKind.LOST, connection_lost=True)
+        self.assertEqual(self.judge(lost), AnswerQuality.UNKNOWN)
+
+    async def test_compared_time(self):
+        now = asyncio.get_running_loop().time()
+        stream = self.admit(STREAM_ROUTE)
+        self.attempt.sent_at = now - 3.0
+        self.assertAlmostEqual(compare_seconds(self.admitted, self.attempt, 1, now), 3.0)
+        self.assertIsNone(compare_seconds(stream, self.attempt, 1, now))
+        self.attempt.events = 11
+        self.attempt.first_event_at, self.attempt.last_event_at = now - 2.0, now - 1.0
+        self.assertAlmostEqual(compare_seconds(stream, self.attempt, 1, now), 1.0 + 50 * 0.1)
+        self.assertIsNone(compare_seconds(stream, self.attempt, 2, now))
+
+
+class DecodeVersionTest(unittest.TestCase):
+    def test_entry_without_a_usable_version_still_names_a_server(self):
+        """Guards against servers that are lost because of a field that they need not have."""
+        entry = {"service": "s", "address": "1.2.3.4:5", "zone": "z", "slots": 1, "state": "ready"}
+        for version, expected in (("v2", "v2"), (2, "2"), (None, ""), ([], ""), (True, "")):
+            server = decode_server("i", {**entry, "version": version, "cold_left_ms": "odd"})
+            self.assertEqual((server.version, server.is_warming), (expected, False))
+        self.assertEqual(decode_server("i", entry).version, "")
+        self.assertTrue(decode_server("i", {**entry, "cold_left_ms": 5}).is_warming)
+
+
+class RecordTest(unittest.TestCase):
+    def test_records_reach_followers_and_cost_other_kinds_nothing(self):
+        entry = FeedEntry("a", {"x": 1}, False)
+        plain = KindReply(5, 0.1, True, [entry])
+        self.assertNotIn(b"records", msgspec.msgpack.encode(plain))
+        record = ObjectRecord({"state": "running"}, 5, 2)
+        reply = KindReply(5, 0.1, True, [entry, entry], [record, None])
+        decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(reply), type=KindReply)
+        self.assertEqual(decoded, reply)
+
+    def test_changed_status_is_a_change(self):
+        """Guards against a follower that is not told of a status, as the content is the same."""
+        feed = KindFeed("k", Recorder())
+        feed.apply_listing(StorePage((entry(1, None),), 1), 0.0)
+        feed.apply_listing(StorePage((entry(2, "done"),), 2), 0.0)
+        self.assertEqual(feed.entries_since(1), (False, (entry(2, "done"),)))
+
+
+class QuietWatchTest(unittest.IsolatedAsyncioTestCase):
+    async def run_watcher(self, quiet_wait: float, during) -> list[float]:
+        """Runs a watcher while no changes are expected; returns the waits of its watches."""
+        source = Source()
+        activity = KindActivity()
+        settings = KindSettings("k", 0.1, 0.0, quiet_wait=quiet_wait)
+        feed = KindFeed("k", Recorder())
+        watcher = KindWatcher(source, feed, settings, CFG, activity=activity)
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0.05)
+        await during(source, activity, feed)
+        task.cancel()
+        return source.waits
+
+    async def test_long_watch_ends_when_changes_are_expected(self):
+        """Guards against an order of which an instance learns half a minute late."""
+
+        async def during(source, activity, feed):
+            await asyncio.sleep(0.2)
+            self.assertEqual(source.waits, [25.0])
+            activity.update(active=True)
+            await asyncio.sleep(0.25)
+            activity.update(active=False)
+            await asyncio.sleep(0.3)
+
+        waits = await self.run_watcher(25.0, during)
+        self.assertEqual(waits[:2], [25.0, 0.1])
+        self.assertEqual(waits[-1], 25.0)
+        self.assertLess(len(waits), 8)
+
+    async def test_no_call_until_changes_are_expected_or_the_store_is_restored(self):
+        async def during(source, activity, feed):
+            await asyncio.sleep(0.2)
+            self.assertEqual((source.waits, source.listings), ([], 1))
+            self.assertIsNotNone(feed.revision)
+            activity.update(active=True)
+            await asyncio.sleep(0.15)
+
+        self.assertEqual((await self.run_watcher(0.0, during))[:1], [0.1])
+
+
+class Source:
+    """Source without objects that holds watches open for their full time."""
+
+    def __init__(self) -> None:
+        self.waits: list[float] = []
+        self.listings = 0
+
+    async def list(self, kind):
+        self.listings += 1
+        return StorePage((), 1)
+
+    async def watch(self, kind, revision, wait):
+        self.waits.append(wait)
+        await asyncio.sleep(wait)
+        return StorePage((), 1)
+
+
+class Recorder:
+    """Listener that ignores everything."""
+
+    def __getattr__(self, name):
+        return lambda *args: None
+
+
+def entry(revision: int, status: object) -> StoredEntry:
+    return StoredEntry("a", {"x": 1}, False, ObjectRecord(status, revision, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
