Quiet kinds make no call at the start of an instance that finds a relay

Change: kinds of which no changes are expected are read 1.5 s later, the reports only while an order is running, and relays serve their followers without them.

--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -120,7 +120,11 @@
 
     def _can_relay(self) -> bool:
         """Whether this instance reads the store without failures and is not stopping."""
-        return not self._stopping and all(watcher.is_healthy for watcher in self._watchers)
+        return not self._stopping and self._reads_store()
+
+    def _reads_store(self) -> bool:
+        """Whether the last call succeeded for each kind that followers must have."""
+        return all(watcher.is_healthy or watcher.is_optional for watcher in self._watchers)
 
     async def _follow(self, peer: Peer) -> None:
         """Follows an instance until it fails."""
@@ -160,7 +164,7 @@
             watcher.set_retry_delays(*self._retry_delays(self._relays.precedence))
         if await self._wait_for_directory(self._cfg.backup_recheck_interval):
             return
-        if not self._relays or all(watcher.is_healthy for watcher in self._watchers):
+        if not self._relays or self._reads_store():
             await self._wait_for_directory(
                 self._cfg.recheck_interval - self._cfg.backup_recheck_interval
             )
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -82,8 +82,10 @@
             writer.close()
 
     def _can_relay(self) -> bool:
-        """Whether this instance reads the store and holds a listing of each kind."""
-        return self._is_reader() and all(feed.revision is not None for feed in self._feeds.values())
+        """Whether this instance reads the store and holds a listing of each kind it must have."""
+        return self._is_reader() and all(
+            feed.revision is not None or feed.is_optional for feed in self._feeds.values()
+        )
 
     def _wake_waiters(self) -> None:
         """Wakes every request that waits for updates."""
@@ -113,6 +115,7 @@
         kinds = {
             kind: self._build_kind_reply(feed, revisions.get(kind))
             for kind, feed in self._feeds.items()
+            if feed.revision is not None
         }
         return FeedReply(waited, kinds, self._epoch.current)
 
--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -29,13 +29,17 @@
     older than the objects is ignored, because the next relay may be behind the last one.
     """
 
-    def __init__(self, kind: str, listener: KindListener) -> None:
+    def __init__(self, kind: str, listener: KindListener, *, is_optional: bool = False) -> None:
         """Creates an empty feed.
 
         Args:
             kind: Name of the kind.
             listener: Receiver of listings and changes.
+            is_optional: Whether other instances can follow this one without the objects.
         """
+        self.is_optional = is_optional
+        """Whether other instances can follow this one without the objects."""
+
         self.kind = kind
         """Name of the kind."""
 
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -10,7 +10,7 @@
 
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.feed.store_presence import StorePresence
-from sapphireledge.gateway import GatewayEvent, seconds_since_boot
+from sapphireledge.gateway import GatewayEvent, seconds_since_boot, wait_for_event
 
 if TYPE_CHECKING:
     from sapphireledge.feed.feed_settings import FeedSettings, KindSettings
@@ -21,6 +21,14 @@
 
 __all__ = ["KindWatcher"]
 
+QUIET_START_DELAY = 1.5
+"""Seconds before the first call for a kind of which no changes are expected. An instance that is
+preceded by others has found its relay by then."""
+
+QUIET_RETRY_DELAY = 6.0
+"""Seconds between failed calls for such a kind; calls for other kinds show sooner that the store is
+back."""
+
 
 class KindWatcher:
     """Lists the objects of a kind, then watches for changes."""
@@ -68,6 +76,9 @@
 
     async def run(self) -> None:
         """Lists and watches until the task is cancelled."""
+        if self.is_optional and self._feed.revision is None:
+            self.is_healthy = True
+            await wait_for_event(self._wake, QUIET_START_DELAY)
         try:
             while True:
                 try:
@@ -105,6 +116,9 @@
         """Makes one list or watch call and applies its result."""
         self._wake.clear()
         started = seconds_since_boot()
+        if self._is_quiet and not self._kind_cfg.quiet_wait:
+            await self._wake.wait()
+            return
         revision = self._feed.revision
         if revision is None or self._needs_relist:
             page = await self._source.list(self._kind_cfg.kind)
@@ -112,9 +126,6 @@
             self._needs_relist = False
             self._feed.apply_listing(page, started)
             return
-        if self._is_quiet and not self._kind_cfg.quiet_wait:
-            await self._wake.wait()
-            return
         wait = self._choose_wait()
         call = self._source.watch(self._kind_cfg.kind, revision, wait)
         if self._is_quiet:
@@ -138,6 +149,11 @@
         if self._had_changes:
             await asyncio.sleep(self._kind_cfg.batch_delay)
 
+    @property
+    def is_optional(self) -> bool:
+        """Whether other instances can follow this one without the objects of the kind."""
+        return self._activity is not None
+
     @property
     def _is_quiet(self) -> bool:
         """Whether no changes are expected and none have just arrived."""
@@ -195,6 +211,9 @@
         if not self._store_lost:
             self._store_lost = True
             self._log.warning(GatewayEvent.STORE_LOST, kind=self._kind_cfg.kind, reason=str(exc))
+        if self._activity is not None and not self._activity.is_active:
+            await wait_for_event(self._wake, QUIET_RETRY_DELAY)
+            return
         base, cap = self._retry_delays
         delay = min(cap, base * 2**self._failures)
         self._failures = min(self._failures + 1, 8)
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -49,7 +49,11 @@
         listeners[ROLLOUT_KIND] = RolloutListener(rollouts)
         listeners[ROLLOUT_REPORT_KIND] = RolloutReportListener(rollouts)
         rollouts.on_activity = lambda is_active: activity.update(active=is_active)
-    feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
+    optional = {kind.kind for kind in cfg.feed.kinds if kind.quiet_wait is not None}
+    feeds = {
+        kind: KindFeed(kind, listener, is_optional=kind in optional)
+        for kind, listener in listeners.items()
+    }
     presence = StorePresence()
     watchers = [
         KindWatcher(
