--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -21,7 +21,7 @@
 
 __all__ = ["KindWatcher"]
 
-QUIET_START_DELAY = 1.5
+QUIET_START_DELAY = 2.5
 """Seconds before the first call for a kind of which no changes are expected. An instance that is
 preceded by others has found its relay by then."""
 
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -83,7 +83,7 @@
             and self.config.table is not None
             and self.config.age < self.cfg.max_config_age - READY_MARGIN
             and len(self.context.registry) > 0
-            and self.context.rollouts.has_orders
+            and self.context.rollouts.knows_versions
         )
 
     @property
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -59,9 +59,6 @@
         self.on_activity: Callable[[bool], None] = lambda is_active: None
         """Called with whether changes of orders and reports are expected, when that changes."""
 
-        self.has_orders = cfg.rollout is None
-        """Whether the orders of the store are known, or are not used."""
-
         self._limits: RolloutLimits | None = cfg.rollout
         self._instance = cfg.instance
         self._registry = registry
@@ -70,6 +67,7 @@
         self._services: dict[str, ServiceVersions] = {}
         self._reports: dict[str, tuple[RolloutReport, ...]] = {}
         self._orders_confirmed_at = float("-inf")
+        self._reports_confirmed_at = float("-inf")
         self._news_until = float("-inf")
         self._is_active = False
         self._begun = asyncio.Event()
@@ -79,6 +77,15 @@
         """Whether an order is running, or may be about to begin."""
         return self._is_active
 
+    @property
+    def knows_versions(self) -> bool:
+        """Whether it is known which servers take requests.
+
+        Where servers of several versions are listed, the orders say so.
+        """
+        has_orders = self._orders_confirmed_at > float("-inf")
+        return has_orders or not any(v.held_versions for v in self._services.values())
+
     def excluded(
         self, admitted: AdmittedRequest, others: Collection[str] = (), *, is_retry: bool
     ) -> frozenset[str]:
@@ -245,7 +252,6 @@
         Args:
             now: That time, event loop time in seconds.
         """
-        self.has_orders = True
         self._orders_confirmed_at = max(self._orders_confirmed_at, now)
 
     def on_store_restored(self) -> None:
@@ -273,6 +279,7 @@
             now: That time, event loop time in seconds.
         """
         # An instance that does not learn of another order or status must stop, too.
+        self._reports_confirmed_at = max(now, self._reports_confirmed_at)
         confirmed_at = min(now, self._orders_confirmed_at)
         for versions in self._services.values():
             if versions.rollout is not None:
@@ -348,7 +355,9 @@
         for service, versions in self._running().items():
             previous = versions.decision
             versions.decision = decision = versions.rollout.decide(now)
-            self._telemetry.record_decision(service, versions.rollout.order, previous, decision)
+            heard = now - min(self._orders_confirmed_at, self._reports_confirmed_at)
+            order = versions.rollout.order
+            self._telemetry.record_decision(service, order, previous, decision, heard)
             if decision.move_streams:
                 for attempt in list(versions.movable_attempts())[:MOVES_PER_TICK]:
                     assert attempt.move is not None
--- a/src/sapphireledge/gateway/rollout_telemetry.py
+++ b/src/sapphireledge/gateway/rollout_telemetry.py
@@ -90,6 +90,7 @@
         order: RolloutOrder,
         previous: RolloutDecision | None,
         decision: RolloutDecision,
+        heard: float,
     ) -> None:
         """Logs a step of a roll-out, or a verdict with its evidence.
 
@@ -98,6 +99,7 @@
             order: The order.
             previous: Decision before, None for the first one.
             decision: The decision.
+            heard: Seconds since orders and reports were last known to be current.
         """
         if previous is not None and _step(previous) == _step(decision):
             return
@@ -113,6 +115,7 @@
             share=round(decision.share, 3),
             proposed=decision.proposed,
             reason=decision.reason,
+            heard_s=round(heard, 2),
             evidence={name: round(figure, 3) for name, figure in decision.evidence.items()},
         )
 
