--- a/src/sapphireledge/gateway/rollout_attempt.py
+++ b/src/sapphireledge/gateway/rollout_attempt.py
@@ -23,5 +23,8 @@
     server: BackendServer
     """The server."""
 
+    begun_at: float
+    """Event loop time in seconds at which it began."""
+
     move: Callable[[], None] | None = None
     """Ends the attempt so that its stream resumes at another server, None if it cannot move."""
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from sapphireledge.gateway.loop_lag import LoopLag
 from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.rollout_attempt import RolloutAttempt
 from sapphireledge.gateway.service_versions import ServiceVersions
@@ -70,6 +71,7 @@
         self._reports_confirmed_at = float("-inf")
         self._news_until = float("-inf")
         self._is_active = False
+        self._lag = LoopLag()
         self._begun = asyncio.Event()
 
     @property
@@ -182,10 +184,10 @@
         if self._limits is None:
             return None
         versions = self._versions(admitted.service.name)
-        attempt = RolloutAttempt(admitted.route.name, server, move)
+        now = asyncio.get_running_loop().time()
+        attempt = RolloutAttempt(admitted.route.name, server, now, move)
         versions.attempts.add(attempt)
         if versions.rollout is not None:
-            now = asyncio.get_running_loop().time()
             versions.rollout.on_sent(now, attempt.route, server.version, is_retry=is_retry)
         return attempt
 
@@ -207,7 +209,8 @@
         if versions.rollout is None:
             return
         now = asyncio.get_running_loop().time()
-        compared = None if server.is_warming else seconds
+        is_comparable = not server.is_warming and not self._lag.was_late(attempt.begun_at)
+        compared = seconds if is_comparable else None
         versions.rollout.on_result(
             now, attempt.route, server.version, quality, compared, server=server.server_id
         )
@@ -347,7 +350,7 @@
         while True:
             await self.wait_until_active()
             self.tick()
-            await asyncio.sleep(TICK)
+            await self._lag.sleep(TICK)
 
     def tick(self) -> None:
         """Evaluates the running orders."""
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -44,6 +44,7 @@
 from sapphireledge.gateway.admitted_request import AdmittedRequest
 from sapphireledge.gateway.attempt_progress import AttemptProgress
 from sapphireledge.gateway.judge_attempt import compare_seconds, judge_attempt
+from sapphireledge.gateway.loop_lag import LoopLag
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.response_head import ResponseHead
 from sapphireledge.platform.decode_server import decode_server
@@ -266,6 +267,24 @@
         self.assertIsNone(compare_seconds(stream, self.attempt, 2, now))
 
 
+class LoopLagTest(unittest.IsolatedAsyncioTestCase):
+    async def test_times_are_not_compared_while_the_process_is_held_up(self):
+        """Guards against a sound version that is rolled back because an instance was short of
+        processor time: all answers in flight were late at once."""
+        lag = LoopLag()
+        task = asyncio.create_task(lag.sleep(10.0))
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        self.assertFalse(lag.was_late(before))
+        time.sleep(0.2)  # noqa: ASYNC251, the stall blocks the event loop on purpose
+        self.assertTrue(lag.was_late(before))
+        await asyncio.sleep(0.1)
+        self.assertTrue(lag.was_late(before))
+        self.assertFalse(lag.was_late(loop.time()))
+        task.cancel()
+
+
 class DecodeVersionTest(unittest.TestCase):
     def test_entry_without_a_usable_version_still_names_a_server(self):
         """Guards against servers that are lost because of a field that they need not have."""
