--- a/src/sapphireledge/core/rollout/fleet_load.py
+++ b/src/sapphireledge/core/rollout/fleet_load.py
@@ -11,9 +11,12 @@
 """Seconds over which rates are compared."""
 
 COMPARABLE_FACTOR, COMPARABLE_ADDITION = 1.3, 10
-"""Requests in the window, as a multiple of the most that the old version had and in number, up to
+"""Requests in the window, as a multiple of the most that the old version bore and in number, up to
 which the load of the new version is comparable."""
 
+BORNE_RATE, BORNE_FACTOR = 0.05, 2.0
+"""Rate of bad answers, and multiple of the usual one, up to which the old version bears a load."""
+
 PROVEN_ANSWERS, ROUTE_ANSWERS = 40, 4
 """Answers of the new version, in all and on each route with much traffic, from which it may be
 believed to be good."""
@@ -78,11 +81,17 @@
             now: Current time in seconds.
             reports: Reports of all instances.
         """
-        old_sent = new_sent = 0
+        old_sent = new_sent = old_ended = old_bad = 0
         for report, base in reports.window(now, RATE_WINDOW):
+            ended, bad = _old_answers(report)
+            ended_before, bad_before = _old_answers(base)
+            old_ended += ended - ended_before
+            old_bad += bad - bad_before
             old_sent += _sent(report, is_new=False) - _sent(base, is_new=False)
             new_sent += _sent(report, is_new=True) - _sent(base, is_new=True)
-        self._most_old_sent = max(self._most_old_sent, old_sent)
+        usual_rate = BORNE_FACTOR * self.old_bad / max(1, self.old_answers)
+        if old_bad <= max(BORNE_RATE, usual_rate) * old_ended:
+            self._most_old_sent = max(self._most_old_sent, old_sent)
         bound = COMPARABLE_FACTOR * self._most_old_sent + COMPARABLE_ADDITION
         self.is_comparable = new_sent <= bound
         self._sum_up(reports)
@@ -144,3 +153,11 @@
     if report is None:
         return 0
     return sum(counts.sent for counts in (report.new if is_new else report.old).values())
+
+
+def _old_answers(report: RolloutReport | None) -> tuple[int, int]:
+    """Answers of the old version in a report, and how many of them were bad."""
+    if report is None:
+        return 0, 0
+    counts = report.old.values()
+    return sum(c.ended for c in counts), sum(c.bad for c in counts)
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -61,11 +62,13 @@
         self.store_up: Callable[[float], bool] = lambda now: True
         self.is_cut: Callable[[int, float], bool] = lambda node, now: False
         self.status_write_delay = 0.05
+        self.kill_deciders = 0
         self.late_status: list[tuple[float, RolloutState]] = []
         self.requests = self.new_sent = self.lost_at_old = 0
         self.sent_new_at: list[float] = []
+        self.sent_old_at: list[float] = []
         self.bad_at: list[float] = []
-        self.stop_servers_at: float | None = None
+        self.weights: tuple[int, ...] = (5, 4, 1)[: len(ROUTES)]
         self.nodes = {i: self.start(i, self.rng.uniform(0.5, 3.0)) for i in range(nodes)}
 
     def start(self, number: int, learns_in: float = 1.0) -> Node:
@@ -74,11 +77,23 @@
         rollout = Rollout(self.limits, self.order, f"node-{number}", at, self.rng)
         return Node(rollout, self.rng.uniform(0.5, 2.0), at)
 
+    def replace_order(self, order_id: str) -> None:
+        """Replaces the order; counts and deadline begin anew."""
+        self.order = RolloutOrder("booking", "v2", self.duration, order_id)
+        self.duration += self.now
+        self.requests = self.new_sent = 0
+        self.nodes = {number: self.start(number) for number in self.nodes}
+
+    def rate_of(self, version: str) -> float:
+        """Requests for a version a second, over the last two."""
+        sent_at = self.sent_new_at if version == "v2" else self.sent_old_at
+        return 0.5 * (len(sent_at) - bisect.bisect(sent_at, self.now - 2.0))
+
     def run(self, until: float) -> RolloutFleet:
         """Runs until a time or, some seconds after it, the final status."""
         while self.now < until:
             self.now = round(self.now + STEP, 3)
-            for number, node in self.nodes.items():
+            for number, node in list(self.nodes.items()):
                 self._end_requests(node)
                 self._hear(number, node)
                 if self.now >= node.next_decision:
@@ -114,7 +129,10 @@
         node.next_decision = self.now + 0.5
         reaches = self._reaches_store(number, self.now)
         decision = node.rollout.decide(self.now)
-        if decision.proposed and reaches:
+        if decision.proposed and self.kill_deciders:
+            self.kill_deciders -= 1
+            self.nodes[number] = self.start(number)
+        elif decision.proposed and reaches:
             self.late_status.append((self.now + self.status_write_delay, decision.proposed))
         if node.rollout.is_report_due(self.now):
             report = node.rollout.report(self.now)
@@ -134,7 +152,7 @@
                 )
 
     def _send(self, number: int, node: Node, route: str = "", is_retry: bool = False) -> None:
-        route = route or self.rng.choices(list(ROUTES), (5, 4, 1))[0]
+        route = route or self.rng.choices(list(ROUTES), self.weights)[0]
         may_repeat, is_stream, seconds = ROUTES[route]
         rule = node.rollout.choose(
             self.now, may_repeat=may_repeat, is_stream=is_stream, is_retry=is_retry
@@ -144,9 +162,8 @@
         if self.now <= self.duration:
             self.requests += not is_retry
             self.new_sent += is_new
-        if is_new:
-            self.sent_new_at.append(self.now)
-        elif self.status[-1][1] is RolloutState.COMPLETED:
+        (self.sent_new_at if is_new else self.sent_old_at).append(self.now)
+        if not is_new and self.status[-1][1] is RolloutState.COMPLETED:
             self.lost_at_old += 1
         server = f"{version}-{self.rng.randrange(6)}"
         answer = self.behaviour(self, version, route, number, server)
--- /dev/null
+++ b/tests/test_rollout_decisions.py
@@ -0,0 +1,260 @@
+"""Tests of the decisions of a roll-out, one pattern of load or failure each, without a network."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from rollout_fleet import Answer, Behaviour, RolloutFleet
+
+from sapphireledge.core.rollout import (
+    Rollout,
+    RolloutLimits,
+    RolloutOrder,
+    RolloutReport,
+    RolloutState,
+    VersionCounts,
+    VersionInUse,
+)
+from sapphireledge.errors import Failure
+
+ROLLED_BACK, COMPLETED = RolloutState.ROLLED_BACK, RolloutState.COMPLETED
+
+
+def good(fleet, version, route, node, server) -> Answer:
+    return Answer()
+
+
+def bad(share: float, factor: float = 1.0, since: float = 0.0, route: str = "") -> Behaviour:
+    """A new version that fails a share of its requests, or takes `factor` as long for them."""
+
+    def answer(fleet, version, on_route, node, server):
+        is_bad = version == "v2" and fleet.now >= since and on_route.startswith(route)
+        if is_bad and fleet.rng.random() < share:
+            return Answer(factor == 1.0, factor)
+        return Answer()
+
+    return answer
+
+
+def bad_under_load(fleet, version, route, node, server) -> Answer:
+    is_loaded = fleet.rate_of("v2") > 0.25 * fleet.rate
+    return bad(0.3)(fleet, version, route, node, server) if is_loaded else Answer()
+
+
+class RolloutCase(unittest.TestCase):
+    """Checks of the bounds over all instances."""
+
+    def assert_bounds(self, fleet: RolloutFleet) -> None:
+        self.assertLessEqual(fleet.new_sent, 0.1 * fleet.requests + 50)
+        if len(fleet.bad_at) >= 50:
+            limit = fleet.bad_at[49] + fleet.limits.rollback_delay
+            self.assertEqual([at for at in fleet.sent_new_at if at > limit], [])
+
+    def assert_rolled_back(self, fleet: RolloutFleet, before: float | None = None) -> None:
+        self.assertIs(fleet.status[-1][1], ROLLED_BACK)
+        self.assertLessEqual(fleet.status[-1][0], before or fleet.duration)
+        self.assert_bounds(fleet)
+
+    def assert_completed(self, fleet: RolloutFleet) -> None:
+        self.assertIs(fleet.status[-1][1], COMPLETED)
+        self.assertLessEqual(fleet.status[-1][0], fleet.duration)
+        self.assertEqual(fleet.lost_at_old, 0)
+
+
+class BadVersionTest(RolloutCase):
+    """Guards against a bad version that is given too much, or too late."""
+
+    def test_failures_from_the_start(self):
+        for share in (1.0, 0.3):
+            self.assert_rolled_back(RolloutFleet(bad(share)).run(130.0), before=20.0)
+
+    def test_slow_from_the_start(self):
+        self.assert_rolled_back(RolloutFleet(bad(0.4, 3.0)).run(130.0), before=20.0)
+
+    def test_bad_after_a_while(self):
+        for since in (30.0, 60.0, 80.0, 87.0):
+            fleet = RolloutFleet(bad(0.3, since=since)).run(130.0)
+            self.assert_rolled_back(fleet, before=since + 15.0)
+
+    def test_bad_only_under_load(self):
+        self.assert_rolled_back(RolloutFleet(bad_under_load).run(130.0))
+
+    def test_bad_on_one_route_only(self):
+        self.assert_rolled_back(RolloutFleet(bad(0.3, route="lookup")).run(130.0), before=70.0)
+        self.assert_rolled_back(RolloutFleet(bad(0.5, 4.0, route="draft")).run(130.0))
+
+    def test_bad_with_three_requests_a_second(self):
+        self.assert_rolled_back(RolloutFleet(bad(0.5), rate=3.0).run(130.0))
+
+    def test_bad_while_a_data_centre_is_cut_off(self):
+        fleet = RolloutFleet(bad(0.3, since=30.0))
+        fleet.is_cut = lambda node, now: node < 3 and 20.0 <= now < 80.0
+        self.assert_rolled_back(fleet.run(130.0), before=60.0)
+
+    def test_instance_that_is_cut_off_gives_the_new_version_nothing(self):
+        """Its bad answers would not be known to the others."""
+        fleet = RolloutFleet(good)
+        fleet.is_cut = lambda node, now: now >= 20.0
+        fleet.run(29.0)
+        self.assertGreater(len(fleet.sent_new_at), 20)
+        self.assertLess(fleet.sent_new_at[-1], 20.0 + 3.1)
+
+    def test_store_down_at_the_verdict(self):
+        fleet = RolloutFleet(bad(0.3, since=30.0))
+        fleet.store_up = lambda now: not 32.0 <= now < 50.0
+        self.assert_rolled_back(fleet.run(130.0), before=80.0)
+        self.assertEqual([at for at in fleet.sent_new_at if 36.0 < at < 50.0], [])
+
+    def test_answers_of_status_writes_lost_and_done_late(self):
+        fleet = RolloutFleet(bad(1.0))
+        fleet.status_write_delay = 4.0
+        self.assert_rolled_back(fleet.run(130.0), before=20.0)
+
+    def test_decider_killed_between_verdict_and_write(self):
+        """Whichever instances find the verdict first, the others write it as well."""
+        fleet = RolloutFleet(bad(1.0))
+        fleet.kill_deciders = 4
+        self.assert_rolled_back(fleet.run(130.0), before=30.0)
+        self.assertEqual(fleet.kill_deciders, 0)
+
+    def test_all_instances_restart_in_the_middle(self):
+        for at in (4.0, 60.0):
+            fleet = RolloutFleet(bad(0.3, since=at - 1.0)).run(at)
+            fleet.nodes = {number: fleet.start(number) for number in fleet.nodes}
+            self.assert_rolled_back(fleet.run(130.0), before=at + 30.0)
+
+    def test_instances_that_restart_all_the_time(self):
+        fleet = RolloutFleet(bad(0.05), rate=9.0)
+        for step in range(12):
+            fleet.run(10.0 * step + 10.0)
+            fleet.nodes = {number: fleet.start(number) for number in fleet.nodes}
+        self.assert_bounds(fleet)
+
+    def test_second_order_does_not_use_the_evidence_of_the_first(self):
+        fleet = RolloutFleet(bad(0.3, since=25.0)).run(25.0)
+        fleet.replace_order("second")
+        fleet.run(155.0)
+        self.assert_rolled_back(fleet, before=45.0)
+
+
+class GoodVersionTest(RolloutCase):
+    """Guards against a rollback for trouble that is not the version's, and against a late end."""
+
+    def test_completion_in_time(self):
+        for rate, duration in ((1.0, 60.0), (1.0, 120.0), (9.0, 60.0), (90.0, 60.0), (90.0, 300.0)):
+            for seed in (1, 2):
+                fleet = RolloutFleet(good, rate=rate, duration=duration, seed=seed)
+                self.assert_completed(fleet.run(duration + 5.0))
+
+    def test_completion_without_traffic(self):
+        self.assert_completed(RolloutFleet(good, rate=0.0).run(130.0))
+
+    def test_crashing_servers_of_the_new_version(self):
+        def crashes(fleet, version, route, node, server):
+            number = int(server[-1])
+            is_down = any(at <= fleet.now < at + 2.0 for at in (20 + 3 * number, 87 + number))
+            return Answer(failed=version == "v2" and number < 3 and is_down)
+
+        self.assert_completed(RolloutFleet(crashes).run(130.0))
+
+    def test_server_that_fails_half_of_its_requests(self):
+        def fails(fleet, version, route, node, server):
+            return Answer(failed=server == "v2-4" and fleet.rng.random() < 0.5)
+
+        self.assert_completed(RolloutFleet(fails).run(130.0))
+
+    def test_route_that_fails_with_both_versions(self):
+        def fails(fleet, version, route, node, server):
+            return Answer(failed=route == "lookup" and fleet.rng.random() < 0.4)
+
+        self.assert_completed(RolloutFleet(fails).run(130.0))
+
+    def test_data_centre_that_is_slow_for_both_versions(self):
+        def slow(fleet, version, route, node, server):
+            return Answer(factor=3.0 if node < 3 and 30.0 <= fleet.now < 55.0 else 1.0)
+
+        self.assert_completed(RolloutFleet(slow).run(130.0))
+
+    def test_fault_of_both_versions_that_begins_late(self):
+        """The old version of the time before is no measure for the new one of today."""
+
+        def fails(fleet, version, route, node, server):
+            return Answer(failed=40.0 <= fleet.now < 60.0 and fleet.rng.random() < 0.3)
+
+        self.assert_completed(RolloutFleet(fails).run(130.0))
+
+    def test_flood_that_slows_whichever_version_has_most_requests(self):
+        def overload(fleet, version, route, node, server):
+            return Answer(factor=5.0 if fleet.rate_of(version) > 130.0 else 1.0)
+
+        fleet = RolloutFleet(overload).run(75.0)
+        fleet.rate = 270.0
+        fleet.run(100.0).rate = 90.0
+        self.assert_completed(fleet.run(130.0))
+
+    def test_instance_that_starts_in_the_middle(self):
+        for at in (50.0, 90.0):
+            fleet = RolloutFleet(good).run(at)
+            fleet.nodes[4] = fleet.start(4)
+            fleet.nodes[9] = fleet.start(9)
+            self.assert_completed(fleet.run(130.0))
+
+    def test_instance_that_is_gone_or_cut_off_at_the_end(self):
+        fleet = RolloutFleet(good).run(70.0)
+        del fleet.nodes[4]
+        fleet.is_cut = lambda node, now: node == 5 and now >= 75.0
+        fleet.run(130.0)
+        self.assertIs(fleet.status[-1][1], COMPLETED)
+        self.assertLessEqual(fleet.status[-1][0], 120.0)
+
+    def test_store_down_shortly_before_the_move(self):
+        fleet = RolloutFleet(good)
+        fleet.store_up = lambda now: not 65.0 <= now < 85.0
+        self.assert_completed(fleet.run(130.0))
+
+    def test_instance_that_has_not_reported_keeps_the_old_servers(self):
+        fleet = RolloutFleet(good)
+        for node in fleet.nodes.values():
+            node.rollout.on_instances(0.0, {"node-0", "node-99"})
+        fleet.run(113.0)
+        self.assertIs(fleet.status[-1][1], RolloutState.RUNNING)
+        self.assert_completed(fleet.run(130.0))
+
+
+class RolloutPartsTest(unittest.TestCase):
+    """Guards the reports and the version in use."""
+
+    def test_report_is_small_and_survives_storage(self):
+        counts = {f"route-{i}": VersionCounts(9000, 8000, 10, 20, 400.25, 8000) for i in range(5)}
+        servers = {f"booking-app-{i:03}": 3 for i in range(12)}
+        report = RolloutReport("a", "o", "i", 7, 1.5, 90, counts, counts, servers, 6, 2, True, "x")
+        stored = report.to_builtins()
+        self.assertLess(len(str(stored)), 1100)
+        self.assertEqual(RolloutReport.from_builtins(stored | {"later": 1}), report)
+        self.assertIsInstance(RolloutReport.from_builtins({"instance": 3}), Failure)
+
+    def test_older_report_of_the_store_is_ignored(self):
+        limits, rng = RolloutLimits(), random.Random(1)
+        rollout = Rollout(limits, RolloutOrder("s", "v2", 60.0, "o"), "a", 0.0, rng)
+        newer = RolloutReport("b", "o", "i", 9, 1.0, 500)
+        rollout.on_reports(1.0, [newer, RolloutReport("b", "o", "i", 3, 0.5, 100)])
+        rollout.on_reports(2.0, [RolloutReport("c", "earlier", "i", 9, 300.0, 700)])
+        self.assertEqual(rollout.decide(2.0).evidence["requests"], 500)
+
+    def test_version_in_use_changes_only_without_its_servers(self):
+        in_use = VersionInUse()
+        in_use.on_servers(0.0, {"v1": 3, "v2": 3}, "v2")
+        self.assertTrue(in_use.permits("v1", None))
+        self.assertFalse(in_use.permits("v2", None))
+        self.assertTrue(in_use.permits("v2", "v2"))
+        self.assertFalse(in_use.permits("v3", "v2"))
+        self.assertFalse(in_use.on_servers(1.0, {"v1": 1, "v3": 9}, None))
+        self.assertFalse(in_use.on_servers(2.0, {"v2": 3}, "v2"))
+        self.assertTrue(in_use.on_servers(3.0, {"v3": 9}, None))
+        in_use.on_completed("v2")
+        self.assertFalse(in_use.permits("v3", None))
+
+
+if __name__ == "__main__":
+    unittest.main()
