Pace the requests for the new version and leave floods out of the comparison

Cause, seen in the simulated fleet: a share that rose was made up for by a burst of requests for the new version only, and answers of a flood counted after its end although the old version had never borne that load.

--- a/src/sapphireledge/core/rollout/compare_versions.py
+++ b/src/sapphireledge/core/rollout/compare_versions.py
@@ -21,8 +21,11 @@
 
 __all__ = ["FIRST_EVENT_MARK", "compare_versions"]
 
-LEAST_BAD, LEAST_SUSPECT = 5, 3
-"""Bad answers below which nothing is said, and nothing is suspected."""
+LEAST_BAD = 3
+"""Bad answers below which nothing is suspected."""
+
+LEAST_EXPECTED = 0.5
+"""Bad answers that may always occur, however good the old version is."""
 
 BAD_SCORE, SUSPECT_SCORE = 9.2, 3.0
 """Negative logarithm of the chance that a good version has so many bad answers: 1 in 10,000, and
@@ -65,7 +68,7 @@
     """
     pairs = list(pairs)
     new_bad = sum(_new_bad(report) - _new_bad(base) for report, base in pairs)
-    if new_bad < LEAST_SUSPECT:
+    if new_bad < LEAST_BAD:
         return VersionVerdict()
     left_out = _count_left_out(pairs)
     routes = _collect_routes(pairs)
@@ -83,7 +86,7 @@
     total_score = _score(total_bad - left_out, total_expected)
     figures |= {"score": round(max(best_score, total_score), 2), "left_out": left_out}
     strongest = max(best_score, total_score)
-    is_bad = strongest >= BAD_SCORE and new_bad - left_out >= LEAST_BAD
+    is_bad = strongest >= BAD_SCORE
     return VersionVerdict(
         is_bad,
         strongest >= SUSPECT_SCORE,
@@ -158,7 +161,8 @@
 
 def _score(observed: float, expected: float) -> float:
     """Bounds the negative logarithm of the chance of at least so many bad answers (Chernoff)."""
-    if observed < LEAST_SUSPECT or observed <= expected:
+    expected = max(expected, LEAST_EXPECTED)
+    if observed <= expected:
         return 0.0
     return observed * log(observed / expected) - observed + expected
 
--- a/src/sapphireledge/core/rollout/exposure_allowance.py
+++ b/src/sapphireledge/core/rollout/exposure_allowance.py
@@ -37,16 +37,19 @@
         """
         self._slack = self._limits.slack_part * self._limits.exposed_slack / instances
 
-    def permits(self, share: float, requests: int, sent: int) -> bool:
-        """Whether one more attempt may go to the new version.
+    def share(self, share: float, requests: int, sent: int) -> float:
+        """Computes the share of the requests that the new version may be given now.
 
         Args:
-            share: Share of the requests.
+            share: Share that is aimed at.
             requests: Requests that this instance sent, with the one in question.
             sent: Attempts that it sent to the new version.
 
         Returns:
-            Whether it may.
+            The share; higher than that aimed at while there is slack, 0 if all is used.
         """
-        slack = min(self._slack, self._limits.slack_share * requests)
-        return sent + 1 <= max(share * requests, slack) + self._rounding
+        if not share:
+            return 0.0
+        if sent + 1 <= share * requests + self._rounding:
+            return share
+        return self._limits.slack_share if sent + 1 <= self._slack + self._rounding else 0.0
--- a/src/sapphireledge/core/rollout/fleet_load.py
+++ b/src/sapphireledge/core/rollout/fleet_load.py
@@ -7,7 +7,7 @@
 
 __all__ = ["FleetLoad"]
 
-RATE_WINDOW = 10.0
+RATE_WINDOW = 5.0
 """Seconds over which rates are compared."""
 
 COMPARABLE_FACTOR, COMPARABLE_ADDITION = 1.3, 10
@@ -69,6 +69,9 @@
         self.is_comparable = True
         """Whether the new version carries no more load than the old one has shown to bear."""
 
+        self.is_usual = True
+        """Whether it would not either if it had all requests."""
+
         self.old_seconds: dict[str, float] = {}
         """Mean time of the old version by route, in seconds."""
 
@@ -94,6 +97,7 @@
             self._most_old_sent = max(self._most_old_sent, old_sent)
         bound = COMPARABLE_FACTOR * self._most_old_sent + COMPARABLE_ADDITION
         self.is_comparable = new_sent <= bound
+        self.is_usual = old_sent + new_sent <= bound
         self._sum_up(reports)
 
     @property
--- a/src/sapphireledge/core/rollout/fleet_reports.py
+++ b/src/sapphireledge/core/rollout/fleet_reports.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Iterable, Iterator
+from math import inf
 
 from sapphireledge.core.rollout.rollout_report import RolloutReport
 
@@ -37,6 +38,8 @@
         self._incarnations: dict[str, str] = {}
         self._heard_at: dict[str, float] = {}
         self._history: deque[tuple[float, dict[ReportKey, RolloutReport]]] = deque()
+        self._origin_at = -inf
+        self._origin: dict[ReportKey, RolloutReport] = {}
 
     def add(self, now: float, report: RolloutReport) -> bool:
         """Takes in a report.
@@ -71,6 +74,32 @@
         while len(history) > 1 and history[1][0] <= now - HISTORY:
             history.popleft()
 
+    def exclude_until(self, now: float) -> None:
+        """Leaves out of later comparisons what has happened up to now.
+
+        Args:
+            now: Current time in seconds.
+        """
+        self._origin_at, self._origin = now, dict(self._latest)
+
+    def compared_window(
+        self, now: float, seconds: float
+    ) -> Iterator[tuple[RolloutReport, RolloutReport | None]]:
+        """Returns a window without the time that is left out of comparisons.
+
+        Args:
+            now: Current time in seconds.
+            seconds: Length of the window; infinite for all since the order.
+
+        Returns:
+            Pairs of reports as `window` returns them.
+        """
+        if now - seconds >= self._origin_at:
+            yield from self.window(now, seconds)
+            return
+        for key, report in self._latest.items():
+            yield report, self._origin.get(key)
+
     def all(self) -> Iterable[RolloutReport]:
         """Returns the latest report of each incarnation."""
         return self._latest.values()
--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -16,6 +16,7 @@
 from sapphireledge.core.rollout.answer_quality import AnswerQuality
 from sapphireledge.core.rollout.compare_versions import FIRST_EVENT_MARK, compare_versions
 from sapphireledge.core.rollout.exposure_allowance import ExposureAllowance
+from sapphireledge.core.rollout.exposure_pace import ExposurePace
 from sapphireledge.core.rollout.find_blockers import find_blockers
 from sapphireledge.core.rollout.fleet_load import FleetLoad
 from sapphireledge.core.rollout.fleet_reports import FleetReports
@@ -113,7 +114,7 @@
         self._share = 0.0
         self._moved_for: float | None = None
         self._advanced_at = now
-        self._move_base = (0, 0)
+        self._pace = ExposurePace(rng)
         self._is_new_only = False
         self._finished_at = inf
         self._verdict = ""
@@ -211,7 +212,13 @@
             version: Version of the server.
             is_retry: Whether the request was sent to a server before.
         """
-        self._counts.count_sent(route, version == self._order.target, is_retry)
+        is_new = version == self._order.target
+        counts = self._counts
+        counts.count_sent(route, is_new, is_retry)
+        share = self._share
+        if self._stage is not RolloutStage.MOVE:
+            share = self._allowance.share(share, counts.requests, counts.new_sent)
+        self._pace.on_sent(share, is_new=is_new, is_retry=is_retry)
 
     def on_result(
         self,
@@ -338,17 +345,14 @@
             return VersionChoice.OLD_ONLY
         counts = self._counts
         if self._stage is RolloutStage.MOVE:
-            requests, sent = (
-                counts.requests - self._move_base[0],
-                counts.new_sent - self._move_base[1],
-            )
-            is_new = not is_retry and sent + 1 <= self._share * (requests + 1) + 0.5
+            is_new = not is_retry and self._pace.permits(self._share)
             return VersionChoice.NEW_FIRST if is_new else VersionChoice.OLD_FIRST
         if self._stage not in (RolloutStage.TRIAL, RolloutStage.WATCH) or is_retry:
             return VersionChoice.OLD_ONLY
         if not self._share or not self._is_kind_tried(now, may_repeat, is_stream):
             return VersionChoice.OLD_ONLY
-        if self._allowance.permits(self._share, counts.requests + 1, counts.new_sent):
+        share = self._allowance.share(self._share, counts.requests + 1, counts.new_sent)
+        if share and self._pace.permits(share):
             return VersionChoice.NEW_FIRST
         return VersionChoice.OLD_ONLY
 
@@ -423,11 +427,13 @@
         strongest = VersionVerdict()
         if self._load.is_comparable:
             for window in WINDOWS:
-                verdict = compare_versions(self._reports.window(now, window))
+                verdict = compare_versions(self._reports.compared_window(now, window))
                 if verdict.is_bad or (verdict.is_suspect and not strongest.is_suspect):
                     strongest = verdict
                 if verdict.is_bad:
                     break
+        else:
+            self._reports.exclude_until(now)
         self._comparison = strongest
         if strongest.is_bad and not self._verdict:
             self._verdict = strongest.reason
@@ -466,7 +472,6 @@
             self._set_move_stage(now, self._moved_for)
         elif self._may_move(now):
             self._moved_for = 0.0
-            self._move_base = (self._counts.requests, self._counts.new_sent)
             self._set_move_stage(now, 0.0)
         else:
             self._set_trial_stage(now)
@@ -510,12 +515,12 @@
         is_late = self._age(now) >= self._schedule.move_streams_at
         if step < len(MOVE_SHARES):
             share = MOVE_SHARES[step]
-            self._share = share if self._load.is_comparable else min(share, HELD_SHARE)
+            self._share = share if self._load.is_usual else min(share, HELD_SHARE)
             if self._comparison.is_suspect:
                 self._share = MOVE_SHARES[0]
         elif self._comparison.is_suspect:
             self._share = MOVE_SHARES[0]
-        elif self._load.is_comparable or is_late:
+        elif self._load.is_usual or is_late:
             self._finish(now)
         else:
             self._share = HELD_SHARE
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -42,6 +42,7 @@
     delay: float
     next_decision: float
     state: RolloutState = RolloutState.RUNNING
+    first_events: list[tuple[float, float, str, str, str]] = field(default_factory=list)
     in_flight: list[tuple[float, str, str, str, float, Answer, bool]] = field(default_factory=list)
 
 
@@ -169,10 +170,18 @@
         answer = self.behaviour(self, version, route, number, server)
         seconds *= answer.factor * self.rng.lognormvariate(0.0, 0.3)
         node.rollout.on_sent(self.now, route, version, is_retry=is_retry)
+        if is_stream:
+            node.first_events.append(
+                (self.now + 0.2 * seconds, 0.2 * seconds, route, version, server)
+            )
         end = self.now + (0.3 * seconds if answer.failed else seconds)
         node.in_flight.append((end, route, version, server, seconds, answer, is_retry))
 
     def _end_requests(self, node: Node) -> None:
+        for event in [item for item in node.first_events if item[0] <= self.now]:
+            node.first_events.remove(event)
+            _, seconds, route, version, server = event
+            node.rollout.on_first_event(self.now, route, version, seconds, server=server)
         ended = [item for item in node.in_flight if item[0] <= self.now]
         node.in_flight = [item for item in node.in_flight if item[0] > self.now]
         for _, route, version, server, seconds, answer, is_retry in ended:
