--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -7,7 +7,7 @@
 import unittest
 
 from gateway_case import chunk, event, stream_head
-from rollout_fleet import NEW, OLD, SERVICE, RolloutFleetCase
+from rollout_io_case import NEW, OLD, SERVICE, RolloutFleetCase
 
 from sapphireledge.core.rollout import RolloutOrder, RolloutState
 from sapphireledge.gateway import StoredOrder
