--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.gateway.loop_lag import LoopLag
-from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.rollout_attempt import RolloutAttempt
 from sapphireledge.gateway.service_versions import ServiceVersions
 
@@ -16,11 +15,9 @@
 
     from sapphireledge.core.rollout import (
         AnswerQuality,
-        Rollout,
         RolloutLimits,
         RolloutReport,
         RolloutState,
-        VersionRule,
     )
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_registry import BackendRegistry
@@ -106,10 +103,10 @@
         versions = self._services.get(admitted.service.name)
         if versions is None or not (versions.rollout or versions.held_versions):
             return frozenset()
-        if versions.rollout is None:
-            return versions.excluded(None)
         now = asyncio.get_running_loop().time()
-        rule = _choose(versions.rollout, now, admitted, is_retry=is_retry)
+        rule = versions.choose(now, admitted, is_retry=is_retry)
+        if rule is None:
+            return versions.excluded(None)
         preferred = versions.excluded(rule, preferred=True)
         left_out = {*preferred, *others}
         if self._registry.next_admission(now, admitted.service.name, left_out) <= now:
@@ -130,11 +127,8 @@
         versions = self._services.get(admitted.service.name)
         if versions is None or not (versions.rollout or versions.held_versions):
             return True
-        rule = None
-        if versions.rollout is not None:
-            now = asyncio.get_running_loop().time()
-            rule = _choose(versions.rollout, now, admitted, is_retry=is_retry)
-        return versions.permits(server, rule)
+        now = asyncio.get_running_loop().time()
+        return versions.permits(server, versions.choose(now, admitted, is_retry=is_retry))
 
     def excluded_copies(self, server: BackendServer) -> frozenset[str]:
         """Lists the servers that may not hold a copy of a stream because of their version.
@@ -415,15 +409,3 @@
         else:
             self._begun.clear()
         self.on_activity(is_active)
-
-
-def _choose(
-    rollout: Rollout, now: float, admitted: AdmittedRequest, *, is_retry: bool
-) -> VersionRule:
-    """Chooses the versions that an attempt of a request may use."""
-    return rollout.choose(
-        now,
-        may_repeat=admitted.route.repeatable,
-        is_stream=admitted.route.replay is ReplayRule.EVENT_STREAM,
-        is_retry=is_retry,
-    )
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -35,6 +35,7 @@
     run: Callable[[BackendConnection, AttemptProgress], Awaitable[Outcome]],
     *,
     isolated: bool = False,
+    can_move: Callable[[float, BackendServer], bool] | None = None,
 ) -> Outcome:
     """Sends a request to a backend server and records the outcome.
 
@@ -47,6 +48,8 @@
         number: Number of the attempt, from 1.
         run: Sends the request on a connection, reads the response and records its progress.
         isolated: Whether the request runs isolated from others that may crash servers.
+        can_move: Returns whether the request can go on at another server at a time, None if it
+            never can.
 
     Returns:
         The outcome of the attempt.
@@ -59,12 +62,11 @@
     is_stream = admitted.route.replay is ReplayRule.EVENT_STREAM
     attempt = AttemptProgress(context.crashes, work_id, runs_at_once=not is_stream)
     limit = asyncio.timeout(None)
-    can_move = is_stream and admitted.route.resumable
     counted = context.rollouts.begin(
         admitted,
         server,
         is_retry=number > 1,
-        move=partial(limit.reschedule, started) if can_move else None,
+        move=None if can_move is None else partial(_move, limit, server, can_move),
     )
     if counted is not None and is_first_run(admitted, number):
         attempt.on_first_event = partial(context.rollouts.on_first_event, counted)
@@ -94,6 +96,15 @@
     return outcome
 
 
+def _move(
+    limit: asyncio.Timeout, server: BackendServer, can_move: Callable[[float, BackendServer], bool]
+) -> None:
+    """Ends an attempt if its request can go on at another server now."""
+    now = asyncio.get_running_loop().time()
+    if limit.when() is None and can_move(now, server):
+        limit.reschedule(now)
+
+
 async def _run_until_moved(
     limit: asyncio.Timeout,
     context: GatewayContext,
--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -7,12 +7,14 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.rollout import Rollout, RolloutState, VersionInUse
+from sapphireledge.gateway.replay_rule import ReplayRule
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from random import Random
 
     from sapphireledge.core.rollout import RolloutDecision, RolloutLimits, VersionRule
+    from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_registry import BackendRegistry
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.rollout_attempt import RolloutAttempt
@@ -50,6 +52,7 @@
         """Attempts that have not ended."""
 
         self._final_state: RolloutState | None = None
+        self._is_at_target = False
         self._service = service
         self._registry = registry
         self._in_use = VersionInUse()
@@ -135,10 +138,34 @@
             if server.version and not server.draining:
                 versions[server.version] += 1
         self._in_use.on_servers(now, versions, self._unproved_target)
+        if any(version != self.target for version in versions):
+            self._is_at_target = False
         self.held_versions = frozenset(
             version for version in versions if not self._in_use.permits(version, self.target)
         )
 
+    def choose(
+        self, now: float, admitted: AdmittedRequest, *, is_retry: bool
+    ) -> VersionRule | None:
+        """Chooses the versions that an attempt of a request may use, if it is sent at once.
+
+        Args:
+            now: Event loop time in seconds.
+            admitted: The request.
+            is_retry: Whether the request was sent to a server before.
+
+        Returns:
+            The rule, None if no order is running or there was only its target when it began.
+        """
+        if self.rollout is None or self._is_at_target:
+            return None
+        return self.rollout.choose(
+            now,
+            may_repeat=admitted.route.repeatable,
+            is_stream=admitted.route.replay is ReplayRule.EVENT_STREAM,
+            is_retry=is_retry,
+        )
+
     def excluded(self, rule: VersionRule | None, *, preferred: bool = False) -> frozenset[str]:
         """Lists the servers that an attempt may not use.
 
@@ -192,6 +219,10 @@
     def _begin(self, now: float, rollout: Rollout) -> None:
         """Begins an order; attempts in flight count for it."""
         self.rollout, self.decision = rollout, None
+        servers = list(self._registry.list_servers(self._service))
+        self._is_at_target = bool(servers) and all(
+            server.version == rollout.order.target for server in servers
+        )
         if self._in_use.version == rollout.order.target:
             # Its servers were listed before the order.
             self._in_use = VersionInUse()
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -73,6 +73,7 @@
             self._progress.attempts,
             run,
             isolated=isolated,
+            can_move=self._can_move,
         )
 
     async def _run_on(
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -191,6 +191,15 @@
         rollouts.on_order(StoredOrder(order, None, 5))
         self.assertEqual(rollouts.wanted_states()["app"][1], RolloutState.ROLLED_BACK)
 
+    async def test_order_for_the_version_in_use_stops_nothing(self):
+        """Guards against an order without another version, which left no server to use."""
+        await self.add_version("v2")
+        self.begin(VersionChoice.OLD_ONLY)
+        await self.call("/plain/x")
+        await self.add_version("v1")
+        await self.call("/plain/x")
+        self.assertEqual(self.received, ["v2", "v1"])
+
     async def test_version_in_use_is_no_target_that_was_listed_before_its_order(self):
         """Guards against an instance that starts late and takes the majority for the old one."""
         await self.add_version("v2")
--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -176,10 +176,10 @@
             first = int(request.headers.get("last-event-id", -1)) + 1
             seen.append((first, int(writer.get_extra_info("sockname")[1])))
             writer.write(stream_head(request))
-            for number in range(first, 44):
+            for number in range(first, 120):
                 writer.write(chunk(event(number)))
                 await writer.drain()
-                await asyncio.sleep(0.3)
+                await asyncio.sleep(0.1)
             writer.write(b"0\r\n\r\n")
 
         await self.add_servers(OLD, 1, stream)
@@ -191,7 +191,7 @@
         await self.wait_for_status("completed", 14.0)
         response = await call
         self.assertTrue(response.complete)
-        self.assertEqual(response.body, b"".join(event(number) for number in range(44)))
+        self.assertEqual(response.body, b"".join(event(number) for number in range(120)))
         self.assertEqual([port for _, port in seen], [server.port for server in self.servers])
 
 
