--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -62,6 +62,8 @@
         self.status = [(0.0, RolloutState.RUNNING)]
         self.store_up: Callable[[float], bool] = lambda now: True
         self.is_cut: Callable[[int, float], bool] = lambda node, now: False
+        self.is_deaf: Callable[[int, float], bool] = lambda node, now: False
+        self.is_mute: Callable[[int, float], bool] = lambda node, now: False
         self.status_write_delay = 0.05
         self.kill_deciders = 0
         self.late_status: list[tuple[float, RolloutState]] = []
@@ -119,7 +121,12 @@
         if self.rng.random() < 0.005:
             node.delay = self.rng.uniform(0.5, 3.0)
         as_of = self.now - node.delay
-        if self._reaches_store(number, self.now) and self._reaches_store(number, as_of):
+        is_deaf = self.is_deaf(number, as_of)
+        if (
+            not is_deaf
+            and self._reaches_store(number, self.now)
+            and self._reaches_store(number, as_of)
+        ):
             heard = [[r for at, r in log if at <= as_of][-1:] for log in self.stored.values()]
             node.rollout.on_reports(self.now, [r for item in heard for r in item])
             node.rollout.on_feed_confirmed(as_of)
@@ -128,7 +135,7 @@
 
     def _evaluate(self, number: int, node: Node) -> None:
         node.next_decision = self.now + 0.5
-        reaches = self._reaches_store(number, self.now)
+        reaches = self._reaches_store(number, self.now) and not self.is_mute(number, self.now)
         decision = node.rollout.decide(self.now)
         if decision.proposed and self.kill_deciders:
             self.kill_deciders -= 1
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from rollout_fleet import Answer, Behaviour, RolloutFleet
 
 from sapphireledge.core.rollout import (
@@ -76,6 +78,8 @@
         for since in (30.0, 60.0, 80.0, 87.0):
             fleet = RolloutFleet(bad(0.3, since=since)).run(130.0)
             self.assert_rolled_back(fleet, before=since + 15.0)
+        fleet = RolloutFleet(bad(0.3, since=300.0), duration=600.0).run(330.0)
+        self.assert_rolled_back(fleet, before=315.0)
 
     def test_bad_only_under_load(self):
         self.assert_rolled_back(RolloutFleet(bad_under_load).run(130.0))
@@ -94,14 +98,21 @@
         fleet.is_cut = lambda node, now: node < 3 and 20.0 <= now < 80.0
         self.assert_rolled_back(fleet.run(130.0), before=60.0)
 
-    def test_instance_that_is_cut_off_gives_the_new_version_nothing(self):
-        """Its bad answers would not be known to the others."""
+    def test_instance_that_does_not_hear_the_others_gives_the_new_version_nothing(self):
         fleet = RolloutFleet(good)
-        fleet.is_cut = lambda node, now: now >= 20.0
+        fleet.is_deaf = lambda node, now: now >= 20.0
         fleet.run(29.0)
         self.assertGreater(len(fleet.sent_new_at), 20)
         self.assertLess(fleet.sent_new_at[-1], 20.0 + 3.1)
 
+    def test_instance_that_cannot_publish_gives_the_new_version_nothing(self):
+        for behaviour, delay in ((bad(1.0, since=20.0), 1.5), (good, 3.5)):
+            fleet = RolloutFleet(behaviour)
+            fleet.is_mute = lambda node, now: now >= 20.0
+            fleet.run(29.0)
+            self.assertGreater(len(fleet.sent_new_at), 20)
+            self.assertLess(fleet.sent_new_at[-1], (fleet.bad_at or [20.0])[-1] + delay)
+
     def test_store_down_at_the_verdict(self):
         fleet = RolloutFleet(bad(0.3, since=30.0))
         fleet.store_up = lambda now: not 32.0 <= now < 50.0
@@ -139,6 +150,12 @@
         fleet.run(155.0)
         self.assert_rolled_back(fleet, before=45.0)
 
+    @settings(max_examples=15, deadline=None)
+    @given(st.integers(0, 2**32), st.integers(3, 12), st.floats(30.0, 120.0), st.floats(0.0, 80.0))
+    def test_bounds_hold_whenever_a_version_turns_bad(self, seed, nodes, rate, since):
+        fleet = RolloutFleet(bad(0.4, since=since), seed=seed, nodes=nodes, rate=rate)
+        self.assert_rolled_back(fleet.run(125.0))
+
 
 class GoodVersionTest(RolloutCase):
     """Guards against a rollback for trouble that is not the version's, and against a late end."""
@@ -178,6 +195,14 @@
 
         self.assert_completed(RolloutFleet(slow).run(130.0))
 
+    def test_slow_data_centre_that_alone_tries_the_new_version(self):
+        def slow(fleet, version, route, node, server):
+            return Answer(factor=3.0 if node < 3 and 30.0 <= fleet.now < 55.0 else 1.0)
+
+        fleet = RolloutFleet(slow)
+        fleet.is_deaf = lambda node, now: node >= 3 and 27.0 <= now < 60.0
+        self.assert_completed(fleet.run(130.0))
+
     def test_fault_of_both_versions_that_begins_late(self):
         """The old version of the time before is no measure for the new one of today."""
 
