--- a/tests/rollout_io_case.py
+++ b/tests/rollout_io_case.py
@@ -130,6 +130,8 @@
         """Status of each answer that reached a caller."""
         self.is_bad = False
         """Whether servers of the new version fail every request."""
+        self.new_delay = 0.01
+        """Seconds that servers of the new version take for a request."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._count = 0
 
@@ -157,7 +159,7 @@
         async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
             status = 500 if self.is_bad and version == NEW else 200
             self.sent.append((time.monotonic(), str(version), status))
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.new_delay if version == NEW else 0.01)
             writer.write(signed_response(request, status=status))
             await writer.drain()
 
--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -63,6 +63,15 @@
         self.assert_nothing_new_since(rolled_back_at + 0.5)
         self.assertGreater(self.share(OLD, rolled_back_at), 0.99)
 
+    async def test_slow_version_is_rolled_back(self):
+        """Guards against a version whose answers are all right, but take several times as long."""
+        self.new_delay = 0.3
+        await self.start_fleet(2, 100.0)
+        self.order(duration=60.0)
+        await self.wait_for_status("rolled_back", 25.0)
+        self.assertLess(len(self.times(NEW)), 50)
+        self.assertEqual({*self.answers}, {200})
+
     async def test_version_that_turns_bad_gets_nothing_soon_after(self):
         """Guards against bad answers that are counted at each of three instances alone."""
         await self.start_fleet(3, 150.0)
