--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -117,6 +117,7 @@
         """
         self.cfg = cfg
         self.context.cfg = cfg
+        self.context.rollouts.reconfigure(cfg)
 
     def begin_stop(self) -> None:
         """Begins a graceful shutdown: reports not ready, and responses announce the close."""
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -71,6 +71,15 @@
         self._lag = LoopLag()
         self._begun = asyncio.Event()
 
+    def reconfigure(self, cfg: GatewaySettings) -> None:
+        """Applies changed limits to orders that begin later.
+
+        Args:
+            cfg: New settings; whether versions are rolled out at all changes with a restart only.
+        """
+        if self._limits is not None and cfg.rollout is not None:
+            self._limits = cfg.rollout
+
     @property
     def is_active(self) -> bool:
         """Whether an order is running, or may be about to begin."""
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -25,7 +25,9 @@
     KindFeed,
     KindSettings,
     KindWatcher,
+    SourceError,
     StoredEntry,
+    StoredVersion,
 )
 from sapphireledge.feed.feed_message import FeedEntry, KindReply
 from sapphireledge.feed.object_record import ObjectRecord
@@ -49,6 +51,7 @@
 from sapphireledge.gateway.response_head import ResponseHead
 from sapphireledge.platform.decode_server import decode_server
 from sapphireledge.platform.platform_dialect import PlatformDialect
+from sapphireledge.platform.rollout_status_writer import RolloutStatusWriter
 
 SETTINGS = GatewaySettings("e1", "dc-a", HOST, 0, HOST, 0, 0, 3.8, 8.0, rollout=RolloutLimits())
 CFG = FeedSettings(kinds=(), host=HOST, port=1)
@@ -276,6 +279,70 @@
         self.assertIsNone(compare_seconds(stream, self.attempt, 2, now))
 
 
+class StatusWriterTest(unittest.IsolatedAsyncioTestCase):
+    async def write(self, *answers: object) -> tuple[list[object], RolloutGuard]:
+        """Lets a writer write the status of an order; returns its calls and what it learnt."""
+        store = StatusStore(answers)
+        context = Gateway(SETTINGS, PlatformDialect(), RequestTelemetry(GatewayMetrics())).context
+        guard = context.rollouts
+        guard.on_order(StoredOrder(RolloutOrder("app", "v2", 9.0, "3/v2/9"), None, 7))
+        writer = RolloutStatusWriter(store, guard, lambda: 1)
+        task = asyncio.create_task(writer.run())
+        async with asyncio.timeout(5.0):
+            while store.answers:
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(0.3)
+        task.cancel()
+        return store.calls, guard
+
+    async def test_write_without_response_is_followed_by_a_read(self):
+        """Guards against a status that is given up, or overwrites that of another instance."""
+        stored = version(9, {"state": "rolled_back", "target": "v2"})
+        calls, guard = await self.write(SourceError("lost"), stored)
+        self.assertEqual(calls, [("running", 7), "read"])
+        self.assertEqual(guard.wanted_states(), {})
+
+    async def test_status_is_written_again_if_the_order_changed_only_in_its_revision(self):
+        calls, _ = await self.write(
+            version(9, None, written=False), version(10, {"state": "running", "target": "v2"})
+        )
+        self.assertEqual(calls, [("running", 7), ("running", 9)])
+
+    async def test_removed_order_gets_no_status(self):
+        calls, guard = await self.write(None)
+        self.assertEqual((calls, guard.wanted_states()), ([("running", 7)], {}))
+
+
+class StatusStore:
+    """Store that gives scripted answers to the calls of a status writer."""
+
+    def __init__(self, answers) -> None:
+        self.answers = list(answers)
+        self.calls: list[object] = []
+
+    async def write_status(self, kind, name, status, revision):
+        self.calls.append((status["state"], revision))
+        return self._answer()
+
+    async def read(self, kind, name):
+        self.calls.append("read")
+        return self._answer()
+
+    def close(self) -> None:
+        pass
+
+    def _answer(self):
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def version(revision: int, status: object, written: bool = True) -> StoredVersion:
+    spec = {"service": "app", "target": "v2", "duration_s": 9}
+    return StoredVersion(spec, revision, written, status, 3)
+
+
 class LoopLagTest(unittest.IsolatedAsyncioTestCase):
     async def test_times_are_not_compared_while_the_process_is_held_up(self):
         """Guards against a sound version that is rolled back because an instance was short of
