--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -138,8 +138,10 @@
         account.try_resize(monotonic(), 0)
 
     def _can_relay(self) -> bool:
-        """Whether this instance reads the store and holds a listing of each kind."""
-        return self._is_reader() and all(feed.revision is not None for feed in self._feeds.values())
+        """Whether this instance reads the store and holds a listing of each kind it must have."""
+        return self._is_reader() and all(
+            feed.revision is not None or feed.is_optional for feed in self._feeds.values()
+        )
 
     def _wake_waiters(self) -> None:
         """Wakes every request that waits for updates."""
@@ -169,6 +171,7 @@
         kinds = {
             kind: self._build_kind_reply(feed, revisions.get(kind))
             for kind, feed in self._feeds.items()
+            if feed.revision is not None
         }
         return FeedReply(waited, kinds, self._epoch.current)
 
@@ -189,4 +192,6 @@
         is_full, entries = feed.entries_since(revision)
         assert feed.revision is not None
         feed_entries = [FeedEntry(entry.name, entry.spec, entry.removed) for entry in entries]
-        return KindReply(feed.revision, feed.age, is_full, feed_entries)
+        has_records = any(entry.record is not None for entry in entries)
+        records = [entry.record for entry in entries] if has_records else None
+        return KindReply(feed.revision, feed.age, is_full, feed_entries, records)
--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -27,6 +27,13 @@
     can_start_late: bool = False
     """Whether a new instance that others precede can wait for the objects until it has a relay."""
 
+    quiet_wait: float | None = None
+    """Time for which the store holds open a watch without changes while none are expected; 0 to
+    make no call in the meantime, None to watch in the same way all the time."""
+
+    has_records: bool = False
+    """Whether status and versions of the objects are read, too."""
+
 
 @dataclass(frozen=True, slots=True)
 class FeedSettings:
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -10,15 +10,25 @@
 
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.feed.store_presence import StorePresence
-from sapphireledge.gateway import GatewayEvent, seconds_since_boot
+from sapphireledge.gateway import GatewayEvent, seconds_since_boot, wait_for_event
 
 if TYPE_CHECKING:
     from sapphireledge.feed.feed_settings import FeedSettings, KindSettings
+    from sapphireledge.feed.kind_activity import KindActivity
     from sapphireledge.feed.kind_feed import KindFeed
     from sapphireledge.feed.object_source import ObjectSource
+    from sapphireledge.feed.store_page import StorePage
 
 __all__ = ["KindWatcher"]
 
+QUIET_START_DELAY = 2.5
+"""Seconds before the first call for a kind of which no changes are expected. An instance that is
+preceded by others has found its relay by then."""
+
+QUIET_RETRY_DELAY = 6.0
+"""Seconds between failed calls for such a kind; calls for other kinds show sooner that the store is
+back."""
+
 
 class KindWatcher:
     """Lists the objects of a kind, then watches for changes."""
@@ -30,6 +40,7 @@
         kind_cfg: KindSettings,
         cfg: FeedSettings,
         presence: StorePresence | None = None,
+        activity: KindActivity | None = None,
     ) -> None:
         """Creates a watcher.
 
@@ -39,6 +50,7 @@
             kind_cfg: Settings of the kind.
             cfg: Settings of the feed.
             presence: Shared by the watchers of an instance, None if there is no other.
+            activity: Tells when changes are expected, None if they always are.
         """
         self.is_healthy = False
         """Whether the last call succeeded."""
@@ -57,6 +69,10 @@
         self._store_lost = False
         self._is_repeat = False
         self._presence = presence or StorePresence()
+        self._activity = activity
+        self._wake = asyncio.Event()
+        if activity is not None:
+            activity.subscribe(self.wake)
         self._last_success = seconds_since_boot()
 
     async def run(self, start_delay: float = 0.0) -> None:
@@ -66,8 +82,8 @@
             start_delay: Seconds before the first call if the kind can start late and has not been
                 listed yet.
         """
-        if self._kind_cfg.can_start_late and self._feed.revision is None:
-            await asyncio.sleep(start_delay)
+        if self._feed.revision is None:
+            await self._wait_at_start(start_delay)
         try:
             while True:
                 try:
@@ -97,27 +113,36 @@
         """
         self._retry_delays = (base, cap)
 
+    def wake(self) -> None:
+        """Ends a long watch, because changes are expected or the store came back from a copy."""
+        self._wake.set()
+
     async def _call_store(self) -> None:
         """Makes one list or watch call and applies its result."""
+        self._wake.clear()
         started = seconds_since_boot()
+        if self._is_quiet and not self._kind_cfg.quiet_wait:
+            await self._wake.wait()
+            return
         revision = self._feed.revision
         if revision is None or self._needs_relist:
             page = await self._source.list(self._kind_cfg.kind)
             self._record_success()
             self._needs_relist = False
             self._feed.apply_listing(page, started)
-            if not self._has_listed:
-                self._has_listed = True
+            if not (self._has_listed or self.is_optional):
                 await asyncio.sleep(self._cfg.start_pause)
+            self._has_listed = True
             return
-        wait = self._kind_cfg.watch_wait
-        if self._had_changes and self._kind_cfg.confirms:
-            # A watch that returns changes confirms only its start time, so the next one is short.
-            wait = self._cfg.confirm_wait
-        if self._is_repeat or not self.is_healthy:
-            # Other instances can follow this one as soon as one call succeeds.
-            wait = min(wait, self._cfg.initial_wait)
-        changes = await self._source.watch(self._kind_cfg.kind, revision, wait)
+        wait = self._choose_wait()
+        call = self._source.watch(self._kind_cfg.kind, revision, wait)
+        if self._is_quiet:
+            watch = asyncio.create_task(call)
+            if not await self._wait_while_quiet(watch):
+                return
+            changes = watch.result()
+        else:
+            changes = await call
         self._record_success()
         if changes is None:
             self._needs_relist = True
@@ -132,6 +157,60 @@
         if self._had_changes:
             await asyncio.sleep(self._kind_cfg.batch_delay)
 
+    @property
+    def is_optional(self) -> bool:
+        """Whether other instances can follow this one without the objects of the kind."""
+        return self._activity is not None
+
+    @property
+    def _is_quiet(self) -> bool:
+        """Whether no changes are expected and none have just arrived."""
+        return (
+            self._activity is not None
+            and not self._activity.is_active
+            and not self._had_changes
+            and not self._is_repeat
+            and self.is_healthy
+        )
+
+    def _choose_wait(self) -> float:
+        """Returns the time for which the store is to hold open the next watch."""
+        if self._is_quiet and self._kind_cfg.quiet_wait is not None:
+            return self._kind_cfg.quiet_wait
+        wait = self._kind_cfg.watch_wait
+        if self._had_changes and self._kind_cfg.confirms:
+            # A watch that returns changes confirms only its start time, so the next one is short.
+            wait = self._cfg.confirm_wait
+        if self._is_repeat or not self.is_healthy:
+            # Other instances can follow this one as soon as one call succeeds.
+            wait = min(wait, self._cfg.initial_wait)
+        return wait
+
+    async def _wait_at_start(self, start_delay: float) -> None:
+        """Waits before the first call for a kind that a new instance can do without."""
+        if self.is_optional:
+            self.is_healthy = True
+            await self._wait_for_wake(QUIET_START_DELAY)
+        elif self._kind_cfg.can_start_late:
+            await asyncio.sleep(start_delay)
+
+    async def _wait_for_wake(self, timeout: float) -> None:
+        """Waits until changes are expected, or the timeout in seconds expires."""
+        await wait_for_event(self._wake, timeout)
+
+    async def _wait_while_quiet(self, watch: asyncio.Task[StorePage | None]) -> bool:
+        """Waits for a long watch; returns False if it was ended because changes are expected."""
+        wake = asyncio.create_task(self._wake.wait())
+        try:
+            await asyncio.wait({watch, wake}, return_when=asyncio.FIRST_COMPLETED)
+            return watch.done()
+        finally:
+            wake.cancel()
+            if not watch.done():
+                watch.cancel()
+                # The connection must be closed before the next call begins.
+                await asyncio.wait({watch})
+
     def _record_success(self) -> None:
         """Resets the failure state and reports the recovery of the store."""
         now = seconds_since_boot()
@@ -154,6 +233,8 @@
         if not self._store_lost:
             self._store_lost = True
             self._log.warning(GatewayEvent.STORE_LOST, kind=self._kind_cfg.kind, reason=str(exc))
+        if self._activity is not None and not self._activity.is_active:
+            return await self._wait_for_wake(QUIET_RETRY_DELAY)
         if not self._kind_cfg.confirms:
             return await self._presence.wait_for_success(self._cfg.passive_retry_interval)
         base, cap = self._retry_delays
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -90,6 +90,7 @@
             and self.config.table is not None
             and self.config.age < self.cfg.max_config_age - READY_MARGIN
             and len(self.context.registry) > 0
+            and self.context.rollouts.knows_versions
         )
 
     @property
@@ -129,6 +130,7 @@
         self.context.cfg = cfg
         self._ledger.limits = cfg.callers.callers
         RESPONSE_BUDGET.resize(cfg.callers.response_bytes)
+        self.context.rollouts.reconfigure(cfg)
 
     def begin_stop(self) -> None:
         """Begins a graceful shutdown: reports not ready, and responses announce the close."""
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -105,6 +105,22 @@
         )
         """Connections closed and requests refused because of limits on callers, by reason."""
 
+        self.version_answers = Counter(
+            "sapphireledge_version_answers",
+            "Ends of attempts while a version is rolled out, by version and quality.",
+            ["service", "version", "quality"],
+            registry=self._registry,
+        )
+        """Ends of attempts at a service while a version is rolled out, by version and quality."""
+
+        self.rollout_share = Gauge(
+            "sapphireledge_rollout_share",
+            "Share of the requests that the version that is rolled out is given.",
+            ["service"],
+            registry=self._registry,
+        )
+        """Share of a service's requests at this instance that the new version is given."""
+
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format.
 
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from sapphireledge.core.liveness import SilenceLimits
+from sapphireledge.core.rollout import RolloutLimits
 from sapphireledge.gateway.quarantine_settings import QuarantineSettings
 from sapphireledge.limits import CallerBudgets
 
@@ -60,6 +61,9 @@
     callers: CallerBudgets = field(default_factory=CallerBudgets)
     """Memory and connections that callers may take."""
 
+    rollout: RolloutLimits | None = None
+    """Limits of the roll-out of a version, None where versions are not rolled out."""
+
     body_timeout: float = 0.33
     """Timeout between two chunks of an engine's response that is not a stream."""
 
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -12,6 +12,7 @@
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.limit_log import LimitLog
 from sapphireledge.gateway.outcome import OutcomeKind
+from sapphireledge.gateway.rollout_telemetry import RolloutTelemetry
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
@@ -41,6 +42,9 @@
     """Writes a log line for each decision about a request and updates the metrics."""
 
     def __init__(self, metrics: GatewayMetrics) -> None:
+        self.rollouts = RolloutTelemetry(metrics)
+        """Logging and metrics of roll-outs."""
+
         self._metrics = metrics
         self._shedding_services: set[str] = set()
         self._log = structlog.get_logger()
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -8,6 +8,11 @@
 
 from sapphireledge.gateway.attempt_progress import AttemptProgress
 from sapphireledge.gateway.backend_response_error import BackendResponseError
+from sapphireledge.gateway.judge_attempt import (
+    compare_seconds,
+    is_first_run,
+    judge_attempt,
+)
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.replay_rule import ReplayRule
 
@@ -30,6 +35,7 @@
     run: Callable[[BackendConnection, AttemptProgress], Awaitable[Outcome]],
     *,
     isolated: bool = False,
+    can_move: Callable[[float, BackendServer], bool] | None = None,
 ) -> Outcome:
     """Sends a request to a backend server and records the outcome.
 
@@ -42,6 +48,8 @@
         number: Number of the attempt, from 1.
         run: Sends the request on a connection, reads the response and records its progress.
         isolated: Whether the request runs isolated from others that may crash servers.
+        can_move: Returns whether the request can go on at another server at a time, None if it
+            never can.
 
     Returns:
         The outcome of the attempt.
@@ -53,8 +61,20 @@
     work_id = context.crashes.begin(admitted, server, isolated=isolated)
     is_stream = admitted.route.replay is ReplayRule.EVENT_STREAM
     attempt = AttemptProgress(context.crashes, work_id, runs_at_once=not is_stream)
+    limit = asyncio.timeout(None)
+    counted = context.rollouts.begin(
+        admitted,
+        server,
+        is_retry=number > 1,
+        move=None if can_move is None else partial(_move, limit, server, can_move),
+    )
+    if counted is not None and is_first_run(admitted, number):
+        attempt.on_first_event = partial(context.rollouts.on_first_event, counted)
+    outcome: Outcome | None = None
     try:
-        outcome = await _connect_and_run(context, admitted, server, partial(run, attempt=attempt))
+        outcome = await _run_until_moved(
+            limit, context, admitted, server, partial(run, attempt=attempt)
+        )
         if outcome.connection_lost:
             context.crashes.on_connection_lost(server)
         elif outcome.kind is OutcomeKind.ANSWERED:
@@ -62,6 +82,10 @@
         elif outcome.silent:
             context.crashes.on_unanswered(work_id)
     finally:
+        now = asyncio.get_running_loop().time()
+        quality = judge_attempt(context.crashes, admitted, outcome, attempt, now - started)
+        seconds = compare_seconds(admitted, attempt, number, now)
+        context.rollouts.finish(counted, quality, seconds)
         context.crashes.end(work_id)
         if state is not None:
             state.in_flight -= 1
@@ -72,6 +96,33 @@
     return outcome
 
 
+def _move(
+    limit: asyncio.Timeout, server: BackendServer, can_move: Callable[[float, BackendServer], bool]
+) -> None:
+    """Ends an attempt if its request can go on at another server now."""
+    now = asyncio.get_running_loop().time()
+    if limit.when() is None and can_move(now, server):
+        limit.reschedule(now)
+
+
+async def _run_until_moved(
+    limit: asyncio.Timeout,
+    context: GatewayContext,
+    admitted: AdmittedRequest,
+    server: BackendServer,
+    run: Callable[[BackendConnection], Awaitable[Outcome]],
+) -> Outcome:
+    """Runs the attempt until it ends, or is to go on at another server."""
+    try:
+        async with limit:
+            return await _connect_and_run(context, admitted, server, run)
+    except TimeoutError:
+        if not limit.expired():
+            raise
+        reason = "the stream goes on at a server of another version"
+        return Outcome(OutcomeKind.LOST, server, reason, is_moved=True)
+
+
 async def _connect_and_run(
     context: GatewayContext,
     admitted: AdmittedRequest,
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -73,6 +73,7 @@
             self._progress.attempts,
             run,
             isolated=isolated,
+            can_move=self._can_move,
         )
 
     async def _run_on(
@@ -206,6 +207,7 @@
         admitted, context = self._admitted, self._context
         service = admitted.service.name
         excluded = {*self._progress.failed_engines, server.server_id}
+        excluded |= context.rollouts.excluded(admitted, excluded, is_retry=True)
         return (
             admitted.route.resumable
             and self._progress.permits_attempt(admitted, now)
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -13,7 +13,7 @@
 import msgspec
 import structlog
 
-from sapphireledge.feed import FeedRunner, KindFeed, KindWatcher, StoreEpoch, StorePresence
+from sapphireledge.feed import StoreEpoch
 from sapphireledge.gateway import (
     BoundedLog,
     Gateway,
@@ -22,19 +22,21 @@
     GatewayServer,
     RequestTelemetry,
 )
-from sapphireledge.limits import CallerLedger
-from sapphireledge.platform.config_listener import ConfigListener
-from sapphireledge.platform.crash_report_listener import CrashReportListener
-from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND, CrashReportWriter
+from sapphireledge.platform.crash_report_writer import CrashReportWriter
+from sapphireledge.platform.create_parts import (
+    create_feed_runner,
+    create_rollout_parts,
+    create_store_client,
+)
 from sapphireledge.platform.node_settings import NodeSettings, load_node_settings
 from sapphireledge.platform.platform_dialect import PlatformDialect
-from sapphireledge.platform.server_listener import ServerListener
 from sapphireledge.platform.settings_reloader import SettingsReloader
-from sapphireledge.platform.store_client import StoreClient
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from sapphireledge.feed import FeedRunner
+
 __all__ = ["main"]
 
 SETTINGS_VARIABLE = "SAPPHIRELEDGE_NODE_FILE"
@@ -71,12 +73,13 @@
     gateway = Gateway(cfg.gateway, PlatformDialect(), RequestTelemetry(metrics))
     server = GatewayServer(gateway, metrics)
     epoch = StoreEpoch()
-    runner = _create_feed_runner(cfg, gateway, metrics, epoch)
+    runner = create_feed_runner(cfg, gateway, metrics, epoch)
     gateway.context.count_instances = lambda: runner.instance_count
     writer = CrashReportWriter(
-        _create_store_client(cfg, metrics, epoch), gateway.context.crashes, cfg.gateway.instance
+        create_store_client(cfg, metrics, epoch), gateway.context.crashes, cfg.gateway.instance
     )
     epoch.subscribe(writer.on_store_restored)
+    parts = [runner, writer, *create_rollout_parts(cfg, gateway, metrics, epoch)]
     reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -84,7 +87,7 @@
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     if early_stop_signals:
         return
-    tasks = [asyncio.create_task(part.run()) for part in (runner, reloader, writer)]
+    tasks = [asyncio.create_task(part.run()) for part in (*parts, reloader)]
     try:
         await server.run()
     finally:
@@ -92,47 +95,12 @@
             task.cancel()
 
 
-def _create_feed_runner(
-    cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
-) -> FeedRunner:
-    """Creates the feeds that keep the gateway's configuration and registry up to date."""
-    listeners = {
-        "config": ConfigListener(gateway.config),
-        "servers": ServerListener(gateway, cfg.backend_heartbeat),
-        CRASH_REPORT_KIND: CrashReportListener(gateway.context.crashes),
-    }
-    feeds = {kind: KindFeed(kind, listener) for kind, listener in listeners.items()}
-    presence = StorePresence()
-    watchers = [
-        KindWatcher(
-            _create_store_client(cfg, metrics, epoch),
-            feeds[kind_cfg.kind],
-            kind_cfg,
-            cfg.feed,
-            presence,
-        )
-        for kind_cfg in cfg.feed.kinds
-    ]
-    directory = _create_store_client(cfg, metrics, epoch)
-    ledger = CallerLedger(cfg.gateway.callers.followers, gateway.telemetry.record_caller_limit)
-    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger)
-
-
 def _begin_shutdown(server: GatewayServer, runner: FeedRunner) -> None:
     """Begins a graceful shutdown."""
     runner.stop_relaying()
     server.request_stop()
 
 
-def _create_store_client(
-    cfg: NodeSettings, metrics: GatewayMetrics, epoch: StoreEpoch
-) -> StoreClient:
-    """Creates a client whose calls are counted in the metrics."""
-    return StoreClient(
-        cfg.store, epoch, lambda kind, result: metrics.store_calls.labels(kind, result).inc()
-    )
-
-
 def _configure_logging() -> None:
     """Configures logging as JSON lines on standard output."""
     structlog.configure(
