Test of conditional writes names the creation number that the store stand-in now sends

Cause: the stand-in answers with created and status like the store; the object of a conflict is compared whole, as before, with the number of the first write.

--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -172,7 +172,9 @@
         first = await client.write(CRASH_REPORT_KIND, "f", {"n": 1}, None)
         self.assertTrue(first.written)
         conflict = await client.write(CRASH_REPORT_KIND, "f", {"n": 2}, None)
-        self.assertEqual(conflict, StoredVersion({"n": 1}, first.revision, False))
+        self.assertEqual(
+            conflict, StoredVersion({"n": 1}, first.revision, False, created=first.created)
+        )
         second = await client.write(CRASH_REPORT_KIND, "f", {"n": 2}, first.revision)
         self.assertTrue(second.written)
         stale = await client.write(CRASH_REPORT_KIND, "f", {"n": 3}, first.revision)
