--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -178,7 +178,9 @@
         second = await client.write(CRASH_REPORT_KIND, "f", {"n": 2}, first.revision)
         self.assertTrue(second.written)
         stale = await client.write(CRASH_REPORT_KIND, "f", {"n": 3}, first.revision)
-        self.assertEqual(stale, StoredVersion({"n": 2}, second.revision, False))
+        self.assertEqual(
+            stale, StoredVersion({"n": 2}, second.revision, False, created=second.created)
+        )
         store.remove(CRASH_REPORT_KIND, "f")
         self.assertTrue((await client.write(CRASH_REPORT_KIND, "f", {}, second.revision)).written)
 
