Keep a part of the exposure for streams in a mixed service

Ruled out: more evidence before any move, which delays good versions. Change: 0.4 of the share before the move is for streams once they are tried.

--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -55,6 +55,9 @@
 HELD_SHARE = 0.5
 """Share while the load exceeds what the old version has shown: both versions then have the same."""
 
+STREAM_PART = 0.4
+"""Part of the exposure before the move that streams may take where there are plain requests too."""
+
 EARLY_ANSWERS, PLAIN_ANSWERS = 10, 20
 """Answers of the new version from which requests that must not run twice, and streams, are tried
 before their time."""
@@ -115,6 +118,9 @@
         self._moved_for: float | None = None
         self._advanced_at = now
         self._pace = ExposurePace(rng)
+        self._trial_paces = (ExposurePace(rng), ExposurePace(rng))
+        self._is_stream_chosen = False
+        self._has_kind = [False, False]
         self._is_new_only = False
         self._finished_at = inf
         self._verdict = ""
@@ -215,10 +221,14 @@
         is_new = version == self._order.target
         counts = self._counts
         counts.count_sent(route, is_new, is_retry)
-        share = self._share
-        if self._stage is not RolloutStage.MOVE:
-            share = self._allowance.share(share, counts.requests, counts.new_sent)
-        self._pace.on_sent(share, is_new=is_new, is_retry=is_retry)
+        if self._stage is RolloutStage.MOVE:
+            self._pace.on_sent(self._share, is_new=is_new, is_retry=is_retry)
+            return
+        share = self._allowance.share(self._share, counts.requests, counts.new_sent)
+        for is_stream, pace in enumerate(self._trial_paces):
+            is_kind = bool(is_stream) is self._is_stream_chosen
+            part = self._part(bool(is_stream))
+            pace.on_sent(share * part, is_new=is_new and is_kind, is_retry=is_retry)
 
     def on_result(
         self,
@@ -352,7 +362,8 @@
         if not self._share or not self._is_kind_tried(now, may_repeat, is_stream):
             return VersionChoice.OLD_ONLY
         share = self._allowance.share(self._share, counts.requests + 1, counts.new_sent)
-        if share and self._pace.permits(share):
+        self._is_stream_chosen = is_stream
+        if share and self._trial_paces[is_stream].permits(share * self._part(is_stream)):
             return VersionChoice.NEW_FIRST
         return VersionChoice.OLD_ONLY
 
@@ -360,6 +371,7 @@
         """Whether requests of a kind are tried yet; first those whose failure costs least."""
         risk = 2 if is_stream else int(not may_repeat)
         self._least_risk = min(self._least_risk, risk)
+        self._has_kind[is_stream] = True
         if risk == self._least_risk and now - self._learnt_at >= SETTLE_TIME:
             return True
         enough = (0, EARLY_ANSWERS, PLAIN_ANSWERS)[risk]
@@ -367,6 +379,13 @@
         is_early = self._load.new_answers >= enough and not self._comparison.is_suspect
         return is_early or self._age(now) >= latest
 
+    def _part(self, is_stream: bool) -> float:
+        """Part of the exposure that is kept for streams, or for plain requests, if the service has
+        both: otherwise few streams would mean no evidence about them."""
+        if not all(self._has_kind):
+            return 1.0
+        return STREAM_PART if is_stream else 1.0 - STREAM_PART
+
     def _is_slow(self, route: str, seconds: float) -> bool:
         """Whether an answer took several times as long as those of the old version usually do."""
         reference = self._counts.reference(route) or self._load.old_seconds.get(route)
