--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -11,9 +11,11 @@
 
 from sapphireledge.core.rollout import (
     Rollout,
+    RolloutDecision,
     RolloutLimits,
     RolloutOrder,
     RolloutReport,
+    RolloutStage,
     RolloutState,
     VersionCounts,
     VersionInUse,
@@ -197,10 +199,11 @@
 
     def test_slow_data_centre_that_alone_tries_the_new_version(self):
         def slow(fleet, version, route, node, server):
-            return Answer(factor=3.0 if node < 3 and 30.0 <= fleet.now < 55.0 else 1.0)
+            is_slow = node == 0 and route != "draft" and 30.0 <= fleet.now < 70.0
+            return Answer(factor=4.0 if is_slow else 1.0)
 
-        fleet = RolloutFleet(slow)
-        fleet.is_deaf = lambda node, now: node >= 3 and 27.0 <= now < 60.0
+        fleet = RolloutFleet(slow, rate=180.0)
+        fleet.is_deaf = lambda node, now: node > 0 and 27.0 <= now < 72.0
         self.assert_completed(fleet.run(130.0))
 
     def test_fault_of_both_versions_that_begins_late(self):
@@ -252,7 +255,39 @@
 
 
 class RolloutPartsTest(unittest.TestCase):
-    """Guards the reports and the version in use."""
+    """Guards the reports, what an instance concludes from them, and the version in use."""
+
+    def decide(self, now: float, *reports: RolloutReport) -> RolloutDecision:
+        """Decision of an instance that has just heard the reports and has stored its own."""
+        order = RolloutOrder("s", "v2", 120.0, "o")
+        rollout = Rollout(RolloutLimits(), order, "a", now - 1.0, random.Random(1))
+        rollout.on_reports(now, reports)
+        rollout.on_feed_confirmed(now)
+        rollout.on_report_written(now, rollout.report(now).sequence)
+        return rollout.decide(now)
+
+    def test_instance_that_starts_late_joins_those_that_left_the_old_version(self):
+        moved = [RolloutReport(name, "o", "i", 1, 95.0, 50, new_only=True) for name in "bc"]
+        staying = RolloutReport("d", "o", "i", 1, 95.0, 50)
+        self.assertIs(self.decide(95.0, *moved, staying).stage, RolloutStage.FINISH)
+        self.assertIsNot(self.decide(95.0, moved[0], staying).stage, RolloutStage.FINISH)
+
+    def test_all_instances_pause_when_their_exposure_adds_up(self):
+        for sent, is_paused in ((80, False), (120, True)):
+            counts = {"r": VersionCounts(sent, sent)}
+            report = RolloutReport("b", "o", "i", 1, 50.0, 1000, new=counts)
+            self.assertIs(self.decide(50.0, report).share == 0.0, is_paused)
+
+    def test_verdict_of_one_instance_stops_the_others(self):
+        decision = self.decide(9.0, RolloutReport("b", "o", "i", 1, 8.0, verdict="failures"))
+        self.assertIs(decision.stage, RolloutStage.STOPPED)
+        self.assertIs(decision.proposed, ROLLED_BACK)
+
+    def test_version_in_doubt_is_rolled_back_at_the_deadline(self):
+        for age, failed, proposed in ((60.0, 4, None), (116.0, 4, ROLLED_BACK), (116.0, 0, None)):
+            new, old = VersionCounts(12, 12 - failed, failed), VersionCounts(100, 100)
+            report = RolloutReport("b", "o", "i", 1, age, 100, {"r": old}, {"r": new})
+            self.assertIs(self.decide(age, report).proposed, proposed)
 
     def test_report_is_small_and_survives_storage(self):
         counts = {f"route-{i}": VersionCounts(9000, 8000, 10, 20, 400.25, 8000) for i in range(5)}
