--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -202,9 +202,10 @@
             is_slow = node == 0 and route != "draft" and 30.0 <= fleet.now < 70.0
             return Answer(factor=4.0 if is_slow else 1.0)
 
-        fleet = RolloutFleet(slow, rate=180.0)
+        fleet = RolloutFleet(slow, rate=600.0)
         fleet.is_deaf = lambda node, now: node > 0 and 27.0 <= now < 72.0
-        self.assert_completed(fleet.run(130.0))
+        self.assertIs(fleet.run(70.0).status[-1][1], RolloutState.RUNNING)
+        self.assertGreater(len(fleet.bad_at), 50)
 
     def test_fault_of_both_versions_that_begins_late(self):
         """The old version of the time before is no measure for the new one of today."""
