--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -172,11 +172,15 @@
         first = await client.write(CRASH_REPORT_KIND, "f", {"n": 1}, None)
         self.assertTrue(first.written)
         conflict = await client.write(CRASH_REPORT_KIND, "f", {"n": 2}, None)
-        self.assertEqual(conflict, StoredVersion({"n": 1}, first.revision, False))
+        self.assertEqual(
+            conflict, StoredVersion({"n": 1}, first.revision, False, created=first.created)
+        )
         second = await client.write(CRASH_REPORT_KIND, "f", {"n": 2}, first.revision)
         self.assertTrue(second.written)
         stale = await client.write(CRASH_REPORT_KIND, "f", {"n": 3}, first.revision)
-        self.assertEqual(stale, StoredVersion({"n": 2}, second.revision, False))
+        self.assertEqual(
+            stale, StoredVersion({"n": 2}, second.revision, False, created=second.created)
+        )
         store.remove(CRASH_REPORT_KIND, "f")
         self.assertTrue((await client.write(CRASH_REPORT_KIND, "f", {}, second.revision)).written)
 
