Revert "Hold the refusal of a scope while reports of other deaths arrive"

test_crashing_services.test_services_that_end_without_a_call_count failed with it: where services crash by themselves, the only workspace stays refused although the deaths of idle services have shown that it is not the cause.

--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -27,10 +27,6 @@
 PART_PREFIX = "part:"
 """Prefix of the id of a prompt part where a fingerprint of a request may stand, too."""
 
-SCOPE_HOLD = SETTLE_TIME
-"""Seconds for which a scope is refused after the deaths last pointed to it. Reports of other deaths
-arrive one by one; each can weaken the evidence for a moment, and the next one restores it."""
-
 SCOPE_PREFIX = "scope:"
 """Prefix of a scope where a fingerprint of a request may stand, too."""
 
@@ -72,7 +68,6 @@
         self._crashing_scopes: frozenset[str] | None = frozenset()
         self._aged = 0
         self._scope_aged = 0
-        self._scopes_found_at: dict[str, float] = {}
         self._settled = 0
         self._settled_until = float("-inf")
         self._cleared_at: dict[str, float] = {}
@@ -260,15 +255,7 @@
             The scopes.
         """
         self.expire(now_unix)
-        found = self._find_crashing_scopes()
-        for scope in found:
-            self._scopes_found_at[scope] = now_unix
-        held = {
-            scope
-            for scope, found_at in self._scopes_found_at.items()
-            if found_at > max(now_unix - SCOPE_HOLD, self._lifted_at(scope))
-        }
-        return found | held
+        return self._find_crashing_scopes()
 
     def verdict(
         self,
--- a/tests/test_crashing_scopes.py
+++ b/tests/test_crashing_scopes.py
@@ -108,21 +108,6 @@
         state = self.quarantine.suspects(now)[0]
         self.assertEqual((state.fingerprint, state.deaths), (SCOPE_PREFIX + "r/a", 5))
 
-    def test_verdict_is_held_while_reports_of_other_deaths_arrive(self):
-        """Guards against a route that is refused, permitted and refused again within seconds."""
-        now = self.add(*self.bad_deaths(5))
-        self.assertTrue(is_condemned(self.judge(now, "r/a")))
-        self.add(*(death(9 + i, now - 0.2 * i) for i in range(40)))
-        self.assertEqual(self.quarantine._find_crashing_scopes(), frozenset())
-        self.assertTrue(is_condemned(self.judge(now + 2.0, "r/a")))
-        self.assertEqual(self.judge(now + 6.0, "r/a"), ClearVerdict())
-
-    def test_lifted_scope_is_not_held(self):
-        now = self.add(*self.bad_deaths(5))
-        self.assertTrue(is_condemned(self.judge(now, "r/a")))
-        self.quarantine.on_cleared(now + 0.1, ClearingRecord(SCOPE_PREFIX + "r/a", now + 0.1))
-        self.assertEqual(self.judge(now + 0.2, "r/a"), ClearVerdict())
-
     def test_scope_beside_a_crashing_one_is_not_condemned(self):
         """Guards against refusing the other requests that ran on the servers that died."""
         now = self.add(
