--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -173,7 +173,10 @@
             return None
         server, send_at = reserved
         await asyncio.sleep(send_at - loop.time())
-        if registry.is_closed(loop.time(), server.server_id):
+        is_permitted = self._context.rollouts.permits(
+            admitted, server, is_retry=bool(tried_servers)
+        )
+        if registry.is_closed(loop.time(), server.server_id) or not is_permitted:
             return None
         if not self._spend_attempt(admitted, tried_servers):
             return None
