--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -63,6 +63,7 @@
         self._rng = Random()
         self._log = structlog.get_logger()
         self._needs_relist = False
+        self._has_listed = False
         self._failures = 0
         self._had_changes = False
         self._store_lost = False
@@ -74,11 +75,19 @@
             activity.subscribe(self.wake)
         self._last_success = seconds_since_boot()
 
-    async def run(self) -> None:
-        """Lists and watches until the task is cancelled."""
-        if self.is_optional and self._feed.revision is None:
+    async def run(self, start_delay: float = 0.0) -> None:
+        """Lists and watches until the task is cancelled.
+
+        Args:
+            start_delay: Seconds before the first call if the kind can start late and has not been
+                listed yet.
+        """
+        if self._activity is not None and self._feed.revision is None:
             self.is_healthy = True
-            await wait_for_event(self._wake, QUIET_START_DELAY)
+            if not self._activity.is_active:
+                await wait_for_event(self._wake, QUIET_START_DELAY)
+        elif self._kind_cfg.can_start_late and self._feed.revision is None:
+            await asyncio.sleep(start_delay)
         try:
             while True:
                 try:
@@ -125,6 +134,9 @@
             self._record_success()
             self._needs_relist = False
             self._feed.apply_listing(page, started)
+            if not self._has_listed:
+                self._has_listed = True
+                await self._pause_after_first_listing()
             return
         wait = self._choose_wait()
         call = self._source.watch(self._kind_cfg.kind, revision, wait)
@@ -149,6 +161,11 @@
         if self._had_changes:
             await asyncio.sleep(self._kind_cfg.batch_delay)
 
+    async def _pause_after_first_listing(self) -> None:
+        """Waits before the first watch of a new instance, unless changes are expected."""
+        if self._activity is None or not self._activity.is_active:
+            await wait_for_event(self._wake, self._cfg.start_pause)
+
     @property
     def is_optional(self) -> bool:
         """Whether other instances can follow this one without the objects of the kind."""
@@ -169,8 +186,10 @@
         """Returns the time for which the store is to hold open the next watch."""
         if self._is_quiet and self._kind_cfg.quiet_wait is not None:
             return self._kind_cfg.quiet_wait
-        # A watch that returns changes confirms only its start time, so the next one is short.
-        wait = self._cfg.confirm_wait if self._had_changes else self._kind_cfg.watch_wait
+        wait = self._kind_cfg.watch_wait
+        if self._had_changes and self._kind_cfg.confirms:
+            # A watch that returns changes confirms only its start time, so the next one is short.
+            wait = self._cfg.confirm_wait
         if self._is_repeat or not self.is_healthy:
             # Other instances can follow this one as soon as one call succeeds.
             wait = min(wait, self._cfg.initial_wait)
@@ -214,7 +233,10 @@
         if self._activity is not None and not self._activity.is_active:
             await wait_for_event(self._wake, QUIET_RETRY_DELAY)
             return
+        if not self._kind_cfg.confirms:
+            return await self._presence.wait_for_success(self._cfg.passive_retry_interval)
         base, cap = self._retry_delays
         delay = min(cap, base * 2**self._failures)
         self._failures = min(self._failures + 1, 8)
         await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
+        return None
