--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -82,8 +82,12 @@
             start_delay: Seconds before the first call if the kind can start late and has not been
                 listed yet.
         """
-        if self._feed.revision is None:
-            await self._wait_at_start(start_delay)
+        if self._activity is not None and self._feed.revision is None:
+            self.is_healthy = True
+            if not self._activity.is_active:
+                await wait_for_event(self._wake, QUIET_START_DELAY)
+        elif self._kind_cfg.can_start_late and self._feed.revision is None:
+            await asyncio.sleep(start_delay)
         try:
             while True:
                 try:
@@ -130,9 +134,9 @@
             self._record_success()
             self._needs_relist = False
             self._feed.apply_listing(page, started)
-            if not (self._has_listed or self.is_optional):
-                await asyncio.sleep(self._cfg.start_pause)
-            self._has_listed = True
+            if not self._has_listed:
+                self._has_listed = True
+                await self._pause_after_first_listing()
             return
         wait = self._choose_wait()
         call = self._source.watch(self._kind_cfg.kind, revision, wait)
@@ -157,6 +161,11 @@
         if self._had_changes:
             await asyncio.sleep(self._kind_cfg.batch_delay)
 
+    async def _pause_after_first_listing(self) -> None:
+        """Waits before the first watch of a new instance, unless changes are expected."""
+        if self._activity is None or not self._activity.is_active:
+            await wait_for_event(self._wake, self._cfg.start_pause)
+
     @property
     def is_optional(self) -> bool:
         """Whether other instances can follow this one without the objects of the kind."""
@@ -186,18 +195,6 @@
             wait = min(wait, self._cfg.initial_wait)
         return wait
 
-    async def _wait_at_start(self, start_delay: float) -> None:
-        """Waits before the first call for a kind that a new instance can do without."""
-        if self.is_optional:
-            self.is_healthy = True
-            await self._wait_for_wake(QUIET_START_DELAY)
-        elif self._kind_cfg.can_start_late:
-            await asyncio.sleep(start_delay)
-
-    async def _wait_for_wake(self, timeout: float) -> None:
-        """Waits until changes are expected, or the timeout in seconds expires."""
-        await wait_for_event(self._wake, timeout)
-
     async def _wait_while_quiet(self, watch: asyncio.Task[StorePage | None]) -> bool:
         """Waits for a long watch; returns False if it was ended because changes are expected."""
         wake = asyncio.create_task(self._wake.wait())
@@ -234,7 +231,8 @@
             self._store_lost = True
             self._log.warning(GatewayEvent.STORE_LOST, kind=self._kind_cfg.kind, reason=str(exc))
         if self._activity is not None and not self._activity.is_active:
-            return await self._wait_for_wake(QUIET_RETRY_DELAY)
+            await wait_for_event(self._wake, QUIET_RETRY_DELAY)
+            return
         if not self._kind_cfg.confirms:
             return await self._presence.wait_for_success(self._cfg.passive_retry_interval)
         base, cap = self._retry_delays
