Place streams by the tokens ahead of them and by kept prompts

Prompts were counted whatever their length, and what an engine keeps of a prompt did not count. Change: what is ahead is counted in tokens, from the memory of the prompt in progress, the first queued prompt and the number of further ones. Each instance remembers where it had parts processed, and all send large shared parts to the same engines by a hash of the part.

--- a/src/sapphireledge/core/placement/choose_candidates.py
+++ b/src/sapphireledge/core/placement/choose_candidates.py
@@ -34,6 +34,7 @@
     is_local: Callable[[Engine], bool],
     placement: int,
     rated: Iterable[Engine] = (),
+    kept: Sequence[Engine] = (),
 ) -> list[Engine]:
     """Chooses a few engines, so that the cost of a placement does not grow with their number.
 
@@ -46,9 +47,11 @@
         placement: Number of earlier placements of the stream.
         rated: Engines of `ranked` that name a rate. Their slots are rare at a single instance and
             expire, so such an engine is offered whatever its rank.
+        kept: Engines that probably keep the beginning of the prompt. They take the places of the
+            last others, so that a placement costs no more calls.
 
     Returns:
-        The engines, local ones first, then those of `rated`.
+        The engines, those of `kept` first, then local ones, then those of `rated`.
     """
     skipped = placement // PLACEMENTS_PER_SET
     local: list[Engine] = []
@@ -63,6 +66,8 @@
         *_take_cyclic(local, skipped, LOCAL_CANDIDATES),
         *_take_cyclic(remote, skipped, REMOTE_CANDIDATES),
     ]
+    usual = [engine for engine in chosen if engine not in kept]
+    chosen = [*kept, *usual[: max(1, len(chosen) - len(kept))]]
     others = (engine for engine in rated if engine not in chosen)
     return [*chosen, *islice(others, RATED_CANDIDATES)]
 
--- a/src/sapphireledge/core/placement/first_event_estimator.py
+++ b/src/sapphireledge/core/placement/first_event_estimator.py
@@ -10,6 +10,13 @@
 GAIN = 0.2
 """Weight of a new observation."""
 
+LENGTH_GAIN = 0.1
+"""Weight of a new prompt in the mean length."""
+
+MIN_OWN_WORK = 0.25
+"""Smallest part of a prompt by which a delay is divided; below it, the first step of the generation
+and the round trip outweigh the prompt."""
+
 MIN_PROMPT_TIME = 0.2
 """Lower bound of the estimate in seconds."""
 
@@ -18,30 +25,49 @@
 
 
 class FirstEventEstimator:
-    """Learns the time that the engines of one service take for a prompt."""
+    """Learns the time that the engines of one service take for a prompt of typical length."""
 
-    __slots__ = ("_prompt_time",)
+    __slots__ = ("_prompt_time", "_typical_tokens")
 
     def __init__(self) -> None:
         self._prompt_time = INITIAL_PROMPT_TIME
+        self._typical_tokens = 0.0
+
+    @property
+    def typical_tokens(self) -> float:
+        """Mean length of recent prompts in tokens, 0 before the first one."""
+        return self._typical_tokens
+
+    def observe_length(self, prompt_tokens: int) -> None:
+        """Adds the length of a prompt to the mean.
+
+        Args:
+            prompt_tokens: Length in tokens, 0 if unknown.
+        """
+        if prompt_tokens:
+            mean = self._typical_tokens or prompt_tokens
+            self._typical_tokens = mean + LENGTH_GAIN * (prompt_tokens - mean)
 
-    def observe(self, prompts_ahead: float, delay: float) -> None:
+    def observe(self, prompts_ahead: float, delay: float, own_work: float = 1.0) -> None:
         """Adds the first event of a stream to the estimate.
 
         Args:
             prompts_ahead: Prompts that were to be processed first when the stream was sent.
             delay: Time from sending the stream to its first event in seconds.
+            own_work: What the stream itself had to be processed, in prompts of typical length.
         """
-        sample = min(MAX_PROMPT_TIME, max(MIN_PROMPT_TIME, delay / (prompts_ahead + 1.0)))
+        work = prompts_ahead + max(MIN_OWN_WORK, own_work)
+        sample = min(MAX_PROMPT_TIME, max(MIN_PROMPT_TIME, delay / work))
         self._prompt_time += GAIN * (sample - self._prompt_time)
 
-    def estimate(self, prompts_ahead: float) -> float:
+    def estimate(self, prompts_ahead: float, own_work: float = 1.0) -> float:
         """Estimates the time to the first event.
 
         Args:
             prompts_ahead: Prompts that an engine processes first.
+            own_work: What the stream itself has to be processed, in prompts of typical length.
 
         Returns:
             Seconds.
         """
-        return (prompts_ahead + 1.0) * self._prompt_time
+        return (prompts_ahead + own_work) * self._prompt_time
--- a/src/sapphireledge/core/placement/placement_limits.py
+++ b/src/sapphireledge/core/placement/placement_limits.py
@@ -15,19 +15,21 @@
     """Cost of an engine in another data centre."""
 
     running_cost: float = 0.3
-    """Cost of a running generation. A prompt delays every running generation, and longer runs are
-    more likely to be hit by a failure."""
+    """Cost of a running generation for a whole prompt. What is processed of a prompt delays every
+    running generation, and longer runs are more likely to be hit by a failure."""
 
     memory_full_cost: float = 4.0
     """Cost of an engine whose KV cache has no room for the prompt."""
 
-    lower_rank_ahead: float = 1.0
-    """Largest number of prompts ahead at an engine on which a stream of a lower rank may start.
-    Engines start the most urgent request first, but finish the prompts that they process."""
+    lower_rank_ahead: float = 1.5
+    """Largest number of prompts ahead at an engine on which a stream of a lower rank may start: one
+    waits and one is in progress. Engines start the most urgent request first, but finish the
+    prompts that they process."""
 
-    late_start_ahead: float = 0.0
+    late_start_ahead: float = 0.5
     """Largest number of prompts ahead at an engine on which a late stream may start, so that it
-    delays no stream that can still be on time."""
+    delays no stream that can still be on time; the prompt in progress ends before the next report
+    arrives."""
 
     late_reserve: float = 12.0
     """Seconds before its deadline at which a late stream starts in any case: a prompt and a long
--- a/src/sapphireledge/core/placement/placement_rule.py
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -42,7 +42,11 @@
         self._rng = rng
 
     def cost(self, stream: PendingStream, view: EngineView) -> float:
-        """Computes the cost of an engine, in prompts processed before the new one.
+        """Computes the cost of an engine, in typical prompts that are processed there.
+
+        What the engine keeps of the prompt is not processed again, which is weighed against what it
+        processes first. A prompt that is kept at a busy engine is processed again elsewhere once
+        that is sooner.
 
         Args:
             stream: The stream to place.
@@ -52,13 +56,44 @@
             The cost; the engine with the lowest one is preferred.
         """
         limits = self._limits
-        cost = view.prompts_ahead + limits.running_cost * view.running
+        own_work = self.own_work(stream, view)
+        cost = (
+            self.work_ahead(stream, view) + own_work + limits.running_cost * view.running * own_work
+        )
         if not view.is_local:
             cost += limits.remote_cost
         if not _has_room(stream, view):
             cost += limits.memory_full_cost
         return cost
 
+    def work_ahead(self, stream: PendingStream, view: EngineView) -> float:
+        """Computes what an engine processes before a stream.
+
+        Args:
+            stream: The stream to place.
+            view: Load of the engine.
+
+        Returns:
+            Typical prompts.
+        """
+        if view.tokens_ahead is None or not stream.typical_tokens:
+            return view.prompts_ahead
+        return view.tokens_ahead / stream.typical_tokens
+
+    def own_work(self, stream: PendingStream, view: EngineView) -> float:
+        """Computes what an engine has to process of a stream itself.
+
+        Args:
+            stream: The stream to place.
+            view: Load of the engine.
+
+        Returns:
+            Typical prompts.
+        """
+        if not stream.typical_tokens or not stream.prompt_tokens:
+            return 1.0
+        return max(0, stream.prompt_tokens - view.kept_tokens) / stream.typical_tokens
+
     def decide(
         self,
         now: float,
@@ -89,8 +124,10 @@
         """
         limits = self._limits
         best = min(views, key=lambda view: self.cost(stream, view))
-        ahead = best.prompts_ahead + (0.0 if _has_room(stream, best) else limits.memory_full_cost)
-        estimate = estimator.estimate(ahead)
+        penalty = 0.0 if _has_room(stream, best) else limits.memory_full_cost
+        ahead = best.prompts_ahead + penalty
+        work = self.work_ahead(stream, best) + penalty
+        estimate = estimator.estimate(work, self.own_work(stream, best))
         is_on_time = now + estimate <= stream.due_at and (
             not stream.rank_distance or ahead <= limits.lower_rank_ahead
         )
@@ -171,11 +208,12 @@
     """Estimates the free memory of an engine after the requests that it has already accepted.
 
     An engine whose memory runs out interrupts a stream and processes its prompt again later. All
-    streams are taken to be as long as this one, and half done.
+    streams are taken to be as long as this one, and half done. The memory of a prompt is taken when
+    the engine begins to process it.
     """
     if view.free_tokens is None:
         return float("inf")
-    queued = view.waiting + view.recently_sent + 0.5 * view.prefilling
+    queued = view.waiting + view.recently_sent
     return (
         view.free_tokens - queued * stream.prompt_tokens - 0.5 * view.running * stream.output_tokens
     )
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -371,6 +371,23 @@
                 yield state.server
         yield from avoided
 
+    def list_sound(
+        self, now: float, service: str, excluded: Collection[str] = ()
+    ) -> Iterator[BackendServer]:
+        """Iterates over the servers that take a request now and were not lost recently.
+
+        Args:
+            now: Event loop time in seconds.
+            service: Name of the service.
+            excluded: Ids of servers to leave out.
+
+        Yields:
+            The servers.
+        """
+        for state in self._iter_available(service, excluded):
+            if state.backpressure.next_at(now) <= now and not self._was_lost_recently(now, state):
+                yield state.server
+
     def list_rated(
         self, now: float, service: str, excluded: Collection[str] = ()
     ) -> Iterator[BackendServer]:
--- a/src/sapphireledge/gateway/caller_request.py
+++ b/src/sapphireledge/gateway/caller_request.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sapphireledge.core.placement import PromptPart
 
 __all__ = ["CallerRequest"]
 
@@ -57,6 +61,9 @@
     """Ids of the parts of the prompt in order, without the last one, which belongs to the request
     or its session; other requests can have the same parts."""
 
+    parts: tuple[PromptPart, ...] = ()
+    """All parts of the prompt in order, with their lengths; empty if they are unknown."""
+
     @property
     def path(self) -> str:
         """Path without the query."""
--- a/src/sapphireledge/gateway/engine_load.py
+++ b/src/sapphireledge/gateway/engine_load.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.placement import count_prompts_left
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -33,7 +35,37 @@
     started_at_ms: int = 0
     """Start time of the reporting incarnation in Unix milliseconds, 0 if unknown."""
 
+    lists_runs: bool = True
+    """Whether the report lists the runs of the engine."""
+
+    prefill_tokens: int = 0
+    """Tokens in the KV cache of requests whose prompts are still being processed."""
+
+    next_tokens: int = 0
+    """Prompt tokens of the first queued request, 0 if unknown."""
+
     @property
     def prefilling(self) -> int:
-        """Number of running requests without an event, whose prompts are still being processed."""
-        return sum(1 for generated in self.events.values() if not generated)
+        """Number of running requests without an event, whose prompts are still being processed.
+
+        Engines list a run from its first event on.
+        """
+        generating = sum(1 for generated in self.events.values() if generated)
+        return max(0, self.running - generating) if self.lists_runs else 0
+
+    def count_tokens_ahead(self, typical_tokens: float) -> float:
+        """Estimates the prompt tokens that the engine processes before a new request.
+
+        Args:
+            typical_tokens: Length of a prompt that the report does not tell, in tokens.
+
+        Returns:
+            Tokens.
+        """
+        prefill = 0.0
+        if self.prefilling:
+            length = self.prefill_tokens / self.prefilling or typical_tokens
+            prefill = count_prompts_left(self.prefilling) * length
+        if not self.waiting:
+            return prefill
+        return prefill + (self.next_tokens or typical_tokens) + (self.waiting - 1) * typical_tokens
--- a/src/sapphireledge/gateway/engine_selection.py
+++ b/src/sapphireledge/gateway/engine_selection.py
@@ -24,8 +24,15 @@
     replica_source: BackendServer | None
     """Engine that holds a replica to resume from, or None."""
 
-    prompts_ahead: int | None = None
-    """Prompts that the engine processes first, None if it was not chosen by its report."""
+    prompts_ahead: float | None = None
+    """Work that the engine does first, in typical prompts; None if it was not chosen by its
+    report."""
 
     is_late: bool = False
     """Whether the stream is expected to miss its target."""
+
+    own_work: float = 1.0
+    """What the engine has to process of the prompt, in typical prompts."""
+
+    kept_tokens: int = 0
+    """Tokens of the prompt that the engine probably keeps."""
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -56,7 +56,7 @@
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
         self._rule = PlacementRule(PLACEMENT_LIMITS, Random())
-        self._recent_dispatches: list[tuple[float, str]] = []
+        self._recent_dispatches: list[tuple[float, str, int]] = []
 
     async def select(
         self,
@@ -74,6 +74,9 @@
         Returns:
             The selection, a refusal, or None if no engine is available.
         """
+        if not progress.attempts:
+            memory = self._context.prompt_memory(admitted.service.name)
+            memory.on_request(asyncio.get_running_loop().time(), admitted.request)
         replica_source = progress.take_replica_holder()
         if replica_source is not None and self._try_take(replica_source):
             return self._select_known(admitted, progress, replica_source, replica_source)
@@ -82,7 +85,7 @@
             return self._select_known(admitted, progress, holder)
         selection = await self._place(admitted, progress, avoided)
         if isinstance(selection, EngineSelection) and selection.prompts_ahead is not None:
-            self._record_dispatch(selection.server)
+            self._record_dispatch(selection.server, admitted)
         return selection
 
     def _select_known(
@@ -93,7 +96,7 @@
         replica_source: BackendServer | None = None,
     ) -> EngineSelection:
         """Selects an engine without reports, with a standby by this instance's own view."""
-        self._record_dispatch(server)
+        self._record_dispatch(server, admitted)
         standby = self._rank_standby(admitted, progress, server)
         return EngineSelection(server, standby, replica_source)
 
@@ -101,9 +104,11 @@
         """Records a request to an engine, if the engine takes one now."""
         return self._context.registry.try_take(asyncio.get_running_loop().time(), server.server_id)
 
-    def _record_dispatch(self, server: BackendServer) -> None:
+    def _record_dispatch(self, server: BackendServer, admitted: AdmittedRequest) -> None:
         """Remembers a dispatch that the engine's next reports may not include."""
-        self._recent_dispatches.append((asyncio.get_running_loop().time(), server.server_id))
+        now = asyncio.get_running_loop().time()
+        tokens = admitted.request.prompt_tokens
+        self._recent_dispatches.append((now, server.server_id, tokens))
 
     async def _place(
         self, admitted: AdmittedRequest, progress: StreamProgress, avoided: frozenset[str]
@@ -134,7 +139,7 @@
             views = [view for view in views if context.registry.admits(loop.time(), view.engine)]
             if not views:
                 continue
-            stream = _describe_pending(admitted, progress, loop.time())
+            stream = self._describe_pending(admitted, progress, loop.time())
             decision = self._rule.decide(
                 loop.time(),
                 stream,
@@ -156,10 +161,19 @@
                 continue
             server = next(s for s in candidates if s.server_id == decision.engine)
             if self._try_take(server):
-                ahead = next(v.prompts_ahead for v in views if v.engine == decision.engine)
+                view = next(view for view in views if view.engine == decision.engine)
+                context.telemetry.record_prompt_choice(admitted, view, views)
                 has_room = self._rule.has_room_for_copies(stream, views)
                 standby = self._rank_standby(admitted, progress, server) if has_room else None
-                return EngineSelection(server, standby, None, ahead, decision.is_late)
+                return EngineSelection(
+                    server,
+                    standby,
+                    None,
+                    self._rule.work_ahead(stream, view),
+                    decision.is_late,
+                    self._rule.own_work(stream, view),
+                    view.kept_tokens,
+                )
         return None
 
     def _choose_excluded(
@@ -185,7 +199,7 @@
         now = asyncio.get_running_loop().time()
         decision = self._rule.decide_without_engine(
             now,
-            _describe_pending(admitted, progress, now),
+            self._describe_pending(admitted, progress, now),
             self._next_admission(admitted, excluded),
             context.first_event_estimator(admitted.service.name),
             may_wait=not context.is_stopping(),
@@ -211,21 +225,31 @@
             if report is None:
                 context.registry.on_unreachable(now, server)
             elif not self._remove_if_replaced(server, report):
-                views.append(self._build_view(server, report))
+                views.append(self._build_view(admitted, server, report))
         return views
 
-    def _build_view(self, server: BackendServer, load: EngineLoad) -> EngineView:
+    def _build_view(
+        self, admitted: AdmittedRequest, server: BackendServer, load: EngineLoad
+    ) -> EngineView:
         """Builds the view of an engine from its report and the recent dispatches."""
+        context, service = self._context, admitted.service.name
+        free_tokens = load.memory_total - load.memory_used if load.memory_total else None
+        sent = [tokens for _, name, tokens in self._recent_dispatches if name == server.server_id]
+        typical = context.first_event_estimator(service).typical_tokens
+        tokens_ahead = load.count_tokens_ahead(typical) + sum(tokens or typical for tokens in sent)
+        now = asyncio.get_running_loop().time()
         return EngineView(
             engine=server.server_id,
             is_local=server.data_centre == self._context.cfg.data_centre,
             waiting=load.waiting,
             prefilling=load.prefilling,
             running=load.running,
-            recently_sent=sum(
-                1 for _, server_id in self._recent_dispatches if server_id == server.server_id
+            recently_sent=len(sent),
+            free_tokens=free_tokens,
+            tokens_ahead=tokens_ahead if typical else None,
+            kept_tokens=context.prompt_memory(service).estimate(
+                now, admitted.request, server, free_tokens
             ),
-            free_tokens=load.memory_total - load.memory_used if load.memory_total else None,
         )
 
     async def _find_prompt_holder(
@@ -276,6 +300,7 @@
             lambda server: server.data_centre == self._context.cfg.data_centre,
             waits,
             registry.list_rated(now, service, excluded),
+            self._context.prompt_memory(service).list_candidates(now, admitted.request, excluded),
         )
 
     def _start_share(self, admitted: AdmittedRequest) -> float:
@@ -299,20 +324,21 @@
         )
         return ranked[0] if ranked else None
 
-
-def _describe_pending(
-    admitted: AdmittedRequest, progress: StreamProgress, now: float
-) -> PendingStream:
-    """Describes a stream to the placement rule."""
-    target = admitted.route.target or admitted.route.time_limit
-    last_progress = progress.last_event_at or admitted.request.received_at
-    return PendingStream(
-        prompt_tokens=admitted.request.prompt_tokens,
-        output_tokens=admitted.request.output_tokens,
-        rank_distance=max(0, admitted.rank - admitted.service.first_rank),
-        # A prompt takes longer than the pauses allowed between events.
-        due_at=now if progress.delivered else admitted.request.received_at + target,
-        leaves_at=last_progress + admitted.route.event_patience,
-        deadline=admitted.deadline,
-        has_run=progress.may_have_executed,
-    )
+    def _describe_pending(
+        self, admitted: AdmittedRequest, progress: StreamProgress, now: float
+    ) -> PendingStream:
+        """Describes a stream to the placement rule."""
+        estimator = self._context.first_event_estimator(admitted.service.name)
+        target = admitted.route.target or admitted.route.time_limit
+        last_progress = progress.last_event_at or admitted.request.received_at
+        return PendingStream(
+            prompt_tokens=admitted.request.prompt_tokens,
+            output_tokens=admitted.request.output_tokens,
+            rank_distance=max(0, admitted.rank - admitted.service.first_rank),
+            # A prompt takes longer than the pauses allowed between events.
+            due_at=now if progress.delivered else admitted.request.received_at + target,
+            leaves_at=last_progress + admitted.route.event_patience,
+            deadline=admitted.deadline,
+            has_run=progress.may_have_executed,
+            typical_tokens=estimator.typical_tokens,
+        )
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -12,6 +12,7 @@
 from sapphireledge.gateway.crash_guard import CrashGuard
 from sapphireledge.gateway.engine_report_client import EngineReportClient
 from sapphireledge.gateway.outcome import MISDIRECTED, Outcome, OutcomeKind
+from sapphireledge.gateway.prompt_memory import PromptMemory
 from sapphireledge.gateway.retry_allowance import RetryAllowance
 
 if TYPE_CHECKING:
@@ -63,6 +64,7 @@
 
         self._allowances: dict[str, RetryAllowance] = {}
         self._estimators: dict[str, FirstEventEstimator] = {}
+        self._prompt_memories: dict[str, PromptMemory] = {}
         self._generation_estimators: dict[str, GenerationEstimator] = {}
 
     def retry_allowance(self, service: str) -> RetryAllowance:
@@ -102,6 +104,20 @@
         """
         return self._generation_estimators.setdefault(service, GenerationEstimator())
 
+    def prompt_memory(self, service: str) -> PromptMemory:
+        """Returns what is known about the prompts that the engines of a service keep.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The memory, created on first use.
+        """
+        memory = self._prompt_memories.get(service)
+        if memory is None:
+            memory = self._prompt_memories[service] = PromptMemory(self, service)
+        return memory
+
     def _measure_service(self, service: str) -> ServiceSize:
         """Returns the size of a service for the attribution of deaths."""
         servers = self.registry.count_servers(service, self.crashes.is_dead)
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -88,6 +88,9 @@
     HOLDERS_FOUND = "holders_found"
     """Engines were queried for the cached prompt of a stream that its caller resumes."""
 
+    PROMPT_CHOICE = "prompt_choice"
+    """A stream started while an engine was expected to keep the beginning of its prompt."""
+
     ADMITTED = "request_admitted"
     """A request passed the checks and will be forwarded."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -47,6 +47,23 @@
         )
         """Placements of streams: started on time or late, waited, or refused."""
 
+        self.prompt_tokens = Counter(
+            "sapphireledge_prompt_tokens",
+            "Prompt tokens of started streams by what the chosen engine does with them.",
+            ["use"],
+            registry=self._registry,
+        )
+        """Prompt tokens of started streams: expected to be kept, processed, or processed again
+        although another candidate was expected to keep them."""
+
+        self.prompt_choices = Counter(
+            "sapphireledge_prompt_choices",
+            "Choices between engines of which one was expected to keep the prompt.",
+            ["choice"],
+            registry=self._registry,
+        )
+        """Choices for or against the engine that was expected to keep most of the prompt."""
+
         self.first_event_time = Histogram(
             "sapphireledge_first_event_seconds",
             "Time from the request to the first event of its stream.",
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -56,6 +56,9 @@
     quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
     """When requests count as the cause of crashes."""
 
+    uses_kept_prompts: bool = True
+    """Whether streams are sent to engines that probably keep the beginning of their prompts."""
+
     body_timeout: float = 0.33
     """Timeout between two chunks of an engine's response that is not a stream."""
 
--- /dev/null
+++ b/src/sapphireledge/gateway/prompt_memory.py
@@ -0,0 +1,154 @@
+"""Prompts that the engines of one service probably keep, as this instance knows it."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.placement import FleetSize, KeptPromptLimits, KeptPrompts
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.caller_request import CallerRequest
+    from sapphireledge.gateway.engine_selection import EngineSelection
+    from sapphireledge.gateway.gateway_context import GatewayContext
+
+__all__ = ["PromptMemory"]
+
+LIMITS = KeptPromptLimits()
+"""Limits and weights of the knowledge of kept prompts."""
+
+CHECKED_TOKENS = 1000
+"""Shared tokens from which the time to the first event tells whether an engine kept them; it varies
+by about a tenth of a second for other reasons."""
+
+IDLE_WORK = 0.1
+"""Largest work ahead of a stream, in typical prompts, at which this time is used."""
+
+
+class PromptMemory:
+    """Offers engines that keep a prompt to the placement, and learns from the first events.
+
+    Without the setting `uses_kept_prompts`, no engine keeps anything.
+    """
+
+    def __init__(self, context: GatewayContext, service: str) -> None:
+        """Creates the memory of a service.
+
+        Args:
+            context: Components of the instance.
+            service: Name of the service.
+        """
+        self._context = context
+        self._service = service
+        self._kept = KeptPrompts(LIMITS)
+        self._rng = Random()
+
+    def on_request(self, now: float, request: CallerRequest) -> None:
+        """Counts a request before its first attempt.
+
+        Args:
+            now: Event loop time in seconds.
+            request: The request.
+        """
+        self._context.first_event_estimator(self._service).observe_length(request.prompt_tokens)
+        if self._context.cfg.uses_kept_prompts and request.parts:
+            self._kept.on_request(now, request.parts)
+
+    def list_candidates(
+        self, now: float, request: CallerRequest, excluded: Collection[str]
+    ) -> list[BackendServer]:
+        """Lists a few engines that take requests now and probably keep the prompt.
+
+        Args:
+            now: Event loop time in seconds.
+            request: The request.
+            excluded: Ids of engines to leave out.
+
+        Returns:
+            The engines, the one first that this instance itself used for the prompt.
+        """
+        if not (self._context.cfg.uses_kept_prompts and request.parts):
+            return []
+        sound = {
+            _incarnation(server): server
+            for server in self._context.registry.list_sound(now, self._service, excluded)
+        }
+        keepers = [name for name in self._kept.list_keepers(request.parts) if name in sound][:1]
+        homes = [name for name in self._list_homes(now, request) if name in sound]
+        homes = [name for name in homes if name not in keepers]
+        room = LIMITS.candidates - len(keepers)
+        if len(homes) > LIMITS.candidates:
+            homes = self._rng.sample(homes, room)
+        return [sound[name] for name in (*keepers, *homes[:room])]
+
+    def estimate(
+        self, now: float, request: CallerRequest, server: BackendServer, free_tokens: int | None
+    ) -> int:
+        """Estimates how many tokens of a prompt an engine keeps.
+
+        Args:
+            now: Event loop time in seconds.
+            request: The request.
+            server: The engine.
+            free_tokens: Memory of the engine for kept parts in tokens, None if unknown.
+
+        Returns:
+            The expected number.
+        """
+        if not (self._context.cfg.uses_kept_prompts and request.parts):
+            return 0
+        name = _incarnation(server)
+        home_share = self._list_homes(now, request).get(name, 0.0)
+        fleet = self._measure_fleet()
+        return self._kept.estimate(now, request.parts, name, fleet, home_share, free_tokens)
+
+    def on_first_event(
+        self, now: float, request: CallerRequest, selection: EngineSelection, delay: float
+    ) -> None:
+        """Records that an engine has processed a prompt.
+
+        Args:
+            now: Event loop time in seconds.
+            request: The request.
+            selection: The engine and what was expected of it.
+            delay: Time from sending the stream to its first event in seconds.
+        """
+        if not (self._context.cfg.uses_kept_prompts and request.parts):
+            return
+        name = _incarnation(selection.server)
+        shared = sum(part.tokens for part in request.parts[:-1])
+        ahead = selection.prompts_ahead
+        is_idle = ahead is not None and ahead <= IDLE_WORK
+        estimator = self._context.first_event_estimator(self._service)
+        if selection.kept_tokens and is_idle and shared >= CHECKED_TOKENS:
+            threshold = (request.prompt_tokens - shared / 2) / estimator.typical_tokens
+            was_kept = delay < estimator.estimate(0.0, threshold)
+            self._kept.on_checked(request.parts, name, was_kept=was_kept)
+        self._kept.on_processed(now, request.parts, name)
+
+    def _list_homes(self, now: float, request: CallerRequest) -> dict[str, float]:
+        """Lists the homes of a prompt among all engines that are not leaving.
+
+        Engines that are suspended or hold requests back at this instance only are counted, so that
+        instances agree.
+        """
+        if all(part.tokens < LIMITS.min_tokens for part in request.parts[:-1]):
+            return {}
+        engines = self._context.registry.list_preferred(now, self._service)
+        names = [_incarnation(server) for server in engines]
+        return self._kept.list_homes(now, request.parts, names, self._measure_fleet())
+
+    def _measure_fleet(self) -> FleetSize:
+        """Measures the fleet that shares the prompts of the service."""
+        context = self._context
+        prompt_time = context.first_event_estimator(self._service).estimate(0.0)
+        engines = max(1, context.registry.count(self._service))
+        return FleetSize(max(1, context.count_instances()), engines, prompt_time)
+
+
+def _incarnation(server: BackendServer) -> str:
+    """Names an incarnation of an engine; a restarted one keeps nothing."""
+    return f"{server.server_id}@{server.started_at_ms}"
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -12,10 +12,10 @@
 from sapphireledge.gateway.outcome import OutcomeKind
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Collection, Mapping, Sequence
 
     from sapphireledge.core.backpressure import ServerSignals
-    from sapphireledge.core.placement import RefuseStream
+    from sapphireledge.core.placement import EngineView, RefuseStream
     from sapphireledge.core.quarantine import DeathRecord
     from sapphireledge.errors import Failure
     from sapphireledge.gateway.admitted_request import AdmittedRequest
@@ -283,6 +283,34 @@
             placements=attempt + 1,
         )
 
+    def record_prompt_choice(
+        self, admitted: AdmittedRequest, chosen: EngineView, views: Sequence[EngineView]
+    ) -> None:
+        """Counts what the engine of a stream has to process of its prompt; logs a kept one.
+
+        Args:
+            admitted: The request.
+            chosen: Engine on which the stream starts.
+            views: All engines that it was chosen from.
+        """
+        most = max(view.kept_tokens for view in views)
+        kept = chosen.kept_tokens
+        tokens = self._metrics.prompt_tokens
+        tokens.labels("kept").inc(kept)
+        tokens.labels("again").inc(most - kept)
+        tokens.labels("processed").inc(max(0, admitted.request.prompt_tokens - kept))
+        if not most:
+            return
+        self._metrics.prompt_choices.labels("for" if kept == most else "against").inc()
+        self._log.info(
+            GatewayEvent.PROMPT_CHOICE,
+            request_id=admitted.request.request_id,
+            server=chosen.engine,
+            kept_tokens=kept,
+            most_kept_tokens=most,
+            prompt_tokens=admitted.request.prompt_tokens,
+        )
+
     def record_stream(self, admitted: AdmittedRequest, progress: StreamProgress) -> None:
         """Logs how promptly the events of a stream were delivered.
 
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -152,10 +152,13 @@
                 raise BackendResponseError("the stream ended within an event")
 
     def _observe_first_event(self, selection: EngineSelection, delay: float) -> None:
-        """Passes the time to the first event on to the estimate for further streams."""
+        """Passes the time to the first event on to the estimates for further streams."""
         if selection.prompts_ahead is not None:
             estimator = self._context.first_event_estimator(self._admitted.service.name)
-            estimator.observe(selection.prompts_ahead, delay)
+            estimator.observe(selection.prompts_ahead, delay, selection.own_work)
+        memory = self._context.prompt_memory(self._admitted.service.name)
+        now = asyncio.get_running_loop().time()
+        memory.on_first_event(now, self._admitted.request, selection, delay)
 
     def _observe_generation(self, resumed_after: int | None) -> None:
         """Passes the time of a stream that ran on one engine on to the estimate."""
--- a/src/sapphireledge/platform/decode_report.py
+++ b/src/sapphireledge/platform/decode_report.py
@@ -12,6 +12,9 @@
 
 __all__ = ["decode_cache", "decode_report"]
 
+RUN_TOKENS_INDEX = 1
+"""Index of the tokens in memory in an entry of `runs`."""
+
 RUN_EVENTS_INDEX = 2
 """Index of the number of generated events in an entry of `runs`: id, tokens, events, rank."""
 
@@ -22,14 +25,20 @@
 class _Report(msgspec.Struct):
     """A load report; `kv_used` counts only memory that cannot be evicted.
 
-    `born` is the start time of the engine in Unix milliseconds.
+    `held` and `pinned` are the parts of it that belong to no run: copies for other engines,
+    reservations and pinned prompts. `runs` lists a run from its first event on. `next` is the
+    prompt of the first queued request in tokens. `born` is the start time of the engine in Unix
+    milliseconds.
     """
 
     waiting: int = 0
     running: int = 0
     kv_used: int = 0
     kv_total: int = 0
-    runs: list[list[Any]] = []
+    held: Any = 0
+    pinned: Any = 0
+    next: Any = 0
+    runs: list[list[Any]] | None = None
     born: int = 0
 
 
@@ -72,7 +81,7 @@
         return None
     runs = [
         run
-        for run in report.runs
+        for run in report.runs or ()
         if len(run) > RUN_EVENTS_INDEX and isinstance(run[RUN_EVENTS_INDEX], int)
     ]
     return EngineLoad(
@@ -82,4 +91,18 @@
         memory_total=report.kv_total,
         events={str(run[0]): run[RUN_EVENTS_INDEX] for run in runs},
         started_at_ms=report.born,
+        lists_runs=report.runs is not None,
+        prefill_tokens=_count_prefill_tokens(report, runs),
+        next_tokens=_to_count(report.next),
     )
+
+
+def _count_prefill_tokens(report: _Report, runs: list[list[Any]]) -> int:
+    """Counts the memory that belongs neither to a listed run nor to anything set aside."""
+    generating = sum(_to_count(run[RUN_TOKENS_INDEX]) for run in runs)
+    return max(0, report.kv_used - _to_count(report.held) - _to_count(report.pinned) - generating)
+
+
+def _to_count(value: object) -> int:
+    """Returns a number of a report, 0 for anything else; engines need not send these fields."""
+    return max(0, value) if isinstance(value, int) else 0
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from pathlib import Path
 
 import msgspec
@@ -14,6 +15,9 @@
 
 __all__ = ["NodeSettings", "load_node_settings"]
 
+KEPT_PROMPTS_VARIABLE = "SAPPHIRELEDGE_KEPT_PROMPTS"
+"""Environment variable that switches the placement by kept prompts off with the value "off"."""
+
 METRICS_PORT = 9464
 """Port of the metrics endpoint; must match deploy/system.toml."""
 
@@ -134,6 +138,7 @@
         metrics_port=METRICS_PORT,
         max_config_age=file.bounds.revoke_ms / 1000.0 - REVOCATION_MARGIN,
         stop_limit=file.bounds.grace_s,
+        uses_kept_prompts=os.environ.get(KEPT_PROMPTS_VARIABLE, "on") != "off",
     )
     feed = FeedSettings(
         kinds=(
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.backpressure import ServerSignals
+from sapphireledge.core.placement import PromptPart
 from sapphireledge.errors import ErrorKind, Ran
 from sapphireledge.gateway import CallerRequest, ResponseHead
 from sapphireledge.platform import header_names as names
@@ -43,7 +44,7 @@
         values = dict(headers)
         wait_ms = _parse_int(values.get(names.TIME_LEFT))
         prompt_tokens, _, output_tokens = values.get(names.TOKEN_COUNTS, b"").partition(b",")
-        *shared_parts, last_part = _split_prompt_parts(values.get(names.PREFIX_PARTS, b""))
+        parts = _split_prompt_parts(values.get(names.PREFIX_PARTS, b""))
         dropped = names.NOT_FORWARDED | names.HOP_BY_HOP | _connection_options(values)
         return CallerRequest(
             method=method,
@@ -58,8 +59,9 @@
             last_event=_parse_int(values.get(names.LAST_EVENT)),
             prompt_tokens=_parse_int(prompt_tokens) or 0,
             output_tokens=_parse_int(output_tokens) or 0,
-            affinity=last_part or values.get(names.REQUEST_ID, b"").decode("latin-1"),
-            shared_parts=tuple(shared_parts),
+            affinity=parts[-1].part_id or values.get(names.REQUEST_ID, b"").decode("latin-1"),
+            shared_parts=tuple(part.part_id for part in parts[:-1]),
+            parts=tuple(parts) if parts[-1].part_id else (),
         )
 
     def encode_backend_request(self, backend_request: BackendRequest) -> list[tuple[bytes, bytes]]:
@@ -171,9 +173,14 @@
     )
 
 
-def _split_prompt_parts(value: bytes) -> list[str]:
-    """Extracts the ids of a prompt's parts; at least one, which is empty if there are none."""
-    return [part.partition(b":")[0].strip().decode("latin-1") for part in value.split(b",")]
+def _split_prompt_parts(value: bytes) -> list[PromptPart]:
+    """Extracts a prompt's parts; at least one, whose id is empty if there are none."""
+    parts = []
+    for entry in value.split(b","):
+        part_id, _, tokens = entry.partition(b":")
+        length = _parse_int(tokens.strip()) or 0
+        parts.append(PromptPart(part_id.strip().decode("latin-1"), length))
+    return parts
 
 
 def _parse_api_key(value: bytes) -> str:
