--- a/src/sapphireledge/core/placement/kept_prompt_limits.py
+++ b/src/sapphireledge/core/placement/kept_prompt_limits.py
@@ -28,20 +28,28 @@
     """Share of the time of an engine that requests with one part may take before a further engine
     becomes its home."""
 
-    initial_home_share: float = 0.5
-    """Share of the requests at a home that find their part there, before any observation."""
+    initial_first_share: float = 0.7
+    """Share of the requests at a home that find the first part of their prompt there, before any
+    observation."""
+
+    initial_next_share: float = 0.2
+    """The same for the parts after it, which fewer prompts share."""
 
     initial_own_share: float = 0.9
     """Share of the requests that find a part where this instance sent it, before any observation;
     the stream may have been placed behind others that took the memory."""
 
-    spare_share: float = 0.3
+    spare_weight: float = 0.3
     """Probability that the engine after the last home keeps a part, relative to that of a home; it
     had the part only while the homes were busy."""
 
     lowest_share: float = 0.1
-    """Lower bound of both shares. Equal engines are then still chosen in the order of the homes, so
-    that the instances meet again once the engines keep parts for longer."""
+    """Lower bound of these shares. Equal engines are then still chosen in the order of the homes,
+    so that the instances meet again once the engines keep parts for longer."""
+
+    checked_tokens: int = 1000
+    """Shortest part of which the time to the first event tells whether it was kept, in tokens; the
+    time varies by about a tenth of a second for other reasons."""
 
     gain: float = 0.2
     """Weight of a new observation of these shares."""
--- a/src/sapphireledge/core/placement/kept_prompts.py
+++ b/src/sapphireledge/core/placement/kept_prompts.py
@@ -3,9 +3,10 @@
 Load pattern: sessions and documents. Many prompts begin with the same parts, and engines keep what
 they processed until newer prompts take the memory. If each instance sends such prompts wherever it
 is calm, every engine processes every part. Here all instances send a part to the same few engines,
-its homes, without a message between them: they order the engines by a hash of the part. What an
-instance sent itself counts more than that guess. A part that many ask for gets further homes in the
-same order, so the next requests find it there, too.
+its homes, without a message between them: they order the engines by a hash of the part. The homes
+of a part that follows another one are among the homes of that one. What an instance sent itself
+counts more than that guess. A part that many ask for, or whose homes are busy, gets further homes
+in the same order, so the next requests find it there, too.
 """
 
 from __future__ import annotations
@@ -40,6 +41,12 @@
     demand_at: float = 0.0
     """Time of `demand`."""
 
+    crowding: float = 0.0
+    """Requests with the part that started elsewhere because its homes were busy, averaged too."""
+
+    crowding_at: float = 0.0
+    """Time of `crowding`."""
+
 
 class KeptPrompts:
     """Estimates which engines of one service still keep the beginning of a prompt.
@@ -57,7 +64,7 @@
         self._parts: OrderedDict[str, _PartRecord] = OrderedDict()
         self._tokens = 0.0
         self._tokens_at = 0.0
-        self._home_share = limits.initial_home_share
+        self._home_shares = [limits.initial_first_share, limits.initial_next_share]
         self._own_share = limits.initial_own_share
 
     def on_request(self, now: float, parts: Sequence[PromptPart]) -> None:
@@ -91,22 +98,37 @@
                 if len(engines) > self._limits.engines_per_part:
                     del engines[next(iter(engines))]
 
-    def on_checked(self, parts: Sequence[PromptPart], engine: str, *, was_kept: bool) -> None:
-        """Compares an estimate with what an engine did; called before `on_processed`.
+    def on_crowded(self, now: float, parts: Sequence[PromptPart]) -> None:
+        """Records that a request started elsewhere because the homes of its parts were busy.
+
+        Args:
+            now: Time in seconds.
+            parts: Parts of the prompt in order.
+        """
+        for part in self._list_key_parts(parts):
+            record = self._touch(part.part_id)
+            record.crowding = self._decay(now, record.crowding, record.crowding_at) + 1.0
+            record.crowding_at = now
+
+    def on_checked(self, parts: Sequence[PromptPart], engine: str, kept_tokens: float) -> None:
+        """Compares the estimate with what an engine did; called before `on_processed`.
 
         Args:
             parts: Parts of the prompt in order.
             engine: Incarnation of the engine.
-            was_kept: Whether the first event came too early for an engine that did not keep them.
+            kept_tokens: Tokens of the prompt that it did not process, from its first event.
         """
-        limits = self._limits
-        is_own = any(engine in self._engines(part) for part in parts)
-        share = self._own_share if is_own else self._home_share
-        share = max(limits.lowest_share, share + limits.gain * (was_kept - share))
-        if is_own:
-            self._own_share = share
-        else:
-            self._home_share = share
+        before = 0
+        for index, part in enumerate(parts[:-1]):
+            was_kept = kept_tokens >= before + part.tokens / 2
+            before += part.tokens
+            if part.tokens < self._limits.checked_tokens:
+                continue
+            if engine in self._engines(part):
+                self._own_share = self._learn(self._own_share, was_kept)
+            else:
+                depth = min(index, 1)
+                self._home_shares[depth] = self._learn(self._home_shares[depth], was_kept)
 
     def estimate(
         self,
@@ -114,7 +136,7 @@
         parts: Sequence[PromptPart],
         engine: str,
         fleet: FleetSize,
-        home_share: float,
+        home_weight: float,
         free_tokens: int | None,
     ) -> int:
         """Estimates how many tokens of a prompt an engine keeps.
@@ -124,8 +146,7 @@
             parts: Parts of the prompt in order.
             engine: Incarnation of the engine.
             fleet: Number of instances and engines.
-            home_share: Probability that the engine keeps the shared parts because it is one of
-                their homes, from `list_homes`.
+            home_weight: Weight of the engine among the homes of the prompt, from `list_homes`.
             free_tokens: Memory of the engine for kept parts in tokens, None if unknown.
 
         Returns:
@@ -139,8 +160,9 @@
             if used_at is None:
                 break
             kept += part.tokens * _survival((now - used_at) * turnover, free_tokens)
-        shared = sum(part.tokens for part in parts[:-1])
-        return int(max(kept * self._own_share, shared * home_share))
+        shares = (self._home_shares[min(index, 1)] for index in range(len(parts)))
+        shared = sum(part.tokens * share for part, share in zip(parts[:-1], shares, strict=False))
+        return int(max(kept * self._own_share, shared * home_weight))
 
     def list_homes(
         self, now: float, parts: Sequence[PromptPart], engines: Iterable[str], fleet: FleetSize
@@ -154,18 +176,21 @@
             fleet: Instances and speed.
 
         Returns:
-            The homes in order with the probability that each keeps the shared parts, and the next
-            engine in this order, which takes over while the homes are busy. Empty if the prompt
-            shares too little.
+            The homes in order with weight 1, and the next engine in this order, which takes over
+            while the homes are busy, with a lower one. Empty if the prompt shares too little.
         """
-        part = self._find_key_part(parts)
-        if part is None:
+        order = list(engines)
+        width = 0
+        for part in self._list_key_parts(parts):
+            order.sort(key=lambda engine, key=part.part_id: _hash(key, engine))
+            width = self._count_homes(now, part, fleet)
+            order = order[: width + 1]
+        if not width:
             return {}
-        width = self._count_homes(now, part, fleet)
-        order = sorted(engines, key=lambda engine: _hash(part.part_id, engine))
-        homes = dict.fromkeys(order[:width], self._home_share)
-        spare_share = self._limits.spare_share * self._home_share
-        return homes | dict.fromkeys(order[width : width + 1], spare_share)
+        return {
+            engine: 1.0 if index < width else self._limits.spare_weight
+            for index, engine in enumerate(order)
+        }
 
     def list_keepers(self, parts: Sequence[PromptPart]) -> list[str]:
         """Lists the engines that this instance sent the beginning of a prompt to.
@@ -184,10 +209,9 @@
         worth = [engine for engine in lengths if lengths[engine] >= self._limits.min_tokens]
         return sorted(reversed(worth), key=lambda engine: -lengths[engine])
 
-    def _find_key_part(self, parts: Sequence[PromptPart]) -> PromptPart | None:
-        """Finds the largest shared part, the last one among equals."""
-        shared = [part for part in parts[:-1] if part.tokens >= self._limits.min_tokens]
-        return max(reversed(shared), key=lambda part: part.tokens, default=None)
+    def _list_key_parts(self, parts: Sequence[PromptPart]) -> list[PromptPart]:
+        """Lists the shared parts that are long enough to choose engines by them."""
+        return [part for part in parts[:-1] if part.tokens >= self._limits.min_tokens]
 
     def _count_homes(self, now: float, part: PromptPart, fleet: FleetSize) -> int:
         """Computes how many engines the requests with a part need."""
@@ -198,7 +222,13 @@
         count = self._decay(now, record.demand, record.demand_at)
         rate = max(0.0, count - 1.0 - math.sqrt(count)) / self._limits.rate_window
         load = rate * fleet.instances * fleet.prompt_time
-        return 1 + int(load / self._limits.home_load)
+        crowding = self._decay(now, record.crowding, record.crowding_at)
+        return 1 + max(int(load / self._limits.home_load), int(crowding))
+
+    def _learn(self, share: float, was_kept: bool) -> float:
+        """Adds an observation to a share."""
+        share += self._limits.gain * (was_kept - share)
+        return max(self._limits.lowest_share, share)
 
     def _engines(self, part: PromptPart) -> dict[str, float]:
         """Returns the engines that processed a part."""
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -20,7 +20,7 @@
 from sapphireledge.gateway.engine_selection import EngineSelection
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
@@ -162,6 +162,8 @@
             server = next(s for s in candidates if s.server_id == decision.engine)
             if self._try_take(server):
                 view = next(view for view in views if view.engine == decision.engine)
+                memory = context.prompt_memory(admitted.service.name)
+                memory.on_placed(loop.time(), admitted.request, view, views)
                 context.telemetry.record_prompt_choice(admitted, view, views)
                 has_room = self._rule.has_room_for_copies(stream, views)
                 standby = self._rank_standby(admitted, progress, server) if has_room else None
@@ -219,17 +221,22 @@
         self._recent_dispatches = [
             entry for entry in self._recent_dispatches if entry[0] > now - RECENT_DISPATCH_WINDOW
         ]
+        homes = context.prompt_memory(admitted.service.name).list_homes(now, admitted.request)
         views = []
         for server in candidates:
             report = reports.get(server.server_id)
             if report is None:
                 context.registry.on_unreachable(now, server)
             elif not self._remove_if_replaced(server, report):
-                views.append(self._build_view(admitted, server, report))
+                views.append(self._build_view(admitted, server, report, homes))
         return views
 
     def _build_view(
-        self, admitted: AdmittedRequest, server: BackendServer, load: EngineLoad
+        self,
+        admitted: AdmittedRequest,
+        server: BackendServer,
+        load: EngineLoad,
+        homes: Mapping[str, float],
     ) -> EngineView:
         """Builds the view of an engine from its report and the recent dispatches."""
         context, service = self._context, admitted.service.name
@@ -248,7 +255,7 @@
             free_tokens=free_tokens,
             tokens_ahead=tokens_ahead if typical else None,
             kept_tokens=context.prompt_memory(service).estimate(
-                now, admitted.request, server, free_tokens
+                now, admitted.request, server, homes, free_tokens
             ),
         )
 
--- a/src/sapphireledge/gateway/prompt_memory.py
+++ b/src/sapphireledge/gateway/prompt_memory.py
@@ -8,8 +8,9 @@
 from sapphireledge.core.placement import FleetSize, KeptPromptLimits, KeptPrompts
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping, Sequence
 
+    from sapphireledge.core.placement import EngineView
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_request import CallerRequest
     from sapphireledge.gateway.engine_selection import EngineSelection
@@ -20,12 +21,9 @@
 LIMITS = KeptPromptLimits()
 """Limits and weights of the knowledge of kept prompts."""
 
-CHECKED_TOKENS = 1000
-"""Shared tokens from which the time to the first event tells whether an engine kept them; it varies
-by about a tenth of a second for other reasons."""
-
 IDLE_WORK = 0.1
-"""Largest work ahead of a stream, in typical prompts, at which this time is used."""
+"""Largest work ahead of a stream, in typical prompts, at which the time to its first event tells
+what the engine kept."""
 
 
 class PromptMemory:
@@ -57,6 +55,27 @@
         if self._context.cfg.uses_kept_prompts and request.parts:
             self._kept.on_request(now, request.parts)
 
+    def list_homes(self, now: float, request: CallerRequest) -> dict[str, float]:
+        """Lists the homes of a prompt among all engines that are not leaving.
+
+        Engines that are suspended or hold requests back at this instance only are counted, so that
+        instances agree.
+
+        Args:
+            now: Event loop time in seconds.
+            request: The request.
+
+        Returns:
+            Weights by incarnation, see `KeptPrompts.list_homes`.
+        """
+        if not self._context.cfg.uses_kept_prompts or all(
+            part.tokens < LIMITS.min_tokens for part in request.parts[:-1]
+        ):
+            return {}
+        engines = self._context.registry.list_preferred(now, self._service)
+        names = [_incarnation(server) for server in engines]
+        return self._kept.list_homes(now, request.parts, names, self._measure_fleet())
+
     def list_candidates(
         self, now: float, request: CallerRequest, excluded: Collection[str]
     ) -> list[BackendServer]:
@@ -77,7 +96,7 @@
             for server in self._context.registry.list_sound(now, self._service, excluded)
         }
         keepers = [name for name in self._kept.list_keepers(request.parts) if name in sound][:1]
-        homes = [name for name in self._list_homes(now, request) if name in sound]
+        homes = [name for name in self.list_homes(now, request) if name in sound]
         homes = [name for name in homes if name not in keepers]
         room = LIMITS.candidates - len(keepers)
         if len(homes) > LIMITS.candidates:
@@ -85,7 +104,12 @@
         return [sound[name] for name in (*keepers, *homes[:room])]
 
     def estimate(
-        self, now: float, request: CallerRequest, server: BackendServer, free_tokens: int | None
+        self,
+        now: float,
+        request: CallerRequest,
+        server: BackendServer,
+        homes: Mapping[str, float],
+        free_tokens: int | None,
     ) -> int:
         """Estimates how many tokens of a prompt an engine keeps.
 
@@ -93,6 +117,7 @@
             now: Event loop time in seconds.
             request: The request.
             server: The engine.
+            homes: Homes of the prompt, from `list_homes`.
             free_tokens: Memory of the engine for kept parts in tokens, None if unknown.
 
         Returns:
@@ -101,9 +126,23 @@
         if not (self._context.cfg.uses_kept_prompts and request.parts):
             return 0
         name = _incarnation(server)
-        home_share = self._list_homes(now, request).get(name, 0.0)
-        fleet = self._measure_fleet()
-        return self._kept.estimate(now, request.parts, name, fleet, home_share, free_tokens)
+        fleet, weight = self._measure_fleet(), homes.get(name, 0.0)
+        return self._kept.estimate(now, request.parts, name, fleet, weight, free_tokens)
+
+    def on_placed(
+        self, now: float, request: CallerRequest, chosen: EngineView, views: Sequence[EngineView]
+    ) -> None:
+        """Records where a stream starts.
+
+        Args:
+            now: Event loop time in seconds.
+            request: The request.
+            chosen: Engine on which it starts.
+            views: All engines that it was chosen from.
+        """
+        most = max(view.kept_tokens for view in views)
+        if most >= LIMITS.min_tokens and chosen.kept_tokens < most / 2:
+            self._kept.on_crowded(now, request.parts)
 
     def on_first_event(
         self, now: float, request: CallerRequest, selection: EngineSelection, delay: float
@@ -119,28 +158,13 @@
         if not (self._context.cfg.uses_kept_prompts and request.parts):
             return
         name = _incarnation(selection.server)
-        shared = sum(part.tokens for part in request.parts[:-1])
         ahead = selection.prompts_ahead
-        is_idle = ahead is not None and ahead <= IDLE_WORK
-        estimator = self._context.first_event_estimator(self._service)
-        if selection.kept_tokens and is_idle and shared >= CHECKED_TOKENS:
-            threshold = (request.prompt_tokens - shared / 2) / estimator.typical_tokens
-            was_kept = delay < estimator.estimate(0.0, threshold)
-            self._kept.on_checked(request.parts, name, was_kept=was_kept)
+        if selection.kept_tokens and ahead is not None and ahead <= IDLE_WORK:
+            estimator = self._context.first_event_estimator(self._service)
+            processed = delay / estimator.estimate(0.0) * estimator.typical_tokens
+            self._kept.on_checked(request.parts, name, request.prompt_tokens - processed)
         self._kept.on_processed(now, request.parts, name)
 
-    def _list_homes(self, now: float, request: CallerRequest) -> dict[str, float]:
-        """Lists the homes of a prompt among all engines that are not leaving.
-
-        Engines that are suspended or hold requests back at this instance only are counted, so that
-        instances agree.
-        """
-        if all(part.tokens < LIMITS.min_tokens for part in request.parts[:-1]):
-            return {}
-        engines = self._context.registry.list_preferred(now, self._service)
-        names = [_incarnation(server) for server in engines]
-        return self._kept.list_homes(now, request.parts, names, self._measure_fleet())
-
     def _measure_fleet(self) -> FleetSize:
         """Measures the fleet that shares the prompts of the service."""
         context = self._context
