--- a/src/sapphireledge/core/placement/choose_candidates.py
+++ b/src/sapphireledge/core/placement/choose_candidates.py
@@ -47,8 +47,8 @@
         placement: Number of earlier placements of the stream.
         rated: Engines of `ranked` that name a rate. Their slots are rare at a single instance and
             expire, so such an engine is offered whatever its rank.
-        kept: Engines that probably keep the beginning of the prompt. They take the places of the
-            last others, so that a placement costs no more calls.
+        kept: Engines that probably keep the beginning of the prompt. They take the place of one
+            other engine; all of them may be busy.
 
     Returns:
         The engines, those of `kept` first, then local ones, then those of `rated`.
@@ -67,7 +67,7 @@
         *_take_cyclic(remote, skipped, REMOTE_CANDIDATES),
     ]
     usual = [engine for engine in chosen if engine not in kept]
-    chosen = [*kept, *usual[: max(1, len(chosen) - len(kept))]]
+    chosen = [*kept, *usual[: LOCAL_CANDIDATES + REMOTE_CANDIDATES - bool(kept)]]
     others = (engine for engine in rated if engine not in chosen)
     return [*chosen, *islice(others, RATED_CANDIDATES)]
 
--- a/src/sapphireledge/core/placement/kept_prompt_limits.py
+++ b/src/sapphireledge/core/placement/kept_prompt_limits.py
@@ -24,7 +24,11 @@
     rate_window: float = 20.0
     """Seconds over which the rates of tokens and of requests with a part are averaged."""
 
-    home_load: float = 0.5
+    report_age: float = 0.4
+    """Seconds for which a request that another instance sends is missing in the reports of an
+    engine."""
+
+    home_load: float = 0.4
     """Share of the time of an engine that requests with one part may take before a further engine
     becomes its home."""
 
--- a/src/sapphireledge/core/placement/kept_prompts.py
+++ b/src/sapphireledge/core/placement/kept_prompts.py
@@ -27,6 +27,12 @@
 
 __all__ = ["KeptPrompts"]
 
+FIRST_PART_COUNT = 0.5
+"""Requests of others that are assumed for the first part of a prompt, before any was seen."""
+
+MIN_SPAN = 2.0
+"""Shortest time in seconds that a rate is computed over."""
+
 
 @dataclass(slots=True)
 class _PartRecord:
@@ -62,8 +68,10 @@
         """
         self._limits = limits
         self._parts: OrderedDict[str, _PartRecord] = OrderedDict()
+        self._started_at: float | None = None
+        self._requests = 0.0
         self._tokens = 0.0
-        self._tokens_at = 0.0
+        self._counted_at = 0.0
         self._home_shares = [limits.initial_first_share, limits.initial_next_share]
         self._own_share = limits.initial_own_share
 
@@ -74,9 +82,12 @@
             now: Time in seconds.
             parts: Parts of the prompt in order.
         """
-        self._tokens = self._decay(now, self._tokens, self._tokens_at)
+        if self._started_at is None:
+            self._started_at = now
+        self._tokens = self._decay(now, self._tokens, self._counted_at)
         self._tokens += sum(part.tokens for part in parts)
-        self._tokens_at = now
+        self._requests = self._decay(now, self._requests, self._counted_at) + 1.0
+        self._counted_at = now
         for part in parts[:-1]:
             record = self._touch(part.part_id)
             record.demand = self._decay(now, record.demand, record.demand_at) + 1.0
@@ -153,8 +164,7 @@
             The expected number.
         """
         kept = 0.0
-        turnover = self._decay(now, self._tokens, self._tokens_at) / self._limits.rate_window
-        turnover *= fleet.instances / fleet.engines
+        turnover = self._measure_rate(now, self._tokens, fleet) / fleet.engines
         for part in parts:
             used_at = self._engines(part).get(engine)
             if used_at is None:
@@ -183,7 +193,7 @@
         width = 0
         for part in self._list_key_parts(parts):
             order.sort(key=lambda engine, key=part.part_id: _hash(key, engine))
-            width = self._count_homes(now, part, fleet)
+            width = self._count_homes(now, part, fleet, is_first=part == parts[0])
             order = order[: width + 1]
         if not width:
             return {}
@@ -192,6 +202,27 @@
             for index, engine in enumerate(order)
         }
 
+    def estimate_unseen(self, now: float, parts: Sequence[PromptPart], fleet: FleetSize) -> float:
+        """Estimates the requests that a home receives from others, and its report lacks.
+
+        All instances send prompts with the same parts to the same homes, and see only old reports.
+
+        Args:
+            now: Time in seconds.
+            parts: Parts of the prompt in order.
+            fleet: Number of instances and engines.
+
+        Returns:
+            Requests beyond those that any engine receives.
+        """
+        usual = self._measure_rate(now, self._requests, fleet) / fleet.engines
+        rates = [
+            self._measure_demand(now, part, fleet, is_first=part == parts[0])
+            / self._count_homes(now, part, fleet, is_first=part == parts[0])
+            for part in self._list_key_parts(parts)
+        ]
+        return max(0.0, max(rates, default=0.0) - usual) * self._limits.report_age
+
     def list_keepers(self, parts: Sequence[PromptPart]) -> list[str]:
         """Lists the engines that this instance sent the beginning of a prompt to.
 
@@ -213,17 +244,36 @@
         """Lists the shared parts that are long enough to choose engines by them."""
         return [part for part in parts[:-1] if part.tokens >= self._limits.min_tokens]
 
-    def _count_homes(self, now: float, part: PromptPart, fleet: FleetSize) -> int:
+    def _count_homes(
+        self, now: float, part: PromptPart, fleet: FleetSize, *, is_first: bool
+    ) -> int:
         """Computes how many engines the requests with a part need."""
-        record = self._parts.get(part.part_id)
-        if record is None:
-            return 1
-        # One request says nothing about a rate; the deviation of a count is its square root.
-        count = self._decay(now, record.demand, record.demand_at)
-        rate = max(0.0, count - 1.0 - math.sqrt(count)) / self._limits.rate_window
-        load = rate * fleet.instances * fleet.prompt_time
+        record = self._parts.get(part.part_id) or _PartRecord()
+        demand = self._measure_demand(now, part, fleet, is_first=is_first)
+        load = demand * fleet.prompt_time / self._limits.home_load
         crowding = self._decay(now, record.crowding, record.crowding_at)
-        return 1 + max(int(load / self._limits.home_load), int(crowding))
+        return 1 + max(int(load), int(crowding))
+
+    def _measure_demand(
+        self, now: float, part: PromptPart, fleet: FleetSize, *, is_first: bool
+    ) -> float:
+        """Estimates the requests with a part that all instances receive a second.
+
+        An instance may see few of them. The part of a single request is taken for a frequent one
+        if it is the first of its prompt, as many prompts may share it.
+        """
+        record = self._parts.get(part.part_id) or _PartRecord()
+        others = max(0.0, self._decay(now, record.demand, record.demand_at) - 1.0)
+        requests = self._decay(now, self._requests, self._counted_at)
+        share = (others + (FIRST_PART_COUNT if is_first else 0.0)) / max(1.0, requests)
+        return share * self._measure_rate(now, self._requests, fleet)
+
+    def _measure_rate(self, now: float, value: float, fleet: FleetSize) -> float:
+        """Computes the rate of all instances from a fading sum of this one."""
+        since = now if self._started_at is None else self._started_at
+        window = self._limits.rate_window
+        span = max(window * -math.expm1((since - now) / window), MIN_SPAN)
+        return self._decay(now, value, self._counted_at) / span * fleet.instances
 
     def _learn(self, share: float, was_kept: bool) -> float:
         """Adds an observation to a share."""
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -243,8 +243,11 @@
         free_tokens = load.memory_total - load.memory_used if load.memory_total else None
         sent = [tokens for _, name, tokens in self._recent_dispatches if name == server.server_id]
         typical = context.first_event_estimator(service).typical_tokens
-        tokens_ahead = load.count_tokens_ahead(typical) + sum(tokens or typical for tokens in sent)
         now = asyncio.get_running_loop().time()
+        memory = context.prompt_memory(service)
+        unseen = memory.estimate_unseen(now, admitted.request, server, homes)
+        tokens_ahead = load.count_tokens_ahead(typical) + unseen * typical
+        tokens_ahead += sum(tokens or typical for tokens in sent)
         return EngineView(
             engine=server.server_id,
             is_local=server.data_centre == self._context.cfg.data_centre,
--- a/src/sapphireledge/gateway/prompt_memory.py
+++ b/src/sapphireledge/gateway/prompt_memory.py
@@ -129,6 +129,25 @@
         fleet, weight = self._measure_fleet(), homes.get(name, 0.0)
         return self._kept.estimate(now, request.parts, name, fleet, weight, free_tokens)
 
+    def estimate_unseen(
+        self, now: float, request: CallerRequest, server: BackendServer, homes: Mapping[str, float]
+    ) -> float:
+        """Estimates the requests that other instances send to an engine because it is a home.
+
+        Args:
+            now: Event loop time in seconds.
+            request: The request.
+            server: The engine.
+            homes: Homes of the prompt, from `list_homes`.
+
+        Returns:
+            Requests that the reports of the engine lack.
+        """
+        weight = homes.get(_incarnation(server), 0.0)
+        if not weight:
+            return 0.0
+        return weight * self._kept.estimate_unseen(now, request.parts, self._measure_fleet())
+
     def on_placed(
         self, now: float, request: CallerRequest, chosen: EngineView, views: Sequence[EngineView]
     ) -> None:
