--- a/src/sapphireledge/core/placement/kept_prompt_limits.py
+++ b/src/sapphireledge/core/placement/kept_prompt_limits.py
@@ -11,7 +11,7 @@
 class KeptPromptLimits:
     """Limits and weights of the knowledge of kept prompts."""
 
-    min_tokens: int = 256
+    min_tokens: int = 512
     """Shortest part that is worth a choice of engines, in tokens. Engines process it in about the
     time of a round trip between data centres."""
 
