--- a/src/sapphireledge/core/placement/first_event_estimator.py
+++ b/src/sapphireledge/core/placement/first_event_estimator.py
@@ -13,6 +13,9 @@
 LENGTH_GAIN = 0.1
 """Weight of a new prompt in the mean length."""
 
+MAX_LENGTH = 131_072
+"""Longest prompt that counts in the mean, in tokens; callers state the length of theirs."""
+
 MIN_OWN_WORK = 0.25
 """Smallest part of a prompt by which a delay is divided; below it, the first step of the generation
 and the round trip outweigh the prompt."""
@@ -45,8 +48,9 @@
             prompt_tokens: Length in tokens, 0 if unknown.
         """
         if prompt_tokens:
-            mean = self._typical_tokens or prompt_tokens
-            self._typical_tokens = mean + LENGTH_GAIN * (prompt_tokens - mean)
+            sample = min(MAX_LENGTH, prompt_tokens)
+            mean = self._typical_tokens or sample
+            self._typical_tokens = mean + LENGTH_GAIN * (sample - mean)
 
     def observe(self, prompts_ahead: float, delay: float, own_work: float = 1.0) -> None:
         """Adds the first event of a stream to the estimate.
--- a/src/sapphireledge/gateway/prompt_memory.py
+++ b/src/sapphireledge/gateway/prompt_memory.py
@@ -91,13 +91,16 @@
         """
         if not (self._context.cfg.uses_kept_prompts and request.parts):
             return []
+        keepers = self._kept.list_keepers(request.parts)
+        homes = list(self.list_homes(now, request))
+        if not keepers and not homes:
+            return []
         sound = {
             _incarnation(server): server
             for server in self._context.registry.list_sound(now, self._service, excluded)
         }
-        keepers = [name for name in self._kept.list_keepers(request.parts) if name in sound][:1]
-        homes = [name for name in self.list_homes(now, request) if name in sound]
-        homes = [name for name in homes if name not in keepers]
+        keepers = [name for name in keepers if name in sound][:1]
+        homes = [name for name in homes if name in sound and name not in keepers]
         room = LIMITS.candidates - len(keepers)
         if len(homes) > LIMITS.candidates:
             homes = self._rng.sample(homes, room)
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -30,6 +30,9 @@
 MAX_DIGITS = 18
 """Digits of the largest number accepted in a header."""
 
+MAX_PROMPT_PARTS = 32
+"""Parts of a prompt by which engines are chosen; a header has room for thousands."""
+
 MAX_URGENCY_CLASS = 9
 """Least urgent class of an engine; 0 is the most urgent, as for the gateway's ranks."""
 
@@ -61,7 +64,7 @@
             output_tokens=_parse_int(output_tokens) or 0,
             affinity=parts[-1].part_id or values.get(names.REQUEST_ID, b"").decode("latin-1"),
             shared_parts=tuple(part.part_id for part in parts[:-1]),
-            parts=tuple(parts) if parts[-1].part_id else (),
+            parts=tuple(parts[:MAX_PROMPT_PARTS]) if parts[-1].part_id else (),
         )
 
     def encode_backend_request(self, backend_request: BackendRequest) -> list[tuple[bytes, bytes]]:
--- a/tests/test_gateway_kept_prompts.py
+++ b/tests/test_gateway_kept_prompts.py
@@ -64,6 +64,18 @@
         request = PlatformDialect().decode_request(b"POST", b"/", odd, b"", 0.0)
         self.assertEqual([part.tokens for part in request.parts], [0, 0])
         self.assertEqual(PlatformDialect().decode_request(b"POST", b"/", (), b"", 0.0).parts, ())
+        many = ((PARTS.encode(), b",".join(b"a%d:9" % part for part in range(3_000))),)
+        request = PlatformDialect().decode_request(b"POST", b"/", many, b"", 0.0)
+        self.assertLess(len(request.parts), 100)
+
+    async def test_caller_cannot_distort_the_typical_length(self):
+        """Guards against one request after which all engines look idle."""
+        estimator = self.gateway.context.first_event_estimator("llm")
+        await self.add("llm", streaming_engine(0, 1))
+        await self.call("/stream/", **{TOKENS: "999999999999999999,10"})
+        for _ in range(40):
+            estimator.observe_length(8_000)
+        self.assertLess(estimator.typical_tokens, 12_000)
 
     async def test_tokens_ahead_come_from_the_report(self):
         """An engine lists a run from its first event on; the rest is the prompt in progress."""
