Let waiting streams start in the order of a line

Cause: each stream that waited for an engine placed itself again after a random time, so the order at an instance was chance: urgent streams became late behind others, a heavy workspace took most places, and each waiting stream fetched five reports for each try. Ruled out: the rank scheduler of the own interface (it starts a stream as soon as a slot is free, and knows ranks with declared shares and one capacity); its usage ledger is taken. Change: core/waiting orders the streams of a service, one look at the engines serves all of them, and the line is woken by a first event, a new engine or a timer. A stream that has no chance any more is refused; Retry-After follows the backlog and the rate at which the line drains. A stream of which its caller has events is resumed before late ones and in the order of streams on time. A stream that not even an idle engine could complete is refused at once.

--- a/src/sapphireledge/core/placement/__init__.py
+++ b/src/sapphireledge/core/placement/__init__.py
@@ -7,6 +7,7 @@
 from sapphireledge.core.placement.pending_stream import PendingStream
 from sapphireledge.core.placement.placement_limits import PlacementLimits
 from sapphireledge.core.placement.placement_rule import PlacementRule
+from sapphireledge.core.placement.refusal_reason import RefusalReason
 from sapphireledge.core.placement.refuse_stream import RefuseStream
 from sapphireledge.core.placement.start_stream import StartStream
 from sapphireledge.core.placement.wait_for_engine import WaitForEngine
@@ -18,6 +19,7 @@
     "PendingStream",
     "PlacementLimits",
     "PlacementRule",
+    "RefusalReason",
     "RefuseStream",
     "StartStream",
     "WaitForEngine",
--- a/src/sapphireledge/core/placement/pending_stream.py
+++ b/src/sapphireledge/core/placement/pending_stream.py
@@ -31,3 +31,6 @@
 
     has_run: bool
     """Whether an engine may have run the request, so that it cannot be refused as not run."""
+
+    delivered: int = 0
+    """Number of events that the caller has received of a run that was lost."""
--- a/src/sapphireledge/core/placement/placement_limits.py
+++ b/src/sapphireledge/core/placement/placement_limits.py
@@ -29,6 +29,11 @@
     """Largest number of prompts ahead at an engine on which a late stream may start, so that it
     delays no stream that can still be on time."""
 
+    resume_ahead: float = 1.0
+    """Largest number of prompts ahead at an engine on which a stream is resumed of which the caller
+    has received events. It bounds how many resumes an engine takes at once after the loss of
+    others."""
+
     late_reserve: float = 12.0
     """Seconds before its deadline at which a late stream starts in any case: a prompt and a long
     generation on a loaded engine."""
--- a/src/sapphireledge/core/placement/placement_rule.py
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -6,12 +6,17 @@
 would be late waits at its instance until an engine has no prompt to process, or until it must start
 to reach its caller before that gives up or to complete before its deadline. The queues of the
 engines stay short, and streams that can be on time pass the late ones.
+
+After the loss of engines, streams of which callers have received a part must be resumed beside new
+ones. Their readers wait in the middle of a text, so they start before late streams and with the
+order of streams on time, but at each engine only a few at once.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.placement.refusal_reason import RefusalReason
 from sapphireledge.core.placement.refuse_stream import RefuseStream
 from sapphireledge.core.placement.start_stream import StartStream
 from sapphireledge.core.placement.wait_for_engine import WaitForEngine
@@ -69,6 +74,7 @@
         may_wait: bool = True,
         start_share: float = 1.0,
         generation_time: float = 0.0,
+        shortest_generation: float = 0.0,
     ) -> StartStream | WaitForEngine | RefuseStream:
         """Decides whether a stream starts, waits or is refused.
 
@@ -83,11 +89,17 @@
             generation_time: Expected seconds from the first event to the last one, 0 if unknown. A
                 late stream that would end after its deadline is refused rather than processed in
                 vain.
+            shortest_generation: Seconds that a short one of recent generations would take, 0 if
+                unknown. A stream that not even an idle engine could complete before its deadline is
+                refused at once.
 
         Returns:
             The decision.
         """
         limits = self._limits
+        shortest = estimator.estimate(0.0) + shortest_generation
+        if shortest_generation and now + shortest > stream.deadline and not stream.has_run:
+            return RefuseStream(shortest, limits.shortest_retry_after, RefusalReason.TIME)
         best = min(views, key=lambda view: self.cost(stream, view))
         ahead = best.prompts_ahead + (0.0 if _has_room(stream, best) else limits.memory_full_cost)
         estimate = estimator.estimate(ahead)
@@ -102,6 +114,8 @@
         is_admitted = must_start or self._rng.random() < start_share
         if is_on_time and is_admitted:
             return StartStream(best.engine, estimate, False)
+        if stream.delivered and (must_start or ahead <= limits.resume_ahead):
+            return StartStream(best.engine, estimate, False)
         latest = min(stream.leaves_at, stream.deadline - generation_time)
         is_hopeless = now + estimator.estimate(0.0) >= latest
         if must_start and generation_time:
@@ -143,7 +157,8 @@
             interval = min(max(delay, 0.0), limits.retry_interval)
             return WaitForEngine(interval * self._rng.uniform(0.6, 1.4), estimate)
         retry_after = min(delay, limits.longest_retry_after) * self._rng.uniform(0.5, 1.0)
-        return RefuseStream(estimate, max(limits.shortest_retry_after, retry_after))
+        delay = max(limits.shortest_retry_after, retry_after)
+        return RefuseStream(estimate, delay, RefusalReason.ENGINES)
 
     def has_room_for_copies(self, stream: PendingStream, views: Sequence[EngineView]) -> bool:
         """Decides whether the KV cache of a stream is copied to a standby.
--- a/src/sapphireledge/core/placement/refuse_stream.py
+++ b/src/sapphireledge/core/placement/refuse_stream.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from sapphireledge.core.placement.refusal_reason import RefusalReason
+
 __all__ = ["RefuseStream"]
 
 
@@ -16,3 +18,6 @@
 
     retry_after: float
     """Seconds after which the caller may return."""
+
+    reason: RefusalReason = RefusalReason.LOAD
+    """Why the stream is refused."""
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -78,6 +78,8 @@
         self._backpressures: OrderedDict[tuple[str, int], ServerBackpressure] = OrderedDict()
         self._contacts: dict[str, ContactEstimator] = {}
         self._rng = Random() if rng is None else rng
+        self.on_added: Callable[[BackendServer], None] = lambda _: None
+        """Called with each new or restarted server."""
 
     def __len__(self) -> int:
         return len(self._states)
@@ -100,6 +102,7 @@
             self._states[server.server_id] = state
             self._by_service.setdefault(server.service, {})[server.server_id] = state
             self._orders.pop(server.service, None)
+            self.on_added(server)
             changed = True
         else:
             changed = server.draining and not state.backpressure.is_leaving
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from itertools import count
+from dataclasses import replace
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -12,16 +13,21 @@
     PendingStream,
     PlacementLimits,
     PlacementRule,
+    RefusalReason,
     RefuseStream,
     WaitForEngine,
     choose_candidates,
     compute_start_share,
 )
+from sapphireledge.core.waiting import WaitingLimits, WaitingLine, WaitingWork
+from sapphireledge.gateway.engine_look import EngineLook
 from sapphireledge.gateway.engine_selection import EngineSelection
+from sapphireledge.gateway.stream_line import StreamLine
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from sapphireledge.core.placement import StartStream
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.engine_load import EngineLoad
@@ -44,6 +50,9 @@
 PLACEMENT_LIMITS = PlacementLimits()
 """Limits and weights of the placement."""
 
+WAITING_LIMITS = WaitingLimits()
+"""Limits and weights of the waiting line."""
+
 
 class EngineSelector:
     """Selects the engine of a stream from the load reports of a few candidates.
@@ -57,6 +66,7 @@
         self._context = context
         self._rule = PlacementRule(PLACEMENT_LIMITS, Random())
         self._recent_dispatches: list[tuple[float, str]] = []
+        self._lines: dict[str, StreamLine] = {}
 
     async def select(
         self,
@@ -80,10 +90,7 @@
         holder = await self._find_prompt_holder(admitted, progress)
         if holder is not None and self._try_take(holder):
             return self._select_known(admitted, progress, holder)
-        selection = await self._place(admitted, progress, avoided)
-        if isinstance(selection, EngineSelection) and selection.prompts_ahead is not None:
-            self._record_dispatch(selection.server)
-        return selection
+        return await self._place(admitted, progress, avoided)
 
     def _select_known(
         self,
@@ -108,59 +115,149 @@
     async def _place(
         self, admitted: AdmittedRequest, progress: StreamProgress, avoided: frozenset[str]
     ) -> EngineSelection | RefuseStream | None:
-        """Places a stream by load reports, and repeats that while it has to wait."""
+        """Places a stream by load reports, after it has waited in line if it has to."""
+        line = self._line(admitted.service.name)
+        describe = partial(self._describe_work, admitted, progress)
+        offer = partial(self._offer, admitted, progress, avoided)
+        now = asyncio.get_running_loop().time()
+        line.order.on_arrival(now, describe())
+        result: EngineSelection | RefuseStream | WaitForEngine | None
+        if self._context.is_stopping() or not line.order.is_preceded(now, describe()):
+            excluded = self._choose_excluded(admitted, progress, avoided)
+            candidates = self._list_candidates(admitted, excluded)
+            result = offer(await self._take_look(candidates), True, 0)
+        else:
+            result = WaitForEngine(0.0, 0.0)
+        if isinstance(result, WaitForEngine):
+            result = await line.wait(admitted, describe, offer)
+        if isinstance(result, EngineSelection):
+            line.order.on_start(asyncio.get_running_loop().time(), describe())
+        return result
+
+    def _offer(
+        self,
+        admitted: AdmittedRequest,
+        progress: StreamProgress,
+        avoided: frozenset[str],
+        look: EngineLook,
+        has_turn: bool,
+        placement: int,
+    ) -> EngineSelection | RefuseStream | WaitForEngine | None:
+        """Decides by the reports of a look whether a stream starts, waits or is refused."""
         context = self._context
-        loop = asyncio.get_running_loop()
-        estimator = context.first_event_estimator(admitted.service.name)
+        excluded = self._choose_excluded(admitted, progress, avoided)
+        admission_at = self._next_admission(admitted, excluded)
+        now = asyncio.get_running_loop().time()
+        if admission_at == float("inf"):
+            return None
+        if admission_at > now:
+            return self._decide_without_engine(admitted, progress, admission_at)
+        servers = [
+            server
+            for server in look.candidates
+            if server.server_id not in excluded and context.registry.admits(now, server.server_id)
+        ]
+        views = self._build_views(servers, look)
+        stream = _describe_pending(admitted, progress, now)
+        if not views:
+            is_taken = servers and has_turn and self._try_take(servers[0])
+            wait = WaitForEngine(PLACEMENT_LIMITS.retry_interval, 0.0)
+            return self._select_known(admitted, progress, servers[0]) if is_taken else wait
+        decision = self._decide(now, admitted, progress, stream, views, has_turn)
+        if placement == 0 or not isinstance(decision, WaitForEngine):
+            costs = {view.engine: self._rule.cost(stream, view) for view in views}
+            silent = len(look.candidates) - len(look.reports)
+            context.telemetry.record_placement(admitted, decision, costs, silent, placement)
+        if isinstance(decision, RefuseStream):
+            return self._spread_return(admitted, now, decision)
+        if isinstance(decision, WaitForEngine):
+            return decision
+        server = next(s for s in servers if s.server_id == decision.engine)
+        if not self._try_take(server):
+            return WaitForEngine(0.0, decision.estimate)
+        ahead = next(v.prompts_ahead for v in views if v.engine == decision.engine)
+        has_room = self._rule.has_room_for_copies(stream, views)
+        standby = self._rank_standby(admitted, progress, server) if has_room else None
+        self._record_dispatch(server)
+        return EngineSelection(server, standby, None, ahead, decision.is_late)
+
+    def _decide(
+        self,
+        now: float,
+        admitted: AdmittedRequest,
+        progress: StreamProgress,
+        stream: PendingStream,
+        views: list[EngineView],
+        has_turn: bool,
+    ) -> StartStream | WaitForEngine | RefuseStream:
+        """Decides by the views of a few engines whether a stream starts, waits or is refused."""
+        context = self._context
+        output_tokens = admitted.request.output_tokens
         generation = context.generation_estimator(admitted.service.name)
-        waits = 0
-        for placement in count():
-            excluded = self._choose_excluded(admitted, progress, avoided)
-            candidates = self._list_candidates(admitted, excluded, waits)
-            if not candidates and self._next_admission(admitted, excluded) == float("inf"):
-                return None
-            if not candidates:
-                refusal = await self._wait_for_admission(admitted, progress, excluded)
-                if refusal is None:
-                    waits += 1
-                    continue
-                return None if progress.may_have_executed else refusal
-            views = [] if len(candidates) < 2 else await self._fetch_views(admitted, candidates)
-            if not views:
-                if self._try_take(candidates[0]):
-                    return self._select_known(admitted, progress, candidates[0])
-                continue
-            # A report may name a rate or a pause; such engines are not listed again.
-            views = [view for view in views if context.registry.admits(loop.time(), view.engine)]
-            if not views:
-                continue
-            stream = _describe_pending(admitted, progress, loop.time())
-            decision = self._rule.decide(
-                loop.time(),
-                stream,
-                views,
-                estimator,
-                may_wait=not context.is_stopping(),
-                start_share=self._start_share(admitted) if waits else 1.0,
-                generation_time=generation.estimate(admitted.request.output_tokens),
+        received = 0 if progress.last_event is None else progress.last_event + 1
+        return self._rule.decide(
+            now,
+            stream,
+            views,
+            context.first_event_estimator(admitted.service.name),
+            may_wait=not context.is_stopping(),
+            start_share=float(has_turn),
+            generation_time=generation.estimate(output_tokens),
+            shortest_generation=generation.estimate_shortest(output_tokens, received),
+        )
+
+    def _spread_return(
+        self, admitted: AdmittedRequest, now: float, refusal: RefuseStream
+    ) -> RefuseStream:
+        """Sets Retry-After by what waits and by the rate at which it starts."""
+        if refusal.reason is RefusalReason.ENGINES:
+            return refusal
+        order = self._line(admitted.service.name).order
+        return replace(refusal, retry_after=order.retry_after(now, refusal.estimate))
+
+    def _line(self, service: str) -> StreamLine:
+        """Returns the waiting line of a service, created on first use."""
+        line = self._lines.get(service)
+        if line is None:
+            line = StreamLine(
+                WaitingLine(WAITING_LIMITS, Random()),
+                self._context.telemetry,
+                partial(self._look_for_line, service),
+                partial(self._start_share, service),
             )
-            if waits == 0 or not isinstance(decision, WaitForEngine):
-                costs = {view.engine: self._rule.cost(stream, view) for view in views}
-                silent = len(candidates) - len(views)
-                context.telemetry.record_placement(admitted, decision, costs, silent, placement)
-            if isinstance(decision, RefuseStream):
-                return decision
-            if isinstance(decision, WaitForEngine):
-                await asyncio.sleep(decision.delay)
-                waits += 1
-                continue
-            server = next(s for s in candidates if s.server_id == decision.engine)
-            if self._try_take(server):
-                ahead = next(v.prompts_ahead for v in views if v.engine == decision.engine)
-                has_room = self._rule.has_room_for_copies(stream, views)
-                standby = self._rank_standby(admitted, progress, server) if has_room else None
-                return EngineSelection(server, standby, None, ahead, decision.is_late)
-        return None
+            self._lines[service] = line
+            self._context.on_first_event = self._on_first_event
+            self._context.registry.on_added = self._on_server_added
+        return line
+
+    def _on_first_event(self, server: BackendServer) -> None:
+        """Wakes the line of a service whose engine has processed a prompt of this instance."""
+        self._line(server.service).on_place_freed(server.server_id)
+
+    def _on_server_added(self, server: BackendServer) -> None:
+        """Wakes the line of a service that has a further engine."""
+        if server.service in self._lines:
+            self._lines[server.service].wake()
+
+    def _describe_work(self, admitted: AdmittedRequest, progress: StreamProgress) -> WaitingWork:
+        """Describes a stream to the waiting line."""
+        now = asyncio.get_running_loop().time()
+        request = admitted.request
+        stream = _describe_pending(admitted, progress, now)
+        first_event = self._context.first_event_estimator(admitted.service.name)
+        generation = self._context.generation_estimator(admitted.service.name)
+        return WaitingWork(
+            rank=admitted.rank,
+            due_at=stream.due_at,
+            leaves_at=stream.leaves_at,
+            deadline=stream.deadline,
+            first_event_time=first_event.estimate(0.0),
+            generation_time=generation.estimate(request.output_tokens),
+            workspace=admitted.workspace,
+            tokens=request.prompt_tokens + request.output_tokens,
+            delivered=stream.delivered,
+            has_run=stream.has_run,
+        )
 
     def _choose_excluded(
         self, admitted: AdmittedRequest, progress: StreamProgress, avoided: frozenset[str]
@@ -177,42 +274,67 @@
         now = asyncio.get_running_loop().time()
         return self._context.registry.next_admission(now, admitted.service.name, excluded)
 
-    async def _wait_for_admission(
-        self, admitted: AdmittedRequest, progress: StreamProgress, excluded: frozenset[str]
-    ) -> RefuseStream | None:
-        """Waits for an engine that takes requests again; returns a refusal if that is too late."""
+    def _decide_without_engine(
+        self, admitted: AdmittedRequest, progress: StreamProgress, admission_at: float
+    ) -> RefuseStream | WaitForEngine | None:
+        """Decides whether a stream waits for an engine that takes requests again."""
         context = self._context
         now = asyncio.get_running_loop().time()
         decision = self._rule.decide_without_engine(
             now,
             _describe_pending(admitted, progress, now),
-            self._next_admission(admitted, excluded),
+            admission_at,
             context.first_event_estimator(admitted.service.name),
             may_wait=not context.is_stopping(),
         )
-        if isinstance(decision, RefuseStream):
-            return decision
-        await asyncio.sleep(decision.delay)
-        return None
+        if isinstance(decision, RefuseStream) and progress.may_have_executed:
+            return None
+        return decision
 
-    async def _fetch_views(
-        self, admitted: AdmittedRequest, candidates: list[BackendServer]
-    ) -> list[EngineView]:
-        """Fetches the reports of the candidates; those that send none are suspended."""
+    async def _look_for_line(self, service: str, round_: int, freed: frozenset[str]) -> EngineLook:
+        """Fetches the reports of the next candidates for the streams that wait."""
+        registry = self._context.registry
+        now = asyncio.get_running_loop().time()
+        candidates = self._choose_candidates(
+            service, registry.list_preferred(now, service), round_, frozenset()
+        )
+        chosen = {server.server_id for server in candidates}
+        for server_id in freed - chosen:
+            state = registry.state(server_id)
+            if state is not None and registry.admits(now, server_id):
+                candidates.insert(0, state.server)
+        return await self._take_look(candidates)
+
+    async def _take_look(self, candidates: list[BackendServer]) -> EngineLook:
+        """Fetches the reports of the candidates; those that send none are suspended.
+
+        A single candidate is used without a report.
+        """
         context = self._context
+        if len(candidates) < 2:
+            return EngineLook(candidates, {})
         reports = await context.report_client.fetch_reports(candidates, REPORT_TIMEOUT)
         now = asyncio.get_running_loop().time()
-        self._recent_dispatches = [
-            entry for entry in self._recent_dispatches if entry[0] > now - RECENT_DISPATCH_WINDOW
-        ]
-        views = []
+        context.telemetry.record_look(len(candidates), len(reports))
         for server in candidates:
             report = reports.get(server.server_id)
             if report is None:
                 context.registry.on_unreachable(now, server)
-            elif not self._remove_if_replaced(server, report):
-                views.append(self._build_view(server, report))
-        return views
+            elif self._remove_if_replaced(server, report):
+                del reports[server.server_id]
+        return EngineLook(candidates, reports)
+
+    def _build_views(self, servers: list[BackendServer], look: EngineLook) -> list[EngineView]:
+        """Builds the views of the engines that sent a report."""
+        now = asyncio.get_running_loop().time()
+        self._recent_dispatches = [
+            entry for entry in self._recent_dispatches if entry[0] > now - RECENT_DISPATCH_WINDOW
+        ]
+        return [
+            self._build_view(server, look.reports[server.server_id])
+            for server in servers
+            if server.server_id in look.reports
+        ]
 
     def _build_view(self, server: BackendServer, load: EngineLoad) -> EngineView:
         """Builds the view of an engine from its report and the recent dispatches."""
@@ -260,27 +382,35 @@
         return True
 
     def _list_candidates(
-        self, admitted: AdmittedRequest, excluded: frozenset[str], waits: int
+        self, admitted: AdmittedRequest, excluded: frozenset[str]
     ) -> list[BackendServer]:
         """Lists the engines that take requests now, of which a stream is offered the best one."""
         registry = self._context.registry
         now = asyncio.get_running_loop().time()
         service = admitted.service.name
-        ranked: Iterable[BackendServer]
-        if waits:
-            ranked = registry.list_preferred(now, service, excluded)
-        else:
-            ranked = registry.rank_servers(now, service, admitted.request.affinity, excluded)
+        ranked = registry.rank_servers(now, service, admitted.request.affinity, excluded)
+        return self._choose_candidates(service, ranked, 0, excluded)
+
+    def _choose_candidates(
+        self,
+        service: str,
+        ranked: Iterable[BackendServer],
+        placement: int,
+        excluded: frozenset[str],
+    ) -> list[BackendServer]:
+        """Chooses a few of the ranked engines that take requests now."""
+        registry = self._context.registry
+        now = asyncio.get_running_loop().time()
         return choose_candidates(
             (server for server in ranked if registry.admits(now, server.server_id)),
             lambda server: server.data_centre == self._context.cfg.data_centre,
-            waits,
+            placement,
             registry.list_rated(now, service, excluded),
         )
 
-    def _start_share(self, admitted: AdmittedRequest) -> float:
+    def _start_share(self, service: str) -> float:
         """Computes which share of waiting streams may start on an engine that looks idle."""
-        engines = self._context.registry.count(admitted.service.name)
+        engines = self._context.registry.count(service)
         return compute_start_share(engines, self._context.count_instances())
 
     def _rank_standby(
@@ -315,4 +445,6 @@
         leaves_at=last_progress + admitted.route.event_patience,
         deadline=admitted.deadline,
         has_run=progress.may_have_executed,
+        # Callers that resume a stream at this instance have received its first events, too.
+        delivered=progress.delivered if progress.last_event is None else progress.last_event + 1,
     )
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -58,6 +58,9 @@
 
         self.crashes.measure_service = self._measure_service
 
+        self.on_first_event: Callable[[BackendServer], None] = lambda _: None
+        """Called with an engine that sent the first event of a stream."""
+
         self.is_stopping: Callable[[], bool] = lambda: False
         """Returns whether the instance is shutting down."""
 
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -82,6 +82,12 @@
     STREAM_WAITING = "stream_waiting"
     """A stream that would be late waits at this instance for an engine without other prompts."""
 
+    LINE_JOINED = "stream_joined_line"
+    """A stream joined the waiting line of its service at this instance."""
+
+    LINE_LEFT = "stream_left_line"
+    """A stream left the waiting line: started, refused, without an engine, or cancelled."""
+
     STREAM_ENDED = "stream_ended"
     """A stream of which events were delivered ended, complete or not."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 __all__ = ["GatewayMetrics"]
 
@@ -47,6 +47,39 @@
         )
         """Placements of streams: started on time or late, waited, or refused."""
 
+        self.line_length = Gauge(
+            "sapphireledge_line_length",
+            "Streams that wait for an engine.",
+            ["rank"],
+            registry=self._registry,
+        )
+        """Streams in the waiting lines of this instance, by rank."""
+
+        self.line_wait = Histogram(
+            "sapphireledge_line_wait_seconds",
+            "Time that streams waited for an engine, by how the wait ended.",
+            ["end"],
+            registry=self._registry,
+            buckets=TIME_BUCKETS,
+        )
+        """Time that streams spent in the waiting line, by how they left it."""
+
+        self.stream_refusals = Counter(
+            "sapphireledge_stream_refusals",
+            "Streams refused for lack of engines or time, by reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        """Streams refused for lack of engines or time, by reason."""
+
+        self.report_queries = Counter(
+            "sapphireledge_report_queries",
+            "Load reports fetched to place streams, by whether they arrived.",
+            ["result"],
+            registry=self._registry,
+        )
+        """Load reports fetched to place streams, by whether they arrived in time."""
+
         self.first_event_time = Histogram(
             "sapphireledge_first_event_seconds",
             "Time from the request to the first event of its stream.",
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -15,8 +15,9 @@
     from collections.abc import Collection, Mapping
 
     from sapphireledge.core.backpressure import ServerSignals
-    from sapphireledge.core.placement import RefuseStream
+    from sapphireledge.core.placement import RefusalReason, RefuseStream
     from sapphireledge.core.quarantine import DeathRecord
+    from sapphireledge.core.waiting import LineSnapshot
     from sapphireledge.errors import Failure
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
@@ -283,6 +284,61 @@
             placements=attempt + 1,
         )
 
+    def record_line_joined(self, admitted: AdmittedRequest, line: LineSnapshot) -> None:
+        """Logs and counts a stream that joined the waiting line.
+
+        Args:
+            admitted: The request.
+            line: The line with the stream.
+        """
+        self._metrics.line_length.labels(str(admitted.rank)).inc()
+        self._log.info(
+            GatewayEvent.LINE_JOINED,
+            request_id=admitted.request.request_id,
+            **_describe_line(admitted, line),
+        )
+
+    def record_line_left(
+        self, admitted: AdmittedRequest, end: str, waited: float, offers: int, line: LineSnapshot
+    ) -> None:
+        """Logs and counts a stream that left the waiting line.
+
+        Args:
+            admitted: The request.
+            end: How it left: started, refused, no_engine or cancelled.
+            waited: Seconds in the line.
+            offers: Number of looks at engines that were offered to it.
+            line: The line without the stream.
+        """
+        self._metrics.line_length.labels(str(admitted.rank)).dec()
+        self._metrics.line_wait.labels(end).observe(waited)
+        self._log.info(
+            GatewayEvent.LINE_LEFT,
+            request_id=admitted.request.request_id,
+            end=end,
+            waited_s=round(waited, 3),
+            offers=offers,
+            **_describe_line(admitted, line),
+        )
+
+    def record_look(self, queried: int, answered: int) -> None:
+        """Counts load reports fetched to place streams.
+
+        Args:
+            queried: Number of engines that were queried.
+            answered: Number of reports that arrived in time.
+        """
+        self._metrics.report_queries.labels("received").inc(answered)
+        self._metrics.report_queries.labels("missing").inc(queried - answered)
+
+    def record_stream_refusal(self, reason: RefusalReason) -> None:
+        """Counts a stream refused for lack of engines or time.
+
+        Args:
+            reason: Why it was refused.
+        """
+        self._metrics.stream_refusals.labels(reason.value).inc()
+
     def record_stream(self, admitted: AdmittedRequest, progress: StreamProgress) -> None:
         """Logs how promptly the events of a stream were delivered.
 
@@ -335,6 +391,19 @@
         )
 
 
+def _describe_line(admitted: AdmittedRequest, line: LineSnapshot) -> dict[str, object]:
+    """Describes the waiting line of a stream for the log."""
+    return {
+        "service": admitted.service.name,
+        "rank": admitted.rank,
+        "workspace": admitted.workspace,
+        "length": sum(line.length_by_rank.values()),
+        "length_by_rank": {str(rank): n for rank, n in sorted(line.length_by_rank.items())},
+        "oldest_s": round(line.oldest_wait, 3),
+        "starts_per_s": None if line.drain_rate is None else round(line.drain_rate, 2),
+    }
+
+
 def _name_signal(signals: ServerSignals) -> str:
     """Names the strongest signal, for the metrics."""
     if signals.is_leaving:
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -153,6 +153,7 @@
 
     def _observe_first_event(self, selection: EngineSelection, delay: float) -> None:
         """Passes the time to the first event on to the estimate for further streams."""
+        self._context.on_first_event(selection.server)
         if selection.prompts_ahead is not None:
             estimator = self._context.first_event_estimator(self._admitted.service.name)
             estimator.observe(selection.prompts_ahead, delay)
@@ -164,7 +165,8 @@
             assert progress.last_event_at is not None
             estimator = self._context.generation_estimator(self._admitted.service.name)
             duration = progress.last_event_at - progress.first_event_at
-            estimator.observe(self._admitted.request.output_tokens, duration)
+            tokens = self._admitted.request.output_tokens
+            estimator.observe(tokens, duration, progress.delivered)
 
     async def _read_while_alive(
         self,
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -64,6 +64,7 @@
             avoided = self._context.crashes.avoided_servers(verdict)
             selection = await self._selector.select(admitted, progress, avoided)
             if isinstance(selection, RefuseStream):
+                self._context.telemetry.record_stream_refusal(selection.reason)
                 return _refuse_overload(selection)
             if selection is None:
                 return await self._fail_request(conn, progress, failed_outcome)
@@ -146,7 +147,8 @@
 
 def _refuse_overload(refusal: RefuseStream) -> Failure:
     """Builds the failure of a stream that no engine could serve before its deadline."""
-    reason = f"the first event is expected in {refusal.estimate:.1f} s, too late to be complete"
+    estimate = f"the first event is expected in {refusal.estimate:.1f} s"
+    reason = f"{refusal.reason}: {estimate}, too late to be complete"
     return Failure(ErrorKind.OVERLOADED, reason, Ran.NO, refusal.retry_after)
 
 
--- /dev/null
+++ b/src/sapphireledge/gateway/stream_line.py
@@ -0,0 +1,183 @@
+"""The waiting line of the streams of one service at this instance."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.placement import RefusalReason, RefuseStream, WaitForEngine
+from sapphireledge.gateway.line_visit import LineVisit
+from sapphireledge.gateway.wait_for_event import wait_for_event
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from sapphireledge.core.waiting import WaitingLine, WaitingWork
+    from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.engine_look import EngineLook
+    from sapphireledge.gateway.engine_selection import EngineSelection
+    from sapphireledge.gateway.request_telemetry import RequestTelemetry
+
+__all__ = ["StreamLine"]
+
+MIN_ROUND_INTERVAL = 0.1
+"""Shortest time in seconds between two looks at the engines; a report is no fresher than that."""
+
+FIRST_ROUND_DELAY = 0.3
+"""Time in seconds from the first stream of an empty line to the next look, the age of a report."""
+
+LONGEST_ROUND_INTERVAL = 0.6
+"""Longest time in seconds between two looks at the engines, if no event wakes the line."""
+
+
+class StreamLine:
+    """Offers engines in turn to the streams of one service that wait at this instance.
+
+    The order is that of `WaitingLine`. One look at the engines serves all waiting streams. The line
+    is woken when an engine of this instance sends the first event of a stream, when an engine is
+    added, and in any case after a short time, because other instances use the same engines.
+    """
+
+    def __init__(
+        self,
+        line: WaitingLine,
+        telemetry: RequestTelemetry,
+        take_look: Callable[[int, frozenset[str]], Awaitable[EngineLook]],
+        start_share: Callable[[], float],
+    ) -> None:
+        """Creates an empty line.
+
+        Args:
+            line: Order of the streams.
+            telemetry: Logging and metrics.
+            take_look: Fetches the reports of a few engines; receives the number of earlier looks of
+                this line and the ids of engines at which a place became free.
+            start_share: Returns which share of waiting streams may start on an idle engine.
+        """
+        self.order = line
+        """Order of the streams."""
+
+        self._telemetry = telemetry
+        self._take_look = take_look
+        self._start_share = start_share
+        self._visits: dict[int, LineVisit] = {}
+        self._freed: set[str] = set()
+        self._woken = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def wait(
+        self,
+        admitted: AdmittedRequest,
+        describe: Callable[[], WaitingWork],
+        offer: Callable[
+            [EngineLook, bool, int], EngineSelection | RefuseStream | WaitForEngine | None
+        ],
+    ) -> EngineSelection | RefuseStream | None:
+        """Waits until an engine runs the stream, or the stream is refused.
+
+        Args:
+            admitted: The request.
+            describe: Describes the stream as it waits at the time of the call.
+            offer: Offers engines to the stream, see `LineVisit.offer`.
+
+        Returns:
+            The selection, a refusal, or None if there is no engine.
+        """
+        loop = asyncio.get_running_loop()
+        visit = LineVisit(describe, offer, loop.create_future(), loop.time())
+        ticket = self.order.join(loop.time(), describe())
+        self._visits[ticket] = visit
+        self._telemetry.record_line_joined(admitted, self.order.snapshot(loop.time()))
+        if self._task is None or self._task.done():
+            self._task = loop.create_task(self._run())
+        outcome = "cancelled"
+        try:
+            result = await visit.future
+            outcome = _name_result(result)
+            return result
+        finally:
+            self._remove(ticket)
+            self._telemetry.record_line_left(
+                admitted,
+                outcome,
+                loop.time() - visit.joined_at,
+                visit.offers,
+                self.order.snapshot(loop.time()),
+            )
+
+    def on_place_freed(self, server_id: str) -> None:
+        """Wakes the line because an engine has processed a prompt of this instance.
+
+        Args:
+            server_id: Id of the engine.
+        """
+        if self._visits:
+            self._freed.add(server_id)
+            self._woken.set()
+
+    def wake(self) -> None:
+        """Wakes the line because the engines of the service have changed."""
+        self._woken.set()
+
+    async def _run(self) -> None:
+        """Plays rounds until no stream waits."""
+        try:
+            delay = FIRST_ROUND_DELAY
+            while self._visits:
+                await asyncio.sleep(MIN_ROUND_INTERVAL)
+                await wait_for_event(self._woken, max(0.0, delay - MIN_ROUND_INTERVAL))
+                self._woken.clear()
+                delay = await self._play_round()
+        except Exception as exc:
+            # A stream that waits for a line that has ended would wait for ever.
+            for visit in self._visits.values():
+                if not visit.future.done():
+                    visit.future.set_exception(exc)
+            self._visits.clear()
+
+    async def _play_round(self) -> float:
+        """Offers the engines of one look to the streams in order; returns the next delay."""
+        freed, self._freed = frozenset(self._freed), set()
+        rounds = min((visit.offers for visit in self._visits.values()), default=0)
+        look = await self._take_look(rounds + 1, freed)
+        now = asyncio.get_running_loop().time()
+        for ticket, visit in self._visits.items():
+            self.order.update(ticket, visit.describe())
+        turns = self.order.draw_turns(self._start_share())
+        delay = LONGEST_ROUND_INTERVAL
+        for position, ticket in enumerate(self.order.next(now)):
+            visit = self._visits.get(ticket)
+            if visit is None or visit.future.done():
+                continue
+            result = self._offer(now, visit, look, position < turns)
+            if isinstance(result, WaitForEngine):
+                delay = min(delay, result.delay)
+                continue
+            visit.future.set_result(result)
+            self._remove(ticket)
+        return delay
+
+    def _offer(
+        self, now: float, visit: LineVisit, look: EngineLook, has_turn: bool
+    ) -> EngineSelection | RefuseStream | WaitForEngine | None:
+        """Offers the engines of a look to one stream."""
+        work = visit.describe()
+        if self.order.is_hopeless(now, work):
+            estimate = self.order.estimate_wait(now, work) or 0.0
+            delay = self.order.retry_after(now, work.first_event_time)
+            return RefuseStream(estimate, delay, RefusalReason.LINE)
+        result = visit.offer(look, has_turn, visit.offers)
+        visit.offers += 1
+        return result
+
+    def _remove(self, ticket: int) -> None:
+        """Removes a stream from the line."""
+        self._visits.pop(ticket, None)
+        self.order.leave(asyncio.get_running_loop().time(), ticket)
+
+
+def _name_result(result: EngineSelection | RefuseStream | None) -> str:
+    """Names how a stream left the line, for the metrics."""
+    if result is None:
+        return "no_engine"
+    return "refused" if isinstance(result, RefuseStream) else "started"
--- /dev/null
+++ b/tests/line_model.py
@@ -0,0 +1,206 @@
+"""Model of instances whose streams wait in a line, for tests of the order in which they start."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from engine_model import (
+    CANDIDATES,
+    DEADLINE_S,
+    GENERATION_S,
+    MEMORY_TOKENS,
+    OUTPUT_TOKENS,
+    PROMPT_S,
+    PROMPT_TOKENS,
+    TARGET_S,
+    ModelEngine,
+)
+
+from sapphireledge.core.placement import (
+    EngineView,
+    FirstEventEstimator,
+    PendingStream,
+    PlacementLimits,
+    PlacementRule,
+    RefuseStream,
+    StartStream,
+)
+from sapphireledge.core.waiting import WaitingLimits, WaitingLine, WaitingWork
+
+ROUND_S = 0.3
+"""Time between two looks at the engines, in seconds."""
+
+
+@dataclass(frozen=True)
+class ModelStream:
+    """A stream that arrives at an instance, or is to be resumed there."""
+
+    arrived: float
+    instance: int = 0
+    rank: int = 0
+    workspace: str = ""
+    delivered: int = 0
+    target: float = TARGET_S
+    time_left: float = DEADLINE_S
+
+    def pending(self, now: float) -> PendingStream:
+        return PendingStream(
+            PROMPT_TOKENS,
+            OUTPUT_TOKENS,
+            self.rank,
+            now if self.delivered else self.arrived + self.target,
+            self.arrived + 4 * TARGET_S,
+            self.arrived + self.time_left,
+            bool(self.delivered),
+            self.delivered,
+        )
+
+    def work(self) -> WaitingWork:
+        return WaitingWork(
+            self.rank,
+            self.arrived + self.target,
+            self.arrived + 4 * TARGET_S,
+            self.arrived + self.time_left,
+            PROMPT_S,
+            GENERATION_S,
+            self.workspace,
+            PROMPT_TOKENS,
+            self.delivered,
+            bool(self.delivered),
+        )
+
+
+@dataclass
+class LineModel:
+    """Streams at several instances in front of the same engines.
+
+    With `in_line`, the waiting streams of an instance start in the order of its line; without, each
+    one is placed again by itself from time to time.
+    """
+
+    streams: list[ModelStream]
+    seed: int
+    in_line: bool
+    engines: int = 6
+    instances: int = 2
+    start_share: float = 0.5
+    step_s: float = 0.05
+    started: dict[int, float] = field(default_factory=dict)
+    first_events: dict[int, float] = field(default_factory=dict)
+    refused: dict[int, tuple[float, float]] = field(default_factory=dict)
+    """Time and Retry-After of each refusal, by stream."""
+    looks: int = 0
+    """Load reports that were fetched."""
+
+    def run(self) -> LineModel:
+        self.rng = random.Random(self.seed)
+        self.pool = [ModelEngine() for _ in range(self.engines)]
+        self.rule = PlacementRule(PlacementLimits(), self.rng)
+        self.estimator = FirstEventEstimator()
+        self.lines = [WaitingLine(WaitingLimits(), self.rng) for _ in range(self.instances)]
+        self.tickets: list[dict[int, int]] = [{} for _ in range(self.instances)]
+        self.polls: list[tuple[float, int]] = []
+        order = sorted(range(len(self.streams)), key=lambda index: self.streams[index].arrived)
+        end = max(stream.arrived for stream in self.streams) + DEADLINE_S
+        now, rounds = 0.0, [self.rng.uniform(0, ROUND_S) for _ in range(self.instances)]
+        while now < end:
+            now += self.step_s
+            for engine in self.pool:
+                engine.advance(now, self.first_events)
+            while order and self.streams[order[0]].arrived <= now:
+                self.arrive(now, order.pop(0))
+            due = [index for at, index in self.polls if at <= now]
+            self.polls = [item for item in self.polls if item[0] > now]
+            for index in due:
+                self.place(now, index, self.look(now), self.start_share)
+            for instance in range(self.instances):
+                if now >= rounds[instance]:
+                    rounds[instance] = now + ROUND_S * self.rng.uniform(0.6, 1.4)
+                    self.play_round(now, instance)
+        return self
+
+    def arrive(self, now: float, index: int) -> None:
+        stream = self.streams[index]
+        line = self.lines[stream.instance]
+        work = stream.work()
+        line.on_arrival(now, work)
+        waits = self.in_line and line.is_preceded(now, work)
+        if not waits:
+            waits = not self.place(now, index, self.look(now), 1.0) and self.in_line
+        if waits:
+            self.tickets[stream.instance][line.join(now, work)] = index
+
+    def play_round(self, now: float, instance: int) -> None:
+        line, tickets = self.lines[instance], self.tickets[instance]
+        if not len(line):
+            return
+        views = self.look(now)
+        turns = line.draw_turns(self.start_share)
+        for position, ticket in enumerate(line.next(now)):
+            index = tickets[ticket]
+            work = self.streams[index].work()
+            if line.is_hopeless(now, work):
+                line.leave(now, ticket)
+                self.refused[index] = (now, line.retry_after(now, 0.0))
+            elif self.place(now, index, views, float(position < turns)):
+                line.leave(now, ticket)
+
+    def look(self, now: float) -> dict[str, EngineView]:
+        views = {}
+        for index in self.rng.sample(range(self.engines), min(CANDIDATES, self.engines)):
+            ahead, running = self.pool[index].report(now)
+            used = (ahead + running) * (PROMPT_TOKENS + OUTPUT_TOKENS)
+            views[f"{index}"] = EngineView(
+                f"{index}", True, ahead, 0, running, 0, MEMORY_TOKENS - used
+            )
+        self.looks += len(views)
+        return views
+
+    def place(self, now: float, index: int, views: dict[str, EngineView], share: float) -> bool:
+        """Places a stream by the views; returns whether it has started or was refused."""
+        stream = self.streams[index]
+        decision = self.rule.decide(
+            now,
+            stream.pending(now),
+            list(views.values()),
+            self.estimator,
+            start_share=share,
+            generation_time=GENERATION_S,
+        )
+        if isinstance(decision, StartStream):
+            self.start(now, index, decision)
+            view = views[decision.engine]
+            views[decision.engine] = EngineView(
+                view.engine, True, view.waiting + 1, 0, view.running, 0, view.free_tokens
+            )
+        elif isinstance(decision, RefuseStream):
+            self.refused[index] = (now, decision.retry_after)
+        else:
+            if not self.in_line:
+                self.polls.append((now + decision.delay, index))
+            return False
+        return True
+
+    def start(self, now: float, index: int, decision: StartStream) -> None:
+        entry = (self.streams[index].rank + 5 * decision.is_late, now, index)
+        self.pool[int(decision.engine)].queue.append(entry)
+        self.started[index] = now
+        self.lines[self.streams[index].instance].on_start(now, self.streams[index].work())
+
+    def share_on_time(self, chosen) -> float:
+        """Share of the chosen streams whose first event was on time."""
+        return self.share(chosen, lambda stream: stream.target)
+
+    def share_served(self, chosen) -> float:
+        """Share of the chosen streams that began early enough to end before the deadline."""
+        return self.share(chosen, lambda stream: stream.time_left - GENERATION_S)
+
+    def share(self, chosen, limit) -> float:
+        picked = [index for index, stream in enumerate(self.streams) if chosen(stream)]
+        kept = sum(
+            index in self.first_events
+            and self.first_events[index] - self.streams[index].arrived <= limit(self.streams[index])
+            for index in picked
+        )
+        return kept / len(picked)
