Start no late stream that its deadline would cut at the pace of the engines

Cause: in a flood, engines process prompts all the time and generations take several times as long; the mean of complete streams shows that only when it is over, so prompts of late streams were processed in vain. Change: the pace of running streams is learned as they run; a late stream waits while it would be cut at that pace, and is refused when its chance is gone.

--- a/src/sapphireledge/core/placement/placement_rule.py
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -75,6 +75,7 @@
         start_share: float = 1.0,
         generation_time: float = 0.0,
         shortest_generation: float = 0.0,
+        pace_generation: float = 0.0,
     ) -> StartStream | WaitForEngine | RefuseStream:
         """Decides whether a stream starts, waits or is refused.
 
@@ -92,6 +93,9 @@
             shortest_generation: Seconds that a short one of recent generations would take, 0 if
                 unknown. A stream that not even an idle engine could complete before its deadline is
                 refused at once.
+            pace_generation: Seconds from the first event to the last one at the pace of the streams
+                that run now, 0 if unknown. A late stream that would be cut by its deadline at this
+                pace waits for a better one, and is refused when its chance is gone.
 
         Returns:
             The decision.
@@ -123,7 +127,10 @@
         if is_hopeless and not stream.has_run:
             # Spread over the time that the engines need for the prompts ahead.
             return RefuseStream(estimate, estimate * self._rng.uniform(0.5, 1.0))
-        if must_start or (is_admitted and ahead <= limits.late_start_ahead):
+        is_cut = now + estimate + pace_generation > stream.deadline and not stream.has_run
+        if is_cut and not may_wait:
+            return RefuseStream(estimate, estimate)
+        if not is_cut and (must_start or (is_admitted and ahead <= limits.late_start_ahead)):
             return StartStream(best.engine, estimate, True)
         can_be_on_time = now + estimator.estimate(0.0) <= stream.due_at
         interval = limits.retry_interval if can_be_on_time else limits.late_retry_interval
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -204,6 +204,7 @@
             start_share=float(has_turn),
             generation_time=generation.estimate(output_tokens),
             shortest_generation=generation.estimate_shortest(output_tokens, received),
+            pace_generation=generation.estimate_at_pace(now, output_tokens, received),
         )
 
     def _spread_return(
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -39,6 +39,10 @@
 number first, so those that can be on time do not wait for it."""
 
 
+PACE_INTERVAL = 0.5
+"""Seconds between two observations of a stream's pace, so that an event costs next to nothing."""
+
+
 class StreamAttempt:
     """Sends a stream request to one engine and delivers its events."""
 
@@ -53,6 +57,8 @@
         self._caller = conn
         self._admitted = admitted
         self._progress = progress
+        self._pace_events = 0
+        self._pace_since: float | None = None
 
     async def run(self, selection: EngineSelection, *, isolated: bool = False) -> Outcome:
         """Runs the stream until it is complete or the engine is lost.
@@ -126,6 +132,7 @@
                         self._observe_first_event(selection, loop.time() - sent_at)
                     watch.on_event(loop.time())
                     attempt.on_event()
+                    self._observe_pace(loop.time())
                 await self._deliver(head, event)
         if not self._caller.response_started:
             raise BackendResponseError("the stream has no events")
@@ -158,6 +165,18 @@
             estimator = self._context.first_event_estimator(self._admitted.service.name)
             estimator.observe(selection.prompts_ahead, delay)
 
+    def _observe_pace(self, now: float) -> None:
+        """Passes the pace of the events on to the estimate, from time to time."""
+        if self._pace_since is None:
+            self._pace_since = now
+            return
+        self._pace_events += 1
+        duration = now - self._pace_since
+        if duration >= PACE_INTERVAL:
+            estimator = self._context.generation_estimator(self._admitted.service.name)
+            estimator.observe_pace(now, self._pace_events, duration)
+            self._pace_events, self._pace_since = 0, now
+
     def _observe_generation(self, resumed_after: int | None) -> None:
         """Passes the time of a stream that ran on one engine on to the estimate."""
         progress = self._progress
--- a/tests/line_model.py
+++ b/tests/line_model.py
@@ -13,6 +13,7 @@
     OUTPUT_TOKENS,
     PROMPT_S,
     PROMPT_TOKENS,
+    REPORT_AGE_S,
     TARGET_S,
     ModelEngine,
 )
@@ -85,6 +86,7 @@
     engines: int = 6
     instances: int = 2
     start_share: float = 0.5
+    limits: PlacementLimits = field(default_factory=PlacementLimits)
     step_s: float = 0.05
     started: dict[int, float] = field(default_factory=dict)
     first_events: dict[int, float] = field(default_factory=dict)
@@ -96,9 +98,10 @@
     def run(self) -> LineModel:
         self.rng = random.Random(self.seed)
         self.pool = [ModelEngine() for _ in range(self.engines)]
-        self.rule = PlacementRule(PlacementLimits(), self.rng)
+        self.rule = PlacementRule(self.limits, self.rng)
         self.estimator = FirstEventEstimator()
         self.lines = [WaitingLine(WaitingLimits(), self.rng) for _ in range(self.instances)]
+        self.dispatches: list[list[tuple[float, str]]] = [[] for _ in range(self.instances)]
         self.tickets: list[dict[int, int]] = [{} for _ in range(self.instances)]
         self.polls: list[tuple[float, int]] = []
         order = sorted(range(len(self.streams)), key=lambda index: self.streams[index].arrived)
@@ -113,7 +116,8 @@
             due = [index for at, index in self.polls if at <= now]
             self.polls = [item for item in self.polls if item[0] > now]
             for index in due:
-                self.place(now, index, self.look(now), self.start_share)
+                views = self.look(now, self.streams[index].instance)
+                self.place(now, index, views, self.start_share)
             for instance in range(self.instances):
                 if now >= rounds[instance]:
                     rounds[instance] = now + ROUND_S * self.rng.uniform(0.6, 1.4)
@@ -127,7 +131,9 @@
         line.on_arrival(now, work)
         waits = self.in_line and line.is_preceded(now, work)
         if not waits:
-            waits = not self.place(now, index, self.look(now), 1.0) and self.in_line
+            waits = (
+                not self.place(now, index, self.look(now, stream.instance), 1.0) and self.in_line
+            )
         if waits:
             self.tickets[stream.instance][line.join(now, work)] = index
 
@@ -135,7 +141,7 @@
         line, tickets = self.lines[instance], self.tickets[instance]
         if not len(line):
             return
-        views = self.look(now)
+        views = self.look(now, instance)
         turns = line.draw_turns(self.start_share)
         for position, ticket in enumerate(line.next(now)):
             index = tickets[ticket]
@@ -146,13 +152,14 @@
             elif self.place(now, index, views, float(position < turns)):
                 line.leave(now, ticket)
 
-    def look(self, now: float) -> dict[str, EngineView]:
+    def look(self, now: float, instance: int) -> dict[str, EngineView]:
+        sent = [name for at, name in self.dispatches[instance] if at > now - REPORT_AGE_S]
         views = {}
         for index in self.rng.sample(range(self.engines), min(CANDIDATES, self.engines)):
             ahead, running = self.pool[index].report(now)
             used = (ahead + running) * (PROMPT_TOKENS + OUTPUT_TOKENS)
             views[f"{index}"] = EngineView(
-                f"{index}", True, ahead, 0, running, 0, MEMORY_TOKENS - used
+                f"{index}", True, ahead, 0, running, sent.count(f"{index}"), MEMORY_TOKENS - used
             )
         self.looks += len(views)
         return views
@@ -186,6 +193,7 @@
         entry = (self.streams[index].rank + 5 * decision.is_late, now, index)
         self.pool[int(decision.engine)].queue.append(entry)
         self.started[index] = now
+        self.dispatches[self.streams[index].instance].append((now, decision.engine))
         self.lines[self.streams[index].instance].on_start(now, self.streams[index].work())
 
     def share_on_time(self, chosen) -> float:
