Offer the look of an arriving stream to the whole line

Change: the look that is taken for an arriving stream serves the line, and its turn goes to the first stream that can use it.

--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -121,13 +121,13 @@
         offer = partial(self._offer, admitted, progress, avoided)
         now = asyncio.get_running_loop().time()
         line.order.on_arrival(now, describe())
+        excluded = self._choose_excluded(admitted, progress, avoided)
+        look = await self._take_look(self._list_candidates(admitted, excluded))
         result: EngineSelection | RefuseStream | WaitForEngine | None
-        if self._context.is_stopping() or not line.order.is_preceded(now, describe()):
-            excluded = self._choose_excluded(admitted, progress, avoided)
-            candidates = self._list_candidates(admitted, excluded)
-            result = offer(await self._take_look(candidates), True, 0)
+        if line.order.is_preceded(asyncio.get_running_loop().time(), describe()):
+            result = await line.wait(admitted, describe, offer, look)
         else:
-            result = WaitForEngine(0.0, 0.0)
+            result = offer(look, True, 0)
         if isinstance(result, WaitForEngine):
             result = await line.wait(admitted, describe, offer)
         if isinstance(result, EngineSelection):
--- a/src/sapphireledge/gateway/stream_line.py
+++ b/src/sapphireledge/gateway/stream_line.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.placement import RefusalReason, RefuseStream, WaitForEngine
+from sapphireledge.gateway.engine_selection import EngineSelection
 from sapphireledge.gateway.line_visit import LineVisit
 from sapphireledge.gateway.wait_for_event import wait_for_event
 
@@ -15,7 +16,6 @@
     from sapphireledge.core.waiting import WaitingLine, WaitingWork
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.engine_look import EngineLook
-    from sapphireledge.gateway.engine_selection import EngineSelection
     from sapphireledge.gateway.request_telemetry import RequestTelemetry
 
 __all__ = ["StreamLine"]
@@ -72,6 +72,7 @@
         offer: Callable[
             [EngineLook, bool, int], EngineSelection | RefuseStream | WaitForEngine | None
         ],
+        look: EngineLook | None = None,
     ) -> EngineSelection | RefuseStream | None:
         """Waits until an engine runs the stream, or the stream is refused.
 
@@ -79,6 +80,7 @@
             admitted: The request.
             describe: Describes the stream as it waits at the time of the call.
             offer: Offers engines to the stream, see `LineVisit.offer`.
+            look: Reports that were fetched for the stream; the first in line is offered them.
 
         Returns:
             The selection, a refusal, or None if there is no engine.
@@ -90,6 +92,8 @@
         self._telemetry.record_line_joined(admitted, self.order.snapshot(loop.time()))
         if self._task is None or self._task.done():
             self._task = loop.create_task(self._run())
+        if look is not None:
+            self._offer_look(look, turns=1)
         outcome = "cancelled"
         try:
             result = await visit.future
@@ -136,23 +140,30 @@
             self._visits.clear()
 
     async def _play_round(self) -> float:
-        """Offers the engines of one look to the streams in order; returns the next delay."""
+        """Takes a look at the engines and offers them; returns the next delay."""
         freed, self._freed = frozenset(self._freed), set()
         rounds = min((visit.offers for visit in self._visits.values()), default=0)
         look = await self._take_look(rounds + 1, freed)
+        return self._offer_look(look, self.order.draw_turns(self._start_share()))
+
+    def _offer_look(self, look: EngineLook, turns: int) -> float:
+        """Offers the engines of a look to the streams in order; returns the next delay.
+
+        A turn that the first stream cannot use goes to the next one.
+        """
         now = asyncio.get_running_loop().time()
         for ticket, visit in self._visits.items():
             self.order.update(ticket, visit.describe())
-        turns = self.order.draw_turns(self._start_share())
         delay = LONGEST_ROUND_INTERVAL
-        for position, ticket in enumerate(self.order.next(now)):
+        for ticket in self.order.next(now):
             visit = self._visits.get(ticket)
             if visit is None or visit.future.done():
                 continue
-            result = self._offer(now, visit, look, position < turns)
+            result = self._offer(now, visit, look, turns > 0)
             if isinstance(result, WaitForEngine):
                 delay = min(delay, result.delay)
                 continue
+            turns -= isinstance(result, EngineSelection)
             visit.future.set_result(result)
             self._remove(ticket)
         return delay
