--- a/src/sapphireledge/core/placement/placement_limits.py
+++ b/src/sapphireledge/core/placement/placement_limits.py
@@ -38,6 +38,10 @@
     """Seconds before its deadline at which a late stream starts in any case: a prompt and a long
     generation on a loaded engine."""
 
+    pace_margin: float = 1.5
+    """Factor by which generations may become slower than their present pace. Each prompt that an
+    engine processes delays its running generations, so the pace falls as a flood goes on."""
+
     standby_room: float = 2.0
     """Free memory of the engines, in streams, at which streams are copied to a standby. A copy
     takes as much memory as the stream itself, which new streams then lack."""
--- a/src/sapphireledge/core/placement/placement_rule.py
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -94,8 +94,8 @@
                 unknown. A stream that not even an idle engine could complete before its deadline is
                 refused at once.
             pace_generation: Seconds from the first event to the last one at the pace of the streams
-                that run now, 0 if unknown. A late stream that would be cut by its deadline at this
-                pace waits for a better one, and is refused when its chance is gone.
+                that run now, 0 if unknown. A stream that would be cut by its deadline at this pace
+                waits for a better one, and is refused when its chance is gone.
 
         Returns:
             The decision.
@@ -115,8 +115,10 @@
             or now + limits.late_reserve >= stream.deadline
             or now + estimator.estimate(limits.leave_reserve - 1.0) >= stream.leaves_at
         )
+        slowest = limits.pace_margin * pace_generation
+        is_cut = now + estimate + slowest > stream.deadline and not stream.has_run
         is_admitted = must_start or self._rng.random() < start_share
-        if is_on_time and is_admitted:
+        if is_on_time and is_admitted and not is_cut:
             return StartStream(best.engine, estimate, False)
         if stream.delivered and (must_start or ahead <= limits.resume_ahead):
             return StartStream(best.engine, estimate, False)
@@ -127,7 +129,6 @@
         if is_hopeless and not stream.has_run:
             # Spread over the time that the engines need for the prompts ahead.
             return RefuseStream(estimate, estimate * self._rng.uniform(0.5, 1.0))
-        is_cut = now + estimate + pace_generation > stream.deadline and not stream.has_run
         if is_cut and not may_wait:
             return RefuseStream(estimate, estimate)
         if not is_cut and (must_start or (is_admitted and ahead <= limits.late_start_ahead)):
