--- a/src/sapphireledge_experiment/model/engine_placer.py
+++ b/src/sapphireledge_experiment/model/engine_placer.py
@@ -39,7 +39,8 @@
 class EnginePlacer:
     """Places a stream by load reports, and repeats that while it has to wait.
 
-    The order of the steps is that of `EngineSelector`; each decision is the one that it calls.
+    The order of the steps is that of `EngineSelector`, without its waiting line; each decision is
+    the one that it calls.
     """
 
     def __init__(
