Refuse a stream that its deadline would cut when it must start

Change: when a stream must start, one that the present pace would cut is refused; before that it waits, and the margin for a slower pace applies.

--- a/src/sapphireledge/core/placement/placement_rule.py
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -95,7 +95,7 @@
                 refused at once.
             pace_generation: Seconds from the first event to the last one at the pace of the streams
                 that run now, 0 if unknown. A stream that would be cut by its deadline at this pace
-                waits for a better one, and is refused when its chance is gone.
+                waits for a better one, and is refused if there is none when it must start.
 
         Returns:
             The decision.
@@ -124,14 +124,13 @@
             return StartStream(best.engine, estimate, False)
         latest = min(stream.leaves_at, stream.deadline - generation_time)
         is_hopeless = now + estimator.estimate(0.0) >= latest
-        if must_start and generation_time:
-            is_hopeless = is_hopeless or now + estimate + generation_time > stream.deadline
+        if must_start and (longest := max(generation_time, pace_generation)):
+            is_hopeless = is_hopeless or now + estimate + longest > stream.deadline
         if is_hopeless and not stream.has_run:
             # Spread over the time that the engines need for the prompts ahead.
             return RefuseStream(estimate, estimate * self._rng.uniform(0.5, 1.0))
-        if is_cut and not may_wait:
-            return RefuseStream(estimate, estimate)
-        if not is_cut and (must_start or (is_admitted and ahead <= limits.late_start_ahead)):
+        is_idle = is_admitted and ahead <= limits.late_start_ahead
+        if must_start or (is_idle and not is_cut):
             return StartStream(best.engine, estimate, True)
         can_be_on_time = now + estimator.estimate(0.0) <= stream.due_at
         interval = limits.retry_interval if can_be_on_time else limits.late_retry_interval
