--- a/src/sapphireledge/core/placement/__init__.py
+++ b/src/sapphireledge/core/placement/__init__.py
@@ -11,6 +11,7 @@
 from sapphireledge.core.placement.placement_limits import PlacementLimits
 from sapphireledge.core.placement.placement_rule import PlacementRule
 from sapphireledge.core.placement.prompt_part import PromptPart
+from sapphireledge.core.placement.refusal_reason import RefusalReason
 from sapphireledge.core.placement.refuse_stream import RefuseStream
 from sapphireledge.core.placement.start_stream import StartStream
 from sapphireledge.core.placement.wait_for_engine import WaitForEngine
@@ -26,6 +27,7 @@
     "PlacementLimits",
     "PlacementRule",
     "PromptPart",
+    "RefusalReason",
     "RefuseStream",
     "StartStream",
     "WaitForEngine",
--- a/src/sapphireledge/core/placement/placement_limits.py
+++ b/src/sapphireledge/core/placement/placement_limits.py
@@ -31,10 +31,19 @@
     delays no stream that can still be on time; the prompt in progress ends before the next report
     arrives."""
 
+    resume_ahead: float = 1.5
+    """Largest number of prompts ahead at an engine on which a stream is resumed of which the caller
+    has received events. It bounds how many resumes an engine takes at once after the loss of
+    others."""
+
     late_reserve: float = 12.0
     """Seconds before its deadline at which a late stream starts in any case: a prompt and a long
     generation on a loaded engine."""
 
+    pace_margin: float = 1.5
+    """Factor by which generations may become slower than their present pace. Each prompt that an
+    engine processes delays its running generations, so the pace falls as a flood goes on."""
+
     standby_room: float = 2.0
     """Free memory of the engines, in streams, at which streams are copied to a standby. A copy
     takes as much memory as the stream itself, which new streams then lack."""
