Order streams of workspaces with equal rank by their routes

Cause: the rank of a workspace replaces that of the route, so the tiers of one sheet all had one rank. Starts out of the line were counted after the stream had left it, so the last one was not. Change: the rank of the route orders what the rank of the workspace leaves equal; starts are counted before the stream leaves.

--- a/src/sapphireledge/core/waiting/waiting_line.py
+++ b/src/sapphireledge/core/waiting/waiting_line.py
@@ -45,7 +45,9 @@
         self._tickets = count(1)
         self._waiting: dict[int, tuple[float, WaitingWork]] = {}
         self._ledger = UsageLedger(limits.usage_half_life)
-        self._ranks: ServedShares[int] = ServedShares(limits.start_window, limits.served_floor)
+        self._ranks: ServedShares[tuple[int, int]] = ServedShares(
+            limits.start_window, limits.served_floor
+        )
         self._workspaces: ServedShares[str] = ServedShares(limits.start_window, limits.served_floor)
         self._drained = DecayedSum(limits.start_window)
         self._busy_time = DecayedSum(limits.start_window)
@@ -62,7 +64,7 @@
             now: Current time in seconds.
             work: The request.
         """
-        self._ranks.on_arrival(now, work.rank)
+        self._ranks.on_arrival(now, _rank_of(work))
         if work.workspace:
             self._workspaces.on_arrival(now, work.workspace)
 
@@ -114,7 +116,7 @@
         if work.workspace:
             self._ledger.charge(now, work.workspace, work.tokens)
         if not work.has_run:
-            self._ranks.on_start(now, work.rank)
+            self._ranks.on_start(now, _rank_of(work))
             self._workspaces.on_start(now, work.workspace)
         if self._waiting:
             self._drained.add(now, 1.0)
@@ -241,9 +243,9 @@
     def _order_key(self, now: float) -> Callable[[WaitingWork], tuple[float, ...]]:
         """Returns the sort key of the waiting requests, the lowest is the next one."""
         starved = {
-            work.rank
-            for _, work in self._waiting.values()
-            if self._ranks.is_starved(now, work.rank)
+            rank
+            for rank in {_rank_of(work) for _, work in self._waiting.values()}
+            if self._ranks.is_starved(now, rank)
         }
 
         def key(work: WaitingWork) -> tuple[float, ...]:
@@ -252,9 +254,9 @@
             can_be_on_time = now + work.first_event_time <= work.due_at
             return (
                 1,
-                work.rank not in starved,
+                _rank_of(work) not in starved,
                 not can_be_on_time,
-                work.rank,
+                *_rank_of(work),
                 self._weigh_workspace(now, work.workspace),
                 work.deadline,
             )
@@ -284,3 +286,8 @@
         if self._busy_since is not None and now > self._busy_since:
             self._busy_time.add(now, now - self._busy_since)
             self._busy_since = now
+
+
+def _rank_of(work: WaitingWork) -> tuple[int, int]:
+    """Returns the priority of a request, the lowest goes first."""
+    return work.rank, work.route_rank
--- a/src/sapphireledge/core/waiting/waiting_work.py
+++ b/src/sapphireledge/core/waiting/waiting_work.py
@@ -12,7 +12,7 @@
     """A request that waits for a backend server; times are in seconds on one clock."""
 
     rank: int
-    """Priority, 0 is the highest."""
+    """Priority of the caller's workspace or of the route, 0 is the highest."""
 
     due_at: float
     """Time by which the next event must arrive for the request to be on time."""
@@ -36,6 +36,10 @@
     tokens: int = 0
     """Tokens that the request uses of its workspace's share, 0 if unknown."""
 
+    route_rank: int = 0
+    """Priority of the route, which orders requests of one rank; the rank of a workspace replaces it
+    as `rank`."""
+
     delivered: int = 0
     """Number of events that the caller has already received from a run that was lost."""
 
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -128,10 +128,10 @@
             result = await line.wait(admitted, describe, offer, look)
         else:
             result = offer(look, True, 0)
+            if isinstance(result, EngineSelection):
+                line.order.on_start(asyncio.get_running_loop().time(), describe())
         if isinstance(result, WaitForEngine):
             result = await line.wait(admitted, describe, offer)
-        if isinstance(result, EngineSelection):
-            line.order.on_start(asyncio.get_running_loop().time(), describe())
         return result
 
     def _offer(
@@ -233,7 +233,8 @@
 
     def _on_first_event(self, server: BackendServer) -> None:
         """Wakes the line of a service whose engine has processed a prompt of this instance."""
-        self._line(server.service).on_place_freed(server.server_id)
+        if server.service in self._lines:
+            self._lines[server.service].on_place_freed(server.server_id)
 
     def _on_server_added(self, server: BackendServer) -> None:
         """Wakes the line of a service that has a further engine."""
@@ -256,6 +257,7 @@
             generation_time=generation.estimate(request.output_tokens),
             workspace=admitted.workspace,
             tokens=request.prompt_tokens + request.output_tokens,
+            route_rank=admitted.route.rank,
             delivered=stream.delivered,
             has_run=stream.has_run,
         )
--- a/src/sapphireledge/gateway/stream_line.py
+++ b/src/sapphireledge/gateway/stream_line.py
@@ -92,10 +92,10 @@
         self._telemetry.record_line_joined(admitted, self.order.snapshot(loop.time()))
         if self._task is None or self._task.done():
             self._task = loop.create_task(self._run())
-        if look is not None:
-            self._offer_look(look, turns=1)
         outcome = "cancelled"
         try:
+            if look is not None:
+                self._offer_look(look, turns=1)
             result = await visit.future
             outcome = _name_result(result)
             return result
@@ -163,7 +163,9 @@
             if isinstance(result, WaitForEngine):
                 delay = min(delay, result.delay)
                 continue
-            turns -= isinstance(result, EngineSelection)
+            if isinstance(result, EngineSelection):
+                turns -= 1
+                self.order.on_start(now, visit.describe())
             visit.future.set_result(result)
             self._remove(ticket)
         return delay
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -173,6 +173,13 @@
         lower = waiting.join(0.0, replace(WORK, rank=2))
         self.assertEqual(list(waiting.next(0.0)), [lower, late])
 
+    def test_routes_order_streams_of_workspaces_with_equal_rank(self):
+        waiting = line()
+        lower = waiting.join(0.0, replace(WORK, rank=1, route_rank=2))
+        urgent = waiting.join(0.0, replace(WORK, rank=1, route_rank=0))
+        other = waiting.join(0.0, replace(WORK, rank=0, route_rank=2))
+        self.assertEqual(list(waiting.next(0.0)), [other, urgent, lower])
+
     def test_arriving_stream_joins_only_behind_what_precedes_it(self):
         waiting = line()
         waiting.join(0.0, replace(WORK, rank=1))
