--- a/src/sapphireledge/core/placement/placement_limits.py
+++ b/src/sapphireledge/core/placement/placement_limits.py
@@ -15,24 +15,35 @@
     """Cost of an engine in another data centre."""
 
     running_cost: float = 0.3
-    """Cost of a running generation. A prompt delays every running generation, and longer runs are
-    more likely to be hit by a failure."""
+    """Cost of a running generation for a whole prompt. What is processed of a prompt delays every
+    running generation, and longer runs are more likely to be hit by a failure."""
 
     memory_full_cost: float = 4.0
     """Cost of an engine whose KV cache has no room for the prompt."""
 
-    lower_rank_ahead: float = 1.0
-    """Largest number of prompts ahead at an engine on which a stream of a lower rank may start.
-    Engines start the most urgent request first, but finish the prompts that they process."""
+    lower_rank_ahead: float = 1.5
+    """Largest number of prompts ahead at an engine on which a stream of a lower rank may start: one
+    waits and one is in progress. Engines start the most urgent request first, but finish the
+    prompts that they process."""
 
-    late_start_ahead: float = 0.0
+    late_start_ahead: float = 0.5
     """Largest number of prompts ahead at an engine on which a late stream may start, so that it
-    delays no stream that can still be on time."""
+    delays no stream that can still be on time; the prompt in progress ends before the next report
+    arrives."""
+
+    resume_ahead: float = 1.5
+    """Largest number of prompts ahead at an engine on which a stream is resumed of which the caller
+    has received events. It bounds how many resumes an engine takes at once after the loss of
+    others."""
 
     late_reserve: float = 12.0
     """Seconds before its deadline at which a late stream starts in any case: a prompt and a long
     generation on a loaded engine."""
 
+    pace_margin: float = 1.5
+    """Factor by which generations may become slower than their present pace. Each prompt that an
+    engine processes delays its running generations, so the pace falls as a flood goes on."""
+
     standby_room: float = 2.0
     """Free memory of the engines, in streams, at which streams are copied to a standby. A copy
     takes as much memory as the stream itself, which new streams then lack."""
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -14,6 +14,7 @@
 from sapphireledge.gateway.crash_guard import CrashGuard
 from sapphireledge.gateway.engine_report_client import EngineReportClient
 from sapphireledge.gateway.outcome import MISDIRECTED, Outcome, OutcomeKind
+from sapphireledge.gateway.prompt_memory import PromptMemory
 from sapphireledge.gateway.retry_allowance import RetryAllowance
 from sapphireledge.gateway.rollout_guard import RolloutGuard
 
@@ -67,12 +68,16 @@
         self.rollouts = RolloutGuard(cfg, self.registry, telemetry.rollouts)
         """Keeps attempts to the versions that they may use."""
 
+        self.on_first_event: Callable[[BackendServer], None] = lambda _: None
+        """Called with an engine that sent the first event of a stream."""
+
         self.is_stopping: Callable[[], bool] = lambda: False
         """Returns whether the instance is shutting down."""
 
         self._shedders: dict[str, LoadShedder] = {}
         self._allowances: dict[str, RetryAllowance] = {}
         self._estimators: dict[str, FirstEventEstimator] = {}
+        self._prompt_memories: dict[str, PromptMemory] = {}
         self._generation_estimators: dict[str, GenerationEstimator] = {}
 
     def retry_allowance(self, service: str) -> RetryAllowance:
@@ -126,6 +131,20 @@
         """
         return self._generation_estimators.setdefault(service, GenerationEstimator())
 
+    def prompt_memory(self, service: str) -> PromptMemory:
+        """Returns what is known about the prompts that the engines of a service keep.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The memory, created on first use.
+        """
+        memory = self._prompt_memories.get(service)
+        if memory is None:
+            memory = self._prompt_memories[service] = PromptMemory(self, service)
+        return memory
+
     def _measure_service(self, service: str) -> ServiceSize:
         """Returns the size of a service for the attribution of deaths."""
         servers = self.registry.count_servers(service, self.crashes.is_dead)
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -55,6 +55,56 @@
         )
         """Share of a service's plain requests that are forwarded, 1 without overload."""
 
+        self.prompt_tokens = Counter(
+            "sapphireledge_prompt_tokens",
+            "Prompt tokens of started streams by what the chosen engine does with them.",
+            ["use"],
+            registry=self._registry,
+        )
+        """Prompt tokens of started streams: expected to be kept, processed, or processed again
+        although another candidate was expected to keep them."""
+
+        self.prompt_choices = Counter(
+            "sapphireledge_prompt_choices",
+            "Choices between engines of which one was expected to keep the prompt.",
+            ["choice"],
+            registry=self._registry,
+        )
+        """Choices for or against the engine that was expected to keep most of the prompt."""
+
+        self.line_length = Gauge(
+            "sapphireledge_line_length",
+            "Streams that wait for an engine.",
+            ["rank"],
+            registry=self._registry,
+        )
+        """Streams in the waiting lines of this instance, by rank."""
+
+        self.line_wait = Histogram(
+            "sapphireledge_line_wait_seconds",
+            "Time that streams waited for an engine, by how the wait ended.",
+            ["end"],
+            registry=self._registry,
+            buckets=TIME_BUCKETS,
+        )
+        """Time that streams spent in the waiting line, by how they left it."""
+
+        self.stream_refusals = Counter(
+            "sapphireledge_stream_refusals",
+            "Streams refused for lack of engines or time, by reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        """Streams refused for lack of engines or time, by reason."""
+
+        self.report_queries = Counter(
+            "sapphireledge_report_queries",
+            "Load reports fetched to place streams, by whether they arrived.",
+            ["result"],
+            registry=self._registry,
+        )
+        """Load reports fetched to place streams, by whether they arrived in time."""
+
         self.first_event_time = Histogram(
             "sapphireledge_first_event_seconds",
             "Time from the request to the first event of its stream.",
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -64,6 +64,9 @@
     rollout: RolloutLimits | None = None
     """Limits of the roll-out of a version, None where versions are not rolled out."""
 
+    uses_kept_prompts: bool = True
+    """Whether streams are sent to engines that probably keep the beginning of their prompts."""
+
     body_timeout: float = 0.33
     """Timeout between two chunks of an engine's response that is not a stream."""
 
