--- a/src/sapphireledge/core/waiting/waiting_limits.py
+++ b/src/sapphireledge/core/waiting/waiting_limits.py
@@ -11,9 +11,10 @@
 class WaitingLimits:
     """Limits and weights of the waiting line of one service at one instance."""
 
-    served_floor: float = 0.5
-    """Fraction of the share of all requests that start which every rank and workspace keeps. Twice
-    the quarter below which a kind of request or a workspace counts as starved."""
+    served_floor: float = 0.7
+    """Fraction of the share of all requests that start which every rank and workspace keeps. It
+    is far above the quarter below which a kind of request or a workspace counts as starved, because
+    what starts is not yet served."""
 
     start_window: float = 10.0
     """Seconds over which arrivals, starts and the drain rate are averaged, a few times the usual
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -74,8 +74,8 @@
         self.assertLess(sum(model.looks for model in play(arrivals, True)), polled / 3)
 
     def test_flood_of_the_highest_rank_starves_no_other(self):
-        """Replays three times what the engines can process, most of it of the highest rank."""
-        ordered = play(lambda seed: flood(seed, 18.0, ranks=(8, 1, 1)), True, range(4))
+        """Replays four times what the engines can process, most of it of the highest rank."""
+        ordered = play(lambda seed: flood(seed, 24.0, ranks=(8, 1, 1)), True, range(4))
         all_served = mean(ordered, "share_served")
         for rank in (1, 2):
             served = mean(ordered, "share_served", lambda stream, rank=rank: stream.rank == rank)
