--- a/src/sapphireledge/core/placement/pending_stream.py
+++ b/src/sapphireledge/core/placement/pending_stream.py
@@ -32,8 +32,8 @@
     has_run: bool
     """Whether an engine may have run the request, so that it cannot be refused as not run."""
 
-    typical_tokens: float = 0.0
-    """Length of a typical prompt of the service in tokens, the unit of costs; 0 if unknown."""
-
     delivered: int = 0
     """Number of events that the caller has received of a run that was lost."""
+
+    typical_tokens: float = 0.0
+    """Length of a typical prompt of the service in tokens, the unit of costs; 0 if unknown."""
--- a/tests/prompt_model.py
+++ b/tests/prompt_model.py
@@ -94,7 +94,7 @@
             tokens = tokens if self.uses_kept else 0
             views.append(EngineView(name, False, 0, 0, 0, 0, 88_000, ahead, tokens))
         total = sum(part.tokens for part in parts)
-        stream = PendingStream(total, 0, 0, 4.0, 18.0, 25.0, False, TYPICAL_TOKENS)
+        stream = PendingStream(total, 0, 0, 4.0, 18.0, 25.0, False, typical_tokens=TYPICAL_TOKENS)
         chosen = min(views, key=lambda view: self.rule.cost(stream, view))
         most = max(view.kept_tokens for view in views)
         if chosen.kept_tokens < most / 2:
