No port of a test fleet is drawn twice

Cause: a port is drawn by binding and releasing it, and its process binds it later, so that two of some 25 ports of a fleet are the same in about one fleet of sixty. Other fleets are ruled out: each has an address of its own, and the range lies below the ephemeral one. The new test failed without the change. It may be the cause of the known reds of setUpClass; that is not shown.

--- a/devtools/local_fleet.py
+++ b/devtools/local_fleet.py
@@ -118,6 +118,7 @@
         self.platform_url = ""
         self.host = ""
         self._reservation: socket.socket | None = None
+        self._drawn_ports: set[int] = set()
         self._entry_files: dict[str, Path] = {}
         self._states: dict[str, str] = {}
 
@@ -163,8 +164,14 @@
             self.host = self._reservation.getsockname()[0]
 
     def free_port(self) -> int:
-        """Finds a free TCP port at the address of this fleet."""
-        return free_port(self.host)
+        """Finds a free TCP port that no other process of this fleet has been given.
+
+        A process binds its ports only some time after they were drawn.
+        """
+        while (port := free_port(self.host)) in self._drawn_ports:
+            pass
+        self._drawn_ports.add(port)
+        return port
 
     def stop(self) -> None:
         """Kills every process that this fleet started."""
