--- a/src/sapphireledge/core/rollout/report_writing.py
+++ b/src/sapphireledge/core/rollout/report_writing.py
@@ -24,11 +24,13 @@
         """
         self._limits = limits
         self._made_at = -inf
-        self._made_state: tuple[int, int, bool, bool, str] | None = None
+        self._stored_state: tuple[int, int, bool, bool, str] | None = None
         self._stored_at = -inf
         self._stored_bad = 0
         self._unstored_bad: deque[tuple[float, int]] = deque()
-        self._pending: deque[tuple[int, float, int]] = deque(maxlen=MOST_PENDING)
+        self._pending: deque[tuple[int, float, tuple[int, int, bool, bool, str]]] = deque(
+            maxlen=MOST_PENDING
+        )
 
     def on_bad(self, now: float, number: int) -> None:
         """Takes in a bad answer of the new version.
@@ -48,8 +50,7 @@
             state: What it says, as handed to `is_due`.
         """
         self._made_at = now
-        self._made_state = state
-        self._pending.append((sequence, now, state[0]))
+        self._pending.append((sequence, now, state))
 
     def on_stored(self, sequence: int) -> None:
         """Takes in that a report reached the store.
@@ -58,15 +59,16 @@
             sequence: Its number.
         """
         while self._pending and self._pending[0][0] <= sequence:
-            made, made_at, bad = self._pending.popleft()
+            made, made_at, state = self._pending.popleft()
             if made == sequence:
                 self._stored_at = max(self._stored_at, made_at)
-                self._stored_bad = max(self._stored_bad, bad)
+                self._stored_bad = max(self._stored_bad, state[0])
+                self._stored_state = state
         while self._unstored_bad and self._unstored_bad[0][1] <= self._stored_bad:
             self._unstored_bad.popleft()
 
     def is_due(self, now: float, state: tuple[int, int, bool, bool, str], instances: int) -> bool:
-        """Whether a report is due.
+        """Whether a report is due; what could not be stored is due again.
 
         Args:
             now: Current time in seconds.
@@ -81,7 +83,7 @@
         age = now - self._made_at
         if age < limits.report_interval:
             return False
-        known = self._made_state
+        known = self._stored_state
         if known is None or state[0] != known[0] or state[2:] != known[2:]:
             return True
         interval = max(limits.report_interval, instances / limits.reports_per_second)
--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -567,6 +567,7 @@
         if not self._is_new_only or not self._is_in_touch(now):
             return None, ""
         is_observed = self._load.is_observed and now - self._finished_at >= OBSERVED_TIME
+        is_observed = is_observed and not self._comparison.is_suspect
         if not is_observed and self._age(now) < self._schedule.move_streams_at:
             return None, "observing the new version under the whole load"
         is_forced = self._age(now) >= self._schedule.force_at
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -111,14 +111,14 @@
         self, admitted: AdmittedRequest, progress: StreamProgress, others: Collection[str] = ()
     ) -> frozenset[str]:
         """Returns the ids of the engines whose version the next attempt may not use."""
-        is_retry = bool(progress.contacted)
+        is_retry = _is_repeat(admitted, progress)
         return self._context.rollouts.excluded(admitted, others, is_retry=is_retry)
 
     def _permits(
         self, admitted: AdmittedRequest, progress: StreamProgress, server: BackendServer
     ) -> bool:
         """Records a request to an engine, if its version is permitted and it takes one now."""
-        is_retry = bool(progress.contacted)
+        is_retry = _is_repeat(admitted, progress)
         is_permitted = self._context.rollouts.permits(admitted, server, is_retry=is_retry)
         return is_permitted and self._try_take(server)
 
@@ -227,13 +227,15 @@
         rollouts = self._context.rollouts
         if usable or not rollouts.is_active:
             return usable
-        # No engine of the preferred version is among the candidates; others may be permitted.
+        # No engine of the preferred version is among the candidates; a stream may go to the old
+        # version instead, never to the new one.
         left_out = avoided.union(progress.failed_engines)
-        is_retry = bool(progress.contacted)
+        is_retry = _is_repeat(admitted, progress)
         return [
             server
             for server in admitting
             if server.server_id not in left_out
+            and not rollouts.is_judged(server)
             and rollouts.permits(admitted, server, is_retry=is_retry)
         ]
 
@@ -355,8 +357,9 @@
         """Fetches the reports of the next candidates for the streams that wait."""
         registry = self._context.registry
         now = asyncio.get_running_loop().time()
+        unusable = self._context.rollouts.unusable(service)
         candidates = self._choose_candidates(
-            service, registry.list_preferred(now, service), round_, frozenset()
+            service, registry.list_preferred(now, service, unusable), round_, unusable
         )
         chosen = {server.server_id for server in candidates}
         for server_id in freed - chosen:
@@ -494,6 +497,7 @@
     def _start_share(self, service: str) -> float:
         """Computes which share of waiting streams may start on an engine that looks idle."""
         engines = self._context.registry.count(service)
+        engines -= len(self._context.rollouts.unusable(service))
         return compute_start_share(engines, self._context.count_instances())
 
     def _rank_standby(
@@ -535,3 +539,8 @@
             ),
             typical_tokens=estimator.typical_tokens,
         )
+
+
+def _is_repeat(admitted: AdmittedRequest, progress: StreamProgress) -> bool:
+    """Whether an engine has been sent the stream before, here or at another instance."""
+    return bool(progress.contacted) or admitted.request.last_event is not None
--- a/src/sapphireledge/gateway/rollout_attempt.py
+++ b/src/sapphireledge/gateway/rollout_attempt.py
@@ -26,5 +26,6 @@
     begun_at: float
     """Event loop time in seconds at which it began."""
 
-    move: Callable[[], None] | None = None
-    """Ends the attempt so that its stream resumes at another server, None if it cannot move."""
+    move: Callable[[], bool] | None = None
+    """Ends the attempt so that its stream resumes at another server, if that can take it now;
+    returns whether it does. None if the attempt cannot move."""
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import islice
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -139,6 +140,20 @@
         now = asyncio.get_running_loop().time()
         return versions.permits(server, versions.choose(now, admitted, is_retry=is_retry))
 
+    def unusable(self, service: str) -> frozenset[str]:
+        """Lists the servers of a service that no new stream may be sent to now.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            Ids of the servers.
+        """
+        versions = self._services.get(service)
+        if versions is None or not (versions.rollout or versions.held_versions):
+            return frozenset()
+        return versions.excluded_for_streams(asyncio.get_running_loop().time())
+
     def excluded_copies(self, server: BackendServer) -> frozenset[str]:
         """Lists the servers that may not hold a copy of a stream because of their version.
 
@@ -381,9 +396,9 @@
             order = versions.rollout.order
             self._telemetry.record_decision(service, order, previous, decision, heard)
             if decision.move_streams:
-                for attempt in list(versions.movable_attempts())[:MOVES_PER_TICK]:
-                    assert attempt.move is not None
-                    attempt.move()
+                moves = (attempt.move() for attempt in versions.movable_attempts() if attempt.move)
+                # Attempts that cannot move now do not keep the others from moving.
+                list(islice(filter(None, moves), MOVES_PER_TICK))
         self._update_activity(now)
 
     def _compared(self, attempt: RolloutAttempt, seconds: float | None) -> float | None:
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -98,11 +98,13 @@
 
 def _move(
     limit: asyncio.Timeout, server: BackendServer, can_move: Callable[[float, BackendServer], bool]
-) -> None:
-    """Ends an attempt if its request can go on at another server now."""
+) -> bool:
+    """Ends an attempt if its request can go on at another server now; returns whether it does."""
     now = asyncio.get_running_loop().time()
-    if limit.when() is None and can_move(now, server):
+    moves = limit.when() is None and can_move(now, server)
+    if moves:
         limit.reschedule(now)
+    return moves
 
 
 async def _run_until_moved(
--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -102,6 +102,9 @@
         begun = None
         if not is_known:
             self._final_state = None
+            if stored.state is not RolloutState.COMPLETED and self._in_use.version == order.target:
+                # Its servers were listed before the order.
+                self._in_use = VersionInUse()
         if stored.state in FINAL_STATES:
             self._final_state = stored.state
             self.rollout = self.decision = None
@@ -182,6 +185,20 @@
             if not self.permits(server, rule) or (preferred and rule and not _prefers(server, rule))
         )
 
+    def excluded_for_streams(self, now: float) -> frozenset[str]:
+        """Lists the servers that a new stream may not use, whatever it prefers.
+
+        Args:
+            now: Event loop time in seconds.
+
+        Returns:
+            Ids of the servers.
+        """
+        if self.rollout is None or self._is_at_target:
+            return self.excluded(None)
+        rule = self.rollout.choose(now, may_repeat=True, is_stream=True, is_retry=False)
+        return self.excluded(rule)
+
     def other_versions(self, server: BackendServer) -> frozenset[str]:
         """Lists the servers that run another version than a server.
 
@@ -223,9 +240,6 @@
         self._is_at_target = bool(servers) and all(
             server.version == rollout.order.target for server in servers
         )
-        if self._in_use.version == rollout.order.target:
-            # Its servers were listed before the order.
-            self._in_use = VersionInUse()
         for attempt in self.attempts:
             rollout.on_sent(now, attempt.route, attempt.server.version, is_retry=True)
 
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -20,6 +20,7 @@
     VersionCounts,
     VersionInUse,
 )
+from sapphireledge.core.rollout.report_writing import ReportWriting
 from sapphireledge.errors import Failure
 
 ROLLED_BACK, COMPLETED = RolloutState.ROLLED_BACK, RolloutState.COMPLETED
@@ -321,5 +322,20 @@
         self.assertFalse(in_use.permits("v3", None))
 
 
+class ReportWritingTest(unittest.TestCase):
+    """Guards against bad answers of which the others hear late after a failed write."""
+
+    def test_report_that_was_not_stored_is_due_again(self):
+        limits = RolloutLimits()
+        writing = ReportWriting(limits)
+        bad = (1, 1, False, True, "")
+        self.assertTrue(writing.is_due(0.0, bad, 9))
+        writing.on_made(0.0, 1, bad)
+        self.assertTrue(writing.is_due(limits.report_interval, bad, 9))
+        writing.on_made(limits.report_interval, 2, bad)
+        writing.on_stored(2)
+        self.assertFalse(writing.is_due(2.0 * limits.report_interval, bad, 9))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 import unittest
+from functools import partial
 from unittest import mock
 
 import msgspec
@@ -13,8 +14,10 @@
 from sapphireledge.core.quarantine import DeathRecord
 from sapphireledge.core.rollout import (
     AnswerQuality,
+    RolloutDecision,
     RolloutLimits,
     RolloutOrder,
+    RolloutStage,
     RolloutState,
     VersionChoice,
     VersionRule,
@@ -49,6 +52,7 @@
 from sapphireledge.gateway.loop_lag import LoopLag
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.response_head import ResponseHead
+from sapphireledge.gateway.rollout_attempt import RolloutAttempt
 from sapphireledge.platform.decode_server import decode_server
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from sapphireledge.platform.rollout_status_writer import RolloutStatusWriter
@@ -213,6 +217,38 @@
             await self.call("/plain/x")
         self.assertEqual({*self.received}, {"v1"})
 
+    async def test_rolled_back_version_is_not_in_use_after_a_restart(self):
+        """Guards against an instance that starts while the servers of a bad version still drain."""
+        await self.add_version("v2")
+        await self.add_version("v2")
+        await self.add_version("v1")
+        order = RolloutOrder("app", "v2", 10.0, "1")
+        rollouts = self.gateway.context.rollouts
+        rollouts.on_order(StoredOrder(order, RolloutState.ROLLED_BACK, 1))
+        for _ in range(4):
+            await self.call("/plain/x")
+        self.assertEqual({*self.received}, {"v1"})
+
+    async def test_streams_that_cannot_move_do_not_keep_others(self):
+        """Guards against old servers that stop while streams on them could have moved."""
+        rollout = self.begin(VersionChoice.NEW_ONLY)
+        decision = RolloutDecision(RolloutStage.FINISH, 1.0, None, "", {}, True)
+        rollout.decide = lambda now: decision
+        versions = self.gateway.context.rollouts._versions("app")
+        old = BackendServer("s", "app", HOST, 1, "dc-a", version="v1")
+        moved = []
+
+        def move(number):
+            can_move = number % 4 == 3
+            if can_move:
+                moved.append(number)
+            return can_move
+
+        for number in range(8):
+            versions.attempts.add(RolloutAttempt("r", old, 0.0, partial(move, number)))
+        self.gateway.context.rollouts.tick()
+        self.assertEqual(sorted(moved), [3, 7])
+
 
 class JudgeTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
