--- a/tests/test_gateway_kept_prompts.py
+++ b/tests/test_gateway_kept_prompts.py
@@ -30,14 +30,14 @@
     async def test_streams_that_share_a_part_go_to_the_engine_that_keeps_it(self):
         """Guards against processing the shared part of a prompt at every engine."""
         self.assertEqual(await self.send_turns(6), [0, 0, 0, 0, 6])
-        metrics = self.gateway._telemetry._metrics.render().decode()
+        metrics = self.gateway.telemetry._metrics.render().decode()
         self.assertIn('sapphireledge_prompt_choices_total{choice="for"} 6.0', metrics)
         self.assertRegex(metrics, r'sapphireledge_prompt_tokens_total\{use="kept"\} [1-9]')
 
     async def test_setting_switches_it_off(self):
         self.gateway.reconfigure(replace(self.cfg, uses_kept_prompts=False))
         self.assertLess((await self.send_turns(6))[-1], 6)
-        metrics = self.gateway._telemetry._metrics.render().decode()
+        metrics = self.gateway.telemetry._metrics.render().decode()
         self.assertNotIn("choice=", metrics)
 
     async def test_prompt_in_progress_counts(self):
