Mend what the review of callers, shedding and the line found

Each with a test that was seen failing before: a stream whose only engine was idle waited for a turn among many instances; resumed streams made their rank look starved; one rejection revived the response times of an overload of long ago; an instance behind relays that are gone listed the store 1.8 s late; its configuration was 2.95 s old after a start, so it reported not ready; heads above 64 KiB within a configured limit were never read; ids of prompt parts had no limit of length. Without a test of its own: a look computes the position of each waiting stream once instead of ordering the line for each; a head that waits for its turn while memory runs out gets its 503; rounds of the line are counted for the line.

--- a/src/sapphireledge/core/shedding/load_shedder.py
+++ b/src/sapphireledge/core/shedding/load_shedder.py
@@ -95,22 +95,24 @@
         self._update(now)
         if self.share >= 1.0 or self._rng.random() < self._chance(now, caller):
             return None
-        return ShedRequest(self.share, self._response_time, self.retry_after(target))
+        return ShedRequest(self.share, self._response_time, self.retry_after(now, target))
 
-    def retry_after(self, target: float) -> float:
+    def retry_after(self, now: float, target: float) -> float:
         """Computes when a refused caller should return.
 
         The backlog drains while only the admitted share is added to it. Returns are spread, so that
         the callers that are refused together do not come back together.
 
         Args:
+            now: Current time in seconds.
             target: Latency target of the route in seconds.
 
         Returns:
             Seconds.
         """
         limits = self._limits
-        backlog = self._response_time * target / self.share
+        is_known = now - self._response_at <= limits.response_memory
+        backlog = self._response_time * target / self.share if is_known else 0.0
         middle = min(max(backlog, limits.shortest_retry_after), limits.longest_retry_after)
         return middle * self._rng.uniform(1.0 - RETURN_SPREAD, 1.0 + RETURN_SPREAD)
 
@@ -135,6 +137,8 @@
         self._update(now)
         limits = self._limits
         elapsed = now - self._response_at
+        if elapsed > limits.response_memory:
+            self._response_time = 0.0
         weight = 1.0 - exp(-elapsed / limits.smoothing_time)
         weight = min(max(weight, limits.min_sample_weight), limits.max_sample_weight)
         self._response_time += weight * (response_time - self._response_time)
--- a/src/sapphireledge/core/waiting/waiting_line.py
+++ b/src/sapphireledge/core/waiting/waiting_line.py
@@ -64,6 +64,8 @@
             now: Current time in seconds.
             work: The request.
         """
+        if work.has_run:
+            return
         self._ranks.on_arrival(now, _rank_of(work))
         if work.workspace:
             self._workspaces.on_arrival(now, work.workspace)
@@ -161,25 +163,29 @@
         own = key(work)
         return any(key(waiting) < own for _, waiting in self._waiting.values())
 
-    def estimate_wait(self, now: float, work: WaitingWork) -> float | None:
+    def estimate_wait(
+        self, now: float, work: WaitingWork, ahead: int | None = None
+    ) -> float | None:
         """Estimates how long a request would wait in the line.
 
         Args:
             now: Current time in seconds.
             work: The request.
+            ahead: Number of waiting requests that go before it, None to count them.
 
         Returns:
             Seconds, None while the rate at which the line drains is not known.
         """
         rate = self._drain_rate(now)
-        key = self._order_key(now)
-        own = key(work)
-        ahead = sum(key(waiting) < own for _, waiting in self._waiting.values())
+        if ahead is None:
+            key = self._order_key(now)
+            own = key(work)
+            ahead = sum(key(waiting) < own for _, waiting in self._waiting.values())
         if not ahead:
             return 0.0
         return None if rate is None else ahead / rate
 
-    def is_hopeless(self, now: float, work: WaitingWork) -> bool:
+    def is_hopeless(self, now: float, work: WaitingWork, ahead: int | None = None) -> bool:
         """Checks whether a request cannot be served for its caller any more.
 
         Load pattern: a flood that outlasts the patience of callers. Without this check, most
@@ -191,13 +197,14 @@
         Args:
             now: Current time in seconds.
             work: The request.
+            ahead: Number of waiting requests that go before it, None to count them.
 
         Returns:
             Whether it is refused; never for one that may have run.
         """
         if work.has_run:
             return False
-        wait = self._limits.assured_wait * (self.estimate_wait(now, work) or 0.0)
+        wait = self._limits.assured_wait * (self.estimate_wait(now, work, ahead) or 0.0)
         return now + wait + work.first_event_time >= work.latest_first_event
 
     def retry_after(self, now: float, backlog_time: float) -> float:
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -108,7 +108,8 @@
         server = await self._server.listen()
         directory = asyncio.create_task(self._poll_directory())
         try:
-            await self._search_at_start()
+            if not await self._search_at_start():
+                await self._run_watchers()
             while True:
                 peer = self._relays.choose(asyncio.get_running_loop().time())
                 if peer is None:
@@ -148,8 +149,8 @@
             )
         self._relays.begin_search(asyncio.get_running_loop().time(), is_new=followed)
 
-    async def _search_at_start(self) -> None:
-        """Searches for a relay before the store is read.
+    async def _search_at_start(self) -> bool:
+        """Searches for a relay before the store is read; returns whether one was found.
 
         Load pattern: instances are restarted one after another, and each one that reads the store
         first makes a listing of each kind that its relay sends a moment later as well.
@@ -157,10 +158,11 @@
         if await wait_for_event(self._directory_read, self._cfg.start_wait):
             try:
                 async with asyncio.timeout(self._cfg.start_wait):
-                    await self._find_relay()
+                    return await self._find_relay()
             except TimeoutError:
                 # The store is read meanwhile; the search goes on beside it.
                 self._log.info(GatewayEvent.RELAY_LOST, relay="", reason="no relay at the start")
+        return False
 
     async def _run_watchers(self) -> None:
         """Reads the store until a relay is found."""
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -64,6 +64,7 @@
         self._log = structlog.get_logger()
         self._needs_relist = False
         self._has_listed = False
+        self._has_paused = False
         self._failures = 0
         self._had_changes = False
         self._store_lost = False
@@ -165,6 +166,7 @@
         """Waits before the first watch of a new instance, unless changes are expected."""
         if self._activity is None or not self._activity.is_active:
             await wait_for_event(self._wake, self._cfg.start_pause)
+        self._has_paused = True
 
     @property
     def is_optional(self) -> bool:
@@ -190,6 +192,10 @@
         if self._had_changes and self._kind_cfg.confirms:
             # A watch that returns changes confirms only its start time, so the next one is short.
             wait = self._cfg.confirm_wait
+        if self._has_paused and self._kind_cfg.confirms:
+            # The age has grown during the pause.
+            wait = min(wait, self._cfg.initial_wait)
+        self._has_paused = False
         if self._is_repeat or not self.is_healthy:
             # Other instances can follow this one as soon as one call succeeds.
             wait = min(wait, self._cfg.initial_wait)
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -156,7 +156,8 @@
             self._refusal = MalformedRequest(503, "no memory is left for requests", RETRY_AFTER)
             self._ledger.on_limited(LimitReason.NO_MEMORY)
             self._transport.pause_reading()
-        elif len(self._received) >= MAX_UNPARSED_BYTES:
+        elif len(self._received) >= max(MAX_UNPARSED_BYTES, self._limits().max_head_bytes + 1):
+            # A head is parsed as a whole.
             self._transport.pause_reading()
         self._readable.set()
 
@@ -356,6 +357,9 @@
         self._hold()
         if fields > MAX_ORDINARY_FIELDS:
             await self._slice.take_turn()
+            if self._refusal is not None:
+                # No memory was left for more bytes during the wait.
+                raise self._refusal
         self._feed(size)
         try:
             event = self._parser.next_event()
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -142,7 +142,7 @@
         now = asyncio.get_running_loop().time()
         line.order.on_arrival(now, describe())
         excluded = self._choose_excluded(admitted, progress, avoided)
-        look = await self._take_look(self._list_candidates(admitted, excluded))
+        look = await self._look_for_arrival(admitted, excluded)
         result: EngineSelection | RefuseStream | WaitForEngine | None
         if line.order.is_preceded(asyncio.get_running_loop().time(), describe()):
             result = await line.wait(admitted, describe, offer, look)
@@ -176,7 +176,7 @@
         views = self._build_views(admitted, servers, look)
         stream = self._describe_pending(admitted, progress, now)
         if not views:
-            is_taken = servers and has_turn and self._permits(admitted, progress, servers[0])
+            is_taken = servers and self._permits(admitted, progress, servers[0])
             wait = WaitForEngine(PLACEMENT_LIMITS.retry_interval, 0.0)
             return self._select_known(admitted, progress, servers[0]) if is_taken else wait
         decision = self._decide(now, admitted, progress, stream, views, has_turn)
@@ -353,6 +353,22 @@
             return None
         return decision
 
+    async def _look_for_arrival(
+        self, admitted: AdmittedRequest, excluded: frozenset[str]
+    ) -> EngineLook:
+        """Fetches the reports of the candidates for a stream that arrives.
+
+        Reports may name a rate or a pause; such engines are not listed again, so others are looked
+        at if none of the candidates takes the stream.
+        """
+        while True:
+            candidates = self._list_candidates(admitted, excluded)
+            look = await self._take_look(candidates)
+            now = asyncio.get_running_loop().time()
+            admits = self._context.registry.admits
+            if not candidates or any(admits(now, server.server_id) for server in candidates):
+                return look
+
     async def _look_for_line(self, service: str, round_: int, freed: frozenset[str]) -> EngineLook:
         """Fetches the reports of the next candidates for the streams that wait."""
         registry = self._context.registry
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -263,7 +263,7 @@
         now = asyncio.get_running_loop().time()
         delay = self._context.registry.next_admission(now, admitted.service.name) - now
         backlog = self._context.load_shedder(admitted.service.name).retry_after(
-            admitted.route.target
+            now, admitted.route.target
         )
         if math.isinf(delay):
             return max(RETRY_AFTER, backlog)
--- a/src/sapphireledge/gateway/stream_line.py
+++ b/src/sapphireledge/gateway/stream_line.py
@@ -61,6 +61,7 @@
         self._take_look = take_look
         self._start_share = start_share
         self._visits: dict[int, LineVisit] = {}
+        self._rounds = 0
         self._freed: set[str] = set()
         self._woken = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -142,8 +143,8 @@
     async def _play_round(self) -> float:
         """Takes a look at the engines and offers them; returns the next delay."""
         freed, self._freed = frozenset(self._freed), set()
-        rounds = min((visit.offers for visit in self._visits.values()), default=0)
-        look = await self._take_look(rounds + 1, freed)
+        self._rounds += 1
+        look = await self._take_look(self._rounds, freed)
         return self._offer_look(look, self.order.draw_turns(self._start_share()))
 
     def _offer_look(self, look: EngineLook, turns: int) -> float:
@@ -155,11 +156,11 @@
         for ticket, visit in self._visits.items():
             self.order.update(ticket, visit.describe())
         delay = LONGEST_ROUND_INTERVAL
-        for ticket in self.order.next(now):
+        for ahead, ticket in enumerate(self.order.next(now)):
             visit = self._visits.get(ticket)
             if visit is None or visit.future.done():
                 continue
-            result = self._offer(now, visit, look, turns > 0)
+            result = self._offer(now, visit, look, ahead, turns > 0)
             if isinstance(result, WaitForEngine):
                 delay = min(delay, result.delay)
                 continue
@@ -171,12 +172,12 @@
         return delay
 
     def _offer(
-        self, now: float, visit: LineVisit, look: EngineLook, has_turn: bool
+        self, now: float, visit: LineVisit, look: EngineLook, ahead: int, has_turn: bool
     ) -> EngineSelection | RefuseStream | WaitForEngine | None:
         """Offers the engines of a look to one stream."""
         work = visit.describe()
-        if self.order.is_hopeless(now, work):
-            estimate = self.order.estimate_wait(now, work) or 0.0
+        if self.order.is_hopeless(now, work, ahead):
+            estimate = self.order.estimate_wait(now, work, ahead) or 0.0
             delay = self.order.retry_after(now, work.first_event_time)
             return RefuseStream(estimate, delay, RefusalReason.LINE)
         result = visit.offer(look, has_turn, visit.offers)
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -30,6 +30,10 @@
 MAX_DIGITS = 18
 """Digits of the largest number accepted in a header."""
 
+MAX_PART_ID_LENGTH = 128
+"""Length of the ids of prompt parts up to which engines are chosen by them; each instance remembers
+thousands, and callers choose them."""
+
 MAX_PROMPT_PARTS = 32
 """Parts of a prompt by which engines are chosen; a header has room for thousands."""
 
@@ -64,7 +68,7 @@
             output_tokens=_parse_int(output_tokens) or 0,
             affinity=parts[-1].part_id or values.get(names.REQUEST_ID, b"").decode("latin-1"),
             shared_parts=tuple(part.part_id for part in parts[:-1]),
-            parts=tuple(parts[:MAX_PROMPT_PARTS]) if parts[-1].part_id else (),
+            parts=tuple(parts[:MAX_PROMPT_PARTS]) if _has_usable_ids(parts) else (),
         )
 
     def encode_backend_request(self, backend_request: BackendRequest) -> list[tuple[bytes, bytes]]:
@@ -186,6 +190,12 @@
     return parts
 
 
+def _has_usable_ids(parts: list[PromptPart]) -> bool:
+    """Whether the parts of a prompt are known by ids that are worth remembering."""
+    longest = max(len(part.part_id) for part in parts)
+    return bool(parts[-1].part_id) and longest <= MAX_PART_ID_LENGTH
+
+
 def _parse_api_key(value: bytes) -> str:
     """Extracts the API key from the authorization header, empty if there is none."""
     if value[: len(API_KEY_SCHEME)].lower() != API_KEY_SCHEME:
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -11,9 +11,9 @@
 from dataclasses import replace
 from pathlib import Path
 
-from gateway_case import HOST, GatewayCase, chunk, read_response, signed_response
+from gateway_case import HOST, GatewayCase, chunk, read_response, signed_response, table
 
-from sapphireledge.gateway import GatewayMetrics, GatewayServer
+from sapphireledge.gateway import CallerLimits, GatewayMetrics, GatewayServer
 from sapphireledge.limits import CallerBudgets
 from sapphireledge.platform.node_settings import load_node_settings
 
@@ -62,6 +62,14 @@
         writer.write(self.head("/plain/") + b"x: " + b"y" * 20_000 + b"\r\n\r\n")
         self.assertEqual((await read_response(reader)).status, 431)
 
+    async def test_large_head_within_a_large_limit(self):
+        """Guards against heads of which no more is received than usual limits need."""
+        limits = replace(CallerLimits(), max_head_bytes=131_072)
+        self.gateway.config.accept(replace(table(2), limits=limits))
+        reader, writer = await self.connect()
+        writer.write(self.head("/none/") + b"x: " + b"y" * 100_000 + b"\r\n\r\n")
+        self.assertEqual((await read_response(reader)).status, 404)
+
     async def test_declared_body_over_the_limit(self):
         """Guards against reading a body that is refused in any case."""
         reader, writer = await self.connect()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -358,6 +358,33 @@
         self.assertEqual(second.listener.objects, {"a": 1})
         self.assertEqual(store.calls_by_instance["e1"], 0)
 
+    async def test_instance_behind_silent_relays_lists_the_store_at_once(self):
+        """Guards against a start that takes a second for each relay that is gone."""
+        silent = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+        peers = [
+            Peer(f"gone{n}", "127.0.0.1", sock.getsockname()[1], "dc-a", 1000.0)
+            for n, sock in enumerate(silent)
+        ]
+        for sock in silent:
+            self.addCleanup(sock.close)
+        store = MemoryStore()
+        instance = FeedInstance(store, "e0", 1.0, peers, free_ports(1)[0])
+        await asyncio.sleep(2.0 * instance.cfg.start_wait + 0.2)
+        self.assertEqual(instance.listener.objects, {"a": 1})
+        await self.stop(instance.task)
+
+    async def test_age_is_confirmed_at_once_after_the_pause_at_the_start(self):
+        """Guards against an instance that reports not ready because it has just started."""
+        store = MemoryStore()
+        client = MemoryStoreClient(store, "e0", [], StoreEpoch())
+        feed = KindFeed("config", Listener())
+        cfg = replace(CFG, start_pause=0.3, initial_wait=0.05)
+        watcher = KindWatcher(client, feed, replace(KIND, watch_wait=2.0), cfg)
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0.6)
+        self.assertLess(feed.age, 0.3)
+        await self.stop(task)
+
     async def test_listed_instance_is_not_announced_again(self):
         store, peers = MemoryStore(), []
         for _ in range(2):
--- a/tests/test_gateway_kept_prompts.py
+++ b/tests/test_gateway_kept_prompts.py
@@ -67,6 +67,9 @@
         many = ((PARTS.encode(), b",".join(b"a%d:9" % part for part in range(3_000))),)
         request = PlatformDialect().decode_request(b"POST", b"/", many, b"", 0.0)
         self.assertLess(len(request.parts), 100)
+        long_id = ((PARTS.encode(), b"a" * 10_000 + b":9,b:9"),)
+        request = PlatformDialect().decode_request(b"POST", b"/", long_id, b"", 0.0)
+        self.assertEqual(request.parts, ())
 
     async def test_caller_cannot_distort_the_typical_length(self):
         """Guards against one request after which all engines look idle."""
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -136,6 +136,18 @@
             decisions = [shedder.decide(20.0 + 0.01 * n, 0, "a", TARGET) for n in range(50)]
             self.assertEqual(decisions, [None] * 50)
 
+    def test_overload_of_long_ago_is_forgotten(self):
+        """Guards against one rejection that revives the response times of an old overload."""
+        shedder = LoadShedder(LIMITS, Random(1))
+        for number in range(40):
+            shedder.on_rejection(number * 0.1)
+        for number in range(400):
+            shedder.decide(4.0 + number * 0.1, 0, "a", TARGET)
+        self.assertLessEqual(shedder.retry_after(600.0, TARGET), 1.5 * LIMITS.shortest_retry_after)
+        shedder.on_rejection(600.0)
+        decisions = [shedder.decide(600.0 + 0.01 * n, 0, "a", TARGET) for n in range(50)]
+        self.assertEqual(decisions, [None] * 50)
+
     def test_silence_ends_the_refusals(self):
         shedder = LoadShedder(LIMITS, Random(1))
         for number in range(40):
--- a/tests/test_server_pauses.py
+++ b/tests/test_server_pauses.py
@@ -71,6 +71,13 @@
             await self.call_together(path)
         self.assertGreater(len(server.received), 1)
 
+    async def test_only_engine_takes_a_waiting_stream_after_its_pause(self):
+        """Guards against a stream that waits for a turn although its only engine is idle."""
+        self.gateway.context.count_instances = lambda: 1_000
+        server = await self.add("llm", self.reject_once)
+        response = await self.call("/stream/")
+        self.assertEqual((response.status, len(server.received)), (200, 2))
+
     async def test_plain_server_gets_nothing_during_its_pause(self):
         """Guards against requests to a server that has asked for a pause."""
         await self.assert_pause_kept("app", self.answer, "/plain/")
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -311,5 +311,22 @@
         self.assertEqual(estimator.estimate_shortest(800, 200), 0.0)
 
 
+class ResumedRankTest(unittest.TestCase):
+    """Guards against resumed streams that make their rank look starved."""
+
+    def test_resumes_of_a_lower_rank_do_not_go_before_an_urgent_one(self):
+        waiting = line()
+        urgent, lower = WORK, replace(WORK, rank=1)
+        for work, starts in ((urgent, 50), (lower, 10)):
+            for _ in range(starts):
+                waiting.on_arrival(1.0, work)
+                waiting.on_start(1.0, work)
+        tickets = [waiting.join(1.0, work) for work in (lower, urgent)]
+        for _ in range(100):
+            waiting.on_arrival(1.0, replace(lower, has_run=True))
+            waiting.on_start(1.0, replace(lower, has_run=True))
+        self.assertEqual(list(waiting.next(1.0)), tickets[::-1])
+
+
 if __name__ == "__main__":
     unittest.main()
