--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -166,7 +166,7 @@
         """Waits before the first watch of a new instance, unless changes are expected."""
         if self._activity is None or not self._activity.is_active:
             await wait_for_event(self._wake, self._cfg.start_pause)
-        self._has_paused = True
+        self._has_paused = not self.is_optional and self._cfg.start_pause > self._cfg.initial_wait
 
     @property
     def is_optional(self) -> bool:
