A test of stalled bodies does not depend on when its second caller is scheduled

Shown by a pause of 0.35 s in its place: the same KeyError. The time to stall is 2 s in this test now, and the wait after it longer by as much; the checks are the same.

--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -78,13 +78,16 @@
 
     async def test_stalled_body_gives_way(self):
         """Guards against a body that stops short and keeps out all later ones."""
+        # Longer than the others, as the second request must arrive before the first one stalls.
+        budgets = replace(self.gateway.cfg.callers, stall_time=2.0)
+        self.gateway.reconfigure(replace(self.gateway.cfg, callers=budgets))
         stalled_reader, writer = await self.connect()
         head = self.head("/plain/") + f"content-length: {BODY}\r\n\r\n".encode()
         writer.write(head + bytes(BODY - 5))
         await asyncio.sleep(0.1)
         refused = await self.call("/plain/", bytes(BODY))
         self.assertEqual((refused.status, refused.headers["retry-after"]), (503, "1.0"))
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(2.1)
         self.assertEqual((await self.call("/plain/", bytes(BODY))).status, 200)
         stalled = await read_response(stalled_reader)
         self.assertEqual((stalled.status, stalled.headers["connection"]), (503, "close"))
