Copy running streams again when their standby is lost

Cause: engines send the memory of a stream to one standby. Where data centres lose their engines in turn, the standby is often lost first, and nothing replaces it; the whole prompt is processed again when the engine is lost as well.

Change: a stream whose standby is known to be lost is copied on request to another engine, refreshed while it runs, and resumed from there; only where the configuration says that engines copy on request.

--- a/src/sapphireledge/gateway/backend_request.py
+++ b/src/sapphireledge/gateway/backend_request.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.caller_request import CallerRequest
+    from sapphireledge.gateway.replica import Replica
 
 __all__ = ["BackendRequest"]
 
@@ -38,5 +39,5 @@
     standby: BackendServer | None = None
     """Standby engine to which the generation's KV cache is replicated continuously."""
 
-    resume_from: BackendServer | None = None
-    """Engine that holds such a replica, from which the generation resumes."""
+    resume_from: Replica | None = None
+    """Copy of the generation's KV cache from which it resumes."""
--- a/src/sapphireledge/gateway/dialect.py
+++ b/src/sapphireledge/gateway/dialect.py
@@ -106,6 +106,46 @@
         """
         ...
 
+    def encode_copy_request(
+        self, source: BackendServer, request_id: str, holder: BackendServer
+    ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
+        """Builds the request to copy a running generation to another engine.
+
+        Args:
+            source: Engine that runs the generation.
+            request_id: Id of its request.
+            holder: Engine that receives the copy.
+
+        Returns:
+            Method, path, headers without those that frame the body, and body.
+        """
+        ...
+
+    def decode_copy(self, body: bytes) -> str:
+        """Decodes the response to a request to copy a generation.
+
+        Args:
+            body: Body of the response.
+
+        Returns:
+            Id of the copy, empty if the body cannot be decoded.
+        """
+        ...
+
+    def encode_release_request(
+        self, source: BackendServer, handle: str
+    ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
+        """Builds the request to give up a copy.
+
+        Args:
+            source: Engine that made the copy.
+            handle: Id of the copy.
+
+        Returns:
+            Method, path, headers without those that frame the body, and body.
+        """
+        ...
+
     def refusal_status(self, failure: Failure) -> int:
         """Chooses the HTTP status of an error response that the gateway generates itself.
 
--- a/src/sapphireledge/gateway/engine_selection.py
+++ b/src/sapphireledge/gateway/engine_selection.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.replica import Replica
 
 __all__ = ["EngineSelection"]
 
@@ -21,8 +22,8 @@
     standby: BackendServer | None
     """Standby engine to which the KV cache is replicated, or None."""
 
-    replica_source: BackendServer | None
-    """Engine that holds a replica to resume from, or None."""
+    replica_source: Replica | None
+    """Copy of the KV cache to resume from, or None."""
 
     prompts_ahead: float | None = None
     """Work that the engine does first, in typical prompts; None if it was not chosen by its
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -20,6 +20,7 @@
     compute_start_share,
 )
 from sapphireledge.core.waiting import WaitingLimits, WaitingLine, WaitingWork
+from sapphireledge.gateway.choose_standby import choose_standby
 from sapphireledge.gateway.engine_look import EngineLook
 from sapphireledge.gateway.engine_selection import EngineSelection
 from sapphireledge.gateway.stream_line import StreamLine
@@ -32,6 +33,7 @@
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.engine_load import EngineLoad
     from sapphireledge.gateway.gateway_context import GatewayContext
+    from sapphireledge.gateway.replica import Replica
     from sapphireledge.gateway.stream_progress import StreamProgress
 
 __all__ = ["EngineSelector"]
@@ -87,9 +89,13 @@
         if not progress.attempts:
             memory = self._context.prompt_memory(admitted.service.name)
             memory.on_request(asyncio.get_running_loop().time(), admitted.request)
-        replica_source = progress.take_replica_holder()
-        if replica_source is not None and self._permits(admitted, progress, replica_source):
-            return self._select_known(admitted, progress, replica_source, replica_source)
+        replica = progress.take_replica()
+        if (
+            replica is not None
+            and not self._context.crashes.is_dead(replica.holder)
+            and self._permits(admitted, progress, replica.holder)
+        ):
+            return self._select_known(admitted, progress, replica.holder, replica)
         holder = await self._find_prompt_holder(admitted, progress)
         if holder is not None and self._permits(admitted, progress, holder):
             return self._select_known(admitted, progress, holder)
@@ -100,12 +106,12 @@
         admitted: AdmittedRequest,
         progress: StreamProgress,
         server: BackendServer,
-        replica_source: BackendServer | None = None,
+        replica: Replica | None = None,
     ) -> EngineSelection:
         """Selects an engine without reports, with a standby by this instance's own view."""
         self._record_dispatch(server, admitted)
-        standby = self._rank_standby(admitted, progress, server)
-        return EngineSelection(server, standby, replica_source)
+        standby = choose_standby(self._context, admitted, progress, server)
+        return EngineSelection(server, standby, replica)
 
     def _exclude_versions(
         self, admitted: AdmittedRequest, progress: StreamProgress, others: Collection[str] = ()
@@ -196,7 +202,7 @@
         memory.on_placed(now, admitted.request, view, views)
         context.telemetry.record_prompt_choice(admitted, view, views)
         has_room = self._rule.has_room_for_copies(stream, views)
-        standby = self._rank_standby(admitted, progress, server) if has_room else None
+        standby = choose_standby(self._context, admitted, progress, server) if has_room else None
         self._record_dispatch(server, admitted)
         return EngineSelection(
             server,
@@ -516,23 +522,6 @@
         engines -= len(self._context.rollouts.unusable(service))
         return compute_start_share(engines, self._context.count_instances())
 
-    def _rank_standby(
-        self, admitted: AdmittedRequest, progress: StreamProgress, server: BackendServer
-    ) -> BackendServer | None:
-        """Chooses the engine to replicate to, in another data centre if possible."""
-        if not (admitted.service.can_replicate and admitted.route.resumable):
-            return None
-        now = asyncio.get_running_loop().time()
-        ranked = self._context.registry.rank_servers(
-            now,
-            admitted.service.name,
-            admitted.request.affinity,
-            {*progress.failed_engines, server.server_id}
-            | self._context.rollouts.excluded_copies(server),
-            {*progress.lost_centres, server.data_centre},
-        )
-        return ranked[0] if ranked else None
-
     def _describe_pending(
         self, admitted: AdmittedRequest, progress: StreamProgress, now: float
     ) -> PendingStream:
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -6,20 +6,25 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import structlog
+
 from sapphireledge.core.placement import FirstEventEstimator, GenerationEstimator
 from sapphireledge.core.quarantine import ServiceSize
 from sapphireledge.core.shedding import LoadShedder, SheddingLimits
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.connection_pool import ConnectionPool
 from sapphireledge.gateway.crash_guard import CrashGuard
+from sapphireledge.gateway.engine_copy_client import EngineCopyClient
 from sapphireledge.gateway.engine_report_client import EngineReportClient
+from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.outcome import MISDIRECTED, Outcome, OutcomeKind
 from sapphireledge.gateway.prompt_memory import PromptMemory
 from sapphireledge.gateway.retry_allowance import RetryAllowance
 from sapphireledge.gateway.rollout_guard import RolloutGuard
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
+    from typing import Any
 
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.dialect import Dialect
@@ -60,6 +65,12 @@
         self.report_client = EngineReportClient(self.pool, dialect)
         """Client for load reports and cache listings of engines."""
 
+        self.copies = EngineCopyClient(self.pool, dialect)
+        """Client for copies of running generations."""
+
+        self.copies_under_way: set[asyncio.Task[None]] = set()
+        """Transfers of copies, and requests to give them up, that have not ended."""
+
         self.crashes = CrashGuard(cfg.quarantine, telemetry)
         """Keeps requests that crash backend servers away from them."""
 
@@ -145,6 +156,36 @@
             memory = self._prompt_memories[service] = PromptMemory(self, service)
         return memory
 
+    def start_copy(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Starts a transfer of a copy, or a request to give one up, in the background.
+
+        Args:
+            work: The transfer or request.
+
+        Returns:
+            Its task; an unexpected exception is logged.
+        """
+        task = asyncio.create_task(work)
+        self.copies_under_way.add(task)
+        task.add_done_callback(self._on_copy_ended)
+        return task
+
+    def _on_copy_ended(self, task: asyncio.Task[None]) -> None:
+        """Forgets a task, and logs an unexpected exception."""
+        self.copies_under_way.discard(task)
+        if not task.cancelled() and (exc := task.exception()) is not None:
+            structlog.get_logger().error(GatewayEvent.INTERNAL_ERROR, exc_info=exc)
+
+    async def release_copy(self, source: BackendServer, handle: str) -> None:
+        """Gives up a copy of a generation; if that fails, the copy expires.
+
+        Args:
+            source: Engine that made the copy.
+            handle: Id of the copy.
+        """
+        reason = await self.copies.release(source, handle)
+        self.telemetry.record_release(source, reason)
+
     def _measure_service(self, service: str) -> ServiceSize:
         """Returns the size of a service for the attribution of deaths."""
         servers = self.registry.count_servers(service, self.crashes.is_dead)
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -124,6 +124,9 @@
     STREAM_RESUMED = "stream_resumed"
     """A stream is resumed on another engine."""
 
+    STREAM_COPIED = "stream_copied"
+    """A running stream was copied to an engine, because the one with its copy was lost."""
+
     RETRY_DENIED = "retry_denied"
     """A retry was denied because the retry budget is exhausted."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -39,6 +39,14 @@
         )
         """Streams resumed on another engine, by whether from a replica or from the prompt."""
 
+        self.stream_copies = Counter(
+            "sapphireledge_stream_copies",
+            "Copies of running streams on request by step and result.",
+            ["step", "result"],
+            registry=self._registry,
+        )
+        """Copies of running streams on request: made or refreshed, and whether that failed."""
+
         self.placements = Counter(
             "sapphireledge_placements",
             "Placements of streams by decision.",
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -9,6 +9,7 @@
 import structlog
 
 from sapphireledge.core.placement import StartStream, WaitForEngine
+from sapphireledge.core.standby import CopyStep
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.limit_log import LimitLog
 from sapphireledge.gateway.outcome import OutcomeKind
@@ -286,6 +287,45 @@
             from_copy=from_replica,
         )
 
+    def record_copy(
+        self, admitted: AdmittedRequest, step: CopyStep, holder: BackendServer, reason: str
+    ) -> None:
+        """Logs and counts a copy of a running stream; refreshes are only counted.
+
+        Args:
+            admitted: The request.
+            step: Whether the copy is a new one.
+            holder: Engine that receives the copy.
+            reason: Reason of a failure, empty without one.
+        """
+        self._metrics.stream_copies.labels(step.value, "failed" if reason else "done").inc()
+        if step is CopyStep.COPY or reason:
+            self._log.info(
+                GatewayEvent.STREAM_COPIED,
+                request_id=admitted.request.request_id,
+                server=holder.server_id,
+                data_centre=holder.data_centre,
+                step=step.value,
+                reason=reason,
+            )
+
+    def record_release(self, source: BackendServer, reason: str) -> None:
+        """Counts a copy that is given up, and logs if that failed.
+
+        Args:
+            source: Engine that made the copy.
+            reason: Reason of a failure, empty without one.
+        """
+        self._metrics.stream_copies.labels("release", "failed" if reason else "done").inc()
+        if reason:
+            self._log.info(
+                GatewayEvent.STREAM_COPIED,
+                server=source.server_id,
+                data_centre=source.data_centre,
+                step="release",
+                reason=reason,
+            )
+
     def record_placement(
         self,
         admitted: AdmittedRequest,
--- a/src/sapphireledge/gateway/service_profile.py
+++ b/src/sapphireledge/gateway/service_profile.py
@@ -22,3 +22,7 @@
 
     can_replicate: bool = False
     """Whether engines can replicate a running generation to a standby engine."""
+
+    copy_lifetime: float = 0.0
+    """Seconds for which an engine keeps a copy of a generation that was made on request and is not
+    refreshed, 0 if engines make none."""
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -14,6 +14,7 @@
 from sapphireledge.gateway.event_splitter import EventSplitter
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.run_attempt import run_attempt
+from sapphireledge.gateway.stream_copier import StreamCopier
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Coroutine
@@ -126,15 +127,22 @@
         if not _is_stream(head):
             body = await _await_within(cfg.body_timeout, conn.read_body())
             return self._classify_plain(server, head, body)
-        async with contextlib.aclosing(self._read_events(conn, server, watch)) as events:
-            async for event in events:
-                if event.number is not None:
-                    if not watch.has_events:
-                        self._observe_first_event(selection, loop.time() - sent_at)
-                    watch.on_event(loop.time())
-                    attempt.on_event()
-                    self._observe_pace(loop.time())
-                await self._deliver(head, event)
+        copier = StreamCopier(self._context, self._admitted, self._progress, selection)
+        is_complete = False
+        try:
+            async with contextlib.aclosing(self._read_events(conn, server, watch)) as events:
+                async for event in events:
+                    if event.number is not None:
+                        if not watch.has_events:
+                            self._observe_first_event(selection, loop.time() - sent_at)
+                        watch.on_event(loop.time())
+                        attempt.on_event()
+                        self._observe_pace(loop.time())
+                    await self._deliver(head, event)
+                    copier.check(loop.time())
+            is_complete = True
+        finally:
+            copier.close(is_complete=is_complete)
         if not self._caller.response_started:
             raise BackendResponseError("the stream has no events")
         await self._caller.finish_response()
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.gateway.outcome import OutcomeKind
+from sapphireledge.gateway.replica import Replica
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.admitted_request import AdmittedRequest
@@ -62,8 +63,8 @@
         """Event loop time in seconds at which the last event was delivered."""
 
         self._attempt_has_events = False
-        self._standby: BackendServer | None = None
-        self._replica_holder: BackendServer | None = None
+        self._standby: Replica | None = None
+        self._replica: Replica | None = None
 
     def permits_attempt(self, admitted: AdmittedRequest, now: float) -> bool:
         """Whether the route and the deadline permit another attempt.
@@ -87,7 +88,7 @@
             selection: Engines of the attempt.
         """
         self.attempts += 1
-        self._standby = selection.standby
+        self._standby = None if selection.standby is None else Replica(selection.standby)
         self._attempt_has_events = False
 
     def on_event(self, now: float, number: int | None) -> None:
@@ -107,6 +108,18 @@
         if number is not None:
             self.last_event = number
 
+    def on_copied(self, replica: Replica) -> None:
+        """Records a copy that was made on request during the attempt.
+
+        Args:
+            replica: The copy, which replaces the earlier one.
+        """
+        self._standby = replica
+
+    def on_copy_lost(self) -> None:
+        """Records that the copy of the attempt is lost, so that nothing goes on from it."""
+        self._standby = None
+
     def on_sent(self, server: BackendServer) -> None:
         """Records that the request is sent to an engine.
 
@@ -129,13 +142,13 @@
         if outcome.kind is OutcomeKind.LOST:
             self.lost_centres.add(outcome.server.data_centre)
             # Engines replicate their KV cache only after the first token.
-            self._replica_holder = self._standby if self._attempt_has_events else None
+            self._replica = self._standby if self._attempt_has_events else None
 
-    def take_replica_holder(self) -> BackendServer | None:
-        """Returns the engine that holds a replica and clears it, as a replica can be used once.
+    def take_replica(self) -> Replica | None:
+        """Returns the replica of the lost attempt and clears it, as a replica can be used once.
 
         Returns:
-            The engine, or None if there is no replica.
+            The replica, or None if there is none.
         """
-        replica_holder, self._replica_holder = self._replica_holder, None
-        return replica_holder
+        replica, self._replica = self._replica, None
+        return replica
--- a/src/sapphireledge/platform/decode_config.py
+++ b/src/sapphireledge/platform/decode_config.py
@@ -57,9 +57,15 @@
 
 
 class _Engine(msgspec.Struct):
-    """Engine settings of a service; `backups`: whether generations can be replicated."""
+    """Engine settings of a service.
+
+    `backups` tells whether generations can be replicated continuously, `moves` whether they can be
+    copied on request, and `handle_s` for how many seconds such a copy is kept.
+    """
 
     backups: bool = False
+    moves: bool = False
+    handle_s: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -121,6 +127,7 @@
                 service.max_conns,
                 first_rank=_first_rank(config.routes, service.name),
                 can_replicate=service.engine is not None and service.engine.backups,
+                copy_lifetime=_copy_lifetime(service.engine),
             )
             for service in config.services
         },
@@ -139,6 +146,11 @@
     )
 
 
+def _copy_lifetime(engine: _Engine | None) -> float:
+    """Returns for how many seconds engines keep a copy made on request, 0 if they make none."""
+    return engine.handle_s if engine is not None and engine.moves else 0.0
+
+
 def _first_rank(routes: Sequence[_Route], service: str) -> int:
     """Returns the most urgent rank among the routes to a service, 0 without any."""
     return min(
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -10,6 +10,7 @@
 from sapphireledge.errors import ErrorKind, Ran
 from sapphireledge.gateway import CallerRequest, ResponseHead
 from sapphireledge.platform import header_names as names
+from sapphireledge.platform.copy_messages import decode_copy, encode_copy, encode_release_path
 from sapphireledge.platform.decode_report import decode_cache, decode_report
 
 if TYPE_CHECKING:
@@ -91,7 +92,9 @@
         if backend_request.standby is not None:
             headers.append((names.REPLICA_TARGET, backend_request.standby.address.encode()))
         if backend_request.resume_from is not None:
-            replica_source = f"{backend_request.resume_from.address}/{request.request_id}"
+            replica = backend_request.resume_from
+            source = replica.holder if replica.source is None else replica.source
+            replica_source = f"{source.address}/{replica.handle or request.request_id}"
             headers.append((names.REPLICA_SOURCE, replica_source.encode()))
         return headers
 
@@ -125,6 +128,25 @@
         """Builds the request for cached prompt parts; see `Dialect.encode_cache_request`."""
         return b"/kv-list", [(b"host", server.address.encode())]
 
+    def encode_copy_request(
+        self, source: BackendServer, request_id: str, holder: BackendServer
+    ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
+        """Builds the request for a copy; see `Dialect.encode_copy_request`."""
+        body = encode_copy(request_id, holder.address)
+        headers = [(b"host", source.address.encode()), (b"content-type", b"application/json")]
+        return b"POST", b"/kv-move", headers, body
+
+    def decode_copy(self, body: bytes) -> str:
+        """Decodes the id of a copy; see `Dialect.decode_copy`."""
+        return decode_copy(body)
+
+    def encode_release_request(
+        self, source: BackendServer, handle: str
+    ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
+        """Builds the request to give a copy up; see `Dialect.encode_release_request`."""
+        headers = [(b"host", source.address.encode())]
+        return b"DELETE", encode_release_path(handle), headers, b""
+
     def decode_cache(self, body: bytes) -> frozenset[str]:
         """Decodes the list of cached prompt parts; see `Dialect.decode_cache`."""
         return decode_cache(body)
--- /dev/null
+++ b/tests/test_gateway_standby.py
@@ -0,0 +1,137 @@
+"""Tests of the copies of running streams through the gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from dataclasses import replace
+
+from gateway_case import (
+    GatewayCase,
+    chunk,
+    event,
+    full_response,
+    stream_head,
+    table,
+)
+
+from sapphireledge.gateway import seconds_since_boot
+from sapphireledge.platform.decode_config import decode_config
+
+END = b"0\r\n\r\n"
+LAST = 30
+"""Number of the last event."""
+
+TARGET = "x-sapphireledge-kv-backup"
+
+
+class LostStandbyTest(GatewayCase):
+    """Guards against processing a prompt again because the standby was lost before the engine."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        routes = table(2)
+        engine = {"backups": True, "moves": True, "handle_s": 4.0}
+        spec = {"version": 2, "routes": [], "services": [{"name": "llm", "engine": engine}]}
+        services = {**routes.services, **decode_config(spec).services}
+        self.gateway.config.accept(replace(routes, services=services))
+        self.gateway.config.confirm(seconds_since_boot())
+        self.copies = []
+        self.copy_status = 200
+        self.ends = False
+        self.copied = asyncio.Event()
+        self.standby_port = 0
+
+    async def engine(self, request, writer):
+        """Generates events, loses its standby, and breaks or ends once it has been copied."""
+        if request.target != b"/stream/":
+            return await self.answer_copy(request, writer)
+        if "last-event-id" in request.headers:
+            writer.write(stream_head(request, "t") + chunk(event(LAST)) + END)
+            return await writer.drain()
+        self.standby_port = int(request.headers[TARGET].rpartition(":")[2])
+        writer.write(stream_head(request))
+        for number in range(20):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            if number == 1:
+                self.lose_standby()
+            await asyncio.sleep(0.1)
+            if self.copied.is_set():
+                break
+        writer.write(chunk(b"".join(event(n) for n in range(number + 1, LAST))))
+        if self.ends:
+            writer.write(chunk(event(LAST)) + END)
+            return await writer.drain()
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    def lose_standby(self):
+        (lost,) = [s for s in self.servers if s.port == self.standby_port]
+        self.gateway.context.registry.remove(lost.server_id)
+
+    async def answer_copy(self, request, writer):
+        self.copies.append(request)
+        body = json.dumps({"handle": "h7", "created": 3}).encode()
+        writer.write(full_response(self.copy_status, {}, body))
+        await writer.drain()
+        self.copied.set()
+
+    async def run_stream(self):
+        for number in range(3):
+            await self.add("llm", self.engine, f"dc-{'abc'[number]}")
+        response = await self.call("/stream/")
+        return response
+
+    def resumed(self):
+        return [
+            (server, request)
+            for server in self.servers
+            for request in server.received
+            if "last-event-id" in request.headers
+        ]
+
+    async def test_stream_goes_on_from_the_new_copy(self):
+        response = await self.run_stream()
+        self.assertTrue(response.complete)
+        self.assertEqual(response.body, b"".join(event(n) for n in range(LAST + 1)))
+        ((server, request),) = self.resumed()
+        (copy,) = self.copies
+        asked = json.loads(copy.body)
+        self.assertEqual(copy.target, b"/kv-move")
+        self.assertEqual(asked["id"], request.headers["x-sapphireledge-request-id"])
+        self.assertEqual(asked["target"], f"127.0.0.1:{server.port}")
+        self.assertNotEqual(server.port, self.standby_port)
+        source = next(s for s in self.servers if copy in s.received)
+        self.assertEqual(request.headers["kv-from"], f"127.0.0.1:{source.port}/h7")
+
+    async def test_stream_without_room_for_a_copy(self):
+        self.copy_status = 503
+        response = await self.run_stream()
+        self.assertTrue(response.complete)
+        ((_, request),) = self.resumed()
+        self.assertNotIn("kv-from", request.headers)
+
+    async def test_copy_of_a_complete_stream_is_given_up(self):
+        self.ends = True
+        response = await self.run_stream()
+        self.assertTrue(response.complete)
+        async with asyncio.timeout(5.0):
+            while len(self.copies) < 2:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.copies[1].method, b"DELETE")
+        self.assertEqual(self.copies[1].target, b"/kv-handle/h7")
+        self.assertEqual(self.resumed(), [])
+
+    async def test_lost_standby_is_not_asked(self):
+        """Guards against an attempt in vain, which may be the last one that is permitted."""
+        self.copy_status = 503
+        await self.run_stream()
+        (lost,) = [s for s in self.servers if s.port == self.standby_port]
+        self.assertEqual(lost.received, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
