--- a/src/sapphireledge/gateway/choose_standby.py
+++ b/src/sapphireledge/gateway/choose_standby.py
@@ -20,6 +20,7 @@
     progress: StreamProgress,
     server: BackendServer,
     excluded: frozenset[str] = frozenset(),
+    avoided_centres: frozenset[str] = frozenset(),
 ) -> BackendServer | None:
     """Chooses the engine to replicate to, in another data centre if possible.
 
@@ -29,6 +30,7 @@
         progress: Progress of the stream so far.
         server: Engine that runs the stream.
         excluded: Ids of further engines that must not be chosen.
+        avoided_centres: Further data centres that are used only if no other has an engine.
 
     Returns:
         The engine, or None if there is none, or streams of the route are not replicated.
@@ -42,6 +44,6 @@
         {*progress.failed_engines, server.server_id}
         | excluded
         | context.rollouts.excluded_copies(server),
-        {*progress.lost_centres, server.data_centre},
+        {*progress.lost_centres, server.data_centre} | avoided_centres,
     )
     return ranked[0] if ranked else None
--- a/src/sapphireledge/gateway/stream_copier.py
+++ b/src/sapphireledge/gateway/stream_copier.py
@@ -54,6 +54,7 @@
         self._source = selection.server
         self._holder = selection.standby
         self._lost_holders: set[str] = set()
+        self._lost_centres: set[str] = set()
         self._handle = ""
         self._copied_at: float | None = None
         self._tried_at = float("-inf")
@@ -119,8 +120,11 @@
     def _choose_holder(self, lost: BackendServer) -> BackendServer | None:
         """Chooses another engine for the copy."""
         self._lost_holders.add(lost.server_id)
-        excluded = frozenset(self._lost_holders)
-        return choose_standby(self._context, self._admitted, self._progress, self._source, excluded)
+        self._lost_centres.add(lost.data_centre)
+        excluded, centres = frozenset(self._lost_holders), frozenset(self._lost_centres)
+        return choose_standby(
+            self._context, self._admitted, self._progress, self._source, excluded, centres
+        )
 
     def _estimate_end(self, now: float) -> float:
         """Estimates when the stream ends."""
--- a/tests/test_gateway_standby.py
+++ b/tests/test_gateway_standby.py
@@ -70,7 +70,9 @@
 
     def lose_standby(self):
         (lost,) = [s for s in self.servers if s.port == self.standby_port]
-        self.gateway.context.registry.remove(lost.server_id)
+        registry = self.gateway.context.registry
+        self.lost_centre = registry.state(lost.server_id).server.data_centre
+        registry.remove(lost.server_id)
 
     async def answer_copy(self, request, writer):
         self.copies.append(request)
@@ -107,6 +109,17 @@
         source = next(s for s in self.servers if copy in s.received)
         self.assertEqual(request.headers["kv-from"], f"127.0.0.1:{source.port}/h7")
 
+    async def test_copy_is_not_made_where_the_standby_was_lost(self):
+        """Guards against copies to a data centre whose engines have just been lost."""
+        for name in "bbbbbccccc":
+            await self.add("llm", self.engine, f"dc-{name}")
+        response = await self.run_stream()
+        self.assertTrue(response.complete)
+        (target,) = [json.loads(copy.body)["target"] for copy in self.copies]
+        states = self.gateway.context.registry.list_servers("llm")
+        centres = {server.address: server.data_centre for server in states}
+        self.assertNotEqual(centres[target], self.lost_centre)
+
     async def test_stream_without_room_for_a_copy(self):
         self.copy_status = 503
         response = await self.run_stream()
