Mend what the review of copies found

Cause, each shown by a run of the reviewer or by reading: - deaths recorded before an entry came back made copies wander from engine to engine; a death counts only if it came after the entry did - a standby that was only thought lost was given up for good; the choice is made at the resume - copies stayed at engines when the caller left, when the stream ended during the transfer and when another copy replaced them - engines known to be dead were chosen; the expected end stopped copies of slow streams; copies took memory while streams waited in line; ids of copies reached a header unchecked

--- a/src/sapphireledge/core/standby/copy_rule.py
+++ b/src/sapphireledge/core/standby/copy_rule.py
@@ -56,10 +56,9 @@
             return CopyStep.KEEP
         if now - protection.tried_at < limits.retry_delay:
             return CopyStep.KEEP
-        if protection.ends_at - now < limits.least_remaining:
-            return CopyStep.KEEP
-        if not protection.is_held:
-            return CopyStep.COPY
-        assert protection.copied_at is not None
-        is_due = now - protection.copied_at >= limits.refresh_part * lifetime
-        return CopyStep.REFRESH if is_due else CopyStep.KEEP
+        if protection.is_held:
+            assert protection.copied_at is not None
+            is_due = now - protection.copied_at >= limits.refresh_part * lifetime
+            return CopyStep.REFRESH if is_due else CopyStep.KEEP
+        is_short = protection.ends_at - now < limits.least_remaining
+        return CopyStep.KEEP if is_short or protection.is_crowded else CopyStep.COPY
--- a/src/sapphireledge/core/standby/protection.py
+++ b/src/sapphireledge/core/standby/protection.py
@@ -17,6 +17,9 @@
     ends_at: float
     """Time at which the generation is expected to end, infinite if it is not known."""
 
+    is_crowded: bool = False
+    """Whether streams wait for an engine, whose memory a further copy would take."""
+
     copied_at: float | None = None
     """Time of the last transfer on request, None if the engine sends its memory continuously."""
 
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from operator import itemgetter
 from random import Random
+from time import time
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -94,11 +95,11 @@
             Whether the server is new, restarted, or started draining.
         """
         state = self._states.get(server.server_id)
-        if state is not None and _is_restart(state.server, server):
+        if state is not None and server.is_restart_of(state.server):
             self.remove(server.server_id)
             state = None
         if state is None:
-            state = BackendState(server, self._recall_backpressure(server))
+            state = BackendState(server, self._recall_backpressure(server), time())
             self._states[server.server_id] = state
             self._by_service.setdefault(server.service, {})[server.server_id] = state
             self._orders.pop(server.service, None)
@@ -491,10 +492,3 @@
         if now < self._suspect_until.get(server.data_centre, 0.0):
             cost += SUSPECT_CENTRE_COST
         return round(cost, 1)
-
-
-def _is_restart(old: BackendServer, new: BackendServer) -> bool:
-    """Whether two descriptions with the same server id belong to different incarnations."""
-    return bool(
-        old.started_at_ms and new.started_at_ms and old.started_at_ms != new.started_at_ms
-    ) or ((old.service, old.host, old.port) != (new.service, new.host, new.port))
--- a/src/sapphireledge/gateway/backend_server.py
+++ b/src/sapphireledge/gateway/backend_server.py
@@ -38,6 +38,20 @@
     is_warming: bool = False
     """Whether it started so recently that it is still slow."""
 
+    def is_restart_of(self, other: BackendServer) -> bool:
+        """Whether another description with the same id belongs to a different incarnation.
+
+        Args:
+            other: The other description.
+
+        Returns:
+            Whether the start times, as far as they are known, or the places differ.
+        """
+        has_other_start = self.started_at_ms != other.started_at_ms
+        return bool(self.started_at_ms and other.started_at_ms and has_other_start) or (
+            (self.service, self.host, self.port) != (other.service, other.host, other.port)
+        )
+
     @property
     def address(self) -> str:
         """Address as `IP:PORT`."""
--- a/src/sapphireledge/gateway/backend_state.py
+++ b/src/sapphireledge/gateway/backend_state.py
@@ -25,6 +25,7 @@
 
     __slots__ = (
         "_consecutive_failures",
+        "added_unix",
         "backpressure",
         "failure_rate",
         "in_flight",
@@ -32,7 +33,9 @@
         "suspended_until",
     )
 
-    def __init__(self, server: BackendServer, backpressure: ServerBackpressure) -> None:
+    def __init__(
+        self, server: BackendServer, backpressure: ServerBackpressure, added_unix: float = 0.0
+    ) -> None:
         self.server = server
         """Latest description of the server."""
 
@@ -48,6 +51,9 @@
         self.backpressure = backpressure
         """Decides when requests may be sent to the server."""
 
+        self.added_unix = added_unix
+        """Time in Unix seconds at which the entry of the server was added, or came back."""
+
         self._consecutive_failures = 0
 
     def on_success(self) -> None:
--- a/src/sapphireledge/gateway/choose_standby.py
+++ b/src/sapphireledge/gateway/choose_standby.py
@@ -46,4 +46,4 @@
         | context.rollouts.excluded_copies(server),
         {*progress.lost_centres, server.data_centre} | avoided_centres,
     )
-    return ranked[0] if ranked else None
+    return next((engine for engine in ranked if context.is_running(engine)), None)
--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -257,6 +257,18 @@
         """
         return self.quarantine.has_died(server.server_id, str(server.started_at_ms))
 
+    def has_died_since(self, server: BackendServer, since_unix: float) -> bool:
+        """Whether a server is known to have died after a time.
+
+        Args:
+            server: The server.
+            since_unix: Time in Unix seconds.
+
+        Returns:
+            Whether a death of it after that time is on record.
+        """
+        return self.quarantine.has_died_since(since_unix, server.server_id)
+
     def on_server_gone(self, server: BackendServer) -> None:
         """Records a server that ended unannounced, unless its death is on record.
 
--- a/src/sapphireledge/gateway/engine_copy_client.py
+++ b/src/sapphireledge/gateway/engine_copy_client.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.gateway.backend_response_error import BackendResponseError
+from sapphireledge.gateway.copy_result import CopyResult
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.backend_server import BackendServer
@@ -17,6 +18,9 @@
 MAX_RESPONSE_BYTES = 4_096
 """Largest response in bytes; it names one copy."""
 
+SERVICE_UNAVAILABLE = 503
+"""Status of a transfer for which the other engine has no room, or that does not reach it."""
+
 COPY_TIMEOUT = 2.0
 """Seconds allowed for a transfer, which waits for those before it on the links of both engines."""
 
@@ -39,7 +43,7 @@
 
     async def copy(
         self, source: BackendServer, request_id: str, holder: BackendServer
-    ) -> tuple[str, str]:
+    ) -> CopyResult:
         """Copies what a generation has added since the last call, while it goes on.
 
         Args:
@@ -48,16 +52,18 @@
             holder: Engine that receives the copy.
 
         Returns:
-            Id of the copy and an empty text, or an empty id and the reason of the failure.
+            The result.
         """
         call = self._dialect.encode_copy_request(source, request_id, holder)
         try:
             async with asyncio.timeout(COPY_TIMEOUT):
                 status, body = await self._call(source, *call)
         except (OSError, TimeoutError, BackendResponseError) as exc:
-            return "", repr(exc)
+            return CopyResult(reason=repr(exc))
         handle = self._dialect.decode_copy(body) if status == 200 else ""
-        return handle, "" if handle else f"status {status}"
+        if handle:
+            return CopyResult(handle)
+        return CopyResult(reason=f"status {status}", is_refused=status == SERVICE_UNAVAILABLE)
 
     async def release(self, source: BackendServer, handle: str) -> str:
         """Gives a copy up, so that it takes no memory at its holder.
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -92,7 +92,7 @@
         replica = progress.take_replica()
         if (
             replica is not None
-            and not self._context.crashes.is_dead(replica.holder)
+            and self._context.is_running(replica.holder)
             and self._permits(admitted, progress, replica.holder)
         ):
             return self._select_known(admitted, progress, replica.holder, replica)
@@ -291,10 +291,16 @@
                 partial(self._start_share, service),
             )
             self._lines[service] = line
+            self._context.count_waiting = self._count_waiting
             self._context.on_first_event = self._on_first_event
             self._context.registry.on_added = self._on_server_added
         return line
 
+    def _count_waiting(self, service: str) -> int:
+        """Counts the streams of a service that wait in line."""
+        line = self._lines.get(service)
+        return 0 if line is None else len(line.order)
+
     def _on_first_event(self, server: BackendServer) -> None:
         """Wakes the line of a service whose engine has processed a prompt of this instance."""
         if server.service in self._lines:
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -68,8 +68,13 @@
         self.copies = EngineCopyClient(self.pool, dialect)
         """Client for copies of running generations."""
 
-        self.copies_under_way: set[asyncio.Task[None]] = set()
-        """Transfers of copies, and requests to give them up, that have not ended."""
+        self.transfers = 0
+        """Transfers of copies that have not ended."""
+
+        self.count_waiting: Callable[[str], int] = lambda _: 0
+        """Returns the number of streams of a service that wait at this instance."""
+
+        self._background_tasks: set[asyncio.Task[None]] = set()
 
         self.crashes = CrashGuard(cfg.quarantine, telemetry)
         """Keeps requests that crash backend servers away from them."""
@@ -156,23 +161,39 @@
             memory = self._prompt_memories[service] = PromptMemory(self, service)
         return memory
 
-    def start_copy(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Starts a transfer of a copy, or a request to give one up, in the background.
+    def is_running(self, server: BackendServer) -> bool:
+        """Whether an incarnation of a server is believed to run on and is not leaving.
+
+        An entry that came back after the death of its server was recorded shows that the server had
+        not died.
 
         Args:
-            work: The transfer or request.
+            server: The server as it was described earlier.
 
         Returns:
-            Its task; an unexpected exception is logged.
+            Whether it is.
+        """
+        state = self.registry.state(server.server_id)
+        return (
+            state is not None
+            and not state.server.is_restart_of(server)
+            and not state.backpressure.is_leaving
+            and not self.crashes.has_died_since(server, state.added_unix)
+        )
+
+    def run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Starts work that goes on beside the requests.
+
+        Args:
+            work: The work; an unexpected exception is logged.
         """
         task = asyncio.create_task(work)
-        self.copies_under_way.add(task)
-        task.add_done_callback(self._on_copy_ended)
-        return task
+        self._background_tasks.add(task)
+        task.add_done_callback(self._on_background_task_ended)
 
-    def _on_copy_ended(self, task: asyncio.Task[None]) -> None:
+    def _on_background_task_ended(self, task: asyncio.Task[None]) -> None:
         """Forgets a task, and logs an unexpected exception."""
-        self.copies_under_way.discard(task)
+        self._background_tasks.discard(task)
         if not task.cancelled() and (exc := task.exception()) is not None:
             structlog.get_logger().error(GatewayEvent.INTERNAL_ERROR, exc_info=exc)
 
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -125,7 +125,8 @@
     """A stream is resumed on another engine."""
 
     STREAM_COPIED = "stream_copied"
-    """A running stream was copied to an engine, because the one with its copy was lost."""
+    """A running stream was copied to an engine, because the one with its copy was lost; or a copy,
+    its refresh or its release failed."""
 
     RETRY_DENIED = "retry_denied"
     """A retry was denied because the retry budget is exhausted."""
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -127,9 +127,7 @@
         if not _is_stream(head):
             body = await _await_within(cfg.body_timeout, conn.read_body())
             return self._classify_plain(server, head, body)
-        copier = StreamCopier(self._context, self._admitted, self._progress, selection)
-        is_complete = False
-        try:
+        with StreamCopier(self._context, self._admitted, self._progress, selection) as copier:
             async with contextlib.aclosing(self._read_events(conn, server, watch)) as events:
                 async for event in events:
                     if event.number is not None:
@@ -140,9 +138,6 @@
                         self._observe_pace(loop.time())
                     await self._deliver(head, event)
                     copier.check(loop.time())
-            is_complete = True
-        finally:
-            copier.close(is_complete=is_complete)
         if not self._caller.response_started:
             raise BackendResponseError("the stream has no events")
         await self._caller.finish_response()
--- a/src/sapphireledge/gateway/stream_copier.py
+++ b/src/sapphireledge/gateway/stream_copier.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Self
 
 from sapphireledge.core.standby import CopyLimits, CopyRule, CopyStep, Protection
+from sapphireledge.gateway.backend_response_error import BackendResponseError
 from sapphireledge.gateway.choose_standby import choose_standby
 from sapphireledge.gateway.replica import Replica
 
@@ -26,7 +27,7 @@
 
 
 class StreamCopier:
-    """Keeps a stream protected during one attempt.
+    """Keeps a stream protected during one attempt; a context manager around its events.
 
     The engine sends its memory to the standby of the attempt by itself. If that standby is lost,
     the stream is copied on request to another engine, from which it goes on if its own engine is
@@ -60,7 +61,20 @@
         self._tried_at = float("-inf")
         self._failures = 0
         self._check_at = 0.0
-        self._task: asyncio.Task[None] | None = None
+        self._is_copying = False
+        self._is_over = False
+        self._is_source_lost = False
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, exc_type: type[BaseException] | None, *_: object) -> None:
+        """Gives the copy up, unless the engine is lost and the stream goes on from the copy."""
+        self._is_over = True
+        self._is_source_lost = exc_type is not None and issubclass(exc_type, BackendResponseError)
+        if self._handle and not self._is_source_lost:
+            self._progress.on_copied(None)
+            self._release(self._handle)
 
     def check(self, now: float) -> None:
         """Copies the stream in the background if that is due; called with each event.
@@ -68,85 +82,85 @@
         Args:
             now: Event loop time in seconds.
         """
-        if now < self._check_at or self._holder is None or self._is_copying:
-            return
-        self._check_at = now + CHECK_INTERVAL
         lifetime = self._admitted.service.copy_lifetime
-        if lifetime <= 0.0:
+        if now < self._check_at or self._holder is None or self._is_copying or lifetime <= 0.0:
             return
-        is_held = self._is_held(now, self._holder, lifetime)
-        if not is_held:
-            self._progress.on_copy_lost()
-        protection = Protection(
-            is_held, self._estimate_end(now), self._copied_at, self._failures, self._tried_at
-        )
-        step = COPY_RULE.decide(now, protection, lifetime, len(self._context.copies_under_way))
+        self._check_at = now + CHECK_INTERVAL
+        protection = self._describe_protection(now, self._holder, lifetime)
+        step = COPY_RULE.decide(now, protection, lifetime, self._context.transfers)
         if step is CopyStep.KEEP:
             return
         holder = self._holder if step is CopyStep.REFRESH else self._choose_holder(self._holder)
-        if holder is None:
-            self._tried_at = now
-            return
-        self._task = self._context.start_copy(self._copy(step, holder))
-
-    def close(self, *, is_complete: bool) -> None:
-        """Ends the copies of the attempt.
-
-        Args:
-            is_complete: Whether the stream is complete, so that nobody goes on from its copy.
-        """
-        if self._task is not None:
-            self._task.cancel()
-        if is_complete and self._handle:
-            self._context.start_copy(self._context.release_copy(self._source, self._handle))
-
-    @property
-    def _is_copying(self) -> bool:
-        """Whether a transfer has not ended."""
-        return self._task is not None and not self._task.done()
-
-    def _is_held(self, now: float, holder: BackendServer, lifetime: float) -> bool:
-        """Whether an engine is believed to hold the copy: it runs on, and has not dropped it."""
-        if self._copied_at is not None and now - self._copied_at >= lifetime:
-            return False
-        state = self._context.registry.state(holder.server_id)
-        return (
-            state is not None
-            and state.server.started_at_ms == holder.started_at_ms
-            and not state.backpressure.is_leaving
-            and not self._context.crashes.is_dead(holder)
+        self._tried_at = now
+        if holder is not None:
+            self._is_copying = True
+            self._context.transfers += 1
+            self._context.run_in_background(self._copy(step, holder))
+
+    def _describe_protection(
+        self, now: float, holder: BackendServer, lifetime: float
+    ) -> Protection:
+        """Describes what protects the stream."""
+        service = self._admitted.service.name
+        is_expired = self._copied_at is not None and now - self._copied_at >= lifetime
+        return Protection(
+            is_held=not is_expired and self._context.is_running(holder),
+            ends_at=self._estimate_end(now),
+            is_crowded=self._context.count_waiting(service) > 0,
+            copied_at=self._copied_at,
+            failures=self._failures,
+            tried_at=self._tried_at,
         )
 
     def _choose_holder(self, lost: BackendServer) -> BackendServer | None:
-        """Chooses another engine for the copy."""
-        self._lost_holders.add(lost.server_id)
+        """Chooses another engine for the copy, away from the lost one if possible."""
         self._lost_centres.add(lost.data_centre)
-        excluded, centres = frozenset(self._lost_holders), frozenset(self._lost_centres)
         return choose_standby(
-            self._context, self._admitted, self._progress, self._source, excluded, centres
+            self._context,
+            self._admitted,
+            self._progress,
+            self._source,
+            frozenset(self._lost_holders | {lost.server_id}),
+            frozenset(self._lost_centres),
         )
 
     def _estimate_end(self, now: float) -> float:
-        """Estimates when the stream ends."""
-        progress = self._progress
+        """Estimates when the stream ends at the pace of the streams that run now."""
+        last = self._progress.last_event
+        received = self._progress.delivered if last is None else last + 1
         estimator = self._context.generation_estimator(self._admitted.service.name)
-        duration = estimator.estimate(self._admitted.request.output_tokens)
-        if not duration or progress.first_event_at is None:
-            return float("inf")
-        return progress.first_event_at + duration
+        rest = estimator.estimate_at_pace(now, self._admitted.request.output_tokens, received)
+        return now + rest if rest else float("inf")
 
     async def _copy(self, step: CopyStep, holder: BackendServer) -> None:
         """Transfers what the stream has added, and records the copy."""
-        loop = asyncio.get_running_loop()
-        self._tried_at = loop.time()
-        request_id = self._admitted.request.request_id
-        handle, reason = await self._context.copies.copy(self._source, request_id, holder)
-        self._context.telemetry.record_copy(self._admitted, step, holder, reason)
-        if not handle:
-            self._failures += 1
-            if step is CopyStep.COPY:
-                self._lost_holders.add(holder.server_id)
+        started_at = asyncio.get_running_loop().time()
+        # An unexpected error counts as a failure, too.
+        self._failures += 1
+        try:
+            request_id = self._admitted.request.request_id
+            result = await self._context.copies.copy(self._source, request_id, holder)
+        finally:
+            self._is_copying = False
+            self._context.transfers -= 1
+        self._context.telemetry.record_copy(self._admitted, step, holder, result.reason)
+        if result.is_refused:
+            self._lost_holders.add(holder.server_id)
+        if result.handle:
+            self._record(holder, result.handle, started_at)
+
+    def _record(self, holder: BackendServer, handle: str, started_at: float) -> None:
+        """Records a copy; one that comes after the end of the attempt is given up."""
+        if self._is_over:
+            if not self._is_source_lost:
+                self._release(handle)
             return
         self._failures = 0
-        self._holder, self._handle, self._copied_at = holder, handle, self._tried_at
+        if self._handle and self._handle != handle:
+            self._release(self._handle)
+        self._holder, self._handle, self._copied_at = holder, handle, started_at
         self._progress.on_copied(Replica(holder, self._source, handle))
+
+    def _release(self, handle: str) -> None:
+        """Gives a copy up in the background; if that fails, the copy expires."""
+        self._context.run_in_background(self._context.release_copy(self._source, handle))
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -108,18 +108,14 @@
         if number is not None:
             self.last_event = number
 
-    def on_copied(self, replica: Replica) -> None:
+    def on_copied(self, replica: Replica | None) -> None:
         """Records a copy that was made on request during the attempt.
 
         Args:
-            replica: The copy, which replaces the earlier one.
+            replica: The copy, which replaces the earlier one; None if it is given up.
         """
         self._standby = replica
 
-    def on_copy_lost(self) -> None:
-        """Records that the copy of the attempt is lost, so that nothing goes on from it."""
-        self._standby = None
-
     def on_sent(self, server: BackendServer) -> None:
         """Records that the request is sent to an engine.
 
--- a/src/sapphireledge/platform/copy_messages.py
+++ b/src/sapphireledge/platform/copy_messages.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from urllib.parse import quote
+import re
 
 import msgspec
 
 __all__ = ["decode_copy", "encode_copy", "encode_release_path"]
 
 
+HANDLE = re.compile(r"[A-Za-z0-9._~-]{1,128}")
+"""Ids of copies that can be part of a header and of a path."""
+
+
 class _Copy(msgspec.Struct):
     """Response to a request for a copy."""
 
@@ -45,12 +49,13 @@
         body: Body of the response.
 
     Returns:
-        Id of the copy, empty if the body cannot be decoded.
+        Id of the copy, empty if the body or the id cannot be used.
     """
     try:
-        return msgspec.json.decode(body, type=_Copy).handle
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        handle = msgspec.json.decode(body, type=_Copy).handle
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return ""
+    return handle if HANDLE.fullmatch(handle) else ""
 
 
 def encode_release_path(handle: str) -> bytes:
@@ -62,4 +67,4 @@
     Returns:
         The path.
     """
-    return f"/kv-handle/{quote(handle, safe='')}".encode()
+    return f"/kv-handle/{handle}".encode()
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -48,7 +48,7 @@
                 stream[:] = [engine, draw_other(rng, engine), now, ends_at, now, None, -inf]
                 continue
             is_held = has_copy or now - lost_at[holder] < 1.0
-            protection = Protection(is_held, ends_at, copied_at, 0, tried_at)
+            protection = Protection(is_held, ends_at, copied_at=copied_at, tried_at=tried_at)
             step = rule.decide(now, protection, LIFETIME, 0)
             if copies_again and step is not CopyStep.KEEP:
                 target = draw_other(rng, engine) if step is CopyStep.COPY else holder
@@ -106,6 +106,17 @@
         self.assertIs(self.decide(ends_at=10.9), CopyStep.KEEP)
         self.assertIs(self.decide(ends_at=inf), CopyStep.COPY)
 
+    def test_crowded_engines_take_no_further_copies(self):
+        """A copy takes memory and a slot that waiting streams need; a refresh takes neither."""
+        self.assertIs(self.decide(is_crowded=True), CopyStep.KEEP)
+        more = {"is_held": True, "is_crowded": True, "copied_at": 8.0, "tried_at": 8.0}
+        self.assertIs(self.decide(**more), CopyStep.REFRESH)
+
+    def test_refresh_does_not_depend_on_the_expected_end(self):
+        """Guards against the loss of a copy of a stream that takes longer than expected."""
+        more = {"is_held": True, "ends_at": 9.0, "copied_at": 8.0, "tried_at": 8.0}
+        self.assertIs(self.decide(**more), CopyStep.REFRESH)
+
     def test_failed_transfers_are_not_repeated_for_ever(self):
         self.assertIs(self.decide(failures=1, tried_at=9.6), CopyStep.KEEP)
         self.assertIs(self.decide(failures=1, tried_at=9.5), CopyStep.COPY)
