Instances of a first start wait for their relay

Ruled out: outages (failed watches are bounded by the retries of few instances).

Change: with the platform's sign of a first start, an instance waits 1.5 s for the others to announce themselves and then searches its relay for 1 s before it reads the store itself.

The test with four instances and a slow directory fails without the change.

--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -37,6 +37,9 @@
 """Number of preceding instances from which an instance has low precedence and makes fewer calls to
 the store; losing that many instances at once is rare."""
 
+FIRST_SEARCH_INTERVAL = 0.2
+"""Seconds between two searches for a relay at the first start of the whole system."""
+
 ANNOUNCE_SPREAD = 2.0
 """Seconds over which the instances announce themselves again after the store was restored."""
 
@@ -155,6 +158,8 @@
         Load pattern: instances are restarted one after another, and each one that reads the store
         first makes a listing of each kind that its relay sends a moment later as well.
         """
+        if self._cfg.first_start_wait:
+            return await self._search_at_first_start()
         if await wait_for_event(self._directory_read, self._cfg.start_wait):
             try:
                 async with asyncio.timeout(self._cfg.start_wait):
@@ -164,6 +169,23 @@
                 self._log.info(GatewayEvent.RELAY_LOST, relay="", reason="no relay at the start")
         return False
 
+    async def _search_at_first_start(self) -> bool:
+        """Searches for a relay once all instances are announced; returns whether one was found.
+
+        Load pattern: the whole system starts at once with an empty directory. No instance knows
+        that others precede it, so each one would make a listing of each kind.
+        """
+        await asyncio.sleep(self._cfg.first_start_wait)
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + self._cfg.search_limit
+        while self._relays and loop.time() < give_up_at:
+            if await self._find_relay():
+                return True
+            # The relay may not have read the store yet.
+            await asyncio.sleep(FIRST_SEARCH_INTERVAL)
+            self._relays.end_cooldowns()
+        return False
+
     async def _run_watchers(self) -> None:
         """Reads the store until a relay is found."""
         has_low_precedence = len(self._relays) >= LOW_PRECEDENCE_THRESHOLD
--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -62,6 +62,10 @@
     """Longest time for which a new instance waits for the directory, and again for a relay, before
     it reads the store itself; a store and a relay that are well reply within milliseconds."""
 
+    first_start_wait: float = 0.0
+    """Time after the first start of the whole system for which an instance waits for the others to
+    announce themselves, before it reads the store or searches for a relay; 0 at any other start."""
+
     start_pause: float = 1.5
     """Time between the first listing of a new instance and its first watch. Instances that start
     together have found their relays by then, and only the relays watch the store."""
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -59,6 +59,10 @@
 """Kinds that are watched for roll-outs. While an order is running, orders and reports are confirmed
 each second, and reports of many instances come in batches; otherwise orders are rare."""
 
+FIRST_START_WAIT = 1.5
+"""Seconds for which the instances of a system that starts for the first time wait for one another:
+all start within 0.3 s, and read the directory again after 1 s."""
+
 ROLLOUT_CONTRACT = "rollout"
 """Name of the contract by which versions are rolled out."""
 
@@ -107,7 +111,8 @@
 class _NodeFile(msgspec.Struct):
     """The settings file; unknown fields are ignored.
 
-    `heartbeat_ms` is the interval at which backend servers renew their registry entries,
+    `bootstrap` is true only when the whole system starts for the first time, `heartbeat_ms` is the
+    interval at which backend servers renew their registry entries,
     `contracts` names the parts of the platform that are in force.
     """
 
@@ -116,6 +121,7 @@
     listen: _Listen
     platform: _Store
     port_range: tuple[int, int]
+    bootstrap: bool = False
     heartbeat_ms: int = 1200
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -188,6 +194,7 @@
         ),
         host=listen_host,
         port=file.port_range[0],
+        first_start_wait=FIRST_START_WAIT if file.bootstrap else 0.0,
     )
     peer = Peer(file.node_name, listen_host, feed.port, file.zone, file.limits.link_mbps)
     store = StoreSettings(store_host, store_port)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -132,6 +132,13 @@
         return list(self.announced)
 
 
+class DelayedDirectory(list):
+    """Directory in which an announced instance is listed after some time."""
+
+    def append(self, peer):
+        asyncio.get_running_loop().call_later(0.4, super().append, peer)
+
+
 class FeedInstance:
     """One instance with its feed, watcher and runner."""
 
@@ -358,6 +365,32 @@
         self.assertEqual(second.listener.objects, {"a": 1})
         self.assertEqual(store.calls_by_instance["e1"], 0)
 
+    async def test_instances_of_a_first_start_wait_for_their_relay(self):
+        """Guards against a listing by each instance when all of them start at once."""
+        store, peers = MemoryStore(), DelayedDirectory()
+        ports = free_ports(4)
+        instances = [
+            FeedInstance(store, f"e{n}", 100.0 - n, peers, ports[n], first_start_wait=1.5)
+            for n in range(4)
+        ]
+        await asyncio.sleep(3.0)
+        await self.stop(*(instance.task for instance in instances))
+        self.assertEqual([i.listener.objects for i in instances], [{"a": 1}] * 4)
+        self.assertEqual(set(store.calls_by_instance), {"e0"})
+
+    async def test_first_start_without_a_relay(self):
+        """Guards against instances that wait for one that never reads the store."""
+        store, peers = MemoryStore(), DelayedDirectory()
+        store.refused_instances.add("e0")
+        ports = free_ports(2)
+        instances = [
+            FeedInstance(store, f"e{n}", 100.0 - n, peers, ports[n], first_start_wait=1.5)
+            for n in range(2)
+        ]
+        await asyncio.sleep(4.0)
+        await self.stop(*(instance.task for instance in instances))
+        self.assertEqual(instances[1].listener.objects, {"a": 1})
+
     async def test_instance_behind_silent_relays_lists_the_store_at_once(self):
         """Guards against a start that takes a second for each relay that is gone."""
         silent = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
