Model of experiments: modules import without a circle

Cause: nine modules of the model imported each other, most of them for types only, and two more (engine_run, simulated_engine) did so in pairs, so none could be read or changed alone. Ruled out: joining files (one class a file) and leaving out the types. Change: what both sides need is a Protocol in a file of its own: ModelContext, InstanceChooser, MachinePlaces, QueueOwner, CallDriver, AnswerReceiver, CopyHolder. SimulatedEngine.reserve_copy is public and takes the tokens, since a standby holds copies of other engines.

--- a/src/sapphireledge_experiment/model/crash_watch.py
+++ b/src/sapphireledge_experiment/model/crash_watch.py
@@ -18,9 +18,9 @@
 
 if TYPE_CHECKING:
     from sapphireledge.errors import Failure
+    from sapphireledge_experiment.model.model_context import ModelContext
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
     from sapphireledge_experiment.model.simulated_engine import SimulatedEngine
-    from sapphireledge_experiment.model.world import World
 
 __all__ = ["CrashWatch"]
 
@@ -31,7 +31,7 @@
     The order of the steps is that of `CrashGuard`; each decision is the one that it calls.
     """
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: ModelContext) -> None:
         """Creates a watch that knows the deaths and clearings on record.
 
         Args:
--- a/src/sapphireledge_experiment/model/engine_placer.py
+++ b/src/sapphireledge_experiment/model/engine_placer.py
@@ -182,7 +182,9 @@
             return None
         is_complete = run.copied_at <= self._clock.now
         run.copied_at = None
-        return run.standby if is_complete and not run.standby.is_dead else None
+        if not is_complete or run.standby.is_dead:
+            return None
+        return self._world.engines[run.standby.name]
 
     def _wait_for_admission(self, excluded: frozenset[str], waits: int) -> None:
         """Waits or refuses while no engine takes requests."""
--- a/src/sapphireledge_experiment/model/engine_run.py
+++ b/src/sapphireledge_experiment/model/engine_run.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sapphireledge_experiment.model.copy_holder import CopyHolder
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
-    from sapphireledge_experiment.model.simulated_engine import SimulatedEngine
 
 __all__ = ["EngineRun"]
 
@@ -36,7 +36,7 @@
     first_generated: int = 0
     """Events generated before this run."""
 
-    standby: SimulatedEngine | None = None
+    standby: CopyHolder | None = None
     """Engine to which the KV cache is copied after the prompt."""
 
     cached: int = 0
--- a/src/sapphireledge_experiment/model/plain_driver.py
+++ b/src/sapphireledge_experiment/model/plain_driver.py
@@ -11,8 +11,8 @@
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge_experiment.model.answer_receiver import AnswerReceiver
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
-    from sapphireledge_experiment.model.simulated_caller import SimulatedCaller
     from sapphireledge_experiment.model.simulated_instance import SimulatedInstance
 
 __all__ = ["PlainDriver"]
@@ -25,7 +25,7 @@
     """
 
     def __init__(
-        self, instance: SimulatedInstance, request: ModelledRequest, caller: SimulatedCaller
+        self, instance: SimulatedInstance, request: ModelledRequest, caller: AnswerReceiver
     ) -> None:
         """Begins the call.
 
--- a/src/sapphireledge_experiment/model/simulated_caller.py
+++ b/src/sapphireledge_experiment/model/simulated_caller.py
@@ -10,9 +10,10 @@
 from sapphireledge_experiment.model.stream_driver import StreamDriver
 
 if TYPE_CHECKING:
+    from sapphireledge_experiment.model.call_driver import CallDriver
+    from sapphireledge_experiment.model.instance_chooser import InstanceChooser
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
     from sapphireledge_experiment.model.simulated_instance import SimulatedInstance
-    from sapphireledge_experiment.model.world import World
 
 __all__ = ["SimulatedCaller"]
 
@@ -23,7 +24,7 @@
 class SimulatedCaller:
     """Caller of one request: calls another instance after a cut, and returns after a refusal."""
 
-    def __init__(self, world: World, request: ModelledRequest) -> None:
+    def __init__(self, world: InstanceChooser, request: ModelledRequest) -> None:
         """Makes the first call.
 
         Args:
@@ -33,14 +34,14 @@
         self._world = world
         self._clock = world.clock
         self._request = request
-        self._driver: StreamDriver | PlainDriver | None = None
+        self._driver: CallDriver | None = None
         self._delay = 0.0
         request.last_event_at = request.arrived
         self._clock.at(request.deadline, self._on_deadline)
         self._schedule_leaving()
         self._call()
 
-    def on_event(self, driver: StreamDriver | PlainDriver, at: float) -> None:
+    def on_event(self, driver: CallDriver, at: float) -> None:
         """Receives an event, or the response of a plain server.
 
         Args:
@@ -73,7 +74,7 @@
         """
         self._call_again(retry_after, Ending.FAILED if self._request.runs else Ending.REFUSED)
 
-    def on_cut(self, driver: StreamDriver | PlainDriver) -> None:
+    def on_cut(self, driver: CallDriver) -> None:
         """Notices that the connection broke or the outcome is unknown."""
         delay = self._world.caller_rng.uniform(*RETURN_DELAYS)
         self._call_again(delay, Ending.FAILED)
--- a/src/sapphireledge_experiment/model/simulated_engine.py
+++ b/src/sapphireledge_experiment/model/simulated_engine.py
@@ -9,7 +9,7 @@
 from sapphireledge.core.backpressure import ServerSignals
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Hashable
 
     from sapphireledge_experiment.model.engine_run import EngineRun
     from sapphireledge_experiment.model.virtual_clock import VirtualClock
@@ -87,7 +87,7 @@
         """Latest report: waiting, processing a prompt, running, free blocks."""
 
         self._clock = clock
-        self._copies: dict[EngineRun, int] = {}
+        self._copies: dict[Hashable, int] = {}
         self._kept: OrderedDict[int, EngineRun] = OrderedDict()
         self._prefixes: OrderedDict[int, int] = OrderedDict()
         self._numbers = count()
@@ -188,13 +188,13 @@
         self.is_silent = False
         self._start_step()
 
-    def release_copy(self, run: EngineRun) -> None:
+    def release_copy(self, run: Hashable) -> None:
         """Frees the memory of the copy of a run of another engine."""
         self.free_blocks += self._copies.pop(run, 0)
 
-    def _reserve_copy(self, run: EngineRun) -> bool:
+    def reserve_copy(self, run: Hashable, tokens: int) -> bool:
         """Takes memory for the copy of a run of another engine, if there is any."""
-        blocks = self._blocks_for(run.request.prompt_tokens + run.request.output_tokens)
+        blocks = self._blocks_for(tokens)
         if self.is_dead or self.is_silent or blocks > self.free_blocks:
             return False
         self.free_blocks -= blocks
@@ -284,7 +284,8 @@
             while len(self._prefixes) > self.cfg.cached_prefixes:
                 self._prefixes.popitem(last=False)
         standby = run.standby
-        if standby is not None and run.copied_at is None and standby._reserve_copy(run):
+        tokens = request.prompt_tokens + request.output_tokens
+        if standby is not None and run.copied_at is None and standby.reserve_copy(run, tokens):
             run.copied_at = self._clock.now + run.context / self.cfg.copy_rate
 
     def _generate(self, run: EngineRun) -> None:
--- a/src/sapphireledge_experiment/model/simulated_instance.py
+++ b/src/sapphireledge_experiment/model/simulated_instance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from random import Random
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from sapphireledge.core.placement import FirstEventEstimator, GenerationEstimator, PlacementRule
 from sapphireledge.gateway.backend_registry import BackendRegistry
@@ -14,9 +14,11 @@
 from sapphireledge_experiment.model.stream_queue import StreamQueue
 
 if TYPE_CHECKING:
+    from collections.abc import Hashable
+
     from sapphireledge.core.backpressure import ServerSignals
-    from sapphireledge_experiment.model.engine_placer import EnginePlacer
-    from sapphireledge_experiment.model.world import World
+    from sapphireledge_experiment.model.call_driver import CallDriver
+    from sapphireledge_experiment.model.model_context import ModelContext
 
 __all__ = ["ENGINES", "PLAIN_SERVERS", "SimulatedInstance"]
 
@@ -30,17 +32,10 @@
 """Seconds for which resumes to one engine are counted."""
 
 
-class Driver(Protocol):
-    """Work of an instance on one call."""
-
-    def on_instance_died(self) -> None:
-        """Ends the work without another word to the caller."""
-
-
 class SimulatedInstance:
     """One incarnation of an entry instance: its registry, allowances, estimates and calls."""
 
-    def __init__(self, world: World, name: str, data_centre: int) -> None:
+    def __init__(self, world: ModelContext, name: str, data_centre: int) -> None:
         """Starts an instance that knows the servers that the directory lists now.
 
         Args:
@@ -81,10 +76,10 @@
         self.queue = StreamQueue(self) if world.policy.rank_scheduler else None
         """Order of the streams by the rank scheduler, None if the placement rule decides."""
 
-        self.drivers: dict[Driver, None] = {}
+        self.drivers: dict[CallDriver, None] = {}
         """Calls in progress, in order of arrival."""
 
-        self.waiting_due: dict[EnginePlacer, float] = {}
+        self.waiting_due: dict[Hashable, float] = {}
         """Streams that wait for an engine, with the time at which each is due."""
 
         self._dispatches: list[tuple[float, str]] = []
--- a/src/sapphireledge_experiment/model/stream_driver.py
+++ b/src/sapphireledge_experiment/model/stream_driver.py
@@ -18,8 +18,8 @@
     from collections.abc import Callable
 
     from sapphireledge.core.quarantine import ClearVerdict, IsolateVerdict
+    from sapphireledge_experiment.model.answer_receiver import AnswerReceiver
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
-    from sapphireledge_experiment.model.simulated_caller import SimulatedCaller
     from sapphireledge_experiment.model.simulated_engine import SimulatedEngine
     from sapphireledge_experiment.model.simulated_instance import SimulatedInstance
     from sapphireledge_experiment.model.start_order import StartOrder
@@ -34,7 +34,7 @@
     """
 
     def __init__(
-        self, instance: SimulatedInstance, request: ModelledRequest, caller: SimulatedCaller
+        self, instance: SimulatedInstance, request: ModelledRequest, caller: AnswerReceiver
     ) -> None:
         """Begins the call.
 
--- a/src/sapphireledge_experiment/model/stream_queue.py
+++ b/src/sapphireledge_experiment/model/stream_queue.py
@@ -21,7 +21,7 @@
     from collections.abc import Callable
 
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
-    from sapphireledge_experiment.model.simulated_instance import SimulatedInstance
+    from sapphireledge_experiment.model.queue_owner import QueueOwner
 
 __all__ = ["StreamQueue"]
 
@@ -32,7 +32,7 @@
     The order of the steps is that of `BackendPool`; each decision is the one that it calls.
     """
 
-    def __init__(self, instance: SimulatedInstance) -> None:
+    def __init__(self, instance: QueueOwner) -> None:
         """Creates an empty queue.
 
         Args:
@@ -132,7 +132,7 @@
         return Capacity(free, total)
 
 
-def _list_ranks(instance: SimulatedInstance) -> dict[str, Rank]:
+def _list_ranks(instance: QueueOwner) -> dict[str, Rank]:
     """Declares the ranks of the kinds of streams; all of them accept late answers."""
     kinds = [kind for kind in instance.world.experiment.kinds if kind.is_stream]
     return {
--- a/src/sapphireledge_experiment/model/trouble_maker.py
+++ b/src/sapphireledge_experiment/model/trouble_maker.py
@@ -13,8 +13,8 @@
     from collections.abc import Callable
     from typing import Any
 
+    from sapphireledge_experiment.model.machine_places import MachinePlaces
     from sapphireledge_experiment.model.simulated_engine import SimulatedEngine
-    from sapphireledge_experiment.model.world import World
     from sapphireledge_experiment.settings import Trouble
 
 __all__ = ["TroubleMaker"]
@@ -23,7 +23,7 @@
 class TroubleMaker:
     """Draws the machines that each trouble hits, and changes them."""
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: MachinePlaces) -> None:
         """Creates the troubles of a world.
 
         Args:
--- a/src/sapphireledge_experiment/model/world.py
+++ b/src/sapphireledge_experiment/model/world.py
@@ -25,7 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from sapphireledge_experiment.model.crash_watch import CrashWatch
     from sapphireledge_experiment.model.engine_run import EngineRun
     from sapphireledge_experiment.model.modelled_request import ModelledRequest
     from sapphireledge_experiment.settings import Experiment, Policy, RequestKind
@@ -213,7 +212,7 @@
         usual = self.experiment.fleet.instance_restart_time
         self.clock.after(usual if restart_time is None else restart_time, restart)
 
-    def share_crash_report(self, sender: CrashWatch, news: CrashReport) -> None:
+    def share_crash_report(self, sender: object, news: CrashReport) -> None:
         """Puts deaths and clearings on record and lets the other instances know after a delay."""
         oldest = self.clock.now - self.policy.quarantine.retention
         self.crash_report = self.crash_report.merge(news, oldest)
