Quarantine of scopes: evidence from whole losses, mean presence, trials of refused scopes

Deaths within 0.1 s of each other count as one possible loss of servers for 5 s, compared with servers that ran any request. Servers that died one after the other also restart one after the other, with callers waiting, so bad requests end them within 0.1 s again and nothing counted in full. Where the service has no server left that could have been lost unseen, nothing is unknown. The death records say how many servers ran; the verdict is also reached if it holds with all servers lost that were left. 2. The presence of a scope was the highest of all instances' estimates. Callers are spread unevenly, so instances with many of them are too high by half; the mean of the reporters counts now. 3. A scope was refused for 2 minutes whether or not its callers went on. Trials begin 20 s after its last death: 1 in 4,096 requests, doubled every 2 s, ended by the first death. At most one trial, and only with at most one death later than 4 s after the third, so that a request with the fault is sent at most three times after it is known.

--- a/src/sapphireledge/core/membership/death_notice.py
+++ b/src/sapphireledge/core/membership/death_notice.py
@@ -41,3 +41,6 @@
 
     presence: tuple[tuple[str, float], ...] = ()
     """Share of time in which any server of the service ran a request of each of the `scopes`."""
+
+    servers: int = 0
+    """Servers of the service that were not known to have died before; 0 if unknown."""
--- a/src/sapphireledge/core/quarantine/death_record.py
+++ b/src/sapphireledge/core/quarantine/death_record.py
@@ -47,7 +47,17 @@
 
     presence: dict[str, float] = msgspec.field(default_factory=dict)
     """Share of time, from 0 to 1, in which any server of the service ran a request of each of the
-    `scopes` before the death."""
+    `scopes` before the death; the highest estimate of the reporting instances."""
+
+    servers: int = 0
+    """Servers of the service that were not known to have died before, this one included; 0 if
+    unknown."""
+
+    load_estimates: tuple[float, ...] = ()
+    """Estimates of `load` by the reporting instances, if they differ."""
+
+    presence_estimates: dict[str, tuple[float, ...]] = msgspec.field(default_factory=dict)
+    """Estimates of `presence` by the reporting instances, if they differ."""
 
     @property
     def key(self) -> tuple[str, str]:
@@ -68,6 +78,25 @@
         """Ids of the prompt parts that may have caused the death."""
         return frozenset(part for parts in self.begun.values() for part in parts)
 
+    @property
+    def mean_load(self) -> float:
+        """Mean of the estimates of `load`.
+
+        Callers are spread over the instances unevenly, so the highest estimate is too high.
+        """
+        return _mean(self._all_loads or (0.0,))
+
+    def mean_presence(self, scope: str) -> float:
+        """Averages the estimates of the presence of a scope.
+
+        Args:
+            scope: The scope.
+
+        Returns:
+            The mean, 0 if the scope was not on the server.
+        """
+        return _mean(self._estimates_of(scope) or (0.0,))
+
     def merge(self, other: DeathRecord) -> DeathRecord:
         """Merges two reports of the same death.
 
@@ -94,8 +123,30 @@
                 scope: max(self.presence.get(scope, 0.0), other.presence.get(scope, 0.0))
                 for scope in sorted({*self.presence, *other.presence})
             },
+            servers=max(self.servers, other.servers),
+            load_estimates=_differing((*self._all_loads, *other._all_loads)),
+            presence_estimates={
+                scope: estimates
+                for scope in sorted({*self.presence, *other.presence})
+                if (
+                    estimates := _differing(
+                        (*self._estimates_of(scope), *other._estimates_of(scope))
+                    )
+                )
+            },
         )
 
+    @property
+    def _all_loads(self) -> tuple[float, ...]:
+        """Estimates of the load, none if the reporting instances had no requests there."""
+        return self.load_estimates or ((self.load,) if self.load else ())
+
+    def _estimates_of(self, scope: str) -> tuple[float, ...]:
+        """Returns the estimates of the presence of a scope."""
+        if scope not in self.presence:
+            return ()
+        return self.presence_estimates.get(scope, (self.presence[scope],))
+
     def encode(self) -> bytes:
         """Encodes the record for storage.
 
@@ -120,4 +171,14 @@
             return Failure(ErrorKind.INVALID_REQUEST, f"invalid death record: {exc}")
 
 
+def _differing(estimates: tuple[float, ...]) -> tuple[float, ...]:
+    """Returns the different estimates in ascending order, none if all are equal."""
+    found = tuple(sorted(set(estimates)))
+    return found if len(found) > 1 else ()
+
+
+def _mean(estimates: tuple[float, ...]) -> float:
+    return sum(estimates) / len(estimates)
+
+
 _DECODER = msgspec.json.Decoder(DeathRecord)
--- a/src/sapphireledge/core/quarantine/find_crashing_scopes.py
+++ b/src/sapphireledge/core/quarantine/find_crashing_scopes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import exp, log
+from math import exp, inf, log
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -12,11 +12,15 @@
     from sapphireledge.core.quarantine.death_record import DeathRecord
     from sapphireledge.core.quarantine.quarantine_limits import QuarantineLimits
 
-__all__ = ["SETTLE_TIME", "find_crashing_scopes"]
+__all__ = ["REPORT_TIME", "SETTLE_TIME", "find_crashing_scopes"]
 
 SETTLE_TIME = 5.0
 """Seconds after a death until the end of other servers, which ran no request, is known as well."""
 
+REPORT_TIME = 0.6
+"""Seconds after a death until the reports of all instances that had requests on the server are
+known. Until then, requests of other scopes may be missing from its record."""
+
 LOSS_TIME = 0.1
 """Seconds between deaths that may be one loss of several servers; instances notice the deaths of
 servers that are lost together within that time."""
@@ -34,30 +38,55 @@
 them. It is low because the chance is looked at again and again, for each of many scopes."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """Deaths that followed each other so soon that they may have a cause in common."""
+
+    seen: int
+    """Number of the deaths."""
+
+    servers: int
+    """Servers that ran before the first of them; 0 if unknown."""
+
+    first: int
+    """Number of the first of them among the deaths of the service."""
+
+    def count_unseen(self) -> float:
+        """Counts the servers that may have been lost as well, without requests."""
+        return max(0, self.servers - self.seen) if self.servers else inf
+
+
 @dataclass(slots=True)
 class _Candidate:
     """A scope and the deaths that may be due to it, with the chance that each meets it."""
 
     scope: str
     deaths: dict[int, DeathRecord] = field(default_factory=dict)
+    shares: dict[int, float] = field(default_factory=dict)
     chances: dict[int, float] = field(default_factory=dict)
+    losses: dict[int, _Loss] = field(default_factory=dict)
 
-    def add(self, index: int, death: DeathRecord, *, in_loss: bool) -> None:
+    def add(self, index: int, death: DeathRecord, loss: _Loss | None) -> None:
         """Adds a death.
 
-        How many servers without requests were lost with others is not known at once. Until then,
-        the death of one of them is compared with those of other servers that ran requests.
+        Args:
+            index: Number of the death among those of the service.
+            death: The death.
+            loss: Loss of several servers of which it may be part, if that is not known completely.
         """
-        share = death.presence.get(self.scope, 0.0)
-        if in_loss:
-            share /= max(death.load, MIN_PRESENCE)
+        share = death.mean_presence(self.scope)
         self.deaths[index] = death
-        self.chances[index] = min(1.0, max(MIN_PRESENCE, share))
+        self.shares[index] = min(1.0, max(MIN_PRESENCE, share))
+        self.chances[index] = self.shares[index]
+        if loss is not None:
+            share /= max(death.mean_load, MIN_PRESENCE)
+            self.chances[index] = min(1.0, max(MIN_PRESENCE, share))
+            self.losses[index] = loss
 
     def remove(self, index: int) -> None:
         """Removes a death that has another cause."""
-        self.deaths.pop(index, None)
-        self.chances.pop(index, None)
+        for found in (self.deaths, self.shares, self.chances, self.losses):
+            found.pop(index, None)
 
     @property
     def chance(self) -> float:
@@ -77,30 +106,56 @@
                 by_request[fingerprint] = by_request.get(fingerprint, 0) + 1
         return len(self.deaths) - max(by_request.values())
 
-    def is_cause(self, deaths: Sequence[DeathRecord], explained: set[int]) -> bool:
+    def is_cause(
+        self, deaths: Sequence[DeathRecord], explained: set[int], reported_until: float
+    ) -> bool:
         """Whether the requests of the scope met far more deaths than by chance.
 
+        How many servers without requests were lost together with others is not known at once. Until
+        then, the deaths are compared with those of other servers that ran requests. The verdict
+        also holds if it does with all servers lost that the service had left.
+
+        Later deaths that did not meet the scope count only when all instances have reported them.
+        Otherwise, the first report of a death would withdraw a verdict that the next one restores.
+
         Args:
             deaths: All deaths of the service.
             explained: Deaths that other scopes caused, by their index.
+            reported_until: Time in Unix seconds up to which all reports are known.
 
         Returns:
             Whether deaths are attributed to the scope.
         """
         if self.count_other_deaths() < MIN_OTHER_DEATHS:
             return False
-        last = deaths[max(self.deaths)].time_unix + SETTLE_TIME
-        total = sum(
+        total = self._count_deaths(deaths, explained, reported_until)
+        if _bound_chance(len(self.deaths), total, self.chance) <= MAX_CHANCE:
+            return True
+        if not self.losses:
+            return False
+        unseen = sum(loss.count_unseen() for loss in set(self.losses.values()))
+        share = sum(self.shares.values()) / len(self.shares)
+        return _bound_chance(len(self.deaths), total + unseen, share) <= MAX_CHANCE
+
+    def _count_deaths(
+        self, deaths: Sequence[DeathRecord], explained: set[int], reported_until: float
+    ) -> int:
+        """Counts the deaths since the first one of the scope that it may have caused or not."""
+        first, latest = min(self.deaths), max(self.deaths)
+        last = deaths[latest].time_unix + SETTLE_TIME
+        return sum(
             1
-            for index in range(min(self.deaths), len(deaths))
-            if deaths[index].time_unix <= last and index not in explained
+            for index, death in enumerate(deaths)
+            if index >= first
+            and index not in explained
+            and death.time_unix <= last
+            and (index <= latest or _is_reported(death, reported_until))
         )
-        return _bound_chance(len(self.deaths), total, self.chance) <= MAX_CHANCE
 
 
 def find_crashing_scopes(
     deaths: Sequence[DeathRecord],
-    settled_until: float,
+    now_unix: float,
     lifted_at: Callable[[str], float],
     cfg: QuarantineLimits,
 ) -> frozenset[str]:
@@ -112,7 +167,7 @@
 
     Args:
         deaths: Deaths in chronological order that no part of a prompt explains.
-        settled_until: Time in Unix seconds up to which all deaths are known.
+        now_unix: Time in Unix seconds.
         lifted_at: Returns the time in Unix seconds up to which deaths do not count against a scope.
         cfg: Limits of the quarantine.
 
@@ -122,24 +177,25 @@
     crashing: set[str] = set()
     for service in {death.service for death in deaths if death.scopes}:
         local = [death for death in deaths if death.service == service]
-        crashing |= _find_in_service(local, settled_until, lifted_at, cfg)
+        crashing |= _find_in_service(local, now_unix, lifted_at, cfg)
     return frozenset(crashing)
 
 
 def _find_in_service(
     deaths: Sequence[DeathRecord],
-    settled_until: float,
+    now_unix: float,
     lifted_at: Callable[[str], float],
     cfg: QuarantineLimits,
 ) -> set[str]:
     """Finds the scopes that crash the servers of one service."""
     candidates: dict[str, _Candidate] = {}
     for index, death in enumerate(deaths):
-        in_loss = death.time_unix > settled_until and _is_in_loss(deaths, index)
+        is_settled = death.time_unix <= now_unix - SETTLE_TIME
+        loss = None if is_settled else _find_loss(deaths, index)
         for scope in death.scopes:
             if death.time_unix > lifted_at(scope):
                 candidate = candidates.setdefault(scope, _Candidate(scope))
-                candidate.add(index, death, in_loss=in_loss)
+                candidate.add(index, death, loss)
     remaining = list(candidates.values())
     explained: set[int] = set()
     crashing: set[str] = set()
@@ -149,7 +205,7 @@
             return crashing
         best = max(remaining, key=lambda candidate: candidate.order)
         remaining.remove(best)
-        if not best.is_cause(deaths, explained):
+        if not best.is_cause(deaths, explained, now_unix - REPORT_TIME):
             continue
         crashing.add(best.scope)
         explained.update(best.deaths)
@@ -158,16 +214,41 @@
                 other.remove(index)
 
 
-def _is_in_loss(deaths: Sequence[DeathRecord], index: int) -> bool:
-    """Whether a server may have been lost together with the one that died before or after it.
+def _is_reported(death: DeathRecord, reported_until: float) -> bool:
+    """Whether all instances with requests on a server that died have reported its death.
+
+    Instances see the end of a server without requests only after they had the time to do so.
+    """
+    return not death.suspects or death.time_unix <= reported_until
+
+
+def _find_loss(deaths: Sequence[DeathRecord], index: int) -> _Loss | None:
+    """Finds the deaths that may be one loss of several servers with a given one.
+
+    Args:
+        deaths: All deaths of the service.
+        index: Number of the given one.
+
+    Returns:
+        The loss, None if no other death was so close.
+    """
+    first = last = index
+    while first > 0 and _may_be_lost_together(deaths[first - 1], deaths[first]):
+        first -= 1
+    while last + 1 < len(deaths) and _may_be_lost_together(deaths[last], deaths[last + 1]):
+        last += 1
+    if first == last:
+        return None
+    return _Loss(last - first + 1, deaths[first].servers, first)
+
+
+def _may_be_lost_together(death: DeathRecord, later: DeathRecord) -> bool:
+    """Whether two servers that died one after the other may have been lost together.
 
     A request that was on both was sent to the second one after the first had died.
     """
-    death = deaths[index]
-    return any(
-        abs(death.time_unix - other.time_unix) <= LOSS_TIME
-        and death.begun.keys().isdisjoint(other.begun)
-        for other in (*deaths[max(0, index - 1) : index], *deaths[index + 1 : index + 2])
+    return later.time_unix - death.time_unix <= LOSS_TIME and death.begun.keys().isdisjoint(
+        later.begun
     )
 
 
--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -4,16 +4,25 @@
 
 from bisect import bisect_left, bisect_right, insort
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from sapphireledge.core.quarantine.clear_verdict import ClearVerdict
 from sapphireledge.core.quarantine.clearing_record import ClearingRecord
 from sapphireledge.core.quarantine.death_record import DeathRecord
 from sapphireledge.core.quarantine.draw_trial import trial_share
 from sapphireledge.core.quarantine.find_crashing_parts import SOUND_TIME, find_crashing_parts
-from sapphireledge.core.quarantine.find_crashing_scopes import SETTLE_TIME, find_crashing_scopes
+from sapphireledge.core.quarantine.find_crashing_scopes import (
+    REPORT_TIME,
+    SETTLE_TIME,
+    find_crashing_scopes,
+)
 from sapphireledge.core.quarantine.is_in_burst import is_in_burst
 from sapphireledge.core.quarantine.isolate_verdict import IsolateVerdict
+from sapphireledge.core.quarantine.scope_trial import (
+    TRIAL_TIME,
+    find_trial_start,
+    scope_trial_share,
+)
 from sapphireledge.core.quarantine.suspect_state import SuspectState
 from sapphireledge.errors import ErrorKind, Failure
 
@@ -33,6 +42,9 @@
 HELD_RETRY_AFTER = 5.0
 """Retry-After in seconds for a request that is held back because it may crash servers."""
 
+MIN_RETRY_AFTER = 1.0
+"""Shortest Retry-After in seconds of a request that is refused by its scope."""
+
 MAX_SURVIVALS = 4_096
 """Prompt parts whose latest survival is remembered; the part that survived longest ago is forgotten
 first."""
@@ -45,6 +57,22 @@
 """Backend server and boot id of an engine incarnation that died."""
 
 
+class _Horizons(NamedTuple):
+    """Numbers of the deaths, in chronological order, that are too old for something."""
+
+    parts: int = 0
+    """Too old to count against prompt parts."""
+
+    scopes: int = 0
+    """Too old to count against scopes."""
+
+    settled: int = 0
+    """Too old to be part of a loss of servers that is not known completely."""
+
+    reported: int = 0
+    """Too old for reports of other instances to be missing."""
+
+
 class Quarantine:
     """Attributes engine deaths to requests and to the parts of prompts that requests share.
 
@@ -66,10 +94,9 @@
         self._survived_at: dict[str, float] = {}
         self._crashing_parts: frozenset[str] | None = frozenset()
         self._crashing_scopes: frozenset[str] | None = frozenset()
-        self._aged = 0
-        self._scope_aged = 0
-        self._settled = 0
-        self._settled_until = float("-inf")
+        self._trial_starts: dict[str, float] = {}
+        self._horizons = _Horizons()
+        self._now_unix = float("-inf")
         self._cleared_at: dict[str, float] = {}
         self._clear_order: deque[tuple[float, str]] = deque()
 
@@ -272,15 +299,15 @@
             fingerprint: Fingerprint of the request.
             parts: Ids of the parts of its prompt that other requests can share.
             scope: Scope of the request, empty if it has none.
-            draw: Result of `draw_trial` for the request; of those that are held back, the ones with
-                the lowest results are tried.
+            draw: Result of `draw_trial` for the request; of those that are held back or refused by
+                their scope, the ones with the lowest results are tried.
 
         Returns:
             A verdict, or a failure: request_condemned, or overloaded with the delay after which the
             latest deaths can be attributed or the request may be tried again. With either failure,
             nothing is run.
         """
-        failure = self._refuse_shared(now_unix, parts, scope)
+        failure = self._refuse_shared(now_unix, parts, scope, draw)
         if failure is not None:
             return failure
         if fingerprint not in self._by_fingerprint:
@@ -303,13 +330,19 @@
             return Failure(ErrorKind.OVERLOADED, reason, retry_after=HELD_RETRY_AFTER)
         return IsolateVerdict(len(deaths))
 
-    def _refuse_shared(self, now_unix: float, parts: Sequence[str], scope: str) -> Failure | None:
+    def _refuse_shared(
+        self, now_unix: float, parts: Sequence[str], scope: str, draw: float
+    ) -> Failure | None:
         """Refuses a request by what it has in common with others that crash servers."""
-        if scope and scope in self.crashing_scopes(now_unix):
+        if (
+            scope
+            and scope in self.crashing_scopes(now_unix)
+            and draw >= scope_trial_share(now_unix - self._trial_start(scope))
+        ):
             reason = f"servers die when they run requests of {scope}"
-            return Failure(
-                ErrorKind.REQUEST_CONDEMNED, reason, retry_after=self._cfg.scope_retention
-            )
+            accepted_at = self._trial_start(scope) + TRIAL_TIME
+            delay = min(self._cfg.scope_retention, max(MIN_RETRY_AFTER, accepted_at - now_unix))
+            return Failure(ErrorKind.REQUEST_CONDEMNED, reason, retry_after=delay)
         if self._by_part and parts:
             crashing = self.crashing_parts(now_unix)
             part = next((part for part in parts if part in crashing), None)
@@ -353,14 +386,13 @@
         for _, key in self._by_time[:end]:
             self._remove_record(key)
         del self._by_time[:end]
-        horizon = now_unix - self._cfg.part_retention
-        aged = bisect_right(self._by_time, horizon, key=lambda item: item[0])
-        horizon = now_unix - self._cfg.scope_retention
-        scope_aged = bisect_right(self._by_time, horizon, key=lambda item: item[0])
-        self._settled_until = now_unix - SETTLE_TIME
-        settled = bisect_right(self._by_time, self._settled_until, key=lambda item: item[0])
-        if (aged, scope_aged, settled) != (self._aged, self._scope_aged, self._settled):
-            self._aged, self._scope_aged, self._settled = aged, scope_aged, settled
+        ages = (self._cfg.part_retention, self._cfg.scope_retention, SETTLE_TIME, REPORT_TIME)
+        horizons = _Horizons(
+            *(bisect_right(self._by_time, now_unix - age, key=lambda item: item[0]) for age in ages)
+        )
+        self._now_unix = now_unix
+        if horizons != self._horizons:
+            self._horizons = horizons
             self._forget_results()
         while self._clear_order and self._clear_order[0][0] <= oldest:
             time_unix, fingerprint = self._clear_order.popleft()
@@ -380,17 +412,31 @@
         """Forgets what deaths are attributed to, because the state has changed."""
         self._crashing_parts = None
         self._crashing_scopes = None
+        self._trial_starts = {}
 
     def _find_crashing_scopes(self) -> frozenset[str]:
         """Returns the scopes that crash servers; the result is kept until the state changes."""
         if self._crashing_scopes is None:
             parts = self._find_crashing_parts()
-            deaths = [r for r in self.records()[self._scope_aged :] if parts.isdisjoint(r.parts)]
+            deaths = [
+                r for r in self.records()[self._horizons.scopes :] if parts.isdisjoint(r.parts)
+            ]
             self._crashing_scopes = find_crashing_scopes(
-                deaths, self._settled_until, self._lifted_at, self._cfg
+                deaths, self._now_unix, self._lifted_at, self._cfg
             )
         return self._crashing_scopes
 
+    def _trial_start(self, scope: str) -> float:
+        """Returns the time from which requests of a scope that crashes servers are tried again."""
+        start = self._trial_starts.get(scope)
+        if start is None:
+            lifted = self._lifted_at(scope)
+            deaths = self.records()[self._horizons.scopes :]
+            times = [r.time_unix for r in deaths if scope in r.scopes and r.time_unix > lifted]
+            found = find_trial_start(times)
+            start = self._trial_starts[scope] = float("inf") if found is None else found
+        return start
+
     def _lifted_at(self, scope: str) -> float:
         """Returns the time up to which deaths do not count against a scope."""
         return self._cleared_at.get(SCOPE_PREFIX + scope, float("-inf"))
@@ -398,7 +444,7 @@
     def _find_crashing_parts(self) -> frozenset[str]:
         """Returns the parts that crash engines; the result is kept until the state changes."""
         if self._crashing_parts is None:
-            deaths = [r for r in self.records()[self._aged :] if r.suspects]
+            deaths = [r for r in self.records()[self._horizons.parts :] if r.suspects]
             self._crashing_parts = find_crashing_parts(deaths, self._sound_at, self._cfg)
         return self._crashing_parts
 
@@ -510,7 +556,7 @@
 
     def _scope_state(self, scope: str) -> SuspectState:
         """Returns the state of a scope that crashes servers."""
-        deaths = [r for r in self.records()[self._scope_aged :] if scope in r.scopes]
+        deaths = [r for r in self.records()[self._horizons.scopes :] if scope in r.scopes]
         backends = tuple(r.backend for r in deaths)
         name = SCOPE_PREFIX + scope
         return SuspectState(name, len(deaths), "condemned", deaths[0].time_unix, backends)
--- a/src/sapphireledge/core/quarantine/running_requests.py
+++ b/src/sapphireledge/core/quarantine/running_requests.py
@@ -244,4 +244,5 @@
             load=self._presence.estimate(now, size.service, size),
             scopes={scope: tuple(sorted(names)) for scope, names in sorted(scopes.items())},
             presence={scope: self._presence.estimate(now, scope, size) for scope in sorted(scopes)},
+            servers=size.servers,
         )
--- a/src/sapphireledge/entry/suspect_exchange.py
+++ b/src/sapphireledge/entry/suspect_exchange.py
@@ -89,6 +89,7 @@
                 record.load,
                 tuple(sorted(record.scopes.items())),
                 tuple(sorted(record.presence.items())),
+                record.servers,
             )
         )
         self._spawn(self._write_death(record))
@@ -164,6 +165,7 @@
                 death.load,
                 dict(death.scopes),
                 dict(death.presence),
+                death.servers,
             )
             self._quarantine.on_engine_death(time.time(), record)
         self.report_survival()
--- a/src/sapphireledge/peers/_private.py
+++ b/src/sapphireledge/peers/_private.py
@@ -99,6 +99,7 @@
                 death.load or 0.0,
                 tuple(sorted((name, tuple(ids)) for name, ids in (death.scopes or {}).items())),
                 tuple(sorted((death.presence or {}).items())),
+                death.servers or 0,
             )
             for death in heartbeat.deaths
         ),
@@ -126,6 +127,7 @@
         death.load,
         {name: list(fingerprints) for name, fingerprints in death.scopes},
         dict(death.presence),
+        death.servers,
     )
 
 
--- a/src/sapphireledge/schema/peer.thrift
+++ b/src/sapphireledge/schema/peer.thrift
@@ -34,6 +34,7 @@
   9: map<string, list<string>> scopes    // route and workspace of those in begun that have no parts,
                                          // each with their fingerprints
   10: map<string, double> presence       // share of time in which a server ran requests of each scope
+  11: i32 servers           // servers of the service that were not known to have died before
 }
 
 // Clears a suspected request: its deaths up to time_unix no longer count.
