Quarantine of scopes: a long series of deaths may hide servers that started meanwhile

Cause: the loss of several servers was taken as known completely if as many had died as ran at its beginning; in a series longer than a restart, servers that started since may have been lost too. Change: that holds only for losses shorter than 1 s; the walk along the series is bounded as well. Test: test_servers_that_start_during_a_long_series_of_deaths_may_be_lost_unseen failed before.

--- a/src/sapphireledge/core/quarantine/find_crashing_scopes.py
+++ b/src/sapphireledge/core/quarantine/find_crashing_scopes.py
@@ -25,6 +25,10 @@
 """Seconds between deaths that may be one loss of several servers; instances notice the deaths of
 servers that are lost together within that time."""
 
+START_TIME = 1.0
+"""Seconds within which no server that was lost is back. In a longer series of deaths, the servers
+that ran at its beginning are not all that may have been lost."""
+
 MIN_OTHER_DEATHS = 2
 """Deaths of a scope that must remain without those of any one request; that request is the cause
 otherwise."""
@@ -233,13 +237,20 @@
         The loss, None if no other death was so close.
     """
     first = last = index
+    earliest = deaths[index].time_unix - START_TIME
+    latest = deaths[index].time_unix + START_TIME
     while first > 0 and _may_be_lost_together(deaths[first - 1], deaths[first]):
         first -= 1
+        if deaths[first].time_unix < earliest:
+            break
     while last + 1 < len(deaths) and _may_be_lost_together(deaths[last], deaths[last + 1]):
         last += 1
+        if deaths[last].time_unix > latest:
+            break
     if first == last:
         return None
-    return _Loss(last - first + 1, deaths[first].servers, first)
+    is_short = deaths[last].time_unix - deaths[first].time_unix < START_TIME
+    return _Loss(last - first + 1, deaths[first].servers if is_short else 0, first)
 
 
 def _may_be_lost_together(death: DeathRecord, later: DeathRecord) -> bool:
--- a/tests/test_crashing_scopes.py
+++ b/tests/test_crashing_scopes.py
@@ -226,6 +226,11 @@
             self.add(*(msgspec.structs.replace(record, servers=servers) for record in deaths))
             self.assertEqual(self.judge(now, "r/a"), ClearVerdict())
 
+    def test_servers_that_start_during_a_long_series_of_deaths_may_be_lost_unseen(self):
+        deaths = [death(i, START + 0.09 * i, 0.2, **{"r/a": (f"q{i}",)}) for i in range(14)]
+        now = self.add(*(msgspec.structs.replace(record, servers=14) for record in deaths))
+        self.assertEqual(self.judge(now, "r/a"), ClearVerdict())
+
     def test_servers_that_died_without_requests_count(self):
         """Guards against judging by those deaths only that requests have noticed."""
         idle = [DeathRecord(f"idle-{i}", "b", START + i, service="app") for i in range(20)]
