--- a/src/sapphireledge/core/quarantine/find_crashing_scopes.py
+++ b/src/sapphireledge/core/quarantine/find_crashing_scopes.py
@@ -263,7 +263,7 @@
     )
 
 
-def _bound_chance(count: int, total: int, probability: float) -> float:
+def _bound_chance(count: int, total: float, probability: float) -> float:
     """Bounds the chance of at least `count` hits in `total` independent trials.
 
     Source: Chernoff bound of the binomial distribution.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -300,7 +300,7 @@
         entries = await self.start("a1", "a2", "a3", "b1", "b2", "b3")
         entries[0].local = replace(entries[0].local, leaving=("engine-9",))
         await self.wait_until(lambda: all(len(entry.mesh.peer_names) >= 2 for entry in entries))
-        death = DeathNotice("engine-1", "boot", 1.0, ("f1", "f2"))
+        death = DeathNotice("engine-1", "boot", 1.0, ("f1", "f2"), servers=3)
         entries[0].mesh.report_death(death)
         for entry in entries:
             local = {name for name in self.fleet if name[0] == entry.name[0]} - {entry.name}
