--- a/src/sapphireledge/core/quarantine/find_crashing_scopes.py
+++ b/src/sapphireledge/core/quarantine/find_crashing_scopes.py
@@ -214,7 +214,7 @@
         crashing.add(best.scope)
         explained.update(best.deaths)
         for other in remaining:
-            for index in best.deaths:
+            for index in best.deaths.keys() & other.deaths.keys():
                 other.remove(index)
 
 
