Quarantine: a death at the very end of the burst window is proof

Cause: a request may run again once a burst window has passed since its last death, but a death at that very instant was not proof (> where the wait ends at >=), so a fifth server died.

--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -492,12 +492,12 @@
         """Whether a death in isolation, or as it began to run, proves that a request is the cause.
 
         A request that is moved between the engines of a failing rack sees several deaths within one
-        burst window, all of which share it as a suspect. Only a death more than a burst window
+        burst window, all of which share it as a suspect. Only a death a whole burst window
         after the previous one is therefore proof; `verdict` makes the request wait until then.
         """
         first = self._cfg.condemn_after - 1
         return any(
-            death.time_unix - before.time_unix > self._cfg.burst_window
+            death.time_unix - before.time_unix >= self._cfg.burst_window
             and (self._ran_isolated(fingerprint, death) or self._began_alone(fingerprint, death))
             for before, death in zip(deaths[first - 1 :], deaths[first:], strict=False)
         )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from sapphireledge.core.quarantine import (
@@ -59,7 +59,8 @@
     """Guards against requests that keep crashing engines, and against rejecting innocent ones."""
 
     @settings(max_examples=200)
-    @given(st.integers(0, 2**32), st.floats(0.0, 0.5), st.floats(0.0, 5.0))
+    @example(seed=0, delay=0.2, pause=0.0)
+    @given(seed=st.integers(0, 2**32), delay=st.floats(0.0, 0.5), pause=st.floats(0.0, 5.0))
     def test_crashing_request_is_condemned_after_four_deaths(self, seed, delay, pause):
         """Guards against a crashing request that is retried through other entries without limit.
 
