Tests of crowds at the daemon's caller, peer and operator addresses

The limits on callers bind the program of the users' machines only. Bounds: 128 MiB, 15/16 of the descriptors, the process lives, ordinary requests at all addresses are answered afterwards.

--- a/tests/caller_crowd.py
+++ b/tests/caller_crowd.py
@@ -11,10 +11,12 @@
 import socket
 
 import msgspec
+import uuid6
 
 KEY_FIELD = b"authorization: Token k1"
 HOST_FIELD = b"host: svc.example\r\n"
 LEGAL_BODY = 4_194_304
+MEBIBYTE = 1_048_576
 HEAD_FIELD_BYTES = 15_000
 SHORT_FIELDS = b"a:\r\n" * (HEAD_FIELD_BYTES // 4)
 MISSING = 5
@@ -95,6 +97,47 @@
     await send(sock, chunk[:-MISSING])
 
 
+# The daemon permits bodies of a mebibyte.
+
+
+def new_key():
+    """Returns a new idempotency key."""
+    return str(uuid6.uuid7()).encode()
+
+
+def keyed_head(target, *fields):
+    return head(target, b"idempotency-key: " + new_key(), *fields) + b"\r\n"
+
+
+async def mebibyte_in_one_piece(sock, target):
+    await send(sock, keyed_head(target, b"content-length: %d" % MEBIBYTE))
+    await send(sock, bytes(MEBIBYTE - MISSING))
+
+
+async def mebibyte_in_small_pieces(sock, target):
+    await send(sock, keyed_head(target, b"content-length: %d" % MEBIBYTE))
+    for _ in range(MEBIBYTE // PIECE - 1):
+        await send(sock, bytes(PIECE))
+        await asyncio.sleep(0)
+    await send(sock, bytes(PIECE - MISSING))
+
+
+async def mebibyte_in_chunks(sock, target):
+    await send(sock, keyed_head(target, b"transfer-encoding: chunked"))
+    chunk = b"%x\r\n" % PIECE + bytes(PIECE) + b"\r\n"
+    for _ in range(MEBIBYTE // PIECE - 1):
+        await send(sock, chunk)
+        await asyncio.sleep(0)
+    await send(sock, chunk[:-MISSING])
+
+
+async def json_of_short_fields(sock, target):
+    """Sends a whole generation request of a mebibyte with very many short fields."""
+    fields = ",".join(f'"{number:x}":{{}}' for number in range(95_000))
+    body = f'{{"model":"m","prompt":"x","max_tokens":1,{fields}}}'.encode()
+    await send(sock, head(target, b"content-length: %d" % len(body)) + b"\r\n" + body)
+
+
 async def body_over_the_limit(sock, target):
     await send(sock, head(target, b"content-length: %d" % (100 * LEGAL_BODY)) + b"\r\n")
     for _ in range(3):
--- a/tests/crowd_case.py
+++ b/tests/crowd_case.py
@@ -92,6 +92,22 @@
         """Starts the process and waits until it serves an ordinary request."""
         number = next(_addresses)
         self.host = f"127.{os.getpid() % 250 + 1}.{100 + number % 100}.1"
+        arguments, environment = self.write_settings()
+        sockets = self.max_fds - self.FILE_FDS
+        self.log = self.folder / f"log{number}"
+        with self.log.open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                env={**os.environ, **environment},
+                stdout=log,
+                stderr=log,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+            )
+        self.assertTrue(await self.is_served(START_TIME), "the process does not start")
+
+    def write_settings(self):
+        """Writes the settings file; returns the arguments and the environment of the process."""
         path = self.folder / "node.json"
         settings = {
             "node_name": "n1",
@@ -103,18 +119,19 @@
             "limits": {"memory_mb": self.memory_mb, "max_fds": self.max_fds},
         }
         path.write_text(json.dumps(settings))
-        sockets = self.max_fds - self.FILE_FDS
-        self.log = self.folder / f"log{number}"
-        with self.log.open("wb") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(PROGRAM),
-                env={**os.environ, "SAPPHIRELEDGE_NODE_FILE": str(path)},
-                stdout=log,
-                stderr=log,
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
-            )
-        self.assertTrue(await self.is_served(START_TIME), "the process does not start")
+        return [str(PROGRAM)], {"SAPPHIRELEDGE_NODE_FILE": str(path)}
+
+    def ordinary_requests(self):
+        """Lists the port, the bytes and a part of the response of each ordinary request."""
+        request = (
+            b"POST /plain/quick HTTP/1.1\r\nhost: svc.example\r\nauthorization: Token k1\r\n"
+            b"x-sapphireledge-request-id: ordinary%d\r\ncontent-length: 3\r\n\r\nabc"
+        )
+        probe = b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n"
+        return [
+            (FRONT_PORT, request % next(_addresses), b" 200 "),
+            (READY_PORT, probe, b" 200 "),
+        ]
 
     async def stop(self):
         """Kills the process."""
@@ -125,30 +142,26 @@
             self.process = None
 
     async def ask(self, port, data):
-        """Sends a request on a new connection; returns the status line, empty if there is none."""
+        """Sends a request on a new connection; returns the first line, empty if there is none."""
         try:
             async with asyncio.timeout(5.0):
                 reader, writer = await asyncio.open_connection(self.host, port)
                 try:
                     writer.write(data)
-                    return await reader.readline()
+                    return (await reader.read(1_024)).partition(b"\r\n")[0]
                 finally:
                     writer.transport.abort()
         except (OSError, TimeoutError):
             return b""
 
     async def is_served(self, patience=CALLER_PATIENCE):
-        """Whether an ordinary request and a readiness check are answered, in some attempt."""
+        """Whether all ordinary requests are answered, each in some attempt."""
         loop = asyncio.get_running_loop()
-        request = (
-            b"POST /plain/quick HTTP/1.1\r\nhost: svc.example\r\nauthorization: Token k1\r\n"
-            b"x-sapphireledge-request-id: ordinary%d\r\ncontent-length: 3\r\n\r\nabc"
-        )
-        probe = b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n"
-        asked = [(FRONT_PORT, request % next(_addresses)), (READY_PORT, probe)]
+        asked = self.ordinary_requests()
         end = loop.time() + patience
         while asked and loop.time() < end and self.process.returncode is None:
-            if b" 200 " in await self.ask(*asked[0]):
+            port, data, expected = asked[0]
+            if expected in await self.ask(port, data):
                 asked.pop(0)
             else:
                 await asyncio.sleep(0.1)
