Limits on connections to the daemon's caller, peer and operator addresses

Cause: uvicorn and the Thrift servers held what each connection may hold, for as many connections as came. A body stayed until it was complete, heads of thousands of fields were parsed at once, JSON was decoded without a limit on its objects, requests of callers that had left were kept for 60 s, and a message of 4 MB was buffered on each connection.

Change: the ledgers of limits/ now also bind entry/ and rpc/. CallerProtocol gives the parser whole heads and takes memory first; a request ahead stays unparsed; JSON is counted before it is decoded; strangers at the Thrift addresses have a ledger of their own; answers without readers share a quarter of the memory. New settings machine.memory (512 MiB) and machine.descriptors (limit of the process). Listeners accept 16 connections in a pass. A caller that leaves before its request is complete is no longer logged as an internal error.

Ruled out: limit_concurrency of uvicorn, which counts connections without their memory and refuses honest callers while idle ones stay.

--- a/src/sapphireledge/entry/answer_header.py
+++ b/src/sapphireledge/entry/answer_header.py
@@ -93,7 +93,7 @@
 
         Args:
             current: Request of the reconnecting caller; determines only whether the answer is
-                streamed, the resume position and the trace context.
+                streamed, the resume position, the trace context and the estimated memory.
 
         Returns:
             The original request with these fields of the current one.
@@ -112,4 +112,5 @@
             parts=fingerprint_parts(self.body),
             resume=current.resume,
             trace_headers=current.trace_headers,
+            memory=current.memory,
         )
--- a/src/sapphireledge/entry/answer_registry.py
+++ b/src/sapphireledge/entry/answer_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.answer import GenerationRequest, StoredPrefix
@@ -21,6 +22,9 @@
 
 __all__ = ["AnswerRegistry"]
 
+UNREAD_SHARE = 4
+"""Part of the machine's memory, as a divisor, that requests whose callers have left may take."""
+
 
 class AnswerRegistry:
     """Answers that this instance owns: running, ended, or abandoned by their callers."""
@@ -33,6 +37,9 @@
         """
         self._ctx = ctx
         self._runners: dict[str, AnswerRunner] = {}
+        self._unread: OrderedDict[str, int] = OrderedDict()
+        self._unread_bytes = 0
+        self._max_unread_bytes = ctx.cfg.machine.memory // UNREAD_SHARE
 
     @property
     def running(self) -> int:
@@ -107,6 +114,7 @@
             The runner to read from; a new one if the generation was resumed.
         """
         answer = runner.answer
+        self._unread_bytes -= self._unread.pop(answer.answer_id, 0)
         if answer.end is None and runner.machine.ended:
             runner = self.start(
                 runner.request,
@@ -129,6 +137,19 @@
         answer.readers -= 1
         if answer.readers <= 0 and answer.end is None and not runner.machine.ended:
             runner.suspend()
+        if answer.readers <= 0 and self._runners.get(answer.answer_id) is runner:
+            self._keep_unread(runner)
+
+    def _keep_unread(self, runner: AnswerRunner) -> None:
+        """Keeps an answer without readers; the oldest give way if they take too much memory."""
+        answer_id = runner.answer.answer_id
+        self._unread_bytes -= self._unread.pop(answer_id, 0)
+        self._unread[answer_id] = runner.request.memory
+        self._unread_bytes += runner.request.memory
+        while self._unread_bytes > self._max_unread_bytes:
+            oldest, size = self._unread.popitem(last=False)
+            self._unread_bytes -= size
+            self._runners.pop(oldest, None)
 
     def expire(self, now: float) -> None:
         """Removes answers whose retention has expired.
@@ -141,6 +162,7 @@
             ended_at = runner.answer.ended_at
             if ended_at is not None and not runner.answer.readers and now - ended_at >= retention:
                 del self._runners[answer_id]
+                self._unread_bytes -= self._unread.pop(answer_id, 0)
 
     def _create_runner(
         self,
--- a/src/sapphireledge/entry/app.py
+++ b/src/sapphireledge/entry/app.py
@@ -9,12 +9,14 @@
 import msgspec
 import structlog
 from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect
 from starlette.responses import Response
 from starlette.routing import Route
 
 from sapphireledge.entry.answer_format import build_failure_headers, encode_failure
 from sapphireledge.entry.authenticate import authenticate, authorize_rank
 from sapphireledge.entry.generation_session import GenerationSession
+from sapphireledge.entry.json_memory import estimate_json_memory
 from sapphireledge.entry.parse_request import parse_request
 from sapphireledge.entry.service_session import ServiceSession
 from sapphireledge.errors import ErrorKind, Failure, Ran
@@ -34,6 +36,9 @@
 SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 """HTTP methods that are forwarded to plain services."""
 
+NO_MEMORY_RETRY_AFTER = 1.0
+"""Seconds after which a request for which no memory was left may be sent again."""
+
 
 def create_app(parts: EntryParts) -> Starlette:
     """Creates the ASGI application of the caller interface.
@@ -104,6 +109,8 @@
         data = await _read_body(request, self._parts.cfg.callers.max_body)
         if isinstance(data, Failure):
             return _create_error_response(data)
+        if not _reserve_json_memory(request, data):
+            return _create_error_response(_create_no_memory_failure())
         req = parse_request(request.headers, data, chat, workspace.name, self._parts.cfg.callers)
         if isinstance(req, Failure):
             return _create_error_response(req)
@@ -156,6 +163,9 @@
             return await work
         except asyncio.CancelledError:
             raise
+        except ClientDisconnect:
+            # Never sent: the caller has disconnected before its request was complete.
+            return Response(status_code=499)
         except Exception:
             self._log.exception(LogEvent.INTERNAL_ERROR, path=request.url.path)
             reason = "the instance failed"
@@ -202,6 +212,20 @@
     return bytes(data)
 
 
+def _reserve_json_memory(request: Request, data: bytes) -> bool:
+    """Takes memory for the values of a JSON body; returns whether there was any."""
+    connection = getattr(request.state, "connection", None)
+    if connection is None:
+        return True
+    return connection.try_reserve(estimate_json_memory(data))
+
+
+def _create_no_memory_failure() -> Failure:
+    """Creates the failure for a request for which no memory is left."""
+    reason = "no memory is left for requests"
+    return Failure(ErrorKind.OVERLOADED, reason, retry_after=NO_MEMORY_RETRY_AFTER)
+
+
 def _create_too_large_failure(limit: int) -> Failure:
     """Creates the failure for a request body that exceeds the limit."""
     return Failure(ErrorKind.TOO_LARGE, f"body: must be at most {limit} bytes")
--- a/src/sapphireledge/entry/caller_request.py
+++ b/src/sapphireledge/entry/caller_request.py
@@ -68,6 +68,9 @@
     trace_headers: tuple[tuple[str, str], ...] = ()
     """Trace context headers of the caller."""
 
+    memory: int = 0
+    """Estimated memory of the body in bytes."""
+
     @property
     def answer_id(self) -> str:
         """Fleet-wide key of the answer; equal request ids of different workspaces do not match.
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 import structlog
-import uvicorn
 
 from sapphireledge.backends import ConnectionPools
 from sapphireledge.core.admission import UsageLedger
@@ -25,10 +24,11 @@
 from sapphireledge.entry.app import create_app
 from sapphireledge.entry.backend_monitor import BackendMonitor
 from sapphireledge.entry.backend_pool import BackendPool
-from sapphireledge.entry.caller_protocol import CallerProtocol
+from sapphireledge.entry.caller_server import CallerServer
 from sapphireledge.entry.copy_store import CopyStore
 from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.engine_orders import EngineOrders
+from sapphireledge.entry.entry_limits import EntryLimits
 from sapphireledge.entry.entry_parts import EntryParts
 from sapphireledge.entry.housekeeping import Housekeeping
 from sapphireledge.entry.lifecycle import Lifecycle
@@ -38,6 +38,7 @@
 from sapphireledge.entry.suspect_exchange import SuspectExchange
 from sapphireledge.errors import Failure
 from sapphireledge.fleet import FleetController
+from sapphireledge.limits import QUEUE_LENGTH
 from sapphireledge.objects import (
     Instance,
     InstanceKind,
@@ -76,12 +77,6 @@
 READY_POLL_INTERVAL = 0.02
 """Seconds between checks for a configuration at startup."""
 
-KEEP_ALIVE_TIMEOUT = 30
-"""Seconds after which an idle caller connection is closed."""
-
-CLOSE_LIMIT = 1
-"""Seconds after a graceful shutdown's drain in which callers can still read the ends of answers."""
-
 
 class EntryServer:
     """An entry instance with all its components."""
@@ -108,6 +103,7 @@
     def _build_views(self, cfg: Settings) -> None:
         """Creates the state views and the clients of the platform."""
         self._metrics = Metrics(cfg)
+        self._limits = EntryLimits(cfg.machine, self._metrics)
         self._tracing = Tracing(cfg)
         self._store = ObjectClient(cfg, self._count_platform_call)
         self._config = ConfigState()
@@ -220,8 +216,10 @@
             cfg, self._events, self._store, self._mesh.incarnation, lambda: len(self._mesh.live)
         )
         self._peer_service = self._create_peer_service()
-        self._peer_server = PeerServer(cfg, self._mesh, self._peer_service)
-        self._operator_server = OperatorServer(cfg, self._collect_operator_parts())
+        self._peer_server = PeerServer(cfg, self._mesh, self._peer_service, self._limits.peers)
+        self._operator_server = OperatorServer(
+            cfg, self._collect_operator_parts(), self._limits.operators
+        )
         self._housekeeping = Housekeeping(
             self._ctx,
             self._store,
@@ -263,26 +261,11 @@
                 return failure
         return None
 
-    def _create_http_server(self) -> tuple[uvicorn.Server, socket.socket]:
+    def _create_http_server(self) -> tuple[CallerServer, socket.socket]:
         """Creates the HTTP server of the caller interface and its listening socket."""
         address = self._cfg.caller_address
-        sock = socket.create_server((address.host, address.port), backlog=2048)
-        config = uvicorn.Config(
-            create_app(self._parts),
-            loop="asyncio",
-            http=CallerProtocol,
-            ws="none",
-            lifespan="off",
-            access_log=False,
-            log_config=None,
-            timeout_keep_alive=KEEP_ALIVE_TIMEOUT,
-            timeout_graceful_shutdown=CLOSE_LIMIT,
-            h11_max_incomplete_event_size=self._cfg.callers.max_header,
-        )
-        server = uvicorn.Server(config)
-        # The daemon handles signals: uvicorn would close streams that must be completed during a
-        # graceful shutdown.
-        server.capture_signals = contextlib.nullcontext
+        sock = socket.create_server((address.host, address.port), backlog=QUEUE_LENGTH)
+        server = CallerServer(create_app(self._parts), self._cfg.callers, self._limits.callers)
         return server, sock
 
     def _start_background_tasks(self) -> None:
--- a/src/sapphireledge/entry/parse_request.py
+++ b/src/sapphireledge/entry/parse_request.py
@@ -10,6 +10,7 @@
 
 from sapphireledge.core.quarantine import fingerprint_parts, fingerprint_request
 from sapphireledge.entry.caller_request import CallerRequest, ResumePoint
+from sapphireledge.entry.json_memory import estimate_json_memory
 from sapphireledge.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
@@ -75,6 +76,7 @@
             trace_headers=tuple(
                 (name, headers[name]) for name in ("traceparent", "tracestate") if name in headers
             ),
+            memory=estimate_json_memory(data),
         )
     except _InvalidFieldError as exc:
         return Failure(ErrorKind.INVALID_REQUEST, str(exc))
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -9,14 +9,16 @@
 
 import h11
 
-from sapphireledge.gateway.head_scan import (
+from sapphireledge.gateway.head_scan import check_head, find_head
+from sapphireledge.gateway.malformed_request import MalformedRequest
+from sapphireledge.limits import (
     HEAD_END_OVERLAP,
-    check_head,
+    RESPONSE_BUDGET,
+    BufferShare,
+    LimitReason,
+    TimeSlice,
     estimate_head_memory,
-    find_head,
 )
-from sapphireledge.gateway.malformed_request import MalformedRequest
-from sapphireledge.limits import RESPONSE_BUDGET, BufferShare, LimitReason, TimeSlice
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
--- a/src/sapphireledge/gateway/head_scan.py
+++ b/src/sapphireledge/gateway/head_scan.py
@@ -2,32 +2,19 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING
 
 from sapphireledge.gateway.malformed_request import MalformedRequest
+from sapphireledge.limits import find_head_end
 
 if TYPE_CHECKING:
     import h11
 
-__all__ = ["FIELD_BYTES", "HEAD_END_OVERLAP", "check_head", "estimate_head_memory", "find_head"]
-
-FIELD_BYTES = 384
-"""Memory in bytes for each field of a head, beside the bytes of the head: its objects in the parsed
-request and in the request to a backend server."""
-
-HEAD_COPIES = 3
-"""Copies of the bytes of a head that a request holds."""
+__all__ = ["check_head", "find_head"]
 
 MAX_CONTROL = 0x20
 """Largest first byte that no request line can have; the parser rejects it without waiting."""
 
-HEAD_END_OVERLAP = 2
-"""Bytes before the end of a search that are searched again: the end of a head may begin there."""
-
-_HEAD_END = re.compile(rb"\n\r?\n")
-"""End of a head, as the parser recognises it."""
-
 
 def find_head(received: bytearray, searched: int, max_bytes: int) -> int:
     """Finds the end of a head that the parser can take.
@@ -44,28 +31,15 @@
     Raises:
         MalformedRequest: The head is too large.
     """
-    end = _HEAD_END.search(received, searched)
-    size = len(received) if end is None else end.end()
+    end = find_head_end(received, searched)
+    size = end or len(received)
     if size > max_bytes:
         raise MalformedRequest(431, "the request head is too large")
-    if end is None and not (received and received[0] <= MAX_CONTROL):
+    if not end and not (received and received[0] <= MAX_CONTROL):
         return 0
     return size
 
 
-def estimate_head_memory(size: int, fields: int) -> int:
-    """Estimates the memory that a head takes while its request is served.
-
-    Args:
-        size: Size of the head in bytes.
-        fields: Number of its lines.
-
-    Returns:
-        Memory in bytes.
-    """
-    return HEAD_COPIES * size + FIELD_BYTES * fields
-
-
 def check_head(head: h11.Request, max_body_bytes: int) -> None:
     """Rejects a request with a body that is too large, or with ambiguous framing or host.
 
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -10,9 +10,9 @@
 
 from sapphireledge.core.placement import StartStream, WaitForEngine
 from sapphireledge.gateway.gateway_event import GatewayEvent
-from sapphireledge.gateway.limit_log import LimitLog
 from sapphireledge.gateway.outcome import OutcomeKind
 from sapphireledge.gateway.rollout_telemetry import RolloutTelemetry
+from sapphireledge.limits import LimitLog
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping, Sequence
--- a/src/sapphireledge/gateway/text_endpoint.py
+++ b/src/sapphireledge/gateway/text_endpoint.py
@@ -11,8 +11,14 @@
 import structlog
 
 from sapphireledge.gateway.gateway_event import GatewayEvent
-from sapphireledge.gateway.limit_log import LimitLog
-from sapphireledge.limits import CallerBudgets, CallerLedger, TimeSlice, limit_reads, start_listener
+from sapphireledge.limits import (
+    CallerBudgets,
+    CallerLedger,
+    LimitLog,
+    TimeSlice,
+    limit_reads,
+    start_listener,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sapphireledge/limits/caller_budgets.py
+++ b/src/sapphireledge/limits/caller_budgets.py
@@ -12,6 +12,9 @@
 OWN_SOCKETS = 32
 """Sockets kept free for the store, the relay that this instance follows, listeners and pipes."""
 
+MAX_PEERS = 2_048
+"""Largest number of connections to the peer interface."""
+
 FOLLOWER_BYTES = 262_144
 """Memory of the machine in bytes for each follower that may be connected."""
 
@@ -83,6 +86,33 @@
             least_progress=self.least_progress,
         )
 
+    @property
+    def peers(self) -> LedgerLimits:
+        """Limits of the connections of other instances to the peer interface."""
+        by_memory = self.memory_bytes // 16 // CONNECTION_BYTES
+        return self._thrift(max(16, min(MAX_PEERS, self.sockets // 4, by_memory)))
+
+    @property
+    def operators(self) -> LedgerLimits:
+        """Limits of the connections of operators."""
+        return self._thrift(self.readiness.connections)
+
+    @property
+    def strangers(self) -> LedgerLimits:
+        """Limits of the connections to one Thrift interface that have not authenticated."""
+        return self._endpoint(self.readiness.connections)
+
+    def _thrift(self, connections: int) -> LedgerLimits:
+        """Builds the limits of authenticated connections, which may hold the largest message."""
+        messages = self.memory_bytes // 16
+        return LedgerLimits(
+            connections=connections,
+            total_bytes=connections * CONNECTION_BYTES + messages,
+            large_bytes=messages,
+            stall_time=self.stall_time,
+            least_progress=self.least_progress,
+        )
+
     def _endpoint(self, connections: int) -> LedgerLimits:
         """Builds the limits of an endpoint whose connections hold only their fixed part."""
         return LedgerLimits(
--- a/src/sapphireledge/gateway/limit_log.py
+++ b/src/sapphireledge/limits/limit_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["LimitLog"]
+__all__ = ["LOG_INTERVAL", "LimitLog"]
 
 LOG_INTERVAL = 5.0
 """Seconds between two lines for the same reason; a crowd causes thousands of events a second."""
--- a/src/sapphireledge/limits/start_listener.py
+++ b/src/sapphireledge/limits/start_listener.py
@@ -9,7 +9,13 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-__all__ = ["limit_reads", "start_listener"]
+__all__ = [
+    "ACCEPT_BATCH",
+    "QUEUE_LENGTH",
+    "limit_reads",
+    "limit_transport_reads",
+    "start_listener",
+]
 
 QUEUE_LENGTH = 512
 """Length of the accept queue; when it is full, new connections are delayed by seconds."""
@@ -46,8 +52,18 @@
         writer: Stream to the peer.
         size: Largest number of bytes.
     """
+    limit_transport_reads(writer.transport, size)
+
+
+def limit_transport_reads(transport: asyncio.BaseTransport, size: int) -> None:
+    """Limits what one read of a connection takes from the kernel, 256 KiB by default.
+
+    Args:
+        transport: Transport to the peer.
+        size: Largest number of bytes.
+    """
     # asyncio has no interface for it; test_uncontrolled_callers notices if it has no effect.
-    writer.transport.max_size = size  # type: ignore[attr-defined]
+    transport.max_size = size  # type: ignore[attr-defined]
 
 
 async def start_listener(start: ServerStarter, host: str, port: int) -> asyncio.Server:
@@ -67,7 +83,10 @@
     Raises:
         OSError: The address cannot be used.
     """
-    sock = socket.create_server((host, port), backlog=QUEUE_LENGTH)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.create_server((host, port), family=family, backlog=QUEUE_LENGTH)
+    # Accepted connections inherit it; asyncio sets it only if the protocol of the socket is named.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     server = await start(sock=sock, backlog=ACCEPT_BATCH)
     sock.listen(QUEUE_LENGTH)
     return server
--- a/src/sapphireledge/operator/operator_server.py
+++ b/src/sapphireledge/operator/operator_server.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from sapphireledge.operator.operator_parts import OperatorParts
+    from sapphireledge.rpc import ConnectionLedgers
     from sapphireledge.settings import Settings
 
 __all__ = ["OperatorServer"]
@@ -18,12 +19,15 @@
 class OperatorServer(ThriftServer):
     """Accepts the connections of operators."""
 
-    def __init__(self, cfg: Settings, parts: OperatorParts) -> None:
+    def __init__(
+        self, cfg: Settings, parts: OperatorParts, ledgers: ConnectionLedgers | None = None
+    ) -> None:
         """Creates the server without binding its address.
 
         Args:
             cfg: Settings of the instance.
             parts: Components that the operator interface uses.
+            ledgers: Limits of all connections together.
         """
         super().__init__(
             OperatorService,
@@ -31,4 +35,5 @@
             cfg.operator_address,
             parts.secret,
             RpcLimits(max_message=cfg.peers.max_message),
+            ledgers,
         )
--- a/src/sapphireledge/peers/peer_server.py
+++ b/src/sapphireledge/peers/peer_server.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from sapphireledge.peers.heartbeat_receiver import HeartbeatReceiver
     from sapphireledge.peers.peer_handler import PeerHandler
+    from sapphireledge.rpc import ConnectionLedgers
     from sapphireledge.settings import Settings
 
 __all__ = ["PeerServer"]
@@ -19,13 +20,20 @@
 class PeerServer(ThriftServer):
     """Accepts connections from peers."""
 
-    def __init__(self, cfg: Settings, receiver: HeartbeatReceiver, handler: PeerHandler) -> None:
+    def __init__(
+        self,
+        cfg: Settings,
+        receiver: HeartbeatReceiver,
+        handler: PeerHandler,
+        ledgers: ConnectionLedgers | None = None,
+    ) -> None:
         """Creates the server; `start` binds its port.
 
         Args:
             cfg: Settings of the instance.
             receiver: Receiver of heartbeats, usually the mesh.
             handler: Handler of all other calls.
+            ledgers: Limits of all connections together.
         """
         super().__init__(
             PeerService,
@@ -33,4 +41,5 @@
             cfg.peer_address,
             cfg.fleet_secret,
             RpcLimits(max_message=cfg.peers.max_message),
+            ledgers,
         )
--- a/src/sapphireledge/rpc/__init__.py
+++ b/src/sapphireledge/rpc/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sapphireledge.rpc.connection_handler import ConnectionHandler
+from sapphireledge.rpc.connection_ledgers import ConnectionLedgers
 from sapphireledge.rpc.limited_transport import LimitedTransport
 from sapphireledge.rpc.load_schema import load_schema
 from sapphireledge.rpc.message_error import MessageError
@@ -14,6 +15,7 @@
 
 __all__ = [
     "ConnectionHandler",
+    "ConnectionLedgers",
     "LimitedTransport",
     "MessageError",
     "RpcError",
--- a/src/sapphireledge/rpc/limited_transport.py
+++ b/src/sapphireledge/rpc/limited_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from time import monotonic
 from typing import TYPE_CHECKING
 
 from thriftpy2.contrib.aio.transport.buffered import TAsyncBufferedTransport
@@ -14,6 +15,8 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from sapphireledge.limits import CallerAccount
+
 __all__ = ["LimitedTransport"]
 
 VALUE_OVERHEAD = 16
@@ -55,12 +58,15 @@
         self._position = 0
         self._message_start = 0
         self._message_limit = 0
+        self._received_before = 0
         self._budget = 0
         self._last_byte: int | None = None
         self.bytes_in = 0
         """Number of bytes received."""
         self.bytes_out = 0
         """Number of bytes sent."""
+        self.account: CallerAccount | None = None
+        """Account of the connection; None if its memory is not limited together with others."""
 
     async def begin_message(self, limit: int) -> None:
         """Waits for the first byte of a message and sets its budget.
@@ -71,7 +77,11 @@
         Raises:
             RpcError: The connection was closed.
         """
+        self._received_before = self.bytes_in - (len(self._buffer) - self._position)
         if self._position == len(self._buffer):
+            if self.account is not None:
+                self.account.try_resize(monotonic(), 0)
+                self.account.wait_for_peer(monotonic())
             await self._fill()
         self._message_start = self._position
         self._message_limit = limit
@@ -143,15 +153,20 @@
         """Sends one encoded message.
 
         Raises:
-            RpcError: The connection was lost.
+            RpcError: The connection was lost, or no memory is left for what the peer has not read.
         """
         self.bytes_out += len(message)
         try:
             self._writer.write(message)
+            self._hold_unsent()
             await self._writer.drain()
         except OSError as exc:
             raise RpcError(f"connection lost while sending: {exc}") from exc
 
+    def count_unsent(self) -> int:
+        """Returns how many bytes wait to be sent."""
+        return self._writer.transport.get_write_buffer_size()
+
     def is_open(self) -> bool:
         """Whether the connection is usable, as far as known."""
         return not self._writer.is_closing() and not self._reader.at_eof()
@@ -187,3 +202,17 @@
         self.bytes_in += len(chunk)
         self._buffer = self._buffer[self._position :] + chunk
         self._position = 0
+        if self.account is not None:
+            self.account.on_moved(monotonic(), len(chunk))
+            # Values that are already decoded count as well.
+            if not self.account.try_resize(monotonic(), self.bytes_in - self._received_before):
+                raise MessageError("no memory is left for the message")
+
+    def _hold_unsent(self) -> None:
+        """Takes memory for what the peer has not read; meanwhile the connection may be closed."""
+        unsent = self.count_unsent()
+        if self.account is None or not unsent:
+            return
+        self.account.wait_for_peer(monotonic())
+        if not self.account.try_resize(monotonic(), unsent):
+            raise RpcError("no memory is left for replies that are not read")
--- a/src/sapphireledge/rpc/thrift_server.py
+++ b/src/sapphireledge/rpc/thrift_server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import ipaddress
+from functools import partial
+from time import monotonic
 from typing import TYPE_CHECKING
 
 import structlog
@@ -11,6 +13,8 @@
 from thriftpy2.thrift import TApplicationException, TMessageType, TProcessor
 
 from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.limits import CallerBudgets, limit_reads, start_listener
+from sapphireledge.rpc.connection_ledgers import ConnectionLedgers
 from sapphireledge.rpc.incoming_call import IncomingCall
 from sapphireledge.rpc.limited_transport import LimitedTransport
 from sapphireledge.rpc.message_codec import MessageCodec
@@ -23,6 +27,7 @@
     from collections.abc import Callable
     from typing import Any
 
+    from sapphireledge.limits import CallerLedger, LimitReason
     from sapphireledge.rpc.connection_handler import ConnectionHandler
     from sapphireledge.settings import Address
 
@@ -31,6 +36,18 @@
 HELLO_METHOD = "hello"
 """Method that authenticates a connection."""
 
+STREAM_LIMIT = 8_192
+"""Half of the unread bytes of a connection from which on nothing more is received."""
+
+HELLO_READ_BYTES = 4_096
+"""Largest read before a connection is authenticated."""
+
+CALL_READ_BYTES = 16_384
+"""Largest read of an authenticated connection."""
+
+WRITE_HIGH_WATER = 16_384
+"""Unsent bytes of replies above which no further call of a connection is read."""
+
 
 class ThriftServer:
     """Serves one Thrift service with one task per connection.
@@ -46,6 +63,7 @@
         address: Address,
         secret: str,
         limits: RpcLimits | None = None,
+        ledgers: ConnectionLedgers | None = None,
     ) -> None:
         """Creates the server; `start` binds its port.
 
@@ -56,12 +74,14 @@
             secret: Secret that clients must present in hello, where the handler checks it. Without
                 one, the server binds to loopback addresses only.
             limits: Limits of each connection.
+            ledgers: Limits of all connections together; those of a small machine by default.
         """
         self._service = service
         self._make_handler = make_handler
         self._address = address
         self._secret = secret
         self._limits = limits or RpcLimits()
+        self._ledgers = ledgers or ConnectionLedgers.of_peers(CallerBudgets(), lambda reason: None)
         self._log = structlog.get_logger()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -89,7 +109,8 @@
             reason = f"port {port} on non-loopback address {host} requires a secret"
             return Failure(ErrorKind.UNAUTHENTICATED, reason)
         try:
-            self._server = await asyncio.start_server(self._serve, host, port, backlog=1_024)
+            start = partial(asyncio.start_server, self._serve, limit=STREAM_LIMIT)
+            self._server = await start_listener(start, host, port)
         except OSError as exc:
             return Failure(ErrorKind.INTERNAL, f"cannot bind {host} port {port}: {exc}")
         return None
@@ -111,10 +132,15 @@
         if task is None or self._server is None or self.connections >= self._limits.max_connections:
             transport.close()
             return
+        limit_reads(writer, HELLO_READ_BYTES)
+        writer.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
+        if not self._open_account(transport, self._ledgers.strangers):
+            transport.close()
+            return
         self._tasks.add(task)
         peer = str((writer.get_extra_info("peername") or ("",))[0])
         try:
-            await self._serve_calls(transport, self._make_handler(peer))
+            await self._serve_calls(transport, writer, self._make_handler(peer))
         except (MessageError, TimeoutError) as exc:
             self._log.warning(LogEvent.PEER_REFUSED, peer=peer, reason=str(exc) or "timed out")
         except RpcError as exc:
@@ -129,8 +155,31 @@
         finally:
             self._tasks.discard(task)
             transport.close()
+            if transport.account is not None:
+                transport.account.close()
+
+    def _open_account(self, transport: LimitedTransport, ledger: CallerLedger) -> bool:
+        """Moves a connection to a ledger; returns whether there was a place."""
 
-    async def _serve_calls(self, transport: LimitedTransport, handler: ConnectionHandler) -> None:
+        def evict(reason: LimitReason) -> None:
+            self._log.debug(LogEvent.PEER_LOST, reason=reason)
+            transport.close()
+
+        account = ledger.open(monotonic(), evict)
+        if account is None:
+            return False
+        if transport.account is not None:
+            transport.account.close()
+        transport.account = account
+        account.count_unsent = transport.count_unsent
+        return True
+
+    async def _serve_calls(
+        self,
+        transport: LimitedTransport,
+        writer: asyncio.StreamWriter,
+        handler: ConnectionHandler,
+    ) -> None:
         """Runs the calls of one connection, the first of which must be hello."""
         limits = self._limits
         codec = MessageCodec(transport)
@@ -139,8 +188,15 @@
         if call.method != HELLO_METHOD:
             raise MessageError(f"first message was {call.method!r} instead of {HELLO_METHOD}")
         accepted = await self._run_call(codec, call)
-        while accepted:
+        if not accepted:
+            return
+        if not self._open_account(transport, self._ledgers.clients):
+            raise RpcError("all other connections are being served")
+        limit_reads(writer, CALL_READ_BYTES)
+        while True:
             call = await self._read_call(codec, handler, limits.max_message)
+            if transport.account is not None:
+                transport.account.serve(monotonic())
             await self._run_call(codec, call)
 
     async def _read_call(
--- a/src/sapphireledge/settings/__init__.py
+++ b/src/sapphireledge/settings/__init__.py
@@ -9,6 +9,7 @@
 from sapphireledge.settings.fleet_settings import FleetSettings
 from sapphireledge.settings.lifecycle_settings import LifecycleSettings
 from sapphireledge.settings.load_settings import load_checked_file, load_settings
+from sapphireledge.settings.machine_settings import MachineSettings
 from sapphireledge.settings.peer_settings import PeerSettings
 from sapphireledge.settings.platform_settings import PlatformSettings
 from sapphireledge.settings.quarantine_settings import QuarantineSettings
@@ -25,6 +26,7 @@
     "ClaimSettings",
     "FleetSettings",
     "LifecycleSettings",
+    "MachineSettings",
     "PeerSettings",
     "PlatformSettings",
     "QuarantineSettings",
--- a/src/sapphireledge/settings/settings.py
+++ b/src/sapphireledge/settings/settings.py
@@ -12,6 +12,7 @@
 from sapphireledge.settings.claim_settings import ClaimSettings
 from sapphireledge.settings.fleet_settings import FleetSettings
 from sapphireledge.settings.lifecycle_settings import LifecycleSettings
+from sapphireledge.settings.machine_settings import MachineSettings
 from sapphireledge.settings.peer_settings import PeerSettings
 from sapphireledge.settings.platform_settings import PlatformSettings
 from sapphireledge.settings.quarantine_settings import QuarantineSettings
@@ -77,6 +78,9 @@
     fleet: FleetSettings = Field(default_factory=FleetSettings)
     """Orders to engines."""
 
+    machine: MachineSettings = Field(default_factory=MachineSettings)
+    """Machine that the instance runs on."""
+
     lifecycle: LifecycleSettings = Field(default_factory=LifecycleSettings)
     """Planned stop."""
 
--- a/src/sapphireledge/telemetry/log_event.py
+++ b/src/sapphireledge/telemetry/log_event.py
@@ -91,6 +91,9 @@
     EVENTS_DROPPED = "events_dropped"
     """Recorded events were dropped because their memory limit was reached."""
 
+    CALLERS_LIMITED = "callers_limited"
+    """Connections were closed or requests refused because of limits on callers."""
+
     OPERATOR_CALL = "operator_call"
     """An operator changed something."""
 
--- a/src/sapphireledge/telemetry/metric_name.py
+++ b/src/sapphireledge/telemetry/metric_name.py
@@ -46,6 +46,9 @@
     EVENTS_DROPPED = "events_dropped"
     """Counter: recorded events dropped because their memory limit was reached."""
 
+    CALLERS_LIMITED = "callers_limited"
+    """Counter: connections closed and requests refused because of limits on callers, by reason."""
+
     RUNNING = "running"
     """Gauge: answers being generated."""
 
--- a/tests/caller_crowd.py
+++ b/tests/caller_crowd.py
@@ -131,11 +131,23 @@
     await send(sock, chunk[:-MISSING])
 
 
-async def json_of_short_fields(sock, target):
-    """Sends a whole generation request of a mebibyte with very many short fields."""
+def generation_of_short_fields(target, model):
+    """Builds a whole generation request of a mebibyte with very many short fields."""
     fields = ",".join(f'"{number:x}":{{}}' for number in range(95_000))
-    body = f'{{"model":"m","prompt":"x","max_tokens":1,{fields}}}'.encode()
-    await send(sock, head(target, b"content-length: %d" % len(body)) + b"\r\n" + body)
+    body = f'{{"model":"{model}","prompt":"x","max_tokens":1,{fields}}}'.encode()
+    return head(target, b"content-length: %d" % len(body)) + b"\r\n" + body
+
+
+async def json_of_short_fields(sock, target):
+    await send(sock, generation_of_short_fields(target, "m"))
+
+
+async def json_of_short_fields_and_leave(sock, target):
+    """Sends a request some time after the one before, and leaves a little later."""
+    await asyncio.sleep(0.1 * (next(_request_ids) % 20))
+    await send(sock, generation_of_short_fields(target, "m"))
+    await asyncio.sleep(0.3)
+    sock.close()
 
 
 async def body_over_the_limit(sock, target):
--- a/tests/daemon_crowd_case.py
+++ b/tests/daemon_crowd_case.py
@@ -95,6 +95,7 @@
             "operator_address": {"host": self.host, "port": OPERATOR_PORT},
             "platform": {"url": f"http://{self.server.address}"},
             "fleet_secret": SECRET,
+            "machine": {"memory": self.memory_mb * 1_048_576},
         }
         path.write_text(json.dumps(settings))
         return ["-m", "sapphireledge.daemon", "--config", str(path)], {}
--- a/tests/test_bounded_readers.py
+++ b/tests/test_bounded_readers.py
@@ -22,7 +22,7 @@
 from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
 from sapphireledge.gateway.caller_connection import MAX_UNPARSED_BYTES
 from sapphireledge.gateway.text_endpoint import TextEndpoint
-from sapphireledge.limits import CallerBudgets
+from sapphireledge.limits import CallerBudgets, CallerLedger
 from sapphireledge.objects import create_http_client
 from sapphireledge.objects._private import CallError, send_request
 from sapphireledge.platform.store_client import MAX_LISTING_BYTES, StoreClient
@@ -287,7 +287,8 @@
             await send({"type": "http.response.start", "status": 200, "headers": headers})
             await send({"type": "http.response.body"})
 
-        cfg = uvicorn.Config(app, http=CallerProtocol, lifespan="off", log_level="critical")
+        protocol = partial(CallerProtocol, ledger=CallerLedger(CallerBudgets().callers))
+        cfg = uvicorn.Config(app, http=protocol, lifespan="off", log_level="critical")
         server = uvicorn.Server(cfg)
         server.capture_signals = contextlib.nullcontext
         sock = socket.create_server((HOST, 0))
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -6,17 +6,18 @@
 from dataclasses import replace
 
 from sapphireledge.gateway.caller_connection import MAX_UNPARSED_BYTES
-from sapphireledge.gateway.head_scan import estimate_head_memory
-from sapphireledge.gateway.limit_log import LOG_INTERVAL, LimitLog
 from sapphireledge.limits import (
     CONNECTION_BYTES,
     INCLUDED_BYTES,
+    LOG_INTERVAL,
     BufferBudget,
     BufferShare,
     CallerBudgets,
     CallerLedger,
     LedgerLimits,
+    LimitLog,
     LimitReason,
+    estimate_head_memory,
 )
 
 LEGAL_BODY = 4_194_304
--- a/tests/test_daemon_callers.py
+++ b/tests/test_daemon_callers.py
@@ -48,6 +48,10 @@
         place = ("a generation", CALLER_PORT, b"/v1/completions")
         await self.check_crowd(*place, (crowd.json_of_short_fields, 20))
 
+    async def test_generations_of_callers_that_leave(self):
+        place = ("a generation", CALLER_PORT, b"/v1/completions")
+        await self.check_crowd(*place, (crowd.json_of_short_fields_and_leave, 20))
+
     async def test_requests_of_short_fields(self):
         for place in http_places(b"slow"):
             await self.check_crowd(
@@ -125,6 +129,9 @@
         ):
             with self.subTest(name):
                 self.assertIn(b" 200 ", await self.ask(CALLER_PORT, data))
+        with self.subTest("generation"):
+            data = crowd.generation_of_short_fields(b"/v1/completions", "unknown")
+            self.assertIn(b" 404 ", await self.ask(CALLER_PORT, data))
 
 
 if __name__ == "__main__":
