A connection gives back the memory of a request with its answer

Found by a new test of the protocol: the ledger counted the last request of an idle connection until its next bytes came (43,500 bytes of a body of 50,000 in the test, which failed first). The other tests replay requests ahead, requests in any pieces, answers before the body, heads over the limit and bodies without memory; they passed at once.

--- a/src/sapphireledge/entry/caller_protocol.py
+++ b/src/sapphireledge/entry/caller_protocol.py
@@ -122,6 +122,7 @@
         if self._account is None:
             return
         self._account.wait_for_peer(monotonic())
+        self._hold()
         if self.transport.is_closing():
             if self.transport.get_write_buffer_size():
                 self.loop.call_later(LINGER_TIME, self.transport.abort)
--- /dev/null
+++ b/tests/test_caller_protocol.py
@@ -0,0 +1,129 @@
+"""Tests of the HTTP protocol of the daemon's caller interface."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+import msgspec
+
+from sapphireledge.entry.caller_server import CallerServer
+from sapphireledge.limits import CallerBudgets, CallerLedger, LimitReason, create_listening_socket
+from sapphireledge.settings import CallerSettings
+
+HOST = "127.0.0.1"
+CFG = CallerSettings(max_header=4_096)
+SHORT = replace(CallerBudgets().callers, total_bytes=400_000, large_bytes=300_000)
+
+
+async def echo(scope, receive, send):
+    """Answers with the path and the size of the body; /early answers without reading it."""
+    size, more = 0, not scope["path"].startswith("/early")
+    while more:
+        message = await receive()
+        if message["type"] != "http.request":
+            return
+        size += len(message["body"])
+        more = message["more_body"]
+    body = f"{scope['path']} {size}".encode()
+    headers = [(b"content-length", b"%d" % len(body))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+def post(path, size):
+    return b"POST %s HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n" % (path, size)
+
+
+class CallerProtocolTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that limits on connections delay, lose or mix up."""
+
+    async def asyncSetUp(self):
+        self.limited = []
+        self.ledger = CallerLedger(CallerBudgets().callers, self.limited.append)
+        server = CallerServer(echo, CFG, self.ledger)
+        self.sock = create_listening_socket(HOST, 0)
+        task = asyncio.create_task(server.serve(sockets=[self.sock]))
+
+        async def stop():
+            server.should_exit = server.force_exit = True
+            await task
+
+        self.addAsyncCleanup(stop)
+        while not server.started:
+            await asyncio.sleep(0.01)
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection(*self.sock.getsockname())
+        self.addCleanup(writer.transport.abort)
+        return reader, writer
+
+    async def read(self, reader):
+        """Reads a response; returns the status line and the body."""
+        async with asyncio.timeout(10.0):
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            size = int(head.partition(b"content-length: ")[2].split(b"\r")[0])
+            return head, await reader.readexactly(size)
+
+    async def ask(self, *parts):
+        """Sends the parts one after another; returns the first response."""
+        reader, writer = await self.connect()
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0.02)
+        return await self.read(reader)
+
+    async def test_requests_ahead_are_answered_in_order(self):
+        reader, writer = await self.connect()
+        for number in range(30):
+            writer.write(post(b"/%d" % number, 5_000) + bytes(5_000))
+        for number in range(30):
+            _, body = await self.read(reader)
+            self.assertEqual(body, b"/%d 5000" % number)
+
+    async def test_request_in_any_pieces(self):
+        data = post(b"/a", 300) + bytes(300)
+        for size in (1, 7, 100, 2_000):
+            reader, writer = await self.connect()
+            for start in range(0, len(data), size):
+                writer.write(data[start : start + size])
+                await asyncio.sleep(0)
+            self.assertEqual((await self.read(reader))[1], b"/a 300")
+
+    async def test_answer_before_the_body_leaves_the_connection_usable(self):
+        reader, writer = await self.connect()
+        writer.write(post(b"/early", 100_000))
+        self.assertEqual((await self.read(reader))[1], b"/early 0")
+        writer.write(bytes(100_000) + post(b"/b", 3) + b"abc" + post(b"/c", 0))
+        self.assertEqual((await self.read(reader))[1], b"/b 3")
+        self.assertEqual((await self.read(reader))[1], b"/c 0")
+
+    async def test_head_over_the_limit_is_rejected(self):
+        for field in (b"a: " + bytes(5_000).replace(b"\0", b"x"), b"a: b\r\n" * 1_000):
+            head = post(b"/a", 0)[:-2] + field + b"\r\n\r\n"
+            reader, writer = await self.connect()
+            writer.write(head)
+            self.assertIn(b" 400 ", await reader.readline())
+
+    async def test_body_without_memory_is_refused_as_not_run(self):
+        self.ledger.limits = SHORT
+        head, body = await self.ask(post(b"/a", 900_000), bytes(390_000))
+        error = msgspec.json.decode(body)["error"]
+        self.assertTrue(head.startswith(b"http/1.1 503"))
+        self.assertIn(b"retry-after: 1\r\n", head)
+        self.assertEqual((error["type"], error["ran"]), ("overloaded", "no"))
+        self.assertIn(LimitReason.NO_MEMORY, self.limited)
+        self.assertEqual((await self.ask(post(b"/b", 3) + b"abc"))[1], b"/b 3")
+
+    async def test_all_memory_is_given_back(self):
+        for request in (post(b"/a", 50_000) + bytes(50_000), post(b"/early", 50_000) + b"x"):
+            await self.ask(request)
+        reader, writer = await self.connect()
+        writer.write(post(b"/a", 50_000) + bytes(50_000))
+        await self.read(reader)
+        self.assertEqual(sum(each.extra for each in self.ledger._accounts), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
