The kernel buffers little of what callers send ahead

A connection that was never read is bounded by the kernel itself, 0.13 MB.

Listeners now set the receive buffer, which accepted connections inherit; those of the daemon's caller interface also get TCP_NODELAY.

--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -38,7 +38,7 @@
 from sapphireledge.entry.suspect_exchange import SuspectExchange
 from sapphireledge.errors import Failure
 from sapphireledge.fleet import FleetController
-from sapphireledge.limits import QUEUE_LENGTH
+from sapphireledge.limits import create_listening_socket
 from sapphireledge.objects import (
     Instance,
     InstanceKind,
@@ -264,7 +264,7 @@
     def _create_http_server(self) -> tuple[CallerServer, socket.socket]:
         """Creates the HTTP server of the caller interface and its listening socket."""
         address = self._cfg.caller_address
-        sock = socket.create_server((address.host, address.port), backlog=QUEUE_LENGTH)
+        sock = create_listening_socket(address.host, address.port)
         server = CallerServer(create_app(self._parts), self._cfg.callers, self._limits.callers)
         return server, sock
 
--- a/src/sapphireledge/limits/__init__.py
+++ b/src/sapphireledge/limits/__init__.py
@@ -18,6 +18,7 @@
 from sapphireledge.limits.start_listener import (
     ACCEPT_BATCH,
     QUEUE_LENGTH,
+    create_listening_socket,
     limit_reads,
     limit_transport_reads,
     start_listener,
@@ -43,6 +44,7 @@
     "LimitLog",
     "LimitReason",
     "TimeSlice",
+    "create_listening_socket",
     "estimate_head_memory",
     "find_head_end",
     "limit_reads",
--- a/src/sapphireledge/limits/start_listener.py
+++ b/src/sapphireledge/limits/start_listener.py
@@ -12,6 +12,7 @@
 __all__ = [
     "ACCEPT_BATCH",
     "QUEUE_LENGTH",
+    "create_listening_socket",
     "limit_reads",
     "limit_transport_reads",
     "start_listener",
@@ -20,6 +21,9 @@
 QUEUE_LENGTH = 512
 """Length of the accept queue; when it is full, new connections are delayed by seconds."""
 
+RECEIVE_BUFFER = 65_536
+"""Bytes that the kernel keeps of each connection; by itself it lets them grow to megabytes."""
+
 ACCEPT_BATCH = 16
 """Connections accepted in one pass of the event loop. Those that have to give way are closed in the
 next pass, and of the readiness endpoint they are at most a quarter on any machine of the platform,
@@ -66,6 +70,27 @@
     transport.max_size = size  # type: ignore[attr-defined]
 
 
+def create_listening_socket(host: str, port: int) -> socket.socket:
+    """Binds a socket whose connections inherit a bounded receive buffer.
+
+    Args:
+        host: IP address.
+        port: TCP port.
+
+    Returns:
+        The socket, which listens.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.create_server((host, port), family=family, backlog=QUEUE_LENGTH)
+    # asyncio sets TCP_NODELAY only on sockets that were created with the protocol named.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    return sock
+
+
 async def start_listener(start: ServerStarter, host: str, port: int) -> asyncio.Server:
     """Starts a server with a long accept queue.
 
@@ -83,10 +108,7 @@
     Raises:
         OSError: The address cannot be used.
     """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.create_server((host, port), family=family, backlog=QUEUE_LENGTH)
-    # Accepted connections inherit it; asyncio sets it only if the protocol of the socket is named.
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock = create_listening_socket(host, port)
     server = await start(sock=sock, backlog=ACCEPT_BATCH)
     sock.listen(QUEUE_LENGTH)
     return server
--- a/tests/test_bounded_readers.py
+++ b/tests/test_bounded_readers.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
+import sys
+import termios
 import tracemalloc
 import unittest
 from contextlib import aclosing
@@ -22,7 +25,7 @@
 from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
 from sapphireledge.gateway.caller_connection import MAX_UNPARSED_BYTES
 from sapphireledge.gateway.text_endpoint import TextEndpoint
-from sapphireledge.limits import CallerBudgets, CallerLedger
+from sapphireledge.limits import CallerBudgets, CallerLedger, start_listener
 from sapphireledge.objects import create_http_client
 from sapphireledge.objects._private import CallError, send_request
 from sapphireledge.platform.store_client import MAX_LISTING_BYTES, StoreClient
@@ -223,6 +226,52 @@
         self.assertLessEqual(pages, MAX_LISTING_BYTES // len(spec) + 1)
 
 
+class PausingProtocol(asyncio.Protocol):
+    """Receives a large body and nothing after it, as during the request with that body."""
+
+    BODY = 8_000_000
+
+    def __init__(self):
+        self.received = 0
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.received += len(data)
+        if self.received >= self.BODY:
+            self.transport.pause_reading()
+
+    def count_unread(self):
+        """Returns how many bytes the kernel keeps."""
+        sock = self.transport.get_extra_info("socket")
+        size = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+        return int.from_bytes(size, sys.byteorder)
+
+
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against unread bytes that the kernel buffers for each connection."""
+
+    async def test_unread_bytes_after_a_large_body_are_bounded(self):
+        loop = asyncio.get_running_loop()
+        protocol = PausingProtocol()
+        server = await start_listener(partial(loop.create_server, lambda: protocol), HOST, 0)
+        client = socket.socket()
+        client.setblocking(False)
+        await loop.sock_connect(client, server.sockets[0].getsockname())
+        sending = asyncio.create_task(loop.sock_sendall(client, bytes(40_000_000)))
+        while protocol.received < PausingProtocol.BODY:
+            await asyncio.sleep(0.05)
+        unread = -1
+        while unread < (unread := protocol.count_unread()):
+            await asyncio.sleep(0.2)
+        sending.cancel()
+        client.close()
+        server.close()
+        protocol.transport.abort()
+        self.assertLess(unread, 300_000)
+
+
 class OwnInterfaceTest(unittest.IsolatedAsyncioTestCase):
     """Guards against engines and platforms of the project's own interface that send without end."""
 
