A refusal of a body is not overtaken by the reset of its connection

Cause: a connection with unread bytes that is closed is reset, and a caller that sends its body before it reads sees an error of sending instead of 413 or 503, so it doesn't know that its request has not run.

Both now drop what the caller still sends for a second, without memory for it, and the place may still be taken by another connection.

--- a/src/sapphireledge/entry/caller_protocol.py
+++ b/src/sapphireledge/entry/caller_protocol.py
@@ -9,9 +9,8 @@
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from sapphireledge.entry.answer_format import build_failure_headers, encode_failure
 from sapphireledge.entry.caller_flow import CallerFlow
-from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.entry.encode_refusal import encode_refusal
 from sapphireledge.limits import (
     HEAD_END_OVERLAP,
     LimitReason,
@@ -50,12 +49,12 @@
 MAX_REQUESTS_AHEAD = 8
 """Requests that had arrived ahead after which a connection takes turns with others."""
 
-RETRY_AFTER = 1.0
-"""Seconds after which a request for which no memory was left may be sent again."""
-
 LINGER_TIME = 15.0
 """Seconds for a caller to read what is left of its last answer before the connection is reset."""
 
+DISCARD_TIME = 1.0
+"""Seconds for which the rest of a refused request is read and dropped."""
+
 MAX_CONTROL = 0x20
 """Largest first byte that no request line can have; the parser rejects it without waiting."""
 
@@ -76,6 +75,7 @@
         self._request_bytes = 0
         self._requests_ahead = 0
         self._feeder: asyncio.Task[None] | None = None
+        self._is_discarding = False
         # The application finds the connection of a request in the state of its scope.
         self.app_state = {**self.app_state, "connection": self}
 
@@ -103,7 +103,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes, as far as that takes little time, and keeps the rest."""
-        if self._account is None or self.transport.is_closing():
+        if self._account is None or self._is_discarding or self.transport.is_closing():
             return
         self._backlog += data
         self._account.on_moved(monotonic(), len(data))
@@ -192,6 +192,8 @@
 
     def _update_reading(self) -> None:
         """Receives more bytes unless many are unparsed."""
+        if self._is_discarding:
+            return
         limit = READ_AHEAD_BYTES if self._is_serving else MAX_BACKLOG
         if not self._next_size():
             # A head is parsed as a whole.
@@ -293,6 +295,19 @@
         """Refuses a request for which no memory is left; it has not run."""
         self._ledger.on_limited(LimitReason.NO_MEMORY)
         self._reject("no memory is left for requests")
+        if not self.transport.is_closing():
+            self._discard_rest()
+
+    def _discard_rest(self) -> None:
+        """Drops what the caller still sends for a while.
+
+        If bytes are unread when a connection is closed, its reset can overtake the refusal.
+        """
+        self._is_discarding = True
+        self._hold()
+        self.transport.write_eof()
+        self.transport.resume_reading()
+        self.loop.call_later(DISCARD_TIME, self.transport.abort)
 
     def _evict(self, reason: LimitReason) -> None:
         """Closes the connection to make room for others; an incomplete request has not run.
@@ -303,6 +318,10 @@
             self.transport.abort()
         elif self._backlog or not self._is_head_next:
             self._reject(f"closed: {reason}")
+            if self.transport.get_write_buffer_size():
+                self.transport.abort()
+            else:
+                self.transport.close()
         else:
             self.transport.close()
 
@@ -315,24 +334,5 @@
             self.cycle.message_event.set()
         if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return self.transport.abort()
-        failure = Failure(ErrorKind.OVERLOADED, reason, retry_after=RETRY_AFTER)
-        body = encode_failure(failure)
-        headers = [
-            *(
-                (name.encode(), value.encode())
-                for name, value in build_failure_headers(failure).items()
-            ),
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(body)).encode()),
-            (b"connection", b"close"),
-        ]
-        status = failure.answer.http_status
-        for event in (
-            h11.Response(status_code=status, headers=headers, reason=b""),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
-        ):
-            self.transport.write(self.conn.send(event) or b"")
-        if self.transport.get_write_buffer_size():
-            return self.transport.abort()
-        return self.transport.close()
+        self.transport.write(encode_refusal(self.conn, reason))
+        return None
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -58,6 +58,12 @@
 LINGER_TIME = 15.0
 """Seconds for a caller to read what is left of its last answer before the connection is reset."""
 
+DISCARDING_STATUSES = (413, 503)
+"""Statuses of refused bodies, the rest of which is read and dropped."""
+
+DISCARD_TIME = 1.0
+"""Seconds for which it is."""
+
 KEEPALIVE_IDLE = 5
 """Idle seconds before TCP keep-alive probes are sent to detect a vanished caller."""
 
@@ -109,6 +115,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._disconnected = False
+        self._is_discarding = False
         self.is_aborted = False
         """Whether the gateway aborted the connection before the response was complete."""
 
@@ -145,7 +152,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Keeps received bytes for the parser, and stops receiving while there are many."""
-        if self._account is None or self._transport is None:
+        if self._account is None or self._transport is None or self._is_discarding:
             return
         now = monotonic()
         self._received += memoryview(_receive_buffer)[:nbytes]
@@ -300,6 +307,8 @@
                 self._begin_next_request()
         except MalformedRequest as exc:
             self._reject(exc)
+            if exc.status in DISCARDING_STATUSES:
+                await self._discard_rest(transport)
         except asyncio.CancelledError:
             if not self._disconnected:
                 raise
@@ -311,6 +320,24 @@
                 self._account.wait_for_peer(monotonic())
                 asyncio.get_running_loop().call_later(LINGER_TIME, transport.abort)
 
+    async def _discard_rest(self, transport: asyncio.Transport) -> None:
+        """Drops what the caller still sends for a while, until it closes its side.
+
+        If bytes are unread when a connection is closed, its reset can overtake the refusal.
+        """
+        if transport.is_closing():
+            return
+        self._is_discarding = True
+        self._body = bytearray()
+        self._received.clear()
+        self._head_bytes = self._parser_bytes = 0
+        if self._account is not None:
+            self._account.try_resize(monotonic(), self._held_bytes())
+            self._account.waits_for_peer = True
+        transport.write_eof()
+        transport.resume_reading()
+        await asyncio.sleep(DISCARD_TIME)
+
     async def _read_request(self) -> CallerRequest | None:
         """Reads a complete request, or returns None if the caller closes or stays idle."""
         loop = asyncio.get_running_loop()
--- a/tests/test_bounded_readers.py
+++ b/tests/test_bounded_readers.py
@@ -141,6 +141,20 @@
         response = await self.call("/plain/", b"x" * size)
         self.assertEqual(response.status, 200)
 
+    async def test_refusal_reaches_a_caller_that_sends_its_body_first(self):
+        """Guards against a reset that overtakes the refusal of a body."""
+        head = self.head("/plain/") + b"content-length: 100000000\r\n\r\n"
+
+        def send_and_read():
+            with socket.create_connection((HOST, self.port), 10.0) as sock:
+                sock.sendall(head)
+                for _ in range(20):
+                    sock.sendall(b"x" * 150_000)
+                return sock.recv(100)
+
+        for _ in range(5):
+            self.assertIn(b" 413 ", await asyncio.to_thread(send_and_read))
+
     async def test_requests_to_the_text_endpoint(self):
         endpoint = TextEndpoint(lambda: (200, b"ok"))
         server = await asyncio.start_server(endpoint.serve, HOST, 0)
