Limits of a daemon whose process may open any number of descriptors

RLIM_INFINITY is -1, of which the share of callers was a single place; found by reading, not seen in a run. At most 1,048,576 are counted. Tests: the places of all groups leave an eighth of the sockets at least, and with default settings the largest legal body, as JSON of small objects, and the largest peer message fit.

--- a/src/sapphireledge/entry/entry_limits.py
+++ b/src/sapphireledge/entry/entry_limits.py
@@ -24,6 +24,10 @@
 """Sockets kept free for the platform, listeners and pipes."""
 
 
+MAX_DESCRIPTORS = 1_048_576
+"""Descriptors counted at most, also if the process may open any number."""
+
+
 class EntryLimits:
     """Ledgers of the connections to an entry instance.
 
@@ -41,7 +45,7 @@
         self._metrics = metrics
         self._log = structlog.get_logger()
         self._limit_log = LimitLog()
-        sockets = machine.descriptors or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        sockets = machine.descriptors or _own_descriptors()
         budgets = CallerBudgets(memory_bytes=machine.memory, sockets=sockets)
         callers = budgets.callers
         places = max(1, min(callers.connections, sockets // 2 - OWN_SOCKETS))
@@ -62,3 +66,9 @@
         count = self._limit_log.count(monotonic(), reason)
         if count:
             self._log.warning(LogEvent.CALLERS_LIMITED, reason=reason, count=count)
+
+
+def _own_descriptors() -> int:
+    """Returns how many descriptors the process may open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return MAX_DESCRIPTORS if soft == resource.RLIM_INFINITY else min(soft, MAX_DESCRIPTORS)
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -5,18 +5,38 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from pathlib import Path
 
 import msgspec
 
 from sapphireledge.entry.caller_server import CallerServer
-from sapphireledge.limits import CallerBudgets, CallerLedger, LimitReason, create_listening_socket
-from sapphireledge.settings import CallerSettings
+from sapphireledge.entry.entry_limits import EntryLimits
+from sapphireledge.entry.json_memory import estimate_json_memory
+from sapphireledge.limits import (
+    MAX_RESPONSE_BYTES,
+    RESPONSE_BUDGET,
+    CallerBudgets,
+    CallerLedger,
+    LimitReason,
+    create_listening_socket,
+)
+from sapphireledge.settings import CallerSettings, MachineSettings, load_settings
+from sapphireledge.telemetry import Metrics
 
 HOST = "127.0.0.1"
 CFG = CallerSettings(max_header=4_096)
 SHORT = replace(CallerBudgets().callers, total_bytes=400_000, large_bytes=300_000)
 
 
+EXAMPLE = Path(__file__).parent.parent / "examples" / "rinks" / "odense-a-1.json"
+
+
+def load_example():
+    """Loads settings without values for the limits."""
+    cfg = load_settings(EXAMPLE)
+    return replace(cfg, telemetry=replace(cfg.telemetry, statsd_host=""))
+
+
 async def echo(scope, receive, send):
     """Answers with the path and the size of the body; /early answers without reading it."""
     size, more = 0, not scope["path"].startswith("/early")
@@ -125,5 +145,29 @@
         self.assertEqual(sum(each.extra for each in self.ledger._accounts), 0)
 
 
+class EntryLimitsTest(unittest.TestCase):
+    """Guards against shares of a machine that are more than the whole."""
+
+    def test_places_leave_sockets_for_backend_servers(self):
+        metrics = Metrics(load_example())
+        self.addCleanup(RESPONSE_BUDGET.resize, MAX_RESPONSE_BYTES)
+        for sockets in (256, 1_335, 20_000):
+            limits = EntryLimits(MachineSettings(descriptors=sockets), metrics)
+            ledgers = [limits.callers]
+            for each in (limits.peers, limits.operators):
+                ledgers += [each.strangers, each.clients]
+            places = sum(ledger.limits.connections for ledger in ledgers)
+            self.assertLessEqual(places, sockets * 7 // 8)
+
+    def test_largest_legal_requests_fit(self):
+        cfg = load_example()
+        limits = CallerBudgets(cfg.machine.memory).callers
+        body = b"[" + b"{}," * (cfg.callers.max_body // 3)
+        self.assertLessEqual(estimate_json_memory(body), limits.large_bytes)
+        self.assertLessEqual(
+            cfg.peers.max_message, CallerBudgets(cfg.machine.memory).peers.large_bytes
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
