--- a/src/sapphireledge/limits/start_listener.py
+++ b/src/sapphireledge/limits/start_listener.py
@@ -9,11 +9,21 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-__all__ = ["limit_reads", "start_listener"]
+__all__ = [
+    "ACCEPT_BATCH",
+    "QUEUE_LENGTH",
+    "create_listening_socket",
+    "limit_reads",
+    "limit_transport_reads",
+    "start_listener",
+]
 
 QUEUE_LENGTH = 512
 """Length of the accept queue; when it is full, new connections are delayed by seconds."""
 
+RECEIVE_BUFFER = 65_536
+"""Bytes that the kernel keeps of each connection; by itself it lets them grow to megabytes."""
+
 ACCEPT_BATCH = 16
 """Connections accepted in one pass of the event loop. Those that have to give way are closed in the
 next pass, and of the readiness endpoint they are at most a quarter on any machine of the platform,
@@ -46,8 +56,39 @@
         writer: Stream to the peer.
         size: Largest number of bytes.
     """
+    limit_transport_reads(writer.transport, size)
+
+
+def limit_transport_reads(transport: asyncio.BaseTransport, size: int) -> None:
+    """Limits what one read of a connection takes from the kernel, 256 KiB by default.
+
+    Args:
+        transport: Transport to the peer.
+        size: Largest number of bytes.
+    """
     # asyncio has no interface for it; test_uncontrolled_callers notices if it has no effect.
-    writer.transport.max_size = size  # type: ignore[attr-defined]
+    transport.max_size = size  # type: ignore[attr-defined]
+
+
+def create_listening_socket(host: str, port: int) -> socket.socket:
+    """Binds a socket whose connections inherit a bounded receive buffer.
+
+    Args:
+        host: IP address.
+        port: TCP port.
+
+    Returns:
+        The socket, which listens.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.create_server((host, port), family=family, backlog=QUEUE_LENGTH)
+    # asyncio sets TCP_NODELAY only on sockets that were created with the protocol named.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    return sock
 
 
 async def start_listener(start: ServerStarter, host: str, port: int) -> asyncio.Server:
@@ -67,7 +108,7 @@
     Raises:
         OSError: The address cannot be used.
     """
-    sock = socket.create_server((host, port), backlog=QUEUE_LENGTH)
+    sock = create_listening_socket(host, port)
     server = await start(sock=sock, backlog=ACCEPT_BATCH)
     sock.listen(QUEUE_LENGTH)
     return server
