Completion waits for instances that are alive and have not reported

Cause: only instances that had reported held back `completed`, as the directory also lists those that are gone. An instance that hears the feed and cannot write to the store went on to use old servers, which stop at once at `completed`.

Ruled out: waiting for the whole directory until the deadline (each instance that was ever lost would delay each roll-out); an age of announcements (they are written once and have none).

Change: followers name themselves in requests to their relay. Each instance knows its followers and its relay, and names those without a report in its own report. They are waited for until the reserve before the deadline. Instances that are only listed count as gone 10 s after they were first listed or the order was learnt. `FleetMembers` decides.

--- a/src/sapphireledge/core/rollout/find_blockers.py
+++ b/src/sapphireledge/core/rollout/find_blockers.py
@@ -12,7 +12,7 @@
 def find_blockers(
     now: float,
     reports: FleetReports,
-    alive: Collection[str],
+    unreported: Collection[str],
     gone_after: float,
     *,
     is_forced: bool,
@@ -22,7 +22,7 @@
     Args:
         now: Current time in seconds.
         reports: Reports, this instance's own included.
-        alive: Instances that are alive as far as is known besides those that reported.
+        unreported: Instances that may be alive and have not reported.
         gone_after: Seconds without a report after which an instance is cut off or gone.
         is_forced: Whether the deadline leaves no more time: instances without a sign of life and
             work that remains are not waited for.
@@ -38,6 +38,5 @@
         if not (is_forced and is_silent):
             blockers.append(report.instance)
     if not is_forced:
-        known = set(reports.instances())
-        blockers.extend(instance for instance in alive if instance not in known)
+        blockers.extend(unreported)
     return blockers
--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -19,6 +19,7 @@
 from sapphireledge.core.rollout.exposure_pace import ExposurePace
 from sapphireledge.core.rollout.find_blockers import find_blockers
 from sapphireledge.core.rollout.fleet_load import FleetLoad
+from sapphireledge.core.rollout.fleet_members import FleetMembers
 from sapphireledge.core.rollout.fleet_reports import FleetReports
 from sapphireledge.core.rollout.own_counts import OwnCounts
 from sapphireledge.core.rollout.report_writing import ReportWriting
@@ -113,7 +114,7 @@
         self._allowance = ExposureAllowance(limits, rng)
         self._has_slack = False
         self._least_risk = 2
-        self._alive: frozenset[str] = frozenset()
+        self._members = FleetMembers()
         self._confirmed_at = -inf
         self._sequence = 0
         self._stage = RolloutStage.WAITING
@@ -161,16 +162,24 @@
                     self._verdict = report.verdict
 
     def on_instances(self, now: float, instances: Collection[str]) -> None:
-        """Takes in which instances are alive as far as is known, besides those that report.
+        """Takes in instances that are alive as far as is known, besides those that report.
 
-        The old version is not left behind while one of them has not reported; never called, only
-        the instances that reported count.
+        The order is not completed while one of them has not reported, unless the deadline is near.
 
         Args:
             now: Current time in seconds.
-            instances: Names of instances.
+            instances: Names of instances; those of earlier calls stay known.
         """
-        self._alive = frozenset(instances)
+        self._members.on_alive(instances)
+
+    def on_directory(self, now: float, instances: Collection[str]) -> None:
+        """Takes in the directory of instances, which also lists those that are gone.
+
+        Args:
+            now: Current time in seconds.
+            instances: Names of the instances in it.
+        """
+        self._members.on_listed(now, instances)
 
     def on_feed_confirmed(self, now: float) -> None:
         """Takes in that the known reports were the newest in the store at a time.
@@ -414,7 +423,7 @@
 
     def _number_of_instances(self) -> int:
         """Number of instances, at least 1."""
-        return max(len(self._alive), self._reports.number, 1)
+        return max(len(self._members.alive), self._reports.number, 1)
 
     def _report_state(self) -> tuple[int, int, bool, bool, str]:
         """What makes a report worth writing, see `ReportWriting.is_due`."""
@@ -445,6 +454,7 @@
             counts.old_in_flight,
             self._is_new_only,
             self._verdict,
+            self._members.name_unreported(self._reports),
         )
 
     def _judge(self, now: float) -> None:
@@ -571,9 +581,9 @@
         if not is_observed and self._age(now) < self._schedule.move_streams_at:
             return None, "observing the new version under the whole load"
         is_forced = self._age(now) >= self._schedule.force_at
-        blockers = find_blockers(
-            now, self._reports, self._alive, self._limits.gone_after, is_forced=is_forced
-        )
+        gone_after = self._limits.gone_after
+        unreported = self._members.find_unreported(now, self._reports, gone_after)
+        blockers = find_blockers(now, self._reports, unreported, gone_after, is_forced=is_forced)
         if blockers:
             return None, f"waiting for {len(blockers)} instances, first {min(blockers)}"
         return RolloutState.COMPLETED, "no instance uses the old version"
--- a/src/sapphireledge/core/rollout/rollout_report.py
+++ b/src/sapphireledge/core/rollout/rollout_report.py
@@ -54,6 +54,9 @@
     verdict: str = ""
     """Why the instance holds the new version to be bad; empty otherwise."""
 
+    unreported: tuple[str, ...] = ()
+    """Instances that this one saw alive since the order and that have not reported on it."""
+
     def to_builtins(self) -> Any:
         """Converts the report for storage.
 
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -27,8 +27,19 @@
 class FeedFollower:
     """Applies the replies of a relay to the feeds until the relay fails."""
 
-    def __init__(self, cfg: FeedSettings, feeds: Mapping[str, KindFeed], epoch: StoreEpoch) -> None:
+    def __init__(
+        self, cfg: FeedSettings, feeds: Mapping[str, KindFeed], epoch: StoreEpoch, name: str = ""
+    ) -> None:
+        """Creates a follower.
+
+        Args:
+            cfg: Settings.
+            feeds: Feeds by kind.
+            epoch: Notices that the store came back from an older copy.
+            name: Name of this instance.
+        """
         self._cfg = cfg
+        self._name = name
         self._epoch = epoch
         self._feeds = feeds
         self.reply_count = 0
@@ -73,7 +84,7 @@
         """Sends one request and applies the reply."""
         sent_at = seconds_since_boot()
         revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
-        write_message(writer, FeedRequest(revisions, at_once, self._epoch.current))
+        write_message(writer, FeedRequest(revisions, at_once, self._epoch.current, self._name))
         timeout = self._cfg.first_reply_timeout if at_once else self._cfg.reply_timeout
         try:
             async with asyncio.timeout(timeout):
--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -23,6 +23,9 @@
     epoch: int | None = None
     """Epoch of the store to which the revisions belong, None if it is not known yet."""
 
+    follower: str = ""
+    """Name of the follower."""
+
 
 class FeedEntry(msgspec.Struct, frozen=True, array_like=True):
     """One object, or its removal."""
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from random import Random
+from time import monotonic
 from typing import TYPE_CHECKING
 
 import structlog
@@ -82,11 +83,15 @@
         self._local_peer = local_peer
         self._watchers = watchers
         self._directory = directory
-        self._follower = FeedFollower(cfg, feeds, epoch)
+        self._follower = FeedFollower(cfg, feeds, epoch, local_peer.name)
         self._server = FeedServer(cfg, feeds, epoch, self._can_relay, ledger)
         self.instance_count = 1
         """Instances announced in the store, including those that no longer exist."""
 
+        self.announced: frozenset[str] = frozenset()
+        """Names of these instances."""
+
+        self._relay = ""
         self._relays = RelayList(cfg)
         self._directory_refreshed = asyncio.Event()
         self._directory_read = asyncio.Event()
@@ -120,6 +125,16 @@
             directory.cancel()
             server.close()
 
+    def list_alive(self) -> frozenset[str]:
+        """Lists the instances that exchanged a message of the feed with this one a moment ago.
+
+        Returns:
+            Names of its followers and of its relay.
+        """
+        followers = self._server.followers.current(monotonic())
+        has_relay = self._relay and self._follower.reply_count
+        return followers | {self._relay} if has_relay else followers
+
     def stop_relaying(self) -> None:
         """Makes followers switch to other instances before a graceful shutdown."""
         self._stopping = True
@@ -134,7 +149,9 @@
 
     async def _follow(self, peer: Peer) -> None:
         """Follows an instance until it fails."""
+        self._relay = peer.name
         reason = await self._follower.follow(peer)
+        self._relay = ""
         followed = self._follower.reply_count > 0
         if followed:
             self._reported_lost.discard(peer.name)
@@ -241,6 +258,7 @@
             try:
                 peers = await self._directory.list_peers()
                 self.instance_count = self._count_instances(peers)
+                self.announced = frozenset(peer.name for peer in peers)
                 self._relays.replace(self._select_preceding(peers))
                 self._directory_read.set()
                 if self._must_announce.is_set():
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -11,6 +11,7 @@
 
 from sapphireledge.feed.feed_channel import encode_message, read_message
 from sapphireledge.feed.feed_message import FeedEntry, FeedReply, FeedRequest, KindReply
+from sapphireledge.feed.follower_names import FollowerNames
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.gateway import GatewayEvent, seconds_since_boot, wait_for_event
 from sapphireledge.limits import CallerBudgets, CallerLedger, limit_reads, start_listener
@@ -70,6 +71,9 @@
         self._epoch = epoch
         self._is_reader = can_relay
         self._ledger = CallerLedger(CallerBudgets().followers) if ledger is None else ledger
+        self.followers = FollowerNames()
+        """Names of the instances that follow this one."""
+
         self._progress = asyncio.Event()
         for feed in feeds.values():
             feed.on_progress = self._wake_waiters
@@ -104,6 +108,7 @@
                 if len(request.revisions) > MAX_KINDS:
                     raise SourceError(f"request with {len(request.revisions)} kinds")
                 account.serve(monotonic())
+                self.followers.on_request(monotonic(), request.follower)
                 await asyncio.sleep(max(0.0, next_reply_at - seconds_since_boot()))
                 reply = await self._build_reply(request)
                 next_reply_at = seconds_since_boot() + MIN_REPLY_INTERVAL
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -58,6 +58,12 @@
         self.on_activity: Callable[[bool], None] = lambda is_active: None
         """Called with whether changes of orders and reports are expected, when that changes."""
 
+        self.list_alive: Callable[[], Collection[str]] = tuple
+        """Lists the other instances that were heard of a moment ago."""
+
+        self.list_announced: Callable[[], Collection[str]] = tuple
+        """Lists the instances of the directory, those that are gone included."""
+
         self._limits: RolloutLimits | None = cfg.rollout
         self._instance = cfg.instance
         self._registry = registry
@@ -390,6 +396,8 @@
         """Evaluates the running orders."""
         now = asyncio.get_running_loop().time()
         for service, versions in self._running().items():
+            versions.rollout.on_instances(now, self.list_alive())
+            versions.rollout.on_directory(now, self.list_announced())
             previous = versions.decision
             versions.decision = decision = versions.rollout.decide(now)
             heard = now - min(self._orders_confirmed_at, self._reports_confirmed_at)
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -69,7 +69,10 @@
     ]
     directory = create_store_client(cfg, metrics, epoch)
     ledger = CallerLedger(cfg.gateway.callers.followers, gateway.telemetry.record_caller_limit)
-    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger)
+    runner = FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger)
+    rollouts.list_alive = runner.list_alive
+    rollouts.list_announced = lambda: runner.announced
+    return runner
 
 
 def create_rollout_parts(
--- a/tests/rollout_io_case.py
+++ b/tests/rollout_io_case.py
@@ -88,7 +88,7 @@
         epoch = StoreEpoch()
         runner = create_feed_runner(self.cfg, self.gateway, self.metrics, epoch)
         self.gateway.context.count_instances = lambda: runner.instance_count
-        parts = create_rollout_parts(self.cfg, self.gateway, self.metrics, epoch)
+        self.parts = parts = create_rollout_parts(self.cfg, self.gateway, self.metrics, epoch)
         self._tasks = [asyncio.create_task(part.run()) for part in (runner, *parts)]
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(self.gateway.create_protocol, HOST, 0)
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -20,6 +20,8 @@
     VersionCounts,
     VersionInUse,
 )
+from sapphireledge.core.rollout.fleet_members import FleetMembers
+from sapphireledge.core.rollout.fleet_reports import FleetReports
 from sapphireledge.core.rollout.report_writing import ReportWriting
 from sapphireledge.errors import Failure
 
@@ -322,6 +324,42 @@
         self.assertFalse(in_use.permits("v3", None))
 
 
+class FleetMembersTest(unittest.TestCase):
+    """Guards against old servers that stop while an instance uses them, and against waiting for
+    instances that are gone."""
+
+    def find(self, members: FleetMembers, now: float, *reports: RolloutReport) -> set[str]:
+        fleet = FleetReports("o")
+        for report in reports:
+            fleet.add(now, report)
+        return members.find_unreported(now, fleet, 10.0)
+
+    def test_listed_instance_is_waited_for_until_it_should_have_reported(self):
+        members = FleetMembers()
+        members.on_listed(0.0, {"a", "b"})
+        members.on_listed(30.0, {"a", "b", "c"})
+        self.assertEqual(self.find(members, 9.0, RolloutReport("a", "o", "i", 1, 9.0)), {"b", "c"})
+        self.assertEqual(self.find(members, 39.0), {"c"})
+        self.assertEqual(self.find(members, 41.0), set())
+
+    def test_instance_that_was_seen_alive_is_waited_for(self):
+        """Whether this instance saw it, or another one that says so in its report."""
+        members = FleetMembers()
+        members.on_alive({"b"})
+        seen = RolloutReport("a", "o", "i", 1, 90.0, unreported=("c",))
+        self.assertEqual(self.find(members, 90.0, seen), {"b", "c"})
+        late = RolloutReport("c", "o", "i", 1, 90.0)
+        self.assertEqual(self.find(members, 90.0, seen, late), {"b"})
+
+    def test_names_are_bounded(self):
+        members = FleetMembers()
+        names = [f"e{number}" for number in range(5000)]
+        members.on_alive(names)
+        members.on_listed(0.0, names)
+        self.assertLess(len(self.find(members, 1.0)), 3000)
+        self.assertLess(len(members.name_unreported(FleetReports("o"))), 20)
+
+
 class ReportWritingTest(unittest.TestCase):
     """Guards against bad answers of which the others hear late after a failed write."""
 
--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -5,13 +5,16 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
-from gateway_case import chunk, event, stream_head
+from gateway_case import HOST, chunk, event, stream_head
 from rollout_io_case import NEW, OLD, SERVICE, RolloutFleetCase
 
 from sapphireledge.core.rollout import RolloutOrder, RolloutState
+from sapphireledge.feed import SourceError
 from sapphireledge.gateway import StoredOrder
 from sapphireledge.platform.decode_rollout import decode_rollout
+from sapphireledge.platform.rollout_report_writer import RolloutReportWriter
 
 ROLLBACK = 5.0
 """Seconds after its bad answers in which the new version may get requests."""
@@ -163,6 +166,30 @@
         await asyncio.sleep(1.0)
         self.assertEqual(self.share(OLD, started_at), 0.0)
 
+    async def check_instance_that_cannot_report(self, number: int) -> None:
+        """Checks that old servers stay while an instance uses them that cannot say so."""
+        await self.start_fleet(2, 60.0)
+        mute = self.instances[number]
+        (writer,) = [part for part in mute.parts if isinstance(part, RolloutReportWriter)]
+        writer._store.write = mock.AsyncMock(side_effect=SourceError("refused"))
+        self.order(duration=20.0)
+        await self.wait_for_status("completed", 20.0)
+        self.assertEqual(self.share(OLD, time.monotonic() - 0.5), 0.0)
+
+    async def test_follower_that_cannot_report_keeps_the_old_servers(self):
+        await self.check_instance_that_cannot_report(0)
+
+    async def test_relay_that_cannot_report_keeps_the_old_servers(self):
+        await self.check_instance_that_cannot_report(1)
+
+    async def test_instance_that_is_gone_does_not_delay_the_completion(self):
+        """Guards against waiting for all instances that were ever announced."""
+        spec = {"address": f"{HOST}:1", "data_centre": "dc-a", "link_mbps": 1.0}
+        self.store.put("entry-instances", "gone", spec)
+        await self.start_fleet(1, 60.0)
+        self.order(duration=30.0)
+        await self.wait_for_status("completed", 25.0)
+
     async def test_odd_orders_affect_nothing_else(self):
         """Guards against an order of another writer that stops requests or other orders."""
         await self.start_fleet(1, 40.0)
