An order whose duration changes after its end is a new order

Cause: the status names only state and target, so the status that an earlier order had left decided the next one for the same target at once.

Ruled out: the revision of the object as identity (a written status raises it as well, and an instance that starts late sees only the latest one); an object of our own that says which orders ended (two writes that can come apart).

Change: the status names the identity of its order in `order`; one without the field counts by its target as before. A version that an earlier order completed stays in use when it is ordered again: its servers are the only ones.

Also: the evaluation tells a roll-out of other instances only if there are any; test_streams_that_cannot_move... of test_rollout_guard failed on. The check of test_replaced_order... compared statuses with pairs of name and status and could not fail; it compares state and target now.

Seen: test_changed_duration..., test_status_of_another_order... and test_version_that_was_completed_stays... fail on; 30 tests of test_rollout_guard and test_rollout_io pass (48 s).

--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -396,8 +396,10 @@
         """Evaluates the running orders."""
         now = asyncio.get_running_loop().time()
         for service, versions in self._running().items():
-            versions.rollout.on_instances(now, self.list_alive())
-            versions.rollout.on_directory(now, self.list_announced())
+            if alive := self.list_alive():
+                versions.rollout.on_instances(now, alive)
+            if announced := self.list_announced():
+                versions.rollout.on_directory(now, announced)
             previous = versions.decision
             versions.decision = decision = versions.rollout.decide(now)
             heard = now - min(self._orders_confirmed_at, self._reports_confirmed_at)
--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -97,12 +97,19 @@
             The roll-out, if a new one begins.
         """
         order = stored.order
-        is_known = self.stored is not None and self.stored.order.order_id == order.order_id
+        previous = self.stored
+        is_known = previous is not None and previous.order.order_id == order.order_id
+        is_completed_again = (
+            previous is not None
+            and previous.state is RolloutState.COMPLETED
+            and previous.order.target == order.target
+        )
         self.stored = stored
         begun = None
         if not is_known:
             self._final_state = None
-            if stored.state is not RolloutState.COMPLETED and self._in_use.version == order.target:
+            is_in_use = self._in_use.version == order.target and not is_completed_again
+            if stored.state is not RolloutState.COMPLETED and is_in_use:
                 # Its servers were listed before the order.
                 self._in_use = VersionInUse()
         if stored.state in FINAL_STATES:
@@ -160,7 +167,7 @@
         Returns:
             The rule, None if no order is running or there was only its target when it began.
         """
-        if self.rollout is None or self._is_at_target:
+        if self.rollout is None or self._has_no_choice:
             return None
         return self.rollout.choose(
             now,
@@ -194,7 +201,7 @@
         Returns:
             Ids of the servers.
         """
-        if self.rollout is None or self._is_at_target:
+        if self.rollout is None or self._has_no_choice:
             return self.excluded(None)
         rule = self.rollout.choose(now, may_repeat=True, is_stream=True, is_retry=False)
         return self.excluded(rule)
@@ -226,6 +233,11 @@
             if attempt.move is not None and attempt.server.version != self.target
         ]
 
+    @property
+    def _has_no_choice(self) -> bool:
+        """Whether the running order names the version in use, or there are no other servers."""
+        return self._is_at_target or self._in_use.version == self.target
+
     @property
     def _unproved_target(self) -> str | None:
         """Version that does not become the one in use by the number of its servers."""
--- a/src/sapphireledge/platform/decode_rollout.py
+++ b/src/sapphireledge/platform/decode_rollout.py
@@ -27,10 +27,15 @@
 
 
 class _Status(msgspec.Struct):
-    """Status of an order; one with another target belongs to an earlier order."""
+    """Status of an order; one with another target or `order` belongs to an earlier one.
+
+    The store keeps the status when the operator changes the order. Without `order`, as other
+    writers and earlier releases leave it, the target alone tells.
+    """
 
     state: str
     target: Any
+    order: Any = None
 
 
 def decode_rollout(
@@ -62,7 +67,7 @@
         raise ValueError(f"{entry.duration_s} s is no time in which to move")
     order_id = f"{created}/{target}/{entry.duration_s:g}"
     order = RolloutOrder(name, target, entry.duration_s, order_id)
-    return StoredOrder(order, _decode_state(name, status, target), revision)
+    return StoredOrder(order, _decode_state(name, status, order), revision)
 
 
 def encode_status(order: RolloutOrder, state: RolloutState) -> Any:
@@ -75,10 +80,10 @@
     Returns:
         A value that JSON can encode.
     """
-    return {"state": state.value, "target": order.target}
+    return {"state": state.value, "target": order.target, "order": order.order_id}
 
 
-def _decode_state(name: str, status: object, target: str) -> RolloutState | None:
+def _decode_state(name: str, status: object, order: RolloutOrder) -> RolloutState | None:
     """Decodes the state of an order, None if its status is missing, odd or of an earlier order."""
     if status is None:
         return None
@@ -90,4 +95,6 @@
             GatewayEvent.ROLLOUT_UNREADABLE, service=name, part="status", reason=str(exc)
         )
         return None
-    return state if decode_version(stored.target) == target else None
+    if decode_version(stored.target) != order.target:
+        return None
+    return state if stored.order in (None, order.order_id) else None
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -207,6 +207,18 @@
         await self.call("/plain/x")
         self.assertEqual(self.received, ["v2", "v1"])
 
+    async def test_version_that_was_completed_stays_in_use_if_it_is_ordered_again(self):
+        """Guards against requests to old servers that are about to stop."""
+        await self.add_version("v2")
+        await self.add_version("v1")
+        rollouts = self.gateway.context.rollouts
+        for order_id, state in (("1", RolloutState.COMPLETED), ("2", None)):
+            order = RolloutOrder("app", "v2", 10.0, order_id)
+            rollouts.on_order(StoredOrder(order, state, int(order_id)))
+        for _ in range(4):
+            await self.call("/plain/x")
+        self.assertEqual({*self.received}, {"v2"})
+
     async def test_version_in_use_is_no_target_that_was_listed_before_its_order(self):
         """Guards against an instance that starts late and takes the majority for the old one."""
         await self.add_version("v2")
--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -13,7 +13,7 @@
 from sapphireledge.core.rollout import RolloutOrder, RolloutState
 from sapphireledge.feed import SourceError
 from sapphireledge.gateway import StoredOrder
-from sapphireledge.platform.decode_rollout import decode_rollout
+from sapphireledge.platform.decode_rollout import decode_rollout, encode_status
 from sapphireledge.platform.rollout_report_writer import RolloutReportWriter
 
 ROLLBACK = 5.0
@@ -136,7 +136,21 @@
         replaced_at = time.monotonic()
         await self.wait_for_status("completed", 16.0, target="v3")
         self.assert_nothing_new_since(replaced_at + 2.0)
-        self.assertNotIn({"state": "completed", "target": NEW}, self.store.status_writes)
+        written = [(status["state"], status["target"]) for _, status in self.store.status_writes]
+        self.assertNotIn(("completed", NEW), written)
+
+    async def test_changed_duration_after_the_end_is_a_new_order(self):
+        """Guards against an operator who has to remove an order to have it tried again."""
+        self.is_bad = True
+        await self.start_fleet(2, 100.0)
+        self.order(duration=60.0)
+        await self.wait_for_status("rolled_back", 25.0)
+        self.is_bad = False
+        self.order(duration=14.0)
+        await self.wait_for_status("completed", 16.0)
+        await asyncio.sleep(1.0)
+        states = [status["state"] for _, status in self.store.status_writes]
+        self.assertEqual(states, ["running", "rolled_back", "running", "completed"])
 
     async def test_store_away_at_the_verdict(self):
         """Guards against a new version that gets requests while instances hear nothing."""
@@ -275,6 +289,20 @@
         ):
             self.assertEqual(self.decode(status).state, state, status)
 
+    def test_status_of_another_order_for_the_same_target(self):
+        """Guards against an order with another duration that is taken for decided."""
+        for order, state in (
+            ("3/v2/12", RolloutState.ROLLED_BACK),
+            ("3/v2/60", None),
+            (None, RolloutState.ROLLED_BACK),
+        ):
+            status = {"state": "rolled_back", "target": NEW, "order": order}
+            self.assertIs(self.decode(status).state, state, order)
+        stored = self.decode()
+        status = encode_status(stored.order, RolloutState.COMPLETED)
+        self.assertIs(self.decode(status).state, RolloutState.COMPLETED)
+        self.assertIsNone(self.decode(status, duration_s=13).state)
+
     def test_orders_without_use_are_rejected(self):
         for fields in (
             {"target": ""},
