Check a version again right before a request is written to its server

Cause: an attempt chose its version before it connected, which takes up to 0.3 s; a verdict or the finish in between had no effect on it, and attempts that never connected counted as exposure.

Ruled out: drawing the share again (attempts that connect at the same time would withhold each other, and requests with one attempt would be refused); counting only what is written (attempts that connect at the same time would share a draw).

Change: `RolloutGuard.may_send` checks verdict, touch and finish after the connection is there. A withheld attempt is no failure of its server and uses up no attempt of its route. Attempts that were not sent are taken out of the counts.

Seen: test_verdict_while_an_attempt_connects fails on (the request reached v2) and passes now; the other two tests are of new methods.

--- a/src/sapphireledge/core/rollout/own_counts.py
+++ b/src/sapphireledge/core/rollout/own_counts.py
@@ -108,6 +108,19 @@
         """
         self.old_in_flight -= not is_new
 
+    def withdraw(self, route: str, is_new: bool, is_retry: bool) -> None:
+        """Takes back an attempt that was counted and not sent.
+
+        Args:
+            route: Route.
+            is_new: Whether it was to go to the new version.
+            is_retry: Whether the request was sent before.
+        """
+        self._of(route, is_new)[0] -= 1
+        self.requests -= not is_retry
+        self.new_sent -= is_new
+        self.old_in_flight -= not is_new
+
     def versions(self, is_new: bool) -> dict[str, VersionCounts]:
         """Returns the counts of a version.
 
--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -222,8 +222,25 @@
         is_retry = is_retry or resumed_from is not None
         return VersionRule(self._order.target, self._choose(now, may_repeat, is_stream, is_retry))
 
+    def still_permits(self, now: float, version: str) -> bool:
+        """Whether an attempt that `choose` gave a version a moment ago may still be sent.
+
+        Args:
+            now: Current time in seconds.
+            version: Version of the server.
+
+        Returns:
+            Whether it may; the share is not drawn again.
+        """
+        is_new = version == self._order.target
+        if self._state is not RolloutState.RUNNING:
+            return is_new is (self._state is RolloutState.COMPLETED)
+        if self._verdict or self._stage is RolloutStage.FINISH:
+            return is_new is not bool(self._verdict)
+        return not is_new or (self._share > 0.0 and self._is_in_touch(now))
+
     def on_sent(self, now: float, route: str, version: str, *, is_retry: bool = False) -> None:
-        """Counts an attempt that is sent to a server; exactly one `on_result` follows.
+        """Counts an attempt that is about to be sent; one `on_result` or `on_withdrawn` follows.
 
         Args:
             now: Current time in seconds.
@@ -269,6 +286,16 @@
         self._counts.end_attempt(version == self._order.target)
         self._count(now, route, version, result, seconds, server)
 
+    def on_withdrawn(self, route: str, version: str, *, is_retry: bool = False) -> None:
+        """Takes back an attempt that was not sent; its draw of the share is not repeated.
+
+        Args:
+            route: Route of the request.
+            version: Version of the server.
+            is_retry: What `on_sent` was told.
+        """
+        self._counts.withdraw(route, version == self._order.target, is_retry)
+
     def on_first_event(
         self, now: float, route: str, version: str, seconds: float | None, *, server: str = ""
     ) -> None:
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -169,7 +169,7 @@
         if state is None:
             return
         now = asyncio.get_running_loop().time()
-        if outcome.is_moved:
+        if outcome.is_moved or outcome.is_withheld:
             return
         if outcome.kind is OutcomeKind.ANSWERED:
             state.on_success()
--- a/src/sapphireledge/gateway/outcome.py
+++ b/src/sapphireledge/gateway/outcome.py
@@ -64,6 +64,9 @@
     is_moved: bool = False
     """Whether this instance ended the attempt so that the stream goes on at another server."""
 
+    is_withheld: bool = False
+    """Whether this instance did not send the request, as its version may no longer be used."""
+
     @property
     def is_misdirected(self) -> bool:
         """Whether a different server has taken over the address of the expected one."""
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -137,7 +137,10 @@
                 attempts, timeout=max(0.0, wait), return_when=asyncio.FIRST_COMPLETED
             )
             attempts -= done
-            outcomes += [task.result() for task in done]
+            for outcome in (task.result() for task in done):
+                outcomes.append(outcome)
+                if outcome.is_withheld:
+                    tried_servers.discard(outcome.server.server_id)
             answered = [outcome for outcome in outcomes if outcome.kind is OutcomeKind.ANSWERED]
             if answered:
                 self._finish_in_background(attempts)
--- a/src/sapphireledge/gateway/rollout_attempt.py
+++ b/src/sapphireledge/gateway/rollout_attempt.py
@@ -29,3 +29,6 @@
     move: Callable[[], bool] | None = None
     """Ends the attempt so that its stream resumes at another server, if that can take it now;
     returns whether it does. None if the attempt cannot move."""
+
+    is_retry: bool = False
+    """Whether the request was counted before."""
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -146,6 +146,23 @@
         now = asyncio.get_running_loop().time()
         return versions.permits(server, versions.choose(now, admitted, is_retry=is_retry))
 
+    def may_send(self, admitted: AdmittedRequest, server: BackendServer) -> bool:
+        """Checks right before an attempt is sent that the order has not changed since its choice.
+
+        The share is not drawn again: `begin` has counted the attempt.
+
+        Args:
+            admitted: The request.
+            server: The server.
+
+        Returns:
+            Whether the server may be sent the request now.
+        """
+        versions = self._services.get(admitted.service.name)
+        if versions is None or not (versions.rollout or versions.held_versions):
+            return True
+        return versions.may_send(asyncio.get_running_loop().time(), server)
+
     def unusable(self, service: str) -> frozenset[str]:
         """Lists the servers of a service that no new stream may be sent to now.
 
@@ -194,7 +211,7 @@
         is_retry: bool,
         move: Callable[[], None] | None = None,
     ) -> RolloutAttempt | None:
-        """Counts an attempt that is sent to a server.
+        """Counts an attempt at a server, before its connection; `finish` follows.
 
         Args:
             admitted: The request.
@@ -209,7 +226,7 @@
             return None
         versions = self._versions(admitted.service.name)
         now = asyncio.get_running_loop().time()
-        attempt = RolloutAttempt(admitted.route.name, server, now, move)
+        attempt = RolloutAttempt(admitted.route.name, server, now, move, is_retry)
         versions.attempts.add(attempt)
         if versions.rollout is not None:
             versions.rollout.on_sent(now, attempt.route, server.version, is_retry=is_retry)
@@ -233,7 +250,12 @@
         )
 
     def finish(
-        self, attempt: RolloutAttempt | None, quality: AnswerQuality, seconds: float | None
+        self,
+        attempt: RolloutAttempt | None,
+        quality: AnswerQuality,
+        seconds: float | None,
+        *,
+        is_sent: bool = True,
     ) -> None:
         """Counts the end of an attempt.
 
@@ -241,6 +263,7 @@
             attempt: The attempt, as returned by `begin`.
             quality: What the end says about the version.
             seconds: Time of a complete answer that is compared between versions.
+            is_sent: Whether the request was sent; only then does it count as exposure.
         """
         if attempt is None:
             return
@@ -249,6 +272,9 @@
         versions.attempts.discard(attempt)
         if versions.rollout is None:
             return
+        if not is_sent:
+            versions.rollout.on_withdrawn(attempt.route, server.version, is_retry=attempt.is_retry)
+            return
         now = asyncio.get_running_loop().time()
         compared = self._compared(attempt, seconds)
         versions.rollout.on_result(
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -85,7 +85,7 @@
         now = asyncio.get_running_loop().time()
         quality = judge_attempt(context.crashes, admitted, outcome, attempt, now - started)
         seconds = compare_seconds(admitted, attempt, number, now)
-        context.rollouts.finish(counted, quality, seconds)
+        context.rollouts.finish(counted, quality, seconds, is_sent=attempt.is_sent)
         context.crashes.end(work_id)
         if state is not None:
             state.in_flight -= 1
@@ -140,6 +140,10 @@
         )
     except (OSError, TimeoutError) as exc:
         return Outcome(OutcomeKind.NOT_EXECUTED, server, f"cannot connect: {exc!r}")
+    if not context.rollouts.may_send(admitted, server):
+        context.pool.release(server, conn)
+        reason = "the version of the server may no longer be used"
+        return Outcome(OutcomeKind.NOT_EXECUTED, server, reason, is_withheld=True)
     reusable = False
     try:
         async with asyncio.timeout_at(admitted.deadline):
--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -176,6 +176,22 @@
             is_retry=is_retry,
         )
 
+    def may_send(self, now: float, server: BackendServer) -> bool:
+        """Whether an attempt that chose a server a moment ago may still be sent.
+
+        Args:
+            now: Event loop time in seconds.
+            server: The server.
+
+        Returns:
+            Whether it may.
+        """
+        if not self.permits(server, None):
+            return False
+        if self.rollout is None or self._has_no_choice:
+            return True
+        return self.rollout.still_permits(now, server.version)
+
     def excluded(self, rule: VersionRule | None, *, preferred: bool = False) -> frozenset[str]:
         """Lists the servers that an attempt may not use.
 
@@ -253,6 +269,7 @@
             server.version == rollout.order.target for server in servers
         )
         for attempt in self.attempts:
+            attempt.is_retry = True
             rollout.on_sent(now, attempt.route, attempt.server.version, is_retry=True)
 
     def permits(self, server: BackendServer, rule: VersionRule | None) -> bool:
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -122,6 +122,8 @@
             outcome: Outcome other than ANSWERED.
         """
         self.last_reason = outcome.reason
+        if outcome.is_withheld:
+            return
         self.failed_engines.add(outcome.server.server_id)
         if outcome.kind is OutcomeKind.NOT_EXECUTED:
             return
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -293,6 +293,32 @@
             report = RolloutReport("b", "o", "i", 1, age, 100, {"r": old}, {"r": new})
             self.assertIs(self.decide(age, report).proposed, proposed)
 
+    def test_attempt_that_was_not_sent_is_no_exposure(self):
+        order = RolloutOrder("s", "v2", 60.0, "o")
+        rollout = Rollout(RolloutLimits(), order, "a", 0.0, random.Random(1))
+        for version in ("v1", "v2"):
+            rollout.on_sent(1.0, "r", version)
+            rollout.on_withdrawn("r", version)
+        report = rollout.report(2.0)
+        self.assertEqual((report.requests, report.old_in_flight), (0, 0))
+        self.assertEqual((report.old["r"].sent, report.new["r"].sent), (0, 0))
+
+    def test_choice_is_checked_again_when_it_is_sent(self):
+        """Guards against requests for a version after a verdict, and for one that is about to be
+        stopped."""
+        fleet = RolloutFleet(bad(1.0, since=20.0)).run(19.0)
+        rollout = fleet.nodes[0].rollout
+        self.assertEqual(self.permitted(fleet, rollout), [True, True])
+        fleet.run(40.0)
+        self.assertEqual(self.permitted(fleet, rollout), [True, False])
+        fleet = RolloutFleet(good).run(94.0)
+        self.assertEqual(self.permitted(fleet, fleet.nodes[0].rollout), [False, True])
+        fleet = RolloutFleet(good, duration=30.0).run(35.0)
+        self.assertEqual(self.permitted(fleet, fleet.nodes[0].rollout), [False, True])
+
+    def permitted(self, fleet: RolloutFleet, rollout: Rollout) -> list[bool]:
+        return [rollout.still_permits(fleet.now, version) for version in ("v1", "v2")]
+
     def test_report_is_small_and_survives_storage(self):
         counts = {f"route-{i}": VersionCounts(9000, 8000, 10, 20, 400.25, 8000) for i in range(5)}
         servers = {f"booking-app-{i:03}": 3 for i in range(12)}
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -78,9 +78,15 @@
     def on_sent(self, now, route, version, *, is_retry=False):
         self.sent.append((version, is_retry))
 
+    def still_permits(self, now, version):
+        return VersionRule("v2", self.choice).permits(version)
+
     def on_result(self, now, route, version, result, seconds, *, server=""):
         self.results.append((version, result))
 
+    def on_withdrawn(self, route, version, *, is_retry=False):
+        self.sent.remove((version, is_retry))
+
 
 class SelectionTest(GatewayCase):
     async def asyncSetUp(self) -> None:
@@ -149,6 +155,28 @@
             rollout.results, [("v2", AnswerQuality.FAILED), ("v1", AnswerQuality.GOOD)]
         )
 
+    async def test_verdict_while_an_attempt_connects(self):
+        """Guards against a request that reaches a version after it was condemned, and against one
+        that is refused because it was not sent."""
+        await self.add_version("v1")
+        await self.add_version("v2")
+        acquire = self.gateway.context.pool.acquire
+
+        async def acquire_late(*args, **kwargs):
+            conn = await acquire(*args, **kwargs)
+            rollout.choice = VersionChoice.OLD_ONLY
+            return conn
+
+        for path in ("/plain/x", "/once/x"):
+            rollout = self.begin(VersionChoice.NEW_FIRST)
+            with mock.patch.object(self.gateway.context.pool, "acquire", acquire_late):
+                response = await self.call(path)
+            self.assertEqual((response.status, self.received), (200, ["v1"]), path)
+            self.assertEqual([version for version, _ in rollout.sent], ["v1"])
+            self.received.clear()
+        states = [self.gateway.context.registry.state(s.server_id) for s in self.servers]
+        self.assertEqual([state.failure_rate for state in states], [0.0, 0.0])
+
     async def test_failures_of_a_judged_version_do_not_count_at_its_servers(self):
         """Guards against a version that gets fewer requests than its share because of failures
         that are held against the version already."""
