Later finish without long answers, and doubt about few answers before completion

Cause: the move was planned for answers of 25 s whatever the service, so a service of short answers left the old version half-way through 60 s, after which a fault is found too late for the bound of the exposure. With one request a second, bad answers proved nothing, and the version was completed.

Change: the longest time limit of the routes of a service bounds the work at old servers; 8 s and a ramp are left for observation and instances that were interrupted. Before completion, fewer than 60 answers with more bad ones than one would move with keep the order open, and it is rolled back at the reserve.

--- a/src/sapphireledge/core/rollout/fleet_load.py
+++ b/src/sapphireledge/core/rollout/fleet_load.py
@@ -30,6 +30,9 @@
 SOME_ANSWERS = 10
 """Good answers of the new version that are enough when there is no time for more."""
 
+FEW_ANSWERS = 60
+"""Answers of the new version below which a comparison may find nothing although many are bad."""
+
 SOME_BAD, SOME_BAD_RATE = 2, 0.1
 """Bad answers, in number and as a rate beyond twice that of the old version, that are too few to
 speak against it then."""
@@ -106,6 +109,11 @@
         rate = SOME_BAD_RATE + 2.0 * self.old_bad / max(1, self.old_answers)
         return self.new_bad > max(SOME_BAD, rate * self.new_answers)
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether there are so few answers, and so many bad ones, that they prove nothing."""
+        return self.looks_bad and self.new_answers < FEW_ANSWERS
+
     def has_some_evidence(self, slack: float) -> bool:
         """Whether the evidence is enough when there is no time for more.
 
--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -136,6 +136,11 @@
         """The order."""
         return self._order
 
+    @property
+    def limits(self) -> RolloutLimits:
+        """Limits of this order."""
+        return self._limits
+
     def on_status(self, now: float, state: RolloutState) -> None:
         """Takes in the stored status; a final one is kept whatever follows.
 
@@ -500,7 +505,9 @@
         if strongest.is_bad and not self._verdict:
             self._verdict = strongest.reason
         is_doubtful = strongest.is_suspect or self._load.looks_bad
-        is_overdue = self._age(now) >= self._schedule.force_at and not self._is_new_only
+        if self._is_new_only:
+            is_doubtful = self._load.is_doubtful
+        is_overdue = self._age(now) >= self._schedule.force_at
         if is_overdue and is_doubtful and not self._verdict and self._is_in_touch(now):
             self._verdict = strongest.reason or "too many bad answers to move by the deadline"
 
@@ -607,6 +614,8 @@
         is_observed = is_observed and not self._comparison.is_suspect
         if not is_observed and self._age(now) < self._schedule.move_streams_at:
             return None, "observing the new version under the whole load"
+        if self._load.is_doubtful:
+            return None, "too many of the few answers of the new version were bad"
         is_forced = self._age(now) >= self._schedule.force_at
         gone_after = self._limits.gone_after
         unreported = self._members.find_unreported(now, self._reports, gone_after)
--- a/src/sapphireledge/core/rollout/rollout_limits.py
+++ b/src/sapphireledge/core/rollout/rollout_limits.py
@@ -25,7 +25,8 @@
     """Time after the 50th bad answer from which a bad version is given nothing."""
 
     longest_answer: float = 25.0
-    """Time that the longest answers take; work at old servers may last so long after the move."""
+    """Time that the longest answers take; work at old servers may last so long after the move. A
+    service whose routes permit less has a later move, and so more time to be compared."""
 
     trial_part: float = 0.3
     """Part of `exposed_share` that is used until there is evidence."""
--- a/src/sapphireledge/core/rollout/rollout_schedule.py
+++ b/src/sapphireledge/core/rollout/rollout_schedule.py
@@ -37,6 +37,10 @@
 SHORTEST_RESERVE, LONGEST_RESERVE = 4.0, 10.0
 """Bounds of that reserve in seconds: instances hear of an order after up to 3 s."""
 
+SHORTEST_TAIL = 8.0
+"""Seconds between the finish and the reserve at least, beside a ramp, in which the new version is
+observed under the whole load and instances that were interrupted catch up."""
+
 STREAM_MOVE_TIME = 6.0
 """Seconds before the reserve from which streams are moved rather than awaited."""
 
@@ -84,7 +88,8 @@
         ramp = min(max(RAMP_PART * duration, SHORTEST_RAMP), LONGEST_RAMP)
         reserve = min(max(RESERVE_PART * duration, SHORTEST_RESERVE), LONGEST_RESERVE)
         end = max(duration - reserve, 0.5 * duration)
-        finish_at = max(EARLIEST_FINISH_PART * duration, end - limits.longest_answer)
+        tail = max(limits.longest_answer, ramp + SHORTEST_TAIL)
+        finish_at = max(EARLIEST_FINISH_PART * duration, end - tail)
         latest_move_at = max(finish_at - ramp, EARLIEST_MOVE_PART * duration)
         return RolloutSchedule(
             plain_at=REPEATABLE_PART * duration,
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -74,6 +74,7 @@
         self._streams = StreamForwarder(self.context)
         self._rng = Random()
         self.context.pool.connection_limit = self._connection_limit
+        self.context.rollouts.longest_answer = self._longest_answer
         self.context.is_stopping = lambda: self._stop_started is not None
         self._ledger = CallerLedger(cfg.callers.callers, telemetry.record_caller_limit)
         RESPONSE_BUDGET.resize(cfg.callers.response_bytes)
@@ -269,6 +270,10 @@
         """Returns the caller limits of the configuration in force."""
         return CallerLimits() if self.config.table is None else self.config.table.limits
 
+    def _longest_answer(self, service: str) -> float | None:
+        """Returns how long answers of a service may take, None if no configuration says so."""
+        return None if self.config.table is None else self.config.table.longest_answer(service)
+
     def _connection_limit(self, service: str) -> int:
         """Returns how many connections each server of a service accepts, 0 if unknown."""
         profile = None if self.config.table is None else self.config.table.services.get(service)
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from itertools import islice
 from random import Random
 from typing import TYPE_CHECKING
@@ -64,6 +65,9 @@
         self.list_announced: Callable[[], Collection[str]] = tuple
         """Lists the instances of the directory, those that are gone included."""
 
+        self.longest_answer: Callable[[str], float | None] = lambda service: None
+        """Returns how many seconds answers of a service may take, None if that is not known."""
+
         self._limits: RolloutLimits | None = cfg.rollout
         self._instance = cfg.instance
         self._registry = registry
@@ -295,7 +299,11 @@
         previous = versions.stored
         if previous is not None and stored.revision < previous.revision:
             return
-        begun = versions.on_order(now, stored, self._limits, self._instance, self._rng)
+        limits = self._limits
+        longest = self.longest_answer(stored.order.service)
+        if longest is not None:
+            limits = replace(limits, longest_answer=min(longest, limits.longest_answer))
+        begun = versions.on_order(now, stored, limits, self._instance, self._rng)
         if begun is not None:
             begun.on_reports(now, [report for known in self._reports.values() for report in known])
         self._telemetry.record_order(previous, stored, versions.version_in_use)
--- a/src/sapphireledge/gateway/routing_table.py
+++ b/src/sapphireledge/gateway/routing_table.py
@@ -39,6 +39,23 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     """Limits for callers' requests."""
 
+    def longest_answer(self, service: str) -> float | None:
+        """Finds out how long answers of a service may take.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            Seconds, None if no route leads to it.
+        """
+        limits = [
+            route.time_limit
+            for routes in self.routes.values()
+            for route in routes
+            if any(name == service for name, _ in route.services)
+        ]
+        return max(limits, default=None)
+
     def match(self, host: str, path: str) -> Route | None:
         """Finds the route of a request.
 
--- a/tests/rollout_fleet.py
+++ b/tests/rollout_fleet.py
@@ -49,14 +49,24 @@
 class RolloutFleet:
     """Times are in seconds since the order; `rate` is the requests of the fleet per second."""
 
-    def __init__(self, behaviour: Behaviour, *, seed=1, nodes=9, rate=90.0, duration=120.0):
+    def __init__(
+        self,
+        behaviour: Behaviour,
+        *,
+        seed=1,
+        nodes=9,
+        rate=90.0,
+        duration=120.0,
+        limits=RolloutLimits(),  # noqa: B008, it is frozen
+        weights=(5, 4, 1),
+    ):
         self.rng, self.behaviour, self.rate, self.duration = (
             random.Random(seed),
             behaviour,
             rate,
             duration,
         )
-        self.limits, self.now, self.count = RolloutLimits(), 0.0, nodes
+        self.limits, self.now, self.count = limits, 0.0, nodes
         self.order = RolloutOrder("booking", "v2", duration, f"order-{seed}")
         self.stored: dict[str, list[tuple[float, RolloutReport]]] = {}
         self.status = [(0.0, RolloutState.RUNNING)]
@@ -71,7 +81,7 @@
         self.sent_new_at: list[float] = []
         self.sent_old_at: list[float] = []
         self.bad_at: list[float] = []
-        self.weights: tuple[int, ...] = (5, 4, 1)[: len(ROUTES)]
+        self.weights: tuple[int, ...] = weights
         self.nodes = {i: self.start(i, self.rng.uniform(0.5, 3.0)) for i in range(nodes)}
 
     def start(self, number: int, learns_in: float = 1.0) -> Node:
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -23,6 +23,7 @@
 from sapphireledge.core.rollout.fleet_members import FleetMembers
 from sapphireledge.core.rollout.fleet_reports import FleetReports
 from sapphireledge.core.rollout.report_writing import ReportWriting
+from sapphireledge.core.rollout.rollout_schedule import RolloutSchedule
 from sapphireledge.errors import Failure
 
 ROLLED_BACK, COMPLETED = RolloutState.ROLLED_BACK, RolloutState.COMPLETED
@@ -89,6 +90,23 @@
     def test_bad_only_under_load(self):
         self.assert_rolled_back(RolloutFleet(bad_under_load).run(130.0))
 
+    def test_bad_late_in_a_service_without_long_answers(self):
+        """Guards against a move that is as early as that of a service with streams."""
+        for duration, since in ((60.0, 42.0), (120.0, 92.0)):
+            fleet = RolloutFleet(
+                bad(0.3, since=since),
+                duration=duration,
+                limits=RolloutLimits(longest_answer=1.6),
+                weights=(5, 4, 0),
+            )
+            self.assert_rolled_back(fleet.run(duration + 5.0))
+
+    def test_few_answers_of_which_many_are_bad(self):
+        """Guards against a version that is completed because it has too few requests."""
+        for seed in range(8):
+            fleet = RolloutFleet(bad(0.33), rate=1.0, duration=60.0, seed=seed, nodes=3)
+            self.assert_rolled_back(fleet.run(65.0))
+
     def test_bad_on_one_route_only(self):
         self.assert_rolled_back(RolloutFleet(bad(0.3, route="lookup")).run(130.0), before=70.0)
         # The slow streams end long after the verdict.
@@ -258,6 +276,25 @@
         self.assert_completed(fleet.run(130.0))
 
 
+class RolloutScheduleTest(unittest.TestCase):
+    def test_interrupted_instance_can_still_move(self):
+        """Guards against a move so late that an instance that missed it misses the deadline."""
+        for longest in (0.5, 1.6, 10.0, 25.0):
+            limits = RolloutLimits(longest_answer=longest)
+            for duration in (20.0, 30.0, 60.0, 120.0, 600.0):
+                schedule = RolloutSchedule.plan(limits, duration)
+                overdue_at = schedule.latest_move_at + 2.0 * schedule.ramp
+                self.assertLessEqual(overdue_at, schedule.force_at, (longest, duration))
+
+    def test_service_without_long_answers_moves_later(self):
+        for duration in (60.0, 120.0):
+            short, long = (
+                RolloutSchedule.plan(RolloutLimits(longest_answer=longest), duration)
+                for longest in (1.6, 25.0)
+            )
+            self.assertGreater(short.move_at, long.move_at)
+
+
 class RolloutPartsTest(unittest.TestCase):
     """Guards the reports, what an instance concludes from them, and the version in use."""
 
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 import msgspec
-from gateway_case import HOST, PLAIN_ROUTE, STREAM_ROUTE, GatewayCase, signed_response
+from gateway_case import HOST, PLAIN_ROUTE, STREAM_ROUTE, GatewayCase, signed_response, table
 
 from sapphireledge.core.quarantine import DeathRecord
 from sapphireledge.core.rollout import (
@@ -355,6 +355,21 @@
         self.assertIsNone(compare_seconds(stream, self.attempt, 2, now))
 
 
+class LongestAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_schedule_depends_on_the_routes_of_the_service(self):
+        """Guards against an early move, after which a late fault is not found in time."""
+        gateway = Gateway(SETTINGS, PlatformDialect(), RequestTelemetry(GatewayMetrics()))
+        gateway.config.accept(table())
+        guard = gateway.context.rollouts
+        for service in ("app", "llm", "other"):
+            guard.on_order(StoredOrder(RolloutOrder(service, "v2", 120.0, "1"), None, 1))
+        longest = [
+            guard._versions(service).rollout.limits.longest_answer
+            for service in ("app", "llm", "other")
+        ]
+        self.assertEqual(longest, [2.0, 8.0, SETTINGS.rollout.longest_answer])
+
+
 class StatusWriterTest(unittest.IsolatedAsyncioTestCase):
     async def write(self, *answers: object) -> tuple[list[object], RolloutGuard]:
         """Lets a writer write the status of an order; returns its calls and what it learnt."""
