--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -8,24 +8,20 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from sapphireledge.gateway.loop_lag import LoopLag
-from sapphireledge.gateway.rollout_attempt import RolloutAttempt
-from sapphireledge.gateway.service_versions import ServiceVersions
+from sapphireledge.gateway.attempt_counting import AttemptCounting
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping, Sequence
 
     from sapphireledge.core.rollout import (
-        AnswerQuality,
         RolloutLimits,
         RolloutReport,
         RolloutState,
     )
-    from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_registry import BackendRegistry
-    from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.gateway_settings import GatewaySettings
     from sapphireledge.gateway.rollout_telemetry import RolloutTelemetry
+    from sapphireledge.gateway.service_versions import ServiceVersions
     from sapphireledge.gateway.stored_order import StoredOrder
 
 __all__ = ["RolloutGuard"]
@@ -40,7 +36,7 @@
 """Streams that are moved away from the old version at once; each has its prompt read anew."""
 
 
-class RolloutGuard:
+class RolloutGuard(AttemptCounting):
     """Holds the version rules of all services; the decisions are those of `core.rollout`.
 
     Without limits of roll-outs in the settings, every server may be used.
@@ -56,6 +52,7 @@
             registry: Known backend servers.
             telemetry: Log lines and metrics.
         """
+        super().__init__(registry, telemetry, is_used=cfg.rollout is not None)
         self.on_activity: Callable[[bool], None] = lambda is_active: None
         """Called with whether changes of orders and reports are expected, when that changes."""
 
@@ -70,16 +67,12 @@
 
         self._limits: RolloutLimits | None = cfg.rollout
         self._instance = cfg.instance
-        self._registry = registry
-        self._telemetry = telemetry
         self._rng = Random()
-        self._services: dict[str, ServiceVersions] = {}
         self._reports: dict[str, tuple[RolloutReport, ...]] = {}
         self._orders_confirmed_at = float("-inf")
         self._reports_confirmed_at = float("-inf")
         self._news_until = float("-inf")
         self._is_active = False
-        self._lag = LoopLag()
         self._begun = asyncio.Event()
 
     def reconfigure(self, cfg: GatewaySettings) -> None:
@@ -105,187 +98,6 @@
         has_orders = self._orders_confirmed_at > float("-inf")
         return has_orders or not any(v.held_versions for v in self._services.values())
 
-    def excluded(
-        self, admitted: AdmittedRequest, others: Collection[str] = (), *, is_retry: bool
-    ) -> frozenset[str]:
-        """Lists the servers that an attempt of a request may not use because of their version.
-
-        The result holds for an attempt that is sent at once.
-
-        Args:
-            admitted: The request.
-            others: Ids of servers that are left out for other reasons.
-            is_retry: Whether the request was sent to a server before.
-
-        Returns:
-            Ids of the servers.
-        """
-        versions = self._services.get(admitted.service.name)
-        if versions is None or not (versions.rollout or versions.held_versions):
-            return frozenset()
-        now = asyncio.get_running_loop().time()
-        rule = versions.choose(now, admitted, is_retry=is_retry)
-        if rule is None:
-            return versions.excluded(None)
-        preferred = versions.excluded(rule, preferred=True)
-        left_out = {*preferred, *others}
-        if self._registry.next_admission(now, admitted.service.name, left_out) <= now:
-            return preferred
-        return versions.excluded(rule)
-
-    def permits(self, admitted: AdmittedRequest, server: BackendServer, *, is_retry: bool) -> bool:
-        """Checks whether an attempt may still use a server that was chosen for it before.
-
-        Args:
-            admitted: The request.
-            server: The server.
-            is_retry: Whether the request was sent to a server before.
-
-        Returns:
-            Whether it may, if it is sent at once.
-        """
-        versions = self._services.get(admitted.service.name)
-        if versions is None or not (versions.rollout or versions.held_versions):
-            return True
-        now = asyncio.get_running_loop().time()
-        return versions.permits(server, versions.choose(now, admitted, is_retry=is_retry))
-
-    def may_send(self, admitted: AdmittedRequest, server: BackendServer) -> bool:
-        """Checks right before an attempt is sent that the order has not changed since its choice.
-
-        The share is not drawn again: `begin` has counted the attempt.
-
-        Args:
-            admitted: The request.
-            server: The server.
-
-        Returns:
-            Whether the server may be sent the request now.
-        """
-        versions = self._services.get(admitted.service.name)
-        if versions is None or not (versions.rollout or versions.held_versions):
-            return True
-        return versions.may_send(asyncio.get_running_loop().time(), server)
-
-    def unusable(self, service: str) -> frozenset[str]:
-        """Lists the servers of a service that no new stream may be sent to now.
-
-        Args:
-            service: Name of the service.
-
-        Returns:
-            Ids of the servers.
-        """
-        versions = self._services.get(service)
-        if versions is None or not (versions.rollout or versions.held_versions):
-            return frozenset()
-        return versions.excluded_for_streams(asyncio.get_running_loop().time())
-
-    def excluded_copies(self, server: BackendServer) -> frozenset[str]:
-        """Lists the servers that may not hold a copy of a stream because of their version.
-
-        Args:
-            server: Server that runs the stream.
-
-        Returns:
-            Ids of the servers.
-        """
-        versions = self._services.get(server.service)
-        if versions is None or not (versions.rollout or versions.held_versions):
-            return frozenset()
-        return versions.other_versions(server)
-
-    def is_judged(self, server: BackendServer) -> bool:
-        """Whether the version of a server is being judged by a roll-out.
-
-        Args:
-            server: The server.
-
-        Returns:
-            Whether it is.
-        """
-        versions = self._services.get(server.service)
-        return versions is not None and bool(server.version) and server.version == versions.target
-
-    def begin(
-        self,
-        admitted: AdmittedRequest,
-        server: BackendServer,
-        *,
-        is_retry: bool,
-        move: Callable[[], None] | None = None,
-    ) -> RolloutAttempt | None:
-        """Counts an attempt at a server, before its connection; `finish` follows.
-
-        Args:
-            admitted: The request.
-            server: The server.
-            is_retry: Whether the request was sent to a server before.
-            move: Ends the attempt so that its stream resumes elsewhere, None if it cannot.
-
-        Returns:
-            The attempt for `finish`, None if roll-outs are not used.
-        """
-        if self._limits is None:
-            return None
-        versions = self._versions(admitted.service.name)
-        now = asyncio.get_running_loop().time()
-        attempt = RolloutAttempt(admitted.route.name, server, now, move, is_retry)
-        versions.attempts.add(attempt)
-        if versions.rollout is not None:
-            versions.rollout.on_sent(now, attempt.route, server.version, is_retry=is_retry)
-        return attempt
-
-    def on_first_event(self, attempt: RolloutAttempt, seconds: float) -> None:
-        """Takes in the first event of a stream.
-
-        Args:
-            attempt: The attempt, as returned by `begin`.
-            seconds: Seconds from sending to the event.
-        """
-        server = attempt.server
-        versions = self._versions(server.service)
-        if versions.rollout is None:
-            return
-        now = asyncio.get_running_loop().time()
-        compared = self._compared(attempt, seconds)
-        versions.rollout.on_first_event(
-            now, attempt.route, server.version, compared, server=server.server_id
-        )
-
-    def finish(
-        self,
-        attempt: RolloutAttempt | None,
-        quality: AnswerQuality,
-        seconds: float | None,
-        *,
-        is_sent: bool = True,
-    ) -> None:
-        """Counts the end of an attempt.
-
-        Args:
-            attempt: The attempt, as returned by `begin`.
-            quality: What the end says about the version.
-            seconds: Time of a complete answer that is compared between versions.
-            is_sent: Whether the request was sent; only then does it count as exposure.
-        """
-        if attempt is None:
-            return
-        server = attempt.server
-        versions = self._versions(server.service)
-        versions.attempts.discard(attempt)
-        if versions.rollout is None:
-            return
-        if not is_sent:
-            versions.rollout.on_withdrawn(attempt.route, server.version, is_retry=attempt.is_retry)
-            return
-        now = asyncio.get_running_loop().time()
-        compared = self._compared(attempt, seconds)
-        versions.rollout.on_result(
-            now, attempt.route, server.version, quality, compared, server=server.server_id
-        )
-        self._telemetry.record_answer(server, quality)
-
     def on_order(self, stored: StoredOrder) -> None:
         """Takes in an order of the store or a change of its status.
 
@@ -445,12 +257,6 @@
                 list(islice(filter(None, moves), MOVES_PER_TICK))
         self._update_activity(now)
 
-    def _compared(self, attempt: RolloutAttempt, seconds: float | None) -> float | None:
-        """Returns a time that is compared between versions, None if something else affects it."""
-        if attempt.server.is_warming or self._lag.was_late(attempt.begun_at):
-            return None
-        return seconds
-
     def _running(self) -> dict[str, ServiceVersions]:
         """Returns the services with a running order."""
         return {
@@ -459,13 +265,6 @@
             if versions.rollout is not None
         }
 
-    def _versions(self, service: str) -> ServiceVersions:
-        """Returns the versions of a service, created on first use."""
-        versions = self._services.get(service)
-        if versions is None:
-            versions = self._services[service] = ServiceVersions(service, self._registry)
-        return versions
-
     def _update_activity(self, now: float) -> None:
         """Reports whether changes of orders and reports are expected."""
         is_active = bool(self._running() or self.wanted_states()) or now < self._news_until
