--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -142,6 +142,16 @@
         self.assert_rolled_back(fleet.run(130.0), before=80.0)
         self.assertEqual([at for at in fleet.sent_new_at if 36.0 < at < 50.0], [])
 
+    def test_restarted_instances_keep_the_evidence_of_those_before(self):
+        """Guards against counts that are lost with the instances that made them."""
+        fleet = RolloutFleet(good, rate=30.0).run(60.0)
+        fleet.nodes = {number: fleet.start(number) for number in fleet.nodes}
+        fleet.run(66.0)
+        heard = [node.rollout.decide(fleet.now).evidence for node in fleet.nodes.values()]
+        for evidence in heard:
+            self.assertGreater(evidence["new_answers"], 40)
+            self.assertGreater(evidence["requests"], 0.8 * fleet.requests)
+
     def test_answers_of_status_writes_lost_and_done_late(self):
         fleet = RolloutFleet(bad(1.0))
         fleet.status_write_delay = 4.0
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -393,6 +393,15 @@
         self.assertEqual(calls, [("running", 7), "read"])
         self.assertEqual(guard.wanted_states(), {})
 
+    async def test_write_without_response_that_is_done_after_the_read(self):
+        """Guards against a second status once the store executes the first write late."""
+        running = {"state": "running", "target": "v2"}
+        calls, guard = await self.write(
+            SourceError("lost"), version(7, None), version(8, running, written=False)
+        )
+        self.assertEqual(calls, [("running", 7), "read", ("running", 7)])
+        self.assertEqual(guard.wanted_states(), {})
+
     async def test_status_is_written_again_if_the_order_changed_only_in_its_revision(self):
         calls, _ = await self.write(
             version(9, None, written=False), version(10, {"state": "running", "target": "v2"})
