Use the slack of the exposure before the share

The slack was used only while the share was used up, which its own pace prevents, so evidence came no sooner than the share brings it.

Change: the slack is used first and counts for the share, which takes over once it permits more. So it brings evidence early and adds nothing where requests are many.

--- a/src/sapphireledge/core/rollout/exposure_allowance.py
+++ b/src/sapphireledge/core/rollout/exposure_allowance.py
@@ -14,8 +14,9 @@
 
     Each instance keeps the share for its own requests, so that it holds for their sum without any
     message. The fraction of a request that an instance is left with is rounded at random, once, so
-    that the sum over many instances is right on average. Where requests are few, a part of the
-    slack, divided by the number of instances, takes the place of the share.
+    that the sum over many instances is right on average. A part of the slack, divided by the number
+    of instances, is used first, so that there is evidence early; these requests count for the share
+    as well, which takes over once it permits more.
     """
 
     def __init__(self, limits: RolloutLimits, rng: Random) -> None:
@@ -50,6 +51,6 @@
         """
         if not share:
             return 0.0
-        if sent + 1 <= share * requests + self._rounding:
-            return share
-        return self._limits.slack_share if sent + 1 <= self._slack + self._rounding else 0.0
+        if sent + 1 <= self._slack + self._rounding:
+            return self._limits.slack_share
+        return share if sent + 1 <= share * requests + self._rounding else 0.0
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -199,6 +199,14 @@
                 fleet = RolloutFleet(good, rate=rate, duration=duration, seed=seed)
                 self.assert_completed(fleet.run(duration + 5.0))
 
+    def test_completion_in_a_short_time_with_few_requests(self):
+        """Guards against a slack that is left unused while the evidence is missing."""
+        for seed in (1, 2, 3):
+            fleet = RolloutFleet(
+                good, rate=30.0, duration=16.0, nodes=2, seed=seed, weights=(5, 4, 0)
+            )
+            self.assert_completed(fleet.run(18.0))
+
     def test_completion_without_traffic(self):
         self.assert_completed(RolloutFleet(good, rate=0.0).run(130.0))
 
