A test of a version that turns bad waits for the move

Cause: test_version_that_turns_bad_gets_nothing_soon_after took a share above 0.25 for the move, which the slack reaches as well. The version then turned bad when it was about to get few requests, and its last one came 7.2 s after its first bad answer in one of five runs with the slack used first (the whole module at a load average of 15; three runs alone and one with three other tests passed).

Change: the test waits for the stage "move" at all instances besides the share.

--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -10,7 +10,7 @@
 from gateway_case import HOST, chunk, event, stream_head
 from rollout_io_case import NEW, OLD, SERVICE, RolloutFleetCase
 
-from sapphireledge.core.rollout import RolloutOrder, RolloutState
+from sapphireledge.core.rollout import RolloutOrder, RolloutStage, RolloutState
 from sapphireledge.feed import SourceError
 from sapphireledge.gateway import StoredOrder
 from sapphireledge.platform.decode_rollout import decode_rollout, encode_status
@@ -33,6 +33,12 @@
         calls = self.store.calls.items()
         return sum(number for call, number in calls if call.startswith("PUT rollout-reports/"))
 
+    def is_moving(self) -> bool:
+        """Whether the move has begun, and its share shows in the requests."""
+        decisions = [instance.rollouts._versions(SERVICE).decision for instance in self.instances]
+        stages = {decision.stage for decision in decisions if decision is not None}
+        return stages == {RolloutStage.MOVE} and self.share(NEW, time.monotonic() - 1.0) > 0.25
+
     def assert_nothing_new_since(self, moment: float) -> None:
         """Checks that the new version got no request after a time."""
         self.assertEqual([at for at in self.times(NEW) if at > moment], [])
@@ -79,7 +85,7 @@
         """Guards against bad answers that are counted at each of three instances alone."""
         await self.start_fleet(3, 150.0)
         self.order(duration=24.0)
-        await self.wait_until(lambda: self.share(NEW, time.monotonic() - 1.0) > 0.25, 24.0)
+        await self.wait_until(self.is_moving, 24.0)
         self.is_bad = True
         await self.wait_for_status("rolled_back", 15.0)
         await asyncio.sleep(1.0)
