Shorten the loop over attempts of a plain request

No behaviour changes; 92 tests of test_rollout_guard, test_rollout_streams, test_docs, test_reference_docs, test_gateway_plain and test_feed pass.

--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -137,10 +137,9 @@
                 attempts, timeout=max(0.0, wait), return_when=asyncio.FIRST_COMPLETED
             )
             attempts -= done
-            for outcome in (task.result() for task in done):
-                outcomes.append(outcome)
-                if outcome.is_withheld:
-                    tried_servers.discard(outcome.server.server_id)
+            ended = [task.result() for task in done]
+            outcomes += ended
+            tried_servers -= {end.server.server_id for end in ended if end.is_withheld}
             answered = [outcome for outcome in outcomes if outcome.kind is OutcomeKind.ANSWERED]
             if answered:
                 self._finish_in_background(attempts)
