--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -20,7 +20,10 @@
     VersionCounts,
     VersionInUse,
 )
+from sapphireledge.core.rollout.fleet_members import FleetMembers
+from sapphireledge.core.rollout.fleet_reports import FleetReports
 from sapphireledge.core.rollout.report_writing import ReportWriting
+from sapphireledge.core.rollout.rollout_schedule import RolloutSchedule
 from sapphireledge.errors import Failure
 
 ROLLED_BACK, COMPLETED = RolloutState.ROLLED_BACK, RolloutState.COMPLETED
@@ -87,6 +90,23 @@
     def test_bad_only_under_load(self):
         self.assert_rolled_back(RolloutFleet(bad_under_load).run(130.0))
 
+    def test_bad_late_in_a_service_without_long_answers(self):
+        """Guards against a move that is as early as that of a service with streams."""
+        for duration, since in ((60.0, 42.0), (120.0, 92.0)):
+            fleet = RolloutFleet(
+                bad(0.3, since=since),
+                duration=duration,
+                limits=RolloutLimits(longest_answer=1.6),
+                weights=(5, 4, 0),
+            )
+            self.assert_rolled_back(fleet.run(duration + 5.0))
+
+    def test_few_answers_of_which_many_are_bad(self):
+        """Guards against a version that is completed because it has too few requests."""
+        for seed in range(8):
+            fleet = RolloutFleet(bad(0.33), rate=1.0, duration=60.0, seed=seed, nodes=3)
+            self.assert_rolled_back(fleet.run(65.0))
+
     def test_bad_on_one_route_only(self):
         self.assert_rolled_back(RolloutFleet(bad(0.3, route="lookup")).run(130.0), before=70.0)
         # The slow streams end long after the verdict.
@@ -122,6 +142,16 @@
         self.assert_rolled_back(fleet.run(130.0), before=80.0)
         self.assertEqual([at for at in fleet.sent_new_at if 36.0 < at < 50.0], [])
 
+    def test_restarted_instances_keep_the_evidence_of_those_before(self):
+        """Guards against counts that are lost with the instances that made them."""
+        fleet = RolloutFleet(good, rate=30.0).run(60.0)
+        fleet.nodes = {number: fleet.start(number) for number in fleet.nodes}
+        fleet.run(66.0)
+        heard = [node.rollout.decide(fleet.now).evidence for node in fleet.nodes.values()]
+        for evidence in heard:
+            self.assertGreater(evidence["new_answers"], 40)
+            self.assertGreater(evidence["requests"], 0.8 * fleet.requests)
+
     def test_answers_of_status_writes_lost_and_done_late(self):
         fleet = RolloutFleet(bad(1.0))
         fleet.status_write_delay = 4.0
@@ -169,6 +199,14 @@
                 fleet = RolloutFleet(good, rate=rate, duration=duration, seed=seed)
                 self.assert_completed(fleet.run(duration + 5.0))
 
+    def test_completion_in_a_short_time_with_few_requests(self):
+        """Guards against a slack that is left unused while the evidence is missing."""
+        for seed in (1, 2, 3):
+            fleet = RolloutFleet(
+                good, rate=30.0, duration=16.0, nodes=2, seed=seed, weights=(5, 4, 0)
+            )
+            self.assert_completed(fleet.run(18.0))
+
     def test_completion_without_traffic(self):
         self.assert_completed(RolloutFleet(good, rate=0.0).run(130.0))
 
@@ -256,6 +294,25 @@
         self.assert_completed(fleet.run(130.0))
 
 
+class RolloutScheduleTest(unittest.TestCase):
+    def test_interrupted_instance_can_still_move(self):
+        """Guards against a move so late that an instance that missed it misses the deadline."""
+        for longest in (0.5, 1.6, 10.0, 25.0):
+            limits = RolloutLimits(longest_answer=longest)
+            for duration in (20.0, 30.0, 60.0, 120.0, 600.0):
+                schedule = RolloutSchedule.plan(limits, duration)
+                overdue_at = schedule.latest_move_at + 2.0 * schedule.ramp
+                self.assertLessEqual(overdue_at, schedule.force_at, (longest, duration))
+
+    def test_service_without_long_answers_moves_later(self):
+        for duration in (60.0, 120.0):
+            short, long = (
+                RolloutSchedule.plan(RolloutLimits(longest_answer=longest), duration)
+                for longest in (1.6, 25.0)
+            )
+            self.assertGreater(short.move_at, long.move_at)
+
+
 class RolloutPartsTest(unittest.TestCase):
     """Guards the reports, what an instance concludes from them, and the version in use."""
 
@@ -291,6 +348,32 @@
             report = RolloutReport("b", "o", "i", 1, age, 100, {"r": old}, {"r": new})
             self.assertIs(self.decide(age, report).proposed, proposed)
 
+    def test_attempt_that_was_not_sent_is_no_exposure(self):
+        order = RolloutOrder("s", "v2", 60.0, "o")
+        rollout = Rollout(RolloutLimits(), order, "a", 0.0, random.Random(1))
+        for version in ("v1", "v2"):
+            rollout.on_sent(1.0, "r", version)
+            rollout.on_withdrawn("r", version)
+        report = rollout.report(2.0)
+        self.assertEqual((report.requests, report.old_in_flight), (0, 0))
+        self.assertEqual((report.old["r"].sent, report.new["r"].sent), (0, 0))
+
+    def test_choice_is_checked_again_when_it_is_sent(self):
+        """Guards against requests for a version after a verdict, and for one that is about to be
+        stopped."""
+        fleet = RolloutFleet(bad(1.0, since=20.0)).run(19.0)
+        rollout = fleet.nodes[0].rollout
+        self.assertEqual(self.permitted(fleet, rollout), [True, True])
+        fleet.run(40.0)
+        self.assertEqual(self.permitted(fleet, rollout), [True, False])
+        fleet = RolloutFleet(good).run(94.0)
+        self.assertEqual(self.permitted(fleet, fleet.nodes[0].rollout), [False, True])
+        fleet = RolloutFleet(good, duration=30.0).run(35.0)
+        self.assertEqual(self.permitted(fleet, fleet.nodes[0].rollout), [False, True])
+
+    def permitted(self, fleet: RolloutFleet, rollout: Rollout) -> list[bool]:
+        return [rollout.still_permits(fleet.now, version) for version in ("v1", "v2")]
+
     def test_report_is_small_and_survives_storage(self):
         counts = {f"route-{i}": VersionCounts(9000, 8000, 10, 20, 400.25, 8000) for i in range(5)}
         servers = {f"booking-app-{i:03}": 3 for i in range(12)}
@@ -322,6 +405,42 @@
         self.assertFalse(in_use.permits("v3", None))
 
 
+class FleetMembersTest(unittest.TestCase):
+    """Guards against old servers that stop while an instance uses them, and against waiting for
+    instances that are gone."""
+
+    def find(self, members: FleetMembers, now: float, *reports: RolloutReport) -> set[str]:
+        fleet = FleetReports("o")
+        for report in reports:
+            fleet.add(now, report)
+        return members.find_unreported(now, fleet, 10.0)
+
+    def test_listed_instance_is_waited_for_until_it_should_have_reported(self):
+        members = FleetMembers()
+        members.on_listed(0.0, {"a", "b"})
+        members.on_listed(30.0, {"a", "b", "c"})
+        self.assertEqual(self.find(members, 9.0, RolloutReport("a", "o", "i", 1, 9.0)), {"b", "c"})
+        self.assertEqual(self.find(members, 39.0), {"c"})
+        self.assertEqual(self.find(members, 41.0), set())
+
+    def test_instance_that_was_seen_alive_is_waited_for(self):
+        """Whether this instance saw it, or another one that says so in its report."""
+        members = FleetMembers()
+        members.on_alive({"b"})
+        seen = RolloutReport("a", "o", "i", 1, 90.0, unreported=("c",))
+        self.assertEqual(self.find(members, 90.0, seen), {"b", "c"})
+        late = RolloutReport("c", "o", "i", 1, 90.0)
+        self.assertEqual(self.find(members, 90.0, seen, late), {"b"})
+
+    def test_names_are_bounded(self):
+        members = FleetMembers()
+        names = [f"e{number}" for number in range(5000)]
+        members.on_alive(names)
+        members.on_listed(0.0, names)
+        self.assertLess(len(self.find(members, 1.0)), 3000)
+        self.assertLess(len(members.name_unreported(FleetReports("o"))), 20)
+
+
 class ReportWritingTest(unittest.TestCase):
     """Guards against bad answers of which the others hear late after a failed write."""
 
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 import msgspec
-from gateway_case import HOST, PLAIN_ROUTE, STREAM_ROUTE, GatewayCase, signed_response
+from gateway_case import HOST, PLAIN_ROUTE, STREAM_ROUTE, GatewayCase, signed_response, table
 
 from sapphireledge.core.quarantine import DeathRecord
 from sapphireledge.core.rollout import (
@@ -78,9 +78,15 @@
     def on_sent(self, now, route, version, *, is_retry=False):
         self.sent.append((version, is_retry))
 
+    def still_permits(self, now, version):
+        return VersionRule("v2", self.choice).permits(version)
+
     def on_result(self, now, route, version, result, seconds, *, server=""):
         self.results.append((version, result))
 
+    def on_withdrawn(self, route, version, *, is_retry=False):
+        self.sent.remove((version, is_retry))
+
 
 class SelectionTest(GatewayCase):
     async def asyncSetUp(self) -> None:
@@ -149,6 +155,28 @@
             rollout.results, [("v2", AnswerQuality.FAILED), ("v1", AnswerQuality.GOOD)]
         )
 
+    async def test_verdict_while_an_attempt_connects(self):
+        """Guards against a request that reaches a version after it was condemned, and against one
+        that is refused because it was not sent."""
+        await self.add_version("v1")
+        await self.add_version("v2")
+        acquire = self.gateway.context.pool.acquire
+
+        async def acquire_late(*args, **kwargs):
+            conn = await acquire(*args, **kwargs)
+            rollout.choice = VersionChoice.OLD_ONLY
+            return conn
+
+        for path in ("/plain/x", "/once/x"):
+            rollout = self.begin(VersionChoice.NEW_FIRST)
+            with mock.patch.object(self.gateway.context.pool, "acquire", acquire_late):
+                response = await self.call(path)
+            self.assertEqual((response.status, self.received), (200, ["v1"]), path)
+            self.assertEqual([version for version, _ in rollout.sent], ["v1"])
+            self.received.clear()
+        states = [self.gateway.context.registry.state(s.server_id) for s in self.servers]
+        self.assertEqual([state.failure_rate for state in states], [0.0, 0.0])
+
     async def test_failures_of_a_judged_version_do_not_count_at_its_servers(self):
         """Guards against a version that gets fewer requests than its share because of failures
         that are held against the version already."""
@@ -207,6 +235,18 @@
         await self.call("/plain/x")
         self.assertEqual(self.received, ["v2", "v1"])
 
+    async def test_version_that_was_completed_stays_in_use_if_it_is_ordered_again(self):
+        """Guards against requests to old servers that are about to stop."""
+        await self.add_version("v2")
+        await self.add_version("v1")
+        rollouts = self.gateway.context.rollouts
+        for order_id, state in (("1", RolloutState.COMPLETED), ("2", None)):
+            order = RolloutOrder("app", "v2", 10.0, order_id)
+            rollouts.on_order(StoredOrder(order, state, int(order_id)))
+        for _ in range(4):
+            await self.call("/plain/x")
+        self.assertEqual({*self.received}, {"v2"})
+
     async def test_version_in_use_is_no_target_that_was_listed_before_its_order(self):
         """Guards against an instance that starts late and takes the majority for the old one."""
         await self.add_version("v2")
@@ -315,6 +355,21 @@
         self.assertIsNone(compare_seconds(stream, self.attempt, 2, now))
 
 
+class LongestAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_schedule_depends_on_the_routes_of_the_service(self):
+        """Guards against an early move, after which a late fault is not found in time."""
+        gateway = Gateway(SETTINGS, PlatformDialect(), RequestTelemetry(GatewayMetrics()))
+        gateway.config.accept(table())
+        guard = gateway.context.rollouts
+        for service in ("app", "llm", "other"):
+            guard.on_order(StoredOrder(RolloutOrder(service, "v2", 120.0, "1"), None, 1))
+        longest = [
+            guard._versions(service).rollout.limits.longest_answer
+            for service in ("app", "llm", "other")
+        ]
+        self.assertEqual(longest, [2.0, 8.0, SETTINGS.rollout.longest_answer])
+
+
 class StatusWriterTest(unittest.IsolatedAsyncioTestCase):
     async def write(self, *answers: object) -> tuple[list[object], RolloutGuard]:
         """Lets a writer write the status of an order; returns its calls and what it learnt."""
@@ -338,6 +393,15 @@
         self.assertEqual(calls, [("running", 7), "read"])
         self.assertEqual(guard.wanted_states(), {})
 
+    async def test_write_without_response_that_is_done_after_the_read(self):
+        """Guards against a second status once the store executes the first write late."""
+        running = {"state": "running", "target": "v2"}
+        calls, guard = await self.write(
+            SourceError("lost"), version(7, None), version(8, running, written=False)
+        )
+        self.assertEqual(calls, [("running", 7), "read", ("running", 7)])
+        self.assertEqual(guard.wanted_states(), {})
+
     async def test_status_is_written_again_if_the_order_changed_only_in_its_revision(self):
         calls, _ = await self.write(
             version(9, None, written=False), version(10, {"state": "running", "target": "v2"})
--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -5,13 +5,16 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
-from gateway_case import chunk, event, stream_head
+from gateway_case import HOST, chunk, event, stream_head
 from rollout_io_case import NEW, OLD, SERVICE, RolloutFleetCase
 
-from sapphireledge.core.rollout import RolloutOrder, RolloutState
+from sapphireledge.core.rollout import RolloutOrder, RolloutStage, RolloutState
+from sapphireledge.feed import SourceError
 from sapphireledge.gateway import StoredOrder
-from sapphireledge.platform.decode_rollout import decode_rollout
+from sapphireledge.platform.decode_rollout import decode_rollout, encode_status
+from sapphireledge.platform.rollout_report_writer import RolloutReportWriter
 
 ROLLBACK = 5.0
 """Seconds after its bad answers in which the new version may get requests."""
@@ -30,6 +33,12 @@
         calls = self.store.calls.items()
         return sum(number for call, number in calls if call.startswith("PUT rollout-reports/"))
 
+    def is_moving(self) -> bool:
+        """Whether the move has begun, and its share shows in the requests."""
+        decisions = [instance.rollouts._versions(SERVICE).decision for instance in self.instances]
+        stages = {decision.stage for decision in decisions if decision is not None}
+        return stages == {RolloutStage.MOVE} and self.share(NEW, time.monotonic() - 1.0) > 0.25
+
     def assert_nothing_new_since(self, moment: float) -> None:
         """Checks that the new version got no request after a time."""
         self.assertEqual([at for at in self.times(NEW) if at > moment], [])
@@ -76,7 +85,7 @@
         """Guards against bad answers that are counted at each of three instances alone."""
         await self.start_fleet(3, 150.0)
         self.order(duration=24.0)
-        await self.wait_until(lambda: self.share(NEW, time.monotonic() - 1.0) > 0.25, 24.0)
+        await self.wait_until(self.is_moving, 24.0)
         self.is_bad = True
         await self.wait_for_status("rolled_back", 15.0)
         await asyncio.sleep(1.0)
@@ -133,7 +142,21 @@
         replaced_at = time.monotonic()
         await self.wait_for_status("completed", 16.0, target="v3")
         self.assert_nothing_new_since(replaced_at + 2.0)
-        self.assertNotIn({"state": "completed", "target": NEW}, self.store.status_writes)
+        written = [(status["state"], status["target"]) for _, status in self.store.status_writes]
+        self.assertNotIn(("completed", NEW), written)
+
+    async def test_changed_duration_after_the_end_is_a_new_order(self):
+        """Guards against an operator who has to remove an order to have it tried again."""
+        self.is_bad = True
+        await self.start_fleet(2, 100.0)
+        self.order(duration=60.0)
+        await self.wait_for_status("rolled_back", 25.0)
+        self.is_bad = False
+        self.order(duration=14.0)
+        await self.wait_for_status("completed", 16.0)
+        await asyncio.sleep(1.0)
+        states = [status["state"] for _, status in self.store.status_writes]
+        self.assertEqual(states, ["running", "rolled_back", "running", "completed"])
 
     async def test_store_away_at_the_verdict(self):
         """Guards against a new version that gets requests while instances hear nothing."""
@@ -163,6 +186,30 @@
         await asyncio.sleep(1.0)
         self.assertEqual(self.share(OLD, started_at), 0.0)
 
+    async def check_instance_that_cannot_report(self, number: int) -> None:
+        """Checks that old servers stay while an instance uses them that cannot say so."""
+        await self.start_fleet(2, 60.0)
+        mute = self.instances[number]
+        (writer,) = [part for part in mute.parts if isinstance(part, RolloutReportWriter)]
+        writer._store.write = mock.AsyncMock(side_effect=SourceError("refused"))
+        self.order(duration=20.0)
+        await self.wait_for_status("completed", 20.0)
+        self.assertEqual(self.share(OLD, time.monotonic() - 0.5), 0.0)
+
+    async def test_follower_that_cannot_report_keeps_the_old_servers(self):
+        await self.check_instance_that_cannot_report(0)
+
+    async def test_relay_that_cannot_report_keeps_the_old_servers(self):
+        await self.check_instance_that_cannot_report(1)
+
+    async def test_instance_that_is_gone_does_not_delay_the_completion(self):
+        """Guards against waiting for all instances that were ever announced."""
+        spec = {"address": f"{HOST}:1", "data_centre": "dc-a", "link_mbps": 1.0}
+        self.store.put("entry-instances", "gone", spec)
+        await self.start_fleet(1, 60.0)
+        self.order(duration=30.0)
+        await self.wait_for_status("completed", 25.0)
+
     async def test_odd_orders_affect_nothing_else(self):
         """Guards against an order of another writer that stops requests or other orders."""
         await self.start_fleet(1, 40.0)
@@ -248,6 +295,20 @@
         ):
             self.assertEqual(self.decode(status).state, state, status)
 
+    def test_status_of_another_order_for_the_same_target(self):
+        """Guards against an order with another duration that is taken for decided."""
+        for order, state in (
+            ("3/v2/12", RolloutState.ROLLED_BACK),
+            ("3/v2/60", None),
+            (None, RolloutState.ROLLED_BACK),
+        ):
+            status = {"state": "rolled_back", "target": NEW, "order": order}
+            self.assertIs(self.decode(status).state, state, order)
+        stored = self.decode()
+        status = encode_status(stored.order, RolloutState.COMPLETED)
+        self.assertIs(self.decode(status).state, RolloutState.COMPLETED)
+        self.assertIsNone(self.decode(status, duration_s=13).state)
+
     def test_orders_without_use_are_rejected(self):
         for fields in (
             {"target": ""},
