Split the engine selection by job

Behaviour is unchanged and no test was edited; the model of the experiment imports three constants from their new modules.

--- a/src/sapphireledge_experiment/model/engine_placer.py
+++ b/src/sapphireledge_experiment/model/engine_placer.py
@@ -15,11 +15,9 @@
     compute_start_share,
 )
 from sapphireledge.errors import Failure
-from sapphireledge.gateway.engine_selector import (
-    CACHE_CANDIDATES,
-    RECENT_DISPATCH_WINDOW,
-    REPORT_TIMEOUT,
-)
+from sapphireledge.gateway.engine_looks import CACHE_CANDIDATES
+from sapphireledge.gateway.engine_views import RECENT_DISPATCH_WINDOW
+from sapphireledge.gateway.fetched_looks import REPORT_TIMEOUT
 from sapphireledge_experiment.model.latencies import one_way_delay
 from sapphireledge_experiment.model.simulated_instance import ENGINES
 from sapphireledge_experiment.model.start_order import StartOrder
--- a/src/sapphireledge_experiment/model/stream_queue.py
+++ b/src/sapphireledge_experiment/model/stream_queue.py
@@ -15,7 +15,7 @@
 from sapphireledge.core.declarations import Rank
 from sapphireledge.entry.backend_pool import ADMIT_INTERVAL
 from sapphireledge.errors import Failure
-from sapphireledge.gateway.engine_selector import RECENT_DISPATCH_WINDOW
+from sapphireledge.gateway.engine_views import RECENT_DISPATCH_WINDOW
 
 if TYPE_CHECKING:
     from collections.abc import Callable
