--- a/src/sapphireledge/core/placement/__init__.py
+++ b/src/sapphireledge/core/placement/__init__.py
@@ -1,6 +1,7 @@
 """When and on which engine a stream starts, decided from load reports."""
 
 from sapphireledge.core.placement.choose_candidates import choose_candidates, compute_start_share
+from sapphireledge.core.placement.cost_terms import CostTerms
 from sapphireledge.core.placement.engine_view import EngineView, count_prompts_left
 from sapphireledge.core.placement.first_event_estimator import FirstEventEstimator
 from sapphireledge.core.placement.fleet_size import FleetSize
@@ -17,6 +18,7 @@
 from sapphireledge.core.placement.wait_for_engine import WaitForEngine
 
 __all__ = [
+    "CostTerms",
     "EngineView",
     "FirstEventEstimator",
     "FleetSize",
--- a/src/sapphireledge/core/placement/placement_rule.py
+++ b/src/sapphireledge/core/placement/placement_rule.py
@@ -16,6 +16,7 @@
 
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.placement.cost_terms import CostTerms
 from sapphireledge.core.placement.refusal_reason import RefusalReason
 from sapphireledge.core.placement.refuse_stream import RefuseStream
 from sapphireledge.core.placement.start_stream import StartStream
@@ -49,6 +50,18 @@
     def cost(self, stream: PendingStream, view: EngineView) -> float:
         """Computes the cost of an engine, in typical prompts that are processed there.
 
+        Args:
+            stream: The stream to place.
+            view: Load of the engine.
+
+        Returns:
+            The cost; the engine with the lowest one is preferred.
+        """
+        return self.explain(stream, view).total
+
+    def explain(self, stream: PendingStream, view: EngineView) -> CostTerms:
+        """Computes the terms of the cost of an engine.
+
         What the engine keeps of the prompt is not processed again, which is weighed against what it
         processes first. A prompt that is kept at a busy engine is processed again elsewhere once
         that is sooner.
@@ -58,18 +71,17 @@
             view: Load of the engine.
 
         Returns:
-            The cost; the engine with the lowest one is preferred.
+            The terms.
         """
         limits = self._limits
         own_work = self.own_work(stream, view)
-        cost = (
-            self.work_ahead(stream, view) + own_work + limits.running_cost * view.running * own_work
+        return CostTerms(
+            ahead=self.work_ahead(stream, view),
+            own_work=own_work,
+            running=limits.running_cost * view.running * own_work,
+            remote=0.0 if view.is_local else limits.remote_cost,
+            memory=0.0 if _has_room(stream, view) else limits.memory_full_cost,
         )
-        if not view.is_local:
-            cost += limits.remote_cost
-        if not _has_room(stream, view):
-            cost += limits.memory_full_cost
-        return cost
 
     def work_ahead(self, stream: PendingStream, view: EngineView) -> float:
         """Computes what an engine processes before a stream.
--- a/src/sapphireledge/gateway/engine_offers.py
+++ b/src/sapphireledge/gateway/engine_offers.py
@@ -94,7 +94,7 @@
         stream = describe_pending(self._context, admitted, progress, now)
         decision = self._decide(now, admitted, progress, stream, views, has_turn)
         if placement == 0 or not isinstance(decision, WaitForEngine):
-            costs = {view.engine: self._rule.cost(stream, view) for view in views}
+            costs = {view.engine: self._rule.explain(stream, view) for view in views}
             silent = len(look.candidates) - len(look.reports)
             self._context.telemetry.record_placement(admitted, decision, costs, silent, placement)
         if isinstance(decision, RefuseStream):
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -18,7 +18,12 @@
     from collections.abc import Collection, Mapping, Sequence
 
     from sapphireledge.core.backpressure import ServerSignals
-    from sapphireledge.core.placement import EngineView, RefusalReason, RefuseStream
+    from sapphireledge.core.placement import (
+        CostTerms,
+        EngineView,
+        RefusalReason,
+        RefuseStream,
+    )
     from sapphireledge.core.quarantine import DeathRecord
     from sapphireledge.core.shedding import LoadShedder
     from sapphireledge.core.waiting import LineSnapshot
@@ -290,7 +295,7 @@
         self,
         admitted: AdmittedRequest,
         decision: StartStream | WaitForEngine | RefuseStream,
-        costs: Mapping[str, float],
+        costs: Mapping[str, CostTerms],
         silent: int,
         attempt: int,
     ) -> None:
@@ -299,7 +304,7 @@
         Args:
             admitted: The request.
             decision: The decision.
-            costs: Cost of each engine that sent a report, by server id, in prompts.
+            costs: Terms of the cost of each engine that sent a report, by server id.
             silent: Number of engines that were queried and sent no report.
             attempt: Number of earlier placements of the stream in this attempt.
         """
@@ -321,7 +326,7 @@
             estimate_s=round(decision.estimate, 2),
             held_s=round(now - admitted.request.received_at, 3),
             target_s=admitted.route.target,
-            costs={name: round(cost, 2) for name, cost in costs.items()},
+            costs={name: round(terms.total, 2) for name, terms in costs.items()},
             silent=silent,
             placements=attempt + 1,
         )
