Explain where a request would go through the gateway

Cause: why a request waits, is refused or goes to a server could only be read off the log after it was sent.

The decision is made by its own code on copies of what it may change (GatewayContext.copy_for), with the latest load reports instead of fetched ones (LookSource). The choice of a plain server, the admission by a key and the load shedding's probability became separate steps of the same code, unchanged otherwise. Ruled out: a flag through all of the code that keeps it from changing state.

With the copies left out (a shallow copy of the context), two of its three tests of equal state fail (seen); the third compares later choices, which stay equal there by chance.

--- a/src/sapphireledge/core/placement/kept_prompts.py
+++ b/src/sapphireledge/core/placement/kept_prompts.py
@@ -13,6 +13,7 @@
 
 import math
 from collections import OrderedDict
+from copy import copy, deepcopy
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -75,6 +76,25 @@
         self._home_shares = [limits.initial_first_share, limits.initial_next_share]
         self._own_share = limits.initial_own_share
 
+    def copy_for(self, parts: Sequence[PromptPart]) -> KeptPrompts:
+        """Copies what is known, of the parts only of one prompt.
+
+        Args:
+            parts: Parts of the prompt.
+
+        Returns:
+            An estimate that can change without effect on this one.
+        """
+        copied = copy(self)
+        names = {part.part_id for part in parts}
+        copied._parts = OrderedDict(
+            (part_id, deepcopy(record))
+            for part_id, record in self._parts.items()
+            if part_id in names
+        )
+        copied._home_shares = list(self._home_shares)
+        return copied
+
     def on_request(self, now: float, parts: Sequence[PromptPart]) -> None:
         """Counts a request of this instance.
 
--- a/src/sapphireledge/core/shedding/load_shedder.py
+++ b/src/sapphireledge/core/shedding/load_shedder.py
@@ -91,12 +91,26 @@
         Returns:
             None if the request is forwarded, otherwise its refusal.
         """
-        caller = self._count_arrival(now, rank, workspace)
-        self._update(now)
-        if self.share >= 1.0 or self._rng.random() < self._chance(now, caller):
+        chance = self.on_arrival(now, rank, workspace)
+        if self.share >= 1.0 or self._rng.random() < chance:
             return None
         return ShedRequest(self.share, self._response_time, self.retry_after(now, target))
 
+    def on_arrival(self, now: float, rank: int, workspace: str) -> float:
+        """Counts a new request, and computes the probability with which it is forwarded.
+
+        Args:
+            now: Current time in seconds.
+            rank: Rank of the request, 0 is the most urgent.
+            workspace: Workspace of the caller.
+
+        Returns:
+            The probability.
+        """
+        caller = self._count_arrival(now, rank, workspace)
+        self._update(now)
+        return 1.0 if self.share >= 1.0 else self._chance(now, caller)
+
     def retry_after(self, now: float, target: float) -> float:
         """Computes when a refused caller should return.
 
--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -12,6 +12,7 @@
 from sapphireledge.gateway.dialect import Dialect
 from sapphireledge.gateway.engine_load import EngineLoad
 from sapphireledge.gateway.event_reader import EventReader
+from sapphireledge.gateway.explain_request import GatewayExplainer
 from sapphireledge.gateway.gateway import Gateway
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.gateway_metrics import GatewayMetrics
@@ -43,6 +44,7 @@
     "EventReader",
     "Gateway",
     "GatewayEvent",
+    "GatewayExplainer",
     "GatewayMetrics",
     "GatewayServer",
     "GatewaySettings",
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from copy import copy, deepcopy
 from operator import itemgetter
 from random import Random
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
     ServerBackpressure,
 )
 from sapphireledge.gateway.backend_state import BackendState
+from sapphireledge.gateway.server_cost import ServerCost
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterator
@@ -84,6 +86,38 @@
     def __len__(self) -> int:
         return len(self._states)
 
+    def copy_for(self, service: str) -> BackendRegistry:
+        """Copies what is known about the servers of one service.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            A registry that can change without effect on this one.
+        """
+        copied = BackendRegistry(self._data_centre, self._instance, deepcopy(self._rng))
+        shared: dict[int, object] = {}
+        for server_id, state in self._by_service.get(service, {}).items():
+            copied._states[server_id] = copied_state = copy(state)
+            copied_state.backpressure = deepcopy(state.backpressure, shared)
+        copied._by_service[service] = dict(copied._states)
+        copied._recent_losses = {name: list(lost) for name, lost in self._recent_losses.items()}
+        copied._suspect_until = dict(self._suspect_until)
+        return copied
+
+    def explain_cost(self, now: float, server_id: str) -> ServerCost | None:
+        """Computes the terms of the cost by which servers are ranked.
+
+        Args:
+            now: Event loop time in seconds.
+            server_id: Server id.
+
+        Returns:
+            The terms, None for an unknown server.
+        """
+        state = self._states.get(server_id)
+        return None if state is None else ServerCost(*self._cost_terms(now, state))
+
     def put(self, server: BackendServer) -> bool:
         """Adds or updates a backend server.
 
@@ -356,7 +390,7 @@
         keyed = [
             (
                 state.server.data_centre in deprioritized_centres,
-                self._compute_cost(now, state),
+                round(sum(self._cost_terms(now, state)), 1),
                 xxhash.xxh3_64_intdigest(f"{affinity}/{state.server.server_id}".encode()),
                 state.server,
             )
@@ -480,17 +514,17 @@
         suspect_until = self._suspect_until.get(state.server.data_centre, 0.0)
         return now < max(state.suspended_until, suspect_until)
 
-    def _compute_cost(self, now: float, state: BackendState) -> float:
-        """Computes the cost of a server, in requests in flight."""
+    def _cost_terms(self, now: float, state: BackendState) -> tuple[float, ...]:
+        """Computes the terms of the cost of a server, in the order of `ServerCost`."""
         server = state.server
-        cost = float(state.in_flight) + FAILURE_COST * state.failure_rate
-        if server.data_centre != self._data_centre:
-            cost += REMOTE_COST
-        if now < state.suspended_until:
-            cost += SUSPENDED_COST
-        if now < self._suspect_until.get(server.data_centre, 0.0):
-            cost += SUSPECT_CENTRE_COST
-        return round(cost, 1)
+        is_suspect = now < self._suspect_until.get(server.data_centre, 0.0)
+        return (
+            float(state.in_flight),
+            FAILURE_COST * state.failure_rate,
+            0.0 if server.data_centre == self._data_centre else REMOTE_COST,
+            SUSPENDED_COST if now < state.suspended_until else 0.0,
+            SUSPECT_CENTRE_COST if is_suspect else 0.0,
+        )
 
 
 def _is_restart(old: BackendServer, new: BackendServer) -> bool:
--- a/src/sapphireledge/gateway/engine_report_client.py
+++ b/src/sapphireledge/gateway/engine_report_client.py
@@ -9,6 +9,7 @@
 
 from sapphireledge.gateway.backend_response_error import BackendResponseError
 from sapphireledge.gateway.gateway_event import GatewayEvent
+from sapphireledge.gateway.latest_reports import LatestReports
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -34,6 +35,8 @@
     def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
         self._pool = pool
         self._dialect = dialect
+        self.latest = LatestReports()
+        """Reports that arrived last."""
 
     async def fetch_report(self, server: BackendServer, timeout: float) -> EngineLoad | None:
         """Fetches the load report of one engine.
@@ -46,7 +49,10 @@
             The report, or None if the engine sent no valid report in time.
         """
         body = await self._query(server, self._dialect.encode_report_request(server), timeout)
-        return None if body is None else self._dialect.decode_report(body)
+        report = None if body is None else self._dialect.decode_report(body)
+        if report is not None:
+            self.latest.put(asyncio.get_running_loop().time(), server, report)
+        return report
 
     async def fetch_reports(
         self, servers: Sequence[BackendServer], timeout: float
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from copy import deepcopy
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 from sapphireledge.gateway.engine_selection import EngineSelection
 from sapphireledge.gateway.engine_views import EngineViews
 from sapphireledge.gateway.fetched_looks import FetchedLooks
+from sapphireledge.gateway.line_preview import LinePreview
 from sapphireledge.gateway.stream_line import StreamLine
 
 if TYPE_CHECKING:
@@ -23,6 +25,7 @@
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.gateway_context import GatewayContext
+    from sapphireledge.gateway.look_source import LookSource
     from sapphireledge.gateway.stream_progress import StreamProgress
 
 __all__ = ["EngineSelector"]
@@ -34,14 +37,24 @@
 class EngineSelector:
     """Selects the engine of a stream from the load reports of a few candidates."""
 
-    def __init__(self, context: GatewayContext) -> None:
+    def __init__(
+        self, context: GatewayContext, source: LookSource | None = None, rng: Random | None = None
+    ) -> None:
+        """Creates the selector.
+
+        Args:
+            context: Components of the instance.
+            source: Source of load reports, by default the engines.
+            rng: Source of the jitter of waiting times, by default seeded by the system.
+        """
         self._context = context
+        self._rng = Random() if rng is None else rng
         self._recent_dispatches: list[tuple[float, str, int]] = []
-        self._lines: dict[str, StreamLine] = {}
-        self._looks = EngineLooks(context, FetchedLooks(context))
+        self._lines: dict[str, StreamLine | LinePreview] = {}
+        self._looks = EngineLooks(context, FetchedLooks(context) if source is None else source)
         self._offers = EngineOffers(
             context,
-            PlacementRule(PLACEMENT_LIMITS, Random()),
+            PlacementRule(PLACEMENT_LIMITS, self._rng),
             EngineViews(context, self._recent_dispatches),
             lambda service: self._line(service).order,
         )
@@ -74,6 +87,37 @@
             return offers.select_known(admitted, progress, holder)
         return await self._place(admitted, progress, avoided)
 
+    def copy_for(
+        self, context: GatewayContext, source: LookSource, service: str
+    ) -> tuple[EngineSelector, LinePreview]:
+        """Creates a selector that selects like this one, without effect on it.
+
+        Args:
+            context: Copy of the components of the instance.
+            source: Source of load reports.
+            service: Name of the service of which a stream is placed.
+
+        Returns:
+            The selector, and the line that a stream joins there.
+        """
+        copied = EngineSelector(context, source, deepcopy(self._rng))
+        copied._recent_dispatches.extend(self._recent_dispatches)
+        line = self._lines.get(service)
+        order = WaitingLine(WAITING_LIMITS, Random()) if line is None else deepcopy(line.order)
+        preview = copied._lines[service] = LinePreview(order)
+        return copied, preview
+
+    def start_share(self, service: str) -> float:
+        """Computes which share of waiting streams may start on an engine that looks idle.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The share, at most 1.
+        """
+        return self._looks.start_share(service)
+
     async def _place(
         self, admitted: AdmittedRequest, progress: StreamProgress, avoided: frozenset[str]
     ) -> EngineSelection | RefuseStream | None:
@@ -101,7 +145,7 @@
         now = asyncio.get_running_loop().time()
         return describe_work(self._context, admitted, progress, now)
 
-    def _line(self, service: str) -> StreamLine:
+    def _line(self, service: str) -> StreamLine | LinePreview:
         """Returns the waiting line of a service, created on first use."""
         line = self._lines.get(service)
         if line is None:
@@ -118,10 +162,12 @@
 
     def _on_first_event(self, server: BackendServer) -> None:
         """Wakes the line of a service whose engine has processed a prompt of this instance."""
-        if server.service in self._lines:
-            self._lines[server.service].on_place_freed(server.server_id)
+        line = self._lines.get(server.service)
+        if isinstance(line, StreamLine):
+            line.on_place_freed(server.server_id)
 
     def _on_server_added(self, server: BackendServer) -> None:
         """Wakes the line of a service that has a further engine."""
-        if server.service in self._lines:
-            self._lines[server.service].wake()
+        line = self._lines.get(server.service)
+        if isinstance(line, StreamLine):
+            line.wake()
--- /dev/null
+++ b/src/sapphireledge/gateway/explain_stream.py
@@ -0,0 +1,152 @@
+"""Explains where a stream would start now."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import asdict, replace
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.explanation import Chance, ExplainedOutcome, ServerRole
+from sapphireledge.core.placement import RefusalReason, RefuseStream
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.gateway.decision_trace import DecisionTrace
+from sapphireledge.gateway.describe_stream import is_repeat
+from sapphireledge.gateway.explain_known_looks import KnownLooks
+from sapphireledge.gateway.explain_servers import explain_servers, find_left_out
+from sapphireledge.gateway.fetched_looks import REPORT_TIMEOUT
+from sapphireledge.gateway.stream_forwarder import refuse_overload
+from sapphireledge.gateway.stream_progress import StreamProgress
+
+if TYPE_CHECKING:
+    from sapphireledge.core.explanation import Explanation
+    from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.engine_selection import EngineSelection
+    from sapphireledge.gateway.engine_selector import EngineSelector
+    from sapphireledge.gateway.gateway_context import GatewayContext
+    from sapphireledge.gateway.line_preview import LinePreview
+
+__all__ = ["StreamExplainer"]
+
+CHECK_BY_REASON = {RefusalReason.LINE: "line", RefusalReason.ENGINES: "servers"}
+"""Step that refuses a stream; the other reasons belong to the placement."""
+
+
+class StreamExplainer:
+    """Places a stream on copies of the state that a placement changes."""
+
+    def __init__(self, context: GatewayContext, selector: EngineSelector) -> None:
+        """Creates the explainer.
+
+        Args:
+            context: Components of the instance.
+            selector: Selects the engines of streams.
+        """
+        self._context = context
+        self._selector = selector
+
+    async def explain(
+        self, admitted: AdmittedRequest, explanation: Explanation, *, fresh: bool
+    ) -> Explanation:
+        """Explains where a stream would start now.
+
+        Args:
+            admitted: The request.
+            explanation: Its way so far.
+            fresh: Whether to fetch the reports that a placement would ask for.
+
+        Returns:
+            The complete explanation.
+        """
+        context = self._context
+        now = asyncio.get_running_loop().time()
+        progress = StreamProgress(admitted.request.last_event)
+        verdict = context.crashes.judge(admitted)
+        if isinstance(verdict, Failure):
+            return explanation.refused("quarantine", verdict)
+        explanation = explanation.passed("quarantine", f"{verdict.deaths} deaths count against it")
+        if not progress.permits_attempt(admitted, now):
+            reason = f"{admitted.deadline - now:.1f} s until the deadline are too short"
+            failure = Failure(ErrorKind.OVERLOADED, reason, Ran.NO)
+            return explanation.refused("time", failure)
+        time_left = f"{admitted.deadline - now:.1f} s until the deadline"
+        explanation = explanation.passed("time", time_left)
+        avoided = context.crashes.avoided_servers(verdict)
+        if fresh:
+            looks = KnownLooks(context.report_client.latest)
+            await self._place(admitted, explanation, avoided, looks)
+            await context.report_client.fetch_reports(looks.candidates, REPORT_TIMEOUT)
+        looks = KnownLooks(context.report_client.latest)
+        return await self._place(admitted, explanation, avoided, looks)
+
+    async def _place(
+        self,
+        admitted: AdmittedRequest,
+        explanation: Explanation,
+        avoided: frozenset[str],
+        looks: KnownLooks,
+    ) -> Explanation:
+        """Places the stream by known reports, and explains the result."""
+        service, trace = admitted.service.name, DecisionTrace()
+        progress = StreamProgress(admitted.request.last_event)
+        context = self._context.copy_for(service, admitted.request, trace)
+        repeat = is_repeat(admitted, progress)
+        left_out = find_left_out(context, admitted, avoided, is_retry=repeat)
+        selector, line = self._selector.copy_for(context, looks, service)
+        waiting = line.order.snapshot(asyncio.get_running_loop().time()).length_by_rank
+        result = await selector.select(admitted, progress, avoided)
+        explanation = replace(
+            explanation,
+            servers=explain_servers(
+                context,
+                service,
+                {name: asdict(terms) for name, terms in trace.costs.items()},
+                left_out,
+                _name_roles(result),
+                looks.candidates,
+            ),
+            estimate=None if trace.placement is None else trace.placement.estimate,
+            waiting={str(rank): count for rank, count in waiting.items()},
+        )
+        if isinstance(result, RefuseStream):
+            check = CHECK_BY_REASON.get(result.reason, "placement")
+            return explanation.refused(check, refuse_overload(result))
+        if result is None and line.position is None:
+            failure = Failure(ErrorKind.OVERLOADED, progress.last_reason, Ran.NO)
+            return explanation.refused("servers", failure)
+        if result is None:
+            return _explain_wait(explanation, line, selector.start_share(service))
+        explanation = replace(explanation, is_late=result.is_late)
+        return explanation.passed("placement", _describe_start(result, explanation))
+
+
+def _explain_wait(explanation: Explanation, line: LinePreview, start_share: float) -> Explanation:
+    """Explains that a stream joins the line."""
+    chance = Chance("a waiting stream is offered an engine that looks idle", start_share)
+    waits = replace(
+        explanation,
+        outcome=ExplainedOutcome.WAITS,
+        position=line.position,
+        chances=(*explanation.chances, chance),
+    )
+    return waits.passed("line", f"{line.position} streams go before it")
+
+
+def _name_roles(result: EngineSelection | RefuseStream | None) -> dict[str, ServerRole]:
+    """Names the parts of the engines that were selected."""
+    if result is None or isinstance(result, RefuseStream):
+        return {}
+    roles = {result.server.server_id: ServerRole.CHOSEN}
+    if result.standby is not None:
+        roles[result.standby.server_id] = ServerRole.STANDBY
+    return roles
+
+
+def _describe_start(selection: EngineSelection, explanation: Explanation) -> str:
+    """Describes why the engine was selected."""
+    name = selection.server.server_id
+    if selection.prompts_ahead is None:
+        return f"{name} is the first candidate, without a known report"
+    when = "late" if selection.is_late else "on time"
+    return (
+        f"{name} has the lowest cost, first event expected in {explanation.estimate:.1f} s, {when}"
+    )
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -19,8 +19,11 @@
 from sapphireledge.limits import RESPONSE_BUDGET, CallerLedger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sapphireledge.gateway.caller_request import CallerRequest
     from sapphireledge.gateway.dialect import Dialect
+    from sapphireledge.gateway.engine_selector import EngineSelector
     from sapphireledge.gateway.gateway_settings import GatewaySettings
     from sapphireledge.gateway.request_telemetry import RequestTelemetry
     from sapphireledge.gateway.route import Route
@@ -82,6 +85,11 @@
         self._stop_started: float | None = None
         self._in_flight: dict[asyncio.Timeout, CallerConnection] = {}
 
+    @property
+    def selector(self) -> EngineSelector:
+        """Selects the engines of streams."""
+        return self._streams.selector
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should route new callers to this instance."""
@@ -168,7 +176,9 @@
         """Admits or refuses one request, and forwards it."""
         started = asyncio.get_running_loop().time()
         await self.config.wait_for_table(self.cfg.start_wait)
-        admitted = self._admit(request)
+        admitted = self.admit(
+            request, lambda table: table.keys.get(request.key), self._draw_service
+        )
         if isinstance(admitted, Failure):
             return await self._refuse(conn, request, admitted, started)
         fingerprint = self.context.crashes.fingerprint(admitted)
@@ -208,8 +218,22 @@
         finally:
             del self._in_flight[limit]
 
-    def _admit(self, request: CallerRequest) -> AdmittedRequest | Failure:
-        """Checks a request and returns it with its route, or the reason to refuse it."""
+    def admit(
+        self,
+        request: CallerRequest,
+        find_key: Callable[[RoutingTable], WorkspaceKey | None],
+        choose_service: Callable[[Route], str],
+    ) -> AdmittedRequest | Failure:
+        """Checks a request by the configuration in force.
+
+        Args:
+            request: The request.
+            find_key: Returns the key of the caller, None if there is none.
+            choose_service: Returns which service of the route handles the request.
+
+        Returns:
+            The request with its route, or the reason to refuse it.
+        """
         table = self.config.table
         if table is None:
             reason = "no configuration has been loaded yet"
@@ -226,22 +250,10 @@
         if table.keys_required and not route.anonymous:
             if stale:
                 return _stale_config_failure(self.config.age)
-            workspace_key = table.keys.get(request.key)
+            workspace_key = find_key(table)
             if workspace_key is None:
                 return Failure(ErrorKind.UNAUTHENTICATED, "unknown API key")
-        return self._select_service(request, table, route, workspace_key)
-
-    def _select_service(
-        self,
-        request: CallerRequest,
-        table: RoutingTable,
-        route: Route,
-        workspace_key: WorkspaceKey | None,
-    ) -> AdmittedRequest | Failure:
-        """Selects the service of a permitted request by the weights of its route."""
-        names = [name for name, _ in route.services]
-        weights = [weight for _, weight in route.services]
-        name = names[0] if len(names) == 1 else self._rng.choices(names, weights)[0]
+        name = choose_service(route)
         service = table.services.get(name)
         if service is None:
             reason = f"service {name} of route {route.name} is not declared"
@@ -254,6 +266,12 @@
         workspace = "" if workspace_key is None else workspace_key.workspace
         return AdmittedRequest(request, route, service, workspace, rank, table.version)
 
+    def _draw_service(self, route: Route) -> str:
+        """Draws the service of a request by the weights of its route."""
+        names = [name for name, _ in route.services]
+        weights = [weight for _, weight in route.services]
+        return names[0] if len(names) == 1 else self._rng.choices(names, weights)[0]
+
     def _would_be_cut_off(self, request: CallerRequest, route: Route) -> bool:
         """Whether a graceful shutdown may end before a request of the route completes."""
         if self._stop_started is None:
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from copy import copy, deepcopy
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from sapphireledge.core.placement import FirstEventEstimator, GenerationEstimator
 from sapphireledge.core.quarantine import ServiceSize
@@ -19,9 +20,11 @@
 from sapphireledge.gateway.rollout_guard import RolloutGuard
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.caller_request import CallerRequest
+    from sapphireledge.gateway.decision_trace import DecisionTrace
     from sapphireledge.gateway.dialect import Dialect
     from sapphireledge.gateway.gateway_settings import GatewaySettings
     from sapphireledge.gateway.request_telemetry import RequestTelemetry
@@ -32,6 +35,8 @@
 SHEDDING_LIMITS = SheddingLimits()
 """Limits of load shedding."""
 
+State = TypeVar("State")
+
 
 class GatewayContext:
     """Settings, backend registry, connection pool and retry budgets of one instance."""
@@ -145,6 +150,37 @@
             memory = self._prompt_memories[service] = PromptMemory(self, service)
         return memory
 
+    def copy_for(
+        self, service: str, request: CallerRequest, telemetry: DecisionTrace
+    ) -> GatewayContext:
+        """Copies what the choice of a server for one request reads and changes.
+
+        Quarantine, pool and report client are shared: a choice only reads the first, and one that
+        is not carried out does not use the others.
+
+        Args:
+            service: Name of the service.
+            request: The request.
+            telemetry: Receives what a choice reports.
+
+        Returns:
+            Components for choices that are not carried out.
+        """
+        copied = copy(self)
+        copied.telemetry = telemetry
+        copied.registry = self.registry.copy_for(service)
+        copied.rollouts = self.rollouts.copy_for(copied.registry)
+        copied._shedders = _copy_entry(self._shedders, service)
+        copied._estimators = _copy_entry(self._estimators, service)
+        copied._generation_estimators = _copy_entry(self._generation_estimators, service)
+        copied._allowances = {}
+        copied._prompt_memories = {
+            name: memory.copy_for(copied, request)
+            for name, memory in self._prompt_memories.items()
+            if name == service
+        }
+        return copied
+
     def _measure_service(self, service: str) -> ServiceSize:
         """Returns the size of a service for the attribution of deaths."""
         servers = self.registry.count_servers(service, self.crashes.is_dead)
@@ -186,3 +222,8 @@
         elif not self.rollouts.is_judged(outcome.server):
             # The failures of a version that is being judged count for the version.
             state.on_failure(now, suspend=False)
+
+
+def _copy_entry(known: Mapping[str, State], service: str) -> dict[str, State]:
+    """Copies the entry of one service, if there is one."""
+    return {name: deepcopy(value) for name, value in known.items() if name == service}
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -13,6 +13,7 @@
 from sapphireledge.gateway.backend_request import BackendRequest
 from sapphireledge.gateway.classify_response import classify_response
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
+from sapphireledge.gateway.plain_choice import HEDGE_SHARE, PlainChoice
 from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.run_attempt import run_attempt
 
@@ -26,13 +27,6 @@
 
 __all__ = ["PlainForwarder"]
 
-HEDGE_SHARE = 0.5
-"""Share of the latency target after which an unanswered idempotent request is hedged, that is, also
-sent to a second server.
-
-The rest of the target is long enough for a complete second execution.
-"""
-
 RETRY_AFTER = 0.3
 """Shortest Retry-After in seconds for refused requests; they are refused because servers are full,
 have just failed, or have reached the rate that they take."""
@@ -40,15 +34,13 @@
 SERVER_FULL = 503
 """HTTP status of a server that rejects a request because its queue is full."""
 
-MIN_ATTEMPT_TIME = 0.02
-"""Seconds that must remain before the deadline to start an attempt; no server responds sooner."""
-
 
 class PlainForwarder:
     """Forwards a request, retrying and hedging it as far as its route permits."""
 
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
+        self._choice = PlainChoice(context)
         self._rng = Random()
         self._background: set[asyncio.Task[Outcome]] = set()
 
@@ -167,21 +159,12 @@
         verdict: ClearVerdict | IsolateVerdict,
     ) -> asyncio.Task[Outcome] | None:
         """Starts one attempt, or returns None if the limits permit none or no server takes it."""
-        context = self._context
-        now = asyncio.get_running_loop().time()
-        service = admitted.service.name
-        if not self._permits_attempt(admitted, tried_servers):
+        if not self._choice.permits_attempt(admitted, tried_servers):
             return None
-        affinity = admitted.request.affinity
-        avoided = context.crashes.avoided_servers(verdict)
-        excluded = self._exclude_versions(admitted, tried_servers)
-        server = context.registry.choose(now, service, affinity, {*excluded, *avoided})
-        isolated = server is not None and isinstance(verdict, IsolateVerdict)
-        if server is None and avoided:
-            server = context.registry.choose(now, service, affinity, excluded)
+        server, isolated = self._choice.choose(admitted, tried_servers, verdict)
         if server is None or not self._spend_attempt(admitted, tried_servers):
             return None
-        context.registry.try_take(now, server.server_id)
+        self._context.registry.try_take(asyncio.get_running_loop().time(), server.server_id)
         return self._run_attempt(admitted, tried_servers, server, isolated=isolated)
 
     async def _start_reserved_attempt(
@@ -193,16 +176,9 @@
         """Waits for a server that takes no request now, if the response can still be on time."""
         loop = asyncio.get_running_loop()
         registry = self._context.registry
-        latest = admitted.request.received_at + admitted.route.target * HEDGE_SHARE
-        avoided = self._context.crashes.avoided_servers(verdict)
-        excluded = {*self._exclude_versions(admitted, tried_servers), *avoided}
-        service = admitted.service.name
-        if (
-            not self._permits_attempt(admitted, tried_servers)
-            or registry.next_admission(loop.time(), service, excluded) <= loop.time()
-        ):
+        if not self._choice.permits_attempt(admitted, tried_servers):
             return None
-        reserved = registry.reserve(loop.time(), latest, service, excluded)
+        reserved = self._choice.reserve(admitted, tried_servers, verdict)
         if reserved is None:
             return None
         server, send_at = reserved
@@ -217,19 +193,6 @@
         isolated = isinstance(verdict, IsolateVerdict)
         return self._run_attempt(admitted, tried_servers, server, isolated=isolated)
 
-    def _exclude_versions(
-        self, admitted: AdmittedRequest, tried_servers: set[str]
-    ) -> frozenset[str]:
-        """Adds the servers whose version the next attempt may not use."""
-        is_retry = bool(tried_servers)
-        excluded = self._context.rollouts.excluded(admitted, tried_servers, is_retry=is_retry)
-        return excluded.union(tried_servers)
-
-    def _permits_attempt(self, admitted: AdmittedRequest, tried_servers: set[str]) -> bool:
-        """Whether the route and the deadline permit another attempt."""
-        time_left = admitted.deadline - asyncio.get_running_loop().time()
-        return len(tried_servers) < admitted.route.max_attempts and time_left >= MIN_ATTEMPT_TIME
-
     def _spend_attempt(self, admitted: AdmittedRequest, tried_servers: set[str]) -> bool:
         """Credits the retry allowance for a first attempt, or spends a retry if there is one."""
         allowance = self._context.retry_allowance(admitted.service.name)
--- a/src/sapphireledge/gateway/prompt_memory.py
+++ b/src/sapphireledge/gateway/prompt_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from copy import deepcopy
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -44,6 +45,21 @@
         self._kept = KeptPrompts(LIMITS)
         self._rng = Random()
 
+    def copy_for(self, context: GatewayContext, request: CallerRequest) -> PromptMemory:
+        """Copies what is known about the prompt of one request.
+
+        Args:
+            context: Copy of the components of the instance.
+            request: The request.
+
+        Returns:
+            A memory that can change without effect on this one.
+        """
+        copied = PromptMemory(context, self._service)
+        copied._kept = self._kept.copy_for(request.parts)
+        copied._rng = deepcopy(self._rng)
+        return copied
+
     def on_request(self, now: float, request: CallerRequest) -> None:
         """Counts a request before its first attempt.
 
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from copy import copy
 from itertools import islice
 from random import Random
 from typing import TYPE_CHECKING
@@ -72,6 +73,19 @@
         self._lag = LoopLag()
         self._begun = asyncio.Event()
 
+    def copy_for(self, registry: BackendRegistry) -> RolloutGuard:
+        """Creates a guard with the same rules, which asks another registry for free servers.
+
+        Args:
+            registry: Copy of the known backend servers.
+
+        Returns:
+            The guard, for choices that are not carried out.
+        """
+        copied = copy(self)
+        copied._registry = registry
+        return copied
+
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Applies changed limits to orders that begin later.
 
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -19,7 +19,7 @@
     from sapphireledge.gateway.gateway_context import GatewayContext
     from sapphireledge.gateway.outcome import Outcome
 
-__all__ = ["StreamForwarder"]
+__all__ = ["StreamForwarder", "refuse_overload"]
 
 RETRY_AFTER = 0.5
 """Retry-After in seconds for refused streams; engines free memory within seconds."""
@@ -30,7 +30,8 @@
 
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
-        self._selector = EngineSelector(context)
+        self.selector = self._selector = EngineSelector(context)
+        """Selects the engines of streams."""
 
     async def forward(self, conn: CallerConnection, admitted: AdmittedRequest) -> Failure | None:
         """Forwards one request and delivers the stream.
@@ -65,7 +66,7 @@
             selection = await self._selector.select(admitted, progress, avoided)
             if isinstance(selection, RefuseStream):
                 self._context.telemetry.record_stream_refusal(selection.reason)
-                return _refuse_overload(selection)
+                return refuse_overload(selection)
             if selection is None:
                 return await self._fail_request(conn, progress, failed_outcome)
             # Engines may have died of the same content while the stream waited for an engine.
@@ -145,8 +146,15 @@
         return Failure(ErrorKind.OVERLOADED, progress.last_reason, Ran.NO, RETRY_AFTER)
 
 
-def _refuse_overload(refusal: RefuseStream) -> Failure:
-    """Builds the failure of a stream that no engine could serve before its deadline."""
+def refuse_overload(refusal: RefuseStream) -> Failure:
+    """Builds the failure of a stream that no engine could serve before its deadline.
+
+    Args:
+        refusal: The refusal.
+
+    Returns:
+        The failure to report.
+    """
     estimate = f"the first event is expected in {refusal.estimate:.1f} s"
     reason = f"{refusal.reason}: {estimate}, too late to be complete"
     return Failure(ErrorKind.OVERLOADED, reason, Ran.NO, refusal.retry_after)
--- a/src/sapphireledge/gateway/stream_line.py
+++ b/src/sapphireledge/gateway/stream_line.py
@@ -18,7 +18,7 @@
     from sapphireledge.gateway.engine_look import EngineLook
     from sapphireledge.gateway.request_telemetry import RequestTelemetry
 
-__all__ = ["StreamLine"]
+__all__ = ["StreamLine", "refuse_hopeless"]
 
 MIN_ROUND_INTERVAL = 0.1
 """Shortest time in seconds between two looks at the engines; a report is no fresher than that."""
@@ -175,11 +175,9 @@
         self, now: float, visit: LineVisit, look: EngineLook, ahead: int, has_turn: bool
     ) -> EngineSelection | RefuseStream | WaitForEngine | None:
         """Offers the engines of a look to one stream."""
-        work = visit.describe()
-        if self.order.is_hopeless(now, work, ahead):
-            estimate = self.order.estimate_wait(now, work, ahead) or 0.0
-            delay = self.order.retry_after(now, work.first_event_time)
-            return RefuseStream(estimate, delay, RefusalReason.LINE)
+        refusal = refuse_hopeless(self.order, now, visit.describe(), ahead)
+        if refusal is not None:
+            return refusal
         result = visit.offer(look, has_turn, visit.offers)
         visit.offers += 1
         return result
@@ -190,6 +188,26 @@
         self.order.leave(asyncio.get_running_loop().time(), ticket)
 
 
+def refuse_hopeless(
+    order: WaitingLine, now: float, work: WaitingWork, ahead: int
+) -> RefuseStream | None:
+    """Refuses a stream that cannot be served for its caller any more.
+
+    Args:
+        order: The line.
+        now: Event loop time in seconds.
+        work: The stream as it waits now.
+        ahead: Number of streams that go before it.
+
+    Returns:
+        The refusal, or None.
+    """
+    if not order.is_hopeless(now, work, ahead):
+        return None
+    estimate = order.estimate_wait(now, work, ahead) or 0.0
+    return RefuseStream(estimate, order.retry_after(now, work.first_event_time), RefusalReason.LINE)
+
+
 def _name_result(result: EngineSelection | RefuseStream | None) -> str:
     """Names how a stream left the line, for the metrics."""
     if result is None:
