Command explain and its operator method, answered by the own interface

sapphireledge explain asks an instance where a request would go. The schema gets ExplainRequest, ExplainResult and the method explain at the end, so older clients go on working. The own interface offers the attempt to a copy of its scheduler and repeats the choice of a server with a generator of its own, as candidates are drawn: the answer is a probability. Router.score is the sum of Router.explain; the check of the lifecycle moved to Lifecycle without change.

--- a/src/sapphireledge/cli/app.py
+++ b/src/sapphireledge/cli/app.py
@@ -9,6 +9,7 @@
 
 from sapphireledge.cli import (
     declaration_commands,
+    explain_command,
     fleet_commands,
     quarantine_commands,
     settings_commands,
@@ -30,6 +31,7 @@
 app.add_typer(quarantine_commands.app, name="quarantine")
 declaration_commands.register(app)
 fleet_commands.register(app)
+explain_command.register(app)
 
 
 @app.callback()
--- a/src/sapphireledge/core/routing/router.py
+++ b/src/sapphireledge/core/routing/router.py
@@ -7,6 +7,7 @@
 
 from sapphireledge.core.routing._pool import Tier
 from sapphireledge.core.routing.route_choice import RouteChoice
+from sapphireledge.core.routing.score_terms import ScoreTerms
 from sapphireledge.errors import ErrorKind, Failure, Ran
 
 if TYPE_CHECKING:
@@ -72,7 +73,7 @@
             state = view.state(name)
             if state is not None and pool.is_selected(name) and _isolation_allows(state, request):
                 return _make_choice(state, self.score(state, request, view, 0.0), 0.0)
-        cached = view.prefixes.holders(now, request.prefixes, CACHE_CANDIDATES)
+        cached = self.find_cached(now, request, view)
         candidates = self._candidates(pool, request, view, rng, cached)
         if not candidates:
             candidates = _scan_candidates(pool, request, view)
@@ -100,19 +101,48 @@
         Returns:
             Cost in prompt tokens; lower is better.
         """
+        return self.explain(state, request, view, cached_tokens).total
+
+    def explain(
+        self, state: BackendState, request: RouteRequest, view: BackendView, cached_tokens: float
+    ) -> ScoreTerms:
+        """Computes the terms of the cost of a backend server for a request.
+
+        Args:
+            state: The backend server.
+            request: Requirements of the request.
+            view: State of the backend servers.
+            cached_tokens: Number of prompt tokens that are expected in its cache.
+
+        Returns:
+            The terms.
+        """
         slots = max(1, state.slots)
         load = state.load if view.is_fresh(state) else max(slots, state.load)
         if load < slots:
-            cost = FULL_LOAD_COST * load / slots
+            load_cost = FULL_LOAD_COST * load / slots
         else:
-            cost = FULL_LOAD_COST + FULL_QUEUE_COST * (load - slots + 1) / slots
-        cost += max(0.0, request.prompt_tokens - cached_tokens)
-        tier = state.tier
-        if tier is Tier.REGION:
-            cost += self._cfg.region_penalty
-        elif tier is Tier.REMOTE:
-            cost += self._cfg.remote_penalty + self._cfg.volume_price * request.output_tokens
-        return cost
+            load_cost = FULL_LOAD_COST + FULL_QUEUE_COST * (load - slots + 1) / slots
+        distance = 0.0
+        if state.tier is Tier.REGION:
+            distance = self._cfg.region_penalty
+        elif state.tier is Tier.REMOTE:
+            distance = self._cfg.remote_penalty + self._cfg.volume_price * request.output_tokens
+        own_work = max(0.0, request.prompt_tokens - cached_tokens)
+        return ScoreTerms(load_cost, own_work, distance)
+
+    def find_cached(self, now: float, request: RouteRequest, view: BackendView) -> dict[str, float]:
+        """Finds the backend servers that have a prefix of the prompt in their caches.
+
+        Args:
+            now: Current time in seconds.
+            request: Requirements of the request.
+            view: State of the backend servers.
+
+        Returns:
+            Expected tokens by name.
+        """
+        return view.prefixes.holders(now, request.prefixes, CACHE_CANDIDATES)
 
     def _candidates(
         self,
--- a/src/sapphireledge/entry/app.py
+++ b/src/sapphireledge/entry/app.py
@@ -139,14 +139,7 @@
 
     def _check_lifecycle(self) -> Failure | None:
         """Rejects new work before the instance is configured and while it drains."""
-        lifecycle = self._parts.lifecycle
-        if lifecycle.refuses_new_work:
-            reason = "the instance is shutting down"
-            return Failure(ErrorKind.SHUTTING_DOWN, reason, retry_after=1.0)
-        if lifecycle.state == "starting":
-            reason = "the instance has no configuration yet"
-            return Failure(ErrorKind.NOT_CONFIGURED, reason, retry_after=1.0)
-        return None
+        return self._parts.lifecycle.refuse_new_work()
 
     async def _handle_faults(
         self, request: Request, work: Coroutine[Any, Any, Response]
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import time
+from copy import deepcopy
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import structlog
@@ -30,6 +32,7 @@
 from sapphireledge.core.routing import Router, RouteRequest, hash_prefixes
 from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.grant import Grant
+from sapphireledge.entry.pool_rehearsal import PoolRehearsal
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.telemetry import MetricName
 
@@ -210,6 +213,35 @@
             return choice
         return self._create_grant(work, request, scheduler, choice, version)
 
+    def rehearse(self, work: PoolWork, prompt_tokens: int) -> PoolRehearsal | Failure:
+        """Prepares a decision about an attempt that is not carried out.
+
+        Args:
+            work: The attempt; its request has no prompt.
+            prompt_tokens: Length of the prompt in tokens.
+
+        Returns:
+            What decides about it, or why it is refused.
+        """
+        req = work.req
+        deployment = self._config.index.deployment_for(req.model)
+        if deployment is None:
+            return Failure(ErrorKind.UNKNOWN_MODEL, f"model: {req.model!r} is not declared")
+        verdict = self._deaths.judge_now(_describe_content(req), req.request_id)
+        if isinstance(verdict, Failure):
+            return verdict
+        version = choose_serving_version(deployment, self._list_engine_states())
+        request = self._build_route_request(work, deployment, version)
+        request = replace(request, prompt_tokens=max(1, prompt_tokens))
+        scheduler = deepcopy(self._schedulers.get((req.model, version)))
+        if scheduler is None:
+            ledger = deepcopy(self._ledger)
+            scheduler = RankScheduler(self._config.ranks, self._cfg.admission, ledger)
+        scheduler.set_ranks(self._config.ranks)
+        capacity = self._compute_capacity(time.monotonic(), req.model, version, scheduler)
+        queued = self._build_queued_work(work, request)
+        return PoolRehearsal(request, queued, scheduler, capacity)
+
     def on_completed(self, req: CallerRequest, tokens: int) -> None:
         """Handles an answer that completed.
 
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -34,6 +34,7 @@
 from sapphireledge.entry.lifecycle import Lifecycle
 from sapphireledge.entry.peer_bridge import PeerBridge
 from sapphireledge.entry.peer_service import PeerService
+from sapphireledge.entry.route_explainer import RouteExplainer
 from sapphireledge.entry.service_runner import ServiceRunner
 from sapphireledge.entry.suspect_exchange import SuspectExchange
 from sapphireledge.errors import Failure
@@ -381,6 +382,8 @@
             suspects=self._suspects,
             orders=OrderDispatcher(self._fleet, self._view, self._config),
             lifecycle=self.lifecycle,
+            explainer=RouteExplainer(self._parts, self._view, self._quarantine),
+            instance=self._cfg.instance,
         )
 
     def _list_known_versions(self, model: str) -> list[str]:
--- a/src/sapphireledge/entry/lifecycle.py
+++ b/src/sapphireledge/entry/lifecycle.py
@@ -8,6 +8,7 @@
 import structlog
 from transitions import Machine
 
+from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
@@ -57,6 +58,20 @@
         """Whether new work is refused because the instance is shutting down."""
         return self._refusing
 
+    def refuse_new_work(self) -> Failure | None:
+        """Refuses new work before the instance is configured and while it drains.
+
+        Returns:
+            The refusal, or None.
+        """
+        if self.refuses_new_work:
+            reason = "the instance is shutting down"
+            return Failure(ErrorKind.SHUTTING_DOWN, reason, retry_after=1.0)
+        if self.state == "starting":
+            reason = "the instance has no configuration yet"
+            return Failure(ErrorKind.NOT_CONFIGURED, reason, retry_after=1.0)
+        return None
+
     def mark_ready(self) -> None:
         """Marks the instance as ready, unless a shutdown has begun."""
         if self.state == "starting":
--- a/src/sapphireledge/operator/messages.py
+++ b/src/sapphireledge/operator/messages.py
@@ -17,9 +17,17 @@
     "DeclarationMessage",
     "DiffEntry",
     "EntryStatus",
+    "ExplainChance",
+    "ExplainCheck",
+    "ExplainRequest",
+    "ExplainResult",
+    "ExplainServer",
+    "ExplainTerm",
+    "ExplainWaiting",
     "OperatorError",
     "OperatorService",
     "OrderResultMessage",
+    "PromptPartMessage",
     "QuarantineEntry",
     "RanState",
     "RankStatus",
@@ -38,9 +46,17 @@
 DeclarationMessage = _SCHEMA.Declaration
 DiffEntry = _SCHEMA.DiffEntry
 EntryStatus = _SCHEMA.EntryStatus
+ExplainChance = _SCHEMA.ExplainChance
+ExplainCheck = _SCHEMA.ExplainCheck
+ExplainRequest = _SCHEMA.ExplainRequest
+ExplainResult = _SCHEMA.ExplainResult
+ExplainServer = _SCHEMA.ExplainServer
+ExplainTerm = _SCHEMA.ExplainTerm
+ExplainWaiting = _SCHEMA.ExplainWaiting
 OperatorError = _SCHEMA.OperatorError
 OperatorService = _SCHEMA.Operator
 OrderResultMessage = _SCHEMA.OrderResult
+PromptPartMessage = _SCHEMA.PromptPart
 QuarantineEntry = _SCHEMA.QuarantineEntry
 RanState = _SCHEMA.RanState
 RankStatus = _SCHEMA.RankStatus
--- a/src/sapphireledge/operator/operator_connection.py
+++ b/src/sapphireledge/operator/operator_connection.py
@@ -12,19 +12,18 @@
 from sapphireledge.core.config import Author, Change
 from sapphireledge.core.declarations import DeclarationKind
 from sapphireledge.core.replay import replay_request
-from sapphireledge.errors import ConflictFailure, ErrorKind, Failure, Ran
+from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.operator.answer_explain import answer_explain
 from sapphireledge.operator.messages import (
     ApplyResult,
     ChangeRecordMessage,
     DiffEntry,
-    OperatorError,
     OrderResultMessage,
     QuarantineEntry,
-    RanState,
     ReplayEvent,
     ReplayResult,
 )
-from sapphireledge.rpc import secret_matches
+from sapphireledge.operator.to_exception import check_hello, to_exception
 from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
@@ -42,9 +41,6 @@
 MAX_WAIT = 60.0
 """Upper limit in seconds for the wait that a call of `wait_in_force` requests."""
 
-RAN_STATES = {Ran.NO: RanState.NO, Ran.YES: RanState.YES, Ran.UNKNOWN: RanState.UNKNOWN}
-"""Thrift value of each `Ran`."""
-
 
 class OperatorConnection:
     """Serves one operator connection and raises failures as `OperatorError`."""
@@ -61,10 +57,7 @@
 
     async def hello(self, secret: str, who: str) -> None:
         """Authenticates the connection."""
-        if not secret_matches(self._parts.secret, secret):
-            raise _to_exception(Failure(ErrorKind.UNAUTHENTICATED, "the secret does not match"))
-        if not who:
-            raise _to_exception(Failure(ErrorKind.INVALID_REQUEST, "who: is required"))
+        check_hello(self._parts.secret, secret, who)
         self._who = who
 
     async def apply(self, change: Any, author: Any) -> Any:
@@ -89,13 +82,13 @@
         if kind not in list(DeclarationKind):
             allowed = ", ".join(DeclarationKind)
             reason = f"kind: {kind!r} is not one of {allowed}"
-            raise _to_exception(Failure(ErrorKind.INVALID_REQUEST, reason))
+            raise to_exception(Failure(ErrorKind.INVALID_REQUEST, reason))
         return _unwrap(await self._parts.declarations.list(kind))
 
     async def history(self, kind: str, name: str, limit: int) -> list[Any]:
         """Lists the accepted changes of an object, newest first."""
         if limit < 1:
-            raise _to_exception(Failure(ErrorKind.INVALID_REQUEST, "limit: must be at least 1"))
+            raise to_exception(Failure(ErrorKind.INVALID_REQUEST, "limit: must be at least 1"))
         records = _unwrap(await self._parts.applier.history(kind, name, limit))
         return [_record_message(record) for record in records]
 
@@ -147,7 +140,7 @@
             reason = f"request {request_id!r} has no recorded events"
             if found.gaps:
                 reason += "; " + "; ".join(found.gaps)
-            raise _to_exception(Failure(ErrorKind.NOT_FOUND, reason))
+            raise to_exception(Failure(ErrorKind.NOT_FOUND, reason))
         report = replay_request(found.events)
         gaps = [*found.gaps]
         gaps += [f"{g.instance}: events {g.after + 1} to {g.before - 1}" for g in report.gaps]
@@ -172,9 +165,13 @@
         resolved = self._resolve_author(author)
         if not self._parts.suspects.lift(fingerprint, resolved.who, resolved.why):
             reason = f"fingerprint: no deaths count against {fingerprint!r}"
-            raise _to_exception(Failure(ErrorKind.NOT_FOUND, reason))
+            raise to_exception(Failure(ErrorKind.NOT_FOUND, reason))
         self._log_call("quarantine_lift", target=fingerprint, why=resolved.why)
 
+    async def explain(self, request: Any) -> Any:
+        """Explains where a request would go now, without sending it."""
+        return await answer_explain(self._parts.explainer, self._parts.instance, request)
+
     def _resolve_author(self, author: Any) -> Author:
         """Determines the author; the name given in `hello` is used if the call has none."""
         who = (author.who if author is not None else "") or self._who
@@ -188,7 +185,7 @@
 def _parse_change(change: Any) -> Change:
     """Converts the message, replacing unset fields with empty values."""
     if change is None:
-        raise _to_exception(Failure(ErrorKind.INVALID_REQUEST, "change: is required"))
+        raise to_exception(Failure(ErrorKind.INVALID_REQUEST, "change: is required"))
     return Change(
         operation_id=change.operation_id or "",
         kind=change.kind or "",
@@ -248,18 +245,5 @@
 def _unwrap(result: Any) -> Any:
     """Returns a successful result and raises a failure as `OperatorError`."""
     if isinstance(result, Failure):
-        raise _to_exception(result)
+        raise to_exception(result)
     return result
-
-
-def _to_exception(failure: Failure) -> Exception:
-    """Converts a failure to `OperatorError`."""
-    versions = {}
-    if isinstance(failure, ConflictFailure):
-        versions = {
-            "base_version": failure.base_version,
-            "current_version": failure.current_version,
-        }
-    return OperatorError(
-        kind=str(failure.kind), reason=failure.reason, ran=RAN_STATES[failure.ran], **versions
-    )
--- a/src/sapphireledge/operator/operator_parts.py
+++ b/src/sapphireledge/operator/operator_parts.py
@@ -12,6 +12,7 @@
     from sapphireledge.entry.suspect_exchange import SuspectExchange
     from sapphireledge.operator.declaration_reader import DeclarationReader
     from sapphireledge.operator.event_reader import EventReader
+    from sapphireledge.operator.explainer import Explainer
     from sapphireledge.operator.order_dispatcher import OrderDispatcher
     from sapphireledge.operator.status_reporter import StatusReporter
 
@@ -48,3 +49,9 @@
 
     lifecycle: Lifecycle
     """Lifecycle state of the instance; starts its drain."""
+
+    explainer: Explainer
+    """Answers where a request would go."""
+
+    instance: str
+    """Name of the instance."""
--- a/src/sapphireledge/schema/operator.thrift
+++ b/src/sapphireledge/schema/operator.thrift
@@ -151,6 +151,82 @@
   5: list<string> backends
 }
 
+struct PromptPart {
+  1: string part_id
+  2: i32 tokens
+}
+
+// A request that explain is asked about. It has no key and no text of a prompt.
+struct ExplainRequest {
+  1: string host            // gateway: host and path of the request
+  2: string path
+  3: string method
+  4: string workspace
+  5: string rank
+  6: string model           // own interface: model or service
+  7: string service_name    // gateway: one of the services of the route, empty for the likeliest
+  8: i32 prompt_tokens      // 0 to add up the parts
+  9: i32 output_tokens
+  10: list<PromptPart> parts
+  11: double deadline = -1.0  // seconds that the caller waits; -1 if it does not say
+  12: i64 last_event = -1   // last event that the caller received; -1 for a new stream
+  13: bool fresh            // fetch the load reports that a placement would ask for
+}
+
+struct ExplainCheck {
+  1: string name            // what decides, for example route or quarantine
+  2: bool passed
+  3: string detail
+}
+
+struct ExplainTerm {
+  1: string name
+  2: double value
+}
+
+struct ExplainServer {
+  1: string name
+  2: string data_centre
+  3: string version
+  4: string role            // chosen, standby, candidate, left_out or not_asked
+  5: string reason
+  6: double report_age      // seconds; -1 without a load report
+  7: list<ExplainTerm> terms
+  8: double cost            // sum of the terms; -1 without terms
+  9: double chance          // probability that it is chosen; -1 where none is drawn
+}
+
+struct ExplainChance {
+  1: string name
+  2: double probability
+}
+
+struct ExplainWaiting {
+  1: string rank
+  2: i32 waiting
+}
+
+struct ExplainResult {
+  1: string instance        // instance that answers
+  2: string outcome         // sent, waits or refused
+  3: string error_kind      // what the caller would get; empty if it is not refused
+  4: string reason
+  5: string route
+  6: string service_name
+  7: string workspace
+  8: string rank
+  9: string kind            // stream, plain, or plain, at most once
+  10: double estimate       // seconds to the first event or until it is sent; -1 if unknown
+  11: bool is_late
+  12: i32 position          // requests that go before it in the line; -1 if it does not wait
+  13: list<ExplainWaiting> waiting
+  14: list<ExplainCheck> checks
+  15: list<ExplainServer> servers
+  16: list<ExplainChance> chances
+  17: list<string> unknown  // what could change the result and the instance does not know
+  18: string shared_load    // what is known of the load of other instances
+}
+
 service Operator {
   // Authenticates the connection; must be called before any other method.
   void hello(1: string secret, 2: string who) throws (1: OperatorError error)
@@ -177,4 +253,6 @@
   list<QuarantineEntry> quarantine_list() throws (1: OperatorError error)
   void quarantine_lift(1: string fingerprint, 2: string operation_id, 3: Author author)
       throws (1: OperatorError error)
+  // Explains where a request would go now, without sending it; changes nothing.
+  ExplainResult explain(1: ExplainRequest request) throws (1: OperatorError error)
 }
