--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -59,6 +59,11 @@
             lambda service: self._line(service).order,
         )
 
+    @property
+    def waiting(self) -> int:
+        """Number of streams that wait in the lines of all services."""
+        return sum(len(line.order) for line in self._lines.values())
+
     async def select(
         self,
         admitted: AdmittedRequest,
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -190,6 +190,12 @@
     VERSION_HELD = "version_held"
     """Servers of a version that is neither in use nor being rolled out take no requests."""
 
+    OPERATORS_SERVED = "operators_served"
+    """The operators' interface accepts connections."""
+
+    OPERATORS_UNAVAILABLE = "operators_unavailable"
+    """The operators' interface is switched on and cannot be served."""
+
     LINES_DROPPED = "log_lines_dropped"
     """Log lines were dropped because the log's reader was too slow."""
 
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -29,6 +29,7 @@
     create_store_client,
 )
 from sapphireledge.platform.node_settings import NodeSettings, load_node_settings
+from sapphireledge.platform.operator_listener import OperatorListener
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from sapphireledge.platform.settings_reloader import SettingsReloader
 
@@ -80,6 +81,8 @@
     )
     epoch.subscribe(writer.on_store_restored)
     parts = [runner, writer, *create_rollout_parts(cfg, gateway, metrics, epoch)]
+    if cfg.operators is not None:
+        parts.append(OperatorListener(cfg.operators, gateway))
     reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
