--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -2,7 +2,8 @@
 
 Starts the platform stand-in, three entry instances, two engines and a booking service as separate
 processes; kills the engine during a generation; prints the answer, the cost of resuming and the
-recorded events; sends one booking through two instances; stops all processes.
+recorded events, and where another request would go; sends one booking through two instances; stops
+all processes.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 
 from devtools.caller import book, generate  # noqa: E402
 from devtools.local_fleet import EngineSpec, EntrySpec, LocalFleet, ServiceSpec  # noqa: E402
+from sapphireledge.rpc import load_schema  # noqa: E402
 from sapphireledge_standins.chained_answer import check_chained_answer  # noqa: E402
 
 TOKENS = 120
@@ -48,6 +50,7 @@
         with fleet:
             print(f"started: {', '.join(fleet.processes)}")
             answer_ok = show_generation(fleet)
+            show_explanation(fleet)
             booking_ok = show_booking(fleet)
         print("stopped everything")
     return 0 if answer_ok and booking_ok else 1
@@ -111,6 +114,24 @@
     print(f"replay reproduces every decision: {'yes' if result.same else 'NO'}")
 
 
+def show_explanation(fleet: LocalFleet) -> None:
+    """Prints where another generation would go, without sending it.
+
+    Args:
+        fleet: The running fleet.
+    """
+    request = load_schema("operator").ExplainRequest(model="drafter", prompt_tokens=800)
+    client = fleet.operator("akl-a-1")
+    try:
+        result = client.explain(request)
+    finally:
+        client.close()
+    print(f"\nanother generation through akl-a-1: {result.outcome}, {result.reason}")
+    for server in result.servers:
+        terms = ", ".join(f"{term.name} {term.value:.0f}" for term in server.terms)
+        print(f"  {server.name} {server.role} {server.reason} {terms}".rstrip())
+
+
 def show_booking(fleet: LocalFleet) -> bool:
     """Sends a booking with the same key through two instances.
 
--- a/src/sapphireledge/cli/explain_command.py
+++ b/src/sapphireledge/cli/explain_command.py
@@ -59,8 +59,8 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: list[_Part] = []
-    deadline: float = -1.0
-    last_event: int = -1
+    deadline: float = 0.0
+    last_event: int | None = None
     fresh: bool = False
 
 
@@ -126,6 +126,7 @@
         **{
             **{name: getattr(request, name) for name in FIELDS},
             "service_name": request.service,
+            "resumes": request.last_event is not None,
             "parts": [conn.schema.PromptPart(each.part_id, each.tokens) for each in request.parts],
         }
     )
--- a/src/sapphireledge/operator/answer_explain.py
+++ b/src/sapphireledge/operator/answer_explain.py
@@ -74,7 +74,7 @@
     parts = request.parts or []
     tokens = [request.prompt_tokens or 0, request.output_tokens or 0]
     tokens += [part.tokens or 0 for part in parts]
-    deadline, last_event = request.deadline, request.last_event
+    deadline, last_event = request.deadline or 0.0, request.last_event or 0
     too_long = [name for name, text in texts.items() if len(text) > MAX_TEXT]
     if too_long:
         reason = f"{too_long[0]}: must have at most {MAX_TEXT} characters"
@@ -82,16 +82,18 @@
         reason = f"parts: must be at most {MAX_PARTS}, each id of at most {MAX_TEXT} characters"
     elif not all(0 <= count <= MAX_TOKENS for count in tokens):
         reason = f"tokens: must be from 0 to {MAX_TOKENS}"
-    elif deadline is not None and not deadline <= MAX_DEADLINE:
-        reason = f"deadline: must be at most {MAX_DEADLINE:.0f} s"
+    elif not 0.0 <= deadline <= MAX_DEADLINE:
+        reason = f"deadline: must be from 0 to {MAX_DEADLINE:.0f} s"
+    elif last_event < 0:
+        reason = "last_event: must not be negative"
     else:
         return Question(
             **{**texts, "method": texts["method"] or "POST"},
             prompt_tokens=tokens[0],
             output_tokens=tokens[1],
             parts=tuple(PromptPart(part.part_id or "", part.tokens or 0) for part in parts),
-            deadline=deadline if deadline is not None and deadline >= 0.0 else None,
-            last_event=last_event if last_event is not None and last_event >= 0 else None,
+            deadline=deadline or None,
+            last_event=last_event if request.resumes else None,
             fresh=bool(request.fresh),
         )
     return Failure(ErrorKind.INVALID_REQUEST, reason)
--- a/src/sapphireledge/schema/operator.thrift
+++ b/src/sapphireledge/schema/operator.thrift
@@ -168,9 +168,10 @@
   8: i32 prompt_tokens      // 0 to add up the parts
   9: i32 output_tokens
   10: list<PromptPart> parts
-  11: double deadline = -1.0  // seconds that the caller waits; -1 if it does not say
-  12: i64 last_event = -1   // last event that the caller received; -1 for a new stream
-  13: bool fresh            // fetch the load reports that a placement would ask for
+  11: double deadline       // seconds that the caller waits; 0 if it does not say
+  12: bool resumes          // the caller received a part of the stream
+  13: i64 last_event        // last event that it received, if it resumes
+  14: bool fresh            // fetch the load reports that a placement would ask for
 }
 
 struct ExplainCheck {
--- a/tests/test_explain_command.py
+++ b/tests/test_explain_command.py
@@ -105,6 +105,8 @@
             (ErrorKind.INVALID_REQUEST, {}, ()),
             (ErrorKind.INVALID_REQUEST, {}, ("--model", "drafter", "--part", "=x")),
             (ErrorKind.INVALID_REQUEST, {}, ("--model", "drafter", "--prompt-tokens", "-1")),
+            (ErrorKind.INVALID_REQUEST, {}, ("--model", "drafter", "--deadline", "nan")),
+            (ErrorKind.INVALID_REQUEST, {}, ("--model", "drafter", "--last-event", "-2")),
         )
         for kind, options, arguments in cases:
             with self.subTest(kind=kind, arguments=arguments):
--- a/tests/test_explain_platform.py
+++ b/tests/test_explain_platform.py
@@ -55,7 +55,7 @@
         self.servers[0].load = {"waiting": 9, "running": 9, "runs": []}
         found = await self.explain(*STREAM, "--prompt-tokens", "900", "--part", "p-1=900")
         self.assertEqual((found["outcome"], found["route"]), ("sent", "r-stream"))
-        self.assertEqual(found["servers"][0]["name"], "s0")
+        self.assertEqual((found["servers"][0]["name"], found["unknown"]), ("s0", []))
         self.assertGreater(found["servers"][0]["report_age"], 0.0)
         fresh = await self.explain(*STREAM, "--prompt-tokens", "900", "--fresh")
         self.assertEqual(fresh["servers"][0]["name"], "s1")
@@ -72,6 +72,9 @@
         found = await self.explain("--host", "other.example", "--path", "/", "--workspace", "court")
         self.assertEqual((found["outcome"], found["error_kind"]), ("refused", "not_found"))
         self.assertEqual(found["checks"][-1]["name"], "route")
+        found = await self.explain(*STREAM, "--deadline", "0.1", "--last-event", "3")
+        self.assertEqual(found["checks"][-1]["name"], "time")
+        self.assertIn("resumed", found["unknown"][0])
         cases = (
             (ErrorKind.UNAUTHENTICATED, "wrong", ("explain", *STREAM)),
             (ErrorKind.INVALID_REQUEST, SECRET, ("explain", "--path", "/stream/a")),
