--- a/src/sapphireledge/cli/explain_command.py
+++ b/src/sapphireledge/cli/explain_command.py
@@ -16,6 +16,29 @@
 
 __all__ = ["register"]
 
+HostOption = Annotated[str, typer.Option(help="Host of the request (gateway).")]
+PathOption = Annotated[str, typer.Option(help="Path of the request.")]
+MethodOption = Annotated[str, typer.Option(help="HTTP method.")]
+WorkspaceOption = Annotated[str, typer.Option(help="Workspace by name; never a key.")]
+RankOption = Annotated[str, typer.Option(help="Rank.")]
+ModelOption = Annotated[str, typer.Option(help="Model (own interface).")]
+ServiceOption = Annotated[str, typer.Option(help="Plain service, or one of the route's.")]
+PromptOption = Annotated[int | None, typer.Option(help="Length of the prompt in tokens.")]
+OutputOption = Annotated[int | None, typer.Option(help="Largest output in tokens.")]
+PartOption = Annotated[
+    list[str] | None, typer.Option(help="Part of the prompt in order, ID or ID=TOKENS.")
+]
+DeadlineOption = Annotated[float | None, typer.Option(help="Seconds that the caller waits.")]
+LastEventOption = Annotated[
+    int | None, typer.Option(help="Last event that the caller received, if it resumes.")
+]
+FreshOption = Annotated[
+    bool, typer.Option("--fresh", help="Fetch the load reports that a placement asks for.")
+]
+FileOption = Annotated[
+    Path | None, typer.Option(help="JSON file with the request; options replace its fields.")
+]
+
 SERVER_COLUMNS = ("name", "data_centre", "version", "role", "cost", "chance", "report_age")
 """Fields of a server shown in the text format, before the terms of its cost and the reason."""
 
@@ -75,69 +98,53 @@
 
 def explain(
     ctx: typer.Context,
-    host: Annotated[str, typer.Option(help="Host of the request (gateway).")] = "",
-    path: Annotated[str, typer.Option(help="Path of the request.")] = "",
-    method: Annotated[str, typer.Option(help="HTTP method.")] = "",
-    workspace: Annotated[str, typer.Option(help="Workspace by name; never a key.")] = "",
-    rank: Annotated[str, typer.Option(help="Rank.")] = "",
-    model: Annotated[str, typer.Option(help="Model (own interface).")] = "",
-    service: Annotated[str, typer.Option(help="Plain service, or one of the route's.")] = "",
-    prompt_tokens: Annotated[int | None, typer.Option(help="Length of the prompt.")] = None,
-    output_tokens: Annotated[int | None, typer.Option(help="Largest output.")] = None,
-    part: Annotated[
-        list[str] | None, typer.Option(help="Part of the prompt in order, ID or ID=TOKENS.")
-    ] = None,
-    deadline: Annotated[float | None, typer.Option(help="Seconds that the caller waits.")] = None,
-    last_event: Annotated[
-        int | None, typer.Option(help="Last event that the caller received, if it resumes.")
-    ] = None,
-    fresh: Annotated[
-        bool, typer.Option("--fresh", help="Fetch the load reports that a placement asks for.")
-    ] = False,
-    file: Annotated[
-        Path | None, typer.Option(help="JSON file with the request; options replace its fields.")
-    ] = None,
+    host: HostOption = "",
+    path: PathOption = "",
+    method: MethodOption = "",
+    workspace: WorkspaceOption = "",
+    rank: RankOption = "",
+    model: ModelOption = "",
+    service: ServiceOption = "",
+    prompt_tokens: PromptOption = None,
+    output_tokens: OutputOption = None,
+    part: PartOption = None,
+    deadline: DeadlineOption = None,
+    last_event: LastEventOption = None,
+    fresh: FreshOption = False,
+    file: FileOption = None,
 ) -> None:
     """Explains where a request would go now and why, without sending it.
 
     Example: sapphireledge explain --model judge --workspace default --prompt-tokens 800
     """
     conn: Connection = ctx.obj
+    request = _read_request(file)
     given = {
-        "host": host,
-        "path": path,
-        "method": method,
-        "workspace": workspace,
-        "rank": rank,
-        "model": model,
-        "service": service,
-        "prompt_tokens": prompt_tokens,
-        "output_tokens": output_tokens,
+        **{name: value for name, value in ctx.params.items() if name not in ("file", "part")},
         "parts": [_parse_part(text) for text in part or ()],
-        "deadline": deadline,
-        "last_event": last_event,
-        "fresh": fresh,
     }
-    request = _read_request(file)
     for name, value in given.items():
-        if value is not None and value != "" and value != [] and value is not False:
+        if value is not None and value is not False and value not in ("", []):
             setattr(request, name, value)
-    message = conn.schema.ExplainRequest(
-        **{
-            **{name: getattr(request, name) for name in FIELDS},
-            "service_name": request.service,
-            "resumes": request.last_event is not None,
-            "parts": [conn.schema.PromptPart(each.part_id, each.tokens) for each in request.parts],
-        }
-    )
     with conn.client() as client:
-        result = client.explain(message)
+        result = client.explain(_to_message(conn, request))
     if conn.output is OutputFormat.JSON:
         print_object(result, conn.output)
     else:
         _print_text(result)
 
 
+def _to_message(conn: Connection, request: _Request) -> Any:
+    """Converts a request to its message."""
+    parts = [conn.schema.PromptPart(each.part_id, each.tokens) for each in request.parts]
+    return conn.schema.ExplainRequest(
+        **{name: getattr(request, name) for name in FIELDS},
+        service_name=request.service,
+        parts=parts,
+        resumes=request.last_event is not None,
+    )
+
+
 def _read_request(file: Path | None) -> _Request:
     """Reads the request from a file, or ends the command if it cannot be read."""
     if file is None:
--- a/src/sapphireledge/gateway/engine_offers.py
+++ b/src/sapphireledge/gateway/engine_offers.py
@@ -88,9 +88,7 @@
         servers = self._list_usable(admitted, progress, look, excluded, avoided)
         views = self._views.build(admitted, servers, look)
         if not views:
-            is_taken = servers and self.permits(admitted, progress, servers[0])
-            wait = WaitForEngine(PLACEMENT_LIMITS.retry_interval, 0.0)
-            return self.select_known(admitted, progress, servers[0]) if is_taken else wait
+            return self._select_without_report(admitted, progress, servers)
         stream = describe_pending(self._context, admitted, progress, now)
         decision = self._decide(now, admitted, progress, stream, views, has_turn)
         if placement == 0 or not isinstance(decision, WaitForEngine):
@@ -167,6 +165,14 @@
                 return excluded
         return versions
 
+    def _select_without_report(
+        self, admitted: AdmittedRequest, progress: StreamProgress, servers: list[BackendServer]
+    ) -> EngineSelection | WaitForEngine:
+        """Selects the first of the engines, or waits if it takes no request."""
+        if servers and self.permits(admitted, progress, servers[0]):
+            return self.select_known(admitted, progress, servers[0])
+        return WaitForEngine(PLACEMENT_LIMITS.retry_interval, 0.0)
+
     def _select(
         self,
         now: float,
--- a/src/sapphireledge/gateway/explain_known_looks.py
+++ b/src/sapphireledge/gateway/explain_known_looks.py
@@ -27,7 +27,10 @@
         """
         self._latest = latest
         self.candidates: list[BackendServer] = []
-        """Engines that a placement would ask for a report."""
+        """Engines of the latest look."""
+
+        self.asked: list[BackendServer] = []
+        """Those that a placement would ask for a report."""
 
     async def take(self, candidates: list[BackendServer]) -> EngineLook:
         """Looks up the known reports; a single candidate is used without a report.
@@ -39,7 +42,8 @@
             The known reports.
         """
         self.candidates = candidates
-        if len(candidates) < 2:
+        self.asked = candidates if len(candidates) > 1 else []
+        if not self.asked:
             return EngineLook(candidates, {})
         known = {server.server_id: self._latest.get(server) for server in candidates}
         return EngineLook(candidates, {name: load for name, load in known.items() if load})
--- a/src/sapphireledge/gateway/explain_servers.py
+++ b/src/sapphireledge/gateway/explain_servers.py
@@ -82,21 +82,24 @@
     found = []
     for server in context.registry.list_servers(service):
         name = server.server_id
-        role, reason = roles.get(name), ""
+        role, reason = ServerRole.CANDIDATE, ""
         if name in left_out:
-            role, reason = role or ServerRole.LEFT_OUT, left_out[name]
+            role, reason = ServerRole.LEFT_OUT, left_out[name]
         elif name in terms:
-            role = role or ServerRole.CANDIDATE
             reason = "no room in memory for the whole stream" if terms[name].get("memory") else ""
         elif name in asked_ids:
-            role, reason = role or ServerRole.CANDIDATE, "no report of it is known"
+            reason = "no report of it is known"
         else:
-            role = role or ServerRole.NOT_ASKED
-            reason = _describe_state(context, now, name)
-        age = context.report_client.latest.age(now, server)
+            role, reason = ServerRole.NOT_ASKED, _describe_state(context, now, name)
         found.append(
             ExplainedServer(
-                name, server.data_centre, server.version, role, reason, age, terms.get(name, {})
+                name,
+                server.data_centre,
+                server.version,
+                roles.get(name, role),
+                reason,
+                context.report_client.latest.age(now, server),
+                terms.get(name, {}),
             )
         )
     return tuple(
--- a/src/sapphireledge/gateway/explain_stream.py
+++ b/src/sapphireledge/gateway/explain_stream.py
@@ -74,7 +74,7 @@
         if fresh:
             looks = KnownLooks(context.report_client.latest)
             await self._place(admitted, explanation, avoided, looks)
-            await context.report_client.fetch_reports(looks.candidates, REPORT_TIMEOUT)
+            await context.report_client.fetch_reports(looks.asked, REPORT_TIMEOUT)
         looks = KnownLooks(context.report_client.latest)
         return await self._place(admitted, explanation, avoided, looks)
 
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -229,10 +229,10 @@
         Args:
             request: The request.
             find_key: Returns the key of the caller, None if there is none.
-            choose_service: Returns which service of the route handles the request.
+            choose_service: Returns the service of the route that handles it.
 
         Returns:
-            The request with its route, or the reason to refuse it.
+            The request with its route, or a refusal.
         """
         table = self.config.table
         if table is None:
--- a/tests/test_explain_gateway.py
+++ b/tests/test_explain_gateway.py
@@ -167,6 +167,24 @@
             self.assertTrue(0.0 < explanation.chances[0].probability <= 1.0)
             self.assertTrue(any(server.terms for server in explanation.servers))
 
+    async def test_reasons_of_engines_that_are_left_out(self):
+        for name in ("s3", "s4", "s5"):
+            self.add(name, "llm", IDLE, version="v2" if name == "s4" else "v1")
+        signals = ServerSignals(rate_limit=1.0)
+        self.context.registry.state("s3").backpressure.on_response(self.now(), signals, 9)
+        self.context.registry.state("s3").backpressure._pacer._slot_at = self.now() + 4.0
+        self.context.rollouts.excluded = lambda *args, **options: frozenset({"s4"})
+        self.context.crashes.avoided_servers = lambda verdict: frozenset({"s5"})
+        explanation = await self.explainer.explain(STREAM)
+        for name, word in (("s3", "limit"), ("s4", "version v2"), ("s5", "quarantine")):
+            self.assertIs(self.role(explanation, name), ServerRole.LEFT_OUT)
+            self.assertIn(word, self.reason(explanation, name))
+
+    async def test_single_engine_is_not_asked(self):
+        self.context.registry.remove("s2")
+        explanation = await self.explainer.explain(replace(STREAM, fresh=True))
+        self.assertEqual((self.chosen(explanation), self.asked), ("s1", []))
+
     async def test_plain_request_with_terms_limit_and_wait(self):
         self.add("p2", "app", centre="dc-b")
         explanation = await self.explainer.explain(PLAIN)
