--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -193,10 +193,9 @@
         Returns:
             The grant, or why the attempt is refused.
         """
-        deployment = self._config.index.deployment_for(work.req.model)
-        if deployment is None:
-            reason = f"model: {work.req.model!r} is not declared"
-            return Failure(ErrorKind.UNKNOWN_MODEL, reason)
+        deployment = self._find_deployment(work.req.model)
+        if isinstance(deployment, Failure):
+            return deployment
         refused = await self._reject_early(work)
         if refused is not None:
             return refused
@@ -224,9 +223,9 @@
             What decides about it, or why it is refused.
         """
         req = work.req
-        deployment = self._config.index.deployment_for(req.model)
-        if deployment is None:
-            return Failure(ErrorKind.UNKNOWN_MODEL, f"model: {req.model!r} is not declared")
+        deployment = self._find_deployment(req.model)
+        if isinstance(deployment, Failure):
+            return deployment
         verdict = self._deaths.judge_now(_describe_content(req), req.request_id)
         if isinstance(verdict, Failure):
             return verdict
@@ -479,6 +478,13 @@
             self._schedulers[key] = scheduler
         return scheduler
 
+    def _find_deployment(self, model: str) -> Deployment | Failure:
+        """Returns the deployment of a model, or a refusal."""
+        deployment = self._config.index.deployment_for(model)
+        if deployment is None:
+            return Failure(ErrorKind.UNKNOWN_MODEL, f"model: {model!r} is not declared")
+        return deployment
+
     def _get_role(self, model: str) -> str:
         """Returns the role of the engines that serve a model."""
         deployment = self._config.index.deployment_for(model)
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -30,8 +30,12 @@
 
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
-        self.selector = self._selector = EngineSelector(context)
+        self._selector = EngineSelector(context)
+
+    @property
+    def selector(self) -> EngineSelector:
         """Selects the engines of streams."""
+        return self._selector
 
     async def forward(self, conn: CallerConnection, admitted: AdmittedRequest) -> Failure | None:
         """Forwards one request and delivers the stream.
