Explain: name reports that are missing and what decides among equal servers

Without parts, the order of equal servers follows the id of the request, and a placement would ask for reports that the instance lacks; both are listed as not known. A key without a rank of its own counts with that of the route. test_explain_gateway and test_explain_platform: 31 passed.

--- a/src/sapphireledge/gateway/explain_request.py
+++ b/src/sapphireledge/gateway/explain_request.py
@@ -144,10 +144,11 @@
         if question.last_event is not None:
             unknown.append("which engine keeps the prompt: a resumed stream asks engines first")
         table = self._gateway.config.table
-        keys = () if table is None else table.keys.values()
-        ranks = {str(key.rank) for key in keys if key.workspace == question.workspace}
+        ranks = set() if table is None else {rank for rank, _ in _list_keys(table, question)}
         if len(ranks) > 1 and not question.rank:
             unknown.append(f"the key: those of the workspace have ranks {', '.join(sorted(ranks))}")
+        if not question.parts:
+            unknown.append("which of equal servers: without parts, the id of the request decides")
         return tuple(unknown)
 
     def _describe_shared_load(self) -> str:
@@ -181,9 +182,19 @@
 
 def _find_key(table: RoutingTable, question: Question) -> WorkspaceKey | None:
     """Finds a key of the workspace, with the wanted rank if there is one."""
-    keys = (key for key in table.keys.values() if key.workspace == question.workspace)
-    wanted = (key for key in keys if question.rank in ("", str(key.rank)))
-    return next(wanted, None)
+    keys = _list_keys(table, question)
+    return next((key for rank, key in keys if question.rank in ("", rank)), None)
+
+
+def _list_keys(table: RoutingTable, question: Question) -> list[tuple[str, WorkspaceKey]]:
+    """Lists the keys of the workspace, each with the rank of requests that use it."""
+    route = table.match(question.host, question.path)
+    route_rank = None if route is None else route.rank
+    return [
+        (str(route_rank if key.rank is None else key.rank), key)
+        for key in table.keys.values()
+        if key.workspace == question.workspace
+    ]
 
 
 def _choose_service(route: Route, question: Question) -> str:
--- a/src/sapphireledge/gateway/explain_stream.py
+++ b/src/sapphireledge/gateway/explain_stream.py
@@ -94,8 +94,11 @@
         selector, line = self._selector.copy_for(context, looks, service)
         waiting = line.order.snapshot(asyncio.get_running_loop().time()).length_by_rank
         result = await selector.select(admitted, progress, avoided)
+        silent = [s.server_id for s in looks.asked if context.report_client.latest.get(s) is None]
+        load = f"the load of {', '.join(silent)}: a placement would ask for it, as --fresh does"
         explanation = replace(
             explanation,
+            unknown=(*explanation.unknown, load) if silent else explanation.unknown,
             servers=explain_servers(
                 context,
                 service,
--- a/tests/test_explain_gateway.py
+++ b/tests/test_explain_gateway.py
@@ -137,6 +137,8 @@
         self.assertEqual(self.chosen(explanation), "s2")
         self.assertIn("no room", self.reason(explanation, "s1"))
         self.assertIn("no report", self.reason(explanation, "s6"))
+        self.assertIn("the load of s6", explanation.unknown[-1])
+        self.assertIn("equal servers", explanation.unknown[-2])
 
     async def test_kept_tokens_reduce_the_own_work(self):
         parts = (PromptPart("handbook", 4_000), PromptPart("turn-1", 300))
@@ -208,14 +210,21 @@
 
     async def test_weighted_service_and_ranks_of_keys(self):
         route = replace(STREAM_ROUTE, services=(("llm", 3.0), ("app", 1.0)))
-        keys = {KEY: WorkspaceKey("court", 1), "k2": WorkspaceKey("court", 2)}
+        keys = {KEY: WorkspaceKey("court", 1), "k2": WorkspaceKey("court", 4)}
         routes = {"svc.example": (route,)}
         self.gateway.config.accept(replace(table(2), routes=routes, keys=keys))
         explanation = await self.explainer.explain(STREAM)
         self.assertEqual(explanation.chances[0].probability, 0.75)
-        self.assertIn("ranks 1, 2", explanation.unknown[0])
-        ranked = await self.explainer.explain(replace(STREAM, rank="2", service="app"))
-        self.assertEqual((ranked.rank, ranked.chances[0].probability), ("2", 0.25))
+        self.assertIn("ranks 1, 4", explanation.unknown[0])
+        self.gateway.config.accept(
+            replace(
+                self.gateway.config.table, version=3, keys={**keys, "k3": WorkspaceKey("court")}
+            )
+        )
+        of_route = await self.explainer.explain(replace(STREAM, rank="2"))
+        self.assertEqual(of_route.rank, str(route.rank))
+        ranked = await self.explainer.explain(replace(STREAM, rank="4", service="app"))
+        self.assertEqual((ranked.rank, ranked.chances[0].probability), ("4", 0.25))
 
     async def test_fresh_asks_the_candidates_only(self):
         self.add("s2", "llm", BUSY, "dc-b")
