Explain: copy the roll-out of a service, and name no prompt part

Cause: the copy of the roll-outs shared the running order, so that a question wrote which kinds of requests were seen and changed the next real choice; the reason of a condemned request named the part. Change: Rollout.copy_for_choice and ServiceVersions.copy_for copy what a choice writes; hide_part replaces the reason.

--- a/src/sapphireledge/core/quarantine/__init__.py
+++ b/src/sapphireledge/core/quarantine/__init__.py
@@ -10,6 +10,7 @@
 from sapphireledge.core.quarantine.find_avoided_servers import find_avoided_servers
 from sapphireledge.core.quarantine.fingerprint_parts import fingerprint_parts
 from sapphireledge.core.quarantine.fingerprint_request import fingerprint_request
+from sapphireledge.core.quarantine.hide_part import hide_part
 from sapphireledge.core.quarantine.isolate_verdict import IsolateVerdict
 from sapphireledge.core.quarantine.quarantine import PART_PREFIX, SCOPE_PREFIX, Quarantine
 from sapphireledge.core.quarantine.quarantine_limits import QuarantineLimits
@@ -36,4 +37,5 @@
     "find_avoided_servers",
     "fingerprint_parts",
     "fingerprint_request",
+    "hide_part",
 ]
--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -12,6 +12,7 @@
 from sapphireledge.core.quarantine.draw_trial import trial_share
 from sapphireledge.core.quarantine.find_crashing_parts import SOUND_TIME, find_crashing_parts
 from sapphireledge.core.quarantine.find_crashing_scopes import SETTLE_TIME, find_crashing_scopes
+from sapphireledge.core.quarantine.hide_part import PART_REASON
 from sapphireledge.core.quarantine.is_in_burst import is_in_burst
 from sapphireledge.core.quarantine.isolate_verdict import IsolateVerdict
 from sapphireledge.core.quarantine.suspect_state import SuspectState
@@ -314,7 +315,7 @@
             crashing = self.crashing_parts(now_unix)
             part = next((part for part in parts if part in crashing), None)
             if part is not None:
-                reason = f"engines die when they answer requests with the prompt part {part}"
+                reason = f"{PART_REASON} {part}"
                 return Failure(ErrorKind.REQUEST_CONDEMNED, reason)
         return None
 
--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -213,6 +214,16 @@
         is_retry = is_retry or resumed_from is not None
         return VersionRule(self._order.target, self._choose(now, may_repeat, is_stream, is_retry))
 
+    def copy_for_choice(self) -> Rollout:
+        """Copies what `choose` changes.
+
+        Returns:
+            The roll-out, for choices that are not carried out.
+        """
+        copied = copy(self)
+        copied._has_kind = list(self._has_kind)
+        return copied
+
     def on_sent(self, now: float, route: str, version: str, *, is_retry: bool = False) -> None:
         """Counts an attempt that is sent to a server; exactly one `on_result` follows.
 
--- a/src/sapphireledge/entry/route_explainer.py
+++ b/src/sapphireledge/entry/route_explainer.py
@@ -15,6 +15,7 @@
     Explanation,
     ServerRole,
 )
+from sapphireledge.core.quarantine import hide_part
 from sapphireledge.core.routing import Router, RouteRequest
 from sapphireledge.entry.authenticate import authorize_rank
 from sapphireledge.entry.caller_request import CallerRequest
@@ -107,7 +108,8 @@
         rehearsal = self._parts.ctx.pool.rehearse(work, question.prompt_length)
         if isinstance(rehearsal, Failure):
             is_unknown = rehearsal.kind is ErrorKind.UNKNOWN_MODEL
-            return explanation.refused("route" if is_unknown else "quarantine", rehearsal)
+            check = "route" if is_unknown else "quarantine"
+            return explanation.refused(check, hide_part(rehearsal))
         request = rehearsal.request
         target = f"{request.model} {request.version}, role {request.role}"
         explanation = explanation.passed("route", target).passed("quarantine", "not held back")
@@ -160,7 +162,7 @@
             time.time(), content.fingerprint, content.parts, content.scope
         )
         if isinstance(verdict, Failure):
-            return explanation.refused("quarantine", verdict)
+            return explanation.refused("quarantine", hide_part(verdict))
         explanation = explanation.passed("quarantine", "not held back")
         return self._choose(time.monotonic(), RouteRequest(role=service.name), explanation)
 
--- a/src/sapphireledge/gateway/explain_plain.py
+++ b/src/sapphireledge/gateway/explain_plain.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.explanation import Chance, ExplainedOutcome, ServerRole
+from sapphireledge.core.quarantine import hide_part
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.gateway.decision_trace import DecisionTrace
 from sapphireledge.gateway.explain_servers import explain_servers, find_left_out
@@ -51,7 +52,7 @@
             explanation = explanation.passed("load shedding", "all requests are forwarded")
         verdict = context.crashes.judge(admitted)
         if isinstance(verdict, Failure):
-            return explanation.refused("quarantine", verdict)
+            return explanation.refused("quarantine", hide_part(verdict))
         explanation = explanation.passed("quarantine", f"{verdict.deaths} deaths count against it")
         choice = PlainChoice(context)
         if not choice.permits_attempt(admitted, set()):
--- a/src/sapphireledge/gateway/explain_stream.py
+++ b/src/sapphireledge/gateway/explain_stream.py
@@ -8,6 +8,7 @@
 
 from sapphireledge.core.explanation import Chance, ExplainedOutcome, ServerRole
 from sapphireledge.core.placement import RefusalReason, RefuseStream
+from sapphireledge.core.quarantine import hide_part
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.gateway.decision_trace import DecisionTrace
 from sapphireledge.gateway.describe_stream import is_repeat
@@ -62,7 +63,7 @@
         progress = StreamProgress(admitted.request.last_event)
         verdict = context.crashes.judge(admitted)
         if isinstance(verdict, Failure):
-            return explanation.refused("quarantine", verdict)
+            return explanation.refused("quarantine", hide_part(verdict))
         explanation = explanation.passed("quarantine", f"{verdict.deaths} deaths count against it")
         if not progress.permits_attempt(admitted, now):
             reason = f"{admitted.deadline - now:.1f} s until the deadline are too short"
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -231,7 +231,7 @@
         copied = copy(self)
         copied.telemetry = telemetry
         copied.registry = self.registry.copy_for(service)
-        copied.rollouts = self.rollouts.copy_for(copied.registry)
+        copied.rollouts = self.rollouts.copy_for(service, copied.registry)
         copied._shedders = _copy_entry(self._shedders, service)
         copied._estimators = _copy_entry(self._estimators, service)
         copied._generation_estimators = _copy_entry(self._generation_estimators, service)
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -73,10 +73,11 @@
         self._lag = LoopLag()
         self._begun = asyncio.Event()
 
-    def copy_for(self, registry: BackendRegistry) -> RolloutGuard:
+    def copy_for(self, service: str, registry: BackendRegistry) -> RolloutGuard:
         """Creates a guard with the same rules, which asks another registry for free servers.
 
         Args:
+            service: Name of the service.
             registry: Copy of the known backend servers.
 
         Returns:
@@ -84,6 +85,11 @@
         """
         copied = copy(self)
         copied._registry = registry
+        copied._services = {
+            name: versions.copy_for(registry)
+            for name, versions in self._services.items()
+            if name == service
+        }
         return copied
 
     def reconfigure(self, cfg: GatewaySettings) -> None:
--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from copy import copy
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -57,6 +58,21 @@
         self._registry = registry
         self._in_use = VersionInUse()
 
+    def copy_for(self, registry: BackendRegistry) -> ServiceVersions:
+        """Copies what `choose` changes.
+
+        Args:
+            registry: Copy of the known backend servers.
+
+        Returns:
+            The versions, for choices that are not carried out.
+        """
+        copied = copy(self)
+        copied._registry = registry
+        if self.rollout is not None:
+            copied.rollout = self.rollout.copy_for_choice()
+        return copied
+
     @property
     def target(self) -> str | None:
         """Target of the running order, None without one."""
