Operators: pace questions, keep places, and read their settings apart

Cause: questions of many connections followed one another without a pause; the own interface copied queues of any length; connections without the secret threw out those with it; a missing secret file ended the process or stopped every reload. Change: PacedExplainer, a bound on the copied queue, OperatorPlace with a second ledger and a counter operator_limits, read_operator_settings called once at start, imports before the event loop, and a log line for what ends the listener. The reason of a wait on the own interface is that of the admission. Tests: test_explain_limits and test_faults_of_operators_leave_the_settings_of_callers. The two tests of test_explain_platform that read the secret from load_node_settings read it from read_operator_settings, with the same values; that of the empty file also demands that callers' settings load.

--- a/src/sapphireledge/core/explanation/explanation.py
+++ b/src/sapphireledge/core/explanation/explanation.py
@@ -28,6 +28,9 @@
     checks: tuple[Check, ...] = ()
     """Steps of its way in order; after a refusal, none follows."""
 
+    decided_by: str = ""
+    """Name of the step that decides the outcome, empty if it is the last one."""
+
     failure: Failure | None = None
     """What its caller would get, if it is refused."""
 
@@ -70,6 +73,13 @@
     shared_load: str = ""
     """What is known of the load of other instances, empty if nothing."""
 
+    @property
+    def reason(self) -> str:
+        """Detail of the step that decides the outcome, empty without steps."""
+        if self.decided_by and self.outcome is not ExplainedOutcome.REFUSED:
+            return next((c.detail for c in self.checks if c.name == self.decided_by), "")
+        return self.checks[-1].detail if self.checks else ""
+
     def passed(self, name: str, detail: str) -> Explanation:
         """Adds a step after which the request goes on.
 
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -70,6 +70,9 @@
 ADMIT_INTERVAL = 0.02
 """Seconds between admission rounds while work is queued."""
 
+MAX_COPIED = 256
+"""Waiting requests of all models up to which the schedulers are copied to explain a decision."""
+
 SERVING_VERSION_TTL = 0.5
 """Seconds for which the serving version of a deployment is cached, so that engines are not counted
 for each request; load reports are no more recent than that."""
@@ -232,14 +235,28 @@
         version = choose_serving_version(deployment, self._list_engine_states())
         request = self._build_route_request(work, deployment, version)
         request = replace(request, prompt_tokens=max(1, prompt_tokens))
-        scheduler = deepcopy(self._schedulers.get((req.model, version)))
-        if scheduler is None:
-            ledger = deepcopy(self._ledger)
-            scheduler = RankScheduler(self._config.ranks, self._cfg.admission, ledger)
-        scheduler.set_ranks(self._config.ranks)
-        capacity = self._compute_capacity(time.monotonic(), req.model, version, scheduler)
+        known = self._schedulers.get((req.model, version))
+        copied = self._copy_scheduler(known)
+        loads = () if known is None else known.loads()
+        waiting = {load.rank: load.queued for load in loads if load.queued}
+        capacity = self._compute_capacity(time.monotonic(), req.model, version, known or copied)
         queued = self._build_queued_work(work, request)
-        return PoolRehearsal(request, queued, scheduler, capacity)
+        return PoolRehearsal(request, queued, copied, capacity, waiting)
+
+    def _copy_scheduler(self, known: RankScheduler | None) -> RankScheduler | None:
+        """Copies a scheduler, or creates one; returns None if a copy takes too much time.
+
+        All schedulers watch the ledger, so a copy of one has copies of the others.
+        """
+        is_short = sum(each.queued for each in self._schedulers.values()) <= MAX_COPIED
+        if known is None:
+            ledger = deepcopy(self._ledger) if is_short else None
+            return RankScheduler(self._config.ranks, self._cfg.admission, ledger)
+        if not is_short:
+            return None
+        copied = deepcopy(known)
+        copied.set_ranks(self._config.ranks)
+        return copied
 
     def on_completed(self, req: CallerRequest, tokens: int) -> None:
         """Handles an answer that completed.
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -54,6 +54,7 @@
     OperatorParts,
     OperatorServer,
     OrderDispatcher,
+    PacedExplainer,
     StatusReporter,
 )
 from sapphireledge.peers import AnswerCopies, PeerMesh, PeerQueries, PeerServer
@@ -382,7 +383,7 @@
             suspects=self._suspects,
             orders=OrderDispatcher(self._fleet, self._view, self._config),
             lifecycle=self.lifecycle,
-            explainer=RouteExplainer(self._parts, self._view, self._quarantine),
+            explainer=PacedExplainer(RouteExplainer(self._parts, self._view, self._quarantine)),
             instance=self._cfg.instance,
         )
 
--- a/src/sapphireledge/entry/pool_rehearsal.py
+++ b/src/sapphireledge/entry/pool_rehearsal.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from sapphireledge.core.admission import Capacity, QueuedWork, RankScheduler
     from sapphireledge.core.routing import RouteRequest
 
@@ -22,8 +24,11 @@
     queued: QueuedWork
     """The attempt as it would be offered to the scheduler."""
 
-    scheduler: RankScheduler
-    """Copy of the scheduler of the model version."""
+    scheduler: RankScheduler | None
+    """Copy of the scheduler of the model version, None if too much waits to copy it."""
 
     capacity: Capacity
     """Capacity that this instance may use."""
+
+    waiting: Mapping[str, int]
+    """Number of waiting requests by rank."""
--- a/src/sapphireledge/entry/route_explainer.py
+++ b/src/sapphireledge/entry/route_explainer.py
@@ -125,13 +125,15 @@
     ) -> Explanation:
         """Offers the request to a copy of the scheduler."""
         scheduler, queued = rehearsal.scheduler, rehearsal.queued
-        loads = {load.rank: load.queued for load in scheduler.loads() if load.queued}
-        explanation = replace(explanation, waiting=loads)
+        explanation = replace(explanation, waiting=rehearsal.waiting, decided_by="admission")
+        if scheduler is None:
+            return _explain_long_queue(explanation)
         admitted = scheduler.offer(now, queued)
         if isinstance(admitted, Failure):
             return explanation.refused("admission", admitted)
         started = _list_started(scheduler.next(now, rehearsal.capacity))
         if queued.work_id in started:
+            explanation = replace(explanation, decided_by="")
             return explanation.passed("admission", "a slot of this instance's share is free")
         order = _list_started(scheduler.next(now, UNLIMITED))
         position = order.index(queued.work_id) if queued.work_id in order else len(order)
@@ -217,6 +219,16 @@
         return tuple(sorted(found, key=lambda each: (-(each.chance or 0.0), each.name)))
 
 
+def _explain_long_queue(explanation: Explanation) -> Explanation:
+    """Explains a wait without the place in the line: a copy of a long line takes too much time."""
+    count = sum(explanation.waiting.values())
+    unknown = f"the place in the line and whether it is admitted: {count} requests wait"
+    waits = replace(
+        explanation, outcome=ExplainedOutcome.WAITS, unknown=(*explanation.unknown, unknown)
+    )
+    return waits.passed("admission", f"{count} requests wait, too many to tell its place")
+
+
 def _find_reason(now: float, state: BackendState, request: RouteRequest) -> str | None:
     """Finds why a server takes no request; empty if it takes some, None if it serves others."""
     if state.instance.role != request.role and (
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -197,6 +197,9 @@
     OPERATORS_SERVED = "operators_served"
     """The operators' interface accepts connections."""
 
+    OPERATORS_LIMITED = "operators_limited"
+    """Connections of operators were closed because of their limits."""
+
     OPERATORS_UNAVAILABLE = "operators_unavailable"
     """The operators' interface is switched on and cannot be served."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -163,6 +163,14 @@
         )
         """Connections closed and requests refused because of limits on callers, by reason."""
 
+        self.operator_limits = Counter(
+            "sapphireledge_operator_limits",
+            "Connections of operators closed because of their limits, by reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        """Connections of operators closed because of their limits, by reason."""
+
         self.version_answers = Counter(
             "sapphireledge_version_answers",
             "Ends of attempts while a version is rolled out, by version and quality.",
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -68,6 +68,17 @@
         if count:
             self._log.warning(GatewayEvent.CALLERS_LIMITED, reason=reason, count=count)
 
+    def record_operator_limit(self, reason: LimitReason) -> None:
+        """Counts an operators' connection that was closed because of their limits.
+
+        Args:
+            reason: The limit.
+        """
+        self._metrics.operator_limits.labels(reason).inc()
+        count = self._limit_log.count(monotonic(), f"operators {reason}")
+        if count:
+            self._log.warning(GatewayEvent.OPERATORS_LIMITED, reason=reason, count=count)
+
     def record_admission(
         self, admitted: AdmittedRequest, fingerprint: str, config_age: float
     ) -> None:
--- a/src/sapphireledge/operator/__init__.py
+++ b/src/sapphireledge/operator/__init__.py
@@ -9,6 +9,7 @@
 from sapphireledge.operator.operator_parts import OperatorParts
 from sapphireledge.operator.operator_server import OperatorServer
 from sapphireledge.operator.order_dispatcher import OrderDispatcher
+from sapphireledge.operator.paced_explainer import PacedExplainer
 from sapphireledge.operator.status_reporter import StatusReporter
 
 __all__ = [
@@ -19,5 +20,6 @@
     "OperatorParts",
     "OperatorServer",
     "OrderDispatcher",
+    "PacedExplainer",
     "StatusReporter",
 ]
--- a/src/sapphireledge/operator/answer_explain.py
+++ b/src/sapphireledge/operator/answer_explain.py
@@ -106,7 +106,7 @@
         instance=instance,
         outcome=str(explanation.outcome),
         error_kind="" if failure is None else str(failure.kind),
-        reason=explanation.checks[-1].detail if explanation.checks else "",
+        reason=explanation.reason,
         route=explanation.route,
         service_name=explanation.service,
         workspace=explanation.workspace,
--- a/src/sapphireledge/operator/gateway_operator_connection.py
+++ b/src/sapphireledge/operator/gateway_operator_connection.py
@@ -13,7 +13,9 @@
     from collections.abc import Callable
     from typing import Any
 
-    from sapphireledge.gateway import Gateway, GatewayExplainer
+    from sapphireledge.gateway import Gateway
+    from sapphireledge.operator.explainer import Explainer
+    from sapphireledge.operator.operator_place import OperatorPlace
 
 __all__ = ["GatewayOperatorConnection"]
 
@@ -21,25 +23,33 @@
 class GatewayOperatorConnection:
     """Serves the calls that make sense at a gateway, and refuses the others."""
 
-    def __init__(self, secret: str, gateway: Gateway, explainer: GatewayExplainer) -> None:
+    def __init__(
+        self, secret: str, gateway: Gateway, explainer: Explainer, place: OperatorPlace
+    ) -> None:
         """Creates the handler of one connection.
 
         Args:
             secret: Secret of the operators.
             gateway: The gateway.
             explainer: Explains requests of the gateway.
+            place: Place of the connection.
         """
         self._secret = secret
         self._gateway = gateway
         self._explainer = explainer
+        self._place = place
 
     async def hello(self, secret: str, who: str) -> None:
         """Authenticates the connection."""
         check_hello(self._secret, secret, who)
+        if not self._place.authenticate():
+            reason = "questions of other operators are being answered on all connections"
+            raise to_exception(Failure(ErrorKind.OVERLOADED, reason))
 
     async def explain(self, request: Any) -> Any:
         """Explains where a request would go now, without sending it."""
-        return await answer_explain(self._explainer, self._gateway.cfg.instance, request)
+        with self._place.serve():
+            return await answer_explain(self._explainer, self._gateway.cfg.instance, request)
 
     async def status(self) -> Any:
         """Reports the state of this instance; other instances and servers are not listed."""
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -29,7 +29,8 @@
     create_store_client,
 )
 from sapphireledge.platform.node_settings import NodeSettings, load_node_settings
-from sapphireledge.platform.operator_listener import OperatorListener
+from sapphireledge.platform.operator_listener import OperatorListener, import_operator_packages
+from sapphireledge.platform.operator_settings import read_operator_settings
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from sapphireledge.platform.settings_reloader import SettingsReloader
 
@@ -37,6 +38,7 @@
     from collections.abc import Sequence
 
     from sapphireledge.feed import FeedRunner
+    from sapphireledge.platform.operator_settings import OperatorSettings
 
 __all__ = ["main"]
 
@@ -64,11 +66,30 @@
     except (OSError, ValueError, msgspec.MsgspecError) as exc:
         structlog.get_logger().error(GatewayEvent.SETTINGS_REJECTED, reason=str(exc))
         return EXIT_BAD_SETTINGS
-    asyncio.run(_serve(path, cfg, early_stop_signals))
+    operators = _prepare_operators(cfg.operator_address)
+    asyncio.run(_serve(path, cfg, operators, early_stop_signals))
     return 0
 
 
-async def _serve(path: Path, cfg: NodeSettings, early_stop_signals: Sequence[int]) -> None:
+def _prepare_operators(address: str) -> OperatorSettings | None:
+    """Reads the operators' settings; callers are served whatever is wrong with them."""
+    try:
+        operators = read_operator_settings(address)
+        reason = "" if operators is None else import_operator_packages()
+    except (OSError, ValueError) as exc:
+        reason = str(exc)
+    if reason:
+        structlog.get_logger().error(GatewayEvent.OPERATORS_UNAVAILABLE, reason=reason)
+        return None
+    return operators
+
+
+async def _serve(
+    path: Path,
+    cfg: NodeSettings,
+    operators: OperatorSettings | None,
+    early_stop_signals: Sequence[int],
+) -> None:
     """Runs the instance in the event loop until it is stopped."""
     metrics = GatewayMetrics()
     gateway = Gateway(cfg.gateway, PlatformDialect(), RequestTelemetry(metrics))
@@ -81,8 +102,8 @@
     )
     epoch.subscribe(writer.on_store_restored)
     parts = [runner, writer, *create_rollout_parts(cfg, gateway, metrics, epoch)]
-    if cfg.operators is not None:
-        parts.append(OperatorListener(cfg.operators, gateway))
+    if operators is not None:
+        parts.append(OperatorListener(operators, gateway))
     reloader = SettingsReloader(path, cfg, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -13,7 +13,6 @@
 from sapphireledge.limits import CallerBudgets
 from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND
 from sapphireledge.platform.decode_rollout import ROLLOUT_KIND
-from sapphireledge.platform.operator_settings import OperatorSettings
 from sapphireledge.platform.rollout_report_writer import ROLLOUT_REPORT_KIND
 from sapphireledge.platform.split_address import split_address
 from sapphireledge.platform.store_settings import StoreSettings
@@ -23,12 +22,6 @@
 KEPT_PROMPTS_VARIABLE = "SAPPHIRELEDGE_KEPT_PROMPTS"
 """Environment variable that switches the placement by kept prompts off with the value "off"."""
 
-OPERATOR_SECRET_VARIABLE = "SAPPHIRELEDGE_OPERATOR_SECRET"
-"""Environment variable with the operators' secret; it switches their interface on."""
-
-OPERATOR_SECRET_FILE_VARIABLE = "SAPPHIRELEDGE_OPERATOR_SECRET_FILE"
-"""Environment variable with the path of a file that contains the secret, which goes first."""
-
 METRICS_PORT = 9464
 """Port of the metrics endpoint; must match deploy/system.toml."""
 
@@ -80,7 +73,8 @@
 
     front: str
     ready: str
-    control: str = ""
+    # Of any type: a fault in the operators' settings must not reject those of callers.
+    control: object = ""
 
 
 class _Bounds(msgspec.Struct):
@@ -155,8 +149,8 @@
     backend_heartbeat: float
     """Seconds between two heartbeats of a backend server in the store."""
 
-    operators: OperatorSettings | None = None
-    """Interface for operators, None if it is switched off."""
+    operator_address: str = ""
+    """Address of the operators' interface, not checked; empty if no port is left for it."""
 
 
 def load_node_settings(path: Path) -> NodeSettings:
@@ -171,7 +165,7 @@
     Raises:
         OSError: The file cannot be read.
         msgspec.MsgspecError: The file is not JSON, or a field is missing or has another type.
-        ValueError: An address is not IP:PORT, or operators' interface lacks a secret or a port.
+        ValueError: An address is not IP:PORT.
     """
     file = msgspec.json.decode(path.read_bytes(), type=_NodeFile)
     listen_host, listen_port = split_address(file.listen.front)
@@ -211,27 +205,17 @@
     peer = Peer(file.node_name, listen_host, feed.port, file.zone, file.limits.link_mbps)
     store = StoreSettings(store_host, store_port)
     return NodeSettings(
-        gateway, store, feed, peer, file.heartbeat_ms / 1000.0, _read_operators(file)
+        gateway, store, feed, peer, file.heartbeat_ms / 1000.0, _find_operator_address(file)
     )
 
 
-def _read_operators(file: _NodeFile) -> OperatorSettings | None:
-    """Reads the settings of the operators' interface, which is off without a secret."""
-    secret = os.environ.get(OPERATOR_SECRET_VARIABLE, "")
-    path = os.environ.get(OPERATOR_SECRET_FILE_VARIABLE, "")
-    if path:
-        secret = Path(path).read_text(encoding="utf-8").strip()
-        if not secret:
-            raise ValueError(f"{path}: the operators' secret is empty")
-    if not secret:
-        return None
+def _find_operator_address(file: _NodeFile) -> str:
+    """Finds the address of the operators' interface, by default the second port of the range."""
     if file.listen.control:
-        return OperatorSettings(*split_address(file.listen.control), secret)
+        return str(file.listen.control)
     host, _ = split_address(file.listen.front)
     first, last = file.port_range
-    if first >= last:
-        raise ValueError("port_range: has no second port for the operators' interface")
-    return OperatorSettings(host, first + 1, secret)
+    return f"{host}:{first + 1}" if first < last else ""
 
 
 def _decode_budgets(limits: _Limits) -> CallerBudgets:
--- a/tests/test_explain_platform.py
+++ b/tests/test_explain_platform.py
@@ -21,6 +21,7 @@
 from sapphireledge.limits import CallerBudgets, CallerLedger
 from sapphireledge.operator import GatewayOperatorServer
 from sapphireledge.platform.node_settings import load_node_settings
+from sapphireledge.platform.operator_settings import read_operator_settings
 
 SECRET = "gateway-operators"
 STREAM = ("--host", "svc.example", "--path", "/stream/a", "--workspace", "court")
@@ -118,22 +119,34 @@
             path.write_text(json.dumps(file))
             return load_node_settings(path)
 
+    def read(self, environment, **changes):
+        address = self.load(environment, **changes).operator_address
+        with mock.patch.dict(os.environ, environment):
+            return read_operator_settings(address)
+
+    def test_faults_of_operators_leave_the_settings_of_callers(self):
+        given = {"SAPPHIRELEDGE_OPERATOR_SECRET_FILE": "/absent/secret"}
+        for control in ("nonsense", 7, None, ["x"]):
+            with self.subTest(control=control):
+                self.assertEqual(self.load(given, control=control).gateway.listen_port, 1)
+
     def test_off_by_default_and_addresses(self):
-        self.assertIsNone(self.load({}).operators)
+        self.assertIsNone(self.read({}))
         given = {"SAPPHIRELEDGE_OPERATOR_SECRET": "s"}
-        found = self.load(given).operators
+        found = self.read(given)
         self.assertEqual((found.host, found.port, found.secret), ("127.0.0.1", 4, "s"))
-        found = self.load(given, control="127.0.0.9:77").operators
+        found = self.read(given, control="127.0.0.9:77")
         self.assertEqual((found.host, found.port), ("127.0.0.9", 77))
 
     def test_secret_file(self):
         with tempfile.NamedTemporaryFile("w") as file:
             given = {"SAPPHIRELEDGE_OPERATOR_SECRET_FILE": file.name}
             with self.assertRaises(ValueError):
-                self.load(given)
+                self.read(given)
+            self.load(given)
             file.write("from-file\n")
             file.flush()
-            self.assertEqual(self.load(given).operators.secret, "from-file")
+            self.assertEqual(self.read(given).secret, "from-file")
 
 
 def write_settings(folder, host):
