Explain: fresh reports as a placement uses them; old ones are named

Change: KnownLooks reads either the known reports or those of one fetch; EngineLoad.is_from tells incarnations apart; LatestReports keeps reports only where an explainer exists, and forgets those of removed engines. Four tests of test_explain_effects, all seen failing before.

--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -84,6 +84,9 @@
         self.on_added: Callable[[BackendServer], None] = lambda _: None
         """Called with each new or restarted server."""
 
+        self.on_removed: Callable[[BackendServer], None] = lambda _: None
+        """Called with each server that is removed, also for a restarted one."""
+
     def __len__(self) -> int:
         return len(self._states)
 
@@ -158,6 +161,7 @@
             self._orders.pop(state.server.service, None)
             if state.server.service in self._contacts:
                 self._contacts[state.server.service].forget(server_id)
+            self.on_removed(state.server)
 
     def _recall_backpressure(self, server: BackendServer) -> ServerBackpressure:
         """Returns what an incarnation asked for before its entry was removed, if it is known.
--- a/src/sapphireledge/gateway/engine_load.py
+++ b/src/sapphireledge/gateway/engine_load.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from sapphireledge.gateway.backend_server import BackendServer
+
 __all__ = ["EngineLoad"]
 
 
@@ -53,6 +55,18 @@
         generating = sum(1 for generated in self.events.values() if generated)
         return max(0, self.running - generating) if self.lists_runs else 0
 
+    def is_from(self, server: BackendServer) -> bool:
+        """Whether the report can be that of an incarnation of an engine.
+
+        Args:
+            server: The engine.
+
+        Returns:
+            False if another incarnation sent it.
+        """
+        known = self.started_at_ms and server.started_at_ms
+        return not known or self.started_at_ms == server.started_at_ms
+
     def count_tokens_ahead(self, typical_tokens: float) -> float:
         """Estimates the prompt tokens that the engine processes before a new request.
 
--- a/src/sapphireledge/gateway/explain_request.py
+++ b/src/sapphireledge/gateway/explain_request.py
@@ -54,6 +54,7 @@
             gateway: The gateway that would receive the request.
         """
         self._gateway = gateway
+        gateway.context.report_client.latest.is_enabled = True
         self._plain = PlainExplainer(gateway.context)
         self._streams = StreamExplainer(gateway.context, gateway.selector)
 
--- a/src/sapphireledge/gateway/explain_stream.py
+++ b/src/sapphireledge/gateway/explain_stream.py
@@ -19,8 +19,12 @@
 from sapphireledge.gateway.stream_progress import StreamProgress
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from sapphireledge.core.explanation import Explanation
     from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.backend_server import BackendServer
+    from sapphireledge.gateway.engine_load import EngineLoad
     from sapphireledge.gateway.engine_selection import EngineSelection
     from sapphireledge.gateway.engine_selector import EngineSelector
     from sapphireledge.gateway.gateway_context import GatewayContext
@@ -32,6 +36,10 @@
 """Step that refuses a stream; the other reasons belong to the placement."""
 
 
+OLD_REPORT = 1.0
+"""Age in seconds from which a report is listed as old; a placement asks for a new one."""
+
+
 class StreamExplainer:
     """Places a stream on copies of the state that a placement changes."""
 
@@ -72,12 +80,42 @@
         time_left = f"{admitted.deadline - now:.1f} s until the deadline"
         explanation = explanation.passed("time", time_left)
         avoided = context.crashes.avoided_servers(verdict)
-        if fresh:
-            looks = KnownLooks(context.report_client.latest)
-            await self._place(admitted, explanation, avoided, looks)
-            await context.report_client.fetch_reports(looks.asked, REPORT_TIMEOUT)
-        looks = KnownLooks(context.report_client.latest)
-        return await self._place(admitted, explanation, avoided, looks)
+        looks = KnownLooks(context.report_client.latest.get)
+        known = await self._place(admitted, explanation, avoided, looks)
+        if not fresh:
+            unknown = (*known.unknown, *self._list_uncertain(looks))
+            return replace(known, unknown=unknown)
+        reports = await self._fetch(looks.asked)
+        looks = KnownLooks(lambda server: reports.get(server.server_id))
+        found = await self._place(admitted, explanation, avoided, looks)
+        silent = ", ".join(server.server_id for server in looks.missing)
+        if silent:
+            load = f"the load of {silent}: no report of this incarnation arrived in time"
+            found = replace(found, unknown=(*found.unknown, load))
+        return found
+
+    async def _fetch(self, servers: Sequence[BackendServer]) -> dict[str, EngineLoad]:
+        """Fetches reports, without those that another incarnation sent."""
+        reports = await self._context.report_client.fetch_reports(servers, REPORT_TIMEOUT)
+        return {
+            server.server_id: reports[server.server_id]
+            for server in servers
+            if server.server_id in reports and reports[server.server_id].is_from(server)
+        }
+
+    def _list_uncertain(self, looks: KnownLooks) -> list[str]:
+        """Lists the engines of which a placement would learn more than is known."""
+        latest, now = self._context.report_client.latest, asyncio.get_running_loop().time()
+        missing = ", ".join(server.server_id for server in looks.missing)
+        ages = {server.server_id: latest.age(now, server) or 0.0 for server in looks.asked}
+        old = ", ".join(f"{name} ({age:.1f} s)" for name, age in ages.items() if age > OLD_REPORT)
+        uncertain = []
+        if missing:
+            load = f"the load of {missing}: a placement would ask for it, as --fresh does"
+            uncertain.append(load)
+        if old:
+            uncertain.append(f"the load now of engines with old reports, as --fresh asks: {old}")
+        return uncertain
 
     async def _place(
         self,
@@ -95,11 +133,8 @@
         selector, line = self._selector.copy_for(context, looks, service)
         waiting = line.order.snapshot(asyncio.get_running_loop().time()).length_by_rank
         result = await selector.select(admitted, progress, avoided)
-        silent = [s.server_id for s in looks.asked if context.report_client.latest.get(s) is None]
-        load = f"the load of {', '.join(silent)}: a placement would ask for it, as --fresh does"
         explanation = replace(
             explanation,
-            unknown=(*explanation.unknown, load) if silent else explanation.unknown,
             servers=explain_servers(
                 context,
                 service,
--- a/src/sapphireledge/gateway/fetched_looks.py
+++ b/src/sapphireledge/gateway/fetched_looks.py
@@ -72,11 +72,7 @@
 
     def _remove_if_replaced(self, server: BackendServer, report: EngineLoad) -> bool:
         """Removes an engine and returns True if another incarnation reports at its address."""
-        if (
-            not report.started_at_ms
-            or not server.started_at_ms
-            or report.started_at_ms == server.started_at_ms
-        ):
+        if report.is_from(server):
             return False
         self._context.registry.remove(server.server_id)
         self._context.pool.drop(server.server_id)
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -68,6 +68,7 @@
         self.pool.on_response = self._on_response
 
         self.report_client = EngineReportClient(self.pool, dialect)
+        self.registry.on_removed = self.report_client.latest.forget
         """Client for load reports and cache listings of engines."""
 
         self.copies = EngineCopyClient(self.pool, dialect)
--- a/src/sapphireledge/gateway/latest_reports.py
+++ b/src/sapphireledge/gateway/latest_reports.py
@@ -19,22 +19,35 @@
     """Keeps the latest report of each engine, for operators; no request is placed by it."""
 
     def __init__(self) -> None:
+        self.is_enabled = False
+        """Whether reports are kept; only operators need them."""
+
         self._reports: OrderedDict[tuple[str, int], tuple[float, EngineLoad]] = OrderedDict()
 
     def put(self, now: float, server: BackendServer, report: EngineLoad) -> None:
-        """Keeps a report.
+        """Keeps a report, unless nobody asks for it or another incarnation sent it.
 
         Args:
             now: Event loop time in seconds.
             server: Engine that sent it.
             report: The report.
         """
+        if not self.is_enabled or not report.is_from(server):
+            return
         incarnation = (server.server_id, server.started_at_ms)
         self._reports[incarnation] = (now, report)
         self._reports.move_to_end(incarnation)
         if len(self._reports) > MAX_REPORTS:
             self._reports.popitem(last=False)
 
+    def forget(self, server: BackendServer) -> None:
+        """Drops the report of an engine.
+
+        Args:
+            server: An engine that was removed.
+        """
+        self._reports.pop((server.server_id, server.started_at_ms), None)
+
     def get(self, server: BackendServer) -> EngineLoad | None:
         """Looks up the latest report of an engine.
 
--- a/tests/test_explain_effects.py
+++ b/tests/test_explain_effects.py
@@ -5,11 +5,20 @@
 import unittest
 from dataclasses import replace
 
-from explain_case import PLAIN, STREAM, ExplainCase
+from explain_case import BUSY, CFG, IDLE, PLAIN, STREAM, ExplainCase
+from gateway_case import HOST
 
 from sapphireledge.core.placement import PromptPart
 from sapphireledge.core.rollout import RolloutLimits, RolloutOrder, RolloutStage, RolloutState
-from sapphireledge.gateway import StoredOrder
+from sapphireledge.gateway import (
+    BackendServer,
+    Gateway,
+    GatewayExplainer,
+    GatewayMetrics,
+    RequestTelemetry,
+    StoredOrder,
+)
+from sapphireledge.platform.platform_dialect import PlatformDialect
 
 
 class EffectsTest(ExplainCase):
@@ -40,6 +49,49 @@
         rule = rollout.choose(self.now(), may_repeat=False, is_stream=False, is_retry=False)
         self.assertTrue(rule.prefers("v2"))
 
+    async def test_fresh_uses_only_reports_of_this_fetch(self):
+        async def fetch(server, timeout):
+            return None if server.server_id == "s1" else BUSY
+
+        self.context.report_client.fetch_report = fetch
+        found = await self.explainer.explain(replace(STREAM, fresh=True))
+        self.assertEqual(self.chosen(found), "s2")
+        self.assertIn("the load of s1", " ".join(found.unknown))
+
+    async def test_reports_of_another_incarnation_are_ignored(self):
+        for name in ("s1", "s2"):
+            self.context.registry.remove(name)
+        replaced = self.add("x1", "llm", started_at_ms=1)
+        self.add("x2", "llm", centre="dc-b", started_at_ms=1)
+        self.reports["x1"] = replace(IDLE, started_at_ms=99)
+        self.reports["x2"] = replace(BUSY, started_at_ms=1)
+        found = await self.explainer.explain(replace(STREAM, fresh=True))
+        self.assertEqual(self.chosen(found), "x2")
+        self.assertIn("the load of x1", " ".join(found.unknown))
+        self.assertIsNone(self.context.report_client.latest.get(replaced))
+
+    async def test_old_reports_are_named(self):
+        latest = self.context.report_client.latest
+        for server in self.context.registry.list_servers("llm"):
+            latest.put(self.now() - (3.0 if server.server_id == "s2" else 0.5), server, IDLE)
+        unknown = " ".join((await self.explainer.explain(STREAM)).unknown)
+        self.assertIn("s2", unknown)
+        self.assertNotIn("s1", unknown)
+
+    async def test_reports_are_kept_for_known_engines_and_operators_only(self):
+        gateway = Gateway(CFG, PlatformDialect(), RequestTelemetry(GatewayMetrics()))
+        latest, registry = gateway.context.report_client.latest, gateway.context.registry
+        server = BackendServer("s1", "llm", HOST, 9, "dc-a", started_at_ms=1)
+        registry.put(server)
+        latest.put(0.0, server, IDLE)
+        self.assertIsNone(latest.get(server))
+        GatewayExplainer(gateway)
+        latest.put(0.0, server, IDLE)
+        self.assertIs(latest.get(server), IDLE)
+        registry.put(replace(server, started_at_ms=2))
+        self.assertIsNone(latest.get(server))
+        self.assertFalse(latest._reports)
+
     async def test_condemned_part_is_not_named(self):
         quarantine = self.context.crashes.quarantine
         quarantine.crashing_parts = lambda now: frozenset({"private"})
