--- a/tests/test_explain_platform.py
+++ b/tests/test_explain_platform.py
@@ -5,9 +5,12 @@
 import asyncio
 import json
 import os
+import re
 import signal
+import subprocess
 import sys
 import tempfile
+import tomllib
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -23,6 +26,7 @@
 from sapphireledge.platform.node_settings import load_node_settings
 from sapphireledge.platform.operator_settings import read_operator_settings
 
+ROOT = Path(__file__).resolve().parent.parent
 SECRET = "gateway-operators"
 STREAM = ("--host", "svc.example", "--path", "/stream/a", "--workspace", "court")
 
@@ -150,6 +154,42 @@
             self.assertEqual(self.read(given).secret, "from-file")
 
 
+IMPORT = """
+import sys
+
+class Absent:
+    def find_spec(self, name, path=None, target=None):
+        if any(f"{name}.".startswith(f"{each}.") for each in sys.argv[1:]):
+            raise ImportError(f"{name} is not in deploy/requirements.txt")
+
+sys.meta_path.insert(0, Absent())
+import sapphireledge.operator
+"""
+
+MODULES = {
+    "hdrhistogram": "hdrh",
+    "opentelemetry-api": "opentelemetry",
+    "opentelemetry-sdk": "opentelemetry.sdk",
+    "prometheus-client": "prometheus_client",
+}
+
+
+class RequirementsTest(unittest.TestCase):
+    """Guards against an interface whose packages are not installed on the users' machines."""
+
+    def test_interface_needs_only_what_is_installed(self):
+        declared = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]["dependencies"]
+        installed = (ROOT / "deploy" / "requirements.txt").read_text().split()
+        self.assertLessEqual(set(installed), set(declared))
+        names = [re.split("[~>=]", each)[0] for each in declared if each not in installed]
+        absent = [MODULES.get(name, name) for name in names]
+        environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+        result = subprocess.run(
+            [sys.executable, "-c", IMPORT, *absent], env=environment, capture_output=True, text=True
+        )
+        self.assertEqual(result.returncode, 0, result.stderr)
+
+
 def write_settings(folder, host):
     listen = {"front": f"{host}:7100", "ready": f"{host}:7101", "control": f"{host}:7102"}
     settings = {
