--- a/tests/test_explain_platform.py
+++ b/tests/test_explain_platform.py
@@ -207,6 +207,36 @@
 class ProgramTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a program that does not serve what was switched on."""
 
+    async def test_program_without_its_secret_file_serves_callers(self):
+        host = f"127.{os.getpid() % 250 + 1}.98.2"
+        with tempfile.TemporaryDirectory() as folder:
+            environment = {
+                "SAPPHIRELEDGE_NODE_FILE": write_settings(folder, host),
+                "SAPPHIRELEDGE_OPERATOR_SECRET_FILE": str(Path(folder, "absent")),
+            }
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(PROGRAM),
+                env={**os.environ, **environment},
+                stdout=asyncio.subprocess.PIPE,
+            )
+            try:
+                line = await asyncio.wait_for(process.stdout.readline(), 20.0)
+                self.assertIn(b"operators_unavailable", line)
+                async with asyncio.timeout(20.0):
+                    while process.returncode is None:
+                        try:
+                            _, writer = await asyncio.open_connection(host, 7100)
+                            break
+                        except ConnectionRefusedError:
+                            await asyncio.sleep(0.05)
+                self.assertIsNone(process.returncode)
+                writer.close()
+            finally:
+                if process.returncode is None:
+                    process.send_signal(signal.SIGTERM)
+                await process.communicate()
+
     async def test_program_without_a_store_explains_that_it_has_no_configuration(self):
         host = f"127.{os.getpid() % 250 + 1}.98.1"
         with tempfile.TemporaryDirectory() as folder:
