--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.rollout.answer_quality import AnswerQuality
@@ -177,6 +178,16 @@
             return is_new is not bool(self._judge.verdict)
         return not is_new or (self._progress.share > 0.0 and self._view.is_in_touch(now))
 
+    def copy_for_choice(self) -> Rollout:
+        """Copies what `choose` changes.
+
+        Returns:
+            The roll-out, for choices that are not carried out.
+        """
+        copied = copy(self)
+        copied._chooser = self._chooser.copy()
+        return copied
+
     def on_sent(self, now: float, route: str, version: str, *, is_retry: bool = False) -> None:
         """Counts an attempt that is about to be sent; one `on_result` or `on_withdrawn` follows.
 
--- a/src/sapphireledge/core/rollout/version_chooser.py
+++ b/src/sapphireledge/core/rollout/version_chooser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.rollout.exposure_allowance import ExposureAllowance
@@ -46,6 +47,16 @@
         self._is_stream_chosen = False
         self._has_kind = [False, False]
 
+    def copy(self) -> VersionChooser:
+        """Copies what `choose` changes.
+
+        Returns:
+            The state, for choices that are not carried out.
+        """
+        copied = copy(self)
+        copied._has_kind = list(self._has_kind)
+        return copied
+
     def choose(
         self, now: float, may_repeat: bool, is_stream: bool, is_retry: bool, is_suspect: bool
     ) -> VersionChoice:
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import time
+from copy import deepcopy
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import structlog
@@ -30,6 +32,7 @@
 from sapphireledge.core.routing import Router, RouteRequest, hash_prefixes
 from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.grant import Grant
+from sapphireledge.entry.pool_rehearsal import PoolRehearsal
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.telemetry import MetricName
 
@@ -67,6 +70,9 @@
 ADMIT_INTERVAL = 0.02
 """Seconds between admission rounds while work is queued."""
 
+MAX_COPIED = 256
+"""Waiting requests of all models up to which the schedulers are copied to explain a decision."""
+
 SERVING_VERSION_TTL = 0.5
 """Seconds for which the serving version of a deployment is cached, so that engines are not counted
 for each request; load reports are no more recent than that."""
@@ -190,10 +196,9 @@
         Returns:
             The grant, or why the attempt is refused.
         """
-        deployment = self._config.index.deployment_for(work.req.model)
-        if deployment is None:
-            reason = f"model: {work.req.model!r} is not declared"
-            return Failure(ErrorKind.UNKNOWN_MODEL, reason)
+        deployment = self._find_deployment(work.req.model)
+        if isinstance(deployment, Failure):
+            return deployment
         refused = await self._reject_early(work)
         if refused is not None:
             return refused
@@ -210,6 +215,49 @@
             return choice
         return self._create_grant(work, request, scheduler, choice, version)
 
+    def rehearse(self, work: PoolWork, prompt_tokens: int) -> PoolRehearsal | Failure:
+        """Prepares a decision about an attempt that is not carried out.
+
+        Args:
+            work: The attempt; its request has no prompt.
+            prompt_tokens: Length of the prompt in tokens.
+
+        Returns:
+            What decides about it, or why it is refused.
+        """
+        req = work.req
+        deployment = self._find_deployment(req.model)
+        if isinstance(deployment, Failure):
+            return deployment
+        verdict = self._deaths.judge_now(_describe_content(req), req.request_id)
+        if isinstance(verdict, Failure):
+            return verdict
+        version = choose_serving_version(deployment, self._list_engine_states())
+        request = self._build_route_request(work, deployment, version)
+        request = replace(request, prompt_tokens=max(1, prompt_tokens))
+        known = self._schedulers.get((req.model, version))
+        copied = self._copy_scheduler(known)
+        loads = () if known is None else known.loads()
+        waiting = {load.rank: load.queued for load in loads if load.queued}
+        capacity = self._compute_capacity(time.monotonic(), req.model, version, known or copied)
+        queued = self._build_queued_work(work, request)
+        return PoolRehearsal(request, queued, copied, capacity, waiting)
+
+    def _copy_scheduler(self, known: RankScheduler | None) -> RankScheduler | None:
+        """Copies a scheduler, or creates one; returns None if a copy takes too much time.
+
+        All schedulers watch the ledger, so a copy of one has copies of the others.
+        """
+        is_short = sum(each.queued for each in self._schedulers.values()) <= MAX_COPIED
+        if known is None:
+            ledger = deepcopy(self._ledger) if is_short else None
+            return RankScheduler(self._config.ranks, self._cfg.admission, ledger)
+        if not is_short:
+            return None
+        copied = deepcopy(known)
+        copied.set_ranks(self._config.ranks)
+        return copied
+
     def on_completed(self, req: CallerRequest, tokens: int) -> None:
         """Handles an answer that completed.
 
@@ -447,6 +495,13 @@
             self._schedulers[key] = scheduler
         return scheduler
 
+    def _find_deployment(self, model: str) -> Deployment | Failure:
+        """Returns the deployment of a model, or a refusal."""
+        deployment = self._config.index.deployment_for(model)
+        if deployment is None:
+            return Failure(ErrorKind.UNKNOWN_MODEL, f"model: {model!r} is not declared")
+        return deployment
+
     def _get_role(self, model: str) -> str:
         """Returns the role of the engines that serve a model."""
         deployment = self._config.index.deployment_for(model)
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from copy import copy
 from dataclasses import replace
 from itertools import islice
 from random import Random
@@ -75,6 +76,25 @@
         self._is_active = False
         self._begun = asyncio.Event()
 
+    def copy_for(self, service: str, registry: BackendRegistry) -> RolloutGuard:
+        """Creates a guard with the same rules, which asks another registry for free servers.
+
+        Args:
+            service: Name of the service.
+            registry: Copy of the known backend servers.
+
+        Returns:
+            The guard, for choices that are not carried out.
+        """
+        copied = copy(self)
+        copied._registry = registry
+        copied._services = {
+            name: versions.copy_for(registry)
+            for name, versions in self._services.items()
+            if name == service
+        }
+        return copied
+
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Applies changed limits to orders that begin later.
 
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -68,10 +68,13 @@
 
 
 class _Listen(msgspec.Struct):
-    """Addresses to listen on: `front` for callers, `ready` for readiness checks."""
+    """Addresses to listen on: `front` for callers, `ready` for readiness checks, `control` for
+    operators, empty if the machine has no such address."""
 
     front: str
     ready: str
+    # Of any type: a fault in the operators' settings must not reject those of callers.
+    control: object = ""
 
 
 class _Bounds(msgspec.Struct):
@@ -146,6 +149,9 @@
     backend_heartbeat: float
     """Seconds between two heartbeats of a backend server in the store."""
 
+    operator_address: str = ""
+    """Address of the operators' interface, not checked; empty if no port is left for it."""
+
 
 def load_node_settings(path: Path) -> NodeSettings:
     """Reads and validates the settings file.
@@ -198,7 +204,18 @@
     )
     peer = Peer(file.node_name, listen_host, feed.port, file.zone, file.limits.link_mbps)
     store = StoreSettings(store_host, store_port)
-    return NodeSettings(gateway, store, feed, peer, file.heartbeat_ms / 1000.0)
+    return NodeSettings(
+        gateway, store, feed, peer, file.heartbeat_ms / 1000.0, _find_operator_address(file)
+    )
+
+
+def _find_operator_address(file: _NodeFile) -> str:
+    """Finds the address of the operators' interface, by default the second port of the range."""
+    if file.listen.control:
+        return str(file.listen.control)
+    host, _ = split_address(file.listen.front)
+    first, last = file.port_range
+    return f"{host}:{first + 1}" if first < last else ""
 
 
 def _decode_budgets(limits: _Limits) -> CallerBudgets:
