Quarantine of scopes: no trials while a scope is refused

Cause: the death that ends a trial moves the end of the period in which deaths are weighed, so those of servers with another cause since the verdict, which the refused scope could not meet, count against it and withdraw a correct verdict. Change: the trials are taken out; a scope is refused until its deaths are older than 120 s again. Evidence from whole losses, the mean presence and the time for reports stay. Ruled out: leaving deaths during the refusal out of the weighing.

--- a/src/sapphireledge/core/quarantine/quarantine.py
+++ b/src/sapphireledge/core/quarantine/quarantine.py
@@ -18,11 +18,6 @@
 )
 from sapphireledge.core.quarantine.is_in_burst import is_in_burst
 from sapphireledge.core.quarantine.isolate_verdict import IsolateVerdict
-from sapphireledge.core.quarantine.scope_trial import (
-    TRIAL_TIME,
-    find_trial_start,
-    scope_trial_share,
-)
 from sapphireledge.core.quarantine.suspect_state import SuspectState
 from sapphireledge.errors import ErrorKind, Failure
 
@@ -42,9 +37,6 @@
 HELD_RETRY_AFTER = 5.0
 """Retry-After in seconds for a request that is held back because it may crash servers."""
 
-MIN_RETRY_AFTER = 1.0
-"""Shortest Retry-After in seconds of a request that is refused by its scope."""
-
 MAX_SURVIVALS = 4_096
 """Prompt parts whose latest survival is remembered; the part that survived longest ago is forgotten
 first."""
@@ -94,7 +86,6 @@
         self._survived_at: dict[str, float] = {}
         self._crashing_parts: frozenset[str] | None = frozenset()
         self._crashing_scopes: frozenset[str] | None = frozenset()
-        self._trial_starts: dict[str, float] = {}
         self._horizons = _Horizons()
         self._now_unix = float("-inf")
         self._cleared_at: dict[str, float] = {}
@@ -299,15 +290,15 @@
             fingerprint: Fingerprint of the request.
             parts: Ids of the parts of its prompt that other requests can share.
             scope: Scope of the request, empty if it has none.
-            draw: Result of `draw_trial` for the request; of those that are held back or refused by
-                their scope, the ones with the lowest results are tried.
+            draw: Result of `draw_trial` for the request; of those that are held back, the ones
+                with the lowest results are tried.
 
         Returns:
             A verdict, or a failure: request_condemned, or overloaded with the delay after which the
             latest deaths can be attributed or the request may be tried again. With either failure,
             nothing is run.
         """
-        failure = self._refuse_shared(now_unix, parts, scope, draw)
+        failure = self._refuse_shared(now_unix, parts, scope)
         if failure is not None:
             return failure
         if fingerprint not in self._by_fingerprint:
@@ -330,19 +321,13 @@
             return Failure(ErrorKind.OVERLOADED, reason, retry_after=HELD_RETRY_AFTER)
         return IsolateVerdict(len(deaths))
 
-    def _refuse_shared(
-        self, now_unix: float, parts: Sequence[str], scope: str, draw: float
-    ) -> Failure | None:
+    def _refuse_shared(self, now_unix: float, parts: Sequence[str], scope: str) -> Failure | None:
         """Refuses a request by what it has in common with others that crash servers."""
-        if (
-            scope
-            and scope in self.crashing_scopes(now_unix)
-            and draw >= scope_trial_share(now_unix - self._trial_start(scope))
-        ):
+        if scope and scope in self.crashing_scopes(now_unix):
             reason = f"servers die when they run requests of {scope}"
-            accepted_at = self._trial_start(scope) + TRIAL_TIME
-            delay = min(self._cfg.scope_retention, max(MIN_RETRY_AFTER, accepted_at - now_unix))
-            return Failure(ErrorKind.REQUEST_CONDEMNED, reason, retry_after=delay)
+            return Failure(
+                ErrorKind.REQUEST_CONDEMNED, reason, retry_after=self._cfg.scope_retention
+            )
         if self._by_part and parts:
             crashing = self.crashing_parts(now_unix)
             part = next((part for part in parts if part in crashing), None)
@@ -412,7 +397,6 @@
         """Forgets what deaths are attributed to, because the state has changed."""
         self._crashing_parts = None
         self._crashing_scopes = None
-        self._trial_starts = {}
 
     def _find_crashing_scopes(self) -> frozenset[str]:
         """Returns the scopes that crash servers; the result is kept until the state changes."""
@@ -426,17 +410,6 @@
             )
         return self._crashing_scopes
 
-    def _trial_start(self, scope: str) -> float:
-        """Returns the time from which requests of a scope that crashes servers are tried again."""
-        start = self._trial_starts.get(scope)
-        if start is None:
-            lifted = self._lifted_at(scope)
-            deaths = self.records()[self._horizons.scopes :]
-            times = [r.time_unix for r in deaths if scope in r.scopes and r.time_unix > lifted]
-            found = find_trial_start(times)
-            start = self._trial_starts[scope] = float("inf") if found is None else found
-        return start
-
     def _lifted_at(self, scope: str) -> float:
         """Returns the time up to which deaths do not count against a scope."""
         return self._cleared_at.get(SCOPE_PREFIX + scope, float("-inf"))
