--- a/tests/test_explain_effects.py
+++ b/tests/test_explain_effects.py
@@ -36,7 +36,7 @@
         progress, view, chooser = rollout._progress, rollout._view, rollout._chooser
         progress.stage, progress.share = RolloutStage.TRIAL, 0.1
         view.is_in_touch = lambda now: True
-        view.learnt_at = view.ordered_at = now - 5.0
+        view._learnt_at = view.ordered_at = now - 5.0
         chooser._allowance._slack = 25.0
         for pace in chooser._trial_paces:
             pace._credit = 0.95
