Load of the other instances of a data centre, as pure state

Cause: each instance knows the load of its own callers only. Ruled out: one role after the other keeping both kinds of figures, which would count an instance twice.

--- /dev/null
+++ b/src/sapphireledge/core/shared_load/_load_sum.py
@@ -0,0 +1,44 @@
+"""Load of one service, while it is summed."""
+
+from __future__ import annotations
+
+from sapphireledge.core.shared_load.service_load import ServiceLoad
+from sapphireledge.core.shared_load.workspace_streams import WorkspaceStreams
+
+__all__ = ["LoadSum"]
+
+
+class LoadSum:
+    """Load of one service, while it is summed."""
+
+    __slots__ = ("arrivals", "signals", "streams")
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[float]] = {}
+        self.arrivals: dict[tuple[int, str], float] = {}
+        self.signals = [0.0, 0.0, 0.0]
+
+    def add(self, load: ServiceLoad, factors: tuple[float, float, float, float]) -> None:
+        """Adds the load of one instance, multiplied by a factor for each time constant."""
+        tokens, starts, arrivals, signals = factors
+        for workspace, part in load.streams.items():
+            row = self.streams.get(workspace)
+            if row is None:
+                row = self.streams[workspace] = [0.0, 0.0, 0.0]
+            row[0] += part.tokens * tokens
+            row[1] += part.arrived * starts
+            row[2] += part.started * starts
+        for caller, amount in load.arrivals.items():
+            self.arrivals[caller] = self.arrivals.get(caller, 0.0) + amount * arrivals
+        self.signals[0] += load.rejections * signals
+        self.signals[1] += load.responses * signals
+        self.signals[2] += load.response_time * signals
+
+    def freeze(self) -> ServiceLoad:
+        """Returns the sum; no part of it is negative."""
+        streams = {
+            workspace: WorkspaceStreams(*(max(0.0, part) for part in row))
+            for workspace, row in self.streams.items()
+        }
+        arrivals = {caller: amount for caller, amount in self.arrivals.items() if amount > 0.0}
+        return ServiceLoad(streams, arrivals, *(max(0.0, part) for part in self.signals))
