Instances of a data centre exchange load along the feed

Cause: nothing carried usage, arrivals and response times between instances. A follower's request carries its digest, the relay's reply the sum of the others, as bytes in a field that older instances ignore. What cannot be decoded is dropped with a log line. Lines and shedders are described by LoadExchange; nothing uses the figures yet. Ruled out: a connection or store object of its own, which costs calls; a field decoded with the request, because a malformed one would end the connection on which store objects arrive.

--- a/src/sapphireledge/core/shared_load/merge_loads.py
+++ b/src/sapphireledge/core/shared_load/merge_loads.py
@@ -7,7 +7,7 @@
 
 from sapphireledge.core.shared_load._load_sum import LoadSum
 from sapphireledge.core.shared_load.service_load import ServiceLoad
-from sapphireledge.core.shared_load.workspace_streams import WorkspaceStreams
+from sapphireledge.core.shared_load.workspace_streams import MIN_AMOUNT, WorkspaceStreams
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -62,17 +62,21 @@
             continue
         streams = dict(known.streams)
         for workspace, part in load.streams.items():
-            row = streams.get(workspace)
-            if row is not None:
-                streams[workspace] = WorkspaceStreams(
-                    max(0.0, row.tokens - tokens * part.tokens),
-                    max(0.0, row.arrived - starts * part.arrived),
-                    max(0.0, row.started - starts * part.started),
-                )
+            row = streams.pop(workspace, None)
+            if row is None:
+                continue
+            others = WorkspaceStreams(
+                max(0.0, row.tokens - tokens * part.tokens),
+                max(0.0, row.arrived - starts * part.arrived),
+                max(0.0, row.started - starts * part.started),
+            )
+            if not others.is_negligible:
+                streams[workspace] = others
         callers = dict(known.arrivals)
         for caller, amount in load.arrivals.items():
-            if caller in callers:
-                callers[caller] = max(0.0, callers[caller] - arrivals * amount)
+            rest = callers.pop(caller, 0.0) - arrivals * amount
+            if rest >= MIN_AMOUNT:
+                callers[caller] = rest
         result[service] = ServiceLoad(
             streams,
             callers,
--- a/src/sapphireledge/core/shared_load/shared_load.py
+++ b/src/sapphireledge/core/shared_load/shared_load.py
@@ -19,11 +19,12 @@
 from sapphireledge.core.shared_load.trim_load import trim_load
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from sapphireledge.core.shared_load.load_digest import LoadDigest
     from sapphireledge.core.shared_load.service_load import ServiceLoad
     from sapphireledge.core.shared_load.shared_load_limits import SharedLoadLimits
+    from sapphireledge.core.shared_load.workspace_streams import WorkspaceStreams
 
 __all__ = ["SharedLoad"]
 
@@ -42,7 +43,9 @@
         Args:
             limits: Limits.
         """
-        self._limits = limits
+        self.limits = limits
+        """Limits."""
+
         self._heard: dict[str, HeardDigest] = {}
         self._relayed: tuple[float, MergedLoad] | None = None
         self._view: LoadView | None = None
@@ -62,9 +65,9 @@
         if known is not None and known.digest.incarnation == digest.incarnation:
             if digest.sequence <= known.digest.sequence:
                 return False
-        elif known is None and len(self._heard) >= self._limits.max_instances:
+        elif known is None and len(self._heard) >= self.limits.max_instances:
             self._drop_old(now)
-            if len(self._heard) >= self._limits.max_instances:
+            if len(self._heard) >= self.limits.max_instances:
                 return False
         self._heard[digest.instance] = HeardDigest(now, digest)
         if self._relayed is not None:
@@ -83,21 +86,23 @@
         self._relayed = (now, merged)
         self._view = self._reply_view = None
 
-    def merge_for(self, now: float, instance: str, own: Mapping[str, ServiceLoad]) -> MergedLoad:
+    def merge_for(
+        self, now: float, instance: str, describe_own: Callable[[float], Mapping[str, ServiceLoad]]
+    ) -> MergedLoad:
         """Merges the figures that a follower is sent.
 
         Args:
             now: Current time in seconds.
             instance: Name of the follower.
-            own: Load of this instance by service.
+            describe_own: Returns the load of this instance by service.
 
         Returns:
             Figures of this instance and of all followers but that one.
         """
-        limits = self._limits
+        limits = self.limits
         view = self._reply_view
         if view is None or not self._is_current(now, view):
-            view = self._reply_view = self._build_reply_view(now, own)
+            view = self._reply_view = self._build_reply_view(now, describe_own(now))
         merged, part = view.merged, view.parts.get(instance)
         age = merged.age + now - view.built_at
         if part is None:
@@ -120,6 +125,19 @@
         """
         return self._current(now).services.get(service)
 
+    def streams(self, now: float, service: str) -> Mapping[str, WorkspaceStreams]:
+        """Returns the streams of each workspace at the other instances.
+
+        Args:
+            now: Current time in seconds.
+            service: Name of the service.
+
+        Returns:
+            Streams by workspace, empty without fresh figures.
+        """
+        load = self.service(now, service)
+        return {} if load is None else load.streams
+
     def usage(self, now: float) -> Mapping[str, float]:
         """Sums the usage of each workspace at the other instances.
 
@@ -172,7 +190,7 @@
 
     def _is_current(self, now: float, view: LoadView) -> bool:
         """Whether merged figures need not be built anew."""
-        return 0.0 <= now - view.built_at <= self._limits.merge_interval
+        return 0.0 <= now - view.built_at <= self.limits.merge_interval
 
     def _build_relayed(self, now: float) -> LoadView | None:
         """Ages the figures of the relay; None if there are no fresh ones."""
@@ -180,10 +198,10 @@
             return None
         received_at, merged = self._relayed
         age = now - received_at
-        if age > self._limits.max_age:
+        if age > self.limits.max_age:
             self._relayed = None
             return None
-        services = merge_loads([(age, merged.services)], self._limits)
+        services = merge_loads([(age, merged.services)], self.limits)
         return LoadView(now, MergedLoad(merged.instances, merged.age + age, services), {})
 
     def _build_heard(self, now: float) -> LoadView:
@@ -192,13 +210,13 @@
         parts = dict(self._heard)
         ages = [now - part.received_at for part in parts.values()]
         loads = zip(ages, (part.digest.services for part in parts.values()), strict=True)
-        services = merge_loads(loads, self._limits)
+        services = merge_loads(loads, self.limits)
         mean = sum(ages) / len(ages) if ages else 0.0
         return LoadView(now, MergedLoad(len(parts), mean, services), parts)
 
     def _build_reply_view(self, now: float, own: Mapping[str, ServiceLoad]) -> LoadView:
         """Merges the figures of this instance and all followers."""
-        limits = self._limits
+        limits = self.limits
         view = self._build_heard(now)
         others = view.merged
         services = merge_loads([(0.0, others.services), (0.0, own)], limits)
@@ -209,6 +227,6 @@
 
     def _drop_old(self, now: float) -> None:
         """Drops the digests of followers that have not sent one for too long."""
-        oldest = now - self._limits.max_age
+        oldest = now - self.limits.max_age
         for name in [name for name, part in self._heard.items() if part.received_at < oldest]:
             del self._heard[name]
--- a/src/sapphireledge/core/shared_load/trim_load.py
+++ b/src/sapphireledge/core/shared_load/trim_load.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.shared_load.service_load import ServiceLoad
+from sapphireledge.core.shared_load.workspace_streams import MIN_AMOUNT
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -14,9 +15,6 @@
 
 __all__ = ["trim_load"]
 
-MIN_AMOUNT = 0.05
-"""Amount below which a workspace is left out; messages carry tenths."""
-
 MAX_NAME_LENGTH = 64
 """Longest name of a service or workspace in a message, in bytes."""
 
@@ -58,11 +56,7 @@
     streams: Mapping[str, WorkspaceStreams], rows: int
 ) -> dict[str, WorkspaceStreams]:
     """Keeps the workspaces that use most."""
-    names = [
-        name
-        for name, part in streams.items()
-        if (part.tokens >= 1.0 or part.arrived >= MIN_AMOUNT) and _is_short(name)
-    ]
+    names = [name for name, part in streams.items() if not part.is_negligible and _is_short(name)]
     kept = nlargest(rows, names, key=lambda name: (streams[name].tokens, streams[name].arrived))
     return {name: streams[name] for name in kept}
 
--- a/src/sapphireledge/core/shared_load/workspace_streams.py
+++ b/src/sapphireledge/core/shared_load/workspace_streams.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 
-__all__ = ["WorkspaceStreams"]
+__all__ = ["MIN_AMOUNT", "WorkspaceStreams"]
+
+MIN_AMOUNT = 0.05
+"""Amount below which a workspace is left out; messages carry tenths."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,3 +22,8 @@
 
     started: float = 0.0
     """Streams that started."""
+
+    @property
+    def is_negligible(self) -> bool:
+        """Whether so little is left that the workspace need not be listed."""
+        return self.tokens < 1.0 and self.arrived < MIN_AMOUNT
--- a/src/sapphireledge/core/shedding/load_shedder.py
+++ b/src/sapphireledge/core/shedding/load_shedder.py
@@ -16,10 +16,12 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.core.decay import DecayedSum
+from sapphireledge.core.shared_load import ServiceLoad
 from sapphireledge.core.shedding.divide_admission import divide_admission
 from sapphireledge.core.shedding.shed_request import ShedRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from sapphireledge.core.shedding.shedding_limits import SheddingLimits
@@ -37,14 +39,25 @@
 class LoadShedder:
     """Share of the requests for one service that this instance forwards."""
 
-    def __init__(self, limits: SheddingLimits, rng: Random) -> None:
+    def __init__(
+        self,
+        limits: SheddingLimits,
+        rng: Random,
+        load_elsewhere: Callable[[float], ServiceLoad | None] = lambda now: None,
+    ) -> None:
         """Creates a shedder that forwards everything.
 
         Args:
             limits: Limits.
             rng: Source of the choice of requests and of the jitter of Retry-After.
+            load_elsewhere: Returns what other instances of the data centre have seen of the
+                service, None if that is not known.
         """
         self._limits = limits
+        self._load_elsewhere = load_elsewhere
+        self._rejections = DecayedSum(limits.signal_window)
+        self._responses = DecayedSum(limits.signal_window)
+        self._response_times = DecayedSum(limits.signal_window)
         self._rng = rng
         self.share = 1.0
         """Share of the requests that are forwarded, 0 to 1."""
@@ -68,6 +81,8 @@
             target: Latency target of the route in seconds; without one, the response is ignored.
         """
         if target > 0.0:
+            self._responses.add(now, 1.0)
+            self._response_times.add(now, seconds / target)
             self._add_sample(now, seconds / target)
 
     def on_rejection(self, now: float) -> None:
@@ -77,6 +92,7 @@
             now: Current time in seconds.
         """
         self._rejected_at = now
+        self._rejections.add(now, 1.0)
         self._add_sample(now, max(self._response_time, self._limits.rejected_response))
 
     def decide(self, now: float, rank: int, workspace: str, target: float) -> ShedRequest | None:
@@ -116,6 +132,22 @@
         middle = min(max(backlog, limits.shortest_retry_after), limits.longest_retry_after)
         return middle * self._rng.uniform(1.0 - RETURN_SPREAD, 1.0 + RETURN_SPREAD)
 
+    def describe(self, now: float) -> ServiceLoad:
+        """Describes to other instances what this one has seen of the service.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            Arrivals, rejections and response times.
+        """
+        return ServiceLoad(
+            arrivals={caller: arrived.value(now) for caller, arrived in self._arrivals.items()},
+            rejections=self._rejections.value(now),
+            responses=self._responses.value(now),
+            response_time=self._response_times.value(now),
+        )
+
     @property
     def is_active(self) -> bool:
         """Whether requests are refused, apart from moments in which all can be forwarded."""
--- a/src/sapphireledge/core/shedding/shedding_limits.py
+++ b/src/sapphireledge/core/shedding/shedding_limits.py
@@ -60,6 +60,10 @@
     arrival_window: float = 5.0
     """Time constant in seconds over which the arrivals of a workspace are averaged."""
 
+    signal_window: float = 1.0
+    """Time constant in seconds over which rejections and responses are summed for other
+    instances."""
+
     division_interval: float = 0.25
     """Seconds for which a division among workspaces is used."""
 
--- a/src/sapphireledge/core/waiting/served_shares.py
+++ b/src/sapphireledge/core/waiting/served_shares.py
@@ -71,6 +71,20 @@
             self._started[key].add(now, 1.0)
             self._all_started.add(now, 1.0)
 
+    def counts(self, now: float) -> dict[Key, tuple[float, float]]:
+        """Returns recent requests and starts of each key.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            Requests and starts, as decayed sums.
+        """
+        return {
+            key: (arrived.value(now), self._started[key].value(now))
+            for key, arrived in self._arrived.items()
+        }
+
     def is_starved(self, now: float, key: Key) -> bool:
         """Checks whether the requests of a key start much less often than all.
 
--- a/src/sapphireledge/core/waiting/waiting_line.py
+++ b/src/sapphireledge/core/waiting/waiting_line.py
@@ -13,11 +13,12 @@
 
 from sapphireledge.core.admission import UsageLedger
 from sapphireledge.core.decay import DecayedSum
+from sapphireledge.core.shared_load import WorkspaceStreams
 from sapphireledge.core.waiting.line_snapshot import LineSnapshot
 from sapphireledge.core.waiting.served_shares import ServedShares
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
     from random import Random
 
     from sapphireledge.core.waiting.waiting_limits import WaitingLimits
@@ -33,14 +34,22 @@
     decided where the load of the backend servers is known, see `PlacementRule`.
     """
 
-    def __init__(self, limits: WaitingLimits, rng: Random) -> None:
+    def __init__(
+        self,
+        limits: WaitingLimits,
+        rng: Random,
+        streams_elsewhere: Callable[[float], Mapping[str, WorkspaceStreams]] = lambda now: {},
+    ) -> None:
         """Creates an empty line.
 
         Args:
             limits: Limits and weights.
             rng: Source of the spread of returning callers.
+            streams_elsewhere: Returns the streams of each workspace at other instances of the data
+                centre at a time, empty if they are not known.
         """
         self._limits = limits
+        self._streams_elsewhere = streams_elsewhere
         self._rng = rng
         self._tickets = count(1)
         self._waiting: dict[int, tuple[float, WaitingWork]] = {}
@@ -232,6 +241,24 @@
         delay = (self._return_at - now) * self._rng.uniform(0.5, 1.0)
         return min(limits.longest_retry_after, max(limits.shortest_retry_after, delay))
 
+    def streams(self, now: float) -> dict[str, WorkspaceStreams]:
+        """Describes the streams of each workspace to other instances.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            Streams by workspace.
+        """
+        counts = self._workspaces.counts(now)
+        names = {*self._ledger.workspaces(), *counts}
+        return {
+            name: WorkspaceStreams(
+                self._ledger.local_usage(now, name), *counts.get(name, (0.0, 0.0))
+            )
+            for name in names
+        }
+
     def snapshot(self, now: float) -> LineSnapshot:
         """Describes the line to operators.
 
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -20,15 +20,28 @@
     from sapphireledge.feed.kind_feed import KindFeed
     from sapphireledge.feed.peer import Peer
     from sapphireledge.feed.store_epoch import StoreEpoch
+    from sapphireledge.gateway import LoadExchange
 
 __all__ = ["FeedFollower"]
 
+MIN_LOAD_INTERVAL = 0.5
+"""Shortest time in seconds between requests to one relay that carry load; series of changes cause
+requests much more often."""
+
 
 class FeedFollower:
     """Applies the replies of a relay to the feeds until the relay fails."""
 
-    def __init__(self, cfg: FeedSettings, feeds: Mapping[str, KindFeed], epoch: StoreEpoch) -> None:
+    def __init__(
+        self,
+        cfg: FeedSettings,
+        feeds: Mapping[str, KindFeed],
+        epoch: StoreEpoch,
+        exchange: LoadExchange | None = None,
+    ) -> None:
         self._cfg = cfg
+        self._exchange = exchange
+        self._load_due_at = 0.0
         self._epoch = epoch
         self._feeds = feeds
         self.reply_count = 0
@@ -73,7 +86,8 @@
         """Sends one request and applies the reply."""
         sent_at = seconds_since_boot()
         revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
-        write_message(writer, FeedRequest(revisions, at_once, self._epoch.current))
+        load = self._describe_load(sent_at, at_once=at_once)
+        write_message(writer, FeedRequest(revisions, at_once, self._epoch.current, load))
         timeout = self._cfg.first_reply_timeout if at_once else self._cfg.reply_timeout
         try:
             async with asyncio.timeout(timeout):
@@ -86,6 +100,8 @@
         if not self._epoch.observe(reply.epoch):
             raise SourceError("relay follows a state that the store has lost")
         self.reply_count += 1
+        if self._exchange is not None and reply.load is not None:
+            self._exchange.on_reply(reply.load)
         for kind, part in reply.kinds.items():
             feed = self._feeds.get(kind)
             if feed is None:
@@ -98,6 +114,13 @@
             else:
                 feed.apply_changes(page, as_of)
 
+    def _describe_load(self, now: float, *, at_once: bool) -> bytes | None:
+        """Describes the load that this instance has seen, unless it was sent just before."""
+        if self._exchange is None or (now < self._load_due_at and not at_once):
+            return None
+        self._load_due_at = now + MIN_LOAD_INTERVAL
+        return self._exchange.describe()
+
 
 def _build_page(part: KindReply) -> StorePage:
     """Builds a page from the entries of one kind and their records, if there are any."""
--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -23,6 +23,9 @@
     epoch: int | None = None
     """Epoch of the store to which the revisions belong, None if it is not known yet."""
 
+    load: Any = None
+    """Load that the follower has seen, encoded by `LoadExchange`; None from older instances."""
+
 
 class FeedEntry(msgspec.Struct, frozen=True, array_like=True):
     """One object, or its removal."""
@@ -67,3 +70,6 @@
 
     epoch: int | None = None
     """Epoch of the store to which the revisions belong, None if it is not known yet."""
+
+    load: Any = None
+    """Load that other instances have seen, encoded by `LoadExchange`; None from older instances."""
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -24,6 +24,7 @@
     from sapphireledge.feed.peer import Peer
     from sapphireledge.feed.peer_directory import PeerDirectory
     from sapphireledge.feed.store_epoch import StoreEpoch
+    from sapphireledge.gateway import LoadExchange
     from sapphireledge.limits import CallerLedger
 
 __all__ = ["FeedRunner"]
@@ -66,6 +67,7 @@
         directory: PeerDirectory,
         epoch: StoreEpoch,
         ledger: CallerLedger | None = None,
+        exchange: LoadExchange | None = None,
     ) -> None:
         """Creates the runner.
 
@@ -77,13 +79,14 @@
             directory: Directory of all instances.
             epoch: Notices that the store came back from an older copy.
             ledger: Limits on the connections of followers; those of a small machine by default.
+            exchange: Load that the instances share, None to share none.
         """
         self._cfg = cfg
         self._local_peer = local_peer
         self._watchers = watchers
         self._directory = directory
-        self._follower = FeedFollower(cfg, feeds, epoch)
-        self._server = FeedServer(cfg, feeds, epoch, self._can_relay, ledger)
+        self._follower = FeedFollower(cfg, feeds, epoch, exchange)
+        self._server = FeedServer(cfg, feeds, epoch, self._can_relay, ledger, exchange)
         self.instance_count = 1
         """Instances announced in the store, including those that no longer exist."""
 
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import structlog
+from msgspec.structs import replace
 
 from sapphireledge.feed.feed_channel import encode_message, read_message
 from sapphireledge.feed.feed_message import FeedEntry, FeedReply, FeedRequest, KindReply
@@ -21,6 +22,7 @@
     from sapphireledge.feed.feed_settings import FeedSettings
     from sapphireledge.feed.kind_feed import KindFeed
     from sapphireledge.feed.store_epoch import StoreEpoch
+    from sapphireledge.gateway import LoadExchange
     from sapphireledge.limits import CallerAccount
 
 __all__ = ["FeedServer"]
@@ -54,6 +56,7 @@
         epoch: StoreEpoch,
         can_relay: Callable[[], bool],
         ledger: CallerLedger | None = None,
+        exchange: LoadExchange | None = None,
     ) -> None:
         """Creates the server.
 
@@ -64,12 +67,14 @@
             can_relay: Returns whether this instance reads the store without failures and is not
                 stopping.
             ledger: Limits on connections; those of a small machine by default.
+            exchange: Load that the instances share, None to share none.
         """
         self._cfg = cfg
         self._feeds = feeds
         self._epoch = epoch
         self._is_reader = can_relay
         self._ledger = CallerLedger(CallerBudgets().followers) if ledger is None else ledger
+        self._exchange = exchange
         self._progress = asyncio.Event()
         for feed in feeds.values():
             feed.on_progress = self._wake_waiters
@@ -105,7 +110,10 @@
                     raise SourceError(f"request with {len(request.revisions)} kinds")
                 account.serve(monotonic())
                 await asyncio.sleep(max(0.0, next_reply_at - seconds_since_boot()))
+                follower = self._read_load(request)
                 reply = await self._build_reply(request)
+                if self._exchange is not None and follower and reply.kinds:
+                    reply = replace(reply, load=self._exchange.answer(follower))
                 next_reply_at = seconds_since_boot() + MIN_REPLY_INTERVAL
                 relayed_replies += bool(reply.kinds)
                 await self._send(reply, writer, account)
@@ -122,6 +130,15 @@
                 writer.close()
         return None
 
+    def _read_load(self, request: FeedRequest) -> str | None:
+        """Takes over the load of a follower; returns its name if it is to be sent that of others.
+
+        An instance that does not relay takes the load from its own relay.
+        """
+        if self._exchange is None or not self._is_reader():
+            return None
+        return self._exchange.on_request(request.load)
+
     async def _send(
         self, reply: FeedReply, writer: asyncio.StreamWriter, account: CallerAccount
     ) -> None:
--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -17,6 +17,7 @@
 from sapphireledge.gateway.gateway_metrics import GatewayMetrics
 from sapphireledge.gateway.gateway_server import GatewayServer
 from sapphireledge.gateway.gateway_settings import GatewaySettings
+from sapphireledge.gateway.load_exchange import LoadExchange
 from sapphireledge.gateway.quarantine_settings import QuarantineSettings
 from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.request_telemetry import RequestTelemetry
@@ -47,6 +48,7 @@
     "GatewayServer",
     "GatewaySettings",
     "Headers",
+    "LoadExchange",
     "QuarantineSettings",
     "ReplayRule",
     "RequestTelemetry",
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -278,8 +278,11 @@
         """Returns the waiting line of a service, created on first use."""
         line = self._lines.get(service)
         if line is None:
+            shared = self._context.shared_load
+            order = WaitingLine(WAITING_LIMITS, Random(), lambda now: shared.streams(now, service))
+            self._context.load_exchange.add_line(service, order)
             line = StreamLine(
-                WaitingLine(WAITING_LIMITS, Random()),
+                order,
                 self._context.telemetry,
                 partial(self._look_for_line, service),
                 partial(self._start_share, service),
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -8,11 +8,13 @@
 
 from sapphireledge.core.placement import FirstEventEstimator, GenerationEstimator
 from sapphireledge.core.quarantine import ServiceSize
+from sapphireledge.core.shared_load import SharedLoad, SharedLoadLimits
 from sapphireledge.core.shedding import LoadShedder, SheddingLimits
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.connection_pool import ConnectionPool
 from sapphireledge.gateway.crash_guard import CrashGuard
 from sapphireledge.gateway.engine_report_client import EngineReportClient
+from sapphireledge.gateway.load_exchange import LoadExchange
 from sapphireledge.gateway.outcome import MISDIRECTED, Outcome, OutcomeKind
 from sapphireledge.gateway.prompt_memory import PromptMemory
 from sapphireledge.gateway.retry_allowance import RetryAllowance
@@ -74,6 +76,12 @@
         self.is_stopping: Callable[[], bool] = lambda: False
         """Returns whether the instance is shutting down."""
 
+        self.shared_load = SharedLoad(SharedLoadLimits())
+        """Load that the other instances of the data centre have seen."""
+
+        self.load_exchange = LoadExchange(cfg.instance, self.shared_load, telemetry.load)
+        """Encodes the load that this instance has seen, and decodes that of others."""
+
         self._shedders: dict[str, LoadShedder] = {}
         self._allowances: dict[str, RetryAllowance] = {}
         self._estimators: dict[str, FirstEventEstimator] = {}
@@ -106,7 +114,11 @@
         """
         shedder = self._shedders.get(service)
         if shedder is None:
-            shedder = self._shedders[service] = LoadShedder(SHEDDING_LIMITS, Random())
+            shedder = LoadShedder(
+                SHEDDING_LIMITS, Random(), lambda now: self.shared_load.service(now, service)
+            )
+            self._shedders[service] = shedder
+            self.load_exchange.add_shedder(service, shedder)
         return shedder
 
     def first_event_estimator(self, service: str) -> FirstEventEstimator:
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -49,6 +49,12 @@
     CONFIG_REJECTED = "config_rejected"
     """A stored configuration cannot be decoded; the previous one stays in force."""
 
+    LOAD_SHARED = "load_shared"
+    """Figures of the load at other instances of the data centre arrived; logged now and then."""
+
+    LOAD_UNREADABLE = "shared_load_unreadable"
+    """Figures of another instance cannot be decoded or are too large, and were not used."""
+
     SHEDDING_STARTED = "shedding_started"
     """A service is overloaded; a part of its plain requests is refused."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -171,6 +171,28 @@
         )
         """Share of a service's requests at this instance that the new version is given."""
 
+        self.shared_load_age = Gauge(
+            "sapphireledge_shared_load_age_seconds",
+            "Mean age of the load figures of other instances.",
+            registry=self._registry,
+        )
+        """Mean age of the load figures of other instances, infinite without fresh ones."""
+
+        self.shared_load_instances = Gauge(
+            "sapphireledge_shared_load_instances",
+            "Other instances whose load figures are in use.",
+            registry=self._registry,
+        )
+        """Number of other instances whose load figures are in use."""
+
+        self.shared_load_bytes = Counter(
+            "sapphireledge_shared_load_bytes",
+            "Bytes of load figures by direction.",
+            ["direction"],
+            registry=self._registry,
+        )
+        """Bytes of load figures sent and received."""
+
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format.
 
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -11,6 +11,7 @@
 from sapphireledge.core.placement import StartStream, WaitForEngine
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.limit_log import LimitLog
+from sapphireledge.gateway.load_telemetry import LoadTelemetry
 from sapphireledge.gateway.outcome import OutcomeKind
 from sapphireledge.gateway.rollout_telemetry import RolloutTelemetry
 
@@ -46,6 +47,9 @@
         self.rollouts = RolloutTelemetry(metrics)
         """Logging and metrics of roll-outs."""
 
+        self.load = LoadTelemetry(metrics)
+        """Logging and metrics of the load that instances share."""
+
         self._metrics = metrics
         self._shedding_services: set[str] = set()
         self._log = structlog.get_logger()
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -69,7 +69,8 @@
     ]
     directory = create_store_client(cfg, metrics, epoch)
     ledger = CallerLedger(cfg.gateway.callers.followers, gateway.telemetry.record_caller_limit)
-    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger)
+    exchange = gateway.context.load_exchange
+    return FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger, exchange)
 
 
 def create_rollout_parts(
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -135,7 +135,7 @@
 class FeedInstance:
     """One instance with its feed, watcher and runner."""
 
-    def __init__(self, store, name, link_mbps, peers, port, **overrides):
+    def __init__(self, store, name, link_mbps, peers, port, exchange=None, **overrides):
         self.listener = Listener()
         cfg = FeedSettings(
             kinds=(KIND,),
@@ -160,8 +160,9 @@
         client = MemoryStoreClient(store, name, peers, epoch)
         self.watcher = KindWatcher(client, self.feed, KIND, self.cfg)
         local_peer = Peer(name, "127.0.0.1", port, "dc-a", link_mbps)
+        feeds, watchers = {"servers": self.feed}, [self.watcher]
         self.runner = FeedRunner(
-            self.cfg, local_peer, {"servers": self.feed}, [self.watcher], client, epoch
+            self.cfg, local_peer, feeds, watchers, client, epoch, exchange=exchange
         )
         self.task = asyncio.create_task(self.runner.run())
 
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -43,10 +43,10 @@
         for number in range(4):
             self.shared.on_digest(0.0, digest(f"i{number}", 100.0))
         self.assertAlmostEqual(self.shared.usage(0.0)["w"], 400.0)
-        merged = self.shared.merge_for(0.1, "i0", load(50.0))
+        merged = self.shared.merge_for(0.1, "i0", lambda now: load(50.0))
         self.assertEqual(merged.instances, 4)
         self.assertAlmostEqual(merged.services["s"].streams["w"].tokens, 350.0, delta=5.0)
-        stranger = self.shared.merge_for(0.1, "i9", load(50.0))
+        stranger = self.shared.merge_for(0.1, "i9", lambda now: load(50.0))
         self.assertAlmostEqual(stranger.services["s"].streams["w"].tokens, 450.0, delta=5.0)
 
     def test_figures_decay_and_expire(self):
