Waiting streams are ordered by usage of workspaces in the data centre

Cause: rule 5 of the order knew only the streams that one instance had started, one each five seconds. Change: with fresh figures of other instances, a workspace counts as heavy or starved by the sums of all; without them the order is as before.

--- a/src/sapphireledge/core/waiting/served_shares.py
+++ b/src/sapphireledge/core/waiting/served_shares.py
@@ -7,7 +7,7 @@
 from sapphireledge.core.decay import DecayedSum
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable
+    from collections.abc import Hashable, Mapping
 
 __all__ = ["ServedShares"]
 
@@ -85,20 +85,29 @@
             for key, arrived in self._arrived.items()
         }
 
-    def is_starved(self, now: float, key: Key) -> bool:
+    def is_starved(
+        self, now: float, key: Key, elsewhere: Mapping[Key, tuple[float, float]] | None = None
+    ) -> bool:
         """Checks whether the requests of a key start much less often than all.
 
         Args:
             now: Current time in seconds.
             key: A rank or workspace.
+            elsewhere: Requests and starts of each key at other instances, as decayed sums.
 
         Returns:
             Whether its share of starts is below the floor; False for an unknown key.
         """
         if key not in self._arrived:
             return False
-        started = (self._started[key].value(now) + PRIOR_STARTS) * self._all_arrived.value(now)
-        return started < self._floor * self._all_started.value(now) * self._arrived[key].value(now)
+        arrived, started = self._arrived[key].value(now), self._started[key].value(now)
+        all_arrived, all_started = self._all_arrived.value(now), self._all_started.value(now)
+        if elsewhere:
+            arrived += elsewhere.get(key, (0.0, 0.0))[0]
+            started += elsewhere.get(key, (0.0, 0.0))[1]
+            all_arrived += sum(counts[0] for counts in elsewhere.values())
+            all_started += sum(counts[1] for counts in elsewhere.values())
+        return (started + PRIOR_STARTS) * all_arrived < self._floor * all_started * arrived
 
     def _prune(self, now: float) -> None:
         """Drops keys without recent requests."""
--- a/src/sapphireledge/core/waiting/waiting_line.py
+++ b/src/sapphireledge/core/waiting/waiting_line.py
@@ -281,6 +281,7 @@
             for rank in {_rank_of(work) for _, work in self._waiting.values()}
             if self._ranks.is_starved(now, rank)
         }
+        weigh = self._workspace_weight(now)
 
         def key(work: WaitingWork) -> tuple[float, ...]:
             if work.delivered:
@@ -291,20 +292,36 @@
                 _rank_of(work) not in starved,
                 not can_be_on_time,
                 *_rank_of(work),
-                self._weigh_workspace(now, work.workspace),
+                weigh(work.workspace),
                 work.deadline,
             )
 
         return key
 
-    def _weigh_workspace(self, now: float, workspace: str) -> int:
-        """Returns the class of a workspace within its rank, the lowest goes first."""
-        if not workspace:
-            return 1
-        if self._workspaces.is_starved(now, workspace):
-            return 0
-        usage = self._ledger.usage(now, workspace)
-        return 2 if usage > self._limits.heavy_usage * self._ledger.mean_usage(now) else 1
+    def _workspace_weight(self, now: float) -> Callable[[str], int]:
+        """Returns a function that finds the class of a workspace within its rank.
+
+        The lowest class goes first. Load pattern: a workspace that is heavy in the data centre
+        looks like the others at an instance that has started one of its streams.
+        """
+        elsewhere = self._streams_elsewhere(now)
+        own = self._ledger.workspaces()
+        total = self._ledger.mean_usage(now) * len(own)
+        total += sum(part.tokens for part in elsewhere.values())
+        heavy = self._limits.heavy_usage * total / max(1, len({*own, *elsewhere}))
+        counts = {name: (part.arrived, part.started) for name, part in elsewhere.items()}
+
+        def weigh(workspace: str) -> int:
+            if not workspace:
+                return 1
+            if self._workspaces.is_starved(now, workspace, counts):
+                return 0
+            usage = self._ledger.usage(now, workspace)
+            if workspace in elsewhere:
+                usage += elsewhere[workspace].tokens
+            return 2 if usage > heavy else 1
+
+        return weigh
 
     def _drain_rate(self, now: float) -> float | None:
         """Estimates the starts per second while the line is not empty, None if unknown."""
--- a/tests/line_model.py
+++ b/tests/line_model.py
@@ -4,6 +4,8 @@
 
 import random
 from dataclasses import dataclass, field
+from functools import partial
+from typing import TYPE_CHECKING
 
 from engine_model import (
     CANDIDATES,
@@ -17,6 +19,7 @@
     TARGET_S,
     ModelEngine,
 )
+from load_model import ModelFeed
 
 from sapphireledge.core.placement import (
     EngineView,
@@ -27,8 +30,14 @@
     RefuseStream,
     StartStream,
 )
+from sapphireledge.core.shared_load import ServiceLoad
 from sapphireledge.core.waiting import WaitingLimits, WaitingLine, WaitingWork
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sapphireledge.core.shared_load import WorkspaceStreams
+
 ROUND_S = 0.3
 """Time between two looks at the engines, in seconds."""
 
@@ -72,6 +81,10 @@
         )
 
 
+def describe_line(line: WaitingLine, now: float) -> dict[str, ServiceLoad]:
+    return {"engines": ServiceLoad(line.streams(now))}
+
+
 @dataclass
 class LineModel:
     """Streams at several instances in front of the same engines.
@@ -92,6 +105,8 @@
     first_events: dict[int, float] = field(default_factory=dict)
     refused: dict[int, tuple[float, float]] = field(default_factory=dict)
     """Time and Retry-After of each refusal, by stream."""
+    shares_load: bool = False
+    """Whether the instances are one data centre that shares its load."""
     looks: int = 0
     """Load reports that were fetched."""
 
@@ -100,7 +115,12 @@
         self.pool = [ModelEngine() for _ in range(self.engines)]
         self.rule = PlacementRule(self.limits, self.rng)
         self.estimator = FirstEventEstimator()
-        self.lines = [WaitingLine(WaitingLimits(), self.rng) for _ in range(self.instances)]
+        self.lines = [
+            WaitingLine(WaitingLimits(), self.rng, partial(self.streams_elsewhere, number))
+            for number in range(self.instances)
+        ]
+        describe = [partial(describe_line, line) for line in self.lines]
+        self.feed = ModelFeed(random.Random(self.seed), describe)
         self.dispatches: list[list[tuple[float, str]]] = [[] for _ in range(self.instances)]
         self.tickets: list[dict[int, int]] = [{} for _ in range(self.instances)]
         self.polls: list[tuple[float, int]] = []
@@ -109,6 +129,8 @@
         now, rounds = 0.0, [self.rng.uniform(0, ROUND_S) for _ in range(self.instances)]
         while now < end:
             now += self.step_s
+            if self.shares_load:
+                self.feed.advance(now)
             for engine in self.pool:
                 engine.advance(now, self.first_events)
             while order and self.streams[order[0]].arrived <= now:
@@ -124,6 +146,9 @@
                     self.play_round(now, instance)
         return self
 
+    def streams_elsewhere(self, instance: int, now: float) -> Mapping[str, WorkspaceStreams]:
+        return self.feed.shared[instance].streams(now, "engines")
+
     def arrive(self, now: float, index: int) -> None:
         stream = self.streams[index]
         line = self.lines[stream.instance]
