Load shedding goes by what the instances of a data centre see

Cause: with 84 to 300 instances each one sees one to four requests a second. Its arrivals by workspace and its response time are chance, and after a second without a response it takes the service to be idle. Change: the admitted share is divided by the arrivals in the data centre; response times of others count where own ones are few; rejections elsewhere start the control. Checks that were there are unchanged; play() takes a number of instances and data centres.

--- a/src/sapphireledge/core/shedding/load_shedder.py
+++ b/src/sapphireledge/core/shedding/load_shedder.py
@@ -184,9 +184,11 @@
         elapsed = min(now - self._updated_at, limits.response_memory)
         self._updated_at = now
         self._baseline *= exp(limits.baseline_drift * elapsed)
-        known = now - self._response_at <= limits.response_memory
-        excess = self._excess() if known else -1.0
+        elsewhere = self._load_elsewhere(now)
+        excess = self._excess(now, elsewhere)
         was_rejected = now - self._rejected_at <= limits.rejection_memory
+        if not was_rejected and elsewhere is not None:
+            was_rejected = self._sees_full_servers(elsewhere)
         if self._level >= 1.0 and not was_rejected:
             self.share = 1.0
             return
@@ -195,13 +197,38 @@
         share = self._level * exp(-excess * limits.proportional_gain)
         self.share = min(1.0, max(limits.min_share, share))
 
-    def _excess(self) -> float:
+    def _sees_full_servers(self, load: ServiceLoad) -> bool:
+        """Whether full servers reject much of what other instances send."""
+        limits = self._limits
+        return (
+            load.rejections >= limits.min_rejections
+            and load.rejections >= limits.rejected_share * load.responses
+        )
+
+    def _excess(self, now: float, elsewhere: ServiceLoad | None) -> float:
         """Computes by how much responses are too slow, -1 to 1."""
         limits = self._limits
+        response_time = self._response_time
+        known = now - self._response_at <= limits.response_memory
+        if elsewhere is not None and elsewhere.responses >= limits.min_responses:
+            # What others report is seconds old, so own responses count more if there are enough.
+            own = self._responses.value(now) if known else 0.0
+            weight = limits.elsewhere_weight / (limits.elsewhere_weight + own)
+            response_time += weight * (self._time_elsewhere(elsewhere) - response_time)
+        elif not known:
+            return -1.0
         permitted = limits.target_share
         if self._baseline < inf:
             permitted = max(permitted, limits.baseline_factor * self._baseline)
-        return max(-1.0, min(1.0, self._response_time / permitted - 1.0))
+        return max(-1.0, min(1.0, response_time / permitted - 1.0))
+
+    def _time_elsewhere(self, load: ServiceLoad) -> float:
+        """Returns the response time at other instances, with rejections as in `on_rejection`."""
+        mean = load.mean_response_time
+        rejected = max(mean, self._limits.rejected_response)
+        return (load.response_time + load.rejections * rejected) / (
+            load.responses + load.rejections
+        )
 
     def _count_arrival(self, now: float, rank: int, workspace: str) -> tuple[int, str]:
         """Counts an arrival; returns the key under which it is counted."""
@@ -218,9 +245,14 @@
         """Returns the probability with which a request of a caller is forwarded."""
         if now - self._divided_at > self._limits.division_interval or caller not in self._chances:
             rates = {key: arrivals.rate(now) for key, arrivals in self._arrivals.items()}
+            elsewhere = self._load_elsewhere(now)
+            if elsewhere is not None:
+                for key, amount in elsewhere.arrivals.items():
+                    rates[key] = rates.get(key, 0.0) + amount / self._limits.arrival_window
             self._chances = divide_admission(rates, self.share, self._limits.rank_floor)
             self._divided_at = now
-            for key, rate in rates.items():
-                if rate < 0.5 / self._limits.arrival_window**2 and key != caller:
+            oldest = 0.5 / self._limits.arrival_window**2
+            for key in [key for key, sum_ in self._arrivals.items() if sum_.rate(now) < oldest]:
+                if key != caller:
                     del self._arrivals[key]
         return self._chances[caller]
--- a/src/sapphireledge/core/shedding/shedding_limits.py
+++ b/src/sapphireledge/core/shedding/shedding_limits.py
@@ -39,6 +39,20 @@
     rejection_memory: float = 3.0
     """Seconds for which a rejection shows that a service is overloaded."""
 
+    rejected_share: float = 0.05
+    """Rejections as a share of the responses at the other instances of the data centre from which
+    they show that a service is overloaded."""
+
+    min_rejections: float = 2.0
+    """Recent rejections at the other instances below which they show nothing."""
+
+    min_responses: float = 4.0
+    """Recent responses at the other instances below which their response time shows nothing."""
+
+    elsewhere_weight: float = 0.2
+    """Weight of the response time that the other instances see. What they report is up to two
+    seconds old, so the responses of this instance must keep their part."""
+
     response_memory: float = 1.0
     """Seconds without a response after which the last ones say nothing about the load."""
 
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import heapq
+import statistics
 import unittest
+from functools import partial
+from math import inf
 from random import Random
 
+from load_model import ModelFeed
+
+from sapphireledge.core.shared_load import ServiceLoad
 from sapphireledge.core.shedding import LoadShedder, SheddingLimits, divide_admission
 
 LIMITS = SheddingLimits()
@@ -47,20 +53,56 @@
         return ended + ROUND_TRIP
 
 
-def play(rate, servers, seconds=20.0, seed=1, shed=True, workspaces=("a",), weights=(1.0,)):
-    """Plays a load; returns for each request: time, workspace, its end or None if refused."""
+class DataCentre:
+    """Instances that share their load."""
+
+    def __init__(self, size, rng):
+        self.shedders = [
+            LoadShedder(LIMITS, rng, partial(self.load_elsewhere, number)) for number in range(size)
+        ]
+        self.feed = ModelFeed(rng, [partial(self.describe, number) for number in range(size)])
+
+    def load_elsewhere(self, number, now):
+        return self.feed.shared[number].service(now, "app")
+
+    def describe(self, number, now):
+        return {"app": self.shedders[number].describe(now)}
+
+
+def play(
+    rate,
+    servers,
+    seconds=20.0,
+    seed=1,
+    shed=True,
+    workspaces=("a",),
+    weights=(1.0,),
+    instances=INSTANCES,
+    centres=0,
+    lost_at=inf,
+    watch=lambda now, shedders: None,
+):
+    """Plays a load; returns for each request: time, workspace, its end or None if refused.
+
+    With `centres`, the instances of each data centre share their load until `lost_at`. `watch` is
+    called with the time and the shedders after each request.
+    """
     rng = Random(seed)
     fleet = Servers(servers, rng)
-    shedders = [LoadShedder(LIMITS, rng) for _ in range(INSTANCES)]
+    sharing = [DataCentre(instances // centres, rng) for _ in range(centres)]
+    shedders = [shedder for centre in sharing for shedder in centre.shedders]
+    shedders = shedders or [LoadShedder(LIMITS, rng) for _ in range(instances)]
     responses: list[tuple[float, int, float | None]] = []
     results = []
     now = 0.0
     while now < seconds:
         now += rng.expovariate(rate(now))
+        for centre in sharing:
+            centre.feed.advance(min(now, lost_at))
         while responses and responses[0][0] <= now:
             at, number, took = heapq.heappop(responses)
             shedders[number].on_response(at, took, TARGET)
-        number = rng.randrange(INSTANCES)
+        number = rng.randrange(instances)
         workspace = rng.choices(workspaces, weights)[0]
         ended = None
         if not shed or shedders[number].decide(now, 0, workspace, TARGET) is None:
@@ -71,6 +113,7 @@
             if ended is not None:
                 heapq.heappush(responses, (ended, number, ended - now))
         results.append((now, workspace, ended))
+        watch(now, shedders)
     return results, shedders
 
 
@@ -201,3 +244,86 @@
         decisions = [shedder.decide(4.0, 0, "a", TARGET) for _ in range(200)]
         delays = sorted(decision.retry_after for decision in decisions if decision is not None)
         self.assertGreater(delays[-1], 2.0 * delays[0])
+
+
+class SharedLoadTest(unittest.TestCase):
+    """Guards against instances that see too few requests to control their share."""
+
+    MANY = 198
+    """Instances, with fewer than two requests a second each."""
+
+    def flood(self, now):
+        return 350.0 if now >= 4.0 else 120.0
+
+    def active_after(self, seed, **options):
+        """Seconds from the begin of the flood until half of the instances refuse requests."""
+        found = []
+
+        def watch(now, shedders):
+            if not found and sum(shedder.is_active for shedder in shedders) * 2 >= len(shedders):
+                found.append(now - 4.0)
+
+        play(self.flood, 4, seconds=16.0, seed=seed, watch=watch, **options)
+        return found[0] if found else inf
+
+    def test_many_instances_serve_on_time(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                alone, _ = play(self.flood, 4, seed=seed, instances=self.MANY)
+                shared, _ = play(self.flood, 4, seed=seed, instances=self.MANY, centres=6)
+                self.assertLess(on_time_share(alone, 6.0), 0.4)
+                self.assertGreater(on_time_share(shared, 6.0), 0.5)
+
+    def test_instances_start_sooner_when_others_see_full_servers(self):
+        alone = statistics.mean(self.active_after(seed, instances=300) for seed in range(3))
+        shared = [self.active_after(seed, instances=300, centres=6) for seed in range(3)]
+        self.assertGreater(alone, 4.0)
+        self.assertLess(max(shared), 3.0)
+
+    def test_share_does_not_oscillate(self):
+        """The figures of others are up to two seconds old."""
+        for instances in (84, self.MANY):
+            shares = []
+            watch = lambda now, shedders, shares=shares: now > 8.0 and shares.append(  # noqa: E731
+                statistics.mean(shedder.share for shedder in shedders[::7])
+            )
+            before, _ = play(self.flood, 4, instances=instances, shed=False)
+            after, _ = play(self.flood, 4, instances=instances, centres=6, watch=watch)
+            self.assertLess(statistics.pstdev(shares), 0.12)
+            served = [sum(end is not None for _, _, end in played) for played in (before, after)]
+            self.assertGreater(served[1], 0.9 * served[0])
+
+    def test_small_workspaces_do_not_pay_for_what_one_instance_sees(self):
+        workspaces = [f"w{number}" for number in range(24)]
+        weights = [8.0] * 3 + [1.0] * 21
+
+        def admitted(centres):
+            options = {"workspaces": workspaces, "weights": weights, "instances": 84}
+            played = [play(self.flood, 4, seed=n, centres=centres, **options)[0] for n in range(3)]
+            ends: dict[str, list[bool]] = {name: [] for name in workspaces}
+            for at, name, end in (item for results in played for item in results):
+                if at > 6.0:
+                    ends[name].append(end is not None)
+            return min(statistics.mean(ends[name]) for name in workspaces[3:])
+
+        self.assertGreater(admitted(6), admitted(0) + 0.05)
+
+    def test_everything_is_forwarded_again_after_the_flood(self):
+        flood = lambda now: 350.0 if 4.0 <= now < 10.0 else 120.0  # noqa: E731
+        results, shedders = play(flood, 4, 24.0, instances=84, centres=6)
+        self.assertTrue(all(shedder.share == 1.0 for shedder in shedders))
+        self.assertEqual([at for at, _, end in results if end is None and at > 18.0], [])
+
+    def test_instances_go_on_alone_after_the_relays_are_lost(self):
+        options = {"seconds": 24.0, "instances": 84}
+        for seed in range(3):
+            alone, _ = play(self.flood, 4, seed=seed, **options)
+            lost, _ = play(self.flood, 4, seed=seed, centres=6, lost_at=9.0, **options)
+            self.assertGreater(on_time_share(lost, 12.0), on_time_share(alone, 12.0) - 0.05)
+
+    def test_rejections_elsewhere_refuse_nobody_while_responses_are_fast(self):
+        load = ServiceLoad(rejections=50.0, responses=100.0, response_time=20.0)
+        shedder = LoadShedder(LIMITS, Random(1), lambda now: load)
+        for number in range(200):
+            shedder.on_response(number * 0.1, 0.2 * TARGET, TARGET)
+            self.assertIsNone(shedder.decide(number * 0.1, 0, "a", TARGET))
