Relay merges the digests of its followers once for its own use and for replies

Rows of a digest are divided among the services that have any, so that one with streams and one with plain requests have 16 each.

--- a/src/sapphireledge/core/shared_load/shared_load.py
+++ b/src/sapphireledge/core/shared_load/shared_load.py
@@ -49,6 +49,7 @@
         self._heard: dict[str, HeardDigest] = {}
         self._relayed: tuple[float, MergedLoad] | None = None
         self._view: LoadView | None = None
+        self._heard_view: LoadView | None = None
         self._reply_view: LoadView | None = None
 
     def on_digest(self, now: float, digest: LoadDigest) -> bool:
@@ -84,7 +85,7 @@
         """
         self._heard.clear()
         self._relayed = (now, merged)
-        self._view = self._reply_view = None
+        self._view = self._heard_view = self._reply_view = None
 
     def merge_for(
         self, now: float, instance: str, describe_own: Callable[[float], Mapping[str, ServiceLoad]]
@@ -185,7 +186,7 @@
         """Returns the merged figures of the others, built anew from time to time."""
         view = self._view
         if view is None or not self._is_current(now, view):
-            view = self._view = self._build_relayed(now) or self._build_heard(now)
+            view = self._view = self._build_relayed(now) or self._merge_heard(now)
         return view.merged
 
     def _is_current(self, now: float, view: LoadView) -> bool:
@@ -204,6 +205,13 @@
         services = merge_loads([(age, merged.services)], self.limits)
         return LoadView(now, MergedLoad(merged.instances, merged.age + age, services), {})
 
+    def _merge_heard(self, now: float) -> LoadView:
+        """Returns the merged digests of the followers, built anew from time to time."""
+        view = self._heard_view
+        if view is None or not self._is_current(now, view):
+            view = self._heard_view = self._build_heard(now)
+        return view
+
     def _build_heard(self, now: float) -> LoadView:
         """Merges the digests of the followers."""
         self._drop_old(now)
@@ -217,7 +225,7 @@
     def _build_reply_view(self, now: float, own: Mapping[str, ServiceLoad]) -> LoadView:
         """Merges the figures of this instance and all followers."""
         limits = self.limits
-        view = self._build_heard(now)
+        view = self._heard_view = self._build_heard(now)
         others = view.merged
         services = merge_loads([(0.0, others.services), (0.0, own)], limits)
         count = others.instances + 1
--- a/src/sapphireledge/core/shared_load/trim_load.py
+++ b/src/sapphireledge/core/shared_load/trim_load.py
@@ -38,11 +38,12 @@
     """
     named = {name: load for name, load in services.items() if _is_short(name)}
     kept = nlargest(max_services, named, key=lambda name: _weight(named[name]))
-    rows = max(1, max_rows // max(1, len(kept)))
+    stream_rows = max_rows // max(1, sum(bool(named[name].streams) for name in kept))
+    arrival_rows = max_rows // max(1, sum(bool(named[name].arrivals) for name in kept))
     return {
         name: ServiceLoad(
-            _trim_streams(load.streams, rows),
-            _trim_arrivals(load.arrivals, rows),
+            _trim_streams(load.streams, stream_rows),
+            _trim_arrivals(load.arrivals, arrival_rows),
             load.rejections,
             load.responses,
             load.response_time,
