--- a/src/sapphireledge/core/shared_load/_load_sum.py
+++ b/src/sapphireledge/core/shared_load/_load_sum.py
@@ -35,10 +35,6 @@
         self.signals[2] += load.response_time * signals
 
     def freeze(self) -> ServiceLoad:
-        """Returns the sum; no part of it is negative."""
-        streams = {
-            workspace: WorkspaceStreams(*(max(0.0, part) for part in row))
-            for workspace, row in self.streams.items()
-        }
-        arrivals = {caller: amount for caller, amount in self.arrivals.items() if amount > 0.0}
-        return ServiceLoad(streams, arrivals, *(max(0.0, part) for part in self.signals))
+        """Returns the sum."""
+        streams = {workspace: WorkspaceStreams(*row) for workspace, row in self.streams.items()}
+        return ServiceLoad(streams, self.arrivals, *self.signals)
--- a/src/sapphireledge/core/shared_load/shared_load.py
+++ b/src/sapphireledge/core/shared_load/shared_load.py
@@ -218,7 +218,8 @@
         parts = dict(self._heard)
         ages = [now - part.received_at for part in parts.values()]
         loads = zip(ages, (part.digest.services for part in parts.values()), strict=True)
-        services = merge_loads(loads, self.limits)
+        limits = self.limits
+        services = trim_load(merge_loads(loads, limits), limits.max_services, limits.merged_rows)
         mean = sum(ages) / len(ages) if ages else 0.0
         return LoadView(now, MergedLoad(len(parts), mean, services), parts)
 
