--- a/src/sapphireledge/core/shared_load/_load_sum.py
+++ b/src/sapphireledge/core/shared_load/_load_sum.py
@@ -15,11 +15,21 @@
 
     def __init__(self) -> None:
         self.streams: dict[str, list[float]] = {}
+        """Tokens, arrived and started streams by workspace."""
+
         self.arrivals: dict[tuple[int, str], float] = {}
+        """Arrivals of plain requests by rank and workspace."""
+
         self.signals = [0.0, 0.0, 0.0]
+        """Rejections, responses and the sum of response times."""
 
     def add(self, load: ServiceLoad, factors: tuple[float, float, float, float]) -> None:
-        """Adds the load of one instance, multiplied by a factor for each time constant."""
+        """Adds the load of one instance.
+
+        Args:
+            load: The load.
+            factors: What is left of tokens, starts, arrivals and signals at its age.
+        """
         tokens, starts, arrivals, signals = factors
         for workspace, part in load.streams.items():
             row = self.streams.get(workspace)
@@ -35,6 +45,10 @@
         self.signals[2] += load.response_time * signals
 
     def freeze(self) -> ServiceLoad:
-        """Returns the sum."""
+        """Returns the sum.
+
+        Returns:
+            The load of all instances that were added.
+        """
         streams = {workspace: WorkspaceStreams(*row) for workspace, row in self.streams.items()}
         return ServiceLoad(streams, self.arrivals, *self.signals)
--- a/src/sapphireledge/core/shedding/load_shedder.py
+++ b/src/sapphireledge/core/shedding/load_shedder.py
@@ -6,8 +6,10 @@
 is served on time. Here each instance forwards only the share of its requests at which responses are
 on time again, and refuses the others at once.
 
-Each instance controls its own share by the response times that it sees, without messages between
-instances: all of them see the same queues.
+Each instance controls its own share by the response times that it sees; all instances see the same
+queues. With hundreds of instances, each one sees a request a second or fewer. An instance that sees
+too few goes by the response times that the others of its data centre report, and it divides its
+share by what all of them receive.
 """
 
 from __future__ import annotations
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -31,7 +31,7 @@
 """Shortest time in seconds between replies to one follower; building one may take milliseconds."""
 
 MAX_REQUEST_BYTES = 4_096
-"""Largest request in bytes; it holds one revision for each kind."""
+"""Largest request in bytes; it holds one revision for each kind, and the load of the follower."""
 
 MAX_KINDS = 32
 """Largest number of kinds in a request; a decoded one takes many times its bytes."""
