A failure of the shared load costs only the load field

Cause: amounts were encoded without an upper bound. From 2^64 tokens of one caller the encoder raised OverflowError outside any guard, and FeedServer.serve ended for each request; above 2^40 every receiver rejected the field. A workspace name that is no text raised in trim_load as well.

Change: amounts are clamped to what receivers accept, every method of LoadExchange that the feed calls logs a failure and leaves the field out, a digest that does not fit into the request of 4,096 bytes is left out, and a connection speaks for one instance only.

Tests seen failing before: test_token_count_of_a_caller_costs_no_replies (timeout), test_connection_speaks_for_one_instance, test_failure_costs_only_the_load, test_extreme_amounts_stay_readable, test_workspace_that_is_no_text_is_left_out. Of test_digest_above_the_limit_is_left_out and test_request_with_many_kinds_is_sent_without_load only the missing parameter and method were seen. test_feed_load: 14 tests pass after.

--- a/src/sapphireledge/core/shared_load/trim_load.py
+++ b/src/sapphireledge/core/shared_load/trim_load.py
@@ -84,7 +84,10 @@
 
 def _is_short(name: str) -> bool:
     """Whether a name may be part of a message."""
-    return len(name.encode()) <= MAX_NAME_LENGTH
+    try:
+        return len(name.encode()) <= MAX_NAME_LENGTH
+    except UnicodeEncodeError:
+        return False
 
 
 def _weight(load: ServiceLoad) -> float:
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING
 
 import structlog
+from msgspec.structs import replace
 
-from sapphireledge.feed.feed_channel import read_message, write_message
+from sapphireledge.feed.feed_channel import encode_message, read_message, write_message
 from sapphireledge.feed.feed_message import FeedReply, FeedRequest, KindReply
+from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.feed.store_page import StoredEntry, StorePage
 from sapphireledge.gateway import GatewayEvent, seconds_since_boot
@@ -28,6 +30,9 @@
 """Shortest time in seconds between requests to one relay that carry load; series of changes cause
 requests much more often."""
 
+LOAD_HEADER_BYTES = 16
+"""Bytes by which the load field is larger than its content, with some to spare."""
+
 
 class FeedFollower:
     """Applies the replies of a relay to the feeds until the relay fails."""
@@ -85,9 +90,7 @@
     ) -> None:
         """Sends one request and applies the reply."""
         sent_at = seconds_since_boot()
-        revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
-        load = self._describe_load(sent_at, at_once=at_once)
-        write_message(writer, FeedRequest(revisions, at_once, self._epoch.current, load))
+        write_message(writer, self._build_request(sent_at, at_once=at_once))
         timeout = self._cfg.first_reply_timeout if at_once else self._cfg.reply_timeout
         try:
             async with asyncio.timeout(timeout):
@@ -114,12 +117,15 @@
             else:
                 feed.apply_changes(page, as_of)
 
-    def _describe_load(self, now: float, *, at_once: bool) -> bytes | None:
-        """Describes the load that this instance has seen, unless it was sent just before."""
+    def _build_request(self, now: float, *, at_once: bool) -> FeedRequest:
+        """Builds a request, with the load that this instance has seen unless just sent."""
+        revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
+        request = FeedRequest(revisions, at_once, self._epoch.current)
         if self._exchange is None or (now < self._load_due_at and not at_once):
-            return None
+            return request
         self._load_due_at = now + MIN_LOAD_INTERVAL
-        return self._exchange.describe()
+        room = MAX_REQUEST_BYTES - len(encode_message(request)) - LOAD_HEADER_BYTES
+        return replace(request, load=self._exchange.describe(room))
 
 
 def _build_page(part: KindReply) -> StorePage:
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -102,6 +102,7 @@
         writer.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
         account.count_unsent = writer.transport.get_write_buffer_size
         relayed_replies = 0
+        name: str | None = None
         next_reply_at = 0.0
         try:
             while True:
@@ -110,7 +111,8 @@
                     raise SourceError(f"request with {len(request.revisions)} kinds")
                 account.serve(monotonic())
                 await asyncio.sleep(max(0.0, next_reply_at - seconds_since_boot()))
-                follower = self._read_load(request)
+                follower = self._read_load(request, name)
+                name = name or follower
                 reply = await self._build_reply(request)
                 if self._exchange is not None and follower and reply.kinds:
                     reply = replace(reply, load=self._exchange.answer(follower))
@@ -130,14 +132,14 @@
                 writer.close()
         return None
 
-    def _read_load(self, request: FeedRequest) -> str | None:
+    def _read_load(self, request: FeedRequest, name: str | None) -> str | None:
         """Takes over the load of a follower; returns its name if it is to be sent that of others.
 
         An instance that does not relay takes the load from its own relay.
         """
         if self._exchange is None or not self._is_reader():
             return None
-        return self._exchange.on_request(request.load)
+        return self._exchange.on_request(request.load, name)
 
     async def _send(
         self, reply: FeedReply, writer: asyncio.StreamWriter, account: CallerAccount
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -53,7 +53,7 @@
     """Figures of the load at other instances of the data centre arrived; logged now and then."""
 
     LOAD_UNREADABLE = "shared_load_unreadable"
-    """Figures of another instance cannot be decoded or are too large, and were not used."""
+    """Load figures cannot be encoded, decoded or used, or are too large, and were left out."""
 
     SHEDDING_STARTED = "shedding_started"
     """A service is overloaded; a part of its plain requests is refused."""
--- a/src/sapphireledge/gateway/load_codec.py
+++ b/src/sapphireledge/gateway/load_codec.py
@@ -26,7 +26,10 @@
 MILLISECONDS = 1_000.0
 """Units of a second in which ages are sent."""
 
-Amount = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+MAX_UNITS = 2**40
+"""Largest amount in a message; larger ones are sent as this one."""
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNITS)]
 Name = Annotated[str, msgspec.Meta(max_length=128)]
 StreamRow = tuple[Name, Amount, Amount, Amount]
 ArrivalRow = tuple[Amount, Name, Amount]
@@ -111,8 +114,11 @@
     Returns:
         The bytes.
     """
-    age = round(merged.age * MILLISECONDS)
-    part = MergedPart(merged.instances, age, _encode_services(merged.services))
+    part = MergedPart(
+        _to_units(merged.instances, 1.0),
+        _to_units(merged.age, MILLISECONDS),
+        _encode_services(merged.services),
+    )
     return msgspec.msgpack.encode(part)
 
 
@@ -168,7 +174,12 @@
         ServicePart(
             name,
             [
-                (workspace, round(row.tokens), _to_units(row.arrived), _to_units(row.started))
+                (
+                    workspace,
+                    _to_units(row.tokens, 1.0),
+                    _to_units(row.arrived),
+                    _to_units(row.started),
+                )
                 for workspace, row in load.streams.items()
             ],
             [
@@ -200,6 +211,7 @@
     }
 
 
-def _to_units(amount: float) -> int:
-    """Converts an amount to the units in which it is sent."""
-    return round(amount * SCALE)
+def _to_units(amount: float, scale: float = SCALE) -> int:
+    """Converts an amount to the units in which it is sent, within what receivers accept."""
+    bounded = min(max(0.0, amount), MAX_UNITS)
+    return min(round(bounded * scale), MAX_UNITS)
--- a/src/sapphireledge/gateway/load_exchange.py
+++ b/src/sapphireledge/gateway/load_exchange.py
@@ -8,6 +8,7 @@
 
 from sapphireledge.core.shared_load import LoadDigest, ServiceLoad, trim_load
 from sapphireledge.gateway.load_codec import (
+    MAX_LOAD_BYTES,
     decode_digest,
     decode_merged,
     encode_digest,
@@ -29,7 +30,7 @@
 class LoadExchange:
     """Load fields of the messages between a relay and its followers.
 
-    Load pattern and failures: see `SharedLoad`. What cannot be decoded is dropped, so that it
+    Load pattern and failures: see `SharedLoad`. A failure costs only the load field, so that it
     never ends the connection on which objects of the store arrive.
     """
 
@@ -68,26 +69,41 @@
         """
         self._shedders[service] = shedder
 
-    def describe(self) -> bytes:
+    def describe(self, max_bytes: int = MAX_LOAD_BYTES) -> bytes | None:
         """Encodes the load that this instance has seen.
 
+        Args:
+            max_bytes: Largest size of the field.
+
         Returns:
-            The load field of a request to a relay.
+            The load field of a request to a relay, None if it is too large or cannot be encoded.
         """
+        try:
+            data = self._encode_own()
+        except Exception as exc:
+            self._telemetry.record_unreadable(f"cannot describe own load: {exc!r}")
+            return None
+        if len(data) > max_bytes:
+            self._telemetry.record_unreadable(f"own load of {len(data)} bytes is not sent")
+            return None
+        self._telemetry.record_sent(len(data))
+        return data
+
+    def _encode_own(self) -> bytes:
+        """Encodes the load that this instance has seen."""
         limits = self._shared.limits
         self._sequence += 1
         services = trim_load(self._own_load(monotonic()), limits.max_services, limits.digest_rows)
-        data = encode_digest(
+        return encode_digest(
             LoadDigest(self._instance, self._incarnation, self._sequence, services)
         )
-        self._telemetry.record_sent(len(data))
-        return data
 
-    def on_request(self, data: Any) -> str | None:
+    def on_request(self, data: Any, known_name: str | None = None) -> str | None:
         """Takes over the load of a follower.
 
         Args:
             data: Load field of its request.
+            known_name: Name in earlier requests of the same connection, None before the first.
 
         Returns:
             Name of the follower, None if it shares no load or the field cannot be used.
@@ -97,24 +113,29 @@
         now = monotonic()
         try:
             digest = decode_digest(data)
-        except ValueError as exc:
-            self._telemetry.record_unreadable(str(exc))
+            if known_name is not None and digest.instance != known_name:
+                raise ValueError(f"connection of {known_name} names {digest.instance}")
+            self._shared.on_digest(now, digest)
+            self._telemetry.record_received(len(data), self._shared.summary(now))
+        except Exception as exc:
+            self._telemetry.record_unreadable(f"request: {exc!r}")
             return None
-        self._shared.on_digest(now, digest)
-        self._telemetry.record_received(len(data), self._shared.summary(now))
         return digest.instance
 
-    def answer(self, follower: str) -> bytes:
+    def answer(self, follower: str) -> bytes | None:
         """Encodes the load that this instance and the other followers have seen.
 
         Args:
             follower: Name of the follower.
 
         Returns:
-            The load field of the reply.
+            The load field of the reply, None if it cannot be encoded.
         """
-        merged = self._shared.merge_for(monotonic(), follower, self._own_load)
-        data = encode_merged(merged)
+        try:
+            data = encode_merged(self._shared.merge_for(monotonic(), follower, self._own_load))
+        except Exception as exc:
+            self._telemetry.record_unreadable(f"cannot answer {follower}: {exc!r}")
+            return None
         self._telemetry.record_sent(len(data))
         return data
 
@@ -126,12 +147,10 @@
         """
         now = monotonic()
         try:
-            merged = decode_merged(data)
-        except ValueError as exc:
-            self._telemetry.record_unreadable(str(exc))
-            return
-        self._shared.on_relayed(now, merged)
-        self._telemetry.record_received(len(data), self._shared.summary(now))
+            self._shared.on_relayed(now, decode_merged(data))
+            self._telemetry.record_received(len(data), self._shared.summary(now))
+        except Exception as exc:
+            self._telemetry.record_unreadable(f"reply: {exc!r}")
 
     def _own_load(self, now: float) -> dict[str, ServiceLoad]:
         """Describes the load that this instance has seen by service."""
--- a/tests/test_feed_load.py
+++ b/tests/test_feed_load.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import unittest
+from math import inf, nan
 from random import Random
 from typing import Any
+from unittest import mock
 
 import msgspec
 import structlog
@@ -22,10 +24,17 @@
 )
 from sapphireledge.core.waiting import WaitingLimits, WaitingLine, WaitingWork
 from sapphireledge.feed.feed_channel import encode_message, read_message, write_message
+from sapphireledge.feed.feed_follower import FeedFollower
 from sapphireledge.feed.feed_message import FeedRequest, KindReply
 from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
 from sapphireledge.gateway import GatewayEvent, GatewayMetrics, LoadExchange
-from sapphireledge.gateway.load_codec import MAX_LOAD_BYTES, encode_digest, encode_merged
+from sapphireledge.gateway.load_codec import (
+    MAX_LOAD_BYTES,
+    decode_digest,
+    decode_merged,
+    encode_digest,
+    encode_merged,
+)
 from sapphireledge.gateway.load_telemetry import LoadTelemetry
 
 LIMITS = SharedLoadLimits()
@@ -160,6 +169,87 @@
         self.assertEqual(self.instances[0].usage(), {})
         writer.close()
 
+    async def test_token_count_of_a_caller_costs_no_replies(self):
+        self.start(2)
+        await self.wait_until(lambda: set(self.instances[1].usage()) == {"of-i0"})
+        now = asyncio.get_running_loop().time()
+        for instance in self.instances:
+            line = WaitingLine(WaitingLimits(), Random(1))
+            work = WaitingWork(0, 1.0, 2.0, 3.0, workspace="large", tokens=10**30)
+            line.on_arrival(now, work)
+            line.on_start(now, work)
+            instance.exchange.add_line("x", line)
+        follower = self.instances[1].runner._follower
+        await self.wait_until(lambda: "large" in self.instances[0].usage())
+        count = follower.reply_count
+        await self.wait_until(lambda: follower.reply_count > count + 1)
+        self.assertIn("large", self.instances[1].usage())
+
+    async def test_connection_speaks_for_one_instance(self):
+        self.start(1)
+        await self.wait_until(lambda: self.instances[0].listener.objects)
+        port = self.instances[0].cfg.port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for number in range(5):
+            services = {"s": ServiceLoad({f"w{number}": WorkspaceStreams(9.0, 1.0, 1.0)})}
+            data = encode_digest(LoadDigest(f"f{number}", 1, 1, services))
+            write_message(writer, FeedRequest({"servers": None}, True, None, data))
+            await read_message(reader, OldReply)
+        await asyncio.sleep(2.0 * LIMITS.merge_interval)
+        self.assertEqual(set(self.instances[0].usage()), {"w0"})
+        writer.close()
+
+
+class FailureTest(unittest.TestCase):
+    """Guards against load figures that end the connection on which objects arrive."""
+
+    def setUp(self):
+        self.shared = SharedLoad(LIMITS)
+        self.exchange = LoadExchange("i0", self.shared, LoadTelemetry(GatewayMetrics()))
+
+    def test_failure_costs_only_the_load(self):
+        data = encode_digest(LoadDigest("i1", 1, 1, {}))
+        calls = (
+            lambda: self.exchange.describe(),
+            lambda: self.exchange.answer("i1"),
+            lambda: self.exchange.on_request(data),
+            lambda: self.exchange.on_reply(encode_merged(MergedLoad(1, 0.0, {}))),
+        )
+        broken = mock.Mock(side_effect=ArithmeticError("broken"))
+        self.exchange.add_line("s", mock.Mock(streams=broken))
+        self.shared.on_digest = self.shared.on_relayed = broken
+        for call in calls:
+            self.exchange._telemetry = LoadTelemetry(GatewayMetrics())
+            with self.subTest(call=call), structlog.testing.capture_logs() as lines:
+                self.assertIsNone(call())
+                (line,) = lines
+                self.assertEqual(line["event"], GatewayEvent.LOAD_UNREADABLE)
+                self.assertIn("broken", line["reason"])
+
+    def test_digest_above_the_limit_is_left_out(self):
+        with structlog.testing.capture_logs() as lines:
+            self.assertIsNotNone(self.exchange.describe(100))
+            self.assertIsNone(self.exchange.describe(5))
+        self.assertEqual([line["event"] for line in lines], [GatewayEvent.LOAD_UNREADABLE])
+
+    def test_workspace_that_is_no_text_is_left_out(self):
+        streams = {name: WorkspaceStreams(9.0, 1.0, 1.0) for name in ("w\udc80", "w")}
+        trimmed = trim_load({"s": ServiceLoad(streams)}, LIMITS.max_services, LIMITS.digest_rows)
+        self.assertEqual(set(trimmed["s"].streams), {"w"})
+
+    def test_extreme_amounts_stay_readable(self):
+        for amount in (-1.0, nan, inf, 1e12, 1e30, 10**400):
+            row, key = WorkspaceStreams(amount, amount, amount), (0, "w")
+            load = {"s": ServiceLoad({"w": row}, {key: amount}, amount, amount, amount)}
+            digest = decode_digest(encode_digest(LoadDigest("i", 1, 1, load)))
+            merged = decode_merged(encode_merged(MergedLoad(10**30, amount, load)))
+            for decoded in (digest.services["s"], merged.services["s"]):
+                tokens = min(amount, 2.0**40) if amount > 0.0 else 0.0
+                tenths = 2.0**40 / 10.0 if amount > 0.0 else 0.0
+                self.assertEqual(decoded.streams["w"], WorkspaceStreams(tokens, tenths, tenths))
+                self.assertEqual(decoded.arrivals[key], tenths)
+                self.assertEqual(decoded.response_time, tenths)
+
 
 class SizeTest(unittest.TestCase):
     """Guards against messages that grow with the number of workspaces or instances."""
@@ -183,6 +273,22 @@
         merged = trim_load(services, LIMITS.max_services, LIMITS.merged_rows)
         self.assertLess(len(encode_merged(MergedLoad(10**6, 3.0, merged))), MAX_LOAD_BYTES)
 
+    def test_request_with_many_kinds_is_sent_without_load(self):
+        """Requests of 32 kinds with long names leave no place for a full digest."""
+        exchange = LoadExchange("i0", SharedLoad(LIMITS), LoadTelemetry(GatewayMetrics()))
+        line = mock.Mock()
+        line.streams.return_value = {
+            f"{n}".ljust(64, "w"): WorkspaceStreams(1e9, 1e9, 1e9) for n in range(200)
+        }
+        exchange.add_line("s", line)
+        for kinds, is_sent in ((8, True), (32, False)):
+            feeds = {f"{n}".ljust(90, "k"): mock.Mock(revision=2**40) for n in range(kinds)}
+            epoch = mock.Mock(current=2**40)
+            follower = FeedFollower(mock.Mock(), feeds, epoch, exchange)
+            request = follower._build_request(0.0, at_once=True)
+            self.assertLessEqual(len(encode_message(request)), MAX_REQUEST_BYTES)
+            self.assertEqual(request.load is not None, is_sent)
+
     def test_usual_messages_are_small(self):
         services = {"engines": self.services(lambda number: f"tenant-{number:03}").popitem()[1]}
         digest = trim_load(services, LIMITS.max_services, LIMITS.digest_rows)
