Limits of a sender are applied to load figures that are received

A digest or a reply could name any number of arrivals, responses and rejections and any response time. subtract_load left the callers of the receiver that the relay had summed with others in the receiver's figures.

Change: on_digest and on_relayed trim and bound what they take over (2,000 plain requests per second and instance, a mean response time of 3 targets), at most 128 digests are kept, and an unlisted caller is subtracted from the sum of its rank.

Tests seen failing before: test_limits_of_a_sender_are_applied_on_receipt, test_figures_of_one_sender_are_bounded, test_receiver_is_not_told_its_own_arrivals_as_those_of_others (232 instead of 200). The check of the role change now is an equality; 0 had passed it as well. test_shared_load: 11 tests pass after.

--- a/src/sapphireledge/core/shared_load/__init__.py
+++ b/src/sapphireledge/core/shared_load/__init__.py
@@ -1,5 +1,6 @@
 """Load that the other instances of a data centre have seen."""
 
+from sapphireledge.core.shared_load.bound_load import bound_load
 from sapphireledge.core.shared_load.load_digest import LoadDigest
 from sapphireledge.core.shared_load.load_summary import LoadSummary
 from sapphireledge.core.shared_load.merge_loads import merge_loads, subtract_load
@@ -18,6 +19,7 @@
     "SharedLoad",
     "SharedLoadLimits",
     "WorkspaceStreams",
+    "bound_load",
     "merge_loads",
     "subtract_load",
     "trim_load",
--- a/src/sapphireledge/core/shared_load/merge_loads.py
+++ b/src/sapphireledge/core/shared_load/merge_loads.py
@@ -72,14 +72,9 @@
             )
             if not others.is_negligible:
                 streams[workspace] = others
-        callers = dict(known.arrivals)
-        for caller, amount in load.arrivals.items():
-            rest = callers.pop(caller, 0.0) - arrivals * amount
-            if rest >= MIN_AMOUNT:
-                callers[caller] = rest
         result[service] = ServiceLoad(
             streams,
-            callers,
+            _subtract_arrivals(known.arrivals, load.arrivals, arrivals),
             max(0.0, known.rejections - signals * load.rejections),
             max(0.0, known.responses - signals * load.responses),
             max(0.0, known.response_time - signals * load.response_time),
@@ -87,6 +82,18 @@
     return result
 
 
+def _subtract_arrivals(
+    total: Mapping[tuple[int, str], float], part: Mapping[tuple[int, str], float], factor: float
+) -> dict[tuple[int, str], float]:
+    """Takes the arrivals of one instance out of a sum, from the unlisted ones if not listed."""
+    callers = dict(total)
+    for (rank, workspace), amount in part.items():
+        caller = (rank, workspace if (rank, workspace) in total else "")
+        if caller in callers:
+            callers[caller] -= factor * amount
+    return {caller: amount for caller, amount in callers.items() if amount >= MIN_AMOUNT}
+
+
 def _decay_factors(age: float, limits: SharedLoadLimits) -> tuple[float, float, float, float]:
     """Returns what is left of tokens, starts, arrivals and signals at an age."""
     return (
--- a/src/sapphireledge/core/shared_load/shared_load.py
+++ b/src/sapphireledge/core/shared_load/shared_load.py
@@ -13,6 +13,7 @@
 
 from sapphireledge.core.shared_load._heard_digest import HeardDigest
 from sapphireledge.core.shared_load._load_view import LoadView
+from sapphireledge.core.shared_load.bound_load import bound_load
 from sapphireledge.core.shared_load.load_summary import LoadSummary
 from sapphireledge.core.shared_load.merge_loads import merge_loads, subtract_load
 from sapphireledge.core.shared_load.merged_load import MergedLoad
@@ -70,7 +71,10 @@
             self._drop_old(now)
             if len(self._heard) >= self.limits.max_instances:
                 return False
-        self._heard[digest.instance] = HeardDigest(now, digest)
+        limits = self.limits
+        services = trim_load(digest.services, limits.max_services, limits.digest_rows)
+        bounded = replace(digest, services=bound_load(services, 1, limits))
+        self._heard[digest.instance] = HeardDigest(now, bounded)
         if self._relayed is not None:
             self._relayed = None
             self._view = None
@@ -83,8 +87,11 @@
             now: Current time in seconds.
             merged: Figures of all instances of the relay other than this one.
         """
+        limits = self.limits
+        instances = min(merged.instances, limits.max_instances)
+        services = trim_load(merged.services, limits.max_services, limits.merged_rows)
         self._heard.clear()
-        self._relayed = (now, merged)
+        self._relayed = (now, replace(merged, services=bound_load(services, instances, limits)))
         self._view = self._heard_view = self._reply_view = None
 
     def merge_for(
--- a/src/sapphireledge/core/shared_load/shared_load_limits.py
+++ b/src/sapphireledge/core/shared_load/shared_load_limits.py
@@ -18,7 +18,7 @@
     """Time for which merged figures are used, because each merge reads the digests of all
     followers."""
 
-    max_instances: int = 512
+    max_instances: int = 128
     """Largest number of instances whose digests are kept."""
 
     max_services: int = 4
@@ -30,6 +30,12 @@
     merged_rows: int = 32
     """Largest number of workspaces in merged figures, for streams and for plain requests each."""
 
+    max_request_rate: float = 2_000.0
+    """Largest number of plain requests per second that one instance can have seen."""
+
+    max_response_time: float = 3.0
+    """Largest mean response time as a share of the latency target, as in `SheddingLimits`."""
+
     usage_half_life: float = 10.0
     """Time after which tokens count half, as in `WaitingLimits`."""
 
--- a/src/sapphireledge/core/shedding/shedding_limits.py
+++ b/src/sapphireledge/core/shedding/shedding_limits.py
@@ -53,6 +53,9 @@
     """Weight of the response time that the other instances see. What they report is up to two
     seconds old, so the responses of this instance must keep their part."""
 
+    max_shared_response: float = 3.0
+    """Largest response time that an instance reports to the others or takes from them."""
+
     response_memory: float = 1.0
     """Seconds without a response after which the last ones say nothing about the load."""
 
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -69,7 +69,7 @@
     def test_change_of_the_role_counts_nothing_twice(self):
         self.shared.on_relayed(0.0, MergedLoad(3, 0.5, load(300.0)))
         self.shared.on_digest(0.1, digest("i0", 100.0))
-        self.assertLessEqual(self.shared.usage(0.1)["w"], 100.0)
+        self.assertAlmostEqual(self.shared.usage(0.1)["w"], 100.0)
         self.shared.on_relayed(0.2, MergedLoad(3, 0.5, load(300.0)))
         self.assertAlmostEqual(self.shared.usage(0.2)["w"], 300.0)
 
@@ -89,10 +89,54 @@
         self.assertAlmostEqual(sum(trimmed["s"].arrivals.values()), sum(arrivals.values()))
         self.assertEqual(len(trimmed["s"].arrivals), LIMITS.digest_rows + 2)
 
+    def test_limits_of_a_sender_are_applied_on_receipt(self):
+        """Guards against digests that take memory and processor time at the relay."""
+        streams = {f"w{number}": WorkspaceStreams(100.0 + number, 1.0, 1.0) for number in range(64)}
+        arrivals = {(rank, f"w{rank}"): 1.0 for rank in range(64)}
+        services = {f"s{number}": ServiceLoad(streams, arrivals) for number in range(8)}
+        self.shared.on_digest(0.0, LoadDigest("i0", 1, 1, services))
+        (kept,) = (part.digest.services for part in self.shared._heard.values())
+        self.assertEqual(len(kept), LIMITS.max_services)
+        self.assertEqual(sum(len(load.streams) for load in kept.values()), LIMITS.digest_rows)
+        rows = sum(len(load.arrivals) for load in kept.values())
+        self.assertLessEqual(rows, LIMITS.digest_rows + 4 * LIMITS.max_services)
+        self.shared.on_relayed(0.0, MergedLoad(3, 0.0, services))
+        self.assertEqual(
+            sum(len(load.streams) for load in self.shared._relayed[1].services.values()),
+            LIMITS.merged_rows,
+        )
+
+    def test_figures_of_one_sender_are_bounded(self):
+        extreme = {(0, "a"): 1e9, (0, "b"): 1e9}
+        load = ServiceLoad({}, extreme, rejections=1e9, responses=1e9, response_time=1e12)
+        per_second = LIMITS.max_request_rate
+        for instances in (1, 3):
+            if instances == 1:
+                self.shared.on_digest(0.0, LoadDigest("i0", 1, 1, {"s": load}))
+            else:
+                self.shared.on_relayed(0.0, MergedLoad(instances, 0.0, {"s": load}))
+            heard = self.shared.service(0.0, "s")
+            arrived = per_second * LIMITS.arrival_window * instances
+            self.assertAlmostEqual(sum(heard.arrivals.values()), arrived)
+            answered = per_second * LIMITS.signal_window * instances
+            self.assertAlmostEqual(heard.responses, answered)
+            self.assertAlmostEqual(heard.rejections, answered)
+            self.assertAlmostEqual(heard.mean_response_time, LIMITS.max_response_time)
+
+    def test_receiver_is_not_told_its_own_arrivals_as_those_of_others(self):
+        """Guards against callers of the receiver that the relay has summed with others."""
+        own = {"s": ServiceLoad({}, {(0, f"r{number}"): 5.0 for number in range(40)})}
+        mine = {"s": ServiceLoad({}, {(0, f"f{number}"): 2.0 for number in range(16)})}
+        self.shared.on_digest(0.0, LoadDigest("f", 1, 1, mine))
+        merged = self.shared.merge_for(0.0, "f", lambda now: own)
+        self.assertAlmostEqual(sum(merged.services["s"].arrivals.values()), 200.0)
+
     def test_time_constants_are_those_of_the_decisions(self):
         self.assertEqual(LIMITS.usage_half_life, WaitingLimits().usage_half_life)
         self.assertEqual(LIMITS.start_window, WaitingLimits().start_window)
         self.assertEqual(LIMITS.arrival_window, SheddingLimits().arrival_window)
+        self.assertEqual(LIMITS.signal_window, SheddingLimits().signal_window)
+        self.assertEqual(LIMITS.max_response_time, SheddingLimits().max_shared_response)
 
 
 if __name__ == "__main__":
