--- a/src/sapphireledge/core/shedding/load_shedder.py
+++ b/src/sapphireledge/core/shedding/load_shedder.py
@@ -19,6 +19,7 @@
 
 from sapphireledge.core.decay import DecayedSum
 from sapphireledge.core.shared_load import ServiceLoad
+from sapphireledge.core.shedding._spread_rest import spread_rest
 from sapphireledge.core.shedding.divide_admission import divide_admission
 from sapphireledge.core.shedding.shed_request import ShedRequest
 
@@ -71,6 +72,8 @@
         self._response_at = -inf
         self._rejected_at = -inf
         self._arrivals: dict[tuple[int, str], DecayedSum] = {}
+        # Ranks that were decided on; their number is that of the configuration.
+        self._ranks: set[int] = set()
         self._chances: dict[tuple[int, str], float] = {}
         self._divided_at = -inf
 
@@ -84,7 +87,8 @@
         """
         if target > 0.0:
             self._responses.add(now, 1.0)
-            self._response_times.add(now, seconds / target)
+            shared = min(seconds / target, self._limits.max_shared_response)
+            self._response_times.add(now, shared)
             self._add_sample(now, seconds / target)
 
     def on_rejection(self, now: float) -> None:
@@ -113,7 +117,9 @@
         self._update(now)
         if self.share >= 1.0 or self._rng.random() < self._chance(now, caller):
             return None
-        return ShedRequest(self.share, self._response_time, self.retry_after(now, target))
+        response_time = self._blend_response_time(now, self._load_elsewhere(now))
+        shown = self._response_time if response_time is None else response_time
+        return ShedRequest(self.share, shown, self.retry_after(now, target))
 
     def retry_after(self, now: float, target: float) -> float:
         """Computes when a refused caller should return.
@@ -129,8 +135,8 @@
             Seconds.
         """
         limits = self._limits
-        is_known = now - self._response_at <= limits.response_memory
-        backlog = self._response_time * target / self.share if is_known else 0.0
+        response_time = self._blend_response_time(now, self._load_elsewhere(now))
+        backlog = 0.0 if response_time is None else response_time * target / self.share
         middle = min(max(backlog, limits.shortest_retry_after), limits.longest_retry_after)
         return middle * self._rng.uniform(1.0 - RETURN_SPREAD, 1.0 + RETURN_SPREAD)
 
@@ -209,31 +215,41 @@
 
     def _excess(self, now: float, elsewhere: ServiceLoad | None) -> float:
         """Computes by how much responses are too slow, -1 to 1."""
-        limits = self._limits
-        response_time = self._response_time
-        known = now - self._response_at <= limits.response_memory
-        if elsewhere is not None and elsewhere.responses >= limits.min_responses:
-            # What others report is seconds old, so own responses count more if there are enough.
-            own = self._responses.value(now) if known else 0.0
-            weight = limits.elsewhere_weight / (limits.elsewhere_weight + own)
-            response_time += weight * (self._time_elsewhere(elsewhere) - response_time)
-        elif not known:
+        response_time = self._blend_response_time(now, elsewhere)
+        if response_time is None:
             return -1.0
+        limits = self._limits
         permitted = limits.target_share
         if self._baseline < inf:
             permitted = max(permitted, limits.baseline_factor * self._baseline)
         return max(-1.0, min(1.0, response_time / permitted - 1.0))
 
+    def _blend_response_time(self, now: float, elsewhere: ServiceLoad | None) -> float | None:
+        """Combines the response times here and at other instances; None if neither is known.
+
+        Without an own baseline, times of others could not be told from those of a slow service.
+        """
+        limits = self._limits
+        is_known = now - self._response_at <= limits.response_memory
+        if elsewhere is None or elsewhere.responses < limits.min_responses or self._baseline == inf:
+            return self._response_time if is_known else None
+        # What others report is seconds old, so own responses count more if there are enough.
+        own = self._responses.value(now) + self._rejections.value(now) if is_known else 0.0
+        weight = limits.elsewhere_weight / (limits.elsewhere_weight + own)
+        other = self._time_elsewhere(elsewhere)
+        return self._response_time + weight * (other - self._response_time)
+
     def _time_elsewhere(self, load: ServiceLoad) -> float:
         """Returns the response time at other instances, with rejections as in `on_rejection`."""
-        mean = load.mean_response_time
+        mean = min(load.mean_response_time, self._limits.max_shared_response)
         rejected = max(mean, self._limits.rejected_response)
-        return (load.response_time + load.rejections * rejected) / (
+        return (load.responses * mean + load.rejections * rejected) / (
             load.responses + load.rejections
         )
 
     def _count_arrival(self, now: float, rank: int, workspace: str) -> tuple[int, str]:
         """Counts an arrival; returns the key under which it is counted."""
+        self._ranks.add(rank)
         caller = (rank, workspace)
         if caller not in self._arrivals and len(self._arrivals) >= self._limits.max_callers:
             caller = (rank, OTHER_WORKSPACES)
@@ -249,7 +265,9 @@
             rates = {key: arrivals.rate(now) for key, arrivals in self._arrivals.items()}
             elsewhere = self._load_elsewhere(now)
             if elsewhere is not None:
-                for key, amount in elsewhere.arrivals.items():
+                for key, amount in spread_rest(elsewhere.arrivals).items():
+                    if key[0] not in self._ranks:
+                        continue
                     rates[key] = rates.get(key, 0.0) + amount / self._limits.arrival_window
             self._chances = divide_admission(rates, self.share, self._limits.rank_floor)
             self._divided_at = now
