Streams elsewhere are summed once for an order of waiting streams

Cause: is_starved summed the requests and starts at other instances again for each waiting stream: 3,200 additions for 50 streams and 32 workspaces.

--- a/src/sapphireledge/core/waiting/served_shares.py
+++ b/src/sapphireledge/core/waiting/served_shares.py
@@ -7,7 +7,9 @@
 from sapphireledge.core.decay import DecayedSum
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable, Mapping
+    from collections.abc import Hashable
+
+    from sapphireledge.core.waiting.counts_elsewhere import CountsElsewhere
 
 __all__ = ["ServedShares"]
 
@@ -86,14 +88,14 @@
         }
 
     def is_starved(
-        self, now: float, key: Key, elsewhere: Mapping[Key, tuple[float, float]] | None = None
+        self, now: float, key: Key, elsewhere: CountsElsewhere[Key] | None = None
     ) -> bool:
         """Checks whether the requests of a key start much less often than all.
 
         Args:
             now: Current time in seconds.
             key: A rank or workspace.
-            elsewhere: Requests and starts of each key at other instances, as decayed sums.
+            elsewhere: Requests and starts at other instances.
 
         Returns:
             Whether its share of starts is below the floor; False for an unknown key.
@@ -102,11 +104,11 @@
             return False
         arrived, started = self._arrived[key].value(now), self._started[key].value(now)
         all_arrived, all_started = self._all_arrived.value(now), self._all_started.value(now)
-        if elsewhere:
-            arrived += elsewhere.get(key, (0.0, 0.0))[0]
-            started += elsewhere.get(key, (0.0, 0.0))[1]
-            all_arrived += sum(counts[0] for counts in elsewhere.values())
-            all_started += sum(counts[1] for counts in elsewhere.values())
+        if elsewhere is not None:
+            arrived += elsewhere.counts.get(key, (0.0, 0.0))[0]
+            started += elsewhere.counts.get(key, (0.0, 0.0))[1]
+            all_arrived += elsewhere.arrived
+            all_started += elsewhere.started
         return (started + PRIOR_STARTS) * all_arrived < self._floor * all_started * arrived
 
     def _prune(self, now: float) -> None:
--- a/src/sapphireledge/core/waiting/waiting_line.py
+++ b/src/sapphireledge/core/waiting/waiting_line.py
@@ -14,6 +14,7 @@
 from sapphireledge.core.admission import UsageLedger
 from sapphireledge.core.decay import DecayedSum
 from sapphireledge.core.shared_load import WorkspaceStreams
+from sapphireledge.core.waiting.counts_elsewhere import CountsElsewhere
 from sapphireledge.core.waiting.line_snapshot import LineSnapshot
 from sapphireledge.core.waiting.served_shares import ServedShares
 
@@ -309,7 +310,9 @@
         total = self._ledger.mean_usage(now) * len(own)
         total += sum(part.tokens for part in elsewhere.values())
         heavy = self._limits.heavy_usage * total / max(1, len({*own, *elsewhere}))
-        counts = {name: (part.arrived, part.started) for name, part in elsewhere.items()}
+        counts = CountsElsewhere.sum(
+            {name: (part.arrived, part.started) for name, part in elsewhere.items()}
+        )
 
         def weigh(workspace: str) -> int:
             if not workspace:
--- a/tests/test_shared_waiting.py
+++ b/tests/test_shared_waiting.py
@@ -39,6 +39,16 @@
     ]
 
 
+class CountedAmount(float):
+    """Amount that counts how often it is added to another one."""
+
+    additions = 0
+
+    def __radd__(self, other):
+        CountedAmount.additions += 1
+        return float(self) + other
+
+
 class SharedUsageTest(unittest.TestCase):
     """Guards against an order by the few streams that one of many instances has started."""
 
@@ -71,6 +81,18 @@
         usage = {"small": WorkspaceStreams(0.0, 20.0, 0.0), "w": WorkspaceStreams(1e3, 20.0, 20.0)}
         self.assertEqual(self.order(usage), ["small", "large"])
 
+    def test_counts_of_others_are_summed_once_for_an_order(self):
+        amount = CountedAmount(2.0)
+        elsewhere = {f"w{n}": WorkspaceStreams(1e3, amount, amount) for n in range(32)}
+        line = WaitingLine(LIMITS, random.Random(1), lambda now: elsewhere)
+        for number in range(50):
+            work = replace(WORK, workspace=f"own-{number}")
+            line.on_arrival(0.0, work)
+            line.join(0.0, work)
+        CountedAmount.additions = 0
+        self.assertEqual(len(line.next(0.0)), 50)
+        self.assertEqual(CountedAmount.additions, 2 * len(elsewhere))
+
 
 if __name__ == "__main__":
     unittest.main()
