--- a/src/sapphireledge/gateway/load_codec.py
+++ b/src/sapphireledge/gateway/load_codec.py
@@ -29,6 +29,9 @@
 MAX_UNITS = 2**40
 """Largest amount in a message; larger ones are sent as this one."""
 
+USUAL_AMOUNT = 1e9
+"""Amount up to which no unit exceeds `MAX_UNITS`."""
+
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNITS)]
 Name = Annotated[str, msgspec.Meta(max_length=128)]
 StreamRow = tuple[Name, Amount, Amount, Amount]
@@ -213,5 +216,7 @@
 
 def _to_units(amount: float, scale: float = SCALE) -> int:
     """Converts an amount to the units in which it is sent, within what receivers accept."""
+    if 0.0 <= amount <= USUAL_AMOUNT:
+        return round(amount * scale)
     bounded = min(max(0.0, amount), MAX_UNITS)
     return min(round(bounded * scale), MAX_UNITS)
