--- a/src/sapphireledge/core/waiting/served_shares.py
+++ b/src/sapphireledge/core/waiting/served_shares.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
+    from sapphireledge.core.waiting.counts_elsewhere import CountsElsewhere
+
 __all__ = ["ServedShares"]
 
 MIN_PRUNED_KEYS = 256
@@ -71,20 +73,43 @@
             self._started[key].add(now, 1.0)
             self._all_started.add(now, 1.0)
 
-    def is_starved(self, now: float, key: Key) -> bool:
+    def counts(self, now: float) -> dict[Key, tuple[float, float]]:
+        """Returns recent requests and starts of each key.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            Requests and starts, as decayed sums.
+        """
+        return {
+            key: (arrived.value(now), self._started[key].value(now))
+            for key, arrived in self._arrived.items()
+        }
+
+    def is_starved(
+        self, now: float, key: Key, elsewhere: CountsElsewhere[Key] | None = None
+    ) -> bool:
         """Checks whether the requests of a key start much less often than all.
 
         Args:
             now: Current time in seconds.
             key: A rank or workspace.
+            elsewhere: Requests and starts at other instances.
 
         Returns:
             Whether its share of starts is below the floor; False for an unknown key.
         """
         if key not in self._arrived:
             return False
-        started = (self._started[key].value(now) + PRIOR_STARTS) * self._all_arrived.value(now)
-        return started < self._floor * self._all_started.value(now) * self._arrived[key].value(now)
+        arrived, started = self._arrived[key].value(now), self._started[key].value(now)
+        all_arrived, all_started = self._all_arrived.value(now), self._all_started.value(now)
+        if elsewhere is not None:
+            arrived += elsewhere.counts.get(key, (0.0, 0.0))[0]
+            started += elsewhere.counts.get(key, (0.0, 0.0))[1]
+            all_arrived += elsewhere.arrived
+            all_started += elsewhere.started
+        return (started + PRIOR_STARTS) * all_arrived < self._floor * all_started * arrived
 
     def _prune(self, now: float) -> None:
         """Drops keys without recent requests."""
--- a/src/sapphireledge/core/waiting/waiting_line.py
+++ b/src/sapphireledge/core/waiting/waiting_line.py
@@ -14,11 +14,13 @@
 
 from sapphireledge.core.admission import UsageLedger
 from sapphireledge.core.decay import DecayedSum
+from sapphireledge.core.shared_load import WorkspaceStreams
+from sapphireledge.core.waiting.counts_elsewhere import CountsElsewhere
 from sapphireledge.core.waiting.line_snapshot import LineSnapshot
 from sapphireledge.core.waiting.served_shares import ServedShares
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
     from random import Random
 
     from sapphireledge.core.waiting.waiting_limits import WaitingLimits
@@ -34,14 +36,22 @@
     decided where the load of the backend servers is known, see `PlacementRule`.
     """
 
-    def __init__(self, limits: WaitingLimits, rng: Random) -> None:
+    def __init__(
+        self,
+        limits: WaitingLimits,
+        rng: Random,
+        streams_elsewhere: Callable[[float], Mapping[str, WorkspaceStreams]] = lambda now: {},
+    ) -> None:
         """Creates an empty line.
 
         Args:
             limits: Limits and weights.
             rng: Source of the spread of returning callers.
+            streams_elsewhere: Returns the streams of each workspace at other instances of the data
+                centre at a time, empty if they are not known.
         """
         self._limits = limits
+        self._streams_elsewhere = streams_elsewhere
         self._rng = rng
         self._tickets = count(1)
         self._waiting: dict[int, tuple[float, WaitingWork]] = {}
@@ -242,6 +252,24 @@
         delay = (self._return_at - now) * self._rng.uniform(0.5, 1.0)
         return min(limits.longest_retry_after, max(limits.shortest_retry_after, delay))
 
+    def streams(self, now: float) -> dict[str, WorkspaceStreams]:
+        """Describes the streams of each workspace to other instances.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            Streams by workspace.
+        """
+        counts = self._workspaces.counts(now)
+        names = {*self._ledger.workspaces(), *counts}
+        return {
+            name: WorkspaceStreams(
+                self._ledger.local_usage(now, name), *counts.get(name, (0.0, 0.0))
+            )
+            for name in names
+        }
+
     def snapshot(self, now: float) -> LineSnapshot:
         """Describes the line to operators.
 
@@ -264,6 +292,7 @@
             for rank in {_rank_of(work) for _, work in self._waiting.values()}
             if self._ranks.is_starved(now, rank)
         }
+        weigh = self._workspace_weight(now)
 
         def key(work: WaitingWork) -> tuple[float, ...]:
             if work.delivered:
@@ -274,20 +303,38 @@
                 _rank_of(work) not in starved,
                 not can_be_on_time,
                 *_rank_of(work),
-                self._weigh_workspace(now, work.workspace),
+                weigh(work.workspace),
                 work.deadline,
             )
 
         return key
 
-    def _weigh_workspace(self, now: float, workspace: str) -> int:
-        """Returns the class of a workspace within its rank, the lowest goes first."""
-        if not workspace:
-            return 1
-        if self._workspaces.is_starved(now, workspace):
-            return 0
-        usage = self._ledger.usage(now, workspace)
-        return 2 if usage > self._limits.heavy_usage * self._ledger.mean_usage(now) else 1
+    def _workspace_weight(self, now: float) -> Callable[[str], int]:
+        """Returns a function that finds the class of a workspace within its rank.
+
+        The lowest class goes first. Load pattern: a workspace that is heavy in the data centre
+        looks like the others at an instance that has started one of its streams.
+        """
+        elsewhere = self._streams_elsewhere(now)
+        own = self._ledger.workspaces()
+        total = self._ledger.mean_usage(now) * len(own)
+        total += sum(part.tokens for part in elsewhere.values())
+        heavy = self._limits.heavy_usage * total / max(1, len({*own, *elsewhere}))
+        counts = CountsElsewhere.sum(
+            {name: (part.arrived, part.started) for name, part in elsewhere.items()}
+        )
+
+        def weigh(workspace: str) -> int:
+            if not workspace:
+                return 1
+            if self._workspaces.is_starved(now, workspace, counts):
+                return 0
+            usage = self._ledger.usage(now, workspace)
+            if workspace in elsewhere:
+                usage += elsewhere[workspace].tokens
+            return 2 if usage > heavy else 1
+
+        return weigh
 
     def _drain_rate(self, now: float) -> float | None:
         """Estimates the starts per second while the line is not empty, None if unknown."""
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING
 
 import structlog
+from msgspec.structs import replace
 
-from sapphireledge.feed.feed_channel import read_message, write_message
+from sapphireledge.feed.feed_channel import encode_message, read_message, write_message
 from sapphireledge.feed.feed_message import FeedReply, FeedRequest, KindReply
+from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
 from sapphireledge.feed.source_error import SourceError
 from sapphireledge.feed.store_page import StoredEntry, StorePage
 from sapphireledge.gateway import GatewayEvent, seconds_since_boot
@@ -20,15 +22,28 @@
     from sapphireledge.feed.kind_feed import KindFeed
     from sapphireledge.feed.peer import Peer
     from sapphireledge.feed.store_epoch import StoreEpoch
+    from sapphireledge.gateway import LoadExchange
 
 __all__ = ["FeedFollower"]
 
+MIN_LOAD_INTERVAL = 0.5
+"""Shortest time in seconds between requests to one relay that carry load; series of changes cause
+requests much more often."""
+
+LOAD_HEADER_BYTES = 16
+"""Bytes by which the load field is larger than its content, with some to spare."""
+
 
 class FeedFollower:
     """Applies the replies of a relay to the feeds until the relay fails."""
 
     def __init__(
-        self, cfg: FeedSettings, feeds: Mapping[str, KindFeed], epoch: StoreEpoch, name: str = ""
+        self,
+        cfg: FeedSettings,
+        feeds: Mapping[str, KindFeed],
+        epoch: StoreEpoch,
+        name: str = "",
+        exchange: LoadExchange | None = None,
     ) -> None:
         """Creates a follower.
 
@@ -37,9 +52,12 @@
             feeds: Feeds by kind.
             epoch: Notices that the store came back from an older copy.
             name: Name of this instance.
+            exchange: Exchanges the load with the relay, None to send and take in none.
         """
         self._cfg = cfg
         self._name = name
+        self._exchange = exchange
+        self._load_due_at = 0.0
         self._epoch = epoch
         self._feeds = feeds
         self.reply_count = 0
@@ -83,8 +101,7 @@
     ) -> None:
         """Sends one request and applies the reply."""
         sent_at = seconds_since_boot()
-        revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
-        write_message(writer, FeedRequest(revisions, at_once, self._epoch.current, self._name))
+        write_message(writer, self._build_request(sent_at, at_once=at_once))
         timeout = self._cfg.first_reply_timeout if at_once else self._cfg.reply_timeout
         try:
             async with asyncio.timeout(timeout):
@@ -97,6 +114,8 @@
         if not self._epoch.observe(reply.epoch):
             raise SourceError("relay follows a state that the store has lost")
         self.reply_count += 1
+        if self._exchange is not None and reply.load is not None:
+            self._exchange.on_reply(reply.load)
         for kind, part in reply.kinds.items():
             feed = self._feeds.get(kind)
             if feed is None:
@@ -109,6 +128,16 @@
             else:
                 feed.apply_changes(page, as_of)
 
+    def _build_request(self, now: float, *, at_once: bool) -> FeedRequest:
+        """Builds a request, with the load that this instance has seen unless just sent."""
+        revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
+        request = FeedRequest(revisions, at_once, self._epoch.current, self._name)
+        if self._exchange is None or (now < self._load_due_at and not at_once):
+            return request
+        self._load_due_at = now + MIN_LOAD_INTERVAL
+        room = MAX_REQUEST_BYTES - len(encode_message(request)) - LOAD_HEADER_BYTES
+        return replace(request, load=self._exchange.describe(room))
+
 
 def _build_page(part: KindReply) -> StorePage:
     """Builds a page from the entries of one kind and their records, if there are any."""
--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -26,6 +26,9 @@
     follower: str = ""
     """Name of the follower."""
 
+    load: Any = None
+    """Load that the follower has seen, encoded by `LoadExchange`; None from older instances."""
+
 
 class FeedEntry(msgspec.Struct, frozen=True, array_like=True):
     """One object, or its removal."""
@@ -70,3 +73,6 @@
 
     epoch: int | None = None
     """Epoch of the store to which the revisions belong, None if it is not known yet."""
+
+    load: Any = None
+    """Load that other instances have seen, encoded by `LoadExchange`; None from older instances."""
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import structlog
+from msgspec.structs import replace
 
 from sapphireledge.feed.feed_channel import encode_message, read_message
 from sapphireledge.feed.feed_message import FeedEntry, FeedReply, FeedRequest, KindReply
@@ -22,6 +23,7 @@
     from sapphireledge.feed.feed_settings import FeedSettings
     from sapphireledge.feed.kind_feed import KindFeed
     from sapphireledge.feed.store_epoch import StoreEpoch
+    from sapphireledge.gateway import LoadExchange
     from sapphireledge.limits import CallerAccount
 
 __all__ = ["FeedServer"]
@@ -30,7 +32,7 @@
 """Shortest time in seconds between replies to one follower; building one may take milliseconds."""
 
 MAX_REQUEST_BYTES = 4_096
-"""Largest request in bytes; it holds one revision for each kind."""
+"""Largest request in bytes; it holds one revision for each kind, and the load of the follower."""
 
 MAX_KINDS = 32
 """Largest number of kinds in a request; a decoded one takes many times its bytes."""
@@ -55,6 +57,7 @@
         epoch: StoreEpoch,
         can_relay: Callable[[], bool],
         ledger: CallerLedger | None = None,
+        exchange: LoadExchange | None = None,
     ) -> None:
         """Creates the server.
 
@@ -65,6 +68,7 @@
             can_relay: Returns whether this instance reads the store without failures and is not
                 stopping.
             ledger: Limits on connections; those of a small machine by default.
+            exchange: Load that the instances share, None to share none.
         """
         self._cfg = cfg
         self._feeds = feeds
@@ -74,6 +78,7 @@
         self.followers = FollowerNames()
         """Names of the instances that follow this one."""
 
+        self._exchange = exchange
         self._progress = asyncio.Event()
         for feed in feeds.values():
             feed.on_progress = self._wake_waiters
@@ -101,6 +106,7 @@
         writer.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
         account.count_unsent = writer.transport.get_write_buffer_size
         relayed_replies = 0
+        name: str | None = None
         next_reply_at = 0.0
         try:
             while True:
@@ -110,7 +116,11 @@
                 account.serve(monotonic())
                 self.followers.on_request(monotonic(), request.follower)
                 await asyncio.sleep(max(0.0, next_reply_at - seconds_since_boot()))
+                follower = self._read_load(request, name)
+                name = name or follower
                 reply = await self._build_reply(request)
+                if self._exchange is not None and follower and reply.kinds:
+                    reply = replace(reply, load=self._exchange.answer(follower))
                 next_reply_at = seconds_since_boot() + MIN_REPLY_INTERVAL
                 relayed_replies += bool(reply.kinds)
                 await self._send(reply, writer, account)
@@ -127,6 +137,15 @@
                 writer.close()
         return None
 
+    def _read_load(self, request: FeedRequest, name: str | None) -> str | None:
+        """Takes over the load of a follower; returns its name if it is to be sent that of others.
+
+        An instance that does not relay takes the load from its own relay.
+        """
+        if self._exchange is None or not self._is_reader():
+            return None
+        return self._exchange.on_request(request.load, name)
+
     async def _send(
         self, reply: FeedReply, writer: asyncio.StreamWriter, account: CallerAccount
     ) -> None:
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -11,6 +11,7 @@
 
 from sapphireledge.core.placement import FirstEventEstimator, GenerationEstimator
 from sapphireledge.core.quarantine import ServiceSize
+from sapphireledge.core.shared_load import SharedLoad, SharedLoadLimits
 from sapphireledge.core.shedding import LoadShedder, SheddingLimits
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.connection_pool import ConnectionPool
@@ -18,6 +19,7 @@
 from sapphireledge.gateway.engine_copy_client import EngineCopyClient
 from sapphireledge.gateway.engine_report_client import EngineReportClient
 from sapphireledge.gateway.gateway_event import GatewayEvent
+from sapphireledge.gateway.load_exchange import LoadExchange
 from sapphireledge.gateway.outcome import MISDIRECTED, Outcome, OutcomeKind
 from sapphireledge.gateway.prompt_memory import PromptMemory
 from sapphireledge.gateway.retry_allowance import RetryAllowance
@@ -96,6 +98,12 @@
         self.is_stopping: Callable[[], bool] = lambda: False
         """Returns whether the instance is shutting down."""
 
+        self.shared_load = SharedLoad(SharedLoadLimits())
+        """Load that the other instances of the data centre have seen."""
+
+        self.load_exchange = LoadExchange(cfg.instance, self.shared_load, telemetry.load)
+        """Encodes the load that this instance has seen, and decodes that of others."""
+
         self._shedders: dict[str, LoadShedder] = {}
         self._allowances: dict[str, RetryAllowance] = {}
         self._estimators: dict[str, FirstEventEstimator] = {}
@@ -128,7 +136,11 @@
         """
         shedder = self._shedders.get(service)
         if shedder is None:
-            shedder = self._shedders[service] = LoadShedder(SHEDDING_LIMITS, Random())
+            shedder = LoadShedder(
+                SHEDDING_LIMITS, Random(), lambda now: self.shared_load.service(now, service)
+            )
+            self._shedders[service] = shedder
+            self.load_exchange.add_shedder(service, shedder)
         return shedder
 
     def first_event_estimator(self, service: str) -> FirstEventEstimator:
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -69,7 +69,8 @@
     ]
     directory = create_store_client(cfg, metrics, epoch)
     ledger = CallerLedger(cfg.gateway.callers.followers, gateway.telemetry.record_caller_limit)
-    runner = FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger)
+    exchange = gateway.context.load_exchange
+    runner = FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger, exchange)
     rollouts.list_alive = runner.list_alive
     rollouts.list_announced = lambda: runner.announced
     return runner
