--- a/src/sapphireledge/gateway/load_telemetry.py
+++ b/src/sapphireledge/gateway/load_telemetry.py
@@ -9,7 +9,7 @@
 import structlog
 
 from sapphireledge.gateway.gateway_event import GatewayEvent
-from sapphireledge.gateway.limit_log import LimitLog
+from sapphireledge.limits import LimitLog
 
 if TYPE_CHECKING:
     from sapphireledge.core.shared_load import LoadSummary, SharedLoad
