Quarantine of scopes: an instance that has just started does not lower the presence

Cause: the mean of the estimates took those of instances that have seen hardly any request end (0 or nearly) as observations; one of two halved the mean, which refuses a sound scope too easily. Change: estimates below 0.02 count only if there is no higher one, for the load as for the presence. Test: test_instance_that_has_just_started_does_not_lower_the_presence failed before (request_condemned).

--- a/src/sapphireledge/core/quarantine/death_record.py
+++ b/src/sapphireledge/core/quarantine/death_record.py
@@ -9,6 +9,11 @@
 __all__ = ["DeathRecord"]
 
 
+MIN_ESTIMATE = 0.02
+"""Lowest estimate of a share of time that counts beside higher ones. An instance that has just
+started has seen hardly any request end, and estimates less."""
+
+
 class DeathRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """Death of one engine incarnation, with the requests that were in flight on it.
 
@@ -178,7 +183,9 @@
 
 
 def _mean(estimates: tuple[float, ...]) -> float:
-    return sum(estimates) / len(estimates)
+    """Returns the mean of the estimates that rest on observations, of all if none does."""
+    observed = tuple(found for found in estimates if found >= MIN_ESTIMATE) or estimates
+    return sum(observed) / len(observed)
 
 
 _DECODER = msgspec.json.Decoder(DeathRecord)
--- a/tests/test_crashing_scopes.py
+++ b/tests/test_crashing_scopes.py
@@ -191,6 +191,19 @@
         self.assertEqual(first, reports[2].merge(reports[1]).merge(reports[0]).merge(first))
         self.assertEqual(DeathRecord.decode(first.encode()), first)
 
+    def test_instance_that_has_just_started_does_not_lower_the_presence(self):
+        """Guards against refusing a sound scope because an instance has observed nothing yet."""
+        reports = [
+            death(i, START + 2.0 * i, presence, **{"r/a": (f"q{i}-{presence}",)})
+            for i in range(5)
+            for presence in (0.0, 0.01, 0.4)
+        ]
+        now = self.add(*reports)
+        self.assertEqual(self.judge(now, "r/a"), ClearVerdict())
+        first = reports[0].merge(reports[1]).merge(reports[2])
+        self.assertAlmostEqual(first.mean_presence("r/a"), 0.4)
+        self.assertAlmostEqual(reports[0].merge(reports[1]).mean_presence("r/a"), 0.005)
+
     def test_loss_of_all_servers_that_are_left_is_known_completely(self):
         """Guards against waiting for other deaths of a loss when no server is left to be lost."""
         deaths = [
