Keep a completed version in use if the next order comes at once

Cause: the status of an earlier order decodes to no state.

Change: the stored order says that its status is `completed` by an earlier order for the same target, and the target comes into use then. A version in use also stays so when an order that is still running is replaced by one for the same target.

Ruled out: to keep the state of the earlier order as that of the new one, as the new one would then never begin.

Tests: one of the guard, one of the decoding; both were seen failing before the change.

--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -99,19 +99,18 @@
         order = stored.order
         previous = self.stored
         is_known = previous is not None and previous.order.order_id == order.order_id
-        is_completed_again = (
-            previous is not None
-            and previous.state is RolloutState.COMPLETED
-            and previous.order.target == order.target
-        )
+        # While an order names a version, it does not come into use by the number of its servers.
+        is_proved = previous is not None and previous.order.target == order.target
         self.stored = stored
         begun = None
         if not is_known:
             self._final_state = None
-            is_in_use = self._in_use.version == order.target and not is_completed_again
+            is_in_use = self._in_use.version == order.target and not is_proved
             if stored.state is not RolloutState.COMPLETED and is_in_use:
                 # Its servers were listed before the order.
                 self._in_use = VersionInUse()
+        if stored.completed_before:
+            self._in_use.on_completed(order.target)
         if stored.state in FINAL_STATES:
             self._final_state = stored.state
             self.rollout = self.decision = None
--- a/src/sapphireledge/gateway/stored_order.py
+++ b/src/sapphireledge/gateway/stored_order.py
@@ -23,3 +23,6 @@
 
     revision: int
     """Revision of the object, a condition of the next write of its status."""
+
+    completed_before: bool = False
+    """Whether the status says that an earlier order for the same target was completed."""
--- a/src/sapphireledge/platform/decode_rollout.py
+++ b/src/sapphireledge/platform/decode_rollout.py
@@ -67,7 +67,10 @@
         raise ValueError(f"{entry.duration_s} s is no time in which to move")
     order_id = f"{created}/{target}/{entry.duration_s:g}"
     order = RolloutOrder(name, target, entry.duration_s, order_id)
-    return StoredOrder(order, _decode_state(name, status, order), revision)
+    state, is_of_order = _decode_state(name, status, order)
+    if is_of_order:
+        return StoredOrder(order, state, revision)
+    return StoredOrder(order, None, revision, state is RolloutState.COMPLETED)
 
 
 def encode_status(order: RolloutOrder, state: RolloutState) -> Any:
@@ -83,10 +86,13 @@
     return {"state": state.value, "target": order.target, "order": order.order_id}
 
 
-def _decode_state(name: str, status: object, order: RolloutOrder) -> RolloutState | None:
-    """Decodes the state of an order, None if its status is missing, odd or of an earlier order."""
+def _decode_state(
+    name: str, status: object, order: RolloutOrder
+) -> tuple[RolloutState | None, bool]:
+    """Decodes the state in a status, and whether it is of this order or an earlier one for the
+    same target; the state is None if the status is missing, odd or for another target."""
     if status is None:
-        return None
+        return None, False
     try:
         stored = msgspec.convert(status, _Status)
         state = RolloutState(stored.state)
@@ -94,7 +100,7 @@
         structlog.get_logger().warning(
             GatewayEvent.ROLLOUT_UNREADABLE, service=name, part="status", reason=str(exc)
         )
-        return None
+        return None, False
     if decode_version(stored.target) != order.target:
-        return None
-    return state if stored.order in (None, order.order_id) else None
+        return None, False
+    return state, stored.order in (None, order.order_id)
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -53,6 +53,7 @@
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.response_head import ResponseHead
 from sapphireledge.gateway.rollout_attempt import RolloutAttempt
+from sapphireledge.platform.decode_rollout import decode_rollout
 from sapphireledge.platform.decode_server import decode_server
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from sapphireledge.platform.rollout_status_writer import RolloutStatusWriter
@@ -247,6 +248,23 @@
             await self.call("/plain/x")
         self.assertEqual({*self.received}, {"v2"})
 
+    async def test_version_stays_in_use_if_its_completion_and_the_next_order_come_at_once(self):
+        """Guards against an instance that misses the completion and gives its requests to servers
+        that have stopped."""
+        await self.add_version("v2")
+        await self.add_version("v1")
+        rollouts = self.gateway.context.rollouts
+        completed = {"state": "completed", "target": "v2", "order": "3/v2/60"}
+        running = {"state": "running", "target": "v2", "order": "3/v2/90"}
+        for duration, status in ((60, None), (90, completed), (90, running), (120, running)):
+            spec = {"service": "app", "target": "v2", "duration_s": duration}
+            rollouts.on_order(decode_rollout("app", spec, status, 1, 3))
+            if status is not None:
+                self.assertEqual(rollouts._versions("app").version_in_use, "v2", duration)
+        for _ in range(4):
+            await self.call("/plain/x")
+        self.assertEqual({*self.received}, {"v2"})
+
     async def test_version_in_use_is_no_target_that_was_listed_before_its_order(self):
         """Guards against an instance that starts late and takes the majority for the old one."""
         await self.add_version("v2")
--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -309,6 +309,17 @@
         self.assertIs(self.decode(status).state, RolloutState.COMPLETED)
         self.assertIsNone(self.decode(status, duration_s=13).state)
 
+    def test_completed_status_of_an_earlier_order(self):
+        """Guards against an instance that learns of the completion only with the next order."""
+        for state, target, order, is_completed_before in (
+            ("completed", NEW, "3/v2/60", True),
+            ("completed", NEW, "3/v2/12", False),
+            ("rolled_back", NEW, "3/v2/60", False),
+            ("completed", OLD, "3/v1/60", False),
+        ):
+            stored = self.decode({"state": state, "target": target, "order": order})
+            self.assertIs(stored.completed_before, is_completed_before, (state, order))
+
     def test_orders_without_use_are_rejected(self):
         for fields in (
             {"target": ""},
