Complete an order for the version in use whatever its answers are

Cause: an order for the version in use, or one where only servers of its target are known, was judged like any other. With few requests, of which a fourth or half were bad, it was rolled back at the deadline, which stops the only servers there are.

Change: while there is no choice, an instance compares nothing and gives no verdict. It counts as having left the old version once it knows the others, and proposes `completed` when all instances do. Servers of another version that appear give the choice back, and a verdict that was heard holds again.

Ruled out: to complete at once, as an instance may list the servers of one version before the others; and to keep the instance at the target for good, for the same reason.

The one of the choice that comes back needs the new argument, so it was not seen failing.

--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -266,11 +266,14 @@
         self._view.writing.on_made(now, report.sequence, self._reports.state())
         return report
 
-    def decide(self, now: float) -> RolloutDecision:
+    def decide(self, now: float, *, has_choice: bool = True) -> RolloutDecision:
         """Evaluates the roll-out; called at least twice a second.
 
         Args:
             now: Current time in seconds.
+            has_choice: Whether there are servers of another version that could be used. Without,
+                the order is completed whatever the answers are: a rollback would stop the only
+                servers.
 
         Returns:
             The decision.
@@ -280,10 +283,14 @@
             progress.end(RolloutStage.DONE, float(self._state is RolloutState.COMPLETED))
             return RolloutDecision(progress.stage, progress.share)
         view.reports.add(now, self._reports.make(now))
-        judge.update(now, is_new_only=progress.is_new_only)
+        judge.update(now, is_new_only=progress.is_new_only, has_choice=has_choice)
         self._chooser.grant_slack(now)
-        progress.advance(now, is_bad=bool(judge.verdict), is_suspect=judge.comparison.is_suspect)
-        proposed, reason = propose_state(now, view, progress, judge)
+        if has_choice:
+            is_suspect = judge.comparison.is_suspect
+            progress.advance(now, is_bad=bool(judge.verdict), is_suspect=is_suspect)
+        else:
+            progress.advance_without_choice(now)
+        proposed, reason = propose_state(now, view, progress, judge, has_choice=has_choice)
         is_finish = progress.stage is RolloutStage.FINISH
         return RolloutDecision(
             progress.stage,
--- a/src/sapphireledge/core/rollout/rollout_progress.py
+++ b/src/sapphireledge/core/rollout/rollout_progress.py
@@ -50,6 +50,7 @@
 
         self._view = view
         self._moved_for: float | None = None
+        self._had_choice = True
         self._advanced_at = now
 
     def end(self, stage: RolloutStage, share: float) -> None:
@@ -69,6 +70,8 @@
             is_bad: Whether there is a verdict.
             is_suspect: Whether the new version may be bad.
         """
+        if not self._had_choice:
+            self._had_choice, self.is_new_only, self.finished_at = True, False, inf
         if is_bad:
             self.stage, self.share, self.is_new_only = RolloutStage.STOPPED, 0.0, False
             return
@@ -95,6 +98,18 @@
         else:
             self._set_trial_stage(now)
 
+    def advance_without_choice(self, now: float) -> None:
+        """Sets the stage and the share while there are only servers of the target.
+
+        Args:
+            now: Current time in seconds.
+        """
+        self._advanced_at = now
+        if self.is_new_only or not self._view.is_settled(now):
+            return
+        self._had_choice = False
+        self._finish(now)
+
     def _finish(self, now: float) -> None:
         """Leaves the old version."""
         self.stage, self.share, self.is_new_only = RolloutStage.FINISH, 1.0, True
--- a/src/sapphireledge/core/rollout/version_judge.py
+++ b/src/sapphireledge/core/rollout/version_judge.py
@@ -69,12 +69,13 @@
             return False
         return seconds >= max(SLOW_FACTOR * reference, reference + SLOW_ADDITION)
 
-    def update(self, now: float, *, is_new_only: bool) -> None:
+    def update(self, now: float, *, is_new_only: bool, has_choice: bool) -> None:
         """Compares the versions if it is time to.
 
         Args:
             now: Current time in seconds.
             is_new_only: Whether this instance has left the old version.
+            has_choice: Whether there is another version; without, there is no verdict.
         """
         if now - self._judged_at < JUDGE_INTERVAL:
             return
@@ -82,6 +83,9 @@
         view = self._view
         view.reports.take_snapshot(now)
         view.load.update(now, view.reports)
+        if not has_choice:
+            self.comparison = VersionVerdict()
+            return
         self.comparison = self._compare(now)
         if self.comparison.is_bad:
             self.on_verdict(self.comparison.reason)
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -247,7 +247,9 @@
             if announced := self.list_announced():
                 versions.rollout.on_directory(now, announced)
             previous = versions.decision
-            versions.decision = decision = versions.rollout.decide(now)
+            versions.decision = decision = versions.rollout.decide(
+                now, has_choice=versions.has_choice
+            )
             heard = now - min(self._orders_confirmed_at, self._reports_confirmed_at)
             order = versions.rollout.order
             self._telemetry.record_decision(service, order, previous, decision, heard)
--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -67,6 +67,12 @@
         """Version that takes requests beside the target, None while it is not known."""
         return self._in_use.version
 
+    @property
+    def has_choice(self) -> bool:
+        """Whether the running order names another version than that in use, and there were servers
+        of another one."""
+        return not self._is_at_target and self._in_use.version != self.target
+
     @property
     def wanted_state(self) -> RolloutState | None:
         """State that the status of the order should have, None if it has it.
@@ -166,7 +172,7 @@
         Returns:
             The rule, None if no order is running or there was only its target when it began.
         """
-        if self.rollout is None or self._has_no_choice:
+        if self.rollout is None or not self.has_choice:
             return None
         return self.rollout.choose(
             now,
@@ -187,7 +193,7 @@
         """
         if not self.permits(server, None):
             return False
-        if self.rollout is None or self._has_no_choice:
+        if self.rollout is None or not self.has_choice:
             return True
         return self.rollout.still_permits(now, server.version)
 
@@ -216,7 +222,7 @@
         Returns:
             Ids of the servers.
         """
-        if self.rollout is None or self._has_no_choice:
+        if self.rollout is None or not self.has_choice:
             return self.excluded(None)
         rule = self.rollout.choose(now, may_repeat=True, is_stream=True, is_retry=False)
         return self.excluded(rule)
@@ -248,11 +254,6 @@
             if attempt.move is not None and attempt.server.version != self.target
         ]
 
-    @property
-    def _has_no_choice(self) -> bool:
-        """Whether the running order names the version in use, or there are no other servers."""
-        return self._is_at_target or self._in_use.version == self.target
-
     @property
     def _unproved_target(self) -> str | None:
         """Version that does not become the one in use by the number of its servers."""
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -342,6 +342,23 @@
         self.assertIs(decision.stage, RolloutStage.STOPPED)
         self.assertIs(decision.proposed, ROLLED_BACK)
 
+    def test_servers_of_another_version_that_appear_give_the_choice_back(self):
+        """Guards against an instance that keeps to the version it listed first."""
+        rollout = Rollout(
+            RolloutLimits(), RolloutOrder("s", "v2", 60.0, "o"), "a", 0.0, random.Random(1)
+        )
+        rollout.on_reports(0.0, [RolloutReport("b", "o", "i", 1, 0.0, verdict="failures")])
+        for now, has_choice, stage, proposed in (
+            (2.0, False, RolloutStage.WAITING, None),
+            (4.0, False, RolloutStage.FINISH, None),
+            (5.0, True, RolloutStage.STOPPED, ROLLED_BACK),
+        ):
+            rollout.on_feed_confirmed(now)
+            rollout.on_report_written(now, rollout.report(now).sequence)
+            decision = rollout.decide(now, has_choice=has_choice)
+            self.assertEqual((decision.stage, decision.proposed), (stage, proposed), now)
+            self.assertIs(rollout.report(now).new_only, stage is RolloutStage.FINISH)
+
     def test_version_in_doubt_is_rolled_back_at_the_deadline(self):
         for age, failed, proposed in ((60.0, 4, None), (116.0, 4, ROLLED_BACK), (116.0, 0, None)):
             new, old = VersionCounts(12, 12 - failed, failed), VersionCounts(100, 100)
