--- a/src/sapphireledge/feed/follower_names.py
+++ b/src/sapphireledge/feed/follower_names.py
@@ -7,6 +7,9 @@
 MOST_FOLLOWERS = 1024
 """Names that are remembered at most."""
 
+LONGEST_NAME = 128
+"""Characters of a name that is remembered."""
+
 EXPIRY = 3.0
 """Seconds after a request for which its sender counts as alive; followers poll more than once a
 second."""
@@ -23,9 +26,10 @@
 
         Args:
             now: Current time in seconds.
-            name: Name of its sender, empty if it does not say.
+            name: Name of its sender, empty if it does not say; one that is too long counts as
+                none.
         """
-        if not name:
+        if not name or len(name) > LONGEST_NAME:
             return
         if name not in self._heard_at and len(self._heard_at) >= MOST_FOLLOWERS:
             self._expire(now)
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -33,6 +33,7 @@
     StoredVersion,
 )
 from sapphireledge.feed.feed_message import FeedEntry, KindReply
+from sapphireledge.feed.follower_names import FollowerNames
 from sapphireledge.feed.object_record import ObjectRecord
 from sapphireledge.feed.store_page import StorePage
 from sapphireledge.gateway import (
@@ -339,6 +340,15 @@
         self.assertEqual(sorted(moved), [3, 7])
 
 
+class FollowerNamesTest(unittest.TestCase):
+    def test_long_names_are_not_kept(self):
+        """Guards against memory that senders of long names choose."""
+        followers = FollowerNames()
+        for length in (0, 128, 129):
+            followers.on_request(1.0, "e" * length)
+        self.assertEqual(followers.current(1.0), {"e" * 128})
+
+
 class JudgeTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         telemetry = RequestTelemetry(GatewayMetrics())
