--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -83,6 +83,12 @@
         """Version that takes requests beside the target, None while it is not known."""
         return self._in_use.version
 
+    @property
+    def has_choice(self) -> bool:
+        """Whether the running order names another version than that in use, and there were servers
+        of another one."""
+        return not self._is_at_target and self._in_use.version != self.target
+
     @property
     def wanted_state(self) -> RolloutState | None:
         """State that the status of the order should have, None if it has it.
@@ -115,19 +121,18 @@
         order = stored.order
         previous = self.stored
         is_known = previous is not None and previous.order.order_id == order.order_id
-        is_completed_again = (
-            previous is not None
-            and previous.state is RolloutState.COMPLETED
-            and previous.order.target == order.target
-        )
+        # While an order names a version, it does not come into use by the number of its servers.
+        is_proved = previous is not None and previous.order.target == order.target
         self.stored = stored
         begun = None
         if not is_known:
             self._final_state = None
-            is_in_use = self._in_use.version == order.target and not is_completed_again
+            is_in_use = self._in_use.version == order.target and not is_proved
             if stored.state is not RolloutState.COMPLETED and is_in_use:
                 # Its servers were listed before the order.
                 self._in_use = VersionInUse()
+        if stored.completed_before:
+            self._in_use.on_completed(order.target)
         if stored.state in FINAL_STATES:
             self._final_state = stored.state
             self.rollout = self.decision = None
@@ -183,7 +188,7 @@
         Returns:
             The rule, None if no order is running or there was only its target when it began.
         """
-        if self.rollout is None or self._has_no_choice:
+        if self.rollout is None or not self.has_choice:
             return None
         return self.rollout.choose(
             now,
@@ -204,7 +209,7 @@
         """
         if not self.permits(server, None):
             return False
-        if self.rollout is None or self._has_no_choice:
+        if self.rollout is None or not self.has_choice:
             return True
         return self.rollout.still_permits(now, server.version)
 
@@ -233,7 +238,7 @@
         Returns:
             Ids of the servers.
         """
-        if self.rollout is None or self._has_no_choice:
+        if self.rollout is None or not self.has_choice:
             return self.excluded(None)
         rule = self.rollout.choose(now, may_repeat=True, is_stream=True, is_retry=False)
         return self.excluded(rule)
@@ -265,11 +270,6 @@
             if attempt.move is not None and attempt.server.version != self.target
         ]
 
-    @property
-    def _has_no_choice(self) -> bool:
-        """Whether the running order names the version in use, or there are no other servers."""
-        return self._is_at_target or self._in_use.version == self.target
-
     @property
     def _unproved_target(self) -> str | None:
         """Version that does not become the one in use by the number of its servers."""
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -33,6 +33,7 @@
     StoredVersion,
 )
 from sapphireledge.feed.feed_message import FeedEntry, KindReply
+from sapphireledge.feed.follower_names import FollowerNames
 from sapphireledge.feed.object_record import ObjectRecord
 from sapphireledge.feed.store_page import StorePage
 from sapphireledge.gateway import (
@@ -53,6 +54,7 @@
 from sapphireledge.gateway.outcome import Outcome, OutcomeKind
 from sapphireledge.gateway.response_head import ResponseHead
 from sapphireledge.gateway.rollout_attempt import RolloutAttempt
+from sapphireledge.platform.decode_rollout import decode_rollout
 from sapphireledge.platform.decode_server import decode_server
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from sapphireledge.platform.rollout_status_writer import RolloutStatusWriter
@@ -235,6 +237,37 @@
         await self.call("/plain/x")
         self.assertEqual(self.received, ["v2", "v1"])
 
+    async def test_order_for_the_version_in_use_is_completed_whatever_its_answers_are(self):
+        """Guards against a rollback that stops the only servers."""
+        await self.add_version("v2")
+        for number, (interval, bad_interval) in enumerate(((1, 1), (5, 2), (5, 4), (10, 2))):
+            with self.subTest(interval=interval, bad_interval=bad_interval):
+                order = RolloutOrder("app", "v2", 60.0, str(number))
+                self.gateway.context.rollouts.on_order(StoredOrder(order, None, number))
+                states = self.play(range(interval, 300, interval), bad_interval)
+                self.assertEqual(states, {RolloutState.RUNNING, RolloutState.COMPLETED})
+
+    def play(self, sent: range, bad_interval: int) -> set[RolloutState]:
+        """Evaluates the order for 60 s; returns the states that its status should have had."""
+        rollouts = self.gateway.context.rollouts
+        rollout, start = rollouts._versions("app").rollout, time.monotonic()
+        states = set()
+        for step in range(1, 300):
+            now = start + 0.2 * step
+            if step in sent:
+                is_bad = step // sent.step % bad_interval == 0
+                quality = AnswerQuality.FAILED if is_bad else AnswerQuality.GOOD
+                rollout.on_sent(now, "r", "v2")
+                rollout.on_result(now, "r", "v2", quality, 0.05, server=f"s{step % 4}")
+            if rollout.is_report_due(now):
+                rollout.on_report_written(now, rollout.report(now).sequence)
+            rollouts.on_orders_confirmed(now)
+            rollouts.on_reports_confirmed(now)
+            with mock.patch.object(asyncio.get_running_loop(), "time", lambda now=now: now):
+                rollouts.tick()
+            states.add(rollouts.wanted_states()["app"][1])
+        return states
+
     async def test_version_that_was_completed_stays_in_use_if_it_is_ordered_again(self):
         """Guards against requests to old servers that are about to stop."""
         await self.add_version("v2")
@@ -247,6 +280,23 @@
             await self.call("/plain/x")
         self.assertEqual({*self.received}, {"v2"})
 
+    async def test_version_stays_in_use_if_its_completion_and_the_next_order_come_at_once(self):
+        """Guards against an instance that misses the completion and gives its requests to servers
+        that have stopped."""
+        await self.add_version("v2")
+        await self.add_version("v1")
+        rollouts = self.gateway.context.rollouts
+        completed = {"state": "completed", "target": "v2", "order": "3/v2/60"}
+        running = {"state": "running", "target": "v2", "order": "3/v2/90"}
+        for duration, status in ((60, None), (90, completed), (90, running), (120, running)):
+            spec = {"service": "app", "target": "v2", "duration_s": duration}
+            rollouts.on_order(decode_rollout("app", spec, status, 1, 3))
+            if status is not None:
+                self.assertEqual(rollouts._versions("app").version_in_use, "v2", duration)
+        for _ in range(4):
+            await self.call("/plain/x")
+        self.assertEqual({*self.received}, {"v2"})
+
     async def test_version_in_use_is_no_target_that_was_listed_before_its_order(self):
         """Guards against an instance that starts late and takes the majority for the old one."""
         await self.add_version("v2")
@@ -273,7 +323,7 @@
         """Guards against old servers that stop while streams on them could have moved."""
         rollout = self.begin(VersionChoice.NEW_ONLY)
         decision = RolloutDecision(RolloutStage.FINISH, 1.0, None, "", {}, True)
-        rollout.decide = lambda now: decision
+        rollout.decide = lambda now, *, has_choice: decision
         versions = self.gateway.context.rollouts._versions("app")
         old = BackendServer("s", "app", HOST, 1, "dc-a", version="v1")
         moved = []
@@ -290,6 +340,15 @@
         self.assertEqual(sorted(moved), [3, 7])
 
 
+class FollowerNamesTest(unittest.TestCase):
+    def test_long_names_are_not_kept(self):
+        """Guards against memory that senders of long names choose."""
+        followers = FollowerNames()
+        for length in (0, 128, 129):
+            followers.on_request(1.0, "e" * length)
+        self.assertEqual(followers.current(1.0), {"e" * 128})
+
+
 class JudgeTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         telemetry = RequestTelemetry(GatewayMetrics())
