Answers of work that ran are delivered to callers that read them

Cause: the server writes a whole body at once, and pause_writing reset the connection if its unsent bytes found no memory; the last answer of a connection was reset 15 s after it was written, and the timer was also run on closed transports. A keep-alive timer ran on after the first bytes of the next head.

Ruled out: pieces that wait for memory, since the body stays in memory meanwhile.

Change: unsent bytes are charged without a reset; while answers take all memory, new requests are refused as not run, and only connections without progress close, also for a new connection. The linger timer is re-armed on progress, counting bytes in the kernel, and cancelled with the connection. Bytes of a next head cancel the keep-alive timer.

--- a/src/sapphireledge/entry/caller_protocol.py
+++ b/src/sapphireledge/entry/caller_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +16,7 @@
     HEAD_END_OVERLAP,
     LimitReason,
     TimeSlice,
+    count_unsent,
     estimate_head_memory,
     find_head_end,
     limit_transport_reads,
@@ -50,7 +52,7 @@
 """Requests that had arrived ahead after which a connection takes turns with others."""
 
 LINGER_TIME = 15.0
-"""Seconds for a caller to read what is left of its last answer before the connection is reset."""
+"""Seconds in which a caller must read some of its last answer, or the connection is reset."""
 
 DISCARD_TIME = 1.0
 """Seconds for which the rest of a refused request is read and dropped."""
@@ -76,6 +78,7 @@
         self._requests_ahead = 0
         self._feeder: asyncio.Task[None] | None = None
         self._is_discarding = False
+        self._abort_timer: asyncio.TimerHandle | None = None
         # The application finds the connection of a request in the state of its scope.
         self.app_state = {**self.app_state, "connection": self}
 
@@ -87,7 +90,7 @@
         if self._account is None:
             transport.abort()
             return
-        self._account.count_unsent = transport.get_write_buffer_size
+        self._account.count_unsent = partial(count_unsent, transport)
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
         limit_transport_reads(transport, READ_BYTES)
 
@@ -96,6 +99,8 @@
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
         self._backlog.clear()
+        if self._abort_timer is not None:
+            self._abort_timer.cancel()
         if self._feeder is not None:
             self._feeder.cancel()
         if self._account is not None:
@@ -105,6 +110,7 @@
         """Parses received bytes, as far as that takes little time, and keeps the rest."""
         if self._account is None or self._is_discarding or self.transport.is_closing():
             return
+        self._unset_keepalive_if_required()
         self._backlog += data
         self._account.on_moved(monotonic(), len(data))
         if self._is_serving or self._hold():
@@ -125,20 +131,19 @@
         self._hold()
         if self.transport.is_closing():
             if self.transport.get_write_buffer_size():
-                self.loop.call_later(LINGER_TIME, self.transport.abort)
+                self._linger(count_unsent(self.transport))
             return
         self._requests_ahead = self._requests_ahead + 1 if self._backlog else 0
         self._continue()
 
     def pause_writing(self) -> None:
-        """Takes memory for unsent bytes; a caller that does not read them gives way."""
+        """Takes memory for unsent bytes; callers that do not read theirs give way."""
         super().pause_writing()
         if self._account is None:
             return
         self._account.wait_for_peer(monotonic())
-        if not self._hold():
-            self._ledger.on_limited(LimitReason.NO_MEMORY)
-            self.transport.abort()
+        # The work has run: its answer is delivered, and requests are refused until it is.
+        self._account.resize(monotonic(), self._held_bytes())
 
     def resume_writing(self) -> None:
         """Lets the answer go on."""
@@ -267,7 +272,7 @@
         piece = bytes(self._backlog[:size])
         if self._is_head_next:
             self._request_bytes = estimate_head_memory(size, piece.count(b"\n"))
-            if not self._hold():
+            if not self._hold() or self._ledger.is_overdrawn(monotonic()):
                 return self._refuse()
         del self._backlog[:size]
         self._searched = 0
@@ -307,7 +312,19 @@
         self._hold()
         self.transport.write_eof()
         self.transport.resume_reading()
-        self.loop.call_later(DISCARD_TIME, self.transport.abort)
+        self._abort_timer = self.loop.call_later(DISCARD_TIME, self.transport.abort)
+
+    def _linger(self, unsent: int) -> None:
+        """Waits for a caller to read its last answer, and resets a connection without progress."""
+
+        def check() -> None:
+            left = count_unsent(self.transport)
+            if left < unsent:
+                self._linger(left)
+            else:
+                self.transport.abort()
+
+        self._abort_timer = self.loop.call_later(LINGER_TIME, check)
 
     def _evict(self, reason: LimitReason) -> None:
         """Closes the connection to make room for others; an incomplete request has not run.
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -17,6 +17,7 @@
     BufferShare,
     LimitReason,
     TimeSlice,
+    count_unsent,
     estimate_head_memory,
 )
 
@@ -56,7 +57,7 @@
 """Bytes of a large answer that are passed to the transport at once, which copies them."""
 
 LINGER_TIME = 15.0
-"""Seconds for a caller to read what is left of its last answer before the connection is reset."""
+"""Seconds in which a caller must read some of its last answer, or the connection is reset."""
 
 DISCARDING_STATUSES = (413, 503)
 """Statuses of refused bodies, the rest of which is read and dropped."""
@@ -110,6 +111,7 @@
         self._requests_ahead = 0
         self._refusal: MalformedRequest | None = None
         self._answer_share = BufferShare(RESPONSE_BUDGET)
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._slice = TimeSlice()
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
@@ -177,6 +179,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the request in progress and reports the end of the connection."""
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._on_disconnect()
         self._release()
         self.on_closed(self)
@@ -318,7 +322,19 @@
             transport.close()
             if transport.get_write_buffer_size() and self._account is not None:
                 self._account.wait_for_peer(monotonic())
-                asyncio.get_running_loop().call_later(LINGER_TIME, transport.abort)
+                self._linger(transport, count_unsent(transport))
+
+    def _linger(self, transport: asyncio.Transport, unsent: int) -> None:
+        """Waits for a caller to read its last answer, and resets a connection without progress."""
+
+        def check() -> None:
+            left = count_unsent(transport)
+            if left < unsent:
+                self._linger(transport, left)
+            else:
+                transport.abort()
+
+        self._linger_timer = asyncio.get_running_loop().call_later(LINGER_TIME, check)
 
     async def _discard_rest(self, transport: asyncio.Transport) -> None:
         """Drops what the caller still sends for a while, until it closes its side.
--- a/src/sapphireledge/limits/__init__.py
+++ b/src/sapphireledge/limits/__init__.py
@@ -5,6 +5,7 @@
 from sapphireledge.limits.caller_account import CallerAccount
 from sapphireledge.limits.caller_budgets import CallerBudgets
 from sapphireledge.limits.caller_ledger import CallerLedger
+from sapphireledge.limits.count_unsent import count_unsent
 from sapphireledge.limits.head_memory import (
     FIELD_BYTES,
     HEAD_END_OVERLAP,
@@ -44,6 +45,7 @@
     "LimitLog",
     "LimitReason",
     "TimeSlice",
+    "count_unsent",
     "create_listening_socket",
     "estimate_head_memory",
     "find_head_end",
--- a/src/sapphireledge/limits/caller_account.py
+++ b/src/sapphireledge/limits/caller_account.py
@@ -77,6 +77,17 @@
             return True
         return self._ledger.try_resize(self, now, extra)
 
+    def resize(self, now: float, size: int) -> None:
+        """Changes what the connection holds, for bytes that are in memory already.
+
+        Args:
+            now: Time in seconds.
+            size: Bytes of requests and answers.
+        """
+        extra = max(0, size - INCLUDED_BYTES)
+        if extra != self.extra and self._ledger is not None:
+            self._ledger.resize(self, now, extra)
+
     def on_moved(self, now: float, size: int) -> None:
         """Counts bytes that the peer sent or read.
 
--- a/src/sapphireledge/limits/caller_ledger.py
+++ b/src/sapphireledge/limits/caller_ledger.py
@@ -73,8 +73,12 @@
         Returns:
             The account of the connection, or None if all others are being served.
         """
-        while len(self._accounts) >= self.limits.connections or self._shortage(CONNECTION_BYTES):
-            longest = next((each for each in self._accounts if each.waits_for_peer), None)
+        # While answers in progress take more than all memory, closing others does not free enough.
+        is_overdrawn = self.is_overdrawn(now)
+        while len(self._accounts) >= self.limits.connections or (
+            self._shortage(CONNECTION_BYTES) and not is_overdrawn
+        ):
+            longest = self._longest_wait(now)
             if longest is None:
                 self.on_limited(LimitReason.ALL_SERVED)
                 return None
@@ -100,11 +104,30 @@
             self._evict_stalled(account, now, more, large)
             if not self._fits(more, large):
                 return False
-        self._extra += more
-        self._large += large
-        account.extra = extra
+        self._set_extra(account, extra)
         return True
 
+    def resize(self, account: CallerAccount, now: float, extra: int) -> None:
+        """Changes what a connection holds, even if that is more than there is memory for.
+
+        Args:
+            account: Account of the connection.
+            now: Time in seconds.
+            extra: New size in bytes.
+        """
+        if not self.try_resize(account, now, extra):
+            self._set_extra(account, extra)
+
+    def is_overdrawn(self, now: float) -> bool:
+        """Whether answers in progress take more memory than there is.
+
+        Args:
+            now: Time in seconds.
+        """
+        if not self._fits(0, 0):
+            self._evict_stalled(None, now, 0, 0)
+        return not self._fits(0, 0)
+
     def free_answers(self, now: float, size: int) -> None:
         """Closes connections whose peers have stopped reading large answers.
 
@@ -139,7 +162,29 @@
         """Whether there is memory for a larger holding."""
         return not self._shortage(more) and self._large + large <= self.limits.large_bytes
 
-    def _evict_stalled(self, asking: CallerAccount, now: float, more: int, large: int) -> None:
+    def _set_extra(self, account: CallerAccount, extra: int) -> None:
+        """Records what a connection holds beyond its fixed part."""
+        large = account.large_bytes
+        self._extra += extra - account.extra
+        account.extra = extra
+        self._large += account.large_bytes - large
+
+    def _longest_wait(self, now: float) -> CallerAccount | None:
+        """Finds the connection that gives way to a new one; none whose peer reads an answer."""
+        latest = now - self.limits.stall_time
+        for account in list(self._accounts):
+            if not account.waits_for_peer:
+                continue
+            if not account.count_unsent():
+                return account
+            account.observe_unsent(now)
+            if account.progress_at <= latest:
+                return account
+        return None
+
+    def _evict_stalled(
+        self, asking: CallerAccount | None, now: float, more: int, large: int
+    ) -> None:
         """Closes stalled connections until a holding fits or none is left that helps."""
         if now < self._next_search:
             return
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 from dataclasses import replace
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 
+from sapphireledge.entry import caller_protocol
 from sapphireledge.entry.caller_server import CallerServer
 from sapphireledge.entry.entry_limits import EntryLimits
 from sapphireledge.entry.json_memory import estimate_json_memory
@@ -24,6 +27,7 @@
 from sapphireledge.telemetry import Metrics
 
 HOST = "127.0.0.1"
+LARGE = 4_194_304
 CFG = CallerSettings(max_header=4_096)
 SHORT = replace(CallerBudgets().callers, total_bytes=400_000, large_bytes=300_000)
 
@@ -38,7 +42,10 @@
 
 
 async def echo(scope, receive, send):
-    """Answers with the path and the size of the body; /early answers without reading it."""
+    """Answers with the path and the size of the body; /early answers without reading it.
+
+    The answer of /large is `LARGE` bytes.
+    """
     size, more = 0, not scope["path"].startswith("/early")
     while more:
         message = await receive()
@@ -47,6 +54,9 @@
         size += len(message["body"])
         more = message["more_body"]
     body = f"{scope['path']} {size}".encode()
+    if scope["path"] == "/large":
+        await asyncio.sleep(0.1)
+        body = bytes(LARGE)
     headers = [(b"content-length", b"%d" % len(body))]
     await send({"type": "http.response.start", "status": 200, "headers": headers})
     await send({"type": "http.response.body", "body": body})
@@ -62,7 +72,7 @@
     async def asyncSetUp(self):
         self.limited = []
         self.ledger = CallerLedger(CallerBudgets().callers, self.limited.append)
-        server = CallerServer(echo, CFG, self.ledger)
+        self.server = server = CallerServer(echo, CFG, self.ledger)
         self.sock = create_listening_socket(HOST, 0)
         task = asyncio.create_task(server.serve(sockets=[self.sock]))
 
@@ -136,6 +146,70 @@
         self.assertIn(LimitReason.NO_MEMORY, self.limited)
         self.assertEqual((await self.ask(post(b"/b", 3) + b"abc"))[1], b"/b 3")
 
+    async def start_reading(self, *fields):
+        """Asks for a large answer over a connection with a small window."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_448)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, self.sock.getsockname())
+        reader, writer = await asyncio.open_connection(sock=sock, limit=8_192)
+        # The deletion of a writer closes its connection.
+        self.addCleanup(writer.close)
+        writer.write(b"\r\n".join((b"GET /large HTTP/1.1", b"host: x", *fields, b"\r\n")))
+        return reader
+
+    async def read_steadily(self, reader, size=32_768, pause=0.005):
+        """Reads a large answer; returns how much of the body arrives."""
+        await reader.readuntil(b"\r\n\r\n")
+        received = 0
+        while received < LARGE and (data := await reader.read(size)):
+            received += len(data)
+            await asyncio.sleep(pause)
+        return received
+
+    async def test_answers_that_are_read_are_not_cut_for_memory(self):
+        readers = [await self.start_reading() for _ in range(12)]
+        received = await asyncio.gather(*map(self.read_steadily, readers))
+        self.assertEqual(received, [LARGE] * 12)
+
+    async def test_requests_are_refused_while_answers_take_all_memory(self):
+        self.ledger.limits = SHORT
+        reader = await self.start_reading()
+        await asyncio.sleep(0.2)
+        head, body = await self.ask(post(b"/b", 0))
+        self.assertTrue(head.startswith(b"http/1.1 503"))
+        self.assertEqual(msgspec.json.decode(body)["error"]["ran"], "no")
+        self.assertEqual(await self.read_steadily(reader), LARGE)
+        self.assertEqual((await self.ask(post(b"/b", 0)))[1], b"/b 0")
+
+    async def test_last_answer_is_delivered_to_a_slow_reader(self):
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        with mock.patch.object(caller_protocol, "LINGER_TIME", 0.2):
+            reader = await self.start_reading(b"connection: close")
+            self.assertEqual(await self.read_steadily(reader, pause=0.01), LARGE)
+            await asyncio.sleep(0.4)
+        self.assertEqual(errors, [])
+
+    async def test_last_answer_that_is_not_read_is_reset(self):
+        with mock.patch.object(caller_protocol, "LINGER_TIME", 0.2):
+            await self.start_reading(b"connection: close")
+            await asyncio.sleep(1.0)
+        self.assertEqual(self.ledger.connections, 0)
+
+    async def test_head_that_arrives_around_the_keep_alive_timeout(self):
+        self.server.config.timeout_keep_alive = 0.3
+        reader, writer = await self.connect()
+        writer.write(post(b"/a", 0))
+        await self.read(reader)
+        await asyncio.sleep(0.2)
+        writer.write(post(b"/b", 0)[:10])
+        await asyncio.sleep(0.3)
+        writer.write(post(b"/b", 0)[10:])
+        self.assertEqual((await self.read(reader))[1], b"/b 0")
+
     async def test_all_memory_is_given_back(self):
         for request in (post(b"/a", 50_000) + bytes(50_000), post(b"/early", 50_000) + b"x"):
             await self.ask(request)
