Kept answers count their objects and tokens

Cause: an answer without readers counted only its request's JSON. Change: 4 KiB for each answer and 90 bytes for each token are added.

--- a/src/sapphireledge/entry/answer_registry.py
+++ b/src/sapphireledge/entry/answer_registry.py
@@ -25,6 +25,12 @@
 UNREAD_SHARE = 4
 """Part of the machine's memory, as a divisor, that requests whose callers have left may take."""
 
+ANSWER_BYTES = 4_096
+"""Memory in bytes of an answer's objects, beside its request and its tokens."""
+
+PIECE_BYTES = 90
+"""Memory in bytes of each token."""
+
 
 class AnswerRegistry:
     """Answers that this instance owns: running, ended, or abandoned by their callers."""
@@ -144,8 +150,9 @@
         """Keeps an answer without readers; the oldest give way if they take too much memory."""
         answer_id = runner.answer.answer_id
         self._unread_bytes -= self._unread.pop(answer_id, 0)
-        self._unread[answer_id] = runner.request.memory
-        self._unread_bytes += runner.request.memory
+        size = ANSWER_BYTES + PIECE_BYTES * len(runner.answer.pieces) + runner.request.memory
+        self._unread[answer_id] = size
+        self._unread_bytes += size
         while self._unread_bytes > self._max_unread_bytes:
             oldest, size = self._unread.popitem(last=False)
             self._unread_bytes -= size
