Large bodies fill a round trip of 60 ms

Cause: the receive buffer of a listener limits the window scale and the window of its connections, of callers, peers and feed, to about 116 KB.

Ruled out: SO_RCVBUF alone on accepted sockets, with which the window stayed at 117,760 bytes; a constant large buffer, with which 1,030,080 bytes were unread behind a body.

Change: listeners have the default buffers. Connections of callers have a small buffer and window, raised within a large body of known size and lowered before its end. Bodies in chunks keep the small window.

Seen failing before: with the old listener the new test gave 131,070 (the raised buffer) and 114,708 (the default) at a bound of 200,000.

--- a/src/sapphireledge/entry/caller_protocol.py
+++ b/src/sapphireledge/entry/caller_protocol.py
@@ -15,6 +15,7 @@
 from sapphireledge.limits import (
     HEAD_END_OVERLAP,
     LimitReason,
+    ReceiveWindow,
     TimeSlice,
     count_unsent,
     estimate_head_memory,
@@ -75,6 +76,7 @@
         self._backlog = bytearray()
         self._searched = 0
         self._request_bytes = 0
+        self._body_left = 0
         self._requests_ahead = 0
         self._feeder: asyncio.Task[None] | None = None
         self._is_discarding = False
@@ -93,6 +95,7 @@
         self._account.count_unsent = partial(count_unsent, transport)
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
         limit_transport_reads(transport, READ_BYTES)
+        self._window = ReceiveWindow(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Gives back all that the connection holds."""
@@ -127,6 +130,8 @@
         super().on_response_complete()
         if self._account is None:
             return
+        self._body_left = 0
+        self._window.expect(0)
         self._account.wait_for_peer(monotonic())
         self._hold()
         if self.transport.is_closing():
@@ -279,12 +284,22 @@
         cycle, body = self.cycle, 0 if self.cycle is None else len(self.cycle.body)
         super().data_received(piece)
         if self.cycle is not None:
-            self._request_bytes += len(self.cycle.body) - (body if self.cycle is cycle else 0)
+            if self.cycle is not cycle:
+                self._body_left, body = self._announced_bytes(), 0
+            arrived = len(self.cycle.body) - body
+            self._request_bytes += arrived
+            self._body_left -= arrived
+            self._window.expect(0 if self._is_serving else self._body_left)
         self._take_back_unparsed()
         if self._is_serving and self._account is not None:
             self._account.serve(monotonic())
         return None
 
+    def _announced_bytes(self) -> int:
+        """Size of the body of the request, 0 if it is not known."""
+        sizes = [value for name, value in self.headers if name == b"content-length"]
+        return int(sizes[0]) if sizes else 0
+
     def _take_back_unparsed(self) -> None:
         """Takes bytes of the next request back from the parser, which gets heads as a whole."""
         unparsed = self.conn.trailing_data[0]
--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -16,6 +16,7 @@
     RESPONSE_BUDGET,
     BufferShare,
     LimitReason,
+    ReceiveWindow,
     TimeSlice,
     count_unsent,
     estimate_head_memory,
@@ -146,6 +147,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
+        self._window = ReceiveWindow(transport)
         self._task = asyncio.create_task(self._run())
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -374,7 +376,7 @@
                 self._write(
                     self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
                 )
-            if not await self._read_body(limits):
+            if not await self._read_body(head, limits):
                 return None
         except TimeoutError as exc:
             raise MalformedRequest(408, "timed out reading the request") from exc
@@ -425,9 +427,11 @@
             self._requests_ahead = 0
             await self._slice.take_turn()
 
-    async def _read_body(self, limits: CallerLimits) -> bool:
+    async def _read_body(self, head: h11.Request, limits: CallerLimits) -> bool:
         """Reads a request body; returns whether it is complete."""
+        size = int(dict(head.headers).get(b"content-length", 0))
         while True:
+            self._window.expect(size - len(self._body))
             async with asyncio.timeout(limits.idle_timeout):
                 event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
--- a/src/sapphireledge/limits/__init__.py
+++ b/src/sapphireledge/limits/__init__.py
@@ -15,6 +15,7 @@
 from sapphireledge.limits.ledger_limits import CONNECTION_BYTES, INCLUDED_BYTES, LedgerLimits
 from sapphireledge.limits.limit_log import LOG_INTERVAL, LimitLog
 from sapphireledge.limits.limit_reason import LimitReason
+from sapphireledge.limits.receive_window import ReceiveWindow
 from sapphireledge.limits.response_budget import MAX_RESPONSE_BYTES, RESPONSE_BUDGET
 from sapphireledge.limits.start_listener import (
     ACCEPT_BATCH,
@@ -44,6 +45,7 @@
     "LedgerLimits",
     "LimitLog",
     "LimitReason",
+    "ReceiveWindow",
     "TimeSlice",
     "count_unsent",
     "create_listening_socket",
--- a/src/sapphireledge/limits/start_listener.py
+++ b/src/sapphireledge/limits/start_listener.py
@@ -21,9 +21,6 @@
 QUEUE_LENGTH = 512
 """Length of the accept queue; when it is full, new connections are delayed by seconds."""
 
-RECEIVE_BUFFER = 65_536
-"""Bytes that the kernel keeps of each connection; by itself it lets them grow to megabytes."""
-
 ACCEPT_BATCH = 16
 """Connections accepted in one pass of the event loop. Those that have to give way are closed in the
 next pass, and of the readiness endpoint they are at most a quarter on any machine of the platform,
@@ -71,7 +68,7 @@
 
 
 def create_listening_socket(host: str, port: int) -> socket.socket:
-    """Binds a socket whose connections inherit a bounded receive buffer.
+    """Binds a socket whose connections send without delay.
 
     Args:
         host: IP address.
@@ -87,7 +84,6 @@
     sock = socket.create_server((host, port), family=family, backlog=QUEUE_LENGTH)
     # asyncio sets TCP_NODELAY only on sockets that were created with the protocol named.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
     return sock
 
 
--- a/tests/test_bounded_readers.py
+++ b/tests/test_bounded_readers.py
@@ -12,6 +12,7 @@
 import unittest
 from contextlib import aclosing
 from functools import partial
+from unittest.mock import Mock
 
 import uvicorn
 from gateway_case import HOST, GatewayCase, chunk, encode_json, full_response, signed_response
@@ -25,7 +26,7 @@
 from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
 from sapphireledge.gateway.caller_connection import MAX_UNPARSED_BYTES
 from sapphireledge.gateway.text_endpoint import TextEndpoint
-from sapphireledge.limits import CallerBudgets, CallerLedger, start_listener
+from sapphireledge.limits import CallerBudgets, CallerLedger, ReceiveWindow, start_listener
 from sapphireledge.objects import create_http_client
 from sapphireledge.objects._private import CallError, send_request
 from sapphireledge.platform.store_client import MAX_LISTING_BYTES, StoreClient
@@ -250,9 +251,11 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        self.window = ReceiveWindow(transport)
 
     def data_received(self, data):
         self.received += len(data)
+        self.window.expect(self.BODY - self.received)
         if self.received >= self.BODY:
             self.transport.pause_reading()
 
@@ -263,6 +266,14 @@
         return int.from_bytes(size, sys.byteorder)
 
 
+class UnlimitedProtocol(PausingProtocol):
+    """Receives from a peer or a followed instance."""
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.window = Mock()
+
+
 class ListenerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against unread bytes that the kernel buffers for each connection."""
 
@@ -285,6 +296,32 @@
         protocol.transport.abort()
         self.assertLess(unread, 300_000)
 
+    async def largest_window(self, accept):
+        """Sends a large body to a listener; returns the largest window that it announces."""
+        loop = asyncio.get_running_loop()
+        protocol = accept()
+        server = await start_listener(partial(loop.create_server, lambda: protocol), HOST, 0)
+        self.addCleanup(server.close)
+        client = socket.socket()
+        self.addCleanup(client.close)
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_448)
+        client.setblocking(False)
+        await loop.sock_connect(client, server.sockets[0].getsockname())
+        largest = 0
+        while protocol.received < PausingProtocol.BODY - 16_384:
+            await loop.sock_sendall(client, bytes(16_384))
+            info = client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 232)
+            largest = max(largest, int.from_bytes(info[228:232], sys.byteorder))
+            await asyncio.sleep(0)
+        protocol.transport.abort()
+        return largest
+
+    async def test_large_body_fills_a_round_trip(self):
+        """4 MiB take less than 2 s at a round trip of 60 ms."""
+        for accept in (PausingProtocol, UnlimitedProtocol):
+            with self.subTest(accept=accept):
+                self.assertGreater(await self.largest_window(accept), 200_000)
+
 
 class OwnInterfaceTest(unittest.IsolatedAsyncioTestCase):
     """Guards against engines and platforms of the project's own interface that send without end."""
