--- a/src/sapphireledge/limits/__init__.py
+++ b/src/sapphireledge/limits/__init__.py
@@ -5,6 +5,7 @@
 from sapphireledge.limits.caller_account import CallerAccount
 from sapphireledge.limits.caller_budgets import CallerBudgets
 from sapphireledge.limits.caller_ledger import CallerLedger
+from sapphireledge.limits.count_unsent import count_unsent
 from sapphireledge.limits.head_memory import (
     FIELD_BYTES,
     HEAD_END_OVERLAP,
@@ -14,6 +15,7 @@
 from sapphireledge.limits.ledger_limits import CONNECTION_BYTES, INCLUDED_BYTES, LedgerLimits
 from sapphireledge.limits.limit_log import LOG_INTERVAL, LimitLog
 from sapphireledge.limits.limit_reason import LimitReason
+from sapphireledge.limits.receive_window import ReceiveWindow
 from sapphireledge.limits.response_budget import MAX_RESPONSE_BYTES, RESPONSE_BUDGET
 from sapphireledge.limits.start_listener import (
     ACCEPT_BATCH,
@@ -43,7 +45,9 @@
     "LedgerLimits",
     "LimitLog",
     "LimitReason",
+    "ReceiveWindow",
     "TimeSlice",
+    "count_unsent",
     "create_listening_socket",
     "estimate_head_memory",
     "find_head_end",
