Places for a fleet's peers, descriptors and a test of the gateway's timer

Cause: 64 places for peers that have not authenticated; callers took half of all descriptors, so that none were left for their backend servers. Change: half of the peers' places for joining peers; all descriptors but 200 (at least half) count, of which callers take a quarter and another quarter is left for connections to backend servers and other instances.

--- a/src/sapphireledge/entry/entry_limits.py
+++ b/src/sapphireledge/entry/entry_limits.py
@@ -20,9 +20,8 @@
 
 __all__ = ["EntryLimits"]
 
-OWN_SOCKETS = 32
-"""Sockets kept free for the platform, listeners and pipes."""
-
+OTHER_DESCRIPTORS = 200
+"""Descriptors for files, listeners, pipes and the platform; at most half of all."""
 
 MAX_DESCRIPTORS = 1_048_576
 """Descriptors counted at most, also if the process may open any number."""
@@ -31,8 +30,8 @@
 class EntryLimits:
     """Ledgers of the connections to an entry instance.
 
-    Of the sockets, callers may take half and peers a quarter; the rest is for connections to
-    backend servers and other instances.
+    Of the sockets, callers may take a quarter, peers three eighths and operators an eighth. The
+    rest is for connections to backend servers, one for each caller, and to other instances.
     """
 
     def __init__(self, machine: MachineSettings, metrics: Metrics) -> None:
@@ -45,10 +44,11 @@
         self._metrics = metrics
         self._log = structlog.get_logger()
         self._limit_log = LimitLog()
-        sockets = machine.descriptors or _own_descriptors()
+        descriptors = machine.descriptors or _own_descriptors()
+        sockets = max(descriptors - OTHER_DESCRIPTORS, descriptors // 2)
         budgets = CallerBudgets(memory_bytes=machine.memory, sockets=sockets)
         callers = budgets.callers
-        places = max(1, min(callers.connections, sockets // 2 - OWN_SOCKETS))
+        places = max(1, min(callers.connections, sockets // 4))
         self.callers = CallerLedger(replace(callers, connections=places), self._on_limited)
         """Ledger of the caller interface."""
 
--- a/src/sapphireledge/limits/caller_budgets.py
+++ b/src/sapphireledge/limits/caller_budgets.py
@@ -102,6 +102,14 @@
         """Limits of the connections to one Thrift interface that have not authenticated."""
         return self._endpoint(self.readiness.connections)
 
+    @property
+    def joining_peers(self) -> LedgerLimits:
+        """Limits of connections to the peer interface that have not authenticated.
+
+        All instances of a fleet connect at once to one that has started.
+        """
+        return self._endpoint(max(self.readiness.connections, self.peers.connections // 2))
+
     def _thrift(self, connections: int) -> LedgerLimits:
         """Builds the limits of authenticated connections, which may hold the largest message."""
         messages = self.memory_bytes // 16
--- a/src/sapphireledge/rpc/connection_ledgers.py
+++ b/src/sapphireledge/rpc/connection_ledgers.py
@@ -43,7 +43,7 @@
             Ledgers without connections.
         """
         return cls(
-            CallerLedger(budgets.strangers, on_limited), CallerLedger(budgets.peers, on_limited)
+            CallerLedger(budgets.joining_peers, on_limited), CallerLedger(budgets.peers, on_limited)
         )
 
     @classmethod
--- a/tests/test_bounded_readers.py
+++ b/tests/test_bounded_readers.py
@@ -12,7 +12,7 @@
 import unittest
 from contextlib import aclosing
 from functools import partial
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 import uvicorn
 from gateway_case import HOST, GatewayCase, chunk, encode_json, full_response, signed_response
@@ -24,6 +24,7 @@
 from sapphireledge.feed.feed_channel import read_message
 from sapphireledge.feed.feed_message import FeedRequest
 from sapphireledge.feed.feed_server import MAX_REQUEST_BYTES
+from sapphireledge.gateway import caller_connection
 from sapphireledge.gateway.caller_connection import MAX_UNPARSED_BYTES
 from sapphireledge.gateway.text_endpoint import TextEndpoint
 from sapphireledge.limits import CallerBudgets, CallerLedger, ReceiveWindow, start_listener
@@ -142,6 +143,27 @@
         response = await self.call("/plain/", b"x" * size)
         self.assertEqual(response.status, 200)
 
+    async def test_linger_timer_ends_with_the_connection(self):
+        """An abort of a closed transport raises an exception."""
+        for is_lost in (True, False):
+            with self.subTest(is_lost=is_lost):
+                transport = Mock(spec=asyncio.Transport)
+                transport.get_extra_info.return_value = None
+                transport.get_write_buffer_size.return_value = 5_000
+                conn = self.gateway.create_protocol()
+                with patch.object(caller_connection, "LINGER_TIME", 0.2):
+                    conn.connection_made(transport)
+                    await asyncio.sleep(0)
+                    conn.eof_received()
+                    await asyncio.sleep(0.1)
+                    if is_lost:
+                        conn.connection_lost(None)
+                    transport.get_write_buffer_size.return_value = 4_000
+                    await asyncio.sleep(0.2)
+                    transport.abort.assert_not_called()
+                    await asyncio.sleep(0.3)
+                self.assertEqual(transport.abort.called, not is_lost)
+
     async def test_refusal_reaches_a_caller_that_sends_its_body_first(self):
         """Guards against a reset that overtakes the refusal of a body."""
         head = self.head("/plain/") + b"content-length: 100000000\r\n\r\n"
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -23,6 +23,7 @@
     LimitReason,
     create_listening_socket,
 )
+from sapphireledge.rpc import ConnectionLedgers
 from sapphireledge.settings import CallerSettings, MachineSettings, load_settings
 from sapphireledge.telemetry import Metrics
 
@@ -232,6 +233,13 @@
                 ledgers += [each.strangers, each.clients]
             places = sum(ledger.limits.connections for ledger in ledgers)
             self.assertLessEqual(places, sockets * 7 // 8)
+            outgoing = limits.callers.limits.connections
+            self.assertLessEqual(places + outgoing, max(sockets - 200, sockets // 2))
+
+    def test_a_fleet_can_connect_at_once(self):
+        budgets = CallerBudgets(536_870_912, 4_000)
+        places = ConnectionLedgers.of_peers(budgets, print).strangers.limits.connections
+        self.assertGreaterEqual(places, 200)
 
     def test_largest_legal_requests_fit(self):
         cfg = load_example()
