--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -126,6 +126,23 @@
         self.assertTrue(BufferShare(budget).try_resize(900_000))
         self.assertEqual(self.evicted, ["unread"])
 
+    def test_answers_that_are_read_are_kept(self):
+        """They may take more memory than there is, and no new connection cuts them."""
+        self.ledger.limits = replace(LIMITS, connections=3)
+        unsent = {"read": 9_000_000, "unread": 9_000_000}
+        for name in unsent:
+            account = self.open(0.0, name)
+            account.count_unsent = lambda name=name: unsent[name]
+            account.wait_for_peer(0.0)
+            account.resize(0.0, LIMITS.total_bytes)
+        self.open(0.0, "idle")
+        self.assertTrue(self.ledger.is_overdrawn(1.0))
+        self.assertIsNotNone(self.open(1.0, "new"))
+        self.assertEqual(self.evicted, ["idle"])
+        unsent["read"] -= 40_000
+        self.assertIsNotNone(self.open(2.5, "newer"))
+        self.assertEqual(self.evicted, ["idle", "unread"])
+
     def test_closed_connections_give_back_everything(self):
         accounts = [self.open(0.0) for _ in range(50)]
         for number, account in enumerate(accounts):
