--- a/src/sapphireledge/core/shared_load/shared_load.py
+++ b/src/sapphireledge/core/shared_load/shared_load.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from dataclasses import replace
 from math import inf
 from typing import TYPE_CHECKING
@@ -94,6 +95,16 @@
         self._relayed = (now, replace(merged, services=bound_load(services, instances, limits)))
         self._view = self._heard_view = self._reply_view = None
 
+    def copy(self) -> SharedLoad:
+        """Copies the figures for questions that change nothing, not even when they are merged.
+
+        Returns:
+            The copy.
+        """
+        copied = copy(self)
+        copied._heard = dict(self._heard)
+        return copied
+
     def merge_for(
         self, now: float, instance: str, describe_own: Callable[[float], Mapping[str, ServiceLoad]]
     ) -> MergedLoad:
--- a/src/sapphireledge/core/shedding/load_shedder.py
+++ b/src/sapphireledge/core/shedding/load_shedder.py
@@ -77,6 +77,14 @@
         self._chances: dict[tuple[int, str], float] = {}
         self._divided_at = -inf
 
+    def read_load_from(self, load_elsewhere: Callable[[float], ServiceLoad | None]) -> None:
+        """Sets where the load of other instances is read.
+
+        Args:
+            load_elsewhere: As for the creation.
+        """
+        self._load_elsewhere = load_elsewhere
+
     def on_response(self, now: float, seconds: float, target: float) -> None:
         """Records a response of a server.
 
--- a/src/sapphireledge/core/waiting/waiting_line.py
+++ b/src/sapphireledge/core/waiting/waiting_line.py
@@ -68,14 +68,23 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def copy(self) -> WaitingLine:
+    def copy(
+        self,
+        streams_elsewhere: Callable[[float], Mapping[str, WorkspaceStreams]] = lambda now: {},
+    ) -> WaitingLine:
         """Copies the line for a decision that is not carried out.
 
+        Args:
+            streams_elsewhere: Returns the streams at other instances, as for the creation.
+
         Returns:
             A line that can change without effect on this one.
         """
-        frozen = {id(work): work for _, work in self._waiting.values()}
-        return deepcopy(self, frozen)
+        shared = (self._streams_elsewhere, *(work for _, work in self._waiting.values()))
+        frozen: dict[int, object] = {id(part): part for part in shared}
+        copied = deepcopy(self, frozen)
+        copied._streams_elsewhere = streams_elsewhere
+        return copied
 
     def on_arrival(self, now: float, work: WaitingWork) -> None:
         """Counts a request that arrived at the instance, before it starts or joins the line.
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -20,7 +20,10 @@
 from sapphireledge.gateway.stream_line import StreamLine
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from sapphireledge.core.placement import RefuseStream
+    from sapphireledge.core.shared_load import SharedLoad, WorkspaceStreams
     from sapphireledge.core.waiting import WaitingWork
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
@@ -112,7 +115,9 @@
         copied = EngineSelector(context, source, deepcopy(self._rng))
         copied._recent_dispatches.extend(self._recent_dispatches)
         line = self._lines.get(service)
-        order = WaitingLine(WAITING_LIMITS, Random()) if line is None else line.order.copy()
+        shared = context.shared_load
+        streams = partial(_read_streams, shared, service)
+        order = WaitingLine(WAITING_LIMITS, Random()) if line is None else line.order.copy(streams)
         preview = copied._lines[service] = LinePreview(order)
         return copied, preview
 
@@ -159,7 +164,8 @@
         line = self._lines.get(service)
         if line is None:
             shared = self._context.shared_load
-            order = WaitingLine(WAITING_LIMITS, Random(), lambda now: shared.streams(now, service))
+            streams = partial(_read_streams, shared, service)
+            order = WaitingLine(WAITING_LIMITS, Random(), streams)
             self._context.load_exchange.add_line(service, order)
             line = StreamLine(
                 order,
@@ -189,3 +195,8 @@
         line = self._lines.get(server.service)
         if isinstance(line, StreamLine):
             line.wake()
+
+
+def _read_streams(shared: SharedLoad, service: str, now: float) -> Mapping[str, WorkspaceStreams]:
+    """Returns the streams of each workspace at the other instances of the data centre."""
+    return shared.streams(now, service)
--- a/src/sapphireledge/gateway/explain_request.py
+++ b/src/sapphireledge/gateway/explain_request.py
@@ -154,9 +154,7 @@
 
     def _describe_shared_load(self) -> str:
         """Describes what is known of the load of other instances."""
-        shared = getattr(self._gateway.context, "shared_load", None)
-        if shared is None:
-            return ""
+        shared = self._gateway.context.shared_load.copy()
         summary = asdict(shared.summary(asyncio.get_running_loop().time()))
         return ", ".join(f"{name} {value}" for name, value in summary.items())
 
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -245,7 +245,10 @@
         copied.telemetry = telemetry
         copied.registry = self.registry.copy_for(service)
         copied.rollouts = self.rollouts.copy_for(service, copied.registry)
+        copied.shared_load = shared = self.shared_load.copy()
         copied._shedders = _copy_entry(self._shedders, service)
+        for shedder in copied._shedders.values():
+            shedder.read_load_from(lambda now: shared.service(now, service))
         copied._estimators = _copy_entry(self._estimators, service)
         copied._generation_estimators = _copy_entry(self._generation_estimators, service)
         copied._allowances = {}
--- a/tests/test_feed_load.py
+++ b/tests/test_feed_load.py
@@ -160,7 +160,7 @@
         wrong = (b"", b"\xc1", b"\x93\x01\x02\x03", "text", 7, [1, [2]], b"\x90" * 3_000)
         with structlog.testing.capture_logs() as lines:
             for load in wrong:
-                write_message(writer, FeedRequest({"servers": None}, True, None, load))
+                write_message(writer, FeedRequest({"servers": None}, True, load=load))
                 self.assertIn("servers", (await read_message(reader, OldReply)).kinds)
             for load in wrong:
                 self.instances[0].exchange.on_reply(load)
@@ -193,7 +193,7 @@
         for number in range(5):
             services = {"s": ServiceLoad({f"w{number}": WorkspaceStreams(9.0, 1.0, 1.0)})}
             data = encode_digest(LoadDigest(f"f{number}", 1, 1, services))
-            write_message(writer, FeedRequest({"servers": None}, True, None, data))
+            write_message(writer, FeedRequest({"servers": None}, True, load=data))
             await read_message(reader, OldReply)
         await asyncio.sleep(2.0 * LIMITS.merge_interval)
         self.assertEqual(set(self.instances[0].usage()), {"w0"})
@@ -268,7 +268,7 @@
         services = self.services(lambda number: f"{number}".ljust(64, "w"))
         digest = trim_load(services, LIMITS.max_services, LIMITS.digest_rows)
         data = encode_digest(LoadDigest("i" * 64, 2**32 - 1, 2**32, digest))
-        request = FeedRequest({f"kind-{n}" * 4: 2**40 for n in range(8)}, False, 2**40, data)
+        request = FeedRequest({f"kind-{n}" * 4: 2**40 for n in range(8)}, False, 2**40, load=data)
         self.assertLess(len(encode_message(request)), MAX_REQUEST_BYTES)
         merged = trim_load(services, LIMITS.max_services, LIMITS.merged_rows)
         self.assertLess(len(encode_merged(MergedLoad(10**6, 3.0, merged))), MAX_LOAD_BYTES)
