--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -16,7 +16,6 @@
     RESPONSE_BUDGET,
     BufferShare,
     LimitReason,
-    ReceiveWindow,
     TimeSlice,
     count_unsent,
     estimate_head_memory,
@@ -147,7 +146,6 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
-        self._window = ReceiveWindow(transport)
         self._task = asyncio.create_task(self._run())
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -429,9 +427,7 @@
 
     async def _read_body(self, head: h11.Request, limits: CallerLimits) -> bool:
         """Reads a request body; returns whether it is complete."""
-        size = int(dict(head.headers).get(b"content-length", 0))
         while True:
-            self._window.expect(size - len(self._body))
             async with asyncio.timeout(limits.idle_timeout):
                 event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
--- a/tests/test_caller_protocol.py
+++ b/tests/test_caller_protocol.py
@@ -42,6 +42,13 @@
     return replace(cfg, telemetry=replace(cfg.telemetry, statsd_host=""))
 
 
+class LargeAnswers:
+    """Holds the first large answers back until all requests for them have arrived."""
+
+    expected = 1
+    arrived = 0
+
+
 async def echo(scope, receive, send):
     """Answers with the path and the size of the body; /early answers without reading it.
 
@@ -56,7 +63,10 @@
         more = message["more_body"]
     body = f"{scope['path']} {size}".encode()
     if scope["path"] == "/large":
+        LargeAnswers.arrived += 1
         await asyncio.sleep(0.1)
+        while LargeAnswers.arrived < LargeAnswers.expected:
+            await asyncio.sleep(0.01)
         body = bytes(LARGE)
     headers = [(b"content-length", b"%d" % len(body))]
     await send({"type": "http.response.start", "status": 200, "headers": headers})
@@ -170,6 +180,8 @@
         return received
 
     async def test_answers_that_are_read_are_not_cut_for_memory(self):
+        LargeAnswers.arrived, LargeAnswers.expected = 0, 12
+        self.addCleanup(setattr, LargeAnswers, "expected", 1)
         readers = [await self.start_reading() for _ in range(12)]
         received = await asyncio.gather(*map(self.read_steadily, readers))
         self.assertEqual(received, [LARGE] * 12)
