--- a/tests/test_explain_platform.py
+++ b/tests/test_explain_platform.py
@@ -21,6 +21,7 @@
 from test_explain_command import run
 
 from sapphireledge.errors import ERROR_ANSWERS, ErrorKind
+from sapphireledge.gateway import seconds_since_boot
 from sapphireledge.limits import CallerBudgets, CallerLedger
 from sapphireledge.operator import GatewayOperatorServer
 from sapphireledge.platform.node_settings import load_node_settings
@@ -46,6 +47,14 @@
         self.addAsyncCleanup(self.server.stop)
         await self.add("llm", stream)
         await self.add("llm", stream, "dc-b")
+        confirming = asyncio.create_task(self.confirm_config())
+        self.addCleanup(confirming.cancel)
+
+    async def confirm_config(self):
+        """Confirms the configuration like the feed, however long a command takes to start."""
+        while True:
+            self.gateway.config.confirm(seconds_since_boot())
+            await asyncio.sleep(0.5)
 
     async def run_command(self, *arguments, secret=SECRET):
         return await asyncio.to_thread(run, f"{HOST}:{self.server.port}", *arguments, secret=secret)
