--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -102,6 +102,8 @@
         self._objects: dict[str, dict[str, dict]] = {}
         self._changes: list[tuple[int, str, dict, bool]] = []
         self._changed = asyncio.Event()
+        self._era = 1
+        self._past: list[tuple[float, int, dict[str, dict[str, dict]]]] = []
         self._writers: set[asyncio.StreamWriter] = set()
         self._cut: set[str] = set()
         self._watch_started: dict[str, asyncio.Future[str]] = {}
@@ -175,7 +177,19 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def restore(self, age: float) -> None:
+        """Comes back from a copy that is some seconds old, after an outage."""
+        copied_before = time.monotonic() - age
+        _, self.revision, objects = [copy for copy in self._past if copy[0] <= copied_before][-1]
+        self._objects = {kind: dict(items) for kind, items in objects.items()}
+        self._changes = [change for change in self._changes if change[0] <= self.revision]
+        self._past = [copy for copy in self._past if copy[0] <= copied_before]
+        self._era += 1
+        self.set_down(False)
+
     def _record(self, kind: str, item: dict, *, removed: bool) -> None:
+        copied = {name: dict(items) for name, items in self._objects.items()}
+        self._past.append((time.monotonic(), self.revision, copied))
         self._changes.append((self.revision, kind, item, removed))
         self._changed.set()
         self._changed = asyncio.Event()
@@ -191,7 +205,7 @@
                 status, body = await self._answer(request, door)
                 if door in self._cut:
                     await asyncio.sleep(3600.0)
-                head = {"Content-Type": "application/json", "Store-Era": "1"}
+                head = {"Content-Type": "application/json", "Store-Era": str(self._era)}
                 writer.write(encode_response(status, head, json.dumps(body).encode()))
                 await writer.drain()
         except (OSError, asyncio.CancelledError):
@@ -243,6 +257,8 @@
 
     async def _watch(self, kind: str, since: int, wait: float) -> tuple[int, object]:
         deadline = time.monotonic() + wait
+        if since > self.revision:
+            return 410, {}
         while True:
             events = []
             for revision, changed_kind, item, removed in reversed(self._changes):
@@ -330,6 +346,8 @@
         self._expects_end = False
         self._watch: asyncio.Task[None] | None = None
         self.on_start = lambda machine: None
+        self.stop_time = 4.5
+        """Seconds that a planned stop and the new start take; the process ends after about 4 s."""
 
     @property
     def front(self) -> tuple[str, int]:
@@ -466,6 +484,16 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def restart(self) -> None:
+        """Stops the process as planned, and starts it again half a second after its end."""
+        assert self.process is not None and self._watch is not None
+        self._watch.cancel()
+        self.signal(signal.SIGTERM)
+        await asyncio.wait_for(self.process.wait(), BOUNDS["grace_s"])
+        self._record.write(f"{self.name} ended, code {self.process.returncode}")
+        await asyncio.sleep(0.5)
+        await self.start()
+
     async def stop(self) -> None:
         """Ends the process at the end of the script."""
         self._expects_end = True
