--- a/review/10/run.py
+++ b/review/10/run.py
@@ -18,11 +18,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MACHINES = 3
 CHANGED = 2
-"""Machines whose settings files change: 0.6 of the machines, rounded up."""
-
-CHANGES = 5
-"""Changes of the settings file of each of them."""
+"""Machines that are stopped and started, and whose settings files change: 0.6 of the machines."""
 
+ROUNDS = 3
 HUP_DELAY = 0.02
 """Seconds from the start of a process to the signal that its settings file has changed."""
 
@@ -52,22 +50,28 @@
 
 
 class SettingsChanger:
-    """Changes the settings file of a machine soon after its process has started."""
+    """Changes the settings file of a machine soon after its planned start."""
 
     def __init__(self) -> None:
-        self._changes: dict[str, int] = {}
+        self._round = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def on_start(self, machine: Machine) -> None:
-        done = self._changes.get(machine.name, 0)
-        if TROUBLE and done < CHANGES:
-            self._changes[machine.name] = done + 1
-            task = asyncio.create_task(self._change(machine, done + 1))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _change(self, machine: Machine, number: int) -> None:
-        machine.write_settings(changed=number)
+    async def restart(self, machine: Machine) -> bool:
+        """Stops and starts a machine as planned; returns whether it gets ready."""
+        self._round += 1
+        if TROUBLE:
+            machine.on_start = self._on_planned_start
+        await machine.restart()
+        return await machine.wait_ready()
+
+    def _on_planned_start(self, machine: Machine) -> None:
+        machine.on_start = lambda machine: None
+        task = asyncio.create_task(self._change(machine))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _change(self, machine: Machine) -> None:
+        machine.write_settings(changed=self._round)
         await asyncio.sleep(HUP_DELAY)
         machine.signal(signal.SIGHUP)
 
@@ -86,19 +90,23 @@
     ]
     changer = SettingsChanger()
     try:
-        for machine in machines[:CHANGED]:
-            machine.on_start = changer.on_start
         for machine in machines:
             await machine.start()
-        await asyncio.sleep(6.0)
-        ready = [await machine.wait_ready() for machine in machines]
-        for machine, is_ready in zip(machines, ready, strict=True):
-            record.write(
-                f"{machine.name}: {machine.starts} starts, {machine.own_ends} ends by itself,"
-                f" ready at the end: {is_ready}"
-            )
+        for machine in machines:
+            if not await machine.wait_ready():
+                record.write(f"{machine.name} is not ready")
+                return 2
+        ready = []
+        for _ in range(ROUNDS):
+            for machine in machines[:CHANGED]:
+                ready.append(await changer.restart(machine))
         if not all(ready):
+            record.write("a machine did not get ready again")
             return 2
+        for machine in machines:
+            record.write(
+                f"{machine.name}: {machine.starts} starts, {machine.own_ends} ends by itself"
+            )
         ended = [machine for machine in machines if machine.own_ends >= 3]
         # On a tenth of the machines in use, two at least, three ends in the day.
         is_broken = len(ended) >= 2
