--- a/review/10/run.py
+++ b/review/10/run.py
@@ -16,9 +16,9 @@
 from fleet import Machine, Record, Runner, Store, find_network, is_built  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MACHINES = 3
+MACHINES = 4
 CHANGED = 2
-"""Machines that are stopped and started, and whose settings files change: 0.6 of the machines."""
+"""Machines that are stopped and started, and whose settings files change: half of them."""
 
 ROUNDS = 3
 HUP_DELAY = 0.02
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -26,11 +26,17 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MACHINES = 3
-CLIENTS = 4
+CLIENTS = 5
 """Clients of each machine, each with one kept connection."""
 ADDED_ROUTES = 350
-CHANGES = 590
-CHANGE_GAP = 0.12
+ADDITIONS = 2
+"""Times that the configuration grows, with the first versions that are written."""
+
+STORMS = 21
+STORM_CHANGES = 12
+CHANGE_GAP = 0.33
+"""Storms of 4.0 s, one after the other, and the time between their versions."""
+
 FIRST_ROUTES = 17
 KEYS = [f"key{number:017d}" for number in range(20)]
 
@@ -43,7 +49,7 @@
         return "".join(names.choices("abcdefghijklmnopqrstuvwxyz0123456789", k=7))
 
     routes = []
-    for number in range(FIRST_ROUTES + (ADDED_ROUTES if version > 1 else 0)):
+    for number in range(FIRST_ROUTES + ADDED_ROUTES * min(version - 1, ADDITIONS)):
         routes.append(
             {
                 "name": f"r-{word()}",
@@ -94,7 +100,8 @@
         self._runners = runners
         self._count = 0
         self.served = 0
-        self.lost: list[str] = []
+        self.lost: dict[str, list[str]] = {}
+        """Requests that got no answer, by machine."""
 
     async def run_client(self, machine: Machine, key: str) -> None:
         client = Client(machine.front)
@@ -128,7 +135,7 @@
                 f" passed on: {has_run}, kept connection: {is_kept}"
             )
             if has_run and is_kept:
-                self.lost.append(request_id)
+                self.lost.setdefault(machine.name, []).append(request_id)
 
 
 async def play(folder: Path) -> int:
@@ -158,7 +165,7 @@
             for number in range(CLIENTS):
                 tasks.append(asyncio.create_task(load.run_client(machine, KEYS[number])))
         await asyncio.sleep(2.0)
-        for version in range(2, CHANGES + 2):
+        for version in range(2, 2 + STORMS * STORM_CHANGES):
             if TROUBLE:
                 store.put("config", "main", build_config(version, rng))
             await asyncio.sleep(CHANGE_GAP)
@@ -170,11 +177,12 @@
             record.write(
                 f"{machine.name}: {machine.own_ends} ends by itself, peak {machine.peak_mb:.1f} MB"
             )
-        record.write(f"served {load.served}; closed without an answer: {len(load.lost)}")
+        record.write(f"served {load.served}; closed without an answer: {load.lost}")
         if load.served < 100:
             return 2
-        ends = sum(machine.own_ends for machine in machines)
-        is_broken = ends > 0 and len(load.lost) > 3
+        is_broken = any(
+            machine.own_ends and len(load.lost.get(machine.name, ())) > 3 for machine in machines
+        )
         record.write("LOST is broken" if is_broken else "LOST holds")
         return 1 if is_broken else 0
     finally:
--- a/review/standins-2/engine_process.py
+++ b/review/standins-2/engine_process.py
@@ -19,6 +19,8 @@
 PREFILL_TIME = 0.5
 PROMPT_TOKENS = 6000
 LEAST_ANSWERS = 20
+GARBLE_TIME = 5.0
+"""One of at least so many answers in so many seconds has no frames."""
 
 
 class EngineProcess:
@@ -27,7 +29,7 @@
     def __init__(self, name: str, *, may_leave_frames_out: bool) -> None:
         self._name = name
         self._may_leave_frames_out = may_leave_frames_out
-        self._answers = 0
+        self._answered_at: list[float] = []
         self._runs: dict[str, int] = {}
         self._born = int(time.time() * 1000)
 
@@ -39,7 +41,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while (request := await read_request(reader)) is not None:
-                self._answers += 1
+                self._answered_at.append(time.monotonic())
                 if not await self._answer(request, writer):
                     break
                 await writer.drain()
@@ -78,14 +80,16 @@
         }
 
     async def _stream(self, request: Request, writer: asyncio.StreamWriter) -> bool:
-        is_framed = not self._may_leave_frames_out or self._answers < LEAST_ANSWERS
+        since = time.monotonic() - GARBLE_TIME
+        answers = sum(1 for at in self._answered_at if at >= since)
+        is_framed = not self._may_leave_frames_out or answers < LEAST_ANSWERS
         if not is_framed:
             self._may_leave_frames_out = False
         request_id = request.headers[PREFIX + "request-id"]
         last = int(request.headers.get("last-event-id", "-1"))
         print(
-            f"{self._name} runs {request_id} after event {last}, answer {self._answers},"
-            f" framed: {is_framed}",
+            f"{self._name} runs {request_id} after event {last}, one of {answers}"
+            f" answers in {GARBLE_TIME} s, framed: {is_framed}",
             flush=True,
         )
         self._runs[request_id] = last + 1
