--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,4 +1,4 @@
-"""A day's worth of configuration changes; see claim.txt."""
+"""Many changes of a large configuration; see claim.txt."""
 
 from __future__ import annotations
 
