--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,23 @@
+#!/bin/sh
+# Builds the packages and the launcher of an entry instance under target/.
+#
+# Arguments: build.sh [launcher [FOLDER]]; with "launcher", only that, in FOLDER.
+set -eu
+cd "$(dirname "$0")/.."
+part=${1:-all}
+folder=${2:-target/bin}
+if [ "$part" = all ] && ! [ target/deps -nt deploy/requirements.txt ]; then
+    python3 -m pip install -q -U --target target/deps -r deploy/requirements.txt
+fi
+python=$(python3 -c 'import sys; print(sys.executable)')
+library=$("$python" - <<'END'
+import sysconfig
+from pathlib import Path
+
+library = Path(sysconfig.get_config_var("LIBDIR"), sysconfig.get_config_var("INSTSONAME"))
+print(library if ".so" in library.name and library.exists() else "")
+END
+)
+mkdir -p "$folder"
+cc -O2 -Wall -Wextra -Werror -DPYTHON="\"$python\"" -DPYTHON_LIBRARY="\"$library\"" \
+    -o "$folder/sapphireledge-python" deploy/python_launcher.c -ldl
--- a/soak/entry.py
+++ b/soak/entry.py
@@ -6,27 +6,27 @@
 import json
 import os
 import signal
-import sys
 import time
-from pathlib import Path
 from typing import TYPE_CHECKING
 
+from devtools.entry_program import ROOT, read_run_command
 from soak.link import Link
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from soak.store import Store
 
 __all__ = ["Entry"]
 
-PROGRAM = Path(__file__).resolve().parent.parent / "src" / "sapphireledge_entry.py"
 ABORT_REPORT_TIME = 0.3
 """Seconds that an aborted process gets to write its traceback."""
 
 GRACE = 8.0
 """Seconds to exit after SIGTERM, then the process is aborted and killed; also its `grace_s`."""
 
-INTERPRETER_TIME = 0.3
-"""Seconds from process start to the program's first statement on a busy machine."""
+ALLOWED_CODES = (0, -signal.SIGKILL)
+"""Exit codes of a planned stop; another fault may kill the process meanwhile."""
 
 FRONT_PORT, READY_PORT, PEER_PORT = 7100, 7101, 7340
 
@@ -48,6 +48,7 @@
         self.active_pauses = 0
         """Overlapping pauses that have not ended yet."""
         self._restarting = asyncio.Lock()
+        self._command = read_run_command(folder)
         self._settings = folder / f"{self.name}.json"
         self._log = folder / f"{self.name}.log"
 
@@ -84,8 +85,8 @@
         self.last_disturbed = time.monotonic()
         with self._log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(PROGRAM),
+                *self._command,
+                cwd=ROOT,
                 stdout=log,
                 stderr=log,
                 # The kernel hangs up a stopped process whose shell ends; see devtools/local_fleet.
@@ -124,11 +125,6 @@
             A description of the unexpected exit, or an empty string.
         """
         self.stopping_since = time.monotonic()
-        # Before the program's first statement SIGTERM ends the interpreter with the default action;
-        # no request was accepted by then.
-        allowed = {0, -signal.SIGKILL}
-        if self.stopping_since - self.last_disturbed < INTERPRETER_TIME:
-            allowed.add(-signal.SIGTERM)
         self.send_signal(signal.SIGTERM)
         assert self.process is not None
         try:
@@ -140,7 +136,7 @@
             await asyncio.sleep(ABORT_REPORT_TIME)
             self.kill()
             return f"{self.name} did not end within its grace time"
-        return f"{self.name} ended with code {code}" if code not in allowed else ""
+        return f"{self.name} ended with code {code}" if code not in ALLOWED_CODES else ""
 
     def kill(self) -> None:
         """Kills the process with SIGKILL."""
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from random import Random
 
+from devtools.entry_program import build_launcher
 from soak.backend import Backend
 from soak.caller import Caller
 from soak.entry import Entry
@@ -153,6 +154,7 @@
     async def _start(self) -> None:
         await self.store.start()
         self.write_config()
+        build_launcher(self._folder)
         entries, backends, _ = self._sizes
         for number in range(backends):
             service = "llm" if number % 2 else "app"
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import os
 import signal
@@ -35,10 +36,9 @@
 from sapphireledge.platform.settings_reloader import SettingsReloader
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from sapphireledge.feed import FeedRunner
     from sapphireledge.platform.operator_settings import OperatorSettings
+    from sapphireledge.process_signals import ProcessSignals
 
 __all__ = ["main"]
 
@@ -49,16 +49,23 @@
 """Exit code for unusable settings."""
 
 
-def main(early_stop_signals: Sequence[int] = ()) -> int:
+def main(signals: ProcessSignals) -> int:
     """Runs one entry instance until SIGTERM.
 
     Args:
-        early_stop_signals: Stop signals received before the event loop handles them; may still
-            grow until then.
+        signals: Signals of the process, with handlers installed.
 
     Returns:
         Exit code.
     """
+    try:
+        return _run(signals)
+    finally:
+        signals.ignore()
+
+
+def _run(signals: ProcessSignals) -> int:
+    """Reads the settings file and runs the instance; returns the exit code."""
     _configure_logging()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
@@ -67,7 +74,7 @@
         structlog.get_logger().error(GatewayEvent.SETTINGS_REJECTED, reason=str(exc))
         return EXIT_BAD_SETTINGS
     operators = _prepare_operators(cfg.operator_address)
-    asyncio.run(_serve(path, cfg, operators, early_stop_signals))
+    asyncio.run(_serve(path, cfg, operators, signals))
     return 0
 
 
@@ -88,7 +95,7 @@
     path: Path,
     cfg: NodeSettings,
     operators: OperatorSettings | None,
-    early_stop_signals: Sequence[int],
+    signals: ProcessSignals,
 ) -> None:
     """Runs the instance in the event loop until it is stopped."""
     metrics = GatewayMetrics()
@@ -105,18 +112,17 @@
     if operators is not None:
         parts.append(OperatorListener(operators, gateway))
     reloader = SettingsReloader(path, cfg, gateway)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, _begin_shutdown, server, runner)
-    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
-    if early_stop_signals:
+    if signals.is_stop_requested:
         return
-    tasks = [asyncio.create_task(part.run()) for part in (*parts, reloader)]
-    try:
-        await server.run()
-    finally:
-        for task in tasks:
-            task.cancel()
+    stop = functools.partial(_begin_shutdown, server, runner)
+    actions = {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reloader.reload}
+    with signals.delivered_to(asyncio.get_running_loop(), actions):
+        tasks = [asyncio.create_task(part.run()) for part in (*parts, reloader)]
+        try:
+            await server.run()
+        finally:
+            for task in tasks:
+                task.cancel()
 
 
 def _begin_shutdown(server: GatewayServer, runner: FeedRunner) -> None:
--- a/src/sapphireledge/telemetry/log_event.py
+++ b/src/sapphireledge/telemetry/log_event.py
@@ -16,6 +16,9 @@
     INSTANCE_READY = "instance_ready"
     """The instance accepts new work."""
 
+    SETTINGS_NOT_RELOADED = "settings_not_reloaded"
+    """SIGHUP arrived; changed settings take effect when the instance is started again."""
+
     INSTANCE_DRAINING = "instance_draining"
     """A graceful shutdown began."""
 
--- a/src/sapphireledge_entry.py
+++ b/src/sapphireledge_entry.py
@@ -2,19 +2,15 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 
-early_stop_signals: list[int] = []
-"""Stop signals received while the packages are still being imported.
+from sapphireledge.process_signals import ProcessSignals
 
-They are only recorded: an exception during the import of an extension module can crash the
-interpreter.
-"""
-
-signal.signal(signal.SIGTERM, lambda number, frame: early_stop_signals.append(number))
+signals = ProcessSignals()
+# Before the other imports, which take longer than the rest of the start.
+signals.install()
 
 from sapphireledge.platform.main import main  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(main(early_stop_signals))
+    sys.exit(main(signals))
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -209,7 +209,8 @@
 
     def test_no_process_of_a_deployment_imports_it(self):
         code = (
-            "import sys, sapphireledge.daemon, sapphireledge.platform.main, sapphireledge.cli\n"
+            "import sys, sapphireledge.cli, sapphireledge.daemon_runner\n"
+            "import sapphireledge.platform.main\n"
             "names = {name.split('.')[0] for name in sys.modules}\n"
             "print(sorted(names & {'sapphireledge_experiment', 'numpy', 'scipy', 'matplotlib'}))"
         )
