--- a/src/sapphireledge/backends/_private.py
+++ b/src/sapphireledge/backends/_private.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import time
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -25,6 +27,7 @@
     from aiosonic import HTTPClient
 
 __all__ = [
+    "CALL_ID",
     "Chunk",
     "ErrorBody",
     "HttpReply",
@@ -39,10 +42,17 @@
 ]
 
 
+CALL_ID = "X-Call-Id"
+"""Header with the id of a call, which servers repeat in the response."""
+
+_process_id = os.urandom(6).hex()
+_call_numbers = itertools.count(1)
+
+
 class SendProgress:
     """Progress of sending one call; it shows whether a failed call can have reached the server."""
 
-    __slots__ = ("_response_timeout", "_timeout", "acquired", "sent")
+    __slots__ = ("_response_timeout", "_timeout", "acquired", "call_id", "sent")
 
     current: ContextVar[SendProgress | None] = ContextVar("sapphireledge_send_mark", default=None)
     """Progress of the call that the current task is making."""
@@ -51,6 +61,9 @@
         self._timeout = timeout
         self._response_timeout = response_timeout
 
+        self.call_id = f"{_process_id}.{next(_call_numbers)}"
+        """Id of the call, unique among the calls of all instances."""
+
         self.acquired = False
         """Whether the pool assigned a connection to the call."""
 
@@ -71,6 +84,9 @@
     its response arrives; the next call would then read the response to the earlier one. It also
     reuses a connection that the server has already closed, so that a clean restart of the server
     would lead to a call with an unknown outcome.
+
+    A server may repeat a response where the next one is expected. So a response must have the id of
+    its call, except for the first one on a connection, which is not reused after it.
     """
 
     invalidated_at: Mapping[str, float] = MappingProxyType({})
@@ -79,6 +95,11 @@
     opened = 0.0
     """Monotonic time at which the connection was opened."""
 
+    _call_id = ""
+    _response_id: str | None = None
+    _is_reading_head = False
+    _has_unnamed_response = False
+
     def reuse(self, urlparsed: ParseResult, verify: bool) -> bool:
         """Allows reuse unless the connection was invalidated, closed or has unread data."""
         progress = SendProgress.current.get()
@@ -89,11 +110,12 @@
             return False
         if reader is not None and (reader.at_eof() or reader._buffer):
             return False
-        return super().reuse(urlparsed, verify)
+        return not self._has_unnamed_response and super().reuse(urlparsed, verify)
 
     async def _connection_made(self) -> None:
         """Records the time of opening."""
         self.opened = time.monotonic()
+        self._has_unnamed_response = False
         await super()._connection_made()
 
     def write(self, data: bytes) -> None:
@@ -101,8 +123,34 @@
         progress = SendProgress.current.get()
         if progress is not None:
             progress.mark_sent()
+            self._call_id = progress.call_id
         super().write(data)
 
+    async def readuntil(self, separator: bytes = b"\r\n") -> bytes:
+        """Reads the first line of a response."""
+        self._is_reading_head = True
+        self._response_id = None
+        return await super().readuntil(separator)
+
+    async def readline(self) -> bytes:
+        """Reads a line, and checks the id of the response at the end of its head."""
+        line = await super().readline()
+        if self._is_reading_head:
+            name, separator, value = line.decode("latin-1").partition(":")
+            if not separator:
+                self._is_reading_head = False
+                self._check_response_id()
+            elif name.strip().lower() == CALL_ID.lower():
+                self._response_id = value.strip()
+        return line
+
+    def _check_response_id(self) -> None:
+        """Raises HttpParsingError for a response that may be the one to another call."""
+        if self._response_id is None and not self.reused:
+            self._has_unnamed_response = True
+        elif self._response_id != self._call_id:
+            raise HttpParsingError("the response may belong to another call")
+
     async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
         """Closes the connection after a failed call, otherwise returns it to the pool."""
         if exc_type is not None:
@@ -235,6 +283,9 @@
     call_timeout = asyncio.timeout(connect_timeout)
     progress = SendProgress(call_timeout, response_timeout)
     token = SendProgress.current.set(progress)
+    headers = options.get("headers") or {}
+    others = {name: value for name, value in headers.items() if name.lower() != CALL_ID.lower()}
+    options["headers"] = {**others, CALL_ID: progress.call_id}
     try:
         async with call_timeout:
             return await client.request(url, method, **options)
--- a/src/sapphireledge/backends/service_client.py
+++ b/src/sapphireledge/backends/service_client.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
-from sapphireledge.backends._private import read_reply, send_request
+from sapphireledge.backends._private import CALL_ID, read_reply, send_request
 from sapphireledge.backends.call_failure import CallFailure
 from sapphireledge.backends.service_response import ServiceResponse
 
@@ -73,4 +73,5 @@
         if isinstance(reply, CallFailure):
             return reply
         names = {name.lower(): value for name, value in reply.headers.items()}
+        names.pop(CALL_ID.lower(), None)
         return ServiceResponse(reply.status, reply.body, names)
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -58,6 +58,7 @@
         self._name = name
         self._exchange = exchange
         self._load_due_at = 0.0
+        self._request_count = 0
         self._epoch = epoch
         self._feeds = feeds
         self.reply_count = 0
@@ -101,6 +102,7 @@
     ) -> None:
         """Sends one request and applies the reply."""
         sent_at = seconds_since_boot()
+        self._request_count += 1
         write_message(writer, self._build_request(sent_at, at_once=at_once))
         timeout = self._cfg.first_reply_timeout if at_once else self._cfg.reply_timeout
         try:
@@ -108,6 +110,8 @@
                 reply = await read_message(reader, FeedReply)
         except TimeoutError as exc:
             raise SourceError("relay did not reply in time") from exc
+        if reply.number not in (self._request_count, None):
+            raise SourceError("the reply is one to another request")
         self.has_reply = True
         if not reply.kinds:
             raise SourceError("relay is not reading the store, or is stopping")
@@ -131,7 +135,9 @@
     def _build_request(self, now: float, *, at_once: bool) -> FeedRequest:
         """Builds a request, with the load that this instance has seen unless just sent."""
         revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
-        request = FeedRequest(revisions, at_once, self._epoch.current, self._name)
+        request = FeedRequest(
+            revisions, at_once, self._epoch.current, self._name, number=self._request_count
+        )
         if self._exchange is None or (now < self._load_due_at and not at_once):
             return request
         self._load_due_at = now + MIN_LOAD_INTERVAL
--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -29,6 +29,9 @@
     load: Any = None
     """Load that the follower has seen, encoded by `LoadExchange`; None from older instances."""
 
+    number: int | None = None
+    """Number of the request on its connection; None from older instances."""
+
 
 class FeedEntry(msgspec.Struct, frozen=True, array_like=True):
     """One object, or its removal."""
@@ -76,3 +79,6 @@
 
     load: Any = None
     """Load that other instances have seen, encoded by `LoadExchange`; None from older instances."""
+
+    number: int | None = None
+    """Number of the request; None from older instances."""
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -119,6 +119,7 @@
                 follower = self._read_load(request, name)
                 name = name or follower
                 reply = await self._build_reply(request)
+                reply = replace(reply, number=request.number)
                 if self._exchange is not None and follower and reply.kinds:
                     reply = replace(reply, load=self._exchange.answer(follower))
                 next_reply_at = seconds_since_boot() + MIN_REPLY_INTERVAL
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -45,7 +45,7 @@
         """Creates a watcher.
 
         Args:
-            source: Source with a connection that no other watcher uses.
+            source: Source that no other watcher uses; it makes one call at a time.
             feed: Feed to apply listings and changes to.
             kind_cfg: Settings of the kind.
             cfg: Settings of the feed.
--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -66,6 +66,10 @@
         """Id of the latest request on this connection, empty if it had none."""
 
         self._has_answered = False
+        self.identifies_responses = True
+        """Whether each response so far carried the id of its request. Otherwise a late copy of one
+        cannot be told from the response to a call without an id."""
+
         self.must_close = False
         """Whether the connection must not be reused for another request."""
 
@@ -137,12 +141,16 @@
         data += self._parser.send(h11.EndOfMessage()) or b""
         self._writer.write(data)
 
-    async def read_head(self, dialect: Dialect, request_id: str) -> ResponseHead:
+    async def read_head(
+        self, dialect: Dialect, request_id: str, *, is_told_by_body: bool = False
+    ) -> ResponseHead:
         """Reads the head of the response, skipping responses to other requests.
 
         Args:
             dialect: Decoder of the platform's headers.
-            request_id: Id of the request that was sent.
+            request_id: Id of the request that was sent, empty for a call without one.
+            is_told_by_body: Whether the caller tells by the body whether a response without an id
+                is the one to its call.
 
         Returns:
             The head.
@@ -159,9 +167,11 @@
             head = dialect.decode_response(event.status_code, tuple(event.headers))
             self.must_close = self.must_close or head.closes_connection
             self.idle_timeout = head.idle_timeout
-            if head.request_id is None and request_id and self._has_answered:
+            is_expected = is_told_by_body or self._expects_unnamed_response(request_id)
+            if head.request_id is None and not is_expected:
                 raise BackendResponseError("the response may belong to an earlier request")
             if head.request_id is None or head.request_id == request_id:
+                self.identifies_responses &= head.request_id is not None
                 self.last_request_id = request_id
                 self.on_response(head)
                 return head
@@ -214,6 +224,14 @@
         self.must_close = True
         self._writer.transport.abort()
 
+    def _expects_unnamed_response(self, request_id: str) -> bool:
+        """Whether a response without an id can only be the one to the request.
+
+        It may be a late copy of an earlier one if the request has an id, which servers repeat, or
+        if an earlier response had none.
+        """
+        return not self._has_answered or (not request_id and self.identifies_responses)
+
     def _on_response_complete(self) -> None:
         """Prepares the parser for the next response, or marks the connection to be closed."""
         self._is_complete = True
--- a/src/sapphireledge/gateway/connection_pool.py
+++ b/src/sapphireledge/gateway/connection_pool.py
@@ -61,15 +61,23 @@
         together, 0 if unknown."""
 
     async def acquire(
-        self, server: BackendServer, *, at_most_once: bool, request_id: str = ""
+        self,
+        server: BackendServer,
+        *,
+        at_most_once: bool,
+        request_id: str = "",
+        is_told_by_body: bool = False,
     ) -> BackendConnection:
         """Reuses an idle connection or opens a new one.
 
         Args:
             server: Backend server to connect to.
             at_most_once: Whether the request may be executed only once.
-            request_id: Id of the request. A connection on which it was sent before is not reused,
-                because a late copy of the first response could not be told from the second one.
+            request_id: Id of the request, empty for a call without one. A connection on which a
+                late copy of an earlier response could not be told from the response to the request
+                is not reused.
+            is_told_by_body: Whether the caller tells by the body whether a response is the one to
+                its call, so that any connection can be reused.
 
         Returns:
             A connection for one request.
@@ -77,30 +85,50 @@
         Raises:
             OSError: No connection could be opened, or not in time; nothing was sent.
         """
-        idle_connections = self._idle.get(server.server_id, [])
-        now = asyncio.get_running_loop().time()
-        while idle_connections:
-            conn = idle_connections.pop()
-            idle_time = now - conn.idle_since
-            limit = (
-                DEFAULT_IDLE_LIMIT if conn.idle_timeout is None else conn.idle_timeout - IDLE_MARGIN
-            )
-            if request_id and conn.last_request_id == request_id:
-                conn.abort()
-                continue
-            if conn.is_reusable and idle_time < (
-                min(limit, AT_MOST_ONCE_IDLE_LIMIT) if at_most_once else limit
-            ):
-                return conn
-            if at_most_once and conn.is_reusable and idle_time < limit:
-                idle_connections.insert(0, conn)
-                break
-            conn.abort()
+        conn = self._take_idle(server.server_id, at_most_once, request_id, is_told_by_body)
+        return await self.open(server) if conn is None else conn
+
+    async def open(self, server: BackendServer) -> BackendConnection:
+        """Opens a new connection.
+
+        Args:
+            server: Backend server to connect to.
+
+        Returns:
+            The connection.
+
+        Raises:
+            OSError: The connection could not be opened, or not in time; nothing was sent.
+        """
         async with asyncio.timeout(CONNECT_TIMEOUT):
             conn = await BackendConnection.open(server.host, server.port)
         conn.on_response = lambda head: self.on_response(server, head)
         return conn
 
+    def _take_idle(
+        self, server_id: str, at_most_once: bool, request_id: str, is_told_by_body: bool
+    ) -> BackendConnection | None:
+        """Takes the idle connection that was used last and fits the request.
+
+        Connections that fit no request any more are closed on the way.
+        """
+        idle_connections = self._idle.get(server_id, [])
+        now = asyncio.get_running_loop().time()
+        for index in range(len(idle_connections) - 1, -1, -1):
+            conn = idle_connections[index]
+            idle_time = now - conn.idle_since
+            is_repeated = request_id and conn.last_request_id == request_id
+            if is_repeated or not conn.is_reusable or idle_time >= _idle_limit(conn):
+                idle_connections.pop(index).abort()
+                continue
+            if at_most_once and idle_time >= AT_MOST_ONCE_IDLE_LIMIT:
+                continue
+            # Where responses have no ids, a late copy would cost a request its only attempt.
+            can_be_told = is_told_by_body or (request_id and not at_most_once)
+            if conn.identifies_responses or can_be_told:
+                return idle_connections.pop(index)
+        return None
+
     def release(self, server: BackendServer, conn: BackendConnection) -> None:
         """Returns a connection to the pool after a complete response.
 
@@ -135,3 +163,8 @@
         """Closes all idle connections."""
         for server_id in tuple(self._idle):
             self.drop(server_id)
+
+
+def _idle_limit(conn: BackendConnection) -> float:
+    """Returns how long a connection may be idle and still be reused, in seconds."""
+    return DEFAULT_IDLE_LIMIT if conn.idle_timeout is None else conn.idle_timeout - IDLE_MARGIN
--- a/src/sapphireledge/platform/crash_report_writer.py
+++ b/src/sapphireledge/platform/crash_report_writer.py
@@ -39,9 +39,6 @@
 """Maximum delay in seconds after failed writes; with the time of a call it stays below the 4 s
 within which all instances must know what crashes engines."""
 
-CONNECTION_IDLE = 10.0
-"""Seconds without news after which the connection to the store is closed."""
-
 
 class CrashReportWriter:
     """Keeps the crash report of this instance up to date.
@@ -108,9 +105,7 @@
 
     async def _wait_for_news(self) -> None:
         """Waits for news and collects further ones; deaths are written sooner than clearings."""
-        if not await wait_for_event(self._news, CONNECTION_IDLE):
-            self._store.close()
-            await self._news.wait()
+        await self._news.wait()
         delay = SURVIVAL_DELAY * self._rng.uniform(1.0, 2.0)
         if await wait_for_event(self._death_news, delay):
             await asyncio.sleep(self._next_write_at - asyncio.get_running_loop().time())
--- a/src/sapphireledge/platform/decode_report.py
+++ b/src/sapphireledge/platform/decode_report.py
@@ -31,8 +31,8 @@
     milliseconds.
     """
 
-    waiting: int = 0
-    running: int = 0
+    waiting: int | None = None
+    running: int | None = None
     kv_used: int = 0
     kv_total: int = 0
     held: Any = 0
@@ -45,7 +45,7 @@
 class _Cache(msgspec.Struct):
     """The cached prompt parts, one entry of `held` for each."""
 
-    held: list[list[Any]] = []
+    held: list[list[Any]]
 
 
 def decode_cache(body: bytes) -> frozenset[str]:
@@ -79,14 +79,18 @@
     except (msgspec.MsgspecError, RecursionError) as exc:
         structlog.get_logger().warning(GatewayEvent.REPORT_UNREADABLE, reason=str(exc))
         return None
+    if report.waiting is None and report.running is None and report.runs is None:
+        reason = "the response is no report"
+        structlog.get_logger().warning(GatewayEvent.REPORT_UNREADABLE, reason=reason)
+        return None
     runs = [
         run
         for run in report.runs or ()
         if len(run) > RUN_EVENTS_INDEX and isinstance(run[RUN_EVENTS_INDEX], int)
     ]
     return EngineLoad(
-        waiting=report.waiting,
-        running=report.running,
+        waiting=report.waiting or 0,
+        running=report.running or 0,
         memory_used=report.kv_used,
         memory_total=report.kv_total,
         events={str(run[0]): run[RUN_EVENTS_INDEX] for run in runs},
--- a/src/sapphireledge/platform/rollout_report_writer.py
+++ b/src/sapphireledge/platform/rollout_report_writer.py
@@ -62,7 +62,6 @@
         """Writes reports until the task is cancelled."""
         while True:
             if not self._rollouts.is_active:
-                self._store.close()
                 await self._rollouts.wait_until_active()
             try:
                 reports = self._rollouts.due_reports()
--- a/src/sapphireledge/platform/rollout_status_writer.py
+++ b/src/sapphireledge/platform/rollout_status_writer.py
@@ -71,7 +71,6 @@
         """Writes statuses until the task is cancelled."""
         while True:
             if not self._rollouts.is_active:
-                self._store.close()
                 await self._rollouts.wait_until_active()
             try:
                 await self._write_due()
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -40,6 +40,10 @@
 MAX_INTERIM_RESPONSES = 4
 """Interim responses that may precede a response."""
 
+CONNECT_ATTEMPTS = 2
+"""Attempts to open a connection within the timeout of a call. The kernel repeats a lost packet only
+after a second."""
+
 GONE = 410
 """Status of a watch whose revision the store's history no longer covers."""
 
@@ -125,10 +129,10 @@
 
 
 class StoreClient:
-    """Makes one call at a time on a persistent connection.
+    """Makes one call at a time, each on a connection of its own.
 
-    A failed call closes the connection, because a connection on which a response was lost delivers
-    no further responses.
+    The store numbers no responses, so that on a connection of an earlier call a late copy of that
+    call's response could not be told from the response to the next one.
     """
 
     def __init__(
@@ -150,9 +154,7 @@
         self._cfg = cfg
         self._on_call = on_call
         self._has_records = has_records
-        self._reader: UnreadReader | None = None
         self._writer: asyncio.StreamWriter | None = None
-        self._parser = h11.Connection(h11.CLIENT)
         self._epoch = epoch
 
     async def list(self, kind: str) -> StorePage:
@@ -204,10 +206,9 @@
         return StoredEntry(stored.metadata.name, stored.decode_spec(), removed, record)
 
     def close(self) -> None:
-        """Closes the connection without waiting for pending data."""
+        """Ends the call that is being made, without waiting for pending data."""
         if self._writer is not None:
             self._writer.transport.abort()
-        self._reader = self._writer = None
 
     async def announce(self, peer: Peer) -> None:
         """Stores the description of this instance; see `PeerDirectory.announce`."""
@@ -307,29 +308,34 @@
         """Makes one call; raises `SourceError` for an unexpected status or an earlier epoch."""
         result = "failed"
         try:
+            reader, self._writer = await self._connect()
             async with asyncio.timeout(timeout):
-                answer = await self._exchange(method, path, body)
+                answer = await self._exchange(reader, self._writer, method, path, body)
             result = str(answer.status)
         except (OSError, TimeoutError, h11.ProtocolError) as exc:
             raise SourceError(f"{operation} failed: {exc!r}") from exc
         finally:
             self._on_call(operation, result)
-            if result not in EXPECTED_STATUSES:
-                self.close()
+            self.close()
         if result not in EXPECTED_STATUSES:
             raise SourceError(f"{operation} failed: status {answer.status}")
         if not self._epoch.observe(answer.epoch):
-            self.close()
             raise SourceError(f"{operation} failed: the response precedes a restore of the store")
         return answer
 
-    async def _exchange(self, method: str, path: str, body: bytes) -> _Answer:
+    async def _exchange(
+        self,
+        reader: UnreadReader,
+        writer: asyncio.StreamWriter,
+        method: str,
+        path: str,
+        body: bytes,
+    ) -> _Answer:
         """Sends a request and reads the complete response."""
-        reader, writer = await self._ensure_connection()
-        headers = [("host", f"{self._cfg.host}:{self._cfg.port}")]
+        headers = [("host", f"{self._cfg.host}:{self._cfg.port}"), ("connection", "close")]
         if body:
             headers += [("content-type", "application/json"), ("content-length", str(len(body)))]
-        parser = self._parser
+        parser = h11.Connection(h11.CLIENT)
         data = parser.send(h11.Request(method=method, target=path, headers=headers)) or b""
         if body:
             data += parser.send(h11.Data(data=body)) or b""
@@ -349,32 +355,24 @@
             elif event is h11.PAUSED:
                 raise ConnectionResetError("the store sent bytes after its response")
             elif isinstance(event, h11.EndOfMessage):
-                break
+                return _Answer(status, bytes(response_body), epoch)
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("connection closed by the store")
             elif isinstance(event, h11.InformationalResponse):
                 interim_responses += 1
                 if interim_responses > MAX_INTERIM_RESPONSES:
                     raise ConnectionResetError("the store sends interim responses without end")
-        is_done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
-        if is_done and not parser.trailing_data[0]:
-            parser.start_next_cycle()
-        else:
-            self.close()
-        return _Answer(status, bytes(response_body), epoch)
 
-    async def _ensure_connection(self) -> tuple[UnreadReader, asyncio.StreamWriter]:
-        """Returns the open connection, or opens a new one."""
-        reader = self._reader
-        # Unread bytes are a late copy of an earlier response, as the store numbers none of them.
-        if reader is None or self._writer is None or reader.at_eof() or reader.unread:
-            self.close()
-            async with asyncio.timeout(self._cfg.call_timeout):
-                self._reader, self._writer = await open_unread_connection(
-                    self._cfg.host, self._cfg.port
-                )
-            self._parser = h11.Connection(h11.CLIENT)
-        return self._reader, self._writer
+    async def _connect(self) -> tuple[UnreadReader, asyncio.StreamWriter]:
+        """Opens a connection; one whose opening packet was lost is opened again."""
+        for attempts_left in range(CONNECT_ATTEMPTS - 1, -1, -1):
+            try:
+                async with asyncio.timeout(self._cfg.call_timeout / CONNECT_ATTEMPTS):
+                    return await open_unread_connection(self._cfg.host, self._cfg.port)
+            except TimeoutError:
+                if not attempts_left:
+                    raise
+        raise AssertionError("unreachable")
 
 
 def _decode_epoch(value: bytes | None) -> int:
--- a/src/sapphireledge_standins/engine_app.py
+++ b/src/sapphireledge_standins/engine_app.py
@@ -13,6 +13,7 @@
 from starlette.routing import Route
 
 from sapphireledge.backends.prefix_hashes import BLOCK_BYTES
+from sapphireledge_standins.call_id_echo import CallIdEcho
 from sapphireledge_standins.connection_gate import ConnectionGate
 from sapphireledge_standins.engine_faults import EngineFaults
 from sapphireledge_standins.engine_sequence import EngineSequence, Extension
@@ -59,7 +60,7 @@
         Route("/admin/faults", api.handle_faults, methods=["GET", "PUT"]),
         Route("/admin/counts", api.handle_counts),
     ]
-    api.gate = ConnectionGate(Starlette(routes=routes, lifespan=lifespan))
+    api.gate = ConnectionGate(CallIdEcho(Starlette(routes=routes, lifespan=lifespan)))
     return api.gate
 
 
--- a/src/sapphireledge_standins/service_app.py
+++ b/src/sapphireledge_standins/service_app.py
@@ -13,6 +13,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from sapphireledge_standins.call_id_echo import CallIdEcho
 from sapphireledge_standins.service_faults import ServiceFaults
 
 if TYPE_CHECKING:
@@ -52,13 +53,12 @@
         """Number of calls received, whether executed or not."""
 
         methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
-        self._app = Starlette(
-            routes=[
-                Route("/admin/faults", self.handle_faults, methods=["GET", "PUT"]),
-                Route("/admin/counts", self.handle_counts),
-                Route("/{path:path}", self.call, methods=methods),
-            ]
-        )
+        routes = [
+            Route("/admin/faults", self.handle_faults, methods=["GET", "PUT"]),
+            Route("/admin/counts", self.handle_counts),
+            Route("/{path:path}", self.call, methods=methods),
+        ]
+        self._app = CallIdEcho(Starlette(routes=routes))
 
     async def app(self, scope: Scope, receive: Receive, send: Send) -> None:
         """ASGI application that adds uvicorn's transport to the scope.
