--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -40,7 +40,7 @@
     """Name of the object."""
 
     spec: Any
-    """Decoded JSON value, not used for a removal."""
+    """JSON value, already encoded at the relay; not used for a removal."""
 
     removed: bool
     """Whether the object was removed."""
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -7,6 +7,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
+import msgspec
 import structlog
 from msgspec.structs import replace
 
@@ -214,9 +215,12 @@
 
     def _build_kind_reply(self, feed: KindFeed, revision: int | None) -> KindReply:
         """Collects the entries of one kind that a follower is missing."""
-        is_full, entries = feed.entries_since(revision)
+        is_full, objects, removed = feed.changes_since(revision)
         assert feed.revision is not None
-        feed_entries = [FeedEntry(entry.name, entry.spec, entry.removed) for entry in entries]
-        has_records = any(entry.record is not None for entry in entries)
-        records = [entry.record for entry in entries] if has_records else None
-        return KindReply(feed.revision, feed.age, is_full, feed_entries, records)
+        # No name is among both, so their order does not matter.
+        entries = [FeedEntry(name, None, True) for name in removed]
+        entries += [FeedEntry(name, msgspec.Raw(kept.content), False) for name, kept in objects]
+        records = None
+        if any(kept.record is not None for _, kept in objects):
+            records = [None] * len(removed) + [kept.record for _, kept in objects]
+        return KindReply(feed.revision, feed.age, is_full, entries, records)
--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections import deque
+import itertools
 from typing import TYPE_CHECKING
 
+import msgspec
 import structlog
 
+from sapphireledge.feed.kept_object import KeptObject
 from sapphireledge.feed.store_page import StoredEntry
 from sapphireledge.gateway import GatewayEvent, seconds_since_boot
 
@@ -18,12 +20,15 @@
 
 __all__ = ["KindFeed"]
 
-MAX_HISTORY = 1_000
-"""Changes kept for followers; a follower that is further behind receives a full listing."""
+MAX_REMOVALS = 1_000
+"""Removals kept for followers; a follower that is further behind receives a full listing."""
 
 
 class KindFeed:
-    """Holds the objects of one kind, passes changes to a listener and keeps the recent ones.
+    """Holds the objects of one kind and passes changes to a listener.
+
+    Only the latest version of each object is kept, encoded and with its revision. A follower that
+    lags is sent that version, however many it has missed, so memory does not grow with changes.
 
     Revisions are those of the store, so a follower can continue with any other instance. A page
     older than the objects is ignored, because the next relay may be behind the last one.
@@ -54,8 +59,9 @@
         """Called after a change or confirmation, and when the watcher fails."""
 
         self._listener = listener
-        self._objects: dict[str, StoredEntry] = {}
-        self._changes: deque[tuple[int, StoredEntry]] = deque()
+        self._objects: dict[str, KeptObject] = {}
+        # In the order of their last change, like the objects.
+        self._removals: dict[str, int] = {}
         self._history_start = 0
         self._has_dropped = False
         self._log = structlog.get_logger()
@@ -76,9 +82,11 @@
             return
         listed = {entry.name for entry in page.entries}
         removed = [StoredEntry(name, None, True) for name in self._objects.keys() - listed]
-        changed = [entry for entry in page.entries if self._differs(entry)]
         if self.revision is None:
             self._history_start = page.revision
+            self._objects.clear()
+            self._removals.clear()
+        changed = [entry for entry in page.entries if self._differs(entry)]
         self._record_changes(page.revision, [*removed, *changed])
         self._listener.replace_all(page.entries)
         self._advance(page.revision, as_of)
@@ -110,23 +118,32 @@
         The objects stay in force until then.
         """
         self.revision = None
-        self._changes.clear()
         self._listener.on_store_restored()
         self.on_progress()
 
-    def entries_since(self, revision: int | None) -> tuple[bool, tuple[StoredEntry, ...]]:
-        """Collects the entries that a follower is missing.
+    @property
+    def kept_bytes(self) -> int:
+        """Size of the contents that are kept for followers."""
+        return sum(len(kept.content) for kept in self._objects.values())
+
+    def changes_since(
+        self, revision: int | None
+    ) -> tuple[bool, list[tuple[str, KeptObject]], list[str]]:
+        """Collects what a follower is missing.
 
         Args:
             revision: Revision that the follower has reached, None before its first listing.
 
         Returns:
-            Whether the entries are a full listing, and the entries.
+            Whether the objects are a full listing, the objects with their names, and the names of
+            removed objects.
         """
         if revision is None or revision < self._history_start:
-            return True, tuple(self._objects.values())
-        return False, tuple(
-            entry for change_revision, entry in self._changes if change_revision > revision
+            return True, list(self._objects.items()), []
+        return (
+            False,
+            _newer_objects(self._objects, revision),
+            _newer_names(self._removals, revision),
         )
 
     def _is_outdated(self, page: StorePage) -> bool:
@@ -146,18 +163,20 @@
 
     def _differs(self, entry: StoredEntry) -> bool:
         """Whether an entry is new or differs from the current object."""
-        return self._objects.get(entry.name) != entry
+        kept = self._objects.get(entry.name)
+        return kept is None or (kept.content, kept.record) != (_encode(entry), entry.record)
 
     def _record_changes(self, revision: int, entries: Iterable[StoredEntry]) -> None:
-        """Applies changes to the objects and adds them to the history for followers."""
+        """Applies changes to the objects, and records removals for followers."""
         for entry in entries:
+            self._objects.pop(entry.name, None)
+            self._removals.pop(entry.name, None)
             if entry.removed:
-                self._objects.pop(entry.name, None)
+                self._removals[entry.name] = revision
             else:
-                self._objects[entry.name] = entry
-            self._changes.append((revision, entry))
-        while len(self._changes) > MAX_HISTORY:
-            self._history_start = self._changes.popleft()[0]
+                self._objects[entry.name] = KeptObject(revision, _encode(entry), entry.record)
+        while len(self._removals) > MAX_REMOVALS:
+            self._history_start = self._removals.pop(next(iter(self._removals)))
 
     def _advance(self, revision: int, as_of: float) -> None:
         """Updates revision and confirmation time, and calls `on_progress`."""
@@ -166,3 +185,20 @@
             self.confirmed_at = as_of
             self._listener.confirm(as_of)
         self.on_progress()
+
+
+def _encode(entry: StoredEntry) -> bytes:
+    """Encodes the content of an object as it is sent to followers."""
+    return msgspec.msgpack.encode(entry.spec)
+
+
+def _newer_objects(objects: dict[str, KeptObject], revision: int) -> list[tuple[str, KeptObject]]:
+    """Selects the objects that changed after a revision, in the order of their changes."""
+    newer = itertools.takewhile(lambda item: item[1].revision > revision, reversed(objects.items()))
+    return list(newer)[::-1]
+
+
+def _newer_names(removals: dict[str, int], revision: int) -> list[str]:
+    """Selects the objects that were removed after a revision, in the order of their removal."""
+    newer = itertools.takewhile(lambda item: item[1] > revision, reversed(removals.items()))
+    return [name for name, _ in newer][::-1]
--- a/src/sapphireledge/gateway/backend_registry.py
+++ b/src/sapphireledge/gateway/backend_registry.py
@@ -203,6 +203,18 @@
         state.backpressure.on_response(now, signals, instances, interval)
         return has_changed
 
+    def retain_services(self, services: Collection[str]) -> None:
+        """Forgets other services that have no backend server.
+
+        Args:
+            services: Names of the services to keep.
+        """
+        for name in self._by_service.keys() - services:
+            if not self._by_service[name]:
+                del self._by_service[name]
+                self._contacts.pop(name, None)
+                self._orders.pop(name, None)
+
     def count_servers(self, service: str, is_dead: Callable[[BackendServer], bool]) -> int:
         """Counts the known backend servers of a service that run.
 
--- a/src/sapphireledge/gateway/config_view.py
+++ b/src/sapphireledge/gateway/config_view.py
@@ -9,6 +9,8 @@
 from sapphireledge.gateway.wait_for_event import wait_for_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sapphireledge.gateway.routing_table import RoutingTable
 
 __all__ = ["ConfigView", "seconds_since_boot"]
@@ -30,6 +32,9 @@
         self.table: RoutingTable | None = None
         """Table in force, None until the first one is loaded."""
 
+        self.on_replaced: Callable[[RoutingTable], None] = lambda table: None
+        """Called with each table that comes into force."""
+
         self._confirmed_at = float("-inf")
         self._has_table = asyncio.Event()
 
@@ -46,6 +51,7 @@
             return False
         self.table = table
         self._has_table.set()
+        self.on_replaced(table)
         return True
 
     async def wait_for_table(self, timeout: float) -> None:
--- a/src/sapphireledge/gateway/connection_pool.py
+++ b/src/sapphireledge/gateway/connection_pool.py
@@ -37,6 +37,9 @@
 MAX_IDLE_CONNECTIONS = 6
 """Largest number of idle connections to one backend server."""
 
+EXPIRY_INTERVAL = 1.0
+"""Seconds between two searches for connections that are not reused any more."""
+
 IDLE_SHARE = 0.5
 """Share of a backend server's connection limit that all instances together may keep idle."""
 
@@ -53,6 +56,7 @@
         """
         self._count_instances = count_instances
         self._idle: dict[str, list[BackendConnection]] = {}
+        self._next_expiry_at = 0.0
         self.on_response: Callable[[BackendServer, ResponseHead], None] = lambda server, head: None
         """Called with the head of each response to a request of this instance."""
 
@@ -136,12 +140,30 @@
             server: Backend server of the connection.
             conn: The connection; it is closed if it is not reusable or the pool is full.
         """
+        self._close_expired()
         idle_connections = self._idle.setdefault(server.server_id, [])
         if conn.is_reusable and len(idle_connections) < self._compute_max_idle(server.service):
             idle_connections.append(conn)
         else:
             conn.abort()
 
+    def _close_expired(self) -> None:
+        """Closes the connections that are not reused any more, also those to servers that are gone.
+
+        A request may end, and return its connection, after its server was dropped.
+        """
+        now = asyncio.get_running_loop().time()
+        if now < self._next_expiry_at:
+            return
+        self._next_expiry_at = now + EXPIRY_INTERVAL
+        for server_id, connections in tuple(self._idle.items()):
+            for conn in connections:
+                if not conn.is_reusable or now - conn.idle_since >= _idle_limit(conn):
+                    conn.abort()
+            self._idle[server_id] = [conn for conn in connections if not conn.must_close]
+            if not self._idle[server_id]:
+                del self._idle[server_id]
+
     def _compute_max_idle(self, service: str) -> int:
         """Computes how many idle connections to one server of a service this instance may keep."""
         limit = self.connection_limit(service)
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -20,7 +20,7 @@
 from sapphireledge.gateway.stream_line import StreamLine
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from sapphireledge.core.placement import RefuseStream
     from sapphireledge.core.shared_load import SharedLoad, WorkspaceStreams
@@ -154,6 +154,17 @@
             result = await line.wait(admitted, describe, offer)
         return result
 
+    def retain_services(self, services: Collection[str]) -> None:
+        """Forgets the empty waiting lines of other services.
+
+        Args:
+            services: Names of the services to keep.
+        """
+        for name in self._lines.keys() - services:
+            if not len(self._lines[name].order):
+                del self._lines[name]
+                self._context.load_exchange.remove_line(name)
+
     def _describe_work(self, admitted: AdmittedRequest, progress: StreamProgress) -> WaitingWork:
         """Describes a stream to the waiting line."""
         now = asyncio.get_running_loop().time()
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -76,6 +76,7 @@
         self._plain = PlainForwarder(self.context)
         self._streams = StreamForwarder(self.context)
         self._rng = Random()
+        self.config.on_replaced = self._retain_services
         self.context.pool.connection_limit = self._connection_limit
         self.context.rollouts.longest_answer = self._longest_answer
         self.context.is_stopping = lambda: self._stop_started is not None
@@ -292,6 +293,11 @@
         """Returns how long answers of a service may take, None if no configuration says so."""
         return None if self.config.table is None else self.config.table.longest_answer(service)
 
+    def _retain_services(self, table: RoutingTable) -> None:
+        """Forgets what is known about services that are not in use any more."""
+        self.context.retain_services(table.services)
+        self.selector.retain_services({*table.services, *self.context.registry.services()})
+
     def _connection_limit(self, service: str) -> int:
         """Returns how many connections each server of a service accepts, 0 if unknown."""
         profile = None if self.config.table is None else self.config.table.services.get(service)
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -26,7 +26,7 @@
 from sapphireledge.gateway.rollout_guard import RolloutGuard
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Mapping
+    from collections.abc import Callable, Collection, Coroutine, Mapping
     from typing import Any
 
     from sapphireledge.gateway.backend_server import BackendServer
@@ -179,6 +179,27 @@
             memory = self._prompt_memories[service] = PromptMemory(self, service)
         return memory
 
+    def retain_services(self, services: Collection[str]) -> None:
+        """Forgets what is known about services that are neither configured nor run.
+
+        Their names come and go with the configuration, so there is no end of them.
+
+        Args:
+            services: Names of the configured services.
+        """
+        self.registry.retain_services(services)
+        known = {*services, *self.registry.services()}
+        for state in (
+            self._shedders,
+            self._allowances,
+            self._estimators,
+            self._prompt_memories,
+            self._generation_estimators,
+        ):
+            for name in state.keys() - known:
+                del state[name]
+        self.load_exchange.retain_shedders(known)
+
     def is_running(self, server: BackendServer) -> bool:
         """Whether an incarnation of a server is believed to run on and is not leaving.
 
--- a/src/sapphireledge/gateway/load_exchange.py
+++ b/src/sapphireledge/gateway/load_exchange.py
@@ -16,6 +16,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from sapphireledge.core.shared_load import SharedLoad
     from sapphireledge.core.shedding import LoadShedder
     from sapphireledge.core.waiting import WaitingLine
@@ -69,6 +71,23 @@
         """
         self._shedders[service] = shedder
 
+    def retain_shedders(self, services: Collection[str]) -> None:
+        """Forgets the load shedding of other services.
+
+        Args:
+            services: Names of the services to keep.
+        """
+        for name in self._shedders.keys() - services:
+            del self._shedders[name]
+
+    def remove_line(self, service: str) -> None:
+        """Removes the waiting line of a service.
+
+        Args:
+            service: Name of the service.
+        """
+        self._lines.pop(service, None)
+
     def describe(self, max_bytes: int = MAX_LOAD_BYTES) -> bytes | None:
         """Encodes the load that this instance has seen.
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
+import tracemalloc
 import unittest
 from collections import Counter
 from dataclasses import replace
 
+from feed_changes import list_changes
+
 from sapphireledge.feed import (
     FeedRunner,
     FeedSettings,
@@ -593,26 +597,78 @@
         self.assertEqual(restores, [2, 5])
 
 
+def large_config(version):
+    """A configuration with 700 routes."""
+    routes = [
+        {"name": f"r-{number}", "host": f"h{number}.example", "timeout_ms": 1_000 + version}
+        for number in range(700)
+    ]
+    return StoredEntry("main", {"version": version, "routes": routes})
+
+
 class KindFeedTest(unittest.TestCase):
-    def test_entries_since_returns_only_missing_changes(self):
+    def test_changes_since_returns_only_missing_changes(self):
         """Guards against lost changes, and against full listings where changes are enough."""
         feed = KindFeed("servers", Listener())
         feed.apply_listing(StorePage((StoredEntry("a", 1), StoredEntry("b", 1)), 5), 0.0)
         feed.apply_changes(StorePage((StoredEntry("a", 2),), 7), 0.0)
-        self.assertEqual(feed.entries_since(5), (False, (StoredEntry("a", 2),)))
-        self.assertEqual(feed.entries_since(7), (False, ()))
-        self.assertTrue(feed.entries_since(None)[0])
-        self.assertTrue(feed.entries_since(4)[0])
+        self.assertEqual(list_changes(feed, 5), (False, [StoredEntry("a", 2)]))
+        self.assertEqual(list_changes(feed, 7), (False, []))
+        self.assertTrue(list_changes(feed, None)[0])
+        self.assertTrue(list_changes(feed, 4)[0])
 
     def test_second_listing_is_recorded_as_changes(self):
         """Guards against followers that keep objects missing from a new listing."""
         feed = KindFeed("servers", Listener())
         feed.apply_listing(StorePage((StoredEntry("a", 1), StoredEntry("b", 1)), 5), 0.0)
         feed.apply_listing(StorePage((StoredEntry("b", 2),), 9), 0.0)
-        is_full, entries = feed.entries_since(5)
+        is_full, entries = list_changes(feed, 5)
         self.assertFalse(is_full)
         self.assertEqual(set(entries), {StoredEntry("a", None, True), StoredEntry("b", 2)})
 
+    def test_lagging_follower_gets_the_latest_version_of_each_object(self):
+        """Guards against a history that keeps every version for followers that lag."""
+        feed = KindFeed("servers", Listener())
+        feed.apply_listing(StorePage((StoredEntry("a", 0), StoredEntry("b", 0)), 5), 0.0)
+        for version in range(1, 2_000):
+            feed.apply_changes(StorePage((StoredEntry("a", version),), 5 + version), 0.0)
+        self.assertEqual(list_changes(feed, 5), (False, [StoredEntry("a", 1_999)]))
+        self.assertEqual(list_changes(feed, 2_003), (False, [StoredEntry("a", 1_999)]))
+
+    def test_removed_and_created_objects_reach_a_lagging_follower_once(self):
+        feed = KindFeed("servers", Listener())
+        feed.apply_listing(StorePage((StoredEntry("a", 0), StoredEntry("b", 0)), 5), 0.0)
+        feed.apply_changes(StorePage((StoredEntry("a", None, True),), 6), 0.0)
+        feed.apply_changes(StorePage((StoredEntry("b", None, True),), 7), 0.0)
+        feed.apply_changes(StorePage((StoredEntry("a", 1),), 8), 0.0)
+        entries = [StoredEntry("b", None, True), StoredEntry("a", 1)]
+        self.assertEqual(list_changes(feed, 5), (False, entries))
+
+    def test_removals_are_limited(self):
+        """Guards against names of objects that are gone, of which there are ever more."""
+        feed = KindFeed("servers", Listener())
+        feed.apply_listing(StorePage((), 5), 0.0)
+        for number in range(3_000):
+            added, removed = StoredEntry(f"s{number}", 1), StoredEntry(f"s{number}", None, True)
+            feed.apply_changes(StorePage((added,), 6 + 2 * number), 0.0)
+            feed.apply_changes(StorePage((removed,), 7 + 2 * number), 0.0)
+        self.assertTrue(list_changes(feed, 5)[0])
+        is_full, entries = list_changes(feed, 6 + 2 * 2_990)
+        self.assertEqual((is_full, len(entries)), (False, 10))
+
+    def test_memory_does_not_grow_with_versions(self):
+        """Guards against processes that are killed after some hundred large configurations."""
+        feed = KindFeed("config", Listener())
+        feed.apply_listing(StorePage((large_config(0),), 5), 0.0)
+        gc.collect()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for version in range(1, 1_001):
+            feed.apply_changes(StorePage((large_config(version),), 5 + version), 0.0)
+        grown, _ = tracemalloc.get_traced_memory()
+        # One version of the configuration, decoded for the listener, takes 0.5 MB.
+        self.assertLess(grown, 1_500_000)
+
     def test_older_page_is_ignored(self):
         """Guards against a rollback when a follower switches to a relay with older objects."""
         listener = Listener()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
+from feed_changes import list_changes
 from gateway_case import GatewayCase, full_response
 
 from sapphireledge.core.quarantine import ClearingRecord, CrashReport
@@ -382,7 +383,7 @@
                 await self.run_watcher("servers", self.server_listener(), answers, 0.1)
                 self.assertEqual(self.gateway.context.registry.ids(), {"i1", "i2"})
                 self.assertEqual(len([c for c in self.store.calls if "watch" not in c]), 1)
-                _, entries = self.feed.entries_since(None)
+                _, entries = list_changes(self.feed, None)
                 reply = FeedReply(
                     0.0,
                     {
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 import msgspec
+from feed_changes import list_changes
 from gateway_case import HOST, PLAIN_ROUTE, STREAM_ROUTE, GatewayCase, signed_response, table
 
 from sapphireledge.core.quarantine import DeathRecord
@@ -546,7 +547,7 @@
         feed = KindFeed("k", Recorder())
         feed.apply_listing(StorePage((entry(1, None),), 1), 0.0)
         feed.apply_listing(StorePage((entry(2, "done"),), 2), 0.0)
-        self.assertEqual(feed.entries_since(1), (False, (entry(2, "done"),)))
+        self.assertEqual(list_changes(feed, 1), (False, [entry(2, "done")]))
 
 
 class QuietWatchTest(unittest.IsolatedAsyncioTestCase):
