--- a/src/sapphireledge/backends/_private.py
+++ b/src/sapphireledge/backends/_private.py
@@ -314,7 +314,7 @@
         return HttpReply(response.status_code, body, dict(response.raw_headers))
     except TimeoutError:
         return CallFailure(CallFailureCause.NO_ANSWER, Ran.UNKNOWN, "response body timed out")
-    except ResponseTooLong as exc:
+    except (HttpParsingError, ResponseTooLong) as exc:
         return CallFailure(CallFailureCause.MALFORMED, Ran.UNKNOWN, str(exc))
     except Exception as exc:
         return CallFailure(CallFailureCause.CONNECTION_LOST, Ran.UNKNOWN, type(exc).__name__)
--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from typing import TYPE_CHECKING
 
 import h11
@@ -34,6 +37,8 @@
 KEEPALIVE_PROBES = 3
 """Unanswered TCP keep-alive probes, sent once a second, after which the connection is closed."""
 
+C_INT = struct.Struct("i")
+
 MAX_HEAD_SIZE = 32_768
 """Largest response head, chunk header or trailer in bytes."""
 
@@ -66,6 +71,7 @@
         """Id of the latest request on this connection, empty if it had none."""
 
         self._has_answered = False
+        self._ends_with_connection = False
         self.identifies_responses = True
         """Whether each response so far carried the id of its request. Otherwise a late copy of one
         cannot be told from the response to a call without an id."""
@@ -164,6 +170,7 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise BackendResponseError("the response has no head")
+            self._ends_with_connection = not _has_length(event)
             head = dialect.decode_response(event.status_code, tuple(event.headers))
             self.must_close = self.must_close or head.closes_connection
             self.idle_timeout = head.idle_timeout
@@ -192,6 +199,8 @@
             return bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
             raise BackendResponseError("the response body is truncated")
+        if self._ends_with_connection and self._has_unreceived():
+            raise BackendResponseError("the connection ended before the request was sent")
         self._on_response_complete()
         return None
 
@@ -224,6 +233,24 @@
         self.must_close = True
         self._writer.transport.abort()
 
+    def _has_unreceived(self) -> bool:
+        """Whether a part of the request has not reached the host of the backend server.
+
+        A server that received all of it has acknowledged it with the end of its response.
+        """
+        if self._writer.transport.get_write_buffer_size():
+            return True
+        sock = self._writer.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return False
+        count = bytearray(C_INT.size)
+        try:
+            fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+        except OSError:
+            # Not every environment counts them; a break shows as a reset then.
+            return False
+        return C_INT.unpack(count)[0] > 0
+
     def _expects_unnamed_response(self, request_id: str) -> bool:
         """Whether a response without an id can only be the one to the request.
 
@@ -286,3 +313,9 @@
                 "the connection was closed before the response was complete", connection_lost=True
             )
         return event
+
+
+def _has_length(response: h11.Response) -> bool:
+    """Whether the end of a response shows otherwise than by the end of the connection."""
+    names = {name for name, _ in response.headers}
+    return not names.isdisjoint((b"content-length", b"transfer-encoding"))
--- a/src/sapphireledge/limited_http/read_body.py
+++ b/src/sapphireledge/limited_http/read_body.py
@@ -5,6 +5,8 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
+from aiosonic.exceptions import HttpParsingError
+
 from sapphireledge.limited_http.limited_connection import MAX_BODY_BYTES
 from sapphireledge.limited_http.response_too_long import ResponseTooLong
 
@@ -13,6 +15,9 @@
 
 __all__ = ["read_body"]
 
+BODILESS_STATUSES = (204, 304)
+"""Statuses of responses that have neither a body nor a length."""
+
 
 async def read_body(response: Any, max_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Reads a complete body.
@@ -28,6 +33,8 @@
 
     Raises:
         ResponseTooLong: The body is too long.
+        HttpParsingError: The response has no length, so that its end cannot be told from a break;
+            aiosonic takes its body for an empty one.
     """
     if response.chunked:
         body = bytearray()
@@ -37,6 +44,9 @@
                 if len(body) > max_bytes:
                     raise ResponseTooLong(f"more than {max_bytes} bytes")
         return bytes(body)
+    is_bodiless = response.method == "HEAD" or response.status_code in BODILESS_STATUSES
+    if not is_bodiless and "content-length" not in response.headers:
+        raise HttpParsingError("the response has no length")
     content = await response.content()
     if len(content) > max_bytes:
         raise ResponseTooLong(f"more than {max_bytes} bytes")
