--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -42,6 +42,9 @@
 MAX_HEAD_SIZE = 32_768
 """Largest response head, chunk header or trailer in bytes."""
 
+STATUS_LIMIT = 600
+"""Statuses from here on do not exist in HTTP; the parser refuses those below 100."""
+
 MAX_SKIPPED_RESPONSES = 4
 """Interim responses and responses to other requests that may precede a response. A server repeats a
 response once; more of them show that it is out of order."""
@@ -170,6 +173,8 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise BackendResponseError("the response has no head")
+            if event.status_code >= STATUS_LIMIT:
+                raise BackendResponseError(f"there is no status {event.status_code} in HTTP")
             self._ends_with_connection = not _has_length(event)
             head = dialect.decode_response(event.status_code, tuple(event.headers))
             self.must_close = self.must_close or head.closes_connection
--- a/src/sapphireledge/limited_http/limited_connection.py
+++ b/src/sapphireledge/limited_http/limited_connection.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 from aiosonic.connection import Connection
+from aiosonic.exceptions import HttpParsingError
 
 from sapphireledge.limited_http.response_too_long import ResponseTooLong
 from sapphireledge.limits import RESPONSE_BUDGET, BufferShare, TimeSlice
@@ -17,6 +19,15 @@
 MAX_HEAD_BYTES = 32_768
 """Longest sequence of lines without a chunk: the head of a response, or its trailer."""
 
+MAX_INTERIM_RESPONSES = 4
+"""Interim responses that may precede a response."""
+
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9](?: [^\r\n]*)?\r?\n")
+"""First line of a response; aiosonic takes any number for a status."""
+
+INTERIM_STATUS_LINE = re.compile(rb"HTTP/1\.[01] 1")
+"""Beginning of the first line of an interim response."""
+
 
 class LimitedConnection(Connection):
     """Client connection of aiosonic, which itself limits neither the size of a response nor time.
@@ -38,8 +49,16 @@
         super().write(data)
 
     async def readuntil(self, separator: bytes = b"\r\n") -> bytes:
-        """Reads the first line of a response."""
-        return await self._read_line(separator)
+        """Reads the first line of a response, skipping interim responses."""
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            line = await self._read_line(separator)
+            if not STATUS_LINE.fullmatch(line):
+                raise HttpParsingError("the first line is none of an HTTP response")
+            if not INTERIM_STATUS_LINE.match(line):
+                return line
+            while await self._read_line(b"\n") not in (b"\r\n", b"\n"):
+                pass
+        raise HttpParsingError("too many interim responses")
 
     async def readline(self) -> bytes:
         """Reads a line; an end of file before its end raises an EOFError."""
