--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -121,11 +121,6 @@
         self._listener.on_store_restored()
         self.on_progress()
 
-    @property
-    def kept_bytes(self) -> int:
-        """Size of the contents that are kept for followers."""
-        return sum(len(kept.content) for kept in self._objects.values())
-
     def changes_since(
         self, revision: int | None
     ) -> tuple[bool, list[tuple[str, KeptObject]], list[str]]:
--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -151,15 +151,15 @@
         self._writer.write(data)
 
     async def read_head(
-        self, dialect: Dialect, request_id: str, *, is_told_by_body: bool = False
+        self, dialect: Dialect, request_id: str, *, checks_body: bool = False
     ) -> ResponseHead:
         """Reads the head of the response, skipping responses to other requests.
 
         Args:
             dialect: Decoder of the platform's headers.
             request_id: Id of the request that was sent, empty for a call without one.
-            is_told_by_body: Whether the caller tells by the body whether a response without an id
-                is the one to its call.
+            checks_body: Whether the caller checks by the body that a response without an id is the
+                one to its call.
 
         Returns:
             The head.
@@ -179,7 +179,7 @@
             head = dialect.decode_response(event.status_code, tuple(event.headers))
             self.must_close = self.must_close or head.closes_connection
             self.idle_timeout = head.idle_timeout
-            is_expected = is_told_by_body or self._expects_unnamed_response(request_id)
+            is_expected = checks_body or self._expects_unnamed_response(request_id)
             if head.request_id is None and not is_expected:
                 raise BackendResponseError("the response may belong to an earlier request")
             if head.request_id is None or head.request_id == request_id:
@@ -204,7 +204,7 @@
             return bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
             raise BackendResponseError("the response body is truncated")
-        if self._ends_with_connection and self._has_unreceived():
+        if self._ends_with_connection and self._has_unacknowledged():
             raise BackendResponseError("the connection ended before the request was sent")
         self._on_response_complete()
         return None
@@ -238,10 +238,10 @@
         self.must_close = True
         self._writer.transport.abort()
 
-    def _has_unreceived(self) -> bool:
-        """Whether a part of the request has not reached the host of the backend server.
+    def _has_unacknowledged(self) -> bool:
+        """Whether the host of the backend server has not received the whole request.
 
-        A server that received all of it has acknowledged it with the end of its response.
+        A host that has received it acknowledges it with the end of the response at the latest.
         """
         if self._writer.transport.get_write_buffer_size():
             return True
--- a/src/sapphireledge/gateway/connection_pool.py
+++ b/src/sapphireledge/gateway/connection_pool.py
@@ -70,7 +70,7 @@
         *,
         at_most_once: bool,
         request_id: str = "",
-        is_told_by_body: bool = False,
+        checks_body: bool = False,
     ) -> BackendConnection:
         """Reuses an idle connection or opens a new one.
 
@@ -80,8 +80,8 @@
             request_id: Id of the request, empty for a call without one. A connection on which a
                 late copy of an earlier response could not be told from the response to the request
                 is not reused.
-            is_told_by_body: Whether the caller tells by the body whether a response is the one to
-                its call, so that any connection can be reused.
+            checks_body: Whether the caller checks by the body that a response without an id is the
+                one to its call, so that any connection can be reused.
 
         Returns:
             A connection for one request.
@@ -89,7 +89,7 @@
         Raises:
             OSError: No connection could be opened, or not in time; nothing was sent.
         """
-        conn = self._take_idle(server.server_id, at_most_once, request_id, is_told_by_body)
+        conn = self._take_idle(server.server_id, at_most_once, request_id, checks_body)
         return await self.open(server) if conn is None else conn
 
     async def open(self, server: BackendServer) -> BackendConnection:
@@ -110,7 +110,7 @@
         return conn
 
     def _take_idle(
-        self, server_id: str, at_most_once: bool, request_id: str, is_told_by_body: bool
+        self, server_id: str, at_most_once: bool, request_id: str, checks_body: bool
     ) -> BackendConnection | None:
         """Takes the idle connection that was used last and fits the request.
 
@@ -127,9 +127,9 @@
                 continue
             if at_most_once and idle_time >= AT_MOST_ONCE_IDLE_LIMIT:
                 continue
-            # Where responses have no ids, a late copy would cost a request its only attempt.
-            can_be_told = is_told_by_body or (request_id and not at_most_once)
-            if conn.identifies_responses or can_be_told:
+            # A late copy of a response without an id is noticed, but ends the attempt.
+            notices_copies = checks_body or (request_id and not at_most_once)
+            if conn.identifies_responses or notices_copies:
                 return idle_connections.pop(index)
         return None
 
--- a/src/sapphireledge/gateway/engine_copy_client.py
+++ b/src/sapphireledge/gateway/engine_copy_client.py
@@ -72,7 +72,7 @@
         call = self._dialect.encode_copy_request(source, request_id, holder)
         try:
             async with asyncio.timeout(COPY_TIMEOUT):
-                conn = await self._pool.acquire(source, at_most_once=False, is_told_by_body=True)
+                conn = await self._pool.acquire(source, at_most_once=False, checks_body=True)
                 result = await self._copy_on(conn, source, request_id, call)
                 if result is None:
                     conn = await self._pool.open(source)
@@ -114,14 +114,17 @@
 
         Such a connection is closed.
         """
-        is_first = conn.identifies_responses
+        can_have_late_copy = not conn.identifies_responses
         handles = self._handles.setdefault(conn, {})
         async with self._returned_after(conn, source):
             conn.send(*call)
-            head = await conn.read_head(self._dialect, "", is_told_by_body=True)
+            head = await conn.read_head(self._dialect, "", checks_body=True)
             body = await conn.read_body(MAX_RESPONSE_BYTES)
             handle = self._dialect.decode_copy(body) if head.status == 200 else ""
-            is_own = handles.setdefault(handle, request_id) == request_id if handle else is_first
+            if handle:
+                is_own = handles.setdefault(handle, request_id) == request_id
+            else:
+                is_own = not can_have_late_copy
             conn.must_close |= not is_own or len(handles) >= MAX_HANDLES
         if not is_own:
             return None
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
@@ -365,14 +366,15 @@
 
     async def _connect(self) -> tuple[UnreadReader, asyncio.StreamWriter]:
         """Opens a connection; one whose opening packet was lost is opened again."""
-        for attempts_left in range(CONNECT_ATTEMPTS - 1, -1, -1):
-            try:
-                async with asyncio.timeout(self._cfg.call_timeout / CONNECT_ATTEMPTS):
-                    return await open_unread_connection(self._cfg.host, self._cfg.port)
-            except TimeoutError:
-                if not attempts_left:
-                    raise
-        raise AssertionError("unreachable")
+        for _ in range(CONNECT_ATTEMPTS - 1):
+            with contextlib.suppress(TimeoutError):
+                return await self._connect_once()
+        return await self._connect_once()
+
+    async def _connect_once(self) -> tuple[UnreadReader, asyncio.StreamWriter]:
+        """Makes one attempt to open a connection."""
+        async with asyncio.timeout(self._cfg.call_timeout / CONNECT_ATTEMPTS):
+            return await open_unread_connection(self._cfg.host, self._cfg.port)
 
 
 def _decode_epoch(value: bytes | None) -> int:
