Two tests of streams and those of server pauses run by a clock of their own

Cause of the known reds: the tests measured real time, so that a process that was not scheduled for a moment failed them. Their peers all run in the event loop of the test; its clock now moves only while nothing else is left to do. The bounds are unchanged.

Ruled out: the same clock for all tests of ResumeTest (one has a lower bound that only real time exceeds) and for crashing plain requests (the time of day counts).

--- a/tests/test_gateway_stream.py
+++ b/tests/test_gateway_stream.py
@@ -14,6 +14,7 @@
     signed_response,
     stream_head,
 )
+from virtual_clock import VirtualClock
 
 REPLICA_TARGET = "x-sapphireledge-kv-backup"
 END = b"0\r\n\r\n"
@@ -59,13 +60,39 @@
     writer.write(full_response(503, {"x-sapphireledge-not-executed": "1"}, b""))
 
 
-class ResumeTest(GatewayCase):
+class ResumeCase(GatewayCase):
     async def add_engine_pair(self, handle, other, **more):
         """Starts a local engine, which is chosen first, and a remote one as its standby."""
         first = await self.add("llm", handle)
         second = await self.add("llm", other, "dc-b", **more)
         return first, second
 
+
+class ResumeTimingTest(VirtualClock, ResumeCase):
+    async def test_hanging_engine_is_replaced_within_the_pause_limit(self):
+        """Guards against a pause of more than 0.7 s when an engine stops sending."""
+        await self.add_engine_pair(
+            streaming_engine(0, 3, end=False, on_break="hang"), streaming_engine(4, 8)
+        )
+        started = asyncio.get_running_loop().time()
+        response = await self.call("/stream/")
+        self.assertEqual(response.body, events(*range(9)))
+        self.assertLess(asyncio.get_running_loop().time() - started, 0.7)
+
+    async def test_engine_that_processes_a_long_prompt_is_not_replaced(self):
+        """Guards against abandoning a busy engine that still responds to report queries."""
+
+        async def slow(request, writer):
+            await asyncio.sleep(1.5)
+            await streaming_engine(0, 2)(request, writer)
+
+        _, second = await self.add_engine_pair(slow, streaming_engine(0, 2))
+        response = await self.call("/stream/")
+        self.assertEqual(response.body, events(0, 1, 2))
+        self.assertEqual(second.received, [])
+
+
+class ResumeTest(ResumeCase):
     async def test_stream_is_delivered_completely(self):
         """Guards against lost or repeated events without any failure."""
         await self.add("llm", streaming_engine(0, 9))
@@ -118,16 +145,6 @@
         response = await self.call("/stream/")
         self.assertEqual(response.body, events(*range(6)))
 
-    async def test_hanging_engine_is_replaced_within_the_pause_limit(self):
-        """Guards against a pause of more than 0.7 s when an engine stops sending."""
-        await self.add_engine_pair(
-            streaming_engine(0, 3, end=False, on_break="hang"), streaming_engine(4, 8)
-        )
-        started = asyncio.get_running_loop().time()
-        response = await self.call("/stream/")
-        self.assertEqual(response.body, events(*range(9)))
-        self.assertLess(asyncio.get_running_loop().time() - started, 0.7)
-
     async def test_slow_but_sound_stream_is_not_cut(self):
         """Guards against cutting a stream that pauses while its engine processes other prompts."""
 
@@ -256,18 +273,6 @@
         response = await self.call("/non-resumable/")
         self.assertFalse(response.complete)
 
-    async def test_engine_that_processes_a_long_prompt_is_not_replaced(self):
-        """Guards against abandoning a busy engine that still responds to report queries."""
-
-        async def slow(request, writer):
-            await asyncio.sleep(1.5)
-            await streaming_engine(0, 2)(request, writer)
-
-        _, second = await self.add_engine_pair(slow, streaming_engine(0, 2))
-        response = await self.call("/stream/")
-        self.assertEqual(response.body, events(0, 1, 2))
-        self.assertEqual(second.received, [])
-
     async def test_dead_connection_before_the_first_event_is_abandoned(self):
         """Guards against waiting on a connection that delivers nothing, although the engine reports
         events."""
--- a/tests/test_server_pauses.py
+++ b/tests/test_server_pauses.py
@@ -13,6 +13,7 @@
     full_response,
     stream_head,
 )
+from virtual_clock import VirtualClock
 
 PAUSE = 1.2
 """Seconds for which the rejecting server wants no requests."""
@@ -21,7 +22,7 @@
 """Headers of the rejection."""
 
 
-class ServerPauseTest(GatewayCase):
+class ServerPauseTest(VirtualClock, GatewayCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.arrivals = []
