The build links to the interpreter where there is no C compiler

A machine without one would not build at all. The launcher is then missing, and the build says what that means; tried with a PATH that has no cc.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -18,6 +18,13 @@
 print(library if ".so" in library.name and library.exists() else "")
 END
 )
+launcher=$folder/sapphireledge-python
 mkdir -p "$folder"
-cc -O2 -Wall -Wextra -Werror -DPYTHON="\"$python\"" -DPYTHON_LIBRARY="\"$library\"" \
-    -o "$folder/sapphireledge-python" deploy/python_launcher.c -ldl
+rm -f "$launcher"
+if command -v cc >/dev/null; then
+    cc -O2 -Wall -Wextra -Werror -DPYTHON="\"$python\"" -DPYTHON_LIBRARY="\"$library\"" \
+        -o "$launcher" deploy/python_launcher.c -ldl
+else
+    echo "no C compiler: a signal ends a process whose interpreter is still starting" >&2
+    ln -s "$python" "$launcher"
+fi
