--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the packages and the launcher of an entry instance under target/.
+# Installs the packages and builds the launcher of an entry instance, both under target/, and compiles
+# the modules.
 #
 # Arguments: build.sh [launcher [FOLDER]]; with "launcher", only that, in FOLDER.
 set -eu
@@ -18,6 +19,10 @@
 print(library if ".so" in library.name and library.exists() else "")
 END
 )
+if [ "$part" = all ]; then
+    # Otherwise each start compiles all modules, as the source folder cannot be written to then.
+    "$python" -m compileall -q src
+fi
 launcher=$folder/sapphireledge-python
 mkdir -p "$folder"
 rm -f "$launcher"
