The next connection to the store is opened during a watch

Cause: with a connection for each call, the confirmations of the configuration came later by a round trip.

Change: the connection of the call after a watch is opened while the watch waits; a failed call drops it.

--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -132,6 +132,9 @@
 class StoreClient:
     """Makes one call at a time, each on a connection of its own.
 
+    The connection of the call after a watch is opened during the watch, so that changes and
+    confirmations do not wait for it.
+
     The store numbers no responses, so that on a connection of an earlier call a late copy of that
     call's response could not be told from the response to the next one.
     """
@@ -156,6 +159,7 @@
         self._on_call = on_call
         self._has_records = has_records
         self._writer: asyncio.StreamWriter | None = None
+        self._next: asyncio.Task[tuple[UnreadReader, asyncio.StreamWriter]] | None = None
         self._epoch = epoch
 
     async def list(self, kind: str) -> StorePage:
@@ -210,6 +214,7 @@
         """Ends the call that is being made, without waiting for pending data."""
         if self._writer is not None:
             self._writer.transport.abort()
+        self._drop_next()
 
     async def announce(self, peer: Peer) -> None:
         """Stores the description of this instance; see `PeerDirectory.announce`."""
@@ -309,7 +314,9 @@
         """Makes one call; raises `SourceError` for an unexpected status or an earlier epoch."""
         result = "failed"
         try:
-            reader, self._writer = await self._connect()
+            reader, self._writer = self._take_next() or await self._connect()
+            if operation == "watch":
+                self._next = asyncio.create_task(self._connect())
             async with asyncio.timeout(timeout):
                 answer = await self._exchange(reader, self._writer, method, path, body)
             result = str(answer.status)
@@ -317,7 +324,10 @@
             raise SourceError(f"{operation} failed: {exc!r}") from exc
         finally:
             self._on_call(operation, result)
-            self.close()
+            if self._writer is not None:
+                self._writer.transport.abort()
+            if result not in EXPECTED_STATUSES:
+                self._drop_next()
         if result not in EXPECTED_STATUSES:
             raise SourceError(f"{operation} failed: status {answer.status}")
         if not self._epoch.observe(answer.epoch):
@@ -364,6 +374,26 @@
                 if interim_responses > MAX_INTERIM_RESPONSES:
                     raise ConnectionResetError("the store sends interim responses without end")
 
+    def _take_next(self) -> tuple[UnreadReader, asyncio.StreamWriter] | None:
+        """Takes the connection that was opened during a watch, None without a usable one."""
+        task = self._next
+        if task is None or not task.done() or task.exception() is not None:
+            self._drop_next()
+            return None
+        self._next = None
+        reader, writer = task.result()
+        if reader.at_eof() or reader.unread or writer.is_closing():
+            writer.transport.abort()
+            return None
+        return reader, writer
+
+    def _drop_next(self) -> None:
+        """Closes the connection that was opened during a watch, or stops opening it."""
+        task, self._next = self._next, None
+        if task is not None:
+            task.cancel()
+            task.add_done_callback(_close_unused)
+
     async def _connect(self) -> tuple[UnreadReader, asyncio.StreamWriter]:
         """Opens a connection; one whose opening packet was lost is opened again."""
         for _ in range(CONNECT_ATTEMPTS - 1):
@@ -377,6 +407,12 @@
             return await open_unread_connection(self._cfg.host, self._cfg.port)
 
 
+def _close_unused(task: asyncio.Task[tuple[UnreadReader, asyncio.StreamWriter]]) -> None:
+    """Closes a connection that is not used, if it was opened at all."""
+    if not task.cancelled() and task.exception() is None:
+        task.result()[1].transport.abort()
+
+
 def _decode_epoch(value: bytes | None) -> int:
     """Decodes the epoch of the store, 0 if the header is missing or no number."""
     if value is None or not value.isdigit() or len(value) > MAX_EPOCH_DIGITS:
--- a/tests/test_unnamed_responses.py
+++ b/tests/test_unnamed_responses.py
@@ -20,7 +20,7 @@
     ServiceClient,
 )
 from sapphireledge.errors import Ran
-from sapphireledge.feed import FeedSettings, KindFeed, Peer, StoreEpoch
+from sapphireledge.feed import FeedSettings, KindFeed, Peer, SourceError, StoreEpoch
 from sapphireledge.feed.feed_channel import read_message, write_message
 from sapphireledge.feed.feed_follower import FeedFollower
 from sapphireledge.feed.feed_message import FeedReply, FeedRequest, KindReply
@@ -180,6 +180,27 @@
         pages = [await client.watch("config", 5, 0.1) for _ in range(3)]
         self.assertEqual([page.revision for page in pages], [5, 6, 7])
 
+    async def test_connection_of_the_next_call_is_opened_during_a_watch(self):
+        """Guards against confirmations that come later by a round trip to the store."""
+        client = StoreClient(StoreSettings(HOST, self.server.port), StoreEpoch())
+        self.addCleanup(client.close)
+        self.server.script("/objects/config", *[{"events": [], "store_revision": 5}] * 2)
+        await client.watch("config", 5, 0.1)
+        while self.server.connections < 2:
+            await asyncio.sleep(0.001)
+        await client.watch("config", 5, 0.1)
+        self.assertEqual(len(self.server.paths), 2)
+        self.assertLessEqual(self.server.connections, 3)
+
+    async def test_failed_watch_leaves_no_connection(self):
+        """Guards against a call on a connection that is as silent as the one that failed."""
+        client = StoreClient(StoreSettings(HOST, self.server.port, 0.2, 0.1), StoreEpoch())
+        self.addCleanup(client.close)
+        self.server.script("/objects/config", {}, status=503)
+        with self.assertRaises(SourceError):
+            await client.watch("config", 5, 0.1)
+        self.assertIsNone(client._next)
+
 
 class Listener:
     """Ignores what a feed passes on."""
