--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -209,7 +209,8 @@
             BackendServer(server.server_id, "app", HOST, server.port, "dc-a", version="v1")
         )
         call = asyncio.create_task(self.call("/once/x"))
-        await asyncio.sleep(0.1)
+        while not server.received:
+            await asyncio.sleep(0.001)
         rollouts = self.gateway.context.rollouts
         order = RolloutOrder("app", "v2", 10.0, "1")
         rollouts.on_order(StoredOrder(order, None, 1))
