An own copy is preferred to a shorter one of a former partner

Cause: the owner had changed its partner. The former partner keeps the beginning of the answer with the same epoch; the new partner, which holds all of it, asked the others and preferred its own copy only with a higher epoch.

Ruled out: that the copies were not sent: the new partner had no failure in the owner's log until the kill.

Change: one order for own and other copies (epoch, owner, end, length).

--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -164,7 +164,8 @@
         found = await self._queries.find_answer(req.answer_id, timeout)
         location, holder = found.location, found.instance
         own_copy = self._copies.locate(req.answer_id)
-        if own_copy is not None and (location is None or own_copy.epoch > location.epoch):
+        # A former partner keeps its copy, which ends where the owner lost touch with it.
+        if own_copy is not None and found.is_outranked_by(own_copy):
             location, holder = own_copy, self._cfg.instance
         if location is None:
             return self._start(req, trace, found.complete)
--- a/src/sapphireledge/peers/peer_queries.py
+++ b/src/sapphireledge/peers/peer_queries.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.errors import Failure
-from sapphireledge.peers.found_answer import FoundAnswer
+from sapphireledge.peers.found_answer import FoundAnswer, location_order
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,7 +39,7 @@
     async def find_answer(self, request_id: str, timeout: float) -> FoundAnswer:
         """Searches for an answer in the local data centre, then in the others.
 
-        The highest epoch takes precedence, then the owner, then the longest copy.
+        Of several locations, `location_order` decides.
 
         Args:
             request_id: Id of the request.
@@ -80,7 +80,7 @@
         complete = len(replies) == len(names)
         if not found:
             return FoundAnswer("", None, complete)
-        best = max(found, key=lambda name: _location_order(found[name]))
+        best = max(found, key=lambda name: location_order(found[name]))
         return FoundAnswer(best, found[best], complete)
 
     async def _call_all(
@@ -128,8 +128,3 @@
             for call in pending:
                 call.cancel()
         return replies
-
-
-def _location_order(location: Any) -> tuple[int, bool, int]:
-    """Returns the sort key of a location; the greatest is preferred."""
-    return location.epoch, location.owner, location.stored
--- a/tests/test_answer_owners.py
+++ b/tests/test_answer_owners.py
@@ -4,17 +4,20 @@
 
 import time
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
 from test_peers import make_settings
 
-from sapphireledge.core.answer import OwnerClaim
-from sapphireledge.entry.answer_locator import AnswerLocator
-from sapphireledge.entry.caller_request import CallerRequest
+from sapphireledge.core.answer import AnswerDigest, OwnerClaim
+from sapphireledge.core.quarantine import fingerprint_request
+from sapphireledge.entry.answer_header import AnswerHeader
+from sapphireledge.entry.answer_locator import AnswerLocator, LocatedAnswer
+from sapphireledge.entry.caller_request import CallerRequest, ResumePoint
 from sapphireledge.entry.copy_store import CopyStore
 from sapphireledge.entry.peer_service import PeerService
-from sapphireledge.peers import AnswerAppend, AnswerLocation, FoundAnswer
+from sapphireledge.peers import AnswerAppend, AnswerLocation, FoundAnswer, TakeOver
 
 REQUEST = CallerRequest(
     request_id="r",
@@ -32,8 +35,8 @@
 class FakeRunner:
     """Answer of this instance."""
 
-    def __init__(self, epoch: int, request: Any = None):
-        self.answer = SimpleNamespace(epoch=epoch)
+    def __init__(self, epoch: int, request: Any = None, pieces: tuple[str, ...] = ()):
+        self.answer = SimpleNamespace(epoch=epoch, pieces=pieces)
         self.request = request
         self.has_moved = False
 
@@ -50,8 +53,16 @@
     def get(self, answer_id: str) -> FakeRunner | None:
         return self.runners.get(answer_id)
 
-    def start(self, req: CallerRequest, trace: Any, *, epoch: int = 1, **_: Any) -> FakeRunner:
-        self.runners[req.answer_id] = runner = FakeRunner(epoch, req)
+    def start(
+        self,
+        req: CallerRequest,
+        trace: Any,
+        *,
+        epoch: int = 1,
+        pieces: tuple[str, ...] = (),
+        **_: Any,
+    ) -> FakeRunner:
+        self.runners[req.answer_id] = runner = FakeRunner(epoch, req, pieces)
         return runner
 
 
@@ -129,6 +140,50 @@
         self.assertEqual((located.source, own.has_moved), (own, False))
 
 
+class StaleCopyTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an answer that is lost because a former partner holds its beginning."""
+
+    async def locate(self, own: int, other: int, owner: bool = False) -> Any:
+        """Reconnects at token 2 of an answer of which both instances hold some tokens."""
+        cfg = make_settings("b")
+        pieces = tuple(f"piece {n} " for n in range(4))
+        header = AnswerHeader.from_request(REQUEST, "v1").encode()
+        copies = CopyStore(cfg)
+        copies.append("a", [AnswerAppend(REQUEST.answer_id, 1, 0, pieces[:own], header, "", "")])
+
+        async def call(holder: str, method: str, *_: Any, timeout: float) -> Any:
+            return TakeOver(True, 2, "b", header, list(pieces[:other]), "", "")
+
+        digest = AnswerDigest(cfg.fleet_secret, REQUEST.answer_id, "v1")
+        for piece in pieces[:2]:
+            digest.update(piece)
+        position = digest.event_id()
+        found = FoundAnswer("c", AnswerLocation(True, owner, "a", 1, other, False), True)
+        unused: Any = None
+        registry: Any = FakeRegistry()
+        mesh: Any = SimpleNamespace(call=call)
+        queries: Any = FakeQueries(found)
+        locator = AnswerLocator(cfg, registry, copies, mesh, queries, unused)
+        resume = ResumePoint(position.offset, position.digest)
+        fingerprint = fingerprint_request(REQUEST.body)
+        request = replace(REQUEST, fingerprint=fingerprint, resume=resume)
+        return await locator.locate(request, True, None)
+
+    async def test_longer_copy_here(self):
+        located = await self.locate(own=3, other=1)
+        self.assertIsInstance(located, LocatedAnswer)
+        self.assertEqual(len(located.source.answer.pieces), 3)
+
+    async def test_longer_copy_elsewhere(self):
+        located = await self.locate(own=1, other=3)
+        self.assertIsInstance(located, LocatedAnswer)
+        self.assertEqual(len(located.source.answer.pieces), 3)
+
+    async def test_owner_is_preferred_to_a_longer_copy(self):
+        located = await self.locate(own=3, other=1, owner=True)
+        self.assertEqual(located.source.instance, "c")
+
+
 class OwnerClaimTest(unittest.TestCase):
     """Guards against instances that rank two claims differently."""
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -211,13 +211,24 @@
 class EntryLossTest(ProcessCase):
     """Guards against lost or mixed answers when the instance of a caller is lost."""
 
+    def restart_entry(self):
+        self.fleet.start_entry("e1")
+        self.wait_for_peers()
+
     def test_killed_entry_and_reconnect_with_position(self):
         request_id = str(uuid6.uuid7())
+
+        def kill_entry(count):
+            if count == 30:
+                self.addCleanup(self.restart_entry)
+                self.fleet.kill("e1")
+            return False
+
         first = generate(
             self.fleet.callers["e1"],
             request_id=request_id,
             max_tokens=70,
-            on_token=lambda n: n == 30 and (self.fleet.kill("e1") or False),
+            on_token=kill_entry,
         )
         self.assertFalse(first.done)
         lost = time.monotonic()
@@ -235,8 +246,6 @@
         # A client that only repeats its request id gets the same answer from the start.
         again = generate(self.fleet.callers["e3"], request_id=request_id, max_tokens=70)
         self.assertEqual(again.text, first.text + rest.text)
-        self.fleet.start_entry("e1")
-        self.wait_for_peers()
 
     def test_request_id_with_other_content_is_refused(self):
         """Guards against a caller that receives the answer to another request with the same id."""
@@ -250,11 +259,18 @@
             self.assertEqual((other.error or {}).get("type"), "invalid_request", entry)
             self.assertIn("X-Request-Id", other.error["message"])
 
+    def restart_engine_and_entry(self):
+        self.fleet.start_engine(next(e for e in self.engines if e.name == self.killed))
+        self.fleet.start_entry("e1")
+        self.fleet.publish_instances()
+        self.wait_for_peers()
+
     def test_engine_and_entry_killed_together(self):
         request_id = str(uuid6.uuid7())
 
         def act(count):
             if count == 20:
+                self.addCleanup(self.restart_engine_and_entry)
                 engine = self.engine_of(request_id)
                 self.fleet.kill(engine)
                 self.fleet.kill("e1")
@@ -272,10 +288,6 @@
         )
         self.assertTrue(rest.done, rest.error)
         self.assert_complete(first.text + rest.text, 60)
-        self.fleet.start_engine(next(e for e in self.engines if e.name == self.killed))
-        self.fleet.start_entry("e1")
-        self.fleet.publish_instances()
-        self.wait_for_peers()
 
     def test_paused_entry_returns_after_takeover(self):
         """Guards against a resumed owner that delivers a second continuation after a takeover."""
