Four known reds wait for events and count their own time

Cause: three tests measured real time in which this process also waited for a processor, or slept 0.1 s for work that was still queued; one counted the calls of the store within 0.9 s of real time.

Ruled out: processor time as the clock: it would miss a loop that blocks.

Change, bounds unchanged: - own_time() stands still while the thread is ready to run and others run (schedstat); blocking still counts, shown by test_loop_watch.

Not changed: crashing plain requests and roll-outs, whose components read clocks of the system, too.

--- a/tests/test_bounded_readers.py
+++ b/tests/test_bounded_readers.py
@@ -16,6 +16,7 @@
 
 import uvicorn
 from gateway_case import HOST, GatewayCase, chunk, encode_json, full_response, signed_response
+from loop_watch import LoopWatch
 from standin_case import make_call
 
 from sapphireledge.backends import AttemptStarted, CallFailureCause, ConnectionPools, EngineClient
@@ -37,26 +38,6 @@
 """Seconds within which other requests are answered."""
 
 
-class LoopWatch:
-    """Measures the longest time for which the event loop was not available."""
-
-    def __init__(self) -> None:
-        self.longest = 0.0
-        self._task = asyncio.create_task(self._run())
-
-    async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            started = loop.time()
-            await asyncio.sleep(0.001)
-            self.longest = max(self.longest, loop.time() - started)
-
-    def stop(self) -> float:
-        """Stops measuring; returns the longest time in seconds."""
-        self._task.cancel()
-        return self.longest
-
-
 async def send_until_closed(writer, data, seconds):
     """Sends bytes until the other side closes, at most for some seconds."""
     try:
--- a/tests/test_endless_pieces.py
+++ b/tests/test_endless_pieces.py
@@ -7,6 +7,7 @@
 import unittest
 
 from gateway_case import SEAL, GatewayCase, chunk, event, signed_response, stream_head
+from loop_watch import own_time
 
 from sapphireledge.gateway.backend_response_error import BackendResponseError
 from sapphireledge.gateway.event_splitter import MAX_EVENT_BYTES, EventSplitter
@@ -126,10 +127,10 @@
         loop = asyncio.get_running_loop()
         end, longest = loop.time() + 2.0, 0.0
         while loop.time() < end:
-            started = loop.time()
+            started = own_time()
             response = await self.call("/plain/")
             self.assertEqual(response.status, 200)
-            longest = max(longest, loop.time() - started)
+            longest = max(longest, own_time() - started)
             await asyncio.sleep(0.02)
         for task in floods:
             task.cancel()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from feed_changes import list_changes
+from virtual_clock import VirtualClock
 
 from sapphireledge.feed import (
     FeedRunner,
@@ -341,8 +342,8 @@
         self.assertIn(1, self.instances_reading_store())
 
 
-class FewCallsTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against calls that bring nothing: many instances start and the store is away."""
+class WatcherCase(unittest.IsolatedAsyncioTestCase):
+    """Starts watchers of a store."""
 
     def start_watcher(self, store, kind_cfg, presence, **overrides):
         epoch = StoreEpoch()
@@ -359,6 +360,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+
+class FewCallsTest(WatcherCase):
+    """Guards against calls that bring nothing: many instances start and the store is away."""
+
     async def test_restarted_instance_with_a_relay_never_calls_the_store(self):
         store, peers = MemoryStore(), []
         ports = free_ports(2)
@@ -448,19 +453,6 @@
         self.assertTrue(probing.is_healthy)
         self.assertTrue(passive.is_healthy)
 
-    async def test_only_changes_whose_age_matters_are_confirmed(self):
-        store, presence = MemoryStore(), StorePresence()
-        long_watch = replace(PASSIVE_KIND, watch_wait=1.0)
-        self.start_watcher(store, replace(long_watch, kind="k1", confirms=True), presence)
-        self.start_watcher(store, replace(long_watch, kind="k2"), presence)
-        await asyncio.sleep(0.1)
-        store.calls_by_instance.clear()
-        store.put("b", 1)
-        await asyncio.sleep(0.9)
-        # The next watch is short only for the kind that confirms.
-        self.assertEqual(store.calls_by_instance["k1"], 2)
-        self.assertEqual(store.calls_by_instance["k2"], 1)
-
     async def test_late_kind_is_not_listed_by_an_instance_that_others_precede(self):
         store = MemoryStore()
         epoch = StoreEpoch()
@@ -476,6 +468,23 @@
         self.assertEqual(store.calls, 1)
 
 
+class ConfirmationTest(VirtualClock, WatcherCase):
+    """Guards against calls that confirm what nobody asks the age of."""
+
+    async def test_only_changes_whose_age_matters_are_confirmed(self):
+        store, presence = MemoryStore(), StorePresence()
+        long_watch = replace(PASSIVE_KIND, watch_wait=1.0)
+        self.start_watcher(store, replace(long_watch, kind="k1", confirms=True), presence)
+        self.start_watcher(store, replace(long_watch, kind="k2"), presence)
+        await asyncio.sleep(0.1)
+        store.calls_by_instance.clear()
+        store.put("b", 1)
+        await asyncio.sleep(0.9)
+        # The next watch is short only for the kind that confirms.
+        self.assertEqual(store.calls_by_instance["k1"], 2)
+        self.assertEqual(store.calls_by_instance["k2"], 1)
+
+
 class GoneRelayTest(unittest.IsolatedAsyncioTestCase):
     """Guards against instances that search relays that are gone and never read the store."""
 
