Streams pause before they connect again to engines that refuse

Seen: a stream whose only listed engine refuses connections made 6,897 attempts in 4.8 s and kept the processor (found by a test of another fault).

Cause: only engines to which the request was sent count as attempts, and failed engines are used again if there is no other.

Ruled out: plain requests, which end after one attempt at each server (measured: 1); streams that had begun, which the retry allowance stops.

Change: 0.25 s before the next attempt if the last one could not connect and every listed engine has failed the stream.

Evidence: UnreachableEngineTest.test_new_stream fails before with 630 attempts in 1.5 s at a bound of 8; an engine that starts again still serves the stream.

--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -24,6 +24,10 @@
 RETRY_AFTER = 0.5
 """Retry-After in seconds for refused streams; engines free memory within seconds."""
 
+RECONNECT_PAUSE = 0.25
+"""Seconds between attempts at engines that could not be reached, while there is no other one. They
+are listed for some seconds after a crash, and some have started again by then."""
+
 
 class StreamForwarder:
     """Forwards streams, and resumes them on another engine if the route permits."""
@@ -93,6 +97,18 @@
                 failed_outcome = outcome
             if outcome.kind is OutcomeKind.OUT_OF_TIME or not self._may_retry(admitted, progress):
                 return await self._fail_request(conn, progress, failed_outcome)
+            await self._pause_before_reconnect(admitted, progress)
+
+    async def _pause_before_reconnect(
+        self, admitted: AdmittedRequest, progress: StreamProgress
+    ) -> None:
+        """Waits if only engines are left that could not be reached, which refuse at once."""
+        if not progress.could_not_connect:
+            return
+        now = asyncio.get_running_loop().time()
+        registry, service = self._context.registry, admitted.service.name
+        if registry.next_admission(now, service, progress.failed_engines) == float("inf"):
+            await asyncio.sleep(min(RECONNECT_PAUSE, max(0.0, admitted.deadline - now)))
 
     def _try_begin_attempt(self, admitted: AdmittedRequest, progress: StreamProgress) -> bool:
         """Checks the limits for another attempt, and spends a retry if it is not the first."""
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -47,6 +47,9 @@
         self.lost_centres: set[str] = set()
         """Data centres in which an engine was lost during this stream."""
 
+        self.could_not_connect = False
+        """Whether the last attempt ended before the request was sent."""
+
         self.may_have_executed = False
         """Whether an engine may have executed the request."""
 
@@ -88,6 +91,7 @@
             selection: Engines of the attempt.
         """
         self.attempts += 1
+        self.could_not_connect = True
         self._standby = None if selection.standby is None else Replica(selection.standby)
         self._attempt_has_events = False
 
@@ -123,6 +127,7 @@
             server: The engine.
         """
         self.contacted.add(server.server_id)
+        self.could_not_connect = False
 
     def on_outcome(self, outcome: Outcome) -> None:
         """Records the outcome of a failed attempt.
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -105,9 +105,9 @@
         self._server: asyncio.Server | None = None
         self.port = 0
 
-    async def start(self) -> None:
-        """Listens on a free port."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+    async def start(self, port: int = 0) -> None:
+        """Listens on a port, by default a free one."""
+        self._server = await asyncio.start_server(self._serve, HOST, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self) -> None:
--- a/tests/test_gateway_stream.py
+++ b/tests/test_gateway_stream.py
@@ -16,6 +16,8 @@
 )
 from virtual_clock import VirtualClock
 
+from sapphireledge.gateway.stream_forwarder import RECONNECT_PAUSE
+
 REPLICA_TARGET = "x-sapphireledge-kv-backup"
 END = b"0\r\n\r\n"
 
@@ -92,6 +94,54 @@
         self.assertEqual(second.received, [])
 
 
+class UnreachableEngineTest(ResumeCase):
+    """Guards against streams that keep the processor by connecting without a pause while the only
+    engines that are listed refuse connections."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.connects = 0
+        pool = self.gateway.context.pool
+        acquire = pool.acquire
+
+        async def count(*args, **kwargs):
+            self.connects += "request_id" in kwargs
+            return await acquire(*args, **kwargs)
+
+        pool.acquire = count
+
+    async def test_new_stream(self):
+        for _ in range(2):
+            server = await self.add("llm", streaming_engine(0, 3))
+            server.stop()
+        response = await self.call("/stream/", x_sapphireledge_deadline_ms="1500")
+        self.assertEqual((response.status, "retry-after" in response.headers), (503, True))
+        self.assertLessEqual(self.connects, 2 + 1.5 / RECONNECT_PAUSE)
+
+    async def test_stream_that_had_begun(self):
+        async def end(request, writer):
+            self.servers[0].stop()
+            writer.write(stream_head(request) + chunk(event(0)))
+            await writer.drain()
+            writer.transport.abort()
+
+        await self.add("llm", end)
+        response = await self.call("/stream/", x_sapphireledge_deadline_ms="1500")
+        self.assertFalse(response.complete)
+        self.assertLessEqual(self.connects, 3 + 1.5 / RECONNECT_PAUSE)
+
+    async def test_engine_that_starts_again_serves_the_stream(self):
+        server = await self.add("llm", streaming_engine(0, 3))
+        server.stop()
+        call = asyncio.create_task(self.call("/stream/"))
+        await asyncio.sleep(0.5)
+        server.handle = streaming_engine(0, 3)
+        self.assertFalse(call.done())
+        await server.start(server.port)
+        response = await call
+        self.assertEqual((response.complete, response.body), (True, events(*range(4))))
+
+
 class ResumeTest(ResumeCase):
     async def test_stream_is_delivered_completely(self):
         """Guards against lost or repeated events without any failure."""
