A stream that ends with its connection is confirmed by its engine

Cause: the kernel ends the connections of a killed process like a server that has sent all. Only an incomplete event counted as broken.

Ruled out: an end by reset, and a part of a chunk or of an event: refused.

Change: the engine's report decides: answered by the same start, with no more events of the run than have arrived. Otherwise the stream is resumed, or ends as incomplete.

--- a/src/sapphireledge/core/liveness/stream_watch.py
+++ b/src/sapphireledge/core/liveness/stream_watch.py
@@ -121,6 +121,26 @@
             self._suspected_at = now
         return suspicion if now - self._suspected_at >= self._limits.confirm_time else ""
 
+    def find_cut(self, sighting: RunSighting | None) -> str:
+        """Decides from a report whether the run was cut off when its connection ended.
+
+        The report of an engine that still runs may be from before the end of the run, and then
+        lists no more events than have arrived.
+
+        Args:
+            sighting: What the engine reports about the run, None without a report.
+
+        Returns:
+            Why the run was cut off, empty if it had ended.
+        """
+        if sighting is None:
+            return "the stream ended with its connection, and the engine sent no report"
+        if sighting.restarted:
+            return "the stream ended with its connection, and the engine has restarted"
+        if sighting.generated is None:
+            return ""
+        return self._find_suspicion(sighting, 0)
+
     def _find_suspicion(self, sighting: RunSighting | None, max_undelivered: int) -> str:
         """Finds a sign in a report that the run is lost or its connection no longer delivers."""
         if sighting is None:
--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -74,7 +74,10 @@
         """Id of the latest request on this connection, empty if it had none."""
 
         self._has_answered = False
-        self._ends_with_connection = False
+        self.ends_with_connection = False
+        """Whether the latest response has neither a length nor chunks, so that its end looks like
+        that of its server."""
+
         self.identifies_responses = True
         """Whether each response so far carried the id of its request. Otherwise a late copy of one
         cannot be told from the response to a call without an id."""
@@ -175,7 +178,7 @@
                 raise BackendResponseError("the response has no head")
             if event.status_code >= STATUS_LIMIT:
                 raise BackendResponseError(f"there is no status {event.status_code} in HTTP")
-            self._ends_with_connection = not _has_length(event)
+            self.ends_with_connection = not _has_length(event)
             head = dialect.decode_response(event.status_code, tuple(event.headers))
             self.must_close = self.must_close or head.closes_connection
             self.idle_timeout = head.idle_timeout
@@ -204,7 +207,7 @@
             return bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
             raise BackendResponseError("the response body is truncated")
-        if self._ends_with_connection and self._has_unacknowledged():
+        if self.ends_with_connection and self._has_unacknowledged():
             raise BackendResponseError("the connection ended before the request was sent")
         self._on_response_complete()
         return None
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -161,6 +161,8 @@
                     await self._verify_run(server, watch)
             if splitter.has_partial_event:
                 raise BackendResponseError("the stream ended within an event")
+        if conn.ends_with_connection:
+            await self._verify_end(server, watch)
 
     def _observe_first_event(self, selection: EngineSelection, delay: float) -> None:
         """Passes the time to the first event on to the estimates for further streams."""
@@ -221,6 +223,24 @@
         finally:
             task.cancel()
 
+    async def _verify_end(self, server: BackendServer, watch: StreamWatch) -> None:
+        """Raises BackendResponseError unless the engine confirms that a stream has ended.
+
+        The kernel ends the connections of a killed engine like the engine itself those of streams
+        that have neither a length nor chunks. A stream that cannot move is worth repeated reports.
+        """
+        loop = asyncio.get_running_loop()
+        limits = self._context.cfg.silence
+        can_move = self._can_move(loop.time(), server)
+        give_up_at = loop.time() + (0.0 if can_move else limits.confirm_time)
+        sighting = await self._sight_run(server, limits.report_timeout)
+        while sighting is None and loop.time() < give_up_at:
+            await asyncio.sleep(limits.repeat_check)
+            sighting = await self._sight_run(server, limits.report_timeout)
+        cut = watch.find_cut(sighting)
+        if cut:
+            raise BackendResponseError(cut)
+
     async def _verify_run(self, server: BackendServer, watch: StreamWatch) -> None:
         """Fetches the engine's report; raises BackendResponseError if the run is lost."""
         sighting = await self._sight_run(server, watch.report_timeout)
--- a/tests/test_gateway_stream.py
+++ b/tests/test_gateway_stream.py
@@ -6,6 +6,7 @@
 import unittest
 
 from gateway_case import (
+    HOST,
     SEAL,
     GatewayCase,
     chunk,
@@ -16,6 +17,7 @@
 )
 from virtual_clock import VirtualClock
 
+from sapphireledge.gateway import BackendServer
 from sapphireledge.gateway.stream_forwarder import RECONNECT_PAUSE
 
 REPLICA_TARGET = "x-sapphireledge-kv-backup"
@@ -94,6 +96,100 @@
         self.assertEqual(second.received, [])
 
 
+class ConnectionEndTest(VirtualClock, ResumeCase):
+    """Guards against a stream with neither a length nor chunks that ends as complete because its
+    engine was killed between two events."""
+
+    def unframed_engine(self, last, *, dies=False, load=None, born=None):
+        """Builds the handler of an engine whose stream ends with its connection.
+
+        Args:
+            last: Number of the last event that arrives.
+            dies: Whether the engine is gone then.
+            load: What it reports about runs then.
+            born: Start that it reports then.
+        """
+
+        async def handle(request, writer):
+            server = self.servers[0]
+            head = stream_head(request).replace(b"transfer-encoding: chunked\r\n", b"")
+            writer.write(head + events(*range(last + 1)))
+            await writer.drain()
+            if load is not None:
+                server.load = {"running": 1, "runs": [["id1", 100, load, 5]]}
+            if born is not None:
+                server.load = {**server.load, "born": born}
+            if dies:
+                server.stop()
+            writer.close()
+
+        return handle
+
+    async def test_stream_of_a_killed_engine_is_resumed(self):
+        _, second = await self.add_engine_pair(
+            self.unframed_engine(3, dies=True), streaming_engine(4, 8)
+        )
+        response = await self.call("/stream/")
+        self.assertTrue(response.complete)
+        self.assertEqual(response.body, events(*range(9)))
+        self.assertEqual(second.received[0].headers["last-event-id"], "3")
+
+    async def test_stream_of_a_restarted_engine_is_resumed(self):
+        first, _ = await self.add_engine_pair(
+            self.unframed_engine(3, born=2000), streaming_engine(4, 8)
+        )
+        self.gateway.context.registry.put(
+            BackendServer(first.server_id, "llm", HOST, first.port, "dc-a", started_at_ms=1000)
+        )
+        response = await self.call("/stream/")
+        self.assertEqual((response.complete, response.body), (True, events(*range(9))))
+
+    async def test_stream_of_a_run_with_more_events_is_resumed(self):
+        await self.add_engine_pair(self.unframed_engine(3, load=6), streaming_engine(4, 8))
+        response = await self.call("/stream/")
+        self.assertEqual((response.complete, response.body), (True, events(*range(9))))
+
+    async def check_ended_stream(self, load):
+        _, second = await self.add_engine_pair(
+            self.unframed_engine(3, load=load), streaming_engine(4, 8)
+        )
+        response = await self.call("/stream/")
+        self.assertEqual((response.complete, response.body), (True, events(*range(4))))
+        self.assertEqual(second.received, [])
+
+    async def test_ended_stream_is_complete(self):
+        """Guards against prompts that are processed again for nothing."""
+        await self.check_ended_stream(None)
+
+    async def test_ended_stream_with_a_report_from_before_its_end_is_complete(self):
+        await self.check_ended_stream(2)
+
+    async def test_ended_stream_with_a_report_of_all_its_events_is_complete(self):
+        await self.check_ended_stream(4)
+
+    async def test_stream_of_a_killed_engine_that_cannot_move_is_not_complete(self):
+        await self.add("llm", self.unframed_engine(3, dies=True))
+        for path in ("/stream/", "/non-resumable/"):
+            with self.subTest(path):
+                response = await self.call(path)
+                self.assertFalse(response.complete and response.status == 200)
+
+    async def test_stream_that_cannot_move_waits_for_a_late_report(self):
+        """Guards against the loss of a whole answer because of one report."""
+        await self.add("llm", self.unframed_engine(3))
+        fetch = self.gateway.context.report_client.fetch_report
+        fetched = []
+
+        async def fetch_late(server, timeout):
+            fetched.append(timeout)
+            return None if len(fetched) == 1 else await fetch(server, timeout)
+
+        self.gateway.context.report_client.fetch_report = fetch_late
+        response = await self.call("/non-resumable/")
+        self.assertEqual((response.complete, response.body), (True, events(*range(4))))
+        self.assertEqual(len(fetched), 2)
+
+
 class UnreachableEngineTest(ResumeCase):
     """Guards against streams that keep the processor by connecting without a pause while the only
     engines that are listed refuse connections."""
