A test of explanations waits until its stream is not recent any more

Cause: for 0.4 s after a dispatch the instance counts it as work that reports do not show yet. The command, a process, starts in 0.3 to 0.4 s here, so the stream of the test still counted (term "ahead" 1.0 of s0 in every failed run, 0.0 in the others).

Ruled out: late reports (both had arrived, age 0.30 to 0.37 s).

Change: the test waits for that time.

--- a/tests/test_explain_platform.py
+++ b/tests/test_explain_platform.py
@@ -22,6 +22,7 @@
 
 from sapphireledge.errors import ERROR_ANSWERS, ErrorKind
 from sapphireledge.gateway import seconds_since_boot
+from sapphireledge.gateway.engine_views import RECENT_DISPATCH_WINDOW
 from sapphireledge.limits import CallerBudgets, CallerLedger
 from sapphireledge.operator import GatewayOperatorServer
 from sapphireledge.platform.node_settings import load_node_settings
@@ -66,6 +67,8 @@
 
     async def test_stream_with_known_and_fresh_reports(self):
         await self.call("/stream/a")
+        # Until then the stream counts as one that the reports do not show yet.
+        await asyncio.sleep(RECENT_DISPATCH_WINDOW)
         self.servers[0].load = {"waiting": 9, "running": 9, "runs": []}
         found = await self.explain(*STREAM, "--prompt-tokens", "900", "--part", "p-1=900")
         self.assertEqual((found["outcome"], found["route"]), ("sent", "r-stream"))
