The tests of crashing plain requests run by a clock of their own

Ruled out: the clock of the event loop alone: the crash guard reads clocks of the system, so it gets that clock, too.

Change: VirtualClock for the class; bounds unchanged.

--- a/tests/test_crashing_plain_requests.py
+++ b/tests/test_crashing_plain_requests.py
@@ -7,9 +7,12 @@
 import unittest
 from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
+from unittest import mock
 
 from crashing_plain_server import CrashingPlainServer
 from gateway_case import HOST, ONCE_ROUTE, PLAIN_ROUTE, GatewayCase, signed_response, table
+from virtual_clock import VirtualClock
 
 from sapphireledge.core.quarantine import DeathRecord, IsolateVerdict
 from sapphireledge.errors import ErrorKind, Failure
@@ -22,6 +25,7 @@
     RequestTelemetry,
     ServiceProfile,
     WorkspaceKey,
+    crash_guard,
     seconds_since_boot,
 )
 from sapphireledge.gateway.admitted_request import AdmittedRequest
@@ -41,10 +45,13 @@
 """API key of a second workspace."""
 
 
-class CrashingPlainRequestTest(GatewayCase):
+class CrashingPlainRequestTest(VirtualClock, GatewayCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.crashing = []
+        loop = asyncio.get_running_loop()
+        clocks = SimpleNamespace(monotonic=loop.time, time=loop.time)
+        self.enterContext(mock.patch.object(crash_guard, "time", clocks))
         context = self.gateway.context
         measure_service = context.crashes.measure_service
         context.crashes = CrashGuard(CFG, context.telemetry)
