Tests of signals begin with default dispositions

Cause: a shell lets background jobs ignore SIGINT, and children inherit that. The test counts an ignored signal as protected, so it sent SIGINT before the launcher had run, and the kernel dropped it. With SIGHUP ignored (nohup) the tests of that signal showed nothing.

Ruled out: the launcher: a blocked signal stays pending whatever its disposition is.

--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -29,6 +29,10 @@
     unittest.addModuleCleanup(folder.cleanup)
     launcher_folder = Path(folder.name)
     build_launcher(launcher_folder)
+    for number in HANDLED:
+        # What a shell or `nohup` lets this process ignore, its children would ignore, too.
+        if signal.getsignal(number) is signal.SIG_IGN:
+            unittest.addModuleCleanup(signal.signal, number, signal.signal(number, signal.SIG_DFL))
 
 
 def read_signal_sets(pid):
