Instances of the roll-out tests take ports that no connection takes

Cause: the port of an instance was drawn from the system's ephemeral range and bound later; an outgoing connection can take it meanwhile. The feed then ends with "address already in use", which nothing showed. With the port taken on purpose (trial) the start times out after 10.0 s in the same way.

Change: ports below that range, as in the fleets of processes, and a part that ends during the start fails the test with its reason.

--- a/tests/rollout_io_case.py
+++ b/tests/rollout_io_case.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
 import tempfile
 import time
 import unittest
@@ -15,6 +14,7 @@
 import msgspec
 from gateway_case import HOST, ReceivedRequest, ScriptedServer, read_response, signed_response
 
+from devtools.local_fleet import free_port
 from sapphireledge.feed import StoreEpoch
 from sapphireledge.gateway import Gateway, GatewayMetrics, RequestTelemetry
 from sapphireledge.platform.create_parts import create_feed_runner, create_rollout_parts
@@ -60,8 +60,8 @@
         self, name: str, store: Store, folder: Path, contracts: Sequence[str], **bounds: float
     ) -> None:
         self.name = name
-        with socket.create_server((HOST, 0)) as reserved:
-            peer_port = reserved.getsockname()[1]
+        # Outgoing connections of other tests take no ports of this range.
+        peer_port = free_port(HOST)
         path = folder / f"{name}.json"
         path.write_bytes(
             msgspec.json.encode(
@@ -95,6 +95,9 @@
         self.port = self._listener.sockets[0].getsockname()[1]
         async with asyncio.timeout(10.0):
             while not self.gateway.is_ready:
+                for task in self._tasks:
+                    if task.done():
+                        task.result()
                 await asyncio.sleep(0.05)
 
     async def stop(self) -> None:
