A relay does not pass on an older configuration of a restored store

Cause: a relay passed on the objects of the store as they are, and their age. It knew that the configuration in the store is older than the one in force and confirmed nothing itself, but nothing told its followers; one without a configuration accepts and confirms any.

Change: the feed keeps an object that is newer than the store's, passes that on, and confirms nothing until the store has it again.

Ruled out: passing on the age alone. A follower could still use the older configuration for as long as keys stay valid without a confirmation, which can end after the time limit of a revocation.

--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -34,13 +34,22 @@
     older than the objects is ignored, because the next relay may be behind the last one.
     """
 
-    def __init__(self, kind: str, listener: KindListener, *, is_optional: bool = False) -> None:
+    def __init__(
+        self,
+        kind: str,
+        listener: KindListener,
+        *,
+        is_optional: bool = False,
+        is_superseded: Callable[[StoredEntry], bool] = lambda entry: False,
+    ) -> None:
         """Creates an empty feed.
 
         Args:
             kind: Name of the kind.
             listener: Receiver of listings and changes.
             is_optional: Whether other instances can follow this one without the objects.
+            is_superseded: Returns whether an entry is older than what the listener has in force. A
+                restored store has such entries; followers are sent the kept object instead.
         """
         self.is_optional = is_optional
         """Whether other instances can follow this one without the objects."""
@@ -59,6 +68,9 @@
         """Called after a change or confirmation, and when the watcher fails."""
 
         self._listener = listener
+        self._is_superseded = is_superseded
+        # Names of the objects that are newer than those in the store.
+        self._lost_by_store: set[str] = set()
         self._objects: dict[str, KeptObject] = {}
         # In the order of their last change, like the objects.
         self._removals: dict[str, int] = {}
@@ -84,7 +96,11 @@
         removed = [StoredEntry(name, None, True) for name in self._objects.keys() - listed]
         if self.revision is None:
             self._history_start = page.revision
-            self._objects.clear()
+            self._objects = {
+                entry.name: self._objects[entry.name]
+                for entry in page.entries
+                if entry.name in self._objects and self._is_superseded(entry)
+            }
             self._removals.clear()
         changed = [entry for entry in page.entries if self._differs(entry)]
         self._record_changes(page.revision, [*removed, *changed])
@@ -164,9 +180,13 @@
     def _record_changes(self, revision: int, entries: Iterable[StoredEntry]) -> None:
         """Applies changes to the objects, and records removals for followers."""
         for entry in entries:
-            self._objects.pop(entry.name, None)
+            kept = self._objects.pop(entry.name, None)
             self._removals.pop(entry.name, None)
-            if entry.removed:
+            self._lost_by_store.discard(entry.name)
+            if kept is not None and self._is_superseded(entry):
+                self._lost_by_store.add(entry.name)
+                self._objects[entry.name] = KeptObject(revision, kept.content, kept.record)
+            elif entry.removed:
                 self._removals[entry.name] = revision
             else:
                 self._objects[entry.name] = KeptObject(revision, _encode(entry), entry.record)
@@ -174,9 +194,12 @@
             self._history_start = self._removals.pop(next(iter(self._removals)))
 
     def _advance(self, revision: int, as_of: float) -> None:
-        """Updates revision and confirmation time, and calls `on_progress`."""
+        """Updates revision and confirmation time, and calls `on_progress`.
+
+        While the store lacks an object that is passed on, nothing shows that it is the latest one.
+        """
         self.revision = revision
-        if as_of > self.confirmed_at:
+        if as_of > self.confirmed_at and not self._lost_by_store:
             self.confirmed_at = as_of
             self._listener.confirm(as_of)
         self.on_progress()
--- a/src/sapphireledge/platform/config_listener.py
+++ b/src/sapphireledge/platform/config_listener.py
@@ -16,7 +16,10 @@
     from sapphireledge.feed import StoredEntry
     from sapphireledge.gateway import ConfigView
 
-__all__ = ["ConfigListener"]
+__all__ = ["CONFIG_KIND", "ConfigListener"]
+
+CONFIG_KIND = "config"
+"""Kind of the object that holds the configuration."""
 
 OBJECT_NAME = "main"
 """Name of the object that holds the current configuration."""
@@ -58,6 +61,21 @@
         """Confirms nothing until the configuration has been read again."""
         self._stored_version = 0
 
+    def is_superseded(self, entry: StoredEntry) -> bool:
+        """Whether an entry is an older configuration than the one in force; see `KindFeed`.
+
+        Args:
+            entry: Entry of the store.
+
+        Returns:
+            Whether it is.
+        """
+        table = self._view.table
+        if table is None or entry.name != OBJECT_NAME or entry.removed:
+            return False
+        version = entry.spec.get("version") if isinstance(entry.spec, dict) else None
+        return isinstance(version, int) and version < table.version
+
     def _apply_entry(self, entry: StoredEntry) -> None:
         """Applies a configuration if it can be decoded and is newer."""
         age = self._view.age
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -6,7 +6,7 @@
 
 from sapphireledge.feed import FeedRunner, KindActivity, KindFeed, KindWatcher, StorePresence
 from sapphireledge.limits import CallerLedger
-from sapphireledge.platform.config_listener import ConfigListener
+from sapphireledge.platform.config_listener import CONFIG_KIND, ConfigListener
 from sapphireledge.platform.crash_report_listener import CrashReportListener
 from sapphireledge.platform.crash_report_writer import CRASH_REPORT_KIND
 from sapphireledge.platform.decode_rollout import ROLLOUT_KIND
@@ -39,8 +39,9 @@
     Returns:
         The runner.
     """
+    config = ConfigListener(gateway.config)
     listeners: dict[str, KindListener] = {
-        "config": ConfigListener(gateway.config),
+        CONFIG_KIND: config,
         "servers": ServerListener(gateway, cfg.backend_heartbeat),
         CRASH_REPORT_KIND: CrashReportListener(gateway.context.crashes),
     }
@@ -54,7 +55,9 @@
     feeds = {
         kind: KindFeed(kind, listener, is_optional=kind in optional)
         for kind, listener in listeners.items()
+        if kind != CONFIG_KIND
     }
+    feeds[CONFIG_KIND] = KindFeed(CONFIG_KIND, config, is_superseded=config.is_superseded)
     presence = StorePresence()
     watchers = [
         KindWatcher(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,13 +25,15 @@
     SourceError,
     StoredEntry,
     StoreEpoch,
+    StorePage,
     StorePresence,
 )
 from sapphireledge.feed.feed_message import FeedEntry, FeedReply, KindReply
-from sapphireledge.gateway import ReplayRule, seconds_since_boot
+from sapphireledge.gateway import GatewayMetrics, ReplayRule, seconds_since_boot
 from sapphireledge.platform import header_names
 from sapphireledge.platform.config_listener import ConfigListener
 from sapphireledge.platform.crash_report_writer import CrashReportWriter
+from sapphireledge.platform.create_parts import create_feed_runner
 from sapphireledge.platform.decode_config import decode_config
 from sapphireledge.platform.decode_objects import decode_answer
 from sapphireledge.platform.decode_report import decode_cache, decode_report
@@ -500,6 +502,28 @@
         listener.confirm(seconds_since_boot())
         self.assertLess(view.age, 0.5)
 
+    async def test_relay_does_not_pass_on_an_older_configuration_of_a_restored_store(self):
+        """Guards against instances that start and take withdrawn keys, as a relay confirms them."""
+        epoch = StoreEpoch()
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.json"
+            path.write_bytes(msgspec.json.encode(NODE_FILE))
+            cfg = load_node_settings(path)
+        runner = create_feed_runner(cfg, self.gateway, GatewayMetrics(), epoch)
+        feed = runner.feeds["config"]
+        stored = [StoredEntry("main", {**CONFIG, "version": version}) for version in (7, 5, 7)]
+        restored_at = seconds_since_boot()
+        feed.apply_listing(StorePage((stored[0],), 40), restored_at)
+        epoch.observe(1)
+        epoch.observe(2)
+        for revision in (21, 22):
+            feed.apply_listing(StorePage((stored[1],), revision), seconds_since_boot() + 1.0)
+        self.assertEqual(list_changes(feed, None), (True, [stored[0]]))
+        self.assertEqual(feed.confirmed_at, restored_at)
+        feed.apply_changes(StorePage((stored[2],), 23), restored_at + 2.0)
+        self.assertEqual(list_changes(feed, 22), (False, [stored[2]]))
+        self.assertEqual(feed.confirmed_at, restored_at + 2.0)
+
     async def test_description_and_crash_report_are_written_again_after_a_restore(self):
         """Guards against what this instance wrote and a restored store has lost."""
         epoch = StoreEpoch()
