A starting instance takes over the configuration that a restored store has lost

Cause: right after the store is back, its former readers do not relay until they have listed the objects again. Their replies were empty, so an instance that starts in that moment finds no relay, reads the store itself and takes the older configuration for the latest one.

Change: an instance that does not relay sends the objects in force that are newer than the follower's. The follower puts them in force, and confirms nothing until the store has them again. Requests name the version in force, so nothing is sent to an instance that has it.

Ruled out: waiting at each start until a restore must be over, which would make every start without a relay slower; comparing epochs, as an instance that starts cannot tell how long ago the last restore was.

The fake feeds of test_feed_load name no version now, its bounds are unchanged.

--- a/src/sapphireledge/feed/__init__.py
+++ b/src/sapphireledge/feed/__init__.py
@@ -8,6 +8,7 @@
 from sapphireledge.feed.kind_feed import KindFeed
 from sapphireledge.feed.kind_listener import KindListener
 from sapphireledge.feed.kind_watcher import KindWatcher
+from sapphireledge.feed.object_order import ObjectOrder
 from sapphireledge.feed.object_record import ObjectRecord
 from sapphireledge.feed.object_source import ObjectSource
 from sapphireledge.feed.peer import Peer
@@ -26,6 +27,7 @@
     "KindListener",
     "KindSettings",
     "KindWatcher",
+    "ObjectOrder",
     "ObjectRecord",
     "ObjectSource",
     "Peer",
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -113,6 +113,10 @@
         if reply.number not in (self._request_count, None):
             raise SourceError("the reply is one to another request")
         self.has_reply = True
+        for kind, entries in reply.newer.items():
+            if kind in self._feeds:
+                offered = [StoredEntry(entry.name, entry.spec, entry.removed) for entry in entries]
+                self._feeds[kind].take_over(offered)
         if not reply.kinds:
             raise SourceError("relay is not reading the store, or is stopping")
         if not self._epoch.observe(reply.epoch):
@@ -135,8 +139,14 @@
     def _build_request(self, now: float, *, at_once: bool) -> FeedRequest:
         """Builds a request, with the load that this instance has seen unless just sent."""
         revisions = {kind: feed.revision for kind, feed in self._feeds.items()}
+        newest = {k: feed.newest for k, feed in self._feeds.items() if feed.newest is not None}
         request = FeedRequest(
-            revisions, at_once, self._epoch.current, self._name, number=self._request_count
+            revisions,
+            at_once,
+            self._epoch.current,
+            self._name,
+            number=self._request_count,
+            newest=newest,
         )
         if self._exchange is None or (now < self._load_due_at and not at_once):
             return request
--- a/src/sapphireledge/feed/feed_message.py
+++ b/src/sapphireledge/feed/feed_message.py
@@ -32,6 +32,9 @@
     number: int | None = None
     """Number of the request on its connection; None from older instances."""
 
+    newest: dict[str, int] = {}
+    """Version of the object in force at the follower, by kind."""
+
 
 class FeedEntry(msgspec.Struct, frozen=True, array_like=True):
     """One object, or its removal."""
@@ -82,3 +85,6 @@
 
     number: int | None = None
     """Number of the request; None from older instances."""
+
+    newer: dict[str, list[FeedEntry]] = {}
+    """Objects in force that are newer than the follower's, from an instance that does not relay."""
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -85,9 +85,6 @@
             ledger: Limits on the connections of followers; those of a small machine by default.
             exchange: Load that the instances share, None to share none.
         """
-        self.feeds = feeds
-        """Feeds by kind."""
-
         self._cfg = cfg
         self._local_peer = local_peer
         self._watchers = watchers
--- a/src/sapphireledge/feed/feed_server.py
+++ b/src/sapphireledge/feed/feed_server.py
@@ -112,7 +112,7 @@
         try:
             while True:
                 request = await read_message(reader, FeedRequest, MAX_REQUEST_BYTES)
-                if len(request.revisions) > MAX_KINDS:
+                if max(len(request.revisions), len(request.newest)) > MAX_KINDS:
                     raise SourceError(f"request with {len(request.revisions)} kinds")
                 account.serve(monotonic())
                 self.followers.on_request(monotonic(), request.follower)
@@ -191,7 +191,7 @@
             await wait_for_event(self._progress, self._cfg.long_poll_timeout)
         waited = seconds_since_boot() - received_at
         if not self._can_relay():
-            return FeedReply(waited, {})
+            return FeedReply(waited, {}, newer=self._collect_newer(request))
         # Revisions of another epoch say nothing about what the follower has.
         revisions = request.revisions if request.epoch == self._epoch.current else {}
         kinds = {
@@ -201,6 +201,20 @@
         }
         return FeedReply(waited, kinds, self._epoch.current)
 
+    def _collect_newer(self, request: FeedRequest) -> dict[str, list[FeedEntry]]:
+        """Collects the objects in force that are newer than those of a follower.
+
+        A restored store may have lost them before the follower started.
+        """
+        newer = {
+            kind: [
+                FeedEntry(name, msgspec.Raw(kept.content), False)
+                for name, kept in feed.newer_objects(request.newest.get(kind))
+            ]
+            for kind, feed in self._feeds.items()
+        }
+        return {kind: entries for kind, entries in newer.items() if entries}
+
     def _has_updates(self, request: FeedRequest) -> bool:
         """Whether a follower is missing updates; after switching relays it may also be ahead."""
         if request.epoch != self._epoch.current:
--- a/src/sapphireledge/feed/kind_feed.py
+++ b/src/sapphireledge/feed/kind_feed.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable, Iterable
 
     from sapphireledge.feed.kind_listener import KindListener
+    from sapphireledge.feed.object_order import ObjectOrder
     from sapphireledge.feed.store_page import StorePage
 
 __all__ = ["KindFeed"]
@@ -40,7 +41,7 @@
         listener: KindListener,
         *,
         is_optional: bool = False,
-        is_superseded: Callable[[StoredEntry], bool] = lambda entry: False,
+        order: ObjectOrder | None = None,
     ) -> None:
         """Creates an empty feed.
 
@@ -48,8 +49,8 @@
             kind: Name of the kind.
             listener: Receiver of listings and changes.
             is_optional: Whether other instances can follow this one without the objects.
-            is_superseded: Returns whether an entry is older than what the listener has in force. A
-                restored store has such entries; followers are sent the kept object instead.
+            order: Tells which entries are older than what the listener has in force; followers
+                are sent the kept object instead.
         """
         self.is_optional = is_optional
         """Whether other instances can follow this one without the objects."""
@@ -68,8 +69,8 @@
         """Called after a change or confirmation, and when the watcher fails."""
 
         self._listener = listener
-        self._is_superseded = is_superseded
-        # Names of the objects that are newer than those in the store.
+        self._order = order
+        # Names of objects that the store may have lost.
         self._lost_by_store: set[str] = set()
         self._objects: dict[str, KeptObject] = {}
         # In the order of their last change, like the objects.
@@ -102,7 +103,11 @@
                 if entry.name in self._objects and self._is_superseded(entry)
             }
             self._removals.clear()
-        changed = [entry for entry in page.entries if self._differs(entry)]
+        changed = [
+            entry
+            for entry in page.entries
+            if self._differs(entry) or entry.name in self._lost_by_store
+        ]
         self._record_changes(page.revision, [*removed, *changed])
         self._listener.replace_all(page.entries)
         self._advance(page.revision, as_of)
@@ -120,6 +125,39 @@
         self._listener.apply(page.entries)
         self._advance(page.revision, as_of)
 
+    @property
+    def newest(self) -> int | None:
+        """Version of the object in force, None without one or if the objects have no order."""
+        return None if self._order is None else self._order.newest
+
+    def newer_objects(self, version: int | None) -> list[tuple[str, KeptObject]]:
+        """Collects the objects for an instance that has an earlier version in force.
+
+        Args:
+            version: Version in force there, None without one.
+
+        Returns:
+            The objects with their names, none if that version is as new.
+        """
+        newest = self.newest
+        if newest is None or (version is not None and version >= newest):
+            return []
+        return list(self._objects.items())
+
+    def take_over(self, entries: Iterable[StoredEntry]) -> None:
+        """Puts objects in force that another instance had in force, without confirming them.
+
+        Args:
+            entries: The objects; those that are not newer are ignored.
+        """
+        if self._order is None:
+            return
+        newer = [e for e in entries if self._differs(e) and not self._order.is_superseded(e)]
+        for entry in newer:
+            self._objects[entry.name] = KeptObject(0, _encode(entry), entry.record)
+            self._lost_by_store.add(entry.name)
+        self._listener.apply(newer)
+
     def notify_store_recovered(self, outage: float) -> None:
         """Notifies the listener that the store answers again after a failure.
 
@@ -157,6 +195,10 @@
             _newer_names(self._removals, revision),
         )
 
+    def _is_superseded(self, entry: StoredEntry) -> bool:
+        """Whether an entry is older than the object in force."""
+        return self._order is not None and self._order.is_superseded(entry)
+
     def _is_outdated(self, page: StorePage) -> bool:
         """Whether a page is older than the objects; only the first of a series is logged."""
         if self.revision is None or page.revision >= self.revision:
--- a/src/sapphireledge/platform/config_listener.py
+++ b/src/sapphireledge/platform/config_listener.py
@@ -26,7 +26,7 @@
 
 
 class ConfigListener:
-    """Implements `KindListener` for the configuration."""
+    """Implements `KindListener` and `ObjectOrder` for the configuration."""
 
     def __init__(self, view: ConfigView) -> None:
         self._view = view
@@ -61,15 +61,13 @@
         """Confirms nothing until the configuration has been read again."""
         self._stored_version = 0
 
-    def is_superseded(self, entry: StoredEntry) -> bool:
-        """Whether an entry is an older configuration than the one in force; see `KindFeed`.
-
-        Args:
-            entry: Entry of the store.
+    @property
+    def newest(self) -> int | None:
+        """Version of the configuration in force; see `ObjectOrder.newest`."""
+        return None if self._view.table is None else self._view.table.version
 
-        Returns:
-            Whether it is.
-        """
+    def is_superseded(self, entry: StoredEntry) -> bool:
+        """Checks for an older configuration; see `ObjectOrder.is_superseded`."""
         table = self._view.table
         if table is None or entry.name != OBJECT_NAME or entry.removed:
             return False
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -57,7 +57,7 @@
         for kind, listener in listeners.items()
         if kind != CONFIG_KIND
     }
-    feeds[CONFIG_KIND] = KindFeed(CONFIG_KIND, config, is_superseded=config.is_superseded)
+    feeds[CONFIG_KIND] = KindFeed(CONFIG_KIND, config, order=config)
     presence = StorePresence()
     watchers = [
         KindWatcher(
--- a/tests/test_feed_load.py
+++ b/tests/test_feed_load.py
@@ -282,7 +282,9 @@
         }
         exchange.add_line("s", line)
         for kinds, is_sent in ((8, True), (32, False)):
-            feeds = {f"{n}".ljust(90, "k"): mock.Mock(revision=2**40) for n in range(kinds)}
+            feeds = {
+                f"{n}".ljust(90, "k"): mock.Mock(revision=2**40, newest=None) for n in range(kinds)
+            }
             epoch = mock.Mock(current=2**40)
             follower = FeedFollower(mock.Mock(), feeds, epoch, exchange=exchange)
             request = follower._build_request(0.0, at_once=True)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -28,8 +28,10 @@
     StorePage,
     StorePresence,
 )
+from sapphireledge.feed.feed_follower import FeedFollower
 from sapphireledge.feed.feed_message import FeedEntry, FeedReply, KindReply
-from sapphireledge.gateway import GatewayMetrics, ReplayRule, seconds_since_boot
+from sapphireledge.feed.feed_server import FeedServer
+from sapphireledge.gateway import ConfigView, GatewayMetrics, ReplayRule, seconds_since_boot
 from sapphireledge.platform import header_names
 from sapphireledge.platform.config_listener import ConfigListener
 from sapphireledge.platform.crash_report_writer import CrashReportWriter
@@ -510,7 +512,7 @@
             path.write_bytes(msgspec.json.encode(NODE_FILE))
             cfg = load_node_settings(path)
         runner = create_feed_runner(cfg, self.gateway, GatewayMetrics(), epoch)
-        feed = runner.feeds["config"]
+        feed = runner._server._feeds["config"]
         stored = [StoredEntry("main", {**CONFIG, "version": version}) for version in (7, 5, 7)]
         restored_at = seconds_since_boot()
         feed.apply_listing(StorePage((stored[0],), 40), restored_at)
@@ -524,6 +526,37 @@
         self.assertEqual(list_changes(feed, 22), (False, [stored[2]]))
         self.assertEqual(feed.confirmed_at, restored_at + 2.0)
 
+    async def test_started_instance_takes_over_what_a_restored_store_has_lost(self):
+        """Guards against withdrawn keys at an instance that reads the store before its relay has
+        read it again."""
+        feeds, views = [], []
+        for _ in range(2):
+            views.append(ConfigView())
+            listener = ConfigListener(views[-1])
+            feeds.append(KindFeed("config", listener, order=listener))
+        feeds[0].apply_listing(StorePage((StoredEntry("main", CONFIG),), 40), seconds_since_boot())
+        feeds[0].on_store_restored()
+        older = StorePage((StoredEntry("main", {**CONFIG, "version": 5}),), 21)
+        feeds[1].apply_listing(older, seconds_since_boot())
+        cfg = FeedSettings(kinds=(), host="127.0.0.1", port=0)
+        server = FeedServer(cfg, {"config": feeds[0]}, StoreEpoch(), lambda: False)
+        listening = await server.listen()
+        self.addAsyncCleanup(listening.wait_closed)
+        self.addCleanup(listening.close)
+        port = listening.sockets[0].getsockname()[1]
+        follower = FeedFollower(cfg, {"config": feeds[1]}, StoreEpoch())
+        for _ in range(2):
+            await follower.follow(Peer("e1", "127.0.0.1", port, "dc-a", 5.0), once=True)
+            self.assertEqual(views[1].table.version, 7)
+        confirmed_at = views[1]._confirmed_at
+        for revision, version, confirms in ((21, None, False), (22, 5, False), (23, 7, True)):
+            stored = StoredEntry("main", {**CONFIG, "version": version})
+            page = StorePage(() if version is None else (stored,), revision)
+            apply = feeds[1].apply_changes if version is None else feeds[1].apply_listing
+            apply(page, seconds_since_boot() + revision)
+            self.assertEqual(views[1]._confirmed_at > confirmed_at, confirms)
+            self.assertEqual(list_changes(feeds[1], None)[1][0].spec["version"], 7)
+
     async def test_description_and_crash_report_are_written_again_after_a_restore(self):
         """Guards against what this instance wrote and a restored store has lost."""
         epoch = StoreEpoch()
