Log and count complete requests whose connection ends unanswered

The log could not tell why a connection ended: one that was closed for idleness or gave way left no line, one that this instance reset read as caller_left, and no line named the configuration.

Each connection now keeps the first reason of its end. If this instance ended it while a complete request had no complete response, request_unanswered says so with the reason and the version and age of the configuration in force, and a counter goes up. A request that this instance cut off is cut_off, no longer caller_left. config_applied names the timeouts of callers' connections.

--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -11,6 +11,7 @@
 
 from sapphireledge.gateway.head_scan import check_head, find_head
 from sapphireledge.gateway.malformed_request import MalformedRequest
+from sapphireledge.gateway.unanswered_request import EndReason, UnansweredRequest
 from sapphireledge.limits import (
     HEAD_END_OVERLAP,
     RESPONSE_BUDGET,
@@ -19,6 +20,7 @@
     TimeSlice,
     count_unsent,
     estimate_head_memory,
+    find_head_end,
 )
 
 if TYPE_CHECKING:
@@ -65,6 +67,9 @@
 DISCARD_TIME = 1.0
 """Seconds for which it is."""
 
+ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+"""States of the parser in which a response is complete."""
+
 KEEPALIVE_IDLE = 5
 """Idle seconds before TCP keep-alive probes are sent to detect a vanished caller."""
 
@@ -118,6 +123,10 @@
         self._writable.set()
         self._disconnected = False
         self._is_discarding = False
+        self._request: CallerRequest | None = None
+        self.end_reason: EndReason | None = None
+        """Why the connection ended, None while it is open."""
+
         self.is_aborted = False
         """Whether the gateway aborted the connection before the response was complete."""
 
@@ -130,6 +139,10 @@
         self.on_closed: Callable[[CallerConnection], None] = lambda conn: None
         """Called once the connection is closed."""
 
+        self.on_unanswered: Callable[[UnansweredRequest], None] = lambda unanswered: None
+        """Called if the connection ends, not by its caller, before a complete request has its
+        complete response."""
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the task of the connection, if the ledger has a place for it."""
         assert isinstance(transport, asyncio.Transport)
@@ -174,6 +187,7 @@
 
     def eof_received(self) -> bool:
         """Cancels the request in progress when the caller closes its side."""
+        self._end(EndReason.CALLER_CLOSED)
         self._on_disconnect()
         return False
 
@@ -181,6 +195,7 @@
         """Cancels the request in progress and reports the end of the connection."""
         if self._linger_timer is not None:
             self._linger_timer.cancel()
+        self._end(EndReason.CALLER_CLOSED if exc is None else EndReason.CONNECTION_LOST)
         self._on_disconnect()
         self._release()
         self.on_closed(self)
@@ -196,6 +211,7 @@
         now = monotonic()
         if not self._account.try_resize(now, self._held_bytes()):
             self._ledger.on_limited(LimitReason.NO_MEMORY)
+            self._end(EndReason.GAVE_WAY)
             self._reset()
 
     def resume_writing(self) -> None:
@@ -223,6 +239,7 @@
 
     def abort(self) -> None:
         """Closes the connection abruptly, so that a partial response does not look complete."""
+        self._end(EndReason.ABORTED)
         self._disconnected = True
         self.is_aborted = True
         if self._transport is not None:
@@ -295,28 +312,32 @@
         """Handles requests until either side closes the connection."""
         transport = self._transport
         assert transport is not None
+        reason = EndReason.UNEXPECTED
         try:
-            while not self._disconnected:
-                request = await self._read_request()
-                if request is None:
+            while True:
+                self._request = await self._read_request()
+                if self._request is None:
+                    reason = EndReason.IDLE
                     break
                 self.is_busy = True
                 self.response_started = False
-                await self._handle(self, request)
-                del request
-                if self._parser.our_state is not h11.DONE:
-                    break
-                if self._parser.their_state is not h11.DONE:
+                await self._handle(self, self._request)
+                if not self._is_reusable:
+                    reason = EndReason.CLOSING
                     break
                 self._begin_next_request()
         except MalformedRequest as exc:
+            reason = EndReason.REFUSED
             self._reject(exc)
             if exc.status in DISCARDING_STATUSES:
                 await self._discard_rest(transport)
         except asyncio.CancelledError:
             if not self._disconnected:
+                reason = EndReason.STOPPED
                 raise
         finally:
+            self._end(reason)
+            self._request = None
             self._body = bytearray()
             self._received.clear()
             transport.close()
@@ -324,6 +345,28 @@
                 self._account.wait_for_peer(monotonic())
                 self._linger(transport, count_unsent(transport))
 
+    @property
+    def _is_reusable(self) -> bool:
+        """Whether a response is complete and another request may follow."""
+        is_done = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
+        return is_done and not self._disconnected
+
+    def _end(self, reason: EndReason) -> None:
+        """Takes in that the connection ends; only the first reason counts."""
+        if self.end_reason is not None:
+            return
+        self.end_reason = reason
+        if reason.is_by_caller or reason is EndReason.REFUSED:
+            return
+        request, is_answered = self._request, self._parser.our_state in ANSWERED_STATES
+        if request is not None and not is_answered:
+            held = asyncio.get_running_loop().time() - request.received_at
+            self.on_unanswered(
+                UnansweredRequest(request.request_id, reason, self.response_started, held)
+            )
+        elif find_head_end(self._received, 0):
+            self.on_unanswered(UnansweredRequest("", reason, False, None))
+
     def _linger(self, transport: asyncio.Transport, unsent: int) -> None:
         """Waits for a caller to read its last answer, and resets a connection without progress."""
 
@@ -495,6 +538,7 @@
         else:
             self._parser.start_next_cycle()
         self._head_bytes = self._parser_bytes = 0
+        self._request = None
         self.is_busy = False
         if self._account is not None:
             self._account.wait_for_peer(monotonic())
@@ -515,8 +559,10 @@
         transport = self._transport
         is_sending = transport is not None and transport.get_write_buffer_size() > 0
         is_partial = self._has_unread_bytes() or self._parser.their_state is not h11.IDLE
+        is_cut = self.is_busy or is_sending
+        self._end(EndReason.GAVE_WAY if is_cut or not is_partial else EndReason.REFUSED)
         self._release()
-        if self.is_busy or is_sending:
+        if is_cut:
             self._reset()
         elif transport is not None:
             if is_partial:
--- a/src/sapphireledge/gateway/config_view.py
+++ b/src/sapphireledge/gateway/config_view.py
@@ -36,6 +36,7 @@
         """Called with each table that comes into force."""
 
         self._confirmed_at = float("-inf")
+        self._replaced_at = float("-inf")
         self._has_table = asyncio.Event()
 
     def accept(self, table: RoutingTable) -> bool:
@@ -50,6 +51,7 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self._replaced_at = seconds_since_boot()
         self._has_table.set()
         self.on_replaced(table)
         return True
@@ -75,3 +77,8 @@
     def age(self) -> float:
         """Seconds since the table was last confirmed as the latest, infinite if it never was."""
         return seconds_since_boot() - self._confirmed_at
+
+    @property
+    def time_in_force(self) -> float:
+        """Seconds since the table came into force, infinite without one."""
+        return seconds_since_boot() - self._replaced_at
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -28,6 +28,7 @@
     from sapphireledge.gateway.request_telemetry import RequestTelemetry
     from sapphireledge.gateway.route import Route
     from sapphireledge.gateway.routing_table import RoutingTable
+    from sapphireledge.gateway.unanswered_request import UnansweredRequest
     from sapphireledge.gateway.workspace_key import WorkspaceKey
 
 __all__ = ["Gateway"]
@@ -127,6 +128,7 @@
             self._ledger,
         )
         conn.on_closed = self._connections.discard
+        conn.on_unanswered = self._on_unanswered
         self._connections.add(conn)
         return conn
 
@@ -190,10 +192,10 @@
         try:
             failure = await self._forward_until_stop(forwarder, conn, admitted)
         except asyncio.CancelledError:
-            self.telemetry.record_cancellation(admitted, started, by_caller=conn.is_disconnected)
+            self.telemetry.record_cancellation(admitted, started, conn.end_reason)
             raise
         if failure is not None and conn.response_started:
-            self.telemetry.record_cancellation(admitted, started, by_caller=False)
+            self.telemetry.record_cancellation(admitted, started, None)
             return conn.abort()
         if failure is not None:
             return await self._refuse(conn, request, failure, started)
@@ -285,6 +287,11 @@
         longest = min(route.time_limit, request.wait_limit or route.time_limit)
         return elapsed >= PLAIN_ACCEPT_TIME and time_left < longest + PLAIN_RESERVE
 
+    def _on_unanswered(self, unanswered: UnansweredRequest) -> None:
+        """Records a connection that ended without a complete response, beside the configuration."""
+        config = self.config
+        self.telemetry.record_unanswered(unanswered, config.table, config.time_in_force, config.age)
+
     def _caller_limits(self) -> CallerLimits:
         """Returns the caller limits of the configuration in force."""
         return CallerLimits() if self.config.table is None else self.config.table.limits
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -121,6 +121,12 @@
     CALLER_LEFT = "caller_left"
     """The caller closed its connection before the response was complete."""
 
+    CUT_OFF = "cut_off"
+    """This instance closed the caller's connection before the response was complete."""
+
+    UNANSWERED = "request_unanswered"
+    """This instance closed a connection without a complete response to a complete request."""
+
     CUT_BY_STOP = "cut_by_stop"
     """The process stopped before the response was complete."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -163,6 +163,14 @@
         )
         """Connections closed and requests refused because of limits on callers, by reason."""
 
+        self.unanswered = Counter(
+            "sapphireledge_unanswered_requests",
+            "Complete requests whose connection was closed without a complete response, by reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        """Complete requests whose connection this instance closed without a complete response."""
+
         self.operator_limits = Counter(
             "sapphireledge_operator_limits",
             "Connections of operators closed because of their limits, by reason.",
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -38,6 +38,7 @@
     from sapphireledge.gateway.outcome import Outcome
     from sapphireledge.gateway.routing_table import RoutingTable
     from sapphireledge.gateway.stream_progress import StreamProgress
+    from sapphireledge.gateway.unanswered_request import EndReason, UnansweredRequest
     from sapphireledge.limits import LimitReason
 
 __all__ = ["RequestTelemetry"]
@@ -161,22 +162,52 @@
         )
 
     def record_cancellation(
-        self, admitted: AdmittedRequest, started: float, *, by_caller: bool
+        self, admitted: AdmittedRequest, started: float, reason: EndReason | None
     ) -> None:
         """Logs and counts a request that was cancelled before its response was complete.
 
         Args:
             admitted: The request.
             started: Event loop time in seconds at which handling of the request started.
-            by_caller: Whether the caller closed its connection; otherwise the process is stopping.
+            reason: Why the connection ended, None if the process is stopping.
         """
         elapsed = asyncio.get_running_loop().time() - started
-        event = GatewayEvent.CALLER_LEFT if by_caller else GatewayEvent.CUT_BY_STOP
+        event = GatewayEvent.CUT_BY_STOP
+        if reason is not None:
+            event = GatewayEvent.CALLER_LEFT if reason.is_by_caller else GatewayEvent.CUT_OFF
         self._metrics.answers.labels("cut_off", event.value).inc()
         self._log.info(
             event,
             request_id=admitted.request.request_id,
             held_s=round(elapsed, 3),
+            reason=reason,
+        )
+
+    def record_unanswered(
+        self,
+        unanswered: UnansweredRequest,
+        table: RoutingTable | None,
+        time_in_force: float,
+        config_age: float,
+    ) -> None:
+        """Logs and counts a connection that ended without a complete response.
+
+        Args:
+            unanswered: The request and why the connection ended.
+            table: Routing table in force.
+            time_in_force: Seconds since it came into force.
+            config_age: Seconds since it was last confirmed.
+        """
+        self._metrics.unanswered.labels(unanswered.reason.value).inc()
+        self._log.warning(
+            GatewayEvent.UNANSWERED,
+            request_id=unanswered.request_id,
+            reason=unanswered.reason,
+            response_started=unanswered.response_started,
+            held_s=None if unanswered.held is None else round(unanswered.held, 3),
+            config_version=None if table is None else table.version,
+            config_in_force_s=None if table is None else round(time_in_force, 3),
+            config_age_s=round(config_age, 3) if config_age < float("inf") else None,
         )
 
     def record_attempt(
--- a/src/sapphireledge/platform/config_listener.py
+++ b/src/sapphireledge/platform/config_listener.py
@@ -73,5 +73,7 @@
                 version=table.version,
                 routes=sum(len(routes) for routes in table.routes.values()),
                 keys=len(table.keys),
+                idle_timeout_s=table.limits.idle_timeout,
+                head_timeout_s=table.limits.head_timeout,
                 previous_age_s=round(age, 3) if age < float("inf") else None,
             )
