A request that meets an unexpected exception ends in an error status

Callers saw their connection closed without an answer, although the request had been read whole (LOST). The gateway aborted the connection of a request on any exception it did not expect; one while the request was decoded was not even logged, and a cancellation inside a request that nobody had asked for looked like a caller that left. A configuration can cause such exceptions: shares of a route that are all zero do.

Before a response has begun, the caller now gets 503 if the request was not handed to a forwarder, else 502, which promises nothing; the exception is logged and the connection closed. The status line is written without the parser, as it may be what failed. Only a begun response is cut, a complete one is left alone. Attempts of a plain request are cancelled with it.

--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -73,6 +73,9 @@
 KEEPALIVE_IDLE = 5
 """Idle seconds before TCP keep-alive probes are sent to detect a vanished caller."""
 
+FAILURE_HEADERS = "content-length: 0\r\nconnection: close\r\n"
+"""Headers of the response to a request that met an unexpected exception."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"upgrade", b"trailer"}
 )
@@ -136,6 +139,9 @@
         self.response_started = False
         """Whether the head of the response has been sent."""
 
+        self.may_have_run = False
+        """Whether the request in progress may have been sent to a backend server."""
+
         self.on_closed: Callable[[CallerConnection], None] = lambda conn: None
         """Called once the connection is closed."""
 
@@ -143,6 +149,9 @@
         """Called if the connection ends, not by its caller, before a complete request has its
         complete response."""
 
+        self.on_error: Callable[[Exception], None] = lambda exc: None
+        """Called with an unexpected exception while a request is read."""
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the task of the connection, if the ledger has a place for it."""
         assert isinstance(transport, asyncio.Transport)
@@ -245,6 +254,21 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self) -> None:
+        """Ends a request that met an unexpected exception.
+
+        The caller gets an error status, unless a response has begun. The parser is not used, as it
+        may be what failed.
+        """
+        if self._parser.our_state in ANSWERED_STATES:
+            return None
+        if self.response_started:
+            return self.abort()
+        self._end(EndReason.REFUSED)
+        status = 502 if self.may_have_run else 503
+        self._write(f"HTTP/1.1 {status} \r\n{FAILURE_HEADERS}\r\n".encode())
+        return None
+
     async def respond(
         self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
     ) -> None:
@@ -320,7 +344,6 @@
                     reason = EndReason.IDLE
                     break
                 self.is_busy = True
-                self.response_started = False
                 await self._handle(self, self._request)
                 if not self._is_reusable:
                     reason = EndReason.CLOSING
@@ -335,6 +358,9 @@
             if not self._disconnected:
                 reason = EndReason.STOPPED
                 raise
+        except Exception as exc:
+            self.on_error(exc)
+            self.fail()
         finally:
             self._end(reason)
             self._request = None
@@ -539,7 +565,7 @@
             self._parser.start_next_cycle()
         self._head_bytes = self._parser_bytes = 0
         self._request = None
-        self.is_busy = False
+        self.is_busy = self.response_started = self.may_have_run = False
         if self._account is not None:
             self._account.wait_for_peer(monotonic())
             self._account.try_resize(monotonic(), self._held_bytes())
@@ -612,8 +638,9 @@
         """Sends the head of a response; during a graceful shutdown, it announces the close."""
         if self._is_stopping():
             headers.append((b"connection", b"close"))
+        head = self._parser.send(h11.Response(status_code=status, headers=headers))
         self.response_started = True
-        self._write(self._parser.send(h11.Response(status_code=status, headers=headers)))
+        self._write(head)
 
     def _write(self, data: bytes | None) -> None:
         """Writes bytes unless the connection is closing."""
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -129,6 +130,7 @@
         )
         conn.on_closed = self._connections.discard
         conn.on_unanswered = self._on_unanswered
+        conn.on_error = partial(self.telemetry.record_internal_error, None)
         self._connections.add(conn)
         return conn
 
@@ -166,6 +168,8 @@
     async def handle(self, conn: CallerConnection, request: CallerRequest) -> None:
         """Handles one request and sends its response.
 
+        A request that meets an unexpected exception ends in an error status, too.
+
         Args:
             conn: Connection of the caller.
             request: The request.
@@ -174,7 +178,7 @@
             await self._handle(conn, request)
         except Exception as exc:
             self.telemetry.record_internal_error(request, exc)
-            conn.abort()
+            conn.fail()
 
     async def _handle(self, conn: CallerConnection, request: CallerRequest) -> None:
         """Admits or refuses one request, and forwards it."""
@@ -211,6 +215,7 @@
         """Forwards a request; without any response shortly before the process stops, it fails."""
         limit = asyncio.timeout(None)
         self._in_flight[limit] = conn
+        conn.may_have_run = True
         try:
             async with limit:
                 return await forwarder.forward(conn, admitted)
@@ -219,6 +224,10 @@
                 raise
             reason = "the instance stopped before there was a response"
             return Failure(ErrorKind.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+        except asyncio.CancelledError as exc:
+            if _is_cancelled():
+                raise
+            raise RuntimeError("a part of the request was cancelled") from exc
         finally:
             del self._in_flight[limit]
 
@@ -322,6 +331,12 @@
         await conn.respond(status, headers, b"")
 
 
+def _is_cancelled() -> bool:
+    """Whether the current task itself was cancelled, not only something that it waited for."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _stale_config_failure(age: float) -> Failure:
     """Builds the failure for a stale configuration, whose API keys may have been revoked."""
     reason = f"the configuration was last confirmed {age:.1f} s ago"
--- a/src/sapphireledge/gateway/plain_forwarder.py
+++ b/src/sapphireledge/gateway/plain_forwarder.py
@@ -60,7 +60,7 @@
             return refusal
         try:
             outcome = await self._attempt_until_answered(admitted, attempts)
-        except asyncio.CancelledError:
+        except BaseException:
             for task in attempts:
                 task.cancel()
             raise
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -308,15 +308,16 @@
             reason=reason,
         )
 
-    def record_internal_error(self, request: CallerRequest, exc: Exception) -> None:
+    def record_internal_error(self, request: CallerRequest | None, exc: Exception) -> None:
         """Logs and counts an unexpected exception.
 
         Args:
-            request: The request.
+            request: The request, None if it could not be decoded.
             exc: The exception.
         """
         self._metrics.answers.labels("broken_off", "internal").inc()
-        self._log.error(GatewayEvent.INTERNAL_ERROR, request_id=request.request_id, exc_info=exc)
+        request_id = "" if request is None else request.request_id
+        self._log.error(GatewayEvent.INTERNAL_ERROR, request_id=request_id, exc_info=exc)
 
     def record_resume(
         self, admitted: AdmittedRequest, selection: EngineSelection, last_event: int | None
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -4,9 +4,19 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 import structlog
-from gateway_case import HOST, GatewayCase, chunk, event, stream_head, table
+from gateway_case import (
+    HOST,
+    ONCE_ROUTE,
+    GatewayCase,
+    chunk,
+    event,
+    signed_response,
+    stream_head,
+    table,
+)
 
 NO_BODY = b"content-length: 0\r\n\r\n"
 
@@ -67,5 +77,109 @@
         self.assertEqual(line["reason"], "gave_way")
 
 
+class UnexpectedErrorTest(GatewayCase):
+    """Guards against a complete request that ends in a closed connection after an exception."""
+
+    async def answer(self, request, writer):
+        writer.write(signed_response(request))
+
+    async def call_and_log(self, path="/once/"):
+        """Calls once; returns the status and whether the exception was logged."""
+        with structlog.testing.capture_logs() as lines:
+            response = await self.call(path)
+        return response.status, "internal_error" in [line["event"] for line in lines]
+
+    async def test_error_before_the_request_is_forwarded(self):
+        """A configuration whose shares are all zero, as an example."""
+        server = await self.add("app", self.answer)
+        route = replace(ONCE_ROUTE, services=(("app", 0.0), ("llm", 0.0)))
+        self.gateway.config.accept(replace(table(2), routes={"svc.example": (route,)}))
+        self.assertEqual(await self.call_and_log(), (503, True))
+        self.assertEqual(server.received, [])
+
+    async def test_error_while_the_request_is_forwarded(self):
+        await self.add("app", self.answer)
+
+        def fail(outcome):
+            raise KeyError("service")
+
+        self.gateway.context.record_outcome = fail
+        self.assertEqual(await self.call_and_log(), (502, True))
+
+    async def test_error_while_a_stream_is_forwarded(self):
+        await self.add("llm", self.answer)
+        self.gateway.selector._looks = None
+        self.assertEqual(await self.call_and_log("/stream/"), (502, True))
+
+    async def test_cancellation_that_nobody_asked_for(self):
+        await self.add("app", self.answer)
+
+        async def cancelled(server, **_):
+            raise asyncio.CancelledError
+
+        self.gateway.context.pool.acquire = cancelled
+        self.assertEqual(await self.call_and_log(), (502, True))
+
+    async def test_error_while_a_request_is_decoded(self):
+        await self.add("app", self.answer)
+
+        def fail(*_):
+            raise ValueError("header")
+
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        self.addCleanup(writer.close)
+        writer.write(self.head("/once/") + NO_BODY)
+        self.assertIn(b" 200 ", await reader.readuntil(b"ok"))
+        self.gateway._dialect.decode_request = fail
+        with structlog.testing.capture_logs() as lines:
+            writer.write(self.head("/once/") + NO_BODY)
+            response = await asyncio.wait_for(reader.read(), 5.0)
+        self.assertTrue(response.startswith(b"HTTP/1.1 503 "), response)
+        self.assertIn("internal_error", [line["event"] for line in lines])
+
+    async def test_error_after_the_response(self):
+        """Guards against a complete response that is lost because of what follows it."""
+        await self.add("app", self.answer)
+
+        def fail(*_, **__):
+            raise KeyError("metric")
+
+        self.gateway.telemetry.record_response = fail
+        self.assertEqual(await self.call_and_log(), (200, True))
+
+    async def test_error_while_a_response_is_encoded(self):
+        await self.add("app", self.answer)
+        decode = self.gateway._dialect.decode_response
+
+        def decode_badly(status, headers):
+            return replace(decode(status, headers), headers=((b"bad name", b"x"),), signed=True)
+
+        self.gateway._dialect.decode_response = decode_badly
+        self.assertEqual(await self.call_and_log(), (502, True))
+
+    async def test_error_after_the_response_began(self):
+        """Guards against a partial response that looks complete."""
+
+        async def serve(request, writer):
+            writer.write(stream_head(request) + chunk(event(0)))
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            writer.write(chunk(event(1)) + b"0\r\n\r\n")
+
+        await self.add("llm", serve)
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        self.addCleanup(writer.close)
+        writer.write(self.head("/non-resumable/") + NO_BODY)
+        await reader.readuntil(b"t0\n\n")
+        (conn,) = self.gateway._connections
+
+        async def fail(data):
+            raise ValueError("event")
+
+        conn.send_chunk = fail
+        rest = await asyncio.wait_for(reader.read(), 5.0)
+        self.assertFalse(rest.endswith(b"0\r\n\r\n"))
+
+
 if __name__ == "__main__":
     unittest.main()
