A timeout does not overtake the bytes of a caller that arrived in time

Callers saw a kept connection closed without an answer to a whole request that the instance had read (LOST), or 408 for one that had arrived in time. After a pass of the event loop that took long, asyncio reads the sockets and then fires the timers of the same pass: the bytes are in memory, and the timer still cancels the wait for them. An idle connection was closed then, without a line in the log; incomplete heads and bodies got 408. Bytes that came during that pass were still in the kernel.

Only a wait for bytes has a deadline now, not the work on bytes that are there. When it passes, the event loop gets two more passes, in which it polls and reads the sockets; what arrived by then counts.

--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -12,6 +12,7 @@
 from sapphireledge.gateway.head_scan import check_head, find_head
 from sapphireledge.gateway.malformed_request import MalformedRequest
 from sapphireledge.gateway.unanswered_request import EndReason, UnansweredRequest
+from sapphireledge.gateway.wait_for_event import wait_for_arrival
 from sapphireledge.limits import (
     HEAD_END_OVERLAP,
     RESPONSE_BUDGET,
@@ -428,16 +429,15 @@
         loop = asyncio.get_running_loop()
         limits = self._limits()
         await self._limit_requests_ahead()
+        idle_until = loop.time() + limits.idle_timeout
         try:
-            async with asyncio.timeout(limits.idle_timeout):
-                while not self._received:
-                    await self._wait_readable()
+            while not self._received:
+                await self._wait_readable(idle_until)
         except TimeoutError:
             return None
         started = loop.time()
         try:
-            async with asyncio.timeout(limits.head_timeout):
-                head = await self._read_head(limits.max_head_bytes)
+            head = await self._read_head(limits.max_head_bytes, started + limits.head_timeout)
             check_head(head, limits.max_body_bytes)
             if self._parser.they_are_waiting_for_100_continue:
                 self._write(
@@ -456,8 +456,8 @@
             head.method, head.target, tuple(head.headers), body, started
         )
 
-    async def _read_head(self, max_bytes: int) -> h11.Request:
-        """Reads a request head.
+    async def _read_head(self, max_bytes: int, deadline: float) -> h11.Request:
+        """Reads a request head, of which each byte must have arrived by the deadline.
 
         The parser gets it once it is complete and there is memory for its fields.
         """
@@ -465,7 +465,7 @@
         searched = 0
         while not (size := find_head(self._received, searched, max_bytes)):
             searched = max(0, len(self._received) - HEAD_END_OVERLAP)
-            await self._wait_readable()
+            await self._wait_readable(deadline)
         fields = self._received.count(b"\n", 0, size)
         self._head_bytes = estimate_head_memory(size, fields)
         self._hold()
@@ -497,8 +497,8 @@
     async def _read_body(self, head: h11.Request, limits: CallerLimits) -> bool:
         """Reads a request body; returns whether it is complete."""
         while True:
-            async with asyncio.timeout(limits.idle_timeout):
-                event = await self._next_event()
+            deadline = asyncio.get_running_loop().time() + limits.idle_timeout
+            event = await self._next_event(deadline)
             if isinstance(event, h11.EndOfMessage):
                 return True
             if not isinstance(event, h11.Data):
@@ -508,8 +508,8 @@
             self._body += event.data
             self._parser_bytes = max(0, self._parser_bytes - len(event.data))
 
-    async def _next_event(self) -> h11.Event:
-        """Waits for the next parser event of a request."""
+    async def _next_event(self, deadline: float) -> h11.Event:
+        """Waits for the next parser event of a request, whose bytes must arrive by the deadline."""
         await self._slice.checkpoint()
         while True:
             try:
@@ -519,7 +519,7 @@
             if event is not h11.NEED_DATA:
                 return event
             if not self._received:
-                await self._wait_readable()
+                await self._wait_readable(deadline)
             self._feed(PARSER_BYTES)
 
     def _feed(self, size: int) -> None:
@@ -606,13 +606,16 @@
             self._transport.abort()
         self._on_disconnect()
 
-    async def _wait_readable(self) -> None:
-        """Waits for more bytes from the caller; meanwhile the connection may be closed."""
+    async def _wait_readable(self, deadline: float) -> None:
+        """Waits for more bytes from the caller; meanwhile the connection may be closed.
+
+        Raises TimeoutError if none has arrived by the deadline.
+        """
         self._readable.clear()
         if self._account is not None:
             self._account.waits_for_peer = True
-        if self._refusal is None:
-            await self._readable.wait()
+        if self._refusal is None and not await wait_for_arrival(self._readable, deadline):
+            raise TimeoutError
         if self._account is not None:
             self._account.waits_for_peer = False
         self._slice.restart()
