Limits of callers' connections are those in force when a request begins

Callers that had been idle across a change of the configuration saw their connection closed at the idle timeout of the earlier one, although the newer one permits a longer wait, or got 413 for a body that it permits. The limits were read once, before the wait for the next request. Callers reuse a connection for up to four fifths of the idle timeout, so a rise by a quarter or more makes them meet the old timer.

The wait is now prolonged when its time is over and the timeout in force is longer; a shorter one does not cut a wait that began before. The other limits are read when the first bytes of a request arrive.

--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -427,14 +427,10 @@
     async def _read_request(self) -> CallerRequest | None:
         """Reads a complete request, or returns None if the caller closes or stays idle."""
         loop = asyncio.get_running_loop()
-        limits = self._limits()
         await self._limit_requests_ahead()
-        idle_until = loop.time() + limits.idle_timeout
-        try:
-            while not self._received:
-                await self._wait_readable(idle_until)
-        except TimeoutError:
+        if not await self._wait_for_request():
             return None
+        limits = self._limits()
         started = loop.time()
         try:
             head = await self._read_head(limits.max_head_bytes, started + limits.head_timeout)
@@ -456,6 +452,24 @@
             head.method, head.target, tuple(head.headers), body, started
         )
 
+    async def _wait_for_request(self) -> bool:
+        """Waits for the first bytes of a request; returns whether any arrived in time.
+
+        Callers reuse a connection for as long as the configuration permits. One that comes into
+        force during the wait may lengthen it; it does not shorten a wait that callers rely on.
+        """
+        idle_since = asyncio.get_running_loop().time()
+        timeout = self._limits().idle_timeout
+        while not self._received:
+            try:
+                await self._wait_readable(idle_since + timeout)
+            except TimeoutError:
+                longer = self._limits().idle_timeout
+                if longer <= timeout:
+                    return False
+                timeout = longer
+        return True
+
     async def _read_head(self, max_bytes: int, deadline: float) -> h11.Request:
         """Reads a request head, of which each byte must have arrived by the deadline.
 
--- a/tests/test_caller_timeouts.py
+++ b/tests/test_caller_timeouts.py
@@ -111,5 +111,39 @@
         self.assertAlmostEqual(self.loop.time() - started, 0.4, delta=0.2)
 
 
+class ChangedLimitsTest(CallerTimeoutCase):
+    """Guards against limits of an earlier configuration on a connection that was idle meanwhile."""
+
+    async def test_longer_idle_timeout_holds_for_idle_connections(self):
+        sock = await self.connect_and_use()
+        self.change(replace(self.LIMITS, idle_timeout=2.0))
+        await asyncio.sleep(1.0)
+        await self.loop.sock_sendall(sock, self.request())
+        self.assertIn(b"200", await self.receive(sock))
+
+    async def test_shorter_idle_timeout_holds_for_later_waits_only(self):
+        sock = await self.connect_and_use()
+        self.change(replace(self.LIMITS, idle_timeout=0.1))
+        await asyncio.sleep(0.4)
+        await self.loop.sock_sendall(sock, self.request())
+        self.assertIn(b"200", await self.receive(sock))
+        await asyncio.sleep(0.4)
+        self.assertEqual(await self.receive(sock), b"")
+
+    async def test_idle_connection_is_closed_after_the_longer_timeout(self):
+        sock = await self.connect_and_use()
+        self.change(replace(self.LIMITS, idle_timeout=1.0))
+        started = self.loop.time()
+        self.assertEqual(await self.receive(sock), b"")
+        self.assertAlmostEqual(self.loop.time() - started, 1.0, delta=0.3)
+
+    async def test_larger_body_is_accepted_on_an_idle_connection(self):
+        self.change(replace(self.LIMITS, max_body_bytes=10))
+        sock = await self.connect_and_use()
+        self.change(self.LIMITS)
+        await self.loop.sock_sendall(sock, self.request(bytes(100)))
+        self.assertIn(b"200", await self.receive(sock))
+
+
 if __name__ == "__main__":
     unittest.main()
