A stream that this instance gave up waits for a retry instead of being cut

Callers saw a begun answer cut with 15 to 20 s left, although its engine had not broken it off (LOST: a silence of the engine is no reason to end an answer sooner). The instance gives up a silent run if the stream can move and there is a retry. If the next engine then refuses or fails, it needs a second retry, and of these an instance has one in 10 s where 85 share the budget. The retry was denied and the answer ended.

Attempts that this instance ended itself are marked now, also those moved by a roll-out. Such an answer waits until the allowance permits a retry, if that leaves time for an attempt. The budget of all instances is unchanged. An answer that its engine broke off goes back to its caller at once, as docs/design/waiting-line.md weighs it.

--- a/src/sapphireledge/gateway/outcome.py
+++ b/src/sapphireledge/gateway/outcome.py
@@ -61,6 +61,9 @@
     silent: bool = False
     """Whether the server sent neither a response nor anything else that shows that it is alive."""
 
+    is_given_up: bool = False
+    """Whether this instance ended the attempt although its server may have gone on with it."""
+
     is_moved: bool = False
     """Whether this instance ended the attempt so that the stream goes on at another server."""
 
--- a/src/sapphireledge/gateway/retry_allowance.py
+++ b/src/sapphireledge/gateway/retry_allowance.py
@@ -54,6 +54,19 @@
         self._refilled_at = now
         return self._earned >= 1.0 or self._burst >= 1.0
 
+    def next_retry_at(self, now: float) -> float:
+        """Computes when the allowance permits a retry at the latest; requests earn one sooner.
+
+        Args:
+            now: Event loop time in seconds.
+
+        Returns:
+            Event loop time in seconds, now if it permits one.
+        """
+        if self.has_retry(now):
+            return now
+        return now + (1.0 - self._burst) * self._cfg.retry_window / self._burst_limit()
+
     def try_spend(self, now: float) -> bool:
         """Spends one retry if the allowance permits it.
 
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -122,7 +122,7 @@
         if not limit.expired():
             raise
         reason = "the stream goes on at a server of another version"
-        return Outcome(OutcomeKind.LOST, server, reason, is_moved=True)
+        return Outcome(OutcomeKind.LOST, server, reason, is_given_up=True, is_moved=True)
 
 
 async def _connect_and_run(
@@ -157,6 +157,7 @@
             str(exc),
             connection_lost=exc.connection_lost,
             silent=exc.silent,
+            is_given_up=exc.is_given_up,
         )
     except TimeoutError:
         return Outcome(
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -247,7 +247,8 @@
         now = asyncio.get_running_loop().time()
         loss = watch.find_loss(now, sighting, can_move=self._can_move(now, server))
         if loss:
-            raise BackendResponseError(loss, silent=sighting is None)
+            restarted = sighting is not None and sighting.restarted
+            raise BackendResponseError(loss, silent=sighting is None, is_given_up=not restarted)
 
     def _can_move(self, now: float, server: BackendServer) -> bool:
         """Whether the stream can be resumed at another engine if its run is given up."""
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -29,6 +29,10 @@
 are listed for some seconds after a crash, and some have started again by then."""
 
 
+RETRY_POLL_INTERVAL = 0.1
+"""Seconds between checks for a retry, which the first attempts of other streams earn."""
+
+
 class StreamForwarder:
     """Forwards streams, and resumes them on another engine if the route permits."""
 
@@ -68,6 +72,8 @@
             verdict = await self._judge(admitted, progress)
             if isinstance(verdict, Failure):
                 return await self._fail_condemned(conn, progress, failed_outcome, verdict)
+            if conn.response_started:
+                await self._wait_for_retry(admitted, progress)
             if not self._try_begin_attempt(admitted, progress):
                 return await self._fail_request(conn, progress, failed_outcome)
             avoided = self._context.crashes.avoided_servers(verdict)
@@ -110,6 +116,20 @@
         if registry.next_admission(now, service, progress.failed_engines) == float("inf"):
             await asyncio.sleep(min(RECONNECT_PAUSE, max(0.0, admitted.deadline - now)))
 
+    async def _wait_for_retry(self, admitted: AdmittedRequest, progress: StreamProgress) -> None:
+        """Holds an answer that this instance gave up until there is a retry, if that is in time.
+
+        Its engine did not break it off: without this instance, it might have gone on.
+        """
+        loop = asyncio.get_running_loop()
+        allowance = self._context.retry_allowance(admitted.service.name)
+        while progress.was_given_up:
+            now = loop.time()
+            retry_at = allowance.next_retry_at(now)
+            if retry_at <= now or not progress.permits_attempt(admitted, retry_at):
+                return
+            await asyncio.sleep(min(RETRY_POLL_INTERVAL, retry_at - now))
+
     def _try_begin_attempt(self, admitted: AdmittedRequest, progress: StreamProgress) -> bool:
         """Checks the limits for another attempt, and spends a retry if it is not the first."""
         now = asyncio.get_running_loop().time()
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -53,6 +53,9 @@
         self.may_have_executed = False
         """Whether an engine may have executed the request."""
 
+        self.was_given_up = False
+        """Whether this instance ended an attempt that its engine may have gone on with."""
+
         self.last_reason = "no engine is available"
         """Reason of the last failed attempt."""
 
@@ -142,6 +145,7 @@
         if outcome.kind is OutcomeKind.NOT_EXECUTED:
             return
         self.may_have_executed = True
+        self.was_given_up |= outcome.is_given_up
         if outcome.kind is OutcomeKind.LOST:
             self.lost_centres.add(outcome.server.data_centre)
             # Engines replicate their KV cache only after the first token.
