--- a/src/sapphireledge/gateway/caller_connection.py
+++ b/src/sapphireledge/gateway/caller_connection.py
@@ -11,6 +11,8 @@
 
 from sapphireledge.gateway.head_scan import check_head, find_head
 from sapphireledge.gateway.malformed_request import MalformedRequest
+from sapphireledge.gateway.unanswered_request import EndReason, UnansweredRequest
+from sapphireledge.gateway.wait_for_event import wait_for_arrival
 from sapphireledge.limits import (
     HEAD_END_OVERLAP,
     RESPONSE_BUDGET,
@@ -19,6 +21,7 @@
     TimeSlice,
     count_unsent,
     estimate_head_memory,
+    find_head_end,
 )
 
 if TYPE_CHECKING:
@@ -65,9 +68,15 @@
 DISCARD_TIME = 1.0
 """Seconds for which it is."""
 
+ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+"""States of the parser in which a response is complete."""
+
 KEEPALIVE_IDLE = 5
 """Idle seconds before TCP keep-alive probes are sent to detect a vanished caller."""
 
+FAILURE_HEADERS = "content-length: 0\r\nconnection: close\r\n"
+"""Headers of the response to a request that met an unexpected exception."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"upgrade", b"trailer"}
 )
@@ -118,6 +127,10 @@
         self._writable.set()
         self._disconnected = False
         self._is_discarding = False
+        self._request: CallerRequest | None = None
+        self.end_reason: EndReason | None = None
+        """Why the connection ended, None while it is open."""
+
         self.is_aborted = False
         """Whether the gateway aborted the connection before the response was complete."""
 
@@ -127,9 +140,19 @@
         self.response_started = False
         """Whether the head of the response has been sent."""
 
+        self.may_have_run = False
+        """Whether the request in progress may have been sent to a backend server."""
+
         self.on_closed: Callable[[CallerConnection], None] = lambda conn: None
         """Called once the connection is closed."""
 
+        self.on_unanswered: Callable[[UnansweredRequest], None] = lambda unanswered: None
+        """Called if the connection ends, not by its caller, before a complete request has its
+        complete response."""
+
+        self.on_error: Callable[[Exception], None] = lambda exc: None
+        """Called with an unexpected exception while a request is read."""
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the task of the connection, if the ledger has a place for it."""
         assert isinstance(transport, asyncio.Transport)
@@ -174,6 +197,7 @@
 
     def eof_received(self) -> bool:
         """Cancels the request in progress when the caller closes its side."""
+        self._end(EndReason.CALLER_CLOSED)
         self._on_disconnect()
         return False
 
@@ -181,6 +205,7 @@
         """Cancels the request in progress and reports the end of the connection."""
         if self._linger_timer is not None:
             self._linger_timer.cancel()
+        self._end(EndReason.CALLER_CLOSED if exc is None else EndReason.CONNECTION_LOST)
         self._on_disconnect()
         self._release()
         self.on_closed(self)
@@ -196,6 +221,7 @@
         now = monotonic()
         if not self._account.try_resize(now, self._held_bytes()):
             self._ledger.on_limited(LimitReason.NO_MEMORY)
+            self._end(EndReason.GAVE_WAY)
             self._reset()
 
     def resume_writing(self) -> None:
@@ -223,11 +249,27 @@
 
     def abort(self) -> None:
         """Closes the connection abruptly, so that a partial response does not look complete."""
+        self._end(EndReason.ABORTED)
         self._disconnected = True
         self.is_aborted = True
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self) -> None:
+        """Ends a request that met an unexpected exception.
+
+        The caller gets an error status, unless a response has begun. The parser is not used, as it
+        may be what failed.
+        """
+        if self._parser.our_state in ANSWERED_STATES:
+            return None
+        if self.response_started:
+            return self.abort()
+        self._end(EndReason.REFUSED)
+        status = 502 if self.may_have_run else 503
+        self._write(f"HTTP/1.1 {status} \r\n{FAILURE_HEADERS}\r\n".encode())
+        return None
+
     async def respond(
         self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
     ) -> None:
@@ -295,28 +337,34 @@
         """Handles requests until either side closes the connection."""
         transport = self._transport
         assert transport is not None
+        reason = EndReason.UNEXPECTED
         try:
-            while not self._disconnected:
-                request = await self._read_request()
-                if request is None:
+            while True:
+                self._request = await self._read_request()
+                if self._request is None:
+                    reason = EndReason.IDLE
                     break
                 self.is_busy = True
-                self.response_started = False
-                await self._handle(self, request)
-                del request
-                if self._parser.our_state is not h11.DONE:
-                    break
-                if self._parser.their_state is not h11.DONE:
+                await self._handle(self, self._request)
+                if not self._is_reusable:
+                    reason = EndReason.CLOSING
                     break
                 self._begin_next_request()
         except MalformedRequest as exc:
+            reason = EndReason.REFUSED
             self._reject(exc)
             if exc.status in DISCARDING_STATUSES:
                 await self._discard_rest(transport)
         except asyncio.CancelledError:
             if not self._disconnected:
+                reason = EndReason.STOPPED
                 raise
+        except Exception as exc:
+            self.on_error(exc)
+            self.fail()
         finally:
+            self._end(reason)
+            self._request = None
             self._body = bytearray()
             self._received.clear()
             transport.close()
@@ -324,6 +372,28 @@
                 self._account.wait_for_peer(monotonic())
                 self._linger(transport, count_unsent(transport))
 
+    @property
+    def _is_reusable(self) -> bool:
+        """Whether a response is complete and another request may follow."""
+        is_done = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
+        return is_done and not self._disconnected
+
+    def _end(self, reason: EndReason) -> None:
+        """Takes in that the connection ends; only the first reason counts."""
+        if self.end_reason is not None:
+            return
+        self.end_reason = reason
+        if reason.is_by_caller or reason is EndReason.REFUSED:
+            return
+        request, is_answered = self._request, self._parser.our_state in ANSWERED_STATES
+        if request is not None and not is_answered:
+            held = asyncio.get_running_loop().time() - request.received_at
+            self.on_unanswered(
+                UnansweredRequest(request.request_id, reason, self.response_started, held)
+            )
+        elif find_head_end(self._received, 0):
+            self.on_unanswered(UnansweredRequest("", reason, False, None))
+
     def _linger(self, transport: asyncio.Transport, unsent: int) -> None:
         """Waits for a caller to read its last answer, and resets a connection without progress."""
 
@@ -357,18 +427,13 @@
     async def _read_request(self) -> CallerRequest | None:
         """Reads a complete request, or returns None if the caller closes or stays idle."""
         loop = asyncio.get_running_loop()
-        limits = self._limits()
         await self._limit_requests_ahead()
-        try:
-            async with asyncio.timeout(limits.idle_timeout):
-                while not self._received:
-                    await self._wait_readable()
-        except TimeoutError:
+        if not await self._wait_for_request():
             return None
+        limits = self._limits()
         started = loop.time()
         try:
-            async with asyncio.timeout(limits.head_timeout):
-                head = await self._read_head(limits.max_head_bytes)
+            head = await self._read_head(limits.max_head_bytes, started + limits.head_timeout)
             check_head(head, limits.max_body_bytes)
             if self._parser.they_are_waiting_for_100_continue:
                 self._write(
@@ -387,8 +452,26 @@
             head.method, head.target, tuple(head.headers), body, started
         )
 
-    async def _read_head(self, max_bytes: int) -> h11.Request:
-        """Reads a request head.
+    async def _wait_for_request(self) -> bool:
+        """Waits for the first bytes of a request; returns whether any arrived in time.
+
+        Callers reuse a connection for as long as the configuration permits. One that comes into
+        force during the wait may lengthen it; it does not shorten a wait that callers rely on.
+        """
+        idle_since = asyncio.get_running_loop().time()
+        timeout = self._limits().idle_timeout
+        while not self._received:
+            try:
+                await self._wait_readable(idle_since + timeout)
+            except TimeoutError:
+                longer = self._limits().idle_timeout
+                if longer <= timeout:
+                    return False
+                timeout = longer
+        return True
+
+    async def _read_head(self, max_bytes: int, deadline: float) -> h11.Request:
+        """Reads a request head, of which each byte must have arrived by the deadline.
 
         The parser gets it once it is complete and there is memory for its fields.
         """
@@ -396,7 +479,7 @@
         searched = 0
         while not (size := find_head(self._received, searched, max_bytes)):
             searched = max(0, len(self._received) - HEAD_END_OVERLAP)
-            await self._wait_readable()
+            await self._wait_readable(deadline)
         fields = self._received.count(b"\n", 0, size)
         self._head_bytes = estimate_head_memory(size, fields)
         self._hold()
@@ -428,8 +511,8 @@
     async def _read_body(self, head: h11.Request, limits: CallerLimits) -> bool:
         """Reads a request body; returns whether it is complete."""
         while True:
-            async with asyncio.timeout(limits.idle_timeout):
-                event = await self._next_event()
+            deadline = asyncio.get_running_loop().time() + limits.idle_timeout
+            event = await self._next_event(deadline)
             if isinstance(event, h11.EndOfMessage):
                 return True
             if not isinstance(event, h11.Data):
@@ -439,8 +522,8 @@
             self._body += event.data
             self._parser_bytes = max(0, self._parser_bytes - len(event.data))
 
-    async def _next_event(self) -> h11.Event:
-        """Waits for the next parser event of a request."""
+    async def _next_event(self, deadline: float) -> h11.Event:
+        """Waits for the next parser event of a request, whose bytes must arrive by the deadline."""
         await self._slice.checkpoint()
         while True:
             try:
@@ -450,7 +533,7 @@
             if event is not h11.NEED_DATA:
                 return event
             if not self._received:
-                await self._wait_readable()
+                await self._wait_readable(deadline)
             self._feed(PARSER_BYTES)
 
     def _feed(self, size: int) -> None:
@@ -495,7 +578,8 @@
         else:
             self._parser.start_next_cycle()
         self._head_bytes = self._parser_bytes = 0
-        self.is_busy = False
+        self._request = None
+        self.is_busy = self.response_started = self.may_have_run = False
         if self._account is not None:
             self._account.wait_for_peer(monotonic())
             self._account.try_resize(monotonic(), self._held_bytes())
@@ -515,8 +599,10 @@
         transport = self._transport
         is_sending = transport is not None and transport.get_write_buffer_size() > 0
         is_partial = self._has_unread_bytes() or self._parser.their_state is not h11.IDLE
+        is_cut = self.is_busy or is_sending
+        self._end(EndReason.GAVE_WAY if is_cut or not is_partial else EndReason.REFUSED)
         self._release()
-        if self.is_busy or is_sending:
+        if is_cut:
             self._reset()
         elif transport is not None:
             if is_partial:
@@ -534,13 +620,16 @@
             self._transport.abort()
         self._on_disconnect()
 
-    async def _wait_readable(self) -> None:
-        """Waits for more bytes from the caller; meanwhile the connection may be closed."""
+    async def _wait_readable(self, deadline: float) -> None:
+        """Waits for more bytes from the caller; meanwhile the connection may be closed.
+
+        Raises TimeoutError if none has arrived by the deadline.
+        """
         self._readable.clear()
         if self._account is not None:
             self._account.waits_for_peer = True
-        if self._refusal is None:
-            await self._readable.wait()
+        if self._refusal is None and not await wait_for_arrival(self._readable, deadline):
+            raise TimeoutError
         if self._account is not None:
             self._account.waits_for_peer = False
         self._slice.restart()
@@ -566,8 +655,9 @@
         """Sends the head of a response; during a graceful shutdown, it announces the close."""
         if self._is_stopping():
             headers.append((b"connection", b"close"))
+        head = self._parser.send(h11.Response(status_code=status, headers=headers))
         self.response_started = True
-        self._write(self._parser.send(h11.Response(status_code=status, headers=headers)))
+        self._write(head)
 
     def _write(self, data: bytes | None) -> None:
         """Writes bytes unless the connection is closing."""
