--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -79,6 +79,7 @@
         self.config.on_replaced = self._retain_services
         self.context.pool.connection_limit = self._connection_limit
         self.context.rollouts.longest_answer = self._longest_answer
+        self.context.origins.longest_answer = self._longest_answer
         self.context.is_stopping = lambda: self._stop_started is not None
         self._ledger = CallerLedger(cfg.callers.callers, telemetry.record_caller_limit)
         RESPONSE_BUDGET.resize(cfg.callers.response_bytes)
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -24,6 +24,7 @@
 from sapphireledge.gateway.prompt_memory import PromptMemory
 from sapphireledge.gateway.retry_allowance import RetryAllowance
 from sapphireledge.gateway.rollout_guard import RolloutGuard
+from sapphireledge.gateway.stream_origins import StreamOrigins
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Coroutine, Mapping
@@ -70,9 +71,13 @@
         self.pool.on_response = self._on_response
 
         self.report_client = EngineReportClient(self.pool, dialect)
-        self.registry.on_removed = self.report_client.latest.forget
         """Client for load reports and cache listings of engines."""
 
+        self.origins = StreamOrigins(self.registry)
+        """Knows which software version began a stream."""
+
+        self.registry.on_removed = self._on_server_removed
+
         self.copies = EngineCopyClient(self.pool, dialect)
         """Client for copies of running generations."""
 
@@ -285,6 +290,11 @@
         servers = self.registry.count_servers(service, self.crashes.is_dead)
         return ServiceSize(service, max(1, servers), self.count_instances())
 
+    def _on_server_removed(self, server: BackendServer) -> None:
+        """Forgets what an engine reported, and remembers the version that it had."""
+        self.report_client.latest.forget(server)
+        self.origins.on_server_seen(server)
+
     def _on_response(self, server: BackendServer, head: ResponseHead) -> None:
         """Takes over what a response says about the requests that its server takes."""
         if head.status == MISDIRECTED:
