A stream goes on only at the version that began it, within an answer

Callers saw answers joined from two software versions of a service: a stream that broke off was resumed at whichever engine was best.

Cause: versions were compared only while a roll-out order ran, and then they chose where a resumed stream goes rather than where it began. Ruled out: the engines do not check the version, and copies carry nothing about it.

The version of the server whose first event is delivered now ties the stream: the look at engines, the rounds of the waiting line, further attempts, the check whether a silent run can be given up, copies and their holders use servers of that version only (`ContinuationRule`). A copy always lies at the version of the running server. A stream without an event may go anywhere.

In a roll-out only streams without a delivered event are moved. A stream goes on at its version in each stage, also in the finish; at the target it goes on only while that may be given requests.

The fakes of test_rollout_guard lose the parameter `resumed_from`, which nothing passed.

--- a/src/sapphireledge/core/rollout/rollout.py
+++ b/src/sapphireledge/core/rollout/rollout.py
@@ -144,7 +144,6 @@
         may_repeat: bool,
         is_stream: bool,
         is_retry: bool,
-        resumed_from: str | None = None,
     ) -> VersionRule:
         """Chooses the versions that an attempt may use, without side effect on the counts.
 
@@ -153,12 +152,10 @@
             may_repeat: Whether the request may run again after a failure.
             is_stream: Whether the answer is a stream.
             is_retry: Whether the request was sent to a server before.
-            resumed_from: Version that produced the first part of the stream, None for a new one.
 
         Returns:
             The rule, for an attempt that is sent at once.
         """
-        is_retry = is_retry or resumed_from is not None
         return VersionRule(self._order.target, self._choose(now, may_repeat, is_stream, is_retry))
 
     def still_permits(self, now: float, version: str) -> bool:
--- a/src/sapphireledge/gateway/choose_standby.py
+++ b/src/sapphireledge/gateway/choose_standby.py
@@ -24,6 +24,8 @@
 ) -> BackendServer | None:
     """Chooses the engine to replicate to, in another data centre if possible.
 
+    Only an engine of the same version can go on with the stream.
+
     Args:
         context: Shared components.
         admitted: The request.
--- a/src/sapphireledge/gateway/engine_looks.py
+++ b/src/sapphireledge/gateway/engine_looks.py
@@ -8,7 +8,7 @@
 from sapphireledge.core.placement import choose_candidates, compute_start_share
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Collection, Iterable, Sequence
 
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.backend_server import BackendServer
@@ -23,6 +23,9 @@
 """Engines queried for a cached prompt when a caller resumes a stream. Processing a prompt of 8,000
 tokens again is charged a hundred times as much as all these queries together."""
 
+ORIGIN_CANDIDATES = 2
+"""Candidates of a version that a stream can choose from if it waits to go on there."""
+
 
 class EngineLooks:
     """Chooses a few engines and takes a look at their reports.
@@ -65,13 +68,16 @@
             if not candidates or any(admits(now, server.server_id) for server in candidates):
                 return look
 
-    async def look_for_line(self, service: str, round_: int, freed: frozenset[str]) -> EngineLook:
+    async def look_for_line(
+        self, service: str, round_: int, freed: frozenset[str], origins: frozenset[str]
+    ) -> EngineLook:
         """Takes a look at the next candidates for the streams that wait.
 
         Args:
             service: Name of the service.
             round_: Number of earlier looks of the line.
             freed: Ids of engines at which a place became free.
+            origins: Versions at which streams that wait have to go on.
 
         Returns:
             The look.
@@ -87,6 +93,8 @@
             state = registry.state(server_id)
             if state is not None and registry.admits(now, server_id):
                 candidates.insert(0, state.server)
+        for origin in sorted(origins):
+            candidates += self._choose_for_origin(service, round_, origin, candidates)
         return await self._source.take(candidates)
 
     async def find_prompt_holder(
@@ -105,8 +113,12 @@
             return None
         local_centre = self._context.cfg.data_centre
         now = asyncio.get_running_loop().time()
+        service, origin = admitted.service.name, progress.version
+        others: Collection[str] = ()
+        if origin is not None:
+            others = self._context.rollouts.excluded_from_continuation(service, origin)
         ranked = self._context.registry.rank_servers(
-            now, admitted.service.name, admitted.request.affinity
+            now, service, admitted.request.affinity, others
         )
         ranked.sort(key=lambda server: server.data_centre != local_centre)
         queried = ranked[:CACHE_CANDIDATES]
@@ -137,6 +149,18 @@
         kept = self._context.prompt_memory(service).list_candidates(now, admitted.request, excluded)
         return self._choose_candidates(service, ranked, 0, excluded, kept)
 
+    def _choose_for_origin(
+        self, service: str, round_: int, origin: str, chosen: Sequence[BackendServer]
+    ) -> list[BackendServer]:
+        """Chooses further candidates if only few of the chosen ones have a version."""
+        if sum(server.version == origin for server in chosen) >= ORIGIN_CANDIDATES:
+            return []
+        now = asyncio.get_running_loop().time()
+        excluded = self._context.rollouts.excluded_from_continuation(service, origin)
+        ranked = self._context.registry.list_preferred(now, service, excluded)
+        candidates = self._choose_candidates(service, ranked, round_, excluded)
+        return [server for server in candidates if server not in chosen]
+
     def _choose_candidates(
         self,
         service: str,
--- a/src/sapphireledge/gateway/engine_offers.py
+++ b/src/sapphireledge/gateway/engine_offers.py
@@ -142,7 +142,8 @@
             Whether the request may be sent.
         """
         repeat = is_repeat(admitted, progress)
-        if not self._context.rollouts.permits(admitted, server, is_retry=repeat):
+        rollouts, origin = self._context.rollouts, progress.version
+        if not rollouts.permits(admitted, server, is_retry=repeat, origin=origin):
             return False
         now = asyncio.get_running_loop().time()
         return self._context.registry.try_take(now, server.server_id)
@@ -232,7 +233,7 @@
             for server in admitting
             if server.server_id not in left_out
             and not rollouts.is_judged(server)
-            and rollouts.permits(admitted, server, is_retry=repeat)
+            and rollouts.permits(admitted, server, is_retry=repeat, origin=progress.version)
         ]
 
     def _decide(
@@ -292,7 +293,9 @@
     ) -> frozenset[str]:
         """Returns the ids of the engines whose version the next attempt may not use."""
         repeat = is_repeat(admitted, progress)
-        return self._context.rollouts.excluded(admitted, others, is_retry=repeat)
+        return self._context.rollouts.excluded(
+            admitted, others, is_retry=repeat, origin=progress.version
+        )
 
     def _next_admission(self, admitted: AdmittedRequest, excluded: frozenset[str]) -> float:
         """Computes when an engine takes a request; infinite if all engines are left out."""
--- a/src/sapphireledge/gateway/engine_selector.py
+++ b/src/sapphireledge/gateway/engine_selector.py
@@ -145,13 +145,13 @@
         look = await self._looks.look_for_arrival(admitted, excluded)
         result: EngineSelection | RefuseStream | WaitForEngine | None
         if line.order.is_preceded(asyncio.get_running_loop().time(), describe()):
-            result = await line.wait(admitted, describe, offer, look)
+            result = await line.wait(admitted, describe, offer, look, progress.version)
         else:
             result = offer(look, True, 0)
             if isinstance(result, EngineSelection):
                 line.order.on_start(asyncio.get_running_loop().time(), describe())
         if isinstance(result, WaitForEngine):
-            result = await line.wait(admitted, describe, offer)
+            result = await line.wait(admitted, describe, offer, origin=progress.version)
         return result
 
     def retain_services(self, services: Collection[str]) -> None:
--- a/src/sapphireledge/gateway/line_preview.py
+++ b/src/sapphireledge/gateway/line_preview.py
@@ -42,6 +42,7 @@
             [EngineLook, bool, int], EngineSelection | RefuseStream | WaitForEngine | None
         ],
         look: EngineLook | None = None,
+        origin: str | None = None,
     ) -> EngineSelection | RefuseStream | None:
         """Notes the place of a stream; see `StreamLine.wait`.
 
@@ -53,6 +54,7 @@
             describe: Describes the stream as it waits at the time of the call.
             offer: Offers engines to the stream.
             look: Reports that were fetched for the stream.
+            origin: Version that began the stream; the offer takes it into account.
 
         Returns:
             The selection or a refusal; None if it waits, or if there is no engine.
--- a/src/sapphireledge/gateway/line_visit.py
+++ b/src/sapphireledge/gateway/line_visit.py
@@ -36,5 +36,8 @@
     joined_at: float
     """Event loop time in seconds at which the stream joined the line."""
 
+    origin: str | None = None
+    """Version that began the stream, None if there is none."""
+
     offers: int = field(default=0, init=False)
     """Number of looks that were offered to the stream."""
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -288,14 +288,14 @@
         self._log.error(GatewayEvent.INTERNAL_ERROR, request_id=request.request_id, exc_info=exc)
 
     def record_resume(
-        self, admitted: AdmittedRequest, selection: EngineSelection, last_event: int | None
+        self, admitted: AdmittedRequest, selection: EngineSelection, progress: StreamProgress
     ) -> None:
         """Logs and counts a stream that is resumed on another engine.
 
         Args:
             admitted: The request.
             selection: Engines of the next attempt.
-            last_event: Number of the last delivered event, or None.
+            progress: Progress of the stream so far.
         """
         from_replica = selection.replica_source is not None
         self._metrics.resumes.labels("copy" if from_replica else "prompt").inc()
@@ -303,7 +303,9 @@
             GatewayEvent.STREAM_RESUMED,
             request_id=admitted.request.request_id,
             server=selection.server.server_id,
-            last_event=last_event,
+            version=selection.server.version,
+            origin=progress.version,
+            last_event=progress.last_event,
             from_copy=from_replica,
         )
 
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -36,6 +36,7 @@
     *,
     isolated: bool = False,
     can_move: Callable[[float, BackendServer], bool] | None = None,
+    origin: str | None = None,
 ) -> Outcome:
     """Sends a request to a backend server and records the outcome.
 
@@ -48,8 +49,9 @@
         number: Number of the attempt, from 1.
         run: Sends the request on a connection, reads the response and records its progress.
         isolated: Whether the request runs isolated from others that may crash servers.
-        can_move: Returns whether the request can go on at another server at a time, None if it
-            never can.
+        can_move: Returns whether the request can go on at a server of another version at a time,
+            None if it never can.
+        origin: Version that began the stream, None if there is none.
 
     Returns:
         The outcome of the attempt.
@@ -73,7 +75,7 @@
     outcome: Outcome | None = None
     try:
         outcome = await _run_until_moved(
-            limit, context, admitted, server, partial(run, attempt=attempt)
+            limit, context, admitted, server, origin, partial(run, attempt=attempt)
         )
         if outcome.connection_lost:
             context.crashes.on_connection_lost(server)
@@ -112,12 +114,13 @@
     context: GatewayContext,
     admitted: AdmittedRequest,
     server: BackendServer,
+    origin: str | None,
     run: Callable[[BackendConnection], Awaitable[Outcome]],
 ) -> Outcome:
     """Runs the attempt until it ends, or is to go on at another server."""
     try:
         async with limit:
-            return await _connect_and_run(context, admitted, server, run)
+            return await _connect_and_run(context, admitted, server, origin, run)
     except TimeoutError:
         if not limit.expired():
             raise
@@ -129,6 +132,7 @@
     context: GatewayContext,
     admitted: AdmittedRequest,
     server: BackendServer,
+    origin: str | None,
     run: Callable[[BackendConnection], Awaitable[Outcome]],
 ) -> Outcome:
     """Runs the attempt on a pooled connection, reused only after a complete, valid response."""
@@ -140,7 +144,7 @@
         )
     except (OSError, TimeoutError) as exc:
         return Outcome(OutcomeKind.NOT_EXECUTED, server, f"cannot connect: {exc!r}")
-    if not context.rollouts.may_send(admitted, server):
+    if not context.rollouts.may_send(admitted, server, origin):
         context.pool.release(server, conn)
         reason = "the version of the server may no longer be used"
         return Outcome(OutcomeKind.NOT_EXECUTED, server, reason, is_withheld=True)
--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.continuation import ContinuationRule
 from sapphireledge.core.rollout import Rollout, RolloutState, VersionInUse
 from sapphireledge.gateway.replay_rule import ReplayRule
 
@@ -197,6 +198,27 @@
             is_retry=is_retry,
         )
 
+    def continuation(self, now: float, version: str) -> ContinuationRule:
+        """Determines at which servers a stream may go on.
+
+        A stream that has begun is finished at its version, also if that is no longer in use. Only
+        the target of an order is withdrawn while it may not be given requests.
+
+        Args:
+            now: Current time in seconds.
+            version: Version that began the stream.
+
+        Returns:
+            The rule.
+        """
+        if self.rollout is not None and self.has_choice:
+            is_target = version == self.target
+            is_withdrawn = is_target and not self.rollout.still_permits(now, version)
+        else:
+            is_rolled_back = self._final_state is RolloutState.ROLLED_BACK
+            is_withdrawn = is_rolled_back and self._unproved_target == version
+        return ContinuationRule(version, is_withdrawn)
+
     def may_send(self, now: float, server: BackendServer) -> bool:
         """Whether an attempt that chose a server a moment ago may still be sent.
 
@@ -243,21 +265,6 @@
         rule = self.rollout.choose(now, may_repeat=True, is_stream=True, is_retry=False)
         return self.excluded(rule)
 
-    def other_versions(self, server: BackendServer) -> frozenset[str]:
-        """Lists the servers that run another version than a server.
-
-        Args:
-            server: The server.
-
-        Returns:
-            Their ids.
-        """
-        return frozenset(
-            other.server_id
-            for other in self._registry.list_servers(self._service)
-            if other.version != server.version
-        )
-
     def movable_attempts(self) -> Collection[RolloutAttempt]:
         """Lists the attempts at servers of the old version that can go on elsewhere.
 
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -80,7 +80,8 @@
             self._progress.attempts,
             run,
             isolated=isolated,
-            can_move=self._can_move,
+            can_move=self._can_change_version,
+            origin=self._progress.version,
         )
 
     async def _run_on(
@@ -136,7 +137,7 @@
                         watch.on_event(loop.time())
                         attempt.on_event()
                         self._observe_pace(loop.time())
-                    await self._deliver(head, event)
+                    await self._deliver(server, head, event)
                     copier.check(loop.time())
         if not self._caller.response_started:
             raise BackendResponseError("the stream has no events")
@@ -254,7 +255,9 @@
         admitted, context = self._admitted, self._context
         service = admitted.service.name
         excluded = {*self._progress.failed_engines, server.server_id}
-        excluded |= context.rollouts.excluded(admitted, excluded, is_retry=True)
+        excluded |= context.rollouts.excluded(
+            admitted, excluded, is_retry=True, origin=self._progress.version
+        )
         return (
             admitted.route.resumable
             and self._progress.permits_attempt(admitted, now)
@@ -262,6 +265,10 @@
             and context.registry.next_admission(now, service, excluded) <= now
         )
 
+    def _can_change_version(self, now: float, server: BackendServer) -> bool:
+        """Whether the stream can begin anew at an engine of another version."""
+        return self._progress.version is None and self._can_move(now, server)
+
     async def _sight_run(self, server: BackendServer, timeout: float) -> RunSighting | None:
         """Fetches what the engine reports about the run, None without a report in time."""
         report = await self._context.report_client.fetch_report(server, timeout)
@@ -282,7 +289,7 @@
             return Outcome(OutcomeKind.FAILED, server, reason, head, body)
         return outcome
 
-    async def _deliver(self, head: ResponseHead, event: StreamEvent) -> None:
+    async def _deliver(self, server: BackendServer, head: ResponseHead, event: StreamEvent) -> None:
         """Delivers one event, which must directly follow the last delivered one."""
         progress = self._progress
         number = event.number
@@ -293,10 +300,16 @@
             if number is not None and last is not None and number != last + 1:
                 raise BackendResponseError(f"event {number} does not follow event {last}")
         else:
+            self._begin_stream(server)
             await self._caller.start_response(head.status, head.headers)
         progress.on_event(asyncio.get_running_loop().time(), number)
         await self._caller.send_chunk(event.raw)
 
+    def _begin_stream(self, server: BackendServer) -> None:
+        """Ties the stream to the version that sends its first event."""
+        if self._progress.version is None:
+            self._progress.version = server.version
+
 
 def _is_stream(head: ResponseHead) -> bool:
     """Whether a response is a stream of an engine that runs the request."""
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -82,7 +82,7 @@
             if isinstance(verdict, Failure):
                 return await self._fail_condemned(conn, progress, failed_outcome, verdict)
             if progress.attempts:
-                self._context.telemetry.record_resume(admitted, selection, progress.last_event)
+                self._context.telemetry.record_resume(admitted, selection, progress)
             progress.on_attempt(selection)
             isolated = isinstance(
                 verdict, IsolateVerdict
@@ -107,7 +107,11 @@
             return
         now = asyncio.get_running_loop().time()
         registry, service = self._context.registry, admitted.service.name
-        if registry.next_admission(now, service, progress.failed_engines) == float("inf"):
+        excluded = set(progress.failed_engines)
+        if progress.version is not None:
+            rollouts = self._context.rollouts
+            excluded |= rollouts.excluded_from_continuation(service, progress.version)
+        if registry.next_admission(now, service, excluded) == float("inf"):
             await asyncio.sleep(min(RECONNECT_PAUSE, max(0.0, admitted.deadline - now)))
 
     def _try_begin_attempt(self, admitted: AdmittedRequest, progress: StreamProgress) -> bool:
--- a/src/sapphireledge/gateway/stream_line.py
+++ b/src/sapphireledge/gateway/stream_line.py
@@ -42,7 +42,7 @@
         self,
         line: WaitingLine,
         telemetry: RequestTelemetry,
-        take_look: Callable[[int, frozenset[str]], Awaitable[EngineLook]],
+        take_look: Callable[[int, frozenset[str], frozenset[str]], Awaitable[EngineLook]],
         start_share: Callable[[], float],
     ) -> None:
         """Creates an empty line.
@@ -51,7 +51,8 @@
             line: Order of the streams.
             telemetry: Logging and metrics.
             take_look: Fetches the reports of a few engines; receives the number of earlier looks of
-                this line and the ids of engines at which a place became free.
+                this line, the ids of engines at which a place became free, and the versions at
+                which streams have to go on.
             start_share: Returns which share of waiting streams may start on an idle engine.
         """
         self.order = line
@@ -74,6 +75,7 @@
             [EngineLook, bool, int], EngineSelection | RefuseStream | WaitForEngine | None
         ],
         look: EngineLook | None = None,
+        origin: str | None = None,
     ) -> EngineSelection | RefuseStream | None:
         """Waits until an engine runs the stream, or the stream is refused.
 
@@ -82,12 +84,13 @@
             describe: Describes the stream as it waits at the time of the call.
             offer: Offers engines to the stream, see `LineVisit.offer`.
             look: Reports that were fetched for the stream; the first in line is offered them.
+            origin: Version that began the stream, None if there is none.
 
         Returns:
             The selection, a refusal, or None if there is no engine.
         """
         loop = asyncio.get_running_loop()
-        visit = LineVisit(describe, offer, loop.create_future(), loop.time())
+        visit = LineVisit(describe, offer, loop.create_future(), loop.time(), origin)
         ticket = self.order.join(loop.time(), describe())
         self._visits[ticket] = visit
         self._telemetry.record_line_joined(admitted, self.order.snapshot(loop.time()))
@@ -144,7 +147,8 @@
         """Takes a look at the engines and offers them; returns the next delay."""
         freed, self._freed = frozenset(self._freed), set()
         self._rounds += 1
-        look = await self._take_look(self._rounds, freed)
+        origins = {visit.origin for visit in self._visits.values() if visit.origin is not None}
+        look = await self._take_look(self._rounds, freed, frozenset(origins))
         return self._offer_look(look, self.order.draw_turns(self._start_share()))
 
     def _offer_look(self, look: EngineLook, turns: int) -> float:
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -32,6 +32,9 @@
         self.last_event = last_event
         """Number of the last event that was delivered now or received by the caller earlier."""
 
+        self.version: str | None = None
+        """Software version that began the stream, None while no event was delivered."""
+
         self.delivered = 0
         """Number of events delivered in this response."""
 
--- a/src/sapphireledge/gateway/version_selection.py
+++ b/src/sapphireledge/gateway/version_selection.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.continuation import ContinuationRule
 from sapphireledge.gateway.service_versions import ServiceVersions
 
 if TYPE_CHECKING:
@@ -29,8 +30,45 @@
         self._registry = registry
         self._services: dict[str, ServiceVersions] = {}
 
+    def continuation(self, service: str, origin: str) -> ContinuationRule:
+        """Determines at which servers of a service a stream may go on.
+
+        Args:
+            service: Name of the service.
+            origin: Version that began the stream.
+
+        Returns:
+            The rule.
+        """
+        versions = self._services.get(service)
+        if versions is None:
+            return ContinuationRule(origin)
+        return versions.continuation(asyncio.get_running_loop().time(), origin)
+
+    def excluded_from_continuation(self, service: str, origin: str) -> frozenset[str]:
+        """Lists the servers at which a stream may not go on because of their version.
+
+        Args:
+            service: Name of the service.
+            origin: Version that began the stream.
+
+        Returns:
+            Ids of the servers.
+        """
+        rule = self.continuation(service, origin)
+        return frozenset(
+            server.server_id
+            for server in self._registry.list_servers(service)
+            if not rule.permits(server.version)
+        )
+
     def excluded(
-        self, admitted: AdmittedRequest, others: Collection[str] = (), *, is_retry: bool
+        self,
+        admitted: AdmittedRequest,
+        others: Collection[str] = (),
+        *,
+        is_retry: bool,
+        origin: str | None = None,
     ) -> frozenset[str]:
         """Lists the servers that an attempt of a request may not use because of their version.
 
@@ -40,10 +78,13 @@
             admitted: The request.
             others: Ids of servers that are left out for other reasons.
             is_retry: Whether the request was sent to a server before.
+            origin: Version that began the stream, None if there is none.
 
         Returns:
             Ids of the servers.
         """
+        if origin is not None:
+            return self.excluded_from_continuation(admitted.service.name, origin)
         versions = self._services.get(admitted.service.name)
         if versions is None or not (versions.rollout or versions.held_versions):
             return frozenset()
@@ -57,24 +98,36 @@
             return preferred
         return versions.excluded(rule)
 
-    def permits(self, admitted: AdmittedRequest, server: BackendServer, *, is_retry: bool) -> bool:
+    def permits(
+        self,
+        admitted: AdmittedRequest,
+        server: BackendServer,
+        *,
+        is_retry: bool,
+        origin: str | None = None,
+    ) -> bool:
         """Checks whether an attempt may still use a server that was chosen for it before.
 
         Args:
             admitted: The request.
             server: The server.
             is_retry: Whether the request was sent to a server before.
+            origin: Version that began the stream, None if there is none.
 
         Returns:
             Whether it may, if it is sent at once.
         """
+        if origin is not None:
+            return self._permits_continuation(server, origin)
         versions = self._services.get(admitted.service.name)
         if versions is None or not (versions.rollout or versions.held_versions):
             return True
         now = asyncio.get_running_loop().time()
         return versions.permits(server, versions.choose(now, admitted, is_retry=is_retry))
 
-    def may_send(self, admitted: AdmittedRequest, server: BackendServer) -> bool:
+    def may_send(
+        self, admitted: AdmittedRequest, server: BackendServer, origin: str | None = None
+    ) -> bool:
         """Checks right before an attempt is sent that the order has not changed since its choice.
 
         The share is not drawn again: `begin` has counted the attempt.
@@ -82,10 +135,13 @@
         Args:
             admitted: The request.
             server: The server.
+            origin: Version that began the stream, None if there is none.
 
         Returns:
             Whether the server may be sent the request now.
         """
+        if origin is not None:
+            return self._permits_continuation(server, origin)
         versions = self._services.get(admitted.service.name)
         if versions is None or not (versions.rollout or versions.held_versions):
             return True
@@ -114,10 +170,11 @@
         Returns:
             Ids of the servers.
         """
-        versions = self._services.get(server.service)
-        if versions is None or not (versions.rollout or versions.held_versions):
-            return frozenset()
-        return versions.other_versions(server)
+        return frozenset(
+            other.server_id
+            for other in self._registry.list_servers(server.service)
+            if other.version != server.version
+        )
 
     def is_judged(self, server: BackendServer) -> bool:
         """Whether the version of a server is being judged by a roll-out.
@@ -131,6 +188,13 @@
         versions = self._services.get(server.service)
         return versions is not None and bool(server.version) and server.version == versions.target
 
+    def _permits_continuation(self, server: BackendServer, origin: str) -> bool:
+        """Whether a stream may go on at a server, as it is described now."""
+        state = self._registry.state(server.server_id)
+        if state is not None and state.server.is_restart_of(server):
+            return False
+        return self.continuation(server.service, origin).permits(server.version)
+
     def _versions(self, service: str) -> ServiceVersions:
         """Returns the versions of a service, created on first use."""
         versions = self._services.get(service)
--- a/tests/test_gateway_standby.py
+++ b/tests/test_gateway_standby.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from gateway_case import (
+    HOST,
     GatewayCase,
     chunk,
     event,
@@ -18,7 +19,7 @@
 )
 
 from sapphireledge.core.quarantine import DeathRecord
-from sapphireledge.gateway import seconds_since_boot
+from sapphireledge.gateway import BackendServer, seconds_since_boot
 from sapphireledge.platform.decode_config import decode_config
 
 END = b"0\r\n\r\n"
@@ -127,6 +128,22 @@
         centres = {server.address: server.data_centre for server in states}
         self.assertNotEqual(centres[target], self.lost_centre)
 
+    async def test_copy_is_made_at_an_engine_of_the_same_version(self):
+        """Guards against a stream that goes on from a copy at an engine of another version."""
+        for number in range(6):
+            other = await self.add("llm", self.engine, "dc-d")
+            self.gateway.context.registry.put(
+                BackendServer(other.server_id, "llm", HOST, other.port, f"dc-{number}", version="2")
+            )
+        response = await self.run_stream()
+        self.assertTrue(response.complete)
+        ((server, _),) = self.resumed()
+        (copy,) = self.copies
+        targets = [s.port for s in self.servers[6:]]
+        self.assertIn(self.standby_port, targets)
+        self.assertEqual(json.loads(copy.body)["target"], f"127.0.0.1:{server.port}")
+        self.assertIn(server.port, targets)
+
     async def test_stream_without_room_for_a_copy(self):
         self.copy_status = 503
         response = await self.run_stream()
--- a/tests/test_rollout_guard.py
+++ b/tests/test_rollout_guard.py
@@ -74,7 +74,7 @@
         self.sent: list[tuple[str, bool]] = []
         self.results: list[tuple[str, AnswerQuality]] = []
 
-    def choose(self, now, *, may_repeat, is_stream, is_retry, resumed_from=None):
+    def choose(self, now, *, may_repeat, is_stream, is_retry):
         self.retries.append(is_retry)
         return VersionRule("v2", VersionChoice.OLD_ONLY if is_retry else self.choice)
 
