A stream that its caller takes up goes on at the version that began it

Cause: a take-up was placed like a new stream; no instance knew what had begun it. Ruled out: the last event's number tells nothing about the version, and engines do not check it.

A take-up names the attempt that brought the first event (`Resumes`, decoded into `CallerRequest.resumes` and forwarded unchanged). `StreamOrigins` finds the version, which ties the stream as within an answer. Without a known version, or without a server of it that takes requests, the take-up is refused at once as not run (503), logged with its inputs (`take_up_decided`) and counted. The first event of a stream that can be taken up records its origin; a take-up keeps the origin of its stream.

test_platform_names_stay_in_adapter searched for each header name as part of any text. "resumes" is a word of plain English that the code used before; it is now searched for where it is quoted, which is how a header name would appear.

--- a/src/sapphireledge/errors/error_kind.py
+++ b/src/sapphireledge/errors/error_kind.py
@@ -41,7 +41,7 @@
     """No live backend server can serve the request."""
 
     VERSION_GONE = "version_gone"
-    """No backend server runs the model version of a started answer any more."""
+    """No backend server runs the version that began an answer any more."""
 
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     """The platform's object API did not answer in time."""
--- a/src/sapphireledge/gateway/caller_request.py
+++ b/src/sapphireledge/gateway/caller_request.py
@@ -47,6 +47,10 @@
     last_event: int | None = None
     """Number of the last event that the caller received, if it resumes a stream."""
 
+    resumes: str = ""
+    """Id of the caller's attempt that brought the first event of a stream which the caller takes
+    up, empty if none was named."""
+
     prompt_tokens: int = 0
     """Length of the prompt in tokens, 0 if unknown."""
 
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -130,6 +130,12 @@
     STREAM_RESUMED = "stream_resumed"
     """A stream is resumed on another engine."""
 
+    TAKE_UP_DECIDED = "take_up_decided"
+    """A caller takes up a broken stream: at which version it goes on, or why it is refused."""
+
+    STREAM_VERSION_GONE = "stream_version_gone"
+    """A stream cannot go on, as no server of the version that began it takes requests."""
+
     STREAM_COPIED = "stream_copied"
     """A running stream was copied to an engine, because the one with its copy was lost; or a copy,
     its refresh or its release failed."""
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -39,6 +39,15 @@
         )
         """Streams resumed on another engine, by whether from a replica or from the prompt."""
 
+        self.continuations = Counter(
+            "sapphireledge_continuations",
+            "Streams that were to go on at the version that began them, by place and result.",
+            ["place", "result"],
+            registry=self._registry,
+        )
+        """Streams that were to go on at the version that began them: within their answer or taken
+        up by their caller, and whether they did."""
+
         self.stream_copies = Counter(
             "sapphireledge_stream_copies",
             "Copies of running streams on request by step and result.",
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -10,6 +10,7 @@
 
 from sapphireledge.core.placement import StartStream, WaitForEngine
 from sapphireledge.core.standby import CopyStep
+from sapphireledge.gateway.continuation_telemetry import ContinuationTelemetry
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.load_telemetry import LoadTelemetry
 from sapphireledge.gateway.outcome import OutcomeKind
@@ -53,6 +54,9 @@
         self.rollouts = RolloutTelemetry(metrics)
         """Logging and metrics of roll-outs."""
 
+        self.continuations = ContinuationTelemetry(metrics)
+        """Logging and metrics of streams that go on at the version that began them."""
+
         self.load = LoadTelemetry(metrics)
         """Logging and metrics of the load that instances share."""
 
@@ -299,6 +303,8 @@
         """
         from_replica = selection.replica_source is not None
         self._metrics.resumes.labels("copy" if from_replica else "prompt").inc()
+        if progress.version is not None:
+            self.continuations.record_resume()
         self._log.info(
             GatewayEvent.STREAM_RESUMED,
             request_id=admitted.request.request_id,
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -53,11 +53,22 @@
         conn: CallerConnection,
         admitted: AdmittedRequest,
         progress: StreamProgress,
+        on_begun: Callable[[AdmittedRequest, str], None],
     ) -> None:
+        """Creates an attempt.
+
+        Args:
+            context: Shared components.
+            conn: Connection of the caller.
+            admitted: The request.
+            progress: Progress of the stream.
+            on_begun: Called with the version of the server whose event is the first one.
+        """
         self._context = context
         self._caller = conn
         self._admitted = admitted
         self._progress = progress
+        self._on_begun = on_begun
         self._pace_events = 0
         self._pace_since: float | None = None
 
@@ -309,6 +320,7 @@
         """Ties the stream to the version that sends its first event."""
         if self._progress.version is None:
             self._progress.version = server.version
+            self._on_begun(self._admitted, server.version)
 
 
 def _is_stream(head: ResponseHead) -> bool:
--- /dev/null
+++ b/src/sapphireledge/gateway/stream_continuation.py
@@ -0,0 +1,115 @@
+"""Ties streams to the software version that began them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from sapphireledge.core.continuation import TakeUpDecision, decide_take_up
+from sapphireledge.errors import ErrorKind, Failure, Ran
+
+if TYPE_CHECKING:
+    from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.gateway_context import GatewayContext
+    from sapphireledge.gateway.stream_progress import StreamProgress
+
+__all__ = ["StreamContinuation"]
+
+RETRY_AFTER = 1.0
+"""Retry-After in seconds for take-ups that cannot go on; crashed servers restart, and what other
+instances have recorded arrives, within seconds."""
+
+ORIGIN_MARGIN = 5.0
+"""Seconds after the caller's deadline for which the origin of a stream is kept; the attempts of one
+caller do not state quite the same deadline."""
+
+
+class StreamContinuation:
+    """Finds the version at which a stream goes on, and records that of new streams."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+
+    async def take_up(self, admitted: AdmittedRequest, progress: StreamProgress) -> Failure | None:
+        """Ties a stream that its caller takes up to the version that began it.
+
+        Args:
+            admitted: The request.
+            progress: Progress of the stream, which receives the version.
+
+        Returns:
+            The refusal if the stream cannot go on, None otherwise or if it is no take-up.
+        """
+        if admitted.request.last_event is None or not admitted.route.resumable:
+            return None
+        context, service = self._context, admitted.service.name
+        started = asyncio.get_running_loop().time()
+        time_left = max(0.0, admitted.deadline - started)
+        origin = await context.origins.find(service, admitted.request.resumes, time_left)
+        rule = None if origin is None else context.rollouts.continuation(service, origin)
+        servers = Counter(
+            server.version
+            for server in context.registry.list_servers(service)
+            if context.registry.is_available(server.server_id)
+        )
+        decision = decide_take_up(rule, servers)
+        waited = asyncio.get_running_loop().time() - started
+        telemetry = context.telemetry.continuations
+        telemetry.record_take_up(admitted, rule, servers, decision, waited)
+        progress.version = origin
+        return explain_refusal(decision, origin)
+
+    def on_begun(self, admitted: AdmittedRequest, version: str) -> None:
+        """Records the version that delivers the first event of a stream.
+
+        Args:
+            admitted: The request, which is no take-up.
+            version: The version.
+        """
+        if admitted.request.last_event is not None or not admitted.route.resumable:
+            return
+        now = asyncio.get_running_loop().time()
+        lifetime = max(0.0, admitted.caller_deadline - now) + ORIGIN_MARGIN
+        request_id = admitted.request.request_id
+        self._context.origins.record(admitted.service.name, request_id, version, lifetime)
+
+    def refuse_gone(self, admitted: AdmittedRequest, progress: StreamProgress) -> Failure | None:
+        """Refuses a stream for which no server of its version is left.
+
+        Args:
+            admitted: The request.
+            progress: Progress of the stream.
+
+        Returns:
+            The refusal, None if the stream has no version or there are servers of it.
+        """
+        context, service, origin = self._context, admitted.service.name, progress.version
+        if origin is None:
+            return None
+        rule = context.rollouts.continuation(service, origin)
+        excluded = context.rollouts.excluded_from_continuation(service, origin)
+        now = asyncio.get_running_loop().time()
+        if context.registry.next_admission(now, service, excluded) < float("inf"):
+            return None
+        context.telemetry.continuations.record_gone(admitted, rule, progress.delivered)
+        return explain_refusal(TakeUpDecision.GONE, origin)
+
+
+def explain_refusal(decision: TakeUpDecision, origin: str | None) -> Failure | None:
+    """Builds the failure of a stream that cannot go on.
+
+    Args:
+        decision: What becomes of the stream.
+        origin: Version that began it, None if it is not known.
+
+    Returns:
+        The failure, None if the stream goes on.
+    """
+    if decision is TakeUpDecision.CONTINUED:
+        return None
+    if decision is TakeUpDecision.UNKNOWN:
+        reason = "the version of the server that began the stream is not known"
+        return Failure(ErrorKind.NO_BACKEND, reason, Ran.NO, RETRY_AFTER)
+    reason = f"no server of version {origin!r}, which began the stream, takes requests"
+    return Failure(ErrorKind.VERSION_GONE, reason, Ran.NO, RETRY_AFTER)
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -11,6 +11,7 @@
 from sapphireledge.gateway.engine_selector import EngineSelector
 from sapphireledge.gateway.outcome import OutcomeKind
 from sapphireledge.gateway.stream_attempt import StreamAttempt
+from sapphireledge.gateway.stream_continuation import StreamContinuation
 from sapphireledge.gateway.stream_progress import StreamProgress
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
         self._selector = EngineSelector(context)
+        self._continuation = StreamContinuation(context)
 
     @property
     def selector(self) -> EngineSelector:
@@ -53,6 +55,9 @@
             report.
         """
         progress = StreamProgress(admitted.request.last_event)
+        refusal = await self._continuation.take_up(admitted, progress)
+        if refusal is not None:
+            return refusal
         try:
             return await self._attempt_until_complete(conn, admitted, progress)
         finally:
@@ -76,7 +81,7 @@
                 self._context.telemetry.record_stream_refusal(selection.reason)
                 return refuse_overload(selection)
             if selection is None:
-                return await self._fail_request(conn, progress, failed_outcome)
+                return await self._fail_unplaced(conn, admitted, progress, failed_outcome)
             # Engines may have died of the same content while the stream waited for an engine.
             verdict = await self._judge(admitted, progress)
             if isinstance(verdict, Failure):
@@ -87,7 +92,9 @@
             isolated = isinstance(
                 verdict, IsolateVerdict
             ) and selection.server.server_id not in self._context.crashes.avoided_servers(verdict)
-            attempt = StreamAttempt(self._context, conn, admitted, progress)
+            attempt = StreamAttempt(
+                self._context, conn, admitted, progress, self._continuation.on_begun
+            )
             outcome = await attempt.run(selection, isolated=isolated)
             if outcome.kind is OutcomeKind.ANSWERED:
                 await _deliver_plain_response(conn, outcome)
@@ -136,6 +143,18 @@
             return await self._context.crashes.wait_for_verdict(admitted)
         return self._context.crashes.judge(admitted)
 
+    async def _fail_unplaced(
+        self,
+        conn: CallerConnection,
+        admitted: AdmittedRequest,
+        progress: StreamProgress,
+        failed_outcome: Outcome | None,
+    ) -> Failure | None:
+        """Ends a request for which there is no engine, or none of the version that began it."""
+        gone = self._continuation.refuse_gone(admitted, progress)
+        result = await self._fail_request(conn, progress, failed_outcome)
+        return gone if gone is not None and result is not None and result.ran is Ran.NO else result
+
     async def _fail_condemned(
         self,
         conn: CallerConnection,
--- a/src/sapphireledge/platform/header_names.py
+++ b/src/sapphireledge/platform/header_names.py
@@ -14,6 +14,7 @@
     "REPLICA_SOURCE",
     "REPLICA_TARGET",
     "REQUEST_ID",
+    "RESUMES",
     "SIGNATURE",
     "TIME_LEFT",
     "TOKEN_COUNTS",
@@ -26,6 +27,9 @@
 """Remaining time in milliseconds, not a point in time."""
 
 LAST_EVENT = b"last-event-id"
+RESUMES = b"resumes"
+"""Request id of the caller's attempt that brought the first event of the stream."""
+
 TOKEN_COUNTS = b"x-sapphireledge-token-count"
 """Prompt tokens and maximum number of generated tokens, separated by a comma."""
 
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -38,6 +38,9 @@
 MAX_PROMPT_PARTS = 32
 """Parts of a prompt by which engines are chosen; a header has room for thousands."""
 
+NOT_RUN_KINDS = frozenset({ErrorKind.REQUEST_CONDEMNED, ErrorKind.VERSION_GONE})
+"""Kinds for which the platform has no status. The one that states that nothing has run is used."""
+
 MAX_URGENCY_CLASS = 9
 """Least urgent class of an engine; 0 is the most urgent, as for the gateway's ranks."""
 
@@ -65,6 +68,7 @@
             key=_parse_api_key(values.get(b"authorization", b"")),
             wait_limit=None if wait_ms is None else wait_ms / 1000.0,
             last_event=_parse_int(values.get(names.LAST_EVENT)),
+            resumes=values.get(names.RESUMES, b"").decode("latin-1"),
             prompt_tokens=_parse_int(prompt_tokens) or 0,
             output_tokens=_parse_int(output_tokens) or 0,
             affinity=parts[-1].part_id or values.get(names.REQUEST_ID, b"").decode("latin-1"),
@@ -157,8 +161,7 @@
 
     def refusal_status(self, failure: Failure) -> int:
         """Chooses the status of an error response; see `Dialect.refusal_status`."""
-        if failure.kind is ErrorKind.REQUEST_CONDEMNED and failure.ran is Ran.NO:
-            # The platform has no status for refused content; this one states that nothing has run.
+        if failure.kind in NOT_RUN_KINDS and failure.ran is Ran.NO:
             return 503
         return failure.answer.http_status
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -185,9 +185,12 @@
             "goal_ms",
         ]
         shared_names = {"last-event-id"}
-        pattern = re.compile(
-            "|".join(re.escape(name) for name in set(wire_names) - shared_names), re.I
-        )
+        # Words of plain English are names of the platform only where they are quoted.
+        plain_words = {"resumes"}
+        names = set(wire_names) - shared_names
+        searched = [re.escape(name) for name in names - plain_words]
+        searched += [f"[\"']{re.escape(name)}[\"']" for name in names & plain_words]
+        pattern = re.compile("|".join(searched), re.I)
         found = [
             f"{path}:{number}"
             for path in SOURCE.rglob("*.py")
--- a/tests/versioned_engines.py
+++ b/tests/versioned_engines.py
@@ -81,6 +81,9 @@
         self.put(server, version=version, data_centre=data_centre)
         return server
 
+    def register(self, server, service, data_centre="dc-a", draining=False) -> None:
+        """Leaves it to `put` to register a server, so that no other version of it is ever seen."""
+
     @property
     def registry(self):
         return self.gateway.context.registry
