A stream does not go on at an engine that restarted with other software

Cause: the version is that of the entry, and an engine that is the only candidate, or that keeps the prompt, is used without a report. Ruled out: placements by reports compare the start already, and a restarted engine has no copy.

Before a stream goes on at an engine that was chosen without a report, one is fetched; that of another incarnation removes the engine.

--- a/src/sapphireledge/gateway/backend_server.py
+++ b/src/sapphireledge/gateway/backend_server.py
@@ -45,11 +45,12 @@
             other: The other description.
 
         Returns:
-            Whether the start times, as far as they are known, or the places differ.
+            Whether the start times, as far as they are known, the places or the versions differ.
         """
         has_other_start = self.started_at_ms != other.started_at_ms
         return bool(self.started_at_ms and other.started_at_ms and has_other_start) or (
-            (self.service, self.host, self.port) != (other.service, other.host, other.port)
+            (self.service, self.host, self.port, self.version)
+            != (other.service, other.host, other.port, other.version)
         )
 
     @property
--- a/src/sapphireledge/gateway/stream_continuation.py
+++ b/src/sapphireledge/gateway/stream_continuation.py
@@ -8,9 +8,11 @@
 
 from sapphireledge.core.continuation import TakeUpDecision, decide_take_up
 from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.gateway.fetched_looks import REPORT_TIMEOUT
 
 if TYPE_CHECKING:
     from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.engine_selection import EngineSelection
     from sapphireledge.gateway.gateway_context import GatewayContext
     from sapphireledge.gateway.stream_progress import StreamProgress
 
@@ -74,6 +76,30 @@
         request_id = admitted.request.request_id
         self._context.origins.record(admitted.service.name, request_id, version, lifetime)
 
+    async def is_unchanged(self, progress: StreamProgress, selection: EngineSelection) -> bool:
+        """Checks that an engine still runs the version that its entry names.
+
+        An engine can restart with other software while its entry is old. Placements by reports have
+        checked that already, and a restarted holder has no copy.
+
+        Args:
+            progress: Progress of the stream.
+            selection: Engines of the next attempt.
+
+        Returns:
+            False if another incarnation reports; the engine is removed then.
+        """
+        is_checked = selection.prompts_ahead is not None or selection.replica_source is not None
+        if progress.version is None or is_checked:
+            return True
+        context, server = self._context, selection.server
+        report = await context.report_client.fetch_report(server, REPORT_TIMEOUT)
+        if report is None or report.is_from(server):
+            return True
+        context.registry.remove(server.server_id)
+        context.pool.drop(server.server_id)
+        return False
+
     def refuse_gone(self, admitted: AdmittedRequest, progress: StreamProgress) -> Failure | None:
         """Refuses a stream for which no server of its version is left.
 
--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -82,6 +82,8 @@
                 return refuse_overload(selection)
             if selection is None:
                 return await self._fail_unplaced(conn, admitted, progress, failed_outcome)
+            if not await self._continuation.is_unchanged(progress, selection):
+                continue
             # Engines may have died of the same content while the stream waited for an engine.
             verdict = await self._judge(admitted, progress)
             if isinstance(verdict, Failure):
--- a/tests/test_take_up_versions.py
+++ b/tests/test_take_up_versions.py
@@ -182,6 +182,64 @@
         self.assertGreaterEqual(asyncio.get_running_loop().time() - now, 0.8)
 
 
+class RestartedEngineTest(TakeUpCase):
+    """Guards against an engine that restarted with other software while its entry is old."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.origins.known[("llm", "id1")] = "v1"
+
+    async def add_restarted(self, **fields):
+        server = await self.add_engine("v2", **fields)
+        self.put(server, version="v1", started_at_ms=1000)
+        server.load["born"] = 2000
+        return server
+
+    async def test_only_engine_of_the_version_has_restarted(self):
+        await self.add_restarted()
+        response = await self.take_up()
+        self.assertEqual((response.status, self.places()), (503, []))
+        self.assertEqual(self.refused("version_gone"), 1)
+
+    async def test_engine_that_keeps_the_prompt_has_restarted(self):
+        holder = await self.add_restarted()
+        holder.cached_parts = ["p2"]
+        await self.add_engine("v1", data_centre="dc-b")
+        parts = {"x-sapphireledge-prefix-hash": "p1:10,p2:20"}
+        self.assert_whole(await self.take_up(**parts), first=2)
+        self.assertEqual(self.places(), [("v1", 2)])
+
+    async def test_engine_that_broke_the_stream_has_restarted(self):
+        await self.add_engine("v1", breaks_after=2)
+        (server,) = self.servers
+        self.put(server, version="v1", started_at_ms=1000)
+        server.load["born"] = 2000
+        response = await self.call("/stream/x")
+        self.assertEqual((response.complete, self.places()), (False, [("v1", 0)]))
+
+    async def test_engine_of_the_same_start_is_used(self):
+        server = await self.add_engine("v1")
+        self.put(server, version="v1", started_at_ms=1000)
+        server.load["born"] = 1000
+        self.assert_whole(await self.take_up(), first=2)
+
+    async def test_engine_without_a_report_is_used(self):
+        """Guards against streams that break off because reports are late."""
+        server = await self.add_engine("v1")
+        server.load = []
+        self.assert_whole(await self.take_up(), first=2)
+
+    async def test_entry_with_another_version_is_that_of_a_restart(self):
+        server = await self.add_engine("v1")
+        before = self.registry.state(server.server_id)
+        before.on_failure(0.0, suspend=True)
+        described = before.server
+        self.put(server, version="v2")
+        after = self.registry.state(server.server_id)
+        self.assertIsNot(after, before)
+        self.assertFalse(self.gateway.context.is_running(described))
+
+
 class OriginTest(TakeUpCase):
     async def test_first_event_records_the_version(self):
         await self.add_engine("v1")
