explain follows the version of a stream that its caller takes up

`explain` answered for a take-up as if it could go on anywhere, while the real one is placed at the version that began it, or refused. The question now has the attempt that brought the first event (`--first-attempt`), and the answer a check "version" before quarantine, with the refusal that the caller would get. Other versions are listed as left out. It reads what is known here and waits for nothing; that other instances may know more is listed as unknown.

--- a/src/sapphireledge/cli/explain_command.py
+++ b/src/sapphireledge/cli/explain_command.py
@@ -32,6 +32,9 @@
 LastEventOption = Annotated[
     int | None, typer.Option(help="Last event that the caller received, if it resumes.")
 ]
+FirstAttemptOption = Annotated[
+    str, typer.Option(help="Request id that brought the first event, if it resumes (gateway).")
+]
 FreshOption = Annotated[
     bool, typer.Option("--fresh", help="Fetch the load reports that a placement asks for.")
 ]
@@ -57,6 +60,7 @@
     "output_tokens",
     "deadline",
     "last_event",
+    "first_attempt",
     "fresh",
 )
 """Fields of a request that the message has under the same name."""
@@ -84,6 +88,7 @@
     parts: list[_Part] = []
     deadline: float = 0.0
     last_event: int | None = None
+    first_attempt: str = ""
     fresh: bool = False
 
 
@@ -110,6 +115,7 @@
     part: PartOption = None,
     deadline: DeadlineOption = None,
     last_event: LastEventOption = None,
+    first_attempt: FirstAttemptOption = "",
     fresh: FreshOption = False,
     file: FileOption = None,
 ) -> None:
--- a/src/sapphireledge/core/explanation/question.py
+++ b/src/sapphireledge/core/explanation/question.py
@@ -51,6 +51,10 @@
     last_event: int | None = None
     """Number of the last event that the caller received, if it resumes a stream."""
 
+    first_attempt: str = ""
+    """Id of the caller's attempt that brought the first event, if it resumes a stream; on the
+    gateway, whose engines can have several software versions."""
+
     fresh: bool = False
     """Whether the load reports that a placement would ask for are fetched first."""
 
--- a/src/sapphireledge/gateway/explain_request.py
+++ b/src/sapphireledge/gateway/explain_request.py
@@ -171,6 +171,7 @@
         received_at=now,
         wait_limit=question.deadline,
         last_event=question.last_event,
+        resumes=question.first_attempt,
         prompt_tokens=question.prompt_length,
         output_tokens=question.output_tokens,
         affinity=parts[-1].part_id if parts else "",
--- a/src/sapphireledge/gateway/explain_servers.py
+++ b/src/sapphireledge/gateway/explain_servers.py
@@ -21,7 +21,12 @@
 
 
 def find_left_out(
-    context: GatewayContext, admitted: AdmittedRequest, avoided: frozenset[str], *, is_retry: bool
+    context: GatewayContext,
+    admitted: AdmittedRequest,
+    avoided: frozenset[str],
+    *,
+    is_retry: bool,
+    origin: str | None = None,
 ) -> dict[str, str]:
     """Finds the servers that take no request of a kind now.
 
@@ -30,13 +35,15 @@
         admitted: The request.
         avoided: Ids of servers on which the request may not run beside other suspects.
         is_retry: Whether the request was sent to a server before.
+        origin: Version that began the stream, None if there is none.
 
     Returns:
         Reasons by server id.
     """
     now = asyncio.get_running_loop().time()
     service = admitted.service.name
-    versions = context.rollouts.excluded(admitted, avoided, is_retry=is_retry)
+    versions = context.rollouts.excluded(admitted, avoided, is_retry=is_retry, origin=origin)
+    cause = "of a roll-out" if origin is None else "did not begin the stream"
     reasons = {}
     for server in context.registry.list_servers(service):
         name = server.server_id
@@ -52,7 +59,7 @@
         elif name in avoided:
             reasons[name] = "quarantine: the request may not run beside what runs there"
         elif name in versions:
-            reasons[name] = f"version {server.version or 'unknown'} of a roll-out"
+            reasons[name] = f"version {server.version or 'unknown'} {cause}"
     return reasons
 
 
--- a/src/sapphireledge/gateway/explain_stream.py
+++ b/src/sapphireledge/gateway/explain_stream.py
@@ -6,6 +6,7 @@
 from dataclasses import asdict, replace
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.continuation import decide_take_up
 from sapphireledge.core.explanation import Chance, ExplainedOutcome, ServerRole
 from sapphireledge.core.placement import RefusalReason, RefuseStream
 from sapphireledge.core.quarantine import hide_part
@@ -15,6 +16,11 @@
 from sapphireledge.gateway.explain_known_looks import KnownLooks
 from sapphireledge.gateway.explain_servers import explain_servers, find_left_out
 from sapphireledge.gateway.fetched_looks import REPORT_TIMEOUT
+from sapphireledge.gateway.stream_continuation import (
+    count_versions,
+    explain_refusal,
+    is_take_up,
+)
 from sapphireledge.gateway.stream_forwarder import refuse_overload
 from sapphireledge.gateway.stream_progress import StreamProgress
 
@@ -69,6 +75,10 @@
         context = self._context
         now = asyncio.get_running_loop().time()
         progress = StreamProgress(admitted.request.last_event)
+        version = self._explain_version(admitted, explanation)
+        if version.failure is not None:
+            return version
+        explanation = version
         verdict = context.crashes.judge(admitted)
         if isinstance(verdict, Failure):
             return explanation.refused("quarantine", hide_part(verdict))
@@ -94,6 +104,32 @@
             found = replace(found, unknown=(*found.unknown, load))
         return found
 
+    def _explain_version(self, admitted: AdmittedRequest, explanation: Explanation) -> Explanation:
+        """Explains at which version a stream goes on that its caller takes up."""
+        if not is_take_up(admitted):
+            return explanation
+        context, service = self._context, admitted.service.name
+        origin = self._find_origin(admitted)
+        rule = None if origin is None else context.rollouts.continuation(service, origin)
+        servers = count_versions(context, service)
+        failure = explain_refusal(decide_take_up(rule, servers), origin)
+        if origin is None:
+            attempt = "what other instances recorded: a take-up waits a short time for it"
+            if not admitted.request.resumes:
+                attempt = "the attempt that brought the first event, which a caller names"
+            explanation = replace(explanation, unknown=(*explanation.unknown, attempt))
+        if failure is not None:
+            return explanation.refused("version", failure)
+        detail = f"{servers[origin or '']} servers have version {origin!r}, which began the stream"
+        return explanation.passed("version", detail)
+
+    def _find_origin(self, admitted: AdmittedRequest) -> str | None:
+        """Finds the version that began a stream, None if it is not known or is no matter."""
+        if not is_take_up(admitted):
+            return None
+        origins = self._context.origins
+        return origins.version_of(admitted.service.name, admitted.request.resumes)
+
     async def _fetch(self, servers: Sequence[BackendServer]) -> dict[str, EngineLoad]:
         """Fetches reports, without those that another incarnation sent."""
         reports = await self._context.report_client.fetch_reports(servers, REPORT_TIMEOUT)
@@ -127,9 +163,12 @@
         """Places the stream by known reports, and explains the result."""
         service, trace = admitted.service.name, DecisionTrace()
         progress = StreamProgress(admitted.request.last_event)
+        progress.version = self._find_origin(admitted)
         context = self._context.copy_for(service, admitted.request, trace)
         repeat = is_repeat(admitted, progress)
-        left_out = find_left_out(context, admitted, avoided, is_retry=repeat)
+        left_out = find_left_out(
+            context, admitted, avoided, is_retry=repeat, origin=progress.version
+        )
         selector, line = self._selector.copy_for(context, looks, service)
         waiting = line.order.snapshot(asyncio.get_running_loop().time()).length_by_rank
         result = await selector.select(admitted, progress, avoided)
--- a/src/sapphireledge/gateway/stream_continuation.py
+++ b/src/sapphireledge/gateway/stream_continuation.py
@@ -16,7 +16,7 @@
     from sapphireledge.gateway.gateway_context import GatewayContext
     from sapphireledge.gateway.stream_progress import StreamProgress
 
-__all__ = ["StreamContinuation"]
+__all__ = ["StreamContinuation", "count_versions", "explain_refusal", "is_take_up"]
 
 RETRY_AFTER = 1.0
 """Retry-After in seconds for take-ups that cannot go on; crashed servers restart, and what other
@@ -43,18 +43,14 @@
         Returns:
             The refusal if the stream cannot go on, None otherwise or if it is no take-up.
         """
-        if admitted.request.last_event is None or not admitted.route.resumable:
+        if not is_take_up(admitted):
             return None
         context, service = self._context, admitted.service.name
         started = asyncio.get_running_loop().time()
         time_left = max(0.0, admitted.deadline - started)
         origin = await context.origins.find(service, admitted.request.resumes, time_left)
         rule = None if origin is None else context.rollouts.continuation(service, origin)
-        servers = Counter(
-            server.version
-            for server in context.registry.list_servers(service)
-            if context.registry.is_available(server.server_id)
-        )
+        servers = count_versions(context, service)
         decision = decide_take_up(rule, servers)
         waited = asyncio.get_running_loop().time() - started
         telemetry = context.telemetry.continuations
@@ -122,6 +118,35 @@
         return explain_refusal(TakeUpDecision.GONE, origin)
 
 
+def is_take_up(admitted: AdmittedRequest) -> bool:
+    """Whether a caller takes up a stream of which it has received a part.
+
+    Args:
+        admitted: The request.
+
+    Returns:
+        Whether it does.
+    """
+    return admitted.request.last_event is not None and admitted.route.resumable
+
+
+def count_versions(context: GatewayContext, service: str) -> Counter[str]:
+    """Counts the servers of a service that take requests, or will after a pause.
+
+    Args:
+        context: Components of the instance.
+        service: Name of the service.
+
+    Returns:
+        Their number by version.
+    """
+    return Counter(
+        server.version
+        for server in context.registry.list_servers(service)
+        if context.registry.is_available(server.server_id)
+    )
+
+
 def explain_refusal(decision: TakeUpDecision, origin: str | None) -> Failure | None:
     """Builds the failure of a stream that cannot go on.
 
--- a/src/sapphireledge/operator/answer_explain.py
+++ b/src/sapphireledge/operator/answer_explain.py
@@ -67,7 +67,7 @@
         return Failure(ErrorKind.INVALID_REQUEST, "request: is required")
     texts = {
         name: getattr(request, name) or ""
-        for name in ("host", "path", "method", "workspace", "rank", "model")
+        for name in ("host", "path", "method", "workspace", "rank", "model", "first_attempt")
     }
     # "service" is a reserved word in the schema.
     texts["service"] = request.service_name or ""
--- a/src/sapphireledge/schema/operator.thrift
+++ b/src/sapphireledge/schema/operator.thrift
@@ -172,6 +172,7 @@
   12: bool resumes          // the caller received a part of the stream
   13: i64 last_event        // last event that it received, if it resumes
   14: bool fresh            // fetch the load reports that a placement would ask for
+  15: string first_attempt  // gateway: id of the attempt that brought the first event, if it resumes
 }
 
 struct ExplainCheck {
--- a/tests/test_explain_gateway.py
+++ b/tests/test_explain_gateway.py
@@ -182,6 +182,44 @@
             self.assertIs(self.role(explanation, name), ServerRole.LEFT_OUT)
             self.assertIn(word, self.reason(explanation, name))
 
+    def add_versions(self):
+        for name in ("s1", "s2", "s3", "s4"):
+            self.context.registry.remove(name)
+        for name, version in (("s5", "v1"), ("s6", "v2"), ("s7", "v2"), ("s8", "v1")):
+            self.add(name, "llm", BUSY if name == "s8" else IDLE, version=version)
+
+    async def test_take_up_goes_on_where_the_stream_began(self):
+        self.add_versions()
+        self.context.origins.record("llm", "a1", "v1", 60.0)
+        question = replace(STREAM, last_event=4, first_attempt="a1")
+        explanation = await self.explainer.explain(question)
+        self.assertEqual(self.chosen(explanation), "s5")
+        for name in ("s6", "s7"):
+            self.assertIs(self.role(explanation, name), ServerRole.LEFT_OUT)
+            self.assertIn("version v2 did not begin", self.reason(explanation, name))
+        (check,) = [check for check in explanation.checks if check.name == "version"]
+        self.assertTrue(check.passed)
+        self.assertIn("2 servers have version 'v1'", check.detail)
+
+    async def test_take_up_is_refused_like_the_real_one(self):
+        self.add_versions()
+        self.context.origins.record("llm", "a3", "v3", 60.0)
+        for attempt, kind in (
+            ("a3", ErrorKind.VERSION_GONE),
+            ("a9", ErrorKind.NO_BACKEND),
+            ("", ErrorKind.NO_BACKEND),
+        ):
+            question = replace(STREAM, last_event=4, first_attempt=attempt)
+            explanation = await self.explainer.explain(question)
+            self.assertIs(explanation.outcome, ExplainedOutcome.REFUSED)
+            self.assertEqual(explanation.failure.kind, kind)
+            self.assertEqual(explanation.checks[-1].name, "version")
+        self.assertIn("the attempt that brought the first event", " ".join(explanation.unknown))
+
+    async def test_take_up_with_one_version_needs_no_attempt(self):
+        explanation = await self.explainer.explain(replace(STREAM, last_event=4))
+        self.assertIs(explanation.outcome, ExplainedOutcome.SENT)
+
     async def test_single_engine_is_not_asked(self):
         self.context.registry.remove("s2")
         explanation = await self.explainer.explain(replace(STREAM, fresh=True))
