Instances share the versions that began streams over the store

After a loss of power of all instances, or when a caller comes to another instance, the version that began a stream has to be known there. While several versions of a service served lately, each instance keeps its unexpired origins in an object of its own; one shared object names the version in use, so that instances that start again know what served before them. With one version nothing is written or watched.

--- a/src/sapphireledge/core/origins/version_sightings.py
+++ b/src/sapphireledge/core/origins/version_sightings.py
@@ -46,6 +46,15 @@
             del self._until[service]
         return frozenset(known)
 
+    def drop_expired(self, now: float) -> None:
+        """Forgets the sightings that have expired.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        for service in tuple(self._until):
+            self.versions(now, service)
+
     def services(self) -> frozenset[str]:
         """Lists the services of which a version was seen.
 
--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -87,6 +87,8 @@
             self.is_healthy = True
             if not self._activity.is_active:
                 await wait_for_event(self._wake, QUIET_START_DELAY)
+            elif self._kind_cfg.can_start_late:
+                await asyncio.sleep(start_delay)
         elif self._kind_cfg.can_start_late and self._feed.revision is None:
             await asyncio.sleep(start_delay)
         try:
--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -19,6 +19,7 @@
 from sapphireledge.gateway.gateway_server import GatewayServer
 from sapphireledge.gateway.gateway_settings import GatewaySettings
 from sapphireledge.gateway.load_exchange import LoadExchange
+from sapphireledge.gateway.origin_telemetry import OriginTelemetry
 from sapphireledge.gateway.quarantine_settings import QuarantineSettings
 from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.request_telemetry import RequestTelemetry
@@ -28,11 +29,13 @@
 from sapphireledge.gateway.routing_table import RoutingTable
 from sapphireledge.gateway.service_profile import ServiceProfile
 from sapphireledge.gateway.stored_order import StoredOrder
+from sapphireledge.gateway.stream_origins import VERSIONS_REPORT, StreamOrigins
 from sapphireledge.gateway.unread_reader import UnreadReader, open_unread_connection
 from sapphireledge.gateway.wait_for_event import wait_for_event
 from sapphireledge.gateway.workspace_key import WorkspaceKey
 
 __all__ = [
+    "VERSIONS_REPORT",
     "BackendRequest",
     "BackendServer",
     "BoundedLog",
@@ -51,6 +54,7 @@
     "GatewaySettings",
     "Headers",
     "LoadExchange",
+    "OriginTelemetry",
     "QuarantineSettings",
     "ReplayRule",
     "RequestTelemetry",
@@ -60,6 +64,7 @@
     "RoutingTable",
     "ServiceProfile",
     "StoredOrder",
+    "StreamOrigins",
     "UnreadReader",
     "WorkspaceKey",
     "open_unread_connection",
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -76,10 +76,9 @@
         self._plain = PlainForwarder(self.context)
         self._streams = StreamForwarder(self.context)
         self._rng = Random()
-        self.config.on_replaced = self._retain_services
+        self.config.on_replaced = self._on_config
         self.context.pool.connection_limit = self._connection_limit
         self.context.rollouts.longest_answer = self._longest_answer
-        self.context.origins.longest_answer = self._longest_answer
         self.context.is_stopping = lambda: self._stop_started is not None
         self._ledger = CallerLedger(cfg.callers.callers, telemetry.record_caller_limit)
         RESPONSE_BUDGET.resize(cfg.callers.response_bytes)
@@ -294,8 +293,9 @@
         """Returns how long answers of a service may take, None if no configuration says so."""
         return None if self.config.table is None else self.config.table.longest_answer(service)
 
-    def _retain_services(self, table: RoutingTable) -> None:
-        """Forgets what is known about services that are not in use any more."""
+    def _on_config(self, table: RoutingTable) -> None:
+        """Takes in the services of a configuration, and forgets what is known about others."""
+        self.context.origins.on_config(table.resumable_limits())
         self.context.retain_services(table.services)
         self.selector.retain_services({*table.services, *self.context.registry.services()})
 
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -73,7 +73,7 @@
         self.report_client = EngineReportClient(self.pool, dialect)
         """Client for load reports and cache listings of engines."""
 
-        self.origins = StreamOrigins(self.registry)
+        self.origins = StreamOrigins(self.registry, telemetry.origins, cfg.instance)
         """Knows which software version began a stream."""
 
         self.registry.on_removed = self._on_server_removed
@@ -293,7 +293,7 @@
     def _on_server_removed(self, server: BackendServer) -> None:
         """Forgets what an engine reported, and remembers the version that it had."""
         self.report_client.latest.forget(server)
-        self.origins.on_server_seen(server)
+        self.origins.history.on_server_removed(server)
 
     def _on_response(self, server: BackendServer, head: ResponseHead) -> None:
         """Takes over what a response says about the requests that its server takes."""
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -206,6 +206,28 @@
     VERSION_HELD = "version_held"
     """Servers of a version that is neither in use nor being rolled out take no requests."""
 
+    VERSIONS_MIXED = "versions_mixed"
+    """Servers of several versions of a service served lately; take-ups need a recorded origin."""
+
+    VERSIONS_UNMIXED = "versions_unmixed"
+    """All servers of a service that served lately have one version again."""
+
+    ORIGINS_SHARED = "stream_origins_shared"
+    """Origins of streams of this instance were written to the store, for the first time in a
+    while; or its report was emptied."""
+
+    VERSIONS_STORED = "versions_in_use_stored"
+    """This instance wrote which version of each service is in use."""
+
+    ORIGINS_DELAYED = "stream_origins_delayed"
+    """Origins of streams, or the versions in use, could not be written yet."""
+
+    ORIGINS_REJECTED = "stream_origins_rejected"
+    """The stored origins of an instance cannot be decoded."""
+
+    ORIGINS_READ = "stream_origins_read"
+    """Stored origins were read from the store for a take-up, or that failed."""
+
     OPERATORS_SERVED = "operators_served"
     """The operators' interface accepts connections."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -196,6 +196,29 @@
         )
         """Share of a service's requests at this instance that the new version is given."""
 
+        self.mixed_services = Gauge(
+            "sapphireledge_mixed_services",
+            "Services of which several versions served lately.",
+            registry=self._registry,
+        )
+        """Number of services of which several versions served lately."""
+
+        self.stream_origins = Counter(
+            "sapphireledge_stream_origins",
+            "Origins of streams shared over the store, by direction.",
+            ["direction"],
+            registry=self._registry,
+        )
+        """Origins of streams written to the store, and read from other instances."""
+
+        self.origin_lookups = Counter(
+            "sapphireledge_origin_lookups",
+            "Take-ups of streams by how the version that began them was found.",
+            ["source"],
+            registry=self._registry,
+        )
+        """Take-ups of streams, by how the version that began them was found."""
+
         self.shared_load_age = Gauge(
             "sapphireledge_shared_load_age_seconds",
             "Mean age of the load figures of other instances.",
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -13,6 +13,7 @@
 from sapphireledge.gateway.continuation_telemetry import ContinuationTelemetry
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.load_telemetry import LoadTelemetry
+from sapphireledge.gateway.origin_telemetry import OriginTelemetry
 from sapphireledge.gateway.outcome import OutcomeKind
 from sapphireledge.gateway.rollout_telemetry import RolloutTelemetry
 from sapphireledge.limits import LimitLog
@@ -60,6 +61,9 @@
         self.load = LoadTelemetry(metrics)
         """Logging and metrics of the load that instances share."""
 
+        self.origins = OriginTelemetry(metrics)
+        """Logging and metrics of the versions that began streams."""
+
         self._metrics = metrics
         self._shedding_services: set[str] = set()
         self._log = structlog.get_logger()
--- a/src/sapphireledge/gateway/routing_table.py
+++ b/src/sapphireledge/gateway/routing_table.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sapphireledge.gateway.caller_limits import CallerLimits
+from sapphireledge.gateway.replay_rule import ReplayRule
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -56,6 +57,20 @@
         ]
         return max(limits, default=None)
 
+    def resumable_limits(self) -> dict[str, float]:
+        """Finds out how long streams that callers may take up last.
+
+        Returns:
+            Longest time limit in seconds of such streams, by service.
+        """
+        limits: dict[str, float] = {}
+        for routes in self.routes.values():
+            for route in routes:
+                if route.replay is ReplayRule.EVENT_STREAM and route.resumable:
+                    for name, _ in route.services:
+                        limits[name] = max(route.time_limit, limits.get(name, 0.0))
+        return limits
+
     def match(self, host: str, path: str) -> Route | None:
         """Finds the route of a request.
 
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -16,13 +16,22 @@
 from sapphireledge.platform.rollout_status_writer import RolloutStatusWriter
 from sapphireledge.platform.server_listener import ServerListener
 from sapphireledge.platform.store_client import StoreClient
+from sapphireledge.platform.stream_origin_listener import StreamOriginListener
+from sapphireledge.platform.stream_origin_reader import StreamOriginReader
+from sapphireledge.platform.stream_origin_writer import STREAM_ORIGIN_KIND, StreamOriginWriter
+from sapphireledge.platform.versions_in_use_writer import VersionsInUseWriter
 
 if TYPE_CHECKING:
     from sapphireledge.feed import KindListener, StoreEpoch
     from sapphireledge.gateway import Gateway, GatewayMetrics, RolloutGuard
     from sapphireledge.platform.node_settings import NodeSettings
 
-__all__ = ["create_feed_runner", "create_rollout_parts", "create_store_client"]
+__all__ = [
+    "create_feed_runner",
+    "create_origin_parts",
+    "create_rollout_parts",
+    "create_store_client",
+]
 
 
 def create_feed_runner(
@@ -44,15 +53,18 @@
         "servers": ServerListener(gateway, cfg.backend_heartbeat),
         CRASH_REPORT_KIND: CrashReportListener(gateway.context.crashes),
     }
-    rollouts = gateway.context.rollouts
-    activity = KindActivity()
+    origins, rollouts = gateway.context.origins, gateway.context.rollouts
+    listeners[STREAM_ORIGIN_KIND] = StreamOriginListener(origins)
+    activities = {STREAM_ORIGIN_KIND: KindActivity()}
+    activities[STREAM_ORIGIN_KIND].update(active=origins.is_active)
+    origins.on_activity = lambda is_active: activities[STREAM_ORIGIN_KIND].update(active=is_active)
     if cfg.gateway.rollout is not None:
         listeners[ROLLOUT_KIND] = RolloutListener(rollouts)
         listeners[ROLLOUT_REPORT_KIND] = RolloutReportListener(rollouts)
+        activity = activities[ROLLOUT_KIND] = activities[ROLLOUT_REPORT_KIND] = KindActivity()
         rollouts.on_activity = lambda is_active: activity.update(active=is_active)
-    optional = {kind.kind for kind in cfg.feed.kinds if kind.quiet_wait is not None}
     feeds = {
-        kind: KindFeed(kind, listener, is_optional=kind in optional)
+        kind: KindFeed(kind, listener, is_optional=kind in activities)
         for kind, listener in listeners.items()
     }
     presence = StorePresence()
@@ -63,7 +75,7 @@
             kind_cfg,
             cfg.feed,
             presence,
-            None if kind_cfg.quiet_wait is None else activity,
+            activities.get(kind_cfg.kind),
         )
         for kind_cfg in cfg.feed.kinds
     ]
@@ -76,6 +88,42 @@
     return runner
 
 
+def create_origin_parts(
+    cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
+) -> list[StreamOriginWriter | VersionsInUseWriter | StreamOriginReader]:
+    """Creates the parts that share which versions began streams.
+
+    Args:
+        cfg: Settings of the process.
+        gateway: Gateway that the objects are for.
+        metrics: Metrics of the process.
+        epoch: Notices that the store came back from an older copy.
+
+    Returns:
+        The parts.
+    """
+    context = gateway.context
+    origins = context.origins
+    origins.history.needs_reports = True
+    listener = StreamOriginListener(origins)
+    writer = StreamOriginWriter(
+        create_store_client(cfg, metrics, epoch),
+        origins,
+        gateway.telemetry.origins,
+        cfg.gateway.instance,
+        lambda: context.count_instances(),
+    )
+    epoch.subscribe(writer.on_store_restored)
+    versions = VersionsInUseWriter(
+        create_store_client(cfg, metrics, epoch),
+        origins,
+        listener,
+        lambda: context.count_instances(),
+    )
+    reader = StreamOriginReader(create_store_client(cfg, metrics, epoch), origins, listener)
+    return [writer, versions, reader]
+
+
 def create_rollout_parts(
     cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
 ) -> list[RolloutGuard | RolloutReportWriter | RolloutStatusWriter]:
--- a/src/sapphireledge/platform/main.py
+++ b/src/sapphireledge/platform/main.py
@@ -26,6 +26,7 @@
 from sapphireledge.platform.crash_report_writer import CrashReportWriter
 from sapphireledge.platform.create_parts import (
     create_feed_runner,
+    create_origin_parts,
     create_rollout_parts,
     create_store_client,
 )
@@ -108,7 +109,12 @@
         create_store_client(cfg, metrics, epoch), gateway.context.crashes, cfg.gateway.instance
     )
     epoch.subscribe(writer.on_store_restored)
-    parts = [runner, writer, *create_rollout_parts(cfg, gateway, metrics, epoch)]
+    parts = [
+        runner,
+        writer,
+        *create_origin_parts(cfg, gateway, metrics, epoch),
+        *create_rollout_parts(cfg, gateway, metrics, epoch),
+    ]
     if operators is not None:
         parts.append(OperatorListener(operators, gateway))
     reloader = SettingsReloader(path, cfg, gateway)
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -16,6 +16,7 @@
 from sapphireledge.platform.rollout_report_writer import ROLLOUT_REPORT_KIND
 from sapphireledge.platform.split_address import split_address
 from sapphireledge.platform.store_settings import StoreSettings
+from sapphireledge.platform.stream_origin_writer import STREAM_ORIGIN_KIND
 
 __all__ = ["NodeSettings", "load_node_settings"]
 
@@ -59,6 +60,13 @@
 """Kinds that are watched for roll-outs. While an order is running, orders and reports are confirmed
 each second, and reports of many instances come in batches; otherwise orders are rare."""
 
+ORIGIN_WATCH_WAIT = 1.5
+"""Seconds for which the store holds open a watch on the origins of streams."""
+
+ORIGIN_BATCH_DELAY = 0.4
+"""Seconds after a change of origins during which further changes are batched. Less than the time
+for which a take-up waits for them."""
+
 FIRST_START_WAIT = 1.5
 """Seconds for which the instances of a system that starts for the first time wait for one another:
 all start within 0.3 s, and read the directory again after 1 s."""
@@ -196,6 +204,14 @@
                 confirms=False,
                 can_start_late=True,
             ),
+            KindSettings(
+                STREAM_ORIGIN_KIND,
+                ORIGIN_WATCH_WAIT,
+                ORIGIN_BATCH_DELAY,
+                confirms=False,
+                can_start_late=True,
+                quiet_wait=0.0,
+            ),
             *(ROLLOUT_KINDS if gateway.rollout is not None else ()),
         ),
         host=listen_host,
--- a/src/sapphireledge/platform/server_listener.py
+++ b/src/sapphireledge/platform/server_listener.py
@@ -82,10 +82,11 @@
                 self._schedule_removal(entry.name)
             else:
                 self._update_server(entry)
-        self._context.rollouts.on_servers_changed()
+        self._on_changed()
 
     def confirm(self, as_of: float) -> None:
-        """Does nothing: forwarding never depends on the age of the registry."""
+        """Passes on how recent the registry is, which only take-ups of streams depend on."""
+        self._context.origins.on_registry_confirmed(as_of)
 
     def on_store_recovered(self, outage: float) -> None:
         """Starts the grace period in which missing entries stay in use.
@@ -102,6 +103,11 @@
         self._returns_at = now + self._return_delay
         self._removed_before_restore = frozenset(self._removed)
 
+    def _on_changed(self) -> None:
+        """Passes on that servers were added, changed or removed."""
+        self._context.origins.on_servers_changed()
+        self._context.rollouts.on_servers_changed()
+
     def _update_server(self, entry: StoredEntry) -> None:
         """Adds or updates a backend server; an entry that cannot be decoded removes it."""
         _cancel_timer(self._removal_timers, entry.name)
@@ -155,7 +161,7 @@
     def _remove_late(self, server_id: str) -> None:
         """Removes a backend server at the end of the grace period."""
         self._remove(server_id)
-        self._context.rollouts.on_servers_changed()
+        self._on_changed()
 
     def _remove(self, server_id: str) -> None:
         """Removes a backend server and its pooled connections."""
--- a/tests/rollout_io_case.py
+++ b/tests/rollout_io_case.py
@@ -17,7 +17,11 @@
 from devtools.local_fleet import free_port
 from sapphireledge.feed import StoreEpoch
 from sapphireledge.gateway import Gateway, GatewayMetrics, RequestTelemetry
-from sapphireledge.platform.create_parts import create_feed_runner, create_rollout_parts
+from sapphireledge.platform.create_parts import (
+    create_feed_runner,
+    create_origin_parts,
+    create_rollout_parts,
+)
 from sapphireledge.platform.node_settings import load_node_settings
 from sapphireledge.platform.platform_dialect import PlatformDialect
 from soak.store import Store
@@ -89,7 +93,8 @@
         runner = create_feed_runner(self.cfg, self.gateway, self.metrics, epoch)
         self.gateway.context.count_instances = lambda: runner.instance_count
         self.parts = parts = create_rollout_parts(self.cfg, self.gateway, self.metrics, epoch)
-        self._tasks = [asyncio.create_task(part.run()) for part in (runner, *parts)]
+        origin_parts = create_origin_parts(self.cfg, self.gateway, self.metrics, epoch)
+        self._tasks = [asyncio.create_task(part.run()) for part in (runner, *parts, *origin_parts)]
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(self.gateway.create_protocol, HOST, 0)
         self.port = self._listener.sockets[0].getsockname()[1]
