--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -136,6 +136,12 @@
     STREAM_RESUMED = "stream_resumed"
     """A stream is resumed on another engine."""
 
+    TAKE_UP_DECIDED = "take_up_decided"
+    """A caller takes up a broken stream: at which version it goes on, or why it is refused."""
+
+    STREAM_VERSION_GONE = "stream_version_gone"
+    """A stream cannot go on, as no server of the version that began it takes requests."""
+
     STREAM_COPIED = "stream_copied"
     """A running stream was copied to an engine, because the one with its copy was lost; or a copy,
     its refresh or its release failed."""
@@ -206,6 +212,28 @@
     VERSION_HELD = "version_held"
     """Servers of a version that is neither in use nor being rolled out take no requests."""
 
+    VERSIONS_MIXED = "versions_mixed"
+    """Servers of several versions of a service served lately; take-ups need a recorded origin."""
+
+    VERSIONS_UNMIXED = "versions_unmixed"
+    """All servers of a service that served lately have one version again."""
+
+    ORIGINS_SHARED = "stream_origins_shared"
+    """Origins of streams of this instance were written to the store, for the first time in a
+    while; or its report was emptied."""
+
+    VERSIONS_STORED = "versions_in_use_stored"
+    """This instance wrote which version of each service is in use."""
+
+    ORIGINS_DELAYED = "stream_origins_delayed"
+    """Origins of streams, or the versions in use, could not be written yet."""
+
+    ORIGINS_REJECTED = "stream_origins_rejected"
+    """The stored origins of an instance cannot be decoded."""
+
+    ORIGINS_READ = "stream_origins_read"
+    """Stored origins were read from the store for a take-up, or that failed."""
+
     OPERATORS_SERVED = "operators_served"
     """The operators' interface accepts connections."""
 
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -10,8 +10,10 @@
 
 from sapphireledge.core.placement import StartStream, WaitForEngine
 from sapphireledge.core.standby import CopyStep
+from sapphireledge.gateway.continuation_telemetry import ContinuationTelemetry
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.load_telemetry import LoadTelemetry
+from sapphireledge.gateway.origin_telemetry import OriginTelemetry
 from sapphireledge.gateway.outcome import OutcomeKind
 from sapphireledge.gateway.rollout_telemetry import RolloutTelemetry
 from sapphireledge.limits import LimitLog
@@ -54,9 +56,15 @@
         self.rollouts = RolloutTelemetry(metrics)
         """Logging and metrics of roll-outs."""
 
+        self.continuations = ContinuationTelemetry(metrics)
+        """Logging and metrics of streams that go on at the version that began them."""
+
         self.load = LoadTelemetry(metrics)
         """Logging and metrics of the load that instances share."""
 
+        self.origins = OriginTelemetry(metrics)
+        """Logging and metrics of the versions that began streams."""
+
         self._metrics = metrics
         self._shedding_services: set[str] = set()
         self._log = structlog.get_logger()
@@ -320,22 +328,26 @@
         self._log.error(GatewayEvent.INTERNAL_ERROR, request_id=request_id, exc_info=exc)
 
     def record_resume(
-        self, admitted: AdmittedRequest, selection: EngineSelection, last_event: int | None
+        self, admitted: AdmittedRequest, selection: EngineSelection, progress: StreamProgress
     ) -> None:
         """Logs and counts a stream that is resumed on another engine.
 
         Args:
             admitted: The request.
             selection: Engines of the next attempt.
-            last_event: Number of the last delivered event, or None.
+            progress: Progress of the stream so far.
         """
         from_replica = selection.replica_source is not None
         self._metrics.resumes.labels("copy" if from_replica else "prompt").inc()
+        if progress.version is not None:
+            self.continuations.record_resume()
         self._log.info(
             GatewayEvent.STREAM_RESUMED,
             request_id=admitted.request.request_id,
             server=selection.server.server_id,
-            last_event=last_event,
+            version=selection.server.version,
+            origin=progress.version,
+            last_event=progress.last_event,
             from_copy=from_replica,
         )
 
