--- a/src/sapphireledge/gateway/version_history.py
+++ b/src/sapphireledge/gateway/version_history.py
@@ -23,9 +23,9 @@
 MAX_RETENTION = 600.0
 """Longest such time."""
 
-MAX_REGISTRY_AGE = 6.0
-"""Seconds since the registry was last known to be current after which versions may be missing. The
-registry is confirmed at least every 5 s while the store answers."""
+MAX_REGISTRY_AGE = 9.0
+"""Seconds since the registry was last known to be current after which versions may be missing.
+While the store answers, two watches, the batch between them and the reply of a relay take less."""
 
 
 class VersionHistory:
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -112,6 +112,7 @@
         gateway.telemetry.origins,
         cfg.gateway.instance,
         lambda: context.count_instances(),
+        cfg.store.writes_per_second,
     )
     epoch.subscribe(writer.on_store_restored)
     versions = VersionsInUseWriter(
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -4,6 +4,7 @@
 
 import os
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -15,7 +16,7 @@
 from sapphireledge.platform.decode_rollout import ROLLOUT_KIND
 from sapphireledge.platform.rollout_report_writer import ROLLOUT_REPORT_KIND
 from sapphireledge.platform.split_address import split_address
-from sapphireledge.platform.store_settings import StoreSettings
+from sapphireledge.platform.store_settings import DEFAULT_WRITE_RATE, StoreSettings
 from sapphireledge.platform.stream_origin_writer import STREAM_ORIGIN_KIND
 
 __all__ = ["NodeSettings", "load_node_settings"]
@@ -100,9 +101,10 @@
 
 
 class _Store(msgspec.Struct):
-    """Address of the store."""
+    """Address of the store, and the writes a second that it takes from all machines together."""
 
     address: str
+    writes_per_s: Any = 0
 
 
 FILE_DESCRIPTORS = 200
@@ -219,7 +221,7 @@
         first_start_wait=FIRST_START_WAIT if file.bootstrap else 0.0,
     )
     peer = Peer(file.node_name, listen_host, feed.port, file.zone, file.limits.link_mbps)
-    store = StoreSettings(store_host, store_port)
+    store = StoreSettings(store_host, store_port, writes_per_second=_decode_rate(file.platform))
     return NodeSettings(
         gateway, store, feed, peer, file.heartbeat_ms / 1000.0, _find_operator_address(file)
     )
@@ -243,6 +245,13 @@
     )
 
 
+def _decode_rate(store: _Store) -> float:
+    """Decodes the rate of writes, by default that of a small store."""
+    rate = store.writes_per_s
+    is_number = isinstance(rate, int | float) and not isinstance(rate, bool)
+    return float(rate) if is_number and rate > 0 else DEFAULT_WRITE_RATE
+
+
 def _rollout_limits(file: _NodeFile) -> RolloutLimits | None:
     """Returns the limits of roll-outs, None where versions are not rolled out."""
     if ROLLOUT_CONTRACT not in file.contracts:
--- a/src/sapphireledge/platform/store_settings.py
+++ b/src/sapphireledge/platform/store_settings.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 
-__all__ = ["StoreSettings"]
+__all__ = ["DEFAULT_WRITE_RATE", "StoreSettings"]
+
+DEFAULT_WRITE_RATE = 400.0
+"""Writes a second that a store takes if its settings do not say."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,3 +27,6 @@
     watch_slack: float = 0.3
     """Seconds after the end of a watch within which it is answered. It is repeated on a new
     connection then, so that a connection that has stalled is told from a store that is away."""
+
+    writes_per_second: float = DEFAULT_WRITE_RATE
+    """Writes that the store takes from all instances together."""
--- a/src/sapphireledge/platform/stream_origin_writer.py
+++ b/src/sapphireledge/platform/stream_origin_writer.py
@@ -24,8 +24,8 @@
 STREAM_ORIGIN_KIND = "stream-origins"
 """Kind of the objects that hold origins, one for each instance, and one for all of them."""
 
-FLEET_WRITES = 100.0
-"""Writes a second of all instances together; a quarter of what the smallest store takes."""
+FLEET_SHARE = 0.25
+"""Share of the writes that the store takes which the origins of all instances may need."""
 
 MIN_INTERVAL = 0.3
 """Shortest time in seconds between two writes. The first origin after a pause is written at once:
@@ -57,6 +57,7 @@
         telemetry: OriginTelemetry,
         instance: str,
         count_instances: Callable[[], int],
+        writes_per_second: float,
     ) -> None:
         """Creates a writer and registers it with the origins.
 
@@ -66,8 +67,10 @@
             telemetry: Metrics.
             instance: Name of this instance.
             count_instances: Returns the number of instances that share the store.
+            writes_per_second: Writes that the store takes from all instances together.
         """
         self._store = store
+        self._fleet_writes = FLEET_SHARE * writes_per_second
         self._origins = origins
         self._telemetry = telemetry
         self._instance = instance
@@ -155,7 +158,9 @@
         written = {digest for digests in report.origins.values() for digest in digests}
         self._telemetry.record_written(len(written - known))
         self._stored = report
-        interval = min(max(MIN_INTERVAL, self._count_instances() / FLEET_WRITES), MAX_INTERVAL)
+        interval = min(
+            max(MIN_INTERVAL, self._count_instances() / self._fleet_writes), MAX_INTERVAL
+        )
         self._next_write_at = asyncio.get_running_loop().time() + interval
 
     def _take_over(self, spec: object) -> None:
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -88,7 +88,7 @@
         origins.history.needs_reports = True
         self.listener = StreamOriginListener(origins)
         count = lambda: len(fleet.instances)  # noqa: E731
-        self.writer = StreamOriginWriter(self.store, origins, telemetry, name, count)
+        self.writer = StreamOriginWriter(self.store, origins, telemetry, name, count, 400.0)
         parts = (
             self.writer,
             VersionsInUseWriter(self.store, origins, self.listener, count),
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -18,10 +18,12 @@
     digest_attempt,
 )
 from sapphireledge.errors import Failure
-from sapphireledge.feed import StoredEntry
+from sapphireledge.feed import FeedSettings, StoredEntry
 from sapphireledge.gateway import VERSIONS_REPORT
 from sapphireledge.gateway.stream_origins import FIND_WAIT, MAX_OWN_ORIGINS
 from sapphireledge.gateway.version_history import MAX_REGISTRY_AGE, MIN_RETENTION
+from sapphireledge.platform.node_settings import REGISTRY_BATCH_DELAY, REGISTRY_WATCH_WAIT
+from sapphireledge.platform.store_settings import StoreSettings
 
 STEPS = st.lists(
     st.tuples(
@@ -149,6 +151,15 @@
             self.assertIsInstance(OriginReport.from_builtins(spec), Failure, spec)
 
 
+class RegistryAgeTest(unittest.TestCase):
+    def test_registry_is_confirmed_in_time_while_the_store_answers(self):
+        """Guards against take-ups that are refused because watches of servers take their time."""
+        feed = FeedSettings((), "", 0)
+        held = REGISTRY_WATCH_WAIT + StoreSettings("", 0).watch_slack
+        longest = 2 * held + REGISTRY_BATCH_DELAY + feed.long_poll_timeout
+        self.assertLess(longest, MAX_REGISTRY_AGE)
+
+
 class SharedOriginsTest(OriginFleetCase):
     async def mix(self, *names):
         """Starts instances, has them see the new version beside the old one."""
