--- a/src/sapphireledge/gateway/stream_origins.py
+++ b/src/sapphireledge/gateway/stream_origins.py
@@ -22,7 +22,7 @@
 """Largest number of origins of this instance that are kept."""
 
 MAX_SHARED_ORIGINS = 65_536
-"""Largest number of origins of other instances that are kept, about 20 MB."""
+"""Largest number of origins of other instances that are kept, about 15 MB."""
 
 FIND_WAIT = 0.8
 """Longest time in seconds for which a take-up waits for what others have recorded; a refusal after
@@ -106,7 +106,7 @@
             return
         now = seconds_since_boot()
         lifetime = min(lifetime, MAX_RETENTION)
-        self.history.longest_lifetime = max(self.history.longest_lifetime, lifetime)
+        self.history.on_lifetime(lifetime)
         digest = digest_attempt(service, attempt_id)
         origin = Origin(service, version)
         if self._own.record(now, digest, origin, now + lifetime) and service in self._mixed:
--- a/src/sapphireledge/gateway/version_history.py
+++ b/src/sapphireledge/gateway/version_history.py
@@ -42,12 +42,11 @@
             registry: Known backend servers.
         """
         self._time_limits: Mapping[str, float] | None = None
+        self._longest_lifetime = 0.0
+        self._lifetime_counts_until = float("-inf")
         self.needs_reports = False
         """Whether there are stored reports; without, an instance knows only what it saw itself."""
 
-        self.longest_lifetime = 0.0
-        """Longest time in seconds for which an origin was recorded."""
-
         self.reports_as_of = float("-inf")
         """Time at which the stored reports were last known to be current."""
 
@@ -64,7 +63,9 @@
     def retention(self) -> float:
         """Seconds for which a version counts after its last sight."""
         longest = max((self._time_limits or {}).values(), default=0.0)
-        return min(max(MIN_RETENTION, longest, self.longest_lifetime), MAX_RETENTION)
+        if seconds_since_boot() < self._lifetime_counts_until:
+            longest = max(longest, self._longest_lifetime)
+        return min(max(MIN_RETENTION, longest), MAX_RETENTION)
 
     def is_followed(self, service: str) -> bool:
         """Whether callers may take up streams of a service.
@@ -156,6 +157,17 @@
         }
         return {service: versions for service, versions in current.items() if versions}
 
+    def on_lifetime(self, lifetime: float) -> None:
+        """Takes in for how long a caller may take up a stream that begins now.
+
+        Args:
+            lifetime: Time in seconds.
+        """
+        now = seconds_since_boot()
+        if lifetime >= self._longest_lifetime or now >= self._lifetime_counts_until:
+            self._longest_lifetime = lifetime
+            self._lifetime_counts_until = now + MAX_RETENTION
+
     def see(self, service: str, version: str) -> None:
         """Takes in that a version serves, or did until now.
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -21,7 +21,7 @@
 from sapphireledge.feed import FeedSettings, StoredEntry
 from sapphireledge.gateway import VERSIONS_REPORT
 from sapphireledge.gateway.stream_origins import FIND_WAIT, MAX_OWN_ORIGINS
-from sapphireledge.gateway.version_history import MAX_REGISTRY_AGE, MIN_RETENTION
+from sapphireledge.gateway.version_history import MAX_REGISTRY_AGE, MAX_RETENTION, MIN_RETENTION
 from sapphireledge.platform.node_settings import REGISTRY_BATCH_DELAY, REGISTRY_WATCH_WAIT
 from sapphireledge.platform.store_settings import StoreSettings
 
@@ -306,6 +306,14 @@
         await asyncio.sleep(20.0)
         self.assertEqual(await a.find("s2"), NEW)
 
+    async def test_one_long_lifetime_does_not_keep_versions_for_good(self):
+        """Guards against a caller with a long deadline that makes each roll-out last longer."""
+        a = self.start("a", OLD)
+        a.begin("s1", OLD, lifetime=1e9)
+        self.assertEqual(a.origins.history.retention, MAX_RETENTION)
+        await asyncio.sleep(MAX_RETENTION + 1.0)
+        self.assertEqual(a.origins.history.retention, MIN_RETENTION)
+
     async def test_reports_are_emptied_once_and_the_store_is_left_alone(self):
         """Guards against reports of instances that are gone, which make the others write."""
         a, b, gone = await self.mix("a", "b", "gone")
