An answer stays at the engine software version that began it

Callers saw an answer whose first part was generated by engines of one software version and the rest by another: after the loss of an engine, on a reconnect to a suspended answer, after a take-over by the partner and with the caller's own text after all instances were lost. What two software versions generate does not fit together.

Cause: an answer was tied to the model version only, and the entry did not know of software versions at all. Ruled out: the digests, which do include the model version and did their work.

Engines name their software version in the load report and in the response to a generation. The generation machine keeps that of the first token. A further attempt goes only to engines of that version; if none is left, the answer ends with version_gone at once. The response decides: an engine that restarted with another version since its last report is cancelled before its first token. Where the version is not known (a copy or a text without it), the answer goes on only while no engine of the model names one. Without named versions nothing changes.

--- a/src/sapphireledge/backends/__init__.py
+++ b/src/sapphireledge/backends/__init__.py
@@ -19,6 +19,7 @@
 from sapphireledge.backends.probe_result import ProbeResult
 from sapphireledge.backends.service_client import ServiceClient
 from sapphireledge.backends.service_response import ServiceResponse
+from sapphireledge.backends.software_version import normalize_software
 from sapphireledge.backends.stream_event import StreamEvent
 from sapphireledge.backends.stream_token import FOREIGN_ATTEMPT, StreamToken
 
@@ -47,6 +48,7 @@
     "StreamEvent",
     "StreamToken",
     "decode_signals",
+    "normalize_software",
     "prefix_block_hashes",
     "prompt_text",
 ]
--- a/src/sapphireledge/backends/attempt_started.py
+++ b/src/sapphireledge/backends/attempt_started.py
@@ -18,3 +18,6 @@
 
     signals: ServerSignals = field(default_factory=ServerSignals)
     """What the engine asks of its callers."""
+
+    software: str = ""
+    """Version of the engine's software; empty if it names none."""
--- a/src/sapphireledge/backends/engine_client.py
+++ b/src/sapphireledge/backends/engine_client.py
@@ -30,6 +30,7 @@
 from sapphireledge.backends.event_too_long import EventTooLong
 from sapphireledge.backends.load_report import LoadReport
 from sapphireledge.backends.probe_result import ProbeResult
+from sapphireledge.backends.software_version import SOFTWARE_VERSION, normalize_software
 from sapphireledge.backends.sse_reader import SseReader
 from sapphireledge.backends.stream_token import StreamToken
 from sapphireledge.errors import Ran
@@ -136,7 +137,9 @@
         chunks = response.read_chunks()
         try:
             yield AttemptStarted(
-                call.attempt, decode_signals(response.status_code, response.headers)
+                call.attempt,
+                decode_signals(response.status_code, response.headers),
+                normalize_software(response.headers.get(SOFTWARE_VERSION, "")),
             )
             async for event in self._read_events(call, chunks):
                 yield event
--- a/src/sapphireledge/backends/load_report.py
+++ b/src/sapphireledge/backends/load_report.py
@@ -55,6 +55,9 @@
     models: tuple[LoadedModel, ...] = ()
     """Model versions that the engine has loaded."""
 
+    software_version: str = ""
+    """Version of the engine's software; empty if it names none."""
+
     @property
     def leaving(self) -> bool:
         """Whether the engine accepts no new work."""
--- a/src/sapphireledge/core/answer/attempt_failure_cause.py
+++ b/src/sapphireledge/core/answer/attempt_failure_cause.py
@@ -29,7 +29,7 @@
     """The engine violated the protocol."""
 
     VERSION_MISMATCH = "version_mismatch"
-    """The engine runs a different model version from that of the answer."""
+    """The engine runs a different version of the model or of its software from the answer's."""
 
     @property
     def proves_not_run(self) -> bool:
--- a/src/sapphireledge/core/answer/dispatch.py
+++ b/src/sapphireledge/core/answer/dispatch.py
@@ -25,3 +25,6 @@
 
     version: str
     """Model version that the backend server must run; empty for any."""
+
+    software: str | None = ""
+    """Software version that generated the tokens before the offset; None if it is not known."""
--- a/src/sapphireledge/core/answer/generation_machine.py
+++ b/src/sapphireledge/core/answer/generation_machine.py
@@ -49,6 +49,7 @@
     __slots__ = (
         "_attempt",
         "_attempt_offset",
+        "_attempt_software",
         "_avoid",
         "_backend",
         "_cfg",
@@ -62,6 +63,7 @@
         "_prefer",
         "_probed_at",
         "_request",
+        "_software",
         "_text",
         "_version",
         "_wait_extensions",
@@ -72,6 +74,8 @@
         self._cfg = cfg
         self._phase = GenerationPhase.NEW
         self._version = request.version
+        self._software = request.software
+        self._attempt_software = ""
         self._next_offset = request.prefix.offset
         # A buffer takes a few bytes for each token; a list of strings takes more than 50.
         self._text = StringIO()
@@ -120,6 +124,11 @@
         """Model version of the answer; empty until the first attempt has determined it."""
         return self._version
 
+    @property
+    def software(self) -> str | None:
+        """Software version that generated the tokens so far; None if it is not known."""
+        return self._software
+
     @property
     def offset(self) -> int:
         """Offset of the next token."""
@@ -181,6 +190,7 @@
         self._backend = backend
         self._phase = GenerationPhase.ACTIVE
         self._attempt_offset = self._next_offset
+        self._attempt_software = ""
         self._has_first_token = False
         self._possible_runs += 1
         self._last_activity = now
@@ -191,6 +201,27 @@
             self._first_token_limit = min(self._first_token_limit, self._cfg.gap_ceiling)
         return []
 
+    def on_accepted(self, now: float, attempt: int, software: str) -> list[Decision]:
+        """Handles the response head of an engine that accepted an attempt.
+
+        Need not be called for an engine that names no software version, if that of the answer is
+        empty, too.
+
+        Args:
+            now: Monotonic time in seconds.
+            attempt: Number of the attempt.
+            software: Version of the engine's software; empty if it names none.
+
+        Returns:
+            Nothing, or a new attempt if another version generated the tokens so far.
+        """
+        if attempt != self._attempt or not self._is_running():
+            return [_ENDED if self.ended else _STALE_ATTEMPT]
+        self._attempt_software = software
+        if self._next_offset and software != (self._software or ""):
+            return self._retry_elsewhere(now, AttemptFailureCause.VERSION_MISMATCH)
+        return []
+
     def on_token(self, now: float, attempt: int, offset: int, text: str) -> list[Decision]:
         """Handles a token from an engine.
 
@@ -212,6 +243,8 @@
         else:
             self._has_first_token = True
             self._avoid = ()
+        if not offset:
+            self._software = self._attempt_software
         self._phase = GenerationPhase.ACTIVE
         self._last_activity = now
         self._next_offset = offset + 1
@@ -312,7 +345,7 @@
         if self._phase is not GenerationPhase.WAITING:
             return [_ENDED if self.ended else _NOT_WAITING]
         if self._next_offset and failure.kind is ErrorKind.NO_BACKEND:
-            reason = f"no backend server of version {self._version or 'unknown'} is left"
+            reason = f"no backend server of version {self._describe_version()} is left"
             failure = Failure(ErrorKind.VERSION_GONE, reason)
         return self._refuse(failure)
 
@@ -346,6 +379,10 @@
         reason = f"entry {owner} continues the answer" if owner else "another entry continues it"
         return self._cancel() + self._refuse(Failure(ErrorKind.ANSWER_MOVED, reason))
 
+    def _describe_version(self) -> str:
+        version = self._version or "unknown"
+        return f"{version}, software {self._software}" if self._software else version
+
     def _is_running(self) -> bool:
         return self._phase is GenerationPhase.ACTIVE or self._phase is GenerationPhase.PROBING
 
@@ -405,7 +442,10 @@
         self._phase = GenerationPhase.WAITING
         self._attempt += 1
         self._prefer = prefer
-        return [Dispatch(self._attempt, self._next_offset, prefer, self._avoid, self._version)]
+        software = self._software if self._next_offset else ""
+        return [
+            Dispatch(self._attempt, self._next_offset, prefer, self._avoid, self._version, software)
+        ]
 
     def _refuse(self, failure: Failure) -> list[Decision]:
         self._phase = GenerationPhase.ENDED
--- a/src/sapphireledge/core/answer/generation_request.py
+++ b/src/sapphireledge/core/answer/generation_request.py
@@ -28,6 +28,9 @@
     epoch: int = 1
     """Epoch of the ownership; each takeover increments it."""
 
+    software: str | None = None
+    """Software version that generated the prefix; None if it is not known."""
+
     def attempt_id(self, attempt: int) -> str:
         """Builds the id that identifies an attempt to engines.
 
--- a/src/sapphireledge/core/replay/_event_encoder.py
+++ b/src/sapphireledge/core/replay/_event_encoder.py
@@ -48,6 +48,9 @@
         """Encodes a decision as its kind and fields."""
         fields = msgspec.to_builtins(decision)
         fields = {k: list(v) if isinstance(v, tuple) else v for k, v in fields.items()}
+        # Recordings of earlier releases have no software version.
+        if not fields.get("software"):
+            fields.pop("software", None)
         if "text" in fields:
             fields |= self.encode_text(fields.pop("text"))
         return {"kind": to_snake_case(type(decision).__name__), **fields}
--- a/src/sapphireledge/core/replay/event_name.py
+++ b/src/sapphireledge/core/replay/event_name.py
@@ -19,6 +19,9 @@
     DISPATCHED = "dispatched"
     """A backend server was chosen."""
 
+    ACCEPTED = "accepted"
+    """An engine that names its software version accepted an attempt."""
+
     TOKEN_RUN = "token_run"
     """Consecutive tokens of one attempt that were all delivered."""
 
--- a/src/sapphireledge/core/replay/recording_machine.py
+++ b/src/sapphireledge/core/replay/recording_machine.py
@@ -76,6 +76,7 @@
             "request_id": request.request_id,
             "model": request.model,
             "version": request.version,
+            "software": request.software,
             "epoch": request.epoch,
             "prefix": {
                 "offset": request.prefix.offset,
@@ -116,6 +117,11 @@
         """Model version of the answer; empty until the first attempt has determined it."""
         return self._machine.version
 
+    @property
+    def software(self) -> str | None:
+        """Software version that generated the tokens so far; None if it is not known."""
+        return self._machine.software
+
     @property
     def offset(self) -> int:
         """Offset of the next token."""
@@ -145,6 +151,13 @@
         values = {"attempt": attempt, "backend": backend, "version": version}
         return self._record(now, EventName.DISPATCHED, values, decisions)
 
+    def on_accepted(self, now: float, attempt: int, software: str) -> list[Decision]:
+        """Calls `GenerationMachine.on_accepted` and records the call."""
+        now = _round_up_to_ms(now)
+        decisions = self._machine.on_accepted(now, attempt, software)
+        values = {"attempt": attempt, "software": software}
+        return self._record(now, EventName.ACCEPTED, values, decisions)
+
     def on_token(self, now: float, attempt: int, offset: int, text: str) -> list[Decision]:
         """Calls `GenerationMachine.on_token` and records the call."""
         now = _round_up_to_ms(now)
--- a/src/sapphireledge/core/replay/replay_request.py
+++ b/src/sapphireledge/core/replay/replay_request.py
@@ -105,6 +105,7 @@
         request_id=values["request_id"],
         model=values["model"],
         version=values["version"],
+        software=values.get("software"),
         prefix=StoredPrefix(prefix["offset"], _text_or_placeholder(prefix)),
         epoch=values["epoch"],
     )
@@ -151,6 +152,8 @@
             return machine.start(now)
         case EventName.DISPATCHED:
             return machine.on_dispatched(now, **values)
+        case EventName.ACCEPTED:
+            return machine.on_accepted(now, **values)
         case EventName.TOKEN:
             return machine.on_token(
                 now, values["attempt"], values["offset"], _text_or_placeholder(values)
--- a/src/sapphireledge/core/routing/__init__.py
+++ b/src/sapphireledge/core/routing/__init__.py
@@ -7,6 +7,7 @@
 from sapphireledge.core.routing.backend_view import BackendView
 from sapphireledge.core.routing.cache_event import CacheEvent
 from sapphireledge.core.routing.hash_prefixes import BLOCK_BYTES, hash_prefixes
+from sapphireledge.core.routing.is_software_gone import is_software_gone
 from sapphireledge.core.routing.load_report import LoadReport
 from sapphireledge.core.routing.model_version import ModelVersion
 from sapphireledge.core.routing.prefix_index import PrefixIndex
@@ -28,5 +29,6 @@
     "RouteRequest",
     "Router",
     "hash_prefixes",
+    "is_software_gone",
     "select_subset",
 ]
--- a/src/sapphireledge/core/routing/backend_view.py
+++ b/src/sapphireledge/core/routing/backend_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import replace
 from heapq import heappop, heappush
 from random import Random
 from typing import TYPE_CHECKING
@@ -232,6 +233,17 @@
         state.leaving = state.leaving or signals.is_leaving
         self._update_hold(now, state)
 
+    def on_software(self, backend: str, software: str) -> None:
+        """Applies the software version that an engine named in a response.
+
+        Args:
+            backend: Name of the backend server.
+            software: Version of its software, empty if it names none.
+        """
+        state = self._states.get(backend)
+        if state is not None and state.report is not None and state.report.software != software:
+            state.report = replace(state.report, software=software)
+
     def on_unreachable(self, now: float, backend: str) -> None:
         """Records that a connection to a backend server failed.
 
--- a/src/sapphireledge/core/routing/load_report.py
+++ b/src/sapphireledge/core/routing/load_report.py
@@ -50,3 +50,6 @@
 
     leaving: bool = False
     """Whether the engine announces that it is leaving."""
+
+    software: str = ""
+    """Version of the engine's software; empty if it names none."""
--- a/src/sapphireledge/core/routing/route_request.py
+++ b/src/sapphireledge/core/routing/route_request.py
@@ -46,3 +46,6 @@
 
     resume: bool = False
     """Whether part of the answer was delivered, so that only this model version can continue it."""
+
+    software: str | None = None
+    """Software version that generated that part; None if it is not known."""
--- a/src/sapphireledge/core/routing/router.py
+++ b/src/sapphireledge/core/routing/router.py
@@ -11,6 +11,7 @@
 from sapphireledge.errors import ErrorKind, Failure, Ran
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from random import Random
 
     from sapphireledge.core.routing._indexed_set import IndexedSet
@@ -71,12 +72,16 @@
             return _no_backend_failure(request)
         for name in request.prefer:
             state = view.state(name)
-            if state is not None and pool.is_selected(name) and _isolation_allows(state, request):
+            if state is None or not pool.is_selected(name) or not _runs_software(state, request):
+                continue
+            if _isolation_allows(state, request):
                 return _make_choice(state, self.score(state, request, view, 0.0), 0.0)
         cached = self.find_cached(now, request, view)
         candidates = self._candidates(pool, request, view, rng, cached)
         if not candidates:
             candidates = _scan_candidates(pool, request, view)
+        if not candidates and not _list_continuing(pool, request, view):
+            return _no_backend_failure(request)
         if not candidates:
             reason = "every backend server is running another suspect request"
             return _refusal(ErrorKind.OVERLOADED, reason, request, ISOLATION_RETRY)
@@ -201,7 +206,33 @@
 
 def _is_eligible(state: BackendState, request: RouteRequest) -> bool:
     """Returns whether isolation and the avoid list of a request permit a backend server."""
-    return state.instance.name not in request.avoid and _isolation_allows(state, request)
+    if state.instance.name in request.avoid or not _runs_software(state, request):
+        return False
+    return _isolation_allows(state, request)
+
+
+def _runs_software(state: BackendState, request: RouteRequest) -> bool:
+    """Returns whether a backend server may continue what another one has generated."""
+    if not request.resume:
+        return True
+    return state.report is not None and state.report.software == (request.software or "")
+
+
+def _list_continuing(pool: Pool, request: RouteRequest, view: BackendView) -> list[BackendState]:
+    """Lists the members that may run a request; of those not selected only if there is no other."""
+    states = _list_states(pool.member_counts, view)
+    if not request.resume:
+        return states
+    found = [state for state in states if _runs_software(state, request)]
+    if not found:
+        members = _list_states(set().union(*pool.members.values()), view)
+        found = [state for state in members if _runs_software(state, request)]
+    return found
+
+
+def _list_states(names: Iterable[str], view: BackendView) -> list[BackendState]:
+    """Looks up backend servers by name."""
+    return [state for name in names if (state := view.state(name)) is not None]
 
 
 def _isolation_allows(state: BackendState, request: RouteRequest) -> bool:
@@ -218,7 +249,7 @@
     failed this request once may be the only one left. If isolation permits none, a request that
     need not run isolated may use any member.
     """
-    states = [state for name in pool.member_counts if (state := view.state(name)) is not None]
+    states = _list_continuing(pool, request, view)
     found = [state for state in states if _is_eligible(state, request)]
     if not found:
         found = [state for state in states if _isolation_allows(state, request)]
@@ -231,6 +262,7 @@
     """Builds the failure for a request that no backend server can serve."""
     target = f"{request.model} {request.version}".strip() or request.role
     if request.resume:
+        target = f"{target} and software {request.software}" if request.software else target
         reason = f"no backend server with {target} is left to resume the answer"
         return _refusal(ErrorKind.VERSION_GONE, reason, request, None)
     return _refusal(ErrorKind.NO_BACKEND, f"no backend server serves {target}", request, None)
--- a/src/sapphireledge/entry/answer_registry.py
+++ b/src/sapphireledge/entry/answer_registry.py
@@ -70,6 +70,7 @@
         *,
         epoch: int = 1,
         version: str = "",
+        software: str | None = None,
         pieces: Sequence[str] = (),
         prior_attempts: int = 0,
     ) -> AnswerRunner:
@@ -80,13 +81,14 @@
             trace: Trace context of the request.
             epoch: Ownership epoch of the answer.
             version: Model version that generated the prefix; empty for a new answer.
+            software: Software version that generated the prefix; None if it is not known.
             pieces: Tokens of the prefix.
             prior_attempts: Number of attempts that this instance already made in this epoch.
 
         Returns:
             The started runner.
         """
-        runner = self._create_runner(req, trace, epoch, version, pieces, prior_attempts)
+        runner = self._create_runner(req, trace, epoch, version, pieces, prior_attempts, software)
         runner.start()
         return runner
 
@@ -126,6 +128,7 @@
                 runner.request,
                 epoch=answer.epoch,
                 version=answer.version,
+                software=answer.software,
                 pieces=tuple(answer.pieces),
                 prior_attempts=runner.attempts,
             )
@@ -179,10 +182,12 @@
         version: str,
         pieces: Sequence[str],
         prior_attempts: int,
+        software: str | None = None,
     ) -> AnswerRunner:
         """Creates a runner and registers it."""
         now = time.monotonic()
         answer = RunningAnswer(req.answer_id, epoch, version)
+        answer.software = software
         for piece in pieces:
             answer.append(piece)
         answer.release(len(pieces))
@@ -190,6 +195,7 @@
             request_id=req.answer_id,
             model=req.model,
             version=version,
+            software=software,
             prefix=StoredPrefix.from_pieces(pieces),
             epoch=epoch,
         )
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -210,6 +210,8 @@
             )
             self._gap_started_at = None
         self._last_token_at = now
+        if not self._answer.pieces:
+            self._answer.software = self._machine.software
         self._ctx.totals.add_tokens(self._req.rank, 1)
         self._answer.append(text)
         assert self._copy is not None
@@ -325,6 +327,7 @@
             prefer=decision.prefer,
             avoid=decision.avoid,
             arrived_at=self._arrived_at,
+            software=decision.software,
         )
 
     async def _stream(self, decision: Dispatch, grant: Grant) -> None:
@@ -381,6 +384,10 @@
         if isinstance(event, AttemptStarted):
             grant.on_started(now)
             self._ctx.pool.on_started(grant, event)
+            if event.software or self._machine.software:
+                decisions = self._machine.on_accepted(now, attempt, event.software)
+                self._record_loss(decisions, grant, "software version")
+                self._apply(decisions)
             return True
         if isinstance(event, AttemptFinished):
             self._apply(self._machine.on_finished(now, attempt, event.total, event.reason))
--- a/src/sapphireledge/entry/backend_monitor.py
+++ b/src/sapphireledge/entry/backend_monitor.py
@@ -9,7 +9,12 @@
 
 import structlog
 
-from sapphireledge.backends import CacheEventPoller, CallFailureCause, LoadPoller
+from sapphireledge.backends import (
+    CacheEventPoller,
+    CallFailureCause,
+    LoadPoller,
+    normalize_software,
+)
 from sapphireledge.core.routing import BackendInstance, CacheEvent, LoadReport, ModelVersion
 from sapphireledge.objects import InstanceKind, InstanceState
 from sapphireledge.telemetry import LogEvent
@@ -134,6 +139,7 @@
                 role=report.role,
                 adapters=tuple(a for m in report.models for a in m.adapters),
                 leaving=report.leaving,
+                software=normalize_software(report.software_version),
             ),
         )
         self._pool.admit_ready()
--- a/src/sapphireledge/entry/backend_pool.py
+++ b/src/sapphireledge/entry/backend_pool.py
@@ -29,7 +29,7 @@
 from sapphireledge.core.fleet import EngineState, choose_serving_version
 from sapphireledge.core.fleet import ModelVersion as LoadedVersion
 from sapphireledge.core.quarantine import ClearVerdict, IsolateVerdict, RequestContent
-from sapphireledge.core.routing import Router, RouteRequest, hash_prefixes
+from sapphireledge.core.routing import Router, RouteRequest, hash_prefixes, is_software_gone
 from sapphireledge.entry.death_checker import DeathChecker
 from sapphireledge.entry.grant import Grant
 from sapphireledge.entry.pool_rehearsal import PoolRehearsal
@@ -277,6 +277,7 @@
             event: What the engine answered.
         """
         self._view.on_response(time.monotonic(), grant.backend, event.signals)
+        self._view.on_software(grant.backend, event.software)
         self._deaths.on_begun(grant.work_id)
 
     def on_token(self, grant: Grant) -> None:
@@ -388,6 +389,7 @@
             suspect=not isinstance(verdict, ClearVerdict),
             isolate=isinstance(verdict, IsolateVerdict),
             resume=work.offset > 0,
+            software=work.software,
         )
 
     def _build_queued_work(self, work: PoolWork, request: RouteRequest) -> QueuedWork:
@@ -438,6 +440,9 @@
         deadline = time.monotonic() + BACKEND_TIMEOUT
         while True:
             now = time.monotonic()
+            refused = self._check_software(request)
+            if refused is not None:
+                return refused
             if self._view.capacity(now, request.model, request.version, request.role).total > 0:
                 return None
             if now >= deadline:
@@ -447,11 +452,22 @@
                 return Failure(ErrorKind.NO_BACKEND, reason, ran, retry_after=1.0)
             await asyncio.sleep(BACKEND_POLL_INTERVAL)
 
+    def _check_software(self, request: RouteRequest) -> Failure | None:
+        """Refuses a resume if the software version that began the answer is gone."""
+        if not request.resume or not is_software_gone(self._view, request):
+            return None
+        wanted = request.software or "unknown"
+        reason = f"no backend server of software version {wanted} is left to resume the answer"
+        return Failure(ErrorKind.NO_BACKEND, reason, Ran.YES)
+
     async def _choose_backend(self, request: RouteRequest) -> RouteChoice | Failure:
         """Chooses a backend server, waiting for at most `BACKEND_TIMEOUT` if none is available."""
         deadline = time.monotonic() + BACKEND_TIMEOUT
         while True:
             now = time.monotonic()
+            refused = self._check_software(request)
+            if refused is not None:
+                return refused
             choice = self._router.choose(now, request, self._view, self._rng)
             if not isinstance(choice, Failure) or now >= deadline:
                 return choice
--- a/src/sapphireledge/entry/pool_work.py
+++ b/src/sapphireledge/entry/pool_work.py
@@ -39,6 +39,9 @@
     arrived_at: float
     """Monotonic time at which the request arrived."""
 
+    software: str | None = None
+    """Software version that generated the existing tokens; None if it is not known."""
+
     @property
     def work_id(self) -> str:
         """Identifier of the attempt in the queue."""
--- a/src/sapphireledge/entry/running_answer.py
+++ b/src/sapphireledge/entry/running_answer.py
@@ -32,6 +32,8 @@
         """Ownership epoch of the answer."""
         self.version = version
         """Model version, empty until the first attempt determines it."""
+        self.software: str | None = None
+        """Software version of the engine that began it; None without tokens or if not known."""
         self.pieces: list[str] = []
         """Text of each committed token, readable or not."""
         self.readable = 0
--- a/src/sapphireledge_standins/engine_app.py
+++ b/src/sapphireledge_standins/engine_app.py
@@ -175,6 +175,9 @@
         sequence = self._sequence
         watcher = asyncio.create_task(self._watch_disconnect(receive))
         headers = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache")]
+        software_version = self._engine.options.software_version
+        if software_version:
+            headers.append((b"x-software-version", software_version.encode()))
         head = {"type": "http.response.start", "status": 200, "headers": headers}
         try:
             await send(head)
--- a/src/sapphireledge_standins/engine_options.py
+++ b/src/sapphireledge_standins/engine_options.py
@@ -26,6 +26,9 @@
     version: str = "v1"
     """Version of that model."""
 
+    software_version: str = ""
+    """Version of the engine's software; empty if it names none."""
+
     role: str = "drafting"
     """Role at start."""
 
--- a/src/sapphireledge_standins/engine_server.py
+++ b/src/sapphireledge_standins/engine_server.py
@@ -26,6 +26,9 @@
     region: Annotated[str, typer.Option(help="Region.")] = DEFAULTS.region,
     model: Annotated[str, typer.Option(help="Model loaded at start.")] = DEFAULTS.model,
     version: Annotated[str, typer.Option(help="Version of that model.")] = DEFAULTS.version,
+    software_version: Annotated[
+        str, typer.Option(help="Version of the engine's software, named in responses.")
+    ] = DEFAULTS.software_version,
     role: Annotated[str, typer.Option(help="Role at start.")] = DEFAULTS.role,
     token_rate: Annotated[
         float, typer.Option(min=0.01, help="Tokens per second of each sequence.")
@@ -55,6 +58,7 @@
         region=region,
         model=model,
         version=version,
+        software_version=software_version,
         role=role,
         token_rate=token_rate,
         slots=slots,
--- a/src/sapphireledge_standins/standin_engine.py
+++ b/src/sapphireledge_standins/standin_engine.py
@@ -311,6 +311,8 @@
             "data_centre": self.options.data_centre,
             "region": self.options.region,
         }
+        if self.options.software_version:
+            report["software_version"] = self.options.software_version
         self._reports.append((now, self.tokens_generated, report))
 
     async def _apply(self, order: dict[str, Any]) -> bool:
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -59,6 +59,30 @@
         self.assertEqual(decisions[0], CancelAttempt(1, "e1"))
         self.assertEqual(decisions[1], Dispatch(2, 3, "", ("e1",), "v1"))
 
+    def test_answer_stays_at_the_software_version_of_its_first_token(self):
+        machine = running_machine()
+        machine.on_accepted(0, 1, "1")
+        self.assertEqual(machine.on_broken(0, 1, AttemptFailureCause.CLOSED)[-1].software, "")
+        machine.on_dispatched(0, 2, "e2", "v1")
+        machine.on_accepted(0, 2, "2")
+        machine.on_token(0, 2, 0, "t")
+        self.assertEqual(machine.on_broken(0, 2, AttemptFailureCause.CLOSED)[-1].software, "2")
+        for engine, software in ((3, "1"), (4, "")):
+            machine.on_dispatched(0, engine, f"e{engine}", "v1")
+            decisions = machine.on_accepted(0, engine, software)
+            self.assertEqual(decisions[0], CancelAttempt(engine, f"e{engine}"))
+            self.assertEqual((decisions[-1].attempt, decisions[-1].software), (engine + 1, "2"))
+        machine.on_dispatched(0, 5, "e5", "v1")
+        self.assertEqual(machine.on_accepted(0, 5, "2"), [])
+        self.assertEqual(machine.on_token(0, 5, 1, "u"), [Deliver(1, "u")])
+
+    def test_prefix_of_unknown_software_is_continued_only_without_a_named_version(self):
+        machine = running_machine(prefix=StoredPrefix(3, "abc"))
+        self.assertIsInstance(machine.on_accepted(0, 1, "1")[-1], Dispatch)
+        self.assertIsNone(machine.software)
+        machine.on_dispatched(0, 2, "e2", "v1")
+        self.assertEqual(machine.on_accepted(0, 2, ""), [])
+
     def test_offset_jump_and_short_finish_resume_at_the_next_offset(self):
         for decisions in (
             running_machine(3).on_token(0, 1, 5, "x"),
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -21,7 +21,19 @@
 from sapphireledge.settings import ResumeSettings
 
 CFG = ResumeSettings()
-CALLS = ("token", "token", "token", "token", "chunk", "jump", "tick", "probe", "broken", "finish")
+CALLS = (
+    "token",
+    "token",
+    "token",
+    "token",
+    "chunk",
+    "accept",
+    "jump",
+    "tick",
+    "probe",
+    "broken",
+    "finish",
+)
 SECRET_TEXT = "Aroha Ngata, hearing at ten"
 
 
@@ -56,6 +68,8 @@
                 case "chunk":
                     for k in range(3):
                         machine.on_token(now + k / 10_000, attempt, offset + k, "t")
+                case "accept":
+                    machine.on_accepted(now, attempt, "1" if dt < 2.0 else "2")
                 case "jump":
                     machine.on_token(now, attempt, offset + int(dt), "t")
                 case "tick":
