A copy of an answer names the software version that began it

Callers whose instance was lost got version_gone from the partner although engines of the software version of their answer still served.

Cause: the copy held the model version only, so the new owner did not know at which engines the answer may go on and refused it. The header of a copy is sent before the first token and cannot name the version; the append of the first token does now, the holder keeps it and hands it over with the copy. Reads at another instance return it, too. The fields are optional: instances of earlier releases skip them, and a copy without them has an unknown version, which is refused where engines name versions.

--- a/src/sapphireledge/core/answer/answer_copy.py
+++ b/src/sapphireledge/core/answer/answer_copy.py
@@ -25,6 +25,9 @@
     last_activity: float
     """Monotonic time of the last append or takeover in seconds."""
 
+    software: str | None = None
+    """Software version that began the answer; None without tokens or if it is not known."""
+
     pieces: PieceStore = field(default_factory=PieceStore)
     """Texts of the tokens."""
 
--- a/src/sapphireledge/core/answer/copy_append.py
+++ b/src/sapphireledge/core/answer/copy_append.py
@@ -31,3 +31,6 @@
 
     events: str = ""
     """Recorded events as JSON lines."""
+
+    software: str | None = None
+    """Software version that began the answer, with its first token; None if it is not known."""
--- a/src/sapphireledge/core/answer/ownership_table.py
+++ b/src/sapphireledge/core/answer/ownership_table.py
@@ -151,7 +151,7 @@
         pieces = copy.pieces.slice(0)
         events = "".join(copy.events)
         return TakeOverOutcome(
-            True, copy.epoch, requester, copy.header, pieces, copy.finish, events
+            True, copy.epoch, requester, copy.header, pieces, copy.finish, events, copy.software
         )
 
     def expire(self, now: float) -> tuple[str, ...]:
@@ -212,6 +212,8 @@
         needed = PieceStore.size_of(new_pieces) + len(append.events)
         if not self._free_memory(now, needed, append.request_id):
             return AppendOutcome(append.request_id, NO_ROOM, copy.epoch)
+        if new_pieces and not copy.pieces:
+            copy.software = append.software
         before = copy.pieces.size
         copy.pieces.extend(new_pieces)
         if append.events:
--- a/src/sapphireledge/core/answer/take_over_outcome.py
+++ b/src/sapphireledge/core/answer/take_over_outcome.py
@@ -31,3 +31,6 @@
 
     events: str = ""
     """Recorded events as JSON lines; empty unless granted."""
+
+    software: str | None = None
+    """Software version that began the answer; None if it is not known or has no tokens."""
--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -225,11 +225,16 @@
         if outcome.finish:
             end = AnswerEnd.parse(outcome.finish)
             runner = self._registry.adopt_ended(
-                original, end, outcome.epoch, header.version, pieces
+                original, end, outcome.epoch, header.version, pieces, outcome.software
             )
         else:
             runner = self._registry.start(
-                original, trace, epoch=outcome.epoch, version=header.version, pieces=pieces
+                original,
+                trace,
+                epoch=outcome.epoch,
+                version=header.version,
+                software=outcome.software,
+                pieces=pieces,
             )
         return LocatedAnswer(runner, False)
 
--- a/src/sapphireledge/entry/answer_registry.py
+++ b/src/sapphireledge/entry/answer_registry.py
@@ -93,7 +93,13 @@
         return runner
 
     def adopt_ended(
-        self, req: CallerRequest, end: AnswerEnd, epoch: int, version: str, pieces: Sequence[str]
+        self,
+        req: CallerRequest,
+        end: AnswerEnd,
+        epoch: int,
+        version: str,
+        pieces: Sequence[str],
+        software: str | None = None,
     ) -> AnswerRunner:
         """Registers an answer taken over from another instance that has already ended.
 
@@ -103,11 +109,12 @@
             epoch: Ownership epoch of the answer.
             version: Model version of the answer.
             pieces: All its tokens.
+            software: Software version that generated them; None if it is not known.
 
         Returns:
             A runner that was not started.
         """
-        runner = self._create_runner(req, None, epoch, version, pieces, 0)
+        runner = self._create_runner(req, None, epoch, version, pieces, 0, software)
         runner.answer.finish(end)
         runner.answer.ended_at = time.monotonic()
         return runner
--- a/src/sapphireledge/entry/answer_runner.py
+++ b/src/sapphireledge/entry/answer_runner.py
@@ -210,11 +210,11 @@
             )
             self._gap_started_at = None
         self._last_token_at = now
+        assert self._copy is not None
         if not self._answer.pieces:
-            self._answer.software = self._machine.software
+            self._answer.software = self._copy.software = self._machine.software
         self._ctx.totals.add_tokens(self._req.rank, 1)
         self._answer.append(text)
-        assert self._copy is not None
         self._copy.append(now, [text])
 
     def _finish(self, end: AnswerEnd) -> None:
@@ -291,6 +291,7 @@
         self._answer.version = version
         header = AnswerHeader.from_request(self._req, version).encode()
         copy = self._ctx.copies.open(self._answer.answer_id, self._answer.epoch, header)
+        copy.software = self._answer.software
         copy.on_progress = self._on_copy_progress
         copy.append(time.monotonic(), list(self._answer.pieces), self._machine.take_lines())
         self._copy = copy
--- a/src/sapphireledge/entry/copy_store.py
+++ b/src/sapphireledge/entry/copy_store.py
@@ -55,6 +55,7 @@
                     header=append.header or "",
                     finish=append.finish or "",
                     events=append.events or "",
+                    software=append.software,
                 ),
             )
             results.append(
@@ -111,6 +112,7 @@
             list(outcome.pieces),
             outcome.finish,
             outcome.events,
+            outcome.software,
         )
 
     def expire(self) -> None:
--- a/src/sapphireledge/entry/peer_service.py
+++ b/src/sapphireledge/entry/peer_service.py
@@ -120,6 +120,7 @@
                 finish=finish,
                 epoch=answer.epoch,
                 version=answer.version,
+                software=answer.software,
                 fingerprint=runner.request.fingerprint,
             )
         finally:
--- a/src/sapphireledge/peers/copy_batch.py
+++ b/src/sapphireledge/peers/copy_batch.py
@@ -48,6 +48,8 @@
         append.events = self._take_events(progress) or None
         append.pieces = self._take_pieces(progress)
         append.finish = None
+        if append.pieces and not append.offset:
+            append.software = answer.software
         if not progress.unsent and progress.events_sent == len(answer.events):
             append.finish = answer.finish_reason or None
             progress.finish_sent = bool(answer.finish_reason)
--- a/src/sapphireledge/peers/replicated_answer.py
+++ b/src/sapphireledge/peers/replicated_answer.py
@@ -43,6 +43,8 @@
         """Epoch under which this entry owns the answer."""
         self.header = header
         """Request as JSON."""
+        self.software: str | None = None
+        """Software version of the engine that began the answer; None if it is not known."""
         self.pieces: list[str] = []
         """Text of each token so far; other objects must not modify it."""
         self.events: list[str] = []
--- a/src/sapphireledge/schema/peer.thrift
+++ b/src/sapphireledge/schema/peer.thrift
@@ -74,6 +74,8 @@
   5: string header          // request as JSON, in the first append only
   6: string finish          // finish reason, empty until the answer ends
   7: string events          // recorded events as JSON lines
+  8: string software        // software version of the engine that began the answer, in the append
+                            // of its first token only; absent if not known
 }
 
 struct AppendResult {
@@ -101,6 +103,8 @@
   6: string error_reason
   7: string version         // model version of the answer
   8: string fingerprint     // fingerprint of the request's content
+  9: string software        // software version of the engine that began the answer; absent without
+                            // tokens or if not known
 }
 
 struct TakeOver {
@@ -111,6 +115,7 @@
   5: list<string> pieces
   6: string finish
   7: string events
+  8: string software        // as in AnswerAppend
 }
 
 struct ConfigObject {
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -115,6 +115,22 @@
         await self.lose_beginner(received)
         await self.assert_refused("a2", received)
 
+    async def test_partner_takes_the_answer_over_at_its_version(self):
+        await self.start_mixed_fleet("a1", "a2", spare=True)
+        received = await self.begin("a1")
+        await self.stop_entry("a1")
+        await self.lose_beginner(received)
+        await self.assert_completed("a2", received)
+        self.assertEqual(len(received.boots), 2)
+
+    async def test_copy_from_an_instance_that_knows_no_versions(self):
+        await self.start_mixed_fleet("a1", "a2")
+        received = await self.begin("a1")
+        await self.stop_entry("a1")
+        for copy in self.entries["a2"]._copy_store._table._copies.values():
+            copy.software = None
+        await self.assert_refused("a2", received)
+
     async def test_all_instances_lose_power(self):
         await self.start_mixed_fleet("a1")
         received = await self.begin("a1")
