The event id of an answer names the software version that began it

Callers that handed their text back after all copies of their answer were lost got version_gone although engines of its software version still served.

Cause: the digest proved the model version only, and after the power of all instances is lost the caller's text and its event id are all that is left. The digest now ends with the software version in hexadecimal and covers it with its key, so that an instance knows it even if no engine of that version is left to compare with. A position of another software version than that of a copy is answer_diverged: with deterministic engines both texts can agree. Without a software version the digest is the same as before; such a position does not say whether the version was empty or not known, so it goes on only while no engine names one.

--- a/src/sapphireledge/core/answer/answer_digest.py
+++ b/src/sapphireledge/core/answer/answer_digest.py
@@ -6,7 +6,7 @@
 
 from sapphireledge.core.answer.event_id import EventId
 
-__all__ = ["AnswerDigest"]
+__all__ = ["AnswerDigest", "read_software"]
 
 DIGEST_BYTES = 12
 """Length of a digest in bytes; 96 bits make guessing and accidental matches infeasible."""
@@ -29,19 +29,26 @@
 
 
 class AnswerDigest:
-    """Keyed BLAKE2b digest of request id, model version, offset and the text so far.
+    """Keyed BLAKE2b digest of request id, versions, offset and the text so far.
+
+    The software version is readable in the digest, because an instance that has only the caller's
+    text must know it even if no engine of that version is left. Without one, the digest is that of
+    the model version alone.
 
     The hash state is updated incrementally, so the cost of a token does not depend on the length
     of the answer.
     """
 
-    __slots__ = ("_hash", "_offset")
+    __slots__ = ("_hash", "_offset", "_suffix")
 
-    def __init__(self, secret: str, request_id: str, version: str) -> None:
+    def __init__(self, secret: str, request_id: str, version: str, software: str = "") -> None:
         self._hash = hashlib.blake2b(
             key=_derive_key(secret), digest_size=DIGEST_BYTES, person=_PERSON
         )
         self._hash.update(_encode_field(request_id) + _encode_field(version))
+        if software:
+            self._hash.update(_encode_field(software))
+        self._suffix = software.encode("utf-8", "surrogatepass").hex()
         self._offset = 0
 
     @property
@@ -67,4 +74,19 @@
         """
         state = self._hash.copy()
         state.update(self._offset.to_bytes(_LENGTH_BYTES, "big"))
-        return EventId(self._offset, state.hexdigest())
+        return EventId(self._offset, state.hexdigest() + self._suffix)
+
+
+def read_software(digest: str) -> str | None:
+    """Reads the software version in a digest.
+
+    Args:
+        digest: Digest of an event id, not verified.
+
+    Returns:
+        The version; empty if the digest names none, None if it is malformed.
+    """
+    try:
+        return bytes.fromhex(digest[2 * DIGEST_BYTES :]).decode()
+    except ValueError:
+        return None
--- a/src/sapphireledge/core/answer/verified_prefix.py
+++ b/src/sapphireledge/core/answer/verified_prefix.py
@@ -18,3 +18,6 @@
 
     version: str
     """Model version that generated the text."""
+
+    software: str | None = None
+    """Software version that generated the text; None if its event id names none."""
--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -208,12 +208,15 @@
         if original.fingerprint != req.fingerprint:
             return create_id_reuse_failure()
         pieces = tuple(outcome.pieces)
-        mismatch = self.check_position(req, header.version, pieces)
+        software = outcome.software
+        mismatch = self.check_position(req, header.version, software, pieces)
         if mismatch is not None and mismatch.kind is ErrorKind.ANSWER_LOST:
             restored = self._restore_from_caller(req)
             if isinstance(restored, tuple):
-                version, pieces = restored
-                mismatch = None if version == header.version else mismatch
+                version, text_software, pieces = restored
+                is_same = version == header.version and software in (None, text_software or "")
+                mismatch = None if is_same else mismatch
+                software = text_software or software
         if mismatch is not None:
             return mismatch
         self._log.info(
@@ -225,7 +228,7 @@
         if outcome.finish:
             end = AnswerEnd.parse(outcome.finish)
             runner = self._registry.adopt_ended(
-                original, end, outcome.epoch, header.version, pieces, outcome.software
+                original, end, outcome.epoch, header.version, pieces, software
             )
         else:
             runner = self._registry.start(
@@ -233,7 +236,7 @@
                 trace,
                 epoch=outcome.epoch,
                 version=header.version,
-                software=outcome.software,
+                software=software,
                 pieces=pieces,
             )
         return LocatedAnswer(runner, False)
@@ -248,13 +251,20 @@
         restored = self._restore_from_caller(req)
         if isinstance(restored, Failure):
             return restored
-        version, pieces = restored
+        version, software, pieces = restored
         epoch = choose_first_epoch(False, time.time())
-        runner = self._registry.start(req, trace, epoch=epoch, version=version, pieces=pieces)
+        runner = self._registry.start(
+            req, trace, epoch=epoch, version=version, software=software, pieces=pieces
+        )
         return LocatedAnswer(runner, False)
 
-    def _restore_from_caller(self, req: CallerRequest) -> tuple[str, tuple[str, ...]] | Failure:
-        """Verifies the text that the caller sent back and splits it into tokens."""
+    def _restore_from_caller(
+        self, req: CallerRequest
+    ) -> tuple[str, str | None, tuple[str, ...]] | Failure:
+        """Verifies the text that the caller sent back and splits it into tokens.
+
+        Returns the model version, the software version and the tokens.
+        """
         point = req.resume
         assert point is not None
         if point.received is None:
@@ -269,23 +279,25 @@
         )
         if isinstance(verified, Failure):
             return Failure(verified.kind, verified.reason, Ran.YES)
-        return verified.version, verified.prefix.to_pieces()
+        return verified.version, verified.software, verified.prefix.to_pieces()
 
     async def relocate(
-        self, req: CallerRequest, version: str, pieces: tuple[str, ...]
+        self, req: CallerRequest, version: str, software: str | None, pieces: tuple[str, ...]
     ) -> LocatedAnswer | Failure:
         """Locates the answer again after the owner from which it was read failed.
 
         Args:
             req: The request.
             version: Model version of the answer.
+            software: Software version of the answer, None if it is not known.
             pieces: Tokens read so far.
 
         Returns:
             Where to continue reading, or why the answer cannot be continued.
         """
         if pieces:
-            digest = AnswerDigest(self._cfg.fleet_secret, req.answer_id, version)
+            secret = self._cfg.fleet_secret
+            digest = AnswerDigest(secret, req.answer_id, version, software or "")
             for piece in pieces:
                 digest.update(piece)
             position = digest.event_id()
@@ -295,13 +307,14 @@
             return await self._locate_by_id(req, None)
 
     def check_position(
-        self, req: CallerRequest, version: str, pieces: Sequence[str]
+        self, req: CallerRequest, version: str, software: str | None, pieces: Sequence[str]
     ) -> Failure | None:
         """Checks the caller's resume position against an answer.
 
         Args:
             req: The request.
             version: Model version of the answer.
+            software: Software version of the answer, None if it is not known.
             pieces: Tokens of the answer.
 
         Returns:
@@ -310,7 +323,9 @@
         if req.resume is None or req.resume.offset == 0:
             return None
         position = EventId(req.resume.offset, req.resume.digest)
-        failure = verify_position(self._cfg.fleet_secret, req.answer_id, version, position, pieces)
+        failure = verify_position(
+            self._cfg.fleet_secret, req.answer_id, version, position, pieces, software
+        )
         if failure is None:
             return None
         return Failure(failure.kind, failure.reason, Ran.YES)
--- a/src/sapphireledge/entry/answer_reader.py
+++ b/src/sapphireledge/entry/answer_reader.py
@@ -19,6 +19,9 @@
     version: str
     """Model version, empty while unknown; set before `wait` returns with a token."""
 
+    software: str | None
+    """Software version, None while unknown; set before `wait` returns with a token."""
+
     async def open(self, req: CallerRequest, offset: int) -> Failure | None:
         """Checks the caller's position and starts reading; after a failure no `close` is needed."""
         ...
--- a/src/sapphireledge/entry/generation_session.py
+++ b/src/sapphireledge/entry/generation_session.py
@@ -106,7 +106,8 @@
     async def _generate_events(self, reader: AnswerReader, span: Span) -> AsyncIterator[bytes]:
         """Yields the server-sent events of the answer."""
         metrics = self._parts.ctx.metrics
-        digest = AnswerDigest(self._parts.cfg.fleet_secret, self._req.answer_id, reader.version)
+        secret, answer_id = self._parts.cfg.fleet_secret, self._req.answer_id
+        digest = AnswerDigest(secret, answer_id, reader.version, reader.software or "")
         for piece in reader.pieces(0, self._offset):
             digest.update(piece)
         delivered = self._offset
--- a/src/sapphireledge/entry/local_reader.py
+++ b/src/sapphireledge/entry/local_reader.py
@@ -32,6 +32,7 @@
         self._runner = runner
         self._attached = False
         self.version = ""
+        self.software: str | None = None
 
     async def open(self, req: CallerRequest, offset: int) -> Failure | None:
         """Checks the caller's position and attaches to the answer.
@@ -47,7 +48,7 @@
         if offset > answer.readable and not answer.is_drained:
             await answer.wait(offset - 1, CATCH_UP_TIMEOUT)
         pieces = answer.pieces[: answer.readable]
-        failure = self._parts.locator.check_position(req, answer.version, pieces)
+        failure = self._parts.locator.check_position(req, answer.version, answer.software, pieces)
         if failure is not None:
             return failure
         self._runner = self._parts.registry.attach(self._runner)
@@ -62,6 +63,7 @@
         """
         await self._runner.answer.wait(offset)
         self.version = self._runner.answer.version
+        self.software = self._runner.answer.software
 
     def pieces(self, start: int, stop: int | None) -> Sequence[str]:
         """Returns the tokens of a range that are available for delivery.
--- a/src/sapphireledge/entry/remote_reader.py
+++ b/src/sapphireledge/entry/remote_reader.py
@@ -43,6 +43,7 @@
         self._local: LocalReader | None = None
         self._req: CallerRequest | None = None
         self.version = ""
+        self.software: str | None = None
 
     async def open(self, req: CallerRequest, offset: int) -> Failure | None:
         """Reads the existing tokens from the owner and checks the caller's position.
@@ -66,7 +67,7 @@
                 break
         if failure is not None:
             return failure
-        return self._parts.locator.check_position(req, self.version, self._pieces)
+        return self._parts.locator.check_position(req, self.version, self.software, self._pieces)
 
     async def wait(self, offset: int) -> None:
         """Waits for the token at an offset, or for the end of the answer.
@@ -142,6 +143,7 @@
         if part.offset != len(self._pieces):
             return Failure(ErrorKind.INTERNAL, "the owner returned tokens for another offset")
         self.version = part.version or self.version
+        self.software = part.software if part.pieces else self.software
         self._pieces.extend(part.pieces)
         if part.finish:
             end = AnswerEnd.parse(part.finish)
@@ -154,7 +156,9 @@
     async def _replace_owner(self, failure: Failure) -> None:
         """Switches to the new owner after the old one failed, or takes over the answer."""
         assert self._req is not None
-        located = await self._parts.locator.relocate(self._req, self.version, tuple(self._pieces))
+        located = await self._parts.locator.relocate(
+            self._req, self.version, self.software, tuple(self._pieces)
+        )
         if isinstance(located, Failure):
             ran = Ran.YES if self._pieces else located.ran
             self._end = AnswerEnd("", Failure(located.kind, located.reason, ran))
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -214,8 +214,10 @@
 class AnswerDigestTest(unittest.TestCase):
     """Guards against accepting a position in a different answer."""
 
-    def event_id(self, pieces=("a", "b"), secret="s", request="r", version="v") -> EventId:
-        digest = AnswerDigest(secret, request, version)
+    def event_id(
+        self, pieces=("a", "b"), secret="s", request="r", version="v", software=""
+    ) -> EventId:
+        digest = AnswerDigest(secret, request, version, software)
         for piece in pieces:
             digest.update(piece)
         return digest.event_id()
@@ -228,8 +230,29 @@
             self.event_id(version="w"),
             self.event_id(pieces=("a", "c")),
             self.event_id(pieces=("ab",)),
+            self.event_id(software="1"),
+            self.event_id(software="2"),
         }
-        self.assertEqual(len({event.digest for event in ids}), 6)
+        self.assertEqual(len({event.digest for event in ids}), 8)
+
+    def test_software_version_in_an_event_id_cannot_be_replaced(self):
+        longest = "é" * 24
+        for software in ("1", longest):
+            event = self.event_id(software=software)
+            self.assertEqual(EventId.parse(str(event)), event)
+            self.assertEqual(verify_text("s", "r", ("v",), event, "ab").software, software)
+            for digest in (event.digest[:24], event.digest[:24] + "32", event.digest + "f"):
+                failure = verify_text("s", "r", ("v",), EventId(2, digest), "ab")
+                self.assertEqual(failure.kind, ErrorKind.ANSWER_DIVERGED, digest)
+        self.assertIsNone(verify_text("s", "r", ("v",), self.event_id(), "ab").software)
+
+    def test_position_of_another_software_version_is_refused(self):
+        named, unnamed, pieces = self.event_id(software="1"), self.event_id(), ("a", "b", "c")
+        for event, software in ((named, "1"), (named, None), (unnamed, ""), (unnamed, None)):
+            self.assertIsNone(verify_position("s", "r", "v", event, pieces, software))
+        for event, software in ((named, "2"), (named, ""), (unnamed, "1")):
+            failure = verify_position("s", "r", "v", event, pieces, software)
+            self.assertEqual(failure.kind, ErrorKind.ANSWER_DIVERGED)
 
     def test_event_id_is_parsed_strictly(self):
         event = self.event_id()
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -138,6 +138,14 @@
         await self.lose_beginner(received)
         await self.assert_refused("a2", received, received.text)
 
+    async def test_all_instances_lose_power_beside_engines_of_the_version(self):
+        await self.start_mixed_fleet("a1", spare=True)
+        received = await self.begin("a1")
+        await self.restart_entries()
+        await self.lose_beginner(received)
+        await self.assert_completed("a2", received, received.text)
+        self.assertEqual(len(received.boots), 2)
+
     async def test_engines_that_name_no_version(self):
         for name in ("g1", "g2"):
             await self.add_engine(name, "")
