A reader checks what it has read against a new owner

Callers that read an answer through another instance got the rest of another generation, to its end, after the answer's owner was lost and an instance that did not know of it had started the same request anew.

Cause: RemoteReader went on at its offset with whatever instance owned the request now, in another instance without any check, in its own with the position at which the caller had connected. The digest of the tokens read was computed for the search, but only a take-over compared it. Now the new source is opened at that position, as if the caller had come back: other text or another software version is answer_diverged. The class is the same as for software versions: a stream that goes on elsewhere must prove that it is the same one.

--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -281,10 +281,10 @@
             return Failure(verified.kind, verified.reason, Ran.YES)
         return verified.version, verified.software, verified.prefix.to_pieces()
 
-    async def relocate(
-        self, req: CallerRequest, version: str, software: str | None, pieces: tuple[str, ...]
-    ) -> LocatedAnswer | Failure:
-        """Locates the answer again after the owner from which it was read failed.
+    def at_position(
+        self, req: CallerRequest, version: str, software: str | None, pieces: Sequence[str]
+    ) -> CallerRequest:
+        """Adds what was read of an answer to its request, as if the caller sent it back.
 
         Args:
             req: The request.
@@ -292,17 +292,28 @@
             software: Software version of the answer, None if it is not known.
             pieces: Tokens read so far.
 
+        Returns:
+            The request at the position behind the tokens.
+        """
+        if not pieces:
+            return req
+        secret = self._cfg.fleet_secret
+        digest = AnswerDigest(secret, req.answer_id, version, software or "")
+        for piece in pieces:
+            digest.update(piece)
+        position = digest.event_id()
+        point = ResumePoint(position.offset, position.digest, "".join(pieces))
+        return replace(req, resume=point)
+
+    async def relocate(self, req: CallerRequest) -> LocatedAnswer | Failure:
+        """Locates the answer again after the owner from which it was read failed.
+
+        Args:
+            req: The request at the position behind the tokens read so far.
+
         Returns:
             Where to continue reading, or why the answer cannot be continued.
         """
-        if pieces:
-            secret = self._cfg.fleet_secret
-            digest = AnswerDigest(secret, req.answer_id, version, software or "")
-            for piece in pieces:
-                digest.update(piece)
-            position = digest.event_id()
-            point = ResumePoint(position.offset, position.digest, "".join(pieces))
-            req = replace(req, resume=point)
         async with self._locks.hold(req.answer_id):
             return await self._locate_by_id(req, None)
 
--- a/src/sapphireledge/entry/remote_reader.py
+++ b/src/sapphireledge/entry/remote_reader.py
@@ -21,6 +21,11 @@
 READ_WAIT = 1.0
 """Seconds for which one `read_answer` call waits for a token."""
 
+FINAL_KINDS = frozenset(
+    {ErrorKind.ANSWER_DIVERGED, ErrorKind.ANSWER_LOST, ErrorKind.INVALID_REQUEST}
+)
+"""Refusals by a new owner after which no other one is looked for."""
+
 REPLY_MARGIN = 0.5
 """Seconds added to the wait as the timeout of a call, after which the owner counts as lost."""
 
@@ -40,7 +45,7 @@
         self._answer_id = ""
         self._pieces: list[str] = []
         self._end: AnswerEnd | None = None
-        self._local: LocalReader | None = None
+        self._next: LocalReader | RemoteReader | None = None
         self._req: CallerRequest | None = None
         self.version = ""
         self.software: str | None = None
@@ -76,12 +81,12 @@
             offset: Number of tokens already read.
         """
         while self.available <= offset and not self.is_drained:
-            if self._local is not None:
-                await self._local.wait(offset)
+            if self._next is not None:
+                await self._next.wait(offset)
                 return
             failure = await self._read(READ_WAIT)
             if failure is not None:
-                await self._replace_owner(failure)
+                await self._replace_owner()
 
     def pieces(self, start: int, stop: int | None) -> Sequence[str]:
         """Returns the tokens of a range that are available for delivery.
@@ -93,37 +98,37 @@
         Returns:
             One text for each token.
         """
-        if self._local is not None:
-            return self._local.pieces(start, stop)
+        if self._next is not None:
+            return self._next.pieces(start, stop)
         return self._pieces[start:stop]
 
     def close(self) -> None:
         """Stops reading; a remote owner detects this by the absence of further calls."""
-        if self._local is not None:
-            self._local.close()
+        if self._next is not None:
+            self._next.close()
 
     @property
     def available(self) -> int:
         """Number of tokens available for delivery."""
-        return self._local.available if self._local is not None else len(self._pieces)
+        return self._next.available if self._next is not None else len(self._pieces)
 
     @property
     def is_drained(self) -> bool:
         """Whether the answer has ended and no further token becomes available."""
-        return self._local.is_drained if self._local is not None else self._end is not None
+        return self._next.is_drained if self._next is not None else self._end is not None
 
     @property
     def failure(self) -> Failure | None:
         """Why the answer ended early; None while it is running or if it completed."""
-        if self._local is not None:
-            return self._local.failure
+        if self._next is not None:
+            return self._next.failure
         return self._end.failure if self._end is not None else None
 
     @property
     def finish_reason(self) -> str:
         """Finish reason of an answer that completed."""
-        if self._local is not None:
-            return self._local.finish_reason
+        if self._next is not None:
+            return self._next.finish_reason
         return self._end.reason if self._end is not None else ""
 
     async def _read(self, wait: float) -> Failure | None:
@@ -153,23 +158,30 @@
             self._end = end
         return None
 
-    async def _replace_owner(self, failure: Failure) -> None:
+    async def _replace_owner(self) -> None:
         """Switches to the new owner after the old one failed, or takes over the answer."""
         assert self._req is not None
-        located = await self._parts.locator.relocate(
-            self._req, self.version, self.software, tuple(self._pieces)
-        )
+        locator = self._parts.locator
+        req = locator.at_position(self._req, self.version, self.software, self._pieces)
+        located = await locator.relocate(req)
         if isinstance(located, Failure):
-            ran = Ran.YES if self._pieces else located.ran
-            self._end = AnswerEnd("", Failure(located.kind, located.reason, ran))
+            self._end_early(located)
             return
         source = located.source
-        if isinstance(source, RemoteAnswer):
-            self._owner = source.instance
-            return
-        local = LocalReader(self._parts, source)
-        refused = await local.open(self._req, 0)
-        if refused is not None:
-            self._end = AnswerEnd("", refused)
-            return
-        self._local = local
+        is_remote = isinstance(source, RemoteAnswer)
+        reader: LocalReader | RemoteReader
+        if is_remote:
+            reader = RemoteReader(self._parts, source.instance)
+        else:
+            reader = LocalReader(self._parts, source)
+        # The new owner may generate another answer under the same id, or have a shorter copy.
+        refused = await reader.open(req, len(self._pieces))
+        if refused is None:
+            self._next = reader
+        elif not is_remote or refused.kind in FINAL_KINDS:
+            self._end_early(refused)
+
+    def _end_early(self, failure: Failure) -> None:
+        """Ends the answer for the caller."""
+        ran = Ran.YES if self._pieces else failure.ran
+        self._end = AnswerEnd("", Failure(failure.kind, failure.reason, ran))
--- a/tests/software_fleet_case.py
+++ b/tests/software_fleet_case.py
@@ -35,10 +35,20 @@
     ended: bool = False
     positions: list[str] = field(default_factory=list)
 
+    @property
+    def problem(self) -> str:
+        """Why the text is not of one generation; empty if it is."""
+        return check_chained_answer(self.text, PROMPT).problem
+
+    @property
+    def attempts(self) -> set[str]:
+        """Nonces of the attempts that generated the text."""
+        return set(check_chained_answer(self.text, PROMPT).nonces)
+
     @property
     def boots(self) -> set[str]:
         """Starts of the boot ids of the engines that generated the text."""
-        return {nonce.split("-")[0] for nonce in check_chained_answer(self.text, PROMPT).nonces}
+        return {nonce.split("-")[0] for nonce in self.attempts}
 
 
 class SoftwareFleetCase(StandinCase):
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -6,6 +6,10 @@
 import time
 
 from software_fleet_case import TOKENS, Received, SoftwareFleetCase
+from test_answer_owners import FakeQueries
+
+from sapphireledge.entry.copy_store import CopyStore
+from sapphireledge.peers import FoundAnswer
 
 AT_ONCE = 1.0
 """Seconds within which a continuation is refused that no engine can serve."""
@@ -161,3 +165,26 @@
             await self.stop_entry(name)
             del self.addresses[name]
         await self.start_fleet("a2")
+
+    async def test_reader_moves_to_an_owner_of_another_generation(self):
+        await self.start_mixed_fleet("a1", "a2", "a3")
+        first, second, other = Received(), Received(), Received()
+        first_task = self.connect("a1", "r", first)
+        await self.wait_for(lambda: len(first.positions) >= 3)
+        second_task = self.connect("a2", "r", second)
+        await self.wait_for(lambda: len(second.positions) >= 5)
+        locator = self.entries["a3"]._locator
+        locator._queries = FakeQueries(FoundAnswer("", None, False))
+        locator._copies = CopyStore(locator._cfg)
+        other_task = self.connect("a3", "r", other)
+        await self.wait_for(lambda: len(other.positions) >= 5)
+        await self.stop_entry("a1")
+        for name in ("a2", "a3"):
+            self.entries[name]._copy_store._table._copies.clear()
+        await asyncio.wait_for(second_task, 8.0)
+        self.assertEqual((second.problem, second.ended), ("", False))
+        self.assertFalse(second.attempts & other.attempts)
+        self.assertEqual((second.kind, second.ran), ("answer_diverged", "yes"))
+        await self.cut(first_task)
+        await asyncio.wait_for(other_task, 5.0)
+        self.assertEqual((len(other.attempts), other.ended), (1, True))
