--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 import structlog
 
 from sapphireledge.core.answer import (
-    AnswerDigest,
     AnswerEnd,
     EventId,
     OwnerClaim,
@@ -19,7 +18,6 @@
     verify_text,
 )
 from sapphireledge.entry.answer_header import AnswerHeader
-from sapphireledge.entry.caller_request import ResumePoint
 from sapphireledge.entry.keyed_locks import KeyedLocks
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.telemetry import LogEvent
@@ -281,30 +279,6 @@
             return Failure(verified.kind, verified.reason, Ran.YES)
         return verified.version, verified.software, verified.prefix.to_pieces()
 
-    def at_position(
-        self, req: CallerRequest, version: str, software: str | None, pieces: Sequence[str]
-    ) -> CallerRequest:
-        """Adds what was read of an answer to its request, as if the caller sent it back.
-
-        Args:
-            req: The request.
-            version: Model version of the answer.
-            software: Software version of the answer, None if it is not known.
-            pieces: Tokens read so far.
-
-        Returns:
-            The request at the position behind the tokens.
-        """
-        if not pieces:
-            return req
-        secret = self._cfg.fleet_secret
-        digest = AnswerDigest(secret, req.answer_id, version, software or "")
-        for piece in pieces:
-            digest.update(piece)
-        position = digest.event_id()
-        point = ResumePoint(position.offset, position.digest, "".join(pieces))
-        return replace(req, resume=point)
-
     async def relocate(self, req: CallerRequest) -> LocatedAnswer | Failure:
         """Locates the answer again after the owner from which it was read failed.
 
--- a/src/sapphireledge/entry/remote_reader.py
+++ b/src/sapphireledge/entry/remote_reader.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from sapphireledge.core.answer import AnswerEnd
+from sapphireledge.core.answer import AnswerDigest, AnswerEnd
 from sapphireledge.entry.answer_locator import RemoteAnswer, create_id_reuse_failure
+from sapphireledge.entry.caller_request import ResumePoint
 from sapphireledge.entry.local_reader import LocalReader
 from sapphireledge.errors import ErrorKind, Failure, Ran
 
@@ -161,9 +163,8 @@
     async def _replace_owner(self) -> None:
         """Switches to the new owner after the old one failed, or takes over the answer."""
         assert self._req is not None
-        locator = self._parts.locator
-        req = locator.at_position(self._req, self.version, self.software, self._pieces)
-        located = await locator.relocate(req)
+        req = self._add_position(self._req)
+        located = await self._parts.locator.relocate(req)
         if isinstance(located, Failure):
             self._end_early(located)
             return
@@ -181,6 +182,18 @@
         elif not is_remote or refused.kind in FINAL_KINDS:
             self._end_early(refused)
 
+    def _add_position(self, req: CallerRequest) -> CallerRequest:
+        """Adds what was read to the request, as if the caller sent it back."""
+        if not self._pieces:
+            return req
+        secret = self._parts.cfg.fleet_secret
+        digest = AnswerDigest(secret, req.answer_id, self.version, self.software or "")
+        for piece in self._pieces:
+            digest.update(piece)
+        position = digest.event_id()
+        point = ResumePoint(position.offset, position.digest, "".join(self._pieces))
+        return replace(req, resume=point)
+
     def _end_early(self, failure: Failure) -> None:
         """Ends the answer for the caller."""
         ran = Ran.YES if self._pieces else failure.ran
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -20,6 +21,7 @@
     Router,
     RouteRequest,
     hash_prefixes,
+    is_software_gone,
     select_subset,
 )
 from sapphireledge.errors import ErrorKind, Failure, Ran
@@ -221,6 +223,72 @@
         self.assertEqual(self.chosen(view, 4.0, model="", version="", role="booking"), {"s"})
 
 
+class SoftwareVersionTest(unittest.TestCase):
+    """Guards against a resume at another software version, and against one refused too early."""
+
+    def setUp(self):
+        self.rng = random.Random(1)
+
+    def resume(self, software, **changes) -> RouteRequest:
+        return replace(REQUEST, resume=True, software=software, **changes)
+
+    def view_of(self, cfg=CFG, **software) -> BackendView:
+        view = BackendView(cfg, "entry-1", "akl-a", "akl")
+        view.on_instances(0.0, [instance(name) for name in software])
+        for name, version in software.items():
+            if version is not None:
+                view.on_load(0.0, report(name, 0.0, software=version))
+        return view
+
+    def choose(self, view, request):
+        return Router(CFG).choose(1.0, request, view, self.rng)
+
+    def test_resume_stays_at_its_version_whatever_is_preferred(self):
+        view = self.view_of(e1="1", e2="2", e3="")
+        for software, name in (("1", "e1"), ("2", "e2"), ("", "e3"), (None, "e3")):
+            for request in (
+                self.resume(software, prefer=("e1", "e2", "e3")),
+                self.resume(software, avoid=(name,)),
+            ):
+                self.assertEqual(self.choose(view, request).backend, name)
+        found = self.choose(view, self.resume("3"))
+        self.assertEqual((found.kind, found.ran), (ErrorKind.VERSION_GONE, Ran.YES))
+
+    def test_engine_of_the_version_outside_the_subset_is_found(self):
+        names = {f"e{number}": "1" for number in range(40)}
+        view = self.view_of(RoutingSettings(subset_size=4), **names, last="2")
+        self.assertEqual(self.choose(view, self.resume("2")).backend, "last")
+
+    def test_version_is_gone_only_if_no_engine_can_have_it(self):
+        for software, engines, is_gone in (
+            ("1", {"e1": "2"}, True),
+            ("1", {"e1": ""}, True),
+            ("", {"e1": "2"}, True),
+            (None, {"e1": "2", "e2": ""}, True),
+            ("1", {"e1": "2", "e2": None}, False),
+            ("1", {"e1": "2", "e2": "1"}, False),
+            ("1", {}, False),
+            ("", {"e1": ""}, False),
+            (None, {"e1": ""}, False),
+            (None, {"e1": None}, False),
+        ):
+            view = self.view_of(**engines)
+            self.assertIs(is_software_gone(view, self.resume(software)), is_gone, engines)
+
+    def test_leaving_engine_does_not_keep_its_version(self):
+        view = self.view_of(e1="1", e2="2")
+        view.on_unreachable(1.0, "e1")
+        self.assertFalse(is_software_gone(view, self.resume("1")))
+        view.on_leaving(1.0, "e1")
+        self.assertTrue(is_software_gone(view, self.resume("1")))
+
+    def test_response_corrects_the_version_of_the_last_report(self):
+        view = self.view_of(e1="1", e2="1")
+        view.on_software("e1", "2")
+        self.assertEqual(self.choose(view, self.resume("2")).backend, "e1")
+        self.assertEqual(self.choose(view, self.resume("1")).backend, "e2")
+
+
 class PrefixIndexTest(unittest.TestCase):
     """Guards against cache hints that outlive the cached prefix."""
 
