--- a/src/sapphireledge/entry/answer_locator.py
+++ b/src/sapphireledge/entry/answer_locator.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 import structlog
 
 from sapphireledge.core.answer import (
-    AnswerDigest,
     AnswerEnd,
     EventId,
     OwnerClaim,
@@ -19,7 +18,6 @@
     verify_text,
 )
 from sapphireledge.entry.answer_header import AnswerHeader
-from sapphireledge.entry.caller_request import ResumePoint
 from sapphireledge.entry.keyed_locks import KeyedLocks
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.telemetry import LogEvent
@@ -208,12 +206,15 @@
         if original.fingerprint != req.fingerprint:
             return create_id_reuse_failure()
         pieces = tuple(outcome.pieces)
-        mismatch = self.check_position(req, header.version, pieces)
+        software = outcome.software
+        mismatch = self.check_position(req, header.version, software, pieces)
         if mismatch is not None and mismatch.kind is ErrorKind.ANSWER_LOST:
             restored = self._restore_from_caller(req)
             if isinstance(restored, tuple):
-                version, pieces = restored
-                mismatch = None if version == header.version else mismatch
+                version, text_software, pieces = restored
+                is_same = version == header.version and software in (None, text_software or "")
+                mismatch = None if is_same else mismatch
+                software = text_software or software
         if mismatch is not None:
             return mismatch
         self._log.info(
@@ -225,11 +226,16 @@
         if outcome.finish:
             end = AnswerEnd.parse(outcome.finish)
             runner = self._registry.adopt_ended(
-                original, end, outcome.epoch, header.version, pieces
+                original, end, outcome.epoch, header.version, pieces, software
             )
         else:
             runner = self._registry.start(
-                original, trace, epoch=outcome.epoch, version=header.version, pieces=pieces
+                original,
+                trace,
+                epoch=outcome.epoch,
+                version=header.version,
+                software=software,
+                pieces=pieces,
             )
         return LocatedAnswer(runner, False)
 
@@ -243,13 +249,20 @@
         restored = self._restore_from_caller(req)
         if isinstance(restored, Failure):
             return restored
-        version, pieces = restored
+        version, software, pieces = restored
         epoch = choose_first_epoch(False, time.time())
-        runner = self._registry.start(req, trace, epoch=epoch, version=version, pieces=pieces)
+        runner = self._registry.start(
+            req, trace, epoch=epoch, version=version, software=software, pieces=pieces
+        )
         return LocatedAnswer(runner, False)
 
-    def _restore_from_caller(self, req: CallerRequest) -> tuple[str, tuple[str, ...]] | Failure:
-        """Verifies the text that the caller sent back and splits it into tokens."""
+    def _restore_from_caller(
+        self, req: CallerRequest
+    ) -> tuple[str, str | None, tuple[str, ...]] | Failure:
+        """Verifies the text that the caller sent back and splits it into tokens.
+
+        Returns the model version, the software version and the tokens.
+        """
         point = req.resume
         assert point is not None
         if point.received is None:
@@ -264,39 +277,29 @@
         )
         if isinstance(verified, Failure):
             return Failure(verified.kind, verified.reason, Ran.YES)
-        return verified.version, verified.prefix.to_pieces()
+        return verified.version, verified.software, verified.prefix.to_pieces()
 
-    async def relocate(
-        self, req: CallerRequest, version: str, pieces: tuple[str, ...]
-    ) -> LocatedAnswer | Failure:
+    async def relocate(self, req: CallerRequest) -> LocatedAnswer | Failure:
         """Locates the answer again after the owner from which it was read failed.
 
         Args:
-            req: The request.
-            version: Model version of the answer.
-            pieces: Tokens read so far.
+            req: The request at the position behind the tokens read so far.
 
         Returns:
             Where to continue reading, or why the answer cannot be continued.
         """
-        if pieces:
-            digest = AnswerDigest(self._cfg.fleet_secret, req.answer_id, version)
-            for piece in pieces:
-                digest.update(piece)
-            position = digest.event_id()
-            point = ResumePoint(position.offset, position.digest, "".join(pieces))
-            req = replace(req, resume=point)
         async with self._locks.hold(req.answer_id):
             return await self._locate_by_id(req, None)
 
     def check_position(
-        self, req: CallerRequest, version: str, pieces: Sequence[str]
+        self, req: CallerRequest, version: str, software: str | None, pieces: Sequence[str]
     ) -> Failure | None:
         """Checks the caller's resume position against an answer.
 
         Args:
             req: The request.
             version: Model version of the answer.
+            software: Software version of the answer, None if it is not known.
             pieces: Tokens of the answer.
 
         Returns:
@@ -305,7 +308,9 @@
         if req.resume is None or req.resume.offset == 0:
             return None
         position = EventId(req.resume.offset, req.resume.digest)
-        failure = verify_position(self._cfg.fleet_secret, req.answer_id, version, position, pieces)
+        failure = verify_position(
+            self._cfg.fleet_secret, req.answer_id, version, position, pieces, software
+        )
         if failure is None:
             return None
         return Failure(failure.kind, failure.reason, Ran.YES)
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -59,6 +59,30 @@
         self.assertEqual(decisions[0], CancelAttempt(1, "e1"))
         self.assertEqual(decisions[1], Dispatch(2, 3, "", ("e1",), "v1"))
 
+    def test_answer_stays_at_the_software_version_of_its_first_token(self):
+        machine = running_machine()
+        machine.on_accepted(0, 1, "1")
+        self.assertEqual(machine.on_broken(0, 1, AttemptFailureCause.CLOSED)[-1].software, "")
+        machine.on_dispatched(0, 2, "e2", "v1")
+        machine.on_accepted(0, 2, "2")
+        machine.on_token(0, 2, 0, "t")
+        self.assertEqual(machine.on_broken(0, 2, AttemptFailureCause.CLOSED)[-1].software, "2")
+        for engine, software in ((3, "1"), (4, "")):
+            machine.on_dispatched(0, engine, f"e{engine}", "v1")
+            decisions = machine.on_accepted(0, engine, software)
+            self.assertEqual(decisions[0], CancelAttempt(engine, f"e{engine}"))
+            self.assertEqual((decisions[-1].attempt, decisions[-1].software), (engine + 1, "2"))
+        machine.on_dispatched(0, 5, "e5", "v1")
+        self.assertEqual(machine.on_accepted(0, 5, "2"), [])
+        self.assertEqual(machine.on_token(0, 5, 1, "u"), [Deliver(1, "u")])
+
+    def test_prefix_of_unknown_software_is_continued_only_without_a_named_version(self):
+        machine = running_machine(prefix=StoredPrefix(3, "abc"))
+        self.assertIsInstance(machine.on_accepted(0, 1, "1")[-1], Dispatch)
+        self.assertIsNone(machine.software)
+        machine.on_dispatched(0, 2, "e2", "v1")
+        self.assertEqual(machine.on_accepted(0, 2, ""), [])
+
     def test_offset_jump_and_short_finish_resume_at_the_next_offset(self):
         for decisions in (
             running_machine(3).on_token(0, 1, 5, "x"),
@@ -190,8 +214,10 @@
 class AnswerDigestTest(unittest.TestCase):
     """Guards against accepting a position in a different answer."""
 
-    def event_id(self, pieces=("a", "b"), secret="s", request="r", version="v") -> EventId:
-        digest = AnswerDigest(secret, request, version)
+    def event_id(
+        self, pieces=("a", "b"), secret="s", request="r", version="v", software=""
+    ) -> EventId:
+        digest = AnswerDigest(secret, request, version, software)
         for piece in pieces:
             digest.update(piece)
         return digest.event_id()
@@ -204,8 +230,29 @@
             self.event_id(version="w"),
             self.event_id(pieces=("a", "c")),
             self.event_id(pieces=("ab",)),
+            self.event_id(software="1"),
+            self.event_id(software="2"),
         }
-        self.assertEqual(len({event.digest for event in ids}), 6)
+        self.assertEqual(len({event.digest for event in ids}), 8)
+
+    def test_software_version_in_an_event_id_cannot_be_replaced(self):
+        longest = "é" * 24
+        for software in ("1", longest):
+            event = self.event_id(software=software)
+            self.assertEqual(EventId.parse(str(event)), event)
+            self.assertEqual(verify_text("s", "r", ("v",), event, "ab").software, software)
+            for digest in (event.digest[:24], event.digest[:24] + "32", event.digest + "f"):
+                failure = verify_text("s", "r", ("v",), EventId(2, digest), "ab")
+                self.assertEqual(failure.kind, ErrorKind.ANSWER_DIVERGED, digest)
+        self.assertIsNone(verify_text("s", "r", ("v",), self.event_id(), "ab").software)
+
+    def test_position_of_another_software_version_is_refused(self):
+        named, unnamed, pieces = self.event_id(software="1"), self.event_id(), ("a", "b", "c")
+        for event, software in ((named, "1"), (named, None), (unnamed, ""), (unnamed, None)):
+            self.assertIsNone(verify_position("s", "r", "v", event, pieces, software))
+        for event, software in ((named, "2"), (named, ""), (unnamed, "1")):
+            failure = verify_position("s", "r", "v", event, pieces, software)
+            self.assertEqual(failure.kind, ErrorKind.ANSWER_DIVERGED)
 
     def test_event_id_is_parsed_strictly(self):
         event = self.event_id()
