A take-up is one also where its route has ceased to permit it

A request with a last event on a route that is not resumable (any more) was placed like a new stream, so a change of the configuration between two tries joined versions. It is bound to its origin like any other take-up; streams of such routes record none.

--- a/src/sapphireledge/gateway/stream_continuation.py
+++ b/src/sapphireledge/gateway/stream_continuation.py
@@ -65,7 +65,7 @@
             admitted: The request, which is no take-up.
             version: The version.
         """
-        if admitted.request.last_event is not None or not admitted.route.resumable:
+        if is_take_up(admitted) or not admitted.route.resumable:
             return
         now = asyncio.get_running_loop().time()
         lifetime = max(0.0, admitted.caller_deadline - now) + ORIGIN_MARGIN
@@ -121,13 +121,15 @@
 def is_take_up(admitted: AdmittedRequest) -> bool:
     """Whether a caller takes up a stream of which it has received a part.
 
+    The route may have ceased to permit that since the stream began.
+
     Args:
         admitted: The request.
 
     Returns:
         Whether it does.
     """
-    return admitted.request.last_event is not None and admitted.route.resumable
+    return admitted.request.last_event is not None
 
 
 def count_versions(context: GatewayContext, service: str) -> Counter[str]:
--- a/tests/test_take_up_versions.py
+++ b/tests/test_take_up_versions.py
@@ -117,6 +117,17 @@
         self.assertEqual(self.counted("unknown"), 2)
         self.assertEqual(self.refused("no_backend"), 2)
 
+    async def test_take_up_on_a_route_that_ceased_to_permit_it_is_no_new_stream(self):
+        """Guards against a joined answer after a change of the configuration."""
+        for version in ("v1", "v2") * 2:
+            await self.add_engine(version)
+        path, headers = "/non-resumable/x", {"last_event_id": "1", "resumes": "id1"}
+        response = await self.call(path, **headers)
+        self.assertEqual((response.status, self.places()), (503, []))
+        self.origins.known[("llm", "id1")] = "v2"
+        self.assert_whole(await self.call(path, **headers), first=2)
+        self.assertEqual(self.places(), [("v2", 2)])
+
     async def test_version_without_a_server_is_refused_at_once(self):
         self.origins.known[("llm", "id1")] = "v1"
         for _ in range(2):
