--- a/src/sapphireledge/core/rollout/rollout_decision.py
+++ b/src/sapphireledge/core/rollout/rollout_decision.py
@@ -56,5 +56,5 @@
     """Figures behind the decision, for the log."""
 
     move_streams: bool = False
-    """Streams at servers of the old version are resumed at the new one if their kind permits it;
-    what still runs there by the deadline is lost."""
+    """Streams at servers of the old version of which nothing was delivered begin at the new one, if
+    their kind permits it; what still runs there by the deadline is lost."""
--- a/src/sapphireledge/gateway/attempt_counting.py
+++ b/src/sapphireledge/gateway/attempt_counting.py
@@ -53,7 +53,7 @@
             admitted: The request.
             server: The server.
             is_retry: Whether the request was sent to a server before.
-            move: Ends the attempt so that its stream resumes elsewhere, None if it cannot.
+            move: Ends the attempt so that its stream begins at another version, None if it cannot.
 
         Returns:
             The attempt for `finish`, None if roll-outs are not used.
--- a/src/sapphireledge/gateway/rollout_attempt.py
+++ b/src/sapphireledge/gateway/rollout_attempt.py
@@ -27,8 +27,8 @@
     """Event loop time in seconds at which it began."""
 
     move: Callable[[], bool] | None = None
-    """Ends the attempt so that its stream resumes at another server, if that can take it now;
-    returns whether it does. None if the attempt cannot move."""
+    """Ends the attempt so that its stream begins at a server of another version, if no event of it
+    was delivered and one can take it now; returns whether it does. None if it cannot move."""
 
     is_retry: bool = False
     """Whether the request was counted before."""
--- a/src/sapphireledge/gateway/rollout_guard.py
+++ b/src/sapphireledge/gateway/rollout_guard.py
@@ -34,7 +34,7 @@
 """Seconds for which an order is expected after servers of a version that is not in use appeared."""
 
 MOVES_PER_TICK = 2
-"""Streams that are moved away from the old version at once; each has its prompt read anew."""
+"""Streams without an event that leave the old version at once; each has its prompt read anew."""
 
 
 class RolloutGuard(AttemptCounting):
--- a/src/sapphireledge/gateway/run_attempt.py
+++ b/src/sapphireledge/gateway/run_attempt.py
@@ -49,7 +49,7 @@
         number: Number of the attempt, from 1.
         run: Sends the request on a connection, reads the response and records its progress.
         isolated: Whether the request runs isolated from others that may crash servers.
-        can_move: Returns whether the request can go on at a server of another version at a time,
+        can_move: Returns whether the request can begin at a server of another version at a time,
             None if it never can.
         origin: Version that began the stream, None if there is none.
 
@@ -101,7 +101,7 @@
 def _move(
     limit: asyncio.Timeout, server: BackendServer, can_move: Callable[[float, BackendServer], bool]
 ) -> bool:
-    """Ends an attempt if its request can go on at another server now; returns whether it does."""
+    """Ends an attempt if its request can begin at another version now; returns whether it does."""
     now = asyncio.get_running_loop().time()
     moves = limit.when() is None and can_move(now, server)
     if moves:
@@ -117,14 +117,14 @@
     origin: str | None,
     run: Callable[[BackendConnection], Awaitable[Outcome]],
 ) -> Outcome:
-    """Runs the attempt until it ends, or is to go on at another server."""
+    """Runs the attempt until it ends, or is to begin at a server of another version."""
     try:
         async with limit:
             return await _connect_and_run(context, admitted, server, origin, run)
     except TimeoutError:
         if not limit.expired():
             raise
-        reason = "the stream goes on at a server of another version"
+        reason = "the stream begins at a server of another version"
         return Outcome(OutcomeKind.LOST, server, reason, is_moved=True)
 
 
--- a/src/sapphireledge/gateway/service_versions.py
+++ b/src/sapphireledge/gateway/service_versions.py
@@ -266,7 +266,7 @@
         return self.excluded(rule)
 
     def movable_attempts(self) -> Collection[RolloutAttempt]:
-        """Lists the attempts at servers of the old version that can go on elsewhere.
+        """Lists the attempts at servers of the old version that may begin elsewhere.
 
         Returns:
             The attempts.
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -23,6 +23,9 @@
 class StreamProgress:
     """Progress of one stream across all engines that it ran on."""
 
+    version: str | None = None
+    """Software version that began the stream, None while no event was delivered."""
+
     def __init__(self, last_event: int | None) -> None:
         """Creates the state of a stream that has not been sent to an engine.
 
@@ -32,9 +35,6 @@
         self.last_event = last_event
         """Number of the last event that was delivered now or received by the caller earlier."""
 
-        self.version: str | None = None
-        """Software version that began the stream, None while no event was delivered."""
-
         self.delivered = 0
         """Number of events delivered in this response."""
 
