Test of the whole time from the cut of a relay to its last follower

This test plays it by the clock of the event loop, with the settings of a machine as they are: a relay is cut off from the store right after its watch began.

The in-memory store of the test can cut instances off now; the other tests of the module are unchanged.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -8,7 +8,7 @@
 import tracemalloc
 import unittest
 from collections import Counter
-from dataclasses import replace
+from dataclasses import fields, replace
 
 from feed_changes import list_changes
 from virtual_clock import VirtualClock
@@ -28,11 +28,16 @@
 )
 from sapphireledge.feed.relay_list import RelayList
 from sapphireledge.gateway import seconds_since_boot
+from sapphireledge.platform.node_settings import CONFIG_WATCH_WAIT
+from sapphireledge.platform.store_settings import StoreSettings
 
 CFG = FeedSettings(kinds=(), host="127.0.0.1", port=1)
 
 KIND = KindSettings("servers", watch_wait=0.1, batch_delay=0.0)
 
+CALL_TIMEOUT = StoreSettings("", 0).call_timeout
+WATCH_SLACK = StoreSettings("", 0).watch_slack
+
 PASSIVE_KIND = replace(KIND, kind="passive", confirms=False)
 
 
@@ -74,6 +79,8 @@
         self.calls = 0
         self.calls_by_instance = Counter()
         self.refused_instances = set()
+        self.cut_instances = set()
+        self.watch_started = {}
 
     def put(self, name, spec):
         self.revision += 1
@@ -103,8 +110,16 @@
         if self.name in self.store.refused_instances:
             raise SourceError("refused")
 
+    async def _wait(self, seconds, timeout):
+        """Waits for some time, or for a timeout if the instance is cut off from the store."""
+        if self.name in self.store.cut_instances:
+            await asyncio.sleep(timeout)
+            raise SourceError("timeout")
+        await asyncio.sleep(seconds)
+
     async def list(self, kind):
         self._count_call()
+        await self._wait(0.0, CALL_TIMEOUT)
         entries = tuple(StoredEntry(name, spec) for name, spec in self.store.objects.items())
         return self._page(entries, self.store.revision)
 
@@ -114,15 +129,17 @@
             await asyncio.sleep(0.005)
             return None
         epoch = self.store.epoch
-        for _ in range(int(wait / 0.01)):
+        self.store.watch_started[self.name] = wait
+        slack = WATCH_SLACK if wait > CALL_TIMEOUT else CALL_TIMEOUT
+        for number in range(int(wait / 0.01)):
             if self.store.epoch != epoch:
                 raise SourceError("connection reset")
             found = tuple(
                 entry for change_revision, entry in self.store.changes if change_revision > revision
             )
-            if found:
+            if found and self.name not in self.store.cut_instances:
                 return self._page(found, self.store.revision)
-            await asyncio.sleep(0.01)
+            await self._wait(0.01, wait - number * 0.01 + slack)
         return self._page((), revision)
 
     def _page(self, entries, revision):
@@ -147,7 +164,7 @@
 class FeedInstance:
     """One instance with its feed, watcher and runner."""
 
-    def __init__(self, store, name, link_mbps, peers, port, exchange=None, **overrides):
+    def __init__(self, store, name, link_mbps, peers, port, exchange=None, kind=KIND, **overrides):
         self.listener = Listener()
         cfg = FeedSettings(
             kinds=(KIND,),
@@ -170,7 +187,7 @@
         self.feed = KindFeed("servers", self.listener)
         epoch = StoreEpoch()
         client = MemoryStoreClient(store, name, peers, epoch)
-        self.watcher = KindWatcher(client, self.feed, KIND, self.cfg)
+        self.watcher = KindWatcher(client, self.feed, kind, self.cfg)
         local_peer = Peer(name, "127.0.0.1", port, "dc-a", link_mbps)
         feeds, watchers = {"servers": self.feed}, [self.watcher]
         self.runner = FeedRunner(
@@ -616,6 +633,38 @@
         self.assertEqual(follower.listener.objects, {"a": 1, "b": 2})
 
 
+class CutOffRelayTest(VirtualClock, unittest.IsolatedAsyncioTestCase):
+    """Guards against a change that reaches the followers of a cut-off relay too late."""
+
+    IN_FORCE = 3.0
+    """Seconds within which a change reaches every instance that is in touch with the store."""
+
+    async def test_change_right_after_a_watch_of_the_relay_began(self):
+        store, peers = MemoryStore(), []
+        kind = replace(KIND, watch_wait=CONFIG_WATCH_WAIT)
+        defaults = {field.name: getattr(CFG, field.name) for field in fields(CFG)}
+        overrides = {name: defaults[name] for name in defaults.keys() - {"kinds", "host", "port"}}
+        instances = [
+            FeedInstance(store, f"e{n}", 100.0 - n, peers, port, kind=kind, **overrides)
+            for n, port in enumerate(free_ports(5))
+        ]
+        try:
+            await asyncio.sleep(6.0)
+            self.assertEqual([i.watcher.is_healthy for i in instances], [True] + [False] * 4)
+            store.watch_started.clear()
+            while not store.watch_started:
+                await asyncio.sleep(0.001)
+            store.cut_instances.add("e0")
+            store.put("b", 2)
+            await asyncio.sleep(self.IN_FORCE)
+            late = [n for n, i in enumerate(instances[1:], 1) if "b" not in i.listener.objects]
+            self.assertEqual(late, [])
+        finally:
+            for instance in instances:
+                instance.task.cancel()
+            await asyncio.gather(*(i.task for i in instances), return_exceptions=True)
+
+
 class StoreEpochTest(unittest.TestCase):
     def test_only_a_later_epoch_is_a_restore(self):
         """Guards against a restore that is noticed at the start, twice or not at all."""
