--- a/src/sapphireledge/core/answer/answer_digest.py
+++ b/src/sapphireledge/core/answer/answer_digest.py
@@ -13,6 +13,7 @@
 
 _LENGTH_BYTES = 8
 _PERSON = b"answer-digest-1"
+_PERSON_WITH_SOFTWARE = b"answer-digest-2"
 
 
 def _encode_field(text: str) -> bytes:
@@ -43,7 +44,9 @@
 
     def __init__(self, secret: str, request_id: str, version: str, software: str = "") -> None:
         self._hash = hashlib.blake2b(
-            key=_derive_key(secret), digest_size=DIGEST_BYTES, person=_PERSON
+            key=_derive_key(secret),
+            digest_size=DIGEST_BYTES,
+            person=_PERSON_WITH_SOFTWARE if software else _PERSON,
         )
         self._hash.update(_encode_field(request_id) + _encode_field(version))
         if software:
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -246,6 +246,14 @@
                 self.assertEqual(failure.kind, ErrorKind.ANSWER_DIVERGED, digest)
         self.assertIsNone(verify_text("s", "r", ("v",), self.event_id(), "ab").software)
 
+    def test_software_version_is_not_taken_for_text(self):
+        """Guards against a caller that drops the version and hands its encoding back as text."""
+        event = self.event_id(software="X")
+        claimed = EventId(event.offset, event.digest[:24])
+        text = (1).to_bytes(8, "big").decode() + "Xab"
+        failure = verify_text("s", "r", ("v",), claimed, text)
+        self.assertEqual(failure.kind, ErrorKind.ANSWER_DIVERGED)
+
     def test_position_of_another_software_version_is_refused(self):
         named, unnamed, pieces = self.event_id(software="1"), self.event_id(), ("a", "b", "c")
         for event, software in ((named, "1"), (named, None), (unnamed, ""), (unnamed, None)):
