A take-up that asks while the reader of origins pauses is read for

The reader cleared the wish after its pause, and with it those of the meantime. It is cleared before the read now.

--- a/src/sapphireledge/platform/stream_origin_reader.py
+++ b/src/sapphireledge/platform/stream_origin_reader.py
@@ -44,6 +44,8 @@
         """Reads on request until the task is cancelled."""
         while True:
             await self._origins.read_wanted.wait()
+            # A take-up that asks during the read or the pause is read for afterwards.
+            self._origins.read_wanted.clear()
             started = seconds_since_boot()
             try:
                 page = await self._store.list(STREAM_ORIGIN_KIND)
@@ -56,4 +58,3 @@
                 # Later take-ups must still be served.
                 self._log.error(GatewayEvent.INTERNAL_ERROR, kind=STREAM_ORIGIN_KIND, exc_info=exc)
             await asyncio.sleep(MIN_INTERVAL)
-            self._origins.read_wanted.clear()
