--- a/src/sapphireledge/gateway/stream_origins.py
+++ b/src/sapphireledge/gateway/stream_origins.py
@@ -301,10 +301,16 @@
         if attempt_id:
             now = seconds_since_boot()
             digest = digest_attempt(service, attempt_id)
-            for ledger, source in ((self._own, "own"), (self._shared, "shared")):
-                if ledger.contains(now, digest):
-                    origin = ledger.find(now, digest)
-                    return (None, "unknown") if origin is None else (origin.version, source)
+            found = {
+                source: ledger.find(now, digest)
+                for ledger, source in ((self._own, "own"), (self._shared, "shared"))
+                if ledger.contains(now, digest)
+            }
+            if found:
+                # Attempts with the same id may have begun at different versions.
+                origin, *others = set(found.values())
+                is_known = origin is not None and not others
+                return (origin.version, next(iter(found))) if is_known else (None, "unknown")
         version = self.history.only_version(service)
         return version, "unknown" if version is None else "only_version"
 
--- a/tests/test_origin_gaps.py
+++ b/tests/test_origin_gaps.py
@@ -5,10 +5,22 @@
 import asyncio
 import unittest
 
-from origin_fleet import NEW, OLD, OriginFleetCase
+from origin_fleet import NEW, OLD, SERVICE, OriginFleetCase
+
+from sapphireledge.core.origins import Origin, OriginReport, digest_attempt
 
 
 class OriginGapsTest(OriginFleetCase):
+    async def test_attempt_with_origins_in_both_ledgers_has_none(self):
+        """Guards against joined text where two callers use the same id."""
+        a = self.start("a", OLD)
+        await asyncio.sleep(5.0)
+        a.serve(OLD, NEW)
+        a.begin("s1", OLD)
+        report = OriginReport({}, {Origin(SERVICE, NEW): (digest_attempt(SERVICE, "s1"),)})
+        a.origins.on_reports({"other": report}, is_listing=False)
+        self.assertIsNone(a.origins.version_of(SERVICE, "s1"))
+
     async def test_take_up_during_the_pause_after_a_failed_read_is_read_for(self):
         """Guards against a request to read that is dropped while the reader pauses."""
         a = self.start("a", OLD)
