A begun stream that the next engine rejects or fails waits for a retry, too

Callers saw a begun answer cut with more than 20 s left (LOST). Its engine had broken it off, which the instance had a retry for; the next engine rejected it (503, not executed), the second retry was denied, and the instance ended the answer although no engine was lost at that moment.

What counts is the last attempt: unless its engine broke it off, the answer is held until there is a retry, as for an attempt that this instance gave up.

test_stream_that_the_next_engine_rejects_waits_for_a_retry failed before (cut after four of nine events). The test of a break now spends the retry first, as the second half of its case is held now.

--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -117,13 +117,11 @@
             await asyncio.sleep(min(RECONNECT_PAUSE, max(0.0, admitted.deadline - now)))
 
     async def _wait_for_retry(self, admitted: AdmittedRequest, progress: StreamProgress) -> None:
-        """Holds an answer that this instance gave up until there is a retry, if that is in time.
-
-        Its engine did not break it off: without this instance, it might have gone on.
-        """
+        """Holds an answer that its engine did not break off until there is a retry, if that is in
+        time."""
         loop = asyncio.get_running_loop()
         allowance = self._context.retry_allowance(admitted.service.name)
-        while progress.was_given_up:
+        while not progress.was_broken_off:
             now = loop.time()
             retry_at = allowance.next_retry_at(now)
             if retry_at <= now or not progress.permits_attempt(admitted, retry_at):
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -53,8 +53,9 @@
         self.may_have_executed = False
         """Whether an engine may have executed the request."""
 
-        self.was_given_up = False
-        """Whether this instance ended an attempt that its engine may have gone on with."""
+        self.was_broken_off = False
+        """Whether the engine of the last attempt is lost. Otherwise this instance gave the attempt
+        up, or the engine rejected or failed it."""
 
         self.last_reason = "no engine is available"
         """Reason of the last failed attempt."""
@@ -141,11 +142,11 @@
         self.last_reason = outcome.reason
         if outcome.is_withheld:
             return
+        self.was_broken_off = not outcome.is_given_up and outcome.head is None
         self.failed_engines.add(outcome.server.server_id)
         if outcome.kind is OutcomeKind.NOT_EXECUTED:
             return
         self.may_have_executed = True
-        self.was_given_up |= outcome.is_given_up
         if outcome.kind is OutcomeKind.LOST:
             self.lost_centres.add(outcome.server.data_centre)
             # Engines replicate their KV cache only after the first token.
--- a/tests/test_given_up_streams.py
+++ b/tests/test_given_up_streams.py
@@ -1,4 +1,4 @@
-"""Tests of streams whose engine was silent, and that this instance gave up."""
+"""Tests of begun streams that need a retry while the allowance has none."""
 
 from __future__ import annotations
 
@@ -6,13 +6,18 @@
 import unittest
 from dataclasses import replace
 
-from gateway_case import GatewayCase
-from test_gateway_stream import events, refuse, streaming_engine
+from gateway_case import REQUEST_ID, GatewayCase, full_response
+from test_gateway_stream import events, streaming_engine
 from virtual_clock import VirtualClock
 
 
+async def refuse(request, writer):
+    headers = {REQUEST_ID: request.headers[REQUEST_ID], "x-sapphireledge-not-executed": "1"}
+    writer.write(full_response(503, headers, b""))
+
+
 class GivenUpStreamTest(VirtualClock, GatewayCase):
-    """Guards against an answer that ends early because its engine was silent for a while."""
+    """Guards against an answer that this instance cuts although its engine did not break it off."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -42,7 +47,13 @@
         self.assertFalse(response.complete)
         self.assertLess(seconds, 1.0)
 
+    async def test_stream_that_the_next_engine_rejects_waits_for_a_retry(self):
+        response, _ = await self.play("reset", 8000)
+        self.assertEqual((response.body, response.complete), (events(*range(9)), True))
+
     async def test_stream_that_its_engine_broke_off_goes_back_to_its_caller(self):
+        now = asyncio.get_running_loop().time()
+        self.assertTrue(self.gateway.context.retry_allowance("llm").try_spend(now))
         response, seconds = await self.play("reset", 8000)
         self.assertFalse(response.complete)
         self.assertLess(seconds, 1.0)
