A preempted stream that cannot move is not cut because its engine does not list it

The watch took a run that its engine does not list for lost. An engine that is out of memory preempts a run, does not list it meanwhile, and goes on with it later. A stream that could not move, for lack of a retry or of another engine, was cut after three such reports, in 1.6 s.

Without a place to go, such a run is now waited for while its engine reports and has not restarted. Streams that can move still do so at once. No report, a restart and events that do not arrive end a run as before.

--- a/src/sapphireledge/core/liveness/stream_watch.py
+++ b/src/sapphireledge/core/liveness/stream_watch.py
@@ -3,7 +3,8 @@
 Load pattern: while an engine processes the prompts of other requests, all its streams pause for up
 to a second or two. Cutting them makes other engines process the same prompts again, which pauses
 their streams in turn. An engine that runs out of memory preempts a stream for as long as others
-take to end. An engine that is lost without a reset sends no report either.
+take to end, and does not list it meanwhile. An engine that is lost without a reset sends no report
+either.
 """
 
 from __future__ import annotations
@@ -95,7 +96,8 @@
 
         A stream that can move is resumed early, because a caller waits. One that cannot is given up
         only if reports show for some time that the run is lost, and never while its engine lists it
-        and all that it has generated has arrived.
+        and all that it has generated has arrived, or does not list it: that is how a preempted run
+        looks, which goes on later.
 
         Args:
             now: Time in seconds.
@@ -113,7 +115,8 @@
             return self._find_suspicion(sighting, self._limits.max_undelivered) or (
                 self._find_long_silence(now)
             )
-        suspicion = self._find_suspicion(sighting, 0)
+        is_preempted = sighting is not None and sighting.generated is None
+        suspicion = "" if is_preempted else self._find_suspicion(sighting, 0)
         if not suspicion:
             self._suspected_at = None
             return ""
--- a/tests/test_given_up_streams.py
+++ b/tests/test_given_up_streams.py
@@ -6,7 +6,7 @@
 import unittest
 from dataclasses import replace
 
-from gateway_case import REQUEST_ID, GatewayCase, full_response
+from gateway_case import REQUEST_ID, GatewayCase, chunk, full_response, stream_head
 from test_gateway_stream import events, streaming_engine
 from virtual_clock import VirtualClock
 
@@ -59,5 +59,26 @@
         self.assertLess(seconds, 1.0)
 
 
+class PreemptedStreamTest(VirtualClock, GatewayCase):
+    """Guards against cutting a preempted stream because its engine does not list it meanwhile."""
+
+    async def check_whole(self, path):
+        async def preempt(request, writer):
+            writer.write(stream_head(request) + chunk(events(0, 1)))
+            engine.load = {"waiting": 1, "running": 3, "runs": []}
+            await asyncio.sleep(3.8)
+            writer.write(chunk(events(2)) + b"0\r\n\r\n")
+
+        engine = await self.add("llm", preempt)
+        response = await self.call(path, x_sapphireledge_deadline_ms="7000")
+        self.assertEqual((response.body, response.complete), (events(0, 1, 2), True))
+
+    async def test_stream_without_another_engine(self):
+        await self.check_whole("/stream/")
+
+    async def test_stream_that_is_not_resumable(self):
+        await self.check_whole("/non-resumable/")
+
+
 if __name__ == "__main__":
     unittest.main()
