A run that is not listed counts as lost where the engine has no unlisted work

A preempted run waits at its engine, or has its prompt processed again: the report shows requests that wait or are processed beside those it lists. Without any, the run has ended, and the caller would be held until its deadline.

--- a/src/sapphireledge/core/liveness/run_sighting.py
+++ b/src/sapphireledge/core/liveness/run_sighting.py
@@ -16,3 +16,6 @@
 
     restarted: bool = False
     """Whether the report comes from a later start of the engine than the run."""
+
+    may_be_preempted: bool = False
+    """Whether the engine has work that its report does not list, of which the run can be a part."""
--- a/src/sapphireledge/core/liveness/stream_watch.py
+++ b/src/sapphireledge/core/liveness/stream_watch.py
@@ -96,8 +96,8 @@
 
         A stream that can move is resumed early, because a caller waits. One that cannot is given up
         only if reports show for some time that the run is lost, and never while its engine lists it
-        and all that it has generated has arrived, or does not list it: that is how a preempted run
-        looks, which goes on later.
+        and all that it has generated has arrived, or may have preempted it: such a run is not
+        listed until it goes on.
 
         Args:
             now: Time in seconds.
@@ -115,8 +115,9 @@
             return self._find_suspicion(sighting, self._limits.max_undelivered) or (
                 self._find_long_silence(now)
             )
-        is_preempted = sighting is not None and sighting.generated is None
-        suspicion = "" if is_preempted else self._find_suspicion(sighting, 0)
+        is_listed = sighting is None or sighting.generated is not None
+        may_go_on = not is_listed and sighting.may_be_preempted
+        suspicion = "" if may_go_on else self._find_suspicion(sighting, 0)
         if not suspicion:
             self._suspected_at = None
             return ""
--- a/src/sapphireledge/gateway/engine_load.py
+++ b/src/sapphireledge/gateway/engine_load.py
@@ -55,6 +55,14 @@
         generating = sum(1 for generated in self.events.values() if generated)
         return max(0, self.running - generating) if self.lists_runs else 0
 
+    @property
+    def has_unlisted_work(self) -> bool:
+        """Whether requests wait or are processed that the report does not list.
+
+        A preempted run waits like a new request, and its prompt is processed again.
+        """
+        return self.waiting > 0 or self.prefilling > 0
+
     def is_from(self, server: BackendServer) -> bool:
         """Whether the report can be that of an incarnation of an engine.
 
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -291,7 +291,11 @@
             and report.started_at_ms
             and report.started_at_ms != server.started_at_ms
         )
-        return RunSighting(report.events.get(self._admitted.request.request_id), restarted)
+        return RunSighting(
+            report.events.get(self._admitted.request.request_id),
+            restarted,
+            report.has_unlisted_work,
+        )
 
     def _classify_plain(self, server: BackendServer, head: ResponseHead, body: bytes) -> Outcome:
         """Classifies a response that is not a stream; it cannot follow a part of a stream."""
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -92,7 +92,8 @@
 
     @given(st.lists(st.floats(0.01, 20.0), min_size=1, max_size=20))
     def test_preempted_run_that_is_not_listed_is_never_given_up(self, gaps):
-        self.assertIsNone(replay(gaps, lambda now, events: RunSighting(None), can_move=False))
+        preempted = RunSighting(None, may_be_preempted=True)
+        self.assertIsNone(replay(gaps, lambda now, events: preempted, can_move=False))
 
     @given(st.lists(st.floats(0.5, 20.0), min_size=1, max_size=20), st.integers(0, 3))
     def test_late_and_missing_reports_do_not_end_a_listed_run(self, gaps, phase):
@@ -117,6 +118,7 @@
     def test_lost_run_is_given_up_in_time(self):
         sights = {
             "no report": lambda now, events: None,
+            "not listed": lambda now, events: RunSighting(None),
             "many events do not arrive": lambda now, events: RunSighting(events + 99),
             "one event does not arrive": lambda now, events: RunSighting(events + 1),
             "restarted": lambda now, events: RunSighting(events, True),
