--- a/src/sapphireledge/gateway/stream_forwarder.py
+++ b/src/sapphireledge/gateway/stream_forwarder.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.caller_connection import CallerConnection
+    from sapphireledge.gateway.engine_selection import EngineSelection
     from sapphireledge.gateway.gateway_context import GatewayContext
     from sapphireledge.gateway.outcome import Outcome
 
@@ -82,14 +83,12 @@
             if not self._try_begin_attempt(admitted, progress):
                 return await self._fail_request(conn, progress, failed_outcome)
             avoided = self._context.crashes.avoided_servers(verdict)
-            selection = await self._selector.select(admitted, progress, avoided)
+            selection = await self._select(admitted, progress, avoided)
             if isinstance(selection, RefuseStream):
                 self._context.telemetry.record_stream_refusal(selection.reason)
                 return refuse_overload(selection)
             if selection is None:
                 return await self._fail_unplaced(conn, admitted, progress, failed_outcome)
-            if not await self._continuation.is_unchanged(progress, selection):
-                continue
             # Engines may have died of the same content while the stream waited for an engine.
             verdict = await self._judge(admitted, progress)
             if isinstance(verdict, Failure):
@@ -114,6 +113,17 @@
                 return await self._fail_request(conn, progress, failed_outcome)
             await self._pause_before_reconnect(admitted, progress)
 
+    async def _select(
+        self, admitted: AdmittedRequest, progress: StreamProgress, avoided: frozenset[str]
+    ) -> EngineSelection | RefuseStream | None:
+        """Selects engines of which the one that runs the stream has not restarted meanwhile."""
+        while True:
+            selection = await self._selector.select(admitted, progress, avoided)
+            if selection is None or isinstance(selection, RefuseStream):
+                return selection
+            if await self._continuation.is_unchanged(progress, selection):
+                return selection
+
     async def _pause_before_reconnect(
         self, admitted: AdmittedRequest, progress: StreamProgress
     ) -> None:
--- a/tests/test_take_up_versions.py
+++ b/tests/test_take_up_versions.py
@@ -206,6 +206,28 @@
         server.load["born"] = 2000
         return server
 
+    async def fetch_late(server, timeout):
+            report = await fetch(server, timeout)
+            self.put(engine, version="v1", started_at_ms=2000)
+            return report
+
+        client.fetch_report = fetch_late
+        response = await self.take_up()
+        self.assertIsNotNone(self.registry.state(engine.server_id))
+        self.assert_whole(response, first=2)
+
+    async def test_checked_engine_earns_one_retry_share(self):
+        """Guards against a request that is credited to the allowance with each selection."""
+        holder = await self.add_engine("v2")
+        self.put(holder, version="v1", started_at_ms=1000)
+        holder.load["born"] = 2000
+        holder.cached_parts = ["p2"]
+        await self.add_engine("v1", data_centre="dc-b")
+        parts = {"x-sapphireledge-prefix-hash": "p1:10,p2:20"}
+        self.assert_whole(await self.take_up(**parts), first=2)
+        allowance = self.gateway.context.retry_allowance("llm")
+        self.assertAlmostEqual(allowance._earned, self.gateway.cfg.retry_ratio)
+
     async def test_only_engine_of_the_version_has_restarted(self):
         await self.add_restarted()
         response = await self.take_up()
