The check of an engine's restart does not remove the entry of its new incarnation

Take-ups were refused although the engine served. Only an entry of the checked incarnation is removed now. The new test failed before (entry gone).

--- a/src/sapphireledge/gateway/stream_continuation.py
+++ b/src/sapphireledge/gateway/stream_continuation.py
@@ -92,8 +92,11 @@
         report = await context.report_client.fetch_report(server, REPORT_TIMEOUT)
         if report is None or report.is_from(server):
             return True
-        context.registry.remove(server.server_id)
-        context.pool.drop(server.server_id)
+        state = context.registry.state(server.server_id)
+        if state is not None and not state.server.is_restart_of(server):
+            # Otherwise the entry of the other incarnation has arrived meanwhile.
+            context.registry.remove(server.server_id)
+            context.pool.drop(server.server_id)
         return False
 
     def refuse_gone(self, admitted: AdmittedRequest, progress: StreamProgress) -> Failure | None:
--- a/tests/test_take_up_versions.py
+++ b/tests/test_take_up_versions.py
@@ -206,7 +206,15 @@
         server.load["born"] = 2000
         return server
 
-    async def fetch_late(server, timeout):
+    async def test_new_entry_that_arrives_during_the_check_is_kept(self):
+        """Guards against the removal of an entry that has replaced the checked one."""
+        engine = await self.add_engine("v1")
+        self.put(engine, version="v1", started_at_ms=1000)
+        engine.load["born"] = 2000
+        client = self.gateway.context.report_client
+        fetch = client.fetch_report
+
+        async def fetch_late(server, timeout):
             report = await fetch(server, timeout)
             self.put(engine, version="v1", started_at_ms=2000)
             return report
