--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -185,7 +185,9 @@
         started = asyncio.get_running_loop().time()
         await self.config.wait_for_table(self.cfg.start_wait)
         admitted = self.admit(
-            request, lambda table: table.keys.get(request.key), self._draw_service
+            request,
+            lambda table: table.keys.get(request.key),
+            partial(self._draw_service, request.resumes),
         )
         if isinstance(admitted, Failure):
             return await self._refuse(conn, request, admitted, started)
@@ -279,11 +281,19 @@
         workspace = "" if workspace_key is None else workspace_key.workspace
         return AdmittedRequest(request, route, service, workspace, rank, table.version)
 
-    def _draw_service(self, route: Route) -> str:
-        """Draws the service of a request by the weights of its route."""
+    def _draw_service(self, resumes: str, route: Route) -> str:
+        """Draws the service of a request by the weights of its route.
+
+        A stream that its caller takes up stays at the service that began it, if that is known.
+        """
         names = [name for name, _ in route.services]
-        weights = [weight for _, weight in route.services]
-        return names[0] if len(names) == 1 else self._rng.choices(names, weights)[0]
+        if len(names) == 1:
+            return names[0]
+        origins = self.context.origins
+        for name in names:
+            if origins.is_recorded(name, resumes):
+                return name
+        return self._rng.choices(names, [weight for _, weight in route.services])[0]
 
     def _would_be_cut_off(self, request: CallerRequest, route: Route) -> bool:
         """Whether a graceful shutdown may end before a request of the route completes."""
--- a/src/sapphireledge/gateway/stream_origins.py
+++ b/src/sapphireledge/gateway/stream_origins.py
@@ -112,6 +112,21 @@
         if self._own.record(now, digest, origin, now + lifetime) and service in self._mixed:
             self.news.set()
 
+    def is_recorded(self, service: str, attempt_id: str) -> bool:
+        """Checks whether an attempt is known to have begun a stream of a service.
+
+        Args:
+            service: Name of the service.
+            attempt_id: Id of the attempt that a take-up names, empty if it names none.
+
+        Returns:
+            Whether it is.
+        """
+        now, digest = seconds_since_boot(), digest_attempt(service, attempt_id)
+        return bool(attempt_id) and any(
+            ledger.contains(now, digest) for ledger in (self._own, self._shared)
+        )
+
     def version_of(self, service: str, attempt_id: str) -> str | None:
         """Returns the version that began a stream.
 
--- a/tests/test_take_up_versions.py
+++ b/tests/test_take_up_versions.py
@@ -4,16 +4,19 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
-from gateway_case import HOST, REQUEST_ID, full_response
+from gateway_case import HOST, REQUEST_ID, STREAM_ROUTE, full_response, table
 from versioned_engines import VersionedCase
 
 from sapphireledge.core.backpressure import ServerSignals
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.gateway import (
+    BackendServer,
     Gateway,
     GatewayMetrics,
     RequestTelemetry,
+    ServiceProfile,
     seconds_since_boot,
 )
 from sapphireledge.gateway.stream_continuation import RETRY_AFTER
@@ -36,6 +39,9 @@
         self.known[(service, attempt_id)] = version
         self.lifetimes[attempt_id] = lifetime
 
+    def is_recorded(self, service, attempt_id):
+        return (service, attempt_id) in self.known
+
     def version_of(self, service, attempt_id):
         return self.known.get((service, attempt_id))
 
@@ -193,6 +199,31 @@
         self.assertGreaterEqual(asyncio.get_running_loop().time() - now, 0.8)
 
 
+class SplitRouteTest(TakeUpCase):
+    async def test_take_up_on_a_split_route_stays_at_the_service_that_began_it(self):
+        """Guards against take-ups that the draw of the service sends to another one."""
+        services = (("llm", 0.5), ("other", 0.5))
+        route = replace(STREAM_ROUTE, services=services)
+        before = table(2)
+        routes = tuple(
+            route if known.name == route.name else known for known in before.routes["svc.example"]
+        )
+        profiles = {**before.services, "other": ServiceProfile("other", can_replicate=True)}
+        self.gateway.config.accept(
+            replace(before, routes={"svc.example": routes}, services=profiles)
+        )
+        for version in ("v1", "v1", "v2", "v2"):
+            await self.add_engine(version)
+        for version in ("v1", "v2"):
+            server = await self.add("other", self.servers[0].handle)
+            self.registry.put(
+                BackendServer(server.server_id, "other", HOST, server.port, "dc-a", version=version)
+            )
+        self.origins.known[("llm", "id1")] = "v1"
+        statuses = [(await self.take_up()).status for _ in range(20)]
+        self.assertEqual(statuses.count(200), 20, statuses)
+
+
 class RestartedEngineTest(TakeUpCase):
     """Guards against an engine that restarted with other software while its entry is old."""
 
