A take-up at an instance that has just started waits for its servers

A take-up whose version is known waits for the first listing, at most 0.5 s. The new test failed before (503).

--- a/src/sapphireledge/gateway/stream_continuation.py
+++ b/src/sapphireledge/gateway/stream_continuation.py
@@ -26,6 +26,13 @@
 """Seconds after the caller's deadline for which the origin of a stream is kept; the attempts of one
 caller do not state quite the same deadline."""
 
+SERVERS_WAIT = 0.5
+"""Longest time in seconds for which a take-up waits for the first listing of servers. After a loss
+of power of all instances, callers may return before it."""
+
+SERVERS_POLL_INTERVAL = 0.02
+"""Seconds between two looks for it."""
+
 
 class StreamContinuation:
     """Finds the version at which a stream goes on, and records that of new streams."""
@@ -50,6 +57,8 @@
         time_left = max(0.0, admitted.deadline - started)
         origin = await context.origins.find(service, admitted.request.resumes, time_left)
         rule = None if origin is None else context.rollouts.continuation(service, origin)
+        if rule is not None:
+            await self._wait_for_servers(min(SERVERS_WAIT, time_left))
         servers = count_versions(context, service)
         decision = decide_take_up(rule, servers)
         waited = asyncio.get_running_loop().time() - started
@@ -58,6 +67,13 @@
         progress.version = origin
         return explain_refusal(decision, origin)
 
+    async def _wait_for_servers(self, timeout: float) -> None:
+        """Waits until an instance that has just started knows any servers, or the time is over."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + timeout
+        while not len(self._context.registry) and loop.time() < give_up_at:
+            await asyncio.sleep(SERVERS_POLL_INTERVAL)
+
     def on_begun(self, admitted: AdmittedRequest, version: str) -> None:
         """Records the version that delivers the first event of a stream.
 
--- a/tests/test_take_up_versions.py
+++ b/tests/test_take_up_versions.py
@@ -199,6 +199,17 @@
         self.assertGreaterEqual(asyncio.get_running_loop().time() - now, 0.8)
 
 
+class StartedInstanceTest(TakeUpCase):
+    async def test_take_up_waits_for_the_first_listing_of_servers(self):
+        """Guards against a version that counts as gone before any server is known."""
+        self.origins.known[("llm", "id1")] = "v1"
+        await self.add_engine("v1")
+        (server,) = list(self.registry.list_servers("llm"))
+        self.registry.remove(server.server_id)
+        asyncio.get_running_loop().call_later(0.1, self.registry.put, server)
+        self.assert_whole(await self.take_up(), first=2)
+
+
 class SplitRouteTest(TakeUpCase):
     async def test_take_up_on_a_split_route_stays_at_the_service_that_began_it(self):
         """Guards against take-ups that the draw of the service sends to another one."""
