A stream that was given up still waits for a retry after an engine that cannot be reached

With no retry left, the begun answer was cut. Such an attempt changes nothing now. The new test failed before (True is not false).

--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -179,12 +180,12 @@
         The lost relay may have passed on unchanged objects for most of the time within which a
         configuration must be in force.
         """
-        loop = asyncio.get_running_loop()
         cfg = self._cfg
-        give_up_at = loop.time() + cfg.low_precedence_takeover_delay - cfg.takeover_delay
-        while not await self._find_relay(SUCCESSORS) and loop.time() < give_up_at:
-            await asyncio.sleep(cfg.successor_interval * self._rng.uniform(0.5, 1.0))
-            self._relays.end_cooldowns(lost)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(cfg.low_precedence_takeover_delay - cfg.takeover_delay):
+                while not await self._find_relay(SUCCESSORS):
+                    await asyncio.sleep(cfg.successor_interval * self._rng.uniform(0.5, 1.0))
+                    self._relays.end_cooldowns(lost)
 
     async def _search_at_start(self) -> bool:
         """Searches for a relay before the store is read; returns whether one was found.
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -145,7 +145,9 @@
         self.last_reason = outcome.reason
         if outcome.is_withheld:
             return
-        self.was_broken_off = not outcome.is_given_up and outcome.head is None
+        if outcome.kind is not OutcomeKind.NOT_EXECUTED or outcome.head is not None:
+            # An engine that could not be reached has not broken the stream off.
+            self.was_broken_off = not outcome.is_given_up and outcome.head is None
         self.failed_engines.add(outcome.server.server_id)
         if outcome.kind is OutcomeKind.NOT_EXECUTED:
             return
--- a/tests/test_given_up_streams.py
+++ b/tests/test_given_up_streams.py
@@ -10,6 +10,10 @@
 from test_gateway_stream import events, streaming_engine
 from virtual_clock import VirtualClock
 
+from sapphireledge.gateway import BackendServer
+from sapphireledge.gateway.outcome import Outcome, OutcomeKind
+from sapphireledge.gateway.stream_progress import StreamProgress
+
 
 async def refuse(request, writer):
     headers = {REQUEST_ID: request.headers[REQUEST_ID], "x-sapphireledge-not-executed": "1"}
@@ -59,6 +63,20 @@
         self.assertLess(seconds, 1.0)
 
 
+class UnreachableEngineTest(unittest.TestCase):
+    def test_given_up_stream_that_finds_an_unreachable_engine_still_waits(self):
+        """Guards against an answer that is cut although no engine has broken it off."""
+        first = BackendServer("s1", "llm", "10.0.0.1", 80, "dc-a")
+        second = replace(first, server_id="s2")
+        progress = StreamProgress(None)
+        progress.on_outcome(Outcome(OutcomeKind.LOST, first, "silent", is_given_up=True))
+        progress.on_outcome(Outcome(OutcomeKind.NOT_EXECUTED, second, "cannot connect"))
+        self.assertFalse(progress.was_broken_off)
+        progress.on_outcome(Outcome(OutcomeKind.LOST, second, "reset"))
+        progress.on_outcome(Outcome(OutcomeKind.NOT_EXECUTED, first, "cannot connect"))
+        self.assertTrue(progress.was_broken_off)
+
+
 class PreemptedStreamTest(VirtualClock, GatewayCase):
     """Guards against cutting a preempted stream because its engine does not list it meanwhile."""
 
