--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -290,10 +290,11 @@
         if len(names) == 1:
             return names[0]
         origins = self.context.origins
-        for name in names:
-            if origins.is_recorded(name, resumes):
+        weights = [weight for _, weight in route.services]
+        for name, weight in route.services:
+            if weight > 0.0 and origins.is_recorded(name, resumes):
                 return name
-        return self._rng.choices(names, [weight for _, weight in route.services])[0]
+        return self._rng.choices(names, weights)[0]
 
     def _would_be_cut_off(self, request: CallerRequest, route: Route) -> bool:
         """Whether a graceful shutdown may end before a request of the route completes."""
--- a/tests/test_take_up_versions.py
+++ b/tests/test_take_up_versions.py
@@ -234,6 +234,20 @@
         statuses = [(await self.take_up()).status for _ in range(20)]
         self.assertEqual(statuses.count(200), 20, statuses)
 
+    async def test_take_up_does_not_go_to_a_service_without_a_share(self):
+        """Guards against a take-up that keeps a service which a new configuration has left."""
+        services = (("llm", 0.0), ("other", 1.0))
+        route = replace(STREAM_ROUTE, services=services)
+        before = table(2)
+        profiles = {**before.services, "other": ServiceProfile("other")}
+        self.gateway.config.accept(
+            replace(before, routes={"svc.example": (route,)}, services=profiles)
+        )
+        await self.add_engine("v1")
+        self.origins.known[("llm", "id1")] = "v1"
+        await self.take_up()
+        self.assertEqual(self.places(), [])
+
 
 class RestartedEngineTest(TakeUpCase):
     """Guards against an engine that restarted with other software while its entry is old."""
