A preempted stream keeps its engine if its last attempt could be rejected elsewhere

A run that its engine did not list was given up, the next engine rejected the stream for lack of room, and no attempt was left: a begun answer was cut with 16 and 17 s left. A preempted run goes on by itself, so its stream moves only if two attempts are left.

The new test failed before (cut after two of three events).

--- a/src/sapphireledge/core/liveness/run_sighting.py
+++ b/src/sapphireledge/core/liveness/run_sighting.py
@@ -19,3 +19,8 @@
 
     may_be_preempted: bool = False
     """Whether the engine has work that its report does not list, of which the run can be a part."""
+
+    @property
+    def looks_preempted(self) -> bool:
+        """Whether the run is not listed and may go on by itself."""
+        return self.generated is None and self.may_be_preempted
--- a/src/sapphireledge/core/liveness/stream_watch.py
+++ b/src/sapphireledge/core/liveness/stream_watch.py
@@ -115,8 +115,7 @@
             return self._find_suspicion(sighting, self._limits.max_undelivered) or (
                 self._find_long_silence(now)
             )
-        is_listed = sighting is None or sighting.generated is not None
-        may_go_on = not is_listed and sighting.may_be_preempted
+        may_go_on = sighting is not None and sighting.looks_preempted
         suspicion = "" if may_go_on else self._find_suspicion(sighting, 0)
         if not suspicion:
             self._suspected_at = None
--- a/src/sapphireledge/gateway/stream_attempt.py
+++ b/src/sapphireledge/gateway/stream_attempt.py
@@ -257,7 +257,11 @@
         """Fetches the engine's report; raises BackendResponseError if the run is lost."""
         sighting = await self._sight_run(server, watch.report_timeout)
         now = asyncio.get_running_loop().time()
-        loss = watch.find_loss(now, sighting, can_move=self._can_move(now, server))
+        can_move = self._can_move(now, server)
+        if sighting is not None and sighting.looks_preempted:
+            # The next engine may reject the stream, which would go on by itself here.
+            can_move &= self._progress.attempts_left(self._admitted) > 1
+        loss = watch.find_loss(now, sighting, can_move=can_move)
         if loss:
             restarted = sighting is not None and sighting.restarted
             raise BackendResponseError(loss, silent=sighting is None, is_given_up=not restarted)
--- a/src/sapphireledge/gateway/stream_progress.py
+++ b/src/sapphireledge/gateway/stream_progress.py
@@ -86,10 +86,18 @@
         Returns:
             Whether the request may be sent to one more engine.
         """
-        return (
-            len(self.contacted) < admitted.route.max_attempts
-            and admitted.deadline - now >= MIN_ATTEMPT_TIME
-        )
+        return self.attempts_left(admitted) > 0 and admitted.deadline - now >= MIN_ATTEMPT_TIME
+
+    def attempts_left(self, admitted: AdmittedRequest) -> int:
+        """Computes to how many further engines the route permits to send the request.
+
+        Args:
+            admitted: The request.
+
+        Returns:
+            Their number.
+        """
+        return admitted.route.max_attempts - len(self.contacted)
 
     def on_attempt(self, selection: EngineSelection) -> None:
         """Records the start of an attempt.
--- a/tests/test_given_up_streams.py
+++ b/tests/test_given_up_streams.py
@@ -6,7 +6,15 @@
 import unittest
 from dataclasses import replace
 
-from gateway_case import REQUEST_ID, GatewayCase, chunk, full_response, stream_head
+from gateway_case import (
+    REQUEST_ID,
+    STREAM_ROUTE,
+    GatewayCase,
+    chunk,
+    full_response,
+    stream_head,
+    table,
+)
 from test_gateway_stream import events, streaming_engine
 from virtual_clock import VirtualClock
 
@@ -97,6 +105,12 @@
     async def test_stream_that_is_not_resumable(self):
         await self.check_whole("/non-resumable/")
 
+    async def test_stream_whose_last_attempt_another_engine_might_reject(self):
+        route = replace(STREAM_ROUTE, max_attempts=2)
+        self.gateway.config.accept(replace(table(2), routes={"svc.example": (route,)}))
+        await self.add("llm", refuse, "dc-b")
+        await self.check_whole("/stream/")
+
 
 if __name__ == "__main__":
     unittest.main()
