--- a/tests/test_given_up_streams.py
+++ b/tests/test_given_up_streams.py
@@ -112,5 +112,20 @@
         await self.check_whole("/stream/")
 
 
+class SilentEngineTest(GatewayCase):
+    """Guards against a begun answer that is cut although its engine goes on with it."""
+
+    async def test_engine_without_reports_for_a_while(self):
+        async def serve(request, writer):
+            writer.write(stream_head(request) + chunk(events(0)))
+            await writer.drain()
+            server.load = []
+            await asyncio.sleep(2.6)
+            writer.write(chunk(events(1, 2)) + b"0\r\n\r\n")
+
+        server = await self.add("llm", serve)
+        self.assertTrue((await self.call("/non-resumable/x")).complete)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_origin_gaps.py
+++ b/tests/test_origin_gaps.py
@@ -8,6 +8,7 @@
 from origin_fleet import NEW, OLD, SERVICE, OriginFleetCase
 
 from sapphireledge.core.origins import Origin, OriginReport, digest_attempt
+from sapphireledge.gateway.version_history import MIN_RETENTION
 
 
 class OriginGapsTest(OriginFleetCase):
@@ -69,6 +70,35 @@
         await asyncio.sleep(0.4)
         self.assertEqual(await b.find("s1"), OLD)
 
+    async def test_instance_that_returns_late_goes_on_with_streams_of_the_only_version(self):
+        """Guards against a minute of refusals after each restart long after a roll-out."""
+        a, b = self.start("a", OLD), self.start("b", OLD)
+        await asyncio.sleep(5.0)
+        self.serve(OLD, NEW)
+        b.begin("s1", OLD)
+        await asyncio.sleep(1.0)
+        await self.power_off("b")
+        a.serve(NEW)
+        await asyncio.sleep(10 * MIN_RETENTION)
+        b = self.start("b", NEW)
+        await asyncio.sleep(2.0)
+        a.begin("s2", NEW)
+        await asyncio.sleep(2.0)
+        self.assertEqual(await a.find("s2"), NEW)
+        self.assertEqual(await b.find("s2"), NEW)
+
+    async def test_stream_that_began_before_a_second_version_is_known_after_a_crash(self):
+        """Guards against refused take-ups when an instance dies just before a roll-out."""
+        a, b = self.start("a", OLD), self.start("b", OLD)
+        await asyncio.sleep(20.0)
+        a.begin("s1", OLD)
+        await asyncio.sleep(1.0)
+        await self.power_off("a")
+        await asyncio.sleep(1.0)
+        b.serve(OLD, NEW)
+        await asyncio.sleep(1.0)
+        self.assertEqual(await b.find("s1"), OLD)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_take_up_versions.py
+++ b/tests/test_take_up_versions.py
@@ -292,6 +292,14 @@
         allowance = self.gateway.context.retry_allowance("llm")
         self.assertAlmostEqual(allowance._earned, self.gateway.cfg.retry_ratio)
 
+    async def test_new_stream_at_a_restarted_engine_is_not_recorded_with_the_old_version(self):
+        """Guards against a take-up at the version of an entry that was out of date."""
+        engine = await self.add_engine("v2")
+        self.put(engine, version="v1", started_at_ms=1000)
+        engine.load["born"] = 2000
+        await self.call("/stream/x")
+        self.assertNotIn("v1", self.origins.known.values())
+
     async def test_only_engine_of_the_version_has_restarted(self):
         await self.add_restarted()
         response = await self.take_up()
