An instance bounds the age of a configuration that its relay passes on

Cause: only the relay bounded the age. Its followers trusted it as long as it replied (up to 2.55 s while it is cut off itself), then searched for a successor (0.8 s) among instances that may be cut off or silent, too (1.0 s). Each step has a timeout, nothing bounds the sum.

Ruled out, by reading only: an admitted request that decides by an old table, an early empty response. That this caused the report is suspected.

Change: 2.2 to 2.5 s after the last confirmation an instance reads the kind from the store itself, and leaves a relay that is behind. New log line and counter.

--- a/src/sapphireledge/feed/__init__.py
+++ b/src/sapphireledge/feed/__init__.py
@@ -4,6 +4,7 @@
 
 from sapphireledge.feed.feed_runner import FeedRunner
 from sapphireledge.feed.feed_settings import FeedSettings, KindSettings
+from sapphireledge.feed.freshness_check import FreshnessCheck
 from sapphireledge.feed.kind_activity import KindActivity
 from sapphireledge.feed.kind_feed import KindFeed
 from sapphireledge.feed.kind_listener import KindListener
@@ -22,6 +23,7 @@
 __all__ = [
     "FeedRunner",
     "FeedSettings",
+    "FreshnessCheck",
     "KindActivity",
     "KindFeed",
     "KindListener",
--- a/src/sapphireledge/feed/feed_follower.py
+++ b/src/sapphireledge/feed/feed_follower.py
@@ -67,6 +67,19 @@
         self.has_reply = False
         """Whether the current relay sent a reply, also if it does not read the store."""
 
+        self._writer: asyncio.StreamWriter | None = None
+        self._leave_reason = ""
+
+    def leave(self, reason: str) -> None:
+        """Disconnects from the current relay, if there is one.
+
+        Args:
+            reason: Reason that `follow` returns.
+        """
+        if self._writer is not None:
+            self._leave_reason = reason
+            self._writer.transport.abort()
+
     async def follow(self, peer: Peer, *, once: bool = False) -> str:
         """Follows a relay until it fails.
 
@@ -84,17 +97,19 @@
                 reader, writer = await asyncio.open_connection(peer.host, peer.port)
         except (OSError, TimeoutError) as exc:
             return f"cannot connect: {exc!r}"
+        self._writer, self._leave_reason = writer, ""
         try:
             while True:
                 await self._poll(reader, writer, at_once=not self.reply_count)
                 if once:
                     return ""
         except SourceError as exc:
-            return str(exc)
+            return self._leave_reason or str(exc)
         except Exception as exc:
             structlog.get_logger().error(GatewayEvent.INTERNAL_ERROR, relay=peer.name, exc_info=exc)
             return repr(exc)
         finally:
+            self._writer = None
             writer.transport.abort()
 
     async def _poll(
--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -21,6 +21,7 @@
     from collections.abc import Mapping, Sequence
 
     from sapphireledge.feed.feed_settings import FeedSettings
+    from sapphireledge.feed.freshness_check import FreshnessCheck
     from sapphireledge.feed.kind_feed import KindFeed
     from sapphireledge.feed.kind_watcher import KindWatcher
     from sapphireledge.feed.peer import Peer
@@ -77,6 +78,7 @@
         epoch: StoreEpoch,
         ledger: CallerLedger | None = None,
         exchange: LoadExchange | None = None,
+        checks: Sequence[FreshnessCheck] = (),
     ) -> None:
         """Creates the runner.
 
@@ -89,8 +91,14 @@
             epoch: Notices that the store came back from an older copy.
             ledger: Limits on the connections of followers; those of a small machine by default.
             exchange: Load that the instances share, None to share none.
+            checks: Bounds on the age of the kinds that must be up to date.
         """
         self._cfg = cfg
+        self._checks = checks
+        for check in checks:
+            check.is_needed = lambda: not self._is_reading
+            check.on_behind = self._leave_relay
+        self._is_reading = False
         self._local_peer = local_peer
         self._watchers = watchers
         self._directory = directory
@@ -122,7 +130,8 @@
     async def run(self) -> None:
         """Keeps the feeds up to date until the task is cancelled."""
         server = await self._server.listen()
-        directory = asyncio.create_task(self._poll_directory())
+        parts = [asyncio.create_task(check.run()) for check in self._checks]
+        parts.append(asyncio.create_task(self._poll_directory()))
         try:
             if not await self._search_at_start():
                 await self._run_watchers()
@@ -133,7 +142,8 @@
                 else:
                     await self._follow(peer)
         finally:
-            directory.cancel()
+            for part in parts:
+                part.cancel()
             server.close()
 
     def list_alive(self) -> frozenset[str]:
@@ -158,6 +168,11 @@
         """Whether the last call succeeded for each kind that followers must have."""
         return all(watcher.is_healthy or watcher.is_optional for watcher in self._watchers)
 
+    def _leave_relay(self) -> None:
+        """Leaves a relay that is behind the store, which serves this instance."""
+        if self._relay:
+            self._follower.leave("the relay is behind the store")
+
     async def _follow(self, peer: Peer) -> None:
         """Follows an instance until it fails."""
         self._relay = peer.name
@@ -227,11 +242,13 @@
         start_delay = self._cfg.start_pause if has_low_precedence else 0.0
         tasks = [asyncio.create_task(watcher.run(start_delay)) for watcher in self._watchers]
         self._relays.end_search()
+        self._is_reading = True
         try:
             await self._wait_for_recheck()
             while not await self._find_relay():
                 await self._wait_for_recheck()
         finally:
+            self._is_reading = False
             for task in tasks:
                 task.cancel()
 
--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -73,6 +73,14 @@
     passive_retry_interval: float = 6.0
     """Maximum retry delay for a kind whose calls wait until the store answers those of others."""
 
+    max_relayed_age: float = 2.2
+    """Age of objects from a relay, for kinds that `confirms`, from which this instance reads the
+    store itself. A relay confirms them every 1.5 s, a new one 1.6 s after its first listing; a
+    configuration must be in force within 3 s."""
+
+    freshness_spread: float = 0.3
+    """Longest random delay of such a call, as all followers of a relay make it."""
+
     retry_base: float = 0.1
     """First retry delay after a failed call."""
 
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -34,6 +34,9 @@
     PAGE_DROPPED = "store_page_dropped"
     """A listing or changes are older than the objects of their kind and were not applied."""
 
+    OBJECTS_OVERDUE = "objects_overdue"
+    """A relay has not confirmed the objects of a kind in time, and the store was read instead."""
+
     STORE_RESTORED = "store_restored"
     """The store came back from an older copy; all objects are listed and written again."""
 
--- a/src/sapphireledge/gateway/gateway_metrics.py
+++ b/src/sapphireledge/gateway/gateway_metrics.py
@@ -147,6 +147,14 @@
         )
         """Calls to the platform's store, by kind and result."""
 
+        self.freshness_checks = Counter(
+            "sapphireledge_freshness_checks",
+            "Calls to the store because a relay had not confirmed objects, by kind and result.",
+            ["kind", "result"],
+            registry=self._registry,
+        )
+        """Calls to the store because a relay had not confirmed objects, by kind and result."""
+
         self.server_deaths = Counter(
             "sapphireledge_server_deaths",
             "Deaths of backend servers under requests of this instance, by stage of the requests.",
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -4,7 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from sapphireledge.feed import FeedRunner, KindActivity, KindFeed, KindWatcher, StorePresence
+from sapphireledge.feed import (
+    FeedRunner,
+    FreshnessCheck,
+    KindActivity,
+    KindFeed,
+    KindWatcher,
+    StorePresence,
+)
 from sapphireledge.limits import CallerLedger
 from sapphireledge.platform.config_listener import CONFIG_KIND, ConfigListener
 from sapphireledge.platform.crash_report_listener import CrashReportListener
@@ -85,7 +92,19 @@
     directory = create_store_client(cfg, metrics, epoch)
     ledger = CallerLedger(cfg.gateway.callers.followers, gateway.telemetry.record_caller_limit)
     exchange = gateway.context.load_exchange
-    runner = FeedRunner(cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger, exchange)
+    checks = [
+        FreshnessCheck(
+            create_store_client(cfg, metrics, epoch, has_records=kind_cfg.has_records),
+            feeds[kind_cfg.kind],
+            cfg.feed,
+            lambda kind, result: metrics.freshness_checks.labels(kind, result).inc(),
+        )
+        for kind_cfg in cfg.feed.kinds
+        if kind_cfg.confirms and kind_cfg.kind not in activities
+    ]
+    runner = FeedRunner(
+        cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger, exchange, checks
+    )
     rollouts.list_alive = runner.list_alive
     rollouts.list_announced = lambda: runner.announced
     return runner
