An instance that reaches the store again reads it before it counts as in touch

What callers could see: an old configuration at an instance whose cut from the store had healed 4 s ago (stable_window_ms), while the instances that precede it are still cut off.

Cause: instances of low precedence waited up to 6 s between two failed calls of their own, because a preceding one usually succeeds first.

Change: the longest such delay is 3 s; with a call that is lost it stays below 4 s. In a long outage these instances call up to twice as often.

CutOffRelayTest.test_only_the_last_instance_reaches_the_store_again failed before ('b' not found), passes now; test_store_that_is_away_is_called_rarely and FeedTest pass.

--- a/src/sapphireledge/feed/feed_settings.py
+++ b/src/sapphireledge/feed/feed_settings.py
@@ -109,9 +109,10 @@
     low_precedence_retry_base: float = 2.5
     """First retry delay of an instance of low precedence."""
 
-    low_precedence_retry_cap: float = 6.0
-    """Maximum retry delay of an instance of low precedence. It reads the store only if the store
-    refuses the preceding instances but serves this one."""
+    low_precedence_retry_cap: float = 3.0
+    """Maximum retry delay of an instance of low precedence, which reads the store itself while the
+    preceding instances cannot. With a call that is lost, it stays below the 4 s after which an
+    instance that reaches the store again must be up to date."""
 
     backup_recheck_interval: float = 0.5
     """Interval at which a backup searches for a relay while its own calls fail."""
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -708,6 +708,19 @@
         self.instances[0].watcher._call_store = partial(asyncio.sleep, 60.0)
         await self.assert_change_arrives(first=1)
 
+    async def test_only_the_last_instance_reaches_the_store_again(self):
+        """Its cut counts as over 4 s after it has healed."""
+        await self.start(6)
+        self.store.cut_instances |= {f"e{n}" for n in range(6)}
+        self.store.put("b", 2)
+        for instance in self.instances:
+            # The longest delay that the jitter allows.
+            instance.watcher._rng.uniform = lambda low, high: high
+        await asyncio.sleep(14.0)
+        self.store.cut_instances.remove("e5")
+        await asyncio.sleep(4.0)
+        self.assertIn("b", self.instances[5].listener.objects)
+
     async def test_relay_that_is_well_causes_no_calls_of_others(self):
         await self.start(5)
         self.store.calls_by_instance.clear()
