An instance that reaches no backend server forwards through another instance

What callers saw: at instances partitioned from all backend servers about a quarter of first tries were served, the others ended in 503 or 502 (RECOVER).

Cause: an instance judged each server for itself and never itself. It stayed ready while it reached no server, and had no way around the partition.

Change: failures at two servers start probes of some servers of each service; if none can be reached, the instance is not ready and offers requests to other instances on a port of its own. A request keeps its id, deadline and key, is forwarded once, and is offered again only if it was not taken.

--- a/src/sapphireledge/feed/feed_runner.py
+++ b/src/sapphireledge/feed/feed_runner.py
@@ -110,6 +110,9 @@
         self.announced: frozenset[str] = frozenset()
         """Names of these instances."""
 
+        self.peers: tuple[Peer, ...] = ()
+        """Descriptions of these instances."""
+
         self._relay = ""
         self._relays = RelayList(cfg)
         self._directory_refreshed = asyncio.Event()
@@ -315,6 +318,7 @@
             try:
                 peers = await self._directory.list_peers()
                 self.instance_count = self._count_instances(peers)
+                self.peers = tuple(peers)
                 self.announced = frozenset(peer.name for peer in peers)
                 self._relays.replace(self._select_preceding(peers))
                 self._directory_read.set()
--- a/src/sapphireledge/gateway/connection_pool.py
+++ b/src/sapphireledge/gateway/connection_pool.py
@@ -60,6 +60,9 @@
         self.on_response: Callable[[BackendServer, ResponseHead], None] = lambda server, head: None
         """Called with the head of each response to a request of this instance."""
 
+        self.on_connect: Callable[[BackendServer, bool], None] = lambda server, is_open: None
+        """Called after each attempt to open a connection."""
+
         self.connection_limit: Callable[[str], int] = lambda service: 0
         """Returns how many connections each server of the named service accepts from all instances
         together, 0 if unknown."""
@@ -104,8 +107,13 @@
         Raises:
             OSError: The connection could not be opened, or not in time; nothing was sent.
         """
-        async with asyncio.timeout(CONNECT_TIMEOUT):
-            conn = await BackendConnection.open(server.host, server.port)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                conn = await BackendConnection.open(server.host, server.port)
+        except (OSError, TimeoutError):
+            self.on_connect(server, False)
+            raise
+        self.on_connect(server, True)
         conn.on_response = lambda head: self.on_response(server, head)
         return conn
 
--- a/src/sapphireledge/gateway/dialect.py
+++ b/src/sapphireledge/gateway/dialect.py
@@ -46,6 +46,20 @@
         """
         ...
 
+    def encode_forwarded_request(
+        self, request: CallerRequest, time_left: float
+    ) -> list[tuple[bytes, bytes]]:
+        """Builds the headers of a request that another instance is to handle.
+
+        Args:
+            request: Request as the caller sent it.
+            time_left: Seconds for which the caller still waits.
+
+        Returns:
+            Headers, except those that frame the body.
+        """
+        ...
+
     def decode_response(self, status: int, headers: Headers) -> ResponseHead:
         """Decodes the head of a backend server's response.
 
--- a/src/sapphireledge/gateway/engine_report_client.py
+++ b/src/sapphireledge/gateway/engine_report_client.py
@@ -12,7 +12,7 @@
 from sapphireledge.gateway.latest_reports import LatestReports
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from sapphireledge.gateway.backend_server import BackendServer
     from sapphireledge.gateway.connection_pool import ConnectionPool
@@ -32,8 +32,21 @@
     Engines charge for each report, so reports are fetched only when a decision needs them.
     """
 
-    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        on_missing: Callable[[BackendServer], None] = lambda server: None,
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            pool: Connections to the engines.
+            dialect: Decoder of the platform's messages.
+            on_missing: Called with an engine that sent no response in time.
+        """
         self._pool = pool
+        self._on_missing = on_missing
         self._dialect = dialect
         self.latest = LatestReports()
         """Reports that arrived last."""
@@ -112,6 +125,7 @@
             structlog.get_logger().info(
                 GatewayEvent.REPORT_MISSING, server=server.server_id, reason=repr(exc)
             )
+            self._on_missing(server)
             return None
 
     async def _request(
--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from functools import partial
 from random import Random
 from time import monotonic
@@ -14,6 +15,7 @@
 from sapphireledge.gateway.caller_limits import CallerLimits
 from sapphireledge.gateway.config_view import ConfigView
 from sapphireledge.gateway.gateway_context import GatewayContext
+from sapphireledge.gateway.peer_forwarder import CONFIG_VERSION, MISDIRECTED, PeerForwarder
 from sapphireledge.gateway.plain_forwarder import PlainForwarder
 from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.stream_forwarder import StreamForwarder
@@ -77,6 +79,9 @@
 
         self._plain = PlainForwarder(self.context)
         self._streams = StreamForwarder(self.context)
+        self.peers = PeerForwarder(self.context)
+        """Forwards through other instances while no backend server can be reached."""
+
         self._rng = Random()
         self.config.on_replaced = self._on_config
         self.context.pool.connection_limit = self._connection_limit
@@ -103,6 +108,7 @@
             and self.config.age < self.cfg.max_config_age - READY_MARGIN
             and len(self.context.registry) > 0
             and self.context.rollouts.knows_versions
+            and not self.context.reachability.is_cut_off
         )
 
     @property
@@ -115,17 +121,20 @@
         """Whether no connection has a request in progress or a response that waits to be sent."""
         return all(conn.is_idle for conn in self._connections)
 
-    def create_protocol(self) -> CallerConnection:
+    def create_protocol(self, *, is_peer: bool = False) -> CallerConnection:
         """Creates the asyncio protocol for a new caller connection.
 
+        Args:
+            is_peer: Whether another instance connects to forward requests.
+
         Returns:
             The protocol.
         """
         conn = CallerConnection(
             self._caller_limits,
             self._dialect,
-            self.handle,
-            lambda: self._stop_started is not None,
+            self.handle_forwarded if is_peer else self.handle,
+            lambda: self._stop_started is not None or self.context.reachability.is_cut_off,
             self._ledger,
         )
         conn.on_closed = self._connections.discard
@@ -165,7 +174,9 @@
         for conn in tuple(self._connections):
             conn.close_if_idle()
 
-    async def handle(self, conn: CallerConnection, request: CallerRequest) -> None:
+    async def handle(
+        self, conn: CallerConnection, request: CallerRequest, *, is_forwarded: bool = False
+    ) -> None:
         """Handles one request and sends its response.
 
         A request that meets an unexpected exception ends in an error status, too.
@@ -173,14 +184,18 @@
         Args:
             conn: Connection of the caller.
             request: The request.
+            is_forwarded: Whether another instance has forwarded it, so that it is not forwarded
+                to a third one.
         """
         try:
-            await self._handle(conn, request)
+            await self._handle(conn, request, is_forwarded=is_forwarded)
         except Exception as exc:
             self.telemetry.record_internal_error(request, exc)
             conn.fail()
 
-    async def _handle(self, conn: CallerConnection, request: CallerRequest) -> None:
+    async def _handle(
+        self, conn: CallerConnection, request: CallerRequest, *, is_forwarded: bool
+    ) -> None:
         """Admits or refuses one request, and forwards it."""
         started = asyncio.get_running_loop().time()
         await self.config.wait_for_table(self.cfg.start_wait)
@@ -193,8 +208,7 @@
             return await self._refuse(conn, request, admitted, started)
         fingerprint = self.context.crashes.fingerprint(admitted)
         self.telemetry.record_admission(admitted, fingerprint, self.config.age)
-        is_stream = admitted.route.replay is ReplayRule.EVENT_STREAM
-        forwarder = self._streams if is_stream else self._plain
+        forwarder = self._choose_forwarder(admitted, is_forwarded=is_forwarded)
         try:
             failure = await self._forward_until_stop(forwarder, conn, admitted)
         except asyncio.CancelledError:
@@ -208,9 +222,35 @@
         self.telemetry.record_response(admitted, started, complete=not conn.is_aborted)
         return None
 
+    def _choose_forwarder(
+        self, admitted: AdmittedRequest, *, is_forwarded: bool
+    ) -> PlainForwarder | StreamForwarder | PeerForwarder:
+        """Chooses how a request is forwarded."""
+        if self.context.reachability.is_cut_off and not is_forwarded:
+            return self.peers
+        is_stream = admitted.route.replay is ReplayRule.EVENT_STREAM
+        return self._streams if is_stream else self._plain
+
+    async def handle_forwarded(self, conn: CallerConnection, request: CallerRequest) -> None:
+        """Handles a request that another instance has forwarded, unless it should ask others.
+
+        Args:
+            conn: Connection of the other instance.
+            request: The request.
+        """
+        version = dict(request.headers).get(CONFIG_VERSION, b"")
+        table = self.config.table
+        is_behind = table is None or not version.isdigit() or table.version < int(version)
+        cut_off = self.context.reachability.is_cut_off
+        if is_behind or cut_off or self._stop_started is not None:
+            headers = self._dialect.encode_refusal(request.request_id, None)
+            return await conn.respond(MISDIRECTED, headers, b"")
+        headers = tuple(pair for pair in request.headers if pair[0] != CONFIG_VERSION)
+        return await self.handle(conn, replace(request, headers=headers), is_forwarded=True)
+
     async def _forward_until_stop(
         self,
-        forwarder: PlainForwarder | StreamForwarder,
+        forwarder: PlainForwarder | StreamForwarder | PeerForwarder,
         conn: CallerConnection,
         admitted: AdmittedRequest,
     ) -> Failure | None:
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -13,6 +13,7 @@
 from sapphireledge.core.quarantine import ServiceSize
 from sapphireledge.core.shared_load import SharedLoad, SharedLoadLimits
 from sapphireledge.core.shedding import LoadShedder, SheddingLimits
+from sapphireledge.gateway.backend_reachability import BackendReachability
 from sapphireledge.gateway.backend_registry import BackendRegistry
 from sapphireledge.gateway.connection_pool import ConnectionPool
 from sapphireledge.gateway.crash_guard import CrashGuard
@@ -70,7 +71,14 @@
 
         self.pool.on_response = self._on_response
 
-        self.report_client = EngineReportClient(self.pool, dialect)
+        self.reachability = BackendReachability(self.registry)
+        """Knows whether this instance is cut off from all backend servers."""
+
+        self.pool.on_connect = lambda server, is_open: self.reachability.on_connect(
+            server, is_open=is_open
+        )
+
+        self.report_client = EngineReportClient(self.pool, dialect, self.reachability.on_failure)
         """Client for load reports and cache listings of engines."""
 
         self.origins = StreamOrigins(self.registry, telemetry.origins, cfg.instance)
@@ -326,6 +334,7 @@
             self.registry.remove(outcome.server.server_id)
             self.pool.drop(outcome.server.server_id)
         elif outcome.kind is OutcomeKind.LOST or outcome.head is None:
+            self.reachability.on_failure(outcome.server)
             self.registry.on_unreachable(now, outcome.server)
             self.pool.drop(outcome.server.server_id)
         elif not self.rollouts.is_judged(outcome.server):
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -64,6 +64,15 @@
     SHEDDING_ENDED = "shedding_ended"
     """All plain requests of a service are forwarded again."""
 
+    BACKENDS_UNREACHABLE = "backends_unreachable"
+    """No backend server of any service can be reached; the instance is not ready."""
+
+    PEER_AVOIDED = "peer_avoided"
+    """An instance did not take a forwarded request, or did not respond; others are preferred."""
+
+    BACKENDS_REACHABLE = "backends_reachable"
+    """A backend server can be reached again."""
+
     SERVER_ADDED = "server_added"
     """A backend server was added to the registry, or its draining state changed."""
 
--- a/src/sapphireledge/gateway/gateway_server.py
+++ b/src/sapphireledge/gateway/gateway_server.py
@@ -68,6 +68,11 @@
             await ready.listen(cfg.ready_host, cfg.ready_port),
             await metrics.listen(cfg.listen_host, cfg.metrics_port),
         ]
+        if cfg.peer_port is not None:
+            start = partial(
+                loop.create_server, partial(self._gateway.create_protocol, is_peer=True)
+            )
+            endpoints.append(await start_listener(start, cfg.listen_host, cfg.peer_port))
         self._log.info(GatewayEvent.STARTED, instance=cfg.instance, port=cfg.listen_port)
         await self._stop.wait()
         await self._drain(loop.time())
--- a/src/sapphireledge/gateway/gateway_settings.py
+++ b/src/sapphireledge/gateway/gateway_settings.py
@@ -44,6 +44,9 @@
     stop_limit: float
     """Time between SIGTERM and SIGKILL."""
 
+    peer_port: int | None = None
+    """Port on which requests of instances that are cut off are taken, None to take none."""
+
     start_wait: float = 0.2
     """Longest time that a request waits for the first configuration. An instance starts to listen
     0.02 to 0.25 s before it has one; a refusal after this wait still reaches the caller early."""
--- /dev/null
+++ b/src/sapphireledge/gateway/peer_forwarder.py
@@ -0,0 +1,155 @@
+"""Forwarding through another instance while this one is cut off from all backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+import structlog
+
+from sapphireledge.errors import ErrorKind, Failure, Ran
+from sapphireledge.gateway.backend_connection import BackendConnection
+from sapphireledge.gateway.backend_response_error import BackendResponseError
+from sapphireledge.gateway.gateway_event import GatewayEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from sapphireledge.gateway.admitted_request import AdmittedRequest
+    from sapphireledge.gateway.caller_connection import CallerConnection
+    from sapphireledge.gateway.forwarding_peer import ForwardingPeer
+    from sapphireledge.gateway.gateway_context import GatewayContext
+    from sapphireledge.gateway.response_head import ResponseHead
+
+__all__ = ["CONFIG_VERSION", "MISDIRECTED", "PeerForwarder"]
+
+CONFIG_VERSION = b"x-config-version"
+"""Header with the version of the configuration by which the request was admitted."""
+
+MISDIRECTED = 421
+"""Status of an instance that does not take a forwarded request; it has not been run."""
+
+MAX_PEERS = 5
+"""Instances that are asked for one request; each of them reaches the servers or refuses at once."""
+
+MAX_LOCAL_PEERS = 2
+"""Instances of the same data centre that are asked first; a partition may separate all of them."""
+
+RETRY_AFTER = 0.5
+"""Retry-After in seconds if no instance takes a request. The caller may reach one that does, or the
+partition may have healed; one that lasts must not be met by repeats all the time."""
+
+CONNECT_TIMEOUT = 0.3
+"""Seconds allowed for opening a connection to an instance."""
+
+PEER_COOLDOWN = 2.0
+"""Seconds for which an instance that refused or did not respond is asked after the others."""
+
+DEADLINE_MARGIN = 0.15
+"""Seconds beyond the deadline for which the response of the other instance is awaited, which is its
+refusal at that deadline."""
+
+
+class PeerForwarder:
+    """Has one other instance handle a request, which keeps its id and its deadline.
+
+    The other instance takes it on a port of its own and never forwards it again. A request is
+    offered to a further instance only if the one before has not received it or states that it has
+    not run it, so that it runs at most once.
+    """
+
+    def __init__(self, context: GatewayContext) -> None:
+        """Creates a forwarder.
+
+        Args:
+            context: Shared components.
+        """
+        self.list_peers: Callable[[], Sequence[ForwardingPeer]] = lambda: ()
+        """Lists the other instances."""
+
+        self._context = context
+        self._avoided_until: dict[str, float] = {}
+        self._rng = Random()
+
+    async def forward(self, conn: CallerConnection, admitted: AdmittedRequest) -> Failure | None:
+        """Forwards one request and delivers the response.
+
+        Args:
+            conn: Connection of the caller.
+            admitted: The request.
+
+        Returns:
+            None if a response was delivered, otherwise the failure to report.
+        """
+        for peer in self._choose_peers():
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT):
+                    peer_conn = await BackendConnection.open(peer.host, peer.port)
+            except (OSError, TimeoutError) as exc:
+                self._avoid(peer, repr(exc))
+                continue
+            try:
+                async with asyncio.timeout_at(admitted.deadline + DEADLINE_MARGIN):
+                    if await self._exchange(conn, peer_conn, admitted):
+                        return None
+            except (BackendResponseError, TimeoutError) as exc:
+                self._avoid(peer, repr(exc))
+                reason = f"instance {peer.name} has not responded completely"
+                return Failure(ErrorKind.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+            finally:
+                peer_conn.abort()
+            self._avoid(peer, "refused")
+        reason = "neither this instance nor another one that it asked reaches a backend server"
+        return Failure(ErrorKind.NO_BACKEND, reason, Ran.NO, RETRY_AFTER)
+
+    def _choose_peers(self) -> list[ForwardingPeer]:
+        """Chooses instances at random, a few of this data centre first, avoided ones last."""
+        cfg = self._context.cfg
+        now = asyncio.get_running_loop().time()
+        peers = [peer for peer in self.list_peers() if peer.name != cfg.instance]
+        self._rng.shuffle(peers)
+        avoided = [p for p in peers if self._avoided_until.get(p.name, 0.0) > now]
+        sound = [p for p in peers if self._avoided_until.get(p.name, 0.0) <= now]
+        local = [p for p in sound if p.data_centre == cfg.data_centre][:MAX_LOCAL_PEERS]
+        remote = [p for p in sound if p.data_centre != cfg.data_centre]
+        return [*local, *remote, *avoided][:MAX_PEERS]
+
+    def _avoid(self, peer: ForwardingPeer, reason: str) -> None:
+        """Prefers other instances for a while."""
+        now = asyncio.get_running_loop().time()
+        self._avoided_until = {n: at for n, at in self._avoided_until.items() if at > now}
+        if peer.name not in self._avoided_until:
+            structlog.get_logger().info(
+                GatewayEvent.PEER_AVOIDED, instance=peer.name, reason=reason
+            )
+        self._avoided_until[peer.name] = now + PEER_COOLDOWN
+
+    async def _exchange(
+        self, conn: CallerConnection, peer_conn: BackendConnection, admitted: AdmittedRequest
+    ) -> bool:
+        """Sends the request and delivers the response; returns False if it was not taken."""
+        request, dialect = admitted.request, self._context.dialect
+        time_left = admitted.caller_deadline - asyncio.get_running_loop().time()
+        headers = dialect.encode_forwarded_request(request, time_left)
+        headers.append((CONFIG_VERSION, str(admitted.version).encode()))
+        peer_conn.send(request.method, request.target, headers, request.body)
+        head = await peer_conn.read_head(dialect, request.request_id)
+        if head.status == MISDIRECTED:
+            return False
+        if head.status == 200 and head.is_event_stream:
+            await _relay_stream(conn, peer_conn, head)
+        else:
+            await conn.respond(head.status, head.headers, await peer_conn.read_body())
+        return True
+
+
+async def _relay_stream(
+    conn: CallerConnection, peer_conn: BackendConnection, head: ResponseHead
+) -> None:
+    """Delivers a stream as it arrives."""
+    await conn.start_response(head.status, head.headers)
+    while (chunk := await peer_conn.read_chunk()) is not None:
+        await conn.send_chunk(chunk)
+        await peer_conn.checkpoint()
+    await conn.finish_response()
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -12,6 +12,7 @@
     KindWatcher,
     StorePresence,
 )
+from sapphireledge.gateway import ForwardingPeer
 from sapphireledge.limits import CallerLedger
 from sapphireledge.platform.config_listener import CONFIG_KIND, ConfigListener
 from sapphireledge.platform.crash_report_listener import CrashReportListener
@@ -105,6 +106,12 @@
     runner = FeedRunner(
         cfg.feed, cfg.peer, feeds, watchers, directory, epoch, ledger, exchange, checks
     )
+    if cfg.gateway.peer_port is not None:
+        offset = cfg.gateway.peer_port - cfg.peer.port
+        gateway.peers.list_peers = lambda: [
+            ForwardingPeer(peer.name, peer.data_centre, peer.host, peer.port + offset)
+            for peer in runner.peers
+        ]
     rollouts.list_alive = runner.list_alive
     rollouts.list_announced = lambda: runner.announced
     return runner
--- a/src/sapphireledge/platform/node_settings.py
+++ b/src/sapphireledge/platform/node_settings.py
@@ -27,6 +27,10 @@
 METRICS_PORT = 9464
 """Port of the metrics endpoint; must match deploy/system.toml."""
 
+PEER_PORT_OFFSET = 2
+"""Place of the port for forwarded requests in the range of free ports, after those of the feed and
+of the operators."""
+
 REVOCATION_MARGIN = 1.2
 """Seconds subtracted from the time for which a removed API key may still be accepted.
 
@@ -189,6 +193,7 @@
         ready_host=ready_host,
         ready_port=ready_port,
         metrics_port=METRICS_PORT,
+        peer_port=_find_peer_port(file),
         max_config_age=file.bounds.revoke_ms / 1000.0 - REVOCATION_MARGIN,
         stop_limit=file.bounds.grace_s,
         callers=_decode_budgets(file.limits),
@@ -236,6 +241,13 @@
     return f"{host}:{first + 1}" if first < last else ""
 
 
+def _find_peer_port(file: _NodeFile) -> int | None:
+    """Finds the port for forwarded requests, None if the range of free ports is too small."""
+    first, last = file.port_range
+    port = first + PEER_PORT_OFFSET
+    return port if port <= last else None
+
+
 def _decode_budgets(limits: _Limits) -> CallerBudgets:
     """Decodes the machine's memory and descriptors."""
     default = CallerBudgets()
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -102,6 +102,18 @@
             headers.append((names.REPLICA_SOURCE, replica_source.encode()))
         return headers
 
+    def encode_forwarded_request(
+        self, request: CallerRequest, time_left: float
+    ) -> list[tuple[bytes, bytes]]:
+        """Builds the headers for another instance; see `Dialect.encode_forwarded_request`."""
+        headers = list(request.headers)
+        headers.append((names.TIME_LEFT, str(max(1, int(time_left * 1000))).encode()))
+        if request.key:
+            headers.append((b"authorization", API_KEY_SCHEME + request.key.encode("latin-1")))
+        if request.last_event is not None:
+            headers.append((names.LAST_EVENT, str(request.last_event).encode()))
+        return headers
+
     def decode_response(self, status: int, headers: Headers) -> ResponseHead:
         """Decodes the head of a response; see `Dialect.decode_response`."""
         values = dict(headers)
