An instance that is cut off from all servers reports no deaths of servers

What callers could see: sound servers that all instances avoid, and sound requests that count as suspects of crashes, while one instance is cut off.

Cause: a server whose connection broke and which accepts no new one counted as dead; an instance that is cut off sees all its servers so, and shares these reports.

Change: before a death counts, connections to other servers are tried. If none of four or more can be reached, the fault is on the side of this instance. Fewer than four others cannot tell, and the death counts as before.

--- a/src/sapphireledge/gateway/backend_reachability.py
+++ b/src/sapphireledge/gateway/backend_reachability.py
@@ -28,6 +28,13 @@
 PROBES_PER_SERVICE = 3
 """Servers of each service that are probed at the same time."""
 
+WITNESSES_PER_SERVICE = 6
+"""Other servers of each service that are probed before a server counts as dead. More than usual, as
+several may have crashed at the same time."""
+
+MIN_WITNESSES = 4
+"""Other servers without which it cannot be told whether one is dead or this instance cut off."""
+
 PROBE_TIMEOUT = 0.6
 """Seconds for which a probe waits for its connection. Longer than for a request, so that a slow
 event loop is not taken for a partition."""
@@ -89,6 +96,20 @@
         if len(recent) >= SUSPECT_FAILURES:
             self._probing = asyncio.create_task(self._probe_until_reachable())
 
+    async def reaches_another(self, server: BackendServer) -> bool:
+        """Finds out whether this instance reaches other servers than one that has failed.
+
+        Args:
+            server: The server that has failed.
+
+        Returns:
+            Whether it reaches one, or knows too few others to tell.
+        """
+        if self.is_cut_off:
+            return False
+        others = self._choose_servers(WITNESSES_PER_SERVICE, server.server_id)
+        return len(others) < MIN_WITNESSES or await _reaches_any(others)
+
     async def _probe_until_reachable(self) -> None:
         """Probes servers until one can be reached."""
         started = monotonic()
@@ -112,12 +133,14 @@
             self._failed_at.clear()
             self._probing = None
 
-    def _choose_servers(self) -> list[BackendServer]:
+    def _choose_servers(
+        self, most: int = PROBES_PER_SERVICE, excluded: str = ""
+    ) -> list[BackendServer]:
         """Draws the servers to probe, some of each service."""
         chosen: list[BackendServer] = []
         for service in self._registry.services():
-            servers = list(self._registry.list_servers(service))
-            chosen += self._rng.sample(servers, min(len(servers), PROBES_PER_SERVICE))
+            servers = [s for s in self._registry.list_servers(service) if s.server_id != excluded]
+            chosen += self._rng.sample(servers, min(len(servers), most))
         return chosen
 
 
--- a/src/sapphireledge/gateway/crash_guard.py
+++ b/src/sapphireledge/gateway/crash_guard.py
@@ -26,7 +26,7 @@
 from sapphireledge.gateway.gateway_event import GatewayEvent
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from sapphireledge.core.quarantine import ClearingRecord
     from sapphireledge.gateway.admitted_request import AdmittedRequest
@@ -41,6 +41,11 @@
 accepts it within 60 ms, or after one retransmission."""
 
 
+async def _assume_reachable(server: BackendServer) -> bool:
+    """Assumes that other servers can be reached."""
+    return True
+
+
 class CrashGuard:
     """Keeps requests that crash backend servers away from them.
 
@@ -71,6 +76,9 @@
         self.measure_service: Callable[[str], ServiceSize] = ServiceSize
         """Returns the size of a service."""
 
+        self.reaches_another: Callable[[BackendServer], Awaitable[bool]] = _assume_reachable
+        """Finds out whether this instance reaches other servers than one that has failed."""
+
         self._running = RunningRequests()
         self._work_ids = count()
         self._cfg = cfg
@@ -344,10 +352,16 @@
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 _, writer = await asyncio.open_connection(server.host, server.port)
         except (OSError, TimeoutError) as exc:
-            self._telemetry.record_server_death(server, record, repr(exc))
+            reason = repr(exc)
         else:
             writer.close()
             return
+        if not await self.reaches_another(server):
+            self._log.warning(
+                GatewayEvent.DEATH_UNCONFIRMED, server=server.server_id, reason=reason
+            )
+            return
+        self._telemetry.record_server_death(server, record, reason)
         if self.quarantine.on_engine_death(time.time(), record):
             self.on_death(record)
             self.on_changed()
--- a/src/sapphireledge/gateway/gateway_context.py
+++ b/src/sapphireledge/gateway/gateway_context.py
@@ -101,6 +101,7 @@
         """Keeps requests that crash backend servers away from them."""
 
         self.crashes.measure_service = self._measure_service
+        self.crashes.reaches_another = self.reachability.reaches_another
 
         self.rollouts = RolloutGuard(cfg, self.registry, telemetry.rollouts)
         """Keeps attempts to the versions that they may use."""
--- a/src/sapphireledge/gateway/gateway_event.py
+++ b/src/sapphireledge/gateway/gateway_event.py
@@ -64,6 +64,9 @@
     SHEDDING_ENDED = "shedding_ended"
     """All plain requests of a service are forwarded again."""
 
+    DEATH_UNCONFIRMED = "server_death_unconfirmed"
+    """A server cannot be reached, but neither can others; it is not reported as dead."""
+
     BACKENDS_UNREACHABLE = "backends_unreachable"
     """No backend server of any service can be reached; the instance is not ready."""
 
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -112,6 +112,21 @@
         self.cut_off.config.confirm(seconds_since_boot())
         self.assertEqual((await self.call("/plain/")).status, 200)
 
+    async def test_cut_off_instance_reports_no_deaths(self):
+        """Guards against sound servers that all instances avoid, as one cannot reach them."""
+        crashes = self.cut_off.context.crashes
+        for number in range(4, 8):
+            gone = BackendServer(f"gone{number}", "llm", HOST, self.closed_port, "dc-a")
+            self.cut_off.context.registry.put(gone)
+        crashes.on_connection_lost(gone)
+        await asyncio.gather(*crashes._checks.values())
+        self.assertFalse(crashes.is_dead(gone))
+        self.gateway = self.cut_off
+        await self.add("app", succeed)
+        crashes.on_connection_lost(gone)
+        await asyncio.gather(*crashes._checks.values())
+        self.assertTrue(crashes.is_dead(gone))
+
     async def test_request_that_may_have_run_is_not_offered_again(self):
         """Guards against a booking that runs twice through two instances."""
 
