The kernel's timeout does not end a connection before its keep-alive probes do

What callers could see: 502 for a request at a sound server that was silent for a second or two, or that acknowledged late.

Cause: TCP_USER_TIMEOUT was 1.5 s. With it set, Linux ignores the number of probes and closes an idle connection at the second probe, 2 s after the last byte, not after the three that the settings name.

Change: it is the time of all probes, 4 s. A dead host is noticed later by the kernel; silent streams are still checked by reports, and idempotent requests hedged.

Test: SilentServerTest failed before (1500 not greater than or equal to 4000).

--- a/src/sapphireledge/gateway/backend_connection.py
+++ b/src/sapphireledge/gateway/backend_connection.py
@@ -24,18 +24,21 @@
 
 __all__ = ["BackendConnection"]
 
-USER_TIMEOUT = 1.5
-"""Seconds that sent data may stay unacknowledged before the kernel closes the connection.
-
-Covers two retransmissions on a lossy link (initial timeouts of 0.2 and 0.4 s), and detects a host
-that stopped responding.
-"""
-
 KEEPALIVE_IDLE = 1
 """Idle seconds before the first TCP keep-alive probe; the smallest value the kernel accepts."""
 
+KEEPALIVE_INTERVAL = 1
+"""Seconds between two TCP keep-alive probes."""
+
 KEEPALIVE_PROBES = 3
-"""Unanswered TCP keep-alive probes, sent once a second, after which the connection is closed."""
+"""Unanswered TCP keep-alive probes after which the connection is closed."""
+
+USER_TIMEOUT = KEEPALIVE_IDLE + KEEPALIVE_INTERVAL * KEEPALIVE_PROBES
+"""Seconds that sent data may stay unacknowledged before the kernel closes the connection.
+
+With this option, the kernel ignores the number of keep-alive probes and closes the connection after
+this time without an answer to them. A sound server may be silent for a second or two.
+"""
 
 C_INT = struct.Struct("i")
 
@@ -111,9 +114,9 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(USER_TIMEOUT * 1000))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT * 1000)
         return cls(reader, writer)
 
     @property
--- a/tests/test_gateway_plain.py
+++ b/tests/test_gateway_plain.py
@@ -26,6 +26,7 @@
     GatewayServer,
     seconds_since_boot,
 )
+from sapphireledge.gateway.backend_connection import BackendConnection
 
 
 async def succeed(request, writer):
@@ -98,6 +99,20 @@
         writer.close()
 
 
+class SilentServerTest(GatewayCase):
+    async def test_connection_survives_unanswered_keepalive_probes(self):
+        """Guards against a timeout of the kernel that ends a connection before its last probe."""
+        server = await self.add("app", succeed)
+        conn = await BackendConnection.open("127.0.0.1", server.port)
+        self.addCleanup(conn.abort)
+        sock = conn._writer.get_extra_info("socket")
+        names = ("TCP_KEEPIDLE", "TCP_KEEPINTVL", "TCP_KEEPCNT", "TCP_USER_TIMEOUT")
+        idle, interval, probes, limit_ms = (
+            sock.getsockopt(socket.IPPROTO_TCP, getattr(socket, name)) for name in names
+        )
+        self.assertGreaterEqual(limit_ms, (idle + interval * probes) * 1000)
+
+
 class RetryTest(GatewayCase):
     async def test_rejected_request_is_retried_on_another_server(self):
         """Guards against forwarding a rejection while another server has capacity."""
