A full server that is brittle is spared after a rejection

What callers could see: servers that say Server-Brittle = N fall over, because the instances send on what they have to turn away (LIMIT).

Cause: the header was not read, and a rejection without Retry-After paused nothing, so each instance tried the same full server with every request.

Change: after a rejection by a server that names its limit of rejections, the instance spares it for its share of half of that limit, at random between half and twice that time, 30 s before the random part at most. Requests go to other servers, or are refused.

Concurrent requests that are under way at the first rejection are not bounded.

--- a/src/sapphireledge/core/backpressure/backpressure_limits.py
+++ b/src/sapphireledge/core/backpressure/backpressure_limits.py
@@ -30,6 +30,17 @@
     """Longest pause in seconds that a server can ask for, so that a wrong number does not take it
     out of use for good."""
 
+    rejection_share: float = 0.5
+    """Share of the rejections that a server bears which the instances cause at most. They do not
+    coordinate, and a request that is under way when the first one is rejected may be the next."""
+
+    min_rejection_limit: float = 0.1
+    """Smallest limit of rejections per second that is respected, so that a server which names 0 is
+    still tried."""
+
+    max_rejection_pause: float = 30.0
+    """Longest pause in seconds after a rejection by such a server."""
+
     min_rate: float = 0.1
     """Requests per second that a server gets from all instances in any case. Only a response shows
     that its limit has ended."""
--- a/src/sapphireledge/core/backpressure/server_backpressure.py
+++ b/src/sapphireledge/core/backpressure/server_backpressure.py
@@ -4,6 +4,9 @@
 request costs it the time to reject it. A server that leaves gets no new requests for the rest of
 its incarnation.
 
+Load pattern: a server that is brittle crashes when it has to reject too many requests, so the
+instances, which all meet the same full server, spare it after a rejection.
+
 Load pattern: a server in trouble names the rate of requests that it takes from all instances
 together. The instances do not coordinate, so each takes an equal share of the rate, and the rest of
 its requests go to other servers, wait, or are refused.
@@ -28,7 +31,7 @@
 class ServerBackpressure:
     """What one incarnation of a server asks of this instance, by its latest response."""
 
-    __slots__ = ("_limits", "_pacer", "_paused_until", "is_leaving", "signals")
+    __slots__ = ("_limits", "_pacer", "_paused_until", "_rng", "is_leaving", "signals")
 
     def __init__(self, limits: BackpressureLimits, rng: Random) -> None:
         """Creates the state of a server that has asked for nothing.
@@ -44,6 +47,7 @@
         """Whether the server shuts down; final for its incarnation."""
 
         self._limits = limits
+        self._rng = rng
         self._paused_until = -math.inf
         self._pacer = RequestPacer(limits, rng)
 
@@ -68,11 +72,29 @@
         if signals.pause is not None:
             pause = min(signals.pause, self._limits.max_pause)
             self._paused_until = max(self._paused_until, now + pause)
+        if signals.has_rejected and signals.rejection_limit is not None:
+            pause = self._pause_after_rejection(signals.rejection_limit, instances)
+            self._paused_until = max(self._paused_until, now + pause)
         rate = signals.rate_limit
         if rate is not None:
             rate = max(rate, self._limits.min_rate)
         self._pacer.set_rate(now, rate, max(1, instances), contact_interval)
 
+    def _pause_after_rejection(self, limit: float, instances: int) -> float:
+        """Computes for how long to spare a server that crashes when it rejects too many requests.
+
+        Args:
+            limit: Rejections per second that it bears.
+            instances: Number of instances whose requests it rejects.
+
+        Returns:
+            Seconds, random so that the instances do not return at the same time.
+        """
+        limits = self._limits
+        share = max(limit, limits.min_rejection_limit) * limits.rejection_share
+        pause = min(max(1, instances) / share, limits.max_rejection_pause)
+        return pause * self._rng.uniform(0.5, 2.0)
+
     def on_leaving(self) -> None:
         """Records that the server shuts down, as another source than its responses says."""
         self.is_leaving = True
--- a/src/sapphireledge/core/backpressure/server_signals.py
+++ b/src/sapphireledge/core/backpressure/server_signals.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = ["ServerSignals"]
 
@@ -17,5 +17,12 @@
     pause: float | None = None
     """Seconds for which the server takes no requests from this instance, None without a pause."""
 
+    rejection_limit: float | None = None
+    """Rejections per second, of requests of all instances together, above which the server crashes;
+    None if any number is safe."""
+
+    has_rejected: bool = field(default=False, compare=False)
+    """Whether the response rejects a request, as the server has no room."""
+
     is_leaving: bool = False
     """Whether the server shuts down and takes no new requests."""
--- a/src/sapphireledge/gateway/request_telemetry.py
+++ b/src/sapphireledge/gateway/request_telemetry.py
@@ -271,6 +271,7 @@
             service=server.service,
             rate_limit=signals.rate_limit,
             pause_s=signals.pause,
+            rejection_limit=signals.rejection_limit,
             leaving=signals.is_leaving,
         )
 
@@ -584,4 +585,6 @@
         return "leaving"
     if signals.pause is not None:
         return "pause"
+    if signals.rejection_limit is not None:
+        return "rejection_limit"
     return "none" if signals.rate_limit is None else "rate_limit"
--- a/src/sapphireledge/platform/header_names.py
+++ b/src/sapphireledge/platform/header_names.py
@@ -11,6 +11,7 @@
     "NOT_FORWARDED",
     "PREFIX_PARTS",
     "RATE_LIMIT",
+    "REJECTION_LIMIT",
     "REPLICA_SOURCE",
     "REPLICA_TARGET",
     "REQUEST_ID",
@@ -52,6 +53,9 @@
 RATE_LIMIT = b"server-limit"
 """Requests per second that the server takes from all instances together."""
 
+REJECTION_LIMIT = b"server-brittle"
+"""Rejections per second, for want of room, above which the server crashes."""
+
 LEAVING = b"server-leaving"
 """Set to 1 by a server that shuts down."""
 
--- a/src/sapphireledge/platform/platform_dialect.py
+++ b/src/sapphireledge/platform/platform_dialect.py
@@ -212,6 +212,8 @@
     pause = _parse_decimal(values.get(b"retry-after")) if status == SERVICE_UNAVAILABLE else None
     return ServerSignals(
         rate_limit=_parse_decimal(values.get(names.RATE_LIMIT)),
+        rejection_limit=_parse_decimal(values.get(names.REJECTION_LIMIT)),
+        has_rejected=status == SERVICE_UNAVAILABLE and names.NOT_EXECUTED in values,
         pause=pause,
         is_leaving=values.get(names.LEAVING, b"").strip() == b"1",
     )
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from random import Random
 
@@ -77,6 +78,44 @@
         self.assertEqual(server.next_at(1.0), 1.0)
 
 
+class BrittleServerTest(unittest.TestCase):
+    def test_full_server_is_not_made_to_crash(self):
+        """Guards against instances that all return to a full server until it crashes."""
+        limit = 10.0
+        for instances, seed in itertools.product((3, 9, 85), range(20)):
+            rng = Random(seed)
+            servers = [ServerBackpressure(LIMITS, rng) for _ in range(instances)]
+            rejection = ServerSignals(rejection_limit=limit, has_rejected=True)
+            for server in servers:
+                server.on_response(0.0, rejection, instances)
+            rejected = []
+            for step in range(int(30.0 / STEP)):
+                now = 1.0 + step * STEP
+                for server in servers:
+                    if server.next_at(now) <= now:
+                        rejected.append(now)
+                        server.on_response(now, rejection, instances)
+            crashes = sum(
+                sum(1 for at in rejected if second <= at < second + 1.0) > limit
+                for second in range(31)
+            )
+            self.assertLessEqual(crashes, 2, (instances, seed))
+
+    def test_server_that_only_names_its_limit_is_not_paused(self):
+        """Guards against sound servers that get no work because they are brittle."""
+        server = ServerBackpressure(LIMITS, Random(1))
+        server.on_response(0.0, ServerSignals(rejection_limit=5.0), 9)
+        self.assertEqual(server.next_at(0.0), 0.0)
+
+    def test_platform_names_the_limit_of_rejections(self):
+        """Guards against a header of the platform that nobody reads."""
+        headers = ((b"server-brittle", b"5"), (b"x-sapphireledge-not-executed", b"1"))
+        signals = PlatformDialect().decode_response(503, headers).signals
+        self.assertEqual((signals.rejection_limit, signals.has_rejected), (5.0, True))
+        signals = PlatformDialect().decode_response(200, headers[:1]).signals
+        self.assertEqual((signals.rejection_limit, signals.has_rejected), (5.0, False))
+
+
 class SparseRateTest(unittest.TestCase):
     """Guards against a low rate that many instances leave unused, as each rarely has a slot."""
 
