A forwarded request is sent only to an instance that says it takes it

Cause: the kernel of an instance that stands still accepts connections and data, so a request was sent and could not be offered to another one.

Change: a question precedes the request on the same connection; without an answer in 0.4 s nothing has been sent and the next instance is asked. Up to eight are asked, and one that refused is asked last for 4 s: with five and 2 s a request was refused while three of nine instances reached the servers. Requests without an id get the status of the other instance.

--- a/src/sapphireledge/gateway/gateway.py
+++ b/src/sapphireledge/gateway/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import replace
 from functools import partial
+from http import HTTPStatus
 from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -15,7 +16,12 @@
 from sapphireledge.gateway.caller_limits import CallerLimits
 from sapphireledge.gateway.config_view import ConfigView
 from sapphireledge.gateway.gateway_context import GatewayContext
-from sapphireledge.gateway.peer_forwarder import CONFIG_VERSION, MISDIRECTED, PeerForwarder
+from sapphireledge.gateway.peer_forwarder import (
+    CONFIG_VERSION,
+    MISDIRECTED,
+    PREFLIGHT,
+    PeerForwarder,
+)
 from sapphireledge.gateway.plain_forwarder import PlainForwarder
 from sapphireledge.gateway.replay_rule import ReplayRule
 from sapphireledge.gateway.stream_forwarder import StreamForwarder
@@ -245,6 +251,9 @@
         if is_behind or cut_off or self._stop_started is not None:
             headers = self._dialect.encode_refusal(request.request_id, None)
             return await conn.respond(MISDIRECTED, headers, b"")
+        if request.target == PREFLIGHT:
+            headers = self._dialect.encode_refusal(request.request_id, None)
+            return await conn.respond(HTTPStatus.NO_CONTENT, headers, b"")
         headers = tuple(pair for pair in request.headers if pair[0] != CONFIG_VERSION)
         return await self.handle(conn, replace(request, headers=headers), is_forwarded=True)
 
--- a/src/sapphireledge/gateway/peer_forwarder.py
+++ b/src/sapphireledge/gateway/peer_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -22,15 +23,22 @@
     from sapphireledge.gateway.gateway_context import GatewayContext
     from sapphireledge.gateway.response_head import ResponseHead
 
-__all__ = ["CONFIG_VERSION", "MISDIRECTED", "PeerForwarder"]
+__all__ = ["CONFIG_VERSION", "MISDIRECTED", "PREFLIGHT", "PeerForwarder"]
 
 CONFIG_VERSION = b"x-config-version"
 """Header with the version of the configuration by which the request was admitted."""
 
+PREFLIGHT = b"/-/preflight"
+"""Path of the question whether an instance takes a request, which precedes the request."""
+
+PREFLIGHT_TIMEOUT = 0.4
+"""Seconds allowed for the answer to that question: a round trip between regions and some load. The
+kernel of an instance that stands still accepts connections and data all the same."""
+
 MISDIRECTED = 421
 """Status of an instance that does not take a forwarded request; it has not been run."""
 
-MAX_PEERS = 5
+MAX_PEERS = 8
 """Instances that are asked for one request; each of them reaches the servers or refuses at once."""
 
 MAX_LOCAL_PEERS = 2
@@ -43,7 +51,7 @@
 CONNECT_TIMEOUT = 0.3
 """Seconds allowed for opening a connection to an instance."""
 
-PEER_COOLDOWN = 2.0
+PEER_COOLDOWN = 4.0
 """Seconds for which an instance that refused or did not respond is asked after the others."""
 
 DEADLINE_MARGIN = 0.15
@@ -56,7 +64,8 @@
 
     The other instance takes it on a port of its own and never forwards it again. A request is
     offered to a further instance only if the one before has not received it or states that it has
-    not run it, so that it runs at most once.
+    not run it, so that it runs at most once. It is sent only once the other instance has said that
+    it takes it, as one that stands still would hold it until its deadline.
     """
 
     def __init__(self, context: GatewayContext) -> None:
@@ -90,6 +99,9 @@
                 self._avoid(peer, repr(exc))
                 continue
             try:
+                if not await self._is_taken(peer_conn, admitted):
+                    self._avoid(peer, "refused, or does not answer")
+                    continue
                 async with asyncio.timeout_at(admitted.deadline + DEADLINE_MARGIN):
                     if await self._exchange(conn, peer_conn, admitted):
                         return None
@@ -125,6 +137,23 @@
             )
         self._avoided_until[peer.name] = now + PEER_COOLDOWN
 
+    async def _is_taken(self, peer_conn: BackendConnection, admitted: AdmittedRequest) -> bool:
+        """Asks an instance whether it takes a request, of which nothing is sent yet."""
+        dialect, request_id = self._context.dialect, admitted.request.request_id
+        headers = [
+            (b"host", b"-"),
+            (CONFIG_VERSION, str(admitted.version).encode()),
+            *dialect.encode_refusal(request_id, None),
+        ]
+        try:
+            async with asyncio.timeout(PREFLIGHT_TIMEOUT):
+                peer_conn.send(b"GET", PREFLIGHT, headers, b"")
+                head = await peer_conn.read_head(dialect, request_id, checks_body=True)
+                await peer_conn.read_body()
+        except (BackendResponseError, TimeoutError):
+            return False
+        return head.status == HTTPStatus.NO_CONTENT and peer_conn.is_reusable
+
     async def _exchange(
         self, conn: CallerConnection, peer_conn: BackendConnection, admitted: AdmittedRequest
     ) -> bool:
@@ -134,7 +163,7 @@
         headers = dialect.encode_forwarded_request(request, time_left)
         headers.append((CONFIG_VERSION, str(admitted.version).encode()))
         peer_conn.send(request.method, request.target, headers, request.body)
-        head = await peer_conn.read_head(dialect, request.request_id)
+        head = await peer_conn.read_head(dialect, request.request_id, checks_body=True)
         if head.status == MISDIRECTED:
             return False
         if head.status == 200 and head.is_event_stream:
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -66,6 +66,17 @@
                 gateway.context.reachability.on_failure(server)
         await self.wait_until(lambda: all(g.context.reachability.is_cut_off for g in gateways))
 
+    async def call_without_id(self, gateway):
+        """Calls an instance directly, with a request that has no id."""
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(gateway.create_protocol, HOST, 0)
+        port, self.port = self.port, listener.sockets[0].getsockname()[1]
+        try:
+            return await self.call("/plain/", x_sapphireledge_request_id="")
+        finally:
+            self.port = port
+            listener.close()
+
     async def wait_until(self, condition):
         async with asyncio.timeout(NOTICE_TIME):
             while not condition():
@@ -197,6 +208,37 @@
             self.assertEqual((await self.call("/plain/")).status, 200)
         self.assertEqual((len(old.received), len(new.received)), (0, 4))
 
+    async def test_instance_that_stands_still_is_passed_over(self):
+        """Guards against requests that wait until their deadline at a process that does not run."""
+        server = await self.add("app", succeed)
+        still = socket.create_server((HOST, 0))
+        self.addCleanup(still.close)
+        peers = [
+            ForwardingPeer("e9", "dc-a", HOST, still.getsockname()[1]),
+            *self.cut_off.peers.list_peers(),
+        ]
+        self.cut_off.peers.list_peers = lambda: peers
+        await self.lose_servers(self.cut_off)
+        started = asyncio.get_running_loop().time()
+        self.assertEqual((await self.call("/once/")).status, 200)
+        self.assertLess(asyncio.get_running_loop().time() - started, 1.0)
+        self.assertEqual(len(server.received), 1)
+        conn, _ = still.accept()
+        self.addCleanup(conn.close)
+        self.assertNotIn(b"/once/", conn.recv(4096))
+
+    async def test_caller_without_an_id_is_served(self):
+        """Guards against a response that is taken for one to the question before it."""
+
+        async def ask_for_id(request, writer):
+            writer.write(full_response(400, {"x-sapphireledge-not-executed": "1"}, b"no id"))
+
+        await self.add("app", ask_for_id)
+        direct = await self.call_without_id(self.other)
+        await self.lose_servers(self.cut_off)
+        forwarded = await self.call("/plain/", x_sapphireledge_request_id="")
+        self.assertEqual((forwarded.status, forwarded.body), (direct.status, direct.body))
+
     async def test_whole_data_centre_is_cut_off(self):
         """Guards against a request that is offered to instances of one data centre only."""
         await self.add("app", succeed)
