The search for an instance ends at the deadline of the request

What callers could see: a request of a cut-off instance that is held for up to 5.6 s while eight instances do not answer, although its caller has left.

Test: test_deadline_ends_the_search_for_an_instance failed before (3.2 s, not below 1.5) with a deadline of 0.8 s, passes now.

--- a/src/sapphireledge/gateway/peer_forwarder.py
+++ b/src/sapphireledge/gateway/peer_forwarder.py
@@ -91,7 +91,10 @@
         Returns:
             None if a response was delivered, otherwise the failure to report.
         """
+        loop = asyncio.get_running_loop()
         for peer in self._choose_peers():
+            if loop.time() >= admitted.deadline:
+                break
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT):
                     peer_conn = await BackendConnection.open(peer.host, peer.port)
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -227,6 +227,22 @@
         self.addCleanup(conn.close)
         self.assertNotIn(b"/once/", conn.recv(4096))
 
+    async def test_deadline_ends_the_search_for_an_instance(self):
+        """Guards against a request that is held long after its caller has left."""
+        still = [socket.create_server((HOST, 0)) for _ in range(8)]
+        for sock in still:
+            self.addCleanup(sock.close)
+        peers = [
+            ForwardingPeer(f"e1{number}", "dc-b", HOST, sock.getsockname()[1])
+            for number, sock in enumerate(still)
+        ]
+        self.cut_off.peers.list_peers = lambda: peers
+        await self.lose_servers(self.cut_off)
+        started = asyncio.get_running_loop().time()
+        response = await self.call("/plain/", x_sapphireledge_deadline_ms="800")
+        self.assertEqual(response.status, 503)
+        self.assertLess(asyncio.get_running_loop().time() - started, 1.5)
+
     async def test_caller_without_an_id_is_served(self):
         """Guards against a response that is taken for one to the question before it."""
 
