Decisions about partitions are in core/reachability, free of I/O

Suspicion, the draw of probed servers and the order of instances stood beside the connections in gateway.

--- a/src/sapphireledge/gateway/__init__.py
+++ b/src/sapphireledge/gateway/__init__.py
@@ -13,7 +13,6 @@
 from sapphireledge.gateway.engine_load import EngineLoad
 from sapphireledge.gateway.event_reader import EventReader
 from sapphireledge.gateway.explain_request import GatewayExplainer
-from sapphireledge.gateway.forwarding_peer import ForwardingPeer
 from sapphireledge.gateway.gateway import Gateway
 from sapphireledge.gateway.gateway_event import GatewayEvent
 from sapphireledge.gateway.gateway_metrics import GatewayMetrics
@@ -47,7 +46,6 @@
     "Dialect",
     "EngineLoad",
     "EventReader",
-    "ForwardingPeer",
     "Gateway",
     "GatewayEvent",
     "GatewayExplainer",
--- a/src/sapphireledge/gateway/backend_reachability.py
+++ b/src/sapphireledge/gateway/backend_reachability.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from sapphireledge.core.reachability import FailureWindow, ProbeSelection
 from sapphireledge.gateway.backend_connection import BackendConnection
 from sapphireledge.gateway.gateway_event import GatewayEvent
 
@@ -18,23 +19,6 @@
 
 __all__ = ["BackendReachability"]
 
-SUSPECT_FAILURES = 2
-"""Different servers that failed within `SUSPECT_WINDOW`, without a new connection to any server,
-before others are probed."""
-
-SUSPECT_WINDOW = 2.0
-"""Seconds for which a failure counts."""
-
-PROBES_PER_SERVICE = 3
-"""Servers of each service that are probed at the same time."""
-
-WITNESSES_PER_SERVICE = 6
-"""Other servers of each service that are probed before a server counts as dead. More than usual, as
-several may have crashed at the same time."""
-
-MIN_WITNESSES = 4
-"""Other servers without which it cannot be told whether one is dead or this instance cut off."""
-
 PROBE_TIMEOUT = 0.6
 """Seconds for which a probe waits for its connection. Longer than for a request, so that a slow
 event loop is not taken for a partition."""
@@ -64,9 +48,9 @@
         """Whether no backend server can be reached."""
 
         self._registry = registry
-        self._failed_at: dict[str, float] = {}
+        self._failures = FailureWindow()
         self._probing: asyncio.Task[None] | None = None
-        self._rng = Random()
+        self._selection = ProbeSelection(Random())
         self._log = structlog.get_logger()
 
     def on_connect(self, server: BackendServer, *, is_open: bool) -> None:
@@ -77,7 +61,7 @@
             is_open: Whether the connection was opened.
         """
         if is_open:
-            self._failed_at.clear()
+            self._failures.clear()
         else:
             self.on_failure(server)
 
@@ -87,13 +71,8 @@
         Args:
             server: The backend server.
         """
-        now = monotonic()
-        self._failed_at[server.server_id] = now
-        if self._probing is not None:
-            return
-        recent = {n: at for n, at in self._failed_at.items() if now - at < SUSPECT_WINDOW}
-        self._failed_at = recent
-        if len(recent) >= SUSPECT_FAILURES:
+        is_suspected = self._failures.on_failure(monotonic(), server.server_id)
+        if is_suspected and self._probing is None:
             self._probing = asyncio.create_task(self._probe_until_reachable())
 
     async def reaches_another(self, server: BackendServer) -> bool:
@@ -107,14 +86,14 @@
         """
         if self.is_cut_off:
             return False
-        others = self._choose_servers(WITNESSES_PER_SERVICE, server.server_id)
-        return len(others) < MIN_WITNESSES or await _reaches_any(others)
+        others = self._selection.draw_witnesses(self._list_services(server.server_id))
+        return not others or await _reaches_any(others)
 
     async def _probe_until_reachable(self) -> None:
         """Probes servers until one can be reached."""
         started = monotonic()
         try:
-            while servers := self._choose_servers():
+            while servers := self._selection.draw_probes(self._list_services()):
                 if await _reaches_any(servers):
                     break
                 if not self.is_cut_off:
@@ -130,18 +109,16 @@
             await asyncio.sleep(SUSPICION_PAUSE)
         finally:
             self.is_cut_off = False
-            self._failed_at.clear()
+            self._failures.clear()
             self._probing = None
 
-    def _choose_servers(
-        self, most: int = PROBES_PER_SERVICE, excluded: str = ""
-    ) -> list[BackendServer]:
-        """Draws the servers to probe, some of each service."""
-        chosen: list[BackendServer] = []
-        for service in self._registry.services():
-            servers = [s for s in self._registry.list_servers(service) if s.server_id != excluded]
-            chosen += self._rng.sample(servers, min(len(servers), most))
-        return chosen
+    def _list_services(self, excluded: str = "") -> list[list[BackendServer]]:
+        """Lists the servers of each service, without one of them."""
+        registry = self._registry
+        return [
+            [server for server in registry.list_servers(name) if server.server_id != excluded]
+            for name in registry.services()
+        ]
 
 
 async def _reaches_any(servers: list[BackendServer]) -> bool:
--- a/src/sapphireledge/gateway/peer_forwarder.py
+++ b/src/sapphireledge/gateway/peer_forwarder.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from sapphireledge.core.reachability import PeerOrder
 from sapphireledge.errors import ErrorKind, Failure, Ran
 from sapphireledge.gateway.backend_connection import BackendConnection
 from sapphireledge.gateway.backend_response_error import BackendResponseError
@@ -17,9 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from sapphireledge.core.reachability import ForwardingPeer
     from sapphireledge.gateway.admitted_request import AdmittedRequest
     from sapphireledge.gateway.caller_connection import CallerConnection
-    from sapphireledge.gateway.forwarding_peer import ForwardingPeer
     from sapphireledge.gateway.gateway_context import GatewayContext
     from sapphireledge.gateway.response_head import ResponseHead
 
@@ -38,12 +39,6 @@
 MISDIRECTED = 421
 """Status of an instance that does not take a forwarded request; it has not been run."""
 
-MAX_PEERS = 8
-"""Instances that are asked for one request; each of them reaches the servers or refuses at once."""
-
-MAX_LOCAL_PEERS = 2
-"""Instances of the same data centre that are asked first; a partition may separate all of them."""
-
 RETRY_AFTER = 0.5
 """Retry-After in seconds if no instance takes a request. The caller may reach one that does, or the
 partition may have healed; one that lasts must not be met by repeats all the time."""
@@ -51,9 +46,6 @@
 CONNECT_TIMEOUT = 0.3
 """Seconds allowed for opening a connection to an instance."""
 
-PEER_COOLDOWN = 4.0
-"""Seconds for which an instance that refused or did not respond is asked after the others."""
-
 DEADLINE_MARGIN = 0.15
 """Seconds beyond the deadline for which the response of the other instance is awaited, which is its
 refusal at that deadline."""
@@ -78,8 +70,7 @@
         """Lists the other instances."""
 
         self._context = context
-        self._avoided_until: dict[str, float] = {}
-        self._rng = Random()
+        self._order = PeerOrder(context.cfg.instance, context.cfg.data_centre, Random())
 
     async def forward(self, conn: CallerConnection, admitted: AdmittedRequest) -> Failure | None:
         """Forwards one request and delivers the response.
@@ -92,7 +83,7 @@
             None if a response was delivered, otherwise the failure to report.
         """
         loop = asyncio.get_running_loop()
-        for peer in self._choose_peers():
+        for peer in self._order.choose(loop.time(), self.list_peers()):
             if loop.time() >= admitted.deadline:
                 break
             try:
@@ -118,27 +109,12 @@
         reason = "neither this instance nor another one that it asked reaches a backend server"
         return Failure(ErrorKind.NO_BACKEND, reason, Ran.NO, RETRY_AFTER)
 
-    def _choose_peers(self) -> list[ForwardingPeer]:
-        """Chooses instances at random, a few of this data centre first, avoided ones last."""
-        cfg = self._context.cfg
-        now = asyncio.get_running_loop().time()
-        peers = [peer for peer in self.list_peers() if peer.name != cfg.instance]
-        self._rng.shuffle(peers)
-        avoided = [p for p in peers if self._avoided_until.get(p.name, 0.0) > now]
-        sound = [p for p in peers if self._avoided_until.get(p.name, 0.0) <= now]
-        local = [p for p in sound if p.data_centre == cfg.data_centre][:MAX_LOCAL_PEERS]
-        remote = [p for p in sound if p.data_centre != cfg.data_centre]
-        return [*local, *remote, *avoided][:MAX_PEERS]
-
     def _avoid(self, peer: ForwardingPeer, reason: str) -> None:
-        """Prefers other instances for a while."""
-        now = asyncio.get_running_loop().time()
-        self._avoided_until = {n: at for n, at in self._avoided_until.items() if at > now}
-        if peer.name not in self._avoided_until:
+        """Prefers other instances for a while; only the first of a series is logged."""
+        if self._order.avoid(asyncio.get_running_loop().time(), peer):
             structlog.get_logger().info(
                 GatewayEvent.PEER_AVOIDED, instance=peer.name, reason=reason
             )
-        self._avoided_until[peer.name] = now + PEER_COOLDOWN
 
     async def _is_taken(self, peer_conn: BackendConnection, admitted: AdmittedRequest) -> bool:
         """Asks an instance whether it takes a request, of which nothing is sent yet."""
--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sapphireledge.core.reachability import ForwardingPeer
 from sapphireledge.feed import (
     FeedRunner,
     FreshnessCheck,
@@ -12,7 +13,6 @@
     KindWatcher,
     StorePresence,
 )
-from sapphireledge.gateway import ForwardingPeer
 from sapphireledge.limits import CallerLedger
 from sapphireledge.platform.config_listener import CONFIG_KIND, ConfigListener
 from sapphireledge.platform.crash_report_listener import CrashReportListener
--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -9,9 +9,9 @@
 from gateway_case import HOST, REQUEST_ID, GatewayCase, full_response, signed_response, table
 from test_gateway_stream import events, streaming_engine
 
+from sapphireledge.core.reachability import ForwardingPeer
 from sapphireledge.gateway import (
     BackendServer,
-    ForwardingPeer,
     Gateway,
     GatewayMetrics,
     RequestTelemetry,
