Own interface: an instance that reaches no engine is not ready

With four or more known engines of which none can be reached by its polls, the readiness check fails; fewer cannot tell a partition from deaths. It does not forward requests, which stays open.

--- a/src/sapphireledge/core/routing/backend_view.py
+++ b/src/sapphireledge/core/routing/backend_view.py
@@ -42,6 +42,10 @@
 """Time in seconds for which a plain service is excluded after a failed connection."""
 
 
+MIN_WITNESSES = 4
+"""Engines without which it cannot be told whether they have died or this instance is cut off."""
+
+
 class BackendView:
     """State of all backend servers as one instance sees it.
 
@@ -244,6 +248,17 @@
         if state is not None and state.report is not None and state.report.software != software:
             state.report = replace(state.report, software=software)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether none of several engines can be reached, so that the fault is on this side.
+
+        Engines are polled, so this does not depend on requests; plain services are not.
+        """
+        engines = [state for state in self._states.values() if state.instance.reports_load]
+        return len(engines) >= MIN_WITNESSES and all(
+            state.unreachable_since is not None for state in engines
+        )
+
     def on_unreachable(self, now: float, backend: str) -> None:
         """Records that a connection to a backend server failed.
 
--- a/src/sapphireledge/entry/entry_server.py
+++ b/src/sapphireledge/entry/entry_server.py
@@ -110,6 +110,7 @@
         self._store = ObjectClient(cfg, self._count_platform_call)
         self._config = ConfigState()
         self._view = BackendView(cfg.routing, cfg.instance, cfg.data_centre, cfg.region)
+        self.lifecycle.is_cut_off = lambda: self._view.is_cut_off
         self._ledger = UsageLedger(cfg.admission.usage_half_life)
         self._quarantine = Quarantine(cfg.quarantine)
         self._pools = ConnectionPools()
--- a/src/sapphireledge/entry/lifecycle.py
+++ b/src/sapphireledge/entry/lifecycle.py
@@ -12,6 +12,8 @@
 from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sapphireledge.settings import Settings
 
 __all__ = ["Lifecycle"]
@@ -39,6 +41,9 @@
         self._cfg = cfg.lifecycle
         self._log = structlog.get_logger()
         self._refusing = False
+        self.is_cut_off: Callable[[], bool] = lambda: False
+        """Whether the instance reaches no engine, while others may."""
+
         self.drain_requested = asyncio.Event()
         """Set once a graceful shutdown is requested."""
         self._machine = Machine(
@@ -51,7 +56,7 @@
     @property
     def is_available(self) -> bool:
         """Whether the load balancer should send new requests."""
-        return self.state == "ready"
+        return self.state == "ready" and not self.is_cut_off()
 
     @property
     def refuses_new_work(self) -> bool:
