Test of an instance that was out of step while a software version joined

An instance without news for 0.2 to 9 s, back or still away, does not send a take-up of a stream that began at the new version to the old one: it goes on at its version or is refused. The test holds on this code; it is no fix.

--- a/tests/test_origin_gaps.py
+++ b/tests/test_origin_gaps.py
@@ -24,6 +24,23 @@
         await self.power_off("b")
         self.assertIn(await a.find("s1"), (None, NEW))
 
+    async def test_instance_that_was_out_of_step_while_a_version_joined(self):
+        """Guards against joined text at an instance that was cut off or stood still meanwhile."""
+        for number, (away, returns) in enumerate(
+            (away, returns) for away in (0.2, 0.5, 0.9, 1.5, 4.0, 9.0) for returns in (True, False)
+        ):
+            with self.subTest(away=away, returns=returns):
+                names = (f"a{number}", f"b{number}")
+                a, b = (self.start(name, OLD) for name in names)
+                await asyncio.sleep(120.0)
+                a.has_feed = False
+                b.serve(OLD, NEW)
+                b.begin(f"s{number}", NEW)
+                await asyncio.sleep(away)
+                a.has_feed = returns
+                self.assertIn(await a.find(f"s{number}"), (None, NEW))
+                await self.power_off(*names)
+
     async def test_instance_that_hears_of_a_version_late_reads_what_others_stored(self):
         """Guards against joined text while a batch of the registry is under way."""
         a, b = self.start("a", OLD), self.start("b", OLD)
