A begun answer that cannot move is not cut while its engine is silent for two seconds

Cause: missing reports counted like reports that show a loss, 1.6 s.

Change: without data and reports a begun stream that cannot move is lost after 2.2 s.

--- a/src/sapphireledge/core/liveness/silence_limits.py
+++ b/src/sapphireledge/core/liveness/silence_limits.py
@@ -38,6 +38,10 @@
     """Time for which reports must show that a run is lost if its stream cannot move: a late report
     costs the whole answer then. Three reports in a row are late or missing in that time."""
 
+    unreported_time: float = 2.2
+    """Time without data and reports after which a begun stream that cannot move is lost. A sound
+    engine may be silent for two seconds; callers leave soon after."""
+
     max_undelivered: int = 10
     """Events that an engine may have generated without their arrival. They take about 0.3 s, ten
     times the one-way latency between regions; more of them show that the connection no longer
--- a/src/sapphireledge/core/liveness/stream_watch.py
+++ b/src/sapphireledge/core/liveness/stream_watch.py
@@ -122,7 +122,10 @@
             return ""
         if self._suspected_at is None:
             self._suspected_at = now
-        return suspicion if now - self._suspected_at >= self._limits.confirm_time else ""
+        limits = self._limits
+        is_silent = sighting is None and self._events > 0
+        confirm_time = limits.unreported_time if is_silent else limits.confirm_time
+        return suspicion if now - self._suspected_at >= confirm_time else ""
 
     def find_cut(self, sighting: RunSighting | None) -> str:
         """Decides from a report whether the run was cut off when its connection ended.
