A watch that the store ended early confirms only its start

What callers could see: an old configuration for up to 1.4 s longer than its age says, and keys that count as fresh as long.

Cause: an empty answer confirmed the objects up to the end of the watch or the moment at which it was read.

Change: only a watch that was held open for its time confirms it.

Test: EarlyAnswerTest failed before (confirmed up to 5.40 s by an answer asked for at 4.20 s, read 1.2 s later), passes now.

--- a/src/sapphireledge/feed/kind_watcher.py
+++ b/src/sapphireledge/feed/kind_watcher.py
@@ -30,6 +30,10 @@
 back."""
 
 
+EARLY_MARGIN = 0.05
+"""Seconds before the end of a watch from which an answer counts as one at its end."""
+
+
 class KindWatcher:
     """Lists the objects of a kind, then watches for changes."""
 
@@ -157,13 +161,22 @@
         if self._feed.revision is None:
             # The store was restored meanwhile; the changes lead to a state that is gone.
             return
-        # The store held a watch without events open for its full time.
         self._had_changes = bool(changes.entries)
-        idle_time = 0.0 if self._had_changes else wait
-        self._feed.apply_changes(changes, min(started + idle_time, seconds_since_boot()))
+        self._feed.apply_changes(changes, self._confirmed_until(started, wait))
         if self._had_changes:
             await asyncio.sleep(self._kind_cfg.batch_delay)
 
+    def _confirmed_until(self, started: float, wait: float) -> float:
+        """Computes up to when the store has confirmed the objects.
+
+        A watch without changes confirms its full time only if it was held open for it; an early
+        answer may have been under way, or unread, for any part of the time.
+        """
+        was_held = seconds_since_boot() - started >= wait - EARLY_MARGIN
+        if self._had_changes or not was_held:
+            return started
+        return min(started + wait, seconds_since_boot())
+
     async def _pause_after_first_listing(self) -> None:
         """Waits before the first watch of a new instance, unless changes are expected."""
         if self._activity is None or not self._activity.is_active:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -524,6 +524,26 @@
         self.assertEqual(store.calls_by_instance["k2"], 1)
 
 
+class EarlyAnswerTest(VirtualClock, WatcherCase):
+    """Guards against objects that count as newer than the answer of the store."""
+
+    async def test_answer_before_the_end_of_a_watch_confirms_its_start(self):
+        store, times = MemoryStore(), []
+        watcher = self.start_watcher(store, replace(KIND, watch_wait=1.4), StorePresence())
+        await asyncio.sleep(4.0)
+
+        async def end_early(kind, revision, wait):
+            times.append(seconds_since_boot())
+            # The answer is read late, as the process stood still.
+            await asyncio.sleep(1.2)
+            return StorePage((), revision)
+
+        watcher._source.watch = end_early
+        while len(times) < 2:
+            await asyncio.sleep(0.001)
+        self.assertLessEqual(watcher._feed.confirmed_at, times[0])
+
+
 class GoneRelayTest(unittest.IsolatedAsyncioTestCase):
     """Guards against instances that search relays that are gone and never read the store."""
 
