--- a/tests/test_peer_forwarding.py
+++ b/tests/test_peer_forwarding.py
@@ -110,6 +110,26 @@
         await self.wait_until(lambda: self.cut_off.is_ready)
         self.assertEqual((await self.call("/plain/")).status, 200)
 
+    async def test_old_connections_that_live_on_do_not_hide_a_partition(self):
+        """Guards against streams that fail while plain requests still use kept connections."""
+        self.gateway = self.cut_off
+        for number in range(4):
+            self.cut_off.context.registry.remove(f"gone{number}")
+        kept = await self.add("app", succeed)
+        self.assertEqual((await self.call("/plain/")).status, 200)
+        kept.stop()
+        for number in range(2):
+            gone = BackendServer(f"gone{number}", "llm", HOST, self.closed_port, "dc-a")
+            self.cut_off.context.registry.put(gone)
+        self.gateway = self.other
+        await self.add("llm", streaming_engine(0, 3))
+        await self.call("/stream/")
+        await self.wait_until(lambda: self.cut_off.context.reachability.is_cut_off)
+        for gateway in (self.cut_off, self.other):
+            gateway.config.confirm(seconds_since_boot())
+        response = await self.call("/stream/")
+        self.assertEqual((response.status, response.body), (200, events(*range(4))))
+
     async def test_service_without_servers_does_not_look_like_a_partition(self):
         """Guards against an instance that gives up because one service is down."""
         self.gateway = self.cut_off
