The quiet-time test of roll-outs begins to count after the first watch

Traced: a watcher of a quiet kind lists 2.5 s after its start (QUIET_START_DELAY) and begins its one long watch 1.5 s later (start_pause), so at 4.0 s. The test began to count 4.0 s after the instances were ready, which they are about 0.05 s after their start: in a traced run the watch began at 4.10 s on its clock, the count some hundredths later.

The test counts from 5.0 s on, for 5 s as before.

--- a/tests/test_rollout_io.py
+++ b/tests/test_rollout_io.py
@@ -297,7 +297,8 @@
         """Guards against watches that cost as much as those of the configuration."""
         await self.add_servers(OLD, 1)
         await self.add_instances(2)
-        await asyncio.sleep(4.0)
+        # The first watch begins 4 s after the start.
+        await asyncio.sleep(5.0)
         self.store.calls.clear()
         await asyncio.sleep(5.0)
         self.assertEqual([kind for kind in self.store.calls if "rollout" in kind], [])
