--- a/src/sapphireledge/core/backpressure/server_backpressure.py
+++ b/src/sapphireledge/core/backpressure/server_backpressure.py
@@ -4,8 +4,8 @@
 request costs it the time to reject it. A server that leaves gets no new requests for the rest of
 its incarnation.
 
-Load pattern: a server that is brittle crashes when it has to reject too many requests, so the
-instances, which all meet the same full server, spare it after a rejection.
+Load pattern: some servers crash when they have to reject too many requests in a second. All
+instances meet the same full server, so each spares it after a rejection.
 
 Load pattern: a server in trouble names the rate of requests that it takes from all instances
 together. The instances do not coordinate, so each takes an equal share of the rate, and the rest of
--- a/src/sapphireledge/gateway/peer_forwarder.py
+++ b/src/sapphireledge/gateway/peer_forwarder.py
@@ -34,7 +34,7 @@
 
 PREFLIGHT_TIMEOUT = 0.4
 """Seconds allowed for the answer to that question: a round trip between regions and some load. The
-kernel of an instance that stands still accepts connections and data all the same."""
+kernel of a suspended instance accepts connections and data all the same."""
 
 MISDIRECTED = 421
 """Status of an instance that does not take a forwarded request; it has not been run."""
@@ -57,7 +57,7 @@
     The other instance takes it on a port of its own and never forwards it again. A request is
     offered to a further instance only if the one before has not received it or states that it has
     not run it, so that it runs at most once. It is sent only once the other instance has said that
-    it takes it, as one that stands still would hold it until its deadline.
+    it takes it, as a suspended one would hold it until its deadline.
     """
 
     def __init__(self, context: GatewayContext) -> None:
