A listing goes on after any name that another writer gave an entry

Callers saw: after a restart of all processes almost no request was served while the registry held an entry with an odd name at the end of a page.

Cause: _list_pages put the name of the last entry into the target of the next call as it stands. Blanks, tabs, line breaks and other control characters are refused by h11, an accent raises UnicodeEncodeError; `&`, `+` and `#` end the value or change it, so entries come twice, or the first page comes again without end; `%` and two digits become another character, and the entries between the two names are skipped. The name is now percent-encoded. An empty name, after which a listing would begin anew, is replaced by the least name that is not empty.

Evidence: the soak's store lists in pages ordered by name and takes a target only as RFC 3986 has it.

--- a/soak/http.py
+++ b/soak/http.py
@@ -43,7 +43,9 @@
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         first, *lines = head.strip().split("\r\n")
-        method, target, _ = first.split(" ")
+        # Whether the target may hold blanks is up to the stand-in that decodes it.
+        method, _, rest = first.partition(" ")
+        target = rest.rpartition(" ")[0]
         headers = {
             name.strip().lower(): value.strip()
             for name, _, value in (line.partition(":") for line in lines)
--- a/soak/store.py
+++ b/soak/store.py
@@ -5,11 +5,16 @@
 import asyncio
 import time
 from collections import Counter
-from urllib.parse import parse_qs, urlsplit
+from typing import TYPE_CHECKING
+from urllib.parse import unquote_plus
 
 import msgspec
 
 from soak.http import Request, count_lost_connection, encode_response, read_request
+from soak.request_target import RequestTarget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 __all__ = ["Store"]
 
@@ -27,6 +32,10 @@
         """Whether requests are executed, but their answers are held back for 60 s."""
         self.outage_changed_at = time.monotonic()
         """Time at which the last outage started or ended."""
+        self.page_size = 500
+        """Objects in one page of a listing."""
+        self.decode_query: Callable[[str], str] = unquote_plus
+        """Decodes a value of a query."""
         self.calls: Counter[str] = Counter()
         """Calls by method and kind."""
         self.lost_status_answers = 0
@@ -124,13 +133,15 @@
             writer.transport.abort()
 
     async def _answer(self, request: Request) -> tuple[int, object]:
-        url = urlsplit(request.target)
-        query = {name: values[0] for name, values in parse_qs(url.query).items()}
-        kind, _, name = url.path.removeprefix("/objects/").partition("/")
-        self.calls[f"{request.method} {url.path.removeprefix('/objects/')}"] += 1
+        target = RequestTarget.parse(request.target, self.decode_query)
+        if target is None:
+            self.calls["invalid target"] += 1
+            return 400, {}
+        query = target.query
+        _, kind, name, part = (*target.segments, "", "")[:4]
+        self.calls[f"{request.method} {'/'.join(target.segments[1:])}"] += 1
         if request.method in ("POST", "PUT"):
             document = msgspec.json.decode(request.body)
-            name, _, part = name.partition("/")
             name = name or document["metadata"]["name"]
             existing = self._objects.get(kind, {}).get(name)
             if existing is not None and request.method == "POST":
@@ -154,10 +165,17 @@
             found = self.get(kind, name)
             return (404, {}) if found is None else (200, found)
         if "watch" not in query:
-            items = list(self._objects.get(kind, {}).values())
-            return 200, {"items": items, "more": False, "store_revision": self.revision}
+            return 200, self._list(kind, query.get("after_rev", ""))
         return await self._watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
 
+    def _list(self, kind: str, after: str) -> dict[str, object]:
+        """Returns a page of the objects of a kind, in the order of their names."""
+        objects = self._objects.get(kind, {})
+        names = sorted(name for name in objects if not after or name > after)
+        items = [objects[name] for name in names[: self.page_size]]
+        more = len(names) > self.page_size
+        return {"items": items, "more": more, "store_revision": self.revision}
+
     async def _watch(self, kind: str, since: int, wait: float) -> tuple[int, object]:
         deadline = time.monotonic() + wait
         while True:
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -63,6 +63,9 @@
 MAX_EPOCH_DIGITS = 18
 """Digits of the largest number accepted in that header."""
 
+LEAST_NAME = "\0"
+"""Name after which a listing is continued from an empty one, which would begin it anew."""
+
 INSTANCE_KIND = "entry-instances"
 """Kind of the objects that describe the entry instances."""
 
@@ -189,7 +192,8 @@
                 return StorePage(tuple(entries), revision)
             # Despite its name, `after_rev` takes the name of the last object.
             separator = "&" if query else "?"
-            path = f"/objects/{kind}{query}{separator}after_rev={page.items[-1].metadata.name}"
+            after = _encode_name(page.items[-1].metadata.name or LEAST_NAME)
+            path = f"/objects/{kind}{query}{separator}after_rev={after}"
 
     async def watch(self, kind: str, revision: int, wait: float) -> StorePage | None:
         """Waits for changes of a kind; see `ObjectSource.watch`."""
@@ -413,6 +417,11 @@
         task.result()[1].transport.abort()
 
 
+def _encode_name(name: str) -> str:
+    """Encodes the name of an object for the target of a request; other writers choose any."""
+    return quote(name, safe="")
+
+
 def _decode_epoch(value: bytes | None) -> int:
     """Decodes the epoch of the store, 0 if the header is missing or no number."""
     if value is None or not value.isdigit() or len(value) > MAX_EPOCH_DIGITS:
--- /dev/null
+++ b/tests/test_odd_names.py
@@ -0,0 +1,103 @@
+"""Tests of entries from other writers whose names hold characters of a request target."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from urllib.parse import unquote, unquote_plus
+
+from sapphireledge.feed import Peer, StoreEpoch
+from sapphireledge.platform.store_client import INSTANCE_KIND, StoreClient
+from sapphireledge.platform.store_settings import StoreSettings
+from soak.store import Store
+
+ODD_NAMES = (
+    "s2&x",
+    "s2&",
+    "&",
+    "s2+x",
+    "+",
+    "s2#x",
+    "#",
+    "s2%41",
+    "s2%zz",
+    "%",
+    "s2 x",
+    " ",
+    "s2\tx",
+    "s2\nx",
+    "s2\r\nx: y",
+    "s2=x",
+    "s2;x",
+    "s2?x",
+    "s2/x",
+    "/",
+    ".",
+    "..",
+    "s2\\",
+    's2"',
+    "s2\x00",
+    "s2\x7f",
+    "s2é",
+    "é",
+    "споткнулся",
+    "滑冰",
+    "⛸",
+    "",
+)
+"""Names that other writers may give, by which pages of a listing are continued."""
+
+SOUND_NAMES = ("s1", "s2", "s3", "s4")
+
+
+class StoreCase(unittest.IsolatedAsyncioTestCase):
+    """A store, and a client of it."""
+
+    async def asyncSetUp(self):
+        self.store = Store()
+        await self.store.start()
+        self.client = StoreClient(
+            StoreSettings("127.0.0.1", self.store.port, call_timeout=5.0), StoreEpoch()
+        )
+
+    async def asyncTearDown(self):
+        self.client.close()
+
+
+class ListingTest(StoreCase):
+    async def list_names(self, kind):
+        async with asyncio.timeout(10):
+            page = await self.client.list(kind)
+        return [entry.name for entry in page.entries]
+
+    async def test_pages_after_an_odd_name(self):
+        """Guards against listings that end, repeat or skip entries at an odd name."""
+        for decode_query in (unquote_plus, unquote):
+            self.store.decode_query = decode_query
+            for number, odd_name in enumerate(ODD_NAMES):
+                kind = f"kind-{decode_query.__name__}-{number}"
+                names = sorted([*SOUND_NAMES, odd_name])
+                for name in names:
+                    self.store.put(kind, name, {})
+                self.store.page_size = names.index(odd_name) + 1
+                self.store.calls.clear()
+                with self.subTest(odd_name, decode_query=decode_query.__name__):
+                    self.assertEqual(await self.list_names(kind), names)
+                    pages = -(-len(names) // self.store.page_size)
+                    self.assertEqual(self.store.calls.total(), pages)
+
+    async def test_list_of_instances(self):
+        """Guards against an instance that finds no other one because of an odd name."""
+        for number in range(4):
+            peer = Peer(f"n{number}", "10.0.0.1", 7340, "dc-a", 1000.0)
+            await self.client.announce(peer)
+        for odd_name in ODD_NAMES:
+            self.store.put(INSTANCE_KIND, odd_name, {"note": "by another writer"})
+        self.store.page_size = 1
+        async with asyncio.timeout(10):
+            peers = await self.client.list_peers()
+        self.assertEqual([peer.name for peer in peers], ["n0", "n1", "n2", "n3"])
+
+
+if __name__ == "__main__":
+    unittest.main()
