Paths of written objects are built like those of read ones

Callers saw nothing yet: names in these paths come from the settings of an instance and from configured services.

`read` and `write_status` percent-encoded the name of the object, `write` and `announce` did not, so an instance with `#`, `?` or `/` in its name would replace another object than its own, or none, and one with a blank or an accent could not share its crash reports or move to another address. All four build the path in one function now.

In the test of restarts, the name with an accent sorts before other entries, so that a page follows it.

--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -229,7 +229,7 @@
         if answer.status != CONFLICT:
             return
         if _decode_version(answer).spec != msgspec.to_builtins(spec):
-            path = f"/objects/{INSTANCE_KIND}/{peer.name}"
+            path = _object_path(INSTANCE_KIND, peer.name)
             answer = await self._call("replace", "PUT", path, timeout, payload)
             if answer.status == NOT_FOUND:
                 raise SourceError("the description of this instance was removed meanwhile")
@@ -254,7 +254,7 @@
         if revision is not None:
             metadata = {"name": name, "revision": revision}
             payload = msgspec.json.encode({"metadata": metadata, "spec": spec})
-            path = f"/objects/{kind}/{name}"
+            path = _object_path(kind, name)
             answer = await self._call("replace", "PUT", path, timeout, payload)
             if answer.status != NOT_FOUND:
                 return _decode_version(answer)
@@ -275,7 +275,7 @@
         Raises:
             SourceError: The store did not answer, or refused the call.
         """
-        path = f"/objects/{kind}/{quote(name, safe='')}"
+        path = _object_path(kind, name)
         answer = await self._call("read", "GET", path, self._cfg.call_timeout)
         return None if answer.status == NOT_FOUND else _decode_version(answer)
 
@@ -299,7 +299,7 @@
         """
         metadata = {"name": name, "revision": revision}
         payload = msgspec.json.encode({"metadata": metadata, "status": status})
-        path = f"/objects/{kind}/{quote(name, safe='')}/status"
+        path = f"{_object_path(kind, name)}/status"
         answer = await self._call("status", "PUT", path, self._cfg.call_timeout, payload)
         return None if answer.status == NOT_FOUND else _decode_version(answer)
 
@@ -422,6 +422,11 @@
     return quote(name, safe="")
 
 
+def _object_path(kind: str, name: str) -> str:
+    """Builds the path of an object."""
+    return f"/objects/{kind}/{_encode_name(name)}"
+
+
 def _decode_epoch(value: bytes | None) -> int:
     """Decodes the epoch of the store, 0 if the header is missing or no number."""
     if value is None or not value.isdigit() or len(value) > MAX_EPOCH_DIGITS:
--- a/tests/test_odd_names.py
+++ b/tests/test_odd_names.py
@@ -47,6 +47,9 @@
 )
 """Names that other writers may give, by which pages of a listing are continued."""
 
+PATH_NAMES = [name for name in ODD_NAMES if name not in ("", ".", "..")]
+"""Those that can be a segment of a path."""
+
 SOUND_NAMES = ("s1", "s2", "s3", "s4")
 
 
@@ -99,5 +102,33 @@
         self.assertEqual([peer.name for peer in peers], ["n0", "n1", "n2", "n3"])
 
 
+class ObjectPathTest(StoreCase):
+    """An instance is named by its settings, and its objects after it."""
+
+    async def test_replaced_object(self):
+        """Guards against writes to another object than the one that was named."""
+        for name in PATH_NAMES:
+            with self.subTest(name):
+                first = await self.client.write("kind-a", name, {"n": 1}, None)
+                second = await self.client.write("kind-a", name, {"n": 2}, first.revision)
+                self.assertTrue(first.written and second.written)
+                self.assertEqual(self.store.get("kind-a", name)["spec"], {"n": 2})
+                status = await self.client.write_status("kind-a", name, "s", second.revision)
+                self.assertTrue(status is not None and status.written)
+                stored = await self.client.read("kind-a", name)
+                self.assertEqual((stored.spec, stored.status), ({"n": 2}, "s"))
+        self.assertEqual(set(self.store.names("kind-a")), set(PATH_NAMES))
+        self.assertEqual(self.store.calls["invalid target"], 0)
+
+    async def test_announced_again_at_another_address(self):
+        """Guards against an instance that stays listed at an address that it has left."""
+        for name in PATH_NAMES:
+            with self.subTest(name):
+                for host in ("10.0.0.1", "10.0.0.2"):
+                    await self.client.announce(Peer(name, host, 7340, "dc-a", 1000.0))
+                spec = self.store.get(INSTANCE_KIND, name)["spec"]
+                self.assertEqual(spec["address"], "10.0.0.2:7340")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_odd_names_restart.py
+++ b/tests/test_odd_names_restart.py
@@ -16,7 +16,20 @@
 from soak.soak_run import DATA_CENTRES, reserve_network
 from soak.store import Store
 
-ODD_NAMES = ("app&", "&", "app+x", "+", "app#", "app%41", "%", "app x", "app\tx", "app\nx", "é", "")
+ODD_NAMES = (
+    "app&",
+    "&",
+    "app+x",
+    "+",
+    "app#",
+    "app%41",
+    "%",
+    "app x",
+    "app\tx",
+    "app\nx",
+    "appé",
+    "",
+)
 
 ROUTES = ("/plain/", "/stream/")
 
