One row of an answer that is no object does not fail the others

Callers would see: no listing of a kind, or no change of it, for as long as the row stands, so after a restart of all processes nothing is served.

Cause: an answer of the store was decoded as a whole. Rows whose strings cannot be decoded were left out one by one, but a row without `metadata`, or with a name that is no text, or with a revision that is no whole number raised a ValidationError for the whole answer. A revision of more than 64 bits was read, and then could not be encoded for followers. Half a surrogate pair beside a sound name hid the object.

Rows without a readable name are left out now, with a log line; other fields of the metadata that are odd count as unknown, because the name and the content are sound.

That odd content is passed on and does not affect others was handled: test_platform_adapter, test_odd_entry_of_another_writer_does_not_affect_others.

--- a/src/sapphireledge/platform/decode_objects.py
+++ b/src/sapphireledge/platform/decode_objects.py
@@ -38,7 +38,8 @@
         kind: Type to decode it as.
 
     Returns:
-        The decoded answer; values nested deeper than `MAX_DEPTH` are replaced by null.
+        The decoded answer; values nested deeper than `MAX_DEPTH` are replaced by null, and rows
+        without a name are left out.
 
     Raises:
         SourceError: The answer is not JSON, or of another type.
@@ -46,8 +47,6 @@
     try:
         try:
             return msgspec.json.decode(body, type=kind)
-        except msgspec.ValidationError:
-            raise
         except (RecursionError, msgspec.DecodeError):
             return msgspec.json.decode(_clear_unreadable(_cut_nesting(body)), type=kind)
     except (msgspec.MsgspecError, RecursionError) as exc:
@@ -80,7 +79,7 @@
 
 
 def _clear_unreadable(body: bytes) -> bytes:
-    """Removes the contents that cannot be read, and the objects whose names cannot be read."""
+    """Removes the contents that cannot be read, and the objects without a readable name."""
     answer = parse_leniently(body)
     if not isinstance(answer, dict):
         return body
@@ -88,28 +87,40 @@
         rows = answer.get(key)
         if isinstance(rows, list):
             answer[key] = [row for row in rows if _clear_object(row, holder)]
-    _clear_object(answer, None)
+    if "metadata" in answer:
+        _clear_object(answer, None)
+    else:
+        _clear_fields(answer)
     return msgspec.json.encode(answer)
 
 
 def _clear_object(row: Any, holder: str | None) -> bool:
-    """Clears the unreadable fields of an object; returns whether its name and version are left.
+    """Clears the unreadable fields of an object; returns whether it has a readable name.
 
     The object is the row itself, or the field of it that `holder` names.
     """
     stored = row.get(holder) if holder is not None and isinstance(row, dict) else row
-    if not isinstance(stored, dict):
-        return False
-    unreadable = [key for key, field in stored.items() if not is_readable(field)]
-    if unreadable:
+    metadata = stored.get("metadata") if isinstance(stored, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    unreadable = []
+    if isinstance(stored, dict) and isinstance(metadata, dict):
+        unreadable = _clear_fields(metadata) + _clear_fields(stored)
+    has_name = isinstance(name, str) and is_readable(name)
+    if unreadable or not has_name:
         structlog.get_logger().warning(
             GatewayEvent.OBJECT_UNREADABLE,
-            name=ascii(stored.get("metadata")),
-            reason=f"{unreadable} cannot be passed on",
+            name=ascii(name),
+            reason=f"{unreadable} cannot be passed on" if has_name else "it has no readable name",
         )
+    return has_name
+
+
+def _clear_fields(fields: dict[str, Any]) -> list[str]:
+    """Removes the fields that cannot be read; returns their names."""
+    unreadable = [key for key, field in fields.items() if not is_readable({key: field})]
     for key in unreadable:
-        stored[key] = None
-    return stored.get("metadata") is not None
+        del fields[key]
+    return unreadable
 
 
 def _cut_nesting(body: bytes) -> bytes:
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -57,6 +57,9 @@
 EXPECTED_STATUSES = frozenset({"200", "201", str(NOT_FOUND), str(CONFLICT), str(GONE)})
 """Statuses of regular responses; any other status is a failed call."""
 
+MAX_NUMBER = 2**63 - 1
+"""Largest revision of an object."""
+
 EPOCH = b"store-era"
 """Header with the number of times that the store came back from an older copy."""
 
@@ -81,7 +84,7 @@
 
 class _Metadata(msgspec.Struct):
     name: str
-    revision: int = 0
+    revision: Any = 0
     created: Any = 0
 
 
@@ -98,11 +101,10 @@
 
     def decode_record(self) -> ObjectRecord:
         """Decodes the status and the versions."""
-        created = self.metadata.created
         return ObjectRecord(
             decode_spec(self.metadata.name, self.status),
-            self.metadata.revision,
-            created if type(created) is int else 0,
+            _to_number(self.metadata.revision),
+            _to_number(self.metadata.created),
         )
 
 
@@ -417,6 +419,11 @@
         task.result()[1].transport.abort()
 
 
+def _to_number(value: object) -> int:
+    """Returns a number of the store, 0 for anything that is none or that no message holds."""
+    return value if type(value) is int and 0 <= value <= MAX_NUMBER else 0
+
+
 def _encode_name(name: str) -> str:
     """Encodes the name of an object for the target of a request; other writers choose any."""
     return quote(name, safe="")
--- /dev/null
+++ b/tests/test_odd_rows.py
@@ -0,0 +1,94 @@
+"""Tests of rows in answers of the store that are not objects as the store describes them."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+from test_platform_adapter import SERVER, ScriptedStore, stored_object
+
+from sapphireledge.feed import StoreEpoch
+from sapphireledge.platform.store_client import StoreClient
+from sapphireledge.platform.store_settings import StoreSettings
+
+NAMELESS_ROWS = (
+    None,
+    1,
+    "s",
+    [],
+    {},
+    {"spec": SERVER},
+    {"metadata": None, "spec": SERVER},
+    {"metadata": [], "spec": SERVER},
+    {"metadata": {"revision": 1}, "spec": SERVER},
+    {"metadata": {"name": None}, "spec": SERVER},
+    {"metadata": {"name": 7}, "spec": SERVER},
+    {"metadata": {"name": ["s"]}, "spec": SERVER},
+)
+
+NAMED_ROWS = (
+    {"metadata": {"name": "odd"}},
+    {"metadata": {"name": "odd", "revision": None}, "spec": 1},
+    {"metadata": {"name": "odd", "revision": "1"}, "spec": 1},
+    {"metadata": {"name": "odd", "revision": 1.5}, "spec": 1},
+    {"metadata": {"name": "odd", "revision": -1}, "spec": 1},
+    {"metadata": {"name": "odd", "revision": msgspec.Raw(b"1" + b"0" * 30)}, "spec": 1},
+    {"metadata": {"name": "odd", "created": msgspec.Raw(b"1" + b"0" * 30)}, "spec": 1},
+    {"metadata": {"name": "odd", "created": {}, "finalizers": 3, "deleting": "no"}, "spec": 1},
+    {"metadata": {"name": "odd", "note": msgspec.Raw(b'"\\ud800"')}, "spec": 1},
+    {"metadata": {"name": "odd", "note": msgspec.Raw(b"[" * 99 + b"]" * 99)}, "spec": 1},
+)
+
+SOUND = stored_object("s1", SERVER)
+
+
+class OddRowsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = ScriptedStore()
+        await self.store.start()
+        self.client = StoreClient(
+            StoreSettings("127.0.0.1", self.store.port), StoreEpoch(), has_records=True
+        )
+
+    async def asyncTearDown(self):
+        self.client.close()
+        self.store.stop()
+
+    async def list_entries(self, *pages):
+        self.store.calls = []
+        self.store.answers = [
+            (200, {"items": list(rows), "more": page < len(pages), "store_revision": 3})
+            for page, rows in enumerate(pages, 1)
+        ]
+        return (await self.client.list("servers")).entries
+
+    async def watch_entries(self, *rows):
+        events = [{"object": row} for row in rows]
+        self.store.answers = [(200, {"events": events, "store_revision": 4})]
+        return (await self.client.watch("servers", 3, 0.1)).entries
+
+    async def test_row_without_a_name(self):
+        """Guards against a listing or a watch that fails for good because of one row."""
+        for row in NAMELESS_ROWS:
+            with self.subTest(row):
+                for entries in (
+                    await self.list_entries([row, SOUND]),
+                    await self.watch_entries(row, SOUND),
+                ):
+                    self.assertEqual([(e.name, e.spec) for e in entries], [("s1", SERVER)])
+
+    async def test_row_with_a_name(self):
+        """Guards against the same, and against rows that cannot be passed on to followers."""
+        for row in NAMED_ROWS:
+            with self.subTest(row):
+                for entries in (
+                    await self.list_entries([row, SOUND]),
+                    await self.watch_entries(row, SOUND),
+                ):
+                    self.assertEqual([e.name for e in entries], ["odd", "s1"])
+                    self.assertEqual(entries[1].spec, SERVER)
+                    msgspec.msgpack.encode([entry.record for entry in entries])
+
+
+if __name__ == "__main__":
+    unittest.main()
