A listing that makes no progress fails instead of ending early or never

Callers would see: sound servers dropped after a page whose names cannot be read, or an instance that calls the store thousands of times.

Cause: a page without readable rows ended the listing as if it were complete, although the store said that more follow, so that all further servers counted as gone. A store that gives the same page again was asked again without end.

The listing now goes on after the last name of a page also if that name is not Unicode text. If there is no name, or one by which it was continued already, it fails as any other call does: the objects in force stay.

Evidence: 2 new tests in test_odd_rows have 5 failures before (a page of unreadable names, and four listings without progress, which did not raise), none after.

--- a/src/sapphireledge/platform/decode_objects.py
+++ b/src/sapphireledge/platform/decode_objects.py
@@ -16,7 +16,7 @@
 from sapphireledge.gateway import GatewayEvent
 from sapphireledge.lenient_json import is_readable, parse_leniently
 
-__all__ = ["decode_answer", "decode_spec"]
+__all__ = ["decode_answer", "decode_spec", "find_last_name"]
 
 Decoded = TypeVar("Decoded")
 
@@ -78,6 +78,29 @@
         return None
 
 
+def find_last_name(body: bytes) -> str | None:
+    """Finds the name by which a listing is continued after a page without readable names.
+
+    Args:
+        body: JSON text of the page.
+
+    Returns:
+        The last name, which may hold lone surrogates, or None if there is none.
+    """
+    try:
+        rows = parse_leniently(_cut_nesting(body))["items"]
+        names = [row["metadata"]["name"] for row in rows if _has_name(row)]
+    except (msgspec.DecodeError, RecursionError, LookupError, TypeError):
+        return None
+    return names[-1] if names else None
+
+
+def _has_name(row: Any) -> bool:
+    """Whether a row has a name, readable or not."""
+    metadata = row.get("metadata") if isinstance(row, dict) else None
+    return isinstance(metadata, dict) and isinstance(metadata.get("name"), str)
+
+
 def _clear_unreadable(body: bytes) -> bytes:
     """Removes the contents that cannot be read, and the objects without a readable name."""
     answer = parse_leniently(body)
--- a/src/sapphireledge/platform/store_client.py
+++ b/src/sapphireledge/platform/store_client.py
@@ -21,7 +21,7 @@
     StorePage,
 )
 from sapphireledge.gateway import EventReader, GatewayEvent, UnreadReader, open_unread_connection
-from sapphireledge.platform.decode_objects import decode_answer, decode_spec
+from sapphireledge.platform.decode_objects import decode_answer, decode_spec, find_last_name
 from sapphireledge.platform.split_address import split_address
 
 if TYPE_CHECKING:
@@ -177,6 +177,7 @@
         revision: int | None = None
         epoch: int | None = None
         size = 0
+        continued: set[str] = set()
         path = f"/objects/{kind}{query}"
         while True:
             answer = await self._call("list", "GET", path, self._cfg.call_timeout)
@@ -190,11 +191,15 @@
             # Watching from the revision of the first page also returns changes during the listing.
             revision = page.store_revision if revision is None else revision
             entries += [self._build_entry(item) for item in page.items]
-            if not page.more or not page.items:
+            if not page.more:
                 return StorePage(tuple(entries), revision)
+            last = page.items[-1].metadata.name if page.items else find_last_name(answer.body)
+            if last is None or last in continued:
+                raise SourceError(f"the listing makes no progress after {last!a}")
+            continued.add(last)
             # Despite its name, `after_rev` takes the name of the last object.
             separator = "&" if query else "?"
-            after = _encode_name(page.items[-1].metadata.name or LEAST_NAME)
+            after = _encode_name(last or LEAST_NAME)
             path = f"/objects/{kind}{query}{separator}after_rev={after}"
 
     async def watch(self, kind: str, revision: int, wait: float) -> StorePage | None:
@@ -426,7 +431,7 @@
 
 def _encode_name(name: str) -> str:
     """Encodes the name of an object for the target of a request; other writers choose any."""
-    return quote(name, safe="")
+    return quote(name, safe="", errors="surrogatepass")
 
 
 def _object_path(kind: str, name: str) -> str:
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -7,7 +7,7 @@
 import msgspec
 from test_platform_adapter import SERVER, ScriptedStore, stored_object
 
-from sapphireledge.feed import StoreEpoch
+from sapphireledge.feed import SourceError, StoreEpoch
 from sapphireledge.platform.store_client import StoreClient
 from sapphireledge.platform.store_settings import StoreSettings
 
@@ -89,6 +89,33 @@
                     self.assertEqual(entries[1].spec, SERVER)
                     msgspec.msgpack.encode([entry.record for entry in entries])
 
+    async def test_page_of_unreadable_names(self):
+        """Guards against a listing that ends early, so that servers count as gone."""
+        odd = {"metadata": {"name": msgspec.Raw(b'"s0\\ud800"')}, "spec": 1}
+        entries = await self.list_entries([stored_object("s0", SERVER)], [odd], [SOUND])
+        self.assertEqual([entry.name for entry in entries], ["s0", "s1"])
+        self.assertEqual(
+            self.store.calls[1:],
+            [
+                "/objects/servers?after_rev=s0",
+                "/objects/servers?after_rev=s0%ED%A0%80",
+            ],
+        )
+
+    async def test_listing_that_makes_no_progress(self):
+        """Guards against endless calls, and against servers that count as gone."""
+        rows = [stored_object("s0", SERVER), SOUND]
+        for case, pages in {
+            "the same page again": [rows] * 9,
+            "two pages in turn": [rows, rows[:1]] * 5,
+            "no rows": [[], rows],
+            "no names": [rows, [{}, 1], rows],
+        }.items():
+            with self.subTest(case):
+                with self.assertRaises(SourceError):
+                    await self.list_entries(*pages)
+                self.assertLessEqual(len(self.store.calls), 3)
+
 
 if __name__ == "__main__":
     unittest.main()
