An entry whose name no header holds names no server

Callers saw: 502 for each request that was sent to such an entry's address, for as long as the entry stood.

Cause: the name of an entry is the id of its server and goes into a header of each request. An entry with the content of a server, under a name with a line break or another control character, with blanks at an end, or too long for a head, was taken for a server. h11 raises LocalProtocolError for the header, which ended the request as an internal error and counted as no failure of the server, so it was chosen again and again. Such an entry counts as unreadable now. An empty name would expect no id, so that another server at the address would run the request.

Handled before, and kept as a test: the same content under a name that a header holds. The server at the address has another id and answers 421, the entry is dropped until it changes, and the request goes elsewhere.

ServerIdTest fails before for 7 of 7 names that no header holds.

--- a/src/sapphireledge/platform/decode_server.py
+++ b/src/sapphireledge/platform/decode_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any, Literal
 
 import msgspec
@@ -11,6 +12,12 @@
 
 __all__ = ["decode_server", "decode_version"]
 
+MAX_ID_LENGTH = 1_024
+"""Longest id in characters; servers limit the heads of requests to a few kilobytes."""
+
+_HEADER_VALUE = re.compile(r"[^\x00-\x20\x7f]([^\x00-\x08\x0a-\x1f\x7f]*[^\x00-\x20\x7f])?")
+"""Text that is the same after it was sent as the value of a header."""
+
 
 class _Server(msgspec.Struct):
     """A registry entry; `zone` is the data centre, `born` the start time in Unix milliseconds.
@@ -41,8 +48,10 @@
 
     Raises:
         msgspec.ValidationError: A field is missing or has another type.
-        ValueError: The address is not IP:PORT.
+        ValueError: The address is not IP:PORT, or the id cannot be sent in a header.
     """
+    if len(name) > MAX_ID_LENGTH or not _HEADER_VALUE.fullmatch(name):
+        raise ValueError("the id cannot be sent in a header")
     entry = msgspec.convert(spec, _Server)
     host, port = split_address(entry.address)
     return BackendServer(
--- a/tests/test_odd_names.py
+++ b/tests/test_odd_names.py
@@ -6,7 +6,11 @@
 import unittest
 from urllib.parse import unquote, unquote_plus
 
+import h11
+from test_platform_adapter import SERVER
+
 from sapphireledge.feed import Peer, StoreEpoch
+from sapphireledge.platform.decode_server import decode_server
 from sapphireledge.platform.store_client import INSTANCE_KIND, StoreClient
 from sapphireledge.platform.store_settings import StoreSettings
 from soak.store import Store
@@ -50,6 +54,9 @@
 PATH_NAMES = [name for name in ODD_NAMES if name not in ("", ".", "..")]
 """Those that can be a segment of a path."""
 
+CONTROLS = {*map(chr, range(32)), "\x7f"} - {"\t"}
+"""Characters that no header holds."""
+
 SOUND_NAMES = ("s1", "s2", "s3", "s4")
 
 
@@ -130,5 +137,21 @@
                 self.assertEqual(spec["address"], "10.0.0.2:7340")
 
 
+class ServerIdTest(unittest.TestCase):
+    def test_names_that_no_header_holds(self):
+        """Guards against requests that fail because the id of their server cannot be sent."""
+        refused = [name for name in ODD_NAMES if name != name.strip() or set(name) & CONTROLS]
+        self.assertEqual(len(refused), 5)
+        for name in ("", *refused, "x" * 2_000):
+            with self.subTest(name), self.assertRaises(ValueError):
+                decode_server(name, SERVER)
+        for name in sorted(set(ODD_NAMES) - {"", *refused}):
+            with self.subTest(name):
+                self.assertEqual(decode_server(name, SERVER).server_id, name)
+                h11.Request(
+                    method="GET", target="/", headers=[("host", "-"), ("id", name.encode())]
+                )
+
+
 if __name__ == "__main__":
     unittest.main()
