Own interface: an object that is no claim does not end the recording of outcomes

Callers would see: a repeated booking whose outcome is not known, because outcomes are no longer written.

Cause: the collector of expired claims took the time bucket of an object's key with int(), which raises ValueError for an object of another writer below `claims/`. Its task group also holds the recorder of outcomes, which was cancelled with it and never started again. Keys like `claims/7/y` were read as another bucket than they are in, so the same page was asked for without end.

A key is one of a claim only with the twelve digits and the slash that claims have. The collector leaves others where they are and goes on after them.

Evidence: test_odd_keys, test_claims_under_odd_keys raised ValueError before. Handled before, and kept: listings of the own client in pages of one object after each of 32 odd names (test_pages_after_an_odd_key; its library encodes the query), and declarations under 96 odd keys with three contents (test_declarations_under_odd_keys).

--- a/src/sapphireledge/core/claims/idempotency_key.py
+++ b/src/sapphireledge/core/claims/idempotency_key.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import TYPE_CHECKING
@@ -22,6 +23,9 @@
 MS_PER_SECOND = 1000
 """UUIDs of version 7 contain a time in milliseconds."""
 
+_CLAIM_KEY = re.compile(rf"{CLAIM_PREFIX}([0-9]{{12}})/.*", re.DOTALL)
+"""Object key of a claim, with its time bucket."""
+
 DIGEST_BYTES = 16
 """Length in bytes of the hash in a claim's object key."""
 
@@ -61,8 +65,14 @@
 
     Returns:
         Start of the time bucket in Unix seconds.
+
+    Raises:
+        ValueError: The key is not one of a claim.
     """
-    return int(claim_key.removeprefix(CLAIM_PREFIX).partition("/")[0])
+    match = _CLAIM_KEY.fullmatch(claim_key)
+    if match is None:
+        raise ValueError(f"{claim_key!r} is not the key of a claim")
+    return int(match[1])
 
 
 def parse_idempotency_key(
--- a/src/sapphireledge/entry/claim_collector.py
+++ b/src/sapphireledge/entry/claim_collector.py
@@ -61,7 +61,13 @@
             page = await self._store.list(CLAIM_PREFIX, after, 1)
             if isinstance(page, Failure) or not page.objects:
                 return
-            bucket = claim_bucket(page.objects[0].key)
+            key = page.objects[0].key
+            try:
+                bucket = claim_bucket(key)
+            except ValueError:
+                # Another writer's object must not keep expired claims in the store.
+                after = key
+                continue
             if not self._is_expired(bucket):
                 return
             if self._is_assigned(bucket) and not await self._collect_bucket(bucket):
--- /dev/null
+++ b/tests/test_odd_keys.py
@@ -0,0 +1,97 @@
+"""Tests of objects of other writers under odd keys, on the own interface."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import unittest
+
+from memory_store import MemoryStore
+from test_odd_names import ODD_NAMES
+from test_platform import FAST_SETTINGS, make_settings
+
+from sapphireledge.core.config import ConfigState
+from sapphireledge.entry.claim_collector import ClaimCollector
+from sapphireledge.objects import ObjectClient, PrefixWatcher
+from sapphireledge.settings import ClaimSettings
+from sapphireledge_standins.platform_server import PlatformServer, create_server
+
+
+class OddKeysTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.platform = PlatformServer()
+        self.server = create_server(self.platform)
+        sock = socket.create_server(("127.0.0.1", 0))
+        self.server_task = asyncio.create_task(self.server.serve(sockets=[sock]))
+        self.client = ObjectClient(make_settings(sock.getsockname()[1]))
+
+    async def asyncTearDown(self):
+        self.server.should_exit = True
+        await self.server_task
+
+    async def test_pages_after_an_odd_key(self):
+        """Guards against listings that end, repeat or skip objects at an odd key."""
+        keys = sorted([f"a/{name}" for name in ODD_NAMES] + ["a/sound", "a/~sound"])
+        for key in keys:
+            self.platform.objects.put(key, b"", 0)
+        found, after = [], ""
+        async with asyncio.timeout(10):
+            while True:
+                page = await self.client.list("a/", after, 1)
+                found += [obj.key for obj in page.objects]
+                after = page.next_after
+                if not after:
+                    break
+        self.assertEqual(found, keys)
+
+
+class ReaderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_claims_under_odd_keys(self):
+        """Guards against expired claims that stay because of an object that is no claim."""
+        store = MemoryStore()
+        keys = [f"claims/{0:012d}/w/s/{number}" for number in range(3)]
+        odd_keys = [
+            f"claims/{name}" for name in (*ODD_NAMES, "1", "7/y", "+00000000001/x", "1_0/x")
+        ]
+        for key in (*keys, *odd_keys):
+            await store.put(key, b"", 0)
+        collector = ClaimCollector(
+            store, ClaimSettings(collect_rate=1_000), lambda: (0, 1), lambda: 1e9
+        )
+        async with asyncio.timeout(10):
+            await collector.collect()
+        left = {obj.key for obj in store.table.list("claims/", "", 100).objects}
+        self.assertEqual(left, set(odd_keys))
+        self.assertEqual(collector.deleted, len(keys))
+
+    async def test_declarations_under_odd_keys(self):
+        """Guards against a configuration that is not read because of one object."""
+        store, state = MemoryStore(), ConfigState()
+        outcomes = {}
+        for number, name in enumerate(ODD_NAMES):
+            for key in (f"config/{name}", f"config/{name}/x", f"config/rank/{name}"):
+                await store.put(key, (b"", b"{}", b"\xff")[number % 3], 0)
+        watcher = PrefixWatcher(
+            store,
+            "config/",
+            FAST_SETTINGS,
+            random.Random(1),
+            lambda obj: outcomes.update({obj.key: state.apply(obj)}),
+        )
+        task = asyncio.create_task(watcher.run())
+        async with asyncio.timeout(10):
+            while not watcher.listed:
+                await asyncio.sleep(0.01)
+        for key in list(outcomes):
+            await store.delete(key, store.table.get(key).version)
+        async with asyncio.timeout(10):
+            while watcher.version < store.table.version:
+                await asyncio.sleep(0.01)
+        self.assertFalse(task.done())
+        task.cancel()
+        self.assertEqual(len(outcomes), len(set(outcomes)))
+
+
+if __name__ == "__main__":
+    unittest.main()
