Own interface: a listing that makes no progress fails instead of never ending

Callers would see nothing; the platform would get calls without end from the readers of declarations, claims and recorded events, which all go on with the key that a page names.

Cause: no reader checked that a page names another key than the one that it was asked to go on after. The client of the platform does now, for all readers, and reports the platform as unavailable.

Evidence: test_odd_keys, test_listing_that_makes_no_progress got a page before.

--- a/src/sapphireledge/objects/object_client.py
+++ b/src/sapphireledge/objects/object_client.py
@@ -17,6 +17,7 @@
     send_request,
 )
 from sapphireledge.objects.http_client import create_http_client
+from sapphireledge.objects.object_page import ObjectPage
 from sapphireledge.objects.stored_object import StoredObject
 from sapphireledge.objects.write_result import WriteResult, WriteStatus
 
@@ -25,7 +26,6 @@
 
     from sapphireledge.objects._private import PlatformResponse
     from sapphireledge.objects.instance import Instance
-    from sapphireledge.objects.object_page import ObjectPage
     from sapphireledge.settings import Settings
 
 __all__ = ["ObjectClient"]
@@ -96,7 +96,11 @@
         """Lists objects; see `ObjectStore.list`."""
         params = {"prefix": prefix, "after": after, "limit": str(limit)}
         response = await self._read("GET", f"{self._url}/objects", params)
-        return _parse_page("list", response)
+        page = _parse_page("list", response)
+        if isinstance(page, ObjectPage) and page.next_after and page.next_after == after:
+            reason = f"list: the listing makes no progress after {after!r}"
+            return Failure(ErrorKind.PLATFORM_UNAVAILABLE, reason)
+        return page
 
     async def watch(self, prefix: str, from_version: int, wait: float) -> ObjectPage | Failure:
         """Waits for writes; see `ObjectStore.watch`."""
--- a/tests/test_odd_keys.py
+++ b/tests/test_odd_keys.py
@@ -7,13 +7,15 @@
 import socket
 import unittest
 
+import msgspec
 from memory_store import MemoryStore
 from test_odd_names import ODD_NAMES
 from test_platform import FAST_SETTINGS, make_settings
 
 from sapphireledge.core.config import ConfigState
 from sapphireledge.entry.claim_collector import ClaimCollector
-from sapphireledge.objects import ObjectClient, PrefixWatcher
+from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.objects import ObjectClient, ObjectPage, PrefixWatcher
 from sapphireledge.settings import ClaimSettings
 from sapphireledge_standins.platform_server import PlatformServer, create_server
 
@@ -46,6 +48,40 @@
         self.assertEqual(found, keys)
 
 
+class RepeatingClient(ObjectClient):
+    """Client of a platform that names the same key as the continuation of each page."""
+
+    def __init__(self):
+        super().__init__(make_settings(1))
+        self.calls = 0
+
+    async def _read(self, method, url, params=None):
+        self.calls += 1
+        return _Response(
+            msgspec.json.encode(
+                {"objects": [{"key": "a/1", "value": "", "version": 1}], "version": 1}
+                | {"next_after": "a/1"}
+            )
+        )
+
+
+class _Response:
+    status, version = 200, 0
+
+    def __init__(self, body):
+        self.body = body
+
+
+class ListingTest(unittest.IsolatedAsyncioTestCase):
+    async def test_listing_that_makes_no_progress(self):
+        """Guards against endless calls for the same page."""
+        client = RepeatingClient()
+        self.assertIsInstance(await client.list("a/"), ObjectPage)
+        failure = await client.list("a/", "a/1")
+        self.assertIsInstance(failure, Failure)
+        self.assertEqual(failure.kind, ErrorKind.PLATFORM_UNAVAILABLE)
+
+
 class ReaderTest(unittest.IsolatedAsyncioTestCase):
     async def test_claims_under_odd_keys(self):
         """Guards against expired claims that stay because of an object that is no claim."""
