Own interface: a deeply nested value of one object does not end a watch

Callers would see: configuration that never changes again at an instance, or an instance that never becomes ready after a restart.

Cause: an object whose JSON is nested deeper than the decoder follows raises RecursionError, which is no DecodeError. Declarations, claims, leases, change records and the records of the quarantine caught only the latter, so the task that lists and watches them ended. They count as not valid now, as other values do that cannot be decoded; recorded events as damaged.

--- a/src/sapphireledge/core/claims/claim.py
+++ b/src/sapphireledge/core/claims/claim.py
@@ -87,7 +87,7 @@
         """
         try:
             return msgspec.json.decode(value, type=cls)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return None
 
     def latest_run_end_unix(self) -> float:
--- a/src/sapphireledge/core/config/change_applier.py
+++ b/src/sapphireledge/core/config/change_applier.py
@@ -250,7 +250,7 @@
             return stored
         try:
             return msgspec.json.decode(stored.value, type=ChangeRecord)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return Failure(ErrorKind.INTERNAL, f"the record of change {operation_id} is invalid")
 
     async def _list(self, prefix: str) -> dict[str, StoredObject] | Failure:
--- a/src/sapphireledge/core/config/stored_declaration.py
+++ b/src/sapphireledge/core/config/stored_declaration.py
@@ -52,7 +52,7 @@
         """
         try:
             return msgspec.json.decode(value, type=cls)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return None
 
 
--- a/src/sapphireledge/core/declarations/parse_declaration.py
+++ b/src/sapphireledge/core/declarations/parse_declaration.py
@@ -45,7 +45,7 @@
         return Failure(ErrorKind.INVALID_REQUEST, f"kind: {kind!r} is not one of {known}")
     try:
         declared = adapter.validate_python(msgspec.json.decode(text))
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         return Failure(ErrorKind.INVALID_REQUEST, f"{kind}/{name}: invalid JSON: {exc}")
     except ValidationError as exc:
         problems = "; ".join(
--- a/src/sapphireledge/core/fleet/lease_record.py
+++ b/src/sapphireledge/core/fleet/lease_record.py
@@ -42,7 +42,7 @@
         """
         try:
             return msgspec.json.decode(value, type=cls)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return None
 
 
--- a/src/sapphireledge/core/quarantine/clearing_record.py
+++ b/src/sapphireledge/core/quarantine/clearing_record.py
@@ -48,7 +48,7 @@
         """
         try:
             return _DECODER.decode(value)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return Failure(ErrorKind.INVALID_REQUEST, f"invalid clearing record: {exc}")
 
 
--- a/src/sapphireledge/core/quarantine/death_record.py
+++ b/src/sapphireledge/core/quarantine/death_record.py
@@ -172,7 +172,7 @@
         """
         try:
             return _DECODER.decode(value)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return Failure(ErrorKind.INVALID_REQUEST, f"invalid death record: {exc}")
 
 
--- a/src/sapphireledge/operator/event_reader.py
+++ b/src/sapphireledge/operator/event_reader.py
@@ -125,7 +125,7 @@
         if needle not in lines:
             return []
         return [event for event in decode_events(lines) if event.request_id == answer_id]
-    except (zstandard.ZstdError, msgspec.DecodeError) as exc:
+    except (zstandard.ZstdError, msgspec.DecodeError, RecursionError) as exc:
         gaps.append(f"segment {key} is damaged: {exc}")
         return []
 
--- a/tests/test_odd_keys.py
+++ b/tests/test_odd_keys.py
@@ -12,10 +12,13 @@
 from test_odd_names import ODD_NAMES
 from test_platform import FAST_SETTINGS, make_settings
 
-from sapphireledge.core.config import ConfigState
+from sapphireledge.core.claims import Claim
+from sapphireledge.core.config import ConfigState, ObjectOutcome, StoredDeclaration
+from sapphireledge.core.fleet import LeaseRecord
+from sapphireledge.core.quarantine import ClearingRecord, DeathRecord
 from sapphireledge.entry.claim_collector import ClaimCollector
 from sapphireledge.errors import ErrorKind, Failure
-from sapphireledge.objects import ObjectClient, ObjectPage, PrefixWatcher
+from sapphireledge.objects import ObjectClient, ObjectPage, PrefixWatcher, StoredObject
 from sapphireledge.settings import ClaimSettings
 from sapphireledge_standins.platform_server import PlatformServer, create_server
 
@@ -128,6 +131,18 @@
         task.cancel()
         self.assertEqual(len(outcomes), len(set(outcomes)))
 
+    def test_deeply_nested_values(self):
+        """Guards against a watch or a reader that ends because of one value."""
+        nested = b"[" * 100_000 + b"]" * 100_000
+        for kind in (Claim, ClearingRecord, DeathRecord, LeaseRecord, StoredDeclaration):
+            for value in (nested, b'{"x":' + nested + b"}"):
+                with self.subTest(kind.__name__):
+                    self.assertIsInstance(kind.decode(value), Failure | None)
+        stored = StoredDeclaration("change", nested.decode())
+        state = ConfigState()
+        outcome = state.apply(StoredObject("config/rank/odd", stored.encode(), 1))
+        self.assertIs(outcome, ObjectOutcome.REJECTED)
+
 
 if __name__ == "__main__":
     unittest.main()
