Own interface: a field that cannot be read does not end a watch or hide the instances

Callers would see: the same as with a deeply nested value; with the instance list, engines that stay unknown.

Cause: decode_rows leaves out rows that cannot be read and encodes the rest again. A field beside the rows that holds half a surrogate pair made that raise UnicodeEncodeError, which no reader expects. Nesting that the decoder does not follow, in one row of the instance list, raised RecursionError for the whole list.

Fields of the answer that its type does not have are left out now, one that it has and that cannot be read is a failed call, and deep nesting is cut as in answers of the users' store; the function for it moves to lenient_json.

Evidence: test_odd_page and test_odd_instance of test_odd_keys have 3 failures before, none after.

--- a/src/sapphireledge/lenient_json.py
+++ b/src/sapphireledge/lenient_json.py
@@ -7,14 +7,28 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any, TypeVar
 
 import msgspec
 
-__all__ = ["decode_leniently", "decode_rows", "is_readable", "parse_leniently"]
+__all__ = [
+    "MAX_DEPTH",
+    "cut_nesting",
+    "decode_leniently",
+    "decode_rows",
+    "is_readable",
+    "parse_leniently",
+]
 
 Decoded = TypeVar("Decoded")
 
+MAX_DEPTH = 64
+"""Deepest nesting that is decoded; objects of the platform nest less than ten deep."""
+
+_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{}]', re.DOTALL)
+"""Strings and brackets of a JSON text."""
+
 
 def parse_leniently(text: bytes) -> Any:
     """Parses a JSON text, whatever its strings hold.
@@ -76,12 +90,16 @@
         return msgspec.json.decode(text, type=kind)
     except msgspec.ValidationError:
         raise
-    except msgspec.DecodeError:
-        value = parse_leniently(text)
+    except (msgspec.DecodeError, RecursionError):
+        value = parse_leniently(cut_nesting(text))
         if not isinstance(value, dict) or not isinstance(value.get(key), list):
             raise
         value[key] = [row for row in value[key] if is_readable(row)]
-        return msgspec.json.decode(msgspec.json.encode(value), type=kind)
+        names = {field.encode_name for field in msgspec.structs.fields(kind)}
+        known = {name: field for name, field in value.items() if name in names}
+        if not is_readable(known):
+            raise
+        return msgspec.json.decode(msgspec.json.encode(known), type=kind)
 
 
 def is_readable(value: Any) -> bool:
@@ -98,3 +116,29 @@
     except (UnicodeError, OverflowError, RecursionError, msgspec.MsgspecError):
         return False
     return True
+
+
+def cut_nesting(text: bytes) -> bytes:
+    """Replaces each value that is nested deeper than `MAX_DEPTH` by null.
+
+    Args:
+        text: JSON text.
+
+    Returns:
+        The shorter text, empty if its brackets do not match.
+    """
+    parts = []
+    depth = copied = 0
+    for token in _TOKENS.finditer(text):
+        bracket = token.group()
+        if bracket in (b"[", b"{"):
+            depth += 1
+            if depth == MAX_DEPTH + 1:
+                parts += [text[copied : token.start()], b"null"]
+        elif bracket in (b"]", b"}"):
+            if depth == MAX_DEPTH + 1:
+                copied = token.end()
+            depth -= 1
+    if depth > MAX_DEPTH:
+        return b""
+    return b"".join([*parts, text[copied:]])
--- a/src/sapphireledge/platform/decode_objects.py
+++ b/src/sapphireledge/platform/decode_objects.py
@@ -14,18 +14,12 @@
 
 from sapphireledge.feed import SourceError
 from sapphireledge.gateway import GatewayEvent
-from sapphireledge.lenient_json import is_readable, parse_leniently
+from sapphireledge.lenient_json import cut_nesting, is_readable, parse_leniently
 
 __all__ = ["decode_answer", "decode_spec", "find_last_name"]
 
 Decoded = TypeVar("Decoded")
 
-MAX_DEPTH = 64
-"""Deepest nesting of an answer that is decoded; objects of the platform nest less than ten deep."""
-
-_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{}]', re.DOTALL)
-"""Strings and brackets of a JSON text."""
-
 _LONG_NUMBER = re.compile(rb"[0-9]{19}")
 """Digits of a number that may exceed 64 bits, which the messages between instances cannot hold."""
 
@@ -48,7 +42,7 @@
         try:
             return msgspec.json.decode(body, type=kind)
         except (RecursionError, msgspec.DecodeError):
-            return msgspec.json.decode(_clear_unreadable(_cut_nesting(body)), type=kind)
+            return msgspec.json.decode(_clear_unreadable(cut_nesting(body)), type=kind)
     except (msgspec.MsgspecError, RecursionError) as exc:
         raise SourceError(f"cannot decode the response of the store: {exc}") from exc
 
@@ -88,7 +82,7 @@
         The last name, which may hold lone surrogates, or None if there is none.
     """
     try:
-        rows = parse_leniently(_cut_nesting(body))["items"]
+        rows = parse_leniently(cut_nesting(body))["items"]
         names = [row["metadata"]["name"] for row in rows if _has_name(row)]
     except (msgspec.DecodeError, RecursionError, LookupError, TypeError):
         return None
@@ -144,22 +138,3 @@
     for key in unreadable:
         del fields[key]
     return unreadable
-
-
-def _cut_nesting(body: bytes) -> bytes:
-    """Replaces each value that is nested deeper than `MAX_DEPTH` by null."""
-    parts = []
-    depth = copied = 0
-    for token in _TOKENS.finditer(body):
-        bracket = token.group()
-        if bracket in (b"[", b"{"):
-            depth += 1
-            if depth == MAX_DEPTH + 1:
-                parts += [body[copied : token.start()], b"null"]
-        elif bracket in (b"]", b"}"):
-            if depth == MAX_DEPTH + 1:
-                copied = token.end()
-            depth -= 1
-    if depth > MAX_DEPTH:
-        return b""
-    return b"".join([*parts, body[copied:]])
--- a/tests/test_odd_keys.py
+++ b/tests/test_odd_keys.py
@@ -18,7 +18,9 @@
 from sapphireledge.core.quarantine import ClearingRecord, DeathRecord
 from sapphireledge.entry.claim_collector import ClaimCollector
 from sapphireledge.errors import ErrorKind, Failure
+from sapphireledge.lenient_json import decode_rows
 from sapphireledge.objects import ObjectClient, ObjectPage, PrefixWatcher, StoredObject
+from sapphireledge.objects._private import InstanceListBody, ObjectPageBody
 from sapphireledge.settings import ClaimSettings
 from sapphireledge_standins.platform_server import PlatformServer, create_server
 
@@ -143,6 +145,31 @@
         outcome = state.apply(StoredObject("config/rank/odd", stored.encode(), 1))
         self.assertIs(outcome, ObjectOutcome.REJECTED)
 
+    def test_odd_page(self):
+        """Guards against the same because of a field of the answer that cannot be read."""
+        nested = b"[" * 100_000 + b"]" * 100_000
+        sound = b'{"key":"a/1","value":"","version":1}'
+        for odd in (rb'"objects":[{"key":"\ud800"},', rb'"x":"\ud800","objects":['):
+            body = b"{" + odd + sound + b'],"version":1}'
+            with self.subTest(odd):
+                page = decode_rows(body, ObjectPageBody, "objects").to_page()
+                self.assertEqual([obj.key for obj in page.objects], ["a/1"])
+        for odd in (b'"objects":[' + nested, rb'"next_after":"\ud800","objects":[' + sound):
+            with self.subTest(odd[:20]), self.assertRaises(msgspec.DecodeError):
+                decode_rows(b"{" + odd + b'],"version":1}', ObjectPageBody, "objects")
+
+    def test_odd_instance(self):
+        """Guards against an instance list that is given up because of one row."""
+        nested = b"[" * 100_000 + b"]" * 100_000
+        sound = (
+            b'{"name":"e1","kind":"engine","address":"10.0.0.1:1","data_centre":"d",'
+            b'"region":"r"}'
+        )
+        for odd in (nested, b'{"name":' + nested + b"}"):
+            body = b'{"instances":[' + odd + b"," + sound + rb'],"x":"\ud800"}'
+            rows = decode_rows(body, InstanceListBody, "instances").decode_instances()
+            self.assertEqual([row.name for row in rows], ["e1"])
+
 
 if __name__ == "__main__":
     unittest.main()
