A field beside an object that cannot be read is left out

Callers would see: the same as with one row that is no object.

Cause: half a surrogate pair in a field of an event beside its object, or in the answer beside its rows, was kept when the answer is encoded again, which raised UnicodeEncodeError in place of SourceError. Found by the test that looks for such exceptions.

--- a/src/sapphireledge/platform/decode_objects.py
+++ b/src/sapphireledge/platform/decode_objects.py
@@ -122,6 +122,8 @@
     unreadable = []
     if isinstance(stored, dict) and isinstance(metadata, dict):
         unreadable = _clear_fields(metadata) + _clear_fields(stored)
+        if stored is not row:
+            unreadable += _clear_fields(row)
     has_name = isinstance(name, str) and is_readable(name)
     if unreadable or not has_name:
         structlog.get_logger().warning(
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -89,6 +89,18 @@
                     self.assertEqual(entries[1].spec, SERVER)
                     msgspec.msgpack.encode([entry.record for entry in entries])
 
+    async def test_unreadable_field_beside_an_object(self):
+        """Guards against an exception that no reader of the store expects."""
+        odd = msgspec.Raw(b'"\\ud800"')
+        event = {"object": SOUND, "note": odd}
+        self.store.answers = [(200, {"events": [event], "store_revision": 4, "note": odd})]
+        changes = await self.client.watch("servers", 3, 0.1)
+        self.assertEqual([entry.spec for entry in changes.entries], [SERVER])
+        self.store.answers = [(200, {"items": [SOUND], "store_revision": 4, "note": odd})]
+        self.assertEqual(len((await self.client.list("servers")).entries), 1)
+        self.store.answers = [(200, {**SOUND, "note": odd})]
+        self.assertEqual((await self.client.read("servers", "s1")).spec, SERVER)
+
     async def test_page_of_unreadable_names(self):
         """Guards against a listing that ends early, so that servers count as gone."""
         odd = {"metadata": {"name": msgspec.Raw(b'"s0\\ud800"')}, "spec": 1}
