An instance entry without a port for forwarded requests is not asked to take any

Callers would see: 502 from an instance that is cut off from all servers.

Cause: the port for forwarded requests lies a fixed number above the one that an instance announces. For an entry of another writer whose port is close to 65535 there is none, and the attempt to connect raises OverflowError, which is no OSError and ended the request.

Evidence: ForwardingPeerTest lists both instances before, only the one with a port after; that connecting to port 65540 raises OverflowError was tried by hand.

--- a/src/sapphireledge/platform/create_parts.py
+++ b/src/sapphireledge/platform/create_parts.py
@@ -41,6 +41,9 @@
     "create_store_client",
 ]
 
+MAX_PORT = 65_535
+"""Largest TCP port."""
+
 
 def create_feed_runner(
     cfg: NodeSettings, gateway: Gateway, metrics: GatewayMetrics, epoch: StoreEpoch
@@ -111,6 +114,7 @@
         gateway.peers.list_peers = lambda: [
             ForwardingPeer(peer.name, peer.data_centre, peer.host, peer.port + offset)
             for peer in runner.peers
+            if peer.port + offset <= MAX_PORT
         ]
     rollouts.list_alive = runner.list_alive
     rollouts.list_announced = lambda: runner.announced
--- a/tests/test_odd_names.py
+++ b/tests/test_odd_names.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import tempfile
 import unittest
+from pathlib import Path
 from urllib.parse import unquote, unquote_plus
 
 import h11
-from test_platform_adapter import SERVER
+import msgspec
+from gateway_case import GatewayCase
+from test_platform_adapter import NODE_FILE, SERVER
 
 from sapphireledge.feed import Peer, StoreEpoch
+from sapphireledge.gateway import GatewayMetrics
+from sapphireledge.platform.create_parts import create_feed_runner
 from sapphireledge.platform.decode_server import decode_server
+from sapphireledge.platform.node_settings import load_node_settings
 from sapphireledge.platform.store_client import INSTANCE_KIND, StoreClient
 from sapphireledge.platform.store_settings import StoreSettings
 from soak.store import Store
@@ -137,6 +144,21 @@
                 self.assertEqual(spec["address"], "10.0.0.2:7340")
 
 
+class ForwardingPeerTest(GatewayCase):
+    async def test_instance_without_a_port_for_forwarded_requests(self):
+        """Guards against a request that ends with an OverflowError of the connection attempt."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.json"
+            path.write_bytes(msgspec.json.encode(NODE_FILE))
+            cfg = load_node_settings(path)
+        runner = create_feed_runner(cfg, self.gateway, GatewayMetrics(), StoreEpoch())
+        runner.peers = tuple(
+            Peer(f"n{port}", "127.0.0.1", port, "dc-a", 1000.0) for port in (7340, 65_535)
+        )
+        names = [peer.name for peer in self.gateway.peers.list_peers()]
+        self.assertEqual(names, ["n7340"])
+
+
 class ServerIdTest(unittest.TestCase):
     def test_names_that_no_header_holds(self):
         """Guards against requests that fail because the id of their server cannot be sent."""
