Own interface: an address with an odd port does not end the link to it

Callers saw nothing that is shown; the call that the link had taken got no result.

Cause: a port out of range in the instance list raises OverflowError, not OSError or ValueError, so the attempt to connect did not fail as one but ended the task of the link.

--- a/src/sapphireledge/rpc/thrift_connection.py
+++ b/src/sapphireledge/rpc/thrift_connection.py
@@ -62,7 +62,7 @@
         try:
             async with asyncio.timeout(timeout):
                 reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
-        except (OSError, ValueError) as exc:
+        except (OSError, ValueError, OverflowError) as exc:
             raise RpcError(f"cannot connect to {address}: {str(exc) or 'timed out'}") from exc
         return cls(service, LimitedTransport(reader, writer), limits)
 
--- a/tests/test_odd_keys.py
+++ b/tests/test_odd_keys.py
@@ -21,9 +21,13 @@
 from sapphireledge.lenient_json import decode_rows
 from sapphireledge.objects import ObjectClient, ObjectPage, PrefixWatcher, StoredObject
 from sapphireledge.objects._private import InstanceListBody, ObjectPageBody
+from sapphireledge.peers.messages import PeerService
+from sapphireledge.rpc import RpcError, RpcLimits, ThriftConnection
 from sapphireledge.settings import ClaimSettings
 from sapphireledge_standins.platform_server import PlatformServer, create_server
 
+LIMITS = RpcLimits(max_message=100_000, hello_timeout=2.0, message_timeout=0.3)
+
 
 class OddKeysTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
@@ -171,5 +175,26 @@
             self.assertEqual([row.name for row in rows], ["e1"])
 
 
+class OddAddressTest(unittest.IsolatedAsyncioTestCase):
+    async def test_address_of_another_instance(self):
+        """Guards against a link to other instances that ends because of one address."""
+        for address in (
+            "",
+            ":",
+            "x",
+            "127.0.0.1",
+            "127.0.0.1:",
+            "127.0.0.1:x",
+            "127.0.0.1:70000",
+            "127.0.0.1:-1",
+            "a..b:1",
+            "\x00:1",
+            "x" * 70 + ".x:1",
+            "[:1",
+        ):
+            with self.subTest(address), self.assertRaises(RpcError):
+                await ThriftConnection.open(PeerService, address, LIMITS, 0.5)
+
+
 if __name__ == "__main__":
     unittest.main()
