Own interface: an object whose receiver raises does not end the watch

Callers would see: configuration or records of crashes that never change again.

Cause: the watch of a prefix let any exception of its receiver end its task, which nothing starts again. Deep nesting was one such exception; the watch now logs each one with the key and goes on, as the watch of the users' store does.

Evidence: test_object_that_its_receiver_does_not_expect of test_odd_keys found the task ended before.

--- a/src/sapphireledge/objects/prefix_watcher.py
+++ b/src/sapphireledge/objects/prefix_watcher.py
@@ -5,8 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import structlog
+
 from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.objects.stored_object import StoredObject
+from sapphireledge.telemetry import LogEvent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,6 +66,7 @@
         self._on_synced = on_synced
         self._versions: dict[str, int] = {}
         self._failures = 0
+        self._log = structlog.get_logger()
 
     async def run(self) -> None:
         """Lists and watches until the task is cancelled."""
@@ -122,7 +126,11 @@
             self._versions.pop(obj.key, None)
         else:
             self._versions[obj.key] = obj.version
-        self._on_object(obj)
+        try:
+            self._on_object(obj)
+        except Exception as exc:
+            # One object must not end the delivery of all others.
+            self._log.error(LogEvent.INTERNAL_ERROR, key=obj.key, exc_info=exc)
 
     def _set_reachable(self, reachable: bool) -> None:
         """Reports a change of reachability; a success resets the backoff."""
--- a/tests/test_odd_keys.py
+++ b/tests/test_odd_keys.py
@@ -137,6 +137,31 @@
         task.cancel()
         self.assertEqual(len(outcomes), len(set(outcomes)))
 
+    async def test_object_that_its_receiver_does_not_expect(self):
+        """Guards against a watch that ends, so that no later change is applied."""
+        store, found = MemoryStore(), []
+
+        def receive(obj):
+            if obj.key == "a/odd":
+                raise KeyError(obj.key)
+            found.append(obj.key)
+
+        watcher = PrefixWatcher(store, "a/", FAST_SETTINGS, random.Random(1), receive)
+        for key in ("a/1", "a/odd", "a/x"):
+            await store.put(key, b"", 0)
+        task = asyncio.create_task(watcher.run())
+        async with asyncio.timeout(10):
+            while not watcher.listed and not task.done():
+                await asyncio.sleep(0.01)
+        await store.put("a/odd", b"2", 2)
+        await store.put("a/y", b"", 0)
+        async with asyncio.timeout(10):
+            while "a/y" not in found and not task.done():
+                await asyncio.sleep(0.01)
+        self.assertFalse(task.done())
+        task.cancel()
+        self.assertEqual(found, ["a/1", "a/x", "a/y"])
+
     def test_deeply_nested_values(self):
         """Guards against a watch or a reader that ends because of one value."""
         nested = b"[" * 100_000 + b"]" * 100_000
