Content that is nested almost too deeply is cut before it is passed on

Callers would see nothing at first: followers leave the relay and read the store themselves, each with calls of its own.

Cause: a relay kept content that its own decoder could just follow. A follower decodes it inside a message, with a deeper stack, gets RecursionError, and drops the connection each time the entry is sent. Values nested deeper than 64 levels are null now, as in answers that cannot be decoded otherwise. Content with at most 64 brackets is not searched for them.

--- a/src/sapphireledge/lenient_json.py
+++ b/src/sapphireledge/lenient_json.py
@@ -17,6 +17,7 @@
     "cut_nesting",
     "decode_leniently",
     "decode_rows",
+    "is_nested_deeply",
     "is_readable",
     "parse_leniently",
 ]
@@ -118,6 +119,28 @@
     return True
 
 
+def is_nested_deeply(value: Any) -> bool:
+    """Whether a parsed value is nested deeper than `MAX_DEPTH`.
+
+    Args:
+        value: Value of a JSON text.
+
+    Returns:
+        Whether it is.
+    """
+    level = [value] if isinstance(value, dict | list) else []
+    for _ in range(MAX_DEPTH):
+        level = [
+            child
+            for node in level
+            for child in (node.values() if isinstance(node, dict) else node)
+            if isinstance(child, dict | list)
+        ]
+        if not level:
+            return False
+    return True
+
+
 def cut_nesting(text: bytes) -> bytes:
     """Replaces each value that is nested deeper than `MAX_DEPTH` by null.
 
--- a/src/sapphireledge/platform/decode_objects.py
+++ b/src/sapphireledge/platform/decode_objects.py
@@ -14,7 +14,13 @@
 
 from sapphireledge.feed import SourceError
 from sapphireledge.gateway import GatewayEvent
-from sapphireledge.lenient_json import cut_nesting, is_readable, parse_leniently
+from sapphireledge.lenient_json import (
+    MAX_DEPTH,
+    cut_nesting,
+    is_nested_deeply,
+    is_readable,
+    parse_leniently,
+)
 
 __all__ = ["decode_answer", "decode_spec", "find_last_name"]
 
@@ -32,7 +38,7 @@
         kind: Type to decode it as.
 
     Returns:
-        The decoded answer; values nested deeper than `MAX_DEPTH` are replaced by null, and rows
+        The decoded answer; values that the decoder cannot follow are replaced by null, and rows
         without a name are left out.
 
     Raises:
@@ -62,6 +68,9 @@
         return None
     try:
         value = msgspec.json.decode(text)
+        if text.count(b"[") + text.count(b"{") > MAX_DEPTH and is_nested_deeply(value):
+            # Another instance decodes it inside a message, with less of its stack left.
+            value = msgspec.json.decode(cut_nesting(text))
         if _LONG_NUMBER.search(text):
             msgspec.msgpack.encode(value)
         return value
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -8,6 +8,7 @@
 from test_platform_adapter import SERVER, ScriptedStore, stored_object
 
 from sapphireledge.feed import SourceError, StoreEpoch
+from sapphireledge.feed.feed_message import FeedEntry, FeedReply, KindReply
 from sapphireledge.platform.store_client import StoreClient
 from sapphireledge.platform.store_settings import StoreSettings
 
@@ -42,6 +43,13 @@
 SOUND = stored_object("s1", SERVER)
 
 
+def decode_on_full_stack(data, frames):
+    """Decodes a reply while the stack holds a number of frames."""
+    if frames:
+        return decode_on_full_stack(data, frames - 1)
+    return msgspec.msgpack.decode(data, type=FeedReply)
+
+
 class OddRowsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = ScriptedStore()
@@ -89,6 +97,19 @@
                     self.assertEqual(entries[1].spec, SERVER)
                     msgspec.msgpack.encode([entry.record for entry in entries])
 
+    async def test_nesting_that_only_this_instance_follows(self):
+        """Guards against followers that leave a relay because of one entry."""
+        for depth in (65, *range(500, 1_000, 20)):
+            nested = msgspec.Raw(b"[" * depth + b"]" * depth)
+            odd = {"metadata": {"name": "odd"}, "spec": {**SERVER, "extra": nested}}
+            with self.subTest(depth):
+                entries = await self.list_entries([odd, SOUND])
+                self.assertEqual({**entries[0].spec, "extra": None}, {**SERVER, "extra": None})
+                content = [FeedEntry(entry.name, entry.spec, False) for entry in entries]
+                reply = FeedReply(0.0, {"servers": KindReply(7, 0.0, True, content)})
+                data = msgspec.msgpack.encode(reply)
+                self.assertEqual(decode_on_full_stack(data, 200), reply)
+
     async def test_unreadable_field_beside_an_object(self):
         """Guards against an exception that no reader of the store expects."""
         odd = msgspec.Raw(b'"\\ud800"')
