Own interface: only the collector of claims checks the form of a key

Keys that other entries ask about go through that function, too, so it reads them as before, and the collector checks the form by itself.

--- a/src/sapphireledge/core/claims/__init__.py
+++ b/src/sapphireledge/core/claims/__init__.py
@@ -26,6 +26,7 @@
     CLAIM_PREFIX,
     IdempotencyKey,
     claim_bucket,
+    is_claim_key,
     parse_idempotency_key,
 )
 from sapphireledge.core.claims.received_keys import KeyStatus, ReceivedKeys
@@ -56,5 +57,6 @@
     "Wait",
     "WriteClaim",
     "claim_bucket",
+    "is_claim_key",
     "parse_idempotency_key",
 ]
--- a/src/sapphireledge/core/claims/idempotency_key.py
+++ b/src/sapphireledge/core/claims/idempotency_key.py
@@ -15,7 +15,13 @@
 if TYPE_CHECKING:
     from sapphireledge.settings import ClaimSettings
 
-__all__ = ["CLAIM_PREFIX", "IdempotencyKey", "claim_bucket", "parse_idempotency_key"]
+__all__ = [
+    "CLAIM_PREFIX",
+    "IdempotencyKey",
+    "claim_bucket",
+    "is_claim_key",
+    "parse_idempotency_key",
+]
 
 CLAIM_PREFIX = "claims/"
 """Prefix of the object keys of all claims."""
@@ -23,8 +29,8 @@
 MS_PER_SECOND = 1000
 """UUIDs of version 7 contain a time in milliseconds."""
 
-_CLAIM_KEY = re.compile(rf"{CLAIM_PREFIX}([0-9]{{12}})/.*", re.DOTALL)
-"""Object key of a claim, with its time bucket."""
+_CLAIM_KEY = re.compile(rf"{CLAIM_PREFIX}[0-9]{{12}}/.*", re.DOTALL)
+"""Object key of a claim, with its time bucket in twelve digits."""
 
 DIGEST_BYTES = 16
 """Length in bytes of the hash in a claim's object key."""
@@ -65,14 +71,20 @@
 
     Returns:
         Start of the time bucket in Unix seconds.
+    """
+    return int(claim_key.removeprefix(CLAIM_PREFIX).partition("/")[0])
+
+
+def is_claim_key(key: str) -> bool:
+    """Checks whether an object key is that of a claim.
 
-    Raises:
-        ValueError: The key is not one of a claim.
+    Args:
+        key: Object key.
+
+    Returns:
+        Whether it is.
     """
-    match = _CLAIM_KEY.fullmatch(claim_key)
-    if match is None:
-        raise ValueError(f"{claim_key!r} is not the key of a claim")
-    return int(match[1])
+    return _CLAIM_KEY.fullmatch(key) is not None
 
 
 def parse_idempotency_key(
--- a/src/sapphireledge/entry/claim_collector.py
+++ b/src/sapphireledge/entry/claim_collector.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from sapphireledge.core.claims import CLAIM_PREFIX, claim_bucket
+from sapphireledge.core.claims import CLAIM_PREFIX, claim_bucket, is_claim_key
 from sapphireledge.errors import Failure
 from sapphireledge.objects import WriteStatus
 
@@ -62,12 +62,11 @@
             if isinstance(page, Failure) or not page.objects:
                 return
             key = page.objects[0].key
-            try:
-                bucket = claim_bucket(key)
-            except ValueError:
+            if not is_claim_key(key):
                 # Another writer's object must not keep expired claims in the store.
                 after = key
                 continue
+            bucket = claim_bucket(key)
             if not self._is_expired(bucket):
                 return
             if self._is_assigned(bucket) and not await self._collect_bucket(bucket):
