--- a/tests/test_odd_names.py
+++ b/tests/test_odd_names.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 from urllib.parse import unquote, unquote_plus
 
 import h11
@@ -13,8 +14,10 @@
 from gateway_case import GatewayCase
 from test_platform_adapter import NODE_FILE, SERVER
 
-from sapphireledge.feed import Peer, StoreEpoch
-from sapphireledge.gateway import GatewayMetrics
+from sapphireledge.feed import FeedSettings, KindFeed, Peer, StoredEntry, StoreEpoch, StorePage
+from sapphireledge.feed.feed_follower import FeedFollower
+from sapphireledge.feed.feed_server import FeedServer
+from sapphireledge.gateway import GatewayMetrics, seconds_since_boot
 from sapphireledge.platform.create_parts import create_feed_runner
 from sapphireledge.platform.decode_server import decode_server
 from sapphireledge.platform.node_settings import load_node_settings
@@ -159,6 +162,29 @@
         self.assertEqual(names, ["n7340"])
 
 
+class PassingOnTest(unittest.IsolatedAsyncioTestCase):
+    async def test_odd_names_reach_followers(self):
+        """Guards against followers that leave a relay because of an odd name."""
+        listeners = [mock.Mock(), mock.Mock()]
+        feeds = [KindFeed("servers", listener) for listener in listeners]
+        cfg = FeedSettings(kinds=(), host="127.0.0.1", port=0)
+        server = FeedServer(cfg, {"servers": feeds[0]}, StoreEpoch(), lambda: True)
+        listening = await server.listen()
+        self.addAsyncCleanup(listening.wait_closed)
+        self.addCleanup(listening.close)
+        port = listening.sockets[0].getsockname()[1]
+        follower = FeedFollower(cfg, {"servers": feeds[1]}, StoreEpoch())
+        entries = tuple(StoredEntry(name, {"note": name}) for name in ODD_NAMES)
+        removed = tuple(StoredEntry(name, None, True) for name in ODD_NAMES)
+        feeds[0].apply_listing(StorePage(entries, 40), seconds_since_boot())
+        peer = Peer("e1", "127.0.0.1", port, "dc-a", 5.0)
+        self.assertEqual(await follower.follow(peer, once=True), "")
+        listeners[1].replace_all.assert_called_once_with(entries)
+        feeds[0].apply_changes(StorePage(removed, 41), seconds_since_boot())
+        self.assertEqual(await follower.follow(peer, once=True), "")
+        listeners[1].apply.assert_called_once_with(removed)
+
+
 class ServerIdTest(unittest.TestCase):
     def test_names_that_no_header_holds(self):
         """Guards against requests that fail because the id of their server cannot be sent."""
