--- a/tests/test_odd_keys.py
+++ b/tests/test_odd_keys.py
@@ -20,7 +20,7 @@
 from sapphireledge.errors import ErrorKind, Failure
 from sapphireledge.lenient_json import decode_rows
 from sapphireledge.objects import ObjectClient, ObjectPage, PrefixWatcher, StoredObject
-from sapphireledge.objects._private import InstanceListBody, ObjectPageBody
+from sapphireledge.objects._private import InstanceListBody, ObjectPageBody, PlatformResponse
 from sapphireledge.peers.messages import PeerService
 from sapphireledge.rpc import RpcError, RpcLimits, ThriftConnection
 from sapphireledge.settings import ClaimSettings
@@ -60,31 +60,19 @@
 class RepeatingClient(ObjectClient):
     """Client of a platform that names the same key as the continuation of each page."""
 
-    def __init__(self):
-        super().__init__(make_settings(1))
-        self.calls = 0
-
     async def _read(self, method, url, params=None):
-        self.calls += 1
-        return _Response(
-            msgspec.json.encode(
-                {"objects": [{"key": "a/1", "value": "", "version": 1}], "version": 1}
-                | {"next_after": "a/1"}
-            )
-        )
-
-
-class _Response:
-    status, version = 200, 0
-
-    def __init__(self, body):
-        self.body = body
+        page = {
+            "objects": [{"key": "a/1", "value": "", "version": 1}],
+            "version": 1,
+            "next_after": "a/1",
+        }
+        return PlatformResponse(200, msgspec.json.encode(page), 0)
 
 
 class ListingTest(unittest.IsolatedAsyncioTestCase):
     async def test_listing_that_makes_no_progress(self):
         """Guards against endless calls for the same page."""
-        client = RepeatingClient()
+        client = RepeatingClient(make_settings(1))
         self.assertIsInstance(await client.list("a/"), ObjectPage)
         failure = await client.list("a/", "a/1")
         self.assertIsInstance(failure, Failure)
